--- /dev/null
+++ b/crates/cli/src/lib.rs
@@ -0,0 +1,4 @@
+//! The operators' command line of sorrellock.
+
+pub mod cli;
+pub mod trial;
--- /dev/null
+++ b/crates/cli/src/trial/checks.rs
@@ -0,0 +1,113 @@
+//! The checks of `sorrellock try`.
+
+use eyre::{Result, WrapErr, ensure};
+use sorrellock_local::{Caller, LocalConfig, LocalFleet, MODEL, SERVICE};
+use std::io::{Write, stdout};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::thread;
+use std::time::Duration;
+
+/// Tokens of the answer that is shown.
+const SHOWN_TOKENS: u32 = 24;
+/// Tokens of the answer in the middle of which a stage is killed.
+const KILLED_TOKENS: u32 = 200;
+/// Answers at the same time, of two workspaces.
+const CROSSED: u32 = 40;
+/// How long a graceful shutdown may take.
+const SHUT_DOWN: Duration = Duration::from_secs(10);
+
+/// A local fleet with the callers of two workspaces.
+pub struct Trial {
+    fleet: LocalFleet,
+    treasury: Caller,
+    pharmacy: Caller,
+}
+
+impl Trial {
+    /// Starts the fleet.
+    pub fn start() -> Result<Trial> {
+        let fleet = LocalFleet::start(LocalConfig::new())?;
+        println!("started: an entry, six engines in three stages, a plain service, two workspaces");
+        let (treasury, pharmacy) = (fleet.caller(0, 0), fleet.caller(0, 1));
+        Ok(Trial { fleet, treasury, pharmacy })
+    }
+
+    /// Streams an answer, and compares it with that of a single machine.
+    pub fn stream_answer(&self) -> Result<()> {
+        let prompt = "Draft the confirmation wording for trade 4711.";
+        print!("  ");
+        let show = |piece: &str| {
+            print!("{piece}");
+            let _ = stdout().flush();
+        };
+        let text = self.treasury.stream(MODEL, prompt, SHOWN_TOKENS, show)?;
+        println!();
+        ensure!(text == self.fleet.expected(prompt, SHOWN_TOKENS), "the answer is not the model's");
+        println!("ok: an answer streamed through three stages is the one a single machine gives");
+        Ok(())
+    }
+
+    /// Many answers at once: each caller gets its own.
+    pub fn crossed_answers(&self) -> Result<()> {
+        let one = |number: u32| -> Result<()> {
+            let caller = if number.is_multiple_of(2) { &self.treasury } else { &self.pharmacy };
+            let prompt = format!("Explain break {number}.");
+            let text = caller.stream(MODEL, &prompt, SHOWN_TOKENS, |_| {})?;
+            ensure!(text == self.fleet.expected(&prompt, SHOWN_TOKENS), "answer {number} is wrong");
+            Ok(())
+        };
+        thread::scope(|scope| -> Result<()> {
+            let callers: Vec<_> =
+                (0..CROSSED).map(|number| scope.spawn(move || one(number))).collect();
+            callers.into_iter().try_for_each(|caller| caller.join().expect("a caller ends"))
+        })?;
+        println!("ok: {CROSSED} answers at once to two workspaces, none crossed");
+        Ok(())
+    }
+
+    /// Kills a stage in the middle of an answer.
+    pub fn kill_stage(&self) -> Result<()> {
+        let prompt = "Summarise the insulin shortage.";
+        let seen = AtomicU32::new(0);
+        let kill_halfway = |_: &str| {
+            if seen.fetch_add(1, Ordering::Relaxed) + 1 == KILLED_TOKENS / 2 {
+                self.fleet.kill_busiest(1);
+            }
+        };
+        let text = self.pharmacy.stream(MODEL, prompt, KILLED_TOKENS, kill_halfway)?;
+        ensure!(text == self.fleet.expected(prompt, KILLED_TOKENS), "the answer is not whole");
+        println!(
+            "ok: a stage was killed after {} tokens, and the answer is whole",
+            KILLED_TOKENS / 2
+        );
+        Ok(())
+    }
+
+    /// Calls the plain service.
+    pub fn plain_service(&self) -> Result<()> {
+        let path = format!("/v1/services/{SERVICE}/confirmations");
+        let answer = self.treasury.send(&path, &[], r#"{"trade":4711}"#)?;
+        ensure!(answer.status == 200, "status {}: {}", answer.status, answer.body);
+        ensure!(answer.outcome == "done", "outcome {}", answer.outcome);
+        println!("ok: a call to the plain service passed through");
+        Ok(())
+    }
+
+    /// Shuts the fleet down while an answer streams.
+    pub fn shut_down(&self) -> Result<()> {
+        let prompt = "Fetch the signed status.";
+        thread::scope(|scope| {
+            let answer = scope.spawn(|| self.treasury.stream(MODEL, prompt, KILLED_TOKENS, |_| {}));
+            while self.fleet.in_progress() == 0 && !answer.is_finished() {
+                thread::sleep(Duration::from_millis(1));
+            }
+            ensure!(self.fleet.drain(SHUT_DOWN), "the shutdown took longer than {SHUT_DOWN:?}");
+            let text =
+                answer.join().expect("a caller ends").wrap_err("the shutdown cut an answer")?;
+            ensure!(text == self.fleet.expected(prompt, KILLED_TOKENS), "the answer is not whole");
+            Ok(())
+        })?;
+        println!("ok: a graceful shutdown cut no answer");
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/core/src/process/endpoint.rs
@@ -0,0 +1,59 @@
+//! What a daemon tells of the endpoints that it serves.
+
+use crate::id::{EndpointId, ModelId, Place, ServiceId};
+use crate::request::{LayerRange, Peer};
+use serde::{Deserialize, Serialize};
+
+/// What an endpoint can do.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Role {
+    /// An engine that holds some layers of a model.
+    Engine {
+        /// The model.
+        model: ModelId,
+        /// The layers.
+        layers: LayerRange,
+    },
+    /// An instance of a plain service.
+    Service {
+        /// The service.
+        service: ServiceId,
+    },
+}
+
+/// One endpoint, as its daemon tells of it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EndpointFact {
+    /// Its name.
+    pub id: EndpointId,
+    /// What it can do.
+    pub role: Role,
+    /// Work waiting or running there, in steps or calls.
+    pub load: u32,
+}
+
+/// State of an instance.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Liveness {
+    /// Takes work.
+    Live,
+    /// Finishes what it has, and takes no new work.
+    Leaving,
+    /// Is no more.
+    Gone,
+}
+
+/// What a daemon tells of itself; a higher counter supersedes.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct InstanceFact {
+    /// The process.
+    pub peer: Peer,
+    /// Its place.
+    pub place: Place,
+    /// Grows with each change within the incarnation.
+    pub counter: u64,
+    /// Its state.
+    pub liveness: Liveness,
+    /// The endpoints that it serves.
+    pub endpoints: Vec<EndpointFact>,
+}
--- /dev/null
+++ b/crates/core/src/process/mod.rs
@@ -0,0 +1,5 @@
+//! What lives as long as a process.
+
+mod endpoint;
+
+pub use endpoint::*;
--- /dev/null
+++ b/crates/core/src/request/step.rs
@@ -0,0 +1,92 @@
+//! A step: a run of positions of one request on its way through the stages.
+
+use crate::id::{Attempt, Position, TokenId};
+use crate::request::RequestKey;
+use serde::{Deserialize, Serialize};
+
+/// Activations of a run of positions, one block of `width` bytes each.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Activations {
+    /// Bytes per position.
+    pub width: u32,
+    /// The blocks, in order of position.
+    pub data: Vec<u8>,
+}
+
+impl Activations {
+    /// Wraps blocks of `width` bytes each.
+    pub fn new(width: u32, data: Vec<u8>) -> Activations {
+        Activations { width, data }
+    }
+
+    /// How many positions there are.
+    pub fn count(&self) -> u32 {
+        (self.data.len() as u32).checked_div(self.width).unwrap_or(0)
+    }
+
+    /// A copy without the first `skip` positions.
+    pub fn skip(&self, skip: u32) -> Activations {
+        let from = (skip as usize * self.width as usize).min(self.data.len());
+        Activations { width: self.width, data: self.data[from..].to_vec() }
+    }
+
+    /// Adds the blocks of `more` behind these.
+    pub fn append(&mut self, more: &Activations) {
+        if self.data.is_empty() {
+            self.width = more.width;
+        }
+        self.data.extend_from_slice(&more.data);
+    }
+}
+
+/// Positions `first..first + tokens.len()` for the next stage to run.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Step {
+    /// The request.
+    pub request: RequestKey,
+    /// The attempt under which it was sent.
+    pub attempt: Attempt,
+    /// The first position.
+    pub first: Position,
+    /// The input token at each position. They travel with the activations, so that a
+    /// replacement of the last stage knows which token was already chosen.
+    pub tokens: Vec<TokenId>,
+    /// Output of the stage before; empty for the first stage.
+    pub activations: Activations,
+}
+
+impl Step {
+    /// One past the last position.
+    pub fn end(&self) -> Position {
+        self.first + self.tokens.len() as Position
+    }
+
+    /// This step without the positions below `position`.
+    pub fn from_position(&self, position: Position) -> Step {
+        let skip = position.saturating_sub(self.first);
+        Step {
+            request: self.request,
+            attempt: self.attempt,
+            first: self.first + skip,
+            tokens: self.tokens.iter().skip(skip as usize).copied().collect(),
+            activations: self.activations.skip(skip),
+        }
+    }
+}
+
+/// A token that the last stage chose.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TokenOut {
+    /// The request.
+    pub request: RequestKey,
+    /// The attempt under which it was made.
+    pub attempt: Attempt,
+    /// The position whose output it is; the token itself stands at the next one.
+    pub position: Position,
+    /// The token.
+    pub token: TokenId,
+    /// Its text.
+    pub text: String,
+    /// Whether the model ended its answer with it.
+    pub end_of_text: bool,
+}
--- /dev/null
+++ b/crates/daemon/src/beside/process/beside.rs
@@ -0,0 +1,169 @@
+//! The daemon beside endpoints, from start to end.
+
+use crate::beside::process::engine_runner::EngineBounds;
+use crate::beside::process::{BesideHandler, BesideSettings, EngineRunner, Outbox, ServiceRunner};
+use crate::process::{
+    Count, Counters, Dump, counters_json, draw_incarnation, listen_for_operators, send_metrics,
+};
+use eyre::{Result, WrapErr};
+use serde_json::{Value, json};
+use sorrellock_core::request::Peer;
+use sorrellock_platform::api::{Engine, EngineInfo};
+use sorrellock_platform::client::{HttpEngine, HttpService};
+use sorrellock_wire::connection::{LinkConfig, NngLink};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// How often an engine is asked for what it holds until it answers.
+const ENGINE_RETRY: Duration = Duration::from_millis(100);
+/// How long a start waits for its engines.
+const ENGINE_WAIT: Duration = Duration::from_secs(30);
+/// How often a drain looks whether the work has ended.
+const DRAIN_POLL: Duration = Duration::from_millis(5);
+
+/// A running daemon beside endpoints.
+pub struct Beside {
+    handler: Arc<BesideHandler<NngLink, HttpEngine>>,
+    link: Arc<NngLink>,
+    counters: Arc<Counters>,
+    operators: Option<SocketAddr>,
+}
+
+impl Beside {
+    /// Starts the daemon; it waits for its engines to answer.
+    pub fn start(settings: BesideSettings) -> Result<Beside> {
+        let me = Peer { addr: settings.link, incarnation: draw_incarnation() };
+        let counters = Arc::new(Counters::new());
+        let (link, closed) = NngLink::listen(LinkConfig::new(me)).wrap_err("start of the links")?;
+        let outbox = Outbox::new(link.clone(), counters.clone());
+        let handler = Arc::new(BesideHandler {
+            me,
+            place: settings.place.clone(),
+            engines: start_engines(&settings, &outbox)?,
+            services: start_services(&settings, &outbox),
+            outbox,
+            leaving: AtomicBool::new(false),
+            counter: AtomicU64::new(1),
+        });
+        link.serve(closed, handler.clone());
+        send_metrics(counters.clone(), settings.metrics).wrap_err("start of the metrics")?;
+        let mut beside = Beside { handler, link, counters, operators: None };
+        if let Some(addr) = settings.operators {
+            let state = Arc::new(beside.state());
+            let addr =
+                listen_for_operators(addr, state).wrap_err("start of the operators' listener")?;
+            beside.operators = Some(addr);
+        }
+        spdlog::info!("beside {} of {} serves", me.addr, settings.place);
+        Ok(beside)
+    }
+
+    /// This process among its peers.
+    pub fn peer(&self) -> Peer {
+        self.handler.me
+    }
+
+    /// Where operators ask, if they may.
+    pub fn operators(&self) -> Option<SocketAddr> {
+        self.operators
+    }
+
+    /// The counters.
+    pub fn counter(&self, count: Count) -> u64 {
+        self.counters.get(count)
+    }
+
+    /// What tells the state of this daemon.
+    pub fn state(&self) -> BesideState {
+        BesideState {
+            handler: self.handler.clone(),
+            link: self.link.clone(),
+            counters: self.counters.clone(),
+        }
+    }
+
+    /// Takes no new work, and returns when what runs has ended, or false after `wait`.
+    pub fn drain(&self, wait: Duration) -> bool {
+        self.handler.leaving.store(true, Ordering::Release);
+        let end = Instant::now() + wait;
+        while self.handler.open_work() > 0 {
+            if Instant::now() > end {
+                return false;
+            }
+            thread::sleep(DRAIN_POLL);
+        }
+        true
+    }
+
+    /// Ends at once, as a killed process does: links close, work is lost.
+    pub fn stop(&self) {
+        self.link.close();
+        self.handler.engines.values().for_each(|engine| engine.end());
+    }
+}
+
+/// Tells the state of a daemon beside endpoints.
+pub struct BesideState {
+    handler: Arc<BesideHandler<NngLink, HttpEngine>>,
+    link: Arc<NngLink>,
+    counters: Arc<Counters>,
+}
+
+impl Dump for BesideState {
+    fn dump(&self) -> Value {
+        json!({
+            "role": "beside",
+            "fact": self.handler.fact(),
+            "open_work": self.handler.open_work(),
+            "counters": counters_json(&self.counters.snapshot()),
+            "link": counters_json(&self.link.counters().snapshot()),
+        })
+    }
+}
+
+type Engines = HashMap<String, Arc<EngineRunner<NngLink, HttpEngine>>>;
+
+fn start_engines(settings: &BesideSettings, outbox: &Outbox<NngLink>) -> Result<Engines> {
+    let bounds =
+        EngineBounds { max_sessions: settings.max_sessions, replay_budget: settings.replay_budget };
+    let mut engines = HashMap::new();
+    for addr in &settings.engines {
+        let engine = HttpEngine::new(*addr);
+        let info = wait_for_engine(&engine)
+            .wrap_err_with(|| format!("asking engine {addr} what it holds"))?;
+        let id = info.endpoint.clone();
+        engines.insert(id, EngineRunner::start(engine, info, bounds, outbox.clone()));
+    }
+    Ok(engines)
+}
+
+fn wait_for_engine(engine: &HttpEngine) -> Result<EngineInfo> {
+    let end = Instant::now() + ENGINE_WAIT;
+    loop {
+        match engine.info() {
+            Ok(info) => return Ok(info),
+            Err(err) if Instant::now() > end => return Err(err.into()),
+            Err(_) => thread::sleep(ENGINE_RETRY),
+        }
+    }
+}
+
+fn start_services(
+    settings: &BesideSettings,
+    outbox: &Outbox<NngLink>,
+) -> HashMap<String, ServiceRunner<NngLink>> {
+    let start = |endpoint: &ServiceEndpoint| {
+        let service = HttpService::new(endpoint.addr);
+        let (threads, queue) = (settings.max_calls, settings.call_queue);
+        let runner =
+            ServiceRunner::start(endpoint.clone(), service, threads, queue, outbox.clone());
+        (endpoint.id.clone(), runner)
+    };
+    settings.services.iter().map(start).collect()
+}
+
+use super::ServiceEndpoint;
--- /dev/null
+++ b/crates/daemon/src/beside/process/beside_handler.rs
@@ -0,0 +1,145 @@
+//! Hands messages from other processes to the endpoint that they are for.
+
+use crate::beside::process::{EngineRunner, Outbox, ServiceRunner};
+use crate::process::Count;
+use sorrellock_core::id::{EndpointId, Incarnation, Place};
+use sorrellock_core::process::{InstanceFact, Liveness};
+use sorrellock_core::request::{Peer, Refusal, RequestKey};
+use sorrellock_platform::api::Engine;
+use sorrellock_wire::connection::{Link, LinkHandler};
+use sorrellock_wire::message::{
+    CallEnd, CallMessage, CallRequest, FleetMessage, Message, Open, PipelineMessage, StageTrouble,
+};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+
+/// The endpoints of a daemon, and what it tells of itself.
+pub struct BesideHandler<L, E> {
+    pub(super) me: Peer,
+    pub(super) place: Place,
+    pub(super) engines: HashMap<EndpointId, Arc<EngineRunner<L, E>>>,
+    pub(super) services: HashMap<EndpointId, ServiceRunner<L>>,
+    pub(super) outbox: Outbox<L>,
+    pub(super) leaving: AtomicBool,
+    pub(super) counter: AtomicU64,
+}
+
+impl<L: Link, E: Engine> BesideHandler<L, E> {
+    /// What the daemon tells of itself.
+    pub fn fact(&self) -> InstanceFact {
+        let engines = self.engines.values().map(|engine| engine.fact());
+        let services = self.services.values().map(|service| service.fact());
+        InstanceFact {
+            peer: self.me,
+            place: self.place.clone(),
+            counter: self.counter.fetch_add(1, Ordering::Relaxed),
+            liveness: if self.is_leaving() { Liveness::Leaving } else { Liveness::Live },
+            endpoints: engines.chain(services).collect(),
+        }
+    }
+
+    /// Whether the daemon takes no new work.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::Acquire)
+    }
+
+    /// How many requests and calls are open.
+    pub fn open_work(&self) -> usize {
+        let requests: usize = self.engines.values().map(|engine| engine.open_requests()).sum();
+        let calls: u32 = self.services.values().map(|service| service.open_calls()).sum();
+        requests + calls as usize
+    }
+
+    fn on_pipeline(&self, message: PipelineMessage) {
+        match message {
+            PipelineMessage::Open(open) => self.on_open(open),
+            PipelineMessage::Step(step) => {
+                self.with_runner(step.request, |runner| runner.step(step.clone()))
+            }
+            PipelineMessage::Resend { request, from, .. } => {
+                self.with_runner(request, |runner| runner.resend(request, from));
+            }
+            PipelineMessage::Close { request } => {
+                self.with_runner(request, |runner| runner.close(request));
+            }
+            PipelineMessage::Token(_) | PipelineMessage::Trouble { .. } => {
+                self.outbox.counters().count(Count::LateAnswers);
+            }
+        }
+    }
+
+    fn on_open(&self, open: Open) {
+        let hop = open.route.hops.get(usize::from(open.stage));
+        let runner = hop.and_then(|hop| self.engines.get(&hop.endpoint));
+        let Some(runner) = runner else {
+            let (request, attempt, stage) = (open.request, open.attempt, open.stage);
+            let trouble = StageTrouble::Refused(Refusal::BadRequest);
+            let detail = format!("stage {stage}: no such endpoint at {}", self.me.addr);
+            let message = PipelineMessage::Trouble { request, attempt, stage, trouble, detail };
+            return self.outbox.pipeline(open.entry, message);
+        };
+        runner.open(open, self.is_leaving());
+    }
+
+    /// A request has at most one stage at a daemon's engine; the others pass it over.
+    fn with_runner(&self, _request: RequestKey, act: impl Fn(&EngineRunner<L, E>)) {
+        self.engines.values().for_each(|runner| act(runner));
+    }
+
+    fn on_call(&self, from: Peer, message: CallMessage) {
+        match message {
+            CallMessage::Request(call) => self.on_call_request(from, call),
+            CallMessage::Cancel { .. } => {}
+            CallMessage::End { .. } => self.outbox.counters().count(Count::LateAnswers),
+        }
+    }
+
+    fn on_call_request(&self, from: Peer, call: CallRequest) {
+        let service = self.services.get(&call.endpoint);
+        let refusal = match service {
+            Some(service) if !self.is_leaving() => return service.call(from, call),
+            Some(_) => Refusal::Leaving,
+            None => Refusal::BadRequest,
+        };
+        self.outbox.counters().count(Count::CallsRefused);
+        let detail = format!("{} takes no call for {}", self.me.addr, call.endpoint);
+        let end = CallEnd::NotRun { refusal, detail };
+        let (request, attempt) = (call.request, call.attempt);
+        self.outbox.call(from, CallMessage::End { request, attempt, end });
+    }
+
+    fn on_misdirected(&self, from: Peer, message: Message) {
+        self.outbox.counters().count(Count::Misdirected);
+        if let Message::Call(CallMessage::Request(call)) = message {
+            let detail = format!("{} was restarted", self.me.addr);
+            let end = CallEnd::NotRun { refusal: Refusal::Superseded, detail };
+            let (request, attempt) = (call.request, call.attempt);
+            self.outbox.call(from, CallMessage::End { request, attempt, end });
+        }
+    }
+}
+
+impl<L: Link, E: Engine> LinkHandler for BesideHandler<L, E> {
+    fn on_message(&self, from: Peer, to: Incarnation, message: Message) {
+        if to != 0 && to != self.me.incarnation {
+            return self.on_misdirected(from, message);
+        }
+        match message {
+            Message::Pipeline(message) => self.on_pipeline(message),
+            Message::Call(message) => self.on_call(from, message),
+            Message::Fleet(FleetMessage::Hello) => {
+                let fact = self.fact();
+                self.outbox.send(from, Message::Fleet(FleetMessage::Facts(vec![fact])));
+            }
+            Message::Fleet(FleetMessage::Facts(_)) => {}
+        }
+    }
+
+    fn on_closed(&self, peer: SocketAddr) {
+        for runner in self.engines.values() {
+            runner.on_closed(|hop| hop.daemon.addr == peer, |open| open.entry.addr == peer);
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/beside/process/mod.rs
@@ -0,0 +1,16 @@
+//! What lives as long as the daemon beside endpoints.
+
+mod beside;
+mod beside_handler;
+mod engine_runner;
+mod outbox;
+mod service_runner;
+mod settings;
+
+pub use beside::*;
+pub use settings::*;
+
+use beside_handler::BesideHandler;
+use engine_runner::EngineRunner;
+use outbox::Outbox;
+use service_runner::ServiceRunner;
--- /dev/null
+++ b/crates/daemon/src/beside/process/outbox.rs
@@ -0,0 +1,48 @@
+//! Sending from a daemon: a refused send is counted, as whoever waits will ask again.
+
+use crate::process::{Count, Counters};
+use sorrellock_core::request::Peer;
+use sorrellock_wire::connection::Link;
+use sorrellock_wire::message::{CallMessage, Message, PipelineMessage};
+use std::sync::Arc;
+
+/// A link with the counters of its process.
+pub struct Outbox<L> {
+    link: Arc<L>,
+    counters: Arc<Counters>,
+}
+
+impl<L> Clone for Outbox<L> {
+    fn clone(&self) -> Self {
+        Outbox { link: self.link.clone(), counters: self.counters.clone() }
+    }
+}
+
+impl<L: Link> Outbox<L> {
+    /// Sends over `link`.
+    pub fn new(link: Arc<L>, counters: Arc<Counters>) -> Outbox<L> {
+        Outbox { link, counters }
+    }
+
+    /// The counters of the process.
+    pub fn counters(&self) -> &Counters {
+        &self.counters
+    }
+
+    /// Sends a message of a pipeline request.
+    pub fn pipeline(&self, to: Peer, message: PipelineMessage) {
+        self.send(to, Message::Pipeline(message));
+    }
+
+    /// Sends a message of a call.
+    pub fn call(&self, to: Peer, message: CallMessage) {
+        self.send(to, Message::Call(message));
+    }
+
+    /// Sends any message.
+    pub fn send(&self, to: Peer, message: Message) {
+        if self.link.send(to, message).is_err() {
+            self.counters.count(Count::SendsRefused);
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/beside/process/service_runner.rs
@@ -0,0 +1,135 @@
+//! One instance of a plain service: a bounded queue of calls and the threads that pass them on.
+
+use crate::beside::process::Outbox;
+use crate::process::Count;
+use crossbeam::channel::{Receiver, Sender, TrySendError, bounded};
+use sorrellock_core::process::{EndpointFact, Role};
+use sorrellock_core::request::{Peer, Refusal};
+use sorrellock_platform::api::{Service, ServiceCall, ServiceError};
+use sorrellock_wire::connection::Link;
+use sorrellock_wire::message::{CallEnd, CallMessage, CallRequest};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use super::ServiceEndpoint;
+
+/// A call with the entry that sent it, and the instant at which its deadline passes.
+struct Waiting {
+    entry: Peer,
+    call: CallRequest,
+    deadline: Instant,
+}
+
+/// One instance of a plain service.
+pub struct ServiceRunner<L> {
+    endpoint: ServiceEndpoint,
+    queue: Sender<Waiting>,
+    open: Arc<AtomicU32>,
+    outbox: Outbox<L>,
+}
+
+impl<L: Link> ServiceRunner<L> {
+    /// Starts `threads` threads, before which `queue` calls may wait.
+    pub fn start<S: Service>(
+        endpoint: ServiceEndpoint,
+        service: S,
+        threads: usize,
+        queue: usize,
+        outbox: Outbox<L>,
+    ) -> ServiceRunner<L> {
+        let (tx, rx) = bounded(queue);
+        let open = Arc::new(AtomicU32::new(0));
+        let service = Arc::new(service);
+        for _ in 0..threads {
+            let (rx, service, outbox, open) =
+                (rx.clone(), service.clone(), outbox.clone(), open.clone());
+            thread::Builder::new()
+                .name("service-calls".into())
+                .spawn(move || run_calls(&rx, &*service, &outbox, &open))
+                .expect("a thread can be started");
+        }
+        ServiceRunner { endpoint, queue: tx, open, outbox }
+    }
+
+    /// What the daemon tells of this instance.
+    pub fn fact(&self) -> EndpointFact {
+        EndpointFact {
+            id: self.endpoint.id.clone(),
+            role: Role::Service { service: self.endpoint.service.clone() },
+            load: self.open_calls(),
+        }
+    }
+
+    /// How many calls wait or run.
+    pub fn open_calls(&self) -> u32 {
+        self.open.load(Ordering::Acquire)
+    }
+
+    /// Takes a call, or refuses it at once.
+    pub fn call(&self, entry: Peer, call: CallRequest) {
+        let deadline = Instant::now() + Duration::from_millis(call.deadline_ms);
+        self.open.fetch_add(1, Ordering::AcqRel);
+        let refused = match self.queue.try_send(Waiting { entry, call, deadline }) {
+            Ok(()) => return,
+            Err(TrySendError::Full(waiting) | TrySendError::Disconnected(waiting)) => waiting,
+        };
+        self.open.fetch_sub(1, Ordering::AcqRel);
+        let detail = format!("the queue of endpoint {} is full", self.endpoint.id);
+        refuse(&self.outbox, &refused, Refusal::Capacity, detail);
+    }
+}
+
+fn run_calls<L: Link, S: Service>(
+    rx: &Receiver<Waiting>,
+    service: &S,
+    outbox: &Outbox<L>,
+    open: &AtomicU32,
+) {
+    for waiting in rx.iter() {
+        run_call(&waiting, service, outbox);
+        open.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+fn run_call<L: Link, S: Service>(waiting: &Waiting, service: &S, outbox: &Outbox<L>) {
+    let left = waiting.deadline.saturating_duration_since(Instant::now());
+    if left.is_zero() {
+        let detail = "its deadline passed while it waited".to_owned();
+        return refuse(outbox, waiting, Refusal::Deadline, detail);
+    }
+    outbox.counters().count(Count::Calls);
+    let end = match service.call(&service_call(&waiting.call), left) {
+        Ok(answer) => CallEnd::Done {
+            status: answer.status,
+            content_type: answer.content_type,
+            body: answer.body,
+        },
+        Err(ServiceError::NotSent { detail }) => {
+            CallEnd::NotRun { refusal: Refusal::Capacity, detail }
+        }
+        Err(ServiceError::NoAnswer { detail }) => CallEnd::Unknown { detail },
+    };
+    answer(outbox, waiting, end);
+}
+
+fn service_call(call: &CallRequest) -> ServiceCall {
+    ServiceCall {
+        method: call.method.clone(),
+        path: call.path.clone(),
+        content_type: call.content_type.clone(),
+        idempotency_key: call.idempotency_key.clone(),
+        body: call.body.clone(),
+    }
+}
+
+fn refuse<L: Link>(outbox: &Outbox<L>, waiting: &Waiting, refusal: Refusal, detail: String) {
+    outbox.counters().count(Count::CallsRefused);
+    answer(outbox, waiting, CallEnd::NotRun { refusal, detail });
+}
+
+fn answer<L: Link>(outbox: &Outbox<L>, waiting: &Waiting, end: CallEnd) {
+    let (request, attempt) = (waiting.call.request, waiting.call.attempt);
+    outbox.call(waiting.entry, CallMessage::End { request, attempt, end });
+}
--- /dev/null
+++ b/crates/daemon/src/beside/process/settings.rs
@@ -0,0 +1,79 @@
+//! Settings of a daemon beside endpoints.
+
+use sorrellock_core::id::{EndpointId, Place, ServiceId};
+use std::net::SocketAddr;
+
+/// A plain service's instance that a daemon serves.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ServiceEndpoint {
+    /// The endpoint's name.
+    pub id: EndpointId,
+    /// The service that it is an instance of.
+    pub service: ServiceId,
+    /// Where it listens.
+    pub addr: SocketAddr,
+}
+
+/// Settings of a daemon beside endpoints.
+#[derive(Clone, Debug)]
+pub struct BesideSettings {
+    /// The place of the instance.
+    pub place: Place,
+    /// Where to listen for other daemons.
+    pub link: SocketAddr,
+    /// Where operators ask, if at all.
+    pub operators: Option<SocketAddr>,
+    /// Where metrics go, if anywhere.
+    pub metrics: Option<SocketAddr>,
+    /// The engines served.
+    pub engines: Vec<SocketAddr>,
+    /// The plain services served.
+    pub services: Vec<ServiceEndpoint>,
+    /// Bytes of output kept for replay, for each request at each stage.
+    pub replay_budget: usize,
+    /// The most requests open at one engine.
+    pub max_sessions: usize,
+    /// The most calls that run at one plain service.
+    pub max_calls: usize,
+    /// The most calls that wait for one plain service.
+    pub call_queue: usize,
+}
+
+impl BesideSettings {
+    /// Default of `replay_budget`.
+    pub const REPLAY_BUDGET: usize = 8 << 20;
+    /// Default of `max_sessions`.
+    pub const MAX_SESSIONS: usize = 1024;
+    /// Default of `max_calls`.
+    pub const MAX_CALLS: usize = 16;
+    /// Default of `call_queue`.
+    pub const CALL_QUEUE: usize = 256;
+
+    /// The defaults, without endpoints.
+    pub fn new(place: impl Into<Place>, link: SocketAddr) -> BesideSettings {
+        BesideSettings {
+            place: place.into(),
+            link,
+            operators: None,
+            metrics: None,
+            engines: Vec::new(),
+            services: Vec::new(),
+            replay_budget: BesideSettings::REPLAY_BUDGET,
+            max_sessions: BesideSettings::MAX_SESSIONS,
+            max_calls: BesideSettings::MAX_CALLS,
+            call_queue: BesideSettings::CALL_QUEUE,
+        }
+    }
+
+    /// Serves an engine.
+    pub fn with_engine(mut self, addr: SocketAddr) -> BesideSettings {
+        self.engines.push(addr);
+        self
+    }
+
+    /// Serves an instance of a plain service.
+    pub fn with_service(mut self, endpoint: ServiceEndpoint) -> BesideSettings {
+        self.services.push(endpoint);
+        self
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/cli/args.rs
@@ -0,0 +1,135 @@
+//! Arguments of `sorrellockd`, each also a `SORRELLOCK_…` variable.
+
+use crate::beside::process::{BesideSettings, ServiceEndpoint};
+use crate::entry::process::EntrySettings;
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+use std::net::SocketAddr;
+
+/// The whole command.
+pub fn command() -> Command {
+    Command::new("sorrellockd")
+        .about("The daemon of sorrellock, a router for pipelines over mixed accelerators")
+        .version(env!("CARGO_PKG_VERSION"))
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .subcommand(entry_command())
+        .subcommand(beside_command())
+}
+
+fn entry_command() -> Command {
+    Command::new("entry")
+        .about("Takes callers' requests and drives each to its one outcome")
+        .args(common_args())
+        .arg(addr("callers", "Where to listen for callers").default_value("127.0.0.1:8080"))
+        .arg(addr("platform", "The platform's object API and list of instances").required(true))
+        .arg(number("max-in-progress", "The most requests in progress"))
+        .arg(number("max-connections", "The most connections of callers"))
+        .arg(number("max-body-bytes", "The largest body taken"))
+        .arg(number("workers", "Threads that handle callers' requests"))
+}
+
+fn beside_command() -> Command {
+    let engine = addr("engine", "An engine to serve; may be given several times");
+    let service = Arg::new("service")
+        .long("service")
+        .env("SORRELLOCK_SERVICE")
+        .value_name("ENDPOINT=SERVICE@ADDR")
+        .help("An instance of a plain service; may be given several times")
+        .value_delimiter(',')
+        .value_parser(parse_service)
+        .action(ArgAction::Append);
+    Command::new("beside")
+        .about("Stands next to endpoints, and is the only process that gives them work")
+        .args(common_args())
+        .arg(engine.value_delimiter(',').action(ArgAction::Append))
+        .arg(service)
+        .arg(number(
+            "replay-budget-bytes",
+            "Output kept for replay, for each request at each stage",
+        ))
+        .arg(number("max-sessions", "The most requests open at one engine"))
+        .arg(number("max-calls", "The most calls that run at one plain service"))
+        .arg(number("call-queue", "The most calls that wait for one plain service"))
+}
+
+fn common_args() -> [Arg; 6] {
+    let place = Arg::new("place").long("place").env("SORRELLOCK_PLACE").value_name("PLACE");
+    let log = Arg::new("log-format").long("log-format").env("SORRELLOCK_LOG_FORMAT");
+    [
+        place.help("The place of this instance").required(true),
+        addr("link", "Where to listen for other daemons").required(true),
+        addr("operators", "Where operators ask for /dump").default_value("127.0.0.1:0"),
+        addr("metrics", "Where metrics go, over UDP"),
+        log.value_parser(["human", "json", "off"])
+            .default_value("human")
+            .help("How log lines look"),
+        number("drain-ms", "How long a graceful shutdown waits for what runs"),
+    ]
+}
+
+fn addr(name: &'static str, help: &'static str) -> Arg {
+    named(name, help).value_name("IP:PORT").value_parser(value_parser!(SocketAddr))
+}
+
+fn number(name: &'static str, help: &'static str) -> Arg {
+    named(name, help).value_name("NUMBER").value_parser(value_parser!(usize))
+}
+
+fn named(name: &'static str, help: &'static str) -> Arg {
+    let env = format!("SORRELLOCK_{}", name.to_uppercase().replace('-', "_"));
+    Arg::new(name).long(name).env(env).help(help)
+}
+
+fn parse_service(text: &str) -> Result<ServiceEndpoint, String> {
+    let mend = || format!("`{text}` is no service; write ENDPOINT=SERVICE@IP:PORT");
+    let (id, rest) = text.split_once('=').ok_or_else(mend)?;
+    let (service, addr) = rest.split_once('@').ok_or_else(mend)?;
+    let addr = addr.parse().map_err(|_| mend())?;
+    Ok(ServiceEndpoint { id: id.into(), service: service.into(), addr })
+}
+
+/// Settings of an entry from its arguments.
+pub fn parse_entry(args: &ArgMatches) -> EntrySettings {
+    let (place, callers) = (text(args, "place"), required_addr(args, "callers"));
+    let (link, platform) = (required_addr(args, "link"), required_addr(args, "platform"));
+    let mut settings = EntrySettings::new(place, callers, link, platform);
+    settings.operators = optional_addr(args, "operators");
+    settings.metrics = optional_addr(args, "metrics");
+    set(&mut settings.max_in_progress, args, "max-in-progress");
+    set(&mut settings.max_connections, args, "max-connections");
+    set(&mut settings.max_body_bytes, args, "max-body-bytes");
+    set(&mut settings.workers, args, "workers");
+    settings
+}
+
+/// Settings of a daemon beside endpoints from its arguments.
+pub fn parse_beside(args: &ArgMatches) -> BesideSettings {
+    let mut settings = BesideSettings::new(text(args, "place"), required_addr(args, "link"));
+    settings.operators = optional_addr(args, "operators");
+    settings.metrics = optional_addr(args, "metrics");
+    settings.engines = args.get_many("engine").unwrap_or_default().copied().collect();
+    settings.services = args.get_many("service").unwrap_or_default().cloned().collect();
+    set(&mut settings.replay_budget, args, "replay-budget-bytes");
+    set(&mut settings.max_sessions, args, "max-sessions");
+    set(&mut settings.max_calls, args, "max-calls");
+    set(&mut settings.call_queue, args, "call-queue");
+    settings
+}
+
+fn text(args: &ArgMatches, name: &str) -> String {
+    args.get_one::<String>(name).cloned().unwrap_or_default()
+}
+
+fn required_addr(args: &ArgMatches, name: &str) -> SocketAddr {
+    optional_addr(args, name).expect("the argument is required")
+}
+
+fn optional_addr(args: &ArgMatches, name: &str) -> Option<SocketAddr> {
+    args.get_one::<SocketAddr>(name).copied()
+}
+
+fn set(field: &mut usize, args: &ArgMatches, name: &str) {
+    if let Some(value) = args.get_one::<usize>(name) {
+        *field = *value;
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/entry/process/api.rs
@@ -0,0 +1,188 @@
+//! The callers' API: checks a request, admits it, and hands it over.
+
+use crate::entry::process::{Calls, ConfigWatch, InProgress, NewCall, NewPipeline, Pipelines};
+use crate::entry::request::{CompletionRequest, Problem, Shape};
+use crate::entry::version::{ConfigView, DEFAULT_KIND};
+use crate::process::{Count, Counters};
+use sorrellock_core::request::RequestKey;
+use sorrellock_core::version::{Row, Workspace};
+use sorrellock_http::{Request, Responder};
+use sorrellock_wire::connection::Link;
+use sorrellock_wire::message::CallRequest;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// Path under which plain services are called: `/v1/services/SERVICE/PATH`.
+const SERVICES: &str = "/v1/services/";
+/// Header that names the kind of a request.
+const KIND_HEADER: &str = "sorrellock-kind";
+/// Header that tells the time left, in milliseconds.
+const DEADLINE_HEADER: &str = "sorrellock-deadline-ms";
+/// The longest deadline that a caller may name.
+const MAX_DEADLINE_MS: u64 = 3_600_000;
+
+/// The callers' API.
+pub struct Api<L> {
+    pub(super) config: Arc<ConfigWatch>,
+    pub(super) in_progress: Arc<InProgress>,
+    pub(super) pipelines: Arc<Pipelines<L>>,
+    pub(super) calls: Arc<Calls<L>>,
+    pub(super) counters: Arc<Counters>,
+}
+
+/// Who asks for what, as the headers tell.
+struct Asking {
+    config: Arc<ConfigView>,
+    workspace: Arc<Workspace>,
+    row: Arc<Row>,
+    deadline: Instant,
+}
+
+impl<L: Link> Api<L> {
+    /// Handles a request; its answer may come later.
+    pub fn handle(&self, req: Request) {
+        match req.path_only() {
+            "/healthz" => req.responder.send(200, &[], "live\n"),
+            "/readyz" => self.ready(req.responder),
+            "/v1/completions" => self.completion(req, Shape::Completion),
+            "/v1/chat/completions" => self.completion(req, Shape::Chat),
+            path if path.starts_with(SERVICES) => self.service(req),
+            _ => {
+                let detail =
+                    "take /v1/completions, /v1/chat/completions or /v1/services/SERVICE/PATH";
+                self.refuse(req.responder, Problem::bad(404, "no such path", detail));
+            }
+        }
+    }
+
+    fn ready(&self, responder: Responder) {
+        if self.in_progress.is_draining() {
+            return responder.send(503, &[], "leaving\n");
+        }
+        if !self.config.is_loaded() {
+            return responder.send(503, &[], "no configuration yet\n");
+        }
+        responder.send(200, &[], "ready\n");
+    }
+
+    fn completion(&self, req: Request, shape: Shape) {
+        match self.new_pipeline(&req, shape) {
+            Ok(new) => self.pipelines.start(new, req.responder),
+            Err(problem) => self.refuse(req.responder, problem),
+        }
+    }
+
+    fn service(&self, req: Request) {
+        match self.new_call(&req) {
+            Ok(new) => self.calls.start(new, req.responder),
+            Err(problem) => self.refuse(req.responder, problem),
+        }
+    }
+
+    fn new_pipeline(&self, req: &Request, shape: Shape) -> Result<NewPipeline, Problem> {
+        self.counters.count(Count::Requests);
+        if req.method != "POST" {
+            return Err(Problem::bad(
+                405,
+                "wrong method",
+                format!("{} takes POST", req.path_only()),
+            ));
+        }
+        let asking = self.asking(req)?;
+        let asked = CompletionRequest::parse(shape, &req.body)?;
+        let pipeline = asking.config.pipeline(&asked.model).cloned();
+        let pipeline = pipeline.filter(|pipeline| asking.workspace.may_call.contains(&pipeline.id));
+        let Some(pipeline) = pipeline else { return Err(not_callable("model", &asked.model)) };
+        Ok(NewPipeline {
+            request: self.admit()?,
+            workspace: asking.workspace.id.clone(),
+            asked,
+            pipeline,
+            deadline: asking.deadline,
+            class: asking.row.class,
+        })
+    }
+
+    fn new_call(&self, req: &Request) -> Result<NewCall, Problem> {
+        self.counters.count(Count::Requests);
+        let asking = self.asking(req)?;
+        let rest = &req.path[SERVICES.len()..];
+        let (service, path) = match rest.find(['/', '?']) {
+            Some(at) => rest.split_at(at),
+            None => (rest, ""),
+        };
+        if !asking.workspace.may_call.iter().any(|id| id == service) {
+            return Err(not_callable("service", service));
+        }
+        let path = if path.starts_with('/') { path.to_owned() } else { format!("/{path}") };
+        let safe = matches!(req.method.as_str(), "GET" | "HEAD");
+        let request = self.admit()?;
+        Ok(NewCall {
+            request,
+            workspace: asking.workspace.id.clone(),
+            service: service.to_owned(),
+            call: call_request(req, request, path),
+            idempotent: safe || asking.row.idempotent,
+            deadline: asking.deadline,
+        })
+    }
+
+    fn admit(&self) -> Result<RequestKey, Problem> {
+        self.in_progress.admit().map_err(Problem::from)
+    }
+
+    fn asking(&self, req: &Request) -> Result<Asking, Problem> {
+        let config = self.config.view();
+        let key = req.header("authorization").and_then(|value| value.strip_prefix("Bearer "));
+        let Some(key) = key else {
+            let detail = "send `Authorization: Bearer KEY` with the key of your workspace";
+            return Err(Problem::bad(401, "no key", detail));
+        };
+        let Some(workspace) = config.workspace(key).cloned() else {
+            return Err(Problem::bad(401, "unknown key", "no workspace has this key"));
+        };
+        let kind = req.header(KIND_HEADER).unwrap_or(DEFAULT_KIND);
+        let row = config.row(&workspace.id, kind);
+        let deadline = Instant::now() + deadline(req, &row)?;
+        Ok(Asking { config, workspace, row, deadline })
+    }
+
+    fn refuse(&self, responder: Responder, problem: Problem) {
+        let refused = problem.retry_after.is_some();
+        self.counters.count(if refused { Count::NotRun } else { Count::BadRequests });
+        problem.send(responder);
+    }
+}
+
+fn deadline(req: &Request, row: &Row) -> Result<Duration, Problem> {
+    let Some(text) = req.header(DEADLINE_HEADER) else {
+        return Ok(Duration::from_millis(row.deadline_ms));
+    };
+    match text.parse() {
+        Ok(ms) if (1..=MAX_DEADLINE_MS).contains(&ms) => Ok(Duration::from_millis(ms)),
+        _ => {
+            let detail = format!("Sorrellock-Deadline-Ms is `{text}`; send 1 to {MAX_DEADLINE_MS}");
+            Err(Problem::bad(400, "bad deadline", detail))
+        }
+    }
+}
+
+fn not_callable(what: &str, name: &str) -> Problem {
+    let detail = format!("{what} `{name}` is not one that this workspace may call");
+    Problem::bad(404, &format!("no such {what}"), detail)
+}
+
+fn call_request(req: &Request, request: RequestKey, path: String) -> CallRequest {
+    CallRequest {
+        request,
+        attempt: 0,
+        endpoint: String::new(),
+        method: req.method.to_string(),
+        path,
+        content_type: req.header("content-type").map(str::to_owned),
+        idempotency_key: req.header("idempotency-key").map(str::to_owned),
+        body: req.body.to_vec(),
+        deadline_ms: 0,
+        priority: 0,
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/entry/process/calls.rs
@@ -0,0 +1,182 @@
+//! All calls of an entry to plain services: each gets one outcome, and runs again only where it may.
+
+use crate::entry::process::{FleetCell, InProgress, Timer};
+use crate::entry::request::{CallRun, OUTCOME_HEADER, Problem, RunTable};
+use crate::process::{Count, Counters};
+use sorrellock_core::id::{Attempt, EndpointId, Sequence, ServiceId, WorkspaceId};
+use sorrellock_core::request::{NotRun, Peer, Refusal, RequestKey, Unknown};
+use sorrellock_http::Responder;
+use sorrellock_wire::connection::Link;
+use sorrellock_wire::message::{CallEnd, CallMessage, CallRequest, Message};
+use std::net::SocketAddr;
+use std::sync::{Arc, MutexGuard};
+use std::time::Instant;
+
+/// A call that was admitted.
+pub struct NewCall {
+    /// Its identity.
+    pub request: RequestKey,
+    /// Whose it is.
+    pub workspace: WorkspaceId,
+    /// The service.
+    pub service: ServiceId,
+    /// What to send; endpoint and attempt are set with each try.
+    pub call: CallRequest,
+    /// Whether it may run again.
+    pub idempotent: bool,
+    /// When the caller no longer needs it.
+    pub deadline: Instant,
+}
+
+/// All calls of an entry to plain services.
+pub struct Calls<L> {
+    pub(super) me: Peer,
+    pub(super) link: Arc<L>,
+    pub(super) fleet: Arc<FleetCell>,
+    pub(super) in_progress: Arc<InProgress>,
+    pub(super) timer: Arc<Timer>,
+    pub(super) counters: Arc<Counters>,
+    pub(super) max_attempts: u32,
+    pub(super) runs: RunTable<CallRun>,
+}
+
+type Run<'a> = MutexGuard<'a, CallRun>;
+
+impl<L: Link> Calls<L> {
+    /// Starts an admitted call: from here on it is answered once, through `responder`.
+    pub fn start(self: &Arc<Self>, new: NewCall, responder: Responder) {
+        let sequence = new.request.sequence;
+        let this = Arc::downgrade(self);
+        responder.on_gone(move || {
+            if let Some(this) = this.upgrade() {
+                this.cancel(sequence);
+            }
+        });
+        let run = CallRun {
+            request: new.request,
+            workspace: new.workspace,
+            service: new.service,
+            sent: new.call,
+            daemon: self.me,
+            tried: Vec::new(),
+            idempotent: new.idempotent,
+            deadline: new.deadline,
+            responder: Some(responder),
+            in_flight: None,
+        };
+        let run = self.runs.insert(sequence, run);
+        self.timer.add(new.deadline, sequence);
+        let nothing_tried =
+            NotRun::never_sent(Refusal::Capacity, "no instance of the service takes calls");
+        self.try_next(run.lock().unwrap(), Problem::from(nothing_tried));
+    }
+
+    /// Takes the end of an attempt.
+    pub fn on_end(&self, request: RequestKey, attempt: Attempt, end: CallEnd) {
+        let mine = request.entry == self.me.incarnation;
+        let Some(run) = mine.then(|| self.runs.get(request.sequence)).flatten() else {
+            return self.counters.count(Count::LateAnswers);
+        };
+        let run = run.lock().unwrap();
+        if run.attempt() != attempt || run.responder.is_none() {
+            return self.counters.count(Count::LateAnswers);
+        }
+        match end {
+            CallEnd::Done { status, content_type, body } => {
+                self.done(run, status, content_type, body)
+            }
+            CallEnd::NotRun { refusal, detail } => {
+                let not_run = NotRun::refused_before_start(refusal, detail);
+                self.try_next(run, Problem::from(not_run));
+            }
+            CallEnd::Unknown { detail } => self.lost(run, detail),
+        }
+    }
+
+    /// A daemon can't be reached: what was sent there may have run.
+    pub fn on_closed(&self, peer: SocketAddr) {
+        for (_, run) in self.runs.all() {
+            let run = run.lock().unwrap();
+            if run.daemon.addr == peer && run.responder.is_some() {
+                self.lost(run, format!("the link to {peer} closed after the call was sent"));
+            }
+        }
+    }
+
+    /// The deadline of a call passed.
+    pub fn on_deadline(&self, sequence: Sequence) {
+        let Some(run) = self.runs.get(sequence) else { return };
+        let detail = "the deadline passed before an answer came".to_owned();
+        self.fail(run.lock().unwrap(), Problem { status: 504, ..Unknown { detail }.into() });
+    }
+
+    /// Nobody waits for a call any more.
+    pub fn cancel(&self, sequence: Sequence) {
+        let Some(run) = self.runs.get(sequence) else { return };
+        self.counters.count(Count::CallersGone);
+        let detail = "the caller went away".to_owned();
+        self.fail(run.lock().unwrap(), Unknown { detail }.into());
+    }
+
+    /// Sends the call to the next endpoint, or answers `otherwise` if there is none.
+    fn try_next(&self, mut run: Run<'_>, otherwise: Problem) {
+        while run.attempt() < self.max_attempts {
+            let Some((endpoint, daemon)) = self.next_endpoint(&run) else { break };
+            run.in_flight = self.fleet.view().count(&endpoint);
+            run.tried.push(endpoint.clone());
+            run.daemon = daemon;
+            run.sent.attempt += 1;
+            run.sent.endpoint = endpoint;
+            let left = run.deadline.saturating_duration_since(Instant::now());
+            run.sent.deadline_ms = left.as_millis() as u64;
+            let message = Message::Call(CallMessage::Request(run.sent.clone()));
+            if self.link.send(daemon, message).is_ok() {
+                return;
+            }
+            self.counters.count(Count::SendsRefused);
+        }
+        self.fail(run, otherwise);
+    }
+
+    fn next_endpoint(&self, run: &CallRun) -> Option<(EndpointId, Peer)> {
+        let view = self.fleet.view();
+        let services = view.services(&run.service);
+        let mut untried = services.iter().filter(|known| !run.tried.contains(&known.fact.id));
+        untried.next().map(|known| (known.fact.id.clone(), known.daemon))
+    }
+
+    /// An attempt may have run, and its answer will not come.
+    fn lost(&self, run: Run<'_>, detail: String) {
+        let problem = Problem::from(Unknown { detail });
+        if run.idempotent {
+            return self.try_next(run, problem);
+        }
+        self.fail(run, problem);
+    }
+
+    fn done(&self, mut run: Run<'_>, status: u16, content_type: Option<String>, body: Vec<u8>) {
+        self.counters.count(Count::Done);
+        if let Some(responder) = run.responder.take() {
+            let mut headers = vec![(OUTCOME_HEADER, "done")];
+            if let Some(content_type) = &content_type {
+                headers.push(("content-type", content_type));
+            }
+            responder.send(status, &headers, body);
+        }
+        self.end(&run);
+    }
+
+    fn fail(&self, mut run: Run<'_>, problem: Problem) {
+        let Some(responder) = run.responder.take() else { return };
+        let count = if problem.outcome == "not-run" { Count::NotRun } else { Count::Unknown };
+        self.counters.count(count);
+        problem.send(responder);
+        self.end(&run);
+    }
+
+    fn end(&self, run: &Run<'_>) {
+        if self.runs.remove(run.request.sequence).is_some() {
+            self.in_progress.leave();
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/entry/process/entry.rs
@@ -0,0 +1,217 @@
+//! An entry, from start to end.
+
+use crate::entry::process::{
+    Api, Calls, ConfigWatch, EntryHandler, EntrySettings, FleetCell, InProgress, Pipelines, Timer,
+    watch_fleet,
+};
+use crate::entry::request::RunTable;
+use crate::process::{
+    Count, Counters, Dump, counters_json, draw_incarnation, listen_for_operators, send_metrics,
+};
+use eyre::{Result, WrapErr};
+use serde_json::{Value, json};
+use sorrellock_core::request::Peer;
+use sorrellock_http::{Server, ServerConfig};
+use sorrellock_platform::client::{HttpInstanceList, HttpObjectStore};
+use sorrellock_wire::connection::{LinkConfig, NngLink};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// How often a drain looks whether the work has ended.
+const DRAIN_POLL: Duration = Duration::from_millis(5);
+
+/// A running entry.
+pub struct Entry {
+    state: Arc<EntryState>,
+    server: Server,
+    operators: Option<SocketAddr>,
+}
+
+impl Entry {
+    /// Starts the entry. It is ready once `/readyz` says so.
+    pub fn start(settings: EntrySettings) -> Result<Entry> {
+        let me = Peer { addr: settings.link, incarnation: draw_incarnation() };
+        let counters = Arc::new(Counters::new());
+        let (link, closed) = NngLink::listen(LinkConfig::new(me)).wrap_err("start of the links")?;
+        let store = HttpObjectStore::new(settings.platform);
+        let state = Arc::new(EntryState {
+            me,
+            place: settings.place.clone(),
+            config: ConfigWatch::start(store, counters.clone()),
+            fleet: Arc::default(),
+            in_progress: Arc::new(InProgress::new(me.incarnation, settings.max_in_progress)),
+            link: link.clone(),
+            counters: counters.clone(),
+        });
+        let timer = Arc::new(Timer::default());
+        let pipelines = Arc::new(new_pipelines(&state, &timer, settings.max_attempts));
+        let calls = Arc::new(new_calls(&state, &timer, settings.max_attempts));
+        start_timer(&timer, &pipelines, &calls);
+        link.serve(closed, Arc::new(new_handler(&state, &pipelines, &calls)));
+        watch_fleet(link, HttpInstanceList::new(settings.platform), me.addr);
+        send_metrics(counters, settings.metrics).wrap_err("start of the metrics")?;
+        let server = start_server(&settings, &state, pipelines, calls)?;
+        let operators = start_operators(&settings, &state)?;
+        spdlog::info!(
+            "entry {} of {} serves callers on {}",
+            me.addr,
+            settings.place,
+            server.addr()
+        );
+        Ok(Entry { state, server, operators })
+    }
+
+    /// Where callers ask.
+    pub fn callers(&self) -> SocketAddr {
+        self.server.addr()
+    }
+
+    /// Where operators ask, if they may.
+    pub fn operators(&self) -> Option<SocketAddr> {
+        self.operators
+    }
+
+    /// The value of a counter.
+    pub fn counter(&self, count: Count) -> u64 {
+        self.state.counters.get(count)
+    }
+
+    /// What tells the state of this entry.
+    pub fn state(&self) -> Arc<EntryState> {
+        self.state.clone()
+    }
+
+    /// Takes no new work, and returns when what runs has ended, or false after `wait`.
+    pub fn drain(&self, wait: Duration) -> bool {
+        self.state.in_progress.drain();
+        let end = Instant::now() + wait;
+        while self.state.in_progress.count() > 0 {
+            if Instant::now() > end {
+                return false;
+            }
+            thread::sleep(DRAIN_POLL);
+        }
+        self.server.shutdown();
+        true
+    }
+
+    /// Ends at once, as a killed process does.
+    pub fn stop(&self) {
+        self.server.abort();
+        self.state.link.close();
+    }
+}
+
+/// What an entry knows; tells its state.
+pub struct EntryState {
+    me: Peer,
+    place: String,
+    config: Arc<ConfigWatch>,
+    fleet: Arc<FleetCell>,
+    in_progress: Arc<InProgress>,
+    link: Arc<NngLink>,
+    counters: Arc<Counters>,
+}
+
+impl Dump for EntryState {
+    fn dump(&self) -> Value {
+        let view = self.config.view();
+        let revisions = view.revisions().iter().map(|(page, revision)| (page.key(), *revision));
+        json!({
+            "role": "entry",
+            "peer": self.me,
+            "place": self.place,
+            "draining": self.in_progress.is_draining(),
+            "in_progress": self.in_progress.count(),
+            "fleet": self.fleet.view().instances().collect::<Vec<_>>(),
+            "revisions": revisions.collect::<std::collections::BTreeMap<_, _>>(),
+            "counters": counters_json(&self.counters.snapshot()),
+            "link": counters_json(&self.link.counters().snapshot()),
+        })
+    }
+}
+
+fn new_pipelines(state: &EntryState, timer: &Arc<Timer>, max_attempts: u32) -> Pipelines<NngLink> {
+    Pipelines {
+        me: state.me,
+        link: state.link.clone(),
+        fleet: state.fleet.clone(),
+        in_progress: state.in_progress.clone(),
+        timer: timer.clone(),
+        counters: state.counters.clone(),
+        max_attempts,
+        runs: RunTable::new(),
+    }
+}
+
+fn new_calls(state: &EntryState, timer: &Arc<Timer>, max_attempts: u32) -> Calls<NngLink> {
+    Calls {
+        me: state.me,
+        link: state.link.clone(),
+        fleet: state.fleet.clone(),
+        in_progress: state.in_progress.clone(),
+        timer: timer.clone(),
+        counters: state.counters.clone(),
+        max_attempts,
+        runs: RunTable::new(),
+    }
+}
+
+fn new_handler(
+    state: &EntryState,
+    pipelines: &Arc<Pipelines<NngLink>>,
+    calls: &Arc<Calls<NngLink>>,
+) -> EntryHandler<NngLink> {
+    EntryHandler {
+        me: state.me,
+        pipelines: pipelines.clone(),
+        calls: calls.clone(),
+        fleet: state.fleet.clone(),
+        counters: state.counters.clone(),
+    }
+}
+
+fn start_timer(
+    timer: &Arc<Timer>,
+    pipelines: &Arc<Pipelines<NngLink>>,
+    calls: &Arc<Calls<NngLink>>,
+) {
+    let (pipelines, calls) = (pipelines.clone(), calls.clone());
+    timer.start(move |sequence| {
+        pipelines.on_deadline(sequence);
+        calls.on_deadline(sequence);
+    });
+}
+
+fn start_server(
+    settings: &EntrySettings,
+    state: &EntryState,
+    pipelines: Arc<Pipelines<NngLink>>,
+    calls: Arc<Calls<NngLink>>,
+) -> Result<Server> {
+    let api = Api {
+        config: state.config.clone(),
+        in_progress: state.in_progress.clone(),
+        pipelines,
+        calls,
+        counters: state.counters.clone(),
+    };
+    let cfg = ServerConfig::new(settings.callers)
+        .with_name("callers")
+        .with_workers(settings.workers)
+        .with_max_connections(settings.max_connections)
+        .with_max_body_bytes(settings.max_body_bytes);
+    Server::start(cfg, move |req| api.handle(req)).wrap_err("start of the callers' listener")
+}
+
+fn start_operators(
+    settings: &EntrySettings,
+    state: &Arc<EntryState>,
+) -> Result<Option<SocketAddr>> {
+    let Some(addr) = settings.operators else { return Ok(None) };
+    let addr =
+        listen_for_operators(addr, state.clone()).wrap_err("start of the operators' listener")?;
+    Ok(Some(addr))
+}
--- /dev/null
+++ b/crates/daemon/src/entry/process/entry_handler.rs
@@ -0,0 +1,63 @@
+//! Hands messages from other processes to the requests that they are for.
+
+use crate::entry::process::{Calls, FleetCell, Pipelines};
+use crate::process::{Count, Counters};
+use sorrellock_core::id::Incarnation;
+use sorrellock_core::request::Peer;
+use sorrellock_wire::connection::{Link, LinkHandler};
+use sorrellock_wire::message::{CallMessage, FleetMessage, Message, PipelineMessage};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// Hands messages from other processes to the requests that they are for.
+pub struct EntryHandler<L> {
+    pub(super) me: Peer,
+    pub(super) pipelines: Arc<Pipelines<L>>,
+    pub(super) calls: Arc<Calls<L>>,
+    pub(super) fleet: Arc<FleetCell>,
+    pub(super) counters: Arc<Counters>,
+}
+
+impl<L: Link> EntryHandler<L> {
+    fn on_pipeline(&self, message: PipelineMessage) {
+        match message {
+            PipelineMessage::Token(out) => self.pipelines.on_token(&out),
+            PipelineMessage::Trouble { request, attempt, stage, trouble, detail } => {
+                self.pipelines.on_trouble(request, attempt, stage, trouble, &detail);
+            }
+            PipelineMessage::Resend { request, from, .. } => {
+                self.pipelines.on_resend(request, from)
+            }
+            PipelineMessage::Open(_) | PipelineMessage::Step(_) | PipelineMessage::Close { .. } => {
+                self.counters.count(Count::Misdirected);
+            }
+        }
+    }
+}
+
+impl<L: Link> LinkHandler for EntryHandler<L> {
+    fn on_message(&self, _from: Peer, to: Incarnation, message: Message) {
+        if to != 0 && to != self.me.incarnation {
+            return self.counters.count(Count::Misdirected);
+        }
+        match message {
+            Message::Pipeline(message) => self.on_pipeline(message),
+            Message::Call(CallMessage::End { request, attempt, end }) => {
+                self.calls.on_end(request, attempt, end);
+            }
+            Message::Call(_) => self.counters.count(Count::Misdirected),
+            Message::Fleet(FleetMessage::Facts(facts)) => {
+                facts.into_iter().for_each(|fact| self.fleet.learn(fact));
+            }
+            Message::Fleet(FleetMessage::Hello) => {}
+        }
+    }
+
+    fn on_closed(&self, peer: SocketAddr) {
+        if self.fleet.forget(peer) {
+            spdlog::warn!("daemon {peer} gone: its link closed");
+        }
+        self.pipelines.on_closed(peer);
+        self.calls.on_closed(peer);
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/entry/process/in_progress.rs
@@ -0,0 +1,68 @@
+//! How much is in progress at this entry, and whether it takes more.
+
+use sorrellock_core::id::{Incarnation, Sequence};
+use sorrellock_core::request::{NotRun, Refusal, RequestKey};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::time::Duration;
+
+/// When to come back to a fleet one of whose entries leaves: another takes over at once.
+const RETRY_AFTER_LEAVING: Duration = Duration::from_secs(1);
+
+/// How much is in progress at this entry, and whether it takes more.
+pub struct InProgress {
+    incarnation: Incarnation,
+    sequence: AtomicU64,
+    count: AtomicUsize,
+    most: usize,
+    draining: AtomicBool,
+}
+
+impl InProgress {
+    /// Nothing in progress, and `most` at a time.
+    pub fn new(incarnation: Incarnation, most: usize) -> InProgress {
+        InProgress {
+            incarnation,
+            sequence: AtomicU64::new(0),
+            count: AtomicUsize::new(0),
+            most,
+            draining: AtomicBool::new(false),
+        }
+    }
+
+    /// Admits a request, which must [`leave`](InProgress::leave) at its end.
+    pub fn admit(&self) -> Result<RequestKey, NotRun> {
+        if self.is_draining() {
+            let refused =
+                NotRun::never_sent(Refusal::Leaving, "this entry is leaving; send it again");
+            return Err(refused.with_retry_after(RETRY_AFTER_LEAVING));
+        }
+        let before = self.count.fetch_add(1, Ordering::AcqRel);
+        if before >= self.most {
+            self.leave();
+            let detail = format!("{before} requests are in progress at this entry, its most");
+            return Err(NotRun::never_sent(Refusal::Capacity, detail));
+        }
+        let sequence: Sequence = self.sequence.fetch_add(1, Ordering::Relaxed) + 1;
+        Ok(RequestKey { entry: self.incarnation, sequence })
+    }
+
+    /// An admitted request has ended.
+    pub fn leave(&self) {
+        self.count.fetch_sub(1, Ordering::AcqRel);
+    }
+
+    /// How many are in progress.
+    pub fn count(&self) -> usize {
+        self.count.load(Ordering::Acquire)
+    }
+
+    /// Takes no more.
+    pub fn drain(&self) {
+        self.draining.store(true, Ordering::Release);
+    }
+
+    /// Whether no more are taken.
+    pub fn is_draining(&self) -> bool {
+        self.draining.load(Ordering::Acquire)
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/entry/process/mod.rs
@@ -0,0 +1,24 @@
+//! What lives as long as an entry.
+
+mod api;
+mod calls;
+mod config_watch;
+mod entry;
+mod entry_handler;
+mod fleet_watch;
+mod in_progress;
+mod pipelines;
+mod settings;
+mod timer;
+
+pub use entry::*;
+pub use settings::*;
+
+use api::Api;
+use calls::{Calls, NewCall};
+use config_watch::ConfigWatch;
+use entry_handler::EntryHandler;
+use fleet_watch::{FleetCell, watch_fleet};
+use in_progress::InProgress;
+use pipelines::{NewPipeline, Pipelines};
+use timer::Timer;
--- /dev/null
+++ b/crates/daemon/src/entry/process/settings.rs
@@ -0,0 +1,72 @@
+//! Settings of an entry.
+
+use sorrellock_core::id::Place;
+use std::net::SocketAddr;
+
+/// Settings of an entry.
+#[derive(Clone, Debug)]
+pub struct EntrySettings {
+    /// The place of the instance.
+    pub place: Place,
+    /// Where to listen for callers.
+    pub callers: SocketAddr,
+    /// Where to listen for other daemons.
+    pub link: SocketAddr,
+    /// Where operators ask, if at all.
+    pub operators: Option<SocketAddr>,
+    /// Where metrics go, if anywhere.
+    pub metrics: Option<SocketAddr>,
+    /// The platform's object API and list of instances.
+    pub platform: SocketAddr,
+    /// The most requests in progress.
+    pub max_in_progress: usize,
+    /// The most connections of callers.
+    pub max_connections: usize,
+    /// The largest body taken, in bytes.
+    pub max_body_bytes: usize,
+    /// Threads that handle callers' requests.
+    pub workers: usize,
+    /// The most attempts of one request.
+    pub max_attempts: u32,
+}
+
+impl EntrySettings {
+    /// Default of `max_in_progress`.
+    pub const MAX_IN_PROGRESS: usize = 10_000;
+    /// Default of `max_connections`.
+    pub const MAX_CONNECTIONS: usize = 20_000;
+    /// Default of `max_body_bytes`.
+    pub const MAX_BODY_BYTES: usize = 4 << 20;
+    /// Default of `workers`.
+    pub const WORKERS: usize = 4;
+    /// Default of `max_attempts`.
+    pub const MAX_ATTEMPTS: u32 = 8;
+
+    /// The defaults.
+    pub fn new(
+        place: impl Into<Place>,
+        callers: SocketAddr,
+        link: SocketAddr,
+        platform: SocketAddr,
+    ) -> EntrySettings {
+        EntrySettings {
+            place: place.into(),
+            callers,
+            link,
+            operators: None,
+            metrics: None,
+            platform,
+            max_in_progress: EntrySettings::MAX_IN_PROGRESS,
+            max_connections: EntrySettings::MAX_CONNECTIONS,
+            max_body_bytes: EntrySettings::MAX_BODY_BYTES,
+            workers: EntrySettings::WORKERS,
+            max_attempts: EntrySettings::MAX_ATTEMPTS,
+        }
+    }
+
+    /// Listens for operators.
+    pub fn with_operators(mut self, addr: SocketAddr) -> EntrySettings {
+        self.operators = Some(addr);
+        self
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/entry/request/call_run.rs
@@ -0,0 +1,39 @@
+//! One call to a plain service at its entry.
+
+use crate::entry::version::InFlight;
+use sorrellock_core::id::{Attempt, EndpointId, ServiceId, WorkspaceId};
+use sorrellock_core::request::{Peer, RequestKey};
+use sorrellock_http::Responder;
+use sorrellock_wire::message::CallRequest;
+use std::time::Instant;
+
+/// One call to a plain service at its entry.
+pub struct CallRun {
+    /// Its identity.
+    pub request: RequestKey,
+    /// Whose it is.
+    pub workspace: WorkspaceId,
+    /// The service.
+    pub service: ServiceId,
+    /// What was last sent, with the attempt in force.
+    pub sent: CallRequest,
+    /// Where it was last sent.
+    pub daemon: Peer,
+    /// Endpoints that had an attempt already.
+    pub tried: Vec<EndpointId>,
+    /// Whether it may run again.
+    pub idempotent: bool,
+    /// When the caller no longer needs it.
+    pub deadline: Instant,
+    /// The caller.
+    pub responder: Option<Responder>,
+    /// Counts it at the endpoint.
+    pub in_flight: Option<InFlight>,
+}
+
+impl CallRun {
+    /// The attempt in force.
+    pub fn attempt(&self) -> Attempt {
+        self.sent.attempt
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/entry/request/mod.rs
@@ -0,0 +1,15 @@
+//! What lives at an entry as long as a request.
+
+mod answer;
+mod call_run;
+mod openai;
+mod pipeline_run;
+mod problem;
+mod run_table;
+
+pub use answer::*;
+pub use call_run::*;
+pub use openai::*;
+pub use pipeline_run::*;
+pub use problem::*;
+pub use run_table::*;
--- /dev/null
+++ b/crates/daemon/src/entry/request/problem.rs
@@ -0,0 +1,96 @@
+//! Refusals and failures as callers see them: a status, `Sorrellock-Outcome`, problem+json.
+
+use serde_json::{Value, json};
+use sorrellock_core::request::{NotRun, Refusal, Unknown};
+use sorrellock_http::Responder;
+use std::time::Duration;
+
+/// Header that tells the outcome: `done`, `not-run` or `unknown`.
+pub const OUTCOME_HEADER: &str = "sorrellock-outcome";
+
+/// An answer that is not the one asked for.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Problem {
+    /// The HTTP status.
+    pub status: u16,
+    /// `not-run` or `unknown`.
+    pub outcome: &'static str,
+    /// A short name of what went wrong.
+    pub title: String,
+    /// What it is, and the mend, in a plain sentence.
+    pub detail: String,
+    /// When to come back, if that may help.
+    pub retry_after: Option<Duration>,
+}
+
+impl Problem {
+    /// A request that can't be served as it was sent; it did not run.
+    pub fn bad(status: u16, title: &str, detail: impl Into<String>) -> Problem {
+        Problem {
+            status,
+            outcome: "not-run",
+            title: title.into(),
+            detail: detail.into(),
+            retry_after: None,
+        }
+    }
+
+    /// Sends it as the whole answer.
+    pub fn send(&self, responder: Responder) {
+        let retry_after =
+            self.retry_after.map(|wait| wait.as_secs_f64().ceil().max(1.0).to_string());
+        let mut headers =
+            vec![("content-type", "application/problem+json"), (OUTCOME_HEADER, self.outcome)];
+        if let Some(wait) = &retry_after {
+            headers.push(("retry-after", wait));
+        }
+        responder.send(self.status, &headers, self.json().to_string());
+    }
+
+    /// Its problem+json.
+    pub fn json(&self) -> Value {
+        let mut body = json!({
+            "type": "about:blank",
+            "status": self.status,
+            "title": self.title,
+            "detail": self.detail,
+            "outcome": self.outcome,
+        });
+        if let Some(wait) = self.retry_after {
+            body["retry_after_ms"] = json!(wait.as_millis() as u64);
+        }
+        body
+    }
+}
+
+impl From<NotRun> for Problem {
+    fn from(not_run: NotRun) -> Problem {
+        let status = match not_run.refusal {
+            Refusal::Limit => 429,
+            Refusal::Capacity | Refusal::Leaving | Refusal::StoreDown | Refusal::Superseded => 503,
+            Refusal::Deadline => 504,
+            Refusal::Cancelled => 499,
+            Refusal::BadRequest => 400,
+        };
+        let may_come_back = not_run.refusal != Refusal::BadRequest;
+        Problem {
+            status,
+            outcome: "not-run",
+            title: not_run.refusal.name().into(),
+            detail: not_run.detail,
+            retry_after: may_come_back.then_some(not_run.retry_after),
+        }
+    }
+}
+
+impl From<Unknown> for Problem {
+    fn from(unknown: Unknown) -> Problem {
+        Problem {
+            status: 409,
+            outcome: "unknown",
+            title: "unknown".into(),
+            detail: unknown.detail,
+            retry_after: None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/process/counters.rs
@@ -0,0 +1,107 @@
+//! Counters of a daemon: counted on the request path, sent as metrics from a thread of their own.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+
+macro_rules! counts {
+    ($($(#[$doc:meta])* $name:ident => $text:literal,)*) => {
+        /// What a daemon counts. The texts are the names in metrics and dumps.
+        #[derive(Clone, Copy, Debug, PartialEq, Eq)]
+        pub enum Count { $($(#[$doc])* $name,)* }
+
+        impl Count {
+            /// All of them, in the order of their definition.
+            pub const ALL: &[Count] = &[$(Count::$name,)*];
+
+            /// The name in metrics and dumps.
+            pub fn name(self) -> &'static str {
+                match self { $(Count::$name => $text,)* }
+            }
+        }
+    };
+}
+
+counts! {
+    /// Requests that callers sent.
+    Requests => "requests",
+    /// Requests answered in full.
+    Done => "done",
+    /// Requests refused as not run.
+    NotRun => "not_run",
+    /// Requests whose end is not known.
+    Unknown => "unknown",
+    /// Requests that were malformed, unknown or not allowed.
+    BadRequests => "bad_requests",
+    /// Callers that went away before their answer was complete.
+    CallersGone => "callers_gone",
+    /// Tokens handed to callers.
+    Tokens => "tokens",
+    /// Tokens and answers dropped: they came late, twice, or for nobody.
+    LateAnswers => "late_answers",
+    /// Requests moved to another route.
+    Reroutes => "reroutes",
+    /// Troubles that stages reported.
+    StageTroubles => "stage_troubles",
+    /// Steps given to engines.
+    Steps => "steps",
+    /// Batches given to engines.
+    Batches => "batches",
+    /// Steps that repeated what had run.
+    StepsRepeated => "steps_repeated",
+    /// Steps that belonged to no attempt in force.
+    StepsStale => "steps_stale",
+    /// Steps before which positions were missing.
+    StepsGap => "steps_gap",
+    /// Times that kept output was sent again.
+    Replays => "replays",
+    /// Calls passed on to plain services.
+    Calls => "calls",
+    /// Calls refused before they were passed on.
+    CallsRefused => "calls_refused",
+    /// Messages for an earlier incarnation of this process.
+    Misdirected => "misdirected",
+    /// Messages that could not be queued to a peer.
+    SendsRefused => "sends_refused",
+    /// Pages of the configuration applied.
+    PagesApplied => "pages_applied",
+    /// Pages of the configuration refused as bad.
+    PagesRefused => "pages_refused",
+}
+
+/// The counters of one daemon.
+#[derive(Debug)]
+pub struct Counters {
+    values: Vec<AtomicU64>,
+}
+
+impl Counters {
+    /// All at 0.
+    pub fn new() -> Counters {
+        Counters { values: Count::ALL.iter().map(|_| AtomicU64::new(0)).collect() }
+    }
+
+    /// Counts one.
+    pub fn count(&self, what: Count) {
+        self.add(what, 1);
+    }
+
+    /// Counts several.
+    pub fn add(&self, what: Count, by: u64) {
+        self.values[what as usize].fetch_add(by, Ordering::Relaxed);
+    }
+
+    /// The value of one.
+    pub fn get(&self, what: Count) -> u64 {
+        self.values[what as usize].load(Ordering::Relaxed)
+    }
+
+    /// All by name.
+    pub fn snapshot(&self) -> Vec<(&'static str, u64)> {
+        Count::ALL.iter().map(|count| (count.name(), self.get(*count))).collect()
+    }
+}
+
+impl Default for Counters {
+    fn default() -> Self {
+        Counters::new()
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/process/mod.rs
@@ -0,0 +1,15 @@
+//! What every daemon has as long as it lives.
+
+mod counters;
+mod dump;
+mod incarnation;
+mod log;
+mod metrics;
+mod operators;
+
+pub use counters::*;
+pub use dump::*;
+pub use incarnation::*;
+pub use log::*;
+pub use metrics::*;
+pub use operators::*;
--- /dev/null
+++ b/crates/http/src/connection/mod.rs
@@ -0,0 +1,10 @@
+//! What lives as long as one connection.
+
+mod activity;
+#[allow(clippy::module_inception)]
+mod connection;
+mod watched_io;
+
+pub(crate) use activity::*;
+pub(crate) use connection::*;
+pub(crate) use watched_io::*;
--- /dev/null
+++ b/crates/http/src/lib.rs
@@ -0,0 +1,19 @@
+//! The HTTP/1.1 listener shared by the entry and the stand-ins.
+//!
+//! A small runtime on a thread of its own holds nothing but the listener and its
+//! connections. It reads whole requests and hands them over a bounded channel to
+//! plain threads, which answer through a [`Responder`] at once or later, from any
+//! thread, whole or as a stream of chunks.
+
+mod connection;
+mod process;
+mod request;
+
+pub use bytes::Bytes;
+pub use process::{Counters, Server, ServerConfig};
+pub use process::{
+    DEFAULT_BODY_TIMEOUT, DEFAULT_CHUNK_QUEUE, DEFAULT_DRAIN_TIMEOUT, DEFAULT_HEADER_TIMEOUT,
+    DEFAULT_IDLE_TIMEOUT, DEFAULT_MAX_BODY_BYTES, DEFAULT_MAX_CONNECTIONS,
+    DEFAULT_MAX_HEADER_BYTES, DEFAULT_QUEUE, DEFAULT_WORKERS,
+};
+pub use request::{BodyStream, PushError, Request, Responder};
--- /dev/null
+++ b/crates/http/src/process/mod.rs
@@ -0,0 +1,13 @@
+//! What lives as long as the listener.
+
+mod counters;
+mod listener;
+mod server;
+mod server_config;
+mod workers;
+
+pub use counters::*;
+pub(crate) use listener::*;
+pub use server::*;
+pub use server_config::*;
+pub(crate) use workers::*;
--- /dev/null
+++ b/crates/http/src/request/intake.rs
@@ -0,0 +1,174 @@
+//! Reads a request whole, hands it over, and awaits the answer.
+
+use crate::connection::{Activity, ConnectionCx};
+use crate::process::count;
+use crate::request::{Answer, Cut, Gone, GoneGuard, Request, Responder, plain};
+use bytes::{Bytes, BytesMut};
+use crossbeam::channel::TrySendError;
+use http::{HeaderMap, Method, StatusCode, header};
+use http_body_util::BodyExt;
+use hyper::body::{Body, Incoming};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::oneshot;
+use tokio::time::timeout;
+
+/// When to come back after 503 for a full queue, in seconds.
+const RETRY_AFTER_S: &str = "1";
+/// How much of a body that is too large is read and dropped, so that the caller, still sending,
+/// gets to read its 413.
+const DISCARD_BYTES: usize = 64 << 20;
+/// For how long it is.
+const DISCARD_TIME: Duration = Duration::from_secs(5);
+
+/// Takes the requests of one connection in.
+#[derive(Clone)]
+pub(crate) struct Intake {
+    cx: Arc<ConnectionCx>,
+    peer: SocketAddr,
+    activity: Arc<Activity>,
+}
+
+impl Intake {
+    pub(crate) fn new(cx: Arc<ConnectionCx>, peer: SocketAddr, activity: Arc<Activity>) -> Intake {
+        Intake { cx, peer, activity }
+    }
+
+    /// Answers one request.
+    pub(crate) async fn answer(self, req: hyper::Request<Incoming>) -> Result<Answer, Cut> {
+        self.activity.on_request();
+        let method = req.method().clone();
+        let gone = Arc::new(Gone::default());
+        let mut guard = GoneGuard::new(Arc::clone(&gone), Arc::clone(&self.cx.counters));
+        let res = match self.read(req).await {
+            Ok((head, body)) => self.hand_over(head, body, gone).await,
+            Err(refusal) => Ok(refusal),
+        };
+        match res {
+            Ok(answer) => Ok(self.guarded(answer, guard, &method)),
+            Err(cut) => {
+                guard.complete();
+                Err(cut)
+            }
+        }
+    }
+
+    fn guarded(&self, answer: Answer, guard: GoneGuard, method: &Method) -> Answer {
+        let no_body = [StatusCode::NO_CONTENT, StatusCode::NOT_MODIFIED];
+        let has_body = method != Method::HEAD && !no_body.contains(&answer.status());
+        answer.map(|body| body.guarded(guard, Arc::clone(&self.activity), has_body))
+    }
+
+    /// Reads the body, or tells the answer that refuses it.
+    async fn read(&self, req: hyper::Request<Incoming>) -> Result<(Head, Bytes), Answer> {
+        let (parts, mut body) = req.into_parts();
+        let head = Head::new(parts);
+        if body.size_hint().lower() > self.cx.cfg.max_body_bytes as u64 {
+            return Err(self.too_large(body, &head));
+        }
+        let max = self.cx.cfg.max_body_bytes;
+        match timeout(self.cx.cfg.body_timeout, collect(&mut body, max)).await {
+            Ok(Ok(bytes)) => Ok((head, bytes)),
+            Ok(Err(BodyError::TooLarge)) => Err(self.too_large(body, &head)),
+            Ok(Err(BodyError::Unreadable)) => {
+                Err(refuse(StatusCode::BAD_REQUEST, "the body could not be read"))
+            }
+            Err(_) => {
+                count(&self.cx.counters.body_timeouts);
+                Err(refuse(StatusCode::REQUEST_TIMEOUT, "the body did not come in time"))
+            }
+        }
+    }
+
+    fn too_large(&self, body: Incoming, head: &Head) -> Answer {
+        count(&self.cx.counters.bodies_too_large);
+        if !head.headers.contains_key(header::EXPECT) {
+            tokio::spawn(timeout(DISCARD_TIME, discard(body)));
+        }
+        let max = self.cx.cfg.max_body_bytes;
+        let text = format!("the body is larger than {max} bytes; send a smaller one");
+        refuse(StatusCode::PAYLOAD_TOO_LARGE, &text)
+    }
+
+    async fn hand_over(&self, head: Head, body: Bytes, gone: Arc<Gone>) -> Result<Answer, Cut> {
+        let (tx, rx) = oneshot::channel();
+        let responder = Responder::new(tx, gone, self.cx.cfg.chunk_queue);
+        let req = Request {
+            method: head.method,
+            path: head.path,
+            headers: head.headers,
+            body,
+            responder,
+            peer: self.peer,
+        };
+        if let Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) =
+            self.cx.requests.try_send(req)
+        {
+            count(&self.cx.counters.queue_full);
+            return Ok(busy());
+        }
+        count(&self.cx.counters.requests);
+        rx.await.unwrap_or_else(|_| {
+            count(&self.cx.counters.unanswered);
+            Ok(plain(StatusCode::INTERNAL_SERVER_ERROR, &[], "the request was dropped unanswered"))
+        })
+    }
+}
+
+/// The head of a request.
+struct Head {
+    method: Method,
+    path: String,
+    headers: HeaderMap,
+}
+
+impl Head {
+    fn new(parts: http::request::Parts) -> Head {
+        let path = parts.uri.path_and_query().map_or("/", |path| path.as_str()).to_owned();
+        Head { method: parts.method, path, headers: parts.headers }
+    }
+}
+
+fn busy() -> Answer {
+    let headers = [("retry-after", RETRY_AFTER_S)];
+    plain(
+        StatusCode::SERVICE_UNAVAILABLE,
+        &headers,
+        "too many requests are waiting; come back later",
+    )
+}
+
+fn refuse(status: StatusCode, text: &str) -> Answer {
+    plain(status, &[("connection", "close")], text)
+}
+
+/// Why a body could not be had.
+enum BodyError {
+    TooLarge,
+    Unreadable,
+}
+
+async fn collect(body: &mut Incoming, max: usize) -> Result<Bytes, BodyError> {
+    let mut buf = BytesMut::with_capacity(body.size_hint().lower() as usize);
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| BodyError::Unreadable)?;
+        let Some(data) = frame.data_ref() else { continue };
+        if buf.len() + data.len() > max {
+            return Err(BodyError::TooLarge);
+        }
+        buf.extend_from_slice(data);
+    }
+    Ok(buf.freeze())
+}
+
+async fn discard(mut body: Incoming) {
+    let mut left = DISCARD_BYTES;
+    while let Some(Ok(frame)) = body.frame().await {
+        let len = frame.data_ref().map_or(0, Bytes::len);
+        if len > left {
+            return;
+        }
+        left -= len;
+    }
+}
--- /dev/null
+++ b/crates/http/src/request/mod.rs
@@ -0,0 +1,18 @@
+//! What lives as long as one request.
+
+mod answer;
+mod answer_body;
+mod body_stream;
+mod gone;
+mod intake;
+#[allow(clippy::module_inception)]
+mod request;
+mod responder;
+
+pub(crate) use answer::*;
+pub(crate) use answer_body::*;
+pub use body_stream::*;
+pub(crate) use gone::*;
+pub(crate) use intake::*;
+pub use request::*;
+pub use responder::*;
--- /dev/null
+++ b/crates/local/src/local_config.rs
@@ -0,0 +1,76 @@
+//! What a local fleet is made of.
+
+use sorrellock_core::id::Layer;
+use std::time::Duration;
+
+/// What a local fleet is made of.
+#[derive(Clone, Debug)]
+pub struct LocalConfig {
+    /// Stages of its one pipeline.
+    pub stages: usize,
+    /// Engines that hold the same layers.
+    pub replicas: usize,
+    /// Layers of its one model.
+    pub layers: Layer,
+    /// Entries.
+    pub entries: usize,
+    /// Instances of its one plain service.
+    pub services: usize,
+    /// Time of a batch at an engine, whatever its size.
+    pub batch_time: Duration,
+    /// Time of each token of a batch at an engine.
+    pub token_time: Duration,
+    /// The most steps of a batch.
+    pub max_batch: u32,
+    /// Bytes of one activation.
+    pub activation_bytes: usize,
+}
+
+impl LocalConfig {
+    /// Three stages on six engines, one entry, one instance of the plain service.
+    pub fn new() -> LocalConfig {
+        LocalConfig {
+            stages: 3,
+            replicas: 2,
+            layers: 12,
+            entries: 1,
+            services: 1,
+            batch_time: Duration::from_millis(2),
+            token_time: Duration::from_micros(10),
+            max_batch: 64,
+            activation_bytes: 256,
+        }
+    }
+
+    /// Cuts the model into `stages` stages, each held by `replicas` engines.
+    pub fn with_pipeline(mut self, stages: usize, replicas: usize) -> LocalConfig {
+        self.stages = stages;
+        self.replicas = replicas;
+        self
+    }
+
+    /// Starts `entries` entries.
+    pub fn with_entries(mut self, entries: usize) -> LocalConfig {
+        self.entries = entries;
+        self
+    }
+
+    /// Starts `services` instances of the plain service.
+    pub fn with_services(mut self, services: usize) -> LocalConfig {
+        self.services = services;
+        self
+    }
+
+    /// Sets the time of a batch, and of each of its tokens.
+    pub fn with_times(mut self, batch: Duration, token: Duration) -> LocalConfig {
+        self.batch_time = batch;
+        self.token_time = token;
+        self
+    }
+}
+
+impl Default for LocalConfig {
+    fn default() -> Self {
+        LocalConfig::new()
+    }
+}
--- /dev/null
+++ b/crates/local/src/local_fleet.rs
@@ -0,0 +1,216 @@
+//! A whole fleet in one process: stand-ins, daemons beside them, entries before them.
+
+use crate::{Caller, LocalConfig, next_addr, write_pipelines, write_rows, write_workspaces};
+use eyre::{Result, WrapErr, bail};
+use serde_json::Value;
+use sorrellock_core::id::{Layer, StageIndex, TokenId};
+use sorrellock_core::request::LayerRange;
+use sorrellock_core::version::{Pipeline, Row, Workspace};
+use sorrellock_daemon::beside::process::{Beside, BesideSettings, ServiceEndpoint};
+use sorrellock_daemon::entry::process::{Entry, EntrySettings};
+use sorrellock_daemon::process::Dump;
+use sorrellock_fakes::{
+    EngineConfig, FakeEngine, FakePlatform, FakeService, PlatformConfig, ServiceConfig,
+    expected_text,
+};
+use sorrellock_platform::api::{Instance, InstanceState};
+use std::net::SocketAddr;
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// The one pipeline of a local fleet.
+pub const MODEL: &str = "lexis";
+/// The one plain service of a local fleet.
+pub const SERVICE: &str = "ledger";
+/// The place of all its instances.
+pub const PLACE: &str = "pasila";
+/// Its workspaces, in order, and the keys of their callers.
+pub const WORKSPACES: [(&str, &str); 2] =
+    [("treasury", "key-treasury"), ("pharmacy", "key-pharmacy")];
+
+/// How long a start may take.
+const START: Duration = Duration::from_secs(20);
+/// How often a wait looks again.
+const POLL: Duration = Duration::from_millis(5);
+
+/// An engine with the daemon beside it.
+pub struct LocalEngine {
+    /// The stage whose layers it holds.
+    pub stage: StageIndex,
+    /// The stand-in.
+    pub engine: FakeEngine,
+    /// The daemon.
+    pub beside: Beside,
+}
+
+/// A plain service's instance with the daemon beside it.
+pub struct LocalService {
+    /// The stand-in.
+    pub service: FakeService,
+    /// The daemon.
+    pub beside: Beside,
+}
+
+/// A whole fleet in one process.
+pub struct LocalFleet {
+    /// What it is made of.
+    pub cfg: LocalConfig,
+    /// The stand-in of the platform.
+    pub platform: FakePlatform,
+    /// Engines, by stage and replica.
+    pub engines: Vec<LocalEngine>,
+    /// Instances of the plain service.
+    pub services: Vec<LocalService>,
+    /// Entries.
+    pub entries: Vec<Entry>,
+}
+
+impl LocalFleet {
+    /// Starts all, and waits until every entry knows every endpoint.
+    pub fn start(cfg: LocalConfig) -> Result<LocalFleet> {
+        let platform = FakePlatform::start(PlatformConfig::new(next_addr()))
+            .wrap_err("start of the platform")?;
+        write_config(&platform, &cfg);
+        let engines = start_engines(&cfg)?;
+        let services = start_services(&cfg)?;
+        let entries = start_entries(&cfg, &platform)?;
+        let fleet = LocalFleet { cfg, platform, engines, services, entries };
+        fleet.publish_instances();
+        fleet.wait_until_known()?;
+        Ok(fleet)
+    }
+
+    /// A caller of entry `entry` in workspace `workspace` of [`WORKSPACES`].
+    pub fn caller(&self, entry: usize, workspace: usize) -> Caller {
+        Caller::new(self.entries[entry].callers(), WORKSPACES[workspace].1)
+    }
+
+    /// What a single machine with the whole model would answer.
+    pub fn expected(&self, prompt: &str, max_tokens: u32) -> String {
+        let tokens: Vec<TokenId> = prompt.bytes().map(TokenId::from).collect();
+        expected_text(&tokens, self.cfg.layers, max_tokens).1
+    }
+
+    /// Kills the engine of a stage that has the most work, with its daemon, and returns its index.
+    pub fn kill_busiest(&self, stage: StageIndex) -> usize {
+        let of_stage = self.engines.iter().enumerate().filter(|(_, engine)| engine.stage == stage);
+        let busiest = of_stage.max_by_key(|(_, engine)| open_work(&engine.beside));
+        let (index, engine) = busiest.expect("each stage has an engine");
+        engine.beside.stop();
+        engine.engine.stop();
+        index
+    }
+
+    /// How many requests are in progress at all entries.
+    pub fn in_progress(&self) -> u64 {
+        let count =
+            |entry: &Entry| entry.state().dump()["in_progress"].as_u64().unwrap_or_default();
+        self.entries.iter().map(count).sum()
+    }
+
+    /// Shuts all daemons down gracefully; false if it took longer than `wait`.
+    pub fn drain(&self, wait: Duration) -> bool {
+        let entries = self.entries.iter().all(|entry| entry.drain(wait));
+        entries && self.engines.iter().all(|engine| engine.beside.drain(wait))
+    }
+
+    /// Puts all daemons on the platform's list of instances.
+    pub fn publish_instances(&self) {
+        let engines = self.engines.iter().map(|engine| engine.beside.peer().addr);
+        let services = self.services.iter().map(|service| service.beside.peer().addr);
+        let instance = |link: SocketAddr| Instance {
+            id: link.to_string(),
+            place: PLACE.into(),
+            link,
+            state: InstanceState::Live,
+        };
+        self.platform.set_instances(engines.chain(services).map(instance).collect());
+    }
+
+    fn wait_until_known(&self) -> Result<()> {
+        let end = Instant::now() + START;
+        let daemons = self.engines.len() + self.services.len();
+        let ready = |entry: &Entry| {
+            let known = entry.state().dump()["fleet"].as_array().map_or(0, Vec::len);
+            known >= daemons && is_ready(entry.callers())
+        };
+        while !self.entries.iter().all(ready) {
+            if Instant::now() > end {
+                bail!("the entries don't know all {daemons} daemons after {START:?}");
+            }
+            thread::sleep(POLL);
+        }
+        Ok(())
+    }
+}
+
+impl Drop for LocalFleet {
+    fn drop(&mut self) {
+        self.entries.iter().for_each(Entry::stop);
+        self.engines.iter().for_each(|engine| engine.beside.stop());
+        self.services.iter().for_each(|service| service.beside.stop());
+    }
+}
+
+fn write_config(platform: &FakePlatform, cfg: &LocalConfig) {
+    let pipeline = Pipeline { id: MODEL.into(), model: MODEL.into(), layers: cfg.layers };
+    write_pipelines(platform, vec![pipeline]);
+    let may_call = vec![MODEL.to_owned(), SERVICE.to_owned()];
+    let workspace = |(id, key): &(&str, &str)| Workspace::new(*id, key, may_call.clone());
+    write_workspaces(platform, WORKSPACES.iter().map(workspace).collect());
+    write_rows(platform, WORKSPACES.iter().map(|(id, _)| Row::new(*id, "default")).collect());
+}
+
+fn start_engines(cfg: &LocalConfig) -> Result<Vec<LocalEngine>> {
+    let mut engines = Vec::new();
+    for stage in 0..cfg.stages {
+        for replica in 0..cfg.replicas {
+            engines.push(start_engine(cfg, stage, replica)?);
+        }
+    }
+    Ok(engines)
+}
+
+fn start_engine(cfg: &LocalConfig, stage: usize, replica: usize) -> Result<LocalEngine> {
+    let engine = EngineConfig::new(next_addr(), MODEL, stage_layers(cfg, stage))
+        .with_endpoint(format!("{MODEL}-{stage}-{replica}"))
+        .with_max_batch(cfg.max_batch)
+        .with_activation_bytes(cfg.activation_bytes as u32)
+        .with_times(cfg.batch_time, cfg.token_time);
+    let engine = FakeEngine::start(engine).wrap_err("start of an engine")?;
+    let settings = BesideSettings::new(PLACE, next_addr()).with_engine(engine.addr());
+    let beside = Beside::start(settings)?;
+    Ok(LocalEngine { stage: stage as StageIndex, engine, beside })
+}
+
+/// The layers of a stage: as even as they go.
+fn stage_layers(cfg: &LocalConfig, stage: usize) -> LayerRange {
+    let bound = |stage: usize| (usize::from(cfg.layers) * stage / cfg.stages) as Layer;
+    LayerRange::new(bound(stage), bound(stage + 1))
+}
+
+fn start_services(cfg: &LocalConfig) -> Result<Vec<LocalService>> {
+    let start = |number: usize| {
+        let service =
+            FakeService::start(ServiceConfig::new(next_addr())).wrap_err("start of a service")?;
+        let id = format!("{SERVICE}-{number}");
+        let endpoint = ServiceEndpoint { id, service: SERVICE.into(), addr: service.addr() };
+        let settings = BesideSettings::new(PLACE, next_addr()).with_service(endpoint);
+        Ok(LocalService { service, beside: Beside::start(settings)? })
+    };
+    (0..cfg.services).map(start).collect()
+}
+
+fn start_entries(cfg: &LocalConfig, platform: &FakePlatform) -> Result<Vec<Entry>> {
+    let settings = || EntrySettings::new(PLACE, next_addr(), next_addr(), platform.addr());
+    (0..cfg.entries).map(|_| Entry::start(settings())).collect()
+}
+
+fn open_work(beside: &Beside) -> u64 {
+    beside.state().dump()["open_work"].as_u64().unwrap_or_default()
+}
+
+fn is_ready(callers: SocketAddr) -> bool {
+    let answer = Caller::new(callers, "").get("/readyz");
+    answer.is_ok_and(|answer| answer.status == 200 && answer.json() == Value::Null)
+}
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,7 @@
+//! Traits towards the platform, the engines and plain services, and their HTTP clients.
+//!
+//! Everything foreign stays behind the traits in [`api`]; the clients that speak
+//! HTTP are in [`client`].
+
+pub mod api;
+pub mod client;
--- /dev/null
+++ b/crates/wire/src/connection/link_config.rs
@@ -0,0 +1,57 @@
+//! Settings of a link.
+
+use sorrellock_core::request::Peer;
+use std::time::Duration;
+
+/// Settings of a link. Defaults stand in the constants of this type.
+#[derive(Clone, Debug)]
+pub struct LinkConfig {
+    /// Where to listen, and as which incarnation to send.
+    pub me: Peer,
+    /// The most messages that wait for one peer.
+    pub queue: usize,
+    /// The most messages that one envelope carries.
+    pub batch: usize,
+    /// The most peers that are sent to.
+    pub max_peers: usize,
+    /// The largest envelope taken, in bytes.
+    pub max_bytes: usize,
+    /// How long one send may wait for room.
+    pub send_timeout: Duration,
+    /// How long sends to a peer that could not be reached are refused.
+    pub down_for: Duration,
+}
+
+impl LinkConfig {
+    /// Default of `queue`.
+    pub const QUEUE: usize = 8192;
+    /// Default of `batch`.
+    pub const BATCH: usize = 512;
+    /// Default of `max_peers`.
+    pub const MAX_PEERS: usize = 2048;
+    /// Default of `max_bytes`.
+    pub const MAX_BYTES: usize = 64 << 20;
+    /// Default of `send_timeout`.
+    pub const SEND_TIMEOUT: Duration = Duration::from_secs(2);
+    /// Default of `down_for`.
+    pub const DOWN_FOR: Duration = Duration::from_millis(200);
+
+    /// The defaults, as `me`.
+    pub fn new(me: Peer) -> LinkConfig {
+        LinkConfig {
+            me,
+            queue: LinkConfig::QUEUE,
+            batch: LinkConfig::BATCH,
+            max_peers: LinkConfig::MAX_PEERS,
+            max_bytes: LinkConfig::MAX_BYTES,
+            send_timeout: LinkConfig::SEND_TIMEOUT,
+            down_for: LinkConfig::DOWN_FOR,
+        }
+    }
+
+    /// Bounds the messages that wait for one peer.
+    pub fn with_queue(mut self, queue: usize) -> LinkConfig {
+        self.queue = queue;
+        self
+    }
+}
