--- a/crates/core/src/process/endpoint.rs
+++ b/crates/core/src/process/endpoint.rs
@@ -1,6 +1,6 @@
 //! What a daemon tells of the endpoints that it serves.
 
-use crate::id::{EndpointId, ModelId, Place, ServiceId};
+use crate::id::{EndpointId, ModelId, Place, Revision, ServiceId};
 use crate::request::{LayerRange, Peer};
 use serde::{Deserialize, Serialize};
 
@@ -54,6 +54,8 @@
     pub counter: u64,
     /// Its state.
     pub liveness: Liveness,
+    /// All configuration up to this revision of the store is in force there.
+    pub applied: Revision,
     /// The endpoints that it serves.
     pub endpoints: Vec<EndpointFact>,
 }
--- a/crates/daemon/src/beside/process/beside_handler.rs
+++ b/crates/daemon/src/beside/process/beside_handler.rs
@@ -36,6 +36,7 @@
             place: self.place.clone(),
             counter: self.counter.fetch_add(1, Ordering::Relaxed),
             liveness: if self.is_leaving() { Liveness::Leaving } else { Liveness::Live },
+            applied: 0,
             endpoints: engines.chain(services).collect(),
         }
     }
--- a/crates/daemon/src/entry/process/config_watch.rs
+++ b/crates/daemon/src/entry/process/config_watch.rs
@@ -1,7 +1,7 @@
 //! Keeps the configuration in force: reads all pages once, then watches for changes.
 
 use crate::entry::version::{ConfigView, PageError};
-use crate::process::{Count, Counters};
+use crate::process::{Count, Counters, Journal};
 use arc_swap::ArcSwap;
 use sorrellock_core::id::Revision;
 use sorrellock_core::version::{CONFIG_PREFIX, PageId};
@@ -21,13 +21,19 @@
     view: ArcSwap<ConfigView>,
     loaded: AtomicBool,
     counters: Arc<Counters>,
+    journal: Arc<Journal>,
 }
 
 impl ConfigWatch {
     /// An empty configuration, and the thread that fills it.
-    pub fn start<S: ObjectStore>(store: S, counters: Arc<Counters>) -> Arc<ConfigWatch> {
+    pub fn start<S: ObjectStore>(
+        store: S,
+        counters: Arc<Counters>,
+        journal: Arc<Journal>,
+    ) -> Arc<ConfigWatch> {
         let view = ArcSwap::default();
-        let watch = Arc::new(ConfigWatch { view, loaded: AtomicBool::new(false), counters });
+        let watch =
+            Arc::new(ConfigWatch { view, loaded: AtomicBool::new(false), counters, journal });
         let writer = watch.clone();
         thread::Builder::new()
             .name("config-watch".into())
@@ -82,12 +88,14 @@
         match view.apply(page, revision, value) {
             Ok(()) => {
                 self.counters.count(Count::PagesApplied);
-                spdlog::info!("page {} applied at revision {revision}", page.key());
+                let cause = format!("{} at revision {revision}", page.key());
+                self.journal.note("page applied", None, "configuration watch", cause);
             }
             Err(PageError::NotNewer) => {}
             Err(err) => {
                 self.counters.count(Count::PagesRefused);
-                spdlog::warn!("page {} refused at revision {revision}: {err}", page.key());
+                let cause = format!("{} at revision {revision}: {err}", page.key());
+                self.journal.note("page refused", None, "configuration watch", cause);
             }
         }
     }
--- a/crates/daemon/src/entry/process/entry.rs
+++ b/crates/daemon/src/entry/process/entry.rs
@@ -6,7 +6,8 @@
 };
 use crate::entry::request::RunTable;
 use crate::process::{
-    Count, Counters, Dump, counters_json, draw_incarnation, listen_for_operators, send_metrics,
+    Count, Counters, Dump, Journal, counters_json, draw_incarnation, listen_for_operators,
+    send_metrics,
 };
 use eyre::{Result, WrapErr};
 use serde_json::{Value, json};
@@ -34,16 +35,18 @@
     pub fn start(settings: EntrySettings) -> Result<Entry> {
         let me = Peer { addr: settings.link, incarnation: draw_incarnation() };
         let counters = Arc::new(Counters::new());
+        let journal = Arc::new(Journal::new());
         let (link, closed) = NngLink::listen(LinkConfig::new(me)).wrap_err("start of the links")?;
         let store = HttpObjectStore::new(settings.platform);
         let state = Arc::new(EntryState {
             me,
             place: settings.place.clone(),
-            config: ConfigWatch::start(store, counters.clone()),
+            config: ConfigWatch::start(store, counters.clone(), journal.clone()),
             fleet: Arc::default(),
             in_progress: Arc::new(InProgress::new(me.incarnation, settings.max_in_progress)),
             link: link.clone(),
             counters: counters.clone(),
+            journal,
         });
         let timer = Arc::new(Timer::default());
         let pipelines = Arc::new(new_pipelines(&state, &timer, settings.max_attempts));
@@ -113,6 +116,7 @@
     in_progress: Arc<InProgress>,
     link: Arc<NngLink>,
     counters: Arc<Counters>,
+    journal: Arc<Journal>,
 }
 
 impl Dump for EntryState {
@@ -127,6 +131,7 @@
             "in_progress": self.in_progress.count(),
             "fleet": self.fleet.view().instances().collect::<Vec<_>>(),
             "revisions": revisions.collect::<std::collections::BTreeMap<_, _>>(),
+            "journal": self.journal.entries(),
             "counters": counters_json(&self.counters.snapshot()),
             "link": counters_json(&self.link.counters().snapshot()),
         })
@@ -170,6 +175,7 @@
         calls: calls.clone(),
         fleet: state.fleet.clone(),
         counters: state.counters.clone(),
+        journal: state.journal.clone(),
     }
 }
 
--- a/crates/daemon/src/entry/process/entry_handler.rs
+++ b/crates/daemon/src/entry/process/entry_handler.rs
@@ -1,7 +1,7 @@
 //! Hands messages from other processes to the requests that they are for.
 
 use crate::entry::process::{Calls, FleetCell, Pipelines};
-use crate::process::{Count, Counters};
+use crate::process::{Count, Counters, Journal};
 use sorrellock_core::id::Incarnation;
 use sorrellock_core::request::Peer;
 use sorrellock_wire::connection::{Link, LinkHandler};
@@ -16,6 +16,7 @@
     pub(super) calls: Arc<Calls<L>>,
     pub(super) fleet: Arc<FleetCell>,
     pub(super) counters: Arc<Counters>,
+    pub(super) journal: Arc<Journal>,
 }
 
 impl<L: Link> EntryHandler<L> {
@@ -55,7 +56,7 @@
 
     fn on_closed(&self, peer: SocketAddr) {
         if self.fleet.forget(peer) {
-            spdlog::warn!("daemon {peer} gone: its link closed");
+            self.journal.note("instance gone", Some(peer), "link", "its link closed");
         }
         self.pipelines.on_closed(peer);
         self.calls.on_closed(peer);
--- a/crates/daemon/src/process/mod.rs
+++ b/crates/daemon/src/process/mod.rs
@@ -3,6 +3,7 @@
 mod counters;
 mod dump;
 mod incarnation;
+mod journal;
 mod log;
 mod metrics;
 mod operators;
@@ -10,6 +11,7 @@
 pub use counters::*;
 pub use dump::*;
 pub use incarnation::*;
+pub use journal::{JOURNAL_LENGTH, Journal};
 pub use log::*;
 pub use metrics::*;
 pub use operators::*;
--- a/crates/http/src/request/answer_body.rs
+++ b/crates/http/src/request/answer_body.rs
@@ -20,7 +20,12 @@
 #[derive(Debug)]
 enum Source {
     Whole(Bytes),
-    Chunks { rx: mpsc::Receiver<Bytes>, last: Arc<OnceLock<Bytes>> },
+    Chunks {
+        rx: mpsc::Receiver<Bytes>,
+        last: Arc<OnceLock<Bytes>>,
+    },
+    /// The handler cut the stream; what it pushed before is still to be flushed.
+    Cut,
     Ended,
 }
 
@@ -76,16 +81,23 @@
             Source::Chunks { rx, last } => match rx.poll_recv(cx) {
                 Poll::Pending => return Poll::Pending,
                 Poll::Ready(Some(chunk)) => Some(Ok(Frame::data(chunk))),
-                Poll::Ready(None) => {
-                    let last = last.get().cloned();
-                    self.complete();
-                    match last {
-                        Some(chunk) if chunk.is_empty() => None,
-                        Some(chunk) => Some(Ok(Frame::data(chunk))),
-                        None => Some(Err(Cut)),
+                Poll::Ready(None) => match last.get().cloned() {
+                    Some(chunk) => {
+                        self.complete();
+                        (!chunk.is_empty()).then_some(Ok(Frame::data(chunk)))
                     }
-                }
+                    None => {
+                        // hyper flushes while the body is pending, and drops its buffer on an error.
+                        self.source = Source::Cut;
+                        cx.waker().wake_by_ref();
+                        return Poll::Pending;
+                    }
+                },
             },
+            Source::Cut => {
+                self.complete();
+                Some(Err(Cut))
+            }
         };
         Poll::Ready(frame)
     }
@@ -98,7 +110,7 @@
         match &self.source {
             Source::Ended => SizeHint::with_exact(0),
             Source::Whole(bytes) => SizeHint::with_exact(bytes.len() as u64),
-            Source::Chunks { .. } => SizeHint::default(),
+            Source::Chunks { .. } | Source::Cut => SizeHint::default(),
         }
     }
 }
--- a/crates/http/tests/answer.rs
+++ b/crates/http/tests/answer.rs
@@ -143,6 +143,21 @@
     assert_eq!(rx.recv_timeout(PATIENCE), Ok(Some(PushError::Full)));
 }
 
+#[test]
+fn last_chunk_passes_a_full_queue() {
+    let server = start_with(config().with_chunk_queue(1), |req| {
+        let body = req.responder.stream(200, &[]);
+        while body.push("x").is_ok() {}
+        body.finish_with("last");
+    });
+    let mut stream = connect(&server);
+
+    send(&mut stream, &get("/"));
+
+    let answer = read_until(&mut stream, "0\r\n\r\n");
+    assert!(answer.ends_with("\r\n4\r\nlast\r\n0\r\n\r\n"), "{answer}");
+}
+
 #[test]
 fn responder_dropped_unanswered_gives_500() {
     let server = start(|req| drop(req.responder));
