--- a/crates/core/src/process/endpoint.rs
+++ b/crates/core/src/process/endpoint.rs
@@ -43,6 +43,24 @@
     Gone,
 }
 
+/// What a daemon does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum DaemonRole {
+    /// It takes callers' requests.
+    Entry,
+    /// It stands beside endpoints.
+    Beside,
+}
+
+/// A link that is slower than it should be, as its sender measured it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DegradedLink {
+    /// Where it leads.
+    pub to: Place,
+    /// How many times slower it is than usual.
+    pub factor: u16,
+}
+
 /// What a daemon tells of itself; a higher counter supersedes.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct InstanceFact {
@@ -50,6 +68,10 @@
     pub peer: Peer,
     /// Its place.
     pub place: Place,
+    /// What it does.
+    pub role: DaemonRole,
+    /// Orders the incarnations that listened at one address: the higher one is there now.
+    pub generation: u64,
     /// Grows with each change within the incarnation.
     pub counter: u64,
     /// Its state.
@@ -58,4 +80,6 @@
     pub applied: Revision,
     /// The endpoints that it serves.
     pub endpoints: Vec<EndpointFact>,
+    /// Its links that are slower than they should be.
+    pub degraded: Vec<DegradedLink>,
 }
--- /dev/null
+++ b/crates/core/src/process/membership/rendezvous.rs
@@ -0,0 +1,32 @@
+//! Rendezvous hashing: all who know the same members name the same ones for a key, and a change of
+//! the members moves only the keys of those that came or went.
+
+use crate::id::Incarnation;
+use std::cmp::Reverse;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// The weight of a candidate for a key; the highest is the one named.
+pub fn rendezvous_weight(key: &[u8], candidate: Incarnation) -> u64 {
+    xxh3_64_with_seed(key, candidate)
+}
+
+/// The candidate that is named for a key.
+pub fn rendezvous(
+    key: &[u8],
+    candidates: impl IntoIterator<Item = Incarnation>,
+) -> Option<Incarnation> {
+    let weight = |candidate: &Incarnation| (rendezvous_weight(key, *candidate), *candidate);
+    candidates.into_iter().max_by_key(weight)
+}
+
+/// The first `count` candidates for a key, the one named first.
+pub fn rendezvous_several(
+    key: &[u8],
+    candidates: impl IntoIterator<Item = Incarnation>,
+    count: usize,
+) -> Vec<Incarnation> {
+    let mut found: Vec<_> = candidates.into_iter().collect();
+    found.sort_by_key(|candidate| Reverse((rendezvous_weight(key, *candidate), *candidate)));
+    found.truncate(count);
+    found
+}
--- /dev/null
+++ b/crates/core/src/process/membership/view.rs
@@ -0,0 +1,88 @@
+//! The members as they are known at one moment, to be read without a lock.
+
+use crate::id::{Incarnation, Place};
+use crate::process::membership::{Member, rendezvous, rendezvous_several};
+use crate::process::{DaemonRole, InstanceFact};
+use crate::request::Peer;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// The members as they are known at one moment. It is replaced whole when something changes, so a
+/// reader may keep it as long as it likes.
+#[derive(Clone, Debug)]
+pub struct MembershipView {
+    /// The process that knows this.
+    pub me: Peer,
+    /// Its place.
+    pub place: Place,
+    /// Members by incarnation, the process itself included.
+    members: BTreeMap<Incarnation, Arc<Member>>,
+    /// Places from which nothing has come for a while; their members are as they were last known.
+    cut_off: BTreeSet<Place>,
+}
+
+impl MembershipView {
+    /// A view of `members`.
+    pub fn new(
+        me: Peer,
+        place: Place,
+        members: BTreeMap<Incarnation, Arc<Member>>,
+        cut_off: BTreeSet<Place>,
+    ) -> MembershipView {
+        MembershipView { me, place, members, cut_off }
+    }
+
+    /// All members known, the gone and the process itself included.
+    pub fn members(&self) -> impl Iterator<Item = &Arc<Member>> {
+        self.members.values()
+    }
+
+    /// The member of an incarnation.
+    pub fn get(&self, incarnation: Incarnation) -> Option<&Arc<Member>> {
+        self.members.get(&incarnation)
+    }
+
+    /// The present member that listens at `addr`.
+    pub fn at(&self, addr: SocketAddr) -> Option<&Arc<Member>> {
+        let mut present = self.members.values().filter(|member| member.is_present());
+        present.find(|member| member.fact.peer.addr == addr)
+    }
+
+    /// Places from which nothing has come for a while.
+    pub fn cut_off(&self) -> &BTreeSet<Place> {
+        &self.cut_off
+    }
+
+    /// The members that take new work, the process itself included. This is whom rendezvous hashing
+    /// may name.
+    pub fn live(&self) -> impl Iterator<Item = &InstanceFact> {
+        let reachable = |member: &&Arc<Member>| !self.cut_off.contains(member.place());
+        let live = self.members.values().filter(|member| member.is_live());
+        live.filter(reachable).map(|member| &member.fact)
+    }
+
+    /// The live members of one role.
+    pub fn live_as(&self, role: DaemonRole) -> impl Iterator<Item = &InstanceFact> {
+        self.live().filter(move |fact| fact.role == role)
+    }
+
+    /// The live members of one place.
+    pub fn live_in(&self, place: &str) -> impl Iterator<Item = &InstanceFact> {
+        self.live().filter(move |fact| fact.place == place)
+    }
+
+    /// The live member of a role that rendezvous hashing names for a key.
+    pub fn named(&self, key: &[u8], role: DaemonRole) -> Option<Peer> {
+        let found = rendezvous(key, self.live_as(role).map(|fact| fact.peer.incarnation))?;
+        self.members.get(&found).map(|member| member.fact.peer)
+    }
+
+    /// The first `count` live members of a place for a key.
+    pub fn named_in(&self, key: &[u8], place: &str, count: usize) -> Vec<Peer> {
+        let candidates = self.live_in(place).map(|fact| fact.peer.incarnation);
+        let found = rendezvous_several(key, candidates, count);
+        let peer = |incarnation| self.members.get(incarnation).map(|member| member.fact.peer);
+        found.iter().filter_map(peer).collect()
+    }
+}
--- a/crates/core/src/process/mod.rs
+++ b/crates/core/src/process/mod.rs
@@ -1,5 +1,6 @@
 //! What lives as long as a process.
 
 mod endpoint;
+pub mod membership;
 
 pub use endpoint::*;
--- a/crates/daemon/src/beside/process/beside_handler.rs
+++ b/crates/daemon/src/beside/process/beside_handler.rs
@@ -3,7 +3,7 @@
 use crate::beside::process::{EngineRunner, Outbox, ServiceRunner};
 use crate::process::Count;
 use sorrellock_core::id::{EndpointId, Incarnation, Place};
-use sorrellock_core::process::{InstanceFact, Liveness};
+use sorrellock_core::process::{DaemonRole, InstanceFact, Liveness};
 use sorrellock_core::request::{Peer, Refusal, RequestKey};
 use sorrellock_platform::api::Engine;
 use sorrellock_wire::connection::{Link, LinkHandler};
@@ -34,10 +34,13 @@
         InstanceFact {
             peer: self.me,
             place: self.place.clone(),
+            role: DaemonRole::Beside,
+            generation: 0,
             counter: self.counter.fetch_add(1, Ordering::Relaxed),
             liveness: if self.is_leaving() { Liveness::Leaving } else { Liveness::Live },
             applied: 0,
             endpoints: engines.chain(services).collect(),
+            degraded: Vec::new(),
         }
     }
 
