Admission at the entry: classes, fair shares by work, bounds, deadlines

Cause: every request started at once, whatever its class, workspace and deadline; the order was decided in the engines' queues, by arrival. Change: one queue a pool (engines of a model, instances of a service) at the entry. Urgent before routine, each with a part of the window that the other can't take; start-time fair queueing by workspace inside a class, charged by an estimate and corrected at the end; bounds by bytes a workspace and in all, where the largest workspace makes room; a deadline that can't be met is refused at once with the time worked out from the measured drain rate. Waiting requests start as others end. EndpointFact tells its slots, from which the window follows. Ruled out: a bound by count (a few huge prompts hold as much as thousands of small ones), and evicting by age (it hits others than the one that floods).

--- a/crates/core/src/process/endpoint.rs
+++ b/crates/core/src/process/endpoint.rs
@@ -30,6 +30,8 @@
     pub role: Role,
     /// Work waiting or running there, in steps or calls.
     pub load: u32,
+    /// How much of it runs at a time.
+    pub slots: u32,
 }
 
 /// State of an instance.
--- a/crates/core/src/process/mod.rs
+++ b/crates/core/src/process/mod.rs
@@ -1,6 +1,9 @@
 //! What lives as long as a process.
 
+pub mod admission;
 mod endpoint;
+mod fair_queue;
 pub mod membership;
 
 pub use endpoint::*;
+pub use fair_queue::*;
--- a/crates/core/src/version/row.rs
+++ b/crates/core/src/version/row.rs
@@ -16,6 +16,16 @@
     Routine,
 }
 
+impl Class {
+    /// Priority beside the endpoints: higher goes first.
+    pub fn priority(self) -> u8 {
+        match self {
+            Class::Urgent => 1,
+            Class::Routine => 0,
+        }
+    }
+}
+
 /// One row of the shared table.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Row {
--- a/crates/daemon/src/beside/process/engine_runner.rs
+++ b/crates/daemon/src/beside/process/engine_runner.rs
@@ -81,6 +81,7 @@
             id: self.info.endpoint.clone(),
             role: Role::Engine { model: self.info.model.clone(), layers: self.info.layers },
             load: state.runs.len() as u32,
+            slots: self.info.max_batch,
         }
     }
 
--- a/crates/daemon/src/beside/process/service_runner.rs
+++ b/crates/daemon/src/beside/process/service_runner.rs
@@ -25,6 +25,7 @@
 /// One instance of a plain service.
 pub struct ServiceRunner<L> {
     endpoint: ServiceEndpoint,
+    threads: usize,
     queue: Sender<Waiting>,
     open: Arc<AtomicU32>,
     outbox: Outbox<L>,
@@ -50,7 +51,7 @@
                 .spawn(move || run_calls(&rx, &*service, &outbox, &open))
                 .expect("a thread can be started");
         }
-        ServiceRunner { endpoint, queue: tx, open, outbox }
+        ServiceRunner { endpoint, threads, queue: tx, open, outbox }
     }
 
     /// What the daemon tells of this instance.
@@ -59,6 +60,7 @@
             id: self.endpoint.id.clone(),
             role: Role::Service { service: self.endpoint.service.clone() },
             load: self.open_calls(),
+            slots: self.threads as u32,
         }
     }
 
--- /dev/null
+++ b/crates/daemon/src/entry/process/admission/pools.rs
@@ -0,0 +1,135 @@
+//! The queues of an entry, one for each pool, and the requests that wait in them.
+
+use super::{PoolId, Work};
+use crate::entry::version::FleetView;
+use serde_json::{Value, json};
+use sorrellock_core::clock::SystemClock;
+use sorrellock_core::id::Sequence;
+use sorrellock_core::process::admission::{AdmissionQueue, Demand, Ended, QueueBounds, Verdict};
+use sorrellock_core::request::NotRun;
+use sorrellock_core::version::Class;
+use sorrellock_http::Responder;
+use std::collections::HashMap;
+
+type Queue = AdmissionQueue<SystemClock>;
+
+/// A request that waits, with its caller.
+pub(super) struct Waiting {
+    pub pool: PoolId,
+    pub work: Work,
+    pub responder: Responder,
+}
+
+/// What the queues decided: requests to start, and requests to answer.
+#[derive(Default)]
+pub(super) struct Decided {
+    pub start: Vec<Waiting>,
+    pub refuse: Vec<(Waiting, NotRun)>,
+}
+
+/// The queues of an entry. There are as many as pipelines and services that callers may call.
+pub(super) struct Pools {
+    bounds: QueueBounds,
+    queues: HashMap<PoolId, Queue>,
+    waiting: HashMap<Sequence, Waiting>,
+    running: HashMap<Sequence, PoolId>,
+}
+
+impl Pools {
+    pub fn new(bounds: QueueBounds) -> Pools {
+        let (queues, waiting, running) = Default::default();
+        Pools { bounds, queues, waiting, running }
+    }
+
+    /// A request asks to start.
+    pub fn offer(&mut self, waiting: Waiting, demand: Demand, fleet: &FleetView) -> Decided {
+        let (pool, ticket) = (waiting.pool.clone(), demand.ticket);
+        let mut decided = Decided::default();
+        match self.queue(&pool, fleet).offer(demand) {
+            Verdict::Start => {
+                self.running.insert(ticket, pool);
+                decided.start.push(waiting);
+            }
+            Verdict::Wait => {
+                self.waiting.insert(ticket, waiting);
+                self.collect(&pool, &mut decided);
+            }
+            Verdict::Refuse(not_run) => decided.refuse.push((waiting, not_run)),
+        }
+        decided
+    }
+
+    /// A started request ended: others may start.
+    pub fn finish(&mut self, ticket: Sequence, ended: Ended) -> Decided {
+        let mut decided = Decided::default();
+        let Some(pool) = self.running.remove(&ticket) else { return decided };
+        if let Some(queue) = self.queues.get_mut(&pool) {
+            queue.finish(ticket, ended);
+        }
+        self.collect(&pool, &mut decided);
+        decided
+    }
+
+    /// Takes a waiting request out.
+    pub fn cancel(&mut self, ticket: Sequence) -> Option<Waiting> {
+        let waiting = self.waiting.remove(&ticket)?;
+        if let Some(queue) = self.queues.get_mut(&waiting.pool) {
+            queue.cancel(ticket);
+        }
+        Some(waiting)
+    }
+
+    /// Follows the fleet, and drops what can't start in time any more.
+    pub fn refresh(&mut self, fleet: &FleetView) -> Decided {
+        let mut decided = Decided::default();
+        let pools: Vec<PoolId> = self.queues.keys().cloned().collect();
+        for pool in pools {
+            let queue = self.queue(&pool, fleet);
+            queue.set_slots(slots(&pool, fleet));
+            queue.expire();
+            self.collect(&pool, &mut decided);
+        }
+        decided
+    }
+
+    /// The state of each queue as JSON.
+    pub fn dump(&self) -> Value {
+        let queue = |(pool, queue): (&PoolId, &Queue)| {
+            let state = json!({
+                "window": queue.window().size(),
+                "reserve": queue.window().reserve(),
+                "running": queue.running(),
+                "urgent_waiting": queue.waiting(Class::Urgent),
+                "routine_waiting": queue.waiting(Class::Routine),
+                "drain_rate": queue.drain_rate(),
+            });
+            (pool.name(), state)
+        };
+        Value::Object(self.queues.iter().map(queue).collect())
+    }
+
+    fn queue(&mut self, pool: &PoolId, fleet: &FleetView) -> &mut Queue {
+        let bounds = self.bounds;
+        let new = || AdmissionQueue::new(SystemClock, slots(pool, fleet), bounds);
+        self.queues.entry(pool.clone()).or_insert_with(new)
+    }
+
+    /// Takes from a queue what may start and what it dropped.
+    fn collect(&mut self, pool: &PoolId, decided: &mut Decided) {
+        let Some(queue) = self.queues.get_mut(pool) else { return };
+        while let Some(ticket) = queue.start_next() {
+            self.running.insert(ticket, pool.clone());
+            decided.start.extend(self.waiting.remove(&ticket));
+        }
+        for dropped in queue.take_dropped() {
+            let waiting = self.waiting.remove(&dropped.ticket);
+            decided.refuse.extend(waiting.map(|waiting| (waiting, dropped.not_run)));
+        }
+    }
+}
+
+/// This entry's part of what the endpoints take at a time.
+fn slots(pool: &PoolId, fleet: &FleetView) -> usize {
+    let all = fleet.slots(|role| pool.is_served_by(role));
+    all.div_ceil(fleet.other_entries() + 1)
+}
--- /dev/null
+++ b/crates/daemon/src/entry/process/admission/work.rs
@@ -0,0 +1,66 @@
+//! A checked request that starts once it is admitted.
+
+use super::PoolId;
+use crate::entry::process::{NewCall, NewPipeline};
+use sorrellock_core::id::Sequence;
+use sorrellock_core::process::admission::Demand;
+use sorrellock_core::version::Row;
+use std::time::Instant;
+
+/// The most work assumed of a call to a plain service of which nothing is known, in milliseconds.
+const CALL_WORK_MS: f64 = 100.0;
+
+/// A checked request that starts once it is admitted.
+pub enum Work {
+    /// For a pipeline.
+    Pipeline(NewPipeline),
+    /// For a plain service.
+    Call(NewCall),
+}
+
+impl Work {
+    /// Its number at this entry.
+    pub fn sequence(&self) -> Sequence {
+        match self {
+            Work::Pipeline(new) => new.request.sequence,
+            Work::Call(new) => new.request.sequence,
+        }
+    }
+
+    /// When the caller no longer needs it.
+    pub fn deadline(&self) -> Instant {
+        match self {
+            Work::Pipeline(new) => new.deadline,
+            Work::Call(new) => new.deadline,
+        }
+    }
+
+    /// What it queues for.
+    pub fn pool(&self) -> PoolId {
+        match self {
+            Work::Pipeline(new) => PoolId::Model(new.pipeline.model.clone()),
+            Work::Call(new) => PoolId::Service(new.service.clone()),
+        }
+    }
+
+    /// What it asks of its queue, by the row that applies.
+    pub fn demand(&self, row: &Row) -> Demand {
+        let (known_work, most_work, bytes) = match self {
+            Work::Pipeline(new) => {
+                let prompt = &new.asked.prompt;
+                (prompt.len() as f64, f64::from(new.asked.max_tokens), size_of_val(&prompt[..]))
+            }
+            Work::Call(new) => (0.0, CALL_WORK_MS, new.call.body.len()),
+        };
+        Demand {
+            ticket: self.sequence(),
+            workspace: row.workspace.clone(),
+            class: row.class,
+            weight: row.weight,
+            known_work,
+            most_work,
+            bytes: bytes as u64,
+            deadline: self.deadline(),
+        }
+    }
+}
--- a/crates/daemon/src/entry/process/api.rs
+++ b/crates/daemon/src/entry/process/api.rs
@@ -1,11 +1,11 @@
 //! The callers' API: checks a request, admits it, and hands it over.
 
-use crate::entry::process::{Calls, ConfigWatch, InProgress, NewCall, NewPipeline, Pipelines};
+use crate::entry::process::{ConfigWatch, Gate, InProgress, NewCall, NewPipeline, Work};
 use crate::entry::request::{CompletionRequest, Problem, Shape};
 use crate::entry::version::{ConfigView, DEFAULT_KIND};
 use crate::process::{Count, Counters};
 use sorrellock_core::request::RequestKey;
-use sorrellock_core::version::{Row, Workspace};
+use sorrellock_core::version::{Class, Row, Workspace};
 use sorrellock_http::{Request, Responder};
 use sorrellock_wire::connection::Link;
 use sorrellock_wire::message::CallRequest;
@@ -25,8 +25,7 @@
 pub struct Api<L> {
     pub(super) config: Arc<ConfigWatch>,
     pub(super) in_progress: Arc<InProgress>,
-    pub(super) pipelines: Arc<Pipelines<L>>,
-    pub(super) calls: Arc<Calls<L>>,
+    pub(super) gate: Arc<Gate<L>>,
     pub(super) counters: Arc<Counters>,
 }
 
@@ -67,19 +66,23 @@
 
     fn completion(&self, req: Request, shape: Shape) {
         match self.new_pipeline(&req, shape) {
-            Ok(new) => self.pipelines.start(new, req.responder),
+            Ok((new, row)) => self.gate.offer(Work::Pipeline(new), &row, req.responder),
             Err(problem) => self.refuse(req.responder, problem),
         }
     }
 
     fn service(&self, req: Request) {
         match self.new_call(&req) {
-            Ok(new) => self.calls.start(new, req.responder),
+            Ok((new, row)) => self.gate.offer(Work::Call(new), &row, req.responder),
             Err(problem) => self.refuse(req.responder, problem),
         }
     }
 
-    fn new_pipeline(&self, req: &Request, shape: Shape) -> Result<NewPipeline, Problem> {
+    fn new_pipeline(
+        &self,
+        req: &Request,
+        shape: Shape,
+    ) -> Result<(NewPipeline, Arc<Row>), Problem> {
         self.counters.count(Count::Requests);
         if req.method != "POST" {
             return Err(Problem::bad(
@@ -93,17 +96,18 @@
         let pipeline = asking.config.pipeline(&asked.model).cloned();
         let pipeline = pipeline.filter(|pipeline| asking.workspace.may_call.contains(&pipeline.id));
         let Some(pipeline) = pipeline else { return Err(not_callable("model", &asked.model)) };
-        Ok(NewPipeline {
+        let new = NewPipeline {
             request: self.admit()?,
             workspace: asking.workspace.id.clone(),
             asked,
             pipeline,
             deadline: asking.deadline,
             class: asking.row.class,
-        })
+        };
+        Ok((new, asking.row))
     }
 
-    fn new_call(&self, req: &Request) -> Result<NewCall, Problem> {
+    fn new_call(&self, req: &Request) -> Result<(NewCall, Arc<Row>), Problem> {
         self.counters.count(Count::Requests);
         let asking = self.asking(req)?;
         let rest = &req.path[SERVICES.len()..];
@@ -117,14 +121,15 @@
         let path = if path.starts_with('/') { path.to_owned() } else { format!("/{path}") };
         let safe = matches!(req.method.as_str(), "GET" | "HEAD");
         let request = self.admit()?;
-        Ok(NewCall {
+        let new = NewCall {
             request,
             workspace: asking.workspace.id.clone(),
             service: service.to_owned(),
-            call: call_request(req, request, path),
+            call: call_request(req, request, path, asking.row.class),
             idempotent: safe || asking.row.idempotent,
             deadline: asking.deadline,
-        })
+        };
+        Ok((new, asking.row))
     }
 
     fn admit(&self) -> Result<RequestKey, Problem> {
@@ -172,7 +177,7 @@
     Problem::bad(404, &format!("no such {what}"), detail)
 }
 
-fn call_request(req: &Request, request: RequestKey, path: String) -> CallRequest {
+fn call_request(req: &Request, request: RequestKey, path: String, class: Class) -> CallRequest {
     CallRequest {
         request,
         attempt: 0,
@@ -183,6 +188,6 @@
         idempotency_key: req.header("idempotency-key").map(str::to_owned),
         body: req.body.to_vec(),
         deadline_ms: 0,
-        priority: 0,
+        priority: class.priority(),
     }
 }
--- a/crates/daemon/src/entry/process/calls.rs
+++ b/crates/daemon/src/entry/process/calls.rs
@@ -4,6 +4,7 @@
 use crate::entry::request::{CallRun, OUTCOME_HEADER, Problem, RunTable};
 use crate::process::{Count, Counters};
 use sorrellock_core::id::{Attempt, EndpointId, Sequence, ServiceId, WorkspaceId};
+use sorrellock_core::process::admission::Ended;
 use sorrellock_core::request::{NotRun, Peer, Refusal, RequestKey, Unknown};
 use sorrellock_http::Responder;
 use sorrellock_wire::connection::Link;
@@ -163,20 +164,25 @@
             }
             responder.send(status, &headers, body);
         }
-        self.end(&run);
+        self.end(&run, Ended::RanFor);
     }
 
     fn fail(&self, mut run: Run<'_>, problem: Problem) {
         let Some(responder) = run.responder.take() else { return };
         let count = if problem.outcome == "not-run" { Count::NotRun } else { Count::Unknown };
         self.counters.count(count);
+        let ended = match problem.status {
+            503 => Ended::NoRoom,
+            _ if problem.outcome == "not-run" => Ended::NotRun,
+            _ => Ended::RanFor,
+        };
         problem.send(responder);
-        self.end(&run);
+        self.end(&run, ended);
     }
 
-    fn end(&self, run: &Run<'_>) {
+    fn end(&self, run: &Run<'_>, ended: Ended) {
         if self.runs.remove(run.request.sequence).is_some() {
-            self.in_progress.leave();
+            self.in_progress.leave(run.request.sequence, ended);
         }
     }
 }
--- a/crates/daemon/src/entry/process/entry.rs
+++ b/crates/daemon/src/entry/process/entry.rs
@@ -1,8 +1,8 @@
 //! An entry, from start to end.
 
 use crate::entry::process::{
-    Api, Calls, ConfigWatch, EntryHandler, EntrySettings, FleetCell, InProgress, Pipelines, Timer,
-    watch_fleet,
+    Api, Calls, ConfigWatch, EntryHandler, EntrySettings, FleetCell, Gate, InProgress, Pipelines,
+    Timer, watch_fleet,
 };
 use crate::entry::request::RunTable;
 use crate::process::{
@@ -16,7 +16,7 @@
 use sorrellock_platform::client::{HttpInstanceList, HttpObjectStore};
 use sorrellock_wire::connection::{LinkConfig, NngLink};
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -38,12 +38,14 @@
         let journal = Arc::new(Journal::new());
         let (link, closed) = NngLink::listen(LinkConfig::new(me)).wrap_err("start of the links")?;
         let store = HttpObjectStore::new(settings.platform);
+        let (in_progress, finished) = InProgress::new(me.incarnation, settings.max_in_progress);
         let state = Arc::new(EntryState {
             me,
             place: settings.place.clone(),
             config: ConfigWatch::start(store, counters.clone(), journal.clone()),
             fleet: Arc::default(),
-            in_progress: Arc::new(InProgress::new(me.incarnation, settings.max_in_progress)),
+            in_progress: Arc::new(in_progress),
+            gate: OnceLock::new(),
             link: link.clone(),
             counters: counters.clone(),
             journal,
@@ -51,11 +53,21 @@
         let timer = Arc::new(Timer::default());
         let pipelines = Arc::new(new_pipelines(&state, &timer, settings.max_attempts));
         let calls = Arc::new(new_calls(&state, &timer, settings.max_attempts));
-        start_timer(&timer, &pipelines, &calls);
+        let gate = Gate::start(
+            state.fleet.clone(),
+            state.in_progress.clone(),
+            pipelines.clone(),
+            calls.clone(),
+            timer.clone(),
+            counters.clone(),
+            finished,
+        );
+        let _ = state.gate.set(gate.clone());
+        start_timer(&timer, &pipelines, &calls, &gate);
         link.serve(closed, Arc::new(new_handler(&state, &pipelines, &calls)));
         watch_fleet(link, HttpInstanceList::new(settings.platform), me.addr);
         send_metrics(counters, settings.metrics).wrap_err("start of the metrics")?;
-        let server = start_server(&settings, &state, pipelines, calls)?;
+        let server = start_server(&settings, &state, gate)?;
         let operators = start_operators(&settings, &state)?;
         spdlog::info!(
             "entry {} of {} serves callers on {}",
@@ -114,6 +126,7 @@
     config: Arc<ConfigWatch>,
     fleet: Arc<FleetCell>,
     in_progress: Arc<InProgress>,
+    gate: OnceLock<Arc<Gate<NngLink>>>,
     link: Arc<NngLink>,
     counters: Arc<Counters>,
     journal: Arc<Journal>,
@@ -129,6 +142,7 @@
             "place": self.place,
             "draining": self.in_progress.is_draining(),
             "in_progress": self.in_progress.count(),
+            "admission": self.gate.get().map(|gate| gate.dump()),
             "fleet": self.fleet.view().instances().collect::<Vec<_>>(),
             "revisions": revisions.collect::<std::collections::BTreeMap<_, _>>(),
             "journal": self.journal.entries(),
@@ -183,9 +197,11 @@
     timer: &Arc<Timer>,
     pipelines: &Arc<Pipelines<NngLink>>,
     calls: &Arc<Calls<NngLink>>,
+    gate: &Arc<Gate<NngLink>>,
 ) {
-    let (pipelines, calls) = (pipelines.clone(), calls.clone());
+    let (pipelines, calls, gate) = (pipelines.clone(), calls.clone(), gate.clone());
     timer.start(move |sequence| {
+        gate.on_deadline(sequence);
         pipelines.on_deadline(sequence);
         calls.on_deadline(sequence);
     });
@@ -194,14 +210,12 @@
 fn start_server(
     settings: &EntrySettings,
     state: &EntryState,
-    pipelines: Arc<Pipelines<NngLink>>,
-    calls: Arc<Calls<NngLink>>,
+    gate: Arc<Gate<NngLink>>,
 ) -> Result<Server> {
     let api = Api {
         config: state.config.clone(),
         in_progress: state.in_progress.clone(),
-        pipelines,
-        calls,
+        gate,
         counters: state.counters.clone(),
     };
     let cfg = ServerConfig::new(settings.callers)
--- a/crates/daemon/src/entry/process/in_progress.rs
+++ b/crates/daemon/src/entry/process/in_progress.rs
@@ -1,6 +1,8 @@
 //! How much is in progress at this entry, and whether it takes more.
 
+use crossbeam::channel::{Receiver, Sender, bounded};
 use sorrellock_core::id::{Incarnation, Sequence};
+use sorrellock_core::process::admission::Ended;
 use sorrellock_core::request::{NotRun, Refusal, RequestKey};
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::time::Duration;
@@ -8,6 +10,15 @@
 /// When to come back to a fleet one of whose entries leaves: another takes over at once.
 const RETRY_AFTER_LEAVING: Duration = Duration::from_secs(1);
 
+/// A started request ended.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Finished {
+    /// The request.
+    pub sequence: Sequence,
+    /// How.
+    pub ended: Ended,
+}
+
 /// How much is in progress at this entry, and whether it takes more.
 pub struct InProgress {
     incarnation: Incarnation,
@@ -15,21 +26,27 @@
     count: AtomicUsize,
     most: usize,
     draining: AtomicBool,
+    finished: Sender<Finished>,
 }
 
 impl InProgress {
-    /// Nothing in progress, and `most` at a time.
-    pub fn new(incarnation: Incarnation, most: usize) -> InProgress {
-        InProgress {
+    /// Nothing in progress, and `most` at a time; started requests that end come out at the
+    /// receiver, and count as in progress until they are taken there.
+    pub fn new(incarnation: Incarnation, most: usize) -> (InProgress, Receiver<Finished>) {
+        let (tx, rx) = bounded(most);
+        let in_progress = InProgress {
             incarnation,
             sequence: AtomicU64::new(0),
             count: AtomicUsize::new(0),
             most,
             draining: AtomicBool::new(false),
-        }
+            finished: tx,
+        };
+        (in_progress, rx)
     }
 
-    /// Admits a request, which must [`leave`](InProgress::leave) at its end.
+    /// Admits a request, which must [`leave`](InProgress::leave) once it was started and ended, or have
+    /// [`left`](InProgress::left) if it never started.
     pub fn admit(&self) -> Result<RequestKey, NotRun> {
         if self.is_draining() {
             let refused =
@@ -38,7 +55,7 @@
         }
         let before = self.count.fetch_add(1, Ordering::AcqRel);
         if before >= self.most {
-            self.leave();
+            self.left();
             let detail = format!("{before} requests are in progress at this entry, its most");
             return Err(NotRun::never_sent(Refusal::Capacity, detail));
         }
@@ -46,8 +63,13 @@
         Ok(RequestKey { entry: self.incarnation, sequence })
     }
 
-    /// An admitted request has ended.
-    pub fn leave(&self) {
+    /// A started request has ended. Never blocks: there are no more of these than in progress.
+    pub fn leave(&self, sequence: Sequence, ended: Ended) {
+        let _ = self.finished.send(Finished { sequence, ended });
+    }
+
+    /// An admitted request is no longer in progress.
+    pub fn left(&self) {
         self.count.fetch_sub(1, Ordering::AcqRel);
     }
 
--- a/crates/daemon/src/entry/process/mod.rs
+++ b/crates/daemon/src/entry/process/mod.rs
@@ -1,5 +1,6 @@
 //! What lives as long as an entry.
 
+mod admission;
 mod api;
 mod calls;
 mod config_watch;
@@ -14,11 +15,12 @@
 pub use entry::*;
 pub use settings::*;
 
+use admission::{Gate, Work};
 use api::Api;
 use calls::{Calls, NewCall};
 use config_watch::ConfigWatch;
 use entry_handler::EntryHandler;
 use fleet_watch::{FleetCell, watch_fleet};
-use in_progress::InProgress;
+use in_progress::{Finished, InProgress};
 use pipelines::{NewPipeline, Pipelines};
 use timer::Timer;
--- a/crates/daemon/src/entry/process/pipelines.rs
+++ b/crates/daemon/src/entry/process/pipelines.rs
@@ -5,6 +5,7 @@
 use crate::entry::version::InFlight;
 use crate::process::{Count, Counters};
 use sorrellock_core::id::{Position, Sequence, StageIndex, WorkspaceId};
+use sorrellock_core::process::admission::Ended;
 use sorrellock_core::request::{
     Driver, DriverVerdict, Hop, NotRun, Peer, Refusal, RequestKey, Route, TokenOut, Unknown,
     choose_route,
@@ -17,9 +18,6 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Instant;
 
-/// Priority at the engines of urgent requests.
-const URGENT_PRIORITY: u8 = 1;
-
 /// A pipeline request that was admitted.
 pub struct NewPipeline {
     /// Its identity.
@@ -55,7 +53,7 @@
     pub fn start(self: &Arc<Self>, new: NewPipeline, responder: Responder) {
         let sequence = new.request.sequence;
         let Some(route) = self.route(&new.pipeline, &[]) else {
-            self.in_progress.leave();
+            self.in_progress.leave(sequence, Ended::NotRun);
             self.counters.count(Count::NotRun);
             let detail = format!("no engines hold all layers of {}", new.pipeline.model);
             return Problem::from(NotRun::never_sent(Refusal::Capacity, detail)).send(responder);
@@ -160,7 +158,7 @@
             answer,
             pipeline: new.pipeline,
             deadline: new.deadline,
-            priority: if new.class == Class::Urgent { URGENT_PRIORITY } else { 0 },
+            priority: new.class.priority(),
             prompt_len,
             max_tokens,
             in_flight,
@@ -299,7 +297,8 @@
         if self.runs.remove(run.request.sequence).is_none() {
             return;
         }
-        self.in_progress.leave();
+        let work = f64::from(run.prompt_len) + f64::from(run.driver.emitted());
+        self.in_progress.leave(run.request.sequence, Ended::Ran { work });
         for hop in run.stages_to_close() {
             self.send(hop.daemon, PipelineMessage::Close { request: run.request });
         }
--- a/crates/daemon/src/entry/process/settings.rs
+++ b/crates/daemon/src/entry/process/settings.rs
@@ -32,7 +32,7 @@
 
 impl EntrySettings {
     /// Default of `max_in_progress`.
-    pub const MAX_IN_PROGRESS: usize = 10_000;
+    pub const MAX_IN_PROGRESS: usize = 20_000;
     /// Default of `max_connections`.
     pub const MAX_CONNECTIONS: usize = 20_000;
     /// Default of `max_body_bytes`.
--- a/crates/daemon/src/entry/version/config_view.rs
+++ b/crates/daemon/src/entry/version/config_view.rs
@@ -60,7 +60,7 @@
     pub fn row(&self, workspace: &str, kind: &str) -> Arc<Row> {
         let rows = self.rows.get(workspace);
         let row = rows.and_then(|rows| rows.get(kind).or_else(|| rows.get(DEFAULT_KIND)));
-        row.cloned().unwrap_or_else(|| Arc::new(Row::new(workspace, kind)))
+        row.cloned().unwrap_or_else(|| Arc::new(Row::new(workspace, DEFAULT_KIND)))
     }
 
     /// The revision in force of each page.
--- a/crates/daemon/src/entry/version/fleet_view.rs
+++ b/crates/daemon/src/entry/version/fleet_view.rs
@@ -1,7 +1,7 @@
 //! The fleet as this entry knows it: which endpoints take work, and what it has in flight there.
 
 use sorrellock_core::id::{EndpointId, ModelId};
-use sorrellock_core::process::{EndpointFact, InstanceFact, Liveness, Role};
+use sorrellock_core::process::{DaemonRole, EndpointFact, InstanceFact, Liveness, Role};
 use sorrellock_core::request::{Candidate, Peer};
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -93,6 +93,18 @@
         found
     }
 
+    /// How much work the live endpoints take at a time that serve as `serves` tells.
+    pub fn slots(&self, serves: impl Fn(&Role) -> bool) -> usize {
+        let serving = self.endpoints.iter().filter(|known| serves(&known.fact.role));
+        serving.map(|known| known.fact.slots as usize).sum()
+    }
+
+    /// The other entries that are live.
+    pub fn other_entries(&self) -> usize {
+        let entries = self.instances.values().filter(|fact| fact.role == DaemonRole::Entry);
+        entries.filter(|fact| fact.liveness == Liveness::Live).count()
+    }
+
     /// Counts work at an endpoint until the guard is dropped.
     pub fn count(&self, endpoint: &EndpointId) -> Option<InFlight> {
         let known = self.endpoints.iter().find(|known| known.fact.id == *endpoint)?;
--- a/crates/daemon/src/process/counters.rs
+++ b/crates/daemon/src/process/counters.rs
@@ -29,6 +29,14 @@
     NotRun => "not_run",
     /// Requests whose end is not known.
     Unknown => "unknown",
+    /// Requests that had to wait to start.
+    AdmissionWaits => "admission_waits",
+    /// Requests refused for a limit of their workspace.
+    RefusedLimit => "refused_limit",
+    /// Requests refused for want of room.
+    RefusedCapacity => "refused_capacity",
+    /// Requests refused as they could not start before their deadline.
+    RefusedDeadline => "refused_deadline",
     /// Requests that were malformed, unknown or not allowed.
     BadRequests => "bad_requests",
     /// Callers that went away before their answer was complete.
