--- /dev/null
+++ b/crates/core/src/version/check.rs
@@ -0,0 +1,65 @@
+//! Checks of what operators enter: each refusal names the field, the value and the mend.
+
+use std::fmt;
+use std::ops::RangeInclusive;
+
+/// Longest name of a workspace, kind, pipeline, service or model, in bytes.
+pub const MAX_NAME_BYTES: usize = 64;
+
+/// A field whose value is refused.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct FieldError {
+    /// What the field belongs to, such as `row treasury/default`.
+    pub subject: String,
+    /// The field, by its name in the table.
+    pub field: &'static str,
+    /// The value refused.
+    pub value: String,
+    /// What to enter instead.
+    pub mend: String,
+}
+
+impl fmt::Display for FieldError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {} is `{}`; {}", self.subject, self.field, self.value, self.mend)
+    }
+}
+
+impl std::error::Error for FieldError {}
+
+/// Refuses a field's value.
+pub(crate) fn refuse(
+    subject: &str,
+    field: &'static str,
+    value: impl fmt::Display,
+    mend: impl Into<String>,
+) -> FieldError {
+    FieldError { subject: subject.to_owned(), field, value: value.to_string(), mend: mend.into() }
+}
+
+/// Takes names that can stand in a path, a header and a cell alike.
+pub(crate) fn check_name(subject: &str, field: &'static str, name: &str) -> Result<(), FieldError> {
+    let fits = |c: char| c.is_ascii_alphanumeric() || matches!(c, '.' | '_' | '-');
+    let starts_well = name.starts_with(|c: char| c.is_ascii_alphanumeric());
+    if starts_well && name.len() <= MAX_NAME_BYTES && name.chars().all(fits) {
+        return Ok(());
+    }
+    let mend = format!(
+        "give 1 to {MAX_NAME_BYTES} letters, digits, `.`, `_` or `-`, a letter or digit first"
+    );
+    Err(refuse(subject, field, name, mend))
+}
+
+/// Takes values within a range; NaN is in none.
+pub(crate) fn check_range<T: PartialOrd + fmt::Display + Copy>(
+    subject: &str,
+    field: &'static str,
+    value: T,
+    range: RangeInclusive<T>,
+) -> Result<(), FieldError> {
+    if range.contains(&value) {
+        return Ok(());
+    }
+    let mend = format!("give {} to {}", range.start(), range.end());
+    Err(refuse(subject, field, value, mend))
+}
--- a/crates/core/src/version/workspace.rs
+++ b/crates/core/src/version/workspace.rs
@@ -1,9 +1,16 @@
 //! A workspace: who may call, and what.
 
 use crate::id::{ServiceId, WorkspaceId};
+use crate::version::check::{check_name, refuse};
+use crate::version::{FieldError, Item, PageId, page_of};
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
 
+/// Most pipelines and services that one workspace may call.
+pub const MAX_MAY_CALL: usize = 256;
+/// Digits of a key's hash.
+const KEY_HASH_DIGITS: usize = 64;
+
 /// A customer of the fleet.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Workspace {
@@ -22,6 +29,31 @@
     }
 }
 
+impl Item for Workspace {
+    fn name(&self) -> String {
+        self.id.clone()
+    }
+
+    fn page(&self) -> PageId {
+        PageId::Workspaces(page_of(&self.id))
+    }
+
+    fn check(&self) -> Result<(), FieldError> {
+        let subject = format!("workspace {}", self.id);
+        check_name(&subject, "name", &self.id)?;
+        let is_digit = |c: char| c.is_ascii_digit() || ('a'..='f').contains(&c);
+        if self.key_hash.len() != KEY_HASH_DIGITS || !self.key_hash.chars().all(is_digit) {
+            let mend = "give the SHA-256 of the key, 64 lower-case hex digits";
+            return Err(refuse(&subject, "key_hash", &self.key_hash, mend));
+        }
+        if self.may_call.len() > MAX_MAY_CALL {
+            let mend = format!("name {MAX_MAY_CALL} pipelines and services at most");
+            return Err(refuse(&subject, "may_call", self.may_call.len(), mend));
+        }
+        self.may_call.iter().try_for_each(|name| check_name(&subject, "may_call", name))
+    }
+}
+
 /// SHA-256 of a key, in hex.
 pub fn key_hash(key: &str) -> String {
     let digest = Sha256::digest(key.as_bytes());
--- a/crates/daemon/src/entry/process/api.rs
+++ b/crates/daemon/src/entry/process/api.rs
@@ -2,10 +2,10 @@
 
 use crate::entry::process::{ConfigWatch, Gate, InProgress, NewCall, NewPipeline, Work};
 use crate::entry::request::{CompletionRequest, Problem, Shape};
-use crate::entry::version::{ConfigView, DEFAULT_KIND};
+use crate::entry::version::ConfigView;
 use crate::process::{Count, Counters};
 use sorrellock_core::request::RequestKey;
-use sorrellock_core::version::{Class, Row, Workspace};
+use sorrellock_core::version::{Class, DEFAULT_KIND, Row, Workspace};
 use sorrellock_http::{Request, Responder};
 use sorrellock_wire::connection::Link;
 use sorrellock_wire::message::CallRequest;
--- a/crates/daemon/src/entry/process/config_watch.rs
+++ b/crates/daemon/src/entry/process/config_watch.rs
@@ -1,10 +1,10 @@
 //! Keeps the configuration in force: reads all pages once, then watches for changes.
 
-use crate::entry::version::{ConfigView, PageError};
+use crate::entry::version::ConfigView;
 use crate::process::{Count, Counters, Journal};
 use arc_swap::ArcSwap;
 use sorrellock_core::id::Revision;
-use sorrellock_core::version::{CONFIG_PREFIX, PageId};
+use sorrellock_core::version::{CONFIG_PREFIX, PageError, PageId};
 use sorrellock_platform::api::{Listing, ObjectStore, StoreError};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -91,7 +91,7 @@
                 let cause = format!("{} at revision {revision}", page.key());
                 self.journal.note("page applied", None, "configuration watch", cause);
             }
-            Err(PageError::NotNewer) => {}
+            Err(PageError::NotNewer { .. }) => {}
             Err(err) => {
                 self.counters.count(Count::PagesRefused);
                 let cause = format!("{} at revision {revision}: {err}", page.key());
--- a/crates/daemon/src/entry/version/config_view.rs
+++ b/crates/daemon/src/entry/version/config_view.rs
@@ -1,38 +1,12 @@
 //! The configuration in force, as the path of a request reads it.
 
-use serde::de::DeserializeOwned;
 use sorrellock_core::id::{Kind, Revision, ServiceId, WorkspaceId};
-use sorrellock_core::version::{Page, PageId, Pipeline, Row, Workspace, key_hash};
+use sorrellock_core::version::{
+    DEFAULT_KIND, Item, Page, PageError, PageId, Pipeline, Row, Workspace, key_hash,
+};
 use std::collections::{BTreeMap, HashMap};
-use std::fmt;
 use std::sync::Arc;
 
-/// Kind of a request that names none, and the row that stands in for a missing one.
-pub const DEFAULT_KIND: &str = "default";
-
-/// Why a page was not applied.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum PageError {
-    /// A higher or the same revision is in force.
-    NotNewer,
-    /// It can't be read; what was in force stays.
-    Malformed {
-        /// Key and the reader's words.
-        detail: String,
-    },
-}
-
-impl fmt::Display for PageError {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            PageError::NotNewer => write!(f, "a revision as high is in force"),
-            PageError::Malformed { detail } => write!(f, "the page is malformed: {detail}"),
-        }
-    }
-}
-
-impl std::error::Error for PageError {}
-
 /// The configuration in force.
 #[derive(Clone, Debug, Default)]
 pub struct ConfigView {
@@ -75,8 +49,8 @@
         revision: Revision,
         value: &[u8],
     ) -> Result<(), PageError> {
-        if self.revisions.get(&page).is_some_and(|found| *found >= revision) {
-            return Err(PageError::NotNewer);
+        if let Some(in_force) = self.revisions.get(&page).filter(|found| **found >= revision) {
+            return Err(PageError::NotNewer { in_force: *in_force });
         }
         match page {
             PageId::Table(number) => {
@@ -113,8 +87,9 @@
     }
 }
 
-fn read<T: DeserializeOwned>(page: PageId, value: &[u8]) -> Result<Vec<T>, PageError> {
-    let malformed = |err| PageError::Malformed { detail: format!("{}: {err}", page.key()) };
-    let page: Page<T> = serde_json::from_slice(value).map_err(malformed)?;
-    Ok(page.items)
+fn read<T: Item>(id: PageId, value: &[u8]) -> Result<Vec<T>, PageError> {
+    let page: Page<T> =
+        serde_json::from_slice(value).map_err(|err| PageError::malformed(id, err))?;
+    page.check(id)?;
+    Ok(page.items.into_iter().map(|versioned| versioned.item).collect())
 }
