Pipelines: the stage protocol and repair as pure machines in core

Cause: the decisions of a stage and of the entry stood among threads and locks in the daemon, so nothing could drive them whole; and the thin protocol had holes: a replacement last stage that chose other tokens than the first stage had run, engine calls without an answer, stages that came back with old KV, closes lost, a daemon without a bound on kept output.

Change: StageTable (one engine's requests) and Driver (one request at its entry) take messages and give messages. Open carries, for each stage, the attempt with which it began, and the cuts: with a last stage that starts from nothing, all that ran past the entry's tokens is dropped, and the KV caches truncated. A KV cache whose engine call had no answer is lost and never used again. Tombstones keep a late message from beginning a request anew; sessions expire. KV handover, probes, a stall detector at the entry and a watch over each engine's own step times.

--- a/crates/core/src/request/mod.rs
+++ b/crates/core/src/request/mod.rs
@@ -1,15 +1,17 @@
 //! What lives as long as one request.
 
-mod driver;
+mod drive;
 mod outcome;
+mod pipeline_message;
 mod request_key;
 mod route;
 mod route_choice;
 mod stage;
 mod step;
 
-pub use driver::*;
+pub use drive::*;
 pub use outcome::*;
+pub use pipeline_message::*;
 pub use request_key::*;
 pub use route::*;
 pub use route_choice::*;
--- /dev/null
+++ b/crates/core/src/request/stage/mod.rs
@@ -0,0 +1,18 @@
+//! One stage's part of pipeline requests: each position once, in order.
+
+mod actions;
+mod kept;
+mod output;
+mod run;
+mod session;
+mod step_times;
+mod table;
+mod tombstones;
+
+pub use kept::*;
+pub use output::*;
+pub use run::*;
+pub use session::*;
+pub use step_times::*;
+pub use table::*;
+pub use tombstones::*;
--- a/crates/core/src/request/step.rs
+++ b/crates/core/src/request/step.rs
@@ -1,6 +1,6 @@
 //! A step: a run of positions of one request on its way through the stages.
 
-use crate::id::{Attempt, Position, TokenId};
+use crate::id::{Attempt, Position, StageIndex, TokenId};
 use crate::request::RequestKey;
 use serde::{Deserialize, Serialize};
 
@@ -30,6 +30,12 @@
         Activations { width: self.width, data: self.data[from..].to_vec() }
     }
 
+    /// A copy of the first `count` positions.
+    pub fn first(&self, count: u32) -> Activations {
+        let end = (count as usize * self.width as usize).min(self.data.len());
+        Activations { width: self.width, data: self.data[..end].to_vec() }
+    }
+
     /// Adds the blocks of `more` behind these.
     pub fn append(&mut self, more: &Activations) {
         if self.data.is_empty() {
@@ -46,6 +52,8 @@
     pub request: RequestKey,
     /// The attempt under which it was sent.
     pub attempt: Attempt,
+    /// The stage that is to run it.
+    pub stage: StageIndex,
     /// The first position.
     pub first: Position,
     /// The input token at each position. They travel with the activations, so that a
@@ -67,11 +75,40 @@
         Step {
             request: self.request,
             attempt: self.attempt,
+            stage: self.stage,
             first: self.first + skip,
             tokens: self.tokens.iter().skip(skip as usize).copied().collect(),
             activations: self.activations.skip(skip),
         }
     }
+
+    /// This step without `position` and those above.
+    pub fn below_position(&self, position: Position) -> Step {
+        let count = position.saturating_sub(self.first);
+        Step {
+            request: self.request,
+            attempt: self.attempt,
+            stage: self.stage,
+            first: self.first,
+            tokens: self.tokens.iter().take(count as usize).copied().collect(),
+            activations: self.activations.first(count),
+        }
+    }
+
+    /// Adds what `more`, which follows or overlaps, has beyond the end of this step.
+    pub fn append(&mut self, more: &Step) {
+        let more = more.from_position(self.end());
+        self.tokens.extend_from_slice(&more.tokens);
+        self.activations.append(&more.activations);
+    }
+
+    /// Whether the two steps have different tokens at a position of both.
+    pub fn differs(&self, other: &Step) -> bool {
+        let first = self.first.max(other.first);
+        let mine = self.tokens.iter().skip((first - self.first) as usize);
+        let others = other.tokens.iter().skip((first - other.first) as usize);
+        mine.zip(others).any(|(mine, other)| mine != other)
+    }
 }
 
 /// A token that the last stage chose.
--- a/crates/daemon/src/beside/process/beside.rs
+++ b/crates/daemon/src/beside/process/beside.rs
@@ -7,7 +7,7 @@
 };
 use eyre::{Result, WrapErr};
 use serde_json::{Value, json};
-use sorrellock_core::request::Peer;
+use sorrellock_core::request::{KeptBudget, Peer};
 use sorrellock_platform::api::{Engine, EngineInfo};
 use sorrellock_platform::client::{HttpEngine, HttpService};
 use sorrellock_wire::connection::{LinkConfig, NngLink};
@@ -89,6 +89,7 @@
     /// Takes no new work, and returns when what runs has ended, or false after `wait`.
     pub fn drain(&self, wait: Duration) -> bool {
         self.handler.leaving.store(true, Ordering::Release);
+        self.handler.engines.values().for_each(|engine| engine.leave());
         let end = Instant::now() + wait;
         while self.handler.open_work() > 0 {
             if Instant::now() > end {
@@ -128,15 +129,15 @@
 type Engines = HashMap<String, Arc<EngineRunner<NngLink, HttpEngine>>>;
 
 fn start_engines(settings: &BesideSettings, outbox: &Outbox<NngLink>) -> Result<Engines> {
-    let bounds =
-        EngineBounds { max_sessions: settings.max_sessions, replay_budget: settings.replay_budget };
+    let kept = KeptBudget::new(settings.daemon_replay_budget, settings.replay_budget);
+    let bounds = EngineBounds { max_sessions: settings.max_sessions, kept };
     let mut engines = HashMap::new();
     for addr in &settings.engines {
         let engine = HttpEngine::new(*addr);
         let info = wait_for_engine(&engine)
             .wrap_err_with(|| format!("asking engine {addr} what it holds"))?;
         let id = info.endpoint.clone();
-        engines.insert(id, EngineRunner::start(engine, info, bounds, outbox.clone()));
+        engines.insert(id, EngineRunner::start(engine, info, bounds.clone(), outbox.clone()));
     }
     Ok(engines)
 }
--- a/crates/daemon/src/beside/process/beside_handler.rs
+++ b/crates/daemon/src/beside/process/beside_handler.rs
@@ -4,7 +4,7 @@
 use crate::process::Count;
 use sorrellock_core::id::{EndpointId, Incarnation, Place};
 use sorrellock_core::process::{DaemonRole, InstanceFact, Liveness};
-use sorrellock_core::request::{Peer, Refusal, RequestKey};
+use sorrellock_core::request::{Peer, Refusal};
 use sorrellock_platform::api::Engine;
 use sorrellock_wire::connection::{Link, LinkHandler};
 use sorrellock_wire::message::{
@@ -59,18 +59,25 @@
     fn on_pipeline(&self, message: PipelineMessage) {
         match message {
             PipelineMessage::Open(open) => self.on_open(open),
-            PipelineMessage::Step(step) => {
-                self.with_runner(step.request, |runner| runner.step(step.clone()))
-            }
-            PipelineMessage::Resend { request, from, .. } => {
-                self.with_runner(request, |runner| runner.resend(request, from));
-            }
-            PipelineMessage::Close { request } => {
-                self.with_runner(request, |runner| runner.close(request));
-            }
-            PipelineMessage::Token(_) | PipelineMessage::Trouble { .. } => {
-                self.outbox.counters().count(Count::LateAnswers);
-            }
+            PipelineMessage::Token(_)
+            | PipelineMessage::Trouble { .. }
+            | PipelineMessage::Progress { .. } => self.outbox.counters().count(Count::LateAnswers),
+            message => self.pass_to_engines(&message),
+        }
+    }
+
+    /// A request may pass several engines of a daemon; each takes what is for it.
+    fn pass_to_engines(&self, message: &PipelineMessage) {
+        let request = message.request();
+        let close =
+            matches!(message, PipelineMessage::Close { .. } | PipelineMessage::AskHandover { .. });
+        let mut known = false;
+        for runner in self.engines.values().filter(|runner| close || runner.holds(request)) {
+            runner.take(message);
+            known = true;
+        }
+        if !known {
+            self.outbox.counters().count(Count::StepsStale);
         }
     }
 
@@ -87,11 +94,6 @@
         runner.open(open, self.is_leaving());
     }
 
-    /// A request has at most one stage at a daemon's engine; the others pass it over.
-    fn with_runner(&self, _request: RequestKey, act: impl Fn(&EngineRunner<L, E>)) {
-        self.engines.values().for_each(|runner| act(runner));
-    }
-
     fn on_call(&self, from: Peer, message: CallMessage) {
         match message {
             CallMessage::Request(call) => self.on_call_request(from, call),
@@ -142,8 +144,6 @@
     }
 
     fn on_closed(&self, peer: SocketAddr) {
-        for runner in self.engines.values() {
-            runner.on_closed(|hop| hop.daemon.addr == peer, |open| open.entry.addr == peer);
-        }
+        self.engines.values().for_each(|runner| runner.on_closed(peer));
     }
 }
--- /dev/null
+++ b/crates/daemon/src/beside/process/engine_calls.rs
@@ -0,0 +1,83 @@
+//! The thread that frees, takes out and puts in place KV caches, beside the batches.
+
+use crate::beside::process::EngineRunner;
+use crossbeam::channel::Receiver;
+use sorrellock_core::request::{Handover, KvExport, RequestKey};
+use sorrellock_platform::api::Engine;
+use sorrellock_wire::connection::Link;
+
+/// A call to an engine besides batches.
+pub(super) enum EngineCall {
+    /// Free a KV cache.
+    Release(String),
+    /// Take a KV cache out.
+    Export(KvExport),
+    /// Put a KV cache in place.
+    Import {
+        /// The request.
+        request: RequestKey,
+        /// Names the KV cache.
+        session: String,
+        /// What was handed over.
+        handover: Handover,
+    },
+}
+
+/// Makes call after call until the runner is dropped.
+pub(super) fn run_calls<L: Link, E: Engine>(
+    runner: &EngineRunner<L, E>,
+    rx: &Receiver<EngineCall>,
+) {
+    while let Ok(call) = rx.recv() {
+        match call {
+            EngineCall::Release(session) => release(runner, session, rx),
+            other => transfer(runner, other),
+        }
+    }
+}
+
+/// Frees a KV cache, and with it those that wait behind it.
+fn release<L: Link, E: Engine>(
+    runner: &EngineRunner<L, E>,
+    first: String,
+    rx: &Receiver<EngineCall>,
+) {
+    let mut sessions = vec![first];
+    let mut other = None;
+    while let Ok(call) = rx.try_recv() {
+        match call {
+            EngineCall::Release(session) => sessions.push(session),
+            call => {
+                other = Some(call);
+                break;
+            }
+        }
+    }
+    let _ = runner.engine.release(&sessions);
+    if let Some(call) = other {
+        transfer(runner, call);
+    }
+}
+
+fn transfer<L: Link, E: Engine>(runner: &EngineRunner<L, E>, call: EngineCall) {
+    match call {
+        EngineCall::Release(session) => drop(runner.engine.release(&[session])),
+        EngineCall::Export(export) => {
+            let kv = take_out(&*runner.engine, &export);
+            runner.change(|state, out| state.table.on_exported(export.request, kv, out));
+        }
+        EngineCall::Import { request, session, mut handover } => {
+            let kv = std::mem::take(&mut handover.kv);
+            let put = runner.engine.import_kv(&session, &kv);
+            let result = put.map(|()| handover).map_err(|err| err.to_string());
+            runner.change(|state, out| state.table.on_imported(request, &session, result, out));
+        }
+    }
+}
+
+fn take_out<E: Engine>(engine: &E, export: &KvExport) -> Option<Vec<u8>> {
+    if let Some(position) = export.truncate {
+        engine.truncate(&export.session, position).ok()?;
+    }
+    engine.export_kv(&export.session).ok()
+}
--- a/crates/daemon/src/beside/process/mod.rs
+++ b/crates/daemon/src/beside/process/mod.rs
@@ -2,6 +2,8 @@
 
 mod beside;
 mod beside_handler;
+mod engine_batches;
+mod engine_calls;
 mod engine_runner;
 mod outbox;
 mod service_runner;
--- a/crates/daemon/src/beside/process/settings.rs
+++ b/crates/daemon/src/beside/process/settings.rs
@@ -31,6 +31,8 @@
     pub services: Vec<ServiceEndpoint>,
     /// Bytes of output kept for replay, for each request at each stage.
     pub replay_budget: usize,
+    /// Bytes of output kept for replay, for all requests at this daemon.
+    pub daemon_replay_budget: usize,
     /// The most requests open at one engine.
     pub max_sessions: usize,
     /// The most calls that run at one plain service.
@@ -42,6 +44,8 @@
 impl BesideSettings {
     /// Default of `replay_budget`.
     pub const REPLAY_BUDGET: usize = 8 << 20;
+    /// Default of `daemon_replay_budget`.
+    pub const DAEMON_REPLAY_BUDGET: usize = 512 << 20;
     /// Default of `max_sessions`.
     pub const MAX_SESSIONS: usize = 1024;
     /// Default of `max_calls`.
@@ -59,6 +63,7 @@
             engines: Vec::new(),
             services: Vec::new(),
             replay_budget: BesideSettings::REPLAY_BUDGET,
+            daemon_replay_budget: BesideSettings::DAEMON_REPLAY_BUDGET,
             max_sessions: BesideSettings::MAX_SESSIONS,
             max_calls: BesideSettings::MAX_CALLS,
             call_queue: BesideSettings::CALL_QUEUE,
--- a/crates/daemon/src/entry/process/entry.rs
+++ b/crates/daemon/src/entry/process/entry.rs
@@ -64,6 +64,7 @@
         );
         let _ = state.gate.set(gate.clone());
         start_timer(&timer, &pipelines, &calls, &gate);
+        pipelines.watch();
         link.serve(closed, Arc::new(new_handler(&state, &pipelines, &calls)));
         watch_fleet(link, HttpInstanceList::new(settings.platform), me.addr);
         send_metrics(counters, settings.metrics).wrap_err("start of the metrics")?;
@@ -159,6 +160,7 @@
         fleet: state.fleet.clone(),
         in_progress: state.in_progress.clone(),
         timer: timer.clone(),
+        checks: Arc::default(),
         counters: state.counters.clone(),
         max_attempts,
         runs: RunTable::new(),
--- a/crates/daemon/src/entry/process/entry_handler.rs
+++ b/crates/daemon/src/entry/process/entry_handler.rs
@@ -26,12 +26,13 @@
             PipelineMessage::Trouble { request, attempt, stage, trouble, detail } => {
                 self.pipelines.on_trouble(request, attempt, stage, trouble, &detail);
             }
-            PipelineMessage::Resend { request, from, .. } => {
-                self.pipelines.on_resend(request, from)
+            PipelineMessage::Resend { request, attempt, from, .. } => {
+                self.pipelines.on_resend(request, attempt, from);
             }
-            PipelineMessage::Open(_) | PipelineMessage::Step(_) | PipelineMessage::Close { .. } => {
-                self.counters.count(Count::Misdirected);
+            PipelineMessage::Progress { request, attempt, progress } => {
+                self.pipelines.on_progress(request, attempt, &progress);
             }
+            _ => self.counters.count(Count::Misdirected),
         }
     }
 }
--- a/crates/daemon/src/process/counters.rs
+++ b/crates/daemon/src/process/counters.rs
@@ -61,6 +61,16 @@
     StepsGap => "steps_gap",
     /// Times that kept output was sent again.
     Replays => "replays",
+    /// KV caches handed over to another stage.
+    HandedOver => "handed_over",
+    /// Requests freed at an engine as nothing was heard of them.
+    SessionsExpired => "sessions_expired",
+    /// Times that an engine was found hanging.
+    EnginesStuck => "engines_stuck",
+    /// Calls to free or move KV caches that were dropped, as too many waited.
+    EngineCallsDropped => "engine_calls_dropped",
+    /// Requests without progress that were looked into.
+    Stalls => "stalls",
     /// Calls passed on to plain services.
     Calls => "calls",
     /// Calls refused before they were passed on.
