Membership: probes in a place, relays between places, and an agent in both daemons

Cause: the entry asked every listed instance for its fact five times a second (all-to-all from each entry), besides knew nobody, and a restart or a pause was told from a closed link alone. Change: core::process::membership::Membership, a pure state machine by ticks and messages (SWIM-like probes, suspicion, refutation by a higher counter, rumors in brief, digests in 32 buckets against lost updates, two relays a place by rendezvous, a pulse a place in place of any verdict on its members from afar), and daemon::process::FleetAgent, one thread that drives it over the links. For the configuration and the ledger: FleetAgent::{view, on_change, set_applied, send_to_place(count, message), send_to_relays(message)}; the agent is in EntryState and in BesideHandler (agent: Arc<FleetAgent>). A closed link makes an entry avoid its daemon until something comes from there, and makes it probe at once. Ruled out: pings to a known incarnation only, as a restart would not answer them.

--- a/crates/cli/src/trial/checks.rs
+++ b/crates/cli/src/trial/checks.rs
@@ -3,7 +3,7 @@
 use eyre::{Result, WrapErr, ensure};
 use sorrellock_local::{Caller, LocalConfig, LocalFleet, MODEL, SERVICE};
 use std::io::{Write, stdout};
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::thread;
 use std::time::Duration;
 
@@ -96,9 +96,14 @@
     /// Shuts the fleet down while an answer streams.
     pub fn shut_down(&self) -> Result<()> {
         let prompt = "Fetch the signed status.";
+        let begun = AtomicBool::new(false);
         thread::scope(|scope| {
-            let answer = scope.spawn(|| self.treasury.stream(MODEL, prompt, KILLED_TOKENS, |_| {}));
-            while self.fleet.in_progress() == 0 && !answer.is_finished() {
+            let answer = scope.spawn(|| {
+                self.treasury.stream(MODEL, prompt, KILLED_TOKENS, |_| {
+                    begun.store(true, Ordering::Release);
+                })
+            });
+            while !begun.load(Ordering::Acquire) && !answer.is_finished() {
                 thread::sleep(Duration::from_millis(1));
             }
             ensure!(self.fleet.drain(SHUT_DOWN), "the shutdown took longer than {SHUT_DOWN:?}");
--- a/crates/core/src/process/endpoint.rs
+++ b/crates/core/src/process/endpoint.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 /// What an endpoint can do.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Role {
     /// An engine that holds some layers of a model.
     Engine {
@@ -76,6 +76,8 @@
     pub generation: u64,
     /// Grows with each change within the incarnation.
     pub counter: u64,
+    /// The counter at which role, place, endpoints or degraded links last changed.
+    pub profile: u64,
     /// Its state.
     pub liveness: Liveness,
     /// All configuration up to this revision of the store is in force there.
--- a/crates/core/src/process/membership/view.rs
+++ b/crates/core/src/process/membership/view.rs
@@ -1,9 +1,11 @@
 //! The members as they are known at one moment, to be read without a lock.
 
 use crate::id::{Incarnation, Place};
-use crate::process::membership::{Member, rendezvous, rendezvous_several};
+use crate::process::membership::{Member, RELAY_KEY, RELAYS, rendezvous, rendezvous_several};
 use crate::process::{DaemonRole, InstanceFact};
 use crate::request::Peer;
+use rand::Rng;
+use rand::seq::IteratorRandom;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -20,6 +22,8 @@
     members: BTreeMap<Incarnation, Arc<Member>>,
     /// Places from which nothing has come for a while; their members are as they were last known.
     cut_off: BTreeSet<Place>,
+    /// Live members that the platform's list tells to leave.
+    listed_leaving: BTreeSet<Incarnation>,
 }
 
 impl MembershipView {
@@ -30,12 +34,23 @@
         members: BTreeMap<Incarnation, Arc<Member>>,
         cut_off: BTreeSet<Place>,
     ) -> MembershipView {
-        MembershipView { me, place, members, cut_off }
+        MembershipView { me, place, members, cut_off, listed_leaving: BTreeSet::new() }
+    }
+
+    /// Adds the hint of who is to leave.
+    pub fn with_listed_leaving(mut self, listed_leaving: BTreeSet<Incarnation>) -> MembershipView {
+        self.listed_leaving = listed_leaving;
+        self
+    }
+
+    /// Whether the platform's list tells a live member to leave: give it work only if nobody else is.
+    pub fn is_listed_leaving(&self, incarnation: Incarnation) -> bool {
+        self.listed_leaving.contains(&incarnation)
     }
 
     /// All members known, the gone and the process itself included.
-    pub fn members(&self) -> impl Iterator<Item = &Arc<Member>> {
-        self.members.values()
+    pub fn members(&self) -> impl Iterator<Item = &Member> {
+        self.members.values().map(Arc::as_ref)
     }
 
     /// The member of an incarnation.
@@ -72,6 +87,20 @@
         self.live().filter(move |fact| fact.place == place)
     }
 
+    /// Random live members of the own place, the process itself excluded.
+    pub fn some_in_place(&self, rng: &mut impl Rng, count: usize) -> Vec<Peer> {
+        let others = self.live_in(&self.place).map(|fact| fact.peer);
+        others.filter(|peer| *peer != self.me).sample(rng, count)
+    }
+
+    /// A relay of each other place that is not cut off.
+    pub fn relays_elsewhere(&self, rng: &mut impl Rng) -> Vec<Peer> {
+        let places: BTreeSet<&Place> = self.live().map(|fact| &fact.place).collect();
+        let others = places.into_iter().filter(|place| **place != self.place);
+        let relay = |place: &Place| self.named_in(RELAY_KEY, place, RELAYS).into_iter().choose(rng);
+        others.filter_map(relay).collect()
+    }
+
     /// The live member of a role that rendezvous hashing names for a key.
     pub fn named(&self, key: &[u8], role: DaemonRole) -> Option<Peer> {
         let found = rendezvous(key, self.live_as(role).map(|fact| fact.peer.incarnation))?;
--- /dev/null
+++ b/crates/core/tests/common/fleet_sim.rs
@@ -0,0 +1,346 @@
+//! Many members over a network that delays, loses and cuts, on a paused clock.
+
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use sorrellock_core::clock::ManualClock;
+use sorrellock_core::id::Incarnation;
+use sorrellock_core::process::membership::{
+    Event, FleetMessage, Gossip, Listed, Membership, MembershipConfig, Rumor, Standing,
+};
+use sorrellock_core::process::{DaemonRole, EndpointFact, InstanceFact, Liveness, Role};
+use sorrellock_core::request::{LayerRange, Peer};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::net::SocketAddr;
+
+/// Ticks in a second of the default settings.
+pub const TICKS_PER_S: usize = 4;
+/// Messages that wait at a paused process; the network drops the rest.
+const PAUSED_INBOX: usize = 2_000;
+
+/// One process, at one address.
+pub struct Node {
+    pub membership: Membership<ManualClock>,
+    pub peer: Peer,
+    pub place: usize,
+    pub running: bool,
+    pub paused: bool,
+    pub leaving: bool,
+    /// Halves of a place that is split; a message between halves is lost.
+    pub half: bool,
+    inbox: VecDeque<(Peer, FleetMessage)>,
+    ranks: BTreeMap<Incarnation, (u64, Standing)>,
+}
+
+/// Many members over a network that delays, loses and cuts.
+pub struct FleetSim {
+    pub clock: ManualClock,
+    pub nodes: Vec<Node>,
+    pub loss: f64,
+    pub cut_places: BTreeSet<usize>,
+    pub split_places: BTreeSet<usize>,
+    pub list_works: bool,
+    /// Bytes and messages sent by all, since the last reset.
+    pub bytes: u64,
+    pub messages: u64,
+    pub largest: usize,
+    pub events: Vec<(Incarnation, Event)>,
+    wire: Vec<(usize, SocketAddr, FleetMessage)>,
+    ticks: u64,
+    lists: VecDeque<Vec<Listed>>,
+    rng: StdRng,
+}
+
+impl FleetSim {
+    /// Nobody yet.
+    pub fn new(seed: u64) -> FleetSim {
+        FleetSim {
+            clock: ManualClock::new(),
+            nodes: Vec::new(),
+            loss: 0.0,
+            cut_places: BTreeSet::new(),
+            split_places: BTreeSet::new(),
+            list_works: true,
+            bytes: 0,
+            messages: 0,
+            largest: 0,
+            events: Vec::new(),
+            wire: Vec::new(),
+            ticks: 0,
+            lists: VecDeque::new(),
+            rng: StdRng::seed_from_u64(seed),
+        }
+    }
+
+    /// A fleet of `size` in `places` places that has had time to meet.
+    pub fn started(seed: u64, size: usize, places: usize) -> FleetSim {
+        let mut sim = FleetSim::new(seed);
+        for number in 0..size {
+            sim.join(number % places);
+        }
+        sim.run(60);
+        sim
+    }
+
+    /// Starts a process at a new address, and returns its index.
+    pub fn join(&mut self, place: usize) -> usize {
+        let index = self.nodes.len();
+        let port = 10_000 + index;
+        let addr = SocketAddr::from(([10, 0, (port >> 8) as u8, port as u8], 7000));
+        let node = self.new_node(addr, place, 1);
+        self.nodes.push(node);
+        index
+    }
+
+    /// Ends a process at once, and starts another at its address.
+    pub fn restart(&mut self, index: usize) {
+        let old = &self.nodes[index];
+        let (addr, place, half) = (old.peer.addr, old.place, old.half);
+        let generation = old.membership.fact().generation;
+        // Clocks of machines jump: now and then a later start has the lower generation.
+        let generation = if self.rng.random_range(0..4) == 0 { 1 } else { generation + 1 };
+        self.nodes[index] = Node { half, ..self.new_node(addr, place, generation) };
+    }
+
+    fn new_node(&mut self, addr: SocketAddr, place: usize, generation: u64) -> Node {
+        let peer = Peer { addr, incarnation: self.rng.random_range(1..u64::MAX) };
+        let fact = fact(peer, place, generation);
+        let cfg = MembershipConfig::new();
+        let membership = Membership::new(cfg, self.clock.clone(), fact, self.rng.random());
+        Node {
+            membership,
+            peer,
+            place,
+            running: true,
+            paused: false,
+            leaving: false,
+            half: self.rng.random(),
+            inbox: VecDeque::new(),
+            ranks: BTreeMap::new(),
+        }
+    }
+
+    /// The process stands still.
+    pub fn pause(&mut self, index: usize) {
+        self.nodes[index].paused = true;
+    }
+
+    /// The process goes on, and finds what came meanwhile.
+    pub fn resume(&mut self, index: usize) {
+        self.nodes[index].paused = false;
+    }
+
+    /// Ends a process at once.
+    pub fn kill(&mut self, index: usize) {
+        let node = &mut self.nodes[index];
+        node.running = false;
+        node.inbox.clear();
+    }
+
+    /// The process takes no new work.
+    pub fn leave(&mut self, index: usize) {
+        let node = &mut self.nodes[index];
+        if node.running && !node.paused {
+            node.leaving = true;
+            node.membership.leave();
+            self.collect(index);
+        }
+    }
+
+    /// All faults of the network end, and all paused go on.
+    pub fn heal(&mut self) {
+        self.loss = 0.0;
+        self.cut_places.clear();
+        self.split_places.clear();
+        self.list_works = true;
+        self.nodes.iter_mut().for_each(|node| node.paused = false);
+    }
+
+    /// Runs for a number of ticks.
+    pub fn run(&mut self, ticks: usize) {
+        (0..ticks).for_each(|_| self.tick());
+    }
+
+    /// Runs until all agree with the truth, and returns the ticks that it took, if under `most`.
+    pub fn run_until_agreed(&mut self, most: usize) -> Option<usize> {
+        for ticks in 0..=most {
+            if self.disagreement().is_none() {
+                return Some(ticks);
+            }
+            self.tick();
+        }
+        None
+    }
+
+    /// The processes that run and take work.
+    pub fn truth(&self) -> BTreeSet<Incarnation> {
+        let live = self.nodes.iter().filter(|node| node.running && !node.leaving);
+        live.map(|node| node.peer.incarnation).collect()
+    }
+
+    /// A process whose view differs from the truth, and how.
+    pub fn disagreement(&self) -> Option<String> {
+        let truth = self.truth();
+        for node in self.nodes.iter().filter(|node| node.running && !node.paused) {
+            let view = node.membership.view();
+            let live: BTreeSet<Incarnation> =
+                view.live().map(|fact| fact.peer.incarnation).collect();
+            if live != truth {
+                let missing: Vec<_> = truth.difference(&live).collect();
+                let extra: Vec<_> = live.difference(&truth).collect();
+                return Some(format!(
+                    "{} of place {}: missing {missing:?}, extra {extra:?}, cut off {:?}",
+                    node.peer.incarnation,
+                    node.place,
+                    view.cut_off()
+                ));
+            }
+        }
+        None
+    }
+
+    /// One interval: lists are read, all tick, and messages travel to and fro.
+    pub fn tick(&mut self) {
+        self.clock.advance(MembershipConfig::INTERVAL);
+        self.ticks += 1;
+        self.show_list();
+        for index in 0..self.nodes.len() {
+            self.receive_all(index);
+            if self.nodes[index].running && !self.nodes[index].paused {
+                self.nodes[index].membership.tick();
+                self.collect(index);
+            }
+        }
+        // A few round trips fit into an interval.
+        for _ in 0..6 {
+            self.deliver();
+        }
+        self.check_ranks();
+    }
+
+    /// The list lags by some seconds, and each process reads it now and then.
+    fn show_list(&mut self) {
+        let shown = self.nodes.iter().filter(|node| node.running);
+        let listed = shown.map(|node| Listed { addr: node.peer.addr, leaving: node.leaving });
+        let listed: Vec<Listed> = listed.collect();
+        self.lists.push_back(listed);
+        if self.lists.len() > 5 * TICKS_PER_S {
+            self.lists.pop_front();
+        }
+        if !self.list_works {
+            return;
+        }
+        let Some(list) = self.lists.front().cloned() else { return };
+        for (index, node) in self.nodes.iter_mut().enumerate() {
+            let turn = (self.ticks as usize + index).is_multiple_of(2 * TICKS_PER_S);
+            let alone = node.membership.view().members().count() <= 1;
+            if node.running && !node.paused && (turn || alone) {
+                node.membership.on_list(&list);
+            }
+        }
+    }
+
+    fn collect(&mut self, index: usize) {
+        let output = self.nodes[index].membership.take_output();
+        let incarnation = self.nodes[index].peer.incarnation;
+        self.events.extend(output.events.into_iter().map(|event| (incarnation, event)));
+        for (to, message) in output.sends {
+            let size = message_size(&message);
+            self.bytes += size as u64;
+            self.messages += 1;
+            self.largest = self.largest.max(size);
+            self.wire.push((index, to.addr, message));
+        }
+    }
+
+    fn deliver(&mut self) {
+        for (from, to, message) in std::mem::take(&mut self.wire) {
+            let Some(index) = self.nodes.iter().position(|node| node.peer.addr == to) else {
+                continue;
+            };
+            if self.rng.random_bool(self.loss) || !self.is_connected(from, index) {
+                continue;
+            }
+            let peer = self.nodes[from].peer;
+            let node = &mut self.nodes[index];
+            if node.running && node.inbox.len() < PAUSED_INBOX {
+                node.inbox.push_back((peer, message));
+            }
+        }
+        (0..self.nodes.len()).for_each(|index| self.receive_all(index));
+    }
+
+    fn receive_all(&mut self, index: usize) {
+        let node = &mut self.nodes[index];
+        if node.paused || !node.running {
+            return;
+        }
+        while let Some((from, message)) = node.inbox.pop_front() {
+            node.membership.on_message(from, message);
+        }
+        self.collect(index);
+    }
+
+    fn is_connected(&self, from: usize, to: usize) -> bool {
+        let (from, to) = (&self.nodes[from], &self.nodes[to]);
+        let cut = from.place != to.place
+            && (self.cut_places.contains(&from.place) || self.cut_places.contains(&to.place));
+        let split = from.place == to.place
+            && from.half != to.half
+            && self.split_places.contains(&from.place);
+        !cut && !split
+    }
+
+    /// No process ever falls back on what it knows of a member.
+    fn check_ranks(&mut self) {
+        for node in &mut self.nodes {
+            for member in node.membership.view().members() {
+                let rank = member.rank();
+                let known = node.ranks.entry(member.incarnation()).or_insert(rank);
+                assert!(rank >= *known, "{rank:?} after {known:?} of {}", member.incarnation());
+                *known = rank;
+            }
+        }
+    }
+}
+
+/// What a process of the simulation tells of itself.
+pub fn fact(peer: Peer, place: usize, generation: u64) -> InstanceFact {
+    let endpoint = |number: u32| EndpointFact {
+        id: format!("lexis-{}-{number}", peer.addr.ip()),
+        role: Role::Engine { model: "lexis".into(), layers: LayerRange::new(0, 12) },
+        load: 0,
+        slots: 64,
+    };
+    InstanceFact {
+        peer,
+        place: format!("place-{place}"),
+        role: DaemonRole::Beside,
+        generation,
+        counter: 1,
+        profile: 1,
+        liveness: Liveness::Live,
+        applied: 0,
+        endpoints: (0..2).map(endpoint).collect(),
+        degraded: Vec::new(),
+    }
+}
+
+/// Bytes of a message, with an envelope around it.
+pub fn message_size(message: &FleetMessage) -> usize {
+    const ENVELOPE: usize = 40;
+    let gossip_size = |gossip: &Gossip| {
+        let rumors: usize = gossip.rumors.iter().map(Rumor::size).sum();
+        let pulses: usize = gossip.pulses.iter().map(|(place, _)| place.len() + 4).sum();
+        rumors + pulses + 4
+    };
+    ENVELOPE
+        + match message {
+            FleetMessage::Ping { gossip, .. } => 3 + gossip_size(gossip),
+            FleetMessage::Ack { gossip, .. } => 20 + gossip_size(gossip),
+            FleetMessage::PingFor { gossip, .. } => 12 + gossip_size(gossip),
+            FleetMessage::Digest { gossip, digest } => digest.len() * 5 + gossip_size(gossip),
+            FleetMessage::Differences { gossip, digest } => digest.len() * 5 + gossip_size(gossip),
+            FleetMessage::Want { incarnations } => incarnations.len() * 10,
+            FleetMessage::News { gossip } => gossip_size(gossip),
+        }
+}
--- /dev/null
+++ b/crates/core/tests/common/mod.rs
@@ -0,0 +1,3 @@
+//! What the tests of this crate share.
+
+pub mod fleet_sim;
--- a/crates/daemon/src/beside/process/beside.rs
+++ b/crates/daemon/src/beside/process/beside.rs
@@ -3,18 +3,20 @@
 use crate::beside::process::engine_runner::EngineBounds;
 use crate::beside::process::{BesideHandler, BesideSettings, EngineRunner, Outbox, ServiceRunner};
 use crate::process::{
-    Count, Counters, Dump, counters_json, draw_incarnation, listen_for_operators, send_metrics,
+    Count, Counters, Dump, FleetAgent, Journal, check_place, counters_json, draw_incarnation,
+    listen_for_operators, read_list, send_metrics,
 };
 use eyre::{Result, WrapErr};
 use serde_json::{Value, json};
+use sorrellock_core::process::DaemonRole;
 use sorrellock_core::request::{KeptBudget, Peer};
 use sorrellock_platform::api::{Engine, EngineInfo};
-use sorrellock_platform::client::{HttpEngine, HttpService};
+use sorrellock_platform::client::{HttpEngine, HttpInstanceList, HttpService};
 use sorrellock_wire::connection::{LinkConfig, NngLink};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -30,28 +32,42 @@
     handler: Arc<BesideHandler<NngLink, HttpEngine>>,
     link: Arc<NngLink>,
     counters: Arc<Counters>,
+    journal: Arc<Journal>,
     operators: Option<SocketAddr>,
 }
 
 impl Beside {
     /// Starts the daemon; it waits for its engines to answer.
     pub fn start(settings: BesideSettings) -> Result<Beside> {
+        check_place(&settings.place)?;
         let me = Peer { addr: settings.link, incarnation: draw_incarnation() };
         let counters = Arc::new(Counters::new());
+        let journal = Arc::new(Journal::new());
         let (link, closed) = NngLink::listen(LinkConfig::new(me)).wrap_err("start of the links")?;
         let outbox = Outbox::new(link.clone(), counters.clone());
+        let (agent, inputs) = FleetAgent::new(
+            me,
+            settings.place.clone(),
+            DaemonRole::Beside,
+            counters.clone(),
+            journal.clone(),
+        );
         let handler = Arc::new(BesideHandler {
             me,
-            place: settings.place.clone(),
             engines: start_engines(&settings, &outbox)?,
             services: start_services(&settings, &outbox),
             outbox,
             leaving: AtomicBool::new(false),
-            counter: AtomicU64::new(1),
+            agent: agent.clone(),
         });
         link.serve(closed, handler.clone());
+        let own = handler.clone();
+        agent.serve(inputs, link.clone(), move || own.endpoints());
+        if let Some(platform) = settings.platform {
+            read_list(agent, HttpInstanceList::new(platform), false);
+        }
         send_metrics(counters.clone(), settings.metrics).wrap_err("start of the metrics")?;
-        let mut beside = Beside { handler, link, counters, operators: None };
+        let mut beside = Beside { handler, link, counters, journal, operators: None };
         if let Some(addr) = settings.operators {
             let state = Arc::new(beside.state());
             let addr =
@@ -83,6 +99,7 @@
             handler: self.handler.clone(),
             link: self.link.clone(),
             counters: self.counters.clone(),
+            journal: self.journal.clone(),
         }
     }
 
@@ -90,6 +107,7 @@
     pub fn drain(&self, wait: Duration) -> bool {
         self.handler.leaving.store(true, Ordering::Release);
         self.handler.engines.values().for_each(|engine| engine.leave());
+        self.handler.agent.leave();
         let end = Instant::now() + wait;
         while self.handler.open_work() > 0 {
             if Instant::now() > end {
@@ -97,6 +115,7 @@
             }
             thread::sleep(DRAIN_POLL);
         }
+        self.handler.agent.end();
         true
     }
 
@@ -112,13 +131,20 @@
     handler: Arc<BesideHandler<NngLink, HttpEngine>>,
     link: Arc<NngLink>,
     counters: Arc<Counters>,
+    journal: Arc<Journal>,
 }
 
 impl Dump for BesideState {
     fn dump(&self) -> Value {
+        let members = self.handler.agent.view();
         json!({
             "role": "beside",
-            "fact": self.handler.fact(),
+            "journal": self.journal.entries(),
+            "peer": self.handler.me,
+            "members": members.members().collect::<Vec<_>>(),
+            "cut_off": members.cut_off(),
+            "endpoints": self.handler.endpoints(),
+            "leaving": self.handler.is_leaving(),
             "open_work": self.handler.open_work(),
             "counters": counters_json(&self.counters.snapshot()),
             "link": counters_json(&self.link.counters().snapshot()),
--- a/crates/daemon/src/beside/process/beside_handler.rs
+++ b/crates/daemon/src/beside/process/beside_handler.rs
@@ -1,47 +1,38 @@
 //! Hands messages from other processes to the endpoint that they are for.
 
 use crate::beside::process::{EngineRunner, Outbox, ServiceRunner};
-use crate::process::Count;
-use sorrellock_core::id::{EndpointId, Incarnation, Place};
-use sorrellock_core::process::{DaemonRole, InstanceFact, Liveness};
+use crate::process::{Count, FleetAgent};
+use sorrellock_core::id::{EndpointId, Incarnation};
+use sorrellock_core::process::EndpointFact;
 use sorrellock_core::request::{Peer, Refusal};
 use sorrellock_platform::api::Engine;
 use sorrellock_wire::connection::{Link, LinkHandler};
 use sorrellock_wire::message::{
-    CallEnd, CallMessage, CallRequest, FleetMessage, Message, Open, PipelineMessage, StageTrouble,
+    CallEnd, CallMessage, CallRequest, Message, Open, PipelineMessage, StageTrouble,
 };
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, Ordering};
 
 /// The endpoints of a daemon, and what it tells of itself.
 pub struct BesideHandler<L, E> {
     pub(super) me: Peer,
-    pub(super) place: Place,
     pub(super) engines: HashMap<EndpointId, Arc<EngineRunner<L, E>>>,
     pub(super) services: HashMap<EndpointId, ServiceRunner<L>>,
     pub(super) outbox: Outbox<L>,
     pub(super) leaving: AtomicBool,
-    pub(super) counter: AtomicU64,
+    pub(super) agent: Arc<FleetAgent>,
 }
 
 impl<L: Link, E: Engine> BesideHandler<L, E> {
-    /// What the daemon tells of itself.
-    pub fn fact(&self) -> InstanceFact {
+    /// What the daemon tells of its endpoints.
+    pub fn endpoints(&self) -> Vec<EndpointFact> {
         let engines = self.engines.values().map(|engine| engine.fact());
         let services = self.services.values().map(|service| service.fact());
-        InstanceFact {
-            peer: self.me,
-            place: self.place.clone(),
-            role: DaemonRole::Beside,
-            generation: 0,
-            counter: self.counter.fetch_add(1, Ordering::Relaxed),
-            liveness: if self.is_leaving() { Liveness::Leaving } else { Liveness::Live },
-            applied: 0,
-            endpoints: engines.chain(services).collect(),
-            degraded: Vec::new(),
-        }
+        let mut endpoints: Vec<_> = engines.chain(services).collect();
+        endpoints.sort_by(|a, b| a.id.cmp(&b.id));
+        endpoints
     }
 
     /// Whether the daemon takes no new work.
@@ -135,15 +126,12 @@
         match message {
             Message::Pipeline(message) => self.on_pipeline(message),
             Message::Call(message) => self.on_call(from, message),
-            Message::Fleet(FleetMessage::Hello) => {
-                let fact = self.fact();
-                self.outbox.send(from, Message::Fleet(FleetMessage::Facts(vec![fact])));
-            }
-            Message::Fleet(FleetMessage::Facts(_)) => {}
+            Message::Fleet(message) => self.agent.on_message(from, message),
         }
     }
 
     fn on_closed(&self, peer: SocketAddr) {
+        self.agent.on_closed(peer);
         self.engines.values().for_each(|runner| runner.on_closed(peer));
     }
 }
--- a/crates/daemon/src/beside/process/settings.rs
+++ b/crates/daemon/src/beside/process/settings.rs
@@ -25,6 +25,8 @@
     pub operators: Option<SocketAddr>,
     /// Where metrics go, if anywhere.
     pub metrics: Option<SocketAddr>,
+    /// The platform's object API and list of instances. Without it, the daemon waits to be found.
+    pub platform: Option<SocketAddr>,
     /// The engines served.
     pub engines: Vec<SocketAddr>,
     /// The plain services served.
@@ -60,6 +62,7 @@
             link,
             operators: None,
             metrics: None,
+            platform: None,
             engines: Vec::new(),
             services: Vec::new(),
             replay_budget: BesideSettings::REPLAY_BUDGET,
@@ -70,6 +73,12 @@
         }
     }
 
+    /// Finds its peers by the platform at `addr`.
+    pub fn with_platform(mut self, addr: SocketAddr) -> BesideSettings {
+        self.platform = Some(addr);
+        self
+    }
+
     /// Serves an engine.
     pub fn with_engine(mut self, addr: SocketAddr) -> BesideSettings {
         self.engines.push(addr);
--- a/crates/daemon/src/cli/args.rs
+++ b/crates/daemon/src/cli/args.rs
@@ -41,6 +41,7 @@
     Command::new("beside")
         .about("Stands next to endpoints, and is the only process that gives them work")
         .args(common_args())
+        .arg(addr("platform", "The platform's object API and list of instances"))
         .arg(engine.value_delimiter(',').action(ArgAction::Append))
         .arg(service)
         .arg(number(
@@ -107,6 +108,7 @@
     let mut settings = BesideSettings::new(text(args, "place"), required_addr(args, "link"));
     settings.operators = optional_addr(args, "operators");
     settings.metrics = optional_addr(args, "metrics");
+    settings.platform = optional_addr(args, "platform");
     settings.engines = args.get_many("engine").unwrap_or_default().copied().collect();
     settings.services = args.get_many("service").unwrap_or_default().cloned().collect();
     set(&mut settings.replay_budget, args, "replay-budget-bytes");
--- a/crates/daemon/src/entry/process/entry.rs
+++ b/crates/daemon/src/entry/process/entry.rs
@@ -2,15 +2,16 @@
 
 use crate::entry::process::{
     Api, Calls, ConfigWatch, EntryHandler, EntrySettings, FleetCell, Gate, InProgress, Pipelines,
-    Timer, watch_fleet,
+    Timer,
 };
 use crate::entry::request::RunTable;
 use crate::process::{
-    Count, Counters, Dump, Journal, counters_json, draw_incarnation, listen_for_operators,
-    send_metrics,
+    Count, Counters, Dump, FleetAgent, Journal, check_place, counters_json, draw_incarnation,
+    listen_for_operators, read_list, send_metrics,
 };
 use eyre::{Result, WrapErr};
 use serde_json::{Value, json};
+use sorrellock_core::process::DaemonRole;
 use sorrellock_core::request::Peer;
 use sorrellock_http::{Server, ServerConfig};
 use sorrellock_platform::client::{HttpInstanceList, HttpObjectStore};
@@ -33,10 +34,18 @@
 impl Entry {
     /// Starts the entry. It is ready once `/readyz` says so.
     pub fn start(settings: EntrySettings) -> Result<Entry> {
+        check_place(&settings.place)?;
         let me = Peer { addr: settings.link, incarnation: draw_incarnation() };
         let counters = Arc::new(Counters::new());
         let journal = Arc::new(Journal::new());
         let (link, closed) = NngLink::listen(LinkConfig::new(me)).wrap_err("start of the links")?;
+        let (agent, inputs) = FleetAgent::new(
+            me,
+            settings.place.clone(),
+            DaemonRole::Entry,
+            counters.clone(),
+            journal.clone(),
+        );
         let store = HttpObjectStore::new(settings.platform);
         let (in_progress, finished) = InProgress::new(me.incarnation, settings.max_in_progress);
         let state = Arc::new(EntryState {
@@ -46,6 +55,7 @@
             fleet: Arc::default(),
             in_progress: Arc::new(in_progress),
             gate: OnceLock::new(),
+            agent: agent.clone(),
             link: link.clone(),
             counters: counters.clone(),
             journal,
@@ -66,7 +76,10 @@
         start_timer(&timer, &pipelines, &calls, &gate);
         pipelines.watch();
         link.serve(closed, Arc::new(new_handler(&state, &pipelines, &calls)));
-        watch_fleet(link, HttpInstanceList::new(settings.platform), me.addr);
+        let fleet = state.fleet.clone();
+        agent.on_change(move |members| fleet.set_members(members));
+        agent.serve(inputs, link, Vec::new);
+        read_list(agent, HttpInstanceList::new(settings.platform), true);
         send_metrics(counters, settings.metrics).wrap_err("start of the metrics")?;
         let server = start_server(&settings, &state, gate)?;
         let operators = start_operators(&settings, &state)?;
@@ -79,6 +92,11 @@
         Ok(Entry { state, server, operators })
     }
 
+    /// This process among its peers.
+    pub fn peer(&self) -> Peer {
+        self.state.me
+    }
+
     /// Where callers ask.
     pub fn callers(&self) -> SocketAddr {
         self.server.addr()
@@ -102,6 +120,7 @@
     /// Takes no new work, and returns when what runs has ended, or false after `wait`.
     pub fn drain(&self, wait: Duration) -> bool {
         self.state.in_progress.drain();
+        self.state.agent.leave();
         let end = Instant::now() + wait;
         while self.state.in_progress.count() > 0 {
             if Instant::now() > end {
@@ -110,6 +129,7 @@
             thread::sleep(DRAIN_POLL);
         }
         self.server.shutdown();
+        self.state.agent.end();
         true
     }
 
@@ -126,6 +146,7 @@
     place: String,
     config: Arc<ConfigWatch>,
     fleet: Arc<FleetCell>,
+    agent: Arc<FleetAgent>,
     in_progress: Arc<InProgress>,
     gate: OnceLock<Arc<Gate<NngLink>>>,
     link: Arc<NngLink>,
@@ -145,6 +166,8 @@
             "in_progress": self.in_progress.count(),
             "admission": self.gate.get().map(|gate| gate.dump()),
             "fleet": self.fleet.view().instances().collect::<Vec<_>>(),
+            "members": self.agent.view().members().collect::<Vec<_>>(),
+            "cut_off": self.agent.view().cut_off(),
             "revisions": revisions.collect::<std::collections::BTreeMap<_, _>>(),
             "journal": self.journal.entries(),
             "counters": counters_json(&self.counters.snapshot()),
@@ -190,6 +213,7 @@
         pipelines: pipelines.clone(),
         calls: calls.clone(),
         fleet: state.fleet.clone(),
+        agent: state.agent.clone(),
         counters: state.counters.clone(),
         journal: state.journal.clone(),
     }
--- a/crates/daemon/src/entry/process/entry_handler.rs
+++ b/crates/daemon/src/entry/process/entry_handler.rs
@@ -1,11 +1,11 @@
 //! Hands messages from other processes to the requests that they are for.
 
 use crate::entry::process::{Calls, FleetCell, Pipelines};
-use crate::process::{Count, Counters, Journal};
+use crate::process::{Count, Counters, FleetAgent, Journal};
 use sorrellock_core::id::Incarnation;
 use sorrellock_core::request::Peer;
 use sorrellock_wire::connection::{Link, LinkHandler};
-use sorrellock_wire::message::{CallMessage, FleetMessage, Message, PipelineMessage};
+use sorrellock_wire::message::{CallMessage, Message, PipelineMessage};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -15,6 +15,7 @@
     pub(super) pipelines: Arc<Pipelines<L>>,
     pub(super) calls: Arc<Calls<L>>,
     pub(super) fleet: Arc<FleetCell>,
+    pub(super) agent: Arc<FleetAgent>,
     pub(super) counters: Arc<Counters>,
     pub(super) journal: Arc<Journal>,
 }
@@ -38,7 +39,8 @@
 }
 
 impl<L: Link> LinkHandler for EntryHandler<L> {
-    fn on_message(&self, _from: Peer, to: Incarnation, message: Message) {
+    fn on_message(&self, from: Peer, to: Incarnation, message: Message) {
+        self.fleet.heard(from.addr);
         if to != 0 && to != self.me.incarnation {
             return self.counters.count(Count::Misdirected);
         }
@@ -48,16 +50,14 @@
                 self.calls.on_end(request, attempt, end);
             }
             Message::Call(_) => self.counters.count(Count::Misdirected),
-            Message::Fleet(FleetMessage::Facts(facts)) => {
-                facts.into_iter().for_each(|fact| self.fleet.learn(fact));
-            }
-            Message::Fleet(FleetMessage::Hello) => {}
+            Message::Fleet(message) => self.agent.on_message(from, message),
         }
     }
 
     fn on_closed(&self, peer: SocketAddr) {
-        if self.fleet.forget(peer) {
-            self.journal.note("instance gone", Some(peer), "link", "its link closed");
+        self.agent.on_closed(peer);
+        if self.fleet.avoid(peer) {
+            self.journal.note("instance avoided", Some(peer), "link", "its link closed");
         }
         self.pipelines.on_closed(peer);
         self.calls.on_closed(peer);
--- a/crates/daemon/src/entry/process/fleet_watch.rs
+++ b/crates/daemon/src/entry/process/fleet_watch.rs
@@ -1,25 +1,31 @@
-//! Keeps the view of the fleet: asks the instances on the platform's list for their facts.
+//! Keeps the view of the fleet by which an entry sends work.
 
 use crate::entry::version::FleetView;
 use arc_swap::ArcSwap;
-use sorrellock_core::process::InstanceFact;
-use sorrellock_core::request::Peer;
-use sorrellock_platform::api::InstanceList;
-use sorrellock_wire::connection::Link;
-use sorrellock_wire::message::{FleetMessage, Message};
+use sorrellock_core::process::membership::MembershipView;
+use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
-use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-/// How often the instances on the list are asked.
-const INTERVAL: Duration = Duration::from_millis(200);
+/// The longest time that a daemon is avoided without a word from it or on it.
+const AVOID_MOST: Duration = Duration::from_secs(10);
+/// The most daemons avoided.
+const MAX_AVOIDED: usize = 4096;
 
 /// The view of the fleet in force; readers never wait for a writer.
 #[derive(Default)]
 pub struct FleetCell {
     view: ArcSwap<FleetView>,
-    writer: Mutex<()>,
+    avoided_count: AtomicUsize,
+    writer: Mutex<Writer>,
+}
+
+#[derive(Default)]
+struct Writer {
+    members: Option<Arc<MembershipView>>,
+    avoided: HashMap<SocketAddr, Instant>,
 }
 
 impl FleetCell {
@@ -28,41 +34,42 @@
         self.view.load_full()
     }
 
-    /// Takes what a daemon told of itself.
-    pub fn learn(&self, fact: InstanceFact) {
-        self.change(|view| view.learn(fact));
+    /// Takes what membership knows.
+    pub fn set_members(&self, members: &Arc<MembershipView>) {
+        let mut writer = self.writer.lock().unwrap();
+        writer.members = Some(members.clone());
+        writer.avoided.retain(|_, since| since.elapsed() < AVOID_MOST);
+        self.renew(&writer);
     }
 
-    /// Forgets a daemon that can't be reached, and tells whether it was known.
-    pub fn forget(&self, addr: SocketAddr) -> bool {
-        self.change(|view| view.forget(addr))
+    /// A link closed: gives its daemon no work until it is heard of. Tells whether it had any.
+    pub fn avoid(&self, addr: SocketAddr) -> bool {
+        let known = self.view().serves(addr);
+        let mut writer = self.writer.lock().unwrap();
+        if !known || writer.avoided.len() >= MAX_AVOIDED {
+            return false;
+        }
+        writer.avoided.insert(addr, Instant::now());
+        self.renew(&writer);
+        true
     }
 
-    fn change<T>(&self, change: impl FnOnce(&mut FleetView) -> T) -> T {
-        let _writer = self.writer.lock().unwrap();
-        let mut view = FleetView::clone(&self.view.load());
-        let result = change(&mut view);
-        self.view.store(Arc::new(view));
-        result
+    /// Something came straight from a daemon.
+    pub fn heard(&self, addr: SocketAddr) {
+        if self.avoided_count.load(Ordering::Relaxed) == 0 {
+            return;
+        }
+        let mut writer = self.writer.lock().unwrap();
+        if writer.avoided.remove(&addr).is_some() {
+            self.renew(&writer);
+        }
     }
-}
 
-/// Starts the thread that asks each instance on the list for its facts, again and again.
-pub fn watch_fleet<L: Link, I: InstanceList>(link: Arc<L>, list: I, me: SocketAddr) {
-    let ask_all = move || {
-        let Ok(instances) = list.instances() else { return };
-        for instance in instances.iter().filter(|instance| instance.link != me) {
-            let to = Peer { addr: instance.link, incarnation: 0 };
-            let _ = link.send(to, Message::Fleet(FleetMessage::Hello));
-        }
-    };
-    thread::Builder::new()
-        .name("fleet-watch".into())
-        .spawn(move || {
-            loop {
-                ask_all();
-                thread::sleep(INTERVAL);
-            }
-        })
-        .expect("a thread can be started");
+    fn renew(&self, writer: &Writer) {
+        let Some(members) = &writer.members else { return };
+        let avoided = writer.avoided.keys().copied().collect();
+        let view = FleetView::new(&self.view.load(), members, &avoided);
+        self.avoided_count.store(writer.avoided.len(), Ordering::Relaxed);
+        self.view.store(Arc::new(view));
+    }
 }
--- a/crates/daemon/src/entry/process/mod.rs
+++ b/crates/daemon/src/entry/process/mod.rs
@@ -23,7 +23,7 @@
 use config_watch::ConfigWatch;
 use entry_handler::EntryHandler;
 use fleet_routes::FleetRoutes;
-use fleet_watch::{FleetCell, watch_fleet};
+use fleet_watch::FleetCell;
 use in_progress::{Finished, InProgress};
 use pipelines::{NewPipeline, Pipelines};
 use timer::Timer;
--- a/crates/daemon/src/entry/version/fleet_view.rs
+++ b/crates/daemon/src/entry/version/fleet_view.rs
@@ -1,9 +1,10 @@
 //! The fleet as this entry knows it: which endpoints take work, and what it has in flight there.
 
 use sorrellock_core::id::{EndpointId, ModelId};
-use sorrellock_core::process::{DaemonRole, EndpointFact, InstanceFact, Liveness, Role};
+use sorrellock_core::process::membership::{MembershipView, Standing};
+use sorrellock_core::process::{DaemonRole, EndpointFact, InstanceFact, Role};
 use sorrellock_core::request::{Candidate, Peer};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -39,36 +40,61 @@
 /// The fleet as this entry knows it.
 #[derive(Clone, Debug, Default)]
 pub struct FleetView {
-    instances: HashMap<SocketAddr, InstanceFact>,
+    /// Live daemons that serve endpoints.
+    instances: Vec<InstanceFact>,
     endpoints: Vec<KnownEndpoint>,
+    other_entries: usize,
 }
 
 impl FleetView {
-    /// Takes what a daemon told of itself.
-    pub fn learn(&mut self, fact: InstanceFact) {
-        let known = self.instances.get(&fact.peer.addr);
-        let older = |known: &InstanceFact| {
-            known.peer.incarnation == fact.peer.incarnation && known.counter >= fact.counter
+    /// The endpoints of the live members. Those of members that are doubted, that the platform's
+    /// list tells to leave, or that are `avoided`, count only where nobody else has the same role.
+    pub fn new(
+        old: &FleetView,
+        members: &MembershipView,
+        avoided: &HashSet<SocketAddr>,
+    ) -> FleetView {
+        let live: Vec<&InstanceFact> = members.live_as(DaemonRole::Beside).collect();
+        let is_preferred = |fact: &&&InstanceFact| {
+            let incarnation = fact.peer.incarnation;
+            let member = members.get(incarnation);
+            let trusted = member.is_some_and(|member| member.standing == Standing::Trusted);
+            let listed = members.is_listed_leaving(incarnation);
+            trusted && !listed && !avoided.contains(&fact.peer.addr)
         };
-        if known.is_some_and(older) {
-            return;
-        }
-        self.instances.insert(fact.peer.addr, fact);
-        self.index();
+        let (preferred, others): (Vec<_>, Vec<_>) =
+            live.iter().partition(|fact| is_preferred(fact));
+        let roles = |facts: &[&InstanceFact]| -> HashSet<Role> {
+            facts.iter().flat_map(|f| f.endpoints.iter().map(|e| e.role.clone())).collect()
+        };
+        let served = roles(&preferred);
+        let counters: HashMap<_, _> =
+            old.endpoints.iter().map(|known| (&known.fact.id, &known.in_flight)).collect();
+        let known = |instance: &InstanceFact, fact: &EndpointFact| KnownEndpoint {
+            daemon: instance.peer,
+            fact: fact.clone(),
+            in_flight: counters.get(&fact.id).map(|counter| (*counter).clone()).unwrap_or_default(),
+        };
+        let all = |instances: &[&InstanceFact], but: &HashSet<Role>| -> Vec<KnownEndpoint> {
+            let pairs = instances.iter().flat_map(|i| i.endpoints.iter().map(move |e| (i, e)));
+            pairs.filter(|(_, e)| !but.contains(&e.role)).map(|(i, e)| known(i, e)).collect()
+        };
+        let mut endpoints = all(&preferred, &HashSet::new());
+        endpoints.extend(all(&others, &served));
+        let entries = members.live_as(DaemonRole::Entry);
+        let other_entries = entries.filter(|fact| fact.peer != members.me).count();
+        let instances = live.into_iter().cloned().collect();
+        FleetView { instances, endpoints, other_entries }
     }
 
-    /// Forgets a daemon that can't be reached.
-    pub fn forget(&mut self, addr: SocketAddr) -> bool {
-        let known = self.instances.remove(&addr).is_some();
-        if known {
-            self.index();
-        }
-        known
+    /// Whether any endpoint that takes work is served from an address.
+    pub fn serves(&self, addr: SocketAddr) -> bool {
+        self.endpoints.iter().any(|known| known.daemon.addr == addr)
     }
 
-    /// All instances known.
+    /// All live daemons that serve endpoints.
     pub fn instances(&self) -> impl Iterator<Item = &InstanceFact> {
-        self.instances.values()
+        self.instances.iter()
     }
 
     /// The engines that take work for a model.
@@ -101,8 +127,7 @@
 
     /// The other entries that are live.
     pub fn other_entries(&self) -> usize {
-        let entries = self.instances.values().filter(|fact| fact.role == DaemonRole::Entry);
-        entries.filter(|fact| fact.liveness == Liveness::Live).count()
+        self.other_entries
     }
 
     /// Counts work at an endpoint until the guard is dropped.
@@ -110,19 +135,4 @@
         let known = self.endpoints.iter().find(|known| known.fact.id == *endpoint)?;
         Some(InFlight::new(&known.in_flight))
     }
-
-    fn index(&mut self) {
-        let old = std::mem::take(&mut self.endpoints);
-        let counters: HashMap<_, _> =
-            old.into_iter().map(|known| (known.fact.id, known.in_flight)).collect();
-        let live = self.instances.values().filter(|instance| instance.liveness == Liveness::Live);
-        for instance in live {
-            let known = instance.endpoints.iter().map(|fact| KnownEndpoint {
-                daemon: instance.peer,
-                fact: fact.clone(),
-                in_flight: counters.get(&fact.id).cloned().unwrap_or_default(),
-            });
-            self.endpoints.extend(known);
-        }
-    }
 }
--- a/crates/daemon/src/process/counters.rs
+++ b/crates/daemon/src/process/counters.rs
@@ -83,6 +83,12 @@
     PagesApplied => "pages_applied",
     /// Pages of the configuration refused as bad.
     PagesRefused => "pages_refused",
+    /// Messages of membership taken.
+    FleetMessages => "fleet_messages",
+    /// Changes of the fleet noticed.
+    FleetChanges => "fleet_changes",
+    /// Messages of membership dropped, as too many waited.
+    FleetInputsDropped => "fleet_inputs_dropped",
 }
 
 /// The counters of one daemon.
--- a/crates/daemon/src/process/mod.rs
+++ b/crates/daemon/src/process/mod.rs
@@ -2,6 +2,8 @@
 
 mod counters;
 mod dump;
+mod fleet_agent;
+mod fleet_list;
 mod incarnation;
 mod journal;
 mod log;
@@ -10,6 +12,8 @@
 
 pub use counters::*;
 pub use dump::*;
+pub use fleet_agent::*;
+pub use fleet_list::*;
 pub use incarnation::*;
 pub use journal::{JOURNAL_LENGTH, Journal};
 pub use log::*;
--- a/crates/local/src/local_fleet.rs
+++ b/crates/local/src/local_fleet.rs
@@ -71,8 +71,8 @@
         let platform = FakePlatform::start(PlatformConfig::new(next_addr()))
             .wrap_err("start of the platform")?;
         write_config(&platform, &cfg);
-        let engines = start_engines(&cfg)?;
-        let services = start_services(&cfg)?;
+        let engines = start_engines(&cfg, &platform)?;
+        let services = start_services(&cfg, &platform)?;
         let entries = start_entries(&cfg, &platform)?;
         let fleet = LocalFleet { cfg, platform, engines, services, entries };
         fleet.publish_instances();
@@ -124,7 +124,9 @@
             link,
             state: InstanceState::Live,
         };
-        self.platform.set_instances(engines.chain(services).map(instance).collect());
+        let entries = self.entries.iter().map(|entry| entry.peer().addr);
+        let all = engines.chain(services).chain(entries);
+        self.platform.set_instances(all.map(instance).collect());
     }
 
     fn wait_until_known(&self) -> Result<()> {
@@ -161,24 +163,31 @@
     write_rows(platform, WORKSPACES.iter().map(|(id, _)| Row::new(*id, "default")).collect());
 }
 
-fn start_engines(cfg: &LocalConfig) -> Result<Vec<LocalEngine>> {
+fn start_engines(cfg: &LocalConfig, platform: &FakePlatform) -> Result<Vec<LocalEngine>> {
     let mut engines = Vec::new();
     for stage in 0..cfg.stages {
         for replica in 0..cfg.replicas {
-            engines.push(start_engine(cfg, stage, replica)?);
+            engines.push(start_engine(cfg, platform, stage, replica)?);
         }
     }
     Ok(engines)
 }
 
-fn start_engine(cfg: &LocalConfig, stage: usize, replica: usize) -> Result<LocalEngine> {
+fn start_engine(
+    cfg: &LocalConfig,
+    platform: &FakePlatform,
+    stage: usize,
+    replica: usize,
+) -> Result<LocalEngine> {
     let engine = EngineConfig::new(next_addr(), MODEL, stage_layers(cfg, stage))
         .with_endpoint(format!("{MODEL}-{stage}-{replica}"))
         .with_max_batch(cfg.max_batch)
         .with_activation_bytes(cfg.activation_bytes as u32)
         .with_times(cfg.batch_time, cfg.token_time);
     let engine = FakeEngine::start(engine).wrap_err("start of an engine")?;
-    let settings = BesideSettings::new(PLACE, next_addr()).with_engine(engine.addr());
+    let settings = BesideSettings::new(PLACE, next_addr())
+        .with_platform(platform.addr())
+        .with_engine(engine.addr());
     let beside = Beside::start(settings)?;
     Ok(LocalEngine { stage: stage as StageIndex, engine, beside })
 }
@@ -189,13 +198,15 @@
     LayerRange::new(bound(stage), bound(stage + 1))
 }
 
-fn start_services(cfg: &LocalConfig) -> Result<Vec<LocalService>> {
+fn start_services(cfg: &LocalConfig, platform: &FakePlatform) -> Result<Vec<LocalService>> {
     let start = |number: usize| {
         let service =
             FakeService::start(ServiceConfig::new(next_addr())).wrap_err("start of a service")?;
         let id = format!("{SERVICE}-{number}");
         let endpoint = ServiceEndpoint { id, service: SERVICE.into(), addr: service.addr() };
-        let settings = BesideSettings::new(PLACE, next_addr()).with_service(endpoint);
+        let settings = BesideSettings::new(PLACE, next_addr())
+            .with_platform(platform.addr())
+            .with_service(endpoint);
         Ok(LocalService { service, beside: Beside::start(settings)? })
     };
     (0..cfg.services).map(start).collect()
--- a/crates/wire/src/message/fleet.rs
+++ b/crates/wire/src/message/fleet.rs
@@ -1,13 +1,3 @@
-//! Messages of membership.
+//! Messages of membership: the state machine defines them, the links carry them.
 
-use serde::{Deserialize, Serialize};
-use sorrellock_core::process::InstanceFact;
-
-/// Messages of membership.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub enum FleetMessage {
-    /// Asks for the receiver's own fact.
-    Hello,
-    /// Facts that the sender knows.
-    Facts(Vec<InstanceFact>),
-}
+pub use sorrellock_core::process::membership::FleetMessage;
