--- a/crates/fakes/src/process/engine/accelerator.rs
+++ b/crates/fakes/src/process/engine/accelerator.rs
@@ -12,6 +12,8 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+/// How much lateness of the threads is made good; a longer one, as after a freeze, is lost.
+const MAX_CATCH_UP: Duration = Duration::from_millis(1);
 /// Batches that wait; more are refused.
 const MAX_WAITING: usize = 4_096;
 
@@ -20,6 +22,7 @@
 pub(crate) struct WaitingBatch {
     pub(crate) batch: Batch,
     pub(crate) responder: Responder,
+    arrived: Instant,
     priority: u8,
     number: Reverse<u64>,
 }
@@ -51,7 +54,13 @@
         queue.steps += batch.steps.len() as u32;
         let number = Reverse(queue.number);
         let priority = batch.steps.iter().map(|step| step.priority).max().unwrap_or(0);
-        queue.waiting.push(WaitingBatch { batch, responder, priority, number });
+        queue.waiting.push(WaitingBatch {
+            batch,
+            responder,
+            arrived: Instant::now(),
+            priority,
+            number,
+        });
         self.changed.notify_all();
         Ok(())
     }
@@ -73,10 +82,9 @@
         self.changed.notify_all();
     }
 
-    /// The next batch, and whether the accelerator had to wait for it; nothing once stopped.
-    fn next(&self) -> Option<(WaitingBatch, bool)> {
+    /// The next batch; nothing once stopped.
+    fn next(&self) -> Option<WaitingBatch> {
         let mut queue = self.lock();
-        let mut waited = false;
         loop {
             if queue.stopped {
                 return None;
@@ -85,9 +93,8 @@
                 && let Some(next) = queue.waiting.pop()
             {
                 queue.steps -= next.batch.steps.len() as u32;
-                return Some((next, waited));
+                return Some(next);
             }
-            waited = true;
             queue = self.changed.wait(queue).expect("no panic holds this lock");
         }
     }
@@ -124,27 +131,22 @@
 
 fn run_batches(cx: &EngineCx) {
     let mut free_at = Instant::now();
-    while let Some((next, waited)) = cx.accelerator.next() {
-        // Back to back the next batch starts when the last one should have ended, so that
-        // late wake-ups do not add up.
-        if waited {
-            free_at = Instant::now();
-        }
+    while let Some(next) = cx.accelerator.next() {
+        // A batch starts when it came or when the one before should have ended, so that late
+        // wake-ups do not add up.
+        let earliest = Instant::now() - MAX_CATCH_UP;
+        let start = free_at.max(next.arrived).max(earliest);
         let (answer, time) = run_batch(cx, &next.batch);
-        free_at += time;
+        free_at = start + time;
         let waiting = cx.accelerator.waiting_steps();
         cx.state().note_load(waiting);
         if !cx.accelerator.wait_until(free_at) {
             return;
         }
-        free_at = free_at.max(Instant::now() - MAX_CATCH_UP);
         send(cx, next.responder, answer);
     }
 }
 
-/// How much lateness back-to-back batches make good; a longer one, as after a freeze, is lost.
-const MAX_CATCH_UP: Duration = Duration::from_millis(1);
-
 fn run_batch(cx: &EngineCx, batch: &Batch) -> (Vec<u8>, Duration) {
     let run = cx.state().run(batch, &cx.counters);
     let time = cx.knobs.slowed(run.time);
--- a/crates/fakes/src/process/engine/cache_log.rs
+++ b/crates/fakes/src/process/engine/cache_log.rs
@@ -15,17 +15,20 @@
 }
 
 impl CacheLog {
-    /// Adds an event, or loses it if its number is divisible by `gap`.
-    pub(crate) fn add(&mut self, prefix: u64, stored: bool, gap: u64) {
+    /// Adds an event, or loses it if its number is divisible by `gap`; tells whether an old one
+    /// was forgotten for it.
+    pub(crate) fn add(&mut self, prefix: u64, stored: bool, gap: u64) -> bool {
         self.number += 1;
         if gap > 0 && self.number.is_multiple_of(gap) {
-            return;
+            return false;
         }
-        if self.events.len() == MAX_EVENTS {
+        let full = self.events.len() == MAX_EVENTS;
+        if full {
             self.events.pop_front();
         }
         let event = CacheEvent { number: self.number, prefix, stored };
         self.events.push_back((Instant::now(), event));
+        full
     }
 
     /// The events after number `after` that are older than `lag`.
--- a/crates/fakes/src/process/engine/calls.rs
+++ b/crates/fakes/src/process/engine/calls.rs
@@ -47,7 +47,8 @@
 
     /// Takes a call in, or holds it while the engine is frozen.
     pub(crate) fn arrive(&self, req: Request) {
-        let Some(req) = self.latch.pass(req) else { return };
+        count(&self.counters.arrived);
+        let Some(req) = self.latch.pass(req, &self.counters.cut) else { return };
         self.answer(req);
     }
 
@@ -63,7 +64,7 @@
     fn reply(&self, req: &Request) -> Answer {
         match (req.method.as_str(), req.path_only()) {
             ("GET", "/v1/engine") => json(&self.state().info),
-            ("GET", "/v1/load") => json(&self.load()),
+            ("GET", "/v1/load") => json(&self.state().shown_load()),
             ("GET", "/v1/cache-events") => self.cache_events(req),
             ("POST", "/v1/release") => self.release(req),
             ("POST", "/v1/truncate") => self.truncate(req),
@@ -100,14 +101,10 @@
         self.note_load();
     }
 
-    fn load(&self) -> sorrellock_platform::api::LoadReport {
-        self.state().loads.shown(self.cfg.load_lag)
-    }
-
     fn cache_events(&self, req: &Request) -> Answer {
         let after = req.query("after").and_then(|after| after.parse().ok());
         let after = after.ok_or((400, "after is missing or no number".to_owned()))?;
-        json(&self.state().events.shown(after, self.cfg.event_lag))
+        json(&self.state().cache_events(after))
     }
 
     fn release(&self, req: &Request) -> Answer {
--- a/crates/fakes/src/process/engine/engine_config.rs
+++ b/crates/fakes/src/process/engine/engine_config.rs
@@ -164,8 +164,9 @@
         }
     }
 
-    /// Time that a batch takes of `tokens` tokens, which run `token_layers` layers in all.
-    pub(crate) fn batch_time(&self, tokens: u32, token_layers: u32) -> Duration {
+    /// Time that a batch takes of `tokens` tokens, which run `token_layers` layers in all; the
+    /// bound of what the engine can do.
+    pub fn batch_time(&self, tokens: u32, token_layers: u32) -> Duration {
         let time = self.base + self.per_token * tokens + self.per_token_layer * token_layers;
         time.div_f64(self.speed)
     }
--- a/crates/fakes/src/process/engine/engine_counters.rs
+++ b/crates/fakes/src/process/engine/engine_counters.rs
@@ -5,6 +5,10 @@
 /// What a stand-in engine has counted.
 #[derive(Debug, Default)]
 pub struct EngineCounters {
+    /// Calls that came in.
+    pub arrived: AtomicU64,
+    /// Calls cut off while it was frozen, as too many were held.
+    pub cut: AtomicU64,
     /// Batches run.
     pub batches: AtomicU64,
     /// Steps run.
--- a/crates/fakes/src/process/engine/engine_state.rs
+++ b/crates/fakes/src/process/engine/engine_state.rs
@@ -4,7 +4,7 @@
 use crate::request::{PREFIX_BLOCK, Session, activations_fit, prefix_hashes};
 use sorrellock_core::id::{Fence, Position};
 use sorrellock_platform::api::{
-    Batch, EngineInfo, EngineStep, LoadReport, Order, SessionId, StepOutput,
+    Batch, CacheEvent, EngineInfo, EngineStep, LoadReport, Order, SessionId, StepOutput,
 };
 use std::collections::{HashMap, VecDeque};
 use std::sync::atomic::Ordering;
@@ -22,8 +22,10 @@
     pub(crate) orders: VecDeque<Order>,
     sessions: HashMap<SessionId, Session>,
     prefixes: PrefixCache,
-    pub(crate) events: CacheLog,
-    pub(crate) loads: LoadLog,
+    events: CacheLog,
+    /// Load reports, cache events and orders forgotten, as there were too many.
+    pub(crate) forgotten: u64,
+    loads: LoadLog,
     pub(crate) record: Record,
 }
 
@@ -46,6 +48,7 @@
             sessions: HashMap::new(),
             prefixes: PrefixCache::new(cfg.prefix_blocks),
             events: CacheLog::default(),
+            forgotten: 0,
             loads: LoadLog::default(),
             record: Record::default(),
             cfg,
@@ -134,15 +137,27 @@
         self.info.layers = order.layers;
         if self.orders.len() == MAX_ORDERS {
             self.orders.pop_front();
+            self.forgotten += 1;
         }
         self.orders.push_back(order);
         Ok(())
     }
 
+    /// The cache events after number `after`, as far as they are shown yet.
+    pub(crate) fn cache_events(&self, after: u64) -> Vec<CacheEvent> {
+        self.events.shown(after, self.cfg.event_lag)
+    }
+
+    /// The load as it is shown now, late.
+    pub(crate) fn shown_load(&mut self) -> LoadReport {
+        self.loads.shown(self.cfg.load_lag)
+    }
+
     /// Notes the load as it is now, with `waiting` steps waiting.
     pub(crate) fn note_load(&mut self, waiting: u32) {
         let report = self.load(waiting);
-        self.loads.add(report, self.cfg.load_lag);
+        let full = self.loads.add(report, self.cfg.load_lag);
+        self.forgotten += u64::from(full);
     }
 
     /// The load as it is now, with `waiting` steps waiting.
@@ -213,9 +228,8 @@
             return tokens as u32;
         }
         let used = self.prefixes.touch(&prefix_hashes(&step.tokens));
-        let gap = self.cfg.event_gap;
-        used.stored.iter().for_each(|hash| self.events.add(*hash, true, gap));
-        used.dropped.iter().for_each(|hash| self.events.add(*hash, false, gap));
+        used.stored.into_iter().for_each(|hash| self.note_event(hash, true));
+        used.dropped.into_iter().for_each(|hash| self.note_event(hash, false));
         // The last token is always run: its output is what the step is for.
         let cached = (used.hits * PREFIX_BLOCK).min(tokens - 1);
         counters.tokens_cached.fetch_add(cached as u64, Ordering::Relaxed);
@@ -224,8 +238,12 @@
 
     fn clear_prefixes(&mut self) {
         let dropped = self.prefixes.clear();
-        let gap = self.cfg.event_gap;
-        dropped.into_iter().for_each(|hash| self.events.add(hash, false, gap));
+        dropped.into_iter().for_each(|hash| self.note_event(hash, false));
+    }
+
+    fn note_event(&mut self, prefix: u64, stored: bool) {
+        let full = self.events.add(prefix, stored, self.cfg.event_gap);
+        self.forgotten += u64::from(full);
     }
 }
 
--- a/crates/fakes/src/process/engine/fake_engine.rs
+++ b/crates/fakes/src/process/engine/fake_engine.rs
@@ -51,8 +51,8 @@
 
     /// Goes on after a freeze, with all that came meanwhile.
     pub fn unfreeze(&self) {
-        self.cx.accelerator.set_frozen(false);
         self.cx.latch.open().into_iter().for_each(|req| self.cx.answer(req));
+        self.cx.accelerator.set_frozen(false);
     }
 
     /// Whether it is frozen.
@@ -75,6 +75,11 @@
         &self.cx.counters
     }
 
+    /// Old load reports, cache events and orders that it forgot, as there were too many.
+    pub fn forgotten(&self) -> u64 {
+        self.cx.state().forgotten
+    }
+
     /// What it ran.
     pub fn record(&self) -> Record {
         self.cx.state().record.clone()
--- a/crates/fakes/src/process/engine/load_log.rs
+++ b/crates/fakes/src/process/engine/load_log.rs
@@ -15,12 +15,15 @@
 }
 
 impl LoadLog {
-    pub(crate) fn add(&mut self, report: LoadReport, lag: Duration) {
+    /// Adds a report; tells whether an old one was forgotten for it.
+    pub(crate) fn add(&mut self, report: LoadReport, lag: Duration) -> bool {
         self.forget(lag);
-        if self.reports.len() == MAX_REPORTS {
+        let full = self.reports.len() == MAX_REPORTS;
+        if full {
             self.reports.pop_front();
         }
         self.reports.push_back((Instant::now(), report));
+        full
     }
 
     /// The load as it was `lag` ago.
--- a/crates/fakes/src/process/latch.rs
+++ b/crates/fakes/src/process/latch.rs
@@ -12,8 +12,6 @@
 #[derive(Debug, Default)]
 pub(crate) struct Latch {
     state: Mutex<LatchState>,
-    /// Requests cut off, as too many were held.
-    pub(crate) cut: AtomicU64,
 }
 
 #[derive(Debug, Default)]
@@ -23,8 +21,8 @@
 }
 
 impl Latch {
-    /// Gives the request back if the latch is open, else holds it.
-    pub(crate) fn pass(&self, req: Request) -> Option<Request> {
+    /// Gives the request back if the latch is open, else holds it, or cuts it off and counts it.
+    pub(crate) fn pass(&self, req: Request, cut: &AtomicU64) -> Option<Request> {
         let mut state = self.lock();
         if !state.shut {
             return Some(req);
@@ -34,7 +32,7 @@
             return None;
         }
         drop(state);
-        count(&self.cut);
+        count(cut);
         req.responder.abort();
         None
     }
--- a/crates/fakes/src/process/platform/calls.rs
+++ b/crates/fakes/src/process/platform/calls.rs
@@ -162,7 +162,7 @@
         let Ok(instances) = serde_json::from_slice::<Vec<Instance>>(&req.body) else {
             return self.malformed(400, "the body is no list of instances");
         };
-        self.data().instances.set(instances);
+        self.show_instances(instances);
         Reply::text(204, "")
     }
 }
--- a/crates/fakes/src/process/platform/fake_platform.rs
+++ b/crates/fakes/src/process/platform/fake_platform.rs
@@ -92,7 +92,7 @@
 
     /// Sets the list of instances, to be shown after the lag.
     pub fn set_instances(&self, instances: Vec<Instance>) {
-        self.state.data().instances.set(instances);
+        self.state.show_instances(instances);
     }
 
     /// Shows changes of the list of instances this much later.
--- a/crates/fakes/src/process/platform/instances.rs
+++ b/crates/fakes/src/process/platform/instances.rs
@@ -15,11 +15,14 @@
 }
 
 impl Instances {
-    pub(crate) fn set(&mut self, instances: Vec<Instance>) {
+    /// Sets the list; tells whether an earlier one was dropped unseen, as too many waited.
+    pub(crate) fn set(&mut self, instances: Vec<Instance>) -> bool {
         self.changes.push_back((Instant::now(), instances));
-        if self.changes.len() > MAX_CHANGES {
+        let full = self.changes.len() > MAX_CHANGES;
+        if full {
             self.changes.pop_front();
         }
+        full
     }
 
     /// The list as it was `lag` ago.
--- a/crates/fakes/src/process/platform/platform_counters.rs
+++ b/crates/fakes/src/process/platform/platform_counters.rs
@@ -28,6 +28,12 @@
     pub answers_lost: AtomicU64,
     /// Reads from the old copy.
     pub stale_reads: AtomicU64,
+    /// Calls cut off, as an outage held too many.
+    pub cut: AtomicU64,
+    /// Watches answered at once, as too many waited.
+    pub watches_full: AtomicU64,
+    /// Lists of instances dropped unseen, as too many waited for their lag.
+    pub lists_dropped: AtomicU64,
     /// Calls that could not be read.
     pub malformed: AtomicU64,
 }
--- a/crates/fakes/src/process/platform/platform_state.rs
+++ b/crates/fakes/src/process/platform/platform_state.rs
@@ -1,12 +1,11 @@
 //! How the stand-in platform answers.
 
 use crate::process::{
-    Instances, Knobs, Outage, PlatformCounters, Scheduler, Store, WATCH_PATH, WatchId, Watches,
-    count,
+    Instances, Knobs, Outage, PlatformCounters, Scheduler, Store, WATCH_PATH, Watches, count,
 };
 use sorrellock_core::id::Revision;
 use sorrellock_http::{Request, Responder};
-use sorrellock_platform::api::Listing;
+use sorrellock_platform::api::{Instance, Listing};
 use sorrellock_platform::client::format::RETRY_AFTER;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Instant;
@@ -20,8 +19,8 @@
 pub(crate) enum Event {
     /// A call whose latency is over.
     Call(Box<Request>),
-    /// A watch whose wait is over.
-    WatchOver(WatchId),
+    /// The wait of a watch may be over.
+    WatchesDue(Instant),
     /// An outage may begin or end.
     OutageEdge,
 }
@@ -68,7 +67,7 @@
     pub(crate) fn on_event(self: &Arc<Self>, event: Event) {
         match event {
             Event::Call(req) => self.answer(*req),
-            Event::WatchOver(id) => self.end_watch(id),
+            Event::WatchesDue(at) => self.end_watches(at),
             Event::OutageEdge => self.on_outage_edge(),
         }
     }
@@ -87,6 +86,13 @@
         }
     }
 
+    /// Sets the list of instances, to be shown after the lag.
+    pub(crate) fn show_instances(&self, instances: Vec<Instance>) {
+        if self.data().instances.set(instances) {
+            count(&self.counters.lists_dropped);
+        }
+    }
+
     /// Writes without a condition, as a test may.
     pub(crate) fn write(&self, key: &str, value: &[u8]) -> Revision {
         let mut data = self.data();
@@ -132,6 +138,7 @@
             return data.held.push(responder);
         }
         drop(data);
+        count(&self.counters.cut);
         responder.abort();
     }
 }
--- a/crates/fakes/src/process/platform/store.rs
+++ b/crates/fakes/src/process/platform/store.rs
@@ -14,6 +14,7 @@
     revision: Revision,
     objects: BTreeMap<String, Stored>,
     tombstones: BTreeMap<String, Revision>,
+    deletions: BTreeMap<Revision, String>,
     compacted: Revision,
 }
 
@@ -61,7 +62,9 @@
     /// Writes without a condition.
     pub(crate) fn write(&mut self, key: &str, value: &[u8]) -> Revision {
         self.revision += 1;
-        self.tombstones.remove(key);
+        if let Some(deleted) = self.tombstones.remove(key) {
+            self.deletions.remove(&deleted);
+        }
         let stored = Stored { version: self.revision, value: value.into() };
         self.objects.insert(key.to_owned(), stored);
         self.revision
@@ -76,6 +79,7 @@
         self.revision += 1;
         self.objects.remove(key);
         self.tombstones.insert(key.to_owned(), self.revision);
+        self.deletions.insert(self.revision, key.to_owned());
         self.forget_oldest();
         Ok(self.revision)
     }
@@ -109,11 +113,10 @@
     }
 
     fn forget_oldest(&mut self) {
-        if self.tombstones.len() <= MAX_TOMBSTONES {
+        if self.deletions.len() <= MAX_TOMBSTONES {
             return;
         }
-        let oldest = self.tombstones.iter().min_by_key(|(_, revision)| **revision);
-        if let Some((key, revision)) = oldest.map(|(key, revision)| (key.clone(), *revision)) {
+        if let Some((revision, key)) = self.deletions.pop_first() {
             self.tombstones.remove(&key);
             self.compacted = revision;
         }
--- a/crates/fakes/src/process/platform/watches.rs
+++ b/crates/fakes/src/process/platform/watches.rs
@@ -5,7 +5,7 @@
 use sorrellock_http::{Request, Responder};
 use sorrellock_platform::api::Listing;
 use sorrellock_platform::client::format::decode;
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -16,8 +16,8 @@
 /// Longest wait of a watch.
 const MAX_WATCH_WAIT: Duration = Duration::from_secs(300);
 
-/// Number of a watch.
-pub(crate) type WatchId = u64;
+/// Names a watch, and tells when its wait is over.
+type WatchId = (Instant, u64);
 
 /// What a watch asks for.
 #[derive(Debug)]
@@ -36,11 +36,30 @@
     }
 }
 
-/// All watches that wait.
+/// One watch that waits.
+#[derive(Debug)]
+struct Watch {
+    query: WatchQuery,
+    responder: Responder,
+}
+
+impl Watch {
+    fn is_ended_by(&self, key: &str, store: &Store) -> bool {
+        key.starts_with(&self.query.prefix) && store.last_change(key) > self.query.after
+    }
+
+    fn answer(self, store: &Store) -> (Responder, Listing) {
+        (self.responder, store.changes(&self.query.prefix, self.query.after))
+    }
+}
+
+/// All watches that wait, the one over first in front.
 #[derive(Debug, Default)]
 pub(crate) struct Watches {
-    next: WatchId,
-    waiting: HashMap<WatchId, (WatchQuery, Responder)>,
+    number: u64,
+    waiting: BTreeMap<WatchId, Watch>,
+    /// When they are next looked at.
+    look: Option<Instant>,
 }
 
 impl Watches {
@@ -48,25 +67,37 @@
         self.waiting.len()
     }
 
-    fn reserve(&mut self) -> WatchId {
-        self.next += 1;
-        self.next
+    fn new_id(&mut self, wait: Duration) -> WatchId {
+        self.number += 1;
+        (Instant::now() + wait, self.number)
     }
 
     /// Takes out those that a change of `key` ends, each with its answer.
     pub(crate) fn woken_by(&mut self, key: &str, store: &Store) -> Vec<(Responder, Listing)> {
-        let changed = |query: &WatchQuery| {
-            key.starts_with(&query.prefix) && store.last_change(key) > query.after
-        };
-        let woken = self.waiting.extract_if(|_, (query, _)| changed(query));
-        woken
-            .map(|(_, (query, responder))| (responder, store.changes(&query.prefix, query.after)))
-            .collect()
+        let woken = self.waiting.extract_if(.., |_, watch| watch.is_ended_by(key, store));
+        woken.map(|(_, watch)| watch.answer(store)).collect()
+    }
+
+    /// Takes out those whose wait is over, each with its answer.
+    fn over(&mut self, store: &Store) -> Vec<(Responder, Listing)> {
+        let now = Instant::now();
+        let over = self.waiting.extract_if(..=(now, u64::MAX), |_, _| true);
+        over.map(|(_, watch)| watch.answer(store)).collect()
     }
 
     /// Takes all out.
     pub(crate) fn take_all(&mut self) -> Vec<Responder> {
-        self.waiting.drain().map(|(_, (_, responder))| responder).collect()
+        std::mem::take(&mut self.waiting).into_values().map(|watch| watch.responder).collect()
+    }
+
+    /// When to look at them next, unless that is planned already.
+    fn plan_look(&mut self) -> Option<Instant> {
+        let (first, _) = *self.waiting.first_key_value()?.0;
+        if self.look.is_some_and(|look| look <= first) {
+            return None;
+        }
+        self.look = Some(first);
+        self.look
     }
 }
 
@@ -78,35 +109,59 @@
             return reply.send(req.responder);
         };
         count(&self.counters.watches);
-        let responder = req.responder;
-        let id = self.data().watches.reserve();
-        self.forget_when_gone(&responder, id);
+        let id = self.data().watches.new_id(query.wait);
+        self.forget_when_gone(&req.responder, id);
+        self.answer_or_wait(id, Watch { query, responder: req.responder });
+    }
+
+    /// Answers the watches whose wait is over.
+    pub(crate) fn end_watches(&self, look: Instant) {
+        let mut data = self.data();
+        // A look that an earlier one replaced must not plan another.
+        if data.watches.look != Some(look) {
+            return;
+        }
+        data.watches.look = None;
+        let inner = &mut *data;
+        let over = inner.watches.over(&inner.store);
+        let look = data.watches.plan_look();
+        drop(data);
+        self.look_at(look);
+        for (responder, listing) in over {
+            send_listing(responder, &listing);
+        }
+    }
+
+    fn answer_or_wait(&self, id: WatchId, watch: Watch) {
         let mut data = self.data();
-        if !data.store.remembers(query.after) {
+        if !data.store.remembers(watch.query.after) {
             drop(data);
             let reply = self.malformed(410, "too many deletions since `after`: list again");
-            return reply.send(responder);
+            return reply.send(watch.responder);
         }
-        let listing = data.store.changes(&query.prefix, query.after);
-        if !listing.objects.is_empty() || data.watches.waiting.len() >= MAX_WATCHES {
+        let listing = data.store.changes(&watch.query.prefix, watch.query.after);
+        let full = data.watches.len() >= MAX_WATCHES;
+        if !listing.objects.is_empty() || full {
             drop(data);
-            return send_listing(responder, &listing);
+            if full {
+                count(&self.counters.watches_full);
+            }
+            return send_listing(watch.responder, &listing);
         }
         // A caller that went away before the watch is in the table would leave it there.
-        if responder.is_gone() {
+        if watch.responder.is_gone() {
             return;
         }
-        self.scheduler.schedule(Instant::now() + query.wait, Event::WatchOver(id));
-        data.watches.waiting.insert(id, (query, responder));
+        data.watches.waiting.insert(id, watch);
+        let look = data.watches.plan_look();
+        drop(data);
+        self.look_at(look);
     }
 
-    /// Answers a watch whose wait is over.
-    pub(crate) fn end_watch(&self, id: WatchId) {
-        let mut data = self.data();
-        let Some((query, responder)) = data.watches.waiting.remove(&id) else { return };
-        let listing = data.store.changes(&query.prefix, query.after);
-        drop(data);
-        send_listing(responder, &listing);
+    fn look_at(&self, look: Option<Instant>) {
+        if let Some(look) = look {
+            self.scheduler.schedule(look, Event::WatchesDue(look));
+        }
     }
 
     fn forget_when_gone(self: &Arc<Self>, responder: &Responder, id: WatchId) {
--- a/crates/fakes/src/process/service/service_counters.rs
+++ b/crates/fakes/src/process/service/service_counters.rs
@@ -9,6 +9,8 @@
     pub arrived: AtomicU64,
     /// Calls that ran.
     pub ran: AtomicU64,
+    /// Calls cut off while it hung, as too many were held.
+    pub cut: AtomicU64,
     /// Calls refused without running.
     pub refused: AtomicU64,
     /// Calls that ran and whose answer was lost.
--- a/crates/fakes/src/process/service/service_state.rs
+++ b/crates/fakes/src/process/service/service_state.rs
@@ -55,7 +55,7 @@
     /// Takes a call in.
     pub(crate) fn arrive(&self, req: Request) {
         count(&self.counters.arrived);
-        let Some(req) = self.latch.pass(req) else { return };
+        let Some(req) = self.latch.pass(req, &self.counters.cut) else { return };
         self.start(req);
     }
 
--- a/crates/http/src/connection/connection.rs
+++ b/crates/http/src/connection/connection.rs
@@ -78,21 +78,23 @@
         builder
     }
 
-    /// Time until the connection is next due to be looked at; nothing if it is too slow.
+    /// Time until the connection is next looked at; nothing if it is too slow. What it does can
+    /// change without a wake-up of its timer, so that it is looked at as often as the shorter
+    /// limit tells, and cut off at twice the limit at the latest.
     fn time_left(&self) -> Option<Duration> {
+        let cfg = &self.cx.cfg;
+        let shorter = cfg.header_timeout.min(cfg.idle_timeout);
         let (doing, elapsed) = self.activity.now();
         let (limit, counter) = match doing {
-            Doing::Head => (self.cx.cfg.header_timeout, &self.cx.counters.header_timeouts),
-            Doing::Idle => (self.cx.cfg.idle_timeout, &self.cx.counters.idle_timeouts),
-            Doing::Request => {
-                return Some(self.cx.cfg.header_timeout.min(self.cx.cfg.idle_timeout));
-            }
+            Doing::Head => (cfg.header_timeout, &self.cx.counters.header_timeouts),
+            Doing::Idle => (cfg.idle_timeout, &self.cx.counters.idle_timeouts),
+            Doing::Request => return Some(shorter),
         };
         if elapsed >= limit {
             count(counter);
             return None;
         }
-        Some((limit - elapsed).min(self.cx.cfg.header_timeout))
+        Some((limit - elapsed).min(shorter))
     }
 
     fn on_closed(&self, res: hyper::Result<()>) {
--- a/crates/http/tests/limits.rs
+++ b/crates/http/tests/limits.rs
@@ -164,33 +164,27 @@
 
 #[test]
 fn full_queue_gives_503_at_once() {
-    let (tx, rx) = unbounded::<()>();
+    let (go_tx, go_rx) = unbounded::<()>();
+    let (taken_tx, taken_rx) = unbounded();
     let server = start_with(config().with_workers(1).with_queue(1), move |req| {
-        let _ = rx.recv_timeout(PATIENCE);
-        echo(req);
+        taken_tx.send(()).expect("the test waits");
+        let _ = go_rx.recv_timeout(PATIENCE);
+        req.responder.send(200, &[], "served");
     });
-    let mut waiting: Vec<TcpStream> = Vec::new();
-    for handed_over in 1..=2 {
-        let mut stream = connect(&server);
-        send(&mut stream, &get("/"));
-        waiting.push(stream);
-        wait_for("it is handed over", || {
-            server.counters().requests.load(Ordering::Relaxed) == handed_over
-        });
-        // The only worker has to take the first one before the queue has room for the second.
-        thread::sleep(Duration::from_millis(50));
-    }
-
-    let mut refused = connect(&server);
-    send(&mut refused, &get("/"));
-    let answer = read_until(&mut refused, "come back later");
-    drop(tx);
+    let mut streams = [0; 3].map(|_| connect(&server));
+    send(&mut streams[0], &get("/"));
+    taken_rx.recv_timeout(PATIENCE).expect("the only worker takes the first");
+    send(&mut streams[1], &get("/"));
+    wait_for("the second waits", || server.counters().requests.load(Ordering::Relaxed) == 2);
+
+    send(&mut streams[2], &get("/"));
+    let answer = read_until(&mut streams[2], "come back later");
+    drop(go_tx);
 
     assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
     assert!(answer.contains("retry-after: 1\r\n"), "{answer}");
-    for stream in &mut waiting {
-        assert!(read_until(stream, "\r\n\r\n").starts_with("HTTP/1.1 200"));
-    }
+    read_until(&mut streams[0], "served");
+    read_until(&mut streams[1], "served");
 }
 
 #[test]
--- a/crates/platform/src/client/format/batch.rs
+++ b/crates/platform/src/client/format/batch.rs
@@ -3,11 +3,12 @@
 use crate::api::{Batch, EngineStep, Sampled, SessionId, StepOutput};
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
-use serde::de::Error;
+use serde::de::{Error, Visitor};
 use serde::{Deserialize, Deserializer, Serialize, Serializer};
 use sorrellock_core::id::{Position, TokenId};
 use sorrellock_core::request::{Activations, LayerRange};
 use std::borrow::Cow;
+use std::fmt;
 
 /// The body of `POST /v1/batch`.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -146,6 +147,20 @@
 }
 
 fn from_base64<'a, 'de, D: Deserializer<'de>>(deserializer: D) -> Result<Cow<'a, [u8]>, D::Error> {
-    let text = <Cow<'de, str>>::deserialize(deserializer)?;
-    STANDARD.decode(text.as_bytes()).map(Cow::Owned).map_err(D::Error::custom)
+    deserializer.deserialize_str(Base64Visitor).map(Cow::Owned)
+}
+
+/// Decodes base64 from the text where it stands, without a copy of it.
+struct Base64Visitor;
+
+impl Visitor<'_> for Base64Visitor {
+    type Value = Vec<u8>;
+
+    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("bytes in base64")
+    }
+
+    fn visit_str<E: Error>(self, text: &str) -> Result<Vec<u8>, E> {
+        STANDARD.decode(text).map_err(E::custom)
+    }
 }
--- a/crates/platform/src/client/http_object_store.rs
+++ b/crates/platform/src/client/http_object_store.rs
@@ -10,6 +10,8 @@
 /// When to come back where the store does not say.
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_secs(1);
 
+const NO_VERSION: &str = "the answer has no version in its ETag";
+
 /// The object API over HTTP.
 #[derive(Clone, Debug)]
 pub struct HttpObjectStore {
@@ -61,12 +63,15 @@
 
     fn listing(&self, path: &str, timeout: Duration) -> Result<Listing, StoreError> {
         let answer = self.read(path, timeout)?;
-        serde_json::from_slice(&answer.body).map_err(|err| self.unreadable("GET", path, &err))
+        serde_json::from_slice(&answer.body).map_err(|err| {
+            let detail = self.detail("GET", path, &err.to_string());
+            StoreError::Invalid { detail }
+        })
     }
 
-    fn unreadable(&self, method: &str, path: &str, what: &dyn std::fmt::Display) -> StoreError {
+    fn detail(&self, method: &str, path: &str, what: &str) -> String {
         let call = Call { method, path, headers: &[], body: None, timeout: Duration::ZERO };
-        StoreError::Invalid { detail: self.agent.detail(&call, &what.to_string()) }
+        self.agent.detail(&call, what)
     }
 }
 
@@ -78,7 +83,8 @@
             return Ok(None);
         }
         let Some(version) = version(&answer) else {
-            return Err(self.unreadable("GET", &path, &"the answer has no version in its ETag"));
+            let detail = self.detail("GET", &path, NO_VERSION);
+            return Err(StoreError::Invalid { detail });
         };
         Ok(Some(Object { key: key.to_owned(), version, value: answer.body }))
     }
@@ -101,10 +107,15 @@
             body: Some(value),
             timeout: self.agent.timeout,
         })?;
-        match version(&answer) {
-            Some(version) if answer.status != 404 => Ok(version),
-            _ => Err(self.unreadable("PUT", &path, &"the answer has no version in its ETag")),
+        if answer.status == 404 {
+            let detail = self.detail("PUT", &path, "status 404");
+            return Err(StoreError::Invalid { detail });
         }
+        // The write took effect all the same.
+        version(&answer).ok_or_else(|| {
+            let detail = self.detail("PUT", &path, NO_VERSION);
+            StoreError::NoAnswer { detail }
+        })
     }
 
     fn delete(&self, key: &str, version: Revision) -> Result<(), StoreError> {
