Pipelines: stateful fuzz of stages, drivers and repair against a lineage oracle

Change: a fleet in one thread (real StageTable, Driver, StallDetector; a network that loses, repeats and reorders; engines that apply whatever they are given) with an oracle at the entry: each emitted token carries the list of layers applied and a hash of its whole lineage, which must be the naive model's for the tokens before it. Kills, restarts, freezes, wakes, drains, one-way closed links, engine calls without an answer, pauses past the expiry of sessions. At the end all requests have ended and nothing is held.

Found by it, and mended: a stage that waits for a KV cache whose owner died waited for ever (now asked three times); a Handover that came twice was imported twice, and the second import's clean-up freed the KV cache in use (now a state of its own); the table's order was not repeatable.

--- a/crates/core/src/request/stage/actions.rs
+++ b/crates/core/src/request/stage/actions.rs
@@ -7,6 +7,9 @@
 };
 use std::time::Instant;
 
+/// A leaving stage is asked for its KV cache this often, each time that the entry misses progress.
+const MAX_HANDOVER_ASKS: u32 = 3;
+
 /// The same attempt was opened again, as the entry misses progress: passes it on, and tells what
 /// it may not have heard.
 pub(super) fn open_again(run: &mut StageRun, now: Instant, out: &mut StageOutput) {
@@ -32,8 +35,12 @@
     }
 }
 
-pub(super) fn ask_handover(run: &StageRun, out: &mut StageOutput) {
+pub(super) fn ask_handover(run: &mut StageRun, out: &mut StageOutput) {
     let Some(leaving) = run.open.handed_by() else { return };
+    run.asked += 1;
+    if run.asked > MAX_HANDOVER_ASKS {
+        return handover_failed(run, "the leaving stage does not answer", out);
+    }
     let message = PipelineMessage::AskHandover {
         request: run.open.request,
         attempt: run.since,
--- a/crates/core/src/request/stage/run.rs
+++ b/crates/core/src/request/stage/run.rs
@@ -26,6 +26,8 @@
     Live,
     /// It waits for the KV cache of the stage whose place it takes.
     AwaitingKv,
+    /// The engine puts that KV cache in place.
+    Importing,
     /// Its KV cache goes to another stage once the engine has nothing of it in hand.
     HandingOver { to: Peer, attempt: Attempt },
     /// Its KV cache went to another stage.
@@ -61,6 +63,8 @@
     /// Whether it is on the engine's waiting list.
     pub(super) queued: bool,
     pub(super) touched: Instant,
+    /// How often the leaving stage was asked for its KV cache.
+    pub(super) asked: u32,
     pub(super) since: Attempt,
     /// A last stage chooses no token below this position: the entry had them before.
     floor: Position,
@@ -78,6 +82,7 @@
             state: if awaits { RunState::AwaitingKv } else { RunState::Live },
             queued: false,
             touched: now,
+            asked: 0,
             since,
             floor: open.have,
             chosen: Vec::new(),
--- a/crates/core/src/request/stage/table.rs
+++ b/crates/core/src/request/stage/table.rs
@@ -11,7 +11,7 @@
     EngineResult, Handover, Hop, KeptBudget, Open, Peer, PipelineMessage, Refusal, RequestKey,
     StageCount, StageOutput, StageProgress, StageTrouble, StageVerdict, Step, Tombstones,
 };
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -23,7 +23,8 @@
 /// All pipeline requests at one engine.
 #[derive(Debug)]
 pub struct StageTable {
-    runs: HashMap<RequestKey, StageRun>,
+    // In order of the key, so that a schedule of the fuzz can be repeated.
+    runs: BTreeMap<RequestKey, StageRun>,
     tombstones: Tombstones,
     budget: Arc<KeptBudget>,
 }
@@ -31,7 +32,7 @@
 impl StageTable {
     /// No requests, with a budget for kept output.
     pub fn new(budget: Arc<KeptBudget>) -> StageTable {
-        StageTable { runs: HashMap::new(), tombstones: Tombstones::default(), budget }
+        StageTable { runs: BTreeMap::new(), tombstones: Tombstones::default(), budget }
     }
 
     /// How many requests are held.
@@ -197,6 +198,7 @@
         }
         match handover {
             Some(handover) if handover.positions > 0 => {
+                run.state = RunState::Importing;
                 out.imports.push((request, run.engine_session.clone(), handover));
             }
             Some(handover) => import_done(run, handover, out),
@@ -213,12 +215,16 @@
         out: &mut StageOutput,
     ) {
         let run = self.runs.get_mut(&request).filter(|run| run.engine_session == session);
-        let Some(run) = run.filter(|run| run.state == RunState::AwaitingKv) else {
-            return out.releases.push(session.to_owned());
-        };
+        let Some(run) = run else { return out.releases.push(session.to_owned()) };
+        if run.state != RunState::Importing {
+            return;
+        }
         match handover {
             Ok(handover) => import_done(run, handover, out),
-            Err(why) => handover_failed(run, &why, out),
+            Err(why) => {
+                run.state = RunState::AwaitingKv;
+                handover_failed(run, &why, out);
+            }
         }
     }
 
@@ -320,9 +326,9 @@
             return out.messages.push(trouble_of(&open, open.stage, trouble, why));
         }
         self.release(open.request, out);
-        let run = StageRun::new(open, self.budget.clone(), now);
+        let mut run = StageRun::new(open, self.budget.clone(), now);
         if run.state == RunState::AwaitingKv {
-            ask_handover(&run, out);
+            ask_handover(&mut run, out);
         }
         pass_on(&run, out);
         self.runs.insert(run.open.request, run);
--- /dev/null
+++ b/crates/core/tests/pipeline/choices.rs
@@ -0,0 +1,24 @@
+//! The random choices of one schedule, drawn from a seed that a failure prints.
+
+use quickcheck::{Arbitrary, Gen};
+
+/// The choices of one schedule.
+pub struct Choices {
+    source: Gen,
+}
+
+impl Choices {
+    pub fn new(seed: u64) -> Choices {
+        Choices { source: Gen::from_size_and_seed(64, seed) }
+    }
+
+    /// A number below `end`.
+    pub fn below(&mut self, end: usize) -> usize {
+        (u64::arbitrary(&mut self.source) % end.max(1) as u64) as usize
+    }
+
+    /// True once in `odds` times.
+    pub fn one_in(&mut self, odds: usize) -> bool {
+        self.below(odds) == 0
+    }
+}
