Leaving in order: entries fail /readyz first, daemons linger to refuse, a whole fleet is replaced under load

Cause: an entry refused new work in the same moment as its /readyz failed, so callers behind a balancer met refusals; and a daemon ended once it was empty, so that a call sent before the entry had heard of the leaving could find a closed link, which for a call that may not be repeated is an unknown outcome. Change: Entry::drain announces (readyz 503, still serving) for ready_grace, then refuses (with Connection: close), then closes idle connections. Beside::drain stays at least linger and refuses as not run meanwhile; both tell some members and a relay of each other place at once.

--- a/crates/core/tests/membership.rs
+++ b/crates/core/tests/membership.rs
@@ -30,11 +30,11 @@
 
 fn live_everywhere(sim: &FleetSim, index: usize) -> bool {
     let incarnation = sim.nodes[index].peer.incarnation;
-    let others = sim.nodes.iter().filter(|node| node.running && !node.paused);
+    let mut others = sim.nodes.iter().filter(|node| node.running && !node.paused);
     let knows = |node: &common::fleet_sim::Node| {
         node.membership.view().live().any(|fact| fact.peer.incarnation == incarnation)
     };
-    others.map(knows).all(|known| known)
+    others.all(knows)
 }
 
 fn live_anywhere(sim: &FleetSim, index: usize) -> bool {
--- a/crates/daemon/src/beside/process/beside.rs
+++ b/crates/daemon/src/beside/process/beside.rs
@@ -33,6 +33,7 @@
     link: Arc<NngLink>,
     counters: Arc<Counters>,
     journal: Arc<Journal>,
+    linger: Duration,
     operators: Option<SocketAddr>,
 }
 
@@ -67,7 +68,8 @@
             read_list(agent, HttpInstanceList::new(platform), false);
         }
         send_metrics(counters.clone(), settings.metrics).wrap_err("start of the metrics")?;
-        let mut beside = Beside { handler, link, counters, journal, operators: None };
+        let mut beside =
+            Beside { handler, link, counters, journal, linger: settings.linger, operators: None };
         if let Some(addr) = settings.operators {
             let state = Arc::new(beside.state());
             let addr =
@@ -108,8 +110,8 @@
         self.handler.leaving.store(true, Ordering::Release);
         self.handler.engines.values().for_each(|engine| engine.leave());
         self.handler.agent.leave();
-        let end = Instant::now() + wait;
-        while self.handler.open_work() > 0 {
+        let (stay, end) = (Instant::now() + self.linger, Instant::now() + wait);
+        while self.handler.open_work() > 0 || Instant::now() < stay {
             if Instant::now() > end {
                 return false;
             }
--- a/crates/daemon/src/beside/process/settings.rs
+++ b/crates/daemon/src/beside/process/settings.rs
@@ -2,6 +2,7 @@
 
 use sorrellock_core::id::{EndpointId, Place, ServiceId};
 use std::net::SocketAddr;
+use std::time::Duration;
 
 /// A plain service's instance that a daemon serves.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -41,6 +42,8 @@
     pub max_calls: usize,
     /// The most calls that wait for one plain service.
     pub call_queue: usize,
+    /// How long a leaving daemon stays at least, to refuse what was sent before all had heard of it.
+    pub linger: Duration,
 }
 
 impl BesideSettings {
@@ -54,6 +57,8 @@
     pub const MAX_CALLS: usize = 16;
     /// Default of `call_queue`.
     pub const CALL_QUEUE: usize = 256;
+    /// Default of `linger`.
+    pub const LINGER: Duration = Duration::from_secs(4);
 
     /// The defaults, without endpoints.
     pub fn new(place: impl Into<Place>, link: SocketAddr) -> BesideSettings {
@@ -70,6 +75,7 @@
             max_sessions: BesideSettings::MAX_SESSIONS,
             max_calls: BesideSettings::MAX_CALLS,
             call_queue: BesideSettings::CALL_QUEUE,
+            linger: BesideSettings::LINGER,
         }
     }
 
@@ -79,6 +85,12 @@
         self
     }
 
+    /// Sets how long a leaving daemon stays at least.
+    pub fn with_linger(mut self, linger: Duration) -> BesideSettings {
+        self.linger = linger;
+        self
+    }
+
     /// Serves an engine.
     pub fn with_engine(mut self, addr: SocketAddr) -> BesideSettings {
         self.engines.push(addr);
--- a/crates/daemon/src/cli/args.rs
+++ b/crates/daemon/src/cli/args.rs
@@ -4,6 +4,7 @@
 use crate::entry::process::EntrySettings;
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 use std::net::SocketAddr;
+use std::time::Duration;
 
 /// The whole command.
 pub fn command() -> Command {
@@ -26,6 +27,7 @@
         .arg(number("max-connections", "The most connections of callers"))
         .arg(number("max-body-bytes", "The largest body taken"))
         .arg(number("workers", "Threads that handle callers' requests"))
+        .arg(number("ready-grace-ms", "How long a leaving entry takes work after /readyz fails"))
 }
 
 fn beside_command() -> Command {
@@ -51,6 +53,10 @@
         .arg(number("max-sessions", "The most requests open at one engine"))
         .arg(number("max-calls", "The most calls that run at one plain service"))
         .arg(number("call-queue", "The most calls that wait for one plain service"))
+        .arg(number(
+            "linger-ms",
+            "How long a leaving daemon stays at least, to refuse what still comes",
+        ))
 }
 
 fn common_args() -> [Arg; 6] {
@@ -100,6 +106,7 @@
     set(&mut settings.max_connections, args, "max-connections");
     set(&mut settings.max_body_bytes, args, "max-body-bytes");
     set(&mut settings.workers, args, "workers");
+    set_ms(&mut settings.ready_grace, args, "ready-grace-ms");
     settings
 }
 
@@ -115,6 +122,7 @@
     set(&mut settings.max_sessions, args, "max-sessions");
     set(&mut settings.max_calls, args, "max-calls");
     set(&mut settings.call_queue, args, "call-queue");
+    set_ms(&mut settings.linger, args, "linger-ms");
     settings
 }
 
@@ -135,3 +143,9 @@
         *field = *value;
     }
 }
+
+fn set_ms(field: &mut Duration, args: &ArgMatches, name: &str) {
+    if let Some(value) = args.get_one::<usize>(name) {
+        *field = Duration::from_millis(*value as u64);
+    }
+}
--- a/crates/daemon/src/entry/process/api.rs
+++ b/crates/daemon/src/entry/process/api.rs
@@ -55,7 +55,7 @@
     }
 
     fn ready(&self, responder: Responder) {
-        if self.in_progress.is_draining() {
+        if self.in_progress.is_leaving() {
             return responder.send(503, &[], "leaving\n");
         }
         if !self.config.is_loaded() {
--- a/crates/daemon/src/entry/process/entry.rs
+++ b/crates/daemon/src/entry/process/entry.rs
@@ -29,6 +29,7 @@
     state: Arc<EntryState>,
     server: Server,
     operators: Option<SocketAddr>,
+    ready_grace: Duration,
 }
 
 impl Entry {
@@ -89,7 +90,7 @@
             settings.place,
             server.addr()
         );
-        Ok(Entry { state, server, operators })
+        Ok(Entry { state, server, operators, ready_grace: settings.ready_grace })
     }
 
     /// This process among its peers.
@@ -117,10 +118,13 @@
         self.state.clone()
     }
 
-    /// Takes no new work, and returns when what runs has ended, or false after `wait`.
+    /// Leaves: first it is no longer ready, so that the balancer sends elsewhere; then it refuses
+    /// new work; when what runs has ended, it closes idle connections. False after `wait`.
     pub fn drain(&self, wait: Duration) -> bool {
-        self.state.in_progress.drain();
+        self.state.in_progress.announce();
         self.state.agent.leave();
+        thread::sleep(self.ready_grace);
+        self.state.in_progress.drain();
         let end = Instant::now() + wait;
         while self.state.in_progress.count() > 0 {
             if Instant::now() > end {
--- a/crates/daemon/src/entry/process/fleet_watch.rs
+++ b/crates/daemon/src/entry/process/fleet_watch.rs
@@ -42,14 +42,16 @@
         self.renew(&writer);
     }
 
-    /// A link closed: gives its daemon no work until it is heard of. Tells whether it had any.
+    /// A link closed: gives its daemon no work until it is heard of. Tells whether that is new.
     pub fn avoid(&self, addr: SocketAddr) -> bool {
         let known = self.view().serves(addr);
         let mut writer = self.writer.lock().unwrap();
         if !known || writer.avoided.len() >= MAX_AVOIDED {
             return false;
         }
-        writer.avoided.insert(addr, Instant::now());
+        if writer.avoided.insert(addr, Instant::now()).is_some() {
+            return false;
+        }
         self.renew(&writer);
         true
     }
--- a/crates/daemon/src/entry/process/in_progress.rs
+++ b/crates/daemon/src/entry/process/in_progress.rs
@@ -25,6 +25,7 @@
     sequence: AtomicU64,
     count: AtomicUsize,
     most: usize,
+    leaving: AtomicBool,
     draining: AtomicBool,
     finished: Sender<Finished>,
 }
@@ -39,6 +40,7 @@
             sequence: AtomicU64::new(0),
             count: AtomicUsize::new(0),
             most,
+            leaving: AtomicBool::new(false),
             draining: AtomicBool::new(false),
             finished: tx,
         };
@@ -78,6 +80,16 @@
         self.count.load(Ordering::Acquire)
     }
 
+    /// Is no longer ready, so that the balancer sends no more; still takes what comes.
+    pub fn announce(&self) {
+        self.leaving.store(true, Ordering::Release);
+    }
+
+    /// Whether this entry is on its way out.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::Acquire)
+    }
+
     /// Takes no more.
     pub fn drain(&self) {
         self.draining.store(true, Ordering::Release);
--- a/crates/daemon/src/entry/process/settings.rs
+++ b/crates/daemon/src/entry/process/settings.rs
@@ -2,6 +2,7 @@
 
 use sorrellock_core::id::Place;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 /// Settings of an entry.
 #[derive(Clone, Debug)]
@@ -28,6 +29,8 @@
     pub workers: usize,
     /// The most attempts of one request.
     pub max_attempts: u32,
+    /// How long a leaving entry still takes work after `/readyz` fails, until the balancer has seen it.
+    pub ready_grace: Duration,
 }
 
 impl EntrySettings {
@@ -41,6 +44,8 @@
     pub const WORKERS: usize = 4;
     /// Default of `max_attempts`.
     pub const MAX_ATTEMPTS: u32 = 8;
+    /// Default of `ready_grace`.
+    pub const READY_GRACE: Duration = Duration::from_secs(2);
 
     /// The defaults.
     pub fn new(
@@ -61,9 +66,16 @@
             max_body_bytes: EntrySettings::MAX_BODY_BYTES,
             workers: EntrySettings::WORKERS,
             max_attempts: EntrySettings::MAX_ATTEMPTS,
+            ready_grace: EntrySettings::READY_GRACE,
         }
     }
 
+    /// Sets how long a leaving entry still takes work after `/readyz` fails.
+    pub fn with_ready_grace(mut self, ready_grace: Duration) -> EntrySettings {
+        self.ready_grace = ready_grace;
+        self
+    }
+
     /// Listens for operators.
     pub fn with_operators(mut self, addr: SocketAddr) -> EntrySettings {
         self.operators = Some(addr);
--- a/crates/daemon/src/entry/request/problem.rs
+++ b/crates/daemon/src/entry/request/problem.rs
@@ -21,6 +21,8 @@
     pub detail: String,
     /// When to come back, if that may help.
     pub retry_after: Option<Duration>,
+    /// Whether to close the connection, as the process behind it is leaving.
+    pub closes: bool,
 }
 
 impl Problem {
@@ -32,6 +34,7 @@
             title: title.into(),
             detail: detail.into(),
             retry_after: None,
+            closes: false,
         }
     }
 
@@ -44,6 +47,9 @@
         if let Some(wait) = &retry_after {
             headers.push(("retry-after", wait));
         }
+        if self.closes {
+            headers.push(("connection", "close"));
+        }
         responder.send(self.status, &headers, self.json().to_string());
     }
 
@@ -79,6 +85,7 @@
             title: not_run.refusal.name().into(),
             detail: not_run.detail,
             retry_after: may_come_back.then_some(not_run.retry_after),
+            closes: not_run.refusal == Refusal::Leaving,
         }
     }
 }
@@ -91,6 +98,7 @@
             title: "unknown".into(),
             detail: unknown.detail,
             retry_after: None,
+            closes: false,
         }
     }
 }
--- a/crates/local/src/lib.rs
+++ b/crates/local/src/lib.rs
@@ -6,6 +6,7 @@
 mod config_writer;
 mod local_config;
 mod local_fleet;
+mod replace;
 
 pub use addrs::*;
 pub use caller::*;
--- a/crates/local/src/local_fleet.rs
+++ b/crates/local/src/local_fleet.rs
@@ -30,6 +30,10 @@
 
 /// How long a start may take.
 const START: Duration = Duration::from_secs(20);
+/// How long a leaving daemon stays at least: one place, whose members hear of it at once.
+const LINGER: Duration = Duration::from_millis(500);
+/// How long a leaving entry still takes work.
+const READY_GRACE: Duration = Duration::from_millis(200);
 /// How often a wait looks again.
 const POLL: Duration = Duration::from_millis(5);
 
@@ -63,6 +67,8 @@
     pub services: Vec<LocalService>,
     /// Entries.
     pub entries: Vec<Entry>,
+    /// Instances replaced so far.
+    pub(crate) replaced: usize,
 }
 
 impl LocalFleet {
@@ -74,7 +80,7 @@
         let engines = start_engines(&cfg, &platform)?;
         let services = start_services(&cfg, &platform)?;
         let entries = start_entries(&cfg, &platform)?;
-        let fleet = LocalFleet { cfg, platform, engines, services, entries };
+        let fleet = LocalFleet { cfg, platform, engines, services, entries, replaced: 0 };
         fleet.publish_instances();
         fleet.wait_until_known()?;
         Ok(fleet)
@@ -111,7 +117,14 @@
     /// Shuts all daemons down gracefully; false if it took longer than `wait`.
     pub fn drain(&self, wait: Duration) -> bool {
         let entries = self.entries.iter().all(|entry| entry.drain(wait));
-        entries && self.engines.iter().all(|engine| engine.beside.drain(wait))
+        let engines = self.engines.iter().map(|engine| &engine.beside);
+        let besides = engines.chain(self.services.iter().map(|service| &service.beside));
+        thread::scope(|scope| {
+            let drains: Vec<_> =
+                besides.map(|beside| scope.spawn(move || beside.drain(wait))).collect();
+            let all = drains.into_iter().map(|drain| drain.join().unwrap_or(false));
+            all.fold(entries, |all, one| all && one)
+        })
     }
 
     /// Puts all daemons on the platform's list of instances.
@@ -129,7 +142,7 @@
         self.platform.set_instances(all.map(instance).collect());
     }
 
-    fn wait_until_known(&self) -> Result<()> {
+    pub(crate) fn wait_until_known(&self) -> Result<()> {
         let end = Instant::now() + START;
         let daemons = self.engines.len() + self.services.len();
         let ready = |entry: &Entry| {
@@ -167,17 +180,17 @@
     let mut engines = Vec::new();
     for stage in 0..cfg.stages {
         for replica in 0..cfg.replicas {
-            engines.push(start_engine(cfg, platform, stage, replica)?);
+            engines.push(start_engine(cfg, platform, stage, &replica.to_string())?);
         }
     }
     Ok(engines)
 }
 
-fn start_engine(
+pub(crate) fn start_engine(
     cfg: &LocalConfig,
     platform: &FakePlatform,
     stage: usize,
-    replica: usize,
+    replica: &str,
 ) -> Result<LocalEngine> {
     let engine = EngineConfig::new(next_addr(), MODEL, stage_layers(cfg, stage))
         .with_endpoint(format!("{MODEL}-{stage}-{replica}"))
@@ -187,6 +200,7 @@
     let engine = FakeEngine::start(engine).wrap_err("start of an engine")?;
     let settings = BesideSettings::new(PLACE, next_addr())
         .with_platform(platform.addr())
+        .with_linger(LINGER)
         .with_engine(engine.addr());
     let beside = Beside::start(settings)?;
     Ok(LocalEngine { stage: stage as StageIndex, engine, beside })
@@ -199,22 +213,28 @@
 }
 
 fn start_services(cfg: &LocalConfig, platform: &FakePlatform) -> Result<Vec<LocalService>> {
-    let start = |number: usize| {
-        let service =
-            FakeService::start(ServiceConfig::new(next_addr())).wrap_err("start of a service")?;
-        let id = format!("{SERVICE}-{number}");
-        let endpoint = ServiceEndpoint { id, service: SERVICE.into(), addr: service.addr() };
-        let settings = BesideSettings::new(PLACE, next_addr())
-            .with_platform(platform.addr())
-            .with_service(endpoint);
-        Ok(LocalService { service, beside: Beside::start(settings)? })
-    };
-    (0..cfg.services).map(start).collect()
+    (0..cfg.services).map(|number| start_service(platform, &number.to_string())).collect()
+}
+
+pub(crate) fn start_service(platform: &FakePlatform, name: &str) -> Result<LocalService> {
+    let service =
+        FakeService::start(ServiceConfig::new(next_addr())).wrap_err("start of a service")?;
+    let id = format!("{SERVICE}-{name}");
+    let endpoint = ServiceEndpoint { id, service: SERVICE.into(), addr: service.addr() };
+    let settings = BesideSettings::new(PLACE, next_addr())
+        .with_platform(platform.addr())
+        .with_linger(LINGER)
+        .with_service(endpoint);
+    Ok(LocalService { service, beside: Beside::start(settings)? })
 }
 
 fn start_entries(cfg: &LocalConfig, platform: &FakePlatform) -> Result<Vec<Entry>> {
-    let settings = || EntrySettings::new(PLACE, next_addr(), next_addr(), platform.addr());
-    (0..cfg.entries).map(|_| Entry::start(settings())).collect()
+    (0..cfg.entries).map(|_| start_entry(platform)).collect()
+}
+
+pub(crate) fn start_entry(platform: &FakePlatform) -> Result<Entry> {
+    let settings = EntrySettings::new(PLACE, next_addr(), next_addr(), platform.addr());
+    Entry::start(settings.with_ready_grace(READY_GRACE))
 }
 
 fn open_work(beside: &Beside) -> u64 {
