The run-once ledger, pure: holders, claims, the table of starts, and a fuzz of all of them

Ruled out: leases and fencing numbers (a paused holder wakes), numbered objects (a writer that slept can make a deleted one again), the version of the head read back as the stamp (a holder that settles a lost answer late would stamp above a fence). Change: one head object a shard with a conditional put; each batch carries the version that its put was conditional on, which is known before the put and is the stamp that daemons judge by.

--- a/crates/core/src/process/mod.rs
+++ b/crates/core/src/process/mod.rs
@@ -3,6 +3,7 @@
 pub mod admission;
 mod endpoint;
 mod fair_queue;
+pub mod ledger;
 pub mod membership;
 
 pub use endpoint::*;
--- /dev/null
+++ b/crates/core/tests/ledger/entries.rs
@@ -0,0 +1,146 @@
+//! The model's entries, and their callers.
+
+use crate::net::{BESIDE, ENTRY, Envelope, HOLDER, Msg, addr, peer};
+use crate::oracle::{Final, Oracle};
+use sorrellock_core::id::{Incarnation, Sequence};
+use sorrellock_core::process::ledger::{
+    Claim, Fingerprint, KeyedRun, KeyedStep, RecordKey, Stamp, Told, shard_of,
+};
+use sorrellock_core::request::{Peer, Refusal, RequestKey};
+use std::collections::BTreeMap;
+
+/// Attempts at one key before a request gives up.
+const MAX_ATTEMPTS: u32 = 6;
+
+pub struct Entry {
+    pub number: usize,
+    pub incarnation: Incarnation,
+    next: Sequence,
+    pub runs: BTreeMap<RequestKey, KeyedRun>,
+    next_message: u64,
+}
+
+/// What an entry of the model sees of the rest.
+pub struct Around<'a> {
+    pub oracle: &'a mut Oracle,
+    pub out: &'a mut Vec<Envelope>,
+    /// The daemon that a route choice would take.
+    pub chosen: Peer,
+    /// The holder that this entry believes in.
+    pub holder: usize,
+    pub shards: u16,
+}
+
+impl Entry {
+    pub fn new(number: usize, incarnation: Incarnation) -> Entry {
+        Entry { number, incarnation, next: 0, runs: BTreeMap::new(), next_message: 0 }
+    }
+
+    pub fn peer(&self) -> Peer {
+        peer(ENTRY, self.number, self.incarnation)
+    }
+
+    /// Dies and starts anew; its callers see their connections cut.
+    pub fn restart(&mut self, incarnation: Incarnation) {
+        *self = Entry::new(self.number, incarnation);
+    }
+
+    pub fn submit(&mut self, key: RecordKey, body: Fingerprint, cx: &mut Around) -> RequestKey {
+        self.next += 1;
+        let owner = RequestKey { entry: self.incarnation, sequence: self.next };
+        cx.oracle.submitted(key, body);
+        self.runs.insert(owner, KeyedRun::new(owner, key, body));
+        self.act(owner, KeyedStep::Choose, 0, cx);
+        owner
+    }
+
+    pub fn deliver(&mut self, msg: Msg, cx: &mut Around) {
+        let (owner, step, run) = match msg {
+            Msg::Answer { owner, after, answer } => {
+                (owner, self.with(owner, |run| run.on_claim_answer(after, answer)), 0)
+            }
+            Msg::Refused { owner, stamp } => {
+                (owner, self.with(owner, |run| run.on_refused(&stamp)), 0)
+            }
+            Msg::End { owner, stamp, run: number } => {
+                (owner, self.with(owner, |run| run.on_end(&stamp)), number)
+            }
+            Msg::Told { owner, stamp, told } => {
+                let number = if let Told::Ended(number) = told { number } else { 0 };
+                (owner, self.with(owner, |run| run.on_told(&stamp, &told)), number)
+            }
+            Msg::Gone { owner, stamp } => (owner, self.with(owner, |run| run.on_gone(&stamp)), 0),
+            Msg::Claim { .. } | Msg::Run { .. } | Msg::Ask { .. } => return,
+        };
+        self.act(owner, step, run, cx);
+    }
+
+    pub fn wait_over(&mut self, owner: RequestKey, cx: &mut Around) {
+        let step = self.with(owner, KeyedRun::on_wait_over);
+        self.act(owner, step, 0, cx);
+    }
+
+    pub fn link_lost(&mut self, owner: RequestKey, cx: &mut Around) {
+        let step = self.with(owner, KeyedRun::on_lost);
+        self.act(owner, step, 0, cx);
+    }
+
+    pub fn not_sent(&mut self, owner: RequestKey, cx: &mut Around) {
+        let step = self.with(owner, KeyedRun::on_not_sent);
+        self.act(owner, step, 0, cx);
+    }
+
+    pub fn give_up(&mut self, owner: RequestKey, cx: &mut Around) {
+        let step = self.with(owner, |run| run.give_up(Refusal::Deadline, "the deadline passed"));
+        self.act(owner, step, 0, cx);
+    }
+
+    fn with(&mut self, owner: RequestKey, f: impl FnOnce(&mut KeyedRun) -> KeyedStep) -> KeyedStep {
+        self.runs.get_mut(&owner).map_or(KeyedStep::Drop, f)
+    }
+
+    fn act(&mut self, owner: RequestKey, step: KeyedStep, number: u64, cx: &mut Around) {
+        match step {
+            KeyedStep::Choose => self.choose(owner, cx),
+            KeyedStep::Claim(claim) => self.send_claim(claim, cx),
+            KeyedStep::Send(stamp) => self.send_run(owner, stamp, cx),
+            KeyedStep::Ask { stamp, target, fence } => {
+                cx.out.push(Envelope { to: target, msg: Msg::Ask { owner, stamp, fence } });
+            }
+            KeyedStep::Wait | KeyedStep::Drop => {}
+            KeyedStep::Finish => self.finish(owner, Final::Done, number, cx),
+            KeyedStep::Mismatch => self.finish(owner, Final::Mismatch, 0, cx),
+            KeyedStep::NotRun(_) => self.finish(owner, Final::NotRun, 0, cx),
+            KeyedStep::Unknown(_) => self.finish(owner, Final::Unknown, 0, cx),
+        }
+    }
+
+    fn choose(&mut self, owner: RequestKey, cx: &mut Around) {
+        let Some(run) = self.runs.get_mut(&owner) else { return };
+        if run.attempts_refused() >= MAX_ATTEMPTS {
+            let step = run.give_up(Refusal::Capacity, "no daemon takes it");
+            return self.act(owner, step, 0, cx);
+        }
+        let claim = run.claim(cx.chosen);
+        self.send_claim(claim, cx);
+    }
+
+    fn send_claim(&mut self, claim: Claim, cx: &mut Around) {
+        let _ = shard_of(&claim.key, cx.shards);
+        let to = Peer { addr: addr(HOLDER, cx.holder), incarnation: 0 };
+        cx.out.push(Envelope { to, msg: Msg::Claim { from: self.peer(), claim } });
+    }
+
+    fn send_run(&mut self, owner: RequestKey, stamp: Stamp, cx: &mut Around) {
+        self.next_message += 1;
+        let id = self.incarnation << 32 | self.next_message;
+        let Some(target) = self.runs[&owner].target() else { return };
+        assert_eq!(crate::net::role(target.addr), BESIDE);
+        cx.out.push(Envelope { to: target, msg: Msg::Run { id, stamp, owner } });
+    }
+
+    fn finish(&mut self, owner: RequestKey, end: Final, number: u64, cx: &mut Around) {
+        let Some(run) = self.runs.remove(&owner) else { return };
+        cx.oracle.finished(owner, *run.key(), end, number);
+    }
+}
--- /dev/null
+++ b/crates/core/tests/ledger/holders.rs
@@ -0,0 +1,125 @@
+//! The model's holders, with the calls that they have under way at the store.
+
+use crate::dice::Dice;
+use crate::net::{Envelope, Msg};
+use crate::store::Store;
+use sorrellock_core::clock::ManualClock;
+use sorrellock_core::id::Incarnation;
+use sorrellock_core::process::ledger::{
+    Claim, Holder, HolderConfig, HolderCounts, Next, StoreCall, StoreReply, shard_of,
+};
+use sorrellock_core::request::Peer;
+
+/// A call under way: it takes effect, then its answer arrives, each at some later step.
+#[derive(Clone)]
+struct Under {
+    call: StoreCall,
+    reply: Option<StoreReply>,
+}
+
+pub struct HolderProcess {
+    pub number: usize,
+    pub incarnation: Incarnation,
+    pub holders: Vec<Holder<ManualClock>>,
+    under: Vec<Option<Under>>,
+    /// Calls whose answer was given up, and that may take effect yet.
+    late: Vec<StoreCall>,
+    cfg: HolderConfig,
+    clock: ManualClock,
+    pub counts: Vec<HolderCounts>,
+}
+
+impl HolderProcess {
+    pub fn new(
+        number: usize,
+        incarnation: Incarnation,
+        shards: u16,
+        cfg: HolderConfig,
+        clock: &ManualClock,
+    ) -> HolderProcess {
+        let holder = |shard| Holder::new(shard, incarnation, cfg, clock.clone());
+        HolderProcess {
+            number,
+            incarnation,
+            holders: (0..shards).map(holder).collect(),
+            under: vec![None; usize::from(shards)],
+            late: Vec::new(),
+            cfg,
+            clock: clock.clone(),
+            counts: Vec::new(),
+        }
+    }
+
+    /// Dies and starts anew. What it had under way at the store may take effect yet.
+    pub fn restart(&mut self, incarnation: Incarnation) {
+        self.counts.extend(self.holders.iter().map(Holder::counts));
+        let calls = self.under.iter().flatten().filter(|under| under.reply.is_none());
+        self.late.extend(calls.map(|under| under.call.clone()));
+        let shards = self.holders.len() as u16;
+        let fresh = HolderProcess::new(self.number, incarnation, shards, self.cfg, &self.clock);
+        self.incarnation = incarnation;
+        self.holders = fresh.holders;
+        self.under = fresh.under;
+    }
+
+    pub fn claim(&mut self, from: Peer, claim: Claim) {
+        let shard = shard_of(&claim.key, self.holders.len() as u16);
+        self.holders[usize::from(shard)].claim(from, claim);
+    }
+
+    /// Lets a shard go one step on: a call begins, takes effect, or is answered.
+    pub fn step(
+        &mut self,
+        shard: usize,
+        store: &mut Store,
+        dice: &mut Dice,
+        faults: bool,
+        now_ms: u64,
+    ) {
+        match self.under[shard].take() {
+            None => {
+                if let Next::Call(call) = self.holders[shard].next(now_ms) {
+                    self.under[shard] = Some(Under { call, reply: None });
+                }
+            }
+            Some(Under { call, reply: None }) if faults && dice.percent(6) => {
+                self.late.push(call);
+                self.lose_answer(shard);
+            }
+            Some(Under { call, reply: None }) => {
+                let reply = Some(store.apply(&call, dice, faults));
+                self.under[shard] = Some(Under { call, reply });
+            }
+            Some(Under { reply: Some(_), .. }) if faults && dice.percent(6) => {
+                self.lose_answer(shard);
+            }
+            Some(Under { reply: Some(reply), .. }) => self.holders[shard].replied(reply),
+        }
+    }
+
+    /// Makes a call that was given up take effect after all.
+    pub fn late_effect(&mut self, store: &mut Store, dice: &mut Dice) {
+        if !self.late.is_empty() {
+            let call = self.late.swap_remove(dice.below(self.late.len()));
+            store.apply(&call, dice, false);
+        }
+    }
+
+    pub fn take_answers(&mut self, out: &mut Vec<Envelope>) {
+        for holder in &mut self.holders {
+            out.extend(holder.take_answers().into_iter().map(|answered| Envelope {
+                to: answered.to,
+                msg: Msg::Answer {
+                    owner: answered.owner,
+                    after: answered.after,
+                    answer: answered.answer,
+                },
+            }));
+        }
+    }
+
+    fn lose_answer(&mut self, shard: usize) {
+        let detail = "the model lost the answer".to_owned();
+        self.holders[shard].replied(StoreReply::NoAnswer { detail });
+    }
+}
--- /dev/null
+++ b/crates/core/tests/ledger/main.rs
@@ -0,0 +1,13 @@
+//! The run-once ledger against oracles: a naive one, and a count of runs under faults.
+
+mod besides;
+mod dice;
+mod differential;
+mod entries;
+mod fuzz;
+mod holders;
+mod net;
+mod oracle;
+mod store;
+mod tables;
+mod world;
--- /dev/null
+++ b/crates/core/tests/ledger/oracle.rs
@@ -0,0 +1,64 @@
+//! What must hold, counted from outside.
+
+use crate::net::RunNumber;
+use sorrellock_core::process::ledger::{Fingerprint, RecordKey};
+use sorrellock_core::request::RequestKey;
+use std::collections::{HashMap, HashSet};
+
+/// A final outcome, as its caller saw it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum Final {
+    Done,
+    NotRun,
+    Unknown,
+    Mismatch,
+}
+
+#[derive(Default)]
+pub struct Oracle {
+    runs: HashMap<RecordKey, RunNumber>,
+    ran_for: HashSet<RequestKey>,
+    not_run: HashSet<RequestKey>,
+    finals: HashMap<RequestKey, Final>,
+    bodies: HashMap<RecordKey, HashSet<Fingerprint>>,
+    next_run: RunNumber,
+    pub counts: HashMap<Final, u64>,
+}
+
+impl Oracle {
+    /// A caller sent a request.
+    pub fn submitted(&mut self, key: RecordKey, body: Fingerprint) {
+        self.bodies.entry(key).or_default().insert(body);
+    }
+
+    /// A service runs a key for a request.
+    pub fn run(&mut self, key: RecordKey, owner: RequestKey) -> RunNumber {
+        self.next_run += 1;
+        let before = self.runs.insert(key, self.next_run);
+        assert_eq!(before, None, "key {key:x?} ran twice, the second time for {owner}");
+        assert!(!self.not_run.contains(&owner), "{owner} ran after it was answered as not run");
+        self.ran_for.insert(owner);
+        self.next_run
+    }
+
+    /// A caller got its final outcome.
+    pub fn finished(&mut self, owner: RequestKey, key: RecordKey, end: Final, run: RunNumber) {
+        let before = self.finals.insert(owner, end);
+        assert_eq!(before, None, "{owner} was answered twice, the second time {end:?}");
+        *self.counts.entry(end).or_default() += 1;
+        match end {
+            Final::Done => {
+                assert_eq!(self.runs.get(&key), Some(&run), "{owner} got another key's answer");
+            }
+            Final::NotRun => {
+                assert!(!self.ran_for.contains(&owner), "{owner} ran, and was answered as not run");
+                self.not_run.insert(owner);
+            }
+            Final::Mismatch => {
+                let bodies = self.bodies.get(&key).map_or(0, HashSet::len);
+                assert!(bodies > 1, "{owner} was refused for another body that nobody sent");
+            }
+            Final::Unknown => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/tests/ledger/store.rs
@@ -0,0 +1,89 @@
+//! The model's store: versions, conditions, history for stale reads.
+
+use crate::dice::Dice;
+use sorrellock_core::id::Revision;
+use sorrellock_core::process::ledger::{PutWhen, ReadObject, StoreCall, StoreReply};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// Versions of one object, oldest first; `None` is a deletion.
+type History = Vec<(Revision, Option<Vec<u8>>)>;
+
+#[derive(Default)]
+pub struct Store {
+    objects: BTreeMap<String, History>,
+    revision: Revision,
+    pub writes: u64,
+    pub down: bool,
+}
+
+impl Store {
+    /// Makes a call take effect. `faults`: it may be refused, or show an older state.
+    pub fn apply(&mut self, call: &StoreCall, dice: &mut Dice, faults: bool) -> StoreReply {
+        if self.down {
+            return StoreReply::Down { detail: "the model's store is down".into() };
+        }
+        if faults && dice.percent(3) {
+            return StoreReply::RateLimited { retry_after: Duration::from_millis(50) };
+        }
+        let stale = faults && dice.percent(10);
+        match call {
+            StoreCall::Read { keys } => {
+                StoreReply::Objects(keys.iter().map(|key| self.read(key, stale, dice)).collect())
+            }
+            StoreCall::Put { key, value, when } => self.put(key, value, *when),
+            StoreCall::Delete { key, version } => self.delete(key, *version),
+            StoreCall::List { prefix } => StoreReply::Listed(self.list(prefix)),
+        }
+    }
+
+    pub fn read(&self, key: &str, stale: bool, dice: &mut Dice) -> ReadObject {
+        let history = self.objects.get(key)?;
+        let back = if stale { dice.below(3) } else { 0 };
+        let at = history.len().checked_sub(1 + back)?;
+        let (version, value) = &history[at];
+        value.clone().map(|value| (*version, value))
+    }
+
+    pub fn list(&self, prefix: &str) -> Vec<(String, Revision)> {
+        let under = self.objects.iter().filter(|(key, _)| key.starts_with(prefix));
+        let live = under.filter_map(|(key, history)| {
+            let (version, value) = history.last()?;
+            value.is_some().then(|| (key.clone(), *version))
+        });
+        live.collect()
+    }
+
+    fn version(&self, key: &str) -> Revision {
+        let last = self.objects.get(key).and_then(|history| history.last());
+        last.filter(|(_, value)| value.is_some()).map_or(0, |(version, _)| *version)
+    }
+
+    fn put(&mut self, key: &str, value: &[u8], when: PutWhen) -> StoreReply {
+        let found = self.version(key);
+        let holds = match when {
+            PutWhen::Absent => found == 0,
+            PutWhen::Version(version) => found == version,
+        };
+        if !holds {
+            return StoreReply::Conflict { found };
+        }
+        StoreReply::Written(self.write(key, Some(value.to_vec())))
+    }
+
+    fn delete(&mut self, key: &str, version: Revision) -> StoreReply {
+        let found = self.version(key);
+        if found == 0 || found != version {
+            return StoreReply::Conflict { found };
+        }
+        self.write(key, None);
+        StoreReply::Deleted
+    }
+
+    fn write(&mut self, key: &str, value: Option<Vec<u8>>) -> Revision {
+        self.revision += 1;
+        self.writes += 1;
+        self.objects.entry(key.to_owned()).or_default().push((self.revision, value));
+        self.revision
+    }
+}
--- /dev/null
+++ b/crates/core/tests/ledger/world.rs
@@ -0,0 +1,304 @@
+//! The whole model: several holders, entries and daemons on one store, under a seeded schedule.
+
+use crate::besides::Beside;
+use crate::dice::Dice;
+use crate::entries::{Around, Entry};
+use crate::holders::HolderProcess;
+use crate::net::{BESIDE, ENTRY, Envelope, HOLDER, Msg, number, role};
+use crate::oracle::Oracle;
+use crate::store::Store;
+use sorrellock_core::clock::ManualClock;
+use sorrellock_core::id::Incarnation;
+use sorrellock_core::process::ledger::{HolderConfig, HolderCounts, fingerprint, record_key};
+use sorrellock_core::request::{Peer, RequestKey};
+use std::time::Duration;
+
+const HOLDERS: usize = 3;
+const ENTRIES: usize = 3;
+const BESIDES: usize = 3;
+const SHARDS: u16 = 2;
+/// Keys that callers use at a time; the window moves on.
+const WINDOW: usize = 10;
+/// Messages under way past which no requests are added.
+const MAX_MESSAGES: usize = 60;
+
+pub struct World {
+    pub dice: Dice,
+    clock: ManualClock,
+    now_ms: u64,
+    store: Store,
+    pub holders: Vec<HolderProcess>,
+    entries: Vec<Entry>,
+    pub besides: Vec<Beside>,
+    net: Vec<Envelope>,
+    pub oracle: Oracle,
+    faults: bool,
+    next_incarnation: Incarnation,
+    submitted: usize,
+    paused: [Vec<bool>; 3],
+}
+
+impl World {
+    pub fn new(seed: u64) -> World {
+        let clock = ManualClock::new();
+        let cfg = HolderConfig::new().with_sizes(4, 14, 1_000).with_writes_per_s(50.0);
+        let mut next = 0;
+        let mut incarnation = || {
+            next += 1;
+            next
+        };
+        let holders = (0..HOLDERS)
+            .map(|n| HolderProcess::new(n, incarnation(), SHARDS, cfg, &clock))
+            .collect();
+        let entries = (0..ENTRIES).map(|n| Entry::new(n, incarnation())).collect();
+        let besides = (0..BESIDES).map(|n| Beside::new(n, incarnation())).collect();
+        World {
+            dice: Dice::new(seed),
+            clock,
+            now_ms: 1_000_000,
+            store: Store::default(),
+            holders,
+            entries,
+            besides,
+            net: Vec::new(),
+            oracle: Oracle::default(),
+            faults: true,
+            next_incarnation: next,
+            submitted: 0,
+            paused: [vec![false; HOLDERS], vec![false; ENTRIES], vec![false; BESIDES]],
+        }
+    }
+
+    /// One random step.
+    pub fn step(&mut self) {
+        self.advance(8);
+        match self.dice.below(100) {
+            0..8 => self.submit(),
+            8..40 => self.step_holder(),
+            40..72 => self.deliver(),
+            72..82 => self.step_beside(),
+            82..90 => self.wait_over(),
+            90..92 => self.lose_link(),
+            92..94 => self.holder_late(),
+            94..95 => self.give_up(),
+            95..98 => self.pause_or_wake(),
+            98 => self.toggle_store(),
+            _ => self.restart(),
+        }
+    }
+
+    /// No more faults: everything that is open comes to its end.
+    pub fn heal(&mut self) -> bool {
+        self.faults = false;
+        self.store.down = false;
+        self.paused.iter_mut().flatten().for_each(|paused| *paused = false);
+        for _ in 0..60_000 {
+            self.advance(8);
+            match self.dice.below(100) {
+                0..45 => self.step_holder(),
+                45..80 => self.deliver(),
+                80..92 => self.step_beside(),
+                92..97 => self.wait_over(),
+                _ => self.lose_link(),
+            }
+            if self.entries.iter().all(|entry| entry.runs.is_empty()) {
+                return true;
+            }
+        }
+        false
+    }
+
+    pub fn holder_counts(&self) -> Vec<HolderCounts> {
+        let ended = self.holders.iter().flat_map(|holder| holder.counts.iter().copied());
+        let running = self.holders.iter().flat_map(|holder| &holder.holders);
+        ended.chain(running.map(|holder| holder.counts())).collect()
+    }
+
+    /// Requests that have had no final outcome.
+    pub fn open(&self) -> Vec<RequestKey> {
+        self.entries.iter().flat_map(|entry| entry.runs.keys().copied()).collect()
+    }
+
+    fn advance(&mut self, most_ms: usize) {
+        let ms = self.dice.below(most_ms) as u64;
+        self.clock.advance(Duration::from_millis(ms));
+        self.now_ms += ms;
+    }
+
+    fn submit(&mut self) {
+        if self.net.len() > MAX_MESSAGES {
+            return;
+        }
+        self.submitted += 1;
+        let key = self.submitted / 4 + self.dice.below(WINDOW);
+        let key = if self.dice.percent(5) { self.dice.below(key + 1) } else { key };
+        let body = if self.dice.percent(4) { "other" } else { "usual" };
+        let key = record_key("treasury", &key.to_string());
+        let body = fingerprint(&[body.as_bytes()]);
+        let at = self.dice.below(ENTRIES);
+        self.at_entry(at, |entry, cx| {
+            entry.submit(key, body, cx);
+        });
+    }
+
+    fn step_holder(&mut self) {
+        let at = self.dice.below(HOLDERS);
+        if self.paused[0][at] {
+            return;
+        }
+        let shard = self.dice.below(usize::from(SHARDS));
+        let holder = &mut self.holders[at];
+        holder.step(shard, &mut self.store, &mut self.dice, self.faults, self.now_ms);
+        // What a pause falls between: a step may end before its answers go out.
+        if !self.faults || self.dice.percent(80) {
+            self.holders[at].take_answers(&mut self.net);
+        }
+    }
+
+    fn step_beside(&mut self) {
+        let at = self.dice.below(BESIDES);
+        if !self.paused[2][at] {
+            self.besides[at].work(&mut self.dice, &mut self.oracle, &mut self.net);
+        }
+    }
+
+    /// Delivers a message, not always in order, not always once, not always at all.
+    fn deliver(&mut self) {
+        if self.net.is_empty() {
+            return;
+        }
+        let at = self.dice.below(self.net.len());
+        let to = &self.net[at].to;
+        let process = usize::from(role(to.addr) - 1);
+        if self.paused[process][number(to.addr)] {
+            return;
+        }
+        let envelope = if self.faults && self.dice.percent(6) {
+            self.net[at].clone()
+        } else {
+            self.net.swap_remove(at)
+        };
+        if self.faults && self.dice.percent(6) {
+            return self.lost(&envelope);
+        }
+        self.hand_over(envelope);
+    }
+
+    /// A message is lost; now and then its sender is told that it was never sent.
+    fn lost(&mut self, envelope: &Envelope) {
+        let Msg::Run { owner, id, .. } = envelope.msg else { return };
+        let copies =
+            self.net.iter().any(|other| matches!(other.msg, Msg::Run { id: o, .. } if o == id));
+        let seen = self.besides.iter().any(|beside| beside.saw(id));
+        if !copies && !seen && self.dice.percent(50) {
+            let found = self.entries.iter().position(|e| e.incarnation == owner.entry);
+            if let Some(at) = found {
+                self.at_entry(at, |entry, cx| entry.not_sent(owner, cx));
+            }
+        }
+    }
+
+    fn hand_over(&mut self, envelope: Envelope) {
+        let at = number(envelope.to.addr);
+        match role(envelope.to.addr) {
+            HOLDER => {
+                if let Msg::Claim { from, claim } = envelope.msg {
+                    self.holders[at].claim(from, claim);
+                }
+            }
+            ENTRY => self.at_entry(at, |entry, cx| entry.deliver(envelope.msg, cx)),
+            BESIDE => {
+                let from = self.sender(&envelope.msg);
+                let to = envelope.to.incarnation;
+                self.besides[at].deliver(to, from, envelope.msg, &mut self.net);
+            }
+            _ => {}
+        }
+    }
+
+    /// The entry that a message to a daemon came from.
+    fn sender(&self, msg: &Msg) -> Peer {
+        let owner = match msg {
+            Msg::Run { owner, .. } | Msg::Ask { owner, .. } => *owner,
+            _ => RequestKey { entry: 0, sequence: 0 },
+        };
+        let entry = self.entries.iter().find(|entry| entry.incarnation == owner.entry);
+        entry.map_or_else(|| self.entries[0].peer(), Entry::peer)
+    }
+
+    fn wait_over(&mut self) {
+        if let Some((at, owner)) = self.any_request() {
+            self.at_entry(at, |entry, cx| entry.wait_over(owner, cx));
+        }
+    }
+
+    fn lose_link(&mut self) {
+        if let Some((at, owner)) = self.any_request() {
+            self.at_entry(at, |entry, cx| entry.link_lost(owner, cx));
+        }
+    }
+
+    fn give_up(&mut self) {
+        if let Some((at, owner)) = self.any_request() {
+            self.at_entry(at, |entry, cx| entry.give_up(owner, cx));
+        }
+    }
+
+    fn holder_late(&mut self) {
+        let at = self.dice.below(HOLDERS);
+        self.holders[at].late_effect(&mut self.store, &mut self.dice);
+    }
+
+    fn pause_or_wake(&mut self) {
+        let role = self.dice.below(3);
+        let at = self.dice.below(self.paused[role].len());
+        self.paused[role][at] = !self.paused[role][at] && self.dice.percent(60);
+    }
+
+    fn toggle_store(&mut self) {
+        self.store.down = !self.store.down && self.dice.percent(12);
+    }
+
+    fn restart(&mut self) {
+        self.next_incarnation += 1;
+        let incarnation = self.next_incarnation;
+        match self.dice.below(5) {
+            0 | 1 => {
+                let at = self.dice.below(HOLDERS);
+                self.holders[at].restart(incarnation);
+            }
+            2 | 3 => {
+                let at = self.dice.below(BESIDES);
+                self.besides[at].restart(incarnation);
+            }
+            _ => {
+                let at = self.dice.below(ENTRIES);
+                self.entries[at].restart(incarnation);
+            }
+        }
+    }
+
+    fn any_request(&mut self) -> Option<(usize, RequestKey)> {
+        let at = self.dice.below(ENTRIES);
+        if self.paused[1][at] {
+            return None;
+        }
+        let count = self.entries[at].runs.len();
+        let skip = self.dice.below(count);
+        self.entries[at].runs.keys().nth(skip).map(|owner| (at, *owner))
+    }
+
+    fn at_entry(&mut self, at: usize, act: impl FnOnce(&mut Entry, &mut Around)) {
+        let chosen = self.dice.below(BESIDES);
+        // Views of the fleet differ and lag: not all entries believe in the same holder.
+        let holder = if self.dice.percent(30) { self.dice.below(HOLDERS) } else { 0 };
+        let mut cx = Around {
+            oracle: &mut self.oracle,
+            out: &mut self.net,
+            chosen: self.besides[chosen].peer(),
+            holder,
+            shards: SHARDS,
+        };
+        act(&mut self.entries[at], &mut cx);
+    }
+}
