--- a/crates/core/src/process/ledger/holder/holder.rs
+++ b/crates/core/src/process/ledger/holder/holder.rs
@@ -148,8 +148,7 @@
         if self.loaded.is_none() {
             return self.next_load();
         }
-        let at = self.pacer.next();
-        if now < at {
+        if let Some(at) = self.pacer.next().filter(|at| now < *at) {
             return if self.has_work() { Next::WaitUntil(at) } else { Next::Idle };
         }
         if self.upkeep_first() {
--- a/crates/core/src/process/ledger/keyed_run.rs
+++ b/crates/core/src/process/ledger/keyed_run.rs
@@ -69,6 +69,7 @@
     after: Attempt,
     proof: Proof,
     unreached: u32,
+    granted: Option<Stamp>,
     state: State,
 }
 
@@ -82,6 +83,7 @@
             after: 0,
             proof: Proof::NeverSent,
             unreached: 0,
+            granted: None,
             state: State::Choosing,
         }
     }
@@ -96,9 +98,14 @@
         self.after
     }
 
-    /// Whether another request's run is what it waits for.
-    pub fn follows(&self) -> bool {
-        matches!(self.state, State::Asking { .. } | State::Following { .. })
+    /// Whether the run of a record is its own, and not that of an earlier request.
+    pub fn is_own(&self, stamp: &Stamp) -> bool {
+        self.granted.as_ref() == Some(stamp)
+    }
+
+    /// Whether it waits for the holder of its shard.
+    pub fn is_claiming(&self) -> bool {
+        matches!(self.state, State::Claiming { .. })
     }
 
     /// The daemon that has its run, or the run that it follows.
@@ -133,6 +140,7 @@
         let target = claim.target;
         match answer {
             ClaimAnswer::Granted(stamp) => {
+                self.granted = Some(stamp);
                 self.state = State::Sent { stamp, target };
                 KeyedStep::Send(stamp)
             }
@@ -204,11 +212,13 @@
         self.unknown(format!("it was given to {target}, which is gone: it may have run"))
     }
 
-    /// The link to the daemon closed after the run was sent: ask what became of it.
+    /// The link to the daemon closed: ask what became of a run that was sent. A question that was
+    /// under way may be lost.
     pub fn on_lost(&mut self) -> KeyedStep {
         match self.state {
             State::Sent { stamp, target } => self.ask(stamp, target, true),
-            _ => KeyedStep::Wait,
+            State::Asking { .. } | State::Following { .. } => self.on_unreached(),
+            State::Choosing | State::Claiming { .. } | State::Ended => KeyedStep::Wait,
         }
     }
 
--- a/crates/core/src/process/ledger/pacer.rs
+++ b/crates/core/src/process/ledger/pacer.rs
@@ -29,10 +29,10 @@
         Pacer { clock, most, rate: most, last: None }
     }
 
-    /// When the next write may start.
-    pub fn next(&self) -> Instant {
+    /// When the next write may start; none if there was no write before it.
+    pub fn next(&self) -> Option<Instant> {
         let interval = Duration::from_secs_f64(1.0 / self.rate);
-        self.last.map_or_else(|| self.clock.now(), |last| last + interval)
+        self.last.map(|last| last + interval)
     }
 
     /// A write starts.
--- a/crates/core/src/process/ledger/start_table.rs
+++ b/crates/core/src/process/ledger/start_table.rs
@@ -2,6 +2,7 @@
 
 use super::{RecordKey, Shard, Stamp};
 use crate::id::Revision;
+use serde::{Deserialize, Serialize};
 use std::collections::{HashMap, VecDeque};
 
 /// The most requests that follow one run.
@@ -23,7 +24,7 @@
 }
 
 /// What a daemon says of a record that it is asked for.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Told<A> {
     /// It waits or runs; whoever asked hears of its end.
     Running,
--- a/crates/daemon/src/beside/process/beside.rs
+++ b/crates/daemon/src/beside/process/beside.rs
@@ -1,7 +1,11 @@
 //! The daemon beside endpoints, from start to end.
 
+use crate::beside::process::beside_handler::BesideLedger;
 use crate::beside::process::engine_runner::EngineBounds;
-use crate::beside::process::{BesideHandler, BesideSettings, EngineRunner, Outbox, ServiceRunner};
+use crate::beside::process::{
+    BesideHandler, BesideSettings, EngineRunner, Outbox, ServiceRunner, Starts,
+};
+use crate::process::ledger::{LEDGER_STORE_TIMEOUT, LedgerHolders};
 use crate::process::{
     Count, Counters, Dump, FleetAgent, Journal, check_place, counters_json, draw_incarnation,
     listen_for_operators, read_list, send_metrics,
@@ -9,9 +13,10 @@
 use eyre::{Result, WrapErr};
 use serde_json::{Value, json};
 use sorrellock_core::process::DaemonRole;
+use sorrellock_core::process::ledger::HolderConfig;
 use sorrellock_core::request::{KeptBudget, Peer};
 use sorrellock_platform::api::{Engine, EngineInfo};
-use sorrellock_platform::client::{HttpEngine, HttpInstanceList, HttpService};
+use sorrellock_platform::client::{HttpEngine, HttpInstanceList, HttpObjectStore, HttpService};
 use sorrellock_wire::connection::{LinkConfig, NngLink};
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -53,10 +58,13 @@
             counters.clone(),
             journal.clone(),
         );
+        let starts = Arc::new(Starts::new(outbox.clone()));
         let handler = Arc::new(BesideHandler {
             me,
             engines: start_engines(&settings, &outbox)?,
-            services: start_services(&settings, &outbox),
+            services: start_services(&settings, &starts),
+            starts,
+            ledger: new_ledger(me, &settings, &link),
             outbox,
             leaving: AtomicBool::new(false),
             agent: agent.clone(),
@@ -148,6 +156,8 @@
             "endpoints": self.handler.endpoints(),
             "leaving": self.handler.is_leaving(),
             "open_work": self.handler.open_work(),
+            "records": self.handler.starts.size(),
+            "ledger": self.handler.ledger.as_ref().map(|ledger| ledger.dump()),
             "counters": counters_json(&self.counters.snapshot()),
             "link": counters_json(&self.link.counters().snapshot()),
         })
@@ -181,15 +191,26 @@
     }
 }
 
+/// A daemon that knows the platform keeps the shards of the ledger that it is named for.
+fn new_ledger(
+    me: Peer,
+    settings: &BesideSettings,
+    link: &Arc<NngLink>,
+) -> Option<BesideLedger<NngLink>> {
+    let store = HttpObjectStore::new(settings.platform?).with_timeout(LEDGER_STORE_TIMEOUT);
+    let cfg = HolderConfig::new();
+    Some(LedgerHolders::over_link(me.incarnation, store, link.clone(), cfg))
+}
+
 fn start_services(
     settings: &BesideSettings,
-    outbox: &Outbox<NngLink>,
+    starts: &Arc<Starts<NngLink>>,
 ) -> HashMap<String, ServiceRunner<NngLink>> {
     let start = |endpoint: &ServiceEndpoint| {
         let service = HttpService::new(endpoint.addr);
         let (threads, queue) = (settings.max_calls, settings.call_queue);
         let runner =
-            ServiceRunner::start(endpoint.clone(), service, threads, queue, outbox.clone());
+            ServiceRunner::start(endpoint.clone(), service, threads, queue, starts.clone());
         (endpoint.id.clone(), runner)
     };
     settings.services.iter().map(start).collect()
--- a/crates/daemon/src/beside/process/beside_handler.rs
+++ b/crates/daemon/src/beside/process/beside_handler.rs
@@ -1,25 +1,36 @@
 //! Hands messages from other processes to the endpoint that they are for.
 
-use crate::beside::process::{EngineRunner, Outbox, ServiceRunner};
+use crate::beside::process::{EngineRunner, Outbox, ServiceRunner, Starts};
+use crate::process::ledger::{LedgerHolders, LinkSink};
 use crate::process::{Count, FleetAgent};
 use sorrellock_core::id::{EndpointId, Incarnation};
 use sorrellock_core::process::EndpointFact;
+use sorrellock_core::process::ledger::{Claim, ClaimAnswer, SeenVerdict, Stamp};
 use sorrellock_core::request::{Peer, Refusal};
 use sorrellock_platform::api::Engine;
+use sorrellock_platform::client::HttpObjectStore;
 use sorrellock_wire::connection::{Link, LinkHandler};
 use sorrellock_wire::message::{
-    CallEnd, CallMessage, CallRequest, Message, Open, PipelineMessage, StageTrouble,
+    CallEnd, CallMessage, CallRequest, LedgerMessage, Message, Open, PipelineMessage, StageTrouble,
 };
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 
+/// When to come back to a daemon that was started without the platform.
+const NO_LEDGER_RETRY_MS: u64 = 10_000;
+
+/// The shards of the ledger that a daemon beside endpoints keeps.
+pub(super) type BesideLedger<L> = LedgerHolders<HttpObjectStore, LinkSink<L>>;
+
 /// The endpoints of a daemon, and what it tells of itself.
 pub struct BesideHandler<L, E> {
     pub(super) me: Peer,
     pub(super) engines: HashMap<EndpointId, Arc<EngineRunner<L, E>>>,
     pub(super) services: HashMap<EndpointId, ServiceRunner<L>>,
+    pub(super) starts: Arc<Starts<L>>,
+    pub(super) ledger: Option<BesideLedger<L>>,
     pub(super) outbox: Outbox<L>,
     pub(super) leaving: AtomicBool,
     pub(super) agent: Arc<FleetAgent>,
@@ -94,26 +105,76 @@
     }
 
     fn on_call_request(&self, from: Peer, call: CallRequest) {
+        match self.starts.see(&call) {
+            SeenVerdict::New => self.pass_on(from, call, None),
+            SeenVerdict::Repeated => {}
+            SeenVerdict::Forgotten => {
+                let detail = "whether it came before is remembered no longer".to_owned();
+                self.starts.end_call(from, &call, None, CallEnd::Unknown { detail });
+            }
+        }
+    }
+
+    /// Passes on a call that may start, or refuses it.
+    fn pass_on(&self, from: Peer, call: CallRequest, stamp: Option<Stamp>) {
         let service = self.services.get(&call.endpoint);
         let refusal = match service {
-            Some(service) if !self.is_leaving() => return service.call(from, call),
+            Some(service) if !self.is_leaving() => return service.call(from, call, stamp),
             Some(_) => Refusal::Leaving,
             None => Refusal::BadRequest,
         };
         self.outbox.counters().count(Count::CallsRefused);
         let detail = format!("{} takes no call for {}", self.me.addr, call.endpoint);
         let end = CallEnd::NotRun { refusal, detail };
-        let (request, attempt) = (call.request, call.attempt);
-        self.outbox.call(from, CallMessage::End { request, attempt, end });
+        self.starts.end_call(from, &call, stamp.as_ref(), end);
+    }
+
+    fn refuse_claim(&self, from: Peer, claim: &Claim) {
+        let detail = format!("{} keeps no ledger; start it with --platform", self.me.addr);
+        let answer =
+            ClaimAnswer::Refused { store_down: true, detail, retry_after_ms: NO_LEDGER_RETRY_MS };
+        let (owner, after) = (claim.owner, claim.after);
+        let message = LedgerMessage::Answer { owner, after, answer };
+        self.outbox.send(from, Message::Ledger(message));
+    }
+
+    fn on_ledger(&self, from: Peer, message: LedgerMessage) {
+        match message {
+            LedgerMessage::Claim(claim) => match &self.ledger {
+                Some(ledger) => ledger.claim(from, claim),
+                None => self.refuse_claim(from, &claim),
+            },
+            LedgerMessage::Run { stamp, call } => {
+                if self.starts.start(from, call.request, &stamp) {
+                    self.pass_on(from, call, Some(stamp));
+                }
+            }
+            LedgerMessage::Open { stamp, open } => {
+                if self.starts.start_driven(open.entry, open.request, &stamp) {
+                    self.on_open(open);
+                }
+            }
+            LedgerMessage::Ended { stamp, end } => self.starts.ended(&stamp, end),
+            LedgerMessage::Ask { owner, stamp, fence } => {
+                self.starts.ask(from, owner, stamp, fence);
+            }
+            LedgerMessage::Answer { .. }
+            | LedgerMessage::End { .. }
+            | LedgerMessage::Told { .. }
+            | LedgerMessage::Gone { .. } => self.outbox.counters().count(Count::LateAnswers),
+        }
     }
 
     fn on_misdirected(&self, from: Peer, message: Message) {
         self.outbox.counters().count(Count::Misdirected);
-        if let Message::Call(CallMessage::Request(call)) = message {
-            let detail = format!("{} was restarted", self.me.addr);
-            let end = CallEnd::NotRun { refusal: Refusal::Superseded, detail };
-            let (request, attempt) = (call.request, call.attempt);
-            self.outbox.call(from, CallMessage::End { request, attempt, end });
+        match message {
+            Message::Call(CallMessage::Request(call)) => {
+                let detail = format!("{} was restarted", self.me.addr);
+                let end = CallEnd::NotRun { refusal: Refusal::Superseded, detail };
+                self.starts.end_call(from, &call, None, end);
+            }
+            Message::Ledger(message) => self.starts.on_misdirected(from, message),
+            _ => {}
         }
     }
 }
@@ -126,11 +187,13 @@
         match message {
             Message::Pipeline(message) => self.on_pipeline(message),
             Message::Call(message) => self.on_call(from, message),
+            Message::Ledger(message) => self.on_ledger(from, message),
             Message::Fleet(message) => self.agent.on_message(from, message),
         }
     }
 
     fn on_closed(&self, peer: SocketAddr) {
+        self.starts.on_closed(peer);
         self.agent.on_closed(peer);
         self.engines.values().for_each(|runner| runner.on_closed(peer));
     }
--- a/crates/daemon/src/beside/process/mod.rs
+++ b/crates/daemon/src/beside/process/mod.rs
@@ -8,6 +8,7 @@
 mod outbox;
 mod service_runner;
 mod settings;
+mod starts;
 
 pub use beside::*;
 pub use settings::*;
@@ -16,3 +17,4 @@
 use engine_runner::EngineRunner;
 use outbox::Outbox;
 use service_runner::ServiceRunner;
+use starts::Starts;
--- a/crates/daemon/src/beside/process/service_runner.rs
+++ b/crates/daemon/src/beside/process/service_runner.rs
@@ -1,13 +1,14 @@
 //! One instance of a plain service: a bounded queue of calls and the threads that pass them on.
 
-use crate::beside::process::Outbox;
+use crate::beside::process::Starts;
 use crate::process::Count;
 use crossbeam::channel::{Receiver, Sender, TrySendError, bounded};
+use sorrellock_core::process::ledger::Stamp;
 use sorrellock_core::process::{EndpointFact, Role};
 use sorrellock_core::request::{Peer, Refusal};
 use sorrellock_platform::api::{Service, ServiceCall, ServiceError};
 use sorrellock_wire::connection::Link;
-use sorrellock_wire::message::{CallEnd, CallMessage, CallRequest};
+use sorrellock_wire::message::{CallEnd, CallRequest};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::thread;
@@ -19,6 +20,8 @@
 struct Waiting {
     entry: Peer,
     call: CallRequest,
+    /// Its record in the ledger, if it has one.
+    stamp: Option<Stamp>,
     deadline: Instant,
 }
 
@@ -28,7 +31,7 @@
     threads: usize,
     queue: Sender<Waiting>,
     open: Arc<AtomicU32>,
-    outbox: Outbox<L>,
+    starts: Arc<Starts<L>>,
 }
 
 impl<L: Link> ServiceRunner<L> {
@@ -38,20 +41,20 @@
         service: S,
         threads: usize,
         queue: usize,
-        outbox: Outbox<L>,
+        starts: Arc<Starts<L>>,
     ) -> ServiceRunner<L> {
         let (tx, rx) = bounded(queue);
         let open = Arc::new(AtomicU32::new(0));
         let service = Arc::new(service);
         for _ in 0..threads {
-            let (rx, service, outbox, open) =
-                (rx.clone(), service.clone(), outbox.clone(), open.clone());
+            let (rx, service, starts, open) =
+                (rx.clone(), service.clone(), starts.clone(), open.clone());
             thread::Builder::new()
                 .name("service-calls".into())
-                .spawn(move || run_calls(&rx, &*service, &outbox, &open))
+                .spawn(move || run_calls(&rx, &*service, &starts, &open))
                 .expect("a thread can be started");
         }
-        ServiceRunner { endpoint, threads, queue: tx, open, outbox }
+        ServiceRunner { endpoint, threads, queue: tx, open, starts }
     }
 
     /// What the daemon tells of this instance.
@@ -69,39 +72,39 @@
         self.open.load(Ordering::Acquire)
     }
 
-    /// Takes a call, or refuses it at once.
-    pub fn call(&self, entry: Peer, call: CallRequest) {
+    /// Takes a call that may start, or refuses it at once.
+    pub fn call(&self, entry: Peer, call: CallRequest, stamp: Option<Stamp>) {
         let deadline = Instant::now() + Duration::from_millis(call.deadline_ms);
         self.open.fetch_add(1, Ordering::AcqRel);
-        let refused = match self.queue.try_send(Waiting { entry, call, deadline }) {
+        let refused = match self.queue.try_send(Waiting { entry, call, stamp, deadline }) {
             Ok(()) => return,
             Err(TrySendError::Full(waiting) | TrySendError::Disconnected(waiting)) => waiting,
         };
         self.open.fetch_sub(1, Ordering::AcqRel);
         let detail = format!("the queue of endpoint {} is full", self.endpoint.id);
-        refuse(&self.outbox, &refused, Refusal::Capacity, detail);
+        refuse(&self.starts, &refused, Refusal::Capacity, detail);
     }
 }
 
 fn run_calls<L: Link, S: Service>(
     rx: &Receiver<Waiting>,
     service: &S,
-    outbox: &Outbox<L>,
+    starts: &Starts<L>,
     open: &AtomicU32,
 ) {
     for waiting in rx.iter() {
-        run_call(&waiting, service, outbox);
+        run_call(&waiting, service, starts);
         open.fetch_sub(1, Ordering::AcqRel);
     }
 }
 
-fn run_call<L: Link, S: Service>(waiting: &Waiting, service: &S, outbox: &Outbox<L>) {
+fn run_call<L: Link, S: Service>(waiting: &Waiting, service: &S, starts: &Starts<L>) {
     let left = waiting.deadline.saturating_duration_since(Instant::now());
     if left.is_zero() {
         let detail = "its deadline passed while it waited".to_owned();
-        return refuse(outbox, waiting, Refusal::Deadline, detail);
+        return refuse(starts, waiting, Refusal::Deadline, detail);
     }
-    outbox.counters().count(Count::Calls);
+    starts.counters().count(Count::Calls);
     let end = match service.call(&service_call(&waiting.call), left) {
         Ok(answer) => CallEnd::Done {
             status: answer.status,
@@ -113,7 +116,7 @@
         }
         Err(ServiceError::NoAnswer { detail }) => CallEnd::Unknown { detail },
     };
-    answer(outbox, waiting, end);
+    answer(starts, waiting, end);
 }
 
 fn service_call(call: &CallRequest) -> ServiceCall {
@@ -126,12 +129,11 @@
     }
 }
 
-fn refuse<L: Link>(outbox: &Outbox<L>, waiting: &Waiting, refusal: Refusal, detail: String) {
-    outbox.counters().count(Count::CallsRefused);
-    answer(outbox, waiting, CallEnd::NotRun { refusal, detail });
+fn refuse<L: Link>(starts: &Starts<L>, waiting: &Waiting, refusal: Refusal, detail: String) {
+    starts.counters().count(Count::CallsRefused);
+    answer(starts, waiting, CallEnd::NotRun { refusal, detail });
 }
 
-fn answer<L: Link>(outbox: &Outbox<L>, waiting: &Waiting, end: CallEnd) {
-    let (request, attempt) = (waiting.call.request, waiting.call.attempt);
-    outbox.call(waiting.entry, CallMessage::End { request, attempt, end });
+fn answer<L: Link>(starts: &Starts<L>, waiting: &Waiting, end: CallEnd) {
+    starts.end_call(waiting.entry, &waiting.call, waiting.stamp.as_ref(), end);
 }
--- a/crates/daemon/src/entry/process/api.rs
+++ b/crates/daemon/src/entry/process/api.rs
@@ -1,9 +1,10 @@
 //! The callers' API: checks a request, admits it, and hands it over.
 
 use crate::entry::process::{ConfigWatch, Gate, InProgress, NewCall, NewPipeline, Work};
-use crate::entry::request::{CompletionRequest, Problem, Shape};
+use crate::entry::request::{CompletionRequest, Problem, RunOnce, Shape};
 use crate::entry::version::ConfigView;
 use crate::process::{Count, Counters};
+use sorrellock_core::process::ledger::{fingerprint, record_key};
 use sorrellock_core::request::RequestKey;
 use sorrellock_core::version::{Class, DEFAULT_KIND, Row, Workspace};
 use sorrellock_http::{Request, Responder};
@@ -18,6 +19,10 @@
 const KIND_HEADER: &str = "sorrellock-kind";
 /// Header that tells the time left, in milliseconds.
 const DEADLINE_HEADER: &str = "sorrellock-deadline-ms";
+/// Header that names a request which must run at most once, however often it is sent.
+const KEY_HEADER: &str = "idempotency-key";
+/// The longest key that a caller may send, in bytes.
+const MAX_KEY_BYTES: usize = 255;
 /// The longest deadline that a caller may name.
 const MAX_DEADLINE_MS: u64 = 3_600_000;
 
@@ -120,13 +125,16 @@
         }
         let path = if path.starts_with('/') { path.to_owned() } else { format!("/{path}") };
         let safe = matches!(req.method.as_str(), "GET" | "HEAD");
+        let idempotent = safe || asking.row.idempotent;
+        let once = if idempotent { None } else { run_once(req, &asking.workspace.id, &[])? };
         let request = self.admit()?;
         let new = NewCall {
             request,
             workspace: asking.workspace.id.clone(),
             service: service.to_owned(),
             call: call_request(req, request, path, asking.row.class),
-            idempotent: safe || asking.row.idempotent,
+            idempotent,
+            once,
             deadline: asking.deadline,
         };
         Ok((new, asking.row))
@@ -172,6 +180,20 @@
     }
 }
 
+/// How a request goes through the ledger, if it has a key. `more`: what else tells it from another.
+fn run_once(req: &Request, workspace: &str, more: &[&[u8]]) -> Result<Option<RunOnce>, Problem> {
+    let Some(key) = req.header(KEY_HEADER) else { return Ok(None) };
+    if key.is_empty() || key.len() > MAX_KEY_BYTES {
+        let detail = format!("Idempotency-Key has {} bytes; send 1 to {MAX_KEY_BYTES}", key.len());
+        return Err(Problem::bad(400, "bad key", detail));
+    }
+    let mut parts: Vec<&[u8]> =
+        vec![req.method.as_str().as_bytes(), req.path.as_bytes(), &req.body];
+    parts.extend(more);
+    let fingerprint = fingerprint(&parts);
+    Ok(Some(RunOnce { key: record_key(workspace, key), fingerprint }))
+}
+
 fn not_callable(what: &str, name: &str) -> Problem {
     let detail = format!("{what} `{name}` is not one that this workspace may call");
     Problem::bad(404, &format!("no such {what}"), detail)
@@ -185,7 +207,7 @@
         method: req.method.to_string(),
         path,
         content_type: req.header("content-type").map(str::to_owned),
-        idempotency_key: req.header("idempotency-key").map(str::to_owned),
+        idempotency_key: req.header(KEY_HEADER).map(str::to_owned),
         body: req.body.to_vec(),
         deadline_ms: 0,
         priority: class.priority(),
--- a/crates/daemon/src/entry/process/calls.rs
+++ b/crates/daemon/src/entry/process/calls.rs
@@ -1,7 +1,9 @@
 //! All calls of an entry to plain services: each gets one outcome, and runs again only where it may.
 
-use crate::entry::process::{FleetCell, InProgress, Timer};
-use crate::entry::request::{CallRun, OUTCOME_HEADER, Problem, RunTable};
+use crate::entry::process::{FleetCell, InProgress, LedgerClient, Timer};
+use crate::entry::request::{
+    CallRun, Keyed, OUTCOME_HEADER, Problem, REPLAYED_HEADER, RunOnce, RunTable,
+};
 use crate::process::{Count, Counters};
 use sorrellock_core::id::{Attempt, EndpointId, Sequence, ServiceId, WorkspaceId};
 use sorrellock_core::process::admission::Ended;
@@ -25,6 +27,8 @@
     pub call: CallRequest,
     /// Whether it may run again.
     pub idempotent: bool,
+    /// How it goes through the ledger, if it must.
+    pub once: Option<RunOnce>,
     /// When the caller no longer needs it.
     pub deadline: Instant,
 }
@@ -34,6 +38,7 @@
     pub(super) me: Peer,
     pub(super) link: Arc<L>,
     pub(super) fleet: Arc<FleetCell>,
+    pub(super) ledger: LedgerClient<L>,
     pub(super) in_progress: Arc<InProgress>,
     pub(super) timer: Arc<Timer>,
     pub(super) counters: Arc<Counters>,
@@ -41,7 +46,7 @@
     pub(super) runs: RunTable<CallRun>,
 }
 
-type Run<'a> = MutexGuard<'a, CallRun>;
+pub(super) type Run<'a> = MutexGuard<'a, CallRun>;
 
 impl<L: Link> Calls<L> {
     /// Starts an admitted call: from here on it is answered once, through `responder`.
@@ -61,15 +66,20 @@
             daemon: self.me,
             tried: Vec::new(),
             idempotent: new.idempotent,
+            keyed: new.once.map(|once| Keyed::new(new.request, once)),
             deadline: new.deadline,
             responder: Some(responder),
             in_flight: None,
         };
         let run = self.runs.insert(sequence, run);
         self.timer.add(new.deadline, sequence);
+        let run = run.lock().unwrap();
+        if run.keyed.is_some() {
+            return self.choose_keyed(run);
+        }
         let nothing_tried =
             NotRun::never_sent(Refusal::Capacity, "no instance of the service takes calls");
-        self.try_next(run.lock().unwrap(), Problem::from(nothing_tried));
+        self.try_next(run, Problem::from(nothing_tried));
     }
 
     /// Takes the end of an attempt.
@@ -84,7 +94,7 @@
         }
         match end {
             CallEnd::Done { status, content_type, body } => {
-                self.done(run, status, content_type, body)
+                self.done(run, status, content_type, body, false)
             }
             CallEnd::NotRun { refusal, detail } => {
                 let not_run = NotRun::refused_before_start(refusal, detail);
@@ -98,6 +108,10 @@
     pub fn on_closed(&self, peer: SocketAddr) {
         for (_, run) in self.runs.all() {
             let run = run.lock().unwrap();
+            if run.keyed.is_some() {
+                self.on_closed_keyed(run, peer);
+                continue;
+            }
             if run.daemon.addr == peer && run.responder.is_some() {
                 self.lost(run, format!("the link to {peer} closed after the call was sent"));
             }
@@ -107,16 +121,24 @@
     /// The deadline of a call passed.
     pub fn on_deadline(&self, sequence: Sequence) {
         let Some(run) = self.runs.get(sequence) else { return };
+        let run = run.lock().unwrap();
         let detail = "the deadline passed before an answer came".to_owned();
-        self.fail(run.lock().unwrap(), Problem { status: 504, ..Unknown { detail }.into() });
+        if run.keyed.is_some() {
+            return self.give_up_keyed(run, Refusal::Deadline, &detail);
+        }
+        self.fail(run, Problem { status: 504, ..Unknown { detail }.into() });
     }
 
     /// Nobody waits for a call any more.
     pub fn cancel(&self, sequence: Sequence) {
         let Some(run) = self.runs.get(sequence) else { return };
         self.counters.count(Count::CallersGone);
+        let run = run.lock().unwrap();
         let detail = "the caller went away".to_owned();
-        self.fail(run.lock().unwrap(), Unknown { detail }.into());
+        if run.keyed.is_some() {
+            return self.give_up_keyed(run, Refusal::Cancelled, &detail);
+        }
+        self.fail(run, Unknown { detail }.into());
     }
 
     /// Sends the call to the next endpoint, or answers `otherwise` if there is none.
@@ -139,7 +161,7 @@
         self.fail(run, otherwise);
     }
 
-    fn next_endpoint(&self, run: &CallRun) -> Option<(EndpointId, Peer)> {
+    pub(super) fn next_endpoint(&self, run: &CallRun) -> Option<(EndpointId, Peer)> {
         let view = self.fleet.view();
         let services = view.services(&run.service);
         let mut untried = services.iter().filter(|known| !run.tried.contains(&known.fact.id));
@@ -155,19 +177,29 @@
         self.fail(run, problem);
     }
 
-    fn done(&self, mut run: Run<'_>, status: u16, content_type: Option<String>, body: Vec<u8>) {
+    pub(super) fn done(
+        &self,
+        mut run: Run<'_>,
+        status: u16,
+        content_type: Option<String>,
+        body: Vec<u8>,
+        replayed: bool,
+    ) {
         self.counters.count(Count::Done);
         if let Some(responder) = run.responder.take() {
             let mut headers = vec![(OUTCOME_HEADER, "done")];
             if let Some(content_type) = &content_type {
                 headers.push(("content-type", content_type));
             }
+            if replayed {
+                headers.push((REPLAYED_HEADER, "true"));
+            }
             responder.send(status, &headers, body);
         }
         self.end(&run, Ended::RanFor);
     }
 
-    fn fail(&self, mut run: Run<'_>, problem: Problem) {
+    pub(super) fn fail(&self, mut run: Run<'_>, problem: Problem) {
         let Some(responder) = run.responder.take() else { return };
         let count = if problem.outcome == "not-run" { Count::NotRun } else { Count::Unknown };
         self.counters.count(count);
--- a/crates/daemon/src/entry/process/entry.rs
+++ b/crates/daemon/src/entry/process/entry.rs
@@ -1,10 +1,12 @@
 //! An entry, from start to end.
 
+use crate::entry::process::entry_handler::EntryLedger;
 use crate::entry::process::{
-    Api, Calls, ConfigWatch, EntryHandler, EntrySettings, FleetCell, Gate, InProgress, Pipelines,
-    Timer,
+    Api, Calls, ConfigWatch, EntryHandler, EntrySettings, FleetCell, Gate, InProgress,
+    LedgerClient, Pipelines, Timer,
 };
 use crate::entry::request::RunTable;
+use crate::process::ledger::{LEDGER_STORE_TIMEOUT, LedgerHolders};
 use crate::process::{
     Count, Counters, Dump, FleetAgent, Journal, check_place, counters_json, draw_incarnation,
     listen_for_operators, read_list, send_metrics,
@@ -12,6 +14,7 @@
 use eyre::{Result, WrapErr};
 use serde_json::{Value, json};
 use sorrellock_core::process::DaemonRole;
+use sorrellock_core::process::ledger::HolderConfig;
 use sorrellock_core::request::Peer;
 use sorrellock_http::{Server, ServerConfig};
 use sorrellock_platform::client::{HttpInstanceList, HttpObjectStore};
@@ -57,6 +60,7 @@
             in_progress: Arc::new(in_progress),
             gate: OnceLock::new(),
             agent: agent.clone(),
+            holders: Arc::new(new_holders(me, &settings, link.clone())),
             link: link.clone(),
             counters: counters.clone(),
             journal,
@@ -76,6 +80,7 @@
         let _ = state.gate.set(gate.clone());
         start_timer(&timer, &pipelines, &calls, &gate);
         pipelines.watch();
+        start_waits(&calls);
         link.serve(closed, Arc::new(new_handler(&state, &pipelines, &calls)));
         let fleet = state.fleet.clone();
         agent.on_change(move |members| fleet.set_members(members));
@@ -153,6 +158,7 @@
     agent: Arc<FleetAgent>,
     in_progress: Arc<InProgress>,
     gate: OnceLock<Arc<Gate<NngLink>>>,
+    holders: Arc<EntryLedger<NngLink>>,
     link: Arc<NngLink>,
     counters: Arc<Counters>,
     journal: Arc<Journal>,
@@ -173,6 +179,7 @@
             "members": self.agent.view().members().collect::<Vec<_>>(),
             "cut_off": self.agent.view().cut_off(),
             "revisions": revisions.collect::<std::collections::BTreeMap<_, _>>(),
+            "ledger": self.holders.dump(),
             "journal": self.journal.entries(),
             "counters": counters_json(&self.counters.snapshot()),
             "link": counters_json(&self.link.counters().snapshot()),
@@ -199,6 +206,7 @@
         me: state.me,
         link: state.link.clone(),
         fleet: state.fleet.clone(),
+        ledger: new_ledger_client(state),
         in_progress: state.in_progress.clone(),
         timer: timer.clone(),
         counters: state.counters.clone(),
@@ -207,6 +215,26 @@
     }
 }
 
+fn new_ledger_client(state: &EntryState) -> LedgerClient<NngLink> {
+    LedgerClient {
+        link: state.link.clone(),
+        names: state.agent.clone(),
+        waits: Arc::default(),
+        counters: state.counters.clone(),
+    }
+}
+
+fn new_holders(me: Peer, settings: &EntrySettings, link: Arc<NngLink>) -> EntryLedger<NngLink> {
+    let store = HttpObjectStore::new(settings.platform).with_timeout(LEDGER_STORE_TIMEOUT);
+    LedgerHolders::over_link(me.incarnation, store, link, HolderConfig::new())
+}
+
+/// Calls back for calls that wait for the ledger.
+fn start_waits(calls: &Arc<Calls<NngLink>>) {
+    let (waits, calls) = (calls.ledger.waits.clone(), calls.clone());
+    waits.start(move |sequence| calls.on_wait_over(sequence));
+}
+
 fn new_handler(
     state: &EntryState,
     pipelines: &Arc<Pipelines<NngLink>>,
@@ -216,6 +244,7 @@
         me: state.me,
         pipelines: pipelines.clone(),
         calls: calls.clone(),
+        holders: state.holders.clone(),
         fleet: state.fleet.clone(),
         agent: state.agent.clone(),
         counters: state.counters.clone(),
--- a/crates/daemon/src/entry/process/entry_handler.rs
+++ b/crates/daemon/src/entry/process/entry_handler.rs
@@ -1,19 +1,25 @@
 //! Hands messages from other processes to the requests that they are for.
 
 use crate::entry::process::{Calls, FleetCell, Pipelines};
+use crate::process::ledger::{LedgerHolders, LinkSink};
 use crate::process::{Count, Counters, FleetAgent, Journal};
 use sorrellock_core::id::Incarnation;
 use sorrellock_core::request::Peer;
+use sorrellock_platform::client::HttpObjectStore;
 use sorrellock_wire::connection::{Link, LinkHandler};
-use sorrellock_wire::message::{CallMessage, Message, PipelineMessage};
+use sorrellock_wire::message::{CallMessage, LedgerMessage, Message, PipelineMessage};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+/// The shards of the ledger that an entry keeps.
+pub(super) type EntryLedger<L> = LedgerHolders<HttpObjectStore, LinkSink<L>>;
+
 /// Hands messages from other processes to the requests that they are for.
 pub struct EntryHandler<L> {
     pub(super) me: Peer,
     pub(super) pipelines: Arc<Pipelines<L>>,
     pub(super) calls: Arc<Calls<L>>,
+    pub(super) holders: Arc<EntryLedger<L>>,
     pub(super) fleet: Arc<FleetCell>,
     pub(super) agent: Arc<FleetAgent>,
     pub(super) counters: Arc<Counters>,
@@ -38,6 +44,16 @@
     }
 }
 
+impl<L: Link> EntryHandler<L> {
+    fn on_ledger(&self, from: Peer, message: LedgerMessage) {
+        match message {
+            LedgerMessage::Claim(claim) => self.holders.claim(from, claim),
+            message if self.calls.on_ledger(&message) => {}
+            _ => self.counters.count(Count::LateAnswers),
+        }
+    }
+}
+
 impl<L: Link> LinkHandler for EntryHandler<L> {
     fn on_message(&self, from: Peer, to: Incarnation, message: Message) {
         self.fleet.heard(from.addr);
@@ -50,6 +66,7 @@
                 self.calls.on_end(request, attempt, end);
             }
             Message::Call(_) => self.counters.count(Count::Misdirected),
+            Message::Ledger(message) => self.on_ledger(from, message),
             Message::Fleet(message) => self.agent.on_message(from, message),
         }
     }
--- /dev/null
+++ b/crates/daemon/src/entry/process/keyed_calls.rs
@@ -0,0 +1,210 @@
+//! Calls with a key: each goes through the run-once ledger before it is sent.
+
+use crate::entry::process::calls::Run;
+use crate::entry::process::{ARRIVAL_WAIT, ASK_WAIT, CLAIM_WAIT, Calls};
+use crate::entry::request::{Keyed, Problem};
+use crate::process::Count;
+use sorrellock_core::id::Sequence;
+use sorrellock_core::process::ledger::{Claim, KeyedRun, KeyedStep, Stamp, Told};
+use sorrellock_core::request::{Peer, Refusal, RequestKey, Unknown};
+use sorrellock_wire::connection::Link;
+use sorrellock_wire::message::{CallEnd, LedgerMessage};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use crate::entry::request::CallRun;
+
+/// An answer that came for a record.
+pub(super) struct Came {
+    stamp: Stamp,
+    end: CallEnd,
+}
+
+impl<L: Link> Calls<L> {
+    /// Takes a message of the ledger; false if it is for no call here.
+    pub fn on_ledger(&self, message: &LedgerMessage) -> bool {
+        let owner = match message {
+            LedgerMessage::Answer { owner, .. }
+            | LedgerMessage::End { owner, .. }
+            | LedgerMessage::Told { owner, .. }
+            | LedgerMessage::Gone { owner, .. } => *owner,
+            _ => return false,
+        };
+        let Some(run) = self.keyed(owner) else { return false };
+        match message.clone() {
+            LedgerMessage::Answer { after, answer, .. } => {
+                self.with_keyed(&run, None, |run| run.on_claim_answer(after, answer));
+            }
+            LedgerMessage::End { stamp, end, .. } => self.on_run_end(&run, stamp, end),
+            LedgerMessage::Told { stamp, told, .. } => self.on_told(&run, stamp, told),
+            LedgerMessage::Gone { stamp, .. } => {
+                self.with_keyed(&run, None, |run| run.on_gone(&stamp));
+            }
+            _ => {}
+        }
+        true
+    }
+
+    /// Nothing came for a call for a while.
+    pub fn on_wait_over(&self, sequence: Sequence) {
+        let Some(run) = self.runs.get(sequence) else { return };
+        let mut locked = run.lock().unwrap();
+        let Some(keyed) = &mut locked.keyed else { return };
+        if !keyed.take_wait(Instant::now()) {
+            return;
+        }
+        let step = keyed.run.on_wait_over();
+        self.act(locked, step, None);
+    }
+
+    /// A call with a key begins, or goes on after a refusal: chooses a daemon and claims the key.
+    pub(super) fn choose_keyed(&self, mut run: Run<'_>) {
+        let max_attempts = self.max_attempts;
+        let next = self.next_endpoint(&run);
+        let Some(keyed) = &mut run.keyed else { return };
+        let step = match next {
+            Some((endpoint, daemon)) if keyed.run.attempts_refused() < max_attempts => {
+                let claim = keyed.run.claim(daemon);
+                run.in_flight = self.fleet.view().count(&endpoint);
+                run.tried.push(endpoint.clone());
+                run.sent.endpoint = endpoint;
+                run.daemon = daemon;
+                KeyedStep::Claim(claim)
+            }
+            _ => keyed.run.give_up(Refusal::Capacity, "no instance of the service takes it"),
+        };
+        self.act(run, step, None);
+    }
+
+    /// The call is given up: not run where nothing can run of it, else unknown.
+    pub(super) fn give_up_keyed(&self, mut run: Run<'_>, refusal: Refusal, detail: &str) {
+        let Some(keyed) = &mut run.keyed else { return };
+        match keyed.run.give_up(refusal, detail) {
+            KeyedStep::Unknown(unknown) if refusal == Refusal::Deadline => {
+                self.fail(run, Problem { status: 504, ..unknown.into() });
+            }
+            step => self.act(run, step, None),
+        }
+    }
+
+    /// A daemon can't be reached: a claim goes to another holder, a run that was sent is asked for.
+    pub(super) fn on_closed_keyed(&self, mut run: Run<'_>, peer: SocketAddr) {
+        let Some(keyed) = &mut run.keyed else { return };
+        let step = if keyed.run.is_claiming() && keyed.holder == Some(peer) {
+            keyed.run.on_wait_over()
+        } else if keyed.run.target().is_some_and(|target| target.addr == peer) {
+            keyed.run.on_lost()
+        } else {
+            return;
+        };
+        self.act(run, step, None);
+    }
+
+    fn keyed(&self, owner: RequestKey) -> Option<Arc<Mutex<CallRun>>> {
+        let mine = owner.entry == self.me.incarnation;
+        let run = mine.then(|| self.runs.get(owner.sequence)).flatten()?;
+        let keyed = run.lock().unwrap().keyed.is_some();
+        keyed.then_some(run)
+    }
+
+    fn on_run_end(&self, run: &Mutex<CallRun>, stamp: Stamp, end: CallEnd) {
+        if let CallEnd::NotRun { .. } = end {
+            return self.with_keyed(run, None, |run| run.on_refused(&stamp));
+        }
+        self.with_keyed(run, Some(Came { stamp, end }), |run| run.on_end(&stamp));
+    }
+
+    fn on_told(&self, run: &Mutex<CallRun>, stamp: Stamp, told: Told<CallEnd>) {
+        let came = match &told {
+            Told::Ended(end) => Some(Came { stamp, end: end.clone() }),
+            _ => None,
+        };
+        self.with_keyed(run, came, |run| run.on_told(&stamp, &told));
+    }
+
+    fn with_keyed(
+        &self,
+        run: &Mutex<CallRun>,
+        came: Option<Came>,
+        event: impl FnOnce(&mut KeyedRun) -> KeyedStep,
+    ) {
+        let mut run = run.lock().unwrap();
+        let Some(keyed) = &mut run.keyed else { return };
+        let step = event(&mut keyed.run);
+        self.act(run, step, came);
+    }
+
+    fn act(&self, run: Run<'_>, step: KeyedStep, came: Option<Came>) {
+        match step {
+            KeyedStep::Choose => self.choose_keyed(run),
+            KeyedStep::Claim(claim) => self.send_claim(run, claim),
+            KeyedStep::Send(stamp) => self.send_run(run, stamp),
+            KeyedStep::Ask { stamp, target, fence } => self.send_ask(run, stamp, target, fence),
+            KeyedStep::Wait => self.wait(run, ASK_WAIT),
+            KeyedStep::Drop => self.counters.count(Count::LateAnswers),
+            KeyedStep::Finish => self.finish_keyed(run, came),
+            KeyedStep::Mismatch => {
+                self.counters.count(Count::KeyMismatches);
+                self.fail(run, Problem::key_mismatch());
+            }
+            KeyedStep::NotRun(not_run) => self.fail(run, not_run.into()),
+            KeyedStep::Unknown(unknown) => self.fail(run, unknown.into()),
+        }
+    }
+
+    fn send_claim(&self, mut run: Run<'_>, claim: Claim) {
+        let holder = self.ledger.claim(claim);
+        if let Some(keyed) = &mut run.keyed {
+            keyed.holder = holder.map(|holder| holder.addr);
+        }
+        self.wait(run, CLAIM_WAIT);
+    }
+
+    fn send_run(&self, mut run: Run<'_>, stamp: Stamp) {
+        let left = run.deadline.saturating_duration_since(Instant::now());
+        run.sent.attempt = stamp.attempt;
+        run.sent.deadline_ms = left.as_millis() as u64;
+        let message = LedgerMessage::Run { stamp, call: run.sent.clone() };
+        if self.ledger.send(run.daemon, message).is_ok() {
+            return;
+        }
+        let Some(keyed) = &mut run.keyed else { return };
+        let step = keyed.run.on_not_sent();
+        self.act(run, step, None);
+    }
+
+    fn send_ask(&self, mut run: Run<'_>, stamp: Stamp, target: Peer, fence: bool) {
+        let asked = self.ledger.ask(target, run.request, stamp, fence);
+        if asked.is_ok() {
+            let wait = if fence { ASK_WAIT } else { ARRIVAL_WAIT };
+            return self.wait(run, wait);
+        }
+        let Some(keyed) = &mut run.keyed else { return };
+        let step = keyed.run.on_unreached();
+        self.act(run, step, None);
+    }
+
+    /// Asks again after `wait`, if there is still something to ask for then.
+    fn wait(&self, mut run: Run<'_>, wait: Duration) {
+        let sequence = run.request.sequence;
+        if let Some(keyed) = &mut run.keyed {
+            keyed.wait_until = Some(self.ledger.wait(sequence, wait));
+        }
+    }
+
+    fn finish_keyed(&self, run: Run<'_>, came: Option<Came>) {
+        let Some(Came { stamp, end }) = came else { return };
+        let own = run.keyed.as_ref().is_some_and(|keyed: &Keyed| keyed.run.is_own(&stamp));
+        match end {
+            CallEnd::Done { status, content_type, body } => {
+                if !own {
+                    self.counters.count(Count::Replayed);
+                }
+                self.done(run, status, content_type, body, !own);
+            }
+            CallEnd::Unknown { detail } => self.fail(run, Unknown { detail }.into()),
+            CallEnd::NotRun { .. } => {}
+        }
+    }
+}
--- a/crates/daemon/src/entry/request/call_run.rs
+++ b/crates/daemon/src/entry/request/call_run.rs
@@ -1,5 +1,6 @@
 //! One call to a plain service at its entry.
 
+use crate::entry::request::Keyed;
 use crate::entry::version::InFlight;
 use sorrellock_core::id::{Attempt, EndpointId, ServiceId, WorkspaceId};
 use sorrellock_core::request::{Peer, RequestKey};
@@ -23,6 +24,8 @@
     pub tried: Vec<EndpointId>,
     /// Whether it may run again.
     pub idempotent: bool,
+    /// Its way through the ledger, if it has a key and must run at most once.
+    pub keyed: Option<Keyed>,
     /// When the caller no longer needs it.
     pub deadline: Instant,
     /// The caller.
--- /dev/null
+++ b/crates/daemon/src/entry/request/keyed.rs
@@ -0,0 +1,38 @@
+//! The part of a request that has to do with the run-once ledger.
+
+use sorrellock_core::process::ledger::{Fingerprint, KeyedRun, RecordKey};
+use sorrellock_core::request::RequestKey;
+use std::net::SocketAddr;
+use std::time::Instant;
+
+/// Key and fingerprint of a request that must run at most once.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RunOnce {
+    /// The key.
+    pub key: RecordKey,
+    /// What tells the request from another with the same key.
+    pub fingerprint: Fingerprint,
+}
+
+/// A request on its way through the ledger, with what it waits for.
+pub struct Keyed {
+    /// Its state.
+    pub run: KeyedRun,
+    /// The holder that its claim went to.
+    pub holder: Option<SocketAddr>,
+    /// When it asks again.
+    pub wait_until: Option<Instant>,
+}
+
+impl Keyed {
+    /// A request that has claimed nothing yet.
+    pub fn new(owner: RequestKey, once: RunOnce) -> Keyed {
+        let run = KeyedRun::new(owner, once.key, once.fingerprint);
+        Keyed { run, holder: None, wait_until: None }
+    }
+
+    /// Whether its wait is over; an older timer that fires before changes nothing.
+    pub fn take_wait(&mut self, now: Instant) -> bool {
+        self.wait_until.take_if(|until| *until <= now).is_some()
+    }
+}
--- a/crates/daemon/src/entry/request/mod.rs
+++ b/crates/daemon/src/entry/request/mod.rs
@@ -2,6 +2,7 @@
 
 mod answer;
 mod call_run;
+mod keyed;
 mod openai;
 mod pipeline_run;
 mod problem;
@@ -9,6 +10,7 @@
 
 pub use answer::*;
 pub use call_run::*;
+pub use keyed::*;
 pub use openai::*;
 pub use pipeline_run::*;
 pub use problem::*;
--- a/crates/daemon/src/entry/request/problem.rs
+++ b/crates/daemon/src/entry/request/problem.rs
@@ -8,6 +8,9 @@
 /// Header that tells the outcome: `done`, `not-run` or `unknown`.
 pub const OUTCOME_HEADER: &str = "sorrellock-outcome";
 
+/// Header that tells that an answer is that of an earlier request with the same key.
+pub const REPLAYED_HEADER: &str = "sorrellock-replayed";
+
 /// An answer that is not the one asked for.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Problem {
@@ -38,6 +41,13 @@
         }
     }
 
+    /// The key of a request was used for another one.
+    pub fn key_mismatch() -> Problem {
+        let detail = "this Idempotency-Key was used for a request with another method, path, \
+                      model or body; send a new key with a new request";
+        Problem::bad(422, "key used before", detail)
+    }
+
     /// Sends it as the whole answer.
     pub fn send(&self, responder: Responder) {
         let retry_after =
--- a/crates/daemon/src/process/counters.rs
+++ b/crates/daemon/src/process/counters.rs
@@ -89,6 +89,18 @@
     FleetChanges => "fleet_changes",
     /// Messages of membership dropped, as too many waited.
     FleetInputsDropped => "fleet_inputs_dropped",
+    /// Calls that had come before, and were not passed on again.
+    StartsRepeated => "starts_repeated",
+    /// Recorded calls that came after their record was given up.
+    StartsFenced => "starts_fenced",
+    /// Recorded calls of which it is no longer known whether they ran.
+    StartsForgotten => "starts_forgotten",
+    /// Claims sent to the ledger's holders.
+    Claims => "claims",
+    /// Answers of an earlier run with the same key.
+    Replayed => "replayed",
+    /// Keys used for another request.
+    KeyMismatches => "key_mismatches",
 }
 
 /// The counters of one daemon.
--- /dev/null
+++ b/crates/daemon/src/process/ledger/shard_driver.rs
@@ -0,0 +1,117 @@
+//! Drives the holder of one shard: a thread that makes its calls to the store, one at a time.
+
+use super::StoreCaller;
+use sorrellock_core::clock::{Clock, SystemClock};
+use sorrellock_core::process::ledger::{Answered, Claim, Holder, Next, UnixMs};
+use sorrellock_core::request::Peer;
+use sorrellock_platform::api::ObjectStore;
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, Weak};
+use std::thread;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+/// How often a driver with nothing to do looks whether its process still has it.
+const IDLE: Duration = Duration::from_secs(1);
+
+/// Takes the answers of a holder to who claimed.
+pub trait AnswerSink: Send + Sync + 'static {
+    /// Sends an answer.
+    fn answer(&self, answered: Answered);
+}
+
+/// Drives the holder of one shard.
+pub struct ShardDriver<S, A> {
+    holder: Mutex<Holder<SystemClock>>,
+    claimed: Condvar,
+    store: StoreCaller<S>,
+    sink: Arc<A>,
+}
+
+impl<S: ObjectStore, A: AnswerSink> ShardDriver<S, A> {
+    /// Starts the thread of a holder. It ends soon after the driver is dropped.
+    pub fn start(
+        holder: Holder<SystemClock>,
+        store: StoreCaller<S>,
+        sink: Arc<A>,
+    ) -> Arc<ShardDriver<S, A>> {
+        let holder = Mutex::new(holder);
+        let driver = Arc::new(ShardDriver { holder, claimed: Condvar::new(), store, sink });
+        let weak = Arc::downgrade(&driver);
+        thread::Builder::new()
+            .name("ledger-shard".into())
+            .spawn(move || run(&weak))
+            .expect("a thread can be started");
+        driver
+    }
+
+    /// Takes a claim.
+    pub fn claim(&self, from: Peer, claim: Claim) {
+        let mut holder = self.holder();
+        holder.claim(from, claim);
+        let answers = holder.take_answers();
+        drop(holder);
+        self.claimed.notify_one();
+        self.send(answers);
+    }
+
+    /// Looks at the holder.
+    pub fn with<T>(&self, look: impl FnOnce(&Holder<SystemClock>) -> T) -> T {
+        look(&self.holder())
+    }
+
+    /// One call to the store, or a wait.
+    fn step(&self) {
+        let mut holder = self.holder();
+        let next = holder.next(now_ms());
+        let answers = holder.take_answers();
+        match next {
+            Next::Call(call) => {
+                drop(holder);
+                self.send(answers);
+                let reply = self.store.call(&call);
+                let mut holder = self.holder();
+                holder.replied(reply);
+                let answers = holder.take_answers();
+                drop(holder);
+                self.send(answers);
+            }
+            Next::WaitUntil(at) => {
+                let wait = at.saturating_duration_since(SystemClock.now()).min(IDLE);
+                self.wait(holder, answers, wait);
+            }
+            Next::Idle => self.wait(holder, answers, IDLE),
+        }
+    }
+
+    fn wait(
+        &self,
+        holder: MutexGuard<'_, Holder<SystemClock>>,
+        answers: Vec<Answered>,
+        wait: Duration,
+    ) {
+        if answers.is_empty() {
+            let _ = self.claimed.wait_timeout(holder, wait);
+            return;
+        }
+        drop(holder);
+        self.send(answers);
+    }
+
+    fn send(&self, answers: Vec<Answered>) {
+        answers.into_iter().for_each(|answered| self.sink.answer(answered));
+    }
+
+    fn holder(&self) -> MutexGuard<'_, Holder<SystemClock>> {
+        self.holder.lock().unwrap()
+    }
+}
+
+fn run<S: ObjectStore, A: AnswerSink>(driver: &Weak<ShardDriver<S, A>>) {
+    while let Some(driver) = driver.upgrade() {
+        driver.step();
+    }
+}
+
+fn now_ms() -> UnixMs {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    now.as_millis() as UnixMs
+}
--- a/crates/daemon/src/process/mod.rs
+++ b/crates/daemon/src/process/mod.rs
@@ -6,6 +6,7 @@
 mod fleet_list;
 mod incarnation;
 mod journal;
+pub mod ledger;
 mod log;
 mod metrics;
 mod operators;
--- /dev/null
+++ b/crates/daemon/tests/run_once.rs
@@ -0,0 +1,187 @@
+//! Calls with a key in a whole fleet: each runs at most once, and a retry gets its answer.
+
+use sorrellock_fakes::Outage;
+use sorrellock_local::{Caller, CallerAnswer, LocalConfig, LocalFleet, SERVICE};
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// How long a wait for something to happen may take.
+const WAIT: Duration = Duration::from_secs(10);
+
+fn fleet() -> LocalFleet {
+    let cfg = LocalConfig::new().with_pipeline(1, 1).with_entries(2).with_services(2);
+    LocalFleet::start(cfg).expect("a fleet starts")
+}
+
+fn post(caller: &Caller, key: &str, body: &str) -> CallerAnswer {
+    let path = format!("/v1/services/{SERVICE}/confirmations");
+    caller.send(&path, &[("idempotency-key", key)], body).expect("an entry answers")
+}
+
+/// How often a call with a key ran, at all instances of the service.
+fn runs(fleet: &LocalFleet, key: &str) -> u64 {
+    fleet.services.iter().map(|local| local.service.record().runs_of(key)).sum()
+}
+
+fn arrived(fleet: &LocalFleet) -> u64 {
+    let count = |local: &sorrellock_local::LocalService| {
+        local.service.counters().arrived.load(Ordering::Acquire)
+    };
+    fleet.services.iter().map(count).sum()
+}
+
+fn wait_for(what: &str, mut happened: impl FnMut() -> bool) {
+    let end = Instant::now() + WAIT;
+    while !happened() {
+        assert!(Instant::now() < end, "{what} did not happen within {WAIT:?}");
+        thread::sleep(Duration::from_millis(2));
+    }
+}
+
+#[test]
+fn a_retry_through_another_entry_gets_the_kept_answer() {
+    let fleet = fleet();
+
+    let first = post(&fleet.caller(0, 0), "trade-1", "{}");
+    let retry = post(&fleet.caller(1, 0), "trade-1", "{}");
+    let same_entry = post(&fleet.caller(0, 0), "trade-1", "{}");
+
+    assert_eq!((first.status, first.replayed), (200, false), "{}", first.body);
+    assert_eq!((retry.status, retry.replayed), (200, true), "{}", retry.body);
+    assert_eq!(same_entry.body, first.body);
+    assert_eq!(retry.body, first.body);
+    assert_eq!(runs(&fleet, "trade-1"), 1);
+}
+
+#[test]
+fn a_key_belongs_to_one_workspace_and_one_body() {
+    let fleet = fleet();
+    post(&fleet.caller(0, 0), "trade-1", "{}");
+
+    let other_body = post(&fleet.caller(1, 0), "trade-1", r#"{"amount":2}"#);
+    let other_workspace = post(&fleet.caller(1, 1), "trade-1", r#"{"amount":2}"#);
+
+    assert_eq!((other_body.status, other_body.outcome.as_str()), (422, "not-run"));
+    assert_eq!(other_workspace.status, 200);
+    assert_eq!(runs(&fleet, "trade-1"), 2, "once for each workspace");
+}
+
+#[test]
+fn a_retry_attaches_to_the_run_under_way() {
+    let fleet = fleet();
+    fleet.services.iter().for_each(|local| local.service.hang());
+
+    let (first, retry) = thread::scope(|scope| {
+        let first = scope.spawn(|| post(&fleet.caller(0, 0), "trade-1", "{}"));
+        wait_for("the first call", || arrived(&fleet) == 1);
+        let retry = scope.spawn(|| post(&fleet.caller(1, 0), "trade-1", "{}"));
+        // Longer than a record's run may take to arrive: it must not be taken for lost.
+        thread::sleep(Duration::from_millis(300));
+        fleet.services.iter().for_each(|local| local.service.unhang());
+        (first.join().unwrap(), retry.join().unwrap())
+    });
+
+    assert_eq!((first.status, retry.status), (200, 200), "{}", retry.body);
+    assert_eq!(first.body, retry.body);
+    assert!(retry.replayed && !first.replayed);
+    assert_eq!(runs(&fleet, "trade-1"), 1);
+}
+
+#[test]
+fn many_retries_at_once_through_all_entries_run_once() {
+    let fleet = fleet();
+    let callers: Vec<Caller> = (0..8).map(|number| fleet.caller(number % 2, 0)).collect();
+
+    let answers: Vec<CallerAnswer> = thread::scope(|scope| {
+        let posts: Vec<_> =
+            callers.iter().map(|caller| scope.spawn(|| post(caller, "trade-1", "{}"))).collect();
+        posts.into_iter().map(|post| post.join().unwrap()).collect()
+    });
+
+    for answer in &answers {
+        assert_eq!((answer.status, &answer.body), (200, &answers[0].body));
+    }
+    assert_eq!(runs(&fleet, "trade-1"), 1);
+}
+
+#[test]
+fn a_store_that_is_down_gets_a_refusal_at_once_and_no_double_after_it() {
+    let fleet = fleet();
+    post(&fleet.caller(0, 0), "before", "{}");
+    fleet.platform.set_outage(Outage::Refuse);
+
+    let refused = post(&fleet.caller(0, 0), "during", "{}");
+    fleet.platform.set_outage(Outage::None);
+    let mut after = post(&fleet.caller(1, 0), "during", "{}");
+    wait_for("a call after the outage", || {
+        if after.status != 200 {
+            after = post(&fleet.caller(1, 0), "during", "{}");
+        }
+        after.status == 200
+    });
+
+    assert_eq!((refused.status, refused.outcome.as_str()), (503, "not-run"), "{}", refused.body);
+    assert!(refused.retry_after.is_some());
+    assert_eq!(runs(&fleet, "during"), 1);
+}
+
+#[test]
+fn a_run_whose_answer_was_lost_is_unknown_and_stays_so() {
+    let fleet = fleet();
+    fleet.services.iter().for_each(|local| local.service.lose_answers(1));
+
+    let first = post(&fleet.caller(0, 0), "trade-1", "{}");
+    let retry = post(&fleet.caller(1, 0), "trade-1", "{}");
+
+    assert_eq!((first.status, first.outcome.as_str()), (409, "unknown"), "{}", first.body);
+    assert_eq!((retry.status, retry.outcome.as_str()), (409, "unknown"), "{}", retry.body);
+    assert_eq!(runs(&fleet, "trade-1"), 1);
+}
+
+#[test]
+fn a_daemon_that_dies_with_a_run_leaves_it_unknown() {
+    let fleet = fleet();
+    fleet.services.iter().for_each(|local| local.service.hang());
+
+    let (first, retry) = thread::scope(|scope| {
+        let first = scope.spawn(|| post(&fleet.caller(0, 0), "trade-1", "{}"));
+        wait_for("the first call", || arrived(&fleet) == 1);
+        for local in &fleet.services {
+            if local.service.counters().arrived.load(Ordering::Acquire) == 1 {
+                local.beside.stop();
+            }
+        }
+        let first = first.join().unwrap();
+        (first, post(&fleet.caller(1, 0), "trade-1", "{}"))
+    });
+    fleet.services.iter().for_each(|local| local.service.unhang());
+
+    assert_eq!((first.status, first.outcome.as_str()), (409, "unknown"), "{}", first.body);
+    assert_eq!((retry.status, retry.outcome.as_str()), (409, "unknown"), "{}", retry.body);
+    wait_for("the run that hung", || runs(&fleet, "trade-1") == 1);
+}
+
+#[test]
+fn a_call_refused_by_one_daemon_runs_at_another_under_the_next_attempt() {
+    let fleet = fleet();
+    fleet.services[0].service.stop();
+
+    let answers: Vec<CallerAnswer> =
+        (0..6).map(|number| post(&fleet.caller(0, 0), &format!("trade-{number}"), "{}")).collect();
+
+    for (number, answer) in answers.iter().enumerate() {
+        assert_eq!(answer.status, 200, "{}", answer.body);
+        assert_eq!(runs(&fleet, &format!("trade-{number}")), 1);
+    }
+}
+
+#[test]
+fn a_bad_key_names_the_mend() {
+    let fleet = fleet();
+
+    let answer = post(&fleet.caller(0, 0), &"k".repeat(256), "{}");
+
+    assert_eq!((answer.status, answer.outcome.as_str()), (400, "not-run"));
+    assert!(answer.body.contains("1 to 255"), "{}", answer.body);
+}
--- a/crates/local/src/caller.rs
+++ b/crates/local/src/caller.rs
@@ -25,6 +25,8 @@
     pub outcome: String,
     /// `Retry-After`, if any.
     pub retry_after: Option<String>,
+    /// Whether it is the answer of an earlier request with the same key.
+    pub replayed: bool,
     /// The body.
     pub body: String,
 }
@@ -121,11 +123,13 @@
         let value = response.headers().get(name).and_then(|value| value.to_str().ok());
         value.map(str::to_owned)
     };
+    let replayed = header("sorrellock-replayed").is_some();
     let (outcome, retry_after) = (header("sorrellock-outcome"), header("retry-after"));
     Ok(CallerAnswer {
         status: response.status().as_u16(),
         outcome: outcome.unwrap_or_default(),
         retry_after,
+        replayed,
         body: response.body_mut().read_to_string().wrap_err("reading the answer")?,
     })
 }
--- a/crates/wire/src/message/mod.rs
+++ b/crates/wire/src/message/mod.rs
@@ -2,10 +2,12 @@
 
 mod call;
 mod fleet;
+mod ledger;
 mod pipeline;
 
 pub use call::*;
 pub use fleet::*;
+pub use ledger::*;
 pub use pipeline::*;
 
 use serde::{Deserialize, Serialize};
@@ -37,4 +39,6 @@
     Call(CallMessage),
     /// Membership.
     Fleet(FleetMessage),
+    /// The run-once ledger.
+    Ledger(LedgerMessage),
 }
