--- a/crates/daemon/tests/run_once.rs
+++ b/crates/daemon/tests/run_once.rs
@@ -1,5 +1,6 @@
 //! Calls with a key in a whole fleet: each runs at most once, and a retry gets its answer.
 
+use sorrellock_daemon::process::{LogFormat, set_up_log};
 use sorrellock_fakes::Outage;
 use sorrellock_local::{Caller, CallerAnswer, LocalConfig, LocalFleet, SERVICE};
 use std::sync::atomic::Ordering;
@@ -10,6 +11,7 @@
 const WAIT: Duration = Duration::from_secs(10);
 
 fn fleet() -> LocalFleet {
+    set_up_log(LogFormat::Off);
     let cfg = LocalConfig::new().with_pipeline(1, 1).with_entries(2).with_services(2);
     LocalFleet::start(cfg).expect("a fleet starts")
 }
