--- a/crates/core/src/process/mod.rs
+++ b/crates/core/src/process/mod.rs
@@ -5,6 +5,7 @@
 mod fair_queue;
 pub mod ledger;
 pub mod membership;
+pub mod orders;
 
 pub use endpoint::*;
 pub use fair_queue::*;
--- /dev/null
+++ b/crates/core/src/process/orders/lead_election.rs
@@ -0,0 +1,133 @@
+//! Who leads a model: an object in the store, written under a condition.
+//!
+//! The live daemon that rendezvous hashing names for the model tries to be its lead. Two that
+//! both think they are named clash on the object's version, and the loser reads again. A lead
+//! that was paused still has its old fencing number; nothing here depends on it noticing.
+
+use crate::clock::Clock;
+use crate::id::{Fence, Incarnation, Revision};
+use serde::{Deserialize, Serialize};
+use std::time::{Duration, Instant};
+
+/// How often a lead or a candidate reads the object again.
+pub const REREAD: Duration = Duration::from_secs(5);
+/// The wait after a failed call of the store.
+pub const RETRY: Duration = Duration::from_millis(500);
+
+/// The value of a lead's object.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeadRecord {
+    /// Who leads.
+    pub lead: Incarnation,
+}
+
+/// What an election asks of the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LeadAction {
+    /// Nothing before this instant.
+    Wait(Instant),
+    /// Read the object.
+    Read,
+    /// Write a record that names this daemon, if the object is still at `version` (0: absent).
+    Put {
+        /// The version that was read.
+        version: Revision,
+    },
+}
+
+/// What came of a put.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PutResult {
+    /// It took effect, and the object is at this version.
+    Written(Revision),
+    /// The object was at another version.
+    Conflict,
+    /// No answer came, or the store refused: it may have taken effect or not.
+    Unclear,
+}
+
+/// One daemon's part in electing the lead of one model.
+#[derive(Debug)]
+pub struct LeadElection<C> {
+    clock: C,
+    me: Incarnation,
+    named: bool,
+    seen: Option<Seen>,
+    read_again: Option<Instant>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Seen {
+    record: Option<LeadRecord>,
+    version: Revision,
+}
+
+impl<C: Clock> LeadElection<C> {
+    /// A daemon that is not named and has read nothing.
+    pub fn new(clock: C, me: Incarnation) -> LeadElection<C> {
+        LeadElection { clock, me, named: false, seen: None, read_again: None }
+    }
+
+    /// Takes whether rendezvous hashing names this daemon.
+    pub fn on_named(&mut self, named: bool) {
+        if named && !self.named {
+            self.read_again = None;
+        }
+        self.named = named;
+    }
+
+    /// What to do next.
+    pub fn next(&self) -> LeadAction {
+        if !self.named {
+            return LeadAction::Wait(self.clock.now() + REREAD);
+        }
+        if let Some(until) = self.read_again.filter(|until| *until > self.clock.now()) {
+            return self.put_or_wait(until);
+        }
+        LeadAction::Read
+    }
+
+    /// The fencing number for orders, while this daemon is named and the object named it when it
+    /// was last read.
+    pub fn fence(&self) -> Option<Fence> {
+        let seen = self.seen.filter(|_| self.named)?;
+        let mine = seen.record.is_some_and(|record| record.lead == self.me);
+        mine.then_some(seen.version)
+    }
+
+    /// The object was read; version 0 means that there is none. An older version than one seen
+    /// before comes from an old copy of the store, and changes nothing.
+    pub fn on_read(&mut self, record: Option<LeadRecord>, version: Revision) {
+        self.read_again = Some(self.clock.now() + REREAD);
+        if self.seen.is_none_or(|seen| version >= seen.version) {
+            self.seen = Some(Seen { record, version });
+        }
+    }
+
+    /// A read failed.
+    pub fn on_read_failed(&mut self) {
+        self.read_again = Some(self.clock.now() + RETRY);
+    }
+
+    /// A put ended.
+    pub fn on_put(&mut self, result: PutResult) {
+        match result {
+            PutResult::Written(version) => {
+                self.on_read(Some(LeadRecord { lead: self.me }), version);
+            }
+            PutResult::Conflict | PutResult::Unclear => {
+                self.seen = None;
+                self.read_again = None;
+            }
+        }
+    }
+
+    fn put_or_wait(&self, until: Instant) -> LeadAction {
+        match self.seen {
+            Some(seen) if seen.record.is_none_or(|record| record.lead != self.me) => {
+                LeadAction::Put { version: seen.version }
+            }
+            _ => LeadAction::Wait(until),
+        }
+    }
+}
