Planner: one pass over the engines a move, and no robbing of replaced ranges

Cause 1: a first plan was quadratic in the engines, as the best donor was compared by counting the holders of its place anew for each engine that tied. Ruled out: the look-up of ranges by name (linear). Change: each engine's range is looked up once; levels and holders are kept as moves are made (Board). Cause 2: lost engines that are expected back also counted for the range that gives an engine, so a range whose lost holders were replaced looked rich and was robbed. Also: an election keeps the newest version that it knows through conflicts and unclear puts, so a read from an old copy can't bring back a lead that it gave up.

--- a/crates/core/src/process/orders/lead_election.rs
+++ b/crates/core/src/process/orders/lead_election.rs
@@ -40,8 +40,8 @@
 pub enum PutResult {
     /// It took effect, and the object is at this version.
     Written(Revision),
-    /// The object was at another version.
-    Conflict,
+    /// The object was at this version, 0 if there was none.
+    Conflict(Revision),
     /// No answer came, or the store refused: it may have taken effect or not.
     Unclear,
 }
@@ -52,6 +52,8 @@
     clock: C,
     me: Incarnation,
     named: bool,
+    /// The highest version known: what is older comes from an old copy of the store.
+    newest: Revision,
     seen: Option<Seen>,
     read_again: Option<Instant>,
 }
@@ -65,7 +67,7 @@
 impl<C: Clock> LeadElection<C> {
     /// A daemon that is not named and has read nothing.
     pub fn new(clock: C, me: Incarnation) -> LeadElection<C> {
-        LeadElection { clock, me, named: false, seen: None, read_again: None }
+        LeadElection { clock, me, named: false, newest: 0, seen: None, read_again: None }
     }
 
     /// Takes whether rendezvous hashing names this daemon.
@@ -99,7 +101,8 @@
     /// before comes from an old copy of the store, and changes nothing.
     pub fn on_read(&mut self, record: Option<LeadRecord>, version: Revision) {
         self.read_again = Some(self.clock.now() + REREAD);
-        if self.seen.is_none_or(|seen| version >= seen.version) {
+        if version >= self.newest {
+            self.newest = version;
             self.seen = Some(Seen { record, version });
         }
     }
@@ -115,13 +118,19 @@
             PutResult::Written(version) => {
                 self.on_read(Some(LeadRecord { lead: self.me }), version);
             }
-            PutResult::Conflict | PutResult::Unclear => {
-                self.seen = None;
-                self.read_again = None;
-            }
+            // A conflict is judged by the store itself, so it also tells of a deletion.
+            PutResult::Conflict(found) => self.forget(found),
+            PutResult::Unclear => self.forget(self.newest),
         }
     }
 
+    /// Reads again before anything else.
+    fn forget(&mut self, newest: Revision) {
+        self.newest = newest;
+        self.seen = None;
+        self.read_again = None;
+    }
+
     fn put_or_wait(&self, until: Instant) -> LeadAction {
         match self.seen {
             Some(seen) if seen.record.is_none_or(|record| record.lead != self.me) => {
--- a/crates/core/src/process/orders/mod.rs
+++ b/crates/core/src/process/orders/mod.rs
@@ -4,6 +4,7 @@
 //! at which a lead was written is the fencing number of its orders. A paused lead that wakes
 //! gives orders with an old number, and the daemon beside the engine refuses them.
 
+mod board;
 mod demand;
 mod engine_slot;
 mod fence_guard;
--- a/crates/core/src/process/orders/planner.rs
+++ b/crates/core/src/process/orders/planner.rs
@@ -6,9 +6,8 @@
 
 use crate::clock::Clock;
 use crate::id::EndpointId;
-use crate::process::orders::{
-    Demand, EngineSlot, Holding, RangeIndex, ServiceLevels, SlotState, contribution, find,
-};
+use crate::process::orders::board::Board;
+use crate::process::orders::{Demand, EngineSlot, Holding};
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
@@ -94,18 +93,10 @@
         self.note_lost(engines);
         let loading = engines.iter().filter(|engine| engine.is_loading()).count();
         let room = self.cfg.max_loads.saturating_sub(loading);
-        let mut board = Board { engines: engines.to_vec(), demands, min_gain: self.cfg.min_gain };
-        let mut moves = Vec::new();
-        while moves.len() < room {
-            let next = board.next_move(Donors::Empty, &[]).or_else(|| {
-                let expected: Vec<EngineSlot> =
-                    self.lost.values().map(|(_, slot)| slot.clone()).collect();
-                board.next_move(Donors::All, &expected)
-            });
-            let Some(next) = next else { break };
-            moves.push(next);
-        }
-        moves
+        let expected = self.lost.values().map(|(_, slot)| slot);
+        let mut board = Board::new(engines, expected, demands, self.cfg.min_gain);
+        let next = std::iter::from_fn(|| board.next_move());
+        next.take(room).collect()
     }
 
     /// How many lost engines are still expected back.
@@ -129,87 +120,3 @@
         });
     }
 }
-
-/// Which engines may be moved.
-#[derive(Clone, Copy, PartialEq)]
-enum Donors {
-    /// Those that hold nothing, or nothing that is wanted.
-    Empty,
-    /// Those that serve too.
-    All,
-}
-
-/// The engines while a plan is made.
-struct Board<'a> {
-    engines: Vec<EngineSlot>,
-    demands: &'a [Demand],
-    min_gain: f64,
-}
-
-impl Board<'_> {
-    /// The best move, which it makes on the board. `expected` are lost engines that still count.
-    fn next_move(&mut self, donors: Donors, expected: &[EngineSlot]) -> Option<Move> {
-        let mut levels = ServiceLevels::planned(&self.engines, self.demands);
-        for slot in expected {
-            let index = slot.holding().and_then(|holding| find(self.demands, holding));
-            if let Some(index) = index {
-                levels.add(index, contribution(slot, self.demands, index));
-            }
-        }
-        let (target, lowest) = levels.lowest()?;
-        let donor = self.best_donor(donors, target, lowest, &levels)?;
-        let demand = &self.demands[target.0];
-        let to = Holding { model: demand.model.clone(), layers: demand.ranges[target.1] };
-        let engine = &mut self.engines[donor];
-        engine.state = SlotState::Loads(to.clone());
-        Some(Move { endpoint: engine.endpoint.clone(), to })
-    }
-
-    /// Of the engines that raise the lowest level enough, the one that leaves the lowest of the
-    /// two ranges highest; among equals one in a place with few holders of the range.
-    fn best_donor(
-        &self,
-        donors: Donors,
-        target: RangeIndex,
-        lowest: f64,
-        levels: &ServiceLevels,
-    ) -> Option<usize> {
-        let range = self.demands[target.0].ranges[target.1];
-        let mut best: Option<(usize, f64, usize)> = None;
-        for (index, engine) in self.engines.iter().enumerate() {
-            if engine.is_loading() || !engine.fits(range) {
-                continue;
-            }
-            let serves = engine.holding().and_then(|holding| find(self.demands, holding));
-            if serves == Some(target) || (serves.is_some() && donors == Donors::Empty) {
-                continue;
-            }
-            let raised = lowest + contribution(engine, self.demands, target);
-            let left = serves.map_or(f64::INFINITY, |from| {
-                levels.get(from) - contribution(engine, self.demands, from)
-            });
-            let result = raised.min(left);
-            let enough = if serves.is_some() { lowest * self.min_gain } else { lowest };
-            if result <= enough {
-                continue;
-            }
-            if best.is_some_and(|(_, most, _)| result < most) {
-                continue;
-            }
-            let holders = self.holders_in(&engine.place, target);
-            let better = best.is_none_or(|(_, most, fewest)| result > most || holders < fewest);
-            if better {
-                best = Some((index, result, holders));
-            }
-        }
-        best.map(|(index, ..)| index)
-    }
-
-    fn holders_in(&self, place: &str, target: RangeIndex) -> usize {
-        let holds = |engine: &&EngineSlot| {
-            let index = engine.holding().and_then(|holding| find(self.demands, holding));
-            engine.place == place && index == Some(target)
-        };
-        self.engines.iter().filter(holds).count()
-    }
-}
--- a/crates/core/src/process/orders/service_levels.rs
+++ b/crates/core/src/process/orders/service_levels.rs
@@ -53,6 +53,14 @@
         *self.levels.entry(index).or_default() += by;
     }
 
+    /// All ranges with their levels, the one served worst first.
+    pub fn ascending(&self) -> Vec<(RangeIndex, f64)> {
+        let mut levels: Vec<_> =
+            self.levels.iter().map(|(index, level)| (*index, *level)).collect();
+        levels.sort_by(|(_, a), (_, b)| a.total_cmp(b));
+        levels
+    }
+
     /// The range served worst, and its level.
     pub fn lowest(&self) -> Option<(RangeIndex, f64)> {
         let levels = self.levels.iter().map(|(index, level)| (*index, *level));
--- a/crates/core/tests/orders_fuzz.rs
+++ b/crates/core/tests/orders_fuzz.rs
@@ -29,7 +29,7 @@
 
     fn put(&mut self, record: LeadRecord, version: Revision) -> PutResult {
         if self.version() != version {
-            return PutResult::Conflict;
+            return PutResult::Conflict(self.version());
         }
         self.revision += 1;
         self.object = Some((record, self.revision));
--- a/crates/core/tests/orders_planner.rs
+++ b/crates/core/tests/orders_planner.rs
@@ -122,6 +122,26 @@
     assert_eq!(moves, [Move { endpoint: "engine-9".into(), to: holding(2) }]);
 }
 
+#[test]
+fn a_lost_engine_that_was_replaced_makes_its_range_no_donor() {
+    let clock = ManualClock::new();
+    let mut engines: Vec<_> =
+        (0..8).map(|number| serving(number, "pasila", [0, 0, 0, 1, 1, 1, 2, 2][number])).collect();
+    let mut planner = planner(&clock);
+    planner.plan(&engines, &demands());
+    engines.remove(0);
+    engines.remove(2);
+    engines.push(slot(8, "pasila"));
+    engines.push(slot(9, "pasila"));
+
+    let mut moves = planner.plan(&engines, &demands());
+    finish(&mut engines, &moves);
+    moves.extend(planner.plan(&engines, &demands()));
+
+    assert_eq!(moves.len(), 2, "the spare engines are enough: {moves:?}");
+    assert!(moves.iter().all(|order| ["engine-8", "engine-9"].contains(&&*order.endpoint)));
+}
+
 #[test]
 fn no_more_engines_load_at_a_time_than_allowed() {
     let clock = ManualClock::new();
