The operators' listener by hyper: astra left one GET in fifty unanswered

Cause: the process tests hung now and then. A dump of the hung fleet showed nothing amiss; the request to the operators' listener itself was never answered. Ruled out: the callers' listener (hyper), asked the same way in the same run.

The listener ends with its daemon now, where it went on to the end of the process before.

Conclusion: astra fits neither listener; hyper is what astra wraps, its nearest kin.

--- a/crates/daemon/src/beside/process/beside.rs
+++ b/crates/daemon/src/beside/process/beside.rs
@@ -15,6 +15,7 @@
 use sorrellock_core::process::DaemonRole;
 use sorrellock_core::process::ledger::HolderConfig;
 use sorrellock_core::request::{KeptBudget, Peer};
+use sorrellock_http::Server;
 use sorrellock_platform::api::{Engine, EngineInfo};
 use sorrellock_platform::client::{HttpEngine, HttpInstanceList, HttpObjectStore, HttpService};
 use sorrellock_wire::connection::{LinkConfig, NngLink};
@@ -39,7 +40,7 @@
     counters: Arc<Counters>,
     journal: Arc<Journal>,
     linger: Duration,
-    operators: Option<SocketAddr>,
+    operators: Option<Server>,
 }
 
 impl Beside {
@@ -80,9 +81,8 @@
             Beside { handler, link, counters, journal, linger: settings.linger, operators: None };
         if let Some(addr) = settings.operators {
             let state = Arc::new(beside.state());
-            let addr =
-                listen_for_operators(addr, state).wrap_err("start of the operators' listener")?;
-            beside.operators = Some(addr);
+            let server = listen_for_operators(addr, state);
+            beside.operators = Some(server.wrap_err("start of the operators' listener")?);
         }
         spdlog::info!("beside {} of {} serves", me.addr, settings.place);
         Ok(beside)
@@ -95,7 +95,7 @@
 
     /// Where operators ask, if they may.
     pub fn operators(&self) -> Option<SocketAddr> {
-        self.operators
+        self.operators.as_ref().map(Server::addr)
     }
 
     /// The counters.
--- a/crates/daemon/src/entry/process/entry.rs
+++ b/crates/daemon/src/entry/process/entry.rs
@@ -31,7 +31,7 @@
 pub struct Entry {
     state: Arc<EntryState>,
     server: Server,
-    operators: Option<SocketAddr>,
+    operators: Option<Server>,
     ready_grace: Duration,
 }
 
@@ -110,7 +110,7 @@
 
     /// Where operators ask, if they may.
     pub fn operators(&self) -> Option<SocketAddr> {
-        self.operators
+        self.operators.as_ref().map(Server::addr)
     }
 
     /// The value of a counter.
@@ -285,12 +285,8 @@
     Server::start(cfg, move |req| api.handle(req)).wrap_err("start of the callers' listener")
 }
 
-fn start_operators(
-    settings: &EntrySettings,
-    state: &Arc<EntryState>,
-) -> Result<Option<SocketAddr>> {
+fn start_operators(settings: &EntrySettings, state: &Arc<EntryState>) -> Result<Option<Server>> {
     let Some(addr) = settings.operators else { return Ok(None) };
-    let addr =
-        listen_for_operators(addr, state.clone()).wrap_err("start of the operators' listener")?;
-    Ok(Some(addr))
+    let server = listen_for_operators(addr, state.clone());
+    Ok(Some(server.wrap_err("start of the operators' listener")?))
 }
--- a/crates/daemon/src/process/operators.rs
+++ b/crates/daemon/src/process/operators.rs
@@ -1,42 +1,44 @@
-//! The operators' listener: `GET /dump`, `GET /healthz`. Astra serves it; it takes no bodies.
+//! The operators' listener: `GET /dump`, `GET /healthz`.
 
 use crate::process::Dump;
-use astra::{Body, Request, Response, ResponseBuilder, Server};
-use std::net::{SocketAddr, TcpListener};
+use sorrellock_http::{Request, Server, ServerConfig};
+use std::io;
+use std::net::SocketAddr;
 use std::sync::Arc;
-use std::{io, thread};
 
 /// The most connections of operators at a time.
-const MAX_CONNECTIONS: usize = 8;
+const MAX_CONNECTIONS: usize = 16;
+/// Threads that answer operators: a dump that takes long must not hold up `/healthz`.
+const WORKERS: usize = 2;
+/// The largest body read; what operators ask needs none.
+const MAX_BODY_BYTES: usize = 1 << 10;
 
-/// Starts the operators' listener, and returns where it listens.
-pub fn listen_for_operators(addr: SocketAddr, state: Arc<dyn Dump>) -> io::Result<SocketAddr> {
-    // astra binds late, in its own thread: bind here to tell the address and to fail early.
-    let probe = TcpListener::bind(addr)?;
-    let addr = probe.local_addr()?;
-    drop(probe);
-    let serve = move |req: Request, _| answer(&req, &*state);
-    thread::Builder::new().name("operators".into()).spawn(move || {
-        let server = Server::bind(addr).max_workers(MAX_CONNECTIONS);
-        if let Err(err) = server.serve(serve) {
-            spdlog::error!("operators' listener on {addr} ended: {err}");
-        }
-    })?;
-    Ok(addr)
+/// Starts the operators' listener; it listens until it is dropped.
+pub fn listen_for_operators(addr: SocketAddr, state: Arc<dyn Dump>) -> io::Result<Server> {
+    let cfg = ServerConfig::new(addr)
+        .with_name("operators")
+        .with_workers(WORKERS)
+        .with_max_connections(MAX_CONNECTIONS)
+        .with_max_body_bytes(MAX_BODY_BYTES);
+    Server::start(cfg, move |req| answer(req, &*state))
 }
 
-fn answer(req: &Request, state: &dyn Dump) -> Response {
-    match req.uri().path() {
-        "/dump" => json(200, serde_json::to_string_pretty(&state.dump()).unwrap_or_default()),
-        "/healthz" => json(200, "{}".into()),
-        _ => json(404, r#"{"title":"no such page","detail":"take /dump or /healthz"}"#.into()),
+fn answer(req: Request, state: &dyn Dump) {
+    if req.method != "GET" {
+        return problem(req, 405, "wrong method", "the operators' listener takes GET only");
+    }
+    match req.path_only() {
+        "/dump" => {
+            let text = serde_json::to_string_pretty(&state.dump()).unwrap_or_default();
+            req.responder.send(200, &[("content-type", "application/json")], text);
+        }
+        "/healthz" => req.responder.send(200, &[], "live\n"),
+        _ => problem(req, 404, "no such page", "take /dump or /healthz"),
     }
 }
 
-fn json(status: u16, text: String) -> Response {
-    ResponseBuilder::new()
-        .status(status)
-        .header("content-type", "application/json")
-        .body(Body::new(text))
-        .expect("the answer is well formed")
+fn problem(req: Request, status: u16, title: &str, detail: &str) {
+    let body = serde_json::json!({ "status": status, "title": title, "detail": detail });
+    let headers = [("content-type", "application/problem+json")];
+    req.responder.send(status, &headers, body.to_string());
 }
