--- a/crates/daemon/src/process/log.rs
+++ b/crates/daemon/src/process/log.rs
@@ -1,7 +1,10 @@
 //! Logs: lines for changes of state only, for people or as JSON.
 
-use spdlog::formatter::{FullFormatter, JsonFormatter};
+use spdlog::formatter::{Formatter, FullFormatter, JsonFormatter};
+use spdlog::sink::{SinkPropAccess, StdStreamSink};
+use spdlog::{Level, LevelFilter, Logger};
 use std::str::FromStr;
+use std::sync::Arc;
 
 /// How log lines look.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -27,23 +30,32 @@
     }
 }
 
-/// Sets up the log of this process. Lines go to standard error; a line that can't be written is lost.
+/// Sets up the log of this process. Lines go to standard error; a line that can't be written is
+/// lost, and stops nothing.
 pub fn set_up_log(format: LogFormat) {
-    let logger = spdlog::default_logger();
-    logger.set_flush_level_filter(spdlog::LevelFilter::All);
-    logger.set_error_handler(|_| {});
-    match format {
-        LogFormat::Off => logger.set_level_filter(spdlog::LevelFilter::Off),
-        LogFormat::Human => set_formatter(&logger, format),
-        LogFormat::Json => set_formatter(&logger, format),
-    }
+    spdlog::set_default_logger(Arc::new(new_logger(format)));
 }
 
-fn set_formatter(logger: &spdlog::Logger, format: LogFormat) {
-    for sink in logger.sinks() {
-        match format {
-            LogFormat::Json => sink.set_formatter(Box::new(JsonFormatter::new())),
-            _ => sink.set_formatter(Box::new(FullFormatter::new())),
-        }
+fn new_logger(format: LogFormat) -> Logger {
+    let level = match format {
+        LogFormat::Off => LevelFilter::Off,
+        LogFormat::Human | LogFormat::Json => LevelFilter::MoreSevereEqual(Level::Info),
+    };
+    let sink = StdStreamSink::builder().stderr().error_handler(lose_line);
+    let sink = sink.build().expect("the sink's settings are complete");
+    sink.set_formatter(new_formatter(format));
+    let mut logger = Logger::builder();
+    logger.sink(Arc::new(sink)).level_filter(level);
+    logger.flush_level_filter(LevelFilter::All).error_handler(lose_line);
+    logger.build().expect("the logger's settings are complete")
+}
+
+fn new_formatter(format: LogFormat) -> Box<dyn Formatter> {
+    match format {
+        LogFormat::Json => Box::new(JsonFormatter::new()),
+        LogFormat::Human | LogFormat::Off => Box::new(FullFormatter::new()),
     }
 }
+
+/// A failure of the log must not stop what is logged.
+fn lose_line(_: spdlog::Error) {}
