Daemons as real processes under test; settings checked, with their sources

Tests: an entry and four daemons beside stand-ins, each a process: a plain call, SIGTERM at the entry and beside, a second SIGTERM, SIGUSR1, the operators' listener, settings.

`sorrellockd check ROLE` prints each setting, its value, and whether a flag, a variable or the default gave it. An unknown SORRELLOCK_ variable is an error that names the nearest right one. Settings that don't go together are refused before anything starts (exit code 2).

--- a/crates/daemon/src/cli/args.rs
+++ b/crates/daemon/src/cli/args.rs
@@ -6,6 +6,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+/// How long a graceful shutdown waits for what runs, unless set.
+const DRAIN: Duration = Duration::from_secs(600);
+
 /// The whole command.
 pub fn command() -> Command {
     Command::new("sorrellockd")
@@ -15,6 +18,16 @@
         .arg_required_else_help(true)
         .subcommand(entry_command())
         .subcommand(beside_command())
+        .subcommand(check_command())
+}
+
+fn check_command() -> Command {
+    Command::new("check")
+        .about("Validates settings and tells where each value came from; starts nothing")
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .subcommand(entry_command())
+        .subcommand(beside_command())
 }
 
 fn entry_command() -> Command {
@@ -23,11 +36,23 @@
         .args(common_args())
         .arg(addr("callers", "Where to listen for callers").default_value("127.0.0.1:8080"))
         .arg(addr("platform", "The platform's object API and list of instances").required(true))
-        .arg(number("max-in-progress", "The most requests in progress"))
-        .arg(number("max-connections", "The most connections of callers"))
-        .arg(number("max-body-bytes", "The largest body taken"))
-        .arg(number("workers", "Threads that handle callers' requests"))
-        .arg(number("ready-grace-ms", "How long a leaving entry takes work after /readyz fails"))
+        .arg(count(
+            "max-in-progress",
+            EntrySettings::MAX_IN_PROGRESS,
+            "The most requests in progress",
+        ))
+        .arg(count(
+            "max-connections",
+            EntrySettings::MAX_CONNECTIONS,
+            "The most connections of callers",
+        ))
+        .arg(count("max-body-bytes", EntrySettings::MAX_BODY_BYTES, "The largest body taken"))
+        .arg(count("workers", EntrySettings::WORKERS, "Threads that handle callers' requests"))
+        .arg(millis(
+            "ready-grace-ms",
+            EntrySettings::READY_GRACE,
+            "How long a leaving entry takes work after /readyz fails",
+        ))
 }
 
 fn beside_command() -> Command {
@@ -46,15 +71,29 @@
         .arg(addr("platform", "The platform's object API and list of instances"))
         .arg(engine.value_delimiter(',').action(ArgAction::Append))
         .arg(service)
-        .arg(number(
+        .arg(count(
             "replay-budget-bytes",
+            BesideSettings::REPLAY_BUDGET,
             "Output kept for replay, for each request at each stage",
         ))
-        .arg(number("max-sessions", "The most requests open at one engine"))
-        .arg(number("max-calls", "The most calls that run at one plain service"))
-        .arg(number("call-queue", "The most calls that wait for one plain service"))
-        .arg(number(
+        .arg(count(
+            "max-sessions",
+            BesideSettings::MAX_SESSIONS,
+            "The most requests open at one engine",
+        ))
+        .arg(count(
+            "max-calls",
+            BesideSettings::MAX_CALLS,
+            "The most calls that run at one plain service",
+        ))
+        .arg(count(
+            "call-queue",
+            BesideSettings::CALL_QUEUE,
+            "The most calls that wait for one plain service",
+        ))
+        .arg(millis(
             "linger-ms",
+            BesideSettings::LINGER,
             "How long a leaving daemon stays at least, to refuse what still comes",
         ))
 }
@@ -70,7 +109,7 @@
         log.value_parser(["human", "json", "off"])
             .default_value("human")
             .help("How log lines look"),
-        number("drain-ms", "How long a graceful shutdown waits for what runs"),
+        millis("drain-ms", DRAIN, "How long a graceful shutdown waits for what runs"),
     ]
 }
 
@@ -78,6 +117,16 @@
     named(name, help).value_name("IP:PORT").value_parser(value_parser!(SocketAddr))
 }
 
+/// A number that has a default.
+fn count(name: &'static str, default: usize, help: &'static str) -> Arg {
+    number(name, help).default_value(default.to_string())
+}
+
+/// A time in milliseconds that has a default.
+fn millis(name: &'static str, default: Duration, help: &'static str) -> Arg {
+    number(name, help).value_name("MS").default_value(default.as_millis().to_string())
+}
+
 fn number(name: &'static str, help: &'static str) -> Arg {
     named(name, help).value_name("NUMBER").value_parser(value_parser!(usize))
 }
--- a/crates/daemon/src/cli/mod.rs
+++ b/crates/daemon/src/cli/mod.rs
@@ -1,10 +1,17 @@
 //! The command line of `sorrellockd`: arguments here, what they start elsewhere.
 
 mod args;
+mod check;
 mod run;
 mod signals;
+mod validate;
+mod variables;
 
+pub use args::command;
 pub use run::run;
+pub use validate::*;
+pub use variables::*;
 
-use args::{command, parse_beside, parse_entry};
+use args::{parse_beside, parse_entry};
+use check::describe;
 use signals::wait_for_end;
--- a/crates/daemon/src/cli/run.rs
+++ b/crates/daemon/src/cli/run.rs
@@ -1,33 +1,77 @@
 //! Starts what the arguments ask for.
 
 use crate::beside::process::Beside;
-use crate::cli::{command, parse_beside, parse_entry, wait_for_end};
+use crate::cli::{
+    check_beside, check_entry, check_variables, command, describe, parse_beside, parse_entry,
+    variable_names, wait_for_end,
+};
 use crate::entry::process::Entry;
 use crate::process::{LogFormat, set_up_log};
 use clap::ArgMatches;
-use eyre::Result;
+use eyre::{Result, bail};
 use std::process::ExitCode;
 use std::sync::Arc;
 use std::time::Duration;
 
-/// How long a graceful shutdown waits for what runs, unless set.
-const DRAIN_MS: usize = 600_000;
+/// Exit code of a process whose settings can't be used.
+const BAD_SETTINGS: u8 = 2;
 
 /// Runs `sorrellockd`.
 pub fn run() -> ExitCode {
-    let matches = command().get_matches();
-    let Some((name, args)) = matches.subcommand() else { return ExitCode::FAILURE };
-    set_up_log(log_format(args));
-    let result = match name {
-        "entry" => run_entry(args),
-        _ => run_beside(args),
+    let command = command();
+    if let Err(err) = check_variables(&command, variable_names()) {
+        return refuse("sorrellockd", &err.to_string());
+    }
+    let matches = command.get_matches();
+    let result = match matches.subcommand() {
+        Some(("check", nested)) => run_check(nested),
+        Some((role, args)) => run_role(role, args),
+        None => return ExitCode::FAILURE,
     };
     result.unwrap_or_else(|err| {
-        eprintln!("sorrellockd {name}: {err:#}");
+        eprintln!("sorrellockd: {err:#}");
         ExitCode::FAILURE
     })
 }
 
+fn refuse(what: &str, detail: &str) -> ExitCode {
+    eprintln!("{what}: {detail}");
+    ExitCode::from(BAD_SETTINGS)
+}
+
+fn run_role(role: &str, args: &ArgMatches) -> Result<ExitCode> {
+    if let Err(err) = validate(role, args) {
+        return Ok(refuse(&format!("sorrellockd {role}"), &err.to_string()));
+    }
+    set_up_log(log_format(args));
+    match role {
+        "entry" => run_entry(args),
+        "beside" => run_beside(args),
+        other => bail!("there is no role `{other}`"),
+    }
+}
+
+/// Validates the settings of a role without starting anything.
+fn run_check(nested: &ArgMatches) -> Result<ExitCode> {
+    let Some((role, args)) = nested.subcommand() else { bail!("name a role: entry or beside") };
+    let command = command();
+    let of_role = command.find_subcommand(role).expect("each role has a command");
+    print!("{}", describe(of_role, args));
+    if let Err(err) = validate(role, args) {
+        return Ok(refuse("sorrellockd check", &err.to_string()));
+    }
+    println!("these settings can be used");
+    Ok(ExitCode::SUCCESS)
+}
+
+fn validate(role: &str, args: &ArgMatches) -> Result<()> {
+    match role {
+        "entry" => check_entry(&parse_entry(args))?,
+        _ => check_beside(&parse_beside(args))?,
+    }
+    Ok(())
+}
+
 fn run_entry(args: &ArgMatches) -> Result<ExitCode> {
     let entry = Arc::new(Entry::start(parse_entry(args))?);
     let (state, wait) = (entry.state(), drain_wait(args));
@@ -41,7 +85,7 @@
 }
 
 fn drain_wait(args: &ArgMatches) -> Duration {
-    let ms = args.get_one::<usize>("drain-ms").copied().unwrap_or(DRAIN_MS);
+    let ms = args.get_one::<usize>("drain-ms").copied().unwrap_or_default();
     Duration::from_millis(ms as u64)
 }
 
--- a/crates/daemon/src/cli/signals.rs
+++ b/crates/daemon/src/cli/signals.rs
@@ -20,7 +20,7 @@
     let (tx, rx) = channel();
     let second = tx.clone();
     wait_for_signal(&mut signals, &*state);
-    spdlog::info!("draining: no new work is taken");
+    spdlog::info!("leaving: what runs is finished, new work soon refused");
     thread::spawn(move || tx.send(drain()));
     thread::spawn(move || {
         wait_for_signal(&mut signals, &*state);
--- /dev/null
+++ b/crates/daemon/tests/processes/main.rs
@@ -0,0 +1,8 @@
+//! The daemons as real processes: streams, shutdown, signals, settings.
+
+mod daemon_process;
+mod operators;
+mod process_fleet;
+mod settings;
+mod signals;
+mod streams;
