Tests: a lost answer against an old copy, a page that forgot, values past the tool

Cause: breaking these guards by hand (remembers, at_least of the read back, check on reading) was not caught by any test. Now each is; seen failing with the guard broken.

--- a/crates/platform/tests/common/mod.rs
+++ b/crates/platform/tests/common/mod.rs
@@ -66,11 +66,15 @@
         self.after_put.lock().unwrap().push_back(Box::new(hook));
     }
 
-    /// Answers the next gets from a copy of the present state.
-    pub fn answer_stale(&self, gets: u32) {
+    /// Keeps a copy of the present state for [`answer_stale`](MemoryStore::answer_stale).
+    pub fn keep_copy(&self) {
         let mut inner = self.inner();
         inner.old_copy = Some(inner.objects.clone());
-        inner.stale_gets = gets;
+    }
+
+    /// Answers the next gets from the copy that was kept.
+    pub fn answer_stale(&self, gets: u32) {
+        self.inner().stale_gets = gets;
     }
 
     /// Writes without a condition.
--- a/crates/platform/tests/config_store.rs
+++ b/crates/platform/tests/config_store.rs
@@ -190,6 +190,41 @@
     assert_eq!((now.item.weight, now.change.by.as_str()), (3.0, "ben"));
 }
 
+#[test]
+fn a_lost_answer_is_not_settled_by_an_old_copy() {
+    let store = store_with(&["treasury"]);
+    let anna = operator(&store, "anna");
+    store.keep_copy();
+    anna.set(&[weight("treasury", "match", "2")], None).unwrap();
+    store.fail(&[Fault::AnswerLost]);
+    let stale = store.clone();
+    store.after_put(move || stale.answer_stale(1));
+
+    let report = anna.set(&[weight("treasury", "match", "3")], None).unwrap();
+
+    assert!(report.is_complete(), "{report:?}");
+    assert_eq!(anna.row("treasury", "match").unwrap().change.id, report.change);
+}
+
+#[test]
+fn a_lost_answer_is_not_settled_by_a_page_that_has_forgotten() {
+    let (one, two) = same_page();
+    let store = store_with(&[&one, &two]);
+    let ben = operator(&store, "ben");
+    store.fail(&[Fault::AnswerLost]);
+    let many = move || {
+        for number in 1..=RECENT_CHANGES + 1 {
+            ben.set(&[weight(&two, "match", &number.to_string())], None).unwrap();
+        }
+    };
+    store.after_put(many);
+
+    let report = operator(&store, "anna").set(&[weight(&one, "match", "2")], None).unwrap();
+
+    let err = report.into_result().unwrap_err();
+    assert!(err.may_have_taken_effect(), "{err}");
+}
+
 #[test]
 fn a_lost_answer_that_can_not_be_settled_is_said_so() {
     let store = store_with(&["treasury"]);
@@ -217,6 +252,7 @@
     let store = store_with(&["treasury"]);
     let anna = operator(&store, "anna");
     anna.set(&[weight("treasury", "match", "2")], None).unwrap();
+    store.keep_copy();
     store.answer_stale(3);
     // Stale gets: the workspace page, the row's page, and the first reading back.
     let ben = operator(&store, "ben");
@@ -304,12 +340,18 @@
 #[test]
 fn a_page_written_past_the_tool_is_not_overwritten() {
     let store = store_with(&["treasury"]);
-    let key = Row::new("treasury", "match").page().key();
-    store.write(&key, b"{\"items\":");
+    let mut row = Row::new("treasury", "match");
+    let key = row.page().key();
+    row.weight = 0.0;
+    let out_of_range = serde_json::to_vec(&Page::new(Change::default(), vec![row])).unwrap();
+    for bad in [b"{\"items\":".to_vec(), out_of_range] {
+        store.write(&key, &bad);
+        let edit = weight("treasury", "match", "2");
 
-    let err = operator(&store, "anna").set(&[weight("treasury", "match", "2")], None).unwrap_err();
+        let err = operator(&store, "anna").set(&[edit], None).unwrap_err();
 
-    assert!(matches!(err, ConfigError::BadPage { .. }), "{err}");
+        assert!(matches!(err, ConfigError::BadPage { .. }), "{err}");
+    }
 }
 
 #[test]
