Configuration: the view page by page, and its spread as a state machine

Cause: each change indexed all rows anew, every daemon watched the store itself, and nothing could start without it.

Change: ConfigView (now in core) holds pages behind Arc; applying one page copies that page's references only, rows are looked up by a binary search in their page, keys in a sharded index. Spread (core::version::spreading) is one daemon's part: two daemons a place watch (rendezvous over the live), the others learn (page, revision) from pushes and rounds and fetch pages from peers. It rests on claims - who has all up to SINCE and takes these pages has all up to UPTO - so that 'applied' is always true of the whole. Old copies, late and doubled messages, bad and deleted pages leave the last good page in force and are told. A daemon is ready once it has what the store or a peer had and is behind no peer that it heard.

Differential of the view against a naive one. Ruled out: a digest of all pages each round (4 KB a round and daemon).

--- a/crates/core/src/version/page.rs
+++ b/crates/core/src/version/page.rs
@@ -34,6 +34,36 @@
 }
 
 impl PageId {
+    /// How many pages there can be.
+    pub const COUNT: usize = 2 * PAGES as usize + 1;
+
+    /// Its number among all pages, below [`PageId::COUNT`].
+    pub fn index(self) -> usize {
+        match self {
+            PageId::Table(page) => usize::from(page),
+            PageId::Workspaces(page) => usize::from(PAGES) + usize::from(page),
+            PageId::Pipelines => 2 * usize::from(PAGES),
+        }
+    }
+
+    /// The page of a number below [`PageId::COUNT`].
+    pub fn at(index: usize) -> PageId {
+        let pages = usize::from(PAGES);
+        match index {
+            _ if index < pages => PageId::Table(index as u16),
+            _ if index < 2 * pages => PageId::Workspaces((index - pages) as u16),
+            _ => PageId::Pipelines,
+        }
+    }
+
+    /// Whether there is such a page; a message can name one that there is not.
+    pub fn exists(self) -> bool {
+        match self {
+            PageId::Table(page) | PageId::Workspaces(page) => page < PAGES,
+            PageId::Pipelines => true,
+        }
+    }
+
     /// Its key in the store.
     pub fn key(&self) -> String {
         match self {
@@ -126,21 +156,28 @@
         self.items.iter().find(|versioned| versioned.item.name() == name)
     }
 
-    /// Whether it may be in force as page `id`: every item is sound, belongs here, and is alone
-    /// under its name.
+    /// Refuses what may not be in force as page `id`.
     pub fn check(&self, id: PageId) -> Result<(), PageError> {
-        let mut names = HashSet::new();
-        for versioned in &self.items {
-            let item = &versioned.item;
-            item.check().map_err(|err| PageError::malformed(id, err))?;
-            if item.page() != id {
-                let detail = format!("`{}` belongs to page {}", item.name(), item.page());
-                return Err(PageError::malformed(id, detail));
-            }
-            if !names.insert(item.name()) {
-                return Err(PageError::malformed(id, format!("`{}` stands twice", item.name())));
-            }
+        check_items(id, self.items.iter().map(|versioned| &versioned.item))
+    }
+}
+
+/// Takes items that may be in force as page `id`: each is sound, belongs there, and is alone under
+/// its name.
+pub(crate) fn check_items<'a, T: Item>(
+    id: PageId,
+    items: impl IntoIterator<Item = &'a T>,
+) -> Result<(), PageError> {
+    let mut names = HashSet::new();
+    for item in items {
+        item.check().map_err(|err| PageError::malformed(id, err))?;
+        if item.page() != id {
+            let detail = format!("`{}` belongs to page {}", item.name(), item.page());
+            return Err(PageError::malformed(id, detail));
+        }
+        if !names.insert(item.name()) {
+            return Err(PageError::malformed(id, format!("`{}` stands twice", item.name())));
         }
-        Ok(())
     }
+    Ok(())
 }
--- /dev/null
+++ b/crates/core/tests/config_spread/focused.rs
@@ -0,0 +1,409 @@
+//! Focused tests: one guard each.
+
+use crate::world::World;
+use sorrellock_core::clock::ManualClock;
+use sorrellock_core::id::{Place, Revision};
+use sorrellock_core::request::Peer;
+use sorrellock_core::version::{
+    Change, Column, ConfigEvent, ConfigMessage, ConfigPeers, Effect, Item, Page, PageCopy, PageId,
+    PageListing, Row, Spread, SpreadSettings, StoreCall, Workspace,
+};
+use sorrellock_platform::config::{ConfigStore, RowEdit};
+use std::time::Duration;
+
+/// Bound of every wait, in model time.
+const SOON: Duration = Duration::from_secs(5);
+const PLACES: [&str; 3] = ["pasila", "vantaa", "espoo"];
+
+/// Peers that a test names.
+#[derive(Default)]
+struct Known {
+    place: Place,
+    near: Vec<Peer>,
+}
+
+impl ConfigPeers for Known {
+    fn of_place(&self) -> Vec<Peer> {
+        self.near.clone()
+    }
+
+    fn of_other_places(&self) -> Vec<Peer> {
+        Vec::new()
+    }
+
+    fn place(&self) -> &Place {
+        &self.place
+    }
+}
+
+fn peer(number: u16) -> Peer {
+    let addr = format!("127.0.0.1:{}", 2000 + number).parse().unwrap();
+    Peer { addr, incarnation: u64::from(number) }
+}
+
+/// A daemon on its own, which therefore watches the store.
+fn alone() -> (Spread<ManualClock>, ManualClock) {
+    let clock = ManualClock::new();
+    let mut spread = Spread::new(SpreadSettings::new(), clock.clone(), peer(1), 1);
+    spread.tick(&Known::default());
+    (spread, clock)
+}
+
+fn row(weight: f64) -> Row {
+    let mut row = Row::new("treasury", "match");
+    row.weight = weight;
+    row
+}
+
+fn page() -> PageId {
+    row(1.0).page()
+}
+
+fn value(weight: f64) -> Vec<u8> {
+    serde_json::to_vec(&Page::new(Change::default(), vec![row(weight)])).unwrap()
+}
+
+fn copy(revision: Revision, weight: f64) -> PageCopy {
+    let body = sorrellock_core::version::PageBody::Table(vec![row(weight)]);
+    PageCopy { page: page(), revision, body }
+}
+
+fn listing(revision: Revision, pages: &[(PageId, Revision)]) -> PageListing {
+    PageListing { revision, pages: pages.to_vec() }
+}
+
+/// A daemon on its own that has the page at revision 5 in force.
+fn with_page() -> (Spread<ManualClock>, ManualClock) {
+    let (mut spread, clock) = alone();
+    spread.on_list(listing(5, &[(page(), 5)]));
+    spread.on_object(page(), Some((5, value(5.0))));
+    spread.take_effects();
+    (spread, clock)
+}
+
+fn weight(spread: &Spread<ManualClock>) -> f64 {
+    spread.view().row("treasury", "match").weight
+}
+
+fn events(spread: &mut Spread<ManualClock>) -> Vec<ConfigEvent> {
+    let tell = |effect| match effect {
+        Effect::Tell(event) => Some(event),
+        Effect::Send { .. } => None,
+    };
+    spread.take_effects().into_iter().filter_map(tell).collect()
+}
+
+fn sent(spread: &mut Spread<ManualClock>) -> Vec<ConfigMessage> {
+    let message = |effect| match effect {
+        Effect::Send { message, .. } => Some(message),
+        Effect::Tell(_) => None,
+    };
+    spread.take_effects().into_iter().filter_map(message).collect()
+}
+
+/// A fleet whose rows are written and in force everywhere.
+fn settled(count: usize) -> World {
+    let mut world = World::new(&PLACES, count, 7);
+    let operator = ConfigStore::new(world.store.clone(), "anna");
+    operator.add_workspace(Workspace::new("treasury", "key", Vec::new())).unwrap();
+    set(&world, "2");
+    let in_force = |spread: &Spread<ManualClock>| spread.is_ready() && weight(spread) == 2.0;
+    let all = world.until(SOON, |world| world.up().all(|(_, spread)| in_force(spread)));
+    assert!(all.is_some());
+    world
+}
+
+fn set(world: &World, weight: &str) -> Revision {
+    let operator = ConfigStore::new(world.store.clone(), "anna");
+    let edit = RowEdit::new("treasury", "match").with_cell(Column::Weight, weight);
+    operator.set(&[edit], None).unwrap().into_result().unwrap().revision()
+}
+
+#[test]
+fn a_lower_or_equal_revision_is_never_taken() {
+    let (mut spread, _) = with_page();
+
+    spread.on_message(peer(2), ConfigMessage::Pages { copies: vec![copy(4, 4.0)] });
+    spread.on_message(peer(2), ConfigMessage::Pages { copies: vec![copy(5, 9.0)] });
+
+    assert_eq!((weight(&spread), spread.applied()), (5.0, 5));
+}
+
+#[test]
+fn a_list_of_an_old_copy_is_dropped_and_asked_for_again_later() {
+    let (mut spread, clock) = with_page();
+
+    spread.on_list(listing(3, &[]));
+
+    assert_eq!(events(&mut spread), [ConfigEvent::OldCopy { shown: 3, known: 5 }]);
+    assert!(spread.next_store_call().is_err());
+    clock.advance(SOON);
+    assert!(spread.next_store_call().is_ok());
+    assert!(spread.troubles().deleted.is_empty());
+}
+
+#[test]
+fn a_page_older_than_the_list_said_is_refused_and_read_again_later() {
+    let (mut spread, clock) = alone();
+    spread.on_list(listing(9, &[(page(), 9)]));
+
+    spread.on_object(page(), Some((5, value(5.0))));
+
+    assert_eq!((weight(&spread), spread.applied()), (1.0, 0));
+    assert!(spread.next_store_call().is_err());
+    clock.advance(SOON);
+    assert_eq!(spread.next_store_call(), Ok(StoreCall::List));
+    spread.on_list(listing(9, &[(page(), 9)]));
+    assert_eq!(spread.next_store_call(), Ok(StoreCall::Get(page())));
+    spread.on_object(page(), Some((9, value(9.0))));
+    assert_eq!((weight(&spread), spread.applied()), (9.0, 9));
+}
+
+#[test]
+fn a_page_deleted_between_list_and_read_holds_nothing_up() {
+    let (mut spread, clock) = alone();
+    spread.on_list(listing(9, &[(page(), 9)]));
+
+    spread.on_object(page(), None);
+    clock.advance(SOON);
+    let next = spread.next_store_call();
+    spread.on_list(listing(10, &[]));
+
+    assert_eq!(next, Ok(StoreCall::List));
+    assert_eq!(spread.applied(), 10);
+}
+
+#[test]
+fn a_bad_page_leaves_the_last_good_one_in_force_and_is_told() {
+    let (mut spread, _) = with_page();
+    spread.on_watch(5, listing(6, &[(page(), 6)]));
+
+    spread.on_object(page(), Some((6, value(0.0))));
+
+    assert_eq!((weight(&spread), spread.applied()), (5.0, 6));
+    let told = events(&mut spread);
+    assert!(matches!(told[0], ConfigEvent::Refused { revision: 6, .. }), "{told:?}");
+    assert_eq!(spread.troubles().refused[&page().key()], 6);
+    spread.on_watch(6, listing(7, &[(page(), 7)]));
+    spread.on_object(page(), Some((7, value(7.0))));
+    assert_eq!(weight(&spread), 7.0);
+    assert!(spread.troubles().refused.is_empty());
+}
+
+#[test]
+fn a_bad_page_of_a_peer_is_refused_too() {
+    let (mut spread, _) = with_page();
+
+    spread.on_message(peer(2), ConfigMessage::Pages { copies: vec![copy(8, -1.0)] });
+
+    assert_eq!(weight(&spread), 5.0);
+    assert_eq!(spread.troubles().refused[&page().key()], 8);
+}
+
+#[test]
+fn a_deleted_page_stays_in_force_and_is_told_until_it_is_written_again() {
+    let (mut spread, _) = with_page();
+
+    spread.on_watch(5, listing(6, &[(page(), 0)]));
+
+    assert_eq!((weight(&spread), spread.applied()), (5.0, 6));
+    assert_eq!(events(&mut spread), [ConfigEvent::Deleted { page: page() }]);
+    assert!(spread.troubles().deleted.contains(&page().key()));
+    spread.on_watch(6, listing(7, &[(page(), 7)]));
+    spread.on_object(page(), Some((7, value(7.0))));
+    assert_eq!(weight(&spread), 7.0);
+    assert!(spread.troubles().deleted.is_empty());
+}
+
+#[test]
+fn a_deletion_before_the_revision_in_force_is_not_told() {
+    let (mut spread, _) = with_page();
+    spread.on_message(peer(2), ConfigMessage::Pages { copies: vec![copy(8, 8.0)] });
+    spread.take_effects();
+
+    spread.on_watch(5, listing(6, &[(page(), 0)]));
+
+    assert_eq!(events(&mut spread), []);
+    assert_eq!(weight(&spread), 8.0);
+}
+
+#[test]
+fn messages_that_name_no_page_are_dropped_and_told() {
+    let (mut spread, _) = with_page();
+    let none = vec![(PageId::Table(u16::MAX), 9)];
+    let many = vec![(page(), 9); PageId::COUNT + 1];
+    let digest =
+        |since, upto, pages| ConfigMessage::Digest { since, upto, pages, refused: Vec::new() };
+    let bad = [
+        ConfigMessage::Fetch { pages: none.clone() },
+        ConfigMessage::Fetch { pages: many.clone() },
+        digest(5, 9, none),
+        digest(5, 9, many),
+        digest(9, 8, Vec::new()),
+        ConfigMessage::Pages { copies: vec![copy(0, 2.0)] },
+    ];
+    for message in bad {
+        spread.on_message(peer(2), message);
+
+        assert_eq!(events(&mut spread), [ConfigEvent::BadMessage { peer: peer(2) }]);
+        assert_eq!(spread.applied(), 5);
+    }
+}
+
+#[test]
+fn a_digest_after_a_gap_is_answered_by_asking_for_the_whole() {
+    let (mut spread, _) = with_page();
+    let digest =
+        ConfigMessage::Digest { since: 8, upto: 9, pages: Vec::new(), refused: Vec::new() };
+
+    spread.on_message(peer(2), digest);
+
+    assert_eq!(sent(&mut spread), [ConfigMessage::Summary { applied: 5, ask: true }]);
+    assert_eq!(spread.applied(), 5);
+}
+
+#[test]
+fn a_large_answer_is_cut_after_some_pages_and_the_rest_is_asked_for_at_once() {
+    let (mut giver, _) = alone();
+    let many = |page: PageId| {
+        let rows = (0..9_000)
+            .map(|n| format!("w{n}"))
+            .filter(|name| Row::new(name.as_str(), "a").page() == page);
+        let kinds =
+            |name: String| (0..80).map(move |kind| Row::new(name.as_str(), format!("{kind}")));
+        sorrellock_core::version::PageBody::Table(rows.flat_map(kinds).collect())
+    };
+    let pages: Vec<PageId> = (0..4).map(PageId::Table).collect();
+    let copies = pages.iter().map(|page| PageCopy { page: *page, revision: 3, body: many(*page) });
+    giver.on_message(peer(3), ConfigMessage::Pages { copies: copies.collect() });
+    let (mut taker, _) = alone();
+    let at: Vec<_> = pages.iter().map(|page| (*page, 3)).collect();
+    let digest = ConfigMessage::Digest { since: 0, upto: 3, pages: at, refused: Vec::new() };
+    taker.take_effects();
+
+    taker.on_message(peer(2), digest);
+    let mut answers = 0;
+    while let Some(fetch) = sent(&mut taker).pop() {
+        giver.take_effects();
+        giver.on_message(peer(1), fetch);
+        let answer = sent(&mut giver).pop().unwrap();
+        answers += 1;
+        taker.on_message(peer(2), answer);
+    }
+
+    assert!((2..=4).contains(&answers), "{answers} answers");
+    assert_eq!(taker.applied(), 3);
+}
+
+#[test]
+fn a_daemon_without_peers_is_ready_from_the_store_after_a_grace() {
+    let (mut spread, clock) = with_page();
+
+    let at_once = spread.is_ready();
+    clock.advance(SpreadSettings::new().join_grace);
+    spread.tick(&Known::default());
+
+    assert!(!at_once && spread.is_ready());
+}
+
+#[test]
+fn a_daemon_on_an_old_copy_is_not_ready_before_it_has_what_its_peers_have() {
+    let clock = ManualClock::new();
+    let mut spread = Spread::new(SpreadSettings::new(), clock.clone(), peer(1), 1);
+    let known = Known { place: "pasila".into(), near: vec![peer(2)] };
+    spread.on_list(listing(5, &[(page(), 5)]));
+    spread.on_object(page(), Some((5, value(5.0))));
+    spread.on_message(peer(2), ConfigMessage::Summary { applied: 9, ask: false });
+
+    clock.advance(SOON);
+    spread.tick(&known);
+    let behind = spread.is_ready();
+    let digest =
+        ConfigMessage::Digest { since: 5, upto: 9, pages: vec![(page(), 8)], refused: Vec::new() };
+    spread.on_message(peer(2), digest);
+    spread.on_message(peer(2), ConfigMessage::Pages { copies: vec![copy(8, 8.0)] });
+
+    assert!(!behind);
+    assert!(spread.is_ready() && weight(&spread) == 8.0);
+}
+
+#[test]
+fn without_store_and_peers_a_daemon_is_never_ready() {
+    let mut world = World::new(&["pasila"], 1, 1);
+    world.store.set_down(true);
+
+    world.steps(1_000);
+
+    assert!(!world.spread(0).is_ready());
+}
+
+#[test]
+fn a_new_daemon_starts_from_its_peers_while_the_store_is_down() {
+    let mut world = settled(6);
+    world.store.set_down(true);
+
+    world.start(4);
+    let ready = world.until(SOON, |world| world.spread(4).is_ready());
+
+    assert!(ready.is_some());
+    assert_eq!(weight(world.spread(4)), 2.0);
+}
+
+#[test]
+fn a_change_is_in_force_everywhere_in_bounded_time() {
+    let mut world = settled(30);
+
+    let revision = set(&world, "3");
+    let all = |world: &World| {
+        world.up().all(|(_, spread)| weight(spread) == 3.0 && spread.applied() >= revision)
+    };
+
+    // News are pushed on: rounds of comparing alone take longer.
+    assert!(world.until(Duration::from_millis(1_500), all).is_some());
+}
+
+#[test]
+fn two_daemons_a_place_watch_and_others_take_over() {
+    let mut world = settled(12);
+    let watchers = |world: &World| -> Vec<usize> {
+        world.up().filter(|(_, spread)| spread.is_watching()).map(|(number, _)| number).collect()
+    };
+    let before = watchers(&world);
+
+    before.iter().for_each(|number| world.kill(*number));
+    world.steps(100);
+    let after = watchers(&world);
+    set(&world, "3");
+    let all = world.until(SOON, |world| world.up().all(|(_, spread)| weight(spread) == 3.0));
+
+    assert_eq!((before.len(), after.len()), (6, 6));
+    assert!(after.iter().all(|number| !before.contains(number)));
+    assert!(all.is_some());
+}
+
+#[test]
+fn a_place_cut_off_goes_on_from_the_store_and_one_without_store_from_the_others() {
+    let mut world = settled(9);
+    world.cut = true;
+    world.steps(50);
+
+    set(&world, "3");
+
+    let all = world.until(SOON, |world| world.up().all(|(_, spread)| weight(spread) == 3.0));
+    assert!(all.is_some());
+}
+
+#[test]
+fn an_idle_fleet_makes_few_calls_and_messages() {
+    let mut world = settled(30);
+    let (calls, messages) = (world.store_calls, world.messages);
+
+    world.steps(3_000);
+
+    let seconds = 60;
+    let (calls, messages) = (world.store_calls - calls, world.messages - messages);
+    // Six watchers, a watch each ten seconds; a summary a second from each of thirty daemons, one
+    // more from each watcher, and the answers to those that differ.
+    assert!(calls <= 6 * (seconds / 10 + 1), "{calls} calls");
+    assert!(messages <= 3 * seconds * (30 + 6), "{messages} messages");
+}
--- /dev/null
+++ b/crates/core/tests/config_spread/main.rs
@@ -0,0 +1,6 @@
+//! How configuration spreads among daemons: focused tests, and stateful fuzzing against an oracle.
+
+mod focused;
+mod fuzz;
+mod store;
+mod world;
--- /dev/null
+++ b/crates/core/tests/config_spread/world.rs
@@ -0,0 +1,330 @@
+//! Several daemons, their network and the store, on one paused clock.
+
+use crate::store::ModelStore;
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+use sorrellock_core::clock::{Clock, ManualClock};
+use sorrellock_core::id::{Place, Revision};
+use sorrellock_core::request::Peer;
+use sorrellock_core::version::{
+    ConfigEvent, ConfigMessage, ConfigPeers, Effect, PageId, Spread, SpreadSettings, StoreCall,
+};
+use sorrellock_platform::api::ObjectStore;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+/// The time of one step.
+pub const STEP: Duration = Duration::from_millis(20);
+/// How often the daemons learn who is alive, in steps.
+const MEMBERSHIP_STEPS: u64 = 25;
+/// Longest delay of a message or a call, in steps.
+const MAX_DELAY: u64 = 4;
+
+pub struct Daemon {
+    pub place: Place,
+    /// `None` while it is down.
+    pub spread: Option<Spread<ManualClock>>,
+    pub peer: Peer,
+    /// Steps for which it is still paused.
+    pub paused: u64,
+    call: Option<(StoreCall, Instant)>,
+    ask_at: Instant,
+    peers: Peers,
+    /// The highest revision of each page that this incarnation had in force.
+    seen: BTreeMap<PageId, Revision>,
+    seen_applied: Revision,
+}
+
+#[derive(Clone, Default)]
+struct Peers {
+    place: Place,
+    near: Vec<Peer>,
+    far: Vec<Peer>,
+}
+
+impl ConfigPeers for Peers {
+    fn of_place(&self) -> Vec<Peer> {
+        self.near.clone()
+    }
+
+    fn of_other_places(&self) -> Vec<Peer> {
+        self.far.clone()
+    }
+
+    fn place(&self) -> &Place {
+        &self.place
+    }
+}
+
+struct Flight {
+    at: u64,
+    from: usize,
+    to: Peer,
+    message: ConfigMessage,
+}
+
+pub struct World {
+    pub clock: ManualClock,
+    pub store: ModelStore,
+    pub daemons: Vec<Daemon>,
+    pub settings: SpreadSettings,
+    /// One message in so many is lost, and one doubled; 0 for none.
+    pub loss: u32,
+    /// Whether places can't reach one another.
+    pub cut: bool,
+    pub events: Vec<(usize, ConfigEvent)>,
+    pub store_calls: u64,
+    pub messages: u64,
+    rng: SmallRng,
+    steps: u64,
+    incarnations: u64,
+    flights: Vec<Flight>,
+}
+
+impl World {
+    /// `count` daemons, in turn in each of `places`, all started.
+    pub fn new(places: &[&str], count: usize, seed: u64) -> World {
+        let mut world = World {
+            clock: ManualClock::new(),
+            store: ModelStore::default(),
+            daemons: Vec::new(),
+            settings: SpreadSettings::new(),
+            loss: 0,
+            cut: false,
+            events: Vec::new(),
+            store_calls: 0,
+            messages: 0,
+            rng: SmallRng::seed_from_u64(seed),
+            steps: 0,
+            incarnations: 0,
+            flights: Vec::new(),
+        };
+        for number in 0..count {
+            let addr: SocketAddr = format!("127.0.0.1:{}", 1000 + number).parse().unwrap();
+            world.daemons.push(Daemon {
+                place: places[number % places.len()].to_owned(),
+                spread: None,
+                peer: Peer { addr, incarnation: 0 },
+                paused: 0,
+                call: None,
+                ask_at: world.clock.now(),
+                peers: Peers::default(),
+                seen: BTreeMap::new(),
+                seen_applied: 0,
+            });
+            world.start(number);
+        }
+        world.learn_members();
+        world
+    }
+
+    /// Starts a daemon anew; it knows nothing, and nobody is known to it for a while.
+    pub fn start(&mut self, number: usize) {
+        self.incarnations += 1;
+        let incarnation = self.incarnations * 7919;
+        let clock = self.clock.clone();
+        let daemon = &mut self.daemons[number];
+        daemon.peer.incarnation = incarnation;
+        daemon.spread = Some(Spread::new(self.settings.clone(), clock, daemon.peer, incarnation));
+        daemon.call = None;
+        daemon.ask_at = self.clock.now();
+        daemon.peers = Peers { place: daemon.place.clone(), ..Peers::default() };
+        daemon.seen.clear();
+        daemon.seen_applied = 0;
+        daemon.paused = 0;
+    }
+
+    pub fn kill(&mut self, number: usize) {
+        self.daemons[number].spread = None;
+    }
+
+    pub fn spread(&self, number: usize) -> &Spread<ManualClock> {
+        self.daemons[number].spread.as_ref().expect("the daemon is up")
+    }
+
+    pub fn up(&self) -> impl Iterator<Item = (usize, &Spread<ManualClock>)> {
+        let daemons = self.daemons.iter().enumerate();
+        daemons.filter_map(|(number, daemon)| Some((number, daemon.spread.as_ref()?)))
+    }
+
+    pub fn steps(&mut self, count: u64) {
+        (0..count).for_each(|_| self.step());
+    }
+
+    /// Steps until `done`, and tells after how long; `None` if it takes longer than `most`.
+    pub fn until(&mut self, most: Duration, done: impl Fn(&World) -> bool) -> Option<Duration> {
+        let begin = self.clock.now();
+        while !done(self) {
+            if self.clock.now() - begin > most {
+                return None;
+            }
+            self.step();
+        }
+        Some(self.clock.now() - begin)
+    }
+
+    fn step(&mut self) {
+        self.clock.advance(STEP);
+        self.steps += 1;
+        if self.steps.is_multiple_of(MEMBERSHIP_STEPS) {
+            self.learn_members();
+        }
+        self.deliver();
+        for number in 0..self.daemons.len() {
+            if self.daemons[number].paused > 0 {
+                self.daemons[number].paused -= 1;
+                continue;
+            }
+            self.run(number);
+            self.check_monotonic(number);
+        }
+    }
+
+    fn run(&mut self, number: usize) {
+        let daemon = &mut self.daemons[number];
+        let Some(spread) = &mut daemon.spread else { return };
+        spread.tick(&daemon.peers);
+        self.call_store(number);
+        let Some(spread) = &mut self.daemons[number].spread else { return };
+        for effect in spread.take_effects() {
+            match effect {
+                Effect::Tell(event) => self.events.push((number, event)),
+                Effect::Send { to, message } => self.send(number, to, message),
+            }
+        }
+    }
+
+    fn call_store(&mut self, number: usize) {
+        let now = self.clock.now();
+        let delay = STEP * self.rng.random_range(0..3);
+        let daemon = &mut self.daemons[number];
+        let Some(spread) = &mut daemon.spread else { return };
+        let Some((call, at)) = daemon.call else {
+            if now < daemon.ask_at {
+                return;
+            }
+            match spread.next_store_call() {
+                Ok(call) => {
+                    self.store_calls += 1;
+                    daemon.call = Some((call, now + delay));
+                }
+                Err(at) => daemon.ask_at = at,
+            }
+            return;
+        };
+        if now < at {
+            return;
+        }
+        let done = match call {
+            StoreCall::List => {
+                match self.store.list_pages() {
+                    Ok(listing) => spread.on_list(listing),
+                    Err(()) => spread.on_store_failure(None),
+                }
+                true
+            }
+            StoreCall::Get(page) => {
+                match self.store.get(&page.key()) {
+                    Ok(object) => {
+                        spread.on_object(page, object.map(|found| (found.version, found.value)));
+                    }
+                    Err(_) => spread.on_store_failure(None),
+                }
+                true
+            }
+            StoreCall::Watch { after, wait } => {
+                match self.store.watch_pages(after, now >= at + wait) {
+                    None => false,
+                    Some(Ok(listing)) => {
+                        spread.on_watch(after, listing);
+                        true
+                    }
+                    Some(Err(())) => {
+                        spread.on_store_failure(None);
+                        true
+                    }
+                }
+            }
+        };
+        if done {
+            daemon.call = None;
+        }
+    }
+
+    fn send(&mut self, from: usize, to: Peer, message: ConfigMessage) {
+        self.messages += 1;
+        let lossy = self.loss > 0;
+        if lossy && self.rng.random_range(0..self.loss) == 0 {
+            return;
+        }
+        let twice = lossy && self.rng.random_range(0..self.loss) == 0;
+        for _ in 0..1 + u32::from(twice) {
+            // Different delays reorder; now and then one comes very late.
+            let late = lossy && self.rng.random_range(0..20) == 0;
+            let delay = self.rng.random_range(0..MAX_DELAY) + if late { 200 } else { 0 };
+            let at = self.steps + delay;
+            self.flights.push(Flight { at, from, to, message: message.clone() });
+        }
+    }
+
+    fn deliver(&mut self) {
+        let steps = self.steps;
+        let (due, rest): (Vec<_>, Vec<_>) =
+            std::mem::take(&mut self.flights).into_iter().partition(|flight| flight.at <= steps);
+        self.flights = rest;
+        for flight in due {
+            let Some(to) =
+                self.daemons.iter().position(|daemon| daemon.peer.addr == flight.to.addr)
+            else {
+                continue;
+            };
+            let apart = self.daemons[to].place != self.daemons[flight.from].place;
+            let misdirected = self.daemons[to].peer.incarnation != flight.to.incarnation;
+            if misdirected || (apart && self.cut) {
+                continue;
+            }
+            if self.daemons[to].paused > 0 {
+                self.flights.push(Flight { at: steps + 1, ..flight });
+                continue;
+            }
+            let from = self.daemons[flight.from].peer;
+            if let Some(spread) = &mut self.daemons[to].spread {
+                spread.on_message(from, flight.message);
+            }
+        }
+    }
+
+    fn learn_members(&mut self) {
+        let alive: Vec<(Place, Peer)> = self
+            .daemons
+            .iter()
+            .filter(|daemon| daemon.spread.is_some())
+            .map(|daemon| (daemon.place.clone(), daemon.peer))
+            .collect();
+        for daemon in &mut self.daemons {
+            let others = || alive.iter().filter(|(_, peer)| *peer != daemon.peer);
+            let (place, cut) = (daemon.place.clone(), self.cut);
+            let near = others().filter(|(other, _)| *other == place).map(|(_, peer)| *peer);
+            let far = others().filter(|(other, _)| *other != place && !cut);
+            daemon.peers = Peers {
+                place: place.clone(),
+                near: near.collect(),
+                far: far.map(|(_, peer)| *peer).collect(),
+            };
+        }
+    }
+
+    /// No revision ever falls within an incarnation.
+    fn check_monotonic(&mut self, number: usize) {
+        let daemon = &mut self.daemons[number];
+        let Some(spread) = &daemon.spread else { return };
+        assert!(spread.applied() >= daemon.seen_applied, "daemon {number}: applied fell");
+        daemon.seen_applied = spread.applied();
+        for (page, revision) in &daemon.seen {
+            let now = spread.view().revision(*page);
+            assert!(now >= *revision, "daemon {number}: {page} fell from {revision} to {now}");
+        }
+        daemon.seen = spread.view().revisions().collect();
+    }
+}
