--- a/crates/core/tests/ledger/fuzz.rs
+++ b/crates/core/tests/ledger/fuzz.rs
@@ -69,7 +69,8 @@
 
 #[test]
 fn each_key_runs_at_most_once_under_any_schedule() {
-    let seeds = if env::var_os("SORRELLOCK_FUZZ_LONG").is_some() { LONG_SEEDS } else { SEEDS };
+    let long = env::var_os("SORRELLOCK_FUZZ_LONG").is_some();
+    let seeds = if long { LONG_SEEDS } else { SEEDS };
     let mut totals = Totals::default();
 
     for seed in 0..seeds {
