Orders: tests for the guards that none caught: late reads, clashes, lost answers, old copies

Cause: with the guard's max of reads, the reread after a conflict or after an unclear put taken out by hand, no test failed. Change: the fuzz reads from old copies and lets a guard's read end late; each guard has a direct test.

--- a/crates/core/tests/orders_fuzz.rs
+++ b/crates/core/tests/orders_fuzz.rs
@@ -20,6 +20,8 @@
 struct Store {
     revision: Revision,
     object: Option<(LeadRecord, Revision)>,
+    /// What the object was before, for reads from an old copy.
+    old: Vec<Option<(LeadRecord, Revision)>>,
 }
 
 impl Store {
@@ -32,6 +34,7 @@
             return PutResult::Conflict(self.version());
         }
         self.revision += 1;
+        self.old.push(self.object);
         self.object = Some((record, self.revision));
         PutResult::Written(self.revision)
     }
@@ -54,6 +57,8 @@
 /// A guard before an engine that checks nothing, and what the engine took.
 struct Guarded {
     guard: FenceGuard,
+    /// A read that is under way, with what it will tell.
+    reading: Option<Revision>,
     taken: Vec<Fence>,
 }
 
@@ -73,7 +78,7 @@
             election: LeadElection::new(clock.clone(), number as u64 + 1),
             waiting: Waiting::Nothing,
         };
-        let guarded = |_| Guarded { guard: FenceGuard::new(), taken: Vec::new() };
+        let guarded = |_| Guarded { guard: FenceGuard::new(), reading: None, taken: Vec::new() };
         World {
             random: Random(seed),
             store: Store::default(),
@@ -93,17 +98,42 @@
                 let named = self.random.below(2) == 0;
                 self.daemons[daemon].election.on_named(named);
             }
-            2 => self.guards[guard].guard = FenceGuard::new(),
-            3 => self.guards[guard].guard.on_read(self.store.version()),
+            2 if self.random.below(4) == 0 => {
+                self.guards[guard].guard = FenceGuard::new();
+                self.guards[guard].reading = None;
+            }
+            2 | 3 => self.read_at(guard),
             4 | 5 => self.order(daemon, guard),
             6 | 7 => self.deliver(),
             _ => self.advance_daemon(daemon),
         }
     }
 
+    /// Begins a guard's read, or ends one that began a while ago. Guards read by a put that clashes,
+    /// so never from an old copy.
+    fn read_at(&mut self, guard: usize) {
+        let guarded = &mut self.guards[guard];
+        match guarded.reading.take() {
+            Some(version) => guarded.guard.on_read(version),
+            None => guarded.reading = Some(self.store.version()),
+        }
+    }
+
+    /// What a read finds: the object, or what it was once.
+    fn read(&mut self) -> (Option<LeadRecord>, Revision) {
+        let found = match self.random.below(6) {
+            0 if !self.store.old.is_empty() => {
+                self.store.old[self.random.below(self.store.old.len())]
+            }
+            _ => self.store.object,
+        };
+        (found.map(|(record, _)| record), found.map_or(0, |(_, version)| version))
+    }
+
     /// One step of a daemon between the store and its election; a daemon not chosen is paused.
     fn advance_daemon(&mut self, index: usize) {
         let lost = self.random.below(5) == 0;
+        let (found, version) = self.read();
         let daemon = &mut self.daemons[index];
         let record = LeadRecord { lead: index as u64 + 1 };
         daemon.waiting = match std::mem::replace(&mut daemon.waiting, Waiting::Nothing) {
@@ -116,10 +146,7 @@
                 daemon.election.on_read_failed();
                 Waiting::Nothing
             }
-            Waiting::ToRead => {
-                let object = self.store.object;
-                Waiting::ReadAnswer(object.map(|(record, _)| record), self.store.version())
-            }
+            Waiting::ToRead => Waiting::ReadAnswer(found, version),
             Waiting::ReadAnswer(record, version) => {
                 daemon.election.on_read(record, version);
                 Waiting::Nothing
@@ -179,6 +206,7 @@
             daemon.election.on_named(index == 0);
         }
         self.random = Random(u64::MAX / 3);
+        self.store.old.clear();
         for _ in 0..40 {
             self.clock.advance(REREAD / 4);
             (0..DAEMONS).for_each(|daemon| self.advance_daemon(daemon));
@@ -233,6 +261,71 @@
     assert_eq!(election.fence(), None);
 }
 
+fn lead(version: Revision) -> LeadElection<ManualClock> {
+    let mut election = LeadElection::new(ManualClock::new(), 1);
+    election.on_named(true);
+    election.on_read(Some(LeadRecord { lead: 2 }), version);
+    election
+}
+
+#[test]
+fn a_clash_is_read_anew_at_once_and_not_from_an_old_copy() {
+    let mut election = lead(4);
+
+    let put = election.next();
+    election.on_put(PutResult::Conflict(9));
+    let after = election.next();
+    election.on_read(Some(LeadRecord { lead: 1 }), 5);
+
+    assert_eq!(put, LeadAction::Put { version: 4 });
+    assert_eq!(after, LeadAction::Read);
+    assert_eq!(election.fence(), None);
+}
+
+#[test]
+fn a_lost_answer_is_settled_by_reading_at_once() {
+    let mut election = lead(4);
+
+    election.on_put(PutResult::Unclear);
+    let after = election.next();
+    election.on_read(Some(LeadRecord { lead: 1 }), 6);
+
+    assert_eq!(after, LeadAction::Read);
+    assert_eq!(election.fence(), Some(6));
+}
+
+#[test]
+fn a_deleted_object_is_made_anew() {
+    let mut election = lead(4);
+
+    election.on_put(PutResult::Conflict(0));
+    election.on_read(None, 0);
+
+    assert_eq!(election.next(), LeadAction::Put { version: 0 });
+}
+
+#[test]
+fn a_late_read_takes_no_number_back() {
+    let mut guard = FenceGuard::new();
+    guard.on_read(5);
+    guard.admit(8).unwrap();
+
+    guard.on_read(5);
+
+    assert!(guard.admit(7).is_err());
+}
+
+#[test]
+fn who_is_no_longer_named_gives_no_orders() {
+    let mut election = lead(4);
+    election.on_put(PutResult::Written(5));
+
+    let before = election.fence();
+    election.on_named(false);
+
+    assert_eq!((before, election.fence()), (Some(5), None));
+}
+
 struct Random(u64);
 
 impl Random {
