What the planner needs: engines tell capacity and speed, pipelines stages and share

Cause: the planner must know what an engine's memory takes and how fast it is, and into how many ranges a model is cut. Change: EngineInfo.capacity and .speed (an engine that doesn't say counts as having room for what it holds, and speed 1), EndpointFact.engine, Pipeline.stages (0: its engines get no orders, so fleets laid out by hand stay as they are) and .share; both read as their defaults from old pages. Stand-in engines can take time to load. For others: literals of EndpointFact need `engine: None`; take Pipeline::new for pipelines. Ruled out: sending the offers straight to the leads (395 messages a second for each lead).

--- a/crates/core/src/process/endpoint.rs
+++ b/crates/core/src/process/endpoint.rs
@@ -1,6 +1,7 @@
 //! What a daemon tells of the endpoints that it serves.
 
-use crate::id::{EndpointId, ModelId, Place, Revision, ServiceId};
+use crate::id::{EndpointId, Layer, ModelId, Place, Revision, ServiceId};
+use crate::process::orders::Holding;
 use crate::request::{LayerRange, Peer};
 use serde::{Deserialize, Serialize};
 
@@ -21,6 +22,17 @@
     },
 }
 
+/// What an engine has for whoever plans which layers it is to hold.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EngineOffer {
+    /// The most layers that its memory takes.
+    pub capacity: Layer,
+    /// Layers that it runs a second, for one token each; only the ratio to other engines counts.
+    pub speed: u32,
+    /// The layers that it is to hold next; it serves none meanwhile.
+    pub loads: Option<Holding>,
+}
+
 /// One endpoint, as its daemon tells of it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EndpointFact {
@@ -32,6 +44,8 @@
     pub load: u32,
     /// How much of it runs at a time.
     pub slots: u32,
+    /// What it has for planning; none for what takes no orders.
+    pub engine: Option<EngineOffer>,
 }
 
 /// State of an instance.
--- a/crates/core/src/process/membership/message.rs
+++ b/crates/core/src/process/membership/message.rs
@@ -2,7 +2,7 @@
 
 use crate::id::{Incarnation, Place, Revision};
 use crate::process::membership::{Member, Standing};
-use crate::process::{InstanceFact, Liveness, Role};
+use crate::process::{EngineOffer, InstanceFact, Liveness, Role};
 use crate::request::Peer;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -198,6 +198,12 @@
 /// Most of an address: its kind, its bytes, its port.
 const ADDR_SIZE: usize = 1 + 16 + 3;
 
+fn offer_size(offer: Option<&EngineOffer>) -> usize {
+    let Some(offer) = offer else { return 1 };
+    let loads = offer.loads.as_ref().map_or(0, |holding| text_size(&holding.model) + 6);
+    2 + 3 + number_size(u64::from(offer.speed)) + loads
+}
+
 fn fact_size(fact: &InstanceFact) -> usize {
     let endpoints: usize = fact
         .endpoints
@@ -209,7 +215,7 @@
             };
             let numbers =
                 number_size(u64::from(endpoint.load)) + number_size(u64::from(endpoint.slots));
-            text_size(&endpoint.id) + 1 + role + numbers
+            text_size(&endpoint.id) + 1 + role + numbers + offer_size(endpoint.engine.as_ref())
         })
         .sum();
     let degraded: usize = fact.degraded.iter().map(|link| text_size(&link.to) + 3).sum();
--- a/crates/core/src/process/orders/fence_guard.rs
+++ b/crates/core/src/process/orders/fence_guard.rs
@@ -1,10 +1,11 @@
 //! The daemon's guard before an engine that may not check who gives it an order.
 
 use crate::id::Fence;
+use serde::{Deserialize, Serialize};
 use std::fmt;
 
 /// Why an order was refused.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum FenceError {
     /// The lead's object was not read since the daemon started.
     NotRead,
--- a/crates/core/src/version/pipeline.rs
+++ b/crates/core/src/version/pipeline.rs
@@ -9,6 +9,9 @@
 /// Numbers of layers taken.
 pub const LAYERS: RangeInclusive<Layer> = 1..=4096;
 
+/// Shares of the engines' work taken.
+pub const SHARES: RangeInclusive<u32> = 1..=1_000_000;
+
 /// What callers name as `model`.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Pipeline {
@@ -18,6 +21,30 @@
     pub model: ModelId,
     /// How many layers the model has.
     pub layers: Layer,
+    /// Into how many ranges of layers it is cut for its engines; 0: its engines get no orders.
+    #[serde(default)]
+    pub stages: u16,
+    /// Its share of the engines' work; only the ratio to other pipelines counts.
+    #[serde(default = "default_share")]
+    pub share: u32,
+}
+
+impl Pipeline {
+    /// A pipeline whose engines get no orders.
+    pub fn new(id: impl Into<ServiceId>, model: impl Into<ModelId>, layers: Layer) -> Pipeline {
+        let (id, model) = (id.into(), model.into());
+        Pipeline { id, model, layers, stages: 0, share: default_share() }
+    }
+
+    /// Cuts the model into `stages` ranges of layers, which its engines are ordered to hold.
+    pub fn with_stages(mut self, stages: u16) -> Pipeline {
+        self.stages = stages;
+        self
+    }
+}
+
+fn default_share() -> u32 {
+    1
 }
 
 impl Item for Pipeline {
@@ -33,6 +60,8 @@
         let subject = format!("pipeline {}", self.id);
         check_name(&subject, "name", &self.id)?;
         check_name(&subject, "model", &self.model)?;
-        check_range(&subject, "layers", self.layers, LAYERS)
+        check_range(&subject, "layers", self.layers, LAYERS)?;
+        check_range(&subject, "stages", self.stages, 0..=self.layers)?;
+        check_range(&subject, "share", self.share, SHARES)
     }
 }
--- a/crates/core/tests/common/fleet_sim.rs
+++ b/crates/core/tests/common/fleet_sim.rs
@@ -310,6 +310,7 @@
         role: Role::Engine { model: "lexis".into(), layers: LayerRange::new(0, 12) },
         load: 0,
         slots: 64,
+        engine: None,
     };
     InstanceFact {
         peer,
--- a/crates/core/tests/config_view.rs
+++ b/crates/core/tests/config_view.rs
@@ -60,7 +60,7 @@
                 (page, PageBody::Workspaces(items))
             }
             _ => {
-                let pipeline = |id: &str| Pipeline { id: id.into(), model: "m".into(), layers: 1 };
+                let pipeline = |id: &str| Pipeline::new(id, "m", 1);
                 let ids = NAMES.iter().enumerate().filter(|(bit, _)| chosen(*bit));
                 let items = ids.map(|(_, id)| pipeline(id)).collect();
                 (PageId::Pipelines, PageBody::Pipelines(items))
--- a/crates/daemon/src/beside/process/engine_runner.rs
+++ b/crates/daemon/src/beside/process/engine_runner.rs
@@ -6,7 +6,8 @@
 use crate::beside::request::WaitingRequests;
 use crate::process::Count;
 use crossbeam::channel::{Sender, bounded};
-use sorrellock_core::process::{EndpointFact, Role};
+use sorrellock_core::id::Layer;
+use sorrellock_core::process::{EndpointFact, EngineOffer, Role};
 use sorrellock_core::request::{
     KeptBudget, Open, PipelineMessage, Refusal, RequestKey, StageCount, StageOutput, StageTable,
     StepTimes,
@@ -93,9 +94,18 @@
             role: Role::Engine { model: self.info.model.clone(), layers: self.info.layers },
             load: self.open_requests() as u32,
             slots: self.info.max_batch,
+            engine: Some(self.offer()),
         }
     }
 
+    fn offer(&self) -> EngineOffer {
+        let capacity = match self.info.capacity {
+            0 => self.info.layers.count() as Layer,
+            capacity => capacity,
+        };
+        EngineOffer { capacity, speed: self.info.speed.max(1), loads: None }
+    }
+
     /// How many requests are open.
     pub fn open_requests(&self) -> usize {
         self.state().table.len()
--- a/crates/daemon/src/beside/process/service_runner.rs
+++ b/crates/daemon/src/beside/process/service_runner.rs
@@ -64,6 +64,7 @@
             role: Role::Service { service: self.endpoint.service.clone() },
             load: self.open_calls(),
             slots: self.threads as u32,
+            engine: None,
         }
     }
 
--- a/crates/daemon/tests/processes/process_fleet.rs
+++ b/crates/daemon/tests/processes/process_fleet.rs
@@ -109,7 +109,7 @@
 }
 
 fn write_config(platform: &FakePlatform) {
-    let pipeline = Pipeline { id: MODEL.into(), model: MODEL.into(), layers: LAYERS };
+    let pipeline = Pipeline::new(MODEL, MODEL, LAYERS);
     write_pipelines(platform, vec![pipeline]);
     let may_call = vec![MODEL.to_owned(), SERVICE.to_owned()];
     let workspace = |(id, key): &(&str, &str)| Workspace::new(*id, key, may_call.clone());
--- a/crates/fakes/src/process/engine/calls.rs
+++ b/crates/fakes/src/process/engine/calls.rs
@@ -42,7 +42,9 @@
     }
 
     pub(crate) fn state(&self) -> MutexGuard<'_, EngineState> {
-        self.state.lock().expect("no panic holds this lock")
+        let mut state = self.state.lock().expect("no panic holds this lock");
+        state.settle();
+        state
     }
 
     /// Takes a call in, or holds it while the engine is frozen.
--- a/crates/fakes/src/process/engine/engine_config.rs
+++ b/crates/fakes/src/process/engine/engine_config.rs
@@ -1,6 +1,6 @@
 //! Settings of a stand-in engine.
 
-use sorrellock_core::id::ModelId;
+use sorrellock_core::id::{Layer, ModelId};
 use sorrellock_core::request::LayerRange;
 use sorrellock_platform::api::EngineInfo;
 use std::net::SocketAddr;
@@ -17,6 +17,9 @@
 /// Blocks in the prefix cache, by default.
 pub const DEFAULT_PREFIX_BLOCKS: usize = 1_024;
 
+/// Layers a second that an engine of speed 1 tells of.
+const SPEED_OF_ONE: f64 = 1000.0;
+
 /// Settings of a stand-in engine.
 #[derive(Clone, Debug)]
 pub struct EngineConfig {
@@ -28,6 +31,10 @@
     pub model: ModelId,
     /// The layers held.
     pub layers: LayerRange,
+    /// The most layers that there is memory for.
+    pub capacity: Layer,
+    /// Time from an order to other layers until they are held.
+    pub load_time: Duration,
     /// The most steps that it runs together.
     pub max_batch: u32,
     /// Bytes of an activation, at least 8.
@@ -64,6 +71,8 @@
             endpoint: "engine".into(),
             model: model.into(),
             layers,
+            capacity: layers.count() as Layer,
+            load_time: Duration::ZERO,
             max_batch: DEFAULT_MAX_BATCH,
             activation_bytes: DEFAULT_ACTIVATION_BYTES,
             base: Duration::ZERO,
@@ -86,6 +95,13 @@
         self
     }
 
+    /// Has memory for `capacity` layers, and takes `load_time` to load others.
+    pub fn with_loading(mut self, capacity: Layer, load_time: Duration) -> EngineConfig {
+        self.capacity = capacity;
+        self.load_time = load_time;
+        self
+    }
+
     /// Runs at most this many steps together.
     pub fn with_max_batch(mut self, steps: u32) -> EngineConfig {
         self.max_batch = steps;
@@ -161,6 +177,8 @@
             model: self.model.clone(),
             layers: self.layers,
             max_batch: self.max_batch,
+            capacity: self.capacity,
+            speed: (self.speed * SPEED_OF_ONE) as u32,
         }
     }
 
--- a/crates/fakes/src/process/engine/engine_state.rs
+++ b/crates/fakes/src/process/engine/engine_state.rs
@@ -2,13 +2,14 @@
 
 use crate::process::{CacheLog, EngineConfig, EngineCounters, LoadLog, PrefixCache, Record, count};
 use crate::request::{PREFIX_BLOCK, Session, activations_fit, prefix_hashes};
-use sorrellock_core::id::{Fence, Position};
+use sorrellock_core::id::{Fence, ModelId, Position};
+use sorrellock_core::request::LayerRange;
 use sorrellock_platform::api::{
     Batch, CacheEvent, EngineInfo, EngineStep, LoadReport, Order, SessionId, StepOutput,
 };
 use std::collections::{HashMap, VecDeque};
 use std::sync::atomic::Ordering;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Orders that are remembered.
 const MAX_ORDERS: usize = 1_024;
@@ -19,6 +20,8 @@
     cfg: EngineConfig,
     pub(crate) info: EngineInfo,
     fence: Fence,
+    /// What an order asked for, and when it is there.
+    loading: Option<(Instant, ModelId, LayerRange)>,
     pub(crate) orders: VecDeque<Order>,
     sessions: HashMap<SessionId, Session>,
     prefixes: PrefixCache,
@@ -44,6 +47,7 @@
         EngineState {
             info: cfg.info(),
             fence: 0,
+            loading: None,
             orders: VecDeque::new(),
             sessions: HashMap::new(),
             prefixes: PrefixCache::new(cfg.prefix_blocks),
@@ -130,11 +134,8 @@
         }
         self.fence = self.fence.max(order.fence);
         if (&order.model, order.layers) != (&self.info.model, self.info.layers) {
-            self.sessions.clear();
-            self.clear_prefixes();
+            self.load_layers(&order);
         }
-        self.info.model = order.model.clone();
-        self.info.layers = order.layers;
         if self.orders.len() == MAX_ORDERS {
             self.orders.pop_front();
             self.forgotten += 1;
@@ -143,6 +144,25 @@
         Ok(())
     }
 
+    /// Shows the layers ordered once the time for loading them is over.
+    pub(crate) fn settle(&mut self) {
+        if let Some((_, model, layers)) = self.loading.take_if(|(at, ..)| *at <= Instant::now()) {
+            self.info.model = model;
+            self.info.layers = layers;
+        }
+    }
+
+    /// Holds nothing until the layers ordered are there.
+    fn load_layers(&mut self, order: &Order) {
+        self.sessions.clear();
+        self.clear_prefixes();
+        self.info.model.clear();
+        self.info.layers = LayerRange::new(0, 0);
+        let until = Instant::now() + self.cfg.load_time;
+        self.loading = Some((until, order.model.clone(), order.layers));
+        self.settle();
+    }
+
     /// The cache events after number `after`, as far as they are shown yet.
     pub(crate) fn cache_events(&self, after: u64) -> Vec<CacheEvent> {
         self.events.shown(after, self.cfg.event_lag)
--- a/crates/local/src/local_fleet.rs
+++ b/crates/local/src/local_fleet.rs
@@ -168,7 +168,7 @@
 }
 
 fn write_config(platform: &FakePlatform, cfg: &LocalConfig) {
-    let pipeline = Pipeline { id: MODEL.into(), model: MODEL.into(), layers: cfg.layers };
+    let pipeline = Pipeline::new(MODEL, MODEL, cfg.layers);
     write_pipelines(platform, vec![pipeline]);
     let may_call = vec![MODEL.to_owned(), SERVICE.to_owned()];
     let workspace = |(id, key): &(&str, &str)| Workspace::new(*id, key, may_call.clone());
--- a/crates/platform/src/api/engine.rs
+++ b/crates/platform/src/api/engine.rs
@@ -1,7 +1,7 @@
 //! A model engine: runs batches of steps over the layers that it holds.
 
 use serde::{Deserialize, Serialize};
-use sorrellock_core::id::{Fence, ModelId, Position, TokenId};
+use sorrellock_core::id::{Fence, Layer, ModelId, Position, TokenId};
 use sorrellock_core::request::{Activations, LayerRange};
 use std::fmt;
 use std::time::Duration;
@@ -79,6 +79,12 @@
     pub layers: LayerRange,
     /// The most steps it runs together.
     pub max_batch: u32,
+    /// The most layers that its memory takes; 0 if it does not say.
+    #[serde(default)]
+    pub capacity: Layer,
+    /// Layers that it runs a second, for one token each; 0 if it does not say.
+    #[serde(default)]
+    pub speed: u32,
 }
 
 /// A change of an engine's prefix cache; these come late and with gaps.
--- a/crates/platform/tests/config_store.rs
+++ b/crates/platform/tests/config_store.rs
@@ -93,7 +93,7 @@
     for name in ["", "a/b", "a b", "-a", "é", &"x".repeat(65)] {
         let row = anna.set(&[weight("treasury", name, "1")], None);
         let workspace = anna.add_workspace(Workspace::new(name, "k", Vec::new()));
-        let pipeline = Pipeline { id: name.into(), model: "m".into(), layers: 1 };
+        let pipeline = Pipeline::new(name, "m", 1);
         let pipeline = anna.add_pipeline(pipeline);
 
         for refused in [row, workspace, pipeline] {
@@ -328,7 +328,7 @@
 fn a_pipeline_needs_layers() {
     let store = store_with(&[]);
     let anna = operator(&store, "anna");
-    let pipeline = |layers| Pipeline { id: "lexis".into(), model: "lexis".into(), layers };
+    let pipeline = |layers| Pipeline::new("lexis", "lexis", layers);
 
     let none = anna.add_pipeline(pipeline(0)).unwrap_err();
     anna.add_pipeline(pipeline(12)).unwrap();
