Tests: configuration in whole fleets, and killed watchers as real processes

In force at entries and besides and counted by InForce; two operators race and the loser is told who won; a new entry starts from its peers while the store is down, is not ready without both, and does not go back on an old copy; a bad page is refused, told at every daemon and mended; others watch when the watchers end, in one process and under SIGKILL. The stand-in platform can keep its list of instances through an outage of the store.

--- a/crates/daemon/src/beside/process/beside.rs
+++ b/crates/daemon/src/beside/process/beside.rs
@@ -113,6 +113,11 @@
         self.counters.get(count)
     }
 
+    /// The configuration in force.
+    pub fn config(&self) -> &Arc<ConfigAgent> {
+        &self.handler.config
+    }
+
     /// What tells the state of this daemon.
     pub fn state(&self) -> BesideState {
         BesideState {
--- a/crates/daemon/src/entry/process/entry.rs
+++ b/crates/daemon/src/entry/process/entry.rs
@@ -15,6 +15,7 @@
 use serde_json::{Value, json};
 use sorrellock_core::process::DaemonRole;
 use sorrellock_core::process::ledger::HolderConfig;
+use sorrellock_core::process::membership::MembershipView;
 use sorrellock_core::request::Peer;
 use sorrellock_core::version::SpreadSettings;
 use sorrellock_http::{Server, ServerConfig};
@@ -126,6 +127,16 @@
         self.state.counters.get(count)
     }
 
+    /// The configuration in force.
+    pub fn config(&self) -> &Arc<ConfigAgent> {
+        &self.state.config
+    }
+
+    /// The members as this entry knows them.
+    pub fn members(&self) -> Arc<MembershipView> {
+        self.state.agent.view()
+    }
+
     /// What tells the state of this entry.
     pub fn state(&self) -> Arc<EntryState> {
         self.state.clone()
--- a/crates/daemon/tests/processes/main.rs
+++ b/crates/daemon/tests/processes/main.rs
@@ -6,3 +6,4 @@
 mod settings;
 mod signals;
 mod streams;
+mod watchers;
--- a/crates/daemon/tests/processes/process_fleet.rs
+++ b/crates/daemon/tests/processes/process_fleet.rs
@@ -60,7 +60,7 @@
             links.iter().zip(served).map(|(link, served)| start_beside(*link, &served)).collect();
         platform.set_instances(links.iter().map(|link| instance(*link)).collect());
         let (callers, operators) = (next_addr(), next_addr());
-        let entry = start_entry(callers, operators, platform.addr());
+        let entry = start_entry(callers, operators, platform.addr(), next_addr());
         let fleet = ProcessFleet {
             _platform: platform,
             engines,
@@ -129,19 +129,26 @@
     DaemonProcess::start(&["beside", "--place", PLACE, &link, served], &[])
 }
 
-fn start_entry(callers: SocketAddr, operators: SocketAddr, platform: SocketAddr) -> DaemonProcess {
+/// Starts an entry.
+pub fn start_entry(
+    callers: SocketAddr,
+    operators: SocketAddr,
+    platform: SocketAddr,
+    link: SocketAddr,
+) -> DaemonProcess {
     let addrs = [
         format!("--ready-grace-ms={READY_GRACE_MS}"),
         format!("--callers={callers}"),
         format!("--operators={operators}"),
         format!("--platform={platform}"),
-        format!("--link={}", next_addr()),
+        format!("--link={link}"),
     ];
     let mut args = vec!["entry", "--place", PLACE];
     args.extend(addrs.iter().map(String::as_str));
     DaemonProcess::start(&args, &[])
 }
 
-fn instance(link: SocketAddr) -> Instance {
+/// A process on the list of instances.
+pub fn instance(link: SocketAddr) -> Instance {
     Instance { id: link.to_string(), place: PLACE.into(), link, state: InstanceState::Live }
 }
--- a/crates/fakes/src/process/platform/calls.rs
+++ b/crates/fakes/src/process/platform/calls.rs
@@ -8,7 +8,7 @@
 use std::sync::atomic::Ordering;
 
 const OBJECTS_PATH: &str = "/v1/objects";
-const INSTANCES_PATH: &str = "/v1/instances";
+pub(crate) const INSTANCES_PATH: &str = "/v1/instances";
 
 /// What a call is answered.
 pub(crate) enum Reply {
--- a/crates/fakes/src/process/platform/fake_platform.rs
+++ b/crates/fakes/src/process/platform/fake_platform.rs
@@ -72,6 +72,11 @@
         self.state.on_outage_edge();
     }
 
+    /// Lets the list of instances be read during outages of the store, or no longer.
+    pub fn set_list_stays(&self, stays: bool) {
+        self.state.knobs.list_stays.store(stays, Ordering::Release);
+    }
+
     /// Adds an outage that comes by itself, counted from now.
     pub fn add_outage(&self, window: OutageWindow) {
         self.state.knobs.add_window(window);
--- a/crates/fakes/src/process/platform/platform_state.rs
+++ b/crates/fakes/src/process/platform/platform_state.rs
@@ -1,5 +1,6 @@
 //! How the stand-in platform answers.
 
+use super::calls::INSTANCES_PATH;
 use crate::process::{
     Instances, Knobs, Outage, PlatformCounters, Scheduler, Store, WATCH_PATH, Watches, count,
 };
@@ -7,6 +8,7 @@
 use sorrellock_http::{Request, Responder};
 use sorrellock_platform::api::{Instance, Listing};
 use sorrellock_platform::client::format::RETRY_AFTER;
+use std::sync::atomic::Ordering::Acquire;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Instant;
 
@@ -112,7 +114,8 @@
 
     fn answer(self: &Arc<Self>, req: Request) {
         let outage = self.knobs.outage();
-        if outage != Outage::None {
+        let stays = req.path_only() == INSTANCES_PATH && self.knobs.list_stays.load(Acquire);
+        if outage != Outage::None && !stays {
             count(&self.counters.out);
             return self.refuse_or_hold(req.responder, outage);
         }
