Completions with a key go through the run-once ledger

Change: the record names the daemon of the first stage; it must count the request as running before the entry opens anything (a refused begin would else look like a stall, and its repair would run the request elsewhere without a record). The entry then drives as before, and tells the daemon the whole answer, which it keeps for retries and hands to those that follow the run.

--- a/crates/core/src/process/ledger/keyed_run.rs
+++ b/crates/core/src/process/ledger/keyed_run.rs
@@ -103,6 +103,11 @@
         self.granted.as_ref() == Some(stamp)
     }
 
+    /// The last record that was granted to it.
+    pub fn granted(&self) -> Option<Stamp> {
+        self.granted
+    }
+
     /// Whether it waits for the holder of its shard.
     pub fn is_claiming(&self) -> bool {
         matches!(self.state, State::Claiming { .. })
--- a/crates/daemon/src/beside/process/beside_handler.rs
+++ b/crates/daemon/src/beside/process/beside_handler.rs
@@ -150,10 +150,8 @@
                     self.pass_on(from, call, Some(stamp));
                 }
             }
-            LedgerMessage::Open { stamp, open } => {
-                if self.starts.start_driven(open.entry, open.request, &stamp) {
-                    self.on_open(open);
-                }
+            LedgerMessage::Begin { owner, stamp } => {
+                self.starts.begin(from, owner, stamp, self.is_leaving());
             }
             LedgerMessage::Ended { stamp, end } => self.starts.ended(&stamp, end),
             LedgerMessage::Ask { owner, stamp, fence } => {
--- a/crates/daemon/src/beside/process/starts.rs
+++ b/crates/daemon/src/beside/process/starts.rs
@@ -3,7 +3,7 @@
 use crate::beside::process::Outbox;
 use crate::process::{Count, Counters};
 use sorrellock_core::process::ledger::{
-    SeenRequests, SeenVerdict, Stamp, StartTable, StartVerdict,
+    SeenRequests, SeenVerdict, Stamp, StartTable, StartVerdict, Told,
 };
 use sorrellock_core::request::{Peer, Refusal, RequestKey};
 use sorrellock_wire::connection::Link;
@@ -102,13 +102,18 @@
         }
     }
 
-    /// Whether a pipeline request with a record may start; its entry drives it, and tells its end.
-    pub fn start_driven(&self, entry: Peer, owner: RequestKey, stamp: &Stamp) -> bool {
-        let may_start = self.start(entry, owner, stamp);
-        if may_start {
-            self.driven.lock().unwrap().insert(*stamp, entry.addr);
+    /// A pipeline request with a record begins, if it may; its entry drives it, and tells its end.
+    pub fn begin(&self, entry: Peer, owner: RequestKey, stamp: Stamp, leaving: bool) {
+        if !self.start(entry, owner, &stamp) {
+            return;
         }
-        may_start
+        if leaving {
+            let detail = "its daemon is leaving".into();
+            let end = CallEnd::NotRun { refusal: Refusal::Leaving, detail };
+            return self.end(entry, owner, &stamp, end);
+        }
+        self.driven.lock().unwrap().insert(stamp, entry.addr);
+        self.send(entry, LedgerMessage::Told { owner, stamp, told: Told::Running });
     }
 
     /// The link to a process closed: the end of what an entry there drives may never be told.
@@ -143,9 +148,7 @@
             LedgerMessage::Run { stamp, call } => {
                 self.refuse_earlier(from, call.request, &stamp);
             }
-            LedgerMessage::Open { stamp, open } => {
-                self.refuse_earlier(open.entry, open.request, &stamp);
-            }
+            LedgerMessage::Begin { owner, stamp } => self.refuse_earlier(from, owner, &stamp),
             LedgerMessage::Ask { owner, stamp, .. } => {
                 self.send(from, LedgerMessage::Gone { owner, stamp });
             }
--- a/crates/daemon/src/entry/process/admission/gate.rs
+++ b/crates/daemon/src/entry/process/admission/gate.rs
@@ -114,6 +114,9 @@
     fn carry_out(&self, decided: Decided) {
         for waiting in decided.start {
             match waiting.work {
+                Work::Pipeline(new) if new.once.is_some() => {
+                    self.calls.start_pipeline(new, waiting.responder);
+                }
                 Work::Pipeline(new) => self.pipelines.start(new, waiting.responder),
                 Work::Call(new) => self.calls.start(new, waiting.responder),
             }
--- a/crates/daemon/src/entry/process/api.rs
+++ b/crates/daemon/src/entry/process/api.rs
@@ -100,6 +100,10 @@
         let pipeline = asking.config.pipeline(&asked.model).cloned();
         let pipeline = pipeline.filter(|pipeline| asking.workspace.may_call.contains(&pipeline.id));
         let Some(pipeline) = pipeline else { return Err(not_callable("model", &asked.model)) };
+        let once = match asking.row.idempotent {
+            true => None,
+            false => run_once(req, &asking.workspace.id)?,
+        };
         let new = NewPipeline {
             request: self.admit()?,
             workspace: asking.workspace.id.clone(),
@@ -107,6 +111,7 @@
             pipeline,
             deadline: asking.deadline,
             class: asking.row.class,
+            once,
         };
         Ok((new, asking.row))
     }
@@ -125,7 +130,7 @@
         let path = if path.starts_with('/') { path.to_owned() } else { format!("/{path}") };
         let safe = matches!(req.method.as_str(), "GET" | "HEAD");
         let idempotent = safe || asking.row.idempotent;
-        let once = if idempotent { None } else { run_once(req, &asking.workspace.id, &[])? };
+        let once = if idempotent { None } else { run_once(req, &asking.workspace.id)? };
         let request = self.admit()?;
         let new = NewCall {
             request,
@@ -179,17 +184,16 @@
     }
 }
 
-/// How a request goes through the ledger, if it has a key. `more`: what else tells it from another.
-fn run_once(req: &Request, workspace: &str, more: &[&[u8]]) -> Result<Option<RunOnce>, Problem> {
+/// How a request goes through the ledger, if it has a key.
+fn run_once(req: &Request, workspace: &str) -> Result<Option<RunOnce>, Problem> {
     let Some(key) = req.header(KEY_HEADER) else { return Ok(None) };
     if key.is_empty() || key.len() > MAX_KEY_BYTES {
         let detail = format!("Idempotency-Key has {} bytes; send 1 to {MAX_KEY_BYTES}", key.len());
         return Err(Problem::bad(400, "bad key", detail));
     }
-    let mut parts: Vec<&[u8]> =
-        vec![req.method.as_str().as_bytes(), req.path.as_bytes(), &req.body];
-    parts.extend(more);
-    let fingerprint = fingerprint(&parts);
+    // The body names the model, where there is one.
+    let fingerprint =
+        fingerprint(&[req.method.as_str().as_bytes(), req.path.as_bytes(), &req.body]);
     Ok(Some(RunOnce { key: record_key(workspace, key), fingerprint }))
 }
 
--- a/crates/daemon/src/entry/process/calls.rs
+++ b/crates/daemon/src/entry/process/calls.rs
@@ -1,6 +1,6 @@
 //! All calls of an entry to plain services: each gets one outcome, and runs again only where it may.
 
-use crate::entry::process::{FleetCell, InProgress, LedgerClient, Timer};
+use crate::entry::process::{FleetCell, InProgress, LedgerClient, Pipelines, Timer};
 use crate::entry::request::{
     CallRun, Keyed, OUTCOME_HEADER, Problem, REPLAYED_HEADER, RunOnce, RunTable,
 };
@@ -39,6 +39,7 @@
     pub(super) link: Arc<L>,
     pub(super) fleet: Arc<FleetCell>,
     pub(super) ledger: LedgerClient<L>,
+    pub(super) pipelines: Arc<Pipelines<L>>,
     pub(super) in_progress: Arc<InProgress>,
     pub(super) timer: Arc<Timer>,
     pub(super) counters: Arc<Counters>,
@@ -52,12 +53,7 @@
     /// Starts an admitted call: from here on it is answered once, through `responder`.
     pub fn start(self: &Arc<Self>, new: NewCall, responder: Responder) {
         let sequence = new.request.sequence;
-        let this = Arc::downgrade(self);
-        responder.on_gone(move || {
-            if let Some(this) = this.upgrade() {
-                this.cancel(sequence);
-            }
-        });
+        self.cancel_when_gone(&responder, sequence);
         let run = CallRun {
             request: new.request,
             workspace: new.workspace,
@@ -67,6 +63,7 @@
             tried: Vec::new(),
             idempotent: new.idempotent,
             keyed: new.once.map(|once| Keyed::new(new.request, once)),
+            pipeline: None,
             deadline: new.deadline,
             responder: Some(responder),
             in_flight: None,
@@ -82,6 +79,15 @@
         self.try_next(run, Problem::from(nothing_tried));
     }
 
+    pub(super) fn cancel_when_gone(self: &Arc<Self>, responder: &Responder, sequence: Sequence) {
+        let this = Arc::downgrade(self);
+        responder.on_gone(move || {
+            if let Some(this) = this.upgrade() {
+                this.cancel(sequence);
+            }
+        });
+    }
+
     /// Takes the end of an attempt.
     pub fn on_end(&self, request: RequestKey, attempt: Attempt, end: CallEnd) {
         let mine = request.entry == self.me.incarnation;
--- a/crates/daemon/src/entry/process/entry.rs
+++ b/crates/daemon/src/entry/process/entry.rs
@@ -75,7 +75,7 @@
         });
         let timer = Arc::new(Timer::default());
         let pipelines = Arc::new(new_pipelines(&state, &timer, settings.max_attempts));
-        let calls = Arc::new(new_calls(&state, &timer, settings.max_attempts));
+        let calls = Arc::new(new_calls(&state, &timer, &pipelines, settings.max_attempts));
         let gate = Gate::start(
             state.fleet.clone(),
             state.in_progress.clone(),
@@ -219,12 +219,18 @@
     }
 }
 
-fn new_calls(state: &EntryState, timer: &Arc<Timer>, max_attempts: u32) -> Calls<NngLink> {
+fn new_calls(
+    state: &EntryState,
+    timer: &Arc<Timer>,
+    pipelines: &Arc<Pipelines<NngLink>>,
+    max_attempts: u32,
+) -> Calls<NngLink> {
     Calls {
         me: state.me,
         link: state.link.clone(),
         fleet: state.fleet.clone(),
         ledger: new_ledger_client(state),
+        pipelines: pipelines.clone(),
         in_progress: state.in_progress.clone(),
         timer: timer.clone(),
         counters: state.counters.clone(),
--- a/crates/daemon/src/entry/process/keyed_calls.rs
+++ b/crates/daemon/src/entry/process/keyed_calls.rs
@@ -61,7 +61,10 @@
     /// A call with a key begins, or goes on after a refusal: chooses a daemon and claims the key.
     pub(super) fn choose_keyed(&self, mut run: Run<'_>) {
         let max_attempts = self.max_attempts;
-        let next = self.next_endpoint(&run);
+        let next = match run.pipeline {
+            Some(_) => self.next_first_stage(&mut run),
+            None => self.next_endpoint(&run),
+        };
         let Some(keyed) = &mut run.keyed else { return };
         let step = match next {
             Some((endpoint, daemon)) if keyed.run.attempts_refused() < max_attempts => {
@@ -72,13 +75,14 @@
                 run.daemon = daemon;
                 KeyedStep::Claim(claim)
             }
-            _ => keyed.run.give_up(Refusal::Capacity, "no instance of the service takes it"),
+            _ => keyed.run.give_up(Refusal::Capacity, "no endpoint takes it"),
         };
         self.act(run, step, None);
     }
 
     /// The call is given up: not run where nothing can run of it, else unknown.
     pub(super) fn give_up_keyed(&self, mut run: Run<'_>, refusal: Refusal, detail: &str) {
+        self.end_begun(&run, detail);
         let Some(keyed) = &mut run.keyed else { return };
         match keyed.run.give_up(refusal, detail) {
             KeyedStep::Unknown(unknown) if refusal == Refusal::Deadline => {
@@ -120,6 +124,9 @@
             Told::Ended(end) => Some(Came { stamp, end: end.clone() }),
             _ => None,
         };
+        if told == Told::Running && self.begin_pipeline(run, &stamp) {
+            return;
+        }
         self.with_keyed(run, came, |run| run.on_told(&stamp, &told));
     }
 
@@ -135,6 +142,12 @@
         self.act(run, step, came);
     }
 
+    pub(super) fn not_sent(&self, mut run: Run<'_>) {
+        let Some(keyed) = &mut run.keyed else { return };
+        let step = keyed.run.on_not_sent();
+        self.act(run, step, None);
+    }
+
     fn act(&self, run: Run<'_>, step: KeyedStep, came: Option<Came>) {
         match step {
             KeyedStep::Choose => self.choose_keyed(run),
@@ -162,16 +175,16 @@
     }
 
     fn send_run(&self, mut run: Run<'_>, stamp: Stamp) {
+        if run.pipeline.is_some() {
+            return self.send_begin(run, stamp);
+        }
         let left = run.deadline.saturating_duration_since(Instant::now());
         run.sent.attempt = stamp.attempt;
         run.sent.deadline_ms = left.as_millis() as u64;
         let message = LedgerMessage::Run { stamp, call: run.sent.clone() };
-        if self.ledger.send(run.daemon, message).is_ok() {
-            return;
+        if self.ledger.send(run.daemon, message).is_err() {
+            self.not_sent(run);
         }
-        let Some(keyed) = &mut run.keyed else { return };
-        let step = keyed.run.on_not_sent();
-        self.act(run, step, None);
     }
 
     fn send_ask(&self, mut run: Run<'_>, stamp: Stamp, target: Peer, fence: bool) {
@@ -186,7 +199,7 @@
     }
 
     /// Asks again after `wait`, if there is still something to ask for then.
-    fn wait(&self, mut run: Run<'_>, wait: Duration) {
+    pub(super) fn wait(&self, mut run: Run<'_>, wait: Duration) {
         let sequence = run.request.sequence;
         if let Some(keyed) = &mut run.keyed {
             keyed.wait_until = Some(self.ledger.wait(sequence, wait));
--- a/crates/daemon/src/entry/process/mod.rs
+++ b/crates/daemon/src/entry/process/mod.rs
@@ -9,6 +9,7 @@
 mod fleet_watch;
 mod in_progress;
 mod keyed_calls;
+mod keyed_pipelines;
 mod ledger_client;
 mod pipelines;
 mod repairs;
@@ -18,6 +19,8 @@
 pub use entry::*;
 pub use settings::*;
 
+pub(in crate::entry) use pipelines::NewPipeline;
+
 use admission::{Gate, Work};
 use api::Api;
 use calls::{Calls, NewCall};
@@ -26,5 +29,5 @@
 use fleet_watch::FleetCell;
 use in_progress::{Finished, InProgress};
 use ledger_client::{ARRIVAL_WAIT, ASK_WAIT, CLAIM_WAIT, LedgerClient};
-use pipelines::{NewPipeline, Pipelines};
+use pipelines::Pipelines;
 use timer::Timer;
--- a/crates/daemon/src/entry/process/pipelines.rs
+++ b/crates/daemon/src/entry/process/pipelines.rs
@@ -1,7 +1,9 @@
 //! All pipeline requests of an entry: starts them, takes tokens, ends them.
 
 use crate::entry::process::{FleetCell, FleetRoutes, InProgress, Timer};
-use crate::entry::request::{Answer, CompletionRequest, PipelineRun, Problem, RunTable};
+use crate::entry::request::{
+    Answer, CompletionRequest, PipelineRun, Problem, RunOnce, RunRecord, RunTable,
+};
 use crate::entry::version::InFlight;
 use crate::process::{Count, Counters};
 use sorrellock_core::id::{Position, Sequence, WorkspaceId};
@@ -13,7 +15,7 @@
 use sorrellock_core::version::{Class, Pipeline};
 use sorrellock_http::Responder;
 use sorrellock_wire::connection::Link;
-use sorrellock_wire::message::Message;
+use sorrellock_wire::message::{CallEnd, LedgerMessage, Message};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Instant;
 
@@ -31,6 +33,8 @@
     pub deadline: Instant,
     /// Its class.
     pub class: Class,
+    /// How it goes through the ledger, if it must.
+    pub once: Option<RunOnce>,
 }
 
 /// All pipeline requests of an entry.
@@ -59,8 +63,20 @@
             let detail = format!("no engines hold all layers of {}", new.pipeline.model);
             return Problem::from(NotRun::never_sent(Refusal::Capacity, detail)).send(responder);
         };
+        self.begin(new, route, None, responder);
+    }
+
+    /// Starts a request that may run, on a route; its record's daemon hears of its end.
+    pub fn begin(
+        self: &Arc<Self>,
+        new: NewPipeline,
+        route: Route,
+        record: Option<RunRecord>,
+        responder: Responder,
+    ) {
+        let sequence = new.request.sequence;
         self.cancel_when_gone(&responder, sequence);
-        let run = self.new_run(new, route, responder);
+        let run = self.new_run(new, route, record, responder);
         let deadline = run.deadline;
         let run = self.runs.insert(sequence, run);
         self.timer.add(deadline, sequence);
@@ -107,8 +123,18 @@
         self.fail(run.lock().unwrap(), Unknown { detail }.into());
     }
 
-    fn new_run(&self, new: NewPipeline, route: Route, responder: Responder) -> PipelineRun {
-        let answer = Answer::new(new.request, &new.asked, responder);
+    fn new_run(
+        &self,
+        new: NewPipeline,
+        route: Route,
+        record: Option<RunRecord>,
+        responder: Responder,
+    ) -> PipelineRun {
+        let stream = new.asked.stream;
+        let mut answer = Answer::new(new.request, &new.asked, responder);
+        if record.is_some() {
+            answer.keep();
+        }
         let prompt_len = new.asked.prompt.len() as Position;
         let in_flight = self.count_in_flight(&route);
         let cfg = DriverConfig {
@@ -126,6 +152,8 @@
             stall: StallDetector::new(Instant::now()),
             without_route: None,
             answer,
+            stream,
+            record,
             pipeline: new.pipeline,
             deadline: new.deadline,
             prompt_len,
@@ -157,6 +185,7 @@
         self.send_all(run.driver.close_leaving());
         if run.answer.push(&out.text).is_err() {
             self.counters.count(Count::CallersGone);
+            self.tell_unknown(&run, "the caller went away");
             self.end(run);
         }
     }
@@ -166,15 +195,36 @@
         self.counters.count(Count::Done);
         let _ = run.answer.push(&out.text);
         run.answer.finish(out.end_of_text);
+        self.tell_done(&run, out.end_of_text);
         self.end(run);
     }
 
     pub(super) fn fail(&self, mut run: Run<'_>, problem: Problem) {
         self.counters.count(Count::Unknown);
         run.answer.fail(&problem);
+        self.tell_unknown(&run, &problem.detail);
         self.end(run);
     }
 
+    /// The daemon of its record keeps the whole answer for retries.
+    fn tell_done(&self, run: &PipelineRun, end_of_text: bool) {
+        let Some((content_type, body)) = run.answer.replay(end_of_text, run.stream) else { return };
+        let content_type = Some(content_type.to_owned());
+        self.tell_end(run, CallEnd::Done { status: 200, content_type, body: body.into_bytes() });
+    }
+
+    fn tell_unknown(&self, run: &PipelineRun, detail: &str) {
+        self.tell_end(run, CallEnd::Unknown { detail: detail.to_owned() });
+    }
+
+    fn tell_end(&self, run: &PipelineRun, end: CallEnd) {
+        let Some(RunRecord { stamp, daemon }) = run.record else { return };
+        let message = Message::Ledger(LedgerMessage::Ended { stamp, end });
+        if self.link.send(daemon, message).is_err() {
+            self.counters.count(Count::SendsRefused);
+        }
+    }
+
     /// Frees what the request holds, here and at its stages.
     fn end(&self, run: Run<'_>) {
         if self.runs.remove(run.request.sequence).is_none() {
--- a/crates/daemon/src/entry/request/answer.rs
+++ b/crates/daemon/src/entry/request/answer.rs
@@ -18,6 +18,8 @@
     created: u64,
     prompt_tokens: usize,
     made: u32,
+    /// The text so far, if the answer is kept for retries.
+    kept: Option<String>,
     body: AnswerBody,
 }
 
@@ -43,13 +45,33 @@
             created: now.as_secs(),
             prompt_tokens: asked.prompt.len(),
             made: 0,
+            kept: None,
             body,
         }
     }
 
+    /// Keeps the text, so that [`Answer::replay`] can give the whole answer again.
+    pub fn keep(&mut self) {
+        self.kept = Some(String::new());
+    }
+
+    /// The whole answer as a retry gets it, if it was kept: content type and body.
+    pub fn replay(&self, end_of_text: bool, stream: bool) -> Option<(&'static str, String)> {
+        let text = self.kept.as_ref()?;
+        let reason = finish_reason(end_of_text);
+        if !stream {
+            return Some(("application/json", self.whole(text, reason).to_string()));
+        }
+        let (event, last) = (self.event_of(text, None), self.event_of("", Some(reason)));
+        Some(("text/event-stream", format!("{event}{last}data: [DONE]\n\n")))
+    }
+
     /// Adds the text of the next token. A stream sends its head with the first.
     pub fn push(&mut self, token: &str) -> Result<(), CallerGone> {
         self.made += 1;
+        if let Some(kept) = &mut self.kept {
+            kept.push_str(token);
+        }
         self.start_stream();
         let event = self.event(token, None);
         match &mut self.body {
@@ -65,7 +87,7 @@
 
     /// Ends the answer: it is whole.
     pub fn finish(&mut self, end_of_text: bool) {
-        let reason = if end_of_text { "stop" } else { "length" };
+        let reason = finish_reason(end_of_text);
         self.start_stream();
         let last = self.event("", Some(reason));
         match std::mem::replace(&mut self.body, AnswerBody::Ended) {
@@ -114,6 +136,10 @@
         if !matches!(self.body, AnswerBody::Streaming { .. }) {
             return String::new();
         }
+        self.event_of(text, finish_reason)
+    }
+
+    fn event_of(&self, text: &str, finish_reason: Option<&str>) -> String {
         let choice = match self.shape {
             Shape::Completion => {
                 json!({ "index": 0, "text": text, "finish_reason": finish_reason })
@@ -163,6 +189,10 @@
     }
 }
 
+fn finish_reason(end_of_text: bool) -> &'static str {
+    if end_of_text { "stop" } else { "length" }
+}
+
 /// Sends what has gathered; while the caller reads slowly it goes on gathering, up to the answer's length.
 fn send_pending(stream: &BodyStream, pending: &mut String) -> Result<(), CallerGone> {
     match stream.push(pending.clone()) {
--- a/crates/daemon/src/entry/request/call_run.rs
+++ b/crates/daemon/src/entry/request/call_run.rs
@@ -1,9 +1,10 @@
 //! One call to a plain service at its entry.
 
+use crate::entry::process::NewPipeline;
 use crate::entry::request::Keyed;
 use crate::entry::version::InFlight;
 use sorrellock_core::id::{Attempt, EndpointId, ServiceId, WorkspaceId};
-use sorrellock_core::request::{Peer, RequestKey};
+use sorrellock_core::request::{Peer, RequestKey, Route};
 use sorrellock_http::Responder;
 use sorrellock_wire::message::CallRequest;
 use std::time::Instant;
@@ -26,6 +27,8 @@
     pub idempotent: bool,
     /// Its way through the ledger, if it has a key and must run at most once.
     pub keyed: Option<Keyed>,
+    /// The pipeline request that it becomes once its record is granted, with its route.
+    pub pipeline: Option<(NewPipeline, Route)>,
     /// When the caller no longer needs it.
     pub deadline: Instant,
     /// The caller.
--- a/crates/daemon/src/entry/request/keyed.rs
+++ b/crates/daemon/src/entry/request/keyed.rs
@@ -1,7 +1,7 @@
 //! The part of a request that has to do with the run-once ledger.
 
-use sorrellock_core::process::ledger::{Fingerprint, KeyedRun, RecordKey};
-use sorrellock_core::request::RequestKey;
+use sorrellock_core::process::ledger::{Fingerprint, KeyedRun, RecordKey, Stamp};
+use sorrellock_core::request::{Peer, RequestKey};
 use std::net::SocketAddr;
 use std::time::Instant;
 
@@ -14,6 +14,15 @@
     pub fingerprint: Fingerprint,
 }
 
+/// A record under which a request runs, and the daemon that it names.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RunRecord {
+    /// The record.
+    pub stamp: Stamp,
+    /// The daemon.
+    pub daemon: Peer,
+}
+
 /// A request on its way through the ledger, with what it waits for.
 pub struct Keyed {
     /// Its state.
--- a/crates/daemon/src/entry/request/pipeline_run.rs
+++ b/crates/daemon/src/entry/request/pipeline_run.rs
@@ -1,6 +1,6 @@
 //! One pipeline request at its entry.
 
-use crate::entry::request::Answer;
+use crate::entry::request::{Answer, RunRecord};
 use crate::entry::version::InFlight;
 use sorrellock_core::id::{Position, WorkspaceId};
 use sorrellock_core::request::{Driver, RequestKey, StallDetector};
@@ -21,6 +21,10 @@
     pub without_route: Option<Instant>,
     /// What the caller gets.
     pub answer: Answer,
+    /// Whether the caller asked for a stream.
+    pub stream: bool,
+    /// Its record in the ledger, if it has one.
+    pub record: Option<RunRecord>,
     /// The pipeline.
     pub pipeline: Pipeline,
     /// When the caller no longer needs it.
--- a/crates/daemon/tests/run_once.rs
+++ b/crates/daemon/tests/run_once.rs
@@ -2,7 +2,7 @@
 
 use sorrellock_daemon::process::{LogFormat, set_up_log};
 use sorrellock_fakes::Outage;
-use sorrellock_local::{Caller, CallerAnswer, LocalConfig, LocalFleet, SERVICE};
+use sorrellock_local::{Caller, CallerAnswer, LocalConfig, LocalFleet, MODEL, SERVICE};
 use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::{Duration, Instant};
@@ -21,6 +21,24 @@
     caller.send(&path, &[("idempotency-key", key)], body).expect("an entry answers")
 }
 
+fn complete(caller: &Caller, key: &str, stream: bool) -> CallerAnswer {
+    let body = format!(
+        r#"{{"model":"{MODEL}","prompt":"Draft the backorder note.","max_tokens":40,"stream":{stream}}}"#
+    );
+    let headers = [("idempotency-key", key)];
+    caller.send("/v1/completions", &headers, &body).expect("an entry answers")
+}
+
+/// The text of an answer, whole or streamed.
+fn text(answer: &CallerAnswer) -> String {
+    if let Some(text) = answer.json()["choices"][0]["text"].as_str() {
+        return text.to_owned();
+    }
+    let data = answer.body.lines().filter_map(|line| line.strip_prefix("data: "));
+    let events = data.filter_map(|data| serde_json::from_str::<serde_json::Value>(data).ok());
+    events.filter_map(|event| event["choices"][0]["text"].as_str().map(str::to_owned)).collect()
+}
+
 /// How often a call with a key ran, at all instances of the service.
 fn runs(fleet: &LocalFleet, key: &str) -> u64 {
     fleet.services.iter().map(|local| local.service.record().runs_of(key)).sum()
@@ -187,3 +205,47 @@
     assert_eq!((answer.status, answer.outcome.as_str()), (400, "not-run"));
     assert!(answer.body.contains("1 to 255"), "{}", answer.body);
 }
+
+#[test]
+fn a_retry_of_a_completion_gets_the_kept_answer_whole_or_streamed() {
+    let fleet = fleet();
+    let expected = fleet.expected("Draft the backorder note.", 40);
+
+    for (key, stream) in [("note-1", false), ("note-2", true)] {
+        let first = complete(&fleet.caller(0, 0), key, stream);
+        let mut retry = complete(&fleet.caller(1, 0), key, stream);
+        // The end is told after the answer is out; a retry in between is told to wait for it.
+        wait_for("the kept answer", || {
+            if retry.status != 200 {
+                retry = complete(&fleet.caller(1, 0), key, stream);
+            }
+            retry.status == 200
+        });
+
+        assert_eq!((first.status, first.replayed), (200, false), "{}", first.body);
+        assert_eq!((text(&first), text(&retry)), (expected.clone(), expected.clone()));
+        assert!(retry.replayed);
+    }
+}
+
+#[test]
+fn a_retry_of_a_completion_attaches_to_the_run_under_way() {
+    set_up_log(LogFormat::Off);
+    let cfg = LocalConfig::new()
+        .with_pipeline(2, 1)
+        .with_entries(2)
+        .with_times(Duration::from_millis(15), Duration::ZERO);
+    let fleet = LocalFleet::start(cfg).expect("a fleet starts");
+
+    let (first, retry) = thread::scope(|scope| {
+        let first = scope.spawn(|| complete(&fleet.caller(0, 0), "note-1", false));
+        wait_for("the first request", || fleet.in_progress() == 1);
+        thread::sleep(Duration::from_millis(200));
+        let retry = scope.spawn(|| complete(&fleet.caller(1, 0), "note-1", false));
+        (first.join().unwrap(), retry.join().unwrap())
+    });
+
+    assert_eq!((first.status, retry.status), (200, 200), "{} {}", first.body, retry.body);
+    assert!(retry.replayed && !first.replayed);
+    assert_eq!(retry.json()["id"], first.json()["id"], "one run, named by its request");
+}
--- a/crates/wire/src/message/call.rs
+++ b/crates/wire/src/message/call.rs
@@ -29,6 +29,24 @@
     pub priority: u8,
 }
 
+impl CallRequest {
+    /// A call of which nothing but the request is known yet.
+    pub fn empty(request: RequestKey) -> CallRequest {
+        CallRequest {
+            request,
+            attempt: 0,
+            endpoint: EndpointId::new(),
+            method: String::new(),
+            path: String::new(),
+            content_type: None,
+            idempotency_key: None,
+            body: Vec::new(),
+            deadline_ms: 0,
+            priority: 0,
+        }
+    }
+}
+
 /// How a call ended.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum CallEnd {
--- a/crates/wire/src/message/ledger.rs
+++ b/crates/wire/src/message/ledger.rs
@@ -1,6 +1,6 @@
 //! Messages of the run-once ledger.
 
-use crate::message::{CallEnd, CallRequest, Open};
+use crate::message::{CallEnd, CallRequest};
 use serde::{Deserialize, Serialize};
 use sorrellock_core::id::Attempt;
 use sorrellock_core::process::ledger::{Claim, ClaimAnswer, Stamp, Told};
@@ -27,12 +27,13 @@
         /// The call.
         call: CallRequest,
     },
-    /// The same for a pipeline request, to its first stage.
-    Open {
+    /// The same for a pipeline request, to the daemon of its first stage: the entry drives the run,
+    /// and opens nothing before the daemon has told that it counts as running.
+    Begin {
+        /// The request.
+        owner: RequestKey,
         /// The record.
         stamp: Stamp,
-        /// What opens the first stage.
-        open: Open,
     },
     /// From the daemon to the entry that sent the run, and to all that follow it.
     End {
