sorrellock for operators: the table, workspaces, pipelines, the fleet, dumps

table get/set/remove/history/export/import, workspace, pipeline, fleet, dump and completions, on C2's ConfigStore and the daemons' operators' listeners. `table set` takes rows and cells in groups, so that one command sets many cells in many rows.

Every flag has its SORRELLOCK_ variable; an unknown one is an error that names the nearest. The daemon leaves the operators' variables alone, and a test compares the two lists.

Local entries listen for operators, too.

--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -1,4 +1,5 @@
 //! The operators' command line of sorrellock.
 
 pub mod cli;
+pub mod operate;
 pub mod trial;
--- /dev/null
+++ b/crates/cli/src/operate/output.rs
@@ -0,0 +1,49 @@
+//! Results for people, aligned, or as JSON for scripts.
+
+use comfy_table::{Table, presets};
+use serde_json::Value;
+
+/// How results are printed.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Output {
+    /// As JSON, and not for people.
+    pub(super) json: bool,
+}
+
+impl Output {
+    /// Prints rows under a head, or the same as JSON.
+    pub(super) fn rows(
+        self,
+        head: &[&str],
+        rows: impl IntoIterator<Item = Vec<String>>,
+        json: impl FnOnce() -> Value,
+    ) {
+        match self.json {
+            true => print_json(&json()),
+            false => println!("{}", aligned(head, rows)),
+        }
+    }
+
+    /// Prints a sentence, or the same as JSON.
+    pub(super) fn sentence(self, text: &str, json: impl FnOnce() -> Value) {
+        match self.json {
+            true => print_json(&json()),
+            false => println!("{text}"),
+        }
+    }
+}
+
+/// Prints JSON, indented.
+pub(super) fn print_json(value: &Value) {
+    println!("{value:#}");
+}
+
+/// Columns aligned, without lines: what scripts of the shell can cut, too.
+pub(super) fn aligned(head: &[&str], rows: impl IntoIterator<Item = Vec<String>>) -> String {
+    let mut table = Table::new();
+    table.load_style(presets::NOTHING).set_header(head.iter().copied());
+    rows.into_iter().for_each(|row| {
+        table.add_row(row);
+    });
+    table.lines().map(|line| format!("{}\n", line.trim_end())).collect::<String>().trim_end().into()
+}
--- a/crates/daemon/src/cli/variables.rs
+++ b/crates/daemon/src/cli/variables.rs
@@ -9,9 +9,7 @@
 /// Variables of the operators' command line, which the daemon leaves to it.
 pub const OPERATOR_VARIABLES: &[&str] = &[
     "SORRELLOCK_BY",
-    "SORRELLOCK_COLOUR",
     "SORRELLOCK_DAEMONS",
-    "SORRELLOCK_ENTRY",
     "SORRELLOCK_JSON",
     "SORRELLOCK_KEY",
     "SORRELLOCK_TIMEOUT_MS",
--- a/crates/local/src/local_fleet.rs
+++ b/crates/local/src/local_fleet.rs
@@ -234,7 +234,7 @@
 
 pub(crate) fn start_entry(platform: &FakePlatform) -> Result<Entry> {
     let settings = EntrySettings::new(PLACE, next_addr(), next_addr(), platform.addr());
-    Entry::start(settings.with_ready_grace(READY_GRACE))
+    Entry::start(settings.with_ready_grace(READY_GRACE).with_operators(next_addr()))
 }
 
 fn open_work(beside: &Beside) -> u64 {
