Limits over the whole fleet: keepers and grants

Cause: the limits of a row held at no entry, and a split of them by entry wastes what one entry doesn't use. Change: the keeper of a workspace and kind is the live entry that rendezvous hashing names. It takes grants, sized to the demand that an entry tells, out of one bucket, and divides them by what entries want and got lately. Grants lapse after a second by the entry's own clock, questions are numbered, so that what is lost, late or repeated costs a part of the limit and never adds to it. An entry whose keeper is silent goes on at the rate of its last grants, and tells the next keeper what it spent meanwhile. A suspected entry keeps no limits; an entry that lost sight of most others names no keeper, lest each side of a cut hand out the whole limit. A request that needs a grant waits for the answer; one over the limit is refused at once with the time until there is more. Found by its tests: an entry that asked second every 50 ms got nothing (198 to 0); the last share was read after it had decayed (9 requests in 3 s at a limit of 40/s); the drain rate of admission, taken from ends over a short time, dropped long requests before the first of them had ended.

--- a/crates/daemon/src/entry/process/entry.rs
+++ b/crates/daemon/src/entry/process/entry.rs
@@ -2,8 +2,8 @@
 
 use crate::entry::process::entry_handler::EntryLedger;
 use crate::entry::process::{
-    Api, Calls, EntryHandler, EntrySettings, FleetCell, Gate, InProgress, LedgerClient, Pipelines,
-    Timer,
+    Api, Calls, EntryHandler, EntrySettings, FleetCell, Gate, GateParts, InProgress, LedgerClient,
+    LimitDesk, Pipelines, Timer,
 };
 use crate::entry::request::RunTable;
 use crate::process::ledger::{LEDGER_STORE_TIMEOUT, LedgerHolders};
@@ -76,20 +76,22 @@
         let timer = Arc::new(Timer::default());
         let pipelines = Arc::new(new_pipelines(&state, &timer, settings.max_attempts));
         let calls = Arc::new(new_calls(&state, &timer, &pipelines, settings.max_attempts));
-        let gate = Gate::start(
-            state.fleet.clone(),
-            state.in_progress.clone(),
-            pipelines.clone(),
-            calls.clone(),
-            timer.clone(),
-            counters.clone(),
-            finished,
-        );
+        let limits = Arc::new(new_limits(&state));
+        let parts = GateParts {
+            fleet: state.fleet.clone(),
+            in_progress: state.in_progress.clone(),
+            pipelines: pipelines.clone(),
+            calls: calls.clone(),
+            timer: timer.clone(),
+            limits: limits.clone(),
+            counters: counters.clone(),
+        };
+        let gate = Gate::start(parts, finished);
         let _ = state.gate.set(gate.clone());
         start_timer(&timer, &pipelines, &calls, &gate);
         pipelines.watch();
         start_waits(&calls);
-        link.serve(closed, Arc::new(new_handler(&state, &pipelines, &calls)));
+        link.serve(closed, Arc::new(new_handler(&state, &pipelines, &calls, &gate, &limits)));
         let fleet = state.fleet.clone();
         agent.on_change(move |members| fleet.set_members(members));
         agent.serve(inputs, link.clone(), Vec::new);
@@ -259,16 +261,31 @@
     waits.start(move |sequence| calls.on_wait_over(sequence));
 }
 
+fn new_limits(state: &EntryState) -> LimitDesk<NngLink> {
+    LimitDesk::new(
+        state.me,
+        state.link.clone(),
+        state.agent.clone(),
+        state.config.clone(),
+        state.counters.clone(),
+        state.journal.clone(),
+    )
+}
+
 fn new_handler(
     state: &EntryState,
     pipelines: &Arc<Pipelines<NngLink>>,
     calls: &Arc<Calls<NngLink>>,
+    gate: &Arc<Gate<NngLink>>,
+    limits: &Arc<LimitDesk<NngLink>>,
 ) -> EntryHandler<NngLink> {
     EntryHandler {
         me: state.me,
         pipelines: pipelines.clone(),
         calls: calls.clone(),
         holders: state.holders.clone(),
+        gate: gate.clone(),
+        limits: limits.clone(),
         fleet: state.fleet.clone(),
         agent: state.agent.clone(),
         config: state.config.clone(),
