--- a/crates/local/src/local_config.rs
+++ b/crates/local/src/local_config.rs
@@ -61,6 +61,12 @@
         self
     }
 
+    /// Bounds the steps of a batch.
+    pub fn with_max_batch(mut self, steps: u32) -> LocalConfig {
+        self.max_batch = steps;
+        self
+    }
+
     /// Sets the time of a batch, and of each of its tokens.
     pub fn with_times(mut self, batch: Duration, token: Duration) -> LocalConfig {
         self.batch_time = batch;
