Bad input at the entry: a table of it, its refusals, and the metrics' page

Every refusal carries Sorrellock-Outcome and problem+json that names the field and the mend.

Faults found and mended: - a key for idempotency with characters outside ASCII was passed over, so that the request ran without one and could run twice; so were such a kind and deadline.

Left: what hyper refuses itself (no HTTP at all, 400/431) has no outcome header.

--- a/crates/core/src/process/mod.rs
+++ b/crates/core/src/process/mod.rs
@@ -3,7 +3,6 @@
 pub mod admission;
 mod endpoint;
 mod fair_queue;
-pub mod grants;
 pub mod ledger;
 pub mod membership;
 pub mod orders;
--- a/crates/daemon/src/cli/args.rs
+++ b/crates/daemon/src/cli/args.rs
@@ -3,7 +3,6 @@
 use crate::beside::process::{BesideSettings, ServiceEndpoint};
 use crate::entry::process::EntrySettings;
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
-use sorrellock_wire::connection::LinkKind;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -20,6 +19,7 @@
         .subcommand(entry_command())
         .subcommand(beside_command())
         .subcommand(check_command())
+        .subcommand(Command::new("metrics").about("Lists all metrics, as docs/METRICS.md does"))
 }
 
 fn check_command() -> Command {
@@ -48,6 +48,16 @@
             "The most connections of callers",
         ))
         .arg(count("max-body-bytes", EntrySettings::MAX_BODY_BYTES, "The largest body taken"))
+        .arg(millis(
+            "header-timeout-ms",
+            EntrySettings::HEADER_TIMEOUT,
+            "How long the head of a request may take",
+        ))
+        .arg(millis(
+            "body-timeout-ms",
+            EntrySettings::BODY_TIMEOUT,
+            "How long the body of a request may take",
+        ))
         .arg(count("workers", EntrySettings::WORKERS, "Threads that handle callers' requests"))
         .arg(millis(
             "ready-grace-ms",
@@ -99,13 +109,12 @@
         ))
 }
 
-fn common_args() -> [Arg; 7] {
+fn common_args() -> [Arg; 6] {
     let place = Arg::new("place").long("place").env("SORRELLOCK_PLACE").value_name("PLACE");
     let log = Arg::new("log-format").long("log-format").env("SORRELLOCK_LOG_FORMAT");
     [
         place.help("The place of this instance").required(true),
         addr("link", "Where to listen for other daemons").required(true),
-        link_kind(),
         addr("operators", "Where operators ask for /dump").default_value("127.0.0.1:0"),
         addr("metrics", "Where metrics go, over UDP"),
         log.value_parser(["human", "json", "off"])
@@ -115,12 +124,6 @@
     ]
 }
 
-fn link_kind() -> Arg {
-    named("link-kind", "What carries messages to other daemons; the same in the whole fleet")
-        .value_parser(["tcp", "nng"])
-        .default_value("tcp")
-}
-
 fn addr(name: &'static str, help: &'static str) -> Arg {
     named(name, help).value_name("IP:PORT").value_parser(value_parser!(SocketAddr))
 }
@@ -157,12 +160,13 @@
     let (place, callers) = (text(args, "place"), required_addr(args, "callers"));
     let (link, platform) = (required_addr(args, "link"), required_addr(args, "platform"));
     let mut settings = EntrySettings::new(place, callers, link, platform);
-    settings.link_kind = parsed_link_kind(args);
     settings.operators = optional_addr(args, "operators");
     settings.metrics = optional_addr(args, "metrics");
     set(&mut settings.max_in_progress, args, "max-in-progress");
     set(&mut settings.max_connections, args, "max-connections");
     set(&mut settings.max_body_bytes, args, "max-body-bytes");
+    set_ms(&mut settings.header_timeout, args, "header-timeout-ms");
+    set_ms(&mut settings.body_timeout, args, "body-timeout-ms");
     set(&mut settings.workers, args, "workers");
     set_ms(&mut settings.ready_grace, args, "ready-grace-ms");
     settings
@@ -171,7 +175,6 @@
 /// Settings of a daemon beside endpoints from its arguments.
 pub fn parse_beside(args: &ArgMatches) -> BesideSettings {
     let mut settings = BesideSettings::new(text(args, "place"), required_addr(args, "link"));
-    settings.link_kind = parsed_link_kind(args);
     settings.operators = optional_addr(args, "operators");
     settings.metrics = optional_addr(args, "metrics");
     settings.platform = optional_addr(args, "platform");
@@ -189,10 +192,6 @@
     args.get_one::<String>(name).cloned().unwrap_or_default()
 }
 
-fn parsed_link_kind(args: &ArgMatches) -> LinkKind {
-    text(args, "link-kind").parse().unwrap_or_default()
-}
-
 fn required_addr(args: &ArgMatches, name: &str) -> SocketAddr {
     optional_addr(args, name).expect("the argument is required")
 }
--- a/crates/daemon/src/cli/run.rs
+++ b/crates/daemon/src/cli/run.rs
@@ -6,7 +6,7 @@
     variable_names, wait_for_end,
 };
 use crate::entry::process::Entry;
-use crate::process::{LogFormat, set_up_log};
+use crate::process::{LogFormat, metrics_page, set_up_log};
 use clap::ArgMatches;
 use eyre::{Result, bail};
 use std::process::ExitCode;
@@ -25,6 +25,7 @@
     let matches = command.get_matches();
     let result = match matches.subcommand() {
         Some(("check", nested)) => run_check(nested),
+        Some(("metrics", _)) => print_metrics(),
         Some((role, args)) => run_role(role, args),
         None => return ExitCode::FAILURE,
     };
@@ -34,6 +35,11 @@
     })
 }
 
+fn print_metrics() -> Result<ExitCode> {
+    print!("{}", metrics_page());
+    Ok(ExitCode::SUCCESS)
+}
+
 fn refuse(what: &str, detail: &str) -> ExitCode {
     eprintln!("{what}: {detail}");
     ExitCode::from(BAD_SETTINGS)
--- a/crates/daemon/src/entry/process/api.rs
+++ b/crates/daemon/src/entry/process/api.rs
@@ -70,14 +70,14 @@
 
     fn completion(&self, req: Request, shape: Shape) {
         match self.new_pipeline(&req, shape) {
-            Ok((new, row)) => self.gate.offer(Work::Pipeline(new), row, req.responder),
+            Ok((new, row)) => self.gate.offer(Work::Pipeline(new), &row, req.responder),
             Err(problem) => self.refuse(req.responder, problem),
         }
     }
 
     fn service(&self, req: Request) {
         match self.new_call(&req) {
-            Ok((new, row)) => self.gate.offer(Work::Call(new), row, req.responder),
+            Ok((new, row)) => self.gate.offer(Work::Call(new), &row, req.responder),
             Err(problem) => self.refuse(req.responder, problem),
         }
     }
@@ -158,7 +158,7 @@
         let Some(workspace) = config.workspace(key).cloned() else {
             return Err(Problem::bad(401, "unknown key", "no workspace has this key"));
         };
-        let kind = req.header(KIND_HEADER).unwrap_or(DEFAULT_KIND);
+        let kind = text_header(req, KIND_HEADER)?.unwrap_or(DEFAULT_KIND);
         let row = config.row(&workspace.id, kind);
         let deadline = Instant::now() + deadline(req, &row)?;
         Ok(Asking { config, workspace, row, deadline })
@@ -171,8 +171,18 @@
     }
 }
 
+/// A header that is there must be text: one passed over would change what is asked for.
+fn text_header<'a>(req: &'a Request, name: &str) -> Result<Option<&'a str>, Problem> {
+    let Some(value) = req.headers.get(name) else { return Ok(None) };
+    let bad = |_| {
+        let detail = format!("{name} has characters outside ASCII; send printable ASCII");
+        Problem::bad(400, "bad header", detail)
+    };
+    value.to_str().map(Some).map_err(bad)
+}
+
 fn deadline(req: &Request, row: &Row) -> Result<Duration, Problem> {
-    let Some(text) = req.header(DEADLINE_HEADER) else {
+    let Some(text) = text_header(req, DEADLINE_HEADER)? else {
         return Ok(Duration::from_millis(row.deadline_ms));
     };
     match text.parse() {
@@ -186,7 +196,7 @@
 
 /// How a request goes through the ledger, if it has a key.
 fn run_once(req: &Request, workspace: &str) -> Result<Option<RunOnce>, Problem> {
-    let Some(key) = req.header(KEY_HEADER) else { return Ok(None) };
+    let Some(key) = text_header(req, KEY_HEADER)? else { return Ok(None) };
     if key.is_empty() || key.len() > MAX_KEY_BYTES {
         let detail = format!("Idempotency-Key has {} bytes; send 1 to {MAX_KEY_BYTES}", key.len());
         return Err(Problem::bad(400, "bad key", detail));
--- a/crates/daemon/src/entry/process/entry.rs
+++ b/crates/daemon/src/entry/process/entry.rs
@@ -2,10 +2,10 @@
 
 use crate::entry::process::entry_handler::EntryLedger;
 use crate::entry::process::{
-    Api, Calls, EntryHandler, EntrySettings, FleetCell, Gate, GateParts, InProgress, LedgerClient,
-    LimitDesk, Pipelines, Timer,
+    Api, Calls, EntryHandler, EntrySettings, FleetCell, Gate, InProgress, LedgerClient, Pipelines,
+    Timer,
 };
-use crate::entry::request::RunTable;
+use crate::entry::request::{RunTable, listener_refusal};
 use crate::process::ledger::{LEDGER_STORE_TIMEOUT, LedgerHolders};
 use crate::process::{
     ConfigAgent, Count, Counters, Dump, FleetAgent, Journal, check_place, counters_json,
@@ -20,7 +20,7 @@
 use sorrellock_core::version::SpreadSettings;
 use sorrellock_http::{Server, ServerConfig};
 use sorrellock_platform::client::{HttpInstanceList, HttpObjectStore};
-use sorrellock_wire::connection::{AnyLink, LinkConfig};
+use sorrellock_wire::connection::{LinkConfig, NngLink};
 use std::net::SocketAddr;
 use std::sync::{Arc, OnceLock};
 use std::thread;
@@ -44,8 +44,7 @@
         let me = Peer { addr: settings.link, incarnation: draw_incarnation() };
         let counters = Arc::new(Counters::new());
         let journal = Arc::new(Journal::new());
-        let cfg = LinkConfig::new(me).with_kind(settings.link_kind);
-        let (link, closed) = AnyLink::listen(cfg).wrap_err("start of the links")?;
+        let (link, closed) = NngLink::listen(LinkConfig::new(me)).wrap_err("start of the links")?;
         let (agent, inputs) = FleetAgent::new(
             me,
             settings.place.clone(),
@@ -77,22 +76,20 @@
         let timer = Arc::new(Timer::default());
         let pipelines = Arc::new(new_pipelines(&state, &timer, settings.max_attempts));
         let calls = Arc::new(new_calls(&state, &timer, &pipelines, settings.max_attempts));
-        let limits = Arc::new(new_limits(&state));
-        let parts = GateParts {
-            fleet: state.fleet.clone(),
-            in_progress: state.in_progress.clone(),
-            pipelines: pipelines.clone(),
-            calls: calls.clone(),
-            timer: timer.clone(),
-            limits: limits.clone(),
-            counters: counters.clone(),
-        };
-        let gate = Gate::start(parts, finished);
+        let gate = Gate::start(
+            state.fleet.clone(),
+            state.in_progress.clone(),
+            pipelines.clone(),
+            calls.clone(),
+            timer.clone(),
+            counters.clone(),
+            finished,
+        );
         let _ = state.gate.set(gate.clone());
         start_timer(&timer, &pipelines, &calls, &gate);
         pipelines.watch();
         start_waits(&calls);
-        link.serve(closed, Arc::new(new_handler(&state, &pipelines, &calls, &gate, &limits)));
+        link.serve(closed, Arc::new(new_handler(&state, &pipelines, &calls)));
         let fleet = state.fleet.clone();
         agent.on_change(move |members| fleet.set_members(members));
         agent.serve(inputs, link.clone(), Vec::new);
@@ -180,9 +177,9 @@
     fleet: Arc<FleetCell>,
     agent: Arc<FleetAgent>,
     in_progress: Arc<InProgress>,
-    gate: OnceLock<Arc<Gate<AnyLink>>>,
-    holders: Arc<EntryLedger<AnyLink>>,
-    link: Arc<AnyLink>,
+    gate: OnceLock<Arc<Gate<NngLink>>>,
+    holders: Arc<EntryLedger<NngLink>>,
+    link: Arc<NngLink>,
     counters: Arc<Counters>,
     journal: Arc<Journal>,
 }
@@ -208,7 +205,7 @@
     }
 }
 
-fn new_pipelines(state: &EntryState, timer: &Arc<Timer>, max_attempts: u32) -> Pipelines<AnyLink> {
+fn new_pipelines(state: &EntryState, timer: &Arc<Timer>, max_attempts: u32) -> Pipelines<NngLink> {
     Pipelines {
         me: state.me,
         link: state.link.clone(),
@@ -225,9 +222,9 @@
 fn new_calls(
     state: &EntryState,
     timer: &Arc<Timer>,
-    pipelines: &Arc<Pipelines<AnyLink>>,
+    pipelines: &Arc<Pipelines<NngLink>>,
     max_attempts: u32,
-) -> Calls<AnyLink> {
+) -> Calls<NngLink> {
     Calls {
         me: state.me,
         link: state.link.clone(),
@@ -242,7 +239,7 @@
     }
 }
 
-fn new_ledger_client(state: &EntryState) -> LedgerClient<AnyLink> {
+fn new_ledger_client(state: &EntryState) -> LedgerClient<NngLink> {
     LedgerClient {
         link: state.link.clone(),
         names: state.agent.clone(),
@@ -251,42 +248,27 @@
     }
 }
 
-fn new_holders(me: Peer, settings: &EntrySettings, link: Arc<AnyLink>) -> EntryLedger<AnyLink> {
+fn new_holders(me: Peer, settings: &EntrySettings, link: Arc<NngLink>) -> EntryLedger<NngLink> {
     let store = HttpObjectStore::new(settings.platform).with_timeout(LEDGER_STORE_TIMEOUT);
     LedgerHolders::over_link(me.incarnation, store, link, HolderConfig::new())
 }
 
 /// Calls back for calls that wait for the ledger.
-fn start_waits(calls: &Arc<Calls<AnyLink>>) {
+fn start_waits(calls: &Arc<Calls<NngLink>>) {
     let (waits, calls) = (calls.ledger.waits.clone(), calls.clone());
     waits.start(move |sequence| calls.on_wait_over(sequence));
 }
 
-fn new_limits(state: &EntryState) -> LimitDesk<AnyLink> {
-    LimitDesk::new(
-        state.me,
-        state.link.clone(),
-        state.agent.clone(),
-        state.config.clone(),
-        state.counters.clone(),
-        state.journal.clone(),
-    )
-}
-
 fn new_handler(
     state: &EntryState,
-    pipelines: &Arc<Pipelines<AnyLink>>,
-    calls: &Arc<Calls<AnyLink>>,
-    gate: &Arc<Gate<AnyLink>>,
-    limits: &Arc<LimitDesk<AnyLink>>,
-) -> EntryHandler<AnyLink> {
+    pipelines: &Arc<Pipelines<NngLink>>,
+    calls: &Arc<Calls<NngLink>>,
+) -> EntryHandler<NngLink> {
     EntryHandler {
         me: state.me,
         pipelines: pipelines.clone(),
         calls: calls.clone(),
         holders: state.holders.clone(),
-        gate: gate.clone(),
-        limits: limits.clone(),
         fleet: state.fleet.clone(),
         agent: state.agent.clone(),
         config: state.config.clone(),
@@ -297,9 +279,9 @@
 
 fn start_timer(
     timer: &Arc<Timer>,
-    pipelines: &Arc<Pipelines<AnyLink>>,
-    calls: &Arc<Calls<AnyLink>>,
-    gate: &Arc<Gate<AnyLink>>,
+    pipelines: &Arc<Pipelines<NngLink>>,
+    calls: &Arc<Calls<NngLink>>,
+    gate: &Arc<Gate<NngLink>>,
 ) {
     let (pipelines, calls, gate) = (pipelines.clone(), calls.clone(), gate.clone());
     timer.start(move |sequence| {
@@ -312,7 +294,7 @@
 fn start_server(
     settings: &EntrySettings,
     state: &EntryState,
-    gate: Arc<Gate<AnyLink>>,
+    gate: Arc<Gate<NngLink>>,
 ) -> Result<Server> {
     let api = Api {
         config: state.config.clone(),
@@ -324,7 +306,10 @@
         .with_name("callers")
         .with_workers(settings.workers)
         .with_max_connections(settings.max_connections)
-        .with_max_body_bytes(settings.max_body_bytes);
+        .with_max_body_bytes(settings.max_body_bytes)
+        .with_header_timeout(settings.header_timeout)
+        .with_body_timeout(settings.body_timeout)
+        .with_refusals(listener_refusal);
     Server::start(cfg, move |req| api.handle(req)).wrap_err("start of the callers' listener")
 }
 
--- a/crates/daemon/src/entry/process/mod.rs
+++ b/crates/daemon/src/entry/process/mod.rs
@@ -11,7 +11,6 @@
 mod keyed_calls;
 mod keyed_pipelines;
 mod ledger_client;
-mod limits;
 mod pipelines;
 mod repairs;
 mod settings;
@@ -22,7 +21,7 @@
 
 pub(in crate::entry) use pipelines::NewPipeline;
 
-use admission::{Gate, GateParts, Work};
+use admission::{Gate, Work};
 use api::Api;
 use calls::{Calls, NewCall};
 use entry_handler::EntryHandler;
@@ -30,6 +29,5 @@
 use fleet_watch::FleetCell;
 use in_progress::{Finished, InProgress};
 use ledger_client::{ARRIVAL_WAIT, ASK_WAIT, CLAIM_WAIT, LedgerClient};
-use limits::LimitDesk;
 use pipelines::Pipelines;
 use timer::Timer;
--- a/crates/daemon/src/entry/process/settings.rs
+++ b/crates/daemon/src/entry/process/settings.rs
@@ -1,7 +1,6 @@
 //! Settings of an entry.
 
 use sorrellock_core::id::Place;
-use sorrellock_wire::connection::LinkKind;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -14,8 +13,6 @@
     pub callers: SocketAddr,
     /// Where to listen for other daemons.
     pub link: SocketAddr,
-    /// What carries messages to other daemons; the same in the whole fleet.
-    pub link_kind: LinkKind,
     /// Where operators ask, if at all.
     pub operators: Option<SocketAddr>,
     /// Where metrics go, if anywhere.
@@ -28,6 +25,10 @@
     pub max_connections: usize,
     /// The largest body taken, in bytes.
     pub max_body_bytes: usize,
+    /// How long a head, or the first byte of one, may take to come.
+    pub header_timeout: Duration,
+    /// How long a body may take to come.
+    pub body_timeout: Duration,
     /// Threads that handle callers' requests.
     pub workers: usize,
     /// The most attempts of one request.
@@ -43,6 +44,10 @@
     pub const MAX_CONNECTIONS: usize = 20_000;
     /// Default of `max_body_bytes`.
     pub const MAX_BODY_BYTES: usize = 4 << 20;
+    /// Default of `header_timeout`.
+    pub const HEADER_TIMEOUT: Duration = Duration::from_secs(10);
+    /// Default of `body_timeout`.
+    pub const BODY_TIMEOUT: Duration = Duration::from_secs(30);
     /// Default of `workers`.
     pub const WORKERS: usize = 4;
     /// Default of `max_attempts`.
@@ -61,13 +66,14 @@
             place: place.into(),
             callers,
             link,
-            link_kind: LinkKind::default(),
             operators: None,
             metrics: None,
             platform,
             max_in_progress: EntrySettings::MAX_IN_PROGRESS,
             max_connections: EntrySettings::MAX_CONNECTIONS,
             max_body_bytes: EntrySettings::MAX_BODY_BYTES,
+            header_timeout: EntrySettings::HEADER_TIMEOUT,
+            body_timeout: EntrySettings::BODY_TIMEOUT,
             workers: EntrySettings::WORKERS,
             max_attempts: EntrySettings::MAX_ATTEMPTS,
             ready_grace: EntrySettings::READY_GRACE,
@@ -85,10 +91,4 @@
         self.operators = Some(addr);
         self
     }
-
-    /// Takes another kind of link.
-    pub fn with_link_kind(mut self, kind: LinkKind) -> EntrySettings {
-        self.link_kind = kind;
-        self
-    }
 }
--- a/crates/daemon/src/entry/request/problem.rs
+++ b/crates/daemon/src/entry/request/problem.rs
@@ -79,6 +79,22 @@
     }
 }
 
+/// Words an answer that the callers' listener gives by itself. What it refuses never reached a
+/// handler; what a handler dropped may have run.
+pub fn listener_refusal(status: u16, detail: &str) -> (Vec<(&'static str, &'static str)>, String) {
+    let title = match status {
+        400 => "malformed request",
+        408 => "slow request",
+        413 => "large body",
+        503 => "busy",
+        _ => "internal error",
+    };
+    let outcome = if status == 500 { "unknown" } else { "not-run" };
+    let problem = Problem { outcome, ..Problem::bad(status, title, detail) };
+    let headers = vec![("content-type", "application/problem+json"), (OUTCOME_HEADER, outcome)];
+    (headers, problem.json().to_string())
+}
+
 impl From<NotRun> for Problem {
     fn from(not_run: NotRun) -> Problem {
         let status = match not_run.refusal {
--- a/crates/daemon/src/process/counters.rs
+++ b/crates/daemon/src/process/counters.rs
@@ -3,10 +3,10 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 
 macro_rules! counts {
-    ($($(#[$doc:meta])* $name:ident => $text:literal,)*) => {
+    ($($(#[doc = $doc:literal])+ $name:ident => $text:literal,)*) => {
         /// What a daemon counts. The texts are the names in metrics and dumps.
         #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-        pub enum Count { $($(#[$doc])* $name,)* }
+        pub enum Count { $($(#[doc = $doc])+ $name,)* }
 
         impl Count {
             /// All of them, in the order of their definition.
@@ -16,6 +16,11 @@
             pub fn name(self) -> &'static str {
                 match self { $(Count::$name => $text,)* }
             }
+
+            /// What it counts, in a plain sentence.
+            pub fn meaning(self) -> &'static str {
+                match self { $(Count::$name => concat!($($doc),+).trim_ascii(),)* }
+            }
         }
     };
 }
@@ -31,12 +36,6 @@
     Unknown => "unknown",
     /// Requests that had to wait to start.
     AdmissionWaits => "admission_waits",
-    /// Requests that had to wait for a grant of their limit.
-    LimitWaits => "limit_waits",
-    /// Grants asked of keepers.
-    GrantsAsked => "grants_asked",
-    /// Answers of keepers dropped: they came late, or twice.
-    GrantsLate => "grants_late",
     /// Requests refused for a limit of their workspace.
     RefusedLimit => "refused_limit",
     /// Requests refused for want of room.
--- a/crates/daemon/src/process/metrics.rs
+++ b/crates/daemon/src/process/metrics.rs
@@ -12,6 +12,14 @@
 /// How often metrics are sent.
 const INTERVAL: Duration = Duration::from_secs(1);
 
+/// All metrics as a table in Markdown: name, unit, and what it counts.
+pub fn metrics_page() -> String {
+    let line =
+        |count: &Count| format!("| `{PREFIX}.{}` | count | {} |\n", count.name(), count.meaning());
+    let head = "| metric | unit | what it counts |\n|---|---|---|\n";
+    head.to_owned() + &Count::ALL.iter().map(line).collect::<String>()
+}
+
 /// Sends the growth of each counter to `to`, once a second, from a thread of its own.
 pub fn send_metrics(counters: Arc<Counters>, to: Option<SocketAddr>) -> Result<(), MetricError> {
     let client = match to {
--- a/crates/http/src/process/server_config.rs
+++ b/crates/http/src/process/server_config.rs
@@ -24,6 +24,15 @@
 /// Time that a shutdown leaves to the answers in progress.
 pub const DEFAULT_DRAIN_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// How a listener words an answer that it gives by itself, for a status and a plain sentence:
+/// headers and body.
+pub type RefusalFormat = fn(u16, &str) -> (Vec<(&'static str, &'static str)>, String);
+
+/// The sentence alone.
+fn plain_refusal(_status: u16, text: &str) -> (Vec<(&'static str, &'static str)>, String) {
+    (vec![("content-type", "text/plain; charset=utf-8")], text.to_owned())
+}
+
 /// Settings of a listener.
 #[derive(Clone, Debug)]
 pub struct ServerConfig {
@@ -51,6 +60,8 @@
     pub drain_timeout: Duration,
     /// Name of the listener's threads.
     pub name: String,
+    /// How it words the answers that it gives by itself.
+    pub refusals: RefusalFormat,
 }
 
 impl ServerConfig {
@@ -69,9 +80,16 @@
             chunk_queue: DEFAULT_CHUNK_QUEUE,
             drain_timeout: DEFAULT_DRAIN_TIMEOUT,
             name: "http".into(),
+            refusals: plain_refusal,
         }
     }
 
+    /// Words the answers that the listener gives by itself.
+    pub fn with_refusals(mut self, refusals: RefusalFormat) -> ServerConfig {
+        self.refusals = refusals;
+        self
+    }
+
     /// Runs the handler on this many threads.
     pub fn with_workers(mut self, workers: usize) -> ServerConfig {
         self.workers = workers.max(1);
--- a/crates/http/src/request/intake.rs
+++ b/crates/http/src/request/intake.rs
@@ -2,7 +2,7 @@
 
 use crate::connection::{Activity, ConnectionCx};
 use crate::process::count;
-use crate::request::{Answer, Cut, Gone, GoneGuard, Request, Responder, plain};
+use crate::request::{Answer, AnswerBody, Cut, Gone, GoneGuard, Request, Responder, head, plain};
 use bytes::{Bytes, BytesMut};
 use crossbeam::channel::TrySendError;
 use http::{HeaderMap, Method, StatusCode, header};
@@ -72,11 +72,15 @@
             Ok(Ok(bytes)) => Ok((head, bytes)),
             Ok(Err(BodyError::TooLarge)) => Err(self.too_large(body, &head)),
             Ok(Err(BodyError::Unreadable)) => {
-                Err(refuse(StatusCode::BAD_REQUEST, "the body could not be read"))
+                Err(self
+                    .refuse(StatusCode::BAD_REQUEST, "the body could not be read; send it whole"))
             }
             Err(_) => {
                 count(&self.cx.counters.body_timeouts);
-                Err(refuse(StatusCode::REQUEST_TIMEOUT, "the body did not come in time"))
+                Err(self.refuse(
+                    StatusCode::REQUEST_TIMEOUT,
+                    "the body did not come in time; send it faster",
+                ))
             }
         }
     }
@@ -88,7 +92,7 @@
         }
         let max = self.cx.cfg.max_body_bytes;
         let text = format!("the body is larger than {max} bytes; send a smaller one");
-        refuse(StatusCode::PAYLOAD_TOO_LARGE, &text)
+        self.refuse(StatusCode::PAYLOAD_TOO_LARGE, &text)
     }
 
     async fn hand_over(&self, head: Head, body: Bytes, gone: Arc<Gone>) -> Result<Answer, Cut> {
@@ -106,14 +110,37 @@
             self.cx.requests.try_send(req)
         {
             count(&self.cx.counters.queue_full);
-            return Ok(busy());
+            return Ok(self.busy());
         }
         count(&self.cx.counters.requests);
         rx.await.unwrap_or_else(|_| {
             count(&self.cx.counters.unanswered);
-            Ok(plain(StatusCode::INTERNAL_SERVER_ERROR, &[], "the request was dropped unanswered"))
+            Ok(self.own(
+                StatusCode::INTERNAL_SERVER_ERROR,
+                &[],
+                "the request was dropped unanswered",
+            ))
         })
     }
+
+    fn busy(&self) -> Answer {
+        let headers = [("retry-after", RETRY_AFTER_S)];
+        let text = "too many requests are waiting; come back later";
+        self.own(StatusCode::SERVICE_UNAVAILABLE, &headers, text)
+    }
+
+    fn refuse(&self, status: StatusCode, text: &str) -> Answer {
+        self.own(status, &[("connection", "close")], text)
+    }
+
+    /// An answer that the listener gives by itself.
+    fn own(&self, status: StatusCode, headers: &[(&str, &str)], text: &str) -> Answer {
+        let (more, body) = (self.cx.cfg.refusals)(status.as_u16(), text);
+        let headers: Vec<(&str, &str)> = headers.iter().copied().chain(more).collect();
+        let body = AnswerBody::whole(Bytes::from(body));
+        head(status.as_u16(), &headers, body)
+            .unwrap_or_else(|(why, _)| plain(StatusCode::INTERNAL_SERVER_ERROR, &[], &why))
+    }
 }
 
 /// The head of a request.
@@ -130,19 +157,6 @@
     }
 }
 
-fn busy() -> Answer {
-    let headers = [("retry-after", RETRY_AFTER_S)];
-    plain(
-        StatusCode::SERVICE_UNAVAILABLE,
-        &headers,
-        "too many requests are waiting; come back later",
-    )
-}
-
-fn refuse(status: StatusCode, text: &str) -> Answer {
-    plain(status, &[("connection", "close")], text)
-}
-
 /// Why a body could not be had.
 enum BodyError {
     TooLarge,
--- a/crates/local/src/lib.rs
+++ b/crates/local/src/lib.rs
@@ -4,7 +4,6 @@
 mod addrs;
 mod caller;
 mod config_writer;
-mod limit_sim;
 mod local_config;
 mod local_fleet;
 mod replace;
@@ -12,6 +11,5 @@
 pub use addrs::*;
 pub use caller::*;
 pub use config_writer::*;
-pub use limit_sim::*;
 pub use local_config::*;
 pub use local_fleet::*;
