--- a/crates/cli/src/trial/checks.rs
+++ b/crates/cli/src/trial/checks.rs
@@ -26,8 +26,10 @@
 impl Trial {
     /// Starts the fleet.
     pub fn start() -> Result<Trial> {
-        let fleet = LocalFleet::start(LocalConfig::new())?;
-        println!("started: an entry, six engines in three stages, a plain service, two workspaces");
+        let fleet = LocalFleet::start(LocalConfig::new().with_entries(2))?;
+        println!(
+            "started: two entries, six engines in three stages, a plain service, two workspaces"
+        );
         let (treasury, pharmacy) = (fleet.caller(0, 0), fleet.caller(0, 1));
         Ok(Trial { fleet, treasury, pharmacy })
     }
@@ -93,6 +95,24 @@
         Ok(())
     }
 
+    /// Sends a call that must not run twice again, through the other entry.
+    pub fn run_once(&self) -> Result<()> {
+        let path = format!("/v1/services/{SERVICE}/backorder-notes");
+        let headers = [("idempotency-key", "note-17")];
+        let first = self.treasury.send(&path, &headers, r#"{"packs":40}"#)?;
+        let retry = self.fleet.caller(1, 0).send(&path, &headers, r#"{"packs":40}"#)?;
+        let other = self.fleet.caller(1, 0).send(&path, &headers, r#"{"packs":80}"#)?;
+        ensure!(first.status == 200 && !first.replayed, "{}: {}", first.status, first.body);
+        ensure!(retry.status == 200 && retry.replayed, "{}: {}", retry.status, retry.body);
+        ensure!(first.body == retry.body, "the retry got another answer: {}", retry.body);
+        ensure!(other.status == 422, "another body: status {}: {}", other.status, other.body);
+        let services = self.fleet.services.iter();
+        let runs: u64 = services.map(|local| local.service.record().runs_of("note-17")).sum();
+        ensure!(runs == 1, "the note ran {runs} times");
+        println!("ok: a call sent again through another entry ran once, and got the kept answer");
+        Ok(())
+    }
+
     /// Shuts the fleet down while an answer streams.
     pub fn shut_down(&self) -> Result<()> {
         let prompt = "Fetch the signed status.";
--- a/crates/cli/src/trial/mod.rs
+++ b/crates/cli/src/trial/mod.rs
@@ -16,6 +16,7 @@
     trial.crossed_answers()?;
     trial.kill_stage()?;
     trial.plain_service()?;
+    trial.run_once()?;
     trial.shut_down()?;
     println!("all of it held, in {:.1} s", start.elapsed().as_secs_f64());
     Ok(())
--- a/crates/core/tests/ledger/fuzz.rs
+++ b/crates/core/tests/ledger/fuzz.rs
@@ -79,6 +79,8 @@
         (0..STEPS).for_each(|_| world.step());
         let healed = world.heal();
         assert!(healed, "seed {seed}: no final outcome for {:?}", world.open());
+        let missing = world.missing_objects();
+        assert!(missing.is_empty(), "seed {seed}: heads refer to {missing:?}, which are gone");
         totals.add(&world);
     }
 
--- a/crates/core/tests/ledger/tables.rs
+++ b/crates/core/tests/ledger/tables.rs
@@ -98,6 +98,29 @@
     assert_eq!(table.start(&stamp("a", 1, 5)), StartVerdict::Forgotten);
 }
 
+#[test]
+fn a_forgotten_refusal_never_starts() {
+    let mut table = table(1, 100);
+    table.start(&stamp("a", 1, 5));
+    table.refuse(&stamp("a", 1, 5));
+
+    table.start(&stamp("b", 1, 6));
+
+    assert_eq!(table.start(&stamp("a", 1, 5)), StartVerdict::Fenced);
+}
+
+#[test]
+fn an_earlier_record_never_starts_after_a_later_one() {
+    let mut table = table(10, 100);
+    table.start(&stamp("a", 2, 9));
+
+    let late = table.start(&stamp("a", 1, 5));
+
+    assert_eq!(late, StartVerdict::Fenced);
+    assert_eq!(table.ask(&stamp("a", 1, 5), false, 0), Told::Tombstoned);
+    assert_eq!(table.ask(&stamp("a", 2, 9), false, 0), Told::Running);
+}
+
 #[test]
 fn a_table_full_of_runs_refuses_for_good() {
     let mut table = table(1, 100);
--- a/crates/core/tests/ledger/world.rs
+++ b/crates/core/tests/ledger/world.rs
@@ -9,7 +9,9 @@
 use crate::store::Store;
 use sorrellock_core::clock::ManualClock;
 use sorrellock_core::id::Incarnation;
-use sorrellock_core::process::ledger::{HolderConfig, HolderCounts, fingerprint, record_key};
+use sorrellock_core::process::ledger::{
+    Head, HolderConfig, HolderCounts, fingerprint, head_key, record_key,
+};
 use sorrellock_core::request::{Peer, RequestKey};
 use std::time::Duration;
 
@@ -114,6 +116,23 @@
         ended.chain(running.map(|holder| holder.counts())).collect()
     }
 
+    /// Objects that a head refers to and that are gone.
+    pub fn missing_objects(&mut self) -> Vec<String> {
+        let mut missing = Vec::new();
+        for shard in 0..SHARDS {
+            let Some((_, value)) = self.store.read(&head_key(shard), false, &mut self.dice) else {
+                continue;
+            };
+            let head = Head::decode(&value).expect("a head can be read");
+            let merged = head.merged.iter().map(|archive| archive.id.index_key(shard));
+            let archives = head.merged.iter().chain(&head.recent);
+            let keys = merged.chain(archives.map(|archive| archive.id.key(shard)));
+            let gone = keys.filter(|key| self.store.read(key, false, &mut self.dice).is_none());
+            missing.extend(gone);
+        }
+        missing
+    }
+
     /// Requests that have had no final outcome.
     pub fn open(&self) -> Vec<RequestKey> {
         self.entries.iter().flat_map(|entry| entry.runs.keys().copied()).collect()
--- a/crates/daemon/src/entry/process/calls.rs
+++ b/crates/daemon/src/entry/process/calls.rs
@@ -62,6 +62,7 @@
             daemon: self.me,
             tried: Vec::new(),
             idempotent: new.idempotent,
+            doubt: None,
             keyed: new.once.map(|once| Keyed::new(new.request, once)),
             pipeline: None,
             deadline: new.deadline,
@@ -175,12 +176,13 @@
     }
 
     /// An attempt may have run, and its answer will not come.
-    fn lost(&self, run: Run<'_>, detail: String) {
-        let problem = Problem::from(Unknown { detail });
+    fn lost(&self, mut run: Run<'_>, detail: String) {
+        let unknown = Unknown { detail };
+        run.doubt = Some(unknown.clone());
         if run.idempotent {
-            return self.try_next(run, problem);
+            return self.try_next(run, unknown.into());
         }
-        self.fail(run, problem);
+        self.fail(run, unknown.into());
     }
 
     pub(super) fn done(
@@ -207,6 +209,10 @@
 
     pub(super) fn fail(&self, mut run: Run<'_>, problem: Problem) {
         let Some(responder) = run.responder.take() else { return };
+        let problem = match run.doubt.take() {
+            Some(doubt) if problem.outcome == "not-run" => doubt.into(),
+            _ => problem,
+        };
         let count = if problem.outcome == "not-run" { Count::NotRun } else { Count::Unknown };
         self.counters.count(count);
         let ended = match problem.status {
--- a/crates/daemon/src/entry/request/call_run.rs
+++ b/crates/daemon/src/entry/request/call_run.rs
@@ -4,7 +4,7 @@
 use crate::entry::request::Keyed;
 use crate::entry::version::InFlight;
 use sorrellock_core::id::{Attempt, EndpointId, ServiceId, WorkspaceId};
-use sorrellock_core::request::{Peer, RequestKey, Route};
+use sorrellock_core::request::{Peer, RequestKey, Route, Unknown};
 use sorrellock_http::Responder;
 use sorrellock_wire::message::CallRequest;
 use std::time::Instant;
@@ -25,6 +25,8 @@
     pub tried: Vec<EndpointId>,
     /// Whether it may run again.
     pub idempotent: bool,
+    /// What is not known of an earlier attempt, if so: the call is never `not run` from then on.
+    pub doubt: Option<Unknown>,
     /// Its way through the ledger, if it has a key and must run at most once.
     pub keyed: Option<Keyed>,
     /// The pipeline request that it becomes once its record is granted, with its route.
--- a/crates/daemon/tests/processes/main.rs
+++ b/crates/daemon/tests/processes/main.rs
@@ -3,6 +3,7 @@
 mod daemon_process;
 mod operators;
 mod process_fleet;
+mod run_once;
 mod settings;
 mod signals;
 mod streams;
--- a/crates/daemon/tests/run_once.rs
+++ b/crates/daemon/tests/run_once.rs
@@ -249,3 +249,16 @@
     assert!(retry.replayed && !first.replayed);
     assert_eq!(retry.json()["id"], first.json()["id"], "one run, named by its request");
 }
+
+#[test]
+fn a_call_with_an_attempt_that_may_have_run_is_never_answered_as_not_run() {
+    for (loses, stopped) in [(0, 1), (1, 0)] {
+        let fleet = fleet();
+        fleet.services[loses].service.lose_answers(1);
+        fleet.services[stopped].service.stop();
+
+        let answer = fleet.caller(0, 0).get(&format!("/v1/services/{SERVICE}/status")).unwrap();
+
+        assert_eq!((answer.status, answer.outcome.as_str()), (409, "unknown"), "{}", answer.body);
+    }
+}
