--- a/crates/core/src/process/admission/admission_queue.rs
+++ b/crates/core/src/process/admission/admission_queue.rs
@@ -100,9 +100,7 @@
     running: HashMap<Sequence, Running>,
     dropped: Vec<Dropped>,
     drain: DrainRate,
-    mean_cost: Mean,
     mean_made: Mean,
-    mean_seconds: Mean,
 }
 
 impl<C: Clock> AdmissionQueue<C> {
@@ -119,9 +117,7 @@
             running: HashMap::new(),
             dropped: Vec::new(),
             drain,
-            mean_cost: Mean::default(),
             mean_made: Mean::default(),
-            mean_seconds: Mean::default(),
         }
     }
 
@@ -145,18 +141,14 @@
         self.line(class).queue.len()
     }
 
-    /// Work a second, measured while requests waited, or worked out from the window.
+    /// Work a second, by what the requests took that ended; nothing is known before the first.
     pub fn drain_rate(&self) -> Option<f64> {
-        let by_window = || {
-            let seconds = self.mean_seconds.get()?.max(f64::MIN_POSITIVE);
-            Some(self.window.size() as f64 * self.mean_cost.get()? / seconds)
-        };
-        self.drain.get().or_else(by_window)
+        self.drain.get(self.clock.now(), self.running.len())
     }
 
     /// A request asks to start.
     pub fn offer(&mut self, demand: Demand) -> Verdict {
-        let now = self.pass();
+        let now = self.clock.now();
         let class = demand.class;
         let at_once = self.line(class).queue.is_empty() && self.has_room(class);
         if !at_once && let Err(refused) = self.check(&demand, now) {
@@ -182,7 +174,7 @@
 
     /// Starts a waiting request, if there is room.
     pub fn start_next(&mut self) -> Option<Sequence> {
-        let now = self.pass();
+        let now = self.clock.now();
         for class in [Class::Urgent, Class::Routine] {
             self.drop_late(class, now);
             if self.has_room(class)
@@ -196,35 +188,38 @@
 
     /// A started request ended; false if it isn't one of these.
     pub fn finish(&mut self, ticket: Sequence, ended: Ended) -> bool {
-        let now = self.pass();
+        let now = self.clock.now();
         let Some(running) = self.running.remove(&ticket) else { return false };
         let line = self.line_mut(running.class);
         line.running -= 1;
-        let seconds = now.saturating_duration_since(running.since).as_secs_f64();
+        let time = now.saturating_duration_since(running.since);
         let work = match ended {
             Ended::Ran { work } => work,
-            Ended::RanFor => seconds * 1e3,
+            Ended::RanFor => time.as_secs_f64() * 1e3,
             Ended::NoRoom | Ended::NotRun => 0.0,
         };
         line.queue.finish(&running.workspace, running.weight, work - running.charged);
         match ended {
             Ended::NoRoom => self.window.refused(),
             Ended::NotRun => {}
-            Ended::Ran { .. } | Ended::RanFor => self.learn(work, work - running.known, seconds),
+            Ended::Ran { .. } | Ended::RanFor => {
+                self.window.succeeded();
+                self.drain.ended(now, work, time);
+                self.mean_made.add((work - running.known).max(0.0));
+            }
         }
         true
     }
 
     /// Nobody waits for a request any more; false if it isn't waiting here.
     pub fn cancel(&mut self, ticket: Sequence) -> bool {
-        self.pass();
         let urgent = self.urgent.queue.remove(ticket);
         urgent.or_else(|| self.routine.queue.remove(ticket)).is_some()
     }
 
     /// Drops waiting requests that can't start before their deadline any more.
     pub fn expire(&mut self) {
-        let now = self.pass();
+        let now = self.clock.now();
         let Some(rate) = self.drain_rate() else { return };
         for class in [Class::Urgent, Class::Routine] {
             let before = self.work_before(class);
@@ -250,14 +245,6 @@
         self.time_for(ahead)
     }
 
-    fn learn(&mut self, work: f64, made: f64, seconds: f64) {
-        self.window.succeeded();
-        self.drain.done(work);
-        self.mean_cost.add(work);
-        self.mean_made.add(made.max(0.0));
-        self.mean_seconds.add(seconds);
-    }
-
     fn check(&self, demand: &Demand, now: Instant) -> Result<(), NotRun> {
         let wait = self.expected_wait(&demand.workspace, demand.class, demand.weight);
         let left = demand.deadline.saturating_duration_since(now);
@@ -316,8 +303,11 @@
     }
 
     fn start_from(&mut self, class: Class, now: Instant) -> Option<Sequence> {
+        let (workspace, queued) = self.line_mut(class).queue.pop()?;
+        if self.running.is_empty() {
+            self.drain.begin(now);
+        }
         let line = self.line_mut(class);
-        let (workspace, queued) = line.queue.pop()?;
         line.running += 1;
         let Queued { ticket, weight, known, cost, .. } = queued;
         let running = Running { workspace, class, weight, known, charged: cost, since: now };
@@ -356,18 +346,11 @@
 
     /// When one more request of the workspace will have left the queue.
     fn time_for_one(&self, demand: &Demand) -> Duration {
-        let one = self.mean_cost.get().unwrap_or_default();
+        let one = self.drain.mean_work().unwrap_or_default();
         let ahead = self.line(demand.class).queue.ahead_of(demand.weight, one);
         self.time_for(self.work_before(demand.class) + ahead)
     }
 
-    fn pass(&mut self) -> Instant {
-        let now = self.clock.now();
-        let waited = !self.urgent.queue.is_empty() || !self.routine.queue.is_empty();
-        self.drain.pass(now, waited);
-        now
-    }
-
     fn line(&self, class: Class) -> &Line {
         match class {
             Class::Urgent => &self.urgent,
--- a/crates/core/src/process/admission/drain_rate.rs
+++ b/crates/core/src/process/admission/drain_rate.rs
@@ -1,44 +1,46 @@
-//! How fast a queue drains, measured while requests wait in it.
+//! How fast a queue drains: measured on the requests that ended.
 
+use crate::process::admission::Mean;
 use std::time::{Duration, Instant};
 
-/// Time after which a measurement counts a third.
-const MEMORY: Duration = Duration::from_secs(2);
-/// The shortest time measured that gives a rate.
-const LEAST: Duration = Duration::from_millis(50);
+/// Nothing ended for this many times as long as a request takes: the endpoints got slower.
+const STALLED: f64 = 2.0;
 
-/// Work done a second while requests waited: what is idle tells nothing of what it can do.
+/// How fast a queue drains, by what requests took and how many of them run.
 #[derive(Clone, Copy, Debug)]
 pub struct DrainRate {
-    work: f64,
-    seconds: f64,
-    at: Instant,
+    work: Mean,
+    seconds: Mean,
+    ended: Instant,
 }
 
 impl DrainRate {
     /// Nothing measured yet.
     pub fn new(now: Instant) -> DrainRate {
-        DrainRate { work: 0.0, seconds: 0.0, at: now }
+        DrainRate { work: Mean::default(), seconds: Mean::default(), ended: now }
     }
 
-    /// Time passed, during which requests waited or not.
-    pub fn pass(&mut self, now: Instant, waited: bool) {
-        let passed = now.saturating_duration_since(self.at).as_secs_f64();
-        self.at = now;
-        if waited {
-            let keep = (-passed / MEMORY.as_secs_f64()).exp();
-            self.work *= keep;
-            self.seconds = self.seconds * keep + passed;
-        }
+    /// Work begins after an idle time, of which nothing is to be concluded.
+    pub fn begin(&mut self, now: Instant) {
+        self.ended = now;
     }
 
-    /// Work was done while requests waited.
-    pub fn done(&mut self, work: f64) {
-        self.work += work;
+    /// A request ended that took `work` and `time`.
+    pub fn ended(&mut self, now: Instant, work: f64, time: Duration) {
+        self.work.add(work);
+        self.seconds.add(time.as_secs_f64());
+        self.ended = now;
     }
 
-    /// Work a second, once enough was measured.
-    pub fn get(&self) -> Option<f64> {
-        (self.seconds >= LEAST.as_secs_f64()).then(|| self.work / self.seconds)
+    /// The work of a request in the mean, once one ended.
+    pub fn mean_work(&self) -> Option<f64> {
+        self.work.get()
+    }
+
+    /// Work a second while `running` requests run, once one ended.
+    pub fn get(&self, now: Instant, running: usize) -> Option<f64> {
+        let silent = now.saturating_duration_since(self.ended).as_secs_f64();
+        let seconds = self.seconds.get()?.max(silent / STALLED).max(f64::MIN_POSITIVE);
+        Some(running.max(1) as f64 * self.work.get()? / seconds)
     }
 }
--- a/crates/core/src/process/mod.rs
+++ b/crates/core/src/process/mod.rs
@@ -3,6 +3,7 @@
 pub mod admission;
 mod endpoint;
 mod fair_queue;
+pub mod grants;
 pub mod ledger;
 pub mod membership;
 pub mod orders;
--- a/crates/core/tests/admission.rs
+++ b/crates/core/tests/admission.rs
@@ -190,3 +190,17 @@
     assert_eq!(narrow, 90);
     assert!(fixture.queue.window().size() >= 99);
 }
+
+#[test]
+fn an_idle_time_is_no_sign_of_slow_endpoints() {
+    let mut fixture = Fixture::new(1);
+    fixture.offer("a", Class::Routine);
+    fixture.end_after(1, Duration::from_millis(100));
+    fixture.clock.advance(Duration::from_secs(600));
+
+    fixture.offer("a", Class::Routine);
+    fixture.offer("a", Class::Routine);
+    let verdict = fixture.offer_within("a", Duration::from_secs(1));
+
+    assert_eq!(verdict, Verdict::Wait);
+}
--- a/crates/daemon/src/beside/process/beside.rs
+++ b/crates/daemon/src/beside/process/beside.rs
@@ -19,7 +19,7 @@
 use sorrellock_http::Server;
 use sorrellock_platform::api::{Engine, EngineInfo};
 use sorrellock_platform::client::{HttpEngine, HttpInstanceList, HttpObjectStore, HttpService};
-use sorrellock_wire::connection::{LinkConfig, NngLink};
+use sorrellock_wire::connection::{AnyLink, LinkConfig};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -36,8 +36,8 @@
 
 /// A running daemon beside endpoints.
 pub struct Beside {
-    handler: Arc<BesideHandler<NngLink, HttpEngine>>,
-    link: Arc<NngLink>,
+    handler: Arc<BesideHandler<AnyLink, HttpEngine>>,
+    link: Arc<AnyLink>,
     counters: Arc<Counters>,
     journal: Arc<Journal>,
     linger: Duration,
@@ -51,7 +51,8 @@
         let me = Peer { addr: settings.link, incarnation: draw_incarnation() };
         let counters = Arc::new(Counters::new());
         let journal = Arc::new(Journal::new());
-        let (link, closed) = NngLink::listen(LinkConfig::new(me)).wrap_err("start of the links")?;
+        let cfg = LinkConfig::new(me).with_kind(settings.link_kind);
+        let (link, closed) = AnyLink::listen(cfg).wrap_err("start of the links")?;
         let outbox = Outbox::new(link.clone(), counters.clone());
         let (agent, inputs) = FleetAgent::new(
             me,
@@ -154,8 +155,8 @@
 
 /// Tells the state of a daemon beside endpoints.
 pub struct BesideState {
-    handler: Arc<BesideHandler<NngLink, HttpEngine>>,
-    link: Arc<NngLink>,
+    handler: Arc<BesideHandler<AnyLink, HttpEngine>>,
+    link: Arc<AnyLink>,
     counters: Arc<Counters>,
     journal: Arc<Journal>,
 }
@@ -181,9 +182,9 @@
     }
 }
 
-type Engines = HashMap<String, Arc<EngineRunner<NngLink, HttpEngine>>>;
+type Engines = HashMap<String, Arc<EngineRunner<AnyLink, HttpEngine>>>;
 
-fn start_engines(settings: &BesideSettings, outbox: &Outbox<NngLink>) -> Result<Engines> {
+fn start_engines(settings: &BesideSettings, outbox: &Outbox<AnyLink>) -> Result<Engines> {
     let kept = KeptBudget::new(settings.daemon_replay_budget, settings.replay_budget);
     let bounds = EngineBounds { max_sessions: settings.max_sessions, kept };
     let mut engines = HashMap::new();
@@ -212,8 +213,8 @@
 fn new_ledger(
     me: Peer,
     settings: &BesideSettings,
-    link: &Arc<NngLink>,
-) -> Option<BesideLedger<NngLink>> {
+    link: &Arc<AnyLink>,
+) -> Option<BesideLedger<AnyLink>> {
     let store = HttpObjectStore::new(settings.platform?).with_timeout(LEDGER_STORE_TIMEOUT);
     let cfg = HolderConfig::new();
     Some(LedgerHolders::over_link(me.incarnation, store, link.clone(), cfg))
@@ -221,8 +222,8 @@
 
 fn start_services(
     settings: &BesideSettings,
-    starts: &Arc<Starts<NngLink>>,
-) -> HashMap<String, ServiceRunner<NngLink>> {
+    starts: &Arc<Starts<AnyLink>>,
+) -> HashMap<String, ServiceRunner<AnyLink>> {
     let start = |endpoint: &ServiceEndpoint| {
         let service = HttpService::new(endpoint.addr);
         let (threads, queue) = (settings.max_calls, settings.call_queue);
--- a/crates/daemon/src/beside/process/beside_handler.rs
+++ b/crates/daemon/src/beside/process/beside_handler.rs
@@ -189,6 +189,7 @@
             Message::Ledger(message) => self.on_ledger(from, message),
             Message::Fleet(message) => self.agent.on_message(from, message),
             Message::Config(message) => self.config.on_message(from, message),
+            Message::Grant(_) => self.outbox.counters().count(Count::Misdirected),
         }
     }
 
--- a/crates/daemon/src/beside/process/engine_runner.rs
+++ b/crates/daemon/src/beside/process/engine_runner.rs
@@ -20,6 +20,8 @@
 use std::thread;
 use std::time::Instant;
 
+/// Full batches of requests that an engine is offered: one runs while the next gathers.
+const BATCHES_IN_HAND: u32 = 2;
 /// Calls that wait for an engine besides batches. Past it a KV cache to be freed is left to the
 /// engine's own bound, and one to be handed over is not.
 const CALL_QUEUE: usize = 4096;
@@ -93,7 +95,7 @@
             id: self.info.endpoint.clone(),
             role: Role::Engine { model: self.info.model.clone(), layers: self.info.layers },
             load: self.open_requests() as u32,
-            slots: self.info.max_batch,
+            slots: self.info.max_batch * BATCHES_IN_HAND,
             engine: Some(self.offer()),
         }
     }
--- a/crates/daemon/src/beside/process/settings.rs
+++ b/crates/daemon/src/beside/process/settings.rs
@@ -1,6 +1,7 @@
 //! Settings of a daemon beside endpoints.
 
 use sorrellock_core::id::{EndpointId, Place, ServiceId};
+use sorrellock_wire::connection::LinkKind;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -22,6 +23,8 @@
     pub place: Place,
     /// Where to listen for other daemons.
     pub link: SocketAddr,
+    /// What carries messages to other daemons; the same in the whole fleet.
+    pub link_kind: LinkKind,
     /// Where operators ask, if at all.
     pub operators: Option<SocketAddr>,
     /// Where metrics go, if anywhere.
@@ -65,6 +68,7 @@
         BesideSettings {
             place: place.into(),
             link,
+            link_kind: LinkKind::default(),
             operators: None,
             metrics: None,
             platform: None,
@@ -102,4 +106,10 @@
         self.services.push(endpoint);
         self
     }
+
+    /// Takes another kind of link.
+    pub fn with_link_kind(mut self, kind: LinkKind) -> BesideSettings {
+        self.link_kind = kind;
+        self
+    }
 }
--- a/crates/daemon/src/cli/args.rs
+++ b/crates/daemon/src/cli/args.rs
@@ -3,6 +3,7 @@
 use crate::beside::process::{BesideSettings, ServiceEndpoint};
 use crate::entry::process::EntrySettings;
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+use sorrellock_wire::connection::LinkKind;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -109,12 +110,13 @@
         ))
 }
 
-fn common_args() -> [Arg; 6] {
+fn common_args() -> [Arg; 7] {
     let place = Arg::new("place").long("place").env("SORRELLOCK_PLACE").value_name("PLACE");
     let log = Arg::new("log-format").long("log-format").env("SORRELLOCK_LOG_FORMAT");
     [
         place.help("The place of this instance").required(true),
         addr("link", "Where to listen for other daemons").required(true),
+        link_kind(),
         addr("operators", "Where operators ask for /dump").default_value("127.0.0.1:0"),
         addr("metrics", "Where metrics go, over UDP"),
         log.value_parser(["human", "json", "off"])
@@ -124,6 +126,12 @@
     ]
 }
 
+fn link_kind() -> Arg {
+    named("link-kind", "What carries messages to other daemons; the same in the whole fleet")
+        .value_parser(["tcp", "nng"])
+        .default_value("tcp")
+}
+
 fn addr(name: &'static str, help: &'static str) -> Arg {
     named(name, help).value_name("IP:PORT").value_parser(value_parser!(SocketAddr))
 }
@@ -160,6 +168,7 @@
     let (place, callers) = (text(args, "place"), required_addr(args, "callers"));
     let (link, platform) = (required_addr(args, "link"), required_addr(args, "platform"));
     let mut settings = EntrySettings::new(place, callers, link, platform);
+    settings.link_kind = parsed_link_kind(args);
     settings.operators = optional_addr(args, "operators");
     settings.metrics = optional_addr(args, "metrics");
     set(&mut settings.max_in_progress, args, "max-in-progress");
@@ -175,6 +184,7 @@
 /// Settings of a daemon beside endpoints from its arguments.
 pub fn parse_beside(args: &ArgMatches) -> BesideSettings {
     let mut settings = BesideSettings::new(text(args, "place"), required_addr(args, "link"));
+    settings.link_kind = parsed_link_kind(args);
     settings.operators = optional_addr(args, "operators");
     settings.metrics = optional_addr(args, "metrics");
     settings.platform = optional_addr(args, "platform");
@@ -192,6 +202,10 @@
     args.get_one::<String>(name).cloned().unwrap_or_default()
 }
 
+fn parsed_link_kind(args: &ArgMatches) -> LinkKind {
+    text(args, "link-kind").parse().unwrap_or_default()
+}
+
 fn required_addr(args: &ArgMatches, name: &str) -> SocketAddr {
     optional_addr(args, name).expect("the argument is required")
 }
--- a/crates/daemon/src/entry/process/admission/gate.rs
+++ b/crates/daemon/src/entry/process/admission/gate.rs
@@ -2,13 +2,15 @@
 
 use super::pools::{Decided, Waiting};
 use super::{Pools, Work};
+use crate::entry::process::limits::{Asking, Checked, LimitDesk};
 use crate::entry::process::{Calls, Finished, FleetCell, InProgress, Pipelines, Timer};
 use crate::entry::request::Problem;
 use crate::process::{Count, Counters};
 use crossbeam::channel::Receiver;
-use serde_json::Value;
-use sorrellock_core::id::Sequence;
-use sorrellock_core::process::admission::QueueBounds;
+use serde_json::{Value, json};
+use sorrellock_core::id::{Incarnation, Sequence};
+use sorrellock_core::process::admission::{Ended, QueueBounds};
+use sorrellock_core::process::grants::Grant;
 use sorrellock_core::request::{NotRun, Refusal};
 use sorrellock_core::version::Row;
 use sorrellock_http::Responder;
@@ -20,30 +22,35 @@
 /// How often the windows follow the fleet, and requests that wait in vain are dropped.
 const REFRESH: Duration = Duration::from_millis(100);
 
-/// Admits requests.
+/// What a gate works with.
+pub struct GateParts<L> {
+    /// The endpoints.
+    pub fleet: Arc<FleetCell>,
+    /// How much is in progress.
+    pub in_progress: Arc<InProgress>,
+    /// Starts pipeline requests.
+    pub pipelines: Arc<Pipelines<L>>,
+    /// Starts calls.
+    pub calls: Arc<Calls<L>>,
+    /// Deadlines.
+    pub timer: Arc<Timer>,
+    /// The limits.
+    pub limits: Arc<LimitDesk<L>>,
+    /// The counters.
+    pub counters: Arc<Counters>,
+}
+
+/// Admits requests: first by the limits of their rows, then by the room there is.
 pub struct Gate<L> {
-    fleet: Arc<FleetCell>,
-    in_progress: Arc<InProgress>,
-    pipelines: Arc<Pipelines<L>>,
-    calls: Arc<Calls<L>>,
-    timer: Arc<Timer>,
-    counters: Arc<Counters>,
+    parts: GateParts<L>,
     pools: Mutex<Pools>,
 }
 
 impl<L: Link> Gate<L> {
     /// Starts the threads that let waiting requests go on as others end.
-    pub fn start(
-        fleet: Arc<FleetCell>,
-        in_progress: Arc<InProgress>,
-        pipelines: Arc<Pipelines<L>>,
-        calls: Arc<Calls<L>>,
-        timer: Arc<Timer>,
-        counters: Arc<Counters>,
-        finished: Receiver<Finished>,
-    ) -> Arc<Gate<L>> {
+    pub fn start(parts: GateParts<L>, finished: Receiver<Finished>) -> Arc<Gate<L>> {
         let pools = Mutex::new(Pools::new(QueueBounds::new()));
-        let gate = Arc::new(Gate { fleet, in_progress, pipelines, calls, timer, counters, pools });
+        let gate = Arc::new(Gate { parts, pools });
         let (ends, refreshes) = (gate.clone(), gate.clone());
         spawn("admission-ends", move || finished.iter().for_each(|end| ends.on_finished(end)));
         spawn("admission-refresh", move || {
@@ -56,11 +63,32 @@
     }
 
     /// Takes a checked request that is counted as in progress; it is answered once.
-    pub fn offer(self: &Arc<Self>, work: Work, row: &Row, responder: Responder) {
+    pub fn offer(self: &Arc<Self>, work: Work, row: Arc<Row>, responder: Responder) {
+        let checked = self.parts.limits.check(Asking { work, row, responder });
+        self.carry_on(checked);
+    }
+
+    /// A keeper answered: requests that waited for it go on.
+    pub fn on_grant(self: &Arc<Self>, from: Incarnation, grant: &Grant) {
+        let checked = self.parts.limits.on_grant(from, grant);
+        self.carry_on(checked);
+    }
+
+    fn carry_on(self: &Arc<Self>, checked: Vec<Checked>) {
+        for checked in checked {
+            match checked {
+                Checked::Passed(asking) => self.enqueue(asking),
+                Checked::Refused(asking, not_run) => self.answer(asking.responder, not_run),
+            }
+        }
+    }
+
+    fn enqueue(self: &Arc<Self>, asking: Asking) {
+        let Asking { work, row, responder } = asking;
         let (ticket, deadline) = (work.sequence(), work.deadline());
         self.cancel_when_gone(&responder, ticket);
-        let demand = work.demand(row);
-        let view = self.fleet.view();
+        let demand = work.demand(&row);
+        let view = self.parts.fleet.view();
         let waiting = Waiting { pool: work.pool(), work, responder };
         let mut pools = self.pools.lock().unwrap();
         // Past this line a caller that goes away is cancelled by its hook, which takes the lock.
@@ -71,8 +99,8 @@
         let decided = pools.offer(waiting, demand, &view);
         drop(pools);
         if decided.start.iter().all(|started| started.work.sequence() != ticket) {
-            self.counters.count(Count::AdmissionWaits);
-            self.timer.add(deadline, ticket);
+            self.parts.counters.count(Count::AdmissionWaits);
+            self.parts.timer.add(deadline, ticket);
         }
         self.carry_out(decided);
     }
@@ -87,7 +115,8 @@
 
     /// The state of the queues as JSON.
     pub fn dump(&self) -> Value {
-        self.pools.lock().unwrap().dump()
+        let pools = self.pools.lock().unwrap().dump();
+        json!({ "pools": pools, "limits": self.parts.limits.dump() })
     }
 
     fn cancel_when_gone(self: &Arc<Self>, responder: &Responder, ticket: Sequence) {
@@ -100,13 +129,15 @@
     }
 
     fn on_finished(&self, end: Finished) {
+        self.parts.limits.ended(end.sequence, end.ended);
         let decided = self.pools.lock().unwrap().finish(end.sequence, end.ended);
-        self.in_progress.left();
+        self.parts.in_progress.left();
         self.carry_out(decided);
     }
 
-    fn refresh(&self) {
-        let view = self.fleet.view();
+    fn refresh(self: &Arc<Self>) {
+        self.carry_on(self.parts.limits.refresh());
+        let view = self.parts.fleet.view();
         let decided = self.pools.lock().unwrap().refresh(&view);
         self.carry_out(decided);
     }
@@ -115,10 +146,10 @@
         for waiting in decided.start {
             match waiting.work {
                 Work::Pipeline(new) if new.once.is_some() => {
-                    self.calls.start_pipeline(new, waiting.responder);
+                    self.parts.calls.start_pipeline(new, waiting.responder);
                 }
-                Work::Pipeline(new) => self.pipelines.start(new, waiting.responder),
-                Work::Call(new) => self.calls.start(new, waiting.responder),
+                Work::Pipeline(new) => self.parts.pipelines.start(new, waiting.responder),
+                Work::Call(new) => self.parts.calls.start(new, waiting.responder),
             }
         }
         for (waiting, not_run) in decided.refuse {
@@ -126,16 +157,22 @@
         }
     }
 
+    /// Refuses a request that had passed the limits.
     fn refuse(&self, waiting: Waiting, not_run: NotRun) {
-        self.in_progress.left();
-        self.counters.count(Count::NotRun);
-        self.counters.count(match not_run.refusal {
+        self.parts.limits.ended(waiting.work.sequence(), Ended::NotRun);
+        self.answer(waiting.responder, not_run);
+    }
+
+    fn answer(&self, responder: Responder, not_run: NotRun) {
+        self.parts.in_progress.left();
+        self.parts.counters.count(Count::NotRun);
+        self.parts.counters.count(match not_run.refusal {
             Refusal::Limit => Count::RefusedLimit,
             Refusal::Deadline => Count::RefusedDeadline,
             Refusal::Cancelled => Count::CallersGone,
             _ => Count::RefusedCapacity,
         });
-        Problem::from(not_run).send(waiting.responder);
+        Problem::from(not_run).send(responder);
     }
 }
 
--- a/crates/daemon/src/entry/process/admission/work.rs
+++ b/crates/daemon/src/entry/process/admission/work.rs
@@ -43,12 +43,20 @@
         }
     }
 
+    /// Tokens of its prompt.
+    pub fn prompt_tokens(&self) -> f64 {
+        match self {
+            Work::Pipeline(new) => new.asked.prompt.len() as f64,
+            Work::Call(_) => 0.0,
+        }
+    }
+
     /// What it asks of its queue, by the row that applies.
     pub fn demand(&self, row: &Row) -> Demand {
         let (known_work, most_work, bytes) = match self {
             Work::Pipeline(new) => {
-                let prompt = &new.asked.prompt;
-                (prompt.len() as f64, f64::from(new.asked.max_tokens), size_of_val(&prompt[..]))
+                let bytes = size_of_val(&new.asked.prompt[..]);
+                (self.prompt_tokens(), f64::from(new.asked.max_tokens), bytes)
             }
             Work::Call(new) => (0.0, CALL_WORK_MS, new.call.body.len()),
         };
--- a/crates/daemon/src/entry/process/api.rs
+++ b/crates/daemon/src/entry/process/api.rs
@@ -70,14 +70,14 @@
 
     fn completion(&self, req: Request, shape: Shape) {
         match self.new_pipeline(&req, shape) {
-            Ok((new, row)) => self.gate.offer(Work::Pipeline(new), &row, req.responder),
+            Ok((new, row)) => self.gate.offer(Work::Pipeline(new), row, req.responder),
             Err(problem) => self.refuse(req.responder, problem),
         }
     }
 
     fn service(&self, req: Request) {
         match self.new_call(&req) {
-            Ok((new, row)) => self.gate.offer(Work::Call(new), &row, req.responder),
+            Ok((new, row)) => self.gate.offer(Work::Call(new), row, req.responder),
             Err(problem) => self.refuse(req.responder, problem),
         }
     }
--- a/crates/daemon/src/entry/process/entry.rs
+++ b/crates/daemon/src/entry/process/entry.rs
@@ -2,8 +2,8 @@
 
 use crate::entry::process::entry_handler::EntryLedger;
 use crate::entry::process::{
-    Api, Calls, EntryHandler, EntrySettings, FleetCell, Gate, InProgress, LedgerClient, Pipelines,
-    Timer,
+    Api, Calls, EntryHandler, EntrySettings, FleetCell, Gate, GateParts, InProgress, LedgerClient,
+    LimitDesk, Pipelines, Timer,
 };
 use crate::entry::request::{RunTable, listener_refusal};
 use crate::process::ledger::{LEDGER_STORE_TIMEOUT, LedgerHolders};
@@ -20,7 +20,7 @@
 use sorrellock_core::version::SpreadSettings;
 use sorrellock_http::{Server, ServerConfig};
 use sorrellock_platform::client::{HttpInstanceList, HttpObjectStore};
-use sorrellock_wire::connection::{LinkConfig, NngLink};
+use sorrellock_wire::connection::{AnyLink, LinkConfig};
 use std::net::SocketAddr;
 use std::sync::{Arc, OnceLock};
 use std::thread;
@@ -44,7 +44,8 @@
         let me = Peer { addr: settings.link, incarnation: draw_incarnation() };
         let counters = Arc::new(Counters::new());
         let journal = Arc::new(Journal::new());
-        let (link, closed) = NngLink::listen(LinkConfig::new(me)).wrap_err("start of the links")?;
+        let cfg = LinkConfig::new(me).with_kind(settings.link_kind);
+        let (link, closed) = AnyLink::listen(cfg).wrap_err("start of the links")?;
         let (agent, inputs) = FleetAgent::new(
             me,
             settings.place.clone(),
@@ -76,20 +77,22 @@
         let timer = Arc::new(Timer::default());
         let pipelines = Arc::new(new_pipelines(&state, &timer, settings.max_attempts));
         let calls = Arc::new(new_calls(&state, &timer, &pipelines, settings.max_attempts));
-        let gate = Gate::start(
-            state.fleet.clone(),
-            state.in_progress.clone(),
-            pipelines.clone(),
-            calls.clone(),
-            timer.clone(),
-            counters.clone(),
-            finished,
-        );
+        let limits = Arc::new(new_limits(&state));
+        let parts = GateParts {
+            fleet: state.fleet.clone(),
+            in_progress: state.in_progress.clone(),
+            pipelines: pipelines.clone(),
+            calls: calls.clone(),
+            timer: timer.clone(),
+            limits: limits.clone(),
+            counters: counters.clone(),
+        };
+        let gate = Gate::start(parts, finished);
         let _ = state.gate.set(gate.clone());
         start_timer(&timer, &pipelines, &calls, &gate);
         pipelines.watch();
         start_waits(&calls);
-        link.serve(closed, Arc::new(new_handler(&state, &pipelines, &calls)));
+        link.serve(closed, Arc::new(new_handler(&state, &pipelines, &calls, &gate, &limits)));
         let fleet = state.fleet.clone();
         agent.on_change(move |members| fleet.set_members(members));
         agent.serve(inputs, link.clone(), Vec::new);
@@ -177,9 +180,9 @@
     fleet: Arc<FleetCell>,
     agent: Arc<FleetAgent>,
     in_progress: Arc<InProgress>,
-    gate: OnceLock<Arc<Gate<NngLink>>>,
-    holders: Arc<EntryLedger<NngLink>>,
-    link: Arc<NngLink>,
+    gate: OnceLock<Arc<Gate<AnyLink>>>,
+    holders: Arc<EntryLedger<AnyLink>>,
+    link: Arc<AnyLink>,
     counters: Arc<Counters>,
     journal: Arc<Journal>,
 }
@@ -205,7 +208,7 @@
     }
 }
 
-fn new_pipelines(state: &EntryState, timer: &Arc<Timer>, max_attempts: u32) -> Pipelines<NngLink> {
+fn new_pipelines(state: &EntryState, timer: &Arc<Timer>, max_attempts: u32) -> Pipelines<AnyLink> {
     Pipelines {
         me: state.me,
         link: state.link.clone(),
@@ -222,9 +225,9 @@
 fn new_calls(
     state: &EntryState,
     timer: &Arc<Timer>,
-    pipelines: &Arc<Pipelines<NngLink>>,
+    pipelines: &Arc<Pipelines<AnyLink>>,
     max_attempts: u32,
-) -> Calls<NngLink> {
+) -> Calls<AnyLink> {
     Calls {
         me: state.me,
         link: state.link.clone(),
@@ -239,7 +242,7 @@
     }
 }
 
-fn new_ledger_client(state: &EntryState) -> LedgerClient<NngLink> {
+fn new_ledger_client(state: &EntryState) -> LedgerClient<AnyLink> {
     LedgerClient {
         link: state.link.clone(),
         names: state.agent.clone(),
@@ -248,27 +251,42 @@
     }
 }
 
-fn new_holders(me: Peer, settings: &EntrySettings, link: Arc<NngLink>) -> EntryLedger<NngLink> {
+fn new_holders(me: Peer, settings: &EntrySettings, link: Arc<AnyLink>) -> EntryLedger<AnyLink> {
     let store = HttpObjectStore::new(settings.platform).with_timeout(LEDGER_STORE_TIMEOUT);
     LedgerHolders::over_link(me.incarnation, store, link, HolderConfig::new())
 }
 
 /// Calls back for calls that wait for the ledger.
-fn start_waits(calls: &Arc<Calls<NngLink>>) {
+fn start_waits(calls: &Arc<Calls<AnyLink>>) {
     let (waits, calls) = (calls.ledger.waits.clone(), calls.clone());
     waits.start(move |sequence| calls.on_wait_over(sequence));
 }
 
+fn new_limits(state: &EntryState) -> LimitDesk<AnyLink> {
+    LimitDesk::new(
+        state.me,
+        state.link.clone(),
+        state.agent.clone(),
+        state.config.clone(),
+        state.counters.clone(),
+        state.journal.clone(),
+    )
+}
+
 fn new_handler(
     state: &EntryState,
-    pipelines: &Arc<Pipelines<NngLink>>,
-    calls: &Arc<Calls<NngLink>>,
-) -> EntryHandler<NngLink> {
+    pipelines: &Arc<Pipelines<AnyLink>>,
+    calls: &Arc<Calls<AnyLink>>,
+    gate: &Arc<Gate<AnyLink>>,
+    limits: &Arc<LimitDesk<AnyLink>>,
+) -> EntryHandler<AnyLink> {
     EntryHandler {
         me: state.me,
         pipelines: pipelines.clone(),
         calls: calls.clone(),
         holders: state.holders.clone(),
+        gate: gate.clone(),
+        limits: limits.clone(),
         fleet: state.fleet.clone(),
         agent: state.agent.clone(),
         config: state.config.clone(),
@@ -279,9 +297,9 @@
 
 fn start_timer(
     timer: &Arc<Timer>,
-    pipelines: &Arc<Pipelines<NngLink>>,
-    calls: &Arc<Calls<NngLink>>,
-    gate: &Arc<Gate<NngLink>>,
+    pipelines: &Arc<Pipelines<AnyLink>>,
+    calls: &Arc<Calls<AnyLink>>,
+    gate: &Arc<Gate<AnyLink>>,
 ) {
     let (pipelines, calls, gate) = (pipelines.clone(), calls.clone(), gate.clone());
     timer.start(move |sequence| {
@@ -294,7 +312,7 @@
 fn start_server(
     settings: &EntrySettings,
     state: &EntryState,
-    gate: Arc<Gate<NngLink>>,
+    gate: Arc<Gate<AnyLink>>,
 ) -> Result<Server> {
     let api = Api {
         config: state.config.clone(),
--- a/crates/daemon/src/entry/process/entry_handler.rs
+++ b/crates/daemon/src/entry/process/entry_handler.rs
@@ -1,13 +1,15 @@
 //! Hands messages from other processes to the requests that they are for.
 
-use crate::entry::process::{Calls, FleetCell, Pipelines};
+use crate::entry::process::{Calls, FleetCell, Gate, LimitDesk, Pipelines};
 use crate::process::ledger::{LedgerHolders, LinkSink};
 use crate::process::{ConfigAgent, Count, Counters, FleetAgent, Journal};
 use sorrellock_core::id::Incarnation;
 use sorrellock_core::request::Peer;
 use sorrellock_platform::client::HttpObjectStore;
 use sorrellock_wire::connection::{Link, LinkHandler};
-use sorrellock_wire::message::{CallMessage, LedgerMessage, Message, PipelineMessage};
+use sorrellock_wire::message::{
+    CallMessage, GrantMessage, LedgerMessage, Message, PipelineMessage,
+};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -20,6 +22,8 @@
     pub(super) pipelines: Arc<Pipelines<L>>,
     pub(super) calls: Arc<Calls<L>>,
     pub(super) holders: Arc<EntryLedger<L>>,
+    pub(super) gate: Arc<Gate<L>>,
+    pub(super) limits: Arc<LimitDesk<L>>,
     pub(super) fleet: Arc<FleetCell>,
     pub(super) agent: Arc<FleetAgent>,
     pub(super) config: Arc<ConfigAgent>,
@@ -70,6 +74,10 @@
             Message::Ledger(message) => self.on_ledger(from, message),
             Message::Fleet(message) => self.agent.on_message(from, message),
             Message::Config(message) => self.config.on_message(from, message),
+            Message::Grant(GrantMessage::Ask(ask)) => self.limits.on_ask(from, &ask),
+            Message::Grant(GrantMessage::Grant(grant)) => {
+                self.gate.on_grant(from.incarnation, &grant);
+            }
         }
     }
 
--- /dev/null
+++ b/crates/daemon/src/entry/process/limits/limit_desk.rs
@@ -0,0 +1,239 @@
+//! Checks requests against the limits of their rows, and keeps the limits that fall to this entry.
+
+use super::{Asking, Checked, KnownEntries, Parked};
+use crate::entry::process::Work;
+use crate::process::{ConfigAgent, Count, Counters, FleetAgent, Journal};
+use serde_json::{Value, json};
+use sorrellock_core::clock::{Clock, SystemClock};
+use sorrellock_core::id::{Incarnation, Sequence};
+use sorrellock_core::process::admission::{Ended, Mean};
+use sorrellock_core::process::grants::{
+    Grant, GrantAsk, Keeper, Keeping, LimitKey, LimitTable, Limits, Spend, StartLevel,
+};
+use sorrellock_core::request::{NotRun, Peer, Refusal};
+use sorrellock_wire::connection::Link;
+use sorrellock_wire::message::{GrantMessage, Message};
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+/// When to come back where too many wait for the keeper's answer.
+const RETRY_AFTER_CROWD: Duration = Duration::from_secs(1);
+
+/// Checks requests against the limits of their rows, and keeps the limits that fall to this entry.
+pub struct LimitDesk<L> {
+    me: Peer,
+    link: Arc<L>,
+    agent: Arc<FleetAgent>,
+    config: Arc<ConfigAgent>,
+    counters: Arc<Counters>,
+    journal: Arc<Journal>,
+    state: Mutex<State>,
+}
+
+struct State {
+    table: LimitTable<SystemClock>,
+    keeper: Keeper<SystemClock>,
+    parked: Parked,
+    /// What was spent for each request in progress.
+    spent: HashMap<Sequence, Spent>,
+    /// Tokens made for a request, in the mean.
+    made: Mean,
+    entries: KnownEntries,
+}
+
+struct Spent {
+    key: LimitKey,
+    prompt: f64,
+    tokens: f64,
+}
+
+impl<L: Link> LimitDesk<L> {
+    /// Nothing granted, and no other entry known.
+    pub fn new(
+        me: Peer,
+        link: Arc<L>,
+        agent: Arc<FleetAgent>,
+        config: Arc<ConfigAgent>,
+        counters: Arc<Counters>,
+        journal: Arc<Journal>,
+    ) -> LimitDesk<L> {
+        let state = State {
+            table: LimitTable::new(SystemClock),
+            keeper: Keeper::new(SystemClock, StartLevel::Full),
+            parked: Parked::default(),
+            spent: HashMap::new(),
+            made: Mean::default(),
+            entries: KnownEntries::only(me),
+        };
+        LimitDesk { me, link, agent, config, counters, journal, state: Mutex::new(state) }
+    }
+
+    /// A request arrives; nothing is returned while it waits for a keeper's answer.
+    pub fn check(&self, asking: Asking) -> Vec<Checked> {
+        let key = LimitKey::of(&asking.row);
+        let mut state = self.state.lock().unwrap();
+        let by = state.keeping(&key);
+        let tokens = state.expected_tokens(&asking.work);
+        let verdict = state.table.arrive(&key, Limits::of(&asking.row), tokens, by);
+        let mut checked = Vec::new();
+        match verdict {
+            Spend::Allowed => checked.push(state.pass(&key, asking, tokens)),
+            Spend::Refused(wait) => checked.push(refused(asking, wait)),
+            Spend::Asked => {
+                self.counters.count(Count::LimitWaits);
+                let crowded = state.parked.push(&key, asking, tokens);
+                checked.extend(crowded.map(|asking| refused(asking, RETRY_AFTER_CROWD)));
+            }
+        }
+        checked.extend(self.ask(&mut state, &key));
+        checked
+    }
+
+    /// A request that had passed ended, or never ran.
+    pub fn ended(&self, sequence: Sequence, ended: Ended) {
+        let mut state = self.state.lock().unwrap();
+        let Some(Spent { key, prompt, tokens }) = state.spent.remove(&sequence) else { return };
+        match ended {
+            Ended::Ran { work } => {
+                state.made.add((work - prompt).max(0.0));
+                state.table.end(&key, tokens, work);
+            }
+            Ended::RanFor => state.table.end(&key, tokens, tokens),
+            Ended::NoRoom | Ended::NotRun => state.table.undo(&key, tokens),
+        }
+    }
+
+    /// An entry asks for a grant.
+    pub fn on_ask(&self, from: Peer, ask: &GrantAsk) {
+        let grant = self.answer(&mut self.state.lock().unwrap(), from.incarnation, ask);
+        if let Some(grant) = grant {
+            self.send(from, GrantMessage::Grant(grant));
+        }
+    }
+
+    /// A keeper answered.
+    pub fn on_grant(&self, from: Incarnation, grant: &Grant) -> Vec<Checked> {
+        let mut state = self.state.lock().unwrap();
+        if !state.table.take(from, grant) {
+            self.counters.count(Count::GrantsLate);
+            return Vec::new();
+        }
+        let mut checked = state.resolve(&grant.key);
+        checked.extend(self.ask(&mut state, &grant.key));
+        checked
+    }
+
+    /// Follows the fleet, renews grants and gives back what is not used.
+    pub fn refresh(&self) -> Vec<Checked> {
+        let entries = KnownEntries::of(&self.agent.view());
+        let mut state = self.state.lock().unwrap();
+        if state.entries != entries {
+            self.journal.note("limit keepers changed", None, "refresh", entries.to_string());
+            state.entries = entries;
+            state.keeper.members_changed();
+        }
+        let mut checked = Vec::new();
+        for key in state.table.keys() {
+            checked.extend(state.resolve(&key));
+            checked.extend(self.ask(&mut state, &key));
+        }
+        checked
+    }
+
+    /// The state as JSON.
+    pub fn dump(&self) -> Value {
+        let state = self.state.lock().unwrap();
+        json!({
+            "shares": state.table.len(),
+            "accounts_kept": state.keeper.accounts(),
+            "waiting": state.parked.len(),
+            "entries": state.entries.to_string(),
+        })
+    }
+
+    /// Sends the question of a key, if there is one; where this entry is itself the keeper, the
+    /// answer is here at once.
+    fn ask(&self, state: &mut State, key: &LimitKey) -> Vec<Checked> {
+        let (by, waiting) = (state.keeping(key), state.parked.of_key(key));
+        let Some(ask) = state.table.ask(key, waiting, by) else { return Vec::new() };
+        let Some(keeper) = state.entries.find(by.keeper) else { return Vec::new() };
+        self.counters.count(Count::GrantsAsked);
+        if keeper != self.me {
+            self.send(keeper, GrantMessage::Ask(ask));
+            return Vec::new();
+        }
+        if let Some(grant) = self.answer(state, self.me.incarnation, &ask) {
+            state.table.take(self.me.incarnation, &grant);
+        }
+        state.resolve(key)
+    }
+
+    fn answer(&self, state: &mut State, from: Incarnation, ask: &GrantAsk) -> Option<Grant> {
+        let row = self.config.view().row(&ask.key.workspace, &ask.key.kind);
+        state.keeper.answer(from, ask, Limits::of(&row))
+    }
+
+    fn send(&self, to: Peer, message: GrantMessage) {
+        if self.link.send(to, Message::Grant(message)).is_err() {
+            self.counters.count(Count::SendsRefused);
+        }
+    }
+}
+
+impl State {
+    fn keeping(&self, key: &LimitKey) -> Keeping {
+        self.entries.keeping(key)
+    }
+
+    fn expected_tokens(&self, work: &Work) -> f64 {
+        let Work::Pipeline(new) = work else { return 0.0 };
+        let most = f64::from(new.asked.max_tokens);
+        work.prompt_tokens() + self.made.get().unwrap_or(most).min(most)
+    }
+
+    fn pass(&mut self, key: &LimitKey, asking: Asking, tokens: f64) -> Checked {
+        let prompt = asking.work.prompt_tokens();
+        let spent = Spent { key: key.clone(), prompt, tokens };
+        self.spent.insert(asking.work.sequence(), spent);
+        Checked::Passed(asking)
+    }
+
+    /// Requests that wait for an answer ask again, in order.
+    fn resolve(&mut self, key: &LimitKey) -> Vec<Checked> {
+        let by = self.keeping(key);
+        let now = SystemClock.now();
+        let mut checked = Vec::new();
+        while let Some((asking, tokens)) = self.parked.pop(key) {
+            if asking.work.deadline() <= now || asking.responder.is_gone() {
+                checked.push(late(asking));
+                continue;
+            }
+            match self.table.spend(key, tokens, by) {
+                Spend::Allowed => checked.push(self.pass(key, asking, tokens)),
+                Spend::Refused(wait) => checked.push(refused(asking, wait)),
+                Spend::Asked => {
+                    self.parked.put_back(key, (asking, tokens));
+                    break;
+                }
+            }
+        }
+        checked
+    }
+}
+
+fn refused(asking: Asking, wait: Duration) -> Checked {
+    let row = &asking.row;
+    let detail = format!(
+        "workspace {} is at its limit for {}: {} requests and {} tokens a second, {} in flight",
+        row.workspace, row.kind, row.requests_per_s, row.tokens_per_s, row.in_flight
+    );
+    let not_run = NotRun::never_sent(Refusal::Limit, detail).with_retry_after(wait);
+    Checked::Refused(asking, not_run)
+}
+
+fn late(asking: Asking) -> Checked {
+    let refusal = if asking.responder.is_gone() { Refusal::Cancelled } else { Refusal::Deadline };
+    let detail = "it waited for a grant of its workspace's limit";
+    Checked::Refused(asking, NotRun::never_sent(refusal, detail))
+}
--- a/crates/daemon/src/entry/process/mod.rs
+++ b/crates/daemon/src/entry/process/mod.rs
@@ -11,6 +11,7 @@
 mod keyed_calls;
 mod keyed_pipelines;
 mod ledger_client;
+mod limits;
 mod pipelines;
 mod repairs;
 mod settings;
@@ -21,7 +22,7 @@
 
 pub(in crate::entry) use pipelines::NewPipeline;
 
-use admission::{Gate, Work};
+use admission::{Gate, GateParts, Work};
 use api::Api;
 use calls::{Calls, NewCall};
 use entry_handler::EntryHandler;
@@ -29,5 +30,6 @@
 use fleet_watch::FleetCell;
 use in_progress::{Finished, InProgress};
 use ledger_client::{ARRIVAL_WAIT, ASK_WAIT, CLAIM_WAIT, LedgerClient};
+use limits::LimitDesk;
 use pipelines::Pipelines;
 use timer::Timer;
--- a/crates/daemon/src/entry/process/settings.rs
+++ b/crates/daemon/src/entry/process/settings.rs
@@ -1,6 +1,7 @@
 //! Settings of an entry.
 
 use sorrellock_core::id::Place;
+use sorrellock_wire::connection::LinkKind;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -13,6 +14,8 @@
     pub callers: SocketAddr,
     /// Where to listen for other daemons.
     pub link: SocketAddr,
+    /// What carries messages to other daemons; the same in the whole fleet.
+    pub link_kind: LinkKind,
     /// Where operators ask, if at all.
     pub operators: Option<SocketAddr>,
     /// Where metrics go, if anywhere.
@@ -66,6 +69,7 @@
             place: place.into(),
             callers,
             link,
+            link_kind: LinkKind::default(),
             operators: None,
             metrics: None,
             platform,
@@ -91,4 +95,10 @@
         self.operators = Some(addr);
         self
     }
+
+    /// Takes another kind of link.
+    pub fn with_link_kind(mut self, kind: LinkKind) -> EntrySettings {
+        self.link_kind = kind;
+        self
+    }
 }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -7,3 +7,5 @@
 pub mod cli;
 pub mod entry;
 pub mod process;
+
+pub use sorrellock_wire::connection::LinkKind;
--- a/crates/daemon/src/process/counters.rs
+++ b/crates/daemon/src/process/counters.rs
@@ -36,6 +36,12 @@
     Unknown => "unknown",
     /// Requests that had to wait to start.
     AdmissionWaits => "admission_waits",
+    /// Requests that had to wait for a grant of their limit.
+    LimitWaits => "limit_waits",
+    /// Grants asked of keepers.
+    GrantsAsked => "grants_asked",
+    /// Answers of keepers dropped: they came late, or twice.
+    GrantsLate => "grants_late",
     /// Requests refused for a limit of their workspace.
     RefusedLimit => "refused_limit",
     /// Requests refused for want of room.
--- a/crates/local/src/caller.rs
+++ b/crates/local/src/caller.rs
@@ -8,6 +8,9 @@
 use ureq::Agent;
 use ureq::http::Response;
 
+/// How long each part of a call may take.
+const TIMEOUT: Duration = Duration::from_secs(120);
+
 /// A caller of one entry, with the key of its workspace.
 #[derive(Clone, Debug)]
 pub struct Caller {
@@ -43,7 +46,11 @@
     pub fn new(entry: SocketAddr, key: &str) -> Caller {
         let config = Agent::config_builder()
             .http_status_as_error(false)
-            .timeout_global(Some(Duration::from_secs(120)))
+            // No global timeout: with one, ureq resolves each address on a thread of its own.
+            .timeout_connect(Some(TIMEOUT))
+            .timeout_send_body(Some(TIMEOUT))
+            .timeout_recv_response(Some(TIMEOUT))
+            .timeout_recv_body(Some(TIMEOUT))
             .max_idle_connections_per_host(256)
             .proxy(None)
             .build();
@@ -65,12 +72,14 @@
             let answer = read(response)?;
             bail!("status {}: {}", answer.status, answer.body);
         }
-        let mut text = String::new();
+        // Read to its end, so that the connection serves again.
+        let (mut text, mut done) = (String::new(), false);
         for line in BufReader::new(response.into_body().into_reader()).lines() {
             let line = line.wrap_err("reading the stream")?;
             let Some(data) = line.strip_prefix("data: ") else { continue };
             if data == "[DONE]" {
-                return Ok(text);
+                done = true;
+                continue;
             }
             let event: Value = serde_json::from_str(data).wrap_err("reading an event")?;
             let piece = event["choices"][0]["text"].as_str();
@@ -78,6 +87,9 @@
             on_text(piece);
             text.push_str(piece);
         }
+        if done {
+            return Ok(text);
+        }
         bail!("the stream was cut after {} bytes of text", text.len())
     }
 
--- a/crates/local/src/local_config.rs
+++ b/crates/local/src/local_config.rs
@@ -1,11 +1,14 @@
 //! What a local fleet is made of.
 
 use sorrellock_core::id::Layer;
+use sorrellock_daemon::LinkKind;
 use std::time::Duration;
 
 /// What a local fleet is made of.
 #[derive(Clone, Debug)]
 pub struct LocalConfig {
+    /// What carries messages between its daemons.
+    pub link_kind: LinkKind,
     /// Stages of its one pipeline.
     pub stages: usize,
     /// Engines that hold the same layers.
@@ -30,6 +33,7 @@
     /// Three stages on six engines, one entry, one instance of the plain service.
     pub fn new() -> LocalConfig {
         LocalConfig {
+            link_kind: LinkKind::default(),
             stages: 3,
             replicas: 2,
             layers: 12,
@@ -49,6 +53,12 @@
         self
     }
 
+    /// Takes another kind of link.
+    pub fn with_link_kind(mut self, kind: LinkKind) -> LocalConfig {
+        self.link_kind = kind;
+        self
+    }
+
     /// Starts `entries` entries.
     pub fn with_entries(mut self, entries: usize) -> LocalConfig {
         self.entries = entries;
@@ -61,6 +71,12 @@
         self
     }
 
+    /// Bounds the steps of a batch.
+    pub fn with_max_batch(mut self, steps: u32) -> LocalConfig {
+        self.max_batch = steps;
+        self
+    }
+
     /// Sets the time of a batch, and of each of its tokens.
     pub fn with_times(mut self, batch: Duration, token: Duration) -> LocalConfig {
         self.batch_time = batch;
--- a/crates/local/src/local_fleet.rs
+++ b/crates/local/src/local_fleet.rs
@@ -199,6 +199,7 @@
         .with_times(cfg.batch_time, cfg.token_time);
     let engine = FakeEngine::start(engine).wrap_err("start of an engine")?;
     let settings = BesideSettings::new(PLACE, next_addr())
+        .with_link_kind(cfg.link_kind)
         .with_platform(platform.addr())
         .with_linger(LINGER)
         .with_engine(engine.addr());
@@ -213,15 +214,20 @@
 }
 
 fn start_services(cfg: &LocalConfig, platform: &FakePlatform) -> Result<Vec<LocalService>> {
-    (0..cfg.services).map(|number| start_service(platform, &number.to_string())).collect()
+    (0..cfg.services).map(|number| start_service(cfg, platform, &number.to_string())).collect()
 }
 
-pub(crate) fn start_service(platform: &FakePlatform, name: &str) -> Result<LocalService> {
+pub(crate) fn start_service(
+    cfg: &LocalConfig,
+    platform: &FakePlatform,
+    name: &str,
+) -> Result<LocalService> {
     let service =
         FakeService::start(ServiceConfig::new(next_addr())).wrap_err("start of a service")?;
     let id = format!("{SERVICE}-{name}");
     let endpoint = ServiceEndpoint { id, service: SERVICE.into(), addr: service.addr() };
     let settings = BesideSettings::new(PLACE, next_addr())
+        .with_link_kind(cfg.link_kind)
         .with_platform(platform.addr())
         .with_linger(LINGER)
         .with_service(endpoint);
@@ -229,11 +235,12 @@
 }
 
 fn start_entries(cfg: &LocalConfig, platform: &FakePlatform) -> Result<Vec<Entry>> {
-    (0..cfg.entries).map(|_| start_entry(platform)).collect()
+    (0..cfg.entries).map(|_| start_entry(cfg, platform)).collect()
 }
 
-pub(crate) fn start_entry(platform: &FakePlatform) -> Result<Entry> {
-    let settings = EntrySettings::new(PLACE, next_addr(), next_addr(), platform.addr());
+pub(crate) fn start_entry(cfg: &LocalConfig, platform: &FakePlatform) -> Result<Entry> {
+    let settings = EntrySettings::new(PLACE, next_addr(), next_addr(), platform.addr())
+        .with_link_kind(cfg.link_kind);
     Entry::start(settings.with_ready_grace(READY_GRACE).with_operators(next_addr()))
 }
 
--- a/crates/local/src/replace.rs
+++ b/crates/local/src/replace.rs
@@ -33,7 +33,7 @@
     /// As [`replace_engine`](LocalFleet::replace_engine), for an instance of the plain service.
     pub fn replace_service(&mut self, index: usize) -> Result<LocalService> {
         let name = self.new_name();
-        let new = start_service(&self.platform, &name)?;
+        let new = start_service(&self.cfg, &self.platform, &name)?;
         let addr = new.beside.peer().addr;
         let old = std::mem::replace(&mut self.services[index], new);
         self.publish_instances();
@@ -45,7 +45,7 @@
 
     /// Starts another entry in place of one, and returns that one, which is still to be drained.
     pub fn replace_entry(&mut self, index: usize) -> Result<Entry> {
-        let new = start_entry(&self.platform)?;
+        let new = start_entry(&self.cfg, &self.platform)?;
         let old = std::mem::replace(&mut self.entries[index], new);
         self.publish_instances();
         self.wait_until_known()?;
--- a/crates/wire/src/connection/link.rs
+++ b/crates/wire/src/connection/link.rs
@@ -5,6 +5,7 @@
 use sorrellock_core::request::Peer;
 use std::fmt;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 /// Why a message was not taken for sending. It was certainly not sent.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -48,8 +49,19 @@
 
 /// Sends messages to peers. Messages to one peer arrive in order or not at all.
 pub trait Link: Send + Sync + 'static {
-    /// Queues a message. An error means that it was not sent and never will be; `Ok` proves nothing.
-    fn send(&self, to: Peer, message: Message) -> Result<(), LinkError>;
+    /// Sends a message, or queues it. An error means that it was not sent and never will be; `Ok`
+    /// proves nothing.
+    fn send(&self, to: Peer, message: Message) -> Result<(), LinkError> {
+        self.send_all(to, vec![message])
+    }
+
+    /// Sends several messages to one peer together, or queues them: all or none.
+    fn send_all(&self, to: Peer, messages: Vec<Message>) -> Result<(), LinkError>;
+
+    /// Measured transits to the peers, one way; empty if this kind of link measures none.
+    fn transits(&self) -> Vec<(SocketAddr, Duration)> {
+        Vec::new()
+    }
 }
 
 /// Handles what comes from peers. It must not block.
--- a/crates/wire/src/connection/link_config.rs
+++ b/crates/wire/src/connection/link_config.rs
@@ -1,5 +1,6 @@
 //! Settings of a link.
 
+use crate::connection::LinkKind;
 use sorrellock_core::request::Peer;
 use std::time::Duration;
 
@@ -8,6 +9,8 @@
 pub struct LinkConfig {
     /// Where to listen, and as which incarnation to send.
     pub me: Peer,
+    /// What carries the messages.
+    pub kind: LinkKind,
     /// The most messages that wait for one peer.
     pub queue: usize,
     /// The most messages that one envelope carries.
@@ -16,8 +19,12 @@
     pub max_peers: usize,
     /// The largest envelope taken, in bytes.
     pub max_bytes: usize,
+    /// How long a connection may take to be made.
+    pub connect_timeout: Duration,
     /// How long one send may wait for room.
     pub send_timeout: Duration,
+    /// A connection over which nothing was sent for this long is closed.
+    pub idle: Duration,
     /// How long sends to a peer that could not be reached are refused.
     pub down_for: Duration,
 }
@@ -31,6 +38,10 @@
     pub const MAX_PEERS: usize = 2048;
     /// Default of `max_bytes`.
     pub const MAX_BYTES: usize = 64 << 20;
+    /// Default of `connect_timeout`.
+    pub const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+    /// Default of `idle`.
+    pub const IDLE: Duration = Duration::from_secs(300);
     /// Default of `send_timeout`.
     pub const SEND_TIMEOUT: Duration = Duration::from_secs(2);
     /// Default of `down_for`.
@@ -40,15 +51,36 @@
     pub fn new(me: Peer) -> LinkConfig {
         LinkConfig {
             me,
+            kind: LinkKind::default(),
             queue: LinkConfig::QUEUE,
             batch: LinkConfig::BATCH,
             max_peers: LinkConfig::MAX_PEERS,
             max_bytes: LinkConfig::MAX_BYTES,
+            connect_timeout: LinkConfig::CONNECT_TIMEOUT,
+            idle: LinkConfig::IDLE,
             send_timeout: LinkConfig::SEND_TIMEOUT,
             down_for: LinkConfig::DOWN_FOR,
         }
     }
 
+    /// Takes another kind of link.
+    pub fn with_kind(mut self, kind: LinkKind) -> LinkConfig {
+        self.kind = kind;
+        self
+    }
+
+    /// Bounds the bytes of an envelope.
+    pub fn with_max_bytes(mut self, max_bytes: usize) -> LinkConfig {
+        self.max_bytes = max_bytes;
+        self
+    }
+
+    /// Closes connections over which nothing was sent for this long.
+    pub fn with_idle(mut self, idle: Duration) -> LinkConfig {
+        self.idle = idle;
+        self
+    }
+
     /// Bounds the messages that wait for one peer.
     pub fn with_queue(mut self, queue: usize) -> LinkConfig {
         self.queue = queue;
--- a/crates/wire/src/connection/link_counters.rs
+++ b/crates/wire/src/connection/link_counters.rs
@@ -23,8 +23,12 @@
     pub refused_down: AtomicU64,
     /// Envelopes that could not be read: truncated, foreign, too large, or of another format.
     pub malformed: AtomicU64,
-    /// Links that closed.
+    /// Links that closed, or could not be opened.
     pub closed: AtomicU64,
+    /// Closed links that nobody was told of, as too many waited.
+    pub closed_untold: AtomicU64,
+    /// Connections that could not be accepted.
+    pub accept_errors: AtomicU64,
 }
 
 impl LinkCounters {
@@ -42,6 +46,8 @@
             ("refused_down", read(&self.refused_down)),
             ("malformed", read(&self.malformed)),
             ("closed", read(&self.closed)),
+            ("closed_untold", read(&self.closed_untold)),
+            ("accept_errors", read(&self.accept_errors)),
         ]
     }
 }
--- a/crates/wire/src/connection/nng_link.rs
+++ b/crates/wire/src/connection/nng_link.rs
@@ -1,27 +1,23 @@
 //! Links over nng: one pull socket to listen, one push socket a peer.
 
-use crate::connection::link_counters::add;
-use crate::connection::peer_queue::PeerQueue;
-use crate::connection::{Link, LinkConfig, LinkCounters, LinkError, LinkHandler};
-use crate::message::{Envelope, FORMAT, Message};
-use crossbeam::channel::{Receiver, Sender, bounded};
-use nng::options::{Options, RecvMaxSize};
-use nng::{Protocol, Socket};
+use crate::connection::closed_links::ClosedNote;
+use crate::connection::dial::{Carry, Dial};
+use crate::connection::inbox::Inbox;
+use crate::connection::peers::Peers;
+use crate::connection::{ClosedLinks, Link, LinkConfig, LinkCounters, LinkError, LinkHandler};
+use crate::message::Message;
+use nng::options::{Options, RecvMaxSize, SendTimeout};
+use nng::{PipeEvent, Protocol, Socket};
 use sorrellock_core::request::Peer;
-use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::{Arc, RwLock};
+use std::sync::Arc;
 use std::thread;
+use std::time::Duration;
 
-/// Closed links that wait to be handled.
-const CLOSED_QUEUE: usize = 4096;
-
-/// Links of one process to all its peers.
+/// Links of one process to all its peers, over nng.
 pub struct NngLink {
-    cfg: LinkConfig,
     listener: Socket,
-    peers: RwLock<HashMap<SocketAddr, Arc<PeerQueue>>>,
-    closed: Sender<SocketAddr>,
+    peers: Peers<NngDial>,
     counters: Arc<LinkCounters>,
 }
 
@@ -33,79 +29,74 @@
         let listener = Socket::new(Protocol::Pull0).map_err(start)?;
         listener.set_opt::<RecvMaxSize>(cfg.max_bytes).map_err(start)?;
         listener.listen(&format!("tcp://{addr}")).map_err(start)?;
-        let (tx, rx) = bounded(CLOSED_QUEUE);
-        let link = NngLink {
-            cfg,
-            listener,
-            peers: RwLock::default(),
-            closed: tx,
-            counters: Arc::default(),
-        };
-        Ok((Arc::new(link), ClosedLinks(rx)))
+        let (tx, closed) = ClosedLinks::new();
+        let counters = Arc::new(LinkCounters::default());
+        let dial = NngDial { send_timeout: cfg.send_timeout };
+        let peers = Peers::new(cfg, dial, tx, counters.clone());
+        Ok((Arc::new(NngLink { listener, peers, counters }), closed))
     }
 
     /// Starts the threads that hand what comes to `handler`.
     pub fn serve<H: LinkHandler>(self: &Arc<Self>, closed: ClosedLinks, handler: Arc<H>) {
-        let (link, receiver) = (self.clone(), handler.clone());
+        let inbox = Inbox::new(handler.clone(), self.counters.clone());
+        let link = self.clone();
         thread::Builder::new()
             .name("link-receive".into())
-            .spawn(move || link.receive(&*receiver))
-            .expect("a thread can be started");
-        thread::Builder::new()
-            .name("link-closed".into())
-            .spawn(move || closed.0.iter().for_each(|peer| handler.on_closed(peer)))
+            .spawn(move || link.receive(&inbox))
             .expect("a thread can be started");
+        closed.handle(handler);
     }
 
     /// The counters.
     pub fn counters(&self) -> &LinkCounters {
-        &self.counters
+        self.peers.counters()
     }
 
-    /// Closes the listener, as a process that ends does.
+    /// Closes the listener and all links, as a process that ends does.
     pub fn close(&self) {
         self.listener.close();
-        self.peers.write().unwrap().clear();
+        self.peers.end();
     }
 
-    fn receive<H: LinkHandler>(&self, handler: &H) {
+    fn receive<H: LinkHandler>(&self, inbox: &Inbox<H>) {
         while let Ok(buf) = self.listener.recv() {
-            add(&self.counters.bytes_received, buf.len() as u64);
-            match postcard::from_bytes::<Envelope>(&buf) {
-                Ok(envelope) if envelope.format == FORMAT => self.dispatch(envelope, handler),
-                _ => add(&self.counters.malformed, 1),
+            if let Ok(envelope) = inbox.read(&buf) {
+                inbox.dispatch(envelope);
             }
         }
     }
+}
 
-    fn dispatch<H: LinkHandler>(&self, envelope: Envelope, handler: &H) {
-        add(&self.counters.messages_received, envelope.messages.len() as u64);
-        for message in envelope.messages {
-            handler.on_message(envelope.from, envelope.to, message);
-        }
+impl Link for NngLink {
+    fn send_all(&self, to: Peer, messages: Vec<Message>) -> Result<(), LinkError> {
+        self.peers.send(to, messages)
     }
+}
 
-    fn queue_to(&self, peer: SocketAddr) -> Result<Arc<PeerQueue>, LinkError> {
-        if let Some(queue) = self.peers.read().unwrap().get(&peer) {
-            return Ok(queue.clone());
-        }
-        let mut peers = self.peers.write().unwrap();
-        if peers.len() >= self.cfg.max_peers && !peers.contains_key(&peer) {
-            return Err(LinkError::TooManyPeers { peer });
-        }
-        let start = || {
-            let (cfg, counters) = (self.cfg.clone(), self.counters.clone());
-            Arc::new(PeerQueue::start(peer, cfg, counters, self.closed.clone()))
+#[derive(Clone)]
+struct NngDial {
+    send_timeout: Duration,
+}
+
+impl Dial for NngDial {
+    type Connection = Socket;
+
+    fn dial(&self, peer: SocketAddr, note: ClosedNote) -> Option<Socket> {
+        let socket = Socket::new(Protocol::Push0).ok()?;
+        socket.set_opt::<SendTimeout>(Some(self.send_timeout)).ok()?;
+        let notify = move |_, event| {
+            if event == PipeEvent::RemovePost {
+                note.tell();
+            }
         };
-        Ok(peers.entry(peer).or_insert_with(start).clone())
+        socket.pipe_notify(notify).ok()?;
+        socket.dial(&format!("tcp://{peer}")).ok()?;
+        Some(socket)
     }
 }
 
-impl Link for NngLink {
-    fn send(&self, to: Peer, message: Message) -> Result<(), LinkError> {
-        self.queue_to(to.addr)?.push(to.incarnation, message)
+impl Carry for Socket {
+    fn send(&mut self, envelope: &[u8]) -> bool {
+        Socket::send(self, nng::Message::from(envelope)).is_ok()
     }
 }
-
-/// Links that closed, for [`NngLink::serve`].
-pub struct ClosedLinks(Receiver<SocketAddr>);
--- a/crates/wire/src/connection/peer_queue.rs
+++ b/crates/wire/src/connection/peer_queue.rs
@@ -1,155 +1,218 @@
-//! The sending side of a link to one peer: a bounded queue and the thread that empties it.
+//! The sending side of a link to one peer: a bounded queue, and the thread that empties it.
+//!
+//! While nothing waits, whoever sends writes to the connection itself, without a wait: that saves
+//! the change of threads. What the connection doesn't take at once is left to the thread.
 
+use crate::connection::dial::Dial;
 use crate::connection::link_counters::add;
+use crate::connection::peers::Queues;
+use crate::connection::writer::{Writer, Written};
 use crate::connection::{LinkConfig, LinkCounters, LinkError};
-use crate::message::{Envelope, FORMAT, Message};
-use crossbeam::channel::{Receiver, Sender, TrySendError, bounded};
-use nng::options::{Options, SendTimeout};
-use nng::{PipeEvent, Protocol, Socket};
+use crate::message::Message;
 use sorrellock_core::id::Incarnation;
+use std::collections::VecDeque;
 use std::net::SocketAddr;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, Weak};
 use std::thread;
 use std::time::Instant;
 
-/// One message with the incarnation that it is meant for.
-type Queued = (Incarnation, Message);
+/// Stack of a sending thread; it encodes one envelope at a time.
+const SENDER_STACK_BYTES: usize = 256 << 10;
+/// Messages for which an empty queue keeps room.
+const KEPT_ROOM: usize = 64;
 
 /// A bounded queue to one peer.
-pub(crate) struct PeerQueue {
+pub(crate) struct PeerQueue<D: Dial> {
     peer: SocketAddr,
-    tx: Sender<Queued>,
-    down: Arc<AtomicBool>,
+    cfg: LinkConfig,
     counters: Arc<LinkCounters>,
+    state: Mutex<State>,
+    ready: Condvar,
+    /// Taken only by the one that has set [`State::writing`].
+    writer: Mutex<Writer<D>>,
 }
 
-impl PeerQueue {
-    /// Starts the thread that sends to `peer`; closed links go to `closed`.
+/// Messages with the incarnation that they are meant for.
+type Queued = (Incarnation, Message);
+
+#[derive(Default)]
+struct State {
+    waiting: VecDeque<Queued>,
+    /// Somebody writes to the connection.
+    writing: bool,
+    /// The connection is open and has taken all that was written: others than the thread may write.
+    open: bool,
+    /// The last try to connect failed a moment ago.
+    down_until: Option<Instant>,
+    ended: bool,
+    /// Something was sent since this was cleared.
+    used: bool,
+}
+
+impl<D: Dial> PeerQueue<D> {
+    /// Starts the thread that sends to `peer`; it takes itself out of `owner` when idle for long.
     pub fn start(
         peer: SocketAddr,
         cfg: LinkConfig,
+        writer: Writer<D>,
+        owner: Weak<Queues<D>>,
         counters: Arc<LinkCounters>,
-        closed: Sender<SocketAddr>,
-    ) -> PeerQueue {
-        let (tx, rx) = bounded(cfg.queue);
-        let down = Arc::new(AtomicBool::new(false));
-        let sending =
-            Sending { peer, cfg, rx, closed, down: down.clone(), counters: counters.clone() };
+    ) -> Arc<PeerQueue<D>> {
+        let (state, ready) = Default::default();
+        let writer = Mutex::new(writer);
+        let queue = Arc::new(PeerQueue { peer, cfg, counters, state, ready, writer });
+        let sending = queue.clone();
         thread::Builder::new()
-            .name(format!("link-{peer}"))
+            .name("link-send".into())
             .stack_size(SENDER_STACK_BYTES)
-            .spawn(move || sending.run())
+            .spawn(move || sending.run(&owner))
             .expect("a thread can be started");
-        PeerQueue { peer, tx, down, counters }
+        queue
     }
 
-    /// Queues a message.
-    pub fn push(&self, to: Incarnation, message: Message) -> Result<(), LinkError> {
-        if self.down.load(Ordering::Acquire) {
-            add(&self.counters.refused_down, 1);
-            return Err(LinkError::Down { peer: self.peer });
+    /// Sends messages, or queues them: all or none.
+    pub fn push(&self, to: Incarnation, messages: Vec<Message>) -> Result<(), LinkError> {
+        let peer = self.peer;
+        let mut state = self.state.lock().unwrap();
+        if state.ended || state.is_down() {
+            add(&self.counters.refused_down, messages.len() as u64);
+            return Err(LinkError::Down { peer });
         }
-        self.tx.try_send((to, message)).map_err(|err| match err {
-            TrySendError::Full(_) => {
-                add(&self.counters.refused_full, 1);
-                LinkError::Full { peer: self.peer }
-            }
-            TrySendError::Disconnected(_) => LinkError::Down { peer: self.peer },
-        })
+        if state.waiting.len() + messages.len() > self.cfg.queue {
+            add(&self.counters.refused_full, messages.len() as u64);
+            return Err(LinkError::Full { peer });
+        }
+        state.used = true;
+        if state.open && !state.writing && state.waiting.is_empty() {
+            state.writing = true;
+            drop(state);
+            self.write_now(to, messages);
+            return Ok(());
+        }
+        state.waiting.extend(messages.into_iter().map(|message| (to, message)));
+        let wake = !state.writing;
+        drop(state);
+        if wake {
+            self.ready.notify_one();
+        }
+        Ok(())
     }
-}
 
-/// Stack of a sending thread; it encodes one envelope at a time.
-const SENDER_STACK_BYTES: usize = 256 << 10;
-
-struct Sending {
-    peer: SocketAddr,
-    cfg: LinkConfig,
-    rx: Receiver<Queued>,
-    closed: Sender<SocketAddr>,
-    down: Arc<AtomicBool>,
-    counters: Arc<LinkCounters>,
-}
+    /// Ends the thread; what waits is lost.
+    pub fn end(&self) {
+        let mut state = self.state.lock().unwrap();
+        state.ended = true;
+        add(&self.counters.messages_lost, state.waiting.len() as u64);
+        state.waiting.clear();
+        drop(state);
+        self.ready.notify_one();
+    }
 
-impl Sending {
-    fn run(self) {
-        let mut socket = None;
-        while let Ok(first) = self.rx.recv() {
-            let (to, messages, mut rest) = self.gather(first);
-            self.send(&mut socket, to, messages);
-            while let Some(next) = rest.take() {
-                let (to, messages, more) = self.gather(next);
-                self.send(&mut socket, to, messages);
-                rest = more;
-            }
+    /// Writes from the sender's own thread; what is not taken at once is left to the queue's thread.
+    fn write_now(&self, to: Incarnation, messages: Vec<Message>) {
+        let written = self.writer.lock().unwrap().write_now(to, messages);
+        let mut state = self.state.lock().unwrap();
+        state.writing = false;
+        state.open = written == Ok(Written::Whole);
+        let wake = !state.open || !state.waiting.is_empty();
+        if let Err(messages) = written {
+            // They come before what has gathered since.
+            let queued = messages.into_iter().rev().map(|message| (to, message));
+            queued.for_each(|queued| state.waiting.push_front(queued));
+        }
+        drop(state);
+        if wake {
+            self.ready.notify_one();
         }
     }
 
-    /// Takes what waits behind `first` for the same incarnation; a message for another ends it.
-    fn gather(&self, first: Queued) -> (Incarnation, Vec<Message>, Option<Queued>) {
-        let (to, message) = first;
-        let mut messages = vec![message];
-        while messages.len() < self.cfg.batch {
-            match self.rx.try_recv() {
-                Ok((same, message)) if same == to => messages.push(message),
-                Ok(other) => return (to, messages, Some(other)),
-                Err(_) => break,
+    fn run(&self, owner: &Weak<Queues<D>>) {
+        while let Some((to, messages)) = self.next(owner) {
+            let mut writer = self.writer.lock().unwrap();
+            let sent = writer.write(to, messages);
+            let now = writer.can_write_now();
+            drop(writer);
+            let mut state = self.state.lock().unwrap();
+            state.writing = false;
+            state.open = sent && now;
+            if !sent {
+                self.refuse_for_a_while(&mut state);
             }
         }
-        (to, messages, None)
+        // The end of the link closes its connections, which is told as any other close is.
+        self.writer.lock().unwrap().drop_connection();
     }
 
-    fn send(&self, socket: &mut Option<Socket>, to: Incarnation, messages: Vec<Message>) {
-        let count = messages.len() as u64;
-        if socket.is_none() {
-            *socket = self.dial();
-        }
-        let Some(open) = socket.as_ref() else {
-            add(&self.counters.messages_lost, count);
-            self.refuse_for_a_while();
-            return;
-        };
-        let envelope = Envelope { format: FORMAT, from: self.cfg.me, to, messages };
-        let buf = postcard::to_stdvec(&envelope).expect("messages can be encoded");
-        let size = buf.len() as u64;
-        match open.send(nng::Message::from(buf.as_slice())) {
-            Ok(()) => {
-                add(&self.counters.envelopes_sent, 1);
-                add(&self.counters.messages_sent, count);
-                add(&self.counters.bytes_sent, size);
+    /// What to write next, perhaps no messages but the rest of the last ones; nothing once the link
+    /// ended or this queue was idle for long.
+    fn next(&self, owner: &Weak<Queues<D>>) -> Option<(Incarnation, Vec<Message>)> {
+        let mut state = self.state.lock().unwrap();
+        loop {
+            if state.ended {
+                return None;
+            }
+            if !state.writing && (!state.waiting.is_empty() || self.has_rest(&state)) {
+                state.writing = true;
+                return Some(state.gather(self.cfg.batch));
             }
-            Err(_) => {
-                add(&self.counters.messages_lost, count);
-                *socket = None;
-                let _ = self.closed.try_send(self.peer);
+            let (woken, timeout) = self.ready.wait_timeout(state, self.cfg.idle).unwrap();
+            state = woken;
+            if timeout.timed_out() {
+                drop(state);
+                if self.leave(owner) {
+                    return None;
+                }
+                state = self.state.lock().unwrap();
             }
         }
     }
 
-    fn dial(&self) -> Option<Socket> {
-        let socket = Socket::new(Protocol::Push0).ok()?;
-        socket.set_opt::<SendTimeout>(Some(self.cfg.send_timeout)).ok()?;
-        let (peer, closed, counters) = (self.peer, self.closed.clone(), self.counters.clone());
-        let notify = move |_, event| {
-            if event == PipeEvent::RemovePost {
-                add(&counters.closed, 1);
-                let _ = closed.try_send(peer);
-            }
-        };
-        socket.pipe_notify(notify).ok()?;
-        socket.dial(&format!("tcp://{}", self.peer)).ok()?;
-        Some(socket)
+    fn has_rest(&self, state: &MutexGuard<'_, State>) -> bool {
+        !state.open && self.writer.lock().unwrap().has_rest()
+    }
+
+    /// Takes this queue out of its owner, so that a later message starts a new one; a message that
+    /// slipped in keeps it.
+    fn leave(&self, owner: &Weak<Queues<D>>) -> bool {
+        let Some(owner) = owner.upgrade() else { return true };
+        let mut queues = owner.write().unwrap();
+        let mut state = self.state.lock().unwrap();
+        let used = std::mem::take(&mut state.used);
+        if used || state.writing || !state.waiting.is_empty() {
+            return false;
+        }
+        state.ended = true;
+        queues.remove(&self.peer);
+        self.writer.lock().unwrap().close_quietly();
+        true
     }
 
     /// Refuses new messages for a moment, and drops those that wait: nobody is there.
-    fn refuse_for_a_while(&self) {
-        self.down.store(true, Ordering::Release);
-        let _ = self.closed.try_send(self.peer);
-        let until = Instant::now() + self.cfg.down_for;
-        while self.rx.recv_deadline(until).is_ok() {
-            add(&self.counters.messages_lost, 1);
+    fn refuse_for_a_while(&self, state: &mut State) {
+        state.down_until = Some(Instant::now() + self.cfg.down_for);
+        add(&self.counters.messages_lost, state.waiting.len() as u64);
+        state.waiting.clear();
+    }
+}
+
+impl State {
+    fn is_down(&mut self) -> bool {
+        let down = self.down_until.is_some_and(|until| Instant::now() < until);
+        if !down {
+            self.down_until = None;
+        }
+        down
+    }
+
+    /// Takes what waits at the front for the same incarnation.
+    fn gather(&mut self, most: usize) -> (Incarnation, Vec<Message>) {
+        let Some((to, _)) = self.waiting.front() else { return (0, Vec::new()) };
+        let to = *to;
+        let same = self.waiting.iter().take(most).take_while(|(other, _)| *other == to).count();
+        let messages = self.waiting.drain(..same).map(|(_, message)| message).collect();
+        if self.waiting.is_empty() {
+            self.waiting.shrink_to(KEPT_ROOM);
         }
-        self.down.store(false, Ordering::Release);
+        (to, messages)
     }
 }
--- a/crates/wire/src/message/mod.rs
+++ b/crates/wire/src/message/mod.rs
@@ -3,12 +3,14 @@
 mod call;
 mod config;
 mod fleet;
+mod grant;
 mod ledger;
 mod pipeline;
 
 pub use call::*;
 pub use config::*;
 pub use fleet::*;
+pub use grant::*;
 pub use ledger::*;
 pub use pipeline::*;
 
@@ -45,4 +47,6 @@
     Ledger(LedgerMessage),
     /// Configuration.
     Config(ConfigMessage),
+    /// Limits over the whole fleet.
+    Grant(GrantMessage),
 }
