--- a/crates/core/src/version/workspace.rs
+++ b/crates/core/src/version/workspace.rs
@@ -57,5 +57,6 @@
 /// SHA-256 of a key, in hex.
 pub fn key_hash(key: &str) -> String {
     let digest = Sha256::digest(key.as_bytes());
-    digest.iter().map(|byte| format!("{byte:02x}")).collect()
+    let digit = |value: u8| char::from_digit(value.into(), 16).expect("half a byte is a digit");
+    digest.iter().flat_map(|byte| [digit(byte >> 4), digit(byte & 0xf)]).collect()
 }
