Configuration is pushed to the next member of the place, and to random ones

Cause: of a push to four random peers about e^-4 of the daemons hear nothing, and wait for a round of comparing. Change: one of the four is the next member in order of incarnation, so that nobody who is known to be alive is left out by chance. Ruled out: a larger fan-out (each message more for every daemon).

--- a/crates/core/src/version/spreading/spread.rs
+++ b/crates/core/src/version/spreading/spread.rs
@@ -298,17 +298,26 @@
             return;
         }
         let (since, upto) = (claim.since, claim.upto);
-        let is_source = |peer: &&Peer| claim.source == Source::Peer(**peer);
-        let others: Vec<Peer> =
-            self.place_peers.iter().filter(|peer| !is_source(peer)).copied().collect();
-        let chosen: Vec<Peer> =
-            others.sample(&mut self.rng, self.settings.fanout).copied().collect();
-        for to in chosen {
+        for to in self.push_targets(claim.source) {
             let (pages, refused) = (pages.clone(), refused.clone());
             self.send(to, ConfigMessage::Digest { since, upto, pages, refused });
         }
     }
 
+    /// The next member of the place in order of incarnation, and random others. As each sends to its
+    /// next, nobody is left out by chance who is known to be alive.
+    fn push_targets(&mut self, source: Source) -> Vec<Peer> {
+        let after = |peer: &&Peer| peer.incarnation > self.me.incarnation;
+        let by_incarnation = |peer: &&Peer| peer.incarnation;
+        let next = self.place_peers.iter().filter(after).min_by_key(by_incarnation);
+        let next = next.or(self.place_peers.iter().min_by_key(by_incarnation)).copied();
+        let is_other = |peer: &&Peer| Some(**peer) != next && source != Source::Peer(**peer);
+        let others: Vec<Peer> = self.place_peers.iter().filter(is_other).copied().collect();
+        let count = self.settings.fanout.saturating_sub(1);
+        let next = next.filter(|peer| source != Source::Peer(*peer));
+        next.into_iter().chain(others.sample(&mut self.rng, count).copied()).collect()
+    }
+
     /// Compares itself with a random peer; with more of them until it is ready.
     fn round(&mut self, now: Instant) {
         let starting = !self.is_ready();
--- a/crates/core/tests/config_spread/world.rs
+++ b/crates/core/tests/config_spread/world.rs
@@ -20,6 +20,8 @@
 const MEMBERSHIP_STEPS: u64 = 25;
 /// Longest delay of a message or a call, in steps.
 const MAX_DELAY: u64 = 4;
+/// Port of the first daemon; the others follow.
+const FIRST_PORT: u16 = 1000;
 
 pub struct Daemon {
     pub place: Place,
@@ -85,7 +87,7 @@
 impl World {
     /// `count` daemons, in turn in each of `places`, all started.
     pub fn new(places: &[&str], count: usize, seed: u64) -> World {
-        let mut world = World {
+        let world = World {
             clock: ManualClock::new(),
             store: ModelStore::default(),
             daemons: Vec::new(),
@@ -100,23 +102,29 @@
             incarnations: 0,
             flights: Vec::new(),
         };
+        world.with_daemons(places, count)
+    }
+
+    /// Adds `count` daemons, in turn in each of `places`, and starts them.
+    pub fn with_daemons(mut self, places: &[&str], count: usize) -> World {
         for number in 0..count {
-            let addr: SocketAddr = format!("127.0.0.1:{}", 1000 + number).parse().unwrap();
-            world.daemons.push(Daemon {
+            let addr: SocketAddr =
+                format!("127.0.0.1:{}", usize::from(FIRST_PORT) + number).parse().unwrap();
+            self.daemons.push(Daemon {
                 place: places[number % places.len()].to_owned(),
                 spread: None,
                 peer: Peer { addr, incarnation: 0 },
                 paused: 0,
                 call: None,
-                ask_at: world.clock.now(),
+                ask_at: self.clock.now(),
                 peers: Peers::default(),
                 seen: BTreeMap::new(),
                 seen_applied: 0,
             });
-            world.start(number);
+            self.start(number);
         }
-        world.learn_members();
-        world
+        self.learn_members();
+        self
     }
 
     /// Starts a daemon anew; it knows nothing, and nobody is known to it for a while.
@@ -274,11 +282,7 @@
             std::mem::take(&mut self.flights).into_iter().partition(|flight| flight.at <= steps);
         self.flights = rest;
         for flight in due {
-            let Some(to) =
-                self.daemons.iter().position(|daemon| daemon.peer.addr == flight.to.addr)
-            else {
-                continue;
-            };
+            let to = usize::from(flight.to.addr.port() - FIRST_PORT);
             let apart = self.daemons[to].place != self.daemons[flight.from].place;
             let misdirected = self.daemons[to].peer.incarnation != flight.to.incarnation;
             if misdirected || (apart && self.cut) {
