--- a/crates/core/src/request/stage/actions.rs
+++ b/crates/core/src/request/stage/actions.rs
@@ -18,7 +18,10 @@
         RunState::Lost => {
             out.trouble(run, run.open.stage, StageTrouble::EngineFailed, "its KV cache is lost");
         }
-        RunState::AwaitingKv => ask_handover(run, out),
+        RunState::AwaitingKv | RunState::Importing => {
+            ask_handover(run, out);
+            out.messages.extend(run.open_for_next());
+        }
         _ => out.messages.extend(run.open_for_next()),
     }
 }
@@ -39,7 +42,10 @@
     let Some(leaving) = run.open.handed_by() else { return };
     run.asked += 1;
     if run.asked > MAX_HANDOVER_ASKS {
-        return handover_failed(run, "the leaving stage does not answer", out);
+        return handover_failed(run, "its KV cache does not come", out);
+    }
+    if run.state == RunState::Importing {
+        return;
     }
     let message = PipelineMessage::AskHandover {
         request: run.open.request,
--- a/crates/core/src/request/stage/step_times.rs
+++ b/crates/core/src/request/stage/step_times.rs
@@ -5,7 +5,7 @@
 /// A batch counts as stuck when it takes this many times what is expected.
 const STUCK_FACTOR: u32 = 8;
 /// No batch counts as stuck sooner: the machines' own hiccups are of this order.
-const STUCK_FLOOR: Duration = Duration::from_millis(60);
+const STUCK_FLOOR: Duration = Duration::from_millis(120);
 /// Until a batch was measured, none counts as stuck sooner.
 const STUCK_UNMEASURED: Duration = Duration::from_secs(5);
 /// Weight of a new measurement, one over this.
--- a/crates/core/tests/pipeline/daemon.rs
+++ b/crates/core/tests/pipeline/daemon.rs
@@ -173,6 +173,7 @@
                 let kv = self.engine.export(&export.session).filter(|_| !fails);
                 self.table.on_exported(export.request, kv, out);
             }
+            Call::Import(..) if faults && choices.one_in(10) => {}
             Call::Import(request, session, mut handover) => {
                 let kv = std::mem::take(&mut handover.kv);
                 if !fails {
--- a/crates/daemon/src/beside/process/beside.rs
+++ b/crates/daemon/src/beside/process/beside.rs
@@ -68,9 +68,11 @@
         };
         let (config, config_inputs) =
             ConfigAgent::new(spread, agent.clone(), counters.clone(), journal.clone());
+        let kept = KeptBudget::new(settings.daemon_replay_budget, settings.replay_budget);
         let handler = Arc::new(BesideHandler {
             me,
-            engines: start_engines(&settings, &outbox)?,
+            engines: start_engines(&settings, &kept, &outbox)?,
+            kept,
             services: start_services(&settings, &starts),
             starts,
             ledger: new_ledger(me, &settings, &link),
@@ -119,6 +121,16 @@
         &self.handler.config
     }
 
+    /// How many requests and calls are open.
+    pub fn open_work(&self) -> usize {
+        self.handler.open_work()
+    }
+
+    /// Bytes of output kept for replay.
+    pub fn kept_bytes(&self) -> usize {
+        self.handler.kept.used()
+    }
+
     /// What tells the state of this daemon.
     pub fn state(&self) -> BesideState {
         BesideState {
@@ -176,6 +188,8 @@
             "open_work": self.handler.open_work(),
             "records": self.handler.starts.size(),
             "ledger": self.handler.ledger.as_ref().map(|ledger| ledger.dump()),
+            "kept_bytes": self.handler.kept.used(),
+            "kept_dropped": self.handler.kept.dropped(),
             "counters": counters_json(&self.counters.snapshot()),
             "link": counters_json(&self.link.counters().snapshot()),
         })
@@ -184,9 +198,12 @@
 
 type Engines = HashMap<String, Arc<EngineRunner<AnyLink, HttpEngine>>>;
 
-fn start_engines(settings: &BesideSettings, outbox: &Outbox<AnyLink>) -> Result<Engines> {
-    let kept = KeptBudget::new(settings.daemon_replay_budget, settings.replay_budget);
-    let bounds = EngineBounds { max_sessions: settings.max_sessions, kept };
+fn start_engines(
+    settings: &BesideSettings,
+    kept: &Arc<KeptBudget>,
+    outbox: &Outbox<AnyLink>,
+) -> Result<Engines> {
+    let bounds = EngineBounds { max_sessions: settings.max_sessions, kept: kept.clone() };
     let mut engines = HashMap::new();
     for addr in &settings.engines {
         let engine = HttpEngine::new(*addr);
--- a/crates/daemon/src/beside/process/beside_handler.rs
+++ b/crates/daemon/src/beside/process/beside_handler.rs
@@ -6,7 +6,7 @@
 use sorrellock_core::id::{EndpointId, Incarnation};
 use sorrellock_core::process::EndpointFact;
 use sorrellock_core::process::ledger::{Claim, ClaimAnswer, SeenVerdict, Stamp};
-use sorrellock_core::request::{Peer, Refusal};
+use sorrellock_core::request::{KeptBudget, Peer, Refusal};
 use sorrellock_platform::api::Engine;
 use sorrellock_platform::client::HttpObjectStore;
 use sorrellock_wire::connection::{Link, LinkHandler};
@@ -28,6 +28,7 @@
 pub struct BesideHandler<L, E> {
     pub(super) me: Peer,
     pub(super) engines: HashMap<EndpointId, Arc<EngineRunner<L, E>>>,
+    pub(super) kept: Arc<KeptBudget>,
     pub(super) services: HashMap<EndpointId, ServiceRunner<L>>,
     pub(super) starts: Arc<Starts<L>>,
     pub(super) ledger: Option<BesideLedger<L>>,
@@ -40,7 +41,8 @@
 impl<L: Link, E: Engine> BesideHandler<L, E> {
     /// What the daemon tells of its endpoints.
     pub fn endpoints(&self) -> Vec<EndpointFact> {
-        let engines = self.engines.values().map(|engine| engine.fact());
+        let well = self.engines.values().filter(|engine| !engine.is_stuck());
+        let engines = well.map(|engine| engine.fact());
         let services = self.services.values().map(|service| service.fact());
         let mut endpoints: Vec<_> = engines.chain(services).collect();
         endpoints.sort_by(|a, b| a.id.cmp(&b.id));
--- a/crates/daemon/src/beside/process/engine_runner.rs
+++ b/crates/daemon/src/beside/process/engine_runner.rs
@@ -56,6 +56,13 @@
     pub(super) times: StepTimes,
 }
 
+impl State {
+    /// Whether the engine has had a batch in hand for too long.
+    fn is_stuck(&self) -> bool {
+        self.in_hand.as_ref().is_some_and(|in_hand| in_hand.stuck)
+    }
+}
+
 impl<L: Link, E: Engine> EngineRunner<L, E> {
     /// Starts the threads of one engine.
     pub fn start(
@@ -108,6 +115,11 @@
         EngineOffer { capacity, speed: self.info.speed.max(1), loads: None }
     }
 
+    /// Whether the engine hangs; others are not told of it meanwhile.
+    pub fn is_stuck(&self) -> bool {
+        self.state().is_stuck()
+    }
+
     /// How many requests are open.
     pub fn open_requests(&self) -> usize {
         self.state().table.len()
@@ -122,6 +134,7 @@
     /// Offers what is open to other engines, again and again until it is gone.
     pub fn leave(&self) {
         self.leaving.store(true, Ordering::Release);
+        self.change(|state, out| state.table.on_leaving(out));
     }
 
     /// Opens a request, or moves it to a higher attempt.
@@ -223,9 +236,8 @@
         if leaving {
             return Some(Refusal::Leaving);
         }
-        let stuck = state.in_hand.as_ref().is_some_and(|in_hand| in_hand.stuck);
         let full = state.table.len() >= self.max_sessions;
-        (stuck || full).then_some(Refusal::Capacity)
+        (state.is_stuck() || full).then_some(Refusal::Capacity)
     }
 }
 
--- a/crates/daemon/src/beside/process/settings.rs
+++ b/crates/daemon/src/beside/process/settings.rs
@@ -95,6 +95,12 @@
         self
     }
 
+    /// Keeps at most this much output for each request at each stage.
+    pub fn with_replay_budget(mut self, bytes: usize) -> BesideSettings {
+        self.replay_budget = bytes;
+        self
+    }
+
     /// Serves an engine.
     pub fn with_engine(mut self, addr: SocketAddr) -> BesideSettings {
         self.engines.push(addr);
--- a/crates/local/src/local_config.rs
+++ b/crates/local/src/local_config.rs
@@ -2,6 +2,7 @@
 
 use sorrellock_core::id::Layer;
 use sorrellock_daemon::LinkKind;
+use sorrellock_daemon::beside::process::BesideSettings;
 use std::time::Duration;
 
 /// What a local fleet is made of.
@@ -27,6 +28,8 @@
     pub max_batch: u32,
     /// Bytes of one activation.
     pub activation_bytes: usize,
+    /// Bytes of output kept for replay, for each request at each stage.
+    pub replay_budget: usize,
 }
 
 impl LocalConfig {
@@ -43,6 +46,7 @@
             token_time: Duration::from_micros(10),
             max_batch: 64,
             activation_bytes: 256,
+            replay_budget: BesideSettings::REPLAY_BUDGET,
         }
     }
 
@@ -77,6 +81,18 @@
         self
     }
 
+    /// Gives activations this size.
+    pub fn with_activation_bytes(mut self, bytes: usize) -> LocalConfig {
+        self.activation_bytes = bytes;
+        self
+    }
+
+    /// Keeps at most this much output for each request at each stage.
+    pub fn with_replay_budget(mut self, bytes: usize) -> LocalConfig {
+        self.replay_budget = bytes;
+        self
+    }
+
     /// Sets the time of a batch, and of each of its tokens.
     pub fn with_times(mut self, batch: Duration, token: Duration) -> LocalConfig {
         self.batch_time = batch;
