--- a/crates/core/src/process/membership/message.rs
+++ b/crates/core/src/process/membership/message.rs
@@ -174,6 +174,42 @@
     },
 }
 
+impl Gossip {
+    /// The most bytes that it takes, encoded.
+    pub fn size(&self) -> usize {
+        let rumors: usize = self.rumors.iter().map(Rumor::size).sum();
+        let pulse_size = |(place, number): &(Place, u64)| text_size(place) + number_size(*number);
+        let pulses: usize = self.pulses.iter().map(pulse_size).sum();
+        number_size(self.rumors.len() as u64) + rumors + 1 + pulses
+    }
+}
+
+impl FleetMessage {
+    /// The most bytes that it takes, encoded.
+    pub fn size(&self) -> usize {
+        1 + match self {
+            FleetMessage::Ping { number, gossip } => number_size(*number) + gossip.size(),
+            FleetMessage::Ack { number, of, gossip } => {
+                let of = ADDR_SIZE + number_size(of.incarnation);
+                number_size(*number) + of + gossip.size()
+            }
+            FleetMessage::PingFor { number, gossip, .. } => {
+                number_size(*number) + ADDR_SIZE + gossip.size()
+            }
+            FleetMessage::Digest { digest, gossip }
+            | FleetMessage::Differences { digest, gossip } => {
+                let hashes: usize = digest.iter().map(|hash| number_size(u64::from(*hash))).sum();
+                number_size(digest.len() as u64) + hashes + gossip.size()
+            }
+            FleetMessage::Want { incarnations } => {
+                let all: usize = incarnations.iter().map(|number| number_size(*number)).sum();
+                number_size(incarnations.len() as u64) + all
+            }
+            FleetMessage::News { gossip } => gossip.size(),
+        }
+    }
+}
+
 /// The most bytes that a number takes, encoded.
 fn number_size(number: u64) -> usize {
     (64 - number.leading_zeros() as usize).div_ceil(7).max(1)
--- a/crates/core/tests/common/fleet_sim.rs
+++ b/crates/core/tests/common/fleet_sim.rs
@@ -5,7 +5,7 @@
 use sorrellock_core::clock::ManualClock;
 use sorrellock_core::id::Incarnation;
 use sorrellock_core::process::membership::{
-    Event, FleetMessage, Gossip, Listed, Membership, MembershipConfig, Rumor, Standing,
+    Event, FleetMessage, Listed, Membership, MembershipConfig, Standing,
 };
 use sorrellock_core::process::{DaemonRole, EndpointFact, InstanceFact, Liveness, Role};
 use sorrellock_core::request::{LayerRange, Peer};
@@ -16,6 +16,8 @@
 pub const TICKS_PER_S: usize = 4;
 /// Messages that wait at a paused process; the network drops the rest.
 const PAUSED_INBOX: usize = 2_000;
+/// Bytes of an envelope around a message.
+const ENVELOPE_BYTES: usize = 40;
 
 /// One process, at one address.
 pub struct Node {
@@ -244,7 +246,7 @@
         let incarnation = self.nodes[index].peer.incarnation;
         self.events.extend(output.events.into_iter().map(|event| (incarnation, event)));
         for (to, message) in output.sends {
-            let size = message_size(&message);
+            let size = ENVELOPE_BYTES + message.size();
             self.bytes += size as u64;
             self.messages += 1;
             self.largest = self.largest.max(size);
@@ -325,23 +327,3 @@
         degraded: Vec::new(),
     }
 }
-
-/// Bytes of a message, with an envelope around it.
-pub fn message_size(message: &FleetMessage) -> usize {
-    const ENVELOPE: usize = 40;
-    let gossip_size = |gossip: &Gossip| {
-        let rumors: usize = gossip.rumors.iter().map(Rumor::size).sum();
-        let pulses: usize = gossip.pulses.iter().map(|(place, _)| place.len() + 4).sum();
-        rumors + pulses + 4
-    };
-    ENVELOPE
-        + match message {
-            FleetMessage::Ping { gossip, .. } => 3 + gossip_size(gossip),
-            FleetMessage::Ack { gossip, .. } => 20 + gossip_size(gossip),
-            FleetMessage::PingFor { gossip, .. } => 12 + gossip_size(gossip),
-            FleetMessage::Digest { gossip, digest } => digest.len() * 5 + gossip_size(gossip),
-            FleetMessage::Differences { gossip, digest } => digest.len() * 5 + gossip_size(gossip),
-            FleetMessage::Want { incarnations } => incarnations.len() * 10,
-            FleetMessage::News { gossip } => gossip_size(gossip),
-        }
-}
