control bench: daemons with an idle service; endpoints compared in all but their load

EndpointFact::is_same_but_for_load names each field, so that one added later is told as a new profile: the engine's offer was compared nowhere, and a change of it alone would have gone in brief, without it.

--- a/crates/bench/benches/control/core_fleet.rs
+++ b/crates/bench/benches/control/core_fleet.rs
@@ -7,7 +7,9 @@
 use sorrellock_core::process::membership::{
     Brief, FleetMessage, Listed, Member, Membership, MembershipConfig, Rumor,
 };
-use sorrellock_core::process::{DaemonRole, EndpointFact, InstanceFact, Liveness, Role};
+use sorrellock_core::process::{
+    DaemonRole, EndpointFact, EngineOffer, InstanceFact, Liveness, Role,
+};
 use sorrellock_core::request::{LayerRange, Peer};
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -215,6 +217,7 @@
         role: Role::Engine { model: "lexis".into(), layers: LayerRange::new(0, 12) },
         load: 0,
         slots: 64,
+        engine: Some(EngineOffer { capacity: 12, speed: 1_000, loads: None }),
     };
     InstanceFact {
         peer,
--- a/crates/bench/benches/control/daemons.rs
+++ b/crates/bench/benches/control/daemons.rs
@@ -26,6 +26,8 @@
 const TICKS_PER_S: f64 = 100.0;
 /// Daemons whose dump is read, so that the reading costs little.
 const SAMPLED: usize = 8;
+/// Where the service of each daemon is said to be.
+const IDLE_SERVICE: &str = "127.0.0.1:9";
 /// Daemons of the target.
 const TARGET: f64 = 420.0;
 
@@ -106,6 +108,8 @@
         .args(["beside", "--place", &place, "--log-format", "off"])
         .args(["--link", &link.to_string(), "--operators", &operators.to_string()])
         .args(["--platform", &platform.to_string()])
+        // Nothing calls this service: the daemon does nothing but control.
+        .args(["--service", &format!("ledger-{number}=ledger@{IDLE_SERVICE}"), "--max-calls", "1"])
         .stdout(Stdio::null())
         .spawn()
         .expect("a daemon starts");
--- a/crates/core/src/process/endpoint.rs
+++ b/crates/core/src/process/endpoint.rs
@@ -48,6 +48,14 @@
     pub engine: Option<EngineOffer>,
 }
 
+impl EndpointFact {
+    /// Whether both tell the same but for their load, which changes all the time.
+    pub fn is_same_but_for_load(&self, other: &EndpointFact) -> bool {
+        let EndpointFact { id, role, load: _, slots, engine } = self;
+        *id == other.id && *role == other.role && *slots == other.slots && *engine == other.engine
+    }
+}
+
 /// State of an instance.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Liveness {
--- a/crates/core/src/process/membership/state.rs
+++ b/crates/core/src/process/membership/state.rs
@@ -312,9 +312,6 @@
 
 /// Whether the endpoints are the same but for their load.
 fn same_endpoints(one: &InstanceFact, other: &InstanceFact) -> bool {
-    let same = |(a, b): (&crate::process::EndpointFact, &crate::process::EndpointFact)| {
-        a.id == b.id && a.role == b.role && a.slots == b.slots
-    };
-    one.endpoints.len() == other.endpoints.len()
-        && one.endpoints.iter().zip(&other.endpoints).all(same)
+    let mut pairs = one.endpoints.iter().zip(&other.endpoints);
+    one.endpoints.len() == other.endpoints.len() && pairs.all(|(a, b)| a.is_same_but_for_load(b))
 }
--- a/crates/daemon/src/process/fleet_agent.rs
+++ b/crates/daemon/src/process/fleet_agent.rs
@@ -257,10 +257,9 @@
     fn tell_endpoints(&mut self) {
         let endpoints = (self.endpoints)();
         let known = &self.membership.fact().endpoints;
-        let same_roles = known.len() == endpoints.len()
-            && known.iter().zip(&endpoints).all(|(a, b)| {
-                a.id == b.id && a.role == b.role && a.slots == b.slots && a.engine == b.engine
-            });
+        let mut pairs = known.iter().zip(&endpoints);
+        let same_roles =
+            known.len() == endpoints.len() && pairs.all(|(a, b)| a.is_same_but_for_load(b));
         let same_load = known.iter().zip(&endpoints).all(|(a, b)| band(a.load) == band(b.load));
         let load_due = self.load_told.elapsed() >= LOAD_INTERVAL;
         if same_roles && (same_load || !load_due) {
--- a/crates/wire/tests/fleet_message.rs
+++ b/crates/wire/tests/fleet_message.rs
@@ -4,7 +4,7 @@
     Brief, FleetMessage, Gossip, MAX_PLACE_BYTES, Member, Rumor, Standing,
 };
 use sorrellock_core::process::{
-    DaemonRole, DegradedLink, EndpointFact, InstanceFact, Liveness, Role,
+    DaemonRole, DegradedLink, EndpointFact, EngineOffer, InstanceFact, Liveness, Role,
 };
 use sorrellock_core::request::{LayerRange, Peer};
 use std::net::SocketAddr;
@@ -20,12 +20,14 @@
         role: Role::Engine { model: "lexis".into(), layers: LayerRange::new(0, u16::MAX) },
         load: u32::MAX >> number,
         slots: u32::MAX >> number,
+        engine: Some(EngineOffer { capacity: 80, speed: u32::MAX, loads: None }),
     };
     let service = EndpointFact {
         id: "ledger-1".into(),
         role: Role::Service { service: "s".repeat(200) },
         load: 0,
         slots: 16,
+        engine: None,
     };
     let fact = InstanceFact {
         peer: Peer { addr, incarnation: u64::MAX >> (size % 64) },
