--- a/crates/core/tests/common/fleet_sim.rs
+++ b/crates/core/tests/common/fleet_sim.rs
@@ -41,6 +41,8 @@
     pub cut_places: BTreeSet<usize>,
     pub split_places: BTreeSet<usize>,
     pub list_works: bool,
+    /// Pairs of processes that can't reach each other directly, the lower index first.
+    pub broken: BTreeSet<(usize, usize)>,
     /// Bytes and messages sent by all, since the last reset.
     pub bytes: u64,
     pub messages: u64,
@@ -62,6 +64,7 @@
             cut_places: BTreeSet::new(),
             split_places: BTreeSet::new(),
             list_works: true,
+            broken: BTreeSet::new(),
             bytes: 0,
             messages: 0,
             largest: 0,
@@ -283,6 +286,9 @@
     }
 
     fn is_connected(&self, from: usize, to: usize) -> bool {
+        if self.broken.contains(&(from.min(to), from.max(to))) {
+            return false;
+        }
         let (from, to) = (&self.nodes[from], &self.nodes[to]);
         let cut = from.place != to.place
             && (self.cut_places.contains(&from.place) || self.cut_places.contains(&to.place));
