--- a/crates/cli/src/operate/change.rs
+++ b/crates/cli/src/operate/change.rs
@@ -6,6 +6,7 @@
 use clap::ArgMatches;
 use serde_json::{Value, json};
 use sorrellock_core::id::Revision;
+use sorrellock_core::version::InForce;
 use sorrellock_platform::config::{ChangeReport, PageReport};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -13,13 +14,6 @@
 /// How often `--wait` looks again.
 const POLL: Duration = Duration::from_millis(100);
 
-/// Where a change is in force.
-struct InForce {
-    at: usize,
-    of: usize,
-    missing: Vec<String>,
-}
-
 /// Prints what became of a change; with `--wait` it waits until the change is in force.
 pub(super) fn finish(
     cx: &OperatorCx,
@@ -36,7 +30,7 @@
     };
     print(cx, report, in_force.as_ref());
     Ok(match in_force {
-        Some(found) if found.at < found.of => Exit::NotInForce,
+        Some(found) if !found.is_everywhere() => Exit::NotInForce,
         _ if written => Exit::Done,
         _ => failed(report),
     })
@@ -58,7 +52,7 @@
     let end = Instant::now() + cx.timeout;
     loop {
         let found = in_force(cx, revision)?;
-        if (found.of > 0 && found.at == found.of) || Instant::now() > end {
+        if found.is_everywhere() || Instant::now() > end {
             return Ok(found);
         }
         thread::sleep(POLL);
@@ -67,23 +61,24 @@
 
 fn in_force(cx: &OperatorCx, revision: Revision) -> Result<InForce, OperateError> {
     let (_, members) = members(cx.daemons()?)?;
-    let present: Vec<_> = members.iter().filter(|member| member.is_present()).collect();
-    let missing = present.iter().filter(|member| member.fact.applied < revision);
-    let missing: Vec<_> = missing.map(|member| member.fact.peer.addr.to_string()).collect();
-    Ok(InForce { at: present.len() - missing.len(), of: present.len(), missing })
+    Ok(InForce::count(&members, revision))
 }
 
 fn print(cx: &OperatorCx, report: &ChangeReport, in_force: Option<&InForce>) {
     let mut text = sentence(report);
-    if let Some(InForce { at, of, missing }) = in_force {
-        text.push_str(&format!("; in force on {at} of {of}"));
-        if !missing.is_empty() {
-            text.push_str(&format!(", not yet on {}", missing.join(", ")));
+    if let Some(found) = in_force {
+        text.push_str(&format!("; in force on {} of {}", found.at, found.of));
+        if !found.missing.is_empty() {
+            text.push_str(&format!(", not yet on {}", missing(found).join(", ")));
         }
     }
     cx.output.sentence(&text, || as_json(report, in_force));
 }
 
+fn missing(found: &InForce) -> Vec<String> {
+    found.missing.iter().map(|peer| peer.addr.to_string()).collect()
+}
+
 fn sentence(report: &ChangeReport) -> String {
     let (change, revision) = (report.change, report.revision());
     let pages = report.pages.len();
@@ -116,7 +111,7 @@
         }
     };
     let in_force =
-        in_force.map(|found| json!({ "at": found.at, "of": found.of, "missing": found.missing }));
+        in_force.map(|found| json!({ "at": found.at, "of": found.of, "missing": missing(found) }));
     json!({
         "change": format!("{:016x}", report.change),
         "revision": report.revision(),
--- a/crates/cli/src/trial/checks.rs
+++ b/crates/cli/src/trial/checks.rs
@@ -1,11 +1,18 @@
 //! The checks of `sorrellock try`.
 
 use eyre::{Result, WrapErr, ensure};
-use sorrellock_local::{Caller, LocalConfig, LocalFleet, MODEL, SERVICE};
+use serde::Deserialize;
+use sorrellock_core::id::Revision;
+use sorrellock_core::process::membership::Member;
+use sorrellock_core::version::{Column, DEFAULT_KIND, InForce};
+use sorrellock_daemon::process::Dump;
+use sorrellock_local::{Caller, LocalConfig, LocalFleet, MODEL, SERVICE, WORKSPACES};
+use sorrellock_platform::client::HttpObjectStore;
+use sorrellock_platform::config::{ConfigStore, RowEdit};
 use std::io::{Write, stdout};
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Tokens of the answer that is shown.
 const SHOWN_TOKENS: u32 = 24;
@@ -13,6 +20,10 @@
 const KILLED_TOKENS: u32 = 200;
 /// Answers at the same time, of two workspaces.
 const CROSSED: u32 = 40;
+/// How long a change may take to be in force everywhere.
+const IN_FORCE: Duration = Duration::from_secs(4);
+/// How often a wait looks again.
+const POLL: Duration = Duration::from_millis(5);
 /// How long a graceful shutdown may take.
 const SHUT_DOWN: Duration = Duration::from_secs(10);
 
@@ -113,6 +124,49 @@
         Ok(())
     }
 
+    /// Sends a call that must not run twice again, after its answer was lost.
+    pub fn lost_answer(&self) -> Result<()> {
+        let path = format!("/v1/services/{SERVICE}/confirmations");
+        let key = "confirm-4712";
+        let send = || self.treasury.send(&path, &[("idempotency-key", key)], r#"{"trade":4711}"#);
+        self.fleet.services[0].service.lose_answers(1);
+        let first = send()?;
+        ensure!(first.outcome == "unknown", "outcome {} of a lost answer", first.outcome);
+        send()?;
+        let services = self.fleet.services.iter();
+        let runs: u64 = services.map(|local| local.service.record().runs_of(key)).sum();
+        ensure!(runs == 1, "the call whose answer was lost ran {runs} times");
+        println!("ok: a call whose answer was lost is told as unknown, and a retry runs nothing");
+        Ok(())
+    }
+
+    /// Changes a weight, and waits until it is in force on every daemon.
+    pub fn change_weight(&self) -> Result<()> {
+        let store = HttpObjectStore::new(self.fleet.platform.addr());
+        let config = ConfigStore::new(store, "sorrellock try");
+        let edit = RowEdit::new(WORKSPACES[0].0, DEFAULT_KIND).with_cell(Column::Weight, "3");
+        let start = Instant::now();
+        let revision = config.set(&[edit], None)?.into_result()?.revision();
+        let mut found = self.in_force(revision)?;
+        while !found.is_everywhere() {
+            ensure!(start.elapsed() < IN_FORCE, "in force on {} of {} only", found.at, found.of);
+            thread::sleep(POLL);
+            found = self.in_force(revision)?;
+        }
+        let ms = start.elapsed().as_millis();
+        println!(
+            "ok: a changed weight was in force on {} of {} daemons after {ms} ms",
+            found.at, found.of
+        );
+        Ok(())
+    }
+
+    fn in_force(&self, revision: Revision) -> Result<InForce> {
+        let state = self.fleet.entries[0].state().dump();
+        let members = Vec::<Member>::deserialize(&state["members"])?;
+        Ok(InForce::count(&members, revision))
+    }
+
     /// Shuts the fleet down while an answer streams.
     pub fn shut_down(&self) -> Result<()> {
         let prompt = "Fetch the signed status.";
--- a/crates/cli/src/trial/mod.rs
+++ b/crates/cli/src/trial/mod.rs
@@ -14,9 +14,11 @@
     let trial = Trial::start()?;
     trial.stream_answer()?;
     trial.crossed_answers()?;
-    trial.kill_stage()?;
     trial.plain_service()?;
     trial.run_once()?;
+    trial.lost_answer()?;
+    trial.change_weight()?;
+    trial.kill_stage()?;
     trial.shut_down()?;
     println!("all of it held, in {:.1} s", start.elapsed().as_secs_f64());
     Ok(())
--- a/crates/cli/tests/operate.rs
+++ b/crates/cli/tests/operate.rs
@@ -240,6 +240,29 @@
     assert_eq!(json["members"].as_array().unwrap().len(), 8);
 }
 
+#[test]
+fn a_change_is_waited_for_until_it_is_in_force_on_all_daemons() {
+    set_up_log(LogFormat::Off);
+    let fleet = LocalFleet::start(LocalConfig::new()).unwrap();
+    let daemons = format!("--daemons={}", fleet.entries[0].operators().unwrap());
+    let set = |weight| {
+        let args = ["table", "set", "treasury/default", weight, "--wait", &daemons];
+        run(fleet.platform.addr(), &args)
+    };
+
+    let whole = set("weight=2");
+    fleet.engines[0].beside.stop();
+    let lacking = run(
+        fleet.platform.addr(),
+        &["table", "set", "treasury/default", "weight=3", "--wait", "--timeout-ms=0", &daemons],
+    );
+
+    assert_eq!(whole.code, Some(0), "{}", whole.errors);
+    assert!(whole.output.contains("in force on 8 of 8"), "{}", whole.output);
+    assert_eq!(lacking.code, Some(6), "{}", lacking.output);
+    assert!(lacking.output.contains("not yet on"), "{}", lacking.output);
+}
+
 #[test]
 fn completions_name_every_command() {
     let ran = run(next_addr(), &["completions", "bash"]);
