--- a/crates/bench/benches/run_once/main.rs
+++ b/crates/bench/benches/run_once/main.rs
@@ -13,7 +13,7 @@
 use std::time::Duration;
 
 /// Claims a second that are offered.
-const OFFERED_PER_S: f64 = 600.0;
+const OFFERED_PER_S: f64 = 1_000.0;
 /// How long the load lasts.
 const LOAD: Duration = Duration::from_secs(10);
 /// How long the naive load lasts.
--- a/crates/core/src/process/ledger/start_table.rs
+++ b/crates/core/src/process/ledger/start_table.rs
@@ -71,7 +71,7 @@
     max_answer_bytes: usize,
 }
 
-impl<A: Clone, F> StartTable<A, F> {
+impl<A: Clone, F: PartialEq> StartTable<A, F> {
     /// An empty table of at most `max_records` records and `max_answer_bytes` of kept answers.
     pub fn new(max_records: usize, max_answer_bytes: usize) -> StartTable<A, F> {
         StartTable {
@@ -132,7 +132,7 @@
             Some(known) if known.base > stamp.base => return Told::Tombstoned,
             Some(known) if known.base == stamp.base => match &mut known.state {
                 State::Running(followers) => {
-                    if followers.len() < MAX_FOLLOWERS {
+                    if followers.len() < MAX_FOLLOWERS && !followers.contains(&follower) {
                         followers.push(follower);
                     }
                     return Told::Running;
--- a/crates/core/tests/ledger/main.rs
+++ b/crates/core/tests/ledger/main.rs
@@ -8,6 +8,7 @@
 mod holders;
 mod net;
 mod oracle;
+mod pacing;
 mod store;
 mod tables;
 mod world;
--- /dev/null
+++ b/crates/core/tests/ledger/pacing.rs
@@ -0,0 +1,76 @@
+//! The write rate of a holder: its share of the budget, less while the store struggles.
+
+use sorrellock_core::clock::{Clock, ManualClock};
+use sorrellock_core::process::ledger::Pacer;
+use std::time::Duration;
+
+const MOST: f64 = 12.5;
+
+/// Writes that start in `seconds`, with a store for which each goes as `outcome` tells.
+fn writes(
+    pacer: &mut Pacer<ManualClock>,
+    clock: &ManualClock,
+    seconds: u64,
+    outcome: impl Fn(&mut Pacer<ManualClock>),
+) -> u32 {
+    let end = clock.now() + Duration::from_secs(seconds);
+    let mut count = 0;
+    while clock.now() < end {
+        if pacer.next().is_none_or(|at| at <= clock.now()) {
+            pacer.started();
+            count += 1;
+            outcome(pacer);
+        }
+        clock.advance(Duration::from_millis(1));
+    }
+    count
+}
+
+#[test]
+fn a_holder_stays_within_its_share() {
+    let clock = ManualClock::new();
+    let mut pacer = Pacer::new(MOST, clock.clone());
+
+    let count = writes(&mut pacer, &clock, 10, Pacer::went_well);
+
+    assert!((120..=126).contains(&count), "{count} writes in 10 s");
+}
+
+#[test]
+fn a_store_that_refuses_is_asked_ever_less() {
+    let clock = ManualClock::new();
+    let mut pacer = Pacer::new(MOST, clock.clone());
+
+    writes(&mut pacer, &clock, 10, Pacer::overloaded);
+    let count = writes(&mut pacer, &clock, 10, Pacer::overloaded);
+
+    assert!(count <= 3, "{count} writes in 10 s");
+}
+
+#[test]
+fn a_slow_store_is_asked_less_and_a_good_one_again_in_full() {
+    let clock = ManualClock::new();
+    let mut pacer = Pacer::new(MOST, clock.clone());
+    let slow = |pacer: &mut Pacer<ManualClock>| {
+        clock.advance(Duration::from_millis(400));
+        pacer.went_well();
+    };
+
+    writes(&mut pacer, &clock, 10, slow);
+    let slowed = pacer.rate();
+    writes(&mut pacer, &clock, 60, Pacer::went_well);
+
+    assert!(slowed < MOST / 4.0, "{slowed}");
+    assert_eq!(pacer.rate(), MOST);
+}
+
+#[test]
+fn the_return_of_a_store_brings_no_burst() {
+    let clock = ManualClock::new();
+    let mut pacer = Pacer::new(MOST, clock.clone());
+
+    pacer.went_down();
+    let first_second = writes(&mut pacer, &clock, 1, Pacer::went_well);
+
+    assert!(first_second <= 5, "{first_second} writes in the first second");
+}
--- a/crates/core/tests/ledger/tables.rs
+++ b/crates/core/tests/ledger/tables.rs
@@ -64,6 +64,7 @@
     let mut table = table(10, 100);
     table.start(&stamp("a", 1, 5));
     table.ask(&stamp("a", 1, 5), false, 7);
+    table.ask(&stamp("a", 1, 5), false, 7);
 
     let followers = table.end(&stamp("a", 1, 5), "answer", 6);
 
--- a/crates/daemon/src/beside/process/beside.rs
+++ b/crates/daemon/src/beside/process/beside.rs
@@ -233,7 +233,7 @@
     link: &Arc<AnyLink>,
 ) -> Option<BesideLedger<AnyLink>> {
     let store = HttpObjectStore::new(settings.platform?).with_timeout(LEDGER_STORE_TIMEOUT);
-    let cfg = HolderConfig::new();
+    let cfg = HolderConfig::new().with_retention(settings.key_retention);
     Some(LedgerHolders::over_link(me.incarnation, store, link.clone(), cfg))
 }
 
--- a/crates/daemon/src/beside/process/settings.rs
+++ b/crates/daemon/src/beside/process/settings.rs
@@ -1,6 +1,7 @@
 //! Settings of a daemon beside endpoints.
 
 use sorrellock_core::id::{EndpointId, Place, ServiceId};
+use sorrellock_core::process::ledger::HolderConfig;
 use sorrellock_wire::connection::LinkKind;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -45,6 +46,8 @@
     pub max_calls: usize,
     /// The most calls that wait for one plain service.
     pub call_queue: usize,
+    /// How long an `Idempotency-Key` is remembered; all daemons take the same.
+    pub key_retention: Duration,
     /// How long a leaving daemon stays at least, to refuse what was sent before all had heard of it.
     pub linger: Duration,
 }
@@ -79,6 +82,7 @@
             max_sessions: BesideSettings::MAX_SESSIONS,
             max_calls: BesideSettings::MAX_CALLS,
             call_queue: BesideSettings::CALL_QUEUE,
+            key_retention: HolderConfig::RETENTION,
             linger: BesideSettings::LINGER,
         }
     }
--- a/crates/daemon/src/cli/args.rs
+++ b/crates/daemon/src/cli/args.rs
@@ -3,6 +3,7 @@
 use crate::beside::process::{BesideSettings, ServiceEndpoint};
 use crate::entry::process::EntrySettings;
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+use sorrellock_core::process::ledger::HolderConfig;
 use sorrellock_wire::connection::LinkKind;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -110,7 +111,7 @@
         ))
 }
 
-fn common_args() -> [Arg; 7] {
+fn common_args() -> [Arg; 8] {
     let place = Arg::new("place").long("place").env("SORRELLOCK_PLACE").value_name("PLACE");
     let log = Arg::new("log-format").long("log-format").env("SORRELLOCK_LOG_FORMAT");
     [
@@ -123,6 +124,11 @@
             .default_value("human")
             .help("How log lines look"),
         millis("drain-ms", DRAIN, "How long a graceful shutdown waits for what runs"),
+        millis(
+            "key-retention-ms",
+            HolderConfig::RETENTION,
+            "How long an Idempotency-Key is remembered; all daemons take the same",
+        ),
     ]
 }
 
@@ -178,6 +184,7 @@
     set_ms(&mut settings.body_timeout, args, "body-timeout-ms");
     set(&mut settings.workers, args, "workers");
     set_ms(&mut settings.ready_grace, args, "ready-grace-ms");
+    set_ms(&mut settings.key_retention, args, "key-retention-ms");
     settings
 }
 
@@ -195,6 +202,7 @@
     set(&mut settings.max_calls, args, "max-calls");
     set(&mut settings.call_queue, args, "call-queue");
     set_ms(&mut settings.linger, args, "linger-ms");
+    set_ms(&mut settings.key_retention, args, "key-retention-ms");
     settings
 }
 
--- a/crates/daemon/src/entry/process/entry.rs
+++ b/crates/daemon/src/entry/process/entry.rs
@@ -253,7 +253,8 @@
 
 fn new_holders(me: Peer, settings: &EntrySettings, link: Arc<AnyLink>) -> EntryLedger<AnyLink> {
     let store = HttpObjectStore::new(settings.platform).with_timeout(LEDGER_STORE_TIMEOUT);
-    LedgerHolders::over_link(me.incarnation, store, link, HolderConfig::new())
+    let cfg = HolderConfig::new().with_retention(settings.key_retention);
+    LedgerHolders::over_link(me.incarnation, store, link, cfg)
 }
 
 /// Calls back for calls that wait for the ledger.
--- a/crates/daemon/src/entry/process/settings.rs
+++ b/crates/daemon/src/entry/process/settings.rs
@@ -1,6 +1,7 @@
 //! Settings of an entry.
 
 use sorrellock_core::id::Place;
+use sorrellock_core::process::ledger::HolderConfig;
 use sorrellock_wire::connection::LinkKind;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -36,6 +37,8 @@
     pub workers: usize,
     /// The most attempts of one request.
     pub max_attempts: u32,
+    /// How long an `Idempotency-Key` is remembered; all daemons take the same.
+    pub key_retention: Duration,
     /// How long a leaving entry still takes work after `/readyz` fails, until the balancer has seen it.
     pub ready_grace: Duration,
 }
@@ -80,6 +83,7 @@
             body_timeout: EntrySettings::BODY_TIMEOUT,
             workers: EntrySettings::WORKERS,
             max_attempts: EntrySettings::MAX_ATTEMPTS,
+            key_retention: HolderConfig::RETENTION,
             ready_grace: EntrySettings::READY_GRACE,
         }
     }
