Orders to engines in the daemons: leads, guards, role changes

Cause: nothing in the daemons used the planner, so a lost engine's layers stayed lost until a person acted, and engines that check no fencing number took orders of anyone. Change: a lead thread in every daemon (named by rendezvous hashing among the live members; election by a conditional write; a plan each 500 ms; orders over the links, their answers noted), a guard before each engine (one order at a time; who leads is read by a put that must clash, as a plain read may come from an old copy of the store), and the role change at the engine (no new requests, what runs ends or is handed over within 10 s, the number is judged again, the order, then the engine is asked what it holds until it holds it). An engine that holds nothing, or loads, serves no route. Found by the new tests: engines of a fleet that starts each ordered their own, as a daemon alone is named for all: 6 loads at a time with a bound of 2. Now a daemon that starts leads nothing for 3 s, a new lead orders nothing for 2 s, and the local fleet allows orders once it is up. A read from an old copy counts as a failed read and is repeated after 500 ms, not after 5 s; the fuzz's healed phase is now free of losses and old copies, as its comment said all along.

--- a/crates/core/src/process/orders/engine_slot.rs
+++ b/crates/core/src/process/orders/engine_slot.rs
@@ -3,6 +3,7 @@
 use crate::id::{EndpointId, Layer, ModelId, Place};
 use crate::request::LayerRange;
 use serde::{Deserialize, Serialize};
+use std::fmt;
 
 /// A model's layers in an engine.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
@@ -13,6 +14,12 @@
     pub layers: LayerRange,
 }
 
+impl fmt::Display for Holding {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "layers {} to {} of {}", self.layers.first, self.layers.end, self.model)
+    }
+}
+
 /// What an engine holds.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum SlotState {
--- a/crates/core/src/process/orders/lead_election.rs
+++ b/crates/core/src/process/orders/lead_election.rs
@@ -11,6 +11,12 @@
 
 /// How often a lead or a candidate reads the object again.
 pub const REREAD: Duration = Duration::from_secs(5);
+/// For how long a lead that can't reach the store gives orders. This is no matter of safety, which
+/// the fencing number sees to: who is cut off from the store likely sees losses that are none.
+pub const FRESH: Duration = Duration::from_secs(10);
+/// How long a new lead waits before its first order: what the one before it ordered shows in what
+/// the engines tell by then, and counts against the bound on loads.
+pub const SETTLE: Duration = Duration::from_secs(2);
 /// The wait after a failed call of the store.
 pub const RETRY: Duration = Duration::from_millis(500);
 
@@ -62,6 +68,9 @@
 struct Seen {
     record: Option<LeadRecord>,
     version: Revision,
+    at: Instant,
+    /// When this version was first seen.
+    since: Instant,
 }
 
 impl<C: Clock> LeadElection<C> {
@@ -90,21 +99,35 @@
     }
 
     /// The fencing number for orders, while this daemon is named and the object named it when it
-    /// was last read.
+    /// was last read, at most [`FRESH`] ago.
     pub fn fence(&self) -> Option<Fence> {
         let seen = self.seen.filter(|_| self.named)?;
+        if self.clock.now().duration_since(seen.at) > FRESH {
+            return None;
+        }
         let mine = seen.record.is_some_and(|record| record.lead == self.me);
         mine.then_some(seen.version)
     }
 
+    /// The same once this daemon has led for [`SETTLE`].
+    pub fn order_fence(&self) -> Option<Fence> {
+        let fence = self.fence()?;
+        let led = self.clock.now().duration_since(self.seen?.since);
+        (led >= SETTLE).then_some(fence)
+    }
+
     /// The object was read; version 0 means that there is none. An older version than one seen
-    /// before comes from an old copy of the store, and changes nothing.
+    /// before comes from an old copy of the store, and counts as a failed read.
     pub fn on_read(&mut self, record: Option<LeadRecord>, version: Revision) {
-        self.read_again = Some(self.clock.now() + REREAD);
-        if version >= self.newest {
-            self.newest = version;
-            self.seen = Some(Seen { record, version });
+        if version < self.newest {
+            return self.on_read_failed();
         }
+        let at = self.clock.now();
+        let before = self.seen.filter(|seen| seen.version == version);
+        let since = before.map_or(at, |seen| seen.since);
+        self.newest = version;
+        self.seen = Some(Seen { record, version, at, since });
+        self.read_again = Some(at + REREAD);
     }
 
     /// A read failed.
--- a/crates/core/src/process/orders/mod.rs
+++ b/crates/core/src/process/orders/mod.rs
@@ -9,6 +9,7 @@
 mod engine_slot;
 mod fence_guard;
 mod lead_election;
+mod order_book;
 mod planner;
 mod service_levels;
 
@@ -16,5 +17,6 @@
 pub use engine_slot::*;
 pub use fence_guard::*;
 pub use lead_election::*;
+pub use order_book::*;
 pub use planner::*;
 pub use service_levels::*;
--- a/crates/core/src/process/orders/planner.rs
+++ b/crates/core/src/process/orders/planner.rs
@@ -90,7 +90,7 @@
     /// The moves to order now. The caller gives each engine's state as of now, so that a move that
     /// was ordered and not yet begun shows as loading.
     pub fn plan(&mut self, engines: &[EngineSlot], demands: &[Demand]) -> Vec<Move> {
-        self.note_lost(engines);
+        self.observe(engines);
         let loading = engines.iter().filter(|engine| engine.is_loading()).count();
         let room = self.cfg.max_loads.saturating_sub(loading);
         let expected = self.lost.values().map(|(_, slot)| slot);
@@ -104,7 +104,9 @@
         self.lost.len()
     }
 
-    fn note_lost(&mut self, engines: &[EngineSlot]) {
+    /// Notes who is there and who is lost, and plans nothing. Whoever may become a lead does this
+    /// all along, so that it knows whom to expect back.
+    pub fn observe(&mut self, engines: &[EngineSlot]) {
         let now = self.clock.now();
         let seen: HashMap<_, _> =
             engines.iter().map(|engine| (engine.endpoint.clone(), engine.clone())).collect();
--- a/crates/core/tests/orders_fuzz.rs
+++ b/crates/core/tests/orders_fuzz.rs
@@ -4,7 +4,7 @@
 use sorrellock_core::clock::ManualClock;
 use sorrellock_core::id::{Fence, Revision};
 use sorrellock_core::process::orders::{
-    FenceGuard, LeadAction, LeadElection, LeadRecord, PutResult, REREAD,
+    FRESH, FenceGuard, LeadAction, LeadElection, LeadRecord, PutResult, REREAD, SETTLE,
 };
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -69,6 +69,8 @@
     daemons: Vec<Daemon>,
     guards: Vec<Guarded>,
     orders: VecDeque<(usize, Fence)>,
+    /// Whether calls of the store get lost, and reads come from old copies.
+    lossy: bool,
 }
 
 impl World {
@@ -85,6 +87,7 @@
             daemons: (0..DAEMONS).map(daemon).collect(),
             guards: (0..GUARDS).map(guarded).collect(),
             orders: VecDeque::new(),
+            lossy: true,
             clock,
         }
     }
@@ -122,7 +125,7 @@
     /// What a read finds: the object, or what it was once.
     fn read(&mut self) -> (Option<LeadRecord>, Revision) {
         let found = match self.random.below(6) {
-            0 if !self.store.old.is_empty() => {
+            0 if self.lossy && !self.store.old.is_empty() => {
                 self.store.old[self.random.below(self.store.old.len())]
             }
             _ => self.store.object,
@@ -132,7 +135,7 @@
 
     /// One step of a daemon between the store and its election; a daemon not chosen is paused.
     fn advance_daemon(&mut self, index: usize) {
-        let lost = self.random.below(5) == 0;
+        let lost = self.random.below(5) == 0 && self.lossy;
         let (found, version) = self.read();
         let daemon = &mut self.daemons[index];
         let record = LeadRecord { lead: index as u64 + 1 };
@@ -206,7 +209,7 @@
             daemon.election.on_named(index == 0);
         }
         self.random = Random(u64::MAX / 3);
-        self.store.old.clear();
+        self.lossy = false;
         for _ in 0..40 {
             self.clock.advance(REREAD / 4);
             (0..DAEMONS).for_each(|daemon| self.advance_daemon(daemon));
@@ -326,6 +329,26 @@
     assert_eq!((before, election.fence()), (Some(5), None));
 }
 
+#[test]
+fn a_lead_gives_orders_once_it_has_settled_and_while_it_reaches_the_store() {
+    let clock = ManualClock::new();
+    let mut election = LeadElection::new(clock.clone(), 1);
+    election.on_named(true);
+    election.on_read(None, 0);
+    election.on_put(PutResult::Written(3));
+
+    let at_once = election.order_fence();
+    clock.advance(SETTLE);
+    let settled = election.order_fence();
+    clock.advance(REREAD);
+    election.on_read(Some(LeadRecord { lead: 1 }), 3);
+    let confirmed = election.order_fence();
+    clock.advance(FRESH + Duration::from_millis(1));
+    let cut_off = election.order_fence();
+
+    assert_eq!((at_once, settled, confirmed, cut_off), (None, Some(3), Some(3), None));
+}
+
 struct Random(u64);
 
 impl Random {
--- a/crates/core/tests/orders_planner.rs
+++ b/crates/core/tests/orders_planner.rs
@@ -2,7 +2,8 @@
 
 use sorrellock_core::clock::ManualClock;
 use sorrellock_core::process::orders::{
-    Demand, EngineSlot, Holding, Move, Planner, PlannerConfig, ServiceLevels, SlotState,
+    Demand, EngineSlot, Holding, Move, ORDER_WAIT, OrderBook, Planner, PlannerConfig, REFUSED_WAIT,
+    ServiceLevels, SlotState,
 };
 use sorrellock_core::request::LayerRange;
 use std::time::Duration;
@@ -201,6 +202,56 @@
     }
 }
 
+fn order(number: usize) -> Move {
+    Move { endpoint: format!("engine-{number}"), to: holding(0) }
+}
+
+#[test]
+fn an_order_given_counts_as_loading_until_it_shows_or_takes_too_long() {
+    let clock = ManualClock::new();
+    let mut book = OrderBook::new(clock.clone());
+    let fresh = || vec![slot(0, "pasila"), slot(1, "pasila")];
+    book.on_given(&order(0));
+    book.on_given(&order(1));
+
+    let mut given = fresh();
+    book.apply(&mut given);
+    let mut shown = vec![serving(0, "pasila", 0), slot(1, "pasila")];
+    book.apply(&mut shown);
+    let mut forgotten = fresh();
+    book.apply(&mut forgotten);
+    clock.advance(ORDER_WAIT);
+    let mut late = fresh();
+    book.apply(&mut late);
+
+    let loading =
+        |slots: &[EngineSlot]| slots.iter().map(EngineSlot::is_loading).collect::<Vec<_>>();
+    assert_eq!(loading(&given), [true, true]);
+    assert_eq!(loading(&shown), [false, true]);
+    assert_eq!(loading(&forgotten), [false, true]);
+    assert_eq!(loading(&late), [false, false]);
+}
+
+#[test]
+fn an_engine_that_refuses_is_passed_over_for_longer_and_longer() {
+    let clock = ManualClock::new();
+    let mut book = OrderBook::new(clock.clone());
+    let mut capacities = Vec::new();
+
+    for _ in 0..2 {
+        book.on_given(&order(0));
+        book.on_refused(&"engine-0".into());
+        for _ in 0..2 {
+            let mut engines = vec![slot(0, "pasila")];
+            book.apply(&mut engines);
+            capacities.push(engines[0].capacity);
+            clock.advance(REFUSED_WAIT);
+        }
+    }
+
+    assert_eq!(capacities, [0, 8, 0, 0]);
+}
+
 struct Random(u64);
 
 impl Random {
--- a/crates/daemon/src/beside/process/beside.rs
+++ b/crates/daemon/src/beside/process/beside.rs
@@ -3,8 +3,9 @@
 use crate::beside::process::beside_handler::BesideLedger;
 use crate::beside::process::engine_runner::EngineBounds;
 use crate::beside::process::{
-    BesideHandler, BesideSettings, EngineRunner, Outbox, ServiceRunner, Starts,
+    BesideHandler, BesideSettings, EngineRunner, OrderDesk, Outbox, ServiceRunner, Starts,
 };
+use crate::process::leads::{LeadCx, LeadDesk};
 use crate::process::ledger::{LEDGER_STORE_TIMEOUT, LedgerHolders};
 use crate::process::{
     ConfigAgent, Count, Counters, Dump, FleetAgent, Journal, check_place, counters_json,
@@ -69,10 +70,23 @@
         let (config, config_inputs) =
             ConfigAgent::new(spread, agent.clone(), counters.clone(), journal.clone());
         let kept = KeptBudget::new(settings.daemon_replay_budget, settings.replay_budget);
+        let engines = start_engines(&settings, &kept, &outbox)?;
+        let store = settings.platform.map(HttpObjectStore::new);
+        let orders = OrderDesk::start(&engines, store.clone(), outbox.clone(), journal.clone());
+        let leads_cx = LeadCx {
+            link: link.clone(),
+            fleet: agent.clone(),
+            config: config.clone(),
+            counters: counters.clone(),
+            journal: journal.clone(),
+            planner: settings.planner,
+        };
         let handler = Arc::new(BesideHandler {
             me,
-            engines: start_engines(&settings, &kept, &outbox)?,
+            engines,
             kept,
+            orders,
+            leads: store.clone().map(|store| LeadDesk::start(store, leads_cx)),
             services: start_services(&settings, &starts),
             starts,
             ledger: new_ledger(me, &settings, &link),
@@ -84,7 +98,6 @@
         link.serve(closed, handler.clone());
         let own = handler.clone();
         agent.serve(inputs, link.clone(), move || own.endpoints());
-        let store = settings.platform.map(HttpObjectStore::new);
         config.serve(config_inputs, link.clone(), store);
         if let Some(platform) = settings.platform {
             read_list(agent, HttpInstanceList::new(platform), false);
@@ -160,6 +173,7 @@
     /// Ends at once, as a killed process does: links close, work is lost.
     pub fn stop(&self) {
         self.handler.config.stop();
+        self.handler.leads.iter().for_each(|leads| leads.stop());
         self.link.close();
         self.handler.engines.values().for_each(|engine| engine.end());
     }
--- a/crates/daemon/src/beside/process/beside_handler.rs
+++ b/crates/daemon/src/beside/process/beside_handler.rs
@@ -1,6 +1,7 @@
 //! Hands messages from other processes to the endpoint that they are for.
 
-use crate::beside::process::{EngineRunner, Outbox, ServiceRunner, Starts};
+use crate::beside::process::{EngineRunner, OrderDesk, Outbox, ServiceRunner, Starts};
+use crate::process::leads::LeadDesk;
 use crate::process::ledger::{LedgerHolders, LinkSink};
 use crate::process::{ConfigAgent, Count, FleetAgent};
 use sorrellock_core::id::{EndpointId, Incarnation};
@@ -11,7 +12,8 @@
 use sorrellock_platform::client::HttpObjectStore;
 use sorrellock_wire::connection::{Link, LinkHandler};
 use sorrellock_wire::message::{
-    CallEnd, CallMessage, CallRequest, LedgerMessage, Message, Open, PipelineMessage, StageTrouble,
+    CallEnd, CallMessage, CallRequest, LedgerMessage, Message, Open, OrderMessage, PipelineMessage,
+    StageTrouble,
 };
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -36,6 +38,8 @@
     pub(super) leaving: AtomicBool,
     pub(super) agent: Arc<FleetAgent>,
     pub(super) config: Arc<ConfigAgent>,
+    pub(super) orders: OrderDesk<L>,
+    pub(super) leads: Option<Arc<LeadDesk>>,
 }
 
 impl<L: Link, E: Engine> BesideHandler<L, E> {
@@ -192,6 +196,12 @@
             Message::Fleet(message) => self.agent.on_message(from, message),
             Message::Config(message) => self.config.on_message(from, message),
             Message::Grant(_) => self.outbox.counters().count(Count::Misdirected),
+            Message::Order(OrderMessage::Order(order)) => {
+                self.orders.on_order(from, order, self.is_leaving());
+            }
+            Message::Order(OrderMessage::Answer(answer)) => {
+                self.leads.iter().for_each(|leads| leads.on_answer(from, answer.clone()));
+            }
         }
     }
 
--- a/crates/daemon/src/beside/process/engine_batches.rs
+++ b/crates/daemon/src/beside/process/engine_batches.rs
@@ -62,7 +62,7 @@
         let leaving = runner.leaving.load(Ordering::Acquire);
         runner.change(|state, out| {
             state.table.expire(Instant::now(), out);
-            if leaving {
+            if leaving || state.loads.is_some() {
                 state.table.on_leaving(out);
             }
         });
--- a/crates/daemon/src/beside/process/engine_runner.rs
+++ b/crates/daemon/src/beside/process/engine_runner.rs
@@ -3,14 +3,16 @@
 use crate::beside::process::Outbox;
 use crate::beside::process::engine_batches::{InHand, run_batches, watch_batches};
 use crate::beside::process::engine_calls::{EngineCall, run_calls};
+use crate::beside::process::role_change::is_held;
 use crate::beside::request::WaitingRequests;
 use crate::process::Count;
 use crossbeam::channel::{Sender, bounded};
-use sorrellock_core::id::Layer;
+use sorrellock_core::id::{Layer, ModelId};
+use sorrellock_core::process::orders::Holding;
 use sorrellock_core::process::{EndpointFact, EngineOffer, Role};
 use sorrellock_core::request::{
-    KeptBudget, Open, PipelineMessage, Refusal, RequestKey, StageCount, StageOutput, StageTable,
-    StepTimes,
+    KeptBudget, LayerRange, Open, PipelineMessage, Refusal, RequestKey, StageCount, StageOutput,
+    StageTable, StepTimes,
 };
 use sorrellock_platform::api::{Engine, EngineInfo};
 use sorrellock_wire::connection::Link;
@@ -54,6 +56,10 @@
     pub(super) waiting: WaitingRequests,
     pub(super) in_hand: Option<InHand>,
     pub(super) times: StepTimes,
+    /// What the engine holds, as it said last.
+    held: EngineInfo,
+    /// What it is to hold next; it takes no new requests meanwhile.
+    pub(super) loads: Option<Holding>,
 }
 
 impl State {
@@ -77,6 +83,8 @@
             waiting: WaitingRequests::default(),
             in_hand: None,
             times: StepTimes::default(),
+            held: info.clone(),
+            loads: None,
         };
         let runner = Arc::new(EngineRunner {
             engine: Arc::new(engine),
@@ -98,21 +106,40 @@
 
     /// What the daemon tells of this engine.
     pub fn fact(&self) -> EndpointFact {
+        let state = self.state();
+        // An engine that is to hold other layers serves none for who looks for a route.
+        let (model, layers) = match &state.loads {
+            Some(_) => (ModelId::new(), LayerRange::new(0, 0)),
+            None => (state.held.model.clone(), state.held.layers),
+        };
         EndpointFact {
             id: self.info.endpoint.clone(),
-            role: Role::Engine { model: self.info.model.clone(), layers: self.info.layers },
-            load: self.open_requests() as u32,
+            role: Role::Engine { model, layers },
+            load: state.table.len() as u32,
             slots: self.info.max_batch * BATCHES_IN_HAND,
-            engine: Some(self.offer()),
+            engine: Some(offer(&state)),
         }
     }
 
-    fn offer(&self) -> EngineOffer {
-        let capacity = match self.info.capacity {
-            0 => self.info.layers.count() as Layer,
-            capacity => capacity,
-        };
-        EngineOffer { capacity, speed: self.info.speed.max(1), loads: None }
+    /// Whether the engine holds these layers, and no others next.
+    pub(super) fn holds_layers(&self, holding: &Holding) -> bool {
+        let state = self.state();
+        state.loads.is_none() && is_held(&state.held, holding)
+    }
+
+    /// Takes no new requests, and offers what is open to other engines.
+    pub(super) fn begin_change(&self, to: Holding) {
+        self.state().loads = Some(to);
+    }
+
+    /// Takes requests again for what the engine says that it holds; for nothing if it says nothing.
+    pub(super) fn end_change(&self, held: Option<EngineInfo>) {
+        let mut state = self.state();
+        state.loads = None;
+        match held {
+            Some(held) => state.held = held,
+            None => state.held.layers = LayerRange::new(0, 0),
+        }
     }
 
     /// Whether the engine hangs; others are not told of it meanwhile.
@@ -140,7 +167,7 @@
     /// Opens a request, or moves it to a higher attempt.
     pub fn open(&self, open: Open, leaving: bool) {
         self.change(|state, out| {
-            let refusal = self.refusal(state, leaving);
+            let refusal = self.refusal(state, &open, leaving);
             state.table.on_open(open, refusal, Instant::now(), out);
         });
     }
@@ -232,8 +259,12 @@
         }
     }
 
-    fn refusal(&self, state: &State, leaving: bool) -> Option<Refusal> {
-        if leaving {
+    fn refusal(&self, state: &State, open: &Open, leaving: bool) -> Option<Refusal> {
+        let hop = open.route.hops.get(usize::from(open.stage));
+        let held = state.held.layers;
+        let holds =
+            hop.is_some_and(|hop| hop.layers.first >= held.first && hop.layers.end <= held.end);
+        if leaving || state.loads.is_some() || !holds {
             return Some(Refusal::Leaving);
         }
         let full = state.table.len() >= self.max_sessions;
@@ -241,6 +272,14 @@
     }
 }
 
+fn offer(state: &State) -> EngineOffer {
+    let capacity = match state.held.capacity {
+        0 => state.held.layers.count() as Layer,
+        capacity => capacity,
+    };
+    EngineOffer { capacity, speed: state.held.speed.max(1), loads: state.loads.clone() }
+}
+
 fn counted(count: StageCount) -> Count {
     match count {
         StageCount::Repeated => Count::StepsRepeated,
--- a/crates/daemon/src/beside/process/mod.rs
+++ b/crates/daemon/src/beside/process/mod.rs
@@ -5,7 +5,10 @@
 mod engine_batches;
 mod engine_calls;
 mod engine_runner;
+mod fence_table;
+mod order_desk;
 mod outbox;
+mod role_change;
 mod service_runner;
 mod settings;
 mod starts;
@@ -15,6 +18,7 @@
 
 use beside_handler::BesideHandler;
 use engine_runner::EngineRunner;
+use order_desk::OrderDesk;
 use outbox::Outbox;
 use service_runner::ServiceRunner;
 use starts::Starts;
--- a/crates/daemon/src/beside/process/settings.rs
+++ b/crates/daemon/src/beside/process/settings.rs
@@ -2,6 +2,7 @@
 
 use sorrellock_core::id::{EndpointId, Place, ServiceId};
 use sorrellock_core::process::ledger::HolderConfig;
+use sorrellock_core::process::orders::PlannerConfig;
 use sorrellock_wire::connection::LinkKind;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -50,6 +51,8 @@
     pub key_retention: Duration,
     /// How long a leaving daemon stays at least, to refuse what was sent before all had heard of it.
     pub linger: Duration,
+    /// How orders to engines are planned where this daemon leads.
+    pub planner: PlannerConfig,
 }
 
 impl BesideSettings {
@@ -84,6 +87,7 @@
             call_queue: BesideSettings::CALL_QUEUE,
             key_retention: HolderConfig::RETENTION,
             linger: BesideSettings::LINGER,
+            planner: PlannerConfig::new(),
         }
     }
 
@@ -122,4 +126,10 @@
         self.link_kind = kind;
         self
     }
+
+    /// Plans orders to engines so.
+    pub fn with_planner(mut self, planner: PlannerConfig) -> BesideSettings {
+        self.planner = planner;
+        self
+    }
 }
--- a/crates/daemon/src/entry/process/entry.rs
+++ b/crates/daemon/src/entry/process/entry.rs
@@ -6,6 +6,7 @@
     LimitDesk, Pipelines, Timer,
 };
 use crate::entry::request::{RunTable, listener_refusal};
+use crate::process::leads::{LeadCx, LeadDesk};
 use crate::process::ledger::{LEDGER_STORE_TIMEOUT, LedgerHolders};
 use crate::process::{
     ConfigAgent, Count, Counters, Dump, FleetAgent, Journal, check_place, counters_json,
@@ -61,6 +62,14 @@
             journal.clone(),
         );
         let (in_progress, finished) = InProgress::new(me.incarnation, settings.max_in_progress);
+        let leads_cx = LeadCx {
+            link: link.clone(),
+            fleet: agent.clone(),
+            config: config.clone(),
+            counters: counters.clone(),
+            journal: journal.clone(),
+            planner: settings.planner,
+        };
         let state = Arc::new(EntryState {
             me,
             place: settings.place.clone(),
@@ -69,6 +78,7 @@
             in_progress: Arc::new(in_progress),
             gate: OnceLock::new(),
             agent: agent.clone(),
+            leads: LeadDesk::start(store.clone(), leads_cx),
             holders: Arc::new(new_holders(me, &settings, link.clone())),
             link: link.clone(),
             counters: counters.clone(),
@@ -168,6 +178,7 @@
     pub fn stop(&self) {
         self.server.abort();
         self.state.config.stop();
+        self.state.leads.stop();
         self.state.link.close();
     }
 }
@@ -179,6 +190,7 @@
     config: Arc<ConfigAgent>,
     fleet: Arc<FleetCell>,
     agent: Arc<FleetAgent>,
+    leads: Arc<LeadDesk>,
     in_progress: Arc<InProgress>,
     gate: OnceLock<Arc<Gate<AnyLink>>>,
     holders: Arc<EntryLedger<AnyLink>>,
@@ -293,6 +305,7 @@
         config: state.config.clone(),
         counters: state.counters.clone(),
         journal: state.journal.clone(),
+        leads: state.leads.clone(),
     }
 }
 
--- a/crates/daemon/src/entry/process/entry_handler.rs
+++ b/crates/daemon/src/entry/process/entry_handler.rs
@@ -1,6 +1,7 @@
 //! Hands messages from other processes to the requests that they are for.
 
 use crate::entry::process::{Calls, FleetCell, Gate, LimitDesk, Pipelines};
+use crate::process::leads::LeadDesk;
 use crate::process::ledger::{LedgerHolders, LinkSink};
 use crate::process::{ConfigAgent, Count, Counters, FleetAgent, Journal};
 use sorrellock_core::id::Incarnation;
@@ -8,7 +9,7 @@
 use sorrellock_platform::client::HttpObjectStore;
 use sorrellock_wire::connection::{Link, LinkHandler};
 use sorrellock_wire::message::{
-    CallMessage, GrantMessage, LedgerMessage, Message, PipelineMessage,
+    CallMessage, GrantMessage, LedgerMessage, Message, OrderMessage, PipelineMessage,
 };
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -29,6 +30,7 @@
     pub(super) config: Arc<ConfigAgent>,
     pub(super) counters: Arc<Counters>,
     pub(super) journal: Arc<Journal>,
+    pub(super) leads: Arc<LeadDesk>,
 }
 
 impl<L: Link> EntryHandler<L> {
@@ -78,6 +80,8 @@
             Message::Grant(GrantMessage::Grant(grant)) => {
                 self.gate.on_grant(from.incarnation, &grant);
             }
+            Message::Order(OrderMessage::Answer(answer)) => self.leads.on_answer(from, answer),
+            Message::Order(_) => self.counters.count(Count::Misdirected),
         }
     }
 
--- a/crates/daemon/src/entry/process/settings.rs
+++ b/crates/daemon/src/entry/process/settings.rs
@@ -2,6 +2,7 @@
 
 use sorrellock_core::id::Place;
 use sorrellock_core::process::ledger::HolderConfig;
+use sorrellock_core::process::orders::PlannerConfig;
 use sorrellock_wire::connection::LinkKind;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -41,6 +42,8 @@
     pub key_retention: Duration,
     /// How long a leaving entry still takes work after `/readyz` fails, until the balancer has seen it.
     pub ready_grace: Duration,
+    /// How orders to engines are planned where this daemon leads.
+    pub planner: PlannerConfig,
 }
 
 impl EntrySettings {
@@ -85,6 +88,7 @@
             max_attempts: EntrySettings::MAX_ATTEMPTS,
             key_retention: HolderConfig::RETENTION,
             ready_grace: EntrySettings::READY_GRACE,
+            planner: PlannerConfig::new(),
         }
     }
 
@@ -105,4 +109,10 @@
         self.link_kind = kind;
         self
     }
+
+    /// Plans orders to engines so.
+    pub fn with_planner(mut self, planner: PlannerConfig) -> EntrySettings {
+        self.planner = planner;
+        self
+    }
 }
--- a/crates/daemon/src/process/counters.rs
+++ b/crates/daemon/src/process/counters.rs
@@ -112,6 +112,14 @@
     ConfigOldCopies => "config_old_copies",
     /// Messages of membership taken.
     FleetMessages => "fleet_messages",
+    /// Times that this daemon became the lead of a model.
+    LeadsTaken => "leads_taken",
+    /// Orders to engines given.
+    OrdersGiven => "orders_given",
+    /// Orders to engines taken.
+    OrdersTaken => "orders_taken",
+    /// Orders to engines refused.
+    OrdersRefused => "orders_refused",
     /// Changes of the fleet noticed.
     FleetChanges => "fleet_changes",
     /// Messages of membership dropped, as too many waited.
--- a/crates/daemon/src/process/mod.rs
+++ b/crates/daemon/src/process/mod.rs
@@ -7,6 +7,7 @@
 mod fleet_list;
 mod incarnation;
 mod journal;
+pub mod leads;
 pub mod ledger;
 mod log;
 mod metrics;
--- a/crates/local/src/local_config.rs
+++ b/crates/local/src/local_config.rs
@@ -1,6 +1,7 @@
 //! What a local fleet is made of.
 
 use sorrellock_core::id::Layer;
+use sorrellock_core::process::orders::PlannerConfig;
 use sorrellock_daemon::LinkKind;
 use sorrellock_daemon::beside::process::BesideSettings;
 use std::time::Duration;
@@ -30,6 +31,12 @@
     pub activation_bytes: usize,
     /// Bytes of output kept for replay, for each request at each stage.
     pub replay_budget: usize,
+    /// How orders to engines are planned; none: engines get no orders.
+    pub planner: Option<PlannerConfig>,
+    /// Engines that hold nothing at first.
+    pub spares: usize,
+    /// Time from an order to an engine until it holds what was ordered.
+    pub load_time: Duration,
 }
 
 impl LocalConfig {
@@ -47,6 +54,9 @@
             max_batch: 64,
             activation_bytes: 256,
             replay_budget: BesideSettings::REPLAY_BUDGET,
+            planner: None,
+            spares: 0,
+            load_time: Duration::ZERO,
         }
     }
 
@@ -63,6 +73,19 @@
         self
     }
 
+    /// Gives engines orders, and starts `spares` more that hold nothing.
+    pub fn with_orders(mut self, planner: PlannerConfig, spares: usize) -> LocalConfig {
+        self.planner = Some(planner);
+        self.spares = spares;
+        self
+    }
+
+    /// Makes engines take this long to load what was ordered.
+    pub fn with_load_time(mut self, load_time: Duration) -> LocalConfig {
+        self.load_time = load_time;
+        self
+    }
+
     /// Starts `entries` entries.
     pub fn with_entries(mut self, entries: usize) -> LocalConfig {
         self.entries = entries;
--- a/crates/local/src/local_fleet.rs
+++ b/crates/local/src/local_fleet.rs
@@ -39,7 +39,7 @@
 
 /// An engine with the daemon beside it.
 pub struct LocalEngine {
-    /// The stage whose layers it holds.
+    /// The stage whose layers it held at first; the largest number for a spare one.
     pub stage: StageIndex,
     /// The stand-in.
     pub engine: FakeEngine,
@@ -83,6 +83,7 @@
         let fleet = LocalFleet { cfg, platform, engines, services, entries, replaced: 0 };
         fleet.publish_instances();
         fleet.wait_until_known()?;
+        fleet.allow_orders();
         Ok(fleet)
     }
 
@@ -152,6 +153,14 @@
         self.platform.set_instances(all.map(instance).collect());
     }
 
+    /// Lets engines get orders, if they are to: as an operator does once a fleet is up.
+    fn allow_orders(&self) {
+        if self.cfg.planner.is_some() {
+            let pipeline = Pipeline::new(MODEL, MODEL, self.cfg.layers);
+            write_pipelines(&self.platform, vec![pipeline.with_stages(self.cfg.stages as u16)]);
+        }
+    }
+
     pub(crate) fn wait_until_known(&self) -> Result<()> {
         let end = Instant::now() + START;
         let daemons = self.engines.len() + self.services.len();
@@ -193,6 +202,10 @@
             engines.push(start_engine(cfg, platform, stage, &replica.to_string())?);
         }
     }
+    for number in 0..cfg.spares {
+        let engine = engine_config(cfg, "", LayerRange::new(0, 0), &format!("spare-{number}"));
+        engines.push(start_beside_engine(cfg, platform, StageIndex::MAX, engine)?);
+    }
     Ok(engines)
 }
 
@@ -202,20 +215,38 @@
     stage: usize,
     replica: &str,
 ) -> Result<LocalEngine> {
-    let engine = EngineConfig::new(next_addr(), MODEL, stage_layers(cfg, stage))
-        .with_endpoint(format!("{MODEL}-{stage}-{replica}"))
+    let layers = stage_layers(cfg, stage);
+    let engine = engine_config(cfg, MODEL, layers, &format!("{MODEL}-{stage}-{replica}"));
+    start_beside_engine(cfg, platform, stage as StageIndex, engine)
+}
+
+fn engine_config(cfg: &LocalConfig, model: &str, layers: LayerRange, name: &str) -> EngineConfig {
+    let capacity = cfg.layers.div_ceil(cfg.stages.max(1) as Layer);
+    EngineConfig::new(next_addr(), model, layers)
+        .with_endpoint(name)
         .with_max_batch(cfg.max_batch)
         .with_activation_bytes(cfg.activation_bytes as u32)
-        .with_times(cfg.batch_time, cfg.token_time);
+        .with_times(cfg.batch_time, cfg.token_time)
+        .with_loading(capacity, cfg.load_time)
+        .with_fences_ignored()
+}
+
+fn start_beside_engine(
+    cfg: &LocalConfig,
+    platform: &FakePlatform,
+    stage: StageIndex,
+    engine: EngineConfig,
+) -> Result<LocalEngine> {
     let engine = FakeEngine::start(engine).wrap_err("start of an engine")?;
     let settings = BesideSettings::new(PLACE, next_addr())
         .with_link_kind(cfg.link_kind)
         .with_platform(platform.addr())
         .with_linger(LINGER)
+        .with_planner(cfg.planner.unwrap_or_default())
         .with_engine(engine.addr())
         .with_replay_budget(cfg.replay_budget);
     let beside = Beside::start(settings)?;
-    Ok(LocalEngine { stage: stage as StageIndex, engine, beside })
+    Ok(LocalEngine { stage, engine, beside })
 }
 
 /// The layers of a stage: as even as they go.
@@ -241,6 +272,7 @@
         .with_link_kind(cfg.link_kind)
         .with_platform(platform.addr())
         .with_linger(LINGER)
+        .with_planner(cfg.planner.unwrap_or_default())
         .with_service(endpoint);
     Ok(LocalService { service, beside: Beside::start(settings)? })
 }
@@ -252,6 +284,7 @@
 pub(crate) fn start_entry(cfg: &LocalConfig, platform: &FakePlatform) -> Result<Entry> {
     let settings = EntrySettings::new(PLACE, next_addr(), next_addr(), platform.addr())
         .with_link_kind(cfg.link_kind);
+    let settings = settings.with_planner(cfg.planner.unwrap_or_default());
     Entry::start(settings.with_ready_grace(READY_GRACE).with_operators(next_addr()))
 }
 
--- a/crates/wire/src/message/mod.rs
+++ b/crates/wire/src/message/mod.rs
@@ -5,6 +5,7 @@
 mod fleet;
 mod grant;
 mod ledger;
+mod orders;
 mod pipeline;
 
 pub use call::*;
@@ -12,6 +13,7 @@
 pub use fleet::*;
 pub use grant::*;
 pub use ledger::*;
+pub use orders::*;
 pub use pipeline::*;
 
 use serde::{Deserialize, Serialize};
@@ -49,4 +51,6 @@
     Config(ConfigMessage),
     /// Limits over the whole fleet.
     Grant(GrantMessage),
+    /// Orders to engines.
+    Order(OrderMessage),
 }
