What a batch sends to one peer goes in one envelope

Since senders write to the connection themselves, each message was an envelope and a system call of its own; the messages of one change of state now go together to each peer, in order (Link::send_each).

--- a/crates/daemon/src/beside/process/engine_runner.rs
+++ b/crates/daemon/src/beside/process/engine_runner.rs
@@ -226,9 +226,7 @@
         let mut state = self.state();
         let result = change(&mut state, &mut out);
         out.counts.iter().for_each(|count| self.outbox.counters().count(counted(*count)));
-        for outgoing in out.messages {
-            self.outbox.pipeline(outgoing.to, outgoing.message);
-        }
+        self.outbox.pipeline_each(out.messages);
         let ready = !out.ready.is_empty();
         out.ready.iter().for_each(|(priority, request)| state.waiting.push(*priority, *request));
         drop(state);
--- a/crates/daemon/src/beside/process/outbox.rs
+++ b/crates/daemon/src/beside/process/outbox.rs
@@ -1,7 +1,7 @@
 //! Sending from a daemon: a refused send is counted, as whoever waits will ask again.
 
 use crate::process::{Count, Counters};
-use sorrellock_core::request::Peer;
+use sorrellock_core::request::{Outgoing, Peer};
 use sorrellock_wire::connection::Link;
 use sorrellock_wire::message::{CallMessage, Message, PipelineMessage};
 use std::sync::Arc;
@@ -34,6 +34,13 @@
         self.send(to, Message::Pipeline(message));
     }
 
+    /// Sends messages of pipeline requests, those to each peer together.
+    pub fn pipeline_each(&self, messages: Vec<Outgoing>) {
+        let each = messages.into_iter().map(|out| (out.to, Message::Pipeline(out.message)));
+        let refused = self.link.send_each(each);
+        self.counters.add(Count::SendsRefused, refused as u64);
+    }
+
     /// Sends a message of a call.
     pub fn call(&self, to: Peer, message: CallMessage) {
         self.send(to, Message::Call(message));
--- a/crates/daemon/src/entry/process/pipelines.rs
+++ b/crates/daemon/src/entry/process/pipelines.rs
@@ -243,10 +243,8 @@
     }
 
     pub(super) fn send_all(&self, messages: impl IntoIterator<Item = Outgoing>) {
-        for Outgoing { to, message } in messages {
-            if self.link.send(to, Message::Pipeline(message)).is_err() {
-                self.counters.count(Count::SendsRefused);
-            }
-        }
+        let each = messages.into_iter().map(|out| (out.to, Message::Pipeline(out.message)));
+        let refused = self.link.send_each(each);
+        self.counters.add(Count::SendsRefused, refused as u64);
     }
 }
--- a/crates/wire/src/connection/link.rs
+++ b/crates/wire/src/connection/link.rs
@@ -58,6 +58,26 @@
     /// Sends several messages to one peer together, or queues them: all or none.
     fn send_all(&self, to: Peer, messages: Vec<Message>) -> Result<(), LinkError>;
 
+    /// Sends messages to several peers, those of each together and in order; gives how many were
+    /// refused.
+    fn send_each(&self, messages: impl IntoIterator<Item = (Peer, Message)>) -> usize
+    where
+        Self: Sized,
+    {
+        let mut by_peer: Vec<(Peer, Vec<Message>)> = Vec::new();
+        for (to, message) in messages {
+            match by_peer.iter_mut().find(|(peer, _)| *peer == to) {
+                Some((_, gathered)) => gathered.push(message),
+                None => by_peer.push((to, vec![message])),
+            }
+        }
+        let send = |(to, messages): (Peer, Vec<Message>)| {
+            let count = messages.len();
+            self.send_all(to, messages).map_or(count, |()| 0)
+        };
+        by_peer.into_iter().map(send).sum()
+    }
+
     /// Measured transits to the peers, one way; empty if this kind of link measures none.
     fn transits(&self) -> Vec<(SocketAddr, Duration)> {
         Vec::new()
