Routes: the cheapest over all stages, links and chance among near equals included

Search by layers that keeps one chain for each layer and next place, so that links count, degraded ones as their senders tell (facts) with their factor, and engines may have different cuts. The load of an engine is the last report corrected by the entry's own requests since; with one entry its own alone.

--- a/crates/bench/benches/path.rs
+++ b/crates/bench/benches/path.rs
@@ -15,6 +15,8 @@
 
 /// Stages of the pipeline.
 const STAGES: usize = 3;
+/// Limit of each workspace, out of reach.
+const REQUESTS_LIMIT: f64 = 1e6;
 /// Engines that hold the same layers.
 const REPLICAS: usize = 2;
 /// Requests whose latency is measured, and those before them that warm up.
@@ -48,6 +50,7 @@
 fn measure_latency() -> Result<()> {
     let cfg = LocalConfig::new()
         .with_pipeline(STAGES, REPLICAS)
+        .with_requests_per_s(REQUESTS_LIMIT)
         .with_times(Duration::ZERO, Duration::ZERO);
     let fleet = LocalFleet::start(cfg)?;
     let naive = naive_latency(&fleet)?;
@@ -119,6 +122,7 @@
 fn measure_throughput() -> Result<()> {
     let cfg = LocalConfig::new()
         .with_pipeline(STAGES, REPLICAS)
+        .with_requests_per_s(REQUESTS_LIMIT)
         .with_max_batch(MAX_BATCH as u32)
         .with_times(BATCH_TIME, TOKEN_TIME);
     let fleet = LocalFleet::start(cfg)?;
--- a/crates/core/src/request/mod.rs
+++ b/crates/core/src/request/mod.rs
@@ -5,7 +5,7 @@
 mod pipeline_message;
 mod request_key;
 mod route;
-mod route_choice;
+mod routing;
 mod stage;
 mod step;
 
@@ -14,6 +14,6 @@
 pub use pipeline_message::*;
 pub use request_key::*;
 pub use route::*;
-pub use route_choice::*;
+pub use routing::*;
 pub use stage::*;
 pub use step::*;
--- a/crates/daemon/src/entry/process/fleet_routes.rs
+++ b/crates/daemon/src/entry/process/fleet_routes.rs
@@ -33,11 +33,13 @@
     fn replacement(&self, hop: &Hop, without: &[Hop]) -> Option<Hop> {
         let candidates = self.candidates(without);
         let same_layers = candidates.iter().filter(|candidate| candidate.layers == hop.layers);
-        let best = same_layers.min_by_key(|candidate| candidate.load)?;
+        let best = same_layers.min_by(|a, b| a.cost_us().total_cmp(&b.cost_us()))?;
         Some(Hop { daemon: best.daemon, endpoint: best.endpoint.clone(), layers: best.layers })
     }
 
     fn route(&self, without: &[Hop]) -> Option<Route> {
-        choose_route(&self.candidates(without), self.pipeline.layers)
+        let links = self.view.links();
+        let layers = self.pipeline.layers;
+        choose_route(&self.candidates(without), layers, self.view.place(), links, &mut rand::rng())
     }
 }
--- a/crates/daemon/src/entry/version/fleet_view.rs
+++ b/crates/daemon/src/entry/version/fleet_view.rs
@@ -1,9 +1,9 @@
 //! The fleet as this entry knows it: which endpoints take work, and what it has in flight there.
 
-use sorrellock_core::id::{EndpointId, ModelId};
+use sorrellock_core::id::{EndpointId, ModelId, Place};
 use sorrellock_core::process::membership::{MembershipView, Standing};
 use sorrellock_core::process::{DaemonRole, EndpointFact, InstanceFact, Role};
-use sorrellock_core::request::{Candidate, Peer};
+use sorrellock_core::request::{Candidate, LinkCosts, Peer, expected_load};
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -18,6 +18,31 @@
     pub fact: EndpointFact,
     /// What this entry has in flight there; fresher than any report.
     pub in_flight: Arc<AtomicU32>,
+    /// What it was when the daemon last told another load.
+    pub own_at_report: u32,
+    /// The place of its daemon.
+    pub place: Place,
+}
+
+impl KnownEndpoint {
+    fn new(instance: &InstanceFact, fact: &EndpointFact, old: Option<&KnownEndpoint>) -> Self {
+        let in_flight = old.map(|old| old.in_flight.clone()).unwrap_or_default();
+        let own_at_report = match old {
+            Some(old) if old.fact.load == fact.load => old.own_at_report,
+            _ => in_flight.load(Ordering::Relaxed),
+        };
+        let (daemon, place) = (instance.peer, instance.place.clone());
+        KnownEndpoint { daemon, fact: fact.clone(), in_flight, own_at_report, place }
+    }
+
+    /// Work in progress there. Reports lag: they count only for what other entries may have sent.
+    fn load(&self, other_entries: usize) -> u32 {
+        let own = self.in_flight.load(Ordering::Relaxed);
+        if other_entries == 0 {
+            return own;
+        }
+        expected_load(self.fact.load, own, self.own_at_report)
+    }
 }
 
 /// Counts as in flight at an endpoint until dropped.
@@ -44,6 +69,8 @@
     instances: Vec<InstanceFact>,
     endpoints: Vec<KnownEndpoint>,
     other_entries: usize,
+    place: Place,
+    links: LinkCosts,
 }
 
 impl FleetView {
@@ -68,12 +95,10 @@
             facts.iter().flat_map(|f| f.endpoints.iter().map(|e| e.role.clone())).collect()
         };
         let served = roles(&preferred);
-        let counters: HashMap<_, _> =
-            old.endpoints.iter().map(|known| (&known.fact.id, &known.in_flight)).collect();
-        let known = |instance: &InstanceFact, fact: &EndpointFact| KnownEndpoint {
-            daemon: instance.peer,
-            fact: fact.clone(),
-            in_flight: counters.get(&fact.id).map(|counter| (*counter).clone()).unwrap_or_default(),
+        let before: HashMap<_, _> =
+            old.endpoints.iter().map(|known| (&known.fact.id, known)).collect();
+        let known = |instance: &InstanceFact, fact: &EndpointFact| {
+            KnownEndpoint::new(instance, fact, before.get(&fact.id).copied())
         };
         let all = |instances: &[&InstanceFact], but: &HashSet<Role>| -> Vec<KnownEndpoint> {
             let pairs = instances.iter().flat_map(|i| i.endpoints.iter().map(move |e| (i, e)));
@@ -83,8 +108,14 @@
         endpoints.extend(all(&others, &served));
         let entries = members.live_as(DaemonRole::Entry);
         let other_entries = entries.filter(|fact| fact.peer != members.me).count();
+        let mut links = LinkCosts::new();
+        for fact in &live {
+            let from = fact.peer.addr;
+            fact.degraded.iter().for_each(|l| links.degrade(from, &l.to, f64::from(l.factor)));
+        }
+        let place = members.place.clone();
         let instances = live.into_iter().cloned().collect();
-        FleetView { instances, endpoints, other_entries }
+        FleetView { instances, endpoints, other_entries, place, links }
     }
 
     /// Whether any endpoint that takes work is served from an address.
@@ -92,6 +123,16 @@
         self.endpoints.iter().any(|known| known.daemon.addr == addr)
     }
 
+    /// The place of this entry.
+    pub fn place(&self) -> &Place {
+        &self.place
+    }
+
+    /// What links cost.
+    pub fn links(&self) -> &LinkCosts {
+        &self.links
+    }
+
     /// All live daemons that serve endpoints.
     pub fn instances(&self) -> impl Iterator<Item = &InstanceFact> {
         self.instances.iter()
@@ -104,7 +145,9 @@
                 daemon: known.daemon,
                 endpoint: known.fact.id.clone(),
                 layers: *layers,
-                load: known.in_flight.load(Ordering::Relaxed),
+                place: known.place.clone(),
+                load: known.load(self.other_entries),
+                slots: known.fact.slots,
             }),
             _ => None,
         };
--- a/crates/local/src/local_config.rs
+++ b/crates/local/src/local_config.rs
@@ -11,6 +11,8 @@
 pub struct LocalConfig {
     /// What carries messages between its daemons.
     pub link_kind: LinkKind,
+    /// Requests a second that each workspace may send.
+    pub requests_per_s: f64,
     /// Stages of its one pipeline.
     pub stages: usize,
     /// Engines that hold the same layers.
@@ -44,6 +46,7 @@
     pub fn new() -> LocalConfig {
         LocalConfig {
             link_kind: LinkKind::default(),
+            requests_per_s: 1_000.0,
             stages: 3,
             replicas: 2,
             layers: 12,
@@ -98,6 +101,12 @@
         self
     }
 
+    /// Bounds the requests a second of each workspace.
+    pub fn with_requests_per_s(mut self, requests: f64) -> LocalConfig {
+        self.requests_per_s = requests;
+        self
+    }
+
     /// Bounds the steps of a batch.
     pub fn with_max_batch(mut self, steps: u32) -> LocalConfig {
         self.max_batch = steps;
--- a/crates/local/src/local_fleet.rs
+++ b/crates/local/src/local_fleet.rs
@@ -192,7 +192,11 @@
     let may_call = vec![MODEL.to_owned(), SERVICE.to_owned()];
     let workspace = |(id, key): &(&str, &str)| Workspace::new(*id, key, may_call.clone());
     write_workspaces(platform, WORKSPACES.iter().map(workspace).collect());
-    write_rows(platform, WORKSPACES.iter().map(|(id, _)| Row::new(*id, "default")).collect());
+    let row = |(id, _): &(&str, &str)| {
+        let requests_per_s = cfg.requests_per_s;
+        Row { requests_per_s, ..Row::new(*id, "default") }
+    };
+    write_rows(platform, WORKSPACES.iter().map(row).collect());
 }
 
 fn start_engines(cfg: &LocalConfig, platform: &FakePlatform) -> Result<Vec<LocalEngine>> {
