--- a/crates/core/src/process/grants/share.rs
+++ b/crates/core/src/process/grants/share.rs
@@ -269,11 +269,9 @@
         let most = (rate * HORIZON.as_secs_f64()).max(Amount::new(1.0, 1.0));
         self.alone = (self.alone + rate * passed).min(most);
         self.alone_at = now;
-        let equal = (self.limits.in_flight as usize).div_ceil(keeping.entries.max(1)) as u32;
-        if self.alone.requests >= 1.0
-            && self.alone.tokens > 0.0
-            && self.in_use < self.slots.max(equal.min(self.limits.in_flight))
-        {
+        let equal = f64::from(self.limits.in_flight) / keeping.entries.max(1) as f64;
+        let slots = self.slots.max((equal * LEAST_ALONE) as u32);
+        if self.alone.requests >= 1.0 && self.alone.tokens > 0.0 && self.in_use < slots {
             self.count(now, tokens);
             self.alone -= Amount::new(1.0, tokens);
             self.spent_alone += Amount::new(1.0, tokens);
--- a/crates/local/tests/limits.rs
+++ b/crates/local/tests/limits.rs
@@ -1,7 +1,7 @@
 //! Limits over several entries against one central bucket.
 
 use sorrellock_core::process::grants::{Amount, BURST, Limits, StartLevel};
-use sorrellock_local::{Dice, LimitSim};
+use sorrellock_local::{Dice, LimitSim, Network};
 use std::time::Duration;
 
 const STEP: Duration = Duration::from_millis(1);
@@ -94,3 +94,57 @@
         assert!(run.under() < 5.0, "seed {seed}: under {}", run.under());
     }
 }
+
+#[test]
+fn lost_late_and_repeated_messages_never_add_to_the_limit() {
+    let delay = (Duration::from_millis(1), Duration::from_millis(80));
+    for seed in 1..6 {
+        let network = Network { delay, lost: 50, repeated: 100 };
+        let mut sim = sim(StartLevel::Full, seed).with_network(network);
+
+        let run = run(&mut sim, 20.0, 2.0, |_, _| {});
+
+        assert!(run.over() < 2.0, "seed {seed}: over {}", run.over());
+        assert!(run.under() < 20.0, "seed {seed}: under {}", run.under());
+    }
+}
+
+#[test]
+fn a_keeper_that_sleeps_and_wakes_makes_no_burst() {
+    for seed in 1..6 {
+        let mut sim = sim(StartLevel::Full, seed);
+        let keeper = sim.keeper();
+
+        let run = run(&mut sim, 20.0, 2.0, |sim, step| match step {
+            8_000 => sim.pause(keeper, Duration::from_secs(5)),
+            9_500 => sim.forget(keeper),
+            13_200 => sim.remember(keeper),
+            _ => {}
+        });
+
+        assert!(run.over() < 2.0, "seed {seed}: over {}", run.over());
+        assert!(run.under() < 5.0, "seed {seed}: under {}", run.under());
+    }
+}
+
+#[test]
+fn requests_in_flight_stay_below_the_limit_while_entries_come_and_go() {
+    for seed in 1..6 {
+        let limits = Limits { rate: Amount::new(1e6, 1e9), in_flight: 40 };
+        let mut sim = LimitSim::new(4, limits, StartLevel::Full, seed);
+
+        for step in 0..10_000 {
+            (0..4).for_each(|index| sim.arrive(index, 10.0));
+            match step {
+                3_000 => sim.kill(0),
+                4_500 => sim.forget(0),
+                _ => {}
+            }
+            sim.advance(STEP);
+        }
+
+        // Alone, an entry without a share may have an eighth of an equal part in flight.
+        assert!(sim.most_in_flight <= 45, "seed {seed}: {}", sim.most_in_flight);
+        assert!(sim.most_in_flight >= 36, "seed {seed}: {}", sim.most_in_flight);
+    }
+}
