--- a/crates/core/src/process/admission/admission_queue.rs
+++ b/crates/core/src/process/admission/admission_queue.rs
@@ -154,7 +154,7 @@
         if !at_once && let Err(refused) = self.check(&demand, now) {
             return Verdict::Refuse(refused);
         }
-        let made = self.mean_made.get().unwrap_or(demand.most_work);
+        let made = self.expected_made(&demand);
         let queued = Queued {
             ticket: demand.ticket,
             weight: demand.weight,
@@ -205,7 +205,9 @@
             Ended::Ran { .. } | Ended::RanFor => {
                 self.window.succeeded();
                 self.drain.ended(now, work, time);
-                self.mean_made.add((work - running.known).max(0.0));
+                let made = (work - running.known).max(0.0);
+                self.mean_made.add(made);
+                self.line_mut(running.class).queue.learn_made(&running.workspace, made);
             }
         }
         true
@@ -245,6 +247,14 @@
         self.time_for(ahead)
     }
 
+    /// By what requests of the workspace came to, or of all. Nothing is assumed before the first
+    /// ended: a charge that is far too high would carry the virtual time far ahead, and leave who
+    /// gets it back far behind.
+    fn expected_made(&self, demand: &Demand) -> f64 {
+        let own = self.line(demand.class).queue.mean_made(&demand.workspace);
+        own.or(self.mean_made.get()).unwrap_or_default()
+    }
+
     fn check(&self, demand: &Demand, now: Instant) -> Result<(), NotRun> {
         let wait = self.expected_wait(&demand.workspace, demand.class, demand.weight);
         let left = demand.deadline.saturating_duration_since(now);
--- a/crates/core/src/process/fair_queue.rs
+++ b/crates/core/src/process/fair_queue.rs
@@ -4,6 +4,7 @@
 //! request corrects it, so that in the long run only the work that was done counts.
 
 use crate::id::{Sequence, WorkspaceId};
+use crate::process::admission::Mean;
 use std::cmp::Ordering;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Instant;
@@ -55,6 +56,8 @@
     bytes: u64,
     /// Weight counted in `FairQueue::weights` while requests wait.
     weight: f64,
+    /// Work that its requests came to beyond what was known beforehand.
+    made: Mean,
 }
 
 /// A virtual time that can be ordered.
@@ -166,6 +169,18 @@
         Some((workspace, queued))
     }
 
+    /// Work that the requests of a workspace come to beyond what is known beforehand.
+    pub fn mean_made(&self, workspace: &str) -> Option<f64> {
+        self.flows.get(workspace)?.made.get()
+    }
+
+    /// A started request made `made` beyond what was known beforehand.
+    pub fn learn_made(&mut self, workspace: &str, made: f64) {
+        if let Some(flow) = self.flows.get_mut(workspace) {
+            flow.made.add(made);
+        }
+    }
+
     /// A started request ended; `correction` is the work done less the work charged.
     pub fn finish(&mut self, workspace: &str, weight: f64, correction: f64) {
         self.unlink(workspace);
--- a/crates/core/src/process/grants/share.rs
+++ b/crates/core/src/process/grants/share.rs
@@ -26,7 +26,10 @@
 /// Memory of the demand.
 const DEMAND_MEMORY: Duration = Duration::from_millis(500);
 /// Requests in flight are told to the keeper this often.
-const RENEW: Duration = Duration::from_secs(1);
+const RENEW: Duration = Duration::from_millis(700);
+/// What is not used is given back if it is this part of what the limit brings in a second; less
+/// is left to lapse, which costs no message.
+const WORTH_BACK: f64 = 0.05;
 /// A request may go on before the keeper is asked where the limit in flight is this many times
 /// the number of entries.
 const CREDIT_SLOTS: usize = 2;
@@ -198,11 +201,12 @@
         };
         let want = (aim - self.balance).max(Amount::ZERO);
         let want = Amount::new(want.requests.ceil(), want.tokens);
-        let back = if idle { self.balance.max(Amount::ZERO) } else { Amount::ZERO };
+        let back = if idle { self.worth_back() } else { Amount::ZERO };
         let short = self.balance.requests < 1.0 + expected.requests / 2.0
             || self.balance.tokens <= expected.tokens / 2.0
             || slots > self.slots;
-        let renew = self.holds_something() && now.saturating_duration_since(self.asked_at) >= RENEW;
+        let told = now.saturating_duration_since(self.asked_at) < RENEW;
+        let renew = !told && (self.in_use > 0 || self.owes());
         let needed = waiting > 0 || (short && !idle) || renew || back.is_some();
         needed.then(|| {
             *number += 1;
@@ -340,6 +344,16 @@
             && self.limits.in_flight as usize >= slots
     }
 
+    fn worth_back(&self) -> Amount {
+        let (held, least) = (self.balance.max(Amount::ZERO), self.limits.rate * WORTH_BACK);
+        let is_worth = held.requests >= least.requests.max(1.0) || held.tokens >= least.tokens;
+        if is_worth { held } else { Amount::ZERO }
+    }
+
+    fn owes(&self) -> bool {
+        self.balance.requests < 0.0 || self.balance.tokens < 0.0 || self.spent_alone.is_some()
+    }
+
     /// What will be spent until the next grant.
     fn expected(&self, now: Instant) -> Amount {
         self.demand.per_second(now) * HORIZON.as_secs_f64()
@@ -391,6 +405,9 @@
             let lapsed = self.balance.max(Amount::ZERO);
             self.granted.add(now, lapsed * -1.0);
             self.balance -= lapsed;
+            if self.alone_since.is_none() {
+                self.slots = self.slots.min(self.in_use);
+            }
         }
     }
 
