--- a/crates/cli/src/cli/run.rs
+++ b/crates/cli/src/cli/run.rs
@@ -6,7 +6,7 @@
 use clap::ArgMatches;
 use clap_complete::{Shell, generate};
 use sorrellock_daemon::cli::{check_variables, command as daemon_command, variable_names};
-use std::io::stdout;
+use std::io::{Write, stdout};
 use std::process::ExitCode;
 
 /// Runs `sorrellock`.
@@ -50,6 +50,9 @@
 
 fn print_completions(args: &ArgMatches) -> Exit {
     let shell = args.get_one::<Shell>("shell").expect("the shell is required");
-    generate(*shell, &mut command(), "sorrellock", &mut stdout());
+    let mut buf = Vec::new();
+    generate(*shell, &mut command(), "sorrellock", &mut buf);
+    // A reader that has gone has read what it wanted.
+    let _ = stdout().write_all(&buf);
     Exit::Done
 }
--- a/crates/cli/src/operate/fleet.rs
+++ b/crates/cli/src/operate/fleet.rs
@@ -2,7 +2,7 @@
 
 use crate::cli::Exit;
 use crate::operate::daemons::members_in;
-use crate::operate::output::{aligned, print_json};
+use crate::operate::output::{aligned, print_json, print_line};
 use crate::operate::{OperateError, OperatorCx, dump};
 use clap::ArgMatches;
 use serde_json::{Value, json};
@@ -58,13 +58,13 @@
 
 fn print_text(asked: SocketAddr, members: &[Member], told: &[Told], journal: usize) {
     let head = ["PLACE", "ROLE", "ADDRESS", "STATE", "LOAD", "REVISION", "ENDPOINTS"];
-    println!("{}", aligned(&head, members.iter().map(cells)));
+    print_line(&aligned(&head, members.iter().map(cells)));
     let present = members.iter().filter(|member| member.is_present()).count();
-    println!("\n{present} of {} daemons present, as {asked} knows them", members.len());
+    print_line(&format!("\n{present} of {} daemons present, as {asked} knows them", members.len()));
     for (addr, state) in told {
         match state {
             Ok(state) => print_journal(*addr, state, journal),
-            Err(err) => println!("\n{err}"),
+            Err(err) => print_line(&format!("\n{err}")),
         }
     }
 }
@@ -93,16 +93,16 @@
 }
 
 fn print_journal(addr: SocketAddr, state: &Value, journal: usize) {
-    println!("\n{addr}: {} pages of the configuration refused", refused(state));
+    print_line(&format!("\n{addr}: {} pages of the configuration refused", refused(state)));
     for entry in last(state, journal) {
         let text = |name: &str| entry[name].as_str().unwrap_or("-").to_owned();
-        println!(
+        print_line(&format!(
             "  {}, peer {}, step {}: {}",
             text("what"),
             text("peer"),
             text("step"),
             text("cause")
-        );
+        ));
     }
 }
 
--- a/crates/cli/src/operate/output.rs
+++ b/crates/cli/src/operate/output.rs
@@ -2,6 +2,7 @@
 
 use comfy_table::{Table, presets};
 use serde_json::Value;
+use std::io::{Write, stdout};
 
 /// How results are printed.
 #[derive(Clone, Copy, Debug)]
@@ -20,7 +21,7 @@
     ) {
         match self.json {
             true => print_json(&json()),
-            false => println!("{}", aligned(head, rows)),
+            false => print_line(&aligned(head, rows)),
         }
     }
 
@@ -28,14 +29,19 @@
     pub(super) fn sentence(self, text: &str, json: impl FnOnce() -> Value) {
         match self.json {
             true => print_json(&json()),
-            false => println!("{text}"),
+            false => print_line(text),
         }
     }
 }
 
 /// Prints JSON, indented.
 pub(super) fn print_json(value: &Value) {
-    println!("{value:#}");
+    print_line(&format!("{value:#}"));
+}
+
+/// Prints a line. A reader that has gone, such as `head`, has read what it wanted.
+pub(super) fn print_line(text: &str) {
+    let _ = writeln!(stdout(), "{text}");
 }
 
 /// Columns aligned, without lines: what scripts of the shell can cut, too.
@@ -45,5 +51,8 @@
     rows.into_iter().for_each(|row| {
         table.add_row(row);
     });
-    table.lines().map(|line| format!("{}\n", line.trim_end())).collect::<String>().trim_end().into()
+    // Each cell has a blank on either side; none is needed at the margin.
+    let lines =
+        table.lines().map(|line| line.strip_prefix(' ').unwrap_or(&line).trim_end().to_owned());
+    lines.collect::<Vec<_>>().join("\n")
 }
--- a/crates/cli/src/operate/table.rs
+++ b/crates/cli/src/operate/table.rs
@@ -79,7 +79,7 @@
     let rows: Vec<Row> = cx.config()?.rows()?.into_iter().map(|row| row.item).collect();
     match cx.output.json {
         true => crate::operate::output::print_json(&json!(rows)),
-        false => print!("{}", write_csv(&rows)),
+        false => crate::operate::output::print_line(write_csv(&rows).trim_end()),
     }
     Ok(Exit::Done)
 }
--- a/crates/cli/tests/operate.rs
+++ b/crates/cli/tests/operate.rs
@@ -272,3 +272,15 @@
         assert!(ran.output.contains(name), "no {name}");
     }
 }
+
+#[test]
+fn a_reader_that_goes_away_is_no_fault() {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_sorrellock"));
+    command.args(["completions", "bash"]).stdout(Stdio::piped()).stderr(Stdio::piped());
+    let mut child = command.spawn().unwrap();
+
+    drop(child.stdout.take());
+    let output = child.wait_with_output().unwrap();
+
+    assert_eq!(String::from_utf8_lossy(&output.stderr), "");
+}
--- a/crates/daemon/src/process/operators.rs
+++ b/crates/daemon/src/process/operators.rs
@@ -20,7 +20,9 @@
         .with_workers(WORKERS)
         .with_max_connections(MAX_CONNECTIONS)
         .with_max_body_bytes(MAX_BODY_BYTES);
-    Server::start(cfg, move |req| answer(req, &*state))
+    let server = Server::start(cfg, move |req| answer(req, &*state))?;
+    spdlog::info!("operators may ask on {}", server.addr());
+    Ok(server)
 }
 
 fn answer(req: Request, state: &dyn Dump) {
