A call with a key asks for its run after a second: its end may be lost

Cause: an entry that had sent a run waited for its end until the deadline, though the daemon keeps the answer; an end that was not queued, or a link closed for idleness, left it waiting. Ruled out: acknowledged ends, as the question exists already and settles a lost run too. Change: a run that was sent or is followed is asked for each second. Conclusion: a lost end costs a second, not the deadline. No test loses an end in whole daemons.

--- a/crates/core/src/process/ledger/keyed_run.rs
+++ b/crates/core/src/process/ledger/keyed_run.rs
@@ -108,6 +108,11 @@
         self.granted
     }
 
+    /// Whether it waits for the end of a run that its daemon has told of.
+    pub fn is_following(&self) -> bool {
+        matches!(self.state, State::Following { .. })
+    }
+
     /// Whether it waits for the holder of its shard.
     pub fn is_claiming(&self) -> bool {
         matches!(self.state, State::Claiming { .. })
@@ -256,7 +261,12 @@
             State::Following { stamp, target } => {
                 KeyedStep::Ask { stamp: *stamp, target: *target, fence: false }
             }
-            State::Choosing | State::Sent { .. } | State::Ended => KeyedStep::Wait,
+            // Its answer, or the run itself, may be lost.
+            State::Sent { stamp, target } => {
+                let (stamp, target) = (*stamp, *target);
+                self.ask(stamp, target, false)
+            }
+            State::Choosing | State::Ended => KeyedStep::Wait,
         }
     }
 
--- a/crates/daemon/src/entry/process/keyed_calls.rs
+++ b/crates/daemon/src/entry/process/keyed_calls.rs
@@ -1,7 +1,7 @@
 //! Calls with a key: each goes through the run-once ledger before it is sent.
 
 use crate::entry::process::calls::Run;
-use crate::entry::process::{ARRIVAL_WAIT, ASK_WAIT, CLAIM_WAIT, Calls};
+use crate::entry::process::{ARRIVAL_WAIT, ASK_WAIT, CLAIM_WAIT, Calls, RUN_WAIT};
 use crate::entry::request::{Keyed, Problem};
 use crate::process::Count;
 use sorrellock_core::id::Sequence;
@@ -154,7 +154,10 @@
             KeyedStep::Claim(claim) => self.send_claim(run, claim),
             KeyedStep::Send(stamp) => self.send_run(run, stamp),
             KeyedStep::Ask { stamp, target, fence } => self.send_ask(run, stamp, target, fence),
-            KeyedStep::Wait => self.wait(run, ASK_WAIT),
+            KeyedStep::Wait => {
+                let follows = run.keyed.as_ref().is_some_and(|keyed| keyed.run.is_following());
+                self.wait(run, if follows { RUN_WAIT } else { ASK_WAIT });
+            }
             KeyedStep::Drop => self.counters.count(Count::LateAnswers),
             KeyedStep::Finish => self.finish_keyed(run, came),
             KeyedStep::Mismatch => {
@@ -183,8 +186,9 @@
         run.sent.deadline_ms = left.as_millis() as u64;
         let message = LedgerMessage::Run { stamp, call: run.sent.clone() };
         if self.ledger.send(run.daemon, message).is_err() {
-            self.not_sent(run);
+            return self.not_sent(run);
         }
+        self.wait(run, RUN_WAIT);
     }
 
     fn send_ask(&self, mut run: Run<'_>, stamp: Stamp, target: Peer, fence: bool) {
--- a/crates/daemon/src/entry/process/keyed_pipelines.rs
+++ b/crates/daemon/src/entry/process/keyed_pipelines.rs
@@ -2,7 +2,7 @@
 //! opened before that daemon counts the request as running.
 
 use crate::entry::process::calls::Run;
-use crate::entry::process::{Calls, FleetRoutes, NewPipeline};
+use crate::entry::process::{Calls, FleetRoutes, NewPipeline, RUN_WAIT};
 use crate::entry::request::{CallRun, Keyed, RunRecord};
 use sorrellock_core::id::EndpointId;
 use sorrellock_core::process::ledger::Stamp;
@@ -51,8 +51,9 @@
     pub(super) fn send_begin(&self, run: Run<'_>, stamp: Stamp) {
         let message = LedgerMessage::Begin { owner: run.request, stamp };
         if self.ledger.send(run.daemon, message).is_err() {
-            self.not_sent(run);
+            return self.not_sent(run);
         }
+        self.wait(run, RUN_WAIT);
     }
 
     /// A pipeline request is given up before it began here: its daemon may count it as running.
--- a/crates/daemon/src/entry/process/ledger_client.rs
+++ b/crates/daemon/src/entry/process/ledger_client.rs
@@ -15,6 +15,9 @@
 pub const CLAIM_WAIT: Duration = Duration::from_millis(300);
 /// How long a record's run may take to arrive before it is kept from starting.
 pub const ARRIVAL_WAIT: Duration = Duration::from_millis(50);
+/// How long a run that was sent, or that is known to run, is waited for before it is asked for: its
+/// end may be lost on the way.
+pub const RUN_WAIT: Duration = Duration::from_secs(1);
 /// How long the question for a record waits for its answer before it is asked again.
 pub const ASK_WAIT: Duration = Duration::from_millis(250);
 
--- a/crates/daemon/src/entry/process/mod.rs
+++ b/crates/daemon/src/entry/process/mod.rs
@@ -29,7 +29,7 @@
 use fleet_routes::FleetRoutes;
 use fleet_watch::FleetCell;
 use in_progress::{Finished, InProgress};
-use ledger_client::{ARRIVAL_WAIT, ASK_WAIT, CLAIM_WAIT, LedgerClient};
+use ledger_client::{ARRIVAL_WAIT, ASK_WAIT, CLAIM_WAIT, LedgerClient, RUN_WAIT};
 use limits::LimitDesk;
 use pipelines::Pipelines;
 use timer::Timer;
