--- a/crates/bench/benches/recovery/failures.rs
+++ b/crates/bench/benches/recovery/failures.rs
@@ -3,8 +3,8 @@
 use crate::callers::Streams;
 use crate::work::repeated;
 use sorrellock_bench::{Latencies, figure, figure_f64};
-use sorrellock_daemon::process::{LogFormat, set_up_log};
-use sorrellock_local::{LocalConfig, LocalFleet};
+use sorrellock_daemon::process::{Count, LogFormat, set_up_log};
+use sorrellock_local::{LocalConfig, LocalEngine, LocalFleet};
 use std::collections::HashSet;
 use std::thread;
 use std::time::{Duration, Instant};
@@ -152,10 +152,19 @@
         figure("recovery.lost", lost, "answers");
         let repeated = repeated(self.fleet, &self.lost);
         figure("recovery.repeated", repeated, "layer applications");
+        let entry = &self.fleet.entries[0];
+        let stuck = |engine: &LocalEngine| engine.beside.counter(Count::EnginesStuck);
+        let stuck: u64 = self.fleet.engines.iter().map(stuck).sum();
+        figure("recovery.engines_found_hanging", stuck, "times, of 2 that were");
+        figure("recovery.stages_blamed", entry.counter(Count::StagesBlamed), "stages");
+        figure("recovery.reroutes", entry.counter(Count::Reroutes), "attempts");
         let mut broken = Vec::new();
         if lost > 0 {
             broken.push(format!("{lost} answers were lost or wrong"));
         }
+        if repeated > 0 {
+            broken.push(format!("{repeated} layer applications ran again beyond the lost ones"));
+        }
         if restart.count() < NAIVE as u64 {
             broken.push("a naive answer did not come".to_owned());
         }
--- a/crates/core/src/request/drive/stall.rs
+++ b/crates/core/src/request/drive/stall.rs
@@ -13,7 +13,7 @@
 /// No stall is looked into later than this.
 const MISSED_CEILING: Duration = Duration::from_secs(5);
 /// How long stages have to answer a probe.
-const PROBE_WAIT: Duration = Duration::from_millis(50);
+const PROBE_WAIT: Duration = Duration::from_millis(100);
 /// Probes that a stage must leave without an answer before it is blamed.
 const PROBES: u32 = 3;
 /// A check that comes this late tells that this process itself was paused: nobody is blamed.
--- a/crates/daemon/src/entry/process/repairs.rs
+++ b/crates/daemon/src/entry/process/repairs.rs
@@ -84,6 +84,7 @@
             }
             StallAction::Probe => self.send_all(run.driver.probes()),
             StallAction::Blame(stages) => {
+                self.counters.add(Count::StagesBlamed, stages.len() as u64);
                 let pipeline = run.pipeline.clone();
                 let routes = FleetRoutes::new(self.fleet.view(), &pipeline);
                 let repair = run.driver.on_stalled(&stages, &routes);
--- a/crates/daemon/src/process/counters.rs
+++ b/crates/daemon/src/process/counters.rs
@@ -80,6 +80,8 @@
     EnginesStuck => "engines_stuck",
     /// Calls to free or move KV caches that were dropped, as too many waited.
     EngineCallsDropped => "engine_calls_dropped",
+    /// Stages replaced as they made no progress, by the entry's own judgement.
+    StagesBlamed => "stages_blamed",
     /// Requests without progress that were looked into.
     Stalls => "stalls",
     /// Calls passed on to plain services.
