--- a/crates/daemon/tests/orders.rs
+++ b/crates/daemon/tests/orders.rs
@@ -4,11 +4,11 @@
 use crossbeam::channel::{Receiver, Sender, unbounded};
 use sorrellock_core::id::{Fence, Incarnation};
 use sorrellock_core::process::orders::{FenceError, LeadRecord, PlannerConfig};
-use sorrellock_core::request::{LayerRange, Peer};
+use sorrellock_core::request::{Hop, LayerRange, Peer, Refusal, RequestKey, Route};
 use sorrellock_core::version::Pipeline;
 use sorrellock_daemon::beside::process::{Beside, BesideSettings};
 use sorrellock_daemon::process::leads::lead_key;
-use sorrellock_daemon::process::{Count, LogFormat, set_up_log};
+use sorrellock_daemon::process::{Count, Dump, LogFormat, set_up_log};
 use sorrellock_fakes::{EngineConfig, FakeEngine, FakePlatform, Outage, PlatformConfig};
 use sorrellock_local::{
     LocalConfig, LocalEngine, LocalFleet, MODEL, PLACE, next_addr, write_pipelines,
@@ -16,10 +16,12 @@
 use sorrellock_platform::api::Order;
 use sorrellock_wire::connection::{AnyLink, Link, LinkConfig, LinkHandler};
 use sorrellock_wire::message::{
-    Message, OrderAnswer, OrderMessage, OrderRefusal, OrderRequest, OrderResult,
+    Message, Open, OrderAnswer, OrderMessage, OrderRefusal, OrderRequest, OrderResult,
+    PipelineMessage, StageTrouble,
 };
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -28,6 +30,10 @@
 /// How often a wait looks again.
 const POLL: Duration = Duration::from_millis(20);
 const GRACE: Duration = Duration::from_millis(500);
+/// How long a refusal may take to come.
+const TROUBLE_WAIT: Duration = Duration::from_secs(5);
+/// Incarnation of the lead, or entry, that a test plays.
+const ME: Incarnation = 7;
 const PROMPT: &str = "break explanation";
 const TOKENS: u32 = 12;
 
@@ -179,15 +185,23 @@
 /// A lead as it may be after a pause: it sends what it had in mind.
 struct SleepyLead {
     link: Arc<AnyLink>,
+    me: Peer,
     answers: Receiver<OrderAnswer>,
+    troubles: Receiver<StageTrouble>,
 }
 
-struct Answers(Sender<OrderAnswer>);
+struct Answers(Sender<OrderAnswer>, Sender<StageTrouble>);
 
 impl LinkHandler for Answers {
     fn on_message(&self, _: Peer, _: Incarnation, message: Message) {
-        if let Message::Order(OrderMessage::Answer(answer)) = message {
-            let _ = self.0.send(answer);
+        match message {
+            Message::Order(OrderMessage::Answer(answer)) => {
+                let _ = self.0.send(answer);
+            }
+            Message::Pipeline(PipelineMessage::Trouble { trouble, .. }) => {
+                let _ = self.1.send(trouble);
+            }
+            _ => {}
         }
     }
 
@@ -196,11 +210,34 @@
 
 impl SleepyLead {
     fn new() -> SleepyLead {
-        let me = Peer { addr: next_addr(), incarnation: 7 };
+        let me = Peer { addr: next_addr(), incarnation: ME };
         let (link, closed) = AnyLink::listen(LinkConfig::new(me)).unwrap();
-        let (tx, rx) = unbounded();
-        link.serve(closed, Arc::new(Answers(tx)));
-        SleepyLead { link, answers: rx }
+        let (answers_tx, answers) = unbounded();
+        let (troubles_tx, troubles) = unbounded();
+        link.serve(closed, Arc::new(Answers(answers_tx, troubles_tx)));
+        SleepyLead { link, me, answers, troubles }
+    }
+
+    /// Opens a request at an engine, as an entry does, and returns the trouble that it meets.
+    fn open(&self, at: &Beside, endpoint: &str, layers: LayerRange, number: u64) -> StageTrouble {
+        let hop = Hop { daemon: at.peer(), endpoint: endpoint.into(), layers };
+        let open = Open {
+            request: RequestKey { entry: ME, sequence: number },
+            attempt: 1,
+            entry: self.me,
+            route: Route { hops: vec![hop] },
+            stage: 0,
+            since: vec![1],
+            handover: vec![None],
+            cuts: Vec::new(),
+            have: 1,
+            prompt_len: 1,
+            max_tokens: 1,
+            priority: 0,
+        };
+        let message = Message::Pipeline(PipelineMessage::Open(open));
+        self.link.send(at.peer(), message).unwrap();
+        self.troubles.recv_timeout(TROUBLE_WAIT).expect("the request is refused")
     }
 
     /// Sends an order, and returns the first answer to it.
@@ -258,6 +295,30 @@
     assert_fences_rise(&engine.orders());
 }
 
+#[test]
+fn an_engine_that_loads_takes_no_request_and_then_none_for_what_it_held() {
+    quiet();
+    let platform = FakePlatform::start(PlatformConfig::new(next_addr())).unwrap();
+    let (held, next) = (LayerRange::new(0, 4), LayerRange::new(4, 8));
+    let cfg = EngineConfig::new(next_addr(), MODEL, held).with_endpoint("one");
+    let engine = FakeEngine::start(cfg.with_loading(8, Duration::from_secs(1))).unwrap();
+    let beside = beside(&platform, &engine);
+    let lead = SleepyLead::new();
+
+    let taken = lead.order(&beside, "one", Fence::MAX, next);
+    wait_for("the change's begin", || {
+        !beside.state().dump()["endpoints"][0]["engine"]["loads"].is_null()
+    });
+    let for_held = lead.open(&beside, "one", held, 1);
+    let for_next = lead.open(&beside, "one", next, 2);
+    wait_for("the order's end", || retried(&lead, &beside, Fence::MAX, next) == OrderResult::Taken);
+    let late = lead.open(&beside, "one", held, 3);
+
+    let refused = StageTrouble::Refused(Refusal::Leaving);
+    assert_eq!(taken, OrderResult::Taken);
+    assert_eq!([for_held, for_next, late], [refused, refused, refused]);
+}
+
 /// An order to an engine that may still end the one before.
 fn retried(lead: &SleepyLead, beside: &Beside, fence: Fence, layers: LayerRange) -> OrderResult {
     loop {
@@ -326,6 +387,8 @@
 
     assert_eq!(result, OrderResult::Taken);
     let expected = fleet.expected(PROMPT, 120);
+    let refused = moved.engine.counters().steps_refused.load(Ordering::Relaxed);
+    assert_eq!(refused, 0, "the order came before the work had ended");
     assert!(texts.iter().all(|text| text.as_ref().is_ok_and(|text| *text == expected)));
     assert!(is_answered(&fleet));
 }
