--- a/crates/core/src/process/membership/state.rs
+++ b/crates/core/src/process/membership/state.rs
@@ -61,6 +61,8 @@
     pub(super) seeds: VecDeque<SocketAddr>,
     listed_leaving: BTreeSet<Incarnation>,
     pub(super) next_place: usize,
+    /// How many hear what this process tells, mostly; counted once a tick.
+    pub(super) listeners: usize,
     pub(super) ticks: u64,
     pub(super) last_tick: Instant,
     /// Changes of what is known beside the table.
@@ -92,6 +94,7 @@
             seeds: VecDeque::new(),
             listed_leaving: BTreeSet::new(),
             next_place: 0,
+            listeners: 1,
             ticks: 0,
             last_tick: now,
             changes: 0,
@@ -272,7 +275,7 @@
     }
 
     /// How many hear what this process tells, mostly: its own place.
-    fn listeners(&self) -> usize {
+    pub(super) fn count_listeners(&self) -> usize {
         let present = self.table.members().values().filter(|member| member.is_present());
         present.filter(|member| member.fact.place == self.place).count()
     }
@@ -292,8 +295,7 @@
             room = room.saturating_sub(rumor.size());
             rumors.push(rumor);
         }
-        let listeners = self.listeners();
-        let table = &self.table;
+        let (table, listeners) = (&self.table, self.listeners);
         self.queue.tell(listeners, |incarnation, whole| {
             let Some(member) = table.get(incarnation) else { return true };
             let mut rumor = Rumor::Brief(super::Brief::new(member));
--- a/crates/core/src/process/membership/ticks.rs
+++ b/crates/core/src/process/membership/ticks.rs
@@ -30,6 +30,7 @@
         let now = self.clock.now();
         self.notice_pause(now);
         self.ticks += 1;
+        self.listeners = self.count_listeners();
         self.check_probes(now);
         self.check_suspicions(now);
         self.probe_next();
