Process tests: a daemon that should end and doesn't fails the test

Cause: with the check of settings taken out by hand, the test of settings that don't go together hung for ever, as it waited without a bound.

--- a/crates/daemon/tests/processes/daemon_process.rs
+++ b/crates/daemon/tests/processes/daemon_process.rs
@@ -65,7 +65,16 @@
 
 /// Runs `sorrellockd` to its end, and returns its exit code, output and errors.
 pub fn run_to_end(args: &[&str], vars: &[(&str, &str)]) -> (Option<i32>, String, String) {
-    let output = command(args, vars).output().expect("sorrellockd starts");
+    let mut child = command(args, vars).spawn().expect("sorrellockd starts");
+    let end = Instant::now() + PATIENCE;
+    while child.try_wait().expect("the child can be waited for").is_none() {
+        if Instant::now() > end {
+            let _ = child.kill();
+            panic!("sorrellockd {args:?} did not end");
+        }
+        thread::sleep(POLL);
+    }
+    let output = child.wait_with_output().expect("its output can be read");
     let text = |bytes: &[u8]| String::from_utf8_lossy(bytes).into_owned();
     (output.status.code(), text(&output.stdout), text(&output.stderr))
 }
