The peers of the configuration are learnt when they change, not at each tick

Cause: each tick (20 a second) went through all members and ranked those of the place. Change: the agent hands them over when the view of the members is another one.

--- a/crates/bench/benches/config/main.rs
+++ b/crates/bench/benches/config/main.rs
@@ -1,6 +1,7 @@
 //! Measures the configuration: pages and the view by number of workspaces, the spread among many
 //! state machines on a paused clock, and the time to in force in fleets of real daemons.
 
+mod agent;
 mod fleets;
 mod pages;
 mod spread;
@@ -19,6 +20,7 @@
 fn main() -> ExitCode {
     set_up_log(LogFormat::Off);
     pages::measure();
+    agent::measure();
     let spread = spread::measure();
     let fleets = fleets::measure();
     if spread && fleets {
--- a/crates/core/src/version/spreading/spread.rs
+++ b/crates/core/src/version/spreading/spread.rs
@@ -108,12 +108,16 @@
         std::mem::take(&mut self.effects)
     }
 
-    /// To be called every few hundredths of a second, with the peers of the moment.
-    pub fn tick(&mut self, peers: &impl ConfigPeers) {
-        let now = self.clock.now();
+    /// Takes in who is live; to be called whenever that changes.
+    pub fn learn_peers(&mut self, peers: &impl ConfigPeers) {
         self.place_peers = peers.of_place();
         self.remote_peers = peers.of_other_places();
         self.choose_watchers();
+    }
+
+    /// To be called every few hundredths of a second.
+    pub fn tick(&mut self) {
+        let now = self.clock.now();
         self.check_ready();
         if now >= self.next_round {
             self.round(now);
--- a/crates/daemon/src/process/config_agent.rs
+++ b/crates/daemon/src/process/config_agent.rs
@@ -142,14 +142,20 @@
 
     fn run<L: Link>(&self, inputs: &Receiver<(Peer, ConfigMessage)>, link: &L) {
         let mut next = Instant::now();
+        let mut members = self.fleet.view();
+        self.drive(link, |spread| spread.learn_peers(&*members));
         while !self.is_stopped() {
             match inputs.recv_deadline(next) {
                 Ok((from, message)) => {
                     self.drive(link, |spread| spread.on_message(from, message));
                 }
                 Err(_) => {
-                    let peers = self.fleet.view();
-                    self.drive(link, |spread| spread.tick(&*peers));
+                    let now = self.fleet.view();
+                    if !Arc::ptr_eq(&now, &members) {
+                        members = now;
+                        self.drive(link, |spread| spread.learn_peers(&*members));
+                    }
+                    self.drive(link, Spread::tick);
                     next = Instant::now() + TICK;
                 }
             }
