Tests of bad input: the entry under test takes nng links, as its tests send over nng

Two tests of link_port.rs failed since TCP links are the default: an nng peer can't dial them. Their assertions stand as they were; the same faults over TCP are tested in crates/wire/tests/links.rs.

--- a/crates/daemon/tests/bad_input/entry_fixture.rs
+++ b/crates/daemon/tests/bad_input/entry_fixture.rs
@@ -42,6 +42,8 @@
         write_rows(&platform, vec![Row::new("treasury", "default")]);
         let link = next_addr();
         let mut settings = EntrySettings::new("pasila", next_addr(), link, platform.addr());
+        // The tests of the port for daemons send as an nng peer does; those of TCP are of the wire package.
+        settings.link_kind = sorrellock_daemon::LinkKind::Nng;
         settings.max_body_bytes = MAX_BODY_BYTES;
         settings.max_connections = MAX_CONNECTIONS;
         settings.header_timeout = READ_TIMEOUT;
