A leaving stage is closed by whoever took its KV cache over, not with the next token

Cause: the entry closed it with the next token of the new attempt, but that token may come from work that was further down the route at the raise: the KV cache was then freed before it was asked for, and the replacement started from nothing (recovery.repeated, all of it at first stages that left).

Change: the replacement closes it once the KV cache is in place; the entry at the end.

--- a/crates/core/src/request/drive/driver.rs
+++ b/crates/core/src/request/drive/driver.rs
@@ -50,8 +50,8 @@
     pub(super) cuts: Vec<Cut>,
     /// Stages of given up routes.
     pub(super) left: Vec<Hop>,
-    /// Stages that hand over; they are closed with the next token.
-    pub(super) leaving: Vec<(Hop, Attempt)>,
+    /// Stages that hand over; whoever takes over closes them, and so does the end.
+    pub(super) leaving: Vec<Hop>,
     /// Stages lost to this request.
     pub(super) avoid: Vec<Hop>,
     pub(super) fruitless: u32,
@@ -162,15 +162,9 @@
         wanted.then(|| self.step_from(from))
     }
 
-    /// Frees the stages that handed over, once the attempt in force brought a token.
-    pub fn close_leaving(&mut self) -> Vec<Outgoing> {
-        let leaving = std::mem::take(&mut self.leaving);
-        leaving.iter().map(|(hop, attempt)| self.close_hop(hop, *attempt)).collect()
-    }
-
     /// Frees what all stages hold.
     pub fn close(&self) -> Vec<Outgoing> {
-        let leaving = self.leaving.iter().map(|(hop, _)| hop);
+        let leaving = &self.leaving;
         let hops = self.route.hops.iter().chain(&self.left).chain(leaving);
         hops.map(|hop| self.close_hop(hop, self.attempt)).collect()
     }
--- a/crates/core/src/request/drive/repair.rs
+++ b/crates/core/src/request/drive/repair.rs
@@ -122,7 +122,7 @@
         let mut route = self.route.clone();
         route.hops[index] = new;
         let from = HandoverFrom { hop: leaving.clone(), since };
-        self.leaving.push((leaving, self.attempt));
+        self.leaving.push(leaving);
         self.begin(route, |_| false, Some((index, from)))
     }
 
@@ -188,7 +188,7 @@
 
     /// Frees the stages that the route no longer passes, but for one that hands over.
     fn close_dropped(&mut self, before: Route) -> Vec<Outgoing> {
-        let handing = |hop: &Hop| self.leaving.iter().any(|(leaving, _)| leaving == hop);
+        let handing = |hop: &Hop| self.leaving.contains(hop);
         let dropped = before.hops.into_iter().filter(|hop| !self.route.hops.contains(hop));
         let dropped: Vec<Hop> = dropped.filter(|hop| !handing(hop)).collect();
         let attempt = self.attempt - 1;
--- a/crates/core/src/request/stage/actions.rs
+++ b/crates/core/src/request/stage/actions.rs
@@ -131,10 +131,19 @@
 
 pub(super) fn import_done(run: &mut StageRun, handover: Handover, out: &mut StageOutput) {
     run.take_over(handover);
+    free_leaving(run, out);
     ripple(run, run.session.done().saturating_sub(1), out);
     ask_again(run, run.session.next(), out);
 }
 
+/// The leaving stage is no longer needed: its KV cache is here.
+fn free_leaving(run: &StageRun, out: &mut StageOutput) {
+    let Some(leaving) = run.open.handed_by() else { return };
+    let (request, endpoint) = (run.open.request, leaving.hop.endpoint.clone());
+    let message = PipelineMessage::Close { request, endpoint, attempt: run.since - 1 };
+    out.send(leaving.hop.daemon, message);
+}
+
 pub(super) fn handover_failed(run: &StageRun, why: &str, out: &mut StageOutput) {
     out.trouble(run, run.open.stage, StageTrouble::HandoverFailed, why);
 }
--- a/crates/core/tests/pipeline/entry.rs
+++ b/crates/core/tests/pipeline/entry.rs
@@ -152,7 +152,7 @@
         }
         self.expected = self.naive.feed(out.token);
         self.stall.on_token(now);
-        let mut messages = self.driver.close_leaving();
+        let mut messages = Vec::new();
         if verdict == DriverVerdict::EmitLast {
             messages.extend(self.driver.close());
         }
--- a/crates/daemon/src/entry/process/pipelines.rs
+++ b/crates/daemon/src/entry/process/pipelines.rs
@@ -182,7 +182,6 @@
         if run.stall.due() < due {
             self.checks.add(run.stall.due(), run.request.sequence);
         }
-        self.send_all(run.driver.close_leaving());
         if run.answer.push(&out.text).is_err() {
             self.counters.count(Count::CallersGone);
             self.tell_unknown(&run, "the caller went away");
