Retries of plain calls: a budget, breakers, and urgent calls first beside the service

Cause: a call that failed was tried at the next endpoint whatever had failed before, so that failing endpoints got as many attempts as healthy ones, and more through retries; and calls beside a service ran in order of arrival, urgent or not.

Change: core's RetryBudget (tokens by workspace and by endpoint, a part of recent successes) and Breaker (closed, open, half-open; by runs of failures relative to volume), which an entry's plain calls use; a retry that no budget pays for is answered at once with Retry-After. Core's PriorityQueue orders the calls beside a service. LocalConfig gets with_max_calls for the test of it.

Ruled out: blame by attempts that had less than a second, which would let one workspace open breakers for all. Hedging is not built.

No cost was measured.

--- a/crates/core/src/process/mod.rs
+++ b/crates/core/src/process/mod.rs
@@ -7,6 +7,9 @@
 pub mod ledger;
 pub mod membership;
 pub mod orders;
+mod priority_queue;
+pub mod retries;
 
 pub use endpoint::*;
 pub use fair_queue::*;
+pub use priority_queue::*;
--- a/crates/daemon/src/beside/process/mod.rs
+++ b/crates/daemon/src/beside/process/mod.rs
@@ -2,6 +2,7 @@
 
 mod beside;
 mod beside_handler;
+mod call_queue;
 mod engine_batches;
 mod engine_calls;
 mod engine_runner;
@@ -17,6 +18,7 @@
 pub use settings::*;
 
 use beside_handler::BesideHandler;
+use call_queue::CallQueue;
 use engine_runner::EngineRunner;
 use order_desk::OrderDesk;
 use outbox::Outbox;
--- a/crates/daemon/src/beside/process/service_runner.rs
+++ b/crates/daemon/src/beside/process/service_runner.rs
@@ -1,8 +1,7 @@
 //! One instance of a plain service: a bounded queue of calls and the threads that pass them on.
 
-use crate::beside::process::Starts;
+use crate::beside::process::{CallQueue, Starts};
 use crate::process::Count;
-use crossbeam::channel::{Receiver, Sender, TrySendError, bounded};
 use sorrellock_core::process::ledger::Stamp;
 use sorrellock_core::process::{EndpointFact, Role};
 use sorrellock_core::request::{Peer, Refusal};
@@ -29,7 +28,7 @@
 pub struct ServiceRunner<L> {
     endpoint: ServiceEndpoint,
     threads: usize,
-    queue: Sender<Waiting>,
+    queue: Arc<CallQueue<Waiting>>,
     open: Arc<AtomicU32>,
     starts: Arc<Starts<L>>,
 }
@@ -43,18 +42,18 @@
         queue: usize,
         starts: Arc<Starts<L>>,
     ) -> ServiceRunner<L> {
-        let (tx, rx) = bounded(queue);
+        let queue = Arc::new(CallQueue::new(queue));
         let open = Arc::new(AtomicU32::new(0));
         let service = Arc::new(service);
         for _ in 0..threads {
-            let (rx, service, starts, open) =
-                (rx.clone(), service.clone(), starts.clone(), open.clone());
+            let (queue, service, starts, open) =
+                (queue.clone(), service.clone(), starts.clone(), open.clone());
             thread::Builder::new()
                 .name("service-calls".into())
-                .spawn(move || run_calls(&rx, &*service, &starts, &open))
+                .spawn(move || run_calls(&queue, &*service, &starts, &open))
                 .expect("a thread can be started");
         }
-        ServiceRunner { endpoint, threads, queue: tx, open, starts }
+        ServiceRunner { endpoint, threads, queue, open, starts }
     }
 
     /// What the daemon tells of this instance.
@@ -73,27 +72,33 @@
         self.open.load(Ordering::Acquire)
     }
 
-    /// Takes a call that may start, or refuses it at once.
+    /// Takes a call that may start, or refuses it at once; where the queue is full, the newest
+    /// call of the lowest priority is refused in its place.
     pub fn call(&self, entry: Peer, call: CallRequest, stamp: Option<Stamp>) {
         let deadline = Instant::now() + Duration::from_millis(call.deadline_ms);
         self.open.fetch_add(1, Ordering::AcqRel);
-        let refused = match self.queue.try_send(Waiting { entry, call, stamp, deadline }) {
-            Ok(()) => return,
-            Err(TrySendError::Full(waiting) | TrySendError::Disconnected(waiting)) => waiting,
-        };
+        let priority = call.priority;
+        let waiting = Waiting { entry, call, stamp, deadline };
+        let Some(refused) = self.queue.push(priority, waiting) else { return };
         self.open.fetch_sub(1, Ordering::AcqRel);
         let detail = format!("the queue of endpoint {} is full", self.endpoint.id);
         refuse(&self.starts, &refused, Refusal::Capacity, detail);
     }
 }
 
+impl<L> Drop for ServiceRunner<L> {
+    fn drop(&mut self) {
+        self.queue.close();
+    }
+}
+
 fn run_calls<L: Link, S: Service>(
-    rx: &Receiver<Waiting>,
+    queue: &CallQueue<Waiting>,
     service: &S,
     starts: &Starts<L>,
     open: &AtomicU32,
 ) {
-    for waiting in rx.iter() {
+    while let Some(waiting) = queue.pop() {
         run_call(&waiting, service, starts);
         open.fetch_sub(1, Ordering::AcqRel);
     }
--- a/crates/daemon/src/entry/process/calls.rs
+++ b/crates/daemon/src/entry/process/calls.rs
@@ -1,12 +1,15 @@
 //! All calls of an entry to plain services: each gets one outcome, and runs again only where it may.
 
-use crate::entry::process::{FleetCell, InProgress, LedgerClient, Pipelines, Timer};
+use crate::entry::process::{
+    FleetCell, InProgress, LedgerClient, Pipelines, RetryDesk, Timer, attempt_end, no_answer,
+};
 use crate::entry::request::{
     CallRun, Keyed, OUTCOME_HEADER, Problem, REPLAYED_HEADER, RunOnce, RunTable,
 };
 use crate::process::{Count, Counters};
 use sorrellock_core::id::{Attempt, EndpointId, Sequence, ServiceId, WorkspaceId};
 use sorrellock_core::process::admission::Ended;
+use sorrellock_core::process::retries::{AttemptEnd, Permit};
 use sorrellock_core::request::{NotRun, Peer, Refusal, RequestKey, Unknown};
 use sorrellock_http::Responder;
 use sorrellock_wire::connection::Link;
@@ -40,6 +43,7 @@
     pub(super) fleet: Arc<FleetCell>,
     pub(super) ledger: LedgerClient<L>,
     pub(super) pipelines: Arc<Pipelines<L>>,
+    pub(super) retries: Arc<RetryDesk>,
     pub(super) in_progress: Arc<InProgress>,
     pub(super) timer: Arc<Timer>,
     pub(super) counters: Arc<Counters>,
@@ -68,6 +72,7 @@
             deadline: new.deadline,
             responder: Some(responder),
             in_flight: None,
+            permit: None,
         };
         let run = self.runs.insert(sequence, run);
         self.timer.add(new.deadline, sequence);
@@ -95,10 +100,12 @@
         let Some(run) = mine.then(|| self.runs.get(request.sequence)).flatten() else {
             return self.counters.count(Count::LateAnswers);
         };
-        let run = run.lock().unwrap();
+        let mut run = run.lock().unwrap();
         if run.attempt() != attempt || run.responder.is_none() {
             return self.counters.count(Count::LateAnswers);
         }
+        let ended = attempt_end(&end, run.given());
+        self.end_attempt(&mut run, ended);
         match end {
             CallEnd::Done { status, content_type, body } => {
                 self.done(run, status, content_type, body, false)
@@ -114,12 +121,13 @@
     /// A daemon can't be reached: what was sent there may have run.
     pub fn on_closed(&self, peer: SocketAddr) {
         for (_, run) in self.runs.all() {
-            let run = run.lock().unwrap();
+            let mut run = run.lock().unwrap();
             if run.keyed.is_some() {
                 self.on_closed_keyed(run, peer);
                 continue;
             }
             if run.daemon.addr == peer && run.responder.is_some() {
+                self.end_attempt(&mut run, AttemptEnd::Failure);
                 self.lost(run, format!("the link to {peer} closed after the call was sent"));
             }
         }
@@ -128,11 +136,13 @@
     /// The deadline of a call passed.
     pub fn on_deadline(&self, sequence: Sequence) {
         let Some(run) = self.runs.get(sequence) else { return };
-        let run = run.lock().unwrap();
+        let mut run = run.lock().unwrap();
         let detail = "the deadline passed before an answer came".to_owned();
         if run.keyed.is_some() {
             return self.give_up_keyed(run, Refusal::Deadline, &detail);
         }
+        let ended = no_answer(run.given());
+        self.end_attempt(&mut run, ended);
         self.fail(run, Problem { status: 504, ..Unknown { detail }.into() });
     }
 
@@ -140,18 +150,26 @@
     pub fn cancel(&self, sequence: Sequence) {
         let Some(run) = self.runs.get(sequence) else { return };
         self.counters.count(Count::CallersGone);
-        let run = run.lock().unwrap();
+        let mut run = run.lock().unwrap();
         let detail = "the caller went away".to_owned();
         if run.keyed.is_some() {
             return self.give_up_keyed(run, Refusal::Cancelled, &detail);
         }
+        self.end_attempt(&mut run, AttemptEnd::Neutral);
         self.fail(run, Unknown { detail }.into());
     }
 
     /// Sends the call to the next endpoint, or answers `otherwise` if there is none.
-    fn try_next(&self, mut run: Run<'_>, otherwise: Problem) {
+    fn try_next(&self, mut run: Run<'_>, mut otherwise: Problem) {
         while run.attempt() < self.max_attempts {
-            let Some((endpoint, daemon)) = self.next_endpoint(&run) else { break };
+            let Some((endpoint, daemon, permit)) = self.next_attempt(&run) else { break };
+            run.permit = Some(permit);
+            let is_retry = run.attempt() > 0;
+            if is_retry && let Err(wait) = self.retries.pay(&run.workspace, &endpoint) {
+                otherwise.retry_after = Some(wait);
+                self.end_attempt_at(&mut run, &endpoint, daemon, AttemptEnd::Neutral);
+                break;
+            }
             run.in_flight = self.fleet.view().count(&endpoint);
             run.tried.push(endpoint.clone());
             run.daemon = daemon;
@@ -164,15 +182,37 @@
                 return;
             }
             self.counters.count(Count::SendsRefused);
+            self.end_attempt(&mut run, AttemptEnd::Neutral);
         }
         self.fail(run, otherwise);
     }
 
+    fn next_attempt(&self, run: &CallRun) -> Option<(EndpointId, Peer, Permit)> {
+        let view = self.fleet.view();
+        let mut untried = view.services(&run.service);
+        untried.retain(|known| !run.tried.contains(&known.fact.id));
+        self.retries.choose(&untried)
+    }
+
+    /// Tells the breaker and the budget how the attempt in force ended.
+    fn end_attempt(&self, run: &mut Run<'_>, end: AttemptEnd) {
+        let (endpoint, daemon) = (run.sent.endpoint.clone(), run.daemon);
+        self.end_attempt_at(run, &endpoint, daemon, end);
+    }
+
+    fn end_attempt_at(&self, run: &mut Run<'_>, at: &EndpointId, daemon: Peer, end: AttemptEnd) {
+        if let Some(permit) = run.permit.take() {
+            self.retries.on_end(&run.workspace, at, daemon, permit, end);
+        }
+    }
+
+    /// The next endpoint of a call with a key: one whose breaker isn't closed only if none else.
     pub(super) fn next_endpoint(&self, run: &CallRun) -> Option<(EndpointId, Peer)> {
         let view = self.fleet.view();
         let services = view.services(&run.service);
-        let mut untried = services.iter().filter(|known| !run.tried.contains(&known.fact.id));
-        untried.next().map(|known| (known.fact.id.clone(), known.daemon))
+        let untried = services.iter().filter(|known| !run.tried.contains(&known.fact.id));
+        let first = untried.min_by_key(|known| !self.retries.is_closed(&known.fact.id));
+        first.map(|known| (known.fact.id.clone(), known.daemon))
     }
 
     /// An attempt may have run, and its answer will not come.
@@ -210,7 +250,9 @@
     pub(super) fn fail(&self, mut run: Run<'_>, problem: Problem) {
         let Some(responder) = run.responder.take() else { return };
         let problem = match run.doubt.take() {
-            Some(doubt) if problem.outcome == "not-run" => doubt.into(),
+            Some(doubt) if problem.outcome == "not-run" => {
+                Problem { retry_after: problem.retry_after, ..doubt.into() }
+            }
             _ => problem,
         };
         let count = if problem.outcome == "not-run" { Count::NotRun } else { Count::Unknown };
--- a/crates/daemon/src/entry/process/entry.rs
+++ b/crates/daemon/src/entry/process/entry.rs
@@ -3,7 +3,7 @@
 use crate::entry::process::entry_handler::EntryLedger;
 use crate::entry::process::{
     Api, Calls, EntryHandler, EntrySettings, FleetCell, Gate, GateParts, InProgress, LedgerClient,
-    LimitDesk, Pipelines, Timer,
+    LimitDesk, Pipelines, RetryDesk, Timer,
 };
 use crate::entry::request::{RunTable, listener_refusal};
 use crate::process::leads::{LeadCx, LeadDesk};
@@ -80,6 +80,7 @@
             agent: agent.clone(),
             leads: LeadDesk::start(store.clone(), leads_cx),
             holders: Arc::new(new_holders(me, &settings, link.clone())),
+            retries: Arc::new(RetryDesk::new(counters.clone(), journal.clone())),
             link: link.clone(),
             counters: counters.clone(),
             journal,
@@ -194,6 +195,7 @@
     in_progress: Arc<InProgress>,
     gate: OnceLock<Arc<Gate<AnyLink>>>,
     holders: Arc<EntryLedger<AnyLink>>,
+    retries: Arc<RetryDesk>,
     link: Arc<AnyLink>,
     counters: Arc<Counters>,
     journal: Arc<Journal>,
@@ -211,6 +213,7 @@
             "fleet": self.fleet.view().instances().collect::<Vec<_>>(),
             "members": self.agent.view().members().collect::<Vec<_>>(),
             "cut_off": self.agent.view().cut_off(),
+            "retries": self.retries.dump(),
             "ledger": self.holders.dump(),
             "config": self.config.status(),
             "journal": self.journal.entries(),
@@ -246,6 +249,7 @@
         fleet: state.fleet.clone(),
         ledger: new_ledger_client(state),
         pipelines: pipelines.clone(),
+        retries: state.retries.clone(),
         in_progress: state.in_progress.clone(),
         timer: timer.clone(),
         counters: state.counters.clone(),
--- a/crates/daemon/src/entry/process/keyed_pipelines.rs
+++ b/crates/daemon/src/entry/process/keyed_pipelines.rs
@@ -31,6 +31,7 @@
             deadline,
             responder: Some(responder),
             in_flight: None,
+            permit: None,
         };
         let run = self.runs.insert(sequence, run);
         self.timer.add(deadline, sequence);
--- a/crates/daemon/src/entry/process/mod.rs
+++ b/crates/daemon/src/entry/process/mod.rs
@@ -14,6 +14,7 @@
 mod limits;
 mod pipelines;
 mod repairs;
+mod retry_desk;
 mod settings;
 mod timer;
 
@@ -32,4 +33,5 @@
 use ledger_client::{ARRIVAL_WAIT, ASK_WAIT, CLAIM_WAIT, LedgerClient, RUN_WAIT};
 use limits::LimitDesk;
 use pipelines::Pipelines;
+use retry_desk::{RetryDesk, attempt_end, no_answer};
 use timer::Timer;
--- a/crates/daemon/src/entry/request/call_run.rs
+++ b/crates/daemon/src/entry/request/call_run.rs
@@ -4,10 +4,11 @@
 use crate::entry::request::Keyed;
 use crate::entry::version::InFlight;
 use sorrellock_core::id::{Attempt, EndpointId, ServiceId, WorkspaceId};
+use sorrellock_core::process::retries::Permit;
 use sorrellock_core::request::{Peer, RequestKey, Route, Unknown};
 use sorrellock_http::Responder;
 use sorrellock_wire::message::CallRequest;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// One call to a plain service at its entry.
 pub struct CallRun {
@@ -37,6 +38,8 @@
     pub responder: Option<Responder>,
     /// Counts it at the endpoint.
     pub in_flight: Option<InFlight>,
+    /// With which the end of the attempt in force is told to its endpoint's breaker.
+    pub permit: Option<Permit>,
 }
 
 impl CallRun {
@@ -44,4 +47,9 @@
     pub fn attempt(&self) -> Attempt {
         self.sent.attempt
     }
+
+    /// How long the attempt in force had to be answered.
+    pub fn given(&self) -> Duration {
+        Duration::from_millis(self.sent.deadline_ms)
+    }
 }
--- a/crates/daemon/src/process/counters.rs
+++ b/crates/daemon/src/process/counters.rs
@@ -70,6 +70,18 @@
     StepsStale => "steps_stale",
     /// Steps before which positions were missing.
     StepsGap => "steps_gap",
+    /// Attempts of calls after the first.
+    Retries => "retries",
+    /// Retries that no budget paid for.
+    RetriesRefused => "retries_refused",
+    /// Breakers of endpoints that opened.
+    BreakersOpened => "breakers_opened",
+    /// Breakers of endpoints that closed again.
+    BreakersClosed => "breakers_closed",
+    /// Attempts that probed an endpoint whose breaker had opened.
+    BreakerProbes => "breaker_probes",
+    /// Attempts at an endpoint whose breaker was open, as there was no other.
+    BreakersForced => "breakers_forced",
     /// Times that kept output was sent again.
     Replays => "replays",
     /// KV caches handed over to another stage.
--- a/crates/local/src/local_config.rs
+++ b/crates/local/src/local_config.rs
@@ -23,6 +23,8 @@
     pub entries: usize,
     /// Instances of its one plain service.
     pub services: usize,
+    /// Calls that run at once at an instance of the plain service.
+    pub max_calls: usize,
     /// Time of a batch at an engine, whatever its size.
     pub batch_time: Duration,
     /// Time of each token of a batch at an engine.
@@ -52,6 +54,7 @@
             layers: 12,
             entries: 1,
             services: 1,
+            max_calls: BesideSettings::MAX_CALLS,
             batch_time: Duration::from_millis(2),
             token_time: Duration::from_micros(10),
             max_batch: 64,
@@ -101,6 +104,12 @@
         self
     }
 
+    /// Bounds the calls that run at once at an instance of the plain service.
+    pub fn with_max_calls(mut self, calls: usize) -> LocalConfig {
+        self.max_calls = calls;
+        self
+    }
+
     /// Bounds the requests a second of each workspace.
     pub fn with_requests_per_s(mut self, requests: f64) -> LocalConfig {
         self.requests_per_s = requests;
--- a/crates/local/src/local_fleet.rs
+++ b/crates/local/src/local_fleet.rs
@@ -272,12 +272,13 @@
         FakeService::start(ServiceConfig::new(next_addr())).wrap_err("start of a service")?;
     let id = format!("{SERVICE}-{name}");
     let endpoint = ServiceEndpoint { id, service: SERVICE.into(), addr: service.addr() };
-    let settings = BesideSettings::new(PLACE, next_addr())
+    let mut settings = BesideSettings::new(PLACE, next_addr())
         .with_link_kind(cfg.link_kind)
         .with_platform(platform.addr())
         .with_linger(LINGER)
         .with_planner(cfg.planner.unwrap_or_default())
         .with_service(endpoint);
+    settings.max_calls = cfg.max_calls;
     Ok(LocalService { service, beside: Beside::start(settings)? })
 }
 
