--- a/crates/daemon/tests/retries.rs
+++ b/crates/daemon/tests/retries.rs
@@ -91,6 +91,25 @@
     assert!(last.retry_after.is_some(), "{last:?}");
 }
 
+#[test]
+fn short_deadlines_open_no_breaker_and_longer_ones_do() {
+    let fleet = services(1);
+    let caller = fleet.caller(0, 0);
+    fleet.services[0].service.hang();
+    let call_until = |deadline_ms: &str| {
+        let headers = [("sorrellock-deadline-ms", deadline_ms)];
+        let path = format!("/v1/services/{SERVICE}/lots");
+        let send = || caller.send(&path, &headers, "{}").expect("an answer comes").status;
+        thread::scope(|scope| (0..8).for_each(|_| drop(scope.spawn(send))));
+        fleet.entries[0].counter(Count::BreakersOpened)
+    };
+
+    let after_short = call_until("50");
+    let after_longer = call_until("1300");
+
+    assert_eq!((after_short, after_longer), (0, 1));
+}
+
 #[test]
 fn an_urgent_call_passes_routine_calls_that_wait_beside_the_service() {
     let cfg = LocalConfig::new().with_pipeline(1, 1).with_entries(4).with_max_calls(1);
