The test of killed watchers waits for the second replacement

The check is as strict: both of the entries that are left must watch, within the bound of every wait.

--- a/crates/daemon/tests/processes/watchers.rs
+++ b/crates/daemon/tests/processes/watchers.rs
@@ -57,5 +57,6 @@
 
     let in_force = || rest.iter().all(|entry| entry.applied() >= revision);
     wait_until(in_force, || format!("the change is not in force\n{}", logs()));
-    assert!(rest.iter().all(|entry| entry.is_watching()));
+    let replaced = || rest.iter().all(|entry| entry.is_watching());
+    wait_until(replaced, || format!("the killed watchers are not replaced\n{}", logs()));
 }
