--- a/crates/core/tests/config_spread/main.rs
+++ b/crates/core/tests/config_spread/main.rs
@@ -1,5 +1,6 @@
 //! How configuration spreads among daemons: focused tests, and stateful fuzzing against an oracle.
 
+mod fleet;
 mod focused;
 mod fuzz;
 mod store;
