A request that has ended begins no attempt

Cause, found by reading the entry as a newcomer: whoever had found a request in the table just before it ended took its lock after the end, and a late trouble then opened the next attempt at stages that nobody would close: KV caches held for 120 s. A deadline at that moment counted an answered request as unknown too. Ruled out: a flag at each caller; there are nine. Change: closing finishes the driver, and all its inputs pass over a finished one.

--- a/crates/core/src/request/drive/driver.rs
+++ b/crates/core/src/request/drive/driver.rs
@@ -102,7 +102,7 @@
         &self.tokens
     }
 
-    /// Whether the whole answer was emitted.
+    /// Whether the whole answer was emitted, or the request was closed.
     pub fn finished(&self) -> bool {
         self.finished
     }
@@ -158,12 +158,14 @@
 
     /// The first stage misses positions.
     pub fn on_resend(&self, attempt: Attempt, from: Position) -> Option<Outgoing> {
-        let wanted = attempt == self.attempt && from < self.have();
+        let wanted = attempt == self.attempt && from < self.have() && !self.finished;
         wanted.then(|| self.step_from(from))
     }
 
-    /// Frees what all stages hold.
-    pub fn close(&self) -> Vec<Outgoing> {
+    /// Frees what all stages hold. What comes later changes nothing: an attempt begun after the
+    /// close would hold KV caches that nobody closes.
+    pub fn close(&mut self) -> Vec<Outgoing> {
+        self.finished = true;
         let leaving = &self.leaving;
         let hops = self.route.hops.iter().chain(&self.left).chain(leaving);
         hops.map(|hop| self.close_hop(hop, self.attempt)).collect()
--- a/crates/core/src/request/drive/repair.rs
+++ b/crates/core/src/request/drive/repair.rs
@@ -81,6 +81,9 @@
     /// Looks for a route again after [`Repair::NoRoute`]. Lost stages that are known again may
     /// take part, but start from nothing.
     pub fn retry(&mut self, routes: &impl RouteSource) -> Repair {
+        if self.finished() {
+            return Repair::Ignored;
+        }
         let lost = self.avoid.clone();
         match self.patched(&lost, &[], routes).or_else(|| routes.route(&[])) {
             Some(route) => self.move_to(route, &lost),
--- a/crates/daemon/src/entry/process/pipelines.rs
+++ b/crates/daemon/src/entry/process/pipelines.rs
@@ -199,6 +199,9 @@
     }
 
     pub(super) fn fail(&self, mut run: Run<'_>, problem: Problem) {
+        if run.driver.finished() {
+            return;
+        }
         self.counters.count(Count::Unknown);
         run.answer.fail(&problem);
         self.tell_unknown(&run, &problem.detail);
@@ -225,7 +228,7 @@
     }
 
     /// Frees what the request holds, here and at its stages.
-    fn end(&self, run: Run<'_>) {
+    fn end(&self, mut run: Run<'_>) {
         if self.runs.remove(run.request.sequence).is_none() {
             return;
         }
--- a/crates/daemon/src/entry/process/repairs.rs
+++ b/crates/daemon/src/entry/process/repairs.rs
@@ -70,6 +70,9 @@
     pub(super) fn on_check(&self, sequence: Sequence) {
         let Some(run) = self.runs.get(sequence) else { return };
         let mut run = run.lock().unwrap();
+        if run.driver.finished() {
+            return;
+        }
         if run.without_route.is_some() {
             return self.look_for_route(run);
         }
