Three tests wait for what they rest on

One compared how many daemons the operator's view counts at the moment when all of those known had the change, and one daemon was not known yet (4 of 5); one slept 500 ms for rows to come into force at four entries, which a loaded machine may need more than. The tests of sharing slept in the same way: that may be the cause of their one unexplained failure. Change: each waits, within a bound, until the rows are in force at every entry, or all daemons are counted and have the change. Nothing else is checked less.

--- a/crates/daemon/tests/config_fleet.rs
+++ b/crates/daemon/tests/config_fleet.rs
@@ -86,8 +86,8 @@
         let view = fleet.entries[0].members();
         InForce::count(view.members(), revision)
     };
-    wait_until(|| in_force().is_everywhere(), "the members don't tell that it is in force");
-    assert_eq!(in_force().of, agents.len());
+    let everywhere = || in_force().is_everywhere() && in_force().of == agents.len();
+    wait_until(everywhere, "not all members tell that it is in force");
 }
 
 #[test]
--- a/crates/daemon/tests/retries.rs
+++ b/crates/daemon/tests/retries.rs
@@ -1,6 +1,7 @@
 //! Calls to plain services of which some fail: breakers, retries from a budget, urgent first.
 
 use sorrellock_core::version::{Class, Row};
+use sorrellock_daemon::entry::process::Entry;
 use sorrellock_daemon::process::{Count, Dump};
 use sorrellock_local::{
     Caller, CallerAnswer, LocalConfig, LocalFleet, SERVICE, WORKSPACES, write_rows,
@@ -116,7 +117,9 @@
     let fleet = LocalFleet::start(cfg).expect("a fleet starts");
     let urgent_row = Row { class: Class::Urgent, ..Row::new(URGENT.1, "default") };
     write_rows(&fleet.platform, vec![Row::new(WORKSPACES[0].0, "default"), urgent_row]);
-    thread::sleep(Duration::from_millis(500));
+    let is_urgent =
+        |entry: &Entry| entry.config().view().row(URGENT.1, "default").class == Class::Urgent;
+    wait_for("the rows are in force", || fleet.entries.iter().all(is_urgent));
     let local = &fleet.services[0];
     let open = |count: usize| wait_for("a call waits", || local.beside.open_work() == count);
     local.service.hang();
--- a/crates/daemon/tests/sharing.rs
+++ b/crates/daemon/tests/sharing.rs
@@ -2,6 +2,7 @@
 
 use serde_json::json;
 use sorrellock_core::version::{Class, Row};
+use sorrellock_daemon::entry::process::Entry;
 use sorrellock_local::{
     Caller, CallerAnswer, LocalConfig, LocalFleet, MODEL, WORKSPACES, write_rows,
 };
@@ -28,8 +29,11 @@
 
 /// Puts rows in force at all entries.
 fn set_rows(fleet: &LocalFleet, rows: Vec<Row>) {
-    write_rows(&fleet.platform, rows);
-    thread::sleep(Duration::from_millis(500));
+    write_rows(&fleet.platform, rows.clone());
+    let has =
+        |entry: &Entry, row: &Row| *entry.config().view().row(&row.workspace, &row.kind) == *row;
+    let in_force = || fleet.entries.iter().all(|entry| rows.iter().all(|row| has(entry, row)));
+    wait_for("the rows are in force", in_force);
 }
 
 fn complete(caller: &Caller, tokens: u32, headers: &[(&str, &str)]) -> CallerAnswer {
