The metrics' refusing target is the broadcast address of loopback

Cause: the test named the broadcast address of all networks; it is refused before anything leaves, but tests stay on loopback. 127.255.255.255 is refused in the same way (permission denied).

--- a/crates/daemon/tests/metrics.rs
+++ b/crates/daemon/tests/metrics.rs
@@ -34,7 +34,7 @@
 
 #[test]
 fn a_target_that_refuses_loses_nothing_and_stops_nothing() {
-    let refusing: SocketAddr = "255.255.255.255:9".parse().unwrap();
+    let refusing: SocketAddr = "127.255.255.255:9".parse().unwrap();
     let counters = Arc::new(Counters::new());
 
     let started = send_metrics(counters.clone(), Some(refusing));
