--- a/crates/daemon/tests/sharing.rs
+++ b/crates/daemon/tests/sharing.rs
@@ -1,6 +1,7 @@
 //! Sharing at the entries: floods, huge prompts, idle connections, urgent work, deadlines, limits.
 
 use serde_json::json;
+use sorrellock_core::process::DaemonRole;
 use sorrellock_core::version::{Class, Row};
 use sorrellock_daemon::entry::process::Entry;
 use sorrellock_local::{
@@ -20,7 +21,11 @@
     let mut cfg = LocalConfig::new().with_pipeline(1, 1).with_entries(entries);
     cfg = cfg.with_times(Duration::from_millis(4), Duration::ZERO);
     cfg.max_batch = 8;
-    LocalFleet::start(cfg).expect("a local fleet starts")
+    let fleet = LocalFleet::start(cfg).expect("a local fleet starts");
+    // Entries that don't know of each other keep one limit each.
+    let known = |entry: &Entry| entry.members().live_as(DaemonRole::Entry).count() == entries;
+    wait_for("the entries know each other", || fleet.entries.iter().all(known));
+    fleet
 }
 
 fn row(workspace: &str) -> Row {
