crates/platform is crates/ports: the name is taken by the adapter

The product's traits towards the outside and the users' adapter would have borne one name. Only names of the package and folder change; it builds.

--- a/crates/bench/benches/config/spread.rs
+++ b/crates/bench/benches/config/spread.rs
@@ -5,7 +5,7 @@
 use crate::world::World;
 use hdrhistogram::Histogram;
 use sorrellock_core::version::{Column, SpreadSettings, Workspace};
-use sorrellock_platform::config::{ConfigStore, RowEdit};
+use sorrellock_ports::config::{ConfigStore, RowEdit};
 use std::time::Duration;
 
 /// Seven data centres.
--- a/crates/bench/benches/control/daemons.rs
+++ b/crates/bench/benches/control/daemons.rs
@@ -5,7 +5,7 @@
 use serde_json::Value;
 use sorrellock_fakes::{FakePlatform, PlatformConfig};
 use sorrellock_local::next_addr;
-use sorrellock_platform::api::{Instance, InstanceState};
+use sorrellock_ports::api::{Instance, InstanceState};
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::process::{Child, Command, Stdio};
--- a/crates/bench/benches/run_once/slopes.rs
+++ b/crates/bench/benches/run_once/slopes.rs
@@ -6,8 +6,8 @@
     ArchiveId, ArchiveRef, Batch, Head, HolderConfig, Record, SHARDS, head_key, shard_of,
 };
 use sorrellock_fakes::FakePlatform;
-use sorrellock_platform::api::{ObjectStore, Precondition};
-use sorrellock_platform::client::HttpObjectStore;
+use sorrellock_ports::api::{ObjectStore, Precondition};
+use sorrellock_ports::client::HttpObjectStore;
 use std::fs;
 use std::sync::mpsc::channel;
 use std::time::{Duration, Instant};
--- a/crates/bench/benches/run_once/store.rs
+++ b/crates/bench/benches/run_once/store.rs
@@ -6,7 +6,7 @@
 use sorrellock_daemon::process::ledger::{AnswerSink, LedgerHolders};
 use sorrellock_fakes::{FakePlatform, PlatformConfig};
 use sorrellock_local::next_addr;
-use sorrellock_platform::client::HttpObjectStore;
+use sorrellock_ports::client::HttpObjectStore;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::mpsc::Sender;
 use std::time::{Duration, Instant};
--- a/crates/cli/src/operate/change.rs
+++ b/crates/cli/src/operate/change.rs
@@ -7,7 +7,7 @@
 use serde_json::{Value, json};
 use sorrellock_core::id::Revision;
 use sorrellock_core::version::InForce;
-use sorrellock_platform::config::{ChangeReport, PageReport};
+use sorrellock_ports::config::{ChangeReport, PageReport};
 use std::thread;
 use std::time::{Duration, Instant};
 
--- a/crates/cli/src/operate/operate_error.rs
+++ b/crates/cli/src/operate/operate_error.rs
@@ -1,7 +1,7 @@
 //! Why an operator's command failed.
 
 use crate::cli::Exit;
-use sorrellock_platform::config::ConfigError;
+use sorrellock_ports::config::ConfigError;
 use std::fmt;
 use std::net::SocketAddr;
 
--- a/crates/cli/src/operate/operator_cx.rs
+++ b/crates/cli/src/operate/operator_cx.rs
@@ -2,8 +2,8 @@
 
 use crate::operate::{OperateError, Output};
 use clap::ArgMatches;
-use sorrellock_platform::client::HttpObjectStore;
-use sorrellock_platform::config::ConfigStore;
+use sorrellock_ports::client::HttpObjectStore;
+use sorrellock_ports::config::ConfigStore;
 use std::net::SocketAddr;
 use std::time::Duration;
 
--- a/crates/cli/src/operate/table.rs
+++ b/crates/cli/src/operate/table.rs
@@ -6,7 +6,7 @@
 use serde_json::{Value, json};
 use sorrellock_core::id::Revision;
 use sorrellock_core::version::{Column, Row, Versioned};
-use sorrellock_platform::config::RowEdit;
+use sorrellock_ports::config::RowEdit;
 use std::io::{Read, stdin};
 
 /// Runs a command on the table.
--- a/crates/core/tests/config_spread/fleet.rs
+++ b/crates/core/tests/config_spread/fleet.rs
@@ -5,7 +5,7 @@
 use sorrellock_core::clock::ManualClock;
 use sorrellock_core::id::Revision;
 use sorrellock_core::version::{Column, Spread, Workspace};
-use sorrellock_platform::config::{ConfigStore, RowEdit};
+use sorrellock_ports::config::{ConfigStore, RowEdit};
 use std::time::Duration;
 
 /// Bound of every wait, in model time.
--- a/crates/core/tests/config_spread/fuzz.rs
+++ b/crates/core/tests/config_spread/fuzz.rs
@@ -6,7 +6,7 @@
 use quickcheck::{Arbitrary, Gen, QuickCheck};
 use sorrellock_core::id::Revision;
 use sorrellock_core::version::{Column, ConfigEvent, Item, PageId, Row, Workspace, page_of};
-use sorrellock_platform::config::{ChangeReport, ConfigError, ConfigStore, RowEdit};
+use sorrellock_ports::config::{ChangeReport, ConfigError, ConfigStore, RowEdit};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
--- a/crates/core/tests/config_spread/store.rs
+++ b/crates/core/tests/config_spread/store.rs
@@ -2,9 +2,7 @@
 
 use sorrellock_core::id::Revision;
 use sorrellock_core::version::{CONFIG_PREFIX, PageId, PageListing};
-use sorrellock_platform::api::{
-    Listing, Object, ObjectMeta, ObjectStore, Precondition, StoreError,
-};
+use sorrellock_ports::api::{Listing, Object, ObjectMeta, ObjectStore, Precondition, StoreError};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
--- a/crates/core/tests/config_spread/world.rs
+++ b/crates/core/tests/config_spread/world.rs
@@ -9,7 +9,7 @@
 use sorrellock_core::version::{
     ConfigEvent, ConfigMessage, ConfigPeers, Effect, PageId, Spread, SpreadSettings, StoreCall,
 };
-use sorrellock_platform::api::ObjectStore;
+use sorrellock_ports::api::ObjectStore;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
--- a/crates/daemon/src/beside/process/beside_handler.rs
+++ b/crates/daemon/src/beside/process/beside_handler.rs
@@ -8,8 +8,8 @@
 use sorrellock_core::process::EndpointFact;
 use sorrellock_core::process::ledger::{Claim, ClaimAnswer, SeenVerdict, Stamp};
 use sorrellock_core::request::{KeptBudget, Peer, Refusal};
-use sorrellock_platform::api::Engine;
-use sorrellock_platform::client::HttpObjectStore;
+use sorrellock_ports::api::Engine;
+use sorrellock_ports::client::HttpObjectStore;
 use sorrellock_wire::connection::{Link, LinkHandler};
 use sorrellock_wire::message::{
     CallEnd, CallMessage, CallRequest, LedgerMessage, Message, Open, OrderMessage, PipelineMessage,
--- a/crates/daemon/src/beside/process/engine_batches.rs
+++ b/crates/daemon/src/beside/process/engine_batches.rs
@@ -3,7 +3,7 @@
 use crate::beside::process::EngineRunner;
 use crate::process::Count;
 use sorrellock_core::request::{Chosen, EngineResult, EngineWork, RequestKey};
-use sorrellock_platform::api::{Batch, Engine, EngineStep, StepOutput};
+use sorrellock_ports::api::{Batch, Engine, EngineStep, StepOutput};
 use sorrellock_wire::connection::Link;
 use std::sync::atomic::Ordering;
 use std::thread;
--- a/crates/daemon/src/beside/process/engine_calls.rs
+++ b/crates/daemon/src/beside/process/engine_calls.rs
@@ -3,7 +3,7 @@
 use crate::beside::process::EngineRunner;
 use crossbeam::channel::Receiver;
 use sorrellock_core::request::{Handover, KvExport, RequestKey};
-use sorrellock_platform::api::Engine;
+use sorrellock_ports::api::Engine;
 use sorrellock_wire::connection::Link;
 
 /// A call to an engine besides batches.
--- a/crates/daemon/src/beside/process/engine_runner.rs
+++ b/crates/daemon/src/beside/process/engine_runner.rs
@@ -14,7 +14,7 @@
     KeptBudget, LayerRange, Open, PipelineMessage, Refusal, RequestKey, StageCount, StageOutput,
     StageTable, StepTimes,
 };
-use sorrellock_platform::api::{Engine, EngineInfo};
+use sorrellock_ports::api::{Engine, EngineInfo};
 use sorrellock_wire::connection::Link;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
--- a/crates/daemon/src/beside/process/fence_table.rs
+++ b/crates/daemon/src/beside/process/fence_table.rs
@@ -3,7 +3,7 @@
 use crate::process::leads::lead_key;
 use sorrellock_core::id::{Fence, Incarnation, ModelId, Revision};
 use sorrellock_core::process::orders::{FenceGuard, LeadRecord};
-use sorrellock_platform::api::{ObjectStore, Precondition, StoreError};
+use sorrellock_ports::api::{ObjectStore, Precondition, StoreError};
 use sorrellock_wire::message::OrderRefusal;
 use std::collections::HashMap;
 use std::sync::Mutex;
--- a/crates/daemon/src/beside/process/order_desk.rs
+++ b/crates/daemon/src/beside/process/order_desk.rs
@@ -6,7 +6,7 @@
 use crossbeam::channel::{Receiver, Sender, bounded};
 use sorrellock_core::id::EndpointId;
 use sorrellock_core::request::Peer;
-use sorrellock_platform::api::{Engine, ObjectStore};
+use sorrellock_ports::api::{Engine, ObjectStore};
 use sorrellock_wire::connection::Link;
 use sorrellock_wire::message::{
     Message, OrderAnswer, OrderMessage, OrderRefusal, OrderRequest, OrderResult,
--- a/crates/daemon/src/beside/process/role_change.rs
+++ b/crates/daemon/src/beside/process/role_change.rs
@@ -3,7 +3,7 @@
 
 use crate::beside::process::EngineRunner;
 use sorrellock_core::process::orders::Holding;
-use sorrellock_platform::api::{Engine, EngineInfo, Order};
+use sorrellock_ports::api::{Engine, EngineInfo, Order};
 use sorrellock_wire::connection::Link;
 use sorrellock_wire::message::{OrderRefusal, OrderRequest};
 use std::sync::atomic::Ordering;
--- a/crates/daemon/src/beside/process/service_runner.rs
+++ b/crates/daemon/src/beside/process/service_runner.rs
@@ -5,7 +5,7 @@
 use sorrellock_core::process::ledger::Stamp;
 use sorrellock_core::process::{EndpointFact, Role};
 use sorrellock_core::request::{Peer, Refusal};
-use sorrellock_platform::api::{Service, ServiceCall, ServiceError};
+use sorrellock_ports::api::{Service, ServiceCall, ServiceError};
 use sorrellock_wire::connection::Link;
 use sorrellock_wire::message::{CallEnd, CallRequest};
 use std::sync::Arc;
--- a/crates/daemon/src/entry/process/entry.rs
+++ b/crates/daemon/src/entry/process/entry.rs
@@ -20,7 +20,7 @@
 use sorrellock_core::request::Peer;
 use sorrellock_core::version::SpreadSettings;
 use sorrellock_http::{Server, ServerConfig};
-use sorrellock_platform::client::{HttpInstanceList, HttpObjectStore};
+use sorrellock_ports::client::{HttpInstanceList, HttpObjectStore};
 use sorrellock_wire::connection::{AnyLink, LinkConfig};
 use std::net::SocketAddr;
 use std::sync::{Arc, OnceLock};
--- a/crates/daemon/src/entry/process/entry_handler.rs
+++ b/crates/daemon/src/entry/process/entry_handler.rs
@@ -6,7 +6,7 @@
 use crate::process::{ConfigAgent, Count, Counters, FleetAgent, Journal};
 use sorrellock_core::id::Incarnation;
 use sorrellock_core::request::Peer;
-use sorrellock_platform::client::HttpObjectStore;
+use sorrellock_ports::client::HttpObjectStore;
 use sorrellock_wire::connection::{Link, LinkHandler};
 use sorrellock_wire::message::{
     CallMessage, GrantMessage, LedgerMessage, Message, OrderMessage, PipelineMessage,
--- a/crates/daemon/src/process/config_agent.rs
+++ b/crates/daemon/src/process/config_agent.rs
@@ -12,7 +12,7 @@
     CONFIG_PREFIX, ConfigEvent, ConfigMessage, ConfigView, Effect, PageId, PageListing, Source,
     Spread, SpreadSettings, StoreCall, Troubles,
 };
-use sorrellock_platform::api::{Listing, ObjectStore, StoreError};
+use sorrellock_ports::api::{Listing, ObjectStore, StoreError};
 use sorrellock_wire::connection::Link;
 use sorrellock_wire::message::Message;
 use std::collections::BTreeMap;
@@ -290,9 +290,8 @@
 
 /// The pages of a listing; other objects under the prefix are passed over.
 fn pages_of(listing: &Listing) -> PageListing {
-    let page = |meta: &sorrellock_platform::api::ObjectMeta| {
-        Some((PageId::parse(&meta.key)?, meta.version))
-    };
+    let page =
+        |meta: &sorrellock_ports::api::ObjectMeta| Some((PageId::parse(&meta.key)?, meta.version));
     let pages = listing.objects.iter().filter_map(page).collect();
     PageListing { revision: listing.revision, pages }
 }
--- a/crates/daemon/src/process/fleet_list.rs
+++ b/crates/daemon/src/process/fleet_list.rs
@@ -2,7 +2,7 @@
 
 use crate::process::FleetAgent;
 use sorrellock_core::process::membership::{Listed, MembershipView};
-use sorrellock_platform::api::{Instance, InstanceList, InstanceState};
+use sorrellock_ports::api::{Instance, InstanceList, InstanceState};
 use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
--- a/crates/daemon/src/process/leads/driver.rs
+++ b/crates/daemon/src/process/leads/driver.rs
@@ -9,7 +9,7 @@
 use sorrellock_core::process::membership::{MembershipView, rendezvous};
 use sorrellock_core::process::orders::{Demand, Move, OrderBook, Planner};
 use sorrellock_core::request::Peer;
-use sorrellock_platform::api::ObjectStore;
+use sorrellock_ports::api::ObjectStore;
 use sorrellock_wire::connection::Link;
 use sorrellock_wire::message::{Message, OrderAnswer, OrderMessage, OrderRequest, OrderResult};
 use std::collections::BTreeMap;
--- a/crates/daemon/src/process/leads/lead_desk.rs
+++ b/crates/daemon/src/process/leads/lead_desk.rs
@@ -5,7 +5,7 @@
 use crossbeam::channel::{Sender, bounded};
 use sorrellock_core::process::orders::PlannerConfig;
 use sorrellock_core::request::Peer;
-use sorrellock_platform::api::ObjectStore;
+use sorrellock_ports::api::ObjectStore;
 use sorrellock_wire::connection::Link;
 use sorrellock_wire::message::OrderAnswer;
 use std::sync::Arc;
--- a/crates/daemon/src/process/leads/model_lead.rs
+++ b/crates/daemon/src/process/leads/model_lead.rs
@@ -4,7 +4,7 @@
 use sorrellock_core::clock::SystemClock;
 use sorrellock_core::id::{Fence, Incarnation, ModelId, Revision};
 use sorrellock_core::process::orders::{LeadAction, LeadElection, LeadRecord, PutResult};
-use sorrellock_platform::api::{ObjectStore, Precondition, StoreError};
+use sorrellock_ports::api::{ObjectStore, Precondition, StoreError};
 
 /// The most calls of the store in a row for one model.
 const MAX_CALLS: usize = 4;
--- a/crates/daemon/src/process/ledger/ledger_holders.rs
+++ b/crates/daemon/src/process/ledger/ledger_holders.rs
@@ -9,7 +9,7 @@
     Answered, Claim, Holder, HolderConfig, HolderCounts, SHARDS, Shard, shard_of,
 };
 use sorrellock_core::request::Peer;
-use sorrellock_platform::api::ObjectStore;
+use sorrellock_ports::api::ObjectStore;
 use sorrellock_wire::connection::Link;
 use sorrellock_wire::message::{LedgerMessage, Message};
 use std::sync::{Arc, OnceLock};
--- a/crates/daemon/src/process/ledger/shard_driver.rs
+++ b/crates/daemon/src/process/ledger/shard_driver.rs
@@ -4,7 +4,7 @@
 use sorrellock_core::clock::{Clock, SystemClock};
 use sorrellock_core::process::ledger::{Answered, Claim, Holder, Next, UnixMs};
 use sorrellock_core::request::Peer;
-use sorrellock_platform::api::ObjectStore;
+use sorrellock_ports::api::ObjectStore;
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, Weak};
 use std::thread;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
--- a/crates/daemon/src/process/ledger/store_caller.rs
+++ b/crates/daemon/src/process/ledger/store_caller.rs
@@ -1,7 +1,7 @@
 //! Makes a holder's calls to the platform's store.
 
 use sorrellock_core::process::ledger::{PutWhen, ReadObject, StoreCall, StoreReply};
-use sorrellock_platform::api::{ObjectStore, Precondition, StoreError};
+use sorrellock_ports::api::{ObjectStore, Precondition, StoreError};
 use std::sync::Arc;
 use std::thread;
 
--- a/crates/daemon/tests/orders.rs
+++ b/crates/daemon/tests/orders.rs
@@ -13,7 +13,7 @@
 use sorrellock_local::{
     LocalConfig, LocalEngine, LocalFleet, MODEL, PLACE, next_addr, write_pipelines,
 };
-use sorrellock_platform::api::Order;
+use sorrellock_ports::api::Order;
 use sorrellock_wire::connection::{AnyLink, Link, LinkConfig, LinkHandler};
 use sorrellock_wire::message::{
     Message, Open, OrderAnswer, OrderMessage, OrderRefusal, OrderRequest, OrderResult,
--- a/crates/daemon/tests/processes/process_fleet.rs
+++ b/crates/daemon/tests/processes/process_fleet.rs
@@ -13,7 +13,7 @@
     Caller, MODEL, PLACE, SERVICE, WORKSPACES, next_addr, write_pipelines, write_rows,
     write_workspaces,
 };
-use sorrellock_platform::api::{Instance, InstanceState};
+use sorrellock_ports::api::{Instance, InstanceState};
 use std::net::SocketAddr;
 use std::time::Duration;
 
--- a/crates/daemon/tests/processes/watchers.rs
+++ b/crates/daemon/tests/processes/watchers.rs
@@ -7,8 +7,8 @@
 use sorrellock_core::version::{Column, Workspace};
 use sorrellock_fakes::{FakePlatform, PlatformConfig};
 use sorrellock_local::next_addr;
-use sorrellock_platform::client::HttpObjectStore;
-use sorrellock_platform::config::{ConfigStore, RowEdit};
+use sorrellock_ports::client::HttpObjectStore;
+use sorrellock_ports::config::{ConfigStore, RowEdit};
 use std::net::SocketAddr;
 
 const ENTRIES: usize = 4;
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -1,6 +1,6 @@
 //! Small stand-ins for the platform, the engines and plain services.
 //!
-//! Each speaks the HTTP of [`sorrellock_platform::client`], runs inside a test or as an example of
+//! Each speaks the HTTP of [`sorrellock_ports::client`], runs inside a test or as an example of
 //! its own, and has knobs for the faults that its original has. They record what they ran, so that
 //! a test can compare it with what should have run; [`expected_text`] is the whole model in a few
 //! lines.
--- a/crates/fakes/src/process/engine/accelerator.rs
+++ b/crates/fakes/src/process/engine/accelerator.rs
@@ -2,8 +2,8 @@
 
 use crate::process::{EngineCx, EngineFailure, count};
 use sorrellock_http::Responder;
-use sorrellock_platform::api::Batch;
-use sorrellock_platform::client::format::{BatchAnswer, output_to_format};
+use sorrellock_ports::api::Batch;
+use sorrellock_ports::client::format::{BatchAnswer, output_to_format};
 use std::cmp::{Ordering, Reverse};
 use std::collections::BinaryHeap;
 use std::io;
--- a/crates/fakes/src/process/engine/cache_log.rs
+++ b/crates/fakes/src/process/engine/cache_log.rs
@@ -1,6 +1,6 @@
 //! Events of the prefix cache, which come late and with gaps.
 
-use sorrellock_platform::api::CacheEvent;
+use sorrellock_ports::api::CacheEvent;
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
--- a/crates/fakes/src/process/engine/calls.rs
+++ b/crates/fakes/src/process/engine/calls.rs
@@ -7,8 +7,8 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use sorrellock_http::{Request, Responder};
-use sorrellock_platform::api::Order;
-use sorrellock_platform::client::format::{BatchCall, ReleaseCall, TruncateCall, decode};
+use sorrellock_ports::api::Order;
+use sorrellock_ports::client::format::{BatchCall, ReleaseCall, TruncateCall, decode};
 use std::sync::atomic::Ordering;
 use std::sync::{Mutex, MutexGuard};
 
--- a/crates/fakes/src/process/engine/engine_config.rs
+++ b/crates/fakes/src/process/engine/engine_config.rs
@@ -2,7 +2,7 @@
 
 use sorrellock_core::id::{Layer, ModelId};
 use sorrellock_core::request::LayerRange;
-use sorrellock_platform::api::EngineInfo;
+use sorrellock_ports::api::EngineInfo;
 use std::net::SocketAddr;
 use std::time::Duration;
 
--- a/crates/fakes/src/process/engine/engine_state.rs
+++ b/crates/fakes/src/process/engine/engine_state.rs
@@ -4,7 +4,7 @@
 use crate::request::{PREFIX_BLOCK, Session, activations_fit, prefix_hashes};
 use sorrellock_core::id::{Fence, ModelId, Position};
 use sorrellock_core::request::LayerRange;
-use sorrellock_platform::api::{
+use sorrellock_ports::api::{
     Batch, CacheEvent, EngineInfo, EngineStep, LoadReport, Order, SessionId, StepOutput,
 };
 use std::collections::{HashMap, VecDeque};
--- a/crates/fakes/src/process/engine/fake_engine.rs
+++ b/crates/fakes/src/process/engine/fake_engine.rs
@@ -4,7 +4,7 @@
     EngineConfig, EngineCounters, EngineCx, EngineFailure, Record, run_accelerator,
 };
 use sorrellock_http::{Server, ServerConfig};
-use sorrellock_platform::api::{EngineInfo, LoadReport, Order};
+use sorrellock_ports::api::{EngineInfo, LoadReport, Order};
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
--- a/crates/fakes/src/process/engine/load_log.rs
+++ b/crates/fakes/src/process/engine/load_log.rs
@@ -1,6 +1,6 @@
 //! Load reports, which lag.
 
-use sorrellock_platform::api::LoadReport;
+use sorrellock_ports::api::LoadReport;
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
--- a/crates/fakes/src/process/engine/record.rs
+++ b/crates/fakes/src/process/engine/record.rs
@@ -2,7 +2,7 @@
 
 use sorrellock_core::id::{Layer, Position};
 use sorrellock_core::request::LayerRange;
-use sorrellock_platform::api::{EngineStep, SessionId};
+use sorrellock_ports::api::{EngineStep, SessionId};
 use std::collections::{BTreeMap, VecDeque};
 
 /// Steps that are remembered singly.
--- a/crates/fakes/src/process/platform/calls.rs
+++ b/crates/fakes/src/process/platform/calls.rs
@@ -3,8 +3,8 @@
 use crate::process::{JSON, PlatformState, count, take_one, wake};
 use sorrellock_core::id::Revision;
 use sorrellock_http::{Request, Responder};
-use sorrellock_platform::api::{Instance, MAX_VALUE_BYTES, Precondition};
-use sorrellock_platform::client::format::{decode, parse_etag, to_etag};
+use sorrellock_ports::api::{Instance, MAX_VALUE_BYTES, Precondition};
+use sorrellock_ports::client::format::{decode, parse_etag, to_etag};
 use std::sync::atomic::Ordering;
 
 const OBJECTS_PATH: &str = "/v1/objects";
--- a/crates/fakes/src/process/platform/fake_platform.rs
+++ b/crates/fakes/src/process/platform/fake_platform.rs
@@ -6,7 +6,7 @@
 };
 use sorrellock_core::id::Revision;
 use sorrellock_http::{Server, ServerConfig};
-use sorrellock_platform::api::{Instance, Listing, MAX_VALUE_BYTES, Object};
+use sorrellock_ports::api::{Instance, Listing, MAX_VALUE_BYTES, Object};
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
--- a/crates/fakes/src/process/platform/instances.rs
+++ b/crates/fakes/src/process/platform/instances.rs
@@ -1,6 +1,6 @@
 //! The list of instances, which lags.
 
-use sorrellock_platform::api::Instance;
+use sorrellock_ports::api::Instance;
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
--- a/crates/fakes/src/process/platform/platform_state.rs
+++ b/crates/fakes/src/process/platform/platform_state.rs
@@ -6,8 +6,8 @@
 };
 use sorrellock_core::id::Revision;
 use sorrellock_http::{Request, Responder};
-use sorrellock_platform::api::{Instance, Listing};
-use sorrellock_platform::client::format::RETRY_AFTER;
+use sorrellock_ports::api::{Instance, Listing};
+use sorrellock_ports::client::format::RETRY_AFTER;
 use std::sync::atomic::Ordering::Acquire;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Instant;
--- a/crates/fakes/src/process/platform/store.rs
+++ b/crates/fakes/src/process/platform/store.rs
@@ -1,7 +1,7 @@
 //! The objects of the stand-in platform.
 
 use sorrellock_core::id::Revision;
-use sorrellock_platform::api::{Listing, Object, ObjectMeta, Precondition};
+use sorrellock_ports::api::{Listing, Object, ObjectMeta, Precondition};
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
--- a/crates/fakes/src/process/platform/watches.rs
+++ b/crates/fakes/src/process/platform/watches.rs
@@ -3,8 +3,8 @@
 use crate::process::{Event, PlatformState, Store, count, send_listing};
 use sorrellock_core::id::Revision;
 use sorrellock_http::{Request, Responder};
-use sorrellock_platform::api::Listing;
-use sorrellock_platform::client::format::decode;
+use sorrellock_ports::api::Listing;
+use sorrellock_ports::client::format::decode;
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
--- a/crates/fakes/src/request/session.rs
+++ b/crates/fakes/src/request/session.rs
@@ -3,7 +3,7 @@
 use crate::request::{apply_layer, embed, sample, token_text};
 use sorrellock_core::id::{Layer, Position, TokenId};
 use sorrellock_core::request::{Activations, LayerRange};
-use sorrellock_platform::api::{EngineStep, Sampled, StepOutput};
+use sorrellock_ports::api::{EngineStep, Sampled, StepOutput};
 
 /// Bytes at the front of an activation that count; the rest is padding.
 const ACTIVATION_BYTES: usize = 8;
--- a/crates/fakes/tests/client_errors.rs
+++ b/crates/fakes/tests/client_errors.rs
@@ -3,10 +3,10 @@
 mod common;
 
 use common::{PATIENCE, SHORT, loopback, service_call, wait_for};
-use sorrellock_platform::api::{
+use sorrellock_ports::api::{
     Engine, EngineError, InstanceList, ObjectStore, Precondition, Service, ServiceError, StoreError,
 };
-use sorrellock_platform::client::{HttpEngine, HttpInstanceList, HttpObjectStore, HttpService};
+use sorrellock_ports::client::{HttpEngine, HttpInstanceList, HttpObjectStore, HttpService};
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
--- a/crates/fakes/tests/common/mod.rs
+++ b/crates/fakes/tests/common/mod.rs
@@ -6,10 +6,10 @@
 use sorrellock_fakes::{
     EngineConfig, FakeEngine, FakePlatform, FakeService, PlatformConfig, ServiceConfig,
 };
-use sorrellock_platform::api::{
+use sorrellock_ports::api::{
     Batch, Engine, EngineError, EngineStep, Instance, InstanceState, ServiceCall, StepOutput,
 };
-use sorrellock_platform::client::{HttpEngine, HttpInstanceList, HttpObjectStore, HttpService};
+use sorrellock_ports::client::{HttpEngine, HttpInstanceList, HttpObjectStore, HttpService};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
--- a/crates/fakes/tests/engine.rs
+++ b/crates/fakes/tests/engine.rs
@@ -7,7 +7,7 @@
 };
 use sorrellock_core::request::{Activations, LayerRange};
 use sorrellock_fakes::{Applied, expected_text};
-use sorrellock_platform::api::{Engine, EngineError, EngineStep, StepOutput};
+use sorrellock_ports::api::{Engine, EngineError, EngineStep, StepOutput};
 use std::sync::atomic::Ordering;
 
 const PROMPT: &[u32] = &[11, 7, 42];
--- a/crates/fakes/tests/engine_process.rs
+++ b/crates/fakes/tests/engine_process.rs
@@ -8,7 +8,7 @@
 };
 use sorrellock_core::request::LayerRange;
 use sorrellock_fakes::{EngineFailure, PREFIX_BLOCK};
-use sorrellock_platform::api::{Batch, Engine, EngineError, EngineStep, LoadReport, Order};
+use sorrellock_ports::api::{Batch, Engine, EngineError, EngineStep, LoadReport, Order};
 use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
--- a/crates/fakes/tests/instance_list.rs
+++ b/crates/fakes/tests/instance_list.rs
@@ -4,7 +4,7 @@
 
 use common::{SHORT, instance, instance_list, platform, wait_for};
 use sorrellock_fakes::Outage;
-use sorrellock_platform::api::InstanceList;
+use sorrellock_ports::api::InstanceList;
 use std::time::Duration;
 
 #[test]
--- a/crates/fakes/tests/object_store.rs
+++ b/crates/fakes/tests/object_store.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::{PATIENCE, SHORT, platform, store, wait_for};
-use sorrellock_platform::api::{
+use sorrellock_ports::api::{
     Listing, MAX_VALUE_BYTES, ObjectMeta, ObjectStore, Precondition, StoreError,
 };
 use std::io::Write;
--- a/crates/fakes/tests/platform_faults.rs
+++ b/crates/fakes/tests/platform_faults.rs
@@ -4,7 +4,7 @@
 
 use common::{PATIENCE, SHORT, platform, platform_with, store, wait_for};
 use sorrellock_fakes::{Outage, OutageWindow, PlatformConfig};
-use sorrellock_platform::api::{Listing, ObjectStore, Precondition, StoreError};
+use sorrellock_ports::api::{Listing, ObjectStore, Precondition, StoreError};
 use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
--- a/crates/fakes/tests/service.rs
+++ b/crates/fakes/tests/service.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::{PATIENCE, SHORT, service, service_call, service_client, wait_for};
-use sorrellock_platform::api::{Service, ServiceCall, ServiceError};
+use sorrellock_ports::api::{Service, ServiceCall, ServiceError};
 use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
--- a/crates/local/src/local_fleet.rs
+++ b/crates/local/src/local_fleet.rs
@@ -13,7 +13,7 @@
     EngineConfig, FakeEngine, FakePlatform, FakeService, PlatformConfig, ServiceConfig,
     expected_text,
 };
-use sorrellock_platform::api::{Instance, InstanceState};
+use sorrellock_ports::api::{Instance, InstanceState};
 use std::net::SocketAddr;
 use std::thread;
 use std::time::{Duration, Instant};
--- a/crates/platform/tests/common/mod.rs
+++ b/crates/ports/tests/common/mod.rs
@@ -1,10 +1,8 @@
 //! A store in memory whose faults a test chooses.
 
 use sorrellock_core::id::Revision;
-use sorrellock_platform::api::{
-    Listing, Object, ObjectMeta, ObjectStore, Precondition, StoreError,
-};
-use sorrellock_platform::config::ConfigStore;
+use sorrellock_ports::api::{Listing, Object, ObjectMeta, ObjectStore, Precondition, StoreError};
+use sorrellock_ports::config::ConfigStore;
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
--- a/crates/platform/tests/config_store.rs
+++ b/crates/ports/tests/config_store.rs
@@ -6,7 +6,7 @@
 use sorrellock_core::version::{
     Change, Column, Item, PAGES, Page, Pipeline, RECENT_CHANGES, Row, Workspace, page_of,
 };
-use sorrellock_platform::config::{ConfigError, RowEdit};
+use sorrellock_ports::config::{ConfigError, RowEdit};
 
 fn store_with(workspaces: &[&str]) -> MemoryStore {
     let store = MemoryStore::new();
@@ -363,7 +363,7 @@
     }
 
     let key = Row::new("treasury", "match").page().key();
-    let object = sorrellock_platform::api::ObjectStore::get(&store, &key).unwrap().unwrap();
+    let object = sorrellock_ports::api::ObjectStore::get(&store, &key).unwrap().unwrap();
     let page: Page<Row> = serde_json::from_slice(&object.value).unwrap();
 
     let revisions: Vec<u64> = page.recent.iter().map(|change: &Change| change.revision).collect();
