--- a/crates/daemon/src/cli/args.rs
+++ b/crates/daemon/src/cli/args.rs
@@ -6,6 +6,7 @@
 use sorrellock_core::process::ledger::HolderConfig;
 use sorrellock_wire::connection::LinkKind;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::time::Duration;
 
 /// How long a graceful shutdown waits for what runs, unless set.
@@ -20,6 +21,7 @@
         .arg_required_else_help(true)
         .subcommand(entry_command())
         .subcommand(beside_command())
+        .subcommand(gateway_command())
         .subcommand(check_command())
         .subcommand(Command::new("metrics").about("Lists all metrics, as docs/METRICS.md does"))
 }
@@ -31,6 +33,20 @@
         .arg_required_else_help(true)
         .subcommand(entry_command())
         .subcommand(beside_command())
+        .subcommand(gateway_command())
+}
+
+fn gateway_command() -> Command {
+    let settings = Arg::new("settings")
+        .long("settings")
+        .env(sorrellock_platform::SETTINGS_VARIABLE)
+        .value_name("FILE")
+        .help("The settings file that the platform lays down")
+        .default_value(sorrellock_platform::SETTINGS_DEFAULT_PATH)
+        .value_parser(value_parser!(PathBuf));
+    Command::new("gateway")
+        .about("Takes callers' requests on the users' platform, before engines that pass tokens on")
+        .arg(settings)
 }
 
 fn entry_command() -> Command {
@@ -233,3 +249,8 @@
         *field = Duration::from_millis(*value as u64);
     }
 }
+
+/// The settings file of a gateway.
+pub fn settings_file(args: &ArgMatches) -> PathBuf {
+    args.get_one("settings").cloned().expect("it has a default")
+}
--- a/crates/daemon/src/cli/run.rs
+++ b/crates/daemon/src/cli/run.rs
@@ -3,7 +3,7 @@
 use crate::beside::process::Beside;
 use crate::cli::{
     check_beside, check_entry, check_variables, command, describe, parse_beside, parse_entry,
-    variable_names, wait_for_end,
+    settings_file, variable_names, wait_for_end,
 };
 use crate::entry::process::Entry;
 use crate::process::{LogFormat, metrics_page, set_up_log};
@@ -46,6 +46,9 @@
 }
 
 fn run_role(role: &str, args: &ArgMatches) -> Result<ExitCode> {
+    if role == "gateway" {
+        return Ok(run_gateway(args));
+    }
     if let Err(err) = validate(role, args) {
         return Ok(refuse(&format!("sorrellockd {role}"), &err.to_string()));
     }
@@ -57,9 +60,19 @@
     }
 }
 
+/// A gateway's settings are read and validated by itself.
+fn run_gateway(args: &ArgMatches) -> ExitCode {
+    match sorrellock_gateway::run(&settings_file(args)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(err) => refuse("sorrellockd gateway", &err.to_string()),
+    }
+}
+
 /// Validates the settings of a role without starting anything.
 fn run_check(nested: &ArgMatches) -> Result<ExitCode> {
-    let Some((role, args)) = nested.subcommand() else { bail!("name a role: entry or beside") };
+    let Some((role, args)) = nested.subcommand() else {
+        bail!("name a role: entry, beside or gateway")
+    };
     let command = command();
     let of_role = command.find_subcommand(role).expect("each role has a command");
     print!("{}", describe(of_role, args));
@@ -73,6 +86,7 @@
 fn validate(role: &str, args: &ArgMatches) -> Result<()> {
     match role {
         "entry" => check_entry(&parse_entry(args))?,
+        "gateway" => sorrellock_gateway::check(&settings_file(args))?,
         _ => check_beside(&parse_beside(args))?,
     }
     Ok(())
--- /dev/null
+++ b/crates/gateway/src/connection/caller_connection.rs
@@ -0,0 +1,132 @@
+//! Connections of callers: takes them in, serves their requests, and closes those that are idle.
+
+use crate::process::{ACCEPT_ERROR_PAUSE, Count, Gateway, Phase};
+use crate::request::{AnswerBody, Cut, answer};
+use http::{HeaderValue, Request, Response, header};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use sorrellock_http::{Activity, Doing, WatchedIo};
+use sorrellock_routing::version::CallerLimits;
+use spdlog::warn;
+use std::pin::pin;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::{Instant, sleep};
+
+/// Connections open at once: descriptors are kept for endpoints and the process's own.
+const MAX_CONNECTIONS: usize = 2_500;
+/// hyper takes no smaller buffer.
+const MIN_BUF_BYTES: usize = 8 << 10;
+/// Limits before a configuration tells them.
+const FIRST_LIMITS: CallerLimits = CallerLimits {
+    max_header_bytes: 16 << 10,
+    max_body_bytes: 4 << 20,
+    header_timeout: Duration::from_secs(3),
+    idle_timeout: Duration::from_secs(15),
+};
+/// Time that a connection may be idle beyond the limit, so that a caller that keeps to the limit
+/// never meets the close.
+const IDLE_SLACK: Duration = Duration::from_secs(1);
+
+/// Takes connections in, for ever.
+pub(crate) async fn accept_callers(gateway: Rc<Gateway>, listener: TcpListener) {
+    let open = Rc::new(());
+    loop {
+        match listener.accept().await {
+            Ok(_) if Rc::strong_count(&open) > MAX_CONNECTIONS => {
+                gateway.counters.add(Count::ConnectionsRefused);
+            }
+            Ok((stream, _)) => {
+                let (gateway, guard) = (Rc::clone(&gateway), Rc::clone(&open));
+                tokio::task::spawn_local(async move {
+                    serve(gateway, stream).await;
+                    drop(guard);
+                });
+            }
+            Err(err) => {
+                let text = err.to_string();
+                warn!("connection of a caller not accepted", kv: { err = text.as_str() });
+                sleep(ACCEPT_ERROR_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve(gateway: Rc<Gateway>, stream: TcpStream) {
+    // A caller that has gone already shows at the first read.
+    let _ = stream.set_nodelay(true);
+    let limits = limits(&gateway);
+    let activity = Arc::new(Activity::new());
+    let service = {
+        let (gateway, activity) = (Rc::clone(&gateway), Arc::clone(&activity));
+        service_fn(move |req| serve_one(Rc::clone(&gateway), Arc::clone(&activity), req))
+    };
+    let mut builder = http1::Builder::new();
+    // The connection's own timer tells a slow head from an idle connection.
+    builder.header_read_timeout(None);
+    builder.max_buf_size(limits.max_header_bytes.max(MIN_BUF_BYTES));
+    let io = WatchedIo::new(stream, Arc::clone(&activity));
+    let mut connection = pin!(builder.serve_connection(io, service));
+    let mut phase = gateway.phase.subscribe();
+    loop {
+        if *phase.borrow_and_update() >= Phase::Closing {
+            connection.as_mut().graceful_shutdown();
+        }
+        let wait = match time_left(&activity, &limits) {
+            TimeLeft::Wait(wait) => wait,
+            TimeLeft::CloseIdle => {
+                connection.as_mut().graceful_shutdown();
+                limits.header_timeout
+            }
+            TimeLeft::CutHead => return,
+        };
+        tokio::select! {
+            _ = connection.as_mut() => return,
+            _ = phase.changed() => {}
+            () = sleep(wait) => {}
+        }
+    }
+}
+
+/// What becomes of a connection, by what it does and for how long.
+enum TimeLeft {
+    Wait(Duration),
+    CloseIdle,
+    CutHead,
+}
+
+fn time_left(activity: &Activity, limits: &CallerLimits) -> TimeLeft {
+    let (doing, elapsed) = activity.now();
+    let (limit, over) = match doing {
+        Doing::Request => return TimeLeft::Wait(limits.header_timeout),
+        Doing::Head => (limits.header_timeout.max(limits.idle_timeout), TimeLeft::CutHead),
+        Doing::Idle => (limits.idle_timeout + IDLE_SLACK, TimeLeft::CloseIdle),
+    };
+    if elapsed >= limit {
+        return over;
+    }
+    TimeLeft::Wait((limit - elapsed).min(limits.header_timeout))
+}
+
+fn limits(gateway: &Gateway) -> CallerLimits {
+    let knowledge = gateway.knowledge.borrow();
+    knowledge.routes().map_or(FIRST_LIMITS, |routes| routes.cfg().limits)
+}
+
+async fn serve_one(
+    gateway: Rc<Gateway>,
+    activity: Arc<Activity>,
+    req: Request<Incoming>,
+) -> Result<Response<AnswerBody>, Cut> {
+    activity.on_request();
+    let arrived = Instant::now();
+    let res = answer(Rc::clone(&gateway), req, arrived).await;
+    let mut answer = res?;
+    if *gateway.phase.borrow() >= Phase::Leaving {
+        answer.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+    }
+    Ok(answer.map(|body| body.with_activity(activity)))
+}
--- /dev/null
+++ b/crates/gateway/src/process/beliefs.rs
@@ -0,0 +1,90 @@
+//! What a gateway believes of engines and of other gateways, beyond what the store tells.
+
+use crate::process::{EngineView, LeadView, PeerMessage};
+use sorrellock_routing::process::EndpointId;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// A gateway that wasn't heard for so long is taken to be gone: ten lost messages in a row.
+pub(crate) const PEER_LAPSE: Duration = Duration::from_millis(1_500);
+/// What the lead told last is used for so long; after that the list of endpoints is fresher.
+pub(crate) const LEAD_VIEW_LAPSE: Duration = Duration::from_secs(4);
+/// For how long an endpoint that failed an attempt gets no new work, if the lead doesn't say more.
+pub(crate) const SUSPECT_FOR: Duration = Duration::from_millis(1_000);
+
+/// Another gateway.
+pub(crate) struct Peer {
+    /// Where it listens for messages.
+    pub(crate) addr: SocketAddr,
+    /// Its newest message.
+    pub(crate) message: PeerMessage,
+    /// When that came.
+    pub(crate) heard: Instant,
+}
+
+/// What a gateway believes beyond what the store tells.
+#[derive(Default)]
+pub(crate) struct Beliefs {
+    /// By instance.
+    pub(crate) peers: HashMap<String, Peer>,
+    /// Endpoints that failed, until when they get nothing new.
+    suspects: HashMap<EndpointId, Instant>,
+    lead: Option<(LeadView, Instant)>,
+}
+
+impl Beliefs {
+    /// Gateways heard of late, this one aside.
+    pub(crate) fn live_peers(&self, now: Instant) -> impl Iterator<Item = &Peer> {
+        self.peers.values().filter(move |peer| now - peer.heard < PEER_LAPSE)
+    }
+
+    /// Gateways that share the retry budget, this one included.
+    pub(crate) fn gateways(&self, now: Instant) -> usize {
+        self.live_peers(now).count() + 1
+    }
+
+    /// An endpoint failed: it gets nothing new for a while. Tells whether that is news.
+    pub(crate) fn suspect(&mut self, id: &str, now: Instant, lasts: Duration) -> bool {
+        let until = self.suspects.entry(id.to_owned()).or_insert(now);
+        let is_news = *until <= now;
+        *until = (*until).max(now + lasts);
+        is_news
+    }
+
+    /// Whether an endpoint is suspected.
+    pub(crate) fn is_suspect(&self, id: &str, now: Instant) -> bool {
+        self.suspects.get(id).is_some_and(|until| *until > now)
+    }
+
+    /// The endpoints that are suspected, and drops what is over.
+    pub(crate) fn suspects(&mut self, now: Instant) -> Vec<EndpointId> {
+        self.suspects.retain(|_, until| *until > now);
+        self.suspects.keys().cloned().collect()
+    }
+
+    /// Takes what a lead tells, unless a newer lead was heard. Tells whether it was taken.
+    pub(crate) fn apply_lead(&mut self, view: LeadView, now: Instant) -> bool {
+        let newer = |(known, heard): &(LeadView, Instant)| {
+            known.term > view.term && now - *heard < LEAD_VIEW_LAPSE
+        };
+        if self.lead.as_ref().is_some_and(newer) {
+            return false;
+        }
+        self.lead = Some((view, now));
+        true
+    }
+
+    /// What the lead told last, if that is fresh, and when.
+    pub(crate) fn lead(&self, now: Instant) -> Option<(&LeadView, Instant)> {
+        let (view, heard) = self.lead.as_ref()?;
+        (now - *heard < LEAD_VIEW_LAPSE).then_some((view, *heard))
+    }
+
+    /// What the lead told of an engine, if that is fresh.
+    pub(crate) fn engine(&self, id: &str, now: Instant) -> Option<&EngineView> {
+        let (view, _) = self.lead(now)?;
+        view.engines.iter().find(|engine| engine.id == id)
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/process/counters.rs
@@ -0,0 +1,153 @@
+//! Counters and latency histograms, and their page for the metrics address.
+
+use hdrhistogram::Histogram;
+use std::cell::{Cell, RefCell};
+use std::fmt::Write;
+use std::time::Duration;
+
+macro_rules! counts {
+    ($($(#[doc = $doc:literal])+ $name:ident => $text:literal,)*) => {
+        /// What a gateway counts. The texts are the names on the metrics page.
+        #[derive(Clone, Copy, Debug, PartialEq, Eq)]
+        pub(crate) enum Count { $($(#[doc = $doc])+ $name,)* }
+
+        impl Count {
+            const ALL: &[Count] = &[$(Count::$name,)*];
+
+            fn name(self) -> &'static str {
+                match self { $(Count::$name => $text,)* }
+            }
+        }
+    };
+}
+
+counts! {
+    /// Requests read.
+    Requests => "requests",
+    /// Requests answered with an endpoint's whole answer.
+    Answered => "answered",
+    /// Requests refused as not run.
+    NotRun => "not_run",
+    /// Requests given up that may have run.
+    Unknown => "unknown",
+    /// Requests whose time was over.
+    TimedOut => "timed_out",
+    /// Answers cut off after their head was sent.
+    Cut => "cut",
+    /// Callers that went away before their answer was whole.
+    CallersGone => "callers_gone",
+    /// Requests that no route or key allows.
+    NotAllowed => "not_allowed",
+    /// Requests whose head or body can't be used.
+    BadRequests => "bad_requests",
+    /// Sends beyond the first of a request.
+    Repeats => "repeats",
+    /// Sends that the retry budget refused.
+    BudgetRefusals => "budget_refusals",
+    /// Streams that went on over another path.
+    Resumed => "resumed",
+    /// Attempts that an endpoint refused as not run.
+    AttemptsNotRun => "attempts_not_run",
+    /// Attempts that brought no answer.
+    AttemptsFailed => "attempts_failed",
+    /// Connections opened to endpoints.
+    EndpointConnections => "endpoint_connections",
+    /// Answers dropped as they belong to another request.
+    CrossedAnswers => "crossed_answers",
+    /// Calls to the platform's store.
+    StoreCalls => "store_calls",
+    /// Calls to the store that failed.
+    StoreFailures => "store_failures",
+    /// Orders given to engines.
+    Orders => "orders",
+    /// Orders that engines refused, or that brought no answer.
+    OrderFailures => "order_failures",
+    /// Reports asked of engines.
+    Reports => "reports",
+    /// Messages from other gateways.
+    PeerMessages => "peer_messages",
+    /// Messages from other gateways that can't be read.
+    PeerMessagesBad => "peer_messages_bad",
+    /// Connections refused as there were too many.
+    ConnectionsRefused => "connections_refused",
+}
+
+/// Longest latency that a histogram tells apart, in microseconds.
+const MOST_US: u64 = 60_000_000;
+
+/// A histogram of latencies.
+pub(crate) struct Latency {
+    us: RefCell<Histogram<u64>>,
+}
+
+impl Latency {
+    fn new() -> Latency {
+        let us = Histogram::new_with_bounds(1, MOST_US, 2).expect("the bounds are in order");
+        Latency { us: RefCell::new(us) }
+    }
+
+    /// Takes one latency.
+    pub(crate) fn record(&self, latency: Duration) {
+        let us = (latency.as_micros() as u64).clamp(1, MOST_US);
+        self.us.borrow_mut().saturating_record(us);
+    }
+
+    fn write(&self, page: &mut String, name: &str) {
+        let us = self.us.borrow();
+        for (label, quantile) in [("p50", 0.5), ("p99", 0.99), ("p99.9", 0.999)] {
+            let value = us.value_at_quantile(quantile);
+            let _ = writeln!(page, "sorrellock_{name}_us{{q=\"{label}\"}} {value}");
+        }
+        let _ = writeln!(page, "sorrellock_{name}_us_count {}", us.len());
+    }
+}
+
+/// Counters and latency histograms of a gateway.
+pub(crate) struct Counters {
+    counts: Vec<Cell<u64>>,
+    /// From a caller's head to the first byte of its answer.
+    pub(crate) first_byte: Latency,
+    /// From a caller's head to the end of its answer.
+    pub(crate) whole_answer: Latency,
+    /// From a stalled or broken stream's last event to the next one.
+    pub(crate) mend: Latency,
+    /// Round trips to the store, watches aside.
+    pub(crate) store_call: Latency,
+}
+
+impl Counters {
+    /// Nothing counted yet.
+    pub(crate) fn new() -> Counters {
+        Counters {
+            counts: Count::ALL.iter().map(|_| Cell::new(0)).collect(),
+            first_byte: Latency::new(),
+            whole_answer: Latency::new(),
+            mend: Latency::new(),
+            store_call: Latency::new(),
+        }
+    }
+
+    /// Counts one.
+    pub(crate) fn add(&self, count: Count) {
+        let cell = &self.counts[count as usize];
+        cell.set(cell.get() + 1);
+    }
+
+    /// The metrics page, as text.
+    pub(crate) fn page(&self, gauges: &[(&str, f64)]) -> String {
+        let mut page = String::with_capacity(4_096);
+        for count in Count::ALL {
+            let value = self.counts[*count as usize].get();
+            let _ = writeln!(page, "sorrellock_{} {value}", count.name());
+        }
+        let _ = writeln!(page, "sorrellock_log_lines_dropped {}", super::dropped_lines());
+        for (name, value) in gauges {
+            let _ = writeln!(page, "sorrellock_{name} {value}");
+        }
+        self.first_byte.write(&mut page, "first_byte");
+        self.whole_answer.write(&mut page, "whole_answer");
+        self.mend.write(&mut page, "mend");
+        self.store_call.write(&mut page, "store_call");
+        page
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/process/gateway.rs
@@ -0,0 +1,247 @@
+//! What all parts of a gateway share.
+
+use crate::process::{
+    Beliefs, Count, Counters, EndpointNews, Handover, Knowledge, PathBook, Pool, SUSPECT_FOR,
+};
+use sorrellock_core::clock::SystemClock;
+use sorrellock_core::process::retries::Breakers;
+use sorrellock_platform::{EndpointLoad, Revision, Settings};
+use sorrellock_routing::process::{Endpoint, EndpointId, Holder, RetryWindow};
+use sorrellock_routing::version::{Configuration, ModelShape, ServiceName};
+use spdlog::{info, warn};
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+use tokio::sync::{Notify, watch};
+use tokio::time::Instant;
+
+/// How far the process is on its way out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Phase {
+    /// Takes all requests.
+    Running,
+    /// Not ready any more; takes what still comes, and closes each connection after its answer.
+    Leaving,
+    /// Closes connections that are idle.
+    Closing,
+}
+
+/// An endpoint's load, as its last answer told and as this gateway adds to it.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct EndpointUse {
+    /// Requests of this gateway that run there.
+    pub(crate) in_flight: u32,
+    /// Mean time of an answer, in ms; 0 before the first.
+    pub(crate) mean_ms: f64,
+    /// What it told last.
+    pub(crate) told: Option<(EndpointLoad, Instant)>,
+}
+
+/// What all parts of a gateway share.
+pub(crate) struct Gateway {
+    pub(crate) settings: Settings,
+    /// Drawn at the start: tells lifetimes apart.
+    pub(crate) incarnation: u64,
+    pub(crate) counters: Counters,
+    pub(crate) knowledge: RefCell<Knowledge>,
+    pub(crate) beliefs: RefCell<Beliefs>,
+    pub(crate) paths: Rc<RefCell<PathBook>>,
+    pub(crate) pool: RefCell<Pool>,
+    pub(crate) uses: RefCell<HashMap<EndpointId, EndpointUse>>,
+    pub(crate) breakers: RefCell<Breakers<EndpointId, SystemClock>>,
+    pub(crate) budgets: RefCell<HashMap<ServiceName, RetryWindow>>,
+    /// When a call of the store last failed.
+    pub(crate) store_failed: Cell<Option<Instant>>,
+    /// Requests under way.
+    pub(crate) in_flight: Cell<usize>,
+    /// Wakes the placer: an engine came, went or is suspected.
+    pub(crate) engines_changed: Notify,
+    pub(crate) phase: watch::Sender<Phase>,
+}
+
+impl Gateway {
+    /// A gateway that knows nothing yet.
+    pub(crate) fn new(settings: Settings, incarnation: u64) -> Gateway {
+        Gateway {
+            settings,
+            incarnation,
+            counters: Counters::new(),
+            knowledge: RefCell::default(),
+            beliefs: RefCell::default(),
+            paths: Rc::default(),
+            pool: RefCell::default(),
+            uses: RefCell::default(),
+            breakers: RefCell::new(Breakers::new(SystemClock)),
+            budgets: RefCell::default(),
+            store_failed: Cell::new(None),
+            in_flight: Cell::new(0),
+            engines_changed: Notify::new(),
+            phase: watch::Sender::new(Phase::Running),
+        }
+    }
+
+    /// Whether new connections are wanted.
+    pub(crate) fn is_ready(&self) -> bool {
+        *self.phase.borrow() == Phase::Running && self.knowledge.borrow().routes().is_some()
+    }
+
+    /// Puts a configuration in force if it is newer than the one before.
+    pub(crate) fn apply_configuration(&self, cfg: Configuration, source: &str) {
+        let version = cfg.version;
+        let (routes, workspaces) = (cfg.routes.len(), cfg.workspaces.len());
+        let before = self.knowledge.borrow().config_version();
+        if !self.knowledge.borrow_mut().apply_configuration(cfg) {
+            return;
+        }
+        info!("configuration in force", kv: {
+            version, before, routes, workspaces, source
+        });
+        self.refresh_paths();
+        self.engines_changed.notify_waiters();
+    }
+
+    /// Takes an endpoint's entry.
+    pub(crate) fn apply_endpoint(&self, endpoint: Endpoint, revision: Revision, source: &str) {
+        let id = endpoint.id.clone();
+        let addr = endpoint.addr.to_string();
+        let (data_centre, layers) = (endpoint.data_centre.clone(), endpoint.layers);
+        let service = endpoint.service.clone();
+        let news = self.knowledge.borrow_mut().apply_endpoint(endpoint, revision);
+        let what = match news {
+            EndpointNews::Nothing => return,
+            EndpointNews::Joined => "endpoint joined",
+            EndpointNews::Leaving => "endpoint leaving",
+            EndpointNews::Changed => "endpoint changed",
+        };
+        let (from, to) = (layers.from, layers.to);
+        info!("{}", what, kv: {
+            endpoint = id.as_str(), service = service.as_str(), addr = addr.as_str(),
+            data_centre = data_centre.as_str(), from, to, revision, source
+        });
+        self.engines_changed.notify_waiters();
+    }
+
+    /// An endpoint's entry is gone.
+    pub(crate) fn remove_endpoint(&self, id: &str, source: &str) {
+        if self.knowledge.borrow_mut().remove_endpoint(id) {
+            self.endpoint_gone(id, source);
+        }
+    }
+
+    /// Tells and forgets an endpoint that was removed.
+    pub(crate) fn endpoint_gone(&self, id: &str, source: &str) {
+        info!("endpoint gone", kv: { endpoint = id, source });
+        self.uses.borrow_mut().remove(id);
+        self.engines_changed.notify_waiters();
+    }
+
+    /// Takes what another gateway handed over.
+    pub(crate) fn apply_handover(&self, handover: Handover, from: &str) {
+        if let Some(cfg) = handover.configuration {
+            self.apply_configuration(cfg, from);
+        }
+        if handover.endpoints_at <= self.knowledge.borrow().endpoints_at() {
+            return;
+        }
+        let listed = handover.endpoints.iter().map(|known| known.endpoint.id.clone()).collect();
+        for known in handover.endpoints {
+            self.apply_endpoint(known.endpoint, known.revision, from);
+        }
+        let gone = self.knowledge.borrow_mut().apply_list(&listed, false, Instant::now());
+        for id in gone {
+            self.endpoint_gone(&id, from);
+        }
+        self.knowledge.borrow_mut().advance(handover.endpoints_at);
+        self.refresh_paths();
+    }
+
+    /// An endpoint failed an attempt: it gets nothing new for a while.
+    pub(crate) fn suspect(&self, id: &str, why: &str) {
+        let now = Instant::now();
+        if self.beliefs.borrow_mut().suspect(id, now, SUSPECT_FOR) {
+            warn!("endpoint suspected", kv: { endpoint = id, why });
+            self.refresh_paths();
+            self.engines_changed.notify_waiters();
+        }
+    }
+
+    /// Works out the paths of all models anew.
+    pub(crate) fn refresh_paths(&self) {
+        let now = Instant::now();
+        let knowledge = self.knowledge.borrow();
+        let Some(routes) = knowledge.routes() else { return };
+        for service in &routes.cfg().services {
+            let Some(shape) = &service.model else { continue };
+            let holders = self.holders(&knowledge, &service.name, shape, now);
+            let beliefs = self.beliefs.borrow();
+            let gone = |id: &EndpointId| match knowledge.endpoint(id) {
+                None => true,
+                Some(_) => beliefs.engine(id, now).is_some_and(|engine| engine.is_dead),
+            };
+            let mut paths = self.paths.borrow_mut();
+            if paths.rebuild(&service.name, shape, &holders, gone, now) {
+                for live in paths.paths(&service.name) {
+                    let text = sorrellock_platform::format_path(&live.path.parts);
+                    info!("path in use", kv: {
+                        service = service.name.as_str(),
+                        data_centre = live.path.data_centre.as_str(),
+                        room = live.path.token_room.round(), step_ms = live.path.step_ms,
+                        path = text.as_str()
+                    });
+                }
+            }
+        }
+    }
+
+    /// The engines that may be part of a path, with the layers that they can run now.
+    fn holders(
+        &self,
+        knowledge: &Knowledge,
+        service: &str,
+        shape: &ModelShape,
+        now: Instant,
+    ) -> Vec<Holder> {
+        let beliefs = self.beliefs.borrow();
+        let mut holders = Vec::new();
+        let engines = knowledge.endpoints().filter(|endpoint| endpoint.service == service);
+        for endpoint in engines.filter(|endpoint| !endpoint.is_leaving) {
+            let view = beliefs.engine(&endpoint.id, now);
+            let layers = view.map_or(endpoint.layers, |view| view.usable);
+            let is_dead = view.is_some_and(|view| view.is_dead);
+            if is_dead || layers.is_empty() || beliefs.is_suspect(&endpoint.id, now) {
+                continue;
+            }
+            let card = endpoint.card.as_deref().and_then(|card| shape.card(card));
+            let slowness = view.map_or(1.0, |view| f64::from(view.slowness).max(0.1));
+            let step_factor = card.map_or(1.0, |card| card.step_factor) * slowness;
+            holders.push(Holder {
+                id: endpoint.id.clone(),
+                addr: endpoint.addr,
+                data_centre: endpoint.data_centre.clone(),
+                layers,
+                layer_cost: step_factor * shape.step_ms / f64::from(shape.layers),
+                token_room: card.map_or(0.0, |card| shape.token_room(card, layers.len())),
+            });
+        }
+        holders
+    }
+
+    /// A request came in for a service.
+    pub(crate) fn on_request(&self, service: &str) {
+        let mut budgets = self.budgets.borrow_mut();
+        let new = || RetryWindow::new(self.settings.retries);
+        let budget = budgets.entry(service.to_owned()).or_insert_with(new);
+        budget.on_request(Instant::now().into_std());
+    }
+
+    /// Takes one send beyond a request's first from the budget.
+    pub(crate) fn spend_repeat(&self, service: &str) -> bool {
+        let now = Instant::now();
+        let gateways = self.beliefs.borrow().gateways(now);
+        let mut budgets = self.budgets.borrow_mut();
+        let budget = budgets.get_mut(service);
+        let paid = budget.is_some_and(|budget| budget.try_spend(now.into_std(), gateways));
+        self.counters.add(if paid { Count::Repeats } else { Count::BudgetRefusals });
+        paid
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/process/knowledge.rs
@@ -0,0 +1,194 @@
+//! What a gateway knows of the configuration and of the endpoints. It only ever gets newer.
+
+use serde::{Deserialize, Serialize};
+use sorrellock_platform::Revision;
+use sorrellock_routing::process::{Endpoint, EndpointId};
+use sorrellock_routing::version::{ConfigVersion, Configuration, RouteTable};
+use std::collections::{BTreeMap, HashSet};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// For how long an entry that is missing after an outage of the store is still taken to be there.
+/// Entries that lapsed meanwhile are back within two seconds; the store's lag goes off that.
+pub(crate) const MISSING_GRACE: Duration = Duration::from_millis(1_800);
+/// The most removed endpoints that are remembered, so that an older page doesn't bring them back.
+const MAX_REMOVED: usize = 4_096;
+
+/// An endpoint with the revision of its entry.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub(crate) struct KnownEndpoint {
+    /// What its entry tells.
+    pub(crate) endpoint: Endpoint,
+    /// Revision of the entry.
+    pub(crate) revision: Revision,
+    /// Since when the entry is missing after an outage.
+    #[serde(skip)]
+    pub(crate) missing_since: Option<Instant>,
+}
+
+/// What one gateway hands to another that can't reach the store.
+#[derive(Debug, Serialize, Deserialize)]
+pub(crate) struct Handover {
+    pub(crate) configuration: Option<Configuration>,
+    pub(crate) endpoints: Vec<KnownEndpoint>,
+    pub(crate) endpoints_at: Revision,
+}
+
+/// What changed of an endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum EndpointNews {
+    /// It is new.
+    Joined,
+    /// Its entry says that it leaves.
+    Leaving,
+    /// Its entry changed otherwise.
+    Changed,
+    /// Nothing that is newer.
+    Nothing,
+}
+
+/// The configuration in force and the endpoints.
+#[derive(Default)]
+pub(crate) struct Knowledge {
+    routes: Option<Rc<RouteTable>>,
+    endpoints: BTreeMap<EndpointId, KnownEndpoint>,
+    removed: HashSet<EndpointId>,
+    endpoints_at: Revision,
+}
+
+impl Knowledge {
+    /// The configuration in force.
+    pub(crate) fn routes(&self) -> Option<&Rc<RouteTable>> {
+        self.routes.as_ref()
+    }
+
+    /// Number of the configuration in force, 0 for none.
+    pub(crate) fn config_version(&self) -> ConfigVersion {
+        self.routes.as_ref().map_or(0, |routes| routes.version())
+    }
+
+    /// The store's revision up to which the endpoints are known, 0 before the first list.
+    pub(crate) fn endpoints_at(&self) -> Revision {
+        self.endpoints_at
+    }
+
+    /// The endpoints that their list holds, those that leave included.
+    pub(crate) fn endpoints(&self) -> impl Iterator<Item = &Endpoint> {
+        self.endpoints.values().map(|known| &known.endpoint)
+    }
+
+    /// One endpoint.
+    pub(crate) fn endpoint(&self, id: &str) -> Option<&Endpoint> {
+        self.endpoints.get(id).map(|known| &known.endpoint)
+    }
+
+    /// Puts a configuration in force if it is newer.
+    pub(crate) fn apply_configuration(&mut self, cfg: Configuration) -> bool {
+        if cfg.version <= self.config_version() {
+            return false;
+        }
+        self.routes = Some(Rc::new(RouteTable::new(cfg)));
+        true
+    }
+
+    /// Takes an entry that was written at `revision`.
+    pub(crate) fn apply_endpoint(
+        &mut self,
+        endpoint: Endpoint,
+        revision: Revision,
+    ) -> EndpointNews {
+        let before = self.endpoints.get(&endpoint.id);
+        if self.removed.contains(&endpoint.id) && before.is_none() {
+            // A lapsed entry that came back is written anew.
+            if revision <= self.endpoints_at {
+                return EndpointNews::Nothing;
+            }
+            self.removed.remove(&endpoint.id);
+        }
+        if before.is_some_and(|known| known.revision > revision) {
+            return EndpointNews::Nothing;
+        }
+        let news = match before {
+            None if endpoint.is_leaving => EndpointNews::Leaving,
+            None => EndpointNews::Joined,
+            Some(known) if known.endpoint == endpoint => EndpointNews::Nothing,
+            Some(known) if !known.endpoint.is_leaving && endpoint.is_leaving => {
+                EndpointNews::Leaving
+            }
+            Some(_) => EndpointNews::Changed,
+        };
+        let known = KnownEndpoint { endpoint, revision, missing_since: None };
+        self.endpoints.insert(known.endpoint.id.clone(), known);
+        news
+    }
+
+    /// An entry is gone for good.
+    pub(crate) fn remove_endpoint(&mut self, id: &str) -> bool {
+        if self.removed.len() < MAX_REMOVED {
+            self.removed.insert(id.to_owned());
+        }
+        self.endpoints.remove(id).is_some()
+    }
+
+    /// An entry is gone that may only have lapsed: it stays for a while, if it wasn't leaving.
+    pub(crate) fn mark_missing(&mut self, id: &str, now: Instant) -> bool {
+        match self.endpoints.get_mut(id) {
+            Some(known) if !known.endpoint.is_leaving => {
+                known.missing_since.get_or_insert(now);
+                true
+            }
+            _ => false,
+        }
+    }
+
+    /// Takes the revision that changes were read up to.
+    pub(crate) fn advance(&mut self, at: Revision) {
+        self.endpoints_at = self.endpoints_at.max(at);
+    }
+
+    /// Takes a list of all entries. What is missing stays for a while after an outage, as its
+    /// entry may only have lapsed; else it is gone. Tells who is gone.
+    pub(crate) fn apply_list(
+        &mut self,
+        listed: &HashSet<EndpointId>,
+        after_outage: bool,
+        now: Instant,
+    ) -> Vec<EndpointId> {
+        let missing = self.endpoints.keys().filter(|id| !listed.contains(*id));
+        let missing: Vec<EndpointId> = missing.cloned().collect();
+        if after_outage {
+            for id in &missing {
+                let known = self.endpoints.get_mut(id).expect("it is one of the keys");
+                known.missing_since.get_or_insert(now);
+            }
+            return Vec::new();
+        }
+        for id in &missing {
+            self.remove_endpoint(id);
+        }
+        missing
+    }
+
+    /// Gives up entries that have been missing for too long. Tells which.
+    pub(crate) fn expire_missing(&mut self, now: Instant) -> Vec<EndpointId> {
+        let is_over = |known: &&KnownEndpoint| {
+            known.missing_since.is_some_and(|since| now - since >= MISSING_GRACE)
+        };
+        let over = self.endpoints.values().filter(is_over);
+        let over: Vec<EndpointId> = over.map(|known| known.endpoint.id.clone()).collect();
+        for id in &over {
+            self.remove_endpoint(id);
+        }
+        over
+    }
+
+    /// What another gateway is handed.
+    pub(crate) fn handover(&self) -> Handover {
+        Handover {
+            configuration: self.routes.as_ref().map(|routes| Configuration::clone(routes.cfg())),
+            endpoints: self.endpoints.values().cloned().collect(),
+            endpoints_at: self.endpoints_at,
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/process/lead.rs
@@ -0,0 +1,158 @@
+//! Which gateway places layers: an object in the store, written under a condition.
+//!
+//! Two leads at once do no harm beyond needless orders: each order names the count of orders that
+//! its sender has seen the engine begin, and the engine refuses it if there were others.
+
+use crate::process::{Count, Gateway, PEER_LAPSE};
+use serde::{Deserialize, Serialize};
+use sorrellock_platform::{Kind, Revision, Store, StoreError};
+use spdlog::{info, warn};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::{Instant, sleep};
+
+/// How often it is looked at who leads.
+const LOOK_INTERVAL: Duration = Duration::from_millis(100);
+/// How often a lead confirms its object: a lead that lost it gives orders for no longer.
+const CONFIRM_INTERVAL: Duration = Duration::from_secs(4);
+/// Silence of the lead after which the first gateway takes over: ten of its messages.
+const SILENCE: Duration = Duration::from_millis(1_000);
+/// What each further gateway, in order of name, waits on top.
+const SILENCE_PER_RANK: Duration = Duration::from_millis(300);
+/// Silence after which the first gateway leads without the store, while that can't be reached.
+const SILENCE_WITHOUT_STORE: Duration = Duration::from_secs(3);
+/// Name of the lead's object.
+const LEAD_NAME: &str = "placement";
+
+/// The lead's object.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+struct LeadRecord {
+    instance: String,
+    incarnation: u64,
+}
+
+/// One gateway's part in the election.
+pub(crate) struct Lead {
+    gateway: Rc<Gateway>,
+    store: Store,
+    /// Revision of the object while this gateway leads.
+    term: Option<Revision>,
+    confirmed: Instant,
+    /// When a lead was last heard, or nobody was yet.
+    heard: Instant,
+    try_after: Instant,
+}
+
+impl Lead {
+    pub(crate) fn new(gateway: Rc<Gateway>, store: Store) -> Lead {
+        let now = Instant::now();
+        Lead { gateway, store, term: None, confirmed: now, heard: now, try_after: now }
+    }
+
+    /// Waits a little and looks anew who leads. The term, while this gateway does.
+    pub(crate) async fn look(&mut self) -> Option<Revision> {
+        sleep(LOOK_INTERVAL).await;
+        match self.term {
+            Some(term) => self.confirm(term).await,
+            None => self.try_to_lead().await,
+        }
+        self.term
+    }
+
+    async fn confirm(&mut self, term: Revision) {
+        if let Some(other) = self.heard_term().filter(|other| *other > term) {
+            return self.step_down(&format!("a gateway leads with term {other}"));
+        }
+        if self.confirmed.elapsed() < CONFIRM_INTERVAL {
+            return;
+        }
+        self.confirmed = Instant::now();
+        self.gateway.counters.add(Count::StoreCalls);
+        match self.store.get(Kind::Leads, LEAD_NAME).await {
+            Ok(object) if object.read::<LeadRecord>().ok().as_ref() == Some(&self.record()) => {}
+            Ok(_) => self.step_down("the lead's object names another gateway"),
+            Err(err) => {
+                // Without the store nobody else can take over in order, so it leads on.
+                let text = err.to_string();
+                warn!("lead not confirmed", kv: { term, err = text.as_str() });
+            }
+        }
+    }
+
+    fn step_down(&mut self, why: &str) {
+        let term = self.term.take();
+        self.heard = Instant::now();
+        info!("lead lost", kv: { term:?, why });
+    }
+
+    async fn try_to_lead(&mut self) {
+        let now = Instant::now();
+        if let Some(heard) = self.lead_heard() {
+            self.heard = self.heard.max(heard);
+        }
+        let silence = now - self.heard;
+        let rank = self.rank(now);
+        if silence < SILENCE + SILENCE_PER_RANK * rank || now < self.try_after {
+            return;
+        }
+        self.try_after = now + SILENCE;
+        match self.take().await {
+            Ok(term) => self.begin(term, "the object in the store names it"),
+            Err(StoreError::Conflict) => self.heard = Instant::now(),
+            Err(err) if rank == 0 && silence > SILENCE_WITHOUT_STORE => {
+                let term = self.heard_term().unwrap_or_default();
+                self.begin(term, &format!("no lead was heard, and {err}"));
+            }
+            Err(err) => {
+                self.gateway.counters.add(Count::StoreFailures);
+                let text = err.to_string();
+                warn!("lead not taken", kv: { err = text.as_str() });
+            }
+        }
+    }
+
+    fn begin(&mut self, term: Revision, why: &str) {
+        self.term = Some(term);
+        self.confirmed = Instant::now();
+        info!("lead taken", kv: { term, why });
+    }
+
+    /// Writes this gateway into the lead's object.
+    async fn take(&self) -> Result<Revision, StoreError> {
+        self.gateway.counters.add(Count::StoreCalls);
+        let record = self.record();
+        match self.store.get(Kind::Leads, LEAD_NAME).await {
+            Ok(object) if object.read::<LeadRecord>().ok().as_ref() == Some(&record) => {
+                Ok(object.revision)
+            }
+            Ok(object) => {
+                self.store.replace(Kind::Leads, LEAD_NAME, object.revision, &record).await
+            }
+            Err(StoreError::NotFound) => self.store.create(Kind::Leads, LEAD_NAME, &record).await,
+            Err(err) => Err(err),
+        }
+    }
+
+    fn record(&self) -> LeadRecord {
+        let instance = self.gateway.settings.instance.clone();
+        LeadRecord { instance, incarnation: self.gateway.incarnation }
+    }
+
+    fn heard_term(&self) -> Option<Revision> {
+        let beliefs = self.gateway.beliefs.borrow();
+        beliefs.lead(Instant::now()).map(|(view, _)| view.term)
+    }
+
+    fn lead_heard(&self) -> Option<Instant> {
+        let beliefs = self.gateway.beliefs.borrow();
+        beliefs.lead(Instant::now()).map(|(_, heard)| heard)
+    }
+
+    /// How many live gateways come before this one, by name.
+    fn rank(&self, now: Instant) -> u32 {
+        let own = &self.gateway.settings.instance;
+        let beliefs = self.gateway.beliefs.borrow();
+        let live = beliefs.peers.values().filter(|peer| now - peer.heard < PEER_LAPSE);
+        live.filter(|peer| peer.message.instance < *own).count() as u32
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/process/listeners.rs
@@ -0,0 +1,87 @@
+//! The listeners besides the callers': readiness, metrics and handovers to other gateways.
+
+use crate::process::{Gateway, peers::HANDOVER_PATH};
+use bytes::Bytes;
+use http::{Request, Response, StatusCode};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use spdlog::warn;
+use std::convert::Infallible;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpSocket};
+use tokio::time::sleep;
+
+/// Connections that the system holds ready while the process is busy.
+const LISTEN_BACKLOG: u32 = 1_024;
+/// Pause after a failed accept, as when the process has too many open files.
+pub(crate) const ACCEPT_ERROR_PAUSE: Duration = Duration::from_millis(20);
+/// Where readiness is asked for.
+const READINESS_PATH: &str = "/v1/readiness";
+/// Where metrics are read.
+const METRICS_PATH: &str = "/metrics";
+
+/// Binds a listener; an address that was just in use is taken at once.
+pub(crate) fn bind(addr: SocketAddr) -> io::Result<TcpListener> {
+    let socket = if addr.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    socket.set_reuseaddr(true)?;
+    socket.bind(addr)?;
+    socket.listen(LISTEN_BACKLOG)
+}
+
+/// Answers readiness, metrics and handovers, for ever.
+pub(crate) async fn serve_side_pages(gateway: Rc<Gateway>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let gateway = Rc::clone(&gateway);
+                let service = service_fn(move |req| page(Rc::clone(&gateway), req));
+                let connection =
+                    http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+                // A broken one is its asker's matter.
+                tokio::task::spawn_local(async { drop(connection.await) });
+            }
+            Err(err) => {
+                let text = err.to_string();
+                warn!("connection to a side page not accepted", kv: { err = text.as_str() });
+                sleep(ACCEPT_ERROR_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn page(
+    gateway: Rc<Gateway>,
+    req: Request<Incoming>,
+) -> Result<Response<Full<Bytes>>, Infallible> {
+    let (status, body) = match req.uri().path() {
+        READINESS_PATH if gateway.is_ready() => (StatusCode::OK, Bytes::from_static(b"ready")),
+        READINESS_PATH => (StatusCode::SERVICE_UNAVAILABLE, Bytes::from_static(b"not ready")),
+        METRICS_PATH => (StatusCode::OK, Bytes::from(metrics(&gateway))),
+        HANDOVER_PATH => match serde_json::to_vec(&gateway.knowledge.borrow().handover()) {
+            Ok(body) => (StatusCode::OK, Bytes::from(body)),
+            Err(err) => (StatusCode::INTERNAL_SERVER_ERROR, Bytes::from(err.to_string())),
+        },
+        _ => (StatusCode::NOT_FOUND, Bytes::from_static(b"no such page")),
+    };
+    let mut answer = Response::new(Full::new(body));
+    *answer.status_mut() = status;
+    Ok(answer)
+}
+
+fn metrics(gateway: &Gateway) -> String {
+    let knowledge = gateway.knowledge.borrow();
+    let in_flight = gateway.in_flight.get() as f64;
+    let version = knowledge.config_version() as f64;
+    let endpoints = knowledge.endpoints().count() as f64;
+    gateway.counters.page(&[
+        ("in_flight", in_flight),
+        ("config_version", version),
+        ("endpoints", endpoints),
+    ])
+}
--- /dev/null
+++ b/crates/gateway/src/process/mod.rs
@@ -0,0 +1,29 @@
+//! What lives as long as a process.
+
+mod beliefs;
+mod counters;
+mod gateway;
+mod knowledge;
+mod lead;
+mod listeners;
+mod log;
+mod path_book;
+mod path_check;
+mod peer_message;
+mod peers;
+mod placer;
+mod pool;
+mod run;
+mod watchers;
+
+pub(crate) use beliefs::*;
+pub(crate) use counters::*;
+pub(crate) use gateway::*;
+pub(crate) use knowledge::*;
+pub(crate) use listeners::*;
+pub use log::*;
+pub(crate) use path_book::*;
+pub(crate) use path_check::*;
+pub(crate) use peer_message::*;
+pub(crate) use pool::*;
+pub use run::*;
--- /dev/null
+++ b/crates/gateway/src/process/path_book.rs
@@ -0,0 +1,268 @@
+//! The paths in use, what this gateway's streams take on them, and the choice among them.
+
+use rand::RngExt;
+use sorrellock_routing::process::{DataCentre, EndpointId, Holder, PipelinePath, cheapest_path};
+use sorrellock_routing::version::{ModelShape, ServiceName};
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeSet, HashMap};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::Notify;
+use tokio::time::Instant;
+
+/// Share of a path's room that is given out: the estimates of answers' lengths are often off, and
+/// a full engine preempts streams.
+const FILL: f64 = 0.92;
+/// What being in the gateway's own data centre is worth, as a share of room.
+const OWN_DATA_CENTRE_BONUS: f64 = 0.03;
+/// Random part of the choice, as a share of room: gateways that don't see each other's newest
+/// streams shouldn't all choose the same path.
+const CHOICE_NOISE: f64 = 0.04;
+/// With streams under way and no event on any for so long, a path is taken to be broken: over
+/// three times the longest pause that is on time.
+pub(crate) const PATH_SILENCE: Duration = Duration::from_millis(600);
+
+/// A path with what this gateway's streams do on it.
+pub(crate) struct LivePath {
+    /// Its engines.
+    pub(crate) path: PipelinePath,
+    /// Streams under way.
+    pub(crate) streams: Cell<u32>,
+    /// When a stream last got an event, or the first of them began.
+    pub(crate) last_event: Cell<Instant>,
+    /// Gets nothing new until then.
+    pub(crate) avoid_until: Cell<Option<Instant>>,
+    /// When its engines were last asked whether they live.
+    pub(crate) checked: Cell<Option<Instant>>,
+    /// An engine of it is gone.
+    pub(crate) is_broken: Cell<bool>,
+    /// Wakes its streams when it breaks.
+    pub(crate) broken: Notify,
+}
+
+impl LivePath {
+    fn new(path: PipelinePath, now: Instant) -> LivePath {
+        LivePath {
+            path,
+            streams: Cell::new(0),
+            last_event: Cell::new(now),
+            avoid_until: Cell::new(None),
+            checked: Cell::new(None),
+            is_broken: Cell::new(false),
+            broken: Notify::new(),
+        }
+    }
+
+    /// Whether all its streams have been silent for so long that it is taken to be broken.
+    pub(crate) fn is_silent(&self, now: Instant) -> bool {
+        self.streams.get() > 0 && now - self.last_event.get() > PATH_SILENCE
+    }
+
+    /// Gives it nothing new until `until`.
+    pub(crate) fn avoid(&self, until: Instant) {
+        let until = self.avoid_until.get().map_or(until, |before| before.max(until));
+        self.avoid_until.set(Some(until));
+    }
+
+    fn is_avoided(&self, now: Instant) -> bool {
+        self.avoid_until.get().is_some_and(|until| until > now)
+    }
+
+    fn break_up(&self) {
+        self.is_broken.set(true);
+        self.broken.notify_waiters();
+    }
+}
+
+/// What streams take in one data centre.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Load {
+    /// Tokens reserved.
+    pub(crate) tokens: f64,
+    /// Streams.
+    pub(crate) streams: u32,
+}
+
+/// A stream's place on a path. Dropping it frees the place.
+pub(crate) struct PathPlace {
+    pub(crate) live: Rc<LivePath>,
+    tokens: f64,
+    book: Rc<RefCell<PathBook>>,
+}
+
+impl Drop for PathPlace {
+    fn drop(&mut self) {
+        self.live.streams.set(self.live.streams.get() - 1);
+        let mut book = self.book.borrow_mut();
+        if let Some(load) = book.own.get_mut(&self.live.path.data_centre) {
+            load.tokens -= self.tokens;
+            load.streams -= 1;
+        }
+        book.freed.notify_waiters();
+    }
+}
+
+/// Why there is no path for a request now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum NoPlace {
+    /// No engines together hold all layers.
+    NoPath,
+    /// All paths are full.
+    Full,
+}
+
+/// The paths of all services.
+#[derive(Default)]
+pub(crate) struct PathBook {
+    paths: HashMap<ServiceName, Vec<Rc<LivePath>>>,
+    own: HashMap<DataCentre, Load>,
+    peers: HashMap<DataCentre, Load>,
+    freed: Rc<Notify>,
+}
+
+impl PathBook {
+    /// Takes what streams of other gateways take.
+    pub(crate) fn set_peer_loads(&mut self, peers: HashMap<DataCentre, Load>) {
+        self.peers = peers;
+    }
+
+    /// What this gateway's streams take.
+    pub(crate) fn own_loads(&self) -> impl Iterator<Item = (&DataCentre, &Load)> {
+        self.own.iter()
+    }
+
+    /// Wakes when a place is freed or the paths change.
+    pub(crate) fn freed(&self) -> Rc<Notify> {
+        Rc::clone(&self.freed)
+    }
+
+    /// The paths of a service.
+    pub(crate) fn paths(&self, service: &str) -> &[Rc<LivePath>] {
+        self.paths.get(service).map_or(&[], Vec::as_slice)
+    }
+
+    /// Works out the paths of a service anew. `gone` tells engines whose streams are lost.
+    /// Returns whether paths changed.
+    pub(crate) fn rebuild(
+        &mut self,
+        service: &str,
+        shape: &ModelShape,
+        holders: &[Holder],
+        gone: impl Fn(&EndpointId) -> bool,
+        now: Instant,
+    ) -> bool {
+        let old = self.paths.remove(service).unwrap_or_default();
+        for live in &old {
+            if !live.is_broken.get() && live.path.parts.iter().any(|part| gone(&part.id)) {
+                live.break_up();
+            }
+        }
+        let mut is_changed = false;
+        let mut fresh = Vec::new();
+        for path in best_paths(holders, shape.layers) {
+            let same =
+                |live: &&Rc<LivePath>| !live.is_broken.get() && live.path.parts == path.parts;
+            match old.iter().find(same) {
+                Some(live) => fresh.push(Rc::clone(live)),
+                None => {
+                    is_changed = true;
+                    fresh.push(Rc::new(LivePath::new(path, now)));
+                }
+            }
+        }
+        is_changed |= fresh.len() != old.len();
+        // Streams on an old path still run; only one that lost an engine breaks.
+        let keep_watch = old.into_iter().filter(|live| {
+            live.streams.get() > 0
+                && !live.is_broken.get()
+                && !fresh.iter().any(|other| Rc::ptr_eq(other, live))
+        });
+        for live in keep_watch.collect::<Vec<_>>() {
+            live.avoid(now + Duration::from_secs(3_600));
+            fresh.push(live);
+        }
+        self.paths.insert(service.to_owned(), fresh);
+        if is_changed {
+            self.freed.notify_waiters();
+        }
+        is_changed
+    }
+
+    /// Chooses the path with the most room, by share; `avoid` are paths not to take.
+    fn choose(
+        &self,
+        service: &str,
+        tokens: f64,
+        own_data_centre: &str,
+        avoid: &[Rc<LivePath>],
+        now: Instant,
+    ) -> Result<Rc<LivePath>, NoPlace> {
+        let is_open = |live: &&Rc<LivePath>| {
+            !live.is_avoided(now)
+                && !live.is_silent(now)
+                && !avoid.iter().any(|other| Rc::ptr_eq(other, live))
+        };
+        let mut best: Option<(f64, &Rc<LivePath>)> = None;
+        let mut is_full = false;
+        for live in self.paths(service).iter().filter(is_open) {
+            let taken = self.taken(&live.path.data_centre).tokens + tokens;
+            let share = taken / live.path.token_room.max(1.0);
+            if share > FILL {
+                is_full = true;
+                continue;
+            }
+            let own =
+                if live.path.data_centre == own_data_centre { OWN_DATA_CENTRE_BONUS } else { 0.0 };
+            let score = share - own + rand::rng().random_range(0.0..CHOICE_NOISE);
+            if best.is_none_or(|(least, _)| score < least) {
+                best = Some((score, live));
+            }
+        }
+        let none = if is_full { NoPlace::Full } else { NoPlace::NoPath };
+        best.map(|(_, live)| Rc::clone(live)).ok_or(none)
+    }
+
+    fn taken(&self, data_centre: &str) -> Load {
+        let own = self.own.get(data_centre).copied().unwrap_or_default();
+        let peers = self.peers.get(data_centre).copied().unwrap_or_default();
+        Load { tokens: own.tokens + peers.tokens, streams: own.streams + peers.streams }
+    }
+}
+
+/// Takes a place on the path with the most room.
+pub(crate) fn take_place(
+    book: &Rc<RefCell<PathBook>>,
+    service: &str,
+    tokens: f64,
+    own_data_centre: &str,
+    avoid: &[Rc<LivePath>],
+    now: Instant,
+) -> Result<PathPlace, NoPlace> {
+    let live = book.borrow().choose(service, tokens, own_data_centre, avoid, now)?;
+    if live.streams.get() == 0 {
+        live.last_event.set(now);
+    }
+    live.streams.set(live.streams.get() + 1);
+    let mut open = book.borrow_mut();
+    let load = open.own.entry(live.path.data_centre.clone()).or_default();
+    load.tokens += tokens;
+    load.streams += 1;
+    drop(open);
+    Ok(PathPlace { live, tokens, book: Rc::clone(book) })
+}
+
+/// A path inside each data centre that has one; else one over several, if any.
+fn best_paths(holders: &[Holder], layers: u32) -> Vec<PipelinePath> {
+    let data_centres: BTreeSet<&DataCentre> =
+        holders.iter().map(|holder| &holder.data_centre).collect();
+    let mut paths = Vec::new();
+    for data_centre in data_centres {
+        let local = holders.iter().filter(|holder| holder.data_centre == *data_centre);
+        let local: Vec<Holder> = local.cloned().collect();
+        paths.extend(cheapest_path(&local, layers));
+    }
+    if paths.is_empty() {
+        paths.extend(cheapest_path(holders, layers));
+    }
+    paths
+}
--- /dev/null
+++ b/crates/gateway/src/process/path_check.rs
@@ -0,0 +1,39 @@
+//! Finds which engines of a silent path are dead, by asking each.
+
+use crate::process::{Count, Gateway, LivePath};
+use sorrellock_platform::{Client, read_report};
+use sorrellock_routing::process::EndpointId;
+use spdlog::info;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Time for an engine's report: a hundred round trips inside a region.
+const REPORT_LIMIT: Duration = Duration::from_millis(200);
+/// A path is asked at most this often: each report is priced.
+const CHECK_INTERVAL: Duration = Duration::from_millis(700);
+
+/// Asks each engine of a path for a report, unless that was done just now. Those that don't
+/// answer are suspected, and the lead hears of it.
+pub(crate) fn check_path(gateway: &Rc<Gateway>, live: &Rc<LivePath>) {
+    let now = Instant::now();
+    if live.checked.get().is_some_and(|checked| now - checked < CHECK_INTERVAL) {
+        return;
+    }
+    live.checked.set(Some(now));
+    let data_centre = live.path.data_centre.as_str();
+    info!("path checked", kv: { data_centre, engines = live.path.parts.len() });
+    for part in &live.path.parts {
+        let check = check_engine(Rc::clone(gateway), part.id.clone(), part.addr);
+        tokio::task::spawn_local(check);
+    }
+}
+
+async fn check_engine(gateway: Rc<Gateway>, id: EndpointId, addr: SocketAddr) {
+    gateway.counters.add(Count::Reports);
+    let client = Client::new(addr);
+    if let Err(err) = read_report(&client, REPORT_LIMIT).await {
+        gateway.suspect(&id, &err.to_string());
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/process/peer_message.rs
@@ -0,0 +1,59 @@
+//! What gateways tell each other, as datagrams.
+
+use serde::{Deserialize, Serialize};
+use sorrellock_routing::process::{DataCentre, EndpointId, LayerRange};
+use sorrellock_routing::version::ConfigVersion;
+
+/// What a gateway tells all others, several times a second. The newest one replaces those before.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub(crate) struct PeerMessage {
+    /// The sender's instance.
+    pub(crate) instance: String,
+    /// Drawn at the sender's start: tells its lifetimes apart.
+    pub(crate) incarnation: u64,
+    /// Rises with each message of an incarnation.
+    pub(crate) sequence: u64,
+    /// The configuration that the sender has in force; 0 for none.
+    pub(crate) config_version: ConfigVersion,
+    /// The store's revision up to which the sender knows the endpoints.
+    pub(crate) endpoints_at: u64,
+    /// KV cache that the sender's streams take, by data centre.
+    pub(crate) loads: Vec<DataCentreLoad>,
+    /// Engines that the sender takes to be dead or cut off, by its own streams.
+    pub(crate) suspects: Vec<EndpointId>,
+    /// What the lead knows; none from others.
+    pub(crate) lead: Option<LeadView>,
+}
+
+/// What one gateway's streams take in a data centre.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub(crate) struct DataCentreLoad {
+    /// The data centre.
+    pub(crate) data_centre: DataCentre,
+    /// Tokens reserved by its streams.
+    pub(crate) tokens: u32,
+    /// Its streams.
+    pub(crate) streams: u32,
+}
+
+/// What the lead knows of the engines.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub(crate) struct LeadView {
+    /// Revision of the lead's object: a higher one goes before.
+    pub(crate) term: u64,
+    /// The engines.
+    pub(crate) engines: Vec<EngineView>,
+}
+
+/// What the lead knows of one engine.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub(crate) struct EngineView {
+    /// Its id.
+    pub(crate) id: EndpointId,
+    /// The layers that requests may use.
+    pub(crate) usable: LayerRange,
+    /// Its step times against those of its kind.
+    pub(crate) slowness: f32,
+    /// It doesn't answer the lead.
+    pub(crate) is_dead: bool,
+}
--- /dev/null
+++ b/crates/gateway/src/process/peers.rs
@@ -0,0 +1,282 @@
+//! Talks with the other gateways: loads, suspicions, what the lead knows, and what the store has
+//! told to others first.
+
+use crate::process::{Count, DataCentreLoad, Gateway, Handover, LeadView, Load, Peer, PeerMessage};
+use http::Method;
+use serde::{Deserialize, Serialize};
+use sorrellock_platform::{Client, Kind, Store, StoreError};
+use spdlog::{info, warn};
+use std::cell::{Cell, RefCell};
+use std::collections::{HashMap, HashSet};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::UdpSocket;
+use tokio::time::{Instant, sleep};
+
+/// How often a gateway tells the others. Loads that are a tenth of a second old differ by one or
+/// two streams from the true ones at 15 requests a second.
+const TELL_INTERVAL: Duration = Duration::from_millis(100);
+/// How often the list of gateways is read from the store: newcomers tell the others by themselves.
+const LIST_INTERVAL: Duration = Duration::from_secs(10);
+/// The wait after a failed write or list of gateways.
+const REGISTER_RETRY: Duration = Duration::from_millis(400);
+/// How long another gateway may know more before it is asked: a watch brings it sooner.
+const BEHIND_PATIENCE: Duration = Duration::from_millis(300);
+/// Time for a handover: a large configuration takes a fifth of a core some 100 ms.
+const HANDOVER_LIMIT: Duration = Duration::from_millis(1_500);
+/// Where a gateway is asked for its handover.
+pub(crate) const HANDOVER_PATH: &str = "/handover";
+/// Largest datagram.
+const MAX_DATAGRAM: usize = 60_000;
+
+/// A gateway's object in the store.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+struct Registration {
+    addr: SocketAddr,
+    incarnation: u64,
+}
+
+/// Messages to and from the other gateways.
+pub(crate) struct Peers {
+    gateway: Rc<Gateway>,
+    socket: UdpSocket,
+    sequence: Cell<u64>,
+    /// Where gateways listen that the store tells of.
+    registered: RefCell<HashSet<SocketAddr>>,
+    /// What this gateway knows while it is the lead.
+    own_view: Rc<RefCell<Option<LeadView>>>,
+}
+
+impl Peers {
+    pub(crate) fn new(
+        gateway: Rc<Gateway>,
+        socket: UdpSocket,
+        own_view: Rc<RefCell<Option<LeadView>>>,
+    ) -> Peers {
+        Peers { gateway, socket, sequence: Cell::new(0), registered: RefCell::default(), own_view }
+    }
+
+    /// Tells the others, for ever.
+    pub(crate) async fn tell(self: Rc<Self>) {
+        loop {
+            self.tell_once();
+            self.take_loads();
+            sleep(TELL_INTERVAL).await;
+        }
+    }
+
+    fn tell_once(&self) {
+        let message = self.message();
+        let Ok(buf) = postcard::to_stdvec(&message) else { return };
+        for addr in self.targets() {
+            // A lost message is made up for by the next one.
+            let _ = self.socket.try_send_to(&buf, addr);
+        }
+    }
+
+    fn message(&self) -> PeerMessage {
+        let gateway = &self.gateway;
+        self.sequence.set(self.sequence.get() + 1);
+        let paths = gateway.paths.borrow();
+        let load = |(data_centre, load): (&String, &Load)| DataCentreLoad {
+            data_centre: data_centre.clone(),
+            tokens: load.tokens.max(0.0) as u32,
+            streams: load.streams,
+        };
+        PeerMessage {
+            instance: gateway.settings.instance.clone(),
+            incarnation: gateway.incarnation,
+            sequence: self.sequence.get(),
+            config_version: gateway.knowledge.borrow().config_version(),
+            endpoints_at: gateway.knowledge.borrow().endpoints_at(),
+            loads: paths.own_loads().map(load).collect(),
+            suspects: gateway.beliefs.borrow_mut().suspects(Instant::now()),
+            lead: self.own_view.borrow().clone(),
+        }
+    }
+
+    fn targets(&self) -> HashSet<SocketAddr> {
+        let mut targets = self.registered.borrow().clone();
+        targets.extend(self.gateway.beliefs.borrow().peers.values().map(|peer| peer.addr));
+        targets.remove(&self.own_addr());
+        targets
+    }
+
+    fn own_addr(&self) -> SocketAddr {
+        SocketAddr::new(self.gateway.settings.ip, self.gateway.settings.peer_port)
+    }
+
+    fn take_loads(&self) {
+        let now = Instant::now();
+        let mut loads: HashMap<String, Load> = HashMap::new();
+        for peer in self.gateway.beliefs.borrow().live_peers(now) {
+            for told in &peer.message.loads {
+                let load = loads.entry(told.data_centre.clone()).or_default();
+                load.tokens += f64::from(told.tokens);
+                load.streams += told.streams;
+            }
+        }
+        self.gateway.paths.borrow_mut().set_peer_loads(loads);
+    }
+
+    /// Takes the others' messages, for ever.
+    pub(crate) async fn listen(self: Rc<Self>) {
+        let mut buf = vec![0; MAX_DATAGRAM];
+        loop {
+            match self.socket.recv_from(&mut buf).await {
+                Ok((len, from)) => self.on_datagram(&buf[..len], from),
+                Err(err) => {
+                    let text = err.to_string();
+                    warn!("message of a gateway not received", kv: { err = text.as_str() });
+                    sleep(TELL_INTERVAL).await;
+                }
+            }
+        }
+    }
+
+    fn on_datagram(&self, buf: &[u8], from: SocketAddr) {
+        let Ok(message) = postcard::from_bytes::<PeerMessage>(buf) else {
+            self.gateway.counters.add(Count::PeerMessagesBad);
+            return;
+        };
+        self.gateway.counters.add(Count::PeerMessages);
+        self.on_message(message, from);
+    }
+
+    fn on_message(&self, message: PeerMessage, from: SocketAddr) {
+        let gateway = &self.gateway;
+        let now = Instant::now();
+        let mut beliefs = gateway.beliefs.borrow_mut();
+        let before = beliefs.peers.get(&message.instance);
+        let is_old = before.is_some_and(|peer| {
+            peer.message.incarnation == message.incarnation
+                && peer.message.sequence >= message.sequence
+        });
+        if is_old {
+            return;
+        }
+        if before.is_none_or(|peer| peer.message.incarnation != message.incarnation) {
+            let addr = from.to_string();
+            info!("gateway heard", kv: {
+                instance = message.instance.as_str(), addr = addr.as_str()
+            });
+        }
+        let mut is_changed = false;
+        if let Some(view) = &message.lead {
+            let known = beliefs.lead(now).map(|(known, _)| known.engines.clone());
+            is_changed = known.as_ref() != Some(&view.engines);
+            is_changed &= beliefs.apply_lead(view.clone(), now);
+        }
+        let new_suspects = message.suspects.iter().filter(|id| {
+            before_suspects(&beliefs.peers, &message.instance).is_none_or(|all| !all.contains(id))
+        });
+        let has_new_suspects = new_suspects.count() > 0;
+        let instance = message.instance.clone();
+        beliefs.peers.insert(instance, Peer { addr: from, message, heard: now });
+        drop(beliefs);
+        if is_changed {
+            gateway.refresh_paths();
+        }
+        if has_new_suspects {
+            gateway.engines_changed.notify_waiters();
+        }
+    }
+
+    /// Writes this gateway's object and reads those of the others, for ever.
+    pub(crate) async fn register(self: Rc<Self>, store: Store) {
+        let mut is_written = false;
+        loop {
+            self.gateway.counters.add(Count::StoreCalls);
+            let res = self.register_once(&store, &mut is_written).await;
+            if let Err(err) = &res {
+                self.gateway.counters.add(Count::StoreFailures);
+                let text = err.to_string();
+                warn!("gateways not read from the store", kv: { err = text.as_str() });
+            }
+            sleep(if res.is_ok() { LIST_INTERVAL } else { REGISTER_RETRY }).await;
+        }
+    }
+
+    async fn register_once(&self, store: &Store, is_written: &mut bool) -> Result<(), StoreError> {
+        let name = &self.gateway.settings.instance;
+        let own = Registration { addr: self.own_addr(), incarnation: self.gateway.incarnation };
+        if !*is_written {
+            match store.create(Kind::Gateways, name, &own).await {
+                Err(StoreError::Conflict) => {
+                    let object = store.get(Kind::Gateways, name).await?;
+                    if object.read::<Registration>().ok().as_ref() != Some(&own) {
+                        store.replace(Kind::Gateways, name, object.revision, &own).await?;
+                    }
+                }
+                other => {
+                    other?;
+                }
+            }
+            *is_written = true;
+        }
+        let listing = store.list(Kind::Gateways).await?;
+        let addrs = listing.objects.iter().filter_map(|object| {
+            object.read::<Registration>().ok().map(|registration| registration.addr)
+        });
+        *self.registered.borrow_mut() = addrs.collect();
+        Ok(())
+    }
+
+    /// Asks another gateway for what it knows and this one doesn't, for ever.
+    pub(crate) async fn catch_up(self: Rc<Self>) {
+        let mut behind_since: Option<Instant> = None;
+        loop {
+            sleep(TELL_INTERVAL).await;
+            let Some((instance, addr)) = self.ahead() else {
+                behind_since = None;
+                continue;
+            };
+            let since = *behind_since.get_or_insert_with(Instant::now);
+            if since.elapsed() < BEHIND_PATIENCE {
+                continue;
+            }
+            behind_since = None;
+            self.fetch(&instance, addr).await;
+        }
+    }
+
+    /// A live gateway that knows a newer configuration, or more of the endpoints.
+    fn ahead(&self) -> Option<(String, SocketAddr)> {
+        let knowledge = self.gateway.knowledge.borrow();
+        let (version, at) = (knowledge.config_version(), knowledge.endpoints_at());
+        let beliefs = self.gateway.beliefs.borrow();
+        let mut ahead = beliefs
+            .live_peers(Instant::now())
+            .filter(|peer| peer.message.config_version > version || peer.message.endpoints_at > at);
+        let peer = ahead.next()?;
+        Some((peer.message.instance.clone(), peer.addr))
+    }
+
+    async fn fetch(&self, instance: &str, addr: SocketAddr) {
+        let client = Client::new(addr);
+        let answer = client.call(Method::GET, HANDOVER_PATH, None, HANDOVER_LIMIT).await;
+        let read =
+            |body: &[u8]| serde_json::from_slice::<Handover>(body).map_err(|e| e.to_string());
+        match answer.map_err(|err| err.to_string()).and_then(|answer| read(&answer.body)) {
+            Ok(handover) => {
+                let (version, at) = (
+                    handover.configuration.as_ref().map_or(0, |cfg| cfg.version),
+                    handover.endpoints_at,
+                );
+                info!("caught up from a gateway", kv: { instance, version, at });
+                self.gateway.apply_handover(handover, instance);
+            }
+            Err(err) => {
+                warn!("not caught up from a gateway", kv: { instance, err = err.as_str() });
+            }
+        }
+    }
+}
+
+fn before_suspects<'a>(
+    peers: &'a HashMap<String, Peer>,
+    instance: &str,
+) -> Option<&'a Vec<String>> {
+    peers.get(instance).map(|peer| &peer.message.suspects)
+}
--- /dev/null
+++ b/crates/gateway/src/process/placer.rs
@@ -0,0 +1,505 @@
+//! The lead's work: follows the engines by their reports and orders the layers that each holds.
+
+use crate::process::lead::Lead;
+use crate::process::{Count, EngineView, Gateway, LeadView};
+use sorrellock_platform::{
+    CallError, Client, EngineReport, OrderEnd, Store, order_layers, read_report,
+};
+use sorrellock_routing::process::placement::{
+    Holding, Placement, PlannedEngine, Step, next_steps, plan_data_centre,
+};
+use sorrellock_routing::process::{DataCentre, Endpoint, EndpointId, LayerRange};
+use sorrellock_routing::version::{ModelShape, ServiceName};
+use spdlog::{info, warn};
+use std::cell::RefCell;
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::{Instant, timeout};
+
+/// How often engines are asked for their report in quiet; each report is priced.
+const REPORT_INTERVAL: Duration = Duration::from_millis(1_500);
+/// How often an engine is asked while its layers move or it is suspected.
+const REPORT_INTERVAL_MOVING: Duration = Duration::from_millis(150);
+/// Time for a report: a hundred round trips inside a region.
+const REPORT_LIMIT: Duration = Duration::from_millis(250);
+/// Reports without an answer in a row after which an engine is taken to be dead.
+const FAILURES_TO_DEATH: u32 = 2;
+/// Time for an order to be accepted.
+const ORDER_LIMIT: Duration = Duration::from_millis(500);
+/// The wait after an order that was refused or brought no answer.
+const ORDER_RETRY: Duration = Duration::from_millis(500);
+/// How long requests are kept off layers before they are given up: the lead's message, and
+/// requests on their way.
+const CLOSE_FIRST: Duration = Duration::from_millis(300);
+/// With no chain in a data centre yet, how long its set of engines must stay the same before the
+/// first plan: engines of one start register within a second.
+const SETTLE: Duration = Duration::from_millis(600);
+/// How often a plan is looked at again without news.
+const REPLAN_INTERVAL: Duration = Duration::from_secs(2);
+/// Pause between two rounds of orders.
+const ROUND_PAUSE: Duration = Duration::from_millis(50);
+/// Layers' worth of memory that an engine keeps free while it holds old and new layers.
+const HULL_MARGIN_LAYERS: u32 = 1;
+
+/// What the lead knows of one engine.
+struct Engine {
+    client: Client,
+    report: Option<EngineReport>,
+    asked: Option<Instant>,
+    is_asking: bool,
+    failures: u32,
+    is_dead: bool,
+    /// The layers of an order that may be under way, and when it was given.
+    ordered: Option<(LayerRange, Instant)>,
+    /// No order before then.
+    order_after: Instant,
+    /// The layers that are to stay, and since when requests are kept off the others.
+    closing: Option<(LayerRange, Instant)>,
+}
+
+impl Engine {
+    fn new(client: Client, now: Instant) -> Engine {
+        Engine {
+            client,
+            report: None,
+            asked: None,
+            is_asking: false,
+            failures: 0,
+            is_dead: false,
+            ordered: None,
+            order_after: now,
+            closing: None,
+        }
+    }
+
+    fn ready(&self) -> LayerRange {
+        self.report.as_ref().map_or(LayerRange::default(), |report| report.layers)
+    }
+
+    /// The layers that it holds or will hold.
+    fn held(&self) -> LayerRange {
+        self.ordered.map_or_else(|| self.ready(), |(layers, _)| layers)
+    }
+
+    /// The layers that new requests may use.
+    fn usable(&self) -> LayerRange {
+        match self.closing {
+            Some((stay, _)) => intersection(self.ready(), stay),
+            None => self.ready(),
+        }
+    }
+
+    fn is_moving(&self) -> bool {
+        self.ordered.is_some() || self.report.as_ref().is_none_or(|report| report.is_busy)
+    }
+}
+
+type Engines = Rc<RefCell<HashMap<EndpointId, Engine>>>;
+
+/// The plan of one data centre, and what it was made for.
+struct Planned {
+    placement: Placement,
+    made_for: Vec<(EndpointId, LayerRange, u32)>,
+    at: Instant,
+}
+
+/// Places layers while this gateway leads.
+pub(crate) struct Placer {
+    gateway: Rc<Gateway>,
+    own_view: Rc<RefCell<Option<LeadView>>>,
+    engines: Engines,
+    plans: HashMap<(ServiceName, DataCentre), Planned>,
+    /// The engines of a data centre, and since when they are the same.
+    settled: HashMap<(ServiceName, DataCentre), (BTreeSet<EndpointId>, Instant)>,
+}
+
+impl Placer {
+    pub(crate) fn new(gateway: Rc<Gateway>, own_view: Rc<RefCell<Option<LeadView>>>) -> Placer {
+        Placer {
+            gateway,
+            own_view,
+            engines: Rc::default(),
+            plans: HashMap::new(),
+            settled: HashMap::new(),
+        }
+    }
+
+    /// Takes part in the election and places layers while this gateway leads, for ever.
+    pub(crate) async fn run(mut self, store: Store) {
+        let mut lead = Lead::new(Rc::clone(&self.gateway), store);
+        loop {
+            match lead.look().await {
+                Some(term) => self.round(term).await,
+                None => self.rest(),
+            }
+        }
+    }
+
+    /// Forgets everything: whoever leads next reads it from the engines.
+    fn rest(&mut self) {
+        if self.own_view.borrow_mut().take().is_some() {
+            self.engines.borrow_mut().clear();
+            self.plans.clear();
+            self.settled.clear();
+        }
+    }
+
+    async fn round(&mut self, term: u64) {
+        let now = Instant::now();
+        let services = self.models();
+        self.sync_engines(&services, now);
+        self.ask_engines(now);
+        for (service, shape) in &services {
+            for (data_centre, engines) in self.by_data_centre(service) {
+                self.place(service, shape, &data_centre, &engines, now);
+            }
+        }
+        self.publish(term);
+        let changed = self.gateway.engines_changed.notified();
+        let _ = timeout(ROUND_PAUSE, changed).await;
+    }
+
+    fn models(&self) -> Vec<(ServiceName, ModelShape)> {
+        let knowledge = self.gateway.knowledge.borrow();
+        let Some(routes) = knowledge.routes() else { return Vec::new() };
+        let services = routes.cfg().services.iter();
+        services
+            .filter_map(|service| Some((service.name.clone(), service.model.clone()?)))
+            .collect()
+    }
+
+    /// Engines as the list tells, less those that leave.
+    fn sync_engines(&mut self, services: &[(ServiceName, ModelShape)], now: Instant) {
+        let knowledge = self.gateway.knowledge.borrow();
+        let names: HashSet<&ServiceName> = services.iter().map(|(name, _)| name).collect();
+        let here = knowledge.endpoints().filter(|endpoint| names.contains(&endpoint.service));
+        let here: HashMap<&EndpointId, &Endpoint> =
+            here.filter(|endpoint| !endpoint.is_leaving).map(|e| (&e.id, e)).collect();
+        let mut engines = self.engines.borrow_mut();
+        engines.retain(|id, _| here.contains_key(id));
+        for (id, endpoint) in here {
+            engines
+                .entry(id.clone())
+                .or_insert_with(|| Engine::new(Client::new(endpoint.addr), now));
+        }
+    }
+
+    /// Asks the engines whose report is due.
+    fn ask_engines(&self, now: Instant) {
+        let suspects = self.suspects(now);
+        let mut engines = self.engines.borrow_mut();
+        for (id, engine) in engines.iter_mut() {
+            let is_urgent = engine.is_moving() || engine.failures > 0 || suspects.contains(id);
+            let interval = if is_urgent { REPORT_INTERVAL_MOVING } else { REPORT_INTERVAL };
+            let is_due = engine.asked.is_none_or(|asked| now - asked >= interval);
+            if engine.is_asking || !is_due {
+                continue;
+            }
+            engine.is_asking = true;
+            engine.asked = Some(now);
+            let ask = ask(
+                Rc::clone(&self.gateway),
+                Rc::clone(&self.engines),
+                id.clone(),
+                engine.client.clone(),
+            );
+            tokio::task::spawn_local(ask);
+        }
+    }
+
+    /// Engines that any gateway suspects.
+    fn suspects(&self, now: Instant) -> HashSet<EndpointId> {
+        let mut beliefs = self.gateway.beliefs.borrow_mut();
+        let mut all: HashSet<EndpointId> = beliefs.suspects(now).into_iter().collect();
+        for peer in beliefs.live_peers(now) {
+            all.extend(peer.message.suspects.iter().cloned());
+        }
+        all
+    }
+
+    fn by_data_centre(&self, service: &str) -> BTreeMap<DataCentre, Vec<Endpoint>> {
+        let knowledge = self.gateway.knowledge.borrow();
+        let engines = self.engines.borrow();
+        let mut by: BTreeMap<DataCentre, Vec<Endpoint>> = BTreeMap::new();
+        for endpoint in knowledge.endpoints().filter(|endpoint| endpoint.service == service) {
+            if engines.contains_key(&endpoint.id) {
+                by.entry(endpoint.data_centre.clone()).or_default().push(endpoint.clone());
+            }
+        }
+        by
+    }
+
+    /// Plans one data centre if there is news, and orders what brings it nearer to the plan.
+    fn place(
+        &mut self,
+        service: &str,
+        shape: &ModelShape,
+        data_centre: &str,
+        endpoints: &[Endpoint],
+        now: Instant,
+    ) {
+        let key = (service.to_owned(), data_centre.to_owned());
+        let Some(planned) = self.planned_engines(shape, endpoints) else { return };
+        if !self.is_settled(&key, &planned, now) {
+            return;
+        }
+        self.plan(&key, shape, &planned, now);
+        let Some(plan) = self.plans.get(&key) else { return };
+        let holdings = self.holdings(shape, endpoints, now);
+        for step in next_steps(&plan.placement, &holdings, shape.layers) {
+            self.order(step, now);
+        }
+    }
+
+    /// The engines that are alive; nothing while one of them wasn't heard yet.
+    fn planned_engines(
+        &self,
+        shape: &ModelShape,
+        endpoints: &[Endpoint],
+    ) -> Option<Vec<PlannedEngine>> {
+        let engines = self.engines.borrow();
+        let mut planned = Vec::new();
+        for endpoint in endpoints {
+            let engine = engines.get(&endpoint.id)?;
+            if engine.is_dead {
+                continue;
+            }
+            let report = engine.report.as_ref()?;
+            let card = endpoint.card.as_deref().and_then(|card| shape.card(card));
+            let Some(card) = card else { continue };
+            planned.push(PlannedEngine {
+                id: endpoint.id.clone(),
+                memory_mb: card.memory_mb,
+                step_factor: card.step_factor * report.slowness.max(1.0),
+                held: engine.held(),
+            });
+        }
+        Some(planned)
+    }
+
+    /// Whether the first plan can be made: more engines may be about to register.
+    fn is_settled(
+        &mut self,
+        key: &(ServiceName, DataCentre),
+        planned: &[PlannedEngine],
+        now: Instant,
+    ) -> bool {
+        if self.plans.contains_key(key) || planned.iter().any(|engine| !engine.held.is_empty()) {
+            return true;
+        }
+        let ids: BTreeSet<EndpointId> = planned.iter().map(|engine| engine.id.clone()).collect();
+        let entry = self.settled.entry(key.clone()).or_insert_with(|| (BTreeSet::new(), now));
+        if entry.0 != ids {
+            *entry = (ids, now);
+        }
+        now - entry.1 >= SETTLE
+    }
+
+    fn plan(
+        &mut self,
+        key: &(ServiceName, DataCentre),
+        shape: &ModelShape,
+        planned: &[PlannedEngine],
+        now: Instant,
+    ) {
+        let made_for: Vec<_> = planned.iter().map(fingerprint).collect();
+        let is_current = self.plans.get(key).is_some_and(|plan| {
+            let same_engines = plan.placement.len() == planned.len()
+                && planned.iter().all(|engine| plan.placement.contains_key(&engine.id));
+            let is_moving =
+                planned.iter().any(|engine| plan.placement.get(&engine.id) != Some(&engine.held));
+            same_engines
+                && (plan.made_for == made_for || (is_moving && now - plan.at < REPLAN_INTERVAL))
+        });
+        if is_current {
+            return;
+        }
+        let Some(placement) = plan_data_centre(shape, planned) else {
+            if self.plans.remove(key).is_some() {
+                let engines = planned.len();
+                warn!("no plan: the engines can't hold the model", kv: {
+                    data_centre = key.1.as_str(), engines
+                });
+            }
+            return;
+        };
+        let before = self.plans.get(key);
+        if before.is_none_or(|before| before.placement != placement) {
+            let text = describe(&placement);
+            let engines = planned.len();
+            info!("plan changed", kv: {
+                service = key.0.as_str(), data_centre = key.1.as_str(), engines,
+                plan = text.as_str()
+            });
+        }
+        self.plans.insert(key.clone(), Planned { placement, made_for, at: now });
+    }
+
+    fn holdings(
+        &self,
+        shape: &ModelShape,
+        endpoints: &[Endpoint],
+        now: Instant,
+    ) -> BTreeMap<EndpointId, Holding> {
+        let engines = self.engines.borrow();
+        let mut holdings = BTreeMap::new();
+        for endpoint in endpoints {
+            let Some(engine) = engines.get(&endpoint.id).filter(|engine| !engine.is_dead) else {
+                continue;
+            };
+            let card = endpoint.card.as_deref().and_then(|card| shape.card(card));
+            let most = card.map_or(0, |card| shape.most_layers(card));
+            let is_busy = engine.is_moving() || now < engine.order_after;
+            holdings.insert(
+                endpoint.id.clone(),
+                Holding {
+                    ready: engine.ready(),
+                    most_layers: most.saturating_sub(HULL_MARGIN_LAYERS),
+                    is_busy,
+                },
+            );
+        }
+        holdings
+    }
+
+    /// Gives an order, or first keeps requests off the layers that it gives up.
+    fn order(&self, step: Step, now: Instant) {
+        let mut engines = self.engines.borrow_mut();
+        let Some(engine) = engines.get_mut(&step.id) else { return };
+        if step.gives_up {
+            let (stay, since) = *engine.closing.get_or_insert((step.layers, now));
+            if stay != step.layers {
+                engine.closing = Some((step.layers, now));
+                return;
+            }
+            if now - since < CLOSE_FIRST {
+                return;
+            }
+        }
+        let expected = engine.report.as_ref().map_or(0, |report| report.orders_begun);
+        engine.ordered = Some((step.layers, now));
+        let order = give_order(
+            Rc::clone(&self.gateway),
+            Rc::clone(&self.engines),
+            step,
+            engine.client.clone(),
+            expected,
+        );
+        tokio::task::spawn_local(order);
+    }
+
+    /// Shares what the lead knows with all gateways, this one included.
+    fn publish(&self, term: u64) {
+        let engines = self.engines.borrow();
+        let heard = engines.iter().filter(|(_, engine)| engine.report.is_some() || engine.is_dead);
+        let mut views: Vec<EngineView> = heard
+            .map(|(id, engine)| EngineView {
+                id: id.clone(),
+                usable: engine.usable(),
+                slowness: engine.report.as_ref().map_or(1.0, |report| report.slowness as f32),
+                is_dead: engine.is_dead,
+            })
+            .collect();
+        views.sort_by(|a, b| a.id.cmp(&b.id));
+        let view = LeadView { term, engines: views };
+        let is_changed =
+            self.own_view.borrow().as_ref().is_none_or(|old| old.engines != view.engines);
+        *self.own_view.borrow_mut() = Some(view.clone());
+        self.gateway.beliefs.borrow_mut().apply_lead(view, Instant::now());
+        if is_changed {
+            self.gateway.refresh_paths();
+        }
+    }
+}
+
+/// Asks one engine for its report.
+async fn ask(gateway: Rc<Gateway>, engines: Engines, id: EndpointId, client: Client) {
+    gateway.counters.add(Count::Reports);
+    let res = read_report(&client, REPORT_LIMIT).await;
+    let mut engines = engines.borrow_mut();
+    let Some(engine) = engines.get_mut(&id) else { return };
+    engine.is_asking = false;
+    match res {
+        Ok(report) => on_report(engine, &id, report),
+        Err(err) => on_no_report(engine, &id, &err),
+    }
+    drop(engines);
+    gateway.engines_changed.notify_waiters();
+}
+
+fn on_report(engine: &mut Engine, id: &str, report: EngineReport) {
+    engine.failures = 0;
+    if std::mem::take(&mut engine.is_dead) {
+        info!("engine answers again", kv: { endpoint = id });
+    }
+    if let Some((layers, given)) = engine.ordered {
+        let is_done = !report.is_busy && report.layers == layers;
+        // The report lags; one that shows nothing of the order after this was refused or lost.
+        let is_lost = !report.is_busy && given.elapsed() > ORDER_RETRY * 2;
+        if is_done || is_lost {
+            let took_ms = given.elapsed().as_millis() as u64;
+            let (from, to) = (layers.from, layers.to);
+            let outcome = if is_done { "done" } else { "not seen" };
+            info!("order ended", kv: { endpoint = id, from, to, took_ms, outcome });
+            engine.ordered = None;
+            engine.closing = None;
+        }
+    }
+    engine.report = Some(report);
+}
+
+fn on_no_report(engine: &mut Engine, id: &str, err: &CallError) {
+    engine.failures += 1;
+    let is_refused = matches!(err, CallError::NotSent { step, .. } if step.starts_with("connect"));
+    let is_over = engine.failures >= FAILURES_TO_DEATH || is_refused;
+    if is_over && !std::mem::replace(&mut engine.is_dead, true) {
+        let (failures, text) = (engine.failures, err.to_string());
+        warn!("engine taken to be dead", kv: { endpoint = id, failures, err = text.as_str() });
+    }
+}
+
+/// Gives one order and takes how it was received.
+async fn give_order(
+    gateway: Rc<Gateway>,
+    engines: Engines,
+    step: Step,
+    client: Client,
+    expected: u64,
+) {
+    gateway.counters.add(Count::Orders);
+    let end = order_layers(&client, step.layers, expected, ORDER_LIMIT).await;
+    let text = format!("{end:?}");
+    let (from, to) = (step.layers.from, step.layers.to);
+    info!("order given", kv: {
+        endpoint = step.id.as_str(), from, to, expected, outcome = text.as_str()
+    });
+    let mut engines = engines.borrow_mut();
+    let Some(engine) = engines.get_mut(&step.id) else { return };
+    if !matches!(end, OrderEnd::Begun | OrderEnd::Done) {
+        gateway.counters.add(Count::OrderFailures);
+        engine.order_after = Instant::now() + ORDER_RETRY;
+    }
+    if matches!(end, OrderEnd::Refused { .. }) {
+        engine.ordered = None;
+        engine.closing = None;
+    }
+    // What the engine does shows in its next report.
+    engine.asked = None;
+}
+
+fn intersection(a: LayerRange, b: LayerRange) -> LayerRange {
+    LayerRange::new(a.from.max(b.from), a.to.min(b.to))
+}
+
+/// What a plan depends on, slowness in steps of a half.
+fn fingerprint(engine: &PlannedEngine) -> (EndpointId, LayerRange, u32) {
+    (engine.id.clone(), engine.held, (engine.step_factor * 2.0).round() as u32)
+}
+
+fn describe(placement: &Placement) -> String {
+    let mut parts: Vec<_> = placement.iter().filter(|(_, range)| !range.is_empty()).collect();
+    parts.sort_by_key(|(_, range)| range.from);
+    let parts = parts.iter().map(|(id, range)| format!("{id}={}-{}", range.from, range.to));
+    parts.collect::<Vec<_>>().join(",")
+}
--- /dev/null
+++ b/crates/gateway/src/process/pool.rs
@@ -0,0 +1,111 @@
+//! Connections to endpoints, kept for later requests.
+
+use crate::process::Count;
+use crate::process::Counters;
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::client::conn::http1::{Builder, SendRequest};
+use hyper_util::rt::TokioIo;
+use sorrellock_platform::AnswerHead;
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::task::JoinHandle;
+use tokio::time::{Instant, timeout};
+
+/// Idle connections kept to one endpoint.
+const MAX_IDLE: usize = 64;
+/// Time for a connection to be made: inside a region a round trip takes a millisecond; the first
+/// retry of a lost opening packet comes after a second.
+const CONNECT_LIMIT: Duration = Duration::from_millis(500);
+/// Idle time after which a connection isn't used again, where the endpoint doesn't tell its own.
+const IDLE_LIMIT: Duration = Duration::from_secs(4);
+/// What is taken off the idle time that an endpoint tells: the way there and its timer's slack.
+const IDLE_MARGIN: Duration = Duration::from_millis(500);
+/// Largest head of an endpoint's answer, in bytes.
+const READ_BUF_BYTES: usize = 16 << 10;
+
+/// A connection to an endpoint. Dropping it closes it at once, which ends what runs there.
+pub(crate) struct Connection {
+    pub(crate) sender: SendRequest<Full<Bytes>>,
+    /// It served a request before.
+    pub(crate) is_reused: bool,
+    driver: JoinHandle<()>,
+    idle_since: Instant,
+    idle_limit: Duration,
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.driver.abort();
+    }
+}
+
+/// Idle connections, by the endpoint's address and id.
+#[derive(Default)]
+pub(crate) struct Pool {
+    idle: HashMap<SocketAddr, Vec<Connection>>,
+}
+
+impl Pool {
+    /// Takes the connection that was used last, if one is still good.
+    pub(crate) fn take(&mut self, addr: SocketAddr, now: Instant) -> Option<Connection> {
+        let idle = self.idle.get_mut(&addr)?;
+        while let Some(mut connection) = idle.pop() {
+            let is_fresh = now - connection.idle_since < connection.idle_limit;
+            if is_fresh && connection.sender.is_ready() {
+                connection.is_reused = true;
+                return Some(connection);
+            }
+        }
+        None
+    }
+
+    /// Keeps a connection whose answer came whole.
+    pub(crate) fn keep(
+        &mut self,
+        addr: SocketAddr,
+        mut connection: Connection,
+        answer: &AnswerHead,
+        now: Instant,
+    ) {
+        if answer.closes {
+            return;
+        }
+        let told = answer.keep_alive.map(|limit| limit.saturating_sub(IDLE_MARGIN));
+        connection.idle_limit = told.unwrap_or(IDLE_LIMIT).min(IDLE_LIMIT);
+        connection.idle_since = now;
+        let idle = self.idle.entry(addr).or_default();
+        if idle.len() < MAX_IDLE {
+            idle.push(connection);
+        }
+    }
+
+    /// Drops connections that are too old, and those to addresses that `is_known` doesn't know.
+    pub(crate) fn sweep(&mut self, now: Instant, is_known: impl Fn(&SocketAddr) -> bool) {
+        self.idle.retain(|addr, idle| {
+            idle.retain(|connection| now - connection.idle_since < connection.idle_limit);
+            !idle.is_empty() && is_known(addr)
+        });
+    }
+}
+
+/// Opens a connection.
+pub(crate) async fn open(addr: SocketAddr, counters: &Counters) -> io::Result<Connection> {
+    counters.add(Count::EndpointConnections);
+    let stream = timeout(CONNECT_LIMIT, TcpStream::connect(addr)).await;
+    let stream = stream.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
+    stream.set_nodelay(true)?;
+    let mut builder = Builder::new();
+    builder.max_buf_size(READ_BUF_BYTES);
+    let hands = builder.handshake(TokioIo::new(stream)).await;
+    let (sender, connection) = hands.map_err(io::Error::other)?;
+    let driver = tokio::task::spawn_local(async move {
+        // How it ended shows at the request.
+        let _ = connection.await;
+    });
+    let idle_since = Instant::now();
+    Ok(Connection { sender, is_reused: false, driver, idle_since, idle_limit: IDLE_LIMIT })
+}
--- /dev/null
+++ b/crates/gateway/src/process/run.rs
@@ -0,0 +1,196 @@
+//! Starts and ends the process.
+
+use crate::connection::accept_callers;
+use crate::process::peers::Peers;
+use crate::process::placer::Placer;
+use crate::process::watchers::{expire_missing, follow};
+use crate::process::{Gateway, Phase, bind, serve_side_pages, set_up_log};
+use sorrellock_platform::{Kind, Settings, Store, parse_settings};
+use spdlog::{error, info, warn};
+use std::cell::RefCell;
+use std::fmt;
+use std::io;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::UdpSocket;
+use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::task::{LocalSet, spawn_local};
+use tokio::time::{Instant, sleep};
+
+/// Time for a call of the store, beyond a watch's wait: it answers in milliseconds, and a slow
+/// one some fifty times later.
+const STORE_LIMIT: Duration = Duration::from_millis(1_500);
+/// How often idle connections are looked through.
+const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
+/// After SIGTERM, time until idle connections are closed: by then the platform sends nothing new.
+const LEAVE_QUIETLY: Duration = Duration::from_millis(3_000);
+/// Kept of the time between SIGTERM and SIGKILL for the end itself.
+const END_MARGIN: Duration = Duration::from_millis(500);
+/// How often an ending process looks whether requests are left.
+const END_TICK: Duration = Duration::from_millis(50);
+/// Path of the metrics page's port, which the deployment's file names.
+const METRICS_PORT: u16 = 9_464;
+
+/// Why a gateway can't start.
+#[derive(Debug)]
+pub enum StartError {
+    /// The settings can't be used.
+    Settings(String),
+    /// A listener or the runtime can't be had.
+    Io {
+        /// What was tried.
+        step: String,
+        /// Why it failed.
+        source: io::Error,
+    },
+}
+
+impl fmt::Display for StartError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            StartError::Settings(detail) => f.write_str(detail),
+            StartError::Io { step, source } => write!(f, "{step}: {source}"),
+        }
+    }
+}
+
+impl std::error::Error for StartError {}
+
+/// Reads and validates a settings file; starts nothing.
+pub fn check(path: &Path) -> Result<(), StartError> {
+    read_settings(path).map(|_| ())
+}
+
+fn read_settings(path: &Path) -> Result<Settings, StartError> {
+    let text = std::fs::read_to_string(path)
+        .map_err(|err| StartError::Settings(format!("{}: {err}", path.display())))?;
+    parse_settings(&text).map_err(|err| StartError::Settings(format!("{}: {err}", path.display())))
+}
+
+/// Runs a gateway with a settings file until it is told to end.
+pub fn run(path: &Path) -> Result<(), StartError> {
+    let settings = read_settings(path)?;
+    let _log = set_up_log();
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.map_err(|source| io_error("runtime", source))?;
+    let local = LocalSet::new();
+    let res = local.block_on(&runtime, serve(settings, path));
+    if let Err(err) = &res {
+        let text = err.to_string();
+        error!("gateway can't start", kv: { err = text.as_str() });
+    }
+    res
+}
+
+fn io_error(step: impl Into<String>, source: io::Error) -> StartError {
+    StartError::Io { step: step.into(), source }
+}
+
+async fn serve(settings: Settings, path: &Path) -> Result<(), StartError> {
+    let incarnation = rand::random();
+    let gateway = Rc::new(Gateway::new(settings, incarnation));
+    let settings = &gateway.settings;
+    let (instance, data_centre) = (settings.instance.as_str(), settings.data_centre.as_str());
+    info!("gateway started", kv: {
+        instance, data_centre, incarnation, version = env!("CARGO_PKG_VERSION")
+    });
+    start_listeners(&gateway)?;
+    start_store_tasks(&gateway).await?;
+    spawn_local(sweep(Rc::clone(&gateway)));
+    follow_signals(&gateway, path).await
+}
+
+fn start_listeners(gateway: &Rc<Gateway>) -> Result<(), StartError> {
+    let settings = &gateway.settings;
+    let listen =
+        |addr: SocketAddr| bind(addr).map_err(|err| io_error(format!("listen at {addr}"), err));
+    let callers = listen(settings.callers)?;
+    for addr in [
+        settings.readiness,
+        SocketAddr::new(settings.ip, settings.peer_port),
+        SocketAddr::new(settings.ip, METRICS_PORT),
+    ] {
+        spawn_local(serve_side_pages(Rc::clone(gateway), listen(addr)?));
+    }
+    spawn_local(accept_callers(Rc::clone(gateway), callers));
+    Ok(())
+}
+
+async fn start_store_tasks(gateway: &Rc<Gateway>) -> Result<(), StartError> {
+    let settings = &gateway.settings;
+    let store = Store::new(settings.store, STORE_LIMIT);
+    let addr = SocketAddr::new(settings.ip, settings.peer_port);
+    let socket = UdpSocket::bind(addr).await;
+    let socket = socket.map_err(|err| io_error(format!("messages at {addr}"), err))?;
+    let own_view = Rc::new(RefCell::new(None));
+    let peers = Rc::new(Peers::new(Rc::clone(gateway), socket, Rc::clone(&own_view)));
+    spawn_local(follow(Rc::clone(gateway), store.clone(), Kind::Configuration));
+    spawn_local(follow(Rc::clone(gateway), store.clone(), Kind::Endpoints));
+    spawn_local(expire_missing(Rc::clone(gateway)));
+    spawn_local(Rc::clone(&peers).register(store.clone()));
+    spawn_local(Rc::clone(&peers).listen());
+    spawn_local(Rc::clone(&peers).catch_up());
+    spawn_local(peers.tell());
+    spawn_local(Placer::new(Rc::clone(gateway), own_view).run(store));
+    Ok(())
+}
+
+/// Drops connections that are too old, and works out paths anew as suspicions end, for ever.
+async fn sweep(gateway: Rc<Gateway>) {
+    loop {
+        sleep(SWEEP_INTERVAL).await;
+        let knowledge = gateway.knowledge.borrow();
+        let is_known = |addr: &SocketAddr| knowledge.endpoints().any(|e| e.addr == *addr);
+        gateway.pool.borrow_mut().sweep(Instant::now(), is_known);
+        drop(knowledge);
+        gateway.refresh_paths();
+    }
+}
+
+async fn follow_signals(gateway: &Rc<Gateway>, path: &Path) -> Result<(), StartError> {
+    let on = |kind: SignalKind| signal(kind).map_err(|err| io_error("signals", err));
+    let mut terminate: Signal = on(SignalKind::terminate())?;
+    let mut hang_up: Signal = on(SignalKind::hangup())?;
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = hang_up.recv() => check_settings(gateway, path),
+        }
+    }
+    leave(gateway).await;
+    Ok(())
+}
+
+/// The settings file changed: what changed needs a restart, and is told.
+fn check_settings(gateway: &Gateway, path: &Path) {
+    match read_settings(path) {
+        Ok(settings) if settings == gateway.settings => info!("settings read again, unchanged"),
+        Ok(_) => warn!("settings changed; they are in force after a restart"),
+        Err(err) => {
+            let text = err.to_string();
+            error!("changed settings refused", kv: { err = text.as_str() });
+        }
+    }
+}
+
+/// Ends in order: what runs is finished, within the time before SIGKILL.
+async fn leave(gateway: &Rc<Gateway>) {
+    let began = Instant::now();
+    let in_flight = gateway.in_flight.get();
+    info!("gateway leaving", kv: { in_flight });
+    gateway.phase.send_replace(Phase::Leaving);
+    let most = gateway.settings.grace.saturating_sub(END_MARGIN);
+    while began.elapsed() < most {
+        if began.elapsed() >= LEAVE_QUIETLY {
+            gateway.phase.send_replace(Phase::Closing);
+            if gateway.in_flight.get() == 0 {
+                break;
+            }
+        }
+        sleep(END_TICK).await;
+    }
+    let in_flight = gateway.in_flight.get();
+    info!("gateway ended", kv: { in_flight, ms = began.elapsed().as_millis() as u64 });
+}
--- /dev/null
+++ b/crates/gateway/src/process/watchers.rs
@@ -0,0 +1,174 @@
+//! Follows the configuration and the endpoints in the platform's store.
+
+use crate::process::{Count, Gateway};
+use sorrellock_platform::{Change, Kind, Listing, Revision, Store, StoreError, StoredObject};
+use spdlog::{error, info, warn};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::{Instant, sleep};
+
+/// How long the store holds a watch without news. A dark store shows only after that, so that it
+/// is a few seconds; each call is priced.
+const WATCH_WAIT: Duration = Duration::from_secs(8);
+/// Changes that come within this time are fetched together: a call each would cost more than
+/// their delay.
+const WATCH_PAUSE: Duration = Duration::from_millis(200);
+/// The first wait after a failed call; it doubles up to the longest.
+const RETRY_FIRST: Duration = Duration::from_millis(150);
+/// The longest wait after a failed call: entries that lapsed must be seen within two seconds.
+const RETRY_MOST: Duration = Duration::from_millis(600);
+/// For so long after a failed call of the store a removed entry may only have lapsed: what the
+/// store did meanwhile comes with the first watch that it answers.
+const LAPSE_DOUBT: Duration = Duration::from_secs(3);
+/// How often missing entries are looked at.
+const EXPIRY_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Follows one kind of objects for ever.
+pub(crate) async fn follow(gateway: Rc<Gateway>, store: Store, kind: Kind) {
+    let mut watcher =
+        Watcher { gateway, store, kind, at: None, lost_since: None, retry: RETRY_FIRST };
+    loop {
+        let res = watcher.step().await;
+        watcher.on_step(res).await;
+    }
+}
+
+/// Gives up entries that stay missing after an outage of the store.
+pub(crate) async fn expire_missing(gateway: Rc<Gateway>) {
+    loop {
+        sleep(EXPIRY_INTERVAL).await;
+        let gone = gateway.knowledge.borrow_mut().expire_missing(Instant::now());
+        for id in &gone {
+            gateway.endpoint_gone(id, "missing after an outage of the store");
+        }
+        if !gone.is_empty() {
+            gateway.refresh_paths();
+        }
+    }
+}
+
+struct Watcher {
+    gateway: Rc<Gateway>,
+    store: Store,
+    kind: Kind,
+    /// Where to watch on from; none: list first.
+    at: Option<Revision>,
+    /// Since when the store doesn't answer.
+    lost_since: Option<Instant>,
+    retry: Duration,
+}
+
+impl Watcher {
+    async fn step(&mut self) -> Result<(), StoreError> {
+        self.gateway.counters.add(Count::StoreCalls);
+        let Some(at) = self.at else {
+            let began = Instant::now();
+            let listing = self.store.list(self.kind).await?;
+            self.gateway.counters.store_call.record(began.elapsed());
+            return self.on_listing(listing).await;
+        };
+        let changes = self.store.watch(self.kind, at, WATCH_WAIT).await?;
+        self.at = Some(changes.at.max(at));
+        self.on_answer();
+        if changes.changes.is_empty() {
+            return Ok(());
+        }
+        for change in changes.changes {
+            match change {
+                Change::Written(object) => self.on_object(object, "watch"),
+                Change::Removed(name) if self.kind == Kind::Endpoints => {
+                    self.on_removed(&name);
+                }
+                Change::Removed(_) => {}
+            }
+        }
+        self.on_endpoints_known(changes.at);
+        sleep(WATCH_PAUSE).await;
+        Ok(())
+    }
+
+    async fn on_listing(&mut self, listing: Listing) -> Result<(), StoreError> {
+        let after_outage = self.lost_since.is_some();
+        self.on_answer();
+        self.at = Some(listing.at);
+        let listed = listing.objects.iter().map(|object| object.name.clone()).collect();
+        for object in listing.objects {
+            self.on_object(object, "list");
+        }
+        if self.kind == Kind::Endpoints {
+            let now = Instant::now();
+            let gone = self.gateway.knowledge.borrow_mut().apply_list(&listed, after_outage, now);
+            for id in gone {
+                self.gateway.endpoint_gone(&id, "list");
+            }
+        }
+        self.on_endpoints_known(listing.at);
+        Ok(())
+    }
+
+    fn on_endpoints_known(&self, at: Revision) {
+        if self.kind == Kind::Endpoints {
+            self.gateway.knowledge.borrow_mut().advance(at);
+            self.gateway.refresh_paths();
+        }
+    }
+
+    fn on_object(&self, object: StoredObject, source: &str) {
+        let revision = object.revision;
+        match self.kind {
+            Kind::Endpoints => match object.endpoint() {
+                Ok(endpoint) => self.gateway.apply_endpoint(endpoint, revision, source),
+                Err(err) => {
+                    error!("entry of an endpoint refused", kv: { err = err.as_str(), revision });
+                }
+            },
+            Kind::Configuration => match object.configuration() {
+                Some(Ok(cfg)) => self.gateway.apply_configuration(cfg, source),
+                Some(Err(err)) => {
+                    error!("configuration refused", kv: { err = err.as_str(), revision });
+                }
+                None => {}
+            },
+            Kind::Gateways | Kind::Leads => {}
+        }
+    }
+
+    /// Right after an outage an entry may only have lapsed; else it is gone.
+    fn on_removed(&self, name: &str) {
+        let now = Instant::now();
+        let trouble = self.gateway.store_failed.get();
+        let may_have_lapsed = trouble.is_some_and(|failed| now - failed < LAPSE_DOUBT);
+        if may_have_lapsed && self.gateway.knowledge.borrow_mut().mark_missing(name, now) {
+            info!("entry of an endpoint missing after an outage", kv: { endpoint = name });
+            return;
+        }
+        self.gateway.remove_endpoint(name, "watch");
+    }
+
+    fn on_answer(&mut self) {
+        self.retry = RETRY_FIRST;
+        if let Some(since) = self.lost_since.take() {
+            let (kind, lost_ms) = (format!("{:?}", self.kind), since.elapsed().as_millis() as u64);
+            info!("store regained", kv: { kind = kind.as_str(), lost_ms });
+        }
+    }
+
+    async fn on_step(&mut self, res: Result<(), StoreError>) {
+        let Err(err) = res else { return };
+        self.gateway.counters.add(Count::StoreFailures);
+        if err == StoreError::HistoryGone {
+            let kind = format!("{:?}", self.kind);
+            info!("history of the store is gone, listing again", kv: { kind = kind.as_str() });
+            self.at = None;
+            return;
+        }
+        self.gateway.store_failed.set(Some(Instant::now()));
+        if self.lost_since.is_none() {
+            let (kind, text) = (format!("{:?}", self.kind), err.to_string());
+            warn!("store lost", kv: { kind = kind.as_str(), err = text.as_str() });
+            self.lost_since = Some(Instant::now());
+        }
+        sleep(self.retry).await;
+        self.retry = (self.retry * 2).min(RETRY_MOST);
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/request/answer.rs
@@ -0,0 +1,158 @@
+//! Answers one request: reads it, finds its route, and sends it on.
+
+use crate::process::{Count, Gateway};
+use crate::request::plain::serve_plain;
+use crate::request::stream::serve_stream;
+use crate::request::{AnswerBody, Call, Cut, EndGuard};
+use bytes::Bytes;
+use http::{HeaderValue, Request, Response, StatusCode, header};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use rand::RngExt;
+use sorrellock_platform::{CallerHead, read_caller_head, retry_after};
+use sorrellock_routing::request::GivenUp;
+use sorrellock_routing::version::{NotAllowed, Route, RouteTable, ServiceName};
+use spdlog::info;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::{Instant, timeout_at};
+
+/// When to come back before a configuration is known: it comes within a second of the start.
+const RETRY_AFTER_UNKNOWN: Duration = Duration::from_millis(500);
+/// How long a caller waits that doesn't say.
+const DEFAULT_PATIENCE: Duration = Duration::from_secs(30);
+
+/// Answers one request.
+pub(crate) async fn answer(
+    gateway: Rc<Gateway>,
+    req: Request<Incoming>,
+    arrived: Instant,
+) -> Result<Response<AnswerBody>, Cut> {
+    gateway.counters.add(Count::Requests);
+    let head = read_caller_head(req.headers());
+    let end = EndGuard::new(Rc::clone(&gateway), head.request_id.clone(), arrived);
+    let routes = gateway.knowledge.borrow().routes().cloned();
+    let Some(routes) = routes else {
+        end.tell(Count::NotRun, "not run", 503, "no configuration is known yet");
+        return Ok(refusal(StatusCode::SERVICE_UNAVAILABLE, Some(RETRY_AFTER_UNKNOWN)));
+    };
+    let found = routes.find(&head.host, req.uri().path(), head.key.as_deref());
+    let matched = match found {
+        Ok(matched) => matched,
+        Err(why) => return Ok(refuse_not_allowed(&end, &routes, &head, req.uri().path(), why)),
+    };
+    let route = matched.route.clone();
+    let rank = matched.workspace.and_then(|workspace| workspace.priority);
+    let workspace = matched.workspace.map(|workspace| workspace.name.clone());
+    let caller_deadline = arrived + head.patience.unwrap_or(DEFAULT_PATIENCE);
+    let deadline = caller_deadline.min(arrived + route.timeout);
+    let (parts, body) = req.into_parts();
+    let most = routes.cfg().limits.max_body_bytes;
+    let body = match timeout_at(deadline, Limited::new(body, most).collect()).await {
+        Ok(Ok(body)) => body.to_bytes(),
+        Ok(Err(err)) if err.is::<LengthLimitError>() => {
+            end.tell(Count::BadRequests, "refused", 413, "the body is too large");
+            return Ok(refusal(StatusCode::PAYLOAD_TOO_LARGE, None));
+        }
+        Ok(Err(_)) => {
+            end.tell(Count::CallersGone, "caller gone", 0, "the body ended early");
+            return Err(Cut);
+        }
+        Err(_) => {
+            end.tell(Count::NotRun, "not run", 408, "the body did not come in time");
+            return Ok(refusal(StatusCode::REQUEST_TIMEOUT, None));
+        }
+    };
+    let service = choose_service(&route);
+    gateway.on_request(&service);
+    let call = Call {
+        head,
+        method: parts.method,
+        uri: parts.uri,
+        headers: parts.headers,
+        body,
+        rank: rank.unwrap_or(route.priority),
+        route,
+        service,
+        workspace,
+        arrived,
+        deadline,
+        caller_deadline,
+        end,
+    };
+    log_admitted(&call, &routes);
+    let has_model = routes.service(&call.service).is_some_and(|service| service.model.is_some());
+    if has_model { serve_stream(gateway, call).await } else { serve_plain(gateway, call).await }
+}
+
+fn log_admitted(call: &Call, routes: &RouteTable) {
+    let (version, rank) = (routes.version(), call.rank);
+    let left_ms = call.time_left().as_millis() as u64;
+    let tokens = call.head.tokens.map_or(0, |tokens| tokens.prompt + tokens.most_output);
+    info!("request taken", kv: {
+        request = call.id(), route = call.route.name.as_str(), service = call.service.as_str(),
+        workspace = call.workspace.as_deref().unwrap_or(""), rank, left_ms, tokens,
+        config = version
+    });
+}
+
+fn refuse_not_allowed(
+    end: &EndGuard,
+    routes: &RouteTable,
+    head: &CallerHead,
+    path: &str,
+    why: NotAllowed,
+) -> Response<AnswerBody> {
+    let (status, text) = match why {
+        NotAllowed::NoRoute => (StatusCode::NOT_FOUND, "no route"),
+        NotAllowed::UnknownKey => (StatusCode::UNAUTHORIZED, "unknown key"),
+    };
+    let why = format!("{text} for {}{path} in configuration {}", head.host, routes.version());
+    end.tell(Count::NotAllowed, "not allowed", status.as_u16(), &why);
+    refusal(status, None)
+}
+
+/// Chooses among a route's services by their weights.
+fn choose_service(route: &Route) -> ServiceName {
+    let all: u32 = route.targets.iter().map(|(_, weight)| weight).sum();
+    if all == 0 {
+        return route.targets[0].0.clone();
+    }
+    let mut drawn = rand::rng().random_range(0..all);
+    for (service, weight) in &route.targets {
+        if drawn < *weight {
+            return service.clone();
+        }
+        drawn -= weight;
+    }
+    route.targets[0].0.clone()
+}
+
+/// An answer of the gateway's own.
+pub(crate) fn refusal(status: StatusCode, come_back: Option<Duration>) -> Response<AnswerBody> {
+    let text = status.canonical_reason().unwrap_or("refused");
+    let mut answer = Response::new(AnswerBody::whole(Bytes::from_static(text.as_bytes())));
+    *answer.status_mut() = status;
+    let headers = answer.headers_mut();
+    headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("text/plain"));
+    if let Some(wait) = come_back {
+        headers.insert(header::RETRY_AFTER, retry_after(wait));
+    }
+    answer
+}
+
+/// The final answer of a request that was given up.
+pub(crate) fn give_up(
+    call: &Call,
+    given_up: GivenUp,
+    come_back: Duration,
+    why: &str,
+) -> Response<AnswerBody> {
+    let (count, outcome, status) = match given_up {
+        GivenUp::NotRun => (Count::NotRun, "not run", StatusCode::SERVICE_UNAVAILABLE),
+        GivenUp::Unknown => (Count::Unknown, "may have run", StatusCode::BAD_GATEWAY),
+        GivenUp::TimedOut => (Count::TimedOut, "may have run", StatusCode::GATEWAY_TIMEOUT),
+    };
+    call.end.tell(count, outcome, status.as_u16(), why);
+    refusal(status, (given_up == GivenUp::NotRun).then_some(come_back))
+}
--- /dev/null
+++ b/crates/gateway/src/request/attempt.rs
@@ -0,0 +1,197 @@
+//! Sends a request to one endpoint and reads the head of its answer.
+
+use crate::process::{Connection, Count, EndpointUse, Gateway, open};
+use crate::request::Call;
+use bytes::Bytes;
+use http::{Request, Response, StatusCode, Version};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use sorrellock_platform::{AnswerHead, AttemptHead, attempt_headers, read_answer_head};
+use sorrellock_routing::process::{EndpointId, PathPart};
+use sorrellock_routing::request::Evidence;
+use spdlog::info;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::{Instant, timeout};
+
+/// Weight of the newest answer in an endpoint's mean time.
+const MEAN_WEIGHT: f64 = 0.2;
+
+/// Where an attempt goes.
+pub(crate) struct Target<'a> {
+    pub(crate) id: EndpointId,
+    pub(crate) addr: SocketAddr,
+    /// The path over engines; empty for plain services.
+    pub(crate) path: &'a [PathPart],
+    /// The last event that the caller has.
+    pub(crate) last_event: Option<u64>,
+}
+
+/// An answer whose head came.
+pub(crate) struct Begun {
+    pub(crate) answer: Response<Incoming>,
+    pub(crate) head: AnswerHead,
+    pub(crate) connection: Connection,
+    pub(crate) addr: SocketAddr,
+    pub(crate) in_flight: InFlight,
+}
+
+/// An attempt without an answer for the caller.
+#[derive(Debug)]
+pub(crate) struct Failed {
+    pub(crate) evidence: Evidence,
+    /// The endpoint at fault, where the one that was asked named another.
+    pub(crate) at_fault: Option<SocketAddr>,
+    pub(crate) why: String,
+}
+
+impl Failed {
+    fn new(evidence: Evidence, why: String) -> Failed {
+        Failed { evidence, at_fault: None, why }
+    }
+}
+
+/// Counts a request at an endpoint while it lives.
+pub(crate) struct InFlight {
+    gateway: Rc<Gateway>,
+    id: EndpointId,
+    began: Instant,
+}
+
+impl InFlight {
+    fn new(gateway: Rc<Gateway>, id: EndpointId) -> InFlight {
+        gateway.uses.borrow_mut().entry(id.clone()).or_default().in_flight += 1;
+        InFlight { gateway, id, began: Instant::now() }
+    }
+
+    /// The answer came whole.
+    pub(crate) fn on_answered(&self) {
+        let ms = self.began.elapsed().as_secs_f64() * 1e3;
+        if let Some(used) = self.gateway.uses.borrow_mut().get_mut(&self.id) {
+            let before = if used.mean_ms == 0.0 { ms } else { used.mean_ms };
+            used.mean_ms = before + MEAN_WEIGHT * (ms - before);
+        }
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        if let Some(used) = self.gateway.uses.borrow_mut().get_mut(&self.id) {
+            used.in_flight = used.in_flight.saturating_sub(1);
+        }
+    }
+}
+
+/// Sends a request to one endpoint and waits for the head of its answer, at most `limit`.
+pub(crate) async fn attempt(
+    gateway: &Rc<Gateway>,
+    call: &Call,
+    target: &Target<'_>,
+    limit: Duration,
+) -> Result<Begun, Failed> {
+    let in_flight = InFlight::new(Rc::clone(gateway), target.id.clone());
+    let mut connection = connect(gateway, target).await?;
+    let req = request(call, target);
+    let sending = connection.sender.try_send_request(req);
+    let answer = match timeout(limit, sending).await {
+        Err(_) => {
+            let why = format!("no answer in {} ms", limit.as_millis());
+            return Err(Failed::new(Evidence::MayHaveRun, why));
+        }
+        Ok(Err(mut err)) => {
+            let evidence = match err.take_message() {
+                Some(_) => Evidence::NotSent,
+                None => Evidence::MayHaveRun,
+            };
+            return Err(Failed::new(evidence, err.error().to_string()));
+        }
+        Ok(Ok(answer)) => answer,
+    };
+    let head = read_answer_head(answer.headers());
+    note_load(gateway, &target.id, &head);
+    check_head(gateway, call, &answer, &head)?;
+    Ok(Begun { answer, head, connection, addr: target.addr, in_flight })
+}
+
+async fn connect(gateway: &Rc<Gateway>, target: &Target<'_>) -> Result<Connection, Failed> {
+    let kept = gateway.pool.borrow_mut().take(target.addr, Instant::now());
+    if let Some(connection) = kept {
+        return Ok(connection);
+    }
+    open(target.addr, &gateway.counters)
+        .await
+        .map_err(|err| Failed::new(Evidence::NotSent, format!("connect: {err}")))
+}
+
+fn request(call: &Call, target: &Target<'_>) -> Request<Full<Bytes>> {
+    let head = AttemptHead {
+        time_left: call.caller_time_left(),
+        endpoint: &target.id,
+        workspace: call.workspace.as_deref(),
+        path: target.path,
+        urgency: u8::try_from(call.rank.min(9)).ok(),
+        last_event: target.last_event,
+    };
+    let mut req = Request::new(Full::new(call.body.clone()));
+    *req.method_mut() = call.method.clone();
+    *req.uri_mut() = call.uri.clone();
+    *req.version_mut() = Version::HTTP_11;
+    *req.headers_mut() = attempt_headers(&call.headers, &head);
+    req
+}
+
+fn note_load(gateway: &Gateway, id: &EndpointId, head: &AnswerHead) {
+    let Some(load) = head.load else { return };
+    let mut uses = gateway.uses.borrow_mut();
+    let used: &mut EndpointUse = uses.entry(id.clone()).or_default();
+    used.told = Some((load, Instant::now()));
+}
+
+/// Sorts out answers that belong to another request, and those that tell that nothing was run.
+fn check_head(
+    gateway: &Gateway,
+    call: &Call,
+    answer: &Response<Incoming>,
+    head: &AnswerHead,
+) -> Result<(), Failed> {
+    let status = answer.status();
+    if head.request_id.as_deref().is_some_and(|id| id != call.id()) {
+        gateway.counters.add(Count::CrossedAnswers);
+        info!("answer of another request dropped", kv: { request = call.id() });
+        let why = "the answer belongs to another request".to_owned();
+        return Err(Failed::new(Evidence::MayHaveRun, why));
+    }
+    if head.not_run || status == StatusCode::MISDIRECTED_REQUEST {
+        return Err(Failed {
+            evidence: Evidence::NotRun,
+            at_fault: head.at_fault,
+            why: format!("refused with {}", status.as_u16()),
+        });
+    }
+    if head.request_id.is_none() {
+        let why = "the answer bears no request id".to_owned();
+        return Err(Failed::new(Evidence::MayHaveRun, why));
+    }
+    if status.is_success() && !head.is_signed {
+        let why = "the answer bears no signature of its endpoint".to_owned();
+        return Err(Failed::new(Evidence::MayHaveRun, why));
+    }
+    Ok(())
+}
+
+/// Logs an attempt that brought no answer.
+pub(crate) fn log_failed(gateway: &Gateway, call: &Call, endpoint: &str, failed: &Failed) {
+    let count = match failed.evidence {
+        Evidence::NotRun => Count::AttemptsNotRun,
+        Evidence::NotSent | Evidence::MayHaveRun => Count::AttemptsFailed,
+    };
+    gateway.counters.add(count);
+    let evidence = format!("{:?}", failed.evidence);
+    let at_fault = failed.at_fault.map(|addr| addr.to_string()).unwrap_or_default();
+    let ms = call.arrived.elapsed().as_millis() as u64;
+    info!("attempt failed", kv: {
+        request = call.id(), endpoint, evidence = evidence.as_str(), why = failed.why.as_str(),
+        at_fault = at_fault.as_str(), ms
+    });
+}
--- /dev/null
+++ b/crates/gateway/src/request/event_parser.rs
@@ -0,0 +1,117 @@
+//! Divides a stream into whole events and keeps them in order over two runs.
+
+use bytes::{Bytes, BytesMut};
+
+/// Largest event, in bytes.
+const MAX_EVENT_BYTES: usize = 256 << 10;
+
+/// Why a stream can't go on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum EventError {
+    /// Events between the last one and this are missing.
+    Gap {
+        /// The last event.
+        last: u64,
+        /// This one.
+        found: u64,
+    },
+    /// The event is too large.
+    TooLarge,
+}
+
+/// Divides a stream into whole events. Events that were passed on already are dropped.
+#[derive(Debug, Default)]
+pub(crate) struct EventParser {
+    /// Bytes of an event that isn't whole yet.
+    partial: BytesMut,
+    /// Id of the last event that was passed on.
+    last: Option<u64>,
+    events: u64,
+}
+
+impl EventParser {
+    /// A stream that goes on after event `last`.
+    pub(crate) fn new(last: Option<u64>) -> EventParser {
+        EventParser { partial: BytesMut::new(), last, events: 0 }
+    }
+
+    /// Id of the last event that was passed on.
+    pub(crate) fn last(&self) -> Option<u64> {
+        self.last
+    }
+
+    /// Events passed on.
+    pub(crate) fn events(&self) -> u64 {
+        self.events
+    }
+
+    /// A new run goes on: what came of an event that isn't whole is dropped.
+    pub(crate) fn restart(&mut self) {
+        self.partial.clear();
+    }
+
+    /// Whether bytes of an event that isn't whole are left.
+    pub(crate) fn has_partial(&self) -> bool {
+        !self.partial.is_empty()
+    }
+
+    /// Takes bytes, and returns those of whole events that are to be passed on.
+    pub(crate) fn push(&mut self, chunk: Bytes) -> Result<Bytes, EventError> {
+        if self.partial.is_empty() && ends_event(&chunk) && self.is_one_new_event(&chunk)? {
+            return Ok(chunk);
+        }
+        self.partial.extend_from_slice(&chunk);
+        let mut out = BytesMut::new();
+        while let Some(end) = find_end(&self.partial) {
+            let event = self.partial.split_to(end);
+            if self.admit(&event)? {
+                out.extend_from_slice(&event);
+            }
+        }
+        if self.partial.len() > MAX_EVENT_BYTES {
+            return Err(EventError::TooLarge);
+        }
+        Ok(out.freeze())
+    }
+
+    /// The usual case: a chunk that holds one event, to be passed on as it is.
+    fn is_one_new_event(&mut self, chunk: &Bytes) -> Result<bool, EventError> {
+        if find_end(chunk) != Some(chunk.len()) {
+            return Ok(false);
+        }
+        self.admit(chunk)
+    }
+
+    /// Whether an event is the next one. One without an id always is.
+    fn admit(&mut self, event: &[u8]) -> Result<bool, EventError> {
+        if let Some(found) = event_id(event) {
+            match self.last {
+                Some(last) if found <= last => return Ok(false),
+                Some(last) if found > last + 1 => return Err(EventError::Gap { last, found }),
+                _ => self.last = Some(found),
+            }
+        }
+        self.events += 1;
+        Ok(true)
+    }
+}
+
+fn ends_event(bytes: &[u8]) -> bool {
+    bytes.ends_with(b"\n\n") || bytes.ends_with(b"\r\n\r\n")
+}
+
+/// Where the first event ends, one past its empty line.
+fn find_end(bytes: &[u8]) -> Option<usize> {
+    let plain = bytes.windows(2).position(|pair| pair == b"\n\n").map(|at| at + 2);
+    let dos = bytes.windows(4).position(|four| four == b"\r\n\r\n").map(|at| at + 4);
+    match (plain, dos) {
+        (Some(a), Some(b)) => Some(a.min(b)),
+        (a, b) => a.or(b),
+    }
+}
+
+/// The id of an event, if it is a number.
+fn event_id(event: &[u8]) -> Option<u64> {
+    let line = event.split(|byte| *byte == b'\n').find_map(|line| line.strip_prefix(b"id:"))?;
+    std::str::from_utf8(line).ok()?.trim().parse().ok()
+}
--- /dev/null
+++ b/crates/gateway/src/request/mod.rs
@@ -0,0 +1,16 @@
+//! What lives as long as one request.
+
+mod answer;
+mod answer_body;
+mod attempt;
+mod call;
+mod event_parser;
+mod plain;
+mod relay;
+mod stream;
+
+pub(crate) use answer::*;
+pub(crate) use answer_body::*;
+pub(crate) use attempt::*;
+pub(crate) use call::*;
+pub(crate) use event_parser::*;
--- /dev/null
+++ b/crates/gateway/src/request/plain.rs
@@ -0,0 +1,200 @@
+//! Requests to plain services: one endpoint runs them whole.
+
+use crate::process::{Count, Gateway};
+use crate::request::{AnswerBody, Begun, Call, Cut, Failed, Target, attempt, give_up, log_failed};
+use bytes::Bytes;
+use http::Response;
+use http_body_util::{BodyExt, Limited};
+use sorrellock_core::process::retries::{AttemptEnd, Permit};
+use sorrellock_platform::{answer_headers, read_answer_head};
+use sorrellock_routing::process::{Endpoint, EndpointId};
+use sorrellock_routing::request::{Attempts, Evidence};
+use sorrellock_routing::version::Semantics;
+use spdlog::info;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::{Instant, timeout};
+
+/// Largest body of an answer.
+const MAX_ANSWER_BYTES: usize = 16 << 20;
+/// When to come back where no endpoint took the request.
+const RETRY_AFTER: Duration = Duration::from_millis(300);
+/// Share of the time left that an attempt gets while another may follow.
+const ATTEMPT_SHARE: f64 = 0.4;
+/// An attempt that another may follow gets at least this many times the endpoint's mean.
+const MEANS_OF_PATIENCE: f64 = 4.0;
+/// What a load told before is still worth: after this the endpoint's own queue has turned over.
+const LOAD_FRESH: Duration = Duration::from_millis(1_000);
+/// What each request there counts for an endpoint of another data centre, in requests.
+const OTHER_DATA_CENTRE: f64 = 0.5;
+
+/// Serves a request of a plain service.
+pub(crate) async fn serve_plain(
+    gateway: Rc<Gateway>,
+    call: Call,
+) -> Result<Response<AnswerBody>, Cut> {
+    let mut attempts = Attempts::new(call.route.semantics, call.route.max_attempts);
+    let mut tried: Vec<EndpointId> = Vec::new();
+    let mut why = "no endpoint is known".to_owned();
+    let mut last_failure: Option<Response<AnswerBody>> = None;
+    while attempts.may_send() && !call.time_left().is_zero() {
+        let Some((endpoint, permit)) = choose(&gateway, &call, &tried) else { break };
+        if attempts.is_repeat() && !gateway.spend_repeat(&call.service) {
+            why = format!("{why}; the retry budget is spent");
+            break;
+        }
+        let is_last = !may_follow(&call, &attempts);
+        let res = run(&gateway, &call, &endpoint, is_last).await;
+        note_end(&gateway, &endpoint.id, permit, &res);
+        match res {
+            Ok(answer) => match may_retry_failure(&call, &attempts, &answer) {
+                true => {
+                    attempts.on_failed(Evidence::MayHaveRun);
+                    why = format!("{} answered {}", endpoint.id, answer.status());
+                    last_failure = Some(answer);
+                }
+                false => return Ok(done(&call, &endpoint.id, answer)),
+            },
+            Err(failed) => {
+                log_failed(&gateway, &call, &endpoint.id, &failed);
+                attempts.on_failed(failed.evidence);
+                if failed.evidence == Evidence::NotSent {
+                    gateway.suspect(&endpoint.id, &failed.why);
+                }
+                why = format!("{}: {}", endpoint.id, failed.why);
+            }
+        }
+        tried.push(endpoint.id);
+    }
+    if let Some(answer) = last_failure {
+        // The endpoint's own failure, signed, tells more than one of the gateway's.
+        return Ok(done(&call, tried.last().map_or("", String::as_str), answer));
+    }
+    let given_up = attempts.given_up(call.time_left().is_zero());
+    Ok(give_up(&call, given_up, RETRY_AFTER, &why))
+}
+
+fn done(call: &Call, endpoint: &str, answer: Response<AnswerBody>) -> Response<AnswerBody> {
+    let why = format!("answered by {endpoint}");
+    call.end.tell(Count::Answered, "answered", answer.status().as_u16(), &why);
+    answer
+}
+
+/// Whether an attempt could follow the next one, if that brings no answer.
+fn may_follow(call: &Call, attempts: &Attempts) -> bool {
+    let mut after = *attempts;
+    after.on_failed(Evidence::MayHaveRun);
+    call.route.semantics.may_repeat() && after.may_send()
+}
+
+/// An endpoint's own failure of an idempotent request is worth another endpoint.
+fn may_retry_failure(call: &Call, attempts: &Attempts, answer: &Response<AnswerBody>) -> bool {
+    let is_idempotent = call.route.semantics == Semantics::Idempotent;
+    is_idempotent && answer.status().is_server_error() && may_follow(call, attempts)
+}
+
+/// The endpoint with the least work that wasn't tried. Those that fail are passed over while
+/// there are others.
+fn choose(gateway: &Gateway, call: &Call, tried: &[EndpointId]) -> Option<(Endpoint, Permit)> {
+    let now = Instant::now();
+    let knowledge = gateway.knowledge.borrow();
+    let beliefs = gateway.beliefs.borrow();
+    let mut open: Vec<&Endpoint> = knowledge
+        .endpoints()
+        .filter(|endpoint| endpoint.service == call.service && !endpoint.is_leaving)
+        .filter(|endpoint| !tried.contains(&endpoint.id))
+        .collect();
+    let work = |endpoint: &Endpoint| work(gateway, endpoint, now);
+    open.sort_by(|a, b| {
+        let suspect = |endpoint: &Endpoint| beliefs.is_suspect(&endpoint.id, now);
+        suspect(a).cmp(&suspect(b)).then_with(|| work(a).total_cmp(&work(b)))
+    });
+    let mut breakers = gateway.breakers.borrow_mut();
+    for endpoint in &open {
+        if let Some(permit) = breakers.admit(&endpoint.id) {
+            return Some(((*endpoint).clone(), permit));
+        }
+    }
+    let first = *open.first()?;
+    Some((first.clone(), breakers.force(&first.id)))
+}
+
+/// Expected work before a new request, in requests.
+fn work(gateway: &Gateway, endpoint: &Endpoint, now: Instant) -> f64 {
+    let used = gateway.uses.borrow().get(&endpoint.id).copied().unwrap_or_default();
+    let told = used.told.filter(|(_, at)| now - *at < LOAD_FRESH);
+    let told = told.map_or(0.0, |(load, _)| f64::from(load.running + load.waiting));
+    let is_near = endpoint.data_centre == gateway.settings.data_centre;
+    let distance = if is_near { 0.0 } else { OTHER_DATA_CENTRE };
+    let slowness = used.mean_ms.max(1.0).ln();
+    told.max(f64::from(used.in_flight)) + f64::from(used.in_flight) * 0.1 + distance + slowness
+}
+
+/// Runs a request at one endpoint and reads its answer whole.
+async fn run(
+    gateway: &Rc<Gateway>,
+    call: &Call,
+    endpoint: &Endpoint,
+    is_last: bool,
+) -> Result<Response<AnswerBody>, Failed> {
+    let id = endpoint.id.clone();
+    let limit = patience(gateway, call, &id, is_last);
+    info!("request sent", kv: {
+        request = call.id(), endpoint = id.as_str(), limit_ms = limit.as_millis() as u64
+    });
+    let until = Instant::now() + limit;
+    let target = Target { id, addr: endpoint.addr, path: &[], last_event: None };
+    let begun = attempt(gateway, call, &target, limit).await?;
+    gateway.counters.first_byte.record(call.arrived.elapsed());
+    read_whole(gateway, begun, until).await
+}
+
+async fn read_whole(
+    gateway: &Rc<Gateway>,
+    begun: Begun,
+    until: Instant,
+) -> Result<Response<AnswerBody>, Failed> {
+    let (parts, body) = begun.answer.into_parts();
+    let no_answer = |why: String| Failed { evidence: Evidence::MayHaveRun, at_fault: None, why };
+    let left = until.saturating_duration_since(Instant::now());
+    let body = timeout(left, Limited::new(body, MAX_ANSWER_BYTES).collect()).await;
+    let body = body.map_err(|_| no_answer("the answer did not come whole in time".to_owned()))?;
+    let body: Bytes =
+        body.map_err(|err| no_answer(format!("the answer broke off: {err}")))?.to_bytes();
+    begun.in_flight.on_answered();
+    let head = read_answer_head(&parts.headers);
+    gateway.pool.borrow_mut().keep(begun.addr, begun.connection, &head, Instant::now());
+    let mut answer = Response::new(AnswerBody::whole(body));
+    *answer.status_mut() = parts.status;
+    *answer.headers_mut() = answer_headers(&parts.headers);
+    Ok(answer)
+}
+
+/// Time for one attempt: all that is left, or a part of it where another may follow.
+fn patience(gateway: &Gateway, call: &Call, id: &str, is_last: bool) -> Duration {
+    let left = call.time_left();
+    if is_last {
+        return left;
+    }
+    let mean = gateway.uses.borrow().get(id).map_or(0.0, |used| used.mean_ms);
+    let by_mean = Duration::from_secs_f64(mean * MEANS_OF_PATIENCE / 1e3);
+    left.min(left.mul_f64(ATTEMPT_SHARE).min(call.route.target_latency).max(by_mean))
+}
+
+/// Tells the endpoint's breaker how an attempt ended.
+fn note_end(
+    gateway: &Gateway,
+    id: &EndpointId,
+    permit: Permit,
+    res: &Result<Response<AnswerBody>, Failed>,
+) {
+    let end = match res {
+        Ok(answer) if answer.status().is_server_error() => AttemptEnd::Failure,
+        Ok(_) => AttemptEnd::Success,
+        Err(_) => AttemptEnd::Failure,
+    };
+    if let Some(state) = gateway.breakers.borrow_mut().on_end(id, permit, end) {
+        let state = format!("{state:?}");
+        info!("breaker changed", kv: { endpoint = id.as_str(), state = state.as_str() });
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/request/relay.rs
@@ -0,0 +1,277 @@
+//! Passes a stream's events on, and goes on over another path when its own breaks or stalls.
+
+use crate::process::{Count, Gateway, LivePath, check_path};
+use crate::request::stream::{NotBegun, Run, begin, broken};
+use crate::request::{Call, EventError, EventParser, Part};
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use sorrellock_routing::request::{Attempts, Evidence};
+use spdlog::{info, warn};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::mpsc;
+use tokio::time::{Instant, sleep_until};
+
+/// How long one stream may be silent on a path that serves others, before it goes on elsewhere:
+/// callers leave after two seconds, and a new run takes up to half of one.
+const STREAM_SILENCE: Duration = Duration::from_millis(1_200);
+/// How often a silent stream looks whether its path serves others.
+const SILENCE_TICK: Duration = Duration::from_millis(100);
+/// Silence after which a stream looks at its path at all.
+const SILENCE_LOOK: Duration = Duration::from_millis(600);
+/// How long callers bear a pause.
+const CALLER_PATIENCE: Duration = Duration::from_secs(2);
+/// The wait before another try to go on, after there was no place.
+const MEND_RETRY: Duration = Duration::from_millis(60);
+
+/// One stream on its way to its caller.
+pub(crate) struct Relay {
+    gateway: Rc<Gateway>,
+    call: Call,
+    attempts: Attempts,
+    run: Option<Run>,
+    tx: mpsc::Sender<Part>,
+    events: EventParser,
+    last_event: Instant,
+    /// Paths that failed this stream.
+    avoid: Vec<Rc<LivePath>>,
+    mends: u32,
+}
+
+/// What comes next of a stream.
+enum Next {
+    Chunk(Bytes),
+    /// The engine ended the answer in order.
+    Ended,
+    /// The engine's connection broke.
+    Broke(String),
+    /// An engine of the path is gone.
+    PathGone,
+    /// Nothing came for too long.
+    Silent,
+    CallerGone,
+    TimeOver,
+}
+
+impl Relay {
+    pub(crate) fn new(
+        gateway: Rc<Gateway>,
+        call: Call,
+        attempts: Attempts,
+        run: Run,
+        tx: mpsc::Sender<Part>,
+    ) -> Relay {
+        let events = EventParser::new(call.head.last_event);
+        let last_event = Instant::now();
+        gateway.counters.first_byte.record(call.arrived.elapsed());
+        Relay {
+            gateway,
+            call,
+            attempts,
+            run: Some(run),
+            tx,
+            events,
+            last_event,
+            avoid: Vec::new(),
+            mends: 0,
+        }
+    }
+
+    /// Passes events on until the stream ends or is given up.
+    pub(crate) async fn run(mut self) {
+        loop {
+            match self.next().await {
+                Next::Chunk(chunk) => {
+                    if !self.pass_on(chunk).await {
+                        return;
+                    }
+                }
+                Next::Ended if !self.events.has_partial() => return self.finish().await,
+                Next::Ended => {
+                    if !self.lost("the engine ended within an event").await {
+                        return;
+                    }
+                }
+                Next::Broke(why) => {
+                    if !self.lost(&why).await {
+                        return;
+                    }
+                }
+                Next::PathGone => {
+                    self.attempts.forgive_lost_endpoint();
+                    if !self.lost("an engine of the path is gone").await {
+                        return;
+                    }
+                }
+                Next::Silent => {
+                    if !self.lost("no event for too long").await {
+                        return;
+                    }
+                }
+                Next::CallerGone => return,
+                Next::TimeOver => return self.cut(Count::TimedOut, "its time is over"),
+            }
+        }
+    }
+
+    async fn next(&mut self) -> Next {
+        let Some(run) = &mut self.run else { return Next::Broke("no run is under way".into()) };
+        let live = Rc::clone(&run.place.live);
+        let deadline = self.call.deadline;
+        let mut look = self.last_event + SILENCE_LOOK;
+        loop {
+            tokio::select! {
+                biased;
+                frame = run.begun.answer.body_mut().frame() => return next_of_frame(frame),
+                () = self.tx.closed() => return Next::CallerGone,
+                () = broken(&live) => return Next::PathGone,
+                () = sleep_until(look.min(deadline)) => {
+                    let now = Instant::now();
+                    if now >= deadline {
+                        return Next::TimeOver;
+                    }
+                    let silence = now - self.last_event;
+                    if live.is_silent(now) {
+                        check_path(&self.gateway, &live);
+                    }
+                    let may_mend = self.call.route.semantics.may_repeat();
+                    let is_over = silence >= STREAM_SILENCE || live.is_silent(now);
+                    if may_mend && is_over && silence < CALLER_PATIENCE {
+                        return Next::Silent;
+                    }
+                    look = now + SILENCE_TICK;
+                }
+            }
+        }
+    }
+
+    /// Passes a chunk's whole events on. Whether the stream goes on.
+    async fn pass_on(&mut self, chunk: Bytes) -> bool {
+        let now = Instant::now();
+        if self.mends > 0 && self.events.events() > 0 && now - self.last_event > SILENCE_LOOK {
+            self.gateway.counters.mend.record(now - self.last_event);
+        }
+        self.last_event = now;
+        if let Some(run) = &self.run {
+            run.place.live.last_event.set(now);
+        }
+        match self.events.push(chunk) {
+            Ok(bytes) if bytes.is_empty() => true,
+            // A caller that has gone is seen by the next look.
+            Ok(bytes) => self.tx.send(Part::Data(bytes)).await.is_ok(),
+            Err(err) => {
+                let text = match err {
+                    EventError::Gap { last, found } => format!("event {found} came after {last}"),
+                    EventError::TooLarge => "an event is too large".to_owned(),
+                };
+                self.lost(&text).await
+            }
+        }
+    }
+
+    async fn finish(mut self) {
+        let Some(run) = self.run.take() else { return };
+        run.begun.in_flight.on_answered();
+        let now = Instant::now();
+        let pool = &self.gateway.pool;
+        pool.borrow_mut().keep(run.begun.addr, run.begun.connection, &run.begun.head, now);
+        if self.tx.send(Part::End).await.is_ok() {
+            let why = format!(
+                "{} events, {} mends, last over {}",
+                self.events.events(),
+                self.mends,
+                run.place.live.path.first().id
+            );
+            self.call.end.tell(Count::Answered, "answered", 200, &why);
+        }
+    }
+
+    /// The run is lost or stalls: goes on over another path. Whether the stream goes on.
+    async fn lost(&mut self, why: &str) -> bool {
+        let silent_ms = self.last_event.elapsed().as_millis() as u64;
+        let last = self.events.last();
+        warn!("stream lost its run", kv: {
+            request = self.call.id(), why, after:? = last, silent_ms, mends = self.mends
+        });
+        let is_stalled = self.run.as_ref().is_some_and(|run| !run.place.live.is_broken.get());
+        if let Some(run) = &self.run {
+            check_path(&self.gateway, &run.place.live);
+            self.avoid.push(Rc::clone(&run.place.live));
+        }
+        if !self.call.route.semantics.may_repeat() {
+            self.cut_now(&format!("{why}; it may not be resumed"));
+            return false;
+        }
+        // The engine stops its work when its connection closes.
+        self.run = None;
+        self.attempts.on_failed(Evidence::MayHaveRun);
+        if is_stalled || why.contains("broke") {
+            // It is not the request's fault that its path is cut off.
+            self.attempts.forgive_lost_endpoint();
+        }
+        self.events.restart();
+        self.mends += 1;
+        self.mend(why).await
+    }
+
+    /// Tries to go on until the caller has lost patience.
+    async fn mend(&mut self, why: &str) -> bool {
+        let until = (self.last_event + CALLER_PATIENCE).max(Instant::now()).min(self.call.deadline);
+        loop {
+            if self.tx.is_closed() {
+                return false;
+            }
+            let last = self.events.last();
+            let (gateway, call) = (&self.gateway, &self.call);
+            let began = begin(gateway, call, &mut self.attempts, last, &mut self.avoid, until);
+            let began = tokio::select! {
+                began = began => began,
+                () = self.tx.closed() => return false,
+            };
+            match began {
+                Ok(run) => {
+                    self.gateway.counters.add(Count::Resumed);
+                    info!("stream goes on", kv: {
+                        request = self.call.id(), after:? = last,
+                        data_centre = run.place.live.path.data_centre.as_str(),
+                        endpoint = run.place.live.path.first().id.as_str()
+                    });
+                    run.place.live.last_event.set(Instant::now());
+                    self.run = Some(run);
+                    return true;
+                }
+                Err(NotBegun::NoPlace(_)) if Instant::now() < until => {
+                    // Layers may be loaded, or a path be free again, by then.
+                    self.avoid.retain(|live| live.is_broken.get());
+                    sleep_until(Instant::now() + MEND_RETRY).await;
+                }
+                Err(not_begun) => {
+                    let text = match not_begun {
+                        NotBegun::NoPlace(none) => format!("{why}; then no place: {none:?}"),
+                        NotBegun::Spent => format!("{why}; then no further attempt was left"),
+                        NotBegun::TimeOver => format!("{why}; then its time was over"),
+                        NotBegun::Failure(_) => format!("{why}; then an engine failed"),
+                    };
+                    self.cut_now(&text);
+                    return false;
+                }
+            }
+        }
+    }
+
+    fn cut(self, count: Count, why: &str) {
+        self.call.end.tell(count, "cut", 200, why);
+    }
+
+    fn cut_now(&self, why: &str) {
+        self.call.end.tell(Count::Cut, "cut", 200, why);
+    }
+}
+
+fn next_of_frame(frame: Option<Result<hyper::body::Frame<Bytes>, hyper::Error>>) -> Next {
+    match frame {
+        None => Next::Ended,
+        Some(Err(err)) => Next::Broke(format!("the engine's connection broke: {err}")),
+        Some(Ok(frame)) => Next::Chunk(frame.into_data().unwrap_or_default()),
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/request/stream.rs
@@ -0,0 +1,258 @@
+//! Requests to model engines: a stream of events over a path of engines.
+
+use crate::process::{Count, Gateway, LivePath, NoPlace, PathPlace, check_path, take_place};
+use crate::request::relay::Relay;
+use crate::request::{AnswerBody, Begun, Call, Cut, Failed, Target, attempt, give_up, log_failed};
+use http::{HeaderMap, Response, StatusCode};
+use http_body_util::{BodyExt, Limited};
+use sorrellock_platform::answer_headers;
+use sorrellock_routing::request::{Attempts, Evidence, GivenUp};
+use spdlog::info;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::mpsc;
+use tokio::time::{Instant, timeout, timeout_at};
+
+/// Events that wait for a slow caller; beyond it the engine's connection isn't read.
+const PARTS_BUFFERED: usize = 32;
+/// How long a request waits for room before it is refused: within a quarter of the usual goal of
+/// 500 ms, so that the caller can still be served in time elsewhere.
+const ROOM_PATIENCE: Duration = Duration::from_millis(100);
+/// When to come back after a refusal for want of room: about a tenth of the streams have ended.
+const RETRY_AFTER_FULL: Duration = Duration::from_millis(500);
+/// When to come back where no path exists: layers are loaded again in about that time.
+const RETRY_AFTER_NO_PATH: Duration = Duration::from_millis(1_000);
+/// How long the first event may take while another path could be tried: callers leave after two
+/// seconds.
+const FIRST_EVENT_PATIENCE: Duration = Duration::from_millis(1_000);
+/// How long a path that refused a request gets nothing new from this gateway.
+const REFUSED_AVOID: Duration = Duration::from_millis(250);
+/// How long a path on which nothing came gets nothing new.
+const SILENT_AVOID: Duration = Duration::from_millis(1_000);
+/// Largest body of an engine's failure.
+const MAX_FAILURE_BYTES: usize = 1 << 20;
+/// Share of the hinted answer that a request's place counts: KV cache grows with the answer, and
+/// on average half of it is there.
+const ANSWER_SHARE: f64 = 0.7;
+
+/// A stream that has begun on a path.
+pub(crate) struct Run {
+    pub(crate) begun: Begun,
+    pub(crate) place: PathPlace,
+}
+
+/// Why a stream did not begin.
+pub(crate) enum NotBegun {
+    /// There is no place on any path that wasn't tried.
+    NoPlace(NoPlace),
+    /// The attempts or their budget are spent.
+    Spent,
+    /// Time is over.
+    TimeOver,
+    /// An engine's own failure, for the caller if nothing better comes.
+    Failure(Response<AnswerBody>),
+}
+
+/// Serves a stream.
+pub(crate) async fn serve_stream(
+    gateway: Rc<Gateway>,
+    call: Call,
+) -> Result<Response<AnswerBody>, Cut> {
+    let mut attempts = Attempts::new(call.route.semantics, call.route.max_attempts);
+    let last = call.head.last_event;
+    let patience = Instant::now() + ROOM_PATIENCE;
+    let began = begin(&gateway, &call, &mut attempts, last, &mut Vec::new(), patience).await;
+    match began {
+        Ok(run) => Ok(start_relay(gateway, call, attempts, run)),
+        Err(NotBegun::Failure(answer)) => {
+            let status = answer.status().as_u16();
+            call.end.tell(Count::Answered, "answered", status, "the engine's own failure");
+            Ok(answer)
+        }
+        Err(not_begun) => Ok(refuse(&call, &attempts, &not_begun)),
+    }
+}
+
+fn refuse(call: &Call, attempts: &Attempts, not_begun: &NotBegun) -> Response<AnswerBody> {
+    let (why, come_back) = match not_begun {
+        NotBegun::NoPlace(NoPlace::Full) => ("all paths are full", RETRY_AFTER_FULL),
+        NotBegun::NoPlace(NoPlace::NoPath) => ("no engines hold all layers", RETRY_AFTER_NO_PATH),
+        NotBegun::Spent => ("attempts or their budget are spent", RETRY_AFTER_FULL),
+        NotBegun::TimeOver => ("time is over", RETRY_AFTER_FULL),
+        NotBegun::Failure(_) => ("an engine failed", RETRY_AFTER_FULL),
+    };
+    let is_over = matches!(not_begun, NotBegun::TimeOver);
+    give_up(call, attempts.given_up(is_over), come_back, why)
+}
+
+fn start_relay(
+    gateway: Rc<Gateway>,
+    call: Call,
+    attempts: Attempts,
+    run: Run,
+) -> Response<AnswerBody> {
+    let (tx, rx) = mpsc::channel(PARTS_BUFFERED);
+    let mut answer = Response::new(AnswerBody::parts(rx));
+    *answer.status_mut() = run.begun.answer.status();
+    *answer.headers_mut() = stream_headers(run.begun.answer.headers());
+    tokio::task::spawn_local(Relay::new(gateway, call, attempts, run, tx).run());
+    answer
+}
+
+fn stream_headers(headers: &HeaderMap) -> HeaderMap {
+    answer_headers(headers)
+}
+
+/// Begins a stream on the best path, and on further ones while attempts may be made. Paths that
+/// failed are added to `avoid`.
+pub(crate) async fn begin(
+    gateway: &Rc<Gateway>,
+    call: &Call,
+    attempts: &mut Attempts,
+    last: Option<u64>,
+    avoid: &mut Vec<Rc<LivePath>>,
+    room_until: Instant,
+) -> Result<Run, NotBegun> {
+    let mut failure: Option<Response<AnswerBody>> = None;
+    loop {
+        if call.time_left().is_zero() {
+            return Err(NotBegun::TimeOver);
+        }
+        if !attempts.may_send() {
+            return Err(failure.map_or(NotBegun::Spent, NotBegun::Failure));
+        }
+        let place = match place(gateway, call, avoid, room_until).await {
+            Ok(place) => place,
+            Err(none) => return Err(failure.map_or(NotBegun::NoPlace(none), NotBegun::Failure)),
+        };
+        if attempts.is_repeat() && !gateway.spend_repeat(&call.service) {
+            return Err(failure.map_or(NotBegun::Spent, NotBegun::Failure));
+        }
+        let live = Rc::clone(&place.live);
+        match try_path(gateway, call, place, last).await {
+            Ok(run) if run.begun.answer.status() == StatusCode::OK => return Ok(run),
+            Ok(run) => {
+                attempts.on_failed(Evidence::MayHaveRun);
+                failure = Some(read_failure(call, run).await);
+            }
+            Err(failed) => on_failed(gateway, call, attempts, &live, &failed),
+        }
+        avoid.push(live);
+    }
+}
+
+/// Waits for a place until `until`.
+async fn place(
+    gateway: &Rc<Gateway>,
+    call: &Call,
+    avoid: &[Rc<LivePath>],
+    until: Instant,
+) -> Result<PathPlace, NoPlace> {
+    let tokens = expected_tokens(call);
+    loop {
+        let now = Instant::now();
+        let own = &gateway.settings.data_centre;
+        let res = take_place(&gateway.paths, &call.service, tokens, own, avoid, now);
+        let Err(none) = res else { return res };
+        if now >= until {
+            return Err(none);
+        }
+        let freed = gateway.paths.borrow().freed();
+        let _ = timeout_at(until, freed.notified()).await;
+    }
+}
+
+/// KV cache that a request is expected to take, in tokens, on average over its run.
+fn expected_tokens(call: &Call) -> f64 {
+    let Some(tokens) = call.head.tokens else { return 1.0 };
+    let most = f64::from(tokens.most_output);
+    let answer = call.head.length_hint.map_or(most, |hint| f64::from(hint).min(most));
+    f64::from(tokens.prompt) + answer * ANSWER_SHARE
+}
+
+async fn try_path(
+    gateway: &Rc<Gateway>,
+    call: &Call,
+    place: PathPlace,
+    last: Option<u64>,
+) -> Result<Run, Failed> {
+    let live = Rc::clone(&place.live);
+    let path = &live.path;
+    let first = path.first();
+    let ms = call.arrived.elapsed().as_millis() as u64;
+    info!("request sent", kv: {
+        request = call.id(), endpoint = first.id.as_str(),
+        data_centre = path.data_centre.as_str(), streams = place.live.streams.get(),
+        after:? = last, ms
+    });
+    let target =
+        Target { id: first.id.clone(), addr: first.addr, path: &path.parts, last_event: last };
+    let limit = call.time_left();
+    let sending = attempt(gateway, call, &target, limit);
+    let patience = if call.route.semantics.may_repeat() { FIRST_EVENT_PATIENCE } else { limit };
+    let mut sending = std::pin::pin!(sending);
+    let begun = tokio::select! {
+        begun = timeout(patience, &mut sending) => begun,
+        () = broken(&live) => return Err(gone(&live)),
+    };
+    match begun {
+        Ok(begun) => begun.map(|begun| Run { begun, place }),
+        Err(_) => Err(Failed {
+            evidence: Evidence::MayHaveRun,
+            at_fault: None,
+            why: format!("no event in {} ms", patience.as_millis()),
+        }),
+    }
+}
+
+/// Ends when the path has lost an engine.
+pub(crate) async fn broken(live: &LivePath) {
+    let notified = live.broken.notified();
+    if !live.is_broken.get() {
+        notified.await;
+    }
+}
+
+fn gone(live: &LivePath) -> Failed {
+    Failed {
+        evidence: Evidence::MayHaveRun,
+        at_fault: None,
+        why: format!("an engine of the path in {} is gone", live.path.data_centre),
+    }
+}
+
+fn on_failed(
+    gateway: &Rc<Gateway>,
+    call: &Call,
+    attempts: &mut Attempts,
+    live: &Rc<LivePath>,
+    failed: &Failed,
+) {
+    let first = live.path.first();
+    log_failed(gateway, call, &first.id, failed);
+    attempts.on_failed(failed.evidence);
+    let now = Instant::now();
+    match failed.evidence {
+        Evidence::NotSent => gateway.suspect(&first.id, &failed.why),
+        Evidence::NotRun => live.avoid(now + REFUSED_AVOID),
+        Evidence::MayHaveRun => {
+            live.avoid(now + SILENT_AVOID);
+            if live.is_broken.get() {
+                attempts.forgive_lost_endpoint();
+            }
+        }
+    }
+    check_path(gateway, live);
+}
+
+async fn read_failure(call: &Call, run: Run) -> Response<AnswerBody> {
+    let (parts, body) = run.begun.answer.into_parts();
+    let body = timeout(call.time_left(), Limited::new(body, MAX_FAILURE_BYTES).collect()).await;
+    let Ok(Ok(body)) = body else {
+        return give_up(call, GivenUp::Unknown, RETRY_AFTER_FULL, "an engine's failure broke off");
+    };
+    let mut answer = Response::new(AnswerBody::whole(body.to_bytes()));
+    *answer.status_mut() = parts.status;
+    *answer.headers_mut() = answer_headers(&parts.headers);
+    answer
+}
--- a/crates/http/src/connection/activity.rs
+++ b/crates/http/src/connection/activity.rs
@@ -5,7 +5,7 @@
 
 /// What a connection is doing.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Doing {
+pub enum Doing {
     /// Reads a head.
     Head,
     /// Reads a body, or awaits or writes an answer.
@@ -16,18 +16,18 @@
 
 /// What a connection is doing, shared by its socket, its service and its timer.
 #[derive(Debug)]
-pub(crate) struct Activity {
+pub struct Activity {
     state: Mutex<(Doing, Instant)>,
 }
 
 impl Activity {
     /// A connection that was just accepted: its first head is due.
-    pub(crate) fn new() -> Activity {
+    pub fn new() -> Activity {
         Activity { state: Mutex::new((Doing::Head, Instant::now())) }
     }
 
     /// Bytes came in: between requests they begin a head.
-    pub(crate) fn on_read(&self) {
+    pub fn on_read(&self) {
         let mut state = self.lock();
         if state.0 == Doing::Idle {
             *state = (Doing::Head, Instant::now());
@@ -35,7 +35,7 @@
     }
 
     /// Bytes went out: the caller still reads the last answer.
-    pub(crate) fn on_write(&self) {
+    pub fn on_write(&self) {
         let mut state = self.lock();
         if state.0 == Doing::Idle {
             state.1 = Instant::now();
@@ -43,17 +43,17 @@
     }
 
     /// A head is complete.
-    pub(crate) fn on_request(&self) {
+    pub fn on_request(&self) {
         *self.lock() = (Doing::Request, Instant::now());
     }
 
     /// An answer is complete.
-    pub(crate) fn on_answered(&self) {
+    pub fn on_answered(&self) {
         *self.lock() = (Doing::Idle, Instant::now());
     }
 
     /// What the connection is doing, and for how long.
-    pub(crate) fn now(&self) -> (Doing, Duration) {
+    pub fn now(&self) -> (Doing, Duration) {
         let state = self.lock();
         (state.0, state.1.elapsed())
     }
--- a/crates/http/src/connection/mod.rs
+++ b/crates/http/src/connection/mod.rs
@@ -5,6 +5,6 @@
 mod connection;
 mod watched_io;
 
-pub(crate) use activity::*;
+pub use activity::*;
 pub(crate) use connection::*;
-pub(crate) use watched_io::*;
+pub use watched_io::*;
--- a/crates/http/src/connection/watched_io.rs
+++ b/crates/http/src/connection/watched_io.rs
@@ -10,13 +10,14 @@
 use tokio::net::TcpStream;
 
 /// A socket that tells the connection's [`Activity`] of its reads and writes.
-pub(crate) struct WatchedIo {
+pub struct WatchedIo {
     inner: TokioIo<TcpStream>,
     activity: Arc<Activity>,
 }
 
 impl WatchedIo {
-    pub(crate) fn new(stream: TcpStream, activity: Arc<Activity>) -> WatchedIo {
+    /// Watches `stream`.
+    pub fn new(stream: TcpStream, activity: Arc<Activity>) -> WatchedIo {
         WatchedIo { inner: TokioIo::new(stream), activity }
     }
 }
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -10,6 +10,7 @@
 mod request;
 
 pub use bytes::Bytes;
+pub use connection::{Activity, Doing, WatchedIo};
 pub use process::{Counters, Server, ServerConfig};
 pub use process::{
     DEFAULT_BODY_TIMEOUT, DEFAULT_CHUNK_QUEUE, DEFAULT_DRAIN_TIMEOUT, DEFAULT_HEADER_TIMEOUT,
--- /dev/null
+++ b/crates/routing/src/process/endpoint.rs
@@ -0,0 +1,78 @@
+//! Endpoints as their list tells of them.
+
+use crate::version::ServiceName;
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+
+/// Id of one lifetime of an endpoint.
+pub type EndpointId = String;
+/// Name of a data centre.
+pub type DataCentre = String;
+/// Counts the orders that an engine has begun since its start.
+pub type OrderSequence = u64;
+
+/// Layers `from..to` of a model.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct LayerRange {
+    /// The first layer.
+    pub from: u32,
+    /// One past the last layer.
+    pub to: u32,
+}
+
+impl LayerRange {
+    /// Layers `from..to`; empty where `to` isn't above `from`.
+    pub fn new(from: u32, to: u32) -> LayerRange {
+        LayerRange { from, to: to.max(from) }
+    }
+
+    /// How many layers.
+    pub fn len(self) -> u32 {
+        self.to - self.from
+    }
+
+    /// Whether there is none.
+    pub fn is_empty(self) -> bool {
+        self.to == self.from
+    }
+
+    /// Whether `layer` is one of them.
+    pub fn contains(self, layer: u32) -> bool {
+        (self.from..self.to).contains(&layer)
+    }
+
+    /// Layers that are in both.
+    pub fn overlap(self, other: LayerRange) -> u32 {
+        self.to.min(other.to).saturating_sub(self.from.max(other.from))
+    }
+
+    /// The smallest range over both; an empty one adds nothing.
+    pub fn hull(self, other: LayerRange) -> LayerRange {
+        match (self.is_empty(), other.is_empty()) {
+            (true, _) => other,
+            (_, true) => self,
+            _ => LayerRange::new(self.from.min(other.from), self.to.max(other.to)),
+        }
+    }
+}
+
+/// One lifetime of an endpoint, as the list tells.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Endpoint {
+    /// Its id; a restart has another.
+    pub id: EndpointId,
+    /// The service that it belongs to.
+    pub service: ServiceName,
+    /// Where it listens.
+    pub addr: SocketAddr,
+    /// Its data centre.
+    pub data_centre: DataCentre,
+    /// Leaving: takes no new work.
+    pub is_leaving: bool,
+    /// Its accelerator, for engines.
+    pub card: Option<String>,
+    /// The layers that it holds, for engines.
+    pub layers: LayerRange,
+    /// Requests that it runs at once.
+    pub slots: u32,
+}
--- /dev/null
+++ b/crates/routing/src/process/mod.rs
@@ -0,0 +1,10 @@
+//! What lives as long as a process.
+
+mod endpoint;
+mod pipeline_path;
+pub mod placement;
+mod retry_window;
+
+pub use endpoint::*;
+pub use pipeline_path::*;
+pub use retry_window::*;
--- /dev/null
+++ b/crates/routing/src/process/pipeline_path.rs
@@ -0,0 +1,167 @@
+//! Paths through engines that together hold every layer once.
+
+use crate::process::{DataCentre, EndpointId, LayerRange};
+use std::net::SocketAddr;
+
+/// An engine that may be part of a path.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Holder {
+    /// Its id.
+    pub id: EndpointId,
+    /// Where it listens.
+    pub addr: SocketAddr,
+    /// Its data centre.
+    pub data_centre: DataCentre,
+    /// The layers that it can run now.
+    pub layers: LayerRange,
+    /// What one layer of it costs, in ms of a decoding step: pace and suspicion included.
+    pub layer_cost: f64,
+    /// Tokens whose KV cache fits beside its layers.
+    pub token_room: f64,
+}
+
+/// One engine's part of a path.
+#[derive(Clone, Debug, PartialEq)]
+pub struct PathPart {
+    /// The engine.
+    pub id: EndpointId,
+    /// Where it listens.
+    pub addr: SocketAddr,
+    /// The layers that it runs.
+    pub layers: LayerRange,
+}
+
+/// A path that runs each layer once and in order.
+#[derive(Clone, Debug, PartialEq)]
+pub struct PipelinePath {
+    /// The data centre of its first engine.
+    pub data_centre: DataCentre,
+    /// Its parts, in order of layers; never empty.
+    pub parts: Vec<PathPart>,
+    /// Tokens that fit into the part with the least room.
+    pub token_room: f64,
+    /// Time of one step over all layers, without other requests, in ms.
+    pub step_ms: f64,
+    /// How often the path changes the data centre.
+    pub crossings: u32,
+}
+
+impl PipelinePath {
+    /// The engine that requests are sent to.
+    pub fn first(&self) -> &PathPart {
+        &self.parts[0]
+    }
+
+    /// Whether an engine is part of the path.
+    pub fn uses(&self, id: &str) -> bool {
+        self.parts.iter().any(|part| part.id == id)
+    }
+}
+
+/// The most parts that engines take in a path.
+pub const MAX_PARTS: usize = 32;
+
+/// What leaving a data centre adds to a path's cost, in ms of a step. It is far above any step of
+/// a model, so that a path crosses only where no path inside one data centre exists.
+const CROSSING_COST: f64 = 10_000.0;
+/// What each part adds to a path's cost, in ms of a step: its hop and the wait for its pass.
+const PART_COST: f64 = 0.5;
+
+/// The cheapest path over all `layers`, if the holders can make one.
+///
+/// A shortest path over states (layer, holder): each holder's run of layers may begin and end
+/// anywhere within what it holds. `O(layers * holders^2)`.
+pub fn cheapest_path(holders: &[Holder], layers: u32) -> Option<PipelinePath> {
+    let layers = layers as usize;
+    // best[l][h]: the least cost of running layers 0..l with holder h the last to run.
+    let mut best = vec![vec![f64::INFINITY; holders.len()]; layers + 1];
+    let mut before: Vec<Vec<Option<usize>>> = vec![vec![None; holders.len()]; layers + 1];
+    for layer in 0..layers {
+        let entry = cheapest_entry(&best[layer], holders, layer);
+        let entries: Vec<_> = (0..holders.len()).map(entry).collect();
+        for (index, holder) in holders.iter().enumerate() {
+            if !holder.layers.contains(layer as u32) {
+                continue;
+            }
+            let go_on = best[layer][index];
+            let (join, from) = entries[index];
+            let (cost, from) = if go_on <= join { (go_on, Some(index)) } else { (join, from) };
+            best[layer + 1][index] = cost + holder.layer_cost;
+            before[layer + 1][index] = from;
+        }
+    }
+    let last = (0..holders.len()).min_by(|a, b| best[layers][*a].total_cmp(&best[layers][*b]))?;
+    if best[layers][last].is_infinite() {
+        return None;
+    }
+    let path = build(holders, &before, layers, last);
+    let distinct = path
+        .parts
+        .iter()
+        .enumerate()
+        .all(|(i, part)| path.parts[..i].iter().all(|earlier| earlier.id != part.id));
+    (path.parts.len() <= MAX_PARTS && distinct).then_some(path)
+}
+
+/// Tells for a holder the cheapest way to begin a run at `layer`, and whose run ends there.
+fn cheapest_entry<'a>(
+    ends: &'a [f64],
+    holders: &'a [Holder],
+    layer: usize,
+) -> impl Fn(usize) -> (f64, Option<usize>) + 'a {
+    move |to| {
+        if layer == 0 {
+            return (PART_COST, None);
+        }
+        let mut cheapest = (f64::INFINITY, None);
+        for (from, cost) in ends.iter().enumerate() {
+            if from == to || cost.is_infinite() {
+                continue;
+            }
+            let crosses = holders[from].data_centre != holders[to].data_centre;
+            let total = cost + PART_COST + if crosses { CROSSING_COST } else { 0.0 };
+            if total < cheapest.0 {
+                cheapest = (total, Some(from));
+            }
+        }
+        cheapest
+    }
+}
+
+fn build(
+    holders: &[Holder],
+    before: &[Vec<Option<usize>>],
+    layers: usize,
+    last: usize,
+) -> PipelinePath {
+    let mut runs: Vec<(usize, LayerRange)> = Vec::new();
+    let (mut layer, mut at) = (layers, last);
+    let mut to = layers;
+    loop {
+        let from = before[layer][at];
+        layer -= 1;
+        if from != Some(at) {
+            runs.push((at, LayerRange::new(layer as u32, to as u32)));
+            to = layer;
+        }
+        match from {
+            Some(holder) => at = holder,
+            None => break,
+        }
+    }
+    runs.reverse();
+    let crosses = |pair: &[(usize, LayerRange)]| {
+        holders[pair[0].0].data_centre != holders[pair[1].0].data_centre
+    };
+    PipelinePath {
+        data_centre: holders[runs[0].0].data_centre.clone(),
+        token_room: runs.iter().map(|run| holders[run.0].token_room).fold(f64::INFINITY, f64::min),
+        step_ms: runs.iter().map(|run| f64::from(run.1.len()) * holders[run.0].layer_cost).sum(),
+        crossings: runs.windows(2).filter(|pair| crosses(pair)).count() as u32,
+        parts: runs.iter().map(|run| part(&holders[run.0], run.1)).collect(),
+    }
+}
+
+fn part(holder: &Holder, layers: LayerRange) -> PathPart {
+    PathPart { id: holder.id.clone(), addr: holder.addr, layers }
+}
--- /dev/null
+++ b/crates/routing/src/process/placement/chain_plan.rs
@@ -0,0 +1,137 @@
+//! Divides the layers of a model over a chain of engines in a given order.
+
+use crate::process::LayerRange;
+use crate::version::ModelShape;
+
+/// An engine of the chain, as the division sees it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ChainEngine {
+    /// Memory for layers and KV cache, in MB.
+    pub memory_mb: f64,
+    /// Factor on the time of a step: that of its card, times its slowness.
+    pub step_factor: f64,
+    /// The layers that it holds or loads.
+    pub held: LayerRange,
+}
+
+/// A division of the layers and what it costs; comparable for the same engines only.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ChainPlan {
+    /// The layers of each engine, in the order of the chain; some may be empty.
+    pub ranges: Vec<LayerRange>,
+    /// Lower is better.
+    pub cost: f64,
+}
+
+/// Exponent of the scarcity of room. The engine with the least room bounds the whole chain; the
+/// fourth power comes close to a maximum and still adds up over engines.
+const SCARCITY_POWER: i32 = 4;
+/// Weight of a step's time against scarcity: of equal room, fast cards hold more layers.
+const STEP_TIME_WEIGHT: f64 = 0.5;
+/// Cost of loading the whole model once. At 2.0, a move of a tenth of the layers must gain about
+/// a fifth of one engine's scarcity.
+const LOAD_WEIGHT: f64 = 2.0;
+/// The least room, as tokens of usual requests, that an engine is left with.
+const LEAST_REQUESTS: f64 = 4.0;
+
+/// Divides all layers over the engines in their order; nothing if they can't hold them.
+///
+/// Dynamic programming over (engine, first layer not yet given out), `O(engines * layers^2)`.
+pub fn divide(shape: &ModelShape, engines: &[ChainEngine]) -> Option<ChainPlan> {
+    let layers = shape.layers as usize;
+    let costs = EngineCosts::new(shape, engines);
+    let mut best = vec![vec![f64::INFINITY; layers + 1]; engines.len() + 1];
+    let mut taken = vec![vec![0u32; layers + 1]; engines.len() + 1];
+    best[0][0] = 0.0;
+    for (index, engine) in engines.iter().enumerate() {
+        let most = costs.most_layers(index);
+        for from in 0..=layers {
+            let so_far = best[index][from];
+            if so_far.is_infinite() {
+                continue;
+            }
+            for count in 0..=most.min(layers as u32 - from as u32) {
+                let range = LayerRange::new(from as u32, from as u32 + count);
+                let cost = so_far + costs.of(index, engine, range);
+                let to = range.to as usize;
+                if cost < best[index + 1][to] {
+                    best[index + 1][to] = cost;
+                    taken[index + 1][to] = count;
+                }
+            }
+        }
+    }
+    let cost = best[engines.len()][layers];
+    cost.is_finite().then(|| ChainPlan { ranges: trace(&taken, engines.len(), layers), cost })
+}
+
+/// What the ranges that the engines hold now would cost as a division.
+pub fn cost_of(shape: &ModelShape, engines: &[ChainEngine], ranges: &[LayerRange]) -> f64 {
+    let costs = EngineCosts::new(shape, engines);
+    let each = engines.iter().zip(ranges).enumerate();
+    each.map(|(index, (engine, range))| costs.of(index, engine, *range)).sum()
+}
+
+fn trace(taken: &[Vec<u32>], engines: usize, layers: usize) -> Vec<LayerRange> {
+    let mut ranges = vec![LayerRange::default(); engines];
+    let mut to = layers;
+    for index in (0..engines).rev() {
+        let count = taken[index + 1][to] as usize;
+        ranges[index] = LayerRange::new((to - count) as u32, to as u32);
+        to -= count;
+    }
+    ranges
+}
+
+/// The cost of each count of layers at each engine.
+struct EngineCosts {
+    /// By engine and count of layers.
+    by_count: Vec<Vec<f64>>,
+    load_per_layer: f64,
+}
+
+impl EngineCosts {
+    fn new(shape: &ModelShape, engines: &[ChainEngine]) -> EngineCosts {
+        let memory: f64 = engines.iter().map(|engine| engine.memory_mb).sum();
+        let layers = f64::from(shape.layers);
+        let even_room = (memory / layers - shape.layer_mb).max(0.0);
+        let mean_step = engines.iter().map(|engine| engine.step_factor).sum::<f64>()
+            / engines.len().max(1) as f64;
+        let row = |engine: &ChainEngine| {
+            let most = (engine.memory_mb / shape.layer_mb).floor() as u32;
+            let counts = (0..=most.min(shape.layers)).map(|count| {
+                let scarcity = scarcity(shape, engine, count, even_room);
+                let time = f64::from(count) * engine.step_factor / (layers * mean_step.max(1e-9));
+                scarcity + STEP_TIME_WEIGHT * time
+            });
+            counts.take_while(|cost| cost.is_finite()).collect()
+        };
+        let by_count = engines.iter().map(row).collect();
+        EngineCosts { by_count, load_per_layer: LOAD_WEIGHT / layers }
+    }
+
+    fn most_layers(&self, index: usize) -> u32 {
+        self.by_count[index].len().saturating_sub(1) as u32
+    }
+
+    fn of(&self, index: usize, engine: &ChainEngine, range: LayerRange) -> f64 {
+        let Some(cost) = self.by_count[index].get(range.len() as usize) else {
+            return f64::INFINITY;
+        };
+        let loaded = range.len() - range.overlap(engine.held);
+        cost + f64::from(loaded) * self.load_per_layer
+    }
+}
+
+/// How scarce room is at an engine with so many layers, 1 where room is spread evenly.
+fn scarcity(shape: &ModelShape, engine: &ChainEngine, count: u32, even_room: f64) -> f64 {
+    if count == 0 {
+        return 0.0;
+    }
+    let room = engine.memory_mb / f64::from(count) - shape.layer_mb;
+    let least = LEAST_REQUESTS * shape.usual_tokens() * shape.kv_mb_per_token_layer();
+    if room < least {
+        return f64::INFINITY;
+    }
+    (even_room / room).powi(SCARCITY_POWER)
+}
--- /dev/null
+++ b/crates/routing/src/process/placement/planner.rs
@@ -0,0 +1,104 @@
+//! Plans the chain of one data centre: order of the engines and their layers.
+
+use crate::process::placement::{ChainEngine, ChainPlan, cost_of, divide};
+use crate::process::{EndpointId, LayerRange, MAX_PARTS};
+use crate::version::ModelShape;
+use std::collections::BTreeMap;
+
+/// An engine that can hold layers.
+#[derive(Clone, Debug, PartialEq)]
+pub struct PlannedEngine {
+    /// Its id.
+    pub id: EndpointId,
+    /// Memory for layers and KV cache, in MB.
+    pub memory_mb: f64,
+    /// Factor on the time of a step: that of its card, times its slowness.
+    pub step_factor: f64,
+    /// The layers that it holds or loads.
+    pub held: LayerRange,
+}
+
+/// The layers that each engine of a data centre should hold.
+pub type Placement = BTreeMap<EndpointId, LayerRange>;
+
+/// A whole chain is given up for another only if that costs this share of it or less: each move
+/// closes layers to new requests for a while.
+const WORTH_MOVING: f64 = 0.8;
+
+/// The layers that each engine should hold; nothing where they can't hold the model.
+pub fn plan_data_centre(shape: &ModelShape, engines: &[PlannedEngine]) -> Option<Placement> {
+    let engines = largest(engines);
+    let (mut chain, new): (Vec<_>, Vec<_>) =
+        engines.into_iter().partition(|engine| !engine.held.is_empty());
+    chain.sort_by(|a, b| (a.held.from, a.held.to, &a.id).cmp(&(b.held.from, b.held.to, &b.id)));
+    if chain.is_empty() {
+        let plan = divide(shape, &seen(&new))?;
+        return Some(placement(&new, &plan.ranges));
+    }
+    let ordered = with_new_engines(shape, chain, new);
+    let plan = divide(shape, &seen(&ordered))?;
+    Some(keep_or_move(shape, &ordered, plan))
+}
+
+/// At most as many engines as a path may have parts, those with the most memory.
+fn largest(engines: &[PlannedEngine]) -> Vec<PlannedEngine> {
+    let mut engines = engines.to_vec();
+    engines.sort_by(|a, b| b.memory_mb.total_cmp(&a.memory_mb).then_with(|| a.id.cmp(&b.id)));
+    engines.truncate(MAX_PARTS);
+    engines
+}
+
+/// Puts each empty engine where the chain gains most.
+fn with_new_engines(
+    shape: &ModelShape,
+    mut chain: Vec<PlannedEngine>,
+    new: Vec<PlannedEngine>,
+) -> Vec<PlannedEngine> {
+    for engine in new {
+        let cost_at = |position: usize| {
+            let mut tried = chain.clone();
+            tried.insert(position, engine.clone());
+            divide(shape, &seen(&tried)).map_or(f64::INFINITY, |plan| plan.cost)
+        };
+        let costs: Vec<f64> = (0..=chain.len()).map(cost_at).collect();
+        let best = (0..costs.len()).min_by(|a, b| costs[*a].total_cmp(&costs[*b]));
+        chain.insert(best.unwrap_or(chain.len()), engine);
+    }
+    chain
+}
+
+/// The plan, or what is held now if that is whole and the plan gains too little.
+fn keep_or_move(shape: &ModelShape, chain: &[PlannedEngine], plan: ChainPlan) -> Placement {
+    let held: Vec<LayerRange> = chain.iter().map(|engine| engine.held).collect();
+    let now = cost_of(shape, &seen(chain), &held);
+    if is_whole(shape, &held) && plan.cost > now * WORTH_MOVING {
+        return placement(chain, &held);
+    }
+    placement(chain, &plan.ranges)
+}
+
+/// Whether ranges, in order, hold each layer once.
+fn is_whole(shape: &ModelShape, ranges: &[LayerRange]) -> bool {
+    let mut next = 0;
+    for range in ranges.iter().filter(|range| !range.is_empty()) {
+        if range.from != next {
+            return false;
+        }
+        next = range.to;
+    }
+    next == shape.layers
+}
+
+fn seen(engines: &[PlannedEngine]) -> Vec<ChainEngine> {
+    let seen = |engine: &PlannedEngine| ChainEngine {
+        memory_mb: engine.memory_mb,
+        step_factor: engine.step_factor,
+        held: engine.held,
+    };
+    engines.iter().map(seen).collect()
+}
+
+fn placement(engines: &[PlannedEngine], ranges: &[LayerRange]) -> Placement {
+    let each = engines.iter().zip(ranges);
+    each.map(|(engine, range)| (engine.id.clone(), *range)).collect()
+}
--- /dev/null
+++ b/crates/routing/src/process/placement/transition.rs
@@ -0,0 +1,80 @@
+//! The next step from the layers that are held to those that are planned.
+
+use crate::process::placement::Placement;
+use crate::process::{EndpointId, LayerRange};
+use std::collections::BTreeMap;
+
+/// What an engine holds while layers move.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Holding {
+    /// The layers that it can run now.
+    pub ready: LayerRange,
+    /// The most layers that it may hold for a while.
+    pub most_layers: u32,
+    /// An order is under way: it takes no other.
+    pub is_busy: bool,
+}
+
+/// What one engine is to hold next.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Step {
+    /// The engine.
+    pub id: EndpointId,
+    /// The layers to order.
+    pub layers: LayerRange,
+    /// Layers are given up: requests must stop to use them first.
+    pub gives_up: bool,
+}
+
+/// The orders that bring the engines of a data centre nearer to the plan now. Layers are given up
+/// once another engine runs them, unless they are of no use as no whole chain exists.
+pub fn next_steps(
+    plan: &Placement,
+    holdings: &BTreeMap<EndpointId, Holding>,
+    layers: u32,
+) -> Vec<Step> {
+    let is_served = (0..layers).all(|layer| holders_of(holdings, layer).next().is_some());
+    let mut steps = Vec::new();
+    for (id, want) in plan {
+        let Some(holding) = holdings.get(id) else { continue };
+        if holding.is_busy || holding.ready == *want {
+            continue;
+        }
+        let next =
+            if is_served { careful(id, *want, holding, holdings, plan) } else { Some(*want) };
+        let Some(next) = next.filter(|next| *next != holding.ready) else { continue };
+        let gives_up = holding.ready.overlap(next) < holding.ready.len();
+        steps.push(Step { id: id.clone(), layers: next, gives_up });
+    }
+    steps
+}
+
+/// What an engine may hold next without taking a layer away that only it runs.
+fn careful(
+    id: &EndpointId,
+    want: LayerRange,
+    holding: &Holding,
+    holdings: &BTreeMap<EndpointId, Holding>,
+    plan: &Placement,
+) -> Option<LayerRange> {
+    let mut given_up =
+        (holding.ready.from..holding.ready.to).filter(|layer| !want.contains(*layer));
+    // Another that holds the layer but is to give it up as well is no reason to give it up.
+    let stays = |layer: u32| {
+        let mut others = holders_of(holdings, layer).filter(|other| *other != id);
+        others.any(|other| plan.get(other).is_some_and(|range| range.contains(layer)))
+    };
+    if given_up.all(stays) {
+        return Some(want);
+    }
+    let both = holding.ready.hull(want);
+    (both.len() <= holding.most_layers).then_some(both)
+}
+
+fn holders_of(
+    holdings: &BTreeMap<EndpointId, Holding>,
+    layer: u32,
+) -> impl Iterator<Item = &EndpointId> {
+    let holds = move |held: &&Holding| held.ready.contains(layer);
+    holdings.iter().filter(move |(_, held)| holds(held)).map(|(id, _)| id)
+}
--- /dev/null
+++ b/crates/routing/src/request/mod.rs
@@ -0,0 +1,5 @@
+//! What lives as long as a request.
+
+mod evidence;
+
+pub use evidence::*;
--- /dev/null
+++ b/crates/routing/src/version/mod.rs
@@ -0,0 +1,9 @@
+//! What lives as long as one version of the configuration.
+
+mod configuration;
+mod model_shape;
+mod route_table;
+
+pub use configuration::*;
+pub use model_shape::*;
+pub use route_table::*;
--- /dev/null
+++ b/crates/routing/src/version/model_shape.rs
@@ -0,0 +1,77 @@
+//! The shape of a model and of the accelerators that hold its layers.
+
+use serde::{Deserialize, Serialize};
+use std::time::Duration;
+
+/// A kind of accelerator.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Card {
+    /// Its name.
+    pub name: String,
+    /// Memory for layers and KV cache, in MB.
+    pub memory_mb: f64,
+    /// Factor on the time of a decoding step.
+    pub step_factor: f64,
+    /// Factor on the time of prefill.
+    pub prefill_factor: f64,
+}
+
+/// The shape of a model, as its engines run it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ModelShape {
+    /// Layers in all.
+    pub layers: u32,
+    /// Memory of one layer's weights, in MB.
+    pub layer_mb: f64,
+    /// KV cache of one token over all layers, in bytes.
+    pub kv_token_bytes: f64,
+    /// Mean prompt, in tokens.
+    pub usual_prompt: f64,
+    /// Mean answer, in tokens.
+    pub usual_answer: f64,
+    /// Time of one decoding step over all layers at factor 1, in ms.
+    pub step_ms: f64,
+    /// Time that each writing request adds to a step, in ms.
+    pub step_ms_per_request: f64,
+    /// Time that 1,000 tokens of context add to a step, in ms.
+    pub step_ms_per_context_k: f64,
+    /// Time to load all layers of the model into one engine.
+    pub load_time: Duration,
+    /// Loads that run at once without slowing each other.
+    pub loads_at_once: u32,
+    /// Requests that an engine takes as the first of their path.
+    pub slots: u32,
+    /// Kinds of accelerators.
+    pub cards: Vec<Card>,
+}
+
+impl ModelShape {
+    /// The accelerator of this name.
+    pub fn card(&self, name: &str) -> Option<&Card> {
+        self.cards.iter().find(|card| card.name == name)
+    }
+
+    /// KV cache of one token in one layer, in MB.
+    pub fn kv_mb_per_token_layer(&self) -> f64 {
+        self.kv_token_bytes / 1e6 / f64::from(self.layers.max(1))
+    }
+
+    /// The most layers that a card's memory holds, with no room for KV cache.
+    pub fn most_layers(&self, card: &Card) -> u32 {
+        ((card.memory_mb / self.layer_mb).floor() as u32).min(self.layers)
+    }
+
+    /// Tokens whose KV cache fits beside `held` layers, over the `held` layers.
+    pub fn token_room(&self, card: &Card, held: u32) -> f64 {
+        if held == 0 {
+            return 0.0;
+        }
+        let free_mb = card.memory_mb - f64::from(held) * self.layer_mb;
+        (free_mb / (f64::from(held) * self.kv_mb_per_token_layer())).max(0.0)
+    }
+
+    /// Mean tokens of a request, prompt and answer.
+    pub fn usual_tokens(&self) -> f64 {
+        self.usual_prompt + self.usual_answer
+    }
+}
