Placement closes gaps with few loads; attempts count distinct engines

Change: attempts remember endpoints and forget only those that are lost; a gap is closed with load weighed 1 a layer, and balanced after 3 s of calm, 3 moves at a time; a path with 4 streams is silent after 300 ms; Retry-After 2.5 s.

--- a/crates/gateway/src/process/gateway.rs
+++ b/crates/gateway/src/process/gateway.rs
@@ -165,6 +165,14 @@
         }
     }
 
+    /// Whether an endpoint has ended, or is cut off as far as the lead or this gateway can tell.
+    pub(crate) fn is_lost(&self, id: &str) -> bool {
+        let now = Instant::now();
+        let is_listed = self.knowledge.borrow().endpoint(id).is_some();
+        let beliefs = self.beliefs.borrow();
+        !is_listed || beliefs.engine(id, now).is_some_and(|engine| engine.is_dead)
+    }
+
     /// Works out the paths of all models anew.
     pub(crate) fn refresh_paths(&self) {
         let now = Instant::now();
--- a/crates/gateway/src/process/path_book.rs
+++ b/crates/gateway/src/process/path_book.rs
@@ -18,9 +18,14 @@
 /// Random part of the choice, as a share of room: gateways that don't see each other's newest
 /// streams shouldn't all choose the same path.
 const CHOICE_NOISE: f64 = 0.04;
-/// With streams under way and no event on any for so long, a path is taken to be broken: over
-/// three times the longest pause that is on time.
-pub(crate) const PATH_SILENCE: Duration = Duration::from_millis(600);
+/// With few streams under way and no event on any for so long, a path is taken to be broken: three
+/// times the longest pause that is on time.
+const PATH_SILENCE: Duration = Duration::from_millis(600);
+/// The same with many streams: each has an event every 55 ms, so that four together are silent
+/// for as long as this only if the path is.
+const BUSY_PATH_SILENCE: Duration = Duration::from_millis(300);
+/// From so many streams on a path is busy.
+const BUSY_STREAMS: u32 = 4;
 
 /// A path with what this gateway's streams do on it.
 pub(crate) struct LivePath {
@@ -55,7 +60,9 @@
 
     /// Whether all its streams have been silent for so long that it is taken to be broken.
     pub(crate) fn is_silent(&self, now: Instant) -> bool {
-        self.streams.get() > 0 && now - self.last_event.get() > PATH_SILENCE
+        let limit =
+            if self.streams.get() >= BUSY_STREAMS { BUSY_PATH_SILENCE } else { PATH_SILENCE };
+        self.streams.get() > 0 && now - self.last_event.get() > limit
     }
 
     /// Gives it nothing new until `until`.
@@ -188,20 +195,17 @@
         is_changed
     }
 
-    /// Chooses the path with the most room, by share; `avoid` are paths not to take.
+    /// Chooses the path with the most room, by share, among those that the request may take.
     fn choose(
         &self,
         service: &str,
         tokens: f64,
         own_data_centre: &str,
-        avoid: &[Rc<LivePath>],
+        may_take: impl Fn(&Rc<LivePath>) -> bool,
         now: Instant,
     ) -> Result<Rc<LivePath>, NoPlace> {
-        let is_open = |live: &&Rc<LivePath>| {
-            !live.is_avoided(now)
-                && !live.is_silent(now)
-                && !avoid.iter().any(|other| Rc::ptr_eq(other, live))
-        };
+        let is_open =
+            |live: &&Rc<LivePath>| !live.is_avoided(now) && !live.is_silent(now) && may_take(live);
         let mut best: Option<(f64, &Rc<LivePath>)> = None;
         let mut is_full = false;
         for live in self.paths(service).iter().filter(is_open) {
@@ -235,10 +239,10 @@
     service: &str,
     tokens: f64,
     own_data_centre: &str,
-    avoid: &[Rc<LivePath>],
+    may_take: impl Fn(&Rc<LivePath>) -> bool,
     now: Instant,
 ) -> Result<PathPlace, NoPlace> {
-    let live = book.borrow().choose(service, tokens, own_data_centre, avoid, now)?;
+    let live = book.borrow().choose(service, tokens, own_data_centre, may_take, now)?;
     if live.streams.get() == 0 {
         live.last_event.set(now);
     }
--- a/crates/gateway/src/process/placer.rs
+++ b/crates/gateway/src/process/placer.rs
@@ -6,7 +6,7 @@
     CallError, Client, EngineReport, OrderEnd, Store, order_layers, read_report,
 };
 use sorrellock_routing::process::placement::{
-    Holding, Placement, PlannedEngine, Step, next_steps, plan_data_centre,
+    Holding, Placement, PlannedEngine, Step, covers, next_steps, plan_data_centre,
 };
 use sorrellock_routing::process::{DataCentre, Endpoint, EndpointId, LayerRange};
 use sorrellock_routing::version::{ModelShape, ServiceName};
@@ -25,6 +25,8 @@
 const REPORT_LIMIT: Duration = Duration::from_millis(250);
 /// Reports without an answer in a row after which an engine is taken to be dead.
 const FAILURES_TO_DEATH: u32 = 2;
+/// The same for an engine that a gateway suspects, as its report brought no answer there either.
+const FAILURES_OF_SUSPECT: u32 = 1;
 /// Time for an order to be accepted.
 const ORDER_LIMIT: Duration = Duration::from_millis(500);
 /// The wait after an order that was refused or brought no answer.
@@ -35,6 +37,11 @@
 /// With no chain in a data centre yet, how long its set of engines must stay the same before the
 /// first plan: engines of one start register within a second.
 const SETTLE: Duration = Duration::from_millis(600);
+/// How long a chain must be whole before it is balanced: troubles often come together, and an
+/// engine that joins is often followed within seconds by the one that it replaces.
+const BALANCE_AFTER: Duration = Duration::from_secs(3);
+/// Engines that move at once while no requests wait for it: loads slow each other.
+const QUIET_MOVES: usize = 3;
 /// How often a plan is looked at again without news.
 const REPLAN_INTERVAL: Duration = Duration::from_secs(2);
 /// Pause between two rounds of orders.
@@ -110,6 +117,8 @@
     own_view: Rc<RefCell<Option<LeadView>>>,
     engines: Engines,
     plans: HashMap<(ServiceName, DataCentre), Planned>,
+    /// Since when the chain of a data centre is whole, with these engines.
+    whole: HashMap<(ServiceName, DataCentre), (BTreeSet<EndpointId>, Instant)>,
     /// The engines of a data centre, and since when they are the same.
     settled: HashMap<(ServiceName, DataCentre), (BTreeSet<EndpointId>, Instant)>,
 }
@@ -121,6 +130,7 @@
             own_view,
             engines: Rc::default(),
             plans: HashMap::new(),
+            whole: HashMap::new(),
             settled: HashMap::new(),
         }
     }
@@ -141,6 +151,7 @@
         if self.own_view.borrow_mut().take().is_some() {
             self.engines.borrow_mut().clear();
             self.plans.clear();
+            self.whole.clear();
             self.settled.clear();
         }
     }
@@ -187,7 +198,7 @@
 
     /// Asks the engines whose report is due.
     fn ask_engines(&self, now: Instant) {
-        let suspects = self.suspects(now);
+        let suspects = suspects(&self.gateway, now);
         let mut engines = self.engines.borrow_mut();
         for (id, engine) in engines.iter_mut() {
             let is_urgent = engine.is_moving() || engine.failures > 0 || suspects.contains(id);
@@ -208,16 +219,6 @@
         }
     }
 
-    /// Engines that any gateway suspects.
-    fn suspects(&self, now: Instant) -> HashSet<EndpointId> {
-        let mut beliefs = self.gateway.beliefs.borrow_mut();
-        let mut all: HashSet<EndpointId> = beliefs.suspects(now).into_iter().collect();
-        for peer in beliefs.live_peers(now) {
-            all.extend(peer.message.suspects.iter().cloned());
-        }
-        all
-    }
-
     fn by_data_centre(&self, service: &str) -> BTreeMap<DataCentre, Vec<Endpoint>> {
         let knowledge = self.gateway.knowledge.borrow();
         let engines = self.engines.borrow();
@@ -244,14 +245,43 @@
         if !self.is_settled(&key, &planned, now) {
             return;
         }
-        self.plan(&key, shape, &planned, now);
+        if self.may_plan(&key, shape, &planned, now) {
+            self.plan(&key, shape, &planned, now);
+        }
         let Some(plan) = self.plans.get(&key) else { return };
         let holdings = self.holdings(shape, endpoints, now);
         for step in next_steps(&plan.placement, &holdings, shape.layers) {
-            self.order(step, now);
+            if step.is_urgent || self.moving() < QUIET_MOVES {
+                self.order(step, now);
+            }
         }
     }
 
+    /// Engines with an order under way.
+    fn moving(&self) -> usize {
+        self.engines.borrow().values().filter(|engine| engine.ordered.is_some()).count()
+    }
+
+    /// A gap is closed at once; a whole chain is balanced after it was whole for a while.
+    fn may_plan(
+        &mut self,
+        key: &(ServiceName, DataCentre),
+        shape: &ModelShape,
+        planned: &[PlannedEngine],
+        now: Instant,
+    ) -> bool {
+        if !covers(shape, planned) {
+            self.whole.remove(key);
+            return true;
+        }
+        let ids: BTreeSet<EndpointId> = planned.iter().map(|engine| engine.id.clone()).collect();
+        let entry = self.whole.entry(key.clone()).or_insert_with(|| (ids.clone(), now));
+        if entry.0 != ids {
+            *entry = (ids, now);
+        }
+        now - entry.1 >= BALANCE_AFTER
+    }
+
     /// The engines that are alive; nothing while one of them wasn't heard yet.
     fn planned_engines(
         &self,
@@ -413,16 +443,30 @@
     }
 }
 
+/// Engines that any gateway suspects.
+fn suspects(gateway: &Gateway, now: Instant) -> HashSet<EndpointId> {
+    let mut beliefs = gateway.beliefs.borrow_mut();
+    let mut all: HashSet<EndpointId> = beliefs.suspects(now).into_iter().collect();
+    for peer in beliefs.live_peers(now) {
+        all.extend(peer.message.suspects.iter().cloned());
+    }
+    all
+}
+
 /// Asks one engine for its report.
 async fn ask(gateway: Rc<Gateway>, engines: Engines, id: EndpointId, client: Client) {
     gateway.counters.add(Count::Reports);
     let res = read_report(&client, REPORT_LIMIT).await;
+    let is_suspect = suspects(&gateway, Instant::now()).contains(&id);
     let mut engines = engines.borrow_mut();
     let Some(engine) = engines.get_mut(&id) else { return };
     engine.is_asking = false;
     match res {
         Ok(report) => on_report(engine, &id, report),
-        Err(err) => on_no_report(engine, &id, &err),
+        Err(err) => {
+            let to_death = if is_suspect { FAILURES_OF_SUSPECT } else { FAILURES_TO_DEATH };
+            on_no_report(engine, &id, &err, to_death);
+        }
     }
     drop(engines);
     gateway.engines_changed.notify_waiters();
@@ -449,10 +493,10 @@
     engine.report = Some(report);
 }
 
-fn on_no_report(engine: &mut Engine, id: &str, err: &CallError) {
+fn on_no_report(engine: &mut Engine, id: &str, err: &CallError, to_death: u32) {
     engine.failures += 1;
     let is_refused = matches!(err, CallError::NotSent { step, .. } if step.starts_with("connect"));
-    let is_over = engine.failures >= FAILURES_TO_DEATH || is_refused;
+    let is_over = engine.failures >= to_death || is_refused;
     if is_over && !std::mem::replace(&mut engine.is_dead, true) {
         let (failures, text) = (engine.failures, err.to_string());
         warn!("engine taken to be dead", kv: { endpoint = id, failures, err = text.as_str() });
--- a/crates/gateway/src/request/plain.rs
+++ b/crates/gateway/src/request/plain.rs
@@ -43,13 +43,13 @@
             why = format!("{why}; the retry budget is spent");
             break;
         }
-        let is_last = !may_follow(&call, &attempts);
+        let is_last = !may_follow(&call, &attempts, &endpoint.id);
         let res = run(&gateway, &call, &endpoint, is_last).await;
         note_end(&gateway, &endpoint.id, permit, &res);
         match res {
-            Ok(answer) => match may_retry_failure(&call, &attempts, &answer) {
+            Ok(answer) => match may_retry_failure(&call, &attempts, &endpoint.id, &answer) {
                 true => {
-                    attempts.on_failed(Evidence::MayHaveRun);
+                    attempts.on_failed(&endpoint.id, Evidence::MayHaveRun);
                     why = format!("{} answered {}", endpoint.id, answer.status());
                     last_failure = Some(answer);
                 }
@@ -57,7 +57,7 @@
             },
             Err(failed) => {
                 log_failed(&gateway, &call, &endpoint.id, &failed);
-                attempts.on_failed(failed.evidence);
+                attempts.on_failed(&endpoint.id, failed.evidence);
                 if failed.evidence == Evidence::NotSent {
                     gateway.suspect(&endpoint.id, &failed.why);
                 }
@@ -81,16 +81,21 @@
 }
 
 /// Whether an attempt could follow the next one, if that brings no answer.
-fn may_follow(call: &Call, attempts: &Attempts) -> bool {
-    let mut after = *attempts;
-    after.on_failed(Evidence::MayHaveRun);
+fn may_follow(call: &Call, attempts: &Attempts, endpoint: &str) -> bool {
+    let mut after = attempts.clone();
+    after.on_failed(endpoint, Evidence::MayHaveRun);
     call.route.semantics.may_repeat() && after.may_send()
 }
 
 /// An endpoint's own failure of an idempotent request is worth another endpoint.
-fn may_retry_failure(call: &Call, attempts: &Attempts, answer: &Response<AnswerBody>) -> bool {
+fn may_retry_failure(
+    call: &Call,
+    attempts: &Attempts,
+    endpoint: &str,
+    answer: &Response<AnswerBody>,
+) -> bool {
     let is_idempotent = call.route.semantics == Semantics::Idempotent;
-    is_idempotent && answer.status().is_server_error() && may_follow(call, attempts)
+    is_idempotent && answer.status().is_server_error() && may_follow(call, attempts, endpoint)
 }
 
 /// The endpoint with the least work that wasn't tried. Those that fail are passed over while
--- a/crates/gateway/src/request/relay.rs
+++ b/crates/gateway/src/request/relay.rs
@@ -16,9 +16,9 @@
 /// callers leave after two seconds, and a new run takes up to half of one.
 const STREAM_SILENCE: Duration = Duration::from_millis(1_200);
 /// How often a silent stream looks whether its path serves others.
-const SILENCE_TICK: Duration = Duration::from_millis(100);
-/// Silence after which a stream looks at its path at all.
-const SILENCE_LOOK: Duration = Duration::from_millis(600);
+const SILENCE_TICK: Duration = Duration::from_millis(60);
+/// Silence after which a stream looks at its path at all: a stalled path shows by then.
+const SILENCE_LOOK: Duration = Duration::from_millis(320);
 /// How long callers bear a pause.
 const CALLER_PATIENCE: Duration = Duration::from_secs(2);
 /// The wait before another try to go on, after there was no place.
@@ -98,7 +98,6 @@
                     }
                 }
                 Next::PathGone => {
-                    self.attempts.forgive_lost_endpoint();
                     if !self.lost("an engine of the path is gone").await {
                         return;
                     }
@@ -193,22 +192,17 @@
         warn!("stream lost its run", kv: {
             request = self.call.id(), why, after:? = last, silent_ms, mends = self.mends
         });
-        let is_stalled = self.run.as_ref().is_some_and(|run| !run.place.live.is_broken.get());
-        if let Some(run) = &self.run {
-            check_path(&self.gateway, &run.place.live);
-            self.avoid.push(Rc::clone(&run.place.live));
+        // The engine stops its work when its connection closes.
+        if let Some(run) = self.run.take() {
+            let live = &run.place.live;
+            check_path(&self.gateway, live);
+            self.attempts.on_failed(&live.path.first().id, Evidence::MayHaveRun);
+            self.avoid.push(Rc::clone(live));
         }
         if !self.call.route.semantics.may_repeat() {
             self.cut_now(&format!("{why}; it may not be resumed"));
             return false;
         }
-        // The engine stops its work when its connection closes.
-        self.run = None;
-        self.attempts.on_failed(Evidence::MayHaveRun);
-        if is_stalled || why.contains("broke") {
-            // It is not the request's fault that its path is cut off.
-            self.attempts.forgive_lost_endpoint();
-        }
         self.events.restart();
         self.mends += 1;
         self.mend(why).await
--- a/crates/gateway/src/request/stream.rs
+++ b/crates/gateway/src/request/stream.rs
@@ -18,10 +18,12 @@
 /// How long a request waits for room before it is refused: within a quarter of the usual goal of
 /// 500 ms, so that the caller can still be served in time elsewhere.
 const ROOM_PATIENCE: Duration = Duration::from_millis(100);
-/// When to come back after a refusal for want of room: about a tenth of the streams have ended.
-const RETRY_AFTER_FULL: Duration = Duration::from_millis(500);
-/// When to come back where no path exists: layers are loaded again in about that time.
-const RETRY_AFTER_NO_PATH: Duration = Duration::from_millis(1_000);
+/// When to come back after a refusal for want of room: half of the streams have ended, and a lost
+/// path is whole again.
+const RETRY_AFTER_FULL: Duration = Duration::from_millis(2_500);
+/// When to come back where no path exists: a lost engine is found and its layers are loaded in
+/// about that time.
+const RETRY_AFTER_NO_PATH: Duration = Duration::from_millis(2_500);
 /// How long the first event may take while another path could be tried: callers leave after two
 /// seconds.
 const FIRST_EVENT_PATIENCE: Duration = Duration::from_millis(1_000);
@@ -118,10 +120,8 @@
         if call.time_left().is_zero() {
             return Err(NotBegun::TimeOver);
         }
-        if !attempts.may_send() {
-            return Err(failure.map_or(NotBegun::Spent, NotBegun::Failure));
-        }
-        let place = match place(gateway, call, avoid, room_until).await {
+        attempts.forget_lost(|id| gateway.is_lost(id));
+        let place = match place(gateway, call, attempts, avoid, room_until).await {
             Ok(place) => place,
             Err(none) => return Err(failure.map_or(NotBegun::NoPlace(none), NotBegun::Failure)),
         };
@@ -132,7 +132,7 @@
         match try_path(gateway, call, place, last).await {
             Ok(run) if run.begun.answer.status() == StatusCode::OK => return Ok(run),
             Ok(run) => {
-                attempts.on_failed(Evidence::MayHaveRun);
+                attempts.on_failed(&live.path.first().id, Evidence::MayHaveRun);
                 failure = Some(read_failure(call, run).await);
             }
             Err(failed) => on_failed(gateway, call, attempts, &live, &failed),
@@ -145,14 +145,19 @@
 async fn place(
     gateway: &Rc<Gateway>,
     call: &Call,
+    attempts: &Attempts,
     avoid: &[Rc<LivePath>],
     until: Instant,
 ) -> Result<PathPlace, NoPlace> {
+    let may_take = |live: &Rc<LivePath>| {
+        attempts.may_send_to(&live.path.first().id)
+            && !avoid.iter().any(|other| Rc::ptr_eq(other, live))
+    };
     let tokens = expected_tokens(call);
     loop {
         let now = Instant::now();
         let own = &gateway.settings.data_centre;
-        let res = take_place(&gateway.paths, &call.service, tokens, own, avoid, now);
+        let res = take_place(&gateway.paths, &call.service, tokens, own, may_take, now);
         let Err(none) = res else { return res };
         if now >= until {
             return Err(none);
@@ -230,17 +235,12 @@
 ) {
     let first = live.path.first();
     log_failed(gateway, call, &first.id, failed);
-    attempts.on_failed(failed.evidence);
+    attempts.on_failed(&first.id, failed.evidence);
     let now = Instant::now();
     match failed.evidence {
         Evidence::NotSent => gateway.suspect(&first.id, &failed.why),
         Evidence::NotRun => live.avoid(now + REFUSED_AVOID),
-        Evidence::MayHaveRun => {
-            live.avoid(now + SILENT_AVOID);
-            if live.is_broken.get() {
-                attempts.forgive_lost_endpoint();
-            }
-        }
+        Evidence::MayHaveRun => live.avoid(now + SILENT_AVOID),
     }
     check_path(gateway, live);
 }
--- a/crates/routing/src/process/placement/chain_plan.rs
+++ b/crates/routing/src/process/placement/chain_plan.rs
@@ -23,23 +23,36 @@
     pub cost: f64,
 }
 
-/// Exponent of the scarcity of room. The engine with the least room bounds the whole chain; the
-/// fourth power comes close to a maximum and still adds up over engines.
-const SCARCITY_POWER: i32 = 4;
+/// How a division weighs loads against room.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Weights {
+    /// Cost of loading one layer. Scarcity adds up to about one for each engine.
+    pub load: f64,
+    /// Exponent of the scarcity of room.
+    pub scarcity_power: i32,
+}
+
+impl Weights {
+    /// For a chain that is whole: the engine with the least room bounds the whole chain, and the
+    /// fourth power comes close to a maximum and still adds up. A move of a tenth of 80 layers must
+    /// gain about a fifth of one engine's scarcity.
+    pub const BALANCE: Weights = Weights { load: 0.025, scarcity_power: 4 };
+    /// For a chain with a gap: streams wait for each load, some 0.2 s a layer, while room can be
+    /// evened out later. A neighbour takes up to about three layers before the next one shares.
+    pub const REPAIR: Weights = Weights { load: 1.0, scarcity_power: 2 };
+}
+
 /// Weight of a step's time against scarcity: of equal room, fast cards hold more layers.
 const STEP_TIME_WEIGHT: f64 = 0.5;
-/// Cost of loading the whole model once. At 2.0, a move of a tenth of the layers must gain about
-/// a fifth of one engine's scarcity.
-const LOAD_WEIGHT: f64 = 2.0;
 /// The least room, as tokens of usual requests, that an engine is left with.
 const LEAST_REQUESTS: f64 = 4.0;
 
 /// Divides all layers over the engines in their order; nothing if they can't hold them.
 ///
 /// Dynamic programming over (engine, first layer not yet given out), `O(engines * layers^2)`.
-pub fn divide(shape: &ModelShape, engines: &[ChainEngine]) -> Option<ChainPlan> {
+pub fn divide(shape: &ModelShape, engines: &[ChainEngine], weights: Weights) -> Option<ChainPlan> {
     let layers = shape.layers as usize;
-    let costs = EngineCosts::new(shape, engines);
+    let costs = EngineCosts::new(shape, engines, weights);
     let mut best = vec![vec![f64::INFINITY; layers + 1]; engines.len() + 1];
     let mut taken = vec![vec![0u32; layers + 1]; engines.len() + 1];
     best[0][0] = 0.0;
@@ -66,8 +79,13 @@
 }
 
 /// What the ranges that the engines hold now would cost as a division.
-pub fn cost_of(shape: &ModelShape, engines: &[ChainEngine], ranges: &[LayerRange]) -> f64 {
-    let costs = EngineCosts::new(shape, engines);
+pub fn cost_of(
+    shape: &ModelShape,
+    engines: &[ChainEngine],
+    ranges: &[LayerRange],
+    weights: Weights,
+) -> f64 {
+    let costs = EngineCosts::new(shape, engines, weights);
     let each = engines.iter().zip(ranges).enumerate();
     each.map(|(index, (engine, range))| costs.of(index, engine, *range)).sum()
 }
@@ -91,7 +109,7 @@
 }
 
 impl EngineCosts {
-    fn new(shape: &ModelShape, engines: &[ChainEngine]) -> EngineCosts {
+    fn new(shape: &ModelShape, engines: &[ChainEngine], weights: Weights) -> EngineCosts {
         let memory: f64 = engines.iter().map(|engine| engine.memory_mb).sum();
         let layers = f64::from(shape.layers);
         let even_room = (memory / layers - shape.layer_mb).max(0.0);
@@ -100,14 +118,14 @@
         let row = |engine: &ChainEngine| {
             let most = (engine.memory_mb / shape.layer_mb).floor() as u32;
             let counts = (0..=most.min(shape.layers)).map(|count| {
-                let scarcity = scarcity(shape, engine, count, even_room);
+                let scarcity = scarcity(shape, engine, count, even_room, weights);
                 let time = f64::from(count) * engine.step_factor / (layers * mean_step.max(1e-9));
                 scarcity + STEP_TIME_WEIGHT * time
             });
             counts.take_while(|cost| cost.is_finite()).collect()
         };
         let by_count = engines.iter().map(row).collect();
-        EngineCosts { by_count, load_per_layer: LOAD_WEIGHT / layers }
+        EngineCosts { by_count, load_per_layer: weights.load }
     }
 
     fn most_layers(&self, index: usize) -> u32 {
@@ -124,7 +142,13 @@
 }
 
 /// How scarce room is at an engine with so many layers, 1 where room is spread evenly.
-fn scarcity(shape: &ModelShape, engine: &ChainEngine, count: u32, even_room: f64) -> f64 {
+fn scarcity(
+    shape: &ModelShape,
+    engine: &ChainEngine,
+    count: u32,
+    even_room: f64,
+    weights: Weights,
+) -> f64 {
     if count == 0 {
         return 0.0;
     }
@@ -133,5 +157,5 @@
     if room < least {
         return f64::INFINITY;
     }
-    (even_room / room).powi(SCARCITY_POWER)
+    (even_room / room).powi(weights.scarcity_power)
 }
--- a/crates/routing/src/process/placement/planner.rs
+++ b/crates/routing/src/process/placement/planner.rs
@@ -1,6 +1,6 @@
 //! Plans the chain of one data centre: order of the engines and their layers.
 
-use crate::process::placement::{ChainEngine, ChainPlan, cost_of, divide};
+use crate::process::placement::{ChainEngine, ChainPlan, Weights, cost_of, divide};
 use crate::process::{EndpointId, LayerRange, MAX_PARTS};
 use crate::version::ModelShape;
 use std::collections::BTreeMap;
@@ -25,18 +25,25 @@
 /// closes layers to new requests for a while.
 const WORTH_MOVING: f64 = 0.8;
 
-/// The layers that each engine should hold; nothing where they can't hold the model.
+/// Whether the layers that engines hold or load cover the model.
+pub fn covers(shape: &ModelShape, engines: &[PlannedEngine]) -> bool {
+    (0..shape.layers).all(|layer| engines.iter().any(|engine| engine.held.contains(layer)))
+}
+
+/// The layers that each engine should hold; nothing where they can't hold the model. A chain with
+/// a gap is closed with few loads; one without is balanced.
 pub fn plan_data_centre(shape: &ModelShape, engines: &[PlannedEngine]) -> Option<Placement> {
+    let weights = if covers(shape, engines) { Weights::BALANCE } else { Weights::REPAIR };
     let engines = largest(engines);
     let (mut chain, new): (Vec<_>, Vec<_>) =
         engines.into_iter().partition(|engine| !engine.held.is_empty());
     chain.sort_by(|a, b| (a.held.from, a.held.to, &a.id).cmp(&(b.held.from, b.held.to, &b.id)));
     if chain.is_empty() {
-        let plan = divide(shape, &seen(&new))?;
+        let plan = divide(shape, &seen(&new), Weights::BALANCE)?;
         return Some(placement(&new, &plan.ranges));
     }
-    let ordered = with_new_engines(shape, chain, new);
-    let plan = divide(shape, &seen(&ordered))?;
+    let ordered = with_new_engines(shape, chain, new, weights);
+    let plan = divide(shape, &seen(&ordered), weights)?;
     Some(keep_or_move(shape, &ordered, plan))
 }
 
@@ -53,12 +60,13 @@
     shape: &ModelShape,
     mut chain: Vec<PlannedEngine>,
     new: Vec<PlannedEngine>,
+    weights: Weights,
 ) -> Vec<PlannedEngine> {
     for engine in new {
         let cost_at = |position: usize| {
             let mut tried = chain.clone();
             tried.insert(position, engine.clone());
-            divide(shape, &seen(&tried)).map_or(f64::INFINITY, |plan| plan.cost)
+            divide(shape, &seen(&tried), weights).map_or(f64::INFINITY, |plan| plan.cost)
         };
         let costs: Vec<f64> = (0..=chain.len()).map(cost_at).collect();
         let best = (0..costs.len()).min_by(|a, b| costs[*a].total_cmp(&costs[*b]));
@@ -70,7 +78,7 @@
 /// The plan, or what is held now if that is whole and the plan gains too little.
 fn keep_or_move(shape: &ModelShape, chain: &[PlannedEngine], plan: ChainPlan) -> Placement {
     let held: Vec<LayerRange> = chain.iter().map(|engine| engine.held).collect();
-    let now = cost_of(shape, &seen(chain), &held);
+    let now = cost_of(shape, &seen(chain), &held, Weights::BALANCE);
     if is_whole(shape, &held) && plan.cost > now * WORTH_MOVING {
         return placement(chain, &held);
     }
--- a/crates/routing/src/process/placement/transition.rs
+++ b/crates/routing/src/process/placement/transition.rs
@@ -20,9 +20,11 @@
 pub struct Step {
     /// The engine.
     pub id: EndpointId,
+    /// Requests wait for it: no whole chain exists.
+    pub is_urgent: bool,
     /// The layers to order.
     pub layers: LayerRange,
-    /// Layers are given up: requests must stop to use them first.
+    /// Layers are given up that requests use: these must stop to do so first.
     pub gives_up: bool,
 }
 
@@ -43,8 +45,8 @@
         let next =
             if is_served { careful(id, *want, holding, holdings, plan) } else { Some(*want) };
         let Some(next) = next.filter(|next| *next != holding.ready) else { continue };
-        let gives_up = holding.ready.overlap(next) < holding.ready.len();
-        steps.push(Step { id: id.clone(), layers: next, gives_up });
+        let gives_up = is_served && holding.ready.overlap(next) < holding.ready.len();
+        steps.push(Step { id: id.clone(), is_urgent: !is_served, layers: next, gives_up });
     }
     steps
 }
--- a/crates/routing/src/request/evidence.rs
+++ b/crates/routing/src/request/evidence.rs
@@ -1,5 +1,6 @@
 //! What is known of an attempt that brought no answer, and what may follow from it.
 
+use crate::process::EndpointId;
 use crate::version::Semantics;
 
 /// What is known of an attempt that brought no answer for the caller.
@@ -25,45 +26,58 @@
 }
 
 /// The attempts of one request so far.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct Attempts {
     semantics: Semantics,
-    most: u32,
-    sent: u32,
+    most: usize,
+    /// Endpoints that were sent the request and still live.
+    sent_to: Vec<EndpointId>,
+    sends: u32,
     may_have_run: bool,
 }
 
 impl Attempts {
     /// Nothing was sent yet; at most `most` endpoints may be sent the request.
     pub fn new(semantics: Semantics, most: u32) -> Attempts {
-        Attempts { semantics, most: most.max(1), sent: 0, may_have_run: false }
+        let most = most.max(1) as usize;
+        Attempts { semantics, most, sent_to: Vec::new(), sends: 0, may_have_run: false }
     }
 
-    /// An attempt ended without an answer.
-    pub fn on_failed(&mut self, evidence: Evidence) {
-        match evidence {
-            Evidence::NotSent => {}
-            Evidence::NotRun => self.sent += 1,
-            Evidence::MayHaveRun => {
-                self.sent += 1;
-                self.may_have_run = true;
-            }
+    /// An attempt at an endpoint ended without an answer.
+    pub fn on_failed(&mut self, endpoint: &str, evidence: Evidence) {
+        if evidence == Evidence::NotSent {
+            return;
+        }
+        self.sends += 1;
+        self.may_have_run |= evidence == Evidence::MayHaveRun;
+        if !self.sent_to.iter().any(|id| id == endpoint) {
+            self.sent_to.push(endpoint.to_owned());
         }
     }
 
-    /// An endpoint that was sent the request ended or was cut off: it doesn't count.
-    pub fn forgive_lost_endpoint(&mut self) {
-        self.sent = self.sent.saturating_sub(1);
+    /// Endpoints that have ended or were cut off don't count against the most.
+    pub fn forget_lost(&mut self, is_lost: impl Fn(&EndpointId) -> bool) {
+        self.sent_to.retain(|id| !is_lost(id));
     }
 
-    /// Whether the request may be sent once more.
+    /// Whether the request may be sent to an endpoint that it wasn't sent to yet.
     pub fn may_send(&self) -> bool {
-        self.sent < self.most && (!self.may_have_run || self.semantics.may_repeat())
+        self.sent_to.len() < self.most && self.may_repeat()
+    }
+
+    /// Whether the request may be sent to this endpoint.
+    pub fn may_send_to(&self, endpoint: &str) -> bool {
+        let was_sent = self.sent_to.iter().any(|id| id == endpoint);
+        (was_sent || self.sent_to.len() < self.most) && self.may_repeat()
+    }
+
+    fn may_repeat(&self) -> bool {
+        !self.may_have_run || self.semantics.may_repeat()
     }
 
     /// Whether a further send would be one beyond the first.
     pub fn is_repeat(&self) -> bool {
-        self.sent > 0
+        self.sends > 0
     }
 
     /// Whether it may have run somewhere.
