Leaving engines' streams move by repath; what vanishes from the list cuts nothing

Change: only an engine that doesn't answer breaks a path; one that leaves or has no entry retires it, and its streams are moved to the next path of their first engine; a silent stream is dropped only if another path has room.

--- a/crates/gateway/src/process/counters.rs
+++ b/crates/gateway/src/process/counters.rs
@@ -46,6 +46,8 @@
     BudgetRefusals => "budget_refusals",
     /// Streams that went on over another path.
     Resumed => "resumed",
+    /// Streams that their first engine moved to another path.
+    Repathed => "repathed",
     /// Attempts that an endpoint refused as not run.
     AttemptsNotRun => "attempts_not_run",
     /// Attempts that brought no answer.
--- a/crates/gateway/src/process/gateway.rs
+++ b/crates/gateway/src/process/gateway.rs
@@ -1,7 +1,8 @@
 //! What all parts of a gateway share.
 
 use crate::process::{
-    Beliefs, Count, Counters, EndpointNews, Handover, Knowledge, PathBook, Pool, SUSPECT_FOR,
+    Beliefs, Count, Counters, EndpointNews, EngineFate, Handover, Knowledge, PathBook, Pool,
+    SUSPECT_FOR,
 };
 use sorrellock_core::clock::SystemClock;
 use sorrellock_core::process::retries::Breakers;
@@ -165,12 +166,15 @@
         }
     }
 
-    /// Whether an endpoint has ended, or is cut off as far as the lead or this gateway can tell.
-    pub(crate) fn is_lost(&self, id: &str) -> bool {
-        let now = Instant::now();
-        let is_listed = self.knowledge.borrow().endpoint(id).is_some();
+    /// Whether an endpoint has ended or is cut off, as far as the lead can tell.
+    pub(crate) fn is_dead(&self, id: &str) -> bool {
         let beliefs = self.beliefs.borrow();
-        !is_listed || beliefs.engine(id, now).is_some_and(|engine| engine.is_dead)
+        beliefs.engine(id, Instant::now()).is_some_and(|engine| engine.is_dead)
+    }
+
+    /// Whether the list holds an endpoint.
+    pub(crate) fn is_listed(&self, id: &str) -> bool {
+        self.knowledge.borrow().endpoint(id).is_some()
     }
 
     /// Works out the paths of all models anew.
@@ -182,12 +186,18 @@
             let Some(shape) = &service.model else { continue };
             let holders = self.holders(&knowledge, &service.name, shape, now);
             let beliefs = self.beliefs.borrow();
-            let gone = |id: &EndpointId| match knowledge.endpoint(id) {
-                None => true,
-                Some(_) => beliefs.engine(id, now).is_some_and(|engine| engine.is_dead),
+            let fate = |id: &EndpointId| {
+                if beliefs.engine(id, now).is_some_and(|engine| engine.is_dead) {
+                    return EngineFate::Dead;
+                }
+                match knowledge.endpoint(id) {
+                    Some(endpoint) if !endpoint.is_leaving => EngineFate::Stays,
+                    // It finishes what it runs for a while, also without an entry.
+                    _ => EngineFate::Leaves,
+                }
             };
             let mut paths = self.paths.borrow_mut();
-            if paths.rebuild(&service.name, shape, &holders, gone, now) {
+            if paths.rebuild(&service.name, shape, &holders, fate, now) {
                 for live in paths.paths(&service.name) {
                     let text = sorrellock_platform::format_path(&live.path.parts);
                     info!("path in use", kv: {
--- a/crates/gateway/src/process/path_book.rs
+++ b/crates/gateway/src/process/path_book.rs
@@ -27,6 +27,17 @@
 /// From so many streams on a path is busy.
 const BUSY_STREAMS: u32 = 4;
 
+/// What becomes of an engine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum EngineFate {
+    /// It stays.
+    Stays,
+    /// It finishes what it runs for a few seconds, and takes nothing new.
+    Leaves,
+    /// What it runs is lost.
+    Dead,
+}
+
 /// A path with what this gateway's streams do on it.
 pub(crate) struct LivePath {
     /// Its engines.
@@ -39,7 +50,11 @@
     pub(crate) avoid_until: Cell<Option<Instant>>,
     /// When its engines were last asked whether they live.
     pub(crate) checked: Cell<Option<Instant>>,
-    /// An engine of it is gone.
+    /// Better paths are in use: it takes nothing new.
+    pub(crate) is_superseded: Cell<bool>,
+    /// An engine of it leaves: its streams should go on over another path before.
+    pub(crate) is_retiring: Cell<bool>,
+    /// An engine of it is dead.
     pub(crate) is_broken: Cell<bool>,
     /// Wakes its streams when it breaks.
     pub(crate) broken: Notify,
@@ -53,6 +68,8 @@
             last_event: Cell::new(now),
             avoid_until: Cell::new(None),
             checked: Cell::new(None),
+            is_superseded: Cell::new(false),
+            is_retiring: Cell::new(false),
             is_broken: Cell::new(false),
             broken: Notify::new(),
         }
@@ -72,10 +89,11 @@
     }
 
     fn is_avoided(&self, now: Instant) -> bool {
-        self.avoid_until.get().is_some_and(|until| until > now)
+        self.is_superseded.get() || self.avoid_until.get().is_some_and(|until| until > now)
     }
 
-    fn break_up(&self) {
+    /// Its streams are lost: they go on elsewhere.
+    pub(crate) fn break_up(&self) {
         self.is_broken.set(true);
         self.broken.notify_waiters();
     }
@@ -97,6 +115,18 @@
     book: Rc<RefCell<PathBook>>,
 }
 
+impl PathPlace {
+    /// Moves the place to another path in the same data centre.
+    pub(crate) fn move_to(&mut self, live: Rc<LivePath>, now: Instant) {
+        self.live.streams.set(self.live.streams.get() - 1);
+        if live.streams.get() == 0 {
+            live.last_event.set(now);
+        }
+        live.streams.set(live.streams.get() + 1);
+        self.live = live;
+    }
+}
+
 impl Drop for PathPlace {
     fn drop(&mut self) {
         self.live.streams.set(self.live.streams.get() - 1);
@@ -148,21 +178,22 @@
         self.paths.get(service).map_or(&[], Vec::as_slice)
     }
 
-    /// Works out the paths of a service anew. `gone` tells engines whose streams are lost.
-    /// Returns whether paths changed.
+    /// Works out the paths of a service anew. Returns whether paths changed.
     pub(crate) fn rebuild(
         &mut self,
         service: &str,
         shape: &ModelShape,
         holders: &[Holder],
-        gone: impl Fn(&EndpointId) -> bool,
+        fate: impl Fn(&EndpointId) -> EngineFate,
         now: Instant,
     ) -> bool {
         let old = self.paths.remove(service).unwrap_or_default();
         for live in &old {
-            if !live.is_broken.get() && live.path.parts.iter().any(|part| gone(&part.id)) {
+            let has = |wanted| live.path.parts.iter().any(|part| fate(&part.id) == wanted);
+            if !live.is_broken.get() && has(EngineFate::Dead) {
                 live.break_up();
             }
+            live.is_retiring.set(has(EngineFate::Leaves));
         }
         let mut is_changed = false;
         let mut fresh = Vec::new();
@@ -170,7 +201,10 @@
             let same =
                 |live: &&Rc<LivePath>| !live.is_broken.get() && live.path.parts == path.parts;
             match old.iter().find(same) {
-                Some(live) => fresh.push(Rc::clone(live)),
+                Some(live) => {
+                    is_changed |= live.is_superseded.replace(false);
+                    fresh.push(Rc::clone(live));
+                }
                 None => {
                     is_changed = true;
                     fresh.push(Rc::new(LivePath::new(path, now)));
@@ -185,7 +219,7 @@
                 && !fresh.iter().any(|other| Rc::ptr_eq(other, live))
         });
         for live in keep_watch.collect::<Vec<_>>() {
-            live.avoid(now + Duration::from_secs(3_600));
+            live.is_superseded.set(true);
             fresh.push(live);
         }
         self.paths.insert(service.to_owned(), fresh);
@@ -195,6 +229,34 @@
         is_changed
     }
 
+    /// A path in use that begins at the same engine as another, but is not that one.
+    pub(crate) fn successor(
+        &self,
+        service: &str,
+        of: &Rc<LivePath>,
+        now: Instant,
+    ) -> Option<Rc<LivePath>> {
+        let fits = |live: &&Rc<LivePath>| {
+            !Rc::ptr_eq(live, of)
+                && !live.is_broken.get()
+                && !live.is_retiring.get()
+                && !live.is_avoided(now)
+                && live.path.first().id == of.path.first().id
+        };
+        self.paths(service).iter().find(fits).cloned()
+    }
+
+    /// Whether a request could take a path now.
+    pub(crate) fn has_place(
+        &self,
+        service: &str,
+        tokens: f64,
+        may_take: impl Fn(&Rc<LivePath>) -> bool,
+        now: Instant,
+    ) -> bool {
+        self.choose(service, tokens, "", may_take, now).is_ok()
+    }
+
     /// Chooses the path with the most room, by share, among those that the request may take.
     fn choose(
         &self,
--- a/crates/gateway/src/process/path_check.rs
+++ b/crates/gateway/src/process/path_check.rs
@@ -25,15 +25,19 @@
     let data_centre = live.path.data_centre.as_str();
     info!("path checked", kv: { data_centre, engines = live.path.parts.len() });
     for part in &live.path.parts {
-        let check = check_engine(Rc::clone(gateway), part.id.clone(), part.addr);
+        let check = check_engine(Rc::clone(gateway), Rc::clone(live), part.id.clone(), part.addr);
         tokio::task::spawn_local(check);
     }
 }
 
-async fn check_engine(gateway: Rc<Gateway>, id: EndpointId, addr: SocketAddr) {
+/// An engine that doesn't answer breaks the path, which is silent already.
+async fn check_engine(gateway: Rc<Gateway>, live: Rc<LivePath>, id: EndpointId, addr: SocketAddr) {
     gateway.counters.add(Count::Reports);
     let client = Client::new(addr);
     if let Err(err) = read_report(&client, REPORT_LIMIT).await {
         gateway.suspect(&id, &err.to_string());
+        if live.is_silent(Instant::now()) {
+            live.break_up();
+        }
     }
 }
--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -7,6 +7,7 @@
 mod event_parser;
 mod plain;
 mod relay;
+mod repath;
 mod stream;
 
 pub(crate) use answer::*;
--- a/crates/gateway/src/request/relay.rs
+++ b/crates/gateway/src/request/relay.rs
@@ -1,10 +1,12 @@
 //! Passes a stream's events on, and goes on over another path when its own breaks or stalls.
 
 use crate::process::{Count, Gateway, LivePath, check_path};
-use crate::request::stream::{NotBegun, Run, begin, broken};
+use crate::request::repath::{Repath, RepathEnd};
+use crate::request::stream::{NotBegun, Run, begin, broken, expected_tokens};
 use crate::request::{Call, EventError, EventParser, Part};
 use bytes::Bytes;
 use http_body_util::BodyExt;
+use sorrellock_platform::OrderEnd;
 use sorrellock_routing::request::{Attempts, Evidence};
 use spdlog::{info, warn};
 use std::rc::Rc;
@@ -24,6 +26,9 @@
 /// The wait before another try to go on, after there was no place.
 const MEND_RETRY: Duration = Duration::from_millis(60);
 
+/// How the reason of a run begins that ended with its engine's connection.
+const BROKE_OFF: &str = "the engine's connection broke";
+
 /// One stream on its way to its caller.
 pub(crate) struct Relay {
     gateway: Rc<Gateway>,
@@ -36,6 +41,7 @@
     /// Paths that failed this stream.
     avoid: Vec<Rc<LivePath>>,
     mends: u32,
+    repath: Repath,
 }
 
 /// What comes next of a stream.
@@ -45,8 +51,10 @@
     Ended,
     /// The engine's connection broke.
     Broke(String),
-    /// An engine of the path is gone.
+    /// An engine of the path is dead.
     PathGone,
+    /// An order to go on over another path has ended.
+    Repathed(RepathEnd),
     /// Nothing came for too long.
     Silent,
     CallerGone,
@@ -74,6 +82,7 @@
             last_event,
             avoid: Vec::new(),
             mends: 0,
+            repath: Repath::default(),
         }
     }
 
@@ -97,6 +106,7 @@
                         return;
                     }
                 }
+                Next::Repathed(end) => self.on_repathed(end),
                 Next::PathGone => {
                     if !self.lost("an engine of the path is gone").await {
                         return;
@@ -119,11 +129,17 @@
         let deadline = self.call.deadline;
         let mut look = self.last_event + SILENCE_LOOK;
         loop {
+            let now = Instant::now();
+            if live.is_retiring.get() && !live.is_broken.get() {
+                self.repath.start(&self.gateway, &self.call, &live, now);
+                look = look.min(now + SILENCE_TICK);
+            }
             tokio::select! {
                 biased;
                 frame = run.begun.answer.body_mut().frame() => return next_of_frame(frame),
                 () = self.tx.closed() => return Next::CallerGone,
                 () = broken(&live) => return Next::PathGone,
+                end = self.repath.end() => return Next::Repathed(end),
                 () = sleep_until(look.min(deadline)) => {
                     let now = Instant::now();
                     if now >= deadline {
@@ -133,9 +149,8 @@
                     if live.is_silent(now) {
                         check_path(&self.gateway, &live);
                     }
-                    let may_mend = self.call.route.semantics.may_repeat();
-                    let is_over = silence >= STREAM_SILENCE || live.is_silent(now);
-                    if may_mend && is_over && silence < CALLER_PATIENCE {
+                    let is_over = silence >= STREAM_SILENCE && silence < CALLER_PATIENCE;
+                    if is_over && has_other_path(&self.gateway, &self.call, &self.attempts, &live) {
                         return Next::Silent;
                     }
                     look = now + SILENCE_TICK;
@@ -168,6 +183,20 @@
         }
     }
 
+    fn on_repathed(&mut self, end: RepathEnd) {
+        let outcome = format!("{:?}", end.order);
+        info!("stream moved to another path", kv: {
+            request = self.call.id(), data_centre = end.to.path.data_centre.as_str(),
+            after:? = self.events.last(), outcome = outcome.as_str()
+        });
+        if matches!(end.order, OrderEnd::Begun | OrderEnd::Done) {
+            self.gateway.counters.add(Count::Repathed);
+            if let Some(run) = &mut self.run {
+                run.place.move_to(end.to, Instant::now());
+            }
+        }
+    }
+
     async fn finish(mut self) {
         let Some(run) = self.run.take() else { return };
         run.begun.in_flight.on_answered();
@@ -187,18 +216,28 @@
 
     /// The run is lost or stalls: goes on over another path. Whether the stream goes on.
     async fn lost(&mut self, why: &str) -> bool {
+        let broke_off = why.starts_with(BROKE_OFF);
         let silent_ms = self.last_event.elapsed().as_millis() as u64;
         let last = self.events.last();
         warn!("stream lost its run", kv: {
             request = self.call.id(), why, after:? = last, silent_ms, mends = self.mends
         });
+        let mut ended = None;
         // The engine stops its work when its connection closes.
+        self.repath = Repath::default();
         if let Some(run) = self.run.take() {
             let live = &run.place.live;
+            if !self.gateway.is_listed(&live.path.first().id) {
+                // An engine without an entry that breaks off has ended.
+                ended = Some(live.path.first().id.clone());
+            }
             check_path(&self.gateway, live);
             self.attempts.on_failed(&live.path.first().id, Evidence::MayHaveRun);
             self.avoid.push(Rc::clone(live));
         }
+        if let Some(ended) = ended.filter(|_| broke_off) {
+            self.attempts.forget_lost(|id| *id == ended);
+        }
         if !self.call.route.semantics.may_repeat() {
             self.cut_now(&format!("{why}; it may not be resumed"));
             return false;
@@ -262,10 +301,27 @@
     }
 }
 
+/// Whether a silent stream could go on over another path: else its run may still come back.
+fn has_other_path(
+    gateway: &Gateway,
+    call: &Call,
+    attempts: &Attempts,
+    silent: &Rc<LivePath>,
+) -> bool {
+    let mut after = attempts.clone();
+    after.on_failed(&silent.path.first().id, Evidence::MayHaveRun);
+    let may_take =
+        |live: &Rc<LivePath>| !Rc::ptr_eq(live, silent) && after.may_send_to(&live.path.first().id);
+    let tokens = expected_tokens(call);
+    let paths = gateway.paths.borrow();
+    call.route.semantics.may_repeat()
+        && paths.has_place(&call.service, tokens, may_take, Instant::now())
+}
+
 fn next_of_frame(frame: Option<Result<hyper::body::Frame<Bytes>, hyper::Error>>) -> Next {
     match frame {
         None => Next::Ended,
-        Some(Err(err)) => Next::Broke(format!("the engine's connection broke: {err}")),
+        Some(Err(err)) => Next::Broke(format!("{BROKE_OFF}: {err}")),
         Some(Ok(frame)) => Next::Chunk(frame.into_data().unwrap_or_default()),
     }
 }
--- /dev/null
+++ b/crates/gateway/src/request/repath.rs
@@ -0,0 +1,74 @@
+//! Moves a stream to another path of its first engine, without a new run.
+
+use crate::process::{Count, Gateway, LivePath};
+use crate::request::Call;
+use sorrellock_platform::{Client, OrderEnd, order_repath};
+use std::future::pending;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::oneshot;
+use tokio::time::Instant;
+
+/// Time for the order to be answered.
+const ORDER_LIMIT: Duration = Duration::from_millis(800);
+/// The wait before another try, after one that failed.
+const RETRY: Duration = Duration::from_millis(300);
+/// Tries of one stream: each order is priced.
+const MOST_TRIES: u32 = 4;
+
+/// How an order to move ended.
+pub(crate) struct RepathEnd {
+    /// The path that was ordered.
+    pub(crate) to: Rc<LivePath>,
+    pub(crate) order: OrderEnd,
+}
+
+/// The orders to move one stream.
+#[derive(Default)]
+pub(crate) struct Repath {
+    under_way: Option<oneshot::Receiver<RepathEnd>>,
+    tried: Option<Instant>,
+    tries: u32,
+}
+
+impl Repath {
+    /// Gives an order to go on over another path of the same first engine, if there is one now
+    /// and none is under way.
+    pub(crate) fn start(
+        &mut self,
+        gateway: &Rc<Gateway>,
+        call: &Call,
+        from: &Rc<LivePath>,
+        now: Instant,
+    ) {
+        let is_early = self.tried.is_some_and(|tried| now - tried < RETRY);
+        if self.under_way.is_some() || is_early || self.tries >= MOST_TRIES {
+            return;
+        }
+        let to = gateway.paths.borrow().successor(&call.service, from, now);
+        let Some(to) = to else { return };
+        self.tried = Some(now);
+        self.tries += 1;
+        gateway.counters.add(Count::Orders);
+        let (tx, rx) = oneshot::channel();
+        self.under_way = Some(rx);
+        let request = call.id().to_owned();
+        let client = Client::new(from.path.first().addr);
+        tokio::task::spawn_local(async move {
+            let order = order_repath(&client, &request, &to.path.parts, ORDER_LIMIT).await;
+            // A stream that has ended meanwhile needs no answer.
+            let _ = tx.send(RepathEnd { to, order });
+        });
+    }
+
+    /// Waits for the end of the order under way; for ever if there is none.
+    pub(crate) async fn end(&mut self) -> RepathEnd {
+        let Some(rx) = &mut self.under_way else { return pending().await };
+        let end = rx.await;
+        self.under_way = None;
+        match end {
+            Ok(end) => end,
+            Err(_) => pending().await,
+        }
+    }
+}
--- a/crates/gateway/src/request/stream.rs
+++ b/crates/gateway/src/request/stream.rs
@@ -11,7 +11,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::mpsc;
-use tokio::time::{Instant, timeout, timeout_at};
+use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 /// Events that wait for a slow caller; beyond it the engine's connection isn't read.
 const PARTS_BUFFERED: usize = 32;
@@ -24,9 +24,13 @@
 /// When to come back where no path exists: a lost engine is found and its layers are loaded in
 /// about that time.
 const RETRY_AFTER_NO_PATH: Duration = Duration::from_millis(2_500);
-/// How long the first event may take while another path could be tried: callers leave after two
-/// seconds.
-const FIRST_EVENT_PATIENCE: Duration = Duration::from_millis(1_000);
+/// How long the first event may take before another path is tried: callers leave after two
+/// seconds. A path that serves others is only busy, and another one rarely less.
+const FIRST_EVENT_PATIENCE: Duration = Duration::from_millis(1_700);
+/// The same on a path that is silent as a whole.
+const FIRST_EVENT_PATIENCE_SILENT: Duration = Duration::from_millis(600);
+/// How often a request that waits for its first event looks at its path.
+const FIRST_EVENT_TICK: Duration = Duration::from_millis(100);
 /// How long a path that refused a request gets nothing new from this gateway.
 const REFUSED_AVOID: Duration = Duration::from_millis(250);
 /// How long a path on which nothing came gets nothing new.
@@ -120,7 +124,7 @@
         if call.time_left().is_zero() {
             return Err(NotBegun::TimeOver);
         }
-        attempts.forget_lost(|id| gateway.is_lost(id));
+        attempts.forget_lost(|id| gateway.is_dead(id));
         let place = match place(gateway, call, attempts, avoid, room_until).await {
             Ok(place) => place,
             Err(none) => return Err(failure.map_or(NotBegun::NoPlace(none), NotBegun::Failure)),
@@ -168,7 +172,7 @@
 }
 
 /// KV cache that a request is expected to take, in tokens, on average over its run.
-fn expected_tokens(call: &Call) -> f64 {
+pub(crate) fn expected_tokens(call: &Call) -> f64 {
     let Some(tokens) = call.head.tokens else { return 1.0 };
     let most = f64::from(tokens.most_output);
     let answer = call.head.length_hint.map_or(most, |hint| f64::from(hint).min(most));
@@ -192,24 +196,38 @@
     });
     let target =
         Target { id: first.id.clone(), addr: first.addr, path: &path.parts, last_event: last };
-    let limit = call.time_left();
-    let sending = attempt(gateway, call, &target, limit);
-    let patience = if call.route.semantics.may_repeat() { FIRST_EVENT_PATIENCE } else { limit };
-    let mut sending = std::pin::pin!(sending);
-    let begun = tokio::select! {
-        begun = timeout(patience, &mut sending) => begun,
-        () = broken(&live) => return Err(gone(&live)),
-    };
-    match begun {
-        Ok(begun) => begun.map(|begun| Run { begun, place }),
-        Err(_) => Err(Failed {
-            evidence: Evidence::MayHaveRun,
-            at_fault: None,
-            why: format!("no event in {} ms", patience.as_millis()),
-        }),
+    let sending = attempt(gateway, call, &target, call.time_left());
+    tokio::select! {
+        begun = sending => begun.map(|begun| Run { begun, place }),
+        () = broken(&live) => Err(no_event(format!(
+            "an engine of the path in {} is dead", live.path.data_centre
+        ))),
+        waited = too_late(call, &live) => Err(no_event(format!(
+            "no event in {} ms", waited.as_millis()
+        ))),
+    }
+}
+
+/// Ends when the first event is so late that another path should be tried.
+async fn too_late(call: &Call, live: &LivePath) -> Duration {
+    let began = Instant::now();
+    loop {
+        sleep(FIRST_EVENT_TICK).await;
+        let waited = began.elapsed();
+        let patience = match live.is_silent(Instant::now()) {
+            true => FIRST_EVENT_PATIENCE_SILENT,
+            false => FIRST_EVENT_PATIENCE,
+        };
+        if call.route.semantics.may_repeat() && waited >= patience {
+            return waited;
+        }
     }
 }
 
+fn no_event(why: String) -> Failed {
+    Failed { evidence: Evidence::MayHaveRun, at_fault: None, why }
+}
+
 /// Ends when the path has lost an engine.
 pub(crate) async fn broken(live: &LivePath) {
     let notified = live.broken.notified();
@@ -218,14 +236,6 @@
     }
 }
 
-fn gone(live: &LivePath) -> Failed {
-    Failed {
-        evidence: Evidence::MayHaveRun,
-        at_fault: None,
-        why: format!("an engine of the path in {} is gone", live.path.data_centre),
-    }
-}
-
 fn on_failed(
     gateway: &Rc<Gateway>,
     call: &Call,
