Gateways hear each other again; leaving is believed by health; one budget over all

Cause: two guards of one cell in one expression stopped the task that tells the other gateways, in silence: all led at once, and none knew the others' loads. BUDGET broke as cut gateways took the whole slack for theirs; with the store down an engine that leaves was asked again and again. Change: a task that ends ends the process; an isolated lead stands still; sharers of the budget are counted by the store's list, and nothing of the slack is spent for what a restart forgot; a refuser is asked for its health, and what it says is passed on; scarce chains are balanced after 0.3 s.

--- a/crates/gateway/src/process/beliefs.rs
+++ b/crates/gateway/src/process/beliefs.rs
@@ -9,11 +9,17 @@
 
 /// A gateway that wasn't heard for so long is taken to be gone: ten lost messages in a row.
 pub(crate) const PEER_LAPSE: Duration = Duration::from_millis(1_500);
+/// A gateway that wasn't heard for so long spends none of the retry budget: its window is over.
+const BUDGET_SHARER_LAPSE: Duration = Duration::from_secs(15);
 /// What the lead told last is used for so long; after that the list of endpoints is fresher.
 pub(crate) const LEAD_VIEW_LAPSE: Duration = Duration::from_secs(4);
 /// For how long an endpoint that failed an attempt gets no new work, if the lead doesn't say more.
 pub(crate) const SUSPECT_FOR: Duration = Duration::from_millis(1_000);
 
+/// For how long it is believed that an endpoint leaves that said so itself: its entry says so by
+/// then, but for an outage of the store.
+pub(crate) const LEAVING_FOR: Duration = Duration::from_secs(10);
+
 /// Another gateway.
 pub(crate) struct Peer {
     /// Where it listens for messages.
@@ -24,13 +30,25 @@
     pub(crate) heard: Instant,
 }
 
+/// An endpoint that told that it takes nothing more.
+struct Leaving {
+    until: Instant,
+    /// It told this gateway itself.
+    is_own: bool,
+}
+
 /// What a gateway believes beyond what the store tells.
 #[derive(Default)]
 pub(crate) struct Beliefs {
     /// By instance.
     pub(crate) peers: HashMap<String, Peer>,
+    /// Gateways that the store tells of, this one included.
+    pub(crate) registered: usize,
     /// Endpoints that failed, until when they get nothing new.
     suspects: HashMap<EndpointId, Instant>,
+    /// Endpoints that told themselves that they take nothing more, and until when that is believed
+    /// without an entry that says so.
+    leaving: HashMap<EndpointId, Leaving>,
     lead: Option<(LeadView, Instant)>,
 }
 
@@ -40,9 +58,11 @@
         self.peers.values().filter(move |peer| now - peer.heard < PEER_LAPSE)
     }
 
-    /// Gateways that share the retry budget, this one included.
+    /// Gateways that share the retry budget, this one included: those that can't be heard may
+    /// still spend it.
     pub(crate) fn gateways(&self, now: Instant) -> usize {
-        self.live_peers(now).count() + 1
+        let heard = self.peers.values().filter(|peer| now - peer.heard < BUDGET_SHARER_LAPSE);
+        (heard.count() + 1).max(self.registered)
     }
 
     /// An endpoint failed: it gets nothing new for a while. Tells whether that is news.
@@ -53,6 +73,33 @@
         is_news
     }
 
+    /// An endpoint told this gateway that it takes nothing more. Tells whether that is news.
+    pub(crate) fn believe_leaving(&mut self, id: &str, now: Instant) -> bool {
+        let is_news = !self.is_leaving(id, now);
+        let leaving = Leaving { until: now + LEAVING_FOR, is_own: true };
+        self.leaving.insert(id.to_owned(), leaving);
+        is_news
+    }
+
+    /// Another gateway heard that from an endpoint.
+    pub(crate) fn hear_leaving(&mut self, id: &str, now: Instant) {
+        let leaving = Leaving { until: now + LEAVING_FOR, is_own: false };
+        self.leaving.insert(id.to_owned(), leaving);
+    }
+
+    /// Whether an endpoint told that it takes nothing more.
+    pub(crate) fn is_leaving(&self, id: &str, now: Instant) -> bool {
+        self.leaving.get(id).is_some_and(|leaving| leaving.until > now)
+    }
+
+    /// Endpoints that told this gateway that they take nothing more. What others heard is theirs
+    /// to pass on, so that it ends.
+    pub(crate) fn leaving_own(&mut self, now: Instant) -> Vec<EndpointId> {
+        self.leaving.retain(|_, leaving| leaving.until > now);
+        let own = self.leaving.iter().filter(|(_, leaving)| leaving.is_own);
+        own.map(|(id, _)| id.clone()).collect()
+    }
+
     /// Whether an endpoint is suspected.
     pub(crate) fn is_suspect(&self, id: &str, now: Instant) -> bool {
         self.suspects.get(id).is_some_and(|until| *until > now)
--- a/crates/gateway/src/process/gateway.rs
+++ b/crates/gateway/src/process/gateway.rs
@@ -12,6 +12,7 @@
 use spdlog::{info, warn};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::sync::{Notify, watch};
 use tokio::time::Instant;
@@ -43,6 +44,7 @@
     pub(crate) settings: Settings,
     /// Drawn at the start: tells lifetimes apart.
     pub(crate) incarnation: u64,
+    pub(crate) began: Instant,
     pub(crate) counters: Counters,
     pub(crate) knowledge: RefCell<Knowledge>,
     pub(crate) beliefs: RefCell<Beliefs>,
@@ -53,6 +55,8 @@
     pub(crate) budgets: RefCell<HashMap<ServiceName, RetryWindow>>,
     /// When a call of the store last failed.
     pub(crate) store_failed: Cell<Option<Instant>>,
+    /// Endpoints that refused a request, and when they were last asked why.
+    pub(crate) refusers_checked: RefCell<HashMap<SocketAddr, Instant>>,
     /// Requests under way.
     pub(crate) in_flight: Cell<usize>,
     /// Wakes the placer: an engine came, went or is suspected.
@@ -66,6 +70,7 @@
         Gateway {
             settings,
             incarnation,
+            began: Instant::now(),
             counters: Counters::new(),
             knowledge: RefCell::default(),
             beliefs: RefCell::default(),
@@ -75,6 +80,7 @@
             breakers: RefCell::new(Breakers::new(SystemClock)),
             budgets: RefCell::default(),
             store_failed: Cell::new(None),
+            refusers_checked: RefCell::default(),
             in_flight: Cell::new(0),
             engines_changed: Notify::new(),
             phase: watch::Sender::new(Phase::Running),
@@ -166,6 +172,17 @@
         }
     }
 
+    /// An endpoint told that it takes nothing more.
+    pub(crate) fn believe_leaving(&self, id: &str) {
+        let now = Instant::now();
+        if self.beliefs.borrow_mut().believe_leaving(id, now) {
+            let source = self.settings.instance.as_str();
+            info!("endpoint told that it leaves", kv: { endpoint = id, source });
+            self.refresh_paths();
+            self.engines_changed.notify_waiters();
+        }
+    }
+
     /// Whether an endpoint has ended or is cut off, as far as the lead can tell.
     pub(crate) fn is_dead(&self, id: &str) -> bool {
         let beliefs = self.beliefs.borrow();
@@ -191,7 +208,9 @@
                     return EngineFate::Dead;
                 }
                 match knowledge.endpoint(id) {
-                    Some(endpoint) if !endpoint.is_leaving => EngineFate::Stays,
+                    Some(endpoint) if !endpoint.is_leaving && !beliefs.is_leaving(id, now) => {
+                        EngineFate::Stays
+                    }
                     // It finishes what it runs for a while, also without an entry.
                     _ => EngineFate::Leaves,
                 }
@@ -222,7 +241,10 @@
         let beliefs = self.beliefs.borrow();
         let mut holders = Vec::new();
         let engines = knowledge.endpoints().filter(|endpoint| endpoint.service == service);
-        for endpoint in engines.filter(|endpoint| !endpoint.is_leaving) {
+        for endpoint in engines {
+            if endpoint.is_leaving || beliefs.is_leaving(&endpoint.id, now) {
+                continue;
+            }
             let view = beliefs.engine(&endpoint.id, now);
             let layers = view.map_or(endpoint.layers, |view| view.usable);
             let is_dead = view.is_some_and(|view| view.is_dead);
@@ -247,7 +269,8 @@
     /// A request came in for a service.
     pub(crate) fn on_request(&self, service: &str) {
         let mut budgets = self.budgets.borrow_mut();
-        let new = || RetryWindow::new(self.settings.retries);
+        let began = self.began.into_std();
+        let new = || RetryWindow::new(self.settings.retries, began);
         let budget = budgets.entry(service.to_owned()).or_insert_with(new);
         budget.on_request(Instant::now().into_std());
     }
--- a/crates/gateway/src/process/lead.rs
+++ b/crates/gateway/src/process/lead.rs
@@ -21,6 +21,9 @@
 const SILENCE_PER_RANK: Duration = Duration::from_millis(300);
 /// Silence after which the first gateway leads without the store, while that can't be reached.
 const SILENCE_WITHOUT_STORE: Duration = Duration::from_secs(3);
+/// A failed call of the store within this time, with no other gateway heard, means a cut: calls
+/// are repeated within a second.
+const ISOLATION_DOUBT: Duration = Duration::from_secs(3);
 /// Name of the lead's object.
 const LEAD_NAME: &str = "placement";
 
@@ -63,6 +66,9 @@
         if let Some(other) = self.heard_term().filter(|other| *other > term) {
             return self.step_down(&format!("a gateway leads with term {other}"));
         }
+        if self.is_isolated() {
+            return self.step_down("neither the store nor another gateway is heard");
+        }
         if self.confirmed.elapsed() < CONFIRM_INTERVAL {
             return;
         }
@@ -79,6 +85,16 @@
         }
     }
 
+    /// Cut off from the store and from all other gateways, of which there are some: another one
+    /// leads by now.
+    fn is_isolated(&self) -> bool {
+        let beliefs = self.gateway.beliefs.borrow();
+        let is_alone = beliefs.live_peers(Instant::now()).next().is_none();
+        let failed = self.gateway.store_failed.get();
+        let is_cut = failed.is_some_and(|failed| failed.elapsed() < ISOLATION_DOUBT);
+        is_alone && is_cut && beliefs.registered > 1
+    }
+
     fn step_down(&mut self, why: &str) {
         let term = self.term.take();
         self.heard = Instant::now();
@@ -92,6 +108,9 @@
         }
         let silence = now - self.heard;
         let rank = self.rank(now);
+        if self.is_isolated() {
+            return;
+        }
         if silence < SILENCE + SILENCE_PER_RANK * rank || now < self.try_after {
             return;
         }
--- a/crates/gateway/src/process/path_book.rs
+++ b/crates/gateway/src/process/path_book.rs
@@ -288,6 +288,29 @@
         best.map(|(_, live)| Rc::clone(live)).ok_or(none)
     }
 
+    /// What was weighed: each path's state, its room and what is taken of it, for log lines.
+    pub(crate) fn describe(&self, service: &str, now: Instant) -> String {
+        let describe = |live: &Rc<LivePath>| {
+            let state = if live.is_broken.get() {
+                "broken"
+            } else if live.is_superseded.get() {
+                "superseded"
+            } else if live.is_avoided(now) {
+                "avoided"
+            } else if live.is_silent(now) {
+                "silent"
+            } else {
+                "open"
+            };
+            let taken = self.taken(&live.path.data_centre);
+            format!(
+                "{} {state} {:.0}/{:.0} tokens, {} streams",
+                live.path.data_centre, taken.tokens, live.path.token_room, taken.streams
+            )
+        };
+        self.paths(service).iter().map(describe).collect::<Vec<_>>().join("; ")
+    }
+
     fn taken(&self, data_centre: &str) -> Load {
         let own = self.own.get(data_centre).copied().unwrap_or_default();
         let peers = self.peers.get(data_centre).copied().unwrap_or_default();
--- a/crates/gateway/src/process/path_check.rs
+++ b/crates/gateway/src/process/path_check.rs
@@ -1,7 +1,7 @@
 //! Finds which engines of a silent path are dead, by asking each.
 
 use crate::process::{Count, Gateway, LivePath};
-use sorrellock_platform::{Client, read_report};
+use sorrellock_platform::{Client, read_health, read_report};
 use sorrellock_routing::process::EndpointId;
 use spdlog::info;
 use std::net::SocketAddr;
@@ -11,6 +11,8 @@
 
 /// Time for an engine's report: a hundred round trips inside a region.
 const REPORT_LIMIT: Duration = Duration::from_millis(200);
+/// Time for an endpoint's health: it may wait for a slot.
+const HEALTH_LIMIT: Duration = Duration::from_millis(400);
 /// A path is asked at most this often: each report is priced.
 const CHECK_INTERVAL: Duration = Duration::from_millis(700);
 
@@ -41,3 +43,34 @@
         }
     }
 }
+
+/// An endpoint refused a request as not run: asks it whether it leaves, unless that was done just
+/// now. The list may not tell for long, as while the store is down.
+pub(crate) fn check_refuser(gateway: &Rc<Gateway>, addr: SocketAddr) {
+    let now = Instant::now();
+    let mut checked = gateway.refusers_checked.borrow_mut();
+    checked.retain(|_, at| now - *at < CHECK_INTERVAL);
+    if checked.insert(addr, now).is_some() {
+        return;
+    }
+    let found = {
+        let knowledge = gateway.knowledge.borrow();
+        let endpoint = knowledge.endpoints().find(|endpoint| endpoint.addr == addr);
+        endpoint.filter(|endpoint| !endpoint.is_leaving).and_then(|endpoint| {
+            let service = knowledge.routes()?.service(&endpoint.service)?;
+            Some((endpoint.id.clone(), service.health_path.clone()))
+        })
+    };
+    if let Some((id, path)) = found {
+        tokio::task::spawn_local(check_health(Rc::clone(gateway), id, addr, path));
+    }
+}
+
+async fn check_health(gateway: Rc<Gateway>, id: EndpointId, addr: SocketAddr, path: String) {
+    gateway.counters.add(Count::Reports);
+    match read_health(&Client::new(addr), &path, HEALTH_LIMIT).await {
+        Ok(true) => {}
+        Ok(false) => gateway.believe_leaving(&id),
+        Err(err) => gateway.suspect(&id, &err.to_string()),
+    }
+}
--- a/crates/gateway/src/process/peer_message.rs
+++ b/crates/gateway/src/process/peer_message.rs
@@ -21,6 +21,8 @@
     pub(crate) loads: Vec<DataCentreLoad>,
     /// Engines that the sender takes to be dead or cut off, by its own streams.
     pub(crate) suspects: Vec<EndpointId>,
+    /// Endpoints that told the sender that they take nothing more.
+    pub(crate) leaving: Vec<EndpointId>,
     /// What the lead knows; none from others.
     pub(crate) lead: Option<LeadView>,
 }
--- a/crates/gateway/src/process/peers.rs
+++ b/crates/gateway/src/process/peers.rs
@@ -78,6 +78,9 @@
     fn message(&self) -> PeerMessage {
         let gateway = &self.gateway;
         self.sequence.set(self.sequence.get() + 1);
+        let now = Instant::now();
+        let suspects = gateway.beliefs.borrow_mut().suspects(now);
+        let leaving = gateway.beliefs.borrow_mut().leaving_own(now);
         let paths = gateway.paths.borrow();
         let load = |(data_centre, load): (&String, &Load)| DataCentreLoad {
             data_centre: data_centre.clone(),
@@ -91,7 +94,8 @@
             config_version: gateway.knowledge.borrow().config_version(),
             endpoints_at: gateway.knowledge.borrow().endpoints_at(),
             loads: paths.own_loads().map(load).collect(),
-            suspects: gateway.beliefs.borrow_mut().suspects(Instant::now()),
+            suspects,
+            leaving,
             lead: self.own_view.borrow().clone(),
         }
     }
@@ -172,13 +176,22 @@
             before_suspects(&beliefs.peers, &message.instance).is_none_or(|all| !all.contains(id))
         });
         let has_new_suspects = new_suspects.count() > 0;
+        let told = message.leaving.iter();
+        let told = told.filter(|id| !beliefs.is_leaving(id, now)).cloned().collect::<Vec<_>>();
+        for id in &told {
+            beliefs.hear_leaving(id, now);
+            info!("endpoint told that it leaves", kv: {
+                endpoint = id.as_str(), source = message.instance.as_str()
+            });
+            is_changed = true;
+        }
         let instance = message.instance.clone();
         beliefs.peers.insert(instance, Peer { addr: from, message, heard: now });
         drop(beliefs);
         if is_changed {
             gateway.refresh_paths();
         }
-        if has_new_suspects {
+        if has_new_suspects || !told.is_empty() {
             gateway.engines_changed.notify_waiters();
         }
     }
@@ -220,6 +233,7 @@
             object.read::<Registration>().ok().map(|registration| registration.addr)
         });
         *self.registered.borrow_mut() = addrs.collect();
+        self.gateway.beliefs.borrow_mut().registered = self.registered.borrow().len();
         Ok(())
     }
 
--- a/crates/gateway/src/process/placer.rs
+++ b/crates/gateway/src/process/placer.rs
@@ -6,7 +6,7 @@
     CallError, Client, EngineReport, OrderEnd, Store, order_layers, read_report,
 };
 use sorrellock_routing::process::placement::{
-    Holding, Placement, PlannedEngine, Step, covers, next_steps, plan_data_centre,
+    Holding, Placement, PlannedEngine, Step, covers, is_scarce, next_steps, plan_data_centre,
 };
 use sorrellock_routing::process::{DataCentre, Endpoint, EndpointId, LayerRange};
 use sorrellock_routing::version::{ModelShape, ServiceName};
@@ -40,8 +40,10 @@
 /// How long a chain must be whole before it is balanced: troubles often come together, and an
 /// engine that joins is often followed within seconds by the one that it replaces.
 const BALANCE_AFTER: Duration = Duration::from_secs(3);
+/// The same for a chain that has less than about half of the room that it could have.
+const BALANCE_SCARCE_AFTER: Duration = Duration::from_millis(300);
 /// Engines that move at once while no requests wait for it: loads slow each other.
-const QUIET_MOVES: usize = 3;
+const QUIET_MOVES: usize = 4;
 /// How often a plan is looked at again without news.
 const REPLAN_INTERVAL: Duration = Duration::from_secs(2);
 /// Pause between two rounds of orders.
@@ -185,8 +187,10 @@
         let knowledge = self.gateway.knowledge.borrow();
         let names: HashSet<&ServiceName> = services.iter().map(|(name, _)| name).collect();
         let here = knowledge.endpoints().filter(|endpoint| names.contains(&endpoint.service));
+        let beliefs = self.gateway.beliefs.borrow();
+        let stays = |e: &&Endpoint| !e.is_leaving && !beliefs.is_leaving(&e.id, now);
         let here: HashMap<&EndpointId, &Endpoint> =
-            here.filter(|endpoint| !endpoint.is_leaving).map(|e| (&e.id, e)).collect();
+            here.filter(stays).map(|endpoint| (&endpoint.id, endpoint)).collect();
         let mut engines = self.engines.borrow_mut();
         engines.retain(|id, _| here.contains_key(id));
         for (id, endpoint) in here {
@@ -276,10 +280,12 @@
         }
         let ids: BTreeSet<EndpointId> = planned.iter().map(|engine| engine.id.clone()).collect();
         let entry = self.whole.entry(key.clone()).or_insert_with(|| (ids.clone(), now));
-        if entry.0 != ids {
+        if !ids.is_superset(&entry.0) {
             *entry = (ids, now);
         }
-        now - entry.1 >= BALANCE_AFTER
+        let whole_for = now - entry.1;
+        whole_for >= BALANCE_AFTER
+            || (whole_for >= BALANCE_SCARCE_AFTER && is_scarce(shape, planned))
     }
 
     /// The engines that are alive; nothing while one of them wasn't heard yet.
--- a/crates/gateway/src/process/run.rs
+++ b/crates/gateway/src/process/run.rs
@@ -16,7 +16,7 @@
 use std::time::Duration;
 use tokio::net::UdpSocket;
 use tokio::signal::unix::{Signal, SignalKind, signal};
-use tokio::task::{LocalSet, spawn_local};
+use tokio::task::{JoinSet, LocalSet};
 use tokio::time::{Instant, sleep};
 
 /// Time for a call of the store, beyond a watch's wait: it answers in milliseconds, and a slow
@@ -45,6 +45,9 @@
         /// Why it failed.
         source: io::Error,
     },
+    /// A task that runs as long as the process has ended, by a fault of the program. The process
+    /// ends as well: it is started anew, whole.
+    TaskEnded(String),
 }
 
 impl fmt::Display for StartError {
@@ -52,6 +55,7 @@
         match self {
             StartError::Settings(detail) => f.write_str(detail),
             StartError::Io { step, source } => write!(f, "{step}: {source}"),
+            StartError::TaskEnded(how) => write!(f, "a task of the process ended: {how}"),
         }
     }
 }
@@ -79,7 +83,7 @@
     let res = local.block_on(&runtime, serve(settings, path));
     if let Err(err) = &res {
         let text = err.to_string();
-        error!("gateway can't start", kv: { err = text.as_str() });
+        error!("gateway ends by a fault", kv: { err = text.as_str() });
     }
     res
 }
@@ -96,13 +100,14 @@
     info!("gateway started", kv: {
         instance, data_centre, incarnation, version = env!("CARGO_PKG_VERSION")
     });
-    start_listeners(&gateway)?;
-    start_store_tasks(&gateway).await?;
-    spawn_local(sweep(Rc::clone(&gateway)));
-    follow_signals(&gateway, path).await
+    let mut tasks = JoinSet::new();
+    start_listeners(&gateway, &mut tasks)?;
+    start_store_tasks(&gateway, &mut tasks).await?;
+    tasks.spawn_local(sweep(Rc::clone(&gateway)));
+    follow_signals(&gateway, path, tasks).await
 }
 
-fn start_listeners(gateway: &Rc<Gateway>) -> Result<(), StartError> {
+fn start_listeners(gateway: &Rc<Gateway>, tasks: &mut JoinSet<()>) -> Result<(), StartError> {
     let settings = &gateway.settings;
     let listen =
         |addr: SocketAddr| bind(addr).map_err(|err| io_error(format!("listen at {addr}"), err));
@@ -112,13 +117,16 @@
         SocketAddr::new(settings.ip, settings.peer_port),
         SocketAddr::new(settings.ip, METRICS_PORT),
     ] {
-        spawn_local(serve_side_pages(Rc::clone(gateway), listen(addr)?));
+        tasks.spawn_local(serve_side_pages(Rc::clone(gateway), listen(addr)?));
     }
-    spawn_local(accept_callers(Rc::clone(gateway), callers));
+    tasks.spawn_local(accept_callers(Rc::clone(gateway), callers));
     Ok(())
 }
 
-async fn start_store_tasks(gateway: &Rc<Gateway>) -> Result<(), StartError> {
+async fn start_store_tasks(
+    gateway: &Rc<Gateway>,
+    tasks: &mut JoinSet<()>,
+) -> Result<(), StartError> {
     let settings = &gateway.settings;
     let store = Store::new(settings.store, STORE_LIMIT);
     let addr = SocketAddr::new(settings.ip, settings.peer_port);
@@ -126,14 +134,14 @@
     let socket = socket.map_err(|err| io_error(format!("messages at {addr}"), err))?;
     let own_view = Rc::new(RefCell::new(None));
     let peers = Rc::new(Peers::new(Rc::clone(gateway), socket, Rc::clone(&own_view)));
-    spawn_local(follow(Rc::clone(gateway), store.clone(), Kind::Configuration));
-    spawn_local(follow(Rc::clone(gateway), store.clone(), Kind::Endpoints));
-    spawn_local(expire_missing(Rc::clone(gateway)));
-    spawn_local(Rc::clone(&peers).register(store.clone()));
-    spawn_local(Rc::clone(&peers).listen());
-    spawn_local(Rc::clone(&peers).catch_up());
-    spawn_local(peers.tell());
-    spawn_local(Placer::new(Rc::clone(gateway), own_view).run(store));
+    tasks.spawn_local(follow(Rc::clone(gateway), store.clone(), Kind::Configuration));
+    tasks.spawn_local(follow(Rc::clone(gateway), store.clone(), Kind::Endpoints));
+    tasks.spawn_local(expire_missing(Rc::clone(gateway)));
+    tasks.spawn_local(Rc::clone(&peers).register(store.clone()));
+    tasks.spawn_local(Rc::clone(&peers).listen());
+    tasks.spawn_local(Rc::clone(&peers).catch_up());
+    tasks.spawn_local(peers.tell());
+    tasks.spawn_local(Placer::new(Rc::clone(gateway), own_view).run(store));
     Ok(())
 }
 
@@ -149,7 +157,11 @@
     }
 }
 
-async fn follow_signals(gateway: &Rc<Gateway>, path: &Path) -> Result<(), StartError> {
+async fn follow_signals(
+    gateway: &Rc<Gateway>,
+    path: &Path,
+    mut tasks: JoinSet<()>,
+) -> Result<(), StartError> {
     let on = |kind: SignalKind| signal(kind).map_err(|err| io_error("signals", err));
     let mut terminate: Signal = on(SignalKind::terminate())?;
     let mut hang_up: Signal = on(SignalKind::hangup())?;
@@ -157,6 +169,10 @@
         tokio::select! {
             _ = terminate.recv() => break,
             _ = hang_up.recv() => check_settings(gateway, path),
+            Some(ended) = tasks.join_next() => {
+                let how = ended.map_or_else(|err| err.to_string(), |()| "in order".to_owned());
+                return Err(StartError::TaskEnded(how));
+            }
         }
     }
     leave(gateway).await;
--- a/crates/gateway/src/request/plain.rs
+++ b/crates/gateway/src/request/plain.rs
@@ -1,6 +1,6 @@
 //! Requests to plain services: one endpoint runs them whole.
 
-use crate::process::{Count, Gateway};
+use crate::process::{Count, Gateway, check_refuser};
 use crate::request::{AnswerBody, Begun, Call, Cut, Failed, Target, attempt, give_up, log_failed};
 use bytes::Bytes;
 use http::Response;
@@ -58,8 +58,10 @@
             Err(failed) => {
                 log_failed(&gateway, &call, &endpoint.id, &failed);
                 attempts.on_failed(&endpoint.id, failed.evidence);
-                if failed.evidence == Evidence::NotSent {
-                    gateway.suspect(&endpoint.id, &failed.why);
+                match failed.evidence {
+                    Evidence::NotSent => gateway.suspect(&endpoint.id, &failed.why),
+                    Evidence::NotRun => check_refuser(&gateway, endpoint.addr),
+                    Evidence::MayHaveRun => {}
                 }
                 why = format!("{}: {}", endpoint.id, failed.why);
             }
@@ -107,6 +109,7 @@
     let mut open: Vec<&Endpoint> = knowledge
         .endpoints()
         .filter(|endpoint| endpoint.service == call.service && !endpoint.is_leaving)
+        .filter(|endpoint| !beliefs.is_leaving(&endpoint.id, now))
         .filter(|endpoint| !tried.contains(&endpoint.id))
         .collect();
     let work = |endpoint: &Endpoint| work(gateway, endpoint, now);
--- a/crates/gateway/src/request/stream.rs
+++ b/crates/gateway/src/request/stream.rs
@@ -1,6 +1,8 @@
 //! Requests to model engines: a stream of events over a path of engines.
 
-use crate::process::{Count, Gateway, LivePath, NoPlace, PathPlace, check_path, take_place};
+use crate::process::{
+    Count, Gateway, LivePath, NoPlace, PathPlace, check_path, check_refuser, take_place,
+};
 use crate::request::relay::Relay;
 use crate::request::{AnswerBody, Begun, Call, Cut, Failed, Target, attempt, give_up, log_failed};
 use http::{HeaderMap, Response, StatusCode};
@@ -75,11 +77,16 @@
             call.end.tell(Count::Answered, "answered", status, "the engine's own failure");
             Ok(answer)
         }
-        Err(not_begun) => Ok(refuse(&call, &attempts, &not_begun)),
+        Err(not_begun) => Ok(refuse(&gateway, &call, &attempts, &not_begun)),
     }
 }
 
-fn refuse(call: &Call, attempts: &Attempts, not_begun: &NotBegun) -> Response<AnswerBody> {
+fn refuse(
+    gateway: &Gateway,
+    call: &Call,
+    attempts: &Attempts,
+    not_begun: &NotBegun,
+) -> Response<AnswerBody> {
     let (why, come_back) = match not_begun {
         NotBegun::NoPlace(NoPlace::Full) => ("all paths are full", RETRY_AFTER_FULL),
         NotBegun::NoPlace(NoPlace::NoPath) => ("no engines hold all layers", RETRY_AFTER_NO_PATH),
@@ -88,7 +95,8 @@
         NotBegun::Failure(_) => ("an engine failed", RETRY_AFTER_FULL),
     };
     let is_over = matches!(not_begun, NotBegun::TimeOver);
-    give_up(call, attempts.given_up(is_over), come_back, why)
+    let paths = gateway.paths.borrow().describe(&call.service, Instant::now());
+    give_up(call, attempts.given_up(is_over), come_back, &format!("{why}: {paths}"))
 }
 
 fn start_relay(
@@ -249,7 +257,10 @@
     let now = Instant::now();
     match failed.evidence {
         Evidence::NotSent => gateway.suspect(&first.id, &failed.why),
-        Evidence::NotRun => live.avoid(now + REFUSED_AVOID),
+        Evidence::NotRun => {
+            live.avoid(now + REFUSED_AVOID);
+            return check_refuser(gateway, failed.at_fault.unwrap_or(first.addr));
+        }
         Evidence::MayHaveRun => live.avoid(now + SILENT_AVOID),
     }
     check_path(gateway, live);
--- a/crates/routing/src/process/placement/planner.rs
+++ b/crates/routing/src/process/placement/planner.rs
@@ -30,6 +30,21 @@
     (0..shape.layers).all(|layer| engines.iter().any(|engine| engine.held.contains(layer)))
 }
 
+/// Room of the scarcest engine, against that of an even division, below which a chain should be
+/// balanced at once.
+const SCARCE: f64 = 0.5;
+
+/// Whether an engine has so little room that it bounds its chain far below an even division.
+pub fn is_scarce(shape: &ModelShape, engines: &[PlannedEngine]) -> bool {
+    let memory: f64 = engines.iter().map(|engine| engine.memory_mb).sum();
+    let even = memory / f64::from(shape.layers) - shape.layer_mb;
+    let room = |engine: &PlannedEngine| {
+        engine.memory_mb / f64::from(engine.held.len().max(1)) - shape.layer_mb
+    };
+    let held = engines.iter().filter(|engine| !engine.held.is_empty());
+    held.map(room).fold(f64::INFINITY, f64::min) < even * SCARCE
+}
+
 /// The layers that each engine should hold; nothing where they can't hold the model. A chain with
 /// a gap is closed with few loads; one without is balanced.
 pub fn plan_data_centre(shape: &ModelShape, engines: &[PlannedEngine]) -> Option<Placement> {
--- a/crates/routing/src/process/retry_window.rs
+++ b/crates/routing/src/process/retry_window.rs
@@ -24,14 +24,16 @@
 #[derive(Debug)]
 pub struct RetryWindow {
     bounds: RetryBounds,
+    /// When this process began: what the one before it spent within a window isn't known.
+    began: Instant,
     requests: VecDeque<Instant>,
     again: VecDeque<Instant>,
 }
 
 impl RetryWindow {
-    /// Nothing was sent yet.
-    pub fn new(bounds: RetryBounds) -> RetryWindow {
-        RetryWindow { bounds, requests: VecDeque::new(), again: VecDeque::new() }
+    /// Nothing was sent yet by a process that began at `began`.
+    pub fn new(bounds: RetryBounds, began: Instant) -> RetryWindow {
+        RetryWindow { bounds, began, requests: VecDeque::new(), again: VecDeque::new() }
     }
 
     /// A request came in.
@@ -46,7 +48,8 @@
     pub fn try_spend(&mut self, now: Instant, gateways: usize) -> bool {
         self.forget(now);
         let own = self.bounds.ratio * self.requests.len() as f64;
-        let shared = self.bounds.slack / gateways.max(1) as f64;
+        let known = now.duration_since(self.began).div_duration_f64(self.bounds.window).min(1.0);
+        let shared = known * self.bounds.slack / gateways.max(1) as f64;
         let most = (own + shared) * SPEND_SHARE;
         if self.again.len() as f64 + 1.0 > most || self.again.len() >= MAX_REMEMBERED {
             return false;
--- a/crates/routing/src/request/evidence.rs
+++ b/crates/routing/src/request/evidence.rs
@@ -3,6 +3,9 @@
 use crate::process::EndpointId;
 use crate::version::Semantics;
 
+/// The most sends of one request: each beyond the first is paid for by all.
+const MAX_SENDS: u32 = 4;
+
 /// What is known of an attempt that brought no answer for the caller.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Evidence {
@@ -72,7 +75,7 @@
     }
 
     fn may_repeat(&self) -> bool {
-        !self.may_have_run || self.semantics.may_repeat()
+        self.sends < MAX_SENDS && (!self.may_have_run || self.semantics.may_repeat())
     }
 
     /// Whether a further send would be one beyond the first.
--- a/crates/routing/src/version/configuration.rs
+++ b/crates/routing/src/version/configuration.rs
@@ -64,6 +64,8 @@
 pub struct Service {
     /// Its name.
     pub name: ServiceName,
+    /// Where an endpoint tells whether it is healthy and stays.
+    pub health_path: String,
     /// Connections that one of its endpoints takes from all callers together.
     pub max_connections: u32,
     /// Set where its endpoints are engines that hold layers of a model.
