Layers reopen when a plan changes; busy engines are pinned; silence found in 150 ms

Engines that give layers up are busy for up to 8 s and were planned for all the same. Change: closings end with their step; engines with an order keep it in the plan; paths with 8 streams are silent after 150 ms, looked at every 40 ms.

--- a/crates/gateway/src/process/gateway.rs
+++ b/crates/gateway/src/process/gateway.rs
@@ -7,11 +7,11 @@
 use sorrellock_core::clock::SystemClock;
 use sorrellock_core::process::retries::Breakers;
 use sorrellock_platform::{EndpointLoad, Revision, Settings};
-use sorrellock_routing::process::{Endpoint, EndpointId, Holder, RetryWindow};
+use sorrellock_routing::process::{DataCentre, Endpoint, EndpointId, Holder, RetryWindow};
 use sorrellock_routing::version::{Configuration, ModelShape, ServiceName};
 use spdlog::{info, warn};
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::sync::{Notify, watch};
@@ -217,6 +217,12 @@
             };
             let mut paths = self.paths.borrow_mut();
             if paths.rebuild(&service.name, shape, &holders, fate, now) {
+                let gaps = gaps(&holders, shape.layers);
+                if !gaps.is_empty() {
+                    warn!("layers without an engine", kv: {
+                        service = service.name.as_str(), gaps = gaps.as_str()
+                    });
+                }
                 for live in paths.paths(&service.name) {
                     let text = sorrellock_platform::format_path(&live.path.parts);
                     info!("path in use", kv: {
@@ -286,3 +292,20 @@
         paid
     }
 }
+
+/// The layers of each data centre that no holder can run, for log lines.
+fn gaps(holders: &[Holder], layers: u32) -> String {
+    let data_centres: BTreeSet<&DataCentre> =
+        holders.iter().map(|holder| &holder.data_centre).collect();
+    let mut gaps = Vec::new();
+    for data_centre in data_centres {
+        let local = holders.iter().filter(|holder| holder.data_centre == *data_centre);
+        let local: Vec<&Holder> = local.collect();
+        let is_gap = |layer: &u32| !local.iter().any(|holder| holder.layers.contains(*layer));
+        let missing: Vec<u32> = (0..layers).filter(is_gap).collect();
+        if let (Some(first), Some(last)) = (missing.first(), missing.last()) {
+            gaps.push(format!("{data_centre}: {} layers in {first}..={last}", missing.len()));
+        }
+    }
+    gaps.join("; ")
+}
--- a/crates/gateway/src/process/path_book.rs
+++ b/crates/gateway/src/process/path_book.rs
@@ -21,11 +21,15 @@
 /// With few streams under way and no event on any for so long, a path is taken to be broken: three
 /// times the longest pause that is on time.
 const PATH_SILENCE: Duration = Duration::from_millis(600);
-/// The same with many streams: each has an event every 55 ms, so that four together are silent
+/// The same with some streams: each has an event every 55 ms, so that four together are silent
 /// for as long as this only if the path is.
-const BUSY_PATH_SILENCE: Duration = Duration::from_millis(300);
-/// From so many streams on a path is busy.
-const BUSY_STREAMS: u32 = 4;
+const SOME_STREAMS_SILENCE: Duration = Duration::from_millis(300);
+/// From so many streams on that holds.
+const SOME_STREAMS: u32 = 4;
+/// The same with many streams.
+const MANY_STREAMS_SILENCE: Duration = Duration::from_millis(150);
+/// From so many streams on that holds.
+const MANY_STREAMS: u32 = 8;
 
 /// What becomes of an engine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -77,8 +81,11 @@
 
     /// Whether all its streams have been silent for so long that it is taken to be broken.
     pub(crate) fn is_silent(&self, now: Instant) -> bool {
-        let limit =
-            if self.streams.get() >= BUSY_STREAMS { BUSY_PATH_SILENCE } else { PATH_SILENCE };
+        let limit = match self.streams.get() {
+            MANY_STREAMS.. => MANY_STREAMS_SILENCE,
+            SOME_STREAMS.. => SOME_STREAMS_SILENCE,
+            _ => PATH_SILENCE,
+        };
         self.streams.get() > 0 && now - self.last_event.get() > limit
     }
 
@@ -163,6 +170,12 @@
         self.peers = peers;
     }
 
+    /// Paths that are silent as a whole.
+    pub(crate) fn silent(&self, now: Instant) -> impl Iterator<Item = &Rc<LivePath>> {
+        let all = self.paths.values().flatten();
+        all.filter(move |live| !live.is_broken.get() && live.is_silent(now))
+    }
+
     /// What this gateway's streams take.
     pub(crate) fn own_loads(&self) -> impl Iterator<Item = (&DataCentre, &Load)> {
         self.own.iter()
--- a/crates/gateway/src/process/path_check.rs
+++ b/crates/gateway/src/process/path_check.rs
@@ -7,15 +7,30 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::time::Instant;
+use tokio::time::{Instant, sleep};
 
 /// Time for an engine's report: a hundred round trips inside a region.
-const REPORT_LIMIT: Duration = Duration::from_millis(200);
+const REPORT_LIMIT: Duration = Duration::from_millis(150);
+/// How often paths are looked at: a broken one is found a fifth of a pause late at most.
+const WATCH_INTERVAL: Duration = Duration::from_millis(40);
 /// Time for an endpoint's health: it may wait for a slot.
 const HEALTH_LIMIT: Duration = Duration::from_millis(400);
 /// A path is asked at most this often: each report is priced.
 const CHECK_INTERVAL: Duration = Duration::from_millis(700);
 
+/// Looks for silent paths and has them checked, for ever.
+pub(crate) async fn watch_paths(gateway: Rc<Gateway>) {
+    loop {
+        sleep(WATCH_INTERVAL).await;
+        let paths = gateway.paths.borrow();
+        let silent: Vec<Rc<LivePath>> = paths.silent(Instant::now()).cloned().collect();
+        drop(paths);
+        for live in &silent {
+            check_path(&gateway, live);
+        }
+    }
+}
+
 /// Asks each engine of a path for a report, unless that was done just now. Those that don't
 /// answer are suspected, and the lead hears of it.
 pub(crate) fn check_path(gateway: &Rc<Gateway>, live: &Rc<LivePath>) {
--- a/crates/gateway/src/process/placer.rs
+++ b/crates/gateway/src/process/placer.rs
@@ -254,13 +254,27 @@
         }
         let Some(plan) = self.plans.get(&key) else { return };
         let holdings = self.holdings(shape, endpoints, now);
-        for step in next_steps(&plan.placement, &holdings, shape.layers) {
+        let steps = next_steps(&plan.placement, &holdings, shape.layers);
+        self.reopen(endpoints, &steps);
+        for step in steps {
             if step.is_urgent || self.moving() < QUIET_MOVES {
                 self.order(step, now);
             }
         }
     }
 
+    /// Requests may use layers again that are not to be given up any more.
+    fn reopen(&self, endpoints: &[Endpoint], steps: &[Step]) {
+        let mut engines = self.engines.borrow_mut();
+        for endpoint in endpoints {
+            let Some(engine) = engines.get_mut(&endpoint.id) else { continue };
+            let gives_up = steps.iter().any(|step| step.gives_up && step.id == endpoint.id);
+            if engine.ordered.is_none() && !gives_up {
+                engine.closing = None;
+            }
+        }
+    }
+
     /// Engines with an order under way.
     fn moving(&self) -> usize {
         self.engines.borrow().values().filter(|engine| engine.ordered.is_some()).count()
@@ -309,6 +323,7 @@
                 memory_mb: card.memory_mb,
                 step_factor: card.step_factor * report.slowness.max(1.0),
                 held: engine.held(),
+                is_pinned: engine.ordered.is_some(),
             });
         }
         Some(planned)
--- a/crates/gateway/src/process/run.rs
+++ b/crates/gateway/src/process/run.rs
@@ -4,7 +4,7 @@
 use crate::process::peers::Peers;
 use crate::process::placer::Placer;
 use crate::process::watchers::{expire_missing, follow};
-use crate::process::{Gateway, Phase, bind, serve_side_pages, set_up_log};
+use crate::process::{Gateway, Phase, bind, serve_side_pages, set_up_log, watch_paths};
 use sorrellock_platform::{Kind, Settings, Store, parse_settings};
 use spdlog::{error, info, warn};
 use std::cell::RefCell;
@@ -104,6 +104,7 @@
     start_listeners(&gateway, &mut tasks)?;
     start_store_tasks(&gateway, &mut tasks).await?;
     tasks.spawn_local(sweep(Rc::clone(&gateway)));
+    tasks.spawn_local(watch_paths(Rc::clone(&gateway)));
     follow_signals(&gateway, path, tasks).await
 }
 
--- a/crates/gateway/src/request/repath.rs
+++ b/crates/gateway/src/request/repath.rs
@@ -12,9 +12,9 @@
 /// Time for the order to be answered.
 const ORDER_LIMIT: Duration = Duration::from_millis(800);
 /// The wait before another try, after one that failed.
-const RETRY: Duration = Duration::from_millis(300);
+const RETRY: Duration = Duration::from_millis(500);
 /// Tries of one stream: each order is priced.
-const MOST_TRIES: u32 = 4;
+const MOST_TRIES: u32 = 2;
 
 /// How an order to move ended.
 pub(crate) struct RepathEnd {
--- a/crates/routing/src/process/placement/chain_plan.rs
+++ b/crates/routing/src/process/placement/chain_plan.rs
@@ -12,6 +12,8 @@
     pub step_factor: f64,
     /// The layers that it holds or loads.
     pub held: LayerRange,
+    /// It keeps these layers.
+    pub is_pinned: bool,
 }
 
 /// A division of the layers and what it costs; comparable for the same engines only.
@@ -133,6 +135,10 @@
     }
 
     fn of(&self, index: usize, engine: &ChainEngine, range: LayerRange) -> f64 {
+        if engine.is_pinned && range != engine.held && !(range.is_empty() && engine.held.is_empty())
+        {
+            return f64::INFINITY;
+        }
         let Some(cost) = self.by_count[index].get(range.len() as usize) else {
             return f64::INFINITY;
         };
--- a/crates/routing/src/process/placement/planner.rs
+++ b/crates/routing/src/process/placement/planner.rs
@@ -16,6 +16,9 @@
     pub step_factor: f64,
     /// The layers that it holds or loads.
     pub held: LayerRange,
+    /// It has an order under way, and takes no other: giving layers up waits for the streams that
+    /// pass, for seconds.
+    pub is_pinned: bool,
 }
 
 /// The layers that each engine of a data centre should hold.
@@ -58,10 +61,16 @@
         return Some(placement(&new, &plan.ranges));
     }
     let ordered = with_new_engines(shape, chain, new, weights);
-    let plan = divide(shape, &seen(&ordered), weights)?;
+    let plan = divide(shape, &seen(&ordered), weights);
+    let plan = plan.or_else(|| divide(shape, &unpinned(&ordered), weights))?;
     Some(keep_or_move(shape, &ordered, plan))
 }
 
+/// The engines as if each would take an order.
+fn unpinned(engines: &[PlannedEngine]) -> Vec<ChainEngine> {
+    seen(engines).into_iter().map(|engine| ChainEngine { is_pinned: false, ..engine }).collect()
+}
+
 /// At most as many engines as a path may have parts, those with the most memory.
 fn largest(engines: &[PlannedEngine]) -> Vec<PlannedEngine> {
     let mut engines = engines.to_vec();
@@ -117,6 +126,7 @@
         memory_mb: engine.memory_mb,
         step_factor: engine.step_factor,
         held: engine.held,
+        is_pinned: engine.is_pinned,
     };
     engines.iter().map(seen).collect()
 }
