Gaps: layers move at once after a death, engines only grow after a leave

Cause: orders that give layers up wait for passing streams, up to 8 s, and block the engine; grown ranges shrink room to a sixth until the shrink ends. Change: growth only where streams still pass; after a death the chain is idle and moves at once; quiet moves never go below the chain's least room; plans are made anew when an order ends.

--- a/crates/gateway/src/process/placer.rs
+++ b/crates/gateway/src/process/placer.rs
@@ -9,7 +9,7 @@
     Holding, Placement, PlannedEngine, Step, covers, is_scarce, next_steps, plan_data_centre,
 };
 use sorrellock_routing::process::{DataCentre, Endpoint, EndpointId, LayerRange};
-use sorrellock_routing::version::{ModelShape, ServiceName};
+use sorrellock_routing::version::{Card, ModelShape, ServiceName};
 use spdlog::{info, warn};
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
@@ -42,8 +42,16 @@
 const BALANCE_AFTER: Duration = Duration::from_secs(3);
 /// The same for a chain that has less than about half of the room that it could have.
 const BALANCE_SCARCE_AFTER: Duration = Duration::from_millis(300);
+/// How long an empty engine waits beside a whole chain: one that replaces another joins a second
+/// or two before that one leaves, and then takes exactly its layers.
+const JOIN_PATIENCE: Duration = Duration::from_millis(2_500);
+/// For so long after the death of an engine its chain counts as idle: gateways drop its streams
+/// within half a second, and no new ones come before the gap is closed.
+const IDLE_AFTER_DEATH: Duration = Duration::from_secs(3);
 /// Engines that move at once while no requests wait for it: loads slow each other.
 const QUIET_MOVES: usize = 4;
+/// The same for a chain with far less room than it could have.
+const SCARCE_MOVES: usize = 8;
 /// How often a plan is looked at again without news.
 const REPLAN_INTERVAL: Duration = Duration::from_secs(2);
 /// Pause between two rounds of orders.
@@ -54,11 +62,13 @@
 /// What the lead knows of one engine.
 struct Engine {
     client: Client,
+    since: Instant,
     report: Option<EngineReport>,
     asked: Option<Instant>,
     is_asking: bool,
     failures: u32,
     is_dead: bool,
+    died: Option<Instant>,
     /// The layers of an order that may be under way, and when it was given.
     ordered: Option<(LayerRange, Instant)>,
     /// No order before then.
@@ -71,11 +81,13 @@
     fn new(client: Client, now: Instant) -> Engine {
         Engine {
             client,
+            since: now,
             report: None,
             asked: None,
             is_asking: false,
             failures: 0,
             is_dead: false,
+            died: None,
             ordered: None,
             order_after: now,
             closing: None,
@@ -109,7 +121,9 @@
 /// The plan of one data centre, and what it was made for.
 struct Planned {
     placement: Placement,
-    made_for: Vec<(EndpointId, LayerRange, u32)>,
+    /// It closes a gap.
+    is_repair: bool,
+    made_for: Vec<Fingerprint>,
     at: Instant,
 }
 
@@ -246,23 +260,39 @@
     ) {
         let key = (service.to_owned(), data_centre.to_owned());
         let Some(planned) = self.planned_engines(shape, endpoints) else { return };
+        let planned = self.without_newcomers(shape, planned, now);
         if !self.is_settled(&key, &planned, now) {
             return;
         }
+        let is_idle = self.is_idle(endpoints, now);
         if self.may_plan(&key, shape, &planned, now) {
-            self.plan(&key, shape, &planned, now);
+            self.plan(&key, shape, &planned, is_idle, now);
         }
         let Some(plan) = self.plans.get(&key) else { return };
         let holdings = self.holdings(shape, endpoints, now);
-        let steps = next_steps(&plan.placement, &holdings, shape.layers);
+        let mut steps = next_steps(&plan.placement, &holdings, shape.layers, is_idle);
+        if plan.is_repair {
+            // Once the gap is closed, what is held besides is left to the next balance.
+            steps.retain(|step| step.is_urgent);
+        }
         self.reopen(endpoints, &steps);
+        let most_moves = if is_scarce(shape, &planned) { SCARCE_MOVES } else { QUIET_MOVES };
         for step in steps {
-            if step.is_urgent || self.moving() < QUIET_MOVES {
+            if step.is_urgent || self.moving() < most_moves {
                 self.order(step, now);
             }
         }
     }
 
+    /// Whether an engine died just now: the streams of the whole chain went with it.
+    fn is_idle(&self, endpoints: &[Endpoint], now: Instant) -> bool {
+        let engines = self.engines.borrow();
+        endpoints.iter().any(|endpoint| {
+            let died = engines.get(&endpoint.id).and_then(|engine| engine.died);
+            died.is_some_and(|died| now - died < IDLE_AFTER_DEATH)
+        })
+    }
+
     /// Requests may use layers again that are not to be given up any more.
     fn reopen(&self, endpoints: &[Endpoint], steps: &[Step]) {
         let mut engines = self.engines.borrow_mut();
@@ -329,6 +359,23 @@
         Some(planned)
     }
 
+    /// Leaves empty engines out that joined a whole chain just now.
+    fn without_newcomers(
+        &self,
+        shape: &ModelShape,
+        planned: Vec<PlannedEngine>,
+        now: Instant,
+    ) -> Vec<PlannedEngine> {
+        if !covers(shape, &planned) {
+            return planned;
+        }
+        let engines = self.engines.borrow();
+        let is_new = |id: &EndpointId| {
+            engines.get(id).is_none_or(|engine| now - engine.since < JOIN_PATIENCE)
+        };
+        planned.into_iter().filter(|one| !one.held.is_empty() || !is_new(&one.id)).collect()
+    }
+
     /// Whether the first plan can be made: more engines may be about to register.
     fn is_settled(
         &mut self,
@@ -352,6 +399,7 @@
         key: &(ServiceName, DataCentre),
         shape: &ModelShape,
         planned: &[PlannedEngine],
+        is_idle: bool,
         now: Instant,
     ) {
         let made_for: Vec<_> = planned.iter().map(fingerprint).collect();
@@ -366,7 +414,7 @@
         if is_current {
             return;
         }
-        let Some(placement) = plan_data_centre(shape, planned) else {
+        let Some(placement) = plan_data_centre(shape, planned, is_idle) else {
             if self.plans.remove(key).is_some() {
                 let engines = planned.len();
                 warn!("no plan: the engines can't hold the model", kv: {
@@ -384,7 +432,8 @@
                 plan = text.as_str()
             });
         }
-        self.plans.insert(key.clone(), Planned { placement, made_for, at: now });
+        let is_repair = !covers(shape, planned) && planned.iter().any(|e| !e.held.is_empty());
+        self.plans.insert(key.clone(), Planned { placement, is_repair, made_for, at: now });
     }
 
     fn holdings(
@@ -395,25 +444,43 @@
     ) -> BTreeMap<EndpointId, Holding> {
         let engines = self.engines.borrow();
         let mut holdings = BTreeMap::new();
+        let least_room = self.least_room(shape, endpoints);
         for endpoint in endpoints {
             let Some(engine) = engines.get(&endpoint.id).filter(|engine| !engine.is_dead) else {
                 continue;
             };
             let card = endpoint.card.as_deref().and_then(|card| shape.card(card));
-            let most = card.map_or(0, |card| shape.most_layers(card));
+            let most = card.map_or(0, |card| most_layers(shape, card, least_room));
             let is_busy = engine.is_moving() || now < engine.order_after;
             holdings.insert(
                 endpoint.id.clone(),
-                Holding {
-                    ready: engine.ready(),
-                    most_layers: most.saturating_sub(HULL_MARGIN_LAYERS),
-                    is_busy,
-                },
+                Holding { ready: engine.ready(), most_layers: most, is_busy },
             );
         }
         holdings
     }
 
+    /// Room of the engine that bounds the chain, in tokens; 0 while layers are missing.
+    fn least_room(&self, shape: &ModelShape, endpoints: &[Endpoint]) -> f64 {
+        let engines = self.engines.borrow();
+        let mut covered = vec![false; shape.layers as usize];
+        let mut least = f64::INFINITY;
+        for endpoint in endpoints {
+            let Some(engine) = engines.get(&endpoint.id).filter(|engine| !engine.is_dead) else {
+                continue;
+            };
+            let card = endpoint.card.as_deref().and_then(|card| shape.card(card));
+            let ready = engine.ready();
+            if let Some(card) = card.filter(|_| !ready.is_empty()) {
+                least = least.min(shape.token_room(card, ready.len()));
+            }
+            for layer in ready.from..ready.to.min(shape.layers) {
+                covered[layer as usize] = true;
+            }
+        }
+        if covered.iter().all(|is_covered| *is_covered) { least } else { 0.0 }
+    }
+
     /// Gives an order, or first keeps requests off the layers that it gives up.
     fn order(&self, step: Step, now: Instant) {
         let mut engines = self.engines.borrow_mut();
@@ -519,6 +586,7 @@
     let is_refused = matches!(err, CallError::NotSent { step, .. } if step.starts_with("connect"));
     let is_over = engine.failures >= to_death || is_refused;
     if is_over && !std::mem::replace(&mut engine.is_dead, true) {
+        engine.died = Some(Instant::now());
         let (failures, text) = (engine.failures, err.to_string());
         warn!("engine taken to be dead", kv: { endpoint = id, failures, err = text.as_str() });
     }
@@ -553,13 +621,35 @@
     engine.asked = None;
 }
 
+/// The most layers that an engine may hold for a while: it must not bound its chain further, and
+/// keeps some memory for requests while the chain has a gap.
+fn most_layers(shape: &ModelShape, card: &Card, least_room: f64) -> u32 {
+    let most = shape.most_layers(card).saturating_sub(HULL_MARGIN_LAYERS);
+    let fits = |layers: &u32| shape.token_room(card, *layers) >= least_room;
+    (1..=most).rev().find(fits).unwrap_or(0)
+}
+
 fn intersection(a: LayerRange, b: LayerRange) -> LayerRange {
     LayerRange::new(a.from.max(b.from), a.to.min(b.to))
 }
 
-/// What a plan depends on, slowness in steps of a half.
-fn fingerprint(engine: &PlannedEngine) -> (EndpointId, LayerRange, u32) {
-    (engine.id.clone(), engine.held, (engine.step_factor * 2.0).round() as u32)
+/// What a plan depends on of one engine.
+#[derive(PartialEq)]
+struct Fingerprint {
+    id: EndpointId,
+    held: LayerRange,
+    is_pinned: bool,
+    /// Step factor in steps of a half.
+    half_factors: u32,
+}
+
+fn fingerprint(engine: &PlannedEngine) -> Fingerprint {
+    Fingerprint {
+        id: engine.id.clone(),
+        held: engine.held,
+        is_pinned: engine.is_pinned,
+        half_factors: (engine.step_factor * 2.0).round() as u32,
+    }
 }
 
 fn describe(placement: &Placement) -> String {
--- a/crates/routing/src/process/placement/chain_plan.rs
+++ b/crates/routing/src/process/placement/chain_plan.rs
@@ -32,16 +32,22 @@
     pub load: f64,
     /// Exponent of the scarcity of room.
     pub scarcity_power: i32,
+    /// Engines keep what they hold beside what they take: giving layers up waits for the streams
+    /// that pass through them, for up to eight seconds.
+    pub keeps_held: bool,
 }
 
 impl Weights {
     /// For a chain that is whole: the engine with the least room bounds the whole chain, and the
     /// fourth power comes close to a maximum and still adds up. A move of a tenth of 80 layers must
     /// gain about a fifth of one engine's scarcity.
-    pub const BALANCE: Weights = Weights { load: 0.025, scarcity_power: 4 };
+    pub const BALANCE: Weights = Weights { load: 0.025, scarcity_power: 4, keeps_held: false };
+    /// For a gap whose engine died, its streams with it: layers move at once, as nothing passes
+    /// through them.
+    pub const REPAIR_IDLE: Weights = Weights { keeps_held: false, ..Weights::REPAIR };
     /// For a chain with a gap: streams wait for each load, some 0.2 s a layer, while room can be
     /// evened out later. A neighbour takes up to about three layers before the next one shares.
-    pub const REPAIR: Weights = Weights { load: 1.0, scarcity_power: 2 };
+    pub const REPAIR: Weights = Weights { load: 1.0, scarcity_power: 2, keeps_held: true };
 }
 
 /// Weight of a step's time against scarcity: of equal room, fast cards hold more layers.
@@ -107,7 +113,7 @@
 struct EngineCosts {
     /// By engine and count of layers.
     by_count: Vec<Vec<f64>>,
-    load_per_layer: f64,
+    weights: Weights,
 }
 
 impl EngineCosts {
@@ -127,7 +133,7 @@
             counts.take_while(|cost| cost.is_finite()).collect()
         };
         let by_count = engines.iter().map(row).collect();
-        EngineCosts { by_count, load_per_layer: weights.load }
+        EngineCosts { by_count, weights }
     }
 
     fn most_layers(&self, index: usize) -> u32 {
@@ -139,11 +145,12 @@
         {
             return f64::INFINITY;
         }
-        let Some(cost) = self.by_count[index].get(range.len() as usize) else {
+        let kept = if self.weights.keeps_held { range.hull(engine.held) } else { range };
+        let Some(cost) = self.by_count[index].get(kept.len() as usize) else {
             return f64::INFINITY;
         };
-        let loaded = range.len() - range.overlap(engine.held);
-        cost + f64::from(loaded) * self.load_per_layer
+        let loaded = kept.len() - kept.overlap(engine.held);
+        cost + f64::from(loaded) * self.weights.load
     }
 }
 
--- a/crates/routing/src/process/placement/planner.rs
+++ b/crates/routing/src/process/placement/planner.rs
@@ -49,9 +49,18 @@
 }
 
 /// The layers that each engine should hold; nothing where they can't hold the model. A chain with
-/// a gap is closed with few loads; one without is balanced.
-pub fn plan_data_centre(shape: &ModelShape, engines: &[PlannedEngine]) -> Option<Placement> {
-    let weights = if covers(shape, engines) { Weights::BALANCE } else { Weights::REPAIR };
+/// a gap is closed with few loads; one without is balanced. `is_idle`: no streams pass through the
+/// chain, as an engine of it died.
+pub fn plan_data_centre(
+    shape: &ModelShape,
+    engines: &[PlannedEngine],
+    is_idle: bool,
+) -> Option<Placement> {
+    let weights = match (covers(shape, engines), is_idle) {
+        (true, _) => Weights::BALANCE,
+        (false, true) => Weights::REPAIR_IDLE,
+        (false, false) => Weights::REPAIR,
+    };
     let engines = largest(engines);
     let (mut chain, new): (Vec<_>, Vec<_>) =
         engines.into_iter().partition(|engine| !engine.held.is_empty());
@@ -62,7 +71,8 @@
     }
     let ordered = with_new_engines(shape, chain, new, weights);
     let plan = divide(shape, &seen(&ordered), weights);
-    let plan = plan.or_else(|| divide(shape, &unpinned(&ordered), weights))?;
+    let fallback = Weights { keeps_held: false, ..weights };
+    let plan = plan.or_else(|| divide(shape, &unpinned(&ordered), fallback))?;
     Some(keep_or_move(shape, &ordered, plan))
 }
 
@@ -103,24 +113,12 @@
 fn keep_or_move(shape: &ModelShape, chain: &[PlannedEngine], plan: ChainPlan) -> Placement {
     let held: Vec<LayerRange> = chain.iter().map(|engine| engine.held).collect();
     let now = cost_of(shape, &seen(chain), &held, Weights::BALANCE);
-    if is_whole(shape, &held) && plan.cost > now * WORTH_MOVING {
+    if covers(shape, chain) && plan.cost > now * WORTH_MOVING {
         return placement(chain, &held);
     }
     placement(chain, &plan.ranges)
 }
 
-/// Whether ranges, in order, hold each layer once.
-fn is_whole(shape: &ModelShape, ranges: &[LayerRange]) -> bool {
-    let mut next = 0;
-    for range in ranges.iter().filter(|range| !range.is_empty()) {
-        if range.from != next {
-            return false;
-        }
-        next = range.to;
-    }
-    next == shape.layers
-}
-
 fn seen(engines: &[PlannedEngine]) -> Vec<ChainEngine> {
     let seen = |engine: &PlannedEngine| ChainEngine {
         memory_mb: engine.memory_mb,
--- a/crates/routing/src/process/placement/transition.rs
+++ b/crates/routing/src/process/placement/transition.rs
@@ -29,11 +29,13 @@
 }
 
 /// The orders that bring the engines of a data centre nearer to the plan now. Layers are given up
-/// once another engine runs them, unless they are of no use as no whole chain exists.
+/// once another engine runs them, unless they are of no use as no whole chain exists. `is_idle`: no
+/// streams pass through the chain.
 pub fn next_steps(
     plan: &Placement,
     holdings: &BTreeMap<EndpointId, Holding>,
     layers: u32,
+    is_idle: bool,
 ) -> Vec<Step> {
     let is_served = (0..layers).all(|layer| holders_of(holdings, layer).next().is_some());
     let mut steps = Vec::new();
@@ -42,8 +44,11 @@
         if holding.is_busy || holding.ready == *want {
             continue;
         }
-        let next =
-            if is_served { careful(id, *want, holding, holdings, plan) } else { Some(*want) };
+        let next = match is_served {
+            true => careful(id, *want, holding, holdings, plan),
+            false if is_idle => Some(*want),
+            false => Some(growing(*want, holding)),
+        };
         let Some(next) = next.filter(|next| *next != holding.ready) else { continue };
         let gives_up = is_served && holding.ready.overlap(next) < holding.ready.len();
         steps.push(Step { id: id.clone(), is_urgent: !is_served, layers: next, gives_up });
@@ -51,6 +56,13 @@
     steps
 }
 
+/// What an engine takes while requests wait: it keeps what it holds if that fits, as giving layers
+/// up takes seconds.
+fn growing(want: LayerRange, holding: &Holding) -> LayerRange {
+    let both = holding.ready.hull(want);
+    if both.len() <= holding.most_layers { both } else { want }
+}
+
 /// What an engine may hold next without taking a layer away that only it runs.
 fn careful(
     id: &EndpointId,
@@ -59,18 +71,37 @@
     holdings: &BTreeMap<EndpointId, Holding>,
     plan: &Placement,
 ) -> Option<LayerRange> {
-    let mut given_up =
-        (holding.ready.from..holding.ready.to).filter(|layer| !want.contains(*layer));
     // Another that holds the layer but is to give it up as well is no reason to give it up.
     let stays = |layer: u32| {
         let mut others = holders_of(holdings, layer).filter(|other| *other != id);
         others.any(|other| plan.get(other).is_some_and(|range| range.contains(layer)))
     };
-    if given_up.all(stays) {
+    let must_keep = |layer: &u32| want.contains(*layer) || !stays(*layer);
+    let kept: Vec<u32> = (holding.ready.from..holding.ready.to).filter(must_keep).collect();
+    let kept = match (kept.first(), kept.last()) {
+        (Some(first), Some(last)) => LayerRange::new(*first, last + 1),
+        _ => return Some(want),
+    };
+    if kept.hull(want) == want {
         return Some(want);
     }
     let both = holding.ready.hull(want);
-    (both.len() <= holding.most_layers).then_some(both)
+    if both.len() <= holding.most_layers {
+        return Some(both);
+    }
+    let least = kept.hull(want);
+    if least.len() <= holding.most_layers {
+        return Some(least);
+    }
+    grown_in_part(kept, want, holding.most_layers)
+}
+
+/// As many layers towards `want` beside `kept` as fit; nothing if none does.
+fn grown_in_part(kept: LayerRange, want: LayerRange, most: u32) -> Option<LayerRange> {
+    let free = most.saturating_sub(kept.len());
+    let down = kept.from.saturating_sub(want.from).min(free);
+    let up = want.to.saturating_sub(kept.to).min(free - down);
+    (down + up > 0).then(|| LayerRange::new(kept.from - down, kept.to + up))
 }
 
 fn holders_of(
