Entries that lapse in an outage stay planned for

Change: failed calls of all sorts count as an outage; three entries that go at once, unsaid, count as lapsed; they get work for 1.8 s and are planned for 3.5 s.

--- a/crates/gateway/src/process/gateway.rs
+++ b/crates/gateway/src/process/gateway.rs
@@ -92,6 +92,12 @@
         *self.phase.borrow() == Phase::Running && self.knowledge.borrow().routes().is_some()
     }
 
+    /// A call of the store failed.
+    pub(crate) fn on_store_failed(&self) {
+        self.counters.add(Count::StoreFailures);
+        self.store_failed.set(Some(Instant::now()));
+    }
+
     /// Puts a configuration in force if it is newer than the one before.
     pub(crate) fn apply_configuration(&self, cfg: Configuration, source: &str) {
         let version = cfg.version;
@@ -246,9 +252,9 @@
     ) -> Vec<Holder> {
         let beliefs = self.beliefs.borrow();
         let mut holders = Vec::new();
-        let engines = knowledge.endpoints().filter(|endpoint| endpoint.service == service);
+        let engines = knowledge.open_endpoints(now).filter(|engine| engine.service == service);
         for endpoint in engines {
-            if endpoint.is_leaving || beliefs.is_leaving(&endpoint.id, now) {
+            if beliefs.is_leaving(&endpoint.id, now) {
                 continue;
             }
             let view = beliefs.engine(&endpoint.id, now);
--- a/crates/gateway/src/process/knowledge.rs
+++ b/crates/gateway/src/process/knowledge.rs
@@ -9,9 +9,12 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// For how long an entry that is missing after an outage of the store is still taken to be there.
-/// Entries that lapsed meanwhile are back within two seconds; the store's lag goes off that.
-pub(crate) const MISSING_GRACE: Duration = Duration::from_millis(1_800);
+/// For how long an endpoint whose entry is missing after an outage of the store still gets work.
+/// Entries that lapsed meanwhile are back within two seconds, and one that is gone must get nothing
+/// later than that; the way of a request goes off it.
+const MISSING_GETS_WORK: Duration = Duration::from_millis(1_800);
+/// For how long its layers are planned for: entries come back at two seconds, not before.
+const MISSING_GRACE: Duration = Duration::from_millis(3_500);
 /// The most removed endpoints that are remembered, so that an older page doesn't bring them back.
 const MAX_REMOVED: usize = 4_096;
 
@@ -78,6 +81,15 @@
         self.endpoints.values().map(|known| &known.endpoint)
     }
 
+    /// The endpoints that may get new work, as far as their list tells.
+    pub(crate) fn open_endpoints(&self, now: Instant) -> impl Iterator<Item = &Endpoint> {
+        let is_here = move |known: &&KnownEndpoint| {
+            known.missing_since.is_none_or(|since| now - since < MISSING_GETS_WORK)
+        };
+        let open = self.endpoints.values().filter(is_here).map(|known| &known.endpoint);
+        open.filter(|endpoint| !endpoint.is_leaving)
+    }
+
     /// One endpoint.
     pub(crate) fn endpoint(&self, id: &str) -> Option<&Endpoint> {
         self.endpoints.get(id).map(|known| &known.endpoint)
--- a/crates/gateway/src/process/peers.rs
+++ b/crates/gateway/src/process/peers.rs
@@ -203,7 +203,7 @@
             self.gateway.counters.add(Count::StoreCalls);
             let res = self.register_once(&store, &mut is_written).await;
             if let Err(err) = &res {
-                self.gateway.counters.add(Count::StoreFailures);
+                self.gateway.on_store_failed();
                 let text = err.to_string();
                 warn!("gateways not read from the store", kv: { err = text.as_str() });
             }
--- a/crates/gateway/src/process/watchers.rs
+++ b/crates/gateway/src/process/watchers.rs
@@ -20,6 +20,8 @@
 /// For so long after a failed call of the store a removed entry may only have lapsed: what the
 /// store did meanwhile comes with the first watch that it answers.
 const LAPSE_DOUBT: Duration = Duration::from_secs(3);
+/// Endpoints that vanish at once, unsaid, from which on a lapse is likelier than their deaths.
+const MANY_LAPSES: usize = 3;
 /// How often missing entries are looked at.
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -73,11 +75,12 @@
         if changes.changes.is_empty() {
             return Ok(());
         }
+        let may_have_lapsed = self.may_have_lapsed(&changes.changes);
         for change in changes.changes {
             match change {
                 Change::Written(object) => self.on_object(object, "watch"),
                 Change::Removed(name) if self.kind == Kind::Endpoints => {
-                    self.on_removed(&name);
+                    self.on_removed(&name, may_have_lapsed);
                 }
                 Change::Removed(_) => {}
             }
@@ -133,11 +136,23 @@
         }
     }
 
-    /// Right after an outage an entry may only have lapsed; else it is gone.
-    fn on_removed(&self, name: &str) {
+    /// Whether entries that were removed may only have lapsed: after an outage, or where many go
+    /// at once that did not say so, as an outage can pass unseen by a watch that waits.
+    fn may_have_lapsed(&self, changes: &[Change]) -> bool {
+        let failed = self.gateway.store_failed.get();
+        if failed.is_some_and(|failed| failed.elapsed() < LAPSE_DOUBT) {
+            return true;
+        }
+        let knowledge = self.gateway.knowledge.borrow();
+        let is_unsaid = |change: &&Change| match change {
+            Change::Removed(name) => knowledge.endpoint(name).is_some_and(|e| !e.is_leaving),
+            Change::Written(_) => false,
+        };
+        changes.iter().filter(is_unsaid).count() >= MANY_LAPSES
+    }
+
+    fn on_removed(&self, name: &str, may_have_lapsed: bool) {
         let now = Instant::now();
-        let trouble = self.gateway.store_failed.get();
-        let may_have_lapsed = trouble.is_some_and(|failed| now - failed < LAPSE_DOUBT);
         if may_have_lapsed && self.gateway.knowledge.borrow_mut().mark_missing(name, now) {
             info!("entry of an endpoint missing after an outage", kv: { endpoint = name });
             return;
@@ -155,14 +170,13 @@
 
     async fn on_step(&mut self, res: Result<(), StoreError>) {
         let Err(err) = res else { return };
-        self.gateway.counters.add(Count::StoreFailures);
         if err == StoreError::HistoryGone {
             let kind = format!("{:?}", self.kind);
             info!("history of the store is gone, listing again", kv: { kind = kind.as_str() });
             self.at = None;
             return;
         }
-        self.gateway.store_failed.set(Some(Instant::now()));
+        self.gateway.on_store_failed();
         if self.lost_since.is_none() {
             let (kind, text) = (format!("{:?}", self.kind), err.to_string());
             warn!("store lost", kv: { kind = kind.as_str(), err = text.as_str() });
--- a/crates/gateway/src/request/plain.rs
+++ b/crates/gateway/src/request/plain.rs
@@ -107,8 +107,8 @@
     let knowledge = gateway.knowledge.borrow();
     let beliefs = gateway.beliefs.borrow();
     let mut open: Vec<&Endpoint> = knowledge
-        .endpoints()
-        .filter(|endpoint| endpoint.service == call.service && !endpoint.is_leaving)
+        .open_endpoints(now)
+        .filter(|endpoint| endpoint.service == call.service)
         .filter(|endpoint| !beliefs.is_leaving(&endpoint.id, now))
         .filter(|endpoint| !tried.contains(&endpoint.id))
         .collect();
