Several first engines a data centre; what many gateways ask of the store shrinks

Change: engines beside the chain hold its first layers, as many as memory pays for; paths by first engine, chosen by its slots too; endpoints are fetched at most every 30 ms a gateway, and the lead's word goes before; idle connections live 12 s.

--- a/crates/gateway/src/process/gateway.rs
+++ b/crates/gateway/src/process/gateway.rs
@@ -7,7 +7,9 @@
 use sorrellock_core::clock::SystemClock;
 use sorrellock_core::process::retries::Breakers;
 use sorrellock_platform::{EndpointLoad, Revision, Settings};
-use sorrellock_routing::process::{DataCentre, Endpoint, EndpointId, Holder, RetryWindow};
+use sorrellock_routing::process::{
+    DataCentre, Endpoint, EndpointId, Holder, LayerRange, RetryWindow,
+};
 use sorrellock_routing::version::{Configuration, ModelShape, ServiceName};
 use spdlog::{info, warn};
 use std::cell::{Cell, RefCell};
@@ -53,6 +55,8 @@
     pub(crate) uses: RefCell<HashMap<EndpointId, EndpointUse>>,
     pub(crate) breakers: RefCell<Breakers<EndpointId, SystemClock>>,
     pub(crate) budgets: RefCell<HashMap<ServiceName, RetryWindow>>,
+    /// This gateway places layers.
+    pub(crate) leads: Cell<bool>,
     /// When a call of the store last failed.
     pub(crate) store_failed: Cell<Option<Instant>>,
     /// Endpoints that refused a request, and when they were last asked why.
@@ -79,6 +83,7 @@
             uses: RefCell::default(),
             breakers: RefCell::new(Breakers::new(SystemClock)),
             budgets: RefCell::default(),
+            leads: Cell::new(false),
             store_failed: Cell::new(None),
             refusers_checked: RefCell::default(),
             in_flight: Cell::new(0),
@@ -258,7 +263,10 @@
                 continue;
             }
             let view = beliefs.engine(&endpoint.id, now);
-            let layers = view.map_or(endpoint.layers, |view| view.usable);
+            // An engine that the lead doesn't tell of leaves, or holds nothing yet.
+            let has_lead = beliefs.lead(now).is_some();
+            let listed = if has_lead { LayerRange::default() } else { endpoint.layers };
+            let layers = view.map_or(listed, |view| view.usable);
             let is_dead = view.is_some_and(|view| view.is_dead);
             if is_dead || layers.is_empty() || beliefs.is_suspect(&endpoint.id, now) {
                 continue;
--- a/crates/gateway/src/process/path_book.rs
+++ b/crates/gateway/src/process/path_book.rs
@@ -1,7 +1,9 @@
 //! The paths in use, what this gateway's streams take on them, and the choice among them.
 
 use rand::RngExt;
-use sorrellock_routing::process::{DataCentre, EndpointId, Holder, PipelinePath, cheapest_path};
+use sorrellock_routing::process::{
+    DataCentre, EndpointId, Holder, PipelinePath, cheapest_path, paths_by_head,
+};
 use sorrellock_routing::version::{ModelShape, ServiceName};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeSet, HashMap};
@@ -46,6 +48,8 @@
 pub(crate) struct LivePath {
     /// Its engines.
     pub(crate) path: PipelinePath,
+    /// Requests that its first engine takes at once from all gateways.
+    pub(crate) slots: u32,
     /// Streams under way.
     pub(crate) streams: Cell<u32>,
     /// When a stream last got an event, or the first of them began.
@@ -65,9 +69,10 @@
 }
 
 impl LivePath {
-    fn new(path: PipelinePath, now: Instant) -> LivePath {
+    fn new(path: PipelinePath, slots: u32, now: Instant) -> LivePath {
         LivePath {
             path,
+            slots,
             streams: Cell::new(0),
             last_event: Cell::new(now),
             avoid_until: Cell::new(None),
@@ -142,6 +147,13 @@
             load.tokens -= self.tokens;
             load.streams -= 1;
         }
+        let head = &self.live.path.first().id;
+        if let Some(streams) = book.own_heads.get_mut(head) {
+            *streams -= 1;
+            if *streams == 0 {
+                book.own_heads.remove(head);
+            }
+        }
         book.freed.notify_waiters();
     }
 }
@@ -161,13 +173,32 @@
     paths: HashMap<ServiceName, Vec<Rc<LivePath>>>,
     own: HashMap<DataCentre, Load>,
     peers: HashMap<DataCentre, Load>,
+    /// Streams by the first engine of their path.
+    own_heads: HashMap<EndpointId, u32>,
+    peer_heads: HashMap<EndpointId, u32>,
     freed: Rc<Notify>,
 }
 
 impl PathBook {
     /// Takes what streams of other gateways take.
-    pub(crate) fn set_peer_loads(&mut self, peers: HashMap<DataCentre, Load>) {
+    pub(crate) fn set_peer_loads(
+        &mut self,
+        peers: HashMap<DataCentre, Load>,
+        heads: HashMap<EndpointId, u32>,
+    ) {
         self.peers = peers;
+        self.peer_heads = heads;
+    }
+
+    /// This gateway's streams, by the first engine of their path.
+    pub(crate) fn own_heads(&self) -> impl Iterator<Item = (&EndpointId, &u32)> {
+        self.own_heads.iter()
+    }
+
+    /// Streams of all gateways that begin at an engine.
+    fn head_streams(&self, id: &str) -> u32 {
+        let count = |heads: &HashMap<EndpointId, u32>| heads.get(id).copied().unwrap_or_default();
+        count(&self.own_heads) + count(&self.peer_heads)
     }
 
     /// Paths that are silent as a whole.
@@ -220,7 +251,7 @@
                 }
                 None => {
                     is_changed = true;
-                    fresh.push(Rc::new(LivePath::new(path, now)));
+                    fresh.push(Rc::new(LivePath::new(path, shape.slots.max(1), now)));
                 }
             }
         }
@@ -285,7 +316,9 @@
         let mut is_full = false;
         for live in self.paths(service).iter().filter(is_open) {
             let taken = self.taken(&live.path.data_centre).tokens + tokens;
-            let share = taken / live.path.token_room.max(1.0);
+            let begun = self.head_streams(&live.path.first().id) + 1;
+            let of_slots = f64::from(begun) / f64::from(live.slots);
+            let share = (taken / live.path.token_room.max(1.0)).max(of_slots);
             if share > FILL {
                 is_full = true;
                 continue;
@@ -317,8 +350,12 @@
             };
             let taken = self.taken(&live.path.data_centre);
             format!(
-                "{} {state} {:.0}/{:.0} tokens, {} streams",
-                live.path.data_centre, taken.tokens, live.path.token_room, taken.streams
+                "{} {state} {:.0}/{:.0} tokens, {}/{} streams",
+                live.path.data_centre,
+                taken.tokens,
+                live.path.token_room,
+                self.head_streams(&live.path.first().id),
+                live.slots
             )
         };
         self.paths(service).iter().map(describe).collect::<Vec<_>>().join("; ")
@@ -349,11 +386,12 @@
     let load = open.own.entry(live.path.data_centre.clone()).or_default();
     load.tokens += tokens;
     load.streams += 1;
+    *open.own_heads.entry(live.path.first().id.clone()).or_default() += 1;
     drop(open);
     Ok(PathPlace { live, tokens, book: Rc::clone(book) })
 }
 
-/// A path inside each data centre that has one; else one over several, if any.
+/// The paths inside each data centre, one for each first engine; else one over several, if any.
 fn best_paths(holders: &[Holder], layers: u32) -> Vec<PipelinePath> {
     let data_centres: BTreeSet<&DataCentre> =
         holders.iter().map(|holder| &holder.data_centre).collect();
@@ -361,7 +399,7 @@
     for data_centre in data_centres {
         let local = holders.iter().filter(|holder| holder.data_centre == *data_centre);
         let local: Vec<Holder> = local.cloned().collect();
-        paths.extend(cheapest_path(&local, layers));
+        paths.extend(paths_by_head(&local, layers));
     }
     if paths.is_empty() {
         paths.extend(cheapest_path(holders, layers));
--- a/crates/gateway/src/process/peer_message.rs
+++ b/crates/gateway/src/process/peer_message.rs
@@ -19,6 +19,8 @@
     pub(crate) endpoints_at: u64,
     /// KV cache that the sender's streams take, by data centre.
     pub(crate) loads: Vec<DataCentreLoad>,
+    /// Streams of the sender, by the first engine of their path.
+    pub(crate) heads: Vec<(EndpointId, u32)>,
     /// Engines that the sender takes to be dead or cut off, by its own streams.
     pub(crate) suspects: Vec<EndpointId>,
     /// Endpoints that told the sender that they take nothing more.
--- a/crates/gateway/src/process/peers.rs
+++ b/crates/gateway/src/process/peers.rs
@@ -5,6 +5,7 @@
 use http::Method;
 use serde::{Deserialize, Serialize};
 use sorrellock_platform::{Client, Kind, Store, StoreError};
+use sorrellock_routing::process::EndpointId;
 use spdlog::{info, warn};
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
@@ -94,6 +95,7 @@
             config_version: gateway.knowledge.borrow().config_version(),
             endpoints_at: gateway.knowledge.borrow().endpoints_at(),
             loads: paths.own_loads().map(load).collect(),
+            heads: paths.own_heads().map(|(id, streams)| (id.clone(), *streams)).collect(),
             suspects,
             leaving,
             lead: self.own_view.borrow().clone(),
@@ -114,14 +116,18 @@
     fn take_loads(&self) {
         let now = Instant::now();
         let mut loads: HashMap<String, Load> = HashMap::new();
+        let mut heads: HashMap<EndpointId, u32> = HashMap::new();
         for peer in self.gateway.beliefs.borrow().live_peers(now) {
             for told in &peer.message.loads {
                 let load = loads.entry(told.data_centre.clone()).or_default();
                 load.tokens += f64::from(told.tokens);
                 load.streams += told.streams;
             }
+            for (id, streams) in &peer.message.heads {
+                *heads.entry(id.clone()).or_default() += streams;
+            }
         }
-        self.gateway.paths.borrow_mut().set_peer_loads(loads);
+        self.gateway.paths.borrow_mut().set_peer_loads(loads, heads);
     }
 
     /// Takes the others' messages, for ever.
--- a/crates/gateway/src/process/placer.rs
+++ b/crates/gateway/src/process/placer.rs
@@ -132,6 +132,8 @@
     gateway: Rc<Gateway>,
     own_view: Rc<RefCell<Option<LeadView>>>,
     engines: Engines,
+    /// All engines were heard once, or are dead: what this lead tells is whole.
+    is_complete: bool,
     plans: HashMap<(ServiceName, DataCentre), Planned>,
     /// Since when the chain of a data centre is whole, with these engines.
     whole: HashMap<(ServiceName, DataCentre), (BTreeSet<EndpointId>, Instant)>,
@@ -145,6 +147,7 @@
             gateway,
             own_view,
             engines: Rc::default(),
+            is_complete: false,
             plans: HashMap::new(),
             whole: HashMap::new(),
             settled: HashMap::new(),
@@ -164,7 +167,9 @@
 
     /// Forgets everything: whoever leads next reads it from the engines.
     fn rest(&mut self) {
-        if self.own_view.borrow_mut().take().is_some() {
+        if self.gateway.leads.replace(false) {
+            *self.own_view.borrow_mut() = None;
+            self.is_complete = false;
             self.engines.borrow_mut().clear();
             self.plans.clear();
             self.whole.clear();
@@ -508,9 +513,15 @@
     }
 
     /// Shares what the lead knows with all gateways, this one included.
-    fn publish(&self, term: u64) {
+    fn publish(&mut self, term: u64) {
+        self.gateway.leads.set(true);
         let engines = self.engines.borrow();
-        let heard = engines.iter().filter(|(_, engine)| engine.report.is_some() || engine.is_dead);
+        let is_heard = |engine: &Engine| engine.report.is_some() || engine.is_dead;
+        self.is_complete |= !engines.is_empty() && engines.values().all(is_heard);
+        if !self.is_complete {
+            return;
+        }
+        let heard = engines.iter().filter(|(_, engine)| is_heard(engine));
         let mut views: Vec<EngineView> = heard
             .map(|(id, engine)| EngineView {
                 id: id.clone(),
--- a/crates/gateway/src/process/pool.rs
+++ b/crates/gateway/src/process/pool.rs
@@ -21,7 +21,10 @@
 /// retry of a lost opening packet comes after a second.
 const CONNECT_LIMIT: Duration = Duration::from_millis(500);
 /// Idle time after which a connection isn't used again, where the endpoint doesn't tell its own.
-const IDLE_LIMIT: Duration = Duration::from_secs(4);
+const IDLE_LIMIT: Duration = Duration::from_secs(12);
+/// The same for a request that may not be sent twice: an endpoint may drop an idle connection
+/// without notice, and what was sent on it may have run.
+const IDLE_LIMIT_ONCE: Duration = Duration::from_secs(2);
 /// What is taken off the idle time that an endpoint tells: the way there and its timer's slack.
 const IDLE_MARGIN: Duration = Duration::from_millis(500);
 /// Largest head of an endpoint's answer, in bytes.
@@ -30,8 +33,6 @@
 /// A connection to an endpoint. Dropping it closes it at once, which ends what runs there.
 pub(crate) struct Connection {
     pub(crate) sender: SendRequest<Full<Bytes>>,
-    /// It served a request before.
-    pub(crate) is_reused: bool,
     driver: JoinHandle<()>,
     idle_since: Instant,
     idle_limit: Duration,
@@ -51,12 +52,17 @@
 
 impl Pool {
     /// Takes the connection that was used last, if one is still good.
-    pub(crate) fn take(&mut self, addr: SocketAddr, now: Instant) -> Option<Connection> {
+    pub(crate) fn take(
+        &mut self,
+        addr: SocketAddr,
+        may_repeat: bool,
+        now: Instant,
+    ) -> Option<Connection> {
         let idle = self.idle.get_mut(&addr)?;
-        while let Some(mut connection) = idle.pop() {
-            let is_fresh = now - connection.idle_since < connection.idle_limit;
+        let most = if may_repeat { IDLE_LIMIT } else { IDLE_LIMIT_ONCE };
+        while let Some(connection) = idle.pop() {
+            let is_fresh = now - connection.idle_since < connection.idle_limit.min(most);
             if is_fresh && connection.sender.is_ready() {
-                connection.is_reused = true;
                 return Some(connection);
             }
         }
@@ -107,5 +113,5 @@
         let _ = connection.await;
     });
     let idle_since = Instant::now();
-    Ok(Connection { sender, is_reused: false, driver, idle_since, idle_limit: IDLE_LIMIT })
+    Ok(Connection { sender, driver, idle_since, idle_limit: IDLE_LIMIT })
 }
--- a/crates/gateway/src/process/watchers.rs
+++ b/crates/gateway/src/process/watchers.rs
@@ -13,6 +13,11 @@
 /// Changes that come within this time are fetched together: a call each would cost more than
 /// their delay.
 const WATCH_PAUSE: Duration = Duration::from_millis(200);
+/// The same for changes of endpoints, per gateway: all watch, and the lead tells the others what
+/// matters of engines at once.
+const WATCH_PAUSE_PER_GATEWAY: Duration = Duration::from_millis(30);
+/// The longest such pause: an endpoint that leaves may get requests for two seconds.
+const WATCH_PAUSE_MOST: Duration = Duration::from_millis(900);
 /// The first wait after a failed call; it doubles up to the longest.
 const RETRY_FIRST: Duration = Duration::from_millis(150);
 /// The longest wait after a failed call: entries that lapsed must be seen within two seconds.
@@ -86,10 +91,18 @@
             }
         }
         self.on_endpoints_known(changes.at);
-        sleep(WATCH_PAUSE).await;
+        sleep(self.pause()).await;
         Ok(())
     }
 
+    fn pause(&self) -> Duration {
+        if self.kind != Kind::Endpoints || self.gateway.leads.get() {
+            return WATCH_PAUSE;
+        }
+        let gateways = self.gateway.beliefs.borrow().gateways(Instant::now());
+        (WATCH_PAUSE_PER_GATEWAY * gateways as u32).clamp(WATCH_PAUSE, WATCH_PAUSE_MOST)
+    }
+
     async fn on_listing(&mut self, listing: Listing) -> Result<(), StoreError> {
         let after_outage = self.lost_since.is_some();
         self.on_answer();
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -91,7 +91,7 @@
     limit: Duration,
 ) -> Result<Begun, Failed> {
     let in_flight = InFlight::new(Rc::clone(gateway), target.id.clone());
-    let mut connection = connect(gateway, target).await?;
+    let mut connection = connect(gateway, call, target).await?;
     let req = request(call, target);
     let sending = connection.sender.try_send_request(req);
     let answer = match timeout(limit, sending).await {
@@ -114,8 +114,13 @@
     Ok(Begun { answer, head, connection, addr: target.addr, in_flight })
 }
 
-async fn connect(gateway: &Rc<Gateway>, target: &Target<'_>) -> Result<Connection, Failed> {
-    let kept = gateway.pool.borrow_mut().take(target.addr, Instant::now());
+async fn connect(
+    gateway: &Rc<Gateway>,
+    call: &Call,
+    target: &Target<'_>,
+) -> Result<Connection, Failed> {
+    let may_repeat = call.route.semantics.may_repeat();
+    let kept = gateway.pool.borrow_mut().take(target.addr, may_repeat, Instant::now());
     if let Some(connection) = kept {
         return Ok(connection);
     }
--- a/crates/routing/src/process/pipeline_path.rs
+++ b/crates/routing/src/process/pipeline_path.rs
@@ -68,10 +68,20 @@
 const PART_COST: f64 = 0.5;
 
 /// The cheapest path over all `layers`, if the holders can make one.
-///
+pub fn cheapest_path(holders: &[Holder], layers: u32) -> Option<PipelinePath> {
+    path_from(holders, layers, None)
+}
+
+/// The cheapest path that begins at each engine that holds the first layer: an engine takes only so
+/// many requests as the first of their path.
+pub fn paths_by_head(holders: &[Holder], layers: u32) -> Vec<PipelinePath> {
+    let heads = (0..holders.len()).filter(|head| holders[*head].layers.contains(0));
+    heads.filter_map(|head| path_from(holders, layers, Some(head))).collect()
+}
+
 /// A shortest path over states (layer, holder): each holder's run of layers may begin and end
 /// anywhere within what it holds. `O(layers * holders^2)`.
-pub fn cheapest_path(holders: &[Holder], layers: u32) -> Option<PipelinePath> {
+fn path_from(holders: &[Holder], layers: u32, head: Option<usize>) -> Option<PipelinePath> {
     let layers = layers as usize;
     // best[l][h]: the least cost of running layers 0..l with holder h the last to run.
     let mut best = vec![vec![f64::INFINITY; holders.len()]; layers + 1];
@@ -80,7 +90,8 @@
         let entry = cheapest_entry(&best[layer], holders, layer);
         let entries: Vec<_> = (0..holders.len()).map(entry).collect();
         for (index, holder) in holders.iter().enumerate() {
-            if !holder.layers.contains(layer as u32) {
+            let may_begin = layer > 0 || head.is_none_or(|head| head == index);
+            if !holder.layers.contains(layer as u32) || !may_begin {
                 continue;
             }
             let go_on = best[layer][index];
--- a/crates/routing/src/process/placement/planner.rs
+++ b/crates/routing/src/process/placement/planner.rs
@@ -62,6 +62,58 @@
         (false, false) => Weights::REPAIR,
     };
     let engines = largest(engines);
+    let (heads, engines) = extra_heads(shape, engines);
+    let mut placement = plan_chain(shape, engines, weights)?;
+    placement.extend(heads);
+    Some(placement)
+}
+
+/// Room for requests from which on a further first engine pays, as a multiple of an engine's slots.
+const HEADS_ROUNDING: f64 = 0.5;
+/// The most first engines of a chain.
+const MAX_HEADS: usize = 4;
+/// Share of its memory that a further first engine gives to layers: the rest holds its share of
+/// the requests.
+const HEAD_LAYERS_SHARE: f64 = 0.6;
+
+/// Takes engines out of the chain that are first engines beside the chain's own: an engine takes
+/// only so many requests as the first of their path, where memory would hold more. Engines that are
+/// such keep their layers; new ones are the smallest that are empty.
+fn extra_heads(
+    shape: &ModelShape,
+    mut engines: Vec<PlannedEngine>,
+) -> (Placement, Vec<PlannedEngine>) {
+    let memory: f64 = engines.iter().map(|engine| engine.memory_mb).sum();
+    let free_mb = memory - f64::from(shape.layers) * shape.layer_mb;
+    let kv_mb = shape.kv_mb_per_token_layer() * f64::from(shape.layers) * shape.usual_tokens();
+    let requests = free_mb / kv_mb.max(1e-9);
+    let wanted = (requests / f64::from(shape.slots.max(1)) + HEADS_ROUNDING).floor() as usize;
+    let wanted = wanted.clamp(1, MAX_HEADS) - 1;
+    let mut heads = Placement::new();
+    // The one that holds most of the first layers is the chain's own.
+    let is_head = |engine: &PlannedEngine| !engine.held.is_empty() && engine.held.from == 0;
+    engines.sort_by_key(|engine| (is_head(engine), std::cmp::Reverse(engine.held.len())));
+    while heads.len() < wanted && engines.iter().filter(|engine| is_head(engine)).count() > 1 {
+        let engine = engines.pop().expect("two are heads");
+        heads.insert(engine.id.clone(), engine.held);
+    }
+    while heads.len() < wanted && engines.len() > 2 {
+        let empty = (0..engines.len()).filter(|index| engines[*index].held.is_empty());
+        let smallest = empty.min_by(|a, b| engines[*a].memory_mb.total_cmp(&engines[*b].memory_mb));
+        let Some(smallest) = smallest else { break };
+        let engine = engines.remove(smallest);
+        let layers = (engine.memory_mb * HEAD_LAYERS_SHARE / shape.layer_mb).floor() as u32;
+        heads.insert(engine.id, LayerRange::new(0, layers.clamp(1, shape.layers)));
+    }
+    (heads, engines)
+}
+
+/// The layers of each engine of the chain.
+fn plan_chain(
+    shape: &ModelShape,
+    engines: Vec<PlannedEngine>,
+    weights: Weights,
+) -> Option<Placement> {
     let (mut chain, new): (Vec<_>, Vec<_>) =
         engines.into_iter().partition(|engine| !engine.held.is_empty());
     chain.sort_by(|a, b| (a.held.from, a.held.to, &a.id).cmp(&(b.held.from, b.held.to, &b.id)));
