--- /dev/null
+++ b/crates/daemon/tests/gateway/fleet.rs
@@ -0,0 +1,167 @@
+//! A small fleet: a store, four engines in two data centres, a plain service.
+
+use crate::gateway_process::{GatewayProcess, wait_for};
+use serde_json::{Value, json};
+use sorrellock_stand_ins::{EngineConfig, FakeEngine, FakeService, FakeStore, new_ip};
+use std::io::Read;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+/// Events of each stream.
+pub const EVENTS: u64 = 40;
+/// Layers of the model.
+pub const LAYERS: u64 = 8;
+pub const HOST: &str = "fleet.example";
+pub const KEY: &str = "key-of-treasury";
+
+/// The stand-ins.
+pub struct Fleet {
+    pub store: FakeStore,
+    /// Two in `north`, two in `south`.
+    pub engines: Vec<FakeEngine>,
+    pub service: FakeService,
+}
+
+/// Each engine holds five of eight layers at most: two make a data centre whole.
+pub fn config(version: u64, keys: &[&str]) -> Value {
+    let route = |name: &str, prefix: &str, kind: &str, service: &str, attempts: u32| {
+        json!({
+            "name": name, "host": HOST, "path_prefix": prefix, "kind": kind,
+            "timeout_ms": 20_000, "target_latency_ms": 500, "priority": 1, "service": service,
+            "max_attempts": attempts, "public": false, "stream_resume": kind == "streaming",
+        })
+    };
+    json!({
+        "version": version,
+        "routes": [
+            route("match", "/match/", "streaming", "lexis", 2),
+            route("status", "/status/", "non_idempotent", "ledger", 1),
+            route("ack", "/ack/", "idempotent", "ledger", 2),
+        ],
+        "services": [
+            {"name": "ledger", "health_path": "/health", "max_conns": 50},
+            {"name": "lexis", "health_path": "/health", "max_conns": 500, "engine": {
+                "slots": 192, "kv_token_bytes": 1000.0, "models": [{"load_s": 0.1}],
+                "step_ms": 0.1, "loads_at_once": 6, "usual": {"prompt": 10, "answer": 40},
+                "layers": LAYERS, "layer_mb": 100.0,
+                "kinds": [{"name": "card", "size_mb": 560.0, "pace": 1.0, "read_factor": 1.0}],
+            }},
+        ],
+        "limits": {"max_header_bytes": 16384, "max_body_bytes": 65536,
+            "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+        "tenants": [{"name": "treasury", "api_keys": keys, "priority": 1}],
+    })
+}
+
+/// Starts the stand-ins.
+pub fn fleet() -> Fleet {
+    let store = FakeStore::start(new_ip()).expect("the store");
+    store.put("config", "main", config(1, &[KEY]));
+    let engine = |index: usize| {
+        let cfg = EngineConfig {
+            id: format!("engine-{index}"),
+            service: "lexis".into(),
+            data_centre: if index < 2 { "north" } else { "south" }.into(),
+            card: "card".into(),
+            events: EVENTS,
+            gap: Duration::from_millis(20),
+        };
+        FakeEngine::start(cfg, new_ip(), &store).expect("an engine")
+    };
+    let engines = (0..4).map(engine).collect();
+    let service = FakeService::start("ledger-1", "ledger", "north", new_ip(), &store);
+    Fleet { engines, service: service.expect("the service"), store }
+}
+
+impl Fleet {
+    /// Starts a gateway, and waits until both data centres hold the model.
+    pub fn gateway(&self, instance: &str) -> GatewayProcess {
+        let gateway = GatewayProcess::start(instance, "north", self.store.addr());
+        self.wait_whole(&gateway);
+        gateway
+    }
+
+    /// Waits until both data centres hold the model and the gateway knows a path in each.
+    pub fn wait_whole(&self, gateway: &GatewayProcess) {
+        wait_for("the gateway to be ready", || gateway.is_ready());
+        for data_centre in ["north", "south"] {
+            gateway.wait_for_line(&["\"path in use\"", data_centre]);
+        }
+    }
+
+    /// The engine that runs a request as the first of its path.
+    pub fn runner(&self, request: &str) -> Option<&FakeEngine> {
+        self.engines.iter().find(|engine| engine.seen().runs.contains_key(request))
+    }
+
+    /// How many engines ran a request as the first of its path.
+    pub fn runs(&self, request: &str) -> u32 {
+        let runs = |engine: &FakeEngine| engine.seen().runs.get(request).copied().unwrap_or(0);
+        self.engines.iter().map(runs).sum()
+    }
+}
+
+static NEXT_REQUEST: AtomicU64 = AtomicU64::new(1);
+
+/// A request id that no other request has.
+pub fn new_request() -> String {
+    format!("{:016x}", NEXT_REQUEST.fetch_add(1, Ordering::Relaxed))
+}
+
+/// An answer as its caller sees it.
+#[derive(Debug)]
+pub struct Answer {
+    pub status: u16,
+    pub signature: Option<String>,
+    pub retry_after: Option<String>,
+    pub body: String,
+    /// The body came to its end in order.
+    pub is_whole: bool,
+}
+
+/// Sends a request and reads the whole answer.
+pub fn send(gateway: SocketAddr, path: &str, request: &str, key: Option<&str>) -> Answer {
+    let (answer, mut body) = begin(gateway, path, request, key);
+    let mut text = String::new();
+    let is_whole = body.read_to_string(&mut text).is_ok();
+    Answer { body: text, is_whole, ..answer }
+}
+
+/// Sends a request and returns once its head came.
+pub fn begin(
+    gateway: SocketAddr,
+    path: &str,
+    request: &str,
+    key: Option<&str>,
+) -> (Answer, Box<dyn Read + Send>) {
+    let agent = ureq::Agent::config_builder().http_status_as_error(false).max_idle_connections(0);
+    let agent = ureq::Agent::new_with_config(agent.build());
+    let mut req = agent
+        .post(format!("http://{gateway}{path}"))
+        .header("host", HOST)
+        .header("request-id", request)
+        .header("deadline-ms", "30000")
+        .header("token-count", "10,40")
+        .header("model", "m");
+    if let Some(key) = key {
+        req = req.header("authorization", format!("Bearer {key}"));
+    }
+    let answer = req.send("body").expect("a head of an answer");
+    let text = |name: &str| {
+        answer.headers().get(name).and_then(|value| value.to_str().ok()).map(str::to_owned)
+    };
+    let head = Answer {
+        status: answer.status().as_u16(),
+        signature: text("response-seal"),
+        retry_after: text("retry-after"),
+        body: String::new(),
+        is_whole: false,
+    };
+    (head, Box::new(answer.into_body().into_reader()))
+}
+
+/// What a whole stream holds.
+pub fn whole_stream() -> String {
+    (1..=EVENTS).map(|id| format!("id: {id}\ndata: token-{id}\n\n")).collect()
+}
--- /dev/null
+++ b/crates/daemon/tests/gateway/gateway_process.rs
@@ -0,0 +1,158 @@
+//! A gateway as a child process.
+
+use nix::sys::signal::{Signal, kill};
+use nix::unistd::Pid;
+use std::fs;
+use std::io::{BufRead, BufReader};
+use std::net::{IpAddr, SocketAddr};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// Ports of a gateway, each on an address of its own.
+const CALLERS_PORT: u16 = 8_227;
+const READINESS_PORT: u16 = 8_220;
+const PEER_PORT: u16 = 7_340;
+/// How long a test waits for what must come: far above what it takes.
+pub const PATIENCE: Duration = Duration::from_secs(60);
+
+/// A gateway as a child process. Dropping it kills it.
+pub struct GatewayProcess {
+    child: Child,
+    ip: IpAddr,
+    lines: Arc<Mutex<Vec<String>>>,
+}
+
+/// The settings file of a gateway.
+pub fn settings(instance: &str, data_centre: &str, ip: IpAddr, store: SocketAddr) -> String {
+    format!(
+        r#"
+node_name = "{instance}"
+role = "gateway"
+ip = "{ip}"
+zone = "{data_centre}"
+internal_ports = [{PEER_PORT},{}]
+heartbeat_ms = 300
+[listen]
+front = "{ip}:{CALLERS_PORT}"
+ready = "{ip}:{READINESS_PORT}"
+[bounds]
+retry_budget_ratio = 0.2
+budget_window_s = 1
+budget_slack = 200
+grace_s = 8
+drain_ms = 2000
+stall_ms = 2500
+[platform]
+address = "{store}"
+"#,
+        PEER_PORT + 9
+    )
+}
+
+/// Writes a settings file.
+pub fn write_settings(name: &str, text: &str) -> PathBuf {
+    let file = format!("sorrellock-gateway-{}-{name}.toml", std::process::id());
+    let path = std::env::temp_dir().join(file);
+    fs::write(&path, text).expect("the settings file");
+    path
+}
+
+/// The command with a settings file.
+pub fn command(role: &[&str], settings: &PathBuf) -> Command {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_sorrellockd"));
+    command.args(role).env("SORRELLOCK_NODE_FILE", settings);
+    command
+}
+
+impl GatewayProcess {
+    /// Starts a gateway whose log is read.
+    pub fn start(instance: &str, data_centre: &str, store: SocketAddr) -> GatewayProcess {
+        GatewayProcess::spawn(instance, data_centre, store, true)
+    }
+
+    /// Starts a gateway whose log nobody reads.
+    pub fn start_unread(instance: &str, data_centre: &str, store: SocketAddr) -> GatewayProcess {
+        GatewayProcess::spawn(instance, data_centre, store, false)
+    }
+
+    fn spawn(instance: &str, data_centre: &str, store: SocketAddr, read: bool) -> GatewayProcess {
+        let ip = sorrellock_stand_ins::new_ip();
+        let path = write_settings(&ip.to_string(), &settings(instance, data_centre, ip, store));
+        let mut command = command(&["gateway"], &path);
+        let mut child = command.stdout(Stdio::piped()).spawn().expect("the gateway starts");
+        let lines = Arc::new(Mutex::new(Vec::new()));
+        if read {
+            let (out, kept) = (child.stdout.take().expect("it is piped"), Arc::clone(&lines));
+            thread::spawn(move || {
+                for line in BufReader::new(out).lines().map_while(Result::ok) {
+                    kept.lock().expect("no panic holds this lock").push(line);
+                }
+            });
+        }
+        GatewayProcess { child, ip, lines }
+    }
+
+    /// Where callers connect.
+    pub fn callers(&self) -> SocketAddr {
+        SocketAddr::new(self.ip, CALLERS_PORT)
+    }
+
+    /// Where its metrics are read.
+    pub fn metrics(&self) -> SocketAddr {
+        SocketAddr::new(self.ip, 9_464)
+    }
+
+    /// Whether it says that it is ready.
+    pub fn is_ready(&self) -> bool {
+        let url = format!("http://{}:{READINESS_PORT}/v1/readiness", self.ip);
+        ureq::get(url).call().is_ok_and(|answer| answer.status() == 200)
+    }
+
+    /// Sends it a signal.
+    pub fn signal(&self, signal: Signal) {
+        kill(Pid::from_raw(self.child.id() as i32), signal).expect("the process is there");
+    }
+
+    /// Waits for its end, and returns its exit code.
+    pub fn wait(&mut self) -> Option<i32> {
+        let mut code = None;
+        wait_for("the gateway's end", || {
+            code = self.child.try_wait().expect("its state");
+            code.is_some()
+        });
+        code.and_then(|status| status.code())
+    }
+
+    /// The lines of its log so far that hold all of `parts`.
+    pub fn lines(&self, parts: &[&str]) -> Vec<String> {
+        let lines = self.lines.lock().expect("no panic holds this lock");
+        let holds = |line: &&String| parts.iter().all(|part| line.contains(part));
+        lines.iter().filter(holds).cloned().collect()
+    }
+
+    /// Waits for a line of its log that holds all of `parts`.
+    pub fn wait_for_line(&self, parts: &[&str]) -> String {
+        wait_for(&format!("a line with {parts:?}"), || !self.lines(parts).is_empty());
+        self.lines(parts).remove(0)
+    }
+}
+
+impl Drop for GatewayProcess {
+    fn drop(&mut self) {
+        // It may have ended already.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// Waits until something holds.
+pub fn wait_for(what: &str, mut holds: impl FnMut() -> bool) {
+    let began = Instant::now();
+    while !holds() {
+        assert!(began.elapsed() < PATIENCE, "waited in vain for {what}");
+        thread::sleep(Duration::from_millis(10));
+    }
+}
--- /dev/null
+++ b/crates/daemon/tests/gateway/knowledge.rs
@@ -0,0 +1,131 @@
+//! Configuration and endpoints: in force soon, never back, also without the store.
+
+use crate::fleet::{KEY, config, fleet, new_request, send};
+use crate::gateway_process::{GatewayProcess, wait_for};
+use sorrellock_stand_ins::StoreMode;
+
+#[test]
+fn without_a_configuration_requests_are_refused_as_not_run_and_not_as_unknown() {
+    let fleet = fleet();
+    fleet.store.set_mode(StoreMode::Busy);
+    let gateway = GatewayProcess::start("one", "north", fleet.store.addr());
+    gateway.wait_for_line(&["\"store lost\""]);
+
+    let answer = send(gateway.callers(), "/status/a", &new_request(), Some(KEY));
+
+    assert_eq!(answer.status, 503);
+    assert!(answer.retry_after.is_some());
+    assert!(!gateway.is_ready());
+}
+
+#[test]
+fn a_new_configuration_is_in_force_and_an_older_one_changes_nothing() {
+    let fleet = fleet();
+    let gateway = fleet.gateway("one");
+
+    fleet.store.put("config", "main", config(7, &["key-2"]));
+    gateway.wait_for_line(&["\"configuration in force\"", "\"version\":7"]);
+    fleet.store.put("config", "main", config(6, &[KEY]));
+    fleet.store.put("config", "main", config(8, &["key-2"]));
+    gateway.wait_for_line(&["\"configuration in force\"", "\"version\":8"]);
+
+    let old = send(gateway.callers(), "/status/a", &new_request(), Some(KEY));
+    let new = send(gateway.callers(), "/status/a", &new_request(), Some("key-2"));
+    assert_eq!((old.status, new.status), (401, 200));
+    assert!(gateway.lines(&["\"configuration in force\"", "\"version\":6"]).is_empty());
+}
+
+#[test]
+fn a_configuration_that_cant_be_read_is_told_and_the_one_before_stays() {
+    let fleet = fleet();
+    let gateway = fleet.gateway("one");
+    let mut bad = config(9, &[KEY]);
+    bad["routes"][0]["kind"] = "sideways".into();
+
+    fleet.store.put("config", "main", bad);
+
+    let line = gateway.wait_for_line(&["\"configuration refused\""]);
+    assert!(line.contains("sideways") && line.contains("match"), "{line}");
+    let answer = send(gateway.callers(), "/status/a", &new_request(), Some(KEY));
+    assert_eq!(answer.status, 200);
+}
+
+#[test]
+fn a_gateway_that_the_store_turns_away_learns_from_another() {
+    let fleet = fleet();
+    let first = fleet.gateway("one");
+    fleet.store.put("config", "main", config(5, &["key-2"]));
+    first.wait_for_line(&["\"configuration in force\"", "\"version\":5"]);
+    let second = fleet.gateway("two");
+    second.wait_for_line(&["\"gateway heard\"", "one"]);
+
+    // The second follows a store of its own that falls silent; only the first hears of changes.
+    let lonely = fleet.store.clone();
+    lonely.compact();
+    fleet.store.put("config", "main", config(6, &["key-3"]));
+
+    for gateway in [&first, &second] {
+        wait_for("the change to be in force", || {
+            let answer = send(gateway.callers(), "/status/a", &new_request(), Some("key-3"));
+            answer.status == 200
+        });
+    }
+}
+
+#[test]
+fn streams_are_served_while_the_store_is_down() {
+    let fleet = fleet();
+    let gateway = fleet.gateway("one");
+
+    fleet.store.set_mode(StoreMode::Silent);
+
+    for _ in 0..3 {
+        let answer = send(gateway.callers(), "/match/a", &new_request(), Some(KEY));
+        assert_eq!((answer.status, answer.is_whole), (200, true));
+    }
+}
+
+#[test]
+fn entries_that_lapse_in_an_outage_are_not_taken_for_deaths() {
+    let fleet = fleet();
+    let gateway = fleet.gateway("one");
+    fleet.store.set_mode(StoreMode::Busy);
+    gateway.wait_for_line(&["\"store lost\""]);
+    for engine in &fleet.engines {
+        fleet.store.remove("servers", engine.id());
+    }
+
+    fleet.store.set_mode(StoreMode::Up);
+    gateway.wait_for_line(&["missing after an outage"]);
+
+    let answer = send(gateway.callers(), "/match/a", &new_request(), Some(KEY));
+    assert_eq!((answer.status, answer.is_whole), (200, true));
+    assert!(gateway.lines(&["\"endpoint gone\"", "\"watch\""]).is_empty());
+}
+
+#[test]
+fn one_of_two_gateways_leads_and_the_other_takes_over() {
+    let fleet = fleet();
+    let first = fleet.gateway("one");
+    first.wait_for_line(&["\"lead taken\""]);
+    let second = fleet.gateway("two");
+    second.wait_for_line(&["\"gateway heard\"", "one"]);
+    assert!(second.lines(&["\"lead taken\""]).is_empty());
+
+    drop(first);
+
+    second.wait_for_line(&["\"lead taken\""]);
+}
+
+#[test]
+fn answers_of_the_store_that_are_lost_do_not_stop_a_gateway() {
+    let fleet = fleet();
+    fleet.store.set_mode(StoreMode::LosesAnswers);
+    let gateway = GatewayProcess::start("one", "north", fleet.store.addr());
+    gateway.wait_for_line(&["gateways not read"]);
+
+    fleet.store.set_mode(StoreMode::Up);
+    fleet.wait_whole(&gateway);
+
+    gateway.wait_for_line(&["\"lead taken\""]);
+}
--- /dev/null
+++ b/crates/daemon/tests/gateway/life.rs
@@ -0,0 +1,115 @@
+//! Start, signals, logs, metrics and bad settings.
+
+use crate::fleet::{KEY, begin, fleet, new_request, send, whole_stream};
+use crate::gateway_process::{GatewayProcess, command, settings, wait_for, write_settings};
+use nix::sys::signal::Signal;
+use sorrellock_stand_ins::new_ip;
+use std::io::Read;
+
+#[test]
+fn sigterm_lets_a_stream_finish_and_ends_in_order() {
+    let fleet = fleet();
+    let mut gateway = fleet.gateway("one");
+    let (head, mut body) = begin(gateway.callers(), "/match/a", &new_request(), Some(KEY));
+    assert_eq!(head.status, 200);
+
+    gateway.signal(Signal::SIGTERM);
+    wait_for("readiness to fail", || !gateway.is_ready());
+    let mut all = String::new();
+    body.read_to_string(&mut all).expect("the stream, to its end");
+
+    assert_eq!(all, whole_stream());
+    assert_eq!(gateway.wait(), Some(0));
+    gateway.wait_for_line(&["\"gateway leaving\"", "\"in_flight\":1"]);
+    gateway.wait_for_line(&["\"gateway ended\"", "\"in_flight\":0"]);
+}
+
+#[test]
+fn sighup_reads_the_settings_again_and_breaks_nothing() {
+    let fleet = fleet();
+    let gateway = fleet.gateway("one");
+
+    gateway.signal(Signal::SIGHUP);
+
+    gateway.wait_for_line(&["settings read again"]);
+    let answer = send(gateway.callers(), "/status/a", &new_request(), Some(KEY));
+    assert_eq!(answer.status, 200);
+}
+
+#[test]
+fn each_final_outcome_has_its_line() {
+    let fleet = fleet();
+    let gateway = fleet.gateway("one");
+    let requests: Vec<String> = (0..4).map(|_| new_request()).collect();
+
+    send(gateway.callers(), "/match/a", &requests[0], Some(KEY));
+    send(gateway.callers(), "/status/a", &requests[1], Some(KEY));
+    send(gateway.callers(), "/nowhere/a", &requests[2], Some(KEY));
+    send(gateway.callers(), "/status/a", &requests[3], Some("no key"));
+
+    for (request, outcome) in
+        requests.iter().zip(["answered", "answered", "not allowed", "not allowed"])
+    {
+        let line = gateway.wait_for_line(&["\"request ended\"", request]);
+        assert!(line.contains(outcome), "{line}");
+        assert_eq!(gateway.lines(&["\"request ended\"", request]).len(), 1);
+    }
+}
+
+#[test]
+fn a_log_that_nobody_reads_delays_no_request() {
+    let fleet = fleet();
+    let gateway = GatewayProcess::start_unread("one", "north", fleet.store.addr());
+    wait_for("a stream to be served", || {
+        gateway.is_ready()
+            && send(gateway.callers(), "/match/a", &new_request(), Some(KEY)).status == 200
+    });
+
+    // Each leaves over 500 bytes of lines: far more than the pipe and the buffer hold.
+    for _ in 0..2_500 {
+        let answer = send(gateway.callers(), "/status/a", &new_request(), Some(KEY));
+        assert_eq!(answer.status, 200);
+    }
+
+    let url = format!("http://{}/metrics", gateway.metrics());
+    let page = ureq::get(url).call().expect("metrics").into_body().read_to_string();
+    let page = page.expect("text");
+    let dropped = page.lines().find_map(|line| line.strip_prefix("sorrellock_log_lines_dropped "));
+    let dropped: u64 = dropped.expect("the counter").parse().expect("a number");
+    assert!(dropped > 0, "{page}");
+}
+
+#[test]
+fn metrics_tell_counters_and_latencies() {
+    let fleet = fleet();
+    let gateway = fleet.gateway("one");
+    send(gateway.callers(), "/match/a", &new_request(), Some(KEY));
+
+    let url = format!("http://{}/metrics", gateway.metrics());
+    let page = ureq::get(url).call().expect("metrics").into_body().read_to_string();
+
+    let page = page.expect("text");
+    for name in ["sorrellock_requests 1", "sorrellock_answered 1", "first_byte_us{q=\"p99.9\"}"] {
+        assert!(page.contains(name), "no {name} in:\n{page}");
+    }
+}
+
+#[test]
+fn bad_settings_end_the_process_and_name_the_field() {
+    let good = settings("one", "north", new_ip(), "127.0.0.1:1".parse().expect("an address"));
+    let table = [
+        ("grace_s = 8", "grace_s = -1", "bounds.grace_s"),
+        ("address = \"127.0.0.1:1\"", "address = \"here\"", "platform.address"),
+        ("node_name = \"one\"", "", "node_name"),
+    ];
+
+    for (index, (from, to, field)) in table.into_iter().enumerate() {
+        let path = write_settings(&format!("bad-{index}"), &good.replace(from, to));
+        for role in [&["gateway"][..], &["check", "gateway"]] {
+            let out = command(role, &path).output().expect("the command runs");
+            let errors = String::from_utf8_lossy(&out.stderr).into_owned();
+            assert_eq!(out.status.code(), Some(2), "{role:?}: {errors}");
+            assert!(errors.contains(field), "{role:?}: no {field} in {errors}");
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/tests/gateway/main.rs
@@ -0,0 +1,8 @@
+//! The gateway as a process, on stand-ins of the users' platform.
+
+mod fleet;
+mod gateway_process;
+mod knowledge;
+mod life;
+mod plain_calls;
+mod streams;
--- /dev/null
+++ b/crates/daemon/tests/gateway/streams.rs
@@ -0,0 +1,168 @@
+//! Streams over paths of engines, while engines die, stall, leave and refuse.
+
+use crate::fleet::{Answer, HOST, KEY, begin, fleet, new_request, send, whole_stream};
+use crate::gateway_process::wait_for;
+use sorrellock_stand_ins::EngineMode;
+use std::io::{Read, Write};
+use std::net::TcpStream;
+use std::thread;
+
+fn assert_whole(answer: &Answer) {
+    assert_eq!(answer.status, 200);
+    assert!(answer.is_whole, "{answer:?}");
+    assert_eq!(answer.body, whole_stream());
+}
+
+#[test]
+fn a_stream_passes_whole_and_the_engine_learns_the_workspace_but_not_the_key() {
+    let fleet = fleet();
+    let gateway = fleet.gateway("one");
+    let request = new_request();
+
+    let answer = send(gateway.callers(), "/match/a", &request, Some(KEY));
+
+    assert_whole(&answer);
+    let runner = fleet.runner(&request).expect("an engine ran it");
+    assert_eq!(answer.signature.as_deref(), Some(runner.id()));
+    let headers = &runner.seen().headers[&request];
+    assert_eq!(headers["tenant"], "treasury");
+    assert_eq!(headers["host"], HOST);
+    assert!(!headers.contains_key("authorization"));
+    let hops = headers["hop-count"].to_str().expect("text").to_owned();
+    assert!(hops.starts_with(&format!("{}=0-", runner.addr())), "{hops}");
+    assert!(hops.ends_with("-8"), "{hops}");
+}
+
+#[test]
+fn forty_streams_at_once_are_whole_and_not_crossed() {
+    let fleet = fleet();
+    let gateway = fleet.gateway("one");
+    let to = gateway.callers();
+
+    let threads: Vec<_> = (0..40)
+        .map(|_| thread::spawn(move || send(to, "/match/a", &new_request(), Some(KEY))))
+        .collect();
+
+    for thread in threads {
+        assert_whole(&thread.join().expect("an answer"));
+    }
+}
+
+#[test]
+fn a_stream_whose_first_engine_dies_goes_on_elsewhere_each_event_once() {
+    let fleet = fleet();
+    let gateway = fleet.gateway("one");
+    let request = new_request();
+    let (head, mut body) = begin(gateway.callers(), "/match/a", &request, Some(KEY));
+    assert_eq!(head.status, 200);
+    let mut first = vec![0; 60];
+    body.read_exact(&mut first).expect("the first events");
+
+    fleet.runner(&request).expect("an engine runs it").crash();
+    let mut rest = String::new();
+    body.read_to_string(&mut rest).expect("the rest, to its end");
+
+    let all = String::from_utf8(first).expect("text") + &rest;
+    assert_eq!(all, whole_stream());
+    gateway.wait_for_line(&["\"stream goes on\"", &request]);
+}
+
+#[test]
+fn a_stream_that_stalls_goes_on_over_another_path() {
+    let fleet = fleet();
+    let gateway = fleet.gateway("one");
+    let request = new_request();
+    let (_, mut body) = begin(gateway.callers(), "/match/a", &request, Some(KEY));
+    let mut first = vec![0; 60];
+    body.read_exact(&mut first).expect("the first events");
+
+    let runner = fleet.runner(&request).expect("an engine runs it");
+    runner.set_stalled(true);
+    let mut rest = String::new();
+    body.read_to_string(&mut rest).expect("the rest, to its end");
+
+    assert_eq!(String::from_utf8(first).expect("text") + &rest, whole_stream());
+    assert_eq!(fleet.runs(&request), 2);
+    wait_for("the stalled engine to see the close", || runner.seen().abandoned == 1);
+}
+
+#[test]
+fn streams_are_moved_off_an_engine_that_leaves() {
+    let fleet = fleet();
+    let gateway = fleet.gateway("one");
+    let request = new_request();
+    let (_, mut body) = begin(gateway.callers(), "/match/a", &request, Some(KEY));
+    let runner = fleet.runner(&request).expect("an engine runs it");
+    let is_north = |index: usize| index < 2;
+    let at = fleet.engines.iter().position(|one| one.id() == runner.id()).expect("one of them");
+    let other = (0..4).find(|other| *other != at && is_north(*other) == is_north(at));
+
+    fleet.engines[other.expect("two in a data centre")].leave();
+    let mut all = String::new();
+    body.read_to_string(&mut all).expect("the stream, to its end");
+
+    assert_eq!(all, whole_stream());
+    assert_eq!(fleet.runs(&request), 1, "no second run was needed");
+    gateway.wait_for_line(&["\"endpoint leaving\""]);
+}
+
+#[test]
+fn an_engine_that_dies_is_replaced_by_moving_layers() {
+    let fleet = fleet();
+    let gateway = fleet.gateway("one");
+
+    fleet.engines[1].crash();
+    gateway.wait_for_line(&["\"engine taken to be dead\"", "engine-1"]);
+
+    for _ in 0..5 {
+        assert_whole(&send(gateway.callers(), "/match/a", &new_request(), Some(KEY)));
+    }
+}
+
+#[test]
+fn engines_that_all_refuse_make_a_refusal_that_is_true_and_says_when_to_come_back() {
+    let fleet = fleet();
+    let gateway = fleet.gateway("one");
+    fleet.engines.iter().for_each(|engine| engine.set_mode(EngineMode::Refuses));
+    let request = new_request();
+
+    let answer = send(gateway.callers(), "/match/a", &request, Some(KEY));
+
+    assert_eq!(answer.status, 503);
+    assert!(answer.retry_after.is_some());
+    assert_eq!(answer.signature, None);
+    assert_eq!(fleet.runs(&request), 0);
+}
+
+#[test]
+fn an_answer_to_another_request_never_reaches_the_caller() {
+    let fleet = fleet();
+    let gateway = fleet.gateway("one");
+    fleet.engines.iter().for_each(|engine| engine.set_mode(EngineMode::Crosses));
+
+    let answer = send(gateway.callers(), "/match/a", &new_request(), Some(KEY));
+
+    assert_eq!(answer.status, 502, "it may have run: {answer:?}");
+    assert!(!answer.body.contains("token"));
+}
+
+#[test]
+fn a_caller_that_goes_away_ends_the_work_of_the_engine() {
+    let fleet = fleet();
+    let gateway = fleet.gateway("one");
+    let request = new_request();
+    let mut stream = TcpStream::connect(gateway.callers()).expect("a connection");
+    let head = format!(
+        "POST /match/a HTTP/1.1\r\nhost: {HOST}\r\nrequest-id: {request}\r\n\
+         authorization: Bearer {KEY}\r\ncontent-length: 0\r\n\r\n"
+    );
+    stream.write_all(head.as_bytes()).expect("the head");
+    let mut first = [0; 16];
+    stream.read_exact(&mut first).expect("the start of the answer");
+
+    drop(stream);
+
+    let runner = fleet.runner(&request).expect("an engine runs it");
+    wait_for("the engine to see the close", || runner.seen().abandoned == 1);
+    gateway.wait_for_line(&["\"request ended\"", &request, "caller gone"]);
+}
--- a/crates/routing/src/process/pipeline_path.rs
+++ b/crates/routing/src/process/pipeline_path.rs
@@ -69,14 +69,33 @@
 
 /// The cheapest path over all `layers`, if the holders can make one.
 pub fn cheapest_path(holders: &[Holder], layers: u32) -> Option<PipelinePath> {
-    path_from(holders, layers, None)
+    distinct_path(holders.to_vec(), layers, None)
 }
 
 /// The cheapest path that begins at each engine that holds the first layer: an engine takes only so
 /// many requests as the first of their path.
 pub fn paths_by_head(holders: &[Holder], layers: u32) -> Vec<PipelinePath> {
-    let heads = (0..holders.len()).filter(|head| holders[*head].layers.contains(0));
-    heads.filter_map(|head| path_from(holders, layers, Some(head))).collect()
+    let heads = holders.iter().filter(|holder| holder.layers.contains(0));
+    heads.filter_map(|head| distinct_path(holders.to_vec(), layers, Some(&head.id))).collect()
+}
+
+/// The cheapest path without engines that it would leave and come back to: what such an engine
+/// holds covers all in between, so the engine in between is left out.
+fn distinct_path(
+    mut holders: Vec<Holder>,
+    layers: u32,
+    head: Option<&str>,
+) -> Option<PipelinePath> {
+    loop {
+        let head = head.and_then(|id| holders.iter().position(|holder| holder.id == id));
+        let path = path_from(&holders, layers, head)?;
+        let comes_back =
+            |at: &usize| path.parts[at + 1..].iter().any(|part| part.id == path.parts[*at].id);
+        let Some(first) = (0..path.parts.len()).find(comes_back) else {
+            return (path.parts.len() <= MAX_PARTS).then_some(path);
+        };
+        holders.retain(|holder| holder.id != path.parts[first + 1].id);
+    }
 }
 
 /// A shortest path over states (layer, holder): each holder's run of layers may begin and end
@@ -105,13 +124,7 @@
     if best[layers][last].is_infinite() {
         return None;
     }
-    let path = build(holders, &before, layers, last);
-    let distinct = path
-        .parts
-        .iter()
-        .enumerate()
-        .all(|(i, part)| path.parts[..i].iter().all(|earlier| earlier.id != part.id));
-    (path.parts.len() <= MAX_PARTS && distinct).then_some(path)
+    Some(build(holders, &before, layers, last))
 }
 
 /// Tells for a holder the cheapest way to begin a run at `layer`, and whose run ends there.
--- /dev/null
+++ b/crates/routing/tests/attempts.rs
@@ -0,0 +1,102 @@
+//! What may be sent again, and what a caller is told.
+
+use quickcheck::quickcheck;
+use sorrellock_routing::process::{RetryBounds, RetryWindow};
+use sorrellock_routing::request::{Attempts, Evidence, GivenUp};
+use sorrellock_routing::version::Semantics;
+use std::time::{Duration, Instant};
+
+const STREAM: Semantics = Semantics::Stream { resumable: true };
+
+#[test]
+fn a_request_that_may_have_run_is_sent_again_only_if_it_may_repeat() {
+    let mut once = Attempts::new(Semantics::NonIdempotent, 3);
+    let mut idempotent = Attempts::new(Semantics::Idempotent, 3);
+
+    once.on_failed("a", Evidence::MayHaveRun);
+    idempotent.on_failed("a", Evidence::MayHaveRun);
+
+    assert!(!once.may_send());
+    assert!(idempotent.may_send());
+}
+
+#[test]
+fn not_run_is_told_only_of_what_ran_nowhere() {
+    let mut attempts = Attempts::new(Semantics::NonIdempotent, 3);
+
+    attempts.on_failed("a", Evidence::NotSent);
+    attempts.on_failed("a", Evidence::NotRun);
+    assert_eq!(attempts.given_up(false), GivenUp::NotRun);
+    attempts.on_failed("b", Evidence::MayHaveRun);
+
+    assert_eq!(attempts.given_up(false), GivenUp::Unknown);
+    assert_eq!(attempts.given_up(true), GivenUp::TimedOut);
+}
+
+#[test]
+fn an_endpoint_counts_once_and_one_that_is_lost_not_at_all() {
+    let mut attempts = Attempts::new(STREAM, 2);
+
+    attempts.on_failed("a", Evidence::MayHaveRun);
+    attempts.on_failed("b", Evidence::MayHaveRun);
+    assert!(!attempts.may_send());
+    assert!(attempts.may_send_to("a"), "it is no further endpoint");
+    assert!(!attempts.may_send_to("c"));
+    attempts.forget_lost(|id| id == "b");
+
+    assert!(attempts.may_send_to("c"));
+}
+
+#[test]
+fn a_request_is_sent_so_often_at_most() {
+    let mut attempts = Attempts::new(STREAM, 2);
+
+    for _ in 0..4 {
+        assert!(attempts.may_send_to("a"));
+        attempts.on_failed("a", Evidence::NotRun);
+    }
+
+    assert!(!attempts.may_send_to("a"));
+}
+
+#[test]
+fn a_process_that_just_began_spends_nothing_of_the_slack() {
+    let bounds = RetryBounds { window: Duration::from_secs(10), ratio: 0.2, slack: 200.0 };
+    let began = Instant::now();
+    let mut window = RetryWindow::new(bounds, began);
+
+    let paid = (0..100).filter(|_| window.try_spend(began, 1)).count();
+
+    assert_eq!(paid, 0);
+}
+
+quickcheck! {
+    /// All gateways together stay within the bounds in any window, whoever asks when.
+    fn the_budget_holds_over_all_gateways_in_any_window(asks: Vec<(u8, u8, bool)>) -> bool {
+        let bounds = RetryBounds { window: Duration::from_secs(10), ratio: 0.2, slack: 20.0 };
+        let began = Instant::now();
+        let gateways = 3;
+        let mut windows: Vec<RetryWindow> =
+            (0..gateways).map(|_| RetryWindow::new(bounds, began)).collect();
+        let mut now = began + bounds.window;
+        let (mut requests, mut repeats) = (Vec::new(), Vec::new());
+        for (gap, who, is_request) in asks {
+            now += Duration::from_millis(u64::from(gap) * 8);
+            let window = &mut windows[usize::from(who) % gateways];
+            if is_request {
+                window.on_request(now);
+                requests.push(now);
+            } else if window.try_spend(now, gateways) {
+                repeats.push(now);
+            }
+        }
+        repeats.iter().all(|start| {
+            let within = |all: &[Instant], from: Instant| {
+                all.iter().filter(|at| **at >= from && **at < from + bounds.window).count() as f64
+            };
+            // Requests of the window or the one before it pay.
+            let paying = within(&requests, *start) + within(&requests, *start - bounds.window);
+            within(&repeats, *start) <= bounds.ratio * paying + bounds.slack
+        })
+    }
+}
--- /dev/null
+++ b/crates/routing/tests/placement.rs
@@ -0,0 +1,208 @@
+//! Placement: memory, coverage, few loads, and a differential test against an exact solver.
+
+mod common;
+
+use common::{empty_engines, engine, shape};
+use quickcheck::{TestResult, quickcheck};
+use sorrellock_routing::process::LayerRange;
+use sorrellock_routing::process::placement::{
+    ChainEngine, Holding, Placement, PlannedEngine, Weights, cost_of, covers, divide, next_steps,
+    plan_data_centre,
+};
+use sorrellock_routing::version::ModelShape;
+use std::collections::BTreeMap;
+
+fn after(engines: &[PlannedEngine], plan: &Placement) -> Vec<PlannedEngine> {
+    let moved = |one: &PlannedEngine| PlannedEngine {
+        held: plan.get(&one.id).copied().unwrap_or(one.held),
+        ..one.clone()
+    };
+    engines.iter().map(moved).collect()
+}
+
+fn loads(engines: &[PlannedEngine], plan: &Placement) -> u32 {
+    let loaded = |one: &PlannedEngine| {
+        let want = plan.get(&one.id).copied().unwrap_or_default();
+        want.len() - want.overlap(one.held)
+    };
+    engines.iter().map(loaded).sum()
+}
+
+fn assert_fits(shape: &ModelShape, engines: &[PlannedEngine]) {
+    for one in engines {
+        let used = f64::from(one.held.len()) * shape.layer_mb;
+        assert!(used < one.memory_mb, "{} holds {:?} of {} MB", one.id, one.held, one.memory_mb);
+    }
+}
+
+#[test]
+fn empty_engines_get_the_whole_model_with_room_for_requests_everywhere() {
+    let shape = shape(80);
+    let engines = empty_engines(&shape, &[("h100", 1), ("a100", 1), ("l4", 5), ("t4", 7)]);
+
+    let plan = plan_data_centre(&shape, &engines, false).expect("the memory is enough");
+
+    let placed = after(&engines, &plan);
+    assert!(covers(&shape, &placed));
+    assert_fits(&shape, &placed);
+    for one in &placed {
+        let room = one.memory_mb / f64::from(one.held.len()) - shape.layer_mb;
+        assert!(room > 1_000.0, "{} keeps {room} MB a layer", one.id);
+    }
+}
+
+#[test]
+fn too_little_memory_has_no_plan() {
+    let shape = shape(80);
+    let engines = empty_engines(&shape, &[("t4", 9)]);
+
+    assert_eq!(plan_data_centre(&shape, &engines, false), None);
+}
+
+#[test]
+fn a_gap_is_closed_by_an_empty_engine_alone_where_there_is_one() {
+    let shape = shape(80);
+    let engines = empty_engines(&shape, &[("h100", 1), ("a100", 1), ("l4", 5), ("t4", 7)]);
+    let plan = plan_data_centre(&shape, &engines, false).expect("the memory is enough");
+    let mut placed = after(&engines, &plan);
+    let lost = placed.iter().position(|one| one.id == "l4-2").expect("it is one of them");
+    let gap = placed.remove(lost).held;
+    placed.push(engine(&shape, "l4-new", "l4", 0, 0));
+
+    let plan = plan_data_centre(&shape, &placed, false).expect("the memory is enough");
+
+    assert_eq!(plan["l4-new"], gap);
+    assert_eq!(loads(&placed, &plan), gap.len());
+}
+
+#[test]
+fn with_streams_passing_a_gap_is_closed_without_giving_anything_up() {
+    let shape = shape(80);
+    let engines = empty_engines(&shape, &[("h100", 1), ("a100", 1), ("l4", 5), ("t4", 7)]);
+    let plan = plan_data_centre(&shape, &engines, false).expect("the memory is enough");
+    let mut placed = after(&engines, &plan);
+    let lost = placed.iter().position(|one| one.id == "t4-3").expect("it is one of them");
+    let gap = placed.remove(lost).held;
+
+    let plan = plan_data_centre(&shape, &placed, false).expect("the memory is enough");
+    let steps = next_steps(&plan, &holdings(&shape, &placed), shape.layers, false);
+
+    assert!(loads(&placed, &plan) <= gap.len(), "{plan:?}");
+    for step in &steps {
+        let held = placed.iter().find(|one| one.id == step.id).expect("it was planned").held;
+        assert_eq!(step.layers.hull(held), step.layers, "{} gives layers up", step.id);
+        assert!(step.is_urgent);
+    }
+}
+
+#[test]
+fn an_engine_with_an_order_under_way_keeps_it_in_the_plan() {
+    let shape = shape(80);
+    let engines = empty_engines(&shape, &[("a100", 5), ("l4", 4)]);
+    let plan = plan_data_centre(&shape, &engines, false).expect("the memory is enough");
+    let mut placed = after(&engines, &plan);
+    let pinned = placed.iter().position(|one| one.id == "a100-2").expect("it is one of them");
+    placed[pinned].is_pinned = true;
+    let lost = placed.iter().position(|one| one.id == "l4-1").expect("it is one of them");
+    let kept = placed[pinned].clone();
+    placed.remove(lost);
+
+    let plan = plan_data_centre(&shape, &placed, true).expect("the memory is enough");
+
+    assert_eq!(plan[&kept.id], kept.held);
+    assert!(covers(&shape, &after(&placed, &plan)));
+}
+
+#[test]
+fn more_requests_than_slots_give_a_data_centre_several_first_engines() {
+    let mut shape = shape(80);
+    shape.kv_token_bytes = 300_000.0;
+    let engines = empty_engines(&shape, &[("h100", 1), ("a100", 1), ("l4", 8), ("t4", 11)]);
+
+    let plan = plan_data_centre(&shape, &engines, false).expect("the memory is enough");
+
+    let heads = plan.values().filter(|range| !range.is_empty() && range.from == 0).count();
+    assert!(heads >= 2, "{plan:?}");
+    assert_fits(&shape, &after(&engines, &plan));
+}
+
+fn holdings(shape: &ModelShape, engines: &[PlannedEngine]) -> BTreeMap<String, Holding> {
+    let holding = |one: &PlannedEngine| Holding {
+        ready: one.held,
+        most_layers: (one.memory_mb / shape.layer_mb) as u32,
+        is_busy: false,
+    };
+    engines.iter().map(|one| (one.id.clone(), holding(one))).collect()
+}
+
+/// The least cost over all divisions, tried one by one.
+fn exact(
+    shape: &ModelShape,
+    engines: &[ChainEngine],
+    from: u32,
+    ranges: &mut Vec<LayerRange>,
+) -> f64 {
+    if ranges.len() == engines.len() {
+        let is_whole = from == shape.layers;
+        let cost = || cost_of(shape, engines, ranges, Weights::BALANCE);
+        return if is_whole { cost() } else { f64::INFINITY };
+    }
+    let mut best = f64::INFINITY;
+    for to in from..=shape.layers {
+        ranges.push(LayerRange::new(from, to));
+        best = best.min(exact(shape, engines, to, ranges));
+        ranges.pop();
+    }
+    best
+}
+
+quickcheck! {
+    /// The division costs what the best of all divisions costs.
+    fn a_division_is_as_good_as_an_exact_solver(memory: Vec<u8>, held: Vec<u8>) -> TestResult {
+        let shape = shape(7);
+        let engines: Vec<ChainEngine> = memory.iter().take(4).enumerate().map(|(index, memory)| {
+            let from = u32::from(held.get(index).copied().unwrap_or(0) % 7);
+            ChainEngine {
+                memory_mb: 2_000.0 + f64::from(*memory) * 60.0,
+                step_factor: 1.0 + f64::from(*memory % 5),
+                held: LayerRange::new(from, (from + 2).min(7)),
+                is_pinned: false,
+            }
+        }).collect();
+        if engines.is_empty() {
+            return TestResult::discard();
+        }
+        let found = divide(&shape, &engines, Weights::BALANCE);
+        let best = exact(&shape, &engines, 0, &mut Vec::new());
+        TestResult::from_bool(match found {
+            Some(plan) => (plan.cost - best).abs() < 1e-9 * best.max(1.0),
+            None => best.is_infinite(),
+        })
+    }
+
+    /// While layers move from one plan to another, a whole chain stays whole at each step.
+    fn moves_of_a_whole_chain_never_uncover_a_layer(cuts: (u8, u8), to: (u8, u8)) -> bool {
+        let ranges = |(a, b): (u8, u8)| {
+            let (a, b) = (u32::from(a % 13), u32::from(b % 13));
+            let (low, high) = (a.min(b), a.max(b));
+            [LayerRange::new(0, low), LayerRange::new(low, high), LayerRange::new(high, 12)]
+        };
+        let ids = ["a", "b", "c"];
+        let mut now: BTreeMap<String, Holding> = ids.iter().zip(ranges(cuts)).map(|(id, range)| {
+            ((*id).to_owned(), Holding { ready: range, most_layers: 12, is_busy: false })
+        }).collect();
+        let plan: Placement =
+            ids.iter().zip(ranges(to)).map(|(id, range)| ((*id).to_owned(), range)).collect();
+        for _ in 0..20 {
+            for step in next_steps(&plan, &now, 12, false) {
+                now.get_mut(&step.id).expect("it is one of them").ready = step.layers;
+                let is_whole =
+                    (0..12).all(|layer| now.values().any(|held| held.ready.contains(layer)));
+                if !is_whole {
+                    return false;
+                }
+            }
+        }
+        plan.iter().all(|(id, want)| now[id].ready == *want || want.is_empty())
+    }
+}
