Gateways tell less where they are many; a silent run counts from its own start

A test on stand-ins found that a stream that went on elsewhere was dropped again at once, as its silence counted from the old run. Change: handovers leave out a configuration that the asker has; messages at most every 250 ms from 12 gateways on, the lead's whole word when it is news; requests wait up to 1.2 s after the start for the first configuration.

--- a/crates/gateway/src/process/beliefs.rs
+++ b/crates/gateway/src/process/beliefs.rs
@@ -123,6 +123,15 @@
         true
     }
 
+    /// The lead whose word was taken last still leads.
+    pub(crate) fn hear_lead(&mut self, term: u64, now: Instant) {
+        if let Some((view, heard)) = &mut self.lead
+            && view.term == term
+        {
+            *heard = now;
+        }
+    }
+
     /// What the lead told last, if that is fresh, and when.
     pub(crate) fn lead(&self, now: Instant) -> Option<(&LeadView, Instant)> {
         let (view, heard) = self.lead.as_ref()?;
--- a/crates/gateway/src/process/gateway.rs
+++ b/crates/gateway/src/process/gateway.rs
@@ -65,6 +65,8 @@
     pub(crate) in_flight: Cell<usize>,
     /// Wakes the placer: an engine came, went or is suspected.
     pub(crate) engines_changed: Notify,
+    /// Wakes requests that wait for the first configuration.
+    pub(crate) configured: Notify,
     pub(crate) phase: watch::Sender<Phase>,
 }
 
@@ -88,6 +90,7 @@
             refusers_checked: RefCell::default(),
             in_flight: Cell::new(0),
             engines_changed: Notify::new(),
+            configured: Notify::new(),
             phase: watch::Sender::new(Phase::Running),
         }
     }
@@ -115,6 +118,7 @@
             version, before, routes, workspaces, source
         });
         self.refresh_paths();
+        self.configured.notify_waiters();
         self.engines_changed.notify_waiters();
     }
 
--- a/crates/gateway/src/process/knowledge.rs
+++ b/crates/gateway/src/process/knowledge.rs
@@ -195,10 +195,11 @@
         over
     }
 
-    /// What another gateway is handed.
-    pub(crate) fn handover(&self) -> Handover {
+    /// What another gateway is handed that has configuration `known`.
+    pub(crate) fn handover(&self, known: ConfigVersion) -> Handover {
+        let newer = self.routes.as_ref().filter(|routes| routes.version() > known);
         Handover {
-            configuration: self.routes.as_ref().map(|routes| Configuration::clone(routes.cfg())),
+            configuration: newer.map(|routes| Configuration::clone(routes.cfg())),
             endpoints: self.endpoints.values().cloned().collect(),
             endpoints_at: self.endpoints_at,
         }
--- a/crates/gateway/src/process/listeners.rs
+++ b/crates/gateway/src/process/listeners.rs
@@ -8,6 +8,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
+use sorrellock_routing::version::ConfigVersion;
 use spdlog::warn;
 use std::convert::Infallible;
 use std::io;
@@ -63,17 +64,24 @@
         READINESS_PATH if gateway.is_ready() => (StatusCode::OK, Bytes::from_static(b"ready")),
         READINESS_PATH => (StatusCode::SERVICE_UNAVAILABLE, Bytes::from_static(b"not ready")),
         METRICS_PATH => (StatusCode::OK, Bytes::from(metrics(&gateway))),
-        HANDOVER_PATH => match serde_json::to_vec(&gateway.knowledge.borrow().handover()) {
-            Ok(body) => (StatusCode::OK, Bytes::from(body)),
-            Err(err) => (StatusCode::INTERNAL_SERVER_ERROR, Bytes::from(err.to_string())),
+        path => match path.strip_prefix(HANDOVER_PATH).and_then(|known| known.parse().ok()) {
+            Some(known) => handover(&gateway, known),
+            None => (StatusCode::NOT_FOUND, Bytes::from_static(b"no such page")),
         },
-        _ => (StatusCode::NOT_FOUND, Bytes::from_static(b"no such page")),
     };
     let mut answer = Response::new(Full::new(body));
     *answer.status_mut() = status;
     Ok(answer)
 }
 
+/// What this gateway knows, the configuration only if the asker has an older one.
+fn handover(gateway: &Gateway, known: ConfigVersion) -> (StatusCode, Bytes) {
+    match serde_json::to_vec(&gateway.knowledge.borrow().handover(known)) {
+        Ok(body) => (StatusCode::OK, Bytes::from(body)),
+        Err(err) => (StatusCode::INTERNAL_SERVER_ERROR, Bytes::from(err.to_string())),
+    }
+}
+
 fn metrics(gateway: &Gateway) -> String {
     let knowledge = gateway.knowledge.borrow();
     let in_flight = gateway.in_flight.get() as f64;
--- a/crates/gateway/src/process/peer_message.rs
+++ b/crates/gateway/src/process/peer_message.rs
@@ -25,7 +25,9 @@
     pub(crate) suspects: Vec<EndpointId>,
     /// Endpoints that told the sender that they take nothing more.
     pub(crate) leaving: Vec<EndpointId>,
-    /// What the lead knows; none from others.
+    /// The sender leads, with this term.
+    pub(crate) lead_term: Option<u64>,
+    /// What the lead knows, where it is news or was not told for a while.
     pub(crate) lead: Option<LeadView>,
 }
 
--- a/crates/gateway/src/process/peers.rs
+++ b/crates/gateway/src/process/peers.rs
@@ -18,16 +18,23 @@
 /// How often a gateway tells the others. Loads that are a tenth of a second old differ by one or
 /// two streams from the true ones at 15 requests a second.
 const TELL_INTERVAL: Duration = Duration::from_millis(100);
+/// From so many gateways on each tells more seldom: messages grow with their square, and those
+/// between data centres are priced.
+const MANY_GATEWAYS: u32 = 12;
+/// The longest time between two messages: a silent lead is replaced after a second.
+const TELL_INTERVAL_MOST: Duration = Duration::from_millis(250);
+/// How often the lead tells all that it knows where nothing changed, for those that missed it.
+const VIEW_INTERVAL: Duration = Duration::from_millis(700);
 /// How often the list of gateways is read from the store: newcomers tell the others by themselves.
 const LIST_INTERVAL: Duration = Duration::from_secs(10);
 /// The wait after a failed write or list of gateways.
-const REGISTER_RETRY: Duration = Duration::from_millis(400);
+const REGISTER_RETRY: Duration = Duration::from_millis(1_000);
 /// How long another gateway may know more before it is asked: a watch brings it sooner.
 const BEHIND_PATIENCE: Duration = Duration::from_millis(300);
 /// Time for a handover: a large configuration takes a fifth of a core some 100 ms.
 const HANDOVER_LIMIT: Duration = Duration::from_millis(1_500);
-/// Where a gateway is asked for its handover.
-pub(crate) const HANDOVER_PATH: &str = "/handover";
+/// Where a gateway is asked for its handover, before the configuration that the asker has.
+pub(crate) const HANDOVER_PATH: &str = "/handover/";
 /// Largest datagram.
 const MAX_DATAGRAM: usize = 60_000;
 
@@ -43,6 +50,8 @@
     gateway: Rc<Gateway>,
     socket: UdpSocket,
     sequence: Cell<u64>,
+    /// What this gateway told as the lead, and when.
+    told_view: RefCell<Option<(LeadView, Instant)>>,
     /// Where gateways listen that the store tells of.
     registered: RefCell<HashSet<SocketAddr>>,
     /// What this gateway knows while it is the lead.
@@ -55,7 +64,14 @@
         socket: UdpSocket,
         own_view: Rc<RefCell<Option<LeadView>>>,
     ) -> Peers {
-        Peers { gateway, socket, sequence: Cell::new(0), registered: RefCell::default(), own_view }
+        Peers {
+            gateway,
+            socket,
+            sequence: Cell::new(0),
+            told_view: RefCell::default(),
+            registered: RefCell::default(),
+            own_view,
+        }
     }
 
     /// Tells the others, for ever.
@@ -63,7 +79,9 @@
         loop {
             self.tell_once();
             self.take_loads();
-            sleep(TELL_INTERVAL).await;
+            let gateways = self.gateway.beliefs.borrow().gateways(Instant::now()) as u32;
+            let interval = TELL_INTERVAL * gateways / MANY_GATEWAYS;
+            sleep(interval.clamp(TELL_INTERVAL, TELL_INTERVAL_MOST)).await;
         }
     }
 
@@ -98,8 +116,22 @@
             heads: paths.own_heads().map(|(id, streams)| (id.clone(), *streams)).collect(),
             suspects,
             leaving,
-            lead: self.own_view.borrow().clone(),
+            lead_term: self.own_view.borrow().as_ref().map(|view| view.term),
+            lead: self.view_to_tell(now),
+        }
+    }
+
+    /// What the lead knows, if it is news or wasn't told for a while.
+    fn view_to_tell(&self, now: Instant) -> Option<LeadView> {
+        let view = self.own_view.borrow().clone()?;
+        let mut told = self.told_view.borrow_mut();
+        let is_told =
+            |(before, at): &(LeadView, Instant)| *before == view && now - *at < VIEW_INTERVAL;
+        if told.as_ref().is_some_and(is_told) {
+            return None;
         }
+        *told = Some((view.clone(), now));
+        Some(view)
     }
 
     fn targets(&self) -> HashSet<SocketAddr> {
@@ -173,6 +205,9 @@
             });
         }
         let mut is_changed = false;
+        if let Some(term) = message.lead_term {
+            beliefs.hear_lead(term, now);
+        }
         if let Some(view) = &message.lead {
             let known = beliefs.lead(now).map(|(known, _)| known.engines.clone());
             is_changed = known.as_ref() != Some(&view.engines);
@@ -275,7 +310,9 @@
 
     async fn fetch(&self, instance: &str, addr: SocketAddr) {
         let client = Client::new(addr);
-        let answer = client.call(Method::GET, HANDOVER_PATH, None, HANDOVER_LIMIT).await;
+        let known = self.gateway.knowledge.borrow().config_version();
+        let path = format!("{HANDOVER_PATH}{known}");
+        let answer = client.call(Method::GET, &path, None, HANDOVER_LIMIT).await;
         let read =
             |body: &[u8]| serde_json::from_slice::<Handover>(body).map_err(|e| e.to_string());
         match answer.map_err(|err| err.to_string()).and_then(|answer| read(&answer.body)) {
--- a/crates/gateway/src/process/watchers.rs
+++ b/crates/gateway/src/process/watchers.rs
@@ -21,7 +21,7 @@
 /// The first wait after a failed call; it doubles up to the longest.
 const RETRY_FIRST: Duration = Duration::from_millis(150);
 /// The longest wait after a failed call: entries that lapsed must be seen within two seconds.
-const RETRY_MOST: Duration = Duration::from_millis(600);
+const RETRY_MOST: Duration = Duration::from_millis(1_000);
 /// For so long after a failed call of the store a removed entry may only have lapsed: what the
 /// store did meanwhile comes with the first watch that it answers.
 const LAPSE_DOUBT: Duration = Duration::from_secs(3);
--- a/crates/gateway/src/request/answer.rs
+++ b/crates/gateway/src/request/answer.rs
@@ -17,8 +17,11 @@
 use std::time::Duration;
 use tokio::time::{Instant, timeout_at};
 
-/// When to come back before a configuration is known: it comes within a second of the start.
-const RETRY_AFTER_UNKNOWN: Duration = Duration::from_millis(500);
+/// When to come back while no configuration is known: the store is down, for seconds.
+const RETRY_AFTER_UNKNOWN: Duration = Duration::from_millis(2_500);
+/// How long after its start a gateway expects its first configuration at any moment, and lets
+/// requests wait for it: a store that answers at all does so by then.
+const CONFIGURATION_EXPECTED: Duration = Duration::from_millis(1_200);
 /// How long a caller waits that doesn't say.
 const DEFAULT_PATIENCE: Duration = Duration::from_secs(30);
 
@@ -31,8 +34,7 @@
     gateway.counters.add(Count::Requests);
     let head = read_caller_head(req.headers());
     let end = EndGuard::new(Rc::clone(&gateway), head.request_id.clone(), arrived);
-    let routes = gateway.knowledge.borrow().routes().cloned();
-    let Some(routes) = routes else {
+    let Some(routes) = routes(&gateway).await else {
         end.tell(Count::NotRun, "not run", 503, "no configuration is known yet");
         return Ok(refusal(StatusCode::SERVICE_UNAVAILABLE, Some(RETRY_AFTER_UNKNOWN)));
     };
@@ -85,6 +87,18 @@
     if has_model { serve_stream(gateway, call).await } else { serve_plain(gateway, call).await }
 }
 
+/// The configuration in force; just after the start it is waited for.
+async fn routes(gateway: &Gateway) -> Option<Rc<RouteTable>> {
+    let configured = gateway.configured.notified();
+    let known = gateway.knowledge.borrow().routes().cloned();
+    if known.is_some() {
+        return known;
+    }
+    // What came, if anything, shows in what is known.
+    let _ = timeout_at(gateway.began + CONFIGURATION_EXPECTED, configured).await;
+    gateway.knowledge.borrow().routes().cloned()
+}
+
 fn log_admitted(call: &Call, routes: &RouteTable) {
     let (version, rank) = (routes.version(), call.rank);
     let left_ms = call.time_left().as_millis() as u64;
--- a/crates/gateway/src/request/relay.rs
+++ b/crates/gateway/src/request/relay.rs
@@ -38,6 +38,8 @@
     tx: mpsc::Sender<Part>,
     events: EventParser,
     last_event: Instant,
+    /// When the run began: its silence counts from then.
+    run_began: Instant,
     /// Paths that failed this stream.
     avoid: Vec<Rc<LivePath>>,
     mends: u32,
@@ -80,6 +82,7 @@
             tx,
             events,
             last_event,
+            run_began: last_event,
             avoid: Vec::new(),
             mends: 0,
             repath: Repath::default(),
@@ -127,7 +130,8 @@
         let Some(run) = &mut self.run else { return Next::Broke("no run is under way".into()) };
         let live = Rc::clone(&run.place.live);
         let deadline = self.call.deadline;
-        let mut look = self.last_event + SILENCE_LOOK;
+        let quiet_since = self.last_event.max(self.run_began);
+        let mut look = quiet_since + SILENCE_LOOK;
         loop {
             let now = Instant::now();
             if live.is_retiring.get() && !live.is_broken.get() {
@@ -145,11 +149,8 @@
                     if now >= deadline {
                         return Next::TimeOver;
                     }
-                    let silence = now - self.last_event;
-                    if live.is_silent(now) {
-                        check_path(&self.gateway, &live);
-                    }
-                    let is_over = silence >= STREAM_SILENCE && silence < CALLER_PATIENCE;
+                    let is_over = now - quiet_since >= STREAM_SILENCE
+                        && now - self.last_event < CALLER_PATIENCE;
                     if is_over && has_other_path(&self.gateway, &self.call, &self.attempts, &live) {
                         return Next::Silent;
                     }
@@ -269,7 +270,8 @@
                         data_centre = run.place.live.path.data_centre.as_str(),
                         endpoint = run.place.live.path.first().id.as_str()
                     });
-                    run.place.live.last_event.set(Instant::now());
+                    self.run_began = Instant::now();
+                    run.place.live.last_event.set(self.run_began);
                     self.run = Some(run);
                     return true;
                 }
