--- a/crates/gateway/src/request/relay.rs
+++ b/crates/gateway/src/request/relay.rs
@@ -3,11 +3,11 @@
 use crate::process::{Count, Gateway, LivePath, check_path};
 use crate::request::repath::{Repath, RepathEnd};
 use crate::request::stream::{NotBegun, Run, begin, broken, expected_tokens};
-use crate::request::{Call, EventError, EventParser, Part};
+use crate::request::{Call, Part};
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use sorrellock_platform::OrderEnd;
-use sorrellock_routing::request::{Attempts, Evidence};
+use sorrellock_routing::request::{Attempts, EventError, EventParser, Evidence};
 use spdlog::{info, warn};
 use std::rc::Rc;
 use std::time::Duration;
--- a/crates/gateway/src/request/event_parser.rs
+++ b/crates/routing/src/request/event_parser.rs
@@ -7,7 +7,7 @@
 
 /// Why a stream can't go on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum EventError {
+pub enum EventError {
     /// Events between the last one and this are missing.
     Gap {
         /// The last event.
@@ -21,7 +21,7 @@
 
 /// Divides a stream into whole events. Events that were passed on already are dropped.
 #[derive(Debug, Default)]
-pub(crate) struct EventParser {
+pub struct EventParser {
     /// Bytes of an event that isn't whole yet.
     partial: BytesMut,
     /// Id of the last event that was passed on.
@@ -31,32 +31,32 @@
 
 impl EventParser {
     /// A stream that goes on after event `last`.
-    pub(crate) fn new(last: Option<u64>) -> EventParser {
+    pub fn new(last: Option<u64>) -> EventParser {
         EventParser { partial: BytesMut::new(), last, events: 0 }
     }
 
     /// Id of the last event that was passed on.
-    pub(crate) fn last(&self) -> Option<u64> {
+    pub fn last(&self) -> Option<u64> {
         self.last
     }
 
     /// Events passed on.
-    pub(crate) fn events(&self) -> u64 {
+    pub fn events(&self) -> u64 {
         self.events
     }
 
     /// A new run goes on: what came of an event that isn't whole is dropped.
-    pub(crate) fn restart(&mut self) {
+    pub fn restart(&mut self) {
         self.partial.clear();
     }
 
     /// Whether bytes of an event that isn't whole are left.
-    pub(crate) fn has_partial(&self) -> bool {
+    pub fn has_partial(&self) -> bool {
         !self.partial.is_empty()
     }
 
     /// Takes bytes, and returns those of whole events that are to be passed on.
-    pub(crate) fn push(&mut self, chunk: Bytes) -> Result<Bytes, EventError> {
+    pub fn push(&mut self, chunk: Bytes) -> Result<Bytes, EventError> {
         if self.partial.is_empty() && ends_event(&chunk) && self.is_one_new_event(&chunk)? {
             return Ok(chunk);
         }
