--- a/crates/cli/src/cli/exit.rs
+++ b/crates/cli/src/cli/exit.rs
@@ -1,4 +1,4 @@
-//! Exit codes of `sorrellock`; `docs/OPERATING.md` lists them.
+//! Exit codes of `sorrellock`; `docs/OPERATIONS.md` lists them.
 
 use std::process::ExitCode;
 
