--- a/crates/daemon/tests/gateway/gateway_process.rs
+++ b/crates/daemon/tests/gateway/gateway_process.rs
@@ -80,6 +80,17 @@
 
     fn spawn(instance: &str, data_centre: &str, store: SocketAddr, read: bool) -> GatewayProcess {
         let ip = sorrellock_stand_ins::new_ip();
+        GatewayProcess::spawn_at(ip, instance, data_centre, store, read)
+    }
+
+    /// Starts a gateway at an address, as after a restart.
+    pub fn spawn_at(
+        ip: IpAddr,
+        instance: &str,
+        data_centre: &str,
+        store: SocketAddr,
+        read: bool,
+    ) -> GatewayProcess {
         let path = write_settings(&ip.to_string(), &settings(instance, data_centre, ip, store));
         let mut command = command(&["gateway"], &path);
         let mut child = command.stdout(Stdio::piped()).spawn().expect("the gateway starts");
@@ -100,6 +111,16 @@
         SocketAddr::new(self.ip, CALLERS_PORT)
     }
 
+    /// Its address.
+    pub fn ip(&self) -> IpAddr {
+        self.ip
+    }
+
+    /// Whether it has ended.
+    pub fn has_ended(&mut self) -> bool {
+        self.child.try_wait().expect("its state").is_some()
+    }
+
     /// Where its metrics are read.
     pub fn metrics(&self) -> SocketAddr {
         SocketAddr::new(self.ip, 9_464)
--- a/crates/daemon/tests/gateway/main.rs
+++ b/crates/daemon/tests/gateway/main.rs
@@ -5,4 +5,5 @@
 mod knowledge;
 mod life;
 mod plain_calls;
+mod soak;
 mod streams;
