--- a/crates/daemon/tests/gateway/soak.rs
+++ b/crates/daemon/tests/gateway/soak.rs
@@ -1,7 +1,7 @@
 //! A soak: real gateways as processes, random faults from outside, and the promises checked from
 //! what callers and endpoints see. One seed gives one course of faults.
 //!
-//! `SORRELLOCK_SOAK_SEEDS=100..150 cargo test -p sorrellock-daemon --test gateway soak` runs more.
+//! `SOAK_SEEDS=100..150 cargo test -p sorrellock-daemon --test gateway soak` runs more.
 
 use crate::fleet::{HOST, KEY, config, new_request, whole_stream};
 use crate::gateway_process::{GatewayProcess, wait_for};
@@ -312,9 +312,9 @@
 
 #[test]
 fn soak_with_the_seeds_of_each_run() {
-    match std::env::var("SORRELLOCK_SOAK_SEEDS") {
+    match std::env::var("SOAK_SEEDS") {
         Ok(range) => {
-            let (from, to) = range.split_once("..").expect("SORRELLOCK_SOAK_SEEDS is FROM..TO");
+            let (from, to) = range.split_once("..").expect("SOAK_SEEDS is FROM..TO");
             let (from, to): (u64, u64) =
                 (from.parse().expect("a number"), to.parse().expect("a number"));
             (from..to).for_each(soak);
