--- a/crates/http/src/connection/activity.rs
+++ b/crates/http/src/connection/activity.rs
@@ -20,6 +20,12 @@
     state: Mutex<(Doing, Instant)>,
 }
 
+impl Default for Activity {
+    fn default() -> Activity {
+        Activity::new()
+    }
+}
+
 impl Activity {
     /// A connection that was just accepted: its first head is due.
     pub fn new() -> Activity {
