--- a/crates/daemon/tests/gateway/gateway_process.rs
+++ b/crates/daemon/tests/gateway/gateway_process.rs
@@ -34,7 +34,6 @@
 ip = "{ip}"
 zone = "{data_centre}"
 internal_ports = [{PEER_PORT},{}]
-heartbeat_ms = 300
 [listen]
 front = "{ip}:{CALLERS_PORT}"
 ready = "{ip}:{READINESS_PORT}"
@@ -44,7 +43,6 @@
 budget_slack = 200
 grace_s = 8
 drain_ms = 2000
-stall_ms = 2500
 [platform]
 address = "{store}"
 "#,
--- a/crates/gateway/src/process/gateway.rs
+++ b/crates/gateway/src/process/gateway.rs
@@ -73,12 +73,13 @@
 impl Gateway {
     /// A gateway that knows nothing yet.
     pub(crate) fn new(settings: Settings, incarnation: u64) -> Gateway {
+        let knowledge = RefCell::new(Knowledge::new(settings.leave_within));
         Gateway {
             settings,
             incarnation,
             began: Instant::now(),
             counters: Counters::new(),
-            knowledge: RefCell::default(),
+            knowledge,
             beliefs: RefCell::default(),
             paths: Rc::default(),
             pool: RefCell::default(),
--- a/crates/gateway/src/process/knowledge.rs
+++ b/crates/gateway/src/process/knowledge.rs
@@ -9,10 +9,11 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// For how long an endpoint whose entry is missing after an outage of the store still gets work.
-/// Entries that lapsed meanwhile are back within two seconds, and one that is gone must get nothing
-/// later than that; the way of a request goes off it.
-const MISSING_GETS_WORK: Duration = Duration::from_millis(1_800);
+/// For how long an endpoint whose entry is missing after an outage of the store still gets work, at
+/// most: entries that lapsed meanwhile are back within two seconds.
+const MISSING_GETS_WORK_MOST: Duration = Duration::from_secs(2);
+/// The way of a request goes off the time within which a leaving endpoint may get its last one.
+const LEAVE_MARGIN: Duration = Duration::from_millis(200);
 /// For how long its layers are planned for: entries come back at two seconds, not before.
 const MISSING_GRACE: Duration = Duration::from_millis(3_500);
 /// The most removed endpoints that are remembered, so that an older page doesn't bring them back.
@@ -52,15 +53,28 @@
 }
 
 /// The configuration in force and the endpoints.
-#[derive(Default)]
 pub(crate) struct Knowledge {
     routes: Option<Rc<RouteTable>>,
     endpoints: BTreeMap<EndpointId, KnownEndpoint>,
     removed: HashSet<EndpointId>,
     endpoints_at: Revision,
+    missing_gets_work: Duration,
 }
 
 impl Knowledge {
+    /// Nothing is known yet. An endpoint that leaves may get its last request within
+    /// `leave_within`.
+    pub(crate) fn new(leave_within: Duration) -> Knowledge {
+        let missing_gets_work = leave_within.min(MISSING_GETS_WORK_MOST);
+        Knowledge {
+            routes: None,
+            endpoints: BTreeMap::new(),
+            removed: HashSet::new(),
+            endpoints_at: 0,
+            missing_gets_work: missing_gets_work.saturating_sub(LEAVE_MARGIN),
+        }
+    }
+
     /// The configuration in force.
     pub(crate) fn routes(&self) -> Option<&Rc<RouteTable>> {
         self.routes.as_ref()
@@ -84,7 +98,7 @@
     /// The endpoints that may get new work, as far as their list tells.
     pub(crate) fn open_endpoints(&self, now: Instant) -> impl Iterator<Item = &Endpoint> {
         let is_here = move |known: &&KnownEndpoint| {
-            known.missing_since.is_none_or(|since| now - since < MISSING_GETS_WORK)
+            known.missing_since.is_none_or(|since| now - since < self.missing_gets_work)
         };
         let open = self.endpoints.values().filter(is_here).map(|known| &known.endpoint);
         open.filter(|endpoint| !endpoint.is_leaving)
--- a/crates/gateway/src/process/watchers.rs
+++ b/crates/gateway/src/process/watchers.rs
@@ -16,8 +16,10 @@
 /// The same for changes of endpoints, per gateway: all watch, and the lead tells the others what
 /// matters of engines at once.
 const WATCH_PAUSE_PER_GATEWAY: Duration = Duration::from_millis(30);
-/// The longest such pause: an endpoint that leaves may get requests for two seconds.
+/// The longest such pause.
 const WATCH_PAUSE_MOST: Duration = Duration::from_millis(900);
+/// Share of the time within which an endpoint that leaves may get requests that a pause may take.
+const WATCH_PAUSE_SHARE: f64 = 0.45;
 /// The first wait after a failed call; it doubles up to the longest.
 const RETRY_FIRST: Duration = Duration::from_millis(150);
 /// The longest wait after a failed call: entries that lapsed must be seen within two seconds.
@@ -100,7 +102,9 @@
             return WATCH_PAUSE;
         }
         let gateways = self.gateway.beliefs.borrow().gateways(Instant::now());
-        (WATCH_PAUSE_PER_GATEWAY * gateways as u32).clamp(WATCH_PAUSE, WATCH_PAUSE_MOST)
+        let most = self.gateway.settings.leave_within.mul_f64(WATCH_PAUSE_SHARE);
+        let most = most.clamp(WATCH_PAUSE, WATCH_PAUSE_MOST);
+        (WATCH_PAUSE_PER_GATEWAY * gateways as u32).clamp(WATCH_PAUSE, most)
     }
 
     async fn on_listing(&mut self, listing: Listing) -> Result<(), StoreError> {
--- a/crates/gateway/src/request/relay.rs
+++ b/crates/gateway/src/request/relay.rs
@@ -92,36 +92,19 @@
     /// Passes events on until the stream ends or is given up.
     pub(crate) async fn run(mut self) {
         loop {
-            match self.next().await {
-                Next::Chunk(chunk) => {
-                    if !self.pass_on(chunk).await {
-                        return;
-                    }
-                }
+            let goes_on = match self.next().await {
+                Next::Chunk(chunk) => self.pass_on(chunk).await,
                 Next::Ended if !self.events.has_partial() => return self.finish().await,
-                Next::Ended => {
-                    if !self.lost("the engine ended within an event").await {
-                        return;
-                    }
-                }
-                Next::Broke(why) => {
-                    if !self.lost(&why).await {
-                        return;
-                    }
-                }
+                Next::Ended => self.lost("the engine ended within an event").await,
+                Next::Broke(why) => self.lost(&why).await,
                 Next::Repathed(end) => self.on_repathed(end),
-                Next::PathGone => {
-                    if !self.lost("an engine of the path is gone").await {
-                        return;
-                    }
-                }
-                Next::Silent => {
-                    if !self.lost("no event for too long").await {
-                        return;
-                    }
-                }
-                Next::CallerGone => return,
-                Next::TimeOver => return self.cut(Count::TimedOut, "its time is over"),
+                Next::PathGone => self.lost("an engine of the path is gone").await,
+                Next::Silent => self.lost("no event for too long").await,
+                Next::CallerGone => false,
+                Next::TimeOver => self.cut(Count::TimedOut, "its time is over"),
+            };
+            if !goes_on {
+                return;
             }
         }
     }
@@ -184,7 +167,8 @@
         }
     }
 
-    fn on_repathed(&mut self, end: RepathEnd) {
+    /// Takes the end of an order to move to another path. The stream goes on in any case.
+    fn on_repathed(&mut self, end: RepathEnd) -> bool {
         let outcome = format!("{:?}", end.order);
         info!("stream moved to another path", kv: {
             request = self.call.id(), data_centre = end.to.path.data_centre.as_str(),
@@ -196,6 +180,7 @@
                 run.place.move_to(end.to, Instant::now());
             }
         }
+        true
     }
 
     async fn finish(mut self) {
@@ -240,8 +225,7 @@
             self.attempts.forget_lost(|id| *id == ended);
         }
         if !self.call.route.semantics.may_repeat() {
-            self.cut_now(&format!("{why}; it may not be resumed"));
-            return false;
+            return self.cut(Count::Cut, &format!("{why}; it may not be resumed"));
         }
         self.events.restart();
         self.mends += 1;
@@ -287,19 +271,16 @@
                         NotBegun::TimeOver => format!("{why}; then its time was over"),
                         NotBegun::Failure(_) => format!("{why}; then an engine failed"),
                     };
-                    self.cut_now(&text);
-                    return false;
+                    return self.cut(Count::Cut, &text);
                 }
             }
         }
     }
 
-    fn cut(self, count: Count, why: &str) {
+    /// Tells that the stream is given up; dropped without its end, it looks cut to its caller.
+    fn cut(&self, count: Count, why: &str) -> bool {
         self.call.end.tell(count, "cut", 200, why);
-    }
-
-    fn cut_now(&self, why: &str) {
-        self.call.end.tell(Count::Cut, "cut", 200, why);
+        false
     }
 }
 
