--- a/crates/daemon/tests/gateway/knowledge.rs
+++ b/crates/daemon/tests/gateway/knowledge.rs
@@ -2,7 +2,7 @@
 
 use crate::fleet::{KEY, config, fleet, new_request, send};
 use crate::gateway_process::{GatewayProcess, wait_for};
-use sorrellock_stand_ins::StoreMode;
+use sorrellock_stand_ins::{FakeProxy, ProxyMode, StoreMode, new_ip};
 
 #[test]
 fn without_a_configuration_requests_are_refused_as_not_run_and_not_as_unknown() {
@@ -54,14 +54,12 @@
 fn a_gateway_that_the_store_turns_away_learns_from_another() {
     let fleet = fleet();
     let first = fleet.gateway("one");
-    fleet.store.put("config", "main", config(5, &["key-2"]));
-    first.wait_for_line(&["\"configuration in force\"", "\"version\":5"]);
-    let second = fleet.gateway("two");
+    let proxy = FakeProxy::start(new_ip(), fleet.store.addr()).expect("a proxy");
+    let second = GatewayProcess::start("two", "north", proxy.addr());
+    fleet.wait_whole(&second);
     second.wait_for_line(&["\"gateway heard\"", "one"]);
 
-    // The second follows a store of its own that falls silent; only the first hears of changes.
-    let lonely = fleet.store.clone();
-    lonely.compact();
+    proxy.set_mode(ProxyMode::Silent);
     fleet.store.put("config", "main", config(6, &["key-3"]));
 
     for gateway in [&first, &second] {
@@ -70,6 +68,7 @@
             answer.status == 200
         });
     }
+    second.wait_for_line(&["\"caught up from a gateway\"", "\"version\":6"]);
 }
 
 #[test]
@@ -103,6 +102,26 @@
     assert!(gateway.lines(&["\"endpoint gone\"", "\"watch\""]).is_empty());
 }
 
+#[test]
+fn what_one_gateway_misses_another_hears_of_with_its_age() {
+    let fleet = fleet();
+    let first = fleet.gateway("one");
+    let proxy = FakeProxy::start(new_ip(), fleet.store.addr()).expect("a proxy");
+    let second = GatewayProcess::start("two", "north", proxy.addr());
+    fleet.wait_whole(&second);
+    second.wait_for_line(&["\"gateway heard\"", "one"]);
+    proxy.set_mode(ProxyMode::Silent);
+    fleet.store.set_mode(StoreMode::Busy);
+    first.wait_for_line(&["\"store lost\""]);
+    fleet.store.remove("servers", "ledger-1");
+
+    fleet.store.set_mode(StoreMode::Up);
+    first.wait_for_line(&["missing after an outage", "ledger-1"]);
+
+    second.wait_for_line(&["missing after an outage", "ledger-1", "\"source\":\"one\""]);
+    second.wait_for_line(&["\"endpoint gone\"", "ledger-1"]);
+}
+
 #[test]
 fn one_of_two_gateways_leads_and_the_other_takes_over() {
     let fleet = fleet();
--- a/crates/gateway/src/process/gateway.rs
+++ b/crates/gateway/src/process/gateway.rs
@@ -170,7 +170,16 @@
         for known in handover.endpoints {
             self.apply_endpoint(known.endpoint, known.revision, from);
         }
-        let gone = self.knowledge.borrow_mut().apply_list(&listed, false, Instant::now());
+        let now = Instant::now();
+        for (id, missing_for) in &handover.missing {
+            if self.knowledge.borrow_mut().hear_missing(id, *missing_for, now) {
+                let ms = missing_for.as_millis() as u64;
+                info!("entry of an endpoint missing after an outage", kv: {
+                    endpoint = id.as_str(), ms, source = from
+                });
+            }
+        }
+        let gone = self.knowledge.borrow_mut().apply_list(&listed, false, now);
         for id in gone {
             self.endpoint_gone(&id, from);
         }
--- a/crates/gateway/src/process/knowledge.rs
+++ b/crates/gateway/src/process/knowledge.rs
@@ -36,6 +36,8 @@
 pub(crate) struct Handover {
     pub(crate) configuration: Option<Configuration>,
     pub(crate) endpoints: Vec<KnownEndpoint>,
+    /// Those of them whose entry is missing after an outage, and for how long.
+    pub(crate) missing: Vec<(EndpointId, Duration)>,
     pub(crate) endpoints_at: Revision,
 }
 
@@ -209,12 +211,24 @@
         over
     }
 
+    /// Another gateway has missed an entry for `missing_for`, if that is longer than this one has.
+    pub(crate) fn hear_missing(&mut self, id: &str, missing_for: Duration, now: Instant) -> bool {
+        let Some(known) = self.endpoints.get_mut(id) else { return false };
+        let since = now.checked_sub(missing_for).unwrap_or(now);
+        let is_news = known.missing_since.is_none();
+        known.missing_since = Some(known.missing_since.map_or(since, |own| own.min(since)));
+        is_news
+    }
+
     /// What another gateway is handed that has configuration `known`.
-    pub(crate) fn handover(&self, known: ConfigVersion) -> Handover {
+    pub(crate) fn handover(&self, known: ConfigVersion, now: Instant) -> Handover {
+        let missing_for =
+            |known: &KnownEndpoint| Some((known.endpoint.id.clone(), now - known.missing_since?));
         let newer = self.routes.as_ref().filter(|routes| routes.version() > known);
         Handover {
             configuration: newer.map(|routes| Configuration::clone(routes.cfg())),
             endpoints: self.endpoints.values().cloned().collect(),
+            missing: self.endpoints.values().filter_map(missing_for).collect(),
             endpoints_at: self.endpoints_at,
         }
     }
--- a/crates/gateway/src/process/listeners.rs
+++ b/crates/gateway/src/process/listeners.rs
@@ -16,7 +16,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpSocket};
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 /// Connections that the system holds ready while the process is busy.
 const LISTEN_BACKLOG: u32 = 1_024;
@@ -76,7 +76,7 @@
 
 /// What this gateway knows, the configuration only if the asker has an older one.
 fn handover(gateway: &Gateway, known: ConfigVersion) -> (StatusCode, Bytes) {
-    match serde_json::to_vec(&gateway.knowledge.borrow().handover(known)) {
+    match serde_json::to_vec(&gateway.knowledge.borrow().handover(known, Instant::now())) {
         Ok(body) => (StatusCode::OK, Bytes::from(body)),
         Err(err) => (StatusCode::INTERNAL_SERVER_ERROR, Bytes::from(err.to_string())),
     }
--- a/crates/gateway/src/process/watchers.rs
+++ b/crates/gateway/src/process/watchers.rs
@@ -27,8 +27,10 @@
 /// For so long after a failed call of the store a removed entry may only have lapsed: what the
 /// store did meanwhile comes with the first watch that it answers.
 const LAPSE_DOUBT: Duration = Duration::from_secs(3);
-/// Endpoints that vanish at once, unsaid, from which on a lapse is likelier than their deaths.
-const MANY_LAPSES: usize = 3;
+/// Endpoints that vanish at once, unsaid, from which on a lapse is likelier than their deaths: at
+/// least so many, and this share of all.
+const LEAST_LAPSES: usize = 3;
+const LAPSES_SHARE: f64 = 0.2;
 /// How often missing entries are looked at.
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -165,7 +167,8 @@
             Change::Removed(name) => knowledge.endpoint(name).is_some_and(|e| !e.is_leaving),
             Change::Written(_) => false,
         };
-        changes.iter().filter(is_unsaid).count() >= MANY_LAPSES
+        let share = (knowledge.endpoints().count() as f64 * LAPSES_SHARE).ceil() as usize;
+        changes.iter().filter(is_unsaid).count() >= share.max(LEAST_LAPSES)
     }
 
     fn on_removed(&self, name: &str, may_have_lapsed: bool) {
