Read once more: one listener socket, one whole answer, one intersection; dead code gone

The gateway's bind stood beside the listener of crates/http; building an endpoint's whole answer, a failed attempt and the count of live gateways stood twice; two tests shared their set-up line by line. What the lead told was copied to be compared, and whether there is a lead was asked once an engine. Behaviour is as it was.

--- a/crates/daemon/tests/gateway/knowledge.rs
+++ b/crates/daemon/tests/gateway/knowledge.rs
@@ -1,9 +1,18 @@
 //! Configuration and endpoints: in force soon, never back, also without the store.
 
-use crate::fleet::{KEY, config, fleet, new_request, send};
+use crate::fleet::{Fleet, KEY, config, fleet, new_request, send};
 use crate::gateway_process::{GatewayProcess, wait_for};
 use sorrellock_stand_ins::{FakeProxy, ProxyMode, StoreMode, new_ip};
 
+/// A second gateway that has heard of the first, with a proxy before its store.
+fn second_behind_proxy(fleet: &Fleet) -> (GatewayProcess, FakeProxy) {
+    let proxy = FakeProxy::start(new_ip(), fleet.store.addr()).expect("a proxy");
+    let second = GatewayProcess::start("two", "north", proxy.addr());
+    fleet.wait_whole(&second);
+    second.wait_for_line(&["\"gateway heard\"", "one"]);
+    (second, proxy)
+}
+
 #[test]
 fn without_a_configuration_requests_are_refused_as_not_run_and_not_as_unknown() {
     let fleet = fleet();
@@ -54,10 +63,7 @@
 fn a_gateway_that_the_store_turns_away_learns_from_another() {
     let fleet = fleet();
     let first = fleet.gateway("one");
-    let proxy = FakeProxy::start(new_ip(), fleet.store.addr()).expect("a proxy");
-    let second = GatewayProcess::start("two", "north", proxy.addr());
-    fleet.wait_whole(&second);
-    second.wait_for_line(&["\"gateway heard\"", "one"]);
+    let (second, proxy) = second_behind_proxy(&fleet);
 
     proxy.set_mode(ProxyMode::Silent);
     fleet.store.put("config", "main", config(6, &["key-3"]));
@@ -106,10 +112,7 @@
 fn what_one_gateway_misses_another_hears_of_with_its_age() {
     let fleet = fleet();
     let first = fleet.gateway("one");
-    let proxy = FakeProxy::start(new_ip(), fleet.store.addr()).expect("a proxy");
-    let second = GatewayProcess::start("two", "north", proxy.addr());
-    fleet.wait_whole(&second);
-    second.wait_for_line(&["\"gateway heard\"", "one"]);
+    let (second, proxy) = second_behind_proxy(&fleet);
     proxy.set_mode(ProxyMode::Silent);
     fleet.store.set_mode(StoreMode::Busy);
     first.wait_for_line(&["\"store lost\""]);
--- a/crates/gateway/src/process/beliefs.rs
+++ b/crates/gateway/src/process/beliefs.rs
@@ -8,7 +8,7 @@
 use tokio::time::Instant;
 
 /// A gateway that wasn't heard for so long is taken to be gone: ten lost messages in a row.
-pub(crate) const PEER_LAPSE: Duration = Duration::from_millis(1_500);
+const PEER_LAPSE: Duration = Duration::from_millis(1_500);
 /// A gateway that wasn't heard for so long spends none of the retry budget: its window is over.
 const BUDGET_SHARER_LAPSE: Duration = Duration::from_secs(15);
 /// What the lead told last is used for so long; after that the list of endpoints is fresher.
--- a/crates/gateway/src/process/gateway.rs
+++ b/crates/gateway/src/process/gateway.rs
@@ -270,6 +270,7 @@
         now: Instant,
     ) -> Vec<Holder> {
         let beliefs = self.beliefs.borrow();
+        let has_lead = beliefs.lead(now).is_some();
         let mut holders = Vec::new();
         let engines = knowledge.open_endpoints(now).filter(|engine| engine.service == service);
         for endpoint in engines {
@@ -278,7 +279,6 @@
             }
             let view = beliefs.engine(&endpoint.id, now);
             // An engine that the lead doesn't tell of leaves, or holds nothing yet.
-            let has_lead = beliefs.lead(now).is_some();
             let listed = if has_lead { LayerRange::default() } else { endpoint.layers };
             let layers = view.map_or(listed, |view| view.usable);
             let is_dead = view.is_some_and(|view| view.is_dead);
--- a/crates/gateway/src/process/lead.rs
+++ b/crates/gateway/src/process/lead.rs
@@ -3,7 +3,7 @@
 //! Two leads at once do no harm beyond needless orders: each order names the count of orders that
 //! its sender has seen the engine begin, and the engine refuses it if there were others.
 
-use crate::process::{Count, Gateway, PEER_LAPSE};
+use crate::process::{Count, Gateway};
 use serde::{Deserialize, Serialize};
 use sorrellock_platform::{Kind, Revision, Store, StoreError};
 use spdlog::{info, warn};
@@ -172,7 +172,7 @@
     fn rank(&self, now: Instant) -> u32 {
         let own = &self.gateway.settings.instance;
         let beliefs = self.gateway.beliefs.borrow();
-        let live = beliefs.peers.values().filter(|peer| now - peer.heard < PEER_LAPSE);
-        live.filter(|peer| peer.message.instance < *own).count() as u32
+        let before = beliefs.live_peers(now).filter(|peer| peer.message.instance < *own);
+        before.count() as u32
     }
 }
--- a/crates/gateway/src/process/listeners.rs
+++ b/crates/gateway/src/process/listeners.rs
@@ -11,15 +11,11 @@
 use sorrellock_routing::version::ConfigVersion;
 use spdlog::warn;
 use std::convert::Infallible;
-use std::io;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::{TcpListener, TcpSocket};
+use tokio::net::TcpListener;
 use tokio::time::{Instant, sleep};
 
-/// Connections that the system holds ready while the process is busy.
-const LISTEN_BACKLOG: u32 = 1_024;
 /// Pause after a failed accept, as when the process has too many open files.
 pub(crate) const ACCEPT_ERROR_PAUSE: Duration = Duration::from_millis(20);
 /// Where readiness is asked for.
@@ -27,14 +23,6 @@
 /// Where metrics are read.
 const METRICS_PATH: &str = "/metrics";
 
-/// Binds a listener; an address that was just in use is taken at once.
-pub(crate) fn bind(addr: SocketAddr) -> io::Result<TcpListener> {
-    let socket = if addr.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
-    socket.set_reuseaddr(true)?;
-    socket.bind(addr)?;
-    socket.listen(LISTEN_BACKLOG)
-}
-
 /// Answers readiness, metrics and handovers, for ever.
 pub(crate) async fn serve_side_pages(gateway: Rc<Gateway>, listener: TcpListener) {
     loop {
--- a/crates/gateway/src/process/peers.rs
+++ b/crates/gateway/src/process/peers.rs
@@ -209,8 +209,8 @@
             beliefs.hear_lead(term, now);
         }
         if let Some(view) = &message.lead {
-            let known = beliefs.lead(now).map(|(known, _)| known.engines.clone());
-            is_changed = known.as_ref() != Some(&view.engines);
+            let known = beliefs.lead(now);
+            is_changed = known.is_none_or(|(known, _)| known.engines != view.engines);
             is_changed &= beliefs.apply_lead(view.clone(), now);
         }
         let new_suspects = message.suspects.iter().filter(|id| {
--- a/crates/gateway/src/process/placer/engine.rs
+++ b/crates/gateway/src/process/placer/engine.rs
@@ -57,7 +57,7 @@
     /// The layers that new requests may use.
     pub(super) fn usable(&self) -> LayerRange {
         match self.closing {
-            Some((stay, _)) => intersection(self.ready(), stay),
+            Some((stay, _)) => self.ready().intersection(stay),
             None => self.ready(),
         }
     }
@@ -66,7 +66,3 @@
         self.ordered.is_some() || self.report.as_ref().is_none_or(|report| report.is_busy)
     }
 }
-
-pub(super) fn intersection(a: LayerRange, b: LayerRange) -> LayerRange {
-    LayerRange::new(a.from.max(b.from), a.to.min(b.to))
-}
--- a/crates/gateway/src/process/pool.rs
+++ b/crates/gateway/src/process/pool.rs
@@ -1,7 +1,6 @@
 //! Connections to endpoints, kept for later requests.
 
-use crate::process::Count;
-use crate::process::Counters;
+use crate::process::{Count, Counters};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::client::conn::http1::{Builder, SendRequest};
--- a/crates/gateway/src/process/run.rs
+++ b/crates/gateway/src/process/run.rs
@@ -4,7 +4,8 @@
 use crate::process::peers::Peers;
 use crate::process::placer::Placer;
 use crate::process::watchers::{expire_missing, follow};
-use crate::process::{Gateway, Phase, bind, serve_side_pages, set_up_log, watch_paths};
+use crate::process::{Gateway, Phase, serve_side_pages, set_up_log, watch_paths};
+use sorrellock_http::listen;
 use sorrellock_platform::{Kind, Settings, Store, parse_settings};
 use spdlog::{error, info, warn};
 use std::cell::RefCell;
@@ -110,15 +111,15 @@
 
 fn start_listeners(gateway: &Rc<Gateway>, tasks: &mut JoinSet<()>) -> Result<(), StartError> {
     let settings = &gateway.settings;
-    let listen =
-        |addr: SocketAddr| bind(addr).map_err(|err| io_error(format!("listen at {addr}"), err));
-    let callers = listen(settings.callers)?;
+    let bound =
+        |addr: SocketAddr| listen(addr).map_err(|err| io_error(format!("listen at {addr}"), err));
+    let callers = bound(settings.callers)?;
     for addr in [
         settings.readiness,
         SocketAddr::new(settings.ip, settings.peer_port),
         SocketAddr::new(settings.ip, METRICS_PORT),
     ] {
-        tasks.spawn_local(serve_side_pages(Rc::clone(gateway), listen(addr)?));
+        tasks.spawn_local(serve_side_pages(Rc::clone(gateway), bound(addr)?));
     }
     tasks.spawn_local(accept_callers(Rc::clone(gateway), callers));
     Ok(())
--- a/crates/gateway/src/request/answer.rs
+++ b/crates/gateway/src/request/answer.rs
@@ -5,11 +5,12 @@
 use crate::request::stream::serve_stream;
 use crate::request::{AnswerBody, Call, Cut, EndGuard};
 use bytes::Bytes;
+use http::response::Parts;
 use http::{HeaderValue, Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use rand::RngExt;
-use sorrellock_platform::{CallerHead, read_caller_head, retry_after};
+use sorrellock_platform::{CallerHead, answer_headers, read_caller_head, retry_after};
 use sorrellock_routing::request::GivenUp;
 use sorrellock_routing::version::{NotAllowed, Route, RouteTable, ServiceName};
 use spdlog::info;
@@ -142,6 +143,14 @@
     route.targets[0].0.clone()
 }
 
+/// An endpoint's answer that came whole, for the caller.
+pub(crate) fn pass_on(endpoint: &Parts, body: Bytes) -> Response<AnswerBody> {
+    let mut answer = Response::new(AnswerBody::whole(body));
+    *answer.status_mut() = endpoint.status;
+    *answer.headers_mut() = answer_headers(&endpoint.headers);
+    answer
+}
+
 /// An answer of the gateway's own.
 pub(crate) fn refusal(status: StatusCode, come_back: Option<Duration>) -> Response<AnswerBody> {
     let text = status.canonical_reason().unwrap_or("refused");
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -47,7 +47,7 @@
 }
 
 impl Failed {
-    fn new(evidence: Evidence, why: String) -> Failed {
+    pub(crate) fn new(evidence: Evidence, why: String) -> Failed {
         Failed { evidence, at_fault: None, why }
     }
 }
--- a/crates/gateway/src/request/plain.rs
+++ b/crates/gateway/src/request/plain.rs
@@ -1,12 +1,14 @@
 //! Requests to plain services: one endpoint runs them whole.
 
 use crate::process::{Count, Gateway, check_refuser};
-use crate::request::{AnswerBody, Begun, Call, Cut, Failed, Target, attempt, give_up, log_failed};
+use crate::request::{
+    AnswerBody, Begun, Call, Cut, Failed, Target, attempt, give_up, log_failed, pass_on,
+};
 use bytes::Bytes;
 use http::Response;
 use http_body_util::{BodyExt, Limited};
 use sorrellock_core::process::retries::{AttemptEnd, Permit};
-use sorrellock_platform::{answer_headers, read_answer_head};
+use sorrellock_platform::read_answer_head;
 use sorrellock_routing::process::{Endpoint, EndpointId};
 use sorrellock_routing::request::{Attempts, Evidence};
 use sorrellock_routing::version::Semantics;
@@ -163,7 +165,7 @@
     until: Instant,
 ) -> Result<Response<AnswerBody>, Failed> {
     let (parts, body) = begun.answer.into_parts();
-    let no_answer = |why: String| Failed { evidence: Evidence::MayHaveRun, at_fault: None, why };
+    let no_answer = |why: String| Failed::new(Evidence::MayHaveRun, why);
     let left = until.saturating_duration_since(Instant::now());
     let body = timeout(left, Limited::new(body, MAX_ANSWER_BYTES).collect()).await;
     let body = body.map_err(|_| no_answer("the answer did not come whole in time".to_owned()))?;
@@ -172,10 +174,7 @@
     begun.in_flight.on_answered();
     let head = read_answer_head(&parts.headers);
     gateway.pool.borrow_mut().keep(begun.addr, begun.connection, &head, Instant::now());
-    let mut answer = Response::new(AnswerBody::whole(body));
-    *answer.status_mut() = parts.status;
-    *answer.headers_mut() = answer_headers(&parts.headers);
-    Ok(answer)
+    Ok(pass_on(&parts, body))
 }
 
 /// Time for one attempt: all that is left, or a part of it where another may follow.
--- a/crates/gateway/src/request/stream.rs
+++ b/crates/gateway/src/request/stream.rs
@@ -4,8 +4,10 @@
     Count, Gateway, LivePath, NoPlace, PathPlace, check_path, check_refuser, take_place,
 };
 use crate::request::relay::Relay;
-use crate::request::{AnswerBody, Begun, Call, Cut, Failed, Target, attempt, give_up, log_failed};
-use http::{HeaderMap, Response, StatusCode};
+use crate::request::{
+    AnswerBody, Begun, Call, Cut, Failed, Target, attempt, give_up, log_failed, pass_on,
+};
+use http::{Response, StatusCode};
 use http_body_util::{BodyExt, Limited};
 use sorrellock_platform::answer_headers;
 use sorrellock_routing::request::{Attempts, Evidence, GivenUp};
@@ -108,15 +110,11 @@
     let (tx, rx) = mpsc::channel(PARTS_BUFFERED);
     let mut answer = Response::new(AnswerBody::parts(rx));
     *answer.status_mut() = run.begun.answer.status();
-    *answer.headers_mut() = stream_headers(run.begun.answer.headers());
+    *answer.headers_mut() = answer_headers(run.begun.answer.headers());
     tokio::task::spawn_local(Relay::new(gateway, call, attempts, run, tx).run());
     answer
 }
 
-fn stream_headers(headers: &HeaderMap) -> HeaderMap {
-    answer_headers(headers)
-}
-
 /// Begins a stream on the best path, and on further ones while attempts may be made. Paths that
 /// failed are added to `avoid`.
 pub(crate) async fn begin(
@@ -233,7 +231,7 @@
 }
 
 fn no_event(why: String) -> Failed {
-    Failed { evidence: Evidence::MayHaveRun, at_fault: None, why }
+    Failed::new(Evidence::MayHaveRun, why)
 }
 
 /// Ends when the path has lost an engine.
@@ -272,8 +270,5 @@
     let Ok(Ok(body)) = body else {
         return give_up(call, GivenUp::Unknown, RETRY_AFTER_FULL, "an engine's failure broke off");
     };
-    let mut answer = Response::new(AnswerBody::whole(body.to_bytes()));
-    *answer.status_mut() = parts.status;
-    *answer.headers_mut() = answer_headers(&parts.headers);
-    answer
+    pass_on(&parts, body.to_bytes())
 }
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -11,7 +11,7 @@
 
 pub use bytes::Bytes;
 pub use connection::{Activity, Doing, WatchedIo};
-pub use process::{Counters, Server, ServerConfig};
+pub use process::{Counters, Server, ServerConfig, listen};
 pub use process::{
     DEFAULT_BODY_TIMEOUT, DEFAULT_CHUNK_QUEUE, DEFAULT_DRAIN_TIMEOUT, DEFAULT_HEADER_TIMEOUT,
     DEFAULT_IDLE_TIMEOUT, DEFAULT_MAX_BODY_BYTES, DEFAULT_MAX_CONNECTIONS,
--- a/crates/http/src/process/listener.rs
+++ b/crates/http/src/process/listener.rs
@@ -64,7 +64,8 @@
     }
 }
 
-fn listen(addr: SocketAddr) -> io::Result<TcpListener> {
+/// Binds a listener within a runtime; an address that was just in use is taken at once.
+pub fn listen(addr: SocketAddr) -> io::Result<TcpListener> {
     let socket = if addr.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
     socket.set_reuseaddr(true)?;
     socket.bind(addr)?;
--- a/crates/http/src/process/mod.rs
+++ b/crates/http/src/process/mod.rs
@@ -7,7 +7,8 @@
 mod workers;
 
 pub use counters::*;
-pub(crate) use listener::*;
+pub(crate) use listener::Listener;
+pub use listener::listen;
 pub use server::*;
 pub use server_config::*;
 pub(crate) use workers::*;
--- a/crates/routing/src/process/endpoint.rs
+++ b/crates/routing/src/process/endpoint.rs
@@ -41,9 +41,14 @@
         (self.from..self.to).contains(&layer)
     }
 
-    /// Layers that are in both.
+    /// The layers that are in both.
+    pub fn intersection(self, other: LayerRange) -> LayerRange {
+        LayerRange::new(self.from.max(other.from), self.to.min(other.to))
+    }
+
+    /// How many layers are in both.
     pub fn overlap(self, other: LayerRange) -> u32 {
-        self.to.min(other.to).saturating_sub(self.from.max(other.from))
+        self.intersection(other).len()
     }
 
     /// The smallest range over both; an empty one adds nothing.
--- a/crates/routing/src/process/retry_window.rs
+++ b/crates/routing/src/process/retry_window.rs
@@ -58,11 +58,6 @@
         true
     }
 
-    /// Sends beyond the first within the window.
-    pub fn spent(&self) -> usize {
-        self.again.len()
-    }
-
     fn forget(&mut self, now: Instant) {
         for queue in [&mut self.requests, &mut self.again] {
             while queue.front().is_some_and(|at| now.duration_since(*at) > self.bounds.window) {
--- a/crates/routing/src/request/evidence.rs
+++ b/crates/routing/src/request/evidence.rs
@@ -83,11 +83,6 @@
         self.sends > 0
     }
 
-    /// Whether it may have run somewhere.
-    pub fn may_have_run(&self) -> bool {
-        self.may_have_run
-    }
-
     /// What the caller is told once the request is given up.
     pub fn given_up(&self, time_is_over: bool) -> GivenUp {
         match (self.may_have_run, time_is_over) {
