--- a/crates/daemon/tests/gateway/fleet.rs
+++ b/crates/daemon/tests/gateway/fleet.rs
@@ -58,22 +58,35 @@
 pub fn fleet() -> Fleet {
     let store = FakeStore::start(new_ip()).expect("the store");
     store.put("config", "main", config(1, &[KEY]));
-    let engine = |index: usize| {
-        let cfg = EngineConfig {
-            id: format!("engine-{index}"),
-            service: "lexis".into(),
-            data_centre: if index < 2 { "north" } else { "south" }.into(),
-            card: "card".into(),
-            events: EVENTS,
-            gap: Duration::from_millis(20),
-        };
-        FakeEngine::start(cfg, new_ip(), &store).expect("an engine")
-    };
-    let engines = (0..4).map(engine).collect();
+    let data_centre = |index: usize| if index < 2 { "north" } else { "south" };
+    let engines = (0..4).map(|index| engine(index, data_centre(index), &store)).collect();
     let service = FakeService::start("ledger-1", "ledger", "north", new_ip(), &store);
     Fleet { engines, service: service.expect("the service"), store }
 }
 
+fn engine(index: usize, data_centre: &str, store: &FakeStore) -> FakeEngine {
+    let cfg = EngineConfig {
+        id: format!("engine-{index}"),
+        service: "lexis".into(),
+        data_centre: data_centre.into(),
+        card: "card".into(),
+        events: EVENTS,
+        gap: Duration::from_millis(20),
+    };
+    FakeEngine::start(cfg, new_ip(), store).expect("an engine")
+}
+
+/// Starts the stand-ins with four engines in one data centre: they make two chains.
+pub fn fleet_of_two_chains() -> Fleet {
+    let mut fleet = fleet();
+    fleet.engines.iter().for_each(FakeEngine::crash);
+    for one in &fleet.engines {
+        fleet.store.remove("servers", one.id());
+    }
+    fleet.engines = (4..8).map(|index| engine(index, "north", &fleet.store)).collect();
+    fleet
+}
+
 impl Fleet {
     /// Starts a gateway, and waits until both data centres hold the model.
     pub fn gateway(&self, instance: &str) -> GatewayProcess {
--- a/crates/daemon/tests/gateway/streams.rs
+++ b/crates/daemon/tests/gateway/streams.rs
@@ -1,8 +1,10 @@
 //! Streams over paths of engines, while engines die, stall, leave and refuse.
 
-use crate::fleet::{Answer, HOST, KEY, begin, fleet, new_request, send, whole_stream};
-use crate::gateway_process::wait_for;
-use sorrellock_stand_ins::EngineMode;
+use crate::fleet::{
+    Answer, HOST, KEY, begin, fleet, fleet_of_two_chains, new_request, send, whole_stream,
+};
+use crate::gateway_process::{GatewayProcess, wait_for};
+use sorrellock_stand_ins::{EngineMode, FakeEngine};
 use std::io::{Read, Write};
 use std::net::TcpStream;
 use std::thread;
@@ -106,6 +108,31 @@
     gateway.wait_for_line(&["\"endpoint leaving\""]);
 }
 
+#[test]
+fn a_stream_whose_second_engine_dies_goes_on_over_another_chain_without_a_second_run() {
+    let fleet = fleet_of_two_chains();
+    let gateway = GatewayProcess::start("one", "north", fleet.store.addr());
+    wait_for("the gateway to be ready", || gateway.is_ready());
+    wait_for("two paths", || gateway.lines(&["\"path in use\"", "north"]).len() >= 2);
+    let request = new_request();
+    let (_, mut body) = begin(gateway.callers(), "/match/a", &request, Some(KEY));
+    let runner = fleet.runner(&request).expect("an engine runs it");
+    let hops = runner.seen().headers[&request]["hop-count"].to_str().expect("text").to_owned();
+    let second = hops.split([',', '=']).nth(2).expect("two parts").to_owned();
+
+    runner.set_stalled(true);
+    let is_second = |one: &&FakeEngine| one.addr().to_string() == second;
+    fleet.engines.iter().find(is_second).expect("one of them").crash();
+    wait_for("the order to go on", || runner.seen().moved.contains(&request));
+    runner.set_stalled(false);
+    let mut all = String::new();
+    body.read_to_string(&mut all).expect("the stream, to its end");
+
+    assert_eq!(all, whole_stream());
+    assert_eq!(fleet.runs(&request), 1, "no second run was needed");
+    gateway.wait_for_line(&["\"first event over the new path\"", &request]);
+}
+
 #[test]
 fn an_engine_that_dies_is_replaced_by_moving_layers() {
     let fleet = fleet();
--- a/crates/gateway/src/process/gateway.rs
+++ b/crates/gateway/src/process/gateway.rs
@@ -294,7 +294,7 @@
                 data_centre: endpoint.data_centre.clone(),
                 layers,
                 layer_cost: step_factor * shape.step_ms / f64::from(shape.layers),
-                token_room: card.map_or(0.0, |card| shape.token_room(card, layers.len())),
+                kv_room: card.map_or(0.0, |card| shape.kv_room(card, layers.len())),
             });
         }
         holders
--- a/crates/gateway/src/process/lead.rs
+++ b/crates/gateway/src/process/lead.rs
@@ -9,6 +9,7 @@
 use spdlog::{info, warn};
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::sync::oneshot;
 use tokio::time::{Instant, sleep};
 
 /// How often it is looked at who leads.
@@ -41,6 +42,8 @@
     /// Revision of the object while this gateway leads.
     term: Option<Revision>,
     confirmed: Instant,
+    /// The call under way that confirms it: orders don't wait for a store that is silent.
+    confirming: Option<oneshot::Receiver<Result<Option<LeadRecord>, StoreError>>>,
     /// When a lead was last heard, or nobody was yet.
     heard: Instant,
     try_after: Instant,
@@ -49,33 +52,63 @@
 impl Lead {
     pub(crate) fn new(gateway: Rc<Gateway>, store: Store) -> Lead {
         let now = Instant::now();
-        Lead { gateway, store, term: None, confirmed: now, heard: now, try_after: now }
+        Lead {
+            gateway,
+            store,
+            term: None,
+            confirmed: now,
+            confirming: None,
+            heard: now,
+            try_after: now,
+        }
     }
 
-    /// Waits a little and looks anew who leads. The term, while this gateway does.
+    /// Looks anew who leads, after a little while unless this gateway does. The term, while it does.
     pub(crate) async fn look(&mut self) -> Option<Revision> {
-        sleep(LOOK_INTERVAL).await;
         match self.term {
-            Some(term) => self.confirm(term).await,
-            None => self.try_to_lead().await,
+            Some(term) => self.confirm(term),
+            None => {
+                sleep(LOOK_INTERVAL).await;
+                self.try_to_lead().await;
+            }
         }
         self.term
     }
 
-    async fn confirm(&mut self, term: Revision) {
+    fn confirm(&mut self, term: Revision) {
         if let Some(other) = self.heard_term().filter(|other| *other > term) {
             return self.step_down(&format!("a gateway leads with term {other}"));
         }
         if self.is_isolated() {
             return self.step_down("neither the store nor another gateway is heard");
         }
-        if self.confirmed.elapsed() < CONFIRM_INTERVAL {
-            return;
+        if let Some(end) = self.confirming.as_mut().and_then(|end| end.try_recv().ok()) {
+            self.confirming = None;
+            self.on_confirmed(term, end);
+        } else if self.confirming.is_none() && self.confirmed.elapsed() >= CONFIRM_INTERVAL {
+            self.confirmed = Instant::now();
+            self.start_to_confirm();
         }
-        self.confirmed = Instant::now();
+    }
+
+    /// Reads the lead's object without waiting for it.
+    fn start_to_confirm(&mut self) {
         self.gateway.counters.add(Count::StoreCalls);
-        match self.store.get(Kind::Leads, LEAD_NAME).await {
-            Ok(object) if object.read::<LeadRecord>().ok().as_ref() == Some(&self.record()) => {}
+        let (tx, rx) = oneshot::channel();
+        self.confirming = Some(rx);
+        let store = self.store.clone();
+        tokio::task::spawn_local(async move {
+            let object = store.get(Kind::Leads, LEAD_NAME).await;
+            // An object that can't be read doesn't name this gateway.
+            let record = object.map(|object| object.read::<LeadRecord>().ok());
+            // A gateway that leads no more needs no answer.
+            let _ = tx.send(record);
+        });
+    }
+
+    fn on_confirmed(&mut self, term: Revision, end: Result<Option<LeadRecord>, StoreError>) {
+        match end {
+            Ok(record) if record.as_ref() == Some(&self.record()) => {}
             Ok(_) => self.step_down("the lead's object names another gateway"),
             Err(err) => {
                 // Without the store nobody else can take over in order, so it leads on.
@@ -98,6 +131,7 @@
 
     fn step_down(&mut self, why: &str) {
         let term = self.term.take();
+        self.confirming = None;
         self.heard = Instant::now();
         info!("lead lost", kv: { term:?, why });
     }
--- a/crates/gateway/src/process/live_path.rs
+++ b/crates/gateway/src/process/live_path.rs
@@ -6,18 +6,19 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
-/// With few streams under way and no event on any for so long, a path is taken to be broken: three
-/// times the longest pause that is on time.
+/// With few streams under way and no event on any for so long, the engines of a path are asked
+/// whether they live. All streams of a path get an event with each pass of its engines, every 55 ms
+/// or so, and a pass that reads prompts takes up to twice as long.
+const PATH_QUIET: Duration = Duration::from_millis(150);
+/// The same with some streams, which rarely all just begin or end.
+const SOME_STREAMS_QUIET: Duration = Duration::from_millis(110);
+/// With few streams under way and no event on any for so long, a path gets nothing new: three times
+/// the longest pause that is on time. One that reads many prompts is quiet for half of that.
 const PATH_SILENCE: Duration = Duration::from_millis(600);
-/// The same with some streams: each has an event every 55 ms, so that four together are silent
-/// for as long as this only if the path is.
+/// The same with some streams.
 const SOME_STREAMS_SILENCE: Duration = Duration::from_millis(300);
 /// From so many streams on that holds.
 const SOME_STREAMS: u32 = 4;
-/// The same with many streams.
-const MANY_STREAMS_SILENCE: Duration = Duration::from_millis(150);
-/// From so many streams on that holds.
-const MANY_STREAMS: u32 = 8;
 
 /// What becomes of an engine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -36,8 +37,10 @@
     pub(crate) path: PipelinePath,
     /// Requests that its first engine takes at once from all gateways.
     pub(crate) slots: u32,
-    /// Streams under way.
+    /// This gateway's streams under way.
     pub(crate) streams: Cell<u32>,
+    /// Tokens reserved by them.
+    pub(crate) tokens: Cell<f64>,
     /// When a stream last got an event, or the first of them began.
     pub(crate) last_event: Cell<Instant>,
     /// Gets nothing new until then.
@@ -60,6 +63,7 @@
             path,
             slots,
             streams: Cell::new(0),
+            tokens: Cell::new(0.0),
             last_event: Cell::new(now),
             avoid_until: Cell::new(None),
             checked: Cell::new(None),
@@ -70,16 +74,37 @@
         }
     }
 
-    /// Whether all its streams have been silent for so long that it is taken to be broken.
+    /// Whether all its streams have been silent for so long that its engines should be asked.
+    pub(crate) fn is_quiet(&self, now: Instant) -> bool {
+        let limit = self.limit(SOME_STREAMS_QUIET, PATH_QUIET);
+        self.streams.get() > 0 && now - self.last_event.get() > limit
+    }
+
+    /// Whether all its streams have been silent for so long that it gets nothing new.
     pub(crate) fn is_silent(&self, now: Instant) -> bool {
-        let limit = match self.streams.get() {
-            MANY_STREAMS.. => MANY_STREAMS_SILENCE,
-            SOME_STREAMS.. => SOME_STREAMS_SILENCE,
-            _ => PATH_SILENCE,
-        };
+        let limit = self.limit(SOME_STREAMS_SILENCE, PATH_SILENCE);
         self.streams.get() > 0 && now - self.last_event.get() > limit
     }
 
+    fn limit(&self, with_some: Duration, with_few: Duration) -> Duration {
+        if self.streams.get() >= SOME_STREAMS { with_some } else { with_few }
+    }
+
+    /// A stream that reserves so many tokens begins on it.
+    pub(crate) fn add_stream(&self, tokens: f64, now: Instant) {
+        if self.streams.get() == 0 {
+            self.last_event.set(now);
+        }
+        self.streams.set(self.streams.get() + 1);
+        self.tokens.set(self.tokens.get() + tokens);
+    }
+
+    /// Such a stream ends, or goes on over another path.
+    pub(crate) fn remove_stream(&self, tokens: f64) {
+        self.streams.set(self.streams.get() - 1);
+        self.tokens.set(self.tokens.get() - tokens);
+    }
+
     /// Gives it nothing new until `until`.
     pub(crate) fn avoid(&self, until: Instant) {
         let until = self.avoid_until.get().map_or(until, |before| before.max(until));
--- a/crates/gateway/src/process/path_book.rs
+++ b/crates/gateway/src/process/path_book.rs
@@ -3,7 +3,7 @@
 use crate::process::{EngineFate, LivePath};
 use rand::RngExt;
 use sorrellock_routing::process::{
-    DataCentre, EndpointId, Holder, PipelinePath, cheapest_path, paths_by_head,
+    DataCentre, EndpointId, Holder, PathPart, PipelinePath, cheapest_path, paths_by_head,
 };
 use sorrellock_routing::version::{ModelShape, ServiceName};
 use std::cell::RefCell;
@@ -21,7 +21,7 @@
 /// streams shouldn't all choose the same path.
 const CHOICE_NOISE: f64 = 0.04;
 
-/// What streams take in one data centre.
+/// What streams take.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Load {
     /// Tokens reserved.
@@ -34,37 +34,22 @@
 pub(crate) struct PathPlace {
     pub(crate) live: Rc<LivePath>,
     tokens: f64,
-    book: Rc<RefCell<PathBook>>,
+    freed: Rc<Notify>,
 }
 
 impl PathPlace {
-    /// Moves the place to another path in the same data centre.
+    /// Moves the place to another path with the same first engine.
     pub(crate) fn move_to(&mut self, live: Rc<LivePath>, now: Instant) {
-        self.live.streams.set(self.live.streams.get() - 1);
-        if live.streams.get() == 0 {
-            live.last_event.set(now);
-        }
-        live.streams.set(live.streams.get() + 1);
+        self.live.remove_stream(self.tokens);
+        live.add_stream(self.tokens, now);
         self.live = live;
     }
 }
 
 impl Drop for PathPlace {
     fn drop(&mut self) {
-        self.live.streams.set(self.live.streams.get() - 1);
-        let mut book = self.book.borrow_mut();
-        if let Some(load) = book.own.get_mut(&self.live.path.data_centre) {
-            load.tokens -= self.tokens;
-            load.streams -= 1;
-        }
-        let head = &self.live.path.first().id;
-        if let Some(streams) = book.own_heads.get_mut(head) {
-            *streams -= 1;
-            if *streams == 0 {
-                book.own_heads.remove(head);
-            }
-        }
-        book.freed.notify_waiters();
+        self.live.remove_stream(self.tokens);
+        self.freed.notify_waiters();
     }
 }
 
@@ -81,45 +66,62 @@
 #[derive(Default)]
 pub(crate) struct PathBook {
     paths: HashMap<ServiceName, Vec<Rc<LivePath>>>,
-    own: HashMap<DataCentre, Load>,
-    peers: HashMap<DataCentre, Load>,
-    /// Streams by the first engine of their path.
-    own_heads: HashMap<EndpointId, u32>,
-    peer_heads: HashMap<EndpointId, u32>,
+    /// What streams of other gateways take, by the first engine of their path.
+    peers: HashMap<EndpointId, Load>,
+    /// KV cache that fits into each engine, in tokens times layers.
+    rooms: HashMap<EndpointId, f64>,
     freed: Rc<Notify>,
 }
 
 impl PathBook {
-    /// Takes what streams of other gateways take.
-    pub(crate) fn set_peer_loads(
-        &mut self,
-        peers: HashMap<DataCentre, Load>,
-        heads: HashMap<EndpointId, u32>,
-    ) {
+    /// Takes what streams of other gateways take, by the first engine of their path.
+    pub(crate) fn set_peer_loads(&mut self, peers: HashMap<EndpointId, Load>) {
         self.peers = peers;
-        self.peer_heads = heads;
     }
 
-    /// This gateway's streams, by the first engine of their path.
-    pub(crate) fn own_heads(&self) -> impl Iterator<Item = (&EndpointId, &u32)> {
-        self.own_heads.iter()
+    /// What this gateway's streams take, by the first engine of their path.
+    pub(crate) fn own_loads(&self) -> HashMap<EndpointId, Load> {
+        let mut loads: HashMap<EndpointId, Load> = HashMap::new();
+        for live in self.paths.values().flatten().filter(|live| live.streams.get() > 0) {
+            let load = loads.entry(live.path.first().id.clone()).or_default();
+            load.tokens += live.tokens.get();
+            load.streams += live.streams.get();
+        }
+        loads
+    }
+
+    /// Whether any gateway has a stream under way, as far as is known.
+    pub(crate) fn is_in_use(&self) -> bool {
+        let mut own = self.paths.values().flatten();
+        own.any(|live| live.streams.get() > 0) || self.peers.values().any(|load| load.streams > 0)
     }
 
     /// Streams of all gateways that begin at an engine.
-    fn head_streams(&self, id: &str) -> u32 {
-        let count = |heads: &HashMap<EndpointId, u32>| heads.get(id).copied().unwrap_or_default();
-        count(&self.own_heads) + count(&self.peer_heads)
+    fn head_streams(&self, service: &str, head: &str) -> u32 {
+        let own = self.paths(service).iter().filter(|live| live.path.first().id == head);
+        let own: u32 = own.map(|live| live.streams.get()).sum();
+        own + self.peers.get(head).map_or(0, |load| load.streams)
     }
 
-    /// Paths that are silent as a whole.
-    pub(crate) fn silent(&self, now: Instant) -> impl Iterator<Item = &Rc<LivePath>> {
-        let all = self.paths.values().flatten();
-        all.filter(move |live| !live.is_broken.get() && live.is_silent(now))
+    /// KV cache that streams of all gateways take at each engine, in tokens times layers. What
+    /// other gateways' streams take counts for the path in use of their first engine.
+    fn kv_used(&self, service: &str) -> HashMap<&EndpointId, f64> {
+        let mut used: HashMap<&EndpointId, f64> = HashMap::new();
+        for live in self.paths(service) {
+            let peers = self.peers.get(&live.path.first().id);
+            let peers = peers.filter(|_| !live.is_superseded.get()).map_or(0.0, |p| p.tokens);
+            let tokens = live.tokens.get() + peers;
+            for part in &live.path.parts {
+                *used.entry(&part.id).or_default() += tokens * f64::from(part.layers.len());
+            }
+        }
+        used
     }
 
-    /// What this gateway's streams take.
-    pub(crate) fn own_loads(&self) -> impl Iterator<Item = (&DataCentre, &Load)> {
-        self.own.iter()
+    /// Paths that are quiet as a whole.
+    pub(crate) fn quiet(&self, now: Instant) -> impl Iterator<Item = &Rc<LivePath>> {
+        let all = self.paths.values().flatten();
+        all.filter(move |live| !live.is_broken.get() && live.is_quiet(now))
     }
 
     /// Wakes when a place is freed or the paths change.
@@ -141,6 +143,7 @@
         fate: impl Fn(&EndpointId) -> EngineFate,
         now: Instant,
     ) -> bool {
+        self.rooms.extend(holders.iter().map(|holder| (holder.id.clone(), holder.kv_room)));
         let old = self.paths.remove(service).unwrap_or_default();
         for live in &old {
             let has = |wanted| live.path.parts.iter().any(|part| fate(&part.id) == wanted);
@@ -177,12 +180,20 @@
             fresh.push(live);
         }
         self.paths.insert(service.to_owned(), fresh);
+        self.forget_rooms();
         if is_changed {
             self.freed.notify_waiters();
         }
         is_changed
     }
 
+    /// Forgets engines that no path goes through.
+    fn forget_rooms(&mut self) {
+        let parts = self.paths.values().flatten().flat_map(|live| &live.path.parts);
+        let ids: BTreeSet<&EndpointId> = parts.map(|part| &part.id).collect();
+        self.rooms.retain(|id, _| ids.contains(id));
+    }
+
     /// A path in use that begins at the same engine as another, but is not that one.
     pub(crate) fn successor(
         &self,
@@ -224,11 +235,11 @@
             |live: &&Rc<LivePath>| !live.is_avoided(now) && !live.is_silent(now) && may_take(live);
         let mut best: Option<(f64, &Rc<LivePath>)> = None;
         let mut is_full = false;
+        let used = self.kv_used(service);
         for live in self.paths(service).iter().filter(is_open) {
-            let taken = self.taken(&live.path.data_centre).tokens + tokens;
-            let begun = self.head_streams(&live.path.first().id) + 1;
+            let begun = self.head_streams(service, &live.path.first().id) + 1;
             let of_slots = f64::from(begun) / f64::from(live.slots);
-            let share = (taken / live.path.token_room.max(1.0)).max(of_slots);
+            let share = self.fill(live, &used, tokens).max(of_slots);
             if share > FILL {
                 is_full = true;
                 continue;
@@ -246,6 +257,7 @@
 
     /// What was weighed: each path's state, its room and what is taken of it, for log lines.
     pub(crate) fn describe(&self, service: &str, now: Instant) -> String {
+        let used = self.kv_used(service);
         let describe = |live: &Rc<LivePath>| {
             let state = if live.is_broken.get() {
                 "broken"
@@ -258,23 +270,27 @@
             } else {
                 "open"
             };
-            let taken = self.taken(&live.path.data_centre);
             format!(
-                "{} {state} {:.0}/{:.0} tokens, {}/{} streams",
+                "{} {state} {:.0}% of {:.0} tokens, {}/{} streams",
                 live.path.data_centre,
-                taken.tokens,
+                self.fill(live, &used, 0.0) * 100.0,
                 live.path.token_room,
-                self.head_streams(&live.path.first().id),
+                self.head_streams(service, &live.path.first().id),
                 live.slots
             )
         };
         self.paths(service).iter().map(describe).collect::<Vec<_>>().join("; ")
     }
 
-    fn taken(&self, data_centre: &str) -> Load {
-        let own = self.own.get(data_centre).copied().unwrap_or_default();
-        let peers = self.peers.get(data_centre).copied().unwrap_or_default();
-        Load { tokens: own.tokens + peers.tokens, streams: own.streams + peers.streams }
+    /// Share of its memory for KV cache that is taken at the fullest engine of a path, with so many
+    /// tokens more.
+    fn fill(&self, live: &LivePath, used: &HashMap<&EndpointId, f64>, tokens: f64) -> f64 {
+        let fill = |part: &PathPart| {
+            let taken = used.get(&part.id).copied().unwrap_or_default();
+            let room = self.rooms.get(&part.id).copied().unwrap_or_default();
+            (taken + tokens * f64::from(part.layers.len())) / room.max(1.0)
+        };
+        live.path.parts.iter().map(fill).fold(0.0, f64::max)
     }
 }
 
@@ -288,17 +304,9 @@
     now: Instant,
 ) -> Result<PathPlace, NoPlace> {
     let live = book.borrow().choose(service, tokens, own_data_centre, may_take, now)?;
-    if live.streams.get() == 0 {
-        live.last_event.set(now);
-    }
-    live.streams.set(live.streams.get() + 1);
-    let mut open = book.borrow_mut();
-    let load = open.own.entry(live.path.data_centre.clone()).or_default();
-    load.tokens += tokens;
-    load.streams += 1;
-    *open.own_heads.entry(live.path.first().id.clone()).or_default() += 1;
-    drop(open);
-    Ok(PathPlace { live, tokens, book: Rc::clone(book) })
+    live.add_stream(tokens, now);
+    let freed = book.borrow().freed();
+    Ok(PathPlace { live, tokens, freed })
 }
 
 /// The paths inside each data centre, one for each first engine; else one over several, if any.
--- a/crates/gateway/src/process/path_check.rs
+++ b/crates/gateway/src/process/path_check.rs
@@ -1,4 +1,4 @@
-//! Finds which engines of a silent path are dead, by asking each.
+//! Finds which engines of a quiet path are dead, by asking each.
 
 use crate::process::{Count, Gateway, LivePath};
 use sorrellock_platform::{Client, read_health, read_report};
@@ -11,21 +11,21 @@
 
 /// Time for an engine's report: a hundred round trips inside a region.
 const REPORT_LIMIT: Duration = Duration::from_millis(150);
-/// How often paths are looked at: a broken one is found a fifth of a pause late at most.
-const WATCH_INTERVAL: Duration = Duration::from_millis(40);
+/// How often paths are looked at: a broken one is found a tenth of a pause late at most.
+const WATCH_INTERVAL: Duration = Duration::from_millis(25);
 /// Time for an endpoint's health: it may wait for a slot.
 const HEALTH_LIMIT: Duration = Duration::from_millis(400);
 /// A path is asked at most this often: each report is priced.
 const CHECK_INTERVAL: Duration = Duration::from_millis(700);
 
-/// Looks for silent paths and has them checked, for ever.
+/// Looks for quiet paths and has them checked, for ever.
 pub(crate) async fn watch_paths(gateway: Rc<Gateway>) {
     loop {
         sleep(WATCH_INTERVAL).await;
         let paths = gateway.paths.borrow();
-        let silent: Vec<Rc<LivePath>> = paths.silent(Instant::now()).cloned().collect();
+        let quiet: Vec<Rc<LivePath>> = paths.quiet(Instant::now()).cloned().collect();
         drop(paths);
-        for live in &silent {
+        for live in &quiet {
             check_path(&gateway, live);
         }
     }
@@ -47,13 +47,13 @@
     }
 }
 
-/// An engine that doesn't answer breaks the path, which is silent already.
+/// An engine that doesn't answer breaks the path, which is quiet already.
 async fn check_engine(gateway: Rc<Gateway>, live: Rc<LivePath>, id: EndpointId, addr: SocketAddr) {
     gateway.counters.add(Count::Reports);
     let client = Client::new(addr);
     if let Err(err) = read_report(&client, REPORT_LIMIT).await {
         gateway.suspect(&id, &err.to_string());
-        if live.is_silent(Instant::now()) {
+        if live.is_quiet(Instant::now()) {
             live.break_up();
         }
     }
--- a/crates/gateway/src/process/peer_message.rs
+++ b/crates/gateway/src/process/peer_message.rs
@@ -1,7 +1,7 @@
 //! What gateways tell each other, as datagrams.
 
 use serde::{Deserialize, Serialize};
-use sorrellock_routing::process::{DataCentre, EndpointId, LayerRange};
+use sorrellock_routing::process::{EndpointId, LayerRange};
 use sorrellock_routing::version::ConfigVersion;
 
 /// What a gateway tells all others, several times a second. The newest one replaces those before.
@@ -17,10 +17,8 @@
     pub(crate) config_version: ConfigVersion,
     /// The store's revision up to which the sender knows the endpoints.
     pub(crate) endpoints_at: u64,
-    /// KV cache that the sender's streams take, by data centre.
-    pub(crate) loads: Vec<DataCentreLoad>,
-    /// Streams of the sender, by the first engine of their path.
-    pub(crate) heads: Vec<(EndpointId, u32)>,
+    /// What the sender's streams take, by the first engine of their path.
+    pub(crate) loads: Vec<HeadLoad>,
     /// Engines that the sender takes to be dead or cut off, by its own streams.
     pub(crate) suspects: Vec<EndpointId>,
     /// Endpoints that told the sender that they take nothing more.
@@ -31,14 +29,14 @@
     pub(crate) lead: Option<LeadView>,
 }
 
-/// What one gateway's streams take in a data centre.
+/// What one gateway's streams take on the paths that begin at one engine.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub(crate) struct DataCentreLoad {
-    /// The data centre.
-    pub(crate) data_centre: DataCentre,
-    /// Tokens reserved by its streams.
+pub(crate) struct HeadLoad {
+    /// The first engine.
+    pub(crate) head: EndpointId,
+    /// Tokens reserved by the streams.
     pub(crate) tokens: u32,
-    /// Its streams.
+    /// The streams.
     pub(crate) streams: u32,
 }
 
--- a/crates/gateway/src/process/peers.rs
+++ b/crates/gateway/src/process/peers.rs
@@ -1,7 +1,7 @@
 //! Talks with the other gateways: loads, suspicions, what the lead knows, and what the store has
 //! told to others first.
 
-use crate::process::{Count, DataCentreLoad, Gateway, Handover, LeadView, Load, Peer, PeerMessage};
+use crate::process::{Count, Gateway, Handover, HeadLoad, LeadView, Load, Peer, PeerMessage};
 use http::Method;
 use serde::{Deserialize, Serialize};
 use sorrellock_platform::{Client, Kind, Store, StoreError};
@@ -100,9 +100,9 @@
         let now = Instant::now();
         let suspects = gateway.beliefs.borrow_mut().suspects(now);
         let leaving = gateway.beliefs.borrow_mut().leaving_own(now);
-        let paths = gateway.paths.borrow();
-        let load = |(data_centre, load): (&String, &Load)| DataCentreLoad {
-            data_centre: data_centre.clone(),
+        let own_loads = gateway.paths.borrow().own_loads();
+        let load = |(head, load): (EndpointId, Load)| HeadLoad {
+            head,
             tokens: load.tokens.max(0.0) as u32,
             streams: load.streams,
         };
@@ -112,8 +112,7 @@
             sequence: self.sequence.get(),
             config_version: gateway.knowledge.borrow().config_version(),
             endpoints_at: gateway.knowledge.borrow().endpoints_at(),
-            loads: paths.own_loads().map(load).collect(),
-            heads: paths.own_heads().map(|(id, streams)| (id.clone(), *streams)).collect(),
+            loads: own_loads.into_iter().map(load).collect(),
             suspects,
             leaving,
             lead_term: self.own_view.borrow().as_ref().map(|view| view.term),
@@ -147,19 +146,15 @@
 
     fn take_loads(&self) {
         let now = Instant::now();
-        let mut loads: HashMap<String, Load> = HashMap::new();
-        let mut heads: HashMap<EndpointId, u32> = HashMap::new();
+        let mut loads: HashMap<EndpointId, Load> = HashMap::new();
         for peer in self.gateway.beliefs.borrow().live_peers(now) {
             for told in &peer.message.loads {
-                let load = loads.entry(told.data_centre.clone()).or_default();
+                let load = loads.entry(told.head.clone()).or_default();
                 load.tokens += f64::from(told.tokens);
                 load.streams += told.streams;
             }
-            for (id, streams) in &peer.message.heads {
-                *heads.entry(id.clone()).or_default() += streams;
-            }
         }
-        self.gateway.paths.borrow_mut().set_peer_loads(loads, heads);
+        self.gateway.paths.borrow_mut().set_peer_loads(loads);
     }
 
     /// Takes the others' messages, for ever.
--- a/crates/gateway/src/process/placer/engine.rs
+++ b/crates/gateway/src/process/placer/engine.rs
@@ -22,6 +22,8 @@
     pub(super) died: Option<Instant>,
     /// The layers of an order that may be under way, and when it was given.
     pub(super) ordered: Option<(LayerRange, Instant)>,
+    /// The chain of its data centre that it was last planned for.
+    pub(super) chain: Option<usize>,
     /// No order before then.
     pub(super) order_after: Instant,
     /// The layers that are to stay, and since when requests are kept off the others.
@@ -40,6 +42,7 @@
             is_dead: false,
             died: None,
             ordered: None,
+            chain: None,
             order_after: now,
             closing: None,
         }
--- a/crates/gateway/src/process/placer/placer.rs
+++ b/crates/gateway/src/process/placer/placer.rs
@@ -5,7 +5,7 @@
 use crate::process::lead::Lead;
 use crate::process::{EngineView, Gateway, LeadView};
 use sorrellock_platform::{Client, Store};
-use sorrellock_routing::process::placement::{is_scarce, next_steps};
+use sorrellock_routing::process::placement::{is_any_chain_scarce, next_steps};
 use sorrellock_routing::process::{DataCentre, Endpoint, EndpointId};
 use sorrellock_routing::version::{ModelShape, ServiceName};
 use std::cell::RefCell;
@@ -20,10 +20,10 @@
 const REPORT_INTERVAL_MOVING: Duration = Duration::from_millis(150);
 /// Engines that move at once while no requests wait for it: loads slow each other.
 const QUIET_MOVES: usize = 4;
-/// The same for a chain with far less room than it could have.
+/// The same for a chain with a gap, or with far less room than it could have.
 const SCARCE_MOVES: usize = 8;
-/// Pause between two rounds of orders.
-const ROUND_PAUSE: Duration = Duration::from_millis(50);
+/// The longest pause between two rounds of orders; news of engines ends it.
+const ROUND_PAUSE: Duration = Duration::from_millis(100);
 
 /// Places layers while this gateway leads.
 pub(crate) struct Placer {
@@ -35,6 +35,8 @@
     pub(super) plans: HashMap<(ServiceName, DataCentre), Planned>,
     /// Since when the chain of a data centre is whole, with these engines.
     pub(super) whole: HashMap<(ServiceName, DataCentre), (BTreeSet<EndpointId>, Instant)>,
+    /// Since when no gateway has a stream under way.
+    pub(super) unused_since: Option<Instant>,
     /// The engines of a data centre, and since when they are the same.
     pub(super) settled: HashMap<(ServiceName, DataCentre), (BTreeSet<EndpointId>, Instant)>,
 }
@@ -48,6 +50,7 @@
             is_complete: false,
             plans: HashMap::new(),
             whole: HashMap::new(),
+            unused_since: None,
             settled: HashMap::new(),
         }
     }
@@ -71,6 +74,7 @@
             self.engines.borrow_mut().clear();
             self.plans.clear();
             self.whole.clear();
+            self.unused_since = None;
             self.settled.clear();
         }
     }
@@ -80,6 +84,7 @@
         let services = self.models();
         self.sync_engines(&services, now);
         self.ask_engines(now);
+        self.note_use(now);
         for (service, shape) in &services {
             for (data_centre, engines) in self.by_data_centre(service) {
                 self.place(service, shape, &data_centre, &engines, now);
@@ -167,6 +172,7 @@
         if !self.is_settled(&key, &planned, now) {
             return;
         }
+        let planned = self.forget_chains_at_rest(&key, shape, planned, now);
         let is_idle = self.is_idle(endpoints, now);
         if self.may_plan(&key, shape, &planned, now) {
             self.plan(&key, shape, &planned, is_idle, now);
@@ -176,10 +182,11 @@
         let mut steps = next_steps(&plan.placement, &holdings, shape.layers, is_idle);
         if plan.is_repair {
             // Once the gap is closed, what is held besides is left to the next balance.
-            steps.retain(|step| step.is_urgent);
+            steps.retain(|step| step.is_urgent || !step.gives_up);
         }
         self.reopen(endpoints, &steps);
-        let most_moves = if is_scarce(shape, &planned) { SCARCE_MOVES } else { QUIET_MOVES };
+        let is_short = plan.is_repair || is_any_chain_scarce(shape, &planned);
+        let most_moves = if is_short { SCARCE_MOVES } else { QUIET_MOVES };
         for step in steps {
             if step.is_urgent || self.moving() < most_moves {
                 self.order(step, now);
--- a/crates/gateway/src/process/placer/planning.rs
+++ b/crates/gateway/src/process/placer/planning.rs
@@ -2,7 +2,8 @@
 
 use super::Placer;
 use sorrellock_routing::process::placement::{
-    Holding, Placement, PlannedEngine, covers, is_scarce, plan_data_centre,
+    DataCentrePlan, Holding, Placement, PlannedEngine, are_chains_whole, could_make_more_chains,
+    covers, is_any_chain_scarce, plan_data_centre,
 };
 use sorrellock_routing::process::{DataCentre, Endpoint, EndpointId, LayerRange};
 use sorrellock_routing::version::{Card, ModelShape, ServiceName};
@@ -25,6 +26,9 @@
 /// For so long after the death of an engine its chain counts as idle: gateways drop its streams
 /// within half a second, and no new ones come before the gap is closed.
 const IDLE_AFTER_DEATH: Duration = Duration::from_secs(3);
+/// For how long no stream may be under way before chains are made anew: callers of a gateway that
+/// restarts are back sooner.
+const AT_REST_AFTER: Duration = Duration::from_secs(2);
 /// How often a plan is looked at again without news.
 const REPLAN_INTERVAL: Duration = Duration::from_secs(2);
 /// Layers' worth of memory that an engine keeps free while it holds old and new layers.
@@ -75,7 +79,8 @@
         })
     }
 
-    /// A gap is closed at once; a whole chain is balanced after it was whole for a while.
+    /// A gap is closed at once where no other engine runs its layers, or an empty one can take
+    /// them; else chains are planned anew once they lost no engine for a while.
     pub(super) fn may_plan(
         &mut self,
         key: &(ServiceName, DataCentre),
@@ -94,7 +99,8 @@
         }
         let whole_for = now - entry.1;
         whole_for >= BALANCE_AFTER
-            || (whole_for >= BALANCE_SCARCE_AFTER && is_scarce(shape, planned))
+            || is_urgent(shape, planned)
+            || (whole_for >= BALANCE_SCARCE_AFTER && is_any_chain_scarce(shape, planned))
     }
 
     /// The engines that are alive; nothing while one of them wasn't heard yet.
@@ -119,6 +125,7 @@
                 step_factor: card.step_factor * report.slowness.max(1.0),
                 held: engine.held(),
                 is_pinned: engine.ordered.is_some(),
+                chain: engine.chain,
             });
         }
         Some(planned)
@@ -131,7 +138,7 @@
         planned: Vec<PlannedEngine>,
         now: Instant,
     ) -> Vec<PlannedEngine> {
-        if !covers(shape, &planned) {
+        if !are_chains_whole(shape, &planned) {
             return planned;
         }
         let engines = self.engines.borrow();
@@ -148,15 +155,44 @@
         planned: &[PlannedEngine],
         now: Instant,
     ) -> bool {
-        if self.plans.contains_key(key) || planned.iter().any(|engine| !engine.held.is_empty()) {
-            return true;
-        }
         let ids: BTreeSet<EndpointId> = planned.iter().map(|engine| engine.id.clone()).collect();
         let entry = self.settled.entry(key.clone()).or_insert_with(|| (BTreeSet::new(), now));
         if entry.0 != ids {
             *entry = (ids, now);
         }
-        now - entry.1 >= SETTLE
+        let has_begun = |engine: &PlannedEngine| !engine.held.is_empty();
+        now - entry.1 >= SETTLE || self.plans.contains_key(key) || planned.iter().any(has_begun)
+    }
+
+    /// Notes whether streams are under way.
+    pub(super) fn note_use(&mut self, now: Instant) {
+        if self.gateway.paths.borrow().is_in_use() {
+            self.unused_since = None;
+        } else {
+            self.unused_since.get_or_insert(now);
+        }
+    }
+
+    /// While no streams are under way, chains are made anew where there could be more: engines of
+    /// one start register over several seconds, and the first plan knows few of them.
+    pub(super) fn forget_chains_at_rest(
+        &self,
+        key: &(ServiceName, DataCentre),
+        shape: &ModelShape,
+        planned: Vec<PlannedEngine>,
+        now: Instant,
+    ) -> Vec<PlannedEngine> {
+        let is_at_rest = self.unused_since.is_some_and(|since| now - since >= AT_REST_AFTER);
+        let is_settled = self.settled.get(key).is_some_and(|(_, since)| now - *since >= SETTLE);
+        if !is_at_rest || !is_settled || !could_make_more_chains(shape, &planned) {
+            return planned;
+        }
+        let emptied = |engine: PlannedEngine| PlannedEngine {
+            held: LayerRange::default(),
+            chain: None,
+            ..engine
+        };
+        planned.into_iter().map(emptied).collect()
     }
 
     pub(super) fn plan(
@@ -179,7 +215,7 @@
         if is_current {
             return;
         }
-        let Some(placement) = plan_data_centre(shape, planned, is_idle) else {
+        let Some(plan) = plan_data_centre(shape, planned, is_idle) else {
             if self.plans.remove(key).is_some() {
                 let engines = planned.len();
                 warn!("no plan: the engines can't hold the model", kv: {
@@ -188,6 +224,8 @@
             }
             return;
         };
+        self.note_chains(&plan);
+        let placement = plan.placement;
         let before = self.plans.get(key);
         if before.is_none_or(|before| before.placement != placement) {
             let text = describe(&placement);
@@ -197,10 +235,20 @@
                 plan = text.as_str()
             });
         }
-        let is_repair = !covers(shape, planned) && planned.iter().any(|e| !e.held.is_empty());
+        let is_repair =
+            is_urgent(shape, planned) && planned.iter().any(|engine| !engine.held.is_empty());
         self.plans.insert(key.clone(), Planned { placement, is_repair, made_for, at: now });
     }
 
+    fn note_chains(&self, plan: &DataCentrePlan) {
+        let mut engines = self.engines.borrow_mut();
+        for (id, chain) in &plan.chains {
+            if let Some(engine) = engines.get_mut(id) {
+                engine.chain = Some(*chain);
+            }
+        }
+    }
+
     pub(super) fn holdings(
         &self,
         shape: &ModelShape,
@@ -247,6 +295,13 @@
     }
 }
 
+/// Whether layers should move at once: requests wait for them, or an empty engine can take the part
+/// of one that a chain lost.
+fn is_urgent(shape: &ModelShape, planned: &[PlannedEngine]) -> bool {
+    let has_empty = planned.iter().any(|engine| engine.held.is_empty());
+    !covers(shape, planned) || (has_empty && !are_chains_whole(shape, planned))
+}
+
 /// The most layers that an engine may hold for a while: it must not bound its chain further, and
 /// keeps some memory for requests while the chain has a gap.
 fn most_layers(shape: &ModelShape, card: &Card, least_room: f64) -> u32 {
--- a/crates/gateway/src/request/relay.rs
+++ b/crates/gateway/src/request/relay.rs
@@ -44,6 +44,10 @@
     avoid: Vec<Rc<LivePath>>,
     mends: u32,
     repath: Repath,
+    /// Its path is broken, and an order to go on over another one is under way.
+    is_leaving_broken: bool,
+    /// It was moved to another path, of which nothing came yet.
+    is_moved: bool,
 }
 
 /// What comes next of a stream.
@@ -86,6 +90,8 @@
             avoid: Vec::new(),
             mends: 0,
             repath: Repath::default(),
+            is_leaving_broken: false,
+            is_moved: false,
         }
     }
 
@@ -97,8 +103,8 @@
                 Next::Ended if !self.events.has_partial() => return self.finish().await,
                 Next::Ended => self.lost("the engine ended within an event").await,
                 Next::Broke(why) => self.lost(&why).await,
-                Next::Repathed(end) => self.on_repathed(end),
-                Next::PathGone => self.lost("an engine of the path is gone").await,
+                Next::Repathed(end) => self.on_repathed(end).await,
+                Next::PathGone => self.on_path_gone().await,
                 Next::Silent => self.lost("no event for too long").await,
                 Next::CallerGone => false,
                 Next::TimeOver => self.cut(Count::TimedOut, "its time is over"),
@@ -125,7 +131,7 @@
                 biased;
                 frame = run.begun.answer.body_mut().frame() => return next_of_frame(frame),
                 () = self.tx.closed() => return Next::CallerGone,
-                () = broken(&live) => return Next::PathGone,
+                () = broken(&live), if !self.is_leaving_broken => return Next::PathGone,
                 end = self.repath.end() => return Next::Repathed(end),
                 () = sleep_until(look.min(deadline)) => {
                     let now = Instant::now();
@@ -146,8 +152,13 @@
     /// Passes a chunk's whole events on. Whether the stream goes on.
     async fn pass_on(&mut self, chunk: Bytes) -> bool {
         let now = Instant::now();
-        if self.mends > 0 && self.events.events() > 0 && now - self.last_event > SILENCE_LOOK {
-            self.gateway.counters.mend.record(now - self.last_event);
+        let silent = now - self.last_event;
+        if self.mends > 0 && self.events.events() > 0 && silent > SILENCE_LOOK {
+            self.gateway.counters.mend.record(silent);
+        }
+        if std::mem::take(&mut self.is_moved) {
+            let (request, silent_ms) = (self.call.id(), silent.as_millis() as u64);
+            info!("first event over the new path", kv: { request, silent_ms });
         }
         self.last_event = now;
         if let Some(run) = &self.run {
@@ -167,8 +178,21 @@
         }
     }
 
-    /// Takes the end of an order to move to another path. The stream goes on in any case.
-    fn on_repathed(&mut self, end: RepathEnd) -> bool {
+    /// An engine of the path is dead. Its run goes on over other engines where the first one lives:
+    /// they read only their own layers anew, and no further attempt is spent.
+    async fn on_path_gone(&mut self) -> bool {
+        let Some(run) = &self.run else { return self.lost("no run is under way").await };
+        let live = Rc::clone(&run.place.live);
+        let (gateway, call) = (&self.gateway, &self.call);
+        if self.repath.leave_broken(gateway, call, &live, Instant::now()) {
+            self.is_leaving_broken = true;
+            return true;
+        }
+        self.lost("an engine of the path is gone").await
+    }
+
+    /// Takes the end of an order to move to another path. Whether the stream goes on.
+    async fn on_repathed(&mut self, end: RepathEnd) -> bool {
         let outcome = format!("{:?}", end.order);
         info!("stream moved to another path", kv: {
             request = self.call.id(), data_centre = end.to.path.data_centre.as_str(),
@@ -179,8 +203,13 @@
             if let Some(run) = &mut self.run {
                 run.place.move_to(end.to, Instant::now());
             }
+            self.is_moved = std::mem::take(&mut self.is_leaving_broken);
+            return true;
+        }
+        if !std::mem::take(&mut self.is_leaving_broken) {
+            return true;
         }
-        true
+        self.lost("an engine of the path is gone, and no other took its part").await
     }
 
     async fn finish(mut self) {
@@ -211,6 +240,7 @@
         let mut ended = None;
         // The engine stops its work when its connection closes.
         self.repath = Repath::default();
+        self.is_leaving_broken = false;
         if let Some(run) = self.run.take() {
             let live = &run.place.live;
             if !self.gateway.is_listed(&live.path.first().id) {
--- a/crates/gateway/src/request/repath.rs
+++ b/crates/gateway/src/request/repath.rs
@@ -9,12 +9,12 @@
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
-/// Time for the order to be answered.
-const ORDER_LIMIT: Duration = Duration::from_millis(800);
+/// Time for the order to be answered: a hundred round trips inside a region.
+const ORDER_LIMIT: Duration = Duration::from_millis(300);
 /// The wait before another try, after one that failed.
 const RETRY: Duration = Duration::from_millis(500);
 /// Tries of one stream: each order is priced.
-const MOST_TRIES: u32 = 2;
+const MOST_TRIES: u32 = 3;
 
 /// How an order to move ended.
 pub(crate) struct RepathEnd {
@@ -32,8 +32,8 @@
 }
 
 impl Repath {
-    /// Gives an order to go on over another path of the same first engine, if there is one now
-    /// and none is under way.
+    /// Gives an order to go on over another path of the same first engine, if there is one now,
+    /// none is under way and the last one is some time ago.
     pub(crate) fn start(
         &mut self,
         gateway: &Rc<Gateway>,
@@ -42,11 +42,39 @@
         now: Instant,
     ) {
         let is_early = self.tried.is_some_and(|tried| now - tried < RETRY);
-        if self.under_way.is_some() || is_early || self.tries >= MOST_TRIES {
-            return;
+        if self.under_way.is_none() && !is_early {
+            self.order(gateway, call, from, now);
+        }
+    }
+
+    /// Gives such an order at once, as an engine of the path is dead: work waits for it, and goes
+    /// on once other engines run its layers. Whether there is a path to go on over.
+    pub(crate) fn leave_broken(
+        &mut self,
+        gateway: &Rc<Gateway>,
+        call: &Call,
+        from: &Rc<LivePath>,
+        now: Instant,
+    ) -> bool {
+        let head = &from.path.first().id;
+        let is_head_lost = gateway.is_dead(head) || gateway.beliefs.borrow().is_suspect(head, now);
+        // An order that is under way was given before the engine was known to be dead.
+        self.under_way = None;
+        !is_head_lost && self.order(gateway, call, from, now)
+    }
+
+    fn order(
+        &mut self,
+        gateway: &Rc<Gateway>,
+        call: &Call,
+        from: &Rc<LivePath>,
+        now: Instant,
+    ) -> bool {
+        if self.tries >= MOST_TRIES {
+            return false;
         }
         let to = gateway.paths.borrow().successor(&call.service, from, now);
-        let Some(to) = to else { return };
+        let Some(to) = to else { return false };
         self.tried = Some(now);
         self.tries += 1;
         gateway.counters.add(Count::Orders);
@@ -59,6 +87,7 @@
             // A stream that has ended meanwhile needs no answer.
             let _ = tx.send(RepathEnd { to, order });
         });
+        true
     }
 
     /// Waits for the end of the order under way; for ever if there is none.
--- a/crates/routing/src/process/pipeline_path.rs
+++ b/crates/routing/src/process/pipeline_path.rs
@@ -1,6 +1,8 @@
 //! Paths through engines that together hold every layer once.
 
 use crate::process::{DataCentre, EndpointId, LayerRange};
+use std::cmp::Reverse;
+use std::collections::HashMap;
 use std::net::SocketAddr;
 
 /// An engine that may be part of a path.
@@ -16,8 +18,8 @@
     pub layers: LayerRange,
     /// What one layer of it costs, in ms of a decoding step: pace and suspicion included.
     pub layer_cost: f64,
-    /// Tokens whose KV cache fits beside its layers.
-    pub token_room: f64,
+    /// KV cache that fits beside its layers, in tokens times layers.
+    pub kv_room: f64,
 }
 
 /// One engine's part of a path.
@@ -67,16 +69,40 @@
 /// What each part adds to a path's cost, in ms of a step: its hop and the wait for its pass.
 const PART_COST: f64 = 0.5;
 
+/// What each other path through an engine adds to the cost of a layer there, in ms of a step. It is
+/// above the step of an engine ten times slower than its kind, so that paths share the layers that
+/// are held nowhere else, and those only.
+const SHARED_COST: f64 = 2.0;
+/// What running a layer at an engine of mean room adds to a path's cost, in ms of a step; with less
+/// room it costs as much more. The engine with the least room bounds the whole path.
+const SCARCITY_COST: f64 = 0.5;
+
+/// How many paths go through each engine.
+type Uses = HashMap<EndpointId, u32>;
+
 /// The cheapest path over all `layers`, if the holders can make one.
 pub fn cheapest_path(holders: &[Holder], layers: u32) -> Option<PipelinePath> {
-    distinct_path(holders.to_vec(), layers, None)
+    distinct_path(holders.to_vec(), layers, None, &Uses::new())
 }
 
-/// The cheapest path that begins at each engine that holds the first layer: an engine takes only so
-/// many requests as the first of their path.
+/// A path for each engine that holds the first layer: an engine takes only so many requests as the
+/// first of their path. Paths share engines as little as they can: the loss of one then breaks few
+/// streams, and each has its memory for itself.
 pub fn paths_by_head(holders: &[Holder], layers: u32) -> Vec<PipelinePath> {
-    let heads = holders.iter().filter(|holder| holder.layers.contains(0));
-    heads.filter_map(|head| distinct_path(holders.to_vec(), layers, Some(&head.id))).collect()
+    let mut heads: Vec<_> = holders.iter().filter(|holder| holder.layers.contains(0)).collect();
+    heads.sort_by_key(|head| (Reverse(head.layers.len()), &head.id));
+    let mut uses = Uses::new();
+    let mut paths = Vec::new();
+    for head in heads {
+        let Some(path) = distinct_path(holders.to_vec(), layers, Some(&head.id), &uses) else {
+            continue;
+        };
+        for part in &path.parts {
+            *uses.entry(part.id.clone()).or_default() += 1;
+        }
+        paths.push(path);
+    }
+    paths
 }
 
 /// The cheapest path without engines that it would leave and come back to: what such an engine
@@ -85,10 +111,11 @@
     mut holders: Vec<Holder>,
     layers: u32,
     head: Option<&str>,
+    uses: &Uses,
 ) -> Option<PipelinePath> {
     loop {
         let head = head.and_then(|id| holders.iter().position(|holder| holder.id == id));
-        let path = path_from(&holders, layers, head)?;
+        let path = path_from(&holders, layers, head, uses)?;
         let comes_back =
             |at: &usize| path.parts[at + 1..].iter().any(|part| part.id == path.parts[*at].id);
         let Some(first) = (0..path.parts.len()).find(comes_back) else {
@@ -100,8 +127,20 @@
 
 /// A shortest path over states (layer, holder): each holder's run of layers may begin and end
 /// anywhere within what it holds. `O(layers * holders^2)`.
-fn path_from(holders: &[Holder], layers: u32, head: Option<usize>) -> Option<PipelinePath> {
+fn path_from(
+    holders: &[Holder],
+    layers: u32,
+    head: Option<usize>,
+    uses: &Uses,
+) -> Option<PipelinePath> {
     let layers = layers as usize;
+    let mean_room = holders.iter().map(|holder| holder.kv_room).sum::<f64>() / holders.len() as f64;
+    let layer_cost = |holder: &Holder| {
+        let scarcity = mean_room.max(1.0) / holder.kv_room.max(1.0);
+        let uses = uses.get(&holder.id).copied().unwrap_or_default();
+        holder.layer_cost + SCARCITY_COST * scarcity + SHARED_COST * f64::from(uses)
+    };
+    let layer_costs: Vec<f64> = holders.iter().map(layer_cost).collect();
     // best[l][h]: the least cost of running layers 0..l with holder h the last to run.
     let mut best = vec![vec![f64::INFINITY; holders.len()]; layers + 1];
     let mut before: Vec<Vec<Option<usize>>> = vec![vec![None; holders.len()]; layers + 1];
@@ -116,7 +155,7 @@
             let go_on = best[layer][index];
             let (join, from) = entries[index];
             let (cost, from) = if go_on <= join { (go_on, Some(index)) } else { (join, from) };
-            best[layer + 1][index] = cost + holder.layer_cost;
+            best[layer + 1][index] = cost + layer_costs[index];
             before[layer + 1][index] = from;
         }
     }
@@ -174,12 +213,13 @@
         }
     }
     runs.reverse();
+    let token_room = |run: &(usize, LayerRange)| holders[run.0].kv_room / f64::from(run.1.len());
     let crosses = |pair: &[(usize, LayerRange)]| {
         holders[pair[0].0].data_centre != holders[pair[1].0].data_centre
     };
     PipelinePath {
         data_centre: holders[runs[0].0].data_centre.clone(),
-        token_room: runs.iter().map(|run| holders[run.0].token_room).fold(f64::INFINITY, f64::min),
+        token_room: runs.iter().map(token_room).fold(f64::INFINITY, f64::min),
         step_ms: runs.iter().map(|run| f64::from(run.1.len()) * holders[run.0].layer_cost).sum(),
         crossings: runs.windows(2).filter(|pair| crosses(pair)).count() as u32,
         parts: runs.iter().map(|run| part(&holders[run.0], run.1)).collect(),
--- a/crates/routing/src/process/placement/mod.rs
+++ b/crates/routing/src/process/placement/mod.rs
@@ -1,12 +1,14 @@
 //! Which engine holds which layers.
 //!
-//! Each data centre gets one chain of engines that together hold the model once: KV cache needs
-//! the memory that second copies would take, and a lost range is loaded again in about a second.
+//! Each data centre gets chains of engines that hold the model once each: as many as its memory
+//! allows with room for the requests that their first engines take, at least one.
 
 mod chain_plan;
+mod chains;
 mod planner;
 mod transition;
 
 pub use chain_plan::*;
+pub use chains::*;
 pub use planner::*;
 pub use transition::*;
--- a/crates/routing/src/process/placement/planner.rs
+++ b/crates/routing/src/process/placement/planner.rs
@@ -1,6 +1,8 @@
-//! Plans the chain of one data centre: order of the engines and their layers.
+//! Plans the chains of one data centre: order of the engines and their layers.
 
-use crate::process::placement::{ChainEngine, ChainPlan, Weights, cost_of, divide};
+use crate::process::placement::{
+    ChainEngine, ChainPlan, Weights, cost_of, divide, divide_into_chains,
+};
 use crate::process::{EndpointId, LayerRange, MAX_PARTS};
 use crate::version::ModelShape;
 use std::collections::BTreeMap;
@@ -19,11 +21,22 @@
     /// It has an order under way, and takes no other: giving layers up waits for the streams that
     /// pass, for seconds.
     pub is_pinned: bool,
+    /// The chain that it is part of, if that is known.
+    pub chain: Option<usize>,
 }
 
 /// The layers that each engine of a data centre should hold.
 pub type Placement = BTreeMap<EndpointId, LayerRange>;
 
+/// What the engines of a data centre should do.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct DataCentrePlan {
+    /// The layers of each.
+    pub placement: Placement,
+    /// The chain of each.
+    pub chains: BTreeMap<EndpointId, usize>,
+}
+
 /// A whole chain is given up for another only if that costs this share of it or less: each move
 /// closes layers to new requests for a while.
 const WORTH_MOVING: f64 = 0.8;
@@ -38,32 +51,66 @@
 const SCARCE: f64 = 0.5;
 
 /// Whether an engine has so little room that it bounds its chain far below an even division.
-pub fn is_scarce(shape: &ModelShape, engines: &[PlannedEngine]) -> bool {
-    let memory: f64 = engines.iter().map(|engine| engine.memory_mb).sum();
+pub fn is_scarce(shape: &ModelShape, chain: &[PlannedEngine]) -> bool {
+    let memory: f64 = chain.iter().map(|engine| engine.memory_mb).sum();
     let even = memory / f64::from(shape.layers) - shape.layer_mb;
     let room = |engine: &PlannedEngine| {
         engine.memory_mb / f64::from(engine.held.len().max(1)) - shape.layer_mb
     };
-    let held = engines.iter().filter(|engine| !engine.held.is_empty());
+    let held = chain.iter().filter(|engine| !engine.held.is_empty());
     held.map(room).fold(f64::INFINITY, f64::min) < even * SCARCE
 }
 
 /// The layers that each engine should hold; nothing where they can't hold the model. A chain with
 /// a gap is closed with few loads; one without is balanced. `is_idle`: no streams pass through the
-/// chain, as an engine of it died.
+/// chains, as an engine died and no other runs its layers.
 pub fn plan_data_centre(
     shape: &ModelShape,
     engines: &[PlannedEngine],
     is_idle: bool,
-) -> Option<Placement> {
-    let weights = match (covers(shape, engines), is_idle) {
+) -> Option<DataCentrePlan> {
+    let is_served = covers(shape, engines);
+    let mut plan = DataCentrePlan::default();
+    let mut has_chain = false;
+    for (index, chain) in divide_into_chains(shape, engines).into_iter().enumerate() {
+        let weights = weights_for(shape, &chain, is_served, is_idle);
+        plan.chains.extend(chain.iter().map(|engine| (engine.id.clone(), index)));
+        match plan_one(shape, &chain, weights) {
+            Some(planned) => {
+                has_chain = true;
+                plan.placement.extend(planned);
+            }
+            // What its engines hold still serves the other chains.
+            None => {
+                plan.placement.extend(chain.into_iter().map(|engine| (engine.id, engine.held)));
+            }
+        }
+    }
+    has_chain.then_some(plan)
+}
+
+/// What counts for a chain. `is_served`: all layers are held by an engine of the data centre.
+fn weights_for(
+    shape: &ModelShape,
+    chain: &[PlannedEngine],
+    is_served: bool,
+    is_idle: bool,
+) -> Weights {
+    let has_empty = chain.iter().any(|engine| engine.held.is_empty());
+    match (covers(shape, chain), is_served) {
         (true, _) => Weights::BALANCE,
-        (false, true) => Weights::REPAIR_IDLE,
+        (false, true) if has_empty => Weights::REPAIR,
+        // Engines of other chains run what is missing, with more room than grown neighbours have.
+        (false, true) => Weights::BALANCE,
+        (false, false) if is_idle => Weights::REPAIR_IDLE,
         (false, false) => Weights::REPAIR,
-    };
-    let engines = largest(engines);
-    let (heads, engines) = extra_heads(shape, engines);
-    let mut placement = plan_chain(shape, engines, weights)?;
+    }
+}
+
+/// The layers of the engines of one chain.
+fn plan_one(shape: &ModelShape, chain: &[PlannedEngine], weights: Weights) -> Option<Placement> {
+    let (heads, chain) = extra_heads(shape, largest(chain));
+    let mut placement = plan_chain(shape, chain, weights)?;
     placement.extend(heads);
     Some(placement)
 }
--- a/crates/routing/src/version/model_shape.rs
+++ b/crates/routing/src/version/model_shape.rs
@@ -61,13 +61,15 @@
         ((card.memory_mb / self.layer_mb).floor() as u32).min(self.layers)
     }
 
+    /// KV cache that fits beside `held` layers, in tokens times layers.
+    pub fn kv_room(&self, card: &Card, held: u32) -> f64 {
+        let free_mb = card.memory_mb - f64::from(held) * self.layer_mb;
+        (free_mb / self.kv_mb_per_token_layer()).max(0.0)
+    }
+
     /// Tokens whose KV cache fits beside `held` layers, over the `held` layers.
     pub fn token_room(&self, card: &Card, held: u32) -> f64 {
-        if held == 0 {
-            return 0.0;
-        }
-        let free_mb = card.memory_mb - f64::from(held) * self.layer_mb;
-        (free_mb / (f64::from(held) * self.kv_mb_per_token_layer())).max(0.0)
+        if held == 0 { 0.0 } else { self.kv_room(card, held) / f64::from(held) }
     }
 
     /// Mean tokens of a request, prompt and answer.
--- a/crates/routing/tests/common/mod.rs
+++ b/crates/routing/tests/common/mod.rs
@@ -44,6 +44,7 @@
         step_factor: card.step_factor,
         held: LayerRange::new(from, to),
         is_pinned: false,
+        chain: None,
     }
 }
 
@@ -65,6 +66,6 @@
         data_centre: data_centre.into(),
         layers: LayerRange::new(from, to),
         layer_cost,
-        token_room: 1_000.0,
+        kv_room: 10_000.0,
     }
 }
--- a/crates/routing/tests/paths.rs
+++ b/crates/routing/tests/paths.rs
@@ -57,6 +57,50 @@
     paths.iter().for_each(|path| assert_whole(path, 12));
 }
 
+#[test]
+fn paths_share_no_engine_where_each_layer_has_two_holders() {
+    let holders = [
+        holder("a", "x", 0, 6, 1.0),
+        holder("b", "x", 0, 5, 9.0),
+        holder("c", "x", 6, 12, 1.0),
+        holder("d", "x", 5, 12, 9.0),
+    ];
+
+    let paths = paths_by_head(&holders, 12);
+
+    let ids = |at: usize| paths[at].parts.iter().map(|part| part.id.as_str()).collect::<Vec<_>>();
+    assert_eq!(paths.len(), 2);
+    assert_eq!([ids(0), ids(1)], [["a", "c"], ["b", "d"]]);
+}
+
+#[test]
+fn a_path_with_a_gap_goes_over_an_engine_of_another() {
+    let holders = [
+        holder("a", "x", 0, 4, 1.0),
+        holder("b", "x", 0, 6, 1.0),
+        holder("c", "x", 6, 12, 1.0),
+        holder("d", "x", 8, 12, 1.0),
+    ];
+
+    let paths = paths_by_head(&holders, 12);
+
+    let of_a = paths.iter().find(|path| path.first().id == "a").expect("it begins at the first");
+    let ids: Vec<&str> = of_a.parts.iter().map(|part| part.id.as_str()).collect();
+    assert_eq!(ids, ["a", "b", "c", "d"], "it is shared only where nothing else runs the layers");
+    assert_whole(of_a, 12);
+}
+
+#[test]
+fn a_path_runs_few_layers_at_an_engine_with_little_room() {
+    let mut holders = [holder("a", "x", 0, 8, 1.0), holder("b", "x", 4, 12, 1.0)];
+    holders[0].kv_room = 500.0;
+
+    let path = cheapest_path(&holders, 12).expect("they cover all layers");
+
+    assert_eq!(path.parts[0].layers.to, 4);
+    assert_eq!(path.token_room, 125.0);
+}
+
 #[test]
 fn an_engine_inside_the_range_of_another_is_left_out_where_the_path_would_come_back() {
     let holders = [holder("a", "x", 0, 12, 5.0), holder("b", "x", 4, 8, 1.0)];
--- a/crates/routing/tests/placement.rs
+++ b/crates/routing/tests/placement.rs
@@ -40,7 +40,7 @@
     let shape = shape(80);
     let engines = empty_engines(&shape, &[("h100", 1), ("a100", 1), ("l4", 5), ("t4", 7)]);
 
-    let plan = plan_data_centre(&shape, &engines, false).expect("the memory is enough");
+    let plan = plan_data_centre(&shape, &engines, false).expect("the memory is enough").placement;
 
     let placed = after(&engines, &plan);
     assert!(covers(&shape, &placed));
@@ -63,13 +63,13 @@
 fn a_gap_is_closed_by_an_empty_engine_alone_where_there_is_one() {
     let shape = shape(80);
     let engines = empty_engines(&shape, &[("h100", 1), ("a100", 1), ("l4", 5), ("t4", 7)]);
-    let plan = plan_data_centre(&shape, &engines, false).expect("the memory is enough");
+    let plan = plan_data_centre(&shape, &engines, false).expect("the memory is enough").placement;
     let mut placed = after(&engines, &plan);
     let lost = placed.iter().position(|one| one.id == "l4-2").expect("it is one of them");
     let gap = placed.remove(lost).held;
     placed.push(engine(&shape, "l4-new", "l4", 0, 0));
 
-    let plan = plan_data_centre(&shape, &placed, false).expect("the memory is enough");
+    let plan = plan_data_centre(&shape, &placed, false).expect("the memory is enough").placement;
 
     assert_eq!(plan["l4-new"], gap);
     assert_eq!(loads(&placed, &plan), gap.len());
@@ -79,12 +79,12 @@
 fn with_streams_passing_a_gap_is_closed_without_giving_anything_up() {
     let shape = shape(80);
     let engines = empty_engines(&shape, &[("h100", 1), ("a100", 1), ("l4", 5), ("t4", 7)]);
-    let plan = plan_data_centre(&shape, &engines, false).expect("the memory is enough");
+    let plan = plan_data_centre(&shape, &engines, false).expect("the memory is enough").placement;
     let mut placed = after(&engines, &plan);
     let lost = placed.iter().position(|one| one.id == "t4-3").expect("it is one of them");
     let gap = placed.remove(lost).held;
 
-    let plan = plan_data_centre(&shape, &placed, false).expect("the memory is enough");
+    let plan = plan_data_centre(&shape, &placed, false).expect("the memory is enough").placement;
     let steps = next_steps(&plan, &holdings(&shape, &placed), shape.layers, false);
 
     assert!(loads(&placed, &plan) <= gap.len(), "{plan:?}");
@@ -99,7 +99,7 @@
 fn an_engine_with_an_order_under_way_keeps_it_in_the_plan() {
     let shape = shape(80);
     let engines = empty_engines(&shape, &[("a100", 5), ("l4", 4)]);
-    let plan = plan_data_centre(&shape, &engines, false).expect("the memory is enough");
+    let plan = plan_data_centre(&shape, &engines, false).expect("the memory is enough").placement;
     let mut placed = after(&engines, &plan);
     let pinned = placed.iter().position(|one| one.id == "a100-2").expect("it is one of them");
     placed[pinned].is_pinned = true;
@@ -107,7 +107,7 @@
     let kept = placed[pinned].clone();
     placed.remove(lost);
 
-    let plan = plan_data_centre(&shape, &placed, true).expect("the memory is enough");
+    let plan = plan_data_centre(&shape, &placed, true).expect("the memory is enough").placement;
 
     assert_eq!(plan[&kept.id], kept.held);
     assert!(covers(&shape, &after(&placed, &plan)));
@@ -119,7 +119,7 @@
     shape.kv_token_bytes = 300_000.0;
     let engines = empty_engines(&shape, &[("h100", 1), ("a100", 1), ("l4", 8), ("t4", 11)]);
 
-    let plan = plan_data_centre(&shape, &engines, false).expect("the memory is enough");
+    let plan = plan_data_centre(&shape, &engines, false).expect("the memory is enough").placement;
 
     let heads = plan.values().filter(|range| !range.is_empty() && range.from == 0).count();
     assert!(heads >= 2, "{plan:?}");
