--- a/crates/routing/src/process/placement/chain_plan.rs
+++ b/crates/routing/src/process/placement/chain_plan.rs
@@ -35,25 +35,28 @@
     /// Engines keep what they hold beside what they take: giving layers up waits for the streams
     /// that pass through them, for up to eight seconds.
     pub keeps_held: bool,
+    /// The least room that an engine is left with, as usual requests.
+    pub least_requests: f64,
 }
 
 impl Weights {
     /// For a chain that is whole: the engine with the least room bounds the whole chain, and the
     /// fourth power comes close to a maximum and still adds up. A move of a tenth of 80 layers must
     /// gain about a fifth of one engine's scarcity.
-    pub const BALANCE: Weights = Weights { load: 0.025, scarcity_power: 4, keeps_held: false };
+    pub const BALANCE: Weights =
+        Weights { load: 0.025, scarcity_power: 4, keeps_held: false, least_requests: 4.0 };
     /// For a gap whose engine died, its streams with it: layers move at once, as nothing passes
     /// through them.
     pub const REPAIR_IDLE: Weights = Weights { keeps_held: false, ..Weights::REPAIR };
     /// For a chain with a gap: streams wait for each load, some 0.2 s a layer, while room can be
-    /// evened out later. A neighbour takes up to about three layers before the next one shares.
-    pub const REPAIR: Weights = Weights { load: 1.0, scarcity_power: 2, keeps_held: true };
+    /// evened out later. A neighbour takes up to about three layers before the next one shares, and
+    /// keeps room that is worth a path: one that takes 12 streams is full within a second.
+    pub const REPAIR: Weights =
+        Weights { load: 1.0, scarcity_power: 2, keeps_held: true, least_requests: 30.0 };
 }
 
 /// Weight of a step's time against scarcity: of equal room, fast cards hold more layers.
 const STEP_TIME_WEIGHT: f64 = 0.5;
-/// The least room, as tokens of usual requests, that an engine is left with.
-const LEAST_REQUESTS: f64 = 4.0;
 
 /// Divides all layers over the engines in their order; nothing if they can't hold them.
 ///
@@ -166,7 +169,7 @@
         return 0.0;
     }
     let room = engine.memory_mb / f64::from(count) - shape.layer_mb;
-    let least = LEAST_REQUESTS * shape.usual_tokens() * shape.kv_mb_per_token_layer();
+    let least = weights.least_requests * shape.usual_tokens() * shape.kv_mb_per_token_layer();
     if room < least {
         return f64::INFINITY;
     }
--- a/crates/routing/src/process/placement/planner.rs
+++ b/crates/routing/src/process/placement/planner.rs
@@ -170,8 +170,13 @@
     }
     let ordered = with_new_engines(shape, chain, new, weights);
     let plan = divide(shape, &seen(&ordered), weights);
-    let fallback = Weights { keeps_held: false, ..weights };
-    let plan = plan.or_else(|| divide(shape, &unpinned(&ordered), fallback))?;
+    let moving = Weights { keeps_held: false, ..weights };
+    let scarce = Weights { least_requests: Weights::BALANCE.least_requests, ..weights };
+    let any = Weights { keeps_held: false, ..scarce };
+    let plan = plan
+        .or_else(|| divide(shape, &seen(&ordered), moving))
+        .or_else(|| divide(shape, &seen(&ordered), scarce))
+        .or_else(|| divide(shape, &unpinned(&ordered), any))?;
     Some(keep_or_move(shape, &ordered, plan))
 }
 
