Chains are joined where their rooms shrink; a bridged gap moves only for an empty engine that fits

Cause: after the loss of a large engine two chains kept rooms of 40,000 to 114,000 tokens each, and an engine that joined made both chains move; 30 to 110 requests in two seconds found all paths full. Change: two chains become one below three quarters of the room of a first engine's requests, after six calm seconds; an empty engine takes a gap's layers at once only where no other engine must move.

--- a/crates/gateway/src/process/placer/planning.rs
+++ b/crates/gateway/src/process/placer/planning.rs
@@ -20,9 +20,9 @@
 const BALANCE_AFTER: Duration = Duration::from_secs(3);
 /// The same for a chain that has less than about half of the room that it could have.
 const BALANCE_SCARCE_AFTER: Duration = Duration::from_millis(300);
-/// The same for a chain with a gap whose layers another chain runs: an engine that crashed is back
-/// within some five seconds, and takes its part again while nothing else moves.
-const BALANCE_GAP_AFTER: Duration = Duration::from_secs(6);
+/// The same where there are several chains, which run each other's lost layers: an engine that
+/// crashed is back within some five seconds, and takes its part again while nothing else moves.
+const BALANCE_CHAINS_AFTER: Duration = Duration::from_secs(6);
 /// How long an empty engine waits beside a whole chain: one that replaces another joins a second
 /// or two before that one leaves, and then takes exactly its layers.
 const JOIN_PATIENCE: Duration = Duration::from_millis(2_500);
@@ -101,11 +101,15 @@
             *entry = (ids, now);
         }
         let calm_for = now - entry.1;
-        if !are_chains_whole(shape, planned) {
-            return is_urgent(shape, planned) || calm_for >= BALANCE_GAP_AFTER;
+        if is_urgent(shape, planned) {
+            return true;
         }
-        calm_for >= BALANCE_AFTER
-            || (calm_for >= BALANCE_SCARCE_AFTER && is_any_chain_scarce(shape, planned))
+        let has_chains = planned.iter().any(|engine| engine.chain.is_some_and(|chain| chain > 0));
+        let patience = if has_chains { BALANCE_CHAINS_AFTER } else { BALANCE_AFTER };
+        calm_for >= patience
+            || (calm_for >= BALANCE_SCARCE_AFTER
+                && are_chains_whole(shape, planned)
+                && is_any_chain_scarce(shape, planned))
     }
 
     /// The engines that are alive; nothing while one of them wasn't heard yet.
--- a/crates/routing/src/process/placement/chains.rs
+++ b/crates/routing/src/process/placement/chains.rs
@@ -14,8 +14,12 @@
 /// Room for requests that each of several new chains must have, as a share of the requests that
 /// its first engine takes: with less, memory would bound the data centre and not its first engines.
 const NEW_CHAIN_ROOM: f64 = 0.9;
-/// The same below which chains that exist are joined into fewer: joining moves many layers.
-const KEPT_CHAIN_ROOM: f64 = 0.35;
+/// The same below which chains that exist are joined into fewer. Layers are whole, and what rounding
+/// takes grows as room shrinks: at three quarters by this sum, the engine with the least room has
+/// half of it, and one chain has more room than two.
+const KEPT_CHAIN_ROOM: f64 = 0.75;
+/// The same below which a chain gets engines of another one.
+const WEAK_CHAIN_ROOM: f64 = 0.35;
 /// Share of the layers that may be missing in a chain that is still known for one.
 const GAPS_MOST: f64 = 0.25;
 
@@ -135,7 +139,7 @@
         let by_memory = |a: &usize, b: &usize| memory(&chains[*a]).total_cmp(&memory(&chains[*b]));
         let Some(least) = (0..chains.len()).min_by(by_memory) else { return };
         let Some(most) = (0..chains.len()).max_by(by_memory) else { return };
-        if memory(&chains[least]) >= chain_mb(shape, KEPT_CHAIN_ROOM) {
+        if memory(&chains[least]) >= chain_mb(shape, WEAK_CHAIN_ROOM) {
             return;
         }
         let gap = memory(&chains[most]) - memory(&chains[least]);
--- a/crates/routing/src/process/placement/planner.rs
+++ b/crates/routing/src/process/placement/planner.rs
@@ -73,9 +73,8 @@
     let mut plan = DataCentrePlan::default();
     let mut has_chain = false;
     for (index, chain) in divide_into_chains(shape, engines).into_iter().enumerate() {
-        let weights = weights_for(shape, &chain, is_served, is_idle);
         plan.chains.extend(chain.iter().map(|engine| (engine.id.clone(), index)));
-        match plan_one(shape, &chain, weights) {
+        match plan_one(shape, &chain, is_served, is_idle) {
             Some(planned) => {
                 has_chain = true;
                 plan.placement.extend(planned);
@@ -89,28 +88,25 @@
     has_chain.then_some(plan)
 }
 
-/// What counts for a chain. `is_served`: all layers are held by an engine of the data centre.
-fn weights_for(
+/// The layers of the engines of one chain. `is_served`: all layers are held by an engine of the data
+/// centre.
+fn plan_one(
     shape: &ModelShape,
     chain: &[PlannedEngine],
     is_served: bool,
     is_idle: bool,
-) -> Weights {
-    let has_empty = chain.iter().any(|engine| engine.held.is_empty());
-    match (covers(shape, chain), is_served) {
-        (true, _) => Weights::BALANCE,
-        (false, true) if has_empty => Weights::REPAIR,
-        // Engines of other chains run what is missing, with more room than grown neighbours have.
-        (false, true) => Weights::BALANCE,
-        (false, false) if is_idle => Weights::REPAIR_IDLE,
-        (false, false) => Weights::REPAIR,
-    }
-}
-
-/// The layers of the engines of one chain.
-fn plan_one(shape: &ModelShape, chain: &[PlannedEngine], weights: Weights) -> Option<Placement> {
-    let (heads, chain) = extra_heads(shape, largest(chain));
-    let mut placement = plan_chain(shape, chain, weights)?;
+) -> Option<Placement> {
+    let (heads, engines) = extra_heads(shape, largest(chain));
+    let has_empty = engines.iter().any(|engine| engine.held.is_empty());
+    let planned = match (covers(shape, chain), is_served) {
+        (true, _) => plan_chain(shape, engines, Weights::BALANCE),
+        (false, false) if is_idle => plan_chain(shape, engines, Weights::REPAIR_IDLE),
+        (false, false) => plan_chain(shape, engines, Weights::REPAIR),
+        // Another chain runs what is missing, so that only an empty engine that fits moves at once.
+        (false, true) if has_empty => plan_growth(shape, engines),
+        (false, true) => plan_chain(shape, engines, Weights::BALANCE),
+    };
+    let mut placement = planned?;
     placement.extend(heads);
     Some(placement)
 }
@@ -161,14 +157,12 @@
     engines: Vec<PlannedEngine>,
     weights: Weights,
 ) -> Option<Placement> {
-    let (mut chain, new): (Vec<_>, Vec<_>) =
-        engines.into_iter().partition(|engine| !engine.held.is_empty());
-    chain.sort_by(|a, b| (a.held.from, a.held.to, &a.id).cmp(&(b.held.from, b.held.to, &b.id)));
-    if chain.is_empty() {
-        let plan = divide(shape, &seen(&new), Weights::BALANCE)?;
-        return Some(placement(&new, &plan.ranges));
+    let is_first = engines.iter().all(|engine| engine.held.is_empty());
+    let ordered = in_order(shape, engines, weights);
+    if is_first {
+        let plan = divide(shape, &seen(&ordered), Weights::BALANCE)?;
+        return Some(placement(&ordered, &plan.ranges));
     }
-    let ordered = with_new_engines(shape, chain, new, weights);
     let plan = divide(shape, &seen(&ordered), weights);
     let moving = Weights { keeps_held: false, ..weights };
     let scarce = Weights { least_requests: Weights::BALANCE.least_requests, ..weights };
@@ -180,6 +174,25 @@
     Some(keep_or_move(shape, &ordered, plan))
 }
 
+/// The layers of a chain's engines where none gives layers up and all keep much room.
+fn plan_growth(shape: &ModelShape, engines: Vec<PlannedEngine>) -> Option<Placement> {
+    let ordered = in_order(shape, engines, Weights::REPAIR);
+    let plan = divide(shape, &seen(&ordered), Weights::REPAIR)?;
+    Some(placement(&ordered, &plan.ranges))
+}
+
+/// The engines in the order of their layers, and each empty one where the chain gains most.
+fn in_order(
+    shape: &ModelShape,
+    engines: Vec<PlannedEngine>,
+    weights: Weights,
+) -> Vec<PlannedEngine> {
+    let (mut chain, new): (Vec<_>, Vec<_>) =
+        engines.into_iter().partition(|engine| !engine.held.is_empty());
+    chain.sort_by(|a, b| (a.held.from, a.held.to, &a.id).cmp(&(b.held.from, b.held.to, &b.id)));
+    if chain.is_empty() { new } else { with_new_engines(shape, chain, new, weights) }
+}
+
 /// The engines as if each would take an order.
 fn unpinned(engines: &[PlannedEngine]) -> Vec<ChainEngine> {
     seen(engines).into_iter().map(|engine| ChainEngine { is_pinned: false, ..engine }).collect()
--- a/crates/routing/tests/paths.rs
+++ b/crates/routing/tests/paths.rs
@@ -61,9 +61,9 @@
 fn paths_share_no_engine_where_each_layer_has_two_holders() {
     let holders = [
         holder("a", "x", 0, 6, 1.0),
-        holder("b", "x", 0, 5, 9.0),
+        holder("b", "x", 0, 5, 2.5),
         holder("c", "x", 6, 12, 1.0),
-        holder("d", "x", 5, 12, 9.0),
+        holder("d", "x", 5, 12, 2.5),
     ];
 
     let paths = paths_by_head(&holders, 12);
