Where gateways are many most learn of endpoints from others

Change: four gateways in order of name and the lead watch the endpoints; the others fetch what they miss, entries that changed only, while two watchers heard the store within ten seconds. A watch ends when another call of the store brings no answer.

--- a/crates/gateway/src/process/beliefs.rs
+++ b/crates/gateway/src/process/beliefs.rs
@@ -65,6 +65,20 @@
         (heard.count() + 1).max(self.registered)
     }
 
+    /// How many live gateways come before `instance`, by name.
+    pub(crate) fn rank(&self, instance: &str, now: Instant) -> u32 {
+        self.live_peers(now).filter(|peer| peer.message.instance.as_str() < instance).count() as u32
+    }
+
+    /// How many live gateways were told of the endpoints by the store within `age`.
+    pub(crate) fn watchers(&self, age: Duration, now: Instant) -> usize {
+        let heard = |peer: &&Peer| {
+            let at = peer.message.store_heard_ms.map(|ms| Duration::from_millis(ms.into()));
+            at.is_some_and(|at| at + (now - peer.heard) < age)
+        };
+        self.live_peers(now).filter(heard).count()
+    }
+
     /// An endpoint failed: it gets nothing new for a while. Tells whether that is news.
     pub(crate) fn suspect(&mut self, id: &str, now: Instant, lasts: Duration) -> bool {
         let until = self.suspects.entry(id.to_owned()).or_insert(now);
--- a/crates/gateway/src/process/gateway.rs
+++ b/crates/gateway/src/process/gateway.rs
@@ -57,6 +57,10 @@
     pub(crate) budgets: RefCell<HashMap<ServiceName, RetryWindow>>,
     /// This gateway places layers.
     pub(crate) leads: Cell<bool>,
+    /// When the store last told of the endpoints.
+    pub(crate) store_heard: Cell<Option<Instant>>,
+    /// Wakes watches of the store that wait for an answer: it doesn't answer another call.
+    pub(crate) store_silent: Notify,
     /// When a call of the store last failed.
     pub(crate) store_failed: Cell<Option<Instant>>,
     /// Endpoints that refused a request, and when they were last asked why.
@@ -87,6 +91,8 @@
             breakers: RefCell::new(Breakers::new(SystemClock)),
             budgets: RefCell::default(),
             leads: Cell::new(false),
+            store_heard: Cell::new(None),
+            store_silent: Notify::new(),
             store_failed: Cell::new(None),
             refusers_checked: RefCell::default(),
             in_flight: Cell::new(0),
@@ -166,7 +172,7 @@
         if handover.endpoints_at <= self.knowledge.borrow().endpoints_at() {
             return;
         }
-        let listed = handover.endpoints.iter().map(|known| known.endpoint.id.clone()).collect();
+        let listed = handover.listed.into_iter().collect();
         for known in handover.endpoints {
             self.apply_endpoint(known.endpoint, known.revision, from);
         }
--- a/crates/gateway/src/process/knowledge.rs
+++ b/crates/gateway/src/process/knowledge.rs
@@ -35,7 +35,10 @@
 #[derive(Debug, Serialize, Deserialize)]
 pub(crate) struct Handover {
     pub(crate) configuration: Option<Configuration>,
+    /// Those that changed since the revision up to which the other knows them.
     pub(crate) endpoints: Vec<KnownEndpoint>,
+    /// All that the list holds.
+    pub(crate) listed: Vec<EndpointId>,
     /// Those of them whose entry is missing after an outage, and for how long.
     pub(crate) missing: Vec<(EndpointId, Duration)>,
     pub(crate) endpoints_at: Revision,
@@ -220,14 +223,22 @@
         is_news
     }
 
-    /// What another gateway is handed that has configuration `known`.
-    pub(crate) fn handover(&self, known: ConfigVersion, now: Instant) -> Handover {
+    /// What another gateway is handed that has configuration `known` and knows the endpoints up to
+    /// revision `known_at`.
+    pub(crate) fn handover(
+        &self,
+        known: ConfigVersion,
+        known_at: Revision,
+        now: Instant,
+    ) -> Handover {
+        let changed = self.endpoints.values().filter(|endpoint| endpoint.revision > known_at);
         let missing_for =
             |known: &KnownEndpoint| Some((known.endpoint.id.clone(), now - known.missing_since?));
         let newer = self.routes.as_ref().filter(|routes| routes.version() > known);
         Handover {
             configuration: newer.map(|routes| Configuration::clone(routes.cfg())),
-            endpoints: self.endpoints.values().cloned().collect(),
+            endpoints: changed.cloned().collect(),
+            listed: self.endpoints.keys().cloned().collect(),
             missing: self.endpoints.values().filter_map(missing_for).collect(),
             endpoints_at: self.endpoints_at,
         }
--- a/crates/gateway/src/process/lead.rs
+++ b/crates/gateway/src/process/lead.rs
@@ -113,6 +113,7 @@
             Err(err) => {
                 // Without the store nobody else can take over in order, so it leads on.
                 self.gateway.on_store_failed();
+                self.gateway.store_silent.notify_waiters();
                 let text = err.to_string();
                 warn!("lead not confirmed", kv: { term, err = text.as_str() });
             }
@@ -204,9 +205,6 @@
 
     /// How many live gateways come before this one, by name.
     fn rank(&self, now: Instant) -> u32 {
-        let own = &self.gateway.settings.instance;
-        let beliefs = self.gateway.beliefs.borrow();
-        let before = beliefs.live_peers(now).filter(|peer| peer.message.instance < *own);
-        before.count() as u32
+        self.gateway.beliefs.borrow().rank(&self.gateway.settings.instance, now)
     }
 }
--- a/crates/gateway/src/process/listeners.rs
+++ b/crates/gateway/src/process/listeners.rs
@@ -8,6 +8,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
+use sorrellock_platform::Revision;
 use sorrellock_routing::version::ConfigVersion;
 use spdlog::warn;
 use std::convert::Infallible;
@@ -52,8 +53,8 @@
         READINESS_PATH if gateway.is_ready() => (StatusCode::OK, Bytes::from_static(b"ready")),
         READINESS_PATH => (StatusCode::SERVICE_UNAVAILABLE, Bytes::from_static(b"not ready")),
         METRICS_PATH => (StatusCode::OK, Bytes::from(metrics(&gateway))),
-        path => match path.strip_prefix(HANDOVER_PATH).and_then(|known| known.parse().ok()) {
-            Some(known) => handover(&gateway, known),
+        path => match path.strip_prefix(HANDOVER_PATH).and_then(read_known) {
+            Some((version, at)) => handover(&gateway, version, at),
             None => (StatusCode::NOT_FOUND, Bytes::from_static(b"no such page")),
         },
     };
@@ -62,9 +63,16 @@
     Ok(answer)
 }
 
-/// What this gateway knows, the configuration only if the asker has an older one.
-fn handover(gateway: &Gateway, known: ConfigVersion) -> (StatusCode, Bytes) {
-    match serde_json::to_vec(&gateway.knowledge.borrow().handover(known, Instant::now())) {
+/// What the asker knows: its configuration, and the revision that it knows the endpoints up to.
+fn read_known(text: &str) -> Option<(ConfigVersion, Revision)> {
+    let (version, at) = text.split_once('/')?;
+    Some((version.parse().ok()?, at.parse().ok()?))
+}
+
+/// What this gateway knows that the asker doesn't.
+fn handover(gateway: &Gateway, version: ConfigVersion, at: Revision) -> (StatusCode, Bytes) {
+    let handover = gateway.knowledge.borrow().handover(version, at, Instant::now());
+    match serde_json::to_vec(&handover) {
         Ok(body) => (StatusCode::OK, Bytes::from(body)),
         Err(err) => (StatusCode::INTERNAL_SERVER_ERROR, Bytes::from(err.to_string())),
     }
--- a/crates/gateway/src/process/peer_message.rs
+++ b/crates/gateway/src/process/peer_message.rs
@@ -17,6 +17,8 @@
     pub(crate) config_version: ConfigVersion,
     /// The store's revision up to which the sender knows the endpoints.
     pub(crate) endpoints_at: u64,
+    /// How long ago the store last told the sender of the endpoints.
+    pub(crate) store_heard_ms: Option<u32>,
     /// What the sender's streams take, by the first engine of their path.
     pub(crate) loads: Vec<HeadLoad>,
     /// Engines that the sender takes to be dead or cut off, by its own streams.
--- a/crates/gateway/src/process/peers.rs
+++ b/crates/gateway/src/process/peers.rs
@@ -33,7 +33,8 @@
 const BEHIND_PATIENCE: Duration = Duration::from_millis(300);
 /// Time for a handover: a large configuration takes a fifth of a core some 100 ms.
 const HANDOVER_LIMIT: Duration = Duration::from_millis(1_500);
-/// Where a gateway is asked for its handover, before the configuration that the asker has.
+/// Where a gateway is asked for its handover, before the configuration that the asker has and the
+/// revision up to which it knows the endpoints.
 pub(crate) const HANDOVER_PATH: &str = "/handover/";
 /// Largest datagram.
 const MAX_DATAGRAM: usize = 60_000;
@@ -112,6 +113,7 @@
             sequence: self.sequence.get(),
             config_version: gateway.knowledge.borrow().config_version(),
             endpoints_at: gateway.knowledge.borrow().endpoints_at(),
+            store_heard_ms: gateway.store_heard.get().map(|at| (now - at).as_millis() as u32),
             loads: own_loads.into_iter().map(load).collect(),
             suspects,
             leaving,
@@ -305,8 +307,10 @@
 
     async fn fetch(&self, instance: &str, addr: SocketAddr) {
         let client = Client::new(addr);
-        let known = self.gateway.knowledge.borrow().config_version();
-        let path = format!("{HANDOVER_PATH}{known}");
+        let path = {
+            let knowledge = self.gateway.knowledge.borrow();
+            format!("{HANDOVER_PATH}{}/{}", knowledge.config_version(), knowledge.endpoints_at())
+        };
         let answer = client.call(Method::GET, &path, None, HANDOVER_LIMIT).await;
         let read =
             |body: &[u8]| serde_json::from_slice::<Handover>(body).map_err(|e| e.to_string());
--- a/crates/gateway/src/process/watchers.rs
+++ b/crates/gateway/src/process/watchers.rs
@@ -20,6 +20,17 @@
 const WATCH_PAUSE_MOST: Duration = Duration::from_millis(900);
 /// Share of the time within which an endpoint that leaves may get requests that a pause may take.
 const WATCH_PAUSE_SHARE: f64 = 0.45;
+/// From so many gateways on, most of them learn of endpoints from others: each change would cost a
+/// call of each.
+const MANY_GATEWAYS: usize = 12;
+/// Gateways, first in order of name, that watch the store themselves; the lead does besides.
+const WATCHERS: u32 = 4;
+/// The fewest of them that must have heard the store of late for others to rely on them.
+const WATCHERS_LEAST: usize = 2;
+/// How late they may have heard it: a watch without news, and a retry.
+const WATCHER_FRESH: Duration = Duration::from_secs(10);
+/// How often a gateway that relies on others looks whether it still may.
+const RELY_TICK: Duration = Duration::from_millis(400);
 /// The first wait after a failed call; it doubles up to the longest.
 const RETRY_FIRST: Duration = Duration::from_millis(150);
 /// The longest wait after a failed call: entries that lapsed must be seen within two seconds.
@@ -39,6 +50,10 @@
     let mut watcher =
         Watcher { gateway, store, kind, at: None, lost_since: None, retry: RETRY_FIRST };
     loop {
+        if kind == Kind::Endpoints && watcher.relies_on_others() {
+            sleep(RELY_TICK).await;
+            continue;
+        }
         let res = watcher.step().await;
         watcher.on_step(res).await;
     }
@@ -78,7 +93,14 @@
             self.gateway.counters.store_call.record(began.elapsed());
             return self.on_listing(listing).await;
         };
-        let changes = self.store.watch(self.kind, at, WATCH_WAIT).await?;
+        let silent = self.gateway.store_silent.notified();
+        let changes = tokio::select! {
+            changes = self.store.watch(self.kind, at, WATCH_WAIT) => changes?,
+            () = silent => {
+                let detail = "another call of the store has no answer".to_owned();
+                return Err(StoreError::NoAnswer { detail });
+            }
+        };
         self.at = Some(changes.at.max(at));
         self.on_answer();
         if changes.changes.is_empty() {
@@ -99,6 +121,25 @@
         Ok(())
     }
 
+    /// Whether other gateways tell of the endpoints, and this one needs no watch of its own.
+    fn relies_on_others(&mut self) -> bool {
+        let now = Instant::now();
+        let gateway = &self.gateway;
+        let at = gateway.knowledge.borrow().endpoints_at();
+        let beliefs = gateway.beliefs.borrow();
+        let relies = at > 0
+            && !gateway.leads.get()
+            && beliefs.gateways(now) >= MANY_GATEWAYS
+            && beliefs.rank(&gateway.settings.instance, now) >= WATCHERS
+            && beliefs.watchers(WATCHER_FRESH, now) >= WATCHERS_LEAST;
+        if relies {
+            // A later watch goes on from what others told.
+            self.at = Some(at);
+            self.lost_since = None;
+        }
+        relies
+    }
+
     fn pause(&self) -> Duration {
         if self.kind != Kind::Endpoints || self.gateway.leads.get() {
             return WATCH_PAUSE;
@@ -182,6 +223,9 @@
 
     fn on_answer(&mut self) {
         self.retry = RETRY_FIRST;
+        if self.kind == Kind::Endpoints {
+            self.gateway.store_heard.set(Some(Instant::now()));
+        }
         if let Some(since) = self.lost_since.take() {
             let (kind, lost_ms) = (format!("{:?}", self.kind), since.elapsed().as_millis() as u64);
             info!("store regained", kv: { kind = kind.as_str(), lost_ms });
