Suspicions are told at once, questions go over kept connections, quiet paths are asked after 75 ms

Cause: streams of a path whose engine dies are on time only if they go on within 200 to 250 ms; with a few streams a gateway its death was found after 300 to 600 ms, by each gateway for itself. Change: a gateway tells a suspicion at once, another one believes it where its own path misses an event; gateways ask in turn; clients for questions are kept.

--- a/crates/gateway/src/process/beliefs.rs
+++ b/crates/gateway/src/process/beliefs.rs
@@ -37,6 +37,14 @@
     is_own: bool,
 }
 
+/// An endpoint that failed.
+struct Suspect {
+    /// It gets nothing new until then.
+    until: Instant,
+    /// It failed this gateway itself.
+    is_own: bool,
+}
+
 /// What a gateway believes beyond what the store tells.
 #[derive(Default)]
 pub(crate) struct Beliefs {
@@ -44,8 +52,8 @@
     pub(crate) peers: HashMap<String, Peer>,
     /// Gateways that the store tells of, this one included.
     pub(crate) registered: usize,
-    /// Endpoints that failed, until when they get nothing new.
-    suspects: HashMap<EndpointId, Instant>,
+    /// Endpoints that failed.
+    suspects: HashMap<EndpointId, Suspect>,
     /// Endpoints that told themselves that they take nothing more, and until when that is believed
     /// without an entry that says so.
     leaving: HashMap<EndpointId, Leaving>,
@@ -81,12 +89,18 @@
 
     /// An endpoint failed: it gets nothing new for a while. Tells whether that is news.
     pub(crate) fn suspect(&mut self, id: &str, now: Instant, lasts: Duration) -> bool {
-        let until = self.suspects.entry(id.to_owned()).or_insert(now);
-        let is_news = *until <= now;
-        *until = (*until).max(now + lasts);
+        let is_news =
+            !self.suspects.get(id).is_some_and(|suspect| suspect.is_own && suspect.until > now);
+        self.suspects.insert(id.to_owned(), Suspect { until: now + lasts, is_own: true });
         is_news
     }
 
+    /// An endpoint failed another gateway, and does not serve this one either.
+    pub(crate) fn hear_suspect(&mut self, id: &str, now: Instant, lasts: Duration) {
+        let heard = Suspect { until: now + lasts, is_own: false };
+        self.suspects.entry(id.to_owned()).or_insert(heard);
+    }
+
     /// An endpoint told this gateway that it takes nothing more. Tells whether that is news.
     pub(crate) fn believe_leaving(&mut self, id: &str, now: Instant) -> bool {
         let is_news = !self.is_leaving(id, now);
@@ -116,13 +130,15 @@
 
     /// Whether an endpoint is suspected.
     pub(crate) fn is_suspect(&self, id: &str, now: Instant) -> bool {
-        self.suspects.get(id).is_some_and(|until| *until > now)
+        self.suspects.get(id).is_some_and(|suspect| suspect.until > now)
     }
 
-    /// The endpoints that are suspected, and drops what is over.
-    pub(crate) fn suspects(&mut self, now: Instant) -> Vec<EndpointId> {
-        self.suspects.retain(|_, until| *until > now);
-        self.suspects.keys().cloned().collect()
+    /// The endpoints that failed this gateway itself: what others heard is theirs to pass on. Drops
+    /// what is over.
+    pub(crate) fn suspects_own(&mut self, now: Instant) -> Vec<EndpointId> {
+        self.suspects.retain(|_, suspect| suspect.until > now);
+        let own = self.suspects.iter().filter(|(_, suspect)| suspect.is_own);
+        own.map(|(id, _)| id.clone()).collect()
     }
 
     /// Takes what a lead tells, unless a newer lead was heard. Tells whether it was taken.
--- a/crates/gateway/src/process/gateway.rs
+++ b/crates/gateway/src/process/gateway.rs
@@ -6,7 +6,7 @@
 };
 use sorrellock_core::clock::SystemClock;
 use sorrellock_core::process::retries::Breakers;
-use sorrellock_platform::{EndpointLoad, Revision, Settings};
+use sorrellock_platform::{Client, EndpointLoad, Revision, Settings};
 use sorrellock_routing::process::{
     DataCentre, Endpoint, EndpointId, Holder, LayerRange, RetryWindow,
 };
@@ -69,6 +69,10 @@
     pub(crate) in_flight: Cell<usize>,
     /// Wakes the placer: an engine came, went or is suspected.
     pub(crate) engines_changed: Notify,
+    /// Wakes the messages to other gateways: an endpoint failed.
+    pub(crate) suspected: Notify,
+    /// Clients for questions to endpoints.
+    pub(crate) probes: RefCell<HashMap<SocketAddr, Client>>,
     /// Wakes requests that wait for the first configuration.
     pub(crate) configured: Notify,
     pub(crate) phase: watch::Sender<Phase>,
@@ -97,6 +101,8 @@
             refusers_checked: RefCell::default(),
             in_flight: Cell::new(0),
             engines_changed: Notify::new(),
+            suspected: Notify::new(),
+            probes: RefCell::default(),
             configured: Notify::new(),
             phase: watch::Sender::new(Phase::Running),
         }
@@ -200,9 +206,30 @@
             warn!("endpoint suspected", kv: { endpoint = id, why });
             self.refresh_paths();
             self.engines_changed.notify_waiters();
+            self.suspected.notify_one();
         }
     }
 
+    /// An endpoint failed another gateway. It is believed where a path through it is quiet here too.
+    pub(crate) fn hear_suspicion(&self, id: &str, instance: &str) {
+        let now = Instant::now();
+        let quiet = self.paths.borrow().quiet_through(id, now);
+        if quiet.is_empty() {
+            return;
+        }
+        warn!("endpoint suspected", kv: { endpoint = id, why = "another gateway told", instance });
+        self.beliefs.borrow_mut().hear_suspect(id, now, SUSPECT_FOR);
+        self.refresh_paths();
+        for live in &quiet {
+            live.break_up();
+        }
+    }
+
+    /// The client for questions to an endpoint. Its connections are kept: new ones are priced.
+    pub(crate) fn probe(&self, addr: SocketAddr) -> Client {
+        self.probes.borrow_mut().entry(addr).or_insert_with(|| Client::new(addr)).clone()
+    }
+
     /// An endpoint told that it takes nothing more.
     pub(crate) fn believe_leaving(&self, id: &str) {
         let now = Instant::now();
--- a/crates/gateway/src/process/live_path.rs
+++ b/crates/gateway/src/process/live_path.rs
@@ -9,9 +9,11 @@
 /// With few streams under way and no event on any for so long, the engines of a path are asked
 /// whether they live. All streams of a path get an event with each pass of its engines, every 55 ms
 /// or so, and a pass that reads prompts takes up to twice as long.
-const PATH_QUIET: Duration = Duration::from_millis(150);
+const PATH_QUIET: Duration = Duration::from_millis(85);
 /// The same with some streams, which rarely all just begin or end.
-const SOME_STREAMS_QUIET: Duration = Duration::from_millis(110);
+const SOME_STREAMS_QUIET: Duration = Duration::from_millis(75);
+/// Silence from which on an event is late; another gateway's word then counts.
+const EVENT_MISSED: Duration = Duration::from_millis(65);
 /// With few streams under way and no event on any for so long, a path gets nothing new: three times
 /// the longest pause that is on time. One that reads many prompts is quiet for half of that.
 const PATH_SILENCE: Duration = Duration::from_millis(600);
@@ -75,11 +77,17 @@
     }
 
     /// Whether all its streams have been silent for so long that its engines should be asked.
-    pub(crate) fn is_quiet(&self, now: Instant) -> bool {
-        let limit = self.limit(SOME_STREAMS_QUIET, PATH_QUIET);
+    /// They are for `later` longer: other gateways ask first.
+    pub(crate) fn is_quiet(&self, now: Instant, later: Duration) -> bool {
+        let limit = self.limit(SOME_STREAMS_QUIET, PATH_QUIET) + later;
         self.streams.get() > 0 && now - self.last_event.get() > limit
     }
 
+    /// Whether all its streams miss the event that is due.
+    pub(crate) fn misses_events(&self, now: Instant) -> bool {
+        self.streams.get() > 0 && now - self.last_event.get() > EVENT_MISSED
+    }
+
     /// Whether all its streams have been silent for so long that it gets nothing new.
     pub(crate) fn is_silent(&self, now: Instant) -> bool {
         let limit = self.limit(SOME_STREAMS_SILENCE, PATH_SILENCE);
--- a/crates/gateway/src/process/path_book.rs
+++ b/crates/gateway/src/process/path_book.rs
@@ -9,6 +9,7 @@
 use std::cell::RefCell;
 use std::collections::{BTreeSet, HashMap};
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
@@ -79,6 +80,13 @@
         self.peers = peers;
     }
 
+    /// Paths through an engine whose streams all miss their event.
+    pub(crate) fn quiet_through(&self, id: &str, now: Instant) -> Vec<Rc<LivePath>> {
+        let all = self.paths.values().flatten();
+        let quiet = all.filter(|live| !live.is_broken.get() && live.misses_events(now));
+        quiet.filter(|live| live.path.uses(id)).cloned().collect()
+    }
+
     /// What this gateway's streams take, by the first engine of their path.
     pub(crate) fn own_loads(&self) -> HashMap<EndpointId, Load> {
         let mut loads: HashMap<EndpointId, Load> = HashMap::new();
@@ -118,10 +126,14 @@
         used
     }
 
-    /// Paths that are quiet as a whole.
-    pub(crate) fn quiet(&self, now: Instant) -> impl Iterator<Item = &Rc<LivePath>> {
+    /// Paths that have been quiet as a whole for `later` longer than makes them suspicious.
+    pub(crate) fn quiet(
+        &self,
+        now: Instant,
+        later: Duration,
+    ) -> impl Iterator<Item = &Rc<LivePath>> {
         let all = self.paths.values().flatten();
-        all.filter(move |live| !live.is_broken.get() && live.is_quiet(now))
+        all.filter(move |live| !live.is_broken.get() && live.is_quiet(now, later))
     }
 
     /// Wakes when a place is freed or the paths change.
--- a/crates/gateway/src/process/path_check.rs
+++ b/crates/gateway/src/process/path_check.rs
@@ -1,7 +1,7 @@
 //! Finds which engines of a quiet path are dead, by asking each.
 
 use crate::process::{Count, Gateway, LivePath};
-use sorrellock_platform::{Client, read_health, read_report};
+use sorrellock_platform::{CallError, Client, read_health, read_report};
 use sorrellock_routing::process::EndpointId;
 use spdlog::info;
 use std::net::SocketAddr;
@@ -9,10 +9,15 @@
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
 
-/// Time for an engine's report: a hundred round trips inside a region.
-const REPORT_LIMIT: Duration = Duration::from_millis(150);
+/// Time for an engine's report, on a kept connection and once more on a new one: some fifty round
+/// trips inside a region.
+const REPORT_LIMIT: Duration = Duration::from_millis(90);
+/// What a gateway leaves to each one before it, in order of name, before it asks itself.
+const TURN: Duration = Duration::from_millis(3);
+/// The most of that: a path may have streams of the last gateway only.
+const TURN_MOST: Duration = Duration::from_millis(30);
 /// How often paths are looked at: a broken one is found a tenth of a pause late at most.
-const WATCH_INTERVAL: Duration = Duration::from_millis(25);
+const WATCH_INTERVAL: Duration = Duration::from_millis(15);
 /// Time for an endpoint's health: it may wait for a slot.
 const HEALTH_LIMIT: Duration = Duration::from_millis(400);
 /// A path is asked at most this often: each report is priced.
@@ -23,7 +28,8 @@
     loop {
         sleep(WATCH_INTERVAL).await;
         let paths = gateway.paths.borrow();
-        let quiet: Vec<Rc<LivePath>> = paths.quiet(Instant::now()).cloned().collect();
+        let later = turn(&gateway);
+        let quiet: Vec<Rc<LivePath>> = paths.quiet(Instant::now(), later).cloned().collect();
         drop(paths);
         for live in &quiet {
             check_path(&gateway, live);
@@ -31,6 +37,13 @@
     }
 }
 
+/// How long this gateway leaves it to others to ask: they tell at once what they find.
+fn turn(gateway: &Gateway) -> Duration {
+    let beliefs = gateway.beliefs.borrow();
+    let rank = beliefs.rank(&gateway.settings.instance, Instant::now());
+    (TURN * rank).min(TURN_MOST)
+}
+
 /// Asks each engine of a path for a report, unless that was done just now. Those that don't
 /// answer are suspected, and the lead hears of it.
 pub(crate) fn check_path(gateway: &Rc<Gateway>, live: &Rc<LivePath>) {
@@ -50,13 +63,27 @@
 /// An engine that doesn't answer breaks the path, which is quiet already.
 async fn check_engine(gateway: Rc<Gateway>, live: Rc<LivePath>, id: EndpointId, addr: SocketAddr) {
     gateway.counters.add(Count::Reports);
-    let client = Client::new(addr);
-    if let Err(err) = read_report(&client, REPORT_LIMIT).await {
-        gateway.suspect(&id, &err.to_string());
-        if live.is_quiet(Instant::now()) {
-            live.break_up();
-        }
+    let Err(err) = ask(&gateway, addr).await else { return };
+    gateway.suspect(&id, &err.to_string());
+    if live.is_quiet(Instant::now(), Duration::ZERO) {
+        live.break_up();
+    }
+}
+
+/// Asks an engine whether it lives. A kept connection may be silent for good: another one is opened
+/// before that counts.
+async fn ask(gateway: &Gateway, addr: SocketAddr) -> Result<(), CallError> {
+    let first = read_report(&gateway.probe(addr), REPORT_LIMIT).await;
+    match first {
+        Err(CallError::NoAnswer { .. }) => {}
+        other => return other.map(drop),
+    }
+    let fresh = Client::new(addr);
+    let res = read_report(&fresh, REPORT_LIMIT).await;
+    if res.is_ok() {
+        gateway.probes.borrow_mut().insert(addr, fresh);
     }
+    res.map(drop)
 }
 
 /// An endpoint refused a request as not run: asks it whether it leaves, unless that was done just
@@ -83,7 +110,7 @@
 
 async fn check_health(gateway: Rc<Gateway>, id: EndpointId, addr: SocketAddr, path: String) {
     gateway.counters.add(Count::Reports);
-    match read_health(&Client::new(addr), &path, HEALTH_LIMIT).await {
+    match read_health(&gateway.probe(addr), &path, HEALTH_LIMIT).await {
         Ok(true) => {}
         Ok(false) => gateway.believe_leaving(&id),
         Err(err) => gateway.suspect(&id, &err.to_string()),
--- a/crates/gateway/src/process/peers.rs
+++ b/crates/gateway/src/process/peers.rs
@@ -13,7 +13,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::UdpSocket;
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, timeout};
 
 /// How often a gateway tells the others. Loads that are a tenth of a second old differ by one or
 /// two streams from the true ones at 15 requests a second.
@@ -82,7 +82,9 @@
             self.take_loads();
             let gateways = self.gateway.beliefs.borrow().gateways(Instant::now()) as u32;
             let interval = TELL_INTERVAL * gateways / MANY_GATEWAYS;
-            sleep(interval.clamp(TELL_INTERVAL, TELL_INTERVAL_MOST)).await;
+            let interval = interval.clamp(TELL_INTERVAL, TELL_INTERVAL_MOST);
+            // A suspicion is told at once; others are spared their own questions.
+            let _ = timeout(interval, self.gateway.suspected.notified()).await;
         }
     }
 
@@ -99,7 +101,7 @@
         let gateway = &self.gateway;
         self.sequence.set(self.sequence.get() + 1);
         let now = Instant::now();
-        let suspects = gateway.beliefs.borrow_mut().suspects(now);
+        let suspects = gateway.beliefs.borrow_mut().suspects_own(now);
         let leaving = gateway.beliefs.borrow_mut().leaving_own(now);
         let own_loads = gateway.paths.borrow().own_loads();
         let load = |(head, load): (EndpointId, Load)| HeadLoad {
@@ -213,7 +215,7 @@
         let new_suspects = message.suspects.iter().filter(|id| {
             before_suspects(&beliefs.peers, &message.instance).is_none_or(|all| !all.contains(id))
         });
-        let has_new_suspects = new_suspects.count() > 0;
+        let new_suspects: Vec<EndpointId> = new_suspects.cloned().collect();
         let told = message.leaving.iter();
         let told = told.filter(|id| !beliefs.is_leaving(id, now)).cloned().collect::<Vec<_>>();
         for id in &told {
@@ -224,12 +226,15 @@
             is_changed = true;
         }
         let instance = message.instance.clone();
-        beliefs.peers.insert(instance, Peer { addr: from, message, heard: now });
+        beliefs.peers.insert(instance.clone(), Peer { addr: from, message, heard: now });
         drop(beliefs);
         if is_changed {
             gateway.refresh_paths();
         }
-        if has_new_suspects || !told.is_empty() {
+        for id in &new_suspects {
+            gateway.hear_suspicion(id, &instance);
+        }
+        if !new_suspects.is_empty() || !told.is_empty() {
             gateway.engines_changed.notify_waiters();
         }
     }
--- a/crates/gateway/src/process/placer/reports.rs
+++ b/crates/gateway/src/process/placer/reports.rs
@@ -20,7 +20,7 @@
 /// Engines that any gateway suspects.
 pub(super) fn suspects(gateway: &Gateway, now: Instant) -> HashSet<EndpointId> {
     let mut beliefs = gateway.beliefs.borrow_mut();
-    let mut all: HashSet<EndpointId> = beliefs.suspects(now).into_iter().collect();
+    let mut all: HashSet<EndpointId> = beliefs.suspects_own(now).into_iter().collect();
     for peer in beliefs.live_peers(now) {
         all.extend(peer.message.suspects.iter().cloned());
     }
--- a/crates/gateway/src/process/run.rs
+++ b/crates/gateway/src/process/run.rs
@@ -154,6 +154,7 @@
         let knowledge = gateway.knowledge.borrow();
         let is_known = |addr: &SocketAddr| knowledge.endpoints().any(|e| e.addr == *addr);
         gateway.pool.borrow_mut().sweep(Instant::now(), is_known);
+        gateway.probes.borrow_mut().retain(|addr, _| is_known(addr));
         drop(knowledge);
         gateway.refresh_paths();
     }
--- a/crates/gateway/src/request/repath.rs
+++ b/crates/gateway/src/request/repath.rs
@@ -2,7 +2,7 @@
 
 use crate::process::{Count, Gateway, LivePath};
 use crate::request::Call;
-use sorrellock_platform::{Client, OrderEnd, order_repath};
+use sorrellock_platform::{OrderEnd, order_repath};
 use std::future::pending;
 use std::rc::Rc;
 use std::time::Duration;
@@ -81,7 +81,7 @@
         let (tx, rx) = oneshot::channel();
         self.under_way = Some(rx);
         let request = call.id().to_owned();
-        let client = Client::new(from.path.first().addr);
+        let client = gateway.probe(from.path.first().addr);
         tokio::task::spawn_local(async move {
             let order = order_repath(&client, &request, &to.path.parts, ORDER_LIMIT).await;
             // A stream that has ended meanwhile needs no answer.
