Chains are balanced only where room is short; a first list is asked again soon

After a power loss with a silent store the first list waited 1.5 s. Change: chains are planned anew only above 55 % of their room or at rest; the first list of a process has 400 ms, doubling.

--- a/crates/gateway/src/process/path_book.rs
+++ b/crates/gateway/src/process/path_book.rs
@@ -294,6 +294,14 @@
         self.paths(service).iter().map(describe).collect::<Vec<_>>().join("; ")
     }
 
+    /// How full the fullest path in use of a data centre is, as a share of its room.
+    pub(crate) fn fullest(&self, service: &str, data_centre: &str) -> f64 {
+        let used = self.kv_used(service);
+        let here = self.paths(service).iter().filter(|live| live.path.data_centre == data_centre);
+        let in_use = here.filter(|live| !live.is_superseded.get());
+        in_use.map(|live| self.fill(live, &used, 0.0)).fold(0.0, f64::max)
+    }
+
     /// Share of its memory for KV cache that is taken at the fullest engine of a path, with so many
     /// tokens more.
     fn fill(&self, live: &LivePath, used: &HashMap<&EndpointId, f64>, tokens: f64) -> f64 {
--- a/crates/gateway/src/process/placer/planning.rs
+++ b/crates/gateway/src/process/placer/planning.rs
@@ -23,6 +23,9 @@
 /// The same where there are several chains, which run each other's lost layers: an engine that
 /// crashed is back within some five seconds, and takes its part again while nothing else moves.
 const BALANCE_CHAINS_AFTER: Duration = Duration::from_secs(6);
+/// Share of its room from which on a data centre is worth balancing. Above half of it one chain
+/// can't take over what another one loses.
+const CROWDED: f64 = 0.55;
 /// How long an empty engine waits beside a whole chain: one that replaces another joins a second
 /// or two before that one leaves, and then takes exactly its layers.
 const JOIN_PATIENCE: Duration = Duration::from_millis(2_500);
@@ -83,7 +86,9 @@
     }
 
     /// A gap is closed at once where no other engine runs its layers, or an empty one can take
-    /// them; else chains are planned anew once they lost no engine for a while.
+    /// them; else chains are planned anew once they lost no engine for a while, and only where room
+    /// is short: an engine that gives layers up takes no other order until the streams that pass
+    /// through them end, for up to eight seconds.
     pub(super) fn may_plan(
         &mut self,
         key: &(ServiceName, DataCentre),
@@ -104,6 +109,9 @@
         if is_urgent(shape, planned) {
             return true;
         }
+        if self.unused_since.is_none() && !self.is_crowded(key) {
+            return false;
+        }
         let has_chains = planned.iter().any(|engine| engine.chain.is_some_and(|chain| chain > 0));
         let patience = if has_chains { BALANCE_CHAINS_AFTER } else { BALANCE_AFTER };
         calm_for >= patience
@@ -112,6 +120,11 @@
                 && is_any_chain_scarce(shape, planned))
     }
 
+    /// Whether streams need more room than the chains of a data centre have with ease.
+    fn is_crowded(&self, key: &(ServiceName, DataCentre)) -> bool {
+        self.gateway.paths.borrow().fullest(&key.0, &key.1) >= CROWDED
+    }
+
     /// The engines that are alive; nothing while one of them wasn't heard yet.
     pub(super) fn planned_engines(
         &self,
--- a/crates/gateway/src/process/watchers.rs
+++ b/crates/gateway/src/process/watchers.rs
@@ -33,6 +33,11 @@
 const RELY_TICK: Duration = Duration::from_millis(400);
 /// The first wait after a failed call; it doubles up to the longest.
 const RETRY_FIRST: Duration = Duration::from_millis(150);
+/// Time for the first list: a hundred round trips. It doubles with each that brings no answer, as a
+/// large one takes a small instance long to read.
+const LIST_LIMIT_FIRST: Duration = Duration::from_millis(400);
+/// The most time for a list.
+const LIST_LIMIT_MOST: Duration = Duration::from_millis(3_000);
 /// The longest wait after a failed call: entries that lapsed must be seen within two seconds.
 const RETRY_MOST: Duration = Duration::from_millis(1_000);
 /// For so long after a failed call of the store a removed entry may only have lapsed: what the
@@ -47,8 +52,15 @@
 
 /// Follows one kind of objects for ever.
 pub(crate) async fn follow(gateway: Rc<Gateway>, store: Store, kind: Kind) {
-    let mut watcher =
-        Watcher { gateway, store, kind, at: None, lost_since: None, retry: RETRY_FIRST };
+    let mut watcher = Watcher {
+        gateway,
+        store,
+        kind,
+        at: None,
+        lost_since: None,
+        retry: RETRY_FIRST,
+        list_limit: LIST_LIMIT_FIRST,
+    };
     loop {
         if kind == Kind::Endpoints && watcher.relies_on_others() {
             sleep(RELY_TICK).await;
@@ -82,6 +94,8 @@
     /// Since when the store doesn't answer.
     lost_since: Option<Instant>,
     retry: Duration,
+    /// Time for the next list.
+    list_limit: Duration,
 }
 
 impl Watcher {
@@ -89,7 +103,10 @@
         self.gateway.counters.add(Count::StoreCalls);
         let Some(at) = self.at else {
             let began = Instant::now();
-            let listing = self.store.list(self.kind).await?;
+            let store = self.store.with_limit(self.list_limit);
+            // A store that is silent as a process starts is asked again soon.
+            self.list_limit = (self.list_limit * 2).min(LIST_LIMIT_MOST);
+            let listing = store.list(self.kind).await?;
             self.gateway.counters.store_call.record(began.elapsed());
             return self.on_listing(listing).await;
         };
