Paths whose layers no other engine holds are taken later

Cause: streams were spread by room, and the one data centre with a single chain held the most of them: the death of any of its engines broke them all. Change: such a path counts as 15 % fuller.

--- a/crates/gateway/src/process/live_path.rs
+++ b/crates/gateway/src/process/live_path.rs
@@ -37,6 +37,8 @@
 pub(crate) struct LivePath {
     /// Its engines.
     pub(crate) path: PipelinePath,
+    /// Share of its layers that another engine of its data centre holds too.
+    pub(crate) redundancy: Cell<f64>,
     /// Requests that its first engine takes at once from all gateways.
     pub(crate) slots: u32,
     /// This gateway's streams under way.
@@ -64,6 +66,7 @@
         LivePath {
             path,
             slots,
+            redundancy: Cell::new(0.0),
             streams: Cell::new(0),
             tokens: Cell::new(0.0),
             last_event: Cell::new(now),
--- a/crates/gateway/src/process/path_book.rs
+++ b/crates/gateway/src/process/path_book.rs
@@ -18,6 +18,9 @@
 const FILL: f64 = 0.92;
 /// What being in the gateway's own data centre is worth, as a share of room.
 const OWN_DATA_CENTRE_BONUS: f64 = 0.03;
+/// What it counts against a path that no other engine holds its layers, as a share of room: the
+/// death of an engine breaks all its streams, while others go on over another chain.
+const FRAGILE_PENALTY: f64 = 0.15;
 /// Random part of the choice, as a share of room: gateways that don't see each other's newest
 /// streams shouldn't all choose the same path.
 const CHOICE_NOISE: f64 = 0.04;
@@ -180,6 +183,9 @@
                 }
             }
         }
+        for live in &fresh {
+            live.redundancy.set(redundancy(live, holders, shape.layers));
+        }
         is_changed |= fresh.len() != old.len();
         // Streams on an old path still run; only one that lost an engine breaks.
         let keep_watch = old.into_iter().filter(|live| {
@@ -258,7 +264,8 @@
             }
             let own =
                 if live.path.data_centre == own_data_centre { OWN_DATA_CENTRE_BONUS } else { 0.0 };
-            let score = share - own + rand::rng().random_range(0.0..CHOICE_NOISE);
+            let fragile = (1.0 - live.redundancy.get()) * FRAGILE_PENALTY;
+            let score = share + fragile - own + rand::rng().random_range(0.0..CHOICE_NOISE);
             if best.is_none_or(|(least, _)| score < least) {
                 best = Some((score, live));
             }
@@ -314,6 +321,20 @@
     }
 }
 
+/// Share of a path's layers that another engine of its data centre holds too.
+fn redundancy(live: &LivePath, holders: &[Holder], layers: u32) -> f64 {
+    let path = &live.path;
+    let runs = |layer: u32| path.parts.iter().find(|part| part.layers.contains(layer));
+    let has_other = |layer: &u32| {
+        holders.iter().any(|holder| {
+            holder.data_centre == path.data_centre
+                && holder.layers.contains(*layer)
+                && runs(*layer).is_some_and(|part| part.id != holder.id)
+        })
+    };
+    (0..layers).filter(has_other).count() as f64 / f64::from(layers.max(1))
+}
+
 /// Takes a place on the path with the most room.
 pub(crate) fn take_place(
     book: &Rc<RefCell<PathBook>>,
