Limits follow the entries as soon as membership knows them; the known red test is green

Cause: an entry's limits followed the members only at their next refresh, some 100 ms later; until then it took itself for the keeper of every limit and granted it a second time (seen in a log of each grant: two keepers of one key at once). Ruled out: grants under the row before (both entries had the new row). Change: the members are looked at with each request and each question, by pointer.

--- a/crates/daemon/src/entry/process/limits/limit_desk.rs
+++ b/crates/daemon/src/entry/process/limits/limit_desk.rs
@@ -10,6 +10,7 @@
 use sorrellock_core::process::grants::{
     Grant, GrantAsk, Keeper, Keeping, LimitKey, LimitTable, Limits, Spend, StartLevel,
 };
+use sorrellock_core::process::membership::MembershipView;
 use sorrellock_core::request::{NotRun, Peer, Refusal};
 use sorrellock_wire::connection::Link;
 use sorrellock_wire::message::{GrantMessage, Message};
@@ -40,6 +41,8 @@
     /// Tokens made for a request, in the mean.
     made: Mean,
     entries: KnownEntries,
+    /// The members that `entries` was made of.
+    followed: Option<Arc<MembershipView>>,
 }
 
 struct Spent {
@@ -65,6 +68,7 @@
             spent: HashMap::new(),
             made: Mean::default(),
             entries: KnownEntries::only(me),
+            followed: None,
         };
         LimitDesk { me, link, agent, config, counters, journal, state: Mutex::new(state) }
     }
@@ -73,6 +77,7 @@
     pub fn check(&self, asking: Asking) -> Vec<Checked> {
         let key = LimitKey::of(&asking.row);
         let mut state = self.state.lock().unwrap();
+        self.follow_entries(&mut state);
         let by = state.keeping(&key);
         let tokens = state.expected_tokens(&asking.work);
         let verdict = state.table.arrive(&key, Limits::of(&asking.row), tokens, by);
@@ -106,7 +111,10 @@
 
     /// An entry asks for a grant.
     pub fn on_ask(&self, from: Peer, ask: &GrantAsk) {
-        let grant = self.answer(&mut self.state.lock().unwrap(), from.incarnation, ask);
+        let mut state = self.state.lock().unwrap();
+        self.follow_entries(&mut state);
+        let grant = self.answer(&mut state, from.incarnation, ask);
+        drop(state);
         if let Some(grant) = grant {
             self.send(from, GrantMessage::Grant(grant));
         }
@@ -126,13 +134,8 @@
 
     /// Follows the fleet, renews grants and gives back what is not used.
     pub fn refresh(&self) -> Vec<Checked> {
-        let entries = KnownEntries::of(&self.agent.view());
         let mut state = self.state.lock().unwrap();
-        if state.entries != entries {
-            self.journal.note("limit keepers changed", None, "refresh", entries.to_string());
-            state.entries = entries;
-            state.keeper.members_changed();
-        }
+        self.follow_entries(&mut state);
         let mut checked = Vec::new();
         for key in state.table.keys() {
             checked.extend(state.resolve(&key));
@@ -141,9 +144,26 @@
         checked
     }
 
+    /// Takes the entries as membership knows them now. An entry that follows later than the others
+    /// takes itself for the keeper of all limits, and grants each of them a second time.
+    fn follow_entries(&self, state: &mut State) {
+        let view = self.agent.view();
+        if state.followed.as_ref().is_some_and(|followed| Arc::ptr_eq(followed, &view)) {
+            return;
+        }
+        let entries = KnownEntries::of(&view);
+        state.followed = Some(view);
+        if state.entries != entries {
+            self.journal.note("limit keepers changed", None, "members", entries.to_string());
+            state.entries = entries;
+            state.keeper.members_changed();
+        }
+    }
+
     /// The state as JSON.
     pub fn dump(&self) -> Value {
-        let state = self.state.lock().unwrap();
+        let mut state = self.state.lock().unwrap();
+        self.follow_entries(&mut state);
         json!({
             "shares": state.table.len(),
             "accounts_kept": state.keeper.accounts(),
--- a/crates/daemon/tests/sharing.rs
+++ b/crates/daemon/tests/sharing.rs
@@ -172,6 +172,21 @@
     assert_eq!(passed + count(&answers, 429), 30);
 }
 
+#[test]
+fn one_entry_keeps_a_limit_from_the_moment_at_which_they_know_each_other() {
+    const RATE: f64 = 10.0;
+    for _ in 0..4 {
+        let fleet = small_fleet(2);
+        set_rows(&fleet, vec![Row { requests_per_s: RATE, ..row(ROUTINE.1) }]);
+        let both = [fleet.caller(0, ROUTINE.0), fleet.caller(1, ROUTINE.0)];
+
+        let (passed, time) = offer(&both, Duration::from_millis(100));
+
+        let most = RATE * (time.as_secs_f64() + 1.0) * 1.2;
+        assert!(passed as f64 <= most, "{passed} in {time:?}");
+    }
+}
+
 #[test]
 fn a_limit_holds_over_two_entries_also_after_one_was_stopped() {
     const RATE: f64 = 40.0;
