--- a/crates/gateway/src/process/gateway.rs
+++ b/crates/gateway/src/process/gateway.rs
@@ -1,8 +1,8 @@
 //! What all parts of a gateway share.
 
 use crate::process::{
-    Beliefs, Count, Counters, EndpointNews, EngineFate, Handover, Knowledge, PathBook, Pool,
-    SUSPECT_FOR,
+    Beliefs, Count, Counters, EndpointNews, EngineFate, Handover, Knowledge, LivePath, PathBook,
+    Pool, SUSPECT_FOR,
 };
 use sorrellock_core::clock::SystemClock;
 use sorrellock_core::process::retries::Breakers;
@@ -281,7 +281,8 @@
                         service = service.name.as_str(), gaps = gaps.as_str()
                     });
                 }
-                for live in paths.paths(&service.name) {
+                let untold = |live: &&Rc<LivePath>| !live.is_told.replace(true);
+                for live in paths.paths(&service.name).iter().filter(untold) {
                     let text = sorrellock_platform::format_path(&live.path.parts);
                     info!("path in use", kv: {
                         service = service.name.as_str(),
--- a/crates/gateway/src/process/live_path.rs
+++ b/crates/gateway/src/process/live_path.rs
@@ -39,6 +39,8 @@
     pub(crate) path: PipelinePath,
     /// Share of its layers that another engine of its data centre holds too.
     pub(crate) redundancy: Cell<f64>,
+    /// The log told of it.
+    pub(crate) is_told: Cell<bool>,
     /// Requests that its first engine takes at once from all gateways.
     pub(crate) slots: u32,
     /// This gateway's streams under way.
@@ -67,6 +69,7 @@
             path,
             slots,
             redundancy: Cell::new(0.0),
+            is_told: Cell::new(false),
             streams: Cell::new(0),
             tokens: Cell::new(0.0),
             last_event: Cell::new(now),
