--- a/crates/gateway/src/process/gateway.rs
+++ b/crates/gateway/src/process/gateway.rs
@@ -1,19 +1,16 @@
 //! What all parts of a gateway share.
 
 use crate::process::{
-    Beliefs, Count, Counters, EndpointNews, EngineFate, Handover, Knowledge, LivePath, PathBook,
-    Pool, SUSPECT_FOR,
+    Beliefs, Count, Counters, EndpointNews, Handover, Knowledge, PathBook, Pool, SUSPECT_FOR,
 };
 use sorrellock_core::clock::SystemClock;
 use sorrellock_core::process::retries::Breakers;
 use sorrellock_platform::{Client, EndpointLoad, Revision, Settings};
-use sorrellock_routing::process::{
-    DataCentre, Endpoint, EndpointId, Holder, LayerRange, RetryWindow,
-};
-use sorrellock_routing::version::{Configuration, ModelShape, ServiceName};
+use sorrellock_routing::process::{Endpoint, EndpointId, RetryWindow};
+use sorrellock_routing::version::{Configuration, ServiceName};
 use spdlog::{info, warn};
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeSet, HashMap};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::sync::{Notify, watch};
@@ -252,88 +249,6 @@
         self.knowledge.borrow().endpoint(id).is_some()
     }
 
-    /// Works out the paths of all models anew.
-    pub(crate) fn refresh_paths(&self) {
-        let now = Instant::now();
-        let knowledge = self.knowledge.borrow();
-        let Some(routes) = knowledge.routes() else { return };
-        for service in &routes.cfg().services {
-            let Some(shape) = &service.model else { continue };
-            let holders = self.holders(&knowledge, &service.name, shape, now);
-            let beliefs = self.beliefs.borrow();
-            let fate = |id: &EndpointId| {
-                if beliefs.engine(id, now).is_some_and(|engine| engine.is_dead) {
-                    return EngineFate::Dead;
-                }
-                match knowledge.endpoint(id) {
-                    Some(endpoint) if !endpoint.is_leaving && !beliefs.is_leaving(id, now) => {
-                        EngineFate::Stays
-                    }
-                    // It finishes what it runs for a while, also without an entry.
-                    _ => EngineFate::Leaves,
-                }
-            };
-            let mut paths = self.paths.borrow_mut();
-            if paths.rebuild(&service.name, shape, &holders, fate, now) {
-                let gaps = gaps(&holders, shape.layers);
-                if !gaps.is_empty() {
-                    warn!("layers without an engine", kv: {
-                        service = service.name.as_str(), gaps = gaps.as_str()
-                    });
-                }
-                let untold = |live: &&Rc<LivePath>| !live.is_told.replace(true);
-                for live in paths.paths(&service.name).iter().filter(untold) {
-                    let text = sorrellock_platform::format_path(&live.path.parts);
-                    info!("path in use", kv: {
-                        service = service.name.as_str(),
-                        data_centre = live.path.data_centre.as_str(),
-                        room = live.path.token_room.round(), step_ms = live.path.step_ms,
-                        path = text.as_str()
-                    });
-                }
-            }
-        }
-    }
-
-    /// The engines that may be part of a path, with the layers that they can run now.
-    fn holders(
-        &self,
-        knowledge: &Knowledge,
-        service: &str,
-        shape: &ModelShape,
-        now: Instant,
-    ) -> Vec<Holder> {
-        let beliefs = self.beliefs.borrow();
-        let has_lead = beliefs.lead(now).is_some();
-        let mut holders = Vec::new();
-        let engines = knowledge.open_endpoints(now).filter(|engine| engine.service == service);
-        for endpoint in engines {
-            if beliefs.is_leaving(&endpoint.id, now) {
-                continue;
-            }
-            let view = beliefs.engine(&endpoint.id, now);
-            // An engine that the lead doesn't tell of leaves, or holds nothing yet.
-            let listed = if has_lead { LayerRange::default() } else { endpoint.layers };
-            let layers = view.map_or(listed, |view| view.usable);
-            let is_dead = view.is_some_and(|view| view.is_dead);
-            if is_dead || layers.is_empty() || beliefs.is_suspect(&endpoint.id, now) {
-                continue;
-            }
-            let card = endpoint.card.as_deref().and_then(|card| shape.card(card));
-            let slowness = view.map_or(1.0, |view| f64::from(view.slowness).max(0.1));
-            let step_factor = card.map_or(1.0, |card| card.step_factor) * slowness;
-            holders.push(Holder {
-                id: endpoint.id.clone(),
-                addr: endpoint.addr,
-                data_centre: endpoint.data_centre.clone(),
-                layers,
-                layer_cost: step_factor * shape.step_ms / f64::from(shape.layers),
-                kv_room: card.map_or(0.0, |card| shape.kv_room(card, layers.len())),
-            });
-        }
-        holders
-    }
-
     /// A request came in for a service.
     pub(crate) fn on_request(&self, service: &str) {
         let mut budgets = self.budgets.borrow_mut();
@@ -354,20 +269,3 @@
         paid
     }
 }
-
-/// The layers of each data centre that no holder can run, for log lines.
-fn gaps(holders: &[Holder], layers: u32) -> String {
-    let data_centres: BTreeSet<&DataCentre> =
-        holders.iter().map(|holder| &holder.data_centre).collect();
-    let mut gaps = Vec::new();
-    for data_centre in data_centres {
-        let local = holders.iter().filter(|holder| holder.data_centre == *data_centre);
-        let local: Vec<&Holder> = local.collect();
-        let is_gap = |layer: &u32| !local.iter().any(|holder| holder.layers.contains(*layer));
-        let missing: Vec<u32> = (0..layers).filter(is_gap).collect();
-        if let (Some(first), Some(last)) = (missing.first(), missing.last()) {
-            gaps.push(format!("{data_centre}: {} layers in {first}..={last}", missing.len()));
-        }
-    }
-    gaps.join("; ")
-}
--- a/crates/gateway/src/process/path_book.rs
+++ b/crates/gateway/src/process/path_book.rs
@@ -6,7 +6,6 @@
     DataCentre, EndpointId, Holder, PathPart, PipelinePath, cheapest_path, paths_by_head,
 };
 use sorrellock_routing::version::{ModelShape, ServiceName};
-use std::cell::RefCell;
 use std::collections::{BTreeSet, HashMap};
 use std::rc::Rc;
 use std::time::Duration;
@@ -34,29 +33,6 @@
     pub(crate) streams: u32,
 }
 
-/// A stream's place on a path. Dropping it frees the place.
-pub(crate) struct PathPlace {
-    pub(crate) live: Rc<LivePath>,
-    tokens: f64,
-    freed: Rc<Notify>,
-}
-
-impl PathPlace {
-    /// Moves the place to another path with the same first engine.
-    pub(crate) fn move_to(&mut self, live: Rc<LivePath>, now: Instant) {
-        self.live.remove_stream(self.tokens);
-        live.add_stream(self.tokens, now);
-        self.live = live;
-    }
-}
-
-impl Drop for PathPlace {
-    fn drop(&mut self) {
-        self.live.remove_stream(self.tokens);
-        self.freed.notify_waiters();
-    }
-}
-
 /// Why there is no path for a request now.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum NoPlace {
@@ -241,7 +217,7 @@
     }
 
     /// Chooses the path with the most room, by share, among those that the request may take.
-    fn choose(
+    pub(crate) fn choose(
         &self,
         service: &str,
         tokens: f64,
@@ -335,21 +311,6 @@
     (0..layers).filter(has_other).count() as f64 / f64::from(layers.max(1))
 }
 
-/// Takes a place on the path with the most room.
-pub(crate) fn take_place(
-    book: &Rc<RefCell<PathBook>>,
-    service: &str,
-    tokens: f64,
-    own_data_centre: &str,
-    may_take: impl Fn(&Rc<LivePath>) -> bool,
-    now: Instant,
-) -> Result<PathPlace, NoPlace> {
-    let live = book.borrow().choose(service, tokens, own_data_centre, may_take, now)?;
-    live.add_stream(tokens, now);
-    let freed = book.borrow().freed();
-    Ok(PathPlace { live, tokens, freed })
-}
-
 /// The paths inside each data centre, one for each first engine; else one over several, if any.
 fn best_paths(holders: &[Holder], layers: u32) -> Vec<PipelinePath> {
     let data_centres: BTreeSet<&DataCentre> =
--- /dev/null
+++ b/crates/gateway/src/process/path_place.rs
@@ -0,0 +1,45 @@
+//! A stream's place on a path.
+
+use crate::process::{LivePath, NoPlace, PathBook};
+use std::cell::RefCell;
+use std::rc::Rc;
+use tokio::sync::Notify;
+use tokio::time::Instant;
+
+/// A stream's place on a path. Dropping it frees the place.
+pub(crate) struct PathPlace {
+    pub(crate) live: Rc<LivePath>,
+    tokens: f64,
+    freed: Rc<Notify>,
+}
+
+impl PathPlace {
+    /// Moves the place to another path with the same first engine.
+    pub(crate) fn move_to(&mut self, live: Rc<LivePath>, now: Instant) {
+        self.live.remove_stream(self.tokens);
+        live.add_stream(self.tokens, now);
+        self.live = live;
+    }
+}
+
+impl Drop for PathPlace {
+    fn drop(&mut self) {
+        self.live.remove_stream(self.tokens);
+        self.freed.notify_waiters();
+    }
+}
+
+/// Takes a place on the path with the most room.
+pub(crate) fn take_place(
+    book: &Rc<RefCell<PathBook>>,
+    service: &str,
+    tokens: f64,
+    own_data_centre: &str,
+    may_take: impl Fn(&Rc<LivePath>) -> bool,
+    now: Instant,
+) -> Result<PathPlace, NoPlace> {
+    let live = book.borrow().choose(service, tokens, own_data_centre, may_take, now)?;
+    live.add_stream(tokens, now);
+    let freed = book.borrow().freed();
+    Ok(PathPlace { live, tokens, freed })
+}
--- a/crates/gateway/src/process/placer/mod.rs
+++ b/crates/gateway/src/process/placer/mod.rs
@@ -6,8 +6,10 @@
 mod placer;
 mod planning;
 mod reports;
+mod timing;
 
 use engine::*;
 use orders::ORDER_RETRY;
 pub(crate) use placer::*;
 use planning::Planned;
+use timing::is_urgent;
