--- a/crates/daemon/tests/gateway/fleet.rs
+++ b/crates/daemon/tests/gateway/fleet.rs
@@ -87,6 +87,14 @@
     fleet
 }
 
+/// Starts the stand-ins with a third engine in `north`: two paths begin there, and share the engine
+/// that holds the last layers.
+pub fn fleet_of_two_first_engines() -> Fleet {
+    let mut fleet = fleet();
+    fleet.engines.push(engine(4, "north", &fleet.store));
+    fleet
+}
+
 impl Fleet {
     /// Starts a gateway, and waits until both data centres hold the model.
     pub fn gateway(&self, instance: &str) -> GatewayProcess {
--- a/crates/daemon/tests/gateway/knowledge.rs
+++ b/crates/daemon/tests/gateway/knowledge.rs
@@ -125,6 +125,26 @@
     second.wait_for_line(&["\"endpoint gone\"", "ledger-1"]);
 }
 
+#[test]
+fn where_gateways_are_many_the_last_one_learns_of_endpoints_from_others() {
+    let fleet = fleet();
+    let name = |index: usize| format!("gateway-{index:02}");
+    let start = |index| GatewayProcess::start(&name(index), "north", fleet.store.addr());
+    let gateways: Vec<_> = (0..13).map(start).collect();
+    let last = gateways.last().expect("there are some");
+    for index in 0..12 {
+        last.wait_for_line(&["\"gateway heard\"", &name(index)]);
+    }
+    // Its watch under way may still tell of this one.
+    fleet.engines[3].leave();
+    last.wait_for_line(&["\"endpoint leaving\"", "engine-3"]);
+
+    fleet.engines[1].leave();
+
+    let line = last.wait_for_line(&["\"endpoint leaving\"", "engine-1"]);
+    assert!(line.contains("\"source\":\"gateway-"), "{line}");
+}
+
 #[test]
 fn one_of_two_gateways_leads_and_the_other_takes_over() {
     let fleet = fleet();
--- a/crates/daemon/tests/gateway/streams.rs
+++ b/crates/daemon/tests/gateway/streams.rs
@@ -1,7 +1,8 @@
 //! Streams over paths of engines, while engines die, stall, leave and refuse.
 
 use crate::fleet::{
-    Answer, HOST, KEY, begin, fleet, fleet_of_two_chains, new_request, send, whole_stream,
+    Answer, HOST, KEY, LAYERS, begin, fleet, fleet_of_two_chains, fleet_of_two_first_engines,
+    new_request, send, whole_stream,
 };
 use crate::gateway_process::{GatewayProcess, wait_for};
 use sorrellock_stand_ins::{EngineMode, FakeEngine};
@@ -161,6 +162,22 @@
     assert_eq!(fleet.runs(&request), 0);
 }
 
+#[test]
+fn a_refusal_that_names_an_engine_is_not_asked_for_again_over_that_engine() {
+    let fleet = fleet_of_two_first_engines();
+    let gateway = fleet.gateway("one");
+    let north = [0, 1, 4].map(|index| &fleet.engines[index]);
+    let is_first = |one: &&&FakeEngine| one.layers().0 == 0 && one.layers().1 > 0;
+    wait_for("two first engines", || north.iter().filter(is_first).count() == 2);
+    let last =
+        north.iter().find(|one| one.layers().1 == LAYERS).expect("one holds the last layers");
+    north.iter().for_each(|one| one.set_mode(EngineMode::RefusesOver(last.addr())));
+
+    for _ in 0..12 {
+        assert_whole(&send(gateway.callers(), "/match/a", &new_request(), Some(KEY)));
+    }
+}
+
 #[test]
 fn an_answer_to_another_request_never_reaches_the_caller() {
     let fleet = fleet();
--- a/crates/gateway/src/process/path_book.rs
+++ b/crates/gateway/src/process/path_book.rs
@@ -7,6 +7,7 @@
 };
 use sorrellock_routing::version::{ModelShape, ServiceName};
 use std::collections::{BTreeSet, HashMap};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::Notify;
@@ -205,6 +206,12 @@
         self.paths(service).iter().find(fits).cloned()
     }
 
+    /// Gives paths through an engine nothing new until `until`.
+    pub(crate) fn avoid_through(&self, service: &str, engine: SocketAddr, until: Instant) {
+        let uses = |live: &&Rc<LivePath>| live.path.parts.iter().any(|part| part.addr == engine);
+        self.paths(service).iter().filter(uses).for_each(|live| live.avoid(until));
+    }
+
     /// Whether a request could take a path now.
     pub(crate) fn has_place(
         &self,
--- a/crates/gateway/src/request/stream.rs
+++ b/crates/gateway/src/request/stream.rs
@@ -35,7 +35,7 @@
 const FIRST_EVENT_PATIENCE_SILENT: Duration = Duration::from_millis(600);
 /// How often a request that waits for its first event looks at its path.
 const FIRST_EVENT_TICK: Duration = Duration::from_millis(100);
-/// How long a path that refused a request gets nothing new from this gateway.
+/// How long paths through an engine that refused a request get nothing new from this gateway.
 const REFUSED_AVOID: Duration = Duration::from_millis(250);
 /// How long a path on which nothing came gets nothing new.
 const SILENT_AVOID: Duration = Duration::from_millis(1_000);
@@ -256,8 +256,11 @@
     match failed.evidence {
         Evidence::NotSent => gateway.suspect(&first.id, &failed.why),
         Evidence::NotRun => {
+            // Another path through the engine that refused would bring the same answer.
+            let refuser = failed.at_fault.unwrap_or(first.addr);
             live.avoid(now + REFUSED_AVOID);
-            return check_refuser(gateway, failed.at_fault.unwrap_or(first.addr));
+            gateway.paths.borrow().avoid_through(&call.service, refuser, now + REFUSED_AVOID);
+            return check_refuser(gateway, refuser);
         }
         Evidence::MayHaveRun => live.avoid(now + SILENT_AVOID),
     }
--- a/crates/routing/src/process/placement/chains.rs
+++ b/crates/routing/src/process/placement/chains.rs
@@ -33,9 +33,23 @@
     let (held, empty): (Vec<_>, Vec<_>) =
         engines.iter().cloned().partition(|engine| !engine.held.is_empty());
     let count = chains_wanted(shape, engines, &held);
+    let divided = (2..=count).rev().map(|count| divide_into(shape, count, &held, &empty));
+    let holds_model = |chain: &Chain| memory(chain) >= chain_mb(shape, WEAK_CHAIN_ROOM);
+    // Engines are whole: the memory of all may be enough for a chain that can't be made of them.
+    let fits = divided.into_iter().find(|chains| chains.iter().all(holds_model));
+    fits.unwrap_or_else(|| divide_into(shape, 1, &held, &empty))
+}
+
+/// Divides the engines into so many chains.
+fn divide_into(
+    shape: &ModelShape,
+    count: usize,
+    held: &[PlannedEngine],
+    empty: &[PlannedEngine],
+) -> Vec<Chain> {
     let mut chains = vec![Chain::new(); count];
     let (known, others): (Vec<_>, Vec<_>) =
-        held.into_iter().partition(|engine| engine.chain.is_some_and(|index| index < count));
+        held.iter().cloned().partition(|engine| engine.chain.is_some_and(|index| index < count));
     for engine in known {
         let index = engine.chain.unwrap_or_default();
         chains[index].push(engine);
@@ -44,7 +58,7 @@
         let index = best_chain(&chains, engine.held);
         chains[index].push(engine);
     }
-    for engine in by_memory(empty) {
+    for engine in by_memory(empty.to_vec()) {
         let least = (0..count).min_by(|a, b| memory(&chains[*a]).total_cmp(&memory(&chains[*b])));
         chains[least.unwrap_or_default()].push(engine);
     }
--- a/crates/routing/src/process/placement/planner.rs
+++ b/crates/routing/src/process/placement/planner.rs
@@ -25,6 +25,18 @@
     pub chain: Option<usize>,
 }
 
+impl PlannedEngine {
+    /// The engine as the division of a chain sees it.
+    pub fn in_chain(&self) -> ChainEngine {
+        ChainEngine {
+            memory_mb: self.memory_mb,
+            step_factor: self.step_factor,
+            held: self.held,
+            is_pinned: self.is_pinned,
+        }
+    }
+}
+
 /// The layers that each engine of a data centre should hold.
 pub type Placement = BTreeMap<EndpointId, LayerRange>;
 
@@ -237,13 +249,7 @@
 }
 
 fn seen(engines: &[PlannedEngine]) -> Vec<ChainEngine> {
-    let seen = |engine: &PlannedEngine| ChainEngine {
-        memory_mb: engine.memory_mb,
-        step_factor: engine.step_factor,
-        held: engine.held,
-        is_pinned: engine.is_pinned,
-    };
-    engines.iter().map(seen).collect()
+    engines.iter().map(PlannedEngine::in_chain).collect()
 }
 
 fn placement(engines: &[PlannedEngine], ranges: &[LayerRange]) -> Placement {
--- a/crates/routing/tests/chains.rs
+++ b/crates/routing/tests/chains.rs
@@ -70,6 +70,17 @@
     assert!(!could_make_more_chains(&shape, &engines));
 }
 
+#[test]
+fn engines_that_cant_be_divided_evenly_make_one_chain() {
+    let shape = light_shape();
+    let mut engines = empty_engines(&shape, &[("h100", 3)]);
+    engines.iter_mut().for_each(|engine| engine.memory_mb = 130_000.0);
+
+    let chains = divide_into_chains(&shape, &engines);
+
+    assert_eq!(chains.len(), 1, "two of 390 GB would fit, but not of three engines");
+}
+
 #[test]
 fn a_lead_that_knows_nothing_finds_as_many_chains_as_there_are() {
     let shape = light_shape();
