--- a/crates/gateway/src/process/beliefs.rs
+++ b/crates/gateway/src/process/beliefs.rs
@@ -97,8 +97,10 @@
 
     /// An endpoint failed another gateway, and does not serve this one either.
     pub(crate) fn hear_suspect(&mut self, id: &str, now: Instant, lasts: Duration) {
-        let heard = Suspect { until: now + lasts, is_own: false };
-        self.suspects.entry(id.to_owned()).or_insert(heard);
+        if !self.is_suspect(id, now) {
+            let heard = Suspect { until: now + lasts, is_own: false };
+            self.suspects.insert(id.to_owned(), heard);
+        }
     }
 
     /// An endpoint told this gateway that it takes nothing more. Tells whether that is news.
--- a/crates/gateway/src/process/placer/timing.rs
+++ b/crates/gateway/src/process/placer/timing.rs
@@ -4,14 +4,15 @@
 use sorrellock_routing::process::placement::{
     PlannedEngine, are_chains_whole, could_make_more_chains, covers, is_any_chain_scarce,
 };
-use sorrellock_routing::process::{DataCentre, Endpoint, EndpointId, LayerRange};
+use sorrellock_routing::process::{DataCentre, Endpoint, EndpointId};
 use sorrellock_routing::version::{ModelShape, ServiceName};
 use std::collections::BTreeSet;
 use std::time::Duration;
 use tokio::time::Instant;
 
 /// With no chain in a data centre yet, how long its set of engines must stay the same before the
-/// first plan: engines of one start register within a second.
+/// first plan. Engines of one start register over some seconds, but a first chain of few serves
+/// sooner, and is made anew at rest.
 const SETTLE: Duration = Duration::from_millis(600);
 /// How long a chain must be whole before it is balanced: troubles often come together, and an
 /// engine that joins is often followed within seconds by the one that it replaces.
@@ -33,6 +34,7 @@
 /// For how long no stream may be under way before chains are made anew: callers of a gateway that
 /// restarts are back sooner.
 const AT_REST_AFTER: Duration = Duration::from_secs(2);
+
 impl Placer {
     /// Whether an engine died just now: the streams of the whole chain went with it.
     pub(super) fn is_idle(&self, endpoints: &[Endpoint], now: Instant) -> bool {
@@ -139,12 +141,7 @@
         if !is_at_rest || !is_settled || !could_make_more_chains(shape, &planned) {
             return planned;
         }
-        let emptied = |engine: PlannedEngine| PlannedEngine {
-            held: LayerRange::default(),
-            chain: None,
-            ..engine
-        };
-        planned.into_iter().map(emptied).collect()
+        planned.into_iter().map(PlannedEngine::emptied).collect()
     }
 }
 
--- a/crates/gateway/src/process/watchers.rs
+++ b/crates/gateway/src/process/watchers.rs
@@ -60,9 +60,10 @@
         lost_since: None,
         retry: RETRY_FIRST,
         list_limit: LIST_LIMIT_FIRST,
+        is_left_to_others: false,
     };
     loop {
-        if kind == Kind::Endpoints && watcher.relies_on_others() {
+        if kind == Kind::Endpoints && watcher.leaves_it_to_others() {
             sleep(RELY_TICK).await;
             continue;
         }
@@ -96,6 +97,8 @@
     retry: Duration,
     /// Time for the next list.
     list_limit: Duration,
+    /// Other gateways tell of the endpoints.
+    is_left_to_others: bool,
 }
 
 impl Watcher {
@@ -138,23 +141,33 @@
         Ok(())
     }
 
-    /// Whether other gateways tell of the endpoints, and this one needs no watch of its own.
-    fn relies_on_others(&mut self) -> bool {
+    /// Whether other gateways tell of the endpoints, and this one needs no watch of its own. A
+    /// later watch goes on from what they told.
+    fn leaves_it_to_others(&mut self) -> bool {
+        let at = self.gateway.knowledge.borrow().endpoints_at();
+        let (is_left, watchers) = self.may_leave_it(at);
+        if is_left != std::mem::replace(&mut self.is_left_to_others, is_left) {
+            info!("watch of endpoints", kv: { left_to_others = is_left, watchers, at });
+        }
+        if is_left {
+            self.at = Some(at);
+            self.lost_since = None;
+        }
+        is_left
+    }
+
+    /// Whether others watch in its place, and how many do.
+    fn may_leave_it(&self, at: Revision) -> (bool, usize) {
         let now = Instant::now();
         let gateway = &self.gateway;
-        let at = gateway.knowledge.borrow().endpoints_at();
         let beliefs = gateway.beliefs.borrow();
-        let relies = at > 0
+        let watchers = beliefs.watchers(WATCHER_FRESH, now);
+        let may_leave = at > 0
             && !gateway.leads.get()
             && beliefs.gateways(now) >= MANY_GATEWAYS
             && beliefs.rank(&gateway.settings.instance, now) >= WATCHERS
-            && beliefs.watchers(WATCHER_FRESH, now) >= WATCHERS_LEAST;
-        if relies {
-            // A later watch goes on from what others told.
-            self.at = Some(at);
-            self.lost_since = None;
-        }
-        relies
+            && watchers >= WATCHERS_LEAST;
+        (may_leave, watchers)
     }
 
     fn pause(&self) -> Duration {
--- a/crates/routing/src/process/placement/chains.rs
+++ b/crates/routing/src/process/placement/chains.rs
@@ -73,9 +73,8 @@
 
 /// Whether the engines would make more chains if they held nothing.
 pub fn could_make_more_chains(shape: &ModelShape, engines: &[PlannedEngine]) -> bool {
-    let held: Vec<_> = engines.iter().filter(|engine| !engine.held.is_empty()).cloned().collect();
-    let made = chains_wanted(shape, engines, &held);
-    made < chains_with_room(shape, memory(engines), NEW_CHAIN_ROOM).min(MAX_CHAINS)
+    let emptied: Vec<_> = engines.iter().cloned().map(PlannedEngine::emptied).collect();
+    divide_into_chains(shape, &emptied).len() > divide_into_chains(shape, engines).len()
 }
 
 /// Whether a chain has an engine that bounds it far below an even division.
--- a/crates/routing/src/process/placement/planner.rs
+++ b/crates/routing/src/process/placement/planner.rs
@@ -26,6 +26,11 @@
 }
 
 impl PlannedEngine {
+    /// The engine as if it held nothing and were part of no chain.
+    pub fn emptied(self) -> PlannedEngine {
+        PlannedEngine { held: LayerRange::default(), chain: None, ..self }
+    }
+
     /// The engine as the division of a chain sees it.
     pub fn in_chain(&self) -> ChainEngine {
         ChainEngine {
