--- a/crates/routing/src/process/placement/chains.rs
+++ b/crates/routing/src/process/placement/chains.rs
@@ -114,12 +114,11 @@
 
 /// Memory of the model's layers, and of this share of the requests of a chain's first engine.
 fn chain_mb(shape: &ModelShape, share: f64) -> f64 {
-    let model_mb = f64::from(shape.layers) * shape.layer_mb;
-    let kv_mb = shape.kv_mb_per_token_layer() * f64::from(shape.layers) * shape.usual_tokens();
-    model_mb + kv_mb * share * f64::from(shape.slots.max(1))
+    shape.model_mb() + shape.request_mb() * share * f64::from(shape.slots.max(1))
 }
 
-fn memory(engines: &[PlannedEngine]) -> f64 {
+/// Memory of engines together, in MB.
+pub(super) fn memory(engines: &[PlannedEngine]) -> f64 {
     engines.iter().map(|engine| engine.memory_mb).sum()
 }
 
--- a/crates/routing/src/process/placement/planner.rs
+++ b/crates/routing/src/process/placement/planner.rs
@@ -1,5 +1,6 @@
 //! Plans the chains of one data centre: order of the engines and their layers.
 
+use crate::process::placement::chains::memory;
 use crate::process::placement::{
     ChainEngine, ChainPlan, Weights, cost_of, divide, divide_into_chains,
 };
@@ -69,8 +70,7 @@
 
 /// Whether an engine has so little room that it bounds its chain far below an even division.
 pub fn is_scarce(shape: &ModelShape, chain: &[PlannedEngine]) -> bool {
-    let memory: f64 = chain.iter().map(|engine| engine.memory_mb).sum();
-    let even = memory / f64::from(shape.layers) - shape.layer_mb;
+    let even = memory(chain) / f64::from(shape.layers) - shape.layer_mb;
     let room = |engine: &PlannedEngine| {
         engine.memory_mb / f64::from(engine.held.len().max(1)) - shape.layer_mb
     };
@@ -143,10 +143,8 @@
     shape: &ModelShape,
     mut engines: Vec<PlannedEngine>,
 ) -> (Placement, Vec<PlannedEngine>) {
-    let memory: f64 = engines.iter().map(|engine| engine.memory_mb).sum();
-    let free_mb = memory - f64::from(shape.layers) * shape.layer_mb;
-    let kv_mb = shape.kv_mb_per_token_layer() * f64::from(shape.layers) * shape.usual_tokens();
-    let requests = free_mb / kv_mb.max(1e-9);
+    let free_mb = memory(&engines) - shape.model_mb();
+    let requests = free_mb / shape.request_mb().max(1e-9);
     let wanted = (requests / f64::from(shape.slots.max(1)) + HEADS_ROUNDING).floor() as usize;
     let wanted = wanted.clamp(1, MAX_HEADS) - 1;
     let mut heads = Placement::new();
--- a/crates/routing/src/version/model_shape.rs
+++ b/crates/routing/src/version/model_shape.rs
@@ -72,6 +72,16 @@
         if held == 0 { 0.0 } else { self.kv_room(card, held) / f64::from(held) }
     }
 
+    /// Memory of all layers' weights, in MB.
+    pub fn model_mb(&self) -> f64 {
+        f64::from(self.layers) * self.layer_mb
+    }
+
+    /// KV cache of a usual request over all layers, in MB.
+    pub fn request_mb(&self) -> f64 {
+        self.kv_mb_per_token_layer() * f64::from(self.layers) * self.usual_tokens()
+    }
+
     /// Mean tokens of a request, prompt and answer.
     pub fn usual_tokens(&self) -> f64 {
         self.usual_prompt + self.usual_answer
