Keyed calls wait for the next holder when theirs has just died

Cause: a claim whose holder's link closed was sent again at once, and each time counted among the 16 claims that make the ledger count as out of reach. A dead holder refuses links at once, so all 16 were used up within milliseconds, long before membership names another (about 1 s). Ruled out: the store (no outage in that test), two holders of one key (the run's count was right). Change: a claim lost with its link is sent again once in each wait and isn't counted; waits alone count.

--- a/crates/core/src/process/ledger/keyed_run.rs
+++ b/crates/core/src/process/ledger/keyed_run.rs
@@ -270,6 +270,16 @@
         }
     }
 
+    /// The link to the holder of its shard closed, and the claim or its answer may be lost: the claim
+    /// to send again. It isn't counted among [`MAX_CLAIMS`], which bound how long the ledger is
+    /// waited for: a holder that just died refuses links at once, for as long as it is still named.
+    pub fn on_holder_lost(&self) -> KeyedStep {
+        match &self.state {
+            State::Claiming { claim, .. } => KeyedStep::Claim(claim.clone()),
+            _ => KeyedStep::Drop,
+        }
+    }
+
     /// Gives up: not run if nothing that runs, or might, is known of the key; else unknown.
     pub fn give_up(&mut self, refusal: Refusal, detail: &str) -> KeyedStep {
         match self.state {
--- a/crates/daemon/src/entry/process/keyed_calls.rs
+++ b/crates/daemon/src/entry/process/keyed_calls.rs
@@ -92,11 +92,15 @@
         }
     }
 
-    /// A daemon can't be reached: a claim goes to another holder, a run that was sent is asked for.
+    /// A daemon can't be reached: a claim is sent again, once before its wait is over, and a run
+    /// that was sent is asked for.
     pub(super) fn on_closed_keyed(&self, mut run: Run<'_>, peer: SocketAddr) {
         let Some(keyed) = &mut run.keyed else { return };
         let step = if keyed.run.is_claiming() && keyed.holder == Some(peer) {
-            keyed.run.on_wait_over()
+            if !keyed.take_claim_again() {
+                return;
+            }
+            keyed.run.on_holder_lost()
         } else if keyed.run.target().is_some_and(|target| target.addr == peer) {
             keyed.run.on_lost()
         } else {
--- a/crates/daemon/src/entry/request/keyed.rs
+++ b/crates/daemon/src/entry/request/keyed.rs
@@ -31,17 +31,27 @@
     pub holder: Option<SocketAddr>,
     /// When it asks again.
     pub wait_until: Option<Instant>,
+    /// Whether its claim was sent again, in this wait, because the holder's link closed.
+    claimed_again: bool,
 }
 
 impl Keyed {
     /// A request that has claimed nothing yet.
     pub fn new(owner: RequestKey, once: RunOnce) -> Keyed {
         let run = KeyedRun::new(owner, once.key, once.fingerprint);
-        Keyed { run, holder: None, wait_until: None }
+        Keyed { run, holder: None, wait_until: None, claimed_again: false }
     }
 
     /// Whether its wait is over; an older timer that fires before changes nothing.
     pub fn take_wait(&mut self, now: Instant) -> bool {
-        self.wait_until.take_if(|until| *until <= now).is_some()
+        let over = self.wait_until.take_if(|until| *until <= now).is_some();
+        self.claimed_again &= !over;
+        over
+    }
+
+    /// Whether the claim may be sent again before its wait is over: once in each wait, so that a
+    /// dead holder that is still named costs no more than two claims a wait.
+    pub fn take_claim_again(&mut self) -> bool {
+        !std::mem::replace(&mut self.claimed_again, true)
     }
 }
--- a/crates/daemon/tests/run_once.rs
+++ b/crates/daemon/tests/run_once.rs
@@ -182,6 +182,28 @@
     wait_for("the run that hung", || runs(&fleet, "trade-1") == 1);
 }
 
+#[test]
+fn calls_right_after_a_holder_died_wait_for_the_next_holder() {
+    let fleet = fleet();
+    fleet.services[0].beside.stop();
+
+    let answers: Vec<CallerAnswer> = thread::scope(|scope| {
+        let fleet = &fleet;
+        let call = |number| {
+            scope.spawn(move || post(&fleet.caller(0, 0), &format!("call-{number}"), "{}"))
+        };
+        let calls: Vec<_> = (0..16).map(call).collect();
+        calls.into_iter().map(|call| call.join().unwrap()).collect()
+    });
+
+    for (number, answer) in answers.iter().enumerate() {
+        // A run may have been handed to the dead daemon's link: its end is unknown, and stays so.
+        assert_ne!(answer.outcome, "not-run", "call-{number}: {}", answer.body);
+        let done = u64::from(answer.status == 200);
+        assert_eq!(runs(&fleet, &format!("call-{number}")), done, "call-{number}");
+    }
+}
+
 #[test]
 fn a_call_refused_by_one_daemon_runs_at_another_under_the_next_attempt() {
     let fleet = fleet();
