Changed bounds take effect on SIGHUP; a full log keeps its failures

Cause: a changed settings file was only checked, so other bounds needed a restart of every gateway; a full log buffer dropped whatever came, so the lines that on-call engineers need went with the routine ones. Change: the bounds are a type of their own, in force at once; names and addresses still wait for a restart, and the log says so. Ends of requests that were not served and failed attempts are warnings; a quarter of the buffer (128 of 512 KiB, about 500 lines) takes only warnings and errors.

--- a/crates/daemon/tests/gateway/gateway_process.rs
+++ b/crates/daemon/tests/gateway/gateway_process.rs
@@ -22,6 +22,7 @@
 pub struct GatewayProcess {
     child: Child,
     ip: IpAddr,
+    settings: PathBuf,
     lines: Arc<Mutex<Vec<String>>>,
 }
 
@@ -91,17 +92,30 @@
     ) -> GatewayProcess {
         let path = write_settings(&ip.to_string(), &settings(instance, data_centre, ip, store));
         let mut command = command(&["gateway"], &path);
-        let mut child = command.stdout(Stdio::piped()).spawn().expect("the gateway starts");
-        let lines = Arc::new(Mutex::new(Vec::new()));
+        let child = command.stdout(Stdio::piped()).spawn().expect("the gateway starts");
+        let mut gateway = GatewayProcess { child, ip, settings: path, lines: Arc::default() };
         if read {
-            let (out, kept) = (child.stdout.take().expect("it is piped"), Arc::clone(&lines));
-            thread::spawn(move || {
-                for line in BufReader::new(out).lines().map_while(Result::ok) {
-                    kept.lock().expect("no panic holds this lock").push(line);
-                }
-            });
+            gateway.read_log();
         }
-        GatewayProcess { child, ip, lines }
+        gateway
+    }
+
+    /// Reads the log from here on; nobody read it before.
+    pub fn read_log(&mut self) {
+        let out = self.child.stdout.take().expect("nobody reads it yet");
+        let kept = Arc::clone(&self.lines);
+        thread::spawn(move || {
+            for line in BufReader::new(out).lines().map_while(Result::ok) {
+                kept.lock().expect("no panic holds this lock").push(line);
+            }
+        });
+    }
+
+    /// Changes its settings file, as the platform does, and tells it so.
+    pub fn change_settings(&self, change: impl FnOnce(&str) -> String) {
+        let text = fs::read_to_string(&self.settings).expect("the settings file");
+        fs::write(&self.settings, change(&text)).expect("the settings file");
+        self.signal(Signal::SIGHUP);
     }
 
     /// Where callers connect.
--- a/crates/daemon/tests/gateway/life.rs
+++ b/crates/daemon/tests/gateway/life.rs
@@ -1,6 +1,6 @@
 //! Start, signals, logs, metrics and bad settings.
 
-use crate::fleet::{KEY, begin, fleet, new_request, send, whole_stream};
+use crate::fleet::{Fleet, KEY, begin, fleet, new_request, send, whole_stream};
 use crate::gateway_process::{GatewayProcess, command, settings, wait_for, write_settings};
 use nix::sys::signal::Signal;
 use sorrellock_stand_ins::new_ip;
@@ -59,24 +59,88 @@
 #[test]
 fn a_log_that_nobody_reads_delays_no_request() {
     let fleet = fleet();
+    let gateway = unread_gateway(&fleet);
+
+    fill_log(&gateway);
+
+    assert!(counter(&gateway, "sorrellock_log_lines_dropped") > 0);
+}
+
+#[test]
+fn a_full_log_keeps_the_failures() {
+    let fleet = fleet();
+    let mut gateway = unread_gateway(&fleet);
+    let failed: Vec<String> = (0..20).map(|_| new_request()).collect();
+    fill_log(&gateway);
+
+    for request in &failed {
+        assert_eq!(send(gateway.callers(), "/status/a", request, Some("no key")).status, 401);
+    }
+    let served = new_request();
+    assert_eq!(send(gateway.callers(), "/status/a", &served, Some(KEY)).status, 200);
+    gateway.read_log();
+
+    for request in &failed {
+        gateway.wait_for_line(&["\"request ended\"", "not allowed", request]);
+    }
+    assert_eq!(counter(&gateway, "sorrellock_log_failures_dropped"), 0);
+    assert_eq!(gateway.lines(&[&served]).len(), 0, "the log was not full");
+}
+
+/// A gateway that serves, and whose log nobody reads.
+fn unread_gateway(fleet: &Fleet) -> GatewayProcess {
     let gateway = GatewayProcess::start_unread("one", "north", fleet.store.addr());
     wait_for("a stream to be served", || {
         gateway.is_ready()
             && send(gateway.callers(), "/match/a", &new_request(), Some(KEY)).status == 200
     });
+    gateway
+}
 
-    // Each leaves over 500 bytes of lines: far more than the pipe and the buffer hold.
+/// Sends requests until the lines of an unread log fill the pipe and the buffer: each leaves over
+/// 500 bytes.
+fn fill_log(gateway: &GatewayProcess) {
     for _ in 0..2_500 {
         let answer = send(gateway.callers(), "/status/a", &new_request(), Some(KEY));
         assert_eq!(answer.status, 200);
     }
+}
 
+/// A counter's value on the metrics page.
+fn counter(gateway: &GatewayProcess, name: &str) -> u64 {
     let url = format!("http://{}/metrics", gateway.metrics());
     let page = ureq::get(url).call().expect("metrics").into_body().read_to_string();
     let page = page.expect("text");
-    let dropped = page.lines().find_map(|line| line.strip_prefix("sorrellock_log_lines_dropped "));
-    let dropped: u64 = dropped.expect("the counter").parse().expect("a number");
-    assert!(dropped > 0, "{page}");
+    let value = page.lines().find_map(|line| line.strip_prefix(&format!("{name} ")));
+    value.expect("the counter").parse().expect("a number")
+}
+
+#[test]
+fn changed_bounds_are_in_force_after_a_hang_up() {
+    let fleet = fleet();
+    let mut gateway = fleet.gateway("one");
+
+    // As long as is kept for the end itself: nothing that runs is waited for.
+    gateway.change_settings(|text| text.replace("grace_s = 8", "grace_s = 0.5"));
+    let line = gateway.wait_for_line(&["\"bounds changed\""]);
+    let (head, _body) = begin(gateway.callers(), "/match/a", &new_request(), Some(KEY));
+    gateway.signal(Signal::SIGTERM);
+
+    assert_eq!(head.status, 200);
+    assert!(line.contains("500ms"), "{line}");
+    assert_eq!(gateway.wait(), Some(0));
+    gateway.wait_for_line(&["\"gateway ended\"", "\"in_flight\":1"]);
+}
+
+#[test]
+fn a_changed_address_waits_for_a_restart_and_says_so() {
+    let fleet = fleet();
+    let gateway = fleet.gateway("one");
+
+    gateway.change_settings(|text| text.replace("node_name = \"one\"", "node_name = \"two\""));
+
+    let line = gateway.wait_for_line(&["settings changed"]);
+    assert!(line.contains("restart"), "{line}");
 }
 
 #[test]
--- a/crates/gateway/src/process/counters.rs
+++ b/crates/gateway/src/process/counters.rs
@@ -143,6 +143,7 @@
             let _ = writeln!(page, "sorrellock_{} {value}", count.name());
         }
         let _ = writeln!(page, "sorrellock_log_lines_dropped {}", super::dropped_lines());
+        let _ = writeln!(page, "sorrellock_log_failures_dropped {}", super::dropped_failures());
         for (name, value) in gauges {
             let _ = writeln!(page, "sorrellock_{name} {value}");
         }
--- a/crates/gateway/src/process/gateway.rs
+++ b/crates/gateway/src/process/gateway.rs
@@ -5,7 +5,7 @@
 };
 use sorrellock_core::clock::SystemClock;
 use sorrellock_core::process::retries::Breakers;
-use sorrellock_platform::{Client, EndpointLoad, Revision, Settings};
+use sorrellock_platform::{Bounds, Client, EndpointLoad, Revision, Settings};
 use sorrellock_routing::process::{Endpoint, EndpointId, RetryWindow};
 use sorrellock_routing::version::{Configuration, ServiceName};
 use spdlog::{info, warn};
@@ -40,7 +40,9 @@
 
 /// What all parts of a gateway share.
 pub(crate) struct Gateway {
+    /// As at the start; [`Gateway::bounds`] holds the bounds in force.
     pub(crate) settings: Settings,
+    pub(crate) bounds: Cell<Bounds>,
     /// Drawn at the start: tells lifetimes apart.
     pub(crate) incarnation: u64,
     pub(crate) began: Instant,
@@ -78,8 +80,9 @@
 impl Gateway {
     /// A gateway that knows nothing yet.
     pub(crate) fn new(settings: Settings, incarnation: u64) -> Gateway {
-        let knowledge = RefCell::new(Knowledge::new(settings.leave_within));
+        let knowledge = RefCell::new(Knowledge::new(settings.bounds.leave_within));
         Gateway {
+            bounds: Cell::new(settings.bounds),
             settings,
             incarnation,
             began: Instant::now(),
@@ -105,6 +108,16 @@
         }
     }
 
+    /// Puts other bounds in force.
+    pub(crate) fn set_bounds(&self, bounds: Bounds) {
+        info!("bounds changed", kv: { before:? = self.bounds.get(), now:? = bounds });
+        self.bounds.set(bounds);
+        self.knowledge.borrow_mut().set_leave_within(bounds.leave_within);
+        for budget in self.budgets.borrow_mut().values_mut() {
+            budget.set_bounds(bounds.retries);
+        }
+    }
+
     /// Whether new connections are wanted.
     pub(crate) fn is_ready(&self) -> bool {
         *self.phase.borrow() == Phase::Running && self.knowledge.borrow().routes().is_some()
@@ -253,7 +266,7 @@
     pub(crate) fn on_request(&self, service: &str) {
         let mut budgets = self.budgets.borrow_mut();
         let began = self.began.into_std();
-        let new = || RetryWindow::new(self.settings.retries, began);
+        let new = || RetryWindow::new(self.bounds.get().retries, began);
         let budget = budgets.entry(service.to_owned()).or_insert_with(new);
         budget.on_request(Instant::now().into_std());
     }
--- a/crates/gateway/src/process/knowledge.rs
+++ b/crates/gateway/src/process/knowledge.rs
@@ -70,16 +70,20 @@
     /// Nothing is known yet. An endpoint that leaves may get its last request within
     /// `leave_within`.
     pub(crate) fn new(leave_within: Duration) -> Knowledge {
-        let missing_gets_work = leave_within.min(MISSING_GETS_WORK_MOST);
         Knowledge {
             routes: None,
             endpoints: BTreeMap::new(),
             removed: HashSet::new(),
             endpoints_at: 0,
-            missing_gets_work: missing_gets_work.saturating_sub(LEAVE_MARGIN),
+            missing_gets_work: missing_gets_work(leave_within),
         }
     }
 
+    /// An endpoint that leaves may get its last request within `leave_within` from here on.
+    pub(crate) fn set_leave_within(&mut self, leave_within: Duration) {
+        self.missing_gets_work = missing_gets_work(leave_within);
+    }
+
     /// The configuration in force.
     pub(crate) fn routes(&self) -> Option<&Rc<RouteTable>> {
         self.routes.as_ref()
@@ -244,3 +248,8 @@
         }
     }
 }
+
+/// How long an endpoint that its list no longer holds gets work.
+fn missing_gets_work(leave_within: Duration) -> Duration {
+    leave_within.min(MISSING_GETS_WORK_MOST).saturating_sub(LEAVE_MARGIN)
+}
--- a/crates/gateway/src/process/log.rs
+++ b/crates/gateway/src/process/log.rs
@@ -1,8 +1,9 @@
-//! Structured log lines on standard output, through a bounded buffer that never blocks.
+//! Structured log lines on standard output, through a bounded buffer that never blocks and keeps
+//! room for failures.
 
 use spdlog::formatter::JsonFormatter;
 use spdlog::sink::{SinkPropAccess, WriteSink};
-use spdlog::{LevelFilter, Logger};
+use spdlog::{Level, LevelFilter, Logger};
 use std::io::{self, Write};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
@@ -11,29 +12,43 @@
 
 /// Bytes of lines that wait for the writer: about 2,000 lines, a minute of a busy gateway.
 pub const LOG_BUFFER_BYTES: usize = 512 << 10;
+/// Bytes of it that only failures may take: some 500 lines, so that a reader which stalls while
+/// all goes well still gets the first failures whole.
+const KEPT_FOR_FAILURES_BYTES: usize = 128 << 10;
 /// How often lines are written: at 5 a second the wake-ups cost less than the lines.
 const WRITE_INTERVAL: Duration = Duration::from_millis(200);
 
 /// Lines that were dropped since the start, as the buffer was full.
 static DROPPED: AtomicU64 = AtomicU64::new(0);
+/// Those of them that told of a failure.
+static FAILURES_DROPPED: AtomicU64 = AtomicU64::new(0);
 
 /// Lines dropped since the start.
 pub(crate) fn dropped_lines() -> u64 {
     DROPPED.load(Ordering::Relaxed)
 }
 
-/// The lines that wait, shared by the logger and the thread that writes them.
-#[derive(Clone, Default)]
+/// Lines on failures dropped since the start.
+pub(crate) fn dropped_failures() -> u64 {
+    FAILURES_DROPPED.load(Ordering::Relaxed)
+}
+
+/// Lines of one sort, as the logger's sink for them takes them. Both sorts share a buffer with the
+/// thread that writes them, in the order of their coming.
+#[derive(Clone)]
 struct Lines {
     buf: Arc<Mutex<Vec<u8>>>,
+    /// Lines on failures, which may fill the buffer to its end.
+    are_failures: bool,
 }
 
 impl Write for Lines {
     /// Takes a line whole or drops it.
     fn write(&mut self, line: &[u8]) -> io::Result<usize> {
         let mut buf = self.buf.lock().expect("no panic holds this lock");
-        if buf.len() + line.len() > LOG_BUFFER_BYTES {
+        if buf.len() + line.len() > self.most_bytes() {
             DROPPED.fetch_add(1, Ordering::Relaxed);
+            FAILURES_DROPPED.fetch_add(u64::from(self.are_failures), Ordering::Relaxed);
         } else {
             buf.extend_from_slice(line);
         }
@@ -46,47 +61,66 @@
 }
 
 impl Lines {
-    fn take(&self) -> Vec<u8> {
-        std::mem::take(&mut *self.buf.lock().expect("no panic holds this lock"))
+    fn new(buf: &Arc<Mutex<Vec<u8>>>, are_failures: bool) -> Lines {
+        Lines { buf: Arc::clone(buf), are_failures }
+    }
+
+    fn most_bytes(&self) -> usize {
+        if self.are_failures {
+            LOG_BUFFER_BYTES
+        } else {
+            LOG_BUFFER_BYTES - KEPT_FOR_FAILURES_BYTES
+        }
+    }
+
+    /// The logger's sink for these lines.
+    fn sink(self) -> Arc<WriteSink<Lines>> {
+        let levels = if self.are_failures {
+            LevelFilter::MoreSevereEqual(Level::Warn)
+        } else {
+            LevelFilter::MoreVerbose(Level::Warn)
+        };
+        let sink = WriteSink::builder().target(self).level_filter(levels).build();
+        let sink = sink.expect("the sink's settings are complete");
+        sink.set_formatter(Box::new(JsonFormatter::new()));
+        Arc::new(sink)
     }
 }
 
 /// Writes JSON lines to standard output from a thread of its own. The returned guard writes what
 /// is left when it is dropped.
 pub fn set_up_log() -> LogGuard {
-    let lines = Lines::default();
-    let sink = WriteSink::builder().target(lines.clone()).build();
-    let sink = sink.expect("the sink's settings are complete");
-    sink.set_formatter(Box::new(JsonFormatter::new()));
+    let buf = Arc::default();
     let mut logger = Logger::builder();
-    logger.sink(Arc::new(sink)).level_filter(LevelFilter::All);
+    logger.sink(Lines::new(&buf, false).sink()).sink(Lines::new(&buf, true).sink());
+    logger.level_filter(LevelFilter::All);
     let logger = logger.build().expect("the logger's settings are complete");
     spdlog::set_default_logger(Arc::new(logger));
-    let to_write = lines.clone();
+    let to_write = Arc::clone(&buf);
     thread::spawn(move || {
         loop {
             thread::sleep(WRITE_INTERVAL);
             write_out(&to_write);
         }
     });
-    LogGuard { lines }
+    LogGuard { buf }
 }
 
 /// Writes what is left of the log when it is dropped.
 pub struct LogGuard {
-    lines: Lines,
+    buf: Arc<Mutex<Vec<u8>>>,
 }
 
 impl Drop for LogGuard {
     fn drop(&mut self) {
-        write_out(&self.lines);
+        write_out(&self.buf);
     }
 }
 
 /// Only this may wait for the reader of standard output; a failed write costs its lines.
-fn write_out(lines: &Lines) {
-    let buf = lines.take();
-    if !buf.is_empty() && io::stdout().write_all(&buf).is_err() {
+fn write_out(buf: &Mutex<Vec<u8>>) {
+    let lines = std::mem::take(&mut *buf.lock().expect("no panic holds this lock"));
+    if !lines.is_empty() && io::stdout().write_all(&lines).is_err() {
         DROPPED.fetch_add(1, Ordering::Relaxed);
     }
 }
--- a/crates/gateway/src/process/run.rs
+++ b/crates/gateway/src/process/run.rs
@@ -171,7 +171,7 @@
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
-            _ = hang_up.recv() => check_settings(gateway, path),
+            _ = hang_up.recv() => read_settings_again(gateway, path),
             Some(ended) = tasks.join_next() => {
                 let how = ended.map_or_else(|err| err.to_string(), |()| "in order".to_owned());
                 return Err(StartError::TaskEnded(how));
@@ -182,15 +182,23 @@
     Ok(())
 }
 
-/// The settings file changed: what changed needs a restart, and is told.
-fn check_settings(gateway: &Gateway, path: &Path) {
-    match read_settings(path) {
-        Ok(settings) if settings == gateway.settings => info!("settings read again, unchanged"),
-        Ok(_) => warn!("settings changed; they are in force after a restart"),
+/// The settings file may have changed: bounds are in force at once, the rest after a restart.
+fn read_settings_again(gateway: &Gateway, path: &Path) {
+    let settings = match read_settings(path) {
+        Ok(settings) => settings,
         Err(err) => {
             let text = err.to_string();
             error!("changed settings refused", kv: { err = text.as_str() });
+            return;
         }
+    };
+    info!("settings read again");
+    if settings.bounds != gateway.bounds.get() {
+        gateway.set_bounds(settings.bounds);
+    }
+    let needs_restart = Settings { bounds: gateway.settings.bounds, ..settings };
+    if needs_restart != gateway.settings {
+        warn!("settings changed: names and addresses are in force after a restart");
     }
 }
 
@@ -200,7 +208,7 @@
     let in_flight = gateway.in_flight.get();
     info!("gateway leaving", kv: { in_flight });
     gateway.phase.send_replace(Phase::Leaving);
-    let most = gateway.settings.grace.saturating_sub(END_MARGIN);
+    let most = gateway.bounds.get().grace.saturating_sub(END_MARGIN);
     while began.elapsed() < most {
         if began.elapsed() >= LEAVE_QUIETLY {
             gateway.phase.send_replace(Phase::Closing);
--- a/crates/gateway/src/process/watchers.rs
+++ b/crates/gateway/src/process/watchers.rs
@@ -175,7 +175,7 @@
             return WATCH_PAUSE;
         }
         let gateways = self.gateway.beliefs.borrow().gateways(Instant::now());
-        let most = self.gateway.settings.leave_within.mul_f64(WATCH_PAUSE_SHARE);
+        let most = self.gateway.bounds.get().leave_within.mul_f64(WATCH_PAUSE_SHARE);
         let most = most.clamp(WATCH_PAUSE, WATCH_PAUSE_MOST);
         (WATCH_PAUSE_PER_GATEWAY * gateways as u32).clamp(WATCH_PAUSE, most)
     }
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -9,7 +9,7 @@
 use sorrellock_platform::{AnswerHead, AttemptHead, attempt_headers, read_answer_head};
 use sorrellock_routing::process::{EndpointId, PathPart};
 use sorrellock_routing::request::Evidence;
-use spdlog::info;
+use spdlog::warn;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -163,7 +163,7 @@
     let status = answer.status();
     if head.request_id.as_deref().is_some_and(|id| id != call.id()) {
         gateway.counters.add(Count::CrossedAnswers);
-        info!("answer of another request dropped", kv: { request = call.id() });
+        warn!("answer of another request dropped", kv: { request = call.id() });
         let why = "the answer belongs to another request".to_owned();
         return Err(Failed::new(Evidence::MayHaveRun, why));
     }
@@ -195,7 +195,7 @@
     let evidence = format!("{:?}", failed.evidence);
     let at_fault = failed.at_fault.map(|addr| addr.to_string()).unwrap_or_default();
     let ms = call.arrived.elapsed().as_millis() as u64;
-    info!("attempt failed", kv: {
+    warn!("attempt failed", kv: {
         request = call.id(), endpoint, evidence = evidence.as_str(), why = failed.why.as_str(),
         at_fault = at_fault.as_str(), ms
     });
--- a/crates/gateway/src/request/call.rs
+++ b/crates/gateway/src/request/call.rs
@@ -5,7 +5,7 @@
 use http::{HeaderMap, Method, Uri};
 use sorrellock_platform::CallerHead;
 use sorrellock_routing::version::{Route, ServiceName, WorkspaceName};
-use spdlog::info;
+use spdlog::{Level, log};
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
@@ -71,7 +71,9 @@
         let took = self.arrived.elapsed();
         self.gateway.counters.whole_answer.record(took);
         let (request, ms) = (self.request.as_str(), took.as_millis() as u64);
-        info!("request ended", kv: { request, outcome, status, ms, why });
+        // A warning is kept also where the log's buffer is full of routine lines.
+        let level = if count == Count::Answered { Level::Info } else { Level::Warn };
+        log!(level, "request ended", kv: { request, outcome, status, ms, why });
     }
 }
 
--- a/crates/routing/src/process/retry_window.rs
+++ b/crates/routing/src/process/retry_window.rs
@@ -36,6 +36,11 @@
         RetryWindow { bounds, began, requests: VecDeque::new(), again: VecDeque::new() }
     }
 
+    /// Counts by other bounds from here on.
+    pub fn set_bounds(&mut self, bounds: RetryBounds) {
+        self.bounds = bounds;
+    }
+
     /// A request came in.
     pub fn on_request(&mut self, now: Instant) {
         self.forget(now);
