Engines that live without their entry keep their layers

Cause: an entry that was removed while the store was well counted as the end of its engine. Ruled out: engines that died (all answered), late orders (none). Change: a removal without a word marks the entry as missing and asks the endpoint for its health.

--- a/crates/daemon/tests/gateway/knowledge.rs
+++ b/crates/daemon/tests/gateway/knowledge.rs
@@ -108,6 +108,71 @@
     assert!(gateway.lines(&["\"endpoint gone\"", "\"watch\""]).is_empty());
 }
 
+#[test]
+fn an_engine_that_lives_without_its_entry_keeps_its_layers_and_its_work() {
+    let fleet = fleet();
+    let gateway = fleet.gateway("one");
+    let engine = &fleet.engines[0];
+    let layers = engine.layers();
+    let orders = gateway.lines(&["\"order given\""]).len();
+
+    engine.lose_store();
+    gateway.wait_for_line(&["\"endpoint lives without its entry\"", engine.id()]);
+    let answer = send(gateway.callers(), "/match/a", &new_request(), Some(KEY));
+    engine.regain_store();
+    gateway.wait_for_line(&["\"entry of an endpoint is back\"", engine.id()]);
+
+    assert_eq!((answer.status, answer.is_whole), (200, true));
+    assert_eq!(engine.layers(), layers);
+    assert_eq!(gateway.lines(&["\"order given\""]).len(), orders);
+    assert!(gateway.lines(&["\"endpoint gone\"", engine.id()]).is_empty());
+}
+
+#[test]
+fn changes_that_others_told_before_the_store_did_do_not_hide_an_entry() {
+    let fleet = fleet();
+    let first = fleet.gateway("one");
+    let (second, proxy) = second_behind_proxy(&fleet);
+    let engine = &fleet.engines[0];
+    proxy.set_mode(ProxyMode::Silent);
+    engine.lose_store();
+    first.wait_for_line(&["\"endpoint lives without its entry\"", engine.id()]);
+    engine.regain_store();
+    second.wait_for_line(&["\"caught up from a gateway\""]);
+    second.wait_for_line(&["\"store lost\"", "Endpoints"]);
+
+    proxy.set_mode(ProxyMode::Passes);
+
+    // The store tells of the entry's end and of its return, which the second one has heard of.
+    second.wait_for_line(&["\"store regained\"", "Endpoints"]);
+    second.wait_for_line(&["\"entry of an endpoint is back\"", engine.id()]);
+    assert!(second.lines(&["\"endpoint gone\"", engine.id()]).is_empty());
+}
+
+#[test]
+fn an_engine_that_stays_away_from_the_list_is_gone_in_the_end() {
+    let fleet = fleet();
+    let gateway = fleet.gateway("one");
+    let engine = &fleet.engines[0];
+
+    engine.lose_store();
+
+    gateway.wait_for_line(&["\"endpoint lives without its entry\"", engine.id()]);
+    gateway.wait_for_line(&["\"endpoint gone\"", engine.id()]);
+}
+
+#[test]
+fn an_engine_that_leaves_unsaid_is_gone_as_soon_as_it_tells() {
+    let fleet = fleet();
+    let gateway = fleet.gateway("one");
+    let engine = &fleet.engines[0];
+
+    engine.leave_unsaid();
+
+    gateway.wait_for_line(&["\"endpoint gone\"", engine.id(), "its health"]);
+    assert!(gateway.lines(&["\"endpoint lives without its entry\""]).is_empty());
+}
+
 #[test]
 fn what_one_gateway_misses_another_hears_of_with_its_age() {
     let fleet = fleet();
--- a/crates/gateway/src/process/gateway.rs
+++ b/crates/gateway/src/process/gateway.rs
@@ -156,6 +156,7 @@
             EndpointNews::Nothing => return,
             EndpointNews::Joined => "endpoint joined",
             EndpointNews::Leaving => "endpoint leaving",
+            EndpointNews::Back => "entry of an endpoint is back",
             EndpointNews::Changed => "endpoint changed",
         };
         let (from, to) = (layers.from, layers.to);
@@ -190,6 +191,9 @@
         }
         let listed = handover.listed.into_iter().collect();
         for known in handover.endpoints {
+            if self.knowledge.borrow().is_missing_at(&known.endpoint.id, known.revision) {
+                continue;
+            }
             self.apply_endpoint(known.endpoint, known.revision, from);
         }
         let now = Instant::now();
@@ -201,9 +205,9 @@
                 });
             }
         }
-        let gone = self.knowledge.borrow_mut().apply_list(&listed, false, now);
+        let gone = self.knowledge.borrow().unlisted(&listed);
         for id in gone {
-            self.endpoint_gone(&id, from);
+            self.remove_endpoint(&id, from);
         }
         self.knowledge.borrow_mut().advance(handover.endpoints_at);
         self.refresh_paths();
--- a/crates/gateway/src/process/knowledge.rs
+++ b/crates/gateway/src/process/knowledge.rs
@@ -51,6 +51,8 @@
     Joined,
     /// Its entry says that it leaves.
     Leaving,
+    /// Its entry was missing, and is there again.
+    Back,
     /// Its entry changed otherwise.
     Changed,
     /// Nothing that is newer.
@@ -147,6 +149,9 @@
         let news = match before {
             None if endpoint.is_leaving => EndpointNews::Leaving,
             None => EndpointNews::Joined,
+            Some(known) if known.missing_since.is_some() && !endpoint.is_leaving => {
+                EndpointNews::Back
+            }
             Some(known) if known.endpoint == endpoint => EndpointNews::Nothing,
             Some(known) if !known.endpoint.is_leaving && endpoint.is_leaving => {
                 EndpointNews::Leaving
@@ -166,7 +171,7 @@
         self.endpoints.remove(id).is_some()
     }
 
-    /// An entry is gone that may only have lapsed: it stays for a while, if it wasn't leaving.
+    /// An entry is gone that may have lapsed: its endpoint stays for a while, if it wasn't leaving.
     pub(crate) fn mark_missing(&mut self, id: &str, now: Instant) -> bool {
         match self.endpoints.get_mut(id) {
             Some(known) if !known.endpoint.is_leaving => {
@@ -182,27 +187,28 @@
         self.endpoints_at = self.endpoints_at.max(at);
     }
 
-    /// Takes a list of all entries. What is missing stays for a while after an outage, as its
-    /// entry may only have lapsed; else it is gone. Tells who is gone.
-    pub(crate) fn apply_list(
-        &mut self,
-        listed: &HashSet<EndpointId>,
-        after_outage: bool,
-        now: Instant,
-    ) -> Vec<EndpointId> {
-        let missing = self.endpoints.keys().filter(|id| !listed.contains(*id));
-        let missing: Vec<EndpointId> = missing.cloned().collect();
-        if after_outage {
-            for id in &missing {
-                let known = self.endpoints.get_mut(id).expect("it is one of the keys");
-                known.missing_since.get_or_insert(now);
-            }
-            return Vec::new();
-        }
-        for id in &missing {
-            self.remove_endpoint(id);
+    /// The endpoints that a list of all entries doesn't hold.
+    pub(crate) fn unlisted(&self, listed: &HashSet<EndpointId>) -> Vec<EndpointId> {
+        self.endpoints.keys().filter(|id| !listed.contains(*id)).cloned().collect()
+    }
+
+    /// Takes a list of all entries after an outage. What is missing stays for a while, as its
+    /// entry may only have lapsed.
+    pub(crate) fn mark_unlisted(&mut self, listed: &HashSet<EndpointId>, now: Instant) {
+        for (_, known) in self.endpoints.iter_mut().filter(|(id, _)| !listed.contains(*id)) {
+            known.missing_since.get_or_insert(now);
         }
-        missing
+    }
+
+    /// Whether an endpoint's entry is missing, and may come back.
+    pub(crate) fn is_missing(&self, id: &str) -> bool {
+        self.endpoints.get(id).is_some_and(|known| known.missing_since.is_some())
+    }
+
+    /// Whether the entry of `revision`, or a newer one, is known to be missing: another gateway that
+    /// still has it has not read that far.
+    pub(crate) fn is_missing_at(&self, id: &str, revision: Revision) -> bool {
+        self.is_missing(id) && self.endpoints[id].revision >= revision
     }
 
     /// Gives up entries that have been missing for too long. Tells which.
--- a/crates/gateway/src/process/path_check.rs
+++ b/crates/gateway/src/process/path_check.rs
@@ -108,6 +108,39 @@
     }
 }
 
+/// An endpoint's entry is gone without a word: it stays for a while if it tells that it lives, as one
+/// that doesn't reach the store does.
+pub(crate) fn check_unlisted(gateway: &Rc<Gateway>, id: &str) {
+    let found = {
+        let knowledge = gateway.knowledge.borrow();
+        let service = |name: &str| knowledge.routes()?.service(name);
+        let endpoint = knowledge.endpoint(id);
+        endpoint.and_then(|endpoint| {
+            Some((endpoint.addr, service(&endpoint.service)?.health_path.clone()))
+        })
+    };
+    let Some((addr, path)) = found else {
+        gateway.remove_endpoint(id, "watch");
+        return;
+    };
+    let (gateway, id) = (Rc::clone(gateway), id.to_owned());
+    tokio::task::spawn_local(async move {
+        gateway.counters.add(Count::Reports);
+        let why = match read_health(&gateway.probe(addr), &path, HEALTH_LIMIT).await {
+            Ok(true) => {
+                info!("endpoint lives without its entry", kv: { endpoint = id.as_str() });
+                return;
+            }
+            Ok(false) => "its health".to_owned(),
+            Err(err) => err.to_string(),
+        };
+        if gateway.knowledge.borrow().is_missing(&id) {
+            gateway.remove_endpoint(&id, &why);
+            gateway.refresh_paths();
+        }
+    });
+}
+
 async fn check_health(gateway: Rc<Gateway>, id: EndpointId, addr: SocketAddr, path: String) {
     gateway.counters.add(Count::Reports);
     match read_health(&gateway.probe(addr), &path, HEALTH_LIMIT).await {
--- a/crates/gateway/src/process/watchers.rs
+++ b/crates/gateway/src/process/watchers.rs
@@ -1,8 +1,10 @@
 //! Follows the configuration and the endpoints in the platform's store.
 
-use crate::process::{Count, Gateway};
+use crate::process::{Count, Gateway, check_unlisted};
 use sorrellock_platform::{Change, Kind, Listing, Revision, Store, StoreError, StoredObject};
+use sorrellock_routing::process::EndpointId;
 use spdlog::{error, info, warn};
+use std::collections::HashSet;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
@@ -189,16 +191,23 @@
             self.on_object(object, "list");
         }
         if self.kind == Kind::Endpoints {
-            let now = Instant::now();
-            let gone = self.gateway.knowledge.borrow_mut().apply_list(&listed, after_outage, now);
-            for id in gone {
-                self.gateway.endpoint_gone(&id, "list");
-            }
+            self.on_unlisted(&listed, after_outage);
         }
         self.on_endpoints_known(listing.at);
         Ok(())
     }
 
+    fn on_unlisted(&self, listed: &HashSet<EndpointId>, after_outage: bool) {
+        if after_outage {
+            self.gateway.knowledge.borrow_mut().mark_unlisted(listed, Instant::now());
+            return;
+        }
+        let missing = self.gateway.knowledge.borrow().unlisted(listed);
+        for id in missing {
+            self.on_removed(&id, false);
+        }
+    }
+
     fn on_endpoints_known(&self, at: Revision) {
         if self.kind == Kind::Endpoints {
             self.gateway.knowledge.borrow_mut().advance(at);
@@ -242,13 +251,20 @@
         changes.iter().filter(is_unsaid).count() >= share.max(LEAST_LAPSES)
     }
 
+    /// An entry is gone: of an endpoint that left, with a word or without, that died, or that only
+    /// doesn't reach the store. Whether it lives, its health tells.
     fn on_removed(&self, name: &str, may_have_lapsed: bool) {
-        let now = Instant::now();
-        if may_have_lapsed && self.gateway.knowledge.borrow_mut().mark_missing(name, now) {
+        let gateway = &self.gateway;
+        let is_dead = gateway.is_dead(name) && !may_have_lapsed;
+        if is_dead || !gateway.knowledge.borrow_mut().mark_missing(name, Instant::now()) {
+            gateway.remove_endpoint(name, "watch");
+            return;
+        }
+        if may_have_lapsed {
             info!("entry of an endpoint missing after an outage", kv: { endpoint = name });
             return;
         }
-        self.gateway.remove_endpoint(name, "watch");
+        check_unlisted(gateway, name);
     }
 
     fn on_answer(&mut self) {
