--- a/crates/daemon/tests/gateway/fleet.rs
+++ b/crates/daemon/tests/gateway/fleet.rs
@@ -1,8 +1,8 @@
 //! A small fleet: a store, four engines in two data centres, a plain service.
 
 use crate::gateway_process::{GatewayProcess, wait_for};
-use serde_json::{Value, json};
 use sorrellock_stand_ins::{EngineConfig, FakeEngine, FakeService, FakeStore, new_ip};
+pub use sorrellock_stand_ins::{HOST, KEY, LAYERS, configuration as config};
 use std::io::Read;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -10,10 +10,6 @@
 
 /// Events of each stream.
 pub const EVENTS: u64 = 40;
-/// Layers of the model.
-pub const LAYERS: u64 = 8;
-pub const HOST: &str = "fleet.example";
-pub const KEY: &str = "key-of-treasury";
 
 /// The stand-ins.
 pub struct Fleet {
@@ -23,37 +19,6 @@
     pub service: FakeService,
 }
 
-/// Each engine holds five of eight layers at most: two make a data centre whole.
-pub fn config(version: u64, keys: &[&str]) -> Value {
-    let route = |name: &str, prefix: &str, kind: &str, service: &str, attempts: u32| {
-        json!({
-            "name": name, "host": HOST, "path_prefix": prefix, "kind": kind,
-            "timeout_ms": 20_000, "target_latency_ms": 500, "priority": 1, "service": service,
-            "max_attempts": attempts, "public": false, "stream_resume": kind == "streaming",
-        })
-    };
-    json!({
-        "version": version,
-        "routes": [
-            route("match", "/match/", "streaming", "lexis", 2),
-            route("status", "/status/", "non_idempotent", "ledger", 1),
-            route("ack", "/ack/", "idempotent", "ledger", 2),
-        ],
-        "services": [
-            {"name": "ledger", "health_path": "/health", "max_conns": 50},
-            {"name": "lexis", "health_path": "/health", "max_conns": 500, "engine": {
-                "slots": 192, "kv_token_bytes": 1000.0, "models": [{"load_s": 0.1}],
-                "step_ms": 0.1, "loads_at_once": 6, "usual": {"prompt": 10, "answer": 40},
-                "layers": LAYERS, "layer_mb": 100.0,
-                "kinds": [{"name": "card", "size_mb": 560.0, "pace": 1.0, "read_factor": 1.0}],
-            }},
-        ],
-        "limits": {"max_header_bytes": 16384, "max_body_bytes": 65536,
-            "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-        "tenants": [{"name": "treasury", "api_keys": keys, "priority": 1}],
-    })
-}
-
 /// Starts the stand-ins.
 pub fn fleet() -> Fleet {
     let store = FakeStore::start(new_ip()).expect("the store");
--- a/crates/daemon/tests/gateway/gateway_process.rs
+++ b/crates/daemon/tests/gateway/gateway_process.rs
@@ -2,6 +2,8 @@
 
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
+pub use sorrellock_stand_ins::settings;
+use sorrellock_stand_ins::{CALLERS_PORT, METRICS_PORT, READINESS_PORT};
 use std::fs;
 use std::io::{BufRead, BufReader};
 use std::net::{IpAddr, SocketAddr};
@@ -11,10 +13,6 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-/// Ports of a gateway, each on an address of its own.
-const CALLERS_PORT: u16 = 8_227;
-const READINESS_PORT: u16 = 8_220;
-const PEER_PORT: u16 = 7_340;
 /// How long a test waits for what must come: far above what it takes.
 pub const PATIENCE: Duration = Duration::from_secs(60);
 
@@ -26,31 +24,6 @@
     lines: Arc<Mutex<Vec<String>>>,
 }
 
-/// The settings file of a gateway.
-pub fn settings(instance: &str, data_centre: &str, ip: IpAddr, store: SocketAddr) -> String {
-    format!(
-        r#"
-node_name = "{instance}"
-role = "gateway"
-ip = "{ip}"
-zone = "{data_centre}"
-internal_ports = [{PEER_PORT},{}]
-[listen]
-front = "{ip}:{CALLERS_PORT}"
-ready = "{ip}:{READINESS_PORT}"
-[bounds]
-retry_budget_ratio = 0.2
-budget_window_s = 1
-budget_slack = 200
-grace_s = 8
-drain_ms = 2000
-[platform]
-address = "{store}"
-"#,
-        PEER_PORT + 9
-    )
-}
-
 /// Writes a settings file.
 pub fn write_settings(name: &str, text: &str) -> PathBuf {
     let file = format!("sorrellock-gateway-{}-{name}.toml", std::process::id());
@@ -135,7 +108,7 @@
 
     /// Where its metrics are read.
     pub fn metrics(&self) -> SocketAddr {
-        SocketAddr::new(self.ip, 9_464)
+        SocketAddr::new(self.ip, METRICS_PORT)
     }
 
     /// Whether it says that it is ready.
