One body of an answer for both listeners

The gateway's copy of the http crate's body is gone; the latter takes parts that tell a cut from an end, too.

--- a/crates/gateway/src/connection/caller_connection.rs
+++ b/crates/gateway/src/connection/caller_connection.rs
@@ -1,12 +1,12 @@
 //! Connections of callers: takes them in, serves their requests, and closes those that are idle.
 
 use crate::process::{ACCEPT_ERROR_PAUSE, Count, Gateway, Phase};
-use crate::request::{AnswerBody, Cut, answer};
+use crate::request::answer;
 use http::{HeaderValue, Request, Response, header};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use sorrellock_http::{Activity, Doing, WatchedIo};
+use sorrellock_http::{Activity, AnswerBody, Cut, Doing, WatchedIo};
 use sorrellock_routing::version::CallerLimits;
 use spdlog::warn;
 use std::pin::pin;
--- a/crates/gateway/src/request/answer.rs
+++ b/crates/gateway/src/request/answer.rs
@@ -3,13 +3,14 @@
 use crate::process::{Count, Gateway};
 use crate::request::plain::serve_plain;
 use crate::request::stream::serve_stream;
-use crate::request::{AnswerBody, Call, Cut, EndGuard};
+use crate::request::{Call, EndGuard};
 use bytes::Bytes;
 use http::response::Parts;
 use http::{HeaderValue, Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use rand::RngExt;
+use sorrellock_http::{AnswerBody, Cut};
 use sorrellock_platform::{CallerHead, answer_headers, read_caller_head, retry_after};
 use sorrellock_routing::request::GivenUp;
 use sorrellock_routing::version::{NotAllowed, Route, RouteTable, ServiceName};
--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -1,7 +1,6 @@
 //! What lives as long as one request.
 
 mod answer;
-mod answer_body;
 mod attempt;
 mod call;
 mod plain;
@@ -10,6 +9,5 @@
 mod stream;
 
 pub(crate) use answer::*;
-pub(crate) use answer_body::*;
 pub(crate) use attempt::*;
 pub(crate) use call::*;
--- a/crates/gateway/src/request/plain.rs
+++ b/crates/gateway/src/request/plain.rs
@@ -1,13 +1,12 @@
 //! Requests to plain services: one endpoint runs them whole.
 
 use crate::process::{Count, Gateway, check_refuser};
-use crate::request::{
-    AnswerBody, Begun, Call, Cut, Failed, Target, attempt, give_up, log_failed, pass_on,
-};
+use crate::request::{Begun, Call, Failed, Target, attempt, give_up, log_failed, pass_on};
 use bytes::Bytes;
 use http::Response;
 use http_body_util::{BodyExt, Limited};
 use sorrellock_core::process::retries::{AttemptEnd, Permit};
+use sorrellock_http::{AnswerBody, Cut};
 use sorrellock_platform::read_answer_head;
 use sorrellock_routing::process::{Endpoint, EndpointId};
 use sorrellock_routing::request::{Attempts, Evidence};
--- a/crates/gateway/src/request/relay.rs
+++ b/crates/gateway/src/request/relay.rs
@@ -1,11 +1,12 @@
 //! Passes a stream's events on, and goes on over another path when its own breaks or stalls.
 
 use crate::process::{Count, Gateway, LivePath, check_path};
+use crate::request::Call;
 use crate::request::repath::{Repath, RepathEnd};
 use crate::request::stream::{NotBegun, Run, begin, broken, expected_tokens};
-use crate::request::{Call, Part};
 use bytes::Bytes;
 use http_body_util::BodyExt;
+use sorrellock_http::Part;
 use sorrellock_platform::OrderEnd;
 use sorrellock_routing::request::{Attempts, EventError, EventParser, Evidence};
 use spdlog::{info, warn};
--- a/crates/gateway/src/request/stream.rs
+++ b/crates/gateway/src/request/stream.rs
@@ -4,11 +4,10 @@
     Count, Gateway, LivePath, NoPlace, PathPlace, check_path, check_refuser, take_place,
 };
 use crate::request::relay::Relay;
-use crate::request::{
-    AnswerBody, Begun, Call, Cut, Failed, Target, attempt, give_up, log_failed, pass_on,
-};
+use crate::request::{Begun, Call, Failed, Target, attempt, give_up, log_failed, pass_on};
 use http::{Response, StatusCode};
 use http_body_util::{BodyExt, Limited};
+use sorrellock_http::{AnswerBody, Cut};
 use sorrellock_platform::answer_headers;
 use sorrellock_routing::request::{Attempts, Evidence, GivenUp};
 use spdlog::info;
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -17,4 +17,4 @@
     DEFAULT_IDLE_TIMEOUT, DEFAULT_MAX_BODY_BYTES, DEFAULT_MAX_CONNECTIONS,
     DEFAULT_MAX_HEADER_BYTES, DEFAULT_QUEUE, DEFAULT_WORKERS,
 };
-pub use request::{BodyStream, PushError, Request, Responder};
+pub use request::{AnswerBody, BodyStream, Cut, Part, PushError, Request, Responder};
--- a/crates/http/src/request/answer.rs
+++ b/crates/http/src/request/answer.rs
@@ -8,13 +8,13 @@
 /// An answer for hyper to write.
 pub(crate) type Answer = Response<AnswerBody>;
 
-/// The connection is to be broken without an answer.
+/// The connection is to be broken, so that the answer doesn't look whole.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) struct Cut;
+pub struct Cut;
 
 impl fmt::Display for Cut {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str("the handler cut the connection")
+        f.write_str("the answer can't be completed")
     }
 }
 
--- a/crates/http/src/request/answer_body.rs
+++ b/crates/http/src/request/answer_body.rs
@@ -1,4 +1,4 @@
-//! The body of an answer: whole, or a stream of chunks.
+//! The body of an answer: whole, or a stream that tells a cut from an end.
 
 use crate::connection::Activity;
 use crate::request::{Cut, GoneGuard};
@@ -9,9 +9,18 @@
 use std::task::{Context, Poll};
 use tokio::sync::mpsc;
 
+/// A part of a streamed answer.
+#[derive(Debug)]
+pub enum Part {
+    /// Bytes to pass on.
+    Data(Bytes),
+    /// The answer is whole.
+    End,
+}
+
 /// The body of an answer. It carries the guards that end with the answer.
 #[derive(Debug)]
-pub(crate) struct AnswerBody {
+pub struct AnswerBody {
     source: Source,
     gone: Option<GoneGuard>,
     activity: Option<Arc<Activity>>,
@@ -20,25 +29,40 @@
 #[derive(Debug)]
 enum Source {
     Whole(Bytes),
+    /// Dropped without [`Part::End`], the answer is cut.
+    Parts(mpsc::Receiver<Part>),
+    /// Dropped without a last chunk, the answer is cut.
     Chunks {
         rx: mpsc::Receiver<Bytes>,
         last: Arc<OnceLock<Bytes>>,
     },
-    /// The handler cut the stream; what it pushed before is still to be flushed.
+    /// The answer is cut; what was handed over before is still to be flushed.
     Cut,
     Ended,
 }
 
 impl AnswerBody {
-    pub(crate) fn whole(bytes: Bytes) -> AnswerBody {
+    /// A whole body.
+    pub fn whole(bytes: Bytes) -> AnswerBody {
         let source = if bytes.is_empty() { Source::Ended } else { Source::Whole(bytes) };
         AnswerBody { source, gone: None, activity: None }
     }
 
+    /// A body that comes in parts.
+    pub fn parts(parts: mpsc::Receiver<Part>) -> AnswerBody {
+        AnswerBody { source: Source::Parts(parts), gone: None, activity: None }
+    }
+
     pub(crate) fn chunks(rx: mpsc::Receiver<Bytes>, last: Arc<OnceLock<Bytes>>) -> AnswerBody {
         AnswerBody { source: Source::Chunks { rx, last }, gone: None, activity: None }
     }
 
+    /// Tells `activity` of the answer's end.
+    pub fn with_activity(mut self, activity: Arc<Activity>) -> AnswerBody {
+        self.activity = Some(activity);
+        self
+    }
+
     /// Gives the body what is to end with it. `has_body` is false where HTTP sends none.
     pub(crate) fn guarded(
         mut self,
@@ -46,7 +70,7 @@
         activity: Arc<Activity>,
         has_body: bool,
     ) -> AnswerBody {
-        let whole = !matches!(self.source, Source::Chunks { .. });
+        let whole = !matches!(self.source, Source::Chunks { .. } | Source::Parts(_));
         if matches!(self.source, Source::Ended) || (whole && !has_body) {
             gone.complete();
         }
@@ -55,6 +79,13 @@
         self
     }
 
+    /// hyper flushes while the body is pending, and drops its buffer on an error.
+    fn begin_cut<T>(&mut self, cx: &Context<'_>) -> Poll<T> {
+        self.source = Source::Cut;
+        cx.waker().wake_by_ref();
+        Poll::Pending
+    }
+
     fn complete(&mut self) {
         self.source = Source::Ended;
         if let Some(gone) = &mut self.gone {
@@ -78,6 +109,15 @@
                 self.complete();
                 Some(Ok(Frame::data(bytes)))
             }
+            Source::Parts(parts) => match parts.poll_recv(cx) {
+                Poll::Pending => return Poll::Pending,
+                Poll::Ready(Some(Part::Data(bytes))) => Some(Ok(Frame::data(bytes))),
+                Poll::Ready(Some(Part::End)) => {
+                    self.complete();
+                    None
+                }
+                Poll::Ready(None) => return self.begin_cut(cx),
+            },
             Source::Chunks { rx, last } => match rx.poll_recv(cx) {
                 Poll::Pending => return Poll::Pending,
                 Poll::Ready(Some(chunk)) => Some(Ok(Frame::data(chunk))),
@@ -86,12 +126,7 @@
                         self.complete();
                         (!chunk.is_empty()).then_some(Ok(Frame::data(chunk)))
                     }
-                    None => {
-                        // hyper flushes while the body is pending, and drops its buffer on an error.
-                        self.source = Source::Cut;
-                        cx.waker().wake_by_ref();
-                        return Poll::Pending;
-                    }
+                    None => return self.begin_cut(cx),
                 },
             },
             Source::Cut => {
@@ -110,7 +145,7 @@
         match &self.source {
             Source::Ended => SizeHint::with_exact(0),
             Source::Whole(bytes) => SizeHint::with_exact(bytes.len() as u64),
-            Source::Chunks { .. } | Source::Cut => SizeHint::default(),
+            Source::Parts(_) | Source::Chunks { .. } | Source::Cut => SizeHint::default(),
         }
     }
 }
--- a/crates/http/src/request/mod.rs
+++ b/crates/http/src/request/mod.rs
@@ -9,8 +9,8 @@
 mod request;
 mod responder;
 
-pub(crate) use answer::*;
-pub(crate) use answer_body::*;
+pub use answer::*;
+pub use answer_body::*;
 pub use body_stream::*;
 pub(crate) use gone::*;
 pub(crate) use intake::*;
