--- a/crates/core/tests/ledger/main.rs
+++ b/crates/core/tests/ledger/main.rs
@@ -1,6 +1,7 @@
 //! The run-once ledger against oracles: a naive one, and a count of runs under faults.
 
 mod besides;
+mod claims;
 mod dice;
 mod differential;
 mod entries;
