An engine doesn't live on in the answers of its successor

An engine died at 25.5 s, was started again at its address with another id, and its old entry lapsed at 29.5 s; its health was asked for there, and the answer of the new engine kept the old one planned for 3.5 s more, and on paths for 1.8 s. Ruled out: a wrong death (the lead's question was refused before). Change: the answer's instance is compared; another one means that the endpoint has ended. The test fails without it (the line doesn't come in 60 s) and passes with it.

--- a/crates/daemon/tests/gateway/knowledge.rs
+++ b/crates/daemon/tests/gateway/knowledge.rs
@@ -161,6 +161,19 @@
     gateway.wait_for_line(&["\"endpoint gone\"", engine.id()]);
 }
 
+#[test]
+fn an_engine_whose_address_another_one_has_does_not_live_without_its_entry() {
+    let fleet = fleet();
+    let gateway = fleet.gateway("one");
+    let engine = &fleet.engines[0];
+
+    engine.restart_as("engine-0-again");
+    engine.lose_store();
+
+    gateway.wait_for_line(&["\"endpoint gone\"", engine.id(), "another instance"]);
+    assert!(gateway.lines(&["\"endpoint lives without its entry\""]).is_empty());
+}
+
 #[test]
 fn an_engine_that_leaves_unsaid_is_gone_as_soon_as_it_tells() {
     let fleet = fleet();
--- a/crates/gateway/src/process/path_check.rs
+++ b/crates/gateway/src/process/path_check.rs
@@ -1,7 +1,7 @@
 //! Finds which engines of a quiet path are dead, by asking each.
 
 use crate::process::{Count, Gateway, LivePath};
-use sorrellock_platform::{CallError, Client, read_health, read_report};
+use sorrellock_platform::{CallError, Client, Health, read_health, read_report};
 use sorrellock_routing::process::EndpointId;
 use spdlog::info;
 use std::net::SocketAddr;
@@ -126,12 +126,13 @@
     let (gateway, id) = (Rc::clone(gateway), id.to_owned());
     tokio::task::spawn_local(async move {
         gateway.counters.add(Count::Reports);
-        let why = match read_health(&gateway.probe(addr), &path, HEALTH_LIMIT).await {
-            Ok(true) => {
+        let why = match read_health(&gateway.probe(addr), &path, &id, HEALTH_LIMIT).await {
+            Ok(Health::Well) => {
                 info!("endpoint lives without its entry", kv: { endpoint = id.as_str() });
                 return;
             }
-            Ok(false) => "its health".to_owned(),
+            Ok(Health::Leaving) => "its health".to_owned(),
+            Ok(Health::Replaced) => "another instance has its address".to_owned(),
             Err(err) => err.to_string(),
         };
         if gateway.knowledge.borrow().is_missing(&id) {
@@ -143,9 +144,10 @@
 
 async fn check_health(gateway: Rc<Gateway>, id: EndpointId, addr: SocketAddr, path: String) {
     gateway.counters.add(Count::Reports);
-    match read_health(&gateway.probe(addr), &path, HEALTH_LIMIT).await {
-        Ok(true) => {}
-        Ok(false) => gateway.believe_leaving(&id),
+    match read_health(&gateway.probe(addr), &path, &id, HEALTH_LIMIT).await {
+        Ok(Health::Well) => {}
+        Ok(Health::Leaving) => gateway.believe_leaving(&id),
+        Ok(Health::Replaced) => gateway.suspect(&id, "another instance has its address"),
         Err(err) => gateway.suspect(&id, &err.to_string()),
     }
 }
