One question for an endpoint's health; fixtures of tests used once

No change of behaviour. Refusers and endpoints without an entry looked up the health path and read its answer each in their own words: one look-up (Knowledge::health_path) and one question (ask_health) serve both. Tests read the rest of a stream and the engines of a path by one function each, with the same assertions. Comments on missing entries said that only an outage makes them.

--- a/crates/bench/benches/chains.rs
+++ b/crates/bench/benches/chains.rs
@@ -4,6 +4,10 @@
 //! The model: engines of four kinds as they are in use, on two sizes of a data centre. Streams are
 //! spread evenly over the paths; the engine with the least room bounds them all.
 
+// The model and the engines are those of the tests of the decisions.
+#[path = "../../routing/tests/common/mod.rs"]
+mod common;
+
 use sorrellock_bench::figure;
 use sorrellock_routing::process::placement::{
     DataCentrePlan, PlannedEngine, Weights, divide, plan_data_centre,
@@ -11,7 +15,6 @@
 use sorrellock_routing::process::{Holder, LayerRange, PipelinePath, paths_by_head};
 use sorrellock_routing::version::{Card, ModelShape};
 use std::collections::HashMap;
-use std::time::Duration;
 
 /// Kinds of engines: name, memory in MB, factors of a step and of prefill.
 const KINDS: [(&str, f64, f64, f64); 4] = [
@@ -41,7 +44,7 @@
 
 fn measure(site: &Site) {
     let shape = shape(site.kv_token_bytes);
-    let engines = engines(site);
+    let engines = engines(&shape, site);
     let plan = plan_data_centre(&shape, &engines, false).expect("the memory is enough");
     let copies = plan.chains.values().max().map_or(0, |last| last + 1);
     let print = |what: &str, value: f64, unit: &str| {
@@ -128,19 +131,9 @@
     engines.iter().filter_map(holder).collect()
 }
 
-fn engines(site: &Site) -> Vec<PlannedEngine> {
-    let each = |((name, memory_mb, step_factor, _), count): (&(&str, f64, f64, f64), &usize)| {
-        let engine = |index: usize| PlannedEngine {
-            id: format!("{name}-{index}"),
-            memory_mb: *memory_mb,
-            step_factor: *step_factor,
-            held: LayerRange::default(),
-            is_pinned: false,
-            chain: None,
-        };
-        (0..*count).map(engine).collect::<Vec<_>>()
-    };
-    KINDS.iter().zip(&site.counts).flat_map(each).collect()
+fn engines(shape: &ModelShape, site: &Site) -> Vec<PlannedEngine> {
+    let counts = KINDS.iter().zip(site.counts).map(|((name, ..), count)| (*name, count));
+    common::empty_engines(shape, &counts.collect::<Vec<_>>())
 }
 
 fn shape(kv_token_bytes: f64) -> ModelShape {
@@ -150,18 +143,5 @@
         step_factor: *step_factor,
         prefill_factor: *prefill_factor,
     };
-    ModelShape {
-        layers: 80,
-        layer_mb: 1_750.0,
-        kv_token_bytes,
-        usual_prompt: 772.0,
-        usual_answer: 174.0,
-        step_ms: 0.85,
-        step_ms_per_request: 0.004,
-        step_ms_per_context_k: 0.005,
-        load_time: Duration::from_secs(14),
-        loads_at_once: 6,
-        slots: 192,
-        cards: KINDS.iter().map(card).collect(),
-    }
+    ModelShape { kv_token_bytes, cards: KINDS.iter().map(card).collect(), ..common::shape(80) }
 }
--- a/crates/bench/benches/control/main.rs
+++ b/crates/bench/benches/control/main.rs
@@ -1,7 +1,7 @@
 //! What control costs: real daemons in growing fleets, and the pure core alone at the target size.
 //!
-//! The bench is its own daemon: started with `beside …` it behaves as `sorrellockd beside …`, so that
-//! the daemons are real processes without a second build.
+//! This program is its own daemon: started with `beside …` it behaves as `sorrellockd beside …`, so
+//! that the daemons are real processes without a second build.
 
 mod core_fleet;
 mod daemons;
--- a/crates/daemon/tests/gateway/fleet.rs
+++ b/crates/daemon/tests/gateway/fleet.rs
@@ -147,6 +147,13 @@
     (head, Box::new(answer.into_body().into_reader()))
 }
 
+/// Reads what is left of a stream, to its end.
+pub fn read_rest(body: &mut impl Read) -> String {
+    let mut rest = String::new();
+    body.read_to_string(&mut rest).expect("the stream, to its end");
+    rest
+}
+
 /// What a whole stream holds.
 pub fn whole_stream() -> String {
     (1..=EVENTS).map(|id| format!("id: {id}\ndata: token-{id}\n\n")).collect()
--- a/crates/daemon/tests/gateway/life.rs
+++ b/crates/daemon/tests/gateway/life.rs
@@ -1,10 +1,9 @@
 //! Start, signals, logs, metrics and bad settings.
 
-use crate::fleet::{Fleet, KEY, begin, fleet, new_request, send, whole_stream};
+use crate::fleet::{Fleet, KEY, begin, fleet, new_request, read_rest, send, whole_stream};
 use crate::gateway_process::{GatewayProcess, command, settings, wait_for, write_settings};
 use nix::sys::signal::Signal;
 use sorrellock_stand_ins::new_ip;
-use std::io::Read;
 
 #[test]
 fn sigterm_lets_a_stream_finish_and_ends_in_order() {
@@ -15,8 +14,7 @@
 
     gateway.signal(Signal::SIGTERM);
     wait_for("readiness to fail", || !gateway.is_ready());
-    let mut all = String::new();
-    body.read_to_string(&mut all).expect("the stream, to its end");
+    let all = read_rest(&mut body);
 
     assert_eq!(all, whole_stream());
     assert_eq!(gateway.wait(), Some(0));
--- a/crates/daemon/tests/gateway/streams.rs
+++ b/crates/daemon/tests/gateway/streams.rs
@@ -2,7 +2,7 @@
 
 use crate::fleet::{
     Answer, HOST, KEY, LAYERS, begin, fleet, fleet_of_two_chains, fleet_of_two_first_engines,
-    new_request, send, whole_stream,
+    new_request, read_rest, send, whole_stream,
 };
 use crate::gateway_process::{GatewayProcess, wait_for};
 use sorrellock_stand_ins::{EngineMode, FakeEngine};
@@ -62,8 +62,7 @@
     body.read_exact(&mut first).expect("the first events");
 
     fleet.runner(&request).expect("an engine runs it").crash();
-    let mut rest = String::new();
-    body.read_to_string(&mut rest).expect("the rest, to its end");
+    let rest = read_rest(&mut body);
 
     let all = String::from_utf8(first).expect("text") + &rest;
     assert_eq!(all, whole_stream());
@@ -81,8 +80,7 @@
 
     let runner = fleet.runner(&request).expect("an engine runs it");
     runner.set_stalled(true);
-    let mut rest = String::new();
-    body.read_to_string(&mut rest).expect("the rest, to its end");
+    let rest = read_rest(&mut body);
 
     assert_eq!(String::from_utf8(first).expect("text") + &rest, whole_stream());
     assert_eq!(fleet.runs(&request), 2);
@@ -101,8 +99,7 @@
     let other = (0..4).find(|other| *other != at && is_north(*other) == is_north(at));
 
     fleet.engines[other.expect("two in a data centre")].leave();
-    let mut all = String::new();
-    body.read_to_string(&mut all).expect("the stream, to its end");
+    let all = read_rest(&mut body);
 
     assert_eq!(all, whole_stream());
     assert_eq!(fleet.runs(&request), 1, "no second run was needed");
@@ -126,8 +123,7 @@
     fleet.engines.iter().find(is_second).expect("one of them").crash();
     wait_for("the order to go on", || runner.seen().moved.contains(&request));
     runner.set_stalled(false);
-    let mut all = String::new();
-    body.read_to_string(&mut all).expect("the stream, to its end");
+    let all = read_rest(&mut body);
 
     assert_eq!(all, whole_stream());
     assert_eq!(fleet.runs(&request), 1, "no second run was needed");
--- a/crates/gateway/src/process/knowledge.rs
+++ b/crates/gateway/src/process/knowledge.rs
@@ -9,8 +9,9 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// For how long an endpoint whose entry is missing after an outage of the store still gets work, at
-/// most: entries that lapsed meanwhile are back within two seconds.
+/// For how long an endpoint whose entry is missing, after an outage of the store or as the endpoint
+/// doesn't reach it, still gets work, at most: entries that lapsed in an outage are back within two
+/// seconds.
 const MISSING_GETS_WORK_MOST: Duration = Duration::from_secs(2);
 /// The way of a request goes off the time within which a leaving endpoint may get its last one.
 const LEAVE_MARGIN: Duration = Duration::from_millis(200);
@@ -26,7 +27,7 @@
     pub(crate) endpoint: Endpoint,
     /// Revision of the entry.
     pub(crate) revision: Revision,
-    /// Since when the entry is missing after an outage.
+    /// Since when the entry is missing, and may come back.
     #[serde(skip)]
     pub(crate) missing_since: Option<Instant>,
 }
@@ -39,7 +40,7 @@
     pub(crate) endpoints: Vec<KnownEndpoint>,
     /// All that the list holds.
     pub(crate) listed: Vec<EndpointId>,
-    /// Those of them whose entry is missing after an outage, and for how long.
+    /// Those of them whose entry is missing, and for how long.
     pub(crate) missing: Vec<(EndpointId, Duration)>,
     pub(crate) endpoints_at: Revision,
 }
@@ -120,6 +121,13 @@
         self.endpoints.get(id).map(|known| &known.endpoint)
     }
 
+    /// The path that an endpoint's health is asked for at; nothing without a configuration that has
+    /// its service.
+    pub(crate) fn health_path(&self, endpoint: &Endpoint) -> Option<&str> {
+        let service = self.routes.as_ref()?.service(&endpoint.service)?;
+        Some(&service.health_path)
+    }
+
     /// Puts a configuration in force if it is newer.
     pub(crate) fn apply_configuration(&mut self, cfg: Configuration) -> bool {
         if cfg.version <= self.config_version() {
--- a/crates/gateway/src/process/path_check.rs
+++ b/crates/gateway/src/process/path_check.rs
@@ -99,13 +99,18 @@
         let knowledge = gateway.knowledge.borrow();
         let endpoint = knowledge.endpoints().find(|endpoint| endpoint.addr == addr);
         endpoint.filter(|endpoint| !endpoint.is_leaving).and_then(|endpoint| {
-            let service = knowledge.routes()?.service(&endpoint.service)?;
-            Some((endpoint.id.clone(), service.health_path.clone()))
+            Some((endpoint.id.clone(), knowledge.health_path(endpoint)?.to_owned()))
         })
     };
-    if let Some((id, path)) = found {
-        tokio::task::spawn_local(check_health(Rc::clone(gateway), id, addr, path));
-    }
+    let Some((id, path)) = found else { return };
+    let gateway = Rc::clone(gateway);
+    tokio::task::spawn_local(async move {
+        match ask_health(&gateway, &id, addr, &path).await {
+            Ok(()) => {}
+            Err(Unwell::Leaves) => gateway.believe_leaving(&id),
+            Err(Unwell::Ended(why)) => gateway.suspect(&id, &why),
+        }
+    });
 }
 
 /// An endpoint's entry is gone without a word: it stays for a while if it tells that it lives, as one
@@ -113,11 +118,9 @@
 pub(crate) fn check_unlisted(gateway: &Rc<Gateway>, id: &str) {
     let found = {
         let knowledge = gateway.knowledge.borrow();
-        let service = |name: &str| knowledge.routes()?.service(name);
-        let endpoint = knowledge.endpoint(id);
-        endpoint.and_then(|endpoint| {
-            Some((endpoint.addr, service(&endpoint.service)?.health_path.clone()))
-        })
+        knowledge
+            .endpoint(id)
+            .and_then(|endpoint| Some((endpoint.addr, knowledge.health_path(endpoint)?.to_owned())))
     };
     let Some((addr, path)) = found else {
         gateway.remove_endpoint(id, "watch");
@@ -125,15 +128,13 @@
     };
     let (gateway, id) = (Rc::clone(gateway), id.to_owned());
     tokio::task::spawn_local(async move {
-        gateway.counters.add(Count::Reports);
-        let why = match read_health(&gateway.probe(addr), &path, &id, HEALTH_LIMIT).await {
-            Ok(Health::Well) => {
+        let why = match ask_health(&gateway, &id, addr, &path).await {
+            Ok(()) => {
                 info!("endpoint lives without its entry", kv: { endpoint = id.as_str() });
                 return;
             }
-            Ok(Health::Leaving) => "its health".to_owned(),
-            Ok(Health::Replaced) => "another instance has its address".to_owned(),
-            Err(err) => err.to_string(),
+            Err(Unwell::Leaves) => "its health".to_owned(),
+            Err(Unwell::Ended(why)) => why,
         };
         if gateway.knowledge.borrow().is_missing(&id) {
             gateway.remove_endpoint(&id, &why);
@@ -142,12 +143,25 @@
     });
 }
 
-async fn check_health(gateway: Rc<Gateway>, id: EndpointId, addr: SocketAddr, path: String) {
+/// Why an endpoint is not known to be well.
+enum Unwell {
+    /// It tells that it leaves, or that it is not well.
+    Leaves,
+    /// It gives no answer, or another instance answers in its place.
+    Ended(String),
+}
+
+async fn ask_health(
+    gateway: &Gateway,
+    id: &str,
+    addr: SocketAddr,
+    path: &str,
+) -> Result<(), Unwell> {
     gateway.counters.add(Count::Reports);
-    match read_health(&gateway.probe(addr), &path, &id, HEALTH_LIMIT).await {
-        Ok(Health::Well) => {}
-        Ok(Health::Leaving) => gateway.believe_leaving(&id),
-        Ok(Health::Replaced) => gateway.suspect(&id, "another instance has its address"),
-        Err(err) => gateway.suspect(&id, &err.to_string()),
+    match read_health(&gateway.probe(addr), path, id, HEALTH_LIMIT).await {
+        Ok(Health::Well) => Ok(()),
+        Ok(Health::Leaving) => Err(Unwell::Leaves),
+        Ok(Health::Replaced) => Err(Unwell::Ended("another instance has its address".to_owned())),
+        Err(err) => Err(Unwell::Ended(err.to_string())),
     }
 }
--- a/crates/routing/tests/paths.rs
+++ b/crates/routing/tests/paths.rs
@@ -4,9 +4,14 @@
 
 use common::holder;
 use quickcheck::quickcheck;
-use sorrellock_routing::process::{Holder, MAX_PARTS, cheapest_path, paths_by_head};
+use sorrellock_routing::process::{Holder, MAX_PARTS, PipelinePath, cheapest_path, paths_by_head};
 
-fn assert_whole(path: &sorrellock_routing::process::PipelinePath, layers: u32) {
+/// The engines of a path, in order.
+fn ids(path: &PipelinePath) -> Vec<&str> {
+    path.parts.iter().map(|part| part.id.as_str()).collect()
+}
+
+fn assert_whole(path: &PipelinePath, layers: u32) {
     let mut next = 0;
     for part in &path.parts {
         assert_eq!(part.layers.from, next);
@@ -68,9 +73,8 @@
 
     let paths = paths_by_head(&holders, 12);
 
-    let ids = |at: usize| paths[at].parts.iter().map(|part| part.id.as_str()).collect::<Vec<_>>();
     assert_eq!(paths.len(), 2);
-    assert_eq!([ids(0), ids(1)], [["a", "c"], ["b", "d"]]);
+    assert_eq!([ids(&paths[0]), ids(&paths[1])], [["a", "c"], ["b", "d"]]);
 }
 
 #[test]
@@ -85,8 +89,11 @@
     let paths = paths_by_head(&holders, 12);
 
     let of_a = paths.iter().find(|path| path.first().id == "a").expect("it begins at the first");
-    let ids: Vec<&str> = of_a.parts.iter().map(|part| part.id.as_str()).collect();
-    assert_eq!(ids, ["a", "b", "c", "d"], "it is shared only where nothing else runs the layers");
+    assert_eq!(
+        ids(of_a),
+        ["a", "b", "c", "d"],
+        "it is shared only where nothing else runs the layers"
+    );
     assert_whole(of_a, 12);
 }
 
