A leaving gateway refuses streams that may outlast it, at once and as not run; last log line tells pauses

Ruled out: a longer wait (SIGKILL follows at grace). Change: from 2.2 s after the signal on, when balancers send nothing new any more, a stream whose deadline lies beyond the end of the process is refused with 503 and Retry-After 0; calls of plain services are taken to the last.

The line 'request ended' of a stream tells its first event and its longest pause, from which late streams are told by cause.

--- a/crates/daemon/tests/gateway/life.rs
+++ b/crates/daemon/tests/gateway/life.rs
@@ -22,6 +22,29 @@
     gateway.wait_for_line(&["\"gateway ended\"", "\"in_flight\":0"]);
 }
 
+#[test]
+fn a_gateway_that_ends_refuses_streams_that_may_outlast_it_and_serves_calls() {
+    let fleet = fleet();
+    let gateway = fleet.gateway("one");
+    let mut refused = None;
+
+    gateway.signal(Signal::SIGTERM);
+    wait_for("a stream to be refused", || {
+        let request = new_request();
+        let answer = send(gateway.callers(), "/match/a", &request, Some(KEY));
+        refused = (answer.status != 200).then_some((request, answer));
+        refused.is_some()
+    });
+    let call = send(gateway.callers(), "/status/a", &new_request(), Some(KEY));
+
+    let (request, answer) = refused.expect("one was refused");
+    assert_eq!(answer.status, 503);
+    assert_eq!(answer.retry_after.as_deref(), Some("0.00"));
+    assert_eq!(fleet.runs(&request), 0);
+    assert_eq!(call.status, 200);
+    gateway.wait_for_line(&["\"request ended\"", &request, "this gateway ends"]);
+}
+
 #[test]
 fn sighup_reads_the_settings_again_and_breaks_nothing() {
     let fleet = fleet();
--- a/crates/gateway/src/process/gateway.rs
+++ b/crates/gateway/src/process/gateway.rs
@@ -6,7 +6,7 @@
 use sorrellock_core::clock::SystemClock;
 use sorrellock_core::process::retries::Breakers;
 use sorrellock_platform::{Bounds, Client, EndpointLoad, Revision, Settings};
-use sorrellock_routing::process::{Endpoint, EndpointId, RetryWindow};
+use sorrellock_routing::process::{Endpoint, EndpointId, Leaving, RetryWindow};
 use sorrellock_routing::version::{Configuration, ServiceName};
 use spdlog::{info, warn};
 use std::cell::{Cell, RefCell};
@@ -75,6 +75,8 @@
     /// Wakes requests that wait for the first configuration.
     pub(crate) configured: Notify,
     pub(crate) phase: watch::Sender<Phase>,
+    /// It was told to end.
+    pub(crate) leaving: Cell<Option<Leaving>>,
 }
 
 impl Gateway {
@@ -105,6 +107,7 @@
             probes: RefCell::default(),
             configured: Notify::new(),
             phase: watch::Sender::new(Phase::Running),
+            leaving: Cell::new(None),
         }
     }
 
--- a/crates/gateway/src/process/run.rs
+++ b/crates/gateway/src/process/run.rs
@@ -7,6 +7,7 @@
 use crate::process::{Gateway, Phase, serve_side_pages, set_up_log, watch_paths};
 use sorrellock_http::listen;
 use sorrellock_platform::{Kind, Settings, Store, parse_settings};
+use sorrellock_routing::process::Leaving;
 use spdlog::{error, info, warn};
 use std::cell::RefCell;
 use std::fmt;
@@ -207,8 +208,9 @@
     let began = Instant::now();
     let in_flight = gateway.in_flight.get();
     info!("gateway leaving", kv: { in_flight });
-    gateway.phase.send_replace(Phase::Leaving);
     let most = gateway.bounds.get().grace.saturating_sub(END_MARGIN);
+    gateway.leaving.set(Some(Leaving { told: began.into_std(), ends: (began + most).into_std() }));
+    gateway.phase.send_replace(Phase::Leaving);
     while began.elapsed() < most {
         if began.elapsed() >= LEAVE_QUIETLY {
             gateway.phase.send_replace(Phase::Closing);
--- a/crates/gateway/src/request/answer.rs
+++ b/crates/gateway/src/request/answer.rs
@@ -21,6 +21,8 @@
 
 /// When to come back while no configuration is known: the store is down, for seconds.
 const RETRY_AFTER_UNKNOWN: Duration = Duration::from_millis(2_500);
+/// When to come back after a refusal by a gateway that ends: at once, as new connections go to others.
+const RETRY_ELSEWHERE: Duration = Duration::ZERO;
 /// How long after its start a gateway expects its first configuration at any moment, and lets
 /// requests wait for it: a store that answers at all does so by then.
 const CONFIGURATION_EXPECTED: Duration = Duration::from_millis(1_200);
@@ -86,7 +88,21 @@
     };
     log_admitted(&call, &routes);
     let has_model = routes.service(&call.service).is_some_and(|service| service.model.is_some());
-    if has_model { serve_stream(gateway, call).await } else { serve_plain(gateway, call).await }
+    if !has_model {
+        return serve_plain(gateway, call).await;
+    }
+    if !takes_stream(&gateway, &call) {
+        let why = "this gateway ends before the stream may";
+        return Ok(give_up(&call, GivenUp::NotRun, RETRY_ELSEWHERE, why));
+    }
+    serve_stream(gateway, call).await
+}
+
+/// Whether a stream ends before this gateway does, as far as its deadline tells. Calls of plain
+/// services end in milliseconds, and are taken to the last.
+fn takes_stream(gateway: &Gateway, call: &Call) -> bool {
+    let longest = call.time_left();
+    gateway.leaving.get().is_none_or(|leaving| leaving.takes(longest, Instant::now().into_std()))
 }
 
 /// The configuration in force; just after the start it is waited for.
--- a/crates/gateway/src/request/relay.rs
+++ b/crates/gateway/src/request/relay.rs
@@ -10,6 +10,7 @@
 use sorrellock_platform::OrderEnd;
 use sorrellock_routing::request::{Attempts, EventError, EventParser, Evidence};
 use spdlog::{info, warn};
+use std::fmt;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::mpsc;
@@ -30,6 +31,37 @@
 /// How the reason of a run begins that ended with its engine's connection.
 const BROKE_OFF: &str = "the engine's connection broke";
 
+/// What made a stream prompt or late, for its last log line.
+#[derive(Default)]
+struct Pace {
+    /// From the request to its first event.
+    first: Option<Duration>,
+    /// Longest pause between two events.
+    longest: Duration,
+    /// Events that had come before it.
+    longest_after: u64,
+}
+
+impl Pace {
+    /// Bytes came so long after the request, `silent` after those before; `events` had come.
+    fn on_chunk(&mut self, elapsed: Duration, silent: Duration, events: u64) {
+        if self.first.is_none() {
+            self.first = Some(elapsed);
+        } else if silent > self.longest {
+            self.longest = silent;
+            self.longest_after = events;
+        }
+    }
+}
+
+impl fmt::Display for Pace {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let first = self.first.unwrap_or_default().as_millis();
+        let (longest, after) = (self.longest.as_millis(), self.longest_after);
+        write!(f, "first in {first} ms, longest pause {longest} ms after {after}")
+    }
+}
+
 /// One stream on its way to its caller.
 pub(crate) struct Relay {
     gateway: Rc<Gateway>,
@@ -39,6 +71,7 @@
     tx: mpsc::Sender<Part>,
     events: EventParser,
     last_event: Instant,
+    pace: Pace,
     /// When the run began: its silence counts from then.
     run_began: Instant,
     /// Paths that failed this stream.
@@ -87,6 +120,7 @@
             tx,
             events,
             last_event,
+            pace: Pace::default(),
             run_began: last_event,
             avoid: Vec::new(),
             mends: 0,
@@ -161,6 +195,7 @@
             let (request, silent_ms) = (self.call.id(), silent.as_millis() as u64);
             info!("first event over the new path", kv: { request, silent_ms });
         }
+        self.pace.on_chunk(now - self.call.arrived, silent, self.events.events());
         self.last_event = now;
         if let Some(run) = &self.run {
             run.place.live.last_event.set(now);
@@ -221,8 +256,9 @@
         pool.borrow_mut().keep(run.begun.addr, run.begun.connection, &run.begun.head, now);
         if self.tx.send(Part::End).await.is_ok() {
             let why = format!(
-                "{} events, {} mends, last over {}",
+                "{} events, {}, {} mends, last over {}",
                 self.events.events(),
+                self.pace,
                 self.mends,
                 run.place.live.path.first().id
             );
