Streams whose path lost a few layers wait for their repair on their first engine

Engines take a few layers within 0.3 to 0.9 s. Change: a forecast of the repair (crates/routing, repair_forecast) decides whether a stream waits or goes on elsewhere at once; then it is moved by an order, which costs neither attempt nor budget.

--- a/crates/gateway/src/process/gateway.rs
+++ b/crates/gateway/src/process/gateway.rs
@@ -264,6 +264,11 @@
         beliefs.engine(id, Instant::now()).is_some_and(|engine| engine.is_dead)
     }
 
+    /// Whether an endpoint has ended, or failed just now as if it had.
+    pub(crate) fn is_lost(&self, id: &str) -> bool {
+        self.is_dead(id) || self.beliefs.borrow().is_suspect(id, Instant::now())
+    }
+
     /// Whether the list holds an endpoint.
     pub(crate) fn is_listed(&self, id: &str) -> bool {
         self.knowledge.borrow().endpoint(id).is_some()
--- a/crates/gateway/src/request/relay.rs
+++ b/crates/gateway/src/request/relay.rs
@@ -2,19 +2,20 @@
 
 use crate::process::{Count, Gateway, LivePath, check_path};
 use crate::request::Call;
-use crate::request::repath::{Repath, RepathEnd};
+use crate::request::repath::{LeaveBroken, Repath, RepathEnd};
 use crate::request::stream::{NotBegun, Run, begin, broken, expected_tokens};
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use sorrellock_http::Part;
 use sorrellock_platform::OrderEnd;
+use sorrellock_routing::process::{PathPart, is_repair_overdue, is_repair_worth_waiting};
 use sorrellock_routing::request::{Attempts, EventError, EventParser, Evidence};
 use spdlog::{info, warn};
 use std::fmt;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::mpsc;
-use tokio::time::{Instant, sleep_until};
+use tokio::time::{Instant, sleep_until, timeout};
 
 /// How long one stream may be silent on a path that serves others, before it goes on elsewhere:
 /// callers leave after two seconds, and a new run takes up to half of one.
@@ -23,6 +24,8 @@
 const SILENCE_TICK: Duration = Duration::from_millis(60);
 /// Silence after which a stream looks at its path at all: a stalled path shows by then.
 const SILENCE_LOOK: Duration = Duration::from_millis(320);
+/// How often a stream that waits for a repair looks for its new path, beside each change of paths.
+const REPAIR_TICK: Duration = Duration::from_millis(50);
 /// How long callers bear a pause.
 const CALLER_PATIENCE: Duration = Duration::from_secs(2);
 /// The wait before another try to go on, after there was no place.
@@ -80,6 +83,8 @@
     repath: Repath,
     /// Its path is broken, and an order to go on over another one is under way.
     is_leaving_broken: bool,
+    /// Its path is broken, and it waits for one over which its run can go on.
+    awaits_repair: bool,
     /// It was moved to another path, of which nothing came yet.
     is_moved: bool,
 }
@@ -126,6 +131,7 @@
             mends: 0,
             repath: Repath::default(),
             is_leaving_broken: false,
+            awaits_repair: false,
             is_moved: false,
         }
     }
@@ -151,10 +157,14 @@
     }
 
     async fn next(&mut self) -> Next {
-        let Some(run) = &mut self.run else { return Next::Broke("no run is under way".into()) };
+        let Some(run) = &self.run else { return Next::Broke("no run is under way".into()) };
         let live = Rc::clone(&run.place.live);
         let deadline = self.call.deadline;
         let quiet_since = self.last_event.max(self.run_began);
+        if self.awaits_repair {
+            return self.next_while_broken().await;
+        }
+        let Some(run) = &mut self.run else { return Next::Broke("no run is under way".into()) };
         let mut look = quiet_since + SILENCE_LOOK;
         loop {
             let now = Instant::now();
@@ -184,6 +194,19 @@
         }
     }
 
+    /// What comes next while the path is broken: another path may begin at its first engine as soon
+    /// as paths change.
+    async fn next_while_broken(&mut self) -> Next {
+        let Some(run) = &mut self.run else { return Next::Broke("no run is under way".into()) };
+        let freed = self.gateway.paths.borrow().freed();
+        tokio::select! {
+            biased;
+            frame = run.begun.answer.body_mut().frame() => next_of_frame(frame),
+            () = self.tx.closed() => Next::CallerGone,
+            _ = timeout(REPAIR_TICK, freed.notified()) => Next::PathGone,
+        }
+    }
+
     /// Passes a chunk's whole events on. Whether the stream goes on.
     async fn pass_on(&mut self, chunk: Bytes) -> bool {
         let now = Instant::now();
@@ -215,16 +238,39 @@
     }
 
     /// An engine of the path is dead. Its run goes on over other engines where the first one lives:
-    /// they read only their own layers anew, and no further attempt is spent.
+    /// they read only their own layers anew, and no further attempt is spent. Where no engine runs the
+    /// lost layers yet, the run waits for them.
     async fn on_path_gone(&mut self) -> bool {
         let Some(run) = &self.run else { return self.lost("no run is under way").await };
         let live = Rc::clone(&run.place.live);
-        let (gateway, call) = (&self.gateway, &self.call);
-        if self.repath.leave_broken(gateway, call, &live, Instant::now()) {
-            self.is_leaving_broken = true;
-            return true;
+        let now = Instant::now();
+        let silent = now - self.last_event;
+        match self.repath.leave_broken(&self.gateway, &self.call, &live, now) {
+            LeaveBroken::Ordered => {
+                self.awaits_repair = false;
+                self.is_leaving_broken = true;
+                true
+            }
+            LeaveBroken::NoPathYet if self.awaits_repair && !is_repair_overdue(silent) => true,
+            LeaveBroken::NoPathYet if !self.awaits_repair && self.may_wait(&live, silent) => {
+                self.awaits_repair = true;
+                true
+            }
+            LeaveBroken::NoPathYet | LeaveBroken::Lost => {
+                self.lost("an engine of the path is gone").await
+            }
         }
-        self.lost("an engine of the path is gone").await
+    }
+
+    /// Whether other engines will run the lost layers of a path soon enough.
+    fn may_wait(&self, live: &LivePath, silent: Duration) -> bool {
+        let gateway = &self.gateway;
+        let routes = gateway.knowledge.borrow().routes().cloned();
+        let service = routes.as_ref().and_then(|routes| routes.service(&self.call.service));
+        let Some(shape) = service.and_then(|service| service.model.as_ref()) else { return false };
+        let is_lost = |part: &&PathPart| gateway.is_lost(&part.id);
+        let missing = live.path.parts.iter().filter(is_lost).map(|part| part.layers.len()).sum();
+        is_repair_worth_waiting(shape, missing, silent)
     }
 
     /// Takes the end of an order to move to another path. Whether the stream goes on.
@@ -278,6 +324,7 @@
         // The engine stops its work when its connection closes.
         self.repath = Repath::default();
         self.is_leaving_broken = false;
+        self.awaits_repair = false;
         if let Some(run) = self.run.take() {
             let live = &run.place.live;
             if !self.gateway.is_listed(&live.path.first().id) {
--- a/crates/gateway/src/request/repath.rs
+++ b/crates/gateway/src/request/repath.rs
@@ -23,6 +23,16 @@
     pub(crate) order: OrderEnd,
 }
 
+/// What becomes of a stream whose path lost an engine.
+pub(crate) enum LeaveBroken {
+    /// An order to go on over another path is under way.
+    Ordered,
+    /// Its first engine lives, and no path begins there now.
+    NoPathYet,
+    /// Its first engine is lost, or too many orders were given.
+    Lost,
+}
+
 /// The orders to move one stream.
 #[derive(Default)]
 pub(crate) struct Repath {
@@ -48,19 +58,25 @@
     }
 
     /// Gives such an order at once, as an engine of the path is dead: work waits for it, and goes
-    /// on once other engines run its layers. Whether there is a path to go on over.
+    /// on once other engines run its layers.
     pub(crate) fn leave_broken(
         &mut self,
         gateway: &Rc<Gateway>,
         call: &Call,
         from: &Rc<LivePath>,
         now: Instant,
-    ) -> bool {
-        let head = &from.path.first().id;
-        let is_head_lost = gateway.is_dead(head) || gateway.beliefs.borrow().is_suspect(head, now);
+    ) -> LeaveBroken {
+        let is_head_lost = gateway.is_lost(&from.path.first().id);
         // An order that is under way was given before the engine was known to be dead.
         self.under_way = None;
-        !is_head_lost && self.order(gateway, call, from, now)
+        if is_head_lost || self.tries >= MOST_TRIES {
+            return LeaveBroken::Lost;
+        }
+        if self.order(gateway, call, from, now) {
+            LeaveBroken::Ordered
+        } else {
+            LeaveBroken::NoPathYet
+        }
     }
 
     fn order(
