--- a/crates/daemon/tests/gateway/fleet.rs
+++ b/crates/daemon/tests/gateway/fleet.rs
@@ -41,6 +41,16 @@
     FakeEngine::start(cfg, new_ip(), store).expect("an engine")
 }
 
+/// Starts the stand-ins with four engines in one data centre whose requests are so large that they
+/// make one chain.
+pub fn fleet_of_one_chain() -> Fleet {
+    let fleet = fleet_of_two_chains();
+    let mut config = config(2, &[KEY]);
+    config["services"][1]["engine"]["kv_token_bytes"] = 150_000.0.into();
+    fleet.store.put("config", "main", config);
+    fleet
+}
+
 /// Starts the stand-ins with four engines in one data centre: they make two chains.
 pub fn fleet_of_two_chains() -> Fleet {
     let mut fleet = fleet();
--- a/crates/daemon/tests/gateway/streams.rs
+++ b/crates/daemon/tests/gateway/streams.rs
@@ -1,8 +1,8 @@
 //! Streams over paths of engines, while engines die, stall, leave and refuse.
 
 use crate::fleet::{
-    Answer, HOST, KEY, LAYERS, begin, fleet, fleet_of_two_chains, fleet_of_two_first_engines,
-    new_request, read_rest, send, whole_stream,
+    Answer, HOST, KEY, LAYERS, begin, fleet, fleet_of_one_chain, fleet_of_two_chains,
+    fleet_of_two_first_engines, new_request, read_rest, send, whole_stream,
 };
 use crate::gateway_process::{GatewayProcess, wait_for};
 use sorrellock_stand_ins::{EngineMode, FakeEngine};
@@ -130,6 +130,30 @@
     gateway.wait_for_line(&["\"first event over the new path\"", &request]);
 }
 
+#[test]
+fn a_stream_whose_second_engine_dies_waits_for_its_layers_and_runs_on() {
+    let fleet = fleet_of_one_chain();
+    let gateway = GatewayProcess::start("one", "north", fleet.store.addr());
+    wait_for("the gateway to be ready", || gateway.is_ready());
+    gateway.wait_for_line(&["\"path in use\"", "north"]);
+    let request = new_request();
+    let (_, mut body) = begin(gateway.callers(), "/match/a", &request, Some(KEY));
+    let runner = fleet.runner(&request).expect("an engine runs it");
+    let hops = runner.seen().headers[&request]["hop-count"].to_str().expect("text").to_owned();
+    let second = hops.split([',', '=']).nth(2).expect("two parts").to_owned();
+
+    runner.set_stalled(true);
+    let is_second = |one: &&FakeEngine| one.addr().to_string() == second;
+    fleet.engines.iter().find(is_second).expect("one of them").crash();
+    wait_for("the order to go on", || runner.seen().moved.contains(&request));
+    runner.set_stalled(false);
+    let all = read_rest(&mut body);
+
+    assert_eq!(all, whole_stream());
+    assert_eq!(fleet.runs(&request), 1, "no second run was needed");
+    gateway.wait_for_line(&["\"stream waits for a repair\"", &request]);
+}
+
 #[test]
 fn an_engine_that_dies_is_replaced_by_moving_layers() {
     let fleet = fleet();
--- a/crates/gateway/src/request/relay.rs
+++ b/crates/gateway/src/request/relay.rs
@@ -254,6 +254,8 @@
             LeaveBroken::NoPathYet if self.awaits_repair && !is_repair_overdue(silent) => true,
             LeaveBroken::NoPathYet if !self.awaits_repair && self.may_wait(&live, silent) => {
                 self.awaits_repair = true;
+                let silent_ms = silent.as_millis() as u64;
+                info!("stream waits for a repair", kv: { request = self.call.id(), silent_ms });
                 true
             }
             LeaveBroken::NoPathYet | LeaveBroken::Lost => {
--- /dev/null
+++ b/crates/routing/tests/repair_forecast.rs
@@ -0,0 +1,48 @@
+//! Whether streams wait for layers that their path has lost.
+
+mod common;
+
+use common::shape;
+use sorrellock_routing::process::{is_repair_overdue, is_repair_worth_waiting, repair_time};
+use std::time::Duration;
+
+/// What finding a dead engine takes.
+const FOUND_AFTER: Duration = Duration::from_millis(150);
+/// Callers leave a stream that is silent for so long.
+const CALLERS_LEAVE: Duration = Duration::from_secs(2);
+
+#[test]
+fn a_stream_waits_for_a_few_layers_and_not_for_many() {
+    let shape = shape(80);
+
+    let waits = |missing| is_repair_worth_waiting(&shape, missing, FOUND_AFTER);
+
+    assert!(waits(3));
+    assert!(waits(7));
+    assert!(!waits(12));
+    assert!(!waits(26));
+}
+
+#[test]
+fn the_longest_repair_that_is_waited_for_ends_before_callers_leave() {
+    let shape = shape(80);
+    let waited_for = (1..=shape.layers)
+        .filter(|missing| is_repair_worth_waiting(&shape, *missing, FOUND_AFTER))
+        .max()
+        .expect("some are waited for");
+
+    let silent = FOUND_AFTER + repair_time(&shape, waited_for);
+
+    assert!(!is_repair_overdue(silent));
+    assert!(silent + Duration::from_millis(500) < CALLERS_LEAVE);
+}
+
+#[test]
+fn a_stream_that_was_silent_for_long_goes_on_elsewhere() {
+    let shape = shape(80);
+
+    let waits = is_repair_worth_waiting(&shape, 1, Duration::from_secs(1));
+
+    assert!(!waits);
+    assert!(is_repair_overdue(Duration::from_millis(1_200)));
+}
