A further first engine gives its layers up where its chain can't be whole otherwise

Cause: read beside a test on stand-ins: with three engines, two of them first engines, the death of the third left the data centre without a plan, as further first engines keep their layers. Test fails before.

--- a/crates/routing/src/process/placement/planner.rs
+++ b/crates/routing/src/process/placement/planner.rs
@@ -104,17 +104,32 @@
 /// centre.
 fn plan_one(shape: &ModelShape, chain: &[PlannedEngine], is_served: bool) -> Option<Placement> {
     let (heads, engines) = extra_heads(shape, largest(chain));
+    if let Some(mut placement) = plan_engines(shape, chain, engines, is_served) {
+        placement.extend(heads);
+        return Some(placement);
+    }
+    if heads.is_empty() {
+        return None;
+    }
+    // The others can't hold what is missing: further first engines give theirs up.
+    plan_engines(shape, chain, largest(chain), is_served)
+}
+
+/// The layers of those `engines` of a chain that make it whole.
+fn plan_engines(
+    shape: &ModelShape,
+    chain: &[PlannedEngine],
+    engines: Vec<PlannedEngine>,
+    is_served: bool,
+) -> Option<Placement> {
     let has_empty = engines.iter().any(|engine| engine.held.is_empty());
-    let planned = match (covers(shape, chain), is_served) {
+    match (covers(shape, chain), is_served) {
         (true, _) => plan_chain(shape, engines, Weights::BALANCE),
         (false, false) => plan_chain(shape, engines, Weights::REPAIR),
         // Another chain runs what is missing, so that only an empty engine that fits moves at once.
         (false, true) if has_empty => plan_growth(shape, engines),
         (false, true) => plan_chain(shape, engines, Weights::BALANCE),
-    };
-    let mut placement = planned?;
-    placement.extend(heads);
-    Some(placement)
+    }
 }
 
 /// Room for requests from which on a further first engine pays, as a multiple of an engine's slots.
--- a/crates/routing/tests/placement.rs
+++ b/crates/routing/tests/placement.rs
@@ -108,6 +108,20 @@
     assert!(steps.iter().all(|step| step.id != spare.id), "{steps:?}");
 }
 
+#[test]
+fn a_further_first_engine_gives_its_layers_up_where_the_others_cant_be_whole() {
+    let shape = ModelShape { kv_token_bytes: 80_000.0, ..shape(80) };
+    let engines = [
+        engine(&shape, "first", "h100", 0, 40),
+        engine(&shape, "further", "h100", 0, 20),
+        engine(&shape, "small", "l4", 70, 80),
+    ];
+
+    let plan = plan_data_centre(&shape, &engines).expect("the memory is enough").placement;
+
+    assert!(covers(&shape, &after(&engines, &plan)), "{plan:?}");
+}
+
 #[test]
 fn an_engine_with_an_order_under_way_keeps_it_in_the_plan() {
     let shape = shape(80);
