--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -3,6 +3,7 @@
 mod answer;
 mod attempt;
 mod call;
+mod pace;
 mod plain;
 mod relay;
 mod repath;
--- a/crates/gateway/src/request/relay.rs
+++ b/crates/gateway/src/request/relay.rs
@@ -2,6 +2,7 @@
 
 use crate::process::{Count, Gateway, LivePath, check_path};
 use crate::request::Call;
+use crate::request::pace::Pace;
 use crate::request::repath::{LeaveBroken, Repath, RepathEnd};
 use crate::request::stream::{NotBegun, Run, begin, broken, expected_tokens};
 use bytes::Bytes;
@@ -11,7 +12,6 @@
 use sorrellock_routing::process::{PathPart, is_repair_overdue, is_repair_worth_waiting};
 use sorrellock_routing::request::{Attempts, EventError, EventParser, Evidence};
 use spdlog::{info, warn};
-use std::fmt;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::mpsc;
@@ -34,37 +34,6 @@
 /// How the reason of a run begins that ended with its engine's connection.
 const BROKE_OFF: &str = "the engine's connection broke";
 
-/// What made a stream prompt or late, for its last log line.
-#[derive(Default)]
-struct Pace {
-    /// From the request to its first event.
-    first: Option<Duration>,
-    /// Longest pause between two events.
-    longest: Duration,
-    /// Events that had come before it.
-    longest_after: u64,
-}
-
-impl Pace {
-    /// Bytes came so long after the request, `silent` after those before; `events` had come.
-    fn on_chunk(&mut self, elapsed: Duration, silent: Duration, events: u64) {
-        if self.first.is_none() {
-            self.first = Some(elapsed);
-        } else if silent > self.longest {
-            self.longest = silent;
-            self.longest_after = events;
-        }
-    }
-}
-
-impl fmt::Display for Pace {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let first = self.first.unwrap_or_default().as_millis();
-        let (longest, after) = (self.longest.as_millis(), self.longest_after);
-        write!(f, "first in {first} ms, longest pause {longest} ms after {after}")
-    }
-}
-
 /// One stream on its way to its caller.
 pub(crate) struct Relay {
     gateway: Rc<Gateway>,
@@ -157,14 +126,13 @@
     }
 
     async fn next(&mut self) -> Next {
-        let Some(run) = &self.run else { return Next::Broke("no run is under way".into()) };
-        let live = Rc::clone(&run.place.live);
-        let deadline = self.call.deadline;
-        let quiet_since = self.last_event.max(self.run_began);
         if self.awaits_repair {
             return self.next_while_broken().await;
         }
         let Some(run) = &mut self.run else { return Next::Broke("no run is under way".into()) };
+        let live = Rc::clone(&run.place.live);
+        let deadline = self.call.deadline;
+        let quiet_since = self.last_event.max(self.run_began);
         let mut look = quiet_since + SILENCE_LOOK;
         loop {
             let now = Instant::now();
--- a/crates/routing/src/process/placement/chains.rs
+++ b/crates/routing/src/process/placement/chains.rs
@@ -23,7 +23,7 @@
 /// two chains are 1.1 times slower than one, they are worth more (0.550 against 0.518, ten days);
 /// where they are 1.5 to 2 times slower, less (0.376 against 0.415, eight days).
 const MOST_SLOWER: f64 = 1.25;
-/// The same below which a chain gets engines of another one.
+/// Room, as a share of the requests of its first engine, below which a chain gets engines of another.
 const WEAK_CHAIN_ROOM: f64 = 0.35;
 /// Share of the layers that may be missing in a chain that is still known for one.
 const GAPS_MOST: f64 = 0.25;
