A silent stream leaves its run only where a second send can be paid

Ruled out: the wait for repairs (no such line), the leaving gateway's refusals. Change: a look at the budget before. Test on stand-ins fails before.

--- a/crates/daemon/tests/gateway/streams.rs
+++ b/crates/daemon/tests/gateway/streams.rs
@@ -9,6 +9,7 @@
 use std::io::{Read, Write};
 use std::net::TcpStream;
 use std::thread;
+use std::time::Duration;
 
 fn assert_whole(answer: &Answer) {
     assert_eq!(answer.status, 200);
@@ -87,6 +88,29 @@
     wait_for("the stalled engine to see the close", || runner.seen().abandoned == 1);
 }
 
+#[test]
+fn a_silent_stream_stays_on_its_run_where_no_second_send_can_be_paid() {
+    let fleet = fleet();
+    let gateway = fleet.gateway("one");
+    gateway.change_settings(|text| {
+        text.replace("budget_slack = 200", "budget_slack = 0")
+            .replace("retry_budget_ratio = 0.2", "retry_budget_ratio = 0.0")
+    });
+    gateway.wait_for_line(&["\"bounds changed\""]);
+    let request = new_request();
+    let (_, mut body) = begin(gateway.callers(), "/match/a", &request, Some(KEY));
+    let runner = fleet.runner(&request).expect("an engine runs it");
+
+    runner.set_stalled(true);
+    // Longer than one stream may be silent on a path that serves others.
+    thread::sleep(Duration::from_millis(1_500));
+    runner.set_stalled(false);
+    let all = read_rest(&mut body);
+
+    assert_eq!(all, whole_stream());
+    assert_eq!(fleet.runs(&request), 1);
+}
+
 #[test]
 fn streams_are_moved_off_an_engine_that_leaves() {
     let fleet = fleet();
--- a/crates/daemon/tests/retries.rs
+++ b/crates/daemon/tests/retries.rs
@@ -122,6 +122,7 @@
     wait_for("the rows are in force", || fleet.entries.iter().all(is_urgent));
     let local = &fleet.services[0];
     let open = |count: usize| wait_for("a call waits", || local.beside.open_work() == count);
+    let arrived = || local.service.counters().arrived.load(Ordering::Acquire);
     local.service.hang();
 
     thread::scope(|scope| {
@@ -131,6 +132,8 @@
             let caller = fleet.caller(entry, workspace);
             scope.spawn(move || get(&caller, name));
             open(at + 1);
+            // The first call holds the only place before others come.
+            wait_for("the first call at the service", || arrived() == 1);
         }
         local.service.unhang();
     });
--- a/crates/gateway/src/process/gateway.rs
+++ b/crates/gateway/src/process/gateway.rs
@@ -283,6 +283,14 @@
         budget.on_request(Instant::now().into_std());
     }
 
+    /// Whether the budget has a send beyond a request's first left.
+    pub(crate) fn may_repeat(&self, service: &str) -> bool {
+        let now = Instant::now();
+        let gateways = self.beliefs.borrow().gateways(now);
+        let mut budgets = self.budgets.borrow_mut();
+        budgets.get_mut(service).is_some_and(|budget| budget.may_spend(now.into_std(), gateways))
+    }
+
     /// Takes one send beyond a request's first from the budget.
     pub(crate) fn spend_repeat(&self, service: &str) -> bool {
         let now = Instant::now();
--- a/crates/gateway/src/request/relay.rs
+++ b/crates/gateway/src/request/relay.rs
@@ -368,7 +368,9 @@
     }
 }
 
-/// Whether a silent stream could go on over another path: else its run may still come back.
+/// Whether a silent stream could go on over another path: else its run may still come back. It guards
+/// streams on slow paths: with the retry budget spent they were cut in mid-answer, though their runs
+/// lived (once in 40 days with faults).
 fn has_other_path(
     gateway: &Gateway,
     call: &Call,
@@ -382,6 +384,7 @@
     let tokens = expected_tokens(call);
     let paths = gateway.paths.borrow();
     call.route.semantics.may_repeat()
+        && gateway.may_repeat(&call.service)
         && paths.has_place(&call.service, tokens, may_take, Instant::now())
 }
 
--- a/crates/routing/src/process/retry_window.rs
+++ b/crates/routing/src/process/retry_window.rs
@@ -51,16 +51,21 @@
 
     /// Takes one send beyond the first, if this gateway, one of `gateways`, has one left.
     pub fn try_spend(&mut self, now: Instant, gateways: usize) -> bool {
+        let may_spend = self.may_spend(now, gateways);
+        if may_spend {
+            self.again.push_back(now);
+        }
+        may_spend
+    }
+
+    /// Whether this gateway, one of `gateways`, has a send beyond the first left.
+    pub fn may_spend(&mut self, now: Instant, gateways: usize) -> bool {
         self.forget(now);
         let own = self.bounds.ratio * self.requests.len() as f64;
         let known = now.duration_since(self.began).div_duration_f64(self.bounds.window).min(1.0);
         let shared = known * self.bounds.slack / gateways.max(1) as f64;
         let most = (own + shared) * SPEND_SHARE;
-        if self.again.len() as f64 + 1.0 > most || self.again.len() >= MAX_REMEMBERED {
-            return false;
-        }
-        self.again.push_back(now);
-        true
+        self.again.len() as f64 + 1.0 <= most && self.again.len() < MAX_REMEMBERED
     }
 
     fn forget(&mut self, now: Instant) {
--- a/crates/routing/tests/attempts.rs
+++ b/crates/routing/tests/attempts.rs
@@ -70,6 +70,21 @@
     assert_eq!(paid, 0);
 }
 
+#[test]
+fn looking_at_the_budget_spends_nothing_and_tells_what_a_send_would_meet() {
+    let bounds = RetryBounds { window: Duration::from_secs(10), ratio: 0.0, slack: 5.0 };
+    let began = Instant::now();
+    let now = began + bounds.window;
+    let mut window = RetryWindow::new(bounds, began);
+
+    let looks = (0..10).filter(|_| window.may_spend(now, 1)).count();
+    let paid = (0..10).filter(|_| window.try_spend(now, 1)).count();
+
+    assert_eq!(looks, 10);
+    assert_eq!(paid, 4);
+    assert!(!window.may_spend(now, 1));
+}
+
 quickcheck! {
     /// All gateways together stay within the bounds in any window, whoever asks when.
     fn the_budget_holds_over_all_gateways_in_any_window(asks: Vec<(u8, u8, bool)>) -> bool {
