--- a/crates/routing/src/process/endpoint.rs
+++ b/crates/routing/src/process/endpoint.rs
@@ -1,10 +1,11 @@
 //! Endpoints as their list tells of them.
 
+use crate::process::{Incarnation, StartMillis};
 use crate::version::ServiceName;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
-/// Id of one lifetime of an endpoint.
+/// Id of an endpoint. A restart may keep it: [`Incarnation`] tells lives apart.
 pub type EndpointId = String;
 /// Name of a data centre.
 pub type DataCentre = String;
@@ -64,8 +65,10 @@
 /// One lifetime of an endpoint, as the list tells.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Endpoint {
-    /// Its id; a restart has another.
+    /// Its id.
     pub id: EndpointId,
+    /// When it started; none where the platform doesn't tell.
+    pub started: Option<StartMillis>,
     /// The service that it belongs to.
     pub service: ServiceName,
     /// Where it listens.
@@ -81,3 +84,10 @@
     /// Requests that it runs at once.
     pub slots: u32,
 }
+
+impl Endpoint {
+    /// The life that the list tells of.
+    pub fn incarnation(&self) -> Incarnation {
+        Incarnation::new(self.id.clone(), self.started)
+    }
+}
--- /dev/null
+++ b/crates/routing/src/process/incarnation.rs
@@ -0,0 +1,34 @@
+//! Tells the lives of one endpoint apart.
+
+use crate::process::EndpointId;
+use serde::{Deserialize, Serialize};
+use std::fmt;
+
+/// When an endpoint started, by its own clock: Unix time in milliseconds. Clocks step, so that a later
+/// start may bear an earlier time: only equality tells anything.
+pub type StartMillis = u64;
+
+/// One life of an endpoint, from a start to its end. A restart keeps the id and forgets all else.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Incarnation {
+    /// The endpoint.
+    pub id: EndpointId,
+    /// Its start; none where the platform doesn't tell it: there each start has an id of its own.
+    pub started: Option<StartMillis>,
+}
+
+impl Incarnation {
+    /// The life of `id` that began at `started`.
+    pub fn new(id: impl Into<EndpointId>, started: Option<StartMillis>) -> Incarnation {
+        Incarnation { id: id.into(), started }
+    }
+}
+
+impl fmt::Display for Incarnation {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.started {
+            Some(started) => write!(f, "{}@{started}", self.id),
+            None => f.write_str(&self.id),
+        }
+    }
+}
--- a/crates/routing/src/process/mod.rs
+++ b/crates/routing/src/process/mod.rs
@@ -1,6 +1,7 @@
 //! What lives as long as a process.
 
 mod endpoint;
+mod incarnation;
 mod leaving;
 mod pipeline_path;
 pub mod placement;
@@ -8,6 +9,7 @@
 mod retry_window;
 
 pub use endpoint::*;
+pub use incarnation::*;
 pub use leaving::*;
 pub use pipeline_path::*;
 pub use repair_forecast::*;
