An order that comes right after the start of a daemon is not refused as busy

Cause: orders were handed to an engine's thread over a channel without room, which refuses unless the thread waits at that moment; one that had just been started did not yet. Seen once: a_guard_that_can_not_read_refuses_and_takes_orders_after_the_outage failed beside four builds (load 25) with Refused(Busy) in place of StoreDown. Traced: with 300 ms of sleep before the thread's first wait the unchanged code fails with the same words each time. Ruled out: the store's outage (the guard was not asked). Change: a flag tells that an order is in hand. After: with the same sleep 10 of 10 tests pass, and without it.

--- a/crates/daemon/src/beside/process/order_desk.rs
+++ b/crates/daemon/src/beside/process/order_desk.rs
@@ -13,14 +13,34 @@
 };
 use std::collections::HashMap;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
 
 /// An order, and who gave it.
 type Given = (Peer, OrderRequest);
 
+/// Where orders for one engine go. Its thread has one in hand and none waits. What tells is the flag,
+/// not whether the thread waits for an order: one that has just begun doesn't yet, and its engine is
+/// idle.
+struct LaneInput {
+    tx: Sender<Given>,
+    has_order: Arc<AtomicBool>,
+}
+
+impl LaneInput {
+    /// Hands an order over, unless the engine has one. Never blocks.
+    fn try_give(&self, given: Given) -> Result<(), OrderRefusal> {
+        if self.has_order.swap(true, Ordering::AcqRel) {
+            return Err(OrderRefusal::Busy);
+        }
+        // The lane lives as long as its engine's daemon.
+        self.tx.try_send(given).map_err(|_| OrderRefusal::Busy)
+    }
+}
+
 /// Takes orders for the engines of a daemon.
 pub struct OrderDesk<L> {
-    lanes: HashMap<EndpointId, Sender<Given>>,
+    lanes: HashMap<EndpointId, LaneInput>,
     outbox: Outbox<L>,
     journal: Arc<Journal>,
 }
@@ -36,9 +56,10 @@
         let fences = Arc::new(FenceTable::new(store));
         let mut lanes = HashMap::new();
         for (id, runner) in engines {
-            // The engine's thread has one in hand; none waits.
-            let (tx, rx) = bounded(0);
+            let (tx, rx) = bounded(1);
+            let has_order = Arc::new(AtomicBool::new(false));
             let lane = Lane {
+                has_order: has_order.clone(),
                 runner: runner.clone(),
                 fences: fences.clone(),
                 outbox: outbox.clone(),
@@ -48,7 +69,7 @@
                 .name("engine-orders".into())
                 .spawn(move || lane.run(&rx))
                 .expect("a thread can be started");
-            lanes.insert(id.clone(), tx);
+            lanes.insert(id.clone(), LaneInput { tx, has_order });
         }
         OrderDesk { lanes, outbox, journal }
     }
@@ -58,9 +79,9 @@
         let refusal = match self.lanes.get(&order.endpoint) {
             None => OrderRefusal::NoSuchEndpoint,
             Some(_) if leaving => OrderRefusal::Leaving,
-            Some(lane) => match lane.try_send((from, order.clone())) {
+            Some(lane) => match lane.try_give((from, order.clone())) {
                 Ok(()) => return,
-                Err(_) => OrderRefusal::Busy,
+                Err(refusal) => refusal,
             },
         };
         refuse(&self.outbox, &self.journal, from, &order, refusal);
@@ -69,6 +90,8 @@
 
 /// The orders of one engine.
 struct Lane<L, E, S> {
+    /// An order is in hand.
+    has_order: Arc<AtomicBool>,
     runner: Arc<EngineRunner<L, E>>,
     fences: Arc<FenceTable<S>>,
     outbox: Outbox<L>,
@@ -78,7 +101,10 @@
 impl<L: Link, E: Engine, S: ObjectStore> Lane<L, E, S> {
     fn run(&self, orders: &Receiver<Given>) {
         for (from, order) in orders {
-            if let Err(refusal) = self.take(from, &order) {
+            let taken = self.take(from, &order);
+            // Whoever hears of the end may give the next order.
+            self.has_order.store(false, Ordering::Release);
+            if let Err(refusal) = taken {
                 refuse(&self.outbox, &self.journal, from, &order, refusal);
             }
         }
