--- a/crates/bench/benches/path.rs
+++ b/crates/bench/benches/path.rs
@@ -64,34 +64,26 @@
 /// Time of each one-token answer less the time that the engines were at work meanwhile.
 fn added_latency(fleet: &LocalFleet) -> Result<Latencies> {
     let caller = fleet.caller(0, 0);
-    let mut latencies = Latencies::new();
-    for number in 0..WARM_UP + LATENCY_REQUESTS {
-        let prompt = format!("Match trade {number}.");
-        let expected = fleet.expected(&prompt, 1);
-        let busy = busy(fleet);
-        let start = Instant::now();
-        let text = caller.stream(MODEL, &prompt, 1, |_| {})?;
-        let elapsed = start.elapsed();
-        ensure!(text == expected, "answer {number} is `{text}`, not `{expected}`");
-        if number >= WARM_UP {
-            latencies.add(elapsed.saturating_sub(self::busy(fleet) - busy));
-        }
-    }
-    Ok(latencies)
+    latency_of(fleet, |_, prompt| caller.stream(MODEL, prompt, 1, |_| {}))
 }
 
 /// The same answers by a client that calls the engines itself, less their time at work.
 fn naive_latency(fleet: &LocalFleet) -> Result<Latencies> {
     let client = NaiveClient::new(fleet, 0);
+    latency_of(fleet, |number, prompt| client.answer(&format!("latency-{number}"), prompt, 1))
+}
+
+/// Asks `ask` for answers of one token, and takes what is not the engines' time.
+fn latency_of(fleet: &LocalFleet, ask: impl Fn(u32, &str) -> Result<String>) -> Result<Latencies> {
     let mut latencies = Latencies::new();
     for number in 0..WARM_UP + LATENCY_REQUESTS {
         let prompt = format!("Match trade {number}.");
         let expected = fleet.expected(&prompt, 1);
         let busy = busy(fleet);
         let start = Instant::now();
-        let text = client.answer(&format!("latency-{number}"), &prompt, 1)?;
+        let text = ask(number, &prompt)?;
         let elapsed = start.elapsed();
-        ensure!(text == expected, "naive answer {number} is `{text}`, not `{expected}`");
+        ensure!(text == expected, "answer {number} is `{text}`, not `{expected}`");
         if number >= WARM_UP {
             latencies.add(elapsed.saturating_sub(self::busy(fleet) - busy));
         }
--- a/crates/daemon/src/beside/process/beside.rs
+++ b/crates/daemon/src/beside/process/beside.rs
@@ -5,11 +5,11 @@
 use crate::beside::process::{
     BesideHandler, BesideSettings, EngineRunner, OrderDesk, Outbox, ServiceRunner, Starts,
 };
-use crate::process::leads::{LeadCx, LeadDesk};
+use crate::process::leads::LeadDesk;
 use crate::process::ledger::{LEDGER_STORE_TIMEOUT, LedgerHolders};
 use crate::process::{
-    ConfigAgent, Count, Counters, Dump, FleetAgent, Journal, check_place, counters_json,
-    draw_incarnation, listen_for_operators, read_list, send_metrics,
+    ConfigAgent, Count, Counters, DaemonParts, Dump, Journal, counters_json, listen_for_operators,
+    read_list, send_metrics,
 };
 use eyre::{Result, WrapErr};
 use serde_json::{Value, json};
@@ -20,7 +20,7 @@
 use sorrellock_http::Server;
 use sorrellock_ports::api::{Engine, EngineInfo};
 use sorrellock_ports::client::{HttpEngine, HttpInstanceList, HttpObjectStore, HttpService};
-use sorrellock_wire::connection::{AnyLink, LinkConfig};
+use sorrellock_wire::connection::AnyLink;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -48,39 +48,22 @@
 impl Beside {
     /// Starts the daemon; it waits for its engines to answer.
     pub fn start(settings: BesideSettings) -> Result<Beside> {
-        check_place(&settings.place)?;
-        let me = Peer { addr: settings.link, incarnation: draw_incarnation() };
-        let counters = Arc::new(Counters::new());
-        let journal = Arc::new(Journal::new());
-        let cfg = LinkConfig::new(me).with_kind(settings.link_kind);
-        let (link, closed) = AnyLink::listen(cfg).wrap_err("start of the links")?;
-        let outbox = Outbox::new(link.clone(), counters.clone());
-        let (agent, inputs) = FleetAgent::new(
-            me,
-            settings.place.clone(),
-            DaemonRole::Beside,
-            counters.clone(),
-            journal.clone(),
-        );
-        let starts = Arc::new(Starts::new(outbox.clone()));
         let spread = match settings.platform {
             Some(_) => SpreadSettings::new(),
             None => SpreadSettings::new().without_store(),
         };
-        let (config, config_inputs) =
-            ConfigAgent::new(spread, agent.clone(), counters.clone(), journal.clone());
+        let role = DaemonRole::Beside;
+        let (parts, unserved) =
+            DaemonParts::listen(role, &settings.place, settings.link, settings.link_kind, spread)?;
+        let outbox = Outbox::new(parts.link.clone(), parts.counters.clone());
+        let starts = Arc::new(Starts::new(outbox.clone()));
         let kept = KeptBudget::new(settings.daemon_replay_budget, settings.replay_budget);
         let engines = start_engines(&settings, &kept, &outbox)?;
         let store = settings.platform.map(HttpObjectStore::new);
-        let orders = OrderDesk::start(&engines, store.clone(), outbox.clone(), journal.clone());
-        let leads_cx = LeadCx {
-            link: link.clone(),
-            fleet: agent.clone(),
-            config: config.clone(),
-            counters: counters.clone(),
-            journal: journal.clone(),
-            planner: settings.planner,
-        };
+        let orders =
+            OrderDesk::start(&engines, store.clone(), outbox.clone(), parts.journal.clone());
+        let leads_cx = parts.lead_cx(settings.planner);
+        let DaemonParts { me, link, agent, config, counters, journal } = parts;
         let handler = Arc::new(BesideHandler {
             me,
             engines,
@@ -95,10 +78,10 @@
             agent: agent.clone(),
             config: config.clone(),
         });
-        link.serve(closed, handler.clone());
+        link.serve(unserved.closed, handler.clone());
         let own = handler.clone();
-        agent.serve(inputs, link.clone(), move || own.endpoints());
-        config.serve(config_inputs, link.clone(), store);
+        agent.serve(unserved.members, link.clone(), move || own.endpoints());
+        config.serve(unserved.config, link.clone(), store);
         if let Some(platform) = settings.platform {
             read_list(agent, HttpInstanceList::new(platform), false);
         }
--- a/crates/daemon/src/entry/process/entry.rs
+++ b/crates/daemon/src/entry/process/entry.rs
@@ -6,11 +6,11 @@
     LimitDesk, Pipelines, RetryDesk, Timer,
 };
 use crate::entry::request::{RunTable, listener_refusal};
-use crate::process::leads::{LeadCx, LeadDesk};
+use crate::process::leads::LeadDesk;
 use crate::process::ledger::{LEDGER_STORE_TIMEOUT, LedgerHolders};
 use crate::process::{
-    ConfigAgent, Count, Counters, Dump, FleetAgent, Journal, check_place, counters_json,
-    draw_incarnation, listen_for_operators, read_list, send_metrics,
+    ConfigAgent, Count, Counters, DaemonParts, Dump, FleetAgent, Journal, counters_json,
+    listen_for_operators, read_list, send_metrics,
 };
 use eyre::{Result, WrapErr};
 use serde_json::{Value, json};
@@ -21,7 +21,7 @@
 use sorrellock_core::version::SpreadSettings;
 use sorrellock_http::{Server, ServerConfig};
 use sorrellock_ports::client::{HttpInstanceList, HttpObjectStore};
-use sorrellock_wire::connection::{AnyLink, LinkConfig};
+use sorrellock_wire::connection::AnyLink;
 use std::net::SocketAddr;
 use std::sync::{Arc, OnceLock};
 use std::thread;
@@ -41,35 +41,17 @@
 impl Entry {
     /// Starts the entry. It is ready once `/readyz` says so.
     pub fn start(settings: EntrySettings) -> Result<Entry> {
-        check_place(&settings.place)?;
-        let me = Peer { addr: settings.link, incarnation: draw_incarnation() };
-        let counters = Arc::new(Counters::new());
-        let journal = Arc::new(Journal::new());
-        let cfg = LinkConfig::new(me).with_kind(settings.link_kind);
-        let (link, closed) = AnyLink::listen(cfg).wrap_err("start of the links")?;
-        let (agent, inputs) = FleetAgent::new(
-            me,
-            settings.place.clone(),
+        let (parts, unserved) = DaemonParts::listen(
             DaemonRole::Entry,
-            counters.clone(),
-            journal.clone(),
-        );
-        let store = HttpObjectStore::new(settings.platform);
-        let (config, config_inputs) = ConfigAgent::new(
+            &settings.place,
+            settings.link,
+            settings.link_kind,
             SpreadSettings::new(),
-            agent.clone(),
-            counters.clone(),
-            journal.clone(),
-        );
+        )?;
+        let leads_cx = parts.lead_cx(settings.planner);
+        let DaemonParts { me, link, agent, config, counters, journal } = parts;
+        let store = HttpObjectStore::new(settings.platform);
         let (in_progress, finished) = InProgress::new(me.incarnation, settings.max_in_progress);
-        let leads_cx = LeadCx {
-            link: link.clone(),
-            fleet: agent.clone(),
-            config: config.clone(),
-            counters: counters.clone(),
-            journal: journal.clone(),
-            planner: settings.planner,
-        };
         let state = Arc::new(EntryState {
             me,
             place: settings.place.clone(),
@@ -103,11 +85,14 @@
         start_timer(&timer, &pipelines, &calls, &gate);
         pipelines.watch();
         start_waits(&calls);
-        link.serve(closed, Arc::new(new_handler(&state, &pipelines, &calls, &gate, &limits)));
+        link.serve(
+            unserved.closed,
+            Arc::new(new_handler(&state, &pipelines, &calls, &gate, &limits)),
+        );
         let fleet = state.fleet.clone();
         agent.on_change(move |members| fleet.set_members(members));
-        agent.serve(inputs, link.clone(), Vec::new);
-        config.serve(config_inputs, link, Some(store));
+        agent.serve(unserved.members, link.clone(), Vec::new);
+        config.serve(unserved.config, link, Some(store));
         read_list(agent, HttpInstanceList::new(settings.platform), true);
         send_metrics(counters, settings.metrics).wrap_err("start of the metrics")?;
         let server = start_server(&settings, &state, gate)?;
--- a/crates/daemon/src/process/mod.rs
+++ b/crates/daemon/src/process/mod.rs
@@ -2,6 +2,7 @@
 
 mod config_agent;
 mod counters;
+mod daemon_parts;
 mod dump;
 mod fleet_agent;
 mod fleet_list;
@@ -15,6 +16,7 @@
 
 pub use config_agent::*;
 pub use counters::*;
+pub(crate) use daemon_parts::DaemonParts;
 pub use dump::*;
 pub use fleet_agent::*;
 pub use fleet_list::*;
--- a/crates/daemon/tests/processes/settings.rs
+++ b/crates/daemon/tests/processes/settings.rs
@@ -5,6 +5,16 @@
 /// Arguments, and what the message must name.
 type BadSettings<'a> = (&'a [&'a str], &'a [&'a str]);
 
+/// The program ends with the code for bad settings, and names what is wrong.
+fn assert_refused((args, named): &BadSettings) {
+    let (code, _, errors) = run_to_end(args, &[]);
+
+    assert_eq!(code, Some(2), "{args:?}: {errors}");
+    for name in *named {
+        assert!(errors.contains(name), "{args:?}: no `{name}` in:\n{errors}");
+    }
+}
+
 #[test]
 fn bad_settings_end_a_daemon_with_a_clear_message() {
     let link = "--link=127.0.0.1:7001";
@@ -24,14 +34,7 @@
         ),
     ];
 
-    for (args, named) in table {
-        let (code, _, errors) = run_to_end(args, &[]);
-
-        assert_eq!(code, Some(2), "{args:?}: {errors}");
-        for name in *named {
-            assert!(errors.contains(name), "{args:?}: no `{name}` in:\n{errors}");
-        }
-    }
+    table.iter().for_each(assert_refused);
 }
 
 #[test]
@@ -51,14 +54,7 @@
         ),
     ];
 
-    for (args, named) in table {
-        let (code, _, errors) = run_to_end(args, &[]);
-
-        assert_eq!(code, Some(2), "{args:?}: {errors}");
-        for name in *named {
-            assert!(errors.contains(name), "{args:?}: no `{name}` in:\n{errors}");
-        }
-    }
+    table.iter().for_each(assert_refused);
 }
 
 #[test]
--- a/crates/http/tests/gone.rs
+++ b/crates/http/tests/gone.rs
@@ -4,17 +4,24 @@
 
 use common::{PATIENCE, connect, echo, get, post, read_until, send, start, wait_for};
 use crossbeam::channel::unbounded;
-use sorrellock_http::{PushError, Responder};
+use sorrellock_http::{PushError, Responder, Server};
+use std::net::TcpStream;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 
-#[test]
-fn on_gone_is_called_before_the_answer_began() {
+/// A server, a caller's connection, and what answers the request that came on it.
+fn one_request() -> (Server, TcpStream, Responder) {
     let (tx, rx) = unbounded::<Responder>();
     let server = start(move |req| tx.send(req.responder).expect("the test waits"));
     let mut stream = connect(&server);
     send(&mut stream, &get("/"));
     let responder = rx.recv_timeout(PATIENCE).expect("a request");
+    (server, stream, responder)
+}
+
+#[test]
+fn on_gone_is_called_before_the_answer_began() {
+    let (server, stream, responder) = one_request();
     let (gone_tx, gone_rx) = unbounded();
     responder.on_gone(move || gone_tx.send(()).expect("the test waits"));
 
@@ -27,11 +34,7 @@
 
 #[test]
 fn on_gone_is_called_while_streaming() {
-    let (tx, rx) = unbounded::<Responder>();
-    let server = start(move |req| tx.send(req.responder).expect("the test waits"));
-    let mut stream = connect(&server);
-    send(&mut stream, &get("/"));
-    let responder = rx.recv_timeout(PATIENCE).expect("a request");
+    let (_server, mut stream, responder) = one_request();
     let (gone_tx, gone_rx) = unbounded();
     responder.on_gone(move || gone_tx.send(()).expect("the test waits"));
     let body = responder.stream(200, &[]);
@@ -47,11 +50,7 @@
 
 #[test]
 fn on_gone_is_called_at_once_if_the_caller_had_gone() {
-    let (tx, rx) = unbounded::<Responder>();
-    let server = start(move |req| tx.send(req.responder).expect("the test waits"));
-    let mut stream = connect(&server);
-    send(&mut stream, &get("/"));
-    let responder = rx.recv_timeout(PATIENCE).expect("a request");
+    let (_server, stream, responder) = one_request();
     drop(stream);
     wait_for("the caller is gone", || responder.is_gone());
     let called = Arc::new(AtomicU64::new(0));
