Tests that fail: what a gateway that was told to end takes and can't finish

Cause looked for: the class of the cut streams (a process on its way out takes work, or holds answers, that it can't finish) in whatever else such a process does. By reading, three places; each test fails on the code as it is:

- a call that runs at its endpoint when the gateway ends: the caller's connection is closed (UnexpectedEof), though it may have run and mustn't be sent again
- calls that need 1.2 s, one after another until the end: the last one is taken 0.6 s before the end and cut the same way
- an answer of 15 MiB whose caller reads slowly: cut after 3,919,872 bytes, as requests count until their answer is made, not until it is written

--- /dev/null
+++ b/crates/daemon/tests/gateway/leaving.rs
@@ -0,0 +1,114 @@
+//! What a gateway that was told to end takes, and what becomes of it.
+//!
+//! The story: all gateways of four data centres were replaced, one every quarter of a second. A
+//! caller's answer broke off in the middle. Its gateway had been told to end 3.0 s before it took the
+//! request, passed it on at once to an engine that ran it without a fault, and ended by itself 7.5 s
+//! after the signal, 4.5 s into the answer.
+//!
+//! The cause: a process on its way out took work, or held answers, that it couldn't finish before its
+//! own end. The evidence: nothing broke at the engine, the request waited 6 ms in the gateway, and the
+//! connection closed right when the process ends by itself. The tests here show the same cause in
+//! whatever else such a process takes.
+
+use crate::fleet::{HOST, KEY, fleet, new_request, send};
+use crate::gateway_process::{GatewayProcess, wait_for};
+use nix::sys::signal::Signal;
+use sorrellock_stand_ins::{FakeService, ServiceMode};
+use std::io::{Read, Write};
+use std::net::TcpStream;
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// Longer than any gateway here lives after its signal.
+const OUTLASTS_ALL: Duration = Duration::from_secs(12);
+
+/// Shortens the time between the signal and the kill, of which the gateway keeps half a second.
+fn set_grace(gateway: &GatewayProcess, seconds: f64) {
+    gateway.change_settings(|text| text.replace("grace_s = 8", &format!("grace_s = {seconds}")));
+    gateway.wait_for_line(&["\"bounds changed\""]);
+}
+
+fn wait_for_run(service: &FakeService, request: &str) {
+    wait_for("the service to run the call", || service.runs(request) == 1);
+}
+
+/// Sends a call on a connection that the caller keeps open, and reads nothing yet.
+fn call_on_kept_connection(gateway: &GatewayProcess, request: &str) -> TcpStream {
+    let mut caller = TcpStream::connect(gateway.callers()).expect("a connection");
+    let head = format!(
+        "POST /status/a HTTP/1.1\r\nhost: {HOST}\r\nrequest-id: {request}\r\n\
+         authorization: Bearer {KEY}\r\ncontent-length: 0\r\n\r\n"
+    );
+    caller.write_all(head.as_bytes()).expect("the head");
+    caller
+}
+
+#[test]
+fn a_call_that_outlasts_the_gateway_gets_a_final_answer() {
+    let fleet = fleet();
+    let mut gateway = fleet.gateway("one");
+    set_grace(&gateway, 3.5);
+    fleet.service.set_mode(ServiceMode::ServesAfter(OUTLASTS_ALL));
+    let (to, request) = (gateway.callers(), new_request());
+    let id = request.clone();
+    let call = thread::spawn(move || send(to, "/status/a", &id, Some(KEY)));
+    wait_for_run(&fleet.service, &request);
+
+    gateway.signal(Signal::SIGTERM);
+    let answer = call.join().expect("an answer, not a closed connection");
+
+    assert_eq!(answer.status, 502, "it may have run");
+    assert_eq!(answer.retry_after, None, "it promises nothing");
+    assert_eq!(gateway.wait(), Some(0));
+    let line = gateway.wait_for_line(&["\"request ended\"", &request]);
+    assert!(line.contains("this gateway ends"), "{line}");
+}
+
+#[test]
+fn a_call_that_may_outlast_the_gateway_is_refused_and_runs_nowhere() {
+    let fleet = fleet();
+    let gateway = fleet.gateway("one");
+    set_grace(&gateway, 3.5);
+    fleet.service.set_mode(ServiceMode::ServesAfter(Duration::from_millis(1_200)));
+    let mut answers = Vec::new();
+
+    gateway.signal(Signal::SIGTERM);
+    wait_for("a call to be refused", || {
+        let request = new_request();
+        let answer = send(gateway.callers(), "/status/a", &request, Some(KEY));
+        let is_refused = answer.status == 503;
+        answers.push((request, answer));
+        is_refused
+    });
+
+    let (refused, answer) = answers.pop().expect("the last one");
+    assert!(answer.retry_after.is_some(), "{answer:?}");
+    assert_eq!(fleet.service.runs(&refused), 0);
+    assert!(answers.iter().all(|(_, answer)| answer.status == 200), "{answers:?}");
+    let line = gateway.wait_for_line(&["\"refused as this gateway ends\"", &refused]);
+    assert!(line.contains("\"since_ms\"") && line.contains("\"left_ms\""), "{line}");
+}
+
+#[test]
+fn a_gateway_ends_after_its_callers_have_read_their_answers() {
+    // Far beyond what the sockets hold by themselves.
+    const BYTES: usize = 15 << 20;
+    let fleet = fleet();
+    let mut gateway = fleet.gateway("one");
+    fleet.service.set_mode(ServiceMode::ServesLarge(BYTES));
+    let request = new_request();
+    let mut caller = call_on_kept_connection(&gateway, &request);
+    gateway.wait_for_line(&["\"request ended\"", "answered", &request]);
+
+    gateway.signal(Signal::SIGTERM);
+    // The caller reads on when the gateway has nothing else left to do.
+    let began = Instant::now();
+    while began.elapsed() < Duration::from_secs(5) && !gateway.has_ended() {
+        thread::sleep(Duration::from_millis(10));
+    }
+    let mut answer = Vec::new();
+    caller.read_to_end(&mut answer).expect("the answer");
+
+    assert!(answer.len() > BYTES, "cut after {} bytes", answer.len());
+    assert_eq!(gateway.wait(), Some(0));
+}
--- a/crates/daemon/tests/gateway/main.rs
+++ b/crates/daemon/tests/gateway/main.rs
@@ -3,6 +3,7 @@
 mod fleet;
 mod gateway_process;
 mod knowledge;
+mod leaving;
 mod life;
 mod plain_calls;
 mod soak;
