A leaving gateway tells what it refuses and cuts, and how much time was left

Ruled out: a line of the relay alone; calls and requests that wait would stay untold.

Change: the guard that each request holds tells a cut where the process has ended; each refusal and each cut for want of time has a line with the time since the signal (negative where it came before) and the time that was left, and a counter.

Before: a_stream_that_the_gateway_cuts_by_its_end_is_told_as_such fails (no line with 'cut', one with 'caller gone'). After: it passes; the tests of life.rs pass unchanged.

--- a/crates/daemon/tests/gateway/leaving.rs
+++ b/crates/daemon/tests/gateway/leaving.rs
@@ -10,7 +10,7 @@
 //! connection closed right when the process ends by itself. The tests here show the same cause in
 //! whatever else such a process takes.
 
-use crate::fleet::{HOST, KEY, fleet, new_request, send};
+use crate::fleet::{HOST, KEY, begin, fleet, new_request, send};
 use crate::gateway_process::{GatewayProcess, wait_for};
 use nix::sys::signal::Signal;
 use sorrellock_stand_ins::{FakeService, ServiceMode};
@@ -112,3 +112,20 @@
     assert!(answer.len() > BYTES, "cut after {} bytes", answer.len());
     assert_eq!(gateway.wait(), Some(0));
 }
+
+#[test]
+fn a_stream_that_the_gateway_cuts_by_its_end_is_told_as_such() {
+    let fleet = fleet();
+    let mut gateway = fleet.gateway("one");
+    set_grace(&gateway, 0.5);
+    let request = new_request();
+    let (head, _body) = begin(gateway.callers(), "/match/a", &request, Some(KEY));
+
+    gateway.signal(Signal::SIGTERM);
+
+    assert_eq!(head.status, 200);
+    assert_eq!(gateway.wait(), Some(0));
+    gateway.wait_for_line(&["\"request ended\"", &request, "\"cut\"", "this gateway ended"]);
+    gateway.wait_for_line(&["\"cut as this gateway ends\"", &request, "\"since_ms\""]);
+    assert!(gateway.lines(&["caller gone", &request]).is_empty());
+}
--- a/crates/gateway/src/process/counters.rs
+++ b/crates/gateway/src/process/counters.rs
@@ -34,6 +34,10 @@
     TimedOut => "timed_out",
     /// Answers cut off after their head was sent.
     Cut => "cut",
+    /// Requests refused as they may need longer than this gateway, which was told to end, has left.
+    RefusedLeaving => "refused_leaving",
+    /// Requests cut by this gateway's own end.
+    CutLeaving => "cut_leaving",
     /// Callers that went away before their answer was whole.
     CallersGone => "callers_gone",
     /// Requests that no route or key allows.
@@ -135,11 +139,16 @@
         cell.set(cell.get() + 1);
     }
 
+    /// How many were counted.
+    pub(crate) fn get(&self, count: Count) -> u64 {
+        self.counts[count as usize].get()
+    }
+
     /// The metrics page, as text.
     pub(crate) fn page(&self, gauges: &[(&str, f64)]) -> String {
         let mut page = String::with_capacity(4_096);
         for count in Count::ALL {
-            let value = self.counts[*count as usize].get();
+            let value = self.get(*count);
             let _ = writeln!(page, "sorrellock_{} {value}", count.name());
         }
         let _ = writeln!(page, "sorrellock_log_lines_dropped {}", super::dropped_lines());
--- a/crates/gateway/src/process/gateway.rs
+++ b/crates/gateway/src/process/gateway.rs
@@ -25,6 +25,8 @@
     Leaving,
     /// Closes connections that are idle.
     Closing,
+    /// Has ended; what is under way is cut.
+    Ended,
 }
 
 /// An endpoint's load, as its last answer told and as this gateway adds to it.
--- a/crates/gateway/src/process/run.rs
+++ b/crates/gateway/src/process/run.rs
@@ -4,7 +4,7 @@
 use crate::process::peers::Peers;
 use crate::process::placer::Placer;
 use crate::process::watchers::{expire_missing, follow};
-use crate::process::{Gateway, Phase, serve_side_pages, set_up_log, watch_paths};
+use crate::process::{Count, Gateway, Phase, serve_side_pages, set_up_log, watch_paths};
 use sorrellock_http::listen;
 use sorrellock_platform::{Kind, Settings, Store, parse_settings};
 use sorrellock_routing::process::Leaving;
@@ -220,6 +220,8 @@
         }
         sleep(END_TICK).await;
     }
+    gateway.phase.send_replace(Phase::Ended);
     let in_flight = gateway.in_flight.get();
-    info!("gateway ended", kv: { in_flight, ms = began.elapsed().as_millis() as u64 });
+    let refused = gateway.counters.get(Count::RefusedLeaving);
+    info!("gateway ended", kv: { in_flight, refused, ms = began.elapsed().as_millis() as u64 });
 }
--- a/crates/gateway/src/request/answer.rs
+++ b/crates/gateway/src/request/answer.rs
@@ -93,6 +93,7 @@
     }
     if !takes_stream(&gateway, &call) {
         let why = "this gateway ends before the stream may";
+        call.end.tell_refused_leaving();
         return Ok(give_up(&call, GivenUp::NotRun, RETRY_ELSEWHERE, why));
     }
     serve_stream(gateway, call).await
--- a/crates/gateway/src/request/call.rs
+++ b/crates/gateway/src/request/call.rs
@@ -1,11 +1,11 @@
 //! One request of a caller, read whole, with the route that it goes by.
 
-use crate::process::{Count, Gateway};
+use crate::process::{Count, Gateway, Phase};
 use bytes::Bytes;
 use http::{HeaderMap, Method, Uri};
 use sorrellock_platform::CallerHead;
 use sorrellock_routing::version::{Route, ServiceName, WorkspaceName};
-use spdlog::{Level, log};
+use spdlog::{Level, log, warn};
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
@@ -75,10 +75,36 @@
         let level = if count == Count::Answered { Level::Info } else { Level::Warn };
         log!(level, "request ended", kv: { request, outcome, status, ms, why });
     }
+
+    /// This gateway was told to end, and refuses the request for want of time.
+    pub(crate) fn tell_refused_leaving(&self) {
+        self.tell_leaving(Count::RefusedLeaving, "refused as this gateway ends");
+    }
+
+    /// This gateway was told to end, and cuts the request by it.
+    pub(crate) fn tell_cut_leaving(&self) {
+        self.tell_leaving(Count::CutLeaving, "cut as this gateway ends");
+    }
+
+    /// Tells when the request came, against the signal, and how much time was left then.
+    fn tell_leaving(&self, count: Count, what: &str) {
+        let Some(leaving) = self.gateway.leaving.get() else { return };
+        self.gateway.counters.add(count);
+        let arrived = self.arrived.into_std();
+        // Negative: it came before the signal.
+        let since = arrived.saturating_duration_since(leaving.told).as_millis() as i64
+            - leaving.told.saturating_duration_since(arrived).as_millis() as i64;
+        let left_ms = leaving.left(arrived).as_millis() as u64;
+        warn!("{}", what, kv: { request = self.request.as_str(), since_ms = since, left_ms });
+    }
 }
 
 impl Drop for EndGuard {
     fn drop(&mut self) {
+        if !self.is_told.get() && *self.gateway.phase.borrow() == Phase::Ended {
+            self.tell_cut_leaving();
+            self.tell(Count::Cut, "cut", 0, "this gateway ended first");
+        }
         self.tell(Count::CallersGone, "caller gone", 0, "the caller closed its connection");
         self.gateway.in_flight.set(self.gateway.in_flight.get() - 1);
     }
--- a/crates/routing/src/process/leaving.rs
+++ b/crates/routing/src/process/leaving.rs
@@ -25,4 +25,9 @@
     pub fn takes(&self, longest: Duration, now: Instant) -> bool {
         now.duration_since(self.told) < STILL_SENT || now + longest <= self.ends
     }
+
+    /// Time until it ends.
+    pub fn left(&self, now: Instant) -> Duration {
+        self.ends.saturating_duration_since(now)
+    }
 }
