A gateway that ends takes no call that it can't finish, and ends after its last answer

Cause: calls of plain services were taken to the last, as they end in milliseconds; one that needs a second was cut with the process, though it had been passed on and may be one that mustn't run twice. And the process ended when no request was in flight: a request ends when its answer is made, which may be long before a slow caller has read it.

Ruled out: a refusal of calls by their deadline, as for streams: their deadlines are seconds, and calls of 60 ms would be refused for half of the time that is left; waiting for requests alone with a pause after them: no pause is long enough for a slow reader.

Change: a call is taken while the process has four times the usual time of its service left, a second at least, its deadline at most. What counts at the end is open connections that had a request: once idle ones are closed, those left have an answer to write. A call that still runs when the time is over gets its final answer (502, may have run; 503 where it was not sent), 0.1 s of the half second that is kept for the end.

--- a/crates/gateway/src/connection/caller_connection.rs
+++ b/crates/gateway/src/connection/caller_connection.rs
@@ -9,6 +9,7 @@
 use sorrellock_http::{Activity, AnswerBody, Cut, Doing, WatchedIo};
 use sorrellock_routing::version::CallerLimits;
 use spdlog::warn;
+use std::cell::Cell;
 use std::pin::pin;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -60,9 +61,14 @@
     let _ = stream.set_nodelay(true);
     let limits = limits(&gateway);
     let activity = Arc::new(Activity::new());
+    let answering = Rc::new(Answering::new(Rc::clone(&gateway)));
     let service = {
         let (gateway, activity) = (Rc::clone(&gateway), Arc::clone(&activity));
-        service_fn(move |req| serve_one(Rc::clone(&gateway), Arc::clone(&activity), req))
+        let answering = Rc::clone(&answering);
+        service_fn(move |req| {
+            answering.on_request();
+            serve_one(Rc::clone(&gateway), Arc::clone(&activity), req)
+        })
     };
     let mut builder = http1::Builder::new();
     // The connection's own timer tells a slow head from an idle connection.
@@ -91,6 +97,33 @@
     }
 }
 
+/// Counts a connection that had a request until it is closed. A gateway that ends closes each after its
+/// answer, so that those left have one to write.
+struct Answering {
+    gateway: Rc<Gateway>,
+    had_request: Cell<bool>,
+}
+
+impl Answering {
+    fn new(gateway: Rc<Gateway>) -> Answering {
+        Answering { gateway, had_request: Cell::new(false) }
+    }
+
+    fn on_request(&self) {
+        if !self.had_request.replace(true) {
+            self.gateway.answering.set(self.gateway.answering.get() + 1);
+        }
+    }
+}
+
+impl Drop for Answering {
+    fn drop(&mut self) {
+        if self.had_request.get() {
+            self.gateway.answering.set(self.gateway.answering.get() - 1);
+        }
+    }
+}
+
 /// What becomes of a connection, by what it does and for how long.
 enum TimeLeft {
     Wait(Duration),
--- a/crates/gateway/src/process/gateway.rs
+++ b/crates/gateway/src/process/gateway.rs
@@ -13,6 +13,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::sync::{Notify, watch};
 use tokio::time::Instant;
 
@@ -25,6 +26,8 @@
     Leaving,
     /// Closes connections that are idle.
     Closing,
+    /// Gives up calls that haven't been answered, so that their callers are told.
+    Ending,
     /// Has ended; what is under way is cut.
     Ended,
 }
@@ -68,6 +71,8 @@
     pub(crate) refusers_checked: RefCell<HashMap<SocketAddr, Instant>>,
     /// Requests under way.
     pub(crate) in_flight: Cell<usize>,
+    /// Open connections that had a request: each may have an answer to write yet.
+    pub(crate) answering: Cell<usize>,
     /// Wakes the placer: an engine came, went or is suspected.
     pub(crate) engines_changed: Notify,
     /// Wakes the messages to other gateways: an endpoint failed.
@@ -104,6 +109,7 @@
             store_failed: Cell::new(None),
             refusers_checked: RefCell::default(),
             in_flight: Cell::new(0),
+            answering: Cell::new(0),
             engines_changed: Notify::new(),
             suspected: Notify::new(),
             probes: RefCell::default(),
@@ -128,6 +134,37 @@
         *self.phase.borrow() == Phase::Running && self.knowledge.borrow().routes().is_some()
     }
 
+    /// Goes on to a later phase of the way out.
+    pub(crate) fn reach(&self, phase: Phase) {
+        self.phase.send_if_modified(|now| {
+            let is_later = *now < phase;
+            *now = phase.max(*now);
+            is_later
+        });
+    }
+
+    /// Ends when the process gives up what hasn't been answered.
+    pub(crate) async fn ending(&self) {
+        let mut phase = self.phase.subscribe();
+        // The sender lives as long as the gateway.
+        let _ = phase.wait_for(|phase| *phase >= Phase::Ending).await;
+    }
+
+    /// Whether the process gives up what hasn't been answered.
+    pub(crate) fn is_ending(&self) -> bool {
+        *self.phase.borrow() >= Phase::Ending
+    }
+
+    /// The longest of the mean times that the endpoints of a service take for an answer.
+    pub(crate) fn usual_answer(&self, service: &str) -> Duration {
+        let knowledge = self.knowledge.borrow();
+        let uses = self.uses.borrow();
+        let of_service = knowledge.endpoints().filter(|endpoint| endpoint.service == service);
+        let means = of_service.filter_map(|endpoint| uses.get(&endpoint.id));
+        let longest_ms = means.map(|used| used.mean_ms).fold(0.0, f64::max);
+        Duration::from_secs_f64(longest_ms / 1e3)
+    }
+
     /// A call of the store failed.
     pub(crate) fn on_store_failed(&self) {
         self.counters.add(Count::StoreFailures);
--- a/crates/gateway/src/process/run.rs
+++ b/crates/gateway/src/process/run.rs
@@ -30,8 +30,10 @@
 const LEAVE_QUIETLY: Duration = Duration::from_millis(3_000);
 /// Kept of the time between SIGTERM and SIGKILL for the end itself.
 const END_MARGIN: Duration = Duration::from_millis(500);
-/// How often an ending process looks whether requests are left.
+/// How often an ending process looks whether answers are left.
 const END_TICK: Duration = Duration::from_millis(50);
+/// Time for the answers of calls that the end gives up, of the margin: they are a few hundred bytes.
+const LAST_ANSWERS: Duration = Duration::from_millis(100);
 /// Path of the metrics page's port, which the deployment's file names.
 const METRICS_PORT: u16 = 9_464;
 
@@ -203,7 +205,8 @@
     }
 }
 
-/// Ends in order: what runs is finished, within the time before SIGKILL.
+/// Ends in order: what runs is finished, within the time before SIGKILL. A call that is left then gets
+/// a final answer: with its connection closed its caller couldn't tell that it may have run.
 async fn leave(gateway: &Rc<Gateway>) {
     let began = Instant::now();
     let in_flight = gateway.in_flight.get();
@@ -211,17 +214,28 @@
     let most = gateway.bounds.get().grace.saturating_sub(END_MARGIN);
     gateway.leaving.set(Some(Leaving { told: began.into_std(), ends: (began + most).into_std() }));
     gateway.phase.send_replace(Phase::Leaving);
-    while began.elapsed() < most {
+    while began.elapsed() < most && !is_done(gateway) {
         if began.elapsed() >= LEAVE_QUIETLY {
-            gateway.phase.send_replace(Phase::Closing);
-            if gateway.in_flight.get() == 0 {
-                break;
-            }
+            gateway.reach(Phase::Closing);
         }
         sleep(END_TICK).await;
     }
-    gateway.phase.send_replace(Phase::Ended);
+    if !is_done(gateway) {
+        gateway.reach(Phase::Ending);
+        sleep(LAST_ANSWERS).await;
+    }
+    gateway.reach(Phase::Ended);
     let in_flight = gateway.in_flight.get();
+    let answering = gateway.answering.get();
     let refused = gateway.counters.get(Count::RefusedLeaving);
-    info!("gateway ended", kv: { in_flight, refused, ms = began.elapsed().as_millis() as u64 });
+    info!("gateway ended", kv: {
+        in_flight, answering, refused, ms = began.elapsed().as_millis() as u64
+    });
+}
+
+/// Whether nothing is left to answer. An answer counts until it is written: its request has ended by
+/// then, and a caller that reads slowly would lose the rest.
+fn is_done(gateway: &Gateway) -> bool {
+    let is_closing = *gateway.phase.borrow() >= Phase::Closing;
+    is_closing && gateway.in_flight.get() == 0 && gateway.answering.get() == 0
 }
--- a/crates/gateway/src/request/answer.rs
+++ b/crates/gateway/src/request/answer.rs
@@ -88,22 +88,26 @@
     };
     log_admitted(&call, &routes);
     let has_model = routes.service(&call.service).is_some_and(|service| service.model.is_some());
-    if !has_model {
-        return serve_plain(gateway, call).await;
-    }
-    if !takes_stream(&gateway, &call) {
-        let why = "this gateway ends before the stream may";
+    if !takes(&gateway, &call, has_model) {
         call.end.tell_refused_leaving();
+        let why = "this gateway ends before the answer may";
         return Ok(give_up(&call, GivenUp::NotRun, RETRY_ELSEWHERE, why));
     }
-    serve_stream(gateway, call).await
+    match has_model {
+        true => serve_stream(gateway, call).await,
+        false => serve_plain(gateway, call).await,
+    }
 }
 
-/// Whether a stream ends before this gateway does, as far as its deadline tells. Calls of plain
-/// services end in milliseconds, and are taken to the last.
-fn takes_stream(gateway: &Gateway, call: &Call) -> bool {
-    let longest = call.time_left();
-    gateway.leaving.get().is_none_or(|leaving| leaving.takes(longest, Instant::now().into_std()))
+/// Whether a request is answered before this gateway ends: a stream as far as its deadline tells, a
+/// call as its service usually takes.
+fn takes(gateway: &Gateway, call: &Call, is_stream: bool) -> bool {
+    let Some(leaving) = gateway.leaving.get() else { return true };
+    let (longest, now) = (call.time_left(), Instant::now().into_std());
+    match is_stream {
+        true => leaving.takes(longest, now),
+        false => leaving.takes_call(gateway.usual_answer(&call.service), longest, now),
+    }
 }
 
 /// The configuration in force; just after the start it is waited for.
--- a/crates/gateway/src/request/plain.rs
+++ b/crates/gateway/src/request/plain.rs
@@ -38,14 +38,18 @@
     let mut tried: Vec<EndpointId> = Vec::new();
     let mut why = "no endpoint is known".to_owned();
     let mut last_failure: Option<Response<AnswerBody>> = None;
-    while attempts.may_send() && !call.time_left().is_zero() {
+    while attempts.may_send() && !call.time_left().is_zero() && !gateway.is_ending() {
         let Some((endpoint, permit)) = choose(&gateway, &call, &tried) else { break };
         if attempts.is_repeat() && !gateway.spend_repeat(&call.service) {
             why = format!("{why}; the retry budget is spent");
             break;
         }
         let is_last = !may_follow(&call, &attempts, &endpoint.id);
-        let res = run(&gateway, &call, &endpoint, is_last).await;
+        let res = tokio::select! {
+            biased;
+            res = run(&gateway, &call, &endpoint, is_last) => res,
+            () = gateway.ending() => Err(give_up_at_end(&call)),
+        };
         note_end(&gateway, &endpoint.id, permit, &res);
         match res {
             Ok(answer) => match may_retry_failure(&call, &attempts, &endpoint.id, &answer) {
@@ -77,6 +81,12 @@
     Ok(give_up(&call, given_up, RETRY_AFTER, &why))
 }
 
+/// Gives up an attempt as this gateway ends before its answer.
+fn give_up_at_end(call: &Call) -> Failed {
+    call.end.tell_cut_leaving();
+    Failed::new(Evidence::MayHaveRun, "this gateway ends before the answer".to_owned())
+}
+
 fn done(call: &Call, endpoint: &str, answer: Response<AnswerBody>) -> Response<AnswerBody> {
     let why = format!("answered by {endpoint}");
     call.end.tell(Count::Answered, "answered", answer.status().as_u16(), &why);
--- a/crates/routing/src/process/leaving.rs
+++ b/crates/routing/src/process/leaving.rs
@@ -1,4 +1,7 @@
 //! What a process that was told to end still takes.
+//!
+//! All that it takes has to end before it does: an answer that is cut by its end can't be told from one
+//! whose instance died, and a request that may run once is lost.
 
 use std::time::{Duration, Instant};
 
@@ -6,6 +9,11 @@
 /// whether it is ready and send new connections until the second miss, so that a caller refused
 /// sooner might come back to the same process.
 const STILL_SENT: Duration = Duration::from_millis(2_200);
+/// Least time that a call of a plain service needs: such calls take tens of ms, and up to a second
+/// where they wait at a busy endpoint.
+const CALL_LEAST: Duration = Duration::from_millis(1_000);
+/// How many times the usual time of its service a call may take.
+const CALL_SPREAD: u32 = 4;
 
 /// A process that was told to end.
 ///
@@ -21,9 +29,16 @@
 }
 
 impl Leaving {
-    /// Whether it takes a request that may need as long as `longest`.
+    /// Whether it takes a stream that may need as long as `longest`.
     pub fn takes(&self, longest: Duration, now: Instant) -> bool {
-        now.duration_since(self.told) < STILL_SENT || now + longest <= self.ends
+        let is_still_sent = now.duration_since(self.told) < STILL_SENT && now < self.ends;
+        is_still_sent || now + longest <= self.ends
+    }
+
+    /// Whether it takes a call whose service usually takes `usual`, and that takes `longest` at most.
+    pub fn takes_call(&self, usual: Duration, longest: Duration, now: Instant) -> bool {
+        let needed = CALL_LEAST.max(usual * CALL_SPREAD).min(longest);
+        now + needed <= self.ends
     }
 
     /// Time until it ends.
--- a/crates/routing/tests/leaving.rs
+++ b/crates/routing/tests/leaving.rs
@@ -39,3 +39,36 @@
     assert!(in_time);
     assert!(!too_late);
 }
+
+#[test]
+fn nothing_is_taken_after_the_end_however_short_the_time_was() {
+    let told = Instant::now();
+    let leaving = Leaving { told, ends: told + Duration::from_millis(1_000) };
+
+    let takes = leaving.takes(Duration::from_secs(20), told + Duration::from_millis(1_000));
+
+    assert!(!takes);
+}
+
+#[test]
+fn a_call_is_taken_as_long_as_its_service_usually_answers_before_the_end() {
+    let told = Instant::now();
+    let leaving = leaving(told);
+    let before_end = |ms| leaving.ends - Duration::from_millis(ms);
+    let table = [
+        // Usual time, longest time, time before the end, whether it is taken; all in ms.
+        (60, 4_000, 1_000, true),
+        (60, 4_000, 999, false),
+        (400, 4_000, 1_600, true),
+        (400, 4_000, 1_599, false),
+        (2_000, 4_000, 4_000, true),
+        (2_000, 4_000, 3_999, false),
+        (60, 300, 300, true),
+    ];
+
+    for (usual, longest, at, expected) in table {
+        let (usual, longest) = (Duration::from_millis(usual), Duration::from_millis(longest));
+        let takes = leaving.takes_call(usual, longest, before_end(at));
+        assert_eq!(takes, expected, "{usual:?} of {longest:?}, {at} ms before the end");
+    }
+}
