A leaving gateway answers new connections as long as it runs

Cause: three seconds after the signal a gateway closed each new connection before it had read its request, as if balancers sent nothing new by then. They do where most gateways of a data centre are leaving, and the caller spent its one retry on the closed connection. A request whose body hadn't come at the end was dropped the same way.

Ruled out: no listening socket after three seconds: callers would wait for connections that are refused just the same.

Change: only a connection that had a request is closed as idle; a new one is answered, and closed after its answer. A request whose body hasn't come when the time is over is refused as not run.

--- a/crates/daemon/tests/gateway/leaving.rs
+++ b/crates/daemon/tests/gateway/leaving.rs
@@ -129,3 +129,48 @@
     gateway.wait_for_line(&["\"cut as this gateway ends\"", &request, "\"since_ms\""]);
     assert!(gateway.lines(&["caller gone", &request]).is_empty());
 }
+
+/// The call that waits keeps the gateway alive beyond the close of idle connections.
+#[test]
+fn a_new_connection_is_answered_as_long_as_the_gateway_runs() {
+    let fleet = fleet();
+    let gateway = fleet.gateway("one");
+    let before = new_request();
+    let mut idle = call_on_kept_connection(&gateway, &before);
+    gateway.wait_for_line(&["\"request ended\"", "answered", &before]);
+    fleet.service.set_mode(ServiceMode::ServesAfter(Duration::from_secs(5)));
+    let (to, slow) = (gateway.callers(), new_request());
+    let id = slow.clone();
+    let kept = thread::spawn(move || send(to, "/status/a", &id, Some(KEY)));
+    wait_for_run(&fleet.service, &slow);
+    fleet.service.set_mode(ServiceMode::Serves);
+
+    gateway.signal(Signal::SIGTERM);
+    idle.read_to_end(&mut Vec::new()).expect("the close of an idle connection");
+    let answer = send(gateway.callers(), "/status/a", &new_request(), Some(KEY));
+
+    assert_eq!(answer.status, 200);
+    assert_eq!(kept.join().expect("an answer").status, 200);
+}
+
+#[test]
+fn a_request_whose_body_has_not_come_when_the_gateway_ends_is_refused_as_not_run() {
+    let fleet = fleet();
+    let gateway = fleet.gateway("one");
+    set_grace(&gateway, 3.5);
+    let request = new_request();
+    let mut caller = TcpStream::connect(gateway.callers()).expect("a connection");
+    let head = format!(
+        "POST /status/a HTTP/1.1\r\nhost: {HOST}\r\nrequest-id: {request}\r\n\
+         authorization: Bearer {KEY}\r\ncontent-length: 10\r\n\r\nhalf"
+    );
+    caller.write_all(head.as_bytes()).expect("the head");
+
+    gateway.signal(Signal::SIGTERM);
+    let mut answer = String::new();
+    caller.read_to_string(&mut answer).expect("an answer");
+
+    assert!(answer.starts_with("HTTP/1.1 503 "), "{answer:?}");
+    assert!(answer.to_lowercase().contains("retry-after: "), "{answer}");
+    assert_eq!(fleet.service.runs(&request), 0);
+}
--- a/crates/gateway/src/connection/caller_connection.rs
+++ b/crates/gateway/src/connection/caller_connection.rs
@@ -78,7 +78,9 @@
     let mut connection = pin!(builder.serve_connection(io, service));
     let mut phase = gateway.phase.subscribe();
     loop {
-        if *phase.borrow_and_update() >= Phase::Closing {
+        // A new connection gets an answer first: closed unread, its caller would spend a retry on a
+        // process that may still serve it, or tell when to come back.
+        if *phase.borrow_and_update() >= Phase::Closing && answering.had_request.get() {
             connection.as_mut().graceful_shutdown();
         }
         let wait = match time_left(&activity, &limits) {
--- a/crates/gateway/src/request/answer.rs
+++ b/crates/gateway/src/request/answer.rs
@@ -54,7 +54,17 @@
     let deadline = caller_deadline.min(arrived + route.timeout);
     let (parts, body) = req.into_parts();
     let most = routes.cfg().limits.max_body_bytes;
-    let body = match timeout_at(deadline, Limited::new(body, most).collect()).await {
+    let body = timeout_at(deadline, Limited::new(body, most).collect());
+    let body = tokio::select! {
+        biased;
+        body = body => body,
+        () = gateway.ending() => {
+            end.tell_refused_leaving();
+            end.tell(Count::NotRun, "not run", 503, "this gateway ends before the body came");
+            return Ok(refusal(StatusCode::SERVICE_UNAVAILABLE, Some(RETRY_ELSEWHERE)));
+        }
+    };
+    let body = match body {
         Ok(Ok(body)) => body.to_bytes(),
         Ok(Err(err)) if err.is::<LengthLimitError>() => {
             end.tell(Count::BadRequests, "refused", 413, "the body is too large");
