Callers that a leaving gateway refuses are told when another will be ready

Cause: Retry-After was 0 in any case, 'come back elsewhere at once'. Where most gateways of a data centre are replaced together balancers send to all of them, and callers, who have one retry, spent it on another gateway that was leaving as well.

Ruled out: a fixed wait (a single replacement would delay callers for nothing); the time of this gateway's own successor (one of many: others are ready sooner); as soon as one is ready (balancers send to all until half are).

Change: gateways tell each other their data centre and when they, or their successors, are ready. A refused caller comes back at once where half of the data centre's gateways are ready, or none is and others elsewhere are; else when half should be, spread over a second, after three tenths of its time at most. The decision is a function in the routing crate.

--- a/crates/daemon/tests/gateway/leaving.rs
+++ b/crates/daemon/tests/gateway/leaving.rs
@@ -174,3 +174,28 @@
     assert!(answer.to_lowercase().contains("retry-after: "), "{answer}");
     assert_eq!(fleet.service.runs(&request), 0);
 }
+
+#[test]
+fn a_refused_caller_is_told_to_come_back_at_once_only_where_another_gateway_is_ready() {
+    let fleet = fleet();
+    let gateways = [fleet.gateway("one"), fleet.gateway("two")];
+    gateways[0].wait_for_line(&["\"gateway heard\"", "two"]);
+    let refusal = |gateway: &GatewayProcess| {
+        let mut told = None;
+        wait_for("a stream to be refused", || {
+            let answer = send(gateway.callers(), "/match/a", &new_request(), Some(KEY));
+            told = answer.retry_after;
+            answer.status == 503
+        });
+        told.expect("a time").parse::<f64>().expect("seconds")
+    };
+
+    gateways[0].signal(Signal::SIGTERM);
+    let while_other_is_ready = refusal(&gateways[0]);
+    gateways[1].signal(Signal::SIGTERM);
+    gateways[1].wait_for_line(&["\"gateway leaving\""]);
+    let while_both_leave = refusal(&gateways[1]);
+
+    assert_eq!(while_other_is_ready, 0.0);
+    assert!(while_both_leave > 0.0, "{while_both_leave}");
+}
--- a/crates/gateway/src/process/beliefs.rs
+++ b/crates/gateway/src/process/beliefs.rs
@@ -11,6 +11,10 @@
 const PEER_LAPSE: Duration = Duration::from_millis(1_500);
 /// A gateway that wasn't heard for so long spends none of the retry budget: its window is over.
 const BUDGET_SHARER_LAPSE: Duration = Duration::from_secs(15);
+/// A successor that wasn't heard for so long doesn't come.
+const SUCCESSOR_LAPSE: Duration = Duration::from_secs(15);
+/// Expected time until a successor is ready that is overdue.
+const SUCCESSOR_OVERDUE: Duration = Duration::from_millis(500);
 /// What the lead told last is used for so long; after that the list of endpoints is fresher.
 pub(crate) const LEAD_VIEW_LAPSE: Duration = Duration::from_secs(4);
 /// For how long an endpoint that failed an attempt gets no new work, if the lead doesn't say more.
@@ -30,6 +34,19 @@
     pub(crate) heard: Instant,
 }
 
+impl Peer {
+    /// Time until it, or the successor that it told of, is expected to be ready; nothing for one that
+    /// is gone without a word.
+    fn ready_in(&self, now: Instant) -> Option<Duration> {
+        let silent = now - self.heard;
+        let told = Duration::from_millis(self.message.ready_in_ms.into());
+        if told.is_zero() {
+            return (silent < PEER_LAPSE).then_some(Duration::ZERO);
+        }
+        (silent < SUCCESSOR_LAPSE).then(|| told.saturating_sub(silent).max(SUCCESSOR_OVERDUE))
+    }
+}
+
 /// An endpoint that told that it takes nothing more.
 struct Leaving {
     until: Instant,
@@ -73,6 +90,21 @@
         (heard.count() + 1).max(self.registered)
     }
 
+    /// When each of the other gateways is expected to be ready: those of a data centre, and the others.
+    pub(crate) fn ready_in(
+        &self,
+        data_centre: &str,
+        now: Instant,
+    ) -> (Vec<Duration>, Vec<Duration>) {
+        let (mut near, mut others) = (Vec::new(), Vec::new());
+        for peer in self.peers.values() {
+            let Some(ready_in) = peer.ready_in(now) else { continue };
+            let is_near = peer.message.data_centre == data_centre;
+            if is_near { near.push(ready_in) } else { others.push(ready_in) }
+        }
+        (near, others)
+    }
+
     /// How many live gateways come before `instance`, by name.
     pub(crate) fn rank(&self, instance: &str, now: Instant) -> u32 {
         self.live_peers(now).filter(|peer| peer.message.instance.as_str() < instance).count() as u32
--- a/crates/gateway/src/process/gateway.rs
+++ b/crates/gateway/src/process/gateway.rs
@@ -6,7 +6,7 @@
 use sorrellock_core::clock::SystemClock;
 use sorrellock_core::process::retries::Breakers;
 use sorrellock_platform::{Bounds, Client, EndpointLoad, Revision, Settings};
-use sorrellock_routing::process::{Endpoint, EndpointId, Leaving, RetryWindow};
+use sorrellock_routing::process::{Endpoint, EndpointId, Leaving, RetryWindow, come_back};
 use sorrellock_routing::version::{Configuration, ServiceName};
 use spdlog::{info, warn};
 use std::cell::{Cell, RefCell};
@@ -17,6 +17,9 @@
 use tokio::sync::{Notify, watch};
 use tokio::time::Instant;
 
+/// Expected time until a gateway is ready that has no configuration yet: the store answers in ms.
+const READY_SOON: Duration = Duration::from_millis(500);
+
 /// How far the process is on its way out.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Phase {
@@ -134,6 +137,24 @@
         *self.phase.borrow() == Phase::Running && self.knowledge.borrow().routes().is_some()
     }
 
+    /// Time until this gateway, or its successor, is expected to be ready.
+    pub(crate) fn ready_in(&self, now: Instant) -> Duration {
+        match self.leaving.get() {
+            Some(leaving) => leaving.successor_in(now.into_std()),
+            None if self.is_ready() => Duration::ZERO,
+            None => READY_SOON,
+        }
+    }
+
+    /// When a caller that this gateway refuses as it ends should come back, by what the gateways tell
+    /// each other.
+    pub(crate) fn come_back(&self, now: Instant) -> Duration {
+        let beliefs = self.beliefs.borrow();
+        let (mut near, others) = beliefs.ready_in(&self.settings.data_centre, now);
+        near.push(self.ready_in(now));
+        come_back(&near, &others)
+    }
+
     /// Goes on to a later phase of the way out.
     pub(crate) fn reach(&self, phase: Phase) {
         self.phase.send_if_modified(|now| {
--- a/crates/gateway/src/process/peer_message.rs
+++ b/crates/gateway/src/process/peer_message.rs
@@ -11,6 +11,10 @@
     pub(crate) instance: String,
     /// Drawn at the sender's start: tells its lifetimes apart.
     pub(crate) incarnation: u64,
+    /// The sender's data centre.
+    pub(crate) data_centre: String,
+    /// In how many ms the sender, or its successor, is expected to be ready; 0 if it is.
+    pub(crate) ready_in_ms: u32,
     /// Rises with each message of an incarnation.
     pub(crate) sequence: u64,
     /// The configuration that the sender has in force; 0 for none.
--- a/crates/gateway/src/process/peers.rs
+++ b/crates/gateway/src/process/peers.rs
@@ -112,6 +112,8 @@
         PeerMessage {
             instance: gateway.settings.instance.clone(),
             incarnation: gateway.incarnation,
+            data_centre: gateway.settings.data_centre.clone(),
+            ready_in_ms: gateway.ready_in(now).as_millis() as u32,
             sequence: self.sequence.get(),
             config_version: gateway.knowledge.borrow().config_version(),
             endpoints_at: gateway.knowledge.borrow().endpoints_at(),
--- a/crates/gateway/src/request/answer.rs
+++ b/crates/gateway/src/request/answer.rs
@@ -21,8 +21,10 @@
 
 /// When to come back while no configuration is known: the store is down, for seconds.
 const RETRY_AFTER_UNKNOWN: Duration = Duration::from_millis(2_500);
-/// When to come back after a refusal by a gateway that ends: at once, as new connections go to others.
-const RETRY_ELSEWHERE: Duration = Duration::ZERO;
+/// Share of its time that a caller waits at most when it is told to come back later.
+const MOST_WAIT_SHARE: f64 = 0.3;
+/// Callers that are told to come back at the same moment do so over this time.
+const COME_BACK_SPREAD: Duration = Duration::from_millis(1_000);
 /// How long after its start a gateway expects its first configuration at any moment, and lets
 /// requests wait for it: a store that answers at all does so by then.
 const CONFIGURATION_EXPECTED: Duration = Duration::from_millis(1_200);
@@ -61,7 +63,8 @@
         () = gateway.ending() => {
             end.tell_refused_leaving();
             end.tell(Count::NotRun, "not run", 503, "this gateway ends before the body came");
-            return Ok(refusal(StatusCode::SERVICE_UNAVAILABLE, Some(RETRY_ELSEWHERE)));
+            let wait = come_back(&gateway, deadline);
+            return Ok(refusal(StatusCode::SERVICE_UNAVAILABLE, Some(wait)));
         }
     };
     let body = match body {
@@ -101,7 +104,8 @@
     if !takes(&gateway, &call, has_model) {
         call.end.tell_refused_leaving();
         let why = "this gateway ends before the answer may";
-        return Ok(give_up(&call, GivenUp::NotRun, RETRY_ELSEWHERE, why));
+        let wait = come_back(&gateway, call.deadline);
+        return Ok(give_up(&call, GivenUp::NotRun, wait, why));
     }
     match has_model {
         true => serve_stream(gateway, call).await,
@@ -109,6 +113,17 @@
     }
 }
 
+/// When a caller that this gateway refuses as it ends should come back: at once where another takes it.
+fn come_back(gateway: &Gateway, deadline: Instant) -> Duration {
+    let now = Instant::now();
+    let wait = gateway.come_back(now);
+    if wait.is_zero() {
+        return wait;
+    }
+    let spread = COME_BACK_SPREAD.mul_f64(rand::rng().random_range(0.0..1.0));
+    (wait + spread).min(deadline.saturating_duration_since(now).mul_f64(MOST_WAIT_SHARE))
+}
+
 /// Whether a request is answered before this gateway ends: a stream as far as its deadline tells, a
 /// call as its service usually takes.
 fn takes(gateway: &Gateway, call: &Call, is_stream: bool) -> bool {
--- a/crates/routing/src/process/leaving.rs
+++ b/crates/routing/src/process/leaving.rs
@@ -1,4 +1,4 @@
-//! What a process that was told to end still takes.
+//! What a process that was told to end still takes, and when callers that it refuses should come back.
 //!
 //! All that it takes has to end before it does: an answer that is cut by its end can't be told from one
 //! whose instance died, and a request that may run once is lost.
@@ -14,6 +14,10 @@
 const CALL_LEAST: Duration = Duration::from_millis(1_000);
 /// How many times the usual time of its service a call may take.
 const CALL_SPREAD: u32 = 4;
+/// From the end of a process until its successor is ready (1.5 s on the record of a replacement).
+const SUCCESSOR_STARTS: Duration = Duration::from_millis(1_500);
+/// Time until a balancer has seen that a process is ready: it asks once a second.
+const READY_SEEN: Duration = Duration::from_millis(1_000);
 
 /// A process that was told to end.
 ///
@@ -45,4 +49,24 @@
     pub fn left(&self, now: Instant) -> Duration {
         self.ends.saturating_duration_since(now)
     }
+
+    /// Time until its successor is ready.
+    pub fn successor_in(&self, now: Instant) -> Duration {
+        self.left(now) + SUCCESSOR_STARTS
+    }
+}
+
+/// When a caller should come back that a leaving process refuses, by when each process is ready: those
+/// of the same data centre, this one's successor included, and those of others.
+///
+/// Balancers send to all processes of a data centre, also those that aren't ready, until half of them
+/// are, and to other data centres while none is.
+pub fn come_back(near: &[Duration], others: &[Duration]) -> Duration {
+    let is_any_ready = |all: &[Duration]| all.iter().any(Duration::is_zero);
+    let go_to_others = !is_any_ready(near) && is_any_ready(others);
+    let mut candidates = if go_to_others { others.to_vec() } else { near.to_vec() };
+    candidates.sort();
+    let half = candidates.len().div_ceil(2);
+    let ready_in = half.checked_sub(1).map_or(Duration::ZERO, |index| candidates[index]);
+    if ready_in.is_zero() { Duration::ZERO } else { ready_in + READY_SEEN }
 }
--- a/crates/routing/tests/leaving.rs
+++ b/crates/routing/tests/leaving.rs
@@ -1,6 +1,6 @@
 //! What a process that was told to end still takes.
 
-use sorrellock_routing::process::Leaving;
+use sorrellock_routing::process::{Leaving, come_back};
 use std::time::{Duration, Instant};
 
 fn leaving(told: Instant) -> Leaving {
@@ -72,3 +72,38 @@
         assert_eq!(takes, expected, "{usual:?} of {longest:?}, {at} ms before the end");
     }
 }
+
+fn seconds(all: &[f64]) -> Vec<Duration> {
+    all.iter().copied().map(Duration::from_secs_f64).collect()
+}
+
+#[test]
+fn callers_come_back_at_once_where_half_of_the_data_centre_is_ready() {
+    let wait = come_back(&seconds(&[5.0, 0.0, 3.0, 0.0]), &seconds(&[9.0]));
+
+    assert_eq!(wait, Duration::ZERO);
+}
+
+#[test]
+fn callers_come_back_when_half_of_the_data_centre_will_be_seen_to_be_ready() {
+    let wait = come_back(&seconds(&[5.0, 0.0, 3.0, 4.0]), &seconds(&[0.0, 0.0]));
+
+    assert_eq!(wait, Duration::from_secs(3 + 1));
+}
+
+#[test]
+fn callers_go_to_other_data_centres_at_once_while_none_is_ready_in_their_own() {
+    let wait = come_back(&seconds(&[5.0, 6.0]), &seconds(&[0.0, 0.0]));
+
+    assert_eq!(wait, Duration::ZERO);
+}
+
+#[test]
+fn callers_of_a_lone_process_come_back_to_its_successor() {
+    let leaving = leaving(Instant::now());
+    let near = [leaving.successor_in(leaving.ends - Duration::from_secs(2))];
+
+    let wait = come_back(&near, &[]);
+
+    assert_eq!(wait, Duration::from_millis(2_000 + 1_500 + 1_000));
+}
