A stream that loses its run right before its gateway ends isn't begun anew there

Cause: a gateway that ends went on to start runs for streams that had lost theirs: with less than half a second left the new run reads the whole prompt, spends an attempt and a share of the retry budget, and is cut before its caller has anything of it. A silent run was left for another in the same way.

Ruled out: no runs at all while the gateway leaves: most streams that lose theirs end well within the seven seconds.

Change: the last half second starts none; the stream is cut at once and its caller is sooner back elsewhere, and a silent run is kept, as it may come back.

Before: a_stream_that_loses_its_run_right_before_the_end_starts_no_other fails, 2 runs in place of 1.

--- a/crates/daemon/tests/gateway/leaving.rs
+++ b/crates/daemon/tests/gateway/leaving.rs
@@ -199,3 +199,23 @@
     assert_eq!(while_other_is_ready, 0.0);
     assert!(while_both_leave > 0.0, "{while_both_leave}");
 }
+
+#[test]
+fn a_stream_that_loses_its_run_right_before_the_end_starts_no_other() {
+    let fleet = fleet();
+    let mut gateway = fleet.gateway("one");
+    set_grace(&gateway, 0.9);
+    let request = new_request();
+    let (_, mut body) = begin(gateway.callers(), "/match/a", &request, Some(KEY));
+    body.read_exact(&mut [0; 60]).expect("the first events");
+    let runner = fleet.runner(&request).expect("an engine runs it");
+
+    gateway.signal(Signal::SIGTERM);
+    gateway.wait_for_line(&["\"gateway leaving\""]);
+    runner.crash();
+
+    assert!(body.read_to_string(&mut String::new()).is_err(), "a cut answer passed as whole");
+    assert_eq!(fleet.runs(&request), 1, "a run was begun that nobody could read");
+    assert_eq!(gateway.wait(), Some(0));
+    gateway.wait_for_line(&["\"request ended\"", &request, "\"cut\"", "this gateway ends"]);
+}
--- a/crates/gateway/src/process/gateway.rs
+++ b/crates/gateway/src/process/gateway.rs
@@ -155,6 +155,12 @@
         come_back(&near, &others)
     }
 
+    /// Whether a stream that lost its run may go on over another path before this gateway ends.
+    pub(crate) fn may_resume(&self) -> bool {
+        let now = Instant::now().into_std();
+        self.leaving.get().is_none_or(|leaving| leaving.resumes(now))
+    }
+
     /// Goes on to a later phase of the way out.
     pub(crate) fn reach(&self, phase: Phase) {
         self.phase.send_if_modified(|now| {
--- a/crates/gateway/src/request/relay.rs
+++ b/crates/gateway/src/request/relay.rs
@@ -316,6 +316,11 @@
         if !self.call.route.semantics.may_repeat() {
             return self.cut(Count::Cut, &format!("{why}; it may not be resumed"));
         }
+        if !self.gateway.may_resume() {
+            self.call.end.tell_cut_leaving();
+            return self
+                .cut(Count::Cut, &format!("{why}; this gateway ends before another run pays"));
+        }
         self.events.restart();
         self.mends += 1;
         self.mend(why).await
@@ -389,6 +394,7 @@
     let tokens = expected_tokens(call);
     let paths = gateway.paths.borrow();
     call.route.semantics.may_repeat()
+        && gateway.may_resume()
         && gateway.may_repeat(&call.service)
         && paths.has_place(&call.service, tokens, may_take, Instant::now())
 }
--- a/crates/routing/src/process/leaving.rs
+++ b/crates/routing/src/process/leaving.rs
@@ -14,6 +14,8 @@
 const CALL_LEAST: Duration = Duration::from_millis(1_000);
 /// How many times the usual time of its service a call may take.
 const CALL_SPREAD: u32 = 4;
+/// Time that a stream needs to go on elsewhere: a new run brings its first event within half a second.
+const RESUME_LEAST: Duration = Duration::from_millis(500);
 /// From the end of a process until its successor is ready (1.5 s on the record of a replacement).
 const SUCCESSOR_STARTS: Duration = Duration::from_millis(1_500);
 /// Time until a balancer has seen that a process is ready: it asks once a second.
@@ -45,6 +47,12 @@
         now + needed <= self.ends
     }
 
+    /// Whether a stream that lost its run goes on over another path: right before the end a new run
+    /// would only read the prompt, and its caller is sooner back elsewhere by itself.
+    pub fn resumes(&self, now: Instant) -> bool {
+        now + RESUME_LEAST <= self.ends
+    }
+
     /// Time until it ends.
     pub fn left(&self, now: Instant) -> Duration {
         self.ends.saturating_duration_since(now)
--- a/crates/routing/tests/leaving.rs
+++ b/crates/routing/tests/leaving.rs
@@ -73,6 +73,17 @@
     }
 }
 
+#[test]
+fn a_stream_goes_on_elsewhere_unless_the_process_ends_before_its_next_event() {
+    let leaving = leaving(Instant::now());
+
+    let in_time = leaving.resumes(leaving.ends - Duration::from_millis(500));
+    let too_late = leaving.resumes(leaving.ends - Duration::from_millis(499));
+
+    assert!(in_time);
+    assert!(!too_late);
+}
+
 fn seconds(all: &[f64]) -> Vec<Duration> {
     all.iter().copied().map(Duration::from_secs_f64).collect()
 }
