A leaving gateway takes no stream that usually outlasts it

Cause: for 2.2 s after the signal a gateway took whatever came, also streams that take longer than the 5 to 7 s that it had left; its own end cut them in mid-answer.

Ruled out: their deadlines (20 s: all would be refused, also where the balancer still sends here and others are far busier); no time in which they are taken (callers that are refused within two seconds may meet the same gateway); a time for each token of a stream under way (the caller's estimate of one stream is often far off, the mean of many isn't).

Change: gateways keep the mean time of streams for the tokens that are expected; one and a half times that must be left, or the stream is refused as not run. A gateway that has seen no stream of a service yet takes what comes, as before.

The tests of Leaving::takes name the usual time now: the one that takes whatever comes checks a usual time right below and right above what is left.

Before: a_stream_that_usually_outlasts_the_gateway_is_refused_right_after_the_signal fails, cut after 28 of 40 events.

--- a/crates/daemon/tests/gateway/leaving.rs
+++ b/crates/daemon/tests/gateway/leaving.rs
@@ -219,3 +219,23 @@
     assert_eq!(gateway.wait(), Some(0));
     gateway.wait_for_line(&["\"request ended\"", &request, "\"cut\"", "this gateway ends"]);
 }
+
+#[test]
+fn a_stream_that_usually_outlasts_the_gateway_is_refused_right_after_the_signal() {
+    let fleet = fleet();
+    let gateway = fleet.gateway("one");
+    set_grace(&gateway, 1.1);
+    // Each takes 0.8 s, and 0.6 s will be left.
+    for _ in 0..2 {
+        assert_eq!(send(gateway.callers(), "/match/a", &new_request(), Some(KEY)).status, 200);
+    }
+
+    gateway.signal(Signal::SIGTERM);
+    gateway.wait_for_line(&["\"gateway leaving\""]);
+    let request = new_request();
+    let answer = send(gateway.callers(), "/match/a", &request, Some(KEY));
+
+    assert_eq!(answer.status, 503, "{answer:?}");
+    assert!(answer.retry_after.is_some());
+    assert_eq!(fleet.runs(&request), 0);
+}
--- a/crates/gateway/src/process/gateway.rs
+++ b/crates/gateway/src/process/gateway.rs
@@ -6,7 +6,9 @@
 use sorrellock_core::clock::SystemClock;
 use sorrellock_core::process::retries::Breakers;
 use sorrellock_platform::{Bounds, Client, EndpointLoad, Revision, Settings};
-use sorrellock_routing::process::{Endpoint, EndpointId, Leaving, RetryWindow, come_back};
+use sorrellock_routing::process::{
+    Endpoint, EndpointId, Leaving, RetryWindow, StreamPace, come_back,
+};
 use sorrellock_routing::version::{Configuration, ServiceName};
 use spdlog::{info, warn};
 use std::cell::{Cell, RefCell};
@@ -62,6 +64,8 @@
     pub(crate) uses: RefCell<HashMap<EndpointId, EndpointUse>>,
     pub(crate) breakers: RefCell<Breakers<EndpointId, SystemClock>>,
     pub(crate) budgets: RefCell<HashMap<ServiceName, RetryWindow>>,
+    /// How long streams take. The configuration names the services, which bounds it.
+    pub(crate) stream_paces: RefCell<HashMap<ServiceName, StreamPace>>,
     /// This gateway places layers.
     pub(crate) leads: Cell<bool>,
     /// When the store last told of the endpoints.
@@ -106,6 +110,7 @@
             uses: RefCell::default(),
             breakers: RefCell::new(Breakers::new(SystemClock)),
             budgets: RefCell::default(),
+            stream_paces: RefCell::default(),
             leads: Cell::new(false),
             store_heard: Cell::new(None),
             store_silent: Notify::new(),
--- a/crates/gateway/src/request/answer.rs
+++ b/crates/gateway/src/request/answer.rs
@@ -2,7 +2,7 @@
 
 use crate::process::{Count, Gateway};
 use crate::request::plain::serve_plain;
-use crate::request::stream::serve_stream;
+use crate::request::stream::{serve_stream, usual_time};
 use crate::request::{Call, EndGuard};
 use bytes::Bytes;
 use http::response::Parts;
@@ -124,13 +124,13 @@
     (wait + spread).min(deadline.saturating_duration_since(now).mul_f64(MOST_WAIT_SHARE))
 }
 
-/// Whether a request is answered before this gateway ends: a stream as far as its deadline tells, a
-/// call as its service usually takes.
+/// Whether a request is answered before this gateway ends, by how long such requests usually take and
+/// by its deadline.
 fn takes(gateway: &Gateway, call: &Call, is_stream: bool) -> bool {
     let Some(leaving) = gateway.leaving.get() else { return true };
     let (longest, now) = (call.time_left(), Instant::now().into_std());
     match is_stream {
-        true => leaving.takes(longest, now),
+        true => leaving.takes(usual_time(gateway, call), longest, now),
         false => leaving.takes_call(gateway.usual_answer(&call.service), longest, now),
     }
 }
--- a/crates/gateway/src/request/relay.rs
+++ b/crates/gateway/src/request/relay.rs
@@ -4,7 +4,7 @@
 use crate::request::Call;
 use crate::request::pace::Pace;
 use crate::request::repath::{LeaveBroken, Repath, RepathEnd};
-use crate::request::stream::{NotBegun, Run, begin, broken, expected_tokens};
+use crate::request::stream::{NotBegun, Run, begin, broken, expected_tokens, note_time};
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use sorrellock_http::Part;
@@ -276,6 +276,7 @@
         let pool = &self.gateway.pool;
         pool.borrow_mut().keep(run.begun.addr, run.begun.connection, &run.begun.head, now);
         if self.tx.send(Part::End).await.is_ok() {
+            note_time(&self.gateway, &self.call);
             let why = format!(
                 "{} events, {}, {} mends, last over {}",
                 self.events.events(),
--- a/crates/gateway/src/request/stream.rs
+++ b/crates/gateway/src/request/stream.rs
@@ -178,10 +178,28 @@
 
 /// KV cache that a request is expected to take, in tokens, on average over its run.
 pub(crate) fn expected_tokens(call: &Call) -> f64 {
+    let Some(tokens) = call.head.tokens else { return 1.0 };
+    f64::from(tokens.prompt) + expected_answer(call) * ANSWER_SHARE
+}
+
+/// Tokens that the answer is expected to have.
+fn expected_answer(call: &Call) -> f64 {
     let Some(tokens) = call.head.tokens else { return 1.0 };
     let most = f64::from(tokens.most_output);
-    let answer = call.head.length_hint.map_or(most, |hint| f64::from(hint).min(most));
-    f64::from(tokens.prompt) + answer * ANSWER_SHARE
+    call.head.length_hint.map_or(most, |hint| f64::from(hint).min(most))
+}
+
+/// How long a stream usually takes; zero where this gateway has seen none of its service.
+pub(crate) fn usual_time(gateway: &Gateway, call: &Call) -> Duration {
+    let paces = gateway.stream_paces.borrow();
+    paces.get(&call.service).map_or(Duration::ZERO, |pace| pace.usual(expected_answer(call)))
+}
+
+/// A stream came whole.
+pub(crate) fn note_time(gateway: &Gateway, call: &Call) {
+    let mut paces = gateway.stream_paces.borrow_mut();
+    let pace = paces.entry(call.service.clone()).or_default();
+    pace.on_answered(expected_answer(call), call.arrived.elapsed());
 }
 
 async fn try_path(
--- a/crates/routing/src/process/leaving.rs
+++ b/crates/routing/src/process/leaving.rs
@@ -5,15 +5,18 @@
 
 use std::time::{Duration, Instant};
 
-/// For how long after it was told to end a process takes whatever comes: balancers ask once a second
-/// whether it is ready and send new connections until the second miss, so that a caller refused
-/// sooner might come back to the same process.
+/// For how long after it was told to end a process takes streams that usually end in time: balancers
+/// ask once a second whether it is ready and send new connections until the second miss, so that a
+/// caller refused sooner might come back to the same process.
 const STILL_SENT: Duration = Duration::from_millis(2_200);
 /// Least time that a call of a plain service needs: such calls take tens of ms, and up to a second
 /// where they wait at a busy endpoint.
 const CALL_LEAST: Duration = Duration::from_millis(1_000);
 /// How many times the usual time of its service a call may take.
 const CALL_SPREAD: u32 = 4;
+/// How many times the usual time a stream may take: callers' estimates of its tokens are off, and engines
+/// slow down as the load goes to fewer gateways.
+const STREAM_SPREAD: f64 = 1.5;
 /// Time that a stream needs to go on elsewhere: a new run brings its first event within half a second.
 const RESUME_LEAST: Duration = Duration::from_millis(500);
 /// From the end of a process until its successor is ready (1.5 s on the record of a replacement).
@@ -35,10 +38,12 @@
 }
 
 impl Leaving {
-    /// Whether it takes a stream that may need as long as `longest`.
-    pub fn takes(&self, longest: Duration, now: Instant) -> bool {
-        let is_still_sent = now.duration_since(self.told) < STILL_SENT && now < self.ends;
-        is_still_sent || now + longest <= self.ends
+    /// Whether it takes a stream that usually takes `usual`, and `longest` at most.
+    pub fn takes(&self, usual: Duration, longest: Duration, now: Instant) -> bool {
+        let left = self.left(now);
+        let is_still_sent = now.duration_since(self.told) < STILL_SENT && !left.is_zero();
+        (is_still_sent && usual.as_secs_f64() * STREAM_SPREAD <= left.as_secs_f64())
+            || longest <= left
     }
 
     /// Whether it takes a call whose service usually takes `usual`, and that takes `longest` at most.
--- a/crates/routing/src/process/mod.rs
+++ b/crates/routing/src/process/mod.rs
@@ -7,6 +7,7 @@
 pub mod placement;
 mod repair_forecast;
 mod retry_window;
+mod stream_pace;
 
 pub use endpoint::*;
 pub use incarnation::*;
@@ -14,3 +15,4 @@
 pub use pipeline_path::*;
 pub use repair_forecast::*;
 pub use retry_window::*;
+pub use stream_pace::*;
--- /dev/null
+++ b/crates/routing/src/process/stream_pace.rs
@@ -0,0 +1,35 @@
+//! How long streams of a service take, by the answers of before.
+
+use std::time::Duration;
+
+/// Weight of the newest answer: the mean of some twenty.
+const NEWEST_WEIGHT: f64 = 0.05;
+
+/// How long streams of a service take for the tokens that are expected of them. Means of both are kept,
+/// not of their quotient: callers' estimates are far off for some, and these would count most.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct StreamPace {
+    means: Option<Means>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct Means {
+    tokens: f64,
+    seconds: f64,
+}
+
+impl StreamPace {
+    /// A stream of which `tokens` were expected came whole.
+    pub fn on_answered(&mut self, tokens: f64, took: Duration) {
+        let newest = Means { tokens: tokens.max(1.0), seconds: took.as_secs_f64() };
+        let means = self.means.get_or_insert(newest);
+        means.tokens += NEWEST_WEIGHT * (newest.tokens - means.tokens);
+        means.seconds += NEWEST_WEIGHT * (newest.seconds - means.seconds);
+    }
+
+    /// How long a stream usually takes of which `tokens` are expected; zero before the first answer.
+    pub fn usual(&self, tokens: f64) -> Duration {
+        let seconds = self.means.map_or(0.0, |means| tokens * means.seconds / means.tokens);
+        Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX)
+    }
+}
--- a/crates/routing/tests/leaving.rs
+++ b/crates/routing/tests/leaving.rs
@@ -8,13 +8,18 @@
 }
 
 #[test]
-fn whatever_comes_is_taken_while_the_balancer_still_sends() {
+fn what_usually_ends_in_time_is_taken_while_the_balancer_still_sends() {
     let told = Instant::now();
     let leaving = leaving(told);
+    let (longest, now) = (Duration::from_secs(20), told + Duration::from_secs(2));
 
-    let takes = leaving.takes(Duration::from_secs(20), told + Duration::from_secs(2));
+    let unknown = leaving.takes(Duration::ZERO, longest, now);
+    let short = leaving.takes(Duration::from_millis(3_600), longest, now);
+    let long = leaving.takes(Duration::from_millis(3_700), longest, now);
 
-    assert!(takes);
+    assert!(unknown);
+    assert!(short);
+    assert!(!long);
 }
 
 #[test]
@@ -22,7 +27,11 @@
     let told = Instant::now();
     let leaving = leaving(told);
 
-    let takes = leaving.takes(Duration::from_secs(20), told + Duration::from_secs(3));
+    let takes = leaving.takes(
+        Duration::from_secs(2),
+        Duration::from_secs(20),
+        told + Duration::from_secs(3),
+    );
 
     assert!(!takes);
 }
@@ -33,8 +42,9 @@
     let leaving = leaving(told);
     let longest = Duration::from_millis(1_200);
 
-    let in_time = leaving.takes(longest, leaving.ends - longest);
-    let too_late = leaving.takes(longest, leaving.ends - longest + Duration::from_millis(1));
+    let in_time = leaving.takes(Duration::ZERO, longest, leaving.ends - longest);
+    let too_late =
+        leaving.takes(Duration::ZERO, longest, leaving.ends - longest + Duration::from_millis(1));
 
     assert!(in_time);
     assert!(!too_late);
@@ -45,7 +55,7 @@
     let told = Instant::now();
     let leaving = Leaving { told, ends: told + Duration::from_millis(1_000) };
 
-    let takes = leaving.takes(Duration::from_secs(20), told + Duration::from_millis(1_000));
+    let takes = leaving.takes(Duration::ZERO, Duration::from_secs(20), leaving.ends);
 
     assert!(!takes);
 }
