Refused callers go elsewhere only once balancers have seen that none is ready near

Cause: where all gateways of a data centre were leaving and others elsewhere were ready, refused callers were told to come back at once. For up to 2.2 s balancers haven't seen that yet and send them to the other leaving gateways, where their one retry was refused.

Change: where a caller is to go elsewhere, it comes back when the gateway of its data centre that was told last has been seen to leave. All of it is one method of Leaving now.

The tests of come_back call the method, with the same figures; the one on other data centres asserts the time until it is seen, and zero after it.

--- a/crates/gateway/src/process/gateway.rs
+++ b/crates/gateway/src/process/gateway.rs
@@ -6,9 +6,7 @@
 use sorrellock_core::clock::SystemClock;
 use sorrellock_core::process::retries::Breakers;
 use sorrellock_platform::{Bounds, Client, EndpointLoad, Revision, Settings};
-use sorrellock_routing::process::{
-    Endpoint, EndpointId, Leaving, RetryWindow, StreamPace, come_back,
-};
+use sorrellock_routing::process::{Endpoint, EndpointId, Leaving, RetryWindow, StreamPace};
 use sorrellock_routing::version::{Configuration, ServiceName};
 use spdlog::{info, warn};
 use std::cell::{Cell, RefCell};
@@ -154,10 +152,10 @@
     /// When a caller that this gateway refuses as it ends should come back, by what the gateways tell
     /// each other.
     pub(crate) fn come_back(&self, now: Instant) -> Duration {
+        let Some(leaving) = self.leaving.get() else { return Duration::ZERO };
         let beliefs = self.beliefs.borrow();
-        let (mut near, others) = beliefs.ready_in(&self.settings.data_centre, now);
-        near.push(self.ready_in(now));
-        come_back(&near, &others)
+        let (near, elsewhere) = beliefs.ready_in(&self.settings.data_centre, now);
+        leaving.come_back(&near, &elsewhere, now.into_std())
     }
 
     /// Whether a stream that lost its run may go on over another path before this gateway ends.
--- a/crates/routing/src/process/leaving.rs
+++ b/crates/routing/src/process/leaving.rs
@@ -67,19 +67,34 @@
     pub fn successor_in(&self, now: Instant) -> Duration {
         self.left(now) + SUCCESSOR_STARTS
     }
+
+    /// When a caller that this process refuses should come back, by when the other processes are ready:
+    /// those of its data centre, and those elsewhere.
+    ///
+    /// Balancers send to all processes of a data centre, also those that aren't ready, until half of
+    /// them are, and elsewhere once they have seen that none is.
+    pub fn come_back(&self, near: &[Duration], elsewhere: &[Duration], now: Instant) -> Duration {
+        let mut near = near.to_vec();
+        near.push(self.successor_in(now));
+        let is_any_ready = |all: &[Duration]| all.iter().any(Duration::is_zero);
+        if !is_any_ready(&near) && is_any_ready(elsewhere) {
+            return half_ready(elsewhere.to_vec()).max(self.seen_to_leave_in(&near));
+        }
+        half_ready(near)
+    }
+
+    /// Time until balancers have seen that the last of these isn't ready, all with this process's grace.
+    fn seen_to_leave_in(&self, ready_in: &[Duration]) -> Duration {
+        let whole = self.ends.duration_since(self.told) + SUCCESSOR_STARTS;
+        let last_told = ready_in.iter().max().copied().unwrap_or_default();
+        last_told.saturating_sub(whole.saturating_sub(STILL_SENT))
+    }
 }
 
-/// When a caller should come back that a leaving process refuses, by when each process is ready: those
-/// of the same data centre, this one's successor included, and those of others.
-///
-/// Balancers send to all processes of a data centre, also those that aren't ready, until half of them
-/// are, and to other data centres while none is.
-pub fn come_back(near: &[Duration], others: &[Duration]) -> Duration {
-    let is_any_ready = |all: &[Duration]| all.iter().any(Duration::is_zero);
-    let go_to_others = !is_any_ready(near) && is_any_ready(others);
-    let mut candidates = if go_to_others { others.to_vec() } else { near.to_vec() };
-    candidates.sort();
-    let half = candidates.len().div_ceil(2);
-    let ready_in = half.checked_sub(1).map_or(Duration::ZERO, |index| candidates[index]);
-    if ready_in.is_zero() { Duration::ZERO } else { ready_in + READY_SEEN }
+/// Time until balancers have seen that half of the processes are ready; zero where they are.
+fn half_ready(mut ready_in: Vec<Duration>) -> Duration {
+    ready_in.sort();
+    let half = ready_in.len().div_ceil(2);
+    let at = half.checked_sub(1).map_or(Duration::ZERO, |index| ready_in[index]);
+    if at.is_zero() { Duration::ZERO } else { at + READY_SEEN }
 }
--- a/crates/routing/tests/leaving.rs
+++ b/crates/routing/tests/leaving.rs
@@ -1,6 +1,6 @@
 //! What a process that was told to end still takes.
 
-use sorrellock_routing::process::{Leaving, come_back};
+use sorrellock_routing::process::Leaving;
 use std::time::{Duration, Instant};
 
 fn leaving(told: Instant) -> Leaving {
@@ -100,31 +100,45 @@
 
 #[test]
 fn callers_come_back_at_once_where_half_of_the_data_centre_is_ready() {
-    let wait = come_back(&seconds(&[5.0, 0.0, 3.0, 0.0]), &seconds(&[9.0]));
+    let leaving = leaving(Instant::now());
+
+    let wait = leaving.come_back(&seconds(&[0.0, 3.0, 0.0]), &seconds(&[9.0]), leaving.told);
 
     assert_eq!(wait, Duration::ZERO);
 }
 
 #[test]
 fn callers_come_back_when_half_of_the_data_centre_will_be_seen_to_be_ready() {
-    let wait = come_back(&seconds(&[5.0, 0.0, 3.0, 4.0]), &seconds(&[0.0, 0.0]));
+    let leaving = leaving(Instant::now());
+
+    let wait = leaving.come_back(&seconds(&[0.0, 3.0, 4.0]), &seconds(&[0.0, 0.0]), leaving.told);
 
     assert_eq!(wait, Duration::from_secs(3 + 1));
 }
 
 #[test]
-fn callers_go_to_other_data_centres_at_once_while_none_is_ready_in_their_own() {
-    let wait = come_back(&seconds(&[5.0, 6.0]), &seconds(&[0.0, 0.0]));
-
-    assert_eq!(wait, Duration::ZERO);
+fn callers_go_elsewhere_once_it_is_seen_that_none_is_ready_in_their_data_centre() {
+    let leaving = leaving(Instant::now());
+    let elsewhere = seconds(&[0.0, 0.0]);
+    let wait_at = |ms, near: &[f64]| {
+        leaving.come_back(&seconds(near), &elsewhere, leaving.told + Duration::from_millis(ms))
+    };
+
+    let unseen = wait_at(500, &[]);
+    let seen = wait_at(2_200, &[]);
+    // The other one was told a second later: its successor is ready 8 s from then.
+    let other_unseen = wait_at(2_200, &[8.0]);
+
+    assert_eq!(unseen, Duration::from_millis(1_700));
+    assert_eq!(seen, Duration::ZERO);
+    assert_eq!(other_unseen, Duration::from_millis(1_200));
 }
 
 #[test]
 fn callers_of_a_lone_process_come_back_to_its_successor() {
     let leaving = leaving(Instant::now());
-    let near = [leaving.successor_in(leaving.ends - Duration::from_secs(2))];
 
-    let wait = come_back(&near, &[]);
+    let wait = leaving.come_back(&[], &[], leaving.ends - Duration::from_secs(2));
 
     assert_eq!(wait, Duration::from_millis(2_000 + 1_500 + 1_000));
 }
