--- a/crates/gateway/src/process/gateway.rs
+++ b/crates/gateway/src/process/gateway.rs
@@ -6,16 +6,20 @@
 use sorrellock_core::clock::SystemClock;
 use sorrellock_core::process::retries::Breakers;
 use sorrellock_platform::{Bounds, Client, EndpointLoad, Revision, Settings};
-use sorrellock_routing::process::{Endpoint, EndpointId, Leaving, RetryWindow};
+use sorrellock_routing::process::{Endpoint, EndpointId, Leaving, RetryWindow, StreamPace};
 use sorrellock_routing::version::{Configuration, ServiceName};
 use spdlog::{info, warn};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::sync::{Notify, watch};
 use tokio::time::Instant;
 
+/// Expected time until a gateway is ready that has no configuration yet: the store answers in ms.
+const READY_SOON: Duration = Duration::from_millis(500);
+
 /// How far the process is on its way out.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Phase {
@@ -25,6 +29,10 @@
     Leaving,
     /// Closes connections that are idle.
     Closing,
+    /// Gives up calls that haven't been answered, so that their callers are told.
+    Ending,
+    /// Has ended; what is under way is cut.
+    Ended,
 }
 
 /// An endpoint's load, as its last answer told and as this gateway adds to it.
@@ -54,6 +62,8 @@
     pub(crate) uses: RefCell<HashMap<EndpointId, EndpointUse>>,
     pub(crate) breakers: RefCell<Breakers<EndpointId, SystemClock>>,
     pub(crate) budgets: RefCell<HashMap<ServiceName, RetryWindow>>,
+    /// How long streams take. The configuration names the services, which bounds it.
+    pub(crate) stream_paces: RefCell<HashMap<ServiceName, StreamPace>>,
     /// This gateway places layers.
     pub(crate) leads: Cell<bool>,
     /// When the store last told of the endpoints.
@@ -66,6 +76,8 @@
     pub(crate) refusers_checked: RefCell<HashMap<SocketAddr, Instant>>,
     /// Requests under way.
     pub(crate) in_flight: Cell<usize>,
+    /// Open connections that had a request: each may have an answer to write yet.
+    pub(crate) answering: Cell<usize>,
     /// Wakes the placer: an engine came, went or is suspected.
     pub(crate) engines_changed: Notify,
     /// Wakes the messages to other gateways: an endpoint failed.
@@ -96,12 +108,14 @@
             uses: RefCell::default(),
             breakers: RefCell::new(Breakers::new(SystemClock)),
             budgets: RefCell::default(),
+            stream_paces: RefCell::default(),
             leads: Cell::new(false),
             store_heard: Cell::new(None),
             store_silent: Notify::new(),
             store_failed: Cell::new(None),
             refusers_checked: RefCell::default(),
             in_flight: Cell::new(0),
+            answering: Cell::new(0),
             engines_changed: Notify::new(),
             suspected: Notify::new(),
             probes: RefCell::default(),
@@ -126,6 +140,61 @@
         *self.phase.borrow() == Phase::Running && self.knowledge.borrow().routes().is_some()
     }
 
+    /// Time until this gateway, or its successor, is expected to be ready.
+    pub(crate) fn ready_in(&self, now: Instant) -> Duration {
+        match self.leaving.get() {
+            Some(leaving) => leaving.successor_in(now.into_std()),
+            None if self.is_ready() => Duration::ZERO,
+            None => READY_SOON,
+        }
+    }
+
+    /// When a caller that this gateway refuses as it ends should come back, by what the gateways tell
+    /// each other.
+    pub(crate) fn come_back(&self, now: Instant) -> Duration {
+        let Some(leaving) = self.leaving.get() else { return Duration::ZERO };
+        let beliefs = self.beliefs.borrow();
+        let (near, elsewhere) = beliefs.ready_in(&self.settings.data_centre, now);
+        leaving.come_back(&near, &elsewhere, now.into_std())
+    }
+
+    /// Whether a stream that lost its run may go on over another path before this gateway ends.
+    pub(crate) fn may_resume(&self) -> bool {
+        let now = Instant::now().into_std();
+        self.leaving.get().is_none_or(|leaving| leaving.resumes(now))
+    }
+
+    /// Goes on to a later phase of the way out.
+    pub(crate) fn reach(&self, phase: Phase) {
+        self.phase.send_if_modified(|now| {
+            let is_later = *now < phase;
+            *now = phase.max(*now);
+            is_later
+        });
+    }
+
+    /// Ends when the process gives up what hasn't been answered.
+    pub(crate) async fn ending(&self) {
+        let mut phase = self.phase.subscribe();
+        // The sender lives as long as the gateway.
+        let _ = phase.wait_for(|phase| *phase >= Phase::Ending).await;
+    }
+
+    /// Whether the process gives up what hasn't been answered.
+    pub(crate) fn is_ending(&self) -> bool {
+        *self.phase.borrow() >= Phase::Ending
+    }
+
+    /// The longest of the mean times that the endpoints of a service take for an answer.
+    pub(crate) fn usual_answer(&self, service: &str) -> Duration {
+        let knowledge = self.knowledge.borrow();
+        let uses = self.uses.borrow();
+        let of_service = knowledge.endpoints().filter(|endpoint| endpoint.service == service);
+        let means = of_service.filter_map(|endpoint| uses.get(&endpoint.id));
+        let longest_ms = means.map(|used| used.mean_ms).fold(0.0, f64::max);
+        Duration::from_secs_f64(longest_ms / 1e3)
+    }
+
     /// A call of the store failed.
     pub(crate) fn on_store_failed(&self) {
         self.counters.add(Count::StoreFailures);
--- a/crates/gateway/src/request/answer.rs
+++ b/crates/gateway/src/request/answer.rs
@@ -2,7 +2,7 @@
 
 use crate::process::{Count, Gateway};
 use crate::request::plain::serve_plain;
-use crate::request::stream::serve_stream;
+use crate::request::stream::{serve_stream, usual_time};
 use crate::request::{Call, EndGuard};
 use bytes::Bytes;
 use http::response::Parts;
@@ -21,8 +21,10 @@
 
 /// When to come back while no configuration is known: the store is down, for seconds.
 const RETRY_AFTER_UNKNOWN: Duration = Duration::from_millis(2_500);
-/// When to come back after a refusal by a gateway that ends: at once, as new connections go to others.
-const RETRY_ELSEWHERE: Duration = Duration::ZERO;
+/// Share of its time that a caller waits at most when it is told to come back later.
+const MOST_WAIT_SHARE: f64 = 0.3;
+/// Callers that are told to come back at the same moment do so over this time.
+const COME_BACK_SPREAD: Duration = Duration::from_millis(1_000);
 /// How long after its start a gateway expects its first configuration at any moment, and lets
 /// requests wait for it: a store that answers at all does so by then.
 const CONFIGURATION_EXPECTED: Duration = Duration::from_millis(1_200);
@@ -54,7 +56,18 @@
     let deadline = caller_deadline.min(arrived + route.timeout);
     let (parts, body) = req.into_parts();
     let most = routes.cfg().limits.max_body_bytes;
-    let body = match timeout_at(deadline, Limited::new(body, most).collect()).await {
+    let body = timeout_at(deadline, Limited::new(body, most).collect());
+    let body = tokio::select! {
+        biased;
+        body = body => body,
+        () = gateway.ending() => {
+            end.tell_refused_leaving();
+            end.tell(Count::NotRun, "not run", 503, "this gateway ends before the body came");
+            let wait = come_back(&gateway, deadline);
+            return Ok(refusal(StatusCode::SERVICE_UNAVAILABLE, Some(wait)));
+        }
+    };
+    let body = match body {
         Ok(Ok(body)) => body.to_bytes(),
         Ok(Err(err)) if err.is::<LengthLimitError>() => {
             end.tell(Count::BadRequests, "refused", 413, "the body is too large");
@@ -88,21 +101,38 @@
     };
     log_admitted(&call, &routes);
     let has_model = routes.service(&call.service).is_some_and(|service| service.model.is_some());
-    if !has_model {
-        return serve_plain(gateway, call).await;
+    if !takes(&gateway, &call, has_model) {
+        call.end.tell_refused_leaving();
+        let why = "this gateway ends before the answer may";
+        let wait = come_back(&gateway, call.deadline);
+        return Ok(give_up(&call, GivenUp::NotRun, wait, why));
+    }
+    match has_model {
+        true => serve_stream(gateway, call).await,
+        false => serve_plain(gateway, call).await,
     }
-    if !takes_stream(&gateway, &call) {
-        let why = "this gateway ends before the stream may";
-        return Ok(give_up(&call, GivenUp::NotRun, RETRY_ELSEWHERE, why));
+}
+
+/// When a caller that this gateway refuses as it ends should come back: at once where another takes it.
+fn come_back(gateway: &Gateway, deadline: Instant) -> Duration {
+    let now = Instant::now();
+    let wait = gateway.come_back(now);
+    if wait.is_zero() {
+        return wait;
     }
-    serve_stream(gateway, call).await
+    let spread = COME_BACK_SPREAD.mul_f64(rand::rng().random_range(0.0..1.0));
+    (wait + spread).min(deadline.saturating_duration_since(now).mul_f64(MOST_WAIT_SHARE))
 }
 
-/// Whether a stream ends before this gateway does, as far as its deadline tells. Calls of plain
-/// services end in milliseconds, and are taken to the last.
-fn takes_stream(gateway: &Gateway, call: &Call) -> bool {
-    let longest = call.time_left();
-    gateway.leaving.get().is_none_or(|leaving| leaving.takes(longest, Instant::now().into_std()))
+/// Whether a request is answered before this gateway ends, by how long such requests usually take and
+/// by its deadline.
+fn takes(gateway: &Gateway, call: &Call, is_stream: bool) -> bool {
+    let Some(leaving) = gateway.leaving.get() else { return true };
+    let (longest, now) = (call.time_left(), Instant::now().into_std());
+    match is_stream {
+        true => leaving.takes(usual_time(gateway, call), longest, now),
+        false => leaving.takes_call(gateway.usual_answer(&call.service), longest, now),
+    }
 }
 
 /// The configuration in force; just after the start it is waited for.
--- a/crates/gateway/src/request/relay.rs
+++ b/crates/gateway/src/request/relay.rs
@@ -4,7 +4,7 @@
 use crate::request::Call;
 use crate::request::pace::Pace;
 use crate::request::repath::{LeaveBroken, Repath, RepathEnd};
-use crate::request::stream::{NotBegun, Run, begin, broken, expected_tokens};
+use crate::request::stream::{NotBegun, Run, begin, broken, expected_tokens, note_time};
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use sorrellock_http::Part;
@@ -276,6 +276,7 @@
         let pool = &self.gateway.pool;
         pool.borrow_mut().keep(run.begun.addr, run.begun.connection, &run.begun.head, now);
         if self.tx.send(Part::End).await.is_ok() {
+            note_time(&self.gateway, &self.call);
             let why = format!(
                 "{} events, {}, {} mends, last over {}",
                 self.events.events(),
@@ -316,6 +317,11 @@
         if !self.call.route.semantics.may_repeat() {
             return self.cut(Count::Cut, &format!("{why}; it may not be resumed"));
         }
+        if !self.gateway.may_resume() {
+            self.call.end.tell_cut_leaving();
+            return self
+                .cut(Count::Cut, &format!("{why}; this gateway ends before another run pays"));
+        }
         self.events.restart();
         self.mends += 1;
         self.mend(why).await
@@ -389,6 +395,7 @@
     let tokens = expected_tokens(call);
     let paths = gateway.paths.borrow();
     call.route.semantics.may_repeat()
+        && gateway.may_resume()
         && gateway.may_repeat(&call.service)
         && paths.has_place(&call.service, tokens, may_take, Instant::now())
 }
