--- a/crates/bench/benches/chains.rs
+++ b/crates/bench/benches/chains.rs
@@ -12,7 +12,7 @@
 use sorrellock_routing::process::placement::{
     DataCentrePlan, PlannedEngine, Weights, divide, plan_data_centre,
 };
-use sorrellock_routing::process::{Holder, LayerRange, PipelinePath, paths_by_head};
+use sorrellock_routing::process::{Holder, Incarnation, LayerRange, PipelinePath, paths_by_head};
 use sorrellock_routing::version::{Card, ModelShape};
 use std::collections::HashMap;
 
@@ -61,7 +61,7 @@
 fn report(
     shape: &ModelShape,
     engines: &[PlannedEngine],
-    held: &HashMap<String, LayerRange>,
+    held: &HashMap<Incarnation, LayerRange>,
     print: &impl Fn(&str, f64, &str),
     prefix: &str,
 ) {
@@ -76,10 +76,10 @@
 fn after_each_loss(
     shape: &ModelShape,
     engines: &[PlannedEngine],
-    held: &HashMap<String, LayerRange>,
+    held: &HashMap<Incarnation, LayerRange>,
 ) -> Vec<f64> {
     let without = |lost: &PlannedEngine| {
-        let left: Vec<_> = engines.iter().filter(|one| one.id != lost.id).cloned().collect();
+        let left: Vec<_> = engines.iter().filter(|one| one.life != lost.life).cloned().collect();
         streams(shape, &holders(shape, &left, held))
     };
     engines.iter().map(without).collect()
@@ -89,38 +89,38 @@
 fn streams(shape: &ModelShape, holders: &[Holder]) -> f64 {
     let paths = paths_by_head(holders, shape.layers);
     let most = |holder: &Holder| {
-        let layers: u32 = paths.iter().map(|path| layers_at(path, &holder.id)).sum();
+        let layers: u32 = paths.iter().map(|path| layers_at(path, &holder.life)).sum();
         holder.kv_room / shape.usual_tokens() / f64::from(layers)
     };
     let by_room = holders.iter().map(most).fold(f64::INFINITY, f64::min);
     by_room.min(f64::from(shape.slots)).floor() * paths.len() as f64
 }
 
-fn layers_at(path: &PipelinePath, id: &str) -> u32 {
-    path.parts.iter().filter(|part| part.id == id).map(|part| part.layers.len()).sum()
+fn layers_at(path: &PipelinePath, life: &Incarnation) -> u32 {
+    path.parts.iter().filter(|part| part.life == *life).map(|part| part.layers.len()).sum()
 }
 
-fn placed(plan: &DataCentrePlan) -> HashMap<String, LayerRange> {
+fn placed(plan: &DataCentrePlan) -> HashMap<Incarnation, LayerRange> {
     plan.placement.iter().map(|(id, range)| (id.clone(), *range)).collect()
 }
 
 /// All engines in one chain, in order of name.
-fn one_chain(shape: &ModelShape, engines: &[PlannedEngine]) -> HashMap<String, LayerRange> {
+fn one_chain(shape: &ModelShape, engines: &[PlannedEngine]) -> HashMap<Incarnation, LayerRange> {
     let seen: Vec<_> = engines.iter().map(PlannedEngine::in_chain).collect();
     let plan = divide(shape, &seen, Weights::BALANCE).expect("the memory is enough");
-    engines.iter().map(|engine| engine.id.clone()).zip(plan.ranges).collect()
+    engines.iter().map(|engine| engine.life.clone()).zip(plan.ranges).collect()
 }
 
 fn holders(
     shape: &ModelShape,
     engines: &[PlannedEngine],
-    held: &HashMap<String, LayerRange>,
+    held: &HashMap<Incarnation, LayerRange>,
 ) -> Vec<Holder> {
     let holder = |engine: &PlannedEngine| {
-        let layers = held[&engine.id];
-        let card = shape.card(engine.id.split('-').next()?)?;
+        let layers = held[&engine.life];
+        let card = shape.card(engine.life.id.split('-').next()?)?;
         (!layers.is_empty()).then(|| Holder {
-            id: engine.id.clone(),
+            life: engine.life.clone(),
             addr: ([127, 0, 0, 1], 1).into(),
             data_centre: "north".into(),
             layers,
--- a/crates/gateway/src/process/beliefs.rs
+++ b/crates/gateway/src/process/beliefs.rs
@@ -1,7 +1,7 @@
 //! What a gateway believes of engines and of other gateways, beyond what the store tells.
 
 use crate::process::{EngineView, LeadView, PeerMessage};
-use sorrellock_routing::process::EndpointId;
+use sorrellock_routing::process::Incarnation;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -53,10 +53,10 @@
     /// Gateways that the store tells of, this one included.
     pub(crate) registered: usize,
     /// Endpoints that failed.
-    suspects: HashMap<EndpointId, Suspect>,
+    suspects: HashMap<Incarnation, Suspect>,
     /// Endpoints that told themselves that they take nothing more, and until when that is believed
     /// without an entry that says so.
-    leaving: HashMap<EndpointId, Leaving>,
+    leaving: HashMap<Incarnation, Leaving>,
     lead: Option<(LeadView, Instant)>,
 }
 
@@ -88,59 +88,59 @@
     }
 
     /// An endpoint failed: it gets nothing new for a while. Tells whether that is news.
-    pub(crate) fn suspect(&mut self, id: &str, now: Instant, lasts: Duration) -> bool {
+    pub(crate) fn suspect(&mut self, life: &Incarnation, now: Instant, lasts: Duration) -> bool {
         let is_news =
-            !self.suspects.get(id).is_some_and(|suspect| suspect.is_own && suspect.until > now);
-        self.suspects.insert(id.to_owned(), Suspect { until: now + lasts, is_own: true });
+            !self.suspects.get(life).is_some_and(|suspect| suspect.is_own && suspect.until > now);
+        self.suspects.insert(life.clone(), Suspect { until: now + lasts, is_own: true });
         is_news
     }
 
     /// An endpoint failed another gateway, and does not serve this one either.
-    pub(crate) fn hear_suspect(&mut self, id: &str, now: Instant, lasts: Duration) {
-        if !self.is_suspect(id, now) {
+    pub(crate) fn hear_suspect(&mut self, life: &Incarnation, now: Instant, lasts: Duration) {
+        if !self.is_suspect(life, now) {
             let heard = Suspect { until: now + lasts, is_own: false };
-            self.suspects.insert(id.to_owned(), heard);
+            self.suspects.insert(life.clone(), heard);
         }
     }
 
     /// An endpoint told this gateway that it takes nothing more. Tells whether that is news.
-    pub(crate) fn believe_leaving(&mut self, id: &str, now: Instant) -> bool {
-        let is_news = !self.is_leaving(id, now);
+    pub(crate) fn believe_leaving(&mut self, life: &Incarnation, now: Instant) -> bool {
+        let is_news = !self.is_leaving(life, now);
         let leaving = Leaving { until: now + LEAVING_FOR, is_own: true };
-        self.leaving.insert(id.to_owned(), leaving);
+        self.leaving.insert(life.clone(), leaving);
         is_news
     }
 
     /// Another gateway heard that from an endpoint.
-    pub(crate) fn hear_leaving(&mut self, id: &str, now: Instant) {
+    pub(crate) fn hear_leaving(&mut self, life: &Incarnation, now: Instant) {
         let leaving = Leaving { until: now + LEAVING_FOR, is_own: false };
-        self.leaving.insert(id.to_owned(), leaving);
+        self.leaving.insert(life.clone(), leaving);
     }
 
     /// Whether an endpoint told that it takes nothing more.
-    pub(crate) fn is_leaving(&self, id: &str, now: Instant) -> bool {
-        self.leaving.get(id).is_some_and(|leaving| leaving.until > now)
+    pub(crate) fn is_leaving(&self, life: &Incarnation, now: Instant) -> bool {
+        self.leaving.get(life).is_some_and(|leaving| leaving.until > now)
     }
 
     /// Endpoints that told this gateway that they take nothing more. What others heard is theirs
     /// to pass on, so that it ends.
-    pub(crate) fn leaving_own(&mut self, now: Instant) -> Vec<EndpointId> {
+    pub(crate) fn leaving_own(&mut self, now: Instant) -> Vec<Incarnation> {
         self.leaving.retain(|_, leaving| leaving.until > now);
         let own = self.leaving.iter().filter(|(_, leaving)| leaving.is_own);
-        own.map(|(id, _)| id.clone()).collect()
+        own.map(|(life, _)| life.clone()).collect()
     }
 
     /// Whether an endpoint is suspected.
-    pub(crate) fn is_suspect(&self, id: &str, now: Instant) -> bool {
-        self.suspects.get(id).is_some_and(|suspect| suspect.until > now)
+    pub(crate) fn is_suspect(&self, life: &Incarnation, now: Instant) -> bool {
+        self.suspects.get(life).is_some_and(|suspect| suspect.until > now)
     }
 
     /// The endpoints that failed this gateway itself: what others heard is theirs to pass on. Drops
     /// what is over.
-    pub(crate) fn suspects_own(&mut self, now: Instant) -> Vec<EndpointId> {
+    pub(crate) fn suspects_own(&mut self, now: Instant) -> Vec<Incarnation> {
         self.suspects.retain(|_, suspect| suspect.until > now);
         let own = self.suspects.iter().filter(|(_, suspect)| suspect.is_own);
-        own.map(|(id, _)| id.clone()).collect()
+        own.map(|(life, _)| life.clone()).collect()
     }
 
     /// Takes what a lead tells, unless a newer lead was heard. Tells whether it was taken.
@@ -171,8 +171,8 @@
     }
 
     /// What the lead told of an engine, if that is fresh.
-    pub(crate) fn engine(&self, id: &str, now: Instant) -> Option<&EngineView> {
+    pub(crate) fn engine(&self, life: &Incarnation, now: Instant) -> Option<&EngineView> {
         let (view, _) = self.lead(now)?;
-        view.engines.iter().find(|engine| engine.id == id)
+        view.engines.iter().find(|engine| engine.life == *life)
     }
 }
--- a/crates/gateway/src/process/gateway.rs
+++ b/crates/gateway/src/process/gateway.rs
@@ -6,7 +6,7 @@
 use sorrellock_core::clock::SystemClock;
 use sorrellock_core::process::retries::Breakers;
 use sorrellock_platform::{Bounds, Client, EndpointLoad, Revision, Settings};
-use sorrellock_routing::process::{Endpoint, EndpointId, Leaving, RetryWindow};
+use sorrellock_routing::process::{Endpoint, Incarnation, Leaving, RetryWindow};
 use sorrellock_routing::version::{Configuration, ServiceName};
 use spdlog::{info, warn};
 use std::cell::{Cell, RefCell};
@@ -51,8 +51,8 @@
     pub(crate) beliefs: RefCell<Beliefs>,
     pub(crate) paths: Rc<RefCell<PathBook>>,
     pub(crate) pool: RefCell<Pool>,
-    pub(crate) uses: RefCell<HashMap<EndpointId, EndpointUse>>,
-    pub(crate) breakers: RefCell<Breakers<EndpointId, SystemClock>>,
+    pub(crate) uses: RefCell<HashMap<Incarnation, EndpointUse>>,
+    pub(crate) breakers: RefCell<Breakers<Incarnation, SystemClock>>,
     pub(crate) budgets: RefCell<HashMap<ServiceName, RetryWindow>>,
     /// This gateway places layers.
     pub(crate) leads: Cell<bool>,
@@ -63,7 +63,7 @@
     /// When a call of the store last failed.
     pub(crate) store_failed: Cell<Option<Instant>>,
     /// Endpoints that refused a request, and when they were last asked why.
-    pub(crate) refusers_checked: RefCell<HashMap<SocketAddr, Instant>>,
+    pub(crate) refusers_checked: RefCell<HashMap<Incarnation, Instant>>,
     /// Requests under way.
     pub(crate) in_flight: Cell<usize>,
     /// Wakes the placer: an engine came, went or is suspected.
@@ -71,7 +71,7 @@
     /// Wakes the messages to other gateways: an endpoint failed.
     pub(crate) suspected: Notify,
     /// Clients for questions to endpoints.
-    pub(crate) probes: RefCell<HashMap<SocketAddr, Client>>,
+    pub(crate) probes: RefCell<HashMap<Incarnation, Client>>,
     /// Wakes requests that wait for the first configuration.
     pub(crate) configured: Notify,
     pub(crate) phase: watch::Sender<Phase>,
@@ -180,7 +180,7 @@
     /// Tells and forgets an endpoint that was removed.
     pub(crate) fn endpoint_gone(&self, id: &str, source: &str) {
         info!("endpoint gone", kv: { endpoint = id, source });
-        self.uses.borrow_mut().remove(id);
+        self.uses.borrow_mut().retain(|life, _| life.id != id);
         self.engines_changed.notify_waiters();
     }
 
@@ -217,10 +217,10 @@
     }
 
     /// An endpoint failed an attempt: it gets nothing new for a while.
-    pub(crate) fn suspect(&self, id: &str, why: &str) {
+    pub(crate) fn suspect(&self, life: &Incarnation, why: &str) {
         let now = Instant::now();
-        if self.beliefs.borrow_mut().suspect(id, now, SUSPECT_FOR) {
-            warn!("endpoint suspected", kv: { endpoint = id, why });
+        if self.beliefs.borrow_mut().suspect(life, now, SUSPECT_FOR) {
+            warn!("endpoint suspected", kv: { endpoint = life.id.as_str(), why });
             self.refresh_paths();
             self.engines_changed.notify_waiters();
             self.suspected.notify_one();
@@ -228,50 +228,58 @@
     }
 
     /// An endpoint failed another gateway. It is believed where a path through it is quiet here too.
-    pub(crate) fn hear_suspicion(&self, id: &str, instance: &str) {
+    pub(crate) fn hear_suspicion(&self, life: &Incarnation, instance: &str) {
         let now = Instant::now();
-        let quiet = self.paths.borrow().quiet_through(id, now);
+        let quiet = self.paths.borrow().quiet_through(life, now);
         if quiet.is_empty() {
             return;
         }
-        warn!("endpoint suspected", kv: { endpoint = id, why = "another gateway told", instance });
-        self.beliefs.borrow_mut().hear_suspect(id, now, SUSPECT_FOR);
+        warn!("endpoint suspected", kv: { endpoint = life.id.as_str(), why = "another gateway told", instance });
+        self.beliefs.borrow_mut().hear_suspect(life, now, SUSPECT_FOR);
         self.refresh_paths();
         for live in &quiet {
             live.break_up();
         }
     }
 
-    /// The client for questions to an endpoint. Its connections are kept: new ones are priced.
-    pub(crate) fn probe(&self, addr: SocketAddr) -> Client {
-        self.probes.borrow_mut().entry(addr).or_insert_with(|| Client::new(addr)).clone()
+    /// The client for questions to an endpoint in one life. Its connections are kept: new ones are priced.
+    pub(crate) fn probe(&self, life: &Incarnation, addr: SocketAddr) -> Client {
+        let mut probes = self.probes.borrow_mut();
+        match probes.get(life) {
+            Some(client) if client.peer() == addr => client.clone(),
+            _ => {
+                let client = Client::new(addr);
+                probes.insert(life.clone(), client.clone());
+                client
+            }
+        }
     }
 
     /// An endpoint told that it takes nothing more.
-    pub(crate) fn believe_leaving(&self, id: &str) {
+    pub(crate) fn believe_leaving(&self, life: &Incarnation) {
         let now = Instant::now();
-        if self.beliefs.borrow_mut().believe_leaving(id, now) {
+        if self.beliefs.borrow_mut().believe_leaving(life, now) {
             let source = self.settings.instance.as_str();
-            info!("endpoint told that it leaves", kv: { endpoint = id, source });
+            info!("endpoint told that it leaves", kv: { endpoint = life.id.as_str(), source });
             self.refresh_paths();
             self.engines_changed.notify_waiters();
         }
     }
 
     /// Whether an endpoint has ended or is cut off, as far as the lead can tell.
-    pub(crate) fn is_dead(&self, id: &str) -> bool {
+    pub(crate) fn is_dead(&self, life: &Incarnation) -> bool {
         let beliefs = self.beliefs.borrow();
-        beliefs.engine(id, Instant::now()).is_some_and(|engine| engine.is_dead)
+        beliefs.engine(life, Instant::now()).is_some_and(|engine| engine.is_dead)
     }
 
     /// Whether an endpoint has ended, or failed just now as if it had.
-    pub(crate) fn is_lost(&self, id: &str) -> bool {
-        self.is_dead(id) || self.beliefs.borrow().is_suspect(id, Instant::now())
+    pub(crate) fn is_lost(&self, life: &Incarnation) -> bool {
+        self.is_dead(life) || self.beliefs.borrow().is_suspect(life, Instant::now())
     }
 
-    /// Whether the list holds an endpoint.
-    pub(crate) fn is_listed(&self, id: &str) -> bool {
-        self.knowledge.borrow().endpoint(id).is_some()
+    /// Whether the list holds an endpoint in this life.
+    pub(crate) fn is_listed(&self, life: &Incarnation) -> bool {
+        self.knowledge.borrow().is_current(life)
     }
 
     /// A request came in for a service.
--- a/crates/gateway/src/process/knowledge.rs
+++ b/crates/gateway/src/process/knowledge.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 use sorrellock_platform::Revision;
-use sorrellock_routing::process::{Endpoint, EndpointId};
+use sorrellock_routing::process::{Endpoint, EndpointId, Incarnation};
 use sorrellock_routing::version::{ConfigVersion, Configuration, RouteTable};
 use std::collections::{BTreeMap, HashSet};
 use std::rc::Rc;
@@ -116,6 +116,11 @@
         open.filter(|endpoint| !endpoint.is_leaving)
     }
 
+    /// Whether the list tells of an endpoint in this life.
+    pub(crate) fn is_current(&self, life: &Incarnation) -> bool {
+        self.endpoint(&life.id).is_some_and(|endpoint| endpoint.started == life.started)
+    }
+
     /// One endpoint.
     pub(crate) fn endpoint(&self, id: &str) -> Option<&Endpoint> {
         self.endpoints.get(id).map(|known| &known.endpoint)
--- a/crates/gateway/src/process/path_book.rs
+++ b/crates/gateway/src/process/path_book.rs
@@ -3,7 +3,7 @@
 use crate::process::{EngineFate, LivePath};
 use rand::RngExt;
 use sorrellock_routing::process::{
-    DataCentre, EndpointId, Holder, PathPart, PipelinePath, cheapest_path, paths_by_head,
+    DataCentre, Holder, Incarnation, PathPart, PipelinePath, cheapest_path, paths_by_head,
 };
 use sorrellock_routing::version::{ModelShape, ServiceName};
 use std::collections::{BTreeSet, HashMap};
@@ -48,30 +48,30 @@
 pub(crate) struct PathBook {
     paths: HashMap<ServiceName, Vec<Rc<LivePath>>>,
     /// What streams of other gateways take, by the first engine of their path.
-    peers: HashMap<EndpointId, Load>,
+    peers: HashMap<Incarnation, Load>,
     /// KV cache that fits into each engine, in tokens times layers.
-    rooms: HashMap<EndpointId, f64>,
+    rooms: HashMap<Incarnation, f64>,
     freed: Rc<Notify>,
 }
 
 impl PathBook {
     /// Takes what streams of other gateways take, by the first engine of their path.
-    pub(crate) fn set_peer_loads(&mut self, peers: HashMap<EndpointId, Load>) {
+    pub(crate) fn set_peer_loads(&mut self, peers: HashMap<Incarnation, Load>) {
         self.peers = peers;
     }
 
     /// Paths through an engine whose streams all miss their event.
-    pub(crate) fn quiet_through(&self, id: &str, now: Instant) -> Vec<Rc<LivePath>> {
+    pub(crate) fn quiet_through(&self, life: &Incarnation, now: Instant) -> Vec<Rc<LivePath>> {
         let all = self.paths.values().flatten();
         let quiet = all.filter(|live| !live.is_broken.get() && live.misses_events(now));
-        quiet.filter(|live| live.path.uses(id)).cloned().collect()
+        quiet.filter(|live| live.path.uses(life)).cloned().collect()
     }
 
     /// What this gateway's streams take, by the first engine of their path.
-    pub(crate) fn own_loads(&self) -> HashMap<EndpointId, Load> {
-        let mut loads: HashMap<EndpointId, Load> = HashMap::new();
+    pub(crate) fn own_loads(&self) -> HashMap<Incarnation, Load> {
+        let mut loads: HashMap<Incarnation, Load> = HashMap::new();
         for live in self.paths.values().flatten().filter(|live| live.streams.get() > 0) {
-            let load = loads.entry(live.path.first().id.clone()).or_default();
+            let load = loads.entry(live.path.first().life.clone()).or_default();
             load.tokens += live.tokens.get();
             load.streams += live.streams.get();
         }
@@ -85,22 +85,22 @@
     }
 
     /// Streams of all gateways that begin at an engine.
-    fn head_streams(&self, service: &str, head: &str) -> u32 {
-        let own = self.paths(service).iter().filter(|live| live.path.first().id == head);
+    fn head_streams(&self, service: &str, head: &Incarnation) -> u32 {
+        let own = self.paths(service).iter().filter(|live| live.path.first().life == *head);
         let own: u32 = own.map(|live| live.streams.get()).sum();
         own + self.peers.get(head).map_or(0, |load| load.streams)
     }
 
     /// KV cache that streams of all gateways take at each engine, in tokens times layers. What
     /// other gateways' streams take counts for the path in use of their first engine.
-    fn kv_used(&self, service: &str) -> HashMap<&EndpointId, f64> {
-        let mut used: HashMap<&EndpointId, f64> = HashMap::new();
+    fn kv_used(&self, service: &str) -> HashMap<&Incarnation, f64> {
+        let mut used: HashMap<&Incarnation, f64> = HashMap::new();
         for live in self.paths(service) {
-            let peers = self.peers.get(&live.path.first().id);
+            let peers = self.peers.get(&live.path.first().life);
             let peers = peers.filter(|_| !live.is_superseded.get()).map_or(0.0, |p| p.tokens);
             let tokens = live.tokens.get() + peers;
             for part in &live.path.parts {
-                *used.entry(&part.id).or_default() += tokens * f64::from(part.layers.len());
+                *used.entry(&part.life).or_default() += tokens * f64::from(part.layers.len());
             }
         }
         used
@@ -132,13 +132,13 @@
         service: &str,
         shape: &ModelShape,
         holders: &[Holder],
-        fate: impl Fn(&EndpointId) -> EngineFate,
+        fate: impl Fn(&Incarnation) -> EngineFate,
         now: Instant,
     ) -> bool {
-        self.rooms.extend(holders.iter().map(|holder| (holder.id.clone(), holder.kv_room)));
+        self.rooms.extend(holders.iter().map(|holder| (holder.life.clone(), holder.kv_room)));
         let old = self.paths.remove(service).unwrap_or_default();
         for live in &old {
-            let has = |wanted| live.path.parts.iter().any(|part| fate(&part.id) == wanted);
+            let has = |wanted| live.path.parts.iter().any(|part| fate(&part.life) == wanted);
             if !live.is_broken.get() && has(EngineFate::Dead) {
                 live.break_up();
             }
@@ -185,8 +185,8 @@
     /// Forgets engines that no path goes through.
     fn forget_rooms(&mut self) {
         let parts = self.paths.values().flatten().flat_map(|live| &live.path.parts);
-        let ids: BTreeSet<&EndpointId> = parts.map(|part| &part.id).collect();
-        self.rooms.retain(|id, _| ids.contains(id));
+        let lives: BTreeSet<&Incarnation> = parts.map(|part| &part.life).collect();
+        self.rooms.retain(|life, _| lives.contains(life));
     }
 
     /// A path in use that begins at the same engine as another, but is not that one.
@@ -201,7 +201,7 @@
                 && !live.is_broken.get()
                 && !live.is_retiring.get()
                 && !live.is_avoided(now)
-                && live.path.first().id == of.path.first().id
+                && live.path.first().life == of.path.first().life
         };
         self.paths(service).iter().find(fits).cloned()
     }
@@ -238,7 +238,7 @@
         let mut is_full = false;
         let used = self.kv_used(service);
         for live in self.paths(service).iter().filter(is_open) {
-            let begun = self.head_streams(service, &live.path.first().id) + 1;
+            let begun = self.head_streams(service, &live.path.first().life) + 1;
             let of_slots = f64::from(begun) / f64::from(live.slots);
             let share = self.fill(live, &used, tokens).max(of_slots);
             if share > FILL {
@@ -277,7 +277,7 @@
                 live.path.data_centre,
                 self.fill(live, &used, 0.0) * 100.0,
                 live.path.token_room,
-                self.head_streams(service, &live.path.first().id),
+                self.head_streams(service, &live.path.first().life),
                 live.slots
             )
         };
@@ -294,10 +294,10 @@
 
     /// Share of its memory for KV cache that is taken at the fullest engine of a path, with so many
     /// tokens more.
-    fn fill(&self, live: &LivePath, used: &HashMap<&EndpointId, f64>, tokens: f64) -> f64 {
+    fn fill(&self, live: &LivePath, used: &HashMap<&Incarnation, f64>, tokens: f64) -> f64 {
         let fill = |part: &PathPart| {
-            let taken = used.get(&part.id).copied().unwrap_or_default();
-            let room = self.rooms.get(&part.id).copied().unwrap_or_default();
+            let taken = used.get(&part.life).copied().unwrap_or_default();
+            let room = self.rooms.get(&part.life).copied().unwrap_or_default();
             (taken + tokens * f64::from(part.layers.len())) / room.max(1.0)
         };
         live.path.parts.iter().map(fill).fold(0.0, f64::max)
@@ -312,7 +312,7 @@
         holders.iter().any(|holder| {
             holder.data_centre == path.data_centre
                 && holder.layers.contains(*layer)
-                && runs(*layer).is_some_and(|part| part.id != holder.id)
+                && runs(*layer).is_some_and(|part| part.life != holder.life)
         })
     };
     (0..layers).filter(has_other).count() as f64 / f64::from(layers.max(1))
--- a/crates/gateway/src/process/path_check.rs
+++ b/crates/gateway/src/process/path_check.rs
@@ -2,7 +2,7 @@
 
 use crate::process::{Count, Gateway, LivePath};
 use sorrellock_platform::{CallError, Client, Health, read_health, read_report};
-use sorrellock_routing::process::EndpointId;
+use sorrellock_routing::process::Incarnation;
 use spdlog::info;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -55,16 +55,21 @@
     let data_centre = live.path.data_centre.as_str();
     info!("path checked", kv: { data_centre, engines = live.path.parts.len() });
     for part in &live.path.parts {
-        let check = check_engine(Rc::clone(gateway), Rc::clone(live), part.id.clone(), part.addr);
+        let check = check_engine(Rc::clone(gateway), Rc::clone(live), part.life.clone(), part.addr);
         tokio::task::spawn_local(check);
     }
 }
 
 /// An engine that doesn't answer breaks the path, which is quiet already.
-async fn check_engine(gateway: Rc<Gateway>, live: Rc<LivePath>, id: EndpointId, addr: SocketAddr) {
+async fn check_engine(
+    gateway: Rc<Gateway>,
+    live: Rc<LivePath>,
+    life: Incarnation,
+    addr: SocketAddr,
+) {
     gateway.counters.add(Count::Reports);
-    let Err(err) = ask(&gateway, addr).await else { return };
-    gateway.suspect(&id, &err.to_string());
+    let Err(err) = ask(&gateway, &life, addr).await else { return };
+    gateway.suspect(&life, &err.to_string());
     if live.is_quiet(Instant::now(), Duration::ZERO) {
         live.break_up();
     }
@@ -72,8 +77,8 @@
 
 /// Asks an engine whether it lives. A kept connection may be silent for good: another one is opened
 /// before that counts.
-async fn ask(gateway: &Gateway, addr: SocketAddr) -> Result<(), CallError> {
-    let first = read_report(&gateway.probe(addr), REPORT_LIMIT).await;
+async fn ask(gateway: &Gateway, life: &Incarnation, addr: SocketAddr) -> Result<(), CallError> {
+    let first = read_report(&gateway.probe(life, addr), REPORT_LIMIT).await;
     match first {
         Err(CallError::NoAnswer { .. }) => {}
         other => return other.map(drop),
@@ -81,7 +86,7 @@
     let fresh = Client::new(addr);
     let res = read_report(&fresh, REPORT_LIMIT).await;
     if res.is_ok() {
-        gateway.probes.borrow_mut().insert(addr, fresh);
+        gateway.probes.borrow_mut().insert(life.clone(), fresh);
     }
     res.map(drop)
 }
@@ -90,25 +95,25 @@
 /// now. The list may not tell for long, as while the store is down.
 pub(crate) fn check_refuser(gateway: &Rc<Gateway>, addr: SocketAddr) {
     let now = Instant::now();
-    let mut checked = gateway.refusers_checked.borrow_mut();
-    checked.retain(|_, at| now - *at < CHECK_INTERVAL);
-    if checked.insert(addr, now).is_some() {
-        return;
-    }
     let found = {
         let knowledge = gateway.knowledge.borrow();
         let endpoint = knowledge.endpoints().find(|endpoint| endpoint.addr == addr);
         endpoint.filter(|endpoint| !endpoint.is_leaving).and_then(|endpoint| {
-            Some((endpoint.id.clone(), knowledge.health_path(endpoint)?.to_owned()))
+            Some((endpoint.incarnation(), knowledge.health_path(endpoint)?.to_owned()))
         })
     };
-    let Some((id, path)) = found else { return };
+    let Some((life, path)) = found else { return };
+    let mut checked = gateway.refusers_checked.borrow_mut();
+    checked.retain(|_, at| now - *at < CHECK_INTERVAL);
+    if checked.insert(life.clone(), now).is_some() {
+        return;
+    }
     let gateway = Rc::clone(gateway);
     tokio::task::spawn_local(async move {
-        match ask_health(&gateway, &id, addr, &path).await {
+        match ask_health(&gateway, &life, addr, &path).await {
             Ok(()) => {}
-            Err(Unwell::Leaves) => gateway.believe_leaving(&id),
-            Err(Unwell::Ended(why)) => gateway.suspect(&id, &why),
+            Err(Unwell::Leaves) => gateway.believe_leaving(&life),
+            Err(Unwell::Ended(why)) => gateway.suspect(&life, &why),
         }
     });
 }
@@ -118,26 +123,30 @@
 pub(crate) fn check_unlisted(gateway: &Rc<Gateway>, id: &str) {
     let found = {
         let knowledge = gateway.knowledge.borrow();
-        knowledge
-            .endpoint(id)
-            .and_then(|endpoint| Some((endpoint.addr, knowledge.health_path(endpoint)?.to_owned())))
+        knowledge.endpoint(id).and_then(|endpoint| {
+            Some((
+                endpoint.incarnation(),
+                endpoint.addr,
+                knowledge.health_path(endpoint)?.to_owned(),
+            ))
+        })
     };
-    let Some((addr, path)) = found else {
+    let Some((life, addr, path)) = found else {
         gateway.remove_endpoint(id, "watch");
         return;
     };
-    let (gateway, id) = (Rc::clone(gateway), id.to_owned());
+    let gateway = Rc::clone(gateway);
     tokio::task::spawn_local(async move {
-        let why = match ask_health(&gateway, &id, addr, &path).await {
+        let why = match ask_health(&gateway, &life, addr, &path).await {
             Ok(()) => {
-                info!("endpoint lives without its entry", kv: { endpoint = id.as_str() });
+                info!("endpoint lives without its entry", kv: { endpoint = life.id.as_str() });
                 return;
             }
             Err(Unwell::Leaves) => "its health".to_owned(),
             Err(Unwell::Ended(why)) => why,
         };
-        if gateway.knowledge.borrow().is_missing(&id) {
-            gateway.remove_endpoint(&id, &why);
+        if gateway.knowledge.borrow().is_missing(&life.id) {
+            gateway.remove_endpoint(&life.id, &why);
             gateway.refresh_paths();
         }
     });
@@ -153,12 +162,12 @@
 
 async fn ask_health(
     gateway: &Gateway,
-    id: &str,
+    life: &Incarnation,
     addr: SocketAddr,
     path: &str,
 ) -> Result<(), Unwell> {
     gateway.counters.add(Count::Reports);
-    match read_health(&gateway.probe(addr), path, id, HEALTH_LIMIT).await {
+    match read_health(&gateway.probe(life, addr), path, &life.id, HEALTH_LIMIT).await {
         Ok(Health::Well) => Ok(()),
         Ok(Health::Leaving) => Err(Unwell::Leaves),
         Ok(Health::Replaced) => Err(Unwell::Ended("another instance has its address".to_owned())),
--- a/crates/gateway/src/process/path_refresh.rs
+++ b/crates/gateway/src/process/path_refresh.rs
@@ -1,7 +1,7 @@
 //! Works out the paths anew from what is known of the engines.
 
 use crate::process::{EngineFate, Gateway, Knowledge, LivePath};
-use sorrellock_routing::process::{DataCentre, EndpointId, Holder, LayerRange};
+use sorrellock_routing::process::{DataCentre, Holder, Incarnation, LayerRange};
 use sorrellock_routing::version::ModelShape;
 use spdlog::{info, warn};
 use std::collections::BTreeSet;
@@ -18,12 +18,12 @@
             let Some(shape) = &service.model else { continue };
             let holders = self.holders(&knowledge, &service.name, shape, now);
             let beliefs = self.beliefs.borrow();
-            let fate = |id: &EndpointId| {
-                if beliefs.engine(id, now).is_some_and(|engine| engine.is_dead) {
+            let fate = |life: &Incarnation| {
+                if beliefs.engine(life, now).is_some_and(|engine| engine.is_dead) {
                     return EngineFate::Dead;
                 }
-                match knowledge.endpoint(id) {
-                    Some(endpoint) if !endpoint.is_leaving && !beliefs.is_leaving(id, now) => {
+                match knowledge.endpoint(&life.id) {
+                    Some(endpoint) if !endpoint.is_leaving && !beliefs.is_leaving(life, now) => {
                         EngineFate::Stays
                     }
                     // It finishes what it runs for a while, also without an entry.
@@ -65,22 +65,23 @@
         let mut holders = Vec::new();
         let engines = knowledge.open_endpoints(now).filter(|engine| engine.service == service);
         for endpoint in engines {
-            if beliefs.is_leaving(&endpoint.id, now) {
+            let life = endpoint.incarnation();
+            if beliefs.is_leaving(&life, now) {
                 continue;
             }
-            let view = beliefs.engine(&endpoint.id, now);
+            let view = beliefs.engine(&life, now);
             // An engine that the lead doesn't tell of leaves, or holds nothing yet.
             let listed = if has_lead { LayerRange::default() } else { endpoint.layers };
             let layers = view.map_or(listed, |view| view.usable);
             let is_dead = view.is_some_and(|view| view.is_dead);
-            if is_dead || layers.is_empty() || beliefs.is_suspect(&endpoint.id, now) {
+            if is_dead || layers.is_empty() || beliefs.is_suspect(&life, now) {
                 continue;
             }
             let card = endpoint.card.as_deref().and_then(|card| shape.card(card));
             let slowness = view.map_or(1.0, |view| f64::from(view.slowness).max(0.1));
             let step_factor = card.map_or(1.0, |card| card.step_factor) * slowness;
             holders.push(Holder {
-                id: endpoint.id.clone(),
+                life,
                 addr: endpoint.addr,
                 data_centre: endpoint.data_centre.clone(),
                 layers,
--- a/crates/gateway/src/process/peer_message.rs
+++ b/crates/gateway/src/process/peer_message.rs
@@ -1,7 +1,7 @@
 //! What gateways tell each other, as datagrams.
 
 use serde::{Deserialize, Serialize};
-use sorrellock_routing::process::{EndpointId, LayerRange};
+use sorrellock_routing::process::{Incarnation, LayerRange};
 use sorrellock_routing::version::ConfigVersion;
 
 /// What a gateway tells all others, several times a second. The newest one replaces those before.
@@ -22,9 +22,9 @@
     /// What the sender's streams take, by the first engine of their path.
     pub(crate) loads: Vec<HeadLoad>,
     /// Engines that the sender takes to be dead or cut off, by its own streams.
-    pub(crate) suspects: Vec<EndpointId>,
+    pub(crate) suspects: Vec<Incarnation>,
     /// Endpoints that told the sender that they take nothing more.
-    pub(crate) leaving: Vec<EndpointId>,
+    pub(crate) leaving: Vec<Incarnation>,
     /// The sender leads, with this term.
     pub(crate) lead_term: Option<u64>,
     /// What the lead knows, where it is news or was not told for a while.
@@ -35,7 +35,7 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(crate) struct HeadLoad {
     /// The first engine.
-    pub(crate) head: EndpointId,
+    pub(crate) head: Incarnation,
     /// Tokens reserved by the streams.
     pub(crate) tokens: u32,
     /// The streams.
@@ -54,8 +54,8 @@
 /// What the lead knows of one engine.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(crate) struct EngineView {
-    /// Its id.
-    pub(crate) id: EndpointId,
+    /// The engine, in the life that the lead has heard.
+    pub(crate) life: Incarnation,
     /// The layers that requests may use.
     pub(crate) usable: LayerRange,
     /// Its step times against those of its kind.
--- a/crates/gateway/src/process/peers.rs
+++ b/crates/gateway/src/process/peers.rs
@@ -5,7 +5,7 @@
 use http::Method;
 use serde::{Deserialize, Serialize};
 use sorrellock_platform::{Client, Kind, Store, StoreError};
-use sorrellock_routing::process::EndpointId;
+use sorrellock_routing::process::Incarnation;
 use spdlog::{info, warn};
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
@@ -104,7 +104,7 @@
         let suspects = gateway.beliefs.borrow_mut().suspects_own(now);
         let leaving = gateway.beliefs.borrow_mut().leaving_own(now);
         let own_loads = gateway.paths.borrow().own_loads();
-        let load = |(head, load): (EndpointId, Load)| HeadLoad {
+        let load = |(head, load): (Incarnation, Load)| HeadLoad {
             head,
             tokens: load.tokens.max(0.0) as u32,
             streams: load.streams,
@@ -150,7 +150,7 @@
 
     fn take_loads(&self) {
         let now = Instant::now();
-        let mut loads: HashMap<EndpointId, Load> = HashMap::new();
+        let mut loads: HashMap<Incarnation, Load> = HashMap::new();
         for peer in self.gateway.beliefs.borrow().live_peers(now) {
             for told in &peer.message.loads {
                 let load = loads.entry(told.head.clone()).or_default();
@@ -212,16 +212,16 @@
             is_changed = known.is_none_or(|(known, _)| known.engines != view.engines);
             is_changed &= beliefs.apply_lead(view.clone(), now);
         }
-        let new_suspects = message.suspects.iter().filter(|id| {
-            before_suspects(&beliefs.peers, &message.instance).is_none_or(|all| !all.contains(id))
+        let new_suspects = message.suspects.iter().filter(|life| {
+            before_suspects(&beliefs.peers, &message.instance).is_none_or(|all| !all.contains(life))
         });
-        let new_suspects: Vec<EndpointId> = new_suspects.cloned().collect();
+        let new_suspects: Vec<Incarnation> = new_suspects.cloned().collect();
         let told = message.leaving.iter();
-        let told = told.filter(|id| !beliefs.is_leaving(id, now)).cloned().collect::<Vec<_>>();
-        for id in &told {
-            beliefs.hear_leaving(id, now);
+        let told = told.filter(|life| !beliefs.is_leaving(life, now)).cloned().collect::<Vec<_>>();
+        for life in &told {
+            beliefs.hear_leaving(life, now);
             info!("endpoint told that it leaves", kv: {
-                endpoint = id.as_str(), source = message.instance.as_str()
+                endpoint = life.id.as_str(), source = message.instance.as_str()
             });
             is_changed = true;
         }
@@ -231,8 +231,8 @@
         if is_changed {
             gateway.refresh_paths();
         }
-        for id in &new_suspects {
-            gateway.hear_suspicion(id, &instance);
+        for life in &new_suspects {
+            gateway.hear_suspicion(life, &instance);
         }
         if !new_suspects.is_empty() || !told.is_empty() {
             gateway.engines_changed.notify_waiters();
@@ -338,6 +338,6 @@
 fn before_suspects<'a>(
     peers: &'a HashMap<String, Peer>,
     instance: &str,
-) -> Option<&'a Vec<String>> {
+) -> Option<&'a Vec<Incarnation>> {
     peers.get(instance).map(|peer| &peer.message.suspects)
 }
--- a/crates/gateway/src/process/placer/engine.rs
+++ b/crates/gateway/src/process/placer/engine.rs
@@ -1,16 +1,16 @@
 //! What the lead knows of one engine.
 
 use sorrellock_platform::{Client, EngineReport};
-use sorrellock_routing::process::{EndpointId, LayerRange};
+use sorrellock_routing::process::{Incarnation, LayerRange};
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::rc::Rc;
 use tokio::time::Instant;
 
-/// Engines by id, shared with the calls under way.
-pub(super) type Engines = Rc<RefCell<HashMap<EndpointId, Engine>>>;
+/// Engines by life, shared with the calls under way.
+pub(super) type Engines = Rc<RefCell<HashMap<Incarnation, Engine>>>;
 
-/// What the lead knows of one engine.
+/// What the lead knows of one engine in one life.
 pub(super) struct Engine {
     pub(super) client: Client,
     pub(super) since: Instant,
--- a/crates/gateway/src/process/placer/orders.rs
+++ b/crates/gateway/src/process/placer/orders.rs
@@ -23,8 +23,9 @@
     pub(super) fn reopen(&self, endpoints: &[Endpoint], steps: &[Step]) {
         let mut engines = self.engines.borrow_mut();
         for endpoint in endpoints {
-            let Some(engine) = engines.get_mut(&endpoint.id) else { continue };
-            let gives_up = steps.iter().any(|step| step.gives_up && step.id == endpoint.id);
+            let Some(engine) = engines.get_mut(&endpoint.incarnation()) else { continue };
+            let gives_up =
+                steps.iter().any(|step| step.gives_up && step.life == endpoint.incarnation());
             if engine.ordered.is_none() && !gives_up {
                 engine.closing = None;
             }
@@ -39,7 +40,7 @@
     /// Gives an order, or first keeps requests off the layers that it gives up.
     pub(super) fn order(&self, step: Step, now: Instant) {
         let mut engines = self.engines.borrow_mut();
-        let Some(engine) = engines.get_mut(&step.id) else { return };
+        let Some(engine) = engines.get_mut(&step.life) else { return };
         if step.gives_up {
             let (stay, since) = *engine.closing.get_or_insert((step.layers, now));
             if stay != step.layers {
@@ -76,10 +77,10 @@
     let text = format!("{end:?}");
     let (from, to) = (step.layers.from, step.layers.to);
     info!("order given", kv: {
-        endpoint = step.id.as_str(), from, to, expected, outcome = text.as_str()
+        endpoint = step.life.id.as_str(), from, to, expected, outcome = text.as_str()
     });
     let mut engines = engines.borrow_mut();
-    let Some(engine) = engines.get_mut(&step.id) else { return };
+    let Some(engine) = engines.get_mut(&step.life) else { return };
     if !matches!(end, OrderEnd::Begun | OrderEnd::Done) {
         gateway.counters.add(Count::OrderFailures);
         engine.order_after = Instant::now() + ORDER_RETRY;
--- a/crates/gateway/src/process/placer/placer.rs
+++ b/crates/gateway/src/process/placer/placer.rs
@@ -6,10 +6,11 @@
 use crate::process::{EngineView, Gateway, LeadView};
 use sorrellock_platform::{Client, Store};
 use sorrellock_routing::process::placement::{is_any_chain_scarce, next_steps};
-use sorrellock_routing::process::{DataCentre, Endpoint, EndpointId};
+use sorrellock_routing::process::{DataCentre, Endpoint, Incarnation};
 use sorrellock_routing::version::{ModelShape, ServiceName};
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::{Instant, timeout};
@@ -34,11 +35,11 @@
     pub(super) is_complete: bool,
     pub(super) plans: HashMap<(ServiceName, DataCentre), Planned>,
     /// Since when the chain of a data centre is whole, with these engines.
-    pub(super) whole: HashMap<(ServiceName, DataCentre), (BTreeSet<EndpointId>, Instant)>,
+    pub(super) whole: HashMap<(ServiceName, DataCentre), (BTreeSet<Incarnation>, Instant)>,
     /// Since when no gateway has a stream under way.
     pub(super) unused_since: Option<Instant>,
     /// The engines of a data centre, and since when they are the same.
-    pub(super) settled: HashMap<(ServiceName, DataCentre), (BTreeSet<EndpointId>, Instant)>,
+    pub(super) settled: HashMap<(ServiceName, DataCentre), (BTreeSet<Incarnation>, Instant)>,
 }
 
 impl Placer {
@@ -110,15 +111,13 @@
         let names: HashSet<&ServiceName> = services.iter().map(|(name, _)| name).collect();
         let here = knowledge.endpoints().filter(|endpoint| names.contains(&endpoint.service));
         let beliefs = self.gateway.beliefs.borrow();
-        let stays = |e: &&Endpoint| !e.is_leaving && !beliefs.is_leaving(&e.id, now);
-        let here: HashMap<&EndpointId, &Endpoint> =
-            here.filter(stays).map(|endpoint| (&endpoint.id, endpoint)).collect();
+        let stays = |e: &&Endpoint| !e.is_leaving && !beliefs.is_leaving(&e.incarnation(), now);
+        let here: HashMap<Incarnation, SocketAddr> =
+            here.filter(stays).map(|e| (e.incarnation(), e.addr)).collect();
         let mut engines = self.engines.borrow_mut();
-        engines.retain(|id, _| here.contains_key(id));
-        for (id, endpoint) in here {
-            engines
-                .entry(id.clone())
-                .or_insert_with(|| Engine::new(Client::new(endpoint.addr), now));
+        engines.retain(|life, _| here.contains_key(life));
+        for (life, addr) in here {
+            engines.entry(life).or_insert_with(|| Engine::new(Client::new(addr), now));
         }
     }
 
@@ -126,8 +125,8 @@
     fn ask_engines(&self, now: Instant) {
         let suspects = suspects(&self.gateway, now);
         let mut engines = self.engines.borrow_mut();
-        for (id, engine) in engines.iter_mut() {
-            let is_urgent = engine.is_moving() || engine.failures > 0 || suspects.contains(id);
+        for (life, engine) in engines.iter_mut() {
+            let is_urgent = engine.is_moving() || engine.failures > 0 || suspects.contains(life);
             let interval = if is_urgent { REPORT_INTERVAL_MOVING } else { REPORT_INTERVAL };
             let is_due = engine.asked.is_none_or(|asked| now - asked >= interval);
             if engine.is_asking || !is_due {
@@ -138,7 +137,7 @@
             let ask = ask(
                 Rc::clone(&self.gateway),
                 Rc::clone(&self.engines),
-                id.clone(),
+                life.clone(),
                 engine.client.clone(),
             );
             tokio::task::spawn_local(ask);
@@ -150,7 +149,7 @@
         let engines = self.engines.borrow();
         let mut by: BTreeMap<DataCentre, Vec<Endpoint>> = BTreeMap::new();
         for endpoint in knowledge.endpoints().filter(|endpoint| endpoint.service == service) {
-            if engines.contains_key(&endpoint.id) {
+            if engines.contains_key(&endpoint.incarnation()) {
                 by.entry(endpoint.data_centre.clone()).or_default().push(endpoint.clone());
             }
         }
@@ -205,14 +204,14 @@
         }
         let heard = engines.iter().filter(|(_, engine)| is_heard(engine));
         let mut views: Vec<EngineView> = heard
-            .map(|(id, engine)| EngineView {
-                id: id.clone(),
+            .map(|(life, engine)| EngineView {
+                life: life.clone(),
                 usable: engine.usable(),
                 slowness: engine.report.as_ref().map_or(1.0, |report| report.slowness as f32),
                 is_dead: engine.is_dead,
             })
             .collect();
-        views.sort_by(|a, b| a.id.cmp(&b.id));
+        views.sort_by(|a, b| a.life.cmp(&b.life));
         let view = LeadView { term, engines: views };
         let is_changed =
             self.own_view.borrow().as_ref().is_none_or(|old| old.engines != view.engines);
--- a/crates/gateway/src/process/placer/planning.rs
+++ b/crates/gateway/src/process/placer/planning.rs
@@ -4,7 +4,7 @@
 use sorrellock_routing::process::placement::{
     DataCentrePlan, Holding, Placement, PlannedEngine, plan_data_centre,
 };
-use sorrellock_routing::process::{DataCentre, Endpoint, EndpointId, LayerRange};
+use sorrellock_routing::process::{DataCentre, Endpoint, Incarnation, LayerRange};
 use sorrellock_routing::version::{Card, ModelShape, ServiceName};
 use spdlog::{info, warn};
 use std::collections::BTreeMap;
@@ -28,7 +28,7 @@
 /// What a plan depends on of one engine.
 #[derive(PartialEq)]
 pub(super) struct Fingerprint {
-    id: EndpointId,
+    life: Incarnation,
     held: LayerRange,
     is_pinned: bool,
     /// Step factor in steps of a half.
@@ -37,7 +37,7 @@
 
 pub(super) fn fingerprint(engine: &PlannedEngine) -> Fingerprint {
     Fingerprint {
-        id: engine.id.clone(),
+        life: engine.life.clone(),
         held: engine.held,
         is_pinned: engine.is_pinned,
         half_factors: (engine.step_factor * 2.0).round() as u32,
@@ -47,7 +47,8 @@
 pub(super) fn describe(placement: &Placement) -> String {
     let mut parts: Vec<_> = placement.iter().filter(|(_, range)| !range.is_empty()).collect();
     parts.sort_by_key(|(_, range)| range.from);
-    let parts = parts.iter().map(|(id, range)| format!("{id}={}-{}", range.from, range.to));
+    let parts =
+        parts.iter().map(|(life, range)| format!("{}={}-{}", life.id, range.from, range.to));
     parts.collect::<Vec<_>>().join(",")
 }
 
@@ -61,7 +62,7 @@
         let engines = self.engines.borrow();
         let mut planned = Vec::new();
         for endpoint in endpoints {
-            let engine = engines.get(&endpoint.id)?;
+            let engine = engines.get(&endpoint.incarnation())?;
             if engine.is_dead {
                 continue;
             }
@@ -69,7 +70,7 @@
             let card = endpoint.card.as_deref().and_then(|card| shape.card(card));
             let Some(card) = card else { continue };
             planned.push(PlannedEngine {
-                id: endpoint.id.clone(),
+                life: endpoint.incarnation(),
                 memory_mb: card.memory_mb,
                 step_factor: card.step_factor * report.slowness.max(1.0),
                 held: engine.held(),
@@ -91,9 +92,9 @@
         let made_for: Vec<_> = planned.iter().map(fingerprint).collect();
         let is_current = self.plans.get(key).is_some_and(|plan| {
             let same_engines = plan.placement.len() == planned.len()
-                && planned.iter().all(|engine| plan.placement.contains_key(&engine.id));
+                && planned.iter().all(|engine| plan.placement.contains_key(&engine.life));
             let is_moving =
-                planned.iter().any(|engine| plan.placement.get(&engine.id) != Some(&engine.held));
+                planned.iter().any(|engine| plan.placement.get(&engine.life) != Some(&engine.held));
             same_engines
                 && (plan.made_for == made_for || (is_moving && now - plan.at < REPLAN_INTERVAL))
         });
@@ -127,8 +128,8 @@
 
     fn note_chains(&self, plan: &DataCentrePlan) {
         let mut engines = self.engines.borrow_mut();
-        for (id, chain) in &plan.chains {
-            if let Some(engine) = engines.get_mut(id) {
+        for (life, chain) in &plan.chains {
+            if let Some(engine) = engines.get_mut(life) {
                 engine.chain = Some(*chain);
             }
         }
@@ -139,19 +140,21 @@
         shape: &ModelShape,
         endpoints: &[Endpoint],
         now: Instant,
-    ) -> BTreeMap<EndpointId, Holding> {
+    ) -> BTreeMap<Incarnation, Holding> {
         let engines = self.engines.borrow();
         let mut holdings = BTreeMap::new();
         let least_room = self.least_room(shape, endpoints);
         for endpoint in endpoints {
-            let Some(engine) = engines.get(&endpoint.id).filter(|engine| !engine.is_dead) else {
+            let Some(engine) =
+                engines.get(&endpoint.incarnation()).filter(|engine| !engine.is_dead)
+            else {
                 continue;
             };
             let card = endpoint.card.as_deref().and_then(|card| shape.card(card));
             let most = card.map_or(0, |card| most_layers(shape, card, least_room));
             let is_busy = engine.is_moving() || now < engine.order_after;
             holdings.insert(
-                endpoint.id.clone(),
+                endpoint.incarnation(),
                 Holding { ready: engine.ready(), most_layers: most, is_busy },
             );
         }
@@ -164,7 +167,9 @@
         let mut covered = vec![false; shape.layers as usize];
         let mut least = f64::INFINITY;
         for endpoint in endpoints {
-            let Some(engine) = engines.get(&endpoint.id).filter(|engine| !engine.is_dead) else {
+            let Some(engine) =
+                engines.get(&endpoint.incarnation()).filter(|engine| !engine.is_dead)
+            else {
                 continue;
             };
             let card = endpoint.card.as_deref().and_then(|card| shape.card(card));
--- a/crates/gateway/src/process/placer/reports.rs
+++ b/crates/gateway/src/process/placer/reports.rs
@@ -3,7 +3,7 @@
 use super::{Engine, Engines, ORDER_RETRY};
 use crate::process::{Count, Gateway};
 use sorrellock_platform::{CallError, Client, EngineReport, read_report};
-use sorrellock_routing::process::EndpointId;
+use sorrellock_routing::process::Incarnation;
 use spdlog::{info, warn};
 use std::collections::HashSet;
 use std::rc::Rc;
@@ -18,9 +18,9 @@
 const FAILURES_OF_SUSPECT: u32 = 1;
 
 /// Engines that any gateway suspects.
-pub(super) fn suspects(gateway: &Gateway, now: Instant) -> HashSet<EndpointId> {
+pub(super) fn suspects(gateway: &Gateway, now: Instant) -> HashSet<Incarnation> {
     let mut beliefs = gateway.beliefs.borrow_mut();
-    let mut all: HashSet<EndpointId> = beliefs.suspects_own(now).into_iter().collect();
+    let mut all: HashSet<Incarnation> = beliefs.suspects_own(now).into_iter().collect();
     for peer in beliefs.live_peers(now) {
         all.extend(peer.message.suspects.iter().cloned());
     }
@@ -28,28 +28,28 @@
 }
 
 /// Asks one engine for its report.
-pub(super) async fn ask(gateway: Rc<Gateway>, engines: Engines, id: EndpointId, client: Client) {
+pub(super) async fn ask(gateway: Rc<Gateway>, engines: Engines, life: Incarnation, client: Client) {
     gateway.counters.add(Count::Reports);
     let res = read_report(&client, REPORT_LIMIT).await;
-    let is_suspect = suspects(&gateway, Instant::now()).contains(&id);
+    let is_suspect = suspects(&gateway, Instant::now()).contains(&life);
     let mut engines = engines.borrow_mut();
-    let Some(engine) = engines.get_mut(&id) else { return };
+    let Some(engine) = engines.get_mut(&life) else { return };
     engine.is_asking = false;
     match res {
-        Ok(report) => on_report(engine, &id, report),
+        Ok(report) => on_report(engine, &life, report),
         Err(err) => {
             let to_death = if is_suspect { FAILURES_OF_SUSPECT } else { FAILURES_TO_DEATH };
-            on_no_report(engine, &id, &err, to_death);
+            on_no_report(engine, &life, &err, to_death);
         }
     }
     drop(engines);
     gateway.engines_changed.notify_waiters();
 }
 
-pub(super) fn on_report(engine: &mut Engine, id: &str, report: EngineReport) {
+pub(super) fn on_report(engine: &mut Engine, life: &Incarnation, report: EngineReport) {
     engine.failures = 0;
     if std::mem::take(&mut engine.is_dead) {
-        info!("engine answers again", kv: { endpoint = id });
+        info!("engine answers again", kv: { endpoint = life.id.as_str() });
     }
     if let Some((layers, given)) = engine.ordered {
         let is_done = !report.is_busy && report.layers == layers;
@@ -59,7 +59,7 @@
             let took_ms = given.elapsed().as_millis() as u64;
             let (from, to) = (layers.from, layers.to);
             let outcome = if is_done { "done" } else { "not seen" };
-            info!("order ended", kv: { endpoint = id, from, to, took_ms, outcome });
+            info!("order ended", kv: { endpoint = life.id.as_str(), from, to, took_ms, outcome });
             engine.ordered = None;
             engine.closing = None;
         }
@@ -67,13 +67,18 @@
     engine.report = Some(report);
 }
 
-pub(super) fn on_no_report(engine: &mut Engine, id: &str, err: &CallError, to_death: u32) {
+pub(super) fn on_no_report(
+    engine: &mut Engine,
+    life: &Incarnation,
+    err: &CallError,
+    to_death: u32,
+) {
     engine.failures += 1;
     let is_refused = matches!(err, CallError::NotSent { step, .. } if step.starts_with("connect"));
     let is_over = engine.failures >= to_death || is_refused;
     if is_over && !std::mem::replace(&mut engine.is_dead, true) {
         engine.died = Some(Instant::now());
         let (failures, text) = (engine.failures, err.to_string());
-        warn!("engine taken to be dead", kv: { endpoint = id, failures, err = text.as_str() });
+        warn!("engine taken to be dead", kv: { endpoint = life.id.as_str(), failures, err = text.as_str() });
     }
 }
--- a/crates/gateway/src/process/placer/timing.rs
+++ b/crates/gateway/src/process/placer/timing.rs
@@ -4,7 +4,7 @@
 use sorrellock_routing::process::placement::{
     PlannedEngine, are_chains_whole, could_make_more_chains, covers, is_any_chain_scarce,
 };
-use sorrellock_routing::process::{DataCentre, Endpoint, EndpointId};
+use sorrellock_routing::process::{DataCentre, Endpoint, Incarnation};
 use sorrellock_routing::version::{ModelShape, ServiceName};
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -46,7 +46,7 @@
     ) -> bool {
         let engines = self.engines.borrow();
         let died_now = endpoints.iter().any(|endpoint| {
-            let died = engines.get(&endpoint.id).and_then(|engine| engine.died);
+            let died = engines.get(&endpoint.incarnation()).and_then(|engine| engine.died);
             died.is_some_and(|died| now - died < IDLE_AFTER_DEATH)
         });
         died_now && !self.is_crowded(key)
@@ -67,10 +67,11 @@
             self.whole.remove(key);
             return true;
         }
-        let ids: BTreeSet<EndpointId> = planned.iter().map(|engine| engine.id.clone()).collect();
-        let entry = self.whole.entry(key.clone()).or_insert_with(|| (ids.clone(), now));
-        if !ids.is_superset(&entry.0) {
-            *entry = (ids, now);
+        let lives: BTreeSet<Incarnation> =
+            planned.iter().map(|engine| engine.life.clone()).collect();
+        let entry = self.whole.entry(key.clone()).or_insert_with(|| (lives.clone(), now));
+        if !lives.is_superset(&entry.0) {
+            *entry = (lives, now);
         }
         let calm_for = now - entry.1;
         if is_urgent(shape, planned) {
@@ -103,10 +104,10 @@
             return planned;
         }
         let engines = self.engines.borrow();
-        let is_new = |id: &EndpointId| {
-            engines.get(id).is_none_or(|engine| now - engine.since < JOIN_PATIENCE)
+        let is_new = |life: &Incarnation| {
+            engines.get(life).is_none_or(|engine| now - engine.since < JOIN_PATIENCE)
         };
-        planned.into_iter().filter(|one| !one.held.is_empty() || !is_new(&one.id)).collect()
+        planned.into_iter().filter(|one| !one.held.is_empty() || !is_new(&one.life)).collect()
     }
 
     /// Whether the first plan can be made: more engines may be about to register.
@@ -116,10 +117,11 @@
         planned: &[PlannedEngine],
         now: Instant,
     ) -> bool {
-        let ids: BTreeSet<EndpointId> = planned.iter().map(|engine| engine.id.clone()).collect();
+        let lives: BTreeSet<Incarnation> =
+            planned.iter().map(|engine| engine.life.clone()).collect();
         let entry = self.settled.entry(key.clone()).or_insert_with(|| (BTreeSet::new(), now));
-        if entry.0 != ids {
-            *entry = (ids, now);
+        if entry.0 != lives {
+            *entry = (lives, now);
         }
         let has_begun = |engine: &PlannedEngine| !engine.held.is_empty();
         now - entry.1 >= SETTLE || self.plans.contains_key(key) || planned.iter().any(has_begun)
--- a/crates/gateway/src/process/pool.rs
+++ b/crates/gateway/src/process/pool.rs
@@ -6,6 +6,7 @@
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper_util::rt::TokioIo;
 use sorrellock_platform::AnswerHead;
+use sorrellock_routing::process::Incarnation;
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
@@ -32,6 +33,7 @@
 /// A connection to an endpoint. Dropping it closes it at once, which ends what runs there.
 pub(crate) struct Connection {
     pub(crate) sender: SendRequest<Full<Bytes>>,
+    addr: SocketAddr,
     driver: JoinHandle<()>,
     idle_since: Instant,
     idle_limit: Duration,
@@ -43,25 +45,26 @@
     }
 }
 
-/// Idle connections, by the endpoint's address and id.
+/// Idle connections, by the life of the endpoint: none outlives it.
 #[derive(Default)]
 pub(crate) struct Pool {
-    idle: HashMap<SocketAddr, Vec<Connection>>,
+    idle: HashMap<Incarnation, Vec<Connection>>,
 }
 
 impl Pool {
     /// Takes the connection that was used last, if one is still good.
     pub(crate) fn take(
         &mut self,
+        life: &Incarnation,
         addr: SocketAddr,
         may_repeat: bool,
         now: Instant,
     ) -> Option<Connection> {
-        let idle = self.idle.get_mut(&addr)?;
+        let idle = self.idle.get_mut(life)?;
         let most = if may_repeat { IDLE_LIMIT } else { IDLE_LIMIT_ONCE };
         while let Some(connection) = idle.pop() {
             let is_fresh = now - connection.idle_since < connection.idle_limit.min(most);
-            if is_fresh && connection.sender.is_ready() {
+            if is_fresh && connection.addr == addr && connection.sender.is_ready() {
                 return Some(connection);
             }
         }
@@ -71,7 +74,7 @@
     /// Keeps a connection whose answer came whole.
     pub(crate) fn keep(
         &mut self,
-        addr: SocketAddr,
+        life: Incarnation,
         mut connection: Connection,
         answer: &AnswerHead,
         now: Instant,
@@ -82,17 +85,17 @@
         let told = answer.keep_alive.map(|limit| limit.saturating_sub(IDLE_MARGIN));
         connection.idle_limit = told.unwrap_or(IDLE_LIMIT).min(IDLE_LIMIT);
         connection.idle_since = now;
-        let idle = self.idle.entry(addr).or_default();
+        let idle = self.idle.entry(life).or_default();
         if idle.len() < MAX_IDLE {
             idle.push(connection);
         }
     }
 
-    /// Drops connections that are too old, and those to addresses that `is_known` doesn't know.
-    pub(crate) fn sweep(&mut self, now: Instant, is_known: impl Fn(&SocketAddr) -> bool) {
-        self.idle.retain(|addr, idle| {
+    /// Drops connections that are too old, and those to lives that `is_current` doesn't know.
+    pub(crate) fn sweep(&mut self, now: Instant, is_current: impl Fn(&Incarnation) -> bool) {
+        self.idle.retain(|life, idle| {
             idle.retain(|connection| now - connection.idle_since < connection.idle_limit);
-            !idle.is_empty() && is_known(addr)
+            !idle.is_empty() && is_current(life)
         });
     }
 }
@@ -112,5 +115,5 @@
         let _ = connection.await;
     });
     let idle_since = Instant::now();
-    Ok(Connection { sender, driver, idle_since, idle_limit: IDLE_LIMIT })
+    Ok(Connection { sender, addr, driver, idle_since, idle_limit: IDLE_LIMIT })
 }
--- a/crates/gateway/src/process/run.rs
+++ b/crates/gateway/src/process/run.rs
@@ -7,7 +7,7 @@
 use crate::process::{Gateway, Phase, serve_side_pages, set_up_log, watch_paths};
 use sorrellock_http::listen;
 use sorrellock_platform::{Kind, Settings, Store, parse_settings};
-use sorrellock_routing::process::Leaving;
+use sorrellock_routing::process::{Incarnation, Leaving};
 use spdlog::{error, info, warn};
 use std::cell::RefCell;
 use std::fmt;
@@ -153,9 +153,9 @@
     loop {
         sleep(SWEEP_INTERVAL).await;
         let knowledge = gateway.knowledge.borrow();
-        let is_known = |addr: &SocketAddr| knowledge.endpoints().any(|e| e.addr == *addr);
-        gateway.pool.borrow_mut().sweep(Instant::now(), is_known);
-        gateway.probes.borrow_mut().retain(|addr, _| is_known(addr));
+        let is_current = |life: &Incarnation| knowledge.is_current(life);
+        gateway.pool.borrow_mut().sweep(Instant::now(), is_current);
+        gateway.probes.borrow_mut().retain(|life, _| is_current(life));
         drop(knowledge);
         gateway.refresh_paths();
     }
--- a/crates/gateway/src/process/watchers.rs
+++ b/crates/gateway/src/process/watchers.rs
@@ -2,7 +2,7 @@
 
 use crate::process::{Count, Gateway, check_unlisted};
 use sorrellock_platform::{Change, Kind, Listing, Revision, Store, StoreError, StoredObject};
-use sorrellock_routing::process::EndpointId;
+use sorrellock_routing::process::{Endpoint, EndpointId};
 use spdlog::{error, info, warn};
 use std::collections::HashSet;
 use std::rc::Rc;
@@ -255,7 +255,8 @@
     /// doesn't reach the store. Whether it lives, its health tells.
     fn on_removed(&self, name: &str, may_have_lapsed: bool) {
         let gateway = &self.gateway;
-        let is_dead = gateway.is_dead(name) && !may_have_lapsed;
+        let life = gateway.knowledge.borrow().endpoint(name).map(Endpoint::incarnation);
+        let is_dead = life.is_some_and(|life| gateway.is_dead(&life)) && !may_have_lapsed;
         if is_dead || !gateway.knowledge.borrow_mut().mark_missing(name, Instant::now()) {
             gateway.remove_endpoint(name, "watch");
             return;
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -7,7 +7,7 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use sorrellock_platform::{AnswerHead, AttemptHead, attempt_headers, read_answer_head};
-use sorrellock_routing::process::{EndpointId, PathPart};
+use sorrellock_routing::process::{Incarnation, PathPart};
 use sorrellock_routing::request::Evidence;
 use spdlog::warn;
 use std::net::SocketAddr;
@@ -20,7 +20,7 @@
 
 /// Where an attempt goes.
 pub(crate) struct Target<'a> {
-    pub(crate) id: EndpointId,
+    pub(crate) life: Incarnation,
     pub(crate) addr: SocketAddr,
     /// The path over engines; empty for plain services.
     pub(crate) path: &'a [PathPart],
@@ -33,7 +33,7 @@
     pub(crate) answer: Response<Incoming>,
     pub(crate) head: AnswerHead,
     pub(crate) connection: Connection,
-    pub(crate) addr: SocketAddr,
+    pub(crate) life: Incarnation,
     pub(crate) in_flight: InFlight,
 }
 
@@ -55,20 +55,20 @@
 /// Counts a request at an endpoint while it lives.
 pub(crate) struct InFlight {
     gateway: Rc<Gateway>,
-    id: EndpointId,
+    life: Incarnation,
     began: Instant,
 }
 
 impl InFlight {
-    fn new(gateway: Rc<Gateway>, id: EndpointId) -> InFlight {
-        gateway.uses.borrow_mut().entry(id.clone()).or_default().in_flight += 1;
-        InFlight { gateway, id, began: Instant::now() }
+    fn new(gateway: Rc<Gateway>, life: Incarnation) -> InFlight {
+        gateway.uses.borrow_mut().entry(life.clone()).or_default().in_flight += 1;
+        InFlight { gateway, life, began: Instant::now() }
     }
 
     /// The answer came whole.
     pub(crate) fn on_answered(&self) {
         let ms = self.began.elapsed().as_secs_f64() * 1e3;
-        if let Some(used) = self.gateway.uses.borrow_mut().get_mut(&self.id) {
+        if let Some(used) = self.gateway.uses.borrow_mut().get_mut(&self.life) {
             let before = if used.mean_ms == 0.0 { ms } else { used.mean_ms };
             used.mean_ms = before + MEAN_WEIGHT * (ms - before);
         }
@@ -77,7 +77,7 @@
 
 impl Drop for InFlight {
     fn drop(&mut self) {
-        if let Some(used) = self.gateway.uses.borrow_mut().get_mut(&self.id) {
+        if let Some(used) = self.gateway.uses.borrow_mut().get_mut(&self.life) {
             used.in_flight = used.in_flight.saturating_sub(1);
         }
     }
@@ -90,7 +90,7 @@
     target: &Target<'_>,
     limit: Duration,
 ) -> Result<Begun, Failed> {
-    let in_flight = InFlight::new(Rc::clone(gateway), target.id.clone());
+    let in_flight = InFlight::new(Rc::clone(gateway), target.life.clone());
     let mut connection = connect(gateway, call, target).await?;
     let req = request(call, target);
     let sending = connection.sender.try_send_request(req);
@@ -109,9 +109,9 @@
         Ok(Ok(answer)) => answer,
     };
     let head = read_answer_head(answer.headers());
-    note_load(gateway, &target.id, &head);
+    note_load(gateway, &target.life, &head);
     check_head(gateway, call, &answer, &head)?;
-    Ok(Begun { answer, head, connection, addr: target.addr, in_flight })
+    Ok(Begun { answer, head, connection, life: target.life.clone(), in_flight })
 }
 
 async fn connect(
@@ -120,7 +120,8 @@
     target: &Target<'_>,
 ) -> Result<Connection, Failed> {
     let may_repeat = call.route.semantics.may_repeat();
-    let kept = gateway.pool.borrow_mut().take(target.addr, may_repeat, Instant::now());
+    let kept =
+        gateway.pool.borrow_mut().take(&target.life, target.addr, may_repeat, Instant::now());
     if let Some(connection) = kept {
         return Ok(connection);
     }
@@ -132,7 +133,7 @@
 fn request(call: &Call, target: &Target<'_>) -> Request<Full<Bytes>> {
     let head = AttemptHead {
         time_left: call.caller_time_left(),
-        endpoint: &target.id,
+        endpoint: &target.life.id,
         workspace: call.workspace.as_deref(),
         path: target.path,
         urgency: u8::try_from(call.rank.min(9)).ok(),
@@ -146,10 +147,10 @@
     req
 }
 
-fn note_load(gateway: &Gateway, id: &EndpointId, head: &AnswerHead) {
+fn note_load(gateway: &Gateway, life: &Incarnation, head: &AnswerHead) {
     let Some(load) = head.load else { return };
     let mut uses = gateway.uses.borrow_mut();
-    let used: &mut EndpointUse = uses.entry(id.clone()).or_default();
+    let used: &mut EndpointUse = uses.entry(life.clone()).or_default();
     used.told = Some((load, Instant::now()));
 }
 
@@ -186,7 +187,7 @@
 }
 
 /// Logs an attempt that brought no answer.
-pub(crate) fn log_failed(gateway: &Gateway, call: &Call, endpoint: &str, failed: &Failed) {
+pub(crate) fn log_failed(gateway: &Gateway, call: &Call, endpoint: &Incarnation, failed: &Failed) {
     let count = match failed.evidence {
         Evidence::NotRun => Count::AttemptsNotRun,
         Evidence::NotSent | Evidence::MayHaveRun => Count::AttemptsFailed,
@@ -196,7 +197,7 @@
     let at_fault = failed.at_fault.map(|addr| addr.to_string()).unwrap_or_default();
     let ms = call.arrived.elapsed().as_millis() as u64;
     warn!("attempt failed", kv: {
-        request = call.id(), endpoint, evidence = evidence.as_str(), why = failed.why.as_str(),
+        request = call.id(), endpoint = endpoint.id.as_str(), evidence = evidence.as_str(), why = failed.why.as_str(),
         at_fault = at_fault.as_str(), ms
     });
 }
--- a/crates/gateway/src/request/plain.rs
+++ b/crates/gateway/src/request/plain.rs
@@ -8,7 +8,7 @@
 use sorrellock_core::process::retries::{AttemptEnd, Permit};
 use sorrellock_http::{AnswerBody, Cut};
 use sorrellock_platform::read_answer_head;
-use sorrellock_routing::process::{Endpoint, EndpointId};
+use sorrellock_routing::process::{Endpoint, Incarnation};
 use sorrellock_routing::request::{Attempts, Evidence};
 use sorrellock_routing::version::Semantics;
 use spdlog::info;
@@ -35,56 +35,57 @@
     call: Call,
 ) -> Result<Response<AnswerBody>, Cut> {
     let mut attempts = Attempts::new(call.route.semantics, call.route.max_attempts);
-    let mut tried: Vec<EndpointId> = Vec::new();
+    let mut tried: Vec<Incarnation> = Vec::new();
     let mut why = "no endpoint is known".to_owned();
-    let mut last_failure: Option<Response<AnswerBody>> = None;
+    let mut last_failure: Option<(Response<AnswerBody>, Incarnation)> = None;
     while attempts.may_send() && !call.time_left().is_zero() {
         let Some((endpoint, permit)) = choose(&gateway, &call, &tried) else { break };
+        let life = endpoint.incarnation();
         if attempts.is_repeat() && !gateway.spend_repeat(&call.service) {
             why = format!("{why}; the retry budget is spent");
             break;
         }
-        let is_last = !may_follow(&call, &attempts, &endpoint.id);
+        let is_last = !may_follow(&call, &attempts, &life);
         let res = run(&gateway, &call, &endpoint, is_last).await;
-        note_end(&gateway, &endpoint.id, permit, &res);
+        note_end(&gateway, &life, permit, &res);
         match res {
-            Ok(answer) => match may_retry_failure(&call, &attempts, &endpoint.id, &answer) {
+            Ok(answer) => match may_retry_failure(&call, &attempts, &life, &answer) {
                 true => {
-                    attempts.on_failed(&endpoint.id, Evidence::MayHaveRun);
+                    attempts.on_failed(&life, Evidence::MayHaveRun);
                     why = format!("{} answered {}", endpoint.id, answer.status());
-                    last_failure = Some(answer);
+                    last_failure = Some((answer, life.clone()));
                 }
-                false => return Ok(done(&call, &endpoint.id, answer)),
+                false => return Ok(done(&call, &life, answer)),
             },
             Err(failed) => {
-                log_failed(&gateway, &call, &endpoint.id, &failed);
-                attempts.on_failed(&endpoint.id, failed.evidence);
+                log_failed(&gateway, &call, &life, &failed);
+                attempts.on_failed(&life, failed.evidence);
                 match failed.evidence {
-                    Evidence::NotSent => gateway.suspect(&endpoint.id, &failed.why),
+                    Evidence::NotSent => gateway.suspect(&life, &failed.why),
                     Evidence::NotRun => check_refuser(&gateway, endpoint.addr),
                     Evidence::MayHaveRun => {}
                 }
                 why = format!("{}: {}", endpoint.id, failed.why);
             }
         }
-        tried.push(endpoint.id);
+        tried.push(life);
     }
-    if let Some(answer) = last_failure {
+    if let Some((answer, life)) = last_failure {
         // The endpoint's own failure, signed, tells more than one of the gateway's.
-        return Ok(done(&call, tried.last().map_or("", String::as_str), answer));
+        return Ok(done(&call, &life, answer));
     }
     let given_up = attempts.given_up(call.time_left().is_zero());
     Ok(give_up(&call, given_up, RETRY_AFTER, &why))
 }
 
-fn done(call: &Call, endpoint: &str, answer: Response<AnswerBody>) -> Response<AnswerBody> {
-    let why = format!("answered by {endpoint}");
+fn done(call: &Call, endpoint: &Incarnation, answer: Response<AnswerBody>) -> Response<AnswerBody> {
+    let why = format!("answered by {}", endpoint.id);
     call.end.tell(Count::Answered, "answered", answer.status().as_u16(), &why);
     answer
 }
 
 /// Whether an attempt could follow the next one, if that brings no answer.
-fn may_follow(call: &Call, attempts: &Attempts, endpoint: &str) -> bool {
+fn may_follow(call: &Call, attempts: &Attempts, endpoint: &Incarnation) -> bool {
     let mut after = attempts.clone();
     after.on_failed(endpoint, Evidence::MayHaveRun);
     call.route.semantics.may_repeat() && after.may_send()
@@ -94,7 +95,7 @@
 fn may_retry_failure(
     call: &Call,
     attempts: &Attempts,
-    endpoint: &str,
+    endpoint: &Incarnation,
     answer: &Response<AnswerBody>,
 ) -> bool {
     let is_idempotent = call.route.semantics == Semantics::Idempotent;
@@ -103,34 +104,34 @@
 
 /// The endpoint with the least work that wasn't tried. Those that fail are passed over while
 /// there are others.
-fn choose(gateway: &Gateway, call: &Call, tried: &[EndpointId]) -> Option<(Endpoint, Permit)> {
+fn choose(gateway: &Gateway, call: &Call, tried: &[Incarnation]) -> Option<(Endpoint, Permit)> {
     let now = Instant::now();
     let knowledge = gateway.knowledge.borrow();
     let beliefs = gateway.beliefs.borrow();
     let mut open: Vec<&Endpoint> = knowledge
         .open_endpoints(now)
         .filter(|endpoint| endpoint.service == call.service)
-        .filter(|endpoint| !beliefs.is_leaving(&endpoint.id, now))
-        .filter(|endpoint| !tried.contains(&endpoint.id))
+        .filter(|endpoint| !beliefs.is_leaving(&endpoint.incarnation(), now))
+        .filter(|endpoint| !tried.contains(&endpoint.incarnation()))
         .collect();
     let work = |endpoint: &Endpoint| work(gateway, endpoint, now);
     open.sort_by(|a, b| {
-        let suspect = |endpoint: &Endpoint| beliefs.is_suspect(&endpoint.id, now);
+        let suspect = |endpoint: &Endpoint| beliefs.is_suspect(&endpoint.incarnation(), now);
         suspect(a).cmp(&suspect(b)).then_with(|| work(a).total_cmp(&work(b)))
     });
     let mut breakers = gateway.breakers.borrow_mut();
     for endpoint in &open {
-        if let Some(permit) = breakers.admit(&endpoint.id) {
+        if let Some(permit) = breakers.admit(&endpoint.incarnation()) {
             return Some(((*endpoint).clone(), permit));
         }
     }
     let first = *open.first()?;
-    Some((first.clone(), breakers.force(&first.id)))
+    Some((first.clone(), breakers.force(&first.incarnation())))
 }
 
 /// Expected work before a new request, in requests.
 fn work(gateway: &Gateway, endpoint: &Endpoint, now: Instant) -> f64 {
-    let used = gateway.uses.borrow().get(&endpoint.id).copied().unwrap_or_default();
+    let used = gateway.uses.borrow().get(&endpoint.incarnation()).copied().unwrap_or_default();
     let told = used.told.filter(|(_, at)| now - *at < LOAD_FRESH);
     let told = told.map_or(0.0, |(load, _)| f64::from(load.running + load.waiting));
     let is_near = endpoint.data_centre == gateway.settings.data_centre;
@@ -146,13 +147,13 @@
     endpoint: &Endpoint,
     is_last: bool,
 ) -> Result<Response<AnswerBody>, Failed> {
-    let id = endpoint.id.clone();
-    let limit = patience(gateway, call, &id, is_last);
+    let life = endpoint.incarnation();
+    let limit = patience(gateway, call, &life, is_last);
     info!("request sent", kv: {
-        request = call.id(), endpoint = id.as_str(), limit_ms = limit.as_millis() as u64
+        request = call.id(), endpoint = endpoint.id.as_str(), limit_ms = limit.as_millis() as u64
     });
     let until = Instant::now() + limit;
-    let target = Target { id, addr: endpoint.addr, path: &[], last_event: None };
+    let target = Target { life, addr: endpoint.addr, path: &[], last_event: None };
     let begun = attempt(gateway, call, &target, limit).await?;
     gateway.counters.first_byte.record(call.arrived.elapsed());
     read_whole(gateway, begun, until).await
@@ -172,17 +173,17 @@
         body.map_err(|err| no_answer(format!("the answer broke off: {err}")))?.to_bytes();
     begun.in_flight.on_answered();
     let head = read_answer_head(&parts.headers);
-    gateway.pool.borrow_mut().keep(begun.addr, begun.connection, &head, Instant::now());
+    gateway.pool.borrow_mut().keep(begun.life, begun.connection, &head, Instant::now());
     Ok(pass_on(&parts, body))
 }
 
 /// Time for one attempt: all that is left, or a part of it where another may follow.
-fn patience(gateway: &Gateway, call: &Call, id: &str, is_last: bool) -> Duration {
+fn patience(gateway: &Gateway, call: &Call, life: &Incarnation, is_last: bool) -> Duration {
     let left = call.time_left();
     if is_last {
         return left;
     }
-    let mean = gateway.uses.borrow().get(id).map_or(0.0, |used| used.mean_ms);
+    let mean = gateway.uses.borrow().get(life).map_or(0.0, |used| used.mean_ms);
     let by_mean = Duration::from_secs_f64(mean * MEANS_OF_PATIENCE / 1e3);
     left.min(left.mul_f64(ATTEMPT_SHARE).min(call.route.target_latency).max(by_mean))
 }
@@ -190,7 +191,7 @@
 /// Tells the endpoint's breaker how an attempt ended.
 fn note_end(
     gateway: &Gateway,
-    id: &EndpointId,
+    life: &Incarnation,
     permit: Permit,
     res: &Result<Response<AnswerBody>, Failed>,
 ) {
@@ -199,8 +200,8 @@
         Ok(_) => AttemptEnd::Success,
         Err(_) => AttemptEnd::Failure,
     };
-    if let Some(state) = gateway.breakers.borrow_mut().on_end(id, permit, end) {
+    if let Some(state) = gateway.breakers.borrow_mut().on_end(life, permit, end) {
         let state = format!("{state:?}");
-        info!("breaker changed", kv: { endpoint = id.as_str(), state = state.as_str() });
+        info!("breaker changed", kv: { endpoint = life.id.as_str(), state = state.as_str() });
     }
 }
--- a/crates/gateway/src/request/relay.rs
+++ b/crates/gateway/src/request/relay.rs
@@ -243,7 +243,7 @@
         let routes = gateway.knowledge.borrow().routes().cloned();
         let service = routes.as_ref().and_then(|routes| routes.service(&self.call.service));
         let Some(shape) = service.and_then(|service| service.model.as_ref()) else { return false };
-        let is_lost = |part: &&PathPart| gateway.is_lost(&part.id);
+        let is_lost = |part: &&PathPart| gateway.is_lost(&part.life);
         let missing = live.path.parts.iter().filter(is_lost).map(|part| part.layers.len()).sum();
         is_repair_worth_waiting(shape, missing, silent)
     }
@@ -274,14 +274,14 @@
         run.begun.in_flight.on_answered();
         let now = Instant::now();
         let pool = &self.gateway.pool;
-        pool.borrow_mut().keep(run.begun.addr, run.begun.connection, &run.begun.head, now);
+        pool.borrow_mut().keep(run.begun.life, run.begun.connection, &run.begun.head, now);
         if self.tx.send(Part::End).await.is_ok() {
             let why = format!(
                 "{} events, {}, {} mends, last over {}",
                 self.events.events(),
                 self.pace,
                 self.mends,
-                run.place.live.path.first().id
+                run.place.live.path.first().life.id
             );
             self.call.end.tell(Count::Answered, "answered", 200, &why);
         }
@@ -302,16 +302,16 @@
         self.awaits_repair = false;
         if let Some(run) = self.run.take() {
             let live = &run.place.live;
-            if !self.gateway.is_listed(&live.path.first().id) {
+            if !self.gateway.is_listed(&live.path.first().life) {
                 // An engine without an entry that breaks off has ended.
-                ended = Some(live.path.first().id.clone());
+                ended = Some(live.path.first().life.clone());
             }
             check_path(&self.gateway, live);
-            self.attempts.on_failed(&live.path.first().id, Evidence::MayHaveRun);
+            self.attempts.on_failed(&live.path.first().life, Evidence::MayHaveRun);
             self.avoid.push(Rc::clone(live));
         }
         if let Some(ended) = ended.filter(|_| broke_off) {
-            self.attempts.forget_lost(|id| *id == ended);
+            self.attempts.forget_lost(|life| *life == ended);
         }
         if !self.call.route.semantics.may_repeat() {
             return self.cut(Count::Cut, &format!("{why}; it may not be resumed"));
@@ -341,7 +341,7 @@
                     info!("stream goes on", kv: {
                         request = self.call.id(), after:? = last,
                         data_centre = run.place.live.path.data_centre.as_str(),
-                        endpoint = run.place.live.path.first().id.as_str()
+                        endpoint = run.place.live.path.first().life.id.as_str()
                     });
                     self.run_began = Instant::now();
                     run.place.live.last_event.set(self.run_began);
@@ -383,9 +383,10 @@
     silent: &Rc<LivePath>,
 ) -> bool {
     let mut after = attempts.clone();
-    after.on_failed(&silent.path.first().id, Evidence::MayHaveRun);
-    let may_take =
-        |live: &Rc<LivePath>| !Rc::ptr_eq(live, silent) && after.may_send_to(&live.path.first().id);
+    after.on_failed(&silent.path.first().life, Evidence::MayHaveRun);
+    let may_take = |live: &Rc<LivePath>| {
+        !Rc::ptr_eq(live, silent) && after.may_send_to(&live.path.first().life)
+    };
     let tokens = expected_tokens(call);
     let paths = gateway.paths.borrow();
     call.route.semantics.may_repeat()
--- a/crates/gateway/src/request/repath.rs
+++ b/crates/gateway/src/request/repath.rs
@@ -66,7 +66,7 @@
         from: &Rc<LivePath>,
         now: Instant,
     ) -> LeaveBroken {
-        let is_head_lost = gateway.is_lost(&from.path.first().id);
+        let is_head_lost = gateway.is_lost(&from.path.first().life);
         // An order that is under way was given before the engine was known to be dead.
         self.under_way = None;
         if is_head_lost || self.tries >= MOST_TRIES {
@@ -97,7 +97,8 @@
         let (tx, rx) = oneshot::channel();
         self.under_way = Some(rx);
         let request = call.id().to_owned();
-        let client = gateway.probe(from.path.first().addr);
+        let first = from.path.first();
+        let client = gateway.probe(&first.life, first.addr);
         tokio::task::spawn_local(async move {
             let order = order_repath(&client, &request, &to.path.parts, ORDER_LIMIT).await;
             // A stream that has ended meanwhile needs no answer.
--- a/crates/gateway/src/request/stream.rs
+++ b/crates/gateway/src/request/stream.rs
@@ -129,7 +129,7 @@
         if call.time_left().is_zero() {
             return Err(NotBegun::TimeOver);
         }
-        attempts.forget_lost(|id| gateway.is_dead(id));
+        attempts.forget_lost(|life| gateway.is_dead(life));
         let place = match place(gateway, call, attempts, avoid, room_until).await {
             Ok(place) => place,
             Err(none) => return Err(failure.map_or(NotBegun::NoPlace(none), NotBegun::Failure)),
@@ -141,7 +141,7 @@
         match try_path(gateway, call, place, last).await {
             Ok(run) if run.begun.answer.status() == StatusCode::OK => return Ok(run),
             Ok(run) => {
-                attempts.on_failed(&live.path.first().id, Evidence::MayHaveRun);
+                attempts.on_failed(&live.path.first().life, Evidence::MayHaveRun);
                 failure = Some(read_failure(call, run).await);
             }
             Err(failed) => on_failed(gateway, call, attempts, &live, &failed),
@@ -159,7 +159,7 @@
     until: Instant,
 ) -> Result<PathPlace, NoPlace> {
     let may_take = |live: &Rc<LivePath>| {
-        attempts.may_send_to(&live.path.first().id)
+        attempts.may_send_to(&live.path.first().life)
             && !avoid.iter().any(|other| Rc::ptr_eq(other, live))
     };
     let tokens = expected_tokens(call);
@@ -195,12 +195,12 @@
     let first = path.first();
     let ms = call.arrived.elapsed().as_millis() as u64;
     info!("request sent", kv: {
-        request = call.id(), endpoint = first.id.as_str(),
+        request = call.id(), endpoint = first.life.id.as_str(),
         data_centre = path.data_centre.as_str(), streams = place.live.streams.get(),
         after:? = last, ms
     });
     let target =
-        Target { id: first.id.clone(), addr: first.addr, path: &path.parts, last_event: last };
+        Target { life: first.life.clone(), addr: first.addr, path: &path.parts, last_event: last };
     let sending = attempt(gateway, call, &target, call.time_left());
     tokio::select! {
         begun = sending => begun.map(|begun| Run { begun, place }),
@@ -249,11 +249,11 @@
     failed: &Failed,
 ) {
     let first = live.path.first();
-    log_failed(gateway, call, &first.id, failed);
-    attempts.on_failed(&first.id, failed.evidence);
+    log_failed(gateway, call, &first.life, failed);
+    attempts.on_failed(&first.life, failed.evidence);
     let now = Instant::now();
     match failed.evidence {
-        Evidence::NotSent => gateway.suspect(&first.id, &failed.why),
+        Evidence::NotSent => gateway.suspect(&first.life, &failed.why),
         Evidence::NotRun => {
             // Another path through the engine that refused would bring the same answer.
             let refuser = failed.at_fault.unwrap_or(first.addr);
--- a/crates/routing/src/process/pipeline_path.rs
+++ b/crates/routing/src/process/pipeline_path.rs
@@ -1,6 +1,6 @@
 //! Paths through engines that together hold every layer once.
 
-use crate::process::{DataCentre, EndpointId, LayerRange};
+use crate::process::{DataCentre, Incarnation, LayerRange};
 use std::cmp::Reverse;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -8,8 +8,8 @@
 /// An engine that may be part of a path.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Holder {
-    /// Its id.
-    pub id: EndpointId,
+    /// The engine, in the life that holds the layers.
+    pub life: Incarnation,
     /// Where it listens.
     pub addr: SocketAddr,
     /// Its data centre.
@@ -25,8 +25,8 @@
 /// One engine's part of a path.
 #[derive(Clone, Debug, PartialEq)]
 pub struct PathPart {
-    /// The engine.
-    pub id: EndpointId,
+    /// The engine, in the life that the path was made for.
+    pub life: Incarnation,
     /// Where it listens.
     pub addr: SocketAddr,
     /// The layers that it runs.
@@ -54,9 +54,9 @@
         &self.parts[0]
     }
 
-    /// Whether an engine is part of the path.
-    pub fn uses(&self, id: &str) -> bool {
-        self.parts.iter().any(|part| part.id == id)
+    /// Whether a life of an engine is part of the path.
+    pub fn uses(&self, life: &Incarnation) -> bool {
+        self.parts.iter().any(|part| part.life == *life)
     }
 }
 
@@ -78,7 +78,7 @@
 const SCARCITY_COST: f64 = 0.5;
 
 /// How many paths go through each engine.
-type Uses = HashMap<EndpointId, u32>;
+type Uses = HashMap<Incarnation, u32>;
 
 /// The cheapest path over all `layers`, if the holders can make one.
 pub fn cheapest_path(holders: &[Holder], layers: u32) -> Option<PipelinePath> {
@@ -90,15 +90,15 @@
 /// streams, and each has its memory for itself.
 pub fn paths_by_head(holders: &[Holder], layers: u32) -> Vec<PipelinePath> {
     let mut heads: Vec<_> = holders.iter().filter(|holder| holder.layers.contains(0)).collect();
-    heads.sort_by_key(|head| (Reverse(head.layers.len()), &head.id));
+    heads.sort_by_key(|head| (Reverse(head.layers.len()), &head.life));
     let mut uses = Uses::new();
     let mut paths = Vec::new();
     for head in heads {
-        let Some(path) = distinct_path(holders.to_vec(), layers, Some(&head.id), &uses) else {
+        let Some(path) = distinct_path(holders.to_vec(), layers, Some(&head.life), &uses) else {
             continue;
         };
         for part in &path.parts {
-            *uses.entry(part.id.clone()).or_default() += 1;
+            *uses.entry(part.life.clone()).or_default() += 1;
         }
         paths.push(path);
     }
@@ -110,18 +110,18 @@
 fn distinct_path(
     mut holders: Vec<Holder>,
     layers: u32,
-    head: Option<&str>,
+    head: Option<&Incarnation>,
     uses: &Uses,
 ) -> Option<PipelinePath> {
     loop {
-        let head = head.and_then(|id| holders.iter().position(|holder| holder.id == id));
+        let head = head.and_then(|life| holders.iter().position(|holder| holder.life == *life));
         let path = path_from(&holders, layers, head, uses)?;
         let comes_back =
-            |at: &usize| path.parts[at + 1..].iter().any(|part| part.id == path.parts[*at].id);
+            |at: &usize| path.parts[at + 1..].iter().any(|part| part.life == path.parts[*at].life);
         let Some(first) = (0..path.parts.len()).find(comes_back) else {
             return (path.parts.len() <= MAX_PARTS).then_some(path);
         };
-        holders.retain(|holder| holder.id != path.parts[first + 1].id);
+        holders.retain(|holder| holder.life != path.parts[first + 1].life);
     }
 }
 
@@ -137,7 +137,7 @@
     let mean_room = holders.iter().map(|holder| holder.kv_room).sum::<f64>() / holders.len() as f64;
     let layer_cost = |holder: &Holder| {
         let scarcity = mean_room.max(1.0) / holder.kv_room.max(1.0);
-        let uses = uses.get(&holder.id).copied().unwrap_or_default();
+        let uses = uses.get(&holder.life).copied().unwrap_or_default();
         holder.layer_cost + SCARCITY_COST * scarcity + SHARED_COST * f64::from(uses)
     };
     let layer_costs: Vec<f64> = holders.iter().map(layer_cost).collect();
@@ -227,5 +227,5 @@
 }
 
 fn part(holder: &Holder, layers: LayerRange) -> PathPart {
-    PathPart { id: holder.id.clone(), addr: holder.addr, layers }
+    PathPart { life: holder.life.clone(), addr: holder.addr, layers }
 }
--- a/crates/routing/src/process/placement/planner.rs
+++ b/crates/routing/src/process/placement/planner.rs
@@ -4,15 +4,15 @@
 use crate::process::placement::{
     ChainEngine, ChainPlan, Weights, cost_of, divide, divide_evenly, divide_into_chains,
 };
-use crate::process::{EndpointId, LayerRange, MAX_PARTS};
+use crate::process::{Incarnation, LayerRange, MAX_PARTS};
 use crate::version::ModelShape;
 use std::collections::BTreeMap;
 
 /// An engine that can hold layers.
 #[derive(Clone, Debug, PartialEq)]
 pub struct PlannedEngine {
-    /// Its id.
-    pub id: EndpointId,
+    /// The engine, in its present life.
+    pub life: Incarnation,
     /// Memory for layers and KV cache, in MB.
     pub memory_mb: f64,
     /// Factor on the time of a step: that of its card, times its slowness.
@@ -44,7 +44,7 @@
 }
 
 /// The layers that each engine of a data centre should hold.
-pub type Placement = BTreeMap<EndpointId, LayerRange>;
+pub type Placement = BTreeMap<Incarnation, LayerRange>;
 
 /// What the engines of a data centre should do.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -52,7 +52,7 @@
     /// The layers of each.
     pub placement: Placement,
     /// The chain of each.
-    pub chains: BTreeMap<EndpointId, usize>,
+    pub chains: BTreeMap<Incarnation, usize>,
 }
 
 /// A whole chain is given up for another only if that costs this share of it or less: each move
@@ -90,7 +90,7 @@
     let mut plan = DataCentrePlan::default();
     let mut has_chain = false;
     for (index, chain) in divide_into_chains(shape, engines).into_iter().enumerate() {
-        plan.chains.extend(chain.iter().map(|engine| (engine.id.clone(), index)));
+        plan.chains.extend(chain.iter().map(|engine| (engine.life.clone(), index)));
         match plan_one(shape, &chain, is_served, is_idle) {
             Some(planned) => {
                 has_chain = true;
@@ -98,7 +98,7 @@
             }
             // What its engines hold still serves the other chains.
             None => {
-                plan.placement.extend(chain.into_iter().map(|engine| (engine.id, engine.held)));
+                plan.placement.extend(chain.into_iter().map(|engine| (engine.life, engine.held)));
             }
         }
     }
@@ -174,7 +174,7 @@
     engines.sort_by_key(|engine| (is_head(engine), std::cmp::Reverse(engine.held.len())));
     while heads.len() < wanted && engines.iter().filter(|engine| is_head(engine)).count() > 1 {
         let engine = engines.pop().expect("two are heads");
-        heads.insert(engine.id.clone(), engine.held);
+        heads.insert(engine.life.clone(), engine.held);
     }
     while heads.len() < wanted && engines.len() > 2 {
         let empty = (0..engines.len()).filter(|index| engines[*index].held.is_empty());
@@ -182,7 +182,7 @@
         let Some(smallest) = smallest else { break };
         let engine = engines.remove(smallest);
         let layers = (engine.memory_mb * HEAD_LAYERS_SHARE / shape.layer_mb).floor() as u32;
-        heads.insert(engine.id, LayerRange::new(0, layers.clamp(1, shape.layers)));
+        heads.insert(engine.life, LayerRange::new(0, layers.clamp(1, shape.layers)));
     }
     (heads, engines)
 }
@@ -230,7 +230,7 @@
 ) -> Vec<PlannedEngine> {
     let (mut chain, new): (Vec<_>, Vec<_>) =
         engines.into_iter().partition(|engine| !engine.held.is_empty());
-    chain.sort_by(|a, b| (a.held.from, a.held.to, &a.id).cmp(&(b.held.from, b.held.to, &b.id)));
+    chain.sort_by(|a, b| (a.held.from, a.held.to, &a.life).cmp(&(b.held.from, b.held.to, &b.life)));
     if chain.is_empty() { new } else { with_new_engines(shape, chain, new, weights) }
 }
 
@@ -242,7 +242,7 @@
 /// At most as many engines as a path may have parts, those with the most memory.
 fn largest(engines: &[PlannedEngine]) -> Vec<PlannedEngine> {
     let mut engines = engines.to_vec();
-    engines.sort_by(|a, b| b.memory_mb.total_cmp(&a.memory_mb).then_with(|| a.id.cmp(&b.id)));
+    engines.sort_by(|a, b| b.memory_mb.total_cmp(&a.memory_mb).then_with(|| a.life.cmp(&b.life)));
     engines.truncate(MAX_PARTS);
     engines
 }
@@ -288,5 +288,5 @@
 
 fn placement(engines: &[PlannedEngine], ranges: &[LayerRange]) -> Placement {
     let each = engines.iter().zip(ranges);
-    each.map(|(engine, range)| (engine.id.clone(), *range)).collect()
+    each.map(|(engine, range)| (engine.life.clone(), *range)).collect()
 }
--- a/crates/routing/src/process/placement/transition.rs
+++ b/crates/routing/src/process/placement/transition.rs
@@ -1,7 +1,7 @@
 //! The next step from the layers that are held to those that are planned.
 
 use crate::process::placement::Placement;
-use crate::process::{EndpointId, LayerRange};
+use crate::process::{Incarnation, LayerRange};
 use std::collections::BTreeMap;
 
 /// What an engine holds while layers move.
@@ -18,8 +18,8 @@
 /// What one engine is to hold next.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Step {
-    /// The engine.
-    pub id: EndpointId,
+    /// The engine, in the life that takes the order.
+    pub life: Incarnation,
     /// Requests wait for it: no whole chain exists.
     pub is_urgent: bool,
     /// The layers to order.
@@ -33,25 +33,25 @@
 /// streams pass through the chain.
 pub fn next_steps(
     plan: &Placement,
-    holdings: &BTreeMap<EndpointId, Holding>,
+    holdings: &BTreeMap<Incarnation, Holding>,
     layers: u32,
     is_idle: bool,
 ) -> Vec<Step> {
     let is_served = (0..layers).all(|layer| holders_of(holdings, layer).next().is_some());
     let mut steps = Vec::new();
-    for (id, want) in plan {
-        let Some(holding) = holdings.get(id) else { continue };
+    for (life, want) in plan {
+        let Some(holding) = holdings.get(life) else { continue };
         if holding.is_busy || holding.ready == *want {
             continue;
         }
         let next = match is_served {
-            true => careful(id, *want, holding, holdings, plan),
+            true => careful(life, *want, holding, holdings, plan),
             false if is_idle => Some(*want),
             false => Some(growing(*want, holding)),
         };
         let Some(next) = next.filter(|next| *next != holding.ready) else { continue };
         let gives_up = is_served && holding.ready.overlap(next) < holding.ready.len();
-        steps.push(Step { id: id.clone(), is_urgent: !is_served, layers: next, gives_up });
+        steps.push(Step { life: life.clone(), is_urgent: !is_served, layers: next, gives_up });
     }
     steps
 }
@@ -65,15 +65,15 @@
 
 /// What an engine may hold next without taking a layer away that only it runs.
 fn careful(
-    id: &EndpointId,
+    life: &Incarnation,
     want: LayerRange,
     holding: &Holding,
-    holdings: &BTreeMap<EndpointId, Holding>,
+    holdings: &BTreeMap<Incarnation, Holding>,
     plan: &Placement,
 ) -> Option<LayerRange> {
     // Another that holds the layer but is to give it up as well is no reason to give it up.
     let stays = |layer: u32| {
-        let mut others = holders_of(holdings, layer).filter(|other| *other != id);
+        let mut others = holders_of(holdings, layer).filter(|other| *other != life);
         others.any(|other| plan.get(other).is_some_and(|range| range.contains(layer)))
     };
     let must_keep = |layer: &u32| want.contains(*layer) || !stays(*layer);
@@ -105,9 +105,9 @@
 }
 
 fn holders_of(
-    holdings: &BTreeMap<EndpointId, Holding>,
+    holdings: &BTreeMap<Incarnation, Holding>,
     layer: u32,
-) -> impl Iterator<Item = &EndpointId> {
+) -> impl Iterator<Item = &Incarnation> {
     let holds = move |held: &&Holding| held.ready.contains(layer);
-    holdings.iter().filter(move |(_, held)| holds(held)).map(|(id, _)| id)
+    holdings.iter().filter(move |(_, held)| holds(held)).map(|(life, _)| life)
 }
--- a/crates/routing/src/request/evidence.rs
+++ b/crates/routing/src/request/evidence.rs
@@ -1,6 +1,6 @@
 //! What is known of an attempt that brought no answer, and what may follow from it.
 
-use crate::process::EndpointId;
+use crate::process::Incarnation;
 use crate::version::Semantics;
 
 /// The most sends of one request: each beyond the first is paid for by all.
@@ -33,8 +33,8 @@
 pub struct Attempts {
     semantics: Semantics,
     most: usize,
-    /// Endpoints that were sent the request and still live.
-    sent_to: Vec<EndpointId>,
+    /// Lives of endpoints that were sent the request and have not ended.
+    sent_to: Vec<Incarnation>,
     sends: u32,
     may_have_run: bool,
 }
@@ -47,20 +47,20 @@
     }
 
     /// An attempt at an endpoint ended without an answer.
-    pub fn on_failed(&mut self, endpoint: &str, evidence: Evidence) {
+    pub fn on_failed(&mut self, endpoint: &Incarnation, evidence: Evidence) {
         if evidence == Evidence::NotSent {
             return;
         }
         self.sends += 1;
         self.may_have_run |= evidence == Evidence::MayHaveRun;
-        if !self.sent_to.iter().any(|id| id == endpoint) {
-            self.sent_to.push(endpoint.to_owned());
+        if !self.sent_to.iter().any(|life| life == endpoint) {
+            self.sent_to.push(endpoint.clone());
         }
     }
 
     /// Endpoints that have ended or were cut off don't count against the most.
-    pub fn forget_lost(&mut self, is_lost: impl Fn(&EndpointId) -> bool) {
-        self.sent_to.retain(|id| !is_lost(id));
+    pub fn forget_lost(&mut self, is_lost: impl Fn(&Incarnation) -> bool) {
+        self.sent_to.retain(|life| !is_lost(life));
     }
 
     /// Whether the request may be sent to an endpoint that it wasn't sent to yet.
@@ -69,8 +69,8 @@
     }
 
     /// Whether the request may be sent to this endpoint.
-    pub fn may_send_to(&self, endpoint: &str) -> bool {
-        let was_sent = self.sent_to.iter().any(|id| id == endpoint);
+    pub fn may_send_to(&self, endpoint: &Incarnation) -> bool {
+        let was_sent = self.sent_to.iter().any(|life| life == endpoint);
         (was_sent || self.sent_to.len() < self.most) && self.may_repeat()
     }
 
--- a/crates/routing/tests/common/mod.rs
+++ b/crates/routing/tests/common/mod.rs
@@ -2,10 +2,15 @@
 #![allow(dead_code)]
 
 use sorrellock_routing::process::placement::PlannedEngine;
-use sorrellock_routing::process::{Holder, LayerRange};
+use sorrellock_routing::process::{Holder, Incarnation, LayerRange};
 use sorrellock_routing::version::{Card, ModelShape};
 use std::time::Duration;
 
+/// The life of an engine that is known by its id alone.
+pub fn life(id: &str) -> Incarnation {
+    Incarnation::new(id, None)
+}
+
 /// A model of so many layers of 1,750 MB on four kinds of accelerators.
 pub fn shape(layers: u32) -> ModelShape {
     let card = |name: &str, memory_mb: f64, step_factor: f64| Card {
@@ -39,7 +44,7 @@
 pub fn engine(shape: &ModelShape, id: &str, card: &str, from: u32, to: u32) -> PlannedEngine {
     let card = shape.card(card).expect("the kind is one of the shape's");
     PlannedEngine {
-        id: id.into(),
+        life: life(id),
         memory_mb: card.memory_mb,
         step_factor: card.step_factor,
         held: LayerRange::new(from, to),
@@ -61,7 +66,7 @@
 /// A holder of `from..to` in a data centre.
 pub fn holder(id: &str, data_centre: &str, from: u32, to: u32, layer_cost: f64) -> Holder {
     Holder {
-        id: id.into(),
+        life: life(id),
         addr: "127.0.0.1:1".parse().expect("an address"),
         data_centre: data_centre.into(),
         layers: LayerRange::new(from, to),
--- a/crates/routing/tests/paths.rs
+++ b/crates/routing/tests/paths.rs
@@ -2,13 +2,13 @@
 
 mod common;
 
-use common::holder;
+use common::{holder, life};
 use quickcheck::quickcheck;
 use sorrellock_routing::process::{Holder, MAX_PARTS, PipelinePath, cheapest_path, paths_by_head};
 
 /// The engines of a path, in order.
 fn ids(path: &PipelinePath) -> Vec<&str> {
-    path.parts.iter().map(|part| part.id.as_str()).collect()
+    path.parts.iter().map(|part| part.life.id.as_str()).collect()
 }
 
 fn assert_whole(path: &PipelinePath, layers: u32) {
@@ -47,7 +47,7 @@
     let path = cheapest_path(&holders, 12).expect("they cover all layers");
 
     assert_eq!(path.crossings, 0);
-    assert!(path.uses("b"));
+    assert!(path.uses(&life("b")));
 }
 
 #[test]
@@ -57,7 +57,7 @@
 
     let paths = paths_by_head(&holders, 12);
 
-    let firsts: Vec<&str> = paths.iter().map(|path| path.first().id.as_str()).collect();
+    let firsts: Vec<&str> = paths.iter().map(|path| path.first().life.id.as_str()).collect();
     assert_eq!(firsts, ["a", "head"]);
     paths.iter().for_each(|path| assert_whole(path, 12));
 }
@@ -88,7 +88,8 @@
 
     let paths = paths_by_head(&holders, 12);
 
-    let of_a = paths.iter().find(|path| path.first().id == "a").expect("it begins at the first");
+    let of_a =
+        paths.iter().find(|path| path.first().life.id == "a").expect("it begins at the first");
     assert_eq!(
         ids(of_a),
         ["a", "b", "c", "d"],
