Lives of endpoints: a state machine that tells which is the present one

Cause: an endpoint may start again under its id, and news of the life before may come late: a replayed entry, one written late with a higher revision, an answer in flight, a delayed message. Starts have no order, as clocks step. Entries are ordered by revision, answers by the instant at which they were asked for; a life that an answer ended is over for good, one that only entries ended may come back. Ruled out: to order lives by their start (clocks step); to believe each entry with a higher revision (a late write would end the life that is); to ignore them all (a process that met the lives in the other order would never come back): a contradiction is for the endpoint to settle, and two entries in a row settle it where nobody answers.

--- a/crates/routing/src/process/mod.rs
+++ b/crates/routing/src/process/mod.rs
@@ -3,6 +3,7 @@
 mod endpoint;
 mod incarnation;
 mod leaving;
+mod lives;
 mod pipeline_path;
 pub mod placement;
 mod repair_forecast;
@@ -11,6 +12,7 @@
 pub use endpoint::*;
 pub use incarnation::*;
 pub use leaving::*;
+pub use lives::*;
 pub use pipeline_path::*;
 pub use repair_forecast::*;
 pub use retry_window::*;
