An engine that starts again: what tells first of it ends the life before everywhere, and the lead plans for the new one

Cause: an engine that started again under its id, empty, passed for the one that kept its layers: paths through it stayed, its old address was asked, an order left unanswered by the life before was waited for, a health answer with its id kept its layers.

Change: entries, reports (lead, quiet paths, refusals for a part that is lacking, entries that vanish) and health that tells a start go through the state machine of lives. The end of a life breaks its paths at once, drops its connections, clients and loads, is told to the other gateways with both starts (5 s, 64 at most, 1 B a message where there is none), and gives the lead a new, empty engine that counts as just died for the repair. An attempt is forgiven only if an answer told the end. Late news is counted and changes nothing; a contradiction of entries asks the engine once. A report without a start of an engine whose entry tells one gives no layers and no orders. Connections that are idle go with the life.

Questions: none more in quiet; one report for each contradiction of entries; where entries tell starts, one report after a refusal for a part that is lacking and one for an entry that vanished, each at most once in 0.7 s an engine. Where no start is told, none at all.

Ruled out: to tell "the present life" to other gateways (a delayed message would bring an old one back): what is told is the end of a life, which stays true. To take a report for its engine without looking at the address: reports bear no id, and addresses are used again.

--- a/crates/daemon/tests/gateway/main.rs
+++ b/crates/daemon/tests/gateway/main.rs
@@ -4,6 +4,7 @@
 mod gateway_process;
 mod knowledge;
 mod life;
+mod lives;
 mod plain_calls;
 mod soak;
 mod streams;
--- a/crates/gateway/src/process/beliefs.rs
+++ b/crates/gateway/src/process/beliefs.rs
@@ -1,8 +1,8 @@
 //! What a gateway believes of engines and of other gateways, beyond what the store tells.
 
-use crate::process::{EngineView, LeadView, PeerMessage};
+use crate::process::{EndedLife, EngineView, LeadView, PeerMessage};
 use sorrellock_routing::process::Incarnation;
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -20,6 +20,11 @@
 /// then, but for an outage of the store.
 pub(crate) const LEAVING_FOR: Duration = Duration::from_secs(10);
 
+/// For how long the end of a life is told to the other gateways: fifty messages, of which some are lost.
+const END_TOLD_FOR: Duration = Duration::from_secs(5);
+/// The most ends told at once, some 40 B each: the last ones of a data centre whose engines all start again.
+const MAX_ENDS_TOLD: usize = 64;
+
 /// Another gateway.
 pub(crate) struct Peer {
     /// Where it listens for messages.
@@ -57,6 +62,8 @@
     /// Endpoints that told themselves that they take nothing more, and until when that is believed
     /// without an entry that says so.
     leaving: HashMap<Incarnation, Leaving>,
+    /// Ends of lives that this gateway found, and when.
+    ended: VecDeque<(EndedLife, Instant)>,
     lead: Option<(LeadView, Instant)>,
 }
 
@@ -143,6 +150,21 @@
         own.map(|(life, _)| life.clone()).collect()
     }
 
+    /// An answer told this gateway the end of a life.
+    pub(crate) fn note_end(&mut self, ended: EndedLife, now: Instant) {
+        if self.ended.len() >= MAX_ENDS_TOLD {
+            self.ended.pop_front();
+        }
+        self.ended.push_back((ended, now));
+    }
+
+    /// The ends that this gateway found of late. What others found is theirs to pass on, so that it
+    /// ends.
+    pub(crate) fn ended_own(&mut self, now: Instant) -> Vec<EndedLife> {
+        self.ended.retain(|(_, found)| now - *found < END_TOLD_FOR);
+        self.ended.iter().map(|(ended, _)| ended.clone()).collect()
+    }
+
     /// Takes what a lead tells, unless a newer lead was heard. Tells whether it was taken.
     pub(crate) fn apply_lead(&mut self, view: LeadView, now: Instant) -> bool {
         let newer = |(known, heard): &(LeadView, Instant)| {
--- a/crates/gateway/src/process/counters.rs
+++ b/crates/gateway/src/process/counters.rs
@@ -64,6 +64,12 @@
     Orders => "orders",
     /// Orders that engines refused, or that brought no answer.
     OrderFailures => "order_failures",
+    /// Lives of endpoints that ended as another one began.
+    LivesEnded => "lives_ended",
+    /// Entries and answers of lives that were over.
+    NewsLate => "news_late",
+    /// Reports without a start of engines whose entry tells one.
+    ReportsWithoutStart => "reports_without_start",
     /// Reports asked of engines.
     Reports => "reports",
     /// Messages from other gateways.
--- a/crates/gateway/src/process/gateway.rs
+++ b/crates/gateway/src/process/gateway.rs
@@ -6,7 +6,7 @@
 use sorrellock_core::clock::SystemClock;
 use sorrellock_core::process::retries::Breakers;
 use sorrellock_platform::{Bounds, Client, EndpointLoad, Revision, Settings};
-use sorrellock_routing::process::{Endpoint, Incarnation, Leaving, RetryWindow};
+use sorrellock_routing::process::{Endpoint, Incarnation, Leaving, Lives, RetryWindow};
 use sorrellock_routing::version::{Configuration, ServiceName};
 use spdlog::{info, warn};
 use std::cell::{Cell, RefCell};
@@ -49,6 +49,8 @@
     pub(crate) counters: Counters,
     pub(crate) knowledge: RefCell<Knowledge>,
     pub(crate) beliefs: RefCell<Beliefs>,
+    /// Which life of each endpoint is the present one.
+    pub(crate) lives: RefCell<Lives>,
     pub(crate) paths: Rc<RefCell<PathBook>>,
     pub(crate) pool: RefCell<Pool>,
     pub(crate) uses: RefCell<HashMap<Incarnation, EndpointUse>>,
@@ -91,6 +93,7 @@
             counters: Counters::new(),
             knowledge,
             beliefs: RefCell::default(),
+            lives: RefCell::default(),
             paths: Rc::default(),
             pool: RefCell::default(),
             uses: RefCell::default(),
@@ -148,8 +151,28 @@
         self.engines_changed.notify_waiters();
     }
 
-    /// Takes an endpoint's entry.
-    pub(crate) fn apply_endpoint(&self, endpoint: Endpoint, revision: Revision, source: &str) {
+    /// Takes an endpoint's entry, unless it is late news.
+    pub(crate) fn apply_endpoint(
+        self: &Rc<Self>,
+        endpoint: Endpoint,
+        revision: Revision,
+        source: &str,
+    ) {
+        if !self.knowledge.borrow().is_news(&endpoint.id, revision) {
+            return;
+        }
+        let Some((endpoint, ended)) = self.life_of_entry(endpoint, revision, source) else {
+            return;
+        };
+        let life = endpoint.incarnation();
+        self.take_entry(endpoint, revision, source);
+        if let Some(ended) = ended {
+            self.on_life_ended(&ended, &life, source);
+        }
+    }
+
+    /// Takes an entry of an endpoint's present life.
+    pub(crate) fn take_entry(&self, endpoint: Endpoint, revision: Revision, source: &str) {
         let id = endpoint.id.clone();
         let addr = endpoint.addr.to_string();
         let (data_centre, layers) = (endpoint.data_centre.clone(), endpoint.layers);
@@ -185,7 +208,7 @@
     }
 
     /// Takes what another gateway handed over.
-    pub(crate) fn apply_handover(&self, handover: Handover, from: &str) {
+    pub(crate) fn apply_handover(self: &Rc<Self>, handover: Handover, from: &str) {
         if let Some(cfg) = handover.configuration {
             self.apply_configuration(cfg, from);
         }
@@ -266,15 +289,21 @@
         }
     }
 
-    /// Whether an endpoint has ended or is cut off, as far as the lead can tell.
+    /// Whether an endpoint has ended or is cut off, as far as the lead can tell, or its life is over
+    /// for good.
     pub(crate) fn is_dead(&self, life: &Incarnation) -> bool {
+        if self.lives.borrow().is_over(life) {
+            return true;
+        }
         let beliefs = self.beliefs.borrow();
         beliefs.engine(life, Instant::now()).is_some_and(|engine| engine.is_dead)
     }
 
     /// Whether an endpoint has ended, or failed just now as if it had.
     pub(crate) fn is_lost(&self, life: &Incarnation) -> bool {
-        self.is_dead(life) || self.beliefs.borrow().is_suspect(life, Instant::now())
+        self.has_ended(life)
+            || self.is_dead(life)
+            || self.beliefs.borrow().is_suspect(life, Instant::now())
     }
 
     /// Whether the list holds an endpoint in this life.
--- a/crates/gateway/src/process/knowledge.rs
+++ b/crates/gateway/src/process/knowledge.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 use sorrellock_platform::Revision;
-use sorrellock_routing::process::{Endpoint, EndpointId, Incarnation};
+use sorrellock_routing::process::{Endpoint, EndpointId, Incarnation, LayerRange};
 use sorrellock_routing::version::{ConfigVersion, Configuration, RouteTable};
 use std::collections::{BTreeMap, HashSet};
 use std::rc::Rc;
@@ -142,23 +142,34 @@
         true
     }
 
+    /// Whether an entry of `revision` is newer than what is known of the endpoint.
+    pub(crate) fn is_news(&self, id: &str, revision: Revision) -> bool {
+        match self.endpoints.get(id) {
+            Some(known) => known.revision <= revision,
+            // A lapsed entry that came back is written anew.
+            None => !self.removed.contains(id) || revision > self.endpoints_at,
+        }
+    }
+
+    /// An endpoint itself told that it started again: its entry still tells of the life before.
+    pub(crate) fn begin_life(&mut self, life: &Incarnation) {
+        if let Some(known) = self.endpoints.get_mut(&life.id) {
+            known.endpoint.started = life.started;
+            known.endpoint.layers = LayerRange::default();
+        }
+    }
+
     /// Takes an entry that was written at `revision`.
     pub(crate) fn apply_endpoint(
         &mut self,
         endpoint: Endpoint,
         revision: Revision,
     ) -> EndpointNews {
-        let before = self.endpoints.get(&endpoint.id);
-        if self.removed.contains(&endpoint.id) && before.is_none() {
-            // A lapsed entry that came back is written anew.
-            if revision <= self.endpoints_at {
-                return EndpointNews::Nothing;
-            }
-            self.removed.remove(&endpoint.id);
-        }
-        if before.is_some_and(|known| known.revision > revision) {
+        if !self.is_news(&endpoint.id, revision) {
             return EndpointNews::Nothing;
         }
+        self.removed.remove(&endpoint.id);
+        let before = self.endpoints.get(&endpoint.id);
         let news = match before {
             None if endpoint.is_leaving => EndpointNews::Leaving,
             None => EndpointNews::Joined,
--- /dev/null
+++ b/crates/gateway/src/process/lives.rs
@@ -0,0 +1,187 @@
+//! Lives of endpoints: what tells first of a new one ends the one before everywhere in the process.
+
+use crate::process::{Count, EndedLife, Gateway};
+use sorrellock_platform::{Client, Revision, read_report};
+use sorrellock_routing::process::{AnswerNews, Endpoint, EntryNews, Incarnation, StartMillis};
+use spdlog::{info, warn};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Time for the report that settles which of two lives is the present one: a hundred round trips inside a
+/// region.
+const SETTLE_LIMIT: Duration = Duration::from_millis(250);
+/// What told of a new life, for log lines: a report, or health that tells a start.
+const OWN_ANSWER: &str = "its report";
+
+/// Whose answer it was.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum AnswerOf {
+    /// The life that was asked.
+    SameLife,
+    /// Another life, or one that was over by then: it tells nothing of the one that was asked.
+    OtherLife,
+    /// It tells no start, while the entry does.
+    Untold,
+}
+
+impl Gateway {
+    /// Whether a life is over, as far as any news tells.
+    pub(crate) fn has_ended(&self, life: &Incarnation) -> bool {
+        self.lives.borrow().has_ended(life)
+    }
+
+    /// The entry as it is to be taken, with the life that it ends; nothing if it is late news, or only
+    /// the endpoint can tell.
+    pub(crate) fn life_of_entry(
+        self: &Rc<Self>,
+        endpoint: Endpoint,
+        revision: Revision,
+        source: &str,
+    ) -> Option<(Endpoint, Option<Incarnation>)> {
+        let life = endpoint.incarnation();
+        let now = Instant::now().into_std();
+        let news = self.lives.borrow_mut().on_entry(&life, revision, now);
+        match news {
+            EntryNews::Present => Some((endpoint, None)),
+            EntryNews::Untold => {
+                let started = self.lives.borrow().present(&life.id).flatten();
+                Some((Endpoint { started, ..endpoint }, None))
+            }
+            EntryNews::Began { ended } => Some((endpoint, Some(ended))),
+            EntryNews::Late => {
+                self.counters.add(Count::NewsLate);
+                let started = life.started.unwrap_or_default();
+                info!("late entry of an endpoint", kv: {
+                    endpoint = life.id.as_str(), started, revision, source
+                });
+                None
+            }
+            EntryNews::Contradicts => {
+                let started = life.started.unwrap_or_default();
+                warn!("entries of an endpoint contradict each other", kv: {
+                    endpoint = life.id.as_str(), started, revision, source
+                });
+                self.settle(endpoint, revision);
+                None
+            }
+        }
+    }
+
+    /// Asks an engine whether the life of an entry is the present one, and takes the entry if it is.
+    /// Other services have no report: there the next entry tells.
+    fn settle(self: &Rc<Self>, endpoint: Endpoint, revision: Revision) {
+        if endpoint.card.is_none() {
+            return;
+        }
+        let gateway = Rc::clone(self);
+        tokio::task::spawn_local(async move {
+            gateway.counters.add(Count::Reports);
+            let asked = Instant::now();
+            let client = Client::new(endpoint.addr);
+            let Ok(report) = read_report(&client, SETTLE_LIMIT).await else { return };
+            let life = endpoint.incarnation();
+            let news = gateway.answer_news(&life.id, report.started, asked);
+            let AnswerNews::Began { ended } = news else { return };
+            if report.started == life.started {
+                gateway.take_entry(endpoint, revision, OWN_ANSWER);
+            }
+            gateway.on_life_found(ended, report.started);
+        });
+    }
+
+    /// Takes an endpoint's own answer to a question that was put to `life` at `asked`.
+    pub(crate) fn on_answer_of(
+        &self,
+        life: &Incarnation,
+        addr: SocketAddr,
+        started: Option<StartMillis>,
+        asked: Instant,
+    ) -> AnswerOf {
+        if started != life.started && self.has_other_endpoint(life, addr, started) {
+            return AnswerOf::OtherLife;
+        }
+        match self.answer_news(&life.id, started, asked) {
+            AnswerNews::Present if started == life.started => AnswerOf::SameLife,
+            AnswerNews::Present => AnswerOf::OtherLife,
+            AnswerNews::Untold => {
+                self.counters.add(Count::ReportsWithoutStart);
+                warn!("report without a start", kv: { endpoint = life.id.as_str() });
+                AnswerOf::Untold
+            }
+            AnswerNews::Began { ended } => {
+                self.on_life_found(ended, started);
+                AnswerOf::OtherLife
+            }
+            AnswerNews::Late => {
+                self.counters.add(Count::NewsLate);
+                let started = started.unwrap_or_default();
+                info!("late answer of an endpoint", kv: { endpoint = life.id.as_str(), started });
+                AnswerOf::OtherLife
+            }
+        }
+    }
+
+    /// Whether the list tells of another endpoint at an address, in the life that answered: a report bears
+    /// no id, and addresses are used again.
+    fn has_other_endpoint(
+        &self,
+        life: &Incarnation,
+        addr: SocketAddr,
+        started: Option<StartMillis>,
+    ) -> bool {
+        let knowledge = self.knowledge.borrow();
+        let mut endpoints = knowledge.endpoints();
+        endpoints.any(|e| e.id != life.id && e.addr == addr && e.started == started)
+    }
+
+    fn answer_news(&self, id: &str, started: Option<StartMillis>, asked: Instant) -> AnswerNews {
+        let now = Instant::now().into_std();
+        self.lives.borrow_mut().on_answer(id, started, asked.into_std(), now)
+    }
+
+    /// An answer told this gateway of a new life: the other gateways hear of it at once.
+    fn on_life_found(&self, ended: Incarnation, successor: Option<StartMillis>) {
+        let life = Incarnation::new(ended.id.clone(), successor);
+        let end = EndedLife { ended, successor };
+        self.beliefs.borrow_mut().note_end(end.clone(), Instant::now());
+        self.suspected.notify_one();
+        self.begin_life(&end.ended, &life, OWN_ANSWER);
+    }
+
+    /// Another gateway found the end of a life.
+    pub(crate) fn hear_end(&self, end: &EndedLife, instance: &str) {
+        let EndedLife { ended, successor } = end;
+        let now = Instant::now().into_std();
+        if !self.lives.borrow_mut().on_end_told(ended, *successor, now) {
+            return;
+        }
+        let present = self.lives.borrow().present(&ended.id);
+        let life = Incarnation::new(ended.id.clone(), present.unwrap_or(*successor));
+        self.begin_life(ended, &life, instance);
+    }
+
+    /// A life began of which no entry tells yet: it holds nothing.
+    fn begin_life(&self, ended: &Incarnation, life: &Incarnation, source: &str) {
+        if !self.knowledge.borrow().is_current(life) {
+            self.knowledge.borrow_mut().begin_life(life);
+        }
+        self.on_life_ended(ended, life, source);
+    }
+
+    /// Ends a life everywhere: its paths break, and nothing that belonged to it is used for `life`.
+    pub(crate) fn on_life_ended(&self, ended: &Incarnation, life: &Incarnation, source: &str) {
+        self.counters.add(Count::LivesEnded);
+        let (before, started) =
+            (ended.started.unwrap_or_default(), life.started.unwrap_or_default());
+        warn!("endpoint started again", kv: {
+            endpoint = life.id.as_str(), before, started, source
+        });
+        self.uses.borrow_mut().remove(ended);
+        self.probes.borrow_mut().remove(ended);
+        self.pool.borrow_mut().remove(ended);
+        self.refresh_paths();
+        self.engines_changed.notify_waiters();
+    }
+}
--- a/crates/gateway/src/process/path_check.rs
+++ b/crates/gateway/src/process/path_check.rs
@@ -1,8 +1,8 @@
 //! Finds which engines of a quiet path are dead, by asking each.
 
-use crate::process::{Count, Gateway, LivePath};
-use sorrellock_platform::{CallError, Client, Health, read_health, read_report};
-use sorrellock_routing::process::Incarnation;
+use crate::process::{AnswerOf, Count, Gateway, Knowledge, LivePath};
+use sorrellock_platform::{CallError, Client, EngineReport, Health, read_health, read_report};
+use sorrellock_routing::process::{Endpoint, Incarnation};
 use spdlog::info;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -68,52 +68,88 @@
     addr: SocketAddr,
 ) {
     gateway.counters.add(Count::Reports);
-    let Err(err) = ask(&gateway, &life, addr).await else { return };
+    let asked = Instant::now();
+    let err = match ask(&gateway, &life, addr).await {
+        Ok(report) => {
+            // An engine that started again breaks all its paths by that.
+            gateway.on_answer_of(&life, addr, report.started, asked);
+            return;
+        }
+        Err(err) => err,
+    };
     gateway.suspect(&life, &err.to_string());
     if live.is_quiet(Instant::now(), Duration::ZERO) {
         live.break_up();
     }
 }
 
-/// Asks an engine whether it lives. A kept connection may be silent for good: another one is opened
+/// Asks an engine for its report. A kept connection may be silent for good: another one is opened
 /// before that counts.
-async fn ask(gateway: &Gateway, life: &Incarnation, addr: SocketAddr) -> Result<(), CallError> {
+async fn ask(
+    gateway: &Gateway,
+    life: &Incarnation,
+    addr: SocketAddr,
+) -> Result<EngineReport, CallError> {
     let first = read_report(&gateway.probe(life, addr), REPORT_LIMIT).await;
     match first {
         Err(CallError::NoAnswer { .. }) => {}
-        other => return other.map(drop),
+        other => return other,
     }
     let fresh = Client::new(addr);
     let res = read_report(&fresh, REPORT_LIMIT).await;
     if res.is_ok() {
         gateway.probes.borrow_mut().insert(life.clone(), fresh);
     }
-    res.map(drop)
+    res
+}
+
+/// An endpoint that is asked whether it is well.
+struct Asked {
+    life: Incarnation,
+    addr: SocketAddr,
+    health_path: String,
+    /// It has a report.
+    is_engine: bool,
+}
+
+impl Asked {
+    fn new(knowledge: &Knowledge, endpoint: &Endpoint) -> Option<Asked> {
+        Some(Asked {
+            life: endpoint.incarnation(),
+            addr: endpoint.addr,
+            health_path: knowledge.health_path(endpoint)?.to_owned(),
+            is_engine: endpoint.card.is_some(),
+        })
+    }
 }
 
 /// An endpoint refused a request as not run: asks it whether it leaves, unless that was done just
-/// now. The list may not tell for long, as while the store is down.
-pub(crate) fn check_refuser(gateway: &Rc<Gateway>, addr: SocketAddr) {
+/// now. The list may not tell for long, as while the store is down. `lacks_part`: it doesn't hold its part
+/// of the path, as one that started again.
+pub(crate) fn check_refuser(gateway: &Rc<Gateway>, addr: SocketAddr, lacks_part: bool) {
     let now = Instant::now();
     let found = {
         let knowledge = gateway.knowledge.borrow();
         let endpoint = knowledge.endpoints().find(|endpoint| endpoint.addr == addr);
-        endpoint.filter(|endpoint| !endpoint.is_leaving).and_then(|endpoint| {
-            Some((endpoint.incarnation(), knowledge.health_path(endpoint)?.to_owned()))
-        })
+        let endpoint = endpoint.filter(|endpoint| !endpoint.is_leaving);
+        endpoint.and_then(|endpoint| Asked::new(&knowledge, endpoint))
     };
-    let Some((life, path)) = found else { return };
+    let Some(asked) = found else { return };
     let mut checked = gateway.refusers_checked.borrow_mut();
     checked.retain(|_, at| now - *at < CHECK_INTERVAL);
-    if checked.insert(life.clone(), now).is_some() {
+    if checked.insert(asked.life.clone(), now).is_some() {
         return;
     }
     let gateway = Rc::clone(gateway);
     tokio::task::spawn_local(async move {
-        match ask_health(&gateway, &life, addr, &path).await {
-            Ok(()) => {}
-            Err(Unwell::Leaves) => gateway.believe_leaving(&life),
-            Err(Unwell::Ended(why)) => gateway.suspect(&life, &why),
+        let mut res = ask_health(&gateway, &asked).await;
+        if res.is_ok() && lacks_part {
+            res = ask_life(&gateway, &asked).await;
+        }
+        match res {
+            Ok(()) | Err(Unwell::OtherLife) => {}
+            Err(Unwell::Leaves) => gateway.believe_leaving(&asked.life),
+            Err(Unwell::Ended(why)) => gateway.suspect(&asked.life, &why),
         }
     });
 }
@@ -123,30 +159,32 @@
 pub(crate) fn check_unlisted(gateway: &Rc<Gateway>, id: &str) {
     let found = {
         let knowledge = gateway.knowledge.borrow();
-        knowledge.endpoint(id).and_then(|endpoint| {
-            Some((
-                endpoint.incarnation(),
-                endpoint.addr,
-                knowledge.health_path(endpoint)?.to_owned(),
-            ))
-        })
+        knowledge.endpoint(id).and_then(|endpoint| Asked::new(&knowledge, endpoint))
     };
-    let Some((life, addr, path)) = found else {
+    let Some(asked) = found else {
         gateway.remove_endpoint(id, "watch");
         return;
     };
     let gateway = Rc::clone(gateway);
     tokio::task::spawn_local(async move {
-        let why = match ask_health(&gateway, &life, addr, &path).await {
+        let mut res = ask_health(&gateway, &asked).await;
+        if res.is_ok() {
+            // Health is the same in each life: only the report tells whether it kept its layers.
+            res = ask_life(&gateway, &asked).await;
+        }
+        let id = asked.life.id.as_str();
+        let why = match res {
             Ok(()) => {
-                info!("endpoint lives without its entry", kv: { endpoint = life.id.as_str() });
+                info!("endpoint lives without its entry", kv: { endpoint = id });
                 return;
             }
+            // It stays as the new life, which holds nothing yet.
+            Err(Unwell::OtherLife) => return,
             Err(Unwell::Leaves) => "its health".to_owned(),
             Err(Unwell::Ended(why)) => why,
         };
-        if gateway.knowledge.borrow().is_missing(&life.id) {
-            gateway.remove_endpoint(&life.id, &why);
+        if gateway.knowledge.borrow().is_missing(id) {
+            gateway.remove_endpoint(id, &why);
             gateway.refresh_paths();
         }
     });
@@ -158,19 +196,42 @@
     Leaves,
     /// It gives no answer, or another instance answers in its place.
     Ended(String),
+    /// It has started again.
+    OtherLife,
 }
 
-async fn ask_health(
-    gateway: &Gateway,
-    life: &Incarnation,
-    addr: SocketAddr,
-    path: &str,
-) -> Result<(), Unwell> {
+async fn ask_health(gateway: &Gateway, asked: &Asked) -> Result<(), Unwell> {
+    gateway.counters.add(Count::Reports);
+    let Asked { life, addr, health_path, .. } = asked;
+    let began = Instant::now();
+    let answer =
+        read_health(&gateway.probe(life, *addr), health_path, &life.id, HEALTH_LIMIT).await;
+    let answer = answer.map_err(|err| Unwell::Ended(err.to_string()))?;
+    if answer.health == Health::Replaced {
+        return Err(Unwell::Ended("another instance has its address".to_owned()));
+    }
+    if answer.started.is_some()
+        && gateway.on_answer_of(life, *addr, answer.started, began) != AnswerOf::SameLife
+    {
+        return Err(Unwell::OtherLife);
+    }
+    if answer.health == Health::Well { Ok(()) } else { Err(Unwell::Leaves) }
+}
+
+/// Asks an engine whether it is still in the life that is known. Where no start is told, each has an id
+/// of its own, and nothing is asked.
+async fn ask_life(gateway: &Gateway, asked: &Asked) -> Result<(), Unwell> {
+    let Asked { life, addr, is_engine, .. } = asked;
+    if !is_engine || life.started.is_none() {
+        return Ok(());
+    }
     gateway.counters.add(Count::Reports);
-    match read_health(&gateway.probe(life, addr), path, &life.id, HEALTH_LIMIT).await {
-        Ok(Health::Well) => Ok(()),
-        Ok(Health::Leaving) => Err(Unwell::Leaves),
-        Ok(Health::Replaced) => Err(Unwell::Ended("another instance has its address".to_owned())),
-        Err(err) => Err(Unwell::Ended(err.to_string())),
+    let began = Instant::now();
+    let report = ask(gateway, life, *addr).await;
+    let report = report.map_err(|err| Unwell::Ended(err.to_string()))?;
+    match gateway.on_answer_of(life, *addr, report.started, began) {
+        AnswerOf::SameLife => Ok(()),
+        AnswerOf::OtherLife => Err(Unwell::OtherLife),
+        AnswerOf::Untold => Err(Unwell::Ended("its report tells no start".to_owned())),
     }
 }
--- a/crates/gateway/src/process/path_refresh.rs
+++ b/crates/gateway/src/process/path_refresh.rs
@@ -18,11 +18,14 @@
             let Some(shape) = &service.model else { continue };
             let holders = self.holders(&knowledge, &service.name, shape, now);
             let beliefs = self.beliefs.borrow();
+            let lives = self.lives.borrow();
             let fate = |life: &Incarnation| {
-                if beliefs.engine(life, now).is_some_and(|engine| engine.is_dead) {
+                let is_dead = beliefs.engine(life, now).is_some_and(|engine| engine.is_dead);
+                if is_dead || lives.has_ended(life) {
                     return EngineFate::Dead;
                 }
                 match knowledge.endpoint(&life.id) {
+                    Some(endpoint) if endpoint.started != life.started => EngineFate::Dead,
                     Some(endpoint) if !endpoint.is_leaving && !beliefs.is_leaving(life, now) => {
                         EngineFate::Stays
                     }
@@ -66,7 +69,7 @@
         let engines = knowledge.open_endpoints(now).filter(|engine| engine.service == service);
         for endpoint in engines {
             let life = endpoint.incarnation();
-            if beliefs.is_leaving(&life, now) {
+            if beliefs.is_leaving(&life, now) || self.has_ended(&life) {
                 continue;
             }
             let view = beliefs.engine(&life, now);
--- a/crates/gateway/src/process/peer_message.rs
+++ b/crates/gateway/src/process/peer_message.rs
@@ -1,7 +1,7 @@
 //! What gateways tell each other, as datagrams.
 
 use serde::{Deserialize, Serialize};
-use sorrellock_routing::process::{Incarnation, LayerRange};
+use sorrellock_routing::process::{Incarnation, LayerRange, StartMillis};
 use sorrellock_routing::version::ConfigVersion;
 
 /// What a gateway tells all others, several times a second. The newest one replaces those before.
@@ -25,12 +25,23 @@
     pub(crate) suspects: Vec<Incarnation>,
     /// Endpoints that told the sender that they take nothing more.
     pub(crate) leaving: Vec<Incarnation>,
+    /// Lives whose end the sender found by an answer of a later one, of late.
+    pub(crate) ended: Vec<EndedLife>,
     /// The sender leads, with this term.
     pub(crate) lead_term: Option<u64>,
     /// What the lead knows, where it is news or was not told for a while.
     pub(crate) lead: Option<LeadView>,
 }
 
+/// A life of an endpoint that is over, and the one that was found in its place.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub(crate) struct EndedLife {
+    /// The life that is over.
+    pub(crate) ended: Incarnation,
+    /// The start of the later one.
+    pub(crate) successor: Option<StartMillis>,
+}
+
 /// What one gateway's streams take on the paths that begin at one engine.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(crate) struct HeadLoad {
--- a/crates/gateway/src/process/peers.rs
+++ b/crates/gateway/src/process/peers.rs
@@ -103,6 +103,7 @@
         let now = Instant::now();
         let suspects = gateway.beliefs.borrow_mut().suspects_own(now);
         let leaving = gateway.beliefs.borrow_mut().leaving_own(now);
+        let ended = gateway.beliefs.borrow_mut().ended_own(now);
         let own_loads = gateway.paths.borrow().own_loads();
         let load = |(head, load): (Incarnation, Load)| HeadLoad {
             head,
@@ -119,6 +120,7 @@
             loads: own_loads.into_iter().map(load).collect(),
             suspects,
             leaving,
+            ended,
             lead_term: self.own_view.borrow().as_ref().map(|view| view.term),
             lead: self.view_to_tell(now),
         }
@@ -226,8 +228,12 @@
             is_changed = true;
         }
         let instance = message.instance.clone();
+        let ended = message.ended.clone();
         beliefs.peers.insert(instance.clone(), Peer { addr: from, message, heard: now });
         drop(beliefs);
+        for end in &ended {
+            gateway.hear_end(end, &instance);
+        }
         if is_changed {
             gateway.refresh_paths();
         }
--- a/crates/gateway/src/process/placer/engine.rs
+++ b/crates/gateway/src/process/placer/engine.rs
@@ -14,7 +14,11 @@
 pub(super) struct Engine {
     pub(super) client: Client,
     pub(super) since: Instant,
+    /// The newest report of this life.
     pub(super) report: Option<EngineReport>,
+    /// Its newest answer tells no start, or another endpoint's: nothing is known of this life, and it
+    /// gets no orders.
+    pub(super) is_unknown: bool,
     pub(super) asked: Option<Instant>,
     pub(super) is_asking: bool,
     pub(super) failures: u32,
@@ -36,6 +40,7 @@
             client,
             since: now,
             report: None,
+            is_unknown: false,
             asked: None,
             is_asking: false,
             failures: 0,
@@ -48,6 +53,20 @@
         }
     }
 
+    /// The engine started again just now: what it ran before is lost, as after a death.
+    pub(super) fn reborn(client: Client, now: Instant) -> Engine {
+        Engine { died: Some(now), ..Engine::new(client, now) }
+    }
+
+    /// Whether it was heard, or will not be.
+    pub(super) fn is_heard(&self) -> bool {
+        self.report.is_some() || self.is_dead || self.is_unknown
+    }
+
+    pub(super) fn takes_orders(&self) -> bool {
+        !self.is_dead && !self.is_unknown
+    }
+
     pub(super) fn ready(&self) -> LayerRange {
         self.report.as_ref().map_or(LayerRange::default(), |report| report.layers)
     }
--- a/crates/gateway/src/process/placer/placer.rs
+++ b/crates/gateway/src/process/placer/placer.rs
@@ -6,7 +6,7 @@
 use crate::process::{EngineView, Gateway, LeadView};
 use sorrellock_platform::{Client, Store};
 use sorrellock_routing::process::placement::{is_any_chain_scarce, next_steps};
-use sorrellock_routing::process::{DataCentre, Endpoint, Incarnation};
+use sorrellock_routing::process::{DataCentre, Endpoint, EndpointId, Incarnation};
 use sorrellock_routing::version::{ModelShape, ServiceName};
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
@@ -111,13 +111,19 @@
         let names: HashSet<&ServiceName> = services.iter().map(|(name, _)| name).collect();
         let here = knowledge.endpoints().filter(|endpoint| names.contains(&endpoint.service));
         let beliefs = self.gateway.beliefs.borrow();
-        let stays = |e: &&Endpoint| !e.is_leaving && !beliefs.is_leaving(&e.incarnation(), now);
+        let stays = |e: &&Endpoint| {
+            let life = e.incarnation();
+            !e.is_leaving && !beliefs.is_leaving(&life, now) && !self.gateway.has_ended(&life)
+        };
         let here: HashMap<Incarnation, SocketAddr> =
             here.filter(stays).map(|e| (e.incarnation(), e.addr)).collect();
         let mut engines = self.engines.borrow_mut();
+        let ended = engines.keys().filter(|life| !here.contains_key(life));
+        let ended: HashSet<EndpointId> = ended.map(|life| life.id.clone()).collect();
         engines.retain(|life, _| here.contains_key(life));
         for (life, addr) in here {
-            engines.entry(life).or_insert_with(|| Engine::new(Client::new(addr), now));
+            let begin = if ended.contains(&life.id) { Engine::reborn } else { Engine::new };
+            engines.entry(life).or_insert_with(|| begin(Client::new(addr), now));
         }
     }
 
@@ -197,12 +203,11 @@
     fn publish(&mut self, term: u64) {
         self.gateway.leads.set(true);
         let engines = self.engines.borrow();
-        let is_heard = |engine: &Engine| engine.report.is_some() || engine.is_dead;
-        self.is_complete |= !engines.is_empty() && engines.values().all(is_heard);
+        self.is_complete |= !engines.is_empty() && engines.values().all(Engine::is_heard);
         if !self.is_complete {
             return;
         }
-        let heard = engines.iter().filter(|(_, engine)| is_heard(engine));
+        let heard = engines.iter().filter(|(_, engine)| engine.is_heard());
         let mut views: Vec<EngineView> = heard
             .map(|(life, engine)| EngineView {
                 life: life.clone(),
--- a/crates/gateway/src/process/placer/planning.rs
+++ b/crates/gateway/src/process/placer/planning.rs
@@ -63,7 +63,7 @@
         let mut planned = Vec::new();
         for endpoint in endpoints {
             let engine = engines.get(&endpoint.incarnation())?;
-            if engine.is_dead {
+            if !engine.takes_orders() {
                 continue;
             }
             let report = engine.report.as_ref()?;
@@ -146,7 +146,7 @@
         let least_room = self.least_room(shape, endpoints);
         for endpoint in endpoints {
             let Some(engine) =
-                engines.get(&endpoint.incarnation()).filter(|engine| !engine.is_dead)
+                engines.get(&endpoint.incarnation()).filter(|engine| engine.takes_orders())
             else {
                 continue;
             };
@@ -168,7 +168,7 @@
         let mut least = f64::INFINITY;
         for endpoint in endpoints {
             let Some(engine) =
-                engines.get(&endpoint.incarnation()).filter(|engine| !engine.is_dead)
+                engines.get(&endpoint.incarnation()).filter(|engine| engine.takes_orders())
             else {
                 continue;
             };
--- a/crates/gateway/src/process/placer/reports.rs
+++ b/crates/gateway/src/process/placer/reports.rs
@@ -1,7 +1,7 @@
 //! Asks engines for their reports, and takes what they tell.
 
 use super::{Engine, Engines, ORDER_RETRY};
-use crate::process::{Count, Gateway};
+use crate::process::{AnswerOf, Count, Gateway};
 use sorrellock_platform::{CallError, Client, EngineReport, read_report};
 use sorrellock_routing::process::Incarnation;
 use spdlog::{info, warn};
@@ -30,13 +30,21 @@
 /// Asks one engine for its report.
 pub(super) async fn ask(gateway: Rc<Gateway>, engines: Engines, life: Incarnation, client: Client) {
     gateway.counters.add(Count::Reports);
+    let asked = Instant::now();
     let res = read_report(&client, REPORT_LIMIT).await;
+    let told = res.as_ref().ok().map(|report| report.started);
+    let of = told.map(|started| gateway.on_answer_of(&life, client.peer(), started, asked));
     let is_suspect = suspects(&gateway, Instant::now()).contains(&life);
     let mut engines = engines.borrow_mut();
     let Some(engine) = engines.get_mut(&life) else { return };
     engine.is_asking = false;
     match res {
-        Ok(report) => on_report(engine, &life, report),
+        Ok(report) => {
+            engine.is_unknown = of != Some(AnswerOf::SameLife);
+            if !engine.is_unknown {
+                on_report(engine, &life, report);
+            }
+        }
         Err(err) => {
             let to_death = if is_suspect { FAILURES_OF_SUSPECT } else { FAILURES_TO_DEATH };
             on_no_report(engine, &life, &err, to_death);
--- a/crates/gateway/src/process/pool.rs
+++ b/crates/gateway/src/process/pool.rs
@@ -91,6 +91,11 @@
         }
     }
 
+    /// Drops the connections to a life that has ended.
+    pub(crate) fn remove(&mut self, life: &Incarnation) {
+        self.idle.remove(life);
+    }
+
     /// Drops connections that are too old, and those to lives that `is_current` doesn't know.
     pub(crate) fn sweep(&mut self, now: Instant, is_current: impl Fn(&Incarnation) -> bool) {
         self.idle.retain(|life, idle| {
--- a/crates/gateway/src/process/run.rs
+++ b/crates/gateway/src/process/run.rs
@@ -148,7 +148,7 @@
     Ok(())
 }
 
-/// Drops connections that are too old, and works out paths anew as suspicions end, for ever.
+/// Drops connections that are too old and what belongs to lives that ended, and works out paths anew as suspicions end, for ever.
 async fn sweep(gateway: Rc<Gateway>) {
     loop {
         sleep(SWEEP_INTERVAL).await;
@@ -156,6 +156,7 @@
         let is_current = |life: &Incarnation| knowledge.is_current(life);
         gateway.pool.borrow_mut().sweep(Instant::now(), is_current);
         gateway.probes.borrow_mut().retain(|life, _| is_current(life));
+        gateway.uses.borrow_mut().retain(|life, used| used.in_flight > 0 || is_current(life));
         drop(knowledge);
         gateway.refresh_paths();
     }
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -43,12 +43,14 @@
     pub(crate) evidence: Evidence,
     /// The endpoint at fault, where the one that was asked named another.
     pub(crate) at_fault: Option<SocketAddr>,
+    /// The endpoint at fault is not the one that was meant, or lacks its part of the path.
+    pub(crate) is_misdirected: bool,
     pub(crate) why: String,
 }
 
 impl Failed {
     pub(crate) fn new(evidence: Evidence, why: String) -> Failed {
-        Failed { evidence, at_fault: None, why }
+        Failed { evidence, at_fault: None, is_misdirected: false, why }
     }
 }
 
@@ -172,6 +174,7 @@
         return Err(Failed {
             evidence: Evidence::NotRun,
             at_fault: head.at_fault,
+            is_misdirected: status == StatusCode::MISDIRECTED_REQUEST,
             why: format!("refused with {}", status.as_u16()),
         });
     }
--- a/crates/gateway/src/request/plain.rs
+++ b/crates/gateway/src/request/plain.rs
@@ -62,7 +62,7 @@
                 attempts.on_failed(&life, failed.evidence);
                 match failed.evidence {
                     Evidence::NotSent => gateway.suspect(&life, &failed.why),
-                    Evidence::NotRun => check_refuser(&gateway, endpoint.addr),
+                    Evidence::NotRun => check_refuser(&gateway, endpoint.addr, false),
                     Evidence::MayHaveRun => {}
                 }
                 why = format!("{}: {}", endpoint.id, failed.why);
@@ -113,6 +113,7 @@
         .filter(|endpoint| endpoint.service == call.service)
         .filter(|endpoint| !beliefs.is_leaving(&endpoint.incarnation(), now))
         .filter(|endpoint| !tried.contains(&endpoint.incarnation()))
+        .filter(|endpoint| !gateway.has_ended(&endpoint.incarnation()))
         .collect();
     let work = |endpoint: &Endpoint| work(gateway, endpoint, now);
     open.sort_by(|a, b| {
--- a/crates/gateway/src/request/stream.rs
+++ b/crates/gateway/src/request/stream.rs
@@ -259,7 +259,7 @@
             let refuser = failed.at_fault.unwrap_or(first.addr);
             live.avoid(now + REFUSED_AVOID);
             gateway.paths.borrow().avoid_through(&call.service, refuser, now + REFUSED_AVOID);
-            return check_refuser(gateway, refuser);
+            return check_refuser(gateway, refuser, failed.is_misdirected);
         }
         Evidence::MayHaveRun => live.avoid(now + SILENT_AVOID),
     }
--- a/crates/routing/tests/attempts.rs
+++ b/crates/routing/tests/attempts.rs
@@ -4,7 +4,7 @@
 
 use common::life;
 use quickcheck::quickcheck;
-use sorrellock_routing::process::{RetryBounds, RetryWindow};
+use sorrellock_routing::process::{Incarnation, RetryBounds, RetryWindow};
 use sorrellock_routing::request::{Attempts, Evidence, GivenUp};
 use sorrellock_routing::version::Semantics;
 use std::time::{Duration, Instant};
@@ -50,6 +50,24 @@
     assert!(attempts.may_send_to(&life("c")));
 }
 
+#[test]
+fn an_endpoint_that_started_again_is_another_one_and_what_ran_before_counts_as_run() {
+    let [before, after] = [1, 2].map(|started| Incarnation::new("a", Some(started)));
+    let mut stream = Attempts::new(STREAM, 1);
+    let mut once = Attempts::new(Semantics::NonIdempotent, 2);
+
+    stream.on_failed(&before, Evidence::MayHaveRun);
+    once.on_failed(&before, Evidence::MayHaveRun);
+
+    assert!(stream.may_send_to(&before));
+    assert!(!stream.may_send_to(&after), "the life before counts until it is known to be over");
+    stream.forget_lost(|life| *life == before);
+    assert!(stream.may_send_to(&after));
+    once.forget_lost(|life| *life == before);
+    assert!(!once.may_send_to(&after));
+    assert_eq!(once.given_up(false), GivenUp::Unknown);
+}
+
 #[test]
 fn a_request_is_sent_so_often_at_most() {
     let mut attempts = Attempts::new(STREAM, 2);
