--- a/crates/daemon/tests/gateway/lives.rs
+++ b/crates/daemon/tests/gateway/lives.rs
@@ -1,7 +1,8 @@
 //! Engines that start again under their id: nothing of the life before is taken for theirs.
 
 use crate::fleet::{
-    Fleet, KEY, begin, fleet, fleet_of_two_chains, new_request, read_rest, send, whole_stream,
+    Fleet, KEY, begin, fleet, fleet_of_two_chains, fleet_of_two_first_engines, new_request,
+    read_rest, send, whole_stream,
 };
 use crate::gateway_process::{GatewayProcess, wait_for};
 use sorrellock_stand_ins::{FakeEngine, FakeProxy, FakeService, ProxyMode, StoreMode, new_ip};
@@ -229,6 +230,20 @@
     wait_for_first_order(engine);
 }
 
+#[test]
+fn an_engine_whose_report_tells_no_start_gets_no_orders_and_others_serve() {
+    let fleet = fleet_of_two_first_engines();
+    let engine = &fleet.engines[4];
+    engine.hide_start();
+
+    let gateway = fleet.gateway("one");
+    gateway.wait_for_line(&["\"report without a start\"", engine.id()]);
+
+    let answer = send(gateway.callers(), "/match/a", &new_request(), Some(KEY));
+    assert_eq!((answer.status, answer.is_whole), (200, true));
+    assert_eq!(engine.orders(), 0);
+}
+
 #[test]
 fn an_engine_that_started_again_does_not_live_on_without_its_entry_with_its_layers() {
     let fleet = fleet();
--- a/crates/gateway/src/request/relay.rs
+++ b/crates/gateway/src/request/relay.rs
@@ -4,7 +4,7 @@
 use crate::request::Call;
 use crate::request::pace::Pace;
 use crate::request::repath::{LeaveBroken, Repath, RepathEnd};
-use crate::request::stream::{NotBegun, Run, begin, broken, expected_tokens};
+use crate::request::stream::{NotBegun, Run, begin, broken, has_other_path};
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use sorrellock_http::Part;
@@ -373,27 +373,6 @@
     }
 }
 
-/// Whether a silent stream could go on over another path: else its run may still come back. It guards
-/// streams on slow paths: with the retry budget spent they were cut in mid-answer, though their runs
-/// lived (once in 40 days with faults).
-fn has_other_path(
-    gateway: &Gateway,
-    call: &Call,
-    attempts: &Attempts,
-    silent: &Rc<LivePath>,
-) -> bool {
-    let mut after = attempts.clone();
-    after.on_failed(&silent.path.first().life, Evidence::MayHaveRun);
-    let may_take = |live: &Rc<LivePath>| {
-        !Rc::ptr_eq(live, silent) && after.may_send_to(&live.path.first().life)
-    };
-    let tokens = expected_tokens(call);
-    let paths = gateway.paths.borrow();
-    call.route.semantics.may_repeat()
-        && gateway.may_repeat(&call.service)
-        && paths.has_place(&call.service, tokens, may_take, Instant::now())
-}
-
 fn next_of_frame(frame: Option<Result<hyper::body::Frame<Bytes>, hyper::Error>>) -> Next {
     match frame {
         None => Next::Ended,
--- a/crates/gateway/src/request/stream.rs
+++ b/crates/gateway/src/request/stream.rs
@@ -184,6 +184,27 @@
     f64::from(tokens.prompt) + answer * ANSWER_SHARE
 }
 
+/// Whether a silent stream could go on over another path: else its run may still come back. It guards
+/// streams on slow paths: with the retry budget spent they were cut in mid-answer, though their runs
+/// lived (once in 40 days with faults).
+pub(crate) fn has_other_path(
+    gateway: &Gateway,
+    call: &Call,
+    attempts: &Attempts,
+    silent: &Rc<LivePath>,
+) -> bool {
+    let mut after = attempts.clone();
+    after.on_failed(&silent.path.first().life, Evidence::MayHaveRun);
+    let may_take = |live: &Rc<LivePath>| {
+        !Rc::ptr_eq(live, silent) && after.may_send_to(&live.path.first().life)
+    };
+    let tokens = expected_tokens(call);
+    let paths = gateway.paths.borrow();
+    call.route.semantics.may_repeat()
+        && gateway.may_repeat(&call.service)
+        && paths.has_place(&call.service, tokens, may_take, Instant::now())
+}
+
 async fn try_path(
     gateway: &Rc<Gateway>,
     call: &Call,
