Lives: an answer that makes an end sure tells the other gateways; the life of an unlisted engine is asked for with health's time

Cause: gateways that ask no engine knew only from entries that a life had ended: they forgave no attempt there and asked the engine once more at each late entry, though the lead had the engine's own word. Ruled out: to take the lead's word on present lives for it, as that may be older than the entry. Now an answer of the present life tells which ends it makes sure, and these are told like those that an answer finds.

Test: a_gateway_that_asks_no_engine_hears_which_ends_are_sure failed without the telling (0 passed, 1 failed), passes with it.

--- a/crates/daemon/tests/gateway/lives.rs
+++ b/crates/daemon/tests/gateway/lives.rs
@@ -230,6 +230,25 @@
     wait_for_first_order(engine);
 }
 
+#[test]
+fn a_gateway_that_asks_no_engine_hears_which_ends_are_sure() {
+    let fleet = fleet();
+    let first = fleet.gateway("one");
+    first.wait_for_line(&["\"lead taken\""]);
+    let second = fleet.gateway("two");
+    second.wait_for_line(&["\"gateway heard\"", "one"]);
+    let engine = &fleet.engines[0];
+    let (born, addr) = (engine.born(), engine.addr());
+    engine.restart();
+    second.wait_for_line(&[STARTED_AGAIN, engine.id()]);
+    wait_for_first_order(engine);
+
+    engine.enter_late(born, addr);
+
+    second.wait_for_line(&["\"late entry of an endpoint\"", engine.id()]);
+    assert!(second.lines(&["\"entries of an endpoint contradict", engine.id()]).is_empty());
+}
+
 #[test]
 fn an_engine_whose_report_tells_no_start_gets_no_orders_and_others_serve() {
     let fleet = fleet_of_two_first_engines();
--- a/crates/gateway/src/process/lives.rs
+++ b/crates/gateway/src/process/lives.rs
@@ -103,8 +103,8 @@
             return AnswerOf::OtherLife;
         }
         match self.answer_news(&life.id, started, asked) {
-            AnswerNews::Present if started == life.started => AnswerOf::SameLife,
-            AnswerNews::Present => AnswerOf::OtherLife,
+            AnswerNews::Present { .. } if started == life.started => AnswerOf::SameLife,
+            AnswerNews::Present { .. } => AnswerOf::OtherLife,
             AnswerNews::Untold => {
                 self.counters.add(Count::ReportsWithoutStart);
                 warn!("report without a start", kv: { endpoint = life.id.as_str() });
@@ -138,16 +138,25 @@
 
     fn answer_news(&self, id: &str, started: Option<StartMillis>, asked: Instant) -> AnswerNews {
         let now = Instant::now().into_std();
-        self.lives.borrow_mut().on_answer(id, started, asked.into_std(), now)
+        let news = self.lives.borrow_mut().on_answer(id, started, asked.into_std(), now);
+        if let AnswerNews::Present { now_over } = &news {
+            now_over.iter().for_each(|ended| self.tell_end(ended.clone(), started));
+        }
+        news
     }
 
-    /// An answer told this gateway of a new life: the other gateways hear of it at once.
+    /// An answer told this gateway of a new life.
     fn on_life_found(&self, ended: Incarnation, successor: Option<StartMillis>) {
         let life = Incarnation::new(ended.id.clone(), successor);
+        self.tell_end(ended.clone(), successor);
+        self.begin_life(&ended, &life, OWN_ANSWER);
+    }
+
+    /// Tells the other gateways at once that a life is over for good.
+    fn tell_end(&self, ended: Incarnation, successor: Option<StartMillis>) {
         let end = EndedLife { ended, successor };
-        self.beliefs.borrow_mut().note_end(end.clone(), Instant::now());
+        self.beliefs.borrow_mut().note_end(end, Instant::now());
         self.suspected.notify_one();
-        self.begin_life(&end.ended, &life, OWN_ANSWER);
     }
 
     /// Another gateway found the end of a life.
--- a/crates/gateway/src/process/path_check.rs
+++ b/crates/gateway/src/process/path_check.rs
@@ -18,7 +18,7 @@
 const TURN_MOST: Duration = Duration::from_millis(30);
 /// How often paths are looked at: a broken one is found a tenth of a pause late at most.
 const WATCH_INTERVAL: Duration = Duration::from_millis(15);
-/// Time for an endpoint's health: it may wait for a slot.
+/// Time for an endpoint's health, which may wait for a slot, and for the report that tells its life.
 const HEALTH_LIMIT: Duration = Duration::from_millis(400);
 /// A path is asked at most this often: each report is priced.
 const CHECK_INTERVAL: Duration = Duration::from_millis(700);
@@ -227,7 +227,7 @@
     }
     gateway.counters.add(Count::Reports);
     let began = Instant::now();
-    let report = ask(gateway, life, *addr).await;
+    let report = read_report(&gateway.probe(life, *addr), HEALTH_LIMIT).await;
     let report = report.map_err(|err| Unwell::Ended(err.to_string()))?;
     match gateway.on_answer_of(life, *addr, report.started, began) {
         AnswerOf::SameLife => Ok(()),
--- a/crates/routing/src/process/lives.rs
+++ b/crates/routing/src/process/lives.rs
@@ -43,7 +43,10 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum AnswerNews {
     /// It is of the present life.
-    Present,
+    Present {
+        /// Lives that only entries had ended, and that are over for good by this.
+        now_over: Vec<Incarnation>,
+    },
     /// It tells no start, while the entry does: it can't be used.
     Untold,
     /// It is of a new life.
@@ -216,11 +219,12 @@
                 return AnswerNews::Late;
             }
             self.begin(started, now);
-            return AnswerNews::Present;
+            return AnswerNews::Present { now_over: Vec::new() };
         };
         if started == present.started {
-            self.on_confirmed(present, asked);
-            return AnswerNews::Present;
+            let now_over = self.on_confirmed(present, asked);
+            let now_over = now_over.into_iter().map(|ended| Incarnation::new(id, ended));
+            return AnswerNews::Present { now_over: now_over.collect() };
         }
         if started.is_none() {
             return AnswerNews::Untold;
@@ -233,16 +237,20 @@
         AnswerNews::Began { ended: Incarnation::new(id, present.started) }
     }
 
-    /// An answer confirms the present life: all that were known before it was asked for are over.
-    fn on_confirmed(&mut self, present: Present, asked: Instant) {
+    /// An answer confirms the present life: all that were known before it was asked for are over. Tells
+    /// of which that wasn't sure.
+    fn on_confirmed(&mut self, present: Present, asked: Instant) -> Vec<Option<StartMillis>> {
         if asked < present.proven {
-            return;
+            return Vec::new();
         }
         self.present = Some(Present { proven: asked, ..present });
         self.contradictions = None;
-        for ended in &mut self.ended {
+        let mut now_over = Vec::new();
+        for ended in self.ended.iter_mut().filter(|ended| ended.by == EndedBy::Entry) {
             ended.by = EndedBy::Answer;
+            now_over.push(ended.started);
         }
+        now_over
     }
 
     fn on_end_told(
