--- a/crates/routing/src/process/lives.rs
+++ b/crates/routing/src/process/lives.rs
@@ -8,8 +8,8 @@
 use std::collections::{HashMap, VecDeque};
 use std::time::Instant;
 
-/// The most endpoints whose lives are remembered: five times the largest list in use. The one whose life
-/// began longest ago is forgotten first.
+/// The most endpoints whose lives are remembered: five times the largest list in use. The one that became
+/// known first is forgotten first.
 const MAX_ENDPOINTS: usize = 4_096;
 /// The most ended lives of one endpoint that are remembered: news is late by seconds, a start takes some.
 const MAX_ENDED: usize = 8;
