--- a/crates/daemon/tests/gateway/main.rs
+++ b/crates/daemon/tests/gateway/main.rs
@@ -5,6 +5,7 @@
 mod knowledge;
 mod leaving;
 mod life;
+mod lives;
 mod plain_calls;
 mod soak;
 mod streams;
--- a/crates/gateway/src/process/gateway.rs
+++ b/crates/gateway/src/process/gateway.rs
@@ -6,7 +6,7 @@
 use sorrellock_core::clock::SystemClock;
 use sorrellock_core::process::retries::Breakers;
 use sorrellock_platform::{Bounds, Client, EndpointLoad, Revision, Settings};
-use sorrellock_routing::process::{Endpoint, EndpointId, Leaving, RetryWindow, StreamPace};
+use sorrellock_routing::process::{Endpoint, Incarnation, Leaving, Lives, RetryWindow, StreamPace};
 use sorrellock_routing::version::{Configuration, ServiceName};
 use spdlog::{info, warn};
 use std::cell::{Cell, RefCell};
@@ -57,10 +57,12 @@
     pub(crate) counters: Counters,
     pub(crate) knowledge: RefCell<Knowledge>,
     pub(crate) beliefs: RefCell<Beliefs>,
+    /// Which life of each endpoint is the present one.
+    pub(crate) lives: RefCell<Lives>,
     pub(crate) paths: Rc<RefCell<PathBook>>,
     pub(crate) pool: RefCell<Pool>,
-    pub(crate) uses: RefCell<HashMap<EndpointId, EndpointUse>>,
-    pub(crate) breakers: RefCell<Breakers<EndpointId, SystemClock>>,
+    pub(crate) uses: RefCell<HashMap<Incarnation, EndpointUse>>,
+    pub(crate) breakers: RefCell<Breakers<Incarnation, SystemClock>>,
     pub(crate) budgets: RefCell<HashMap<ServiceName, RetryWindow>>,
     /// How long streams take. The configuration names the services, which bounds it.
     pub(crate) stream_paces: RefCell<HashMap<ServiceName, StreamPace>>,
@@ -73,7 +75,7 @@
     /// When a call of the store last failed.
     pub(crate) store_failed: Cell<Option<Instant>>,
     /// Endpoints that refused a request, and when they were last asked why.
-    pub(crate) refusers_checked: RefCell<HashMap<SocketAddr, Instant>>,
+    pub(crate) refusers_checked: RefCell<HashMap<Incarnation, Instant>>,
     /// Requests under way.
     pub(crate) in_flight: Cell<usize>,
     /// Open connections that had a request: each may have an answer to write yet.
@@ -83,7 +85,7 @@
     /// Wakes the messages to other gateways: an endpoint failed.
     pub(crate) suspected: Notify,
     /// Clients for questions to endpoints.
-    pub(crate) probes: RefCell<HashMap<SocketAddr, Client>>,
+    pub(crate) probes: RefCell<HashMap<Incarnation, Client>>,
     /// Wakes requests that wait for the first configuration.
     pub(crate) configured: Notify,
     pub(crate) phase: watch::Sender<Phase>,
@@ -103,6 +105,7 @@
             counters: Counters::new(),
             knowledge,
             beliefs: RefCell::default(),
+            lives: RefCell::default(),
             paths: Rc::default(),
             pool: RefCell::default(),
             uses: RefCell::default(),
@@ -190,7 +193,7 @@
         let knowledge = self.knowledge.borrow();
         let uses = self.uses.borrow();
         let of_service = knowledge.endpoints().filter(|endpoint| endpoint.service == service);
-        let means = of_service.filter_map(|endpoint| uses.get(&endpoint.id));
+        let means = of_service.filter_map(|endpoint| uses.get(&endpoint.incarnation()));
         let longest_ms = means.map(|used| used.mean_ms).fold(0.0, f64::max);
         Duration::from_secs_f64(longest_ms / 1e3)
     }
@@ -217,8 +220,28 @@
         self.engines_changed.notify_waiters();
     }
 
-    /// Takes an endpoint's entry.
-    pub(crate) fn apply_endpoint(&self, endpoint: Endpoint, revision: Revision, source: &str) {
+    /// Takes an endpoint's entry, unless it is late news.
+    pub(crate) fn apply_endpoint(
+        self: &Rc<Self>,
+        endpoint: Endpoint,
+        revision: Revision,
+        source: &str,
+    ) {
+        if !self.knowledge.borrow().is_news(&endpoint.id, revision) {
+            return;
+        }
+        let Some((endpoint, ended)) = self.life_of_entry(endpoint, revision, source) else {
+            return;
+        };
+        let life = endpoint.incarnation();
+        self.take_entry(endpoint, revision, source);
+        if let Some(ended) = ended {
+            self.on_life_ended(&ended, &life, source);
+        }
+    }
+
+    /// Takes an entry of an endpoint's present life.
+    pub(crate) fn take_entry(&self, endpoint: Endpoint, revision: Revision, source: &str) {
         let id = endpoint.id.clone();
         let addr = endpoint.addr.to_string();
         let (data_centre, layers) = (endpoint.data_centre.clone(), endpoint.layers);
@@ -249,12 +272,12 @@
     /// Tells and forgets an endpoint that was removed.
     pub(crate) fn endpoint_gone(&self, id: &str, source: &str) {
         info!("endpoint gone", kv: { endpoint = id, source });
-        self.uses.borrow_mut().remove(id);
+        self.uses.borrow_mut().retain(|life, _| life.id != id);
         self.engines_changed.notify_waiters();
     }
 
     /// Takes what another gateway handed over.
-    pub(crate) fn apply_handover(&self, handover: Handover, from: &str) {
+    pub(crate) fn apply_handover(self: &Rc<Self>, handover: Handover, from: &str) {
         if let Some(cfg) = handover.configuration {
             self.apply_configuration(cfg, from);
         }
@@ -286,10 +309,10 @@
     }
 
     /// An endpoint failed an attempt: it gets nothing new for a while.
-    pub(crate) fn suspect(&self, id: &str, why: &str) {
+    pub(crate) fn suspect(&self, life: &Incarnation, why: &str) {
         let now = Instant::now();
-        if self.beliefs.borrow_mut().suspect(id, now, SUSPECT_FOR) {
-            warn!("endpoint suspected", kv: { endpoint = id, why });
+        if self.beliefs.borrow_mut().suspect(life, now, SUSPECT_FOR) {
+            warn!("endpoint suspected", kv: { endpoint = life.id.as_str(), why });
             self.refresh_paths();
             self.engines_changed.notify_waiters();
             self.suspected.notify_one();
@@ -297,50 +320,64 @@
     }
 
     /// An endpoint failed another gateway. It is believed where a path through it is quiet here too.
-    pub(crate) fn hear_suspicion(&self, id: &str, instance: &str) {
+    pub(crate) fn hear_suspicion(&self, life: &Incarnation, instance: &str) {
         let now = Instant::now();
-        let quiet = self.paths.borrow().quiet_through(id, now);
+        let quiet = self.paths.borrow().quiet_through(life, now);
         if quiet.is_empty() {
             return;
         }
-        warn!("endpoint suspected", kv: { endpoint = id, why = "another gateway told", instance });
-        self.beliefs.borrow_mut().hear_suspect(id, now, SUSPECT_FOR);
+        warn!("endpoint suspected", kv: { endpoint = life.id.as_str(), why = "another gateway told", instance });
+        self.beliefs.borrow_mut().hear_suspect(life, now, SUSPECT_FOR);
         self.refresh_paths();
         for live in &quiet {
             live.break_up();
         }
     }
 
-    /// The client for questions to an endpoint. Its connections are kept: new ones are priced.
-    pub(crate) fn probe(&self, addr: SocketAddr) -> Client {
-        self.probes.borrow_mut().entry(addr).or_insert_with(|| Client::new(addr)).clone()
+    /// The client for questions to an endpoint in one life. Its connections are kept: new ones are priced.
+    pub(crate) fn probe(&self, life: &Incarnation, addr: SocketAddr) -> Client {
+        let mut probes = self.probes.borrow_mut();
+        match probes.get(life) {
+            Some(client) if client.peer() == addr => client.clone(),
+            _ => {
+                let client = Client::new(addr);
+                probes.insert(life.clone(), client.clone());
+                client
+            }
+        }
     }
 
     /// An endpoint told that it takes nothing more.
-    pub(crate) fn believe_leaving(&self, id: &str) {
+    pub(crate) fn believe_leaving(&self, life: &Incarnation) {
         let now = Instant::now();
-        if self.beliefs.borrow_mut().believe_leaving(id, now) {
+        if self.beliefs.borrow_mut().believe_leaving(life, now) {
             let source = self.settings.instance.as_str();
-            info!("endpoint told that it leaves", kv: { endpoint = id, source });
+            info!("endpoint told that it leaves", kv: { endpoint = life.id.as_str(), source });
             self.refresh_paths();
             self.engines_changed.notify_waiters();
         }
     }
 
-    /// Whether an endpoint has ended or is cut off, as far as the lead can tell.
-    pub(crate) fn is_dead(&self, id: &str) -> bool {
+    /// Whether an endpoint has ended or is cut off, as far as the lead can tell, or its life is over
+    /// for good.
+    pub(crate) fn is_dead(&self, life: &Incarnation) -> bool {
+        if self.lives.borrow().is_over(life) {
+            return true;
+        }
         let beliefs = self.beliefs.borrow();
-        beliefs.engine(id, Instant::now()).is_some_and(|engine| engine.is_dead)
+        beliefs.engine(life, Instant::now()).is_some_and(|engine| engine.is_dead)
     }
 
     /// Whether an endpoint has ended, or failed just now as if it had.
-    pub(crate) fn is_lost(&self, id: &str) -> bool {
-        self.is_dead(id) || self.beliefs.borrow().is_suspect(id, Instant::now())
+    pub(crate) fn is_lost(&self, life: &Incarnation) -> bool {
+        self.has_ended(life)
+            || self.is_dead(life)
+            || self.beliefs.borrow().is_suspect(life, Instant::now())
     }
 
-    /// Whether the list holds an endpoint.
-    pub(crate) fn is_listed(&self, id: &str) -> bool {
-        self.knowledge.borrow().endpoint(id).is_some()
+    /// Whether the list holds an endpoint in this life.
+    pub(crate) fn is_listed(&self, life: &Incarnation) -> bool {
+        self.knowledge.borrow().is_current(life)
     }
 
     /// A request came in for a service.
--- a/crates/gateway/src/process/peer_message.rs
+++ b/crates/gateway/src/process/peer_message.rs
@@ -1,7 +1,7 @@
 //! What gateways tell each other, as datagrams.
 
 use serde::{Deserialize, Serialize};
-use sorrellock_routing::process::{EndpointId, LayerRange};
+use sorrellock_routing::process::{Incarnation, LayerRange, StartMillis};
 use sorrellock_routing::version::ConfigVersion;
 
 /// What a gateway tells all others, several times a second. The newest one replaces those before.
@@ -26,20 +26,31 @@
     /// What the sender's streams take, by the first engine of their path.
     pub(crate) loads: Vec<HeadLoad>,
     /// Engines that the sender takes to be dead or cut off, by its own streams.
-    pub(crate) suspects: Vec<EndpointId>,
+    pub(crate) suspects: Vec<Incarnation>,
     /// Endpoints that told the sender that they take nothing more.
-    pub(crate) leaving: Vec<EndpointId>,
+    pub(crate) leaving: Vec<Incarnation>,
+    /// Lives whose end the sender found by an answer of a later one, of late.
+    pub(crate) ended: Vec<EndedLife>,
     /// The sender leads, with this term.
     pub(crate) lead_term: Option<u64>,
     /// What the lead knows, where it is news or was not told for a while.
     pub(crate) lead: Option<LeadView>,
 }
 
+/// A life of an endpoint that is over, and the one that was found in its place.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub(crate) struct EndedLife {
+    /// The life that is over.
+    pub(crate) ended: Incarnation,
+    /// The start of the later one.
+    pub(crate) successor: Option<StartMillis>,
+}
+
 /// What one gateway's streams take on the paths that begin at one engine.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(crate) struct HeadLoad {
     /// The first engine.
-    pub(crate) head: EndpointId,
+    pub(crate) head: Incarnation,
     /// Tokens reserved by the streams.
     pub(crate) tokens: u32,
     /// The streams.
@@ -58,8 +69,8 @@
 /// What the lead knows of one engine.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(crate) struct EngineView {
-    /// Its id.
-    pub(crate) id: EndpointId,
+    /// The engine, in the life that the lead has heard.
+    pub(crate) life: Incarnation,
     /// The layers that requests may use.
     pub(crate) usable: LayerRange,
     /// Its step times against those of its kind.
--- a/crates/gateway/src/request/relay.rs
+++ b/crates/gateway/src/request/relay.rs
@@ -4,7 +4,7 @@
 use crate::request::Call;
 use crate::request::pace::Pace;
 use crate::request::repath::{LeaveBroken, Repath, RepathEnd};
-use crate::request::stream::{NotBegun, Run, begin, broken, expected_tokens, note_time};
+use crate::request::stream::{NotBegun, Run, begin, broken, has_other_path, note_time};
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use sorrellock_http::Part;
@@ -243,7 +243,7 @@
         let routes = gateway.knowledge.borrow().routes().cloned();
         let service = routes.as_ref().and_then(|routes| routes.service(&self.call.service));
         let Some(shape) = service.and_then(|service| service.model.as_ref()) else { return false };
-        let is_lost = |part: &&PathPart| gateway.is_lost(&part.id);
+        let is_lost = |part: &&PathPart| gateway.is_lost(&part.life);
         let missing = live.path.parts.iter().filter(is_lost).map(|part| part.layers.len()).sum();
         is_repair_worth_waiting(shape, missing, silent)
     }
@@ -274,7 +274,7 @@
         run.begun.in_flight.on_answered();
         let now = Instant::now();
         let pool = &self.gateway.pool;
-        pool.borrow_mut().keep(run.begun.addr, run.begun.connection, &run.begun.head, now);
+        pool.borrow_mut().keep(run.begun.life, run.begun.connection, &run.begun.head, now);
         if self.tx.send(Part::End).await.is_ok() {
             note_time(&self.gateway, &self.call);
             let why = format!(
@@ -282,7 +282,7 @@
                 self.events.events(),
                 self.pace,
                 self.mends,
-                run.place.live.path.first().id
+                run.place.live.path.first().life.id
             );
             self.call.end.tell(Count::Answered, "answered", 200, &why);
         }
@@ -303,16 +303,16 @@
         self.awaits_repair = false;
         if let Some(run) = self.run.take() {
             let live = &run.place.live;
-            if !self.gateway.is_listed(&live.path.first().id) {
+            if !self.gateway.is_listed(&live.path.first().life) {
                 // An engine without an entry that breaks off has ended.
-                ended = Some(live.path.first().id.clone());
+                ended = Some(live.path.first().life.clone());
             }
             check_path(&self.gateway, live);
-            self.attempts.on_failed(&live.path.first().id, Evidence::MayHaveRun);
+            self.attempts.on_failed(&live.path.first().life, Evidence::MayHaveRun);
             self.avoid.push(Rc::clone(live));
         }
         if let Some(ended) = ended.filter(|_| broke_off) {
-            self.attempts.forget_lost(|id| *id == ended);
+            self.attempts.forget_lost(|life| *life == ended);
         }
         if !self.call.route.semantics.may_repeat() {
             return self.cut(Count::Cut, &format!("{why}; it may not be resumed"));
@@ -347,7 +347,7 @@
                     info!("stream goes on", kv: {
                         request = self.call.id(), after:? = last,
                         data_centre = run.place.live.path.data_centre.as_str(),
-                        endpoint = run.place.live.path.first().id.as_str()
+                        endpoint = run.place.live.path.first().life.id.as_str()
                     });
                     self.run_began = Instant::now();
                     run.place.live.last_event.set(self.run_began);
@@ -379,27 +379,6 @@
     }
 }
 
-/// Whether a silent stream could go on over another path: else its run may still come back. It guards
-/// streams on slow paths: with the retry budget spent they were cut in mid-answer, though their runs
-/// lived (once in 40 days with faults).
-fn has_other_path(
-    gateway: &Gateway,
-    call: &Call,
-    attempts: &Attempts,
-    silent: &Rc<LivePath>,
-) -> bool {
-    let mut after = attempts.clone();
-    after.on_failed(&silent.path.first().id, Evidence::MayHaveRun);
-    let may_take =
-        |live: &Rc<LivePath>| !Rc::ptr_eq(live, silent) && after.may_send_to(&live.path.first().id);
-    let tokens = expected_tokens(call);
-    let paths = gateway.paths.borrow();
-    call.route.semantics.may_repeat()
-        && gateway.may_resume()
-        && gateway.may_repeat(&call.service)
-        && paths.has_place(&call.service, tokens, may_take, Instant::now())
-}
-
 fn next_of_frame(frame: Option<Result<hyper::body::Frame<Bytes>, hyper::Error>>) -> Next {
     match frame {
         None => Next::Ended,
--- a/crates/gateway/src/request/stream.rs
+++ b/crates/gateway/src/request/stream.rs
@@ -129,7 +129,7 @@
         if call.time_left().is_zero() {
             return Err(NotBegun::TimeOver);
         }
-        attempts.forget_lost(|id| gateway.is_dead(id));
+        attempts.forget_lost(|life| gateway.is_dead(life));
         let place = match place(gateway, call, attempts, avoid, room_until).await {
             Ok(place) => place,
             Err(none) => return Err(failure.map_or(NotBegun::NoPlace(none), NotBegun::Failure)),
@@ -141,7 +141,7 @@
         match try_path(gateway, call, place, last).await {
             Ok(run) if run.begun.answer.status() == StatusCode::OK => return Ok(run),
             Ok(run) => {
-                attempts.on_failed(&live.path.first().id, Evidence::MayHaveRun);
+                attempts.on_failed(&live.path.first().life, Evidence::MayHaveRun);
                 failure = Some(read_failure(call, run).await);
             }
             Err(failed) => on_failed(gateway, call, attempts, &live, &failed),
@@ -159,7 +159,7 @@
     until: Instant,
 ) -> Result<PathPlace, NoPlace> {
     let may_take = |live: &Rc<LivePath>| {
-        attempts.may_send_to(&live.path.first().id)
+        attempts.may_send_to(&live.path.first().life)
             && !avoid.iter().any(|other| Rc::ptr_eq(other, live))
     };
     let tokens = expected_tokens(call);
@@ -202,6 +202,28 @@
     pace.on_answered(expected_answer(call), call.arrived.elapsed());
 }
 
+/// Whether a silent stream could go on over another path: else its run may still come back. It guards
+/// streams on slow paths: with the retry budget spent they were cut in mid-answer, though their runs
+/// lived (once in 40 days with faults).
+pub(crate) fn has_other_path(
+    gateway: &Gateway,
+    call: &Call,
+    attempts: &Attempts,
+    silent: &Rc<LivePath>,
+) -> bool {
+    let mut after = attempts.clone();
+    after.on_failed(&silent.path.first().life, Evidence::MayHaveRun);
+    let may_take = |live: &Rc<LivePath>| {
+        !Rc::ptr_eq(live, silent) && after.may_send_to(&live.path.first().life)
+    };
+    let tokens = expected_tokens(call);
+    let paths = gateway.paths.borrow();
+    call.route.semantics.may_repeat()
+        && gateway.may_resume()
+        && gateway.may_repeat(&call.service)
+        && paths.has_place(&call.service, tokens, may_take, Instant::now())
+}
+
 async fn try_path(
     gateway: &Rc<Gateway>,
     call: &Call,
@@ -213,12 +235,12 @@
     let first = path.first();
     let ms = call.arrived.elapsed().as_millis() as u64;
     info!("request sent", kv: {
-        request = call.id(), endpoint = first.id.as_str(),
+        request = call.id(), endpoint = first.life.id.as_str(),
         data_centre = path.data_centre.as_str(), streams = place.live.streams.get(),
         after:? = last, ms
     });
     let target =
-        Target { id: first.id.clone(), addr: first.addr, path: &path.parts, last_event: last };
+        Target { life: first.life.clone(), addr: first.addr, path: &path.parts, last_event: last };
     let sending = attempt(gateway, call, &target, call.time_left());
     tokio::select! {
         begun = sending => begun.map(|begun| Run { begun, place }),
@@ -267,17 +289,17 @@
     failed: &Failed,
 ) {
     let first = live.path.first();
-    log_failed(gateway, call, &first.id, failed);
-    attempts.on_failed(&first.id, failed.evidence);
+    log_failed(gateway, call, &first.life, failed);
+    attempts.on_failed(&first.life, failed.evidence);
     let now = Instant::now();
     match failed.evidence {
-        Evidence::NotSent => gateway.suspect(&first.id, &failed.why),
+        Evidence::NotSent => gateway.suspect(&first.life, &failed.why),
         Evidence::NotRun => {
             // Another path through the engine that refused would bring the same answer.
             let refuser = failed.at_fault.unwrap_or(first.addr);
             live.avoid(now + REFUSED_AVOID);
             gateway.paths.borrow().avoid_through(&call.service, refuser, now + REFUSED_AVOID);
-            return check_refuser(gateway, refuser);
+            return check_refuser(gateway, refuser, failed.is_misdirected);
         }
         Evidence::MayHaveRun => live.avoid(now + SILENT_AVOID),
     }
