Tests: entries that name no engine cost no other entry (they fail on this code)

Cause: a list or a watch is decoded as one body, an unknown state counts as leaving, missing slots as none, and a known endpoint keeps its place when its entry is overwritten. The stand-in store can answer any bytes as a spec, and a plain service counts what it is asked.

--- a/crates/daemon/tests/gateway/main.rs
+++ b/crates/daemon/tests/gateway/main.rs
@@ -1,5 +1,6 @@
 //! The gateway as a process, on stand-ins of the users' platform.
 
+mod entries;
 mod fleet;
 mod gateway_process;
 mod knowledge;
