Entries, lists and watches are read object by object: one that can't be read costs no other

Cause: a list or watch was decoded as one body, and an entry with guesses for what was missing or unknown. Ruled out: lossy conversion of the body (a genuine U+FFFD would be refused too): bytes that are no UTF-8 get a mark that the body doesn't hold. The frame is JSON or its broken elements are cut out at the next element's begin (sorrellock-json); metadata and spec are read on their own; each field of an entry is read by itself into an endpoint or an EntryFault with field and what was found, cut.

--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -1,15 +1,18 @@
-//! The HTTP/1.1 listener shared by the entry and the stand-ins.
+//! The HTTP/1.1 listener shared by the entry and the stand-ins, and the gateway's client for calls
+//! besides requests.
 //!
-//! A small runtime on a thread of its own holds nothing but the listener and its
+//! The listener: a small runtime on a thread of its own holds nothing but the listener and its
 //! connections. It reads whole requests and hands them over a bounded channel to
 //! plain threads, which answer through a [`Responder`] at once or later, from any
 //! thread, whole or as a stream of chunks.
 
+mod client;
 mod connection;
 mod process;
 mod request;
 
 pub use bytes::Bytes;
+pub use client::{Answer, CallError, Client};
 pub use connection::{Activity, Doing, WatchedIo};
 pub use process::{Counters, Server, ServerConfig, listen};
 pub use process::{
--- a/crates/routing/src/process/mod.rs
+++ b/crates/routing/src/process/mod.rs
@@ -1,16 +1,20 @@
 //! What lives as long as a process.
 
 mod endpoint;
+mod entry_fault;
 mod incarnation;
 mod leaving;
 mod pipeline_path;
 pub mod placement;
 mod repair_forecast;
 mod retry_window;
+mod start_rule;
 
 pub use endpoint::*;
+pub use entry_fault::*;
 pub use incarnation::*;
 pub use leaving::*;
 pub use pipeline_path::*;
 pub use repair_forecast::*;
 pub use retry_window::*;
+pub use start_rule::*;
--- /dev/null
+++ b/crates/routing/tests/entries.rs
@@ -0,0 +1,58 @@
+//! Faults of entries, and whether an entry must tell a start.
+
+use sorrellock_routing::process::{
+    Endpoint, EntryFault, FaultKind, LayerRange, cut, do_most_tell_start, is_start_untold,
+};
+
+fn endpoint(id: &str, started: Option<u64>) -> Endpoint {
+    Endpoint {
+        id: id.into(),
+        started,
+        service: "s".into(),
+        addr: ([127, 0, 0, 1], 1).into(),
+        data_centre: "north".into(),
+        is_leaving: false,
+        card: None,
+        layers: LayerRange::default(),
+        slots: 1,
+    }
+}
+
+fn endpoints(with_start: usize, without: usize) -> Vec<Endpoint> {
+    let told = (0..with_start).map(|index| endpoint(&format!("t{index}"), Some(5)));
+    told.chain((0..without).map(|index| endpoint(&format!("u{index}"), None))).collect()
+}
+
+#[test]
+fn a_start_is_asked_for_only_where_more_than_half_tell_theirs() {
+    let table = [(0, 0, false), (0, 9, false), (4, 5, false), (5, 5, false), (5, 4, true)];
+
+    for (with_start, without, expected) in table {
+        let most = do_most_tell_start(&endpoints(with_start, without));
+
+        assert_eq!(most, expected, "{with_start} with, {without} without");
+    }
+}
+
+#[test]
+fn an_endpoint_that_told_its_start_once_must_go_on_to_tell_it() {
+    let (told, untold) = (endpoint("e", Some(5)), endpoint("e", None));
+
+    assert!(is_start_untold(&untold, Some(&told), false));
+    assert!(!is_start_untold(&untold, Some(&untold), false));
+    assert!(!is_start_untold(&untold, None, false));
+    assert!(is_start_untold(&untold, None, true));
+    assert!(!is_start_untold(&told, Some(&untold), true));
+}
+
+#[test]
+fn what_was_found_is_cut_and_shows_no_control_characters() {
+    let fault =
+        EntryFault::malformed("state", &format!("\u{1b}[2J\n{}", "\u{202e}".repeat(900_000)));
+
+    let text = fault.to_string();
+    assert!(text.len() < 700, "{} bytes", text.len());
+    assert!(text.chars().all(|c| c.is_ascii_graphic() || c == ' '), "{text}");
+    assert_eq!((fault.kind(), fault.field()), (FaultKind::Malformed, Some("state")));
+    assert_eq!(cut("plain text"), "plain text");
+}
