A known endpoint whose entry names none gets nothing new at once, and is back when it is whole

Cause: on_object logged an entry that it couldn't use and kept the belief of before; an unreadable registration or lead's object was passed over in silence, and bytes that can't be read in the lead's object kept every gateway from the lead. Ruled out: asking the endpoint's health (an endpoint is used by what its entry says, and that says nothing that holds); taking it for removed at once (its layers would be loaded elsewhere, though an engine writes its entry again within a heartbeat or two). Change: one typed state of a known entry (listed, missing since, unusable since) in place of a flag; refused entries are remembered, bounded, with their fault; handovers tell them with their age; paths, plans, orders, reports, plain calls, questions after refusals and kept connections pass over unusable ones. An entry without a start is refused where most tell theirs, or this one did, judged anew with each batch. Registrations and the lead's object: told once and counted. Metrics by reason, and the state at /dump.

--- a/crates/gateway/src/process/counters.rs
+++ b/crates/gateway/src/process/counters.rs
@@ -70,6 +70,22 @@
     PeerMessages => "peer_messages",
     /// Messages from other gateways that can't be read.
     PeerMessagesBad => "peer_messages_bad",
+    /// Entries of endpoints that can't be read at all.
+    EntriesUnreadable => "entries_unreadable",
+    /// Entries of endpoints that lack a field.
+    EntriesIncomplete => "entries_incomplete",
+    /// Entries of endpoints with a field of another type or value.
+    EntriesMalformed => "entries_malformed",
+    /// Entries of endpoints that don't tell their start where others do.
+    EntriesWithoutStart => "entries_without_start",
+    /// Objects in the store of which not even the name can be read.
+    NamelessObjects => "nameless_objects",
+    /// Registrations of gateways that can't be used.
+    RegistrationsRefused => "registrations_refused",
+    /// Objects of the lead that can't be used.
+    LeadRecordsRefused => "lead_records_refused",
+    /// Configurations that can't be used.
+    ConfigurationsRefused => "configurations_refused",
     /// Connections refused as there were too many.
     ConnectionsRefused => "connections_refused",
 }
--- /dev/null
+++ b/crates/gateway/src/process/dump.rs
@@ -0,0 +1,196 @@
+//! The state of a gateway on request, as JSON.
+
+use crate::process::{EntryState, Gateway, Knowledge, KnownEndpoint, Phase};
+use serde::Serialize;
+use sorrellock_platform::Revision;
+use sorrellock_routing::process::{FOUND_MOST, FaultKind, LayerRange, cut};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use tokio::time::Instant;
+
+/// The most elements of each list: more than the largest deployment has endpoints.
+const MOST_ELEMENTS: usize = 1_024;
+
+/// The state of a gateway. Ages are in ms.
+#[derive(Serialize)]
+pub(crate) struct Dump {
+    instance: String,
+    phase: &'static str,
+    config_version: u64,
+    endpoints_at: Revision,
+    lead: Option<LeadDump>,
+    gateways: Vec<GatewayDump>,
+    endpoints: Vec<EndpointDump>,
+    refused_by_reason: BTreeMap<FaultKind, usize>,
+    refused_entries: Vec<RefusedDump>,
+    paths: Vec<PathDump>,
+    /// Elements that the lists leave out.
+    left_out: usize,
+}
+
+#[derive(Serialize)]
+struct LeadDump {
+    is_own: bool,
+    term: u64,
+    heard_ms: u64,
+}
+
+#[derive(Serialize)]
+struct GatewayDump {
+    instance: String,
+    addr: SocketAddr,
+    heard_ms: u64,
+    config_version: u64,
+    endpoints_at: Revision,
+}
+
+#[derive(Serialize)]
+struct EndpointDump {
+    id: String,
+    started: Option<u64>,
+    service: String,
+    addr: SocketAddr,
+    data_centre: String,
+    is_leaving: bool,
+    layers: LayerRange,
+    revision: Revision,
+    /// `listed`, `missing` or `unusable`.
+    entry: &'static str,
+    entry_ms: Option<u64>,
+    why: Option<String>,
+}
+
+#[derive(Serialize)]
+struct RefusedDump {
+    id: String,
+    revision: Revision,
+    why: String,
+}
+
+#[derive(Serialize)]
+struct PathDump {
+    service: String,
+    data_centre: String,
+    engines: Vec<String>,
+    /// Tokens that it has room for, as a whole.
+    room: f64,
+    /// Tokens that streams of this gateway reserve.
+    tokens: f64,
+    /// Streams of this gateway.
+    streams: u32,
+    is_superseded: bool,
+    is_retiring: bool,
+    is_broken: bool,
+}
+
+impl Dump {
+    /// The state of a gateway now.
+    pub(crate) fn of(gateway: &Gateway, now: Instant) -> Dump {
+        let knowledge = gateway.knowledge.borrow();
+        let endpoints = knowledge.known_endpoints().map(|known| endpoint(known, now));
+        let refused = knowledge.refused().iter().map(|(id, entry)| RefusedDump {
+            id: cut(id, FOUND_MOST),
+            revision: entry.revision,
+            why: entry.fault.to_string(),
+        });
+        let mut refused_by_reason = BTreeMap::new();
+        for (_, entry) in knowledge.refused().iter() {
+            *refused_by_reason.entry(entry.fault.kind()).or_default() += 1;
+        }
+        let mut left_out = 0;
+        Dump {
+            instance: gateway.settings.instance.clone(),
+            phase: phase_name(*gateway.phase.borrow()),
+            config_version: knowledge.config_version(),
+            endpoints_at: knowledge.endpoints_at(),
+            lead: lead(gateway, now),
+            gateways: bounded(gateways(gateway, now).into_iter(), &mut left_out),
+            endpoints: bounded(endpoints, &mut left_out),
+            refused_by_reason,
+            refused_entries: bounded(refused, &mut left_out),
+            paths: bounded(paths(gateway, &knowledge).into_iter(), &mut left_out),
+            left_out,
+        }
+    }
+}
+
+fn bounded<T>(mut all: impl Iterator<Item = T>, left_out: &mut usize) -> Vec<T> {
+    let kept = all.by_ref().take(MOST_ELEMENTS).collect();
+    *left_out += all.count();
+    kept
+}
+
+fn phase_name(phase: Phase) -> &'static str {
+    match phase {
+        Phase::Running => "running",
+        Phase::Leaving => "leaving",
+        Phase::Closing => "closing",
+    }
+}
+
+fn millis(since: Instant, now: Instant) -> u64 {
+    (now - since).as_millis() as u64
+}
+
+fn lead(gateway: &Gateway, now: Instant) -> Option<LeadDump> {
+    let beliefs = gateway.beliefs.borrow();
+    let (view, heard) = beliefs.lead(now)?;
+    let (term, heard_ms) = (view.term, millis(heard, now));
+    Some(LeadDump { is_own: gateway.leads.get(), term, heard_ms })
+}
+
+fn gateways(gateway: &Gateway, now: Instant) -> Vec<GatewayDump> {
+    let beliefs = gateway.beliefs.borrow();
+    let live = beliefs.live_peers(now).map(|peer| GatewayDump {
+        instance: peer.message.instance.clone(),
+        addr: peer.addr,
+        heard_ms: millis(peer.heard, now),
+        config_version: peer.message.config_version,
+        endpoints_at: peer.message.endpoints_at,
+    });
+    live.collect()
+}
+
+fn endpoint(known: &KnownEndpoint, now: Instant) -> EndpointDump {
+    let endpoint = &known.endpoint;
+    let (entry, since, why) = match &known.entry {
+        EntryState::Listed => ("listed", None, None),
+        EntryState::MissingSince(since) => ("missing", Some(*since), None),
+        EntryState::UnusableSince(since, fault) => {
+            ("unusable", Some(*since), Some(fault.to_string()))
+        }
+    };
+    EndpointDump {
+        id: endpoint.id.clone(),
+        started: endpoint.started,
+        service: endpoint.service.clone(),
+        addr: endpoint.addr,
+        data_centre: endpoint.data_centre.clone(),
+        is_leaving: endpoint.is_leaving,
+        layers: endpoint.layers,
+        revision: known.revision,
+        entry,
+        entry_ms: since.map(|since| millis(since, now)),
+        why,
+    }
+}
+
+fn paths(gateway: &Gateway, knowledge: &Knowledge) -> Vec<PathDump> {
+    let Some(routes) = knowledge.routes() else { return Vec::new() };
+    let book = gateway.paths.borrow();
+    let mut paths = Vec::new();
+    for service in &routes.cfg().services {
+        paths.extend(book.paths(&service.name).iter().map(|live| PathDump {
+            service: service.name.clone(),
+            data_centre: live.path.data_centre.clone(),
+            engines: live.path.parts.iter().map(|part| part.id.clone()).collect(),
+            room: live.path.token_room,
+            tokens: live.tokens.get(),
+            streams: live.streams.get(),
+            is_superseded: live.is_superseded.get(),
+            is_retiring: live.is_retiring.get(),
+            is_broken: live.is_broken.get(),
+        }));
+    }
+    paths
+}
--- a/crates/gateway/src/process/gateway.rs
+++ b/crates/gateway/src/process/gateway.rs
@@ -1,12 +1,12 @@
 //! What all parts of a gateway share.
 
 use crate::process::{
-    Beliefs, Count, Counters, EndpointNews, Handover, Knowledge, PathBook, Pool, SUSPECT_FOR,
+    Beliefs, Count, Counters, Handover, Knowledge, PathBook, Pool, SUSPECT_FOR, ToldFaults,
 };
 use sorrellock_core::clock::SystemClock;
 use sorrellock_core::process::retries::Breakers;
-use sorrellock_platform::{Bounds, Client, EndpointLoad, Revision, Settings};
-use sorrellock_routing::process::{Endpoint, EndpointId, Leaving, RetryWindow};
+use sorrellock_platform::{Bounds, Client, EndpointLoad, Settings};
+use sorrellock_routing::process::{EndpointId, Leaving, RetryWindow};
 use sorrellock_routing::version::{Configuration, ServiceName};
 use spdlog::{info, warn};
 use std::cell::{Cell, RefCell};
@@ -49,6 +49,8 @@
     pub(crate) counters: Counters,
     pub(crate) knowledge: RefCell<Knowledge>,
     pub(crate) beliefs: RefCell<Beliefs>,
+    /// Faults of objects in the store that the log has told.
+    pub(crate) told_faults: RefCell<ToldFaults>,
     pub(crate) paths: Rc<RefCell<PathBook>>,
     pub(crate) pool: RefCell<Pool>,
     pub(crate) uses: RefCell<HashMap<EndpointId, EndpointUse>>,
@@ -91,6 +93,7 @@
             counters: Counters::new(),
             knowledge,
             beliefs: RefCell::default(),
+            told_faults: RefCell::default(),
             paths: Rc::default(),
             pool: RefCell::default(),
             uses: RefCell::default(),
@@ -148,28 +151,6 @@
         self.engines_changed.notify_waiters();
     }
 
-    /// Takes an endpoint's entry.
-    pub(crate) fn apply_endpoint(&self, endpoint: Endpoint, revision: Revision, source: &str) {
-        let id = endpoint.id.clone();
-        let addr = endpoint.addr.to_string();
-        let (data_centre, layers) = (endpoint.data_centre.clone(), endpoint.layers);
-        let service = endpoint.service.clone();
-        let news = self.knowledge.borrow_mut().apply_endpoint(endpoint, revision);
-        let what = match news {
-            EndpointNews::Nothing => return,
-            EndpointNews::Joined => "endpoint joined",
-            EndpointNews::Leaving => "endpoint leaving",
-            EndpointNews::Back => "entry of an endpoint is back",
-            EndpointNews::Changed => "endpoint changed",
-        };
-        let (from, to) = (layers.from, layers.to);
-        info!("{}", what, kv: {
-            endpoint = id.as_str(), service = service.as_str(), addr = addr.as_str(),
-            data_centre = data_centre.as_str(), from, to, revision, source
-        });
-        self.engines_changed.notify_waiters();
-    }
-
     /// An endpoint's entry is gone.
     pub(crate) fn remove_endpoint(&self, id: &str, source: &str) {
         if self.knowledge.borrow_mut().remove_endpoint(id) {
@@ -193,12 +174,15 @@
             return;
         }
         let listed = handover.listed.into_iter().collect();
+        let told = handover.endpoints.iter().map(|known| &known.endpoint);
+        self.knowledge.borrow_mut().note_starts(told);
         for known in handover.endpoints {
             if self.knowledge.borrow().is_missing_at(&known.endpoint.id, known.revision) {
                 continue;
             }
             self.apply_endpoint(known.endpoint, known.revision, from);
         }
+        self.hear_refused(handover.refused, from);
         let now = Instant::now();
         for (id, missing_for) in &handover.missing {
             if self.knowledge.borrow_mut().hear_missing(id, *missing_for, now) {
@@ -212,6 +196,7 @@
         for id in gone {
             self.remove_endpoint(&id, from);
         }
+        self.judge_starts(from);
         self.knowledge.borrow_mut().advance(handover.endpoints_at);
         self.refresh_paths();
     }
--- a/crates/gateway/src/process/knowledge.rs
+++ b/crates/gateway/src/process/knowledge.rs
@@ -1,8 +1,11 @@
 //! What a gateway knows of the configuration and of the endpoints. It only ever gets newer.
 
+use crate::process::{RefusedEntries, RefusedEntry};
 use serde::{Deserialize, Serialize};
 use sorrellock_platform::Revision;
-use sorrellock_routing::process::{Endpoint, EndpointId};
+use sorrellock_routing::process::{
+    Endpoint, EndpointId, EntryFault, do_most_tell_start, is_start_untold,
+};
 use sorrellock_routing::version::{ConfigVersion, Configuration, RouteTable};
 use std::collections::{BTreeMap, HashSet};
 use std::rc::Rc;
@@ -15,21 +18,57 @@
 const MISSING_GETS_WORK_MOST: Duration = Duration::from_secs(2);
 /// The way of a request goes off the time within which a leaving endpoint may get its last one.
 const LEAVE_MARGIN: Duration = Duration::from_millis(200);
-/// For how long its layers are planned for: entries come back at two seconds, not before.
-const MISSING_GRACE: Duration = Duration::from_millis(3_500);
+/// For how long its layers are planned for: entries come back at two seconds, not before. An engine
+/// writes over an entry that can't be used with its next heartbeat or the one after.
+const ENTRY_GRACE: Duration = Duration::from_millis(3_500);
 /// The most removed endpoints that are remembered, so that an older page doesn't bring them back.
 const MAX_REMOVED: usize = 4_096;
 
+/// What became of a known endpoint's entry.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub(crate) enum EntryState {
+    /// It is in the list, and whole.
+    #[default]
+    Listed,
+    /// It is missing, and may come back.
+    MissingSince(Instant),
+    /// It names no endpoint to use, and may be whole again.
+    UnusableSince(Instant, EntryFault),
+}
+
+impl EntryState {
+    /// Since when the endpoint stays only for a while.
+    fn since(&self) -> Option<Instant> {
+        match self {
+            EntryState::Listed => None,
+            EntryState::MissingSince(since) | EntryState::UnusableSince(since, _) => Some(*since),
+        }
+    }
+
+    fn is_unusable(&self) -> bool {
+        matches!(self, EntryState::UnusableSince(..))
+    }
+}
+
 /// An endpoint with the revision of its entry.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(crate) struct KnownEndpoint {
-    /// What its entry tells.
+    /// What its entry tells, or told when it was whole last.
     pub(crate) endpoint: Endpoint,
     /// Revision of the entry.
     pub(crate) revision: Revision,
-    /// Since when the entry is missing, and may come back.
+    /// What became of the entry.
     #[serde(skip)]
-    pub(crate) missing_since: Option<Instant>,
+    pub(crate) entry: EntryState,
+}
+
+impl KnownEndpoint {
+    /// Its entry is missing. One that couldn't be used before is no more usable for that.
+    fn note_missing(&mut self, now: Instant) {
+        if self.entry == EntryState::Listed {
+            self.entry = EntryState::MissingSince(now);
+        }
+    }
 }
 
 /// What one gateway hands to another that can't reach the store.
@@ -42,9 +81,43 @@
     pub(crate) listed: Vec<EndpointId>,
     /// Those of them whose entry is missing, and for how long.
     pub(crate) missing: Vec<(EndpointId, Duration)>,
+    /// Entries that can't be used, of those that changed.
+    #[serde(default)]
+    pub(crate) refused: Vec<RefusalTold>,
     pub(crate) endpoints_at: Revision,
 }
 
+/// An entry that can't be used, as one gateway hands it to another.
+#[derive(Debug, Serialize, Deserialize)]
+pub(crate) struct RefusalTold {
+    pub(crate) id: EndpointId,
+    pub(crate) entry: RefusedEntry,
+    /// For how long it has been so, where its endpoint is known.
+    pub(crate) lasts: Duration,
+}
+
+/// Entries whose start is judged otherwise than before.
+#[derive(Debug, Default)]
+pub(crate) struct StartVerdicts {
+    /// They must tell a start, and don't.
+    pub(crate) refused: Vec<(Endpoint, Revision)>,
+    /// They needn't any more.
+    pub(crate) accepted: Vec<(Endpoint, Revision)>,
+}
+
+/// What a refused entry means.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Refusal {
+    /// A newer entry is known.
+    Outdated,
+    /// No endpoint is known by it.
+    OfUnknown,
+    /// A known endpoint has had no usable entry before.
+    Again,
+    /// A known endpoint had a usable entry before.
+    OfKnown,
+}
+
 /// What changed of an endpoint.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum EndpointNews {
@@ -52,7 +125,7 @@
     Joined,
     /// Its entry says that it leaves.
     Leaving,
-    /// Its entry was missing, and is there again.
+    /// Its entry was missing or couldn't be used, and is whole again.
     Back,
     /// Its entry changed otherwise.
     Changed,
@@ -65,6 +138,9 @@
     routes: Option<Rc<RouteTable>>,
     endpoints: BTreeMap<EndpointId, KnownEndpoint>,
     removed: HashSet<EndpointId>,
+    refused: RefusedEntries,
+    /// Most endpoints tell their start: an entry without one is refused.
+    is_start_required: bool,
     endpoints_at: Revision,
     missing_gets_work: Duration,
 }
@@ -77,6 +153,8 @@
             routes: None,
             endpoints: BTreeMap::new(),
             removed: HashSet::new(),
+            refused: RefusedEntries::default(),
+            is_start_required: false,
             endpoints_at: 0,
             missing_gets_work: missing_gets_work(leave_within),
         }
@@ -107,10 +185,28 @@
         self.endpoints.values().map(|known| &known.endpoint)
     }
 
+    /// The endpoints that are known, with what became of their entries.
+    pub(crate) fn known_endpoints(&self) -> impl Iterator<Item = &KnownEndpoint> {
+        self.endpoints.values()
+    }
+
+    /// The endpoints whose entry was whole when it was read last.
+    pub(crate) fn usable_endpoints(&self) -> impl Iterator<Item = &Endpoint> {
+        let usable = self.endpoints.values().filter(|known| !known.entry.is_unusable());
+        usable.map(|known| &known.endpoint)
+    }
+
+    /// The entries that can't be used.
+    pub(crate) fn refused(&self) -> &RefusedEntries {
+        &self.refused
+    }
+
     /// The endpoints that may get new work, as far as their list tells.
     pub(crate) fn open_endpoints(&self, now: Instant) -> impl Iterator<Item = &Endpoint> {
-        let is_here = move |known: &&KnownEndpoint| {
-            known.missing_since.is_none_or(|since| now - since < self.missing_gets_work)
+        let is_here = move |known: &&KnownEndpoint| match known.entry {
+            EntryState::Listed => true,
+            EntryState::MissingSince(since) => now - since < self.missing_gets_work,
+            EntryState::UnusableSince(..) => false,
         };
         let open = self.endpoints.values().filter(is_here).map(|known| &known.endpoint);
         open.filter(|endpoint| !endpoint.is_leaving)
@@ -151,13 +247,14 @@
             }
             self.removed.remove(&endpoint.id);
         }
-        if before.is_some_and(|known| known.revision > revision) {
+        let is_older = before.is_some_and(|known| known.revision > revision);
+        if is_older || self.refused.get(&endpoint.id).is_some_and(|it| it.revision > revision) {
             return EndpointNews::Nothing;
         }
         let news = match before {
             None if endpoint.is_leaving => EndpointNews::Leaving,
             None => EndpointNews::Joined,
-            Some(known) if known.missing_since.is_some() && !endpoint.is_leaving => {
+            Some(known) if known.entry != EntryState::Listed && !endpoint.is_leaving => {
                 EndpointNews::Back
             }
             Some(known) if known.endpoint == endpoint => EndpointNews::Nothing,
@@ -166,24 +263,99 @@
             }
             Some(_) => EndpointNews::Changed,
         };
-        let known = KnownEndpoint { endpoint, revision, missing_since: None };
+        self.refused.remove(&endpoint.id);
+        let known = KnownEndpoint { endpoint, revision, entry: EntryState::Listed };
         self.endpoints.insert(known.endpoint.id.clone(), known);
         news
     }
 
     /// An entry is gone for good.
     pub(crate) fn remove_endpoint(&mut self, id: &str) -> bool {
-        if self.removed.len() < MAX_REMOVED {
-            self.removed.insert(id.to_owned());
-        }
+        self.remember_removed(id);
+        self.refused.remove(id);
         self.endpoints.remove(id).is_some()
     }
 
+    /// Takes an entry that names no endpoint to use, which has been so since `since`. A known endpoint
+    /// stays for a while, and gets nothing new.
+    pub(crate) fn refuse_endpoint(
+        &mut self,
+        id: &str,
+        entry: RefusedEntry,
+        since: Instant,
+    ) -> Refusal {
+        let (revision, fault) = (entry.revision, entry.fault.clone());
+        let told_start = entry.told_start || self.told_start(id);
+        let known = self.endpoints.get_mut(id);
+        let is_older = known.as_ref().is_some_and(|known| known.revision > revision);
+        if is_older || self.refused.get(id).is_some_and(|before| before.revision > revision) {
+            return Refusal::Outdated;
+        }
+        self.refused.insert(id, RefusedEntry { told_start, ..entry });
+        let Some(known) = known else { return Refusal::OfUnknown };
+        known.revision = revision;
+        let was_unusable = known.entry.is_unusable();
+        let since = known.entry.since().map_or(since, |before| before.min(since));
+        known.entry = EntryState::UnusableSince(since, fault);
+        if was_unusable { Refusal::Again } else { Refusal::OfKnown }
+    }
+
+    /// Whether a known endpoint's entry can't be used.
+    pub(crate) fn is_unusable(&self, id: &str) -> bool {
+        self.endpoints.get(id).is_some_and(|known| known.entry.is_unusable())
+    }
+
+    /// An entry that couldn't be used is gone. What is known of its endpoint goes in its time.
+    pub(crate) fn forget_refused(&mut self, id: &str) {
+        self.refused.remove(id);
+    }
+
+    /// Works out whether entries must tell a start, with those that were just read.
+    pub(crate) fn note_starts<'a>(&mut self, read: impl Iterator<Item = &'a Endpoint> + Clone) {
+        let new: HashSet<&EndpointId> = read.clone().map(|endpoint| &endpoint.id).collect();
+        let refused = self.refused.endpoints();
+        let refused = refused.filter(|endpoint| !self.endpoints.contains_key(&endpoint.id));
+        let before = self.endpoints().chain(refused).filter(|one| !new.contains(&one.id));
+        let mut all: Vec<&Endpoint> = before.collect();
+        for endpoint in read {
+            all.push(endpoint);
+        }
+        self.is_start_required = do_most_tell_start(all);
+    }
+
+    /// Whether an entry lacks a start that it must tell.
+    pub(crate) fn lacks_start(&self, endpoint: &Endpoint) -> bool {
+        is_start_untold(endpoint, self.told_start(&endpoint.id), self.is_start_required)
+    }
+
+    /// Whether an endpoint told its start before.
+    fn told_start(&self, id: &str) -> bool {
+        self.endpoint(id).is_some_and(|endpoint| endpoint.started.is_some())
+            || self.refused.get(id).is_some_and(|entry| entry.told_start)
+    }
+
+    /// Entries that are judged otherwise by what is known of starts by now.
+    pub(crate) fn start_verdicts(&mut self) -> StartVerdicts {
+        let usable = self.endpoints.values().filter(|known| !known.entry.is_unusable());
+        let refused = usable.filter(|known| self.lacks_start(&known.endpoint));
+        let refused = refused.map(|known| (known.endpoint.clone(), known.revision)).collect();
+        let accepted = self.refused.iter().filter_map(|(_, entry)| {
+            let endpoint = entry.endpoint.as_ref().filter(|one| !self.lacks_start(one))?;
+            Some((endpoint.clone(), entry.revision))
+        });
+        let accepted: Vec<(Endpoint, Revision)> = accepted.collect();
+        for (endpoint, _) in &accepted {
+            // Its entry is as old as before, and counts.
+            self.removed.remove(&endpoint.id);
+        }
+        StartVerdicts { refused, accepted }
+    }
+
     /// An entry is gone that may have lapsed: its endpoint stays for a while, if it wasn't leaving.
     pub(crate) fn mark_missing(&mut self, id: &str, now: Instant) -> bool {
         match self.endpoints.get_mut(id) {
             Some(known) if !known.endpoint.is_leaving => {
-                known.missing_since.get_or_insert(now);
+                known.note_missing(now);
                 true
             }
             _ => false,
@@ -204,13 +376,15 @@
     /// entry may only have lapsed.
     pub(crate) fn mark_unlisted(&mut self, listed: &HashSet<EndpointId>, now: Instant) {
         for (_, known) in self.endpoints.iter_mut().filter(|(id, _)| !listed.contains(*id)) {
-            known.missing_since.get_or_insert(now);
+            known.note_missing(now);
         }
+        self.refused.retain(|id| listed.contains(id));
     }
 
     /// Whether an endpoint's entry is missing, and may come back.
     pub(crate) fn is_missing(&self, id: &str) -> bool {
-        self.endpoints.get(id).is_some_and(|known| known.missing_since.is_some())
+        let entry = self.endpoints.get(id).map(|known| &known.entry);
+        matches!(entry, Some(EntryState::MissingSince(_)))
     }
 
     /// Whether the entry of `revision`, or a newer one, is known to be missing: another gateway that
@@ -219,26 +393,47 @@
         self.is_missing(id) && self.endpoints[id].revision >= revision
     }
 
-    /// Gives up entries that have been missing for too long. Tells which.
-    pub(crate) fn expire_missing(&mut self, now: Instant) -> Vec<EndpointId> {
-        let is_over = |known: &&KnownEndpoint| {
-            known.missing_since.is_some_and(|since| now - since >= MISSING_GRACE)
-        };
+    /// Gives up endpoints whose entry has been missing or unusable for too long. Tells which, and
+    /// what became of the entry.
+    pub(crate) fn expire(&mut self, now: Instant) -> Vec<(EndpointId, EntryState)> {
+        let is_over =
+            |known: &&KnownEndpoint| known.entry.since().is_some_and(|at| now - at >= ENTRY_GRACE);
         let over = self.endpoints.values().filter(is_over);
-        let over: Vec<EndpointId> = over.map(|known| known.endpoint.id.clone()).collect();
-        for id in &over {
-            self.remove_endpoint(id);
+        let over: Vec<_> =
+            over.map(|known| (known.endpoint.id.clone(), known.entry.clone())).collect();
+        for (id, _) in &over {
+            self.remember_removed(id);
+            self.endpoints.remove(id);
         }
         over
     }
 
+    fn remember_removed(&mut self, id: &str) {
+        if self.removed.len() < MAX_REMOVED {
+            self.removed.insert(id.to_owned());
+        }
+    }
+
     /// Another gateway has missed an entry for `missing_for`, if that is longer than this one has.
     pub(crate) fn hear_missing(&mut self, id: &str, missing_for: Duration, now: Instant) -> bool {
         let Some(known) = self.endpoints.get_mut(id) else { return false };
         let since = now.checked_sub(missing_for).unwrap_or(now);
-        let is_news = known.missing_since.is_none();
-        known.missing_since = Some(known.missing_since.map_or(since, |own| own.min(since)));
-        is_news
+        match &mut known.entry {
+            EntryState::UnusableSince(..) => false,
+            EntryState::MissingSince(own) => {
+                *own = since.min(*own);
+                false
+            }
+            EntryState::Listed => {
+                known.entry = EntryState::MissingSince(since);
+                true
+            }
+        }
+    }
+
+    fn unusable_since(&self, id: &str) -> Option<Instant> {
+        let entry = &self.endpoints.get(id)?.entry;
+        entry.since().filter(|_| entry.is_unusable())
     }
 
     /// What another gateway is handed that has configuration `known` and knows the endpoints up to
@@ -249,15 +444,25 @@
         known_at: Revision,
         now: Instant,
     ) -> Handover {
-        let changed = self.endpoints.values().filter(|endpoint| endpoint.revision > known_at);
-        let missing_for =
-            |known: &KnownEndpoint| Some((known.endpoint.id.clone(), now - known.missing_since?));
+        let usable = self.endpoints.values().filter(|known| !known.entry.is_unusable());
+        let changed = usable.filter(|endpoint| endpoint.revision > known_at);
+        let missing_for = |known: &KnownEndpoint| match known.entry {
+            EntryState::MissingSince(since) => Some((known.endpoint.id.clone(), now - since)),
+            EntryState::Listed | EntryState::UnusableSince(..) => None,
+        };
+        let refused = self.refused.iter().filter(|(_, entry)| entry.revision > known_at);
+        let refused = refused.map(|(id, entry)| RefusalTold {
+            id: id.clone(),
+            entry: entry.clone(),
+            lasts: self.unusable_since(id).map_or(Duration::ZERO, |since| now - since),
+        });
         let newer = self.routes.as_ref().filter(|routes| routes.version() > known);
         Handover {
             configuration: newer.map(|routes| Configuration::clone(routes.cfg())),
             endpoints: changed.cloned().collect(),
             listed: self.endpoints.keys().cloned().collect(),
             missing: self.endpoints.values().filter_map(missing_for).collect(),
+            refused: refused.collect(),
             endpoints_at: self.endpoints_at,
         }
     }
--- a/crates/gateway/src/process/lead.rs
+++ b/crates/gateway/src/process/lead.rs
@@ -5,7 +5,7 @@
 
 use crate::process::{Count, Gateway};
 use serde::{Deserialize, Serialize};
-use sorrellock_platform::{Kind, Revision, Store, StoreError};
+use sorrellock_platform::{Kind, Revision, Store, StoreError, StoredObject};
 use spdlog::{info, warn};
 use std::rc::Rc;
 use std::time::Duration;
@@ -177,7 +177,7 @@
         self.gateway.counters.add(Count::StoreCalls);
         let record = self.record();
         match self.store.get(Kind::Leads, LEAD_NAME).await {
-            Ok(object) if object.read::<LeadRecord>().ok().as_ref() == Some(&record) => {
+            Ok(object) if self.read_record(&object).as_ref() == Some(&record) => {
                 Ok(object.revision)
             }
             Ok(object) => {
@@ -188,6 +188,17 @@
         }
     }
 
+    /// What the lead's object tells. One that can't be read names nobody, and is written over.
+    fn read_record(&self, object: &StoredObject) -> Option<LeadRecord> {
+        let record = object.read();
+        record
+            .inspect_err(|fault| {
+                let (count, what) = (Count::LeadRecordsRefused, "lead's object can't be read");
+                self.gateway.refuse_own_object(count, what, &object.name, fault);
+            })
+            .ok()
+    }
+
     fn record(&self) -> LeadRecord {
         let instance = self.gateway.settings.instance.clone();
         LeadRecord { instance, incarnation: self.gateway.incarnation }
--- a/crates/gateway/src/process/listeners.rs
+++ b/crates/gateway/src/process/listeners.rs
@@ -1,6 +1,7 @@
-//! The listeners besides the callers': readiness, metrics and handovers to other gateways.
+//! The listeners besides the callers': readiness, metrics, the state on request, and handovers to other
+//! gateways.
 
-use crate::process::{Gateway, peers::HANDOVER_PATH};
+use crate::process::{Dump, Gateway, peers::HANDOVER_PATH};
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
 use http_body_util::Full;
@@ -8,6 +9,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
+use serde::Serialize;
 use sorrellock_platform::Revision;
 use sorrellock_routing::version::ConfigVersion;
 use spdlog::warn;
@@ -23,8 +25,10 @@
 const READINESS_PATH: &str = "/v1/readiness";
 /// Where metrics are read.
 const METRICS_PATH: &str = "/metrics";
+/// Where the state is read.
+const DUMP_PATH: &str = "/dump";
 
-/// Answers readiness, metrics and handovers, for ever.
+/// Answers readiness, metrics, the state and handovers, for ever.
 pub(crate) async fn serve_side_pages(gateway: Rc<Gateway>, listener: TcpListener) {
     loop {
         match listener.accept().await {
@@ -53,6 +57,7 @@
         READINESS_PATH if gateway.is_ready() => (StatusCode::OK, Bytes::from_static(b"ready")),
         READINESS_PATH => (StatusCode::SERVICE_UNAVAILABLE, Bytes::from_static(b"not ready")),
         METRICS_PATH => (StatusCode::OK, Bytes::from(metrics(&gateway))),
+        DUMP_PATH => json(&Dump::of(&gateway, Instant::now())),
         path => match path.strip_prefix(HANDOVER_PATH).and_then(read_known) {
             Some((version, at)) => handover(&gateway, version, at),
             None => (StatusCode::NOT_FOUND, Bytes::from_static(b"no such page")),
@@ -71,8 +76,11 @@
 
 /// What this gateway knows that the asker doesn't.
 fn handover(gateway: &Gateway, version: ConfigVersion, at: Revision) -> (StatusCode, Bytes) {
-    let handover = gateway.knowledge.borrow().handover(version, at, Instant::now());
-    match serde_json::to_vec(&handover) {
+    json(&gateway.knowledge.borrow().handover(version, at, Instant::now()))
+}
+
+fn json(page: &impl Serialize) -> (StatusCode, Bytes) {
+    match serde_json::to_vec(page) {
         Ok(body) => (StatusCode::OK, Bytes::from(body)),
         Err(err) => (StatusCode::INTERNAL_SERVER_ERROR, Bytes::from(err.to_string())),
     }
--- a/crates/gateway/src/process/mod.rs
+++ b/crates/gateway/src/process/mod.rs
@@ -2,6 +2,8 @@
 
 mod beliefs;
 mod counters;
+mod dump;
+mod entries;
 mod gateway;
 mod knowledge;
 mod lead;
@@ -16,11 +18,14 @@
 mod peers;
 mod placer;
 mod pool;
+mod refused_entries;
 mod run;
 mod watchers;
 
 pub(crate) use beliefs::*;
 pub(crate) use counters::*;
+pub(crate) use dump::*;
+pub(crate) use entries::*;
 pub(crate) use gateway::*;
 pub(crate) use knowledge::*;
 pub(crate) use listeners::*;
@@ -31,4 +36,5 @@
 pub(crate) use path_place::*;
 pub(crate) use peer_message::*;
 pub(crate) use pool::*;
+pub(crate) use refused_entries::*;
 pub use run::*;
--- a/crates/gateway/src/process/path_check.rs
+++ b/crates/gateway/src/process/path_check.rs
@@ -97,7 +97,7 @@
     }
     let found = {
         let knowledge = gateway.knowledge.borrow();
-        let endpoint = knowledge.endpoints().find(|endpoint| endpoint.addr == addr);
+        let endpoint = knowledge.usable_endpoints().find(|endpoint| endpoint.addr == addr);
         endpoint.filter(|endpoint| !endpoint.is_leaving).and_then(|endpoint| {
             Some((endpoint.id.clone(), knowledge.health_path(endpoint)?.to_owned()))
         })
--- a/crates/gateway/src/process/path_refresh.rs
+++ b/crates/gateway/src/process/path_refresh.rs
@@ -22,11 +22,11 @@
                 if beliefs.engine(id, now).is_some_and(|engine| engine.is_dead) {
                     return EngineFate::Dead;
                 }
-                match knowledge.endpoint(id) {
+                match knowledge.endpoint(id).filter(|_| !knowledge.is_unusable(id)) {
                     Some(endpoint) if !endpoint.is_leaving && !beliefs.is_leaving(id, now) => {
                         EngineFate::Stays
                     }
-                    // It finishes what it runs for a while, also without an entry.
+                    // It finishes what it runs for a while, also without an entry to use.
                     _ => EngineFate::Leaves,
                 }
             };
--- a/crates/gateway/src/process/peers.rs
+++ b/crates/gateway/src/process/peers.rs
@@ -4,7 +4,7 @@
 use crate::process::{Count, Gateway, Handover, HeadLoad, LeadView, Load, Peer, PeerMessage};
 use http::Method;
 use serde::{Deserialize, Serialize};
-use sorrellock_platform::{Client, Kind, Store, StoreError};
+use sorrellock_platform::{Client, Kind, Store, StoreError, StoredObject};
 use sorrellock_routing::process::EndpointId;
 use spdlog::{info, warn};
 use std::cell::{Cell, RefCell};
@@ -272,14 +272,26 @@
             *is_written = true;
         }
         let listing = store.list(Kind::Gateways).await?;
-        let addrs = listing.objects.iter().filter_map(|object| {
-            object.read::<Registration>().ok().map(|registration| registration.addr)
-        });
+        self.gateway.refuse_nameless(&listing.nameless, "Gateways");
+        let addrs = listing.objects.iter().filter_map(|object| self.registered_addr(object));
         *self.registered.borrow_mut() = addrs.collect();
         self.gateway.beliefs.borrow_mut().registered = self.registered.borrow().len();
         Ok(())
     }
 
+    /// Where a registered gateway listens. One that can't be read costs no other.
+    fn registered_addr(&self, object: &StoredObject) -> Option<SocketAddr> {
+        match object.read::<Registration>() {
+            Ok(registration) => Some(registration.addr),
+            Err(fault) => {
+                let what = "registration of a gateway refused";
+                let count = Count::RegistrationsRefused;
+                self.gateway.refuse_own_object(count, what, &object.name, &fault);
+                None
+            }
+        }
+    }
+
     /// Asks another gateway for what it knows and this one doesn't, for ever.
     pub(crate) async fn catch_up(self: Rc<Self>) {
         let mut behind_since: Option<Instant> = None;
--- a/crates/gateway/src/process/placer/placer.rs
+++ b/crates/gateway/src/process/placer/placer.rs
@@ -114,8 +114,13 @@
         let here: HashMap<&EndpointId, &Endpoint> =
             here.filter(stays).map(|endpoint| (&endpoint.id, endpoint)).collect();
         let mut engines = self.engines.borrow_mut();
-        engines.retain(|id, _| here.contains_key(id));
+        engines.retain(|id, engine| {
+            here.contains_key(id) && (engine.report.is_some() || !knowledge.is_unusable(id))
+        });
         for (id, endpoint) in here {
+            if knowledge.is_unusable(id) {
+                continue;
+            }
             engines
                 .entry(id.clone())
                 .or_insert_with(|| Engine::new(Client::new(endpoint.addr), now));
@@ -125,12 +130,14 @@
     /// Asks the engines whose report is due.
     fn ask_engines(&self, now: Instant) {
         let suspects = suspects(&self.gateway, now);
+        let knowledge = self.gateway.knowledge.borrow();
         let mut engines = self.engines.borrow_mut();
         for (id, engine) in engines.iter_mut() {
             let is_urgent = engine.is_moving() || engine.failures > 0 || suspects.contains(id);
             let interval = if is_urgent { REPORT_INTERVAL_MOVING } else { REPORT_INTERVAL };
             let is_due = engine.asked.is_none_or(|asked| now - asked >= interval);
-            if engine.is_asking || !is_due {
+            // One without an entry to use stays as it was last heard.
+            if engine.is_asking || !is_due || knowledge.is_unusable(id) {
                 continue;
             }
             engine.is_asking = true;
--- a/crates/gateway/src/process/placer/planning.rs
+++ b/crates/gateway/src/process/placer/planning.rs
@@ -141,6 +141,7 @@
         now: Instant,
     ) -> BTreeMap<EndpointId, Holding> {
         let engines = self.engines.borrow();
+        let knowledge = self.gateway.knowledge.borrow();
         let mut holdings = BTreeMap::new();
         let least_room = self.least_room(shape, endpoints);
         for endpoint in endpoints {
@@ -149,7 +150,9 @@
             };
             let card = endpoint.card.as_deref().and_then(|card| shape.card(card));
             let most = card.map_or(0, |card| most_layers(shape, card, least_room));
-            let is_busy = engine.is_moving() || now < engine.order_after;
+            // One without an entry to use gets no order.
+            let is_unusable = knowledge.is_unusable(&endpoint.id);
+            let is_busy = engine.is_moving() || now < engine.order_after || is_unusable;
             holdings.insert(
                 endpoint.id.clone(),
                 Holding { ready: engine.ready(), most_layers: most, is_busy },
--- a/crates/gateway/src/process/run.rs
+++ b/crates/gateway/src/process/run.rs
@@ -3,7 +3,7 @@
 use crate::connection::accept_callers;
 use crate::process::peers::Peers;
 use crate::process::placer::Placer;
-use crate::process::watchers::{expire_missing, follow};
+use crate::process::watchers::{expire_entries, follow};
 use crate::process::{Gateway, Phase, serve_side_pages, set_up_log, watch_paths};
 use sorrellock_http::listen;
 use sorrellock_platform::{Kind, Settings, Store, parse_settings};
@@ -139,7 +139,7 @@
     let peers = Rc::new(Peers::new(Rc::clone(gateway), socket, Rc::clone(&own_view)));
     tasks.spawn_local(follow(Rc::clone(gateway), store.clone(), Kind::Configuration));
     tasks.spawn_local(follow(Rc::clone(gateway), store.clone(), Kind::Endpoints));
-    tasks.spawn_local(expire_missing(Rc::clone(gateway)));
+    tasks.spawn_local(expire_entries(Rc::clone(gateway)));
     tasks.spawn_local(Rc::clone(&peers).register(store.clone()));
     tasks.spawn_local(Rc::clone(&peers).listen());
     tasks.spawn_local(Rc::clone(&peers).catch_up());
@@ -153,7 +153,7 @@
     loop {
         sleep(SWEEP_INTERVAL).await;
         let knowledge = gateway.knowledge.borrow();
-        let is_known = |addr: &SocketAddr| knowledge.endpoints().any(|e| e.addr == *addr);
+        let is_known = |addr: &SocketAddr| knowledge.usable_endpoints().any(|e| e.addr == *addr);
         gateway.pool.borrow_mut().sweep(Instant::now(), is_known);
         gateway.probes.borrow_mut().retain(|addr, _| is_known(addr));
         drop(knowledge);
--- a/crates/gateway/src/process/watchers.rs
+++ b/crates/gateway/src/process/watchers.rs
@@ -1,6 +1,6 @@
 //! Follows the configuration and the endpoints in the platform's store.
 
-use crate::process::{Count, Gateway, check_unlisted};
+use crate::process::{Count, EntryState, Gateway, ReadEntry, check_unlisted, note_starts};
 use sorrellock_platform::{Change, Kind, Listing, Revision, Store, StoreError, StoredObject};
 use sorrellock_routing::process::EndpointId;
 use spdlog::{error, info, warn};
@@ -74,13 +74,17 @@
     }
 }
 
-/// Gives up entries that stay missing after an outage of the store.
-pub(crate) async fn expire_missing(gateway: Rc<Gateway>) {
+/// Gives up endpoints whose entries stay missing or can't be used for too long.
+pub(crate) async fn expire_entries(gateway: Rc<Gateway>) {
     loop {
         sleep(EXPIRY_INTERVAL).await;
-        let gone = gateway.knowledge.borrow_mut().expire_missing(Instant::now());
-        for id in &gone {
-            gateway.endpoint_gone(id, "missing after an outage of the store");
+        let gone = gateway.knowledge.borrow_mut().expire(Instant::now());
+        for (id, entry) in &gone {
+            let why = match entry {
+                EntryState::UnusableSince(..) => "its entry can't be used",
+                _ => "missing after an outage of the store",
+            };
+            gateway.endpoint_gone(id, why);
         }
         if !gone.is_empty() {
             gateway.refresh_paths();
@@ -125,20 +129,16 @@
         };
         self.at = Some(changes.at.max(at));
         self.on_answer();
-        if changes.changes.is_empty() {
+        if changes.changes.is_empty() && changes.nameless.is_empty() {
             return Ok(());
         }
-        let may_have_lapsed = self.may_have_lapsed(&changes.changes);
-        for change in changes.changes {
-            match change {
-                Change::Written(object) => self.on_object(object, "watch"),
-                Change::Removed(name) if self.kind == Kind::Endpoints => {
-                    self.on_removed(&name, may_have_lapsed);
-                }
-                Change::Removed(_) => {}
-            }
+        self.gateway.refuse_nameless(&changes.nameless, &format!("{:?}", self.kind));
+        match self.kind {
+            Kind::Endpoints => self.on_endpoint_changes(changes.changes),
+            Kind::Configuration => self.on_configurations(changes.changes),
+            Kind::Gateways | Kind::Leads => {}
         }
-        self.on_endpoints_known(changes.at);
+        self.on_endpoints_known(changes.at, "watch");
         sleep(self.pause()).await;
         Ok(())
     }
@@ -186,14 +186,19 @@
         let after_outage = self.lost_since.is_some();
         self.on_answer();
         self.at = Some(listing.at);
-        let listed = listing.objects.iter().map(|object| object.name.clone()).collect();
-        for object in listing.objects {
-            self.on_object(object, "list");
-        }
-        if self.kind == Kind::Endpoints {
-            self.on_unlisted(&listed, after_outage);
+        self.gateway.refuse_nameless(&listing.nameless, &format!("{:?}", self.kind));
+        match self.kind {
+            Kind::Endpoints => {
+                let listed = listing.objects.iter().map(|object| object.name.clone()).collect();
+                self.on_listed(listing.objects);
+                self.on_unlisted(&listed, after_outage);
+            }
+            Kind::Configuration => {
+                listing.objects.iter().for_each(|object| self.on_configuration(object, "list"));
+            }
+            Kind::Gateways | Kind::Leads => {}
         }
-        self.on_endpoints_known(listing.at);
+        self.on_endpoints_known(listing.at, "list");
         Ok(())
     }
 
@@ -208,30 +213,57 @@
         }
     }
 
-    fn on_endpoints_known(&self, at: Revision) {
+    fn on_endpoints_known(&self, at: Revision, source: &str) {
         if self.kind == Kind::Endpoints {
+            self.gateway.judge_starts(source);
             self.gateway.knowledge.borrow_mut().advance(at);
             self.gateway.refresh_paths();
         }
     }
 
-    fn on_object(&self, object: StoredObject, source: &str) {
-        let revision = object.revision;
-        match self.kind {
-            Kind::Endpoints => match object.endpoint() {
-                Ok(endpoint) => self.gateway.apply_endpoint(endpoint, revision, source),
-                Err(err) => {
-                    error!("entry of an endpoint refused", kv: { err = err.as_str(), revision });
-                }
-            },
-            Kind::Configuration => match object.configuration() {
-                Some(Ok(cfg)) => self.gateway.apply_configuration(cfg, source),
-                Some(Err(err)) => {
-                    error!("configuration refused", kv: { err = err.as_str(), revision });
-                }
-                None => {}
-            },
-            Kind::Gateways | Kind::Leads => {}
+    fn on_listed(&self, objects: Vec<StoredObject>) {
+        let entries: Vec<ReadEntry> = objects.into_iter().map(ReadEntry::from).collect();
+        note_starts(&self.gateway, entries.iter());
+        for entry in entries {
+            self.gateway.apply_entry(entry, "list");
+        }
+    }
+
+    fn on_endpoint_changes(&self, changes: Vec<Change>) {
+        let may_have_lapsed = self.may_have_lapsed(&changes);
+        let read = |change| match change {
+            Change::Written(object) => Ok(ReadEntry::from(object)),
+            Change::Removed(name) => Err(name),
+        };
+        let read: Vec<Result<ReadEntry, EndpointId>> = changes.into_iter().map(read).collect();
+        note_starts(&self.gateway, read.iter().filter_map(|change| change.as_ref().ok()));
+        for change in read {
+            match change {
+                Ok(entry) => self.gateway.apply_entry(entry, "watch"),
+                Err(removed) => self.on_removed(&removed, may_have_lapsed),
+            }
+        }
+    }
+
+    fn on_configurations(&self, changes: Vec<Change>) {
+        for change in changes {
+            match change {
+                Change::Written(object) => self.on_configuration(&object, "watch"),
+                // The one in force stays.
+                Change::Removed(_) => {}
+            }
+        }
+    }
+
+    fn on_configuration(&self, object: &StoredObject, source: &str) {
+        match object.configuration() {
+            Some(Ok(cfg)) => self.gateway.apply_configuration(cfg, source),
+            Some(Err(err)) => {
+                self.gateway.counters.add(Count::ConfigurationsRefused);
+                let revision = object.revision;
+                error!("configuration refused", kv: { err = err.as_str(), revision });
+            }
+            None => {}
         }
     }
 
@@ -255,6 +287,11 @@
     /// doesn't reach the store. Whether it lives, its health tells.
     fn on_removed(&self, name: &str, may_have_lapsed: bool) {
         let gateway = &self.gateway;
+        if gateway.knowledge.borrow().is_unusable(name) {
+            // It goes in its time; its health does not speak for it.
+            gateway.knowledge.borrow_mut().forget_refused(name);
+            return;
+        }
         let is_dead = gateway.is_dead(name) && !may_have_lapsed;
         if is_dead || !gateway.knowledge.borrow_mut().mark_missing(name, Instant::now()) {
             gateway.remove_endpoint(name, "watch");
--- a/crates/routing/src/process/entry_fault.rs
+++ b/crates/routing/src/process/entry_fault.rs
@@ -4,8 +4,11 @@
 use std::borrow::Cow;
 use std::fmt;
 
-/// The most characters that are kept of what was found.
-const FOUND_MOST: usize = 60;
+/// The most characters that are kept of a value or a name: an id of the longest usual sort is half as
+/// long.
+pub const FOUND_MOST: usize = 60;
+/// The most characters that are kept of a sentence that may hold such a value.
+pub const DETAIL_MOST: usize = 160;
 
 /// A field of an entry, as its list spells it.
 pub type FieldName = Cow<'static, str>;
@@ -51,7 +54,7 @@
 impl EntryFault {
     /// An entry that can't be read.
     pub fn unreadable(detail: &str) -> EntryFault {
-        EntryFault::Unreadable { detail: cut(detail) }
+        EntryFault::Unreadable { detail: cut(detail, DETAIL_MOST) }
     }
 
     /// A field that is missing.
@@ -61,7 +64,7 @@
 
     /// A field that holds `found`.
     pub fn malformed(field: &'static str, found: &str) -> EntryFault {
-        EntryFault::Malformed { field: field.into(), found: cut(found) }
+        EntryFault::Malformed { field: field.into(), found: cut(found, FOUND_MOST) }
     }
 
     /// Its sort.
@@ -96,16 +99,16 @@
 
 impl std::error::Error for EntryFault {}
 
-/// The begin of a text that somebody else wrote, fit for a log line: bounded, and without characters
-/// that a terminal acts on or shows as nothing.
-pub fn cut(text: &str) -> String {
+/// The first `most` characters of a text that somebody else wrote, fit for a log line: without
+/// characters that a terminal acts on or shows as nothing.
+pub fn cut(text: &str, most: usize) -> String {
     let escape = |c: char| {
         let is_plain = c.is_ascii_graphic() || c == ' ';
         let escaped = if is_plain { None } else { Some(c.escape_default()) };
         is_plain.then_some(c).into_iter().chain(escaped.into_iter().flatten())
     };
-    let mut short: String = text.chars().take(FOUND_MOST).flat_map(escape).collect();
-    if text.chars().nth(FOUND_MOST).is_some() {
+    let mut short: String = text.chars().take(most).flat_map(escape).collect();
+    if text.chars().nth(most).is_some() {
         short.push_str(&format!("... ({} bytes)", text.len()));
     }
     short
--- a/crates/routing/src/process/start_rule.rs
+++ b/crates/routing/src/process/start_rule.rs
@@ -18,8 +18,7 @@
 }
 
 /// Whether an entry lacks a start that it should tell: most endpoints tell theirs, or this one told
-/// it `before`.
-pub fn is_start_untold(endpoint: &Endpoint, before: Option<&Endpoint>, do_most_tell: bool) -> bool {
-    let told_before = before.is_some_and(|before| before.started.is_some());
+/// it before.
+pub fn is_start_untold(endpoint: &Endpoint, told_before: bool, do_most_tell: bool) -> bool {
     endpoint.started.is_none() && (do_most_tell || told_before)
 }
