--- a/crates/daemon/tests/gateway/entries.rs
+++ b/crates/daemon/tests/gateway/entries.rs
@@ -184,6 +184,39 @@
     assert!(gateway.lines(&["\"endpoint joined\"", "startless"]).is_empty());
 }
 
+#[test]
+fn entries_without_a_start_are_judged_anew_as_others_come() {
+    let fleet = fleet();
+    let gateway = fleet.gateway("one");
+    let put = |name: &str, born: Option<u64>| {
+        let mut entry = with("service", json!("other"));
+        entry.as_object_mut().expect("an object").remove("born");
+        if let Some(born) = born {
+            entry["born"] = born.into();
+        }
+        fleet.store.put("servers", name, entry);
+    };
+    let is_refused = || {
+        let dump = dump(&gateway);
+        let refused = dump["refused_entries"].as_array().expect("a list").iter();
+        refused.filter(|entry| entry["id"] == "startless").count() == 1
+    };
+
+    put("startless", None);
+    wait_for("the entry to be refused", is_refused);
+    for index in 0..8 {
+        put(&format!("more-{index}"), None);
+    }
+    gateway.wait_for_line(&["\"endpoint joined\"", "\"startless\""]);
+    let was_refused = is_refused();
+    for index in 0..8 {
+        put(&format!("told-{index}"), Some(7));
+    }
+
+    assert!(!was_refused, "most tell no start by then");
+    wait_for("the entry to be refused again", is_refused);
+}
+
 #[test]
 fn a_service_that_the_configuration_does_not_name_gets_nothing_until_it_does() {
     let fleet = fleet();
--- a/crates/gateway/src/process/knowledge.rs
+++ b/crates/gateway/src/process/knowledge.rs
@@ -1,11 +1,8 @@
 //! What a gateway knows of the configuration and of the endpoints. It only ever gets newer.
 
-use crate::process::{RefusedEntries, RefusedEntry};
-use serde::{Deserialize, Serialize};
+use crate::process::{EntryState, KnownEndpoint, RefusedEntries, RefusedEntry};
 use sorrellock_platform::Revision;
-use sorrellock_routing::process::{
-    Endpoint, EndpointId, EntryFault, do_most_tell_start, is_start_untold,
-};
+use sorrellock_routing::process::{Endpoint, EndpointId, do_most_tell_start, is_start_untold};
 use sorrellock_routing::version::{ConfigVersion, Configuration, RouteTable};
 use std::collections::{BTreeMap, HashSet};
 use std::rc::Rc;
@@ -24,78 +21,6 @@
 /// The most removed endpoints that are remembered, so that an older page doesn't bring them back.
 const MAX_REMOVED: usize = 4_096;
 
-/// What became of a known endpoint's entry.
-#[derive(Clone, Debug, Default, PartialEq)]
-pub(crate) enum EntryState {
-    /// It is in the list, and whole.
-    #[default]
-    Listed,
-    /// It is missing, and may come back.
-    MissingSince(Instant),
-    /// It names no endpoint to use, and may be whole again.
-    UnusableSince(Instant, EntryFault),
-}
-
-impl EntryState {
-    /// Since when the endpoint stays only for a while.
-    fn since(&self) -> Option<Instant> {
-        match self {
-            EntryState::Listed => None,
-            EntryState::MissingSince(since) | EntryState::UnusableSince(since, _) => Some(*since),
-        }
-    }
-
-    fn is_unusable(&self) -> bool {
-        matches!(self, EntryState::UnusableSince(..))
-    }
-}
-
-/// An endpoint with the revision of its entry.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub(crate) struct KnownEndpoint {
-    /// What its entry tells, or told when it was whole last.
-    pub(crate) endpoint: Endpoint,
-    /// Revision of the entry.
-    pub(crate) revision: Revision,
-    /// What became of the entry.
-    #[serde(skip)]
-    pub(crate) entry: EntryState,
-}
-
-impl KnownEndpoint {
-    /// Its entry is missing. One that couldn't be used before is no more usable for that.
-    fn note_missing(&mut self, now: Instant) {
-        if self.entry == EntryState::Listed {
-            self.entry = EntryState::MissingSince(now);
-        }
-    }
-}
-
-/// What one gateway hands to another that can't reach the store.
-#[derive(Debug, Serialize, Deserialize)]
-pub(crate) struct Handover {
-    pub(crate) configuration: Option<Configuration>,
-    /// Those that changed since the revision up to which the other knows them.
-    pub(crate) endpoints: Vec<KnownEndpoint>,
-    /// All that the list holds.
-    pub(crate) listed: Vec<EndpointId>,
-    /// Those of them whose entry is missing, and for how long.
-    pub(crate) missing: Vec<(EndpointId, Duration)>,
-    /// Entries that can't be used, of those that changed.
-    #[serde(default)]
-    pub(crate) refused: Vec<RefusalTold>,
-    pub(crate) endpoints_at: Revision,
-}
-
-/// An entry that can't be used, as one gateway hands it to another.
-#[derive(Debug, Serialize, Deserialize)]
-pub(crate) struct RefusalTold {
-    pub(crate) id: EndpointId,
-    pub(crate) entry: RefusedEntry,
-    /// For how long it has been so, where its endpoint is known.
-    pub(crate) lasts: Duration,
-}
-
 /// Entries whose start is judged otherwise than before.
 #[derive(Debug, Default)]
 pub(crate) struct StartVerdicts {
@@ -135,13 +60,13 @@
 
 /// The configuration in force and the endpoints.
 pub(crate) struct Knowledge {
-    routes: Option<Rc<RouteTable>>,
-    endpoints: BTreeMap<EndpointId, KnownEndpoint>,
+    pub(super) routes: Option<Rc<RouteTable>>,
+    pub(super) endpoints: BTreeMap<EndpointId, KnownEndpoint>,
     removed: HashSet<EndpointId>,
-    refused: RefusedEntries,
+    pub(super) refused: RefusedEntries,
     /// Most endpoints tell their start: an entry without one is refused.
     is_start_required: bool,
-    endpoints_at: Revision,
+    pub(super) endpoints_at: Revision,
     missing_gets_work: Duration,
 }
 
@@ -387,12 +312,6 @@
         matches!(entry, Some(EntryState::MissingSince(_)))
     }
 
-    /// Whether the entry of `revision`, or a newer one, is known to be missing: another gateway that
-    /// still has it has not read that far.
-    pub(crate) fn is_missing_at(&self, id: &str, revision: Revision) -> bool {
-        self.is_missing(id) && self.endpoints[id].revision >= revision
-    }
-
     /// Gives up endpoints whose entry has been missing or unusable for too long. Tells which, and
     /// what became of the entry.
     pub(crate) fn expire(&mut self, now: Instant) -> Vec<(EndpointId, EntryState)> {
@@ -413,59 +332,6 @@
             self.removed.insert(id.to_owned());
         }
     }
-
-    /// Another gateway has missed an entry for `missing_for`, if that is longer than this one has.
-    pub(crate) fn hear_missing(&mut self, id: &str, missing_for: Duration, now: Instant) -> bool {
-        let Some(known) = self.endpoints.get_mut(id) else { return false };
-        let since = now.checked_sub(missing_for).unwrap_or(now);
-        match &mut known.entry {
-            EntryState::UnusableSince(..) => false,
-            EntryState::MissingSince(own) => {
-                *own = since.min(*own);
-                false
-            }
-            EntryState::Listed => {
-                known.entry = EntryState::MissingSince(since);
-                true
-            }
-        }
-    }
-
-    fn unusable_since(&self, id: &str) -> Option<Instant> {
-        let entry = &self.endpoints.get(id)?.entry;
-        entry.since().filter(|_| entry.is_unusable())
-    }
-
-    /// What another gateway is handed that has configuration `known` and knows the endpoints up to
-    /// revision `known_at`.
-    pub(crate) fn handover(
-        &self,
-        known: ConfigVersion,
-        known_at: Revision,
-        now: Instant,
-    ) -> Handover {
-        let usable = self.endpoints.values().filter(|known| !known.entry.is_unusable());
-        let changed = usable.filter(|endpoint| endpoint.revision > known_at);
-        let missing_for = |known: &KnownEndpoint| match known.entry {
-            EntryState::MissingSince(since) => Some((known.endpoint.id.clone(), now - since)),
-            EntryState::Listed | EntryState::UnusableSince(..) => None,
-        };
-        let refused = self.refused.iter().filter(|(_, entry)| entry.revision > known_at);
-        let refused = refused.map(|(id, entry)| RefusalTold {
-            id: id.clone(),
-            entry: entry.clone(),
-            lasts: self.unusable_since(id).map_or(Duration::ZERO, |since| now - since),
-        });
-        let newer = self.routes.as_ref().filter(|routes| routes.version() > known);
-        Handover {
-            configuration: newer.map(|routes| Configuration::clone(routes.cfg())),
-            endpoints: changed.cloned().collect(),
-            listed: self.endpoints.keys().cloned().collect(),
-            missing: self.endpoints.values().filter_map(missing_for).collect(),
-            refused: refused.collect(),
-            endpoints_at: self.endpoints_at,
-        }
-    }
 }
 
 /// How long an endpoint that its list no longer holds gets work.
