--- a/crates/json/src/array.rs
+++ b/crates/json/src/array.rs
@@ -1,33 +1,19 @@
 //! Arrays of objects of which some are no JSON.
 
-use crate::Text;
-use serde::Deserialize;
 use serde::de::DeserializeOwned;
+use serde_json::Deserializer;
 use serde_json::value::RawValue;
-use serde_json::{Deserializer, Value};
-use std::borrow::Cow;
 
 /// The longest begin of an element, up to its first colon, in bytes.
 const OPENING_MOST: usize = 64;
 
-/// Reads a body with an array at key `array`. Elements of it that are no JSON are read as strings that
-/// hold their text; `mended` keeps the body then.
-pub fn read_array<'a, B: Deserialize<'a>>(
-    text: &'a Text<'_>,
-    array: &str,
-    mended: &'a mut String,
-) -> serde_json::Result<B> {
-    let err = match serde_json::from_str(text.as_str()) {
-        Ok(body) => return Ok(body),
-        Err(err) => err,
-    };
-    *mended = mend_array(text.as_str(), array).ok_or(err)?;
-    serde_json::from_str(mended)
-}
-
-/// The text of an element that may have been broken.
-pub fn element_text(element: &str) -> Cow<'_, str> {
-    serde_json::from_str(element).map_or(Cow::Borrowed(element), Cow::Owned)
+/// An element of an array, as it is written.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Element<'a> {
+    /// It is JSON.
+    Whole(&'a str),
+    /// It is no JSON.
+    Broken(&'a str),
 }
 
 /// The value at the first key of this name, in text that may be no JSON around it.
@@ -43,42 +29,32 @@
     Some(after_key.trim_start().strip_prefix(':')?.trim_start())
 }
 
-/// Replaces the elements of the array at key `array` that are no JSON by strings that hold their text.
-/// The elements are objects whose first key is the same, as one writer gives them. None where no such
-/// array is found.
-pub fn mend_array(text: &str, array: &str) -> Option<String> {
+/// Takes the array at key `array` out of a body of which elements may be no JSON: its elements, and the
+/// body with an empty array in its place. The elements are objects whose first key is the same, as one
+/// writer gives them. None where no such array is found.
+pub fn split_array<'a>(text: &'a str, array: &str) -> Option<(Vec<Element<'a>>, String)> {
     let begin = array_begin(text, array)?;
     let end = text.rfind(']').filter(|end| *end >= begin)?;
-    let elements = &text[begin..end];
-    if elements.trim_start().is_empty() {
-        return Some(text.to_owned());
+    let body = [&text[..begin], &text[end..]].concat();
+    let mut rest = text[begin..end].trim_start();
+    if rest.is_empty() {
+        return Some((Vec::new(), body));
     }
-    let opening = opening(elements)?;
-    let mut mended = String::with_capacity(text.len() + text.len() / 8);
-    mended.push_str(&text[..begin]);
-    let mut rest = elements;
-    while !rest.trim_start().is_empty() {
-        let (element, after) = match whole_element(rest) {
-            Some(len) => (Ok(&rest[..len]), &rest[len..]),
+    let opening = opening(rest)?;
+    let mut elements = Vec::new();
+    while !rest.is_empty() {
+        let (element, len) = match whole_element(rest) {
+            Some(len) => (Element::Whole(&rest[..len]), len),
             None => {
                 let len = broken_len(rest, opening);
-                (Err(&rest[..len]), &rest[len..])
-            }
-        };
-        match element {
-            Ok(whole) => mended.push_str(whole),
-            Err(broken) => mended.push_str(&Value::from(broken).to_string()),
-        }
-        rest = match after.trim_start().strip_prefix(',') {
-            Some(next) => {
-                mended.push(',');
-                next
+                (Element::Broken(&rest[..len]), len)
             }
-            None => after,
         };
+        elements.push(element);
+        let after = rest[len..].trim_start();
+        rest = after.strip_prefix(',').unwrap_or(after).trim_start();
     }
-    mended.push_str(&text[end..]);
-    Some(mended)
+    Some((elements, body))
 }
 
 /// Where the elements of an array begin, after its bracket.
@@ -89,7 +65,6 @@
 
 /// The begin of the first element, up to its first colon.
 fn opening(elements: &str) -> Option<&str> {
-    let elements = elements.trim_start();
     let colon = elements.find(':').filter(|colon| *colon < OPENING_MOST)?;
     elements.starts_with('{').then(|| &elements[..=colon])
 }
--- a/crates/json/src/lib.rs
+++ b/crates/json/src/lib.rs
@@ -5,6 +5,6 @@
 mod fields;
 mod text;
 
-pub use array::{element_text, find_value, mend_array, read_array};
+pub use array::{Element, find_value, split_array};
 pub use fields::{Fields, Found};
 pub use text::Text;
--- a/crates/json/tests/mending.rs
+++ b/crates/json/tests/mending.rs
@@ -1,37 +1,36 @@
 //! Bodies of which single elements can't be read.
 
-use serde::Deserialize;
-use serde_json::Value;
-use sorrellock_json::{Text, mend_array};
-
-#[derive(Deserialize)]
-struct Page {
-    items: Vec<Value>,
-    at: u64,
-}
+use serde_json::{Value, json};
+use sorrellock_json::{Element, Text, split_array};
 
-fn page(elements: &[&str]) -> String {
-    format!("{{\"items\":[{}],\"at\":7}}", elements.join(","))
+fn page(written: &[&str]) -> String {
+    format!("{{\"items\":[{}],\"at\":7}}", written.join(","))
 }
 
-/// The elements of a mended page: whole ones by their number, broken ones by their text.
-fn mended(text: &str) -> Vec<String> {
-    let mended = mend_array(text, "items").expect("there is such an array");
-    let page: Page = serde_json::from_str(&mended).expect("it is JSON now");
-    assert_eq!(page.at, 7);
-    let element = |value: &Value| match value {
-        Value::String(text) => text.clone(),
-        whole => whole["n"].to_string(),
+/// The elements of a page: whole ones by their number, broken ones by their text.
+fn elements(text: &str) -> Vec<String> {
+    let (elements, body) = split_array(text, "items").expect("there is such an array");
+    let body: Value = serde_json::from_str(&body).expect("the rest is JSON");
+    assert_eq!(body, json!({"items": [], "at": 7}));
+    let read = |element: &Element<'_>| match element {
+        Element::Broken(text) => (*text).to_owned(),
+        Element::Whole(text) => {
+            let whole: Value = serde_json::from_str(text).expect("it is JSON");
+            whole["n"].to_string()
+        }
     };
-    page.items.iter().map(element).collect()
+    elements.iter().map(read).collect()
 }
 
 #[test]
-fn a_whole_array_stays_as_it_is() {
-    let text = page(&["{\"n\":1}", "{\"n\":2,\"a\":[{\"n\":3},{\"n\":4}]}"]);
+fn the_elements_of_a_whole_array_are_as_they_are_written() {
+    let nested = "{\"n\":2,\"a\":[{\"n\":3},{\"n\":4}]}";
+    let text = page(&["{\"n\":1}", nested]);
+
+    let (found, _) = split_array(&text, "items").expect("there is such an array");
 
-    assert_eq!(mend_array(&text, "items").as_deref(), Some(text.as_str()));
-    assert_eq!(mended(&page(&[])), [""; 0]);
+    assert_eq!(found, [Element::Whole("{\"n\":1}"), Element::Whole(nested)]);
+    assert_eq!(elements(&page(&[])), [""; 0]);
 }
 
 #[test]
@@ -39,10 +38,10 @@
     let broken = ["{\"n\":]", "{\"n\":{\"a\":[", "{\"n\":\"\u{0}", "{\"n\":}]}", "{\"n\":tru"];
     for broken in broken {
         for at in 0..3 {
-            let mut elements = vec!["{\"n\":1}", "{\"n\":2}"];
-            elements.insert(at, broken);
+            let mut written = vec!["{\"n\":1}", "{\"n\":2}"];
+            written.insert(at, broken);
 
-            let found = mended(&page(&elements));
+            let found = elements(&page(&written));
 
             let mut expected = vec!["1", "2"];
             expected.insert(at, broken);
@@ -55,7 +54,7 @@
 fn several_broken_elements_in_a_row_stay_apart() {
     let text = page(&["{\"n\":1}", "{\"n\":[", "{\"n\":{", "{\"n\":2}", "{\"n\":\""]);
 
-    let found = mended(&text);
+    let found = elements(&text);
 
     assert_eq!(found, ["1", "{\"n\":[", "{\"n\":{", "2", "{\"n\":\""]);
 }
@@ -64,7 +63,7 @@
 fn spaces_between_elements_do_no_harm() {
     let text = "{ \"at\" : 7, \"items\" : [ {\"n\":1} ,\n {\"n\":! } ,\n {\"n\":2} ] }";
 
-    let found = mended(text);
+    let found = elements(text);
 
     assert_eq!((found[0].as_str(), found[found.len() - 1].as_str()), ("1", "2"));
 }
@@ -73,7 +72,7 @@
 fn many_begins_that_lead_nowhere_end_soon() {
     let text = page(&["{\"n\":1}", &"{\"n\":[,".repeat(100_000), "{\"n\":2}"]);
 
-    let found = mended(&text);
+    let found = elements(&text);
 
     assert_eq!(found[0], "1");
 }
@@ -81,17 +80,17 @@
 #[test]
 fn text_without_the_array_is_given_up() {
     for text in ["", "{", "[]", "{\"items\":7}", "{\"items\":[", "{\"items\":[7]}"] {
-        assert_eq!(mend_array(text, "items"), None, "{text}");
+        assert_eq!(split_array(text, "items"), None, "{text}");
     }
 }
 
 #[test]
 fn bytes_that_are_no_text_are_marked_where_they_stand() {
-    let body = b"{\"a\":\"\xff\",\"b\":\"\xee\x80\x80\xef\xbf\xbd\"}";
+    let body = b"{\"a\":\"\xff\",\"b\":\"\xf3\xb0\x80\x80\xef\xbf\xbd\"}";
 
     let text = Text::read(body).expect("there is a mark");
 
     let (a, b) = text.as_str().split_once(',').expect("both");
     assert!(text.is_damaged(a) && !text.is_damaged(b), "{}", text.as_str());
-    assert!(b.contains("\u{e000}\u{fffd}"));
+    assert!(b.contains("\u{f0000}\u{fffd}"));
 }
