--- a/crates/gateway/src/process/placer/placer.rs
+++ b/crates/gateway/src/process/placer/placer.rs
@@ -6,7 +6,7 @@
 use crate::process::{EngineView, Gateway, LeadView};
 use sorrellock_platform::{Client, Store};
 use sorrellock_routing::process::placement::{is_any_chain_scarce, next_steps};
-use sorrellock_routing::process::{DataCentre, Endpoint, EndpointId};
+use sorrellock_routing::process::{DataCentre, Endpoint, EndpointId, LayerRange};
 use sorrellock_routing::version::{ModelShape, ServiceName};
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
@@ -211,14 +211,20 @@
             return;
         }
         let heard = engines.iter().filter(|(_, engine)| is_heard(engine));
+        let knowledge = self.gateway.knowledge.borrow();
         let mut views: Vec<EngineView> = heard
             .map(|(id, engine)| EngineView {
                 id: id.clone(),
-                usable: engine.usable(),
+                // Gateways that don't know yet that its entry can't be used pass over it as well.
+                usable: match knowledge.is_unusable(id) {
+                    true => LayerRange::default(),
+                    false => engine.usable(),
+                },
                 slowness: engine.report.as_ref().map_or(1.0, |report| report.slowness as f32),
                 is_dead: engine.is_dead,
             })
             .collect();
+        drop(knowledge);
         views.sort_by(|a, b| a.id.cmp(&b.id));
         let view = LeadView { term, engines: views };
         let is_changed =
