--- a/crates/daemon/tests/gateway/entries.rs
+++ b/crates/daemon/tests/gateway/entries.rs
@@ -5,7 +5,7 @@
 };
 use crate::gateway_process::{GatewayProcess, wait_for};
 use serde_json::{Value, json};
-use sorrellock_stand_ins::{FakeProxy, FakeService, ProxyMode, new_ip};
+use sorrellock_stand_ins::{FakeProxy, FakeService, ProxyMode, StoreMode, new_ip};
 use std::io::Read;
 use std::thread;
 
@@ -157,6 +157,18 @@
     assert!(gateway.lines(&["\"store lost\""]).is_empty());
 }
 
+#[test]
+fn a_watch_that_cant_be_read_as_a_whole_is_made_up_for_by_a_list() {
+    let fleet = fleet();
+    let gateway = fleet.gateway("one");
+
+    fleet.store.set_mode(StoreMode::GarblesWatches);
+    let second = FakeService::start("ledger-2", "ledger", "north", new_ip(), &fleet.store);
+    second.expect("a second service");
+
+    gateway.wait_for_line(&["\"endpoint joined\"", "ledger-2", "\"list\""]);
+}
+
 #[test]
 fn a_plain_service_with_a_bad_entry_gets_no_call() {
     let fleet = fleet();
--- a/crates/gateway/src/process/watchers.rs
+++ b/crates/gateway/src/process/watchers.rs
@@ -323,6 +323,10 @@
             self.at = None;
             return;
         }
+        if matches!(err, StoreError::Unreadable { .. }) {
+            // What can't be read of the history would come again with it; a list tells the present.
+            self.at = None;
+        }
         self.gateway.on_store_failed();
         if self.lost_since.is_none() {
             let (kind, text) = (format!("{:?}", self.kind), err.to_string());
