--- a/crates/gateway/src/process/gateway.rs
+++ b/crates/gateway/src/process/gateway.rs
@@ -1,12 +1,12 @@
 //! What all parts of a gateway share.
 
 use crate::process::{
-    Beliefs, Count, Counters, EndpointNews, Handover, Knowledge, PathBook, Pool, SUSPECT_FOR,
+    Beliefs, Count, Counters, Handover, Knowledge, PathBook, Pool, SUSPECT_FOR, ToldFaults,
 };
 use sorrellock_core::clock::SystemClock;
 use sorrellock_core::process::retries::Breakers;
-use sorrellock_platform::{Bounds, Client, EndpointLoad, Revision, Settings};
-use sorrellock_routing::process::{Endpoint, Incarnation, Leaving, Lives, RetryWindow, StreamPace};
+use sorrellock_platform::{Bounds, Client, EndpointLoad, Settings};
+use sorrellock_routing::process::{Incarnation, Leaving, Lives, RetryWindow, StreamPace};
 use sorrellock_routing::version::{Configuration, ServiceName};
 use spdlog::{info, warn};
 use std::cell::{Cell, RefCell};
@@ -59,6 +59,8 @@
     pub(crate) beliefs: RefCell<Beliefs>,
     /// Which life of each endpoint is the present one.
     pub(crate) lives: RefCell<Lives>,
+    /// Faults of objects in the store that the log has told.
+    pub(crate) told_faults: RefCell<ToldFaults>,
     pub(crate) paths: Rc<RefCell<PathBook>>,
     pub(crate) pool: RefCell<Pool>,
     pub(crate) uses: RefCell<HashMap<Incarnation, EndpointUse>>,
@@ -106,6 +108,7 @@
             knowledge,
             beliefs: RefCell::default(),
             lives: RefCell::default(),
+            told_faults: RefCell::default(),
             paths: Rc::default(),
             pool: RefCell::default(),
             uses: RefCell::default(),
@@ -220,48 +223,6 @@
         self.engines_changed.notify_waiters();
     }
 
-    /// Takes an endpoint's entry, unless it is late news.
-    pub(crate) fn apply_endpoint(
-        self: &Rc<Self>,
-        endpoint: Endpoint,
-        revision: Revision,
-        source: &str,
-    ) {
-        if !self.knowledge.borrow().is_news(&endpoint.id, revision) {
-            return;
-        }
-        let Some((endpoint, ended)) = self.life_of_entry(endpoint, revision, source) else {
-            return;
-        };
-        let life = endpoint.incarnation();
-        self.take_entry(endpoint, revision, source);
-        if let Some(ended) = ended {
-            self.on_life_ended(&ended, &life, source);
-        }
-    }
-
-    /// Takes an entry of an endpoint's present life.
-    pub(crate) fn take_entry(&self, endpoint: Endpoint, revision: Revision, source: &str) {
-        let id = endpoint.id.clone();
-        let addr = endpoint.addr.to_string();
-        let (data_centre, layers) = (endpoint.data_centre.clone(), endpoint.layers);
-        let service = endpoint.service.clone();
-        let news = self.knowledge.borrow_mut().apply_endpoint(endpoint, revision);
-        let what = match news {
-            EndpointNews::Nothing => return,
-            EndpointNews::Joined => "endpoint joined",
-            EndpointNews::Leaving => "endpoint leaving",
-            EndpointNews::Back => "entry of an endpoint is back",
-            EndpointNews::Changed => "endpoint changed",
-        };
-        let (from, to) = (layers.from, layers.to);
-        info!("{}", what, kv: {
-            endpoint = id.as_str(), service = service.as_str(), addr = addr.as_str(),
-            data_centre = data_centre.as_str(), from, to, revision, source
-        });
-        self.engines_changed.notify_waiters();
-    }
-
     /// An endpoint's entry is gone.
     pub(crate) fn remove_endpoint(&self, id: &str, source: &str) {
         if self.knowledge.borrow_mut().remove_endpoint(id) {
@@ -285,12 +246,15 @@
             return;
         }
         let listed = handover.listed.into_iter().collect();
+        let told = handover.endpoints.iter().map(|known| &known.endpoint);
+        self.knowledge.borrow_mut().note_starts(told);
         for known in handover.endpoints {
             if self.knowledge.borrow().is_missing_at(&known.endpoint.id, known.revision) {
                 continue;
             }
             self.apply_endpoint(known.endpoint, known.revision, from);
         }
+        self.hear_refused(handover.refused, from);
         let now = Instant::now();
         for (id, missing_for) in &handover.missing {
             if self.knowledge.borrow_mut().hear_missing(id, *missing_for, now) {
@@ -304,6 +268,7 @@
         for id in gone {
             self.remove_endpoint(&id, from);
         }
+        self.judge_starts(from);
         self.knowledge.borrow_mut().advance(handover.endpoints_at);
         self.refresh_paths();
     }
--- a/crates/gateway/src/process/mod.rs
+++ b/crates/gateway/src/process/mod.rs
@@ -2,8 +2,12 @@
 
 mod beliefs;
 mod counters;
+mod dump;
+mod entries;
 mod gateway;
+mod handover;
 mod knowledge;
+mod known_endpoint;
 mod lead;
 mod listeners;
 mod live_path;
@@ -17,13 +21,18 @@
 mod peers;
 mod placer;
 mod pool;
+mod refused_entries;
 mod run;
 mod watchers;
 
 pub(crate) use beliefs::*;
 pub(crate) use counters::*;
+pub(crate) use dump::*;
+pub(crate) use entries::*;
 pub(crate) use gateway::*;
+pub(crate) use handover::*;
 pub(crate) use knowledge::*;
+pub(crate) use known_endpoint::*;
 pub(crate) use listeners::*;
 pub(crate) use live_path::*;
 pub(crate) use lives::*;
@@ -33,4 +42,5 @@
 pub(crate) use path_place::*;
 pub(crate) use peer_message::*;
 pub(crate) use pool::*;
+pub(crate) use refused_entries::*;
 pub use run::*;
--- a/crates/gateway/src/process/path_check.rs
+++ b/crates/gateway/src/process/path_check.rs
@@ -130,7 +130,7 @@
     let now = Instant::now();
     let found = {
         let knowledge = gateway.knowledge.borrow();
-        let endpoint = knowledge.endpoints().find(|endpoint| endpoint.addr == addr);
+        let endpoint = knowledge.usable_endpoints().find(|endpoint| endpoint.addr == addr);
         let endpoint = endpoint.filter(|endpoint| !endpoint.is_leaving);
         endpoint.and_then(|endpoint| Asked::new(&knowledge, endpoint))
     };
--- a/crates/gateway/src/process/path_refresh.rs
+++ b/crates/gateway/src/process/path_refresh.rs
@@ -24,12 +24,13 @@
                 if is_dead || lives.has_ended(life) {
                     return EngineFate::Dead;
                 }
-                match knowledge.endpoint(&life.id) {
+                let endpoint = knowledge.endpoint(&life.id);
+                match endpoint.filter(|_| !knowledge.is_unusable(&life.id)) {
                     Some(endpoint) if endpoint.started != life.started => EngineFate::Dead,
                     Some(endpoint) if !endpoint.is_leaving && !beliefs.is_leaving(life, now) => {
                         EngineFate::Stays
                     }
-                    // It finishes what it runs for a while, also without an entry.
+                    // It finishes what it runs for a while, also without an entry to use.
                     _ => EngineFate::Leaves,
                 }
             };
--- a/crates/gateway/src/process/placer/placer.rs
+++ b/crates/gateway/src/process/placer/placer.rs
@@ -6,7 +6,7 @@
 use crate::process::{EngineView, Gateway, LeadView};
 use sorrellock_platform::{Client, Store};
 use sorrellock_routing::process::placement::{is_any_chain_scarce, next_steps};
-use sorrellock_routing::process::{DataCentre, Endpoint, EndpointId, Incarnation};
+use sorrellock_routing::process::{DataCentre, Endpoint, EndpointId, Incarnation, LayerRange};
 use sorrellock_routing::version::{ModelShape, ServiceName};
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
@@ -120,8 +120,14 @@
         let mut engines = self.engines.borrow_mut();
         let ended = engines.keys().filter(|life| !here.contains_key(life));
         let ended: HashSet<EndpointId> = ended.map(|life| life.id.clone()).collect();
-        engines.retain(|life, _| here.contains_key(life));
+        engines.retain(|life, engine| {
+            let is_planned_for = engine.report.is_some() || !knowledge.is_unusable(&life.id);
+            here.contains_key(life) && is_planned_for
+        });
         for (life, addr) in here {
+            if knowledge.is_unusable(&life.id) {
+                continue;
+            }
             let begin = if ended.contains(&life.id) { Engine::reborn } else { Engine::new };
             engines.entry(life).or_insert_with(|| begin(Client::new(addr), now));
         }
@@ -130,12 +136,14 @@
     /// Asks the engines whose report is due.
     fn ask_engines(&self, now: Instant) {
         let suspects = suspects(&self.gateway, now);
+        let knowledge = self.gateway.knowledge.borrow();
         let mut engines = self.engines.borrow_mut();
         for (life, engine) in engines.iter_mut() {
             let is_urgent = engine.is_moving() || engine.failures > 0 || suspects.contains(life);
             let interval = if is_urgent { REPORT_INTERVAL_MOVING } else { REPORT_INTERVAL };
             let is_due = engine.asked.is_none_or(|asked| now - asked >= interval);
-            if engine.is_asking || !is_due {
+            // One without an entry to use stays as it was last heard.
+            if engine.is_asking || !is_due || knowledge.is_unusable(&life.id) {
                 continue;
             }
             engine.is_asking = true;
@@ -208,14 +216,20 @@
             return;
         }
         let heard = engines.iter().filter(|(_, engine)| engine.is_heard());
+        let knowledge = self.gateway.knowledge.borrow();
         let mut views: Vec<EngineView> = heard
             .map(|(life, engine)| EngineView {
                 life: life.clone(),
-                usable: engine.usable(),
+                // Gateways that don't know yet that its entry can't be used pass over it as well.
+                usable: match knowledge.is_unusable(&life.id) {
+                    true => LayerRange::default(),
+                    false => engine.usable(),
+                },
                 slowness: engine.report.as_ref().map_or(1.0, |report| report.slowness as f32),
                 is_dead: engine.is_dead,
             })
             .collect();
+        drop(knowledge);
         views.sort_by(|a, b| a.life.cmp(&b.life));
         let view = LeadView { term, engines: views };
         let is_changed =
--- a/crates/gateway/src/process/run.rs
+++ b/crates/gateway/src/process/run.rs
@@ -3,7 +3,7 @@
 use crate::connection::accept_callers;
 use crate::process::peers::Peers;
 use crate::process::placer::Placer;
-use crate::process::watchers::{expire_missing, follow};
+use crate::process::watchers::{expire_entries, follow};
 use crate::process::{Count, Gateway, Phase, serve_side_pages, set_up_log, watch_paths};
 use sorrellock_http::listen;
 use sorrellock_platform::{Kind, Settings, Store, parse_settings};
@@ -141,7 +141,7 @@
     let peers = Rc::new(Peers::new(Rc::clone(gateway), socket, Rc::clone(&own_view)));
     tasks.spawn_local(follow(Rc::clone(gateway), store.clone(), Kind::Configuration));
     tasks.spawn_local(follow(Rc::clone(gateway), store.clone(), Kind::Endpoints));
-    tasks.spawn_local(expire_missing(Rc::clone(gateway)));
+    tasks.spawn_local(expire_entries(Rc::clone(gateway)));
     tasks.spawn_local(Rc::clone(&peers).register(store.clone()));
     tasks.spawn_local(Rc::clone(&peers).listen());
     tasks.spawn_local(Rc::clone(&peers).catch_up());
@@ -156,8 +156,9 @@
         sleep(SWEEP_INTERVAL).await;
         let knowledge = gateway.knowledge.borrow();
         let is_current = |life: &Incarnation| knowledge.is_current(life);
-        gateway.pool.borrow_mut().sweep(Instant::now(), is_current);
-        gateway.probes.borrow_mut().retain(|life, _| is_current(life));
+        let is_used = |life: &Incarnation| is_current(life) && !knowledge.is_unusable(&life.id);
+        gateway.pool.borrow_mut().sweep(Instant::now(), is_used);
+        gateway.probes.borrow_mut().retain(|life, _| is_used(life));
         gateway.uses.borrow_mut().retain(|life, used| used.in_flight > 0 || is_current(life));
         drop(knowledge);
         gateway.refresh_paths();
--- a/crates/routing/src/process/mod.rs
+++ b/crates/routing/src/process/mod.rs
@@ -1,6 +1,7 @@
 //! What lives as long as a process.
 
 mod endpoint;
+mod entry_fault;
 mod incarnation;
 mod leaving;
 mod lives;
@@ -8,13 +9,16 @@
 pub mod placement;
 mod repair_forecast;
 mod retry_window;
+mod start_rule;
 mod stream_pace;
 
 pub use endpoint::*;
+pub use entry_fault::*;
 pub use incarnation::*;
 pub use leaving::*;
 pub use lives::*;
 pub use pipeline_path::*;
 pub use repair_forecast::*;
 pub use retry_window::*;
+pub use start_rule::*;
 pub use stream_pace::*;
