--- /dev/null
+++ b/crates/daemon/tests/gateway/soak/mod.rs
@@ -0,0 +1,108 @@
+//! A soak: real gateways as processes, random faults from outside, and the promises checked from
+//! what callers and endpoints see. One seed gives one course of faults.
+//!
+//! `SOAK_SEEDS=100..150 cargo test -p sorrellock-daemon --test gateway soak` runs more seeds,
+//! `SOAK_GATEWAYS=20` more processes.
+
+mod callers;
+mod faults;
+mod promises;
+mod world;
+
+use callers::{Call, Callers};
+use promises::{Heard, check_answers_came, check_runs};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use std::thread;
+use std::time::Duration;
+use world::World;
+
+use crate::fleet::new_request;
+use crate::gateway_process::wait_for;
+
+/// Seeds of each run in CI.
+const CI_SEEDS: [u64; 2] = [1, 2];
+/// Seeds that failed once stay here, each with its cause.
+const REGRESSIONS: [u64; 0] = [];
+/// Between two events of a stream: a whole one takes 0.4 s.
+const EVENT_GAP: Duration = Duration::from_millis(10);
+/// The same beside signals, in ms: a whole stream takes 0.4 to 3 s, less than a process that ends
+/// has for it.
+const EVENT_GAPS_MS: std::ops::Range<u64> = 10..75;
+/// Faults of one run.
+const FAULTS: usize = 24;
+/// Series of signals of one run: two processes after each other have their whole time to end.
+const SERIES: usize = 2;
+
+/// Runs one seed of all faults.
+fn soak_of_faults(seed: u64) {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let mut world = World::new(seed, EVENT_GAP);
+    let callers = Callers::start(&world);
+    let mut course = Vec::new();
+
+    for _ in 0..FAULTS {
+        course.push(world.fault(&mut rng));
+        thread::sleep(Duration::from_millis(rng.random_range(20..400)));
+    }
+    world.heal();
+    let heard = callers.stop();
+
+    check_runs(&world, &heard).unwrap_or_else(|broken| panic!("seed {seed}: {broken} {course:#?}"));
+    wait_for_service(&world, &format!("seed {seed}: service after {course:#?}"));
+}
+
+/// Runs one seed of signals alone: what processes took before they ended is answered.
+fn soak_of_signals(seed: u64) {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let gap = Duration::from_millis(rng.random_range(EVENT_GAPS_MS));
+    let mut world = World::new(seed, gap);
+    wait_for_service(&world, "service before the first signal");
+    let callers = Callers::start(&world);
+    let mut course = Vec::new();
+
+    for _ in 0..SERIES {
+        course.push(world.signals_in_series(&mut rng));
+        thread::sleep(Duration::from_millis(rng.random_range(0..500)));
+    }
+    let heard = callers.stop();
+
+    let broken = check_runs(&world, &heard).and_then(|()| check_answers_came(&world, &heard));
+    broken.unwrap_or_else(|broken| panic!("seed {seed}: {broken} {course:#?}"));
+    assert!(heard.iter().any(Heard::is_whole_stream), "seed {seed}: no stream was served");
+    wait_for_service(&world, &format!("seed {seed}: service after {course:#?}"));
+}
+
+/// Waits until each gateway serves a stream.
+fn wait_for_service(world: &World, what: &str) {
+    for node in &world.nodes {
+        wait_for(what, || {
+            let call = Call::stream(new_request());
+            let heard = callers::call(&callers::once(), node.process.callers(), call);
+            heard.is_whole_stream() && promises::check_stream(&heard).is_ok()
+        });
+    }
+}
+
+/// Runs the seeds that the environment names, or else those of each run.
+fn with_seeds(run: impl FnMut(u64)) {
+    match std::env::var("SOAK_SEEDS") {
+        Ok(range) => {
+            let (from, to) = range.split_once("..").expect("SOAK_SEEDS is FROM..TO");
+            let (from, to): (u64, u64) =
+                (from.parse().expect("a number"), to.parse().expect("a number"));
+            (from..to).for_each(run);
+        }
+        Err(_) => CI_SEEDS.into_iter().chain(REGRESSIONS).for_each(run),
+    }
+}
+
+#[test]
+fn soak_with_the_seeds_of_each_run() {
+    with_seeds(soak_of_faults);
+}
+
+#[test]
+fn soak_of_signals_with_the_seeds_of_each_run() {
+    with_seeds(soak_of_signals);
+}
