--- a/crates/daemon/tests/gateway/leaving.rs
+++ b/crates/daemon/tests/gateway/leaving.rs
@@ -13,7 +13,7 @@
 use crate::fleet::{HOST, KEY, begin, fleet, new_request, send};
 use crate::gateway_process::{GatewayProcess, wait_for};
 use nix::sys::signal::Signal;
-use sorrellock_stand_ins::{FakeService, ServiceMode};
+use sorrellock_stand_ins::{EngineMode, FakeService, ServiceMode, new_ip};
 use std::io::{Read, Write};
 use std::net::TcpStream;
 use std::thread;
@@ -69,7 +69,7 @@
     let fleet = fleet();
     let gateway = fleet.gateway("one");
     set_grace(&gateway, 3.5);
-    fleet.service.set_mode(ServiceMode::ServesAfter(Duration::from_millis(1_200)));
+    fleet.service.set_mode(ServiceMode::ServesAfter(Duration::from_millis(1_600)));
     let mut answers = Vec::new();
 
     gateway.signal(Signal::SIGTERM);
@@ -198,6 +198,9 @@
 
     assert_eq!(while_other_is_ready, 0.0);
     assert!(while_both_leave > 0.0, "{while_both_leave}");
+    for gateway in &gateways {
+        gateway.wait_for_line(&["\"refused as this gateway ends\""]);
+    }
 }
 
 #[test]
@@ -239,3 +242,94 @@
     assert!(answer.retry_after.is_some());
     assert_eq!(fleet.runs(&request), 0);
 }
+
+/// The course of the story: kept connections on which requests still come after the signal. Each is closed
+/// with its answer, so that each brings one stream.
+#[test]
+fn a_stream_that_comes_late_on_a_kept_connection_is_refused_and_none_is_cut() {
+    let fleet = fleet();
+    let gateway = fleet.gateway("one");
+    set_grace(&gateway, 3.5);
+    assert_eq!(send(gateway.callers(), "/match/a", &new_request(), Some(KEY)).status, 200);
+    let mut kept: Vec<TcpStream> = (0..8).map(|_| kept_connection(&gateway)).collect();
+    let mut refused = None;
+
+    gateway.signal(Signal::SIGTERM);
+    gateway.wait_for_line(&["\"gateway leaving\""]);
+    while refused.is_none() {
+        let caller = kept.pop().expect("one was refused before all were used");
+        let (request, answer) = stream_on(caller);
+        let is_refused = answer.starts_with("HTTP/1.1 503 ");
+        assert!(is_refused || answer.ends_with("\r\n0\r\n\r\n"), "cut: {answer}");
+        refused = is_refused.then_some(request);
+    }
+
+    assert_eq!(fleet.runs(&refused.expect("the last one")), 0);
+}
+
+/// A connection on which a call was answered.
+fn kept_connection(gateway: &GatewayProcess) -> TcpStream {
+    let request = new_request();
+    let mut caller = call_on_kept_connection(gateway, &request);
+    let mut buf = [0; 4_096];
+    let len = caller.read(&mut buf).expect("an answer");
+    assert!(buf[..len].starts_with(b"HTTP/1.1 200 "));
+    caller
+}
+
+/// Asks for a stream on a connection, and reads all that comes on it.
+fn stream_on(mut caller: TcpStream) -> (String, String) {
+    let request = new_request();
+    let head = format!(
+        "POST /match/a HTTP/1.1\r\nhost: {HOST}\r\nrequest-id: {request}\r\n\
+         authorization: Bearer {KEY}\r\ntoken-count: 10,40\r\ncontent-length: 0\r\n\r\n"
+    );
+    caller.write_all(head.as_bytes()).expect("the head");
+    let mut answer = String::new();
+    caller.read_to_string(&mut answer).expect("an answer");
+    (request, answer)
+}
+
+#[test]
+fn a_stream_without_its_first_event_at_the_end_gets_a_final_answer() {
+    let fleet = fleet();
+    let mut gateway = fleet.gateway("one");
+    set_grace(&gateway, 0.9);
+    fleet.engines.iter().for_each(|engine| engine.set_mode(EngineMode::Mute));
+    let (to, request) = (gateway.callers(), new_request());
+    let id = request.clone();
+    let stream = thread::spawn(move || send(to, "/match/a", &id, Some(KEY)));
+    wait_for("an engine to run the stream", || fleet.runs(&request) == 1);
+
+    gateway.signal(Signal::SIGTERM);
+    let answer = stream.join().expect("an answer, not a closed connection");
+
+    assert_eq!(answer.status, 502, "it may have run");
+    assert_eq!(gateway.wait(), Some(0));
+}
+
+#[test]
+fn calls_that_wait_at_the_end_all_get_a_final_answer_and_no_other_attempt() {
+    const CALLS: usize = 60;
+    let fleet = fleet();
+    let mut gateway = fleet.gateway("one");
+    set_grace(&gateway, 3.5);
+    let second = FakeService::start("ledger-2", "ledger", "north", new_ip(), &fleet.store);
+    let services = [&fleet.service, &second.expect("the second endpoint")];
+    gateway.wait_for_line(&["\"endpoint joined\"", "ledger-2"]);
+    services.iter().for_each(|one| one.set_mode(ServiceMode::ServesAfter(OUTLASTS_ALL)));
+    let runs = |id: &str| services.iter().map(|service| service.runs(id)).sum::<u32>();
+    let to = gateway.callers();
+    let requests: Vec<String> = (0..CALLS).map(|_| new_request()).collect();
+    let send_one = |id: String| thread::spawn(move || send(to, "/status/a", &id, Some(KEY)));
+    let calls: Vec<_> = requests.iter().cloned().map(send_one).collect();
+    wait_for("all calls to run", || requests.iter().all(|request| runs(request) == 1));
+
+    gateway.signal(Signal::SIGTERM);
+    let statuses: Vec<u16> =
+        calls.into_iter().map(|call| call.join().expect("an answer").status).collect();
+
+    assert_eq!(statuses, vec![502; CALLS]);
+    assert!(requests.iter().all(|request| runs(request) == 1));
+    assert_eq!(gateway.wait(), Some(0));
+}
