An entry that drains and a request that begins see each other

Change: the count comes first, both sides in one order. No test: the window is a few instructions; the drain tests pass as before.

--- a/crates/daemon/src/entry/process/in_progress.rs
+++ b/crates/daemon/src/entry/process/in_progress.rs
@@ -50,12 +50,15 @@
     /// Admits a request, which must [`leave`](InProgress::leave) once it was started and ended, or have
     /// [`left`](InProgress::left) if it never started.
     pub fn admit(&self) -> Result<RequestKey, NotRun> {
+        // Counted before the flag is read, as `drain` sets the flag before it reads the count: one of the two
+        // sees the other, and no request begins at an entry that has found none in progress.
+        let before = self.count.fetch_add(1, Ordering::SeqCst);
         if self.is_draining() {
+            self.left();
             let refused =
                 NotRun::never_sent(Refusal::Leaving, "this entry is leaving; send it again");
             return Err(refused.with_retry_after(RETRY_AFTER_LEAVING));
         }
-        let before = self.count.fetch_add(1, Ordering::AcqRel);
         if before >= self.most {
             self.left();
             let detail = format!("{before} requests are in progress at this entry, its most");
@@ -77,7 +80,7 @@
 
     /// How many are in progress.
     pub fn count(&self) -> usize {
-        self.count.load(Ordering::Acquire)
+        self.count.load(Ordering::SeqCst)
     }
 
     /// Is no longer ready, so that the balancer sends no more; still takes what comes.
@@ -92,11 +95,11 @@
 
     /// Takes no more.
     pub fn drain(&self) {
-        self.draining.store(true, Ordering::Release);
+        self.draining.store(true, Ordering::SeqCst);
     }
 
     /// Whether no more are taken.
     pub fn is_draining(&self) -> bool {
-        self.draining.load(Ordering::Acquire)
+        self.draining.load(Ordering::SeqCst)
     }
 }
