How a stream stands with its path is one state in place of three flags

Behaviour is kept but for one log line: 'first event over the new path' is told only where the stream is still on the path that it was moved to.

--- a/crates/gateway/src/request/relay.rs
+++ b/crates/gateway/src/request/relay.rs
@@ -50,12 +50,20 @@
     avoid: Vec<Rc<LivePath>>,
     mends: u32,
     repath: Repath,
+    on_path: OnPath,
+}
+
+/// How a stream stands with its path.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum OnPath {
+    /// Its path serves it, as far as is known.
+    Served,
     /// Its path is broken, and an order to go on over another one is under way.
-    is_leaving_broken: bool,
+    LeavesBroken,
     /// Its path is broken, and it waits for one over which its run can go on.
-    awaits_repair: bool,
-    /// It was moved to another path, of which nothing came yet.
-    is_moved: bool,
+    AwaitsRepair,
+    /// It was moved off a broken path to another one, of which nothing came yet.
+    Moved,
 }
 
 /// What comes next of a stream.
@@ -99,9 +107,7 @@
             avoid: Vec::new(),
             mends: 0,
             repath: Repath::default(),
-            is_leaving_broken: false,
-            awaits_repair: false,
-            is_moved: false,
+            on_path: OnPath::Served,
         }
     }
 
@@ -126,7 +132,7 @@
     }
 
     async fn next(&mut self) -> Next {
-        if self.awaits_repair {
+        if self.on_path == OnPath::AwaitsRepair {
             return self.next_while_broken().await;
         }
         let Some(run) = &mut self.run else { return Next::Broke("no run is under way".into()) };
@@ -144,7 +150,7 @@
                 biased;
                 frame = run.begun.answer.body_mut().frame() => return next_of_frame(frame),
                 () = self.tx.closed() => return Next::CallerGone,
-                () = broken(&live), if !self.is_leaving_broken => return Next::PathGone,
+                () = broken(&live), if self.on_path != OnPath::LeavesBroken => return Next::PathGone,
                 end = self.repath.end() => return Next::Repathed(end),
                 () = sleep_until(look.min(deadline)) => {
                     let now = Instant::now();
@@ -182,7 +188,8 @@
         if self.mends > 0 && self.events.events() > 0 && silent > SILENCE_LOOK {
             self.gateway.counters.mend.record(silent);
         }
-        if std::mem::take(&mut self.is_moved) {
+        if self.on_path == OnPath::Moved {
+            self.on_path = OnPath::Served;
             let (request, silent_ms) = (self.call.id(), silent.as_millis() as u64);
             info!("first event over the new path", kv: { request, silent_ms });
         }
@@ -213,15 +220,15 @@
         let live = Rc::clone(&run.place.live);
         let now = Instant::now();
         let silent = now - self.last_event;
+        let awaits_repair = self.on_path == OnPath::AwaitsRepair;
         match self.repath.leave_broken(&self.gateway, &self.call, &live, now) {
             LeaveBroken::Ordered => {
-                self.awaits_repair = false;
-                self.is_leaving_broken = true;
+                self.on_path = OnPath::LeavesBroken;
                 true
             }
-            LeaveBroken::NoPathYet if self.awaits_repair && !is_repair_overdue(silent) => true,
-            LeaveBroken::NoPathYet if !self.awaits_repair && self.may_wait(&live, silent) => {
-                self.awaits_repair = true;
+            LeaveBroken::NoPathYet if awaits_repair && !is_repair_overdue(silent) => true,
+            LeaveBroken::NoPathYet if !awaits_repair && self.may_wait(&live, silent) => {
+                self.on_path = OnPath::AwaitsRepair;
                 let silent_ms = silent.as_millis() as u64;
                 info!("stream waits for a repair", kv: { request = self.call.id(), silent_ms });
                 true
@@ -255,15 +262,16 @@
             request = self.call.id(), data_centre = end.to.path.data_centre.as_str(),
             after:? = self.events.last(), outcome = outcome.as_str()
         });
+        let was_broken = self.on_path == OnPath::LeavesBroken;
         if matches!(end.order, OrderEnd::Begun | OrderEnd::Done) {
             self.gateway.counters.add(Count::Repathed);
             if let Some(run) = &mut self.run {
                 run.place.move_to(end.to, Instant::now());
             }
-            self.is_moved = std::mem::take(&mut self.is_leaving_broken);
+            self.on_path = if was_broken { OnPath::Moved } else { OnPath::Served };
             return true;
         }
-        if !std::mem::take(&mut self.is_leaving_broken) {
+        if !was_broken {
             return true;
         }
         self.lost("an engine of the path is gone, and no other took its part").await
@@ -299,8 +307,7 @@
         let mut ended = None;
         // The engine stops its work when its connection closes.
         self.repath = Repath::default();
-        self.is_leaving_broken = false;
-        self.awaits_repair = false;
+        self.on_path = OnPath::Served;
         if let Some(run) = self.run.take() {
             let live = &run.place.live;
             if !self.gateway.is_listed(&live.path.first().life) {
