Limits: a request right after a renewal is not refused

A question that wants no more slots than are in use is answered with just these. The entry took that answer for a limit in flight that is reached, and refused for 50 ms whatever came next (429, with 1 of 1000 in flight). Only an entry that has as many in flight as may be waits now; where a keeper gives less than was wanted, its answer says when to ask again.

Found by an_engine_hangs_and_wakes_with_work_in_hand, whose second answer came within 50 ms of the renewal of the first.

--- a/crates/core/src/process/grants/share.rs
+++ b/crates/core/src/process/grants/share.rs
@@ -230,7 +230,9 @@
         }
         if !grant.more_after.is_zero() {
             self.ask_after = now + grant.more_after;
-        } else if grant.slots <= self.in_use {
+        } else if self.in_use >= self.limits.in_flight {
+            // As many slots as are in use are no sign of the limit: a question that wants no more
+            // gets just these.
             self.ask_after = now + LEAST_WAIT;
         }
         true
--- a/crates/core/tests/grants.rs
+++ b/crates/core/tests/grants.rs
@@ -53,6 +53,13 @@
         self.table.ask(&key(), 1, by_keeper())
     }
 
+    /// Asks `keeper` while `waiting` requests wait, if there is a question, and takes its answer.
+    fn answer(&mut self, keeper: &mut Keeper<ManualClock>, waiting: usize) {
+        let Some(ask) = self.table.ask(&key(), waiting, by_keeper()) else { return };
+        let grant = keeper.answer(1, &ask, self.limits).expect("an answer");
+        assert!(self.table.take(KEEPER, &grant), "it is the answer to the last question");
+    }
+
     fn take(&mut self, number: u64, requests: f64) -> bool {
         let granted = Amount::new(requests, 1e6);
         let grant = Grant { key: key(), number, granted, slots: 1000, more_after: Duration::ZERO };
@@ -192,3 +199,40 @@
     assert_eq!(again.debt.requests, 1.0);
     assert!(again.number > lost.number);
 }
+
+/// A question about an answer under way is no wish for more: its keeper says that one may go on.
+#[test]
+fn a_request_right_after_a_renewal_is_not_refused() {
+    let mut entry = Entry::new(limits(1000.0, 1000));
+    let mut keeper = keeper(&entry.clock, StartLevel::Full);
+    let first = entry.arrive(1);
+    entry.answer(&mut keeper, 0);
+    entry.clock.advance(Duration::from_secs(2));
+    entry.answer(&mut keeper, 0);
+    entry.table.end(&key(), 1.0, 1.0);
+
+    entry.clock.advance(Duration::from_millis(5));
+    let second = entry.table.arrive(&key(), entry.limits, 1.0, by_keeper());
+
+    assert_eq!(first, 1);
+    assert!(!matches!(second, Spend::Refused(_)), "{second:?}");
+}
+
+/// At the limit in flight the keeper has no more to give, and is not asked at each arrival.
+#[test]
+fn a_request_past_the_limit_in_flight_is_refused_until_it_is_worth_asking() {
+    let mut entry = Entry::new(limits(1000.0, 4));
+    let mut keeper = keeper(&entry.clock, StartLevel::Full);
+    entry.arrive(1);
+    for _ in 0..3 {
+        entry.answer(&mut keeper, 3);
+        entry.arrive(1);
+    }
+    entry.clock.advance(Duration::from_millis(700));
+    entry.answer(&mut keeper, 1);
+
+    let past = entry.table.arrive(&key(), entry.limits, 1.0, by_keeper());
+
+    assert!(matches!(past, Spend::Refused(_)), "{past:?}");
+    assert_eq!(entry.ask(), None);
+}
