Engine watch: a pause of the daemon is not put down to its engine

The watch compared the batch in hand with the clock. When the process was paused for more than the 120 ms floor, its first look found each engine with a batch in hand hanging, though the answer was there, unread: KV caches were dropped and requests rerouted. Each look now counts 20 ms at most, as the entry's stall detector passes over its own pauses.

--- a/crates/core/src/request/stage/mod.rs
+++ b/crates/core/src/request/stage/mod.rs
@@ -1,6 +1,7 @@
 //! One stage's part of pipeline requests: each position once, in order.
 
 mod actions;
+mod batch_watch;
 mod kept;
 mod output;
 mod run;
@@ -9,6 +10,7 @@
 mod table;
 mod tombstones;
 
+pub use batch_watch::*;
 pub use kept::*;
 pub use output::*;
 pub use run::*;
--- a/crates/daemon/src/beside/process/engine_batches.rs
+++ b/crates/daemon/src/beside/process/engine_batches.rs
@@ -2,7 +2,9 @@
 
 use crate::beside::process::EngineRunner;
 use crate::process::Count;
-use sorrellock_core::request::{Chosen, EngineResult, EngineWork, RequestKey};
+use sorrellock_core::request::{
+    BatchWatch, Chosen, EngineResult, EngineWork, LOOK_INTERVAL, RequestKey,
+};
 use sorrellock_ports::api::{Batch, Engine, EngineStep, StepOutput};
 use sorrellock_wire::connection::Link;
 use std::sync::atomic::Ordering;
@@ -11,14 +13,12 @@
 
 /// How long one batch may take before the call is given up.
 const BATCH_DEADLINE: Duration = Duration::from_secs(30);
-/// How often the batch in hand is looked at.
-const WATCH_INTERVAL: Duration = Duration::from_millis(10);
 /// How often a leaving engine offers what is open, and idle requests are looked for.
 const OFFER_INTERVAL: Duration = Duration::from_millis(500);
 
 /// A batch that the engine has in hand.
 pub(super) struct InHand {
-    since: Instant,
+    watch: BatchWatch,
     tokens: usize,
     /// Whether it takes too long; the requests were told.
     pub(super) stuck: bool,
@@ -53,7 +53,7 @@
 pub(super) fn watch_batches<L: Link, E: Engine>(runner: &EngineRunner<L, E>) {
     let mut offered = Instant::now() - OFFER_INTERVAL;
     while !runner.ended.load(Ordering::Acquire) {
-        thread::sleep(WATCH_INTERVAL);
+        thread::sleep(LOOK_INTERVAL);
         watch_batch(runner);
         if offered.elapsed() < OFFER_INTERVAL {
             continue;
@@ -73,7 +73,7 @@
     runner.change(|state, out| {
         let times = state.times;
         let Some(in_hand) = state.in_hand.as_mut() else { return };
-        let took = in_hand.since.elapsed();
+        let took = in_hand.watch.look(Instant::now());
         if in_hand.stuck || took < times.stuck_after(in_hand.tokens) {
             return;
         }
@@ -97,7 +97,7 @@
         works.extend(state.table.start(request).map(|work| (request, work)));
     }
     let tokens = works.iter().map(|(_, work)| work.step.tokens.len()).sum();
-    state.in_hand = Some(InHand { since: Instant::now(), tokens, stuck: false });
+    state.in_hand = Some(InHand { watch: BatchWatch::new(Instant::now()), tokens, stuck: false });
     Some(works)
 }
 
