Paths are worked out once for a batch of entries that tell of new lives; one guard counts requests and connections (behaviour kept)

Found by reading the change: each life that an entry ended had all paths worked out, though the list or watch does so behind its last entry, with no wait between; the two guards in caller_connection.rs differed in the count alone.

--- a/crates/gateway/src/connection/caller_connection.rs
+++ b/crates/gateway/src/connection/caller_connection.rs
@@ -9,7 +9,7 @@
 use sorrellock_http::{Activity, AnswerBody, Cut, Doing, WatchedIo};
 use sorrellock_routing::version::CallerLimits;
 use spdlog::warn;
-use std::cell::Cell;
+use std::cell::{Cell, OnceCell};
 use std::pin::pin;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -61,12 +61,14 @@
     let _ = stream.set_nodelay(true);
     let limits = limits(&gateway);
     let activity = Arc::new(Activity::new());
-    let answering = Rc::new(Answering::new(Rc::clone(&gateway)));
+    // Set with the first request, until the connection is closed. A gateway that ends closes each after its
+    // answer, so that those left have one to write.
+    let answering: Rc<OnceCell<Counted>> = Rc::default();
     let service = {
         let (gateway, activity) = (Rc::clone(&gateway), Arc::clone(&activity));
         let answering = Rc::clone(&answering);
         service_fn(move |req| {
-            answering.on_request();
+            answering.get_or_init(|| Counted::new(Rc::clone(&gateway), |g| &g.answering));
             serve_one(Rc::clone(&gateway), Arc::clone(&activity), req)
         })
     };
@@ -80,7 +82,7 @@
     loop {
         // A new connection gets an answer first: closed unread, its caller would spend a retry on a
         // process that may still serve it, or tell when to come back.
-        if *phase.borrow_and_update() >= Phase::Closing && answering.had_request.get() {
+        if *phase.borrow_and_update() >= Phase::Closing && answering.get().is_some() {
             connection.as_mut().graceful_shutdown();
         }
         let wait = match time_left(&activity, &limits) {
@@ -99,30 +101,24 @@
     }
 }
 
-/// Counts a connection that had a request until it is closed. A gateway that ends closes each after its
-/// answer, so that those left have one to write.
-struct Answering {
+/// Counts one in a count of the gateway while it lives.
+struct Counted {
     gateway: Rc<Gateway>,
-    had_request: Cell<bool>,
+    count: fn(&Gateway) -> &Cell<usize>,
 }
 
-impl Answering {
-    fn new(gateway: Rc<Gateway>) -> Answering {
-        Answering { gateway, had_request: Cell::new(false) }
-    }
-
-    fn on_request(&self) {
-        if !self.had_request.replace(true) {
-            self.gateway.answering.set(self.gateway.answering.get() + 1);
-        }
+impl Counted {
+    fn new(gateway: Rc<Gateway>, count: fn(&Gateway) -> &Cell<usize>) -> Counted {
+        let cell = count(&gateway);
+        cell.set(cell.get() + 1);
+        Counted { gateway, count }
     }
 }
 
-impl Drop for Answering {
+impl Drop for Counted {
     fn drop(&mut self) {
-        if self.had_request.get() {
-            self.gateway.answering.set(self.gateway.answering.get() - 1);
-        }
+        let cell = (self.count)(&self.gateway);
+        cell.set(cell.get() - 1);
     }
 }
 
@@ -158,7 +154,7 @@
 ) -> Result<Response<AnswerBody>, Cut> {
     activity.on_request();
     let arrived = Instant::now();
-    let unanswered = Unanswered::new(Rc::clone(&gateway));
+    let unanswered = Counted::new(Rc::clone(&gateway), |g| &g.unanswered);
     let res = answer(Rc::clone(&gateway), req, arrived).await;
     drop(unanswered);
     let mut answer = res?;
@@ -167,21 +163,3 @@
     }
     Ok(answer.map(|body| body.with_activity(activity)))
 }
-
-/// Counts a request until it has the head of its answer, or its caller is gone.
-struct Unanswered {
-    gateway: Rc<Gateway>,
-}
-
-impl Unanswered {
-    fn new(gateway: Rc<Gateway>) -> Unanswered {
-        gateway.unanswered.set(gateway.unanswered.get() + 1);
-        Unanswered { gateway }
-    }
-}
-
-impl Drop for Unanswered {
-    fn drop(&mut self) {
-        self.gateway.unanswered.set(self.gateway.unanswered.get() - 1);
-    }
-}
--- a/crates/gateway/src/process/gateway.rs
+++ b/crates/gateway/src/process/gateway.rs
@@ -297,7 +297,9 @@
         if quiet.is_empty() {
             return;
         }
-        warn!("endpoint suspected", kv: { endpoint = life.id.as_str(), why = "another gateway told", instance });
+        warn!("endpoint suspected", kv: {
+            endpoint = life.id.as_str(), why = "another gateway told", instance
+        });
         self.beliefs.borrow_mut().hear_suspect(life, now, SUSPECT_FOR);
         self.refresh_paths();
         for live in &quiet {
--- a/crates/gateway/src/process/lives.rs
+++ b/crates/gateway/src/process/lives.rs
@@ -177,9 +177,11 @@
             self.knowledge.borrow_mut().begin_life(life);
         }
         self.on_life_ended(ended, life, source);
+        self.refresh_paths();
     }
 
-    /// Ends a life everywhere: its paths break, and nothing that belonged to it is used for `life`.
+    /// Ends a life everywhere: nothing that belonged to it is used for `life`. Its paths break as paths are
+    /// worked out next, at once: for a batch of entries that is done once, behind the last of them.
     pub(crate) fn on_life_ended(&self, ended: &Incarnation, life: &Incarnation, source: &str) {
         self.counters.add(Count::LivesEnded);
         let (before, started) =
@@ -200,6 +202,7 @@
         self.counters.add(Count::LivesEnded);
         info!("another endpoint has the address", kv: { endpoint = life.id.as_str() });
         self.forget_life(life);
+        self.refresh_paths();
     }
 
     /// Nothing of a life that is over is used any more.
@@ -207,7 +210,6 @@
         self.uses.borrow_mut().remove(life);
         self.probes.borrow_mut().remove(life);
         self.pool.borrow_mut().remove(life);
-        self.refresh_paths();
         self.engines_changed.notify_waiters();
     }
 }
