Sight: when a call of the store was sent that brought nothing, and how old a gateway's knowledge is

Change: asked_ms and heard_ms in `store lost`, heard_ms in `configuration in force`, two gauges, /dump.

--- a/crates/gateway/src/process/dump.rs
+++ b/crates/gateway/src/process/dump.rs
@@ -2,7 +2,7 @@
 
 use crate::process::{EntryState, Gateway, Knowledge, KnownEndpoint, Phase};
 use serde::Serialize;
-use sorrellock_platform::Revision;
+use sorrellock_platform::{Kind, Revision};
 use sorrellock_routing::process::{FOUND_MOST, FaultKind, LayerRange, cut};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -18,6 +18,9 @@
     phase: &'static str,
     config_version: u64,
     endpoints_at: Revision,
+    /// How long ago the store last told all that it had.
+    configuration_heard_ms: Option<u64>,
+    endpoints_heard_ms: Option<u64>,
     lead: Option<LeadDump>,
     gateways: Vec<GatewayDump>,
     endpoints: Vec<EndpointDump>,
@@ -103,6 +106,8 @@
             phase: phase_name(*gateway.phase.borrow()),
             config_version: knowledge.config_version(),
             endpoints_at: knowledge.endpoints_at(),
+            configuration_heard_ms: gateway.store_heard.age_ms(Kind::Configuration, now),
+            endpoints_heard_ms: gateway.store_heard.age_ms(Kind::Endpoints, now),
             lead: lead(gateway, now),
             gateways: bounded(gateways(gateway, now).into_iter(), &mut left_out),
             endpoints: bounded(endpoints, &mut left_out),
--- a/crates/gateway/src/process/gateway.rs
+++ b/crates/gateway/src/process/gateway.rs
@@ -5,7 +5,7 @@
 };
 use sorrellock_core::clock::SystemClock;
 use sorrellock_core::process::retries::Breakers;
-use sorrellock_platform::{Bounds, Client, EndpointLoad, Settings};
+use sorrellock_platform::{Bounds, Client, EndpointLoad, Kind, Settings};
 use sorrellock_routing::process::{Incarnation, Leaving, Lives, RetryWindow, StreamPace};
 use sorrellock_routing::version::{Configuration, ServiceName};
 use spdlog::{info, warn};
@@ -46,6 +46,36 @@
     pub(crate) told: Option<(EndpointLoad, Instant)>,
 }
 
+/// When the store last told this gateway all that it had of a kind: an older change is known.
+#[derive(Debug, Default)]
+pub(crate) struct StoreHeard {
+    configuration: Cell<Option<Instant>>,
+    endpoints: Cell<Option<Instant>>,
+}
+
+impl StoreHeard {
+    /// The store told all that it has of a kind.
+    pub(crate) fn set(&self, kind: Kind, at: Instant) {
+        if let Some(heard) = self.of(kind) {
+            heard.set(Some(at));
+        }
+    }
+
+    /// How long ago it did so, in ms; nothing if it never did.
+    pub(crate) fn age_ms(&self, kind: Kind, now: Instant) -> Option<u64> {
+        let at = self.of(kind)?.get()?;
+        Some((now - at).as_millis() as u64)
+    }
+
+    fn of(&self, kind: Kind) -> Option<&Cell<Option<Instant>>> {
+        match kind {
+            Kind::Configuration => Some(&self.configuration),
+            Kind::Endpoints => Some(&self.endpoints),
+            Kind::Gateways | Kind::Leads => None,
+        }
+    }
+}
+
 /// What all parts of a gateway share.
 pub(crate) struct Gateway {
     /// As at the start; [`Gateway::bounds`] holds the bounds in force.
@@ -70,8 +100,8 @@
     pub(crate) stream_paces: RefCell<HashMap<ServiceName, StreamPace>>,
     /// This gateway places layers.
     pub(crate) leads: Cell<bool>,
-    /// When the store last told of the endpoints.
-    pub(crate) store_heard: Cell<Option<Instant>>,
+    /// When the store last told this gateway all that it had.
+    pub(crate) store_heard: StoreHeard,
     /// Wakes watches of the store that wait for an answer: it doesn't answer another call.
     pub(crate) store_silent: Notify,
     /// When a call of the store last failed.
@@ -118,7 +148,7 @@
             budgets: RefCell::default(),
             stream_paces: RefCell::default(),
             leads: Cell::new(false),
-            store_heard: Cell::new(None),
+            store_heard: StoreHeard::default(),
             store_silent: Notify::new(),
             store_failed: Cell::new(None),
             refusers_checked: RefCell::default(),
@@ -218,11 +248,12 @@
         let version = cfg.version;
         let (routes, workspaces) = (cfg.routes.len(), cfg.workspaces.len());
         let before = self.knowledge.borrow().config_version();
+        let heard_ms = self.store_heard.age_ms(Kind::Configuration, Instant::now());
         if !self.knowledge.borrow_mut().apply_configuration(cfg) {
             return;
         }
         info!("configuration in force", kv: {
-            version, before, routes, workspaces, source
+            version, before, routes, workspaces, source, heard_ms:?
         });
         self.refresh_paths();
         self.configured.notify_waiters();
--- a/crates/gateway/src/process/listeners.rs
+++ b/crates/gateway/src/process/listeners.rs
@@ -10,7 +10,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use serde::Serialize;
-use sorrellock_platform::Revision;
+use sorrellock_platform::{Kind, Revision};
 use sorrellock_routing::version::ConfigVersion;
 use spdlog::warn;
 use std::convert::Infallible;
@@ -91,9 +91,14 @@
     let in_flight = gateway.in_flight.get() as f64;
     let version = knowledge.config_version() as f64;
     let endpoints = knowledge.endpoints().count() as f64;
+    let now = Instant::now();
+    // Not a number before the store was heard.
+    let age = |kind| gateway.store_heard.age_ms(kind, now).map_or(f64::NAN, |ms| ms as f64);
     gateway.counters.page(&[
         ("in_flight", in_flight),
         ("config_version", version),
         ("endpoints", endpoints),
+        ("configuration_heard_ms", age(Kind::Configuration)),
+        ("endpoints_heard_ms", age(Kind::Endpoints)),
     ])
 }
--- a/crates/gateway/src/process/peers.rs
+++ b/crates/gateway/src/process/peers.rs
@@ -118,7 +118,7 @@
             sequence: self.sequence.get(),
             config_version: gateway.knowledge.borrow().config_version(),
             endpoints_at: gateway.knowledge.borrow().endpoints_at(),
-            store_heard_ms: gateway.store_heard.get().map(|at| (now - at).as_millis() as u32),
+            store_heard_ms: gateway.store_heard.age_ms(Kind::Endpoints, now).map(|ms| ms as u32),
             loads: own_loads.into_iter().map(load).collect(),
             suspects,
             leaving,
--- a/crates/gateway/src/process/watchers.rs
+++ b/crates/gateway/src/process/watchers.rs
@@ -59,6 +59,7 @@
         store,
         kind,
         at: None,
+        asked: Instant::now(),
         lost_since: None,
         retry: RETRY_FIRST,
         list_limit: LIST_LIMIT_FIRST,
@@ -98,6 +99,8 @@
     kind: Kind,
     /// Where to watch on from; none: list first.
     at: Option<Revision>,
+    /// When the call under way was sent.
+    asked: Instant,
     /// Since when the store doesn't answer.
     lost_since: Option<Instant>,
     retry: Duration,
@@ -110,8 +113,9 @@
 impl Watcher {
     async fn step(&mut self) -> Result<(), StoreError> {
         self.gateway.counters.add(Count::StoreCalls);
+        self.asked = Instant::now();
         let Some(at) = self.at else {
-            let began = Instant::now();
+            let began = self.asked;
             let store = self.store.with_limit(self.list_limit);
             // A store that is silent as a process starts is asked again soon.
             self.list_limit = (self.list_limit * 2).min(LIST_LIMIT_MOST);
@@ -130,6 +134,7 @@
         self.at = Some(changes.at.max(at));
         self.on_answer();
         if changes.changes.is_empty() && changes.nameless.is_empty() {
+            self.note_heard();
             return Ok(());
         }
         self.gateway.refuse_nameless(&changes.nameless, &format!("{:?}", self.kind));
@@ -138,6 +143,7 @@
             Kind::Configuration => self.on_configurations(changes.changes),
             Kind::Gateways | Kind::Leads => {}
         }
+        self.note_heard();
         self.on_endpoints_known(changes.at, "watch");
         sleep(self.pause()).await;
         Ok(())
@@ -198,10 +204,16 @@
             }
             Kind::Gateways | Kind::Leads => {}
         }
+        self.note_heard();
         self.on_endpoints_known(listing.at, "list");
         Ok(())
     }
 
+    /// All that the store told is taken in.
+    fn note_heard(&self) {
+        self.gateway.store_heard.set(self.kind, Instant::now());
+    }
+
     fn on_unlisted(&self, listed: &HashSet<EndpointId>, after_outage: bool) {
         if after_outage {
             self.gateway.knowledge.borrow_mut().mark_unlisted(listed, Instant::now());
@@ -307,9 +319,6 @@
 
     fn on_answer(&mut self) {
         self.retry = RETRY_FIRST;
-        if self.kind == Kind::Endpoints {
-            self.gateway.store_heard.set(Some(Instant::now()));
-        }
         if let Some(since) = self.lost_since.take() {
             let (kind, lost_ms) = (format!("{:?}", self.kind), since.elapsed().as_millis() as u64);
             info!("store regained", kv: { kind = kind.as_str(), lost_ms });
@@ -331,7 +340,11 @@
         self.gateway.on_store_failed();
         if self.lost_since.is_none() {
             let (kind, text) = (format!("{:?}", self.kind), err.to_string());
-            warn!("store lost", kv: { kind = kind.as_str(), err = text.as_str() });
+            let asked_ms = self.asked.elapsed().as_millis() as u64;
+            let heard_ms = self.gateway.store_heard.age_ms(self.kind, Instant::now());
+            warn!("store lost", kv: {
+                kind = kind.as_str(), err = text.as_str(), asked_ms, heard_ms:?
+            });
             self.lost_since = Some(Instant::now());
         }
         sleep(self.retry).await;
