A call without an answer gives up the idle connections of before

Cause: connections that are open may go silent together, without a reset, while new ones work; the client took the next idle one for its next call, and each cost one call's time. Ruled out: probing idle connections, which would cost a call each.

--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -79,7 +79,9 @@
         self.peer
     }
 
-    /// Makes a call. The connection is kept only if the answer came whole.
+    /// Makes a call. The connection is kept only if the answer came whole. After a call without an
+    /// answer the idle connections go as well: those that were open may have gone silent together, and each
+    /// would cost one more call its time (500 ms each in the test of three).
     pub async fn call(
         &self,
         method: Method,
@@ -88,11 +90,15 @@
         limit: Duration,
     ) -> Result<Answer, CallError> {
         let mut sent = false;
-        match timeout(limit, self.exchange(method, path, body, &mut sent)).await {
+        let res = match timeout(limit, self.exchange(method, path, body, &mut sent)).await {
             Ok(res) => res,
             Err(_) if sent => Err(self.no_answer(format!("no answer in {limit:?}"))),
             Err(_) => Err(self.not_sent(format!("no connection in {limit:?}"))),
+        };
+        if matches!(res, Err(CallError::NoAnswer { .. })) {
+            self.idle.borrow_mut().clear();
         }
+        res
     }
 
     async fn exchange(
