A silence hides no change for longer than its promise allows, however long it lasts

Cause: a call without an answer was noticed by its own time limit alone, and a watch's limit was its long wait plus 1.5 s. All gateways send theirs at the same moment after a change, so a silence right then took all of them; each retry was a long watch as well, and could meet the same silence. Ruled out: a watch that waited before the silence (they survived it), handing on between gateways, reading. Change: WatchSchedule (core, no sockets): the first gateway that is heard has an answer each half of config_ms (drain_ms for endpoints), the others watch for 8 s; a call without an answer, or knowledge that is too old at all that are heard, leads to checks that don't wait until one is answered. Gateways tell each other how old their knowledge is. An answer's head has a limit of its own. The one that knows most is asked for a handover, and another one after a failure. config_ms is read. Tried and thrown out: watches that end in turn; see docs/design/platform.md.

--- a/crates/core/src/process/mod.rs
+++ b/crates/core/src/process/mod.rs
@@ -9,6 +9,7 @@
 pub mod orders;
 mod priority_queue;
 pub mod retries;
+pub mod store_watch;
 
 pub use endpoint::*;
 pub use fair_queue::*;
--- /dev/null
+++ b/crates/core/tests/store_watch/main.rs
@@ -0,0 +1,5 @@
+//! When processes ask the store: rules of the schedule one by one, and a small fleet on simulated time.
+
+mod fleet;
+mod schedule;
+mod silences;
--- /dev/null
+++ b/crates/core/tests/store_watch/schedule.rs
@@ -0,0 +1,94 @@
+//! The rules of one schedule.
+
+use sorrellock_core::process::store_watch::{Turn, WatchSchedule, WatchTimes};
+use std::time::Duration;
+
+const WITHIN: Duration = Duration::from_secs(2);
+const INTERVAL: Duration = Duration::from_secs(1);
+const LONGEST: Duration = Duration::from_secs(8);
+
+fn schedule() -> WatchSchedule {
+    WatchSchedule::new(WatchTimes::new(WITHIN))
+}
+
+/// The one after `rank` others, of six.
+fn turn(rank: u32) -> Turn {
+    Turn::new(rank, 6)
+}
+
+#[test]
+fn the_first_call_and_each_one_after_a_doubt_is_answered_at_once() {
+    let mut schedule = schedule();
+    let first = schedule.wait(turn(3));
+    schedule.on_answer();
+    schedule.on_doubt();
+
+    assert_eq!((first, schedule.wait(turn(3))), (Duration::ZERO, Duration::ZERO));
+}
+
+#[test]
+fn the_first_has_an_answer_in_each_interval_and_all_others_watch_for_long() {
+    let mut schedule = schedule();
+    schedule.on_answer();
+
+    let waits = [0, 1, 5].map(|rank| schedule.wait(turn(rank)));
+
+    assert_eq!(waits, [INTERVAL, LONGEST, LONGEST]);
+    assert_eq!(schedule.wait(Turn::ALONE), INTERVAL);
+}
+
+#[test]
+fn patience_grows_with_calls_without_an_answer_and_is_bounded() {
+    let mut schedule = schedule();
+    let mut patience = Vec::new();
+    for _ in 0..4 {
+        patience.push(schedule.patience().as_millis());
+        schedule.on_failure();
+    }
+    schedule.on_answer();
+
+    assert_eq!(patience, [500, 1_000, 1_500, 1_500]);
+    assert_eq!(schedule.patience().as_millis(), 500);
+}
+
+#[test]
+fn the_first_few_ask_a_store_that_is_down_more_often_than_all_others() {
+    let mut schedule = schedule();
+    for _ in 0..20 {
+        schedule.on_failure();
+    }
+
+    let waits = [0, 1, 2, 3].map(|rank| schedule.retry_in(turn(rank), None).as_millis());
+
+    assert_eq!(waits, [250, 250, 1_000, 1_000]);
+}
+
+#[test]
+fn a_process_that_the_store_turns_away_does_not_hurry_while_others_tell_it_all() {
+    let mut schedule = schedule();
+    for _ in 0..20 {
+        schedule.on_failure();
+    }
+
+    let told = schedule.retry_in(turn(0), Some(INTERVAL));
+    let untold = schedule.retry_in(turn(0), Some(INTERVAL * 3));
+
+    assert_eq!((told.as_millis(), untold.as_millis()), (1_000, 250));
+}
+
+#[test]
+fn each_process_in_turn_leaves_it_longer_to_the_others_to_ask() {
+    let schedule = schedule();
+
+    let oldest: Vec<u128> =
+        [0, 1, 5, 400].map(|rank| schedule.oldest(Turn::new(rank, 420)).as_millis()).to_vec();
+
+    assert_eq!(oldest, [1_800, 1_900, 2_300, 2_800]);
+}
+
+#[test]
+fn an_interval_is_never_so_short_that_calls_follow_each_other_without_end() {
+    let times = WatchTimes::new(Duration::ZERO);
+
+    assert_eq!(times.interval, Duration::from_millis(500));
+}
--- a/crates/gateway/src/process/beliefs.rs
+++ b/crates/gateway/src/process/beliefs.rs
@@ -1,6 +1,7 @@
 //! What a gateway believes of engines and of other gateways, beyond what the store tells.
 
 use crate::process::{EndedLife, EngineView, LeadView, PeerMessage};
+use sorrellock_platform::Kind;
 use sorrellock_routing::process::Incarnation;
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
@@ -40,6 +41,16 @@
 }
 
 impl Peer {
+    /// How long ago the store told it itself all that it had of a kind.
+    pub(crate) fn store_heard(&self, kind: Kind, now: Instant) -> Option<Duration> {
+        let told_ms = match kind {
+            Kind::Configuration => self.message.configuration_heard_ms,
+            Kind::Endpoints => self.message.endpoints_heard_ms,
+            Kind::Gateways | Kind::Leads => None,
+        };
+        Some(Duration::from_millis(told_ms?.into()) + (now - self.heard))
+    }
+
     /// Time until it, or the successor that it told of, is expected to be ready; nothing for one that
     /// is gone without a word.
     fn ready_in(&self, now: Instant) -> Option<Duration> {
@@ -119,10 +130,8 @@
 
     /// How many live gateways were told of the endpoints by the store within `age`.
     pub(crate) fn watchers(&self, age: Duration, now: Instant) -> usize {
-        let heard = |peer: &&Peer| {
-            let at = peer.message.store_heard_ms.map(|ms| Duration::from_millis(ms.into()));
-            at.is_some_and(|at| at + (now - peer.heard) < age)
-        };
+        let heard =
+            |peer: &&Peer| peer.store_heard(Kind::Endpoints, now).is_some_and(|heard| heard < age);
         self.live_peers(now).filter(heard).count()
     }
 
--- a/crates/gateway/src/process/counters.rs
+++ b/crates/gateway/src/process/counters.rs
@@ -64,6 +64,8 @@
     StoreCalls => "store_calls",
     /// Calls to the store that failed.
     StoreFailures => "store_failures",
+    /// Watches of the store that were given up, as they may have waited in vain.
+    WatchesDoubted => "watches_doubted",
     /// Orders given to engines.
     Orders => "orders",
     /// Orders that engines refused, or that brought no answer.
--- a/crates/gateway/src/process/gateway.rs
+++ b/crates/gateway/src/process/gateway.rs
@@ -1,7 +1,8 @@
 //! What all parts of a gateway share.
 
 use crate::process::{
-    Beliefs, Count, Counters, Handover, Knowledge, PathBook, Pool, SUSPECT_FOR, ToldFaults,
+    Beliefs, Count, Counters, Handover, Knowledge, PathBook, Pool, SUSPECT_FOR, StoreHeard,
+    ToldFaults,
 };
 use sorrellock_core::clock::SystemClock;
 use sorrellock_core::process::retries::Breakers;
@@ -46,36 +47,6 @@
     pub(crate) told: Option<(EndpointLoad, Instant)>,
 }
 
-/// When the store last told this gateway all that it had of a kind: an older change is known.
-#[derive(Debug, Default)]
-pub(crate) struct StoreHeard {
-    configuration: Cell<Option<Instant>>,
-    endpoints: Cell<Option<Instant>>,
-}
-
-impl StoreHeard {
-    /// The store told all that it has of a kind.
-    pub(crate) fn set(&self, kind: Kind, at: Instant) {
-        if let Some(heard) = self.of(kind) {
-            heard.set(Some(at));
-        }
-    }
-
-    /// How long ago it did so, in ms; nothing if it never did.
-    pub(crate) fn age_ms(&self, kind: Kind, now: Instant) -> Option<u64> {
-        let at = self.of(kind)?.get()?;
-        Some((now - at).as_millis() as u64)
-    }
-
-    fn of(&self, kind: Kind) -> Option<&Cell<Option<Instant>>> {
-        match kind {
-            Kind::Configuration => Some(&self.configuration),
-            Kind::Endpoints => Some(&self.endpoints),
-            Kind::Gateways | Kind::Leads => None,
-        }
-    }
-}
-
 /// What all parts of a gateway share.
 pub(crate) struct Gateway {
     /// As at the start; [`Gateway::bounds`] holds the bounds in force.
@@ -102,8 +73,6 @@
     pub(crate) leads: Cell<bool>,
     /// When the store last told this gateway all that it had.
     pub(crate) store_heard: StoreHeard,
-    /// Wakes watches of the store that wait for an answer: it doesn't answer another call.
-    pub(crate) store_silent: Notify,
     /// When a call of the store last failed.
     pub(crate) store_failed: Cell<Option<Instant>>,
     /// Endpoints that refused a request, and when they were last asked why.
@@ -149,7 +118,6 @@
             stream_paces: RefCell::default(),
             leads: Cell::new(false),
             store_heard: StoreHeard::default(),
-            store_silent: Notify::new(),
             store_failed: Cell::new(None),
             refusers_checked: RefCell::default(),
             in_flight: Cell::new(0),
@@ -237,12 +205,6 @@
         Duration::from_secs_f64(median_ms / 1e3)
     }
 
-    /// A call of the store failed.
-    pub(crate) fn on_store_failed(&self) {
-        self.counters.add(Count::StoreFailures);
-        self.store_failed.set(Some(Instant::now()));
-    }
-
     /// Puts a configuration in force if it is newer than the one before.
     pub(crate) fn apply_configuration(&self, cfg: Configuration, source: &str) {
         let version = cfg.version;
--- a/crates/gateway/src/process/knowledge.rs
+++ b/crates/gateway/src/process/knowledge.rs
@@ -1,7 +1,7 @@
 //! What a gateway knows of the configuration and of the endpoints. It only ever gets newer.
 
 use crate::process::{EntryState, KnownEndpoint, RefusedEntries, RefusedEntry};
-use sorrellock_platform::Revision;
+use sorrellock_platform::{Kind, Revision};
 use sorrellock_routing::process::{
     Endpoint, EndpointId, Incarnation, LayerRange, do_most_tell_start, is_start_untold,
 };
@@ -108,6 +108,15 @@
         self.endpoints_at
     }
 
+    /// What is known of a kind: a newer one is higher.
+    pub(crate) fn known_up_to(&self, kind: Kind) -> u64 {
+        match kind {
+            Kind::Configuration => self.config_version(),
+            Kind::Endpoints => self.endpoints_at,
+            Kind::Gateways | Kind::Leads => 0,
+        }
+    }
+
     /// The endpoints that their list holds, those that leave included.
     pub(crate) fn endpoints(&self) -> impl Iterator<Item = &Endpoint> {
         self.endpoints.values().map(|known| &known.endpoint)
--- a/crates/gateway/src/process/lead.rs
+++ b/crates/gateway/src/process/lead.rs
@@ -112,8 +112,7 @@
             Ok(_) => self.step_down("the lead's object names another gateway"),
             Err(err) => {
                 // Without the store nobody else can take over in order, so it leads on.
-                self.gateway.on_store_failed();
-                self.gateway.store_silent.notify_waiters();
+                self.gateway.on_store_failed(&err);
                 let text = err.to_string();
                 warn!("lead not confirmed", kv: { term, err = text.as_str() });
             }
@@ -159,7 +158,7 @@
                 self.begin(term, &format!("no lead was heard, and {err}"));
             }
             Err(err) => {
-                self.gateway.on_store_failed();
+                self.gateway.on_store_failed(&err);
                 let text = err.to_string();
                 warn!("lead not taken", kv: { err = text.as_str() });
             }
--- a/crates/gateway/src/process/mod.rs
+++ b/crates/gateway/src/process/mod.rs
@@ -23,6 +23,7 @@
 mod pool;
 mod refused_entries;
 mod run;
+mod store_heard;
 mod watchers;
 
 pub(crate) use beliefs::*;
@@ -44,3 +45,4 @@
 pub(crate) use pool::*;
 pub(crate) use refused_entries::*;
 pub use run::*;
+pub(crate) use store_heard::*;
--- a/crates/gateway/src/process/peer_message.rs
+++ b/crates/gateway/src/process/peer_message.rs
@@ -1,6 +1,7 @@
 //! What gateways tell each other, as datagrams.
 
 use serde::{Deserialize, Serialize};
+use sorrellock_platform::Kind;
 use sorrellock_routing::process::{Incarnation, LayerRange, StartMillis};
 use sorrellock_routing::version::ConfigVersion;
 
@@ -21,8 +22,10 @@
     pub(crate) config_version: ConfigVersion,
     /// The store's revision up to which the sender knows the endpoints.
     pub(crate) endpoints_at: u64,
-    /// How long ago the store last told the sender of the endpoints.
-    pub(crate) store_heard_ms: Option<u32>,
+    /// How long ago the store last told the sender itself all that it had of the configuration.
+    pub(crate) configuration_heard_ms: Option<u32>,
+    /// The same of the endpoints.
+    pub(crate) endpoints_heard_ms: Option<u32>,
     /// What the sender's streams take, by the first engine of their path.
     pub(crate) loads: Vec<HeadLoad>,
     /// Engines that the sender takes to be dead or cut off, by its own streams.
@@ -37,6 +40,17 @@
     pub(crate) lead: Option<LeadView>,
 }
 
+impl PeerMessage {
+    /// What the sender knows of a kind: a newer one is higher.
+    pub(crate) fn known_up_to(&self, kind: Kind) -> u64 {
+        match kind {
+            Kind::Configuration => self.config_version,
+            Kind::Endpoints => self.endpoints_at,
+            Kind::Gateways | Kind::Leads => 0,
+        }
+    }
+}
+
 /// A life of an endpoint that is over, and the one that was found in its place.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(crate) struct EndedLife {
--- a/crates/gateway/src/process/peers.rs
+++ b/crates/gateway/src/process/peers.rs
@@ -5,7 +5,7 @@
 use http::Method;
 use serde::{Deserialize, Serialize};
 use sorrellock_platform::{Client, Kind, Store, StoreError, StoredObject};
-use sorrellock_routing::process::Incarnation;
+use sorrellock_routing::process::{Incarnation, Known, NewsSources};
 use spdlog::{info, warn};
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
@@ -57,6 +57,8 @@
     registered: RefCell<HashSet<SocketAddr>>,
     /// What this gateway knows while it is the lead.
     own_view: Rc<RefCell<Option<LeadView>>>,
+    /// Whom to ask for what the others know.
+    sources: RefCell<NewsSources>,
 }
 
 impl Peers {
@@ -72,6 +74,7 @@
             told_view: RefCell::default(),
             registered: RefCell::default(),
             own_view,
+            sources: RefCell::default(),
         }
     }
 
@@ -110,6 +113,7 @@
             tokens: load.tokens.max(0.0) as u32,
             streams: load.streams,
         };
+        let heard_ms = |kind| gateway.store_heard.age_ms(kind, now).map(|ms| ms as u32);
         PeerMessage {
             instance: gateway.settings.instance.clone(),
             incarnation: gateway.incarnation,
@@ -118,7 +122,8 @@
             sequence: self.sequence.get(),
             config_version: gateway.knowledge.borrow().config_version(),
             endpoints_at: gateway.knowledge.borrow().endpoints_at(),
-            store_heard_ms: gateway.store_heard.age_ms(Kind::Endpoints, now).map(|ms| ms as u32),
+            configuration_heard_ms: heard_ms(Kind::Configuration),
+            endpoints_heard_ms: heard_ms(Kind::Endpoints),
             loads: own_loads.into_iter().map(load).collect(),
             suspects,
             leaving,
@@ -254,7 +259,7 @@
             self.gateway.counters.add(Count::StoreCalls);
             let res = self.register_once(&store, &mut is_written).await;
             if let Err(err) = &res {
-                self.gateway.on_store_failed();
+                self.gateway.on_store_failed(err);
                 let text = err.to_string();
                 warn!("gateways not read from the store", kv: { err = text.as_str() });
             }
@@ -320,14 +325,20 @@
 
     /// A live gateway that knows a newer configuration, or more of the endpoints.
     fn ahead(&self) -> Option<(String, SocketAddr)> {
-        let knowledge = self.gateway.knowledge.borrow();
-        let (version, at) = (knowledge.config_version(), knowledge.endpoints_at());
+        let now = Instant::now();
+        let own = {
+            let knowledge = self.gateway.knowledge.borrow();
+            Known { config: knowledge.config_version(), endpoints_at: knowledge.endpoints_at() }
+        };
         let beliefs = self.gateway.beliefs.borrow();
-        let mut ahead = beliefs
-            .live_peers(Instant::now())
-            .filter(|peer| peer.message.config_version > version || peer.message.endpoints_at > at);
-        let peer = ahead.next()?;
-        Some((peer.message.instance.clone(), peer.addr))
+        let known = |peer: &Peer| Known {
+            config: peer.message.config_version,
+            endpoints_at: peer.message.endpoints_at,
+        };
+        let heard = beliefs.live_peers(now);
+        let heard = heard.map(|peer| (peer.message.instance.as_str(), known(peer)));
+        let instance = self.sources.borrow_mut().choose(own, heard, now.into_std())?;
+        Some((instance.to_owned(), beliefs.peers.get(instance)?.addr))
     }
 
     async fn fetch(&self, instance: &str, addr: SocketAddr) {
@@ -341,6 +352,10 @@
             |body: &[u8]| serde_json::from_slice::<Handover>(body).map_err(|e| e.to_string());
         match answer.map_err(|err| err.to_string()).and_then(|answer| read(&answer.body)) {
             Ok(handover) => {
+                if handover.configuration.is_some() {
+                    // A watch that lives would have brought it sooner.
+                    self.gateway.store_heard.doubt(Kind::Configuration);
+                }
                 let (version, at) = (
                     handover.configuration.as_ref().map_or(0, |cfg| cfg.version),
                     handover.endpoints_at,
@@ -350,6 +365,9 @@
             }
             Err(err) => {
                 warn!("not caught up from a gateway", kv: { instance, err = err.as_str() });
+                self.sources.borrow_mut().on_failure(instance, Instant::now().into_std());
+                // What the other one knows, the store can tell.
+                self.gateway.store_heard.doubt_all();
             }
         }
     }
--- a/crates/gateway/src/process/run.rs
+++ b/crates/gateway/src/process/run.rs
@@ -6,7 +6,7 @@
 use crate::process::watchers::{expire_entries, follow};
 use crate::process::{Count, Gateway, Phase, serve_side_pages, set_up_log, watch_paths};
 use sorrellock_http::listen;
-use sorrellock_platform::{Kind, Settings, Store, parse_settings};
+use sorrellock_platform::{Kind, Limits, Settings, Store, parse_settings};
 use sorrellock_routing::process::{Incarnation, Leaving};
 use spdlog::{error, info, warn};
 use std::cell::RefCell;
@@ -21,9 +21,11 @@
 use tokio::task::{JoinSet, LocalSet};
 use tokio::time::{Instant, sleep};
 
-/// Time for a call of the store, beyond a watch's wait: it answers in milliseconds, and a slow
-/// one some fifty times later.
-const STORE_LIMIT: Duration = Duration::from_millis(1_500);
+/// Time for a call of the store that is no list or watch: it answers in milliseconds, and a slow
+/// one some fifty times later. Lists and watches are given up sooner, by their schedule.
+const STORE_HEAD_LIMIT: Duration = Duration::from_millis(1_500);
+/// The same for a whole answer: a full list or a large configuration takes a small instance long to read.
+const STORE_LIMIT: Duration = Duration::from_millis(4_500);
 /// How often idle connections are looked through.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 /// After SIGTERM, time until idle connections are closed: by then balancers mostly send elsewhere, and
@@ -137,7 +139,8 @@
     tasks: &mut JoinSet<()>,
 ) -> Result<(), StartError> {
     let settings = &gateway.settings;
-    let store = Store::new(settings.store, STORE_LIMIT);
+    let limits = Limits { head: STORE_HEAD_LIMIT, whole: STORE_LIMIT };
+    let store = Store::new(settings.store, limits);
     let addr = SocketAddr::new(settings.ip, settings.peer_port);
     let socket = UdpSocket::bind(addr).await;
     let socket = socket.map_err(|err| io_error(format!("messages at {addr}"), err))?;
--- /dev/null
+++ b/crates/gateway/src/process/store_heard.rs
@@ -0,0 +1,92 @@
+//! How old this gateway's knowledge of the store is, and what casts doubt on it.
+
+use crate::process::{Count, Gateway};
+use sorrellock_platform::{Kind, StoreError};
+use std::cell::Cell;
+use std::time::Duration;
+use tokio::sync::Notify;
+use tokio::time::Instant;
+
+/// What is heard of the store, for the kinds that are watched.
+#[derive(Debug, Default)]
+pub(crate) struct StoreHeard {
+    configuration: KindHeard,
+    endpoints: KindHeard,
+}
+
+#[derive(Debug, Default)]
+struct KindHeard {
+    /// When the store last told this gateway all that it had.
+    at: Cell<Option<Instant>>,
+    /// Wakes a watch that waits for news: it may wait in vain.
+    doubt: Notify,
+}
+
+impl StoreHeard {
+    /// The store told all that it has of a kind.
+    pub(crate) fn set(&self, kind: Kind, at: Instant) {
+        if let Some(of_kind) = self.of(kind) {
+            of_kind.at.set(Some(at));
+        }
+    }
+
+    /// How long ago it did so; nothing if it never did.
+    pub(crate) fn age(&self, kind: Kind, now: Instant) -> Option<Duration> {
+        Some(now - self.of(kind)?.at.get()?)
+    }
+
+    /// The same in ms.
+    pub(crate) fn age_ms(&self, kind: Kind, now: Instant) -> Option<u64> {
+        self.age(kind, now).map(|age| age.as_millis() as u64)
+    }
+
+    /// A watch of a kind may wait in vain.
+    pub(crate) fn doubt(&self, kind: Kind) {
+        if let Some(of_kind) = self.of(kind) {
+            of_kind.doubt.notify_waiters();
+        }
+    }
+
+    /// Another call of the store had no answer: all watches may wait in vain.
+    pub(crate) fn doubt_all(&self) {
+        self.configuration.doubt.notify_waiters();
+        self.endpoints.doubt.notify_waiters();
+    }
+
+    /// Ends once something casts doubt on a watch of a kind.
+    pub(crate) async fn doubted(&self, kind: Kind) {
+        match self.of(kind) {
+            Some(of_kind) => of_kind.doubt.notified().await,
+            None => std::future::pending().await,
+        }
+    }
+
+    fn of(&self, kind: Kind) -> Option<&KindHeard> {
+        match kind {
+            Kind::Configuration => Some(&self.configuration),
+            Kind::Endpoints => Some(&self.endpoints),
+            Kind::Gateways | Kind::Leads => None,
+        }
+    }
+}
+
+impl Gateway {
+    /// How old this gateway's knowledge of a kind is: the time since the store told all that it had to this one, or to
+    /// another one that is heard and knows nothing that this one doesn't.
+    pub(crate) fn knowledge_age(&self, kind: Kind, now: Instant) -> Option<Duration> {
+        let beliefs = self.beliefs.borrow();
+        let known = self.knowledge.borrow().known_up_to(kind);
+        let peers = beliefs.live_peers(now).filter(|peer| peer.message.known_up_to(kind) <= known);
+        let told = peers.filter_map(|peer| peer.store_heard(kind, now));
+        told.chain(self.store_heard.age(kind, now)).min()
+    }
+
+    /// A call of the store failed.
+    pub(crate) fn on_store_failed(&self, err: &StoreError) {
+        self.counters.add(Count::StoreFailures);
+        self.store_failed.set(Some(Instant::now()));
+        if err.is_silence() {
+            self.store_heard.doubt_all();
+        }
+    }
+}
--- a/crates/gateway/src/process/watchers.rs
+++ b/crates/gateway/src/process/watchers.rs
@@ -1,6 +1,7 @@
 //! Follows the configuration and the endpoints in the platform's store.
 
 use crate::process::{Count, EntryState, Gateway, ReadEntry, check_unlisted, note_starts};
+use sorrellock_core::process::store_watch::{Turn, WatchSchedule, WatchTimes};
 use sorrellock_platform::{Change, Kind, Listing, Revision, Store, StoreError, StoredObject};
 use sorrellock_routing::process::{Endpoint, EndpointId};
 use spdlog::{error, info, warn};
@@ -9,9 +10,6 @@
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
 
-/// How long the store holds a watch without news. A dark store shows only after that, so that it
-/// is a few seconds; each call is priced.
-const WATCH_WAIT: Duration = Duration::from_secs(8);
 /// Changes that come within this time are fetched together: a call each would cost more than
 /// their delay.
 const WATCH_PAUSE: Duration = Duration::from_millis(200);
@@ -29,19 +27,12 @@
 const WATCHERS: u32 = 4;
 /// The fewest of them that must have heard the store of late for others to rely on them.
 const WATCHERS_LEAST: usize = 2;
-/// How late they may have heard it: a watch without news, and a retry.
+/// How late they may have heard it: a watch without news in turn, and a retry.
 const WATCHER_FRESH: Duration = Duration::from_secs(10);
 /// How often a gateway that relies on others looks whether it still may.
 const RELY_TICK: Duration = Duration::from_millis(400);
-/// The first wait after a failed call; it doubles up to the longest.
-const RETRY_FIRST: Duration = Duration::from_millis(150);
-/// Time for the first list: a hundred round trips. It doubles with each that brings no answer, as a
-/// large one takes a small instance long to read.
-const LIST_LIMIT_FIRST: Duration = Duration::from_millis(400);
-/// The most time for a list.
-const LIST_LIMIT_MOST: Duration = Duration::from_millis(3_000);
-/// The longest wait after a failed call: entries that lapsed must be seen within two seconds.
-const RETRY_MOST: Duration = Duration::from_millis(1_000);
+/// How often it is looked whether what is known has grown too old.
+const AGE_TICK: Duration = Duration::from_millis(100);
 /// For so long after a failed call of the store a removed entry may only have lapsed: what the
 /// store did meanwhile comes with the first watch that it answers.
 const LAPSE_DOUBT: Duration = Duration::from_secs(3);
@@ -54,15 +45,15 @@
 
 /// Follows one kind of objects for ever.
 pub(crate) async fn follow(gateway: Rc<Gateway>, store: Store, kind: Kind) {
+    let schedule = WatchSchedule::new(times(&gateway, kind));
     let mut watcher = Watcher {
         gateway,
         store,
         kind,
         at: None,
+        schedule,
         asked: Instant::now(),
         lost_since: None,
-        retry: RETRY_FIRST,
-        list_limit: LIST_LIMIT_FIRST,
         is_left_to_others: false,
     };
     loop {
@@ -70,11 +61,21 @@
             sleep(RELY_TICK).await;
             continue;
         }
+        watcher.schedule.set_times(times(&watcher.gateway, kind));
         let res = watcher.step().await;
         watcher.on_step(res).await;
     }
 }
 
+/// The times for news of a kind: they are to be acted upon within the operator's bounds.
+fn times(gateway: &Gateway, kind: Kind) -> WatchTimes {
+    let bounds = gateway.bounds.get();
+    WatchTimes::new(match kind {
+        Kind::Endpoints => bounds.leave_within,
+        Kind::Configuration | Kind::Gateways | Kind::Leads => bounds.in_force_within,
+    })
+}
+
 /// Gives up endpoints whose entries stay missing or can't be used for too long.
 pub(crate) async fn expire_entries(gateway: Rc<Gateway>) {
     loop {
@@ -99,13 +100,12 @@
     kind: Kind,
     /// Where to watch on from; none: list first.
     at: Option<Revision>,
+    /// What to ask next.
+    schedule: WatchSchedule,
     /// When the call under way was sent.
     asked: Instant,
     /// Since when the store doesn't answer.
     lost_since: Option<Instant>,
-    retry: Duration,
-    /// Time for the next list.
-    list_limit: Duration,
     /// Other gateways tell of the endpoints.
     is_left_to_others: bool,
 }
@@ -114,26 +114,27 @@
     async fn step(&mut self) -> Result<(), StoreError> {
         self.gateway.counters.add(Count::StoreCalls);
         self.asked = Instant::now();
+        let store = self.store.with_head_limit(self.schedule.patience());
         let Some(at) = self.at else {
-            let began = self.asked;
-            let store = self.store.with_limit(self.list_limit);
-            // A store that is silent as a process starts is asked again soon.
-            self.list_limit = (self.list_limit * 2).min(LIST_LIMIT_MOST);
             let listing = store.list(self.kind).await?;
-            self.gateway.counters.store_call.record(began.elapsed());
+            self.gateway.counters.store_call.record(self.asked.elapsed());
+            self.schedule.on_answer();
             return self.on_listing(listing).await;
         };
-        let silent = self.gateway.store_silent.notified();
+        let wait = self.schedule.wait(self.turn());
         let changes = tokio::select! {
-            changes = self.store.watch(self.kind, at, WATCH_WAIT) => changes?,
-            () = silent => {
-                let detail = "another call of the store has no answer".to_owned();
-                return Err(StoreError::NoAnswer { detail });
+            changes = store.watch(self.kind, at, wait) => changes?,
+            () = self.doubted(), if !wait.is_zero() => {
+                self.gateway.counters.add(Count::WatchesDoubted);
+                self.schedule.on_doubt();
+                return Ok(());
             }
         };
+        let has_news = !changes.changes.is_empty() || !changes.nameless.is_empty();
+        self.schedule.on_answer();
         self.at = Some(changes.at.max(at));
         self.on_answer();
-        if changes.changes.is_empty() && changes.nameless.is_empty() {
+        if !has_news {
             self.note_heard();
             return Ok(());
         }
@@ -149,6 +150,37 @@
         Ok(())
     }
 
+    /// Ends once the watch under way may wait in vain: another call had no answer, or no gateway that is heard
+    /// was told of the store's state for too long.
+    async fn doubted(&self) {
+        tokio::select! {
+            () = self.gateway.store_heard.doubted(self.kind) => {}
+            () = self.grown_old() => {}
+        }
+    }
+
+    async fn grown_old(&self) {
+        while !self.is_too_old() {
+            sleep(AGE_TICK).await;
+        }
+    }
+
+    /// Whether what all gateways that are heard know of the store is too old to rely on.
+    fn is_too_old(&self) -> bool {
+        let age = self.gateway.knowledge_age(self.kind, Instant::now());
+        age.is_none_or(|age| age > self.schedule.oldest(self.turn()))
+    }
+
+    /// This gateway among those that are heard and watch the same.
+    fn turn(&self) -> Turn {
+        let now = Instant::now();
+        let beliefs = self.gateway.beliefs.borrow();
+        let count = beliefs.live_peers(now).count() + 1;
+        let is_shared = self.kind == Kind::Endpoints && count >= MANY_GATEWAYS;
+        let watching = if is_shared { WATCHERS + 1 } else { count as u32 };
+        Turn::new(beliefs.rank(&self.gateway.settings.instance, now), watching)
+    }
+
     /// Whether other gateways tell of the endpoints, and this one needs no watch of its own. A
     /// later watch goes on from what they told.
     fn leaves_it_to_others(&mut self) -> bool {
@@ -174,7 +206,8 @@
             && !gateway.leads.get()
             && beliefs.gateways(now) >= MANY_GATEWAYS
             && beliefs.rank(&gateway.settings.instance, now) >= WATCHERS
-            && watchers >= WATCHERS_LEAST;
+            && watchers >= WATCHERS_LEAST
+            && !self.is_too_old();
         (may_leave, watchers)
     }
 
@@ -318,7 +351,6 @@
     }
 
     fn on_answer(&mut self) {
-        self.retry = RETRY_FIRST;
         if let Some(since) = self.lost_since.take() {
             let (kind, lost_ms) = (format!("{:?}", self.kind), since.elapsed().as_millis() as u64);
             info!("store regained", kv: { kind = kind.as_str(), lost_ms });
@@ -337,7 +369,8 @@
             // What can't be read of the history would come again with it; a list tells the present.
             self.at = None;
         }
-        self.gateway.on_store_failed();
+        self.schedule.on_failure();
+        self.gateway.on_store_failed(&err);
         if self.lost_since.is_none() {
             let (kind, text) = (format!("{:?}", self.kind), err.to_string());
             let asked_ms = self.asked.elapsed().as_millis() as u64;
@@ -347,7 +380,7 @@
             });
             self.lost_since = Some(Instant::now());
         }
-        sleep(self.retry).await;
-        self.retry = (self.retry * 2).min(RETRY_MOST);
+        let age = self.gateway.knowledge_age(self.kind, Instant::now());
+        sleep(self.schedule.retry_in(self.turn(), age)).await;
     }
 }
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -1,8 +1,9 @@
 //! HTTP calls to one peer, over connections that are kept.
 
 use bytes::Bytes;
-use http::{HeaderMap, Method, Request, StatusCode};
+use http::{HeaderMap, Method, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
 use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper_util::rt::TokioIo;
 use std::cell::RefCell;
@@ -11,7 +12,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout, timeout_at};
 
 /// Idle connections kept to one peer.
 const MAX_IDLE: usize = 4;
@@ -59,6 +60,22 @@
     pub body: Bytes,
 }
 
+/// Time for an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limits {
+    /// Until its head has come: a peer that is silent shows by then.
+    pub head: Duration,
+    /// Until all of it has come: a large one takes a small instance long to read.
+    pub whole: Duration,
+}
+
+impl Limits {
+    /// One bound for head and body together.
+    pub fn whole(limit: Duration) -> Limits {
+        Limits { head: limit, whole: limit }
+    }
+}
+
 type Sender = SendRequest<Full<Bytes>>;
 
 /// Calls one peer. Clones share its connections.
@@ -79,21 +96,35 @@
         self.peer
     }
 
+    /// Makes a call that is to be answered whole within `limit`. See [`Client::call_within`].
+    pub async fn call(
+        &self,
+        method: Method,
+        path: &str,
+        body: Option<Vec<u8>>,
+        limit: Duration,
+    ) -> Result<Answer, CallError> {
+        self.call_within(method, path, body, Limits::whole(limit)).await
+    }
+
     /// Makes a call. The connection is kept only if the answer came whole. After a call without an
     /// answer the idle connections go as well: those that were open may have gone silent together, and each
     /// would cost one more call its time (500 ms each in the test of three).
-    pub async fn call(
+    pub async fn call_within(
         &self,
         method: Method,
         path: &str,
         body: Option<Vec<u8>>,
-        limit: Duration,
+        limits: Limits,
     ) -> Result<Answer, CallError> {
+        let until = Instant::now() + limits.whole;
         let mut sent = false;
-        let res = match timeout(limit, self.exchange(method, path, body, &mut sent)).await {
-            Ok(res) => res,
-            Err(_) if sent => Err(self.no_answer(format!("no answer in {limit:?}"))),
-            Err(_) => Err(self.not_sent(format!("no connection in {limit:?}"))),
+        let head = self.head(method, path, body, &mut sent);
+        let res = match timeout(limits.head, head).await {
+            Ok(Ok((sender, answer))) => self.whole(sender, answer, until, limits.whole).await,
+            Ok(Err(err)) => Err(err),
+            Err(_) if sent => Err(self.no_answer(format!("no answer in {:?}", limits.head))),
+            Err(_) => Err(self.not_sent(format!("no connection in {:?}", limits.head))),
         };
         if matches!(res, Err(CallError::NoAnswer { .. })) {
             self.idle.borrow_mut().clear();
@@ -101,13 +132,14 @@
         res
     }
 
-    async fn exchange(
+    /// Sends a request and waits for the head of its answer.
+    async fn head(
         &self,
         method: Method,
         path: &str,
         body: Option<Vec<u8>>,
         sent: &mut bool,
-    ) -> Result<Answer, CallError> {
+    ) -> Result<(Sender, Response<Incoming>), CallError> {
         let mut sender = self.connection().await?;
         let mut builder =
             Request::builder().method(method).uri(path).header("host", self.peer.to_string());
@@ -124,8 +156,20 @@
                 self.no_answer(err.to_string())
             }
         })?;
+        Ok((sender, answer))
+    }
+
+    /// Reads the body of an answer, and keeps its connection.
+    async fn whole(
+        &self,
+        sender: Sender,
+        answer: Response<Incoming>,
+        until: Instant,
+        limit: Duration,
+    ) -> Result<Answer, CallError> {
         let (head, body) = answer.into_parts();
-        let body = Limited::new(body, MAX_ANSWER_BYTES).collect().await;
+        let body = timeout_at(until, Limited::new(body, MAX_ANSWER_BYTES).collect()).await;
+        let body = body.map_err(|_| self.no_answer(format!("no whole answer in {limit:?}")))?;
         let body = body.map_err(|err| self.no_answer(err.to_string()))?.to_bytes();
         self.keep(sender);
         Ok(Answer { status: head.status, headers: head.headers, body })
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -12,7 +12,7 @@
 mod request;
 
 pub use bytes::Bytes;
-pub use client::{Answer, CallError, Client};
+pub use client::{Answer, CallError, Client, Limits};
 pub use connection::{Activity, Doing, WatchedIo};
 pub use process::{Counters, Server, ServerConfig, listen};
 pub use process::{
