The product's own interface: a silence of the store delays no change past its four seconds

A place's two watchers watch again together after each change; a silence right then took both watches, and each was given up after 10 + 5 s, then retried with up to 2 s between. Change: the watchers follow WatchSchedule; calls have the limit that it gives (0.5 to 1.5 s, 5 s before).

--- a/crates/core/src/version/spreading/settings.rs
+++ b/crates/core/src/version/spreading/settings.rs
@@ -1,7 +1,13 @@
 //! Settings of the spread of configuration.
 
+use crate::process::store_watch::WatchTimes;
 use std::time::Duration;
 
+/// An accepted change is in force everywhere within this time.
+const IN_FORCE_WITHIN: Duration = Duration::from_secs(4);
+/// How long the store holds the watch of a place's second watcher.
+const LONGEST_WATCH: Duration = Duration::from_secs(10);
+
 /// Settings of the spread of configuration.
 #[derive(Clone, Debug)]
 pub struct SpreadSettings {
@@ -19,8 +25,8 @@
     pub join_grace: Duration,
     /// How long a daemon waits for the answer of peers that turned up.
     pub peer_wait: Duration,
-    /// How long one watch waits at the store.
-    pub watch: Duration,
+    /// How a watcher notices that the store, or a connection to it, is silent.
+    pub watch: WatchTimes,
     /// The least time between two watches, so that a burst of changes takes few.
     pub watch_gap: Duration,
     /// The wait after a failed call to the store; it doubles with each, up to `max_retry`.
@@ -51,10 +57,10 @@
             fetch_timeout: Duration::from_millis(500),
             join_grace: Duration::from_millis(200),
             peer_wait: Duration::from_secs(2),
-            watch: Duration::from_secs(10),
+            watch: WatchTimes::new(IN_FORCE_WITHIN).with_longest_wait(LONGEST_WATCH),
             watch_gap: Duration::from_millis(100),
             retry: Duration::from_millis(100),
-            max_retry: Duration::from_secs(2),
+            max_retry: Duration::from_millis(500),
             read_burst: 128,
             reads_per_s: 80,
             has_store: true,
--- a/crates/core/src/version/spreading/spread.rs
+++ b/crates/core/src/version/spreading/spread.rs
@@ -3,6 +3,7 @@
 use crate::clock::Clock;
 use crate::id::Revision;
 use crate::process::membership::rendezvous_several;
+use crate::process::store_watch::Turn;
 use crate::request::Peer;
 use crate::version::{
     Claim, Claims, ConfigEvent, ConfigMessage, ConfigPeers, ConfigView, Effect, Fetches, PageCopy,
@@ -37,7 +38,8 @@
     rng: SmallRng,
     place_peers: Vec<Peer>,
     remote_peers: Vec<Peer>,
-    watching: bool,
+    /// Its place among the watchers of its data centre, while it is one.
+    watches_as: Option<Turn>,
     next_round: Instant,
     pub(super) effects: Vec<Effect>,
 }
@@ -61,7 +63,7 @@
             rng: SmallRng::seed_from_u64(seed),
             place_peers: Vec::new(),
             remote_peers: Vec::new(),
-            watching: false,
+            watches_as: None,
             next_round: now,
             effects: Vec::new(),
         }
@@ -90,7 +92,7 @@
 
     /// Whether this daemon watches the store for its place.
     pub fn is_watching(&self) -> bool {
-        self.watching
+        self.watches_as.is_some()
     }
 
     /// Pages that are not in force as the store holds them.
@@ -136,7 +138,14 @@
             Some(claim) => claim.needs.keys().copied().collect(),
             None => Vec::new(),
         };
-        self.reader.next(&self.settings, now, self.applied, &needs)
+        let turn = self.watches_as.unwrap_or(Turn::ALONE);
+        self.reader.next(&self.settings, now, turn, self.applied, &needs)
+    }
+
+    /// The most time for the answer to the next call of the store, beyond a watch's wait: a store that takes longer, or
+    /// a connection that is silent, is asked again.
+    pub fn store_call_limit(&self) -> Duration {
+        self.reader.patience()
     }
 
     /// A list was answered.
@@ -145,6 +154,7 @@
             return;
         }
         self.reader.listed();
+        self.reader.answered();
         let shown = |page| listing.pages.iter().any(|(other, _)| *other == page);
         let gone: Vec<_> =
             self.view.revisions().map(|(page, _)| page).filter(|page| !shown(*page)).collect();
@@ -155,6 +165,7 @@
     /// A watch was answered.
     pub fn on_watch(&mut self, after: Revision, listing: PageListing) {
         if !self.is_old_copy(listing.revision) {
+            self.reader.answered();
             self.on_listing(after, listing);
         }
     }
@@ -170,6 +181,7 @@
             self.reader.must_list();
             return self.on_store_failure(None);
         }
+        self.reader.answered();
         self.reader.succeeded();
         let Some((revision, value)) = object else { return };
         let result = self.view.apply_value(page, revision, &value);
@@ -195,7 +207,7 @@
         }
         // Peers that turned up may still be without configuration themselves.
         let waited = now.duration_since(self.readiness.since());
-        self.watching || (!self.readiness.is_loaded() && waited >= self.settings.peer_wait)
+        self.is_watching() || (!self.readiness.is_loaded() && waited >= self.settings.peer_wait)
     }
 
     fn is_old_copy(&mut self, shown: Revision) -> bool {
@@ -330,7 +342,7 @@
         let count = if starting { 2 } else { 1 };
         let mut chosen: Vec<Peer> =
             self.place_peers.sample(&mut self.rng, count).copied().collect();
-        if self.watching || chosen.is_empty() || starting {
+        if self.is_watching() || chosen.is_empty() || starting {
             chosen.extend(self.remote_peers.choose(&mut self.rng).copied());
         }
         for to in chosen {
@@ -342,11 +354,13 @@
         let place = self.place_peers.iter().map(|peer| peer.incarnation);
         let candidates = place.chain([self.me.incarnation]);
         let chosen = rendezvous_several(WATCH_KEY, candidates, self.settings.watchers);
-        let watching = self.settings.has_store && chosen.contains(&self.me.incarnation);
-        if watching != self.watching {
-            self.watching = watching;
-            self.tell(ConfigEvent::Watching(watching));
+        let rank = chosen.iter().position(|watcher| *watcher == self.me.incarnation);
+        let rank = rank.filter(|_| self.settings.has_store);
+        let watches_as = rank.map(|rank| Turn::new(rank as u32, chosen.len() as u32));
+        if watches_as.is_some() != self.is_watching() {
+            self.tell(ConfigEvent::Watching(watches_as.is_some()));
         }
+        self.watches_as = watches_as;
     }
 
     fn check_ready(&mut self) {
--- a/crates/core/src/version/spreading/store_reader.rs
+++ b/crates/core/src/version/spreading/store_reader.rs
@@ -1,6 +1,7 @@
 //! When a daemon asks the store, and what.
 
 use crate::id::Revision;
+use crate::process::store_watch::{Turn, WatchSchedule};
 use crate::version::{PageId, SpreadSettings};
 use std::time::{Duration, Instant};
 
@@ -36,6 +37,8 @@
     due: Instant,
     /// No watch before this.
     watch_due: Instant,
+    /// How long the next watch waits, and how long any answer may take.
+    schedule: WatchSchedule,
     failures: u32,
     /// Reads that may go out at once.
     tokens: f64,
@@ -51,6 +54,7 @@
         StoreReader {
             due: now,
             watch_due: now,
+            schedule: WatchSchedule::new(settings.watch),
             failures: 0,
             tokens: settings.read_burst.into(),
             filled: now,
@@ -60,11 +64,12 @@
     }
 
     /// The next call, or when to ask again. `needs` are the pages that the store showed and that
-    /// are not in force yet.
+    /// are not in force yet; `turn` is this daemon's among the watchers of its place.
     pub(crate) fn next(
         &mut self,
         settings: &SpreadSettings,
         now: Instant,
+        turn: Turn,
         applied: Revision,
         needs: &[PageId],
     ) -> Result<StoreCall, Instant> {
@@ -83,7 +88,17 @@
             return Err(self.watch_due);
         }
         self.watch_due = now + settings.watch_gap;
-        Ok(StoreCall::Watch { after: applied, wait: settings.watch })
+        Ok(StoreCall::Watch { after: applied, wait: self.schedule.wait(turn) })
+    }
+
+    /// The most time for the answer to the next call, beyond a watch's wait.
+    pub(crate) fn patience(&self) -> Duration {
+        self.schedule.patience()
+    }
+
+    /// A call was answered.
+    pub(crate) fn answered(&mut self) {
+        self.schedule.on_answer();
     }
 
     /// A list was answered.
@@ -111,6 +126,7 @@
     ) {
         let wait = settings.retry.saturating_mul(1 << self.failures.min(8)).min(settings.max_retry);
         let wait = wait.mul_f64(0.5 + spread / 2.0);
+        self.schedule.on_failure();
         self.failures += 1;
         self.due = now + wait.max(retry_after.unwrap_or_default().min(settings.max_retry));
     }
--- a/crates/core/tests/config_spread/silence.rs
+++ b/crates/core/tests/config_spread/silence.rs
@@ -39,6 +39,7 @@
 #[test]
 fn a_change_after_a_silence_of_any_length_is_in_force_everywhere_in_time() {
     for silence_ms in [100, 300, 1_000, 3_000, 6_000, 9_000, 12_000, 15_000, 30_000] {
+        let mut worst = Duration::ZERO;
         for steps_before in 0..12 {
             let mut world = settled(steps_before);
             set(&world, 3.0);
@@ -50,6 +51,8 @@
             let took = until_all_have(&mut world, 4.0);
             let after = format!("after {silence_ms} ms, begun {steps_before} steps after a change");
             assert!(took.is_some(), "not in force {IN_FORCE_WITHIN:?} {after}");
+            worst = worst.max(took.unwrap_or_default());
         }
+        println!("after {silence_ms} ms of silence: in force everywhere {worst:?} at most");
     }
 }
--- a/crates/core/tests/config_spread/store.rs
+++ b/crates/core/tests/config_spread/store.rs
@@ -183,6 +183,10 @@
 }
 
 impl ObjectStore for ModelStore {
+    fn with_call_limit(&self, _: Duration) -> ModelStore {
+        self.clone()
+    }
+
     fn get(&self, key: &str) -> Result<Option<Object>, StoreError> {
         let mut inner = self.inner();
         if inner.down {
--- a/crates/daemon/src/process/config_agent.rs
+++ b/crates/daemon/src/process/config_agent.rs
@@ -164,7 +164,10 @@
 
     fn run_store<S: ObjectStore, L: Link>(&self, store: &S, link: &L) {
         while !self.is_stopped() {
-            let call = self.spread.lock().unwrap().next_store_call();
+            let (call, limit) = {
+                let mut spread = self.spread.lock().unwrap();
+                (spread.next_store_call(), spread.store_call_limit())
+            };
             let call = match call {
                 Ok(call) => call,
                 Err(at) => {
@@ -174,7 +177,7 @@
                 }
             };
             self.counters.count(Count::ConfigStoreCalls);
-            self.call(store, link, call);
+            self.call(&store.with_call_limit(limit), link, call);
         }
     }
 
--- a/crates/ports/src/api/object_store.rs
+++ b/crates/ports/src/api/object_store.rs
@@ -94,6 +94,11 @@
 
 /// The platform's object API. Calls block; each has a deadline of its own.
 pub trait ObjectStore: Send + Sync + 'static {
+    /// The same store, whose calls each have `limit`; a watch has it on top of its wait.
+    fn with_call_limit(&self, limit: Duration) -> Self
+    where
+        Self: Sized;
+
     /// Reads an object.
     fn get(&self, key: &str) -> Result<Option<Object>, StoreError>;
 
--- a/crates/ports/src/client/http_object_store.rs
+++ b/crates/ports/src/client/http_object_store.rs
@@ -76,6 +76,10 @@
 }
 
 impl ObjectStore for HttpObjectStore {
+    fn with_call_limit(&self, limit: Duration) -> HttpObjectStore {
+        self.clone().with_timeout(limit)
+    }
+
     fn get(&self, key: &str) -> Result<Option<Object>, StoreError> {
         let path = objects_path(key);
         let answer = self.read(&path, self.agent.timeout)?;
--- a/crates/ports/tests/common/mod.rs
+++ b/crates/ports/tests/common/mod.rs
@@ -139,6 +139,10 @@
 }
 
 impl ObjectStore for MemoryStore {
+    fn with_call_limit(&self, _: Duration) -> MemoryStore {
+        self.clone()
+    }
+
     fn get(&self, key: &str) -> Result<Option<Object>, StoreError> {
         let mut inner = self.inner();
         let stale = inner.stale_gets > 0;
