Leads keep their lease through a short silence of the store; clients give up connections that went silent with another

Cause, same class: a lead's read of its object had 5 s, so that one lost read and the wait after it outlasted the ten seconds for which the lead counts as fresh, and held up the thread that gives orders; and a client of the own interface went from one silent idle connection to the next, each for its whole time.

--- a/crates/core/src/process/orders/lead_election.rs
+++ b/crates/core/src/process/orders/lead_election.rs
@@ -17,6 +17,9 @@
 /// How long a new lead waits before its first order: what the one before it ordered shows in what
 /// the engines tell by then, and counts against the bound on loads.
 pub const SETTLE: Duration = Duration::from_secs(2);
+/// The most time for a call of the store: a lead whose read met a silence reads again twice before what it knows is no
+/// longer fresh. As the calls are made by the thread that gives orders, that one waits no longer either.
+pub const LEAD_CALL_LIMIT: Duration = Duration::from_secs(1);
 /// The wait after a failed call of the store.
 pub const RETRY: Duration = Duration::from_millis(500);
 
--- a/crates/daemon/src/process/leads/lead_desk.rs
+++ b/crates/daemon/src/process/leads/lead_desk.rs
@@ -3,7 +3,7 @@
 use crate::process::leads::Driver;
 use crate::process::{ConfigAgent, Count, Counters, FleetAgent, Journal};
 use crossbeam::channel::{Sender, bounded};
-use sorrellock_core::process::orders::PlannerConfig;
+use sorrellock_core::process::orders::{LEAD_CALL_LIMIT, PlannerConfig};
 use sorrellock_core::request::Peer;
 use sorrellock_ports::api::ObjectStore;
 use sorrellock_wire::connection::Link;
@@ -45,6 +45,7 @@
         let stopped = Arc::new(AtomicBool::new(false));
         let desk =
             LeadDesk { answers: tx, stopped: stopped.clone(), counters: cx.counters.clone() };
+        let store = store.with_call_limit(LEAD_CALL_LIMIT);
         let driver = Driver::new(store, cx, rx, stopped);
         thread::Builder::new()
             .name("leads".into())
--- a/crates/fakes/tests/client_errors.rs
+++ b/crates/fakes/tests/client_errors.rs
@@ -245,3 +245,47 @@
 
     assert_eq!(calls.load(Ordering::SeqCst), 5);
 }
+
+/// A peer that answers each call on each of its connections after a while, until the ones that are open go silent
+/// for good; new ones work.
+fn silenced_once(delay: Duration) -> (SocketAddr, Arc<AtomicUsize>) {
+    let listener = TcpListener::bind(loopback()).expect("a free port");
+    let addr = listener.local_addr().expect("an address");
+    let silenced = Arc::new(AtomicUsize::new(0));
+    let count = Arc::clone(&silenced);
+    thread::spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            let count = Arc::clone(&count);
+            let opened = count.load(Ordering::SeqCst);
+            thread::spawn(move || {
+                while read_head(&mut stream) && count.load(Ordering::SeqCst) == opened {
+                    thread::sleep(delay);
+                    let answer = "HTTP/1.1 200 OK\r\netag: \"1\"\r\ncontent-length: 0\r\n\r\n";
+                    stream.write_all(answer.as_bytes()).expect("the caller reads");
+                }
+                // It stays open, and nothing comes.
+                thread::sleep(PATIENCE);
+            });
+        }
+    });
+    (addr, silenced)
+}
+
+#[test]
+fn a_call_without_an_answer_gives_up_the_idle_connections_before_it() {
+    let (addr, silenced) = silenced_once(Duration::from_millis(50));
+    let store = HttpObjectStore::new(addr).with_timeout(SHORT * 10);
+    // Calls at the same time leave a connection each.
+    let calls = [(); 3].map(|()| {
+        let store = store.clone();
+        thread::spawn(move || store.get("a").is_ok())
+    });
+    assert!(calls.into_iter().all(|call| call.join().expect("a call")));
+
+    silenced.fetch_add(1, Ordering::SeqCst);
+    let first = store.get("a");
+    let second = store.get("a");
+
+    assert!(matches!(first, Err(StoreError::NoAnswer { .. })), "{first:?}");
+    assert!(second.is_ok(), "{second:?}");
+}
--- a/crates/ports/src/client/http_agent.rs
+++ b/crates/ports/src/client/http_agent.rs
@@ -4,6 +4,7 @@
     DEFAULT_IDLE_CONNECTIONS, DEFAULT_TIMEOUT, FixedResolver, MarkingConnector, was_never_sent,
 };
 use std::net::SocketAddr;
+use std::sync::{Arc, RwLock};
 use std::time::Duration;
 use ureq::http::{HeaderMap, Request};
 use ureq::{Agent, Error, RequestExt};
@@ -55,45 +56,71 @@
     NoAnswer(String),
 }
 
-/// One peer, with its pooled connections.
+/// One peer, with its pooled connections. Clones share them.
 #[derive(Clone, Debug)]
 pub(crate) struct HttpAgent {
     base: SocketAddr,
-    agent: Agent,
+    pool: Arc<RwLock<Pool>>,
     pub(crate) timeout: Duration,
 }
 
+/// The connections of one agent.
+#[derive(Clone, Debug)]
+struct Pool {
+    agent: Agent,
+    idle_connections: usize,
+    /// Rises with each pool that takes the place of another one.
+    number: u64,
+}
+
+impl Pool {
+    fn new(base: SocketAddr, idle_connections: usize, number: u64) -> Pool {
+        Pool { agent: agent(base, idle_connections), idle_connections, number }
+    }
+}
+
 impl HttpAgent {
     pub(crate) fn new(base: SocketAddr) -> HttpAgent {
-        HttpAgent { base, agent: agent(base, DEFAULT_IDLE_CONNECTIONS), timeout: DEFAULT_TIMEOUT }
+        let pool = Arc::new(RwLock::new(Pool::new(base, DEFAULT_IDLE_CONNECTIONS, 0)));
+        HttpAgent { base, pool, timeout: DEFAULT_TIMEOUT }
     }
 
     pub(crate) fn set_idle_connections(&mut self, connections: usize) {
-        self.agent = agent(self.base, connections);
+        self.pool = Arc::new(RwLock::new(Pool::new(self.base, connections, 0)));
     }
 
-    /// Calls once, and reads the answer whole.
+    /// Calls once, and reads the answer whole. After a call without an answer the idle connections go as well: those that
+    /// were open may have gone silent together, and each would cost one more call its time.
     pub(crate) fn call(&self, call: &Call<'_>) -> Result<Answer, CallError> {
         if call.timeout.is_zero() {
             let detail = self.detail(call, "no time left");
             return Err(CallError::NotSent(detail));
         }
-        self.send(call).map_err(|err| {
+        let pool = self.pool.read().unwrap().clone();
+        self.send(&pool.agent, call).map_err(|err| {
             let detail = self.detail(call, &err.to_string());
             if was_never_sent(&err) {
-                CallError::NotSent(detail)
-            } else {
-                CallError::NoAnswer(detail)
+                return CallError::NotSent(detail);
             }
+            self.replace(&pool);
+            CallError::NoAnswer(detail)
         })
     }
 
+    /// Takes new connections from here on, unless another call has seen to that.
+    fn replace(&self, old: &Pool) {
+        let mut pool = self.pool.write().unwrap();
+        if pool.number == old.number {
+            *pool = Pool::new(self.base, old.idle_connections, old.number + 1);
+        }
+    }
+
     /// Names the step and the peer.
     pub(crate) fn detail(&self, call: &Call<'_>, what: &str) -> String {
         format!("{} {} at {}: {what}", call.method, call.path, self.base)
     }
 
-    fn send(&self, call: &Call<'_>) -> Result<Answer, Error> {
+    fn send(&self, agent: &Agent, call: &Call<'_>) -> Result<Answer, Error> {
         let mut req = Request::builder()
             .method(call.method)
             .uri(format!("http://{}{}", self.base, call.path));
@@ -103,16 +130,13 @@
         let res = match call.body {
             Some(body) => req
                 .body(body)?
-                .with_agent(&self.agent)
-                .configure()
-                .timeout_global(Some(call.timeout))
-                .run(),
-            None => req
-                .body(())?
-                .with_agent(&self.agent)
+                .with_agent(agent)
                 .configure()
                 .timeout_global(Some(call.timeout))
                 .run(),
+            None => {
+                req.body(())?.with_agent(agent).configure().timeout_global(Some(call.timeout)).run()
+            }
         };
         let (parts, mut body) = res?.into_parts();
         let body = body.with_config().limit(MAX_ANSWER_BYTES).read_to_vec()?;
