Links: a connection that went silent is given up and made anew

Change: where frames ask for acknowledgements and none has come for 5 s, the next send drops the connection, tells its close and connects anew; counted as silent. Ruled out: a thread that looks at each connection (two wake-ups a second and peer).

--- a/crates/wire/src/connection/dial.rs
+++ b/crates/wire/src/connection/dial.rs
@@ -36,4 +36,9 @@
     fn has_rest(&self) -> bool {
         false
     }
+
+    /// Whether the peer acknowledges nothing any more, where it is asked to.
+    fn is_silent(&self) -> bool {
+        false
+    }
 }
--- a/crates/wire/src/connection/link_config.rs
+++ b/crates/wire/src/connection/link_config.rs
@@ -23,6 +23,9 @@
     pub connect_timeout: Duration,
     /// How long one send may wait for room.
     pub send_timeout: Duration,
+    /// A connection on which the peer acknowledges nothing for this long is given up: it may have gone silent without a
+    /// reset, and nothing else would tell.
+    pub silence: Duration,
     /// A connection over which nothing was sent for this long is closed.
     pub idle: Duration,
     /// How long sends to a peer that could not be reached are refused.
@@ -40,6 +43,9 @@
     pub const MAX_BYTES: usize = 64 << 20;
     /// Default of `connect_timeout`.
     pub const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+    /// Default of `silence`. Past the time after which membership takes a peer that answers nothing to be gone (3.3 s), so that
+    /// a peer that is merely slow keeps its connection and what lies in it.
+    pub const SILENCE: Duration = Duration::from_secs(5);
     /// Default of `idle`.
     pub const IDLE: Duration = Duration::from_secs(300);
     /// Default of `send_timeout`.
@@ -59,6 +65,7 @@
             connect_timeout: LinkConfig::CONNECT_TIMEOUT,
             idle: LinkConfig::IDLE,
             send_timeout: LinkConfig::SEND_TIMEOUT,
+            silence: LinkConfig::SILENCE,
             down_for: LinkConfig::DOWN_FOR,
         }
     }
--- a/crates/wire/src/connection/link_counters.rs
+++ b/crates/wire/src/connection/link_counters.rs
@@ -25,6 +25,8 @@
     pub malformed: AtomicU64,
     /// Links that closed, or could not be opened.
     pub closed: AtomicU64,
+    /// Those of them that were given up as the peer acknowledged nothing any more.
+    pub silent: AtomicU64,
     /// Closed links that nobody was told of, as too many waited.
     pub closed_untold: AtomicU64,
     /// Connections that could not be accepted.
@@ -46,6 +48,7 @@
             ("refused_down", read(&self.refused_down)),
             ("malformed", read(&self.malformed)),
             ("closed", read(&self.closed)),
+            ("silent", read(&self.silent)),
             ("closed_untold", read(&self.closed_untold)),
             ("accept_errors", read(&self.accept_errors)),
         ]
--- a/crates/wire/src/connection/tcp_dial.rs
+++ b/crates/wire/src/connection/tcp_dial.rs
@@ -26,6 +26,7 @@
 pub(crate) struct TcpDial {
     connect_timeout: Duration,
     send_timeout: Duration,
+    silence: Duration,
     streams: Arc<Streams>,
     transits: Arc<Transits>,
 }
@@ -33,7 +34,7 @@
 impl TcpDial {
     pub fn new(cfg: &LinkConfig, streams: Arc<Streams>, transits: Arc<Transits>) -> TcpDial {
         let (connect_timeout, send_timeout) = (cfg.connect_timeout, cfg.send_timeout);
-        TcpDial { connect_timeout, send_timeout, streams, transits }
+        TcpDial { connect_timeout, send_timeout, silence: cfg.silence, streams, transits }
     }
 
     fn connect(&self, peer: SocketAddr, note: ClosedNote) -> io::Result<TcpConnection> {
@@ -47,8 +48,15 @@
         let stream = self.streams.add(stream).ok_or(io::ErrorKind::NotConnected)?;
         let transit = self.transits.of(peer);
         read_acks(stream.clone(), transit.clone(), note)?;
-        let transits = self.transits.clone();
-        Ok(TcpConnection { peer, stream, transit, transits, frame: Vec::new(), written: 0 })
+        Ok(TcpConnection {
+            peer,
+            stream,
+            transit,
+            transits: self.transits.clone(),
+            silence: self.silence,
+            frame: Vec::new(),
+            written: 0,
+        })
     }
 }
 
@@ -66,6 +74,8 @@
     stream: Arc<OpenStream>,
     transit: Arc<Transit>,
     transits: Arc<Transits>,
+    /// The longest time without an acknowledgement that was asked for.
+    silence: Duration,
     frame: Vec<u8>,
     /// How much of the frame is written.
     written: usize,
@@ -126,6 +136,10 @@
     fn has_rest(&self) -> bool {
         !self.rest().is_empty()
     }
+
+    fn is_silent(&self) -> bool {
+        self.transit.unanswered_for(Instant::now()) >= self.silence
+    }
 }
 
 impl Drop for TcpConnection {
--- a/crates/wire/src/connection/transit.rs
+++ b/crates/wire/src/connection/transit.rs
@@ -26,6 +26,8 @@
 struct State {
     number: AckNumber,
     waiting: Option<Instant>,
+    /// Since when no acknowledgement has come of those that were asked for.
+    unanswered: Option<Instant>,
     last: Option<Instant>,
     smoothed: Option<Duration>,
 }
@@ -41,13 +43,15 @@
         }
         state.number = state.number.wrapping_add(1).max(1);
         state.waiting = Some(now);
+        state.unanswered.get_or_insert(now);
         state.last = Some(now);
         state.number
     }
 
-    /// An acknowledgement came. One for an earlier frame is passed over.
+    /// An acknowledgement came. One for an earlier frame measures nothing.
     pub fn acknowledged(&self, number: AckNumber, now: Instant) {
         let mut state = self.state.lock().unwrap();
+        state.unanswered = None;
         if number != state.number {
             return;
         }
@@ -61,7 +65,15 @@
 
     /// The connection closed: nothing more will be acknowledged on it.
     pub fn reset(&self) {
-        self.state.lock().unwrap().waiting = None;
+        let mut state = self.state.lock().unwrap();
+        state.waiting = None;
+        state.unanswered = None;
+    }
+
+    /// For how long no acknowledgement has come though some were asked for.
+    pub fn unanswered_for(&self, now: Instant) -> Duration {
+        let unanswered = self.state.lock().unwrap().unanswered;
+        unanswered.map_or(Duration::ZERO, |since| now - since)
     }
 
     /// The transit as of `now`: no less than half the age of a frame that is still unanswered.
--- a/crates/wire/src/connection/writer.rs
+++ b/crates/wire/src/connection/writer.rs
@@ -115,11 +115,16 @@
         }
     }
 
-    /// Drops a connection that the peer has closed.
+    /// Drops a connection that the peer has closed, or on which it acknowledges nothing any more: what is sent on that one
+    /// may not arrive, and nothing else would tell.
     fn drop_closed(&mut self) {
         if self.note.as_ref().is_some_and(ClosedNote::is_told) {
             self.open = None;
         }
+        if self.open.as_ref().is_some_and(|open| open.is_silent()) {
+            add(&self.counters.silent, 1);
+            self.fail(0);
+        }
     }
 
     fn connect(&mut self) {
--- a/crates/wire/tests/common/mod.rs
+++ b/crates/wire/tests/common/mod.rs
@@ -62,15 +62,20 @@
 
     /// Sends a message until one is taken and arrives at `node`.
     pub fn reach(&self, node: &Node, number: u64) {
+        self.reach_at(node.me, node, number);
+    }
+
+    /// The same for a node that is known as another peer.
+    pub fn reach_at(&self, peer: Peer, node: &Node, number: u64) {
         let end = Instant::now() + WAIT;
         while Instant::now() < end {
-            let _ = self.send(node.me, number);
+            let _ = self.send(peer, number);
             if node.messages.recv_timeout(Duration::from_millis(100)).is_ok() {
                 while node.messages.recv_timeout(Duration::from_millis(100)).is_ok() {}
                 return;
             }
         }
-        panic!("{} was not reached", node.me.addr);
+        panic!("{} was not reached", peer.addr);
     }
 
     /// The next message's number.
--- a/crates/wire/tests/links.rs
+++ b/crates/wire/tests/links.rs
@@ -4,12 +4,34 @@
 
 use common::{Node, WAIT, free_addr, message, new_peer, wait_until};
 use sorrellock_core::request::Peer;
+use sorrellock_stand_ins::{FakeProxy, new_ip};
 use sorrellock_wire::connection::{Link, LinkConfig, LinkError, LinkKind};
 use sorrellock_wire::message::{CallMessage, CallRequest, Message};
 use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream};
 use std::time::Duration;
 
+/// A peer behind a proxy, as others know it.
+fn behind_proxy(node: &Node) -> (Peer, FakeProxy) {
+    let proxy = FakeProxy::start(new_ip(), node.me.addr).expect("a proxy");
+    (Peer { addr: proxy.addr(), ..node.me }, proxy)
+}
+
+/// A connection stays open and goes silent, without a reset, while new ones work: nothing that is sent on it arrives, and
+/// only acknowledgements that don't come show it. Over nng nothing is acknowledged.
+#[test]
+fn a_connection_that_went_silent_is_given_up_told_and_made_anew() {
+    let (a, b) = (Node::start(LinkKind::Tcp), Node::start(LinkKind::Tcp));
+    let (peer, proxy) = behind_proxy(&b);
+    a.reach_at(peer, &b, 1);
+
+    proxy.silence_open();
+    a.reach_at(peer, &b, 2);
+
+    assert_eq!(a.closed.recv_timeout(WAIT), Ok(peer.addr));
+    assert_eq!(a.counter("silent"), 1);
+}
+
 macro_rules! both_kinds {
     ($($test:ident,)*) => {
         mod nng {
