An engine is not given up for a connection to it that went silent

Cause, same class: whether an endpoint lives without its entry, or leaves, was asked once over a kept connection; silent for good, it passed for a dead endpoint. Change: such a question is asked once more where no answer came; the client opens another connection for it. One function for reports and health. Measured: the test fails before (`endpoint gone`, no answer in 400ms) and passes.

--- a/crates/daemon/tests/gateway/silence.rs
+++ b/crates/daemon/tests/gateway/silence.rs
@@ -108,3 +108,26 @@
 
     wait_before(&gateway, began, NEXT_LEAD_READ, &["\"endpoint leaving\"", engine.id()]);
 }
+
+#[test]
+fn an_engine_is_not_given_up_as_open_connections_to_it_went_silent_for_good() {
+    let fleet = fleet();
+    let engine = &fleet.engines[0];
+    let proxy = FakeProxy::start(new_ip(), engine.addr()).expect("a proxy");
+    engine.tell_addr(proxy.addr());
+    let gateway = fleet.gateway("one");
+    let lives = ["\"endpoint lives without its entry\"", engine.id()];
+    engine.lose_store();
+    gateway.wait_for_line(&lives);
+    engine.regain_store();
+    gateway.wait_for_line(&["\"entry of an endpoint is back\"", engine.id()]);
+
+    proxy.silence_open();
+    engine.lose_store();
+
+    let gone = ["\"endpoint gone\"", engine.id()];
+    wait_for("the engine's health", || {
+        gateway.lines(&lives).len() + gateway.lines(&gone).len() >= 2
+    });
+    assert_eq!(gateway.lines(&gone), Vec::<String>::new());
+}
--- a/crates/gateway/src/process/path_check.rs
+++ b/crates/gateway/src/process/path_check.rs
@@ -1,7 +1,7 @@
 //! Finds which engines of a quiet path are dead, by asking each.
 
 use crate::process::{AnswerOf, Count, Gateway, Knowledge, LivePath};
-use sorrellock_platform::{CallError, Client, EngineReport, Health, read_health, read_report};
+use sorrellock_platform::{CallError, EngineReport, Health, read_health, read_report};
 use sorrellock_routing::process::{Endpoint, Incarnation, is_held_up};
 use spdlog::info;
 use std::net::SocketAddr;
@@ -96,24 +96,23 @@
     // This process is too late to tell: other gateways ask too, and so does the lead.
 }
 
-/// Asks an engine for its report. A kept connection may be silent for good: another one is opened
-/// before that counts.
+/// Asks an engine for its report.
 async fn ask(
     gateway: &Gateway,
     life: &Incarnation,
     addr: SocketAddr,
 ) -> Result<EngineReport, CallError> {
-    let first = read_report(&gateway.probe(life, addr), REPORT_LIMIT).await;
-    match first {
-        Err(CallError::NoAnswer { .. }) => {}
-        other => return other,
-    }
-    let fresh = Client::new(addr);
-    let res = read_report(&fresh, REPORT_LIMIT).await;
-    if res.is_ok() {
-        gateway.probes.borrow_mut().insert(life.clone(), fresh);
+    let client = gateway.probe(life, addr);
+    ask_twice(|| read_report(&client, REPORT_LIMIT)).await
+}
+
+/// Asks a question, and once more where no answer came: a kept connection may be silent for good, and after a call without
+/// an answer the client opens another one.
+async fn ask_twice<T>(ask: impl AsyncFn() -> Result<T, CallError>) -> Result<T, CallError> {
+    match ask().await {
+        Err(CallError::NoAnswer { .. }) => ask().await,
+        other => other,
     }
-    res
 }
 
 /// An endpoint that is asked whether it is well.
@@ -240,8 +239,8 @@
     gateway.counters.add(Count::Reports);
     let Asked { life, addr, health_path, .. } = asked;
     let began = Instant::now();
-    let answer =
-        read_health(&gateway.probe(life, *addr), health_path, &life.id, HEALTH_LIMIT).await;
+    let client = gateway.probe(life, *addr);
+    let answer = ask_twice(|| read_health(&client, health_path, &life.id, HEALTH_LIMIT)).await;
     let answer = answer.map_err(|err| Unwell::Ended(err.to_string()))?;
     if answer.health == Health::Replaced {
         gateway.on_replaced(life);
@@ -264,7 +263,8 @@
     }
     gateway.counters.add(Count::Reports);
     let began = Instant::now();
-    let report = read_report(&gateway.probe(life, *addr), HEALTH_LIMIT).await;
+    let client = gateway.probe(life, *addr);
+    let report = ask_twice(|| read_report(&client, HEALTH_LIMIT)).await;
     let report = report.map_err(|err| Unwell::Ended(err.to_string()))?;
     match gateway.on_answer_of(life, *addr, report.started, began) {
         AnswerOf::SameLife => Ok(()),
