A silent connection to an endpoint costs one request, not one each

Cause, same class: after the connections to an endpoint went silent for good, each request met the next idle one of them and was lost to it, up to 64 of them. Change: an attempt that is given up after half a second without a byte, and a stream that leaves a path for its silence, drop the idle connections that are no younger. Measured: of two calls the second failed before (504, 504), is answered after (504, 200).

--- a/crates/daemon/tests/gateway/silence.rs
+++ b/crates/daemon/tests/gateway/silence.rs
@@ -11,10 +11,10 @@
 //! gateway's watch was sent 200 ms after the change before, brought nothing in 9.5 s, and the next one brought all changes at once.
 //! The same happens where connections that are open go silent for good while new ones work.
 
-use crate::fleet::{Fleet, KEY, config, fleet};
+use crate::fleet::{Fleet, HOST, KEY, config, fleet, new_request};
 use crate::gateway_process::{GatewayProcess, wait_for};
 use serde_json::Value;
-use sorrellock_stand_ins::{FakeProxy, StoreMode, new_ip};
+use sorrellock_stand_ins::{FakeProxy, ServiceMode, StoreMode, new_ip};
 use std::time::{Duration, Instant};
 
 /// The longest that a gateway lets the store hold a watch. What hides a change for as long is found by the end of the watch
@@ -109,6 +109,41 @@
     wait_before(&gateway, began, NEXT_LEAD_READ, &["\"endpoint leaving\"", engine.id()]);
 }
 
+/// Sends a call that may run once, with a deadline; its status.
+fn call(gateway: &GatewayProcess, deadline: Duration) -> u16 {
+    let answer = ureq::post(format!("http://{}/status/a", gateway.callers()))
+        .config()
+        .http_status_as_error(false)
+        .build()
+        .header("host", HOST)
+        .header("request-id", new_request())
+        .header("deadline-ms", deadline.as_millis().to_string())
+        .header("authorization", format!("Bearer {KEY}"))
+        .send("body");
+    answer.expect("an answer").status().as_u16()
+}
+
+#[test]
+fn one_call_on_a_silent_connection_is_enough_to_give_up_those_idle_before_it() {
+    let fleet = fleet();
+    let proxy = FakeProxy::start(new_ip(), fleet.service.addr()).expect("a proxy");
+    fleet.service.tell_addr(proxy.addr(), &fleet.store);
+    let gateway = fleet.gateway("one");
+    // Calls at the same time leave a connection each.
+    fleet.service.set_mode(ServiceMode::ServesAfter(Duration::from_millis(300)));
+    std::thread::scope(|scope| {
+        let calls = [(); 4].map(|()| scope.spawn(|| call(&gateway, LONG_WATCH)));
+        assert_eq!(calls.map(|call| call.join().expect("a call")), [200; 4]);
+    });
+    fleet.service.set_mode(ServiceMode::Serves);
+
+    proxy.silence_open();
+    let first = call(&gateway, Duration::from_millis(1_000));
+    let second = call(&gateway, LONG_WATCH);
+
+    assert_eq!((first, second), (504, 200));
+}
+
 #[test]
 fn an_engine_is_not_given_up_as_open_connections_to_it_went_silent_for_good() {
     let fleet = fleet();
--- a/crates/gateway/src/process/pool.rs
+++ b/crates/gateway/src/process/pool.rs
@@ -91,6 +91,14 @@
         }
     }
 
+    /// Drops the connections to an endpoint that nothing came on since `since`: one of that age brought no answer, and
+    /// those that are open may have gone silent together.
+    pub(crate) fn give_up(&mut self, life: &Incarnation, since: Instant) {
+        if let Some(idle) = self.idle.get_mut(life) {
+            idle.retain(|connection| connection.idle_since > since);
+        }
+    }
+
     /// Drops the connections to a life that has ended.
     pub(crate) fn remove(&mut self, life: &Incarnation) {
         self.idle.remove(life);
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -10,6 +10,7 @@
 use sorrellock_routing::process::{Incarnation, PathPart};
 use sorrellock_routing::request::Evidence;
 use spdlog::warn;
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -18,6 +19,10 @@
 /// Weight of the newest answer in an endpoint's mean time.
 const MEAN_WEIGHT: f64 = 0.2;
 
+/// Silence of a kept connection after which the others of its age are not relied on: a hundred round trips, and longer than all
+/// but a few answers take to begin. Sooner, callers that leave at once would cost their connections.
+const SILENT_AFTER: Duration = Duration::from_millis(500);
+
 /// Where an attempt goes.
 pub(crate) struct Target<'a> {
     pub(crate) life: Incarnation,
@@ -94,6 +99,7 @@
 ) -> Result<Begun, Failed> {
     let in_flight = InFlight::new(Rc::clone(gateway), target.life.clone());
     let mut connection = connect(gateway, call, target).await?;
+    let silence = Silence::watch(Rc::clone(gateway), target.life.clone());
     let req = request(call, target);
     let sending = connection.sender.try_send_request(req);
     let answer = match timeout(limit, sending).await {
@@ -102,6 +108,7 @@
             return Err(Failed::new(Evidence::MayHaveRun, why));
         }
         Ok(Err(mut err)) => {
+            silence.is_over();
             let evidence = match err.take_message() {
                 Some(_) => Evidence::NotSent,
                 None => Evidence::MayHaveRun,
@@ -110,12 +117,42 @@
         }
         Ok(Ok(answer)) => answer,
     };
+    silence.is_over();
     let head = read_answer_head(answer.headers());
     note_load(gateway, &target.life, &head);
     check_head(gateway, call, &answer, &head)?;
     Ok(Begun { answer, head, connection, life: target.life.clone(), in_flight })
 }
 
+/// Watches a connection on which a request was sent. Dropped before anything came on it, for whatever reason the attempt is
+/// given up, it takes idle connections of the same age with it. It guards requests after the connections to an endpoint
+/// went silent for good: each one met the next such connection, and was lost to it.
+struct Silence {
+    gateway: Rc<Gateway>,
+    life: Incarnation,
+    since: Instant,
+    is_over: Cell<bool>,
+}
+
+impl Silence {
+    fn watch(gateway: Rc<Gateway>, life: Incarnation) -> Silence {
+        Silence { gateway, life, since: Instant::now(), is_over: Cell::new(false) }
+    }
+
+    /// The endpoint answered, or closed the connection.
+    fn is_over(&self) {
+        self.is_over.set(true);
+    }
+}
+
+impl Drop for Silence {
+    fn drop(&mut self) {
+        if !self.is_over.get() && self.since.elapsed() >= SILENT_AFTER {
+            self.gateway.pool.borrow_mut().give_up(&self.life, self.since);
+        }
+    }
+}
+
 async fn connect(
     gateway: &Rc<Gateway>,
     call: &Call,
--- a/crates/gateway/src/request/relay.rs
+++ b/crates/gateway/src/request/relay.rs
@@ -310,12 +310,17 @@
         self.on_path = OnPath::Served;
         if let Some(run) = self.run.take() {
             let live = &run.place.live;
-            if !self.gateway.is_listed(&live.path.first().life) {
+            let first = &live.path.first().life;
+            if !live.is_broken.get() && self.last_event.elapsed() >= STREAM_SILENCE {
+                // Its connection may be what went silent, and others of that age with it.
+                self.gateway.pool.borrow_mut().give_up(first, self.last_event);
+            }
+            if !self.gateway.is_listed(first) {
                 // An engine without an entry that breaks off has ended.
-                ended = Some(live.path.first().life.clone());
+                ended = Some(first.clone());
             }
             check_path(&self.gateway, live);
-            self.attempts.on_failed(&live.path.first().life, Evidence::MayHaveRun);
+            self.attempts.on_failed(first, Evidence::MayHaveRun);
             self.avoid.push(Rc::clone(live));
         }
         if let Some(ended) = ended.filter(|_| broke_off) {
