Soak: silences of the store and of connections, and a change after each that all gateways must have in time

The soak changed the configuration and never asked whether it came into force; its silent store told waiting watches by a closed connection. It learns both, beside a course of silences alone.

--- a/crates/daemon/tests/gateway/soak/faults.rs
+++ b/crates/daemon/tests/gateway/soak/faults.rs
@@ -25,7 +25,7 @@
     pub fn fault(&mut self, rng: &mut StdRng) -> String {
         let node = rng.random_range(0..self.nodes.len());
         let engine = rng.random_range(0..self.engines.len());
-        match rng.random_range(0..20) {
+        match rng.random_range(0..22) {
             0 => self.restart_gateway(node, Signal::SIGKILL),
             1 => self.restart_gateway(node, Signal::SIGTERM),
             2 => self.pause(node),
@@ -48,6 +48,8 @@
             16 => self.overwrite_entry(engine, rng),
             17 => self.rewrite_entry(engine),
             18 => self.write_old_entry(rng),
+            19 => self.silence_connections(node, engine, rng),
+            20 => self.silence(rng),
             _ => self.set_news(rng),
         }
     }
@@ -120,6 +122,16 @@
         format!("all to {}: {mode:?}", self.engines[engine].0.id())
     }
 
+    /// The connections that are open go silent for good, to the store or to an engine.
+    fn silence_connections(&mut self, node: usize, engine: usize, rng: &mut StdRng) -> String {
+        if rng.random() {
+            self.nodes[node].store.silence_open();
+            return format!("the connections of {} to the store go silent", self.nodes[node].name);
+        }
+        self.engines[engine].1.silence_open();
+        format!("the connections to {} go silent", self.engines[engine].0.id())
+    }
+
     fn crash(&mut self, engine: usize) -> String {
         let (engine, _) = &self.engines[engine];
         engine.crash();
--- a/crates/daemon/tests/gateway/soak/mod.rs
+++ b/crates/daemon/tests/gateway/soak/mod.rs
@@ -7,6 +7,7 @@
 mod callers;
 mod faults;
 mod promises;
+mod silences;
 mod world;
 
 use callers::{Call, Callers};
@@ -31,6 +32,8 @@
 const EVENT_GAPS_MS: std::ops::Range<u64> = 10..75;
 /// Faults of one run.
 const FAULTS: usize = 24;
+/// Silences of one run.
+const SILENCES: usize = 5;
 /// Series of signals of one run: two processes after each other have their whole time to end.
 const SERIES: usize = 2;
 
@@ -48,10 +51,30 @@
     world.heal();
     let heard = callers.stop();
 
+    let known = world.check_change();
+    known.unwrap_or_else(|broken| panic!("seed {seed}: {broken} {course:#?}"));
     check_runs(&world, &heard).unwrap_or_else(|broken| panic!("seed {seed}: {broken} {course:#?}"));
     wait_for_service(&world, &format!("seed {seed}: service after {course:#?}"));
 }
 
+/// Runs one seed of silences, with a change after each.
+fn soak_of_silences(seed: u64) {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let mut world = World::new(seed, EVENT_GAP);
+    wait_for_service(&world, "service before the first silence");
+    let callers = Callers::start(&world);
+    let mut course = Vec::new();
+
+    for _ in 0..SILENCES {
+        course.push(world.silence(&mut rng));
+        let known = world.check_change();
+        known.unwrap_or_else(|broken| panic!("seed {seed}: {broken} {course:#?}"));
+    }
+    let heard = callers.stop();
+
+    check_runs(&world, &heard).unwrap_or_else(|broken| panic!("seed {seed}: {broken} {course:#?}"));
+}
+
 /// Runs one seed of signals alone: what processes took before they ended is answered.
 fn soak_of_signals(seed: u64) {
     let mut rng = StdRng::seed_from_u64(seed);
@@ -106,3 +129,8 @@
 fn soak_of_signals_with_the_seeds_of_each_run() {
     with_seeds(soak_of_signals);
 }
+
+#[test]
+fn soak_of_silences_with_the_seeds_of_each_run() {
+    with_seeds(soak_of_silences);
+}
