A settings file that changes without a signal is read, too

Cause, same class: the news of a change was left to SIGHUP alone, which the platform doesn't always send. Change: the file is compared every two seconds. The test fails before (bounds never in force) and passes.

--- a/crates/daemon/tests/gateway/gateway_process.rs
+++ b/crates/daemon/tests/gateway/gateway_process.rs
@@ -86,9 +86,14 @@
 
     /// Changes its settings file, as the platform does, and tells it so.
     pub fn change_settings(&self, change: impl FnOnce(&str) -> String) {
+        self.change_settings_unsaid(change);
+        self.signal(Signal::SIGHUP);
+    }
+
+    /// Changes its settings file, and tells it nothing.
+    pub fn change_settings_unsaid(&self, change: impl FnOnce(&str) -> String) {
         let text = fs::read_to_string(&self.settings).expect("the settings file");
         fs::write(&self.settings, change(&text)).expect("the settings file");
-        self.signal(Signal::SIGHUP);
     }
 
     /// Where callers connect.
--- a/crates/daemon/tests/gateway/life.rs
+++ b/crates/daemon/tests/gateway/life.rs
@@ -201,3 +201,14 @@
         }
     }
 }
+
+#[test]
+fn changed_bounds_are_in_force_also_where_no_signal_tells_of_them() {
+    let fleet = fleet();
+    let gateway = fleet.gateway("one");
+
+    gateway.change_settings_unsaid(|text| text.replace("grace_s = 8", "grace_s = 0.5"));
+
+    let line = gateway.wait_for_line(&["\"bounds changed\""]);
+    assert!(line.contains("grace: 500ms"), "{line}");
+}
--- a/crates/gateway/src/process/run.rs
+++ b/crates/gateway/src/process/run.rs
@@ -28,6 +28,8 @@
 const STORE_LIMIT: Duration = Duration::from_millis(4_500);
 /// How often idle connections are looked through.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
+/// How often it is looked whether the settings file changed without a signal.
+const SETTINGS_LOOK: Duration = Duration::from_secs(2);
 /// After SIGTERM, time until idle connections are closed: by then balancers mostly send elsewhere, and
 /// callers have had their next answer with the word that the connection closes.
 const CLOSE_IDLE_AFTER: Duration = Duration::from_millis(3_000);
@@ -180,15 +182,22 @@
     let on = |kind: SignalKind| signal(kind).map_err(|err| io_error("signals", err));
     let mut terminate: Signal = on(SignalKind::terminate())?;
     let mut hang_up: Signal = on(SignalKind::hangup())?;
+    let mut known = std::fs::read(path).ok();
     loop {
-        tokio::select! {
+        let is_told = tokio::select! {
             _ = terminate.recv() => break,
-            _ = hang_up.recv() => read_settings_again(gateway, path),
+            _ = hang_up.recv() => true,
+            () = sleep(SETTINGS_LOOK) => false,
             Some(ended) = tasks.join_next() => {
                 let how = ended.map_or_else(|err| err.to_string(), |()| "in order".to_owned());
                 return Err(StartError::TaskEnded(how));
             }
+        };
+        let now = std::fs::read(path).ok();
+        if is_told || now != known {
+            read_settings_again(gateway, path);
         }
+        known = now;
     }
     leave(gateway).await;
     Ok(())
