Traced: the position that ran again as two stages died is one that was cut back, as the protocol says

Traced by the stand-in's own rule, which takes only the position that a session needs next, so that one which runs again was cut back before; and by a test that brings the order of events about: the last stage's token reaches the first stage and dies on its way to the entry. Check replaced: where the last stage dies, positions may run again, but none of a token that the caller has; with the last stage alive none at all, as before.

--- a/crates/core/tests/pipeline/engine.rs
+++ b/crates/core/tests/pipeline/engine.rs
@@ -28,6 +28,10 @@
 #[derive(Default)]
 pub struct SimEngine {
     pub sessions: HashMap<String, Session>,
+    /// Positions that ran in each session, those that were cut back since included.
+    ran: HashMap<String, usize>,
+    /// Positions that ran again after they were cut back.
+    pub again: usize,
 }
 
 impl SimEngine {
@@ -36,6 +40,11 @@
             self.truncate(&work.session, position);
         }
         let session = self.sessions.entry(work.session.clone()).or_default();
+        let first = session.values().next().map_or(0, Vec::len);
+        let ran = self.ran.entry(work.session.clone()).or_default();
+        let end = first + work.step.tokens.len();
+        self.again += end.min(*ran).saturating_sub(first);
+        *ran = end.max(*ran);
         let mut out = Vec::new();
         let mut last = Lineage { hash: 0, layers: Vec::new() };
         for (index, token) in work.step.tokens.iter().enumerate() {
--- a/crates/core/tests/pipeline/mod.rs
+++ b/crates/core/tests/pipeline/mod.rs
@@ -4,4 +4,5 @@
 pub mod daemon;
 pub mod engine;
 pub mod entry;
+mod lost_token;
 pub mod world;
