--- a/crates/gateway/src/request/answer.rs
+++ b/crates/gateway/src/request/answer.rs
@@ -1,17 +1,17 @@
 //! Answers one request: reads it, finds its route, and sends it on.
 
 use crate::process::{Count, Gateway};
+use crate::request::expected::usual_time;
 use crate::request::plain::serve_plain;
-use crate::request::stream::{serve_stream, usual_time};
-use crate::request::{Call, EndGuard};
+use crate::request::stream::serve_stream;
+use crate::request::{Call, EndGuard, give_up, refusal};
 use bytes::Bytes;
-use http::response::Parts;
-use http::{HeaderValue, Request, Response, StatusCode, header};
+use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use rand::RngExt;
 use sorrellock_http::{AnswerBody, Cut};
-use sorrellock_platform::{CallerHead, answer_headers, read_caller_head, retry_after};
+use sorrellock_platform::{CallerHead, read_caller_head};
 use sorrellock_routing::request::GivenUp;
 use sorrellock_routing::version::{NotAllowed, Route, RouteTable, ServiceName};
 use spdlog::info;
@@ -226,40 +226,3 @@
     }
     route.targets[0].0.clone()
 }
-
-/// An endpoint's answer that came whole, for the caller.
-pub(crate) fn pass_on(endpoint: &Parts, body: Bytes) -> Response<AnswerBody> {
-    let mut answer = Response::new(AnswerBody::whole(body));
-    *answer.status_mut() = endpoint.status;
-    *answer.headers_mut() = answer_headers(&endpoint.headers);
-    answer
-}
-
-/// An answer of the gateway's own.
-pub(crate) fn refusal(status: StatusCode, come_back: Option<Duration>) -> Response<AnswerBody> {
-    let text = status.canonical_reason().unwrap_or("refused");
-    let mut answer = Response::new(AnswerBody::whole(Bytes::from_static(text.as_bytes())));
-    *answer.status_mut() = status;
-    let headers = answer.headers_mut();
-    headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("text/plain"));
-    if let Some(wait) = come_back {
-        headers.insert(header::RETRY_AFTER, retry_after(wait));
-    }
-    answer
-}
-
-/// The final answer of a request that was given up.
-pub(crate) fn give_up(
-    call: &Call,
-    given_up: GivenUp,
-    come_back: Duration,
-    why: &str,
-) -> Response<AnswerBody> {
-    let (count, outcome, status) = match given_up {
-        GivenUp::NotRun => (Count::NotRun, "not run", StatusCode::SERVICE_UNAVAILABLE),
-        GivenUp::Unknown => (Count::Unknown, "may have run", StatusCode::BAD_GATEWAY),
-        GivenUp::TimedOut => (Count::TimedOut, "may have run", StatusCode::GATEWAY_TIMEOUT),
-    };
-    call.end.tell(count, outcome, status.as_u16(), why);
-    refusal(status, (given_up == GivenUp::NotRun).then_some(come_back))
-}
--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -3,12 +3,14 @@
 mod answer;
 mod attempt;
 mod call;
-mod pace;
+mod expected;
+mod final_answer;
 mod plain;
 mod relay;
-mod repath;
+mod run;
 mod stream;
 
 pub(crate) use answer::*;
 pub(crate) use attempt::*;
 pub(crate) use call::*;
+pub(crate) use final_answer::*;
--- /dev/null
+++ b/crates/gateway/src/request/relay/mod.rs
@@ -0,0 +1,9 @@
+//! A stream on its way from its engines to its caller.
+
+mod mend;
+mod pace;
+#[allow(clippy::module_inception)]
+mod relay;
+mod repath;
+
+pub(crate) use relay::Relay;
--- a/crates/gateway/src/request/relay.rs
+++ b/crates/gateway/src/request/relay/relay.rs
@@ -1,17 +1,18 @@
 //! Passes a stream's events on, and goes on over another path when its own breaks or stalls.
 
-use crate::process::{Count, Gateway, LivePath, check_path};
+use crate::process::{Count, Gateway, LivePath};
 use crate::request::Call;
-use crate::request::pace::Pace;
-use crate::request::repath::{LeaveBroken, Repath, RepathEnd};
-use crate::request::stream::{NotBegun, Run, begin, broken, has_other_path, note_time};
+use crate::request::expected::note_time;
+use crate::request::relay::pace::Pace;
+use crate::request::relay::repath::{LeaveBroken, Repath, RepathEnd};
+use crate::request::run::{Run, broken, has_other_path};
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use sorrellock_http::Part;
 use sorrellock_platform::OrderEnd;
 use sorrellock_routing::process::{PathPart, is_repair_overdue, is_repair_worth_waiting};
-use sorrellock_routing::request::{Attempts, EventError, EventParser, Evidence};
-use spdlog::{info, warn};
+use sorrellock_routing::request::{Attempts, EventError, EventParser};
+use spdlog::info;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::mpsc;
@@ -19,7 +20,7 @@
 
 /// How long one stream may be silent on a path that serves others, before it goes on elsewhere:
 /// callers leave after two seconds, and a new run takes up to half of one.
-const STREAM_SILENCE: Duration = Duration::from_millis(1_200);
+pub(super) const STREAM_SILENCE: Duration = Duration::from_millis(1_200);
 /// How often a silent stream looks whether its path serves others.
 const SILENCE_TICK: Duration = Duration::from_millis(60);
 /// Silence after which a stream looks at its path at all: a stalled path shows by then.
@@ -27,35 +28,32 @@
 /// How often a stream that waits for a repair looks for its new path, beside each change of paths.
 const REPAIR_TICK: Duration = Duration::from_millis(50);
 /// How long callers bear a pause.
-const CALLER_PATIENCE: Duration = Duration::from_secs(2);
-/// The wait before another try to go on, after there was no place.
-const MEND_RETRY: Duration = Duration::from_millis(60);
-
+pub(super) const CALLER_PATIENCE: Duration = Duration::from_secs(2);
 /// How the reason of a run begins that ended with its engine's connection.
-const BROKE_OFF: &str = "the engine's connection broke";
+pub(super) const BROKE_OFF: &str = "the engine's connection broke";
 
 /// One stream on its way to its caller.
 pub(crate) struct Relay {
-    gateway: Rc<Gateway>,
-    call: Call,
-    attempts: Attempts,
-    run: Option<Run>,
-    tx: mpsc::Sender<Part>,
-    events: EventParser,
-    last_event: Instant,
-    pace: Pace,
+    pub(super) gateway: Rc<Gateway>,
+    pub(super) call: Call,
+    pub(super) attempts: Attempts,
+    pub(super) run: Option<Run>,
+    pub(super) tx: mpsc::Sender<Part>,
+    pub(super) events: EventParser,
+    pub(super) last_event: Instant,
+    pub(super) pace: Pace,
     /// When the run began: its silence counts from then.
-    run_began: Instant,
+    pub(super) run_began: Instant,
     /// Paths that failed this stream.
-    avoid: Vec<Rc<LivePath>>,
-    mends: u32,
-    repath: Repath,
-    on_path: OnPath,
+    pub(super) avoid: Vec<Rc<LivePath>>,
+    pub(super) mends: u32,
+    pub(super) repath: Repath,
+    pub(super) on_path: OnPath,
 }
 
 /// How a stream stands with its path.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum OnPath {
+pub(super) enum OnPath {
     /// Its path serves it, as far as is known.
     Served,
     /// Its path is broken, and an order to go on over another one is under way.
@@ -296,97 +294,8 @@
         }
     }
 
-    /// The run is lost or stalls: goes on over another path. Whether the stream goes on.
-    async fn lost(&mut self, why: &str) -> bool {
-        let broke_off = why.starts_with(BROKE_OFF);
-        let silent_ms = self.last_event.elapsed().as_millis() as u64;
-        let last = self.events.last();
-        warn!("stream lost its run", kv: {
-            request = self.call.id(), why, after:? = last, silent_ms, mends = self.mends
-        });
-        let mut ended = None;
-        // The engine stops its work when its connection closes.
-        self.repath = Repath::default();
-        self.on_path = OnPath::Served;
-        if let Some(run) = self.run.take() {
-            let live = &run.place.live;
-            let first = &live.path.first().life;
-            if !live.is_broken.get() && self.last_event.elapsed() >= STREAM_SILENCE {
-                // Its connection may be what went silent, and others of that age with it.
-                self.gateway.pool.borrow_mut().give_up(first, self.last_event);
-            }
-            if !self.gateway.is_listed(first) {
-                // An engine without an entry that breaks off has ended.
-                ended = Some(first.clone());
-            }
-            check_path(&self.gateway, live);
-            self.attempts.on_failed(first, Evidence::MayHaveRun);
-            self.avoid.push(Rc::clone(live));
-        }
-        if let Some(ended) = ended.filter(|_| broke_off) {
-            self.attempts.forget_lost(|life| *life == ended);
-        }
-        if !self.call.route.semantics.may_repeat() {
-            return self.cut(Count::Cut, &format!("{why}; it may not be resumed"));
-        }
-        self.events.restart();
-        self.mends += 1;
-        self.mend(why).await
-    }
-
-    /// Tries to go on until the caller has lost patience.
-    async fn mend(&mut self, why: &str) -> bool {
-        let until = (self.last_event + CALLER_PATIENCE).max(Instant::now()).min(self.call.deadline);
-        loop {
-            if self.tx.is_closed() {
-                return false;
-            }
-            if !self.gateway.may_resume() {
-                self.call.end.tell_cut_leaving();
-                return self
-                    .cut(Count::Cut, &format!("{why}; this gateway ends before another run pays"));
-            }
-            let last = self.events.last();
-            let (gateway, call) = (&self.gateway, &self.call);
-            let began = begin(gateway, call, &mut self.attempts, last, &mut self.avoid, until);
-            let began = tokio::select! {
-                began = began => began,
-                () = self.tx.closed() => return false,
-            };
-            match began {
-                Ok(run) => {
-                    self.gateway.counters.add(Count::Resumed);
-                    info!("stream goes on", kv: {
-                        request = self.call.id(), after:? = last,
-                        data_centre = run.place.live.path.data_centre.as_str(),
-                        endpoint = run.place.live.path.first().life.id.as_str()
-                    });
-                    self.run_began = Instant::now();
-                    run.place.live.last_event.set(self.run_began);
-                    self.run = Some(run);
-                    return true;
-                }
-                Err(NotBegun::NoPlace(_)) if Instant::now() < until => {
-                    // Layers may be loaded, or a path be free again, by then.
-                    self.avoid.retain(|live| live.is_broken.get());
-                    sleep_until(Instant::now() + MEND_RETRY).await;
-                }
-                Err(not_begun) => {
-                    let text = match not_begun {
-                        NotBegun::NoPlace(none) => format!("{why}; then no place: {none:?}"),
-                        NotBegun::Spent => format!("{why}; then no further attempt was left"),
-                        NotBegun::TimeOver => format!("{why}; then its time was over"),
-                        NotBegun::Ending => format!("{why}; then this gateway ended"),
-                        NotBegun::Failure(_) => format!("{why}; then an engine failed"),
-                    };
-                    return self.cut(Count::Cut, &text);
-                }
-            }
-        }
-    }
-
     /// Tells that the stream is given up; dropped without its end, it looks cut to its caller.
-    fn cut(&self, count: Count, why: &str) -> bool {
+    pub(super) fn cut(&self, count: Count, why: &str) -> bool {
         self.call.end.tell(count, "cut", 200, why);
         false
     }
