Process: what the store tells, the peers, the paths and the lead's work each have a folder (behaviour kept)

Two dozen flat files became store/, peers/, paths/ and placer/ (with lead.rs). watchers.rs was the loop of a watch and what is made of endpoints' entries: store/watcher.rs and store/endpoint_news.rs. peers.rs was three jobs: telling, registration, catch-up; a file each.

Nothing else changes.

--- a/crates/gateway/src/process/listeners.rs
+++ b/crates/gateway/src/process/listeners.rs
@@ -1,7 +1,7 @@
 //! The listeners besides the callers': readiness, metrics, the state on request, and handovers to other
 //! gateways.
 
-use crate::process::{Dump, Gateway, peers::HANDOVER_PATH};
+use crate::process::{Dump, Gateway, HANDOVER_PATH};
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
 use http_body_util::Full;
--- /dev/null
+++ b/crates/gateway/src/process/peers/mod.rs
@@ -0,0 +1,13 @@
+//! The other gateways: what they tell, and what is believed of it.
+
+mod beliefs;
+mod catch_up;
+mod peer_message;
+#[allow(clippy::module_inception)]
+mod peers;
+mod registration;
+
+pub(crate) use beliefs::*;
+pub(crate) use catch_up::HANDOVER_PATH;
+pub(crate) use peer_message::*;
+pub(crate) use peers::Peers;
--- a/crates/gateway/src/process/peers.rs
+++ b/crates/gateway/src/process/peers/peers.rs
@@ -1,11 +1,9 @@
 //! Talks with the other gateways: loads, suspicions, what the lead knows, and what the store has
 //! told to others first.
 
-use crate::process::{Count, Gateway, Handover, HeadLoad, LeadView, Load, Peer, PeerMessage};
-use http::Method;
-use serde::{Deserialize, Serialize};
-use sorrellock_platform::{Client, Kind, Store, StoreError, StoredObject};
-use sorrellock_routing::process::{Incarnation, Known, NewsSources};
+use crate::process::{Count, Gateway, HeadLoad, LeadView, Load, Peer, PeerMessage};
+use sorrellock_platform::Kind;
+use sorrellock_routing::process::{Incarnation, NewsSources};
 use spdlog::{info, warn};
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
@@ -17,7 +15,7 @@
 
 /// How often a gateway tells the others. Loads that are a tenth of a second old differ by one or
 /// two streams from the true ones at 15 requests a second.
-const TELL_INTERVAL: Duration = Duration::from_millis(100);
+pub(super) const TELL_INTERVAL: Duration = Duration::from_millis(100);
 /// From so many gateways on each tells more seldom: messages grow with their square, and those
 /// between data centres are priced.
 const MANY_GATEWAYS: u32 = 12;
@@ -25,40 +23,22 @@
 const TELL_INTERVAL_MOST: Duration = Duration::from_millis(250);
 /// How often the lead tells all that it knows where nothing changed, for those that missed it.
 const VIEW_INTERVAL: Duration = Duration::from_millis(700);
-/// How often the list of gateways is read from the store: newcomers tell the others by themselves.
-const LIST_INTERVAL: Duration = Duration::from_secs(10);
-/// The wait after a failed write or list of gateways.
-const REGISTER_RETRY: Duration = Duration::from_millis(1_000);
-/// How long another gateway may know more before it is asked: a watch brings it sooner.
-const BEHIND_PATIENCE: Duration = Duration::from_millis(300);
-/// Time for a handover: a large configuration takes a fifth of a core some 100 ms.
-const HANDOVER_LIMIT: Duration = Duration::from_millis(1_500);
-/// Where a gateway is asked for its handover, before the configuration that the asker has and the
-/// revision up to which it knows the endpoints.
-pub(crate) const HANDOVER_PATH: &str = "/handover/";
 /// Largest datagram.
 const MAX_DATAGRAM: usize = 60_000;
 
-/// A gateway's object in the store.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-struct Registration {
-    addr: SocketAddr,
-    incarnation: u64,
-}
-
 /// Messages to and from the other gateways.
 pub(crate) struct Peers {
-    gateway: Rc<Gateway>,
-    socket: UdpSocket,
-    sequence: Cell<u64>,
+    pub(super) gateway: Rc<Gateway>,
+    pub(super) socket: UdpSocket,
+    pub(super) sequence: Cell<u64>,
     /// What this gateway told as the lead, and when.
-    told_view: RefCell<Option<(LeadView, Instant)>>,
+    pub(super) told_view: RefCell<Option<(LeadView, Instant)>>,
     /// Where gateways listen that the store tells of.
-    registered: RefCell<HashSet<SocketAddr>>,
+    pub(super) registered: RefCell<HashSet<SocketAddr>>,
     /// What this gateway knows while it is the lead.
-    own_view: Rc<RefCell<Option<LeadView>>>,
+    pub(super) own_view: Rc<RefCell<Option<LeadView>>>,
     /// Whom to ask for what the others know.
-    sources: RefCell<NewsSources>,
+    pub(super) sources: RefCell<NewsSources>,
 }
 
 impl Peers {
@@ -153,7 +133,7 @@
         targets
     }
 
-    fn own_addr(&self) -> SocketAddr {
+    pub(super) fn own_addr(&self) -> SocketAddr {
         SocketAddr::new(self.gateway.settings.ip, self.gateway.settings.peer_port)
     }
 
@@ -251,126 +231,6 @@
             gateway.engines_changed.notify_waiters();
         }
     }
-
-    /// Writes this gateway's object and reads those of the others, for ever.
-    pub(crate) async fn register(self: Rc<Self>, store: Store) {
-        let mut is_written = false;
-        loop {
-            self.gateway.counters.add(Count::StoreCalls);
-            let res = self.register_once(&store, &mut is_written).await;
-            if let Err(err) = &res {
-                self.gateway.on_store_failed(err);
-                let text = err.to_string();
-                warn!("gateways not read from the store", kv: { err = text.as_str() });
-            }
-            sleep(if res.is_ok() { LIST_INTERVAL } else { REGISTER_RETRY }).await;
-        }
-    }
-
-    async fn register_once(&self, store: &Store, is_written: &mut bool) -> Result<(), StoreError> {
-        let name = &self.gateway.settings.instance;
-        let own = Registration { addr: self.own_addr(), incarnation: self.gateway.incarnation };
-        if !*is_written {
-            match store.create(Kind::Gateways, name, &own).await {
-                Err(StoreError::Conflict) => {
-                    let object = store.get(Kind::Gateways, name).await?;
-                    if object.read::<Registration>().ok().as_ref() != Some(&own) {
-                        store.replace(Kind::Gateways, name, object.revision, &own).await?;
-                    }
-                }
-                other => {
-                    other?;
-                }
-            }
-            *is_written = true;
-        }
-        let listing = store.list(Kind::Gateways).await?;
-        self.gateway.refuse_nameless(&listing.nameless, "Gateways");
-        let addrs = listing.objects.iter().filter_map(|object| self.registered_addr(object));
-        *self.registered.borrow_mut() = addrs.collect();
-        self.gateway.beliefs.borrow_mut().registered = self.registered.borrow().len();
-        Ok(())
-    }
-
-    /// Where a registered gateway listens. One that can't be read costs no other.
-    fn registered_addr(&self, object: &StoredObject) -> Option<SocketAddr> {
-        match object.read::<Registration>() {
-            Ok(registration) => Some(registration.addr),
-            Err(fault) => {
-                let what = "registration of a gateway refused";
-                let count = Count::RegistrationsRefused;
-                self.gateway.refuse_own_object(count, what, &object.name, &fault);
-                None
-            }
-        }
-    }
-
-    /// Asks another gateway for what it knows and this one doesn't, for ever.
-    pub(crate) async fn catch_up(self: Rc<Self>) {
-        let mut behind_since: Option<Instant> = None;
-        loop {
-            sleep(TELL_INTERVAL).await;
-            let Some((instance, addr)) = self.ahead() else {
-                behind_since = None;
-                continue;
-            };
-            let since = *behind_since.get_or_insert_with(Instant::now);
-            if since.elapsed() < BEHIND_PATIENCE {
-                continue;
-            }
-            behind_since = None;
-            self.fetch(&instance, addr).await;
-        }
-    }
-
-    /// A live gateway that knows a newer configuration, or more of the endpoints.
-    fn ahead(&self) -> Option<(String, SocketAddr)> {
-        let now = Instant::now();
-        let own = {
-            let knowledge = self.gateway.knowledge.borrow();
-            Known { config: knowledge.config_version(), endpoints_at: knowledge.endpoints_at() }
-        };
-        let beliefs = self.gateway.beliefs.borrow();
-        let known = |peer: &Peer| Known {
-            config: peer.message.config_version,
-            endpoints_at: peer.message.endpoints_at,
-        };
-        let heard = beliefs.live_peers(now);
-        let heard = heard.map(|peer| (peer.message.instance.as_str(), known(peer)));
-        let instance = self.sources.borrow_mut().choose(own, heard, now.into_std())?;
-        Some((instance.to_owned(), beliefs.peers.get(instance)?.addr))
-    }
-
-    async fn fetch(&self, instance: &str, addr: SocketAddr) {
-        let client = Client::new(addr);
-        let path = {
-            let knowledge = self.gateway.knowledge.borrow();
-            format!("{HANDOVER_PATH}{}/{}", knowledge.config_version(), knowledge.endpoints_at())
-        };
-        let answer = client.call(Method::GET, &path, None, HANDOVER_LIMIT).await;
-        let read =
-            |body: &[u8]| serde_json::from_slice::<Handover>(body).map_err(|e| e.to_string());
-        match answer.map_err(|err| err.to_string()).and_then(|answer| read(&answer.body)) {
-            Ok(handover) => {
-                if handover.configuration.is_some() {
-                    // A watch that lives would have brought it sooner.
-                    self.gateway.store_heard.doubt(Kind::Configuration);
-                }
-                let (version, at) = (
-                    handover.configuration.as_ref().map_or(0, |cfg| cfg.version),
-                    handover.endpoints_at,
-                );
-                info!("caught up from a gateway", kv: { instance, version, at });
-                self.gateway.apply_handover(handover, instance);
-            }
-            Err(err) => {
-                warn!("not caught up from a gateway", kv: { instance, err = err.as_str() });
-                self.sources.borrow_mut().on_failure(instance, Instant::now().into_std());
-                // What the other one knows, the store can tell.
-                self.gateway.store_heard.doubt_all();
-            }
-        }
-    }
 }
 
 fn before_suspects<'a>(
--- a/crates/gateway/src/process/placer/mod.rs
+++ b/crates/gateway/src/process/placer/mod.rs
@@ -1,6 +1,7 @@
 //! The lead's work: follows the engines by their reports and orders the layers that each holds.
 
 mod engine;
+mod lead;
 mod orders;
 #[allow(clippy::module_inception)]
 mod placer;
--- a/crates/gateway/src/process/placer/placer.rs
+++ b/crates/gateway/src/process/placer/placer.rs
@@ -1,8 +1,8 @@
 //! The lead's rounds: engines are followed, planned for, ordered and told of.
 
+use super::lead::Lead;
 use super::reports::{ask, suspects};
 use super::{Engine, Engines, Planned};
-use crate::process::lead::Lead;
 use crate::process::{EngineView, Gateway, LeadView};
 use sorrellock_platform::{Client, Store};
 use sorrellock_routing::process::placement::{is_any_chain_scarce, next_steps};
--- a/crates/gateway/src/process/run.rs
+++ b/crates/gateway/src/process/run.rs
@@ -1,10 +1,10 @@
 //! Starts and ends the process.
 
 use crate::connection::accept_callers;
-use crate::process::peers::Peers;
 use crate::process::placer::Placer;
-use crate::process::watchers::{expire_entries, follow};
-use crate::process::{Count, Gateway, Phase, serve_side_pages, set_up_log, watch_paths};
+use crate::process::{
+    Count, Gateway, Peers, Phase, expire_entries, follow, serve_side_pages, set_up_log, watch_paths,
+};
 use sorrellock_http::listen;
 use sorrellock_platform::{Kind, Limits, Settings, Store, parse_settings};
 use sorrellock_routing::process::{Incarnation, Leaving};
--- /dev/null
+++ b/crates/gateway/src/process/store/endpoint_news.rs
@@ -0,0 +1,118 @@
+//! What the store tells of the endpoints, and what is made of entries that go.
+
+use crate::process::{EntryState, Gateway, ReadEntry, check_unlisted, note_starts};
+use sorrellock_platform::{Change, StoredObject};
+use sorrellock_routing::process::{Endpoint, EndpointId};
+use spdlog::info;
+use std::collections::HashSet;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::{Instant, sleep};
+
+/// For so long after a failed call of the store a removed entry may only have lapsed: what the
+/// store did meanwhile comes with the first watch that it answers.
+const LAPSE_DOUBT: Duration = Duration::from_secs(3);
+/// Endpoints that vanish at once, unsaid, from which on a lapse is likelier than their deaths: at
+/// least so many, and this share of all.
+const LEAST_LAPSES: usize = 3;
+const LAPSES_SHARE: f64 = 0.2;
+/// How often missing entries are looked at.
+const EXPIRY_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Gives up endpoints whose entries stay missing or can't be used for too long.
+pub(crate) async fn expire_entries(gateway: Rc<Gateway>) {
+    loop {
+        sleep(EXPIRY_INTERVAL).await;
+        let gone = gateway.knowledge.borrow_mut().expire(Instant::now());
+        for (id, entry) in &gone {
+            let why = match entry {
+                EntryState::UnusableSince(..) => "its entry can't be used",
+                _ => "missing after an outage of the store",
+            };
+            gateway.endpoint_gone(id, why);
+        }
+        if !gone.is_empty() {
+            gateway.refresh_paths();
+        }
+    }
+}
+
+impl Gateway {
+    /// Takes a list of all entries. After an outage those that are missing may only have lapsed.
+    pub(crate) fn take_endpoint_list(
+        self: &Rc<Self>,
+        objects: Vec<StoredObject>,
+        after_outage: bool,
+    ) {
+        let listed: HashSet<EndpointId> =
+            objects.iter().map(|object| object.name.clone()).collect();
+        let entries: Vec<ReadEntry> = objects.into_iter().map(ReadEntry::from).collect();
+        note_starts(self, entries.iter());
+        for entry in entries {
+            self.apply_entry(entry, "list");
+        }
+        if after_outage {
+            self.knowledge.borrow_mut().mark_unlisted(&listed, Instant::now());
+            return;
+        }
+        let missing = self.knowledge.borrow().unlisted(&listed);
+        for id in missing {
+            self.on_entry_removed(&id, false);
+        }
+    }
+
+    /// Takes changes in their order.
+    pub(crate) fn take_endpoint_changes(self: &Rc<Self>, changes: Vec<Change>) {
+        let may_have_lapsed = self.may_have_lapsed(&changes);
+        let read = |change| match change {
+            Change::Written(object) => Ok(ReadEntry::from(object)),
+            Change::Removed(name) => Err(name),
+        };
+        let read: Vec<Result<ReadEntry, EndpointId>> = changes.into_iter().map(read).collect();
+        note_starts(self, read.iter().filter_map(|change| change.as_ref().ok()));
+        for change in read {
+            match change {
+                Ok(entry) => self.apply_entry(entry, "watch"),
+                Err(removed) => self.on_entry_removed(&removed, may_have_lapsed),
+            }
+        }
+    }
+
+    /// Whether entries that were removed may only have lapsed: after an outage, or where many go
+    /// at once that did not say so, as an outage can pass unseen by a watch that waits.
+    fn may_have_lapsed(&self, changes: &[Change]) -> bool {
+        let failed = self.store_failed.get();
+        if failed.is_some_and(|failed| failed.elapsed() < LAPSE_DOUBT) {
+            return true;
+        }
+        let knowledge = self.knowledge.borrow();
+        let is_unsaid = |change: &&Change| match change {
+            Change::Removed(name) => knowledge.endpoint(name).is_some_and(|e| !e.is_leaving),
+            Change::Written(_) => false,
+        };
+        let share = (knowledge.endpoints().count() as f64 * LAPSES_SHARE).ceil() as usize;
+        changes.iter().filter(is_unsaid).count() >= share.max(LEAST_LAPSES)
+    }
+
+    /// An entry is gone: of an endpoint that left, with a word or without, that died, or that only
+    /// doesn't reach the store. Whether it lives, its health tells.
+    fn on_entry_removed(self: &Rc<Self>, name: &str, may_have_lapsed: bool) {
+        let gateway = self;
+        if gateway.knowledge.borrow().is_unusable(name) {
+            // It goes in its time; its health does not speak for it.
+            gateway.knowledge.borrow_mut().forget_refused(name);
+            return;
+        }
+        let life = gateway.knowledge.borrow().endpoint(name).map(Endpoint::incarnation);
+        let is_dead = life.is_some_and(|life| gateway.is_dead(&life)) && !may_have_lapsed;
+        if is_dead || !gateway.knowledge.borrow_mut().mark_missing(name, Instant::now()) {
+            gateway.remove_endpoint(name, "watch");
+            return;
+        }
+        if may_have_lapsed {
+            info!("entry of an endpoint missing after an outage", kv: { endpoint = name });
+            return;
+        }
+        check_unlisted(gateway, name);
+    }
+}
--- a/crates/gateway/src/process/watchers.rs
+++ b/crates/gateway/src/process/store/watcher.rs
@@ -1,11 +1,9 @@
 //! Follows the configuration and the endpoints in the platform's store.
 
-use crate::process::{Count, EntryState, Gateway, ReadEntry, check_unlisted, note_starts};
+use crate::process::{Count, Gateway};
 use sorrellock_core::process::store_watch::{Turn, WatchSchedule, WatchTimes};
 use sorrellock_platform::{Change, Kind, Listing, Revision, Store, StoreError, StoredObject};
-use sorrellock_routing::process::{Endpoint, EndpointId};
 use spdlog::{error, info, warn};
-use std::collections::HashSet;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
@@ -33,15 +31,6 @@
 const RELY_TICK: Duration = Duration::from_millis(400);
 /// How often it is looked whether what is known has grown too old.
 const AGE_TICK: Duration = Duration::from_millis(100);
-/// For so long after a failed call of the store a removed entry may only have lapsed: what the
-/// store did meanwhile comes with the first watch that it answers.
-const LAPSE_DOUBT: Duration = Duration::from_secs(3);
-/// Endpoints that vanish at once, unsaid, from which on a lapse is likelier than their deaths: at
-/// least so many, and this share of all.
-const LEAST_LAPSES: usize = 3;
-const LAPSES_SHARE: f64 = 0.2;
-/// How often missing entries are looked at.
-const EXPIRY_INTERVAL: Duration = Duration::from_millis(200);
 
 /// Follows one kind of objects for ever.
 pub(crate) async fn follow(gateway: Rc<Gateway>, store: Store, kind: Kind) {
@@ -76,24 +65,6 @@
     })
 }
 
-/// Gives up endpoints whose entries stay missing or can't be used for too long.
-pub(crate) async fn expire_entries(gateway: Rc<Gateway>) {
-    loop {
-        sleep(EXPIRY_INTERVAL).await;
-        let gone = gateway.knowledge.borrow_mut().expire(Instant::now());
-        for (id, entry) in &gone {
-            let why = match entry {
-                EntryState::UnusableSince(..) => "its entry can't be used",
-                _ => "missing after an outage of the store",
-            };
-            gateway.endpoint_gone(id, why);
-        }
-        if !gone.is_empty() {
-            gateway.refresh_paths();
-        }
-    }
-}
-
 struct Watcher {
     gateway: Rc<Gateway>,
     store: Store,
@@ -140,7 +111,7 @@
         }
         self.gateway.refuse_nameless(&changes.nameless, &format!("{:?}", self.kind));
         match self.kind {
-            Kind::Endpoints => self.on_endpoint_changes(changes.changes),
+            Kind::Endpoints => self.gateway.take_endpoint_changes(changes.changes),
             Kind::Configuration => self.on_configurations(changes.changes),
             Kind::Gateways | Kind::Leads => {}
         }
@@ -150,8 +121,8 @@
         Ok(())
     }
 
-    /// Ends once the watch under way may wait in vain: another call had no answer, or no gateway that is heard
-    /// was told of the store's state for too long.
+    /// Ends once the watch under way may wait in vain: another call had no answer, or no gateway
+    /// that is heard was told of the store's state for too long.
     async fn doubted(&self) {
         tokio::select! {
             () = self.gateway.store_heard.doubted(self.kind) => {}
@@ -227,11 +198,7 @@
         self.at = Some(listing.at);
         self.gateway.refuse_nameless(&listing.nameless, &format!("{:?}", self.kind));
         match self.kind {
-            Kind::Endpoints => {
-                let listed = listing.objects.iter().map(|object| object.name.clone()).collect();
-                self.on_listed(listing.objects);
-                self.on_unlisted(&listed, after_outage);
-            }
+            Kind::Endpoints => self.gateway.take_endpoint_list(listing.objects, after_outage),
             Kind::Configuration => {
                 listing.objects.iter().for_each(|object| self.on_configuration(object, "list"));
             }
@@ -247,17 +214,6 @@
         self.gateway.store_heard.set(self.kind, Instant::now());
     }
 
-    fn on_unlisted(&self, listed: &HashSet<EndpointId>, after_outage: bool) {
-        if after_outage {
-            self.gateway.knowledge.borrow_mut().mark_unlisted(listed, Instant::now());
-            return;
-        }
-        let missing = self.gateway.knowledge.borrow().unlisted(listed);
-        for id in missing {
-            self.on_removed(&id, false);
-        }
-    }
-
     fn on_endpoints_known(&self, at: Revision, source: &str) {
         if self.kind == Kind::Endpoints {
             self.gateway.judge_starts(source);
@@ -266,30 +222,6 @@
         }
     }
 
-    fn on_listed(&self, objects: Vec<StoredObject>) {
-        let entries: Vec<ReadEntry> = objects.into_iter().map(ReadEntry::from).collect();
-        note_starts(&self.gateway, entries.iter());
-        for entry in entries {
-            self.gateway.apply_entry(entry, "list");
-        }
-    }
-
-    fn on_endpoint_changes(&self, changes: Vec<Change>) {
-        let may_have_lapsed = self.may_have_lapsed(&changes);
-        let read = |change| match change {
-            Change::Written(object) => Ok(ReadEntry::from(object)),
-            Change::Removed(name) => Err(name),
-        };
-        let read: Vec<Result<ReadEntry, EndpointId>> = changes.into_iter().map(read).collect();
-        note_starts(&self.gateway, read.iter().filter_map(|change| change.as_ref().ok()));
-        for change in read {
-            match change {
-                Ok(entry) => self.gateway.apply_entry(entry, "watch"),
-                Err(removed) => self.on_removed(&removed, may_have_lapsed),
-            }
-        }
-    }
-
     fn on_configurations(&self, changes: Vec<Change>) {
         for change in changes {
             match change {
@@ -312,44 +244,6 @@
         }
     }
 
-    /// Whether entries that were removed may only have lapsed: after an outage, or where many go
-    /// at once that did not say so, as an outage can pass unseen by a watch that waits.
-    fn may_have_lapsed(&self, changes: &[Change]) -> bool {
-        let failed = self.gateway.store_failed.get();
-        if failed.is_some_and(|failed| failed.elapsed() < LAPSE_DOUBT) {
-            return true;
-        }
-        let knowledge = self.gateway.knowledge.borrow();
-        let is_unsaid = |change: &&Change| match change {
-            Change::Removed(name) => knowledge.endpoint(name).is_some_and(|e| !e.is_leaving),
-            Change::Written(_) => false,
-        };
-        let share = (knowledge.endpoints().count() as f64 * LAPSES_SHARE).ceil() as usize;
-        changes.iter().filter(is_unsaid).count() >= share.max(LEAST_LAPSES)
-    }
-
-    /// An entry is gone: of an endpoint that left, with a word or without, that died, or that only
-    /// doesn't reach the store. Whether it lives, its health tells.
-    fn on_removed(&self, name: &str, may_have_lapsed: bool) {
-        let gateway = &self.gateway;
-        if gateway.knowledge.borrow().is_unusable(name) {
-            // It goes in its time; its health does not speak for it.
-            gateway.knowledge.borrow_mut().forget_refused(name);
-            return;
-        }
-        let life = gateway.knowledge.borrow().endpoint(name).map(Endpoint::incarnation);
-        let is_dead = life.is_some_and(|life| gateway.is_dead(&life)) && !may_have_lapsed;
-        if is_dead || !gateway.knowledge.borrow_mut().mark_missing(name, Instant::now()) {
-            gateway.remove_endpoint(name, "watch");
-            return;
-        }
-        if may_have_lapsed {
-            info!("entry of an endpoint missing after an outage", kv: { endpoint = name });
-            return;
-        }
-        check_unlisted(gateway, name);
-    }
-
     fn on_answer(&mut self) {
         if let Some(since) = self.lost_since.take() {
             let (kind, lost_ms) = (format!("{:?}", self.kind), since.elapsed().as_millis() as u64);
