Store watch: a process' rank is all that its schedule takes (behaviour kept)

Turn held how many processes watch, which nothing read but its own constructor. The gateway's bound on the rank of the endpoints' watchers stands where it is chosen. One assertion of the schedule's test went with Turn::ALONE: it was that of rank 0, which the line before it asserts.

--- a/crates/core/src/process/store_watch/mod.rs
+++ b/crates/core/src/process/store_watch/mod.rs
@@ -13,8 +13,6 @@
 
 mod schedule;
 mod times;
-mod turn;
 
 pub use schedule::*;
 pub use times::*;
-pub use turn::*;
--- a/crates/core/src/process/store_watch/schedule.rs
+++ b/crates/core/src/process/store_watch/schedule.rs
@@ -1,7 +1,7 @@
 //! What a process asks the store next, and how long it waits for it.
 
 use super::times::PATIENCE;
-use crate::process::store_watch::{Turn, WatchTimes};
+use crate::process::store_watch::WatchTimes;
 use std::time::Duration;
 
 /// The most time for an answer, beyond a watch's wait: it grows with each call that brings none, as a store may be slow.
@@ -13,14 +13,17 @@
 /// The same of all others, which learn it from those: a store that is down is asked by each of them once a second.
 const RETRY_MOST: Duration = Duration::from_millis(1_000);
 /// How many the first few are: one may be cut off from the store.
-const FIRST_FEW: u32 = 2;
-/// How much longer each process in turn leaves it to those before it to ask.
+const FIRST_FEW: Rank = 2;
+/// How much longer each process leaves it to those before it to ask.
 const AGE_PER_RANK: Duration = Duration::from_millis(100);
 /// The most of that.
 const AGE_BY_RANK_MOST: Duration = Duration::from_millis(1_000);
 /// How long an answer that one process has takes until all others have heard of it: a message is lost now and then.
 const TELL_TIME: Duration = Duration::from_millis(300);
 
+/// How many of the processes that watch the same and hear each other come before one, in an order that all agree on.
+pub type Rank = u32;
+
 /// What a process asks the store next, for one kind of objects.
 #[derive(Clone, Debug)]
 pub struct WatchSchedule {
@@ -43,8 +46,8 @@
     }
 
     /// How long the store is to hold the next watch. Zero is a check: it is answered at once.
-    pub fn wait(&self, turn: Turn) -> Duration {
-        match turn.rank {
+    pub fn wait(&self, rank: Rank) -> Duration {
+        match rank {
             _ if self.is_in_doubt => Duration::ZERO,
             0 => self.times.interval,
             _ => self.times.longest_wait,
@@ -58,17 +61,17 @@
 
     /// The time before the next call after one that failed. The first few hurry only while nobody tells them what the
     /// store has: `age` is how old the knowledge of all processes together is.
-    pub fn retry_in(&self, turn: Turn, age: Option<Duration>) -> Duration {
-        let is_told = age.is_some_and(|age| age <= self.oldest(turn));
-        let hurries = turn.rank < FIRST_FEW && !is_told;
+    pub fn retry_in(&self, rank: Rank, age: Option<Duration>) -> Duration {
+        let is_told = age.is_some_and(|age| age <= self.oldest(rank));
+        let hurries = rank < FIRST_FEW && !is_told;
         let most = if hurries { RETRY_MOST_OF_FIRST } else { RETRY_MOST };
         let doublings = self.failures.saturating_sub(1).min(8);
         RETRY_FIRST.saturating_mul(1 << doublings).min(most)
     }
 
     /// The age that the knowledge of all processes together may reach before this one asks by itself.
-    pub fn oldest(&self, turn: Turn) -> Duration {
-        let by_rank = (AGE_PER_RANK * turn.rank).min(AGE_BY_RANK_MOST);
+    pub fn oldest(&self, rank: Rank) -> Duration {
+        let by_rank = (AGE_PER_RANK * rank).min(AGE_BY_RANK_MOST);
         self.times.interval + PATIENCE + TELL_TIME + by_rank
     }
 
--- a/crates/core/src/version/spreading/spread.rs
+++ b/crates/core/src/version/spreading/spread.rs
@@ -3,7 +3,7 @@
 use crate::clock::Clock;
 use crate::id::Revision;
 use crate::process::membership::rendezvous_several;
-use crate::process::store_watch::Turn;
+use crate::process::store_watch::Rank;
 use crate::request::Peer;
 use crate::version::{
     Claim, Claims, ConfigEvent, ConfigMessage, ConfigPeers, ConfigView, Effect, Fetches, PageCopy,
@@ -38,8 +38,8 @@
     rng: SmallRng,
     place_peers: Vec<Peer>,
     remote_peers: Vec<Peer>,
-    /// Its place among the watchers of its data centre, while it is one.
-    watches_as: Option<Turn>,
+    /// Its rank among the watchers of its data centre, while it is one.
+    watches_as: Option<Rank>,
     next_round: Instant,
     pub(super) effects: Vec<Effect>,
 }
@@ -138,8 +138,8 @@
             Some(claim) => claim.needs.keys().copied().collect(),
             None => Vec::new(),
         };
-        let turn = self.watches_as.unwrap_or(Turn::ALONE);
-        self.reader.next(&self.settings, now, turn, self.applied, &needs)
+        let rank = self.watches_as.unwrap_or_default();
+        self.reader.next(&self.settings, now, rank, self.applied, &needs)
     }
 
     /// The most time for the answer to the next call of the store, beyond a watch's wait: a store that takes longer, or
@@ -355,8 +355,7 @@
         let candidates = place.chain([self.me.incarnation]);
         let chosen = rendezvous_several(WATCH_KEY, candidates, self.settings.watchers);
         let rank = chosen.iter().position(|watcher| *watcher == self.me.incarnation);
-        let rank = rank.filter(|_| self.settings.has_store);
-        let watches_as = rank.map(|rank| Turn::new(rank as u32, chosen.len() as u32));
+        let watches_as = rank.filter(|_| self.settings.has_store).map(|rank| rank as Rank);
         if watches_as.is_some() != self.is_watching() {
             self.tell(ConfigEvent::Watching(watches_as.is_some()));
         }
--- a/crates/core/src/version/spreading/store_reader.rs
+++ b/crates/core/src/version/spreading/store_reader.rs
@@ -1,7 +1,7 @@
 //! When a daemon asks the store, and what.
 
 use crate::id::Revision;
-use crate::process::store_watch::{Turn, WatchSchedule};
+use crate::process::store_watch::{Rank, WatchSchedule};
 use crate::version::{PageId, SpreadSettings};
 use std::time::{Duration, Instant};
 
@@ -64,12 +64,12 @@
     }
 
     /// The next call, or when to ask again. `needs` are the pages that the store showed and that
-    /// are not in force yet; `turn` is this daemon's among the watchers of its place.
+    /// are not in force yet; `rank` is this daemon's among the watchers of its place.
     pub(crate) fn next(
         &mut self,
         settings: &SpreadSettings,
         now: Instant,
-        turn: Turn,
+        rank: Rank,
         applied: Revision,
         needs: &[PageId],
     ) -> Result<StoreCall, Instant> {
@@ -88,7 +88,7 @@
             return Err(self.watch_due);
         }
         self.watch_due = now + settings.watch_gap;
-        Ok(StoreCall::Watch { after: applied, wait: self.schedule.wait(turn) })
+        Ok(StoreCall::Watch { after: applied, wait: self.schedule.wait(rank) })
     }
 
     /// The most time for the answer to the next call, beyond a watch's wait.
--- a/crates/core/tests/store_watch/fleet.rs
+++ b/crates/core/tests/store_watch/fleet.rs
@@ -2,7 +2,7 @@
 
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
-use sorrellock_core::process::store_watch::{Turn, WatchSchedule, WatchTimes};
+use sorrellock_core::process::store_watch::{Rank, WatchSchedule, WatchTimes};
 use std::time::Duration;
 
 /// One step.
@@ -172,12 +172,12 @@
     }
 
     fn advance(&mut self, index: usize) {
-        let (now, turn) = (self.now, self.turn(index));
+        let (now, rank) = (self.now, self.rank(index));
         self.catch_up(index);
         let others = self.others_age(index);
         let own = self.processes[index].heard.map(|heard| now - heard);
         let age = others.into_iter().chain(own).min();
-        let oldest = millis(self.processes[index].schedule.oldest(turn));
+        let oldest = millis(self.processes[index].schedule.oldest(rank));
         let is_too_old = age.is_none_or(|age| age > oldest);
         let is_silent = self.course.is_silent(now);
         let is_cut = self.course.dead_connections.iter().any(|at| (now - STEP..now).contains(at));
@@ -187,7 +187,7 @@
                 self.calls += 1;
                 process.call = Some(Call {
                     sent: now,
-                    wait: millis(process.schedule.wait(turn)),
+                    wait: millis(process.schedule.wait(rank)),
                     patience: millis(process.schedule.patience()),
                     after: process.version,
                     is_taken: false,
@@ -213,7 +213,7 @@
         } else if now >= call.sent + call.wait + call.patience {
             process.call = None;
             process.schedule.on_failure();
-            let retry_in = process.schedule.retry_in(turn, age.map(Duration::from_millis));
+            let retry_in = process.schedule.retry_in(rank, age.map(Duration::from_millis));
             process.next_call = now + millis(retry_in);
         } else if call.wait > 0 && is_too_old {
             process.call = None;
@@ -239,12 +239,10 @@
         }
     }
 
-    fn turn(&self, index: usize) -> Turn {
+    fn rank(&self, index: usize) -> Rank {
         let heard = |told: &Option<Told>| told.is_some_and(|told| self.now - told.at < LAPSE);
         let told = &self.processes[index].told;
-        let before = told[..index].iter().filter(|told| heard(told)).count();
-        let all = told.iter().filter(|told| heard(told)).count();
-        Turn::new(before as u32, all as u32 + 1)
+        told[..index].iter().filter(|told| heard(told)).count() as Rank
     }
 
     /// How old the knowledge is of the others that a process hears and that know no more.
--- a/crates/core/tests/store_watch/schedule.rs
+++ b/crates/core/tests/store_watch/schedule.rs
@@ -1,6 +1,6 @@
 //! The rules of one schedule.
 
-use sorrellock_core::process::store_watch::{Turn, WatchSchedule, WatchTimes};
+use sorrellock_core::process::store_watch::{WatchSchedule, WatchTimes};
 use std::time::Duration;
 
 const WITHIN: Duration = Duration::from_secs(2);
@@ -11,19 +11,14 @@
     WatchSchedule::new(WatchTimes::new(WITHIN))
 }
 
-/// The one after `rank` others, of six.
-fn turn(rank: u32) -> Turn {
-    Turn::new(rank, 6)
-}
-
 #[test]
 fn the_first_call_and_each_one_after_a_doubt_is_answered_at_once() {
     let mut schedule = schedule();
-    let first = schedule.wait(turn(3));
+    let first = schedule.wait(3);
     schedule.on_answer();
     schedule.on_doubt();
 
-    assert_eq!((first, schedule.wait(turn(3))), (Duration::ZERO, Duration::ZERO));
+    assert_eq!((first, schedule.wait(3)), (Duration::ZERO, Duration::ZERO));
 }
 
 #[test]
@@ -31,10 +26,9 @@
     let mut schedule = schedule();
     schedule.on_answer();
 
-    let waits = [0, 1, 5].map(|rank| schedule.wait(turn(rank)));
+    let waits = [0, 1, 5].map(|rank| schedule.wait(rank));
 
     assert_eq!(waits, [INTERVAL, LONGEST, LONGEST]);
-    assert_eq!(schedule.wait(Turn::ALONE), INTERVAL);
 }
 
 #[test]
@@ -58,7 +52,7 @@
         schedule.on_failure();
     }
 
-    let waits = [0, 1, 2, 3].map(|rank| schedule.retry_in(turn(rank), None).as_millis());
+    let waits = [0, 1, 2, 3].map(|rank| schedule.retry_in(rank, None).as_millis());
 
     assert_eq!(waits, [250, 250, 1_000, 1_000]);
 }
@@ -70,8 +64,8 @@
         schedule.on_failure();
     }
 
-    let told = schedule.retry_in(turn(0), Some(INTERVAL));
-    let untold = schedule.retry_in(turn(0), Some(INTERVAL * 3));
+    let told = schedule.retry_in(0, Some(INTERVAL));
+    let untold = schedule.retry_in(0, Some(INTERVAL * 3));
 
     assert_eq!((told.as_millis(), untold.as_millis()), (1_000, 250));
 }
@@ -80,8 +74,7 @@
 fn each_process_in_turn_leaves_it_longer_to_the_others_to_ask() {
     let schedule = schedule();
 
-    let oldest: Vec<u128> =
-        [0, 1, 5, 400].map(|rank| schedule.oldest(Turn::new(rank, 420)).as_millis()).to_vec();
+    let oldest: Vec<u128> = [0, 1, 5, 400].map(|rank| schedule.oldest(rank).as_millis()).to_vec();
 
     assert_eq!(oldest, [1_800, 1_900, 2_300, 2_800]);
 }
--- a/crates/gateway/src/process/store/watcher.rs
+++ b/crates/gateway/src/process/store/watcher.rs
@@ -1,7 +1,7 @@
 //! Follows the configuration and the endpoints in the platform's store.
 
 use crate::process::{Count, Gateway};
-use sorrellock_core::process::store_watch::{Turn, WatchSchedule, WatchTimes};
+use sorrellock_core::process::store_watch::{Rank, WatchSchedule, WatchTimes};
 use sorrellock_platform::{Change, Kind, Listing, Revision, Store, StoreError, StoredObject};
 use spdlog::{error, info, warn};
 use std::rc::Rc;
@@ -22,7 +22,7 @@
 /// call of each.
 const MANY_GATEWAYS: usize = 12;
 /// Gateways, first in order of name, that watch the store themselves; the lead does besides.
-const WATCHERS: u32 = 4;
+const WATCHERS: Rank = 4;
 /// The fewest of them that must have heard the store of late for others to rely on them.
 const WATCHERS_LEAST: usize = 2;
 /// How late they may have heard it: a watch without news in turn, and a retry.
@@ -92,7 +92,7 @@
             self.schedule.on_answer();
             return self.on_listing(listing).await;
         };
-        let wait = self.schedule.wait(self.turn());
+        let wait = self.schedule.wait(self.rank());
         let changes = tokio::select! {
             changes = store.watch(self.kind, at, wait) => changes?,
             () = self.doubted(), if !wait.is_zero() => {
@@ -139,17 +139,17 @@
     /// Whether what all gateways that are heard know of the store is too old to rely on.
     fn is_too_old(&self) -> bool {
         let age = self.gateway.knowledge_age(self.kind, Instant::now());
-        age.is_none_or(|age| age > self.schedule.oldest(self.turn()))
+        age.is_none_or(|age| age > self.schedule.oldest(self.rank()))
     }
 
-    /// This gateway among those that are heard and watch the same.
-    fn turn(&self) -> Turn {
+    /// This gateway's rank among those that are heard and watch the same.
+    fn rank(&self) -> Rank {
         let now = Instant::now();
         let beliefs = self.gateway.beliefs.borrow();
+        let rank = beliefs.rank(&self.gateway.settings.instance, now);
         let count = beliefs.live_peers(now).count() + 1;
         let is_shared = self.kind == Kind::Endpoints && count >= MANY_GATEWAYS;
-        let watching = if is_shared { WATCHERS + 1 } else { count as u32 };
-        Turn::new(beliefs.rank(&self.gateway.settings.instance, now), watching)
+        if is_shared { rank.min(WATCHERS) } else { rank }
     }
 
     /// Whether other gateways tell of the endpoints, and this one needs no watch of its own. A
@@ -275,6 +275,6 @@
             self.lost_since = Some(Instant::now());
         }
         let age = self.gateway.knowledge_age(self.kind, Instant::now());
-        sleep(self.schedule.retry_in(self.turn(), age)).await;
+        sleep(self.schedule.retry_in(self.rank(), age)).await;
     }
 }
