The list of instances is read within a second; a reading that fails is counted and told of

Cause: a reading had five seconds, so that a process that knew nobody, or a reader of a place (each 2 s), could wait out a silence, or a connection gone silent, for that long; and its failure was dropped without a word. Nothing promises a time for it: found while the product was searched for promises that a silence may hide.

The limit itself has no test: time is not asserted.

--- a/crates/daemon/src/beside/process/beside.rs
+++ b/crates/daemon/src/beside/process/beside.rs
@@ -8,8 +8,8 @@
 use crate::process::leads::LeadDesk;
 use crate::process::ledger::{LEDGER_STORE_TIMEOUT, LedgerHolders};
 use crate::process::{
-    ConfigAgent, Count, Counters, DaemonParts, Dump, Journal, counters_json, listen_for_operators,
-    read_list, send_metrics,
+    ConfigAgent, Count, Counters, DaemonParts, Dump, Journal, LIST_LIMIT, counters_json,
+    listen_for_operators, read_list, send_metrics,
 };
 use eyre::{Result, WrapErr};
 use serde_json::{Value, json};
@@ -83,7 +83,8 @@
         agent.serve(unserved.members, link.clone(), move || own.endpoints());
         config.serve(unserved.config, link.clone(), store);
         if let Some(platform) = settings.platform {
-            read_list(agent, HttpInstanceList::new(platform), false);
+            let list = HttpInstanceList::new(platform).with_timeout(LIST_LIMIT);
+            read_list(agent, list, false);
         }
         send_metrics(counters.clone(), settings.metrics).wrap_err("start of the metrics")?;
         let mut beside =
--- a/crates/daemon/src/entry/process/entry.rs
+++ b/crates/daemon/src/entry/process/entry.rs
@@ -9,8 +9,8 @@
 use crate::process::leads::LeadDesk;
 use crate::process::ledger::{LEDGER_STORE_TIMEOUT, LedgerHolders};
 use crate::process::{
-    ConfigAgent, Count, Counters, DaemonParts, Dump, FleetAgent, Journal, counters_json,
-    listen_for_operators, read_list, send_metrics,
+    ConfigAgent, Count, Counters, DaemonParts, Dump, FleetAgent, Journal, LIST_LIMIT,
+    counters_json, listen_for_operators, read_list, send_metrics,
 };
 use eyre::{Result, WrapErr};
 use serde_json::{Value, json};
@@ -93,7 +93,8 @@
         agent.on_change(move |members| fleet.set_members(members));
         agent.serve(unserved.members, link.clone(), Vec::new);
         config.serve(unserved.config, link, Some(store));
-        read_list(agent, HttpInstanceList::new(settings.platform), true);
+        let list = HttpInstanceList::new(settings.platform).with_timeout(LIST_LIMIT);
+        read_list(agent, list, true);
         send_metrics(counters, settings.metrics).wrap_err("start of the metrics")?;
         let server = start_server(&settings, &state, gate)?;
         let operators = start_operators(&settings, &state)?;
--- a/crates/daemon/src/process/counters.rs
+++ b/crates/daemon/src/process/counters.rs
@@ -124,6 +124,8 @@
     ConfigStoreFailures => "config_store_failures",
     /// Answers of the store dropped as they came from an old copy.
     ConfigOldCopies => "config_old_copies",
+    /// Reads of the list of instances that failed.
+    ListFailures => "list_failures",
     /// Messages of membership taken.
     FleetMessages => "fleet_messages",
     /// Times that this daemon became the lead of a model.
--- a/crates/daemon/src/process/fleet_agent.rs
+++ b/crates/daemon/src/process/fleet_agent.rs
@@ -11,6 +11,7 @@
 };
 use sorrellock_core::process::{DaemonRole, DegradedLink, EndpointFact, InstanceFact, Liveness};
 use sorrellock_core::request::Peer;
+use sorrellock_ports::api::ListError;
 use sorrellock_wire::connection::Link;
 use sorrellock_wire::message::Message;
 use std::collections::BTreeMap;
@@ -154,6 +155,14 @@
         self.put(Input::Listed(listed));
     }
 
+    /// The platform's list wasn't read; `is_first` in a row. The journal tells of that one only.
+    pub fn on_list_failed(&self, err: &ListError, is_first: bool) {
+        self.counters.count(Count::ListFailures);
+        if is_first {
+            self.journal.note("list of instances not read", None, "list", err.to_string());
+        }
+    }
+
     /// Tells the others at once that this process takes no new work.
     pub fn leave(&self) {
         self.put(Input::Leave);
--- a/crates/daemon/src/process/fleet_list.rs
+++ b/crates/daemon/src/process/fleet_list.rs
@@ -13,6 +13,9 @@
 const READER: Duration = Duration::from_secs(2);
 /// How often all others read it.
 const OTHERS: Duration = Duration::from_secs(60);
+/// Time for one reading. A silence, or a connection that is silent for good, costs a process that knows nobody no more than
+/// that, and a reader not even its next reading.
+pub const LIST_LIMIT: Duration = Duration::from_secs(1);
 /// Members of a place that read the list often.
 const READERS: usize = 2;
 /// What readers are drawn by.
@@ -24,12 +27,16 @@
 pub fn read_list<I: InstanceList>(agent: Arc<FleetAgent>, list: I, is_entry: bool) {
     let run = move || {
         let mut last: Option<Instant> = None;
+        let mut is_failing = false;
         loop {
             let interval = interval(&agent.view(), is_entry);
             if last.is_none_or(|last| last.elapsed() >= interval) {
                 last = Some(Instant::now());
-                if let Ok(instances) = list.instances() {
-                    agent.on_list(instances.iter().map(listed).collect());
+                let read = list.instances();
+                let was_failing = std::mem::replace(&mut is_failing, read.is_err());
+                match read {
+                    Ok(instances) => agent.on_list(instances.iter().map(listed).collect()),
+                    Err(err) => agent.on_list_failed(&err, !was_failing),
                 }
             }
             thread::sleep(POLL);
