Links: a connection that its peer has given up takes no room at the receiver

Cause, same class: a connection that went silent stays open at its far end, which never hears of its end. Each kept a thread and the room of a connection; with room for two the third was refused, and so was every other peer. Ruled out: keep-alive probes (an answer every few seconds and connection, and they show a silent connection at one end only). Change: as the peer's next connection is heard, the one before it is closed; it was passed over already.

--- a/crates/wire/src/connection/tcp_receive.rs
+++ b/crates/wire/src/connection/tcp_receive.rs
@@ -11,7 +11,7 @@
 use std::io::{self, BufReader, ErrorKind, Write};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, Weak};
 use std::time::Duration;
 
 /// Bytes read ahead of a connection.
@@ -20,7 +20,8 @@
 const KEPT_BYTES: usize = 64 << 10;
 
 /// For each peer, the connection from which its messages are taken: the last one that it opened.
-/// What an older one still holds is dropped, so that messages never change their order.
+/// What an older one still holds is dropped, so that messages never change their order, and it is closed: one that went
+/// silent would stay open here for as long as the process runs, and take the room of another one.
 #[derive(Debug, Default)]
 pub(crate) struct Senders {
     by_peer: Mutex<HashMap<SocketAddr, Arc<Sender>>>,
@@ -29,8 +30,32 @@
 
 #[derive(Debug, Default)]
 struct Sender {
-    /// Number of the connection in force; held while its messages are handed over.
-    connection: Mutex<u64>,
+    /// Held while messages are handed over.
+    in_force: Mutex<InForce>,
+}
+
+/// The connection in force.
+#[derive(Debug, Default)]
+struct InForce {
+    number: u64,
+    stream: Weak<OpenStream>,
+}
+
+impl InForce {
+    /// Takes a connection unless a newer one is in force, and closes an older one. Tells whether it did.
+    fn take(&mut self, number: u64, stream: &Arc<OpenStream>) -> bool {
+        if self.number > number {
+            return false;
+        }
+        if self.number < number {
+            let older = std::mem::replace(&mut self.stream, Arc::downgrade(stream));
+            self.number = number;
+            if let Some(older) = older.upgrade() {
+                older.shut();
+            }
+        }
+        true
+    }
 }
 
 impl Senders {
@@ -45,7 +70,8 @@
     /// Forgets a peer whose last connection has closed.
     fn leave(&self, peer: SocketAddr, number: u64) {
         let mut by_peer = self.by_peer.lock().unwrap();
-        if by_peer.get(&peer).is_some_and(|sender| *sender.connection.lock().unwrap() == number) {
+        if by_peer.get(&peer).is_some_and(|sender| sender.in_force.lock().unwrap().number == number)
+        {
             by_peer.remove(&peer);
         }
     }
@@ -120,12 +146,11 @@
     ) -> bool {
         let peer = envelope.from;
         let (_, sender) = sender.get_or_insert_with(|| (peer.addr, self.senders.of(peer)));
-        let mut in_force = sender.connection.lock().unwrap();
-        if *in_force > number {
+        let mut in_force = sender.in_force.lock().unwrap();
+        if !in_force.take(number, &self.stream) {
             add(&self.counters.messages_lost, envelope.messages.len() as u64);
             return false;
         }
-        *in_force = number;
         self.inbox.dispatch(envelope);
         true
     }
--- a/crates/wire/tests/links.rs
+++ b/crates/wire/tests/links.rs
@@ -32,6 +32,25 @@
     assert_eq!(a.counter("silent"), 1);
 }
 
+/// Each connection that went silent stays open at its far end, which never hears of its end: the room for connections would be
+/// used up after a while, and the peer be refused.
+#[test]
+fn connections_that_go_silent_one_after_the_other_take_no_room_at_the_receiver() {
+    let mut sender = LinkConfig::new(new_peer());
+    sender.silence = Duration::from_millis(200);
+    let mut receiver = LinkConfig::new(new_peer());
+    receiver.max_peers = 1;
+    let (a, b) = (Node::start_as(sender), Node::start_as(receiver));
+    let (peer, proxy) = behind_proxy(&b);
+
+    for number in 0..4 {
+        a.reach_at(peer, &b, number);
+        proxy.silence_open();
+    }
+
+    assert_eq!(b.counter("accept_errors"), 0);
+}
+
 macro_rules! both_kinds {
     ($($test:ident,)*) => {
         mod nng {
