Sight: each sent request tells what the choice of its endpoint rested on

What callers saw: a request reached an endpoint that had said that it leaves. The log told when a gateway learnt of a leave, and nothing told, for the request itself, how old the gateway's knowledge of the endpoints was as it chose. Now `request sent` does, for streams and calls: the store's revision, and the age.

Test: the log of a call and of a stream holds both.

--- a/crates/daemon/tests/gateway/knowledge.rs
+++ b/crates/daemon/tests/gateway/knowledge.rs
@@ -60,6 +60,25 @@
     assert_eq!(answer.status, 200);
 }
 
+#[test]
+fn the_log_tells_what_the_choice_of_an_endpoint_rested_on() {
+    let fleet = fleet();
+    let gateway = fleet.gateway("one");
+    let (call, stream) = (new_request(), new_request());
+
+    send(gateway.callers(), "/status/a", &call, Some(KEY));
+    send(gateway.callers(), "/match/a", &stream, Some(KEY));
+
+    for request in [call, stream] {
+        let line = gateway.wait_for_line(&["\"request sent\"", &request]);
+        let line: serde_json::Value = serde_json::from_str(&line).expect("JSON");
+        assert!(line["kv"]["endpoints_at"].as_u64() > Some(0), "{line}");
+        assert!(
+            line["kv"]["endpoints_age_ms"].as_str().is_some_and(|age| age.starts_with("Some("))
+        );
+    }
+}
+
 #[test]
 fn a_gateway_that_the_store_turns_away_learns_from_another() {
     let fleet = fleet();
--- a/crates/gateway/src/process/store/store_heard.rs
+++ b/crates/gateway/src/process/store/store_heard.rs
@@ -1,7 +1,7 @@
 //! How old this gateway's knowledge of the store is, and what casts doubt on it.
 
 use crate::process::{Count, Gateway};
-use sorrellock_platform::{Kind, StoreError};
+use sorrellock_platform::{Kind, Revision, StoreError};
 use std::cell::Cell;
 use std::time::Duration;
 use tokio::sync::Notify;
@@ -70,7 +70,24 @@
     }
 }
 
+/// What a choice among the endpoints rests on, for log lines.
+pub(crate) struct EndpointsKnown {
+    /// The store's revision up to which they are known.
+    pub(crate) at: Revision,
+    /// How old that knowledge is, in ms; nothing if no gateway that is heard knows.
+    pub(crate) age_ms: Option<u64>,
+}
+
 impl Gateway {
+    /// What a choice among the endpoints rests on right now.
+    pub(crate) fn endpoints_known(&self) -> EndpointsKnown {
+        let age = self.knowledge_age(Kind::Endpoints, Instant::now());
+        EndpointsKnown {
+            at: self.knowledge.borrow().endpoints_at(),
+            age_ms: age.map(|age| age.as_millis() as u64),
+        }
+    }
+
     /// How old this gateway's knowledge of a kind is: the time since the store told all that it had to this one, or to
     /// another one that is heard and knows nothing that this one doesn't.
     pub(crate) fn knowledge_age(&self, kind: Kind, now: Instant) -> Option<Duration> {
--- a/crates/gateway/src/request/plain.rs
+++ b/crates/gateway/src/request/plain.rs
@@ -160,8 +160,10 @@
 ) -> Result<Response<AnswerBody>, Failed> {
     let life = endpoint.incarnation();
     let limit = patience(gateway, call, &life, is_last);
+    let known = gateway.endpoints_known();
     info!("request sent", kv: {
-        request = call.id(), endpoint = endpoint.id.as_str(), limit_ms = limit.as_millis() as u64
+        request = call.id(), endpoint = endpoint.id.as_str(), limit_ms = limit.as_millis() as u64,
+        endpoints_at = known.at, endpoints_age_ms:? = known.age_ms
     });
     let until = Instant::now() + limit;
     let target = Target { life, addr: endpoint.addr, path: &[], last_event: None };
--- a/crates/gateway/src/request/run.rs
+++ b/crates/gateway/src/request/run.rs
@@ -148,10 +148,11 @@
     let path = &live.path;
     let first = path.first();
     let ms = call.arrived.elapsed().as_millis() as u64;
+    let known = gateway.endpoints_known();
     info!("request sent", kv: {
         request = call.id(), endpoint = first.life.id.as_str(),
         data_centre = path.data_centre.as_str(), streams = place.live.streams.get(),
-        after:? = last, ms
+        after:? = last, ms, endpoints_at = known.at, endpoints_age_ms:? = known.age_ms
     });
     let target =
         Target { life: first.life.clone(), addr: first.addr, path: &path.parts, last_event: last };
