Failing test: an endpoint that leaves without a word right after a silence of the store goes on getting requests

What callers saw: a request reached an endpoint 2.27 s after its leave was acknowledged. A test on simulated time has the course.

--- a/crates/core/tests/store_watch/silences.rs
+++ b/crates/core/tests/store_watch/silences.rs
@@ -66,6 +66,31 @@
     }
 }
 
+/// What users saw: a request reached an endpoint 2.3 s after that had said that it leaves, and the store had acknowledged it.
+///
+/// The order of events: all processes watch from the same change on. The store falls silent while these watches wait, until after they
+/// end, so that their answers are lost; the watches that follow are lost, too. Seconds after the store is back, an endpoint leaves.
+///
+/// The cause: nothing but its own time limit ended a watch that was never going to be answered, and the next one was as long. The
+/// evidence: of all gateways, `store lost` 9.5 s after the watch was sent, the next answer 10 s later, and the leave known only by then.
+#[test]
+fn a_silence_that_takes_the_end_of_each_watch_and_the_next_one_delays_no_later_change() {
+    for from in [12_000, 15_100, 16_500, 17_800, 18_100] {
+        for lasts in [1_500, 3_000, 6_000, 9_000] {
+            for count in [1, 5, 32] {
+                let silence = Span { from, lasts };
+                let changes = vec![10_000, silence.end() + 2_800];
+                let course = Course { silences: vec![silence], changes, ..Course::default() };
+
+                let found = check(&course, count, 1);
+
+                let of = format!("{lasts} ms of silence from {from} ms on, {count} processes");
+                assert_eq!(found, Ok(()), "{of}");
+            }
+        }
+    }
+}
+
 #[test]
 fn connections_that_go_silent_for_good_delay_no_change() {
     for count in [1, 2, 6, 32] {
--- a/crates/daemon/tests/gateway/silence.rs
+++ b/crates/daemon/tests/gateway/silence.rs
@@ -81,6 +81,28 @@
     wait_before(&gateway, began, LONG_WATCH, &["\"endpoint leaving\"", engine.id()]);
 }
 
+/// What users saw: requests went to a plain service's endpoint for 1.5 s after the gateways knew that its entry was gone.
+///
+/// The order of events: the store is silent for a moment. As it answers again, an endpoint ends in order without a word in its entry,
+/// which is removed. Each gateway takes it for one that only lapsed in the silence, and gives it work while it may come back.
+///
+/// The cause: after a failed call of the store, an endpoint whose entry is gone was not asked, though it tells whether it leaves. The
+/// evidence: `entry of an endpoint missing after an outage`, eight `request sent` to it in the 1.5 s after that, and no question to it.
+#[test]
+fn an_endpoint_that_leaves_without_a_word_right_after_a_silence_gets_nothing_more() {
+    let fleet = fleet();
+    let gateway = fleet.gateway("one");
+    let engine = &fleet.engines[0];
+    fleet.store.put_and_fall_silent("servers", "engine-0", engine.entry());
+    gateway.wait_for_line(&["\"store lost\"", "Endpoints"]);
+
+    engine.leave_unsaid();
+    fleet.store.set_mode(StoreMode::Up);
+
+    let line = gateway.wait_for_line(&["\"endpoint gone\"", engine.id()]);
+    assert!(line.contains("its health"), "{line}");
+}
+
 #[test]
 fn a_change_is_in_force_soon_though_open_connections_to_the_store_went_silent_for_good() {
     let fleet = fleet();
