An endpoint whose entry may only have lapsed is asked whether it leaves, by two gateways on behalf of all

Cause: after a failed call of the store a missing entry had two readings, left or lapsed, and was taken for lapsed for a fixed time, though the endpoint tells. Why it holds: the endpoint's own word settles it; two of the gateways that hear each other ask (rendezvous hashing), so that a store that lost all entries costs two questions an endpoint at any size, and what they find counts only while the entry is missing. Ruled out: believing it for ten seconds as after a refusal (an entry that comes back would be passed over), each gateway asking by itself (the square at size).

--- a/crates/daemon/tests/gateway/silence.rs
+++ b/crates/daemon/tests/gateway/silence.rs
@@ -87,7 +87,7 @@
 /// which is removed. Each gateway takes it for one that only lapsed in the silence, and gives it work while it may come back.
 ///
 /// The cause: after a failed call of the store, an endpoint whose entry is gone was not asked, though it tells whether it leaves. The
-/// evidence: `entry of an endpoint missing after an outage`, eight `request sent` to it in the 1.5 s after that, and no question to it.
+/// evidence: `entry of an endpoint missing after an outage`, seven `request sent` to it in the 1.5 s after that, and no question to it.
 #[test]
 fn an_endpoint_that_leaves_without_a_word_right_after_a_silence_gets_nothing_more() {
     let fleet = fleet();
@@ -103,6 +103,27 @@
     assert!(line.contains("its health"), "{line}");
 }
 
+#[test]
+fn two_gateways_ask_an_endpoint_whose_entry_lapsed_and_all_hear_that_it_leaves() {
+    let fleet = fleet();
+    let gateways = ["one", "two", "three"].map(|instance| fleet.gateway(instance));
+    gateways[2].wait_for_line(&["\"gateway heard\"", "one"]);
+    gateways[2].wait_for_line(&["\"gateway heard\"", "two"]);
+    let engine = &fleet.engines[0];
+    fleet.store.put_and_fall_silent("servers", "engine-0", engine.entry());
+    for gateway in &gateways {
+        gateway.wait_for_line(&["\"store lost\"", "Endpoints"]);
+    }
+
+    engine.leave_unsaid();
+    fleet.store.set_mode(StoreMode::Up);
+
+    for gateway in &gateways {
+        let line = gateway.wait_for_line(&["\"endpoint gone\"", engine.id()]);
+        assert!(!line.contains("missing after an outage"), "{line}");
+    }
+}
+
 #[test]
 fn a_change_is_in_force_soon_though_open_connections_to_the_store_went_silent_for_good() {
     let fleet = fleet();
--- a/crates/gateway/src/process/paths/path_check.rs
+++ b/crates/gateway/src/process/paths/path_check.rs
@@ -26,6 +26,8 @@
 const WATCH_INTERVAL: Duration = Duration::from_millis(15);
 /// Time for an endpoint's health, which may wait for a slot, and for the report that tells its life.
 const HEALTH_LIMIT: Duration = Duration::from_millis(400);
+/// What told that an endpoint leaves, for log lines.
+const ITS_HEALTH: &str = "its health";
 /// A path is asked at most this often: each report is priced.
 const CHECK_INTERVAL: Duration = Duration::from_millis(700);
 
@@ -215,7 +217,7 @@
             }
             // It stays as the new life, which holds nothing yet.
             Err(Unwell::OtherLife) => return,
-            Err(Unwell::Leaves) => "its health".to_owned(),
+            Err(Unwell::Leaves) => ITS_HEALTH.to_owned(),
             Err(Unwell::Ended(why)) => why,
         };
         if gateway.knowledge.borrow().is_missing(id) {
@@ -225,6 +227,32 @@
     });
 }
 
+/// An endpoint's entry is gone, and may only have lapsed in an outage of the store. Two of the gateways ask whether it leaves, and
+/// tell all others. It guards endpoints that leave without a word around an outage: they got requests for as long as an entry that
+/// lapsed may take to be back. One that gives no answer stays as long as that.
+pub(crate) fn check_lapsed(gateway: &Rc<Gateway>, id: &str) {
+    let now = Instant::now();
+    if !gateway.beliefs.borrow().asks_for_all(id, gateway.incarnation, now) {
+        return;
+    }
+    let found = {
+        let knowledge = gateway.knowledge.borrow();
+        let endpoint = knowledge.endpoint(id).filter(|endpoint| !endpoint.is_leaving);
+        endpoint.and_then(|endpoint| Asked::new(&knowledge, endpoint))
+    };
+    let Some(asked) = found else { return };
+    let gateway = Rc::clone(gateway);
+    tokio::task::spawn_local(async move {
+        let res = ask_health(&gateway, &asked).await;
+        if !matches!(res, Err(Unwell::Leaves)) || !gateway.remove_missing(&asked.life, ITS_HEALTH) {
+            return;
+        }
+        gateway.beliefs.borrow_mut().note_left(asked.life, Instant::now());
+        gateway.suspected.notify_one();
+        gateway.refresh_paths();
+    });
+}
+
 /// Why an endpoint is not known to be well.
 enum Unwell {
     /// It tells that it leaves, or that it is not well.
--- a/crates/gateway/src/process/peers/beliefs.rs
+++ b/crates/gateway/src/process/peers/beliefs.rs
@@ -1,9 +1,11 @@
 //! What a gateway believes of engines and of other gateways, beyond what the store tells.
 
+use super::recent_news::RecentNews;
 use crate::process::{EndedLife, EngineView, LeadView, PeerMessage};
+use sorrellock_core::process::membership::rendezvous_several;
 use sorrellock_platform::Kind;
 use sorrellock_routing::process::Incarnation;
-use std::collections::{HashMap, VecDeque};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -21,15 +23,12 @@
 /// For how long an endpoint that failed an attempt gets no new work, if the lead doesn't say more.
 pub(crate) const SUSPECT_FOR: Duration = Duration::from_millis(1_000);
 
+/// How many gateways ask an endpoint on behalf of all: one of them may not reach it, or may not know yet that its entry is gone.
+const ASKERS: usize = 2;
 /// For how long it is believed that an endpoint leaves that said so itself: its entry says so by
 /// then, but for an outage of the store.
 pub(crate) const LEAVING_FOR: Duration = Duration::from_secs(10);
 
-/// For how long the end of a life is told to the other gateways: fifty messages, of which some are lost.
-const END_TOLD_FOR: Duration = Duration::from_secs(5);
-/// The most ends told at once, some 40 B each: the last ones of a data centre whose engines all start again.
-const MAX_ENDS_TOLD: usize = 64;
-
 /// Another gateway.
 pub(crate) struct Peer {
     /// Where it listens for messages.
@@ -90,8 +89,10 @@
     /// Endpoints that told themselves that they take nothing more, and until when that is believed
     /// without an entry that says so.
     leaving: HashMap<Incarnation, Leaving>,
-    /// Ends of lives that this gateway found, and when.
-    ended: VecDeque<(EndedLife, Instant)>,
+    /// Ends of lives that this gateway found.
+    ended: RecentNews<EndedLife>,
+    /// Endpoints without an entry that told this gateway that they leave.
+    left: RecentNews<Incarnation>,
     lead: Option<(LeadView, Instant)>,
 }
 
@@ -193,17 +194,29 @@
 
     /// An answer told this gateway the end of a life.
     pub(crate) fn note_end(&mut self, ended: EndedLife, now: Instant) {
-        if self.ended.len() >= MAX_ENDS_TOLD {
-            self.ended.pop_front();
-        }
-        self.ended.push_back((ended, now));
+        self.ended.note(ended, now);
     }
 
-    /// The ends that this gateway found of late. What others found is theirs to pass on, so that it
-    /// ends.
+    /// The ends that this gateway found of late.
     pub(crate) fn ended_own(&mut self, now: Instant) -> Vec<EndedLife> {
-        self.ended.retain(|(_, found)| now - *found < END_TOLD_FOR);
-        self.ended.iter().map(|(ended, _)| ended.clone()).collect()
+        self.ended.current(now)
+    }
+
+    /// An endpoint without an entry told this gateway that it leaves.
+    pub(crate) fn note_left(&mut self, life: Incarnation, now: Instant) {
+        self.left.note(life, now);
+    }
+
+    /// The endpoints without an entry that told this gateway of late that they leave.
+    pub(crate) fn left_own(&mut self, now: Instant) -> Vec<Incarnation> {
+        self.left.current(now)
+    }
+
+    /// Whether this gateway, by its `incarnation`, is one of those that ask an endpoint on behalf of all.
+    pub(crate) fn asks_for_all(&self, id: &str, incarnation: u64, now: Instant) -> bool {
+        let others = self.live_peers(now).map(|peer| peer.message.incarnation);
+        let all = others.chain([incarnation]);
+        rendezvous_several(id.as_bytes(), all, ASKERS).contains(&incarnation)
     }
 
     /// Takes what a lead tells, unless a newer lead was heard. Tells whether it was taken.
--- a/crates/gateway/src/process/peers/mod.rs
+++ b/crates/gateway/src/process/peers/mod.rs
@@ -5,6 +5,7 @@
 mod peer_message;
 #[allow(clippy::module_inception)]
 mod peers;
+mod recent_news;
 mod registration;
 
 pub(crate) use beliefs::*;
--- a/crates/gateway/src/process/peers/peer_message.rs
+++ b/crates/gateway/src/process/peers/peer_message.rs
@@ -34,6 +34,8 @@
     pub(crate) leaving: Vec<Incarnation>,
     /// Lives whose end the sender found by an answer of a later one, of late.
     pub(crate) ended: Vec<EndedLife>,
+    /// Endpoints without an entry that told the sender that they leave, of late.
+    pub(crate) left: Vec<Incarnation>,
     /// The sender leads, with this term.
     pub(crate) lead_term: Option<u64>,
     /// What the lead knows, where it is news or was not told for a while.
--- a/crates/gateway/src/process/peers/peers.rs
+++ b/crates/gateway/src/process/peers/peers.rs
@@ -87,6 +87,7 @@
         let suspects = gateway.beliefs.borrow_mut().suspects_own(now);
         let leaving = gateway.beliefs.borrow_mut().leaving_own(now);
         let ended = gateway.beliefs.borrow_mut().ended_own(now);
+        let left = gateway.beliefs.borrow_mut().left_own(now);
         let own_loads = gateway.paths.borrow().own_loads();
         let load = |(head, load): (Incarnation, Load)| HeadLoad {
             head,
@@ -108,6 +109,7 @@
             suspects,
             leaving,
             ended,
+            left,
             lead_term: self.own_view.borrow().as_ref().map(|view| view.term),
             lead: self.view_to_tell(now),
         }
@@ -215,12 +217,15 @@
             is_changed = true;
         }
         let instance = message.instance.clone();
-        let ended = message.ended.clone();
+        let (ended, left) = (message.ended.clone(), message.left.clone());
         beliefs.peers.insert(instance.clone(), Peer { addr: from, message, heard: now });
         drop(beliefs);
         for end in &ended {
             gateway.hear_end(end, &instance);
         }
+        for life in &left {
+            is_changed |= gateway.remove_missing(life, &instance);
+        }
         if is_changed {
             gateway.refresh_paths();
         }
--- a/crates/gateway/src/process/store/endpoint_news.rs
+++ b/crates/gateway/src/process/store/endpoint_news.rs
@@ -1,8 +1,8 @@
 //! What the store tells of the endpoints, and what is made of entries that go.
 
-use crate::process::{EntryState, Gateway, ReadEntry, check_unlisted, note_starts};
+use crate::process::{EntryState, Gateway, ReadEntry, check_lapsed, check_unlisted, note_starts};
 use sorrellock_platform::{Change, StoredObject};
-use sorrellock_routing::process::{Endpoint, EndpointId};
+use sorrellock_routing::process::{Endpoint, EndpointId, Incarnation};
 use spdlog::info;
 use std::collections::HashSet;
 use std::rc::Rc;
@@ -52,7 +52,8 @@
             self.apply_entry(entry, "list");
         }
         if after_outage {
-            self.knowledge.borrow_mut().mark_unlisted(&listed, Instant::now());
+            let missing = self.knowledge.borrow_mut().mark_unlisted(&listed, Instant::now());
+            missing.iter().for_each(|id| check_lapsed(self, id));
             return;
         }
         let missing = self.knowledge.borrow().unlisted(&listed);
@@ -111,8 +112,22 @@
         }
         if may_have_lapsed {
             info!("entry of an endpoint missing after an outage", kv: { endpoint = name });
+            check_lapsed(gateway, name);
             return;
         }
         check_unlisted(gateway, name);
     }
+
+    /// Gives up an endpoint whose entry is missing, as `source` found that it leaves. One whose entry is back stays. Tells
+    /// whether it was given up.
+    pub(crate) fn remove_missing(&self, life: &Incarnation, source: &str) -> bool {
+        let is_missing = {
+            let knowledge = self.knowledge.borrow();
+            knowledge.is_missing(&life.id) && knowledge.is_current(life)
+        };
+        if is_missing {
+            self.remove_endpoint(&life.id, source);
+        }
+        is_missing
+    }
 }
--- a/crates/gateway/src/process/store/knowledge.rs
+++ b/crates/gateway/src/process/store/knowledge.rs
@@ -333,12 +333,20 @@
     }
 
     /// Takes a list of all entries after an outage. What is missing stays for a while, as its
-    /// entry may only have lapsed.
-    pub(crate) fn mark_unlisted(&mut self, listed: &HashSet<EndpointId>, now: Instant) {
-        for (_, known) in self.endpoints.iter_mut().filter(|(id, _)| !listed.contains(*id)) {
-            known.note_missing(now);
+    /// entry may only have lapsed. Tells which are.
+    pub(crate) fn mark_unlisted(
+        &mut self,
+        listed: &HashSet<EndpointId>,
+        now: Instant,
+    ) -> Vec<EndpointId> {
+        let missing = self.unlisted(listed);
+        for id in &missing {
+            if let Some(known) = self.endpoints.get_mut(id) {
+                known.note_missing(now);
+            }
         }
         self.refused.retain(|id| listed.contains(id));
+        missing
     }
 
     /// Whether an endpoint's entry is missing, and may come back.
