--- a/crates/gateway/src/process/dump.rs
+++ b/crates/gateway/src/process/dump.rs
@@ -1,8 +1,10 @@
 //! The state of a gateway on request, as JSON.
 
-use crate::process::{EntryState, Gateway, Knowledge, KnownEndpoint, Phase};
+use crate::process::{Gateway, Phase};
 use serde::Serialize;
-use sorrellock_platform::{Kind, Revision};
+use sorrellock_platform::Kind;
+use sorrellock_routing::process::Revision;
+use sorrellock_routing::process::knowledge::{EntryState, Knowledge, KnownEndpoint};
 use sorrellock_routing::process::{FOUND_MOST, FaultKind, LayerRange, cut};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -177,7 +179,7 @@
         layers: endpoint.layers,
         revision: known.revision,
         entry,
-        entry_ms: since.map(|since| millis(since, now)),
+        entry_ms: since.map(|since| millis(since.into(), now)),
         why,
     }
 }
--- a/crates/gateway/src/process/gateway.rs
+++ b/crates/gateway/src/process/gateway.rs
@@ -1,12 +1,12 @@
 //! What all parts of a gateway share.
 
 use crate::process::{
-    Beliefs, Count, Counters, Handover, Knowledge, PathBook, Pool, SUSPECT_FOR, StoreHeard,
-    ToldFaults,
+    Beliefs, Count, Counters, PathBook, Pool, SUSPECT_FOR, StoreHeard, ToldFaults,
 };
 use sorrellock_core::clock::SystemClock;
 use sorrellock_core::process::retries::Breakers;
 use sorrellock_platform::{Bounds, Client, EndpointLoad, Kind, Settings};
+use sorrellock_routing::process::knowledge::{Handover, Knowledge};
 use sorrellock_routing::process::{Incarnation, Leaving, Lives, RetryWindow, StreamPace};
 use sorrellock_routing::version::{Configuration, ServiceName};
 use spdlog::{info, warn};
@@ -256,7 +256,7 @@
         self.hear_refused(handover.refused, from);
         let now = Instant::now();
         for (id, missing_for) in &handover.missing {
-            if self.knowledge.borrow_mut().hear_missing(id, *missing_for, now) {
+            if self.knowledge.borrow_mut().hear_missing(id, *missing_for, now.into_std()) {
                 let ms = missing_for.as_millis() as u64;
                 info!("entry of an endpoint missing after an outage", kv: {
                     endpoint = id.as_str(), ms, source = from
--- a/crates/gateway/src/process/listeners.rs
+++ b/crates/gateway/src/process/listeners.rs
@@ -10,7 +10,8 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use serde::Serialize;
-use sorrellock_platform::{Kind, Revision};
+use sorrellock_platform::Kind;
+use sorrellock_routing::process::Revision;
 use sorrellock_routing::version::ConfigVersion;
 use spdlog::warn;
 use std::convert::Infallible;
@@ -76,7 +77,7 @@
 
 /// What this gateway knows that the asker doesn't.
 fn handover(gateway: &Gateway, version: ConfigVersion, at: Revision) -> (StatusCode, Bytes) {
-    json(&gateway.knowledge.borrow().handover(version, at, Instant::now()))
+    json(&gateway.knowledge.borrow().handover(version, at, Instant::now().into_std()))
 }
 
 fn json(page: &impl Serialize) -> (StatusCode, Bytes) {
--- a/crates/gateway/src/process/paths/path_check.rs
+++ b/crates/gateway/src/process/paths/path_check.rs
@@ -1,7 +1,8 @@
 //! Finds which engines of a quiet path are dead, by asking each.
 
-use crate::process::{AnswerOf, Count, Gateway, Knowledge, LivePath};
+use crate::process::{AnswerOf, Count, Gateway, LivePath};
 use sorrellock_platform::{CallError, EngineReport, Health, read_health, read_report};
+use sorrellock_routing::process::knowledge::Knowledge;
 use sorrellock_routing::process::{Endpoint, Incarnation, is_held_up};
 use spdlog::info;
 use std::net::SocketAddr;
--- a/crates/gateway/src/process/paths/path_refresh.rs
+++ b/crates/gateway/src/process/paths/path_refresh.rs
@@ -1,6 +1,7 @@
 //! Works out the paths anew from what is known of the engines.
 
-use crate::process::{EngineFate, Gateway, Knowledge, LivePath};
+use crate::process::{EngineFate, Gateway, LivePath};
+use sorrellock_routing::process::knowledge::Knowledge;
 use sorrellock_routing::process::{DataCentre, Holder, Incarnation, LayerRange};
 use sorrellock_routing::version::ModelShape;
 use spdlog::{info, warn};
@@ -67,7 +68,8 @@
         let beliefs = self.beliefs.borrow();
         let has_lead = beliefs.lead(now).is_some();
         let mut holders = Vec::new();
-        let engines = knowledge.open_endpoints(now).filter(|engine| engine.service == service);
+        let engines =
+            knowledge.open_endpoints(now.into_std()).filter(|engine| engine.service == service);
         for endpoint in engines {
             let life = endpoint.incarnation();
             if beliefs.is_leaving(&life, now) || self.has_ended(&life) {
--- a/crates/gateway/src/process/peers/catch_up.rs
+++ b/crates/gateway/src/process/peers/catch_up.rs
@@ -1,10 +1,11 @@
 //! Has another gateway hand over what it knows and this one doesn't.
 
 use super::peers::{Peers, TELL_INTERVAL};
-use crate::process::{Handover, Peer};
+use crate::process::Peer;
 use http::Method;
 use sorrellock_platform::{Client, Kind};
 use sorrellock_routing::process::Known;
+use sorrellock_routing::process::knowledge::Handover;
 use spdlog::{info, warn};
 use std::net::SocketAddr;
 use std::rc::Rc;
--- a/crates/gateway/src/process/placer/lead.rs
+++ b/crates/gateway/src/process/placer/lead.rs
@@ -5,7 +5,8 @@
 
 use crate::process::{Count, Gateway};
 use serde::{Deserialize, Serialize};
-use sorrellock_platform::{Kind, Revision, Store, StoreError, StoredObject};
+use sorrellock_platform::{Kind, Store, StoreError, StoredObject};
+use sorrellock_routing::process::Revision;
 use spdlog::{info, warn};
 use std::rc::Rc;
 use std::time::Duration;
--- a/crates/gateway/src/process/store/endpoint_news.rs
+++ b/crates/gateway/src/process/store/endpoint_news.rs
@@ -1,7 +1,8 @@
 //! What the store tells of the endpoints, and what is made of entries that go.
 
-use crate::process::{EntryState, Gateway, ReadEntry, check_lapsed, check_unlisted, note_starts};
+use crate::process::{Gateway, ReadEntry, check_lapsed, check_unlisted, note_starts};
 use sorrellock_platform::{Change, StoredObject};
+use sorrellock_routing::process::knowledge::EntryState;
 use sorrellock_routing::process::{Endpoint, EndpointId, Incarnation};
 use spdlog::info;
 use std::collections::HashSet;
@@ -23,7 +24,7 @@
 pub(crate) async fn expire_entries(gateway: Rc<Gateway>) {
     loop {
         sleep(EXPIRY_INTERVAL).await;
-        let gone = gateway.knowledge.borrow_mut().expire(Instant::now());
+        let gone = gateway.knowledge.borrow_mut().expire(Instant::now().into_std());
         for (id, entry) in &gone {
             let why = match entry {
                 EntryState::UnusableSince(..) => "its entry can't be used",
@@ -52,7 +53,8 @@
             self.apply_entry(entry, "list");
         }
         if after_outage {
-            let missing = self.knowledge.borrow_mut().mark_unlisted(&listed, Instant::now());
+            let missing =
+                self.knowledge.borrow_mut().mark_unlisted(&listed, Instant::now().into_std());
             missing.iter().for_each(|id| check_lapsed(self, id));
             return;
         }
@@ -106,7 +108,8 @@
         }
         let life = gateway.knowledge.borrow().endpoint(name).map(Endpoint::incarnation);
         let is_dead = life.is_some_and(|life| gateway.is_dead(&life)) && !may_have_lapsed;
-        if is_dead || !gateway.knowledge.borrow_mut().mark_missing(name, Instant::now()) {
+        if is_dead || !gateway.knowledge.borrow_mut().mark_missing(name, Instant::now().into_std())
+        {
             gateway.remove_endpoint(name, "watch");
             return;
         }
--- a/crates/gateway/src/process/store/entries.rs
+++ b/crates/gateway/src/process/store/entries.rs
@@ -6,10 +6,10 @@
 //! leaves. For a while its layers are planned for, as an engine that lives writes its entry again with
 //! the next heartbeat or the one after.
 
-use crate::process::{
-    Count, EndpointNews, Gateway, Refusal, RefusalTold, RefusedEntry, check_address,
-};
-use sorrellock_platform::{Revision, StoredObject};
+use crate::process::{Count, Gateway, check_address};
+use sorrellock_platform::StoredObject;
+use sorrellock_routing::process::Revision;
+use sorrellock_routing::process::knowledge::{EndpointNews, Refusal, RefusalTold, RefusedEntry};
 use sorrellock_routing::process::{Endpoint, EntryFault, FOUND_MOST, FaultKind, cut};
 use spdlog::{info, warn};
 use std::rc::Rc;
@@ -108,7 +108,7 @@
     /// Takes an entry that names no endpoint to use, which has been so since `since`.
     pub(crate) fn refuse_entry(&self, id: &str, entry: RefusedEntry, since: Instant, source: &str) {
         let (revision, fault) = (entry.revision, entry.fault.clone());
-        let refusal = self.knowledge.borrow_mut().refuse_endpoint(id, entry, since);
+        let refusal = self.knowledge.borrow_mut().refuse_endpoint(id, entry, since.into_std());
         if refusal == Refusal::Outdated {
             return;
         }
--- a/crates/gateway/src/process/store/lives.rs
+++ b/crates/gateway/src/process/store/lives.rs
@@ -1,7 +1,8 @@
 //! Lives of endpoints: what tells first of a new one ends the one before everywhere in the process.
 
 use crate::process::{Count, EndedLife, Gateway};
-use sorrellock_platform::{Client, Revision, read_report};
+use sorrellock_platform::{Client, read_report};
+use sorrellock_routing::process::Revision;
 use sorrellock_routing::process::{AnswerNews, Endpoint, EntryNews, Incarnation, StartMillis};
 use spdlog::{info, warn};
 use std::net::SocketAddr;
--- a/crates/gateway/src/process/store/store_heard.rs
+++ b/crates/gateway/src/process/store/store_heard.rs
@@ -1,7 +1,8 @@
 //! How old this gateway's knowledge of the store is, and what casts doubt on it.
 
 use crate::process::{Count, Gateway};
-use sorrellock_platform::{Kind, Revision, StoreError};
+use sorrellock_platform::{Kind, StoreError};
+use sorrellock_routing::process::Revision;
 use std::cell::Cell;
 use std::time::Duration;
 use tokio::sync::Notify;
@@ -88,11 +89,21 @@
         }
     }
 
+    /// What this gateway knows of a kind: a newer one is higher.
+    fn known_up_to(&self, kind: Kind) -> u64 {
+        let knowledge = self.knowledge.borrow();
+        match kind {
+            Kind::Configuration => knowledge.config_version(),
+            Kind::Endpoints => knowledge.endpoints_at(),
+            Kind::Gateways | Kind::Leads => 0,
+        }
+    }
+
     /// How old this gateway's knowledge of a kind is: the time since the store told all that it had to this one, or to
     /// another one that is heard and knows nothing that this one doesn't.
     pub(crate) fn knowledge_age(&self, kind: Kind, now: Instant) -> Option<Duration> {
         let beliefs = self.beliefs.borrow();
-        let known = self.knowledge.borrow().known_up_to(kind);
+        let known = self.known_up_to(kind);
         let peers = beliefs.live_peers(now).filter(|peer| peer.message.known_up_to(kind) <= known);
         let told = peers.filter_map(|peer| peer.store_heard(kind, now));
         told.chain(self.store_heard.age(kind, now)).min()
--- a/crates/gateway/src/process/store/watcher.rs
+++ b/crates/gateway/src/process/store/watcher.rs
@@ -2,7 +2,8 @@
 
 use crate::process::{Count, Gateway};
 use sorrellock_core::process::store_watch::{Rank, WatchSchedule, WatchTimes};
-use sorrellock_platform::{Change, Kind, Listing, Revision, Store, StoreError, StoredObject};
+use sorrellock_platform::{Change, Kind, Listing, Store, StoreError, StoredObject};
+use sorrellock_routing::process::Revision;
 use spdlog::{error, info, warn};
 use std::rc::Rc;
 use std::time::Duration;
--- a/crates/gateway/src/request/plain.rs
+++ b/crates/gateway/src/request/plain.rs
@@ -119,7 +119,7 @@
     let knowledge = gateway.knowledge.borrow();
     let beliefs = gateway.beliefs.borrow();
     let mut open: Vec<&Endpoint> = knowledge
-        .open_endpoints(now)
+        .open_endpoints(now.into_std())
         .filter(|endpoint| endpoint.service == call.service)
         .filter(|endpoint| !beliefs.is_leaving(&endpoint.incarnation(), now))
         .filter(|endpoint| !tried.contains(&endpoint.incarnation()))
--- a/crates/gateway/src/process/store/handover.rs
+++ b/crates/routing/src/process/knowledge/handover.rs
@@ -1,47 +1,49 @@
 //! What one gateway tells another of the configuration and the endpoints on request.
 
-use crate::process::{EntryState, Knowledge, KnownEndpoint, RefusedEntry};
+use super::{EntryState, Knowledge, KnownEndpoint, RefusedEntry};
+use crate::process::{EndpointId, Revision};
+use crate::version::{ConfigVersion, Configuration};
 use serde::{Deserialize, Serialize};
-use sorrellock_platform::Revision;
-use sorrellock_routing::process::EndpointId;
-use sorrellock_routing::version::{ConfigVersion, Configuration};
-use std::time::Duration;
-use tokio::time::Instant;
+use std::time::{Duration, Instant};
 
 /// What one gateway hands to another that can't reach the store.
 #[derive(Debug, Serialize, Deserialize)]
-pub(crate) struct Handover {
-    pub(crate) configuration: Option<Configuration>,
+pub struct Handover {
+    /// The configuration, if it is newer than the other's.
+    pub configuration: Option<Configuration>,
     /// Those that changed since the revision up to which the other knows them.
-    pub(crate) endpoints: Vec<KnownEndpoint>,
+    pub endpoints: Vec<KnownEndpoint>,
     /// All that the list holds.
-    pub(crate) listed: Vec<EndpointId>,
+    pub listed: Vec<EndpointId>,
     /// Those of them whose entry is missing, and for how long.
-    pub(crate) missing: Vec<(EndpointId, Duration)>,
+    pub missing: Vec<(EndpointId, Duration)>,
     /// Entries that can't be used, of those that changed.
     #[serde(default)]
-    pub(crate) refused: Vec<RefusalTold>,
-    pub(crate) endpoints_at: Revision,
+    pub refused: Vec<RefusalTold>,
+    /// The store's revision up to which the endpoints are known.
+    pub endpoints_at: Revision,
 }
 
 /// An entry that can't be used, as one gateway hands it to another.
 #[derive(Debug, Serialize, Deserialize)]
-pub(crate) struct RefusalTold {
-    pub(crate) id: EndpointId,
-    pub(crate) entry: RefusedEntry,
+pub struct RefusalTold {
+    /// Whose entry it is.
+    pub id: EndpointId,
+    /// The entry, and what is wrong with it.
+    pub entry: RefusedEntry,
     /// For how long it has been so, where its endpoint is known.
-    pub(crate) lasts: Duration,
+    pub lasts: Duration,
 }
 
 impl Knowledge {
     /// Whether the entry of `revision`, or a newer one, is known to be missing: another gateway that
     /// still has it has not read that far.
-    pub(crate) fn is_missing_at(&self, id: &str, revision: Revision) -> bool {
+    pub fn is_missing_at(&self, id: &str, revision: Revision) -> bool {
         self.is_missing(id) && self.endpoints[id].revision >= revision
     }
 
     /// Another gateway has missed an entry for `missing_for`, if that is longer than this one has.
-    pub(crate) fn hear_missing(&mut self, id: &str, missing_for: Duration, now: Instant) -> bool {
+    pub fn hear_missing(&mut self, id: &str, missing_for: Duration, now: Instant) -> bool {
         let Some(known) = self.endpoints.get_mut(id) else { return false };
         let since = now.checked_sub(missing_for).unwrap_or(now);
         match &mut known.entry {
@@ -77,12 +79,7 @@
 
     /// What another gateway is handed that has configuration `known` and knows the endpoints up to
     /// revision `known_at`.
-    pub(crate) fn handover(
-        &self,
-        known: ConfigVersion,
-        known_at: Revision,
-        now: Instant,
-    ) -> Handover {
+    pub fn handover(&self, known: ConfigVersion, known_at: Revision, now: Instant) -> Handover {
         let usable = self.endpoints.values().filter(|known| !known.entry.is_unusable());
         let changed = usable.filter(|endpoint| endpoint.revision > known_at);
         let missing_for = |known: &KnownEndpoint| match known.entry {
--- a/crates/gateway/src/process/store/knowledge.rs
+++ b/crates/routing/src/process/knowledge/knowledge.rs
@@ -1,16 +1,14 @@
 //! What a gateway knows of the configuration and of the endpoints. It only ever gets newer.
 
-use crate::process::{EntryState, KnownEndpoint, RefusedEntries, RefusedEntry};
-use sorrellock_platform::{Kind, Revision};
-use sorrellock_routing::process::{
-    Endpoint, EndpointId, Incarnation, LayerRange, do_most_tell_start, is_start_untold,
+use super::{EntryState, KnownEndpoint, RefusedEntries, RefusedEntry};
+use crate::process::{
+    Endpoint, EndpointId, Incarnation, LayerRange, Revision, do_most_tell_start, is_start_untold,
 };
-use sorrellock_routing::version::{ConfigVersion, Configuration, RouteTable};
+use crate::version::{ConfigVersion, Configuration, RouteTable};
 use std::collections::{BTreeMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
-use tokio::time::Instant;
+use std::time::{Duration, Instant};
 
 /// For how long an endpoint whose entry is missing, after an outage of the store or as the endpoint
 /// doesn't reach it, still gets work, at most: entries that lapsed in an outage are back within two
@@ -26,16 +24,16 @@
 
 /// Entries whose start is judged otherwise than before.
 #[derive(Debug, Default)]
-pub(crate) struct StartVerdicts {
+pub struct StartVerdicts {
     /// They must tell a start, and don't.
-    pub(crate) refused: Vec<(Endpoint, Revision)>,
+    pub refused: Vec<(Endpoint, Revision)>,
     /// They needn't any more.
-    pub(crate) accepted: Vec<(Endpoint, Revision)>,
+    pub accepted: Vec<(Endpoint, Revision)>,
 }
 
 /// What a refused entry means.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Refusal {
+pub enum Refusal {
     /// A newer entry is known.
     Outdated,
     /// No endpoint is known by it.
@@ -48,7 +46,7 @@
 
 /// What changed of an endpoint.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum EndpointNews {
+pub enum EndpointNews {
     /// It is new.
     Joined,
     /// Its entry says that it leaves.
@@ -62,7 +60,7 @@
 }
 
 /// The configuration in force and the endpoints.
-pub(crate) struct Knowledge {
+pub struct Knowledge {
     pub(super) routes: Option<Rc<RouteTable>>,
     pub(super) endpoints: BTreeMap<EndpointId, KnownEndpoint>,
     removed: HashSet<EndpointId>,
@@ -76,7 +74,7 @@
 impl Knowledge {
     /// Nothing is known yet. An endpoint that leaves may get its last request within
     /// `leave_within`.
-    pub(crate) fn new(leave_within: Duration) -> Knowledge {
+    pub fn new(leave_within: Duration) -> Knowledge {
         Knowledge {
             routes: None,
             endpoints: BTreeMap::new(),
@@ -89,57 +87,48 @@
     }
 
     /// An endpoint that leaves may get its last request within `leave_within` from here on.
-    pub(crate) fn set_leave_within(&mut self, leave_within: Duration) {
+    pub fn set_leave_within(&mut self, leave_within: Duration) {
         self.missing_gets_work = missing_gets_work(leave_within);
     }
 
     /// The configuration in force.
-    pub(crate) fn routes(&self) -> Option<&Rc<RouteTable>> {
+    pub fn routes(&self) -> Option<&Rc<RouteTable>> {
         self.routes.as_ref()
     }
 
     /// Number of the configuration in force, 0 for none.
-    pub(crate) fn config_version(&self) -> ConfigVersion {
+    pub fn config_version(&self) -> ConfigVersion {
         self.routes.as_ref().map_or(0, |routes| routes.version())
     }
 
     /// The store's revision up to which the endpoints are known, 0 before the first list.
-    pub(crate) fn endpoints_at(&self) -> Revision {
+    pub fn endpoints_at(&self) -> Revision {
         self.endpoints_at
     }
 
-    /// What is known of a kind: a newer one is higher.
-    pub(crate) fn known_up_to(&self, kind: Kind) -> u64 {
-        match kind {
-            Kind::Configuration => self.config_version(),
-            Kind::Endpoints => self.endpoints_at,
-            Kind::Gateways | Kind::Leads => 0,
-        }
-    }
-
     /// The endpoints that their list holds, those that leave included.
-    pub(crate) fn endpoints(&self) -> impl Iterator<Item = &Endpoint> {
+    pub fn endpoints(&self) -> impl Iterator<Item = &Endpoint> {
         self.endpoints.values().map(|known| &known.endpoint)
     }
 
     /// The endpoints that are known, with what became of their entries.
-    pub(crate) fn known_endpoints(&self) -> impl Iterator<Item = &KnownEndpoint> {
+    pub fn known_endpoints(&self) -> impl Iterator<Item = &KnownEndpoint> {
         self.endpoints.values()
     }
 
     /// The endpoints whose entry was whole when it was read last.
-    pub(crate) fn usable_endpoints(&self) -> impl Iterator<Item = &Endpoint> {
+    pub fn usable_endpoints(&self) -> impl Iterator<Item = &Endpoint> {
         let usable = self.endpoints.values().filter(|known| !known.entry.is_unusable());
         usable.map(|known| &known.endpoint)
     }
 
     /// The entries that can't be used.
-    pub(crate) fn refused(&self) -> &RefusedEntries {
+    pub fn refused(&self) -> &RefusedEntries {
         &self.refused
     }
 
     /// The endpoints that may get new work, as far as their list tells.
-    pub(crate) fn open_endpoints(&self, now: Instant) -> impl Iterator<Item = &Endpoint> {
+    pub fn open_endpoints(&self, now: Instant) -> impl Iterator<Item = &Endpoint> {
         let is_here = move |known: &&KnownEndpoint| match known.entry {
             EntryState::Listed => true,
             EntryState::MissingSince(since) => now - since < self.missing_gets_work,
@@ -150,29 +139,29 @@
     }
 
     /// Whether the list tells of an endpoint in this life.
-    pub(crate) fn is_current(&self, life: &Incarnation) -> bool {
+    pub fn is_current(&self, life: &Incarnation) -> bool {
         self.endpoint(&life.id).is_some_and(|endpoint| endpoint.started == life.started)
     }
 
     /// Whether the list tells of an endpoint in this life at an address.
-    pub(crate) fn is_known_at(&self, life: &Incarnation, addr: SocketAddr) -> bool {
+    pub fn is_known_at(&self, life: &Incarnation, addr: SocketAddr) -> bool {
         self.is_current(life) && self.endpoint(&life.id).is_some_and(|one| one.addr == addr)
     }
 
     /// One endpoint.
-    pub(crate) fn endpoint(&self, id: &str) -> Option<&Endpoint> {
+    pub fn endpoint(&self, id: &str) -> Option<&Endpoint> {
         self.endpoints.get(id).map(|known| &known.endpoint)
     }
 
     /// The path that an endpoint's health is asked for at; nothing without a configuration that has
     /// its service.
-    pub(crate) fn health_path(&self, endpoint: &Endpoint) -> Option<&str> {
+    pub fn health_path(&self, endpoint: &Endpoint) -> Option<&str> {
         let service = self.routes.as_ref()?.service(&endpoint.service)?;
         Some(&service.health_path)
     }
 
     /// Puts a configuration in force if it is newer.
-    pub(crate) fn apply_configuration(&mut self, cfg: Configuration) -> bool {
+    pub fn apply_configuration(&mut self, cfg: Configuration) -> bool {
         if cfg.version <= self.config_version() {
             return false;
         }
@@ -181,7 +170,7 @@
     }
 
     /// Whether an entry of `revision` is newer than what is known of the endpoint.
-    pub(crate) fn is_news(&self, id: &str, revision: Revision) -> bool {
+    pub fn is_news(&self, id: &str, revision: Revision) -> bool {
         if self.refused.get(id).is_some_and(|refused| refused.revision > revision) {
             return false;
         }
@@ -193,7 +182,7 @@
     }
 
     /// An endpoint itself told that it started again: its entry still tells of the life before.
-    pub(crate) fn begin_life(&mut self, life: &Incarnation) {
+    pub fn begin_life(&mut self, life: &Incarnation) {
         if let Some(known) = self.endpoints.get_mut(&life.id) {
             known.endpoint.started = life.started;
             known.endpoint.layers = LayerRange::default();
@@ -201,11 +190,7 @@
     }
 
     /// Takes an entry that was written at `revision`.
-    pub(crate) fn apply_endpoint(
-        &mut self,
-        endpoint: Endpoint,
-        revision: Revision,
-    ) -> EndpointNews {
+    pub fn apply_endpoint(&mut self, endpoint: Endpoint, revision: Revision) -> EndpointNews {
         if !self.is_news(&endpoint.id, revision) {
             return EndpointNews::Nothing;
         }
@@ -230,7 +215,7 @@
     }
 
     /// An entry is gone for good.
-    pub(crate) fn remove_endpoint(&mut self, id: &str) -> bool {
+    pub fn remove_endpoint(&mut self, id: &str) -> bool {
         self.remember_removed(id);
         self.refused.remove(id);
         self.endpoints.remove(id).is_some()
@@ -238,12 +223,7 @@
 
     /// Takes an entry that names no endpoint to use, which has been so since `since`. A known endpoint
     /// stays for a while, and gets nothing new.
-    pub(crate) fn refuse_endpoint(
-        &mut self,
-        id: &str,
-        entry: RefusedEntry,
-        since: Instant,
-    ) -> Refusal {
+    pub fn refuse_endpoint(&mut self, id: &str, entry: RefusedEntry, since: Instant) -> Refusal {
         let (revision, fault) = (entry.revision, entry.fault.clone());
         let told_start = entry.told_start || self.told_start(id);
         let known = self.endpoints.get_mut(id);
@@ -261,17 +241,17 @@
     }
 
     /// Whether a known endpoint's entry can't be used.
-    pub(crate) fn is_unusable(&self, id: &str) -> bool {
+    pub fn is_unusable(&self, id: &str) -> bool {
         self.endpoints.get(id).is_some_and(|known| known.entry.is_unusable())
     }
 
     /// An entry that couldn't be used is gone. What is known of its endpoint goes in its time.
-    pub(crate) fn forget_refused(&mut self, id: &str) {
+    pub fn forget_refused(&mut self, id: &str) {
         self.refused.remove(id);
     }
 
     /// Works out whether entries must tell a start, with those that were just read.
-    pub(crate) fn note_starts<'a>(&mut self, read: impl Iterator<Item = &'a Endpoint> + Clone) {
+    pub fn note_starts<'a>(&mut self, read: impl Iterator<Item = &'a Endpoint> + Clone) {
         let new: HashSet<&EndpointId> = read.clone().map(|endpoint| &endpoint.id).collect();
         let refused = self.refused.endpoints();
         let refused = refused.filter(|endpoint| !self.endpoints.contains_key(&endpoint.id));
@@ -284,7 +264,7 @@
     }
 
     /// Whether an entry lacks a start that it must tell.
-    pub(crate) fn lacks_start(&self, endpoint: &Endpoint) -> bool {
+    pub fn lacks_start(&self, endpoint: &Endpoint) -> bool {
         is_start_untold(endpoint, self.told_start(&endpoint.id), self.is_start_required)
     }
 
@@ -295,7 +275,7 @@
     }
 
     /// Entries that are judged otherwise by what is known of starts by now.
-    pub(crate) fn start_verdicts(&mut self) -> StartVerdicts {
+    pub fn start_verdicts(&mut self) -> StartVerdicts {
         let usable = self.endpoints.values().filter(|known| !known.entry.is_unusable());
         let refused = usable.filter(|known| self.lacks_start(&known.endpoint));
         let refused = refused.map(|known| (known.endpoint.clone(), known.revision)).collect();
@@ -312,7 +292,7 @@
     }
 
     /// An entry is gone that may have lapsed: its endpoint stays for a while, if it wasn't leaving.
-    pub(crate) fn mark_missing(&mut self, id: &str, now: Instant) -> bool {
+    pub fn mark_missing(&mut self, id: &str, now: Instant) -> bool {
         match self.endpoints.get_mut(id) {
             Some(known) if !known.endpoint.is_leaving => {
                 known.note_missing(now);
@@ -323,22 +303,18 @@
     }
 
     /// Takes the revision that changes were read up to.
-    pub(crate) fn advance(&mut self, at: Revision) {
+    pub fn advance(&mut self, at: Revision) {
         self.endpoints_at = self.endpoints_at.max(at);
     }
 
     /// The endpoints that a list of all entries doesn't hold.
-    pub(crate) fn unlisted(&self, listed: &HashSet<EndpointId>) -> Vec<EndpointId> {
+    pub fn unlisted(&self, listed: &HashSet<EndpointId>) -> Vec<EndpointId> {
         self.endpoints.keys().filter(|id| !listed.contains(*id)).cloned().collect()
     }
 
     /// Takes a list of all entries after an outage. What is missing stays for a while, as its
     /// entry may only have lapsed. Tells which are.
-    pub(crate) fn mark_unlisted(
-        &mut self,
-        listed: &HashSet<EndpointId>,
-        now: Instant,
-    ) -> Vec<EndpointId> {
+    pub fn mark_unlisted(&mut self, listed: &HashSet<EndpointId>, now: Instant) -> Vec<EndpointId> {
         let missing = self.unlisted(listed);
         for id in &missing {
             if let Some(known) = self.endpoints.get_mut(id) {
@@ -350,14 +326,14 @@
     }
 
     /// Whether an endpoint's entry is missing, and may come back.
-    pub(crate) fn is_missing(&self, id: &str) -> bool {
+    pub fn is_missing(&self, id: &str) -> bool {
         let entry = self.endpoints.get(id).map(|known| &known.entry);
         matches!(entry, Some(EntryState::MissingSince(_)))
     }
 
     /// Gives up endpoints whose entry has been missing or unusable for too long. Tells which, and
     /// what became of the entry.
-    pub(crate) fn expire(&mut self, now: Instant) -> Vec<(EndpointId, EntryState)> {
+    pub fn expire(&mut self, now: Instant) -> Vec<(EndpointId, EntryState)> {
         let is_over =
             |known: &&KnownEndpoint| known.entry.since().is_some_and(|at| now - at >= ENTRY_GRACE);
         let over = self.endpoints.values().filter(is_over);
--- a/crates/gateway/src/process/store/known_endpoint.rs
+++ b/crates/routing/src/process/knowledge/known_endpoint.rs
@@ -1,13 +1,12 @@
 //! An endpoint that a gateway knows, and what became of its entry.
 
+use crate::process::{Endpoint, EntryFault, Revision};
 use serde::{Deserialize, Serialize};
-use sorrellock_platform::Revision;
-use sorrellock_routing::process::{Endpoint, EntryFault};
-use tokio::time::Instant;
+use std::time::Instant;
 
 /// What became of a known endpoint's entry.
 #[derive(Clone, Debug, Default, PartialEq)]
-pub(crate) enum EntryState {
+pub enum EntryState {
     /// It is in the list, and whole.
     #[default]
     Listed,
@@ -33,14 +32,14 @@
 
 /// An endpoint with the revision of its entry.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub(crate) struct KnownEndpoint {
+pub struct KnownEndpoint {
     /// What its entry tells, or told when it was whole last.
-    pub(crate) endpoint: Endpoint,
+    pub endpoint: Endpoint,
     /// Revision of the entry.
-    pub(crate) revision: Revision,
+    pub revision: Revision,
     /// What became of the entry.
     #[serde(skip)]
-    pub(crate) entry: EntryState,
+    pub entry: EntryState,
 }
 
 impl KnownEndpoint {
--- a/crates/routing/src/process/lives.rs
+++ b/crates/routing/src/process/lives.rs
@@ -4,7 +4,7 @@
 //! itself counts for the instant at which it was asked for. A life that an answer ended is over for good.
 //! One that only entries ended may come back, as the life before may write its entry late.
 
-use crate::process::{EndpointId, Incarnation, StartMillis};
+use crate::process::{EndpointId, Incarnation, Revision, StartMillis};
 use std::collections::{HashMap, VecDeque};
 use std::time::Instant;
 
@@ -17,9 +17,6 @@
 /// first may have been written late.
 const CONTRADICTIONS_TO_BELIEF: u32 = 2;
 
-/// Revision of an entry in the list.
-pub type EntryRevision = u64;
-
 /// What an entry tells of its endpoint's life.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum EntryNews {
@@ -88,7 +85,7 @@
     present: Option<Present>,
     ended: VecDeque<Ended>,
     /// The highest revision of its entry so far.
-    entry_at: EntryRevision,
+    entry_at: Revision,
     /// Entries of a life that contradict the present one, since that was last confirmed.
     contradictions: Option<(Option<StartMillis>, u32)>,
 }
@@ -118,12 +115,7 @@
     }
 
     /// Takes an entry of `life` that was written at `revision` and is read at `now`.
-    pub fn on_entry(
-        &mut self,
-        life: &Incarnation,
-        revision: EntryRevision,
-        now: Instant,
-    ) -> EntryNews {
+    pub fn on_entry(&mut self, life: &Incarnation, revision: Revision, now: Instant) -> EntryNews {
         self.lives(&life.id).on_entry(life, revision, now)
     }
 
@@ -177,7 +169,7 @@
         self.ended(started).is_some_and(|ended| ended.by == EndedBy::Answer)
     }
 
-    fn on_entry(&mut self, life: &Incarnation, revision: EntryRevision, now: Instant) -> EntryNews {
+    fn on_entry(&mut self, life: &Incarnation, revision: Revision, now: Instant) -> EntryNews {
         let is_known = revision <= self.entry_at;
         self.entry_at = self.entry_at.max(revision);
         let Some(present) = self.present else {
