Failing tests: a store that comes back from an older copy of itself; the stand-in store learns it

What would happen to callers: an engine that leaves after the restore goes on getting requests, one that joined before it is given up for good, and a gateway whose watch goes on from a revision that was given out again misses what came before it. The stand-in goes back to a copy, gives its revisions out again, and tells its era in each answer, as it was when the answer was made.

--- a/crates/daemon/tests/gateway/main.rs
+++ b/crates/daemon/tests/gateway/main.rs
@@ -1,6 +1,7 @@
 //! The gateway as a process, on stand-ins of the users' platform.
 
 mod entries;
+mod eras;
 mod fleet;
 mod gateway_process;
 mod knowledge;
