--- a/crates/bench/benches/entries.rs
+++ b/crates/bench/benches/entries.rs
@@ -69,7 +69,7 @@
 
 /// How many entries name an endpoint.
 fn read(body: &[u8]) -> usize {
-    let page = read_page(black_box(body)).expect("the page is read");
+    let page = read_page(black_box(body), 0).expect("the page is read");
     page.listing.objects.iter().filter(|object| object.endpoint().is_ok()).count()
 }
 
--- a/crates/gateway/src/process/counters.rs
+++ b/crates/gateway/src/process/counters.rs
@@ -66,6 +66,10 @@
     StoreFailures => "store_failures",
     /// Watches of the store that were given up, as they may have waited in vain.
     WatchesDoubted => "watches_doubted",
+    /// Eras of the store that began: it came back from an older copy of itself.
+    StoreEras => "store_eras",
+    /// Lists of the store that were made anew as an era began.
+    EraLists => "era_lists",
     /// Orders given to engines.
     Orders => "orders",
     /// Orders that engines refused, or that brought no answer.
--- a/crates/gateway/src/process/dump.rs
+++ b/crates/gateway/src/process/dump.rs
@@ -3,9 +3,10 @@
 use crate::process::{Gateway, Phase};
 use serde::Serialize;
 use sorrellock_platform::Kind;
-use sorrellock_routing::process::Revision;
 use sorrellock_routing::process::knowledge::{EntryState, Knowledge, KnownEndpoint};
-use sorrellock_routing::process::{FOUND_MOST, FaultKind, LayerRange, cut};
+use sorrellock_routing::process::{
+    ChangeCount, FOUND_MOST, FaultKind, LayerRange, Revision, StoreEra, cut,
+};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use tokio::time::Instant;
@@ -19,7 +20,10 @@
     instance: String,
     phase: &'static str,
     config_version: u64,
-    endpoints_at: Revision,
+    /// The newest era of the store that was heard of, and the one in which the endpoints are known.
+    store_era: StoreEra,
+    endpoints_era: StoreEra,
+    endpoints_at: ChangeCount,
     /// How long ago the store last told all that it had.
     configuration_heard_ms: Option<u64>,
     endpoints_heard_ms: Option<u64>,
@@ -36,7 +40,8 @@
 #[derive(Serialize)]
 struct LeadDump {
     is_own: bool,
-    term: u64,
+    term: ChangeCount,
+    era: StoreEra,
     heard_ms: u64,
 }
 
@@ -46,7 +51,8 @@
     addr: SocketAddr,
     heard_ms: u64,
     config_version: u64,
-    endpoints_at: Revision,
+    endpoints_era: StoreEra,
+    endpoints_at: ChangeCount,
 }
 
 #[derive(Serialize)]
@@ -58,7 +64,8 @@
     data_centre: String,
     is_leaving: bool,
     layers: LayerRange,
-    revision: Revision,
+    era: StoreEra,
+    revision: ChangeCount,
     /// `listed`, `missing` or `unusable`.
     entry: &'static str,
     entry_ms: Option<u64>,
@@ -68,7 +75,8 @@
 #[derive(Serialize)]
 struct RefusedDump {
     id: String,
-    revision: Revision,
+    era: StoreEra,
+    revision: ChangeCount,
     why: String,
 }
 
@@ -95,7 +103,8 @@
         let endpoints = knowledge.known_endpoints().map(|known| endpoint(known, now));
         let refused = knowledge.refused().iter().map(|(id, entry)| RefusedDump {
             id: cut(id, FOUND_MOST),
-            revision: entry.revision,
+            era: entry.revision.era,
+            revision: entry.revision.count,
             why: entry.fault.to_string(),
         });
         let mut refused_by_reason = BTreeMap::new();
@@ -107,7 +116,9 @@
             instance: gateway.settings.instance.clone(),
             phase: phase_name(*gateway.phase.borrow()),
             config_version: knowledge.config_version(),
-            endpoints_at: knowledge.endpoints_at(),
+            store_era: gateway.eras.known(),
+            endpoints_era: knowledge.endpoints_at().era,
+            endpoints_at: knowledge.endpoints_at().count,
             configuration_heard_ms: gateway.store_heard.age_ms(Kind::Configuration, now),
             endpoints_heard_ms: gateway.store_heard.age_ms(Kind::Endpoints, now),
             lead: lead(gateway, now),
@@ -144,8 +155,9 @@
 fn lead(gateway: &Gateway, now: Instant) -> Option<LeadDump> {
     let beliefs = gateway.beliefs.borrow();
     let (view, heard) = beliefs.lead(now)?;
-    let (term, heard_ms) = (view.term, millis(heard, now));
-    Some(LeadDump { is_own: gateway.leads.get(), term, heard_ms })
+    let Revision { era, count } = view.term;
+    let (is_own, heard_ms) = (gateway.leads.get(), millis(heard, now));
+    Some(LeadDump { is_own, term: count, era, heard_ms })
 }
 
 fn gateways(gateway: &Gateway, now: Instant) -> Vec<GatewayDump> {
@@ -154,8 +166,9 @@
         instance: peer.message.instance.clone(),
         addr: peer.addr,
         heard_ms: millis(peer.heard, now),
-        config_version: peer.message.config_version,
-        endpoints_at: peer.message.endpoints_at,
+        config_version: peer.message.known.config,
+        endpoints_era: peer.message.known.endpoints_at.era,
+        endpoints_at: peer.message.known.endpoints_at.count,
     });
     live.collect()
 }
@@ -177,7 +190,8 @@
         data_centre: endpoint.data_centre.clone(),
         is_leaving: endpoint.is_leaving,
         layers: endpoint.layers,
-        revision: known.revision,
+        era: known.revision.era,
+        revision: known.revision.count,
         entry,
         entry_ms: since.map(|since| millis(since.into(), now)),
         why,
--- a/crates/gateway/src/process/gateway.rs
+++ b/crates/gateway/src/process/gateway.rs
@@ -5,9 +5,9 @@
 };
 use sorrellock_core::clock::SystemClock;
 use sorrellock_core::process::retries::Breakers;
-use sorrellock_platform::{Bounds, Client, EndpointLoad, Kind, Settings};
+use sorrellock_platform::{Bounds, Client, EndpointLoad, Kind, Settings, StoreEras};
 use sorrellock_routing::process::knowledge::{Handover, Knowledge};
-use sorrellock_routing::process::{Incarnation, Leaving, Lives, RetryWindow, StreamPace};
+use sorrellock_routing::process::{Incarnation, Leaving, Lives, RetryWindow, Revision, StreamPace};
 use sorrellock_routing::version::{Configuration, ServiceName};
 use spdlog::{info, warn};
 use std::cell::{Cell, RefCell};
@@ -73,6 +73,8 @@
     pub(crate) leads: Cell<bool>,
     /// When the store last told this gateway all that it had.
     pub(crate) store_heard: StoreHeard,
+    /// The newest era of the store that was heard of.
+    pub(crate) eras: StoreEras,
     /// When a call of the store last failed.
     pub(crate) store_failed: Cell<Option<Instant>>,
     /// Endpoints that refused a request, and when they were last asked why.
@@ -118,6 +120,7 @@
             stream_paces: RefCell::default(),
             leads: Cell::new(false),
             store_heard: StoreHeard::default(),
+            eras: StoreEras::default(),
             store_failed: Cell::new(None),
             refusers_checked: RefCell::default(),
             in_flight: Cell::new(0),
@@ -224,7 +227,7 @@
 
     /// An endpoint's entry is gone.
     pub(crate) fn remove_endpoint(&self, id: &str, source: &str) {
-        if self.knowledge.borrow_mut().remove_endpoint(id) {
+        if self.knowledge.borrow_mut().remove_endpoint(id, Instant::now().into_std()) {
             self.endpoint_gone(id, source);
         }
     }
@@ -244,6 +247,9 @@
         if handover.endpoints_at <= self.knowledge.borrow().endpoints_at() {
             return;
         }
+        let now = Instant::now();
+        let floor = Revision::new(handover.endpoints_at.era, handover.era_floor);
+        self.knowledge.borrow_mut().begin_era(floor, now.into_std());
         let listed = handover.listed.into_iter().collect();
         let told = handover.endpoints.iter().map(|known| &known.endpoint);
         self.knowledge.borrow_mut().note_starts(told);
@@ -253,8 +259,8 @@
             }
             self.apply_endpoint(known.endpoint, known.revision, from);
         }
+        self.knowledge.borrow_mut().hear_left(handover.left, now.into_std());
         self.hear_refused(handover.refused, from);
-        let now = Instant::now();
         for (id, missing_for) in &handover.missing {
             if self.knowledge.borrow_mut().hear_missing(id, *missing_for, now.into_std()) {
                 let ms = missing_for.as_millis() as u64;
--- a/crates/gateway/src/process/listeners.rs
+++ b/crates/gateway/src/process/listeners.rs
@@ -72,7 +72,9 @@
 /// What the asker knows: its configuration, and the revision that it knows the endpoints up to.
 fn read_known(text: &str) -> Option<(ConfigVersion, Revision)> {
     let (version, at) = text.split_once('/')?;
-    Some((version.parse().ok()?, at.parse().ok()?))
+    let (era, count) = at.split_once('/')?;
+    let at = Revision::new(era.parse().ok()?, count.parse().ok()?);
+    Some((version.parse().ok()?, at))
 }
 
 /// What this gateway knows that the asker doesn't.
--- a/crates/gateway/src/process/paths/path_check.rs
+++ b/crates/gateway/src/process/paths/path_check.rs
@@ -254,6 +254,25 @@
     });
 }
 
+/// An endpoint that had left before the store came back from a copy is listed as ready: asks whether it is well after all.
+pub(crate) fn check_left(gateway: &Rc<Gateway>, id: &str) {
+    let found = {
+        let knowledge = gateway.knowledge.borrow();
+        knowledge.endpoint(id).and_then(|endpoint| Asked::new(&knowledge, endpoint))
+    };
+    let Some(asked) = found else { return };
+    let gateway = Rc::clone(gateway);
+    tokio::task::spawn_local(async move {
+        let res = ask_health(&gateway, &asked).await;
+        if res.is_err() || !gateway.knowledge.borrow_mut().note_well(&asked.life) {
+            return;
+        }
+        info!("endpoint that had left is well", kv: { endpoint = asked.life.id.as_str() });
+        gateway.engines_changed.notify_waiters();
+        gateway.refresh_paths();
+    });
+}
+
 /// Why an endpoint is not known to be well.
 enum Unwell {
     /// It tells that it leaves, or that it is not well.
--- a/crates/gateway/src/process/peers/beliefs.rs
+++ b/crates/gateway/src/process/peers/beliefs.rs
@@ -4,7 +4,7 @@
 use crate::process::{EndedLife, EngineView, LeadView, PeerMessage};
 use sorrellock_core::process::membership::rendezvous_several;
 use sorrellock_platform::Kind;
-use sorrellock_routing::process::Incarnation;
+use sorrellock_routing::process::{Incarnation, Revision};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -232,7 +232,7 @@
     }
 
     /// The lead whose word was taken last still leads.
-    pub(crate) fn hear_lead(&mut self, term: u64, now: Instant) {
+    pub(crate) fn hear_lead(&mut self, term: Revision, now: Instant) {
         if let Some((view, heard)) = &mut self.lead
             && view.term == term
         {
--- a/crates/gateway/src/process/peers/catch_up.rs
+++ b/crates/gateway/src/process/peers/catch_up.rs
@@ -1,11 +1,10 @@
 //! Has another gateway hand over what it knows and this one doesn't.
 
 use super::peers::{Peers, TELL_INTERVAL};
-use crate::process::Peer;
 use http::Method;
 use sorrellock_platform::{Client, Kind};
-use sorrellock_routing::process::Known;
 use sorrellock_routing::process::knowledge::Handover;
+use sorrellock_routing::process::{Known, Revision};
 use spdlog::{info, warn};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -42,27 +41,18 @@
     /// A live gateway that knows a newer configuration, or more of the endpoints.
     fn ahead(&self) -> Option<(String, SocketAddr)> {
         let now = Instant::now();
-        let own = {
-            let knowledge = self.gateway.knowledge.borrow();
-            Known { config: knowledge.config_version(), endpoints_at: knowledge.endpoints_at() }
-        };
+        let own = self.gateway.knowledge.borrow().known();
         let beliefs = self.gateway.beliefs.borrow();
-        let known = |peer: &Peer| Known {
-            config: peer.message.config_version,
-            endpoints_at: peer.message.endpoints_at,
-        };
         let heard = beliefs.live_peers(now);
-        let heard = heard.map(|peer| (peer.message.instance.as_str(), known(peer)));
+        let heard = heard.map(|peer| (peer.message.instance.as_str(), peer.message.known));
         let instance = self.sources.borrow_mut().choose(own, heard, now.into_std())?;
         Some((instance.to_owned(), beliefs.peers.get(instance)?.addr))
     }
 
     async fn fetch(&self, instance: &str, addr: SocketAddr) {
         let client = Client::new(addr);
-        let path = {
-            let knowledge = self.gateway.knowledge.borrow();
-            format!("{HANDOVER_PATH}{}/{}", knowledge.config_version(), knowledge.endpoints_at())
-        };
+        let Known { config, endpoints_at } = self.gateway.knowledge.borrow().known();
+        let path = format!("{HANDOVER_PATH}{config}/{endpoints_at}");
         let answer = client.call(Method::GET, &path, None, HANDOVER_LIMIT).await;
         let read =
             |body: &[u8]| serde_json::from_slice::<Handover>(body).map_err(|e| e.to_string());
@@ -72,11 +62,9 @@
                     // A watch that lives would have brought it sooner.
                     self.gateway.store_heard.doubt(Kind::Configuration);
                 }
-                let (version, at) = (
-                    handover.configuration.as_ref().map_or(0, |cfg| cfg.version),
-                    handover.endpoints_at,
-                );
-                info!("caught up from a gateway", kv: { instance, version, at });
+                let version = handover.configuration.as_ref().map_or(0, |cfg| cfg.version);
+                let Revision { era, count } = handover.endpoints_at;
+                info!("caught up from a gateway", kv: { instance, version, era, at = count });
                 self.gateway.apply_handover(handover, instance);
             }
             Err(err) => {
--- a/crates/gateway/src/process/peers/peer_message.rs
+++ b/crates/gateway/src/process/peers/peer_message.rs
@@ -1,9 +1,9 @@
 //! What gateways tell each other, as datagrams.
 
 use serde::{Deserialize, Serialize};
-use sorrellock_platform::Kind;
-use sorrellock_routing::process::{Incarnation, LayerRange, StartMillis};
-use sorrellock_routing::version::ConfigVersion;
+use sorrellock_routing::process::{
+    Incarnation, Known, LayerRange, Revision, StartMillis, StoreEra,
+};
 
 /// What a gateway tells all others, several times a second. The newest one replaces those before.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -18,10 +18,10 @@
     pub(crate) ready_in_ms: u32,
     /// Rises with each message of an incarnation.
     pub(crate) sequence: u64,
-    /// The configuration that the sender has in force; 0 for none.
-    pub(crate) config_version: ConfigVersion,
-    /// The store's revision up to which the sender knows the endpoints.
-    pub(crate) endpoints_at: u64,
+    /// The newest era of the store that the sender heard of.
+    pub(crate) store_era: StoreEra,
+    /// What the sender knows: the configuration that it has in force, 0 for none, and the endpoints.
+    pub(crate) known: Known,
     /// How long ago the store last told the sender itself all that it had of the configuration.
     pub(crate) configuration_heard_ms: Option<u32>,
     /// The same of the endpoints.
@@ -37,22 +37,11 @@
     /// Endpoints without an entry that told the sender that they leave, of late.
     pub(crate) left: Vec<Incarnation>,
     /// The sender leads, with this term.
-    pub(crate) lead_term: Option<u64>,
+    pub(crate) lead_term: Option<Revision>,
     /// What the lead knows, where it is news or was not told for a while.
     pub(crate) lead: Option<LeadView>,
 }
 
-impl PeerMessage {
-    /// What the sender knows of a kind: a newer one is higher.
-    pub(crate) fn known_up_to(&self, kind: Kind) -> u64 {
-        match kind {
-            Kind::Configuration => self.config_version,
-            Kind::Endpoints => self.endpoints_at,
-            Kind::Gateways | Kind::Leads => 0,
-        }
-    }
-}
-
 /// A life of an endpoint that is over, and the one that was found in its place.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(crate) struct EndedLife {
@@ -77,7 +66,7 @@
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub(crate) struct LeadView {
     /// Revision of the lead's object: a higher one goes before.
-    pub(crate) term: u64,
+    pub(crate) term: Revision,
     /// The engines.
     pub(crate) engines: Vec<EngineView>,
 }
--- a/crates/gateway/src/process/peers/peers.rs
+++ b/crates/gateway/src/process/peers/peers.rs
@@ -101,8 +101,8 @@
             data_centre: gateway.settings.data_centre.clone(),
             ready_in_ms: gateway.ready_in(now).as_millis() as u32,
             sequence: self.sequence.get(),
-            config_version: gateway.knowledge.borrow().config_version(),
-            endpoints_at: gateway.knowledge.borrow().endpoints_at(),
+            store_era: gateway.eras.known(),
+            known: gateway.knowledge.borrow().known(),
             configuration_heard_ms: heard_ms(Kind::Configuration),
             endpoints_heard_ms: heard_ms(Kind::Endpoints),
             loads: own_loads.into_iter().map(load).collect(),
@@ -179,6 +179,7 @@
     fn on_message(&self, message: PeerMessage, from: SocketAddr) {
         let gateway = &self.gateway;
         let now = Instant::now();
+        gateway.eras.hear(message.store_era, &message.instance);
         let mut beliefs = gateway.beliefs.borrow_mut();
         let before = beliefs.peers.get(&message.instance);
         let is_old = before.is_some_and(|peer| {
--- a/crates/gateway/src/process/placer/lead.rs
+++ b/crates/gateway/src/process/placer/lead.rs
@@ -115,7 +115,8 @@
                 // Without the store nobody else can take over in order, so it leads on.
                 self.gateway.on_store_failed(&err);
                 let text = err.to_string();
-                warn!("lead not confirmed", kv: { term, err = text.as_str() });
+                let Revision { era, count } = term;
+                warn!("lead not confirmed", kv: { term = count, era, err = text.as_str() });
             }
         }
     }
@@ -131,10 +132,10 @@
     }
 
     fn step_down(&mut self, why: &str) {
-        let term = self.term.take();
+        let Revision { era, count } = self.term.take().unwrap_or_default();
         self.confirming = None;
         self.heard = Instant::now();
-        info!("lead lost", kv: { term:?, why });
+        info!("lead lost", kv: { term = count, era, why });
     }
 
     async fn try_to_lead(&mut self) {
@@ -169,7 +170,8 @@
     fn begin(&mut self, term: Revision, why: &str) {
         self.term = Some(term);
         self.confirmed = Instant::now();
-        info!("lead taken", kv: { term, why });
+        let Revision { era, count } = term;
+        info!("lead taken", kv: { term = count, era, why });
     }
 
     /// Writes this gateway into the lead's object.
--- a/crates/gateway/src/process/placer/placer.rs
+++ b/crates/gateway/src/process/placer/placer.rs
@@ -6,7 +6,9 @@
 use crate::process::{EngineView, Gateway, LeadView};
 use sorrellock_platform::{Client, Store};
 use sorrellock_routing::process::placement::{is_any_chain_scarce, next_steps};
-use sorrellock_routing::process::{DataCentre, Endpoint, EndpointId, Incarnation, LayerRange};
+use sorrellock_routing::process::{
+    DataCentre, Endpoint, EndpointId, Incarnation, LayerRange, Revision,
+};
 use sorrellock_routing::version::{ModelShape, ServiceName};
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
@@ -80,7 +82,7 @@
         }
     }
 
-    async fn round(&mut self, term: u64) {
+    async fn round(&mut self, term: Revision) {
         let now = Instant::now();
         let services = self.models();
         self.sync_engines(&services, now);
@@ -208,7 +210,7 @@
     }
 
     /// Shares what the lead knows with all gateways, this one included.
-    fn publish(&mut self, term: u64) {
+    fn publish(&mut self, term: Revision) {
         self.gateway.leads.set(true);
         let engines = self.engines.borrow();
         self.is_complete |= !engines.is_empty() && engines.values().all(Engine::is_heard);
--- a/crates/gateway/src/process/run.rs
+++ b/crates/gateway/src/process/run.rs
@@ -3,7 +3,8 @@
 use crate::connection::accept_callers;
 use crate::process::placer::Placer;
 use crate::process::{
-    Count, Gateway, Peers, Phase, expire_entries, follow, serve_side_pages, set_up_log, watch_paths,
+    Count, Gateway, Peers, Phase, expire_entries, follow, follow_eras, serve_side_pages,
+    set_up_log, watch_paths,
 };
 use sorrellock_http::listen;
 use sorrellock_platform::{Kind, Limits, Settings, Store, parse_settings};
@@ -142,7 +143,7 @@
 ) -> Result<(), StartError> {
     let settings = &gateway.settings;
     let limits = Limits { head: STORE_HEAD_LIMIT, whole: STORE_LIMIT };
-    let store = Store::new(settings.store, limits);
+    let store = Store::new(settings.store, limits).with_eras(gateway.eras.clone());
     let addr = SocketAddr::new(settings.ip, settings.peer_port);
     let socket = UdpSocket::bind(addr).await;
     let socket = socket.map_err(|err| io_error(format!("messages at {addr}"), err))?;
@@ -150,6 +151,7 @@
     let peers = Rc::new(Peers::new(Rc::clone(gateway), socket, Rc::clone(&own_view)));
     tasks.spawn_local(follow(Rc::clone(gateway), store.clone(), Kind::Configuration));
     tasks.spawn_local(follow(Rc::clone(gateway), store.clone(), Kind::Endpoints));
+    tasks.spawn_local(follow_eras(Rc::clone(gateway)));
     tasks.spawn_local(expire_entries(Rc::clone(gateway)));
     tasks.spawn_local(Rc::clone(&peers).register(store.clone()));
     tasks.spawn_local(Rc::clone(&peers).listen());
--- a/crates/gateway/src/process/store/endpoint_news.rs
+++ b/crates/gateway/src/process/store/endpoint_news.rs
@@ -1,9 +1,9 @@
 //! What the store tells of the endpoints, and what is made of entries that go.
 
-use crate::process::{Gateway, ReadEntry, check_lapsed, check_unlisted, note_starts};
+use crate::process::{Gateway, ReadEntry, check_lapsed, check_left, check_unlisted, note_starts};
 use sorrellock_platform::{Change, StoredObject};
 use sorrellock_routing::process::knowledge::EntryState;
-use sorrellock_routing::process::{Endpoint, EndpointId, Incarnation};
+use sorrellock_routing::process::{Endpoint, EndpointId, Incarnation, Revision};
 use spdlog::info;
 use std::collections::HashSet;
 use std::rc::Rc;
@@ -24,7 +24,10 @@
 pub(crate) async fn expire_entries(gateway: Rc<Gateway>) {
     loop {
         sleep(EXPIRY_INTERVAL).await;
-        let gone = gateway.knowledge.borrow_mut().expire(Instant::now().into_std());
+        let now = Instant::now().into_std();
+        let to_ask = gateway.knowledge.borrow_mut().left_to_ask(now);
+        to_ask.iter().for_each(|id| check_left(&gateway, id));
+        let gone = gateway.knowledge.borrow_mut().expire(now);
         for (id, entry) in &gone {
             let why = match entry {
                 EntryState::UnusableSince(..) => "its entry can't be used",
@@ -39,12 +42,16 @@
 }
 
 impl Gateway {
-    /// Takes a list of all entries. After an outage those that are missing may only have lapsed.
+    /// Takes a list of all entries as of a revision. After an outage those that are missing may only have lapsed, and the copy that a
+    /// new era of the store began with may lack them.
     pub(crate) fn take_endpoint_list(
         self: &Rc<Self>,
         objects: Vec<StoredObject>,
+        at: Revision,
         after_outage: bool,
     ) {
+        let begins_era = at.era > self.knowledge.borrow().endpoints_at().era;
+        self.knowledge.borrow_mut().begin_era(at, Instant::now().into_std());
         let listed: HashSet<EndpointId> =
             objects.iter().map(|object| object.name.clone()).collect();
         let entries: Vec<ReadEntry> = objects.into_iter().map(ReadEntry::from).collect();
@@ -52,10 +59,13 @@
         for entry in entries {
             self.apply_entry(entry, "list");
         }
-        if after_outage {
+        if after_outage || begins_era {
             let missing =
                 self.knowledge.borrow_mut().mark_unlisted(&listed, Instant::now().into_std());
-            missing.iter().for_each(|id| check_lapsed(self, id));
+            for id in &missing {
+                info!("entry of an endpoint missing after an outage", kv: { endpoint = id.as_str() });
+                check_lapsed(self, id);
+            }
             return;
         }
         let missing = self.knowledge.borrow().unlisted(&listed);
--- a/crates/gateway/src/process/store/entries.rs
+++ b/crates/gateway/src/process/store/entries.rs
@@ -94,7 +94,8 @@
         let (from, to) = (layers.from, layers.to);
         info!("{}", what, kv: {
             endpoint = id.as_str(), service = service.as_str(), addr = addr.as_str(),
-            data_centre = data_centre.as_str(), from, to, revision, source
+            data_centre = data_centre.as_str(), from, to, era = revision.era,
+            revision = revision.count, source
         });
         self.engines_changed.notify_waiters();
     }
@@ -117,7 +118,8 @@
             let (endpoint, why) = (cut(id, FOUND_MOST), fault.to_string());
             let known = refusal != Refusal::OfUnknown;
             warn!("entry of an endpoint can't be used", kv: {
-                endpoint = endpoint.as_str(), why = why.as_str(), known, revision, source
+                endpoint = endpoint.as_str(), why = why.as_str(), known, era = revision.era,
+                revision = revision.count, source
             });
         }
         if refusal == Refusal::OfKnown {
--- a/crates/gateway/src/process/store/lives.rs
+++ b/crates/gateway/src/process/store/lives.rs
@@ -55,14 +55,16 @@
                 self.counters.add(Count::NewsLate);
                 let started = life.started.unwrap_or_default();
                 info!("late entry of an endpoint", kv: {
-                    endpoint = life.id.as_str(), started, revision, source
+                    endpoint = life.id.as_str(), started, era = revision.era,
+                    revision = revision.count, source
                 });
                 None
             }
             EntryNews::Contradicts => {
                 let started = life.started.unwrap_or_default();
                 warn!("entries of an endpoint contradict each other", kv: {
-                    endpoint = life.id.as_str(), started, revision, source
+                    endpoint = life.id.as_str(), started, era = revision.era,
+                    revision = revision.count, source
                 });
                 self.settle(endpoint, revision);
                 None
--- a/crates/gateway/src/process/store/mod.rs
+++ b/crates/gateway/src/process/store/mod.rs
@@ -2,6 +2,7 @@
 
 mod endpoint_news;
 mod entries;
+mod eras;
 mod lives;
 mod store_heard;
 mod told_faults;
@@ -9,6 +10,7 @@
 
 pub(crate) use endpoint_news::expire_entries;
 pub(crate) use entries::*;
+pub(crate) use eras::follow_eras;
 pub(crate) use lives::*;
 pub(crate) use store_heard::*;
 pub(crate) use told_faults::*;
--- a/crates/gateway/src/process/store/store_heard.rs
+++ b/crates/gateway/src/process/store/store_heard.rs
@@ -2,7 +2,7 @@
 
 use crate::process::{Count, Gateway};
 use sorrellock_platform::{Kind, StoreError};
-use sorrellock_routing::process::Revision;
+use sorrellock_routing::process::{Known, Revision};
 use std::cell::Cell;
 use std::time::Duration;
 use tokio::sync::Notify;
@@ -31,6 +31,12 @@
         }
     }
 
+    /// What it told is of a past era.
+    pub(crate) fn forget(&self) {
+        self.configuration.at.set(None);
+        self.endpoints.at.set(None);
+    }
+
     /// How long ago it did so; nothing if it never did.
     pub(crate) fn age(&self, kind: Kind, now: Instant) -> Option<Duration> {
         Some(now - self.of(kind)?.at.get()?)
@@ -89,22 +95,14 @@
         }
     }
 
-    /// What this gateway knows of a kind: a newer one is higher.
-    fn known_up_to(&self, kind: Kind) -> u64 {
-        let knowledge = self.knowledge.borrow();
-        match kind {
-            Kind::Configuration => knowledge.config_version(),
-            Kind::Endpoints => knowledge.endpoints_at(),
-            Kind::Gateways | Kind::Leads => 0,
-        }
-    }
-
     /// How old this gateway's knowledge of a kind is: the time since the store told all that it had to this one, or to
     /// another one that is heard and knows nothing that this one doesn't.
     pub(crate) fn knowledge_age(&self, kind: Kind, now: Instant) -> Option<Duration> {
         let beliefs = self.beliefs.borrow();
-        let known = self.known_up_to(kind);
-        let peers = beliefs.live_peers(now).filter(|peer| peer.message.known_up_to(kind) <= known);
+        let (era, known) = (self.eras.known(), self.knowledge.borrow().known());
+        let peers = beliefs.live_peers(now).filter(|peer| {
+            peer.message.store_era == era && !is_ahead(kind, &peer.message.known, &known)
+        });
         let told = peers.filter_map(|peer| peer.store_heard(kind, now));
         told.chain(self.store_heard.age(kind, now)).min()
     }
@@ -118,3 +116,12 @@
         }
     }
 }
+
+/// Whether one gateway knows something of a kind that another one doesn't.
+fn is_ahead(kind: Kind, one: &Known, other: &Known) -> bool {
+    match kind {
+        Kind::Configuration => one.config > other.config,
+        Kind::Endpoints => one.endpoints_at > other.endpoints_at,
+        Kind::Gateways | Kind::Leads => false,
+    }
+}
--- a/crates/gateway/src/process/store/watcher.rs
+++ b/crates/gateway/src/process/store/watcher.rs
@@ -3,7 +3,7 @@
 use crate::process::{Count, Gateway};
 use sorrellock_core::process::store_watch::{Rank, WatchSchedule, WatchTimes};
 use sorrellock_platform::{Change, Kind, Listing, Store, StoreError, StoredObject};
-use sorrellock_routing::process::Revision;
+use sorrellock_routing::process::{Revision, StoreEra};
 use spdlog::{error, info, warn};
 use std::rc::Rc;
 use std::time::Duration;
@@ -41,6 +41,7 @@
         store,
         kind,
         at: None,
+        listed_era: None,
         schedule,
         asked: Instant::now(),
         lost_since: None,
@@ -52,6 +53,7 @@
             continue;
         }
         watcher.schedule.set_times(times(&watcher.gateway, kind));
+        watcher.wait_for_turn().await;
         let res = watcher.step().await;
         watcher.on_step(res).await;
     }
@@ -72,6 +74,8 @@
     kind: Kind,
     /// Where to watch on from; none: list first.
     at: Option<Revision>,
+    /// The era of the store that was listed last; none before the first list.
+    listed_era: Option<StoreEra>,
     /// What to ask next.
     schedule: WatchSchedule,
     /// When the call under way was sent.
@@ -83,6 +87,19 @@
 }
 
 impl Watcher {
+    /// Where a new era of the store has begun, waits until it is this gateway's turn to list anew: a count that is known says nothing in
+    /// it, also where the store would go on from there.
+    async fn wait_for_turn(&mut self) {
+        let era = self.gateway.eras.known();
+        if self.listed_era.is_none_or(|listed| listed >= era) {
+            return;
+        }
+        self.at = None;
+        self.listed_era = Some(era);
+        self.gateway.counters.add(Count::EraLists);
+        sleep(self.gateway.list_turn()).await;
+    }
+
     async fn step(&mut self) -> Result<(), StoreError> {
         self.gateway.counters.add(Count::StoreCalls);
         self.asked = Instant::now();
@@ -101,6 +118,7 @@
                 self.schedule.on_doubt();
                 return Ok(());
             }
+            () = self.gateway.newer_era(at.era) => return Ok(()),
         };
         let has_news = !changes.changes.is_empty() || !changes.nameless.is_empty();
         self.schedule.on_answer();
@@ -159,7 +177,10 @@
         let at = self.gateway.knowledge.borrow().endpoints_at();
         let (is_left, watchers) = self.may_leave_it(at);
         if is_left != std::mem::replace(&mut self.is_left_to_others, is_left) {
-            info!("watch of endpoints", kv: { left_to_others = is_left, watchers, at });
+            let Revision { era, count } = at;
+            info!("watch of endpoints", kv: {
+                left_to_others = is_left, watchers, era, at = count
+            });
         }
         if is_left {
             self.at = Some(at);
@@ -174,7 +195,7 @@
         let gateway = &self.gateway;
         let beliefs = gateway.beliefs.borrow();
         let watchers = beliefs.watchers(WATCHER_FRESH, now);
-        let may_leave = at > 0
+        let may_leave = at > Revision::default()
             && !gateway.leads.get()
             && beliefs.gateways(now) >= MANY_GATEWAYS
             && beliefs.rank(&gateway.settings.instance, now) >= WATCHERS
@@ -197,9 +218,12 @@
         let after_outage = self.lost_since.is_some();
         self.on_answer();
         self.at = Some(listing.at);
+        self.listed_era = Some(listing.at.era);
         self.gateway.refuse_nameless(&listing.nameless, &format!("{:?}", self.kind));
         match self.kind {
-            Kind::Endpoints => self.gateway.take_endpoint_list(listing.objects, after_outage),
+            Kind::Endpoints => {
+                self.gateway.take_endpoint_list(listing.objects, listing.at, after_outage);
+            }
             Kind::Configuration => {
                 listing.objects.iter().for_each(|object| self.on_configuration(object, "list"));
             }
@@ -238,8 +262,10 @@
             Some(Ok(cfg)) => self.gateway.apply_configuration(cfg, source),
             Some(Err(err)) => {
                 self.gateway.counters.add(Count::ConfigurationsRefused);
-                let revision = object.revision;
-                error!("configuration refused", kv: { err = err.as_str(), revision });
+                let Revision { era, count } = object.revision;
+                error!("configuration refused", kv: {
+                    err = err.as_str(), era, revision = count
+                });
             }
             None => {}
         }
--- a/crates/gateway/src/request/plain.rs
+++ b/crates/gateway/src/request/plain.rs
@@ -163,7 +163,7 @@
     let known = gateway.endpoints_known();
     info!("request sent", kv: {
         request = call.id(), endpoint = endpoint.id.as_str(), limit_ms = limit.as_millis() as u64,
-        endpoints_at = known.at, endpoints_age_ms:? = known.age_ms
+        era = known.at.era, endpoints_at = known.at.count, endpoints_age_ms:? = known.age_ms
     });
     let until = Instant::now() + limit;
     let target = Target { life, addr: endpoint.addr, path: &[], last_event: None };
--- a/crates/gateway/src/request/run.rs
+++ b/crates/gateway/src/request/run.rs
@@ -152,7 +152,8 @@
     info!("request sent", kv: {
         request = call.id(), endpoint = first.life.id.as_str(),
         data_centre = path.data_centre.as_str(), streams = place.live.streams.get(),
-        after:? = last, ms, endpoints_at = known.at, endpoints_age_ms:? = known.age_ms
+        after:? = last, ms, era = known.at.era, endpoints_at = known.at.count,
+        endpoints_age_ms:? = known.age_ms
     });
     let target =
         Target { life: first.life.clone(), addr: first.addr, path: &path.parts, last_event: last };
--- a/crates/routing/src/process/knowledge/handover.rs
+++ b/crates/routing/src/process/knowledge/handover.rs
@@ -1,7 +1,7 @@
 //! What one gateway tells another of the configuration and the endpoints on request.
 
 use super::{EntryState, Knowledge, KnownEndpoint, RefusedEntry};
-use crate::process::{EndpointId, Revision};
+use crate::process::{ChangeCount, EndpointId, Incarnation, Revision};
 use crate::version::{ConfigVersion, Configuration};
 use serde::{Deserialize, Serialize};
 use std::time::{Duration, Instant};
@@ -22,6 +22,10 @@
     pub refused: Vec<RefusalTold>,
     /// The store's revision up to which the endpoints are known.
     pub endpoints_at: Revision,
+    /// What the store wrote in this era up to here may be the copy's that the era began with.
+    pub era_floor: ChangeCount,
+    /// Endpoints that had left before this era.
+    pub left: Vec<Incarnation>,
 }
 
 /// An entry that can't be used, as one gateway hands it to another.
@@ -94,6 +98,21 @@
             missing: self.endpoints.values().filter_map(missing_for).collect(),
             refused: self.refused_after(known_at, now),
             endpoints_at: self.endpoints_at,
+            era_floor: self.era_floor,
+            left: self.left.lives().collect(),
+        }
+    }
+
+    /// Another gateway knows endpoints that had left before this era. Those of which this one knows better are passed over.
+    pub fn hear_left(&mut self, left: Vec<Incarnation>, now: Instant) {
+        for life in left {
+            let known = self.endpoints.get(&life.id);
+            let is_well = known.is_some_and(|known| {
+                known.endpoint.started == life.started && !known.endpoint.is_leaving
+            });
+            if !is_well {
+                self.left.insert(life, now);
+            }
         }
     }
 }
--- a/crates/routing/src/process/knowledge/knowledge.rs
+++ b/crates/routing/src/process/knowledge/knowledge.rs
@@ -1,11 +1,13 @@
 //! What a gateway knows of the configuration and of the endpoints. It only ever gets newer.
 
+use super::left_endpoints::LeftEndpoints;
 use super::{EntryState, KnownEndpoint, RefusedEntries, RefusedEntry};
 use crate::process::{
-    Endpoint, EndpointId, Incarnation, LayerRange, Revision, do_most_tell_start, is_start_untold,
+    ChangeCount, Endpoint, EndpointId, Incarnation, Known, LayerRange, Revision, StoreEra,
+    do_most_tell_start, is_start_untold,
 };
 use crate::version::{ConfigVersion, Configuration, RouteTable};
-use std::collections::{BTreeMap, HashSet};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -19,8 +21,11 @@
 /// For how long its layers are planned for: entries come back at two seconds, not before. An engine
 /// writes over an entry that can't be used with its next heartbeat or the one after.
 const ENTRY_GRACE: Duration = Duration::from_millis(3_500);
-/// The most removed endpoints that are remembered, so that an older page doesn't bring them back.
+/// The most removed endpoints that are remembered, so that an older page, or a store that comes back from an older copy, doesn't bring
+/// them back.
 const MAX_REMOVED: usize = 4_096;
+/// Endpoints that were removed so long ago, or longer, are in no copy that the store may come back from.
+const REMOVED_IN_COPY: Duration = Duration::from_secs(60);
 
 /// Entries whose start is judged otherwise than before.
 #[derive(Debug, Default)]
@@ -59,15 +64,27 @@
     Nothing,
 }
 
+/// An endpoint that was removed.
+#[derive(Clone, Debug)]
+struct Removed {
+    life: Incarnation,
+    at: Instant,
+}
+
 /// The configuration in force and the endpoints.
 pub struct Knowledge {
     pub(super) routes: Option<Rc<RouteTable>>,
     pub(super) endpoints: BTreeMap<EndpointId, KnownEndpoint>,
-    removed: HashSet<EndpointId>,
+    removed: HashMap<EndpointId, Removed>,
+    pub(super) left: LeftEndpoints,
     pub(super) refused: RefusedEntries,
     /// Most endpoints tell their start: an entry without one is refused.
     is_start_required: bool,
     pub(super) endpoints_at: Revision,
+    /// The era of the store in which the endpoints are known.
+    era: StoreEra,
+    /// What the store wrote in this era up to here may be the copy's; what has a higher count was written in the era.
+    pub(super) era_floor: ChangeCount,
     missing_gets_work: Duration,
 }
 
@@ -78,10 +95,13 @@
         Knowledge {
             routes: None,
             endpoints: BTreeMap::new(),
-            removed: HashSet::new(),
+            removed: HashMap::new(),
+            left: LeftEndpoints::default(),
             refused: RefusedEntries::default(),
             is_start_required: false,
-            endpoints_at: 0,
+            endpoints_at: Revision::default(),
+            era: 0,
+            era_floor: 0,
             missing_gets_work: missing_gets_work(leave_within),
         }
     }
@@ -101,11 +121,16 @@
         self.routes.as_ref().map_or(0, |routes| routes.version())
     }
 
-    /// The store's revision up to which the endpoints are known, 0 before the first list.
+    /// The store's revision up to which the endpoints are known; the default one before the first list.
     pub fn endpoints_at(&self) -> Revision {
         self.endpoints_at
     }
 
+    /// How much is known.
+    pub fn known(&self) -> Known {
+        Known { config: self.config_version(), endpoints_at: self.endpoints_at }
+    }
+
     /// The endpoints that their list holds, those that leave included.
     pub fn endpoints(&self) -> impl Iterator<Item = &Endpoint> {
         self.endpoints.values().map(|known| &known.endpoint)
@@ -169,6 +194,67 @@
         true
     }
 
+    /// The store is heard of in the era of `at` for the first time, and comes with its copy up to there; nothing changes if that is known.
+    /// What has left before stays so, though the copy may have it ready, until it tells otherwise by itself.
+    pub fn begin_era(&mut self, at: Revision, now: Instant) {
+        if at.era == self.era {
+            // All that was written after either of two lists was written in the era.
+            self.era_floor = self.era_floor.min(at.count);
+        }
+        if at.era <= self.era {
+            return;
+        }
+        self.era = at.era;
+        self.era_floor = at.count;
+        let leaving = self.endpoints().filter(|endpoint| endpoint.is_leaving);
+        let leaving: Vec<Incarnation> = leaving.map(Endpoint::incarnation).collect();
+        let removed = std::mem::take(&mut self.removed).into_values();
+        let removed = removed.filter(|removed| now - removed.at < REMOVED_IN_COPY);
+        let left = leaving.into_iter().chain(removed.map(|removed| removed.life));
+        left.for_each(|life| self.left.insert(life, now));
+    }
+
+    /// Whether the store wrote `revision` in the era in which the endpoints are known, rather than with the copy that the era
+    /// began with.
+    fn is_of_era(&self, revision: Revision) -> bool {
+        revision.era == self.era && revision.count > self.era_floor
+    }
+
+    /// The endpoint as its entry is to be taken: one that had left before this era stays so, unless the entry was written in
+    /// it.
+    fn bind(&mut self, endpoint: Endpoint, revision: Revision) -> Endpoint {
+        if !self.left.holds(&endpoint) {
+            return endpoint;
+        }
+        if endpoint.is_leaving || self.is_of_era(revision) {
+            self.left.remove(&endpoint.id);
+            return endpoint;
+        }
+        Endpoint { is_leaving: true, ..endpoint }
+    }
+
+    /// The endpoints that had left before this era, are listed as ready, and are to be asked now whether they are well.
+    pub fn left_to_ask(&mut self, now: Instant) -> Vec<EndpointId> {
+        let endpoints = &self.endpoints;
+        let is_listed =
+            |id: &EndpointId| endpoints.get(id).is_some_and(|e| e.entry == EntryState::Listed);
+        self.left.due(is_listed, now)
+    }
+
+    /// An endpoint that had left before this era tells that it is well. Whether that is news.
+    pub fn note_well(&mut self, life: &Incarnation) -> bool {
+        let known = self.endpoints.get_mut(&life.id);
+        let Some(known) = known.filter(|known| self.left.holds(&known.endpoint)) else {
+            return false;
+        };
+        if known.endpoint.started != life.started {
+            return false;
+        }
+        known.endpoint.is_leaving = false;
+        self.left.remove(&life.id);
+        true
+    }
+
     /// Whether an entry of `revision` is newer than what is known of the endpoint.
     pub fn is_news(&self, id: &str, revision: Revision) -> bool {
         if self.refused.get(id).is_some_and(|refused| refused.revision > revision) {
@@ -177,7 +263,10 @@
         match self.endpoints.get(id) {
             Some(known) => known.revision <= revision,
             // A lapsed entry that came back is written anew.
-            None => !self.removed.contains(id) || revision > self.endpoints_at,
+            None => {
+                revision.era >= self.era
+                    && (!self.removed.contains_key(id) || revision > self.endpoints_at)
+            }
         }
     }
 
@@ -194,6 +283,7 @@
         if !self.is_news(&endpoint.id, revision) {
             return EndpointNews::Nothing;
         }
+        let endpoint = self.bind(endpoint, revision);
         self.removed.remove(&endpoint.id);
         let before = self.endpoints.get(&endpoint.id);
         let news = match before {
@@ -215,10 +305,9 @@
     }
 
     /// An entry is gone for good.
-    pub fn remove_endpoint(&mut self, id: &str) -> bool {
-        self.remember_removed(id);
+    pub fn remove_endpoint(&mut self, id: &str, now: Instant) -> bool {
         self.refused.remove(id);
-        self.endpoints.remove(id).is_some()
+        self.forget_endpoint(id, now)
     }
 
     /// Takes an entry that names no endpoint to use, which has been so since `since`. A known endpoint
@@ -340,16 +429,20 @@
         let over: Vec<_> =
             over.map(|known| (known.endpoint.id.clone(), known.entry.clone())).collect();
         for (id, _) in &over {
-            self.remember_removed(id);
-            self.endpoints.remove(id);
+            self.forget_endpoint(id, now);
         }
         over
     }
 
-    fn remember_removed(&mut self, id: &str) {
+    /// Forgets an endpoint, but for its removal. Whether it was known.
+    fn forget_endpoint(&mut self, id: &str, now: Instant) -> bool {
+        let known = self.endpoints.remove(id);
+        let life = known.as_ref().map(|known| known.endpoint.incarnation());
         if self.removed.len() < MAX_REMOVED {
-            self.removed.insert(id.to_owned());
+            let life = life.unwrap_or_else(|| Incarnation::new(id, None));
+            self.removed.insert(id.to_owned(), Removed { life, at: now });
         }
+        known.is_some()
     }
 }
 
--- /dev/null
+++ b/crates/routing/src/process/knowledge/left_endpoints.rs
@@ -0,0 +1,69 @@
+//! Endpoints whose leave or end was known when the store came back from an older copy, which may have them ready.
+
+use crate::process::{Endpoint, EndpointId, Incarnation, StartMillis};
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+/// After so long, and again and again, an endpoint that had left and is still listed as ready is asked: the entry of one that has
+/// ended is gone by then, and one that leaves has said so again.
+const ASK_EVERY: Duration = Duration::from_millis(3_500);
+/// For how long a leave is remembered whose endpoint isn't listed: far longer than a copy is old.
+const REMEMBERED_FOR: Duration = Duration::from_secs(60);
+/// The most that are remembered.
+const MAX_LEFT: usize = 4_096;
+
+/// A life that had left.
+#[derive(Clone, Copy, Debug)]
+struct Left {
+    started: Option<StartMillis>,
+    since: Instant,
+    /// When it is asked next.
+    ask_at: Instant,
+}
+
+/// The endpoints that had left before the present era of the store, by id.
+#[derive(Clone, Debug, Default)]
+pub(super) struct LeftEndpoints {
+    left: BTreeMap<EndpointId, Left>,
+}
+
+impl LeftEndpoints {
+    /// The leave of a life binds in the era that begins at `now`.
+    pub(super) fn insert(&mut self, life: Incarnation, now: Instant) {
+        if self.left.len() < MAX_LEFT {
+            let left = Left { started: life.started, since: now, ask_at: now + ASK_EVERY };
+            self.left.entry(life.id).or_insert(left);
+        }
+    }
+
+    /// Whether an endpoint had left, in its life.
+    pub(super) fn holds(&self, endpoint: &Endpoint) -> bool {
+        self.left.get(&endpoint.id).is_some_and(|left| left.started == endpoint.started)
+    }
+
+    /// An endpoint tells by itself whether it leaves.
+    pub(super) fn remove(&mut self, id: &str) {
+        self.left.remove(id);
+    }
+
+    /// Those that are to be asked now, of the `listed` ones. The others are forgotten after a while.
+    pub(super) fn due(
+        &mut self,
+        listed: impl Fn(&EndpointId) -> bool,
+        now: Instant,
+    ) -> Vec<EndpointId> {
+        self.left.retain(|id, left| listed(id) || now - left.since < REMEMBERED_FOR);
+        let mut found = Vec::new();
+        for (id, left) in self.left.iter_mut().filter(|(id, left)| listed(id) && left.ask_at <= now)
+        {
+            left.ask_at = now + ASK_EVERY;
+            found.push(id.clone());
+        }
+        found
+    }
+
+    /// All of them, to hand on.
+    pub(super) fn lives(&self) -> impl Iterator<Item = Incarnation> {
+        self.left.iter().map(|(id, left)| Incarnation::new(id.clone(), left.started))
+    }
+}
--- a/crates/routing/src/process/knowledge/mod.rs
+++ b/crates/routing/src/process/knowledge/mod.rs
@@ -4,6 +4,7 @@
 #[allow(clippy::module_inception)]
 mod knowledge;
 mod known_endpoint;
+mod left_endpoints;
 mod refused_entries;
 
 pub use handover::*;
--- a/crates/routing/src/process/news_source.rs
+++ b/crates/routing/src/process/news_source.rs
@@ -1,6 +1,8 @@
 //! Which other gateway is asked for what this one doesn't know.
 
+use crate::process::Revision;
 use crate::version::ConfigVersion;
+use serde::{Deserialize, Serialize};
 use std::cmp::Reverse;
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
@@ -10,12 +12,12 @@
 const AVOID_FOR: Duration = Duration::from_secs(5);
 
 /// How much a gateway knows: the configuration first, then the endpoints up to a revision of the store.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Known {
     /// Number of its configuration.
     pub config: ConfigVersion,
     /// Revision up to which it knows the endpoints.
-    pub endpoints_at: u64,
+    pub endpoints_at: Revision,
 }
 
 impl Known {
--- a/crates/routing/tests/lives.rs
+++ b/crates/routing/tests/lives.rs
@@ -3,7 +3,9 @@
 mod common;
 
 use quickcheck::{Arbitrary, Gen, quickcheck};
-use sorrellock_routing::process::{AnswerNews, EntryNews, Incarnation, Lives, StartMillis};
+use sorrellock_routing::process::{
+    AnswerNews, EntryNews, Incarnation, Lives, Revision, StartMillis,
+};
 use std::time::{Duration, Instant};
 
 const ID: &str = "engine-1";
@@ -12,6 +14,11 @@
 const Y: StartMillis = 1_790_000_000_100;
 const Z: StartMillis = 1_790_000_000_900;
 
+/// A moment of the store's first era.
+fn rev(count: u64) -> Revision {
+    Revision::new(0, count)
+}
+
 fn life(started: StartMillis) -> Incarnation {
     Incarnation::new(ID, Some(started))
 }
@@ -25,7 +32,7 @@
 /// Lives of which the first entry was read at 100 ms.
 fn lives_of(first: StartMillis, at: &impl Fn(u64) -> Instant) -> Lives {
     let mut lives = Lives::default();
-    lives.on_entry(&life(first), 100, at(100));
+    lives.on_entry(&life(first), rev(100), at(100));
     lives
 }
 
@@ -34,7 +41,7 @@
     let at = clock();
     let mut lives = lives_of(X, &at);
 
-    let news = lives.on_entry(&life(Y), 116, at(200));
+    let news = lives.on_entry(&life(Y), rev(116), at(200));
 
     assert_eq!(news, EntryNews::Began { ended: life(X) });
     assert_eq!(lives.present(ID), Some(Some(Y)));
@@ -45,9 +52,9 @@
 fn an_entry_that_is_replayed_changes_nothing() {
     let at = clock();
     let mut lives = lives_of(X, &at);
-    lives.on_entry(&life(Y), 116, at(200));
+    lives.on_entry(&life(Y), rev(116), at(200));
 
-    let news = lives.on_entry(&life(X), 100, at(300));
+    let news = lives.on_entry(&life(X), rev(100), at(300));
 
     assert_eq!(news, EntryNews::Late);
     assert_eq!(lives.present(ID), Some(Some(Y)));
@@ -57,10 +64,10 @@
 fn an_entry_that_the_life_before_wrote_late_changes_nothing() {
     let at = clock();
     let mut lives = lives_of(X, &at);
-    lives.on_entry(&life(Y), 116, at(200));
+    lives.on_entry(&life(Y), rev(116), at(200));
 
-    let late = lives.on_entry(&life(X), 117, at(300));
-    let own = lives.on_entry(&life(Y), 118, at(400));
+    let late = lives.on_entry(&life(X), rev(117), at(300));
+    let own = lives.on_entry(&life(Y), rev(118), at(400));
 
     assert_eq!(late, EntryNews::Contradicts);
     assert_eq!(own, EntryNews::Present);
@@ -71,11 +78,11 @@
 fn a_life_that_a_late_entry_seemed_to_end_is_back_once_it_answers() {
     let at = clock();
     let mut lives = lives_of(Y, &at);
-    lives.on_entry(&life(X), 117, at(200));
+    lives.on_entry(&life(X), rev(117), at(200));
 
-    let entry = lives.on_entry(&life(Y), 118, at(300));
+    let entry = lives.on_entry(&life(Y), rev(118), at(300));
     let answer = lives.on_answer(ID, Some(Y), at(301), at(305));
-    let late = lives.on_entry(&life(X), 119, at(400));
+    let late = lives.on_entry(&life(X), rev(119), at(400));
 
     assert_eq!(entry, EntryNews::Contradicts);
     assert_eq!(answer, AnswerNews::Began { ended: life(X) });
@@ -88,11 +95,11 @@
 fn where_nobody_answers_the_second_contradicting_entry_is_believed() {
     let at = clock();
     let mut lives = lives_of(Y, &at);
-    lives.on_entry(&life(X), 117, at(200));
+    lives.on_entry(&life(X), rev(117), at(200));
 
-    let first = lives.on_entry(&life(Y), 118, at(300));
-    let again = lives.on_entry(&life(Y), 118, at(310));
-    let second = lives.on_entry(&life(Y), 119, at(400));
+    let first = lives.on_entry(&life(Y), rev(118), at(300));
+    let again = lives.on_entry(&life(Y), rev(118), at(310));
+    let second = lives.on_entry(&life(Y), rev(119), at(400));
 
     assert_eq!(first, EntryNews::Contradicts);
     assert_eq!(again, EntryNews::Late, "the same entry is no second contradiction");
@@ -103,7 +110,7 @@
 fn an_answer_that_was_asked_for_before_the_present_life_was_known_is_late() {
     let at = clock();
     let mut lives = lives_of(X, &at);
-    lives.on_entry(&life(Y), 116, at(200));
+    lives.on_entry(&life(Y), rev(116), at(200));
 
     let news = lives.on_answer(ID, Some(X), at(199), at(250));
 
@@ -117,7 +124,7 @@
     let mut lives = lives_of(X, &at);
 
     let news = lives.on_answer(ID, Some(Y), at(200), at(210));
-    let entries = [117, 118, 119].map(|revision| lives.on_entry(&life(X), revision, at(300)));
+    let entries = [117, 118, 119].map(|revision| lives.on_entry(&life(X), rev(revision), at(300)));
     let answer = lives.on_answer(ID, Some(X), at(400), at(410));
 
     assert_eq!(news, AnswerNews::Began { ended: life(X) });
@@ -131,7 +138,7 @@
 fn an_answer_makes_the_ends_sure_that_entries_told() {
     let at = clock();
     let mut lives = lives_of(X, &at);
-    lives.on_entry(&life(Y), 116, at(200));
+    lives.on_entry(&life(Y), rev(116), at(200));
     assert!(!lives.is_over(&life(X)));
 
     let news = lives.on_answer(ID, Some(Y), at(201), at(202));
@@ -140,7 +147,7 @@
     assert_eq!(news, AnswerNews::Present { now_over: vec![life(X)] });
     assert_eq!(again, AnswerNews::Present { now_over: Vec::new() });
     assert!(lives.is_over(&life(X)));
-    assert_eq!(lives.on_entry(&life(X), 117, at(300)), EntryNews::Late);
+    assert_eq!(lives.on_entry(&life(X), rev(117), at(300)), EntryNews::Late);
 }
 
 #[test]
@@ -148,7 +155,7 @@
     let at = clock();
     let mut lives = lives_of(X, &at);
 
-    let entry = lives.on_entry(&Incarnation::new(ID, None), 116, at(200));
+    let entry = lives.on_entry(&Incarnation::new(ID, None), rev(116), at(200));
     let answer = lives.on_answer(ID, None, at(300), at(310));
 
     assert_eq!(entry, EntryNews::Untold);
@@ -162,7 +169,7 @@
     let mut lives = Lives::default();
     let untold = Incarnation::new(ID, None);
 
-    let entries = [1, 2, 3].map(|revision| lives.on_entry(&untold, revision, at(revision)));
+    let entries = [1, 2, 3].map(|revision| lives.on_entry(&untold, rev(revision), at(revision)));
     let answer = lives.on_answer(ID, None, at(10), at(11));
 
     assert_eq!(entries, [EntryNews::Present, EntryNews::Present, EntryNews::Present]);
@@ -202,7 +209,11 @@
         lives.on_answer(ID, Some(started), at(200 + started), at(200 + started));
     }
     for index in 0..5_000_u64 {
-        lives.on_entry(&Incarnation::new(format!("other-{index}"), Some(index)), index, at(400));
+        lives.on_entry(
+            &Incarnation::new(format!("other-{index}"), Some(index)),
+            rev(index),
+            at(400),
+        );
     }
 
     assert_eq!(lives.present(ID), None, "the oldest endpoint is forgotten");
@@ -261,7 +272,7 @@
             revision: 1,
             on_the_way: Vec::new(),
         };
-        play.lives.on_entry(&life(start(0)), 1, play.now);
+        play.lives.on_entry(&life(start(0)), rev(1), play.now);
         play
     }
 
@@ -302,7 +313,7 @@
 
     fn write(&mut self, started: StartMillis) {
         self.revision += 1;
-        self.lives.on_entry(&life(started), self.revision, self.now);
+        self.lives.on_entry(&life(started), rev(self.revision), self.now);
     }
 }
 
--- a/crates/routing/tests/news_source.rs
+++ b/crates/routing/tests/news_source.rs
@@ -1,10 +1,10 @@
 //! Whom a gateway asks that knows less than others.
 
-use sorrellock_routing::process::{Known, NewsSources};
+use sorrellock_routing::process::{Known, NewsSources, Revision};
 use std::time::{Duration, Instant};
 
 fn known(config: u64, endpoints_at: u64) -> Known {
-    Known { config, endpoints_at }
+    Known { config, endpoints_at: Revision::new(0, endpoints_at) }
 }
 
 #[test]
