What the system has written is written again in a new era of the store; the lead leads on under a term of that era

What would happen to callers: nothing at once, but gateways that start don't find the others, and a lead goes on without its object, which another one may take meanwhile. Cause: a registration was written once a process; the lead only looked whether its object names another one, and a missing object counted as a failed call. Why it holds: both are written by their owner alone, as any answer tells of a new era. The lead gives no orders until it has taken its object again; each take changes the object, so of two gateways that read the same one alone takes it, also where the copy names one of them. A write whose answer is of another era than its condition doesn't count. Terms are revisions, so that one of the new era stands above all of the old. The number of gateways that share the retry budget doesn't fall while they write theirs again.

--- a/crates/daemon/tests/gateway/eras.rs
+++ b/crates/daemon/tests/gateway/eras.rs
@@ -192,7 +192,7 @@
     for gateway in [&first, &second] {
         gateway.wait_for_line(&[LEAVING, engine.id()]);
     }
-    assert!(second.wait_for_line(&[ERA_BEGAN]).contains("one"));
+    second.wait_for_line(&[ERA_BEGAN, "\"era\":2", "\"told_by\":\"one\""]);
 }
 
 #[test]
--- a/crates/gateway/src/process/counters.rs
+++ b/crates/gateway/src/process/counters.rs
@@ -70,6 +70,8 @@
     StoreEras => "store_eras",
     /// Lists of the store that were made anew as an era began.
     EraLists => "era_lists",
+    /// Objects of this gateway that it wrote again as an era began.
+    ObjectsRewritten => "objects_rewritten",
     /// Orders given to engines.
     Orders => "orders",
     /// Orders that engines refused, or that brought no answer.
--- a/crates/gateway/src/process/gateway.rs
+++ b/crates/gateway/src/process/gateway.rs
@@ -75,6 +75,8 @@
     pub(crate) store_heard: StoreHeard,
     /// The newest era of the store that was heard of.
     pub(crate) eras: StoreEras,
+    /// When that became known.
+    pub(crate) era_began: Cell<Option<Instant>>,
     /// When a call of the store last failed.
     pub(crate) store_failed: Cell<Option<Instant>>,
     /// Endpoints that refused a request, and when they were last asked why.
@@ -121,6 +123,7 @@
             leads: Cell::new(false),
             store_heard: StoreHeard::default(),
             eras: StoreEras::default(),
+            era_began: Cell::new(None),
             store_failed: Cell::new(None),
             refusers_checked: RefCell::default(),
             in_flight: Cell::new(0),
--- a/crates/gateway/src/process/peers/registration.rs
+++ b/crates/gateway/src/process/peers/registration.rs
@@ -4,7 +4,9 @@
 use crate::process::Count;
 use serde::{Deserialize, Serialize};
 use sorrellock_platform::{Kind, Store, StoreError, StoredObject};
+use sorrellock_routing::process::StoreEra;
 use spdlog::warn;
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -12,6 +14,8 @@
 
 /// How often the list of gateways is read from the store: newcomers tell the others by themselves.
 const LIST_INTERVAL: Duration = Duration::from_secs(10);
+/// In a new era of the store all gateways that reach it have written their objects again by then.
+const ALL_REGISTERED_WITHIN: Duration = Duration::from_secs(15);
 /// The wait after a failed write or list of gateways.
 const REGISTER_RETRY: Duration = Duration::from_millis(1_000);
 
@@ -23,46 +27,74 @@
 }
 
 impl Peers {
-    /// Writes this gateway's object and reads those of the others, for ever.
+    /// Writes this gateway's object and reads those of the others, for ever; in each new era of the store anew, as its copy may lack them.
     pub(crate) async fn register(self: Rc<Self>, store: Store) {
-        let mut is_written = false;
+        let mut written_in = None;
         loop {
             self.gateway.counters.add(Count::StoreCalls);
-            let res = self.register_once(&store, &mut is_written).await;
-            if let Err(err) = &res {
-                self.gateway.on_store_failed(err);
-                let text = err.to_string();
-                warn!("gateways not read from the store", kv: { err = text.as_str() });
+            match self.register_once(&store, &mut written_in).await {
+                Ok(()) => self.rest_until_list(written_in.unwrap_or_default()).await,
+                Err(err) => {
+                    self.gateway.on_store_failed(&err);
+                    let text = err.to_string();
+                    warn!("gateways not read from the store", kv: { err = text.as_str() });
+                    sleep(REGISTER_RETRY).await;
+                }
             }
-            sleep(if res.is_ok() { LIST_INTERVAL } else { REGISTER_RETRY }).await;
         }
     }
 
-    async fn register_once(&self, store: &Store, is_written: &mut bool) -> Result<(), StoreError> {
-        let name = &self.gateway.settings.instance;
-        let own = Registration { addr: self.own_addr(), incarnation: self.gateway.incarnation };
-        if !*is_written {
-            match store.create(Kind::Gateways, name, &own).await {
-                Err(StoreError::Conflict) => {
-                    let object = store.get(Kind::Gateways, name).await?;
-                    if object.read::<Registration>().ok().as_ref() != Some(&own) {
-                        store.replace(Kind::Gateways, name, object.revision, &own).await?;
-                    }
-                }
-                other => {
-                    other?;
-                }
-            }
-            *is_written = true;
+    /// Waits until the list is to be read again: soon, where an era after `era` has begun.
+    async fn rest_until_list(&self, era: StoreEra) {
+        tokio::select! {
+            () = sleep(LIST_INTERVAL) => {}
+            () = self.gateway.newer_era(era) => sleep(self.gateway.list_turn()).await,
+        }
+    }
+
+    /// `written_in` is the era of the store in which its object was written last.
+    async fn register_once(
+        &self,
+        store: &Store,
+        written_in: &mut Option<StoreEra>,
+    ) -> Result<(), StoreError> {
+        if *written_in != Some(self.gateway.eras.known()) {
+            let is_again = written_in.is_some();
+            *written_in = Some(self.write_own(store, is_again).await?);
         }
         let listing = store.list(Kind::Gateways).await?;
         self.gateway.refuse_nameless(&listing.nameless, "Gateways");
         let addrs = listing.objects.iter().filter_map(|object| self.registered_addr(object));
-        *self.registered.borrow_mut() = addrs.collect();
+        let mut addrs: HashSet<SocketAddr> = addrs.collect();
+        if self.gateway.is_era_new(ALL_REGISTERED_WITHIN) {
+            // Others write theirs again at their own pace; they share the retry budget all the same.
+            addrs.extend(self.registered.borrow().iter());
+        }
+        *self.registered.borrow_mut() = addrs;
         self.gateway.beliefs.borrow_mut().registered = self.registered.borrow().len();
         Ok(())
     }
 
+    /// Writes this gateway's object where the store has none, or another one. The era in which it is there.
+    async fn write_own(&self, store: &Store, is_again: bool) -> Result<StoreEra, StoreError> {
+        let name = &self.gateway.settings.instance;
+        let own = Registration { addr: self.own_addr(), incarnation: self.gateway.incarnation };
+        let written = match store.create(Kind::Gateways, name, &own).await {
+            Err(StoreError::Conflict) => {
+                let object = store.get(Kind::Gateways, name).await?;
+                if object.read::<Registration>().ok().as_ref() == Some(&own) {
+                    return Ok(object.revision.era);
+                }
+                store.replace(Kind::Gateways, name, object.revision, &own).await?
+            }
+            other => other?,
+        };
+        if is_again {
+            self.gateway.note_rewritten(Kind::Gateways, name);
+        }
+        Ok(written.era)
+    }
+
     /// Where a registered gateway listens. One that can't be read costs no other.
     fn registered_addr(&self, object: &StoredObject) -> Option<SocketAddr> {
         match object.read::<Registration>() {
--- a/crates/gateway/src/process/placer/lead.rs
+++ b/crates/gateway/src/process/placer/lead.rs
@@ -2,6 +2,10 @@
 //!
 //! Two leads at once do no harm beyond needless orders: each order names the count of orders that
 //! its sender has seen the engine begin, and the engine refuses it if there were others.
+//!
+//! A term is the revision of the write that took the object; each take changes the object, so that no two have the same. Once the store
+//! has come back from a copy, a lead has no term in the new era until it has taken the object again: the copy may lack its write,
+//! or name a gateway that led before.
 
 use crate::process::{Count, Gateway};
 use serde::{Deserialize, Serialize};
@@ -34,6 +38,9 @@
 struct LeadRecord {
     instance: String,
     incarnation: u64,
+    /// How often the object was taken: a take by the gateway that it names changes it, too.
+    #[serde(default)]
+    takes: u64,
 }
 
 /// One gateway's part in the election.
@@ -67,6 +74,7 @@
     /// Looks anew who leads, after a little while unless this gateway does. The term, while it does.
     pub(crate) async fn look(&mut self) -> Option<Revision> {
         match self.term {
+            Some(term) if term.era < self.gateway.eras.known() => self.keep(term).await,
             Some(term) => self.confirm(term),
             None => {
                 sleep(LOOK_INTERVAL).await;
@@ -92,6 +100,29 @@
         }
     }
 
+    /// Takes the object again, in a new era of the store. Orders wait for it.
+    async fn keep(&mut self, term: Revision) {
+        if let Some(other) = self.heard_term().filter(|other| *other > term) {
+            return self.step_down(&format!("a gateway leads with term {other}"));
+        }
+        self.confirming = None;
+        match self.take().await {
+            Ok(kept) => {
+                self.term = Some(kept);
+                self.confirmed = Instant::now();
+                self.gateway.note_rewritten(Kind::Leads, LEAD_NAME);
+                let Revision { era, count } = kept;
+                info!("lead kept", kv: { term = count, era, before_era = term.era });
+            }
+            // The next era is there already.
+            Err(StoreError::HistoryGone | StoreError::Outdated { .. }) => {}
+            Err(err) => {
+                self.gateway.on_store_failed(&err);
+                self.step_down(&format!("its object is not taken in the store's new era: {err}"));
+            }
+        }
+    }
+
     /// Reads the lead's object without waiting for it.
     fn start_to_confirm(&mut self) {
         self.gateway.counters.add(Count::StoreCalls);
@@ -109,7 +140,7 @@
 
     fn on_confirmed(&mut self, term: Revision, end: Result<Option<LeadRecord>, StoreError>) {
         match end {
-            Ok(record) if record.as_ref() == Some(&self.record()) => {}
+            Ok(Some(record)) if self.is_own(&record) => {}
             Ok(_) => self.step_down("the lead's object names another gateway"),
             Err(err) => {
                 // Without the store nobody else can take over in order, so it leads on.
@@ -156,7 +187,9 @@
             Ok(term) => self.begin(term, "the object in the store names it"),
             Err(StoreError::Conflict) => self.heard = Instant::now(),
             Err(err) if rank == 0 && silence > SILENCE_WITHOUT_STORE => {
-                let term = self.heard_term().unwrap_or_default();
+                // Above the terms of past eras, which nobody holds any more.
+                let era = Revision::new(self.gateway.eras.known(), 0);
+                let term = self.heard_term().unwrap_or_default().max(era);
                 self.begin(term, &format!("no lead was heard, and {err}"));
             }
             Err(err) => {
@@ -174,20 +207,20 @@
         info!("lead taken", kv: { term = count, era, why });
     }
 
-    /// Writes this gateway into the lead's object.
+    /// Writes this gateway into the lead's object. The write changes it also where it names this one: of two gateways that read the
+    /// same object, one that it names and one that it doesn't, one alone takes it.
     async fn take(&self) -> Result<Revision, StoreError> {
         self.gateway.counters.add(Count::StoreCalls);
-        let record = self.record();
-        match self.store.get(Kind::Leads, LEAD_NAME).await {
-            Ok(object) if self.read_record(&object).as_ref() == Some(&record) => {
-                Ok(object.revision)
+        let object = match self.store.get(Kind::Leads, LEAD_NAME).await {
+            Ok(object) => object,
+            Err(StoreError::NotFound) => {
+                return self.store.create(Kind::Leads, LEAD_NAME, &self.record(1)).await;
             }
-            Ok(object) => {
-                self.store.replace(Kind::Leads, LEAD_NAME, object.revision, &record).await
-            }
-            Err(StoreError::NotFound) => self.store.create(Kind::Leads, LEAD_NAME, &record).await,
-            Err(err) => Err(err),
-        }
+            Err(err) => return Err(err),
+        };
+        let takes = self.read_record(&object).map_or(0, |before| before.takes) + 1;
+        let record = self.record(takes);
+        self.store.replace(Kind::Leads, LEAD_NAME, object.revision, &record).await
     }
 
     /// What the lead's object tells. One that can't be read names nobody, and is written over.
@@ -201,9 +234,14 @@
             .ok()
     }
 
-    fn record(&self) -> LeadRecord {
+    fn record(&self, takes: u64) -> LeadRecord {
         let instance = self.gateway.settings.instance.clone();
-        LeadRecord { instance, incarnation: self.gateway.incarnation }
+        LeadRecord { instance, incarnation: self.gateway.incarnation, takes }
+    }
+
+    fn is_own(&self, record: &LeadRecord) -> bool {
+        let gateway = &self.gateway;
+        record.instance == gateway.settings.instance && record.incarnation == gateway.incarnation
     }
 
     fn heard_term(&self) -> Option<Revision> {
--- a/crates/gateway/src/process/store/eras.rs
+++ b/crates/gateway/src/process/store/eras.rs
@@ -6,8 +6,9 @@
 //! [`Knowledge`]: sorrellock_routing::process::knowledge::Knowledge
 
 use crate::process::{Count, Gateway};
-use sorrellock_platform::Kind;
-use spdlog::warn;
+use sorrellock_platform::{Kind, KnownEra};
+use sorrellock_routing::process::{Revision, StoreEra};
+use spdlog::{info, warn};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -19,26 +20,44 @@
 /// Tells of each new era, for ever.
 pub(crate) async fn follow_eras(gateway: Rc<Gateway>) {
     let mut eras = gateway.eras.subscribe();
+    let mut before = 0;
     // The sender lives as long as the gateway.
     while eras.changed().await.is_ok() {
-        let known = eras.borrow_and_update().clone();
-        gateway.on_era(known.era, &known.told_by);
+        let KnownEra { era, told_by } = eras.borrow_and_update().clone();
+        if gateway.knowledge.borrow().endpoints_at() == Revision::default() {
+            info!("era of the store is known", kv: { era, told_by = told_by.as_str() });
+        } else {
+            gateway.on_era(era, before, &told_by);
+        }
+        before = era;
     }
 }
 
 impl Gateway {
-    fn on_era(&self, era: u64, told_by: &str) {
+    fn on_era(&self, era: StoreEra, before: StoreEra, told_by: &str) {
         let now = Instant::now();
-        let before = self.knowledge.borrow().endpoints_at().era;
         let ages = [Kind::Configuration, Kind::Endpoints];
         let [configuration_ms, endpoints_ms] = ages.map(|kind| self.store_heard.age_ms(kind, now));
         self.store_heard.forget();
+        self.era_began.set(Some(now));
         self.counters.add(Count::StoreEras);
         warn!("era of the store began", kv: {
             era, before, told_by, configuration_ms:?, endpoints_ms:?
         });
     }
 
+    /// An object of this gateway's own was written again, as the copy that an era began with may lack it.
+    pub(crate) fn note_rewritten(&self, kind: Kind, name: &str) {
+        self.counters.add(Count::ObjectsRewritten);
+        let (kind, era) = (kind.name(), self.eras.known());
+        info!("object written again", kv: { kind, name, era });
+    }
+
+    /// Whether the store came back from a copy within the last `time`.
+    pub(crate) fn is_era_new(&self, time: Duration) -> bool {
+        self.era_began.get().is_some_and(|began| began.elapsed() < time)
+    }
+
     /// How long this gateway leaves it to those before it to list anew in a new era.
     pub(crate) fn list_turn(&self) -> Duration {
         let now = Instant::now();
@@ -49,7 +68,7 @@
     }
 
     /// Ends once an era after `era` is known.
-    pub(crate) async fn newer_era(&self, era: u64) {
+    pub(crate) async fn newer_era(&self, era: StoreEra) {
         let mut eras = self.eras.subscribe();
         // The sender lives as long as the gateway.
         let _ = eras.wait_for(|known| known.era > era).await;
