--- a/crates/core/src/process/store_watch/times.rs
+++ b/crates/core/src/process/store_watch/times.rs
@@ -1,5 +1,6 @@
 //! The times of a schedule.
 
+use super::Rank;
 use std::time::Duration;
 
 /// Shares of the time within which a change is to be in force. What is left is for the answer that does not come (up to
@@ -13,6 +14,16 @@
 /// is sixty times slower than usual.
 pub(super) const PATIENCE: Duration = Duration::from_millis(500);
 
+/// Within this time of a new era of the store all processes list anew, one after the other: at once they would use up what the store
+/// answers in a second, with two kinds and some thousand objects each.
+const LIST_SPREAD: Duration = Duration::from_secs(1);
+
+/// How long a process of a rank, of so many that hear each other, leaves it to those before it to list anew in a new era of the
+/// store.
+pub fn list_turn(rank: Rank, count: u32) -> Duration {
+    LIST_SPREAD * rank / count.max(1)
+}
+
 /// The times of a schedule.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct WatchTimes {
--- a/crates/core/tests/store_watch/fleet.rs
+++ b/crates/core/tests/store_watch/fleet.rs
@@ -2,7 +2,7 @@
 
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
-use sorrellock_core::process::store_watch::{Rank, WatchSchedule, WatchTimes};
+use sorrellock_core::process::store_watch::{Rank, WatchSchedule, WatchTimes, list_turn};
 use std::time::Duration;
 
 /// One step.
@@ -47,6 +47,8 @@
     pub unheard: Vec<Span>,
     /// One message in so many is lost; 0 for none.
     pub loss: u32,
+    /// When the store has come back from an older copy, each time in a new era.
+    pub restores: Vec<u64>,
     /// When the operator changes the object; a change that meets a silence is written at its end.
     pub changes: Vec<u64>,
 }
@@ -56,6 +58,10 @@
         self.silences.iter().any(|span| span.holds(now))
     }
 
+    fn era(&self, now: u64) -> u64 {
+        self.restores.iter().filter(|at| **at <= now).count() as u64
+    }
+
     /// When the store has acknowledged a change.
     pub fn acknowledged(&self, change: u64) -> u64 {
         let silence = self.silences.iter().find(|span| span.holds(change));
@@ -85,6 +91,12 @@
     /// Of each other process: when its last message came, and what it knew by when.
     told: Vec<Option<Told>>,
     behind_since: Option<u64>,
+    /// The newest era that it has heard of.
+    known_era: u64,
+    /// It waits for its turn to list in a newer era, or lists.
+    is_listing: bool,
+    /// When it had listed in each era.
+    listed_at: Vec<u64>,
     /// When each version was known.
     known_at: Vec<u64>,
 }
@@ -94,6 +106,7 @@
     at: u64,
     version: u64,
     heard: Option<u64>,
+    era: u64,
 }
 
 /// The fleet.
@@ -117,6 +130,9 @@
             heard: None,
             told: vec![None; count],
             behind_since: None,
+            known_era: 0,
+            is_listing: true,
+            listed_at: Vec::new(),
             known_at: Vec::new(),
         };
         let processes = (0..count).map(|_| process()).collect();
@@ -158,7 +174,12 @@
         let told: Vec<Told> = self
             .processes
             .iter()
-            .map(|process| Told { at: self.now, version: process.version, heard: process.heard })
+            .map(|process| Told {
+                at: self.now,
+                version: process.version,
+                heard: process.heard,
+                era: process.known_era,
+            })
             .collect();
         for (to, process) in self.processes.iter_mut().enumerate() {
             for (from, told) in told.iter().enumerate() {
@@ -166,6 +187,7 @@
                     self.course.loss > 0 && self.rng.random_range(0..self.course.loss) == 0;
                 if from != to && !is_lost {
                     process.told[from] = Some(*told);
+                    process.known_era = process.known_era.max(told.era);
                 }
             }
         }
@@ -174,6 +196,7 @@
     fn advance(&mut self, index: usize) {
         let (now, rank) = (self.now, self.rank(index));
         self.catch_up(index);
+        self.list_anew(index);
         let others = self.others_age(index);
         let own = self.processes[index].heard.map(|heard| now - heard);
         let age = others.into_iter().chain(own).min();
@@ -187,7 +210,7 @@
                 self.calls += 1;
                 process.call = Some(Call {
                     sent: now,
-                    wait: millis(process.schedule.wait(rank)),
+                    wait: if process.is_listing { 0 } else { millis(process.schedule.wait(rank)) },
                     patience: millis(process.schedule.patience()),
                     after: process.version,
                     is_taken: false,
@@ -208,6 +231,10 @@
             process.call = None;
             process.next_call = now + pause;
             process.heard = Some(now);
+            process.known_era = process.known_era.max(self.course.era(now));
+            if std::mem::take(&mut process.is_listing) {
+                process.listed_at.resize(process.known_era as usize + 1, now);
+            }
             process.schedule.on_answer();
             learn(process, self.version, now);
         } else if now >= call.sent + call.wait + call.patience {
@@ -221,6 +248,26 @@
         }
     }
 
+    /// In a newer era than it has listed in, it lists as its turn comes.
+    fn list_anew(&mut self, index: usize) {
+        let (now, rank) = (self.now, self.rank(index));
+        let told = &self.processes[index].told;
+        let others = told.iter().flatten().filter(|told| now - told.at < LAPSE).count();
+        let process = &mut self.processes[index];
+        let is_listed = process.listed_at.len() as u64 > process.known_era;
+        if !is_listed && !process.is_listing {
+            process.call = None;
+            process.is_listing = true;
+            process.next_call = now + millis(list_turn(rank, others as u32 + 1));
+        }
+    }
+
+    /// When the last process had listed in an era; nothing if one never did.
+    pub fn listed_everywhere(&self, era: usize) -> Option<u64> {
+        let listed = self.processes.iter().map(|process| process.listed_at.get(era).copied());
+        listed.collect::<Option<Vec<u64>>>()?.into_iter().max()
+    }
+
     /// Takes what another process knows, a while after it is heard to know more.
     fn catch_up(&mut self, index: usize) {
         let now = self.now;
--- a/crates/gateway/src/process/placer/lead.rs
+++ b/crates/gateway/src/process/placer/lead.rs
@@ -3,14 +3,11 @@
 //! Two leads at once do no harm beyond needless orders: each order names the count of orders that
 //! its sender has seen the engine begin, and the engine refuses it if there were others.
 //!
-//! A term is the revision of the write that took the object; each take changes the object, so that no two have the same. Once the store
-//! has come back from a copy, a lead has no term in the new era until it has taken the object again: the copy may lack its write,
-//! or name a gateway that led before.
+//! Once the store has come back from a copy, a lead gives no orders until it has taken the object again.
 
 use crate::process::{Count, Gateway};
-use serde::{Deserialize, Serialize};
 use sorrellock_platform::{Kind, Store, StoreError, StoredObject};
-use sorrellock_routing::process::Revision;
+use sorrellock_routing::process::{LeadRecord, LeadTerm, Revision};
 use spdlog::{info, warn};
 use std::rc::Rc;
 use std::time::Duration;
@@ -33,22 +30,12 @@
 /// Name of the lead's object.
 const LEAD_NAME: &str = "placement";
 
-/// The lead's object.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-struct LeadRecord {
-    instance: String,
-    incarnation: u64,
-    /// How often the object was taken: a take by the gateway that it names changes it, too.
-    #[serde(default)]
-    takes: u64,
-}
-
 /// One gateway's part in the election.
 pub(crate) struct Lead {
     gateway: Rc<Gateway>,
     store: Store,
-    /// Revision of the object while this gateway leads.
-    term: Option<Revision>,
+    /// While this gateway leads.
+    term: Option<LeadTerm>,
     confirmed: Instant,
     /// The call under way that confirms it: orders don't wait for a store that is silent.
     confirming: Option<oneshot::Receiver<Result<Option<LeadRecord>, StoreError>>>,
@@ -74,18 +61,20 @@
     /// Looks anew who leads, after a little while unless this gateway does. The term, while it does.
     pub(crate) async fn look(&mut self) -> Option<Revision> {
         match self.term {
-            Some(term) if term.era < self.gateway.eras.known() => self.keep(term).await,
+            Some(term) if term.must_be_taken_again(self.gateway.eras.known()) => {
+                self.keep(term).await;
+            }
             Some(term) => self.confirm(term),
             None => {
                 sleep(LOOK_INTERVAL).await;
                 self.try_to_lead().await;
             }
         }
-        self.term
+        self.term.map(LeadTerm::revision)
     }
 
-    fn confirm(&mut self, term: Revision) {
-        if let Some(other) = self.heard_term().filter(|other| *other > term) {
+    fn confirm(&mut self, term: LeadTerm) {
+        if let Some(other) = self.heard_term().filter(|other| term.gives_way_to(*other)) {
             return self.step_down(&format!("a gateway leads with term {other}"));
         }
         if self.is_isolated() {
@@ -101,8 +90,8 @@
     }
 
     /// Takes the object again, in a new era of the store. Orders wait for it.
-    async fn keep(&mut self, term: Revision) {
-        if let Some(other) = self.heard_term().filter(|other| *other > term) {
+    async fn keep(&mut self, term: LeadTerm) {
+        if let Some(other) = self.heard_term().filter(|other| term.gives_way_to(*other)) {
             return self.step_down(&format!("a gateway leads with term {other}"));
         }
         self.confirming = None;
@@ -111,8 +100,9 @@
                 self.term = Some(kept);
                 self.confirmed = Instant::now();
                 self.gateway.note_rewritten(Kind::Leads, LEAD_NAME);
-                let Revision { era, count } = kept;
-                info!("lead kept", kv: { term = count, era, before_era = term.era });
+                let Revision { era, count } = kept.revision();
+                let before_era = term.revision().era;
+                info!("lead kept", kv: { term = count, era, before_era });
             }
             // The next era is there already.
             Err(StoreError::HistoryGone | StoreError::Outdated { .. }) => {}
@@ -138,15 +128,16 @@
         });
     }
 
-    fn on_confirmed(&mut self, term: Revision, end: Result<Option<LeadRecord>, StoreError>) {
+    fn on_confirmed(&mut self, term: LeadTerm, end: Result<Option<LeadRecord>, StoreError>) {
         match end {
-            Ok(Some(record)) if self.is_own(&record) => {}
+            Ok(Some(record))
+                if record.names(&self.gateway.settings.instance, self.gateway.incarnation) => {}
             Ok(_) => self.step_down("the lead's object names another gateway"),
             Err(err) => {
                 // Without the store nobody else can take over in order, so it leads on.
                 self.gateway.on_store_failed(&err);
                 let text = err.to_string();
-                let Revision { era, count } = term;
+                let Revision { era, count } = term.revision();
                 warn!("lead not confirmed", kv: { term = count, era, err = text.as_str() });
             }
         }
@@ -163,7 +154,8 @@
     }
 
     fn step_down(&mut self, why: &str) {
-        let Revision { era, count } = self.term.take().unwrap_or_default();
+        let term = self.term.take().map(LeadTerm::revision);
+        let Revision { era, count } = term.unwrap_or_default();
         self.confirming = None;
         self.heard = Instant::now();
         info!("lead lost", kv: { term = count, era, why });
@@ -187,9 +179,7 @@
             Ok(term) => self.begin(term, "the object in the store names it"),
             Err(StoreError::Conflict) => self.heard = Instant::now(),
             Err(err) if rank == 0 && silence > SILENCE_WITHOUT_STORE => {
-                // Above the terms of past eras, which nobody holds any more.
-                let era = Revision::new(self.gateway.eras.known(), 0);
-                let term = self.heard_term().unwrap_or_default().max(era);
+                let term = LeadTerm::without_store(self.heard_term(), self.gateway.eras.known());
                 self.begin(term, &format!("no lead was heard, and {err}"));
             }
             Err(err) => {
@@ -200,27 +190,30 @@
         }
     }
 
-    fn begin(&mut self, term: Revision, why: &str) {
+    fn begin(&mut self, term: LeadTerm, why: &str) {
         self.term = Some(term);
         self.confirmed = Instant::now();
-        let Revision { era, count } = term;
+        let Revision { era, count } = term.revision();
         info!("lead taken", kv: { term = count, era, why });
     }
 
     /// Writes this gateway into the lead's object. The write changes it also where it names this one: of two gateways that read the
     /// same object, one that it names and one that it doesn't, one alone takes it.
-    async fn take(&self) -> Result<Revision, StoreError> {
+    async fn take(&self) -> Result<LeadTerm, StoreError> {
         self.gateway.counters.add(Count::StoreCalls);
-        let object = match self.store.get(Kind::Leads, LEAD_NAME).await {
-            Ok(object) => object,
+        let Gateway { settings, incarnation, .. } = &*self.gateway;
+        let take = |before| LeadRecord::taken(before, &settings.instance, *incarnation);
+        let written = match self.store.get(Kind::Leads, LEAD_NAME).await {
+            Ok(object) => {
+                let record = take(self.read_record(&object).as_ref());
+                self.store.replace(Kind::Leads, LEAD_NAME, object.revision, &record).await
+            }
             Err(StoreError::NotFound) => {
-                return self.store.create(Kind::Leads, LEAD_NAME, &self.record(1)).await;
+                self.store.create(Kind::Leads, LEAD_NAME, &take(None)).await
             }
-            Err(err) => return Err(err),
+            Err(err) => Err(err),
         };
-        let takes = self.read_record(&object).map_or(0, |before| before.takes) + 1;
-        let record = self.record(takes);
-        self.store.replace(Kind::Leads, LEAD_NAME, object.revision, &record).await
+        written.map(LeadTerm::new)
     }
 
     /// What the lead's object tells. One that can't be read names nobody, and is written over.
@@ -234,16 +227,6 @@
             .ok()
     }
 
-    fn record(&self, takes: u64) -> LeadRecord {
-        let instance = self.gateway.settings.instance.clone();
-        LeadRecord { instance, incarnation: self.gateway.incarnation, takes }
-    }
-
-    fn is_own(&self, record: &LeadRecord) -> bool {
-        let gateway = &self.gateway;
-        record.instance == gateway.settings.instance && record.incarnation == gateway.incarnation
-    }
-
     fn heard_term(&self) -> Option<Revision> {
         let beliefs = self.gateway.beliefs.borrow();
         beliefs.lead(Instant::now()).map(|(view, _)| view.term)
--- a/crates/gateway/src/process/store/eras.rs
+++ b/crates/gateway/src/process/store/eras.rs
@@ -6,6 +6,7 @@
 //! [`Knowledge`]: sorrellock_routing::process::knowledge::Knowledge
 
 use crate::process::{Count, Gateway};
+use sorrellock_core::process::store_watch::list_turn;
 use sorrellock_platform::{Kind, KnownEra};
 use sorrellock_routing::process::{Revision, StoreEra};
 use spdlog::{info, warn};
@@ -13,10 +14,6 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// Within this time of an era's begin all gateways list anew, one after the other by rank: at once they would use up what
-/// the store answers in a second.
-const LIST_SPREAD: Duration = Duration::from_secs(1);
-
 /// Tells of each new era, for ever.
 pub(crate) async fn follow_eras(gateway: Rc<Gateway>) {
     let mut eras = gateway.eras.subscribe();
@@ -64,7 +61,7 @@
         let beliefs = self.beliefs.borrow();
         let rank = beliefs.rank(&self.settings.instance, now);
         let count = beliefs.live_peers(now).count() as u32 + 1;
-        LIST_SPREAD * rank / count
+        list_turn(rank, count)
     }
 
     /// Ends once an era after `era` is known.
--- /dev/null
+++ b/crates/routing/tests/knowledge_eras/main.rs
@@ -0,0 +1,7 @@
+//! What gateways know of the endpoints where the store comes back from older copies of itself.
+
+mod course;
+mod fleet;
+mod focused;
+mod fuzz;
+mod store;
