A daemon beside endpoints ends once its links have sent what they were given

Cause: a call that has ended is no open work any more, and the drain asked for nothing else; what the connection doesn't take at once waits in the link's queue. Why it holds: the drain waits until no queue holds or writes anything; one to a peer that doesn't read gives up after the time of a send, as before. Ruled out: waiting until the peers have read all and closed (no test shows that it is needed).

--- a/crates/daemon/src/beside/process/beside.rs
+++ b/crates/daemon/src/beside/process/beside.rs
@@ -138,13 +138,14 @@
         }
     }
 
-    /// Takes no new work, and returns when what runs has ended, or false after `wait`.
+    /// Takes no new work, and returns when what runs has ended and is told, or false after `wait`. An answer may wait for its entry to
+    /// read: ended calls are no open work any more.
     pub fn drain(&self, wait: Duration) -> bool {
         self.handler.leaving.store(true, Ordering::Release);
         self.handler.engines.values().for_each(|engine| engine.leave());
         self.handler.agent.leave();
         let (stay, end) = (Instant::now() + self.linger, Instant::now() + wait);
-        while self.handler.open_work() > 0 || Instant::now() < stay {
+        while self.handler.open_work() > 0 || self.link.has_unsent() || Instant::now() < stay {
             if Instant::now() > end {
                 return false;
             }
--- a/crates/wire/src/connection/any_link.rs
+++ b/crates/wire/src/connection/any_link.rs
@@ -72,6 +72,14 @@
         }
     }
 
+    /// Whether something that was taken for sending has not been written to its connection yet: the end of the process would lose it.
+    pub fn has_unsent(&self) -> bool {
+        match self {
+            AnyLink::Nng(link) => link.has_unsent(),
+            AnyLink::Tcp(link) => link.has_unsent(),
+        }
+    }
+
     /// Closes the listener and all links, as a process that ends does.
     pub fn close(&self) {
         match self {
--- a/crates/wire/src/connection/nng_link.rs
+++ b/crates/wire/src/connection/nng_link.rs
@@ -52,6 +52,11 @@
         self.peers.counters()
     }
 
+    /// Whether something that was taken for sending has not been written to its connection yet.
+    pub fn has_unsent(&self) -> bool {
+        self.peers.has_unsent()
+    }
+
     /// Closes the listener and all links, as a process that ends does.
     pub fn close(&self) {
         self.listener.close();
--- a/crates/wire/src/connection/peer_queue.rs
+++ b/crates/wire/src/connection/peer_queue.rs
@@ -98,6 +98,12 @@
         Ok(())
     }
 
+    /// Whether something that was taken for sending has not been written to the connection yet.
+    pub fn has_unsent(&self) -> bool {
+        let state = self.state.lock().unwrap();
+        state.writing || !state.waiting.is_empty() || self.has_rest(&state)
+    }
+
     /// Ends the thread; what waits is lost.
     pub fn end(&self) {
         let mut state = self.state.lock().unwrap();
--- a/crates/wire/src/connection/peers.rs
+++ b/crates/wire/src/connection/peers.rs
@@ -44,6 +44,11 @@
         self.queue_to(to.addr)?.push(to.incarnation, messages)
     }
 
+    /// Whether something that was taken for sending has not been written to its connection yet.
+    pub fn has_unsent(&self) -> bool {
+        self.queues.read().unwrap().values().any(|queue| queue.has_unsent())
+    }
+
     /// Refuses all messages from now on, and ends the threads of all queues.
     pub fn end(&self) {
         self.ended.store(true, Ordering::Release);
