--- a/crates/daemon/tests/gateway/streams.rs
+++ b/crates/daemon/tests/gateway/streams.rs
@@ -5,7 +5,8 @@
     fleet_of_two_first_engines, new_request, read_rest, send, whole_stream,
 };
 use crate::gateway_process::{GatewayProcess, wait_for};
-use sorrellock_stand_ins::{EngineMode, FakeEngine};
+use nix::sys::signal::Signal;
+use sorrellock_stand_ins::{EngineMode, FakeEngine, FakeProxy, ProxyMode, new_ip};
 use std::io::{Read, Write};
 use std::net::TcpStream;
 use std::thread;
@@ -130,6 +131,44 @@
     gateway.wait_for_line(&["\"endpoint leaving\""]);
 }
 
+/// An engine falls silent under streams of two gateways. One of them stands still meanwhile, so that it finds nothing by itself
+/// before it reads what the other one found.
+#[test]
+fn a_gateway_believes_what_another_one_found_of_an_engine_of_its_own_quiet_path() {
+    let fleet = fleet();
+    let proxies: Vec<FakeProxy> = (0..2)
+        .map(|index| {
+            let engine = &fleet.engines[index];
+            let proxy = FakeProxy::start(new_ip(), engine.addr()).expect("a proxy");
+            engine.tell_addr(proxy.addr());
+            proxy
+        })
+        .collect();
+    let gateways = [fleet.gateway("one"), fleet.gateway("two")];
+    gateways[1].wait_for_line(&["\"gateway heard\"", "one"]);
+    let streams = [0, 1].map(|index| {
+        let request = new_request();
+        let (_, mut body) = begin(gateways[index].callers(), "/match/a", &request, Some(KEY));
+        let mut first = vec![0; 60];
+        body.read_exact(&mut first).expect("the first events");
+        (request, first, body)
+    });
+
+    gateways[1].signal(Signal::SIGSTOP);
+    let runner = fleet.runner(&streams[0].0).expect("an engine runs it");
+    let at = fleet.engines.iter().position(|one| one.id() == runner.id()).expect("one of them");
+    proxies[at].set_mode(ProxyMode::Silent);
+    gateways[0].wait_for_line(&["\"endpoint suspected\"", runner.id()]);
+    gateways[1].signal(Signal::SIGCONT);
+
+    let told = ["\"endpoint suspected\"", runner.id(), "another gateway told", "\"one\""];
+    gateways[1].wait_for_line(&told);
+    for (_, first, mut body) in streams {
+        let whole = String::from_utf8(first).expect("text") + &read_rest(&mut body);
+        assert_eq!(whole, whole_stream());
+    }
+}
+
 /// Begins a stream whose second engine dies, and checks that it comes whole, from its one run. Returns
 /// its request.
 fn second_engine_dies_under_a_stream(fleet: &Fleet, gateway: &GatewayProcess) -> String {
