--- a/crates/daemon/tests/gateway/eras.rs
+++ b/crates/daemon/tests/gateway/eras.rs
@@ -54,12 +54,21 @@
 }
 
 /// Waits until a gateway has listed the endpoints in the store's new era.
-fn wait_for_list(fleet: &Fleet, gateway: &GatewayProcess, era: u64) {
-    let _ = fleet;
-    wait_for("the list of the new era", || {
-        let at = &dump(gateway)["endpoints_era"];
-        at.as_u64() == Some(era)
-    });
+fn wait_for_list(gateway: &GatewayProcess, era: u64) {
+    wait_for("the list of the new era", || dump(gateway)["endpoints_era"] == era);
+}
+
+/// A copy from before an engine left without a word, as the gateway knows. It doesn't leave after all.
+fn copy_before_leave_of_one_that_stays(
+    fleet: &Fleet,
+    gateway: &GatewayProcess,
+    engine: &FakeEngine,
+) -> StoreCopy {
+    let copy = fleet.store.copy();
+    engine.leave_unsaid();
+    gateway.wait_for_line(&[GONE, engine.id()]);
+    engine.stay();
+    copy
 }
 
 #[test]
@@ -85,7 +94,7 @@
     gateway.wait_for_line(&[LEAVING, engine.id()]);
 
     fleet.store.come_back_from(&copy);
-    wait_for_list(&fleet, &gateway, 2);
+    wait_for_list(&gateway, 2);
 
     let ran = engine.seen().runs.len();
     for _ in 0..10 {
@@ -100,14 +109,11 @@
     let fleet = fleet_with_eras();
     let gateway = fleet.gateway("one");
     let engine = &fleet.engines[0];
-    let copy = fleet.store.copy();
-    engine.leave_unsaid();
-    gateway.wait_for_line(&[GONE, engine.id()]);
+    let copy = copy_before_leave_of_one_that_stays(&fleet, &gateway, engine);
     write_much(&fleet.store, 20);
-    engine.stay();
 
     fleet.store.come_back_from(&copy);
-    wait_for_list(&fleet, &gateway, 2);
+    wait_for_list(&gateway, 2);
     engine.enter();
 
     wait_for("it to be used again", || {
@@ -121,10 +127,7 @@
     let fleet = fleet_with_eras();
     let gateway = fleet.gateway("one");
     let engine = &fleet.engines[0];
-    let copy = fleet.store.copy();
-    engine.leave_unsaid();
-    gateway.wait_for_line(&[GONE, engine.id()]);
-    engine.stay();
+    let copy = copy_before_leave_of_one_that_stays(&fleet, &gateway, engine);
 
     fleet.store.come_back_from(&copy);
 
@@ -205,7 +208,7 @@
     gateway.wait_for_line(&["\"configuration in force\"", "\"version\":7"]);
 
     fleet.store.come_back_from(&copy);
-    wait_for_list(&fleet, &gateway, 2);
+    wait_for_list(&gateway, 2);
     let revoked = send(gateway.callers(), "/status/a", &new_request(), Some(KEY));
     fleet.store.put("config", "main", config(8, &["key-3"]));
 
@@ -281,6 +284,6 @@
 
     for gateway in &gateways {
         gateway.wait_for_line(&[LEAVING, engine.id()]);
-        wait_for_list(&fleet, gateway, 3);
+        wait_for_list(gateway, 3);
     }
 }
--- a/crates/gateway/src/process/gateway.rs
+++ b/crates/gateway/src/process/gateway.rs
@@ -1,13 +1,11 @@
 //! What all parts of a gateway share.
 
-use crate::process::{
-    Beliefs, Count, Counters, PathBook, Pool, SUSPECT_FOR, StoreHeard, ToldFaults,
-};
+use crate::process::{Beliefs, Counters, PathBook, Pool, SUSPECT_FOR, StoreHeard, ToldFaults};
 use sorrellock_core::clock::SystemClock;
 use sorrellock_core::process::retries::Breakers;
 use sorrellock_platform::{Bounds, Client, EndpointLoad, Kind, Settings, StoreEras};
-use sorrellock_routing::process::knowledge::{Handover, Knowledge};
-use sorrellock_routing::process::{Incarnation, Leaving, Lives, RetryWindow, Revision, StreamPace};
+use sorrellock_routing::process::knowledge::Knowledge;
+use sorrellock_routing::process::{Incarnation, Leaving, Lives, RetryWindow, StreamPace};
 use sorrellock_routing::version::{Configuration, ServiceName};
 use spdlog::{info, warn};
 use std::cell::{Cell, RefCell};
@@ -242,45 +240,6 @@
         self.engines_changed.notify_waiters();
     }
 
-    /// Takes what another gateway handed over.
-    pub(crate) fn apply_handover(self: &Rc<Self>, handover: Handover, from: &str) {
-        if let Some(cfg) = handover.configuration {
-            self.apply_configuration(cfg, from);
-        }
-        if handover.endpoints_at <= self.knowledge.borrow().endpoints_at() {
-            return;
-        }
-        let now = Instant::now();
-        let floor = Revision::new(handover.endpoints_at.era, handover.era_floor);
-        self.knowledge.borrow_mut().begin_era(floor, now.into_std());
-        let listed = handover.listed.into_iter().collect();
-        let told = handover.endpoints.iter().map(|known| &known.endpoint);
-        self.knowledge.borrow_mut().note_starts(told);
-        for known in handover.endpoints {
-            if self.knowledge.borrow().is_missing_at(&known.endpoint.id, known.revision) {
-                continue;
-            }
-            self.apply_endpoint(known.endpoint, known.revision, from);
-        }
-        self.knowledge.borrow_mut().hear_left(handover.left, now.into_std());
-        self.hear_refused(handover.refused, from);
-        for (id, missing_for) in &handover.missing {
-            if self.knowledge.borrow_mut().hear_missing(id, *missing_for, now.into_std()) {
-                let ms = missing_for.as_millis() as u64;
-                info!("entry of an endpoint missing after an outage", kv: {
-                    endpoint = id.as_str(), ms, source = from
-                });
-            }
-        }
-        let gone = self.knowledge.borrow().unlisted(&listed);
-        for id in gone {
-            self.remove_endpoint(&id, from);
-        }
-        self.judge_starts(from);
-        self.knowledge.borrow_mut().advance(handover.endpoints_at);
-        self.refresh_paths();
-    }
-
     /// An endpoint failed an attempt: it gets nothing new for a while.
     pub(crate) fn suspect(&self, life: &Incarnation, why: &str) {
         let now = Instant::now();
@@ -354,32 +313,4 @@
     pub(crate) fn is_listed(&self, life: &Incarnation) -> bool {
         self.knowledge.borrow().is_current(life)
     }
-
-    /// A request came in for a service.
-    pub(crate) fn on_request(&self, service: &str) {
-        let mut budgets = self.budgets.borrow_mut();
-        let began = self.began.into_std();
-        let new = || RetryWindow::new(self.bounds.get().retries, began);
-        let budget = budgets.entry(service.to_owned()).or_insert_with(new);
-        budget.on_request(Instant::now().into_std());
-    }
-
-    /// Whether the budget has a send beyond a request's first left.
-    pub(crate) fn may_repeat(&self, service: &str) -> bool {
-        let now = Instant::now();
-        let gateways = self.beliefs.borrow().gateways(now);
-        let mut budgets = self.budgets.borrow_mut();
-        budgets.get_mut(service).is_some_and(|budget| budget.may_spend(now.into_std(), gateways))
-    }
-
-    /// Takes one send beyond a request's first from the budget.
-    pub(crate) fn spend_repeat(&self, service: &str) -> bool {
-        let now = Instant::now();
-        let gateways = self.beliefs.borrow().gateways(now);
-        let mut budgets = self.budgets.borrow_mut();
-        let budget = budgets.get_mut(service);
-        let paid = budget.is_some_and(|budget| budget.try_spend(now.into_std(), gateways));
-        self.counters.add(if paid { Count::Repeats } else { Count::BudgetRefusals });
-        paid
-    }
 }
--- a/crates/gateway/src/process/mod.rs
+++ b/crates/gateway/src/process/mod.rs
@@ -9,6 +9,7 @@
 mod peers;
 mod placer;
 mod pool;
+mod retry_budgets;
 mod run;
 mod store;
 
--- /dev/null
+++ b/crates/gateway/src/process/retry_budgets.rs
@@ -0,0 +1,35 @@
+//! The retry budget of each service, which all gateways share.
+
+use crate::process::{Count, Gateway};
+use sorrellock_routing::process::RetryWindow;
+use tokio::time::Instant;
+
+impl Gateway {
+    /// A request came in for a service.
+    pub(crate) fn on_request(&self, service: &str) {
+        let mut budgets = self.budgets.borrow_mut();
+        let began = self.began.into_std();
+        let new = || RetryWindow::new(self.bounds.get().retries, began);
+        let budget = budgets.entry(service.to_owned()).or_insert_with(new);
+        budget.on_request(Instant::now().into_std());
+    }
+
+    /// Whether the budget has a send beyond a request's first left.
+    pub(crate) fn may_repeat(&self, service: &str) -> bool {
+        let now = Instant::now();
+        let gateways = self.beliefs.borrow().gateways(now);
+        let mut budgets = self.budgets.borrow_mut();
+        budgets.get_mut(service).is_some_and(|budget| budget.may_spend(now.into_std(), gateways))
+    }
+
+    /// Takes one send beyond a request's first from the budget.
+    pub(crate) fn spend_repeat(&self, service: &str) -> bool {
+        let now = Instant::now();
+        let gateways = self.beliefs.borrow().gateways(now);
+        let mut budgets = self.budgets.borrow_mut();
+        let budget = budgets.get_mut(service);
+        let paid = budget.is_some_and(|budget| budget.try_spend(now.into_std(), gateways));
+        self.counters.add(if paid { Count::Repeats } else { Count::BudgetRefusals });
+        paid
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/process/store/endpoint_check.rs
@@ -0,0 +1,230 @@
+//! Asks endpoints whether they are well, and in which life, where their entry doesn't tell for sure.
+
+use crate::process::{AnswerOf, CHECK_INTERVAL, Count, Gateway};
+use sorrellock_platform::{CallError, Health, read_health, read_report};
+use sorrellock_routing::process::knowledge::Knowledge;
+use sorrellock_routing::process::{Endpoint, Incarnation};
+use spdlog::info;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Time for an endpoint's health, which may wait for a slot, and for the report that tells its life.
+const HEALTH_LIMIT: Duration = Duration::from_millis(400);
+/// What told that an endpoint leaves, for log lines.
+const ITS_HEALTH: &str = "its health";
+
+/// Asks a question, and once more where no answer came: a kept connection may be silent for good, and after a call without
+/// an answer the client opens another one.
+pub(crate) async fn ask_twice<T>(
+    ask: impl AsyncFn() -> Result<T, CallError>,
+) -> Result<T, CallError> {
+    match ask().await {
+        Err(CallError::NoAnswer { .. }) => ask().await,
+        other => other,
+    }
+}
+
+/// An endpoint that is asked whether it is well.
+struct Asked {
+    life: Incarnation,
+    addr: SocketAddr,
+    health_path: String,
+    /// It has a report.
+    is_engine: bool,
+}
+
+impl Asked {
+    fn new(knowledge: &Knowledge, endpoint: &Endpoint) -> Option<Asked> {
+        Some(Asked {
+            life: endpoint.incarnation(),
+            addr: endpoint.addr,
+            health_path: knowledge.health_path(endpoint)?.to_owned(),
+            is_engine: endpoint.card.is_some(),
+        })
+    }
+}
+
+/// An endpoint refused a request as not run: asks it whether it leaves, unless that was done just
+/// now. The list may not tell for long, as while the store is down. `lacks_part`: it doesn't hold its part
+/// of the path, as one that started again.
+pub(crate) fn check_refuser(gateway: &Rc<Gateway>, addr: SocketAddr, lacks_part: bool) {
+    let found = {
+        let knowledge = gateway.knowledge.borrow();
+        let endpoint = knowledge.usable_endpoints().find(|endpoint| endpoint.addr == addr);
+        let endpoint = endpoint.filter(|endpoint| !endpoint.is_leaving);
+        endpoint.and_then(|endpoint| Asked::new(&knowledge, endpoint))
+    };
+    let Some(asked) = found else { return };
+    if !note_asked(gateway, &asked.life) {
+        return;
+    }
+    let gateway = Rc::clone(gateway);
+    tokio::task::spawn_local(async move {
+        let mut res = ask_health(&gateway, &asked).await;
+        if res.is_ok() && lacks_part {
+            res = ask_life(&gateway, &asked).await;
+        }
+        match res {
+            Ok(()) | Err(Unwell::OtherLife) => {}
+            Err(Unwell::Leaves) => gateway.believe_leaving(&asked.life),
+            Err(Unwell::Ended(why)) => gateway.suspect(&asked.life, &why),
+        }
+    });
+}
+
+/// Endpoints are listed at one address: each is asked whether it is the one there, unless that was done
+/// just now.
+pub(crate) fn check_address(gateway: &Rc<Gateway>, addr: SocketAddr) {
+    let asked: Vec<Asked> = {
+        let knowledge = gateway.knowledge.borrow();
+        let here = knowledge.usable_endpoints().filter(|endpoint| endpoint.addr == addr);
+        here.filter_map(|endpoint| Asked::new(&knowledge, endpoint)).collect()
+    };
+    if asked.len() < 2 {
+        return;
+    }
+    for one in asked.into_iter().filter(|one| note_asked(gateway, &one.life)) {
+        let gateway = Rc::clone(gateway);
+        // What it finds is taken on the way.
+        tokio::task::spawn_local(async move { drop(ask_health(&gateway, &one).await) });
+    }
+}
+
+/// Notes that an endpoint is asked after a refusal or a contradiction. Whether it wasn't just now.
+fn note_asked(gateway: &Gateway, life: &Incarnation) -> bool {
+    let now = Instant::now();
+    let mut checked = gateway.refusers_checked.borrow_mut();
+    checked.retain(|_, at| now - *at < CHECK_INTERVAL);
+    checked.insert(life.clone(), now).is_none()
+}
+
+/// An endpoint's entry is gone without a word: it stays for a while if it tells that it lives, as one
+/// that doesn't reach the store does.
+pub(crate) fn check_unlisted(gateway: &Rc<Gateway>, id: &str) {
+    let found = {
+        let knowledge = gateway.knowledge.borrow();
+        knowledge.endpoint(id).and_then(|endpoint| Asked::new(&knowledge, endpoint))
+    };
+    let Some(asked) = found else {
+        gateway.remove_endpoint(id, "watch");
+        return;
+    };
+    let gateway = Rc::clone(gateway);
+    tokio::task::spawn_local(async move {
+        let mut res = ask_health(&gateway, &asked).await;
+        if res.is_ok() {
+            // Health is the same in each life: only the report tells whether it kept its layers.
+            res = ask_life(&gateway, &asked).await;
+        }
+        let id = asked.life.id.as_str();
+        let why = match res {
+            Ok(()) => {
+                info!("endpoint lives without its entry", kv: { endpoint = id });
+                return;
+            }
+            // It stays as the new life, which holds nothing yet.
+            Err(Unwell::OtherLife) => return,
+            Err(Unwell::Leaves) => ITS_HEALTH.to_owned(),
+            Err(Unwell::Ended(why)) => why,
+        };
+        if gateway.knowledge.borrow().is_missing(id) {
+            gateway.remove_endpoint(id, &why);
+            gateway.refresh_paths();
+        }
+    });
+}
+
+/// An endpoint's entry is gone, and may only have lapsed in an outage of the store. Two of the gateways ask whether it leaves, and
+/// tell all others. It guards endpoints that leave without a word around an outage: they got requests for as long as an entry that
+/// lapsed may take to be back. One that gives no answer stays as long as that.
+pub(crate) fn check_lapsed(gateway: &Rc<Gateway>, id: &str) {
+    let now = Instant::now();
+    if !gateway.beliefs.borrow().asks_for_all(id, gateway.incarnation, now) {
+        return;
+    }
+    let found = {
+        let knowledge = gateway.knowledge.borrow();
+        let endpoint = knowledge.endpoint(id).filter(|endpoint| !endpoint.is_leaving);
+        endpoint.and_then(|endpoint| Asked::new(&knowledge, endpoint))
+    };
+    let Some(asked) = found else { return };
+    let gateway = Rc::clone(gateway);
+    tokio::task::spawn_local(async move {
+        let res = ask_health(&gateway, &asked).await;
+        if !matches!(res, Err(Unwell::Leaves)) || !gateway.remove_missing(&asked.life, ITS_HEALTH) {
+            return;
+        }
+        gateway.beliefs.borrow_mut().note_left(asked.life, Instant::now());
+        gateway.suspected.notify_one();
+        gateway.refresh_paths();
+    });
+}
+
+/// An endpoint that had left before the store came back from a copy is listed as ready: asks whether it is well after all.
+pub(crate) fn check_left(gateway: &Rc<Gateway>, id: &str) {
+    let found = {
+        let knowledge = gateway.knowledge.borrow();
+        knowledge.endpoint(id).and_then(|endpoint| Asked::new(&knowledge, endpoint))
+    };
+    let Some(asked) = found else { return };
+    let gateway = Rc::clone(gateway);
+    tokio::task::spawn_local(async move {
+        let res = ask_health(&gateway, &asked).await;
+        if res.is_err() || !gateway.knowledge.borrow_mut().note_well(&asked.life) {
+            return;
+        }
+        info!("endpoint that had left is well", kv: { endpoint = asked.life.id.as_str() });
+        gateway.engines_changed.notify_waiters();
+        gateway.refresh_paths();
+    });
+}
+
+/// Why an endpoint is not known to be well.
+enum Unwell {
+    /// It tells that it leaves, or that it is not well.
+    Leaves,
+    /// It gives no answer, or another instance answers in its place.
+    Ended(String),
+    /// It has started again.
+    OtherLife,
+}
+
+async fn ask_health(gateway: &Gateway, asked: &Asked) -> Result<(), Unwell> {
+    gateway.counters.add(Count::Reports);
+    let Asked { life, addr, health_path, .. } = asked;
+    let began = Instant::now();
+    let client = gateway.probe(life, *addr);
+    let answer = ask_twice(|| read_health(&client, health_path, &life.id, HEALTH_LIMIT)).await;
+    let answer = answer.map_err(|err| Unwell::Ended(err.to_string()))?;
+    if answer.health == Health::Replaced {
+        gateway.on_replaced(life);
+        return Err(Unwell::Ended("another instance has its address".to_owned()));
+    }
+    if answer.started.is_some()
+        && gateway.on_answer_of(life, *addr, answer.started, began) != AnswerOf::SameLife
+    {
+        return Err(Unwell::OtherLife);
+    }
+    if answer.health == Health::Well { Ok(()) } else { Err(Unwell::Leaves) }
+}
+
+/// Asks an engine whether it is still in the life that is known. Where no start is told, each has an id
+/// of its own, and nothing is asked.
+async fn ask_life(gateway: &Gateway, asked: &Asked) -> Result<(), Unwell> {
+    let Asked { life, addr, is_engine, .. } = asked;
+    if !is_engine || life.started.is_none() {
+        return Ok(());
+    }
+    gateway.counters.add(Count::Reports);
+    let began = Instant::now();
+    let client = gateway.probe(life, *addr);
+    let report = ask_twice(|| read_report(&client, HEALTH_LIMIT)).await;
+    let report = report.map_err(|err| Unwell::Ended(err.to_string()))?;
+    match gateway.on_answer_of(life, *addr, report.started, began) {
+        AnswerOf::SameLife => Ok(()),
+        AnswerOf::OtherLife => Err(Unwell::OtherLife),
+        AnswerOf::Untold => Err(Unwell::Ended("its report tells no start".to_owned())),
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/process/store/handed_over.rs
@@ -0,0 +1,49 @@
+//! Takes what another gateway hands over.
+
+use crate::process::Gateway;
+use sorrellock_routing::process::Revision;
+use sorrellock_routing::process::knowledge::Handover;
+use spdlog::info;
+use std::rc::Rc;
+use tokio::time::Instant;
+
+impl Gateway {
+    /// Takes what another gateway handed over.
+    pub(crate) fn apply_handover(self: &Rc<Self>, handover: Handover, from: &str) {
+        if let Some(cfg) = handover.configuration {
+            self.apply_configuration(cfg, from);
+        }
+        if handover.endpoints_at <= self.knowledge.borrow().endpoints_at() {
+            return;
+        }
+        let now = Instant::now();
+        let floor = Revision::new(handover.endpoints_at.era, handover.era_floor);
+        self.knowledge.borrow_mut().begin_era(floor, now.into_std());
+        let listed = handover.listed.into_iter().collect();
+        let told = handover.endpoints.iter().map(|known| &known.endpoint);
+        self.knowledge.borrow_mut().note_starts(told);
+        for known in handover.endpoints {
+            if self.knowledge.borrow().is_missing_at(&known.endpoint.id, known.revision) {
+                continue;
+            }
+            self.apply_endpoint(known.endpoint, known.revision, from);
+        }
+        self.knowledge.borrow_mut().hear_left(handover.left, now.into_std());
+        self.hear_refused(handover.refused, from);
+        for (id, missing_for) in &handover.missing {
+            if self.knowledge.borrow_mut().hear_missing(id, *missing_for, now.into_std()) {
+                let ms = missing_for.as_millis() as u64;
+                info!("entry of an endpoint missing after an outage", kv: {
+                    endpoint = id.as_str(), ms, source = from
+                });
+            }
+        }
+        let gone = self.knowledge.borrow().unlisted(&listed);
+        for id in gone {
+            self.remove_endpoint(&id, from);
+        }
+        self.judge_starts(from);
+        self.knowledge.borrow_mut().advance(handover.endpoints_at);
+        self.refresh_paths();
+    }
+}
--- a/crates/gateway/src/process/store/mod.rs
+++ b/crates/gateway/src/process/store/mod.rs
@@ -1,13 +1,16 @@
 //! What the platform's store tells: the configuration and the endpoints, and how old that is.
 
+mod endpoint_check;
 mod endpoint_news;
 mod entries;
 mod eras;
+mod handed_over;
 mod lives;
 mod store_heard;
 mod told_faults;
 mod watcher;
 
+pub(crate) use endpoint_check::*;
 pub(crate) use endpoint_news::expire_entries;
 pub(crate) use entries::*;
 pub(crate) use eras::follow_eras;
--- a/crates/routing/src/process/knowledge/knowledge.rs
+++ b/crates/routing/src/process/knowledge/knowledge.rs
@@ -4,10 +4,9 @@
 use super::{EntryState, KnownEndpoint, RefusedEntries, RefusedEntry};
 use crate::process::{
     ChangeCount, Endpoint, EndpointId, Incarnation, Known, LayerRange, Revision, StoreEra,
-    do_most_tell_start, is_start_untold,
 };
 use crate::version::{ConfigVersion, Configuration, RouteTable};
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -18,23 +17,9 @@
 const MISSING_GETS_WORK_MOST: Duration = Duration::from_secs(2);
 /// The way of a request goes off the time within which a leaving endpoint may get its last one.
 const LEAVE_MARGIN: Duration = Duration::from_millis(200);
-/// For how long its layers are planned for: entries come back at two seconds, not before. An engine
-/// writes over an entry that can't be used with its next heartbeat or the one after.
-const ENTRY_GRACE: Duration = Duration::from_millis(3_500);
 /// The most removed endpoints that are remembered, so that an older page, or a store that comes back from an older copy, doesn't bring
 /// them back.
 const MAX_REMOVED: usize = 4_096;
-/// Endpoints that were removed so long ago, or longer, are in no copy that the store may come back from.
-const REMOVED_IN_COPY: Duration = Duration::from_secs(60);
-
-/// Entries whose start is judged otherwise than before.
-#[derive(Debug, Default)]
-pub struct StartVerdicts {
-    /// They must tell a start, and don't.
-    pub refused: Vec<(Endpoint, Revision)>,
-    /// They needn't any more.
-    pub accepted: Vec<(Endpoint, Revision)>,
-}
 
 /// What a refused entry means.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -66,23 +51,23 @@
 
 /// An endpoint that was removed.
 #[derive(Clone, Debug)]
-struct Removed {
-    life: Incarnation,
-    at: Instant,
+pub(super) struct Removed {
+    pub(super) life: Incarnation,
+    pub(super) at: Instant,
 }
 
 /// The configuration in force and the endpoints.
 pub struct Knowledge {
     pub(super) routes: Option<Rc<RouteTable>>,
     pub(super) endpoints: BTreeMap<EndpointId, KnownEndpoint>,
-    removed: HashMap<EndpointId, Removed>,
+    pub(super) removed: HashMap<EndpointId, Removed>,
     pub(super) left: LeftEndpoints,
     pub(super) refused: RefusedEntries,
     /// Most endpoints tell their start: an entry without one is refused.
-    is_start_required: bool,
+    pub(super) is_start_required: bool,
     pub(super) endpoints_at: Revision,
     /// The era of the store in which the endpoints are known.
-    era: StoreEra,
+    pub(super) era: StoreEra,
     /// What the store wrote in this era up to here may be the copy's; what has a higher count was written in the era.
     pub(super) era_floor: ChangeCount,
     missing_gets_work: Duration,
@@ -194,67 +179,6 @@
         true
     }
 
-    /// The store is heard of in the era of `at` for the first time, and comes with its copy up to there; nothing changes if that is known.
-    /// What has left before stays so, though the copy may have it ready, until it tells otherwise by itself.
-    pub fn begin_era(&mut self, at: Revision, now: Instant) {
-        if at.era == self.era {
-            // All that was written after either of two lists was written in the era.
-            self.era_floor = self.era_floor.min(at.count);
-        }
-        if at.era <= self.era {
-            return;
-        }
-        self.era = at.era;
-        self.era_floor = at.count;
-        let leaving = self.endpoints().filter(|endpoint| endpoint.is_leaving);
-        let leaving: Vec<Incarnation> = leaving.map(Endpoint::incarnation).collect();
-        let removed = std::mem::take(&mut self.removed).into_values();
-        let removed = removed.filter(|removed| now - removed.at < REMOVED_IN_COPY);
-        let left = leaving.into_iter().chain(removed.map(|removed| removed.life));
-        left.for_each(|life| self.left.insert(life, now));
-    }
-
-    /// Whether the store wrote `revision` in the era in which the endpoints are known, rather than with the copy that the era
-    /// began with.
-    fn is_of_era(&self, revision: Revision) -> bool {
-        revision.era == self.era && revision.count > self.era_floor
-    }
-
-    /// The endpoint as its entry is to be taken: one that had left before this era stays so, unless the entry was written in
-    /// it.
-    fn bind(&mut self, endpoint: Endpoint, revision: Revision) -> Endpoint {
-        if !self.left.holds(&endpoint) {
-            return endpoint;
-        }
-        if endpoint.is_leaving || self.is_of_era(revision) {
-            self.left.remove(&endpoint.id);
-            return endpoint;
-        }
-        Endpoint { is_leaving: true, ..endpoint }
-    }
-
-    /// The endpoints that had left before this era, are listed as ready, and are to be asked now whether they are well.
-    pub fn left_to_ask(&mut self, now: Instant) -> Vec<EndpointId> {
-        let endpoints = &self.endpoints;
-        let is_listed =
-            |id: &EndpointId| endpoints.get(id).is_some_and(|e| e.entry == EntryState::Listed);
-        self.left.due(is_listed, now)
-    }
-
-    /// An endpoint that had left before this era tells that it is well. Whether that is news.
-    pub fn note_well(&mut self, life: &Incarnation) -> bool {
-        let known = self.endpoints.get_mut(&life.id);
-        let Some(known) = known.filter(|known| self.left.holds(&known.endpoint)) else {
-            return false;
-        };
-        if known.endpoint.started != life.started {
-            return false;
-        }
-        known.endpoint.is_leaving = false;
-        self.left.remove(&life.id);
-        true
-    }
-
     /// Whether an entry of `revision` is newer than what is known of the endpoint.
     pub fn is_news(&self, id: &str, revision: Revision) -> bool {
         if self.refused.get(id).is_some_and(|refused| refused.revision > revision) {
@@ -339,103 +263,13 @@
         self.refused.remove(id);
     }
 
-    /// Works out whether entries must tell a start, with those that were just read.
-    pub fn note_starts<'a>(&mut self, read: impl Iterator<Item = &'a Endpoint> + Clone) {
-        let new: HashSet<&EndpointId> = read.clone().map(|endpoint| &endpoint.id).collect();
-        let refused = self.refused.endpoints();
-        let refused = refused.filter(|endpoint| !self.endpoints.contains_key(&endpoint.id));
-        let before = self.endpoints().chain(refused).filter(|one| !new.contains(&one.id));
-        let mut all: Vec<&Endpoint> = before.collect();
-        for endpoint in read {
-            all.push(endpoint);
-        }
-        self.is_start_required = do_most_tell_start(all);
-    }
-
-    /// Whether an entry lacks a start that it must tell.
-    pub fn lacks_start(&self, endpoint: &Endpoint) -> bool {
-        is_start_untold(endpoint, self.told_start(&endpoint.id), self.is_start_required)
-    }
-
-    /// Whether an endpoint told its start before.
-    fn told_start(&self, id: &str) -> bool {
-        self.endpoint(id).is_some_and(|endpoint| endpoint.started.is_some())
-            || self.refused.get(id).is_some_and(|entry| entry.told_start)
-    }
-
-    /// Entries that are judged otherwise by what is known of starts by now.
-    pub fn start_verdicts(&mut self) -> StartVerdicts {
-        let usable = self.endpoints.values().filter(|known| !known.entry.is_unusable());
-        let refused = usable.filter(|known| self.lacks_start(&known.endpoint));
-        let refused = refused.map(|known| (known.endpoint.clone(), known.revision)).collect();
-        let accepted = self.refused.iter().filter_map(|(_, entry)| {
-            let endpoint = entry.endpoint.as_ref().filter(|one| !self.lacks_start(one))?;
-            Some((endpoint.clone(), entry.revision))
-        });
-        let accepted: Vec<(Endpoint, Revision)> = accepted.collect();
-        for (endpoint, _) in &accepted {
-            // Its entry is as old as before, and counts.
-            self.removed.remove(&endpoint.id);
-        }
-        StartVerdicts { refused, accepted }
-    }
-
-    /// An entry is gone that may have lapsed: its endpoint stays for a while, if it wasn't leaving.
-    pub fn mark_missing(&mut self, id: &str, now: Instant) -> bool {
-        match self.endpoints.get_mut(id) {
-            Some(known) if !known.endpoint.is_leaving => {
-                known.note_missing(now);
-                true
-            }
-            _ => false,
-        }
-    }
-
     /// Takes the revision that changes were read up to.
     pub fn advance(&mut self, at: Revision) {
         self.endpoints_at = self.endpoints_at.max(at);
     }
 
-    /// The endpoints that a list of all entries doesn't hold.
-    pub fn unlisted(&self, listed: &HashSet<EndpointId>) -> Vec<EndpointId> {
-        self.endpoints.keys().filter(|id| !listed.contains(*id)).cloned().collect()
-    }
-
-    /// Takes a list of all entries after an outage. What is missing stays for a while, as its
-    /// entry may only have lapsed. Tells which are.
-    pub fn mark_unlisted(&mut self, listed: &HashSet<EndpointId>, now: Instant) -> Vec<EndpointId> {
-        let missing = self.unlisted(listed);
-        for id in &missing {
-            if let Some(known) = self.endpoints.get_mut(id) {
-                known.note_missing(now);
-            }
-        }
-        self.refused.retain(|id| listed.contains(id));
-        missing
-    }
-
-    /// Whether an endpoint's entry is missing, and may come back.
-    pub fn is_missing(&self, id: &str) -> bool {
-        let entry = self.endpoints.get(id).map(|known| &known.entry);
-        matches!(entry, Some(EntryState::MissingSince(_)))
-    }
-
-    /// Gives up endpoints whose entry has been missing or unusable for too long. Tells which, and
-    /// what became of the entry.
-    pub fn expire(&mut self, now: Instant) -> Vec<(EndpointId, EntryState)> {
-        let is_over =
-            |known: &&KnownEndpoint| known.entry.since().is_some_and(|at| now - at >= ENTRY_GRACE);
-        let over = self.endpoints.values().filter(is_over);
-        let over: Vec<_> =
-            over.map(|known| (known.endpoint.id.clone(), known.entry.clone())).collect();
-        for (id, _) in &over {
-            self.forget_endpoint(id, now);
-        }
-        over
-    }
-
     /// Forgets an endpoint, but for its removal. Whether it was known.
-    fn forget_endpoint(&mut self, id: &str, now: Instant) -> bool {
+    pub(super) fn forget_endpoint(&mut self, id: &str, now: Instant) -> bool {
         let known = self.endpoints.remove(id);
         let life = known.as_ref().map(|known| known.endpoint.incarnation());
         if self.removed.len() < MAX_REMOVED {
--- a/crates/routing/src/process/knowledge/mod.rs
+++ b/crates/routing/src/process/knowledge/mod.rs
@@ -1,13 +1,17 @@
 //! What a process knows of the configuration and of the endpoints, and what it hands on.
 
+mod era;
 mod handover;
 #[allow(clippy::module_inception)]
 mod knowledge;
 mod known_endpoint;
 mod left_endpoints;
+mod missing;
 mod refused_entries;
+mod starts;
 
 pub use handover::*;
 pub use knowledge::*;
 pub use known_endpoint::*;
 pub use refused_entries::*;
+pub use starts::*;
--- a/crates/routing/tests/knowledge_eras/fleet.rs
+++ b/crates/routing/tests/knowledge_eras/fleet.rs
@@ -1,12 +1,12 @@
 //! Gateways that learn of endpoints from a store and from each other, on simulated time in ms.
 
 use crate::course::{Course, Event};
-use crate::store::{Answer, Change, Store};
+use crate::gateway::{Gateway, OnTheWay};
+use crate::store::Store;
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
-use sorrellock_routing::process::knowledge::Knowledge;
 use sorrellock_routing::process::{Endpoint, LayerRange, Revision, StoreEra};
-use std::collections::{BTreeMap, BTreeSet, HashSet};
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
 /// One step.
@@ -37,28 +37,6 @@
     ends_after: Revision,
 }
 
-/// An answer on its way.
-struct OnTheWay {
-    comes: u64,
-    asked_after: Option<Revision>,
-    at: Revision,
-    answer: Answer,
-}
-
-struct Gateway {
-    knowledge: Knowledge,
-    known_era: StoreEra,
-    at: Option<Revision>,
-    next_call: u64,
-    on_the_way: Vec<OnTheWay>,
-    behind_since: Option<u64>,
-    cut_until: u64,
-    /// Endpoints that it has known.
-    known: BTreeSet<String>,
-    /// Those of them that it has known to leave or to be gone, and that never came back.
-    known_left: BTreeSet<String>,
-}
-
 /// A fleet on its course.
 pub struct Fleet {
     store: Store,
@@ -76,21 +54,10 @@
     /// Four endpoints, known to all gateways.
     pub fn new(gateways: usize, seed: u64) -> Fleet {
         let began = Instant::now();
-        let gateway = |_| Gateway {
-            knowledge: Knowledge::new(Duration::from_secs(2)),
-            known_era: 0,
-            at: None,
-            next_call: 0,
-            on_the_way: Vec::new(),
-            behind_since: None,
-            cut_until: 0,
-            known: BTreeSet::new(),
-            known_left: BTreeSet::new(),
-        };
         let mut fleet = Fleet {
             store: Store::new(),
             servers: BTreeMap::new(),
-            gateways: (0..gateways).map(gateway).collect(),
+            gateways: (0..gateways).map(|_| Gateway::new()).collect(),
             rng: SmallRng::seed_from_u64(seed),
             began,
             now: 0,
@@ -222,9 +189,9 @@
         let gateway = &mut self.gateways[index];
         let due: Vec<OnTheWay> =
             gateway.on_the_way.extract_if(.., |one| one.comes <= now).collect();
-        due.into_iter().for_each(|one| self.take_answer(index, one));
-        let instant = self.instant();
-        let gateway = &mut self.gateways[index];
+        let (servers, instant) = (&self.servers, self.began + Duration::from_millis(now));
+        let leaves = |id: &str| matches!(servers[id].truth, Truth::Leaves(..));
+        due.into_iter().for_each(|one| gateway.take_answer(one, leaves, instant));
         gateway.knowledge.expire(instant);
         for id in gateway.knowledge.left_to_ask(instant) {
             if self.servers[&id].truth == Truth::Ready {
@@ -253,82 +220,6 @@
         gateway.on_the_way.push(OnTheWay { comes, asked_after: gateway.at, at, answer });
     }
 
-    fn take_answer(&mut self, index: usize, one: OnTheWay) {
-        let instant = self.instant();
-        let OnTheWay { asked_after, at, answer, .. } = one;
-        let gateway = &mut self.gateways[index];
-        if at.era < gateway.known_era {
-            return;
-        }
-        gateway.known_era = at.era;
-        if asked_after.is_some_and(|after| after.era != at.era) {
-            gateway.at = None;
-            return;
-        }
-        match answer {
-            Answer::Gone => gateway.at = None,
-            Answer::List(entries) => {
-                gateway.at = Some(at.max(gateway.at.unwrap_or_default()));
-                self.take_list(index, entries, at, instant);
-            }
-            Answer::Changes(changes) => {
-                gateway.at = Some(at.max(gateway.at.unwrap_or_default()));
-                self.take_changes(index, changes, at, instant);
-            }
-        }
-    }
-
-    fn take_list(
-        &mut self,
-        index: usize,
-        entries: Vec<(Endpoint, u64)>,
-        at: Revision,
-        instant: Instant,
-    ) {
-        let knowledge = &mut self.gateways[index].knowledge;
-        if at <= knowledge.endpoints_at() {
-            return;
-        }
-        knowledge.begin_era(at, instant);
-        let listed: HashSet<String> = entries.iter().map(|(one, _)| one.id.clone()).collect();
-        for (endpoint, count) in entries {
-            knowledge.apply_endpoint(endpoint, Revision::new(at.era, count));
-        }
-        for id in knowledge.mark_unlisted(&listed, instant) {
-            self.ask_missing(index, &id, instant);
-        }
-        self.gateways[index].knowledge.advance(at);
-    }
-
-    fn take_changes(&mut self, index: usize, changes: Vec<Change>, at: Revision, instant: Instant) {
-        for Change { id, entry, count } in changes {
-            let revision = Revision::new(at.era, count);
-            let knowledge = &mut self.gateways[index].knowledge;
-            if revision <= knowledge.endpoints_at() {
-                continue;
-            }
-            match entry {
-                Some(endpoint) => {
-                    knowledge.apply_endpoint(endpoint, revision);
-                }
-                None if knowledge.mark_missing(&id, instant) => {
-                    self.ask_missing(index, &id, instant);
-                }
-                None => {
-                    knowledge.remove_endpoint(&id, instant);
-                }
-            }
-        }
-        self.gateways[index].knowledge.advance(at);
-    }
-
-    /// An endpoint whose entry is missing tells whether it leaves; one that has ended gives no answer.
-    fn ask_missing(&mut self, index: usize, id: &str, instant: Instant) {
-        if matches!(self.servers[id].truth, Truth::Leaves(..)) {
-            self.gateways[index].knowledge.remove_endpoint(id, instant);
-        }
-    }
-
     /// Hears of the era from the others, and is handed what they know more.
     fn hear_others(&mut self, index: usize) {
         let era = self.gateways.iter().map(|gateway| gateway.known_era).max().unwrap_or_default();
@@ -350,23 +241,7 @@
         }
         let known_at = self.gateways[index].knowledge.endpoints_at();
         let handover = self.gateways[other].knowledge.handover(0, known_at, instant);
-        let knowledge = &mut self.gateways[index].knowledge;
-        let floor = Revision::new(handover.endpoints_at.era, handover.era_floor);
-        knowledge.begin_era(floor, instant);
-        let listed: HashSet<String> = handover.listed.into_iter().collect();
-        for known in handover.endpoints {
-            if !knowledge.is_missing_at(&known.endpoint.id, known.revision) {
-                knowledge.apply_endpoint(known.endpoint, known.revision);
-            }
-        }
-        knowledge.hear_left(handover.left, instant);
-        for (id, missing_for) in &handover.missing {
-            knowledge.hear_missing(id, *missing_for, instant);
-        }
-        for id in knowledge.unlisted(&listed) {
-            knowledge.remove_endpoint(&id, instant);
-        }
-        knowledge.advance(handover.endpoints_at);
+        self.gateways[index].take_handover(handover, instant);
         self.gateways[index].behind_since = None;
     }
 
--- /dev/null
+++ b/crates/routing/tests/knowledge_eras/gateway.rs
@@ -0,0 +1,143 @@
+//! A gateway of the fleet: what it makes of answers and handovers.
+
+use crate::store::{Answer, Change};
+use sorrellock_routing::process::knowledge::{Handover, Knowledge};
+use sorrellock_routing::process::{ChangeCount, Endpoint, Revision, StoreEra};
+use std::collections::{BTreeSet, HashSet};
+use std::time::{Duration, Instant};
+
+/// An answer on its way.
+pub struct OnTheWay {
+    pub comes: u64,
+    pub asked_after: Option<Revision>,
+    pub at: Revision,
+    pub answer: Answer,
+}
+
+/// A gateway.
+pub struct Gateway {
+    pub knowledge: Knowledge,
+    pub known_era: StoreEra,
+    /// Where it watches on from; none: it lists first.
+    pub at: Option<Revision>,
+    pub next_call: u64,
+    pub on_the_way: Vec<OnTheWay>,
+    /// Since when another one knows more.
+    pub behind_since: Option<u64>,
+    pub cut_until: u64,
+    /// Endpoints that it has known.
+    pub known: BTreeSet<String>,
+    /// Those of them that it has known to leave or to be gone, and that never came back.
+    pub known_left: BTreeSet<String>,
+}
+
+impl Gateway {
+    pub fn new() -> Gateway {
+        Gateway {
+            knowledge: Knowledge::new(Duration::from_secs(2)),
+            known_era: 0,
+            at: None,
+            next_call: 0,
+            on_the_way: Vec::new(),
+            behind_since: None,
+            cut_until: 0,
+            known: BTreeSet::new(),
+            known_left: BTreeSet::new(),
+        }
+    }
+
+    /// Takes an answer of the store. An endpoint whose entry is missing is asked whether it `leaves`.
+    pub fn take_answer(&mut self, one: OnTheWay, leaves: impl Fn(&str) -> bool, now: Instant) {
+        let OnTheWay { asked_after, at, answer, .. } = one;
+        if at.era < self.known_era {
+            return;
+        }
+        self.known_era = at.era;
+        if asked_after.is_some_and(|after| after.era != at.era) {
+            self.at = None;
+            return;
+        }
+        match answer {
+            Answer::Gone => self.at = None,
+            Answer::List(entries) => self.take_list(entries, at, leaves, now),
+            Answer::Changes(changes) => self.take_changes(changes, at, leaves, now),
+        }
+    }
+
+    fn take_list(
+        &mut self,
+        entries: Vec<(Endpoint, ChangeCount)>,
+        at: Revision,
+        leaves: impl Fn(&str) -> bool,
+        now: Instant,
+    ) {
+        self.go_on_from(at);
+        let knowledge = &mut self.knowledge;
+        if at <= knowledge.endpoints_at() {
+            return;
+        }
+        knowledge.begin_era(at, now);
+        let listed: HashSet<String> = entries.iter().map(|(one, _)| one.id.clone()).collect();
+        for (endpoint, count) in entries {
+            knowledge.apply_endpoint(endpoint, Revision::new(at.era, count));
+        }
+        for id in knowledge.mark_unlisted(&listed, now) {
+            if leaves(&id) {
+                knowledge.remove_endpoint(&id, now);
+            }
+        }
+        knowledge.advance(at);
+    }
+
+    fn take_changes(
+        &mut self,
+        changes: Vec<Change>,
+        at: Revision,
+        leaves: impl Fn(&str) -> bool,
+        now: Instant,
+    ) {
+        self.go_on_from(at);
+        let knowledge = &mut self.knowledge;
+        for Change { id, entry, count } in changes {
+            let revision = Revision::new(at.era, count);
+            if revision <= knowledge.endpoints_at() {
+                continue;
+            }
+            match entry {
+                Some(endpoint) => {
+                    knowledge.apply_endpoint(endpoint, revision);
+                }
+                None if knowledge.mark_missing(&id, now) && !leaves(&id) => {}
+                None => {
+                    knowledge.remove_endpoint(&id, now);
+                }
+            }
+        }
+        knowledge.advance(at);
+    }
+
+    fn go_on_from(&mut self, at: Revision) {
+        self.at = Some(at.max(self.at.unwrap_or_default()));
+    }
+
+    /// Takes what another gateway knows more.
+    pub fn take_handover(&mut self, handover: Handover, now: Instant) {
+        let knowledge = &mut self.knowledge;
+        let floor = Revision::new(handover.endpoints_at.era, handover.era_floor);
+        knowledge.begin_era(floor, now);
+        let listed: HashSet<String> = handover.listed.into_iter().collect();
+        for known in handover.endpoints {
+            if !knowledge.is_missing_at(&known.endpoint.id, known.revision) {
+                knowledge.apply_endpoint(known.endpoint, known.revision);
+            }
+        }
+        knowledge.hear_left(handover.left, now);
+        for (id, missing_for) in &handover.missing {
+            knowledge.hear_missing(id, *missing_for, now);
+        }
+        for id in knowledge.unlisted(&listed) {
+            knowledge.remove_endpoint(&id, now);
+        }
+        knowledge.advance(handover.endpoints_at);
+    }
+}
--- a/crates/routing/tests/knowledge_eras/main.rs
+++ b/crates/routing/tests/knowledge_eras/main.rs
@@ -4,4 +4,5 @@
 mod fleet;
 mod focused;
 mod fuzz;
+mod gateway;
 mod store;
