Messages between gateways bear their format; one that can't be read is told once of each sender

What operators saw: during an upgrade gateways of both versions counted each other's messages as bad, without a word of who sent them. The tests' pages of a gateway (metrics, dump) have one reader.

--- a/crates/daemon/tests/gateway/entries.rs
+++ b/crates/daemon/tests/gateway/entries.rs
@@ -24,23 +24,6 @@
     entry
 }
 
-fn metric(gateway: &GatewayProcess, name: &str) -> f64 {
-    let page = page(gateway, "metrics");
-    let line = page.lines().find(|line| line.split(' ').next() == Some(name));
-    let value = line.and_then(|line| line.split(' ').nth(1)).expect("the metric is on the page");
-    value.parse().expect("a number")
-}
-
-fn page(gateway: &GatewayProcess, name: &str) -> String {
-    let url = format!("http://{}/{name}", gateway.metrics());
-    let mut answer = ureq::get(url).call().expect("the page");
-    answer.body_mut().read_to_string().expect("text")
-}
-
-fn dump(gateway: &GatewayProcess) -> Value {
-    serde_json::from_str(&page(gateway, "dump")).expect("the dump is JSON")
-}
-
 #[test]
 fn bad_entries_in_the_list_at_the_start_cost_no_other_entry() {
     let fleet = fleet();
@@ -209,7 +192,7 @@
         fleet.store.put("servers", name, entry);
     };
     let is_refused = || {
-        let dump = dump(&gateway);
+        let dump = gateway.dump();
         let refused = dump["refused_entries"].as_array().expect("a list").iter();
         refused.filter(|entry| entry["id"] == "startless").count() == 1
     };
@@ -265,7 +248,7 @@
         second.wait_for_line(&["\"registration of a gateway refused\"", name]);
     }
     assert!(second.lines(&["\"gateways not read from the store\""]).is_empty());
-    assert_eq!(metric(&second, "sorrellock_registrations_refused"), 2.0);
+    assert_eq!(second.metric("sorrellock_registrations_refused"), 2.0);
 }
 
 #[test]
@@ -325,7 +308,7 @@
         entry["slots"] = slots.into();
         fleet.store.put("servers", "long", entry);
         wait_for("the entry to be read", || {
-            metric(&gateway, "sorrellock_entries_malformed") >= f64::from(slots)
+            gateway.metric("sorrellock_entries_malformed") >= f64::from(slots)
         });
     }
 
@@ -342,7 +325,7 @@
     let (_, mut body) = begin(gateway.callers(), "/match/a", &new_request(), Some(KEY));
     body.read_exact(&mut [0; 8]).expect("the first event");
 
-    let dump = dump(&gateway);
+    let dump = gateway.dump();
 
     assert_eq!(dump["config_version"], 1);
     assert_eq!(dump["phase"], "running");
--- a/crates/daemon/tests/gateway/eras.rs
+++ b/crates/daemon/tests/gateway/eras.rs
@@ -42,20 +42,15 @@
     });
 }
 
-fn dump(gateway: &GatewayProcess) -> Value {
-    let mut answer = ureq::get(format!("http://{}/dump", gateway.metrics())).call().expect("it");
-    serde_json::from_str(&answer.body_mut().read_to_string().expect("text")).expect("JSON")
-}
-
 /// An endpoint as a gateway knows it.
 fn endpoint(gateway: &GatewayProcess, id: &str) -> Option<Value> {
-    let dump = dump(gateway);
+    let dump = gateway.dump();
     dump["endpoints"].as_array()?.iter().find(|one| one["id"] == id).cloned()
 }
 
 /// Waits until a gateway has listed the endpoints in the store's new era.
 fn wait_for_list(gateway: &GatewayProcess, era: u64) {
-    wait_for("the list of the new era", || dump(gateway)["endpoints_era"] == era);
+    wait_for("the list of the new era", || gateway.dump()["endpoints_era"] == era);
 }
 
 /// A copy from before an engine left without a word, as the gateway knows. It doesn't leave after all.
--- a/crates/daemon/tests/gateway/gateway_process.rs
+++ b/crates/daemon/tests/gateway/gateway_process.rs
@@ -2,6 +2,7 @@
 
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
+use serde_json::Value;
 pub use sorrellock_stand_ins::settings;
 use sorrellock_stand_ins::{CALLERS_PORT, METRICS_PORT, READINESS_PORT};
 use std::fs;
@@ -116,6 +117,26 @@
         SocketAddr::new(self.ip, METRICS_PORT)
     }
 
+    /// A page beside its metrics.
+    pub fn page(&self, name: &str) -> String {
+        let url = format!("http://{}/{name}", self.metrics());
+        let mut answer = ureq::get(url).call().expect("the page");
+        answer.body_mut().read_to_string().expect("text")
+    }
+
+    /// Its state.
+    pub fn dump(&self) -> Value {
+        serde_json::from_str(&self.page("dump")).expect("the dump is JSON")
+    }
+
+    /// A figure of its metrics page.
+    pub fn metric(&self, name: &str) -> f64 {
+        let page = self.page("metrics");
+        let line = page.lines().find(|line| line.split(' ').next() == Some(name));
+        let value = line.and_then(|line| line.split(' ').nth(1));
+        value.expect("the metric is on the page").parse().expect("a number")
+    }
+
     /// Whether it says that it is ready.
     pub fn is_ready(&self) -> bool {
         let url = format!("http://{}:{READINESS_PORT}/v1/readiness", self.ip);
--- a/crates/daemon/tests/gateway/knowledge.rs
+++ b/crates/daemon/tests/gateway/knowledge.rs
@@ -3,7 +3,8 @@
 use crate::fleet::{Fleet, KEY, config, fleet, new_request, send};
 use crate::gateway_process::{GatewayProcess, wait_for};
 use serde_json::json;
-use sorrellock_stand_ins::{FakeEngine, FakeProxy, ProxyMode, StoreMode, new_ip};
+use sorrellock_stand_ins::{FakeEngine, FakeProxy, PEER_PORT, ProxyMode, StoreMode, new_ip};
+use std::net::UdpSocket;
 
 /// A second gateway that has heard of the first, with a proxy before its store.
 fn second_behind_proxy(fleet: &Fleet) -> (GatewayProcess, FakeProxy) {
@@ -60,6 +61,25 @@
     assert_eq!(answer.status, 200);
 }
 
+#[test]
+fn messages_of_a_gateway_of_another_version_are_told_once_and_counted() {
+    let fleet = fleet();
+    let gateway = fleet.gateway("one");
+    let to = (gateway.ip(), PEER_PORT);
+    let sender = UdpSocket::bind((new_ip(), 0)).expect("a socket");
+    let from = sender.local_addr().expect("an address").to_string();
+
+    for _ in 0..3 {
+        sender.send_to(&[0xfe, 1, 2, 3], to).expect("it is sent");
+    }
+
+    let told = ["\"message of a gateway can't be read\"", &from, "Format(254)"];
+    gateway.wait_for_line(&told);
+    wait_for("the count", || gateway.metric("sorrellock_peer_messages_bad") == 3.0);
+    assert_eq!(gateway.lines(&told).len(), 1);
+    assert_eq!(send(gateway.callers(), "/status/a", &new_request(), Some(KEY)).status, 200);
+}
+
 #[test]
 fn the_log_tells_what_the_choice_of_an_endpoint_rested_on() {
     let fleet = fleet();
--- a/crates/gateway/src/process/peers/peer_message.rs
+++ b/crates/gateway/src/process/peers/peer_message.rs
@@ -5,6 +5,18 @@
     Incarnation, Known, LayerRange, Revision, StartMillis, StoreEra,
 };
 
+/// The format of messages; another one can't be read. It rises with each change of what they hold.
+const FORMAT: u8 = 1;
+
+/// Why a message can't be read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Unreadable {
+    /// Its sender is of a version with another format.
+    Format(u8),
+    /// It is no message.
+    Malformed,
+}
+
 /// What a gateway tells all others, several times a second. The newest one replaces those before.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(crate) struct PeerMessage {
@@ -42,6 +54,22 @@
     pub(crate) lead: Option<LeadView>,
 }
 
+impl PeerMessage {
+    /// As it is sent: the format first.
+    pub(crate) fn encode(&self) -> Result<Vec<u8>, postcard::Error> {
+        postcard::to_extend(self, vec![FORMAT])
+    }
+
+    /// Reads a message.
+    pub(crate) fn decode(buf: &[u8]) -> Result<PeerMessage, Unreadable> {
+        let (format, message) = buf.split_first().ok_or(Unreadable::Malformed)?;
+        if *format != FORMAT {
+            return Err(Unreadable::Format(*format));
+        }
+        postcard::from_bytes(message).map_err(|_| Unreadable::Malformed)
+    }
+}
+
 /// A life of an endpoint that is over, and the one that was found in its place.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(crate) struct EndedLife {
--- a/crates/gateway/src/process/peers/peers.rs
+++ b/crates/gateway/src/process/peers/peers.rs
@@ -1,7 +1,7 @@
 //! Talks with the other gateways: loads, suspicions, what the lead knows, and what the store has
 //! told to others first.
 
-use crate::process::{Count, Gateway, HeadLoad, LeadView, Load, Peer, PeerMessage};
+use crate::process::{Count, Gateway, HeadLoad, LeadView, Load, Peer, PeerMessage, Unreadable};
 use sorrellock_platform::Kind;
 use sorrellock_routing::process::{Incarnation, NewsSources};
 use spdlog::{info, warn};
@@ -23,6 +23,8 @@
 const TELL_INTERVAL_MOST: Duration = Duration::from_millis(250);
 /// How often the lead tells all that it knows where nothing changed, for those that missed it.
 const VIEW_INTERVAL: Duration = Duration::from_millis(700);
+/// The most senders of which it is remembered that the log told of them: more than a fleet has gateways.
+const MAX_TOLD_UNREADABLE: usize = 1_024;
 /// Largest datagram.
 const MAX_DATAGRAM: usize = 60_000;
 
@@ -39,6 +41,8 @@
     pub(super) own_view: Rc<RefCell<Option<LeadView>>>,
     /// Whom to ask for what the others know.
     pub(super) sources: RefCell<NewsSources>,
+    /// Senders of which the log told that their messages can't be read.
+    told_unreadable: RefCell<HashSet<SocketAddr>>,
 }
 
 impl Peers {
@@ -55,6 +59,7 @@
             registered: RefCell::default(),
             own_view,
             sources: RefCell::default(),
+            told_unreadable: RefCell::default(),
         }
     }
 
@@ -73,7 +78,7 @@
 
     fn tell_once(&self) {
         let message = self.message();
-        let Ok(buf) = postcard::to_stdvec(&message) else { return };
+        let Ok(buf) = message.encode() else { return };
         for addr in self.targets() {
             // A lost message is made up for by the next one.
             let _ = self.socket.try_send_to(&buf, addr);
@@ -168,12 +173,25 @@
     }
 
     fn on_datagram(&self, buf: &[u8], from: SocketAddr) {
-        let Ok(message) = postcard::from_bytes::<PeerMessage>(buf) else {
-            self.gateway.counters.add(Count::PeerMessagesBad);
-            return;
-        };
-        self.gateway.counters.add(Count::PeerMessages);
-        self.on_message(message, from);
+        match PeerMessage::decode(buf) {
+            Ok(message) => {
+                self.gateway.counters.add(Count::PeerMessages);
+                self.on_message(message, from);
+            }
+            Err(unreadable) => self.on_unreadable(unreadable, from),
+        }
+    }
+
+    /// During an upgrade gateways of other versions are there: it is told once of each.
+    fn on_unreadable(&self, unreadable: Unreadable, from: SocketAddr) {
+        self.gateway.counters.add(Count::PeerMessagesBad);
+        let mut told = self.told_unreadable.borrow_mut();
+        if told.len() < MAX_TOLD_UNREADABLE && told.insert(from) {
+            let from = from.to_string();
+            warn!("message of a gateway can't be read", kv: {
+                from = from.as_str(), why:? = unreadable
+            });
+        }
     }
 
     fn on_message(&self, message: PeerMessage, from: SocketAddr) {
