Streams report what the doubt of their run rests on, and suspicions who raised them

'stream lost its run' has the evidence (connection, suspicion, silence), how each engine of the path is judged, by whom and for how long, the age of the run, whether another path and the retry budget could take it, and the configuration admitted under and in force. A suspected endpoint that gives a sign of life is logged once with the source and age of the suspicion. Four counters: runs_broken, runs_suspected, runs_silent, suspicions_refuted. The reasons are a type (RunFault) in place of strings of which one was recognised by its prefix.

--- a/crates/gateway/src/process/counters.rs
+++ b/crates/gateway/src/process/counters.rs
@@ -52,6 +52,14 @@
     Resumed => "resumed",
     /// Streams that their first engine moved to another path.
     Repathed => "repathed",
+    /// Runs of streams that ended with their engine's connection.
+    RunsBroken => "runs_broken",
+    /// Runs of streams that were doubted, as an engine of their path was taken to be dead.
+    RunsSuspected => "runs_suspected",
+    /// Runs of streams that were doubted, as no event came.
+    RunsSilent => "runs_silent",
+    /// Suspected endpoints that gave a sign of life while the suspicion held.
+    SuspicionsRefuted => "suspicions_refuted",
     /// Attempts that an endpoint refused as not run.
     AttemptsNotRun => "attempts_not_run",
     /// Attempts that brought no answer.
--- a/crates/gateway/src/process/gateway.rs
+++ b/crates/gateway/src/process/gateway.rs
@@ -1,6 +1,8 @@
 //! What all parts of a gateway share.
 
-use crate::process::{Beliefs, Counters, PathBook, Pool, SUSPECT_FOR, StoreHeard, ToldFaults};
+use crate::process::{
+    Beliefs, Count, Counters, PathBook, Pool, SUSPECT_FOR, StoreHeard, ToldFaults,
+};
 use sorrellock_core::clock::SystemClock;
 use sorrellock_core::process::retries::Breakers;
 use sorrellock_platform::{Bounds, Client, EndpointLoad, Kind, Settings, StoreEras};
@@ -261,13 +263,40 @@
         warn!("endpoint suspected", kv: {
             endpoint = life.id.as_str(), why = "another gateway told", instance
         });
-        self.beliefs.borrow_mut().hear_suspect(life, now, SUSPECT_FOR);
+        self.beliefs.borrow_mut().hear_suspect(life, instance, now, SUSPECT_FOR);
         self.refresh_paths();
         for live in &quiet {
             live.break_up();
         }
     }
 
+    /// An endpoint gave a sign of life: a suspicion of it was wrong, or is out of date.
+    pub(crate) fn note_alive(&self, life: &Incarnation, sign: &str) {
+        let now = Instant::now();
+        let Some(suspicion) = self.beliefs.borrow_mut().refute(life, now) else { return };
+        self.counters.add(Count::SuspicionsRefuted);
+        let source = suspicion.source.to_string();
+        info!("suspected endpoint is alive", kv: {
+            endpoint = life.id.as_str(), sign, source = source.as_str(),
+            after_ms = (now - suspicion.since).as_millis() as u64
+        });
+    }
+
+    /// Why an endpoint is taken to be dead, and by whom; none while it is not. For log lines.
+    pub(crate) fn judgement(&self, life: &Incarnation) -> Option<String> {
+        let now = Instant::now();
+        if self.has_ended(life) || self.lives.borrow().is_over(life) {
+            return Some("ended".to_owned());
+        }
+        let beliefs = self.beliefs.borrow();
+        if let Some(suspicion) = beliefs.suspicion(life, now) {
+            let ms = (now - suspicion.since).as_millis();
+            return Some(format!("suspected by {} for {ms} ms", suspicion.source));
+        }
+        let is_dead = beliefs.engine(life, now).is_some_and(|engine| engine.is_dead);
+        is_dead.then(|| "dead by the lead".to_owned())
+    }
+
     /// The client for questions to an endpoint in one life. Its connections are kept: new ones are priced.
     pub(crate) fn probe(&self, life: &Incarnation, addr: SocketAddr) -> Client {
         let mut probes = self.probes.borrow_mut();
--- a/crates/gateway/src/process/peers/beliefs.rs
+++ b/crates/gateway/src/process/peers/beliefs.rs
@@ -6,6 +6,7 @@
 use sorrellock_platform::Kind;
 use sorrellock_routing::process::{Incarnation, Revision};
 use std::collections::HashMap;
+use std::fmt;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -69,12 +70,43 @@
     is_own: bool,
 }
 
+/// Who found that an endpoint failed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum SuspicionSource {
+    /// This gateway.
+    Own,
+    /// Another gateway, by instance.
+    Gateway(String),
+}
+
+impl fmt::Display for SuspicionSource {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            SuspicionSource::Own => f.write_str("this gateway"),
+            SuspicionSource::Gateway(instance) => f.write_str(instance),
+        }
+    }
+}
+
 /// An endpoint that failed.
-struct Suspect {
+#[derive(Clone, Debug)]
+pub(crate) struct Suspicion {
+    pub(crate) since: Instant,
     /// It gets nothing new until then.
     until: Instant,
-    /// It failed this gateway itself.
-    is_own: bool,
+    pub(crate) source: SuspicionSource,
+    /// The endpoint has answered since.
+    is_refuted: bool,
+}
+
+impl Suspicion {
+    fn new(source: SuspicionSource, now: Instant, lasts: Duration) -> Suspicion {
+        Suspicion { since: now, until: now + lasts, source, is_refuted: false }
+    }
+
+    fn is_own(&self) -> bool {
+        self.source == SuspicionSource::Own
+    }
 }
 
 /// What a gateway believes beyond what the store tells.
@@ -85,7 +117,7 @@
     /// Gateways that the store tells of, this one included.
     pub(crate) registered: usize,
     /// Endpoints that failed.
-    suspects: HashMap<Incarnation, Suspect>,
+    suspects: HashMap<Incarnation, Suspicion>,
     /// Endpoints that told themselves that they take nothing more, and until when that is believed
     /// without an entry that says so.
     leaving: HashMap<Incarnation, Leaving>,
@@ -139,19 +171,43 @@
     /// An endpoint failed: it gets nothing new for a while. Tells whether that is news.
     pub(crate) fn suspect(&mut self, life: &Incarnation, now: Instant, lasts: Duration) -> bool {
         let is_news =
-            !self.suspects.get(life).is_some_and(|suspect| suspect.is_own && suspect.until > now);
-        self.suspects.insert(life.clone(), Suspect { until: now + lasts, is_own: true });
+            !self.suspects.get(life).is_some_and(|suspect| suspect.is_own() && suspect.until > now);
+        match self.suspects.get_mut(life).filter(|_| !is_news) {
+            Some(known) => known.until = now + lasts,
+            None => {
+                let suspicion = Suspicion::new(SuspicionSource::Own, now, lasts);
+                self.suspects.insert(life.clone(), suspicion);
+            }
+        }
         is_news
     }
 
     /// An endpoint failed another gateway, and does not serve this one either.
-    pub(crate) fn hear_suspect(&mut self, life: &Incarnation, now: Instant, lasts: Duration) {
+    pub(crate) fn hear_suspect(
+        &mut self,
+        life: &Incarnation,
+        instance: &str,
+        now: Instant,
+        lasts: Duration,
+    ) {
         if !self.is_suspect(life, now) {
-            let heard = Suspect { until: now + lasts, is_own: false };
-            self.suspects.insert(life.clone(), heard);
+            let source = SuspicionSource::Gateway(instance.to_owned());
+            self.suspects.insert(life.clone(), Suspicion::new(source, now, lasts));
         }
     }
 
+    /// The suspicion of an endpoint, if any holds.
+    pub(crate) fn suspicion(&self, life: &Incarnation, now: Instant) -> Option<&Suspicion> {
+        self.suspects.get(life).filter(|suspicion| suspicion.until > now)
+    }
+
+    /// A suspected endpoint gave a sign of life. The suspicion, if that is the first sign since.
+    pub(crate) fn refute(&mut self, life: &Incarnation, now: Instant) -> Option<Suspicion> {
+        let suspicion = self.suspects.get_mut(life).filter(|suspicion| suspicion.until > now)?;
+        let is_first = !std::mem::replace(&mut suspicion.is_refuted, true);
+        is_first.then(|| suspicion.clone())
+    }
+
     /// An endpoint told this gateway that it takes nothing more. Tells whether that is news.
     pub(crate) fn believe_leaving(&mut self, life: &Incarnation, now: Instant) -> bool {
         let is_news = !self.is_leaving(life, now);
@@ -181,14 +237,14 @@
 
     /// Whether an endpoint is suspected.
     pub(crate) fn is_suspect(&self, life: &Incarnation, now: Instant) -> bool {
-        self.suspects.get(life).is_some_and(|suspect| suspect.until > now)
+        self.suspicion(life, now).is_some()
     }
 
     /// The endpoints that failed this gateway itself: what others heard is theirs to pass on. Drops
     /// what is over.
     pub(crate) fn suspects_own(&mut self, now: Instant) -> Vec<Incarnation> {
         self.suspects.retain(|_, suspect| suspect.until > now);
-        let own = self.suspects.iter().filter(|(_, suspect)| suspect.is_own);
+        let own = self.suspects.iter().filter(|(_, suspect)| suspect.is_own());
         own.map(|(life, _)| life.clone()).collect()
     }
 
--- a/crates/gateway/src/process/store/lives.rs
+++ b/crates/gateway/src/process/store/lives.rs
@@ -106,7 +106,10 @@
             return AnswerOf::OtherLife;
         }
         match self.answer_news(&life.id, started, asked) {
-            AnswerNews::Present { .. } if started == life.started => AnswerOf::SameLife,
+            AnswerNews::Present { .. } if started == life.started => {
+                self.note_alive(life, "its report");
+                AnswerOf::SameLife
+            }
             AnswerNews::Present { .. } => AnswerOf::OtherLife,
             AnswerNews::Untold => {
                 self.counters.add(Count::ReportsWithoutStart);
--- a/crates/gateway/src/request/answer.rs
+++ b/crates/gateway/src/request/answer.rs
@@ -70,6 +70,7 @@
         body,
         rank: rank.unwrap_or(route.priority),
         route,
+        config_version: routes.version(),
         service,
         workspace,
         arrived,
--- a/crates/gateway/src/request/call.rs
+++ b/crates/gateway/src/request/call.rs
@@ -4,7 +4,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, Method, Uri};
 use sorrellock_platform::CallerHead;
-use sorrellock_routing::version::{Route, ServiceName, WorkspaceName};
+use sorrellock_routing::version::{ConfigVersion, Route, ServiceName, WorkspaceName};
 use spdlog::{Level, log, warn};
 use std::cell::Cell;
 use std::rc::Rc;
@@ -19,6 +19,8 @@
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
     pub(crate) route: Route,
+    /// The configuration that it was admitted under.
+    pub(crate) config_version: ConfigVersion,
     pub(crate) service: ServiceName,
     pub(crate) workspace: Option<WorkspaceName>,
     /// Rank, 0 first: the workspace's goes before the route's.
--- a/crates/gateway/src/request/relay/mend.rs
+++ b/crates/gateway/src/request/relay/mend.rs
@@ -1,10 +1,10 @@
 //! A stream that lost its run goes on in another one.
 
-use super::relay::{BROKE_OFF, CALLER_PATIENCE, OnPath, Relay, STREAM_SILENCE};
+use super::relay::{CALLER_PATIENCE, OnPath, Relay, STREAM_SILENCE};
 use super::repath::Repath;
 use crate::process::{Count, check_path};
-use crate::request::run::{NotBegun, begin};
-use sorrellock_routing::request::Evidence;
+use crate::request::run::{NotBegun, begin, has_other_path};
+use sorrellock_routing::request::{Evidence, FaultEvidence, RunFault};
 use spdlog::{info, warn};
 use std::rc::Rc;
 use std::time::Duration;
@@ -15,13 +15,10 @@
 
 impl Relay {
     /// The run is lost or stalls: goes on over another path. Whether the stream goes on.
-    pub(super) async fn lost(&mut self, why: &str) -> bool {
-        let broke_off = why.starts_with(BROKE_OFF);
-        let silent_ms = self.last_event.elapsed().as_millis() as u64;
-        let last = self.events.last();
-        warn!("stream lost its run", kv: {
-            request = self.call.id(), why, after:? = last, silent_ms, mends = self.mends
-        });
+    pub(super) async fn lost(&mut self, fault: RunFault) -> bool {
+        let broke_off = matches!(fault, RunFault::ConnectionBroke(_));
+        let why = &fault.to_string();
+        self.log_lost(&fault, why);
         let mut ended = None;
         // The engine stops its work when its connection closes.
         self.repath = Repath::default();
@@ -52,6 +49,34 @@
         self.mend(why).await
     }
 
+    /// Logs what the doubt of a run rests on, with what is known of its engines and of other paths.
+    fn log_lost(&self, fault: &RunFault, why: &str) {
+        let gateway = &self.gateway;
+        let evidence = fault.evidence();
+        gateway.counters.add(match evidence {
+            FaultEvidence::Connection => Count::RunsBroken,
+            FaultEvidence::Suspicion => Count::RunsSuspected,
+            FaultEvidence::Silence => Count::RunsSilent,
+        });
+        let live = self.run.as_ref().map(|run| &run.place.live);
+        let parts = live.into_iter().flat_map(|live| &live.path.parts);
+        let judged = parts.filter_map(|part| {
+            Some(format!("{}: {}", part.life.id, gateway.judgement(&part.life)?))
+        });
+        let engines = judged.collect::<Vec<_>>().join("; ");
+        let has_other =
+            live.is_some_and(|live| has_other_path(gateway, &self.call, &self.attempts, live));
+        let silent_ms = self.last_event.elapsed().as_millis() as u64;
+        let run_ms = self.run_began.elapsed().as_millis() as u64;
+        let config_in_force = gateway.knowledge.borrow().config_version();
+        warn!("stream lost its run", kv: {
+            request = self.call.id(), why, evidence:?, engines = engines.as_str(),
+            after:? = self.events.last(), silent_ms, run_ms, has_other,
+            may_repeat = gateway.may_repeat(&self.call.service),
+            config = self.call.config_version, config_in_force, mends = self.mends
+        });
+    }
+
     /// Tries to go on until the caller has lost patience.
     async fn mend(&mut self, why: &str) -> bool {
         let until = (self.last_event + CALLER_PATIENCE).max(Instant::now()).min(self.call.deadline);
--- a/crates/gateway/src/request/relay/relay.rs
+++ b/crates/gateway/src/request/relay/relay.rs
@@ -11,7 +11,7 @@
 use sorrellock_http::Part;
 use sorrellock_platform::OrderEnd;
 use sorrellock_routing::process::{PathPart, is_repair_overdue, is_repair_worth_waiting};
-use sorrellock_routing::request::{Attempts, EventError, EventParser};
+use sorrellock_routing::request::{Attempts, EventParser, RunFault};
 use spdlog::info;
 use std::rc::Rc;
 use std::time::Duration;
@@ -29,8 +29,9 @@
 const REPAIR_TICK: Duration = Duration::from_millis(50);
 /// How long callers bear a pause.
 pub(super) const CALLER_PATIENCE: Duration = Duration::from_secs(2);
-/// How the reason of a run begins that ended with its engine's connection.
-pub(super) const BROKE_OFF: &str = "the engine's connection broke";
+
+/// Why a stream without a run goes on elsewhere.
+const NO_RUN: &str = "no run is under way";
 
 /// One stream on its way to its caller.
 pub(crate) struct Relay {
@@ -115,11 +116,11 @@
             let goes_on = match self.next().await {
                 Next::Chunk(chunk) => self.pass_on(chunk).await,
                 Next::Ended if !self.events.has_partial() => return self.finish().await,
-                Next::Ended => self.lost("the engine ended within an event").await,
-                Next::Broke(why) => self.lost(&why).await,
+                Next::Ended => self.lost(RunFault::EndedWithinEvent).await,
+                Next::Broke(why) => self.lost(RunFault::ConnectionBroke(why)).await,
                 Next::Repathed(end) => self.on_repathed(end).await,
                 Next::PathGone => self.on_path_gone().await,
-                Next::Silent => self.lost("no event for too long").await,
+                Next::Silent => self.lost(RunFault::Silent).await,
                 Next::CallerGone => false,
                 Next::TimeOver => self.cut(Count::TimedOut, "its time is over"),
             };
@@ -133,7 +134,7 @@
         if self.on_path == OnPath::AwaitsRepair {
             return self.next_while_broken().await;
         }
-        let Some(run) = &mut self.run else { return Next::Broke("no run is under way".into()) };
+        let Some(run) = &mut self.run else { return Next::Broke(NO_RUN.to_owned()) };
         let live = Rc::clone(&run.place.live);
         let deadline = self.call.deadline;
         let quiet_since = self.last_event.max(self.run_began);
@@ -169,7 +170,7 @@
     /// What comes next while the path is broken: another path may begin at its first engine as soon
     /// as paths change.
     async fn next_while_broken(&mut self) -> Next {
-        let Some(run) = &mut self.run else { return Next::Broke("no run is under way".into()) };
+        let Some(run) = &mut self.run else { return Next::Broke(NO_RUN.to_owned()) };
         let freed = self.gateway.paths.borrow().freed();
         tokio::select! {
             biased;
@@ -200,13 +201,7 @@
             Ok(bytes) if bytes.is_empty() => true,
             // A caller that has gone is seen by the next look.
             Ok(bytes) => self.tx.send(Part::Data(bytes)).await.is_ok(),
-            Err(err) => {
-                let text = match err {
-                    EventError::Gap { last, found } => format!("event {found} came after {last}"),
-                    EventError::TooLarge => "an event is too large".to_owned(),
-                };
-                self.lost(&text).await
-            }
+            Err(err) => self.lost(RunFault::InvalidEvent(err)).await,
         }
     }
 
@@ -214,7 +209,9 @@
     /// they read only their own layers anew, and no further attempt is spent. Where no engine runs the
     /// lost layers yet, the run waits for them.
     async fn on_path_gone(&mut self) -> bool {
-        let Some(run) = &self.run else { return self.lost("no run is under way").await };
+        let Some(run) = &self.run else {
+            return self.lost(RunFault::ConnectionBroke(NO_RUN.to_owned())).await;
+        };
         let live = Rc::clone(&run.place.live);
         let now = Instant::now();
         let silent = now - self.last_event;
@@ -231,9 +228,7 @@
                 info!("stream waits for a repair", kv: { request = self.call.id(), silent_ms });
                 true
             }
-            LeaveBroken::NoPathYet | LeaveBroken::Lost => {
-                self.lost("an engine of the path is gone").await
-            }
+            LeaveBroken::NoPathYet | LeaveBroken::Lost => self.lost(RunFault::PathBroken).await,
         }
     }
 
@@ -272,7 +267,7 @@
         if !was_broken {
             return true;
         }
-        self.lost("an engine of the path is gone, and no other took its part").await
+        self.lost(RunFault::MoveFailed).await
     }
 
     async fn finish(mut self) {
@@ -304,7 +299,7 @@
 fn next_of_frame(frame: Option<Result<hyper::body::Frame<Bytes>, hyper::Error>>) -> Next {
     match frame {
         None => Next::Ended,
-        Some(Err(err)) => Next::Broke(format!("{BROKE_OFF}: {err}")),
+        Some(Err(err)) => Next::Broke(err.to_string()),
         Some(Ok(frame)) => Next::Chunk(frame.into_data().unwrap_or_default()),
     }
 }
--- a/crates/routing/src/request/event_parser.rs
+++ b/crates/routing/src/request/event_parser.rs
@@ -1,6 +1,7 @@
 //! Divides a stream into whole events and keeps them in order over two runs.
 
 use bytes::{Bytes, BytesMut};
+use std::fmt;
 
 /// Largest event, in bytes.
 const MAX_EVENT_BYTES: usize = 256 << 10;
@@ -19,6 +20,17 @@
     TooLarge,
 }
 
+impl fmt::Display for EventError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            EventError::Gap { last, found } => write!(f, "event {found} came after {last}"),
+            EventError::TooLarge => f.write_str("an event is too large"),
+        }
+    }
+}
+
+impl std::error::Error for EventError {}
+
 /// Divides a stream into whole events. Events that were passed on already are dropped.
 #[derive(Debug, Default)]
 pub struct EventParser {
