Failing tests: streams over an engine that pauses are truncated where no retry is left

Symptom: callers lost streams in mid-answer around new configurations, with no fault injected, by several gateways at one engine.

--- a/crates/daemon/tests/gateway/main.rs
+++ b/crates/daemon/tests/gateway/main.rs
@@ -8,6 +8,7 @@
 mod leaving;
 mod life;
 mod lives;
+mod pauses;
 mod plain_calls;
 mod silence;
 mod soak;
--- /dev/null
+++ b/crates/daemon/tests/gateway/pauses.rs
@@ -0,0 +1,81 @@
+//! Engines that pause under streams, and go on as if nothing had been.
+//!
+//! Symptom: around new versions of the configuration, with no fault injected, callers lost streams in mid-answer.
+//! Sixteen in one run, by several gateways, at one engine that went on serving.
+
+use crate::fleet::{Answer, EVENTS, Fleet, KEY, fleet, new_request, send, whole_stream};
+use crate::gateway_process::{GatewayProcess, wait_for};
+use sorrellock_stand_ins::FakeEngine;
+use std::thread::{self, JoinHandle};
+use std::time::Duration;
+
+/// Longer than a gateway waits for an engine's report before it suspects the engine, and shorter than callers wait for
+/// an event.
+const PAUSE: Duration = Duration::from_millis(600);
+
+/// Takes the retry budget from a gateway: no request is sent a second time.
+fn without_retry_budget(gateway: &GatewayProcess) {
+    gateway.change_settings(|text| {
+        text.replace("budget_slack = 200", "budget_slack = 0")
+            .replace("retry_budget_ratio = 0.2", "retry_budget_ratio = 0.0")
+    });
+    gateway.wait_for_line(&["\"bounds changed\""]);
+}
+
+/// Streams of several callers, each with its request id.
+fn start_streams(gateway: &GatewayProcess, streams: usize) -> Vec<(String, JoinHandle<Answer>)> {
+    let to = gateway.callers();
+    let start = |_| {
+        let request = new_request();
+        let sent = request.clone();
+        (request, thread::spawn(move || send(to, "/match/a", &sent, Some(KEY))))
+    };
+    (0..streams).map(start).collect()
+}
+
+/// The engine that runs most of these streams, once all have begun.
+fn busiest<'a>(fleet: &'a Fleet, streams: &[(String, JoinHandle<Answer>)]) -> &'a FakeEngine {
+    wait_for("the streams to begin", || streams.iter().all(|(id, _)| fleet.runs(id) > 0));
+    let runs = |engine: &&FakeEngine| engine.seen().runs.len();
+    fleet.engines.iter().max_by_key(runs).expect("there are engines")
+}
+
+fn pause(engine: &FakeEngine, lasts: Duration) {
+    engine.set_paused(true);
+    thread::sleep(lasts);
+    engine.set_paused(false);
+}
+
+/// Tells which streams were truncated.
+fn truncated(streams: Vec<(String, JoinHandle<Answer>)>) -> Vec<String> {
+    let answers = streams.into_iter().map(|(id, thread)| (id, thread.join().expect("an answer")));
+    let is_whole =
+        |answer: &Answer| answer.status == 200 && answer.is_whole && answer.body == whole_stream();
+    answers.filter(|(_, answer)| !is_whole(answer)).map(|(id, _)| id).collect()
+}
+
+#[test]
+fn streams_over_an_engine_that_pauses_come_whole_where_no_retry_is_left() {
+    let fleet = fleet();
+    let gateway = fleet.gateway("one");
+    without_retry_budget(&gateway);
+    let streams = start_streams(&gateway, 16);
+    let ids: Vec<String> = streams.iter().map(|(id, _)| id.clone()).collect();
+
+    pause(busiest(&fleet, &streams), PAUSE);
+
+    assert_eq!(truncated(streams), Vec::<String>::new(), "of {EVENTS} events each");
+    assert!(ids.iter().all(|id| fleet.runs(id) == 1), "a retry was sent without budget");
+}
+
+#[test]
+fn a_suspicion_of_another_gateway_truncates_no_stream() {
+    let fleet = fleet();
+    let gateways = ["one", "two", "three"].map(|name| fleet.gateway(name));
+    gateways.iter().for_each(without_retry_budget);
+    let streams: Vec<_> = gateways.iter().flat_map(|one| start_streams(one, 8)).collect();
+
+    pause(busiest(&fleet, &streams), PAUSE);
+
+    assert_eq!(truncated(streams), Vec::<String>::new(), "of {EVENTS} events each");
+}
