Test of keys under failures: no answer is left to be lost once all is well

The test has a service lose its next three answers, and takes it for granted that calls use them up within 700 ms; on a busy machine one was left for the call that is to be done, whose outcome is then unknown for good, as it should be. Shown: with one answer left to be lost on purpose the test fails with the same words. What is left is now taken back before the calls that must be done. The checks are as strict as before.

--- a/crates/daemon/tests/processes/run_once.rs
+++ b/crates/daemon/tests/processes/run_once.rs
@@ -163,6 +163,12 @@
     thread::sleep(Duration::from_millis(700));
 }
 
+/// Ends what a slow machine has not used up by now: an answer that is still to be lost would be that of a later call.
+fn calm(fleet: &Fleet) {
+    fleet.platform.lose_answers(0);
+    fleet.services.iter().for_each(|service| service.lose_answers(0));
+}
+
 #[test]
 fn each_key_runs_at_most_once_while_holders_die_and_stop() {
     let fleet = start();
@@ -177,6 +183,7 @@
         callers.into_iter().flat_map(|caller| caller.join().unwrap()).collect()
     });
 
+    calm(&fleet);
     all.extend((0..fleet.callers.len()).map(|entry| call_when_well(&fleet, entry)));
 
     let runs = |key: &str| fleet.services.iter().map(|service| service.record().runs_of(key)).sum();
