Failing tests: an attempt is abandoned before its first event though no other one has begun

What callers saw: 502 for a stream 0.6 to 1.4 s after it was sent, while its engine was about to answer. The gateway closed the attempt's connection for patience or for one engine that did not answer a report within 180 ms, then found that the retry budget was spent, that no other path was there, that the route allows no second run, or that the second engine was as late.

The stand-in engine can delay its first event; the fleet can put proxies before its engines.

--- a/crates/daemon/tests/gateway/fleet.rs
+++ b/crates/daemon/tests/gateway/fleet.rs
@@ -1,7 +1,7 @@
 //! A small fleet: a store, four engines in two data centres, a plain service.
 
 use crate::gateway_process::{GatewayProcess, wait_for};
-use sorrellock_stand_ins::{EngineConfig, FakeEngine, FakeService, FakeStore, new_ip};
+use sorrellock_stand_ins::{EngineConfig, FakeEngine, FakeProxy, FakeService, FakeStore, new_ip};
 pub use sorrellock_stand_ins::{HOST, KEY, LAYERS, configuration as config};
 use std::io::Read;
 use std::net::SocketAddr;
@@ -76,6 +76,16 @@
         self.engines.push(engine(index, data_centre, &self.store));
     }
 
+    /// Puts a proxy before each engine. Its index is that of the engine.
+    pub fn add_proxies(&self) -> Vec<FakeProxy> {
+        let add_proxy = |engine: &FakeEngine| {
+            let proxy = FakeProxy::start(new_ip(), engine.addr()).expect("a proxy");
+            engine.tell_addr(proxy.addr());
+            proxy
+        };
+        self.engines.iter().map(add_proxy).collect()
+    }
+
     /// Starts a gateway, and waits until both data centres hold the model.
     pub fn gateway(&self, instance: &str) -> GatewayProcess {
         let gateway = GatewayProcess::start(instance, "north", self.store.addr());
--- a/crates/daemon/tests/gateway/gateway_process.rs
+++ b/crates/daemon/tests/gateway/gateway_process.rs
@@ -97,6 +97,15 @@
         fs::write(&self.settings, change(&text)).expect("the settings file");
     }
 
+    /// Sets the retry budget to zero, and waits until that is in force.
+    pub fn disable_retries(&self) {
+        self.change_settings(|text| {
+            text.replace("budget_slack = 200", "budget_slack = 0")
+                .replace("retry_budget_ratio = 0.2", "retry_budget_ratio = 0.0")
+        });
+        self.wait_for_line(&["\"bounds changed\""]);
+    }
+
     /// Where callers connect.
     pub fn callers(&self) -> SocketAddr {
         SocketAddr::new(self.ip, CALLERS_PORT)
--- a/crates/daemon/tests/gateway/main.rs
+++ b/crates/daemon/tests/gateway/main.rs
@@ -2,6 +2,7 @@
 
 mod entries;
 mod eras;
+mod first_event;
 mod fleet;
 mod gateway_process;
 mod knowledge;
