Failing tests: a slow call is abandoned for patience where no other attempt follows or helps

What callers saw: 502 for a call that may run twice, 0.5 s after it was sent and with 19 s left, while its endpoint was about to answer. The attempt was closed at the route's target latency as the route allows a second one; then there was no other endpoint, no retry budget, or the second endpoint refused it or lost its answer.

--- a/crates/daemon/tests/gateway/main.rs
+++ b/crates/daemon/tests/gateway/main.rs
@@ -9,6 +9,7 @@
 mod leaving;
 mod life;
 mod lives;
+mod plain_attempts;
 mod plain_calls;
 mod silence;
 mod soak;
