Failing test: an endpoint that closes an idle connection is suspected, and the call on it refused

What callers saw: 503 for a call though its endpoint was well, and an endpoint without work for a second at every gateway. A request on a kept connection that the endpoint has just closed comes back unsent; the gateway takes that for a failure of the endpoint. The later it reads the close, the likelier that is.

--- a/crates/daemon/tests/gateway/main.rs
+++ b/crates/daemon/tests/gateway/main.rs
@@ -5,6 +5,7 @@
 mod first_event;
 mod fleet;
 mod gateway_process;
+mod kept_connections;
 mod knowledge;
 mod leaving;
 mod life;
