Failing test: an engine that is full is taken for one that leaves

What callers saw: refusals for want of engines for ten seconds after a short overload. An engine that is full rejects the question for its health like any other request; the gateway takes any answer but 200 for the word that the engine leaves, and reports that to all gateways.

--- /dev/null
+++ b/crates/daemon/tests/gateway/full_endpoints.rs
@@ -0,0 +1,36 @@
+//! An endpoint that is full rejects the question for its health like any other request.
+//!
+//! What callers saw: refusals for want of engines for ten seconds after a short overload, while the engines were well and took work again.
+//!
+//! The order of events: an engine is full and refuses a request as not run. The gateway asks for its health; the engine rejects that question, too,
+//! and says that it has not run it. The gateway takes any answer but 200 for the word that the engine leaves. It reports that to all gateways,
+//! and the engine gets nothing new and no layers for ten seconds.
+//!
+//! The evidence: an endpoint that leaves answers its health question with 503 without saying that it was not run; one that is full says so.
+
+use crate::fleet::{KEY, fleet, new_request, send};
+use crate::gateway_process::wait_for;
+use sorrellock_stand_ins::EngineMode;
+use std::thread;
+use std::time::Duration;
+
+/// Longer than a path is avoided after a refusal, far shorter than an endpoint counts as leaving.
+const AFTER_REFUSAL: Duration = Duration::from_millis(1_500);
+
+#[test]
+fn engines_that_were_full_for_a_moment_are_used_again() {
+    let fleet = fleet();
+    let gateway = fleet.gateway("one");
+    fleet.engines.iter().for_each(|engine| engine.set_mode(EngineMode::Refuses));
+    let refused = send(gateway.callers(), "/match/a", &new_request(), Some(KEY));
+    assert_eq!(refused.status, 503);
+    let asked = || fleet.engines.iter().map(|engine| engine.seen().health_checks).sum::<u32>();
+    wait_for("two engines to be asked for their health", || asked() >= 2);
+
+    fleet.engines.iter().for_each(|engine| engine.set_mode(EngineMode::Serves));
+    thread::sleep(AFTER_REFUSAL);
+    let answer = send(gateway.callers(), "/match/a", &new_request(), Some(KEY));
+
+    assert_eq!(answer.status, 200, "{answer:?}");
+    assert_eq!(gateway.lines(&["\"endpoint told that it leaves\""]), Vec::<String>::new());
+}
--- a/crates/daemon/tests/gateway/main.rs
+++ b/crates/daemon/tests/gateway/main.rs
@@ -4,6 +4,7 @@
 mod eras;
 mod first_event;
 mod fleet;
+mod full_endpoints;
 mod gateway_process;
 mod kept_connections;
 mod knowledge;
