A slow call keeps its first attempt while a further one runs

What callers saw: 502 for a call that may run twice, 0.5 s after it was sent, though its endpoint answered after 1.2 s and the caller had 20 s.

Cause: the time of an attempt was fixed as it began, at the route's target latency or 40 % of the time left, as the route allowed a second attempt. Whether there was another endpoint or a retry left was looked at only after the first connection had been closed, and whether the second endpoint takes the call showed later still.

Change: an attempt has all the time that is left. Once overdue (after the same time as before), a further attempt begins beside it if there is an endpoint and a retry is paid; else it looks again every 100 ms. The first answer counts and the other attempt is closed. At most two run at once; each counts against the route's attempts and the retry budget as before. An overdue attempt that loses counts as a failure of its endpoint, as before; one that began later counts as nothing.

--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -8,9 +8,11 @@
 mod plain;
 mod relay;
 mod run;
+mod running_attempts;
 mod stream;
 
 pub(crate) use answer::*;
 pub(crate) use attempt::*;
 pub(crate) use call::*;
 pub(crate) use final_answer::*;
+pub(crate) use running_attempts::*;
--- a/crates/gateway/src/request/plain.rs
+++ b/crates/gateway/src/request/plain.rs
@@ -1,7 +1,10 @@
 //! Requests to plain services: one endpoint runs them whole.
 
 use crate::process::{Count, Gateway, check_refuser};
-use crate::request::{Begun, Call, Failed, Target, attempt, give_up, log_failed, pass_on};
+use crate::request::{
+    AttemptEvent, AttemptInfo, Begun, Call, Failed, RunningAttempts, Target, attempt, give_up,
+    log_failed, pass_on,
+};
 use bytes::Bytes;
 use http::Response;
 use http_body_util::{BodyExt, Limited};
@@ -9,7 +12,7 @@
 use sorrellock_http::{AnswerBody, Cut};
 use sorrellock_platform::read_answer_head;
 use sorrellock_routing::process::{Endpoint, Incarnation};
-use sorrellock_routing::request::{Attempts, Evidence};
+use sorrellock_routing::request::{Attempts, Evidence, overdue_after};
 use sorrellock_routing::version::Semantics;
 use spdlog::info;
 use std::rc::Rc;
@@ -20,10 +23,8 @@
 const MAX_ANSWER_BYTES: usize = 16 << 20;
 /// When to come back where no endpoint took the request.
 const RETRY_AFTER: Duration = Duration::from_millis(300);
-/// Share of the time left that an attempt gets while another may follow.
-const ATTEMPT_SHARE: f64 = 0.4;
-/// An attempt that another may follow gets at least this many times the endpoint's mean.
-const MEANS_OF_PATIENCE: f64 = 4.0;
+/// How often an overdue attempt looks for another endpoint, where there was none or no retry was left.
+const OVERDUE_TICK: Duration = Duration::from_millis(100);
 /// What a load told before is still worth: after this the endpoint's own queue has turned over.
 const LOAD_FRESH: Duration = Duration::from_millis(1_000);
 /// What each request there counts for an endpoint of another data centre, in requests.
@@ -34,52 +35,182 @@
     gateway: Rc<Gateway>,
     call: Call,
 ) -> Result<Response<AnswerBody>, Cut> {
-    let mut attempts = Attempts::new(call.route.semantics, call.route.max_attempts);
-    let mut tried: Vec<Incarnation> = Vec::new();
-    let mut why = "no endpoint is known".to_owned();
-    let mut last_failure: Option<(Response<AnswerBody>, Incarnation)> = None;
-    while attempts.may_send() && !call.time_left().is_zero() && !gateway.is_ending() {
-        let Some((endpoint, permit)) = choose(&gateway, &call, &tried) else { break };
-        let life = endpoint.incarnation();
-        if attempts.is_repeat() && !gateway.spend_repeat(&call.service) {
-            why = format!("{why}; the retry budget is spent");
-            break;
+    let mut progress = Progress::new(&call);
+    let mut running = RunningAttempts::new();
+    loop {
+        if running.is_empty() {
+            let Some((endpoint, permit)) = progress.next_endpoint(&gateway, &call) else { break };
+            let info = progress.begin(&gateway, &call, &endpoint, permit);
+            running.push(info, run(&gateway, &call, endpoint));
         }
-        let is_last = !may_follow(&call, &attempts, &life);
-        let res = tokio::select! {
+        let event = tokio::select! {
             biased;
-            res = run(&gateway, &call, &endpoint, is_last) => res,
-            () = gateway.ending() => Err(give_up_at_end(&call)),
+            event = running.next() => event,
+            () = gateway.ending() => {
+                let failed = give_up_at_end(&call);
+                running.infos().for_each(|info| progress.on_failed(&gateway, &call, info, &failed));
+                break;
+            }
         };
-        note_end(&gateway, &life, permit, &res);
-        match res {
-            Ok(answer) => match may_retry_failure(&call, &attempts, &life, &answer) {
-                true => {
-                    attempts.on_failed(&life, Evidence::MayHaveRun);
-                    why = format!("{} answered {}", endpoint.id, answer.status());
-                    last_failure = Some((answer, life.clone()));
-                }
-                false => return Ok(done(&call, &life, answer)),
-            },
-            Err(failed) => {
-                log_failed(&gateway, &call, &life, &failed);
-                attempts.on_failed(&life, failed.evidence);
-                match failed.evidence {
-                    Evidence::NotSent => gateway.suspect(&life, &failed.why),
-                    Evidence::NotRun => check_refuser(&gateway, endpoint.addr, false),
-                    Evidence::MayHaveRun => {}
+        match event {
+            AttemptEvent::Ended(info, Ok(answer)) => {
+                if !progress.is_worth_another(&call, &info, &answer, !running.is_empty()) {
+                    note_end(&gateway, &info, end_of(&answer));
+                    running
+                        .infos()
+                        .for_each(|info| note_end(&gateway, info, end_of_abandoned(info)));
+                    return Ok(done(&call, &info.endpoint, answer));
                 }
-                why = format!("{}: {}", endpoint.id, failed.why);
+                note_end(&gateway, &info, AttemptEnd::Failure);
+                progress.on_failure_answered(&info, answer);
             }
+            AttemptEvent::Ended(info, Err(failed)) => {
+                progress.on_failed(&gateway, &call, &info, &failed);
+            }
+            // The attempt goes on: the next one may be refused, or bring no answer either.
+            AttemptEvent::Overdue => match progress.next_endpoint_beside(&gateway, &call) {
+                Some((endpoint, permit)) => {
+                    running.infos().for_each(|info| progress.on_overdue(&call, info));
+                    let info = progress.begin(&gateway, &call, &endpoint, permit);
+                    running.push(info, run(&gateway, &call, endpoint));
+                }
+                None => {
+                    let again = Some(Instant::now() + OVERDUE_TICK);
+                    running.infos().for_each(|info| info.overdue_at = again);
+                }
+            },
+        }
+    }
+    Ok(progress.give_up(&call))
+}
+
+/// What became of a call's attempts so far.
+struct Progress {
+    attempts: Attempts,
+    tried: Vec<Incarnation>,
+    why: String,
+    /// An endpoint's own failure, for the caller if nothing better comes.
+    last_failure: Option<(Response<AnswerBody>, Incarnation)>,
+}
+
+impl Progress {
+    fn new(call: &Call) -> Progress {
+        Progress {
+            attempts: Attempts::new(call.route.semantics, call.route.max_attempts),
+            tried: Vec::new(),
+            why: "no endpoint is known".to_owned(),
+            last_failure: None,
+        }
+    }
+
+    /// The endpoint of the next attempt, its retry paid; none if no attempt may follow.
+    fn next_endpoint(&mut self, gateway: &Gateway, call: &Call) -> Option<(Endpoint, Permit)> {
+        if !self.attempts.may_send() || call.time_left().is_zero() || gateway.is_ending() {
+            return None;
+        }
+        let chosen = choose(gateway, call, &self.tried)?;
+        if self.attempts.is_repeat() && !gateway.spend_repeat(&call.service) {
+            self.why = format!("{}; the retry budget is spent", self.why);
+            return None;
+        }
+        Some(chosen)
+    }
+
+    /// The same for an attempt beside one that is under way.
+    fn next_endpoint_beside(
+        &mut self,
+        gateway: &Gateway,
+        call: &Call,
+    ) -> Option<(Endpoint, Permit)> {
+        let under_way = self.tried.last()?;
+        if !may_follow(call, &self.attempts, under_way) || !gateway.may_repeat(&call.service) {
+            return None;
+        }
+        let chosen = choose(gateway, call, &self.tried)?;
+        gateway.spend_repeat(&call.service).then_some(chosen)
+    }
+
+    fn begin(
+        &mut self,
+        gateway: &Gateway,
+        call: &Call,
+        endpoint: &Endpoint,
+        permit: Permit,
+    ) -> AttemptInfo {
+        let endpoint = endpoint.incarnation();
+        self.tried.push(endpoint.clone());
+        let may_follow = may_follow(call, &self.attempts, &endpoint);
+        let mean_ms = gateway.uses.borrow().get(&endpoint).map_or(0.0, |used| used.mean_ms);
+        let mean = Duration::from_secs_f64(mean_ms / 1e3);
+        let after = overdue_after(call.time_left(), call.route.target_latency, mean);
+        let overdue_at = may_follow.then(|| Instant::now() + after);
+        AttemptInfo { endpoint, permit, overdue_at, is_overdue: false }
+    }
+
+    /// An attempt beside it begins: it counts as one that may have run.
+    fn on_overdue(&mut self, call: &Call, info: &mut AttemptInfo) {
+        info!("attempt overdue", kv: {
+            request = call.id(), endpoint = info.endpoint.id.as_str(),
+            ms = call.arrived.elapsed().as_millis() as u64
+        });
+        info.is_overdue = true;
+        self.attempts.on_failed(&info.endpoint, Evidence::MayHaveRun);
+    }
+
+    fn on_failed(
+        &mut self,
+        gateway: &Rc<Gateway>,
+        call: &Call,
+        info: &AttemptInfo,
+        failed: &Failed,
+    ) {
+        note_end(gateway, info, AttemptEnd::Failure);
+        log_failed(gateway, call, &info.endpoint, failed);
+        self.note_failed(info, failed.evidence);
+        match failed.evidence {
+            Evidence::NotSent => gateway.suspect(&info.endpoint, &failed.why),
+            Evidence::NotRun => check_endpoint(gateway, &info.endpoint),
+            Evidence::MayHaveRun => {}
+        }
+        self.why = format!("{}: {}", info.endpoint.id, failed.why);
+    }
+
+    fn on_failure_answered(&mut self, info: &AttemptInfo, answer: Response<AnswerBody>) {
+        self.note_failed(info, Evidence::MayHaveRun);
+        self.why = format!("{} answered {}", info.endpoint.id, answer.status());
+        self.last_failure = Some((answer, info.endpoint.clone()));
+    }
+
+    fn note_failed(&mut self, info: &AttemptInfo, evidence: Evidence) {
+        // An overdue attempt was counted as its successor began.
+        if !info.is_overdue {
+            self.attempts.on_failed(&info.endpoint, evidence);
         }
-        tried.push(life);
     }
-    if let Some((answer, life)) = last_failure {
-        // The endpoint's own failure, signed, tells more than one of the gateway's.
-        return Ok(done(&call, &life, answer));
+
+    /// Whether an answer is an endpoint's own failure of an idempotent request, and another endpoint may do better.
+    fn is_worth_another(
+        &self,
+        call: &Call,
+        info: &AttemptInfo,
+        answer: &Response<AnswerBody>,
+        is_other_running: bool,
+    ) -> bool {
+        call.route.semantics == Semantics::Idempotent
+            && answer.status().is_server_error()
+            && (is_other_running || may_follow(call, &self.attempts, &info.endpoint))
+    }
+
+    fn give_up(self, call: &Call) -> Response<AnswerBody> {
+        match self.last_failure {
+            // The endpoint's own failure, signed, tells more than one of the gateway's.
+            Some((answer, endpoint)) => done(call, &endpoint, answer),
+            None => {
+                let given_up = self.attempts.given_up(call.time_left().is_zero());
+                give_up(call, given_up, RETRY_AFTER, &self.why)
+            }
+        }
     }
-    let given_up = attempts.given_up(call.time_left().is_zero());
-    Ok(give_up(&call, given_up, RETRY_AFTER, &why))
 }
 
 /// Gives up an attempt as this gateway ends before its answer.
@@ -94,6 +225,14 @@
     answer
 }
 
+/// An endpoint refused the call as not run: asks it whether it leaves.
+fn check_endpoint(gateway: &Rc<Gateway>, endpoint: &Incarnation) {
+    let addr = gateway.knowledge.borrow().endpoint(&endpoint.id).map(|endpoint| endpoint.addr);
+    if let Some(addr) = addr {
+        check_refuser(gateway, addr, false);
+    }
+}
+
 /// Whether an attempt could follow the next one, if that brings no answer.
 fn may_follow(call: &Call, attempts: &Attempts, endpoint: &Incarnation) -> bool {
     let mut after = attempts.clone();
@@ -101,17 +240,6 @@
     call.route.semantics.may_repeat() && after.may_send()
 }
 
-/// An endpoint's own failure of an idempotent request is worth another endpoint.
-fn may_retry_failure(
-    call: &Call,
-    attempts: &Attempts,
-    endpoint: &Incarnation,
-    answer: &Response<AnswerBody>,
-) -> bool {
-    let is_idempotent = call.route.semantics == Semantics::Idempotent;
-    is_idempotent && answer.status().is_server_error() && may_follow(call, attempts, endpoint)
-}
-
 /// The endpoint with the least work that wasn't tried. Those that fail are passed over while
 /// there are others.
 fn choose(gateway: &Gateway, call: &Call, tried: &[Incarnation]) -> Option<(Endpoint, Permit)> {
@@ -151,21 +279,20 @@
     told.max(f64::from(used.in_flight)) + f64::from(used.in_flight) * 0.1 + distance + slowness
 }
 
-/// Runs a request at one endpoint and reads its answer whole.
+/// Runs a request at one endpoint and reads its answer whole, within the time that is left.
 async fn run(
     gateway: &Rc<Gateway>,
     call: &Call,
-    endpoint: &Endpoint,
-    is_last: bool,
+    endpoint: Endpoint,
 ) -> Result<Response<AnswerBody>, Failed> {
-    let life = endpoint.incarnation();
-    let limit = patience(gateway, call, &life, is_last);
+    let limit = call.time_left();
     let known = gateway.endpoints_known();
     info!("request sent", kv: {
         request = call.id(), endpoint = endpoint.id.as_str(), limit_ms = limit.as_millis() as u64,
         era = known.at.era, endpoints_at = known.at.count, endpoints_age_ms:? = known.age_ms
     });
     let until = Instant::now() + limit;
+    let life = endpoint.incarnation();
     let target = Target { life, addr: endpoint.addr, path: &[], last_event: None };
     let begun = attempt(gateway, call, &target, limit).await?;
     gateway.counters.first_byte.record(call.arrived.elapsed());
@@ -190,31 +317,26 @@
     Ok(pass_on(&parts, body))
 }
 
-/// Time for one attempt: all that is left, or a part of it where another may follow.
-fn patience(gateway: &Gateway, call: &Call, life: &Incarnation, is_last: bool) -> Duration {
-    let left = call.time_left();
-    if is_last {
-        return left;
+fn end_of(answer: &Response<AnswerBody>) -> AttemptEnd {
+    match answer.status().is_server_error() {
+        true => AttemptEnd::Failure,
+        false => AttemptEnd::Success,
+    }
+}
+
+/// An overdue attempt was slower than one that began later.
+fn end_of_abandoned(info: &AttemptInfo) -> AttemptEnd {
+    match info.is_overdue {
+        true => AttemptEnd::Failure,
+        false => AttemptEnd::Neutral,
     }
-    let mean = gateway.uses.borrow().get(life).map_or(0.0, |used| used.mean_ms);
-    let by_mean = Duration::from_secs_f64(mean * MEANS_OF_PATIENCE / 1e3);
-    left.min(left.mul_f64(ATTEMPT_SHARE).min(call.route.target_latency).max(by_mean))
 }
 
-/// Tells the endpoint's breaker how an attempt ended.
-fn note_end(
-    gateway: &Gateway,
-    life: &Incarnation,
-    permit: Permit,
-    res: &Result<Response<AnswerBody>, Failed>,
-) {
-    let end = match res {
-        Ok(answer) if answer.status().is_server_error() => AttemptEnd::Failure,
-        Ok(_) => AttemptEnd::Success,
-        Err(_) => AttemptEnd::Failure,
-    };
-    if let Some(state) = gateway.breakers.borrow_mut().on_end(life, permit, end) {
+/// Reports to the endpoint's breaker how an attempt ended.
+fn note_end(gateway: &Gateway, info: &AttemptInfo, end: AttemptEnd) {
+    let endpoint = &info.endpoint;
+    if let Some(state) = gateway.breakers.borrow_mut().on_end(endpoint, info.permit, end) {
         let state = format!("{state:?}");
-        info!("breaker changed", kv: { endpoint = life.id.as_str(), state = state.as_str() });
+        info!("breaker changed", kv: { endpoint = endpoint.id.as_str(), state = state.as_str() });
     }
 }
--- /dev/null
+++ b/crates/gateway/src/request/running_attempts.rs
@@ -0,0 +1,87 @@
+//! The attempts of one call that are under way at the same time.
+
+use sorrellock_core::process::retries::Permit;
+use sorrellock_routing::process::Incarnation;
+use std::future::{Future, pending, poll_fn};
+use std::pin::Pin;
+use std::task::Poll;
+use tokio::time::{Instant, sleep_until};
+
+/// An attempt at one endpoint, without its answer.
+pub(crate) struct AttemptInfo {
+    pub(crate) endpoint: Incarnation,
+    pub(crate) permit: Permit,
+    /// When a further attempt may begin beside it; none if none may.
+    pub(crate) overdue_at: Option<Instant>,
+    /// A further attempt has begun beside it.
+    pub(crate) is_overdue: bool,
+}
+
+/// What happens next to a call.
+pub(crate) enum AttemptEvent<T> {
+    /// An attempt ended.
+    Ended(AttemptInfo, T),
+    /// The only attempt takes so long that a further one may begin.
+    Overdue,
+}
+
+struct Running<F> {
+    info: AttemptInfo,
+    answer: Pin<Box<F>>,
+}
+
+/// The attempts of one call that are under way. Dropping them closes their connections.
+pub(crate) struct RunningAttempts<F> {
+    running: Vec<Running<F>>,
+}
+
+impl<F: Future> RunningAttempts<F> {
+    /// None is under way.
+    pub(crate) fn new() -> RunningAttempts<F> {
+        RunningAttempts { running: Vec::new() }
+    }
+
+    pub(crate) fn is_empty(&self) -> bool {
+        self.running.is_empty()
+    }
+
+    pub(crate) fn push(&mut self, info: AttemptInfo, answer: F) {
+        self.running.push(Running { info, answer: Box::pin(answer) });
+    }
+
+    pub(crate) fn infos(&mut self) -> impl Iterator<Item = &mut AttemptInfo> {
+        self.running.iter_mut().map(|running| &mut running.info)
+    }
+
+    /// Waits for what happens next; for ever if none is under way.
+    pub(crate) async fn next(&mut self) -> AttemptEvent<F::Output> {
+        let overdue_at = match self.running.as_slice() {
+            [only] => only.info.overdue_at,
+            _ => None,
+        };
+        let overdue = async {
+            match overdue_at {
+                Some(at) => sleep_until(at).await,
+                None => pending().await,
+            }
+        };
+        tokio::select! {
+            biased;
+            (info, answer) = self.ended() => AttemptEvent::Ended(info, answer),
+            () = overdue => AttemptEvent::Overdue,
+        }
+    }
+
+    async fn ended(&mut self) -> (AttemptInfo, F::Output) {
+        let (index, output) = poll_fn(|cx| {
+            for (index, running) in self.running.iter_mut().enumerate() {
+                if let Poll::Ready(output) = running.answer.as_mut().poll(cx) {
+                    return Poll::Ready((index, output));
+                }
+            }
+            Poll::Pending
+        })
+        .await;
+        (self.running.remove(index).info, output)
+    }
+}
--- a/crates/routing/src/request/mod.rs
+++ b/crates/routing/src/request/mod.rs
@@ -2,6 +2,8 @@
 
 mod event_parser;
 mod evidence;
+mod hedging;
 
 pub use event_parser::*;
 pub use evidence::*;
+pub use hedging::*;
