Open connections keep to the idle limit of the newest configuration

What callers saw: a connection on which they had been idle for less than the limit in force was closed under them; their next request met the close.

Cause: the limits were read once, as a connection was accepted. A gateway that accepts connections before its first configuration keeps its built-in limits for them, too.

Change: the limits are read at each look. A caller may keep to those of its last request or to those in force, whichever are longer, so that a lowered limit closes no connection that is idle already. The buffer for heads can't grow under an open connection: one that is smaller than the newest limit is closed after its next answer. A head beyond the old limit that comes before that answer is still refused with 431.

--- a/crates/daemon/tests/gateway/limits.rs
+++ b/crates/daemon/tests/gateway/limits.rs
@@ -31,16 +31,21 @@
 
 /// Makes a call on an open connection. The status line of its answer; nothing where the connection was closed.
 fn call(caller: &mut TcpStream) -> Option<String> {
+    let answer = exchange(caller, "")?;
+    answer.lines().next().map(str::to_owned)
+}
+
+/// Makes a call with a header of this value. The head of its answer; nothing where the connection was closed.
+fn exchange(caller: &mut TcpStream, padding: &str) -> Option<String> {
     let head = format!(
         "POST /status/a HTTP/1.1\r\nhost: {HOST}\r\nrequest-id: {}\r\n\
-         authorization: Bearer {KEY}\r\ncontent-length: 0\r\n\r\n",
+         authorization: Bearer {KEY}\r\nx-padding: {padding}\r\ncontent-length: 0\r\n\r\n",
         new_request()
     );
     caller.write_all(head.as_bytes()).ok()?;
     let mut buf = [0; 4096];
     let len = caller.read(&mut buf).ok().filter(|len| *len > 0)?;
-    let answer = String::from_utf8_lossy(&buf[..len]);
-    answer.lines().next().map(str::to_owned)
+    Some(String::from_utf8_lossy(&buf[..len]).into_owned())
 }
 
 #[test]
@@ -94,3 +99,24 @@
 
     assert_eq!(answer, None);
 }
+
+#[test]
+fn a_connection_that_takes_smaller_heads_than_the_newest_configuration_allows_is_closed_after_its_answer()
+ {
+    const LARGE: u64 = 60_000;
+    let fleet = fleet();
+    let gateway = fleet.gateway("one");
+    let mut caller = TcpStream::connect(gateway.callers()).expect("a connection");
+    assert_eq!(call(&mut caller).as_deref(), Some("HTTP/1.1 200 OK"));
+    let mut cfg = config(2, &[KEY]);
+    cfg["limits"]["max_header_bytes"] = LARGE.into();
+    fleet.store.put("config", "main", cfg);
+    wait_in_force(&gateway, 2);
+
+    let last = exchange(&mut caller, "").expect("an answer");
+    let mut next = TcpStream::connect(gateway.callers()).expect("a connection");
+    let large = exchange(&mut next, &"x".repeat(LARGE as usize / 2)).expect("an answer");
+
+    assert!(last.contains("\r\nconnection: close\r\n"), "{last}");
+    assert!(large.starts_with("HTTP/1.1 200"), "{large}");
+}
--- a/crates/gateway/src/connection/caller_connection.rs
+++ b/crates/gateway/src/connection/caller_connection.rs
@@ -59,23 +59,26 @@
 async fn serve(gateway: Rc<Gateway>, stream: TcpStream) {
     // A caller that has gone already shows at the first read.
     let _ = stream.set_nodelay(true);
-    let limits = limits(&gateway);
     let activity = Arc::new(Activity::new());
+    // The limits that the caller last acted under: the configuration may change while it is idle.
+    let last_limits = Rc::new(Cell::new(limits(&gateway)));
+    let buf_bytes = last_limits.get().max_header_bytes.max(MIN_BUF_BYTES);
     // Set with the first request, until the connection is closed. A gateway that ends closes each after its
     // answer, so that those left have one to write.
     let answering: Rc<OnceCell<Counted>> = Rc::default();
     let service = {
         let (gateway, activity) = (Rc::clone(&gateway), Arc::clone(&activity));
-        let answering = Rc::clone(&answering);
+        let (answering, last_limits) = (Rc::clone(&answering), Rc::clone(&last_limits));
         service_fn(move |req| {
             answering.get_or_init(|| Counted::new(Rc::clone(&gateway), |g| &g.answering));
-            serve_one(Rc::clone(&gateway), Arc::clone(&activity), req)
+            last_limits.set(limits(&gateway));
+            serve_one(Rc::clone(&gateway), Arc::clone(&activity), buf_bytes, req)
         })
     };
     let mut builder = http1::Builder::new();
     // The connection's own timer tells a slow head from an idle connection.
     builder.header_read_timeout(None);
-    builder.max_buf_size(limits.max_header_bytes.max(MIN_BUF_BYTES));
+    builder.max_buf_size(buf_bytes);
     let io = WatchedIo::new(stream, Arc::clone(&activity));
     let mut connection = pin!(builder.serve_connection(io, service));
     let mut phase = gateway.phase.subscribe();
@@ -85,6 +88,7 @@
         if *phase.borrow_and_update() >= Phase::Closing && answering.get().is_some() {
             connection.as_mut().graceful_shutdown();
         }
+        let limits = longest(last_limits.get(), limits(&gateway));
         let wait = match time_left(&activity, &limits) {
             TimeLeft::Wait(wait) => wait,
             TimeLeft::CloseIdle => {
@@ -142,14 +146,26 @@
     TimeLeft::Wait((limit - elapsed).min(limits.header_timeout))
 }
 
+/// The longer times of two limits: a caller may keep to either.
+fn longest(one: CallerLimits, other: CallerLimits) -> CallerLimits {
+    CallerLimits {
+        header_timeout: one.header_timeout.max(other.header_timeout),
+        idle_timeout: one.idle_timeout.max(other.idle_timeout),
+        ..other
+    }
+}
+
+/// The limits of the configuration in force.
 fn limits(gateway: &Gateway) -> CallerLimits {
     let knowledge = gateway.knowledge.borrow();
     knowledge.routes().map_or(FIRST_LIMITS, |routes| routes.cfg().limits)
 }
 
+/// Serves one request of a connection that takes heads of `buf_bytes`.
 async fn serve_one(
     gateway: Rc<Gateway>,
     activity: Arc<Activity>,
+    buf_bytes: usize,
     req: Request<Incoming>,
 ) -> Result<Response<AnswerBody>, Cut> {
     activity.on_request();
@@ -158,7 +174,9 @@
     let res = answer(Rc::clone(&gateway), req, arrived).await;
     drop(unanswered);
     let mut answer = res?;
-    if *gateway.phase.borrow() >= Phase::Leaving {
+    // A new connection takes heads of the size that the configuration allows by now.
+    let is_outdated = limits(&gateway).max_header_bytes > buf_bytes;
+    if is_outdated || *gateway.phase.borrow() >= Phase::Leaving {
         answer.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
     Ok(answer.map(|body| body.with_activity(activity)))
