A request that comes back unsent from a kept connection goes over another one

What callers saw: 503 for a call though its endpoint was well; the endpoint got nothing new for a second at this gateway, and at others whose paths through it were quiet, which broke those.

Cause: a request that was given to a kept connection just closed by the endpoint comes back unsent. That was taken for a failure of the endpoint, as a refused connection is. An endpoint that closes a connection as idle, or as one beyond its limit, is well, and the close waits to be read all the longer the later the gateway is.

Change: such a request is sent again on the next kept connection, in the end on a new one. Only a new connection that fails tells of the endpoint. Nothing had been sent, so that this is no further attempt.

Left: a request that was written before the close was read may have run. One that may not run twice gets 502, as before.

--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -14,7 +14,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::time::{Instant, timeout};
+use tokio::time::{Instant, timeout_at};
 
 /// Weight of the newest answer in an endpoint's mean time.
 const MEAN_WEIGHT: f64 = 0.2;
@@ -98,32 +98,43 @@
     limit: Duration,
 ) -> Result<Begun, Failed> {
     let in_flight = InFlight::new(Rc::clone(gateway), target.life.clone());
-    let mut connection = connect(gateway, call, target).await?;
-    let silence = Silence::watch(Rc::clone(gateway), target.life.clone());
-    let req = request(call, target);
-    let sending = connection.sender.try_send_request(req);
-    let answer = match timeout(limit, sending).await {
-        Err(_) => {
-            let why = format!("no answer in {} ms", limit.as_millis());
-            return Err(Failed::new(Evidence::MayHaveRun, why));
-        }
-        Ok(Err(mut err)) => {
-            silence.is_over();
-            let evidence = match err.take_message() {
-                Some(_) => Evidence::NotSent,
-                None => Evidence::MayHaveRun,
-            };
-            return Err(Failed::new(evidence, err.error().to_string()));
-        }
-        Ok(Ok(answer)) => answer,
-    };
-    silence.is_over();
+    let (answer, connection) = send(gateway, call, target, limit).await?;
     let head = read_answer_head(answer.headers());
     note_load(gateway, &target.life, &head);
     check_head(gateway, call, &answer, &head)?;
     Ok(Begun { answer, head, connection, life: target.life.clone(), in_flight })
 }
 
+/// Sends a request on kept connections, as long as their endpoint has closed them before, else on a new one.
+async fn send(
+    gateway: &Rc<Gateway>,
+    call: &Call,
+    target: &Target<'_>,
+    limit: Duration,
+) -> Result<(Response<Incoming>, Connection), Failed> {
+    let until = Instant::now() + limit;
+    let mut req = request(call, target);
+    loop {
+        let (mut connection, is_kept) = connect(gateway, call, target).await?;
+        let silence = Silence::watch(Rc::clone(gateway), target.life.clone());
+        let Ok(res) = timeout_at(until, connection.sender.try_send_request(req)).await else {
+            let why = format!("no answer in {} ms", limit.as_millis());
+            return Err(Failed::new(Evidence::MayHaveRun, why));
+        };
+        silence.is_over();
+        let mut err = match res {
+            Ok(answer) => return Ok((answer, connection)),
+            Err(err) => err,
+        };
+        req = match err.take_message() {
+            // An endpoint that closes an idle connection is well.
+            Some(unsent) if is_kept => unsent,
+            Some(_) => return Err(Failed::new(Evidence::NotSent, err.error().to_string())),
+            None => return Err(Failed::new(Evidence::MayHaveRun, err.error().to_string())),
+        };
+    }
+}
+
 /// Watches a connection on which a request was sent. Dropped before anything came on it, for whatever reason the attempt is
 /// given up, it takes idle connections of the same age with it. It guards requests after the connections to an endpoint
 /// went silent for good: each one met the next such connection, and was lost to it.
@@ -153,20 +164,22 @@
     }
 }
 
+/// A connection to an endpoint, and whether it was kept from an earlier request.
 async fn connect(
     gateway: &Rc<Gateway>,
     call: &Call,
     target: &Target<'_>,
-) -> Result<Connection, Failed> {
+) -> Result<(Connection, bool), Failed> {
     let may_repeat = call.route.semantics.may_repeat();
     let kept =
         gateway.pool.borrow_mut().take(&target.life, target.addr, may_repeat, Instant::now());
     if let Some(connection) = kept {
-        return Ok(connection);
+        return Ok((connection, true));
     }
-    open(target.addr, &gateway.counters)
-        .await
-        .map_err(|err| Failed::new(Evidence::NotSent, format!("connect: {err}")))
+    let connection = open(target.addr, &gateway.counters).await;
+    let connection =
+        connection.map_err(|err| Failed::new(Evidence::NotSent, format!("connect: {err}")))?;
+    Ok((connection, false))
 }
 
 fn request(call: &Call, target: &Target<'_>) -> Request<Full<Bytes>> {
