A question that comes back unsent from a kept connection goes over another one

What operators saw: `endpoint suspected` with "operation was canceled; nothing was sent", for an engine that had only closed an idle connection. The question was not asked again, as only those without an answer are. The path that was asked for broke if it was quiet, and its streams left it.

--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -132,7 +132,8 @@
         res
     }
 
-    /// Sends a request and waits for the head of its answer.
+    /// Sends a request and waits for the head of its answer. One that comes back unsent, as the peer has closed a kept connection, goes
+    /// over the next one, in the end over a new one.
     async fn head(
         &self,
         method: Method,
@@ -140,23 +141,37 @@
         body: Option<Vec<u8>>,
         sent: &mut bool,
     ) -> Result<(Sender, Response<Incoming>), CallError> {
-        let mut sender = self.connection().await?;
+        let mut req = self.request(method, path, body)?;
+        loop {
+            let (mut sender, is_kept) = self.connection().await?;
+            *sent = true;
+            let mut err = match sender.try_send_request(req).await {
+                Ok(answer) => return Ok((sender, answer)),
+                Err(err) => err,
+            };
+            let step = err.error().to_string();
+            req = match err.take_message() {
+                Some(unsent) if is_kept => unsent,
+                Some(_) => return Err(self.not_sent(step)),
+                None => return Err(self.no_answer(step)),
+            };
+            *sent = false;
+        }
+    }
+
+    fn request(
+        &self,
+        method: Method,
+        path: &str,
+        body: Option<Vec<u8>>,
+    ) -> Result<Request<Full<Bytes>>, CallError> {
         let mut builder =
             Request::builder().method(method).uri(path).header("host", self.peer.to_string());
         if body.is_some() {
             builder = builder.header("content-type", "application/json");
         }
         let body = Full::new(Bytes::from(body.unwrap_or_default()));
-        let req = builder.body(body).map_err(|err| self.not_sent(err.to_string()))?;
-        *sent = true;
-        let answer = sender.send_request(req).await.map_err(|err| {
-            if err.is_canceled() {
-                self.not_sent(err.to_string())
-            } else {
-                self.no_answer(err.to_string())
-            }
-        })?;
-        Ok((sender, answer))
+        builder.body(body).map_err(|err| self.not_sent(err.to_string()))
     }
 
     /// Reads the body of an answer, and keeps its connection.
@@ -175,10 +190,11 @@
         Ok(Answer { status: head.status, headers: head.headers, body })
     }
 
-    async fn connection(&self) -> Result<Sender, CallError> {
+    /// A connection, and whether it was kept from an earlier call.
+    async fn connection(&self) -> Result<(Sender, bool), CallError> {
         while let Some(mut sender) = self.take_idle() {
             if sender.ready().await.is_ok() {
-                return Ok(sender);
+                return Ok((sender, true));
             }
         }
         let stream = TcpStream::connect(self.peer).await;
@@ -189,7 +205,7 @@
             hands.map_err(|err| self.not_sent(format!("handshake: {err}")))?;
         // Its end shows at the sender.
         tokio::task::spawn_local(connection);
-        Ok(sender)
+        Ok((sender, false))
     }
 
     fn take_idle(&self) -> Option<Sender> {
