An endpoint that rejects the question for its health is not taken for one that leaves

What callers saw: refusals for want of engines for ten seconds after a short overload, at all gateways. Around an outage of the store, a full engine whose entry had lapsed was removed though it lived.

Cause: any answer but 200 to the question for its health counted as the word that the endpoint leaves. That question waits for a slot or is rejected like any request: a full endpoint answers it with 503 and `Not-Executed`, or 429.

Change: a rejected question tells nothing. After a refusal it changes nothing; an entry that may have lapsed stays as long as without an answer; an entry that is gone for good takes its endpoint with it, as before.

--- a/crates/daemon/tests/gateway/full_endpoints.rs
+++ b/crates/daemon/tests/gateway/full_endpoints.rs
@@ -10,7 +10,7 @@
 
 use crate::fleet::{KEY, fleet, new_request, send};
 use crate::gateway_process::wait_for;
-use sorrellock_stand_ins::EngineMode;
+use sorrellock_stand_ins::{EngineMode, StoreMode};
 use std::thread;
 use std::time::Duration;
 
@@ -34,3 +34,40 @@
     assert_eq!(answer.status, 200, "{answer:?}");
     assert_eq!(gateway.lines(&["\"endpoint told that it leaves\""]), Vec::<String>::new());
 }
+
+/// An endpoint whose entry may only have lapsed in an outage of the store is removed once it says that it leaves.
+#[test]
+fn a_full_engine_whose_entry_lapsed_in_an_outage_is_not_taken_for_one_that_leaves() {
+    let fleet = fleet();
+    let gateway = fleet.gateway("one");
+    fleet.store.set_mode(StoreMode::Busy);
+    gateway.wait_for_line(&["\"store lost\""]);
+    let engine = &fleet.engines[0];
+    engine.set_mode(EngineMode::Refuses);
+    engine.lose_store();
+
+    fleet.store.set_mode(StoreMode::Up);
+    gateway.wait_for_line(&["missing after an outage", engine.id()]);
+    wait_for("the engine to be asked for its health", || engine.seen().health_checks >= 1);
+    engine.regain_store();
+
+    gateway.wait_for_line(&["\"entry of an endpoint is back\"", engine.id()]);
+    assert_eq!(gateway.lines(&["\"endpoint gone\""]), Vec::<String>::new());
+}
+
+#[test]
+fn an_engine_that_refuses_and_says_that_it_leaves_is_believed_while_the_store_is_down() {
+    let fleet = fleet();
+    let gateway = fleet.gateway("one");
+    fleet.store.set_mode(StoreMode::Busy);
+    gateway.wait_for_line(&["\"store lost\""]);
+    for engine in &fleet.engines {
+        engine.leave();
+        engine.set_mode(EngineMode::RefusesOver(engine.addr()));
+    }
+
+    let answer = send(gateway.callers(), "/match/a", &new_request(), Some(KEY));
+
+    assert_eq!(answer.status, 503, "{answer:?}");
+    gateway.wait_for_line(&["\"endpoint told that it leaves\""]);
+}
--- a/crates/gateway/src/process/store/endpoint_check.rs
+++ b/crates/gateway/src/process/store/endpoint_check.rs
@@ -67,7 +67,7 @@
             res = ask_life(&gateway, &asked).await;
         }
         match res {
-            Ok(()) | Err(Unwell::OtherLife) => {}
+            Ok(()) | Err(Unwell::OtherLife | Unwell::Unknown) => {}
             Err(Unwell::Leaves) => gateway.believe_leaving(&asked.life),
             Err(Unwell::Ended(why)) => gateway.suspect(&asked.life, &why),
         }
@@ -127,6 +127,8 @@
             // It stays as the new life, which holds nothing yet.
             Err(Unwell::OtherLife) => return,
             Err(Unwell::Leaves) => ITS_HEALTH.to_owned(),
+            // Its entry is gone, and nothing speaks for it.
+            Err(Unwell::Unknown) => "it is full and tells no health".to_owned(),
             Err(Unwell::Ended(why)) => why,
         };
         if gateway.knowledge.borrow().is_missing(id) {
@@ -189,6 +191,8 @@
     Ended(String),
     /// It has started again.
     OtherLife,
+    /// It is full, and rejected the question.
+    Unknown,
 }
 
 async fn ask_health(gateway: &Gateway, asked: &Asked) -> Result<(), Unwell> {
@@ -207,7 +211,11 @@
     {
         return Err(Unwell::OtherLife);
     }
-    if answer.health == Health::Well { Ok(()) } else { Err(Unwell::Leaves) }
+    match answer.health {
+        Health::Well => Ok(()),
+        Health::Unknown => Err(Unwell::Unknown),
+        Health::Leaving | Health::Replaced => Err(Unwell::Leaves),
+    }
 }
 
 /// Asks an engine whether it is still in the life that is known. Where no start is told, each has an id
