A dropped service keeps its paths until the last request is over that was admitted for it

Cause: paths, the state of their engines and the lead's view were worked out for the services of the newest configuration alone, while streams that an older one admitted ran on. Their paths stayed as they were at the change: no engine of them counted as leaving or dead, and no path of the same first engine came up. They also stayed for good.

Change: a service that is dropped is known until the longest timeout is over of the routes that a past configuration had to it. Until then its paths are kept up to date, the lead tells of its engines, and these are asked for their health. It gets no new request and no plan. After that its paths are forgotten.

Left: a lead that took over after the change does not know the dropped service; streams on its paths then stay as they are. A stream that waits for lost layers still looks its service up in the newest configuration alone (`may_wait`).

--- a/crates/gateway/src/process/gateway.rs
+++ b/crates/gateway/src/process/gateway.rs
@@ -214,8 +214,9 @@
         let version = cfg.version;
         let (routes, workspaces) = (cfg.routes.len(), cfg.workspaces.len());
         let before = self.knowledge.borrow().config_version();
-        let heard_ms = self.store_heard.age_ms(Kind::Configuration, Instant::now());
-        if !self.knowledge.borrow_mut().apply_configuration(cfg) {
+        let now = Instant::now();
+        let heard_ms = self.store_heard.age_ms(Kind::Configuration, now);
+        if !self.knowledge.borrow_mut().apply_configuration(cfg, now.into_std()) {
             return;
         }
         info!("configuration in force", kv: {
--- a/crates/gateway/src/process/paths/path_book.rs
+++ b/crates/gateway/src/process/paths/path_book.rs
@@ -182,6 +182,13 @@
         is_changed
     }
 
+    /// Forgets the paths of services that are not served any more, unless a stream is under way there.
+    pub(crate) fn forget_services(&mut self, is_served: impl Fn(&str) -> bool) {
+        let is_used = |paths: &[Rc<LivePath>]| paths.iter().any(|live| live.streams.get() > 0);
+        self.paths.retain(|service, paths| is_served(service) || is_used(paths));
+        self.forget_rooms();
+    }
+
     /// Forgets engines that no path goes through.
     fn forget_rooms(&mut self) {
         let parts = self.paths.values().flatten().flat_map(|live| &live.path.parts);
--- a/crates/gateway/src/process/paths/path_refresh.rs
+++ b/crates/gateway/src/process/paths/path_refresh.rs
@@ -10,12 +10,11 @@
 use tokio::time::Instant;
 
 impl Gateway {
-    /// Works out the paths of all models anew.
+    /// Works out the paths of all models anew, those of dropped services included while requests of theirs may be under way.
     pub(crate) fn refresh_paths(&self) {
         let now = Instant::now();
         let knowledge = self.knowledge.borrow();
-        let Some(routes) = knowledge.routes() else { return };
-        for service in &routes.cfg().services {
+        for service in knowledge.services(now.into_std()) {
             let Some(shape) = &service.model else { continue };
             let holders = self.holders(&knowledge, &service.name, shape, now);
             let beliefs = self.beliefs.borrow();
@@ -55,6 +54,9 @@
                 }
             }
         }
+        let is_served =
+            |name: &str| knowledge.services(now.into_std()).any(|service| service.name == name);
+        self.paths.borrow_mut().forget_services(is_served);
     }
 
     /// The engines that may be part of a path, with the layers that they can run now.
--- a/crates/gateway/src/process/placer/placer.rs
+++ b/crates/gateway/src/process/placer/placer.rs
@@ -85,7 +85,7 @@
     async fn round(&mut self, term: Revision) {
         let now = Instant::now();
         let services = self.models();
-        self.sync_engines(&services, now);
+        self.sync_engines(now);
         self.ask_engines(now);
         self.note_use(now);
         for (service, shape) in &services {
@@ -107,10 +107,12 @@
             .collect()
     }
 
-    /// Engines as the list tells, less those that leave.
-    fn sync_engines(&mut self, services: &[(ServiceName, ModelShape)], now: Instant) {
+    /// Engines as the list tells, less those that leave. Those of dropped services are followed, and get no orders.
+    fn sync_engines(&mut self, now: Instant) {
         let knowledge = self.gateway.knowledge.borrow();
-        let names: HashSet<&ServiceName> = services.iter().map(|(name, _)| name).collect();
+        let services = knowledge.services(now.into_std());
+        let models = services.filter(|service| service.model.is_some());
+        let names: HashSet<&ServiceName> = models.map(|service| &service.name).collect();
         let here = knowledge.endpoints().filter(|endpoint| names.contains(&endpoint.service));
         let beliefs = self.gateway.beliefs.borrow();
         let stays = |e: &&Endpoint| {
--- a/crates/gateway/src/process/store/endpoint_check.rs
+++ b/crates/gateway/src/process/store/endpoint_check.rs
@@ -40,7 +40,7 @@
         Some(Asked {
             life: endpoint.incarnation(),
             addr: endpoint.addr,
-            health_path: knowledge.health_path(endpoint)?.to_owned(),
+            health_path: knowledge.health_path(endpoint, Instant::now().into_std())?.to_owned(),
             is_engine: endpoint.card.is_some(),
         })
     }
--- a/crates/routing/src/process/knowledge/knowledge.rs
+++ b/crates/routing/src/process/knowledge/knowledge.rs
@@ -1,11 +1,12 @@
 //! What a gateway knows of the configuration and of the endpoints. It only ever gets newer.
 
+use super::dropped_services::DroppedServices;
 use super::left_endpoints::LeftEndpoints;
 use super::{EntryState, KnownEndpoint, RefusedEntries, RefusedEntry};
 use crate::process::{
     ChangeCount, Endpoint, EndpointId, Incarnation, Known, LayerRange, Revision, StoreEra,
 };
-use crate::version::{ConfigVersion, Configuration, RouteTable};
+use crate::version::{ConfigVersion, Configuration, RouteTable, Service};
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -59,6 +60,7 @@
 /// The configuration in force and the endpoints.
 pub struct Knowledge {
     pub(super) routes: Option<Rc<RouteTable>>,
+    dropped: DroppedServices,
     pub(super) endpoints: BTreeMap<EndpointId, KnownEndpoint>,
     pub(super) removed: HashMap<EndpointId, Removed>,
     pub(super) left: LeftEndpoints,
@@ -79,6 +81,7 @@
     pub fn new(leave_within: Duration) -> Knowledge {
         Knowledge {
             routes: None,
+            dropped: DroppedServices::default(),
             endpoints: BTreeMap::new(),
             removed: HashMap::new(),
             left: LeftEndpoints::default(),
@@ -163,18 +166,26 @@
         self.endpoints.get(id).map(|known| &known.endpoint)
     }
 
-    /// The path that an endpoint's health is asked for at; nothing without a configuration that has
-    /// its service.
-    pub fn health_path(&self, endpoint: &Endpoint) -> Option<&str> {
-        let service = self.routes.as_ref()?.service(&endpoint.service)?;
+    /// The services that the configuration in force names, and those that it dropped while requests of theirs may be under way.
+    pub fn services(&self, now: Instant) -> impl Iterator<Item = &Service> {
+        let named = self.routes.iter().flat_map(|routes| &routes.cfg().services);
+        named.chain(self.dropped.current(now))
+    }
+
+    /// The path that an endpoint's health is asked for at; nothing without a service of its name.
+    pub fn health_path(&self, endpoint: &Endpoint, now: Instant) -> Option<&str> {
+        let service = self.services(now).find(|service| service.name == endpoint.service)?;
         Some(&service.health_path)
     }
 
     /// Puts a configuration in force if it is newer.
-    pub fn apply_configuration(&mut self, cfg: Configuration) -> bool {
+    pub fn apply_configuration(&mut self, cfg: Configuration, now: Instant) -> bool {
         if cfg.version <= self.config_version() {
             return false;
         }
+        if let Some(before) = &self.routes {
+            self.dropped.on_change(before.cfg(), &cfg, now);
+        }
         self.routes = Some(Rc::new(RouteTable::new(cfg)));
         true
     }
--- a/crates/routing/src/process/knowledge/mod.rs
+++ b/crates/routing/src/process/knowledge/mod.rs
@@ -1,5 +1,6 @@
 //! What a process knows of the configuration and of the endpoints, and what it hands on.
 
+mod dropped_services;
 mod era;
 mod handover;
 #[allow(clippy::module_inception)]
