--- a/crates/gateway/src/process/store/endpoint_check.rs
+++ b/crates/gateway/src/process/store/endpoint_check.rs
@@ -127,8 +127,8 @@
             // It stays as the new life, which holds nothing yet.
             Err(Unwell::OtherLife) => return,
             Err(Unwell::Leaves) => ITS_HEALTH.to_owned(),
-            // Its entry is gone, and nothing speaks for it.
-            Err(Unwell::Unknown) => "it is full and tells no health".to_owned(),
+            // It stays until an entry that only lapsed would be back.
+            Err(Unwell::Unknown) => return,
             Err(Unwell::Ended(why)) => why,
         };
         if gateway.knowledge.borrow().is_missing(id) {
