Failing test: an engine whose health waits for a slot is suspected

What callers saw: refusals for another second after an overload, and streams of other gateways that left their runs on the engine. The engine had refused a request for want of slots; the question for its health waited for a slot as well, brought no answer in 2 x 400 ms, and the engine was suspected.

--- a/crates/daemon/tests/gateway/full_endpoints.rs
+++ b/crates/daemon/tests/gateway/full_endpoints.rs
@@ -71,3 +71,20 @@
     assert_eq!(answer.status, 503, "{answer:?}");
     gateway.wait_for_line(&["\"endpoint told that it leaves\""]);
 }
+
+/// What callers saw: refusals for another second, and streams of other gateways that left their runs on the engine, as a suspicion was reported of
+/// an engine that had just answered with a refusal. Its health waited for a slot, and brought no answer in time.
+#[test]
+fn an_engine_whose_health_waits_for_a_slot_is_not_suspected() {
+    let fleet = fleet();
+    let gateway = fleet.gateway("one");
+    fleet.engines.iter().for_each(|engine| engine.set_mode(EngineMode::RefusesSlotless));
+
+    let refused = send(gateway.callers(), "/match/a", &new_request(), Some(KEY));
+    let asked = || fleet.engines.iter().map(|engine| engine.seen().health_checks).sum::<u32>();
+    wait_for("two engines to be asked for their health", || asked() >= 2);
+    thread::sleep(AFTER_REFUSAL);
+
+    assert_eq!(refused.status, 503);
+    assert_eq!(gateway.lines(&["\"endpoint suspected\""]), Vec::<String>::new());
+}
