An endpoint whose health waits for a slot is not suspected

Cause: a missing answer to the question for its health counted as evidence that the endpoint had ended. That question waits for a slot like any request; what is asked is mostly an endpoint that has just refused one for want of slots.

Change: an engine is asked for its report, which needs no slot, and is suspected only if that brings no answer either. A plain endpoint has no report: one that refused a request just now lives. An entry that is gone still takes a plain endpoint with it that gives no answer.

--- a/crates/gateway/src/process/store/endpoint_check.rs
+++ b/crates/gateway/src/process/store/endpoint_check.rs
@@ -67,7 +67,8 @@
             res = ask_life(&gateway, &asked).await;
         }
         match res {
-            Ok(()) | Err(Unwell::OtherLife | Unwell::Unknown) => {}
+            // One that refused a request just now lives.
+            Ok(()) | Err(Unwell::OtherLife | Unwell::Unknown | Unwell::Silent(_)) => {}
             Err(Unwell::Leaves) => gateway.believe_leaving(&asked.life),
             Err(Unwell::Ended(why)) => gateway.suspect(&asked.life, &why),
         }
@@ -129,7 +130,7 @@
             Err(Unwell::Leaves) => ITS_HEALTH.to_owned(),
             // It stays until an entry that only lapsed would be back.
             Err(Unwell::Unknown) => return,
-            Err(Unwell::Ended(why)) => why,
+            Err(Unwell::Ended(why) | Unwell::Silent(why)) => why,
         };
         if gateway.knowledge.borrow().is_missing(id) {
             gateway.remove_endpoint(id, &why);
@@ -191,8 +192,10 @@
     Ended(String),
     /// It has started again.
     OtherLife,
-    /// It is full, and rejected the question.
+    /// It is full: it rejected the question, or the question waits for a slot.
     Unknown,
+    /// It gives no answer, and has no report that would not wait for a slot.
+    Silent(String),
 }
 
 async fn ask_health(gateway: &Gateway, asked: &Asked) -> Result<(), Unwell> {
@@ -201,7 +204,13 @@
     let began = Instant::now();
     let client = gateway.probe(life, *addr);
     let answer = ask_twice(|| read_health(&client, health_path, &life.id, HEALTH_LIMIT)).await;
-    let answer = answer.map_err(|err| Unwell::Ended(err.to_string()))?;
+    let answer = match answer {
+        Ok(answer) => answer,
+        Err(err @ CallError::NoAnswer { .. }) => {
+            return Err(check_silent(gateway, asked, &err).await);
+        }
+        Err(err) => return Err(Unwell::Ended(err.to_string())),
+    };
     if answer.health == Health::Replaced {
         gateway.on_replaced(life);
         return Err(Unwell::Ended("another instance has its address".to_owned()));
@@ -218,6 +227,19 @@
     }
 }
 
+/// An endpoint's health brought no answer, as it waits for a slot. An engine's report doesn't.
+async fn check_silent(gateway: &Gateway, asked: &Asked, err: &CallError) -> Unwell {
+    if !asked.is_engine {
+        return Unwell::Silent(err.to_string());
+    }
+    gateway.counters.add(Count::Reports);
+    let client = gateway.probe(&asked.life, asked.addr);
+    match ask_twice(|| read_report(&client, HEALTH_LIMIT)).await {
+        Ok(_) => Unwell::Unknown,
+        Err(err) => Unwell::Ended(err.to_string()),
+    }
+}
+
 /// Asks an engine whether it is still in the life that is known. Where no start is told, each has an id
 /// of its own, and nothing is asked.
 async fn ask_life(gateway: &Gateway, asked: &Asked) -> Result<(), Unwell> {
