--- a/crates/gateway/src/process/pool.rs
+++ b/crates/gateway/src/process/pool.rs
@@ -5,13 +5,13 @@
 use http_body_util::Full;
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper_util::rt::TokioIo;
+use sorrellock_http::connect;
 use sorrellock_platform::AnswerHead;
 use sorrellock_routing::process::Incarnation;
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
-use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, timeout};
 
@@ -116,9 +116,8 @@
 /// Opens a connection.
 pub(crate) async fn open(addr: SocketAddr, counters: &Counters) -> io::Result<Connection> {
     counters.add(Count::EndpointConnections);
-    let stream = timeout(CONNECT_LIMIT, TcpStream::connect(addr)).await;
+    let stream = timeout(CONNECT_LIMIT, connect(addr)).await;
     let stream = stream.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
-    stream.set_nodelay(true)?;
     let mut builder = Builder::new();
     builder.max_buf_size(READ_BUF_BYTES);
     let hands = builder.handshake(TokioIo::new(stream)).await;
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -1,5 +1,6 @@
 //! HTTP calls to one peer, over connections that are kept.
 
+use crate::connection::connect;
 use bytes::Bytes;
 use http::{HeaderMap, Method, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
@@ -11,7 +12,6 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::TcpStream;
 use tokio::time::{Instant, timeout, timeout_at};
 
 /// Idle connections kept to one peer.
@@ -197,9 +197,8 @@
                 return Ok((sender, true));
             }
         }
-        let stream = TcpStream::connect(self.peer).await;
+        let stream = connect(self.peer).await;
         let stream = stream.map_err(|err| self.not_sent(format!("connect: {err}")))?;
-        stream.set_nodelay(true).map_err(|err| self.not_sent(format!("set nodelay: {err}")))?;
         let hands = handshake(TokioIo::new(stream)).await;
         let (sender, connection) =
             hands.map_err(|err| self.not_sent(format!("handshake: {err}")))?;
--- a/crates/http/tests/client.rs
+++ b/crates/http/tests/client.rs
@@ -110,7 +110,7 @@
         for stream in listener.incoming() {
             let mut stream = stream.expect("a connection");
             let mut buf = [0; 1024];
-            stream.read(&mut buf).expect("a request");
+            assert!(stream.read(&mut buf).expect("a request") > 0);
             stream.write_all(ANSWER).expect("the answer");
             thread::sleep(SHORT_WHILE);
             wake.write_all(b"x").expect("the wake-up");
