--- a/crates/routing/src/request/mod.rs
+++ b/crates/routing/src/request/mod.rs
@@ -3,9 +3,11 @@
 mod event_parser;
 mod evidence;
 mod failover;
+mod hedging;
 mod run_fault;
 
 pub use event_parser::*;
 pub use evidence::*;
 pub use failover::*;
+pub use hedging::*;
 pub use run_fault::*;
