--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -8,6 +8,7 @@
 mod plain;
 mod relay;
 mod run;
+mod run_search;
 mod running_attempts;
 mod stream;
 
--- a/crates/gateway/src/request/relay/failover.rs
+++ b/crates/gateway/src/request/relay/failover.rs
@@ -6,7 +6,8 @@
 use super::relay::{CALLER_PATIENCE, Flow, OnPath, Relay, STREAM_SILENCE};
 use super::repath::{LeaveBroken, Repath};
 use crate::process::{Count, LivePath, check_path};
-use crate::request::run::{NotBegun, Run, begin, has_other_path};
+use crate::request::run::{NotBegun, Run, has_other_path};
+use crate::request::run_search::begin;
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::Frame;
--- a/crates/gateway/src/request/running_attempts.rs
+++ b/crates/gateway/src/request/running_attempts.rs
@@ -1,4 +1,4 @@
-//! The attempts of one call that are under way at the same time.
+//! The attempts of one request that are under way at the same time.
 
 use sorrellock_core::process::retries::Permit;
 use sorrellock_routing::process::Incarnation;
@@ -7,7 +7,7 @@
 use std::task::Poll;
 use tokio::time::{Instant, sleep_until};
 
-/// An attempt at one endpoint, without its answer.
+/// An attempt of a call at one endpoint, without its answer.
 pub(crate) struct AttemptInfo {
     pub(crate) endpoint: Incarnation,
     pub(crate) permit: Permit,
@@ -25,19 +25,19 @@
     Overdue,
 }
 
-struct Running<F> {
-    info: AttemptInfo,
+struct Running<I, F> {
+    info: I,
     answer: Pin<Box<F>>,
 }
 
-/// The attempts of one call that are under way. Dropping them closes their connections.
-pub(crate) struct RunningAttempts<F> {
-    running: Vec<Running<F>>,
+/// The attempts of one request that are under way. Dropping them closes their connections.
+pub(crate) struct RunningAttempts<I, F> {
+    running: Vec<Running<I, F>>,
 }
 
-impl<F: Future> RunningAttempts<F> {
+impl<I, F: Future> RunningAttempts<I, F> {
     /// None is under way.
-    pub(crate) fn new() -> RunningAttempts<F> {
+    pub(crate) fn new() -> RunningAttempts<I, F> {
         RunningAttempts { running: Vec::new() }
     }
 
@@ -45,34 +45,24 @@
         self.running.is_empty()
     }
 
-    pub(crate) fn push(&mut self, info: AttemptInfo, answer: F) {
+    pub(crate) fn push(&mut self, info: I, answer: F) {
         self.running.push(Running { info, answer: Box::pin(answer) });
     }
 
-    pub(crate) fn infos(&mut self) -> impl Iterator<Item = &mut AttemptInfo> {
+    pub(crate) fn infos(&mut self) -> impl Iterator<Item = &mut I> {
         self.running.iter_mut().map(|running| &mut running.info)
     }
 
-    /// Waits for what happens next; for ever if none is under way.
-    pub(crate) async fn next(&mut self) -> AttemptEvent<F::Output> {
-        let overdue_at = match self.running.as_slice() {
-            [only] => only.info.overdue_at,
+    /// The only one, if no other is under way.
+    pub(crate) fn only(&mut self) -> Option<&mut I> {
+        match self.running.as_mut_slice() {
+            [only] => Some(&mut only.info),
             _ => None,
-        };
-        let overdue = async {
-            match overdue_at {
-                Some(at) => sleep_until(at).await,
-                None => pending().await,
-            }
-        };
-        tokio::select! {
-            biased;
-            (info, answer) = self.ended() => AttemptEvent::Ended(info, answer),
-            () = overdue => AttemptEvent::Overdue,
         }
     }
 
-    async fn ended(&mut self) -> (AttemptInfo, F::Output) {
+    /// Waits for the end of one; for ever if none is under way.
+    pub(crate) async fn ended(&mut self) -> (I, F::Output) {
         let (index, output) = poll_fn(|cx| {
             for (index, running) in self.running.iter_mut().enumerate() {
                 if let Poll::Ready(output) = running.answer.as_mut().poll(cx) {
@@ -85,3 +75,21 @@
         (self.running.remove(index).info, output)
     }
 }
+
+impl<F: Future> RunningAttempts<AttemptInfo, F> {
+    /// Waits for what happens next; for ever if none is under way.
+    pub(crate) async fn next(&mut self) -> AttemptEvent<F::Output> {
+        let overdue_at = self.only().and_then(|only| only.overdue_at);
+        let overdue = async {
+            match overdue_at {
+                Some(at) => sleep_until(at).await,
+                None => pending().await,
+            }
+        };
+        tokio::select! {
+            biased;
+            (info, answer) = self.ended() => AttemptEvent::Ended(info, answer),
+            () = overdue => AttemptEvent::Overdue,
+        }
+    }
+}
--- a/crates/gateway/src/request/stream.rs
+++ b/crates/gateway/src/request/stream.rs
@@ -2,7 +2,8 @@
 
 use crate::process::{Count, Gateway, NoPlace};
 use crate::request::relay::Relay;
-use crate::request::run::{NotBegun, RETRY_AFTER_FULL, Run, begin};
+use crate::request::run::{NotBegun, RETRY_AFTER_FULL, Run};
+use crate::request::run_search::begin;
 use crate::request::{Call, give_up};
 use http::Response;
 use sorrellock_http::{AnswerBody, Cut};
