--- a/crates/daemon/tests/gateway/silence.rs
+++ b/crates/daemon/tests/gateway/silence.rs
@@ -14,7 +14,8 @@
 use crate::fleet::{Fleet, HOST, KEY, config, fleet, new_request};
 use crate::gateway_process::{GatewayProcess, wait_for};
 use serde_json::Value;
-use sorrellock_stand_ins::{FakeProxy, ServiceMode, StoreMode, new_ip};
+use sorrellock_core::process::membership::rendezvous_several;
+use sorrellock_stand_ins::{FakeProxy, ProxyMode, ServiceMode, StoreMode, new_ip};
 use std::time::{Duration, Instant};
 
 /// The longest that a gateway lets the store hold a watch. What hides a change for as long is found by the end of the watch
@@ -124,6 +125,62 @@
     }
 }
 
+/// What users saw: requests went to an endpoint that leaves for as long as its entry might have come back.
+///
+/// The order of events: two gateways don't reach the store. As it answers the third one again after an outage, an endpoint has left
+/// without a word. The two are the ones that ask that endpoint on behalf of all, and are handed that its entry is missing.
+///
+/// The cause: a gateway asked only where the store itself told it of the missing entry. The evidence: `entry of an endpoint missing
+/// after an outage` at all three, no question, and `endpoint gone` 3.5 s later.
+#[test]
+fn gateways_that_are_handed_a_missing_entry_ask_its_endpoint_on_behalf_of_all() {
+    let mut fleet = fleet();
+    let names = ["one", "two", "three"];
+    let proxies =
+        [(); 2].map(|()| FakeProxy::start(new_ip(), fleet.store.addr()).expect("a proxy"));
+    let stores = [fleet.store.addr(), proxies[0].addr(), proxies[1].addr()];
+    let start = |index: usize| GatewayProcess::start(names[index], "north", stores[index]);
+    let gateways = [start(0), start(1), start(2)];
+    for (gateway, name) in gateways.iter().zip(names) {
+        fleet.wait_whole(gateway);
+        for other in names.iter().filter(|other| **other != name) {
+            gateway.wait_for_line(&["\"gateway heard\"", other]);
+        }
+    }
+    let index = index_that_is_asked_by(&fleet, &names[1..], &names);
+    fleet.add_engine(index, "north");
+    let engine = fleet.engines.last().expect("the one that was added");
+    for gateway in &gateways {
+        gateway.wait_for_line(&["\"endpoint joined\"", engine.id()]);
+    }
+    proxies.iter().for_each(|proxy| proxy.set_mode(ProxyMode::Silent));
+    fleet.store.put_and_fall_silent("servers", "engine-0", fleet.engines[0].entry());
+    gateways[0].wait_for_line(&["\"store lost\"", "Endpoints"]);
+
+    engine.leave_unsaid();
+    fleet.store.set_mode(StoreMode::Up);
+
+    for gateway in &gateways {
+        let line = gateway.wait_for_line(&["\"endpoint gone\"", engine.id()]);
+        assert!(!line.contains("missing after an outage"), "{line}");
+    }
+}
+
+/// The index of an engine to be added that these of all gateways ask on behalf of all.
+fn index_that_is_asked_by(fleet: &Fleet, askers: &[&str], all: &[&str]) -> usize {
+    let incarnation = |name: &&str| {
+        let registration = fleet.store.object("sorrellock-gateways", name).expect("it is there");
+        registration["incarnation"].as_u64().expect("a number")
+    };
+    let asked_by = |index: &usize| {
+        let id = format!("engine-{index}");
+        rendezvous_several(id.as_bytes(), all.iter().map(incarnation), askers.len())
+    };
+    let is_wanted =
+        |index: &usize| askers.iter().all(|name| asked_by(index).contains(&incarnation(name)));
+    (10..).find(is_wanted).expect("one of many")
+}
+
 #[test]
 fn a_change_is_in_force_soon_though_open_connections_to_the_store_went_silent_for_good() {
     let fleet = fleet();
--- /dev/null
+++ b/crates/routing/tests/missing_entries.rs
@@ -0,0 +1,75 @@
+//! What a list of all entries reports as missing.
+
+use sorrellock_routing::process::knowledge::{EntryState, Knowledge, RefusedEntry};
+use sorrellock_routing::process::{Endpoint, EntryFault, LayerRange, Revision};
+use std::collections::HashSet;
+use std::time::{Duration, Instant};
+
+const ID: &str = "endpoint-1";
+const SHORTLY: Duration = Duration::from_millis(500);
+
+/// Knowledge of one endpoint, whose entry has revision 1.
+fn knowledge_of_one() -> Knowledge {
+    let mut knowledge = Knowledge::new(Duration::from_secs(2));
+    let endpoint = Endpoint {
+        id: ID.into(),
+        started: None,
+        service: "s".into(),
+        addr: ([127, 0, 0, 1], 1).into(),
+        data_centre: "north".into(),
+        is_leaving: false,
+        card: None,
+        layers: LayerRange::default(),
+        slots: 1,
+    };
+    knowledge.apply_endpoint(endpoint, Revision::new(1, 1));
+    knowledge
+}
+
+fn entry_state(knowledge: &Knowledge) -> EntryState {
+    knowledge.known_endpoints().next().expect("it is known").entry.clone()
+}
+
+/// What operators saw: as the store failed several times in a moment, `entry of an endpoint missing after an outage` stood in the log for
+/// the same endpoints once for each list, and they were asked for their health each time.
+///
+/// The cause: each list reported all that it didn't hold, what was known to be missing included.
+#[test]
+fn an_entry_that_is_known_to_be_missing_is_not_reported_again() {
+    let mut knowledge = knowledge_of_one();
+    let now = Instant::now();
+
+    let first = knowledge.mark_unlisted(&HashSet::new(), now);
+    let second = knowledge.mark_unlisted(&HashSet::new(), now + SHORTLY);
+
+    assert_eq!((first, second), (vec![ID.to_owned()], vec![]));
+    assert_eq!(entry_state(&knowledge), EntryState::MissingSince(now));
+}
+
+/// The same for an entry that could not be used before it was gone: its endpoint's health does not speak for it, and was asked.
+#[test]
+fn an_entry_that_could_not_be_used_is_not_reported_as_missing() {
+    let mut knowledge = knowledge_of_one();
+    let now = Instant::now();
+    let fault = EntryFault::malformed("state", "sideways");
+    knowledge.refuse_endpoint(ID, RefusedEntry::new(Revision::new(1, 2), fault.clone()), now);
+
+    let missing = knowledge.mark_unlisted(&HashSet::new(), now + SHORTLY);
+
+    assert_eq!(missing, Vec::<String>::new());
+    assert_eq!(entry_state(&knowledge), EntryState::UnusableSince(now, fault));
+}
+
+#[test]
+fn an_entry_that_came_back_and_is_missing_once_more_is_reported_once_more() {
+    let mut knowledge = knowledge_of_one();
+    let now = Instant::now();
+    knowledge.mark_unlisted(&HashSet::new(), now);
+    let endpoint = knowledge.endpoint(ID).expect("it is known").clone();
+    knowledge.apply_endpoint(endpoint, Revision::new(1, 3));
+
+    let missing = knowledge.mark_unlisted(&HashSet::new(), now + SHORTLY);
+
+    assert_eq!(missing, vec![ID.to_owned()]);
+    assert_eq!(entry_state(&knowledge), EntryState::MissingSince(now + SHORTLY));
+}
