An era of the store that follows another one is reported, whichever answer bears it first

What operators saw: after the store had come back from a copy, one gateway logged "era of the store is known" in place of "era of the store began", and its sorrellock_store_eras stayed as it was. It also took the registrations that the copy lacks for gateways that are gone, and its share of the retry budget grew with that. Cause: an era counted as the first one that is known if the endpoints had not been listed yet, or had been listed in that era already. A list that is the first answer of an era is taken before the task that reports eras runs; and a gateway that starts while the store refuses calls hears of an era without a list. Change: the first era is the one before which none was known. How long ago the store told all that it had is kept with its era, so that reporting an era after its first list doesn't discard the age of that list (a check of the store more). Ruled out: eras reported by the platform adapter itself, as they are heard by messages of gateways too.

--- a/crates/gateway/src/process/store/eras.rs
+++ b/crates/gateway/src/process/store/eras.rs
@@ -22,7 +22,10 @@
     while eras.changed().await.is_ok() {
         let KnownEra { era, told_by } = eras.borrow_and_update().clone();
         let known = gateway.knowledge.borrow().endpoints_at();
-        if known == Revision::default() || known.era >= era {
+        // A list of the endpoints may be the first answer of an era, and is taken before this task runs: what it
+        // tells says nothing where an era was known before.
+        let is_first = before == 0 && (known == Revision::default() || known.era >= era);
+        if is_first {
             info!("era of the store is known", kv: { era, told_by = told_by.as_str() });
         } else {
             gateway.on_era(era, before, &told_by);
@@ -36,7 +39,7 @@
         let now = Instant::now();
         let ages = [Kind::Configuration, Kind::Endpoints];
         let [configuration_ms, endpoints_ms] = ages.map(|kind| self.store_heard.age_ms(kind, now));
-        self.store_heard.forget();
+        self.store_heard.forget_before(era);
         self.era_began.set(Some(now));
         self.counters.add(Count::StoreEras);
         warn!("era of the store began", kv: {
--- a/crates/gateway/src/process/store/store_heard.rs
+++ b/crates/gateway/src/process/store/store_heard.rs
@@ -2,7 +2,7 @@
 
 use crate::process::{Count, Gateway};
 use sorrellock_platform::{Kind, StoreError};
-use sorrellock_routing::process::{Known, Revision};
+use sorrellock_routing::process::{Known, Revision, StoreEra};
 use std::cell::Cell;
 use std::time::Duration;
 use tokio::sync::Notify;
@@ -17,29 +17,33 @@
 
 #[derive(Debug, Default)]
 struct KindHeard {
-    /// When the store last told this gateway all that it had.
-    at: Cell<Option<Instant>>,
+    /// When the store last told this gateway all that it had, and in which era.
+    at: Cell<Option<(StoreEra, Instant)>>,
     /// Wakes a watch that waits for news: it may wait in vain.
     doubt: Notify,
 }
 
 impl StoreHeard {
-    /// The store told all that it has of a kind.
-    pub(crate) fn set(&self, kind: Kind, at: Instant) {
+    /// The store told all that it has of a kind, in an era.
+    pub(crate) fn set(&self, kind: Kind, era: StoreEra, at: Instant) {
         if let Some(of_kind) = self.of(kind) {
-            of_kind.at.set(Some(at));
+            of_kind.at.set(Some((era, at)));
         }
     }
 
-    /// What it told is of a past era.
-    pub(crate) fn forget(&self) {
-        self.configuration.at.set(None);
-        self.endpoints.at.set(None);
+    /// Forgets what the store told before an era.
+    pub(crate) fn forget_before(&self, era: StoreEra) {
+        for of_kind in [&self.configuration, &self.endpoints] {
+            if of_kind.at.get().is_some_and(|(told_in, _)| told_in < era) {
+                of_kind.at.set(None);
+            }
+        }
     }
 
     /// How long ago it did so; nothing if it never did.
     pub(crate) fn age(&self, kind: Kind, now: Instant) -> Option<Duration> {
-        Some(now - self.of(kind)?.at.get()?)
+        let (_, at) = self.of(kind)?.at.get()?;
+        Some(now - at)
     }
 
     /// The same in ms.
--- a/crates/gateway/src/process/store/watcher.rs
+++ b/crates/gateway/src/process/store/watcher.rs
@@ -125,7 +125,7 @@
         self.at = Some(changes.at.max(at));
         self.on_answer();
         if !has_news {
-            self.note_heard();
+            self.note_heard(changes.at.era);
             return Ok(());
         }
         self.gateway.refuse_nameless(&changes.nameless, &format!("{:?}", self.kind));
@@ -134,7 +134,7 @@
             Kind::Configuration => self.on_configurations(changes.changes),
             Kind::Gateways | Kind::Leads => {}
         }
-        self.note_heard();
+        self.note_heard(changes.at.era);
         self.on_endpoints_known(changes.at, "watch");
         sleep(self.pause()).await;
         Ok(())
@@ -229,14 +229,14 @@
             }
             Kind::Gateways | Kind::Leads => {}
         }
-        self.note_heard();
+        self.note_heard(listing.at.era);
         self.on_endpoints_known(listing.at, "list");
         Ok(())
     }
 
     /// All that the store told is taken in.
-    fn note_heard(&self) {
-        self.gateway.store_heard.set(self.kind, Instant::now());
+    fn note_heard(&self, era: StoreEra) {
+        self.gateway.store_heard.set(self.kind, era, Instant::now());
     }
 
     fn on_endpoints_known(&self, at: Revision, source: &str) {
