A gateway that is handed a missing entry asks its endpoint, too, where it asks on behalf of all

What callers saw: requests went to an endpoint that had left without a word around an outage, at all gateways, until its entry had been missing for 1.8 s. Cause: two of the gateways ask such an endpoint on behalf of all, and did so where the store told them of the missing entry, not where another gateway did. Where the two don't reach the store and the others do, nobody asked. Change: what is handed over as missing is asked about by the same rule. Ruled out: that those who reach the store ask in place of the others: who reaches it isn't known to all at the same moment.

The failing test with three gateways passes: before, "endpoint gone" came with "missing after an outage of the store".

--- a/crates/gateway/src/process/store/handed_over.rs
+++ b/crates/gateway/src/process/store/handed_over.rs
@@ -1,6 +1,6 @@
 //! Takes what another gateway hands over.
 
-use crate::process::Gateway;
+use crate::process::{Gateway, check_lapsed};
 use sorrellock_routing::process::Revision;
 use sorrellock_routing::process::knowledge::Handover;
 use spdlog::info;
@@ -36,6 +36,8 @@
                 info!("entry of an endpoint missing after an outage", kv: {
                     endpoint = id.as_str(), ms, source = from
                 });
+                // The gateways that ask on behalf of all may be those that the store turns away.
+                check_lapsed(self, id);
             }
         }
         let gone = self.knowledge.borrow().unlisted(&listed);
