A list reports as missing only entries that it is the first to miss

What operators saw: after two lists in a moment, as with two eras or a store that fails again, "entry of an endpoint missing after an outage" stood in the log once for each list, and each time the endpoints were asked for their health, which is priced. The line came also for entries that could not be used, whose endpoint's health doesn't speak for them. Cause: mark_unlisted returned all that a list doesn't hold. Change: it returns those whose entry was there and usable.

--- a/crates/routing/src/process/knowledge/missing.rs
+++ b/crates/routing/src/process/knowledge/missing.rs
@@ -28,16 +28,17 @@
     }
 
     /// Takes a list of all entries after an outage. What is missing stays for a while, as its
-    /// entry may only have lapsed. Tells which are.
+    /// entry may only have lapsed. Returns those whose entry wasn't missing or unusable before.
     pub fn mark_unlisted(&mut self, listed: &HashSet<EndpointId>, now: Instant) -> Vec<EndpointId> {
-        let missing = self.unlisted(listed);
-        for id in &missing {
-            if let Some(known) = self.endpoints.get_mut(id) {
-                known.note_missing(now);
-            }
+        let unlisted = self.endpoints.iter_mut().filter(|(id, _)| !listed.contains(*id));
+        let missing = unlisted.filter(|(_, known)| known.entry == EntryState::Listed);
+        let mut newly_missing = Vec::new();
+        for (id, known) in missing {
+            known.note_missing(now);
+            newly_missing.push(id.clone());
         }
         self.refused.retain(|id| listed.contains(id));
-        missing
+        newly_missing
     }
 
     /// Whether an endpoint's entry is missing, and may come back.
