Failing test: a gateway that starts right after the store came back takes an endpoint that had left as ready

What callers would see: requests to an endpoint that is about to end, or has ended, through a gateway that was started after the store came back from a copy, until the endpoint writes its entry again, its entry lapses, or it refuses.

The test waits in vain (60 s) for the new gateway to know.

--- a/crates/daemon/tests/gateway/eras.rs
+++ b/crates/daemon/tests/gateway/eras.rs
@@ -322,3 +322,28 @@
     gateway.wait_for_line(&[ERA_BEGAN, "\"era\":2", "\"before\":1"]);
     assert_eq!(gateway.metric("sorrellock_store_eras"), 1.0);
 }
+
+/// What callers would see: requests to an endpoint that is about to end, or has ended, through a gateway that was started right after the
+/// store came back from a copy.
+///
+/// The order of events: an endpoint leaves, and the gateways know. The store comes back from a copy that has the endpoint ready; those
+/// gateways go on to take it as leaving. Another one starts, and lists what the copy holds.
+///
+/// The cause: what binds in a new era was handed over only to gateways that know less of the store. The evidence: `endpoint joined` at
+/// the new gateway, and no further line of that endpoint.
+#[test]
+fn a_gateway_that_starts_after_a_return_is_bound_by_the_leaves_that_others_know() {
+    let fleet = fleet_with_eras();
+    let first = fleet.gateway("one");
+    let engine = &fleet.engines[0];
+    let copy = fleet.store.copy();
+    engine.leave();
+    first.wait_for_line(&[LEAVING, engine.id()]);
+    fleet.store.come_back_from(&copy);
+    wait_for_list(&first, 2);
+
+    let second = GatewayProcess::start("two", "north", fleet.store.addr());
+
+    second.wait_for_line(&[LEAVING, engine.id(), "\"source\":\"one\""]);
+    assert_eq!(endpoint(&second, engine.id()).expect("it is known")["is_leaving"], true);
+}
