The trial plays a return of the store from an older copy

sorrellock try starts a gateway in its process, beside a store and a plain service of the stand-ins. The store is away for half a second and comes back from a copy that is older than a revoked key and than the gateway's registration, while calls go on: all are answered, the key stays revoked, the registration is written again. The gateway can run in a process that has set up its own log.

--- a/crates/cli/src/trial/mod.rs
+++ b/crates/cli/src/trial/mod.rs
@@ -1,6 +1,7 @@
 //! `sorrellock try`: the whole path in one process, on stand-ins, each claim checked.
 
 mod checks;
+mod returning_store;
 
 use checks::Trial;
 use eyre::Result;
@@ -20,6 +21,7 @@
     trial.change_weight()?;
     trial.kill_stage()?;
     trial.shut_down()?;
+    returning_store::check()?;
     println!("all of it held, in {:.1} s", start.elapsed().as_secs_f64());
     Ok(())
 }
--- a/crates/cli/tests/trial.rs
+++ b/crates/cli/tests/trial.rs
@@ -17,6 +17,7 @@
         "a changed weight was in force on 9 of 9 daemons",
         "a stage was killed after 100 tokens, and the answer is whole",
         "a graceful shutdown cut no answer",
+        "the store came back from an older copy",
     ];
     for claim in claims {
         assert!(text.contains(claim), "no `{claim}` in:\n{text}");
--- a/crates/gateway/src/process/run.rs
+++ b/crates/gateway/src/process/run.rs
@@ -90,6 +90,15 @@
 pub fn run(path: &Path) -> Result<(), StartError> {
     let settings = read_settings(path)?;
     let _log = set_up_log();
+    run_with(settings, path)
+}
+
+/// The same in a process that has set up a log of its own.
+pub fn run_with_log_set_up(path: &Path) -> Result<(), StartError> {
+    run_with(read_settings(path)?, path)
+}
+
+fn run_with(settings: Settings, path: &Path) -> Result<(), StartError> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|source| io_error("runtime", source))?;
     let local = LocalSet::new();
