--- a/crates/daemon/tests/gateway/eras.rs
+++ b/crates/daemon/tests/gateway/eras.rs
@@ -5,7 +5,7 @@
 use crate::gateway_process::{GatewayProcess, wait_for};
 use serde_json::{Value, json};
 use sorrellock_stand_ins::{
-    FakeEngine, FakeProxy, FakeStore, ProxyMode, StoreCopy, StoreMode, new_ip,
+    FakeEngine, FakeProxy, FakeStore, PEER_PORT, ProxyMode, StoreCopy, StoreMode, new_ip,
 };
 use std::io::Read;
 
@@ -347,3 +347,22 @@
     second.wait_for_line(&[LEAVING, engine.id(), "\"source\":\"one\""]);
     assert_eq!(endpoint(&second, engine.id()).expect("it is known")["is_leaving"], true);
 }
+
+#[test]
+fn a_gateway_whose_registration_the_copy_lacks_still_shares_the_retry_budget() {
+    let fleet = fleet_with_eras();
+    let copy = fleet.store.copy();
+    let other = json!({ "addr": format!("{}:{PEER_PORT}", new_ip()), "incarnation": 1 });
+    fleet.store.put("sorrellock-gateways", "two", other);
+    let gateway = fleet.gateway("one");
+    wait_for("the other registration", || gateway.dump()["budget_gateways"] == 2);
+
+    let lists = fleet.store.calls("sorrellock-gateways");
+    fleet.store.come_back_from(&copy);
+    gateway.wait_for_line(&["\"object written again\"", "sorrellock-gateways"]);
+    // The write, and the list after it, which the next look at the store finds answered.
+    wait_for("the list", || fleet.store.calls("sorrellock-gateways") >= lists + 2);
+    wait_for_list(&gateway, 2);
+
+    assert_eq!(gateway.dump()["budget_gateways"], 2);
+}
--- a/crates/gateway/src/process/dump.rs
+++ b/crates/gateway/src/process/dump.rs
@@ -28,6 +28,8 @@
     configuration_heard_ms: Option<u64>,
     endpoints_heard_ms: Option<u64>,
     lead: Option<LeadDump>,
+    /// How many gateways share the retry budget, this one included.
+    budget_gateways: usize,
     gateways: Vec<GatewayDump>,
     endpoints: Vec<EndpointDump>,
     refused_by_reason: BTreeMap<FaultKind, usize>,
@@ -122,6 +124,7 @@
             configuration_heard_ms: gateway.store_heard.age_ms(Kind::Configuration, now),
             endpoints_heard_ms: gateway.store_heard.age_ms(Kind::Endpoints, now),
             lead: lead(gateway, now),
+            budget_gateways: gateway.beliefs.borrow().gateways(now),
             gateways: bounded(gateways(gateway, now).into_iter(), &mut left_out),
             endpoints: bounded(endpoints, &mut left_out),
             refused_by_reason,
