Tests: a gateway that accepts and doesn't answer counts as not ready

Cause of one way to hang, by reading: readiness and pages were asked for without a time limit, so a gateway process that accepts a connection and doesn't answer stopped the test for good, without a word. Now it is not ready after 10 s, or its page fails after 60 s, and the test tells so.

--- a/crates/daemon/tests/gateway/gateway_process.rs
+++ b/crates/daemon/tests/gateway/gateway_process.rs
@@ -13,10 +13,16 @@
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
+use ureq::Body;
+use ureq::http::Response;
 
 /// How long a test waits for what must come: far above what it takes.
 pub const PATIENCE: Duration = Duration::from_secs(60);
 
+/// How long a gateway may take to tell whether it is ready before it counts as not ready. A test that waited without a limit would hang on
+/// a process that doesn't answer.
+const READINESS_PATIENCE: Duration = Duration::from_secs(10);
+
 /// A gateway as a child process. Dropping it kills it.
 pub struct GatewayProcess {
     child: Child,
@@ -120,7 +126,7 @@
     /// A page beside its metrics.
     pub fn page(&self, name: &str) -> String {
         let url = format!("http://{}/{name}", self.metrics());
-        let mut answer = ureq::get(url).call().expect("the page");
+        let mut answer = get(&url, PATIENCE).expect("the page");
         answer.body_mut().read_to_string().expect("text")
     }
 
@@ -140,7 +146,7 @@
     /// Whether it says that it is ready.
     pub fn is_ready(&self) -> bool {
         let url = format!("http://{}:{READINESS_PORT}/v1/readiness", self.ip);
-        ureq::get(url).call().is_ok_and(|answer| answer.status() == 200)
+        get(&url, READINESS_PATIENCE).is_ok_and(|answer| answer.status() == 200)
     }
 
     /// Sends it a signal.
@@ -180,6 +186,11 @@
     }
 }
 
+/// Reads a page of a gateway within `patience`.
+fn get(url: &str, patience: Duration) -> Result<Response<Body>, ureq::Error> {
+    ureq::get(url).config().timeout_global(Some(patience)).build().call()
+}
+
 /// Waits until something holds.
 pub fn wait_for(what: &str, mut holds: impl FnMut() -> bool) {
     let began = Instant::now();
