--- a/crates/routing/tests/common/mod.rs
+++ b/crates/routing/tests/common/mod.rs
@@ -2,7 +2,7 @@
 #![allow(dead_code)]
 
 use sorrellock_routing::process::placement::PlannedEngine;
-use sorrellock_routing::process::{Holder, Incarnation, LayerRange};
+use sorrellock_routing::process::{Endpoint, Holder, Incarnation, LayerRange, StartMillis};
 use sorrellock_routing::version::{Card, ModelShape};
 use std::time::Duration;
 
@@ -11,6 +11,21 @@
     Incarnation::new(id, None)
 }
 
+/// An endpoint that is ready, in a life.
+pub fn endpoint(id: &str, started: Option<StartMillis>) -> Endpoint {
+    Endpoint {
+        id: id.into(),
+        started,
+        service: "lexis".into(),
+        addr: ([127, 0, 0, 1], 1).into(),
+        data_centre: "north".into(),
+        is_leaving: false,
+        card: None,
+        layers: LayerRange::default(),
+        slots: 6,
+    }
+}
+
 /// A model of so many layers of 1,750 MB on four kinds of accelerators.
 pub fn shape(layers: u32) -> ModelShape {
     let card = |name: &str, memory_mb: f64, step_factor: f64| Card {
--- a/crates/routing/tests/entries.rs
+++ b/crates/routing/tests/entries.rs
@@ -1,23 +1,12 @@
 //! Faults of entries, and whether an entry must tell a start.
 
+mod common;
+
+use common::endpoint;
 use sorrellock_routing::process::{
-    Endpoint, EntryFault, FaultKind, LayerRange, cut, do_most_tell_start, is_start_untold,
+    Endpoint, EntryFault, FaultKind, cut, do_most_tell_start, is_start_untold,
 };
 
-fn endpoint(id: &str, started: Option<u64>) -> Endpoint {
-    Endpoint {
-        id: id.into(),
-        started,
-        service: "s".into(),
-        addr: ([127, 0, 0, 1], 1).into(),
-        data_centre: "north".into(),
-        is_leaving: false,
-        card: None,
-        layers: LayerRange::default(),
-        slots: 1,
-    }
-}
-
 fn endpoints(with_start: usize, without: usize) -> Vec<Endpoint> {
     let told = (0..with_start).map(|index| endpoint(&format!("t{index}"), Some(5)));
     told.chain((0..without).map(|index| endpoint(&format!("u{index}"), None))).collect()
--- a/crates/routing/tests/knowledge_eras/fleet.rs
+++ b/crates/routing/tests/knowledge_eras/fleet.rs
@@ -1,11 +1,12 @@
 //! Gateways that learn of endpoints from a store and from each other, on simulated time in ms.
 
+use crate::common::endpoint;
 use crate::course::{Course, Event};
 use crate::gateway::{Gateway, OnTheWay};
 use crate::store::Store;
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
-use sorrellock_routing::process::{Endpoint, LayerRange, Revision, StoreEra};
+use sorrellock_routing::process::{Endpoint, Revision, StoreEra};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
@@ -82,7 +83,7 @@
 
     fn join(&mut self) {
         let id = format!("endpoint-{}", self.servers.len());
-        let endpoint = endpoint(&id);
+        let endpoint = endpoint(&id, None);
         let next_write = self.now;
         let ends_after = Revision::default();
         let server = Server { endpoint, truth: Truth::Ready, next_write, ends_after };
@@ -339,17 +340,3 @@
         Ok(())
     }
 }
-
-fn endpoint(id: &str) -> Endpoint {
-    Endpoint {
-        id: id.to_owned(),
-        started: None,
-        service: "lexis".into(),
-        addr: "127.0.0.1:1".parse().expect("an address"),
-        data_centre: "north".into(),
-        is_leaving: false,
-        card: None,
-        layers: LayerRange::default(),
-        slots: 6,
-    }
-}
--- a/crates/routing/tests/left_before_era.rs
+++ b/crates/routing/tests/left_before_era.rs
@@ -1,7 +1,10 @@
 //! Leaves of an era of the store that ended, as one gateway hears of them from another.
 
+mod common;
+
+use common::endpoint;
 use sorrellock_routing::process::knowledge::Knowledge;
-use sorrellock_routing::process::{Endpoint, Incarnation, LayerRange, Revision};
+use sorrellock_routing::process::{Incarnation, Revision};
 use std::time::{Duration, Instant};
 
 const ID: &str = "endpoint-1";
@@ -12,20 +15,6 @@
 /// Far longer than an endpoint that had left waits to be asked.
 const LATER: Duration = Duration::from_secs(4);
 
-fn endpoint(started: Option<u64>) -> Endpoint {
-    Endpoint {
-        id: ID.into(),
-        started,
-        service: "s".into(),
-        addr: ([127, 0, 0, 1], 1).into(),
-        data_centre: "north".into(),
-        is_leaving: false,
-        card: None,
-        layers: LayerRange::default(),
-        slots: 1,
-    }
-}
-
 fn left() -> Vec<Incarnation> {
     vec![Incarnation::new(ID, None)]
 }
@@ -34,7 +23,7 @@
 fn knowledge_of_the_copy(now: Instant) -> Knowledge {
     let mut knowledge = Knowledge::new(Duration::from_secs(2));
     knowledge.begin_era(RETURNED, now);
-    knowledge.apply_endpoint(endpoint(None), COPIED);
+    knowledge.apply_endpoint(endpoint(ID, None), COPIED);
     knowledge.advance(RETURNED);
     knowledge
 }
@@ -63,7 +52,7 @@
     knowledge.begin_era(RETURNED, now);
 
     knowledge.hear_left(&left(), RETURNED.era, now);
-    knowledge.apply_endpoint(endpoint(None), COPIED);
+    knowledge.apply_endpoint(endpoint(ID, None), COPIED);
 
     assert!(!is_open(&knowledge, now));
 }
@@ -84,7 +73,7 @@
 fn an_endpoint_that_wrote_its_entry_in_the_era_stays_open() {
     let now = Instant::now();
     let mut knowledge = knowledge_of_the_copy(now);
-    knowledge.apply_endpoint(endpoint(None), Revision::new(2, RETURNED.count + 1));
+    knowledge.apply_endpoint(endpoint(ID, None), Revision::new(2, RETURNED.count + 1));
 
     knowledge.hear_left(&left(), RETURNED.era, now);
 
@@ -96,7 +85,7 @@
     let now = Instant::now();
     let mut knowledge = Knowledge::new(Duration::from_secs(2));
     knowledge.begin_era(RETURNED, now);
-    knowledge.apply_endpoint(endpoint(Some(7)), COPIED);
+    knowledge.apply_endpoint(endpoint(ID, Some(7)), COPIED);
 
     knowledge.hear_left(&[Incarnation::new(ID, Some(6))], RETURNED.era, now);
 
@@ -126,7 +115,7 @@
     knowledge.note_well(&Incarnation::new(ID, None));
     let next = Revision::new(3, 4);
     knowledge.begin_era(next, now);
-    knowledge.apply_endpoint(endpoint(None), Revision::new(3, 3));
+    knowledge.apply_endpoint(endpoint(ID, None), Revision::new(3, 3));
 
     let news = knowledge.hear_left(&left(), next.era, now);
 
@@ -175,7 +164,7 @@
     let now = Instant::now();
     let mut knowledge = Knowledge::new(Duration::from_secs(2));
     knowledge.begin_era(Revision::new(2, COPIED.count - 1), now);
-    knowledge.apply_endpoint(endpoint(None), COPIED);
+    knowledge.apply_endpoint(endpoint(ID, None), COPIED);
 
     take_handover(&mut knowledge, now);
 
--- a/crates/routing/tests/missing_entries.rs
+++ b/crates/routing/tests/missing_entries.rs
@@ -1,7 +1,10 @@
 //! What a list of all entries reports as missing.
 
+mod common;
+
+use common::endpoint;
 use sorrellock_routing::process::knowledge::{EntryState, Knowledge, RefusedEntry};
-use sorrellock_routing::process::{Endpoint, EntryFault, LayerRange, Revision};
+use sorrellock_routing::process::{EntryFault, Revision};
 use std::collections::HashSet;
 use std::time::{Duration, Instant};
 
@@ -11,18 +14,7 @@
 /// Knowledge of one endpoint, whose entry has revision 1.
 fn knowledge_of_one() -> Knowledge {
     let mut knowledge = Knowledge::new(Duration::from_secs(2));
-    let endpoint = Endpoint {
-        id: ID.into(),
-        started: None,
-        service: "s".into(),
-        addr: ([127, 0, 0, 1], 1).into(),
-        data_centre: "north".into(),
-        is_leaving: false,
-        card: None,
-        layers: LayerRange::default(),
-        slots: 1,
-    };
-    knowledge.apply_endpoint(endpoint, Revision::new(1, 1));
+    knowledge.apply_endpoint(endpoint(ID, None), Revision::new(1, 1));
     knowledge
 }
 
@@ -65,8 +57,7 @@
     let mut knowledge = knowledge_of_one();
     let now = Instant::now();
     knowledge.mark_unlisted(&HashSet::new(), now);
-    let endpoint = knowledge.endpoint(ID).expect("it is known").clone();
-    knowledge.apply_endpoint(endpoint, Revision::new(1, 3));
+    knowledge.apply_endpoint(endpoint(ID, None), Revision::new(1, 3));
 
     let missing = knowledge.mark_unlisted(&HashSet::new(), now + SHORTLY);
 
