--- a/crates/gateway/src/process/store/mod.rs
+++ b/crates/gateway/src/process/store/mod.rs
@@ -8,6 +8,7 @@
 mod lives;
 mod store_heard;
 mod told_faults;
+mod watch_sharing;
 mod watcher;
 
 pub(crate) use endpoint_check::*;
--- a/crates/gateway/src/process/store/watcher.rs
+++ b/crates/gateway/src/process/store/watcher.rs
@@ -1,7 +1,7 @@
 //! Follows the configuration and the endpoints in the platform's store.
 
 use crate::process::{Count, Gateway};
-use sorrellock_core::process::store_watch::{Rank, WatchSchedule, WatchTimes};
+use sorrellock_core::process::store_watch::{WatchSchedule, WatchTimes};
 use sorrellock_platform::{Change, Kind, Listing, Store, StoreError, StoredObject};
 use sorrellock_routing::process::{Revision, StoreEra};
 use spdlog::{error, info, warn};
@@ -9,25 +9,6 @@
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
 
-/// Changes that come within this time are fetched together: a call each would cost more than
-/// their delay.
-const WATCH_PAUSE: Duration = Duration::from_millis(200);
-/// The same for changes of endpoints, per gateway: all watch, and the lead tells the others what
-/// matters of engines at once.
-const WATCH_PAUSE_PER_GATEWAY: Duration = Duration::from_millis(30);
-/// The longest such pause.
-const WATCH_PAUSE_MOST: Duration = Duration::from_millis(900);
-/// Share of the time within which an endpoint that leaves may get requests that a pause may take.
-const WATCH_PAUSE_SHARE: f64 = 0.45;
-/// From so many gateways on, most of them learn of endpoints from others: each change would cost a
-/// call of each.
-const MANY_GATEWAYS: usize = 12;
-/// Gateways, first in order of name, that watch the store themselves; the lead does besides.
-const WATCHERS: Rank = 4;
-/// The fewest of them that must have heard the store of late for others to rely on them.
-const WATCHERS_LEAST: usize = 2;
-/// How late they may have heard it: a watch without news in turn, and a retry.
-const WATCHER_FRESH: Duration = Duration::from_secs(10);
 /// How often a gateway that relies on others looks whether it still may.
 const RELY_TICK: Duration = Duration::from_millis(400);
 /// How often it is looked whether what is known has grown too old.
@@ -68,12 +49,13 @@
     })
 }
 
-struct Watcher {
-    gateway: Rc<Gateway>,
+/// Follows one kind of objects.
+pub(super) struct Watcher {
+    pub(super) gateway: Rc<Gateway>,
     store: Store,
-    kind: Kind,
+    pub(super) kind: Kind,
     /// Where to watch on from; none: list first.
-    at: Option<Revision>,
+    pub(super) at: Option<Revision>,
     /// The era of the store that was listed last; none before the first list.
     listed_era: Option<StoreEra>,
     /// What to ask next.
@@ -81,9 +63,9 @@
     /// When the call under way was sent.
     asked: Instant,
     /// Since when the store doesn't answer.
-    lost_since: Option<Instant>,
+    pub(super) lost_since: Option<Instant>,
     /// Other gateways tell of the endpoints.
-    is_left_to_others: bool,
+    pub(super) is_left_to_others: bool,
 }
 
 impl Watcher {
@@ -156,64 +138,11 @@
     }
 
     /// Whether what all gateways that are heard know of the store is too old to rely on.
-    fn is_too_old(&self) -> bool {
+    pub(super) fn is_too_old(&self) -> bool {
         let age = self.gateway.knowledge_age(self.kind, Instant::now());
         age.is_none_or(|age| age > self.schedule.oldest(self.rank()))
     }
 
-    /// This gateway's rank among those that are heard and watch the same.
-    fn rank(&self) -> Rank {
-        let now = Instant::now();
-        let beliefs = self.gateway.beliefs.borrow();
-        let rank = beliefs.rank(&self.gateway.settings.instance, now);
-        let count = beliefs.live_peers(now).count() + 1;
-        let is_shared = self.kind == Kind::Endpoints && count >= MANY_GATEWAYS;
-        if is_shared { rank.min(WATCHERS) } else { rank }
-    }
-
-    /// Whether other gateways tell of the endpoints, and this one needs no watch of its own. A
-    /// later watch goes on from what they told.
-    fn leaves_it_to_others(&mut self) -> bool {
-        let at = self.gateway.knowledge.borrow().endpoints_at();
-        let (is_left, watchers) = self.may_leave_it(at);
-        if is_left != std::mem::replace(&mut self.is_left_to_others, is_left) {
-            let Revision { era, count } = at;
-            info!("watch of endpoints", kv: {
-                left_to_others = is_left, watchers, era, at = count
-            });
-        }
-        if is_left {
-            self.at = Some(at);
-            self.lost_since = None;
-        }
-        is_left
-    }
-
-    /// Whether others watch in its place, and how many do.
-    fn may_leave_it(&self, at: Revision) -> (bool, usize) {
-        let now = Instant::now();
-        let gateway = &self.gateway;
-        let beliefs = gateway.beliefs.borrow();
-        let watchers = beliefs.watchers(WATCHER_FRESH, now);
-        let may_leave = at > Revision::default()
-            && !gateway.leads.get()
-            && beliefs.gateways(now) >= MANY_GATEWAYS
-            && beliefs.rank(&gateway.settings.instance, now) >= WATCHERS
-            && watchers >= WATCHERS_LEAST
-            && !self.is_too_old();
-        (may_leave, watchers)
-    }
-
-    fn pause(&self) -> Duration {
-        if self.kind != Kind::Endpoints || self.gateway.leads.get() {
-            return WATCH_PAUSE;
-        }
-        let gateways = self.gateway.beliefs.borrow().gateways(Instant::now());
-        let most = self.gateway.bounds.get().leave_within.mul_f64(WATCH_PAUSE_SHARE);
-        let most = most.clamp(WATCH_PAUSE, WATCH_PAUSE_MOST);
-        (WATCH_PAUSE_PER_GATEWAY * gateways as u32).clamp(WATCH_PAUSE, most)
-    }
-
     async fn on_listing(&mut self, listing: Listing) -> Result<(), StoreError> {
         let after_outage = self.lost_since.is_some();
         self.on_answer();
