--- a/crates/cli/src/trial/returning_store.rs
+++ b/crates/cli/src/trial/returning_store.rs
@@ -18,8 +18,10 @@
 const REVOKED_KEY: &str = "key-revoked";
 /// How long the store is away.
 const AWAY: Duration = Duration::from_millis(500);
-/// How long calls go on after it is back.
-const CALLED_AFTER: Duration = Duration::from_secs(2);
+/// How long after the gateway knows of the return the operator and the service write again what the copy lacks.
+const WRITTEN_AGAIN_AFTER: Duration = Duration::from_secs(1);
+/// How long calls go on after that.
+const CALLED_AFTER: Duration = Duration::from_secs(1);
 /// How long each step may take.
 const PATIENCE: Duration = Duration::from_secs(20);
 /// How often a wait looks again, and the time between two calls.
@@ -59,10 +61,12 @@
         thread::sleep(AWAY);
         deployment.store.come_back_from(&copy);
         deployment.store.set_mode(StoreMode::Up);
-        let written_again = deployment.wait_for_era();
+        let known = deployment.wait_for_era();
+        thread::sleep(WRITTEN_AGAIN_AFTER);
+        deployment.write_again();
         thread::sleep(CALLED_AFTER);
         calls.is_over.store(true, Ordering::Release);
-        written_again
+        known
     })?;
 
     let (number, answered) =
@@ -130,16 +134,18 @@
         }
     }
 
-    /// Waits until the gateway knows the new era and has written its registration again; then the operator and the service write
-    /// again, too.
+    /// Waits until the gateway knows the new era and has written its registration again.
     fn wait_for_era(&self) -> Result<()> {
         wait_for("the new era to be known", || self.dump()["endpoints_era"] == 2)?;
         wait_for("the gateway to write its registration again", || {
             self.store.object("sorrellock-gateways", INSTANCE).is_some()
-        })?;
+        })
+    }
+
+    /// The operator and the service write again what the copy lacks.
+    fn write_again(&self) {
         self.store.put("config", "main", configuration(2, &[KEY]));
         self.service.write_again(&self.store);
-        Ok(())
     }
 
     /// The gateway's state; null where it can't be read.
