--- a/crates/gateway/src/process/store/eras.rs
+++ b/crates/gateway/src/process/store/eras.rs
@@ -8,7 +8,7 @@
 use crate::process::{Count, Gateway};
 use sorrellock_core::process::store_watch::list_turn;
 use sorrellock_platform::{Kind, KnownEra};
-use sorrellock_routing::process::{Revision, StoreEra};
+use sorrellock_routing::process::{Incarnation, Revision, StoreEra};
 use spdlog::{info, warn};
 use std::rc::Rc;
 use std::time::Duration;
@@ -22,7 +22,10 @@
     while eras.changed().await.is_ok() {
         let KnownEra { era, told_by } = eras.borrow_and_update().clone();
         let known = gateway.knowledge.borrow().endpoints_at();
-        if known == Revision::default() || known.era >= era {
+        // A list of the endpoints may be the first answer of an era, and is taken before this task runs: what it
+        // tells says nothing where an era was known before.
+        let is_first = before == 0 && (known == Revision::default() || known.era >= era);
+        if is_first {
             info!("era of the store is known", kv: { era, told_by = told_by.as_str() });
         } else {
             gateway.on_era(era, before, &told_by);
@@ -36,7 +39,7 @@
         let now = Instant::now();
         let ages = [Kind::Configuration, Kind::Endpoints];
         let [configuration_ms, endpoints_ms] = ages.map(|kind| self.store_heard.age_ms(kind, now));
-        self.store_heard.forget();
+        self.store_heard.forget_before(era);
         self.era_began.set(Some(now));
         self.counters.add(Count::StoreEras);
         warn!("era of the store began", kv: {
@@ -44,6 +47,19 @@
         });
     }
 
+    /// Another gateway, which knows the endpoints in `era`, knew these to have left before it. Returns whether that is news.
+    pub(crate) fn hear_left(&self, left: &[Incarnation], era: StoreEra, from: &str) -> bool {
+        let now = Instant::now().into_std();
+        let newly_leaving = self.knowledge.borrow_mut().hear_left(left, era, now);
+        for life in &newly_leaving {
+            info!("endpoint leaving", kv: { endpoint = life.id.as_str(), era, source = from });
+        }
+        if !newly_leaving.is_empty() {
+            self.engines_changed.notify_waiters();
+        }
+        !newly_leaving.is_empty()
+    }
+
     /// An object of this gateway's own was written again, as the copy that an era began with may lack it.
     pub(crate) fn note_rewritten(&self, kind: Kind, name: &str) {
         self.counters.add(Count::ObjectsRewritten);
--- a/crates/gateway/src/process/store/handed_over.rs
+++ b/crates/gateway/src/process/store/handed_over.rs
@@ -1,6 +1,6 @@
 //! Takes what another gateway hands over.
 
-use crate::process::Gateway;
+use crate::process::{Gateway, check_lapsed};
 use sorrellock_routing::process::Revision;
 use sorrellock_routing::process::knowledge::Handover;
 use spdlog::info;
@@ -28,7 +28,7 @@
             }
             self.apply_endpoint(known.endpoint, known.revision, from);
         }
-        self.knowledge.borrow_mut().hear_left(handover.left, now.into_std());
+        self.hear_left(&handover.left, handover.endpoints_at.era, from);
         self.hear_refused(handover.refused, from);
         for (id, missing_for) in &handover.missing {
             if self.knowledge.borrow_mut().hear_missing(id, *missing_for, now.into_std()) {
@@ -36,6 +36,8 @@
                 info!("entry of an endpoint missing after an outage", kv: {
                     endpoint = id.as_str(), ms, source = from
                 });
+                // The gateways that ask on behalf of all may be those that the store turns away.
+                check_lapsed(self, id);
             }
         }
         let gone = self.knowledge.borrow().unlisted(&listed);
