The lag of the gateway's event loop, and the time that a configuration takes, are measured

What operators saw: nothing told whether a gateway was late itself when it took an engine for dead. A pause showed only where a question of its own ended late.

A timer of 15 ms notes by how much it is late: a histogram, the longest lag of the last minute, a line `event loop paused` once a pause of 100 ms has ended. `configuration in force` bears the time of parsing and of installing; the line now follows the refresh of paths, which counts.

--- a/crates/daemon/tests/gateway/main.rs
+++ b/crates/daemon/tests/gateway/main.rs
@@ -5,6 +5,7 @@
 mod fleet;
 mod gateway_process;
 mod knowledge;
+mod late;
 mod leaving;
 mod life;
 mod lives;
--- a/crates/gateway/src/process/counters.rs
+++ b/crates/gateway/src/process/counters.rs
@@ -151,6 +151,8 @@
     pub(crate) mend: Latency,
     /// Round trips to the store, watches aside.
     pub(crate) store_call: Latency,
+    /// By how much a timer of the event loop was late.
+    pub(crate) loop_lag: Latency,
 }
 
 impl Counters {
@@ -162,6 +164,7 @@
             whole_answer: Latency::new(),
             mend: Latency::new(),
             store_call: Latency::new(),
+            loop_lag: Latency::new(),
         }
     }
 
@@ -192,6 +195,7 @@
         self.whole_answer.write(&mut page, "whole_answer");
         self.mend.write(&mut page, "mend");
         self.store_call.write(&mut page, "store_call");
+        self.loop_lag.write(&mut page, "loop_lag");
         page
     }
 }
--- a/crates/gateway/src/process/gateway.rs
+++ b/crates/gateway/src/process/gateway.rs
@@ -5,7 +5,9 @@
 use sorrellock_core::process::retries::Breakers;
 use sorrellock_platform::{Bounds, Client, EndpointLoad, Kind, Settings, StoreEras};
 use sorrellock_routing::process::knowledge::Knowledge;
-use sorrellock_routing::process::{Incarnation, Leaving, Lives, RetryWindow, StreamPace};
+use sorrellock_routing::process::{
+    Incarnation, Leaving, Lives, LoopPauses, RetryWindow, StreamPace,
+};
 use sorrellock_routing::version::{Configuration, ServiceName};
 use spdlog::{info, warn};
 use std::cell::{Cell, RefCell};
@@ -54,6 +56,8 @@
     pub(crate) incarnation: u64,
     pub(crate) began: Instant,
     pub(crate) counters: Counters,
+    /// Recent pauses of the event loop.
+    pub(crate) pauses: RefCell<LoopPauses>,
     pub(crate) knowledge: RefCell<Knowledge>,
     pub(crate) beliefs: RefCell<Beliefs>,
     /// Which life of each endpoint is the present one.
@@ -108,6 +112,7 @@
             incarnation,
             began: Instant::now(),
             counters: Counters::new(),
+            pauses: RefCell::default(),
             knowledge,
             beliefs: RefCell::default(),
             lives: RefCell::default(),
@@ -209,8 +214,10 @@
         Duration::from_secs_f64(median_ms / 1e3)
     }
 
-    /// Puts a configuration in force if it is newer than the one before.
-    pub(crate) fn apply_configuration(&self, cfg: Configuration, source: &str) {
+    /// Puts a configuration in force if it is newer than the one before. `parsing` is the time that it took
+    /// to parse.
+    pub(crate) fn apply_configuration(&self, cfg: Configuration, source: &str, parsing: Duration) {
+        let began = Instant::now();
         let version = cfg.version;
         let (routes, workspaces) = (cfg.routes.len(), cfg.workspaces.len());
         let before = self.knowledge.borrow().config_version();
@@ -218,10 +225,12 @@
         if !self.knowledge.borrow_mut().apply_configuration(cfg) {
             return;
         }
+        self.refresh_paths();
+        let (parse_us, install_us) =
+            (parsing.as_micros() as u64, began.elapsed().as_micros() as u64);
         info!("configuration in force", kv: {
-            version, before, routes, workspaces, source, heard_ms:?
+            version, before, routes, workspaces, source, heard_ms:?, parse_us, install_us
         });
-        self.refresh_paths();
         self.configured.notify_waiters();
         self.engines_changed.notify_waiters();
     }
--- /dev/null
+++ b/crates/gateway/src/process/lag.rs
@@ -0,0 +1,43 @@
+//! Measures how late the event loop runs.
+
+use crate::process::Gateway;
+use spdlog::warn;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::{Instant, sleep_until};
+
+/// How often the lag is measured: as often as paths are watched, so that the wake-ups mostly coincide. A
+/// shorter pause may go unseen.
+const MEASURE_INTERVAL: Duration = Duration::from_millis(15);
+/// A pause of this length is logged as it ends.
+const LOGGED_PAUSE: Duration = Duration::from_millis(100);
+/// The metrics page shows the longest lag of this time.
+const RECENT: Duration = Duration::from_secs(60);
+
+/// Measures the lag of the event loop, for ever.
+pub(crate) async fn measure_lag(gateway: Rc<Gateway>) {
+    loop {
+        let due = Instant::now() + MEASURE_INTERVAL;
+        gateway.pauses.borrow_mut().on_timer_set(due.into_std());
+        sleep_until(due).await;
+        let lag = gateway.pauses.borrow_mut().on_timer_fired(Instant::now().into_std());
+        gateway.counters.loop_lag.record(lag);
+        if lag >= LOGGED_PAUSE {
+            warn!("event loop paused", kv: { pause_ms = lag.as_millis() as u64 });
+        }
+    }
+}
+
+impl Gateway {
+    /// The longest lag of the event loop since `from`.
+    pub(crate) fn longest_pause_since(&self, from: Instant) -> Duration {
+        let now = Instant::now().into_std();
+        self.pauses.borrow().longest_since(from.into_std(), now)
+    }
+
+    /// The longest lag of the event loop of late.
+    pub(crate) fn recent_longest_pause(&self) -> Duration {
+        let now = Instant::now();
+        self.longest_pause_since(now.checked_sub(RECENT).unwrap_or(self.began))
+    }
+}
--- a/crates/gateway/src/process/listeners.rs
+++ b/crates/gateway/src/process/listeners.rs
@@ -103,5 +103,6 @@
         ("endpoints", endpoints),
         ("configuration_heard_ms", age(Kind::Configuration)),
         ("endpoints_heard_ms", age(Kind::Endpoints)),
+        ("loop_lag_longest_ms", gateway.recent_longest_pause().as_secs_f64() * 1e3),
     ])
 }
--- a/crates/gateway/src/process/mod.rs
+++ b/crates/gateway/src/process/mod.rs
@@ -3,6 +3,7 @@
 mod counters;
 mod dump;
 mod gateway;
+mod lag;
 mod listeners;
 mod log;
 mod paths;
@@ -16,6 +17,7 @@
 pub(crate) use counters::*;
 pub(crate) use dump::*;
 pub(crate) use gateway::*;
+pub(crate) use lag::*;
 pub(crate) use listeners::*;
 pub use log::*;
 pub(crate) use paths::*;
--- a/crates/gateway/src/process/peers/catch_up.rs
+++ b/crates/gateway/src/process/peers/catch_up.rs
@@ -54,10 +54,12 @@
         let Known { config, endpoints_at } = self.gateway.knowledge.borrow().known();
         let path = format!("{HANDOVER_PATH}{config}/{endpoints_at}");
         let answer = client.call(Method::GET, &path, None, HANDOVER_LIMIT).await;
+        let answered = Instant::now();
         let read =
             |body: &[u8]| serde_json::from_slice::<Handover>(body).map_err(|e| e.to_string());
         match answer.map_err(|err| err.to_string()).and_then(|answer| read(&answer.body)) {
             Ok(handover) => {
+                let parsing = answered.elapsed();
                 if handover.configuration.is_some() {
                     // A watch that lives would have brought it sooner.
                     self.gateway.store_heard.doubt(Kind::Configuration);
@@ -65,7 +67,7 @@
                 let version = handover.configuration.as_ref().map_or(0, |cfg| cfg.version);
                 let Revision { era, count } = handover.endpoints_at;
                 info!("caught up from a gateway", kv: { instance, version, era, at = count });
-                self.gateway.apply_handover(handover, instance);
+                self.gateway.apply_handover(handover, instance, parsing);
             }
             Err(err) => {
                 warn!("not caught up from a gateway", kv: { instance, err = err.as_str() });
--- a/crates/gateway/src/process/run.rs
+++ b/crates/gateway/src/process/run.rs
@@ -3,8 +3,8 @@
 use crate::connection::accept_callers;
 use crate::process::placer::Placer;
 use crate::process::{
-    Count, Gateway, Peers, Phase, expire_entries, follow, follow_eras, serve_side_pages,
-    set_up_log, watch_paths,
+    Count, Gateway, Peers, Phase, expire_entries, follow, follow_eras, measure_lag,
+    serve_side_pages, set_up_log, watch_paths,
 };
 use sorrellock_http::listen;
 use sorrellock_platform::{Kind, Limits, Settings, Store, parse_settings};
@@ -116,6 +116,7 @@
     let mut tasks = JoinSet::new();
     start_listeners(&gateway, &mut tasks)?;
     start_store_tasks(&gateway, &mut tasks).await?;
+    tasks.spawn_local(measure_lag(Rc::clone(&gateway)));
     tasks.spawn_local(sweep(Rc::clone(&gateway)));
     tasks.spawn_local(watch_paths(Rc::clone(&gateway)));
     follow_signals(&gateway, path, tasks).await
--- a/crates/gateway/src/process/store/handed_over.rs
+++ b/crates/gateway/src/process/store/handed_over.rs
@@ -5,13 +5,19 @@
 use sorrellock_routing::process::knowledge::Handover;
 use spdlog::info;
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::time::Instant;
 
 impl Gateway {
-    /// Takes what another gateway handed over.
-    pub(crate) fn apply_handover(self: &Rc<Self>, handover: Handover, from: &str) {
+    /// Takes what another gateway handed over. `parsing` is the time that it took to parse.
+    pub(crate) fn apply_handover(
+        self: &Rc<Self>,
+        handover: Handover,
+        from: &str,
+        parsing: Duration,
+    ) {
         if let Some(cfg) = handover.configuration {
-            self.apply_configuration(cfg, from);
+            self.apply_configuration(cfg, from, parsing);
         }
         if handover.endpoints_at <= self.knowledge.borrow().endpoints_at() {
             return;
--- a/crates/gateway/src/process/store/watcher.rs
+++ b/crates/gateway/src/process/store/watcher.rs
@@ -258,8 +258,9 @@
     }
 
     fn on_configuration(&self, object: &StoredObject, source: &str) {
+        let began = Instant::now();
         match object.configuration() {
-            Some(Ok(cfg)) => self.gateway.apply_configuration(cfg, source),
+            Some(Ok(cfg)) => self.gateway.apply_configuration(cfg, source, began.elapsed()),
             Some(Err(err)) => {
                 self.gateway.counters.add(Count::ConfigurationsRefused);
                 let Revision { era, count } = object.revision;
