A call's time limit counts only once what had come by then is read

What users saw: streams lost their connections in mid-answer, as their gateway, out of processor time, had suspected engines that were well.

Cause: after a pause the limit of a question and its answer are found in the same turn of the event loop. The driver wakes the connection's task first, but an answer needs several tasks one after another: one that sends, one that reads, one that asked; a connection that is made needs more, a body in pieces one more for each. The limit fired after the first of them.

--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -1,5 +1,6 @@
 //! HTTP calls to one peer, over connections that are kept.
 
+use crate::drained_timeout::{LimitOver, drained_timeout, drained_timeout_at};
 use bytes::Bytes;
 use http::{HeaderMap, Method, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
@@ -12,7 +13,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::time::{Instant, timeout, timeout_at};
+use tokio::time::Instant;
 
 /// Idle connections kept to one peer.
 const MAX_IDLE: usize = 4;
@@ -120,11 +121,13 @@
         let until = Instant::now() + limits.whole;
         let mut sent = false;
         let head = self.head(method, path, body, &mut sent);
-        let res = match timeout(limits.head, head).await {
+        let res = match drained_timeout(limits.head, head).await {
             Ok(Ok((sender, answer))) => self.whole(sender, answer, until, limits.whole).await,
             Ok(Err(err)) => Err(err),
-            Err(_) if sent => Err(self.no_answer(format!("no answer in {:?}", limits.head))),
-            Err(_) => Err(self.not_sent(format!("no connection in {:?}", limits.head))),
+            Err(LimitOver) if sent => {
+                Err(self.no_answer(format!("no answer in {:?}", limits.head)))
+            }
+            Err(LimitOver) => Err(self.not_sent(format!("no connection in {:?}", limits.head))),
         };
         if matches!(res, Err(CallError::NoAnswer { .. })) {
             self.idle.borrow_mut().clear();
@@ -168,8 +171,10 @@
         limit: Duration,
     ) -> Result<Answer, CallError> {
         let (head, body) = answer.into_parts();
-        let body = timeout_at(until, Limited::new(body, MAX_ANSWER_BYTES).collect()).await;
-        let body = body.map_err(|_| self.no_answer(format!("no whole answer in {limit:?}")))?;
+        let body = Limited::new(body, MAX_ANSWER_BYTES).collect();
+        let body = drained_timeout_at(until, body).await;
+        let body =
+            body.map_err(|LimitOver| self.no_answer(format!("no whole answer in {limit:?}")))?;
         let body = body.map_err(|err| self.no_answer(err.to_string()))?.to_bytes();
         self.keep(sender);
         Ok(Answer { status: head.status, headers: head.headers, body })
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod client;
 mod connection;
+mod drained_timeout;
 mod process;
 mod request;
 
