--- a/crates/daemon/tests/gateway/main.rs
+++ b/crates/daemon/tests/gateway/main.rs
@@ -9,6 +9,7 @@
 mod gateway_process;
 mod kept_connections;
 mod knowledge;
+mod late;
 mod leaving;
 mod life;
 mod limits;
