A peer's silence is evidence only for the time in which this process could have read an answer

What users saw: as before, streams dropped as their gateway suspected engines that were well. Here the question itself waited in a gateway that was paused, so that there was no answer to read yet.

Cause: a silence was distrusted only if the whole question ended over 40 ms late. A pause inside its time went unseen.

Change: `PeerSilence` (crates/routing) counts, over the questions to one peer that brought no answer, the time less the pauses of the event loop (their sum: two short ones take as much as a long one). It is evidence from the limit less 30 ms on; a question that ended over 40 ms late counts for nothing, as before. The check of a quiet path and of an endpoint's health ask again until the silence is evidence, six times at most; the lead as often as it takes; a connection that timed out during a pause suspects nobody. What isn't silence (refused, reset, another status) is evidence at once, also in a late process. An endpoint without an entry stays as long as one that answers if this process can't tell. `is_held_up` and its two tests went into it (renamed, with the same figures). A report is counted for each question now, not for two.

The first question without an answer is not judged, as its connection may be silent for good, as before.

--- a/crates/gateway/src/process/lag.rs
+++ b/crates/gateway/src/process/lag.rs
@@ -29,15 +29,15 @@
 }
 
 impl Gateway {
-    /// The longest lag of the event loop since `from`.
-    pub(crate) fn longest_pause_since(&self, from: Instant) -> Duration {
-        let now = Instant::now().into_std();
-        self.pauses.borrow().longest_since(from.into_std(), now)
+    /// For how long the event loop was paused since `from`.
+    pub(crate) fn paused_since(&self, from: Instant) -> Duration {
+        self.pauses.borrow().total_since(from.into_std(), Instant::now().into_std())
     }
 
     /// The longest lag of the event loop of late.
     pub(crate) fn recent_longest_pause(&self) -> Duration {
         let now = Instant::now();
-        self.longest_pause_since(now.checked_sub(RECENT).unwrap_or(self.began))
+        let from = now.checked_sub(RECENT).unwrap_or(self.began);
+        self.pauses.borrow().longest_since(from.into_std(), now.into_std())
     }
 }
--- a/crates/gateway/src/process/paths/path_check.rs
+++ b/crates/gateway/src/process/paths/path_check.rs
@@ -1,8 +1,8 @@
 //! Finds which engines of a quiet path are dead, by asking each.
 
-use crate::process::{Count, Gateway, LivePath, ask_twice};
-use sorrellock_platform::{CallError, EngineReport, read_report};
-use sorrellock_routing::process::{Incarnation, is_held_up};
+use crate::process::{Gateway, LivePath, Unanswered};
+use sorrellock_platform::read_report;
+use sorrellock_routing::process::Incarnation;
 use spdlog::info;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -12,12 +12,6 @@
 /// Time for an engine's report, on a kept connection and once more on a new one: some fifty round
 /// trips inside a region.
 const REPORT_LIMIT: Duration = Duration::from_millis(90);
-/// The same for both.
-const ASK_LIMIT: Duration = REPORT_LIMIT.saturating_mul(2);
-/// How often an engine of a quiet path is asked while this process itself is late. It guards engines that
-/// are well: a gateway on a tenth of a core, busy with a burst, took sixteen of them for dead within half
-/// a second, dropped their streams, and cut these for want of another path.
-const MOST_ASKED: u32 = 3;
 /// What a gateway leaves to each one before it, in order of name, before it asks itself.
 const TURN: Duration = Duration::from_millis(3);
 /// The most of that: a path may have streams of the last gateway only.
@@ -71,35 +65,20 @@
     life: Incarnation,
     addr: SocketAddr,
 ) {
-    for _ in 0..MOST_ASKED {
-        gateway.counters.add(Count::Reports);
-        let asked = Instant::now();
-        let err = match ask(&gateway, &life, addr).await {
-            Ok(report) => {
-                // An engine that started again breaks all its paths by that.
-                gateway.on_answer_of(&life, addr, report.started, asked);
-                return;
-            }
-            Err(err) => err,
-        };
-        if !is_held_up(ASK_LIMIT, asked.elapsed()) {
+    let asked = Instant::now();
+    let client = gateway.probe(&life, addr);
+    match gateway.ask(REPORT_LIMIT, || read_report(&client, REPORT_LIMIT)).await {
+        Ok(report) => {
+            // An engine that started again breaks all its paths by that.
+            gateway.on_answer_of(&life, addr, report.started, asked);
+        }
+        Err(Unanswered::Failed(err)) => {
             gateway.suspect(&life, &err.to_string());
             if live.is_quiet(Instant::now(), Duration::ZERO) {
                 live.break_up();
             }
-            return;
         }
-        gateway.counters.add(Count::QuestionsHeldUp);
+        // Other gateways ask too, and so does the lead.
+        Err(Unanswered::Inconclusive) => {}
     }
-    // This process is too late to tell: other gateways ask too, and so does the lead.
-}
-
-/// Asks an engine for its report.
-async fn ask(
-    gateway: &Gateway,
-    life: &Incarnation,
-    addr: SocketAddr,
-) -> Result<EngineReport, CallError> {
-    let client = gateway.probe(life, addr);
-    ask_twice(|| read_report(&client, REPORT_LIMIT)).await
 }
--- a/crates/gateway/src/process/placer/engine.rs
+++ b/crates/gateway/src/process/placer/engine.rs
@@ -1,7 +1,8 @@
 //! What the lead knows of one engine.
 
+use super::reports::REPORT_LIMIT;
 use sorrellock_platform::{Client, EngineReport};
-use sorrellock_routing::process::{Incarnation, LayerRange};
+use sorrellock_routing::process::{Incarnation, LayerRange, PeerSilence};
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -22,6 +23,8 @@
     pub(super) asked: Option<Instant>,
     pub(super) is_asking: bool,
     pub(super) failures: u32,
+    /// Since its last answer, or its last failure.
+    pub(super) silence: PeerSilence,
     pub(super) is_dead: bool,
     pub(super) died: Option<Instant>,
     /// The layers of an order that may be under way, and when it was given.
@@ -44,6 +47,7 @@
             asked: None,
             is_asking: false,
             failures: 0,
+            silence: PeerSilence::new(REPORT_LIMIT),
             is_dead: false,
             died: None,
             ordered: None,
--- a/crates/gateway/src/process/placer/reports.rs
+++ b/crates/gateway/src/process/placer/reports.rs
@@ -3,7 +3,7 @@
 use super::{Engine, Engines, ORDER_RETRY};
 use crate::process::{AnswerOf, Count, Gateway};
 use sorrellock_platform::{CallError, Client, EngineReport, read_report};
-use sorrellock_routing::process::{Incarnation, is_held_up};
+use sorrellock_routing::process::{Incarnation, PeerSilence};
 use spdlog::{info, warn};
 use std::collections::HashSet;
 use std::rc::Rc;
@@ -11,7 +11,7 @@
 use tokio::time::Instant;
 
 /// Time for a report: a hundred round trips inside a region.
-const REPORT_LIMIT: Duration = Duration::from_millis(250);
+pub(super) const REPORT_LIMIT: Duration = Duration::from_millis(250);
 /// Reports without an answer in a row after which an engine is taken to be dead.
 const FAILURES_TO_DEATH: u32 = 2;
 /// The same for an engine that a gateway suspects, as its report brought no answer there either.
@@ -40,17 +40,19 @@
     engine.is_asking = false;
     match res {
         Ok(report) => {
+            engine.silence = PeerSilence::new(REPORT_LIMIT);
             engine.is_unknown = of != Some(AnswerOf::SameLife);
             if !engine.is_unknown {
                 on_report(engine, &life, report);
             }
         }
-        // It is asked again at once: the silence tells of this process.
-        Err(_) if is_held_up(REPORT_LIMIT, asked.elapsed()) => {
+        // It is asked again at once: this process was too late to tell.
+        Err(err) if !gateway.is_evidence(&mut engine.silence, &err, asked) => {
             gateway.counters.add(Count::QuestionsHeldUp);
             engine.asked = None;
         }
         Err(err) => {
+            engine.silence = PeerSilence::new(REPORT_LIMIT);
             let to_death = if is_suspect { FAILURES_OF_SUSPECT } else { FAILURES_TO_DEATH };
             on_no_report(engine, &life, &err, to_death);
         }
--- a/crates/gateway/src/process/pool.rs
+++ b/crates/gateway/src/process/pool.rs
@@ -19,7 +19,7 @@
 const MAX_IDLE: usize = 64;
 /// Time for a connection to be made: inside a region a round trip takes a millisecond; the first
 /// retry of a lost opening packet comes after a second.
-const CONNECT_LIMIT: Duration = Duration::from_millis(500);
+pub(crate) const CONNECT_LIMIT: Duration = Duration::from_millis(500);
 /// Idle time after which a connection isn't used again, where the endpoint doesn't tell its own.
 const IDLE_LIMIT: Duration = Duration::from_secs(12);
 /// The same for a request that may not be sent twice: an endpoint may drop an idle connection
--- a/crates/gateway/src/process/store/endpoint_check.rs
+++ b/crates/gateway/src/process/store/endpoint_check.rs
@@ -1,7 +1,7 @@
 //! Asks endpoints whether they are well, and in which life, where their entry doesn't tell for sure.
 
-use crate::process::{AnswerOf, CHECK_INTERVAL, Count, Gateway};
-use sorrellock_platform::{CallError, Health, read_health, read_report};
+use crate::process::{AnswerOf, CHECK_INTERVAL, Gateway, Unanswered};
+use sorrellock_platform::{Health, read_health, read_report};
 use sorrellock_routing::process::knowledge::Knowledge;
 use sorrellock_routing::process::{Endpoint, Incarnation};
 use spdlog::info;
@@ -15,17 +15,6 @@
 /// What told that an endpoint leaves, for log lines.
 const ITS_HEALTH: &str = "its health";
 
-/// Asks a question, and once more where no answer came: a kept connection may be silent for good, and after a call without
-/// an answer the client opens another one.
-pub(crate) async fn ask_twice<T>(
-    ask: impl AsyncFn() -> Result<T, CallError>,
-) -> Result<T, CallError> {
-    match ask().await {
-        Err(CallError::NoAnswer { .. }) => ask().await,
-        other => other,
-    }
-}
-
 /// An endpoint that is asked whether it is well.
 struct Asked {
     life: Incarnation,
@@ -67,7 +56,7 @@
             res = ask_life(&gateway, &asked).await;
         }
         match res {
-            Ok(()) | Err(Unwell::OtherLife) => {}
+            Ok(()) | Err(Unwell::OtherLife | Unwell::Unknown) => {}
             Err(Unwell::Leaves) => gateway.believe_leaving(&asked.life),
             Err(Unwell::Ended(why)) => gateway.suspect(&asked.life, &why),
         }
@@ -126,6 +115,8 @@
             }
             // It stays as the new life, which holds nothing yet.
             Err(Unwell::OtherLife) => return,
+            // It stays until an entry that only lapsed would be back.
+            Err(Unwell::Unknown) => return,
             Err(Unwell::Leaves) => ITS_HEALTH.to_owned(),
             Err(Unwell::Ended(why)) => why,
         };
@@ -189,15 +180,25 @@
     Ended(String),
     /// It has started again.
     OtherLife,
+    /// This process was too late to tell.
+    Unknown,
+}
+
+impl From<Unanswered> for Unwell {
+    fn from(unanswered: Unanswered) -> Unwell {
+        match unanswered {
+            Unanswered::Failed(err) => Unwell::Ended(err.to_string()),
+            Unanswered::Inconclusive => Unwell::Unknown,
+        }
+    }
 }
 
 async fn ask_health(gateway: &Gateway, asked: &Asked) -> Result<(), Unwell> {
-    gateway.counters.add(Count::Reports);
     let Asked { life, addr, health_path, .. } = asked;
     let began = Instant::now();
     let client = gateway.probe(life, *addr);
-    let answer = ask_twice(|| read_health(&client, health_path, &life.id, HEALTH_LIMIT)).await;
-    let answer = answer.map_err(|err| Unwell::Ended(err.to_string()))?;
+    let question = || read_health(&client, health_path, &life.id, HEALTH_LIMIT);
+    let answer = gateway.ask(HEALTH_LIMIT, question).await?;
     if answer.health == Health::Replaced {
         gateway.on_replaced(life);
         return Err(Unwell::Ended("another instance has its address".to_owned()));
@@ -217,11 +218,9 @@
     if !is_engine || life.started.is_none() {
         return Ok(());
     }
-    gateway.counters.add(Count::Reports);
     let began = Instant::now();
     let client = gateway.probe(life, *addr);
-    let report = ask_twice(|| read_report(&client, HEALTH_LIMIT)).await;
-    let report = report.map_err(|err| Unwell::Ended(err.to_string()))?;
+    let report = gateway.ask(HEALTH_LIMIT, || read_report(&client, HEALTH_LIMIT)).await?;
     match gateway.on_answer_of(life, *addr, report.started, began) {
         AnswerOf::SameLife => Ok(()),
         AnswerOf::OtherLife => Err(Unwell::OtherLife),
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -1,16 +1,17 @@
 //! Sends a request to one endpoint and reads the head of its answer.
 
-use crate::process::{Connection, Count, EndpointUse, Gateway, open};
+use crate::process::{CONNECT_LIMIT, Connection, Count, EndpointUse, Gateway, open};
 use crate::request::Call;
 use bytes::Bytes;
 use http::{Request, Response, StatusCode, Version};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use sorrellock_platform::{AnswerHead, AttemptHead, attempt_headers, read_answer_head};
-use sorrellock_routing::process::{Incarnation, PathPart};
+use sorrellock_routing::process::{Incarnation, PathPart, PeerSilence};
 use sorrellock_routing::request::Evidence;
 use spdlog::warn;
 use std::cell::Cell;
+use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -50,12 +51,14 @@
     pub(crate) at_fault: Option<SocketAddr>,
     /// The endpoint at fault is not the one that was meant, or lacks its part of the path.
     pub(crate) is_misdirected: bool,
+    /// This process was too late to tell whether the endpoint failed.
+    pub(crate) is_inconclusive: bool,
     pub(crate) why: String,
 }
 
 impl Failed {
     pub(crate) fn new(evidence: Evidence, why: String) -> Failed {
-        Failed { evidence, at_fault: None, is_misdirected: false, why }
+        Failed { evidence, at_fault: None, is_misdirected: false, is_inconclusive: false, why }
     }
 }
 
@@ -164,9 +167,16 @@
     if let Some(connection) = kept {
         return Ok(connection);
     }
-    open(target.addr, &gateway.counters)
-        .await
-        .map_err(|err| Failed::new(Evidence::NotSent, format!("connect: {err}")))
+    let began = Instant::now();
+    open(target.addr, &gateway.counters).await.map_err(|err| not_connected(gateway, &err, began))
+}
+
+/// No connection could be made, which was tried from `began` on.
+fn not_connected(gateway: &Gateway, err: &io::Error, began: Instant) -> Failed {
+    let mut silence = PeerSilence::new(CONNECT_LIMIT);
+    silence.on_no_answer(began.elapsed(), gateway.paused_since(began));
+    let is_inconclusive = err.kind() == ErrorKind::TimedOut && !silence.is_evidence();
+    Failed { is_inconclusive, ..Failed::new(Evidence::NotSent, format!("connect: {err}")) }
 }
 
 fn request(call: &Call, target: &Target<'_>) -> Request<Full<Bytes>> {
@@ -212,6 +222,7 @@
             evidence: Evidence::NotRun,
             at_fault: head.at_fault,
             is_misdirected: status == StatusCode::MISDIRECTED_REQUEST,
+            is_inconclusive: false,
             why: format!("refused with {}", status.as_u16()),
         });
     }
--- a/crates/gateway/src/request/plain.rs
+++ b/crates/gateway/src/request/plain.rs
@@ -65,6 +65,7 @@
                 log_failed(&gateway, &call, &life, &failed);
                 attempts.on_failed(&life, failed.evidence);
                 match failed.evidence {
+                    Evidence::NotSent if failed.is_inconclusive => {}
                     Evidence::NotSent => gateway.suspect(&life, &failed.why),
                     Evidence::NotRun => check_refuser(&gateway, endpoint.addr, false),
                     Evidence::MayHaveRun => {}
@@ -211,6 +212,7 @@
     let end = match res {
         Ok(answer) if answer.status().is_server_error() => AttemptEnd::Failure,
         Ok(_) => AttemptEnd::Success,
+        Err(failed) if failed.is_inconclusive => AttemptEnd::Neutral,
         Err(_) => AttemptEnd::Failure,
     };
     if let Some(state) = gateway.breakers.borrow_mut().on_end(life, permit, end) {
--- a/crates/gateway/src/request/run.rs
+++ b/crates/gateway/src/request/run.rs
@@ -218,6 +218,7 @@
     }
     let now = Instant::now();
     match failed.evidence {
+        Evidence::NotSent if failed.is_inconclusive => {}
         Evidence::NotSent => gateway.suspect(&first.life, &failed.why),
         Evidence::NotRun => {
             // Another path through the engine that refused would bring the same answer.
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -29,6 +29,8 @@
         step: String,
         /// Who was called.
         peer: SocketAddr,
+        /// The time was over before there was a connection.
+        is_timeout: bool,
     },
     /// It was sent; it may have taken effect.
     NoAnswer {
@@ -36,14 +38,27 @@
         step: String,
         /// Who was called.
         peer: SocketAddr,
+        /// The time was over before all of the answer had come.
+        is_timeout: bool,
     },
 }
 
+impl CallError {
+    /// Whether the time for it was over; else the peer, or the way to it, failed the call.
+    pub fn is_timeout(&self) -> bool {
+        match self {
+            CallError::NotSent { is_timeout, .. } | CallError::NoAnswer { is_timeout, .. } => {
+                *is_timeout
+            }
+        }
+    }
+}
+
 impl fmt::Display for CallError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            CallError::NotSent { step, peer } => write!(f, "{peer}: {step}; nothing was sent"),
-            CallError::NoAnswer { step, peer } => write!(f, "{peer}: {step}; no answer"),
+            CallError::NotSent { step, peer, .. } => write!(f, "{peer}: {step}; nothing was sent"),
+            CallError::NoAnswer { step, peer, .. } => write!(f, "{peer}: {step}; no answer"),
         }
     }
 }
@@ -124,10 +139,16 @@
         let res = match drained_timeout(limits.head, head).await {
             Ok(Ok((sender, answer))) => self.whole(sender, answer, until, limits.whole).await,
             Ok(Err(err)) => Err(err),
-            Err(LimitOver) if sent => {
-                Err(self.no_answer(format!("no answer in {:?}", limits.head)))
-            }
-            Err(LimitOver) => Err(self.not_sent(format!("no connection in {:?}", limits.head))),
+            Err(LimitOver) if sent => Err(CallError::NoAnswer {
+                step: format!("no answer in {:?}", limits.head),
+                peer: self.peer,
+                is_timeout: true,
+            }),
+            Err(LimitOver) => Err(CallError::NotSent {
+                step: format!("no connection in {:?}", limits.head),
+                peer: self.peer,
+                is_timeout: true,
+            }),
         };
         if matches!(res, Err(CallError::NoAnswer { .. })) {
             self.idle.borrow_mut().clear();
@@ -173,8 +194,11 @@
         let (head, body) = answer.into_parts();
         let body = Limited::new(body, MAX_ANSWER_BYTES).collect();
         let body = drained_timeout_at(until, body).await;
-        let body =
-            body.map_err(|LimitOver| self.no_answer(format!("no whole answer in {limit:?}")))?;
+        let body = body.map_err(|LimitOver| CallError::NoAnswer {
+            step: format!("no whole answer in {limit:?}"),
+            peer: self.peer,
+            is_timeout: true,
+        })?;
         let body = body.map_err(|err| self.no_answer(err.to_string()))?.to_bytes();
         self.keep(sender);
         Ok(Answer { status: head.status, headers: head.headers, body })
@@ -209,10 +233,10 @@
     }
 
     fn not_sent(&self, step: String) -> CallError {
-        CallError::NotSent { step, peer: self.peer }
+        CallError::NotSent { step, peer: self.peer, is_timeout: false }
     }
 
     fn no_answer(&self, step: String) -> CallError {
-        CallError::NoAnswer { step, peer: self.peer }
+        CallError::NoAnswer { step, peer: self.peer, is_timeout: false }
     }
 }
--- a/crates/routing/src/process/loop_pauses.rs
+++ b/crates/routing/src/process/loop_pauses.rs
@@ -46,12 +46,21 @@
         lag
     }
 
-    /// The longest part of a pause since `from`. A timer that is due and has not fired yet counts: whoever
-    /// asks may run before it after the same pause.
+    /// The longest pause since `from`, as far as it lies after that.
     pub fn longest_since(&self, from: Instant, now: Instant) -> Duration {
+        self.since(from, now).max().unwrap_or_default()
+    }
+
+    /// The sum of the pauses since `from`.
+    pub fn total_since(&self, from: Instant, now: Instant) -> Duration {
+        self.since(from, now).sum()
+    }
+
+    /// The pauses since `from`. A timer that is due and has not fired yet counts: whoever asks may run
+    /// before it after the same pause.
+    fn since(&self, from: Instant, now: Instant) -> impl Iterator<Item = Duration> {
         let under_way = self.due.map(|due| now.saturating_duration_since(due.max(from)));
-        let ended = self.pauses.iter().rev().take_while(|pause| pause.until > from);
-        let ended = ended.map(|pause| pause.until - pause.from.max(from));
-        ended.chain(under_way).max().unwrap_or_default()
+        let ended = self.pauses.iter().rev().take_while(move |pause| pause.until > from);
+        ended.map(move |pause| pause.until - pause.from.max(from)).chain(under_way)
     }
 }
--- a/crates/routing/src/process/mod.rs
+++ b/crates/routing/src/process/mod.rs
@@ -2,7 +2,6 @@
 
 mod endpoint;
 mod entry_fault;
-mod held_up;
 mod incarnation;
 pub mod knowledge;
 mod lead_term;
@@ -10,6 +9,7 @@
 mod lives;
 mod loop_pauses;
 mod news_source;
+mod peer_silence;
 mod pipeline_path;
 pub mod placement;
 mod repair_forecast;
@@ -20,13 +20,13 @@
 
 pub use endpoint::*;
 pub use entry_fault::*;
-pub use held_up::*;
 pub use incarnation::*;
 pub use lead_term::*;
 pub use leaving::*;
 pub use lives::*;
 pub use loop_pauses::*;
 pub use news_source::*;
+pub use peer_silence::*;
 pub use pipeline_path::*;
 pub use repair_forecast::*;
 pub use retry_window::*;
--- a/crates/routing/tests/loop_pauses.rs
+++ b/crates/routing/tests/loop_pauses.rs
@@ -87,6 +87,22 @@
     assert_eq!(pauses.longest_since(now - ms(50), now), ms(50));
 }
 
+#[test]
+fn all_pauses_count_in_the_sum() {
+    let began = Instant::now();
+    let mut pauses = LoopPauses::default();
+    let mut now = began;
+    for lag in [30, 85, 50] {
+        pauses.on_timer_set(now + INTERVAL);
+        now += INTERVAL + ms(lag);
+        pauses.on_timer_fired(now);
+    }
+    pauses.on_timer_set(now + INTERVAL);
+
+    assert_eq!(pauses.total_since(began, now), ms(165));
+    assert_eq!(pauses.total_since(began, now + INTERVAL + ms(40)), ms(205));
+}
+
 #[test]
 fn pauses_of_long_ago_are_forgotten() {
     let began = Instant::now();
