--- a/crates/gateway/src/process/store/endpoint_check.rs
+++ b/crates/gateway/src/process/store/endpoint_check.rs
@@ -1,6 +1,6 @@
 //! Asks endpoints whether they are well, and in which life, where their entry doesn't tell for sure.
 
-use crate::process::{AnswerOf, CHECK_INTERVAL, Count, Gateway};
+use crate::process::{AnswerOf, CHECK_INTERVAL, Gateway, Unanswered};
 use sorrellock_platform::{CallError, Health, read_health, read_report};
 use sorrellock_routing::process::knowledge::Knowledge;
 use sorrellock_routing::process::{Endpoint, Incarnation};
@@ -15,17 +15,6 @@
 /// What told that an endpoint leaves, for log lines.
 const ITS_HEALTH: &str = "its health";
 
-/// Asks a question, and once more where no answer came: a kept connection may be silent for good, and after a call without
-/// an answer the client opens another one.
-pub(crate) async fn ask_twice<T>(
-    ask: impl AsyncFn() -> Result<T, CallError>,
-) -> Result<T, CallError> {
-    match ask().await {
-        Err(CallError::NoAnswer { .. }) => ask().await,
-        other => other,
-    }
-}
-
 /// An endpoint that is asked whether it is well.
 struct Asked {
     life: Incarnation,
@@ -192,24 +181,33 @@
     Ended(String),
     /// It has started again.
     OtherLife,
-    /// It is full: it rejected the question, or the question waits for a slot.
+    /// Nothing is known: it is full and rejected the question, the question waits for a slot, or this process was too late to
+    /// tell.
     Unknown,
     /// It gives no answer, and has no report that would not wait for a slot.
     Silent(String),
 }
 
+impl From<Unanswered> for Unwell {
+    fn from(unanswered: Unanswered) -> Unwell {
+        match unanswered {
+            Unanswered::Failed(err) => Unwell::Ended(err.to_string()),
+            Unanswered::Inconclusive => Unwell::Unknown,
+        }
+    }
+}
+
 async fn ask_health(gateway: &Gateway, asked: &Asked) -> Result<(), Unwell> {
-    gateway.counters.add(Count::Reports);
     let Asked { life, addr, health_path, .. } = asked;
     let began = Instant::now();
     let client = gateway.probe(life, *addr);
-    let answer = ask_twice(|| read_health(&client, health_path, &life.id, HEALTH_LIMIT)).await;
-    let answer = match answer {
+    let question = || read_health(&client, health_path, &life.id, HEALTH_LIMIT);
+    let answer = match gateway.ask(HEALTH_LIMIT, question).await {
         Ok(answer) => answer,
-        Err(err @ CallError::NoAnswer { .. }) => {
+        Err(Unanswered::Failed(err @ CallError::NoAnswer { .. })) => {
             return Err(check_silent(gateway, asked, &err).await);
         }
-        Err(err) => return Err(Unwell::Ended(err.to_string())),
+        Err(unanswered) => return Err(unanswered.into()),
     };
     if answer.health == Health::Replaced {
         gateway.on_replaced(life);
@@ -232,11 +230,10 @@
     if !asked.is_engine {
         return Unwell::Silent(err.to_string());
     }
-    gateway.counters.add(Count::Reports);
     let client = gateway.probe(&asked.life, asked.addr);
-    match ask_twice(|| read_report(&client, HEALTH_LIMIT)).await {
+    match gateway.ask(HEALTH_LIMIT, || read_report(&client, HEALTH_LIMIT)).await {
         Ok(_) => Unwell::Unknown,
-        Err(err) => Unwell::Ended(err.to_string()),
+        Err(unanswered) => unanswered.into(),
     }
 }
 
@@ -247,11 +244,9 @@
     if !is_engine || life.started.is_none() {
         return Ok(());
     }
-    gateway.counters.add(Count::Reports);
     let began = Instant::now();
     let client = gateway.probe(life, *addr);
-    let report = ask_twice(|| read_report(&client, HEALTH_LIMIT)).await;
-    let report = report.map_err(|err| Unwell::Ended(err.to_string()))?;
+    let report = gateway.ask(HEALTH_LIMIT, || read_report(&client, HEALTH_LIMIT)).await?;
     match gateway.on_answer_of(life, *addr, report.started, began) {
         AnswerOf::SameLife => Ok(()),
         AnswerOf::OtherLife => Err(Unwell::OtherLife),
--- a/crates/gateway/src/request/plain.rs
+++ b/crates/gateway/src/request/plain.rs
@@ -164,10 +164,12 @@
         info: &AttemptInfo,
         failed: &Failed,
     ) {
-        note_end(gateway, info, AttemptEnd::Failure);
+        let end = if failed.is_inconclusive { AttemptEnd::Neutral } else { AttemptEnd::Failure };
+        note_end(gateway, info, end);
         log_failed(gateway, call, &info.endpoint, failed);
         self.note_failed(info, failed.evidence);
         match failed.evidence {
+            Evidence::NotSent if failed.is_inconclusive => {}
             Evidence::NotSent => gateway.suspect(&info.endpoint, &failed.why),
             Evidence::NotRun => check_endpoint(gateway, &info.endpoint),
             Evidence::MayHaveRun => {}
--- a/crates/gateway/src/request/run_search.rs
+++ b/crates/gateway/src/request/run_search.rs
@@ -236,6 +236,7 @@
     let first = live.path.first();
     let now = Instant::now();
     match failed.evidence {
+        Evidence::NotSent if failed.is_inconclusive => {}
         Evidence::NotSent => gateway.suspect(&first.life, &failed.why),
         Evidence::NotRun => {
             // Another path through the engine that refused would bring the same answer.
