--- a/crates/gateway/src/process/peers/peers.rs
+++ b/crates/gateway/src/process/peers/peers.rs
@@ -248,7 +248,7 @@
         for life in &left {
             is_changed |= gateway.remove_missing(life, &instance);
         }
-        is_changed |= gateway.hear_left(&left_before_era, era, &instance);
+        is_changed |= gateway.receive_left(&left_before_era, era, &instance);
         if is_changed {
             gateway.refresh_paths();
         }
--- a/crates/gateway/src/process/store/eras.rs
+++ b/crates/gateway/src/process/store/eras.rs
@@ -22,8 +22,8 @@
     while eras.changed().await.is_ok() {
         let KnownEra { era, told_by } = eras.borrow_and_update().clone();
         let known = gateway.knowledge.borrow().endpoints_at();
-        // A list of the endpoints may be the first answer of an era, and is taken before this task runs: what it
-        // tells says nothing where an era was known before.
+        // A list of the endpoints may be the first answer of an era, and is applied before this task runs: endpoints
+        // that are known in `era` don't make it the first one.
         let is_first = before == 0 && (known == Revision::default() || known.era >= era);
         if is_first {
             info!("era of the store is known", kv: { era, told_by = told_by.as_str() });
@@ -48,9 +48,9 @@
     }
 
     /// Another gateway, which knows the endpoints in `era`, knew these to have left before it. Returns whether that is news.
-    pub(crate) fn hear_left(&self, left: &[Incarnation], era: StoreEra, from: &str) -> bool {
+    pub(crate) fn receive_left(&self, left: &[Incarnation], era: StoreEra, from: &str) -> bool {
         let now = Instant::now().into_std();
-        let newly_leaving = self.knowledge.borrow_mut().hear_left(left, era, now);
+        let newly_leaving = self.knowledge.borrow_mut().receive_left(left, era, now);
         for life in &newly_leaving {
             info!("endpoint leaving", kv: { endpoint = life.id.as_str(), era, source = from });
         }
--- a/crates/gateway/src/process/store/handed_over.rs
+++ b/crates/gateway/src/process/store/handed_over.rs
@@ -28,7 +28,7 @@
             }
             self.apply_endpoint(known.endpoint, known.revision, from);
         }
-        self.hear_left(&handover.left, handover.endpoints_at.era, from);
+        self.receive_left(&handover.left, handover.endpoints_at.era, from);
         self.hear_refused(handover.refused, from);
         for (id, missing_for) in &handover.missing {
             if self.knowledge.borrow_mut().hear_missing(id, *missing_for, now.into_std()) {
--- a/crates/gateway/src/process/store/store_heard.rs
+++ b/crates/gateway/src/process/store/store_heard.rs
@@ -34,7 +34,7 @@
     /// Forgets what the store told before an era.
     pub(crate) fn forget_before(&self, era: StoreEra) {
         for of_kind in [&self.configuration, &self.endpoints] {
-            if of_kind.at.get().is_some_and(|(told_in, _)| told_in < era) {
+            if of_kind.at.get().is_some_and(|(heard_in, _)| heard_in < era) {
                 of_kind.at.set(None);
             }
         }
--- a/crates/routing/src/process/knowledge/era.rs
+++ b/crates/routing/src/process/knowledge/era.rs
@@ -71,18 +71,18 @@
         true
     }
 
-    /// The endpoints that had left before this era, to be told to other processes while their copied entries may be used.
+    /// The endpoints that had left before this era, to be reported to other processes while their copied entries may be used.
     pub fn left_before_era(&self, now: Instant) -> Vec<Incarnation> {
-        self.left.to_tell(|id| self.is_listed(id), now)
+        self.left.to_report(|id| self.is_listed(id), now)
     }
 
     fn is_listed(&self, id: &EndpointId) -> bool {
         self.endpoints.get(id).is_some_and(|known| known.entry == EntryState::Listed)
     }
 
-    /// Another process, which knows the endpoints in `era`, knew these to have left before it. Those of which an entry of this era
-    /// tells, or that said in it that they are well, are passed over. Returns those that are taken to be leaving from now on.
-    pub fn hear_left(
+    /// Another process, which knows the endpoints in `era`, knew these to have left before it. Endpoints that wrote an entry in this era,
+    /// or said in it that they are well, are skipped. Returns those that are taken to be leaving from now on.
+    pub fn receive_left(
         &mut self,
         left: &[Incarnation],
         era: StoreEra,
@@ -112,13 +112,13 @@
         })
     }
 
-    /// An endpoint as its entry tells, whatever it is taken for as it had left before this era: another process takes that from
-    /// [`Knowledge::hear_left`], as its own entries of this era may go further back.
-    pub(super) fn as_told(&self, known: &KnownEndpoint) -> KnownEndpoint {
-        let mut told = known.clone();
-        if self.left.holds(&told.endpoint) {
-            told.endpoint.is_leaving = false;
+    /// An endpoint as its entry describes it, also where it is taken to be leaving because it had left before this era: the other process
+    /// decides that in [`Knowledge::receive_left`], as it may know that the entry was written in this era.
+    pub(super) fn as_listed(&self, known: &KnownEndpoint) -> KnownEndpoint {
+        let mut listed = known.clone();
+        if self.left.holds(&listed.endpoint) {
+            listed.endpoint.is_leaving = false;
         }
-        told
+        listed
     }
 }
--- a/crates/routing/src/process/knowledge/handover.rs
+++ b/crates/routing/src/process/knowledge/handover.rs
@@ -93,7 +93,7 @@
         let newer = self.routes.as_ref().filter(|routes| routes.version() > known);
         Handover {
             configuration: newer.map(|routes| Configuration::clone(routes.cfg())),
-            endpoints: changed.map(|known| self.as_told(known)).collect(),
+            endpoints: changed.map(|known| self.as_listed(known)).collect(),
             listed: self.endpoints.keys().cloned().collect(),
             missing: self.endpoints.values().filter_map(missing_for).collect(),
             refused: self.refused_after(known_at, now),
--- a/crates/routing/src/process/knowledge/left_endpoints.rs
+++ b/crates/routing/src/process/knowledge/left_endpoints.rs
@@ -11,10 +11,10 @@
 const REMEMBERED_FOR: Duration = Duration::from_secs(60);
 /// The most that are remembered.
 const MAX_LEFT: usize = 4_096;
-/// For how long others are told of a leave whose endpoint isn't listed: longer than its copied entry is valid for.
-const TOLD_FOR: Duration = Duration::from_secs(5);
-/// The most that are told at once: more than leave in the seconds that a copy is old.
-const MAX_TOLD: usize = 64;
+/// For how long a leave is reported whose endpoint isn't listed: longer than its copied entry is valid for.
+const REPORTED_FOR: Duration = Duration::from_secs(5);
+/// The most that are reported at once: more than leave in the seconds that a copy is old.
+const MAX_REPORTED: usize = 64;
 
 /// A life that had left.
 #[derive(Clone, Copy, Debug)]
@@ -68,15 +68,19 @@
         self.returned.get(&life.id).is_some_and(|started| *started == life.started)
     }
 
-    /// Those that other processes are told of: the `listed` ones, and for a while the others, whose copied entry another process may
+    /// Those that are reported to other processes: the `listed` ones, and for a while the others, whose copied entry another process may
     /// still have.
-    pub(super) fn to_tell(
+    pub(super) fn to_report(
         &self,
         listed: impl Fn(&EndpointId) -> bool,
         now: Instant,
     ) -> Vec<Incarnation> {
-        let told = self.left.iter().filter(|(id, left)| now - left.since < TOLD_FOR || listed(id));
-        told.map(|(id, left)| Incarnation::new(id.clone(), left.started)).take(MAX_TOLD).collect()
+        let reported =
+            self.left.iter().filter(|(id, left)| now - left.since < REPORTED_FOR || listed(id));
+        reported
+            .map(|(id, left)| Incarnation::new(id.clone(), left.started))
+            .take(MAX_REPORTED)
+            .collect()
     }
 
     /// Those that are to be asked now, of the `listed` ones. The others are forgotten after a while.
--- a/crates/routing/tests/knowledge_eras/fleet.rs
+++ b/crates/routing/tests/knowledge_eras/fleet.rs
@@ -147,7 +147,7 @@
                 self.gateways[index].note_era();
                 self.check(index, before)?;
             }
-            (0..self.gateways.len()).for_each(|index| self.hear_left(index));
+            (0..self.gateways.len()).for_each(|index| self.receive_left(index));
             self.check_left_before_era()?;
         }
         Ok(())
@@ -255,12 +255,12 @@
     }
 
     /// Hears from the others what had left before the era.
-    fn hear_left(&mut self, index: usize) {
+    fn receive_left(&mut self, index: usize) {
         let instant = self.instant();
         for other in (0..self.gateways.len()).filter(|other| *other != index) {
             let knowledge = &self.gateways[other].knowledge;
             let (left, era) = (knowledge.left_before_era(instant), knowledge.endpoints_at().era);
-            self.gateways[index].knowledge.hear_left(&left, era, instant);
+            self.gateways[index].knowledge.receive_left(&left, era, instant);
         }
     }
 
--- a/crates/routing/tests/knowledge_eras/gateway.rs
+++ b/crates/routing/tests/knowledge_eras/gateway.rs
@@ -155,7 +155,7 @@
                 knowledge.apply_endpoint(known.endpoint, known.revision);
             }
         }
-        knowledge.hear_left(&handover.left, handover.endpoints_at.era, now);
+        knowledge.receive_left(&handover.left, handover.endpoints_at.era, now);
         for (id, missing_for) in &handover.missing {
             knowledge.hear_missing(id, *missing_for, now);
         }
