--- a/crates/daemon/tests/gateway/gateway_process.rs
+++ b/crates/daemon/tests/gateway/gateway_process.rs
@@ -103,6 +103,15 @@
         fs::write(&self.settings, change(&text)).expect("the settings file");
     }
 
+    /// Sets the retry budget to zero, and waits until that is in force.
+    pub fn disable_retries(&self) {
+        self.change_settings(|text| {
+            text.replace("budget_slack = 200", "budget_slack = 0")
+                .replace("retry_budget_ratio = 0.2", "retry_budget_ratio = 0.0")
+        });
+        self.wait_for_line(&["\"bounds changed\""]);
+    }
+
     /// Where callers connect.
     pub fn callers(&self) -> SocketAddr {
         SocketAddr::new(self.ip, CALLERS_PORT)
@@ -154,6 +163,22 @@
         kill(Pid::from_raw(self.child.id() as i32), signal).expect("the process is there");
     }
 
+    /// Stops it, and waits until it has stopped. [`GatewayProcess::resume`] has it go on.
+    pub fn pause(&self) {
+        self.signal(Signal::SIGSTOP);
+        let stat = format!("/proc/{}/stat", self.child.id());
+        let is_stopped = || {
+            let stat = fs::read_to_string(&stat).expect("its state");
+            stat.rsplit(") ").next().is_some_and(|rest| rest.starts_with('T'))
+        };
+        wait_for("the gateway to stop", is_stopped);
+    }
+
+    /// Has it go on.
+    pub fn resume(&self) {
+        self.signal(Signal::SIGCONT);
+    }
+
     /// Waits for its end, and returns its exit code.
     pub fn wait(&mut self) -> Option<i32> {
         let mut code = None;
--- a/crates/gateway/src/process/store/endpoint_check.rs
+++ b/crates/gateway/src/process/store/endpoint_check.rs
@@ -40,7 +40,7 @@
         Some(Asked {
             life: endpoint.incarnation(),
             addr: endpoint.addr,
-            health_path: knowledge.health_path(endpoint)?.to_owned(),
+            health_path: knowledge.health_path(endpoint, Instant::now().into_std())?.to_owned(),
             is_engine: endpoint.card.is_some(),
         })
     }
@@ -67,7 +67,8 @@
             res = ask_life(&gateway, &asked).await;
         }
         match res {
-            Ok(()) | Err(Unwell::OtherLife) => {}
+            // One that refused a request just now lives.
+            Ok(()) | Err(Unwell::OtherLife | Unwell::Unknown | Unwell::Silent(_)) => {}
             Err(Unwell::Leaves) => gateway.believe_leaving(&asked.life),
             Err(Unwell::Ended(why)) => gateway.suspect(&asked.life, &why),
         }
@@ -127,7 +128,9 @@
             // It stays as the new life, which holds nothing yet.
             Err(Unwell::OtherLife) => return,
             Err(Unwell::Leaves) => ITS_HEALTH.to_owned(),
-            Err(Unwell::Ended(why)) => why,
+            // It stays until an entry that only lapsed would be back.
+            Err(Unwell::Unknown) => return,
+            Err(Unwell::Ended(why) | Unwell::Silent(why)) => why,
         };
         if gateway.knowledge.borrow().is_missing(id) {
             gateway.remove_endpoint(id, &why);
@@ -189,6 +192,10 @@
     Ended(String),
     /// It has started again.
     OtherLife,
+    /// It is full: it rejected the question, or the question waits for a slot.
+    Unknown,
+    /// It gives no answer, and has no report that would not wait for a slot.
+    Silent(String),
 }
 
 async fn ask_health(gateway: &Gateway, asked: &Asked) -> Result<(), Unwell> {
@@ -197,7 +204,13 @@
     let began = Instant::now();
     let client = gateway.probe(life, *addr);
     let answer = ask_twice(|| read_health(&client, health_path, &life.id, HEALTH_LIMIT)).await;
-    let answer = answer.map_err(|err| Unwell::Ended(err.to_string()))?;
+    let answer = match answer {
+        Ok(answer) => answer,
+        Err(err @ CallError::NoAnswer { .. }) => {
+            return Err(check_silent(gateway, asked, &err).await);
+        }
+        Err(err) => return Err(Unwell::Ended(err.to_string())),
+    };
     if answer.health == Health::Replaced {
         gateway.on_replaced(life);
         return Err(Unwell::Ended("another instance has its address".to_owned()));
@@ -207,7 +220,24 @@
     {
         return Err(Unwell::OtherLife);
     }
-    if answer.health == Health::Well { Ok(()) } else { Err(Unwell::Leaves) }
+    match answer.health {
+        Health::Well => Ok(()),
+        Health::Unknown => Err(Unwell::Unknown),
+        Health::Leaving | Health::Replaced => Err(Unwell::Leaves),
+    }
+}
+
+/// An endpoint's health brought no answer, as it waits for a slot. An engine's report doesn't.
+async fn check_silent(gateway: &Gateway, asked: &Asked, err: &CallError) -> Unwell {
+    if !asked.is_engine {
+        return Unwell::Silent(err.to_string());
+    }
+    gateway.counters.add(Count::Reports);
+    let client = gateway.probe(&asked.life, asked.addr);
+    match ask_twice(|| read_report(&client, HEALTH_LIMIT)).await {
+        Ok(_) => Unwell::Unknown,
+        Err(err) => Unwell::Ended(err.to_string()),
+    }
 }
 
 /// Asks an engine whether it is still in the life that is known. Where no start is told, each has an id
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -1,5 +1,7 @@
 //! HTTP calls to one peer, over connections that are kept.
 
+use crate::connection::connect;
+use crate::drained_timeout::{LimitOver, drained_timeout, drained_timeout_at};
 use bytes::Bytes;
 use http::{HeaderMap, Method, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
@@ -11,8 +13,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::TcpStream;
-use tokio::time::{Instant, timeout, timeout_at};
+use tokio::time::Instant;
 
 /// Idle connections kept to one peer.
 const MAX_IDLE: usize = 4;
@@ -120,11 +121,13 @@
         let until = Instant::now() + limits.whole;
         let mut sent = false;
         let head = self.head(method, path, body, &mut sent);
-        let res = match timeout(limits.head, head).await {
+        let res = match drained_timeout(limits.head, head).await {
             Ok(Ok((sender, answer))) => self.whole(sender, answer, until, limits.whole).await,
             Ok(Err(err)) => Err(err),
-            Err(_) if sent => Err(self.no_answer(format!("no answer in {:?}", limits.head))),
-            Err(_) => Err(self.not_sent(format!("no connection in {:?}", limits.head))),
+            Err(LimitOver) if sent => {
+                Err(self.no_answer(format!("no answer in {:?}", limits.head)))
+            }
+            Err(LimitOver) => Err(self.not_sent(format!("no connection in {:?}", limits.head))),
         };
         if matches!(res, Err(CallError::NoAnswer { .. })) {
             self.idle.borrow_mut().clear();
@@ -132,7 +135,8 @@
         res
     }
 
-    /// Sends a request and waits for the head of its answer.
+    /// Sends a request and waits for the head of its answer. One that comes back unsent, as the peer has closed a kept connection, goes
+    /// over the next one, in the end over a new one.
     async fn head(
         &self,
         method: Method,
@@ -140,23 +144,37 @@
         body: Option<Vec<u8>>,
         sent: &mut bool,
     ) -> Result<(Sender, Response<Incoming>), CallError> {
-        let mut sender = self.connection().await?;
+        let mut req = self.request(method, path, body)?;
+        loop {
+            let (mut sender, is_kept) = self.connection().await?;
+            *sent = true;
+            let mut err = match sender.try_send_request(req).await {
+                Ok(answer) => return Ok((sender, answer)),
+                Err(err) => err,
+            };
+            let step = err.error().to_string();
+            req = match err.take_message() {
+                Some(unsent) if is_kept => unsent,
+                Some(_) => return Err(self.not_sent(step)),
+                None => return Err(self.no_answer(step)),
+            };
+            *sent = false;
+        }
+    }
+
+    fn request(
+        &self,
+        method: Method,
+        path: &str,
+        body: Option<Vec<u8>>,
+    ) -> Result<Request<Full<Bytes>>, CallError> {
         let mut builder =
             Request::builder().method(method).uri(path).header("host", self.peer.to_string());
         if body.is_some() {
             builder = builder.header("content-type", "application/json");
         }
         let body = Full::new(Bytes::from(body.unwrap_or_default()));
-        let req = builder.body(body).map_err(|err| self.not_sent(err.to_string()))?;
-        *sent = true;
-        let answer = sender.send_request(req).await.map_err(|err| {
-            if err.is_canceled() {
-                self.not_sent(err.to_string())
-            } else {
-                self.no_answer(err.to_string())
-            }
-        })?;
-        Ok((sender, answer))
+        builder.body(body).map_err(|err| self.not_sent(err.to_string()))
     }
 
     /// Reads the body of an answer, and keeps its connection.
@@ -168,28 +186,30 @@
         limit: Duration,
     ) -> Result<Answer, CallError> {
         let (head, body) = answer.into_parts();
-        let body = timeout_at(until, Limited::new(body, MAX_ANSWER_BYTES).collect()).await;
-        let body = body.map_err(|_| self.no_answer(format!("no whole answer in {limit:?}")))?;
+        let body = Limited::new(body, MAX_ANSWER_BYTES).collect();
+        let body = drained_timeout_at(until, body).await;
+        let body =
+            body.map_err(|LimitOver| self.no_answer(format!("no whole answer in {limit:?}")))?;
         let body = body.map_err(|err| self.no_answer(err.to_string()))?.to_bytes();
         self.keep(sender);
         Ok(Answer { status: head.status, headers: head.headers, body })
     }
 
-    async fn connection(&self) -> Result<Sender, CallError> {
+    /// A connection, and whether it was kept from an earlier call.
+    async fn connection(&self) -> Result<(Sender, bool), CallError> {
         while let Some(mut sender) = self.take_idle() {
             if sender.ready().await.is_ok() {
-                return Ok(sender);
+                return Ok((sender, true));
             }
         }
-        let stream = TcpStream::connect(self.peer).await;
+        let stream = connect(self.peer).await;
         let stream = stream.map_err(|err| self.not_sent(format!("connect: {err}")))?;
-        stream.set_nodelay(true).map_err(|err| self.not_sent(format!("set nodelay: {err}")))?;
         let hands = handshake(TokioIo::new(stream)).await;
         let (sender, connection) =
             hands.map_err(|err| self.not_sent(format!("handshake: {err}")))?;
         // Its end shows at the sender.
         tokio::task::spawn_local(connection);
-        Ok(sender)
+        Ok((sender, false))
     }
 
     fn take_idle(&self) -> Option<Sender> {
