Soak: a fleet of gateways with small shares of a core under planned work alone

Users lost streams in mid-answer around new versions of the configuration, on real processes, with no fault injected. The soak of faults doesn't reach that: two gateways, whole cores, short streams, and the promise checked beside faults that excuse most ends.

A further part plays planned work alone: real gateways in three data centres under a processor quota (stopped for the rest of each 100 ms once their share is used), long streams over few first engines, callers on one client that leave after two seconds of silence, a configuration of each kind each second, gateways that are replaced, engines that join, leave and end. Each truncated answer is held against the rule; what is left is printed with the log lines of its request and the judgements of its engines in the second before.

--- a/crates/daemon/tests/gateway/gateway_process.rs
+++ b/crates/daemon/tests/gateway/gateway_process.rs
@@ -33,9 +33,11 @@
     path
 }
 
-/// The command with a settings file.
+/// The command with a settings file; `SOAK_GATEWAY` names another build of the program.
 pub fn command(role: &[&str], settings: &PathBuf) -> Command {
-    let mut command = Command::new(env!("CARGO_BIN_EXE_sorrellockd"));
+    let program = std::env::var("SOAK_GATEWAY");
+    let program = program.unwrap_or_else(|_| env!("CARGO_BIN_EXE_sorrellockd").to_owned());
+    let mut command = Command::new(program);
     command.args(role).env("SORRELLOCK_NODE_FILE", settings);
     command
 }
@@ -64,7 +66,12 @@
         store: SocketAddr,
         read: bool,
     ) -> GatewayProcess {
-        let path = write_settings(&ip.to_string(), &settings(instance, data_centre, ip, store));
+        GatewayProcess::spawn_with(ip, &settings(instance, data_centre, ip, store), read)
+    }
+
+    /// Starts a gateway at an address with these settings.
+    pub fn spawn_with(ip: IpAddr, settings: &str, read: bool) -> GatewayProcess {
+        let path = write_settings(&ip.to_string(), settings);
         let mut command = command(&["gateway"], &path);
         let child = command.stdout(Stdio::piped()).spawn().expect("the gateway starts");
         let mut gateway = GatewayProcess { child, ip, settings: path, lines: Arc::default() };
@@ -102,6 +109,11 @@
         SocketAddr::new(self.ip, CALLERS_PORT)
     }
 
+    /// Its process id.
+    pub fn pid(&self) -> Pid {
+        Pid::from_raw(self.child.id() as i32)
+    }
+
     /// Its address.
     pub fn ip(&self) -> IpAddr {
         self.ip
@@ -145,7 +157,7 @@
 
     /// Sends it a signal.
     pub fn signal(&self, signal: Signal) {
-        kill(Pid::from_raw(self.child.id() as i32), signal).expect("the process is there");
+        kill(self.pid(), signal).expect("the process is there");
     }
 
     /// Waits for its end, and returns its exit code.
--- a/crates/daemon/tests/gateway/main.rs
+++ b/crates/daemon/tests/gateway/main.rs
@@ -9,6 +9,7 @@
 mod life;
 mod lives;
 mod plain_calls;
+mod planned_work;
 mod silence;
 mod soak;
 mod streams;
--- a/crates/daemon/tests/gateway/soak/mod.rs
+++ b/crates/daemon/tests/gateway/soak/mod.rs
@@ -7,7 +7,7 @@
 mod callers;
 mod eras;
 mod faults;
-mod promises;
+pub mod promises;
 mod silences;
 mod world;
 
--- a/crates/daemon/tests/gateway/soak/promises.rs
+++ b/crates/daemon/tests/gateway/soak/promises.rs
@@ -85,9 +85,13 @@
 /// A stream holds its own events in order, each once. Where they pass to another run, that one began
 /// right after the last event of the one before.
 pub fn check_stream(heard: &Heard) -> Result<(), Broken> {
-    let request = &heard.call.request;
-    let broken = |what: &str| Err(format!("the stream {request} {what}:\n{}", heard.body));
-    let mut pieces: Vec<&str> = heard.body.split("\n\n").collect();
+    check_events(&heard.call.request, &heard.body, heard.is_whole, EVENTS)
+}
+
+/// The same of the body of a stream that has `events` when it is whole.
+pub fn check_events(request: &str, body: &str, is_whole: bool, events: u64) -> Result<(), Broken> {
+    let broken = |what: &str| Err(format!("the stream {request} {what}:\n{body}"));
+    let mut pieces: Vec<&str> = body.split("\n\n").collect();
     let rest = pieces.pop().unwrap_or_default();
     let mut run = None;
     let mut last = 0;
@@ -109,7 +113,7 @@
     if !next.starts_with(rest) && !rest.starts_with(&next) {
         return broken("ends in what is no part of its next event");
     }
-    if heard.is_whole && (last != EVENTS || !rest.is_empty()) {
+    if is_whole && (last != events || !rest.is_empty()) {
         return broken("is a part that looks whole");
     }
     Ok(())
