--- a/crates/daemon/tests/gateway/planned_work/callers.rs
+++ b/crates/daemon/tests/gateway/planned_work/callers.rs
@@ -1,7 +1,7 @@
 //! Callers of streams and of plain calls, on a few runtimes: each has one request at a time.
 
 use super::configs::{ACK, MATCH, PERMIT, STATUS};
-use super::exchange::{Ask, End, Exchange, Kept, exchange};
+use super::exchange::{Ask, Exchange, Kept, exchange};
 use super::lag::Lag;
 use super::rotation::Rotation;
 use crate::fleet::new_request;
@@ -134,7 +134,7 @@
             let addr = self.rotation.addr(gateway);
             let ask = self.ask();
             let one = exchange(&mut kept, gateway, addr, ask).await;
-            let is_served = one.end == End::Whole && one.status == Some(200);
+            let is_served = one.is_served();
             tries = if is_served { 0 } else { tries + 1 };
             if !self.index.is_multiple_of(2) || !is_served {
                 kept = None;
--- a/crates/daemon/tests/gateway/planned_work/check.rs
+++ b/crates/daemon/tests/gateway/planned_work/check.rs
@@ -18,7 +18,7 @@
 const SENT_AFTER_SIGNAL_MS: u64 = 3_000;
 /// Judgements of so long before an end are shown with it.
 const SHOWN_MS: u64 = 1_000;
-const MOST_SHOWN: usize = 40;
+const MOST_SHOWN: usize = 25;
 /// An engine that was late so short a time before a judgement was not well.
 const LATE_WINDOW_MS: u64 = 400;
 
@@ -158,9 +158,12 @@
             self.write_line(&mut text, line, at_ms);
         }
         let is_near = |line: &&Line| line.at_ms <= at_ms && at_ms - line.at_ms <= SHOWN_MS;
+        // Of other gateways, what they judged of its engines; of its own, also what became of other streams.
         let concerns = |line: &&Line| {
             let is_own = line.gateway == seen.gateway && line.text("request") != request;
-            (line.engine.is_empty() && is_own) || engines.contains(&line.engine.as_str())
+            let is_of_engine = engines.contains(&line.engine.as_str());
+            let is_of_stream = line.fields["request"].is_string();
+            (is_own && (is_of_engine || line.engine.is_empty())) || (is_of_engine && !is_of_stream)
         };
         text.push_str("  judged in the second before:\n");
         let judged = self.evidence.judgements.iter().filter(is_near).filter(concerns);
--- a/crates/daemon/tests/gateway/planned_work/configs.rs
+++ b/crates/daemon/tests/gateway/planned_work/configs.rs
@@ -60,11 +60,14 @@
     rank: u64,
     /// Changes to come, each kind once before any comes again.
     next: Vec<Change>,
+    /// Changes made so far; each `large_each`th one brings many routes besides.
+    changes: u64,
+    large_each: u64,
 }
 
 impl Operator {
-    /// Engines of both models take `slots` requests as the first of a path.
-    pub fn new(slots: u64) -> Operator {
+    /// Engines of both models take `slots` requests as the first of a path; each `large_each`th version has many routes besides what it changes.
+    pub fn new(slots: u64, large_each: u64) -> Operator {
         let model = |name: &str| {
             json!({"name": name, "health_path": "/health", "max_conns": 4_000, "engine": {
                 "slots": slots, "kv_token_bytes": 1_000.0, "models": [{"load_s": 0.1}],
@@ -91,6 +94,8 @@
             keys: vec![KEY.to_owned()],
             rank: 1,
             next: Vec::new(),
+            changes: 0,
+            large_each,
         }
     }
 
@@ -109,9 +114,14 @@
             self.next = CHANGES.to_vec();
             self.next.shuffle(rng);
         }
+        self.changes += 1;
         let change = self.next.pop().expect("there are changes");
         self.version += rng.random_range(1..4);
         self.make(change, rng);
+        if self.large_each > 0 && self.changes.is_multiple_of(self.large_each) {
+            self.routes.truncate(8);
+            self.add_many(rng);
+        }
         format!("configuration {}: {change:?}, {} routes", self.version, self.routes.len())
     }
 
--- a/crates/daemon/tests/gateway/planned_work/exchange.rs
+++ b/crates/daemon/tests/gateway/planned_work/exchange.rs
@@ -33,7 +33,7 @@
 }
 
 /// How an exchange ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum End {
     /// The answer came whole.
     Whole,
@@ -62,6 +62,13 @@
     pub end: End,
 }
 
+impl Exchange {
+    /// Whether it was served to its end.
+    pub fn is_served(&self) -> bool {
+        self.status == Some(200) && self.end == End::Whole
+    }
+}
+
 /// Sends a request over the kept connection, or else over a new one to the gateway at `addr`.
 pub async fn exchange(kept: &mut Kept, gateway: usize, addr: SocketAddr, ask: Ask) -> Exchange {
     let (gateway, sender) = match kept.take() {
--- a/crates/daemon/tests/gateway/planned_work/mod.rs
+++ b/crates/daemon/tests/gateway/planned_work/mod.rs
@@ -25,7 +25,7 @@
 use options::Options;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
-use report::report;
+use report::{report, report_broken};
 use rotation::Rotation;
 use std::fs;
 use std::sync::Arc;
@@ -36,7 +36,7 @@
 use world::{DATA_CENTRES, World};
 
 /// Violations that are shown with their lines.
-const MOST_SHOWN: usize = 6;
+const MOST_SHOWN: usize = 4;
 
 /// Plays one seed. Tells what broke the promise.
 fn play(seed: u64, options: &Options) -> Result<(), String> {
@@ -48,31 +48,29 @@
     let follower = follow_engines(&world, &is_over);
     let crowd = Crowd { streams: options.streams, calls: options.calls, seed };
     let callers = Callers::start(crowd, &rotation, &DATA_CENTRES);
-    let mut work = PlannedWork::new(seed, options.variant);
+    let mut work = PlannedWork::new(seed, options);
 
     work.play(&mut world, Duration::from_secs(options.seconds));
     let mut seen = callers.stop();
     is_over.store(true, Ordering::Relaxed);
     follower.join().expect("the engines' lag");
-    world.end();
+    let ended = world.end();
 
     let facts = Facts::gather(&world);
     print!("{}", report(seed, &facts, &mut seen));
     keep_logs(seed, &world, &work);
     let (violations, disordered) =
         (facts.violations(&seen.exchanges), facts.disordered(&seen.exchanges));
-    println!(
-        "truncated against the promise: {}, out of order: {}",
-        violations.len(),
-        disordered.len()
-    );
-    if violations.is_empty() && disordered.is_empty() {
+    print!("{}", report_broken(&facts, &violations));
+    println!("out of order: {}, gateways that ended by themselves: {ended:?}", disordered.len());
+    let is_served = seen.exchanges.iter().any(|one| one.ask.is_stream && one.is_served());
+    if is_served && violations.is_empty() && disordered.is_empty() && ended.is_empty() {
         return Ok(());
     }
     let shown: Vec<String> =
         violations.iter().take(MOST_SHOWN).map(|seen| facts.describe(seen)).collect();
     Err(format!(
-        "seed {seed}: {} requests were truncated\n{}{}",
+        "seed {seed}: {} requests were truncated, a stream was served: {is_served}, ended: {ended:?}\n{}{}",
         violations.len(),
         shown.join("\n"),
         disordered.join("\n")
--- a/crates/daemon/tests/gateway/planned_work/options.rs
+++ b/crates/daemon/tests/gateway/planned_work/options.rs
@@ -18,6 +18,18 @@
     Full,
 }
 
+/// A series of planned work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Series {
+    Configs,
+    Gateways,
+    HangUps,
+    Engines,
+}
+
+const ALL_SERIES: [Series; 4] =
+    [Series::Configs, Series::Gateways, Series::HangUps, Series::Engines];
+
 /// Sizes of a run.
 #[derive(Clone, Debug)]
 pub struct Options {
@@ -35,7 +47,10 @@
     pub load: f64,
     /// Engines of each data centre.
     pub engines: usize,
+    /// Each such version of the configuration has many routes besides what it changes; 0: as any other kind of change.
+    pub large_each: u64,
     pub variant: Variant,
+    pub series: Vec<Series>,
     pub seeds: Vec<u64>,
     /// Where the logs of all gateways are kept.
     pub logs: Option<PathBuf>,
@@ -45,16 +60,18 @@
     /// Those of each CI run.
     fn of_ci() -> Options {
         Options {
-            gateways: 6,
-            streams: 60,
-            calls: 6,
-            seconds: 8,
-            share: 0.19,
+            gateways: 12,
+            streams: 200,
+            calls: 12,
+            seconds: 7,
+            share: 0.03,
             large_share: 0.5,
-            load: 0.7,
+            load: 0.85,
             engines: 4,
+            large_each: 1,
             variant: Variant::Plain,
-            seeds: vec![1],
+            series: ALL_SERIES.to_vec(),
+            seeds: vec![4, 6],
             logs: None,
         }
     }
@@ -81,7 +98,9 @@
             "large_share" => self.large_share = number(),
             "load" => self.load = number(),
             "engines" => self.engines = number() as usize,
+            "large_each" => self.large_each = number() as u64,
             "variant" => self.variant = variant(value),
+            "series" => self.series = value.split('+').map(series).collect(),
             "seeds" => self.seeds = seeds(value),
             "logs" => self.logs = Some(value.into()),
             _ => panic!("SOAK_PLANNED knows no {name}"),
@@ -101,6 +120,16 @@
     }
 }
 
+fn series(name: &str) -> Series {
+    match name {
+        "configs" => Series::Configs,
+        "gateways" => Series::Gateways,
+        "hang_ups" => Series::HangUps,
+        "engines" => Series::Engines,
+        _ => panic!("no series is named {name}"),
+    }
+}
+
 fn seeds(text: &str) -> Vec<u64> {
     let number = |text: &str| text.parse::<u64>().expect("a seed is a number");
     match text.split_once("..") {
--- a/crates/daemon/tests/gateway/planned_work/quota.rs
+++ b/crates/daemon/tests/gateway/planned_work/quota.rs
@@ -2,6 +2,7 @@
 //! rest of that period.
 
 use nix::sys::signal::{Signal, kill};
+use nix::time::{ClockId, clock_getcpuclockid};
 use nix::unistd::Pid;
 use std::fs::File;
 use std::os::unix::fs::FileExt;
@@ -20,7 +21,9 @@
     pid: Pid,
     /// Processor time in each period.
     budget: Duration,
-    /// Processor time so far, and how long it waited for a processor.
+    /// Tells its processor time, exactly while it runs as well.
+    clock: ClockId,
+    /// Tells how long it waited for a processor.
     stat: File,
     period_end: Instant,
     /// Processor time at which the present period began, with what it is overdrawn.
@@ -68,10 +71,12 @@
     /// Puts a process under a quota, whose periods begin `offset` from now.
     pub fn add(&self, pid: Pid, share: f64, offset: Duration) {
         let stat = File::open(format!("/proc/{pid}/schedstat")).expect("the process runs");
-        let period_start_cpu = read_stat(&stat).map_or(Duration::ZERO, |(cpu, _)| cpu);
+        let clock = clock_getcpuclockid(pid).expect("the process runs");
+        let period_start_cpu = read_cpu(clock).expect("the process runs");
         self.lock().push(Throttled {
             pid,
             budget: PERIOD.mul_f64(share.min(1.0)),
+            clock,
             stat,
             period_end: Instant::now() + offset,
             period_start_cpu,
@@ -142,7 +147,8 @@
 }
 
 fn usage(process: &Throttled) -> Usage {
-    let (cpu, waited) = read_stat(&process.stat).unwrap_or_default();
+    let cpu = read_cpu(process.clock).unwrap_or_default();
+    let waited = read_waited(&process.stat).unwrap_or_default();
     let Throttled { periods, throttled_periods, .. } = *process;
     Usage { periods, throttled_periods, cpu, waited }
 }
@@ -167,7 +173,7 @@
 
 impl Throttled {
     fn look(&mut self, now: Instant) {
-        let Some((cpu, _)) = read_stat(&self.stat) else { return };
+        let Some(cpu) = read_cpu(self.clock) else { return };
         while now >= self.period_end {
             self.period_end += PERIOD;
             // What a period left unused is lost; what it overdrew counts for the next one.
@@ -186,11 +192,16 @@
     }
 }
 
-/// Processor time of a process's first thread, which does all its work, and how long it waited for a processor.
-fn read_stat(stat: &File) -> Option<(Duration, Duration)> {
+/// Processor time of all threads of a process; nothing once it is gone.
+fn read_cpu(clock: ClockId) -> Option<Duration> {
+    clock.now().ok().map(Duration::from)
+}
+
+/// How long a process's first thread, which does all its work, waited for a processor.
+fn read_waited(stat: &File) -> Option<Duration> {
     let mut buf = [0; 96];
     let len = stat.read_at(&mut buf, 0).ok()?;
     let text = std::str::from_utf8(&buf[..len]).ok()?;
-    let mut figures = text.split_whitespace().map_while(|figure| figure.parse().ok());
-    Some((Duration::from_nanos(figures.next()?), Duration::from_nanos(figures.next()?)))
+    let waited = text.split_whitespace().nth(1)?.parse().ok()?;
+    Some(Duration::from_nanos(waited))
 }
--- a/crates/daemon/tests/gateway/planned_work/report.rs
+++ b/crates/daemon/tests/gateway/planned_work/report.rs
@@ -1,78 +1,107 @@
 //! The figures of a run, in a few lines.
 
 use super::callers::Seen;
-use super::check::{Condition, Facts, Why};
+use super::check::{Condition, Facts};
 use super::evidence::Line;
 use super::exchange::{End, Exchange};
-use std::collections::BTreeMap;
+use super::lag::Lag;
+use super::options::Options;
+use super::quota::Usage;
+use std::collections::{BTreeMap, BTreeSet};
 
-/// Counts by the condition of the engine.
-fn by_condition<'a>(
-    facts: &Facts<'_>,
-    lines: impl Iterator<Item = &'a Line>,
-) -> BTreeMap<Condition, usize> {
+/// Counts by a key.
+fn counted<K: Ord>(keys: impl Iterator<Item = K>) -> BTreeMap<K, usize> {
     let mut counts = BTreeMap::new();
-    for line in lines {
-        *counts.entry(facts.condition(&line.engine, line.at_ms)).or_default() += 1;
-    }
+    keys.for_each(|key| *counts.entry(key).or_default() += 1);
     counts
 }
 
 /// The figures of a run.
 pub fn report(seed: u64, facts: &Facts<'_>, seen: &mut Seen) -> String {
-    let options = &facts.world.options;
+    let Options { variant, gateways, share, streams, load, seconds, .. } = &facts.world.options;
+    format!(
+        "seed {seed}, {variant:?}, {gateways} gateways, share {share}, {streams} streams at load {load}, {seconds} s\n\
+         {}\n{}\n{}\n",
+        report_callers(facts, &seen.exchanges),
+        report_engines(facts),
+        report_machine(facts, &mut seen.lag),
+    )
+}
+
+fn report_callers(facts: &Facts<'_>, seen: &[Exchange]) -> String {
+    let (streams, calls): (Vec<&Exchange>, _) = seen.iter().partition(|one| one.ask.is_stream);
+    let whole = |all: &[&Exchange]| all.iter().filter(|one| one.is_served()).count();
+    let ended = |end| seen.iter().filter(move |one| one.end == end);
+    let statuses = counted(ended(End::Whole).filter_map(|one| one.status));
+    let ends = counted(seen.iter().map(|one| one.end));
+    let broke = counted(ended(End::Broke).map(|one| facts.why_broken(one)));
+    format!(
+        "streams {}, whole {}; calls {}, whole {}; statuses {statuses:?}; {ends:?}; broke {broke:?}",
+        streams.len(),
+        whole(&streams),
+        calls.len(),
+        whole(&calls),
+    )
+}
+
+fn report_engines(facts: &Facts<'_>) -> String {
     let evidence = &facts.evidence;
-    let count =
-        |is: &dyn Fn(&Exchange) -> bool| seen.exchanges.iter().filter(|one| is(one)).count();
-    let streams = |one: &Exchange| one.ask.is_stream;
-    let whole = |one: &Exchange| one.end == End::Whole && one.status == Some(200);
-    let suspected = by_condition(facts, evidence.judged("endpoint suspected"));
-    let dead = by_condition(facts, evidence.judged("engine taken to be dead"));
-    let lost = by_condition(facts, evidence.judged("stream lost its run"));
-    let mut broke: BTreeMap<Why, usize> = BTreeMap::new();
-    for one in seen.exchanges.iter().filter(|one| one.end == End::Broke) {
-        *broke.entry(facts.why_broken(one)).or_default() += 1;
-    }
-    let mut why: BTreeMap<&str, usize> = BTreeMap::new();
-    for line in evidence.judged("stream lost its run") {
-        let text = line.text("why");
-        *why.entry(text.split(':').next().unwrap_or(text)).or_default() += 1;
-    }
-    let mut refused: BTreeMap<u16, usize> = BTreeMap::new();
-    for one in seen.exchanges.iter().filter(|one| one.end == End::Whole) {
-        *refused.entry(one.status.unwrap_or_default()).or_default() += 1;
-    }
-    let ends = [End::Broke, End::NotConnected, End::LeftSilent, End::LeftLate];
-    let ends = ends.map(|end| format!("{end:?} {}", count(&|one| one.end == end))).join(", ");
-    let usage = facts.world.quotas.usage();
-    let percent = |part: f64, of: f64| if of > 0.0 { part / of * 100.0 } else { 0.0 };
-    let most_late = facts.late.iter().map(|late| late.late).max().unwrap_or_default();
+    let conditions = |what| {
+        let lines = evidence.judged(what);
+        counted(lines.map(|line| facts.condition(&line.engine, line.at_ms)))
+    };
+    let lost = evidence.judged("stream lost its run").map(|line| line.text("why"));
+    let lost = counted(lost.map(|why| why.split_once(':').map_or(why, |(cause, _)| cause)));
     format!(
-        "seed {seed}, {:?}, {} gateways, share {}, {} streams at load {}, {} s\n\
-         streams {}, whole {}; calls {}, whole {}; statuses {refused:?}; {ends}; broke {broke:?}\n\
-         engines suspected {suspected:?}, taken to be dead {dead:?}; runs lost {lost:?} {why:?}; paths checked {}, moves {}\n\
-         throttled in {:.0} % of periods, processor {:.1} s, waited for a processor {:.2} s\n\
-         lag of the callers' runtimes p50 {:?} p99 {:?} p99.9 {:?} most {:?}; of engines over 20 ms {} times, most {most_late:?}; of the quota {:?}\n",
-        options.variant,
-        options.gateways,
-        options.share,
-        options.streams,
-        options.load,
-        options.seconds,
-        count(&streams),
-        count(&|one| streams(one) && whole(one)),
-        count(&|one| !streams(one)),
-        count(&|one| !streams(one) && whole(one)),
+        "engines suspected {:?}, taken to be dead {:?}; runs lost {:?} {lost:?}; paths checked {}, moves {}",
+        conditions("endpoint suspected"),
+        conditions("engine taken to be dead"),
+        conditions("stream lost its run"),
         evidence.judged("path checked").count(),
         evidence.judged("stream moved to another path").count(),
-        percent(usage.throttled_periods as f64, usage.periods as f64),
-        usage.cpu.as_secs_f64(),
-        usage.waited.as_secs_f64(),
-        seen.lag.quantile(0.5),
-        seen.lag.quantile(0.99),
-        seen.lag.quantile(0.999),
-        seen.lag.quantile(1.0),
+    )
+}
+
+fn report_machine(facts: &Facts<'_>, lag: &mut Lag) -> String {
+    let Usage { periods, throttled_periods, cpu, waited } = facts.world.quotas.usage();
+    let throttled = throttled_periods as f64 / periods.max(1) as f64 * 100.0;
+    let most_late = facts.late.iter().map(|late| late.late).max().unwrap_or_default();
+    format!(
+        "throttled in {throttled:.0} % of periods, processor {:.1} s, waited for a processor {:.2} s\n\
+         lag of the callers' runtimes p50 {:?} p99 {:?} p99.9 {:?} most {:?}; of engines over 20 ms {} times, most {most_late:?}; \
+         of the quota {:?}",
+        cpu.as_secs_f64(),
+        waited.as_secs_f64(),
+        lag.quantile(0.5),
+        lag.quantile(0.99),
+        lag.quantile(0.999),
+        lag.quantile(1.0),
         facts.late.len(),
         facts.world.quotas.most_late(),
     )
 }
+
+/// The figures of requests that were truncated against the promise.
+pub fn report_broken(facts: &Facts<'_>, broken: &[&Exchange]) -> String {
+    let mut ends: BTreeMap<&str, usize> = BTreeMap::new();
+    let mut engines: BTreeMap<&str, usize> = BTreeMap::new();
+    let (mut gateways, mut of_well_engines) = (BTreeSet::new(), 0);
+    for one in broken {
+        let lines = facts.evidence.of(&one.ask.request);
+        let end = lines.iter().rfind(|line| line.what == "request ended");
+        *ends.entry(end.map_or("no line tells", |line| line.text("why"))).or_default() += 1;
+        let mut lost = lines.iter().filter(|line| line.what == "stream lost its run");
+        let is_well = |line: &Line| facts.condition(&line.engine, line.at_ms) == Condition::Well;
+        if let Some(last) = lines.iter().rfind(|line| !line.engine.is_empty()) {
+            *engines.entry(&last.engine).or_default() += 1;
+        }
+        of_well_engines += usize::from(lost.all(is_well));
+        gateways.insert(one.gateway);
+    }
+    format!(
+        "truncated against the promise: {}, of them {of_well_engines} with engines that were well; at {} gateways, by the last \
+         engine {engines:?}; {ends:?}\n",
+        broken.len(),
+        gateways.len(),
+    )
+}
--- a/crates/daemon/tests/gateway/planned_work/work.rs
+++ b/crates/daemon/tests/gateway/planned_work/work.rs
@@ -2,7 +2,7 @@
 
 use super::configs::LEXIS;
 use super::lag::now_ms;
-use super::options::Variant;
+use super::options::{Options, Series, Variant};
 use super::world::World;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -54,15 +54,16 @@
 }
 
 impl PlannedWork {
-    pub fn new(seed: u64, variant: Variant) -> PlannedWork {
+    pub fn new(seed: u64, options: &Options) -> PlannedWork {
         let began = Instant::now();
-        let mut steps = vec![
-            (began, Step::Configure),
-            (began, Step::EndGateway),
-            (began, Step::HangUp),
-            (began, Step::Join),
-        ];
-        match variant {
+        let first = |series: &Series| match series {
+            Series::Configs => (began, Step::Configure),
+            Series::Gateways => (began, Step::EndGateway),
+            Series::HangUps => (began, Step::HangUp),
+            Series::Engines => (began, Step::Join),
+        };
+        let mut steps: Vec<(Instant, Step)> = options.series.iter().map(first).collect();
+        match options.variant {
             Variant::GatewayPauses => steps.push((began, Step::PauseGateway)),
             Variant::EnginePauses(_) => steps.push((began, Step::PauseEngine)),
             Variant::Plain | Variant::LateReports | Variant::Full => {}
--- a/crates/daemon/tests/gateway/planned_work/world.rs
+++ b/crates/daemon/tests/gateway/planned_work/world.rs
@@ -80,7 +80,7 @@
         let store = FakeStore::start(new_ip()).expect("the store");
         let load = if options.variant == Variant::Full { FULL_LOAD } else { options.load };
         let slots = (options.streams as f64 / load / FIRST_ENGINES).ceil() as u64;
-        let operator = Operator::new(slots);
+        let operator = Operator::new(slots, options.large_each);
         store.put("config", "main", operator.config());
         let gaps = (0..16).map(|_| Duration::from_millis(rng.random_range(GAP_MS))).collect();
         let mut world = World {
@@ -209,15 +209,22 @@
         course
     }
 
-    /// Ends all gateways.
-    pub fn end(&mut self) {
+    /// Ends all gateways. Tells which had ended by themselves.
+    pub fn end(&mut self) -> Vec<String> {
+        let mut ended = Vec::new();
         for node in &mut self.nodes {
             let process = &mut node.lives.last_mut().expect("each gateway was started").process;
-            // One that ends just now needs none.
-            process.signal(Signal::SIGKILL);
             let pid = process.pid();
+            if self.quotas.reap(pid, || process.has_ended()) {
+                if node.killed_at.is_none() {
+                    ended.push(node.name.clone());
+                }
+                continue;
+            }
+            process.signal(Signal::SIGKILL);
             wait_for("a gateway's end", || self.quotas.reap(pid, || process.has_ended()));
         }
+        ended
     }
 }
 
