--- a/crates/daemon/tests/gateway/planned_work/check.rs
+++ b/crates/daemon/tests/gateway/planned_work/check.rs
@@ -5,6 +5,7 @@
 use super::evidence::{Evidence, Line};
 use super::exchange::{DEADLINE, End, Exchange};
 use super::lag::LateEngine;
+use super::quota::Standstill;
 use super::world::{EVENTS, GRACE, World};
 use crate::soak::promises::check_events;
 use std::collections::HashMap;
@@ -19,6 +20,8 @@
 /// Judgements of so long before an end are shown with it.
 const SHOWN_MS: u64 = 1_000;
 const MOST_SHOWN: usize = 25;
+/// An engine is asked twice for so long in all until it is suspected.
+pub const QUESTIONS_MS: u64 = 180;
 /// An engine that was late so short a time before a judgement was not well.
 const LATE_WINDOW_MS: u64 = 400;
 
@@ -50,6 +53,8 @@
     pub world: &'a World,
     pub evidence: Evidence,
     pub late: Vec<LateEngine>,
+    /// When each gateway stood still, by its index.
+    standstills: HashMap<usize, Vec<Standstill>>,
     /// The engines that ran each request as the first of its path.
     runs: HashMap<String, Vec<usize>>,
 }
@@ -67,7 +72,25 @@
                 runs.entry(request).or_default();
             }
         }
-        Facts { world, evidence: Evidence::read(world), late: world.engine_lag.late(), runs }
+        let evidence = Evidence::read(world);
+        let (late, standstills) = (world.engine_lag.late(), standstills(world));
+        Facts { world, evidence, late, standstills, runs }
+    }
+
+    /// For how long a gateway stood still in the time in which an engine's two questions run, in ms.
+    pub fn stood_still_ms(&self, gateway: usize, at_ms: u64) -> u64 {
+        let from = at_ms - QUESTIONS_MS;
+        let overlap = |one: &Standstill| one.to_ms.min(at_ms).saturating_sub(one.from_ms.max(from));
+        self.standstills.get(&gateway).into_iter().flatten().map(overlap).sum()
+    }
+
+    /// Suspicions of engines that were well, each found by a gateway itself as the engine brought no answer.
+    pub fn unfounded(&self) -> impl Iterator<Item = &Line> {
+        let suspected = self.evidence.judged("endpoint suspected");
+        suspected.filter(|line| {
+            line.text("why").contains("no answer in")
+                && self.condition(&line.engine, line.at_ms) == Condition::Well
+        })
     }
 
     /// How an engine was at a time.
@@ -180,7 +203,26 @@
             "" => String::new(),
             engine => format!(" [{engine}: {:?}]", self.condition(engine, line.at_ms)),
         };
-        writeln!(text, "  {before:>6} {gateway} {} {}{condition}", line.what, line.fields)
+        let still = self.stood_still_ms(line.gateway, line.at_ms);
+        let still = match line.what.as_str() {
+            "endpoint suspected" => format!(" [stood still for {still} of {QUESTIONS_MS} ms]"),
+            _ => String::new(),
+        };
+        writeln!(text, "  {before:>6} {gateway} {} {}{condition}{still}", line.what, line.fields)
             .expect("memory for text");
     }
 }
+
+fn standstills(world: &World) -> HashMap<usize, Vec<Standstill>> {
+    let mut gateways = HashMap::new();
+    for (index, node) in world.nodes.iter().enumerate() {
+        gateways.extend(node.lives.iter().map(|life| (life.process.pid(), index)));
+    }
+    let mut all: HashMap<usize, Vec<Standstill>> = HashMap::new();
+    for one in world.quotas.standstills() {
+        if let Some(gateway) = gateways.get(&one.pid) {
+            all.entry(*gateway).or_default().push(one);
+        }
+    }
+    all
+}
--- a/crates/daemon/tests/gateway/planned_work/quota.rs
+++ b/crates/daemon/tests/gateway/planned_work/quota.rs
@@ -1,6 +1,7 @@
 //! A processor quota as container platforms have it: a process that has used its share of a period stands still for the
 //! rest of that period.
 
+use super::lag::now_ms;
 use nix::sys::signal::{Signal, kill};
 use nix::time::{ClockId, clock_getcpuclockid};
 use nix::unistd::Pid;
@@ -28,12 +29,21 @@
     period_end: Instant,
     /// Processor time at which the present period began, with what it is overdrawn.
     period_start_cpu: Duration,
-    is_stopped: bool,
+    /// Since when it stands still, in Unix ms.
+    stopped_ms: Option<u64>,
     pause_until: Option<Instant>,
     periods: u64,
     throttled_periods: u64,
 }
 
+/// A time in which a process stood still, in Unix ms.
+#[derive(Clone, Copy, Debug)]
+pub struct Standstill {
+    pub pid: Pid,
+    pub from_ms: u64,
+    pub to_ms: u64,
+}
+
 /// Processor time of processes that are or were under a quota.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Usage {
@@ -49,6 +59,7 @@
 struct Shared {
     processes: Mutex<Vec<Throttled>>,
     ended: Mutex<Usage>,
+    standstills: Mutex<Vec<Standstill>>,
     is_over: AtomicBool,
     /// The longest time between two looks, in microseconds.
     most_late_us: AtomicU64,
@@ -80,7 +91,7 @@
             stat,
             period_end: Instant::now() + offset,
             period_start_cpu,
-            is_stopped: false,
+            stopped_ms: None,
             pause_until: None,
             periods: 0,
             throttled_periods: 0,
@@ -115,6 +126,11 @@
         self.lock().iter().map(usage).chain([ended]).sum()
     }
 
+    /// When processes stood still, once they went on.
+    pub fn standstills(&self) -> Vec<Standstill> {
+        self.shared.standstills.lock().expect("no panic holds this lock").clone()
+    }
+
     /// The longest time between two looks: a share may be overdrawn by as much, and a process stopped for as much longer.
     pub fn most_late(&self) -> Duration {
         Duration::from_micros(self.shared.most_late_us.load(Ordering::Relaxed))
@@ -162,7 +178,8 @@
         shared.most_late_us.fetch_max(late, Ordering::Relaxed);
         looked = now;
         let mut processes = shared.processes.lock().expect("no panic holds this lock");
-        processes.iter_mut().for_each(|process| process.look(now));
+        let ended = processes.iter_mut().filter_map(|process| process.look(now));
+        shared.standstills.lock().expect("no panic holds this lock").extend(ended);
     }
     let processes = shared.processes.lock().expect("no panic holds this lock");
     for process in processes.iter() {
@@ -172,23 +189,27 @@
 }
 
 impl Throttled {
-    fn look(&mut self, now: Instant) {
-        let Some(cpu) = read_cpu(self.clock) else { return };
+    /// Stops it or lets it go on. Tells of a standstill that ends.
+    fn look(&mut self, now: Instant) -> Option<Standstill> {
+        let cpu = read_cpu(self.clock)?;
         while now >= self.period_end {
             self.period_end += PERIOD;
             // What a period left unused is lost; what it overdrew counts for the next one.
             self.period_start_cpu = (self.period_start_cpu + self.budget).min(cpu);
             self.periods += 1;
-            self.throttled_periods += u64::from(self.is_stopped);
+            self.throttled_periods += u64::from(self.stopped_ms.is_some());
         }
-        let is_used_up = cpu - self.period_start_cpu >= self.budget;
+        let is_used_up = cpu - self.period_start_cpu >= self.budget && self.budget < PERIOD;
         let is_paused = self.pause_until.is_some_and(|until| now < until);
-        let must_stop = (is_used_up && self.budget < PERIOD) || is_paused;
-        if must_stop != std::mem::replace(&mut self.is_stopped, must_stop) {
-            let signal = if must_stop { Signal::SIGSTOP } else { Signal::SIGCONT };
-            // A process that has just ended needs none.
-            let _ = kill(self.pid, signal);
+        let must_stop = is_used_up || is_paused;
+        if must_stop == self.stopped_ms.is_some() {
+            return None;
         }
+        let signal = if must_stop { Signal::SIGSTOP } else { Signal::SIGCONT };
+        // A process that has just ended needs none.
+        let _ = kill(self.pid, signal);
+        let from_ms = std::mem::replace(&mut self.stopped_ms, must_stop.then(now_ms))?;
+        Some(Standstill { pid: self.pid, from_ms, to_ms: now_ms() })
     }
 }
 
--- a/crates/daemon/tests/gateway/planned_work/report.rs
+++ b/crates/daemon/tests/gateway/planned_work/report.rs
@@ -1,7 +1,7 @@
 //! The figures of a run, in a few lines.
 
 use super::callers::Seen;
-use super::check::{Condition, Facts};
+use super::check::{Condition, Facts, QUESTIONS_MS};
 use super::evidence::Line;
 use super::exchange::{End, Exchange};
 use super::lag::Lag;
@@ -52,13 +52,20 @@
     };
     let lost = evidence.judged("stream lost its run").map(|line| line.text("why"));
     let lost = counted(lost.map(|why| why.split_once(':').map_or(why, |(cause, _)| cause)));
+    let unfounded: Vec<&Line> = facts.unfounded().collect();
+    let was_still =
+        |line: &&&Line| facts.stood_still_ms(line.gateway, line.at_ms) > QUESTIONS_MS / 2;
+    let while_still = unfounded.iter().filter(was_still).count();
     format!(
-        "engines suspected {:?}, taken to be dead {:?}; runs lost {:?} {lost:?}; paths checked {}, moves {}",
+        "engines suspected {:?}, taken to be dead {:?}; runs lost {:?} {lost:?}; paths checked {}, moves {}\n\
+         engines that were well, and suspected by a gateway itself for want of an answer: {}, of them {while_still} by one that stood \
+         still for most of that time",
         conditions("endpoint suspected"),
         conditions("engine taken to be dead"),
         conditions("stream lost its run"),
         evidence.judged("path checked").count(),
         evidence.judged("stream moved to another path").count(),
+        unfounded.len(),
     )
 }
 
