--- a/crates/daemon/tests/gateway/main.rs
+++ b/crates/daemon/tests/gateway/main.rs
@@ -17,6 +17,7 @@
 mod pauses;
 mod plain_attempts;
 mod plain_calls;
+mod planned_work;
 mod silence;
 mod soak;
 mod streams;
