Failing test: a stream whose engine dies before its first event is refused though a place frees soon

What callers saw: 502 a tenth of a second after they asked, where a stream that had had one event would have been held for up to two seconds and gone on. The 100 ms for which a request waits for a place count from its arrival; an attempt that fails later finds them over, looks once, and may not be refused as not run any more.

--- a/crates/daemon/tests/gateway/first_event.rs
+++ b/crates/daemon/tests/gateway/first_event.rs
@@ -118,3 +118,30 @@
 
     assert_whole(&answer);
 }
+
+/// A stream that has had its first event waits up to two seconds for a place where its engine dies; one that has not is refused at once, as
+/// the 100 ms that a request waits for a place count from its arrival.
+#[test]
+fn a_stream_whose_engine_dies_before_its_first_event_waits_for_a_place() {
+    let fleet = fleet();
+    let mut cfg = config(2, &[KEY]);
+    // A path takes one stream.
+    cfg["services"][1]["engine"]["slots"] = 2.into();
+    fleet.store.put("config", "main", cfg);
+    let gateway = fleet.gateway("one");
+    gateway.wait_for_line(&["\"configuration in force\"", "\"version\":2,"]);
+    set_modes(&fleet, EngineMode::BeginsAfter(PAUSE));
+    let to = gateway.callers();
+    let [other, request] = [0, 1].map(|_| {
+        let request = new_request();
+        let id = request.clone();
+        let call = thread::spawn(move || send(to, "/match/a", &id, Some(KEY)));
+        wait_for("an engine to run it", || fleet.runner(&request).is_some());
+        (request, call)
+    });
+
+    fleet.runner(&request.0).expect("an engine runs it").crash();
+
+    assert_whole(&request.1.join().expect("an answer"));
+    assert_whole(&other.1.join().expect("an answer"));
+}
