A lost opening packet is repeated after 50 ms, in time for questions too

What callers saw on links that lose packets: streams that left their runs and went on late, or were refused, as engines were suspected that were well. Most suspicions that a gateway raised itself said "no connection in 90 ms": one lost packet of the connection for a report, which is asked for once where there is no connection, and the others took the suspicion over.

Change: the second packet goes after 50 ms in place of 200, which is more than a round trip between regions and leaves a question of 90 ms the time for its answer.

The test asks for a quarter of the kernel's second now, in place of half.

--- a/crates/http/src/connection/connect.rs
+++ b/crates/http/src/connection/connect.rs
@@ -7,8 +7,8 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
-/// Time after which an opening packet counts as lost: a hundred round trips. The kernel repeats it after a second only.
-const OPENING_LOST_AFTER: Duration = Duration::from_millis(200);
+/// Time after which an opening packet counts as lost: more than a round trip between regions. The kernel repeats it after a second only.
+const OPENING_LOST_AFTER: Duration = Duration::from_millis(50);
 
 /// Opens a connection without delayed writes. Where the opening packet may be lost, a second one is sent; the first
 /// connection that is open counts.
--- a/crates/http/tests/connect.rs
+++ b/crates/http/tests/connect.rs
@@ -12,7 +12,7 @@
 /// What the kernel waits before it repeats a lost opening packet.
 const KERNEL_RETRY: Duration = Duration::from_secs(1);
 /// For how long opening packets are lost.
-const LOSS: Duration = Duration::from_millis(30);
+const LOSS: Duration = Duration::from_millis(20);
 
 /// Connects to a listener whose backlog is full for a while, so that the kernel drops opening packets. How long it took.
 async fn connect_through_loss() -> Duration {
@@ -43,5 +43,5 @@
     let took = runtime.expect("a runtime").block_on(connect_through_loss());
 
     assert!(took >= LOSS, "no packet was lost: {took:?}");
-    assert!(took < KERNEL_RETRY / 2, "{took:?}");
+    assert!(took < KERNEL_RETRY / 4, "{took:?}");
 }
