A stream that may have run waits for a place until its caller leaves

What callers saw: 502 a tenth of a second after they asked: the engine of the only attempt died before its first event, the other paths were full for a moment, and the request could not be refused as not run any more. Cause: the 100 ms for which a request waits for a place count from its arrival, also after an attempt has failed. Why this holds: a request that may have run waits for a place for two seconds from its arrival, as long as callers wait for a first event; one that ran nowhere is refused at once as before, with a time to come back.

--- a/crates/gateway/src/request/stream.rs
+++ b/crates/gateway/src/request/stream.rs
@@ -8,7 +8,7 @@
 use http::Response;
 use sorrellock_http::{AnswerBody, Cut};
 use sorrellock_platform::answer_headers;
-use sorrellock_routing::request::Attempts;
+use sorrellock_routing::request::{Attempts, GivenUp};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::mpsc;
@@ -22,6 +22,9 @@
 /// When to come back where no path exists: a lost engine is found and its layers are loaded in
 /// about that time.
 const RETRY_AFTER_NO_PATH: Duration = Duration::from_millis(2_500);
+/// How long callers wait for the first event.
+const FIRST_EVENT_WAIT: Duration = Duration::from_secs(2);
+
 /// Serves a stream.
 pub(crate) async fn serve_stream(
     gateway: Rc<Gateway>,
@@ -29,8 +32,15 @@
 ) -> Result<Response<AnswerBody>, Cut> {
     let mut attempts = Attempts::new(call.route.semantics, call.route.max_attempts);
     let last = call.head.last_event;
-    let patience = Instant::now() + ROOM_PATIENCE;
-    let began = begin(&gateway, &call, &mut attempts, last, &mut Vec::new(), patience).await;
+    let mut avoid = Vec::new();
+    let until = Instant::now() + ROOM_PATIENCE;
+    let mut began = begin(&gateway, &call, &mut attempts, last, &mut avoid, until).await;
+    if matches!(began, Err(NotBegun::NoPlace(_))) && attempts.given_up(false) != GivenUp::NotRun {
+        // It can't be refused as not run any more: a place that frees serves its caller better than no answer.
+        avoid.retain(|live| live.is_broken.get());
+        let until = (call.arrived + FIRST_EVENT_WAIT).min(call.deadline);
+        began = begin(&gateway, &call, &mut attempts, last, &mut avoid, until).await;
+    }
     match began {
         Ok(run) => Ok(start_relay(gateway, call, attempts, run)),
         Err(NotBegun::Failure(answer)) => {
