--- a/crates/daemon/tests/gateway/pauses.rs
+++ b/crates/daemon/tests/gateway/pauses.rs
@@ -13,7 +13,9 @@
 //! were given up is 0 at nearly all, so their own connections had just brought events; here the engine pauses, and each run
 //! that is kept comes whole.
 
-use crate::fleet::{Answer, EVENTS, Fleet, KEY, fleet, new_request, send, whole_stream};
+use crate::fleet::{
+    Answer, EVENTS, Fleet, KEY, fleet, fleet_of_two_first_engines, new_request, send, whole_stream,
+};
 use crate::gateway_process::{GatewayProcess, wait_for};
 use sorrellock_stand_ins::FakeEngine;
 use std::thread::{self, JoinHandle};
@@ -23,6 +25,9 @@
 /// an event.
 const PAUSE: Duration = Duration::from_millis(600);
 
+/// Long enough for the lead to take an engine to be dead, and shorter than callers wait for an event.
+const LONG_PAUSE: Duration = Duration::from_millis(1_300);
+
 /// Takes the retry budget from a gateway: no request is sent a second time.
 fn without_retry_budget(gateway: &GatewayProcess) {
     gateway.change_settings(|text| {
@@ -89,3 +94,24 @@
 
     assert_eq!(truncated(streams), Vec::<String>::new(), "of {EVENTS} events each");
 }
+
+/// An engine that the lead takes to be dead, wrongly, still runs the stream whose run there is kept: it counts against the engines
+/// that may run one request.
+#[test]
+fn no_more_engines_run_a_stream_than_may_where_all_of_them_pause() {
+    let fleet = fleet_of_two_first_engines();
+    let gateway = fleet.gateway("one");
+    wait_for("three paths", || gateway.lines(&["\"path in use\""]).len() >= 3);
+    let streams = start_streams(&gateway, 4);
+    let ids: Vec<String> = streams.iter().map(|(id, _)| id.clone()).collect();
+    wait_for("the streams to begin", || ids.iter().all(|id| fleet.runs(id) > 0));
+
+    fleet.engines.iter().for_each(|engine| engine.set_paused(true));
+    thread::sleep(LONG_PAUSE);
+    fleet.engines.iter().for_each(|engine| engine.set_paused(false));
+
+    assert_eq!(truncated(streams), Vec::<String>::new());
+    gateway.wait_for_line(&["\"engine taken to be dead\""]);
+    let most = ids.iter().map(|id| fleet.runs(id)).max();
+    assert!(most <= Some(2), "a stream ran at {most:?} engines");
+}
