A slow call counts an attempt once where the one beside it has failed first

Found on reading: with three attempts allowed, a second attempt that failed before the overdue first one left that one to be counted again as a third one began, and the room for a further attempt was judged by the endpoint tried last in place of the one under way.

--- a/crates/daemon/tests/gateway/plain_attempts.rs
+++ b/crates/daemon/tests/gateway/plain_attempts.rs
@@ -9,7 +9,7 @@
 //! The evidence: the first endpoint has run the call to its end and answers after 1.2 s; the time limit of the attempt was set before anything
 //! was known of a second one.
 
-use crate::fleet::{Answer, Fleet, KEY, fleet, new_request, send};
+use crate::fleet::{Answer, Fleet, KEY, config, fleet, new_request, send};
 use crate::gateway_process::GatewayProcess;
 use sorrellock_stand_ins::{FakeService, ServiceMode, new_ip};
 use std::time::Duration;
@@ -19,9 +19,32 @@
 
 /// Starts a second endpoint, in another data centre: the first one is tried first.
 fn add_second(fleet: &Fleet, gateway: &GatewayProcess) -> FakeService {
-    let second = FakeService::start("ledger-2", "ledger", "south", new_ip(), &fleet.store);
-    gateway.wait_for_line(&["\"endpoint joined\"", "ledger-2"]);
-    second.expect("a second endpoint")
+    add_endpoint("ledger-2", fleet, gateway)
+}
+
+fn add_endpoint(id: &str, fleet: &Fleet, gateway: &GatewayProcess) -> FakeService {
+    let endpoint = FakeService::start(id, "ledger", "south", new_ip(), &fleet.store);
+    gateway.wait_for_line(&["\"endpoint joined\"", id]);
+    endpoint.expect("an endpoint")
+}
+
+/// Sends a call to a slow endpoint beside two others that refuse it, with a route that allows `max_attempts`. How many of these it reached.
+fn others_reached(max_attempts: u32) -> usize {
+    let fleet = fleet();
+    let gateway = fleet.gateway("one");
+    let mut cfg = config(2, &[KEY]);
+    cfg["routes"][2]["max_attempts"] = max_attempts.into();
+    fleet.store.put("config", "main", cfg);
+    gateway.wait_for_line(&["\"configuration in force\"", "\"version\":2,"]);
+    let others = ["ledger-2", "ledger-3"].map(|id| add_endpoint(id, &fleet, &gateway));
+    others.iter().for_each(|other| other.set_mode(ServiceMode::Refuses));
+    fleet.service.set_mode(ServiceMode::ServesAfter(SLOW));
+    let request = new_request();
+
+    let answer = send(gateway.callers(), "/ack/a", &request, Some(KEY));
+
+    assert_answered_by_first(&fleet, &request, &answer);
+    others.iter().filter(|other| other.requests() > 0).count()
 }
 
 fn assert_answered_by_first(fleet: &Fleet, request: &str, answer: &Answer) {
@@ -98,3 +121,9 @@
     assert_eq!((answer.status, second.runs(&request)), (200, 1));
     assert_eq!(answer.signature.as_deref(), Some("ledger-2"));
 }
+
+#[test]
+fn a_slow_call_reaches_no_more_endpoints_than_its_route_allows() {
+    assert_eq!(others_reached(2), 1);
+    assert_eq!(others_reached(3), 2);
+}
--- a/crates/gateway/src/request/plain.rs
+++ b/crates/gateway/src/request/plain.rs
@@ -68,17 +68,15 @@
                 progress.on_failed(&gateway, &call, &info, &failed);
             }
             // The attempt goes on: the next one may be refused, or bring no answer either.
-            AttemptEvent::Overdue => match progress.next_endpoint_beside(&gateway, &call) {
-                Some((endpoint, permit)) => {
-                    running.infos().for_each(|info| progress.on_overdue(&call, info));
-                    let info = progress.begin(&gateway, &call, &endpoint, permit);
-                    running.push(info, run(&gateway, &call, endpoint));
+            AttemptEvent::Overdue(under_way) => {
+                match progress.next_beside(&gateway, &call, under_way) {
+                    Some((endpoint, permit)) => {
+                        let info = progress.begin(&gateway, &call, &endpoint, permit);
+                        running.push(info, run(&gateway, &call, endpoint));
+                    }
+                    None => under_way.overdue_at = Some(Instant::now() + OVERDUE_TICK),
                 }
-                None => {
-                    let again = Some(Instant::now() + OVERDUE_TICK);
-                    running.infos().for_each(|info| info.overdue_at = again);
-                }
-            },
+            }
         }
     }
     Ok(progress.give_up(&call))
@@ -116,18 +114,32 @@
         Some(chosen)
     }
 
-    /// The same for an attempt beside one that is under way.
-    fn next_endpoint_beside(
+    /// The same for an attempt beside one that is overdue, which then counts as one that may have run.
+    fn next_beside(
         &mut self,
         gateway: &Gateway,
         call: &Call,
+        under_way: &mut AttemptInfo,
     ) -> Option<(Endpoint, Permit)> {
-        let under_way = self.tried.last()?;
-        if !may_follow(call, &self.attempts, under_way) || !gateway.may_repeat(&call.service) {
+        let mut after = self.attempts.clone();
+        if !under_way.is_overdue {
+            after.on_failed(&under_way.endpoint, Evidence::MayHaveRun);
+        }
+        // Without an endpoint nothing is paid, and without a retry no refusal is counted at each look.
+        if !after.may_send() || !gateway.may_repeat(&call.service) {
             return None;
         }
         let chosen = choose(gateway, call, &self.tried)?;
-        gateway.spend_repeat(&call.service).then_some(chosen)
+        if !gateway.spend_repeat(&call.service) {
+            return None;
+        }
+        info!("attempt overdue", kv: {
+            request = call.id(), endpoint = under_way.endpoint.id.as_str(),
+            ms = call.arrived.elapsed().as_millis() as u64
+        });
+        under_way.is_overdue = true;
+        self.attempts = after;
+        Some(chosen)
     }
 
     fn begin(
@@ -147,16 +159,6 @@
         AttemptInfo { endpoint, permit, overdue_at, is_overdue: false }
     }
 
-    /// An attempt beside it begins: it counts as one that may have run.
-    fn on_overdue(&mut self, call: &Call, info: &mut AttemptInfo) {
-        info!("attempt overdue", kv: {
-            request = call.id(), endpoint = info.endpoint.id.as_str(),
-            ms = call.arrived.elapsed().as_millis() as u64
-        });
-        info.is_overdue = true;
-        self.attempts.on_failed(&info.endpoint, Evidence::MayHaveRun);
-    }
-
     fn on_failed(
         &mut self,
         gateway: &Rc<Gateway>,
--- a/crates/gateway/src/request/running_attempts.rs
+++ b/crates/gateway/src/request/running_attempts.rs
@@ -18,11 +18,11 @@
 }
 
 /// What happens next to a call.
-pub(crate) enum AttemptEvent<T> {
+pub(crate) enum AttemptEvent<'a, T> {
     /// An attempt ended.
     Ended(AttemptInfo, T),
     /// The only attempt takes so long that a further one may begin.
-    Overdue,
+    Overdue(&'a mut AttemptInfo),
 }
 
 struct Running<F> {
@@ -54,7 +54,7 @@
     }
 
     /// Waits for what happens next; for ever if none is under way.
-    pub(crate) async fn next(&mut self) -> AttemptEvent<F::Output> {
+    pub(crate) async fn next(&mut self) -> AttemptEvent<'_, F::Output> {
         let overdue_at = match self.running.as_slice() {
             [only] => only.info.overdue_at,
             _ => None,
@@ -68,7 +68,7 @@
         tokio::select! {
             biased;
             (info, answer) = self.ended() => AttemptEvent::Ended(info, answer),
-            () = overdue => AttemptEvent::Overdue,
+            () = overdue => AttemptEvent::Overdue(&mut self.running[0].info),
         }
     }
 
