--- a/crates/gateway/src/process/counters.rs
+++ b/crates/gateway/src/process/counters.rs
@@ -52,6 +52,16 @@
     Resumed => "resumed",
     /// Streams that their first engine moved to another path.
     Repathed => "repathed",
+    /// Runs of streams that ended with their engine's connection.
+    RunsBroken => "runs_broken",
+    /// Runs of streams that were doubted, as an engine of their path was taken to be dead.
+    RunsSuspected => "runs_suspected",
+    /// Runs of streams that were doubted, as no event came.
+    RunsSilent => "runs_silent",
+    /// Failovers that were withdrawn, as the run in doubt went on.
+    FailoversWithdrawn => "failovers_withdrawn",
+    /// Suspected endpoints that gave a sign of life while the suspicion held.
+    SuspicionsRefuted => "suspicions_refuted",
     /// Attempts that an endpoint refused as not run.
     AttemptsNotRun => "attempts_not_run",
     /// Attempts that brought no answer.
@@ -84,7 +94,7 @@
     ReportsWithoutStart => "reports_without_start",
     /// Reports asked of engines.
     Reports => "reports",
-    /// Questions without an answer that this process itself held up: they tell nothing.
+    /// Questions without an answer while this process itself was late or paused: they are no evidence.
     QuestionsHeldUp => "questions_held_up",
     /// Messages from other gateways.
     PeerMessages => "peer_messages",
@@ -151,6 +161,8 @@
     pub(crate) mend: Latency,
     /// Round trips to the store, watches aside.
     pub(crate) store_call: Latency,
+    /// By how much a timer of the event loop was late.
+    pub(crate) loop_lag: Latency,
 }
 
 impl Counters {
@@ -162,6 +174,7 @@
             whole_answer: Latency::new(),
             mend: Latency::new(),
             store_call: Latency::new(),
+            loop_lag: Latency::new(),
         }
     }
 
@@ -192,6 +205,7 @@
         self.whole_answer.write(&mut page, "whole_answer");
         self.mend.write(&mut page, "mend");
         self.store_call.write(&mut page, "store_call");
+        self.loop_lag.write(&mut page, "loop_lag");
         page
     }
 }
--- a/crates/gateway/src/process/gateway.rs
+++ b/crates/gateway/src/process/gateway.rs
@@ -1,11 +1,15 @@
 //! What all parts of a gateway share.
 
-use crate::process::{Beliefs, Counters, PathBook, Pool, SUSPECT_FOR, StoreHeard, ToldFaults};
+use crate::process::{
+    Beliefs, Count, Counters, LivePath, PathBook, Pool, SUSPECT_FOR, StoreHeard, ToldFaults,
+};
 use sorrellock_core::clock::SystemClock;
 use sorrellock_core::process::retries::Breakers;
 use sorrellock_platform::{Bounds, Client, EndpointLoad, Kind, Settings, StoreEras};
 use sorrellock_routing::process::knowledge::Knowledge;
-use sorrellock_routing::process::{Incarnation, Leaving, Lives, RetryWindow, StreamPace};
+use sorrellock_routing::process::{
+    Incarnation, Leaving, Lives, LoopPauses, RetryWindow, StreamPace,
+};
 use sorrellock_routing::version::{Configuration, ServiceName};
 use spdlog::{info, warn};
 use std::cell::{Cell, RefCell};
@@ -54,6 +58,8 @@
     pub(crate) incarnation: u64,
     pub(crate) began: Instant,
     pub(crate) counters: Counters,
+    /// Recent pauses of the event loop.
+    pub(crate) pauses: RefCell<LoopPauses>,
     pub(crate) knowledge: RefCell<Knowledge>,
     pub(crate) beliefs: RefCell<Beliefs>,
     /// Which life of each endpoint is the present one.
@@ -108,6 +114,7 @@
             incarnation,
             began: Instant::now(),
             counters: Counters::new(),
+            pauses: RefCell::default(),
             knowledge,
             beliefs: RefCell::default(),
             lives: RefCell::default(),
@@ -209,8 +216,10 @@
         Duration::from_secs_f64(median_ms / 1e3)
     }
 
-    /// Puts a configuration in force if it is newer than the one before.
-    pub(crate) fn apply_configuration(&self, cfg: Configuration, source: &str) {
+    /// Puts a configuration in force if it is newer than the one before. `parsing` is the time that it took
+    /// to parse.
+    pub(crate) fn apply_configuration(&self, cfg: Configuration, source: &str, parsing: Duration) {
+        let began = Instant::now();
         let version = cfg.version;
         let (routes, workspaces) = (cfg.routes.len(), cfg.workspaces.len());
         let before = self.knowledge.borrow().config_version();
@@ -219,10 +228,12 @@
         if !self.knowledge.borrow_mut().apply_configuration(cfg, now.into_std()) {
             return;
         }
+        self.refresh_paths();
+        let (parse_us, install_us) =
+            (parsing.as_micros() as u64, began.elapsed().as_micros() as u64);
         info!("configuration in force", kv: {
-            version, before, routes, workspaces, source, heard_ms:?
+            version, before, routes, workspaces, source, heard_ms:?, parse_us, install_us
         });
-        self.refresh_paths();
         self.configured.notify_waiters();
         self.engines_changed.notify_waiters();
     }
@@ -262,13 +273,51 @@
         warn!("endpoint suspected", kv: {
             endpoint = life.id.as_str(), why = "another gateway told", instance
         });
-        self.beliefs.borrow_mut().hear_suspect(life, now, SUSPECT_FOR);
+        self.beliefs.borrow_mut().hear_suspect(life, instance, now, SUSPECT_FOR);
         self.refresh_paths();
         for live in &quiet {
             live.break_up();
         }
     }
 
+    /// An endpoint gave a sign of life: a suspicion of it was wrong, or is out of date.
+    pub(crate) fn note_alive(&self, life: &Incarnation, sign: &str) {
+        let now = Instant::now();
+        let Some(suspicion) = self.beliefs.borrow_mut().refute(life, now) else { return };
+        self.counters.add(Count::SuspicionsRefuted);
+        let source = suspicion.source.to_string();
+        info!("suspected endpoint is alive", kv: {
+            endpoint = life.id.as_str(), sign, source = source.as_str(),
+            after_ms = (now - suspicion.since).as_millis() as u64
+        });
+    }
+
+    /// An event came over a broken path: its engines live, and may get new work again.
+    pub(crate) fn on_path_restored(&self, live: &LivePath) {
+        let now = Instant::now();
+        for part in &live.path.parts {
+            self.note_alive(&part.life, "an event");
+            self.beliefs.borrow_mut().withdraw(&part.life, now);
+        }
+        self.refresh_paths();
+        self.engines_changed.notify_waiters();
+    }
+
+    /// Why an endpoint is taken to be dead, and by whom; none while it is not. For log lines.
+    pub(crate) fn judgement(&self, life: &Incarnation) -> Option<String> {
+        let now = Instant::now();
+        if self.has_ended(life) || self.lives.borrow().is_over(life) {
+            return Some("ended".to_owned());
+        }
+        let beliefs = self.beliefs.borrow();
+        if let Some(suspicion) = beliefs.suspicion(life, now) {
+            let ms = (now - suspicion.since).as_millis();
+            return Some(format!("suspected by {} for {ms} ms", suspicion.source));
+        }
+        let is_dead = beliefs.engine(life, now).is_some_and(|engine| engine.is_dead);
+        is_dead.then(|| "dead by the lead".to_owned())
+    }
+
     /// The client for questions to an endpoint in one life. Its connections are kept: new ones are priced.
     pub(crate) fn probe(&self, life: &Incarnation, addr: SocketAddr) -> Client {
         let mut probes = self.probes.borrow_mut();
--- a/crates/gateway/src/process/run.rs
+++ b/crates/gateway/src/process/run.rs
@@ -3,8 +3,8 @@
 use crate::connection::accept_callers;
 use crate::process::placer::Placer;
 use crate::process::{
-    Count, Gateway, Peers, Phase, expire_entries, follow, follow_eras, serve_side_pages,
-    set_up_log, watch_paths,
+    Count, Gateway, Peers, Phase, expire_entries, follow, follow_eras, measure_lag,
+    serve_side_pages, set_up_log, watch_paths,
 };
 use sorrellock_http::listen;
 use sorrellock_platform::{Kind, Limits, Settings, Store, parse_settings};
@@ -90,6 +90,15 @@
 pub fn run(path: &Path) -> Result<(), StartError> {
     let settings = read_settings(path)?;
     let _log = set_up_log();
+    run_with(settings, path)
+}
+
+/// The same in a process that has set up a log of its own.
+pub fn run_with_log_set_up(path: &Path) -> Result<(), StartError> {
+    run_with(read_settings(path)?, path)
+}
+
+fn run_with(settings: Settings, path: &Path) -> Result<(), StartError> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|source| io_error("runtime", source))?;
     let local = LocalSet::new();
@@ -116,6 +125,7 @@
     let mut tasks = JoinSet::new();
     start_listeners(&gateway, &mut tasks)?;
     start_store_tasks(&gateway, &mut tasks).await?;
+    tasks.spawn_local(measure_lag(Rc::clone(&gateway)));
     tasks.spawn_local(sweep(Rc::clone(&gateway)));
     tasks.spawn_local(watch_paths(Rc::clone(&gateway)));
     follow_signals(&gateway, path, tasks).await
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -1,6 +1,7 @@
 //! HTTP calls to one peer, over connections that are kept.
 
 use crate::connection::connect;
+use crate::drained_timeout::{LimitOver, drained_timeout, drained_timeout_at};
 use bytes::Bytes;
 use http::{HeaderMap, Method, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
@@ -12,7 +13,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::time::{Instant, timeout, timeout_at};
+use tokio::time::Instant;
 
 /// Idle connections kept to one peer.
 const MAX_IDLE: usize = 4;
@@ -28,6 +29,8 @@
         step: String,
         /// Who was called.
         peer: SocketAddr,
+        /// The time was over before there was a connection.
+        is_timeout: bool,
     },
     /// It was sent; it may have taken effect.
     NoAnswer {
@@ -35,14 +38,27 @@
         step: String,
         /// Who was called.
         peer: SocketAddr,
+        /// The time was over before all of the answer had come.
+        is_timeout: bool,
     },
 }
 
+impl CallError {
+    /// Whether the time for it was over; else the peer, or the way to it, failed the call.
+    pub fn is_timeout(&self) -> bool {
+        match self {
+            CallError::NotSent { is_timeout, .. } | CallError::NoAnswer { is_timeout, .. } => {
+                *is_timeout
+            }
+        }
+    }
+}
+
 impl fmt::Display for CallError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            CallError::NotSent { step, peer } => write!(f, "{peer}: {step}; nothing was sent"),
-            CallError::NoAnswer { step, peer } => write!(f, "{peer}: {step}; no answer"),
+            CallError::NotSent { step, peer, .. } => write!(f, "{peer}: {step}; nothing was sent"),
+            CallError::NoAnswer { step, peer, .. } => write!(f, "{peer}: {step}; no answer"),
         }
     }
 }
@@ -120,11 +136,19 @@
         let until = Instant::now() + limits.whole;
         let mut sent = false;
         let head = self.head(method, path, body, &mut sent);
-        let res = match timeout(limits.head, head).await {
+        let res = match drained_timeout(limits.head, head).await {
             Ok(Ok((sender, answer))) => self.whole(sender, answer, until, limits.whole).await,
             Ok(Err(err)) => Err(err),
-            Err(_) if sent => Err(self.no_answer(format!("no answer in {:?}", limits.head))),
-            Err(_) => Err(self.not_sent(format!("no connection in {:?}", limits.head))),
+            Err(LimitOver) if sent => Err(CallError::NoAnswer {
+                step: format!("no answer in {:?}", limits.head),
+                peer: self.peer,
+                is_timeout: true,
+            }),
+            Err(LimitOver) => Err(CallError::NotSent {
+                step: format!("no connection in {:?}", limits.head),
+                peer: self.peer,
+                is_timeout: true,
+            }),
         };
         if matches!(res, Err(CallError::NoAnswer { .. })) {
             self.idle.borrow_mut().clear();
@@ -183,8 +207,13 @@
         limit: Duration,
     ) -> Result<Answer, CallError> {
         let (head, body) = answer.into_parts();
-        let body = timeout_at(until, Limited::new(body, MAX_ANSWER_BYTES).collect()).await;
-        let body = body.map_err(|_| self.no_answer(format!("no whole answer in {limit:?}")))?;
+        let body = Limited::new(body, MAX_ANSWER_BYTES).collect();
+        let body = drained_timeout_at(until, body).await;
+        let body = body.map_err(|LimitOver| CallError::NoAnswer {
+            step: format!("no whole answer in {limit:?}"),
+            peer: self.peer,
+            is_timeout: true,
+        })?;
         let body = body.map_err(|err| self.no_answer(err.to_string()))?.to_bytes();
         self.keep(sender);
         Ok(Answer { status: head.status, headers: head.headers, body })
@@ -219,10 +248,10 @@
     }
 
     fn not_sent(&self, step: String) -> CallError {
-        CallError::NotSent { step, peer: self.peer }
+        CallError::NotSent { step, peer: self.peer, is_timeout: false }
     }
 
     fn no_answer(&self, step: String) -> CallError {
-        CallError::NoAnswer { step, peer: self.peer }
+        CallError::NoAnswer { step, peer: self.peer, is_timeout: false }
     }
 }
--- a/crates/routing/tests/knowledge_eras/fleet.rs
+++ b/crates/routing/tests/knowledge_eras/fleet.rs
@@ -1,11 +1,12 @@
 //! Gateways that learn of endpoints from a store and from each other, on simulated time in ms.
 
+use crate::common::endpoint;
 use crate::course::{Course, Event};
 use crate::gateway::{Gateway, OnTheWay};
 use crate::store::Store;
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
-use sorrellock_routing::process::{Endpoint, LayerRange, Revision, StoreEra};
+use sorrellock_routing::process::{Endpoint, Revision, StoreEra};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
@@ -82,7 +83,7 @@
 
     fn join(&mut self) {
         let id = format!("endpoint-{}", self.servers.len());
-        let endpoint = endpoint(&id);
+        let endpoint = endpoint(&id, None);
         let next_write = self.now;
         let ends_after = Revision::default();
         let server = Server { endpoint, truth: Truth::Ready, next_write, ends_after };
@@ -115,6 +116,11 @@
                     gateway.cut_until = now + lasts;
                 }
             }
+            Event::Starts(gateway) => {
+                if let Some(gateway) = self.gateways.get_mut(gateway) {
+                    *gateway = Gateway::new();
+                }
+            }
         }
     }
 
@@ -138,8 +144,11 @@
             for index in 0..self.gateways.len() {
                 let before = self.gateways[index].knowledge.endpoints_at();
                 self.run_gateway(index);
+                self.gateways[index].note_era();
                 self.check(index, before)?;
             }
+            (0..self.gateways.len()).for_each(|index| self.receive_left(index));
+            self.check_left_before_era()?;
         }
         Ok(())
     }
@@ -245,6 +254,16 @@
         self.gateways[index].behind_since = None;
     }
 
+    /// Hears from the others what had left before the era.
+    fn receive_left(&mut self, index: usize) {
+        let instant = self.instant();
+        for other in (0..self.gateways.len()).filter(|other| *other != index) {
+            let knowledge = &self.gateways[other].knowledge;
+            let (left, era) = (knowledge.left_before_era(instant), knowledge.endpoints_at().era);
+            self.gateways[index].knowledge.receive_left(&left, era, instant);
+        }
+    }
+
     fn instant(&self) -> Instant {
         self.began + Duration::from_millis(self.now)
     }
@@ -279,6 +298,26 @@
         Ok(())
     }
 
+    /// What a gateway knew to have left before an era gets nothing new of any gateway that knows the endpoints in it. Where the endpoint
+    /// has written its entry in the era, that is news as any other.
+    fn check_left_before_era(&self) -> Result<(), String> {
+        for (index, gateway) in self.gateways.iter().enumerate() {
+            let open = self.open(index);
+            for other in self.gateways.iter().filter(|other| other.era() == gateway.era()) {
+                let is_news = |id: &&String| other.revision(id) > gateway.knowledge.endpoints_at();
+                let mut broken = open.intersection(&other.left_before_era);
+                if let Some(id) = broken.find(|id| !is_news(id)) {
+                    return Err(format!(
+                        "{}: gateway {index} gives {id} work, which another one knew to have left before era {}",
+                        self.now,
+                        gateway.era()
+                    ));
+                }
+            }
+        }
+        Ok(())
+    }
+
     /// All gateways give work to those that are ready, and to no others.
     fn check_agreement(&self) -> Result<(), String> {
         let ready = self.servers.iter().filter(|(_, one)| one.truth == Truth::Ready);
@@ -301,17 +340,3 @@
         Ok(())
     }
 }
-
-fn endpoint(id: &str) -> Endpoint {
-    Endpoint {
-        id: id.to_owned(),
-        started: None,
-        service: "lexis".into(),
-        addr: "127.0.0.1:1".parse().expect("an address"),
-        data_centre: "north".into(),
-        is_leaving: false,
-        card: None,
-        layers: LayerRange::default(),
-        slots: 6,
-    }
-}
