A question counts for the time that its peer had it, not for the time that this process ran

What operators saw: a gateway that is stopped for most of the time could tell neither way.

Cause: the pauses of the event loop stand for what matters, the time between the writing of the question and the last look for its answer.

Change: the client reports that time with the error (`CallError::silence`): a request counts as written once the connection's task has had its turn. Pauses after that cost nothing, as what came meanwhile is read before the limit counts.

--- a/crates/gateway/src/process/counters.rs
+++ b/crates/gateway/src/process/counters.rs
@@ -84,7 +84,7 @@
     ReportsWithoutStart => "reports_without_start",
     /// Reports asked of engines.
     Reports => "reports",
-    /// Questions without an answer while this process itself was late or paused: they are no evidence.
+    /// Questions without an answer that this process sent or ended too late to be evidence.
     QuestionsHeldUp => "questions_held_up",
     /// Messages from other gateways.
     PeerMessages => "peer_messages",
--- a/crates/gateway/src/process/lag.rs
+++ b/crates/gateway/src/process/lag.rs
@@ -17,8 +17,9 @@
 /// Measures the lag of the event loop, for ever.
 pub(crate) async fn measure_lag(gateway: Rc<Gateway>) {
     loop {
-        let due = Instant::now() + MEASURE_INTERVAL;
-        gateway.pauses.borrow_mut().on_timer_set(due.into_std());
+        let now = Instant::now();
+        let due = now + MEASURE_INTERVAL;
+        gateway.pauses.borrow_mut().on_timer_set(now.into_std(), due.into_std());
         sleep_until(due).await;
         let lag = gateway.pauses.borrow_mut().on_timer_fired(Instant::now().into_std());
         gateway.counters.loop_lag.record(lag);
@@ -29,7 +30,7 @@
 }
 
 impl Gateway {
-    /// For how long the event loop was paused since `from`.
+    /// For how long the event loop may have been paused since `from`.
     pub(crate) fn paused_since(&self, from: Instant) -> Duration {
         self.pauses.borrow().total_since(from.into_std(), Instant::now().into_std())
     }
@@ -38,6 +39,6 @@
     pub(crate) fn recent_longest_pause(&self) -> Duration {
         let now = Instant::now();
         let from = now.checked_sub(RECENT).unwrap_or(self.began);
-        self.pauses.borrow().longest_since(from.into_std(), now.into_std())
+        self.pauses.borrow().longest_lag_since(from.into_std(), now.into_std())
     }
 }
--- a/crates/gateway/src/process/questions.rs
+++ b/crates/gateway/src/process/questions.rs
@@ -51,10 +51,8 @@
         err: &CallError,
         asked: Instant,
     ) -> bool {
-        if !err.is_timeout() {
-            return true;
-        }
-        silence.on_no_answer(asked.elapsed(), self.paused_since(asked));
+        let Some(had) = err.silence() else { return true };
+        silence.on_no_answer(asked.elapsed(), had);
         silence.is_evidence()
     }
 }
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -174,7 +174,8 @@
 /// No connection could be made, which was tried from `began` on.
 fn not_connected(gateway: &Gateway, err: &io::Error, began: Instant) -> Failed {
     let mut silence = PeerSilence::new(CONNECT_LIMIT);
-    silence.on_no_answer(began.elapsed(), gateway.paused_since(began));
+    let took = began.elapsed();
+    silence.on_no_answer(took, took.saturating_sub(gateway.paused_since(began)));
     let is_inconclusive = err.kind() == ErrorKind::TimedOut && !silence.is_evidence();
     Failed { is_inconclusive, ..Failed::new(Evidence::NotSent, format!("connect: {err}")) }
 }
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -13,6 +13,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
+use tokio::task::yield_now;
 use tokio::time::Instant;
 
 /// Idle connections kept to one peer.
@@ -29,8 +30,8 @@
         step: String,
         /// Who was called.
         peer: SocketAddr,
-        /// The time was over before there was a connection.
-        is_timeout: bool,
+        /// For how long the peer left the connection unanswered, where that is why it failed.
+        silence: Option<Duration>,
     },
     /// It was sent; it may have taken effect.
     NoAnswer {
@@ -38,18 +39,17 @@
         step: String,
         /// Who was called.
         peer: SocketAddr,
-        /// The time was over before all of the answer had come.
-        is_timeout: bool,
+        /// For how long the peer had it without answering it whole, where that is why it failed.
+        silence: Option<Duration>,
     },
 }
 
 impl CallError {
-    /// Whether the time for it was over; else the peer, or the way to it, failed the call.
-    pub fn is_timeout(&self) -> bool {
+    /// For how long the peer was silent; none where it, or the way to it, failed the call otherwise. A
+    /// request that waited in this process to be written leaves the peer less than the limit.
+    pub fn silence(&self) -> Option<Duration> {
         match self {
-            CallError::NotSent { is_timeout, .. } | CallError::NoAnswer { is_timeout, .. } => {
-                *is_timeout
-            }
+            CallError::NotSent { silence, .. } | CallError::NoAnswer { silence, .. } => *silence,
         }
     }
 }
@@ -92,6 +92,17 @@
     }
 }
 
+/// How far the sending of a request is.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Progress {
+    /// There is no connection yet.
+    Connecting,
+    /// It waits for the connection's task.
+    Queued,
+    /// The connection's task had its turn.
+    Written(Instant),
+}
+
 type Sender = SendRequest<Full<Bytes>>;
 
 /// Calls one peer. Clones share its connections.
@@ -133,22 +144,25 @@
         body: Option<Vec<u8>>,
         limits: Limits,
     ) -> Result<Answer, CallError> {
-        let until = Instant::now() + limits.whole;
-        let mut sent = false;
-        let head = self.head(method, path, body, &mut sent);
-        let res = match drained_timeout(limits.head, head).await {
-            Ok(Ok((sender, answer))) => self.whole(sender, answer, until, limits.whole).await,
+        let began = Instant::now();
+        let mut progress = Progress::Connecting;
+        let head = self.head(method, path, body, &mut progress);
+        let head = drained_timeout(limits.head, head).await;
+        let res = match head {
+            Ok(Ok((sender, answer))) => {
+                let until = began + limits.whole;
+                let body = drained_timeout_at(until, self.whole(sender, answer)).await;
+                body.unwrap_or_else(|LimitOver| {
+                    Err(self.silent(format!("no whole answer in {:?}", limits.whole), progress))
+                })
+            }
             Ok(Err(err)) => Err(err),
-            Err(LimitOver) if sent => Err(CallError::NoAnswer {
-                step: format!("no answer in {:?}", limits.head),
-                peer: self.peer,
-                is_timeout: true,
-            }),
-            Err(LimitOver) => Err(CallError::NotSent {
+            Err(LimitOver) if progress == Progress::Connecting => Err(CallError::NotSent {
                 step: format!("no connection in {:?}", limits.head),
                 peer: self.peer,
-                is_timeout: true,
+                silence: Some(began.elapsed()),
             }),
+            Err(LimitOver) => Err(self.silent(format!("no answer in {:?}", limits.head), progress)),
         };
         if matches!(res, Err(CallError::NoAnswer { .. })) {
             self.idle.borrow_mut().clear();
@@ -162,7 +176,7 @@
         method: Method,
         path: &str,
         body: Option<Vec<u8>>,
-        sent: &mut bool,
+        progress: &mut Progress,
     ) -> Result<(Sender, Response<Incoming>), CallError> {
         let mut sender = self.connection().await?;
         let mut builder =
@@ -172,8 +186,12 @@
         }
         let body = Full::new(Bytes::from(body.unwrap_or_default()));
         let req = builder.body(body).map_err(|err| self.not_sent(err.to_string()))?;
-        *sent = true;
-        let answer = sender.send_request(req).await.map_err(|err| {
+        *progress = Progress::Queued;
+        let answer = sender.send_request(req);
+        // The connection's task writes the request in its next turn.
+        yield_now().await;
+        *progress = Progress::Written(Instant::now());
+        let answer = answer.await.map_err(|err| {
             if err.is_canceled() {
                 self.not_sent(err.to_string())
             } else {
@@ -184,21 +202,9 @@
     }
 
     /// Reads the body of an answer, and keeps its connection.
-    async fn whole(
-        &self,
-        sender: Sender,
-        answer: Response<Incoming>,
-        until: Instant,
-        limit: Duration,
-    ) -> Result<Answer, CallError> {
+    async fn whole(&self, sender: Sender, answer: Response<Incoming>) -> Result<Answer, CallError> {
         let (head, body) = answer.into_parts();
-        let body = Limited::new(body, MAX_ANSWER_BYTES).collect();
-        let body = drained_timeout_at(until, body).await;
-        let body = body.map_err(|LimitOver| CallError::NoAnswer {
-            step: format!("no whole answer in {limit:?}"),
-            peer: self.peer,
-            is_timeout: true,
-        })?;
+        let body = Limited::new(body, MAX_ANSWER_BYTES).collect().await;
         let body = body.map_err(|err| self.no_answer(err.to_string()))?.to_bytes();
         self.keep(sender);
         Ok(Answer { status: head.status, headers: head.headers, body })
@@ -233,10 +239,19 @@
     }
 
     fn not_sent(&self, step: String) -> CallError {
-        CallError::NotSent { step, peer: self.peer, is_timeout: false }
+        CallError::NotSent { step, peer: self.peer, silence: None }
+    }
+
+    /// The time for an answer is over.
+    fn silent(&self, step: String, progress: Progress) -> CallError {
+        let silence = match progress {
+            Progress::Connecting | Progress::Queued => Duration::ZERO,
+            Progress::Written(at) => at.elapsed(),
+        };
+        CallError::NoAnswer { step, peer: self.peer, silence: Some(silence) }
     }
 
     fn no_answer(&self, step: String) -> CallError {
-        CallError::NoAnswer { step, peer: self.peer, is_timeout: false }
+        CallError::NoAnswer { step, peer: self.peer, silence: None }
     }
 }
