A path is judged quiet only once the events of a pause are read

What operators saw: a gateway short of processor time asked the engines of all its paths for reports again and again (`path checked`), though events came all the while. Each report is priced, and a question is one more chance to judge wrongly.

Cause: after a pause the task that watches paths and the connections' tasks are woken in the same turn of the event loop; the streams' tasks run after them. The last event was that of before the pause.

Change: where the watch itself wakes over 10 ms late, what came meanwhile is read first (four turns of the event loop). At rest nothing changes.

No test: whether a stand-in's event was late itself can't be told apart on a busy machine.

--- a/crates/gateway/src/process/paths/path_check.rs
+++ b/crates/gateway/src/process/paths/path_check.rs
@@ -1,13 +1,14 @@
 //! Finds which engines of a quiet path are dead, by asking each.
 
 use crate::process::{Gateway, LivePath, Unanswered};
+use sorrellock_http::drain_event_loop;
 use sorrellock_platform::read_report;
 use sorrellock_routing::process::Incarnation;
 use spdlog::info;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep_until};
 
 /// Time for an engine's report, on a kept connection and once more on a new one: some fifty round
 /// trips inside a region.
@@ -18,13 +19,19 @@
 const TURN_MOST: Duration = Duration::from_millis(30);
 /// How often paths are looked at: a broken one is found a tenth of a pause late at most.
 const WATCH_INTERVAL: Duration = Duration::from_millis(15);
+/// After a longer lag, events that came meanwhile are read before paths are judged.
+const TRUSTED_LAG: Duration = Duration::from_millis(10);
 /// A path is asked at most this often: each report is priced.
 pub(crate) const CHECK_INTERVAL: Duration = Duration::from_millis(700);
 
 /// Looks for quiet paths and has them checked, for ever.
 pub(crate) async fn watch_paths(gateway: Rc<Gateway>) {
     loop {
-        sleep(WATCH_INTERVAL).await;
+        let due = Instant::now() + WATCH_INTERVAL;
+        sleep_until(due).await;
+        if due.elapsed() > TRUSTED_LAG {
+            drain_event_loop().await;
+        }
         let paths = gateway.paths.borrow();
         paths.break_suspected(Instant::now());
         let later = turn(&gateway);
--- a/crates/http/src/drained_timeout.rs
+++ b/crates/http/src/drained_timeout.rs
@@ -13,6 +13,13 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct LimitOver;
 
+/// Lets what had come by now be read, as after a pause of the process.
+pub async fn drain_event_loop() {
+    for _ in 0..LAST_TURNS {
+        yield_now().await;
+    }
+}
+
 /// Waits for a future until `limit` is over. After a pause of the process, the limit and what came meanwhile
 /// are found in the same turn of the event loop: the future has some more turns then.
 pub(crate) async fn drained_timeout<F: Future>(
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -15,6 +15,7 @@
 pub use bytes::Bytes;
 pub use client::{Answer, CallError, Client, Limits};
 pub use connection::{Activity, Doing, WatchedIo, connect};
+pub use drained_timeout::drain_event_loop;
 pub use process::{Counters, Server, ServerConfig, listen};
 pub use process::{
     DEFAULT_BODY_TIMEOUT, DEFAULT_CHUNK_QUEUE, DEFAULT_DRAIN_TIMEOUT, DEFAULT_HEADER_TIMEOUT,
