--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -13,6 +13,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::task::yield_now;
 use tokio::time::Instant;
 
 /// Idle connections kept to one peer.
@@ -29,8 +30,8 @@
         step: String,
         /// Who was called.
         peer: SocketAddr,
-        /// The time was over before there was a connection.
-        is_timeout: bool,
+        /// For how long the peer left the connection unanswered, where that is why it failed.
+        silence: Option<Duration>,
     },
     /// It was sent; it may have taken effect.
     NoAnswer {
@@ -38,18 +39,17 @@
         step: String,
         /// Who was called.
         peer: SocketAddr,
-        /// The time was over before all of the answer had come.
-        is_timeout: bool,
+        /// For how long the peer had it without answering it whole, where that is why it failed.
+        silence: Option<Duration>,
     },
 }
 
 impl CallError {
-    /// Whether the time for it was over; else the peer, or the way to it, failed the call.
-    pub fn is_timeout(&self) -> bool {
+    /// For how long the peer was silent; none where it, or the way to it, failed the call otherwise. A
+    /// request that waited in this process to be written leaves the peer less than the limit.
+    pub fn silence(&self) -> Option<Duration> {
         match self {
-            CallError::NotSent { is_timeout, .. } | CallError::NoAnswer { is_timeout, .. } => {
-                *is_timeout
-            }
+            CallError::NotSent { silence, .. } | CallError::NoAnswer { silence, .. } => *silence,
         }
     }
 }
@@ -92,6 +92,27 @@
     }
 }
 
+/// How far the sending of a request is.
+#[derive(Clone, Copy)]
+enum Progress {
+    /// A connection is being made.
+    Connecting(Instant),
+    /// It waits for the connection's task.
+    Queued,
+    /// The connection's task had its turn.
+    Written(Instant),
+}
+
+impl Progress {
+    /// For how long the peer could have answered.
+    fn silence(self) -> Duration {
+        match self {
+            Progress::Queued => Duration::ZERO,
+            Progress::Connecting(since) | Progress::Written(since) => since.elapsed(),
+        }
+    }
+}
+
 type Sender = SendRequest<Full<Bytes>>;
 
 /// Calls one peer. Clones share its connections.
@@ -133,22 +154,27 @@
         body: Option<Vec<u8>>,
         limits: Limits,
     ) -> Result<Answer, CallError> {
-        let until = Instant::now() + limits.whole;
-        let mut sent = false;
-        let head = self.head(method, path, body, &mut sent);
-        let res = match drained_timeout(limits.head, head).await {
-            Ok(Ok((sender, answer))) => self.whole(sender, answer, until, limits.whole).await,
+        let began = Instant::now();
+        let mut progress = Progress::Connecting(began);
+        let head = self.head(method, path, body, &mut progress);
+        let head = drained_timeout(limits.head, head).await;
+        let res = match head {
+            Ok(Ok((sender, answer))) => {
+                let until = began + limits.whole;
+                let body = drained_timeout_at(until, self.whole(sender, answer)).await;
+                body.unwrap_or_else(|LimitOver| {
+                    Err(self.silent(format!("no whole answer in {:?}", limits.whole), progress))
+                })
+            }
             Ok(Err(err)) => Err(err),
-            Err(LimitOver) if sent => Err(CallError::NoAnswer {
-                step: format!("no answer in {:?}", limits.head),
-                peer: self.peer,
-                is_timeout: true,
-            }),
-            Err(LimitOver) => Err(CallError::NotSent {
-                step: format!("no connection in {:?}", limits.head),
-                peer: self.peer,
-                is_timeout: true,
-            }),
+            Err(LimitOver) if matches!(progress, Progress::Connecting(_)) => {
+                Err(CallError::NotSent {
+                    step: format!("no connection in {:?}", limits.head),
+                    peer: self.peer,
+                    silence: Some(progress.silence()),
+                })
+            }
+            Err(LimitOver) => Err(self.silent(format!("no answer in {:?}", limits.head), progress)),
         };
         if matches!(res, Err(CallError::NoAnswer { .. })) {
             self.idle.borrow_mut().clear();
@@ -163,13 +189,17 @@
         method: Method,
         path: &str,
         body: Option<Vec<u8>>,
-        sent: &mut bool,
+        progress: &mut Progress,
     ) -> Result<(Sender, Response<Incoming>), CallError> {
         let mut req = self.request(method, path, body)?;
         loop {
             let (mut sender, is_kept) = self.connection().await?;
-            *sent = true;
-            let mut err = match sender.try_send_request(req).await {
+            *progress = Progress::Queued;
+            let answer = sender.try_send_request(req);
+            // The connection's task writes the request in its next turn.
+            yield_now().await;
+            *progress = Progress::Written(Instant::now());
+            let mut err = match answer.await {
                 Ok(answer) => return Ok((sender, answer)),
                 Err(err) => err,
             };
@@ -179,7 +209,7 @@
                 Some(_) => return Err(self.not_sent(step)),
                 None => return Err(self.no_answer(step)),
             };
-            *sent = false;
+            *progress = Progress::Connecting(Instant::now());
         }
     }
 
@@ -199,21 +229,9 @@
     }
 
     /// Reads the body of an answer, and keeps its connection.
-    async fn whole(
-        &self,
-        sender: Sender,
-        answer: Response<Incoming>,
-        until: Instant,
-        limit: Duration,
-    ) -> Result<Answer, CallError> {
+    async fn whole(&self, sender: Sender, answer: Response<Incoming>) -> Result<Answer, CallError> {
         let (head, body) = answer.into_parts();
-        let body = Limited::new(body, MAX_ANSWER_BYTES).collect();
-        let body = drained_timeout_at(until, body).await;
-        let body = body.map_err(|LimitOver| CallError::NoAnswer {
-            step: format!("no whole answer in {limit:?}"),
-            peer: self.peer,
-            is_timeout: true,
-        })?;
+        let body = Limited::new(body, MAX_ANSWER_BYTES).collect().await;
         let body = body.map_err(|err| self.no_answer(err.to_string()))?.to_bytes();
         self.keep(sender);
         Ok(Answer { status: head.status, headers: head.headers, body })
@@ -248,10 +266,15 @@
     }
 
     fn not_sent(&self, step: String) -> CallError {
-        CallError::NotSent { step, peer: self.peer, is_timeout: false }
+        CallError::NotSent { step, peer: self.peer, silence: None }
+    }
+
+    /// The time for an answer is over.
+    fn silent(&self, step: String, progress: Progress) -> CallError {
+        CallError::NoAnswer { step, peer: self.peer, silence: Some(progress.silence()) }
     }
 
     fn no_answer(&self, step: String) -> CallError {
-        CallError::NoAnswer { step, peer: self.peer, is_timeout: false }
+        CallError::NoAnswer { step, peer: self.peer, silence: None }
     }
 }
