Tests of attempts and runs in doubt beside one that was sent

They hold the other engine mute, so that what is in doubt must be what answers; they measure no time.

--- a/crates/daemon/tests/gateway/first_event.rs
+++ b/crates/daemon/tests/gateway/first_event.rs
@@ -118,3 +118,61 @@
 
     assert_whole(&answer);
 }
+
+#[test]
+fn an_attempt_in_doubt_that_answers_first_is_the_answer() {
+    let fleet = fleet();
+    let proxies = fleet.add_proxies();
+    let gateway = fleet.gateway("one");
+    set_modes(&fleet, EngineMode::BeginsAfter(PAUSE));
+    let (to, request) = (gateway.callers(), new_request());
+    let id = request.clone();
+    let call = thread::spawn(move || send(to, "/match/a", &id, Some(KEY)));
+    wait_for("an engine to run it", || fleet.runner(&request).is_some());
+    let runs = |at: &usize| fleet.engines[*at].seen().runs.contains_key(&request);
+    let first = (0..proxies.len()).find(runs).expect("one of them runs it");
+    // Whatever runs the next attempt brings nothing.
+    set_modes(&fleet, EngineMode::Mute);
+
+    proxies[first].set_mode(ProxyMode::Silent);
+    wait_for("a second attempt", || fleet.runs(&request) == 2);
+    proxies[first].set_mode(ProxyMode::Passes);
+    let answer = call.join().expect("an answer");
+
+    assert_whole(&answer);
+    assert_eq!(answer.signature.as_deref(), Some(fleet.engines[first].id()));
+    assert_eq!(gateway.metric("sorrellock_repeats"), 1.0, "the second attempt is paid for");
+}
+
+/// The route allows two attempts: one in doubt is one of them, though it goes on.
+#[test]
+fn an_attempt_in_doubt_counts_among_those_that_the_route_allows() {
+    let mut fleet = fleet();
+    fleet.add_engine(4, "west");
+    fleet.add_engine(5, "west");
+    let proxies = fleet.add_proxies();
+    let gateway = fleet.gateway("one");
+    gateway.wait_for_line(&["\"path in use\"", "west"]);
+    set_modes(&fleet, EngineMode::BeginsAfter(PAUSE));
+    let (to, request) = (gateway.callers(), new_request());
+    let id = request.clone();
+    let call = thread::spawn(move || send(to, "/match/a", &id, Some(KEY)));
+    let ran = |at: &usize| fleet.engines[*at].seen().runs.contains_key(&request);
+    let runners = || (0..proxies.len()).filter(ran).collect::<Vec<_>>();
+    wait_for("an engine to run it", || !runners().is_empty());
+    let first = runners()[0];
+    set_modes(&fleet, EngineMode::Mute);
+    proxies[first].set_mode(ProxyMode::Silent);
+    wait_for("a second attempt", || runners().len() == 2);
+
+    let second = runners().into_iter().find(|at| *at != first).expect("the other one");
+    proxies[second].set_mode(ProxyMode::Resets);
+    gateway.wait_for_line(&["\"attempt failed\"", &request]);
+    // Time for an attempt that must not follow.
+    thread::sleep(PAUSE);
+    proxies[first].set_mode(ProxyMode::Passes);
+    let answer = call.join().expect("an answer");
+
+    assert_whole(&answer);
+    assert_eq!(runners().len(), 2);
+}
--- a/crates/daemon/tests/gateway/pauses.rs
+++ b/crates/daemon/tests/gateway/pauses.rs
@@ -15,7 +15,7 @@
 
 use crate::fleet::{Answer, EVENTS, Fleet, KEY, fleet, new_request, send, whole_stream};
 use crate::gateway_process::{GatewayProcess, wait_for};
-use sorrellock_stand_ins::FakeEngine;
+use sorrellock_stand_ins::{EngineMode, FakeEngine};
 use std::thread::{self, JoinHandle};
 use std::time::Duration;
 
@@ -59,11 +59,13 @@
 /// Tells which streams were truncated.
 fn truncated(streams: Vec<(String, JoinHandle<Answer>)>) -> Vec<String> {
     let answers = streams.into_iter().map(|(id, thread)| (id, thread.join().expect("an answer")));
-    let is_whole =
-        |answer: &Answer| answer.status == 200 && answer.is_whole && answer.body == whole_stream();
     answers.filter(|(_, answer)| !is_whole(answer)).map(|(id, _)| id).collect()
 }
 
+fn is_whole(answer: &Answer) -> bool {
+    answer.status == 200 && answer.is_whole && answer.body == whole_stream()
+}
+
 #[test]
 fn streams_over_an_engine_that_pauses_come_whole_where_no_retry_is_left() {
     let fleet = fleet();
@@ -89,3 +91,44 @@
 
     assert_eq!(truncated(streams), Vec::<String>::new(), "of {EVENTS} events each");
 }
+
+/// Pauses the engine that runs a stream until the stream was sent to another engine, which never answers. Returns what its caller
+/// has of it in the end.
+fn send_while_the_other_engine_is_mute(
+    fleet: &Fleet,
+    gateway: &GatewayProcess,
+) -> (String, Answer) {
+    let mut streams = start_streams(gateway, 1);
+    let engine = busiest(fleet, &streams);
+    let (request, call) = streams.remove(0);
+    fleet.engines.iter().for_each(|one| one.set_mode(EngineMode::Mute));
+
+    engine.set_paused(true);
+    wait_for("the stream to be sent to another engine", || fleet.runs(&request) == 2);
+    engine.set_paused(false);
+    (request, call.join().expect("an answer"))
+}
+
+#[test]
+fn a_run_in_doubt_goes_on_while_another_one_has_been_sent_and_not_begun() {
+    let fleet = fleet();
+    let gateway = fleet.gateway("one");
+
+    let (request, answer) = send_while_the_other_engine_is_mute(&fleet, &gateway);
+
+    assert!(is_whole(&answer), "{answer:?}");
+    gateway.wait_for_line(&["\"failover withdrawn, the run goes on\"", &request]);
+}
+
+/// An event refutes the judgement of a path: the streams on it are not in doubt again for the same judgement, which costs a
+/// retry each time.
+#[test]
+fn a_path_that_brings_events_again_is_not_doubted_at_each_of_them() {
+    let fleet = fleet();
+    let gateway = fleet.gateway("one");
+
+    let (request, _) = send_while_the_other_engine_is_mute(&fleet, &gateway);
+
+    let doubts = gateway.lines(&["\"failover started\"", &request]).len() as u64;
+    assert!((1..EVENTS / 4).contains(&doubts), "{doubts} doubts over {EVENTS} events");
+}
