--- a/crates/daemon/tests/gateway/gateway_process.rs
+++ b/crates/daemon/tests/gateway/gateway_process.rs
@@ -98,6 +98,11 @@
         });
     }
 
+    /// What its settings file holds.
+    pub fn settings(&self) -> String {
+        fs::read_to_string(&self.settings).expect("the settings file")
+    }
+
     /// Changes its settings file, as the platform does, and tells it so.
     pub fn change_settings(&self, change: impl FnOnce(&str) -> String) {
         self.change_settings_unsaid(change);
@@ -106,8 +111,7 @@
 
     /// Changes its settings file, and tells it nothing.
     pub fn change_settings_unsaid(&self, change: impl FnOnce(&str) -> String) {
-        let text = fs::read_to_string(&self.settings).expect("the settings file");
-        fs::write(&self.settings, change(&text)).expect("the settings file");
+        fs::write(&self.settings, change(&self.settings())).expect("the settings file");
     }
 
     /// Sets the retry budget to zero, and waits until that is in force.
--- a/crates/daemon/tests/gateway/pauses.rs
+++ b/crates/daemon/tests/gateway/pauses.rs
@@ -132,3 +132,26 @@
     let doubts = gateway.lines(&["\"failover started\"", &request]).len() as u64;
     assert!((1..EVENTS / 4).contains(&doubts), "{doubts} doubts over {EVENTS} events");
 }
+
+/// What users saw: a stream ended though a retry was left. Its run was in doubt and kept for want of one; then its connection broke.
+/// That no other run could begin in time for the doubt was taken to hold for good.
+#[test]
+fn a_run_that_was_kept_and_breaks_later_goes_on_at_another_engine() {
+    let fleet = fleet();
+    let gateway = fleet.gateway("one");
+    let settings = gateway.settings();
+    gateway.disable_retries();
+    let mut streams = start_streams(&gateway, 1);
+    let engine = busiest(&fleet, &streams);
+    let (request, call) = streams.remove(0);
+    engine.set_paused(true);
+    gateway.wait_for_line(&["\"failover not possible, run kept\"", &request]);
+
+    gateway.change_settings(|_| settings);
+    wait_for("the retry budget", || gateway.lines(&["\"bounds changed\""]).len() == 2);
+    engine.crash();
+    let answer = call.join().expect("an answer");
+
+    assert!(is_whole(&answer), "{answer:?}");
+    assert_eq!(fleet.runs(&request), 2);
+}
