A run that was kept and breaks later is followed by another one

What callers saw: a stream ended though its service had engines and retries left: its run had been in doubt, no other run could begin for two seconds, and the run was kept; then its connection broke. Cause: the outcome of the search for the doubt (no budget, no capacity) was taken for good: a run that ended later was followed by no search. The log gave the doubt as the reason of the end (`an engine of the path is gone; then no further attempt was left`), not the broken connection. Change: a kept run that breaks is a fault of its own, with the connection as its evidence, and goes through the same failover.

--- a/crates/gateway/src/request/relay/failover.rs
+++ b/crates/gateway/src/request/relay/failover.rs
@@ -35,6 +35,8 @@
     Chunk(Bytes),
     /// The run in doubt ended in order.
     Complete,
+    /// The run in doubt is over, and no other one may begin for the doubt.
+    Broke(RunFault),
     /// Another stream got an event over the path of the run in doubt.
     Restored,
     CallerGone,
@@ -91,6 +93,8 @@
                 Tried::Began(run) => return self.take_run(*run),
                 Tried::Chunk(chunk) => return self.on_sign_of_life(chunk).await,
                 Tried::Complete => return Flow::Complete,
+                // What ruled out another run for the doubt may not hold any more.
+                Tried::Broke(fault) => return Box::pin(self.fail_over(fault)).await,
                 Tried::Restored => return self.keep_run(),
                 Tried::CallerGone => return Flow::Over,
                 Tried::TimeOver => return self.cut(Count::TimedOut, "its time is over"),
@@ -151,13 +155,11 @@
                     frame = next_frame(run) => match frame {
                         Some(Ok(frame)) => break Tried::Chunk(frame.into_data().unwrap_or_default()),
                         None if !events.has_partial() => break Tried::Complete,
+                        ended if !may_begin => break Tried::Broke(fault_of_end(ended)),
                         None | Some(Err(_)) => {
                             // It is over after all; what has been sent elsewhere goes on.
                             *run = None;
                             events.restart();
-                            if !may_begin {
-                                break Tried::NotBegun(NotBegun::Spent);
-                            }
                         }
                     },
                     () = tx.closed() => break Tried::CallerGone,
@@ -287,6 +289,14 @@
     }
 }
 
+/// The fault of a run that ended before its last event.
+fn fault_of_end(ended: Option<Result<Frame<Bytes>, hyper::Error>>) -> RunFault {
+    match ended {
+        Some(Err(err)) => RunFault::ConnectionBroke(err.to_string()),
+        Some(Ok(_)) | None => RunFault::EndedWithinEvent,
+    }
+}
+
 /// Ends when a broken path has brought an event; never without one.
 async fn restored(broken: Option<Rc<LivePath>>) {
     match broken {
