Soak of planned work: finds failovers again, and all suspicions for a time limit

The gateway's line `stream lost its run` is `failover started` since runs are kept, and the soak still looked for the old one: it printed no lost run in any run (in one with 170 such lines as well), showed none beside a violation, and counted each truncated request as one with engines that were well, as all of no lines are. It reads both names, as SOAK_GATEWAY may name an older build, and a request without such a line doesn't count. Suspicions of engines that were well were counted for `no answer in` alone; a connection that wasn't made in time and an answer that wasn't whole in time count now as well.

--- a/crates/daemon/tests/gateway/planned_work/check.rs
+++ b/crates/daemon/tests/gateway/planned_work/check.rs
@@ -22,6 +22,8 @@
 const MOST_SHOWN: usize = 25;
 /// An engine is asked twice for so long in all until it is suspected.
 pub const QUESTIONS_MS: u64 = 180;
+/// Reasons of a suspicion that tell of a time limit alone.
+const SILENCES: [&str; 4] = ["no answer in", "no whole answer in", "no connection in", "timed out"];
 /// An engine that was late so short a time before a judgement was not well.
 const LATE_WINDOW_MS: u64 = 400;
 
@@ -88,7 +90,7 @@
     pub fn unfounded(&self) -> impl Iterator<Item = &Line> {
         let suspected = self.evidence.judged("endpoint suspected");
         suspected.filter(|line| {
-            line.text("why").contains("no answer in")
+            SILENCES.iter().any(|silence| line.text("why").contains(silence))
                 && self.condition(&line.engine, line.at_ms) == Condition::Well
         })
     }
--- a/crates/daemon/tests/gateway/planned_work/evidence.rs
+++ b/crates/daemon/tests/gateway/planned_work/evidence.rs
@@ -4,12 +4,16 @@
 use serde_json::Value;
 use std::collections::HashMap;
 
+/// The line of a stream whose run is over or in doubt.
+pub const FAILOVER: &str = "failover started";
+/// The same of builds that `SOAK_GATEWAY` may name.
+const FAILOVER_BEFORE: &str = "stream lost its run";
 /// Lines of the judgements that may cost streams their run.
 const JUDGEMENTS: [&str; 6] = [
     "endpoint suspected",
     "engine taken to be dead",
     "engine answers again",
-    "stream lost its run",
+    FAILOVER,
     "stream moved to another path",
     "path checked",
 ];
@@ -29,10 +33,13 @@
     fn parse(gateway: usize, text: &str) -> Option<Line> {
         let line: Value = serde_json::from_str(text).ok()?;
         let at_ms = line["timestamp"].as_u64()?;
-        let what = line["payload"].as_str()?.to_owned();
+        let what = match line["payload"].as_str()? {
+            FAILOVER_BEFORE => FAILOVER,
+            what => what,
+        };
         let fields = line["kv"].clone();
         let engine = fields["endpoint"].as_str().unwrap_or_default().to_owned();
-        Some(Line { at_ms, gateway, what, fields, engine })
+        Some(Line { at_ms, gateway, what: what.to_owned(), fields, engine })
     }
 
     /// A field's text; empty if there is none.
--- a/crates/daemon/tests/gateway/planned_work/report.rs
+++ b/crates/daemon/tests/gateway/planned_work/report.rs
@@ -2,7 +2,7 @@
 
 use super::callers::Seen;
 use super::check::{Condition, Facts, QUESTIONS_MS};
-use super::evidence::Line;
+use super::evidence::{FAILOVER, Line};
 use super::exchange::{End, Exchange};
 use super::lag::Lag;
 use super::options::Options;
@@ -50,19 +50,19 @@
         let lines = evidence.judged(what);
         counted(lines.map(|line| facts.condition(&line.engine, line.at_ms)))
     };
-    let lost = evidence.judged("stream lost its run").map(|line| line.text("why"));
+    let lost = evidence.judged(FAILOVER).map(|line| line.text("why"));
     let lost = counted(lost.map(|why| why.split_once(':').map_or(why, |(cause, _)| cause)));
     let unfounded: Vec<&Line> = facts.unfounded().collect();
     let was_still =
         |line: &&&Line| facts.stood_still_ms(line.gateway, line.at_ms) > QUESTIONS_MS / 2;
     let while_still = unfounded.iter().filter(was_still).count();
     format!(
-        "engines suspected {:?}, taken to be dead {:?}; runs lost {:?} {lost:?}; paths checked {}, moves {}\n\
+        "engines suspected {:?}, taken to be dead {:?}; runs lost or in doubt {:?} {lost:?}; paths checked {}, moves {}\n\
          engines that were well, and suspected by a gateway itself for want of an answer: {}, of them {while_still} by one that stood \
          still for most of that time",
         conditions("endpoint suspected"),
         conditions("engine taken to be dead"),
-        conditions("stream lost its run"),
+        conditions(FAILOVER),
         evidence.judged("path checked").count(),
         evidence.judged("stream moved to another path").count(),
         unfounded.len(),
@@ -97,12 +97,12 @@
         let lines = facts.evidence.of(&one.ask.request);
         let end = lines.iter().rfind(|line| line.what == "request ended");
         *ends.entry(end.map_or("no line tells", |line| line.text("why"))).or_default() += 1;
-        let mut lost = lines.iter().filter(|line| line.what == "stream lost its run");
+        let lost: Vec<&Line> = lines.iter().filter(|line| line.what == FAILOVER).collect();
         let is_well = |line: &Line| facts.condition(&line.engine, line.at_ms) == Condition::Well;
         if let Some(last) = lines.iter().rfind(|line| !line.engine.is_empty()) {
             *engines.entry(&last.engine).or_default() += 1;
         }
-        of_well_engines += usize::from(lost.all(is_well));
+        of_well_engines += usize::from(!lost.is_empty() && lost.into_iter().all(is_well));
         gateways.insert(one.gateway);
     }
     format!(
