--- a/crates/daemon/tests/gateway/late.rs
+++ b/crates/daemon/tests/gateway/late.rs
@@ -27,6 +27,11 @@
     gateway.signal(Signal::SIGCONT);
 }
 
+/// Longer than the lead may be silent before the second gateway, by name, takes over.
+const LEAD_LAPSE: Duration = Duration::from_millis(2_000);
+/// Time for a takeover that must not happen.
+const TAKEOVER: Duration = Duration::from_millis(500);
+
 #[test]
 fn a_pause_of_the_event_loop_is_logged_and_measured() {
     let fleet = fleet();
@@ -102,3 +107,27 @@
         send(to, "/status/a", &new_request(), Some(KEY));
     }
 }
+
+/// What operators saw: the lead went from a gateway that was well to one that had just been paused, and the plan of all layers with it.
+///
+/// The order of events: a gateway is paused for longer than a lead may be silent. As it goes on, it looks for the lead's last message
+/// before it reads those that came meanwhile, and takes the lead. The gateway that had it steps down and forgets its plan.
+///
+/// The cause: the silence of a peer counted for the time in which this process could not have read anything. The evidence: `lead taken` by the
+/// paused gateway right after each of six pauses, and `lead lost` by the other one, whose event loop was not late.
+#[test]
+fn a_gateway_that_was_paused_leaves_the_lead_to_the_one_that_has_it() {
+    let fleet = fleet();
+    let lead = fleet.gateway("one");
+    lead.wait_for_line(&["\"lead taken\""]);
+    let other = fleet.gateway("two");
+    other.wait_for_line(&["\"gateway heard\"", "\"one\""]);
+
+    for _ in 0..3 {
+        pause(&other, LEAD_LAPSE);
+        sleep(TAKEOVER);
+    }
+
+    assert_eq!(other.lines(&["\"lead taken\""]), [""; 0]);
+    assert_eq!(lead.lines(&["\"lead lost\""]), [""; 0]);
+}
