A gateway reads what has come before it takes the lead

What operators saw: the lead went from a gateway that was well to one that had just been paused; the former stepped down and forgot its plan, and engines were asked and orders considered anew. Cause: the lead's silence was judged in the first turn of the event loop after the pause, by a timer, with its messages unread in the socket. Change: a gateway that finds the lead silent gives the event loop four turns, in which datagrams are read, and looks again before it takes the lead. Ruled out: counting only the time in which this process ran, as a fleet with small quotas would then be without a lead for many seconds.

--- a/crates/gateway/src/process/placer/lead.rs
+++ b/crates/gateway/src/process/placer/lead.rs
@@ -12,6 +12,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::oneshot;
+use tokio::task::yield_now;
 use tokio::time::{Instant, sleep};
 
 /// How often it is looked at who leads.
@@ -22,6 +23,8 @@
 const SILENCE: Duration = Duration::from_millis(1_000);
 /// What each further gateway, in order of name, waits on top.
 const SILENCE_PER_RANK: Duration = Duration::from_millis(300);
+/// Turns of the event loop in which the messages that have come are read.
+const TURNS_TO_READ: u32 = 4;
 /// Silence after which the first gateway leads without the store, while that can't be reached.
 const SILENCE_WITHOUT_STORE: Duration = Duration::from_secs(3);
 /// A failed call of the store within this time, with no other gateway heard, means a cut: calls
@@ -162,18 +165,18 @@
     }
 
     async fn try_to_lead(&mut self) {
-        let now = Instant::now();
-        if let Some(heard) = self.lead_heard() {
-            self.heard = self.heard.max(heard);
-        }
-        let silence = now - self.heard;
-        let rank = self.rank(now);
-        if self.is_isolated() {
+        if !self.may_take_over() {
             return;
         }
-        if silence < SILENCE + SILENCE_PER_RANK * rank || now < self.try_after {
+        // After a pause of this process the lead's messages may be there, unread.
+        for _ in 0..TURNS_TO_READ {
+            yield_now().await;
+        }
+        if !self.may_take_over() {
             return;
         }
+        let now = Instant::now();
+        let (silence, rank) = (now - self.heard, self.rank(now));
         self.try_after = now + SILENCE;
         match self.take().await {
             Ok(term) => self.begin(term, "the object in the store names it"),
@@ -227,6 +230,17 @@
             .ok()
     }
 
+    /// Whether the lead has been silent for so long that this gateway takes over.
+    fn may_take_over(&mut self) -> bool {
+        let now = Instant::now();
+        if let Some(heard) = self.lead_heard() {
+            self.heard = self.heard.max(heard);
+        }
+        let silence = now - self.heard;
+        let is_silent = silence >= SILENCE + SILENCE_PER_RANK * self.rank(now);
+        is_silent && now >= self.try_after && !self.is_isolated()
+    }
+
     fn heard_term(&self) -> Option<Revision> {
         let beliefs = self.gateway.beliefs.borrow();
         beliefs.lead(Instant::now()).map(|(view, _)| view.term)
