--- a/crates/daemon/tests/gateway/planned_work/evidence.rs
+++ b/crates/daemon/tests/gateway/planned_work/evidence.rs
@@ -4,12 +4,19 @@
 use serde_json::Value;
 use std::collections::HashMap;
 
-/// Lines of the judgements that may cost streams their run.
-const JUDGEMENTS: [&str; 6] = [
+/// Lines of a run that is in doubt; the first is that of versions before failovers kept the run.
+const DOUBTS: [&str; 2] = ["stream lost its run", "failover started"];
+/// Lines of the judgements that may cost streams their run, and of what became of it.
+const JUDGEMENTS: [&str; 11] = [
     "endpoint suspected",
     "engine taken to be dead",
     "engine answers again",
-    "stream lost its run",
+    DOUBTS[0],
+    DOUBTS[1],
+    "failover done",
+    "failover withdrawn, the run goes on",
+    "failover not possible, run kept",
+    "attempt in doubt",
     "stream moved to another path",
     "path checked",
 ];
@@ -35,6 +42,11 @@
         Some(Line { at_ms, gateway, what, fields, engine })
     }
 
+    /// Whether it tells that a stream's run is in doubt, or was given up.
+    pub fn is_doubt(&self) -> bool {
+        DOUBTS.contains(&self.what.as_str())
+    }
+
     /// A field's text; empty if there is none.
     pub fn text(&self, name: &str) -> &str {
         self.fields[name].as_str().unwrap_or_default()
@@ -82,4 +94,9 @@
     pub fn judged(&self, what: &'static str) -> impl Iterator<Item = &Line> {
         self.judgements.iter().filter(move |line| line.what == what)
     }
+
+    /// The doubts of runs.
+    pub fn doubts(&self) -> impl Iterator<Item = &Line> {
+        self.judgements.iter().filter(|line| line.is_doubt())
+    }
 }
--- a/crates/daemon/tests/gateway/planned_work/report.rs
+++ b/crates/daemon/tests/gateway/planned_work/report.rs
@@ -46,25 +46,30 @@
 
 fn report_engines(facts: &Facts<'_>) -> String {
     let evidence = &facts.evidence;
-    let conditions = |what| {
-        let lines = evidence.judged(what);
+    let conditions = |lines: &mut dyn Iterator<Item = &Line>| {
         counted(lines.map(|line| facts.condition(&line.engine, line.at_ms)))
     };
-    let lost = evidence.judged("stream lost its run").map(|line| line.text("why"));
-    let lost = counted(lost.map(|why| why.split_once(':').map_or(why, |(cause, _)| cause)));
+    let why = evidence.doubts().map(|line| line.text("why"));
+    let why = counted(why.map(|why| why.split_once(':').map_or(why, |(cause, _)| cause)));
+    let number = |what| evidence.judged(what).count();
     let unfounded: Vec<&Line> = facts.unfounded().collect();
     let was_still =
         |line: &&&Line| facts.stood_still_ms(line.gateway, line.at_ms) > QUESTIONS_MS / 2;
     let while_still = unfounded.iter().filter(was_still).count();
     format!(
-        "engines suspected {:?}, taken to be dead {:?}; runs lost {:?} {lost:?}; paths checked {}, moves {}\n\
+        "engines suspected {:?}, taken to be dead {:?}; paths checked {}, moves {}\n\
+         runs in doubt {:?} {why:?}; failovers done {}, withdrawn {}, run kept {}; attempts in doubt {}\n\
          engines that were well, and suspected by a gateway itself for want of an answer: {}, of them {while_still} by one that stood \
          still for most of that time",
-        conditions("endpoint suspected"),
-        conditions("engine taken to be dead"),
-        conditions("stream lost its run"),
-        evidence.judged("path checked").count(),
-        evidence.judged("stream moved to another path").count(),
+        conditions(&mut evidence.judged("endpoint suspected")),
+        conditions(&mut evidence.judged("engine taken to be dead")),
+        number("path checked"),
+        number("stream moved to another path"),
+        conditions(&mut evidence.doubts()),
+        number("failover done"),
+        number("failover withdrawn, the run goes on"),
+        number("failover not possible, run kept"),
+        number("attempt in doubt"),
         unfounded.len(),
     )
 }
@@ -97,7 +102,7 @@
         let lines = facts.evidence.of(&one.ask.request);
         let end = lines.iter().rfind(|line| line.what == "request ended");
         *ends.entry(end.map_or("no line tells", |line| line.text("why"))).or_default() += 1;
-        let mut lost = lines.iter().filter(|line| line.what == "stream lost its run");
+        let mut lost = lines.iter().filter(|line| line.is_doubt());
         let is_well = |line: &Line| facts.condition(&line.engine, line.at_ms) == Condition::Well;
         if let Some(last) = lines.iter().rfind(|line| !line.engine.is_empty()) {
             *engines.entry(&last.engine).or_default() += 1;
