--- a/crates/gateway/src/request/running_attempts.rs
+++ b/crates/gateway/src/request/running_attempts.rs
@@ -18,11 +18,11 @@
 }
 
 /// What happens next to a call.
-pub(crate) enum AttemptEvent<T> {
+pub(crate) enum AttemptEvent<'a, T> {
     /// An attempt ended.
     Ended(AttemptInfo, T),
     /// The only attempt takes so long that a further one may begin.
-    Overdue,
+    Overdue(&'a mut AttemptInfo),
 }
 
 struct Running<I, F> {
@@ -78,7 +78,7 @@
 
 impl<F: Future> RunningAttempts<AttemptInfo, F> {
     /// Waits for what happens next; for ever if none is under way.
-    pub(crate) async fn next(&mut self) -> AttemptEvent<F::Output> {
+    pub(crate) async fn next(&mut self) -> AttemptEvent<'_, F::Output> {
         let overdue_at = self.only().and_then(|only| only.overdue_at);
         let overdue = async {
             match overdue_at {
@@ -89,7 +89,7 @@
         tokio::select! {
             biased;
             (info, answer) = self.ended() => AttemptEvent::Ended(info, answer),
-            () = overdue => AttemptEvent::Overdue,
+            () = overdue => AttemptEvent::Overdue(&mut self.running[0].info),
         }
     }
 }
