--- a/crates/daemon/tests/gateway/gateway_process.rs
+++ b/crates/daemon/tests/gateway/gateway_process.rs
@@ -107,7 +107,10 @@
     /// Changes its settings file, and tells it nothing.
     pub fn change_settings_unsaid(&self, change: impl FnOnce(&str) -> String) {
         let text = fs::read_to_string(&self.settings).expect("the settings file");
-        fs::write(&self.settings, change(&text)).expect("the settings file");
+        // In one step: a process that starts just now would read a part.
+        let whole = self.settings.with_extension("new");
+        fs::write(&whole, change(&text)).expect("the settings file");
+        fs::rename(&whole, &self.settings).expect("the settings file");
     }
 
     /// Sets the retry budget to zero, and waits until that is in force.
