A gateway takes signals before it does anything else

What operators saw (found by the soak's settings changes): a SIGHUP right after a start ended the gateway, as it took signals only once its listeners and store tasks had begun. No test: it would assert time.

--- a/crates/gateway/src/process/run.rs
+++ b/crates/gateway/src/process/run.rs
@@ -114,7 +114,22 @@
     StartError::Io { step: step.into(), source }
 }
 
+/// The signals that the process takes.
+struct Signals {
+    terminate: Signal,
+    hang_up: Signal,
+}
+
+impl Signals {
+    fn new() -> Result<Signals, StartError> {
+        let on = |kind: SignalKind| signal(kind).map_err(|err| io_error("signals", err));
+        Ok(Signals { terminate: on(SignalKind::terminate())?, hang_up: on(SignalKind::hangup())? })
+    }
+}
+
 async fn serve(settings: Settings, path: &Path) -> Result<(), StartError> {
+    // First of all: a signal that is not taken ends the process.
+    let signals = Signals::new()?;
     let incarnation = rand::random();
     let gateway = Rc::new(Gateway::new(settings, incarnation));
     let settings = &gateway.settings;
@@ -128,7 +143,7 @@
     tasks.spawn_local(measure_lag(Rc::clone(&gateway)));
     tasks.spawn_local(sweep(Rc::clone(&gateway)));
     tasks.spawn_local(watch_paths(Rc::clone(&gateway)));
-    follow_signals(&gateway, path, tasks).await
+    follow_signals(&gateway, path, signals, tasks).await
 }
 
 fn start_listeners(gateway: &Rc<Gateway>, tasks: &mut JoinSet<()>) -> Result<(), StartError> {
@@ -189,16 +204,14 @@
 async fn follow_signals(
     gateway: &Rc<Gateway>,
     path: &Path,
+    mut signals: Signals,
     mut tasks: JoinSet<()>,
 ) -> Result<(), StartError> {
-    let on = |kind: SignalKind| signal(kind).map_err(|err| io_error("signals", err));
-    let mut terminate: Signal = on(SignalKind::terminate())?;
-    let mut hang_up: Signal = on(SignalKind::hangup())?;
     let mut known = std::fs::read(path).ok();
     loop {
         let is_told = tokio::select! {
-            _ = terminate.recv() => break,
-            _ = hang_up.recv() => true,
+            _ = signals.terminate.recv() => break,
+            _ = signals.hang_up.recv() => true,
             () = sleep(SETTINGS_LOOK) => false,
             Some(ended) = tasks.join_next() => {
                 let how = ended.map_or_else(|err| err.to_string(), |()| "in order".to_owned());
