A judgement of an engine that is withdrawn and made anew breaks its paths again

Cause: LivePath::judge kept the last judgement by `is_dead && !replace(is_dead)`; with `is_dead` false the right side isn't evaluated, so a withdrawal was never noted, and a second, new judgement of the same engine was taken for the first one: its quiet paths stayed in use until a question of their own failed.

Ruled out: that an event clears the judgement (it clears the suspicion alone, on purpose).

A judgement that another gateway reports isn't believed for one second after an event refuted one, unless the path is silent. A stream that wakes for a broken path which works again keeps its run. In the report of the soak of planned work, a stream without any doubt isn't counted as one of engines that were well.

--- a/crates/daemon/tests/gateway/pauses.rs
+++ b/crates/daemon/tests/gateway/pauses.rs
@@ -14,7 +14,8 @@
 //! that is kept comes whole.
 
 use crate::fleet::{
-    Answer, EVENTS, Fleet, KEY, fleet, fleet_of_two_first_engines, new_request, send, whole_stream,
+    Answer, EVENTS, Fleet, KEY, begin, fleet, fleet_of_two_first_engines, new_request, send,
+    whole_stream,
 };
 use crate::gateway_process::{GatewayProcess, wait_for};
 use sorrellock_stand_ins::{EngineMode, FakeEngine};
@@ -183,3 +184,21 @@
     assert!(is_whole(&answer), "{answer:?}");
     assert_eq!(fleet.runs(&request), 2);
 }
+
+#[test]
+fn a_caller_that_leaves_ends_the_run_in_doubt_and_the_one_that_was_sent() {
+    let fleet = fleet();
+    let gateway = fleet.gateway("one");
+    let request = new_request();
+    let (_, body) = begin(gateway.callers(), "/match/a", &request, Some(KEY));
+    let engine = fleet.runner(&request).expect("an engine runs it");
+    fleet.engines.iter().for_each(|one| one.set_mode(EngineMode::Mute));
+    engine.set_paused(true);
+    wait_for("the stream to be sent to another engine", || fleet.runs(&request) == 2);
+
+    drop(body);
+
+    let abandoned = || fleet.engines.iter().map(|one| one.seen().abandoned).sum::<u32>();
+    wait_for("both engines to see the close", || abandoned() == 2);
+    gateway.wait_for_line(&["\"request ended\"", &request, "caller gone"]);
+}
--- a/crates/daemon/tests/gateway/planned_work/report.rs
+++ b/crates/daemon/tests/gateway/planned_work/report.rs
@@ -102,12 +102,13 @@
         let lines = facts.evidence.of(&one.ask.request);
         let end = lines.iter().rfind(|line| line.what == "request ended");
         *ends.entry(end.map_or("no line tells", |line| line.text("why"))).or_default() += 1;
-        let mut lost = lines.iter().filter(|line| line.is_doubt());
+        let doubts: Vec<&Line> = lines.iter().filter(|line| line.is_doubt()).collect();
         let is_well = |line: &Line| facts.condition(&line.engine, line.at_ms) == Condition::Well;
         if let Some(last) = lines.iter().rfind(|line| !line.engine.is_empty()) {
             *engines.entry(&last.engine).or_default() += 1;
         }
-        of_well_engines += usize::from(lost.all(is_well));
+        let is_of_well = !doubts.is_empty() && doubts.into_iter().all(is_well);
+        of_well_engines += usize::from(is_of_well);
         gateways.insert(one.gateway);
     }
     format!(
--- a/crates/gateway/src/process/dump.rs
+++ b/crates/gateway/src/process/dump.rs
@@ -215,7 +215,7 @@
             streams: live.streams.get(),
             is_superseded: live.is_superseded.get(),
             is_retiring: live.is_retiring.get(),
-            is_broken: live.is_broken.get(),
+            is_broken: live.is_broken(),
         }));
     }
     paths
--- a/crates/gateway/src/process/gateway.rs
+++ b/crates/gateway/src/process/gateway.rs
@@ -266,7 +266,7 @@
     /// An endpoint failed another gateway. It is believed where a path through it is quiet here too.
     pub(crate) fn hear_suspicion(&self, life: &Incarnation, instance: &str) {
         let now = Instant::now();
-        let quiet = self.paths.borrow().quiet_through(life, now);
+        let quiet = self.paths.borrow().breaking_by_report(life, now);
         if quiet.is_empty() {
             return;
         }
--- a/crates/gateway/src/process/paths/live_path.rs
+++ b/crates/gateway/src/process/paths/live_path.rs
@@ -1,6 +1,6 @@
 //! A path in use, with what this gateway's streams do on it.
 
-use sorrellock_routing::process::PipelinePath;
+use sorrellock_routing::process::{PathHealth, PipelinePath};
 use std::cell::Cell;
 use std::time::Duration;
 use tokio::sync::Notify;
@@ -57,12 +57,7 @@
     pub(crate) is_superseded: Cell<bool>,
     /// An engine of it leaves: its streams should go on over another path before.
     pub(crate) is_retiring: Cell<bool>,
-    /// An engine of it is judged to be dead. Events refute that.
-    is_suspected: Cell<bool>,
-    /// As [`LivePath::judge`] was told last.
-    is_judged_dead: Cell<bool>,
-    /// An engine of it is judged to be dead, and its streams miss their events.
-    pub(crate) is_broken: Cell<bool>,
+    health: Cell<PathHealth>,
     /// Wakes its streams when it breaks, and when an event shows that it works.
     changed: Notify,
 }
@@ -81,9 +76,7 @@
             checked: Cell::new(None),
             is_superseded: Cell::new(false),
             is_retiring: Cell::new(false),
-            is_suspected: Cell::new(false),
-            is_judged_dead: Cell::new(false),
-            is_broken: Cell::new(false),
+            health: Cell::default(),
             changed: Notify::new(),
         }
     }
@@ -133,51 +126,65 @@
 
     pub(crate) fn is_avoided(&self, now: Instant) -> bool {
         self.is_superseded.get()
-            || self.is_broken.get()
+            || self.is_broken()
             || self.avoid_until.get().is_some_and(|until| until > now)
     }
 
     /// Whether its streams count against the capacity of its engines. On a broken path their capacity is needed for the
     /// runs that replace them.
     pub(crate) fn takes_capacity(&self) -> bool {
-        self.streams.get() > 0 && !self.is_broken.get()
+        self.streams.get() > 0 && !self.is_broken()
+    }
+
+    /// An engine of it is judged to be dead, and its streams miss their events.
+    pub(crate) fn is_broken(&self) -> bool {
+        self.health.get().is_broken()
     }
 
-    /// Takes whether an engine of it is judged to be dead. Only a new judgement counts: one that events have refuted
-    /// breaks it no second time.
+    /// Takes whether an engine of it is judged to be dead.
     pub(crate) fn judge(&self, is_dead: bool, now: Instant) {
-        let is_new = is_dead && !self.is_judged_dead.replace(is_dead);
-        if is_new {
-            self.is_suspected.set(true);
-            self.break_if_suspected(now);
-        }
+        self.update(|health| health.judge(is_dead));
+        self.break_if_suspected(now);
     }
 
     /// Breaks it if an engine of it is judged to be dead and no stream gets events.
     pub(crate) fn break_if_suspected(&self, now: Instant) {
         let is_quiet = self.streams.get() == 0 || self.misses_events(now);
-        if self.is_suspected.get() && !self.is_broken.get() && is_quiet {
-            self.break_up();
+        if self.update(|health| health.break_if_suspected(is_quiet)) {
+            self.changed.notify_waiters();
         }
     }
 
     /// Its streams look for other paths. They keep their runs until another one has begun.
     pub(crate) fn break_up(&self) {
-        self.is_broken.set(true);
-        self.changed.notify_waiters();
+        if self.update(PathHealth::break_up) {
+            self.changed.notify_waiters();
+        }
     }
 
     /// A stream got an event: all engines of the path live. Whether it was broken.
     pub(crate) fn on_event(&self, now: Instant) -> bool {
         self.last_event.set(now);
-        self.is_suspected.set(false);
-        let was_broken = self.is_broken.replace(false);
+        let was_broken = self.update(|health| health.on_event(now.into_std()));
         if was_broken {
             self.changed.notify_waiters();
         }
         was_broken
     }
 
+    /// Whether it breaks if another gateway reports that an engine of it is dead.
+    pub(crate) fn breaks_by_report(&self, now: Instant) -> bool {
+        let trusts = self.health.get().trusts_reports(now.into_std());
+        !self.is_broken() && self.misses_events(now) && (trusts || self.is_silent(now))
+    }
+
+    fn update<T>(&self, change: impl FnOnce(&mut PathHealth) -> T) -> T {
+        let mut health = self.health.get();
+        let res = change(&mut health);
+        self.health.set(health);
+        res
+    }
+
     /// Ends when it is broken.
     pub(crate) async fn broken(&self) {
         self.wait_until(true).await;
@@ -191,7 +198,7 @@
     async fn wait_until(&self, is_broken: bool) {
         loop {
             let changed = self.changed.notified();
-            if self.is_broken.get() == is_broken {
+            if self.is_broken() == is_broken {
                 return;
             }
             changed.await;
--- a/crates/gateway/src/process/paths/path_book.rs
+++ b/crates/gateway/src/process/paths/path_book.rs
@@ -60,11 +60,11 @@
         self.peers = peers;
     }
 
-    /// Paths through an engine whose streams all miss their event.
-    pub(crate) fn quiet_through(&self, life: &Incarnation, now: Instant) -> Vec<Rc<LivePath>> {
+    /// Paths through an engine that break if another gateway reports that it is dead.
+    pub(crate) fn breaking_by_report(&self, life: &Incarnation, now: Instant) -> Vec<Rc<LivePath>> {
         let all = self.paths.values().flatten();
-        let quiet = all.filter(|live| !live.is_broken.get() && live.misses_events(now));
-        quiet.filter(|live| live.path.uses(life)).cloned().collect()
+        let through = all.filter(|live| live.path.uses(life));
+        through.filter(|live| live.breaks_by_report(now)).cloned().collect()
     }
 
     /// What this gateway's streams take, by the first engine of their path.
@@ -97,7 +97,7 @@
     /// other gateways' streams take counts for the path in use of their first engine.
     fn kv_used(&self, service: &str) -> HashMap<&Incarnation, f64> {
         let mut used: HashMap<&Incarnation, f64> = HashMap::new();
-        for live in self.paths(service).iter().filter(|live| !live.is_broken.get()) {
+        for live in self.paths(service).iter().filter(|live| !live.is_broken()) {
             let peers = self.peers.get(&live.path.first().life);
             let peers = peers.filter(|_| !live.is_superseded.get()).map_or(0.0, |p| p.tokens);
             let tokens = live.tokens.get() + peers;
@@ -120,7 +120,7 @@
         later: Duration,
     ) -> impl Iterator<Item = &Rc<LivePath>> {
         let all = self.paths.values().flatten();
-        all.filter(move |live| !live.is_broken.get() && live.is_quiet(now, later))
+        all.filter(move |live| !live.is_broken() && live.is_quiet(now, later))
     }
 
     /// Wakes when a place is freed or the paths change.
@@ -152,8 +152,7 @@
         let mut is_changed = false;
         let mut fresh = Vec::new();
         for path in best_paths(holders, shape.layers) {
-            let same =
-                |live: &&Rc<LivePath>| !live.is_broken.get() && live.path.parts == path.parts;
+            let same = |live: &&Rc<LivePath>| !live.is_broken() && live.path.parts == path.parts;
             match old.iter().find(same) {
                 Some(live) => {
                     is_changed |= live.is_superseded.replace(false);
@@ -209,7 +208,7 @@
     ) -> Option<Rc<LivePath>> {
         let fits = |live: &&Rc<LivePath>| {
             !Rc::ptr_eq(live, of)
-                && !live.is_broken.get()
+                && !live.is_broken()
                 && !live.is_retiring.get()
                 && !live.is_avoided(now)
                 && live.path.first().life == of.path.first().life
@@ -272,7 +271,7 @@
     pub(crate) fn describe(&self, service: &str, now: Instant) -> String {
         let used = self.kv_used(service);
         let describe = |live: &Rc<LivePath>| {
-            let state = if live.is_broken.get() {
+            let state = if live.is_broken() {
                 "broken"
             } else if live.is_superseded.get() {
                 "superseded"
--- a/crates/gateway/src/request/relay/failover.rs
+++ b/crates/gateway/src/request/relay/failover.rs
@@ -60,7 +60,7 @@
         let Some(run) = &self.run else { return };
         let live = &run.place.live;
         let first = &live.path.first().life;
-        if !live.is_broken.get() && self.last_event.elapsed() >= STREAM_SILENCE {
+        if !live.is_broken() && self.last_event.elapsed() >= STREAM_SILENCE {
             self.gateway.pool.borrow_mut().give_up(first, self.last_event);
         }
         check_path(&self.gateway, live);
@@ -107,7 +107,7 @@
                         return Flow::GoesOn;
                     }
                     // Layers may be loaded, or a path have capacity again, by then.
-                    self.avoid.retain(|live| live.is_broken.get());
+                    self.avoid.retain(|live| live.is_broken());
                     window.from = now + wait;
                     window.awaits_capacity = cause(&not_begun) == NoRun::NoCapacity;
                 }
@@ -149,7 +149,7 @@
             });
             loop {
                 let broken = run.as_ref().map(|run| &run.place.live);
-                let broken = broken.filter(|live| live.is_broken.get()).cloned();
+                let broken = broken.filter(|live| live.is_broken()).cloned();
                 tokio::select! {
                     biased;
                     frame = next_frame(run) => match frame {
@@ -182,7 +182,7 @@
     fn moves_off_broken_path(&mut self) -> bool {
         let Some(run) = &self.run else { return false };
         let live = Rc::clone(&run.place.live);
-        if !live.is_broken.get() {
+        if !live.is_broken() {
             return false;
         }
         let now = Instant::now();
--- a/crates/gateway/src/request/relay/relay.rs
+++ b/crates/gateway/src/request/relay/relay.rs
@@ -153,7 +153,7 @@
         let mut look = quiet_since + SILENCE_LOOK;
         loop {
             let now = Instant::now();
-            if live.is_retiring.get() && !live.is_broken.get() {
+            if live.is_retiring.get() && !live.is_broken() {
                 self.repath.start(&self.gateway, &self.call, &live, now);
                 look = look.min(now + SILENCE_TICK);
             }
@@ -238,6 +238,11 @@
             return self.fail_over(RunFault::ConnectionBroke(NO_RUN.to_owned())).await;
         };
         let live = Rc::clone(&run.place.live);
+        if !live.is_broken() {
+            // Another stream got an event over it meanwhile.
+            self.on_path = OnPath::Served;
+            return Flow::GoesOn;
+        }
         let now = Instant::now();
         let silent = now - self.last_event;
         let awaits_repair = self.on_path == OnPath::AwaitsRepair;
@@ -290,7 +295,7 @@
             self.on_path = if was_broken { OnPath::Moved } else { OnPath::Served };
             return Flow::GoesOn;
         }
-        let is_broken = self.run.as_ref().is_some_and(|run| run.place.live.is_broken.get());
+        let is_broken = self.run.as_ref().is_some_and(|run| run.place.live.is_broken());
         if !was_broken || !is_broken {
             // The path works, or works again.
             self.on_path = OnPath::Served;
--- a/crates/gateway/src/request/stream.rs
+++ b/crates/gateway/src/request/stream.rs
@@ -37,7 +37,7 @@
     let mut began = begin(&gateway, &call, &mut attempts, last, &mut avoid, until).await;
     if matches!(began, Err(NotBegun::NoPlace(_))) && attempts.given_up(false) != GivenUp::NotRun {
         // It can't be refused as not run any more: a place that frees serves its caller better than no answer.
-        avoid.retain(|live| live.is_broken.get());
+        avoid.retain(|live| live.is_broken());
         let until = (call.arrived + FIRST_EVENT_WAIT).min(call.deadline);
         began = begin(&gateway, &call, &mut attempts, last, &mut avoid, until).await;
     }
