A failed engine is found by a few gateways on behalf of all, and reports carry their evidence

Causes: - Each gateway probed every engine of each path that was idle for 75 to 115 ms. With two or three streams a gateway and passes of 60 to 110 ms that is any busy path: 10,900 checks of 14 engines, most of them in seconds without a fault. - A report was weighed once, as it came.

Change: - `probe_delay`: the gateways with streams on an idle path take turns, two at once, in an order that all know; the others leave it to them. - Reports count for as long as they are repeated. - They tell their evidence (`FailureEvidence`): a refused connection breaks a path that misses an event, as before; silence only one that had none for 140 ms, which a path through an engine that is gone hasn't by then. The message format rises to 3. - A check in which three engines or more give no answer is repeated before any is suspected. - A broken connection has its own engine checked, not the whole path; a path that is known to be broken isn't checked again.

--- a/crates/gateway/src/process/gateway.rs
+++ b/crates/gateway/src/process/gateway.rs
@@ -1,14 +1,15 @@
 //! What all parts of a gateway share.
 
 use crate::process::{
-    Beliefs, Count, Counters, LivePath, PathBook, Pool, SUSPECT_FOR, StoreHeard, ToldFaults,
+    Beliefs, Count, Counters, LivePath, PathBook, Pool, ReportedSuspect, SUSPECT_FOR, StoreHeard,
+    ToldFaults,
 };
 use sorrellock_core::clock::SystemClock;
 use sorrellock_core::process::retries::Breakers;
 use sorrellock_platform::{Bounds, Client, EndpointLoad, Kind, Settings, StoreEras};
 use sorrellock_routing::process::knowledge::Knowledge;
 use sorrellock_routing::process::{
-    Incarnation, Leaving, Lives, LoopPauses, RetryWindow, StreamPace,
+    FailureEvidence, Incarnation, Leaving, Lives, LoopPauses, RetryWindow, StreamPace,
 };
 use sorrellock_routing::version::{Configuration, ServiceName};
 use spdlog::{info, warn};
@@ -253,30 +254,45 @@
     }
 
     /// An endpoint failed an attempt: it gets nothing new for a while.
-    pub(crate) fn suspect(&self, life: &Incarnation, why: &str) {
+    pub(crate) fn suspect(&self, life: &Incarnation, evidence: FailureEvidence, why: &str) {
         let now = Instant::now();
-        if self.beliefs.borrow_mut().suspect(life, now, SUSPECT_FOR) {
-            warn!("endpoint suspected", kv: { endpoint = life.id.as_str(), why });
+        if self.beliefs.borrow_mut().suspect(life, evidence, now, SUSPECT_FOR) {
+            warn!("endpoint suspected", kv: { endpoint = life.id.as_str(), evidence:?, why });
             self.refresh_paths();
             self.engines_changed.notify_waiters();
             self.suspected.notify_one();
         }
     }
 
-    /// An endpoint failed another gateway. It is believed where a path through it is quiet here too.
-    pub(crate) fn hear_suspicion(&self, life: &Incarnation, instance: &str) {
+    /// Takes which engines failed other gateways. Such a report breaks the paths through its engine that miss their events here,
+    /// too. It counts for as long as it is repeated: paths that got an event just before the engine failed miss the next one only later.
+    pub(crate) fn take_reported_failures(&self) {
         let now = Instant::now();
-        let quiet = self.paths.borrow().breaking_by_report(life, now);
-        if quiet.is_empty() {
+        let mut broken = Vec::new();
+        let mut believed = Vec::new();
+        for (report, instance) in self.beliefs.borrow().reported_suspects(now) {
+            let breaking = self.paths.borrow().breaking_by_report(report, now);
+            if !breaking.is_empty() {
+                believed.push((report.clone(), instance.to_owned()));
+                broken.extend(breaking);
+            }
+        }
+        for (report, instance) in &believed {
+            self.hear_suspicion(report, instance, now);
+        }
+        if broken.is_empty() {
             return;
         }
-        warn!("endpoint suspected", kv: {
-            endpoint = life.id.as_str(), why = "another gateway told", instance
-        });
-        self.beliefs.borrow_mut().hear_suspect(life, instance, now, SUSPECT_FOR);
         self.refresh_paths();
-        for live in &quiet {
-            live.break_up();
+        broken.iter().for_each(|live| live.break_up());
+    }
+
+    fn hear_suspicion(&self, report: &ReportedSuspect, instance: &str, now: Instant) {
+        if self.beliefs.borrow_mut().hear_suspect(report, instance, now, SUSPECT_FOR) {
+            warn!("endpoint suspected", kv: {
+                endpoint = report.life.id.as_str(), evidence:? = report.evidence,
+                why = "another gateway told", instance
+            });
         }
     }
 
--- a/crates/gateway/src/process/paths/live_path.rs
+++ b/crates/gateway/src/process/paths/live_path.rs
@@ -1,6 +1,6 @@
 //! A path in use, with what this gateway's streams do on it.
 
-use sorrellock_routing::process::{PathHealth, PipelinePath};
+use sorrellock_routing::process::{FailureEvidence, PathHealth, PipelinePath};
 use std::cell::Cell;
 use std::time::Duration;
 use tokio::sync::Notify;
@@ -12,7 +12,7 @@
 const PATH_QUIET: Duration = Duration::from_millis(85);
 /// The same with some streams, which rarely all just begin or end.
 const SOME_STREAMS_QUIET: Duration = Duration::from_millis(75);
-/// Silence from which on an event is late; another gateway's word then counts.
+/// Silence from which on an event is late; the lead's word then counts.
 const EVENT_MISSED: Duration = Duration::from_millis(65);
 /// With few streams under way and no event on any for so long, a path gets nothing new: three times
 /// the longest pause that is on time. One that reads many prompts is quiet for half of that.
@@ -53,6 +53,8 @@
     pub(crate) avoid_until: Cell<Option<Instant>>,
     /// When its engines were last asked whether they live.
     pub(crate) checked: Cell<Option<Instant>>,
+    /// The same of its first engine alone.
+    pub(crate) first_checked: Cell<Option<Instant>>,
     /// Better paths are in use: it takes nothing new.
     pub(crate) is_superseded: Cell<bool>,
     /// An engine of it leaves: its streams should go on over another path before.
@@ -74,6 +76,7 @@
             last_event: Cell::new(now),
             avoid_until: Cell::new(None),
             checked: Cell::new(None),
+            first_checked: Cell::new(None),
             is_superseded: Cell::new(false),
             is_retiring: Cell::new(false),
             health: Cell::default(),
@@ -173,9 +176,10 @@
     }
 
     /// Whether it breaks if another gateway reports that an engine of it is dead.
-    pub(crate) fn breaks_by_report(&self, now: Instant) -> bool {
+    pub(crate) fn breaks_by_report(&self, evidence: FailureEvidence, now: Instant) -> bool {
+        let is_idle = self.streams.get() > 0 && now - self.last_event.get() > evidence.min_idle();
         let trusts = self.health.get().trusts_reports(now.into_std());
-        !self.is_broken() && self.misses_events(now) && (trusts || self.is_silent(now))
+        !self.is_broken() && is_idle && (trusts || self.is_silent(now))
     }
 
     fn update<T>(&self, change: impl FnOnce(&mut PathHealth) -> T) -> T {
--- a/crates/gateway/src/process/paths/path_book.rs
+++ b/crates/gateway/src/process/paths/path_book.rs
@@ -1,6 +1,6 @@
 //! The paths in use, what this gateway's streams take on them, and the choice among them.
 
-use crate::process::{EngineFate, LivePath};
+use crate::process::{EngineFate, LivePath, ReportedSuspect};
 use rand::RngExt;
 use sorrellock_routing::process::{BestPaths, Holder, Incarnation, PathPart, RankedPath};
 use sorrellock_routing::version::{ModelShape, ServiceName};
@@ -60,10 +60,14 @@
     }
 
     /// Paths through an engine that break if another gateway reports that it is dead.
-    pub(crate) fn breaking_by_report(&self, life: &Incarnation, now: Instant) -> Vec<Rc<LivePath>> {
+    pub(crate) fn breaking_by_report(
+        &self,
+        report: &ReportedSuspect,
+        now: Instant,
+    ) -> Vec<Rc<LivePath>> {
         let all = self.paths.values().flatten();
-        let through = all.filter(|live| live.path.uses(life));
-        through.filter(|live| live.breaks_by_report(now)).cloned().collect()
+        let breaking = all.filter(|live| live.breaks_by_report(report.evidence, now));
+        breaking.filter(|live| live.path.uses(&report.life)).cloned().collect()
     }
 
     /// What this gateway's streams take, by the first engine of their path.
@@ -112,14 +116,10 @@
         self.paths.values().flatten().for_each(|live| live.break_if_suspected(now));
     }
 
-    /// Paths that have been quiet as a whole for `later` longer than makes them suspicious.
-    pub(crate) fn quiet(
-        &self,
-        now: Instant,
-        later: Duration,
-    ) -> impl Iterator<Item = &Rc<LivePath>> {
+    /// Paths that have been quiet as a whole for so long that their engines should be probed.
+    pub(crate) fn quiet(&self, now: Instant) -> impl Iterator<Item = &Rc<LivePath>> {
         let all = self.paths.values().flatten();
-        all.filter(move |live| !live.is_broken() && live.is_quiet(now, later))
+        all.filter(move |live| !live.is_broken() && live.is_quiet(now, Duration::ZERO))
     }
 
     /// Wakes when a place is freed or the paths change.
--- a/crates/gateway/src/process/paths/path_check.rs
+++ b/crates/gateway/src/process/paths/path_check.rs
@@ -1,11 +1,11 @@
 //! Finds which engines of a quiet path are dead, by asking each.
 
-use crate::process::{Gateway, LivePath, Unanswered};
+use crate::process::{Count, Gateway, LivePath, Unanswered};
 use sorrellock_http::drain_event_loop;
-use sorrellock_platform::read_report;
-use sorrellock_routing::process::Incarnation;
+use sorrellock_platform::{CallError, read_report};
+use sorrellock_routing::process::{FailureEvidence, PathPart, probe_delay};
 use spdlog::info;
-use std::net::SocketAddr;
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::{Instant, sleep_until};
@@ -13,10 +13,9 @@
 /// Time for an engine's report, on a kept connection and once more on a new one: some fifty round
 /// trips inside a region.
 const REPORT_LIMIT: Duration = Duration::from_millis(90);
-/// What a gateway leaves to each one before it, in order of name, before it asks itself.
-const TURN: Duration = Duration::from_millis(3);
-/// The most of that: a path may have streams of the last gateway only.
-const TURN_MOST: Duration = Duration::from_millis(30);
+/// Engines without an answer in one check from which on they are asked once more before any is suspected: a late process
+/// can't judge its peers.
+const MANY_SILENT: usize = 3;
 /// How often paths are looked at: a broken one is found a tenth of a pause late at most.
 const WATCH_INTERVAL: Duration = Duration::from_millis(15);
 /// After a longer lag, events that came meanwhile are read before paths are judged.
@@ -32,56 +31,96 @@
         if due.elapsed() > TRUSTED_LAG {
             drain_event_loop().await;
         }
+        gateway.take_reported_failures();
+        let now = Instant::now();
         let paths = gateway.paths.borrow();
-        paths.break_suspected(Instant::now());
-        let later = turn(&gateway);
-        let quiet: Vec<Rc<LivePath>> = paths.quiet(Instant::now(), later).cloned().collect();
+        paths.break_suspected(now);
+        let quiet: Vec<Rc<LivePath>> = paths.quiet(now).cloned().collect();
         drop(paths);
-        for live in &quiet {
+        for live in quiet.iter().filter(|live| is_turn(&gateway, live, now)) {
             check_path(&gateway, live);
         }
     }
 }
 
-/// How long this gateway leaves it to others to ask: they tell at once what they find.
-fn turn(gateway: &Gateway) -> Duration {
+/// Whether it is this gateway's turn to probe an idle path: others with streams on it may go first, and report
+/// what they find.
+fn is_turn(gateway: &Gateway, live: &LivePath, now: Instant) -> bool {
+    let head = &live.path.first().life;
+    let data_centre = &live.path.data_centre;
     let beliefs = gateway.beliefs.borrow();
-    let rank = beliefs.rank(&gateway.settings.instance, Instant::now());
-    (TURN * rank).min(TURN_MOST)
+    let before = beliefs.probers_before(head, data_centre, gateway.incarnation, now);
+    live.is_quiet(now, probe_delay(before))
 }
 
-/// Asks each engine of a path for a report, unless that was done just now. Those that don't
-/// answer are suspected, and the lead hears of it.
+/// Asks each engine of a path for a report, unless that was done just now or the path is known to be broken. Those that
+/// don't answer are suspected, and the lead hears of it.
 pub(crate) fn check_path(gateway: &Rc<Gateway>, live: &Rc<LivePath>) {
-    let now = Instant::now();
-    if live.checked.get().is_some_and(|checked| now - checked < CHECK_INTERVAL) {
+    if live.is_broken() || !is_due(&live.checked) {
         return;
     }
-    live.checked.set(Some(now));
     let data_centre = live.path.data_centre.as_str();
     info!("path checked", kv: { data_centre, engines = live.path.parts.len() });
-    for part in &live.path.parts {
-        let check = check_engine(Rc::clone(gateway), Rc::clone(live), part.life.clone(), part.addr);
-        tokio::task::spawn_local(check);
+    let round = Round::new(live.path.parts.len());
+    live.path.parts.iter().for_each(|part| spawn_check(gateway, live, part, &round));
+}
+
+/// Asks the first engine of a path alone: a connection to it broke, which tells nothing of the others.
+pub(crate) fn check_first(gateway: &Rc<Gateway>, live: &Rc<LivePath>) {
+    if is_due(&live.first_checked) {
+        spawn_check(gateway, live, live.path.first(), &Round::new(1));
+    }
+}
+
+/// Notes a check, unless one was made just now.
+fn is_due(checked: &Cell<Option<Instant>>) -> bool {
+    let now = Instant::now();
+    let is_due = checked.get().is_none_or(|checked| now - checked >= CHECK_INTERVAL);
+    if is_due {
+        checked.set(Some(now));
     }
+    is_due
+}
+
+/// Engines that are asked at the same moment. The last ones to answer tell how late this process is.
+#[derive(Clone)]
+struct Round {
+    unanswered: Rc<Cell<usize>>,
+}
+
+impl Round {
+    fn new(engines: usize) -> Round {
+        Round { unanswered: Rc::new(Cell::new(engines)) }
+    }
+
+    fn on_answer(&self) {
+        self.unanswered.set(self.unanswered.get() - 1);
+    }
+
+    /// Whether so many engines gave no answer that this process, or its way to them, is likelier to be at fault.
+    fn is_doubtful(&self) -> bool {
+        self.unanswered.get() >= MANY_SILENT
+    }
+}
+
+fn spawn_check(gateway: &Rc<Gateway>, live: &Rc<LivePath>, part: &PathPart, round: &Round) {
+    let check = check_engine(Rc::clone(gateway), Rc::clone(live), part.clone(), round.clone());
+    tokio::task::spawn_local(check);
 }
 
 /// An engine that doesn't answer breaks the path, which is quiet already.
-async fn check_engine(
-    gateway: Rc<Gateway>,
-    live: Rc<LivePath>,
-    life: Incarnation,
-    addr: SocketAddr,
-) {
-    let asked = Instant::now();
-    let client = gateway.probe(&life, addr);
-    match gateway.ask(REPORT_LIMIT, || read_report(&client, REPORT_LIMIT)).await {
-        Ok(report) => {
-            // An engine that started again breaks all its paths by that.
-            gateway.on_answer_of(&life, addr, report.started, asked);
-        }
+async fn check_engine(gateway: Rc<Gateway>, live: Rc<LivePath>, part: PathPart, round: Round) {
+    let mut res = ask_for_report(&gateway, &part).await;
+    if matches!(&res, Err(Unanswered::Failed(err)) if err.silence().is_some())
+        && round.is_doubtful()
+    {
+        gateway.counters.add(Count::QuestionsHeldUp);
+        res = ask_for_report(&gateway, &part).await;
+    }
+    match res {
+        Ok(()) => round.on_answer(),
         Err(Unanswered::Failed(err)) => {
-            gateway.suspect(&life, &err.to_string());
+            gateway.suspect(&part.life, evidence_of(&err), &err.to_string());
             if live.is_quiet(Instant::now(), Duration::ZERO) {
                 live.break_up();
             }
@@ -90,3 +129,19 @@
         Err(Unanswered::Inconclusive) => {}
     }
 }
+
+async fn ask_for_report(gateway: &Rc<Gateway>, part: &PathPart) -> Result<(), Unanswered> {
+    let asked = Instant::now();
+    let client = gateway.probe(&part.life, part.addr);
+    let report = gateway.ask(&client, REPORT_LIMIT, |limit| read_report(&client, limit)).await?;
+    // An engine that started again breaks all its paths by that.
+    gateway.on_answer_of(&part.life, part.addr, report.started, asked);
+    Ok(())
+}
+
+fn evidence_of(err: &CallError) -> FailureEvidence {
+    match err.silence() {
+        Some(_) => FailureEvidence::NoAnswer,
+        None => FailureEvidence::Refused,
+    }
+}
--- a/crates/gateway/src/process/peers/beliefs.rs
+++ b/crates/gateway/src/process/peers/beliefs.rs
@@ -1,10 +1,10 @@
 //! What a gateway believes of engines and of other gateways, beyond what the store tells.
 
 use super::recent_news::RecentNews;
-use crate::process::{EndedLife, EngineView, LeadView, PeerMessage};
-use sorrellock_core::process::membership::rendezvous_several;
+use crate::process::{EndedLife, EngineView, LeadView, PeerMessage, ReportedSuspect};
+use sorrellock_core::process::membership::{rendezvous_several, rendezvous_weight};
 use sorrellock_platform::Kind;
-use sorrellock_routing::process::{Incarnation, Revision};
+use sorrellock_routing::process::{FailureEvidence, Incarnation, Revision};
 use std::collections::HashMap;
 use std::fmt;
 use std::net::SocketAddr;
@@ -95,13 +95,19 @@
     /// It gets nothing new until then.
     until: Instant,
     pub(crate) source: SuspicionSource,
+    evidence: FailureEvidence,
     /// The endpoint has answered since.
     is_refuted: bool,
 }
 
 impl Suspicion {
-    fn new(source: SuspicionSource, now: Instant, lasts: Duration) -> Suspicion {
-        Suspicion { since: now, until: now + lasts, source, is_refuted: false }
+    fn new(
+        source: SuspicionSource,
+        evidence: FailureEvidence,
+        now: Instant,
+        lasts: Duration,
+    ) -> Suspicion {
+        Suspicion { since: now, until: now + lasts, source, evidence, is_refuted: false }
     }
 
     fn is_own(&self) -> bool {
@@ -163,6 +169,36 @@
         self.live_peers(now).filter(|peer| peer.message.instance.as_str() < instance).count() as u32
     }
 
+    /// How many live gateways with streams that begin at an engine go before this one, by its `incarnation`, in probing their
+    /// path. The order is that of the data centre: the same gateways probe its engines each time, over connections that they
+    /// have.
+    pub(crate) fn probers_before(
+        &self,
+        head: &Incarnation,
+        data_centre: &str,
+        incarnation: u64,
+        now: Instant,
+    ) -> usize {
+        let weight = |incarnation| rendezvous_weight(data_centre.as_bytes(), incarnation);
+        let own = weight(incarnation);
+        let has_streams = |peer: &&Peer| {
+            peer.message.loads.iter().any(|load| load.streams > 0 && load.head == *head)
+        };
+        let others = self.live_peers(now).filter(has_streams);
+        others.filter(|peer| weight(peer.message.incarnation) > own).count()
+    }
+
+    /// The engines that failed other gateways, by their newest messages, each with the gateway that reports it.
+    pub(crate) fn reported_suspects(
+        &self,
+        now: Instant,
+    ) -> impl Iterator<Item = (&ReportedSuspect, &str)> {
+        self.live_peers(now).flat_map(|peer| {
+            let instance = peer.message.instance.as_str();
+            peer.message.suspects.iter().map(move |report| (report, instance))
+        })
+    }
+
     /// How many live gateways were told of the endpoints by the store within `age`.
     pub(crate) fn watchers(&self, age: Duration, now: Instant) -> usize {
         let heard =
@@ -171,31 +207,43 @@
     }
 
     /// An endpoint failed: it gets nothing new for a while. Tells whether that is news.
-    pub(crate) fn suspect(&mut self, life: &Incarnation, now: Instant, lasts: Duration) -> bool {
+    pub(crate) fn suspect(
+        &mut self,
+        life: &Incarnation,
+        evidence: FailureEvidence,
+        now: Instant,
+        lasts: Duration,
+    ) -> bool {
         let is_news =
             !self.suspects.get(life).is_some_and(|suspect| suspect.is_own() && suspect.until > now);
         match self.suspects.get_mut(life).filter(|_| !is_news) {
-            Some(known) => known.until = now + lasts,
+            Some(known) => {
+                known.until = now + lasts;
+                known.evidence = evidence;
+            }
             None => {
-                let suspicion = Suspicion::new(SuspicionSource::Own, now, lasts);
+                let suspicion = Suspicion::new(SuspicionSource::Own, evidence, now, lasts);
                 self.suspects.insert(life.clone(), suspicion);
             }
         }
         is_news
     }
 
-    /// An endpoint failed another gateway, and does not serve this one either.
+    /// An endpoint failed another gateway, and does not serve this one either. Tells whether that is news.
     pub(crate) fn hear_suspect(
         &mut self,
-        life: &Incarnation,
+        report: &ReportedSuspect,
         instance: &str,
         now: Instant,
         lasts: Duration,
-    ) {
-        if !self.is_suspect(life, now) {
+    ) -> bool {
+        let is_news = !self.is_suspect(&report.life, now);
+        if is_news {
             let source = SuspicionSource::Gateway(instance.to_owned());
-            self.suspects.insert(life.clone(), Suspicion::new(source, now, lasts));
+            let suspicion = Suspicion::new(source, report.evidence, now, lasts);
+            self.suspects.insert(report.life.clone(), suspicion);
         }
+        is_news
     }
 
     /// The suspicion of an endpoint, if any holds.
@@ -251,10 +299,14 @@
 
     /// The endpoints that failed this gateway itself: what others heard is theirs to pass on. Drops
     /// what is over.
-    pub(crate) fn suspects_own(&mut self, now: Instant) -> Vec<Incarnation> {
+    pub(crate) fn suspects_own(&mut self, now: Instant) -> Vec<ReportedSuspect> {
         self.suspects.retain(|_, suspect| suspect.until > now);
         let own = self.suspects.iter().filter(|(_, suspect)| suspect.is_own());
-        own.map(|(life, _)| life.clone()).collect()
+        let report = |(life, suspect): (&Incarnation, &Suspicion)| ReportedSuspect {
+            life: life.clone(),
+            evidence: suspect.evidence,
+        };
+        own.map(report).collect()
     }
 
     /// An answer told this gateway the end of a life.
--- a/crates/gateway/src/process/peers/peer_message.rs
+++ b/crates/gateway/src/process/peers/peer_message.rs
@@ -2,11 +2,11 @@
 
 use serde::{Deserialize, Serialize};
 use sorrellock_routing::process::{
-    Incarnation, Known, LayerRange, Revision, StartMillis, StoreEra,
+    FailureEvidence, Incarnation, Known, LayerRange, Revision, StartMillis, StoreEra,
 };
 
 /// The format of messages; another one can't be read. It rises with each change of what they hold.
-const FORMAT: u8 = 2;
+const FORMAT: u8 = 3;
 
 /// Why a message can't be read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -41,7 +41,7 @@
     /// What the sender's streams take, by the first engine of their path.
     pub(crate) loads: Vec<HeadLoad>,
     /// Engines that the sender takes to be dead or cut off, by its own streams.
-    pub(crate) suspects: Vec<Incarnation>,
+    pub(crate) suspects: Vec<ReportedSuspect>,
     /// Endpoints that told the sender that they take nothing more.
     pub(crate) leaving: Vec<Incarnation>,
     /// Lives whose end the sender found by an answer of a later one, of late.
@@ -72,6 +72,14 @@
     }
 }
 
+/// An engine that failed the gateway that reports it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub(crate) struct ReportedSuspect {
+    /// The engine.
+    pub(crate) life: Incarnation,
+    pub(crate) evidence: FailureEvidence,
+}
+
 /// A life of an endpoint that is over, and the one that was found in its place.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(crate) struct EndedLife {
--- a/crates/gateway/src/process/peers/peers.rs
+++ b/crates/gateway/src/process/peers/peers.rs
@@ -214,6 +214,8 @@
                 instance = message.instance.as_str(), addr = addr.as_str()
             });
         }
+        let reported = before.map_or(&[][..], |peer| &peer.message.suspects);
+        let has_new_suspects = message.suspects.iter().any(|report| !reported.contains(report));
         let mut is_changed = false;
         if let Some(term) = message.lead_term {
             beliefs.hear_lead(term, now);
@@ -223,10 +225,6 @@
             is_changed = known.is_none_or(|(known, _)| known.engines != view.engines);
             is_changed &= beliefs.apply_lead(view.clone(), now);
         }
-        let new_suspects = message.suspects.iter().filter(|life| {
-            before_suspects(&beliefs.peers, &message.instance).is_none_or(|all| !all.contains(life))
-        });
-        let new_suspects: Vec<Incarnation> = new_suspects.cloned().collect();
         let told = message.leaving.iter();
         let told = told.filter(|life| !beliefs.is_leaving(life, now)).cloned().collect::<Vec<_>>();
         for life in &told {
@@ -252,18 +250,11 @@
         if is_changed {
             gateway.refresh_paths();
         }
-        for life in &new_suspects {
-            gateway.hear_suspicion(life, &instance);
+        if has_new_suspects {
+            gateway.take_reported_failures();
         }
-        if !new_suspects.is_empty() || !told.is_empty() {
+        if has_new_suspects || !told.is_empty() {
             gateway.engines_changed.notify_waiters();
         }
     }
 }
-
-fn before_suspects<'a>(
-    peers: &'a HashMap<String, Peer>,
-    instance: &str,
-) -> Option<&'a Vec<Incarnation>> {
-    peers.get(instance).map(|peer| &peer.message.suspects)
-}
--- a/crates/gateway/src/process/placer/reports.rs
+++ b/crates/gateway/src/process/placer/reports.rs
@@ -20,10 +20,9 @@
 /// Engines that any gateway suspects.
 pub(super) fn suspects(gateway: &Gateway, now: Instant) -> HashSet<Incarnation> {
     let mut beliefs = gateway.beliefs.borrow_mut();
-    let mut all: HashSet<Incarnation> = beliefs.suspects_own(now).into_iter().collect();
-    for peer in beliefs.live_peers(now) {
-        all.extend(peer.message.suspects.iter().cloned());
-    }
+    let own = beliefs.suspects_own(now).into_iter().map(|report| report.life);
+    let mut all: HashSet<Incarnation> = own.collect();
+    all.extend(beliefs.reported_suspects(now).map(|(report, _)| report.life.clone()));
     all
 }
 
--- a/crates/gateway/src/process/questions.rs
+++ b/crates/gateway/src/process/questions.rs
@@ -1,7 +1,7 @@
 //! Questions to endpoints, asked again where this process itself was too late to judge their silence.
 
 use crate::process::{Count, Gateway};
-use sorrellock_platform::CallError;
+use sorrellock_platform::{CallError, Client};
 use sorrellock_routing::process::PeerSilence;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -18,21 +18,23 @@
 }
 
 impl Gateway {
-    /// Asks a question that is given up after `limit`, until it is answered, the endpoint fails it, or the
+    /// Asks a question over `client`, which is given up after `limit`, until it is answered, the endpoint fails it, or the
     /// silence is evidence.
     pub(crate) async fn ask<T>(
         &self,
+        client: &Client,
         limit: Duration,
-        question: impl AsyncFn() -> Result<T, CallError>,
+        question: impl AsyncFn(Duration) -> Result<T, CallError>,
     ) -> Result<T, Unanswered> {
         let mut silence = PeerSilence::new(limit);
+        // A kept connection may be silent though the endpoint lives: the next question decides, and comes the sooner.
+        let mut first_limit = client.has_idle().then_some(limit / 2);
         for nth in 0..MOST_ASKED {
             self.counters.add(Count::Reports);
             let asked = Instant::now();
-            match question().await {
+            match question(first_limit.take().unwrap_or(limit)).await {
                 Ok(answer) => return Ok(answer),
-                // A kept connection may be silent for good, or closed just now: the next question opens
-                // another one.
+                // The next question opens another connection.
                 Err(CallError::NoAnswer { .. }) if nth == 0 => continue,
                 Err(err) if self.is_evidence(&mut silence, &err, asked) => {
                     return Err(Unanswered::Failed(err));
--- a/crates/gateway/src/process/store/endpoint_check.rs
+++ b/crates/gateway/src/process/store/endpoint_check.rs
@@ -3,7 +3,7 @@
 use crate::process::{AnswerOf, CHECK_INTERVAL, Gateway, Unanswered};
 use sorrellock_platform::{CallError, Health, read_health, read_report};
 use sorrellock_routing::process::knowledge::Knowledge;
-use sorrellock_routing::process::{Endpoint, Incarnation};
+use sorrellock_routing::process::{Endpoint, FailureEvidence, Incarnation};
 use spdlog::info;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -59,7 +59,7 @@
             // One that refused a request just now lives.
             Ok(()) | Err(Unwell::OtherLife | Unwell::Unknown | Unwell::Silent(_)) => {}
             Err(Unwell::Leaves) => gateway.believe_leaving(&asked.life),
-            Err(Unwell::Ended(why)) => gateway.suspect(&asked.life, &why),
+            Err(Unwell::Ended(why)) => gateway.suspect(&asked.life, FailureEvidence::Refused, &why),
         }
     });
 }
@@ -201,8 +201,8 @@
     let Asked { life, addr, health_path, .. } = asked;
     let began = Instant::now();
     let client = gateway.probe(life, *addr);
-    let question = || read_health(&client, health_path, &life.id, HEALTH_LIMIT);
-    let answer = match gateway.ask(HEALTH_LIMIT, question).await {
+    let question = |limit| read_health(&client, health_path, &life.id, limit);
+    let answer = match gateway.ask(&client, HEALTH_LIMIT, question).await {
         Ok(answer) => answer,
         Err(Unanswered::Failed(err @ CallError::NoAnswer { .. })) => {
             return Err(check_silent(gateway, asked, &err).await);
@@ -231,7 +231,7 @@
         return Unwell::Silent(err.to_string());
     }
     let client = gateway.probe(&asked.life, asked.addr);
-    match gateway.ask(HEALTH_LIMIT, || read_report(&client, HEALTH_LIMIT)).await {
+    match gateway.ask(&client, HEALTH_LIMIT, |limit| read_report(&client, limit)).await {
         Ok(_) => Unwell::Unknown,
         Err(unanswered) => unanswered.into(),
     }
@@ -246,7 +246,7 @@
     }
     let began = Instant::now();
     let client = gateway.probe(life, *addr);
-    let report = gateway.ask(HEALTH_LIMIT, || read_report(&client, HEALTH_LIMIT)).await?;
+    let report = gateway.ask(&client, HEALTH_LIMIT, |limit| read_report(&client, limit)).await?;
     match gateway.on_answer_of(life, *addr, report.started, began) {
         AnswerOf::SameLife => Ok(()),
         AnswerOf::OtherLife => Err(Unwell::OtherLife),
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -7,7 +7,7 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use sorrellock_platform::{AnswerHead, AttemptHead, attempt_headers, read_answer_head};
-use sorrellock_routing::process::{Incarnation, PathPart, PeerSilence};
+use sorrellock_routing::process::{FailureEvidence, Incarnation, PathPart, PeerSilence};
 use sorrellock_routing::request::Evidence;
 use spdlog::warn;
 use std::cell::Cell;
@@ -53,12 +53,21 @@
     pub(crate) is_misdirected: bool,
     /// This process was too late to tell whether the endpoint failed.
     pub(crate) is_inconclusive: bool,
+    /// What a suspicion of the endpoint rests on, where nothing could be sent.
+    pub(crate) finding: FailureEvidence,
     pub(crate) why: String,
 }
 
 impl Failed {
     pub(crate) fn new(evidence: Evidence, why: String) -> Failed {
-        Failed { evidence, at_fault: None, is_misdirected: false, is_inconclusive: false, why }
+        Failed {
+            evidence,
+            at_fault: None,
+            is_misdirected: false,
+            is_inconclusive: false,
+            finding: FailureEvidence::Refused,
+            why,
+        }
     }
 }
 
@@ -190,8 +199,12 @@
     let mut silence = PeerSilence::new(CONNECT_LIMIT);
     let took = began.elapsed();
     silence.on_no_answer(took, took.saturating_sub(gateway.paused_since(began)));
-    let is_inconclusive = err.kind() == ErrorKind::TimedOut && !silence.is_evidence();
-    Failed { is_inconclusive, ..Failed::new(Evidence::NotSent, format!("connect: {err}")) }
+    let failed = Failed::new(Evidence::NotSent, format!("connect: {err}"));
+    if err.kind() != ErrorKind::TimedOut {
+        return failed;
+    }
+    let is_inconclusive = !silence.is_evidence();
+    Failed { is_inconclusive, finding: FailureEvidence::NoAnswer, ..failed }
 }
 
 fn request(call: &Call, target: &Target<'_>) -> Request<Full<Bytes>> {
@@ -234,11 +247,9 @@
     }
     if head.not_run || status == StatusCode::MISDIRECTED_REQUEST {
         return Err(Failed {
-            evidence: Evidence::NotRun,
             at_fault: head.at_fault,
             is_misdirected: status == StatusCode::MISDIRECTED_REQUEST,
-            is_inconclusive: false,
-            why: format!("refused with {}", status.as_u16()),
+            ..Failed::new(Evidence::NotRun, format!("refused with {}", status.as_u16()))
         });
     }
     if head.request_id.is_none() {
--- a/crates/gateway/src/request/plain.rs
+++ b/crates/gateway/src/request/plain.rs
@@ -172,7 +172,7 @@
         self.note_failed(info, failed.evidence);
         match failed.evidence {
             Evidence::NotSent if failed.is_inconclusive => {}
-            Evidence::NotSent => gateway.suspect(&info.endpoint, &failed.why),
+            Evidence::NotSent => gateway.suspect(&info.endpoint, failed.finding, &failed.why),
             Evidence::NotRun => check_endpoint(gateway, &info.endpoint),
             Evidence::MayHaveRun => {}
         }
--- a/crates/gateway/src/request/relay/failover.rs
+++ b/crates/gateway/src/request/relay/failover.rs
@@ -5,7 +5,7 @@
 
 use super::relay::{CALLER_PATIENCE, Flow, OnPath, Relay, STREAM_SILENCE};
 use super::repath::{LeaveBroken, Repath};
-use crate::process::{Count, LivePath, check_path};
+use crate::process::{Count, LivePath, check_first, check_path};
 use crate::request::run::{NotBegun, Run, has_other_path};
 use crate::request::run_search::begin;
 use bytes::Bytes;
@@ -63,7 +63,10 @@
         if !live.is_broken() && self.last_event.elapsed() >= STREAM_SILENCE {
             self.gateway.pool.borrow_mut().give_up(first, self.last_event);
         }
-        check_path(&self.gateway, live);
+        match fault.evidence() {
+            FaultEvidence::Connection => check_first(&self.gateway, live),
+            FaultEvidence::Suspicion | FaultEvidence::Silence => check_path(&self.gateway, live),
+        }
         let has_broken_off = matches!(fault, RunFault::ConnectionBroke(_));
         if has_broken_off && !self.gateway.is_listed(first) {
             // An engine without an entry that breaks off has ended.
--- a/crates/gateway/src/request/run_search.rs
+++ b/crates/gateway/src/request/run_search.rs
@@ -1,6 +1,6 @@
 //! Begins a stream's run on a path of engines, and on further ones while attempts may be made.
 
-use crate::process::{Gateway, LivePath, PathPlace, check_path, check_refuser};
+use crate::process::{Gateway, LivePath, PathPlace, check_first, check_path, check_refuser};
 use crate::request::run::{NotBegun, RETRY_AFTER_FULL, Run, place, send, take_now};
 use crate::request::{Call, Failed, RunningAttempts, give_up, log_failed, pass_on};
 use http::{Response, StatusCode};
@@ -236,18 +236,20 @@
     let first = live.path.first();
     let now = Instant::now();
     match failed.evidence {
-        Evidence::NotSent if failed.is_inconclusive => {}
-        Evidence::NotSent => gateway.suspect(&first.life, &failed.why),
+        Evidence::NotSent if failed.is_inconclusive => check_first(gateway, live),
+        Evidence::NotSent => gateway.suspect(&first.life, failed.finding, &failed.why),
         Evidence::NotRun => {
             // Another path through the engine that refused would bring the same answer.
             let refuser = failed.at_fault.unwrap_or(first.addr);
             live.avoid(now + REFUSED_AVOID);
             gateway.paths.borrow().avoid_through(&call.service, refuser, now + REFUSED_AVOID);
-            return check_refuser(gateway, refuser, failed.is_misdirected);
+            check_refuser(gateway, refuser, failed.is_misdirected);
+        }
+        Evidence::MayHaveRun => {
+            live.avoid(now + SILENT_AVOID);
+            check_first(gateway, live);
         }
-        Evidence::MayHaveRun => live.avoid(now + SILENT_AVOID),
     }
-    check_path(gateway, live);
 }
 
 async fn read_failure(call: &Call, run: Run) -> Response<AnswerBody> {
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -133,6 +133,11 @@
         self.peer
     }
 
+    /// Whether a connection is kept for the next call.
+    pub fn has_idle(&self) -> bool {
+        !self.idle.borrow().is_empty()
+    }
+
     /// Makes a call that is to be answered whole within `limit`. See [`Client::call_within`].
     pub async fn call(
         &self,
