A first question over a kept connection counts as no evidence; turns of probing are decided in routing

Change: what a first question over a kept connection meets only leads to the next question. `probers_before` moves to `routing`; a test plays the finding of one dead engine at 8, 68 and 420 gateways: four probe one that is silent, two one that refuses, and all know within 220 ms at each size; without the two that go first within 280 ms.

--- a/crates/gateway/src/process/peers/beliefs.rs
+++ b/crates/gateway/src/process/peers/beliefs.rs
@@ -2,9 +2,9 @@
 
 use super::recent_news::RecentNews;
 use crate::process::{EndedLife, EngineView, LeadView, PeerMessage, ReportedSuspect};
-use sorrellock_core::process::membership::{rendezvous_several, rendezvous_weight};
+use sorrellock_core::process::membership::rendezvous_several;
 use sorrellock_platform::Kind;
-use sorrellock_routing::process::{FailureEvidence, Incarnation, Revision};
+use sorrellock_routing::process::{FailureEvidence, Incarnation, Revision, probers_before};
 use std::collections::HashMap;
 use std::fmt;
 use std::net::SocketAddr;
@@ -179,13 +179,11 @@
         incarnation: u64,
         now: Instant,
     ) -> usize {
-        let weight = |incarnation| rendezvous_weight(data_centre.as_bytes(), incarnation);
-        let own = weight(incarnation);
         let has_streams = |peer: &&Peer| {
             peer.message.loads.iter().any(|load| load.streams > 0 && load.head == *head)
         };
         let others = self.live_peers(now).filter(has_streams);
-        others.filter(|peer| weight(peer.message.incarnation) > own).count()
+        probers_before(data_centre, incarnation, others.map(|peer| peer.message.incarnation))
     }
 
     /// The engines that failed other gateways, by their newest messages, each with the gateway that reports it.
--- a/crates/gateway/src/process/questions.rs
+++ b/crates/gateway/src/process/questions.rs
@@ -27,15 +27,17 @@
         question: impl AsyncFn(Duration) -> Result<T, CallError>,
     ) -> Result<T, Unanswered> {
         let mut silence = PeerSilence::new(limit);
-        // A kept connection may be silent though the endpoint lives: the next question decides, and comes the sooner.
-        let mut first_limit = client.has_idle().then_some(limit / 2);
+        // A kept connection may be silent, or closed just now, though the endpoint lives. The next question decides, over another
+        // one, and comes the sooner.
+        let has_kept = client.has_idle();
         for nth in 0..MOST_ASKED {
             self.counters.add(Count::Reports);
             let asked = Instant::now();
-            match question(first_limit.take().unwrap_or(limit)).await {
+            let is_on_kept = has_kept && nth == 0;
+            match question(if is_on_kept { limit / 2 } else { limit }).await {
                 Ok(answer) => return Ok(answer),
-                // The next question opens another connection.
                 Err(CallError::NoAnswer { .. }) if nth == 0 => continue,
+                Err(err) if is_on_kept && err.silence().is_some() => continue,
                 Err(err) if self.is_evidence(&mut silence, &err, asked) => {
                     return Err(Unanswered::Failed(err));
                 }
--- a/crates/routing/tests/probe_turn.rs
+++ b/crates/routing/tests/probe_turn.rs
@@ -1,31 +1,77 @@
-//! How many gateways probe the engines of an idle path, by the size of the fleet and the time until one reports.
+//! How the gateways of a fleet find an engine that died: who probes, and when all know.
 
-use sorrellock_routing::process::probe_delay;
+use quickcheck::quickcheck;
+use sorrellock_routing::process::{FailureEvidence, probe_delay, probers_before};
 use std::time::Duration;
 
-/// A probe of an engine that doesn't answer, and the report of it.
-const FOUND_AFTER: Duration = Duration::from_millis(140);
+const SIZES: [u64; 3] = [8, 68, 420];
+/// From the last event of a path until it counts as idle.
+const IDLE: Duration = Duration::from_millis(75);
+/// How often a gateway looks at its paths.
+const TICK: Duration = Duration::from_millis(15);
+/// Time until a report has come to all gateways.
+const REPORT: Duration = Duration::from_millis(20);
 
-/// Gateways that have probed by `elapsed`, if nothing was reported before.
-fn probing(gateways: usize, elapsed: Duration) -> usize {
-    (0..gateways).filter(|before| probe_delay(*before) <= elapsed).count()
+/// What became of one dead engine in a fleet whose gateways all have streams over it.
+struct Course {
+    /// Gateways that probed.
+    probing: usize,
+    /// From the last event until all gateways know.
+    known_by_all: Duration,
+}
+
+/// Plays the death of an engine. Gateways in `late` don't get to probe at all.
+fn play(gateways: u64, evidence: FailureEvidence, late: &[usize]) -> Course {
+    let finding = match evidence {
+        FailureEvidence::Refused => Duration::from_millis(2),
+        FailureEvidence::NoAnswer => Duration::from_millis(90),
+    };
+    let turns = (0..gateways).map(|own| turn(own, gateways)).filter(|turn| !late.contains(turn));
+    let probes: Vec<Duration> = turns.map(|turn| IDLE + probe_delay(turn) + TICK).collect();
+    let first = *probes.iter().min().expect("one of them probes");
+    let reported = first + finding + REPORT;
+    Course {
+        probing: probes.iter().filter(|at| **at < reported).count(),
+        known_by_all: reported.max(evidence.min_idle()) + TICK,
+    }
+}
+
+/// The turn of a gateway in a fleet.
+fn turn(own: u64, gateways: u64) -> usize {
+    probers_before("north", own, (0..gateways).filter(|other| *other != own))
 }
 
 #[test]
-fn two_gateways_probe_at_once() {
-    assert_eq!(probing(68, Duration::ZERO), 2);
+fn as_many_gateways_probe_an_engine_that_gives_no_answer_in_any_fleet() {
+    let probing = SIZES.map(|size| play(size, FailureEvidence::NoAnswer, &[]).probing);
+
+    assert_eq!(probing, [4, 4, 4]);
 }
 
 #[test]
-fn the_only_gateway_on_a_path_probes_at_once() {
-    assert_eq!(probe_delay(0), Duration::ZERO);
+fn two_gateways_probe_an_engine_that_refuses_connections() {
+    let probing = SIZES.map(|size| play(size, FailureEvidence::Refused, &[]).probing);
+
+    assert_eq!(probing, [2, 2, 2]);
 }
 
 #[test]
-fn as_many_gateways_probe_one_dead_engine_in_any_fleet() {
-    let probing = [8, 68, 420].map(|gateways| probing(gateways, FOUND_AFTER));
+fn all_know_of_a_dead_engine_as_soon_in_any_fleet() {
+    for evidence in [FailureEvidence::Refused, FailureEvidence::NoAnswer] {
+        let known = SIZES.map(|size| play(size, evidence, &[]).known_by_all);
 
-    assert_eq!(probing, [8, 8, 8]);
+        assert!(known.iter().all(|at| *at == known[0]), "{known:?}");
+        assert!(known[0] <= Duration::from_millis(220), "{known:?}");
+    }
+}
+
+#[test]
+fn an_engine_is_found_without_the_gateways_that_probe_first() {
+    for size in SIZES {
+        let course = play(size, FailureEvidence::NoAnswer, &[0, 1]);
+
+        assert!(course.known_by_all <= Duration::from_millis(280), "{:?}", course.known_by_all);
+    }
 }
 
 #[test]
@@ -36,8 +82,33 @@
 }
 
 #[test]
-fn gateways_probe_in_order() {
-    let delays: Vec<Duration> = (0..420).map(probe_delay).collect();
+fn the_only_gateway_on_a_path_probes_at_once() {
+    assert_eq!(probe_delay(turn(7, 1)), Duration::ZERO);
+}
+
+quickcheck! {
+    /// Each turn is taken by exactly one gateway, whoever they are.
+    fn gateways_agree_on_their_turns(gateways: Vec<u64>, data_centre: String) -> bool {
+        let mut gateways = gateways;
+        gateways.sort_unstable();
+        gateways.dedup();
+        let turn = |own: &u64| {
+            let others = gateways.iter().copied().filter(|other| other != own);
+            probers_before(&data_centre, *own, others)
+        };
+        let mut turns: Vec<usize> = gateways.iter().map(turn).collect();
+        turns.sort_unstable();
+        turns.into_iter().eq(0..gateways.len())
+    }
 
-    assert!(delays.is_sorted());
+    /// A gateway that goes moves only those behind it, by one turn.
+    fn the_others_keep_their_order_when_one_goes(gateways: Vec<u64>) -> bool {
+        let Some((gone, rest)) = gateways.split_first() else { return true };
+        let before = |own: u64, others: &[u64]| probers_before("north", own, others.iter().copied());
+        rest.iter().all(|own| {
+            let after = before(*own, rest);
+            let with = before(*own, &gateways);
+            with == after + before(*own, &[*gone])
+        })
+    }
 }
