Streams leave an engine that exits late and one after the other; a move keeps the part of the first engine

A third of all orders to move was refused.

The engine that takes the part over reads the tokens of all of them at once, 0.2 to 0.4 s. - A request goes on only over a path with the same first part. 124 of 128 orders with another one (the first engine's layers had been divided anew) were refused with 409, all but one of the 1,260 that were accepted had the same. The stream kept its path until the engine exited, and went on then with a second run, or not at all.

Ruled out: that moves failed for want of room (177 named an engine; those are still made).

Change: `Departure` (routing) says when a stream moves: after 0.35 to 0.6 of the time for which the engine serves, each stream at its own moment. A path for a move has the same first part; where the one in use hasn't, one is searched for (`path_with_first`) and takes nothing new. A path to which an order is under way is kept until that has ended.

Tests: `departure` plays 200 streams over a leave (half to three quarters are moved, a sixth at most at once); `path_with_first`.

--- a/crates/daemon/tests/gateway/streams.rs
+++ b/crates/daemon/tests/gateway/streams.rs
@@ -186,18 +186,18 @@
     }
 }
 
-/// Begins a stream whose second engine dies, and checks that it comes whole, from its one run. Returns
-/// its request.
-fn second_engine_dies_under_a_stream(fleet: &Fleet, gateway: &GatewayProcess) -> String {
+/// Begins a stream of which an engine dies, the `nth` of its path from 0 on, and checks that it comes whole, from its one run.
+/// Returns its request.
+fn engine_dies_under_a_stream(fleet: &Fleet, gateway: &GatewayProcess, nth: usize) -> String {
     let request = new_request();
     let (_, mut body) = begin(gateway.callers(), "/match/a", &request, Some(KEY));
     let runner = fleet.runner(&request).expect("an engine runs it");
     let hops = runner.seen().headers[&request]["hop-count"].to_str().expect("text").to_owned();
-    let second = hops.split([',', '=']).nth(2).expect("two parts").to_owned();
+    let addr = hops.split([',', '=']).nth(2 * nth).expect("so many parts").to_owned();
 
     runner.set_stalled(true);
-    let is_second = |one: &&FakeEngine| one.addr().to_string() == second;
-    fleet.engines.iter().find(is_second).expect("one of them").crash();
+    let is_nth = |one: &&FakeEngine| one.addr().to_string() == addr;
+    fleet.engines.iter().find(is_nth).expect("one of them").crash();
     wait_for("the order to go on", || runner.seen().moved.contains(&request));
     runner.set_stalled(false);
     let all = read_rest(&mut body);
@@ -213,18 +213,18 @@
     let gateway = GatewayProcess::start("one", "north", fleet.store.addr());
     wait_for("the gateway to be ready", || gateway.is_ready());
     wait_for("two paths", || gateway.lines(&["\"path in use\"", "north"]).len() >= 2);
-    let request = second_engine_dies_under_a_stream(&fleet, &gateway);
+    let request = engine_dies_under_a_stream(&fleet, &gateway, 1);
 
     gateway.wait_for_line(&["\"first event over the new path\"", &request]);
 }
 
 #[test]
-fn a_stream_whose_second_engine_dies_waits_for_its_layers_and_runs_on() {
+fn a_stream_whose_third_engine_dies_waits_for_its_layers_and_runs_on() {
     let fleet = fleet_of_one_chain();
     let gateway = GatewayProcess::start("one", "north", fleet.store.addr());
     wait_for("the gateway to be ready", || gateway.is_ready());
     gateway.wait_for_line(&["\"path in use\"", "north"]);
-    let request = second_engine_dies_under_a_stream(&fleet, &gateway);
+    let request = engine_dies_under_a_stream(&fleet, &gateway, 2);
 
     gateway.wait_for_line(&["\"stream waits for a repair\"", &request]);
 }
--- a/crates/gateway/src/process/dump.rs
+++ b/crates/gateway/src/process/dump.rs
@@ -214,7 +214,7 @@
             tokens: live.tokens.get(),
             streams: live.streams.get(),
             is_superseded: live.is_superseded.get(),
-            is_retiring: live.is_retiring.get(),
+            is_retiring: live.departure().is_some(),
             is_broken: live.is_broken(),
         }));
     }
--- a/crates/gateway/src/process/paths/live_path.rs
+++ b/crates/gateway/src/process/paths/live_path.rs
@@ -1,6 +1,6 @@
 //! A path in use, with what this gateway's streams do on it.
 
-use sorrellock_routing::process::{FailureEvidence, PathHealth, PipelinePath};
+use sorrellock_routing::process::{Departure, FailureEvidence, PathHealth, PipelinePath};
 use std::cell::Cell;
 use std::time::Duration;
 use tokio::sync::Notify;
@@ -57,8 +57,8 @@
     pub(crate) first_checked: Cell<Option<Instant>>,
     /// Better paths are in use: it takes nothing new.
     pub(crate) is_superseded: Cell<bool>,
-    /// An engine of it leaves: its streams should go on over another path before.
-    pub(crate) is_retiring: Cell<bool>,
+    /// An engine of it leaves: its streams should go on over another path before it exits.
+    departure: Cell<Option<Departure>>,
     health: Cell<PathHealth>,
     /// Wakes its streams when it breaks, and when an event shows that it works.
     changed: Notify,
@@ -78,7 +78,7 @@
             checked: Cell::new(None),
             first_checked: Cell::new(None),
             is_superseded: Cell::new(false),
-            is_retiring: Cell::new(false),
+            departure: Cell::new(None),
             health: Cell::default(),
             changed: Notify::new(),
         }
@@ -127,6 +127,18 @@
         self.avoid_until.set(Some(until));
     }
 
+    /// Takes whether an engine of it leaves, and for how long such an engine serves.
+    pub(crate) fn set_leaving(&self, is_leaving: bool, serves_for: Duration, now: Instant) {
+        let begun = self.departure.get();
+        let departure = begun.unwrap_or_else(|| Departure::new(now.into_std(), serves_for));
+        self.departure.set(is_leaving.then_some(departure));
+    }
+
+    /// An engine of it that leaves, if there is one.
+    pub(crate) fn departure(&self) -> Option<Departure> {
+        self.departure.get()
+    }
+
     pub(crate) fn is_avoided(&self, now: Instant) -> bool {
         self.is_superseded.get()
             || self.is_broken()
--- a/crates/gateway/src/process/paths/path_book.rs
+++ b/crates/gateway/src/process/paths/path_book.rs
@@ -139,6 +139,7 @@
         shape: &ModelShape,
         holders: &[Holder],
         fate: impl Fn(&Incarnation) -> EngineFate,
+        leaving_serves_for: Duration,
         now: Instant,
     ) -> bool {
         self.rooms.extend(holders.iter().map(|holder| (holder.life.clone(), holder.kv_room)));
@@ -146,7 +147,7 @@
         for live in &old {
             let has = |wanted| live.path.parts.iter().any(|part| fate(&part.life) == wanted);
             live.judge(has(EngineFate::Dead), now);
-            live.is_retiring.set(has(EngineFate::Leaves));
+            live.set_leaving(has(EngineFate::Leaves), leaving_serves_for, now);
         }
         let mut is_changed = false;
         let mut fresh = Vec::new();
@@ -168,9 +169,10 @@
         }
         let was_in_use = |live: &&Rc<LivePath>| !live.is_superseded.get();
         is_changed |= fresh.len() != old.iter().filter(was_in_use).count();
-        // Streams on an old path still run, also on a broken one: its engines may live.
+        // Streams on an old path still run, also on a broken one, and orders to go on over it are under way: what holds it besides
+        // the book is one of them.
         let keep_watch = old.into_iter().filter(|live| {
-            live.streams.get() > 0 && !fresh.iter().any(|other| Rc::ptr_eq(other, live))
+            Rc::strong_count(live) > 1 && !fresh.iter().any(|other| Rc::ptr_eq(other, live))
         });
         for live in keep_watch.collect::<Vec<_>>() {
             live.is_superseded.set(true);
@@ -199,9 +201,10 @@
         self.rooms.retain(|life, _| lives.contains(life));
     }
 
-    /// A path in use that begins at the same engine as another, but is not that one.
+    /// A path over which a request of another one can go on: its engines take such an order only where the first one runs
+    /// the same layers as before.
     pub(crate) fn successor(
-        &self,
+        &mut self,
         service: &str,
         of: &Rc<LivePath>,
         now: Instant,
@@ -209,11 +212,29 @@
         let fits = |live: &&Rc<LivePath>| {
             !Rc::ptr_eq(live, of)
                 && !live.is_broken()
-                && !live.is_retiring.get()
+                && live.departure().is_none()
                 && !live.is_avoided(now)
-                && live.path.first().life == of.path.first().life
+                && live.path.first() == of.path.first()
         };
-        self.paths(service).iter().find(fits).cloned()
+        let in_use = self.paths(service).iter().find(fits).cloned();
+        in_use.or_else(|| self.detour(service, of, now))
+    }
+
+    /// A path that is not in use otherwise: the one in use that begins at the same engine divides the layers anew.
+    fn detour(&mut self, service: &str, of: &Rc<LivePath>, now: Instant) -> Option<Rc<LivePath>> {
+        let path = self.best.get(service)?.with_first(&of.path)?;
+        if path.parts == of.path.parts {
+            return None;
+        }
+        let paths = self.paths.get_mut(service)?;
+        let known = paths.iter().find(|live| live.path.parts == path.parts);
+        if let Some(live) = known {
+            return (!live.is_broken() && live.departure().is_none()).then(|| Rc::clone(live));
+        }
+        let live = Rc::new(LivePath::new(path, of.slots, now));
+        live.is_superseded.set(true);
+        paths.push(Rc::clone(&live));
+        Some(live)
     }
 
     /// Gives paths through an engine nothing new until `until`.
--- a/crates/gateway/src/process/paths/path_refresh.rs
+++ b/crates/gateway/src/process/paths/path_refresh.rs
@@ -13,6 +13,7 @@
     /// Works out the paths of all models anew, those of dropped services included while requests of theirs may be under way.
     pub(crate) fn refresh_paths(&self) {
         let now = Instant::now();
+        let leaving_serves_for = self.bounds.get().leave_within;
         let knowledge = self.knowledge.borrow();
         for service in knowledge.services(now.into_std()) {
             let Some(shape) = &service.model else { continue };
@@ -35,7 +36,7 @@
                 }
             };
             let mut paths = self.paths.borrow_mut();
-            if paths.rebuild(&service.name, shape, &holders, fate, now) {
+            if paths.rebuild(&service.name, shape, &holders, fate, leaving_serves_for, now) {
                 let gaps = gaps(&holders, shape.layers);
                 if !gaps.is_empty() {
                     warn!("layers without an engine", kv: {
--- a/crates/gateway/src/request/relay/relay.rs
+++ b/crates/gateway/src/request/relay/relay.rs
@@ -8,6 +8,7 @@
 use crate::request::run::{Run, has_other_path};
 use bytes::Bytes;
 use http_body_util::BodyExt;
+use rand::RngExt;
 use sorrellock_http::Part;
 use sorrellock_platform::OrderEnd;
 use sorrellock_routing::process::{PathPart, is_repair_overdue, is_repair_worth_waiting};
@@ -49,6 +50,8 @@
     pub(super) avoid: Vec<Rc<LivePath>>,
     pub(super) failovers: u32,
     pub(super) repath: Repath,
+    /// Spreads the moves off an engine that leaves.
+    move_spread: f64,
     pub(super) on_path: OnPath,
 }
 
@@ -116,6 +119,7 @@
             avoid: Vec::new(),
             failovers: 0,
             repath: Repath::default(),
+            move_spread: rand::rng().random_range(0.0..1.0),
             on_path: OnPath::Served,
         }
     }
@@ -153,8 +157,10 @@
         let mut look = quiet_since + SILENCE_LOOK;
         loop {
             let now = Instant::now();
-            if live.is_retiring.get() && !live.is_broken() {
-                self.repath.start(&self.gateway, &self.call, &live, now);
+            if let Some(departure) = live.departure().filter(|_| !live.is_broken()) {
+                if now.into_std() >= departure.move_at(self.move_spread) {
+                    self.repath.start(&self.gateway, &self.call, &live, now);
+                }
                 look = look.min(now + SILENCE_TICK);
             }
             tokio::select! {
--- a/crates/gateway/src/request/relay/repath.rs
+++ b/crates/gateway/src/request/relay/repath.rs
@@ -89,7 +89,7 @@
         if self.tries >= MOST_TRIES {
             return false;
         }
-        let to = gateway.paths.borrow().successor(&call.service, from, now);
+        let to = gateway.paths.borrow_mut().successor(&call.service, from, now);
         let Some(to) = to else { return false };
         self.tried = Some(now);
         self.tries += 1;
--- a/crates/routing/src/process/best_paths.rs
+++ b/crates/routing/src/process/best_paths.rs
@@ -1,6 +1,8 @@
 //! The best paths of a service, kept up to date as its engines change.
 
-use crate::process::{DataCentre, Holder, PipelinePath, cheapest_path, paths_by_head};
+use crate::process::{
+    DataCentre, Holder, PipelinePath, cheapest_path, path_with_first, paths_by_head,
+};
 use std::collections::BTreeMap;
 
 /// A path, and how well its data centre bears the loss of an engine of it.
@@ -55,6 +57,12 @@
         paths
     }
 
+    /// The cheapest path inside its data centre that begins with the same part as another one.
+    pub fn with_first(&self, of: &PipelinePath) -> Option<PipelinePath> {
+        let local = self.local.get(&of.data_centre)?;
+        path_with_first(&local.holders, self.layers, of.first())
+    }
+
     /// How often a data centre was searched.
     pub fn searches(&self) -> u64 {
         self.searches
--- a/crates/routing/src/process/mod.rs
+++ b/crates/routing/src/process/mod.rs
@@ -1,6 +1,7 @@
 //! What lives as long as a process.
 
 mod best_paths;
+mod departure;
 mod endpoint;
 mod entry_fault;
 mod failure_evidence;
@@ -24,6 +25,7 @@
 mod stream_pace;
 
 pub use best_paths::*;
+pub use departure::*;
 pub use endpoint::*;
 pub use entry_fault::*;
 pub use failure_evidence::*;
--- a/crates/routing/src/process/path_search.rs
+++ b/crates/routing/src/process/path_search.rs
@@ -46,6 +46,8 @@
 /// anywhere within what it holds. `O(layers * holders * data centres)`.
 pub(super) struct PathSearch<'a> {
     holders: &'a [&'a Holder],
+    /// The first layer to run.
+    begin: usize,
     layers: usize,
     /// By holder.
     layer_costs: Vec<f64>,
@@ -79,6 +81,7 @@
         let places: Vec<usize> = holders.iter().map(place).collect();
         PathSearch {
             holders,
+            begin: 0,
             layers,
             layer_costs: holders.iter().map(layer_cost).collect(),
             places,
@@ -88,9 +91,14 @@
         }
     }
 
+    /// Searches for paths over the layers from `begin` on alone.
+    pub(super) fn with_begin(self, begin: u32) -> PathSearch<'a> {
+        PathSearch { begin: begin as usize, ..self }
+    }
+
     /// The cheapest path, with `head` the first to run, where one is given.
     pub(super) fn run(mut self, head: Option<usize>) -> Option<PipelinePath> {
-        for layer in 0..self.layers {
+        for layer in self.begin..self.layers {
             self.extend(layer, head);
         }
         let ends = self.row(self.layers);
@@ -106,7 +114,7 @@
         let ends = self.cheapest_ends(layer);
         let len = self.holders.len();
         for at in 0..len {
-            let may_begin = layer > 0 || head.is_none_or(|head| head == at);
+            let may_begin = layer > self.begin || head.is_none_or(|head| head == at);
             if !self.holders[at].layers.contains(layer as u32) || !may_begin {
                 continue;
             }
@@ -131,7 +139,7 @@
 
     /// The cheapest way to begin a run of a holder at `layer`, and whose run ends there.
     fn entry(&self, layer: usize, to: usize, ends: &[CheapestEnds]) -> (f64, Option<usize>) {
-        if layer == 0 {
+        if layer == self.begin {
             return (PART_COST, None);
         }
         let joins = ends.iter().enumerate().filter_map(|(place, ends)| {
--- a/crates/routing/src/process/pipeline_path.rs
+++ b/crates/routing/src/process/pipeline_path.rs
@@ -93,6 +93,27 @@
     paths
 }
 
+/// The cheapest path that begins with a given part: requests that run there can go on over it.
+pub fn path_with_first(holders: &[Holder], layers: u32, first: &PathPart) -> Option<PipelinePath> {
+    let head = holders.iter().find(|holder| holder.life == first.life)?;
+    if first.layers.to >= layers {
+        return None;
+    }
+    let mut others: Vec<&Holder> =
+        holders.iter().filter(|holder| holder.life != first.life).collect();
+    let rest = distinct_rest(&mut others, layers, first.layers.to)?;
+    let room = head.kv_room / f64::from(first.layers.len());
+    let crosses = u32::from(rest.data_centre != head.data_centre);
+    Some(PipelinePath {
+        data_centre: head.data_centre.clone(),
+        token_room: rest.token_room.min(room),
+        step_ms: rest.step_ms + f64::from(first.layers.len()) * head.layer_cost,
+        crossings: rest.crossings + crosses,
+        parts: std::iter::once(first.clone()).chain(rest.parts).collect(),
+    })
+    .filter(|path| path.parts.len() <= MAX_PARTS)
+}
+
 /// The cheapest path without engines that it would leave and come back to: what such an engine
 /// holds covers all in between, so the engine in between is left out.
 fn distinct_path(
@@ -104,11 +125,27 @@
     loop {
         let head = head.and_then(|life| holders.iter().position(|holder| holder.life == *life));
         let path = PathSearch::new(&holders, layers, uses).run(head)?;
-        let comes_back =
-            |at: &usize| path.parts[at + 1..].iter().any(|part| part.life == path.parts[*at].life);
-        let Some(first) = (0..path.parts.len()).find(comes_back) else {
+        let Some(between) = left_and_come_back_to(&path) else {
             return (path.parts.len() <= MAX_PARTS).then_some(path);
         };
-        holders.retain(|holder| holder.life != path.parts[first + 1].life);
+        holders.retain(|holder| holder.life != between);
     }
 }
+
+/// The same over the layers from `begin` on.
+fn distinct_rest(holders: &mut Vec<&Holder>, layers: u32, begin: u32) -> Option<PipelinePath> {
+    loop {
+        let search = PathSearch::new(holders, layers, &Uses::new()).with_begin(begin);
+        let path = search.run(None)?;
+        let Some(between) = left_and_come_back_to(&path) else { return Some(path) };
+        holders.retain(|holder| holder.life != between);
+    }
+}
+
+/// The engine after one that the path leaves and comes back to, if there is one.
+fn left_and_come_back_to(path: &PipelinePath) -> Option<Incarnation> {
+    let comes_back =
+        |at: &usize| path.parts[at + 1..].iter().any(|part| part.life == path.parts[*at].life);
+    let first = (0..path.parts.len()).find(comes_back)?;
+    Some(path.parts[first + 1].life.clone())
+}
--- /dev/null
+++ b/crates/routing/tests/departure.rs
@@ -0,0 +1,65 @@
+//! Streams on a path whose engine leaves: how many are moved, and how many at once.
+
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use sorrellock_routing::process::Departure;
+use std::time::{Duration, Instant};
+
+const SERVES_FOR: Duration = Duration::from_secs(4);
+const STREAMS: usize = 200;
+/// The longest that a stream has left: three seconds at the mean.
+const LONGEST_REST: Duration = Duration::from_secs(6);
+/// An engine that takes a part over reads the prompts of those that moved meanwhile together.
+const BATCH: Duration = Duration::from_millis(100);
+
+/// When the streams that are still under way move, from the news of the leave on.
+fn moves(seed: u64) -> Vec<Duration> {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let known = Instant::now();
+    let departure = Departure::new(known, SERVES_FOR);
+    let rests = (0..STREAMS).map(|_| {
+        let rest = LONGEST_REST.mul_f64(rng.random_range(0.0..1.0));
+        let move_at = departure.move_at(rng.random_range(0.0..1.0)) - known;
+        (move_at < rest).then_some(move_at)
+    });
+    rests.flatten().collect()
+}
+
+#[test]
+fn streams_that_end_before_the_engine_does_are_not_moved() {
+    for seed in 0..20 {
+        let moved = moves(seed).len();
+
+        assert!((STREAMS / 2..STREAMS * 3 / 4).contains(&moved), "seed {seed}: {moved} moved");
+    }
+}
+
+#[test]
+fn moves_come_one_after_the_other() {
+    for seed in 0..20 {
+        let moves = moves(seed);
+        let at_once = |from: &Duration| {
+            moves.iter().filter(|at| (*from..*from + BATCH).contains(*at)).count()
+        };
+        let most = moves.iter().map(at_once).max().expect("some move");
+
+        assert!(most <= STREAMS / 6, "seed {seed}: {most} at once");
+    }
+}
+
+#[test]
+fn all_are_moved_well_before_the_engine_exits() {
+    let known = Instant::now();
+
+    let last = Departure::new(known, SERVES_FOR).move_at(1.0);
+
+    assert!(last <= known + SERVES_FOR.mul_f64(0.6));
+}
+
+#[test]
+fn a_spread_out_of_range_moves_no_stream_later() {
+    let known = Instant::now();
+    let departure = Departure::new(known, SERVES_FOR);
+
+    assert_eq!(departure.move_at(7.0), departure.move_at(1.0));
+}
--- a/crates/routing/tests/paths.rs
+++ b/crates/routing/tests/paths.rs
@@ -4,7 +4,10 @@
 
 use common::{holder, life};
 use quickcheck::quickcheck;
-use sorrellock_routing::process::{Holder, MAX_PARTS, PipelinePath, cheapest_path, paths_by_head};
+use sorrellock_routing::process::{
+    Holder, LayerRange, MAX_PARTS, PathPart, PipelinePath, cheapest_path, path_with_first,
+    paths_by_head,
+};
 
 /// The engines of a path, in order.
 fn ids(path: &PipelinePath) -> Vec<&str> {
@@ -119,6 +122,40 @@
     assert_whole(&path, 12);
 }
 
+/// The part of an engine that runs `0..to`.
+fn first_part(holder: &Holder, to: u32) -> PathPart {
+    PathPart { life: holder.life.clone(), addr: holder.addr, layers: LayerRange::new(0, to) }
+}
+
+#[test]
+fn a_path_for_requests_that_run_begins_with_the_part_that_they_have() {
+    let holders =
+        [holder("a", "x", 0, 8, 1.0), holder("b", "x", 4, 12, 1.0), holder("c", "x", 4, 12, 9.0)];
+
+    let path =
+        path_with_first(&holders, 12, &first_part(&holders[0], 5)).expect("b holds the rest");
+
+    assert_eq!(ids(&path), ["a", "b"]);
+    assert_eq!(path.parts[0].layers, LayerRange::new(0, 5));
+    assert_whole(&path, 12);
+}
+
+#[test]
+fn a_path_for_requests_that_run_does_not_come_back_to_their_first_engine() {
+    let holders = [holder("a", "x", 0, 12, 1.0), holder("b", "x", 4, 8, 1.0)];
+
+    let path = path_with_first(&holders, 12, &first_part(&holders[0], 5));
+
+    assert_eq!(path, None, "the last layers are held by the first engine alone");
+}
+
+#[test]
+fn there_is_no_path_for_requests_whose_first_engine_is_gone() {
+    let holders = [holder("b", "x", 4, 12, 1.0)];
+
+    assert_eq!(path_with_first(&holders, 12, &first_part(&holder("a", "x", 0, 5, 1.0), 5)), None);
+}
+
 /// The least cost of running all layers with each engine once, tried one by one.
 fn exact(holders: &[Holder], layer: u32, layers: u32, visited: &mut Vec<usize>) -> f64 {
     if layer == layers {
