--- a/crates/bench/benches/chains.rs
+++ b/crates/bench/benches/chains.rs
@@ -79,7 +79,8 @@
     held: &HashMap<Incarnation, LayerRange>,
 ) -> Vec<f64> {
     let without = |lost: &PlannedEngine| {
-        let left: Vec<_> = engines.iter().filter(|one| one.life != lost.life).cloned().collect();
+        let left: Vec<_> =
+            engines.iter().filter(|one| one.incarnation != lost.incarnation).cloned().collect();
         streams(shape, &holders(shape, &left, held))
     };
     engines.iter().map(without).collect()
@@ -89,15 +90,19 @@
 fn streams(shape: &ModelShape, holders: &[Holder]) -> f64 {
     let paths = paths_by_head(holders, shape.layers);
     let most = |holder: &Holder| {
-        let layers: u32 = paths.iter().map(|path| layers_at(path, &holder.life)).sum();
+        let layers: u32 = paths.iter().map(|path| layers_at(path, &holder.incarnation)).sum();
         holder.kv_room / shape.usual_tokens() / f64::from(layers)
     };
     let by_room = holders.iter().map(most).fold(f64::INFINITY, f64::min);
     by_room.min(f64::from(shape.slots)).floor() * paths.len() as f64
 }
 
-fn layers_at(path: &PipelinePath, life: &Incarnation) -> u32 {
-    path.parts.iter().filter(|part| part.life == *life).map(|part| part.layers.len()).sum()
+fn layers_at(path: &PipelinePath, incarnation: &Incarnation) -> u32 {
+    path.parts
+        .iter()
+        .filter(|part| part.incarnation == *incarnation)
+        .map(|part| part.layers.len())
+        .sum()
 }
 
 fn placed(plan: &DataCentrePlan) -> HashMap<Incarnation, LayerRange> {
@@ -108,7 +113,7 @@
 fn one_chain(shape: &ModelShape, engines: &[PlannedEngine]) -> HashMap<Incarnation, LayerRange> {
     let seen: Vec<_> = engines.iter().map(PlannedEngine::in_chain).collect();
     let plan = divide(shape, &seen, Weights::BALANCE).expect("the memory is enough");
-    engines.iter().map(|engine| engine.life.clone()).zip(plan.ranges).collect()
+    engines.iter().map(|engine| engine.incarnation.clone()).zip(plan.ranges).collect()
 }
 
 fn holders(
@@ -117,10 +122,10 @@
     held: &HashMap<Incarnation, LayerRange>,
 ) -> Vec<Holder> {
     let holder = |engine: &PlannedEngine| {
-        let layers = held[&engine.life];
-        let card = shape.card(engine.life.id.split('-').next()?)?;
+        let layers = held[&engine.incarnation];
+        let card = shape.card(engine.incarnation.id.split('-').next()?)?;
         (!layers.is_empty()).then(|| Holder {
-            life: engine.life.clone(),
+            incarnation: engine.incarnation.clone(),
             addr: ([127, 0, 0, 1], 1).into(),
             data_centre: "north".into(),
             layers,
--- a/crates/daemon/tests/gateway/entries.rs
+++ b/crates/daemon/tests/gateway/entries.rs
@@ -110,7 +110,7 @@
 }
 
 #[test]
-fn a_bad_entry_that_stays_is_gone_in_the_end_though_its_engine_lives() {
+fn a_bad_entry_that_stays_is_gone_in_the_end_though_its_engine_incarnations() {
     let fleet = fleet();
     let gateway = fleet.gateway("one");
     let engine = &fleet.engines[0];
--- a/crates/daemon/tests/gateway/lives.rs
+++ b/crates/daemon/tests/gateway/incarnations.rs
@@ -1,4 +1,4 @@
-//! Engines that start again under their id: nothing of the life before is taken for theirs.
+//! Engines that start again under their id: nothing of the incarnation before is taken for theirs.
 
 use crate::fleet::{
     Fleet, KEY, begin, fleet, fleet_of_two_chains, fleet_of_two_first_engines, new_request,
@@ -42,7 +42,7 @@
     fleet.engines.iter().find(is_second).expect("one of them")
 }
 
-/// Waits until an engine has taken the first order of its life and holds layers again.
+/// Waits until an engine has taken the first order of its incarnation and holds layers again.
 fn wait_for_first_order(engine: &FakeEngine) {
     wait_for("the first order of the new life", || {
         engine.orders() == 1 && engine.layers() != (0, 0)
@@ -99,7 +99,7 @@
 }
 
 #[test]
-fn an_engine_that_starts_again_gets_its_layers_by_the_count_of_its_new_life() {
+fn an_engine_that_starts_again_gets_its_layers_by_the_count_of_its_new_incarnation() {
     let fleet = fleet();
     let gateway = fleet.gateway("one");
     let engine = &fleet.engines[0];
@@ -108,16 +108,16 @@
 
     gateway.wait_for_line(&[STARTED_AGAIN, engine.id()]);
     wait_for_first_order(engine);
-    let is_of_new_life = |line: &String| line.contains("\"expected\":0");
+    let is_of_new_incarnation = |line: &String| line.contains("\"expected\":0");
     wait_for("the order of the new life", || {
         let orders = gateway.lines(&["\"order given\"", engine.id(), "Begun"]);
-        orders.iter().filter(|line| is_of_new_life(line)).count() == 2
+        orders.iter().filter(|line| is_of_new_incarnation(line)).count() == 2
     });
     assert!(gateway.lines(&["\"order given\"", engine.id(), "Refused"]).is_empty());
 }
 
 #[test]
-fn beside_an_outage_of_the_store_a_report_tells_of_the_new_life() {
+fn beside_an_outage_of_the_store_a_report_tells_of_the_new_incarnation() {
     let fleet = fleet();
     let gateway = fleet.gateway("one");
     let stream = Stream::begin(&gateway);
@@ -211,7 +211,7 @@
 }
 
 #[test]
-fn a_gateway_that_only_another_one_tells_knows_of_the_new_life() {
+fn a_gateway_that_only_another_one_tells_knows_of_the_new_incarnation() {
     let fleet = fleet();
     let first = fleet.gateway("one");
     first.wait_for_line(&["\"lead taken\""]);
--- a/crates/daemon/tests/gateway/planned_work/check.rs
+++ b/crates/daemon/tests/gateway/planned_work/check.rs
@@ -145,8 +145,10 @@
     /// Whether a gateway's last sixth of grace ended a request that was sent before its signal, or shortly after.
     fn meets_end_of_grace(&self, seen: &Exchange) -> bool {
         let last_sixth_ms = GRACE.as_millis() as u64 * 5 / 6;
-        let signals =
-            self.world.nodes[seen.gateway].lives.iter().filter_map(|life| life.told_to_end_ms);
+        let signals = self.world.nodes[seen.gateway]
+            .incarnations
+            .iter()
+            .filter_map(|incarnation| incarnation.told_to_end_ms);
         signals.into_iter().any(|signal| {
             seen.sent_ms <= signal + SENT_AFTER_SIGNAL_MS
                 && (signal + last_sixth_ms..=signal + 2 * last_sixth_ms).contains(&seen.ended_ms)
@@ -222,7 +224,8 @@
 fn standstills(world: &World) -> HashMap<usize, Vec<Standstill>> {
     let mut gateways = HashMap::new();
     for (index, node) in world.nodes.iter().enumerate() {
-        gateways.extend(node.lives.iter().map(|life| (life.process.pid(), index)));
+        gateways
+            .extend(node.incarnations.iter().map(|incarnation| (incarnation.process.pid(), index)));
     }
     let mut all: HashMap<usize, Vec<Standstill>> = HashMap::new();
     for one in world.quotas.standstills() {
--- a/crates/daemon/tests/gateway/planned_work/evidence.rs
+++ b/crates/daemon/tests/gateway/planned_work/evidence.rs
@@ -66,7 +66,8 @@
         let mut requests: HashMap<String, Vec<Line>> = HashMap::new();
         let mut judgements = Vec::new();
         for (gateway, node) in world.nodes.iter().enumerate() {
-            let texts = node.lives.iter().flat_map(|life| life.process.lines(&[]));
+            let texts =
+                node.incarnations.iter().flat_map(|incarnation| incarnation.process.lines(&[]));
             for mut line in texts.filter_map(|text| Line::parse(gateway, &text)) {
                 if let Some(before) = requests.get(line.text("request")).and_then(|all| all.last())
                     && line.engine.is_empty()
--- a/crates/daemon/tests/gateway/planned_work/mod.rs
+++ b/crates/daemon/tests/gateway/planned_work/mod.rs
@@ -100,8 +100,11 @@
     fs::create_dir_all(&folder).expect("the folder for logs");
     fs::write(folder.join("course.txt"), work.course.join("\n")).expect("the course");
     for node in &world.nodes {
-        let lines: Vec<String> =
-            node.lives.iter().flat_map(|life| life.process.lines(&[])).collect();
+        let lines: Vec<String> = node
+            .incarnations
+            .iter()
+            .flat_map(|incarnation| incarnation.process.lines(&[]))
+            .collect();
         fs::write(folder.join(&node.name), lines.join("\n")).expect("a log");
     }
 }
--- a/crates/daemon/tests/gateway/planned_work/world.rs
+++ b/crates/daemon/tests/gateway/planned_work/world.rs
@@ -56,7 +56,7 @@
     pub data_centre: &'static str,
     pub ip: IpAddr,
     pub share: f64,
-    pub lives: Vec<Life>,
+    pub incarnations: Vec<Life>,
     pub killed_at: Option<Instant>,
 }
 
@@ -147,12 +147,12 @@
             let is_large = index % LARGE_EACH == LARGE_EACH - 1;
             let share = if is_large { self.options.large_share } else { self.options.share };
             let (name, ip) = (format!("front-{data_centre}-{index}"), new_ip());
-            let (lives, killed_at) = (Vec::new(), None);
-            self.nodes.push(Node { name, data_centre, ip, share, lives, killed_at });
+            let (incarnations, killed_at) = (Vec::new(), None);
+            self.nodes.push(Node { name, data_centre, ip, share, incarnations, killed_at });
             self.start_process(index);
         }
         for node in &self.nodes {
-            let process = &node.lives[0].process;
+            let process = &node.incarnations[0].process;
             wait_for("a gateway to be ready", || process.is_ready());
             for data_centre in DATA_CENTRES {
                 process.wait_for_line(&["\"path in use\"", "\"lexis\"", data_centre]);
@@ -171,7 +171,7 @@
             .replace("budget_window_s = 1\n", "budget_window_s = 10\n")
             .replace("budget_slack = 200\n", &format!("budget_slack = {slack:.0}\n"));
         let process = GatewayProcess::spawn_with(node.ip, &text, true);
-        node.lives.push(Life { process, told_to_end_ms: None });
+        node.incarnations.push(Life { process, told_to_end_ms: None });
         node.killed_at = None;
     }
 
@@ -183,9 +183,10 @@
 
     /// Tells a gateway to end.
     pub fn terminate(&mut self, index: usize) {
-        let life = self.nodes[index].lives.last_mut().expect("each gateway was started");
-        life.told_to_end_ms = Some(now_ms());
-        life.process.signal(Signal::SIGTERM);
+        let incarnation =
+            self.nodes[index].incarnations.last_mut().expect("each gateway was started");
+        incarnation.told_to_end_ms = Some(now_ms());
+        incarnation.process.signal(Signal::SIGTERM);
         self.nodes[index].killed_at = Some(Instant::now() + GRACE);
     }
 
@@ -195,7 +196,8 @@
         for index in 0..self.nodes.len() {
             let node = &mut self.nodes[index];
             let Some(killed_at) = node.killed_at else { continue };
-            let process = &mut node.lives.last_mut().expect("each gateway was started").process;
+            let process =
+                &mut node.incarnations.last_mut().expect("each gateway was started").process;
             if Instant::now() >= killed_at {
                 process.signal(Signal::SIGKILL);
             }
@@ -213,7 +215,8 @@
     pub fn end(&mut self) -> Vec<String> {
         let mut ended = Vec::new();
         for node in &mut self.nodes {
-            let process = &mut node.lives.last_mut().expect("each gateway was started").process;
+            let process =
+                &mut node.incarnations.last_mut().expect("each gateway was started").process;
             let pid = process.pid();
             if self.quotas.reap(pid, || process.has_ended()) {
                 if node.killed_at.is_none() {
@@ -231,6 +234,6 @@
 impl Node {
     /// The present process.
     pub fn process(&self) -> &GatewayProcess {
-        &self.lives.last().expect("each gateway was started").process
+        &self.incarnations.last().expect("each gateway was started").process
     }
 }
--- a/crates/daemon/tests/gateway/silence.rs
+++ b/crates/daemon/tests/gateway/silence.rs
@@ -251,9 +251,9 @@
     let proxy = FakeProxy::start(new_ip(), engine.addr()).expect("a proxy");
     engine.tell_addr(proxy.addr());
     let gateway = fleet.gateway("one");
-    let lives = ["\"endpoint lives without its entry\"", engine.id()];
+    let line = ["\"endpoint lives without its entry\"", engine.id()];
     engine.lose_store();
-    gateway.wait_for_line(&lives);
+    gateway.wait_for_line(&line);
     engine.regain_store();
     gateway.wait_for_line(&["\"entry of an endpoint is back\"", engine.id()]);
 
@@ -262,7 +262,7 @@
 
     let gone = ["\"endpoint gone\"", engine.id()];
     wait_for("the engine's health", || {
-        gateway.lines(&lives).len() + gateway.lines(&gone).len() >= 2
+        gateway.lines(&line).len() + gateway.lines(&gone).len() >= 2
     });
     assert_eq!(gateway.lines(&gone), Vec::<String>::new());
 }
--- a/crates/daemon/tests/gateway/soak/faults.rs
+++ b/crates/daemon/tests/gateway/soak/faults.rs
@@ -14,7 +14,7 @@
 use std::thread;
 use std::time::Duration;
 
-/// Entries of an ended life that are kept to be written again.
+/// Entries of an ended incarnation that are kept to be written again.
 const OLD_ENTRIES: usize = 8;
 /// Two signals of one series are at most this far apart: with less than a process takes to end,
 /// they overlap.
@@ -187,7 +187,7 @@
         format!("{} writes its entry", engine.id())
     }
 
-    /// What an engine wrote in a life that has ended reaches the store late.
+    /// What an engine wrote in an incarnation that has ended reaches the store late.
     fn write_old_entry(&mut self, rng: &mut StdRng) -> String {
         let Some((id, entry)) = self.old_entries.choose(rng) else {
             return "no entry of an ended life".into();
--- a/crates/daemon/tests/gateway/soak/world.rs
+++ b/crates/daemon/tests/gateway/soak/world.rs
@@ -34,7 +34,7 @@
     gap: Duration,
     /// Of the newest configuration.
     pub version: u64,
-    /// Entries of lives that have ended, which may be written again late.
+    /// Entries of incarnations that have ended, which may be written again late.
     pub old_entries: Vec<(String, Value)>,
     /// The store's last copies of itself.
     pub copies: VecDeque<StoreCopy>,
--- a/crates/gateway/src/process/counters.rs
+++ b/crates/gateway/src/process/counters.rs
@@ -86,9 +86,9 @@
     Orders => "orders",
     /// Orders that engines refused, or that brought no answer.
     OrderFailures => "order_failures",
-    /// Lives of endpoints that ended as another one began.
+    /// Incarnations of endpoints that ended as another one began.
     LivesEnded => "lives_ended",
-    /// Entries and answers of lives that were over.
+    /// Entries and answers of incarnations that were over.
     NewsLate => "news_late",
     /// Reports without a start of engines whose entry tells one.
     ReportsWithoutStart => "reports_without_start",
--- a/crates/gateway/src/process/dump.rs
+++ b/crates/gateway/src/process/dump.rs
@@ -209,7 +209,7 @@
         paths.extend(book.paths(&service.name).iter().map(|live| PathDump {
             service: service.name.clone(),
             data_centre: live.path.data_centre.clone(),
-            engines: live.path.parts.iter().map(|part| part.life.to_string()).collect(),
+            engines: live.path.parts.iter().map(|part| part.incarnation.to_string()).collect(),
             room: live.path.token_room,
             tokens: live.tokens.get(),
             streams: live.streams.get(),
--- a/crates/gateway/src/process/gateway.rs
+++ b/crates/gateway/src/process/gateway.rs
@@ -9,7 +9,7 @@
 use sorrellock_platform::{Bounds, Client, EndpointLoad, Kind, Settings, StoreEras};
 use sorrellock_routing::process::knowledge::Knowledge;
 use sorrellock_routing::process::{
-    FailureEvidence, Incarnation, Leaving, Lives, LoopPauses, RetryWindow, StreamPace,
+    FailureEvidence, Incarnation, Incarnations, Leaving, LoopPauses, RetryWindow, StreamPace,
 };
 use sorrellock_routing::version::{Configuration, ServiceName};
 use spdlog::{info, warn};
@@ -63,8 +63,8 @@
     pub(crate) pauses: RefCell<LoopPauses>,
     pub(crate) knowledge: RefCell<Knowledge>,
     pub(crate) beliefs: RefCell<Beliefs>,
-    /// Which life of each endpoint is the present one.
-    pub(crate) lives: RefCell<Lives>,
+    /// Which incarnation of each endpoint is the present one.
+    pub(crate) incarnations: RefCell<Incarnations>,
     /// Faults of objects in the store that the log has told.
     pub(crate) told_faults: RefCell<ToldFaults>,
     pub(crate) paths: Rc<RefCell<PathBook>>,
@@ -118,7 +118,7 @@
             pauses: RefCell::default(),
             knowledge,
             beliefs: RefCell::default(),
-            lives: RefCell::default(),
+            incarnations: RefCell::default(),
             told_faults: RefCell::default(),
             paths: Rc::default(),
             pool: RefCell::default(),
@@ -249,15 +249,15 @@
     /// Tells and forgets an endpoint that was removed.
     pub(crate) fn endpoint_gone(&self, id: &str, source: &str) {
         info!("endpoint gone", kv: { endpoint = id, source });
-        self.uses.borrow_mut().retain(|life, _| life.id != id);
+        self.uses.borrow_mut().retain(|incarnation, _| incarnation.id != id);
         self.engines_changed.notify_waiters();
     }
 
     /// An endpoint failed an attempt: it gets nothing new for a while.
-    pub(crate) fn suspect(&self, life: &Incarnation, evidence: FailureEvidence, why: &str) {
+    pub(crate) fn suspect(&self, incarnation: &Incarnation, evidence: FailureEvidence, why: &str) {
         let now = Instant::now();
-        if self.beliefs.borrow_mut().suspect(life, evidence, now, SUSPECT_FOR) {
-            warn!("endpoint suspected", kv: { endpoint = life.id.as_str(), evidence:?, why });
+        if self.beliefs.borrow_mut().suspect(incarnation, evidence, now, SUSPECT_FOR) {
+            warn!("endpoint suspected", kv: { endpoint = incarnation.id.as_str(), evidence:?, why });
             self.refresh_paths();
             self.engines_changed.notify_waiters();
             self.suspected.notify_one();
@@ -290,20 +290,20 @@
     fn hear_suspicion(&self, report: &ReportedSuspect, instance: &str, now: Instant) {
         if self.beliefs.borrow_mut().hear_suspect(report, instance, now, SUSPECT_FOR) {
             warn!("endpoint suspected", kv: {
-                endpoint = report.life.id.as_str(), evidence:? = report.evidence,
+                endpoint = report.incarnation.id.as_str(), evidence:? = report.evidence,
                 why = "another gateway told", instance
             });
         }
     }
 
     /// An endpoint gave a sign of life: a suspicion of it was wrong, or is out of date.
-    pub(crate) fn note_alive(&self, life: &Incarnation, sign: &str) {
+    pub(crate) fn note_alive(&self, incarnation: &Incarnation, sign: &str) {
         let now = Instant::now();
-        let Some(suspicion) = self.beliefs.borrow_mut().refute(life, now) else { return };
+        let Some(suspicion) = self.beliefs.borrow_mut().refute(incarnation, now) else { return };
         self.counters.add(Count::SuspicionsRefuted);
         let source = suspicion.source.to_string();
         info!("suspected endpoint is alive", kv: {
-            endpoint = life.id.as_str(), sign, source = source.as_str(),
+            endpoint = incarnation.id.as_str(), sign, source = source.as_str(),
             after_ms = (now - suspicion.since).as_millis() as u64
         });
     }
@@ -312,77 +312,77 @@
     pub(crate) fn on_path_restored(&self, live: &LivePath) {
         let now = Instant::now();
         for part in &live.path.parts {
-            self.note_alive(&part.life, "an event");
-            self.beliefs.borrow_mut().withdraw(&part.life, now);
+            self.note_alive(&part.incarnation, "an event");
+            self.beliefs.borrow_mut().withdraw(&part.incarnation, now);
         }
         self.refresh_paths();
         self.engines_changed.notify_waiters();
     }
 
     /// Why an endpoint is taken to be dead, and by whom; none while it is not. For log lines.
-    pub(crate) fn judgement(&self, life: &Incarnation) -> Option<String> {
+    pub(crate) fn judgement(&self, incarnation: &Incarnation) -> Option<String> {
         let now = Instant::now();
-        if self.has_ended(life) || self.lives.borrow().is_over(life) {
+        if self.has_ended(incarnation) || self.incarnations.borrow().is_over(incarnation) {
             return Some("ended".to_owned());
         }
         let beliefs = self.beliefs.borrow();
-        if let Some(suspicion) = beliefs.suspicion(life, now) {
+        if let Some(suspicion) = beliefs.suspicion(incarnation, now) {
             let ms = (now - suspicion.since).as_millis();
             return Some(format!("suspected by {} for {ms} ms", suspicion.source));
         }
-        let is_dead = beliefs.engine(life, now).is_some_and(|engine| engine.is_dead);
+        let is_dead = beliefs.engine(incarnation, now).is_some_and(|engine| engine.is_dead);
         is_dead.then(|| "dead by the lead".to_owned())
     }
 
-    /// The client for questions to an endpoint in one life. Its connections are kept: new ones are priced.
-    pub(crate) fn probe(&self, life: &Incarnation, addr: SocketAddr) -> Client {
+    /// The client for questions to an endpoint in one incarnation. Its connections are kept: new ones are priced.
+    pub(crate) fn probe(&self, incarnation: &Incarnation, addr: SocketAddr) -> Client {
         let mut probes = self.probes.borrow_mut();
-        match probes.get(life) {
+        match probes.get(incarnation) {
             Some(client) if client.peer() == addr => client.clone(),
             _ => {
                 let client = Client::new(addr);
-                probes.insert(life.clone(), client.clone());
+                probes.insert(incarnation.clone(), client.clone());
                 client
             }
         }
     }
 
     /// An endpoint told that it takes nothing more.
-    pub(crate) fn believe_leaving(&self, life: &Incarnation) {
+    pub(crate) fn believe_leaving(&self, incarnation: &Incarnation) {
         let now = Instant::now();
-        if self.beliefs.borrow_mut().believe_leaving(life, now) {
+        if self.beliefs.borrow_mut().believe_leaving(incarnation, now) {
             let source = self.settings.instance.as_str();
-            info!("endpoint told that it leaves", kv: { endpoint = life.id.as_str(), source });
+            info!("endpoint told that it leaves", kv: { endpoint = incarnation.id.as_str(), source });
             self.refresh_paths();
             self.engines_changed.notify_waiters();
         }
     }
 
-    /// Whether an endpoint has ended or is cut off, as far as the lead can tell, or its life is over
+    /// Whether an endpoint has ended or is cut off, as far as the lead can tell, or its incarnation is over
     /// for good.
-    pub(crate) fn is_dead(&self, life: &Incarnation) -> bool {
-        if self.lives.borrow().is_over(life) {
+    pub(crate) fn is_dead(&self, incarnation: &Incarnation) -> bool {
+        if self.incarnations.borrow().is_over(incarnation) {
             return true;
         }
         let beliefs = self.beliefs.borrow();
-        beliefs.engine(life, Instant::now()).is_some_and(|engine| engine.is_dead)
+        beliefs.engine(incarnation, Instant::now()).is_some_and(|engine| engine.is_dead)
     }
 
-    /// Whether a life is over for good, or its endpoint is no longer known. One that the lead takes to be dead may only have
+    /// Whether an incarnation is over for good, or its endpoint is no longer known. One that the lead takes to be dead may only have
     /// paused, and still run what it was sent.
-    pub(crate) fn is_gone(&self, life: &Incarnation) -> bool {
-        self.lives.borrow().is_over(life) || !self.is_listed(life)
+    pub(crate) fn is_gone(&self, incarnation: &Incarnation) -> bool {
+        self.incarnations.borrow().is_over(incarnation) || !self.is_listed(incarnation)
     }
 
     /// Whether an endpoint has ended, or failed just now as if it had.
-    pub(crate) fn is_lost(&self, life: &Incarnation) -> bool {
-        self.has_ended(life)
-            || self.is_dead(life)
-            || self.beliefs.borrow().is_suspect(life, Instant::now())
+    pub(crate) fn is_lost(&self, incarnation: &Incarnation) -> bool {
+        self.has_ended(incarnation)
+            || self.is_dead(incarnation)
+            || self.beliefs.borrow().is_suspect(incarnation, Instant::now())
     }
 
-    /// Whether the list holds an endpoint in this life.
-    pub(crate) fn is_listed(&self, life: &Incarnation) -> bool {
-        self.knowledge.borrow().is_current(life)
+    /// Whether the list holds an endpoint in this incarnation.
+    pub(crate) fn is_listed(&self, incarnation: &Incarnation) -> bool {
+        self.knowledge.borrow().is_current(incarnation)
     }
 }
--- a/crates/gateway/src/process/paths/path_book.rs
+++ b/crates/gateway/src/process/paths/path_book.rs
@@ -67,14 +67,14 @@
     ) -> Vec<Rc<LivePath>> {
         let all = self.paths.values().flatten();
         let breaking = all.filter(|live| live.breaks_by_report(report.evidence, now));
-        breaking.filter(|live| live.path.uses(&report.life)).cloned().collect()
+        breaking.filter(|live| live.path.uses(&report.incarnation)).cloned().collect()
     }
 
     /// What this gateway's streams take, by the first engine of their path.
     pub(crate) fn own_loads(&self) -> HashMap<Incarnation, Load> {
         let mut loads: HashMap<Incarnation, Load> = HashMap::new();
         for live in self.paths.values().flatten().filter(|live| live.takes_capacity()) {
-            let load = loads.entry(live.path.first().life.clone()).or_default();
+            let load = loads.entry(live.path.first().incarnation.clone()).or_default();
             load.tokens += live.tokens.get();
             load.streams += live.streams.get();
         }
@@ -90,7 +90,7 @@
     /// Streams of all gateways that begin at an engine.
     fn head_streams(&self, service: &str, head: &Incarnation) -> u32 {
         let begins_there =
-            |live: &&Rc<LivePath>| live.takes_capacity() && live.path.first().life == *head;
+            |live: &&Rc<LivePath>| live.takes_capacity() && live.path.first().incarnation == *head;
         let own = self.paths(service).iter().filter(begins_there);
         let own: u32 = own.map(|live| live.streams.get()).sum();
         own + self.peers.get(head).map_or(0, |load| load.streams)
@@ -101,11 +101,12 @@
     fn kv_used(&self, service: &str) -> HashMap<&Incarnation, f64> {
         let mut used: HashMap<&Incarnation, f64> = HashMap::new();
         for live in self.paths(service).iter().filter(|live| !live.is_broken()) {
-            let peers = self.peers.get(&live.path.first().life);
+            let peers = self.peers.get(&live.path.first().incarnation);
             let peers = peers.filter(|_| !live.is_superseded.get()).map_or(0.0, |p| p.tokens);
             let tokens = live.tokens.get() + peers;
             for part in &live.path.parts {
-                *used.entry(&part.life).or_default() += tokens * f64::from(part.layers.len());
+                *used.entry(&part.incarnation).or_default() +=
+                    tokens * f64::from(part.layers.len());
             }
         }
         used
@@ -142,10 +143,11 @@
         leaving_serves_for: Duration,
         now: Instant,
     ) -> bool {
-        self.rooms.extend(holders.iter().map(|holder| (holder.life.clone(), holder.kv_room)));
+        self.rooms
+            .extend(holders.iter().map(|holder| (holder.incarnation.clone(), holder.kv_room)));
         let old = self.paths.remove(service).unwrap_or_default();
         for live in &old {
-            let has = |wanted| live.path.parts.iter().any(|part| fate(&part.life) == wanted);
+            let has = |wanted| live.path.parts.iter().any(|part| fate(&part.incarnation) == wanted);
             live.judge(has(EngineFate::Dead), now);
             live.set_leaving(has(EngineFate::Leaves), leaving_serves_for, now);
         }
@@ -197,8 +199,8 @@
     /// Forgets engines that no path goes through.
     fn forget_rooms(&mut self) {
         let parts = self.paths.values().flatten().flat_map(|live| &live.path.parts);
-        let lives: BTreeSet<&Incarnation> = parts.map(|part| &part.life).collect();
-        self.rooms.retain(|life, _| lives.contains(life));
+        let incarnations: BTreeSet<&Incarnation> = parts.map(|part| &part.incarnation).collect();
+        self.rooms.retain(|incarnation, _| incarnations.contains(incarnation));
     }
 
     /// A path over which a request of another one can go on: its engines take such an order only where the first one runs
@@ -269,7 +271,7 @@
         let mut is_full = false;
         let used = self.kv_used(service);
         for live in self.paths(service).iter().filter(is_open) {
-            let begun = self.head_streams(service, &live.path.first().life) + 1;
+            let begun = self.head_streams(service, &live.path.first().incarnation) + 1;
             let of_slots = f64::from(begun) / f64::from(live.slots);
             let share = self.fill(live, &used, tokens).max(of_slots);
             if share > FILL {
@@ -308,7 +310,7 @@
                 live.path.data_centre,
                 self.fill(live, &used, 0.0) * 100.0,
                 live.path.token_room,
-                self.head_streams(service, &live.path.first().life),
+                self.head_streams(service, &live.path.first().incarnation),
                 live.slots
             )
         };
@@ -327,8 +329,8 @@
     /// tokens more.
     fn fill(&self, live: &LivePath, used: &HashMap<&Incarnation, f64>, tokens: f64) -> f64 {
         let fill = |part: &PathPart| {
-            let taken = used.get(&part.life).copied().unwrap_or_default();
-            let room = self.rooms.get(&part.life).copied().unwrap_or_default();
+            let taken = used.get(&part.incarnation).copied().unwrap_or_default();
+            let room = self.rooms.get(&part.incarnation).copied().unwrap_or_default();
             (taken + tokens * f64::from(part.layers.len())) / room.max(1.0)
         };
         live.path.parts.iter().map(fill).fold(0.0, f64::max)
--- a/crates/gateway/src/process/paths/path_check.rs
+++ b/crates/gateway/src/process/paths/path_check.rs
@@ -46,7 +46,7 @@
 /// Whether it is this gateway's turn to probe an idle path: others with streams on it may go first, and report
 /// what they find.
 fn is_turn(gateway: &Gateway, live: &LivePath, now: Instant) -> bool {
-    let head = &live.path.first().life;
+    let head = &live.path.first().incarnation;
     let data_centre = &live.path.data_centre;
     let beliefs = gateway.beliefs.borrow();
     let before = beliefs.probers_before(head, data_centre, gateway.incarnation, now);
@@ -120,7 +120,7 @@
     match res {
         Ok(()) => round.on_answer(),
         Err(Unanswered::Failed(err)) => {
-            gateway.suspect(&part.life, evidence_of(&err), &err.to_string());
+            gateway.suspect(&part.incarnation, evidence_of(&err), &err.to_string());
             if live.is_quiet(Instant::now(), Duration::ZERO) {
                 live.break_up();
             }
@@ -132,10 +132,10 @@
 
 async fn ask_for_report(gateway: &Rc<Gateway>, part: &PathPart) -> Result<(), Unanswered> {
     let asked = Instant::now();
-    let client = gateway.probe(&part.life, part.addr);
+    let client = gateway.probe(&part.incarnation, part.addr);
     let report = gateway.ask(&client, REPORT_LIMIT, |limit| read_report(&client, limit)).await?;
     // An engine that started again breaks all its paths by that.
-    gateway.on_answer_of(&part.life, part.addr, report.started, asked);
+    gateway.on_answer_of(&part.incarnation, part.addr, report.started, asked);
     Ok(())
 }
 
--- a/crates/gateway/src/process/paths/path_refresh.rs
+++ b/crates/gateway/src/process/paths/path_refresh.rs
@@ -19,16 +19,18 @@
             let Some(shape) = &service.model else { continue };
             let holders = self.holders(&knowledge, &service.name, shape, now);
             let beliefs = self.beliefs.borrow();
-            let lives = self.lives.borrow();
-            let fate = |life: &Incarnation| {
-                let is_dead = beliefs.engine(life, now).is_some_and(|engine| engine.is_dead);
-                if is_dead || lives.has_ended(life) {
+            let incarnations = self.incarnations.borrow();
+            let fate = |incarnation: &Incarnation| {
+                let is_dead = beliefs.engine(incarnation, now).is_some_and(|engine| engine.is_dead);
+                if is_dead || incarnations.has_ended(incarnation) {
                     return EngineFate::Dead;
                 }
-                let endpoint = knowledge.endpoint(&life.id);
-                match endpoint.filter(|_| !knowledge.is_unusable(&life.id)) {
-                    Some(endpoint) if endpoint.started != life.started => EngineFate::Dead,
-                    Some(endpoint) if !endpoint.is_leaving && !beliefs.is_leaving(life, now) => {
+                let endpoint = knowledge.endpoint(&incarnation.id);
+                match endpoint.filter(|_| !knowledge.is_unusable(&incarnation.id)) {
+                    Some(endpoint) if endpoint.started != incarnation.started => EngineFate::Dead,
+                    Some(endpoint)
+                        if !endpoint.is_leaving && !beliefs.is_leaving(incarnation, now) =>
+                    {
                         EngineFate::Stays
                     }
                     // It finishes what it runs for a while, also without an entry to use.
@@ -74,23 +76,23 @@
         let engines =
             knowledge.open_endpoints(now.into_std()).filter(|engine| engine.service == service);
         for endpoint in engines {
-            let life = endpoint.incarnation();
-            if beliefs.is_leaving(&life, now) || self.has_ended(&life) {
+            let incarnation = endpoint.incarnation();
+            if beliefs.is_leaving(&incarnation, now) || self.has_ended(&incarnation) {
                 continue;
             }
-            let view = beliefs.engine(&life, now);
+            let view = beliefs.engine(&incarnation, now);
             // An engine that the lead doesn't tell of leaves, or holds nothing yet.
             let listed = if has_lead { LayerRange::default() } else { endpoint.layers };
             let layers = view.map_or(listed, |view| view.usable);
             let is_dead = view.is_some_and(|view| view.is_dead);
-            if is_dead || layers.is_empty() || beliefs.is_suspect(&life, now) {
+            if is_dead || layers.is_empty() || beliefs.is_suspect(&incarnation, now) {
                 continue;
             }
             let card = endpoint.card.as_deref().and_then(|card| shape.card(card));
             let slowness = view.map_or(1.0, |view| f64::from(view.slowness).max(0.1));
             let step_factor = card.map_or(1.0, |card| card.step_factor) * slowness;
             holders.push(Holder {
-                life,
+                incarnation,
                 addr: endpoint.addr,
                 data_centre: endpoint.data_centre.clone(),
                 layers,
--- a/crates/gateway/src/process/peers/beliefs.rs
+++ b/crates/gateway/src/process/peers/beliefs.rs
@@ -1,7 +1,7 @@
 //! What a gateway believes of engines and of other gateways, beyond what the store tells.
 
 use super::recent_news::RecentNews;
-use crate::process::{EndedLife, EngineView, LeadView, PeerMessage, ReportedSuspect};
+use crate::process::{EndedIncarnation, EngineView, LeadView, PeerMessage, ReportedSuspect};
 use sorrellock_core::process::membership::rendezvous_several;
 use sorrellock_platform::Kind;
 use sorrellock_routing::process::{FailureEvidence, Incarnation, Revision, probers_before};
@@ -127,8 +127,8 @@
     /// Endpoints that told themselves that they take nothing more, and until when that is believed
     /// without an entry that says so.
     leaving: HashMap<Incarnation, Leaving>,
-    /// Ends of lives that this gateway found.
-    ended: RecentNews<EndedLife>,
+    /// Ends of incarnations that this gateway found.
+    ended: RecentNews<EndedIncarnation>,
     /// Endpoints without an entry that told this gateway that they leave.
     left: RecentNews<Incarnation>,
     lead: Option<(LeadView, Instant)>,
@@ -207,21 +207,23 @@
     /// An endpoint failed: it gets nothing new for a while. Tells whether that is news.
     pub(crate) fn suspect(
         &mut self,
-        life: &Incarnation,
+        incarnation: &Incarnation,
         evidence: FailureEvidence,
         now: Instant,
         lasts: Duration,
     ) -> bool {
-        let is_news =
-            !self.suspects.get(life).is_some_and(|suspect| suspect.is_own() && suspect.until > now);
-        match self.suspects.get_mut(life).filter(|_| !is_news) {
+        let is_news = !self
+            .suspects
+            .get(incarnation)
+            .is_some_and(|suspect| suspect.is_own() && suspect.until > now);
+        match self.suspects.get_mut(incarnation).filter(|_| !is_news) {
             Some(known) => {
                 known.until = now + lasts;
                 known.evidence = evidence;
             }
             None => {
                 let suspicion = Suspicion::new(SuspicionSource::Own, evidence, now, lasts);
-                self.suspects.insert(life.clone(), suspicion);
+                self.suspects.insert(incarnation.clone(), suspicion);
             }
         }
         is_news
@@ -235,51 +237,52 @@
         now: Instant,
         lasts: Duration,
     ) -> bool {
-        let is_news = !self.is_suspect(&report.life, now);
+        let is_news = !self.is_suspect(&report.incarnation, now);
         if is_news {
             let source = SuspicionSource::Gateway(instance.to_owned());
             let suspicion = Suspicion::new(source, report.evidence, now, lasts);
-            self.suspects.insert(report.life.clone(), suspicion);
+            self.suspects.insert(report.incarnation.clone(), suspicion);
         }
         is_news
     }
 
     /// The suspicion of an endpoint, if any holds.
-    pub(crate) fn suspicion(&self, life: &Incarnation, now: Instant) -> Option<&Suspicion> {
-        self.suspects.get(life).filter(|suspicion| suspicion.until > now)
+    pub(crate) fn suspicion(&self, incarnation: &Incarnation, now: Instant) -> Option<&Suspicion> {
+        self.suspects.get(incarnation).filter(|suspicion| suspicion.until > now)
     }
 
     /// A suspected endpoint gave a sign of life. The suspicion, if that is the first sign since.
-    pub(crate) fn refute(&mut self, life: &Incarnation, now: Instant) -> Option<Suspicion> {
-        let suspicion = self.suspects.get_mut(life).filter(|suspicion| suspicion.until > now)?;
+    pub(crate) fn refute(&mut self, incarnation: &Incarnation, now: Instant) -> Option<Suspicion> {
+        let suspicion =
+            self.suspects.get_mut(incarnation).filter(|suspicion| suspicion.until > now)?;
         let is_first = !std::mem::replace(&mut suspicion.is_refuted, true);
         is_first.then(|| suspicion.clone())
     }
 
     /// A suspicion was wrong, or is out of date.
-    pub(crate) fn withdraw(&mut self, life: &Incarnation, now: Instant) {
-        if let Some(suspicion) = self.suspects.get_mut(life) {
+    pub(crate) fn withdraw(&mut self, incarnation: &Incarnation, now: Instant) {
+        if let Some(suspicion) = self.suspects.get_mut(incarnation) {
             suspicion.until = suspicion.until.min(now);
         }
     }
 
     /// An endpoint told this gateway that it takes nothing more. Tells whether that is news.
-    pub(crate) fn believe_leaving(&mut self, life: &Incarnation, now: Instant) -> bool {
-        let is_news = !self.is_leaving(life, now);
+    pub(crate) fn believe_leaving(&mut self, incarnation: &Incarnation, now: Instant) -> bool {
+        let is_news = !self.is_leaving(incarnation, now);
         let leaving = Leaving { until: now + LEAVING_FOR, is_own: true };
-        self.leaving.insert(life.clone(), leaving);
+        self.leaving.insert(incarnation.clone(), leaving);
         is_news
     }
 
     /// Another gateway heard that from an endpoint.
-    pub(crate) fn hear_leaving(&mut self, life: &Incarnation, now: Instant) {
+    pub(crate) fn hear_leaving(&mut self, incarnation: &Incarnation, now: Instant) {
         let leaving = Leaving { until: now + LEAVING_FOR, is_own: false };
-        self.leaving.insert(life.clone(), leaving);
+        self.leaving.insert(incarnation.clone(), leaving);
     }
 
     /// Whether an endpoint told that it takes nothing more.
-    pub(crate) fn is_leaving(&self, life: &Incarnation, now: Instant) -> bool {
-        self.leaving.get(life).is_some_and(|leaving| leaving.until > now)
+    pub(crate) fn is_leaving(&self, incarnation: &Incarnation, now: Instant) -> bool {
+        self.leaving.get(incarnation).is_some_and(|leaving| leaving.until > now)
     }
 
     /// Endpoints that told this gateway that they take nothing more. What others heard is theirs
@@ -287,12 +290,12 @@
     pub(crate) fn leaving_own(&mut self, now: Instant) -> Vec<Incarnation> {
         self.leaving.retain(|_, leaving| leaving.until > now);
         let own = self.leaving.iter().filter(|(_, leaving)| leaving.is_own);
-        own.map(|(life, _)| life.clone()).collect()
+        own.map(|(incarnation, _)| incarnation.clone()).collect()
     }
 
     /// Whether an endpoint is suspected.
-    pub(crate) fn is_suspect(&self, life: &Incarnation, now: Instant) -> bool {
-        self.suspicion(life, now).is_some()
+    pub(crate) fn is_suspect(&self, incarnation: &Incarnation, now: Instant) -> bool {
+        self.suspicion(incarnation, now).is_some()
     }
 
     /// The endpoints that failed this gateway itself: what others heard is theirs to pass on. Drops
@@ -300,26 +303,26 @@
     pub(crate) fn suspects_own(&mut self, now: Instant) -> Vec<ReportedSuspect> {
         self.suspects.retain(|_, suspect| suspect.until > now);
         let own = self.suspects.iter().filter(|(_, suspect)| suspect.is_own());
-        let report = |(life, suspect): (&Incarnation, &Suspicion)| ReportedSuspect {
-            life: life.clone(),
+        let report = |(incarnation, suspect): (&Incarnation, &Suspicion)| ReportedSuspect {
+            incarnation: incarnation.clone(),
             evidence: suspect.evidence,
         };
         own.map(report).collect()
     }
 
-    /// An answer told this gateway the end of a life.
-    pub(crate) fn note_end(&mut self, ended: EndedLife, now: Instant) {
+    /// An answer told this gateway the end of an incarnation.
+    pub(crate) fn note_end(&mut self, ended: EndedIncarnation, now: Instant) {
         self.ended.note(ended, now);
     }
 
     /// The ends that this gateway found of late.
-    pub(crate) fn ended_own(&mut self, now: Instant) -> Vec<EndedLife> {
+    pub(crate) fn ended_own(&mut self, now: Instant) -> Vec<EndedIncarnation> {
         self.ended.current(now)
     }
 
     /// An endpoint without an entry told this gateway that it leaves.
-    pub(crate) fn note_left(&mut self, life: Incarnation, now: Instant) {
-        self.left.note(life, now);
+    pub(crate) fn note_left(&mut self, incarnation: Incarnation, now: Instant) {
+        self.left.note(incarnation, now);
     }
 
     /// The endpoints without an entry that told this gateway of late that they leave.
@@ -342,8 +345,8 @@
         if self.lead.as_ref().is_some_and(newer) {
             return false;
         }
-        let lives = view.engines.iter().map(|engine| engine.life.clone());
-        self.lead_index = lives.zip(0..).collect();
+        let incarnations = view.engines.iter().map(|engine| engine.incarnation.clone());
+        self.lead_index = incarnations.zip(0..).collect();
         self.lead = Some((view, now));
         true
     }
@@ -364,8 +367,8 @@
     }
 
     /// What the lead told of an engine, if that is fresh.
-    pub(crate) fn engine(&self, life: &Incarnation, now: Instant) -> Option<&EngineView> {
+    pub(crate) fn engine(&self, incarnation: &Incarnation, now: Instant) -> Option<&EngineView> {
         let (view, _) = self.lead(now)?;
-        view.engines.get(*self.lead_index.get(life)?)
+        view.engines.get(*self.lead_index.get(incarnation)?)
     }
 }
--- a/crates/gateway/src/process/peers/peer_message.rs
+++ b/crates/gateway/src/process/peers/peer_message.rs
@@ -44,8 +44,8 @@
     pub(crate) suspects: Vec<ReportedSuspect>,
     /// Endpoints that told the sender that they take nothing more.
     pub(crate) leaving: Vec<Incarnation>,
-    /// Lives whose end the sender found by an answer of a later one, of late.
-    pub(crate) ended: Vec<EndedLife>,
+    /// Incarnations whose end the sender found by an answer of a later one, of late.
+    pub(crate) ended: Vec<EndedIncarnation>,
     /// Endpoints without an entry that told the sender that they leave, of late.
     pub(crate) left: Vec<Incarnation>,
     /// Endpoints that had left before the era in which the sender knows the endpoints.
@@ -76,14 +76,14 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(crate) struct ReportedSuspect {
     /// The engine.
-    pub(crate) life: Incarnation,
+    pub(crate) incarnation: Incarnation,
     pub(crate) evidence: FailureEvidence,
 }
 
-/// A life of an endpoint that is over, and the one that was found in its place.
+/// An incarnation of an endpoint that is over, and the one that was found in its place.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub(crate) struct EndedLife {
-    /// The life that is over.
+pub(crate) struct EndedIncarnation {
+    /// The incarnation that is over.
     pub(crate) ended: Incarnation,
     /// The start of the later one.
     pub(crate) successor: Option<StartMillis>,
@@ -112,8 +112,8 @@
 /// What the lead knows of one engine.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(crate) struct EngineView {
-    /// The engine, in the life that the lead has heard.
-    pub(crate) life: Incarnation,
+    /// The engine, in the incarnation that the lead has heard.
+    pub(crate) incarnation: Incarnation,
     /// The layers that requests may use.
     pub(crate) usable: LayerRange,
     /// Its step times against those of its kind.
--- a/crates/gateway/src/process/peers/peers.rs
+++ b/crates/gateway/src/process/peers/peers.rs
@@ -226,11 +226,14 @@
             is_changed &= beliefs.apply_lead(view.clone(), now);
         }
         let told = message.leaving.iter();
-        let told = told.filter(|life| !beliefs.is_leaving(life, now)).cloned().collect::<Vec<_>>();
-        for life in &told {
-            beliefs.hear_leaving(life, now);
+        let told = told
+            .filter(|incarnation| !beliefs.is_leaving(incarnation, now))
+            .cloned()
+            .collect::<Vec<_>>();
+        for incarnation in &told {
+            beliefs.hear_leaving(incarnation, now);
             info!("endpoint told that it leaves", kv: {
-                endpoint = life.id.as_str(), source = message.instance.as_str()
+                endpoint = incarnation.id.as_str(), source = message.instance.as_str()
             });
             is_changed = true;
         }
@@ -243,8 +246,8 @@
         for end in &ended {
             gateway.hear_end(end, &instance);
         }
-        for life in &left {
-            is_changed |= gateway.remove_missing(life, &instance);
+        for incarnation in &left {
+            is_changed |= gateway.remove_missing(incarnation, &instance);
         }
         is_changed |= gateway.receive_left(&left_before_era, era, &instance);
         if is_changed {
--- a/crates/gateway/src/process/placer/engine.rs
+++ b/crates/gateway/src/process/placer/engine.rs
@@ -8,16 +8,16 @@
 use std::rc::Rc;
 use tokio::time::Instant;
 
-/// Engines by life, shared with the calls under way.
+/// Engines by incarnation, shared with the calls under way.
 pub(super) type Engines = Rc<RefCell<HashMap<Incarnation, Engine>>>;
 
-/// What the lead knows of one engine in one life.
+/// What the lead knows of one engine in one incarnation.
 pub(super) struct Engine {
     pub(super) client: Client,
     pub(super) since: Instant,
-    /// The newest report of this life.
+    /// The newest report of this incarnation.
     pub(super) report: Option<EngineReport>,
-    /// Its newest answer tells no start, or another endpoint's: nothing is known of this life, and it
+    /// Its newest answer tells no start, or another endpoint's: nothing is known of this incarnation, and it
     /// gets no orders.
     pub(super) is_unknown: bool,
     pub(super) asked: Option<Instant>,
--- a/crates/gateway/src/process/placer/orders.rs
+++ b/crates/gateway/src/process/placer/orders.rs
@@ -24,8 +24,9 @@
         let mut engines = self.engines.borrow_mut();
         for endpoint in endpoints {
             let Some(engine) = engines.get_mut(&endpoint.incarnation()) else { continue };
-            let gives_up =
-                steps.iter().any(|step| step.gives_up && step.life == endpoint.incarnation());
+            let gives_up = steps
+                .iter()
+                .any(|step| step.gives_up && step.incarnation == endpoint.incarnation());
             if engine.ordered.is_none() && !gives_up {
                 engine.closing = None;
             }
@@ -40,7 +41,7 @@
     /// Gives an order, or first keeps requests off the layers that it gives up.
     pub(super) fn order(&self, step: Step, now: Instant) {
         let mut engines = self.engines.borrow_mut();
-        let Some(engine) = engines.get_mut(&step.life) else { return };
+        let Some(engine) = engines.get_mut(&step.incarnation) else { return };
         if step.gives_up {
             let (stay, since) = *engine.closing.get_or_insert((step.layers, now));
             if stay != step.layers {
@@ -77,10 +78,10 @@
     let text = format!("{end:?}");
     let (from, to) = (step.layers.from, step.layers.to);
     info!("order given", kv: {
-        endpoint = step.life.id.as_str(), from, to, expected, outcome = text.as_str()
+        endpoint = step.incarnation.id.as_str(), from, to, expected, outcome = text.as_str()
     });
     let mut engines = engines.borrow_mut();
-    let Some(engine) = engines.get_mut(&step.life) else { return };
+    let Some(engine) = engines.get_mut(&step.incarnation) else { return };
     if !matches!(end, OrderEnd::Begun | OrderEnd::Done) {
         gateway.counters.add(Count::OrderFailures);
         engine.order_after = Instant::now() + ORDER_RETRY;
--- a/crates/gateway/src/process/placer/placer.rs
+++ b/crates/gateway/src/process/placer/placer.rs
@@ -116,24 +116,26 @@
         let here = knowledge.endpoints().filter(|endpoint| names.contains(&endpoint.service));
         let beliefs = self.gateway.beliefs.borrow();
         let stays = |e: &&Endpoint| {
-            let life = e.incarnation();
-            !e.is_leaving && !beliefs.is_leaving(&life, now) && !self.gateway.has_ended(&life)
+            let incarnation = e.incarnation();
+            !e.is_leaving
+                && !beliefs.is_leaving(&incarnation, now)
+                && !self.gateway.has_ended(&incarnation)
         };
         let here: HashMap<Incarnation, SocketAddr> =
             here.filter(stays).map(|e| (e.incarnation(), e.addr)).collect();
         let mut engines = self.engines.borrow_mut();
-        let ended = engines.keys().filter(|life| !here.contains_key(life));
-        let ended: HashSet<EndpointId> = ended.map(|life| life.id.clone()).collect();
-        engines.retain(|life, engine| {
-            let is_planned_for = engine.report.is_some() || !knowledge.is_unusable(&life.id);
-            here.contains_key(life) && is_planned_for
+        let ended = engines.keys().filter(|incarnation| !here.contains_key(incarnation));
+        let ended: HashSet<EndpointId> = ended.map(|incarnation| incarnation.id.clone()).collect();
+        engines.retain(|incarnation, engine| {
+            let is_planned_for = engine.report.is_some() || !knowledge.is_unusable(&incarnation.id);
+            here.contains_key(incarnation) && is_planned_for
         });
-        for (life, addr) in here {
-            if knowledge.is_unusable(&life.id) {
+        for (incarnation, addr) in here {
+            if knowledge.is_unusable(&incarnation.id) {
                 continue;
             }
-            let begin = if ended.contains(&life.id) { Engine::reborn } else { Engine::new };
-            engines.entry(life).or_insert_with(|| begin(Client::new(addr), now));
+            let begin = if ended.contains(&incarnation.id) { Engine::reborn } else { Engine::new };
+            engines.entry(incarnation).or_insert_with(|| begin(Client::new(addr), now));
         }
     }
 
@@ -142,12 +144,13 @@
         let suspects = suspects(&self.gateway, now);
         let knowledge = self.gateway.knowledge.borrow();
         let mut engines = self.engines.borrow_mut();
-        for (life, engine) in engines.iter_mut() {
-            let is_urgent = engine.is_moving() || engine.failures > 0 || suspects.contains(life);
+        for (incarnation, engine) in engines.iter_mut() {
+            let is_urgent =
+                engine.is_moving() || engine.failures > 0 || suspects.contains(incarnation);
             let interval = if is_urgent { REPORT_INTERVAL_MOVING } else { REPORT_INTERVAL };
             let is_due = engine.asked.is_none_or(|asked| now - asked >= interval);
             // One without an entry to use stays as it was last heard.
-            if engine.is_asking || !is_due || knowledge.is_unusable(&life.id) {
+            if engine.is_asking || !is_due || knowledge.is_unusable(&incarnation.id) {
                 continue;
             }
             engine.is_asking = true;
@@ -155,7 +158,7 @@
             let ask = ask(
                 Rc::clone(&self.gateway),
                 Rc::clone(&self.engines),
-                life.clone(),
+                incarnation.clone(),
                 engine.client.clone(),
             );
             tokio::task::spawn_local(ask);
@@ -222,10 +225,10 @@
         let heard = engines.iter().filter(|(_, engine)| engine.is_heard());
         let knowledge = self.gateway.knowledge.borrow();
         let mut views: Vec<EngineView> = heard
-            .map(|(life, engine)| EngineView {
-                life: life.clone(),
+            .map(|(incarnation, engine)| EngineView {
+                incarnation: incarnation.clone(),
                 // Gateways that don't know yet that its entry can't be used pass over it as well.
-                usable: match knowledge.is_unusable(&life.id) {
+                usable: match knowledge.is_unusable(&incarnation.id) {
                     true => LayerRange::default(),
                     false => engine.usable(),
                 },
@@ -234,7 +237,7 @@
             })
             .collect();
         drop(knowledge);
-        views.sort_by(|a, b| a.life.cmp(&b.life));
+        views.sort_by(|a, b| a.incarnation.cmp(&b.incarnation));
         let view = LeadView { term, engines: views };
         let is_changed =
             self.own_view.borrow().as_ref().is_none_or(|old| old.engines != view.engines);
--- a/crates/gateway/src/process/placer/planning.rs
+++ b/crates/gateway/src/process/placer/planning.rs
@@ -28,7 +28,7 @@
 /// What a plan depends on of one engine.
 #[derive(PartialEq)]
 pub(super) struct Fingerprint {
-    life: Incarnation,
+    incarnation: Incarnation,
     held: LayerRange,
     is_pinned: bool,
     /// Step factor in steps of a half.
@@ -37,7 +37,7 @@
 
 pub(super) fn fingerprint(engine: &PlannedEngine) -> Fingerprint {
     Fingerprint {
-        life: engine.life.clone(),
+        incarnation: engine.incarnation.clone(),
         held: engine.held,
         is_pinned: engine.is_pinned,
         half_factors: (engine.step_factor * 2.0).round() as u32,
@@ -47,8 +47,9 @@
 pub(super) fn describe(placement: &Placement) -> String {
     let mut parts: Vec<_> = placement.iter().filter(|(_, range)| !range.is_empty()).collect();
     parts.sort_by_key(|(_, range)| range.from);
-    let parts =
-        parts.iter().map(|(life, range)| format!("{}={}-{}", life.id, range.from, range.to));
+    let parts = parts
+        .iter()
+        .map(|(incarnation, range)| format!("{}={}-{}", incarnation.id, range.from, range.to));
     parts.collect::<Vec<_>>().join(",")
 }
 
@@ -70,7 +71,7 @@
             let card = endpoint.card.as_deref().and_then(|card| shape.card(card));
             let Some(card) = card else { continue };
             planned.push(PlannedEngine {
-                life: endpoint.incarnation(),
+                incarnation: endpoint.incarnation(),
                 memory_mb: card.memory_mb,
                 step_factor: card.step_factor * report.slowness.max(1.0),
                 held: engine.held(),
@@ -92,9 +93,10 @@
         let made_for: Vec<_> = planned.iter().map(fingerprint).collect();
         let is_current = self.plans.get(key).is_some_and(|plan| {
             let same_engines = plan.placement.len() == planned.len()
-                && planned.iter().all(|engine| plan.placement.contains_key(&engine.life));
-            let is_moving =
-                planned.iter().any(|engine| plan.placement.get(&engine.life) != Some(&engine.held));
+                && planned.iter().all(|engine| plan.placement.contains_key(&engine.incarnation));
+            let is_moving = planned
+                .iter()
+                .any(|engine| plan.placement.get(&engine.incarnation) != Some(&engine.held));
             same_engines
                 && (plan.made_for == made_for || (is_moving && now - plan.at < REPLAN_INTERVAL))
         });
@@ -128,8 +130,8 @@
 
     fn note_chains(&self, plan: &DataCentrePlan) {
         let mut engines = self.engines.borrow_mut();
-        for (life, chain) in &plan.chains {
-            if let Some(engine) = engines.get_mut(life) {
+        for (incarnation, chain) in &plan.chains {
+            if let Some(engine) = engines.get_mut(incarnation) {
                 engine.chain = Some(*chain);
             }
         }
--- a/crates/gateway/src/process/placer/reports.rs
+++ b/crates/gateway/src/process/placer/reports.rs
@@ -20,29 +20,34 @@
 /// Engines that any gateway suspects.
 pub(super) fn suspects(gateway: &Gateway, now: Instant) -> HashSet<Incarnation> {
     let mut beliefs = gateway.beliefs.borrow_mut();
-    let own = beliefs.suspects_own(now).into_iter().map(|report| report.life);
+    let own = beliefs.suspects_own(now).into_iter().map(|report| report.incarnation);
     let mut all: HashSet<Incarnation> = own.collect();
-    all.extend(beliefs.reported_suspects(now).map(|(report, _)| report.life.clone()));
+    all.extend(beliefs.reported_suspects(now).map(|(report, _)| report.incarnation.clone()));
     all
 }
 
 /// Asks one engine for its report.
-pub(super) async fn ask(gateway: Rc<Gateway>, engines: Engines, life: Incarnation, client: Client) {
+pub(super) async fn ask(
+    gateway: Rc<Gateway>,
+    engines: Engines,
+    incarnation: Incarnation,
+    client: Client,
+) {
     gateway.counters.add(Count::Reports);
     let asked = Instant::now();
     let res = read_report(&client, REPORT_LIMIT).await;
     let told = res.as_ref().ok().map(|report| report.started);
-    let of = told.map(|started| gateway.on_answer_of(&life, client.peer(), started, asked));
-    let is_suspect = suspects(&gateway, Instant::now()).contains(&life);
+    let of = told.map(|started| gateway.on_answer_of(&incarnation, client.peer(), started, asked));
+    let is_suspect = suspects(&gateway, Instant::now()).contains(&incarnation);
     let mut engines = engines.borrow_mut();
-    let Some(engine) = engines.get_mut(&life) else { return };
+    let Some(engine) = engines.get_mut(&incarnation) else { return };
     engine.is_asking = false;
     match res {
         Ok(report) => {
             engine.silence = PeerSilence::new(REPORT_LIMIT);
-            engine.is_unknown = of != Some(AnswerOf::SameLife);
+            engine.is_unknown = of != Some(AnswerOf::SameIncarnation);
             if !engine.is_unknown {
-                on_report(engine, &life, report);
+                on_report(engine, &incarnation, report);
             }
         }
         // It is asked again at once: this process was too late to tell.
@@ -53,17 +58,17 @@
         Err(err) => {
             engine.silence = PeerSilence::new(REPORT_LIMIT);
             let to_death = if is_suspect { FAILURES_OF_SUSPECT } else { FAILURES_TO_DEATH };
-            on_no_report(engine, &life, &err, to_death);
+            on_no_report(engine, &incarnation, &err, to_death);
         }
     }
     drop(engines);
     gateway.engines_changed.notify_waiters();
 }
 
-pub(super) fn on_report(engine: &mut Engine, life: &Incarnation, report: EngineReport) {
+pub(super) fn on_report(engine: &mut Engine, incarnation: &Incarnation, report: EngineReport) {
     engine.failures = 0;
     if std::mem::take(&mut engine.is_dead) {
-        info!("engine answers again", kv: { endpoint = life.id.as_str() });
+        info!("engine answers again", kv: { endpoint = incarnation.id.as_str() });
     }
     if let Some((layers, given)) = engine.ordered {
         let is_done = !report.is_busy && report.layers == layers;
@@ -73,7 +78,7 @@
             let took_ms = given.elapsed().as_millis() as u64;
             let (from, to) = (layers.from, layers.to);
             let outcome = if is_done { "done" } else { "not seen" };
-            info!("order ended", kv: { endpoint = life.id.as_str(), from, to, took_ms, outcome });
+            info!("order ended", kv: { endpoint = incarnation.id.as_str(), from, to, took_ms, outcome });
             engine.ordered = None;
             engine.closing = None;
         }
@@ -83,7 +88,7 @@
 
 pub(super) fn on_no_report(
     engine: &mut Engine,
-    life: &Incarnation,
+    incarnation: &Incarnation,
     err: &CallError,
     to_death: u32,
 ) {
@@ -93,6 +98,6 @@
     if is_over && !std::mem::replace(&mut engine.is_dead, true) {
         engine.died = Some(Instant::now());
         let (failures, text) = (engine.failures, err.to_string());
-        warn!("engine taken to be dead", kv: { endpoint = life.id.as_str(), failures, err = text.as_str() });
+        warn!("engine taken to be dead", kv: { endpoint = incarnation.id.as_str(), failures, err = text.as_str() });
     }
 }
--- a/crates/gateway/src/process/placer/timing.rs
+++ b/crates/gateway/src/process/placer/timing.rs
@@ -67,11 +67,11 @@
             self.whole.remove(key);
             return true;
         }
-        let lives: BTreeSet<Incarnation> =
-            planned.iter().map(|engine| engine.life.clone()).collect();
-        let entry = self.whole.entry(key.clone()).or_insert_with(|| (lives.clone(), now));
-        if !lives.is_superset(&entry.0) {
-            *entry = (lives, now);
+        let incarnations: BTreeSet<Incarnation> =
+            planned.iter().map(|engine| engine.incarnation.clone()).collect();
+        let entry = self.whole.entry(key.clone()).or_insert_with(|| (incarnations.clone(), now));
+        if !incarnations.is_superset(&entry.0) {
+            *entry = (incarnations, now);
         }
         let calm_for = now - entry.1;
         if is_urgent(shape, planned) {
@@ -104,10 +104,13 @@
             return planned;
         }
         let engines = self.engines.borrow();
-        let is_new = |life: &Incarnation| {
-            engines.get(life).is_none_or(|engine| now - engine.since < JOIN_PATIENCE)
+        let is_new = |incarnation: &Incarnation| {
+            engines.get(incarnation).is_none_or(|engine| now - engine.since < JOIN_PATIENCE)
         };
-        planned.into_iter().filter(|one| !one.held.is_empty() || !is_new(&one.life)).collect()
+        planned
+            .into_iter()
+            .filter(|one| !one.held.is_empty() || !is_new(&one.incarnation))
+            .collect()
     }
 
     /// Whether the first plan can be made: more engines may be about to register.
@@ -117,11 +120,11 @@
         planned: &[PlannedEngine],
         now: Instant,
     ) -> bool {
-        let lives: BTreeSet<Incarnation> =
-            planned.iter().map(|engine| engine.life.clone()).collect();
+        let incarnations: BTreeSet<Incarnation> =
+            planned.iter().map(|engine| engine.incarnation.clone()).collect();
         let entry = self.settled.entry(key.clone()).or_insert_with(|| (BTreeSet::new(), now));
-        if entry.0 != lives {
-            *entry = (lives, now);
+        if entry.0 != incarnations {
+            *entry = (incarnations, now);
         }
         let has_begun = |engine: &PlannedEngine| !engine.held.is_empty();
         now - entry.1 >= SETTLE || self.plans.contains_key(key) || planned.iter().any(has_begun)
--- a/crates/gateway/src/process/pool.rs
+++ b/crates/gateway/src/process/pool.rs
@@ -45,7 +45,7 @@
     }
 }
 
-/// Idle connections, by the life of the endpoint: none outlives it.
+/// Idle connections, by the incarnation of the endpoint: none outlives it.
 #[derive(Default)]
 pub(crate) struct Pool {
     idle: HashMap<Incarnation, Vec<Connection>>,
@@ -55,12 +55,12 @@
     /// Takes the connection that was used last, if one is still good.
     pub(crate) fn take(
         &mut self,
-        life: &Incarnation,
+        incarnation: &Incarnation,
         addr: SocketAddr,
         may_repeat: bool,
         now: Instant,
     ) -> Option<Connection> {
-        let idle = self.idle.get_mut(life)?;
+        let idle = self.idle.get_mut(incarnation)?;
         let most = if may_repeat { IDLE_LIMIT } else { IDLE_LIMIT_ONCE };
         while let Some(connection) = idle.pop() {
             let is_fresh = now - connection.idle_since < connection.idle_limit.min(most);
@@ -74,7 +74,7 @@
     /// Keeps a connection whose answer came whole.
     pub(crate) fn keep(
         &mut self,
-        life: Incarnation,
+        incarnation: Incarnation,
         mut connection: Connection,
         answer: &AnswerHead,
         now: Instant,
@@ -85,7 +85,7 @@
         let told = answer.keep_alive.map(|limit| limit.saturating_sub(IDLE_MARGIN));
         connection.idle_limit = told.unwrap_or(IDLE_LIMIT).min(IDLE_LIMIT);
         connection.idle_since = now;
-        let idle = self.idle.entry(life).or_default();
+        let idle = self.idle.entry(incarnation).or_default();
         if idle.len() < MAX_IDLE {
             idle.push(connection);
         }
@@ -93,22 +93,22 @@
 
     /// Drops the connections to an endpoint that nothing came on since `since`: one of that age brought no answer, and
     /// those that are open may have gone silent together.
-    pub(crate) fn give_up(&mut self, life: &Incarnation, since: Instant) {
-        if let Some(idle) = self.idle.get_mut(life) {
+    pub(crate) fn give_up(&mut self, incarnation: &Incarnation, since: Instant) {
+        if let Some(idle) = self.idle.get_mut(incarnation) {
             idle.retain(|connection| connection.idle_since > since);
         }
     }
 
-    /// Drops the connections to a life that has ended.
-    pub(crate) fn remove(&mut self, life: &Incarnation) {
-        self.idle.remove(life);
+    /// Drops the connections to an incarnation that has ended.
+    pub(crate) fn remove(&mut self, incarnation: &Incarnation) {
+        self.idle.remove(incarnation);
     }
 
-    /// Drops connections that are too old, and those to lives that `is_current` doesn't know.
+    /// Drops connections that are too old, and those to incarnations that `is_current` doesn't know.
     pub(crate) fn sweep(&mut self, now: Instant, is_current: impl Fn(&Incarnation) -> bool) {
-        self.idle.retain(|life, idle| {
+        self.idle.retain(|incarnation, idle| {
             idle.retain(|connection| now - connection.idle_since < connection.idle_limit);
-            !idle.is_empty() && is_current(life)
+            !idle.is_empty() && is_current(incarnation)
         });
     }
 }
--- a/crates/gateway/src/process/run.rs
+++ b/crates/gateway/src/process/run.rs
@@ -186,16 +186,21 @@
     Ok(())
 }
 
-/// Drops connections that are too old and what belongs to lives that ended, and works out paths anew as suspicions end, for ever.
+/// Drops connections that are too old and what belongs to incarnations that ended, and works out paths anew as suspicions end, for ever.
 async fn sweep(gateway: Rc<Gateway>) {
     loop {
         sleep(SWEEP_INTERVAL).await;
         let knowledge = gateway.knowledge.borrow();
-        let is_current = |life: &Incarnation| knowledge.is_current(life);
-        let is_used = |life: &Incarnation| is_current(life) && !knowledge.is_unusable(&life.id);
+        let is_current = |incarnation: &Incarnation| knowledge.is_current(incarnation);
+        let is_used = |incarnation: &Incarnation| {
+            is_current(incarnation) && !knowledge.is_unusable(&incarnation.id)
+        };
         gateway.pool.borrow_mut().sweep(Instant::now(), is_used);
-        gateway.probes.borrow_mut().retain(|life, _| is_used(life));
-        gateway.uses.borrow_mut().retain(|life, used| used.in_flight > 0 || is_current(life));
+        gateway.probes.borrow_mut().retain(|incarnation, _| is_used(incarnation));
+        gateway
+            .uses
+            .borrow_mut()
+            .retain(|incarnation, used| used.in_flight > 0 || is_current(incarnation));
         drop(knowledge);
         gateway.refresh_paths();
     }
--- a/crates/gateway/src/process/store/endpoint_check.rs
+++ b/crates/gateway/src/process/store/endpoint_check.rs
@@ -1,4 +1,4 @@
-//! Asks endpoints whether they are well, and in which life, where their entry doesn't tell for sure.
+//! Asks endpoints whether they are well, and in which incarnation, where their entry doesn't tell for sure.
 
 use crate::process::{AnswerOf, CHECK_INTERVAL, Gateway, Unanswered};
 use sorrellock_platform::{CallError, Health, read_health, read_report};
@@ -10,14 +10,14 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// Time for an endpoint's health, which may wait for a slot, and for the report that tells its life.
+/// Time for an endpoint's health, which may wait for a slot, and for the report that tells its incarnation.
 const HEALTH_LIMIT: Duration = Duration::from_millis(400);
 /// What told that an endpoint leaves, for log lines.
 const ITS_HEALTH: &str = "its health";
 
 /// An endpoint that is asked whether it is well.
 struct Asked {
-    life: Incarnation,
+    incarnation: Incarnation,
     addr: SocketAddr,
     health_path: String,
     /// It has a report.
@@ -27,7 +27,7 @@
 impl Asked {
     fn new(knowledge: &Knowledge, endpoint: &Endpoint) -> Option<Asked> {
         Some(Asked {
-            life: endpoint.incarnation(),
+            incarnation: endpoint.incarnation(),
             addr: endpoint.addr,
             health_path: knowledge.health_path(endpoint, Instant::now().into_std())?.to_owned(),
             is_engine: endpoint.card.is_some(),
@@ -46,20 +46,22 @@
         endpoint.and_then(|endpoint| Asked::new(&knowledge, endpoint))
     };
     let Some(asked) = found else { return };
-    if !note_asked(gateway, &asked.life) {
+    if !note_asked(gateway, &asked.incarnation) {
         return;
     }
     let gateway = Rc::clone(gateway);
     tokio::task::spawn_local(async move {
         let mut res = ask_health(&gateway, &asked).await;
         if res.is_ok() && lacks_part {
-            res = ask_life(&gateway, &asked).await;
+            res = ask_incarnation(&gateway, &asked).await;
         }
         match res {
             // One that refused a request just now lives.
-            Ok(()) | Err(Unwell::OtherLife | Unwell::Unknown | Unwell::Silent(_)) => {}
-            Err(Unwell::Leaves) => gateway.believe_leaving(&asked.life),
-            Err(Unwell::Ended(why)) => gateway.suspect(&asked.life, FailureEvidence::Refused, &why),
+            Ok(()) | Err(Unwell::OtherIncarnation | Unwell::Unknown | Unwell::Silent(_)) => {}
+            Err(Unwell::Leaves) => gateway.believe_leaving(&asked.incarnation),
+            Err(Unwell::Ended(why)) => {
+                gateway.suspect(&asked.incarnation, FailureEvidence::Refused, &why)
+            }
         }
     });
 }
@@ -75,7 +77,7 @@
     if asked.len() < 2 {
         return;
     }
-    for one in asked.into_iter().filter(|one| note_asked(gateway, &one.life)) {
+    for one in asked.into_iter().filter(|one| note_asked(gateway, &one.incarnation)) {
         let gateway = Rc::clone(gateway);
         // What it finds is taken on the way.
         tokio::task::spawn_local(async move { drop(ask_health(&gateway, &one).await) });
@@ -83,11 +85,11 @@
 }
 
 /// Notes that an endpoint is asked after a refusal or a contradiction. Whether it wasn't just now.
-fn note_asked(gateway: &Gateway, life: &Incarnation) -> bool {
+fn note_asked(gateway: &Gateway, incarnation: &Incarnation) -> bool {
     let now = Instant::now();
     let mut checked = gateway.refusers_checked.borrow_mut();
     checked.retain(|_, at| now - *at < CHECK_INTERVAL);
-    checked.insert(life.clone(), now).is_none()
+    checked.insert(incarnation.clone(), now).is_none()
 }
 
 /// An endpoint's entry is gone without a word: it stays for a while if it tells that it lives, as one
@@ -105,17 +107,17 @@
     tokio::task::spawn_local(async move {
         let mut res = ask_health(&gateway, &asked).await;
         if res.is_ok() {
-            // Health is the same in each life: only the report tells whether it kept its layers.
-            res = ask_life(&gateway, &asked).await;
+            // Health is the same in each incarnation: only the report tells whether it kept its layers.
+            res = ask_incarnation(&gateway, &asked).await;
         }
-        let id = asked.life.id.as_str();
+        let id = asked.incarnation.id.as_str();
         let why = match res {
             Ok(()) => {
                 info!("endpoint lives without its entry", kv: { endpoint = id });
                 return;
             }
-            // It stays as the new life, which holds nothing yet.
-            Err(Unwell::OtherLife) => return,
+            // It stays as the new incarnation, which holds nothing yet.
+            Err(Unwell::OtherIncarnation) => return,
             Err(Unwell::Leaves) => ITS_HEALTH.to_owned(),
             // It stays until an entry that only lapsed would be back.
             Err(Unwell::Unknown) => return,
@@ -145,10 +147,12 @@
     let gateway = Rc::clone(gateway);
     tokio::task::spawn_local(async move {
         let res = ask_health(&gateway, &asked).await;
-        if !matches!(res, Err(Unwell::Leaves)) || !gateway.remove_missing(&asked.life, ITS_HEALTH) {
+        if !matches!(res, Err(Unwell::Leaves))
+            || !gateway.remove_missing(&asked.incarnation, ITS_HEALTH)
+        {
             return;
         }
-        gateway.beliefs.borrow_mut().note_left(asked.life, Instant::now());
+        gateway.beliefs.borrow_mut().note_left(asked.incarnation, Instant::now());
         gateway.suspected.notify_one();
         gateway.refresh_paths();
     });
@@ -164,10 +168,10 @@
     let gateway = Rc::clone(gateway);
     tokio::task::spawn_local(async move {
         let res = ask_health(&gateway, &asked).await;
-        if res.is_err() || !gateway.knowledge.borrow_mut().note_well(&asked.life) {
+        if res.is_err() || !gateway.knowledge.borrow_mut().note_well(&asked.incarnation) {
             return;
         }
-        info!("endpoint that had left is well", kv: { endpoint = asked.life.id.as_str() });
+        info!("endpoint that had left is well", kv: { endpoint = asked.incarnation.id.as_str() });
         gateway.engines_changed.notify_waiters();
         gateway.refresh_paths();
     });
@@ -180,7 +184,7 @@
     /// It gives no answer, or another instance answers in its place.
     Ended(String),
     /// It has started again.
-    OtherLife,
+    OtherIncarnation,
     /// Nothing is known: it is full and rejected the question, the question waits for a slot, or this process was too late to
     /// tell.
     Unknown,
@@ -198,10 +202,10 @@
 }
 
 async fn ask_health(gateway: &Gateway, asked: &Asked) -> Result<(), Unwell> {
-    let Asked { life, addr, health_path, .. } = asked;
+    let Asked { incarnation, addr, health_path, .. } = asked;
     let began = Instant::now();
-    let client = gateway.probe(life, *addr);
-    let question = |limit| read_health(&client, health_path, &life.id, limit);
+    let client = gateway.probe(incarnation, *addr);
+    let question = |limit| read_health(&client, health_path, &incarnation.id, limit);
     let answer = match gateway.ask(&client, HEALTH_LIMIT, question).await {
         Ok(answer) => answer,
         Err(Unanswered::Failed(err @ CallError::NoAnswer { .. })) => {
@@ -210,13 +214,14 @@
         Err(unanswered) => return Err(unanswered.into()),
     };
     if answer.health == Health::Replaced {
-        gateway.on_replaced(life);
+        gateway.on_replaced(incarnation);
         return Err(Unwell::Ended("another instance has its address".to_owned()));
     }
     if answer.started.is_some()
-        && gateway.on_answer_of(life, *addr, answer.started, began) != AnswerOf::SameLife
+        && gateway.on_answer_of(incarnation, *addr, answer.started, began)
+            != AnswerOf::SameIncarnation
     {
-        return Err(Unwell::OtherLife);
+        return Err(Unwell::OtherIncarnation);
     }
     match answer.health {
         Health::Well => Ok(()),
@@ -230,26 +235,26 @@
     if !asked.is_engine {
         return Unwell::Silent(err.to_string());
     }
-    let client = gateway.probe(&asked.life, asked.addr);
+    let client = gateway.probe(&asked.incarnation, asked.addr);
     match gateway.ask(&client, HEALTH_LIMIT, |limit| read_report(&client, limit)).await {
         Ok(_) => Unwell::Unknown,
         Err(unanswered) => unanswered.into(),
     }
 }
 
-/// Asks an engine whether it is still in the life that is known. Where no start is told, each has an id
+/// Asks an engine whether it is still in the incarnation that is known. Where no start is told, each has an id
 /// of its own, and nothing is asked.
-async fn ask_life(gateway: &Gateway, asked: &Asked) -> Result<(), Unwell> {
-    let Asked { life, addr, is_engine, .. } = asked;
-    if !is_engine || life.started.is_none() {
+async fn ask_incarnation(gateway: &Gateway, asked: &Asked) -> Result<(), Unwell> {
+    let Asked { incarnation, addr, is_engine, .. } = asked;
+    if !is_engine || incarnation.started.is_none() {
         return Ok(());
     }
     let began = Instant::now();
-    let client = gateway.probe(life, *addr);
+    let client = gateway.probe(incarnation, *addr);
     let report = gateway.ask(&client, HEALTH_LIMIT, |limit| read_report(&client, limit)).await?;
-    match gateway.on_answer_of(life, *addr, report.started, began) {
-        AnswerOf::SameLife => Ok(()),
-        AnswerOf::OtherLife => Err(Unwell::OtherLife),
+    match gateway.on_answer_of(incarnation, *addr, report.started, began) {
+        AnswerOf::SameIncarnation => Ok(()),
+        AnswerOf::OtherIncarnation => Err(Unwell::OtherIncarnation),
         AnswerOf::Untold => Err(Unwell::Ended("its report tells no start".to_owned())),
     }
 }
--- a/crates/gateway/src/process/store/endpoint_news.rs
+++ b/crates/gateway/src/process/store/endpoint_news.rs
@@ -116,8 +116,9 @@
             gateway.knowledge.borrow_mut().forget_refused(name);
             return;
         }
-        let life = gateway.knowledge.borrow().endpoint(name).map(Endpoint::incarnation);
-        let is_dead = life.is_some_and(|life| gateway.is_dead(&life)) && !may_have_lapsed;
+        let incarnation = gateway.knowledge.borrow().endpoint(name).map(Endpoint::incarnation);
+        let is_dead = incarnation.is_some_and(|incarnation| gateway.is_dead(&incarnation))
+            && !may_have_lapsed;
         if is_dead || !gateway.knowledge.borrow_mut().mark_missing(name, Instant::now().into_std())
         {
             gateway.remove_endpoint(name, "watch");
@@ -133,13 +134,13 @@
 
     /// Gives up an endpoint whose entry is missing, as `source` found that it leaves. One whose entry is back stays. Tells
     /// whether it was given up.
-    pub(crate) fn remove_missing(&self, life: &Incarnation, source: &str) -> bool {
+    pub(crate) fn remove_missing(&self, incarnation: &Incarnation, source: &str) -> bool {
         let is_missing = {
             let knowledge = self.knowledge.borrow();
-            knowledge.is_missing(&life.id) && knowledge.is_current(life)
+            knowledge.is_missing(&incarnation.id) && knowledge.is_current(incarnation)
         };
         if is_missing {
-            self.remove_endpoint(&life.id, source);
+            self.remove_endpoint(&incarnation.id, source);
         }
         is_missing
     }
--- a/crates/gateway/src/process/store/entries.rs
+++ b/crates/gateway/src/process/store/entries.rs
@@ -63,21 +63,21 @@
         if self.knowledge.borrow().lacks_start(&endpoint) {
             return self.refuse_startless(endpoint, revision, source);
         }
-        let Some((endpoint, ended)) = self.life_of_entry(endpoint, revision, source) else {
+        let Some((endpoint, ended)) = self.incarnation_of_entry(endpoint, revision, source) else {
             return;
         };
-        let (life, addr) = (endpoint.incarnation(), endpoint.addr);
-        let is_known_there = self.knowledge.borrow().is_known_at(&life, addr);
+        let (incarnation, addr) = (endpoint.incarnation(), endpoint.addr);
+        let is_known_there = self.knowledge.borrow().is_known_at(&incarnation, addr);
         self.take_entry(endpoint, revision, source);
         if !is_known_there {
             check_address(self, addr);
         }
         if let Some(ended) = ended {
-            self.on_life_ended(&ended, &life, source);
+            self.on_life_ended(&ended, &incarnation, source);
         }
     }
 
-    /// Takes an entry of an endpoint's present life.
+    /// Takes an entry of an endpoint's present incarnation.
     pub(crate) fn take_entry(&self, endpoint: Endpoint, revision: Revision, source: &str) {
         let id = endpoint.id.clone();
         let addr = endpoint.addr.to_string();
--- a/crates/gateway/src/process/store/eras.rs
+++ b/crates/gateway/src/process/store/eras.rs
@@ -51,8 +51,8 @@
     pub(crate) fn receive_left(&self, left: &[Incarnation], era: StoreEra, from: &str) -> bool {
         let now = Instant::now().into_std();
         let newly_leaving = self.knowledge.borrow_mut().receive_left(left, era, now);
-        for life in &newly_leaving {
-            info!("endpoint leaving", kv: { endpoint = life.id.as_str(), era, source = from });
+        for incarnation in &newly_leaving {
+            info!("endpoint leaving", kv: { endpoint = incarnation.id.as_str(), era, source = from });
         }
         if !newly_leaving.is_empty() {
             self.engines_changed.notify_waiters();
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -26,7 +26,7 @@
 
 /// Where an attempt goes.
 pub(crate) struct Target<'a> {
-    pub(crate) life: Incarnation,
+    pub(crate) incarnation: Incarnation,
     pub(crate) addr: SocketAddr,
     /// The path over engines; empty for plain services.
     pub(crate) path: &'a [PathPart],
@@ -39,7 +39,7 @@
     pub(crate) answer: Response<Incoming>,
     pub(crate) head: AnswerHead,
     pub(crate) connection: Connection,
-    pub(crate) life: Incarnation,
+    pub(crate) incarnation: Incarnation,
     pub(crate) in_flight: InFlight,
 }
 
@@ -74,20 +74,20 @@
 /// Counts a request at an endpoint while it lives.
 pub(crate) struct InFlight {
     gateway: Rc<Gateway>,
-    life: Incarnation,
+    incarnation: Incarnation,
     began: Instant,
 }
 
 impl InFlight {
-    fn new(gateway: Rc<Gateway>, life: Incarnation) -> InFlight {
-        gateway.uses.borrow_mut().entry(life.clone()).or_default().in_flight += 1;
-        InFlight { gateway, life, began: Instant::now() }
+    fn new(gateway: Rc<Gateway>, incarnation: Incarnation) -> InFlight {
+        gateway.uses.borrow_mut().entry(incarnation.clone()).or_default().in_flight += 1;
+        InFlight { gateway, incarnation, began: Instant::now() }
     }
 
     /// The answer came whole.
     pub(crate) fn on_answered(&self) {
         let ms = self.began.elapsed().as_secs_f64() * 1e3;
-        if let Some(used) = self.gateway.uses.borrow_mut().get_mut(&self.life) {
+        if let Some(used) = self.gateway.uses.borrow_mut().get_mut(&self.incarnation) {
             let before = if used.mean_ms == 0.0 { ms } else { used.mean_ms };
             used.mean_ms = before + MEAN_WEIGHT * (ms - before);
         }
@@ -96,7 +96,7 @@
 
 impl Drop for InFlight {
     fn drop(&mut self) {
-        if let Some(used) = self.gateway.uses.borrow_mut().get_mut(&self.life) {
+        if let Some(used) = self.gateway.uses.borrow_mut().get_mut(&self.incarnation) {
             used.in_flight = used.in_flight.saturating_sub(1);
         }
     }
@@ -109,12 +109,12 @@
     target: &Target<'_>,
     limit: Duration,
 ) -> Result<Begun, Failed> {
-    let in_flight = InFlight::new(Rc::clone(gateway), target.life.clone());
+    let in_flight = InFlight::new(Rc::clone(gateway), target.incarnation.clone());
     let (answer, connection) = send(gateway, call, target, limit).await?;
     let head = read_answer_head(answer.headers());
-    note_load(gateway, &target.life, &head);
+    note_load(gateway, &target.incarnation, &head);
     check_head(gateway, call, &answer, &head)?;
-    Ok(Begun { answer, head, connection, life: target.life.clone(), in_flight })
+    Ok(Begun { answer, head, connection, incarnation: target.incarnation.clone(), in_flight })
 }
 
 /// Sends a request on kept connections, as long as their endpoint has closed them before, else on a new one.
@@ -128,7 +128,7 @@
     let mut req = request(call, target);
     loop {
         let (mut connection, is_kept) = connect(gateway, call, target).await?;
-        let silence = Silence::watch(Rc::clone(gateway), target.life.clone());
+        let silence = Silence::watch(Rc::clone(gateway), target.incarnation.clone());
         let Ok(res) = timeout_at(until, connection.sender.try_send_request(req)).await else {
             let why = format!("no answer in {} ms", limit.as_millis());
             return Err(Failed::new(Evidence::MayHaveRun, why));
@@ -152,14 +152,14 @@
 /// went silent for good: each one met the next such connection, and was lost to it.
 struct Silence {
     gateway: Rc<Gateway>,
-    life: Incarnation,
+    incarnation: Incarnation,
     since: Instant,
     is_over: Cell<bool>,
 }
 
 impl Silence {
-    fn watch(gateway: Rc<Gateway>, life: Incarnation) -> Silence {
-        Silence { gateway, life, since: Instant::now(), is_over: Cell::new(false) }
+    fn watch(gateway: Rc<Gateway>, incarnation: Incarnation) -> Silence {
+        Silence { gateway, incarnation, since: Instant::now(), is_over: Cell::new(false) }
     }
 
     /// The endpoint answered, or closed the connection.
@@ -171,7 +171,7 @@
 impl Drop for Silence {
     fn drop(&mut self) {
         if !self.is_over.get() && self.since.elapsed() >= SILENT_AFTER {
-            self.gateway.pool.borrow_mut().give_up(&self.life, self.since);
+            self.gateway.pool.borrow_mut().give_up(&self.incarnation, self.since);
         }
     }
 }
@@ -183,8 +183,12 @@
     target: &Target<'_>,
 ) -> Result<(Connection, bool), Failed> {
     let may_repeat = call.route.semantics.may_repeat();
-    let kept =
-        gateway.pool.borrow_mut().take(&target.life, target.addr, may_repeat, Instant::now());
+    let kept = gateway.pool.borrow_mut().take(
+        &target.incarnation,
+        target.addr,
+        may_repeat,
+        Instant::now(),
+    );
     if let Some(connection) = kept {
         return Ok((connection, true));
     }
@@ -210,7 +214,7 @@
 fn request(call: &Call, target: &Target<'_>) -> Request<Full<Bytes>> {
     let head = AttemptHead {
         time_left: call.caller_time_left(),
-        endpoint: &target.life.id,
+        endpoint: &target.incarnation.id,
         workspace: call.workspace.as_deref(),
         path: target.path,
         urgency: u8::try_from(call.rank.min(9)).ok(),
@@ -224,10 +228,10 @@
     req
 }
 
-fn note_load(gateway: &Gateway, life: &Incarnation, head: &AnswerHead) {
+fn note_load(gateway: &Gateway, incarnation: &Incarnation, head: &AnswerHead) {
     let Some(load) = head.load else { return };
     let mut uses = gateway.uses.borrow_mut();
-    let used: &mut EndpointUse = uses.entry(life.clone()).or_default();
+    let used: &mut EndpointUse = uses.entry(incarnation.clone()).or_default();
     used.told = Some((load, Instant::now()));
 }
 
--- a/crates/gateway/src/request/plain.rs
+++ b/crates/gateway/src/request/plain.rs
@@ -296,8 +296,8 @@
         era = known.at.era, endpoints_at = known.at.count, endpoints_age_ms:? = known.age_ms
     });
     let until = Instant::now() + limit;
-    let life = endpoint.incarnation();
-    let target = Target { life, addr: endpoint.addr, path: &[], last_event: None };
+    let incarnation = endpoint.incarnation();
+    let target = Target { incarnation, addr: endpoint.addr, path: &[], last_event: None };
     let begun = attempt(gateway, call, &target, limit).await?;
     gateway.counters.first_byte.record(call.arrived.elapsed());
     read_whole(gateway, begun, until).await
@@ -317,7 +317,7 @@
         body.map_err(|err| no_answer(format!("the answer broke off: {err}")))?.to_bytes();
     begun.in_flight.on_answered();
     let head = read_answer_head(&parts.headers);
-    gateway.pool.borrow_mut().keep(begun.life, begun.connection, &head, Instant::now());
+    gateway.pool.borrow_mut().keep(begun.incarnation, begun.connection, &head, Instant::now());
     Ok(pass_on(&parts, body))
 }
 
--- a/crates/gateway/src/request/relay/failover.rs
+++ b/crates/gateway/src/request/relay/failover.rs
@@ -59,7 +59,7 @@
         self.attempts.abandon();
         let Some(run) = &self.run else { return };
         let live = &run.place.live;
-        let first = &live.path.first().life;
+        let first = &live.path.first().incarnation;
         if !live.is_broken() && self.last_event.elapsed() >= STREAM_SILENCE {
             self.gateway.pool.borrow_mut().give_up(first, self.last_event);
         }
@@ -70,7 +70,7 @@
         let has_broken_off = matches!(fault, RunFault::ConnectionBroke(_));
         if has_broken_off && !self.gateway.is_listed(first) {
             // An engine without an entry that breaks off has ended.
-            self.attempts.forget_lost(|life| life == first);
+            self.attempts.forget_lost(|incarnation| incarnation == first);
         }
         if !self.avoid.iter().any(|other| Rc::ptr_eq(other, live)) {
             self.avoid.push(Rc::clone(live));
@@ -94,7 +94,7 @@
         loop {
             let not_begun = match self.try_run(may_try, window).await {
                 Tried::Began(run) => return self.take_run(*run),
-                Tried::Chunk(chunk) => return self.on_sign_of_life(chunk).await,
+                Tried::Chunk(chunk) => return self.on_sign_of_incarnation(chunk).await,
                 Tried::Complete => return Flow::Complete,
                 // What ruled out another run for the doubt may not hold any more.
                 Tried::Broke(fault) => return Box::pin(self.fail_over(fault)).await,
@@ -205,7 +205,7 @@
         info!("failover done", kv: {
             request = self.call.id(), after:? = self.events.last(),
             data_centre = run.place.live.path.data_centre.as_str(),
-            endpoint = run.place.live.path.first().life.id.as_str()
+            endpoint = run.place.live.path.first().incarnation.id.as_str()
         });
         self.run_began = Instant::now();
         run.place.live.last_event.set(self.run_began);
@@ -214,7 +214,7 @@
     }
 
     /// The run in doubt brought bytes.
-    async fn on_sign_of_life(&mut self, chunk: Bytes) -> Flow {
+    async fn on_sign_of_incarnation(&mut self, chunk: Bytes) -> Flow {
         let silent_ms = self.last_event.elapsed().as_millis() as u64;
         info!("failover withdrawn, the run goes on", kv: { request = self.call.id(), silent_ms });
         self.gateway.counters.add(Count::FailoversWithdrawn);
@@ -259,7 +259,7 @@
         let live = self.run.as_ref().map(|run| &run.place.live);
         let parts = live.into_iter().flat_map(|live| &live.path.parts);
         let judged = parts.filter_map(|part| {
-            Some(format!("{}: {}", part.life.id, gateway.judgement(&part.life)?))
+            Some(format!("{}: {}", part.incarnation.id, gateway.judgement(&part.incarnation)?))
         });
         let engines = judged.collect::<Vec<_>>().join("; ");
         let has_other =
--- a/crates/gateway/src/request/relay/relay.rs
+++ b/crates/gateway/src/request/relay/relay.rs
@@ -280,7 +280,7 @@
         let routes = gateway.knowledge.borrow().routes().cloned();
         let service = routes.as_ref().and_then(|routes| routes.service(&self.call.service));
         let Some(shape) = service.and_then(|service| service.model.as_ref()) else { return false };
-        let is_lost = |part: &&PathPart| gateway.is_lost(&part.life);
+        let is_lost = |part: &&PathPart| gateway.is_lost(&part.incarnation);
         let missing = live.path.parts.iter().filter(is_lost).map(|part| part.layers.len()).sum();
         is_repair_worth_waiting(shape, missing, silent)
     }
@@ -315,7 +315,7 @@
         run.begun.in_flight.on_answered();
         let now = Instant::now();
         let pool = &self.gateway.pool;
-        pool.borrow_mut().keep(run.begun.life, run.begun.connection, &run.begun.head, now);
+        pool.borrow_mut().keep(run.begun.incarnation, run.begun.connection, &run.begun.head, now);
         if self.tx.send(Part::End).await.is_ok() {
             note_time(&self.gateway, &self.call);
             let why = format!(
@@ -323,7 +323,7 @@
                 self.events.events(),
                 self.pace,
                 self.failovers,
-                run.place.live.path.first().life.id
+                run.place.live.path.first().incarnation.id
             );
             self.call.end.tell(Count::Answered, "answered", 200, &why);
         }
--- a/crates/gateway/src/request/relay/repath.rs
+++ b/crates/gateway/src/request/relay/repath.rs
@@ -66,7 +66,7 @@
         from: &Rc<LivePath>,
         now: Instant,
     ) -> LeaveBroken {
-        let is_head_lost = gateway.is_lost(&from.path.first().life);
+        let is_head_lost = gateway.is_lost(&from.path.first().incarnation);
         // An order that is under way was given before the engine was known to be dead.
         self.under_way = None;
         if is_head_lost || self.tries >= MOST_TRIES {
@@ -98,7 +98,7 @@
         self.under_way = Some(rx);
         let request = call.id().to_owned();
         let first = from.path.first();
-        let client = gateway.probe(&first.life, first.addr);
+        let client = gateway.probe(&first.incarnation, first.addr);
         tokio::task::spawn_local(async move {
             let order = order_repath(&client, &request, &to.path.parts, ORDER_LIMIT).await;
             // A stream that has ended meanwhile needs no answer.
--- a/crates/gateway/src/request/run.rs
+++ b/crates/gateway/src/request/run.rs
@@ -62,7 +62,7 @@
     avoid: &[Rc<LivePath>],
 ) -> Result<PathPlace, NoPlace> {
     let may_take = |live: &Rc<LivePath>| {
-        attempts.may_send_to(&live.path.first().life)
+        attempts.may_send_to(&live.path.first().incarnation)
             && !avoid.iter().any(|other| Rc::ptr_eq(other, live))
     };
     let own = &gateway.settings.data_centre;
@@ -82,7 +82,7 @@
     let mut after = attempts.clone();
     after.abandon();
     let may_take = |live: &Rc<LivePath>| {
-        !Rc::ptr_eq(live, silent) && after.may_send_to(&live.path.first().life)
+        !Rc::ptr_eq(live, silent) && after.may_send_to(&live.path.first().incarnation)
     };
     let tokens = expected_tokens(call);
     let paths = gateway.paths.borrow();
@@ -105,13 +105,17 @@
     let ms = call.arrived.elapsed().as_millis() as u64;
     let known = gateway.endpoints_known();
     info!("request sent", kv: {
-        request = call.id(), endpoint = first.life.id.as_str(),
+        request = call.id(), endpoint = first.incarnation.id.as_str(),
         data_centre = path.data_centre.as_str(), streams = place.live.streams.get(),
         after:? = last, ms, era = known.at.era, endpoints_at = known.at.count,
         endpoints_age_ms:? = known.age_ms
     });
-    let target =
-        Target { life: first.life.clone(), addr: first.addr, path: &path.parts, last_event: last };
+    let target = Target {
+        incarnation: first.incarnation.clone(),
+        addr: first.addr,
+        path: &path.parts,
+        last_event: last,
+    };
     let begun = attempt(gateway, call, &target, call.time_left()).await?;
     Ok(Run { begun, place })
 }
--- a/crates/gateway/src/request/run_search.rs
+++ b/crates/gateway/src/request/run_search.rs
@@ -158,7 +158,7 @@
         if self.gateway.is_ending() {
             return Err(NotBegun::Ending);
         }
-        self.attempts.forget_lost(|life| self.gateway.is_gone(life));
+        self.attempts.forget_lost(|incarnation| self.gateway.is_gone(incarnation));
         let place = place(self.gateway, self.call, self.attempts, self.avoid, room_until).await;
         let place = place.map_err(|none| self.end_with(NotBegun::NoPlace(none)))?;
         if self.attempts.is_repeat() && !self.gateway.spend_repeat(&self.call.service) {
@@ -181,7 +181,7 @@
 
     fn on_sent(&mut self, place: &PathPlace) -> Sent {
         let now = Instant::now();
-        self.attempts.on_sent(&place.live.path.first().life);
+        self.attempts.on_sent(&place.live.path.first().incarnation);
         Sent { live: Rc::clone(&place.live), at: now, look_at: now, is_counted: false }
     }
 
@@ -189,7 +189,7 @@
     fn on_doubted(&mut self, sent: &mut Sent, why: &str) {
         let (call, live) = (self.call, &sent.live);
         info!("attempt in doubt", kv: {
-            request = call.id(), endpoint = live.path.first().life.id.as_str(), why,
+            request = call.id(), endpoint = live.path.first().incarnation.id.as_str(), why,
             ms = call.arrived.elapsed().as_millis() as u64
         });
         self.attempts.abandon();
@@ -205,7 +205,7 @@
     }
 
     fn on_failed(&mut self, sent: &Sent, failed: &Failed) {
-        log_failed(self.gateway, self.call, &sent.live.path.first().life, failed);
+        log_failed(self.gateway, self.call, &sent.live.path.first().incarnation, failed);
         self.note_failed(sent, failed.evidence);
         follow_failure(self.gateway, self.call, &sent.live, failed);
     }
@@ -214,13 +214,13 @@
     fn on_shutting_down(&mut self, sent: &Sent) {
         self.call.end.tell_cut_leaving();
         let failed = Failed::new(Evidence::MayHaveRun, "this gateway ends".to_owned());
-        log_failed(self.gateway, self.call, &sent.live.path.first().life, &failed);
+        log_failed(self.gateway, self.call, &sent.live.path.first().incarnation, &failed);
         self.note_failed(sent, failed.evidence);
     }
 
     fn note_failed(&mut self, sent: &Sent, evidence: Evidence) {
         if !sent.is_counted {
-            self.attempts.on_failed(&sent.live.path.first().life, evidence);
+            self.attempts.on_failed(&sent.live.path.first().incarnation, evidence);
             self.avoid.push(Rc::clone(&sent.live));
         }
     }
@@ -237,7 +237,7 @@
     let now = Instant::now();
     match failed.evidence {
         Evidence::NotSent if failed.is_inconclusive => check_first(gateway, live),
-        Evidence::NotSent => gateway.suspect(&first.life, failed.finding, &failed.why),
+        Evidence::NotSent => gateway.suspect(&first.incarnation, failed.finding, &failed.why),
         Evidence::NotRun => {
             // Another path through the engine that refused would bring the same answer.
             let refuser = failed.at_fault.unwrap_or(first.addr);
--- a/crates/routing/src/process/best_paths.rs
+++ b/crates/routing/src/process/best_paths.rs
@@ -92,7 +92,9 @@
     let local: Vec<&Holder> = holders.iter().filter(is_local).collect();
     let others = path.parts.iter().map(|part| {
         let has_other = |layer: &u32| {
-            local.iter().any(|holder| holder.layers.contains(*layer) && holder.life != part.life)
+            local.iter().any(|holder| {
+                holder.layers.contains(*layer) && holder.incarnation != part.incarnation
+            })
         };
         (part.layers.from..part.layers.to).filter(has_other).count()
     });
--- a/crates/routing/src/process/endpoint.rs
+++ b/crates/routing/src/process/endpoint.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
-/// Id of an endpoint. A restart may keep it: [`Incarnation`] tells lives apart.
+/// Id of an endpoint. A restart may keep it: [`Incarnation`] tells incarnations apart.
 pub type EndpointId = String;
 /// Name of a data centre.
 pub type DataCentre = String;
@@ -86,7 +86,7 @@
 }
 
 impl Endpoint {
-    /// The life that the list tells of.
+    /// The incarnation that the list tells of.
     pub fn incarnation(&self) -> Incarnation {
         Incarnation::new(self.id.clone(), self.started)
     }
--- a/crates/routing/src/process/incarnation.rs
+++ b/crates/routing/src/process/incarnation.rs
@@ -1,4 +1,4 @@
-//! Tells the lives of one endpoint apart.
+//! Tells the incarnations of one endpoint apart.
 
 use crate::process::EndpointId;
 use serde::{Deserialize, Serialize};
@@ -8,7 +8,7 @@
 /// start may bear an earlier time: only equality tells anything.
 pub type StartMillis = u64;
 
-/// One life of an endpoint, from a start to its end. A restart keeps the id and forgets all else.
+/// One incarnation of an endpoint, from a start to its end. A restart keeps the id and forgets all else.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Incarnation {
     /// The endpoint.
@@ -18,7 +18,7 @@
 }
 
 impl Incarnation {
-    /// The life of `id` that began at `started`.
+    /// The incarnation of `id` that began at `started`.
     pub fn new(id: impl Into<EndpointId>, started: Option<StartMillis>) -> Incarnation {
         Incarnation { id: id.into(), started }
     }
--- a/crates/routing/src/process/knowledge/era.rs
+++ b/crates/routing/src/process/knowledge/era.rs
@@ -25,9 +25,9 @@
         let leaving: Vec<Incarnation> = leaving.map(Endpoint::incarnation).collect();
         let removed = std::mem::take(&mut self.removed).into_values();
         let removed = removed.filter(|removed| now - removed.at < REMOVED_IN_COPY);
-        let left = leaving.into_iter().chain(removed.map(|removed| removed.life));
+        let left = leaving.into_iter().chain(removed.map(|removed| removed.incarnation));
         self.left.begin_era();
-        left.for_each(|life| self.left.insert(life, now));
+        left.for_each(|incarnation| self.left.insert(incarnation, now));
     }
 
     /// Whether the store wrote `revision` in the era in which the endpoints are known, rather than with the copy that the era
@@ -58,16 +58,16 @@
     }
 
     /// An endpoint that had left before this era tells that it is well. Whether that is news.
-    pub fn note_well(&mut self, life: &Incarnation) -> bool {
-        let known = self.endpoints.get_mut(&life.id);
+    pub fn note_well(&mut self, incarnation: &Incarnation) -> bool {
+        let known = self.endpoints.get_mut(&incarnation.id);
         let Some(known) = known.filter(|known| self.left.holds(&known.endpoint)) else {
             return false;
         };
-        if known.endpoint.started != life.started {
+        if known.endpoint.started != incarnation.started {
             return false;
         }
         known.endpoint.is_leaving = false;
-        self.left.note_returned(life);
+        self.left.note_returned(incarnation);
         true
     }
 
@@ -92,24 +92,28 @@
             return Vec::new();
         }
         let mut newly_leaving = Vec::new();
-        for life in left {
-            if self.left.has_returned(life) || self.knows_better(life) {
+        for incarnation in left {
+            if self.left.has_returned(incarnation) || self.knows_better(incarnation) {
                 continue;
             }
-            self.left.insert(life.clone(), now);
-            if let Some(known) = self.endpoints.get_mut(&life.id) {
+            self.left.insert(incarnation.clone(), now);
+            if let Some(known) = self.endpoints.get_mut(&incarnation.id) {
                 known.endpoint.is_leaving = true;
-                newly_leaving.push(life.clone());
+                newly_leaving.push(incarnation.clone());
             }
         }
         newly_leaving
     }
 
-    /// Whether an endpoint is known to leave, is in another life, or wrote its entry in this era.
-    fn knows_better(&self, life: &Incarnation) -> bool {
-        self.endpoints.get(&life.id).is_some_and(|KnownEndpoint { endpoint, revision, .. }| {
-            endpoint.is_leaving || endpoint.started != life.started || self.is_of_era(*revision)
-        })
+    /// Whether an endpoint is known to leave, is in another incarnation, or wrote its entry in this era.
+    fn knows_better(&self, incarnation: &Incarnation) -> bool {
+        self.endpoints.get(&incarnation.id).is_some_and(
+            |KnownEndpoint { endpoint, revision, .. }| {
+                endpoint.is_leaving
+                    || endpoint.started != incarnation.started
+                    || self.is_of_era(*revision)
+            },
+        )
     }
 
     /// An endpoint as its entry describes it, also where it is taken to be leaving because it had left before this era: the other process
--- a/crates/routing/src/process/knowledge/handover.rs
+++ b/crates/routing/src/process/knowledge/handover.rs
@@ -99,7 +99,7 @@
             refused: self.refused_after(known_at, now),
             endpoints_at: self.endpoints_at,
             era_floor: self.era_floor,
-            left: self.left.lives().collect(),
+            left: self.left.incarnations().collect(),
         }
     }
 }
--- a/crates/routing/src/process/knowledge/knowledge.rs
+++ b/crates/routing/src/process/knowledge/knowledge.rs
@@ -53,7 +53,7 @@
 /// An endpoint that was removed.
 #[derive(Clone, Debug)]
 pub(super) struct Removed {
-    pub(super) life: Incarnation,
+    pub(super) incarnation: Incarnation,
     pub(super) at: Instant,
 }
 
@@ -151,14 +151,16 @@
         open.filter(|endpoint| !endpoint.is_leaving)
     }
 
-    /// Whether the list tells of an endpoint in this life.
-    pub fn is_current(&self, life: &Incarnation) -> bool {
-        self.endpoint(&life.id).is_some_and(|endpoint| endpoint.started == life.started)
+    /// Whether the list tells of an endpoint in this incarnation.
+    pub fn is_current(&self, incarnation: &Incarnation) -> bool {
+        self.endpoint(&incarnation.id)
+            .is_some_and(|endpoint| endpoint.started == incarnation.started)
     }
 
-    /// Whether the list tells of an endpoint in this life at an address.
-    pub fn is_known_at(&self, life: &Incarnation, addr: SocketAddr) -> bool {
-        self.is_current(life) && self.endpoint(&life.id).is_some_and(|one| one.addr == addr)
+    /// Whether the list tells of an endpoint in this incarnation at an address.
+    pub fn is_known_at(&self, incarnation: &Incarnation, addr: SocketAddr) -> bool {
+        self.is_current(incarnation)
+            && self.endpoint(&incarnation.id).is_some_and(|one| one.addr == addr)
     }
 
     /// One endpoint.
@@ -205,10 +207,10 @@
         }
     }
 
-    /// An endpoint itself told that it started again: its entry still tells of the life before.
-    pub fn begin_life(&mut self, life: &Incarnation) {
-        if let Some(known) = self.endpoints.get_mut(&life.id) {
-            known.endpoint.started = life.started;
+    /// An endpoint itself told that it started again: its entry still tells of the incarnation before.
+    pub fn begin_incarnation(&mut self, incarnation: &Incarnation) {
+        if let Some(known) = self.endpoints.get_mut(&incarnation.id) {
+            known.endpoint.started = incarnation.started;
             known.endpoint.layers = LayerRange::default();
         }
     }
@@ -282,10 +284,10 @@
     /// Forgets an endpoint, but for its removal. Whether it was known.
     pub(super) fn forget_endpoint(&mut self, id: &str, now: Instant) -> bool {
         let known = self.endpoints.remove(id);
-        let life = known.as_ref().map(|known| known.endpoint.incarnation());
+        let incarnation = known.as_ref().map(|known| known.endpoint.incarnation());
         if self.removed.len() < MAX_REMOVED {
-            let life = life.unwrap_or_else(|| Incarnation::new(id, None));
-            self.removed.insert(id.to_owned(), Removed { life, at: now });
+            let incarnation = incarnation.unwrap_or_else(|| Incarnation::new(id, None));
+            self.removed.insert(id.to_owned(), Removed { incarnation, at: now });
         }
         known.is_some()
     }
--- a/crates/routing/src/process/knowledge/left_endpoints.rs
+++ b/crates/routing/src/process/knowledge/left_endpoints.rs
@@ -16,7 +16,7 @@
 /// The most that are reported at once: more than leave in the seconds that a copy is old.
 const MAX_REPORTED: usize = 64;
 
-/// A life that had left.
+/// An incarnation that had left.
 #[derive(Clone, Copy, Debug)]
 struct Left {
     started: Option<StartMillis>,
@@ -39,15 +39,15 @@
         self.returned.clear();
     }
 
-    /// The leave of a life binds in the era that begins at `now`.
-    pub(super) fn insert(&mut self, life: Incarnation, now: Instant) {
+    /// The leave of an incarnation binds in the era that begins at `now`.
+    pub(super) fn insert(&mut self, incarnation: Incarnation, now: Instant) {
         if self.left.len() < MAX_LEFT {
-            let left = Left { started: life.started, since: now, ask_at: now + ASK_EVERY };
-            self.left.entry(life.id).or_insert(left);
+            let left = Left { started: incarnation.started, since: now, ask_at: now + ASK_EVERY };
+            self.left.entry(incarnation.id).or_insert(left);
         }
     }
 
-    /// Whether an endpoint had left, in its life.
+    /// Whether an endpoint had left, in its incarnation.
     pub(super) fn holds(&self, endpoint: &Endpoint) -> bool {
         self.left.get(&endpoint.id).is_some_and(|left| left.started == endpoint.started)
     }
@@ -58,14 +58,14 @@
     }
 
     /// An endpoint that had left says that it is well.
-    pub(super) fn note_returned(&mut self, life: &Incarnation) {
-        self.remove(&life.id);
-        self.returned.insert(life.id.clone(), life.started);
+    pub(super) fn note_returned(&mut self, incarnation: &Incarnation) {
+        self.remove(&incarnation.id);
+        self.returned.insert(incarnation.id.clone(), incarnation.started);
     }
 
-    /// Whether an endpoint said in this era, and in this life, that it is well.
-    pub(super) fn has_returned(&self, life: &Incarnation) -> bool {
-        self.returned.get(&life.id).is_some_and(|started| *started == life.started)
+    /// Whether an endpoint said in this era, and in this incarnation, that it is well.
+    pub(super) fn has_returned(&self, incarnation: &Incarnation) -> bool {
+        self.returned.get(&incarnation.id).is_some_and(|started| *started == incarnation.started)
     }
 
     /// Those that are reported to other processes: the `listed` ones, and for a while the others, whose copied entry another process may
@@ -100,7 +100,7 @@
     }
 
     /// All of them, to hand on.
-    pub(super) fn lives(&self) -> impl Iterator<Item = Incarnation> {
+    pub(super) fn incarnations(&self) -> impl Iterator<Item = Incarnation> {
         self.left.iter().map(|(id, left)| Incarnation::new(id.clone(), left.started))
     }
 }
--- a/crates/routing/src/process/path_search.rs
+++ b/crates/routing/src/process/path_search.rs
@@ -67,7 +67,7 @@
             holders.iter().map(|holder| holder.kv_room).sum::<f64>() / holders.len() as f64;
         let layer_cost = |holder: &&Holder| {
             let scarcity = mean_room.max(1.0) / holder.kv_room.max(1.0);
-            let uses = uses.get(&holder.life).copied().unwrap_or_default();
+            let uses = uses.get(&holder.incarnation).copied().unwrap_or_default();
             holder.layer_cost + SCARCITY_COST * scarcity + SHARED_COST * f64::from(uses)
         };
         let mut names: Vec<&DataCentre> = Vec::new();
@@ -195,5 +195,5 @@
 }
 
 fn part(holder: &Holder, layers: LayerRange) -> PathPart {
-    PathPart { life: holder.life.clone(), addr: holder.addr, layers }
+    PathPart { incarnation: holder.incarnation.clone(), addr: holder.addr, layers }
 }
--- a/crates/routing/src/process/pipeline_path.rs
+++ b/crates/routing/src/process/pipeline_path.rs
@@ -9,8 +9,8 @@
 /// An engine that may be part of a path.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Holder {
-    /// The engine, in the life that holds the layers.
-    pub life: Incarnation,
+    /// The engine, in the incarnation that holds the layers.
+    pub incarnation: Incarnation,
     /// Where it listens.
     pub addr: SocketAddr,
     /// Its data centre.
@@ -26,8 +26,8 @@
 /// One engine's part of a path.
 #[derive(Clone, Debug, PartialEq)]
 pub struct PathPart {
-    /// The engine, in the life that the path was made for.
-    pub life: Incarnation,
+    /// The engine, in the incarnation that the path was made for.
+    pub incarnation: Incarnation,
     /// Where it listens.
     pub addr: SocketAddr,
     /// The layers that it runs.
@@ -55,9 +55,9 @@
         &self.parts[0]
     }
 
-    /// Whether a life of an engine is part of the path.
-    pub fn uses(&self, life: &Incarnation) -> bool {
-        self.parts.iter().any(|part| part.life == *life)
+    /// Whether an incarnation of an engine is part of the path.
+    pub fn uses(&self, incarnation: &Incarnation) -> bool {
+        self.parts.iter().any(|part| part.incarnation == *incarnation)
     }
 }
 
@@ -77,16 +77,17 @@
 /// streams, and each has its memory for itself.
 pub fn paths_by_head(holders: &[Holder], layers: u32) -> Vec<PipelinePath> {
     let mut heads: Vec<_> = holders.iter().filter(|holder| holder.layers.contains(0)).collect();
-    heads.sort_by_key(|head| (Reverse(head.layers.len()), &head.life));
+    heads.sort_by_key(|head| (Reverse(head.layers.len()), &head.incarnation));
     let mut uses = Uses::new();
     let mut paths = Vec::new();
     for head in heads {
-        let Some(path) = distinct_path(holders.iter().collect(), layers, Some(&head.life), &uses)
+        let Some(path) =
+            distinct_path(holders.iter().collect(), layers, Some(&head.incarnation), &uses)
         else {
             continue;
         };
         for part in &path.parts {
-            *uses.entry(part.life.clone()).or_default() += 1;
+            *uses.entry(part.incarnation.clone()).or_default() += 1;
         }
         paths.push(path);
     }
@@ -95,12 +96,12 @@
 
 /// The cheapest path that begins with a given part: requests that run there can go on over it.
 pub fn path_with_first(holders: &[Holder], layers: u32, first: &PathPart) -> Option<PipelinePath> {
-    let head = holders.iter().find(|holder| holder.life == first.life)?;
+    let head = holders.iter().find(|holder| holder.incarnation == first.incarnation)?;
     if first.layers.to >= layers {
         return None;
     }
     let mut others: Vec<&Holder> =
-        holders.iter().filter(|holder| holder.life != first.life).collect();
+        holders.iter().filter(|holder| holder.incarnation != first.incarnation).collect();
     let rest = distinct_rest(&mut others, layers, first.layers.to)?;
     let room = head.kv_room / f64::from(first.layers.len());
     let crosses = u32::from(rest.data_centre != head.data_centre);
@@ -123,12 +124,14 @@
     uses: &Uses,
 ) -> Option<PipelinePath> {
     loop {
-        let head = head.and_then(|life| holders.iter().position(|holder| holder.life == *life));
+        let head = head.and_then(|incarnation| {
+            holders.iter().position(|holder| holder.incarnation == *incarnation)
+        });
         let path = PathSearch::new(&holders, layers, uses).run(head)?;
         let Some(between) = left_and_come_back_to(&path) else {
             return (path.parts.len() <= MAX_PARTS).then_some(path);
         };
-        holders.retain(|holder| holder.life != between);
+        holders.retain(|holder| holder.incarnation != between);
     }
 }
 
@@ -138,14 +141,15 @@
         let search = PathSearch::new(holders, layers, &Uses::new()).with_begin(begin);
         let path = search.run(None)?;
         let Some(between) = left_and_come_back_to(&path) else { return Some(path) };
-        holders.retain(|holder| holder.life != between);
+        holders.retain(|holder| holder.incarnation != between);
     }
 }
 
 /// The engine after one that the path leaves and comes back to, if there is one.
 fn left_and_come_back_to(path: &PipelinePath) -> Option<Incarnation> {
-    let comes_back =
-        |at: &usize| path.parts[at + 1..].iter().any(|part| part.life == path.parts[*at].life);
+    let comes_back = |at: &usize| {
+        path.parts[at + 1..].iter().any(|part| part.incarnation == path.parts[*at].incarnation)
+    };
     let first = (0..path.parts.len()).find(comes_back)?;
-    Some(path.parts[first + 1].life.clone())
+    Some(path.parts[first + 1].incarnation.clone())
 }
--- a/crates/routing/src/process/placement/chains.rs
+++ b/crates/routing/src/process/placement/chains.rs
@@ -163,12 +163,14 @@
 /// chains' own.
 fn by_layers(mut engines: Vec<PlannedEngine>) -> Vec<PlannedEngine> {
     let key = |engine: &PlannedEngine| (engine.held.from, Reverse(engine.held.to));
-    engines.sort_by(|a, b| key(a).cmp(&key(b)).then_with(|| a.life.cmp(&b.life)));
+    engines.sort_by(|a, b| key(a).cmp(&key(b)).then_with(|| a.incarnation.cmp(&b.incarnation)));
     engines
 }
 
 fn by_memory(mut engines: Vec<PlannedEngine>) -> Vec<PlannedEngine> {
-    engines.sort_by(|a, b| b.memory_mb.total_cmp(&a.memory_mb).then_with(|| a.life.cmp(&b.life)));
+    engines.sort_by(|a, b| {
+        b.memory_mb.total_cmp(&a.memory_mb).then_with(|| a.incarnation.cmp(&b.incarnation))
+    });
     engines
 }
 
--- a/crates/routing/src/process/placement/planner.rs
+++ b/crates/routing/src/process/placement/planner.rs
@@ -11,8 +11,8 @@
 /// An engine that can hold layers.
 #[derive(Clone, Debug, PartialEq)]
 pub struct PlannedEngine {
-    /// The engine, in its present life.
-    pub life: Incarnation,
+    /// The engine, in its present incarnation.
+    pub incarnation: Incarnation,
     /// Memory for layers and KV cache, in MB.
     pub memory_mb: f64,
     /// Factor on the time of a step: that of its card, times its slowness.
@@ -90,7 +90,7 @@
     let mut plan = DataCentrePlan::default();
     let mut has_chain = false;
     for (index, chain) in divide_into_chains(shape, engines).into_iter().enumerate() {
-        plan.chains.extend(chain.iter().map(|engine| (engine.life.clone(), index)));
+        plan.chains.extend(chain.iter().map(|engine| (engine.incarnation.clone(), index)));
         match plan_one(shape, &chain, is_served, is_idle) {
             Some(planned) => {
                 has_chain = true;
@@ -98,7 +98,8 @@
             }
             // What its engines hold still serves the other chains.
             None => {
-                plan.placement.extend(chain.into_iter().map(|engine| (engine.life, engine.held)));
+                plan.placement
+                    .extend(chain.into_iter().map(|engine| (engine.incarnation, engine.held)));
             }
         }
     }
@@ -174,7 +175,7 @@
     engines.sort_by_key(|engine| (is_head(engine), std::cmp::Reverse(engine.held.len())));
     while heads.len() < wanted && engines.iter().filter(|engine| is_head(engine)).count() > 1 {
         let engine = engines.pop().expect("two are heads");
-        heads.insert(engine.life.clone(), engine.held);
+        heads.insert(engine.incarnation.clone(), engine.held);
     }
     while heads.len() < wanted && engines.len() > 2 {
         let empty = (0..engines.len()).filter(|index| engines[*index].held.is_empty());
@@ -182,7 +183,7 @@
         let Some(smallest) = smallest else { break };
         let engine = engines.remove(smallest);
         let layers = (engine.memory_mb * HEAD_LAYERS_SHARE / shape.layer_mb).floor() as u32;
-        heads.insert(engine.life, LayerRange::new(0, layers.clamp(1, shape.layers)));
+        heads.insert(engine.incarnation, LayerRange::new(0, layers.clamp(1, shape.layers)));
     }
     (heads, engines)
 }
@@ -230,7 +231,9 @@
 ) -> Vec<PlannedEngine> {
     let (mut chain, new): (Vec<_>, Vec<_>) =
         engines.into_iter().partition(|engine| !engine.held.is_empty());
-    chain.sort_by(|a, b| (a.held.from, a.held.to, &a.life).cmp(&(b.held.from, b.held.to, &b.life)));
+    chain.sort_by(|a, b| {
+        (a.held.from, a.held.to, &a.incarnation).cmp(&(b.held.from, b.held.to, &b.incarnation))
+    });
     if chain.is_empty() { new } else { with_new_engines(shape, chain, new, weights) }
 }
 
@@ -242,7 +245,9 @@
 /// At most as many engines as a path may have parts, those with the most memory.
 fn largest(engines: &[PlannedEngine]) -> Vec<PlannedEngine> {
     let mut engines = engines.to_vec();
-    engines.sort_by(|a, b| b.memory_mb.total_cmp(&a.memory_mb).then_with(|| a.life.cmp(&b.life)));
+    engines.sort_by(|a, b| {
+        b.memory_mb.total_cmp(&a.memory_mb).then_with(|| a.incarnation.cmp(&b.incarnation))
+    });
     engines.truncate(MAX_PARTS);
     engines
 }
@@ -288,5 +293,5 @@
 
 fn placement(engines: &[PlannedEngine], ranges: &[LayerRange]) -> Placement {
     let each = engines.iter().zip(ranges);
-    each.map(|(engine, range)| (engine.life.clone(), *range)).collect()
+    each.map(|(engine, range)| (engine.incarnation.clone(), *range)).collect()
 }
--- a/crates/routing/src/process/placement/transition.rs
+++ b/crates/routing/src/process/placement/transition.rs
@@ -18,8 +18,8 @@
 /// What one engine is to hold next.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Step {
-    /// The engine, in the life that takes the order.
-    pub life: Incarnation,
+    /// The engine, in the incarnation that takes the order.
+    pub incarnation: Incarnation,
     /// Requests wait for it: no whole chain exists.
     pub is_urgent: bool,
     /// The layers to order.
@@ -39,19 +39,24 @@
 ) -> Vec<Step> {
     let is_served = (0..layers).all(|layer| holders_of(holdings, layer).next().is_some());
     let mut steps = Vec::new();
-    for (life, want) in plan {
-        let Some(holding) = holdings.get(life) else { continue };
+    for (incarnation, want) in plan {
+        let Some(holding) = holdings.get(incarnation) else { continue };
         if holding.is_busy || holding.ready == *want {
             continue;
         }
         let next = match is_served {
-            true => careful(life, *want, holding, holdings, plan),
+            true => careful(incarnation, *want, holding, holdings, plan),
             false if is_idle => Some(*want),
             false => Some(growing(*want, holding)),
         };
         let Some(next) = next.filter(|next| *next != holding.ready) else { continue };
         let gives_up = is_served && holding.ready.overlap(next) < holding.ready.len();
-        steps.push(Step { life: life.clone(), is_urgent: !is_served, layers: next, gives_up });
+        steps.push(Step {
+            incarnation: incarnation.clone(),
+            is_urgent: !is_served,
+            layers: next,
+            gives_up,
+        });
     }
     steps
 }
@@ -65,7 +70,7 @@
 
 /// What an engine may hold next without taking a layer away that only it runs.
 fn careful(
-    life: &Incarnation,
+    incarnation: &Incarnation,
     want: LayerRange,
     holding: &Holding,
     holdings: &BTreeMap<Incarnation, Holding>,
@@ -73,7 +78,7 @@
 ) -> Option<LayerRange> {
     // Another that holds the layer but is to give it up as well is no reason to give it up.
     let stays = |layer: u32| {
-        let mut others = holders_of(holdings, layer).filter(|other| *other != life);
+        let mut others = holders_of(holdings, layer).filter(|other| *other != incarnation);
         others.any(|other| plan.get(other).is_some_and(|range| range.contains(layer)))
     };
     let must_keep = |layer: &u32| want.contains(*layer) || !stays(*layer);
@@ -109,5 +114,5 @@
     layer: u32,
 ) -> impl Iterator<Item = &Incarnation> {
     let holds = move |held: &&Holding| held.ready.contains(layer);
-    holdings.iter().filter(move |(_, held)| holds(held)).map(|(life, _)| life)
+    holdings.iter().filter(move |(_, held)| holds(held)).map(|(incarnation, _)| incarnation)
 }
--- a/crates/routing/src/process/start_rule.rs
+++ b/crates/routing/src/process/start_rule.rs
@@ -2,7 +2,7 @@
 //!
 //! Some platforms give each start an id of its own, and their entries tell no start. On others an id
 //! outlives starts: an entry without a start was written by somebody else there, and can't tell which
-//! life it is of.
+//! incarnation it is of.
 
 use crate::process::Endpoint;
 
--- a/crates/routing/src/request/evidence.rs
+++ b/crates/routing/src/request/evidence.rs
@@ -33,7 +33,7 @@
 pub struct Attempts {
     semantics: Semantics,
     most: usize,
-    /// Lives of endpoints that were sent the request and have not ended.
+    /// Incarnations of endpoints that were sent the request and have not ended.
     sent_to: Vec<Incarnation>,
     sends: u32,
     may_have_run: bool,
@@ -75,14 +75,14 @@
         }
         self.sends += 1;
         self.may_have_run |= evidence == Evidence::MayHaveRun;
-        if !self.sent_to.iter().any(|life| life == endpoint) {
+        if !self.sent_to.iter().any(|incarnation| incarnation == endpoint) {
             self.sent_to.push(endpoint.clone());
         }
     }
 
     /// Endpoints that have ended or were cut off don't count against the most.
     pub fn forget_lost(&mut self, is_lost: impl Fn(&Incarnation) -> bool) {
-        self.sent_to.retain(|life| !is_lost(life));
+        self.sent_to.retain(|incarnation| !is_lost(incarnation));
     }
 
     /// Whether the request may be sent to an endpoint that it wasn't sent to yet.
@@ -92,7 +92,7 @@
 
     /// Whether the request may be sent to this endpoint.
     pub fn may_send_to(&self, endpoint: &Incarnation) -> bool {
-        let was_sent = self.sent_to.iter().any(|life| life == endpoint);
+        let was_sent = self.sent_to.iter().any(|incarnation| incarnation == endpoint);
         (was_sent || self.sent_to.len() < self.most) && self.may_repeat()
     }
 
--- a/crates/routing/tests/attempts.rs
+++ b/crates/routing/tests/attempts.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::life;
+use common::incarnation;
 use quickcheck::quickcheck;
 use sorrellock_routing::process::{Incarnation, RetryBounds, RetryWindow};
 use sorrellock_routing::request::{Attempts, Evidence, GivenUp};
@@ -16,8 +16,8 @@
     let mut once = Attempts::new(Semantics::NonIdempotent, 3);
     let mut idempotent = Attempts::new(Semantics::Idempotent, 3);
 
-    once.on_failed(&life("a"), Evidence::MayHaveRun);
-    idempotent.on_failed(&life("a"), Evidence::MayHaveRun);
+    once.on_failed(&incarnation("a"), Evidence::MayHaveRun);
+    idempotent.on_failed(&incarnation("a"), Evidence::MayHaveRun);
 
     assert!(!once.may_send());
     assert!(idempotent.may_send());
@@ -27,10 +27,10 @@
 fn not_run_is_told_only_of_what_ran_nowhere() {
     let mut attempts = Attempts::new(Semantics::NonIdempotent, 3);
 
-    attempts.on_failed(&life("a"), Evidence::NotSent);
-    attempts.on_failed(&life("a"), Evidence::NotRun);
+    attempts.on_failed(&incarnation("a"), Evidence::NotSent);
+    attempts.on_failed(&incarnation("a"), Evidence::NotRun);
     assert_eq!(attempts.given_up(false), GivenUp::NotRun);
-    attempts.on_failed(&life("b"), Evidence::MayHaveRun);
+    attempts.on_failed(&incarnation("b"), Evidence::MayHaveRun);
 
     assert_eq!(attempts.given_up(false), GivenUp::Unknown);
     assert_eq!(attempts.given_up(true), GivenUp::TimedOut);
@@ -40,14 +40,14 @@
 fn an_endpoint_counts_once_and_one_that_is_lost_not_at_all() {
     let mut attempts = Attempts::new(STREAM, 2);
 
-    attempts.on_failed(&life("a"), Evidence::MayHaveRun);
-    attempts.on_failed(&life("b"), Evidence::MayHaveRun);
+    attempts.on_failed(&incarnation("a"), Evidence::MayHaveRun);
+    attempts.on_failed(&incarnation("b"), Evidence::MayHaveRun);
     assert!(!attempts.may_send());
-    assert!(attempts.may_send_to(&life("a")), "it is no further endpoint");
-    assert!(!attempts.may_send_to(&life("c")));
-    attempts.forget_lost(|lost| *lost == life("b"));
+    assert!(attempts.may_send_to(&incarnation("a")), "it is no further endpoint");
+    assert!(!attempts.may_send_to(&incarnation("c")));
+    attempts.forget_lost(|lost| *lost == incarnation("b"));
 
-    assert!(attempts.may_send_to(&life("c")));
+    assert!(attempts.may_send_to(&incarnation("c")));
 }
 
 #[test]
@@ -61,9 +61,9 @@
 
     assert!(stream.may_send_to(&before));
     assert!(!stream.may_send_to(&after), "the life before counts until it is known to be over");
-    stream.forget_lost(|life| *life == before);
+    stream.forget_lost(|incarnation| *incarnation == before);
     assert!(stream.may_send_to(&after));
-    once.forget_lost(|life| *life == before);
+    once.forget_lost(|incarnation| *incarnation == before);
     assert!(!once.may_send_to(&after));
     assert_eq!(once.given_up(false), GivenUp::Unknown);
 }
@@ -73,11 +73,11 @@
     let mut attempts = Attempts::new(STREAM, 2);
 
     for _ in 0..4 {
-        assert!(attempts.may_send_to(&life("a")));
-        attempts.on_failed(&life("a"), Evidence::NotRun);
+        assert!(attempts.may_send_to(&incarnation("a")));
+        attempts.on_failed(&incarnation("a"), Evidence::NotRun);
     }
 
-    assert!(!attempts.may_send_to(&life("a")));
+    assert!(!attempts.may_send_to(&incarnation("a")));
 }
 
 #[test]
--- a/crates/routing/tests/chains.rs
+++ b/crates/routing/tests/chains.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::{empty_engines, engine, life, shape};
+use common::{empty_engines, engine, incarnation, shape};
 use quickcheck::quickcheck;
 use sorrellock_routing::process::placement::{
     Chain, DataCentrePlan, PlannedEngine, are_chains_whole, could_make_more_chains, covers,
@@ -28,7 +28,7 @@
 /// The engines as they are once a plan is carried out, as a lead sees them that knows no chains.
 fn placed(engines: &[PlannedEngine], plan: &DataCentrePlan) -> Vec<PlannedEngine> {
     let moved = |one: &PlannedEngine| PlannedEngine {
-        held: plan.placement[&one.life],
+        held: plan.placement[&one.incarnation],
         chain: None,
         ..one.clone()
     };
@@ -37,12 +37,13 @@
 
 /// The same, as the lead sees them that made the plan.
 fn known(engines: &[PlannedEngine], plan: &DataCentrePlan) -> Vec<PlannedEngine> {
-    let known = |one: PlannedEngine| PlannedEngine { chain: Some(plan.chains[&one.life]), ..one };
+    let known =
+        |one: PlannedEngine| PlannedEngine { chain: Some(plan.chains[&one.incarnation]), ..one };
     placed(engines, plan).into_iter().map(known).collect()
 }
 
 fn ids(chain: &Chain) -> BTreeSet<&str> {
-    chain.iter().map(|engine| engine.life.id.as_str()).collect()
+    chain.iter().map(|engine| engine.incarnation.id.as_str()).collect()
 }
 
 #[test]
@@ -54,7 +55,7 @@
 
     let placed = placed(&engines, &plan);
     for index in 0..2 {
-        let is_in = |one: &&PlannedEngine| plan.chains[&one.life] == index;
+        let is_in = |one: &&PlannedEngine| plan.chains[&one.incarnation] == index;
         let chain: Vec<_> = placed.iter().filter(is_in).cloned().collect();
         assert!(covers(&shape, &chain), "chain {index}: {plan:?}");
     }
@@ -98,15 +99,16 @@
     let shape = light_shape();
     let engines = two_chains_of_engines(&shape);
     let mut placed = placed(&engines, &plan(&shape, &engines));
-    let lost = placed.iter().position(|one| one.life.id == "l4-3").expect("it is one of them");
+    let lost =
+        placed.iter().position(|one| one.incarnation.id == "l4-3").expect("it is one of them");
     let gap = placed.remove(lost).held;
     placed.push(engine(&shape, "l4-new", "l4", 0, 0));
 
     let plan = plan(&shape, &placed);
 
-    assert_eq!(plan.placement[&life("l4-new")], gap);
-    for one in placed.iter().filter(|one| one.life.id != "l4-new") {
-        assert_eq!(plan.placement[&one.life], one.held, "{}", one.life);
+    assert_eq!(plan.placement[&incarnation("l4-new")], gap);
+    for one in placed.iter().filter(|one| one.incarnation.id != "l4-new") {
+        assert_eq!(plan.placement[&one.incarnation], one.held, "{}", one.incarnation);
     }
 }
 
@@ -122,7 +124,7 @@
     let chains = divide_into_chains(&shape, &moving);
 
     for (index, chain) in chains.iter().enumerate() {
-        assert!(chain.iter().all(|one| first.chains[&one.life] == index));
+        assert!(chain.iter().all(|one| first.chains[&one.incarnation] == index));
     }
 }
 
@@ -132,8 +134,9 @@
     let engines = two_chains_of_engines(&shape);
     let first = plan(&shape, &engines);
     let mut left = known(&engines, &first);
-    let is_lost =
-        |one: &PlannedEngine| first.chains[&one.life] == 0 && one.life.id.starts_with("l4");
+    let is_lost = |one: &PlannedEngine| {
+        first.chains[&one.incarnation] == 0 && one.incarnation.id.starts_with("l4")
+    };
     let mut lost = 0;
     left.retain(|one| {
         lost += u32::from(is_lost(one));
--- a/crates/routing/tests/common/mod.rs
+++ b/crates/routing/tests/common/mod.rs
@@ -6,12 +6,12 @@
 use sorrellock_routing::version::{Card, ModelShape};
 use std::time::Duration;
 
-/// The life of an engine that is known by its id alone.
-pub fn life(id: &str) -> Incarnation {
+/// The incarnation of an engine that is known by its id alone.
+pub fn incarnation(id: &str) -> Incarnation {
     Incarnation::new(id, None)
 }
 
-/// An endpoint that is ready, in a life.
+/// An endpoint that is ready, in an incarnation.
 pub fn endpoint(id: &str, started: Option<StartMillis>) -> Endpoint {
     Endpoint {
         id: id.into(),
@@ -59,7 +59,7 @@
 pub fn engine(shape: &ModelShape, id: &str, card: &str, from: u32, to: u32) -> PlannedEngine {
     let card = shape.card(card).expect("the kind is one of the shape's");
     PlannedEngine {
-        life: life(id),
+        incarnation: incarnation(id),
         memory_mb: card.memory_mb,
         step_factor: card.step_factor,
         held: LayerRange::new(from, to),
@@ -81,7 +81,7 @@
 /// A holder of `from..to` in a data centre.
 pub fn holder(id: &str, data_centre: &str, from: u32, to: u32, layer_cost: f64) -> Holder {
     Holder {
-        life: life(id),
+        incarnation: incarnation(id),
         addr: "127.0.0.1:1".parse().expect("an address"),
         data_centre: data_centre.into(),
         layers: LayerRange::new(from, to),
--- a/crates/routing/tests/paths.rs
+++ b/crates/routing/tests/paths.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::{holder, life};
+use common::{holder, incarnation};
 use quickcheck::quickcheck;
 use sorrellock_routing::process::{
     Holder, LayerRange, MAX_PARTS, PathPart, PipelinePath, cheapest_path, path_with_first,
@@ -11,7 +11,7 @@
 
 /// The engines of a path, in order.
 fn ids(path: &PipelinePath) -> Vec<&str> {
-    path.parts.iter().map(|part| part.life.id.as_str()).collect()
+    path.parts.iter().map(|part| part.incarnation.id.as_str()).collect()
 }
 
 fn assert_whole(path: &PipelinePath, layers: u32) {
@@ -50,7 +50,7 @@
     let path = cheapest_path(&holders, 12).expect("they cover all layers");
 
     assert_eq!(path.crossings, 0);
-    assert!(path.uses(&life("b")));
+    assert!(path.uses(&incarnation("b")));
 }
 
 #[test]
@@ -60,7 +60,7 @@
 
     let paths = paths_by_head(&holders, 12);
 
-    let firsts: Vec<&str> = paths.iter().map(|path| path.first().life.id.as_str()).collect();
+    let firsts: Vec<&str> = paths.iter().map(|path| path.first().incarnation.id.as_str()).collect();
     assert_eq!(firsts, ["a", "head"]);
     paths.iter().for_each(|path| assert_whole(path, 12));
 }
@@ -91,8 +91,10 @@
 
     let paths = paths_by_head(&holders, 12);
 
-    let of_a =
-        paths.iter().find(|path| path.first().life.id == "a").expect("it begins at the first");
+    let of_a = paths
+        .iter()
+        .find(|path| path.first().incarnation.id == "a")
+        .expect("it begins at the first");
     assert_eq!(
         ids(of_a),
         ["a", "b", "c", "d"],
@@ -124,7 +126,11 @@
 
 /// The part of an engine that runs `0..to`.
 fn first_part(holder: &Holder, to: u32) -> PathPart {
-    PathPart { life: holder.life.clone(), addr: holder.addr, layers: LayerRange::new(0, to) }
+    PathPart {
+        incarnation: holder.incarnation.clone(),
+        addr: holder.addr,
+        layers: LayerRange::new(0, to),
+    }
 }
 
 #[test]
--- a/crates/routing/tests/placement.rs
+++ b/crates/routing/tests/placement.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::{empty_engines, engine, life, shape};
+use common::{empty_engines, engine, incarnation, shape};
 use quickcheck::{TestResult, quickcheck};
 use sorrellock_routing::process::placement::{
     ChainEngine, ChainPlan, Holding, Placement, PlannedEngine, Weights, cost_of, covers, divide,
@@ -14,7 +14,7 @@
 
 fn after(engines: &[PlannedEngine], plan: &Placement) -> Vec<PlannedEngine> {
     let moved = |one: &PlannedEngine| PlannedEngine {
-        held: plan.get(&one.life).copied().unwrap_or(one.held),
+        held: plan.get(&one.incarnation).copied().unwrap_or(one.held),
         ..one.clone()
     };
     engines.iter().map(moved).collect()
@@ -22,7 +22,7 @@
 
 fn loads(engines: &[PlannedEngine], plan: &Placement) -> u32 {
     let loaded = |one: &PlannedEngine| {
-        let want = plan.get(&one.life).copied().unwrap_or_default();
+        let want = plan.get(&one.incarnation).copied().unwrap_or_default();
         want.len() - want.overlap(one.held)
     };
     engines.iter().map(loaded).sum()
@@ -31,7 +31,13 @@
 fn assert_fits(shape: &ModelShape, engines: &[PlannedEngine]) {
     for one in engines {
         let used = f64::from(one.held.len()) * shape.layer_mb;
-        assert!(used < one.memory_mb, "{} holds {:?} of {} MB", one.life, one.held, one.memory_mb);
+        assert!(
+            used < one.memory_mb,
+            "{} holds {:?} of {} MB",
+            one.incarnation,
+            one.held,
+            one.memory_mb
+        );
     }
 }
 
@@ -47,7 +53,7 @@
     assert_fits(&shape, &placed);
     for one in &placed {
         let room = one.memory_mb / f64::from(one.held.len()) - shape.layer_mb;
-        assert!(room > 1_000.0, "{} keeps {room} MB a layer", one.life);
+        assert!(room > 1_000.0, "{} keeps {room} MB a layer", one.incarnation);
     }
 }
 
@@ -65,13 +71,14 @@
     let engines = empty_engines(&shape, &[("h100", 1), ("a100", 1), ("l4", 5), ("t4", 7)]);
     let plan = plan_data_centre(&shape, &engines, false).expect("the memory is enough").placement;
     let mut placed = after(&engines, &plan);
-    let lost = placed.iter().position(|one| one.life.id == "l4-2").expect("it is one of them");
+    let lost =
+        placed.iter().position(|one| one.incarnation.id == "l4-2").expect("it is one of them");
     let gap = placed.remove(lost).held;
     placed.push(engine(&shape, "l4-new", "l4", 0, 0));
 
     let plan = plan_data_centre(&shape, &placed, false).expect("the memory is enough").placement;
 
-    assert_eq!(plan[&life("l4-new")], gap);
+    assert_eq!(plan[&incarnation("l4-new")], gap);
     assert_eq!(loads(&placed, &plan), gap.len());
 }
 
@@ -81,7 +88,8 @@
     let engines = empty_engines(&shape, &[("h100", 1), ("a100", 1), ("l4", 5), ("t4", 7)]);
     let plan = plan_data_centre(&shape, &engines, false).expect("the memory is enough").placement;
     let mut placed = after(&engines, &plan);
-    let lost = placed.iter().position(|one| one.life.id == "t4-3").expect("it is one of them");
+    let lost =
+        placed.iter().position(|one| one.incarnation.id == "t4-3").expect("it is one of them");
     let gap = placed.remove(lost).held;
 
     let plan = plan_data_centre(&shape, &placed, false).expect("the memory is enough").placement;
@@ -89,8 +97,12 @@
 
     assert!(loads(&placed, &plan) <= gap.len(), "{plan:?}");
     for step in &steps {
-        let held = placed.iter().find(|one| one.life == step.life).expect("it was planned").held;
-        assert_eq!(step.layers.hull(held), step.layers, "{} gives layers up", step.life);
+        let held = placed
+            .iter()
+            .find(|one| one.incarnation == step.incarnation)
+            .expect("it was planned")
+            .held;
+        assert_eq!(step.layers.hull(held), step.layers, "{} gives layers up", step.incarnation);
         assert!(step.is_urgent);
     }
 }
@@ -105,7 +117,7 @@
 
     let steps = next_steps(&plan, &holdings(&shape, &engines), shape.layers, false);
 
-    assert!(steps.iter().all(|step| step.life != spare.life), "{steps:?}");
+    assert!(steps.iter().all(|step| step.incarnation != spare.incarnation), "{steps:?}");
 }
 
 /// Least room for each layer, in MB, and time of a step of a division by these weights of a step's time.
@@ -165,15 +177,17 @@
     let engines = empty_engines(&shape, &[("a100", 5), ("l4", 4)]);
     let plan = plan_data_centre(&shape, &engines, false).expect("the memory is enough").placement;
     let mut placed = after(&engines, &plan);
-    let pinned = placed.iter().position(|one| one.life.id == "a100-2").expect("it is one of them");
+    let pinned =
+        placed.iter().position(|one| one.incarnation.id == "a100-2").expect("it is one of them");
     placed[pinned].is_pinned = true;
-    let lost = placed.iter().position(|one| one.life.id == "l4-1").expect("it is one of them");
+    let lost =
+        placed.iter().position(|one| one.incarnation.id == "l4-1").expect("it is one of them");
     let kept = placed[pinned].clone();
     placed.remove(lost);
 
     let plan = plan_data_centre(&shape, &placed, true).expect("the memory is enough").placement;
 
-    assert_eq!(plan[&kept.life], kept.held);
+    assert_eq!(plan[&kept.incarnation], kept.held);
     assert!(covers(&shape, &after(&placed, &plan)));
 }
 
@@ -196,7 +210,7 @@
         most_layers: (one.memory_mb / shape.layer_mb) as u32,
         is_busy: false,
     };
-    engines.iter().map(|one| (one.life.clone(), holding(one))).collect()
+    engines.iter().map(|one| (one.incarnation.clone(), holding(one))).collect()
 }
 
 /// The least cost over all divisions, tried one by one.
@@ -253,13 +267,13 @@
         };
         let ids = ["a", "b", "c"];
         let mut now: BTreeMap<Incarnation, Holding> = ids.iter().zip(ranges(cuts)).map(|(id, range)| {
-            (life(id), Holding { ready: range, most_layers: 12, is_busy: false })
+            (incarnation(id), Holding { ready: range, most_layers: 12, is_busy: false })
         }).collect();
         let plan: Placement =
-            ids.iter().zip(ranges(to)).map(|(id, range)| (life(id), range)).collect();
+            ids.iter().zip(ranges(to)).map(|(id, range)| (incarnation(id), range)).collect();
         for _ in 0..20 {
             for step in next_steps(&plan, &now, 12, false) {
-                now.get_mut(&step.life).expect("it is one of them").ready = step.layers;
+                now.get_mut(&step.incarnation).expect("it is one of them").ready = step.layers;
                 let is_whole =
                     (0..12).all(|layer| now.values().any(|held| held.ready.contains(layer)));
                 if !is_whole {
@@ -267,6 +281,6 @@
                 }
             }
         }
-        plan.iter().all(|(life, want)| now[life].ready == *want || want.is_empty())
+        plan.iter().all(|(incarnation, want)| now[incarnation].ready == *want || want.is_empty())
     }
 }
