Reverted: a stream whose move an engine refuses is moved over another engine

Where memory is short, moves fill the engines that are left, and requests that run there are put back; a run elsewhere serves its caller better.

Open: a refused move that is tried again only where the other engine has room by its report (`kv_used`, `kv_total`).

--- a/crates/gateway/src/process/paths/path_book.rs
+++ b/crates/gateway/src/process/paths/path_book.rs
@@ -23,9 +23,6 @@
 /// streams shouldn't all choose the same path.
 const CHOICE_NOISE: f64 = 0.04;
 
-/// How long an engine that refused a request, or its move, gets none over another path.
-pub(crate) const REFUSED_AVOID: Duration = Duration::from_millis(250);
-
 /// What streams take.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Load {
@@ -53,8 +50,6 @@
     peers: HashMap<Incarnation, Load>,
     /// KV cache that fits into each engine, in tokens times layers.
     rooms: HashMap<Incarnation, f64>,
-    /// Engines that refused a request or its move, and until when none goes there.
-    refusers: HashMap<SocketAddr, Instant>,
     freed: Rc<Notify>,
 }
 
@@ -229,9 +224,7 @@
 
     /// A path that is not in use otherwise: the one in use that begins at the same engine divides the layers anew.
     fn detour(&mut self, service: &str, of: &Rc<LivePath>, now: Instant) -> Option<Rc<LivePath>> {
-        let is_open =
-            |holder: &Holder| self.refusers.get(&holder.addr).is_none_or(|until| *until <= now);
-        let path = self.best.get(service)?.with_first(&of.path, is_open)?;
+        let path = self.best.get(service)?.with_first(&of.path)?;
         if path.parts == of.path.parts {
             return None;
         }
@@ -246,11 +239,8 @@
         Some(live)
     }
 
-    /// Gives paths through an engine that refused a request, or its move, nothing new for a while.
-    pub(crate) fn avoid_through(&mut self, service: &str, engine: SocketAddr, now: Instant) {
-        let until = now + REFUSED_AVOID;
-        self.refusers.retain(|_, until| *until > now);
-        self.refusers.insert(engine, until);
+    /// Gives paths through an engine nothing new until `until`.
+    pub(crate) fn avoid_through(&self, service: &str, engine: SocketAddr, until: Instant) {
         let uses = |live: &&Rc<LivePath>| live.path.parts.iter().any(|part| part.addr == engine);
         self.paths(service).iter().filter(uses).for_each(|live| live.avoid(until));
     }
--- a/crates/gateway/src/request/relay/failover.rs
+++ b/crates/gateway/src/request/relay/failover.rs
@@ -182,7 +182,7 @@
     }
 
     /// Has the first engine move the run off its broken path, where another path begins there by now.
-    pub(super) fn moves_off_broken_path(&mut self) -> bool {
+    fn moves_off_broken_path(&mut self) -> bool {
         let Some(run) = &self.run else { return false };
         let live = Rc::clone(&run.place.live);
         if !live.is_broken() {
--- a/crates/gateway/src/request/relay/relay.rs
+++ b/crates/gateway/src/request/relay/relay.rs
@@ -307,15 +307,6 @@
             self.on_path = OnPath::Served;
             return Flow::GoesOn;
         }
-        if let OrderEnd::Refused { at_fault: Some(engine), .. } = end.order {
-            // It has no room: an engine that runs the same layers may have.
-            let mut paths = self.gateway.paths.borrow_mut();
-            paths.avoid_through(&self.call.service, engine, Instant::now());
-            drop(paths);
-            if self.moves_off_broken_path() {
-                return Flow::GoesOn;
-            }
-        }
         self.fail_over(RunFault::MoveFailed).await
     }
 
--- a/crates/gateway/src/request/run_search.rs
+++ b/crates/gateway/src/request/run_search.rs
@@ -1,8 +1,6 @@
 //! Begins a stream's run on a path of engines, and on further ones while attempts may be made.
 
-use crate::process::{
-    Gateway, LivePath, PathPlace, REFUSED_AVOID, check_first, check_path, check_refuser,
-};
+use crate::process::{Gateway, LivePath, PathPlace, check_first, check_path, check_refuser};
 use crate::request::run::{NotBegun, RETRY_AFTER_FULL, Run, place, send, take_now};
 use crate::request::{Call, Failed, RunningAttempts, give_up, log_failed, pass_on};
 use http::{Response, StatusCode};
@@ -22,6 +20,8 @@
 const FIRST_EVENT_PATIENCE_SILENT: Duration = Duration::from_millis(600);
 /// How often a request that waits for its first event looks at its path.
 const FIRST_EVENT_TICK: Duration = Duration::from_millis(100);
+/// How long paths through an engine that refused a request get nothing new from this gateway.
+const REFUSED_AVOID: Duration = Duration::from_millis(250);
 /// How long a path on which nothing came gets nothing new.
 const SILENT_AVOID: Duration = Duration::from_millis(1_000);
 /// Largest body of an engine's failure.
@@ -242,7 +242,7 @@
             // Another path through the engine that refused would bring the same answer.
             let refuser = failed.at_fault.unwrap_or(first.addr);
             live.avoid(now + REFUSED_AVOID);
-            gateway.paths.borrow_mut().avoid_through(&call.service, refuser, now);
+            gateway.paths.borrow().avoid_through(&call.service, refuser, now + REFUSED_AVOID);
             check_refuser(gateway, refuser, failed.is_misdirected);
         }
         Evidence::MayHaveRun => {
--- a/crates/routing/src/process/best_paths.rs
+++ b/crates/routing/src/process/best_paths.rs
@@ -57,18 +57,10 @@
         paths
     }
 
-    /// The cheapest path inside its data centre that begins with the same part as another one, over engines that `may_use` lets
-    /// through.
-    pub fn with_first(
-        &self,
-        of: &PipelinePath,
-        may_use: impl Fn(&Holder) -> bool,
-    ) -> Option<PipelinePath> {
+    /// The cheapest path inside its data centre that begins with the same part as another one.
+    pub fn with_first(&self, of: &PipelinePath) -> Option<PipelinePath> {
         let local = self.local.get(&of.data_centre)?;
-        let is_first = |holder: &Holder| holder.incarnation == of.first().incarnation;
-        let holders = local.holders.iter().filter(|holder| is_first(holder) || may_use(holder));
-        let holders: Vec<Holder> = holders.cloned().collect();
-        path_with_first(&holders, self.layers, of.first())
+        path_with_first(&local.holders, self.layers, of.first())
     }
 
     /// How often a data centre was searched.
