Logs: the content of requests whose run broke, so that repeats of one request are seen as such

Whether the runs that broke with several engines belong to one request, by workspace, path and body, couldn't be told from the logs: each repeat of a caller has an id of its own. 'failover started' (evidence Connection) and 'attempt failed' (MayHaveRun) have 'content' now, and the former also the engine.

--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -284,8 +284,12 @@
     let evidence = format!("{:?}", failed.evidence);
     let at_fault = failed.at_fault.map(|addr| addr.to_string()).unwrap_or_default();
     let ms = call.arrived.elapsed().as_millis() as u64;
+    let content = match failed.evidence {
+        Evidence::MayHaveRun => call.content().to_string(),
+        Evidence::NotRun | Evidence::NotSent => String::new(),
+    };
     warn!("attempt failed", kv: {
         request = call.id(), endpoint = endpoint.id.as_str(), evidence = evidence.as_str(), why = failed.why.as_str(),
-        at_fault = at_fault.as_str(), ms
+        at_fault = at_fault.as_str(), ms, content = content.as_str()
     });
 }
--- a/crates/gateway/src/request/call.rs
+++ b/crates/gateway/src/request/call.rs
@@ -4,9 +4,10 @@
 use bytes::Bytes;
 use http::{HeaderMap, Method, Uri};
 use sorrellock_platform::CallerHead;
+use sorrellock_routing::request::ContentId;
 use sorrellock_routing::version::{ConfigVersion, Route, ServiceName, WorkspaceName};
 use spdlog::{Level, log, warn};
-use std::cell::Cell;
+use std::cell::{Cell, OnceCell};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -31,6 +32,8 @@
     /// When the caller stops waiting.
     pub(crate) caller_deadline: Instant,
     pub(crate) end: EndGuard,
+    /// Computed when first needed, as bodies may be large.
+    pub(crate) content: OnceCell<ContentId>,
 }
 
 impl Call {
@@ -44,6 +47,12 @@
         self.deadline.saturating_duration_since(Instant::now())
     }
 
+    /// Returns the identity of the request's content.
+    pub(crate) fn content(&self) -> ContentId {
+        let path = || self.uri.path_and_query().map_or(self.uri.path(), |path| path.as_str());
+        *self.content.get_or_init(|| ContentId::new(self.workspace.as_deref(), path(), &self.body))
+    }
+
     /// Returns the request id, for log lines.
     pub(crate) fn id(&self) -> &str {
         &self.head.request_id
--- a/crates/gateway/src/request/relay/failover.rs
+++ b/crates/gateway/src/request/relay/failover.rs
@@ -279,8 +279,13 @@
         let silent_ms = self.last_event.elapsed().as_millis() as u64;
         let run_ms = self.run_began.elapsed().as_millis() as u64;
         let config_in_force = gateway.knowledge.borrow().config_version();
+        let endpoint = live.map_or("", |live| live.path.first().incarnation.id.as_str());
+        let content = match evidence {
+            FaultEvidence::Connection => self.call.content().to_string(),
+            FaultEvidence::Suspicion | FaultEvidence::Silence => String::new(),
+        };
         warn!("failover started", kv: {
-            request = self.call.id(), why = why.as_str(), evidence:?, engines = engines.as_str(),
+            request = self.call.id(), endpoint, content = content.as_str(), why = why.as_str(), evidence:?, engines = engines.as_str(),
             after:? = self.events.last(), silent_ms, run_ms, has_other,
             may_repeat = gateway.may_repeat(&self.call.service),
             config = self.call.config_version, config_in_force, failovers = self.failovers
--- a/crates/gateway/src/request/request_handler.rs
+++ b/crates/gateway/src/request/request_handler.rs
@@ -15,6 +15,7 @@
 use sorrellock_routing::request::AbandonedOutcome;
 use sorrellock_routing::version::{NotAllowed, Route, RouteTable, ServiceName};
 use spdlog::info;
+use std::cell::OnceCell;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::{Instant, timeout_at};
@@ -77,6 +78,7 @@
         deadline,
         caller_deadline,
         end,
+        content: OnceCell::new(),
     };
     log_admitted(&call, &routes);
     let has_model = routes.service(&call.service).is_some_and(|service| service.model.is_some());
--- a/crates/routing/src/request/mod.rs
+++ b/crates/routing/src/request/mod.rs
@@ -1,11 +1,13 @@
 //! State that lives as long as a request.
 
+mod content_id;
 mod event_parser;
 mod evidence;
 mod failover;
 mod hedging;
 mod run_fault;
 
+pub use content_id::*;
 pub use event_parser::*;
 pub use evidence::*;
 pub use failover::*;
