Tests: a request that crashes each endpoint that runs it, repeated at three gateways (known red)

Stand-ins of engines and services crash on a given body, and start again. The tests count what reached endpoints later than 3 s after the third crash, by all gateways together (bound 3, as stated), and what reaches them from gateways that start later, one or all at once.

--- /dev/null
+++ b/crates/daemon/tests/gateway/crashing_requests.rs
@@ -0,0 +1,174 @@
+//! A request that crashes each endpoint that runs it, sent again and again to all gateways of a fleet.
+
+use crate::fleet::{Fleet, fleet, send_body};
+use crate::gateway_process::{GatewayProcess, wait_for};
+use nix::sys::signal::Signal;
+use sorrellock_stand_ins::{FakeEngine, FakeService, FakeStore, new_ip};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// Body of the request that crashes endpoints.
+const CRASHING: &str = "crash";
+/// Time from the begin of its run until an engine has crashed.
+const CRASH_AFTER: Duration = Duration::from_millis(50);
+/// Time until a crashed endpoint is back.
+const DOWN: Duration = Duration::from_millis(700);
+/// Number of endpoints that a request may crash before it is held back.
+const MAX_CRASHES: usize = 3;
+/// Within this time of the last of these crashes, all gateways hold it back.
+const STABLE_WINDOW: Duration = Duration::from_secs(3);
+/// How often it may be sent to endpoints after that time, by all gateways together.
+const MAX_LATER_SENDS: usize = 3;
+/// How long callers repeat it.
+const REPEATED_FOR: Duration = Duration::from_secs(9);
+const REPEAT_INTERVAL: Duration = Duration::from_millis(120);
+const GATEWAYS: usize = 3;
+
+/// Starts the stand-ins with four engines in each data centre, which all crash on [`CRASHING`].
+fn fleet_that_crashes() -> Fleet {
+    let mut fleet = fleet();
+    (4..8).for_each(|index| fleet.add_engine(index, if index < 6 { "north" } else { "south" }));
+    fleet.engines.iter().for_each(|engine| engine.crash_on(CRASHING, CRASH_AFTER));
+    fleet
+}
+
+fn gateways(fleet: &Fleet) -> Vec<GatewayProcess> {
+    (0..GATEWAYS).map(|index| fleet.gateway(&format!("gateway-{index}"))).collect()
+}
+
+/// Starts crashed endpoints again until `is_over`.
+fn revive(fleet: &Fleet, services: &[FakeService], is_over: &AtomicBool) {
+    let crashed = |engine: &&FakeEngine| engine.is_crashed();
+    while !is_over.load(Ordering::Relaxed) {
+        let engines: Vec<&FakeEngine> = fleet.engines.iter().filter(crashed).collect();
+        let down: Vec<&FakeService> = services.iter().filter(|one| one.is_crashed()).collect();
+        thread::sleep(DOWN);
+        engines.into_iter().for_each(FakeEngine::restart);
+        down.into_iter().for_each(|service| service.restart(&fleet.store));
+    }
+}
+
+/// Runs `act` while crashed endpoints start again.
+fn with_revival<T>(fleet: &Fleet, services: &[FakeService], act: impl FnOnce() -> T) -> T {
+    let is_over = AtomicBool::new(false);
+    thread::scope(|scope| {
+        scope.spawn(|| revive(fleet, services, &is_over));
+        let res = act();
+        is_over.store(true, Ordering::Relaxed);
+        res
+    })
+}
+
+/// Has callers repeat the request at all gateways in turn, whatever they are answered.
+fn repeat_everywhere(gateways: &[GatewayProcess], path: &str, lasts: Duration) {
+    let began = Instant::now();
+    thread::scope(|scope| {
+        for gateway in gateways.iter().cycle() {
+            if began.elapsed() >= lasts {
+                return;
+            }
+            scope.spawn(|| send_body(gateway.callers(), path, CRASHING));
+            thread::sleep(REPEAT_INTERVAL);
+        }
+    });
+}
+
+/// When the request had crashed [`MAX_CRASHES`] endpoints; none if it hasn't.
+fn last_allowed_crash(mut crashes: Vec<Instant>) -> Option<Instant> {
+    crashes.sort();
+    crashes.get(MAX_CRASHES - 1).copied()
+}
+
+fn engine_crashes(fleet: &Fleet) -> Vec<Instant> {
+    fleet.engines.iter().flat_map(|engine| engine.seen().crashes).collect()
+}
+
+fn sends_to_engines(fleet: &Fleet) -> Vec<Instant> {
+    fleet.engines.iter().flat_map(|engine| engine.seen().crashing_requests).collect()
+}
+
+fn count_since(sends: &[Instant], since: Instant) -> usize {
+    sends.iter().filter(|at| **at > since).count()
+}
+
+/// Has the request crash engines until all gateways hold it back.
+fn crash_until_held(fleet: &Fleet, gateways: &[GatewayProcess]) {
+    with_revival(fleet, &[], || {
+        repeat_everywhere(gateways, "/match/a", REPEATED_FOR);
+    });
+}
+
+#[test]
+fn a_request_that_crashed_three_engines_reaches_no_more_than_three_later() {
+    let fleet = fleet_that_crashes();
+    let gateways = gateways(&fleet);
+
+    crash_until_held(&fleet, &gateways);
+
+    let third = last_allowed_crash(engine_crashes(&fleet)).expect("it crashes engines");
+    let later = count_since(&sends_to_engines(&fleet), third + STABLE_WINDOW);
+    let crashes = engine_crashes(&fleet).len();
+    assert!(later <= MAX_LATER_SENDS, "{later} later sends, {crashes} crashes");
+}
+
+#[test]
+fn a_request_that_crashed_three_services_reaches_no_more_than_three_later() {
+    let fleet = fleet();
+    let start = |index: usize| {
+        let id = format!("ledger-{index}");
+        FakeService::start(&id, "ledger", "north", new_ip(), &fleet.store).expect("a service")
+    };
+    let mut services: Vec<FakeService> = (2..6).map(start).collect();
+    services.push(fleet.service.clone());
+    services.iter().for_each(|service| service.crash_on(CRASHING));
+    let gateways = gateways(&fleet);
+
+    with_revival(&fleet, &services, || repeat_everywhere(&gateways, "/ack/a", REPEATED_FOR));
+
+    let crashes = services.iter().flat_map(FakeService::crashes).collect();
+    let third = last_allowed_crash(crashes).expect("it crashes services");
+    let sends: Vec<Instant> = services.iter().flat_map(FakeService::crashing_requests).collect();
+    let later = count_since(&sends, third + STABLE_WINDOW);
+    assert!(later <= MAX_LATER_SENDS, "{later} later sends of {}", sends.len());
+}
+
+#[test]
+fn a_gateway_that_starts_later_holds_back_a_request_that_crashed_engines() {
+    let fleet = fleet_that_crashes();
+    let gateways = gateways(&fleet);
+    crash_until_held(&fleet, &gateways);
+
+    let newcomer = GatewayProcess::start("newcomer", "north", fleet.store.addr());
+    fleet.wait_whole(&newcomer);
+    thread::sleep(STABLE_WINDOW);
+    let began = Instant::now();
+    repeat_everywhere(std::slice::from_ref(&newcomer), "/match/a", STABLE_WINDOW);
+
+    assert_eq!(count_since(&sends_to_engines(&fleet), began), 0);
+}
+
+#[test]
+fn gateways_that_all_end_at_once_leave_a_crashing_request_held_back() {
+    let fleet = fleet_that_crashes();
+    let mut gateways = gateways(&fleet);
+    crash_until_held(&fleet, &gateways);
+
+    gateways.iter().for_each(|gateway| gateway.signal(Signal::SIGKILL));
+    wait_for("their end", || gateways.iter_mut().all(GatewayProcess::has_ended));
+    let successors = successors(&gateways, &fleet.store);
+    successors.iter().for_each(|gateway| fleet.wait_whole(gateway));
+    thread::sleep(STABLE_WINDOW);
+    let began = Instant::now();
+    repeat_everywhere(&successors, "/match/a", STABLE_WINDOW);
+
+    assert_eq!(count_since(&sends_to_engines(&fleet), began), 0);
+}
+
+fn successors(gateways: &[GatewayProcess], store: &FakeStore) -> Vec<GatewayProcess> {
+    let successor = |(index, gateway): (usize, &GatewayProcess)| {
+        let name = format!("gateway-{index}");
+        GatewayProcess::spawn_at(gateway.ip(), &name, "north", store.addr(), true)
+    };
+    gateways.iter().enumerate().map(successor).collect()
+}
--- a/crates/daemon/tests/gateway/fleet.rs
+++ b/crates/daemon/tests/gateway/fleet.rs
@@ -152,6 +152,14 @@
     Answer { body: text, is_whole, ..answer }
 }
 
+/// Sends a request with a body and reads the whole answer, if one comes.
+pub fn send_body(gateway: SocketAddr, path: &str, body: &str) -> Option<Answer> {
+    let (answer, mut rest) = try_begin(gateway, path, &new_request(), Some(KEY), body).ok()?;
+    let mut text = String::new();
+    let is_whole = rest.read_to_string(&mut text).is_ok();
+    Some(Answer { body: text, is_whole, ..answer })
+}
+
 /// Sends a request and returns once its head came.
 pub fn begin(
     gateway: SocketAddr,
@@ -159,6 +167,16 @@
     request: &str,
     key: Option<&str>,
 ) -> (Answer, Box<dyn Read + Send>) {
+    try_begin(gateway, path, request, key, "body").expect("a head of an answer")
+}
+
+fn try_begin(
+    gateway: SocketAddr,
+    path: &str,
+    request: &str,
+    key: Option<&str>,
+    body: &str,
+) -> Result<(Answer, Box<dyn Read + Send>), ureq::Error> {
     let agent = ureq::Agent::config_builder().http_status_as_error(false).max_idle_connections(0);
     let agent = ureq::Agent::new_with_config(agent.build());
     let mut req = agent
@@ -171,7 +189,7 @@
     if let Some(key) = key {
         req = req.header("authorization", format!("Bearer {key}"));
     }
-    let answer = req.send("body").expect("a head of an answer");
+    let answer = req.send(body)?;
     let text = |name: &str| {
         answer.headers().get(name).and_then(|value| value.to_str().ok()).map(str::to_owned)
     };
@@ -182,7 +200,7 @@
         body: String::new(),
         is_whole: false,
     };
-    (head, Box::new(answer.into_body().into_reader()))
+    Ok((head, Box::new(answer.into_body().into_reader())))
 }
 
 /// Reads what is left of a stream, to its end.
