--- a/crates/daemon/tests/gateway/crashing_requests.rs
+++ b/crates/daemon/tests/gateway/crashing_requests.rs
@@ -3,8 +3,9 @@
 use crate::fleet::{Fleet, fleet, send_body};
 use crate::gateway_process::{GatewayProcess, wait_for};
 use nix::sys::signal::Signal;
+use sorrellock_routing::request::ContentId;
 use sorrellock_stand_ins::{FakeEngine, FakeService, FakeStore, new_ip};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -23,6 +24,8 @@
 /// How long callers repeat it.
 const REPEATED_FOR: Duration = Duration::from_secs(9);
 const REPEAT_INTERVAL: Duration = Duration::from_millis(120);
+/// Time between two innocent requests.
+const INNOCENT_INTERVAL: Duration = Duration::from_millis(40);
 const GATEWAYS: usize = 3;
 
 /// Starts the stand-ins with four engines in each data centre, which all crash on [`CRASHING`].
@@ -165,6 +168,74 @@
     assert_eq!(count_since(&sends_to_engines(&fleet), began), 0);
 }
 
+#[test]
+fn an_operator_sees_and_releases_a_held_request_at_any_gateway() {
+    let fleet = fleet_that_crashes();
+    let gateways = gateways(&fleet);
+    crash_until_held(&fleet, &gateways);
+    let held = |gateway: &GatewayProcess| {
+        let dump = gateway.dump();
+        let all = dump["held_requests"].as_array().expect("a list").clone();
+        all.into_iter().find(|one| one["is_held"] == true)
+    };
+
+    let before: Vec<_> = gateways.iter().filter_map(held).collect();
+    let content = before[0]["content"].as_str().expect("its content").to_owned();
+    let url = format!("http://{}/held/release/{content}", gateways[1].metrics());
+    let released = ureq::post(url).send_empty().expect("an answer").into_body().read_to_string();
+
+    assert_eq!(before.len(), GATEWAYS);
+    assert_eq!(before[0]["endpoints"].as_array().map(Vec::len), Some(MAX_CRASHES));
+    assert!(released.expect("text").contains("\"was_held\":true"));
+    for gateway in &gateways {
+        wait_for("the release to be known", || held(gateway).is_none());
+        gateway.wait_for_line(&["\"request held back\"", &content]);
+        gateway.wait_for_line(&["\"request released\"", &content]);
+    }
+    assert!(gateways.iter().any(|gateway| gateway.metric("sorrellock_held_refusals") > 0.0));
+}
+
+#[test]
+fn innocent_requests_beside_one_that_crashes_engines_are_served() {
+    let fleet = fleet_that_crashes();
+    let gateways = gateways(&fleet);
+    let served = AtomicUsize::new(0);
+    let innocent = |index: usize| format!("innocent {index}");
+    let mut sent = 0;
+
+    with_revival(&fleet, &[], || {
+        thread::scope(|scope| {
+            scope.spawn(|| repeat_everywhere(&gateways, "/match/a", REPEATED_FOR));
+            let began = Instant::now();
+            for gateway in gateways.iter().cycle() {
+                if began.elapsed() >= REPEATED_FOR {
+                    return;
+                }
+                let (body, served) = (innocent(sent), &served);
+                scope.spawn(move || {
+                    let answer = send_body(gateway.callers(), "/match/a", &body);
+                    let is_served = answer.is_some_and(|one| one.status == 200 && one.is_whole);
+                    served.fetch_add(usize::from(is_served), Ordering::Relaxed);
+                });
+                sent += 1;
+                thread::sleep(INNOCENT_INTERVAL);
+            }
+        });
+    });
+
+    let content = |index| ContentId::new(Some("treasury"), "/match/a", innocent(index).as_bytes());
+    let is_held = |content: &ContentId| {
+        let line = ["\"request held back\"", &content.to_string()];
+        gateways.iter().any(|gateway| !gateway.lines(&line).is_empty())
+    };
+    let held = (0..sent).map(content).filter(is_held).count();
+    let served = served.into_inner();
+    println!("{sent} innocent requests, {served} served, {held} held back");
+    assert_eq!(held, 0, "of {sent}");
+    // Some are cut by the engines that end before the request is held back.
+    assert!(served * 10 >= sent * 9, "{served} of {sent}");
+}
+
 fn successors(gateways: &[GatewayProcess], store: &FakeStore) -> Vec<GatewayProcess> {
     let successor = |(index, gateway): (usize, &GatewayProcess)| {
         let name = format!("gateway-{index}");
--- a/crates/daemon/tests/gateway/soak/faults.rs
+++ b/crates/daemon/tests/gateway/soak/faults.rs
@@ -77,7 +77,7 @@
         course.join("; ")
     }
 
-    fn restart_gateway(&mut self, node: usize, signal: Signal) -> String {
+    pub fn restart_gateway(&mut self, node: usize, signal: Signal) -> String {
         let node = &mut self.nodes[node];
         node.resume();
         node.process.signal(signal);
@@ -85,7 +85,7 @@
         format!("{} is restarted by {signal}", node.name)
     }
 
-    fn pause(&mut self, node: usize) -> String {
+    pub fn pause(&mut self, node: usize) -> String {
         let node = &mut self.nodes[node];
         node.is_paused = !node.is_paused;
         let signal = if node.is_paused { Signal::SIGSTOP } else { Signal::SIGCONT };
@@ -98,7 +98,7 @@
         format!("{} gets SIGHUP", self.nodes[node].name)
     }
 
-    fn set_store_mode(&mut self, rng: &mut StdRng) -> String {
+    pub fn set_store_mode(&mut self, rng: &mut StdRng) -> String {
         let modes = [StoreMode::Up, StoreMode::Busy, StoreMode::Silent, StoreMode::LosesAnswers];
         let mode = *modes.choose(rng).expect("there are modes");
         self.store.set_mode(mode);
@@ -112,7 +112,7 @@
         format!("news of the store: {news:?}")
     }
 
-    fn set_store_proxy(&mut self, node: usize, rng: &mut StdRng) -> String {
+    pub fn set_store_proxy(&mut self, node: usize, rng: &mut StdRng) -> String {
         let mode = proxy_mode(rng);
         self.nodes[node].store.set_mode(mode);
         format!("{} to the store: {mode:?}", self.nodes[node].name)
--- a/crates/daemon/tests/gateway/soak/mod.rs
+++ b/crates/daemon/tests/gateway/soak/mod.rs
@@ -5,6 +5,7 @@
 //! `SOAK_GATEWAYS=20` more processes.
 
 mod callers;
+mod crashes;
 mod eras;
 mod faults;
 pub mod promises;
@@ -12,6 +13,7 @@
 mod world;
 
 use callers::{Call, Callers};
+use crashes::Crashing;
 use promises::{Heard, check_answers_came, check_runs};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -38,6 +40,9 @@
 /// Times that the store comes back from a copy in one run, and the most that happens before each.
 const RETURNS: usize = 4;
 const EVENTS_BEFORE_RETURN: usize = 4;
+/// Faults of one run beside a request that crashes engines, and the time between two of them, in ms.
+const FAULTS_BESIDE_CRASHES: usize = 6;
+const CRASH_FAULT_GAP_MS: std::ops::Range<u64> = 100..1_500;
 /// Series of signals of one run: two processes after each other have their whole time to end.
 const SERIES: usize = 2;
 
@@ -79,6 +84,29 @@
     check_runs(&world, &heard).unwrap_or_else(|broken| panic!("seed {seed}: {broken} {course:#?}"));
 }
 
+/// Runs one seed of a request that crashes engines, beside faults of gateways and the store.
+fn soak_of_crashes(seed: u64) {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let mut world = World::new(seed, EVENT_GAP);
+    wait_for_service(&world, "service before the first crash");
+    let callers = Callers::start(&world);
+    let crashing = Crashing::start(&world, &mut rng);
+    let mut course = Vec::new();
+
+    for _ in 0..FAULTS_BESIDE_CRASHES {
+        course.push(world.fault_beside_crashes(&mut rng));
+        thread::sleep(Duration::from_millis(rng.random_range(CRASH_FAULT_GAP_MS)));
+    }
+    crashing.stop();
+    world.heal_beside_crashes(&mut rng);
+    let heard = callers.stop();
+    wait_for_service(&world, &format!("seed {seed}: service after {course:#?}"));
+
+    let held = world.check_held().and_then(|()| check_runs(&world, &heard));
+    held.unwrap_or_else(|broken| panic!("seed {seed}: {broken} {course:#?}"));
+    wait_for_service(&world, &format!("seed {seed}: service after {course:#?} and more crashes"));
+}
+
 /// Runs one seed of returns of the store from a copy, each among other events, with a change after it.
 fn soak_of_eras(seed: u64) {
     let mut rng = StdRng::seed_from_u64(seed);
@@ -163,6 +191,11 @@
     with_seeds(soak_of_signals);
 }
 
+#[test]
+fn soak_of_crashes_with_the_seeds_of_each_run() {
+    with_seeds(soak_of_crashes);
+}
+
 #[test]
 fn soak_of_eras_with_the_seeds_of_each_run() {
     with_seeds(soak_of_eras);
--- a/crates/gateway/src/process/counters.rs
+++ b/crates/gateway/src/process/counters.rs
@@ -116,6 +116,22 @@
     LeadRecordsRefused => "lead_records_refused",
     /// Invalid configurations.
     ConfigurationsRefused => "configurations_refused",
+    /// Runs of this gateway on endpoints that ended, which may have crashed them.
+    RunsCrashed => "runs_crashed",
+    /// Requests that are held back because endpoints ended under them, each counted once.
+    RequestsHeld => "requests_held",
+    /// Requests that were held back and released.
+    RequestsReleased => "requests_released",
+    /// Arrivals of held requests that were refused.
+    HeldRefusals => "held_refusals",
+    /// Sends of held requests that were prevented after their admission.
+    HeldSends => "held_sends_prevented",
+    /// Held requests that this gateway sent once to see whether they do no more harm.
+    HeldTrials => "held_trials",
+    /// Reads of held requests from another gateway that failed.
+    HeldFetchFailures => "held_fetch_failures",
+    /// Invalid records of held requests.
+    HeldRecordsRefused => "held_records_refused",
     /// Connections refused because too many were open.
     ConnectionsRefused => "connections_refused",
 }
@@ -184,6 +200,12 @@
         cell.set(cell.get() + 1);
     }
 
+    /// Adds to a counter.
+    pub(crate) fn add_many(&self, count: Count, number: usize) {
+        let cell = &self.counts[count as usize];
+        cell.set(cell.get() + number as u64);
+    }
+
     /// Returns the value of a counter.
     pub(crate) fn get(&self, count: Count) -> u64 {
         self.counts[count as usize].get()
--- /dev/null
+++ b/crates/gateway/src/process/crashes/crash_watch.rs
@@ -0,0 +1,150 @@
+//! The crash guard of a gateway: what it learns, and what it decides for requests.
+
+use crate::process::{Count, Gateway};
+use crate::request::Call;
+use sorrellock_routing::process::Incarnation;
+use sorrellock_routing::process::crashes::{
+    Admission, CrashEvent, CrashReports, HeldRequest, HeldSource, Turn, UnixMillis,
+};
+use spdlog::{info, warn};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::time::{Instant, sleep};
+
+/// Maximum number of contents in a log line.
+const MAX_LOGGED_CONTENTS: usize = 8;
+
+/// Returns the current Unix time. Records of held requests outlast the process, so they can't use its clock.
+pub(crate) fn unix_now() -> UnixMillis {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    since_epoch.as_millis() as UnixMillis
+}
+
+impl Gateway {
+    /// Returns how long a request is held back; `None` if it may be sent.
+    pub(crate) fn held_for(&self, call: &Call) -> Option<Duration> {
+        match self.crash_guard.borrow().admission(call.run_request.content, unix_now()) {
+            Admission::Free => None,
+            Admission::Held { .. } | Admission::TrialDue if call.is_trial.get() => None,
+            Admission::Held { retry_in } => Some(retry_in),
+            // Only at its admission is a trial claimed.
+            Admission::TrialDue => Some(Duration::ZERO),
+        }
+    }
+
+    /// Decides right before a send whether it may happen.
+    pub(crate) fn admit_send(&self, call: &Call, is_trial: bool) -> bool {
+        let is_admitted = is_trial || self.held_for(call).is_none();
+        if !is_admitted {
+            self.counters.add(Count::HeldSends);
+        }
+        is_admitted
+    }
+
+    /// Returns whether a request waits for another run of the same content, as it may crash another endpoint.
+    pub(crate) fn awaits_suspect(&self, call: &Call) -> bool {
+        let now = Instant::now().into_std();
+        self.crash_guard.borrow().is_suspect_running(call.run_request.content, now)
+    }
+
+    /// Waits until a request may be sent, where it is told apart from others that may crash endpoints. `count` returns
+    /// the number of endpoints to choose from.
+    pub(crate) async fn await_turn(&self, call: &Call, count: impl Fn() -> usize) {
+        if !self.is_crash_suspect(call) {
+            return;
+        }
+        while let Turn::Wait(wait) = self.turn(call, count()) {
+            tokio::select! {
+                () = sleep(wait.min(call.time_left())) => {}
+                () = self.ending() => return,
+            }
+            if call.time_left().is_zero() {
+                return;
+            }
+        }
+    }
+
+    /// Returns when and where a request may be sent, with `count` endpoints to choose from.
+    pub(crate) fn turn(&self, call: &Call, count: usize) -> Turn {
+        let now = Instant::now().into_std();
+        self.crash_guard.borrow().turn(call.run_request.content, count, now)
+    }
+
+    /// Returns whether an endpoint ended under a request, which hasn't run without harm since.
+    pub(crate) fn is_crash_suspect(&self, call: &Call) -> bool {
+        self.crash_guard.borrow().is_suspect(call.run_request.content)
+    }
+
+    /// Returns whether a suspect of this gateway runs on an endpoint.
+    pub(crate) fn runs_suspect(&self, endpoint: &Incarnation) -> bool {
+        self.crash_guard.borrow().has_suspect(endpoint, Instant::now().into_std())
+    }
+
+    /// Records that an endpoint has ended. One that announced it has finished its runs, or cuts them in order.
+    pub(crate) fn on_endpoint_crashed(&self, incarnation: &Incarnation) {
+        let now = Instant::now();
+        let is_announced = self.fleet_state.borrow().is_leaving(incarnation, now)
+            || self.knowledge.borrow().is_leaving(incarnation);
+        if is_announced {
+            return;
+        }
+        let unix = unix_now();
+        self.crash_guard.borrow_mut().on_endpoint_ended(incarnation, now.into_std(), unix);
+        self.report_crash_events();
+    }
+
+    /// Applies what another gateway found.
+    pub(crate) fn receive_crash_reports(&self, reports: &CrashReports) {
+        let now = Instant::now().into_std();
+        self.crash_guard.borrow_mut().on_reports(reports, now, unix_now());
+        self.report_crash_events();
+    }
+
+    /// Merges records of held requests.
+    pub(crate) fn merge_held(&self, records: Vec<HeldRequest>, source: HeldSource) {
+        self.crash_guard.borrow_mut().merge(records, source, unix_now());
+        self.report_crash_events();
+    }
+
+    /// Logs and counts the changes of the crash guard, and has them sent to the other gateways.
+    pub(crate) fn report_crash_events(&self) {
+        let events = self.crash_guard.borrow_mut().take_events();
+        if events.is_empty() {
+            return;
+        }
+        events.iter().for_each(|event| self.report_crash_event(event));
+        self.suspected.notify_one();
+        self.held_changed.notify_one();
+    }
+
+    fn report_crash_event(&self, event: &CrashEvent) {
+        match event {
+            CrashEvent::Crashed { endpoint, contents } => {
+                self.counters.add_many(Count::RunsCrashed, contents.len());
+                let listed: Vec<String> =
+                    contents.iter().take(MAX_LOGGED_CONTENTS).map(ToString::to_string).collect();
+                let listed = listed.join(" ");
+                warn!("endpoint ended under requests", kv: {
+                    endpoint = endpoint.id.as_str(), requests = contents.len(),
+                    contents = listed.as_str()
+                });
+            }
+            CrashEvent::Held { held, source } => {
+                self.counters.add(Count::RequestsHeld);
+                let content = held.content.to_string();
+                let endpoints: Vec<String> =
+                    held.endpoints.iter().map(ToString::to_string).collect();
+                let endpoints = endpoints.join(" ");
+                warn!("request held back", kv: {
+                    content = content.as_str(), endpoints = endpoints.as_str(),
+                    workspace = held.workspace.as_deref().unwrap_or(""),
+                    path = held.path.as_deref().unwrap_or(""), source:?
+                });
+            }
+            CrashEvent::Released { content, source } => {
+                self.counters.add(Count::RequestsReleased);
+                let content = content.to_string();
+                info!("request released", kv: { content = content.as_str(), source:? });
+            }
+        }
+    }
+}
--- a/crates/gateway/src/process/dump.rs
+++ b/crates/gateway/src/process/dump.rs
@@ -1,12 +1,14 @@
 //! Dump of a gateway's state as JSON.
 
-use crate::process::{Gateway, Phase};
+use crate::process::{Gateway, Phase, unix_now};
 use serde::Serialize;
 use sorrellock_platform::Kind;
+use sorrellock_routing::process::crashes::HeldRequest;
 use sorrellock_routing::process::knowledge::{EntryState, Knowledge, KnownEndpoint};
 use sorrellock_routing::process::{
     ChangeCount, FaultKind, LayerRange, MAX_FOUND_CHARS, Revision, StoreEra, cut,
 };
+use sorrellock_routing::request::ContentId;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use tokio::time::Instant;
@@ -35,6 +37,9 @@
     refused_by_reason: BTreeMap<FaultKind, usize>,
     refused_entries: Vec<RefusedDump>,
     paths: Vec<PathDump>,
+    /// Number of requests under which endpoints ended, too few to hold them back.
+    crash_suspects: usize,
+    held_requests: Vec<HeldDump>,
     /// Number of elements omitted from the lists.
     left_out: usize,
 }
@@ -98,6 +103,20 @@
     is_broken: bool,
 }
 
+/// A request that is held back, or was until it was released.
+#[derive(Serialize)]
+struct HeldDump {
+    content: ContentId,
+    is_held: bool,
+    workspace: Option<String>,
+    /// Known where the request has run, and in the store.
+    path: Option<String>,
+    held_ms: u64,
+    /// The endpoints that ended under it.
+    endpoints: Vec<String>,
+    trial_by: Option<String>,
+}
+
 impl Dump {
     /// Returns the state of a gateway now.
     pub(crate) fn of(gateway: &Gateway, now: Instant) -> Dump {
@@ -130,11 +149,28 @@
             refused_by_reason,
             refused_entries: bounded(refused, &mut left_out),
             paths: bounded(paths(gateway, &knowledge).into_iter(), &mut left_out),
+            crash_suspects: gateway.crash_guard.borrow().suspects(),
+            held_requests: bounded(
+                gateway.held_records().into_iter().map(held_request),
+                &mut left_out,
+            ),
             left_out,
         }
     }
 }
 
+fn held_request(held: HeldRequest) -> HeldDump {
+    HeldDump {
+        content: held.content,
+        is_held: held.is_held(),
+        held_ms: unix_now().saturating_sub(held.held_at),
+        endpoints: held.endpoints.iter().map(ToString::to_string).collect(),
+        workspace: held.workspace,
+        path: held.path,
+        trial_by: held.trial_by,
+    }
+}
+
 fn bounded<T>(mut all: impl Iterator<Item = T>, left_out: &mut usize) -> Vec<T> {
     let kept = all.by_ref().take(MAX_ELEMENTS).collect();
     *left_out += all.count();
--- a/crates/gateway/src/process/gateway.rs
+++ b/crates/gateway/src/process/gateway.rs
@@ -1,12 +1,13 @@
 //! State shared by all parts of a gateway.
 
 use crate::process::{
-    Count, Counters, FleetState, LivePath, LoggedFaults, PathTable, Pool, ReportedSuspect,
-    SUSPICION_DURATION, StoreContact,
+    Count, Counters, EndChecks, FleetState, LivePath, LoggedFaults, PathTable, Pool,
+    ReportedSuspect, SUSPICION_DURATION, StoreContact,
 };
 use sorrellock_core::clock::SystemClock;
 use sorrellock_core::process::retries::Breakers;
-use sorrellock_platform::{Bounds, Client, EndpointLoad, Kind, Settings, StoreEras};
+use sorrellock_platform::{Bounds, Client, EndpointLoad, Kind, Settings, Store, StoreEras};
+use sorrellock_routing::process::crashes::{CrashGuard, HeldSync};
 use sorrellock_routing::process::knowledge::Knowledge;
 use sorrellock_routing::process::{
     FailureEvidence, Incarnation, Incarnations, Leaving, LoopPauses, RetryWindow, StreamPace,
@@ -86,6 +87,16 @@
     pub(crate) store_failed: Cell<Option<Instant>>,
     /// Endpoints that refused a request, and when each was last checked for the reason.
     pub(crate) refusers_checked: RefCell<HashMap<Incarnation, Instant>>,
+    /// Finds and holds back requests that crash endpoints.
+    pub(crate) crash_guard: RefCell<CrashGuard>,
+    /// Recent checks of endpoints to which a connection broke.
+    pub(crate) end_checks: RefCell<EndChecks>,
+    /// Decides when records of held requests are read from other gateways and the store.
+    pub(crate) held_sync: RefCell<HeldSync>,
+    /// Wakes the writer of held requests to the store.
+    pub(crate) held_changed: Notify,
+    /// The platform's store, once its client exists.
+    pub(crate) store: RefCell<Option<Store>>,
     /// Number of requests in flight.
     pub(crate) in_flight: Cell<usize>,
     /// Number of requests that have no answer head yet.
@@ -132,6 +143,11 @@
             era_began: Cell::new(None),
             store_failed: Cell::new(None),
             refusers_checked: RefCell::default(),
+            crash_guard: RefCell::default(),
+            end_checks: RefCell::default(),
+            held_sync: RefCell::default(),
+            held_changed: Notify::new(),
+            store: RefCell::default(),
             in_flight: Cell::new(0),
             unanswered: Cell::new(0),
             answering: Cell::new(0),
--- a/crates/gateway/src/process/listeners.rs
+++ b/crates/gateway/src/process/listeners.rs
@@ -1,8 +1,8 @@
 //! Internal listeners: readiness, metrics, the state dump, and handovers to other gateways.
 
-use crate::process::{Dump, Gateway, HANDOVER_PATH};
+use crate::process::{Dump, Gateway, HANDOVER_PATH, HELD_PATH, RELEASE_PATH};
 use bytes::Bytes;
-use http::{Request, Response, StatusCode};
+use http::{Method, Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -11,6 +11,7 @@
 use serde::Serialize;
 use sorrellock_platform::Kind;
 use sorrellock_routing::process::Revision;
+use sorrellock_routing::request::ContentId;
 use sorrellock_routing::version::ConfigVersion;
 use spdlog::warn;
 use std::convert::Infallible;
@@ -58,6 +59,13 @@
         READINESS_PATH => (StatusCode::SERVICE_UNAVAILABLE, Bytes::from_static(b"not ready")),
         METRICS_PATH => (StatusCode::OK, Bytes::from(metrics(&gateway))),
         DUMP_PATH => json(&Dump::of(&gateway, Instant::now())),
+        HELD_PATH => json(&gateway.held_records()),
+        path if req.method() == Method::POST && path.starts_with(RELEASE_PATH) => {
+            match path[RELEASE_PATH.len()..].parse::<ContentId>() {
+                Ok(content) => json(&gateway.release_held(content)),
+                Err(err) => (StatusCode::BAD_REQUEST, Bytes::from(format!("content: {err}"))),
+            }
+        }
         path => match path.strip_prefix(HANDOVER_PATH).and_then(read_known) {
             Some((version, at)) => handover(&gateway, version, at),
             None => (StatusCode::NOT_FOUND, Bytes::from_static(b"no such page")),
@@ -94,6 +102,7 @@
     let version = knowledge.config_version() as f64;
     let endpoints = knowledge.endpoints().count() as f64;
     let now = Instant::now();
+    let guard = gateway.crash_guard.borrow();
     // NaN before the first data from the store.
     let age = |kind| gateway.store_contact.age_ms(kind, now).map_or(f64::NAN, |ms| ms as f64);
     gateway.counters.page(&[
@@ -102,6 +111,9 @@
         ("endpoints", endpoints),
         ("configuration_heard_ms", age(Kind::Configuration)),
         ("endpoints_heard_ms", age(Kind::Endpoints)),
+        ("held_requests", guard.held().held() as f64),
+        ("crash_suspects", guard.suspects() as f64),
+        ("crash_evicted", guard.evicted() as f64),
         ("loop_lag_longest_ms", gateway.recent_longest_pause().as_secs_f64() * 1e3),
     ])
 }
--- a/crates/gateway/src/process/mod.rs
+++ b/crates/gateway/src/process/mod.rs
@@ -1,6 +1,7 @@
 //! State and tasks that last as long as the process.
 
 mod counters;
+mod crashes;
 mod dump;
 mod gateway;
 mod lag;
@@ -16,6 +17,7 @@
 mod store;
 
 pub(crate) use counters::*;
+pub(crate) use crashes::*;
 pub(crate) use dump::*;
 pub(crate) use gateway::*;
 pub(crate) use lag::*;
--- a/crates/gateway/src/process/paths/path_table.rs
+++ b/crates/gateway/src/process/paths/path_table.rs
@@ -59,6 +59,14 @@
         self.peers = peers;
     }
 
+    /// Returns the first engines of a service's paths that get new requests, in an order that all gateways share.
+    pub(crate) fn first_engines(&self, service: &str, now: Instant) -> Vec<Incarnation> {
+        let open = self.paths(service).iter().filter(|live| !live.is_avoided(now));
+        let firsts: BTreeSet<Incarnation> =
+            open.map(|live| live.path.first().incarnation.clone()).collect();
+        firsts.into_iter().collect()
+    }
+
     /// Returns the paths through the reported engine that another gateway's report breaks.
     pub(crate) fn breaking_by_report(
         &self,
--- a/crates/gateway/src/process/peers/fleet_state.rs
+++ b/crates/gateway/src/process/peers/fleet_state.rs
@@ -48,7 +48,7 @@
         let age_ms = match kind {
             Kind::Configuration => self.message.configuration_heard_ms,
             Kind::Endpoints => self.message.endpoints_heard_ms,
-            Kind::Gateways | Kind::Leads => None,
+            Kind::Gateways | Kind::Leads | Kind::HeldRequests => None,
         };
         Some(Duration::from_millis(age_ms?.into()) + (now - self.last_contact))
     }
--- a/crates/gateway/src/process/peers/peer_message.rs
+++ b/crates/gateway/src/process/peers/peer_message.rs
@@ -1,6 +1,7 @@
 //! The datagrams that gateways send each other.
 
 use serde::{Deserialize, Serialize};
+use sorrellock_routing::process::crashes::{CrashReports, HeldDigest};
 use sorrellock_routing::process::{
     FailureEvidence, Incarnation, Known, LayerRange, Revision, StartMillis, StoreEra,
 };
@@ -56,12 +57,27 @@
     pub(crate) lead_term: Option<Revision>,
     /// The lead's view, if it changed or wasn't sent for a while.
     pub(crate) lead: Option<LeadView>,
+    /// Encoded after all other fields.
+    #[serde(skip)]
+    pub(crate) extension: Extension,
+}
+
+/// Fields that follow those of the format version. Gateways that don't know them skip them, and those that do read
+/// messages without them, so that both understand each other during an upgrade. New fields are added at the end, each
+/// with its own default.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub(crate) struct Extension {
+    /// What the sender found recently of requests that crash endpoints.
+    pub(crate) crashes: CrashReports,
+    /// Summary of the sender's records of held requests.
+    pub(crate) held: Option<HeldDigest>,
 }
 
 impl PeerMessage {
     /// Encodes the message, after a byte for the format version.
     pub(crate) fn encode(&self) -> Result<Vec<u8>, postcard::Error> {
-        postcard::to_extend(self, vec![FORMAT])
+        let buf = postcard::to_extend(self, vec![FORMAT])?;
+        postcard::to_extend(&self.extension, buf)
     }
 
     /// Decodes a message.
@@ -70,7 +86,13 @@
         if *format != FORMAT {
             return Err(Unreadable::Format(*format));
         }
-        postcard::from_bytes(message).map_err(|_| Unreadable::Malformed)
+        let (message, rest) =
+            postcard::take_from_bytes(message).map_err(|_| Unreadable::Malformed)?;
+        let extension = match rest {
+            [] => Extension::default(),
+            rest => postcard::from_bytes(rest).map_err(|_| Unreadable::Malformed)?,
+        };
+        Ok(PeerMessage { extension, ..message })
     }
 }
 
--- a/crates/gateway/src/process/peers/peers.rs
+++ b/crates/gateway/src/process/peers/peers.rs
@@ -1,7 +1,9 @@
 //! Exchanges messages with the other gateways: loads, suspected endpoints, the lead's view of the engines, and
 //! how recent each gateway's data from the store is.
 
-use crate::process::{Count, Gateway, HeadLoad, LeadView, Load, Peer, PeerMessage, Unreadable};
+use crate::process::{
+    Count, Extension, Gateway, HeadLoad, LeadView, Load, Peer, PeerMessage, Unreadable,
+};
 use sorrellock_platform::Kind;
 use sorrellock_routing::process::{Incarnation, UpdateSources};
 use spdlog::{info, warn};
@@ -94,6 +96,9 @@
         let leaving = gateway.fleet_state.borrow_mut().own_leaving(now);
         let ended = gateway.fleet_state.borrow_mut().own_ended(now);
         let left = gateway.fleet_state.borrow_mut().own_left(now);
+        let crashes = gateway.crash_guard.borrow_mut().reports(now.into_std());
+        let held = Some(gateway.crash_guard.borrow().held().digest());
+        let extension = Extension { crashes, held };
         let own_loads = gateway.paths.borrow().own_loads();
         let load = |(head, load): (Incarnation, Load)| HeadLoad {
             head,
@@ -119,6 +124,7 @@
             left_before_era: gateway.knowledge.borrow().left_before_era(now.into_std()),
             lead_term: self.own_view.borrow().as_ref().map(|view| view.term),
             lead: self.view_to_send(now),
+            extension,
         }
     }
 
@@ -240,10 +246,12 @@
         }
         let instance = message.instance.clone();
         let (ended, left) = (message.ended.clone(), message.left.clone());
+        let crashes = message.extension.crashes.clone();
         let (era, left_before_era) =
             (message.known.endpoints_at.era, message.left_before_era.clone());
         fleet_state.peers.insert(instance.clone(), Peer { addr: from, message, last_contact: now });
         drop(fleet_state);
+        gateway.receive_crash_reports(&crashes);
         for end in &ended {
             gateway.receive_end(end, &instance);
         }
--- a/crates/gateway/src/process/run.rs
+++ b/crates/gateway/src/process/run.rs
@@ -3,8 +3,8 @@
 use crate::connection::accept_callers;
 use crate::process::placer::Placer;
 use crate::process::{
-    Count, Gateway, Peers, Phase, expire_entries, follow, follow_eras, measure_lag,
-    serve_internal_pages, set_up_log, watch_paths,
+    Count, Gateway, Peers, Phase, exchange_held, expire_entries, follow, follow_eras, measure_lag,
+    serve_internal_pages, set_up_log, sync_held, unix_now, watch_paths,
 };
 use sorrellock_http::listen;
 use sorrellock_platform::{Kind, Limits, Settings, Store, parse_settings};
@@ -172,6 +172,7 @@
     let addr = SocketAddr::new(settings.ip, settings.peer_port);
     let socket = UdpSocket::bind(addr).await;
     let socket = socket.map_err(|err| io_error(format!("messages at {addr}"), err))?;
+    *gateway.store.borrow_mut() = Some(store.clone());
     let own_view = Rc::new(RefCell::new(None));
     let peers = Rc::new(Peers::new(Rc::clone(gateway), socket, Rc::clone(&own_view)));
     tasks.spawn_local(follow(Rc::clone(gateway), store.clone(), Kind::Configuration));
@@ -181,6 +182,8 @@
     tasks.spawn_local(Rc::clone(&peers).register(store.clone()));
     tasks.spawn_local(Rc::clone(&peers).listen());
     tasks.spawn_local(Rc::clone(&peers).catch_up());
+    tasks.spawn_local(exchange_held(Rc::clone(gateway)));
+    tasks.spawn_local(sync_held(Rc::clone(gateway), store.clone()));
     tasks.spawn_local(peers.send_messages());
     tasks.spawn_local(Placer::new(Rc::clone(gateway), own_view).run(store));
     Ok(())
@@ -203,6 +206,8 @@
             .borrow_mut()
             .retain(|incarnation, used| used.in_flight > 0 || is_current(incarnation));
         drop(knowledge);
+        let now = Instant::now().into_std();
+        gateway.crash_guard.borrow_mut().drop_expired(now, unix_now());
         gateway.refresh_paths();
     }
 }
--- a/crates/gateway/src/process/store/incarnations.rs
+++ b/crates/gateway/src/process/store/incarnations.rs
@@ -224,6 +224,7 @@
 
     /// Drops all state of an incarnation that has ended.
     fn forget_incarnation(&self, incarnation: &Incarnation) {
+        self.on_endpoint_crashed(incarnation);
         self.uses.borrow_mut().remove(incarnation);
         self.probes.borrow_mut().remove(incarnation);
         self.pool.borrow_mut().remove(incarnation);
--- a/crates/gateway/src/process/store/store_contact.rs
+++ b/crates/gateway/src/process/store/store_contact.rs
@@ -76,7 +76,7 @@
         match kind {
             Kind::Configuration => Some(&self.configuration),
             Kind::Endpoints => Some(&self.endpoints),
-            Kind::Gateways | Kind::Leads => None,
+            Kind::Gateways | Kind::Leads | Kind::HeldRequests => None,
         }
     }
 }
@@ -126,6 +126,6 @@
     match kind {
         Kind::Configuration => known.config > other.config,
         Kind::Endpoints => known.endpoints_at > other.endpoints_at,
-        Kind::Gateways | Kind::Leads => false,
+        Kind::Gateways | Kind::Leads | Kind::HeldRequests => false,
     }
 }
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -1,7 +1,7 @@
 //! Sends a request to one endpoint and reads the head of its answer.
 
-use crate::process::{CONNECT_LIMIT, Connection, Count, EndpointUse, Gateway, open};
-use crate::request::Call;
+use crate::process::{CONNECT_LIMIT, Connection, Count, EndpointUse, Gateway, RunGuard, open};
+use crate::request::{Call, held_reason};
 use bytes::Bytes;
 use http::{Request, Response, StatusCode, Version};
 use http_body_util::Full;
@@ -35,6 +35,16 @@
     pub(crate) last_event: Option<u64>,
 }
 
+impl Target<'_> {
+    /// Returns the endpoints that a run there needs, first the one that receives the request.
+    fn endpoints(&self) -> Vec<Incarnation> {
+        if self.path.is_empty() {
+            return vec![self.incarnation.clone()];
+        }
+        self.path.iter().map(|part| part.incarnation.clone()).collect()
+    }
+}
+
 /// An HTTP exchange with an endpoint whose answer head has been received.
 pub(crate) struct Exchange {
     pub(crate) answer: Response<Incoming>,
@@ -42,6 +52,7 @@
     pub(crate) connection: Connection,
     pub(crate) incarnation: Incarnation,
     pub(crate) in_flight: InFlightGuard,
+    pub(crate) run: RunGuard,
 }
 
 /// An attempt that brought no answer for the caller.
@@ -54,6 +65,8 @@
     pub(crate) is_misdirected: bool,
     /// This process was itself too slow to conclude that the endpoint failed.
     pub(crate) is_inconclusive: bool,
+    /// Nothing was sent, as the request is held back.
+    pub(crate) is_held: bool,
     /// The evidence for suspecting the endpoint when nothing could be sent.
     pub(crate) failure_evidence: FailureEvidence,
     pub(crate) why: String,
@@ -66,6 +79,7 @@
             at_fault: None,
             is_misdirected: false,
             is_inconclusive: false,
+            is_held: false,
             failure_evidence: FailureEvidence::Refused,
             why,
         }
@@ -111,11 +125,12 @@
     limit: Duration,
 ) -> Result<Exchange, FailedAttempt> {
     let in_flight = InFlightGuard::new(Rc::clone(gateway), target.incarnation.clone());
-    let (answer, connection) = send(gateway, call, target, limit).await?;
+    let (answer, connection, run) = send(gateway, call, target, limit).await?;
     let head = read_answer_head(answer.headers());
     record_load(gateway, &target.incarnation, &head);
     check_answer_head(gateway, call, &answer, &head)?;
-    Ok(Exchange { answer, head, connection, incarnation: target.incarnation.clone(), in_flight })
+    let incarnation = target.incarnation.clone();
+    Ok(Exchange { answer, head, connection, incarnation, in_flight, run })
 }
 
 /// Sends a request on a pooled connection. If the endpoint has closed it already, tries the next one, and a new one
@@ -125,11 +140,18 @@
     call: &Call,
     target: &Target<'_>,
     limit: Duration,
-) -> Result<(Response<Incoming>, Connection), FailedAttempt> {
+) -> Result<(Response<Incoming>, Connection, RunGuard), FailedAttempt> {
     let until = Instant::now() + limit;
     let mut req = build_request(call, target);
+    // The one attempt of a trial.
+    let is_trial = call.is_trial.take();
     loop {
         let (mut connection, is_kept) = connect(gateway, call, target).await?;
+        if !gateway.admit_send(call, is_trial) {
+            let failed = FailedAttempt::new(Evidence::NotSent, held_reason(call));
+            return Err(FailedAttempt { is_held: true, ..failed });
+        }
+        let run = RunGuard::begin(gateway, Rc::clone(&call.run_request), target.endpoints());
         let silence = SilenceWatch::start(Rc::clone(gateway), target.incarnation.clone());
         let Ok(res) = timeout_at(until, connection.sender.try_send_request(req)).await else {
             let why = format!("no answer in {} ms", limit.as_millis());
@@ -137,14 +159,19 @@
         };
         silence.end();
         let mut err = match res {
-            Ok(answer) => return Ok((answer, connection)),
+            Ok(answer) => return Ok((answer, connection, run)),
             Err(err) => err,
         };
         req = match err.take_message() {
             // Closing an idle connection is no sign of a failed endpoint.
             Some(unsent) if is_kept => unsent,
             Some(_) => return Err(FailedAttempt::new(Evidence::NotSent, err.error().to_string())),
-            None => return Err(FailedAttempt::new(Evidence::MayHaveRun, err.error().to_string())),
+            None => {
+                run.on_broke();
+                drop(run);
+                gateway.check_ended(&target.incarnation, target.addr).await;
+                return Err(FailedAttempt::new(Evidence::MayHaveRun, err.error().to_string()));
+            }
         };
     }
 }
@@ -285,7 +312,7 @@
     let at_fault = failed.at_fault.map(|addr| addr.to_string()).unwrap_or_default();
     let ms = call.arrived.elapsed().as_millis() as u64;
     let content = match failed.evidence {
-        Evidence::MayHaveRun => call.content().to_string(),
+        Evidence::MayHaveRun => call.run_request.content.to_string(),
         Evidence::NotRun | Evidence::NotSent => String::new(),
     };
     warn!("attempt failed", kv: {
--- a/crates/gateway/src/request/call.rs
+++ b/crates/gateway/src/request/call.rs
@@ -4,10 +4,10 @@
 use bytes::Bytes;
 use http::{HeaderMap, Method, Uri};
 use sorrellock_platform::CallerHead;
-use sorrellock_routing::request::ContentId;
+use sorrellock_routing::process::crashes::RunRequest;
 use sorrellock_routing::version::{ConfigVersion, Route, ServiceName, WorkspaceName};
 use spdlog::{Level, log, warn};
-use std::cell::{Cell, OnceCell};
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -32,8 +32,10 @@
     /// When the caller stops waiting.
     pub(crate) caller_deadline: Instant,
     pub(crate) end: EndGuard,
-    /// Computed when first needed, as bodies may be large.
-    pub(crate) content: OnceCell<ContentId>,
+    /// What identifies it among its repeats.
+    pub(crate) run_request: Rc<RunRequest>,
+    /// It is held back, and may be sent once to see whether it does no more harm.
+    pub(crate) is_trial: Cell<bool>,
 }
 
 impl Call {
@@ -47,12 +49,6 @@
         self.deadline.saturating_duration_since(Instant::now())
     }
 
-    /// Returns the identity of the request's content.
-    pub(crate) fn content(&self) -> ContentId {
-        let path = || self.uri.path_and_query().map_or(self.uri.path(), |path| path.as_str());
-        *self.content.get_or_init(|| ContentId::new(self.workspace.as_deref(), path(), &self.body))
-    }
-
     /// Returns the request id, for log lines.
     pub(crate) fn id(&self) -> &str {
         &self.head.request_id
@@ -88,6 +84,11 @@
         log!(level, "request ended", kv: { request, outcome, status, ms, why });
     }
 
+    /// Counts something beside the end.
+    pub(crate) fn count(&self, count: Count) {
+        self.gateway.counters.add(count);
+    }
+
     /// Counts and logs that the request is refused because the gateway, asked to shut down, has too little time for it.
     pub(crate) fn report_refused_leaving(&self) {
         self.report_leaving(Count::RefusedLeaving, "refused as this gateway ends");
--- a/crates/gateway/src/request/final_answer.rs
+++ b/crates/gateway/src/request/final_answer.rs
@@ -31,6 +31,19 @@
     answer
 }
 
+/// Minimum Retry-After of a held request, so that its callers don't ask again at once.
+const MIN_HELD_RETRY_DELAY: Duration = Duration::from_secs(1);
+
+/// Returns the Retry-After of a request that is held back for `held_for`.
+pub(crate) fn held_retry_delay(held_for: Duration) -> Duration {
+    held_for.max(MIN_HELD_RETRY_DELAY)
+}
+
+/// Returns why a request that is held back ends, for log lines.
+pub(crate) fn held_reason(call: &Call) -> String {
+    format!("held back, as endpoints ended under content {}", call.run_request.content)
+}
+
 /// Records the end of an abandoned request and returns its final answer.
 pub(crate) fn abandon_call(
     call: &Call,
--- a/crates/gateway/src/request/plain.rs
+++ b/crates/gateway/src/request/plain.rs
@@ -3,7 +3,7 @@
 use crate::process::{Count, Gateway, check_refuser};
 use crate::request::{
     AttemptEvent, AttemptInfo, Call, Exchange, FailedAttempt, RunningAttempts, Target,
-    abandon_call, attempt, forward_answer, log_failed_attempt,
+    abandon_call, attempt, forward_answer, held_reason, held_retry_delay, log_failed_attempt,
 };
 use bytes::Bytes;
 use http::Response;
@@ -11,10 +11,12 @@
 use sorrellock_core::process::retries::{AttemptEnd, Permit};
 use sorrellock_http::{AnswerBody, Cut};
 use sorrellock_platform::read_answer_head;
+use sorrellock_routing::process::crashes::Turn;
 use sorrellock_routing::process::{Endpoint, Incarnation};
 use sorrellock_routing::request::{Attempts, Evidence, overdue_after};
 use sorrellock_routing::version::Semantics;
 use spdlog::info;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::{Instant, timeout};
@@ -39,6 +41,7 @@
     let mut running = RunningAttempts::new();
     loop {
         if running.is_empty() {
+            gateway.await_turn(&call, || open_endpoints(&gateway, &call).len()).await;
             let Some((endpoint, permit)) = call_attempts.next_endpoint(&gateway, &call) else {
                 break;
             };
@@ -89,6 +92,8 @@
     attempts: Attempts,
     tried: Vec<Incarnation>,
     why: String,
+    /// How long the request is held back, if that is why no attempt may follow.
+    held_for: Option<Duration>,
     /// An endpoint's error answer, returned to the caller if no attempt succeeds.
     last_failure: Option<(Response<AnswerBody>, Incarnation)>,
 }
@@ -99,6 +104,7 @@
             attempts: Attempts::new(call.route.semantics, call.route.max_attempts),
             tried: Vec::new(),
             why: "no endpoint is known".to_owned(),
+            held_for: None,
             last_failure: None,
         }
     }
@@ -109,6 +115,15 @@
         if !self.attempts.may_send() || call.time_left().is_zero() || gateway.is_ending() {
             return None;
         }
+        self.held_for = gateway.held_for(call);
+        if self.held_for.is_some() {
+            self.why = held_reason(call);
+            return None;
+        }
+        if gateway.awaits_suspect(call) {
+            self.why = "another run of the same content may crash its endpoint".to_owned();
+            return None;
+        }
         let chosen = choose_endpoint(gateway, call, &self.tried)?;
         if self.attempts.is_repeat() && !gateway.spend_repeat(&call.service) {
             self.why = format!("{}; the retry budget is spent", self.why);
@@ -130,7 +145,8 @@
         }
         // The retry budget is charged only once an endpoint is found. It is checked first, as a refused charge would
         // be counted at each check.
-        if !after.may_send() || !gateway.may_repeat(&call.service) {
+        let is_unsafe = gateway.is_crash_suspect(call) || gateway.held_for(call).is_some();
+        if !after.may_send() || is_unsafe || !gateway.may_repeat(&call.service) {
             return None;
         }
         let chosen = choose_endpoint(gateway, call, &self.tried)?;
@@ -170,12 +186,13 @@
         info: &AttemptInfo,
         failed: &FailedAttempt,
     ) {
-        let end = if failed.is_inconclusive { AttemptEnd::Neutral } else { AttemptEnd::Failure };
+        let is_neutral = failed.is_inconclusive || failed.is_held;
+        let end = if is_neutral { AttemptEnd::Neutral } else { AttemptEnd::Failure };
         report_attempt_end(gateway, info, end);
         log_failed_attempt(gateway, call, &info.endpoint, failed);
         self.record_failed(info, failed.evidence);
         match failed.evidence {
-            Evidence::NotSent if failed.is_inconclusive => {}
+            Evidence::NotSent if is_neutral => {}
             Evidence::NotSent => {
                 gateway.suspect(&info.endpoint, failed.failure_evidence, &failed.why)
             }
@@ -217,7 +234,8 @@
             Some((answer, endpoint)) => record_answered(call, &endpoint, answer),
             None => {
                 let abandoned_outcome = self.attempts.abandoned_outcome(call.time_left().is_zero());
-                abandon_call(call, abandoned_outcome, RETRY_AFTER, &self.why)
+                let retry_delay = self.held_for.map_or(RETRY_AFTER, held_retry_delay);
+                abandon_call(call, abandoned_outcome, retry_delay, &self.why)
             }
         }
     }
@@ -254,6 +272,22 @@
     call.route.semantics.may_repeat() && after.may_send()
 }
 
+/// Returns the endpoints of a call's service that get new work, in an order that all gateways share.
+fn open_endpoints(gateway: &Gateway, call: &Call) -> Vec<Endpoint> {
+    let now = Instant::now();
+    let knowledge = gateway.knowledge.borrow();
+    let fleet_state = gateway.fleet_state.borrow();
+    let mut open: Vec<Endpoint> = knowledge
+        .open_endpoints(now.into_std())
+        .filter(|endpoint| endpoint.service == call.service)
+        .filter(|endpoint| !fleet_state.is_leaving(&endpoint.incarnation(), now))
+        .filter(|endpoint| !gateway.has_ended(&endpoint.incarnation()))
+        .cloned()
+        .collect();
+    open.sort_by(|a, b| a.id.cmp(&b.id));
+    open
+}
+
 /// Chooses the untried endpoint with the least expected load. Suspect endpoints and those whose circuit breaker refuses
 /// are used only if there are no others.
 fn choose_endpoint(
@@ -262,19 +296,21 @@
     tried: &[Incarnation],
 ) -> Option<(Endpoint, Permit)> {
     let now = Instant::now();
-    let knowledge = gateway.knowledge.borrow();
+    let all = open_endpoints(gateway, call);
+    let mut open: Vec<&Endpoint> =
+        all.iter().filter(|endpoint| !tried.contains(&endpoint.incarnation())).collect();
+    let separate = match gateway.turn(call, all.len()) {
+        Turn::At(index) => all.get(index).map(Endpoint::incarnation),
+        Turn::Any | Turn::Wait(_) => None,
+    };
     let fleet_state = gateway.fleet_state.borrow();
-    let mut open: Vec<&Endpoint> = knowledge
-        .open_endpoints(now.into_std())
-        .filter(|endpoint| endpoint.service == call.service)
-        .filter(|endpoint| !fleet_state.is_leaving(&endpoint.incarnation(), now))
-        .filter(|endpoint| !tried.contains(&endpoint.incarnation()))
-        .filter(|endpoint| !gateway.has_ended(&endpoint.incarnation()))
-        .collect();
     let expected_load = |endpoint: &Endpoint| expected_load(gateway, endpoint, now);
     open.sort_by(|a, b| {
         let suspect = |endpoint: &Endpoint| fleet_state.is_suspect(&endpoint.incarnation(), now);
-        suspect(a).cmp(&suspect(b)).then_with(|| expected_load(a).total_cmp(&expected_load(b)))
+        let is_other = |endpoint: &Endpoint| separate != Some(endpoint.incarnation());
+        (suspect(a), is_other(a))
+            .cmp(&(suspect(b), is_other(b)))
+            .then_with(|| expected_load(a).total_cmp(&expected_load(b)))
     });
     let mut breakers = gateway.breakers.borrow_mut();
     for endpoint in &open {
@@ -314,12 +350,13 @@
     let target = Target { incarnation, addr: endpoint.addr, path: &[], last_event: None };
     let exchange = attempt(gateway, call, &target, limit).await?;
     gateway.counters.first_byte.record(call.arrived.elapsed());
-    read_whole(gateway, exchange, until).await
+    read_whole(gateway, exchange, endpoint.addr, until).await
 }
 
 async fn read_whole(
     gateway: &Rc<Gateway>,
     exchange: Exchange,
+    addr: SocketAddr,
     until: Instant,
 ) -> Result<Response<AnswerBody>, FailedAttempt> {
     let (parts, body) = exchange.answer.into_parts();
@@ -327,9 +364,17 @@
     let left = until.saturating_duration_since(Instant::now());
     let body = timeout(left, Limited::new(body, MAX_ANSWER_BYTES).collect()).await;
     let body = body.map_err(|_| no_answer("the answer was not complete in time".to_owned()))?;
-    let body: Bytes =
-        body.map_err(|err| no_answer(format!("the answer was cut off: {err}")))?.to_bytes();
+    let body: Bytes = match body {
+        Ok(body) => body.to_bytes(),
+        Err(err) => {
+            exchange.run.on_broke();
+            drop(exchange.run);
+            gateway.check_ended(&exchange.incarnation, addr).await;
+            return Err(no_answer(format!("the answer was cut off: {err}")));
+        }
+    };
     exchange.in_flight.on_answered();
+    exchange.run.on_answered();
     let head = read_answer_head(&parts.headers);
     gateway.pool.borrow_mut().keep(
         exchange.incarnation,
--- a/crates/gateway/src/request/relay/failover.rs
+++ b/crates/gateway/src/request/relay/failover.rs
@@ -6,6 +6,7 @@
 use super::relay::{CALLER_PAUSE_LIMIT, Flow, PathState, Relay, STREAM_SILENCE_LIMIT};
 use super::repath::{MoveOff, Repath};
 use crate::process::{Count, LivePath, check_first, check_path};
+use crate::request::held_reason;
 use crate::request::run::{NotStarted, Run, has_other_path};
 use crate::request::run_search::start_run;
 use bytes::Bytes;
@@ -49,7 +50,7 @@
         self.log_fault(&fault);
         self.handle_fault(&fault);
         if fault.evidence() == FaultEvidence::Connection {
-            self.drop_run();
+            self.end_broken_run().await;
         }
         self.find_run(&fault.to_string()).await
     }
@@ -78,6 +79,18 @@
         }
     }
 
+    /// Drops a run whose connection broke, and finds out whether its engine ended.
+    async fn end_broken_run(&mut self) {
+        let first = self.run.as_ref().map(|run| run.place.live.path.first().clone());
+        if let Some(run) = &self.run {
+            run.exchange.run.on_broke();
+        }
+        self.drop_run();
+        if let Some(first) = first {
+            self.gateway.check_ended(&first.incarnation, first.addr).await;
+        }
+    }
+
     /// Drops the run. The engine stops its work when its connection closes.
     fn drop_run(&mut self) {
         self.run = None;
@@ -173,6 +186,9 @@
                         ended if !may_begin => break TryOutcome::Broke(fault_from_end(ended)),
                         None | Some(Err(_)) => {
                             // The suspect run has ended; the attempt already sent elsewhere continues.
+                            if let Some(run) = run {
+                                run.exchange.run.on_broke();
+                            }
                             *run = None;
                             events.restart();
                         }
@@ -252,6 +268,7 @@
             NotStarted::NoPlace(none) => format!("no place: {none:?}"),
             NotStarted::RetriesExhausted => "no further attempt was left".to_owned(),
             NotStarted::DeadlinePassed => "its deadline had passed".to_owned(),
+            NotStarted::Held(_) => held_reason(&self.call),
             NotStarted::Ending => "this gateway ends before another run is worthwhile".to_owned(),
             NotStarted::ErrorAnswer(_) => "an engine failed".to_owned(),
         };
@@ -281,7 +298,7 @@
         let config_in_force = gateway.knowledge.borrow().config_version();
         let endpoint = live.map_or("", |live| live.path.first().incarnation.id.as_str());
         let content = match evidence {
-            FaultEvidence::Connection => self.call.content().to_string(),
+            FaultEvidence::Connection => self.call.run_request.content.to_string(),
             FaultEvidence::Suspicion | FaultEvidence::Silence => String::new(),
         };
         warn!("failover started", kv: {
@@ -297,9 +314,10 @@
     match not_started {
         NotStarted::NoPlace(_) => NoRun::NoCapacity,
         NotStarted::RetriesExhausted => NoRun::NoBudget,
-        NotStarted::DeadlinePassed | NotStarted::Ending | NotStarted::ErrorAnswer(_) => {
-            NoRun::NoRetry
-        }
+        NotStarted::DeadlinePassed
+        | NotStarted::Ending
+        | NotStarted::Held(_)
+        | NotStarted::ErrorAnswer(_) => NoRun::NoRetry,
     }
 }
 
--- a/crates/gateway/src/request/relay/relay.rs
+++ b/crates/gateway/src/request/relay/relay.rs
@@ -213,7 +213,12 @@
         self.timing.on_chunk(now - self.call.arrived, silent, self.events.events());
         self.last_event = now;
         self.mark_path_working(now);
-        match self.events.push(chunk) {
+        let events_before = self.events.events();
+        let pushed = self.events.push(chunk);
+        if let Some(run) = &self.run {
+            run.exchange.run.on_events(self.events.events() - events_before);
+        }
+        match pushed {
             Ok(bytes) if bytes.is_empty() => Flow::Continue,
             Ok(bytes) => match self.tx.send(Part::Data(bytes)).await {
                 Ok(()) => Flow::Continue,
@@ -295,6 +300,8 @@
         if matches!(end.order, OrderEnd::Begun | OrderEnd::Done) {
             self.gateway.counters.add(Count::Repathed);
             if let Some(run) = &mut self.run {
+                let parts = end.to.path.parts.iter();
+                run.exchange.run.on_moved(parts.map(|part| part.incarnation.clone()).collect());
                 run.place.move_to(end.to, Instant::now());
             }
             self.path_state = if was_broken { PathState::Moved } else { PathState::Serving };
@@ -312,6 +319,7 @@
     async fn finish(mut self) {
         let Some(run) = self.run.take() else { return };
         run.exchange.in_flight.on_answered();
+        run.exchange.run.on_answered();
         let now = Instant::now();
         let pool = &self.gateway.pool;
         pool.borrow_mut().keep(
--- a/crates/gateway/src/request/relay/repath.rs
+++ b/crates/gateway/src/request/relay/repath.rs
@@ -83,7 +83,7 @@
         from: &Rc<LivePath>,
         now: Instant,
     ) -> bool {
-        if self.orders >= MAX_ORDERS {
+        if self.orders >= MAX_ORDERS || gateway.held_for(call).is_some() {
             return false;
         }
         let to = gateway.paths.borrow_mut().successor(&call.service, from, now);
--- a/crates/gateway/src/request/request_handler.rs
+++ b/crates/gateway/src/request/request_handler.rs
@@ -4,18 +4,21 @@
 use crate::request::estimate::usual_duration;
 use crate::request::plain::serve_plain;
 use crate::request::stream::serve_stream;
-use crate::request::{Call, EndGuard, abandon_call, refusal};
+use crate::request::{Call, EndGuard, abandon_call, held_reason, held_retry_delay, refusal};
 use bytes::Bytes;
-use http::{Request, Response, StatusCode};
+use http::uri::PathAndQuery;
+use http::{Request, Response, StatusCode, Uri};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use rand::RngExt;
 use sorrellock_http::{AnswerBody, Cut};
 use sorrellock_platform::{CallerHead, read_caller_head};
-use sorrellock_routing::request::AbandonedOutcome;
+use sorrellock_routing::process::crashes::RunRequest;
+use sorrellock_routing::process::cut;
+use sorrellock_routing::request::{AbandonedOutcome, ContentId};
 use sorrellock_routing::version::{NotAllowed, Route, RouteTable, ServiceName};
 use spdlog::info;
-use std::cell::OnceCell;
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::{Instant, timeout_at};
@@ -63,6 +66,7 @@
     };
     let service = choose_service(&route);
     gateway.on_request(&service);
+    let run_request = Rc::new(run_request(workspace.as_deref(), &parts.uri, &body));
     let call = Call {
         head,
         method: parts.method,
@@ -78,7 +82,8 @@
         deadline,
         caller_deadline,
         end,
-        content: OnceCell::new(),
+        run_request,
+        is_trial: Cell::new(false),
     };
     log_admitted(&call, &routes);
     let has_model = routes.service(&call.service).is_some_and(|service| service.model.is_some());
@@ -88,12 +93,43 @@
         let wait = retry_delay(&gateway, call.deadline);
         return Ok(abandon_call(&call, AbandonedOutcome::NotRun, wait, why));
     }
+    if let Some(held_for) = claim_trial_or_hold(&gateway, &call).await {
+        return Ok(refuse_held(&call, held_for));
+    }
     match has_model {
         true => serve_stream(gateway, call).await,
         false => serve_plain(gateway, call).await,
     }
 }
 
+/// Maximum length of a path in records and log lines.
+const MAX_PATH_CHARS: usize = 200;
+
+fn run_request(workspace: Option<&str>, uri: &Uri, body: &[u8]) -> RunRequest {
+    let path = uri.path_and_query().map_or(uri.path(), PathAndQuery::as_str);
+    RunRequest {
+        content: ContentId::new(workspace, path, body),
+        workspace: workspace.map(str::to_owned),
+        path: cut(uri.path(), MAX_PATH_CHARS),
+    }
+}
+
+/// Returns how long a request is held back; `None` if it may be sent, be it as a trial.
+async fn claim_trial_or_hold(gateway: &Gateway, call: &Call) -> Option<Duration> {
+    let held_for = gateway.held_for(call)?;
+    if held_for.is_zero() && gateway.claim_trial(call.run_request.content).await {
+        call.is_trial.set(true);
+    }
+    gateway.held_for(call)
+}
+
+/// Refuses a request that is held back.
+fn refuse_held(call: &Call, held_for: Duration) -> Response<AnswerBody> {
+    call.end.count(Count::HeldRefusals);
+    let why = held_reason(call);
+    abandon_call(call, AbandonedOutcome::NotRun, held_retry_delay(held_for), &why)
+}
+
 /// Why the body of a request could not be read.
 enum BodyError {
     TooLarge,
--- a/crates/gateway/src/request/run.rs
+++ b/crates/gateway/src/request/run.rs
@@ -5,6 +5,8 @@
 use crate::request::{Call, Exchange, FailedAttempt, Target, attempt};
 use http::Response;
 use sorrellock_http::AnswerBody;
+use sorrellock_routing::process::Incarnation;
+use sorrellock_routing::process::crashes::Turn;
 use sorrellock_routing::request::Attempts;
 use spdlog::info;
 use std::rc::Rc;
@@ -31,6 +33,8 @@
     DeadlinePassed,
     /// This gateway is shutting down.
     Ending,
+    /// The request is held back for this time, as it crashes endpoints.
+    Held(Duration),
     /// An engine's error answer, for the caller if no run starts.
     ErrorAnswer(Response<AnswerBody>),
 }
@@ -61,13 +65,32 @@
     attempts: &Attempts,
     avoid: &[Rc<LivePath>],
 ) -> Result<PathReservation, NoPlace> {
+    if gateway.awaits_suspect(call) {
+        return Err(NoPlace::Full);
+    }
     let may_take = |live: &Rc<LivePath>| {
         attempts.may_send_to(&live.path.first().incarnation)
             && !avoid.iter().any(|other| Rc::ptr_eq(other, live))
     };
     let own = &gateway.settings.data_centre;
     let tokens = expected_tokens(call);
-    reserve_path(&gateway.paths, &call.service, tokens, own, may_take, Instant::now())
+    let now = Instant::now();
+    if gateway.is_crash_suspect(call) {
+        let firsts = gateway.paths.borrow().first_engines(&call.service, now);
+        let turn = gateway.turn(call, firsts.len());
+        // The next crash tells suspects apart only if they run on different engines.
+        let is_apart = |first: &Incarnation| match turn {
+            Turn::At(index) => firsts.get(index) == Some(first),
+            Turn::Any | Turn::Wait(_) => !gateway.runs_suspect(first),
+        };
+        let may_take_apart =
+            |live: &Rc<LivePath>| may_take(live) && is_apart(&live.path.first().incarnation);
+        let apart = reserve_path(&gateway.paths, &call.service, tokens, own, may_take_apart, now);
+        if apart.is_ok() {
+            return apart;
+        }
+    }
+    reserve_path(&gateway.paths, &call.service, tokens, own, may_take, now)
 }
 
 /// Returns whether a silent stream could continue over another path. Without one its run is kept, as it may still
@@ -87,6 +110,8 @@
     let tokens = expected_tokens(call);
     let paths = gateway.paths.borrow();
     call.route.semantics.may_repeat()
+        && !gateway.is_crash_suspect(call)
+        && gateway.held_for(call).is_none()
         && gateway.may_resume()
         && gateway.may_repeat(&call.service)
         && paths.has_capacity(&call.service, tokens, may_take, Instant::now())
--- a/crates/gateway/src/request/run_search.rs
+++ b/crates/gateway/src/request/run_search.rs
@@ -164,6 +164,12 @@
         if self.gateway.is_ending() {
             return Err(NotStarted::Ending);
         }
+        let (gateway, call) = (self.gateway, self.call);
+        let count = || gateway.paths.borrow().first_engines(&call.service, Instant::now()).len();
+        gateway.await_turn(call, count).await;
+        if let Some(held_for) = gateway.held_for(call) {
+            return Err(self.error_answer_or(NotStarted::Held(held_for)));
+        }
         self.attempts.forget_lost(|incarnation| self.gateway.is_gone(incarnation));
         let place =
             wait_for_place(self.gateway, self.call, self.attempts, self.avoid, capacity_until)
@@ -178,7 +184,8 @@
     /// Does the same for an attempt in parallel with the open one; `None` if none may be sent now.
     fn hedge_place(&mut self) -> Option<PathReservation> {
         let (gateway, call) = (self.gateway, self.call);
-        if gateway.is_ending() || !gateway.may_repeat(&call.service) {
+        let is_unsafe = gateway.is_crash_suspect(call) || gateway.held_for(call).is_some();
+        if gateway.is_ending() || is_unsafe || !gateway.may_repeat(&call.service) {
             return None;
         }
         let mut after = self.attempts.clone();
@@ -220,7 +227,9 @@
     fn on_failed(&mut self, sent: &SentAttempt, failed: &FailedAttempt) {
         log_failed_attempt(self.gateway, self.call, &sent.live.path.first().incarnation, failed);
         self.record_failed(sent, failed.evidence);
-        react_to_failure(self.gateway, self.call, &sent.live, failed);
+        if !failed.is_held {
+            react_to_failure(self.gateway, self.call, &sent.live, failed);
+        }
     }
 
     /// Counts an open attempt as failed at shutdown, so that the request is answered: its caller can't distinguish a
--- a/crates/gateway/src/request/stream.rs
+++ b/crates/gateway/src/request/stream.rs
@@ -4,7 +4,7 @@
 use crate::request::relay::Relay;
 use crate::request::run::{NotStarted, RETRY_AFTER_FULL, Run};
 use crate::request::run_search::start_run;
-use crate::request::{Call, abandon_call};
+use crate::request::{Call, abandon_call, held_reason, held_retry_delay};
 use http::Response;
 use sorrellock_http::{AnswerBody, Cut};
 use sorrellock_platform::answer_headers;
@@ -65,13 +65,17 @@
     attempts: &Attempts,
     not_started: &NotStarted,
 ) -> Response<AnswerBody> {
+    if let NotStarted::Held(held_for) = not_started {
+        let outcome = attempts.abandoned_outcome(false);
+        return abandon_call(call, outcome, held_retry_delay(*held_for), &held_reason(call));
+    }
     let (why, retry_delay) = match not_started {
         NotStarted::NoPlace(NoPlace::Full) => ("all paths are full", RETRY_AFTER_FULL),
         NotStarted::NoPlace(NoPlace::NoPath) => ("no engines hold all layers", RETRY_AFTER_NO_PATH),
         NotStarted::RetriesExhausted => ("no attempt or retry budget is left", RETRY_AFTER_FULL),
         NotStarted::DeadlinePassed => ("the deadline has passed", RETRY_AFTER_FULL),
         NotStarted::Ending => ("this gateway ends before the first event", RETRY_AFTER_FULL),
-        NotStarted::ErrorAnswer(_) => ("an engine failed", RETRY_AFTER_FULL),
+        NotStarted::ErrorAnswer(_) | NotStarted::Held(_) => ("an engine failed", RETRY_AFTER_FULL),
     };
     let is_over = matches!(not_started, NotStarted::DeadlinePassed);
     let paths = gateway.paths.borrow().describe(&call.service, Instant::now());
