Crash guard: gateways that were out of reach learn of earlier crashes, and a run whose engine ended blocks nothing

Causes: a gateway that is frozen, parted or started after a crash missed its report, so the fleet counted anew; two gateways sent a request that was one crash short at once; a trial came on top. And a stream whose engine started again unseen keeps its run open while it looks for another: that run was taken for one that may yet crash an engine, and the stream waited for itself.

Now digests cover suspects as well as held requests, and gateways read each other's records where they differ (a record's age goes with it); a gateway tells the others at once when it runs a request that is one crash short, and they wait; one that crashed a fourth endpoint is not tried; a run whose endpoint ended counts as decided. A held request leaves the suspects, so digests agree.

--- a/crates/gateway/src/process/crashes/crash_watch.rs
+++ b/crates/gateway/src/process/crashes/crash_watch.rs
@@ -4,7 +4,7 @@
 use crate::request::Call;
 use sorrellock_routing::process::Incarnation;
 use sorrellock_routing::process::crashes::{
-    Admission, CrashEvent, CrashReports, HeldRequest, HeldSource, Turn, UnixMillis,
+    Admission, CrashEvent, CrashRecords, CrashReports, HeldRequest, HeldSource, Turn, UnixMillis,
 };
 use spdlog::{info, warn};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -99,6 +99,13 @@
         self.report_crash_events();
     }
 
+    /// Merges what another gateway has.
+    pub(crate) fn merge_crash_records(&self, records: CrashRecords) {
+        let now = Instant::now().into_std();
+        self.crash_guard.borrow_mut().merge_records(records, now, unix_now());
+        self.report_crash_events();
+    }
+
     /// Merges records of held requests.
     pub(crate) fn merge_held(&self, records: Vec<HeldRequest>, source: HeldSource) {
         self.crash_guard.borrow_mut().merge(records, source, unix_now());
--- a/crates/gateway/src/process/crashes/held_exchange.rs
+++ b/crates/gateway/src/process/crashes/held_exchange.rs
@@ -1,10 +1,10 @@
-//! Reads the records of held requests from other gateways, and serves and releases this gateway's.
+//! Reads the records of requests that crash endpoints from other gateways, and serves and releases this gateway's.
 
 use crate::process::{Count, Gateway};
 use http::Method;
 use serde::Serialize;
 use sorrellock_platform::Client;
-use sorrellock_routing::process::crashes::{HeldRequest, HeldSource};
+use sorrellock_routing::process::crashes::{CrashRecords, HeldRequest, HeldSource};
 use sorrellock_routing::request::ContentId;
 use spdlog::warn;
 use std::net::SocketAddr;
@@ -42,10 +42,10 @@
 /// Returns the gateway whose records to read now.
 fn source(gateway: &Gateway) -> Option<(String, SocketAddr)> {
     let now = Instant::now();
-    let own = gateway.crash_guard.borrow().held().digest();
+    let own = gateway.crash_guard.borrow().digest();
     let fleet_state = gateway.fleet_state.borrow();
     let peers = fleet_state.live_peers(now);
-    let peers = peers.filter_map(|peer| Some((peer, peer.message.extension.held?)));
+    let peers = peers.filter_map(|peer| Some((peer, peer.message.extension.crash_digest?)));
     let mut sync = gateway.held_sync.borrow_mut();
     let peer = sync.fetch_from(own, peers, now.into_std())?;
     Some((peer.message.instance.clone(), peer.addr))
@@ -55,17 +55,22 @@
     let client = Client::new(addr);
     let answer = client.call(Method::GET, HELD_PATH, None, FETCH_TIMEOUT).await;
     let read =
-        |body: &[u8]| serde_json::from_slice::<Vec<HeldRequest>>(body).map_err(|e| e.to_string());
+        |body: &[u8]| serde_json::from_slice::<CrashRecords>(body).map_err(|e| e.to_string());
     match answer.map_err(|err| err.to_string()).and_then(|answer| read(&answer.body)) {
-        Ok(records) => gateway.merge_held(records, HeldSource::Gateway),
+        Ok(records) => gateway.merge_crash_records(records),
         Err(err) => {
             gateway.counters.add(Count::HeldFetchFailures);
-            warn!("held requests not read from a gateway", kv: { instance, err = err.as_str() });
+            warn!("crash records not read from a gateway", kv: { instance, err = err.as_str() });
         }
     }
 }
 
 impl Gateway {
+    /// Returns what this gateway knows of requests that crash endpoints.
+    pub(crate) fn crash_records(&self) -> CrashRecords {
+        self.crash_guard.borrow().records(Instant::now().into_std())
+    }
+
     /// Returns the records of held requests.
     pub(crate) fn held_records(&self) -> Vec<HeldRequest> {
         self.crash_guard.borrow().held().iter().cloned().collect()
--- a/crates/gateway/src/process/crashes/run_guard.rs
+++ b/crates/gateway/src/process/crashes/run_guard.rs
@@ -21,6 +21,9 @@
         request: Rc<RunRequest>,
         endpoints: Vec<Incarnation>,
     ) -> RunGuard {
+        if gateway.crash_guard.borrow().is_last_chance(request.content) {
+            gateway.suspected.notify_one();
+        }
         let id = gateway.crash_guard.borrow_mut().begin_run(request, endpoints);
         let end = Cell::new(RunEnd::Abandoned);
         RunGuard { gateway: Rc::clone(gateway), id, end }
--- a/crates/gateway/src/process/listeners.rs
+++ b/crates/gateway/src/process/listeners.rs
@@ -59,7 +59,7 @@
         READINESS_PATH => (StatusCode::SERVICE_UNAVAILABLE, Bytes::from_static(b"not ready")),
         METRICS_PATH => (StatusCode::OK, Bytes::from(metrics(&gateway))),
         DUMP_PATH => json(&Dump::of(&gateway, Instant::now())),
-        HELD_PATH => json(&gateway.held_records()),
+        HELD_PATH => json(&gateway.crash_records()),
         path if req.method() == Method::POST && path.starts_with(RELEASE_PATH) => {
             match path[RELEASE_PATH.len()..].parse::<ContentId>() {
                 Ok(content) => json(&gateway.release_held(content)),
--- a/crates/gateway/src/process/peers/peer_message.rs
+++ b/crates/gateway/src/process/peers/peer_message.rs
@@ -1,7 +1,7 @@
 //! The datagrams that gateways send each other.
 
 use serde::{Deserialize, Serialize};
-use sorrellock_routing::process::crashes::{CrashReports, HeldDigest};
+use sorrellock_routing::process::crashes::{CrashDigest, CrashReports};
 use sorrellock_routing::process::{
     FailureEvidence, Incarnation, Known, LayerRange, Revision, StartMillis, StoreEra,
 };
@@ -69,8 +69,8 @@
 pub(crate) struct Extension {
     /// What the sender found recently of requests that crash endpoints.
     pub(crate) crashes: CrashReports,
-    /// Summary of the sender's records of held requests.
-    pub(crate) held: Option<HeldDigest>,
+    /// Summary of what the sender knows of such requests.
+    pub(crate) crash_digest: Option<CrashDigest>,
 }
 
 impl PeerMessage {
--- a/crates/gateway/src/process/peers/peers.rs
+++ b/crates/gateway/src/process/peers/peers.rs
@@ -97,8 +97,8 @@
         let ended = gateway.fleet_state.borrow_mut().own_ended(now);
         let left = gateway.fleet_state.borrow_mut().own_left(now);
         let crashes = gateway.crash_guard.borrow_mut().reports(now.into_std());
-        let held = Some(gateway.crash_guard.borrow().held().digest());
-        let extension = Extension { crashes, held };
+        let crash_digest = Some(gateway.crash_guard.borrow().digest());
+        let extension = Extension { crashes, crash_digest };
         let own_loads = gateway.paths.borrow().own_loads();
         let load = |(head, load): (Incarnation, Load)| HeadLoad {
             head,
--- a/crates/routing/src/process/crashes/crash_guard.rs
+++ b/crates/routing/src/process/crashes/crash_guard.rs
@@ -5,25 +5,25 @@
 //! under runs of it, none of which went on without harm. Gateways report to each other what they find, so runs at
 //! different gateways count together.
 
-use super::crash_suspects::{CrashSuspects, Turn};
+use super::crash_suspects::{CrashSuspects, SuspectRecord, Turn};
 use super::held_request::{HeldRequest, UnixMillis};
 use super::held_requests::{Admission, HeldRequests};
 use super::run_registry::{Finding, RunEnd, RunId, RunRegistry, RunRequest};
 use crate::process::Incarnation;
 use crate::request::ContentId;
 use serde::{Deserialize, Serialize};
-use std::collections::VecDeque;
+use std::collections::{HashMap, VecDeque};
 use std::mem;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 /// Number of endpoints that end under a request before it is held back.
 pub const MAX_CRASHES: usize = 3;
-/// How long a finding is reported to the other gateways in each message, of which some are lost.
+/// How long a finding is reported to the other gateways: several messages, of which some are lost. Gateways that were
+/// out of reach read the records of another one.
 const REPORT_FOR: Duration = Duration::from_millis(1_500);
-/// How long it is reported after that once in each [`LATE_REPORT_INTERVAL`], for gateways that were out of reach.
-const LATE_REPORT_FOR: Duration = Duration::from_secs(12);
-const LATE_REPORT_INTERVAL: Duration = Duration::from_millis(1_000);
+/// How long a request counts as running at another gateway after the last report: two messages.
+const RUNNING_ELSEWHERE_FOR: Duration = Duration::from_millis(600);
 /// Maximum number of contents in a message, 16 bytes each.
 const MAX_REPORTED: usize = 1_024;
 
@@ -43,6 +43,24 @@
     pub crashes: Vec<CrashReport>,
     /// Suspects that ran without harm.
     pub harmless: Vec<ContentId>,
+    /// Requests one crash short of being held back that the gateway runs now.
+    pub running: Vec<ContentId>,
+}
+
+/// What a gateway knows of requests that crash endpoints.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CrashRecords {
+    /// Requests that are held back, or were until they were released.
+    pub held: Vec<HeldRequest>,
+    /// Requests under which fewer endpoints ended.
+    pub suspects: Vec<SuspectRecord>,
+}
+
+/// Summary of a gateway's [`CrashRecords`]. Gateways with the same summary know the same.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CrashDigest {
+    held: u64,
+    suspects: u64,
 }
 
 /// A change that is logged and counted.
@@ -94,7 +112,8 @@
     held: HeldRequests,
     crashes: VecDeque<(CrashReport, Instant)>,
     harmless: VecDeque<(ContentId, Instant)>,
-    late_reported: Option<Instant>,
+    /// Requests one crash short of being held back that other gateways run, and when that was reported.
+    running_elsewhere: HashMap<ContentId, Instant>,
     events: Vec<CrashEvent>,
 }
 
@@ -161,12 +180,18 @@
         unix: UnixMillis,
     ) {
         if self.held.get(content).is_some_and(HeldRequest::is_held) {
+            self.held.add_endpoint(content, endpoint);
             return;
         }
         let suspect = self.suspects.add(content, endpoint, request, now);
-        if suspect.endpoints.len() < MAX_CRASHES {
-            return;
+        if suspect.endpoints.len() >= MAX_CRASHES {
+            self.hold(content, unix);
         }
+    }
+
+    /// Holds a suspect back.
+    fn hold(&mut self, content: ContentId, unix: UnixMillis) {
+        let Some(suspect) = self.suspects.get(content) else { return };
         let request = suspect.request.clone();
         let held = HeldRequest {
             content,
@@ -177,6 +202,7 @@
             path: request.as_ref().map(|request| request.path.clone()),
             trial_by: None,
         };
+        self.suspects.excuse_all(content, &[]);
         // The gateways that ran it save the record.
         if let Some(held) = self.held.hold(held, request.is_some(), unix) {
             let source = HeldSource::Crashes;
@@ -185,7 +211,7 @@
     }
 
     fn on_harmless(&mut self, content: ContentId, now: Instant) {
-        if self.release(content, HeldSource::Run) || self.suspects.excuse(content, &[]) {
+        if self.release(content, HeldSource::Run) || self.suspects.excuse_all(content, &[]) {
             self.harmless.push_back((content, now));
         }
     }
@@ -201,39 +227,50 @@
 
     fn on_released(&mut self, content: ContentId, source: HeldSource) {
         if let Some(held) = self.held.get(content) {
-            self.suspects.excuse(content, &held.endpoints);
+            self.suspects.excuse_all(content, &held.endpoints);
         }
         self.events.push(CrashEvent::Released { content, source });
     }
 
     /// Returns what this gateway found recently, for the others.
     pub fn reports(&mut self, now: Instant) -> CrashReports {
-        self.crashes.retain(|(_, at)| now.duration_since(*at) < LATE_REPORT_FOR);
-        self.harmless.retain(|(_, at)| now.duration_since(*at) < LATE_REPORT_FOR);
-        let is_late_due =
-            self.late_reported.is_none_or(|at| now.duration_since(at) >= LATE_REPORT_INTERVAL);
-        if is_late_due {
-            self.late_reported = Some(now);
-        }
-        let is_due = |at: Instant| is_late_due || now.duration_since(at) < REPORT_FOR;
+        self.crashes.retain(|(_, at)| now.duration_since(*at) < REPORT_FOR);
+        self.harmless.retain(|(_, at)| now.duration_since(*at) < REPORT_FOR);
         let mut left = MAX_REPORTED;
         let mut crashes = Vec::new();
         // The latest first, where there are too many for a message.
-        for (report, _) in self.crashes.iter().rev().filter(|(_, at)| is_due(*at)) {
+        for (report, _) in self.crashes.iter().rev() {
             if report.contents.len() > left {
                 break;
             }
             left -= report.contents.len();
             crashes.push(report.clone());
         }
-        let harmless = self.harmless.iter().rev().filter(|(_, at)| is_due(*at)).take(left);
-        CrashReports { crashes, harmless: harmless.map(|(content, _)| *content).collect() }
+        let harmless = self.harmless.iter().rev().take(left);
+        let harmless = harmless.map(|(content, _)| *content).collect();
+        CrashReports { crashes, harmless, running: self.running_at_last_chance(now) }
+    }
+
+    fn running_at_last_chance(&self, now: Instant) -> Vec<ContentId> {
+        if self.suspects.is_empty() {
+            return Vec::new();
+        }
+        let mut running: Vec<ContentId> =
+            self.runs.undecided(now).filter(|one| self.suspects.is_last_chance(*one)).collect();
+        running.sort();
+        running.dedup();
+        running.truncate(MAX_REPORTED);
+        running
     }
 
     /// Applies what another gateway found. Reports may come several times, late and in any order.
     pub fn on_reports(&mut self, reports: &CrashReports, now: Instant, unix: UnixMillis) {
         for content in &reports.harmless {
-            self.suspects.excuse(*content, &[]);
+            self.suspects.excuse_all(*content, &[]);
+            self.running_elsewhere.remove(content);
+        }
+        for content in &reports.running {
+            self.running_elsewhere.insert(*content, now);
         }
         for report in &reports.crashes {
             for content in &report.contents {
@@ -242,12 +279,38 @@
         }
     }
 
+    /// Returns what this gateway has, for another one.
+    pub fn records(&self, now: Instant) -> CrashRecords {
+        let held = self.held.iter().cloned().collect();
+        CrashRecords { held, suspects: self.suspects.records(now) }
+    }
+
+    /// Returns the summary of what this gateway has.
+    pub fn digest(&self) -> CrashDigest {
+        CrashDigest { held: self.held.hash(), suspects: self.suspects.hash() }
+    }
+
+    /// Merges what another gateway has.
+    pub fn merge_records(&mut self, records: CrashRecords, now: Instant, unix: UnixMillis) {
+        self.merge(records.held, HeldSource::Gateway, unix);
+        for record in records.suspects {
+            let content = record.content;
+            let is_held = self.held.get(content).is_some_and(HeldRequest::is_held);
+            if !is_held && self.suspects.merge(record, now) {
+                self.hold(content, unix);
+            }
+        }
+    }
+
     /// Merges records of held requests that another gateway or the store has.
     pub fn merge(&mut self, records: Vec<HeldRequest>, source: HeldSource, unix: UnixMillis) {
         for record in records {
             let Some(held) = self.held.merge(record, unix) else { continue };
             match held.is_held() {
-                true => self.events.push(CrashEvent::Held { held: held.clone(), source }),
+                true => {
+                    self.suspects.excuse_all(held.content, &[]);
+                    self.events.push(CrashEvent::Held { held: held.clone(), source });
+                }
                 false => {
                     let content = held.content;
                     self.on_released(content, source);
@@ -266,10 +329,21 @@
         self.suspects.crashes(content) > 0
     }
 
-    /// Returns whether this gateway runs a suspect already, so that its fate there should be known before it is sent to
-    /// another endpoint.
+    /// Returns whether one more crash holds a request back. The other gateways are told at once when it runs.
+    pub fn is_last_chance(&self, content: ContentId) -> bool {
+        self.suspects.is_last_chance(content)
+    }
+
+    /// Returns whether a gateway runs a request already that is a crash short of being held back, so that its fate
+    /// there should be known before it is sent to another endpoint.
     pub fn is_suspect_running(&self, content: ContentId, now: Instant) -> bool {
-        self.is_suspect(content) && self.runs.is_running(content, now)
+        self.suspects.is_last_chance(content)
+            && (self.runs.is_running(content, now) || self.is_running_elsewhere(content, now))
+    }
+
+    fn is_running_elsewhere(&self, content: ContentId, now: Instant) -> bool {
+        let reported = self.running_elsewhere.get(&content);
+        reported.is_some_and(|at| now.duration_since(*at) < RUNNING_ELSEWHERE_FOR)
     }
 
     /// Returns whether a suspect runs on an endpoint which may yet crash it. Two suspects are told apart only on
@@ -314,6 +388,7 @@
     /// Drops what has expired.
     pub fn drop_expired(&mut self, now: Instant, unix: UnixMillis) {
         self.suspects.drop_expired(now);
+        self.running_elsewhere.retain(|_, at| now.duration_since(*at) < RUNNING_ELSEWHERE_FOR);
         self.held.drop_expired(unix);
     }
 }
--- a/crates/routing/src/process/crashes/crash_suspects.rs
+++ b/crates/routing/src/process/crashes/crash_suspects.rs
@@ -4,9 +4,12 @@
 use super::run_registry::RunRequest;
 use crate::process::Incarnation;
 use crate::request::ContentId;
+use serde::{Deserialize, Serialize};
+use std::cell::Cell;
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
+use xxhash_rust::xxh3::xxh3_64;
 
 /// How long the end of an endpoint counts for a request that ran there.
 const SUSPECT_TERM: Duration = Duration::from_secs(600);
@@ -31,6 +34,19 @@
     last: Instant,
 }
 
+/// A suspect as another gateway has it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SuspectRecord {
+    /// Identity of the request's content.
+    pub content: ContentId,
+    /// Endpoints that ended under it and count.
+    pub endpoints: Vec<Incarnation>,
+    /// Endpoints that ended under it before it ran without harm.
+    pub excused: Vec<Incarnation>,
+    /// Time since the latest end, in ms.
+    pub age_ms: u64,
+}
+
 impl Suspect {
     /// Returns whether one more crash holds it back.
     fn is_last_chance(&self) -> bool {
@@ -54,6 +70,8 @@
 pub(super) struct CrashSuspects {
     suspects: HashMap<ContentId, Suspect>,
     evicted: u64,
+    /// The hash over all, until something changes: it is part of each message.
+    hash: Cell<Option<u64>>,
 }
 
 impl CrashSuspects {
@@ -65,6 +83,7 @@
         request: Option<Rc<RunRequest>>,
         now: Instant,
     ) -> &Suspect {
+        self.hash.set(None);
         if !self.suspects.contains_key(&content) && self.suspects.len() >= MAX_SUSPECTS {
             self.evict(now);
         }
@@ -79,15 +98,78 @@
         suspect
     }
 
-    /// Excuses a request from the ends so far, and from those of `endpoints`. Returns whether any counted.
-    pub(super) fn excuse(&mut self, content: ContentId, endpoints: &[Incarnation]) -> bool {
-        let Some(suspect) = self.suspects.get_mut(&content) else { return false };
-        let had_crashes = !suspect.endpoints.is_empty();
-        suspect.excused.append(&mut suspect.endpoints);
-        suspect.excused.extend_from_slice(endpoints);
+    /// Excuses a request from all ends so far, and from those of `endpoints`. Returns whether any counted.
+    pub(super) fn excuse_all(&mut self, content: ContentId, endpoints: &[Incarnation]) -> bool {
+        let Some(suspect) = self.suspects.get(&content) else { return false };
+        let counted = suspect.endpoints.clone();
+        self.excuse(content, &counted);
+        self.excuse(content, endpoints);
+        !counted.is_empty()
+    }
+
+    /// Excuses a suspect from the ends of `endpoints`.
+    fn excuse(&mut self, content: ContentId, endpoints: &[Incarnation]) {
+        let Some(suspect) = self.suspects.get_mut(&content) else { return };
+        self.hash.set(None);
+        suspect.endpoints.retain(|endpoint| !endpoints.contains(endpoint));
+        for endpoint in endpoints {
+            if !suspect.excused.contains(endpoint) {
+                suspect.excused.push(endpoint.clone());
+            }
+        }
         let surplus = suspect.excused.len().saturating_sub(MAX_EXCUSED);
         suspect.excused.drain(..surplus);
-        had_crashes
+    }
+
+    pub(super) fn get(&self, content: ContentId) -> Option<&Suspect> {
+        self.suspects.get(&content)
+    }
+
+    /// Returns whether one more crash holds a request back.
+    pub(super) fn is_last_chance(&self, content: ContentId) -> bool {
+        self.suspects.get(&content).is_some_and(Suspect::is_last_chance)
+    }
+
+    /// Returns the records of all suspects, for other gateways.
+    pub(super) fn records(&self, now: Instant) -> Vec<SuspectRecord> {
+        let record = |(content, suspect): (&ContentId, &Suspect)| SuspectRecord {
+            content: *content,
+            endpoints: suspect.endpoints.clone(),
+            excused: suspect.excused.clone(),
+            age_ms: now.duration_since(suspect.last).as_millis() as u64,
+        };
+        self.suspects.iter().map(record).collect()
+    }
+
+    /// Merges the record of another gateway. Returns whether the request is one too many by now. Its age is kept, so
+    /// that gateways don't keep it alive in turn.
+    pub(super) fn merge(&mut self, record: SuspectRecord, now: Instant) -> bool {
+        let age = Duration::from_millis(record.age_ms);
+        let Some(last) = now.checked_sub(age).filter(|_| age < SUSPECT_TERM) else { return false };
+        self.excuse(record.content, &record.excused);
+        let before = self.suspects.get(&record.content).map(|suspect| suspect.last);
+        for endpoint in &record.endpoints {
+            self.add(record.content, endpoint, None, now);
+        }
+        let Some(suspect) = self.suspects.get_mut(&record.content) else { return false };
+        suspect.last = before.map_or(last, |before| before.max(last));
+        suspect.endpoints.len() >= MAX_CRASHES
+    }
+
+    /// Returns a hash over the ends that count, which doesn't depend on their order.
+    pub(super) fn hash(&self) -> u64 {
+        let hash_of = |content: &ContentId, endpoint: &Incarnation| {
+            xxh3_64(format!("{content}/{endpoint}").as_bytes())
+        };
+        if let Some(hash) = self.hash.get() {
+            return hash;
+        }
+        let pairs = self.suspects.iter().flat_map(|(content, suspect)| {
+            suspect.endpoints.iter().map(move |endpoint| hash_of(content, endpoint))
+        });
+        let hash = pairs.fold(0, |hash, pair| hash ^ pair);
+        self.hash.set(Some(hash));
+        hash
     }
 
     /// Returns how many endpoints ended under a request.
@@ -127,7 +209,11 @@
     }
 
     pub(super) fn drop_expired(&mut self, now: Instant) {
+        let before = self.suspects.len();
         self.suspects.retain(|_, suspect| now.duration_since(suspect.last) < SUSPECT_TERM);
+        if self.suspects.len() < before {
+            self.hash.set(None);
+        }
     }
 
     /// Makes space: drops the expired suspects, or else the one that was counted longest ago.
--- a/crates/routing/src/process/crashes/held_request.rs
+++ b/crates/routing/src/process/crashes/held_request.rs
@@ -15,7 +15,7 @@
 /// The same where several requests ran on the same endpoints: all but one of them are innocent.
 const TRIAL_DELAY_AMBIGUOUS: Duration = Duration::from_secs(5);
 /// Maximum number of endpoints to name.
-const MAX_ENDPOINTS: usize = 8;
+pub(super) const MAX_ENDPOINTS: usize = 8;
 /// How far the clock of another machine may be ahead.
 const MAX_CLOCK_SKEW: Duration = Duration::from_secs(5);
 
--- a/crates/routing/src/process/crashes/held_requests.rs
+++ b/crates/routing/src/process/crashes/held_requests.rs
@@ -1,8 +1,10 @@
 //! The requests that are held back. Each gateway has all of them.
 
-use super::held_request::{HeldRequest, UnixMillis};
+use super::crash_guard::MAX_CRASHES;
+use super::held_request::{HeldRequest, MAX_ENDPOINTS, UnixMillis};
+use crate::process::Incarnation;
 use crate::request::ContentId;
-use serde::{Deserialize, Serialize};
+use std::cell::Cell;
 use std::collections::hash_map::Entry;
 use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
@@ -25,13 +27,6 @@
     TrialDue,
 }
 
-/// Summary of the records of a gateway. Gateways with the same summary have the same requests held.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct HeldDigest {
-    count: u32,
-    hash: u64,
-}
-
 /// The requests that are held back, by their content.
 #[derive(Debug, Default)]
 pub struct HeldRequests {
@@ -39,6 +34,8 @@
     /// Records that this gateway has to write to the store.
     unsaved: BTreeSet<ContentId>,
     evicted: u64,
+    /// The hash over all, until something changes: it is part of each message.
+    hash: Cell<Option<u64>>,
 }
 
 impl HeldRequests {
@@ -48,7 +45,7 @@
         let Some(held) = held.filter(|held| held.is_held() && !held.is_expired(now)) else {
             return Admission::Free;
         };
-        if held.trial_by.is_some() {
+        if held.trial_by.is_some() || held.endpoints.len() > MAX_CRASHES {
             return Admission::Held { retry_in: held.time_left(now) };
         }
         match held.trial_in(self.is_ambiguous(held), now) {
@@ -79,6 +76,7 @@
         let mut held = HeldRequest { generation, ..found };
         held.normalize(now);
         self.all.insert(content, held);
+        self.hash.set(None);
         if is_saved_here {
             self.unsaved.insert(content);
         }
@@ -86,12 +84,21 @@
         self.all.get(&content)
     }
 
+    /// Adds an endpoint that ended under a held request, which was sent there before it was held back.
+    pub fn add_endpoint(&mut self, content: ContentId, endpoint: &Incarnation) {
+        let Some(held) = self.all.get_mut(&content) else { return };
+        if !held.endpoints.contains(endpoint) && held.endpoints.len() < MAX_ENDPOINTS {
+            held.endpoints.push(endpoint.clone());
+        }
+    }
+
     /// Releases a request. Returns whether it was held back.
     pub fn release(&mut self, content: ContentId) -> bool {
         let Some(held) = self.all.get_mut(&content).filter(|held| held.is_held()) else {
             return false;
         };
         held.generation += 1;
+        self.hash.set(None);
         held.trial_by = None;
         self.unsaved.insert(content);
         true
@@ -103,6 +110,7 @@
             return None;
         }
         let content = other.content;
+        self.hash.set(None);
         let is_changed = match self.all.entry(content) {
             Entry::Occupied(mut entry) => {
                 let was_held = entry.get().is_held();
@@ -139,13 +147,17 @@
         self.all.is_empty()
     }
 
-    /// Returns the summary of the records.
-    pub fn digest(&self) -> HeldDigest {
+    /// Returns a hash over the records, which doesn't depend on their order.
+    pub fn hash(&self) -> u64 {
+        if let Some(hash) = self.hash.get() {
+            return hash;
+        }
         let hash_of = |held: &HeldRequest| {
             xxh3_64(format!("{}/{}", held.content, held.generation).as_bytes())
         };
         let hash = self.all.values().fold(0, |hash, held| hash ^ hash_of(held));
-        HeldDigest { count: self.all.len() as u32, hash }
+        self.hash.set(Some(hash));
+        hash
     }
 
     /// Returns a record that this gateway has to write to the store.
@@ -171,6 +183,7 @@
     /// Drops the records whose term is over.
     pub fn drop_expired(&mut self, now: UnixMillis) {
         self.all.retain(|_, held| !held.is_expired(now));
+        self.hash.set(None);
         self.unsaved.retain(|content| self.all.contains_key(content));
     }
 
--- a/crates/routing/src/process/crashes/held_sync.rs
+++ b/crates/routing/src/process/crashes/held_sync.rs
@@ -1,6 +1,6 @@
-//! Decides when a gateway reads the records of held requests from another one, and when from the store.
+//! Decides when a gateway reads the records of another one, and when those of held requests from the store.
 
-use super::held_requests::HeldDigest;
+use super::crash_guard::CrashDigest;
 use std::time::{Duration, Instant};
 
 /// How long the records of two gateways may differ before one reads the other's: by then both have got the reports
@@ -29,8 +29,8 @@
     /// Returns the gateway whose records to read now, from the live ones with the summary of their records.
     pub fn fetch_from<T>(
         &mut self,
-        own: HeldDigest,
-        peers: impl Iterator<Item = (T, HeldDigest)>,
+        own: CrashDigest,
+        peers: impl Iterator<Item = (T, CrashDigest)>,
         now: Instant,
     ) -> Option<T> {
         let mut differing: Vec<T> =
--- a/crates/routing/src/process/crashes/mod.rs
+++ b/crates/routing/src/process/crashes/mod.rs
@@ -8,7 +8,7 @@
 mod run_registry;
 
 pub use crash_guard::*;
-pub use crash_suspects::Turn;
+pub use crash_suspects::{SuspectRecord, Turn};
 pub use held_request::*;
 pub use held_requests::*;
 pub use held_sync::*;
--- a/crates/routing/src/process/crashes/run_registry.rs
+++ b/crates/routing/src/process/crashes/run_registry.rs
@@ -71,6 +71,11 @@
         is_old && self.events >= HARMLESS_EVENTS
     }
 
+    /// Returns whether it may yet do harm.
+    fn is_undecided(&self, now: Instant) -> bool {
+        !self.is_counted && !self.is_harmless(now)
+    }
+
     fn needs(&self, endpoint: &Incarnation) -> bool {
         self.endpoints.contains(endpoint)
     }
@@ -159,10 +164,16 @@
         requests
     }
 
+    /// Returns the contents of the open runs that may yet do harm.
+    pub(super) fn undecided(&self, now: Instant) -> impl Iterator<Item = ContentId> {
+        let undecided = self.open.values().filter(move |run| run.is_undecided(now));
+        undecided.map(|run| run.request.content)
+    }
+
     /// Returns whether an open run of this content may yet show that it does harm.
     pub(super) fn is_running(&self, content: ContentId, now: Instant) -> bool {
         let mut runs = self.open.values();
-        runs.any(|run| run.request.content == content && !run.is_harmless(now))
+        runs.any(|run| run.request.content == content && run.is_undecided(now))
     }
 
     /// Returns whether an open run on an endpoint belongs to a request that meets `is_suspect` and may yet do harm.
@@ -175,7 +186,7 @@
         let mut runs = self.open.values();
         runs.any(|run| {
             run.endpoints.first() == Some(endpoint)
-                && !run.is_harmless(now)
+                && run.is_undecided(now)
                 && is_suspect(run.request.content)
         })
     }
