Limits that endpoints name are read, logged and shared

Now an answer's limit is read (a decimal number; others are counted, logged once for each endpoint, and change nothing), with 'endpoint named a limit' and 'endpoint withdrew its limit', limits in the dump, limited_endpoints and two counters. Gateways report to each other what an endpoint told them themselves. Nothing is decided by it yet.

--- a/crates/gateway/src/process/counters.rs
+++ b/crates/gateway/src/process/counters.rs
@@ -132,6 +132,12 @@
     HeldFetchFailures => "held_fetch_failures",
     /// Invalid records of held requests.
     HeldRecordsRefused => "held_records_refused",
+    /// Changes of limits that endpoints name.
+    LimitsNamed => "limits_named",
+    /// Limits in answers that can't be read.
+    LimitsInvalid => "limits_invalid",
+    /// Requests sent to endpoints that name a limit.
+    LimitedSends => "limited_sends",
     /// Connections refused because too many were open.
     ConnectionsRefused => "connections_refused",
 }
--- a/crates/gateway/src/process/dump.rs
+++ b/crates/gateway/src/process/dump.rs
@@ -37,6 +37,7 @@
     refused_by_reason: BTreeMap<FaultKind, usize>,
     refused_entries: Vec<RefusedDump>,
     paths: Vec<PathDump>,
+    limits: Vec<LimitDump>,
     /// Number of requests under which endpoints ended, too few to hold them back.
     crash_suspects: usize,
     held_requests: Vec<HeldDump>,
@@ -103,6 +104,15 @@
     is_broken: bool,
 }
 
+/// A limit that an endpoint named.
+#[derive(Serialize)]
+struct LimitDump {
+    endpoint: String,
+    per_s: f64,
+    /// Time since the latest answer that named it.
+    named_ms: u64,
+}
+
 /// A request that is held back, or was until it was released.
 #[derive(Serialize)]
 struct HeldDump {
@@ -149,6 +159,7 @@
             refused_by_reason,
             refused_entries: bounded(refused, &mut left_out),
             paths: bounded(paths(gateway, &knowledge).into_iter(), &mut left_out),
+            limits: bounded(limits(gateway, now).into_iter(), &mut left_out),
             crash_suspects: gateway.crash_guard.borrow().suspects(),
             held_requests: bounded(
                 gateway.held_records().into_iter().map(held_request),
@@ -159,6 +170,16 @@
     }
 }
 
+fn limits(gateway: &Gateway, now: Instant) -> Vec<LimitDump> {
+    let limits = gateway.limits.borrow();
+    let limited = limits.limited(now.into_std()).map(|(endpoint, limit, age)| LimitDump {
+        endpoint: endpoint.to_string(),
+        per_s: limit.per_s(),
+        named_ms: age.as_millis() as u64,
+    });
+    limited.collect()
+}
+
 fn held_request(held: HeldRequest) -> HeldDump {
     HeldDump {
         content: held.content,
--- a/crates/gateway/src/process/gateway.rs
+++ b/crates/gateway/src/process/gateway.rs
@@ -9,13 +9,14 @@
 use sorrellock_platform::{Bounds, Client, EndpointLoad, Kind, Settings, Store, StoreEras};
 use sorrellock_routing::process::crashes::{CrashGuard, HeldSync};
 use sorrellock_routing::process::knowledge::Knowledge;
+use sorrellock_routing::process::limits::EndpointLimits;
 use sorrellock_routing::process::{
     FailureEvidence, Incarnation, Incarnations, Leaving, LoopPauses, RetryWindow, StreamPace,
 };
 use sorrellock_routing::version::{Configuration, ServiceName};
 use spdlog::{info, warn};
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -95,6 +96,10 @@
     pub(crate) held_sync: RefCell<HeldSync>,
     /// Wakes the writer of held requests to the store.
     pub(crate) held_changed: Notify,
+    /// The limits that endpoints named.
+    pub(crate) limits: RefCell<EndpointLimits>,
+    /// Endpoints whose limit can't be read, which has been logged.
+    pub(crate) invalid_limits: RefCell<HashSet<Incarnation>>,
     /// The platform's store, once its client exists.
     pub(crate) store: RefCell<Option<Store>>,
     /// Number of requests in flight.
@@ -147,6 +152,8 @@
             end_checks: RefCell::default(),
             held_sync: RefCell::default(),
             held_changed: Notify::new(),
+            limits: RefCell::default(),
+            invalid_limits: RefCell::default(),
             store: RefCell::default(),
             in_flight: Cell::new(0),
             unanswered: Cell::new(0),
--- /dev/null
+++ b/crates/gateway/src/process/limits/mod.rs
@@ -0,0 +1,3 @@
+//! Limits that endpoints name in their answers.
+
+mod named_limits;
--- /dev/null
+++ b/crates/gateway/src/process/limits/named_limits.rs
@@ -0,0 +1,66 @@
+//! Reads the limits that endpoints name, and shares them with the other gateways.
+
+use crate::process::{Count, Gateway};
+use sorrellock_platform::InvalidLimit;
+use sorrellock_routing::process::Incarnation;
+use sorrellock_routing::process::limits::{LimitChange, LimitReport, RateLimit};
+use spdlog::{info, warn};
+use tokio::time::Instant;
+
+impl Gateway {
+    /// Applies what an answer says of an endpoint's limit. The request was sent at `sent_at`.
+    pub(crate) fn on_limit_answered(
+        &self,
+        endpoint: &Incarnation,
+        limit: Option<&Result<RateLimit, InvalidLimit>>,
+        sent_at: Instant,
+    ) {
+        let limit = match limit {
+            None => None,
+            Some(Ok(limit)) => Some(*limit),
+            Some(Err(err)) => return self.on_invalid_limit(endpoint, err),
+        };
+        let now = Instant::now();
+        let change =
+            self.limits.borrow_mut().on_answer(endpoint, limit, sent_at.into_std(), now.into_std());
+        if let Some(change) = change {
+            self.report_limit(endpoint, change, "its answer");
+            self.suspected.notify_one();
+        }
+    }
+
+    /// Applies the limits that another gateway reports.
+    pub(crate) fn receive_limits(&self, reports: &[LimitReport], instance: &str) {
+        let now = Instant::now().into_std();
+        for report in reports {
+            let change = self.limits.borrow_mut().on_report(report, now);
+            if let Some(change) = change {
+                self.report_limit(&report.endpoint, change, instance);
+            }
+        }
+    }
+
+    fn report_limit(&self, endpoint: &Incarnation, change: LimitChange, source: &str) {
+        let endpoint = endpoint.id.as_str();
+        match change {
+            LimitChange::Named(limit) => {
+                self.counters.add(Count::LimitsNamed);
+                info!("endpoint named a limit", kv: { endpoint, limit = limit.per_s(), source });
+            }
+            LimitChange::Withdrawn => {
+                info!("endpoint withdrew its limit", kv: { endpoint, source });
+            }
+        }
+    }
+
+    /// Counts a limit that can't be read, and logs it once for each endpoint. The limit before stays in force.
+    fn on_invalid_limit(&self, endpoint: &Incarnation, err: &InvalidLimit) {
+        self.counters.add(Count::LimitsInvalid);
+        if self.invalid_limits.borrow_mut().insert(endpoint.clone()) {
+            let why = err.to_string();
+            warn!("limit of an endpoint ignored", kv: {
+                endpoint = endpoint.id.as_str(), why = why.as_str()
+            });
+        }
+    }
+}
--- a/crates/gateway/src/process/listeners.rs
+++ b/crates/gateway/src/process/listeners.rs
@@ -111,6 +111,7 @@
         ("endpoints", endpoints),
         ("configuration_heard_ms", age(Kind::Configuration)),
         ("endpoints_heard_ms", age(Kind::Endpoints)),
+        ("limited_endpoints", gateway.limits.borrow().limited(now.into_std()).count() as f64),
         ("held_requests", guard.held().held() as f64),
         ("crash_suspects", guard.suspects() as f64),
         ("crash_evicted", guard.evicted() as f64),
--- a/crates/gateway/src/process/mod.rs
+++ b/crates/gateway/src/process/mod.rs
@@ -5,6 +5,7 @@
 mod dump;
 mod gateway;
 mod lag;
+mod limits;
 mod listeners;
 mod log;
 mod paths;
--- a/crates/gateway/src/process/peers/peer_message.rs
+++ b/crates/gateway/src/process/peers/peer_message.rs
@@ -2,6 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 use sorrellock_routing::process::crashes::{CrashDigest, CrashReports};
+use sorrellock_routing::process::limits::LimitReport;
 use sorrellock_routing::process::{
     FailureEvidence, Incarnation, Known, LayerRange, Revision, StartMillis, StoreEra,
 };
@@ -63,14 +64,16 @@
 }
 
 /// Fields that follow those of the format version. Gateways that don't know them skip them, and those that do read
-/// messages without them, so that both understand each other during an upgrade. New fields are added at the end, each
-/// with its own default.
+/// messages without them, so that both understand each other during an upgrade. Further fields belong into a part of
+/// their own after this one: a part is read whole or not at all.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub(crate) struct Extension {
     /// What the sender found recently of requests that crash endpoints.
     pub(crate) crashes: CrashReports,
     /// Summary of what the sender knows of such requests.
     pub(crate) crash_digest: Option<CrashDigest>,
+    /// Limits that endpoints named to the sender itself, or withdrew.
+    pub(crate) limits: Vec<LimitReport>,
 }
 
 impl PeerMessage {
--- a/crates/gateway/src/process/peers/peers.rs
+++ b/crates/gateway/src/process/peers/peers.rs
@@ -98,7 +98,8 @@
         let left = gateway.fleet_state.borrow_mut().own_left(now);
         let crashes = gateway.crash_guard.borrow_mut().reports(now.into_std());
         let crash_digest = Some(gateway.crash_guard.borrow().digest());
-        let extension = Extension { crashes, crash_digest };
+        let limits = gateway.limits.borrow().reports(now.into_std());
+        let extension = Extension { crashes, crash_digest, limits };
         let own_loads = gateway.paths.borrow().own_loads();
         let load = |(head, load): (Incarnation, Load)| HeadLoad {
             head,
@@ -246,12 +247,13 @@
         }
         let instance = message.instance.clone();
         let (ended, left) = (message.ended.clone(), message.left.clone());
-        let crashes = message.extension.crashes.clone();
+        let extension = message.extension.clone();
         let (era, left_before_era) =
             (message.known.endpoints_at.era, message.left_before_era.clone());
         fleet_state.peers.insert(instance.clone(), Peer { addr: from, message, last_contact: now });
         drop(fleet_state);
-        gateway.receive_crash_reports(&crashes);
+        gateway.receive_crash_reports(&extension.crashes);
+        gateway.receive_limits(&extension.limits, &instance);
         for end in &ended {
             gateway.receive_end(end, &instance);
         }
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -128,6 +128,7 @@
     let (answer, connection, run) = send(gateway, call, target, limit).await?;
     let head = read_answer_head(answer.headers());
     record_load(gateway, &target.incarnation, &head);
+    gateway.on_limit_answered(&target.incarnation, head.limit.as_ref(), in_flight.began);
     check_answer_head(gateway, call, &answer, &head)?;
     let incarnation = target.incarnation.clone();
     Ok(Exchange { answer, head, connection, incarnation, in_flight, run })
--- /dev/null
+++ b/crates/routing/src/process/limits/rate_limit.rs
@@ -0,0 +1,57 @@
+//! A number of requests a second.
+
+use serde::{Deserialize, Serialize};
+use std::fmt;
+use std::str::FromStr;
+
+/// Digits after the decimal point that count; further ones are dropped.
+const DECIMALS: usize = 3;
+
+/// Number of requests a second that an endpoint takes, in thousandths.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct RateLimit(u64);
+
+impl RateLimit {
+    /// Returns the limit in requests a second.
+    pub fn per_s(self) -> f64 {
+        self.0 as f64 / 1e3
+    }
+}
+
+impl fmt::Display for RateLimit {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.per_s())
+    }
+}
+
+/// The text is not a decimal number of requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct InvalidRateLimit;
+
+impl fmt::Display for InvalidRateLimit {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("not a decimal number of requests a second, such as 4.3")
+    }
+}
+
+impl std::error::Error for InvalidRateLimit {}
+
+impl FromStr for RateLimit {
+    type Err = InvalidRateLimit;
+
+    /// Parses digits with at most one decimal point. A number that is too large is the largest one.
+    fn from_str(text: &str) -> Result<RateLimit, InvalidRateLimit> {
+        let (whole, fraction) = text.split_once('.').unwrap_or((text, ""));
+        let has_digits = !whole.is_empty() || !fraction.is_empty();
+        let are_digits = |part: &str| part.bytes().all(|byte| byte.is_ascii_digit());
+        if !has_digits || !are_digits(whole) || !are_digits(fraction) {
+            return Err(InvalidRateLimit);
+        }
+        let whole = if whole.is_empty() { 0 } else { whole.parse().unwrap_or(u64::MAX) };
+        let kept = &fraction[..fraction.len().min(DECIMALS)];
+        let thousandths: u64 = format!("{kept:0<DECIMALS$}").parse().unwrap_or_default();
+        Ok(RateLimit(whole.saturating_mul(1_000).saturating_add(thousandths)))
+    }
+}
--- a/crates/routing/src/process/mod.rs
+++ b/crates/routing/src/process/mod.rs
@@ -11,6 +11,7 @@
 pub mod knowledge;
 mod lead_term;
 mod leaving;
+pub mod limits;
 mod loop_pauses;
 mod path_health;
 mod path_search;
