--- a/crates/daemon/tests/gateway/main.rs
+++ b/crates/daemon/tests/gateway/main.rs
@@ -2,6 +2,7 @@
 
 mod crashing_requests;
 mod dropped_services;
+mod endpoint_limits;
 mod entries;
 mod eras;
 mod first_event;
