Gateways keep to the limits that endpoints name

What users saw: an engine that named 4.3 requests a second got 37 in 4 s from gateways that had passed its answers on; 31 are allowed.

Cause: the limit was read, logged and shared, and no decision used it. Class: a promise that belongs to the fleet, where each process decides by what it sees itself.

Each send to a limited endpoint, resends and hedges included, now takes a permit right before its bytes are written. One gateway grants an endpoint's permits for all, by rendezvous hash, from a bucket that starts empty, and only the part of the limit that matches the part of the fleet that it reaches. Another endpoint is chosen first; where none has room, a request is refused at once with the time to the next permit. Ruled out: equal shares (at 60 gateways one request in 14 s each, and bursts come together), shares by demand for seconds (late where the load moves), a store write for each grant.

--- a/crates/daemon/tests/gateway/soak/crashes.rs
+++ b/crates/daemon/tests/gateway/soak/crashes.rs
@@ -90,13 +90,14 @@
     pub fn fault_beside_crashes(&mut self, rng: &mut StdRng) -> String {
         let node = rng.random_range(0..self.nodes.len());
         self.keep_copy();
-        match rng.random_range(0..9) {
+        match rng.random_range(0..13) {
             0 | 1 => self.restart_gateway(node, Signal::SIGKILL),
             2 => self.restart_gateway(node, Signal::SIGTERM),
             3 | 4 => self.pause(node),
             5 => self.set_store_mode(rng),
             6 => self.set_store_proxy(node, rng),
             7 => self.come_back(rng),
+            8..12 => self.name_limit(rng),
             _ => self.restart_all(),
         }
     }
@@ -113,6 +114,7 @@
 
     /// Ends all faults. The engines that come crash on the request, too.
     pub fn heal_beside_crashes(&mut self, rng: &mut StdRng) {
+        self.engines.iter().for_each(|(engine, _)| engine.name_limits(&[]));
         self.heal();
         make_crash(self, rng);
     }
@@ -143,8 +145,8 @@
     }
 
     /// What gateways logged of requests that crash engines.
-    fn crash_lines(&self) -> String {
-        let texts = ["ended under requests", "held back", "request released", "held request"];
+    pub fn crash_lines(&self) -> String {
+        let texts = ["ended under requests", "\"request held", "request released", "held request"];
         let lines = self.nodes.iter().flat_map(|node| {
             let lines = texts.iter().flat_map(|text| node.process.lines(&[text]));
             lines.map(|line| format!("{}: {line}", node.name))
--- a/crates/daemon/tests/gateway/soak/mod.rs
+++ b/crates/daemon/tests/gateway/soak/mod.rs
@@ -8,6 +8,7 @@
 mod crashes;
 mod eras;
 mod faults;
+mod limits;
 pub mod promises;
 mod silences;
 mod world;
@@ -18,11 +19,11 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use std::thread;
-use std::time::Duration;
-use world::World;
+use std::time::{Duration, Instant};
+use world::{Node, World};
 
 use crate::fleet::new_request;
-use crate::gateway_process::wait_for;
+use crate::gateway_process::{PATIENCE, wait_for};
 
 /// Seeds of each run in CI.
 const CI_SEEDS: [u64; 2] = [1, 2];
@@ -41,7 +42,7 @@
 const RETURNS: usize = 4;
 const EVENTS_BEFORE_RETURN: usize = 4;
 /// Faults of one run beside a request that crashes engines, and the time between two of them, in ms.
-const FAULTS_BESIDE_CRASHES: usize = 6;
+const FAULTS_BESIDE_CRASHES: usize = 8;
 const CRASH_FAULT_GAP_MS: std::ops::Range<u64> = 100..1_500;
 /// Series of signals of one run: two processes after each other have their whole time to end.
 const SERIES: usize = 2;
@@ -84,7 +85,8 @@
     check_runs(&world, &heard).unwrap_or_else(|broken| panic!("seed {seed}: {broken} {course:#?}"));
 }
 
-/// Runs one seed of a request that crashes engines, beside faults of gateways and the store.
+/// Runs one seed of a request that crashes engines, and of engines that name limits, beside faults of gateways and the
+/// store.
 fn soak_of_crashes(seed: u64) {
     let mut rng = StdRng::seed_from_u64(seed);
     let mut world = World::new(seed, EVENT_GAP);
@@ -100,9 +102,10 @@
     crashing.stop();
     world.heal_beside_crashes(&mut rng);
     let heard = callers.stop();
-    wait_for_service(&world, &format!("seed {seed}: service after {course:#?}"));
 
-    let held = world.check_held().and_then(|()| check_runs(&world, &heard));
+    let held = check_service(&world).and_then(|()| world.check_limits());
+    let held = held.and_then(|()| world.check_held());
+    let held = held.and_then(|()| check_runs(&world, &heard));
     held.unwrap_or_else(|broken| panic!("seed {seed}: {broken} {course:#?}"));
     wait_for_service(&world, &format!("seed {seed}: service after {course:#?} and more crashes"));
 }
@@ -157,14 +160,27 @@
     wait_for_service(&world, &format!("seed {seed}: service after {course:#?}"));
 }
 
+/// Waits until each gateway serves a stream. Tells what the gateways logged of crashes if one doesn't.
+fn check_service(world: &World) -> Result<(), String> {
+    let began = Instant::now();
+    while !world.nodes.iter().all(serves) {
+        if began.elapsed() >= PATIENCE {
+            return Err(format!("no service:\n{}", world.crash_lines()));
+        }
+    }
+    Ok(())
+}
+
+fn serves(node: &Node) -> bool {
+    let call = Call::stream(new_request());
+    let heard = callers::call(&callers::once(), node.process.callers(), call);
+    heard.is_whole_stream() && promises::check_stream(&heard).is_ok()
+}
+
 /// Waits until each gateway serves a stream.
 fn wait_for_service(world: &World, what: &str) {
     for node in &world.nodes {
-        wait_for(what, || {
-            let call = Call::stream(new_request());
-            let heard = callers::call(&callers::once(), node.process.callers(), call);
-            heard.is_whole_stream() && promises::check_stream(&heard).is_ok()
-        });
+        wait_for(what, || serves(node));
     }
 }
 
--- a/crates/gateway/src/process/counters.rs
+++ b/crates/gateway/src/process/counters.rs
@@ -138,6 +138,10 @@
     LimitsInvalid => "limits_invalid",
     /// Requests sent to endpoints that name a limit.
     LimitedSends => "limited_sends",
+    /// Permits to send to an endpoint that names a limit that were denied.
+    PermitsDenied => "permits_denied",
+    /// Requests for a permit without an answer.
+    PermitFailures => "permit_failures",
     /// Connections refused because too many were open.
     ConnectionsRefused => "connections_refused",
 }
--- a/crates/gateway/src/process/gateway.rs
+++ b/crates/gateway/src/process/gateway.rs
@@ -1,7 +1,7 @@
 //! State shared by all parts of a gateway.
 
 use crate::process::{
-    Count, Counters, EndChecks, FleetState, LivePath, LoggedFaults, PathTable, Pool,
+    Count, Counters, EndChecks, FleetState, LivePath, LoggedFaults, PathTable, Permits, Pool,
     ReportedSuspect, SUSPICION_DURATION, StoreContact,
 };
 use sorrellock_core::clock::SystemClock;
@@ -98,6 +98,7 @@
     pub(crate) held_changed: Notify,
     /// The limits that endpoints named.
     pub(crate) limits: RefCell<EndpointLimits>,
+    pub(crate) permits: RefCell<Permits>,
     /// Endpoints whose limit can't be read, which has been logged.
     pub(crate) invalid_limits: RefCell<HashSet<Incarnation>>,
     /// The platform's store, once its client exists.
@@ -153,6 +154,7 @@
             held_sync: RefCell::default(),
             held_changed: Notify::new(),
             limits: RefCell::default(),
+            permits: RefCell::default(),
             invalid_limits: RefCell::default(),
             store: RefCell::default(),
             in_flight: Cell::new(0),
--- a/crates/gateway/src/process/listeners.rs
+++ b/crates/gateway/src/process/listeners.rs
@@ -1,6 +1,8 @@
 //! Internal listeners: readiness, metrics, the state dump, and handovers to other gateways.
 
-use crate::process::{Dump, Gateway, HANDOVER_PATH, HELD_PATH, RELEASE_PATH};
+use crate::process::{
+    Dump, Gateway, HANDOVER_PATH, HELD_PATH, PERMIT_PATH, RELEASE_PATH, read_permit_request,
+};
 use bytes::Bytes;
 use http::{Method, Request, Response, StatusCode};
 use http_body_util::Full;
@@ -66,6 +68,14 @@
                 Err(err) => (StatusCode::BAD_REQUEST, Bytes::from(format!("content: {err}"))),
             }
         }
+        path if req.method() == Method::POST && path.starts_with(PERMIT_PATH) => {
+            match read_permit_request(&path[PERMIT_PATH.len()..]) {
+                Some((asker, limit, endpoint)) => {
+                    json(&gateway.grant_permit(&endpoint, limit, asker))
+                }
+                None => (StatusCode::BAD_REQUEST, Bytes::from_static(b"no request for a permit")),
+            }
+        }
         path => match path.strip_prefix(HANDOVER_PATH).and_then(read_known) {
             Some((version, at)) => handover(&gateway, version, at),
             None => (StatusCode::NOT_FOUND, Bytes::from_static(b"no such page")),
--- a/crates/gateway/src/process/mod.rs
+++ b/crates/gateway/src/process/mod.rs
@@ -22,6 +22,7 @@
 pub(crate) use dump::*;
 pub(crate) use gateway::*;
 pub(crate) use lag::*;
+pub(crate) use limits::*;
 pub(crate) use listeners::*;
 pub use log::*;
 pub(crate) use paths::*;
--- a/crates/gateway/src/process/paths/path_table.rs
+++ b/crates/gateway/src/process/paths/path_table.rs
@@ -39,6 +39,8 @@
     NoPath,
     /// All paths are full.
     Full,
+    /// The first engines of all paths that could take it have reached the limits that they named, for this time.
+    Limited(Duration),
 }
 
 /// The paths of all services.
--- a/crates/gateway/src/process/run.rs
+++ b/crates/gateway/src/process/run.rs
@@ -202,6 +202,7 @@
         gateway.pool.borrow_mut().sweep(Instant::now(), is_used);
         gateway.probes.borrow_mut().retain(|incarnation, _| is_used(incarnation));
         gateway.limits.borrow_mut().retain(is_current);
+        gateway.drop_old_permits(is_current);
         gateway.invalid_limits.borrow_mut().retain(is_current);
         gateway
             .uses
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -67,6 +67,8 @@
     pub(crate) is_inconclusive: bool,
     /// Nothing was sent, as the request is held back.
     pub(crate) is_held: bool,
+    /// Nothing was sent, as the endpoint's limit is reached.
+    pub(crate) is_limited: bool,
     /// The evidence for suspecting the endpoint when nothing could be sent.
     pub(crate) failure_evidence: FailureEvidence,
     pub(crate) why: String,
@@ -80,6 +82,7 @@
             is_misdirected: false,
             is_inconclusive: false,
             is_held: false,
+            is_limited: false,
             failure_evidence: FailureEvidence::Refused,
             why,
         }
@@ -146,8 +149,13 @@
     let mut req = build_request(call, target);
     // The one attempt of a trial.
     let is_trial = call.is_trial.take();
+    let mut has_permit = call.permit.take().as_ref() == Some(&target.incarnation);
     loop {
         let (mut connection, is_kept) = connect(gateway, call, target).await?;
+        if !has_permit {
+            take_permit(gateway, target).await?;
+            has_permit = true;
+        }
         if !gateway.admit_send(call, is_trial) {
             let failed = FailedAttempt::new(Evidence::NotSent, held_reason(call));
             return Err(FailedAttempt { is_held: true, ..failed });
@@ -177,6 +185,15 @@
     }
 }
 
+/// Takes a permit to send to an endpoint that names a limit.
+async fn take_permit(gateway: &Gateway, target: &Target<'_>) -> Result<(), FailedAttempt> {
+    let permit = gateway.take_permit(&target.incarnation).await;
+    permit.map_err(|retry_in| {
+        let why = format!("its limit is reached for {} ms", retry_in.as_millis());
+        FailedAttempt { is_limited: true, ..FailedAttempt::new(Evidence::NotSent, why) }
+    })
+}
+
 /// Watches a connection on which a request was sent. If it is dropped before anything was received, for whatever reason
 /// the attempt is abandoned, idle connections of the same age are discarded. Otherwise, after the connections to an
 /// endpoint went silent for good, each request would take the next of these connections and be lost on it.
--- a/crates/gateway/src/request/call.rs
+++ b/crates/gateway/src/request/call.rs
@@ -4,10 +4,11 @@
 use bytes::Bytes;
 use http::{HeaderMap, Method, Uri};
 use sorrellock_platform::CallerHead;
+use sorrellock_routing::process::Incarnation;
 use sorrellock_routing::process::crashes::RunRequest;
 use sorrellock_routing::version::{ConfigVersion, Route, ServiceName, WorkspaceName};
 use spdlog::{Level, log, warn};
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -34,6 +35,8 @@
     pub(crate) end: EndGuard,
     /// What identifies it among its repeats.
     pub(crate) run_request: Rc<RunRequest>,
+    /// The endpoint for which a permit was taken that is not used yet.
+    pub(crate) permit: RefCell<Option<Incarnation>>,
     /// It is held back, and may be sent once to see whether it does no more harm.
     pub(crate) is_trial: Cell<bool>,
 }
--- a/crates/gateway/src/request/plain.rs
+++ b/crates/gateway/src/request/plain.rs
@@ -1,6 +1,6 @@
 //! Serves requests to plain services, where one endpoint runs the whole request.
 
-use crate::process::{Count, Gateway, check_refuser};
+use crate::process::{Count, Gateway, check_refuser, shortest_wait};
 use crate::request::{
     AttemptEvent, AttemptInfo, Call, Exchange, FailedAttempt, RunningAttempts, Target,
     abandon_call, attempt, forward_answer, held_reason, held_retry_delay, log_failed_attempt,
@@ -94,6 +94,8 @@
     why: String,
     /// How long the request is held back, if that is why no attempt may follow.
     held_for: Option<Duration>,
+    /// Time until an endpoint may have reached its limit no more, if that is why.
+    limited_for: Option<Duration>,
     /// An endpoint's error answer, returned to the caller if no attempt succeeds.
     last_failure: Option<(Response<AnswerBody>, Incarnation)>,
 }
@@ -105,6 +107,7 @@
             tried: Vec::new(),
             why: "no endpoint is known".to_owned(),
             held_for: None,
+            limited_for: None,
             last_failure: None,
         }
     }
@@ -124,7 +127,13 @@
             self.why = "another run of the same content may crash its endpoint".to_owned();
             return None;
         }
-        let chosen = choose_endpoint(gateway, call, &self.tried)?;
+        let Some(chosen) = choose_endpoint(gateway, call, &self.tried) else {
+            self.limited_for = limited_for(gateway, call);
+            if self.limited_for.is_some() {
+                self.why = "all endpoints are at their limits".to_owned();
+            }
+            return None;
+        };
         if self.attempts.is_repeat() && !gateway.spend_repeat(&call.service) {
             self.why = format!("{}; the retry budget is spent", self.why);
             return None;
@@ -150,6 +159,10 @@
             return None;
         }
         let chosen = choose_endpoint(gateway, call, &self.tried)?;
+        // A limit leaves nothing for attempts that may not be needed.
+        if gateway.is_limited(&chosen.0.incarnation()) {
+            return None;
+        }
         if !gateway.spend_repeat(&call.service) {
             return None;
         }
@@ -186,7 +199,7 @@
         info: &AttemptInfo,
         failed: &FailedAttempt,
     ) {
-        let is_neutral = failed.is_inconclusive || failed.is_held;
+        let is_neutral = failed.is_inconclusive || failed.is_held || failed.is_limited;
         let end = if is_neutral { AttemptEnd::Neutral } else { AttemptEnd::Failure };
         report_attempt_end(gateway, info, end);
         log_failed_attempt(gateway, call, &info.endpoint, failed);
@@ -234,7 +247,8 @@
             Some((answer, endpoint)) => record_answered(call, &endpoint, answer),
             None => {
                 let abandoned_outcome = self.attempts.abandoned_outcome(call.time_left().is_zero());
-                let retry_delay = self.held_for.map_or(RETRY_AFTER, held_retry_delay);
+                let held_delay = self.held_for.map(held_retry_delay);
+                let retry_delay = held_delay.or(self.limited_for).unwrap_or(RETRY_AFTER);
                 abandon_call(call, abandoned_outcome, retry_delay, &self.why)
             }
         }
@@ -288,6 +302,12 @@
     open
 }
 
+/// Returns the time until any endpoint of a call's service may be below its limit; `None` if one is now.
+fn limited_for(gateway: &Gateway, call: &Call) -> Option<Duration> {
+    let open = open_endpoints(gateway, call);
+    shortest_wait(open.iter().map(|endpoint| gateway.denied_for(&endpoint.incarnation())))
+}
+
 /// Chooses the untried endpoint with the least expected load. Suspect endpoints and those whose circuit breaker refuses
 /// are used only if there are no others.
 fn choose_endpoint(
@@ -297,8 +317,11 @@
 ) -> Option<(Endpoint, Permit)> {
     let now = Instant::now();
     let all = open_endpoints(gateway, call);
-    let mut open: Vec<&Endpoint> =
-        all.iter().filter(|endpoint| !tried.contains(&endpoint.incarnation())).collect();
+    let may_take = |endpoint: &&Endpoint| {
+        let endpoint = endpoint.incarnation();
+        !tried.contains(&endpoint) && gateway.denied_for(&endpoint).is_none()
+    };
+    let mut open: Vec<&Endpoint> = all.iter().filter(may_take).collect();
     let separate = match gateway.turn(call, all.len()) {
         Turn::At(index) => all.get(index).map(Endpoint::incarnation),
         Turn::Any | Turn::Wait(_) => None,
--- a/crates/gateway/src/request/request_handler.rs
+++ b/crates/gateway/src/request/request_handler.rs
@@ -18,7 +18,7 @@
 use sorrellock_routing::request::{AbandonedOutcome, ContentId};
 use sorrellock_routing::version::{NotAllowed, Route, RouteTable, ServiceName};
 use spdlog::info;
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::{Instant, timeout_at};
@@ -83,6 +83,7 @@
         caller_deadline,
         end,
         run_request,
+        permit: RefCell::default(),
         is_trial: Cell::new(false),
     };
     log_admitted(&call, &routes);
--- a/crates/gateway/src/request/run.rs
+++ b/crates/gateway/src/request/run.rs
@@ -50,11 +50,35 @@
     loop {
         let res = try_take_place(gateway, call, attempts, avoid);
         let Err(none) = res else { return res };
+        let limited_for = gateway.limited_for(&call.service);
         if Instant::now() >= until {
-            return Err(none);
+            return Err(limited_for.map_or(none, NoPlace::Limited));
+        }
+        if let Some(limited_for) = limited_for.filter(|_| !attempts.is_repeat()) {
+            return Err(NoPlace::Limited(limited_for));
         }
         let freed = gateway.paths.borrow().freed();
-        let _ = timeout_at(until, freed.notified()).await;
+        let wake_at = limited_for.map_or(until, |wait| until.min(Instant::now() + wait));
+        let _ = timeout_at(wake_at, freed.notified()).await;
+    }
+}
+
+/// Reserves capacity on a path, and takes a permit for its first engine if that names a limit.
+pub(super) async fn wait_for_permitted_place(
+    gateway: &Rc<Gateway>,
+    call: &Call,
+    attempts: &Attempts,
+    avoid: &[Rc<LivePath>],
+    until: Instant,
+) -> Result<PathReservation, NoPlace> {
+    loop {
+        let place = wait_for_place(gateway, call, attempts, avoid, until).await?;
+        let first = place.live.path.first().incarnation.clone();
+        if gateway.take_permit(&first).await.is_ok() {
+            *call.permit.borrow_mut() = gateway.is_limited(&first).then_some(first);
+            return Ok(place);
+        }
+        // Until it may be asked again, the engine isn't chosen.
     }
 }
 
@@ -69,7 +93,9 @@
         return Err(NoPlace::Full);
     }
     let may_take = |live: &Rc<LivePath>| {
-        attempts.may_send_to(&live.path.first().incarnation)
+        let first = &live.path.first().incarnation;
+        attempts.may_send_to(first)
+            && gateway.denied_for(first).is_none()
             && !avoid.iter().any(|other| Rc::ptr_eq(other, live))
     };
     let own = &gateway.settings.data_centre;
--- a/crates/gateway/src/request/run_search.rs
+++ b/crates/gateway/src/request/run_search.rs
@@ -2,7 +2,7 @@
 
 use crate::process::{Gateway, LivePath, PathReservation, check_first, check_path, check_refuser};
 use crate::request::run::{
-    NotStarted, RETRY_AFTER_FULL, Run, send, try_take_place, wait_for_place,
+    NotStarted, RETRY_AFTER_FULL, Run, send, try_take_place, wait_for_permitted_place,
 };
 use crate::request::{
     Call, FailedAttempt, RunningAttempts, abandon_call, forward_answer, log_failed_attempt,
@@ -172,7 +172,7 @@
         }
         self.attempts.forget_lost(|incarnation| self.gateway.is_gone(incarnation));
         let place =
-            wait_for_place(self.gateway, self.call, self.attempts, self.avoid, capacity_until)
+            wait_for_permitted_place(gateway, call, self.attempts, self.avoid, capacity_until)
                 .await;
         let place = place.map_err(|none| self.error_answer_or(NotStarted::NoPlace(none)))?;
         if self.attempts.is_repeat() && !self.gateway.spend_repeat(&self.call.service) {
@@ -191,6 +191,10 @@
         let mut after = self.attempts.clone();
         after.abandon();
         let place = try_take_place(gateway, call, &after, self.avoid).ok()?;
+        // A limit leaves nothing for attempts that may not be needed.
+        if gateway.is_limited(&place.live.path.first().incarnation) {
+            return None;
+        }
         gateway.spend_repeat(&call.service).then_some(place)
     }
 
@@ -227,7 +231,7 @@
     fn on_failed(&mut self, sent: &SentAttempt, failed: &FailedAttempt) {
         log_failed_attempt(self.gateway, self.call, &sent.live.path.first().incarnation, failed);
         self.record_failed(sent, failed.evidence);
-        if !failed.is_held {
+        if !failed.is_held && !failed.is_limited {
             react_to_failure(self.gateway, self.call, &sent.live, failed);
         }
     }
--- a/crates/gateway/src/request/stream.rs
+++ b/crates/gateway/src/request/stream.rs
@@ -70,6 +70,7 @@
         return abandon_call(call, outcome, held_retry_delay(*held_for), &held_reason(call));
     }
     let (why, retry_delay) = match not_started {
+        NotStarted::NoPlace(NoPlace::Limited(wait)) => ("all engines are at their limits", *wait),
         NotStarted::NoPlace(NoPlace::Full) => ("all paths are full", RETRY_AFTER_FULL),
         NotStarted::NoPlace(NoPlace::NoPath) => ("no engines hold all layers", RETRY_AFTER_NO_PATH),
         NotStarted::RetriesExhausted => ("no attempt or retry budget is left", RETRY_AFTER_FULL),
--- a/crates/routing/src/process/limits/permit_bucket.rs
+++ b/crates/routing/src/process/limits/permit_bucket.rs
@@ -1,6 +1,9 @@
 //! Permits to send to an endpoint that named a limit, granted by one gateway for all.
 
 use super::rate_limit::RateLimit;
+use crate::process::Incarnation;
+use serde::{Deserialize, Serialize};
+use sorrellock_core::process::membership::rendezvous;
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
@@ -14,8 +17,16 @@
 const MIN_RETRY: Duration = Duration::from_millis(50);
 const MAX_RETRY: Duration = Duration::from_secs(5);
 
+/// Returns the gateway of `gateways` that grants the permits of an endpoint.
+pub fn permit_keeper(
+    endpoint: &Incarnation,
+    gateways: impl IntoIterator<Item = u64>,
+) -> Option<u64> {
+    rendezvous(endpoint.id.as_bytes(), gateways)
+}
+
 /// Answer to a request for a permit.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Permit {
     /// One request may be sent now.
     Granted,
