The lead's view of the engines travels as changes, and the lead is announced from its first round

Cause: the whole view went to every gateway in one datagram of some 63 KB, which is over what is read. A gateway takes a lead for silent if it has never got a view, even if the lead's messages come, and a new lead announced nothing until all engines had reported. So gateways took the lead in turn, each with a connection to every engine, and small ones were held up and took engines for dead.

Ruled out by reading: probes of expired entries (two gateways each).

Messages now carry the changes of the last 1.2 s with the states before and after them; a gateway that lacks changes reads the whole view from another that has it, and a new lead goes on from its copy. The term is announced apart from the view. A message that can't be sent is an error in the log and counted.

--- a/crates/daemon/tests/gateway/main.rs
+++ b/crates/daemon/tests/gateway/main.rs
@@ -13,6 +13,7 @@
 mod kept_connections;
 mod knowledge;
 mod late;
+mod late_turns;
 mod leaving;
 mod life;
 mod limits;
--- a/crates/gateway/src/process/counters.rs
+++ b/crates/gateway/src/process/counters.rs
@@ -142,6 +142,12 @@
     PermitsDenied => "permits_denied",
     /// Requests for a permit without an answer.
     PermitFailures => "permit_failures",
+    /// Messages to the other gateways that were too long or could not be encoded.
+    PeerMessagesUnsent => "peer_messages_unsent",
+    /// Whole views of the engines read from another gateway.
+    ViewsRead => "views_read",
+    /// Whole views that could not be read.
+    ViewReadFailures => "view_read_failures",
     /// Connections refused because too many were open.
     ConnectionsRefused => "connections_refused",
 }
--- a/crates/gateway/src/process/dump.rs
+++ b/crates/gateway/src/process/dump.rs
@@ -214,9 +214,10 @@
 
 fn lead(gateway: &Gateway, now: Instant) -> Option<LeadDump> {
     let fleet_state = gateway.fleet_state.borrow();
-    let (view, last_contact) = fleet_state.lead(now)?;
-    let Revision { era, count } = view.term;
-    let (is_own, heard_ms) = (gateway.leads.get(), millis(last_contact, now));
+    let (term, last_contact) = fleet_state.views.lead(now.into_std())?;
+    let Revision { era, count } = term;
+    let is_own = gateway.lead_term.get().is_some();
+    let heard_ms = millis(last_contact.into(), now);
     Some(LeadDump { is_own, term: count, era, heard_ms })
 }
 
--- a/crates/gateway/src/process/gateway.rs
+++ b/crates/gateway/src/process/gateway.rs
@@ -9,9 +9,11 @@
 use sorrellock_platform::{Bounds, Client, EndpointLoad, Kind, Settings, Store, StoreEras};
 use sorrellock_routing::process::crashes::{CrashGuard, HeldSync};
 use sorrellock_routing::process::knowledge::Knowledge;
+use sorrellock_routing::process::lead_view::{ViewServing, ViewSync};
 use sorrellock_routing::process::limits::EndpointLimits;
 use sorrellock_routing::process::{
-    FailureEvidence, Incarnation, Incarnations, Leaving, LoopPauses, RetryWindow, StreamPace,
+    FailureEvidence, Incarnation, Incarnations, Leaving, LoopPauses, RetryWindow, Revision,
+    StreamPace,
 };
 use sorrellock_routing::version::{Configuration, ServiceName};
 use spdlog::{info, warn};
@@ -76,8 +78,8 @@
     pub(crate) budgets: RefCell<HashMap<ServiceName, RetryWindow>>,
     /// Pace of the streams of each service. Bounded by the services in the configuration.
     pub(crate) stream_paces: RefCell<HashMap<ServiceName, StreamPace>>,
-    /// Whether this gateway is the lead, which places layers.
-    pub(crate) leads: Cell<bool>,
+    /// The term of this gateway while it is the lead, which places layers.
+    pub(crate) lead_term: Cell<Option<Revision>>,
     /// When this gateway's data from the store was last confirmed complete.
     pub(crate) store_contact: StoreContact,
     /// The newest known era of the store.
@@ -99,6 +101,10 @@
     /// The limits that endpoints named.
     pub(crate) limits: RefCell<EndpointLimits>,
     pub(crate) permits: RefCell<Permits>,
+    /// Decides from whom the lead's view is read.
+    pub(crate) view_sync: RefCell<ViewSync>,
+    /// Bounds the views served to other gateways.
+    pub(crate) view_serving: RefCell<ViewServing>,
     /// Endpoints whose limit can't be read, which has been logged.
     pub(crate) invalid_limits: RefCell<HashSet<Incarnation>>,
     /// The platform's store, once its client exists.
@@ -143,7 +149,7 @@
             breakers: RefCell::new(Breakers::new(SystemClock)),
             budgets: RefCell::default(),
             stream_paces: RefCell::default(),
-            leads: Cell::new(false),
+            lead_term: Cell::default(),
             store_contact: StoreContact::default(),
             eras: StoreEras::default(),
             era_began: Cell::new(None),
@@ -155,6 +161,8 @@
             held_changed: Notify::new(),
             limits: RefCell::default(),
             permits: RefCell::default(),
+            view_sync: RefCell::default(),
+            view_serving: RefCell::default(),
             invalid_limits: RefCell::default(),
             store: RefCell::default(),
             in_flight: Cell::new(0),
--- a/crates/gateway/src/process/listeners.rs
+++ b/crates/gateway/src/process/listeners.rs
@@ -1,7 +1,8 @@
 //! Internal listeners: readiness, metrics, the state dump, and handovers to other gateways.
 
 use crate::process::{
-    Dump, Gateway, HANDOVER_PATH, HELD_PATH, PERMIT_PATH, RELEASE_PATH, read_permit_request,
+    Dump, Gateway, HANDOVER_PATH, HELD_PATH, PERMIT_PATH, RELEASE_PATH, VIEW_PATH,
+    read_permit_request,
 };
 use bytes::Bytes;
 use http::{Method, Request, Response, StatusCode};
@@ -68,6 +69,7 @@
                 Err(err) => (StatusCode::BAD_REQUEST, Bytes::from(format!("content: {err}"))),
             }
         }
+        VIEW_PATH => gateway.view_page(),
         path if req.method() == Method::POST && path.starts_with(PERMIT_PATH) => {
             match read_permit_request(&path[PERMIT_PATH.len()..]) {
                 Some((asker, limit, endpoint)) => {
--- a/crates/gateway/src/process/paths/path_refresh.rs
+++ b/crates/gateway/src/process/paths/path_refresh.rs
@@ -75,7 +75,7 @@
         now: Instant,
     ) -> Vec<Holder> {
         let fleet_state = self.fleet_state.borrow();
-        let has_lead = fleet_state.lead(now).is_some();
+        let has_view = fleet_state.views.is_fresh(now.into_std());
         let mut holders = Vec::new();
         let engines =
             knowledge.open_endpoints(now.into_std()).filter(|engine| engine.service == service);
@@ -86,7 +86,7 @@
             }
             let view = fleet_state.engine(&incarnation, now);
             // An engine that is missing from the lead's view is leaving, or holds no layers yet.
-            let listed = if has_lead { LayerRange::default() } else { endpoint.layers };
+            let listed = if has_view { LayerRange::default() } else { endpoint.layers };
             let layers = view.map_or(listed, |view| view.usable);
             let is_dead = view.is_some_and(|view| view.is_dead);
             if is_dead || layers.is_empty() || fleet_state.is_suspect(&incarnation, now) {
--- a/crates/gateway/src/process/peers/fleet_state.rs
+++ b/crates/gateway/src/process/peers/fleet_state.rs
@@ -2,10 +2,11 @@
 //! reports and the lead's view.
 
 use super::recent_updates::RecentUpdates;
-use crate::process::{EndedIncarnation, EngineView, LeadView, PeerMessage, ReportedSuspect};
+use crate::process::{EndedIncarnation, PeerMessage, ReportedSuspect};
 use sorrellock_core::process::membership::rendezvous_several;
 use sorrellock_platform::Kind;
-use sorrellock_routing::process::{FailureEvidence, Incarnation, Revision, probers_before};
+use sorrellock_routing::process::lead_view::{EngineView, EngineViews};
+use sorrellock_routing::process::{FailureEvidence, Incarnation, probers_before};
 use std::collections::HashMap;
 use std::fmt;
 use std::net::SocketAddr;
@@ -22,8 +23,6 @@
 const SUCCESSOR_TIMEOUT: Duration = Duration::from_secs(15);
 /// Expected time until an overdue successor is ready.
 const SUCCESSOR_OVERDUE: Duration = Duration::from_millis(500);
-/// How long the lead's last view is used; after that the list of endpoints is fresher.
-pub(crate) const LEAD_VIEW_TIMEOUT: Duration = Duration::from_secs(4);
 /// How long an endpoint that failed an attempt gets no new work, unless the lead reports more about it.
 pub(crate) const SUSPICION_DURATION: Duration = Duration::from_millis(1_000);
 
@@ -136,10 +135,8 @@
     ended: RecentUpdates<EndedIncarnation>,
     /// Endpoints without an entry that reported to this gateway that they are leaving.
     left: RecentUpdates<Incarnation>,
-    /// The lead's last view, and when the lead last sent a message.
-    lead: Option<(LeadView, Instant)>,
-    /// Index of each engine in the lead's view.
-    lead_index: HashMap<Incarnation, usize>,
+    /// The lead's view of the engines.
+    pub(crate) views: EngineViews,
 }
 
 impl FleetState {
@@ -358,38 +355,8 @@
         rendezvous_several(id.as_bytes(), all, PROBERS_PER_ENDPOINT).contains(&incarnation)
     }
 
-    /// Applies a lead's view, unless a lead with a higher term was active recently. Returns whether it was applied.
-    pub(crate) fn apply_lead(&mut self, view: LeadView, now: Instant) -> bool {
-        let newer = |(known, last_contact): &(LeadView, Instant)| {
-            known.term > view.term && now - *last_contact < LEAD_VIEW_TIMEOUT
-        };
-        if self.lead.as_ref().is_some_and(newer) {
-            return false;
-        }
-        let incarnations = view.engines.iter().map(|engine| engine.incarnation.clone());
-        self.lead_index = incarnations.zip(0..).collect();
-        self.lead = Some((view, now));
-        true
-    }
-
-    /// Extends the current view if its lead, given by `term`, still leads.
-    pub(crate) fn extend_lead(&mut self, term: Revision, now: Instant) {
-        if let Some((view, last_contact)) = &mut self.lead
-            && view.term == term
-        {
-            *last_contact = now;
-        }
-    }
-
-    /// Returns the lead's last view, if it is fresh, and the lead's last contact.
-    pub(crate) fn lead(&self, now: Instant) -> Option<(&LeadView, Instant)> {
-        let (view, last_contact) = self.lead.as_ref()?;
-        (now - *last_contact < LEAD_VIEW_TIMEOUT).then_some((view, *last_contact))
-    }
-
     /// Returns the lead's view of an engine, if it is fresh.
     pub(crate) fn engine(&self, incarnation: &Incarnation, now: Instant) -> Option<&EngineView> {
-        let (view, _) = self.lead(now)?;
-        view.engines.get(*self.lead_index.get(incarnation)?)
+        self.views.engine(incarnation, now.into_std())
     }
 }
--- a/crates/gateway/src/process/peers/mod.rs
+++ b/crates/gateway/src/process/peers/mod.rs
@@ -7,8 +7,10 @@
 mod peers;
 mod recent_updates;
 mod registration;
+mod view_exchange;
 
 pub(crate) use catch_up::HANDOVER_PATH;
 pub(crate) use fleet_state::*;
 pub(crate) use peer_message::*;
 pub(crate) use peers::Peers;
+pub(crate) use view_exchange::*;
--- a/crates/gateway/src/process/peers/peer_message.rs
+++ b/crates/gateway/src/process/peers/peer_message.rs
@@ -1,10 +1,12 @@
 //! The datagrams that gateways send each other.
 
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use sorrellock_routing::process::crashes::{CrashDigest, CrashReports};
+use sorrellock_routing::process::lead_view::{EngineView, ViewMark, ViewUpdate};
 use sorrellock_routing::process::limits::LimitReport;
 use sorrellock_routing::process::{
-    FailureEvidence, Incarnation, Known, LayerRange, Revision, StartMillis, StoreEra,
+    FailureEvidence, Incarnation, Known, Revision, StartMillis, StoreEra,
 };
 
 /// Format version of the messages; other versions can't be decoded. Raise it with every change of the fields.
@@ -56,11 +58,14 @@
     pub(crate) left_before_era: Vec<Incarnation>,
     /// The sender's term, if it is the lead.
     pub(crate) lead_term: Option<Revision>,
-    /// The lead's view, if it changed or wasn't sent for a while.
+    /// The lead's view, if the sender is a lead of the build before.
     pub(crate) lead: Option<LeadView>,
     /// Encoded after all other fields.
     #[serde(skip)]
     pub(crate) extension: Extension,
+    /// Encoded after the extension.
+    #[serde(skip)]
+    pub(crate) view: ViewPart,
 }
 
 /// Fields that follow those of the format version. Gateways that don't know them skip them, and those that do read
@@ -76,11 +81,21 @@
     pub(crate) limits: Vec<LimitReport>,
 }
 
+/// What the sender has of the lead's view of the engines.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub(crate) struct ViewPart {
+    /// The state of its copy.
+    pub(crate) mark: ViewMark,
+    /// The latest changes, if the sender is the lead.
+    pub(crate) update: Option<ViewUpdate>,
+}
+
 impl PeerMessage {
     /// Encodes the message, after a byte for the format version.
     pub(crate) fn encode(&self) -> Result<Vec<u8>, postcard::Error> {
         let buf = postcard::to_extend(self, vec![FORMAT])?;
-        postcard::to_extend(&self.extension, buf)
+        let buf = postcard::to_extend(&self.extension, buf)?;
+        postcard::to_extend(&self.view, buf)
     }
 
     /// Decodes a message.
@@ -91,14 +106,20 @@
         }
         let (message, rest) =
             postcard::take_from_bytes(message).map_err(|_| Unreadable::Malformed)?;
-        let extension = match rest {
-            [] => Extension::default(),
-            rest => postcard::from_bytes(rest).map_err(|_| Unreadable::Malformed)?,
-        };
-        Ok(PeerMessage { extension, ..message })
+        let (extension, rest) = take_part(rest)?;
+        let (view, _) = take_part(rest)?;
+        Ok(PeerMessage { extension, view, ..message })
     }
 }
 
+/// Decodes a part that gateways of earlier builds don't send.
+fn take_part<T: Default + DeserializeOwned>(buf: &[u8]) -> Result<(T, &[u8]), Unreadable> {
+    if buf.is_empty() {
+        return Ok((T::default(), buf));
+    }
+    postcard::take_from_bytes(buf).map_err(|_| Unreadable::Malformed)
+}
+
 /// An engine that the reporting gateway suspects.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(crate) struct ReportedSuspect {
@@ -127,7 +148,7 @@
     pub(crate) streams: u32,
 }
 
-/// The lead's view of the engines.
+/// The whole view of a lead of the build before, in place of [`ViewPart`].
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub(crate) struct LeadView {
     /// Revision of the lead's object in the store: the highest one wins.
@@ -135,16 +156,3 @@
     /// The engines.
     pub(crate) engines: Vec<EngineView>,
 }
-
-/// The lead's view of one engine.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub(crate) struct EngineView {
-    /// The engine, in the incarnation that answered the lead.
-    pub(crate) incarnation: Incarnation,
-    /// The layers that requests may use.
-    pub(crate) usable: LayerRange,
-    /// Step time relative to engines of the same kind.
-    pub(crate) slowness: f32,
-    /// Whether the lead gets no answers from it.
-    pub(crate) is_dead: bool,
-}
--- a/crates/gateway/src/process/peers/peers.rs
+++ b/crates/gateway/src/process/peers/peers.rs
@@ -2,11 +2,14 @@
 //! how recent each gateway's data from the store is.
 
 use crate::process::{
-    Count, Extension, Gateway, HeadLoad, LeadView, Load, Peer, PeerMessage, Unreadable,
+    Count, Extension, Gateway, HeadLoad, Load, Peer, PeerMessage, Unreadable, ViewPart,
 };
 use sorrellock_platform::Kind;
+use sorrellock_routing::process::lead_view::{
+    EngineViews, ViewChange, ViewLog, ViewMark, ViewUpdate,
+};
 use sorrellock_routing::process::{Incarnation, UpdateSources};
-use spdlog::{info, warn};
+use spdlog::{error, info, warn};
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
@@ -23,8 +26,6 @@
 const MANY_GATEWAYS: u32 = 12;
 /// Upper bound of the send interval: a silent lead is replaced after a second.
 const MAX_SEND_INTERVAL: Duration = Duration::from_millis(250);
-/// Interval at which the lead repeats an unchanged view, for gateways that missed the last message.
-const VIEW_INTERVAL: Duration = Duration::from_millis(700);
 /// Maximum number of senders of unreadable messages to remember, so that each is logged once: more than a fleet
 /// has gateways.
 const MAX_LOGGED_UNREADABLE: usize = 1_024;
@@ -36,14 +37,13 @@
     pub(super) gateway: Rc<Gateway>,
     pub(super) socket: UdpSocket,
     pub(super) sequence: Cell<u64>,
-    /// The view that this gateway last sent as the lead, and when.
-    pub(super) sent_view: RefCell<Option<(LeadView, Instant)>>,
     /// Peer addresses of the gateways that are registered in the store.
     pub(super) registered: RefCell<HashSet<SocketAddr>>,
     /// This gateway's view of the engines while it is the lead.
-    pub(super) own_view: Rc<RefCell<Option<LeadView>>>,
+    pub(super) view_log: Rc<RefCell<Option<ViewLog>>>,
     /// Chooses the gateway to catch up from.
     pub(super) sources: RefCell<UpdateSources>,
+    is_unsendable_logged: Cell<bool>,
     /// Senders whose unreadable messages have been logged.
     logged_unreadable: RefCell<HashSet<SocketAddr>>,
 }
@@ -52,16 +52,16 @@
     pub(crate) fn new(
         gateway: Rc<Gateway>,
         socket: UdpSocket,
-        own_view: Rc<RefCell<Option<LeadView>>>,
+        view_log: Rc<RefCell<Option<ViewLog>>>,
     ) -> Peers {
         Peers {
             gateway,
             socket,
             sequence: Cell::new(0),
-            sent_view: RefCell::default(),
             registered: RefCell::default(),
-            own_view,
+            view_log,
             sources: RefCell::default(),
+            is_unsendable_logged: Cell::default(),
             logged_unreadable: RefCell::default(),
         }
     }
@@ -81,11 +81,24 @@
 
     fn send_to_all(&self) {
         let message = self.message();
-        let Ok(buf) = message.encode() else { return };
+        let buf = match message.encode() {
+            Ok(buf) if buf.len() <= MAX_DATAGRAM => buf,
+            Ok(buf) => return self.on_unsendable(&format!("it has {} bytes", buf.len())),
+            Err(err) => return self.on_unsendable(&err.to_string()),
+        };
         for addr in self.targets() {
             // A lost message is superseded by the next one.
             let _ = self.socket.try_send_to(&buf, addr);
         }
+        self.is_unsendable_logged.set(false);
+    }
+
+    /// Logs the first of a series of messages that can't be sent.
+    fn on_unsendable(&self, why: &str) {
+        self.gateway.counters.add(Count::PeerMessagesUnsent);
+        if !self.is_unsendable_logged.replace(true) {
+            error!("message to the other gateways not sent", kv: { why });
+        }
     }
 
     fn message(&self) -> PeerMessage {
@@ -123,23 +136,17 @@
             ended,
             left,
             left_before_era: gateway.knowledge.borrow().left_before_era(now.into_std()),
-            lead_term: self.own_view.borrow().as_ref().map(|view| view.term),
-            lead: self.view_to_send(now),
+            lead_term: gateway.lead_term.get(),
+            lead: None,
             extension,
+            view: self.view_part(now),
         }
     }
 
-    /// Returns the lead's view if it changed or wasn't sent for [`VIEW_INTERVAL`].
-    fn view_to_send(&self, now: Instant) -> Option<LeadView> {
-        let view = self.own_view.borrow().clone()?;
-        let mut sent = self.sent_view.borrow_mut();
-        let is_sent =
-            |(before, at): &(LeadView, Instant)| *before == view && now - *at < VIEW_INTERVAL;
-        if sent.as_ref().is_some_and(is_sent) {
-            return None;
-        }
-        *sent = Some((view.clone(), now));
-        Some(view)
+    fn view_part(&self, now: Instant) -> ViewPart {
+        let mark = self.gateway.fleet_state.borrow().views.mark();
+        let update = self.view_log.borrow_mut().as_mut().map(|log| log.update(now.into_std()));
+        ViewPart { mark, update }
     }
 
     fn targets(&self) -> HashSet<SocketAddr> {
@@ -225,14 +232,7 @@
         let reported = before.map_or(&[][..], |peer| &peer.message.suspects);
         let has_new_suspects = message.suspects.iter().any(|report| !reported.contains(report));
         let mut is_changed = false;
-        if let Some(term) = message.lead_term {
-            fleet_state.extend_lead(term, now);
-        }
-        if let Some(view) = &message.lead {
-            let known = fleet_state.lead(now);
-            is_changed = known.is_none_or(|(known, _)| known.engines != view.engines);
-            is_changed &= fleet_state.apply_lead(view.clone(), now);
-        }
+        is_changed |= receive_view(&mut fleet_state.views, &message, now);
         let leaving = message.leaving.iter();
         let leaving = leaving
             .filter(|incarnation| !fleet_state.is_leaving(incarnation, now))
@@ -272,3 +272,19 @@
         }
     }
 }
+
+/// Applies what a message says of the lead and its view. Returns whether the engines changed.
+fn receive_view(views: &mut EngineViews, message: &PeerMessage, now: Instant) -> bool {
+    let now = now.into_std();
+    if let Some(term) = message.lead_term {
+        views.on_lead(term, now);
+    }
+    let whole = message.lead.as_ref().map(|lead| ViewUpdate {
+        base: ViewMark::default(),
+        mark: ViewMark { term: lead.term, version: message.sequence },
+        changed: lead.engines.clone(),
+        removed: Vec::new(),
+    });
+    let update = message.view.update.as_ref().or(whole.as_ref());
+    update.is_some_and(|update| views.on_update(update, now) == ViewChange::Changed)
+}
--- a/crates/gateway/src/process/placer/lead.rs
+++ b/crates/gateway/src/process/placer/lead.rs
@@ -246,12 +246,13 @@
 
     fn announced_term(&self) -> Option<Revision> {
         let fleet_state = self.gateway.fleet_state.borrow();
-        fleet_state.lead(Instant::now()).map(|(view, _)| view.term)
+        fleet_state.views.lead(Instant::now().into_std()).map(|(term, _)| term)
     }
 
     fn lead_last_contact(&self) -> Option<Instant> {
         let fleet_state = self.gateway.fleet_state.borrow();
-        fleet_state.lead(Instant::now()).map(|(_, last_contact)| last_contact)
+        let lead = fleet_state.views.lead(Instant::now().into_std());
+        lead.map(|(_, last_contact)| last_contact.into())
     }
 
     /// Returns how many live gateways precede this one in order of name.
--- a/crates/gateway/src/process/placer/placer.rs
+++ b/crates/gateway/src/process/placer/placer.rs
@@ -3,8 +3,9 @@
 use super::lead::Lead;
 use super::reports::{request_report, suspects};
 use super::{Engine, Engines, Planned};
-use crate::process::{EngineView, Gateway, LeadView};
+use crate::process::Gateway;
 use sorrellock_platform::{Client, Store};
+use sorrellock_routing::process::lead_view::{EngineView, ViewChange, ViewLog};
 use sorrellock_routing::process::placement::{is_any_chain_scarce, next_steps};
 use sorrellock_routing::process::{
     DataCentre, Endpoint, EndpointId, Incarnation, LayerRange, Revision,
@@ -31,7 +32,8 @@
 /// Places layers while this gateway leads.
 pub(crate) struct Placer {
     pub(super) gateway: Rc<Gateway>,
-    pub(super) own_view: Rc<RefCell<Option<LeadView>>>,
+    /// The view that this gateway publishes while it leads.
+    pub(super) view_log: Rc<RefCell<Option<ViewLog>>>,
     pub(super) engines: Engines,
     /// Whether every engine has reported once or is not expected to, so that the lead's view is complete.
     pub(super) is_complete: bool,
@@ -46,10 +48,10 @@
 }
 
 impl Placer {
-    pub(crate) fn new(gateway: Rc<Gateway>, own_view: Rc<RefCell<Option<LeadView>>>) -> Placer {
+    pub(crate) fn new(gateway: Rc<Gateway>, view_log: Rc<RefCell<Option<ViewLog>>>) -> Placer {
         Placer {
             gateway,
-            own_view,
+            view_log,
             engines: Rc::default(),
             is_complete: false,
             plans: HashMap::new(),
@@ -72,8 +74,8 @@
 
     /// Clears all state: the next lead reads it from the engines.
     fn reset(&mut self) {
-        if self.gateway.leads.replace(false) {
-            *self.own_view.borrow_mut() = None;
+        if self.gateway.lead_term.take().is_some() {
+            *self.view_log.borrow_mut() = None;
             self.is_complete = false;
             self.engines.borrow_mut().clear();
             self.plans.clear();
@@ -85,6 +87,8 @@
 
     async fn round(&mut self, term: Revision) {
         let now = Instant::now();
+        self.gateway.lead_term.set(Some(term));
+        self.gateway.fleet_state.borrow_mut().views.on_lead(term, now.into_std());
         let services = self.models();
         self.sync_engines(now);
         self.request_reports(now);
@@ -219,7 +223,6 @@
 
     /// Publishes the lead's view to all gateways, this one included.
     fn publish(&mut self, term: Revision) {
-        self.gateway.leads.set(true);
         let engines = self.engines.borrow();
         self.is_complete |= !engines.is_empty() && engines.values().all(Engine::is_resolved);
         if !self.is_complete {
@@ -227,7 +230,7 @@
         }
         let resolved = engines.iter().filter(|(_, engine)| engine.is_resolved());
         let knowledge = self.gateway.knowledge.borrow();
-        let mut views: Vec<EngineView> = resolved
+        let views: Vec<EngineView> = resolved
             .map(|(incarnation, engine)| EngineView {
                 incarnation: incarnation.clone(),
                 // Excludes it on gateways, too, that don't know yet that its entry is unusable.
@@ -240,13 +243,14 @@
             })
             .collect();
         drop(knowledge);
-        views.sort_by(|a, b| a.incarnation.cmp(&b.incarnation));
-        let view = LeadView { term, engines: views };
-        let is_changed =
-            self.own_view.borrow().as_ref().is_none_or(|old| old.engines != view.engines);
-        *self.own_view.borrow_mut() = Some(view.clone());
-        self.gateway.fleet_state.borrow_mut().apply_lead(view, Instant::now());
-        if is_changed {
+        let now = Instant::now().into_std();
+        let mut fleet_state = self.gateway.fleet_state.borrow_mut();
+        let mut log = self.view_log.borrow_mut();
+        let log = log.get_or_insert_with(|| ViewLog::new(fleet_state.views.snapshot()));
+        let update = log.publish(term, views, now);
+        let change = fleet_state.views.on_update(&update, now);
+        drop(fleet_state);
+        if change == ViewChange::Changed {
             self.gateway.refresh_paths();
         }
     }
--- a/crates/gateway/src/process/run.rs
+++ b/crates/gateway/src/process/run.rs
@@ -4,7 +4,7 @@
 use crate::process::placer::Placer;
 use crate::process::{
     Count, Gateway, Peers, Phase, exchange_held, expire_entries, follow, follow_eras, measure_lag,
-    serve_internal_pages, set_up_log, sync_held, unix_now, watch_paths,
+    read_views, serve_internal_pages, set_up_log, sync_held, unix_now, watch_paths,
 };
 use sorrellock_http::listen;
 use sorrellock_platform::{Kind, Limits, Settings, Store, parse_settings};
@@ -173,8 +173,8 @@
     let socket = UdpSocket::bind(addr).await;
     let socket = socket.map_err(|err| io_error(format!("messages at {addr}"), err))?;
     *gateway.store.borrow_mut() = Some(store.clone());
-    let own_view = Rc::new(RefCell::new(None));
-    let peers = Rc::new(Peers::new(Rc::clone(gateway), socket, Rc::clone(&own_view)));
+    let view_log = Rc::new(RefCell::new(None));
+    let peers = Rc::new(Peers::new(Rc::clone(gateway), socket, Rc::clone(&view_log)));
     tasks.spawn_local(follow(Rc::clone(gateway), store.clone(), Kind::Configuration));
     tasks.spawn_local(follow(Rc::clone(gateway), store.clone(), Kind::Endpoints));
     tasks.spawn_local(follow_eras(Rc::clone(gateway)));
@@ -183,9 +183,10 @@
     tasks.spawn_local(Rc::clone(&peers).listen());
     tasks.spawn_local(Rc::clone(&peers).catch_up());
     tasks.spawn_local(exchange_held(Rc::clone(gateway)));
+    tasks.spawn_local(read_views(Rc::clone(gateway)));
     tasks.spawn_local(sync_held(Rc::clone(gateway), store.clone()));
     tasks.spawn_local(peers.send_messages());
-    tasks.spawn_local(Placer::new(Rc::clone(gateway), own_view).run(store));
+    tasks.spawn_local(Placer::new(Rc::clone(gateway), view_log).run(store));
     Ok(())
 }
 
--- a/crates/gateway/src/process/store/watch_sharing.rs
+++ b/crates/gateway/src/process/store/watch_sharing.rs
@@ -65,7 +65,7 @@
         let fleet_state = gateway.fleet_state.borrow();
         let watchers = fleet_state.watchers(WATCHER_MAX_AGE, now);
         let may_rely = at > Revision::default()
-            && !gateway.leads.get()
+            && gateway.lead_term.get().is_none()
             && fleet_state.gateways(now) >= MANY_GATEWAYS
             && fleet_state.rank(&gateway.settings.instance, now) >= WATCHERS
             && watchers >= MIN_WATCHERS
@@ -75,7 +75,7 @@
 
     /// Returns the pause after a watch that brought changes.
     pub(super) fn pause(&self) -> Duration {
-        if self.kind != Kind::Endpoints || self.gateway.leads.get() {
+        if self.kind != Kind::Endpoints || self.gateway.lead_term.get().is_some() {
             return WATCH_PAUSE;
         }
         let gateways = self.gateway.fleet_state.borrow().gateways(Instant::now());
--- a/crates/routing/src/process/mod.rs
+++ b/crates/routing/src/process/mod.rs
@@ -10,6 +10,7 @@
 mod incarnations;
 pub mod knowledge;
 mod lead_term;
+pub mod lead_view;
 mod leaving;
 pub mod limits;
 mod loop_pauses;
