Links: a peer refuses messages before it is reported as unreachable

What callers saw: messages to a peer that had just been reported as unreachable were taken, lost and counted, where the sender could have known at once.

Cause: Writer::connect reported the link, and the queue was marked as down after it.

--- a/crates/wire/src/connection/peer_queue.rs
+++ b/crates/wire/src/connection/peer_queue.rs
@@ -143,6 +143,9 @@
             state.open = sent && now;
             if !sent {
                 self.refuse_for_a_while(&mut state);
+                drop(state);
+                // Whoever gets the report is refused from then on.
+                self.writer.lock().unwrap().report_unreachable();
             }
         }
         // The end of the link closes its connections, which is told as any other close is.
--- a/crates/wire/src/connection/writer.rs
+++ b/crates/wire/src/connection/writer.rs
@@ -45,7 +45,7 @@
     }
 
     /// Writes what is left from before, and messages, if any. Connects first where needed, and
-    /// waits as long as a send may take. False if the peer can't be reached.
+    /// waits as long as a send may take. False if the peer can't be reached, which is not reported yet.
     pub fn write(&mut self, to: Incarnation, messages: Vec<Message>) -> bool {
         let count = messages.len() as u64;
         self.drop_closed();
@@ -130,10 +130,14 @@
     fn connect(&mut self) {
         let note = ClosedNote::new(self.peer, self.closed.clone(), self.counters.clone());
         self.open = self.dial.dial(self.peer, note.clone());
-        if self.open.is_none() {
+        self.note = Some(note);
+    }
+
+    /// Reports that the peer can't be reached, after [`write`](Self::write) found it.
+    pub fn report_unreachable(&self) {
+        if let Some(note) = &self.note {
             note.tell();
         }
-        self.note = Some(note);
     }
 
     fn count_sent(&self, messages: u64, bytes: usize) {
--- a/crates/wire/tests/links.rs
+++ b/crates/wire/tests/links.rs
@@ -67,6 +67,7 @@
     messages_of_many_threads_all_arrive,
     a_peer_that_ends_is_told_at_once,
     a_peer_that_was_never_there_is_told,
+    peers_that_are_reported_as_unreachable_refuse_the_next_message,
     a_full_queue_refuses_and_counts,
     a_peer_that_restarts_under_its_address_is_reached_again,
     a_frozen_receiver_does_not_block_sends_to_others,
@@ -124,6 +125,20 @@
     a.wait_for("messages_lost", 1);
 }
 
+fn peers_that_are_reported_as_unreachable_refuse_the_next_message(kind: LinkKind) {
+    let a = Node::start(kind);
+
+    for _ in 0..300 {
+        let nobody = Peer { addr: (new_ip(), 9).into(), incarnation: 1 };
+        a.send(nobody, 1).unwrap();
+        assert_eq!(a.closed.recv_timeout(WAIT), Ok(nobody.addr));
+
+        let next = a.send(nobody, 2);
+
+        assert_eq!(next, Err(LinkError::Down { peer: nobody.addr }));
+    }
+}
+
 fn a_full_queue_refuses_and_counts(kind: LinkKind) {
     let frozen = TcpListener::bind(free_addr()).unwrap();
     let to = Peer { addr: frozen.local_addr().unwrap(), incarnation: 0 };
