The lead's work is bounded: reports under way, reports a second, pauses between rounds

What users saw: with 2,950 engines a small gateway that took the lead found 41 engines dead ("no connection in 250ms") within a tenth of a second, as it opened a connection to all of them at once; each report woke a round over all engines.

Now 64 reports are under way at most, urgent ones and those that waited longest first; 300 a second while nothing changes; a round is followed by a pause of four times its length, and a report wakes the next one only if it changes what plans depend on.

--- a/crates/gateway/src/process/placer/engine.rs
+++ b/crates/gateway/src/process/placer/engine.rs
@@ -91,6 +91,14 @@
         }
     }
 
+    /// Returns what plans depend on.
+    pub(super) fn planned_state(&self) -> impl PartialEq + use<> {
+        let report = self.report.as_ref();
+        let reported = report.map(|report| (report.layers, report.is_busy, report.orders_begun));
+        let slowness = report.map(|report| report.slowness);
+        (reported, slowness, self.is_dead, self.is_unidentified, self.pending_order, self.failures)
+    }
+
     pub(super) fn is_moving(&self) -> bool {
         self.pending_order.is_some() || self.report.as_ref().is_none_or(|report| report.is_busy)
     }
--- a/crates/gateway/src/process/placer/placer.rs
+++ b/crates/gateway/src/process/placer/placer.rs
@@ -16,10 +16,15 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::time::{Instant, timeout};
+use tokio::time::{Instant, sleep, timeout};
 
 /// How often an engine's report is requested while nothing changes; each report has a cost.
 const REPORT_INTERVAL: Duration = Duration::from_millis(1_500);
+/// Reports a second, of all engines, that are requested while nothing changes.
+const MAX_REPORTS_PER_S: u32 = 300;
+/// Reports that are requested at once: a small machine that opens more connections than it can handle takes engines for
+/// dead.
+const MAX_PENDING_REPORTS: usize = 64;
 /// The same while the engine's layers move, its last request failed, or it is suspected.
 const REPORT_INTERVAL_MOVING: Duration = Duration::from_millis(150);
 /// Engines that change layers at once while no request waits for it: concurrent loads slow each other down.
@@ -28,6 +33,8 @@
 const MAX_MOVES_SCARCE: usize = 8;
 /// The longest pause between two rounds; a change of any engine ends it.
 const ROUND_PAUSE: Duration = Duration::from_millis(100);
+/// A pause is at least this many times as long as the round before it: requests are served in the pauses.
+const MIN_PAUSE_PER_ROUND: u32 = 4;
 
 /// Places layers while this gateway leads.
 pub(crate) struct Placer {
@@ -99,7 +106,9 @@
             }
         }
         self.publish(term);
+        let took = now.elapsed();
         let changed = self.gateway.engines_changed.notified();
+        sleep(took * MIN_PAUSE_PER_ROUND).await;
         let _ = timeout(ROUND_PAUSE, changed).await;
     }
 
@@ -150,16 +159,25 @@
         let suspects = suspects(&self.gateway, now);
         let knowledge = self.gateway.knowledge.borrow();
         let mut engines = self.engines.borrow_mut();
+        let calm_interval =
+            REPORT_INTERVAL.max(Duration::from_secs(1) * engines.len() as u32 / MAX_REPORTS_PER_S);
+        let pending = engines.values().filter(|engine| engine.is_request_pending).count();
+        let mut due = Vec::new();
         for (incarnation, engine) in engines.iter_mut() {
             let is_urgent =
                 engine.is_moving() || engine.failures > 0 || suspects.contains(incarnation);
-            let interval = if is_urgent { REPORT_INTERVAL_MOVING } else { REPORT_INTERVAL };
+            let interval = if is_urgent { REPORT_INTERVAL_MOVING } else { calm_interval };
             let is_due =
                 engine.requested_at.is_none_or(|requested_at| now - requested_at >= interval);
             // An engine without a usable entry keeps its last known state.
-            if engine.is_request_pending || !is_due || knowledge.is_unusable(&incarnation.id) {
-                continue;
+            if !engine.is_request_pending && is_due && !knowledge.is_unusable(&incarnation.id) {
+                due.push((!is_urgent, engine.requested_at, incarnation, engine));
             }
+        }
+        // Urgent ones first, then those that have waited longest.
+        due.sort_by_key(|(is_calm, requested_at, ..)| (*is_calm, *requested_at));
+        let free = MAX_PENDING_REPORTS.saturating_sub(pending);
+        for (_, _, incarnation, engine) in due.into_iter().take(free) {
             engine.is_request_pending = true;
             engine.requested_at = Some(now);
             let request_report = request_report(
--- a/crates/gateway/src/process/placer/reports.rs
+++ b/crates/gateway/src/process/placer/reports.rs
@@ -43,6 +43,7 @@
     let mut engines = engines.borrow_mut();
     let Some(engine) = engines.get_mut(&incarnation) else { return };
     engine.is_request_pending = false;
+    let before = engine.planned_state();
     match res {
         Ok(report) => {
             engine.silence = PeerSilence::new(REPORT_TIMEOUT);
@@ -63,8 +64,13 @@
             on_report_failed(engine, &incarnation, &err, max_failures);
         }
     }
+    let is_changed = engine.planned_state() != before;
+    let is_last = !engines.values().any(|engine| engine.is_request_pending);
     drop(engines);
-    gateway.engines_changed.notify_waiters();
+    // The next round plans for the change, or requests further reports.
+    if is_changed || is_last {
+        gateway.engines_changed.notify_waiters();
+    }
 }
 
 pub(super) fn on_report(engine: &mut Engine, incarnation: &Incarnation, report: EngineReport) {
