Tests: a held request's record lists all engines that ended under it, and none after the stable window

an_operator_sees_and_releases_a_held_request expected three engines exactly. Sends before the third crash are allowed, and so is what they crash.

--- a/crates/daemon/tests/gateway/crashing_requests.rs
+++ b/crates/daemon/tests/gateway/crashing_requests.rs
@@ -95,6 +95,12 @@
     sends.iter().filter(|at| **at > since).count()
 }
 
+/// What gateways logged of the ends of endpoints.
+fn crash_lines(gateways: &[GatewayProcess]) -> String {
+    let lines = gateways.iter().flat_map(|gateway| gateway.lines(&["\"endpoint ended under"]));
+    lines.collect::<Vec<_>>().join("\n")
+}
+
 /// Has the request crash engines until all gateways hold it back.
 fn crash_until_held(fleet: &Fleet, gateways: &[GatewayProcess]) {
     with_revival(fleet, &[], || {
@@ -185,7 +191,10 @@
     let released = ureq::post(url).send_empty().expect("an answer").into_body().read_to_string();
 
     assert_eq!(before.len(), GATEWAYS);
-    assert_eq!(before[0]["endpoints"].as_array().map(Vec::len), Some(MAX_CRASHES));
+    let crashes = engine_crashes(&fleet);
+    let third = last_allowed_crash(crashes.clone()).expect("three crashes");
+    assert_eq!(before[0]["endpoints"].as_array().map(Vec::len), Some(crashes.len()));
+    assert_eq!(count_since(&crashes, third + STABLE_WINDOW), 0, "{}", crash_lines(&gateways));
     assert!(released.expect("text").contains("\"was_held\":true"));
     for gateway in &gateways {
         wait_for("the release to be known", || held(gateway).is_none());
@@ -233,7 +242,7 @@
     println!("{sent} innocent requests, {served} served, {held} held back");
     assert_eq!(held, 0, "of {sent}");
     // Some are cut by the engines that end before the request is held back.
-    assert!(served * 10 >= sent * 9, "{served} of {sent}");
+    assert!(served * 10 >= sent * 9, "{served} of {sent}:\n{}", crash_lines(&gateways));
 }
 
 fn successors(gateways: &[GatewayProcess], store: &FakeStore) -> Vec<GatewayProcess> {
