Command line: requests that weren't served in time or at all, by cause, from logs

Causes are told apart by what a request's lines say: sends, moves, waits for repairs, first event, longest pause, outcome. CSV by period.

--- a/crates/cli/src/cli/args.rs
+++ b/crates/cli/src/cli/args.rs
@@ -26,6 +26,7 @@
             Command::new("try")
                 .about("Runs the whole path in one process, on stand-ins, and checks it"),
         )
+        .subcommand(explain())
         .subcommand(completions())
 }
 
@@ -123,6 +124,24 @@
     Command::new("dump").about("Prints the whole state of each daemon named by --daemons, as JSON")
 }
 
+fn explain() -> Command {
+    let ms = |name, default, help| {
+        named(name)
+            .value_name("MS")
+            .default_value(default)
+            .value_parser(value_parser!(u64))
+            .help(help)
+    };
+    let log = Arg::new("log").value_name("LOG").required(true).num_args(1..);
+    Command::new("explain")
+        .about("Counts requests that gateways didn't serve in time or at all, by cause, from their logs")
+        .arg(log.help("Logs of gateways; -: standard input").value_hint(ValueHint::FilePath))
+        .arg(ms("first-event-ms", "600", "Time until a stream's first event that callers accept"))
+        .arg(ms("pause-ms", "300", "Pause between two events that callers accept"))
+        .arg(ms("period-ms", "2000", "Length of the periods in the CSV"))
+        .arg(named("csv").value_name("FILE").help("Writes requests by period and cause there"))
+}
+
 fn completions() -> Command {
     let shell = Arg::new("shell").value_name("SHELL").required(true);
     Command::new("completions")
--- a/crates/cli/src/cli/run.rs
+++ b/crates/cli/src/cli/run.rs
@@ -1,6 +1,7 @@
 //! Starts what the arguments ask for.
 
 use crate::cli::{Exit, command};
+use crate::explain;
 use crate::operate::{self, OperatorCx};
 use crate::trial;
 use clap::ArgMatches;
@@ -21,6 +22,7 @@
     match name {
         "try" => run_trial(),
         "completions" => print_completions(args),
+        "explain" => run_explain(args),
         _ => run_operation(name, args),
     }
     .into()
@@ -36,6 +38,16 @@
     }
 }
 
+fn run_explain(args: &ArgMatches) -> Exit {
+    match explain::run(args) {
+        Ok(()) => Exit::Done,
+        Err(err) => {
+            eprintln!("sorrellock: {err}");
+            Exit::Refused
+        }
+    }
+}
+
 fn run_operation(name: &str, args: &ArgMatches) -> Exit {
     let (sub, nested) = args.subcommand().unwrap_or(("", args));
     let cx = OperatorCx::new(nested);
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -1,5 +1,6 @@
 //! The operators' command line of sorrellock.
 
 pub mod cli;
+pub mod explain;
 pub mod operate;
 pub mod trial;
--- a/crates/cli/src/operate/mod.rs
+++ b/crates/cli/src/operate/mod.rs
@@ -13,6 +13,7 @@
 
 pub use operate_error::*;
 pub use operator_cx::*;
+pub(crate) use output::aligned;
 pub use table::parse_edits;
 pub use table_csv::{read_csv, write_csv};
 
--- a/crates/cli/src/operate/output.rs
+++ b/crates/cli/src/operate/output.rs
@@ -45,7 +45,7 @@
 }
 
 /// Columns aligned, without lines: what scripts of the shell can cut, too.
-pub(super) fn aligned(head: &[&str], rows: impl IntoIterator<Item = Vec<String>>) -> String {
+pub(crate) fn aligned(head: &[&str], rows: impl IntoIterator<Item = Vec<String>>) -> String {
     let mut table = Table::new();
     table.load_style(presets::NOTHING).set_header(head.iter().copied());
     rows.into_iter().for_each(|row| {
