--- a/crates/routing/tests/chains.rs
+++ b/crates/routing/tests/chains.rs
@@ -200,3 +200,23 @@
         all.len() == engines.len() && distinct.len() == engines.len()
     }
 }
+
+/// The load: 400 requests a second, of 3.3 s each.
+#[test]
+fn a_thousand_engines_make_as_many_chains_as_their_requests_need() {
+    let shape = light_shape();
+    let engines = empty_engines(&shape, &[("a100", 60), ("l4", 450), ("t4", 490)]);
+    let requests_at_once = 1_320;
+
+    let plan = plan(&shape, &engines);
+
+    let chains: BTreeSet<usize> = plan.chains.values().copied().collect();
+    let accepted = chains.len() as u32 * shape.slots;
+    assert!(accepted >= requests_at_once, "{} chains accept {accepted}", chains.len());
+    let placed = placed(&engines, &plan);
+    for index in chains {
+        let is_in = |one: &&PlannedEngine| plan.chains[&one.incarnation] == index;
+        let chain: Vec<_> = placed.iter().filter(is_in).cloned().collect();
+        assert!(covers(&shape, &chain), "chain {index} lacks layers");
+    }
+}
