Placement: a lead that knows no chains gives each chain its own first engines

Cause: a new lead finds chains by the layers that engines hold. All additional first engines went to the same chain, as the shortest is the same each time; that chain gave them up, and the others made new ones.

Evidence: 1,000 engines in eight chains, planned again by a lead that knows only the layers: 42 of 256 engines moved, all of them first engines (0..7). Now such an engine goes to the chain with the fewest first engines: 0 of 256. Ruled out: spare engines that take the place of those with layers, by the same test.

--- a/crates/routing/src/process/placement/chains.rs
+++ b/crates/routing/src/process/placement/chains.rs
@@ -188,13 +188,16 @@
     engines
 }
 
-/// Returns the chain whose end is nearest before the layers, or the shortest one if all reach further.
+/// Returns the chain whose end is nearest before the layers. If all reach further, returns the one with the fewest first
+/// engines, the shortest among several.
 fn chain_to_extend(chains: &[Chain], held: LayerRange) -> usize {
     let end = |chain: &Chain| chain.iter().map(|engine| engine.held.to).max().unwrap_or_default();
     let before = (0..chains.len()).filter(|index| end(&chains[*index]) <= held.from);
     let nearest = before.max_by_key(|index| (end(&chains[*index]), Reverse(*index)));
-    let shortest = || (0..chains.len()).min_by_key(|index| end(&chains[*index]));
-    nearest.or_else(shortest).unwrap_or_default()
+    let heads = |chain: &Chain| chain.iter().filter(|engine| engine.held.from == 0).count();
+    let fewest_heads =
+        || (0..chains.len()).min_by_key(|index| (heads(&chains[*index]), end(&chains[*index])));
+    nearest.or_else(fewest_heads).unwrap_or_default()
 }
 
 /// Moves engines from the chain with the most memory to one that has too little for the model. They keep
--- a/crates/routing/tests/chains.rs
+++ b/crates/routing/tests/chains.rs
@@ -223,3 +223,21 @@
         assert!(covers(&shape, &chain), "chain {index} lacks layers");
     }
 }
+
+/// After the loss of all gateways the new lead knows only which layers the engines hold.
+#[test]
+fn a_lead_that_knows_nothing_moves_no_layers_of_many_chains() {
+    let shape = light_shape();
+    let engines = empty_engines(&shape, &[("a100", 60), ("l4", 450), ("t4", 490)]);
+    let before = plan(&shape, &engines);
+    let (used, spare): (Vec<_>, Vec<_>) =
+        engines.into_iter().partition(|one| before.placement.contains_key(&one.incarnation));
+    let held: Vec<_> = placed(&used, &before).into_iter().chain(spare).collect();
+
+    let after = plan(&shape, &held);
+
+    let is_moved = |one: &&PlannedEngine| {
+        after.placement.get(&one.incarnation).is_some_and(|range| *range != one.held)
+    };
+    assert_eq!(held.iter().filter(is_moved).count(), 0, "of {} engines with layers", used.len());
+}
