--- a/crates/cli/src/explain/log_line.rs
+++ b/crates/cli/src/explain/log_line.rs
@@ -15,7 +15,7 @@
     pub fields: LogFields,
 }
 
-/// The fields that tell what became of a request.
+/// The fields about a request and its end.
 #[derive(Clone, Debug, Default, Deserialize)]
 #[serde(default)]
 pub struct LogFields {
