--- a/crates/daemon/src/cli/variables.rs
+++ b/crates/daemon/src/cli/variables.rs
@@ -9,9 +9,13 @@
 /// Variables that the operators' command line reads; the daemon ignores them.
 pub const OPERATOR_VARIABLES: &[&str] = &[
     "SORRELLOCK_BY",
+    "SORRELLOCK_CSV",
     "SORRELLOCK_DAEMONS",
+    "SORRELLOCK_FIRST_EVENT_MS",
     "SORRELLOCK_JSON",
     "SORRELLOCK_KEY",
+    "SORRELLOCK_PAUSE_MS",
+    "SORRELLOCK_PERIOD_MS",
     "SORRELLOCK_TIMEOUT_MS",
 ];
 /// Variables of the project's own tests.
