--- a/crates/routing/src/process/placement/chains.rs
+++ b/crates/routing/src/process/placement/chains.rs
@@ -12,7 +12,7 @@
 use std::cmp::Reverse;
 
 /// Maximum number of chains in a data centre: each one reduces the memory for KV cache by one model.
-const MAX_CHAINS: usize = 16;
+const MAX_CHAINS: usize = 4;
 /// Minimum capacity of each of several new chains, as a share of the requests that its first engine
 /// accepts: with less, memory would limit the data centre instead of its first engines.
 const MIN_NEW_CHAIN_CAPACITY: f64 = 0.9;
