The lead's pause after a round has a bound

A small machine whose round over 3,000 engines takes a second then plans every five seconds, and places layers for tens of seconds. Now the pause is 100 ms at most.

--- a/crates/gateway/src/process/placer/placer.rs
+++ b/crates/gateway/src/process/placer/placer.rs
@@ -33,8 +33,8 @@
 const MAX_MOVES_SCARCE: usize = 8;
 /// The longest pause between two rounds; a change of any engine ends it.
 const ROUND_PAUSE: Duration = Duration::from_millis(100);
-/// A pause is at least this many times as long as the round before it: requests are served in the pauses.
-const MIN_PAUSE_PER_ROUND: u32 = 4;
+/// A pause is this many times as long as the round before it, up to [`ROUND_PAUSE`]: requests are served in the pauses.
+const PAUSE_PER_ROUND: u32 = 4;
 
 /// Places layers while this gateway leads.
 pub(crate) struct Placer {
@@ -108,7 +108,7 @@
         self.publish(term);
         let took = now.elapsed();
         let changed = self.gateway.engines_changed.notified();
-        sleep(took * MIN_PAUSE_PER_ROUND).await;
+        sleep((took * PAUSE_PER_ROUND).min(ROUND_PAUSE)).await;
         let _ = timeout(ROUND_PAUSE, changed).await;
     }
 
