--- a/crates/routing/tests/limit_fleet/focused.rs
+++ b/crates/routing/tests/limit_fleet/focused.rs
@@ -80,3 +80,28 @@
     // 800 requests come, of which 160 are allowed, and some before the limits are known.
     assert!(world.refused > 500, "{}", world.refused);
 }
+
+#[test]
+fn limits_hold_while_the_gateways_that_grant_permits_are_parted_or_restarted_in_turn() {
+    for gateways in [5, 6, 24, 31, 68] {
+        let mut bound = 0;
+        for limit in ["0", "0.3", "4.3", "40"] {
+            for seed in 0..5 {
+                let size = Size { loss: 0.05, ..calm(gateways, 240.0) };
+                let mut world = World::new(size, seed);
+                world.run(Duration::from_secs(2));
+                world.name(0, Some(limit));
+                world.run(Duration::from_secs(3));
+                for _ in 0..25 {
+                    world.disturb_keeper(0);
+                    world.run(Duration::from_millis(900));
+                }
+
+                let worst = world.worst();
+                assert_eq!(worst, None, "{gateways} gateways, limit {limit}, seed {seed}");
+                bound += world.bound_requests(0);
+            }
+        }
+        assert!(bound > 100, "{gateways} gateways: {bound} requests that a limit binds");
+    }
+}
--- a/crates/routing/tests/limit_fleet/world.rs
+++ b/crates/routing/tests/limit_fleet/world.rs
@@ -167,6 +167,11 @@
         all.max_by(|a, b| (a.0 as f64 - a.1).total_cmp(&(b.0 as f64 - b.1)))
     }
 
+    /// Returns how many requests an engine got from gateways that its limit binds.
+    pub fn bound_requests(&self, engine: usize) -> usize {
+        self.engines[engine].bound.len()
+    }
+
     /// Returns how many requests an engine got since `since`, at all.
     pub fn requests_since(&self, engine: usize, since: Instant) -> usize {
         self.engines[engine].all.iter().filter(|at| **at >= since).count()
@@ -295,20 +300,45 @@
             return;
         }
         let at = self.rng.random_range(0..self.gateways.len());
-        let until = self.now + Duration::from_millis(self.rng.random_range(500..6_000));
+        let lasts = Duration::from_millis(self.rng.random_range(500..6_000));
         match self.rng.random_range(0..3) {
-            0 => self.gateways[at].frozen_until = until,
-            // It stays in touch with the platform, and is bound.
-            1 => {
-                self.gateways[at].parted_until = until;
-                return;
+            0 => {
+                self.gateways[at].frozen_until = self.now + lasts;
+                self.gateways[at].calm_since = self.now + lasts;
             }
+            1 => self.part(at, lasts),
+            _ => {
+                self.restart(at);
+                self.gateways[at].calm_since = self.now + lasts;
+            }
+        }
+    }
+
+    /// Parts the gateway that most others ask for an engine's permits from all others, or has it start again.
+    pub fn disturb_keeper(&mut self, engine: usize) {
+        let endpoint = self.engines[engine].endpoint.clone();
+        let mut votes = vec![0; self.gateways.len()];
+        for (at, gateway) in self.gateways.iter().enumerate() {
+            votes[gateway.keeper(&endpoint, self.now).unwrap_or(at)] += 1;
+        }
+        let keeper = (0..votes.len()).max_by_key(|at| votes[*at]).expect("there are gateways");
+        match self.rng.random_range(0..4) {
+            0 => self.restart(keeper),
             _ => {
-                self.incarnations += 1;
-                self.gateways[at] = Gateway::new(self.incarnations, self.now);
+                let lasts = Duration::from_millis(self.rng.random_range(500..4_000));
+                self.part(keeper, lasts);
             }
         }
-        self.gateways[at].calm_since = until;
+    }
+
+    /// Nothing passes between a gateway and the others for a while. It stays in touch with the platform, and is bound.
+    fn part(&mut self, at: usize, lasts: Duration) {
+        self.gateways[at].parted_until = self.now + lasts;
+    }
+
+    fn restart(&mut self, at: usize) {
+        self.incarnations += 1;
+        self.gateways[at] = Gateway::new(self.incarnations, self.now);
     }
 
     fn send_messages(&mut self) {
