Back-offs and leaving that endpoints tell in their answers are read and logged

What an answer says of its endpoint is read in one place (platform/src/notices.rs), its limit included. A value that can't be read is counted, logged once for each endpoint, and changes nothing; answers that name another request say nothing. Nothing is decided by it yet.

--- a/crates/gateway/src/process/counters.rs
+++ b/crates/gateway/src/process/counters.rs
@@ -142,6 +142,14 @@
     PermitsDenied => "permits_denied",
     /// Requests for a permit without an answer.
     PermitFailures => "permit_failures",
+    /// Answers of endpoints that ask for no requests for a while.
+    BackoffsAsked => "backoffs_asked",
+    /// Such answers whose time can't be read.
+    BackoffsInvalid => "backoffs_invalid",
+    /// Endpoints that said in an answer that they leave.
+    LeavingAnswered => "leaving_answered",
+    /// Answers of which it can't be read whether their endpoint leaves.
+    LeavingInvalid => "leaving_invalid",
     /// Messages to the other gateways that were too long or could not be encoded.
     PeerMessagesUnsent => "peer_messages_unsent",
     /// Whole views of the engines read from another gateway.
--- a/crates/gateway/src/process/dump.rs
+++ b/crates/gateway/src/process/dump.rs
@@ -38,6 +38,10 @@
     refused_entries: Vec<RefusedDump>,
     paths: Vec<PathDump>,
     limits: Vec<LimitDump>,
+    /// Endpoints that asked this gateway for no requests.
+    backoffs: Vec<BackoffDump>,
+    /// Endpoints that said in an answer to this gateway that they leave.
+    leaving: Vec<LeavingDump>,
     /// Number of requests under which endpoints ended, too few to hold them back.
     crash_suspects: usize,
     held_requests: Vec<HeldDump>,
@@ -113,6 +117,21 @@
     named_ms: u64,
 }
 
+/// A back-off that an endpoint asked for.
+#[derive(Serialize)]
+struct BackoffDump {
+    endpoint: String,
+    left_ms: u64,
+}
+
+/// An endpoint that said that it leaves.
+#[derive(Serialize)]
+struct LeavingDump {
+    endpoint: String,
+    /// Time since it first said so.
+    said_ms: u64,
+}
+
 /// A request that is held back, or was until it was released.
 #[derive(Serialize)]
 struct HeldDump {
@@ -160,6 +179,8 @@
             refused_entries: bounded(refused, &mut left_out),
             paths: bounded(paths(gateway, &knowledge).into_iter(), &mut left_out),
             limits: bounded(limits(gateway, now).into_iter(), &mut left_out),
+            backoffs: bounded(backoffs(gateway, now).into_iter(), &mut left_out),
+            leaving: bounded(leaving(gateway, now).into_iter(), &mut left_out),
             crash_suspects: gateway.crash_guard.borrow().suspects(),
             held_requests: bounded(
                 gateway.held_records().into_iter().map(held_request),
@@ -180,6 +201,24 @@
     limited.collect()
 }
 
+fn backoffs(gateway: &Gateway, now: Instant) -> Vec<BackoffDump> {
+    let backoffs = gateway.backoffs.borrow();
+    let active = backoffs.active(now.into_std()).map(|(endpoint, left)| BackoffDump {
+        endpoint: endpoint.to_string(),
+        left_ms: left.as_millis() as u64,
+    });
+    active.collect()
+}
+
+fn leaving(gateway: &Gateway, now: Instant) -> Vec<LeavingDump> {
+    let notices = gateway.leaving_notices.borrow();
+    let leaving = notices.all().map(|(endpoint, since)| LeavingDump {
+        endpoint: endpoint.to_string(),
+        said_ms: millis(since.into(), now),
+    });
+    leaving.collect()
+}
+
 fn held_request(held: HeldRequest) -> HeldDump {
     HeldDump {
         content: held.content,
--- a/crates/gateway/src/process/gateway.rs
+++ b/crates/gateway/src/process/gateway.rs
@@ -1,8 +1,8 @@
 //! State shared by all parts of a gateway.
 
 use crate::process::{
-    Count, Counters, EndChecks, FleetState, LivePath, LoggedFaults, PathTable, Permits, Pool,
-    ReportedSuspect, SUSPICION_DURATION, StoreContact,
+    Count, Counters, EndChecks, FleetState, LivePath, LoggedFaults, NoticeKind, PathTable, Permits,
+    Pool, ReportedSuspect, SUSPICION_DURATION, StoreContact,
 };
 use sorrellock_core::clock::SystemClock;
 use sorrellock_core::process::retries::Breakers;
@@ -11,6 +11,7 @@
 use sorrellock_routing::process::knowledge::Knowledge;
 use sorrellock_routing::process::lead_view::{ViewServing, ViewSync};
 use sorrellock_routing::process::limits::EndpointLimits;
+use sorrellock_routing::process::notices::{Backoffs, LeavingNotices};
 use sorrellock_routing::process::{
     FailureEvidence, Incarnation, Incarnations, Leaving, LoopPauses, RetryWindow, Revision,
     StreamPace,
@@ -105,8 +106,12 @@
     pub(crate) view_sync: RefCell<ViewSync>,
     /// Bounds the views served to other gateways.
     pub(crate) view_serving: RefCell<ViewServing>,
-    /// Endpoints whose limit can't be read, which has been logged.
-    pub(crate) invalid_limits: RefCell<HashSet<Incarnation>>,
+    /// Endpoints that asked this gateway for no requests.
+    pub(crate) backoffs: RefCell<Backoffs>,
+    /// Endpoints that said in an answer to this gateway that they leave.
+    pub(crate) leaving_notices: RefCell<LeavingNotices>,
+    /// What endpoints say of themselves that can't be read, which has been logged.
+    pub(crate) invalid_notices: RefCell<HashSet<(Incarnation, NoticeKind)>>,
     /// The platform's store, once its client exists.
     pub(crate) store: RefCell<Option<Store>>,
     /// Number of requests in flight.
@@ -163,7 +168,9 @@
             permits: RefCell::default(),
             view_sync: RefCell::default(),
             view_serving: RefCell::default(),
-            invalid_limits: RefCell::default(),
+            backoffs: RefCell::default(),
+            leaving_notices: RefCell::default(),
+            invalid_notices: RefCell::default(),
             store: RefCell::default(),
             in_flight: Cell::new(0),
             unanswered: Cell::new(0),
--- a/crates/gateway/src/process/limits/named_limits.rs
+++ b/crates/gateway/src/process/limits/named_limits.rs
@@ -1,10 +1,9 @@
 //! Reads the limits that endpoints name, and shares them with the other gateways.
 
 use crate::process::{Count, Gateway};
-use sorrellock_platform::InvalidLimit;
 use sorrellock_routing::process::Incarnation;
 use sorrellock_routing::process::limits::{LimitChange, LimitReport, RateLimit};
-use spdlog::{info, warn};
+use spdlog::info;
 use tokio::time::Instant;
 
 impl Gateway {
@@ -12,14 +11,9 @@
     pub(crate) fn on_limit_answered(
         &self,
         endpoint: &Incarnation,
-        limit: Option<&Result<RateLimit, InvalidLimit>>,
+        limit: Option<RateLimit>,
         sent_at: Instant,
     ) {
-        let limit = match limit {
-            None => None,
-            Some(Ok(limit)) => Some(*limit),
-            Some(Err(err)) => return self.on_invalid_limit(endpoint, err),
-        };
         let now = Instant::now();
         let change =
             self.limits.borrow_mut().on_answer(endpoint, limit, sent_at.into_std(), now.into_std());
@@ -52,15 +46,4 @@
             }
         }
     }
-
-    /// Counts a limit that can't be read, and logs it once for each endpoint. The limit before stays in force.
-    fn on_invalid_limit(&self, endpoint: &Incarnation, err: &InvalidLimit) {
-        self.counters.add(Count::LimitsInvalid);
-        if self.invalid_limits.borrow_mut().insert(endpoint.clone()) {
-            let why = err.to_string();
-            warn!("limit of an endpoint ignored", kv: {
-                endpoint = endpoint.id.as_str(), why = why.as_str()
-            });
-        }
-    }
 }
--- a/crates/gateway/src/process/run.rs
+++ b/crates/gateway/src/process/run.rs
@@ -204,7 +204,8 @@
         gateway.probes.borrow_mut().retain(|incarnation, _| is_used(incarnation));
         gateway.limits.borrow_mut().retain(is_current);
         gateway.drop_old_permits(is_current);
-        gateway.invalid_limits.borrow_mut().retain(is_current);
+        gateway.backoffs.borrow_mut().retain(is_current, Instant::now().into_std());
+        gateway.invalid_notices.borrow_mut().retain(|(endpoint, _)| is_current(endpoint));
         gateway
             .uses
             .borrow_mut()
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -129,9 +129,11 @@
 ) -> Result<Exchange, FailedAttempt> {
     let in_flight = InFlightGuard::new(Rc::clone(gateway), target.incarnation.clone());
     let (answer, connection, run) = send(gateway, call, target, limit).await?;
-    let head = read_answer_head(answer.headers());
+    let head = read_answer_head(answer.status(), answer.headers());
     record_load(gateway, &target.incarnation, &head);
-    gateway.on_limit_answered(&target.incarnation, head.limit.as_ref(), in_flight.began);
+    if answers(&head, call) {
+        gateway.on_notices(&target.incarnation, &head.notices, in_flight.began);
+    }
     check_answer_head(gateway, call, &answer, &head)?;
     let incarnation = target.incarnation.clone();
     Ok(Exchange { answer, head, connection, incarnation, in_flight, run })
@@ -282,6 +284,11 @@
     used.reported = Some((load, Instant::now()));
 }
 
+/// Returns whether an answer doesn't name another request than this one.
+fn answers(head: &AnswerHead, call: &Call) -> bool {
+    head.request_id.as_deref().is_none_or(|id| id == call.id())
+}
+
 /// Rejects answers that belong to another request, are not signed, or state that nothing was run.
 fn check_answer_head(
     gateway: &Gateway,
@@ -290,7 +297,7 @@
     head: &AnswerHead,
 ) -> Result<(), FailedAttempt> {
     let status = answer.status();
-    if head.request_id.as_deref().is_some_and(|id| id != call.id()) {
+    if !answers(head, call) {
         gateway.counters.add(Count::CrossedAnswers);
         warn!("answer of another request dropped", kv: { request = call.id() });
         let why = "the answer belongs to another request".to_owned();
--- a/crates/gateway/src/request/plain.rs
+++ b/crates/gateway/src/request/plain.rs
@@ -398,7 +398,7 @@
     };
     exchange.in_flight.on_answered();
     exchange.run.on_answered();
-    let head = read_answer_head(&parts.headers);
+    let head = read_answer_head(parts.status, &parts.headers);
     gateway.pool.borrow_mut().keep(
         exchange.incarnation,
         exchange.connection,
--- a/crates/routing/src/process/limits/rate_limit.rs
+++ b/crates/routing/src/process/limits/rate_limit.rs
@@ -1,12 +1,10 @@
 //! A number of requests a second.
 
+use crate::process::parse_thousandths;
 use serde::{Deserialize, Serialize};
 use std::fmt;
 use std::str::FromStr;
 
-/// Digits after the decimal point that count; further ones are dropped.
-const DECIMALS: usize = 3;
-
 /// Number of requests a second that an endpoint takes, in thousandths.
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
@@ -43,15 +41,6 @@
 
     /// Parses digits with at most one decimal point. A number that is too large is the largest one.
     fn from_str(text: &str) -> Result<RateLimit, InvalidRateLimit> {
-        let (whole, fraction) = text.split_once('.').unwrap_or((text, ""));
-        let has_digits = !whole.is_empty() || !fraction.is_empty();
-        let are_digits = |part: &str| part.bytes().all(|byte| byte.is_ascii_digit());
-        if !has_digits || !are_digits(whole) || !are_digits(fraction) {
-            return Err(InvalidRateLimit);
-        }
-        let whole = if whole.is_empty() { 0 } else { whole.parse().unwrap_or(u64::MAX) };
-        let kept = &fraction[..fraction.len().min(DECIMALS)];
-        let thousandths: u64 = format!("{kept:0<DECIMALS$}").parse().unwrap_or_default();
-        Ok(RateLimit(whole.saturating_mul(1_000).saturating_add(thousandths)))
+        parse_thousandths(text).map(RateLimit).ok_or(InvalidRateLimit)
     }
 }
--- a/crates/routing/src/process/mod.rs
+++ b/crates/routing/src/process/mod.rs
@@ -2,6 +2,7 @@
 
 mod best_paths;
 pub mod crashes;
+mod decimal;
 mod departure;
 mod endpoint;
 mod entry_fault;
@@ -14,6 +15,7 @@
 mod leaving;
 pub mod limits;
 mod loop_pauses;
+pub mod notices;
 mod path_health;
 mod path_search;
 mod peer_silence;
@@ -28,6 +30,7 @@
 mod update_source;
 
 pub use best_paths::*;
+pub use decimal::*;
 pub use departure::*;
 pub use endpoint::*;
 pub use entry_fault::*;
--- /dev/null
+++ b/crates/routing/src/process/notices/backoffs.rs
@@ -0,0 +1,118 @@
+//! Endpoints that asked this gateway to send nothing for a while.
+
+use crate::process::Incarnation;
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+/// Maximum wait that is kept, so that its end is a valid instant.
+const MAX_WAIT: Duration = Duration::from_secs(100 * 365 * 86_400);
+/// Time until another trial may follow one without an answer.
+const TRIAL_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// How long a back-off is kept whose endpoint isn't listed: its entry may come back.
+const KEPT_UNLISTED: Duration = Duration::from_secs(600);
+
+/// An endpoint's back-off.
+#[derive(Clone, Copy, Debug)]
+struct Backoff {
+    until: Instant,
+    /// When the latest answer came that asked for it.
+    asked_at: Instant,
+    /// When the request was sent that finds out whether the endpoint takes requests again.
+    trial_at: Option<Instant>,
+}
+
+impl Backoff {
+    fn blocked_for(self, now: Instant) -> Option<Duration> {
+        let trial_until = self.trial_at.map(|at| at + TRIAL_TIMEOUT);
+        let until = trial_until.unwrap_or(self.until).max(self.until);
+        let left = until.saturating_duration_since(now);
+        (!left.is_zero()).then_some(left)
+    }
+}
+
+/// A change of an endpoint's back-off.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BackoffChange {
+    /// The endpoint gets no requests for this time.
+    Begun(Duration),
+    /// It takes requests again.
+    Ended,
+}
+
+/// The back-offs that endpoints asked this gateway for.
+///
+/// Each answer that asks for a wait counts for itself, so a later one only extends it: neither a shorter wait nor an answer that asks for none ends an
+/// earlier one. After the end a single request is sent, and others follow once the endpoint has answered it without asking for another wait.
+#[derive(Debug, Default)]
+pub struct Backoffs {
+    known: HashMap<Incarnation, Backoff>,
+}
+
+impl Backoffs {
+    /// Applies an answer that came `now` and asks for a wait, or for none.
+    pub fn on_answer(
+        &mut self,
+        endpoint: &Incarnation,
+        wait: Option<Duration>,
+        now: Instant,
+    ) -> Option<BackoffChange> {
+        let Some(wait) = wait.filter(|wait| !wait.is_zero()) else {
+            let is_over = self.known.get(endpoint).is_some_and(|known| known.until <= now);
+            return is_over.then(|| {
+                self.known.remove(endpoint);
+                BackoffChange::Ended
+            });
+        };
+        let until = now + wait.min(MAX_WAIT);
+        let before = self.known.get(endpoint).map(|known| known.until);
+        let until = before.map_or(until, |before| before.max(until));
+        self.known.insert(endpoint.clone(), Backoff { until, asked_at: now, trial_at: None });
+        let is_new = before.is_none_or(|before| before <= now);
+        is_new.then(|| BackoffChange::Begun(until - now))
+    }
+
+    /// Returns the time until an endpoint may be sent a request; `None` if it may now.
+    pub fn blocked_for(&self, endpoint: &Incarnation, now: Instant) -> Option<Duration> {
+        self.known.get(endpoint)?.blocked_for(now)
+    }
+
+    /// Admits a request whose bytes are written `now`. Returns the time until another may be tried if it isn't admitted.
+    pub fn admit(&mut self, endpoint: &Incarnation, now: Instant) -> Result<(), Duration> {
+        let Some(known) = self.known.get_mut(endpoint) else { return Ok(()) };
+        if let Some(left) = known.blocked_for(now) {
+            return Err(left);
+        }
+        known.trial_at = Some(now);
+        Ok(())
+    }
+
+    /// Records that an admitted request brought no answer.
+    pub fn on_no_answer(&mut self, endpoint: &Incarnation) {
+        if let Some(known) = self.known.get_mut(endpoint) {
+            known.trial_at = None;
+        }
+    }
+
+    /// Ends the back-offs of an endpoint, whichever its incarnation. Returns whether there were any.
+    pub fn clear(&mut self, id: &str) -> bool {
+        let before = self.known.len();
+        self.known.retain(|endpoint, _| endpoint.id != id);
+        self.known.len() < before
+    }
+
+    /// Returns the endpoints that get no requests now, with the time until they may.
+    pub fn active(&self, now: Instant) -> impl Iterator<Item = (&Incarnation, Duration)> {
+        self.known.iter().filter_map(move |(endpoint, known)| {
+            let left = known.until.saturating_duration_since(now);
+            (!left.is_zero()).then_some((endpoint, left))
+        })
+    }
+
+    /// Drops the back-offs of endpoints that are gone.
+    pub fn retain(&mut self, is_current: impl Fn(&Incarnation) -> bool, now: Instant) {
+        self.known.retain(|endpoint, known| {
+            is_current(endpoint) || now.duration_since(known.asked_at) < KEPT_UNLISTED
+        });
+    }
+}
