--- a/crates/daemon/tests/gateway/endpoint_limits.rs
+++ b/crates/daemon/tests/gateway/endpoint_limits.rs
@@ -1,11 +1,9 @@
 //! Endpoints that name a limit for the requests of all gateways together.
 
-use crate::fleet::{Fleet, fleet, send_body};
+use crate::fleet::{Fleet, fleet, load};
 use crate::gateway_process::{GatewayProcess, wait_for};
 use nix::sys::signal::Signal;
 use sorrellock_stand_ins::{FakeEngine, FakeService, new_ip};
-use std::sync::atomic::{AtomicUsize, Ordering};
-use std::thread;
 use std::time::{Duration, Instant};
 
 const GATEWAYS: usize = 3;
@@ -15,8 +13,6 @@
 const WINDOW: Duration = Duration::from_secs(4);
 /// Requests in a window beyond one and a half times what the limit allows.
 const SLACK: f64 = 5.0;
-/// Time between two requests of all callers together.
-const INTERVAL: Duration = Duration::from_millis(25);
 /// How long callers send: three windows after the limit binds.
 const LASTS: Duration = Duration::from_secs(11);
 
@@ -24,40 +20,6 @@
     (0..GATEWAYS).map(|index| fleet.gateway(&format!("gateway-{index}"))).collect()
 }
 
-/// The number of requests that were sent and served.
-#[derive(Debug, Default)]
-struct Outcome {
-    sent: usize,
-    served: usize,
-    /// Refused as not run, with the time to come back.
-    refused: usize,
-}
-
-/// Has callers send requests to all gateways in turn.
-fn load(gateways: &[GatewayProcess], path: &str, lasts: Duration) -> Outcome {
-    let (served, refused) = (AtomicUsize::new(0), AtomicUsize::new(0));
-    let mut sent = 0;
-    let began = Instant::now();
-    thread::scope(|scope| {
-        for gateway in gateways.iter().cycle() {
-            if began.elapsed() >= lasts {
-                return;
-            }
-            let (served, refused, body) = (&served, &refused, format!("body {sent}"));
-            scope.spawn(move || {
-                let Some(answer) = send_body(gateway.callers(), path, &body) else { return };
-                let is_served = answer.status == 200 && answer.is_whole;
-                served.fetch_add(usize::from(is_served), Ordering::Relaxed);
-                let is_refused = answer.status == 503 && answer.retry_after.is_some();
-                refused.fetch_add(usize::from(is_refused), Ordering::Relaxed);
-            });
-            sent += 1;
-            thread::sleep(INTERVAL);
-        }
-    });
-    Outcome { sent, served: served.into_inner(), refused: refused.into_inner() }
-}
-
 /// The most requests in any window from `from` on.
 fn most_in_window(mut arrivals: Vec<Instant>, from: Instant) -> usize {
     arrivals.retain(|at| *at >= from);
--- a/crates/daemon/tests/gateway/fleet.rs
+++ b/crates/daemon/tests/gateway/fleet.rs
@@ -5,8 +5,10 @@
 pub use sorrellock_stand_ins::{HOST, KEY, LAYERS, configuration as config};
 use std::io::Read;
 use std::net::SocketAddr;
+use std::sync::Mutex;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::time::Duration;
+use std::thread;
+use std::time::{Duration, Instant};
 
 /// Events of each stream.
 pub const EVENTS: u64 = 40;
@@ -160,6 +162,53 @@
     Some(Answer { body: text, is_whole, ..answer })
 }
 
+/// Time between two requests of all callers of a [`load`] together.
+const LOAD_INTERVAL: Duration = Duration::from_millis(25);
+
+/// The number of requests that were sent and served.
+#[derive(Debug, Default)]
+pub struct Outcome {
+    pub sent: usize,
+    pub served: usize,
+    /// Refused as not run, with the time to come back.
+    pub refused: usize,
+    /// The longest of these times, in seconds.
+    pub longest_retry_after: f64,
+}
+
+/// Has callers send requests to all gateways in turn.
+pub fn load(gateways: &[GatewayProcess], path: &str, lasts: Duration) -> Outcome {
+    let outcome = Mutex::new(Outcome::default());
+    let mut sent = 0;
+    let began = Instant::now();
+    thread::scope(|scope| {
+        for gateway in gateways.iter().cycle() {
+            if began.elapsed() >= lasts {
+                return;
+            }
+            let (outcome, body) = (&outcome, format!("body {sent}"));
+            scope.spawn(move || {
+                let Some(answer) = send_body(gateway.callers(), path, &body) else { return };
+                outcome.lock().expect("no panic holds this lock").add(&answer);
+            });
+            sent += 1;
+            thread::sleep(LOAD_INTERVAL);
+        }
+    });
+    Outcome { sent, ..outcome.into_inner().expect("no panic holds this lock") }
+}
+
+impl Outcome {
+    fn add(&mut self, answer: &Answer) {
+        self.served += usize::from(answer.status == 200 && answer.is_whole);
+        let retry_after = answer.retry_after.as_ref().filter(|_| answer.status == 503);
+        if let Some(retry_after) = retry_after.and_then(|text| text.parse().ok()) {
+            self.refused += 1;
+            self.longest_retry_after = self.longest_retry_after.max(retry_after);
+        }
+    }
+}
+
 /// Sends a request and returns once its head came.
 pub fn begin(
     gateway: SocketAddr,
--- /dev/null
+++ b/crates/daemon/tests/gateway/leaving_answers.rs
@@ -0,0 +1,91 @@
+//! Endpoints that say in their answers to requests that they leave, and nowhere else.
+
+use crate::fleet::{fleet, load};
+use crate::gateway_process::wait_for;
+use sorrellock_stand_ins::{FakeService, new_ip};
+use std::slice::from_ref;
+use std::time::{Duration, Instant};
+
+/// Requests that are sent this long after an endpoint said that it leaves don't reach it.
+const LEAVE_WITHIN: Duration = Duration::from_secs(2);
+/// How long callers send: longer than reports of other gateways count.
+const LASTS: Duration = Duration::from_secs(15);
+
+fn since(arrivals: &[Instant], from: Instant) -> usize {
+    arrivals.iter().filter(|at| **at > from).count()
+}
+
+#[test]
+fn an_engine_that_says_in_its_answers_that_it_leaves_gets_no_more_requests() {
+    let fleet = fleet();
+    let gateway = fleet.gateway("one");
+    load(from_ref(&gateway), "/match/a", Duration::from_secs(1));
+    let engine = fleet.engines.iter().find(|engine| !engine.seen().requests.is_empty());
+    let engine = engine.expect("a first engine");
+
+    engine.say_leaving(&["1"]);
+    let outcome = load(from_ref(&gateway), "/match/a", LASTS);
+
+    let seen = engine.seen();
+    let said = *seen.leaving_said.first().expect("it said so");
+    assert_eq!(since(&seen.requests, said + LEAVE_WITHIN), 0);
+    assert_eq!(outcome.served, outcome.sent, "{outcome:?}");
+    assert_eq!(gateway.lines(&["\"endpoint suspected\""]), Vec::<String>::new());
+}
+
+#[test]
+fn an_engine_that_says_so_in_a_refusal_gets_no_more_requests_until_it_starts_again() {
+    let fleet = fleet();
+    let gateway = fleet.gateway("one");
+    load(from_ref(&gateway), "/match/a", Duration::from_secs(1));
+    let engine = fleet.engines.iter().find(|engine| !engine.seen().requests.is_empty());
+    let engine = engine.expect("a first engine");
+
+    engine.say_leaving(&["1"]);
+    engine.refuse_for(&[]);
+    load(from_ref(&gateway), "/match/a", LASTS);
+    let seen = engine.seen();
+    engine.say_leaving(&[]);
+    engine.take_requests();
+    engine.restart();
+
+    let said = *seen.leaving_said.first().expect("it said so");
+    assert_eq!(since(&seen.requests, said + LEAVE_WITHIN), 0);
+    let restarted = Instant::now();
+    wait_for("requests to the engine", || {
+        load(from_ref(&gateway), "/match/a", Duration::from_millis(500));
+        since(&engine.seen().requests, restarted) > 0
+    });
+}
+
+#[test]
+fn a_plain_service_that_says_so_gets_no_more_requests() {
+    let fleet = fleet();
+    let second = FakeService::start("ledger-2", "ledger", "north", new_ip(), &fleet.store);
+    let _second = second.expect("a service");
+    let gateway = fleet.gateway("one");
+    load(from_ref(&gateway), "/status/a", Duration::from_secs(1));
+
+    fleet.service.say_leaving();
+    let said = Instant::now();
+    let outcome = load(from_ref(&gateway), "/status/a", LASTS);
+
+    // It says so in its next answer, which comes within a second at this load.
+    let late = said + LEAVE_WITHIN + Duration::from_secs(1);
+    assert_eq!(since(&fleet.service.arrivals(), late), 0);
+    assert_eq!(outcome.served, outcome.sent, "{outcome:?}");
+}
+
+#[test]
+fn values_that_can_not_be_read_are_counted_and_change_nothing() {
+    let fleet = fleet();
+    let gateway = fleet.gateway("one");
+    fleet.engines.iter().for_each(|engine| engine.say_leaving(&["yes"]));
+
+    let outcome = load(from_ref(&gateway), "/match/a", Duration::from_secs(1));
+
+    assert_eq!(outcome.served, outcome.sent, "{outcome:?}");
+    assert!(gateway.metric("sorrellock_leaving_invalid") > 0.0);
+    assert_eq!(gateway.metric("sorrellock_leaving_notices"), 0.0);
+    gateway.wait_for_line(&["\"leaving of an endpoint ignored\""]);
+}
--- a/crates/daemon/tests/gateway/main.rs
+++ b/crates/daemon/tests/gateway/main.rs
@@ -2,6 +2,7 @@
 
 mod crashing_requests;
 mod dropped_services;
+mod endpoint_backoff;
 mod endpoint_limits;
 mod entries;
 mod eras;
@@ -15,6 +16,7 @@
 mod late;
 mod late_turns;
 mod leaving;
+mod leaving_answers;
 mod life;
 mod limits;
 mod pauses;
