Gateways keep the back-offs that endpoints ask for

What callers and users saw: an engine that asked with 503 and Retry-After for 3 s without requests got 6 of them from one gateway in that time, and callers that two such engines had turned away were refused for 2.5 s, after a wait of 100 ms, while other engines were used to a fifth.

Cause: no gateway read the time; a refusal kept requests off an engine's paths for 250 ms, whatever it asked for. Class: what endpoints say of themselves in answers and nobody reads.

Each send now asks what the endpoint said of itself: those that choose pass it over, and once more right before the bytes are written. After the end one request goes first. It is no failure: no suspicion, breaker or plan follows. Where all endpoints ask, a request is rejected at once with the time until one may be tried, spread; one whose attempts are spent is rejected at once and told to come back where another has room. A held request's trial is no longer used up by a send that didn't happen. Ruled out: sharing back-offs between gateways (an engine may turn away some callers only), a table that sends alone ask, the circuit breaker.

The test of plain calls asked too much of calls to `status`, which may be sent to one endpoint only (max_attempts 1): it plays `ack`, where all are to be served, beside it now, and bounds the refusals of `status` by one a back-off.

--- a/crates/daemon/tests/gateway/endpoint_backoff.rs
+++ b/crates/daemon/tests/gateway/endpoint_backoff.rs
@@ -101,25 +101,30 @@
 
 #[test]
 fn a_plain_service_that_asks_for_no_requests_gets_none() {
-    let fleet = fleet();
-    let second = FakeService::start("ledger-2", "ledger", "north", new_ip(), &fleet.store);
-    let services = [fleet.service.clone(), second.expect("a service")];
-    let gateway = fleet.gateway("one");
-    load(from_ref(&gateway), "/status/a", Duration::from_secs(1));
-
-    services[0].refuse_for(Some(ASKED));
-    let from = Instant::now();
-    let one = load(from_ref(&gateway), "/status/a", LASTS);
-    let arrivals: Vec<Instant> =
-        services[0].arrivals().into_iter().filter(|at| *at > from).collect();
-    services[1].refuse_for(Some(ASKED));
-    let both = load(from_ref(&gateway), "/status/a", LASTS);
-
-    let most = most_within(&arrivals, &arrivals);
-    assert!(most <= MAX_LATE, "{most} requests while it asked for none");
-    assert_eq!(one.served, one.sent, "{one:?}");
-    assert_eq!(both.refused, both.sent, "{both:?}");
-    assert!(both.longest_retry_after > 2.0, "{both:?}");
+    // Calls to `ack` may be sent to a second endpoint, calls to `status` to one only.
+    for (path, max_refused) in [("/ack/a", 0), ("/status/a", 3)] {
+        let fleet = fleet();
+        let second = FakeService::start("ledger-2", "ledger", "north", new_ip(), &fleet.store);
+        let services = [fleet.service.clone(), second.expect("a service")];
+        let gateway = fleet.gateway("one");
+        load(from_ref(&gateway), path, Duration::from_secs(1));
+
+        services[0].refuse_for(Some(ASKED));
+        let from = Instant::now();
+        let one = load(from_ref(&gateway), path, LASTS);
+        let arrivals: Vec<Instant> =
+            services[0].arrivals().into_iter().filter(|at| *at > from).collect();
+        services[1].refuse_for(Some(ASKED));
+        let both = load(from_ref(&gateway), path, LASTS);
+
+        let most = most_within(&arrivals, &arrivals);
+        assert!(most <= MAX_LATE, "{path}: {most} requests while it asked for none");
+        assert!(one.refused <= max_refused, "{path}: {one:?}");
+        assert!(one.longest_retry_after <= 0.5, "{path}: {one:?}");
+        assert_eq!(one.served + one.refused, one.sent, "{path}: {one:?}");
+        assert_eq!(both.refused, both.sent, "{path}: {both:?}");
+        assert!(both.longest_retry_after > 2.0, "{path}: {both:?}");
+    }
 }
 
 #[test]
--- a/crates/gateway/src/process/counters.rs
+++ b/crates/gateway/src/process/counters.rs
@@ -146,6 +146,8 @@
     BackoffsAsked => "backoffs_asked",
     /// Such answers whose time can't be read.
     BackoffsInvalid => "backoffs_invalid",
+    /// Sends that were prevented after an endpoint was chosen, as it had asked for none meanwhile.
+    BackoffSends => "backoff_sends_prevented",
     /// Endpoints that said in an answer that they leave.
     LeavingAnswered => "leaving_answered",
     /// Answers of which it can't be read whether their endpoint leaves.
--- a/crates/gateway/src/process/limits/mod.rs
+++ b/crates/gateway/src/process/limits/mod.rs
@@ -3,4 +3,4 @@
 mod named_limits;
 mod permits;
 
-pub(crate) use permits::{PERMIT_PATH, Permits, read_permit_request, shortest_wait};
+pub(crate) use permits::{PERMIT_PATH, Permits, read_permit_request};
--- a/crates/gateway/src/process/limits/permits.rs
+++ b/crates/gateway/src/process/limits/permits.rs
@@ -67,13 +67,6 @@
         (!left.is_zero()).then_some(left)
     }
 
-    /// Returns the time until a permit may be asked for at any first engine of a service's paths; `None` if one may take a
-    /// request now.
-    pub(crate) fn limited_for(&self, service: &str) -> Option<Duration> {
-        let firsts = self.paths.borrow().first_engines(service, Instant::now());
-        shortest_wait(firsts.iter().map(|first| self.denied_for(first)))
-    }
-
     /// Returns whether an endpoint names a limit.
     pub(crate) fn is_limited(&self, endpoint: &Incarnation) -> bool {
         self.limits.borrow().limit(endpoint).is_some()
@@ -153,12 +146,6 @@
     }
 }
 
-/// Returns the shortest of the waits; `None` if one needn't wait, or if there are none.
-pub(crate) fn shortest_wait(waits: impl Iterator<Item = Option<Duration>>) -> Option<Duration> {
-    let waits: Option<Vec<Duration>> = waits.collect();
-    waits?.into_iter().min()
-}
-
 /// Parses the part of a request for a permit after [`PERMIT_PATH`].
 pub(crate) fn read_permit_request(text: &str) -> Option<(u64, RateLimit, Incarnation)> {
     let mut parts = text.splitn(4, '/');
--- a/crates/gateway/src/process/listeners.rs
+++ b/crates/gateway/src/process/listeners.rs
@@ -31,6 +31,8 @@
 const METRICS_PATH: &str = "/metrics";
 /// Path of the state dump.
 const DUMP_PATH: &str = "/dump";
+/// Path prefix of requests to end an endpoint's back-off. The endpoint's id follows.
+const CLEAR_BACKOFF_PATH: &str = "/backoff/clear/";
 
 /// Serves readiness, metrics, the state dump and handovers, indefinitely.
 pub(crate) async fn serve_internal_pages(gateway: Rc<Gateway>, listener: TcpListener) {
@@ -69,6 +71,9 @@
                 Err(err) => (StatusCode::BAD_REQUEST, Bytes::from(format!("content: {err}"))),
             }
         }
+        path if req.method() == Method::POST && path.starts_with(CLEAR_BACKOFF_PATH) => {
+            json(&gateway.clear_backoff(&path[CLEAR_BACKOFF_PATH.len()..]))
+        }
         VIEW_PATH => gateway.view_page(),
         path if req.method() == Method::POST && path.starts_with(PERMIT_PATH) => {
             match read_permit_request(&path[PERMIT_PATH.len()..]) {
--- a/crates/gateway/src/process/paths/path_table.rs
+++ b/crates/gateway/src/process/paths/path_table.rs
@@ -2,6 +2,7 @@
 
 use crate::process::{EngineAvailability, LivePath, ReportedSuspect};
 use rand::RngExt;
+use sorrellock_routing::process::notices::SendBlock;
 use sorrellock_routing::process::{BestPaths, Holder, Incarnation, PathPart, RankedPath};
 use sorrellock_routing::version::{ModelShape, ServiceName};
 use std::collections::{BTreeSet, HashMap};
@@ -39,8 +40,10 @@
     NoPath,
     /// All paths are full.
     Full,
-    /// The first engines of all paths that could take it have reached the limits that they named, for this time.
-    Limited(Duration),
+    /// The first engines of all paths that could take it get no requests now.
+    Blocked(SendBlock),
+    /// It may not be sent to further engines, and ran at none.
+    AttemptsSpent,
 }
 
 /// The paths of all services.
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -7,6 +7,7 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use sorrellock_platform::{AnswerHead, AttemptHead, attempt_headers, read_answer_head};
+use sorrellock_routing::process::notices::SendBlock;
 use sorrellock_routing::process::{FailureEvidence, Incarnation, PathPart, PeerSilence};
 use sorrellock_routing::request::Evidence;
 use spdlog::warn;
@@ -67,8 +68,10 @@
     pub(crate) is_inconclusive: bool,
     /// Nothing was sent, as the request is held back.
     pub(crate) is_held: bool,
-    /// Nothing was sent, as the endpoint's limit is reached.
-    pub(crate) is_limited: bool,
+    /// Nothing was sent, as the endpoint gets no requests now.
+    pub(crate) is_blocked: bool,
+    /// The endpoint that received the request asked for a back-off.
+    pub(crate) asks_backoff: bool,
     /// The evidence for suspecting the endpoint when nothing could be sent.
     pub(crate) failure_evidence: FailureEvidence,
     pub(crate) why: String,
@@ -82,7 +85,8 @@
             is_misdirected: false,
             is_inconclusive: false,
             is_held: false,
-            is_limited: false,
+            is_blocked: false,
+            asks_backoff: false,
             failure_evidence: FailureEvidence::Refused,
             why,
         }
@@ -128,7 +132,11 @@
     limit: Duration,
 ) -> Result<Exchange, FailedAttempt> {
     let in_flight = InFlightGuard::new(Rc::clone(gateway), target.incarnation.clone());
-    let (answer, connection, run) = send(gateway, call, target, limit).await?;
+    let sent = send(gateway, call, target, limit).await;
+    if matches!(&sent, Err(failed) if !failed.is_held && !failed.is_blocked) {
+        gateway.backoffs.borrow_mut().on_no_answer(&target.incarnation);
+    }
+    let (answer, connection, run) = sent?;
     let head = read_answer_head(answer.status(), answer.headers());
     record_load(gateway, &target.incarnation, &head);
     if answers(&head, call) {
@@ -149,8 +157,7 @@
 ) -> Result<(Response<Incoming>, Connection, RunGuard), FailedAttempt> {
     let until = Instant::now() + limit;
     let mut req = build_request(call, target);
-    // The one attempt of a trial.
-    let is_trial = call.is_trial.take();
+    let is_trial = call.is_trial.get();
     let mut has_permit = call.permit.take().as_ref() == Some(&target.incarnation);
     loop {
         let (mut connection, is_kept) = connect(gateway, call, target).await?;
@@ -158,10 +165,7 @@
             take_permit(gateway, target).await?;
             has_permit = true;
         }
-        if !gateway.admit_send(call, is_trial) {
-            let failed = FailedAttempt::new(Evidence::NotSent, held_reason(call));
-            return Err(FailedAttempt { is_held: true, ..failed });
-        }
+        admit(gateway, call, target, is_trial)?;
         let run = RunGuard::begin(gateway, Rc::clone(&call.run_request), target.endpoints());
         let silence = SilenceWatch::start(Rc::clone(gateway), target.incarnation.clone());
         let Ok(res) = timeout_at(until, connection.sender.try_send_request(req)).await else {
@@ -175,7 +179,10 @@
         };
         req = match err.take_message() {
             // Closing an idle connection is no sign of a failed endpoint.
-            Some(unsent) if is_kept => unsent,
+            Some(unsent) if is_kept => {
+                gateway.backoffs.borrow_mut().on_no_answer(&target.incarnation);
+                unsent
+            }
             Some(_) => return Err(FailedAttempt::new(Evidence::NotSent, err.error().to_string())),
             None => {
                 run.on_broke();
@@ -190,10 +197,35 @@
 /// Takes a permit to send to an endpoint that names a limit.
 async fn take_permit(gateway: &Gateway, target: &Target<'_>) -> Result<(), FailedAttempt> {
     let permit = gateway.take_permit(&target.incarnation).await;
-    permit.map_err(|retry_in| {
-        let why = format!("its limit is reached for {} ms", retry_in.as_millis());
-        FailedAttempt { is_limited: true, ..FailedAttempt::new(Evidence::NotSent, why) }
-    })
+    permit.map_err(|wait| blocked(SendBlock::Limited(wait)))
+}
+
+/// Decides right before the bytes of a request are written whether they may be. `is_trial`: the request is held back, and sent
+/// once to see whether it does no more harm.
+fn admit(
+    gateway: &Gateway,
+    call: &Call,
+    target: &Target<'_>,
+    is_trial: bool,
+) -> Result<(), FailedAttempt> {
+    gateway.admit_after_backoff(&target.incarnation).map_err(blocked)?;
+    if gateway.admit_send(call, is_trial) {
+        call.is_trial.set(false);
+        return Ok(());
+    }
+    gateway.backoffs.borrow_mut().on_no_answer(&target.incarnation);
+    let failed = FailedAttempt::new(Evidence::NotSent, held_reason(call));
+    Err(FailedAttempt { is_held: true, ..failed })
+}
+
+/// Returns the failure of an attempt that was not sent, as its endpoint gets no requests now.
+fn blocked(block: SendBlock) -> FailedAttempt {
+    let ms = block.wait().as_millis();
+    let why = match block {
+        SendBlock::Limited(_) => format!("its limit is reached for {ms} ms"),
+        SendBlock::BackingOff(_) => format!("it asked for no requests for {ms} ms"),
+    };
+    FailedAttempt { is_blocked: true, ..FailedAttempt::new(Evidence::NotSent, why) }
 }
 
 /// Watches a connection on which a request was sent. If it is dropped before anything was received, for whatever reason
@@ -307,6 +339,7 @@
         return Err(FailedAttempt {
             at_fault: head.at_fault,
             is_misdirected: status == StatusCode::MISDIRECTED_REQUEST,
+            asks_backoff: matches!(head.notices.backoff, Some(Ok(wait)) if !wait.is_zero()),
             ..FailedAttempt::new(Evidence::NotRun, format!("refused with {}", status.as_u16()))
         });
     }
--- a/crates/gateway/src/request/final_answer.rs
+++ b/crates/gateway/src/request/final_answer.rs
@@ -5,8 +5,10 @@
 use bytes::Bytes;
 use http::response::Parts;
 use http::{HeaderValue, Response, StatusCode, header};
+use rand::RngExt;
 use sorrellock_http::AnswerBody;
 use sorrellock_platform::{answer_headers, retry_after};
+use sorrellock_routing::process::notices::SendBlock;
 use sorrellock_routing::request::AbandonedOutcome;
 use std::time::Duration;
 
@@ -39,6 +41,32 @@
     held_for.max(MIN_HELD_RETRY_DELAY)
 }
 
+/// Retry-After of a request that may not be sent to further endpoints, where another one can take it.
+pub(crate) const RETRY_AFTER_ELSEWHERE: Duration = Duration::from_millis(50);
+/// Maximum random part of the Retry-After of a request whose endpoints all asked for a back-off, as a share of the wait, and its
+/// bound: otherwise all callers that were refused meanwhile would come back at once.
+const BACKOFF_SPREAD: f64 = 0.25;
+const MAX_BACKOFF_SPREAD: Duration = Duration::from_secs(1);
+
+/// Returns the Retry-After of a request that no endpoint may be sent now.
+pub(crate) fn block_retry_delay(block: SendBlock) -> Duration {
+    match block {
+        SendBlock::Limited(wait) => wait,
+        SendBlock::BackingOff(wait) => {
+            let spread = wait.mul_f64(BACKOFF_SPREAD).min(MAX_BACKOFF_SPREAD);
+            wait + spread.mul_f64(rand::rng().random_range(0.0..1.0))
+        }
+    }
+}
+
+/// Returns why no endpoint may be sent a request now, for log lines. `endpoints` is what they are called there.
+pub(crate) fn block_reason(block: SendBlock, endpoints: &str) -> String {
+    match block {
+        SendBlock::Limited(_) => format!("all {endpoints} are at their limits"),
+        SendBlock::BackingOff(_) => format!("all {endpoints} asked for a back-off"),
+    }
+}
+
 /// Returns why a request that is held back ends, for log lines.
 pub(crate) fn held_reason(call: &Call) -> String {
     format!("held back, as endpoints ended under content {}", call.run_request.content)
--- a/crates/gateway/src/request/plain.rs
+++ b/crates/gateway/src/request/plain.rs
@@ -1,9 +1,10 @@
 //! Serves requests to plain services, where one endpoint runs the whole request.
 
-use crate::process::{Count, Gateway, check_refuser, shortest_wait};
+use crate::process::{Count, Gateway, check_refuser};
 use crate::request::{
-    AttemptEvent, AttemptInfo, Call, Exchange, FailedAttempt, RunningAttempts, Target,
-    abandon_call, attempt, forward_answer, held_reason, held_retry_delay, log_failed_attempt,
+    AttemptEvent, AttemptInfo, Call, Exchange, FailedAttempt, RETRY_AFTER_ELSEWHERE,
+    RunningAttempts, Target, abandon_call, attempt, block_reason, block_retry_delay,
+    forward_answer, held_reason, held_retry_delay, log_failed_attempt,
 };
 use bytes::Bytes;
 use http::Response;
@@ -12,6 +13,7 @@
 use sorrellock_http::{AnswerBody, Cut};
 use sorrellock_platform::read_answer_head;
 use sorrellock_routing::process::crashes::Turn;
+use sorrellock_routing::process::notices::SendBlock;
 use sorrellock_routing::process::{Endpoint, Incarnation};
 use sorrellock_routing::request::{Attempts, Evidence, overdue_after};
 use sorrellock_routing::version::Semantics;
@@ -84,7 +86,7 @@
             }
         }
     }
-    Ok(call_attempts.final_answer(&call))
+    Ok(call_attempts.final_answer(&gateway, &call))
 }
 
 /// The state of a call's attempts.
@@ -94,8 +96,8 @@
     why: String,
     /// How long the request is held back, if that is why no attempt may follow.
     held_for: Option<Duration>,
-    /// Time until an endpoint may have reached its limit no more, if that is why.
-    limited_for: Option<Duration>,
+    /// Why no endpoint may be sent the request now, if that is why.
+    block: Option<SendBlock>,
     /// An endpoint's error answer, returned to the caller if no attempt succeeds.
     last_failure: Option<(Response<AnswerBody>, Incarnation)>,
 }
@@ -107,7 +109,7 @@
             tried: Vec::new(),
             why: "no endpoint is known".to_owned(),
             held_for: None,
-            limited_for: None,
+            block: None,
             last_failure: None,
         }
     }
@@ -128,9 +130,9 @@
             return None;
         }
         let Some(chosen) = choose_endpoint(gateway, call, &self.tried) else {
-            self.limited_for = limited_for(gateway, call);
-            if self.limited_for.is_some() {
-                self.why = "all endpoints are at their limits".to_owned();
+            self.block = service_block(gateway, call);
+            if let Some(block) = self.block {
+                self.why = block_reason(block, "endpoints");
             }
             return None;
         };
@@ -199,8 +201,12 @@
         info: &AttemptInfo,
         failed: &FailedAttempt,
     ) {
-        let is_neutral = failed.is_inconclusive || failed.is_held || failed.is_limited;
-        let end = if is_neutral { AttemptEnd::Neutral } else { AttemptEnd::Failure };
+        let is_neutral = failed.is_inconclusive || failed.is_held || failed.is_blocked;
+        let end = if is_neutral || failed.asks_backoff {
+            AttemptEnd::Neutral
+        } else {
+            AttemptEnd::Failure
+        };
         report_attempt_end(gateway, info, end);
         log_failed_attempt(gateway, call, &info.endpoint, failed);
         self.record_failed(info, failed.evidence);
@@ -209,6 +215,8 @@
             Evidence::NotSent => {
                 gateway.suspect(&info.endpoint, failed.failure_evidence, &failed.why)
             }
+            // It said how long it gets no requests, and is not leaving.
+            Evidence::NotRun if failed.asks_backoff => {}
             Evidence::NotRun => check_refusing_endpoint(gateway, &info.endpoint),
             Evidence::MayHaveRun => {}
         }
@@ -241,18 +249,32 @@
             && (is_other_running || may_follow(call, &self.attempts, &info.endpoint))
     }
 
-    fn final_answer(self, call: &Call) -> Response<AnswerBody> {
+    fn final_answer(self, gateway: &Gateway, call: &Call) -> Response<AnswerBody> {
         match self.last_failure {
             // The endpoint's signed error is more specific than the gateway's own.
             Some((answer, endpoint)) => record_answered(call, &endpoint, answer),
             None => {
                 let abandoned_outcome = self.attempts.abandoned_outcome(call.time_left().is_zero());
-                let held_delay = self.held_for.map(held_retry_delay);
-                let retry_delay = held_delay.or(self.limited_for).unwrap_or(RETRY_AFTER);
-                abandon_call(call, abandoned_outcome, retry_delay, &self.why)
+                abandon_call(call, abandoned_outcome, self.retry_delay(gateway, call), &self.why)
             }
         }
     }
+
+    fn retry_delay(&self, gateway: &Gateway, call: &Call) -> Duration {
+        if let Some(held_for) = self.held_for {
+            return held_retry_delay(held_for);
+        }
+        if let Some(block) = self.block.or_else(|| service_block(gateway, call)) {
+            return block_retry_delay(block);
+        }
+        let is_untried = |endpoint: &Endpoint| {
+            let endpoint = endpoint.incarnation();
+            !self.tried.contains(&endpoint) && gateway.send_block(&endpoint).is_none()
+        };
+        let is_elsewhere =
+            !self.attempts.may_send() && open_endpoints(gateway, call).iter().any(is_untried);
+        if is_elsewhere { RETRY_AFTER_ELSEWHERE } else { RETRY_AFTER }
+    }
 }
 
 /// Returns the failure of an attempt that this gateway abandons at shutdown.
@@ -302,10 +324,10 @@
     open
 }
 
-/// Returns the time until any endpoint of a call's service may be below its limit; `None` if one is now.
-fn limited_for(gateway: &Gateway, call: &Call) -> Option<Duration> {
+/// Returns the block that ends first among the endpoints of a call's service; `None` if one may be sent a request now.
+fn service_block(gateway: &Gateway, call: &Call) -> Option<SendBlock> {
     let open = open_endpoints(gateway, call);
-    shortest_wait(open.iter().map(|endpoint| gateway.denied_for(&endpoint.incarnation())))
+    SendBlock::first_to_end(open.iter().map(|endpoint| gateway.send_block(&endpoint.incarnation())))
 }
 
 /// Chooses the untried endpoint with the least expected load. Suspect endpoints and those whose circuit breaker refuses
@@ -319,7 +341,7 @@
     let all = open_endpoints(gateway, call);
     let may_take = |endpoint: &&Endpoint| {
         let endpoint = endpoint.incarnation();
-        !tried.contains(&endpoint) && gateway.denied_for(&endpoint).is_none()
+        !tried.contains(&endpoint) && gateway.send_block(&endpoint).is_none()
     };
     let mut open: Vec<&Endpoint> = all.iter().filter(may_take).collect();
     let separate = match gateway.turn(call, all.len()) {
--- a/crates/gateway/src/request/run.rs
+++ b/crates/gateway/src/request/run.rs
@@ -7,7 +7,7 @@
 use sorrellock_http::AnswerBody;
 use sorrellock_routing::process::Incarnation;
 use sorrellock_routing::process::crashes::Turn;
-use sorrellock_routing::request::Attempts;
+use sorrellock_routing::request::{AbandonedOutcome, Attempts};
 use spdlog::info;
 use std::rc::Rc;
 use std::time::Duration;
@@ -50,15 +50,19 @@
     loop {
         let res = try_take_place(gateway, call, attempts, avoid);
         let Err(none) = res else { return res };
-        let limited_for = gateway.limited_for(&call.service);
-        if Instant::now() >= until {
-            return Err(limited_for.map_or(none, NoPlace::Limited));
+        if !attempts.may_send() && attempts.abandoned_outcome(false) == AbandonedOutcome::NotRun {
+            return Err(NoPlace::AttemptsSpent);
         }
-        if let Some(limited_for) = limited_for.filter(|_| !attempts.is_repeat()) {
-            return Err(NoPlace::Limited(limited_for));
+        let block = gateway.service_block(&call.service);
+        let left = until.saturating_duration_since(Instant::now());
+        if left.is_zero() {
+            return Err(block.map_or(none, NoPlace::Blocked));
+        }
+        if let Some(block) = block.filter(|block| !attempts.is_repeat() || block.wait() > left) {
+            return Err(NoPlace::Blocked(block));
         }
         let freed = gateway.paths.borrow().freed();
-        let wake_at = limited_for.map_or(until, |wait| until.min(Instant::now() + wait));
+        let wake_at = block.map_or(until, |block| until.min(Instant::now() + block.wait()));
         let _ = timeout_at(wake_at, freed.notified()).await;
     }
 }
@@ -95,7 +99,7 @@
     let may_take = |live: &Rc<LivePath>| {
         let first = &live.path.first().incarnation;
         attempts.may_send_to(first)
-            && gateway.denied_for(first).is_none()
+            && gateway.send_block(first).is_none()
             && !avoid.iter().any(|other| Rc::ptr_eq(other, live))
     };
     let own = &gateway.settings.data_centre;
@@ -131,7 +135,8 @@
     let mut after = attempts.clone();
     after.abandon();
     let may_take = |live: &Rc<LivePath>| {
-        !Rc::ptr_eq(live, silent) && after.may_send_to(&live.path.first().incarnation)
+        let first = &live.path.first().incarnation;
+        !Rc::ptr_eq(live, silent) && after.may_send_to(first) && gateway.send_block(first).is_none()
     };
     let tokens = expected_tokens(call);
     let paths = gateway.paths.borrow();
--- a/crates/gateway/src/request/run_search.rs
+++ b/crates/gateway/src/request/run_search.rs
@@ -231,7 +231,7 @@
     fn on_failed(&mut self, sent: &SentAttempt, failed: &FailedAttempt) {
         log_failed_attempt(self.gateway, self.call, &sent.live.path.first().incarnation, failed);
         self.record_failed(sent, failed.evidence);
-        if !failed.is_held && !failed.is_limited {
+        if !failed.is_held && !failed.is_blocked {
             react_to_failure(self.gateway, self.call, &sent.live, failed);
         }
     }
@@ -272,6 +272,8 @@
         Evidence::NotSent => {
             gateway.suspect(&first.incarnation, failed.failure_evidence, &failed.why)
         }
+        // It said how long it gets no requests, and is neither failed nor leaving.
+        Evidence::NotRun if failed.asks_backoff && failed.at_fault.is_none() => {}
         Evidence::NotRun => {
             // Any path through the engine that refused would get the same answer.
             let refuser = failed.at_fault.unwrap_or(first.addr);
--- a/crates/gateway/src/request/stream.rs
+++ b/crates/gateway/src/request/stream.rs
@@ -1,14 +1,19 @@
 //! Serves requests to model engines: streams of events over a path of engines.
 
-use crate::process::{Count, Gateway, NoPlace};
+use crate::process::{Count, Gateway, LivePath, NoPlace};
+use crate::request::estimate::expected_tokens;
 use crate::request::relay::Relay;
 use crate::request::run::{NotStarted, RETRY_AFTER_FULL, Run};
 use crate::request::run_search::start_run;
-use crate::request::{Call, abandon_call, held_reason, held_retry_delay};
+use crate::request::{
+    Call, RETRY_AFTER_ELSEWHERE, abandon_call, block_reason, block_retry_delay, held_reason,
+    held_retry_delay,
+};
 use http::Response;
 use sorrellock_http::{AnswerBody, Cut};
 use sorrellock_platform::answer_headers;
 use sorrellock_routing::request::{AbandonedOutcome, Attempts};
+use std::borrow::Cow;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::mpsc;
@@ -69,8 +74,25 @@
         let outcome = attempts.abandoned_outcome(false);
         return abandon_call(call, outcome, held_retry_delay(*held_for), &held_reason(call));
     }
+    let (why, retry_delay) = refusal_reason(gateway, call, not_started);
+    let is_over = matches!(not_started, NotStarted::DeadlinePassed);
+    let paths = gateway.paths.borrow().describe(&call.service, Instant::now());
+    abandon_call(call, attempts.abandoned_outcome(is_over), retry_delay, &format!("{why}: {paths}"))
+}
+
+/// Returns why no run started, for log lines, and the Retry-After.
+fn refusal_reason(
+    gateway: &Gateway,
+    call: &Call,
+    not_started: &NotStarted,
+) -> (Cow<'static, str>, Duration) {
     let (why, retry_delay) = match not_started {
-        NotStarted::NoPlace(NoPlace::Limited(wait)) => ("all engines are at their limits", *wait),
+        NotStarted::NoPlace(NoPlace::Blocked(block)) => {
+            return (block_reason(*block, "engines").into(), block_retry_delay(*block));
+        }
+        NotStarted::NoPlace(NoPlace::AttemptsSpent) => {
+            ("all engines that it may be sent to refused it", retry_delay_elsewhere(gateway, call))
+        }
         NotStarted::NoPlace(NoPlace::Full) => ("all paths are full", RETRY_AFTER_FULL),
         NotStarted::NoPlace(NoPlace::NoPath) => ("no engines hold all layers", RETRY_AFTER_NO_PATH),
         NotStarted::RetriesExhausted => ("no attempt or retry budget is left", RETRY_AFTER_FULL),
@@ -78,9 +100,21 @@
         NotStarted::Ending => ("this gateway ends before the first event", RETRY_AFTER_FULL),
         NotStarted::ErrorAnswer(_) | NotStarted::Held(_) => ("an engine failed", RETRY_AFTER_FULL),
     };
-    let is_over = matches!(not_started, NotStarted::DeadlinePassed);
-    let paths = gateway.paths.borrow().describe(&call.service, Instant::now());
-    abandon_call(call, attempts.abandoned_outcome(is_over), retry_delay, &format!("{why}: {paths}"))
+    (why.into(), retry_delay)
+}
+
+/// Returns the Retry-After of a request that may not be sent to further engines: at once if one has room for it.
+fn retry_delay_elsewhere(gateway: &Gateway, call: &Call) -> Duration {
+    let is_open =
+        |live: &Rc<LivePath>| gateway.send_block(&live.path.first().incarnation).is_none();
+    let (paths, tokens) = (gateway.paths.borrow(), expected_tokens(call));
+    match paths.has_capacity(&call.service, tokens, is_open, Instant::now()) {
+        true => RETRY_AFTER_ELSEWHERE,
+        false => {
+            let block = gateway.service_block(&call.service);
+            block.map_or(RETRY_AFTER_FULL, block_retry_delay)
+        }
+    }
 }
 
 fn start_relay(
