Gateways stop sending to endpoints that say in an answer that they leave

What users would have seen: requests that reach an engine later than the time within which a leaving one is to be left alone (DRAIN), as its entry doesn't say so yet, or no longer after ten seconds.

Cause: the field was read by nobody, and what a gateway found out by itself lasted for ten seconds. Evidence: leaving_answers failed on the code before, each time.

What an answer says (to a request, a report, a health check) now binds until the incarnation ends, at all that choose and right before bytes are written. Other gateways hear of it for as long as the entry says otherwise.

--- a/crates/daemon/tests/gateway/leaving_answers.rs
+++ b/crates/daemon/tests/gateway/leaving_answers.rs
@@ -58,6 +58,23 @@
     });
 }
 
+#[test]
+fn an_engine_that_says_so_in_its_reports_gets_no_more_requests() {
+    let fleet = fleet();
+    let gateway = fleet.gateway("one");
+    load(from_ref(&gateway), "/match/a", Duration::from_secs(1));
+    let engine = fleet.engines.iter().find(|engine| !engine.seen().requests.is_empty());
+    let engine = engine.expect("a first engine");
+
+    engine.say_leaving_in_reports();
+    gateway.wait_for_line(&["\"endpoint said in an answer that it leaves\"", engine.id()]);
+    let known = Instant::now();
+    let outcome = load(from_ref(&gateway), "/match/a", Duration::from_secs(2));
+
+    assert_eq!(since(&engine.seen().requests, known), 0);
+    assert_eq!(outcome.served, outcome.sent, "{outcome:?}");
+}
+
 #[test]
 fn a_plain_service_that_says_so_gets_no_more_requests() {
     let fleet = fleet();
--- a/crates/gateway/src/process/dump.rs
+++ b/crates/gateway/src/process/dump.rs
@@ -211,8 +211,8 @@
 }
 
 fn leaving(gateway: &Gateway, now: Instant) -> Vec<LeavingDump> {
-    let notices = gateway.leaving_notices.borrow();
-    let leaving = notices.all().map(|(endpoint, since)| LeavingDump {
+    let fleet_state = gateway.fleet_state.borrow();
+    let leaving = fleet_state.leaving_notices.all().map(|(endpoint, since)| LeavingDump {
         endpoint: endpoint.to_string(),
         said_ms: millis(since.into(), now),
     });
--- a/crates/gateway/src/process/gateway.rs
+++ b/crates/gateway/src/process/gateway.rs
@@ -11,7 +11,7 @@
 use sorrellock_routing::process::knowledge::Knowledge;
 use sorrellock_routing::process::lead_view::{ViewServing, ViewSync};
 use sorrellock_routing::process::limits::EndpointLimits;
-use sorrellock_routing::process::notices::{Backoffs, LeavingNotices};
+use sorrellock_routing::process::notices::Backoffs;
 use sorrellock_routing::process::{
     FailureEvidence, Incarnation, Incarnations, Leaving, LoopPauses, RetryWindow, Revision,
     StreamPace,
@@ -108,8 +108,6 @@
     pub(crate) view_serving: RefCell<ViewServing>,
     /// Endpoints that asked this gateway for no requests.
     pub(crate) backoffs: RefCell<Backoffs>,
-    /// Endpoints that said in an answer to this gateway that they leave.
-    pub(crate) leaving_notices: RefCell<LeavingNotices>,
     /// What endpoints say of themselves that can't be read, which has been logged.
     pub(crate) invalid_notices: RefCell<HashSet<(Incarnation, NoticeKind)>>,
     /// The platform's store, once its client exists.
@@ -169,7 +167,6 @@
             view_sync: RefCell::default(),
             view_serving: RefCell::default(),
             backoffs: RefCell::default(),
-            leaving_notices: RefCell::default(),
             invalid_notices: RefCell::default(),
             store: RefCell::default(),
             in_flight: Cell::new(0),
--- a/crates/gateway/src/process/listeners.rs
+++ b/crates/gateway/src/process/listeners.rs
@@ -120,6 +120,7 @@
     let endpoints = knowledge.endpoints().count() as f64;
     let now = Instant::now();
     let guard = gateway.crash_guard.borrow();
+    let fleet_state = gateway.fleet_state.borrow();
     // NaN before the first data from the store.
     let age = |kind| gateway.store_contact.age_ms(kind, now).map_or(f64::NAN, |ms| ms as f64);
     gateway.counters.page(&[
@@ -130,8 +131,8 @@
         ("endpoints_heard_ms", age(Kind::Endpoints)),
         ("limited_endpoints", gateway.limits.borrow().limited(now.into_std()).count() as f64),
         ("backing_off_endpoints", gateway.backoffs.borrow().active(now.into_std()).count() as f64),
-        ("leaving_notices", gateway.leaving_notices.borrow().len() as f64),
-        ("leaving_notices_evicted", gateway.leaving_notices.borrow().evicted() as f64),
+        ("leaving_notices", fleet_state.leaving_notices.len() as f64),
+        ("leaving_notices_evicted", fleet_state.leaving_notices.evicted() as f64),
         ("held_requests", guard.held().held() as f64),
         ("crash_suspects", guard.suspects() as f64),
         ("crash_evicted", guard.evicted() as f64),
--- a/crates/gateway/src/process/notices/answer_notices.rs
+++ b/crates/gateway/src/process/notices/answer_notices.rs
@@ -95,13 +95,17 @@
         }
     }
 
-    fn on_leaving_answered(&self, endpoint: &Incarnation) {
-        let is_new = self.leaving_notices.borrow_mut().add(endpoint, Instant::now().into_std());
-        if is_new {
-            self.counters.add(Count::LeavingAnswered);
-            info!("endpoint said in an answer that it leaves", kv: {
-                endpoint = endpoint.id.as_str()
-            });
+    /// Applies an answer to a request, a query or an order that says that its endpoint leaves.
+    pub(crate) fn on_leaving_answered(&self, endpoint: &Incarnation) {
+        let now = Instant::now().into_std();
+        let is_new = self.fleet_state.borrow_mut().leaving_notices.add(endpoint, now);
+        if !is_new {
+            return;
         }
+        self.counters.add(Count::LeavingAnswered);
+        info!("endpoint said in an answer that it leaves", kv: { endpoint = endpoint.id.as_str() });
+        self.refresh_paths();
+        self.engines_changed.notify_waiters();
+        self.suspected.notify_one();
     }
 }
--- a/crates/gateway/src/process/paths/path_check.rs
+++ b/crates/gateway/src/process/paths/path_check.rs
@@ -1,6 +1,6 @@
 //! Probes the engines of an idle path to find dead ones.
 
-use crate::process::{Count, Gateway, LivePath, Unanswered};
+use crate::process::{AnswerOf, Count, Gateway, LivePath, Unanswered};
 use sorrellock_http::drain_event_loop;
 use sorrellock_platform::{CallError, read_report};
 use sorrellock_routing::process::{FailureEvidence, PathPart, probe_delay};
@@ -137,7 +137,10 @@
     let report =
         gateway.query(&client, REPORT_TIMEOUT, |limit| read_report(&client, limit)).await?;
     // A restarted engine breaks all its paths.
-    gateway.on_answer_of(&part.incarnation, part.addr, report.started, asked);
+    let answer_of = gateway.on_answer_of(&part.incarnation, part.addr, report.started, asked);
+    if report.is_leaving && answer_of == AnswerOf::SameIncarnation {
+        gateway.on_leaving_answered(&part.incarnation);
+    }
     Ok(())
 }
 
--- a/crates/gateway/src/process/peers/fleet_state.rs
+++ b/crates/gateway/src/process/peers/fleet_state.rs
@@ -6,6 +6,7 @@
 use sorrellock_core::process::membership::rendezvous_several;
 use sorrellock_platform::Kind;
 use sorrellock_routing::process::lead_view::{EngineView, EngineViews};
+use sorrellock_routing::process::notices::LeavingNotices;
 use sorrellock_routing::process::{FailureEvidence, Incarnation, probers_before};
 use std::collections::HashMap;
 use std::fmt;
@@ -32,6 +33,8 @@
 /// How long an endpoint's own report that it is leaving counts. By then its entry says the same, except during an
 /// outage of the store.
 pub(crate) const LEAVING_REPORT_TIMEOUT: Duration = Duration::from_secs(10);
+/// Maximum number of endpoints in a message that said in an answer that they leave.
+const MAX_REPORTED_LEAVING: usize = 64;
 
 /// Another gateway.
 pub(crate) struct Peer {
@@ -131,6 +134,8 @@
     /// Endpoints that reported that they accept no more requests, and until when that counts without an entry that
     /// says so.
     leaving: HashMap<Incarnation, Leaving>,
+    /// Endpoints that said in an answer to this gateway that they leave.
+    pub(crate) leaving_notices: LeavingNotices,
     /// Ended incarnations that this gateway found.
     ended: RecentUpdates<EndedIncarnation>,
     /// Endpoints without an entry that reported to this gateway that they are leaving.
@@ -299,15 +304,26 @@
 
     /// Returns whether an endpoint reported that it accepts no more requests.
     pub(crate) fn is_leaving(&self, incarnation: &Incarnation, now: Instant) -> bool {
-        self.leaving.get(incarnation).is_some_and(|leaving| leaving.until > now)
+        self.leaving_notices.contains(incarnation)
+            || self.leaving.get(incarnation).is_some_and(|leaving| leaving.until > now)
     }
 
     /// Returns the endpoints that reported to this gateway itself that they accept no more requests. Reports that
-    /// others received aren't passed on: otherwise they would circulate indefinitely.
-    pub(crate) fn own_leaving(&mut self, now: Instant) -> Vec<Incarnation> {
+    /// others received aren't passed on: otherwise they would circulate indefinitely. What an endpoint said in an answer is
+    /// reported for as long as its entry says otherwise.
+    pub(crate) fn own_leaving(
+        &mut self,
+        is_listed_ready: impl Fn(&Incarnation) -> bool,
+        now: Instant,
+    ) -> Vec<Incarnation> {
         self.leaving.retain(|_, leaving| leaving.until > now);
         let own = self.leaving.iter().filter(|(_, leaving)| leaving.is_own);
-        own.map(|(incarnation, _)| incarnation.clone()).collect()
+        let mut all: Vec<Incarnation> = own.map(|(endpoint, _)| endpoint.clone()).collect();
+        let said = self.leaving_notices.all().map(|(endpoint, _)| endpoint);
+        let said = said.filter(|endpoint| is_listed_ready(endpoint) && !all.contains(endpoint));
+        let said: Vec<Incarnation> = said.take(MAX_REPORTED_LEAVING).cloned().collect();
+        all.extend(said);
+        all
     }
 
     /// Returns whether an endpoint is suspected.
--- a/crates/gateway/src/process/peers/peers.rs
+++ b/crates/gateway/src/process/peers/peers.rs
@@ -106,7 +106,13 @@
         self.sequence.set(self.sequence.get() + 1);
         let now = Instant::now();
         let suspects = gateway.fleet_state.borrow_mut().own_suspects(now);
-        let leaving = gateway.fleet_state.borrow_mut().own_leaving(now);
+        let leaving = {
+            let knowledge = gateway.knowledge.borrow();
+            let is_listed_ready = |endpoint: &Incarnation| {
+                knowledge.is_current(endpoint) && !knowledge.is_leaving(endpoint)
+            };
+            gateway.fleet_state.borrow_mut().own_leaving(is_listed_ready, now)
+        };
         let ended = gateway.fleet_state.borrow_mut().own_ended(now);
         let left = gateway.fleet_state.borrow_mut().own_left(now);
         let crashes = gateway.crash_guard.borrow_mut().reports(now.into_std());
--- a/crates/gateway/src/process/placer/reports.rs
+++ b/crates/gateway/src/process/placer/reports.rs
@@ -39,6 +39,9 @@
     let reported_start = res.as_ref().ok().map(|report| report.started);
     let answer_of = reported_start
         .map(|started| gateway.on_answer_of(&incarnation, client.peer(), started, requested_at));
+    if answer_of == Some(AnswerOf::SameIncarnation) && res.as_ref().is_ok_and(|r| r.is_leaving) {
+        gateway.on_leaving_answered(&incarnation);
+    }
     let is_suspect = suspects(&gateway, Instant::now()).contains(&incarnation);
     let mut engines = engines.borrow_mut();
     let Some(engine) = engines.get_mut(&incarnation) else { return };
--- a/crates/gateway/src/process/store/endpoint_check.rs
+++ b/crates/gateway/src/process/store/endpoint_check.rs
@@ -224,6 +224,9 @@
     {
         return Err(Unhealthy::OtherIncarnation);
     }
+    if answer.says_leaving {
+        gateway.on_leaving_answered(incarnation);
+    }
     match answer.health {
         Health::Healthy => Ok(()),
         Health::Unknown => Err(Unhealthy::Unknown),
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -208,6 +208,9 @@
     target: &Target<'_>,
     is_trial: bool,
 ) -> Result<(), FailedAttempt> {
+    if gateway.fleet_state.borrow().leaving_notices.contains(&target.incarnation) {
+        return Err(not_sent_now("it said that it leaves".to_owned()));
+    }
     gateway.admit_after_backoff(&target.incarnation).map_err(blocked)?;
     if gateway.admit_send(call, is_trial) {
         call.is_trial.set(false);
@@ -225,6 +228,10 @@
         SendBlock::Limited(_) => format!("its limit is reached for {ms} ms"),
         SendBlock::BackingOff(_) => format!("it asked for no requests for {ms} ms"),
     };
+    not_sent_now(why)
+}
+
+fn not_sent_now(why: String) -> FailedAttempt {
     FailedAttempt { is_blocked: true, ..FailedAttempt::new(Evidence::NotSent, why) }
 }
 
