Fields in endpoints' answers that nothing reads are counted and logged once a name

Same class as limits, back-offs and leaving: an endpoint says something of itself, and the answer is passed on unread.

--- a/crates/daemon/tests/gateway/leaving_answers.rs
+++ b/crates/daemon/tests/gateway/endpoint_notices.rs
@@ -1,4 +1,4 @@
-//! Endpoints that say in their answers to requests that they leave, and nowhere else.
+//! What endpoints say of themselves in their answers to requests, and nowhere else: that they leave, or what nothing reads.
 
 use crate::fleet::{fleet, load};
 use crate::gateway_process::wait_for;
@@ -106,3 +106,18 @@
     assert_eq!(gateway.metric("sorrellock_leaving_notices"), 0.0);
     gateway.wait_for_line(&["\"leaving of an endpoint ignored\""]);
 }
+
+#[test]
+fn a_field_that_nothing_reads_is_counted_and_logged_once() {
+    let fleet = fleet();
+    let gateway = fleet.gateway("one");
+    fleet.engines.iter().for_each(|engine| engine.add_field("server-mood"));
+
+    let outcome = load(from_ref(&gateway), "/match/a", Duration::from_secs(1));
+
+    assert_eq!(outcome.served, outcome.sent, "{outcome:?}");
+    let counted = gateway.metric("sorrellock_unknown_answer_fields");
+    assert!(counted >= outcome.sent as f64, "{counted} of {outcome:?}");
+    let lines = gateway.lines(&["\"unknown field in an endpoint's answer\"", "server-mood"]);
+    assert_eq!(lines.len(), 1, "{lines:?}");
+}
--- a/crates/gateway/src/process/counters.rs
+++ b/crates/gateway/src/process/counters.rs
@@ -152,6 +152,8 @@
     LeavingAnswered => "leaving_answered",
     /// Answers of which it can't be read whether their endpoint leaves.
     LeavingInvalid => "leaving_invalid",
+    /// Fields in endpoints' answers that nothing reads.
+    UnknownAnswerFields => "unknown_answer_fields",
     /// Messages to the other gateways that were too long or could not be encoded.
     PeerMessagesUnsent => "peer_messages_unsent",
     /// Whole views of the engines read from another gateway.
--- a/crates/gateway/src/process/gateway.rs
+++ b/crates/gateway/src/process/gateway.rs
@@ -4,6 +4,7 @@
     Count, Counters, EndChecks, FleetState, LivePath, LoggedFaults, NoticeKind, PathTable, Permits,
     Pool, ReportedSuspect, SUSPICION_DURATION, StoreContact,
 };
+use http::HeaderName;
 use sorrellock_core::clock::SystemClock;
 use sorrellock_core::process::retries::Breakers;
 use sorrellock_platform::{Bounds, Client, EndpointLoad, Kind, Settings, Store, StoreEras};
@@ -110,6 +111,8 @@
     pub(crate) backoffs: RefCell<Backoffs>,
     /// What endpoints say of themselves that can't be read, which has been logged.
     pub(crate) invalid_notices: RefCell<HashSet<(Incarnation, NoticeKind)>>,
+    /// Names of fields in endpoints' answers that nothing reads, which have been logged.
+    pub(crate) unknown_fields: RefCell<HashSet<HeaderName>>,
     /// The platform's store, once its client exists.
     pub(crate) store: RefCell<Option<Store>>,
     /// Number of requests in flight.
@@ -168,6 +171,7 @@
             view_serving: RefCell::default(),
             backoffs: RefCell::default(),
             invalid_notices: RefCell::default(),
+            unknown_fields: RefCell::default(),
             store: RefCell::default(),
             in_flight: Cell::new(0),
             unanswered: Cell::new(0),
--- a/crates/gateway/src/process/notices/mod.rs
+++ b/crates/gateway/src/process/notices/mod.rs
@@ -2,5 +2,6 @@
 
 mod answer_notices;
 mod send_blocks;
+mod unknown_fields;
 
 pub(crate) use answer_notices::*;
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -6,7 +6,9 @@
 use http::{Request, Response, StatusCode, Version};
 use http_body_util::Full;
 use hyper::body::Incoming;
-use sorrellock_platform::{AnswerHead, AttemptHead, attempt_headers, read_answer_head};
+use sorrellock_platform::{
+    AnswerHead, AttemptHead, attempt_headers, read_answer_head, unknown_fields,
+};
 use sorrellock_routing::process::notices::SendBlock;
 use sorrellock_routing::process::{FailureEvidence, Incarnation, PathPart, PeerSilence};
 use sorrellock_routing::request::Evidence;
@@ -141,6 +143,7 @@
     record_load(gateway, &target.incarnation, &head);
     if answers(&head, call) {
         gateway.on_notices(&target.incarnation, &head.notices, in_flight.began);
+        gateway.note_unknown_fields(&target.incarnation, unknown_fields(answer.headers()));
     }
     check_answer_head(gateway, call, &answer, &head)?;
     let incarnation = target.incarnation.clone();
