--- a/crates/daemon/tests/gateway/soak/crashes.rs
+++ b/crates/daemon/tests/gateway/soak/crashes.rs
@@ -90,7 +90,7 @@
     pub fn fault_beside_crashes(&mut self, rng: &mut StdRng) -> String {
         let node = rng.random_range(0..self.nodes.len());
         self.keep_copy();
-        match rng.random_range(0..13) {
+        match rng.random_range(0..18) {
             0 | 1 => self.restart_gateway(node, Signal::SIGKILL),
             2 => self.restart_gateway(node, Signal::SIGTERM),
             3 | 4 => self.pause(node),
@@ -98,6 +98,8 @@
             6 => self.set_store_proxy(node, rng),
             7 => self.come_back(rng),
             8..12 => self.name_limit(rng),
+            12..15 => self.ask_backoff(rng),
+            15..17 => self.say_leaving(rng),
             _ => self.restart_all(),
         }
     }
@@ -115,6 +117,7 @@
     /// Ends all faults. The engines that come crash on the request, too.
     pub fn heal_beside_crashes(&mut self, rng: &mut StdRng) {
         self.engines.iter().for_each(|(engine, _)| engine.name_limits(&[]));
+        self.heal_notices();
         self.heal();
         make_crash(self, rng);
     }
--- a/crates/daemon/tests/gateway/soak/mod.rs
+++ b/crates/daemon/tests/gateway/soak/mod.rs
@@ -9,6 +9,7 @@
 mod eras;
 mod faults;
 mod limits;
+mod notices;
 pub mod promises;
 mod silences;
 mod world;
@@ -85,8 +86,8 @@
     check_runs(&world, &heard).unwrap_or_else(|broken| panic!("seed {seed}: {broken} {course:#?}"));
 }
 
-/// Runs one seed of a request that crashes engines, and of engines that name limits, beside faults of gateways and the
-/// store.
+/// Runs one seed of a request that crashes engines, and of engines that name limits, ask for back-offs or say that they
+/// leave, beside faults of gateways and the store.
 fn soak_of_crashes(seed: u64) {
     let mut rng = StdRng::seed_from_u64(seed);
     let mut world = World::new(seed, EVENT_GAP);
@@ -105,6 +106,8 @@
 
     let held = check_service(&world).and_then(|()| world.check_limits());
     let held = held.and_then(|()| world.check_held());
+    let held = held.and_then(|()| world.check_backoffs());
+    let held = held.and_then(|()| world.check_leaving());
     let held = held.and_then(|()| check_runs(&world, &heard));
     held.unwrap_or_else(|broken| panic!("seed {seed}: {broken} {course:#?}"));
     wait_for_service(&world, &format!("seed {seed}: service after {course:#?} and more crashes"));
