--- a/crates/routing/src/process/placement/mod.rs
+++ b/crates/routing/src/process/placement/mod.rs
@@ -6,9 +6,11 @@
 mod chain_plan;
 mod chains;
 mod planner;
+mod repairs;
 mod transition;
 
 pub use chain_plan::*;
 pub use chains::*;
 pub use planner::*;
+pub use repairs::*;
 pub use transition::*;
