--- a/crates/routing/src/process/placement/planner.rs
+++ b/crates/routing/src/process/placement/planner.rs
@@ -179,7 +179,9 @@
         let engine = engines.pop().expect("two are heads");
         heads.insert(engine.incarnation.clone(), engine.held);
     }
-    while heads.len() < wanted && engines.len() > 2 {
+    // Empty engines take lost layers first.
+    let has_gap = engines.iter().any(|engine| !engine.held.is_empty()) && !covers(shape, &engines);
+    while heads.len() < wanted && engines.len() > 2 && !has_gap {
         let empty = (0..engines.len()).filter(|index| engines[*index].held.is_empty());
         let smallest = empty.min_by(|a, b| engines[*a].memory_mb.total_cmp(&engines[*b].memory_mb));
         let Some(smallest) = smallest else { break };
--- a/crates/routing/tests/placement.rs
+++ b/crates/routing/tests/placement.rs
@@ -82,6 +82,28 @@
     assert_eq!(loads(&placed, &plan), gap.len());
 }
 
+#[test]
+fn an_empty_engine_takes_the_layers_of_a_lost_first_engine_before_it_becomes_a_further_one() {
+    let shape = shape(80);
+    let engines = empty_engines(&shape, &[("h100", 1), ("a100", 1), ("l4", 5), ("t4", 7)]);
+    let plan = plan_data_centre(&shape, &engines, false).expect("the memory is enough").placement;
+    let mut placed = after(&engines, &plan);
+    let firsts = placed.iter().filter(|one| !one.held.is_empty() && one.held.from == 0).count();
+    assert_eq!(firsts, 2);
+    let lost = placed.iter().position(|one| one.held.from == 0 && one.held.len() > 10);
+    placed.remove(lost.expect("the chain's own first engine"));
+    placed.push(engine(&shape, "h100-new", "h100", 0, 0));
+
+    for is_idle in [true, false] {
+        let plan = plan_data_centre(&shape, &placed, is_idle).expect("the memory is enough");
+
+        let is_moved = |one: &&PlannedEngine| plan.placement[&one.incarnation] != one.held;
+        let moved: Vec<_> = placed.iter().filter(is_moved).collect();
+        assert_eq!(moved.len(), 1, "{moved:?}");
+        assert_eq!(moved[0].incarnation, incarnation("h100-new"));
+    }
+}
+
 #[test]
 fn while_streams_pass_a_gap_is_closed_without_releasing_layers() {
     let shape = shape(80);
