Placement: a data centre waits for a lost engine whose layers fit nowhere else without moving all others

The repair moved the boundaries of all engines within 2 s, each then held more than its part, and the way back needs each to give layers up once the streams that pass have ended (up to 8 s) and its neighbour holds them: a cascade of some ten steps, from 12 to 45 s, with the plan changing under it as engines were busy. Ruled out: worse plans than fresh ones (the plan at 12.5 s is the one from the start), tokens that no engine holds (utilisation falls with the streams).

Now a gap whose repair leaves less than half of the capacity waits 5 s for the engine to return while another data centre serves; where none does, the one that keeps the most is repaired. An engine that returns takes its part and nothing else moves.

--- a/crates/gateway/src/process/placer/placer.rs
+++ b/crates/gateway/src/process/placer/placer.rs
@@ -6,7 +6,7 @@
 use crate::process::Gateway;
 use sorrellock_platform::{Client, Store};
 use sorrellock_routing::process::lead_view::{EngineView, ViewChange, ViewLog};
-use sorrellock_routing::process::placement::{is_any_chain_scarce, next_steps};
+use sorrellock_routing::process::placement::{Repairs, is_any_chain_scarce, next_steps};
 use sorrellock_routing::process::{
     DataCentre, Endpoint, EndpointId, Incarnation, LayerRange, Revision,
 };
@@ -47,6 +47,8 @@
     pub(super) plans: HashMap<(ServiceName, DataCentre), Planned>,
     /// Engines of a data centre that cover all layers, and since when none of them has left.
     pub(super) whole_since: HashMap<(ServiceName, DataCentre), (BTreeSet<Incarnation>, Instant)>,
+    /// Data centres that lost layers, by service.
+    pub(super) repairs: HashMap<ServiceName, Repairs>,
     /// Since when no gateway has an open stream.
     pub(super) unused_since: Option<Instant>,
     /// Engines of a data centre, and since when the set is unchanged.
@@ -63,6 +65,7 @@
             is_complete: false,
             plans: HashMap::new(),
             whole_since: HashMap::new(),
+            repairs: HashMap::new(),
             unused_since: None,
             unchanged_since: HashMap::new(),
         }
@@ -87,6 +90,7 @@
             self.engines.borrow_mut().clear();
             self.plans.clear();
             self.whole_since.clear();
+            self.repairs.clear();
             self.unused_since = None;
             self.unchanged_since.clear();
         }
@@ -219,7 +223,7 @@
         }
         let planned = self.discard_chains_when_unused(&key, shape, planned, now);
         let is_idle = self.is_idle(&key, endpoints, now);
-        if self.may_plan(&key, shape, &planned, now) {
+        if self.may_plan(&key, shape, &planned, is_idle, now) {
             self.plan(&key, shape, &planned, is_idle, now);
         }
         let Some(plan) = self.plans.get(&key) else { return };
--- a/crates/gateway/src/process/placer/planning.rs
+++ b/crates/gateway/src/process/placer/planning.rs
@@ -2,7 +2,7 @@
 
 use super::{Placer, is_urgent};
 use sorrellock_routing::process::placement::{
-    DataCentrePlan, Holding, Placement, PlannedEngine, plan_data_centre,
+    DataCentrePlan, Holding, Placement, PlannedEngine, placement_capacity, plan_data_centre,
 };
 use sorrellock_routing::process::{DataCentre, Endpoint, Incarnation, LayerRange};
 use sorrellock_routing::version::{Card, ModelShape, ServiceName};
@@ -23,6 +23,8 @@
     pub(super) is_repair: bool,
     pub(super) fingerprints: Vec<Fingerprint>,
     pub(super) at: Instant,
+    /// Capacity of the last plan that was made while all layers were held, in MB a layer.
+    pub(super) whole_capacity: f64,
 }
 
 /// State of one engine that a plan depends on.
@@ -126,7 +128,13 @@
         }
         let is_repair =
             is_urgent(shape, planned) && planned.iter().any(|engine| !engine.held.is_empty());
-        self.plans.insert(key.clone(), Planned { placement, is_repair, fingerprints, at: now });
+        let capacity = placement_capacity(shape, planned, &placement);
+        let whole_capacity = match before {
+            Some(before) if is_repair => before.whole_capacity.max(capacity),
+            _ => capacity,
+        };
+        let plan = Planned { placement, is_repair, fingerprints, at: now, whole_capacity };
+        self.plans.insert(key.clone(), plan);
     }
 
     fn record_chains(&self, plan: &DataCentrePlan) {
--- a/crates/gateway/src/process/placer/timing.rs
+++ b/crates/gateway/src/process/placer/timing.rs
@@ -3,6 +3,7 @@
 use super::Placer;
 use sorrellock_routing::process::placement::{
     PlannedEngine, are_chains_whole, could_make_more_chains, covers, is_any_chain_scarce,
+    placement_capacity, plan_data_centre,
 };
 use sorrellock_routing::process::{DataCentre, Endpoint, Incarnation};
 use sorrellock_routing::version::{ModelShape, ServiceName};
@@ -61,11 +62,15 @@
         key: &(ServiceName, DataCentre),
         shape: &ModelShape,
         planned: &[PlannedEngine],
+        is_idle: bool,
         now: Instant,
     ) -> bool {
         if !covers(shape, planned) {
             self.whole_since.remove(key);
-            return true;
+            return self.may_repair(key, shape, planned, is_idle, now);
+        }
+        if self.is_served(key, |data_centre| *data_centre == key.1, now) {
+            self.repairs.entry(key.0.clone()).or_default().on_serving(&key.1);
         }
         let incarnations: BTreeSet<Incarnation> =
             planned.iter().map(|engine| engine.incarnation.clone()).collect();
@@ -89,6 +94,36 @@
                 && is_any_chain_scarce(shape, planned))
     }
 
+    /// Returns whether a data centre that lacks layers moves those that it has left.
+    fn may_repair(
+        &mut self,
+        key: &(ServiceName, DataCentre),
+        shape: &ModelShape,
+        planned: &[PlannedEngine],
+        is_idle: bool,
+        now: Instant,
+    ) -> bool {
+        let Some(before) = self.plans.get(key).map(|plan| plan.whole_capacity) else { return true };
+        let repaired = plan_data_centre(shape, planned, is_idle);
+        let capacity = repaired.map(|plan| placement_capacity(shape, planned, &plan.placement));
+        let Some(share) = capacity.map(|capacity| capacity / before.max(1.0)) else { return true };
+        let is_served_elsewhere = self.is_served(key, |data_centre| *data_centre != key.1, now);
+        let repairs = self.repairs.entry(key.0.clone()).or_default();
+        repairs.allows(&key.1, share, is_served_elsewhere, now.into_std())
+    }
+
+    /// Returns whether any of these data centres has a path that takes requests of the service.
+    fn is_served(
+        &self,
+        key: &(ServiceName, DataCentre),
+        is_counted: impl Fn(&DataCentre) -> bool,
+        now: Instant,
+    ) -> bool {
+        let paths = self.gateway.paths.borrow();
+        let mut open = paths.paths(&key.0).iter().filter(|live| !live.is_avoided(now));
+        open.any(|live| is_counted(&live.path.data_centre))
+    }
+
     /// Returns whether the fullest path of a data centre uses so much of its capacity that rebalancing pays.
     fn is_crowded(&self, key: &(ServiceName, DataCentre)) -> bool {
         self.gateway.paths.borrow().fullest(&key.0, &key.1) >= CROWDED_SHARE
