Crash guard: a request under which two engines ended doesn't run where a third crash would leave no data centre

What callers saw: within a second one request ended the first engines of all data centres, each resend going to the next one, and nobody was served until they were back. Cause: a suspect was sent wherever there was room. Now, a crash short of being held back, it runs only where a path is left without the engine and those that ended under it, if engines lie in several data centres; it is refused meanwhile, at once if it has run nowhere in this attempt. Ruled out: the same at one crash (each engine that dies has tens of innocent runs, which would all wait for its return).

--- a/crates/daemon/tests/gateway/crashing_requests.rs
+++ b/crates/daemon/tests/gateway/crashing_requests.rs
@@ -252,3 +252,30 @@
     };
     gateways.iter().enumerate().map(successor).collect()
 }
+
+#[test]
+fn a_request_under_which_two_engines_ended_does_not_run_where_only_one_data_centre_serves() {
+    let mut fleet = fleet();
+    (4..6).for_each(|index| fleet.add_engine(index, "west"));
+    fleet.engines.iter().for_each(|engine| engine.crash_on(CRASHING, CRASH_AFTER));
+    let gateway = fleet.gateway("one");
+    gateway.wait_for_line(&["\"path in use\"", "west"]);
+
+    for _ in 0..20 {
+        send_body(gateway.callers(), "/match/a", CRASHING);
+        thread::sleep(REPEAT_INTERVAL);
+    }
+    let crashes = || fleet.engines.iter().map(|engine| engine.seen().crashes.len()).sum::<usize>();
+    let before = crashes();
+    let innocent = send_body(gateway.callers(), "/match/a", "another");
+    let crashed = |engine: &&FakeEngine| engine.is_crashed();
+    fleet.engines.iter().filter(crashed).for_each(FakeEngine::restart);
+    wait_for("the request to be held back", || {
+        send_body(gateway.callers(), "/match/a", CRASHING);
+        !gateway.lines(&["\"request held back\""]).is_empty()
+    });
+
+    assert_eq!(before, 2);
+    assert_eq!(innocent.map(|answer| answer.status), Some(200));
+    assert_eq!(crashes(), MAX_CRASHES);
+}
--- a/crates/daemon/tests/gateway/endpoint_notices.rs
+++ b/crates/daemon/tests/gateway/endpoint_notices.rs
@@ -1,8 +1,8 @@
 //! What endpoints say of themselves in their answers to requests, and nowhere else: that they leave, or what nothing reads.
 
-use crate::fleet::{fleet, load};
-use crate::gateway_process::wait_for;
-use sorrellock_stand_ins::{FakeService, new_ip};
+use crate::fleet::{Fleet, fleet, load};
+use crate::gateway_process::{GatewayProcess, wait_for};
+use sorrellock_stand_ins::{FakeEngine, FakeService, new_ip};
 use std::slice::from_ref;
 use std::time::{Duration, Instant};
 
@@ -15,13 +15,18 @@
     arrivals.iter().filter(|at| **at > from).count()
 }
 
+/// Sends requests for a second, and returns an engine that got some.
+fn first_engine<'a>(fleet: &'a Fleet, gateway: &GatewayProcess) -> &'a FakeEngine {
+    load(from_ref(gateway), "/match/a", Duration::from_secs(1));
+    let engine = fleet.engines.iter().find(|engine| !engine.seen().requests.is_empty());
+    engine.expect("a first engine")
+}
+
 #[test]
 fn an_engine_that_says_in_its_answers_that_it_leaves_gets_no_more_requests() {
     let fleet = fleet();
     let gateway = fleet.gateway("one");
-    load(from_ref(&gateway), "/match/a", Duration::from_secs(1));
-    let engine = fleet.engines.iter().find(|engine| !engine.seen().requests.is_empty());
-    let engine = engine.expect("a first engine");
+    let engine = first_engine(&fleet, &gateway);
 
     engine.say_leaving(&["1"]);
     let outcome = load(from_ref(&gateway), "/match/a", LASTS);
@@ -37,9 +42,7 @@
 fn an_engine_that_says_so_in_a_refusal_gets_no_more_requests_until_it_starts_again() {
     let fleet = fleet();
     let gateway = fleet.gateway("one");
-    load(from_ref(&gateway), "/match/a", Duration::from_secs(1));
-    let engine = fleet.engines.iter().find(|engine| !engine.seen().requests.is_empty());
-    let engine = engine.expect("a first engine");
+    let engine = first_engine(&fleet, &gateway);
 
     engine.say_leaving(&["1"]);
     engine.refuse_for(&[]);
@@ -62,9 +65,7 @@
 fn an_engine_that_says_so_in_its_reports_gets_no_more_requests() {
     let fleet = fleet();
     let gateway = fleet.gateway("one");
-    load(from_ref(&gateway), "/match/a", Duration::from_secs(1));
-    let engine = fleet.engines.iter().find(|engine| !engine.seen().requests.is_empty());
-    let engine = engine.expect("a first engine");
+    let engine = first_engine(&fleet, &gateway);
 
     engine.say_leaving_in_reports();
     gateway.wait_for_line(&["\"endpoint said in an answer that it leaves\"", engine.id()]);
--- a/crates/gateway/src/process/crashes/crash_watch.rs
+++ b/crates/gateway/src/process/crashes/crash_watch.rs
@@ -74,6 +74,41 @@
         self.crash_guard.borrow().is_suspect(call.run_request.content)
     }
 
+    /// Returns whether a request may be sent to the first engine of a path. One that is a crash short of being held back doesn't
+    /// run where its crash would leave no path to others.
+    pub(crate) fn may_risk_path(&self, call: &Call, first: &Incarnation) -> bool {
+        if !self.spares_last_path(call) {
+            return true;
+        }
+        let guard = self.crash_guard.borrow();
+        // Their paths may not be known to be broken yet.
+        let ended = guard.ended_under(call.run_request.content).iter();
+        let lost = ended.chain([first]);
+        self.paths.borrow().serves_without(&call.service, lost, Instant::now())
+    }
+
+    /// Returns whether the crash of any engine that a request may be sent to would leave no path.
+    pub(crate) fn risks_last_path(&self, call: &Call) -> bool {
+        let now = Instant::now();
+        let firsts = self.paths.borrow().first_engines(&call.service, now);
+        self.spares_last_path(call)
+            && !firsts.is_empty()
+            && !firsts.iter().any(|first| self.may_risk_path(call, first))
+    }
+
+    /// Returns whether one more crash holds a request back, and several data centres have engines that could serve others meanwhile.
+    fn spares_last_path(&self, call: &Call) -> bool {
+        self.crash_guard.borrow().is_last_chance(call.run_request.content)
+            && self.has_several_data_centres(&call.service)
+    }
+
+    fn has_several_data_centres(&self, service: &str) -> bool {
+        let knowledge = self.knowledge.borrow();
+        let mut engines = knowledge.endpoints().filter(|endpoint| endpoint.service == service);
+        let Some(first) = engines.next() else { return false };
+        engines.any(|endpoint| endpoint.data_centre != first.data_centre)
+    }
+
     /// Returns whether a suspect of this gateway runs on an endpoint.
     pub(crate) fn runs_suspect(&self, endpoint: &Incarnation) -> bool {
         self.crash_guard.borrow().has_suspect(endpoint, Instant::now().into_std())
--- a/crates/gateway/src/process/paths/path_table.rs
+++ b/crates/gateway/src/process/paths/path_table.rs
@@ -44,6 +44,8 @@
     Blocked(SendBlock),
     /// It may not be sent to further engines, and ran at none.
     AttemptsSpent,
+    /// It may crash the last engine that serves others.
+    LastPath,
 }
 
 /// The paths of all services.
@@ -72,6 +74,17 @@
         firsts.into_iter().collect()
     }
 
+    /// Returns whether a path that takes new requests is left without these engines.
+    pub(crate) fn serves_without<'a>(
+        &self,
+        service: &str,
+        engines: impl Iterator<Item = &'a Incarnation> + Clone,
+        now: Instant,
+    ) -> bool {
+        let mut open = self.paths(service).iter().filter(|live| !live.is_avoided(now));
+        open.any(|live| !engines.clone().any(|engine| live.path.uses(engine)))
+    }
+
     /// Returns the paths through the reported engine that another gateway's report breaks.
     pub(crate) fn breaking_by_report(
         &self,
--- a/crates/gateway/src/request/run.rs
+++ b/crates/gateway/src/request/run.rs
@@ -53,6 +53,9 @@
         if !attempts.may_send() && attempts.abandoned_outcome(false) == AbandonedOutcome::NotRun {
             return Err(NoPlace::AttemptsSpent);
         }
+        if !attempts.is_repeat() && gateway.risks_last_path(call) {
+            return Err(NoPlace::LastPath);
+        }
         let block = gateway.service_block(&call.service);
         let left = until.saturating_duration_since(Instant::now());
         if left.is_zero() {
@@ -100,6 +103,7 @@
         let first = &live.path.first().incarnation;
         attempts.may_send_to(first)
             && gateway.send_block(first).is_none()
+            && gateway.may_risk_path(call, first)
             && !avoid.iter().any(|other| Rc::ptr_eq(other, live))
     };
     let own = &gateway.settings.data_centre;
--- a/crates/gateway/src/request/stream.rs
+++ b/crates/gateway/src/request/stream.rs
@@ -93,6 +93,9 @@
         NotStarted::NoPlace(NoPlace::AttemptsSpent) => {
             ("all engines that it may be sent to refused it", retry_delay_elsewhere(gateway, call))
         }
+        NotStarted::NoPlace(NoPlace::LastPath) => {
+            ("it may crash the last engine that serves", RETRY_AFTER_NO_PATH)
+        }
         NotStarted::NoPlace(NoPlace::Full) => ("all paths are full", RETRY_AFTER_FULL),
         NotStarted::NoPlace(NoPlace::NoPath) => ("no engines hold all layers", RETRY_AFTER_NO_PATH),
         NotStarted::RetriesExhausted => ("no attempt or retry budget is left", RETRY_AFTER_FULL),
--- a/crates/routing/src/process/crashes/crash_guard.rs
+++ b/crates/routing/src/process/crashes/crash_guard.rs
@@ -334,6 +334,11 @@
         self.suspects.is_last_chance(content)
     }
 
+    /// Returns the endpoints that ended under a request since it last ran without harm.
+    pub fn ended_under(&self, content: ContentId) -> &[Incarnation] {
+        self.suspects.ended_under(content)
+    }
+
     /// Returns whether a gateway runs a request already that is a crash short of being held back, so that its fate
     /// there should be known before it is sent to another endpoint.
     pub fn is_suspect_running(&self, content: ContentId, now: Instant) -> bool {
--- a/crates/routing/src/process/crashes/crash_suspects.rs
+++ b/crates/routing/src/process/crashes/crash_suspects.rs
@@ -130,6 +130,11 @@
         self.suspects.get(&content).is_some_and(Suspect::is_last_chance)
     }
 
+    /// Returns the endpoints that ended under a request and count.
+    pub(super) fn ended_under(&self, content: ContentId) -> &[Incarnation] {
+        self.suspects.get(&content).map_or(&[], |suspect| suspect.endpoints.as_slice())
+    }
+
     /// Returns the records of all suspects, for other gateways.
     pub(super) fn records(&self, now: Instant) -> Vec<SuspectRecord> {
         let record = |(content, suspect): (&ContentId, &Suspect)| SuspectRecord {
