--- a/crates/gateway/src/process/notices/answer_notices.rs
+++ b/crates/gateway/src/process/notices/answer_notices.rs
@@ -89,13 +89,14 @@
             Some(BackoffChange::Ended) => {
                 info!("endpoint takes requests again after its back-off", kv: {
                     endpoint = endpoint.id.as_str()
-                })
+                });
+                self.paths.borrow().freed().notify_waiters();
             }
             None => {}
         }
     }
 
-    /// Applies an answer to a request, a query or an order that says that its endpoint leaves.
+    /// Applies an answer to a request or a query that says that its endpoint leaves.
     pub(crate) fn on_leaving_answered(&self, endpoint: &Incarnation) {
         let now = Instant::now().into_std();
         let is_new = self.fleet_state.borrow_mut().leaving_notices.add(endpoint, now);
--- a/crates/gateway/src/process/placer/placer.rs
+++ b/crates/gateway/src/process/placer/placer.rs
@@ -47,7 +47,7 @@
     pub(super) plans: HashMap<(ServiceName, DataCentre), Planned>,
     /// Engines of a data centre that cover all layers, and since when none of them has left.
     pub(super) whole_since: HashMap<(ServiceName, DataCentre), (BTreeSet<Incarnation>, Instant)>,
-    /// Data centres that lost layers, by service.
+    /// Data centres that lost layers, by service. Cleared when the lead is lost.
     pub(super) repairs: HashMap<ServiceName, Repairs>,
     /// Since when no gateway has an open stream.
     pub(super) unused_since: Option<Instant>,
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -141,7 +141,7 @@
     let (answer, connection, run) = sent?;
     let head = read_answer_head(answer.status(), answer.headers());
     record_load(gateway, &target.incarnation, &head);
-    if answers(&head, call) {
+    if is_answer_to(&head, call) {
         gateway.on_notices(&target.incarnation, &head.notices, in_flight.began);
         gateway.note_unknown_fields(&target.incarnation, unknown_fields(answer.headers()));
     }
@@ -327,7 +327,7 @@
 }
 
 /// Returns whether an answer doesn't name another request than this one.
-fn answers(head: &AnswerHead, call: &Call) -> bool {
+fn is_answer_to(head: &AnswerHead, call: &Call) -> bool {
     head.request_id.as_deref().is_none_or(|id| id == call.id())
 }
 
@@ -339,7 +339,7 @@
     head: &AnswerHead,
 ) -> Result<(), FailedAttempt> {
     let status = answer.status();
-    if !answers(head, call) {
+    if !is_answer_to(head, call) {
         gateway.counters.add(Count::CrossedAnswers);
         warn!("answer of another request dropped", kv: { request = call.id() });
         let why = "the answer belongs to another request".to_owned();
