Placement: a data centre whose engines are all gone holds no other one's repair up

A repair that had begun in a data centre which then lost its last engine stayed begun, so that the others waited 5 s each time where none served. Found by reading. Test: a_data_centre_without_engines_holds_up_no_other_one; it needs Repairs::retain, which didn't exist.

--- a/crates/gateway/src/process/placer/placer.rs
+++ b/crates/gateway/src/process/placer/placer.rs
@@ -105,7 +105,11 @@
         self.request_reports(now);
         self.track_use(now);
         for (service, shape) in &services {
-            for (data_centre, engines) in self.by_data_centre(service) {
+            let data_centres = self.by_data_centre(service);
+            if let Some(repairs) = self.repairs.get_mut(service) {
+                repairs.retain(|name| data_centres.contains_key(name));
+            }
+            for (data_centre, engines) in data_centres {
                 self.place(service, shape, &data_centre, &engines, now);
             }
         }
--- a/crates/routing/src/process/placement/repairs.rs
+++ b/crates/routing/src/process/placement/repairs.rs
@@ -1,7 +1,6 @@
 //! Decides whether a data centre that lost layers moves the layers that it has left, or waits for the lost engine to return.
 
 use crate::process::DataCentre;
-use crate::process::LayerRange;
 use crate::process::placement::{Placement, PlannedEngine};
 use crate::version::ModelShape;
 use std::collections::BTreeMap;
@@ -38,6 +37,11 @@
         self.losses.remove(data_centre);
     }
 
+    /// Drops data centres that have no engines any more.
+    pub fn retain(&mut self, is_current: impl Fn(&DataCentre) -> bool) {
+        self.losses.retain(|name, _| is_current(name));
+    }
+
     /// Returns whether a data centre that lacks layers is repaired now. `repaired_share`: its capacity after that, as a share of that before the loss. Where
     /// no other data centre serves, the one that is left with the most is repaired.
     pub fn allows(
@@ -78,7 +82,7 @@
     placement: &Placement,
 ) -> f64 {
     let layers = |engine: &PlannedEngine| {
-        placement.get(&engine.incarnation).copied().unwrap_or(LayerRange::default()).len()
+        placement.get(&engine.incarnation).copied().unwrap_or_default().len()
     };
     let holding = engines.iter().filter(|engine| layers(engine) > 0);
     let capacity =
--- a/crates/routing/tests/repairs.rs
+++ b/crates/routing/tests/repairs.rs
@@ -241,3 +241,15 @@
 
     assert_eq!((south, north, north_with_more, again), (true, false, false, false));
 }
+
+#[test]
+fn a_data_centre_without_engines_holds_up_no_other_one() {
+    let (mut repairs, now) = (Repairs::default(), Instant::now());
+    repairs.allows("south", 0.4, false, now);
+    let before = repairs.allows("north", 0.2, false, now);
+
+    repairs.retain(|name| name != "south");
+
+    assert!(!before);
+    assert!(repairs.allows("north", 0.2, false, now));
+}
