Placement: a data centre that waits for a lost engine isn't planned anew each round

The share that is left after a repair was worked out by a plan in each of the lead's rounds for as long as the gap lasted; a plan takes long where there are many engines, and requests are served between rounds. It is made again only when the state of an engine changes, as the plan itself. Found by reading; no figure: not measured.

--- a/crates/gateway/src/process/placer/placer.rs
+++ b/crates/gateway/src/process/placer/placer.rs
@@ -2,6 +2,7 @@
 
 use super::lead::Lead;
 use super::reports::{request_report, suspects};
+use super::timing::RepairShare;
 use super::{Engine, Engines, Planned};
 use crate::process::Gateway;
 use sorrellock_platform::{Client, Store};
@@ -49,6 +50,7 @@
     pub(super) whole_since: HashMap<(ServiceName, DataCentre), (BTreeSet<Incarnation>, Instant)>,
     /// Data centres that lost layers, by service. Cleared when the lead is lost.
     pub(super) repairs: HashMap<ServiceName, Repairs>,
+    pub(super) repair_shares: HashMap<(ServiceName, DataCentre), RepairShare>,
     /// Since when no gateway has an open stream.
     pub(super) unused_since: Option<Instant>,
     /// Engines of a data centre, and since when the set is unchanged.
@@ -66,6 +68,7 @@
             plans: HashMap::new(),
             whole_since: HashMap::new(),
             repairs: HashMap::new(),
+            repair_shares: HashMap::new(),
             unused_since: None,
             unchanged_since: HashMap::new(),
         }
@@ -91,6 +94,7 @@
             self.plans.clear();
             self.whole_since.clear();
             self.repairs.clear();
+            self.repair_shares.clear();
             self.unused_since = None;
             self.unchanged_since.clear();
         }
--- a/crates/gateway/src/process/placer/timing.rs
+++ b/crates/gateway/src/process/placer/timing.rs
@@ -1,6 +1,7 @@
 //! Decides when the chains of a data centre are replanned, and for which engines.
 
 use super::Placer;
+use super::planning::{Fingerprint, fingerprint};
 use sorrellock_routing::process::placement::{
     PlannedEngine, are_chains_whole, could_make_more_chains, covers, is_any_chain_scarce,
     placement_capacity, plan_data_centre,
@@ -36,6 +37,14 @@
 /// reconnect sooner.
 const REBUILD_AFTER_UNUSED: Duration = Duration::from_secs(2);
 
+/// The capacity of a data centre after a repair, as a share of that before the loss.
+pub(super) struct RepairShare {
+    /// State of the engines for which it was worked out.
+    fingerprints: Vec<Fingerprint>,
+    /// `None` if they can't hold the model.
+    share: Option<f64>,
+}
+
 impl Placer {
     /// Returns whether an engine died recently and the streams of its chain ended with it. Where capacity
     /// is short, the streams wait on their first engines, and layers that they use can't be released.
@@ -103,15 +112,34 @@
         is_idle: bool,
         now: Instant,
     ) -> bool {
-        let Some(before) = self.plans.get(key).map(|plan| plan.whole_capacity) else { return true };
-        let repaired = plan_data_centre(shape, planned, is_idle);
-        let capacity = repaired.map(|plan| placement_capacity(shape, planned, &plan.placement));
-        let Some(share) = capacity.map(|capacity| capacity / before.max(1.0)) else { return true };
+        let Some(share) = self.repaired_share(key, shape, planned, is_idle) else { return true };
         let is_served_elsewhere = self.is_served(key, |data_centre| *data_centre != key.1, now);
         let repairs = self.repairs.entry(key.0.clone()).or_default();
         repairs.allows(&key.1, share, is_served_elsewhere, now.into_std())
     }
 
+    /// Returns the capacity that a data centre has after its repair, as a share of that before the loss; `None` if either isn't known. A plan takes long
+    /// where there are many engines, so it is made again only when their state changes.
+    fn repaired_share(
+        &mut self,
+        key: &(ServiceName, DataCentre),
+        shape: &ModelShape,
+        planned: &[PlannedEngine],
+        is_idle: bool,
+    ) -> Option<f64> {
+        let before = self.plans.get(key)?.whole_capacity;
+        let fingerprints: Vec<Fingerprint> = planned.iter().map(fingerprint).collect();
+        let known = self.repair_shares.get(key);
+        if let Some(known) = known.filter(|known| known.fingerprints == fingerprints) {
+            return known.share;
+        }
+        let plan = plan_data_centre(shape, planned, is_idle);
+        let capacity = plan.map(|plan| placement_capacity(shape, planned, &plan.placement));
+        let share = capacity.map(|capacity| capacity / before.max(1.0));
+        self.repair_shares.insert(key.clone(), RepairShare { fingerprints, share });
+        share
+    }
+
     /// Returns whether any of these data centres has a path that takes requests of the service.
     fn is_served(
         &self,
