Back-offs last until their end, however long their endpoint's entry is away

A back-off was dropped ten minutes after it had been asked for if the endpoint's entry was gone, so that an endpoint whose entry came back later got requests in its time. It ends with its time, its incarnation or an operator now; 4,096 are kept at most, those that end first make way and are counted (backoffs_evicted).

--- a/crates/gateway/src/process/listeners.rs
+++ b/crates/gateway/src/process/listeners.rs
@@ -131,6 +131,7 @@
         ("endpoints_heard_ms", age(Kind::Endpoints)),
         ("limited_endpoints", gateway.limits.borrow().limited(now.into_std()).count() as f64),
         ("backing_off_endpoints", gateway.backoffs.borrow().active(now.into_std()).count() as f64),
+        ("backoffs_evicted", gateway.backoffs.borrow().evicted() as f64),
         ("leaving_notices", fleet_state.leaving_notices.len() as f64),
         ("leaving_notices_evicted", fleet_state.leaving_notices.evicted() as f64),
         ("held_requests", guard.held().held() as f64),
--- a/crates/routing/src/process/notices/backoffs.rs
+++ b/crates/routing/src/process/notices/backoffs.rs
@@ -8,16 +8,13 @@
 const MAX_WAIT: Duration = Duration::from_secs(100 * 365 * 86_400);
 /// Time until another trial may follow one without an answer.
 const TRIAL_TIMEOUT: Duration = Duration::from_secs(1);
-
-/// How long a back-off is kept whose endpoint isn't listed: its entry may come back.
-const KEPT_UNLISTED: Duration = Duration::from_secs(600);
+/// Maximum number of back-offs that are kept: more than the endpoints of a large fleet.
+const MAX_KEPT: usize = 4_096;
 
 /// An endpoint's back-off.
 #[derive(Clone, Copy, Debug)]
 struct Backoff {
     until: Instant,
-    /// When the latest answer came that asked for it.
-    asked_at: Instant,
     /// When the request was sent that finds out whether the endpoint takes requests again.
     trial_at: Option<Instant>,
 }
@@ -47,6 +44,7 @@
 #[derive(Debug, Default)]
 pub struct Backoffs {
     known: HashMap<Incarnation, Backoff>,
+    evicted: u64,
 }
 
 impl Backoffs {
@@ -67,11 +65,22 @@
         let until = now + wait.min(MAX_WAIT);
         let before = self.known.get(endpoint).map(|known| known.until);
         let until = before.map_or(until, |before| before.max(until));
-        self.known.insert(endpoint.clone(), Backoff { until, asked_at: now, trial_at: None });
+        if before.is_none() && self.known.len() >= MAX_KEPT {
+            self.evict_first_to_end();
+        }
+        self.known.insert(endpoint.clone(), Backoff { until, trial_at: None });
         let is_new = before.is_none_or(|before| before <= now);
         is_new.then(|| BackoffChange::Begun(until - now))
     }
 
+    fn evict_first_to_end(&mut self) {
+        let first = self.known.iter().min_by_key(|(_, known)| known.until);
+        if let Some(endpoint) = first.map(|(endpoint, _)| endpoint.clone()) {
+            self.known.remove(&endpoint);
+            self.evicted += 1;
+        }
+    }
+
     /// Returns the time until an endpoint may be sent a request; `None` if it may now.
     pub fn blocked_for(&self, endpoint: &Incarnation, now: Instant) -> Option<Duration> {
         self.known.get(endpoint)?.blocked_for(now)
@@ -109,10 +118,13 @@
         })
     }
 
-    /// Drops the back-offs of endpoints that are gone.
+    /// Drops the back-offs that are over and whose endpoints are gone. An entry that is gone may come back before.
     pub fn retain(&mut self, is_current: impl Fn(&Incarnation) -> bool, now: Instant) {
-        self.known.retain(|endpoint, known| {
-            is_current(endpoint) || now.duration_since(known.asked_at) < KEPT_UNLISTED
-        });
+        self.known.retain(|endpoint, known| is_current(endpoint) || known.until > now);
+    }
+
+    /// Returns how many were dropped to make room.
+    pub fn evicted(&self) -> u64 {
+        self.evicted
     }
 }
--- a/crates/routing/tests/notices.rs
+++ b/crates/routing/tests/notices.rs
@@ -86,6 +86,34 @@
     assert_eq!(backoffs.blocked_for(&engine(), now), None);
 }
 
+#[test]
+fn a_back_off_lasts_until_its_end_however_long_its_entry_is_away() {
+    let (mut backoffs, now) = (Backoffs::default(), Instant::now());
+    let hour = Duration::from_secs(3_600);
+    backoffs.on_answer(&engine(), Some(hour), now);
+
+    backoffs.retain(|_| false, now + hour - MOMENT);
+    let is_kept = backoffs.blocked_for(&engine(), now + hour - MOMENT).is_some();
+    backoffs.retain(|_| false, now + hour);
+
+    assert!(is_kept);
+    assert!(!backoffs.clear("engine"), "it is over, and its endpoint gone");
+}
+
+#[test]
+fn back_offs_are_bounded_and_those_that_end_first_make_way() {
+    let (mut backoffs, now) = (Backoffs::default(), Instant::now());
+    let one = |index: u32| Incarnation::new(format!("engine-{index}"), None);
+
+    for index in 0..5_000 {
+        backoffs.on_answer(&one(index), Some(WAIT + Duration::from_millis(index.into())), now);
+    }
+
+    assert_eq!(backoffs.active(now).count() as u64 + backoffs.evicted(), 5_000);
+    assert!(backoffs.blocked_for(&one(0), now).is_none());
+    assert!(backoffs.blocked_for(&one(4_999), now).is_some());
+}
+
 /// An endpoint's answers and a gateway's sends, in ms between them. Each answer asks for a wait in ms, or for none.
 fn gets_nothing_while_it_asks_for_nothing(steps: Vec<(u16, Option<u16>)>) -> TestResult {
     let (mut backoffs, began) = (Backoffs::default(), Instant::now());
