Back-offs: a trial is ended by its own request alone, also when that is dropped

Any attempt at an endpoint that failed, one that never connected among them, ended the trial of another request after a back-off, so that two could go first; one whose caller left held the next one up for a second. The trial is a value that its request holds now, and ends when that is dropped. Found by reading.

--- a/crates/gateway/src/process/notices/mod.rs
+++ b/crates/gateway/src/process/notices/mod.rs
@@ -5,3 +5,4 @@
 mod unknown_fields;
 
 pub(crate) use answer_notices::*;
+pub(crate) use send_blocks::*;
--- a/crates/gateway/src/process/notices/send_blocks.rs
+++ b/crates/gateway/src/process/notices/send_blocks.rs
@@ -2,10 +2,24 @@
 
 use crate::process::{Count, Gateway};
 use sorrellock_routing::process::Incarnation;
-use sorrellock_routing::process::notices::SendBlock;
+use sorrellock_routing::process::notices::{SendBlock, Trial};
 use spdlog::info;
+use std::rc::Rc;
 use tokio::time::Instant;
 
+/// The first request to an endpoint after its back-off. If it is dropped without an answer, another one may follow.
+pub(crate) struct BackoffTrial {
+    gateway: Rc<Gateway>,
+    endpoint: Incarnation,
+    trial: Trial,
+}
+
+impl Drop for BackoffTrial {
+    fn drop(&mut self) {
+        self.gateway.backoffs.borrow_mut().on_trial_over(&self.endpoint, self.trial);
+    }
+}
+
 impl Gateway {
     /// Returns why an endpoint gets no request now; `None` if it may be sent one.
     pub(crate) fn send_block(&self, endpoint: &Incarnation) -> Option<SendBlock> {
@@ -22,14 +36,19 @@
         SendBlock::first_to_end(firsts.iter().map(|first| self.send_block(first)))
     }
 
-    /// Admits a request right before its bytes are written.
-    pub(crate) fn admit_after_backoff(&self, endpoint: &Incarnation) -> Result<(), SendBlock> {
+    /// Admits a request right before its bytes are written. What it returns is kept until the answer has been applied.
+    pub(crate) fn admit_after_backoff(
+        self: &Rc<Self>,
+        endpoint: &Incarnation,
+    ) -> Result<Option<BackoffTrial>, SendBlock> {
         let now = Instant::now().into_std();
         let admitted = self.backoffs.borrow_mut().admit(endpoint, now);
-        admitted.map_err(|wait| {
+        let trial = admitted.map_err(|wait| {
             self.counters.add(Count::BackoffSends);
             SendBlock::BackingOff(wait)
-        })
+        })?;
+        let (gateway, endpoint) = (Rc::clone(self), endpoint.clone());
+        Ok(trial.map(|trial| BackoffTrial { gateway, endpoint, trial }))
     }
 
     /// Ends the back-offs of an endpoint. Returns whether there were any.
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -1,6 +1,8 @@
 //! Sends a request to one endpoint and reads the head of its answer.
 
-use crate::process::{CONNECT_LIMIT, Connection, Count, EndpointUse, Gateway, RunGuard, open};
+use crate::process::{
+    BackoffTrial, CONNECT_LIMIT, Connection, Count, EndpointUse, Gateway, RunGuard, open,
+};
 use crate::request::{Call, held_reason};
 use bytes::Bytes;
 use http::{Request, Response, StatusCode, Version};
@@ -134,22 +136,28 @@
     limit: Duration,
 ) -> Result<Exchange, FailedAttempt> {
     let in_flight = InFlightGuard::new(Rc::clone(gateway), target.incarnation.clone());
-    let sent = send(gateway, call, target, limit).await;
-    if matches!(&sent, Err(failed) if !failed.is_held && !failed.is_blocked) {
-        gateway.backoffs.borrow_mut().on_no_answer(&target.incarnation);
-    }
-    let (answer, connection, run) = sent?;
+    let Answered { answer, connection, run, backoff_trial } =
+        send(gateway, call, target, limit).await?;
     let head = read_answer_head(answer.status(), answer.headers());
     record_load(gateway, &target.incarnation, &head);
     if is_answer_to(&head, call) {
         gateway.on_notices(&target.incarnation, &head.notices, in_flight.began);
         gateway.note_unknown_fields(&target.incarnation, unknown_fields(answer.headers()));
     }
+    drop(backoff_trial);
     check_answer_head(gateway, call, &answer, &head)?;
     let incarnation = target.incarnation.clone();
     Ok(Exchange { answer, head, connection, incarnation, in_flight, run })
 }
 
+/// A request whose answer's head has been received.
+struct Answered {
+    answer: Response<Incoming>,
+    connection: Connection,
+    run: RunGuard,
+    backoff_trial: Option<BackoffTrial>,
+}
+
 /// Sends a request on a pooled connection. If the endpoint has closed it already, tries the next one, and a new one
 /// when the pool is empty.
 async fn send(
@@ -157,7 +165,7 @@
     call: &Call,
     target: &Target<'_>,
     limit: Duration,
-) -> Result<(Response<Incoming>, Connection, RunGuard), FailedAttempt> {
+) -> Result<Answered, FailedAttempt> {
     let until = Instant::now() + limit;
     let mut req = build_request(call, target);
     let is_trial = call.is_trial.get();
@@ -168,7 +176,7 @@
             take_permit(gateway, target).await?;
             has_permit = true;
         }
-        admit(gateway, call, target, is_trial)?;
+        let backoff_trial = admit(gateway, call, target, is_trial)?;
         let run = RunGuard::begin(gateway, Rc::clone(&call.run_request), target.endpoints());
         let silence = SilenceWatch::start(Rc::clone(gateway), target.incarnation.clone());
         let Ok(res) = timeout_at(until, connection.sender.try_send_request(req)).await else {
@@ -177,15 +185,12 @@
         };
         silence.end();
         let mut err = match res {
-            Ok(answer) => return Ok((answer, connection, run)),
+            Ok(answer) => return Ok(Answered { answer, connection, run, backoff_trial }),
             Err(err) => err,
         };
         req = match err.take_message() {
             // Closing an idle connection is no sign of a failed endpoint.
-            Some(unsent) if is_kept => {
-                gateway.backoffs.borrow_mut().on_no_answer(&target.incarnation);
-                unsent
-            }
+            Some(unsent) if is_kept => unsent,
             Some(_) => return Err(FailedAttempt::new(Evidence::NotSent, err.error().to_string())),
             None => {
                 run.on_broke();
@@ -206,20 +211,19 @@
 /// Decides right before the bytes of a request are written whether they may be. `is_trial`: the request is held back, and sent
 /// once to see whether it does no more harm.
 fn admit(
-    gateway: &Gateway,
+    gateway: &Rc<Gateway>,
     call: &Call,
     target: &Target<'_>,
     is_trial: bool,
-) -> Result<(), FailedAttempt> {
+) -> Result<Option<BackoffTrial>, FailedAttempt> {
     if gateway.fleet_state.borrow().leaving_notices.contains(&target.incarnation) {
         return Err(not_sent_now("it said that it leaves".to_owned()));
     }
-    gateway.admit_after_backoff(&target.incarnation).map_err(blocked)?;
+    let backoff_trial = gateway.admit_after_backoff(&target.incarnation).map_err(blocked)?;
     if gateway.admit_send(call, is_trial) {
         call.is_trial.set(false);
-        return Ok(());
+        return Ok(backoff_trial);
     }
-    gateway.backoffs.borrow_mut().on_no_answer(&target.incarnation);
     let failed = FailedAttempt::new(Evidence::NotSent, held_reason(call));
     Err(FailedAttempt { is_held: true, ..failed })
 }
--- a/crates/routing/src/process/notices/backoffs.rs
+++ b/crates/routing/src/process/notices/backoffs.rs
@@ -15,7 +15,7 @@
 #[derive(Clone, Copy, Debug)]
 struct Backoff {
     until: Instant,
-    /// When the request was sent that finds out whether the endpoint takes requests again.
+    /// When the trial was sent that is under way.
     trial_at: Option<Instant>,
 }
 
@@ -28,6 +28,12 @@
     }
 }
 
+/// The request that finds out whether an endpoint takes requests again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Trial {
+    sent_at: Instant,
+}
+
 /// A change of an endpoint's back-off.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum BackoffChange {
@@ -86,19 +92,25 @@
         self.known.get(endpoint)?.blocked_for(now)
     }
 
-    /// Admits a request whose bytes are written `now`. Returns the time until another may be tried if it isn't admitted.
-    pub fn admit(&mut self, endpoint: &Incarnation, now: Instant) -> Result<(), Duration> {
-        let Some(known) = self.known.get_mut(endpoint) else { return Ok(()) };
+    /// Admits a request whose bytes are written `now`, as a trial if it is the first after a back-off. Returns the time until
+    /// another may be tried if it isn't admitted.
+    pub fn admit(
+        &mut self,
+        endpoint: &Incarnation,
+        now: Instant,
+    ) -> Result<Option<Trial>, Duration> {
+        let Some(known) = self.known.get_mut(endpoint) else { return Ok(None) };
         if let Some(left) = known.blocked_for(now) {
             return Err(left);
         }
         known.trial_at = Some(now);
-        Ok(())
+        Ok(Some(Trial { sent_at: now }))
     }
 
-    /// Records that an admitted request brought no answer.
-    pub fn on_no_answer(&mut self, endpoint: &Incarnation) {
-        if let Some(known) = self.known.get_mut(endpoint) {
+    /// Records that a trial is over, so that another may follow if it brought no answer.
+    pub fn on_trial_over(&mut self, endpoint: &Incarnation, trial: Trial) {
+        let known = self.known.get_mut(endpoint);
+        if let Some(known) = known.filter(|known| known.trial_at == Some(trial.sent_at)) {
             known.trial_at = None;
         }
     }
--- a/crates/routing/tests/notices.rs
+++ b/crates/routing/tests/notices.rs
@@ -21,7 +21,7 @@
     assert_eq!(change, Some(BackoffChange::Begun(WAIT)));
     assert_eq!(backoffs.blocked_for(&engine(), now), Some(WAIT));
     assert_eq!(backoffs.admit(&engine(), now + WAIT - MOMENT), Err(MOMENT));
-    assert_eq!(backoffs.admit(&engine(), now + WAIT), Ok(()));
+    assert!(backoffs.admit(&engine(), now + WAIT).is_ok());
     assert_eq!(backoffs.blocked_for(&Incarnation::new("engine", Some(2)), now), None);
 }
 
@@ -51,11 +51,11 @@
     let answered = backoffs.on_answer(&engine(), None, over + 2 * MOMENT);
     let third = backoffs.admit(&engine(), over + 2 * MOMENT);
 
-    assert_eq!(first, Ok(()));
+    assert!(matches!(first, Ok(Some(_))));
     assert!(second.is_err());
     assert_eq!(answered, Some(BackoffChange::Ended));
-    assert_eq!(third, Ok(()));
-    assert_eq!(backoffs.admit(&engine(), over + 2 * MOMENT), Ok(()));
+    assert_eq!(third, Ok(None));
+    assert_eq!(backoffs.admit(&engine(), over + 2 * MOMENT), Ok(None));
 }
 
 #[test]
@@ -63,12 +63,24 @@
     let (mut backoffs, now) = (Backoffs::default(), Instant::now());
     backoffs.on_answer(&engine(), Some(WAIT), now);
     let over = now + WAIT;
-    backoffs.admit(&engine(), over).expect("a trial");
+    let trial = backoffs.admit(&engine(), over).expect("a trial").expect("the first one");
 
-    backoffs.on_no_answer(&engine());
+    backoffs.on_trial_over(&engine(), trial);
 
-    assert_eq!(backoffs.admit(&engine(), over + MOMENT), Ok(()));
-    assert_eq!(backoffs.admit(&engine(), over + 2 * WAIT), Ok(()), "it has timed out");
+    assert!(matches!(backoffs.admit(&engine(), over + MOMENT), Ok(Some(_))));
+    assert!(backoffs.admit(&engine(), over + 2 * WAIT).is_ok(), "it has timed out");
+}
+
+#[test]
+fn a_trial_that_has_timed_out_ends_no_later_one() {
+    let (mut backoffs, now) = (Backoffs::default(), Instant::now());
+    backoffs.on_answer(&engine(), Some(WAIT), now);
+    let first = backoffs.admit(&engine(), now + WAIT).expect("a trial").expect("the first one");
+    backoffs.admit(&engine(), now + 2 * WAIT).expect("another one");
+
+    backoffs.on_trial_over(&engine(), first);
+
+    assert!(backoffs.admit(&engine(), now + 2 * WAIT + MOMENT).is_err());
 }
 
 #[test]
