--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -2,6 +2,7 @@
 
 mod attempt;
 mod call;
+mod endpoint_choice;
 mod estimate;
 mod final_answer;
 mod plain;
--- a/crates/gateway/src/request/plain.rs
+++ b/crates/gateway/src/request/plain.rs
@@ -1,6 +1,7 @@
 //! Serves requests to plain services, where one endpoint runs the whole request.
 
 use crate::process::{Count, Gateway, check_refuser};
+use crate::request::endpoint_choice::{choose_endpoint, open_endpoints, service_block};
 use crate::request::{
     AttemptEvent, AttemptInfo, Call, Exchange, FailedAttempt, RETRY_AFTER_ELSEWHERE,
     RunningAttempts, Target, abandon_call, attempt, block_reason, block_retry_delay,
@@ -12,7 +13,6 @@
 use sorrellock_core::process::retries::{AttemptEnd, Permit};
 use sorrellock_http::{AnswerBody, Cut};
 use sorrellock_platform::read_answer_head;
-use sorrellock_routing::process::crashes::Turn;
 use sorrellock_routing::process::notices::SendBlock;
 use sorrellock_routing::process::{Endpoint, Incarnation};
 use sorrellock_routing::request::{Attempts, Evidence, overdue_after};
@@ -29,10 +29,6 @@
 const RETRY_AFTER: Duration = Duration::from_millis(300);
 /// How often an overdue attempt looks for another endpoint after none was available or no retry was left.
 const OVERDUE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
-/// Maximum age of a load report in use: after this time the endpoint's queue has turned over.
-const LOAD_MAX_AGE: Duration = Duration::from_millis(1_000);
-/// Penalty for an endpoint of another data centre, in requests.
-const OTHER_DATA_CENTRE_PENALTY: f64 = 0.5;
 
 /// Serves a request to a plain service.
 pub(crate) async fn serve_plain(
@@ -308,76 +304,6 @@
     call.route.semantics.may_repeat() && after.may_send()
 }
 
-/// Returns the endpoints of a call's service that get new work, in an order that all gateways share.
-fn open_endpoints(gateway: &Gateway, call: &Call) -> Vec<Endpoint> {
-    let now = Instant::now();
-    let knowledge = gateway.knowledge.borrow();
-    let fleet_state = gateway.fleet_state.borrow();
-    let mut open: Vec<Endpoint> = knowledge
-        .open_endpoints(now.into_std())
-        .filter(|endpoint| endpoint.service == call.service)
-        .filter(|endpoint| !fleet_state.is_leaving(&endpoint.incarnation(), now))
-        .filter(|endpoint| !gateway.has_ended(&endpoint.incarnation()))
-        .cloned()
-        .collect();
-    open.sort_by(|a, b| a.id.cmp(&b.id));
-    open
-}
-
-/// Returns the block that ends first among the endpoints of a call's service; `None` if one may be sent a request now.
-fn service_block(gateway: &Gateway, call: &Call) -> Option<SendBlock> {
-    let open = open_endpoints(gateway, call);
-    SendBlock::first_to_end(open.iter().map(|endpoint| gateway.send_block(&endpoint.incarnation())))
-}
-
-/// Chooses the untried endpoint with the least expected load. Suspect endpoints and those whose circuit breaker refuses
-/// are used only if there are no others.
-fn choose_endpoint(
-    gateway: &Gateway,
-    call: &Call,
-    tried: &[Incarnation],
-) -> Option<(Endpoint, Permit)> {
-    let now = Instant::now();
-    let all = open_endpoints(gateway, call);
-    let may_take = |endpoint: &&Endpoint| {
-        let endpoint = endpoint.incarnation();
-        !tried.contains(&endpoint) && gateway.send_block(&endpoint).is_none()
-    };
-    let mut open: Vec<&Endpoint> = all.iter().filter(may_take).collect();
-    let separate = match gateway.turn(call, all.len()) {
-        Turn::At(index) => all.get(index).map(Endpoint::incarnation),
-        Turn::Any | Turn::Wait(_) => None,
-    };
-    let fleet_state = gateway.fleet_state.borrow();
-    let expected_load = |endpoint: &Endpoint| expected_load(gateway, endpoint, now);
-    open.sort_by(|a, b| {
-        let suspect = |endpoint: &Endpoint| fleet_state.is_suspect(&endpoint.incarnation(), now);
-        let is_other = |endpoint: &Endpoint| separate != Some(endpoint.incarnation());
-        (suspect(a), is_other(a))
-            .cmp(&(suspect(b), is_other(b)))
-            .then_with(|| expected_load(a).total_cmp(&expected_load(b)))
-    });
-    let mut breakers = gateway.breakers.borrow_mut();
-    for endpoint in &open {
-        if let Some(permit) = breakers.admit(&endpoint.incarnation()) {
-            return Some(((*endpoint).clone(), permit));
-        }
-    }
-    let first = *open.first()?;
-    Some((first.clone(), breakers.force(&first.incarnation())))
-}
-
-/// Returns the load that a new request is expected to meet, in requests.
-fn expected_load(gateway: &Gateway, endpoint: &Endpoint, now: Instant) -> f64 {
-    let used = gateway.uses.borrow().get(&endpoint.incarnation()).copied().unwrap_or_default();
-    let reported = used.reported.filter(|(_, at)| now - *at < LOAD_MAX_AGE);
-    let reported = reported.map_or(0.0, |(load, _)| f64::from(load.running + load.waiting));
-    let is_near = endpoint.data_centre == gateway.settings.data_centre;
-    let distance = if is_near { 0.0 } else { OTHER_DATA_CENTRE_PENALTY };
-    let slowness = used.mean_ms.max(1.0).ln();
-    reported.max(f64::from(used.in_flight)) + f64::from(used.in_flight) * 0.1 + distance + slowness
-}
-
 /// Runs a request at one endpoint and reads the complete answer within the time left.
 async fn run_attempt(
     gateway: &Rc<Gateway>,
