Tests: the plain service that leaves or asks for a back-off is one that would get requests

Both were empty at times: of two services, the one with shorter answers gets all calls, so that the one in question got none, and the test of leaving passed or failed by chance (1 request where none is allowed; 'it said so' when the time was counted from its answer). Now it is the preferred one, and it has to have said so, or to have refused.

--- a/crates/daemon/tests/gateway/endpoint_backoff.rs
+++ b/crates/daemon/tests/gateway/endpoint_backoff.rs
@@ -109,16 +109,20 @@
         let gateway = fleet.gateway("one");
         load(from_ref(&gateway), path, Duration::from_secs(1));
 
-        services[0].refuse_for(Some(ASKED));
         let from = Instant::now();
+        services[0].refuse_for(Some(ASKED));
         let one = load(from_ref(&gateway), path, LASTS);
-        let arrivals: Vec<Instant> =
-            services[0].arrivals().into_iter().filter(|at| *at > from).collect();
         services[1].refuse_for(Some(ASKED));
+        let both_from = Instant::now();
         let both = load(from_ref(&gateway), path, LASTS);
 
-        let most = most_within(&arrivals, &arrivals);
-        assert!(most <= MAX_LATE, "{path}: {most} requests while it asked for none");
+        for (service, from) in services.iter().zip([from, both_from]) {
+            let mut arrivals = service.arrivals();
+            arrivals.retain(|at| *at > from);
+            let most = most_within(&arrivals, &arrivals);
+            assert!(!arrivals.is_empty(), "{path}: it got none to refuse");
+            assert!(most <= MAX_LATE, "{path}: {most} requests while it asked for none");
+        }
         assert!(one.refused <= max_refused, "{path}: {one:?}");
         assert!(one.longest_retry_after <= 0.5, "{path}: {one:?}");
         assert_eq!(one.served + one.refused, one.sent, "{path}: {one:?}");
--- a/crates/daemon/tests/gateway/endpoint_notices.rs
+++ b/crates/daemon/tests/gateway/endpoint_notices.rs
@@ -1,8 +1,8 @@
 //! What endpoints say of themselves in their answers to requests, and nowhere else: that they leave, or what nothing reads.
 
-use crate::fleet::{Fleet, fleet, load};
+use crate::fleet::{Fleet, fleet, load, send_body};
 use crate::gateway_process::{GatewayProcess, wait_for};
-use sorrellock_stand_ins::{FakeEngine, FakeService, new_ip};
+use sorrellock_stand_ins::{FakeEngine, FakeService, ServiceMode, new_ip};
 use std::slice::from_ref;
 use std::time::{Duration, Instant};
 
@@ -11,6 +11,9 @@
 /// How long callers send: longer than reports of other gateways count.
 const LASTS: Duration = Duration::from_secs(15);
 
+/// Time that the slower of two services takes.
+const SLOW: Duration = Duration::from_millis(60);
+
 fn since(arrivals: &[Instant], from: Instant) -> usize {
     arrivals.iter().filter(|at| **at > from).count()
 }
@@ -79,17 +82,22 @@
 #[test]
 fn a_plain_service_that_says_so_gets_no_more_requests() {
     let fleet = fleet();
-    let second = FakeService::start("ledger-2", "ledger", "north", new_ip(), &fleet.store);
-    let _second = second.expect("a service");
     let gateway = fleet.gateway("one");
-    load(from_ref(&gateway), "/status/a", Duration::from_secs(1));
-
     fleet.service.say_leaving();
+    let first = send_body(gateway.callers(), "/status/a", "first").expect("an answer");
+    let second = FakeService::start("ledger-2", "ledger", "north", new_ip(), &fleet.store);
+    let second = second.expect("a service");
+    // The first one is preferred for its answer times.
+    second.set_mode(ServiceMode::ServesAfter(SLOW));
+    gateway.wait_for_line(&["\"endpoint joined\"", "ledger-2"]);
+
     let outcome = load(from_ref(&gateway), "/status/a", LASTS);
 
+    assert_eq!(first.status, 200);
     let said = *fleet.service.leaving_said().first().expect("it said so");
     assert_eq!(since(&fleet.service.arrivals(), said + LEAVE_WITHIN), 0);
     assert_eq!(outcome.served, outcome.sent, "{outcome:?}");
+    assert!(!second.arrivals().is_empty());
 }
 
 #[test]
