Retry budget: repeats are counted by cause as their bytes are written, and logged with the share in force

The count of the gateways that share the budget moves to crates/routing, as it is; nothing else decides differently.

--- a/crates/gateway/src/process/counters.rs
+++ b/crates/gateway/src/process/counters.rs
@@ -48,6 +48,14 @@
     Repeats => "repeats",
     /// Sends that the retry budget refused.
     BudgetRefusals => "budget_refusals",
+    /// Requests sent again after an endpoint refused them as not run.
+    RepeatsRefused => "repeats_refused",
+    /// Requests sent again after an attempt failed, or a run was abandoned before its first event.
+    RepeatsFailed => "repeats_failed",
+    /// Requests sent again while an attempt without an answer is open.
+    RepeatsOverdue => "repeats_overdue",
+    /// Streams sent again to go on after the events that they have delivered.
+    RepeatsResumed => "repeats_resumed",
     /// Streams that continued over another path after they lost their run.
     Resumed => "resumed",
     /// Streams that their first engine moved to another path.
--- a/crates/gateway/src/process/dump.rs
+++ b/crates/gateway/src/process/dump.rs
@@ -5,6 +5,7 @@
 use sorrellock_platform::Kind;
 use sorrellock_routing::process::crashes::HeldRequest;
 use sorrellock_routing::process::knowledge::{EntryState, Knowledge, KnownEndpoint};
+use sorrellock_routing::process::retries::RetryBudget;
 use sorrellock_routing::process::{
     ChangeCount, FaultKind, LayerRange, MAX_FOUND_CHARS, Revision, StoreEra, cut,
 };
@@ -32,6 +33,8 @@
     lead: Option<LeadDump>,
     /// Number of gateways that share the retry budget, this one included.
     budget_gateways: usize,
+    /// What this gateway has of the retry budget of each service.
+    retry_budgets: Vec<RetryBudgetDump>,
     gateways: Vec<GatewayDump>,
     endpoints: Vec<EndpointDump>,
     refused_by_reason: BTreeMap<FaultKind, usize>,
@@ -57,6 +60,15 @@
     heard_ms: u64,
 }
 
+#[derive(Serialize)]
+struct RetryBudgetDump {
+    service: String,
+    /// Requests and repeats of the latest window, and the repeats allowed in it.
+    requests: usize,
+    repeats: usize,
+    max_repeats: f64,
+}
+
 #[derive(Serialize)]
 struct GatewayDump {
     instance: String,
@@ -173,6 +185,7 @@
             endpoints_heard_ms: gateway.store_contact.age_ms(Kind::Endpoints, now),
             lead: lead(gateway, now),
             budget_gateways: gateway.fleet_state.borrow().gateways(now),
+            retry_budgets: bounded(retry_budgets(gateway).into_iter(), &mut left_out),
             gateways: bounded(gateways(gateway, now).into_iter(), &mut left_out),
             endpoints: bounded(endpoints, &mut left_out),
             refused_by_reason,
@@ -260,6 +273,16 @@
     Some(LeadDump { is_own, term: count, era, heard_ms })
 }
 
+fn retry_budgets(gateway: &Gateway) -> Vec<RetryBudgetDump> {
+    let services: Vec<String> = gateway.budgets.borrow().keys().cloned().collect();
+    let dump = |service: String| {
+        let budget = gateway.retry_budget(&service);
+        let RetryBudget { requests, repeats, max_repeats, .. } = budget;
+        RetryBudgetDump { service, requests, repeats, max_repeats }
+    };
+    services.into_iter().map(dump).collect()
+}
+
 fn gateways(gateway: &Gateway, now: Instant) -> Vec<GatewayDump> {
     let fleet_state = gateway.fleet_state.borrow();
     let live = fleet_state.live_peers(now).map(|peer| GatewayDump {
--- a/crates/gateway/src/process/gateway.rs
+++ b/crates/gateway/src/process/gateway.rs
@@ -13,9 +13,9 @@
 use sorrellock_routing::process::lead_view::{ViewServing, ViewSync};
 use sorrellock_routing::process::limits::EndpointLimits;
 use sorrellock_routing::process::notices::Backoffs;
+use sorrellock_routing::process::retries::RetryWindow;
 use sorrellock_routing::process::{
-    FailureEvidence, Incarnation, Incarnations, Leaving, LoopPauses, RetryWindow, Revision,
-    StreamPace,
+    FailureEvidence, Incarnation, Incarnations, Leaving, LoopPauses, Revision, StreamPace,
 };
 use sorrellock_routing::version::{Configuration, ServiceName};
 use spdlog::{info, warn};
--- a/crates/gateway/src/process/peers/fleet_state.rs
+++ b/crates/gateway/src/process/peers/fleet_state.rs
@@ -7,6 +7,7 @@
 use sorrellock_platform::Kind;
 use sorrellock_routing::process::lead_view::{EngineView, EngineViews};
 use sorrellock_routing::process::notices::LeavingNotices;
+use sorrellock_routing::process::retries::Sharers;
 use sorrellock_routing::process::{FailureEvidence, Incarnation, probers_before};
 use std::collections::HashMap;
 use std::fmt;
@@ -16,8 +17,6 @@
 
 /// Time without a message after which a gateway counts as gone: ten lost messages in a row.
 const PEER_TIMEOUT: Duration = Duration::from_millis(1_500);
-/// Time without a message after which a gateway no longer shares the retry budget: its window has passed.
-const BUDGET_SHARER_TIMEOUT: Duration = Duration::from_secs(15);
 /// Time without a message after which a gateway no longer counts as out of reach, but as gone.
 const OUT_OF_REACH_TIMEOUT: Duration = Duration::from_secs(300);
 /// Time without a message after which a leaving gateway's successor is no longer expected.
@@ -127,8 +126,8 @@
 pub(crate) struct FleetState {
     /// The other gateways, by instance name.
     pub(crate) peers: HashMap<String, Peer>,
-    /// Number of gateways registered in the store, this one included.
-    pub(crate) registered: usize,
+    /// The gateways that share the fleet's bounds with this one.
+    pub(crate) sharers: Sharers,
     /// Suspected endpoints.
     suspects: HashMap<Incarnation, Suspicion>,
     /// Endpoints that reported that they accept no more requests, and until when that counts without an entry that
@@ -150,12 +149,9 @@
         self.peers.values().filter(move |peer| now - peer.last_contact < PEER_TIMEOUT)
     }
 
-    /// Returns the number of gateways that share the retry budget, this one included. Registered gateways that
-    /// can't be reached count, as they may still spend it.
+    /// Returns the number of gateways that share the fleet's bounds, this one included.
     pub(crate) fn gateways(&self, now: Instant) -> usize {
-        let sharers =
-            self.peers.values().filter(|peer| now - peer.last_contact < BUDGET_SHARER_TIMEOUT);
-        (sharers.count() + 1).max(self.registered)
+        self.sharers.count(now.into_std())
     }
 
     /// Returns the share of the gateways that this one reaches, itself included. Those that it heard of not long ago may
--- a/crates/gateway/src/process/peers/peers.rs
+++ b/crates/gateway/src/process/peers/peers.rs
@@ -256,6 +256,7 @@
         let extension = message.extension.clone();
         let (era, left_before_era) =
             (message.known.endpoints_at.era, message.left_before_era.clone());
+        fleet_state.sharers.on_message(&instance, now.into_std());
         fleet_state.peers.insert(instance.clone(), Peer { addr: from, message, last_contact: now });
         drop(fleet_state);
         gateway.receive_crash_reports(&extension.crashes);
--- a/crates/gateway/src/process/peers/registration.rs
+++ b/crates/gateway/src/process/peers/registration.rs
@@ -73,7 +73,8 @@
             addrs.extend(self.registered.borrow().iter());
         }
         *self.registered.borrow_mut() = addrs;
-        self.gateway.fleet_state.borrow_mut().registered = self.registered.borrow().len();
+        let listed = self.registered.borrow().len();
+        self.gateway.fleet_state.borrow_mut().sharers.on_list(listed);
         Ok(())
     }
 
--- a/crates/gateway/src/process/placer/lead.rs
+++ b/crates/gateway/src/process/placer/lead.rs
@@ -155,7 +155,7 @@
         let has_no_peers = fleet_state.live_peers(Instant::now()).next().is_none();
         let failed = self.gateway.store_failed.get();
         let store_fails = failed.is_some_and(|failed| failed.elapsed() < ISOLATION_WINDOW);
-        has_no_peers && store_fails && fleet_state.registered > 1
+        has_no_peers && store_fails && fleet_state.sharers.listed() > 1
     }
 
     fn step_down(&mut self, why: &str) {
--- a/crates/gateway/src/process/retry_budgets.rs
+++ b/crates/gateway/src/process/retry_budgets.rs
@@ -1,7 +1,7 @@
 //! The retry budget of each service, shared by all gateways.
 
 use crate::process::{Count, Gateway};
-use sorrellock_routing::process::RetryWindow;
+use sorrellock_routing::process::retries::{RetryBudget, RetryWindow};
 use tokio::time::Instant;
 
 impl Gateway {
@@ -22,6 +22,15 @@
         budgets.get_mut(service).is_some_and(|budget| budget.may_spend(now.into_std(), gateways))
     }
 
+    /// Returns what this gateway has of a service's budget now.
+    pub(crate) fn retry_budget(&self, service: &str) -> RetryBudget {
+        let now = Instant::now();
+        let gateways = self.fleet_state.borrow().gateways(now);
+        let mut budgets = self.budgets.borrow_mut();
+        let budget = budgets.get_mut(service);
+        budget.map(|budget| budget.budget(now.into_std(), gateways)).unwrap_or_default()
+    }
+
     /// Takes one send of a request after the first from the budget. Returns whether the budget allowed it.
     pub(crate) fn spend_repeat(&self, service: &str) -> bool {
         let now = Instant::now();
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -12,9 +12,10 @@
     AnswerHead, AttemptHead, attempt_headers, read_answer_head, unknown_fields,
 };
 use sorrellock_routing::process::notices::SendBlock;
+use sorrellock_routing::process::retries::RepeatCause;
 use sorrellock_routing::process::{FailureEvidence, Incarnation, PathPart, PeerSilence};
 use sorrellock_routing::request::Evidence;
-use spdlog::warn;
+use spdlog::{info, warn};
 use std::cell::Cell;
 use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
@@ -177,6 +178,8 @@
             has_permit = true;
         }
         let backoff_trial = admit(gateway, call, target, is_trial)?;
+        log_repeat(gateway, call, target);
+        let open_send = call.sends.begin();
         let run = RunGuard::begin(gateway, Rc::clone(&call.run_request), target.endpoints());
         let silence = SilenceWatch::start(Rc::clone(gateway), target.incarnation.clone());
         let Ok(res) = timeout_at(until, connection.sender.try_send_request(req)).await else {
@@ -190,8 +193,14 @@
         };
         req = match err.take_message() {
             // Closing an idle connection is no sign of a failed endpoint.
-            Some(unsent) if is_kept => unsent,
-            Some(_) => return Err(FailedAttempt::new(Evidence::NotSent, err.error().to_string())),
+            Some(unsent) if is_kept => {
+                open_send.undo();
+                unsent
+            }
+            Some(_) => {
+                open_send.undo();
+                return Err(FailedAttempt::new(Evidence::NotSent, err.error().to_string()));
+            }
             None => {
                 run.on_broke();
                 drop(run);
@@ -202,6 +211,24 @@
     }
 }
 
+/// Counts and logs a send of a request that was sent before.
+fn log_repeat(gateway: &Gateway, call: &Call, target: &Target<'_>) {
+    let is_resumed = target.last_event != call.head.last_event;
+    let Some(cause) = call.sends.repeat_cause(is_resumed) else { return };
+    gateway.counters.add(match cause {
+        RepeatCause::Refused => Count::RepeatsRefused,
+        RepeatCause::Failed => Count::RepeatsFailed,
+        RepeatCause::Overdue => Count::RepeatsOverdue,
+        RepeatCause::Resumed => Count::RepeatsResumed,
+    });
+    let budget = gateway.retry_budget(&call.service);
+    info!("request sent again", kv: {
+        request = call.id(), endpoint = target.incarnation.id.as_str(), cause:?,
+        window_requests = budget.requests, window_repeats = budget.repeats,
+        max_repeats = budget.max_repeats, gateways = budget.gateways
+    });
+}
+
 /// Takes a permit to send to an endpoint that names a limit.
 async fn take_permit(gateway: &Gateway, target: &Target<'_>) -> Result<(), FailedAttempt> {
     let permit = gateway.take_permit(&target.incarnation).await;
@@ -380,6 +407,7 @@
         Evidence::NotSent | Evidence::MayHaveRun => Count::AttemptsFailed,
     };
     gateway.counters.add(count);
+    call.sends.on_failed(failed.evidence);
     let evidence = format!("{:?}", failed.evidence);
     let at_fault = failed.at_fault.map(|addr| addr.to_string()).unwrap_or_default();
     let ms = call.arrived.elapsed().as_millis() as u64;
--- a/crates/gateway/src/request/call.rs
+++ b/crates/gateway/src/request/call.rs
@@ -1,6 +1,7 @@
 //! A caller's complete request with the route that it matched.
 
 use crate::process::{Count, Gateway, Phase};
+use crate::request::Sends;
 use bytes::Bytes;
 use http::{HeaderMap, Method, Uri};
 use sorrellock_platform::CallerHead;
@@ -37,6 +38,8 @@
     pub(crate) run_request: Rc<RunRequest>,
     /// The endpoint for which a permit was taken that is not used yet.
     pub(crate) permit: RefCell<Option<Incarnation>>,
+    /// Its sends so far.
+    pub(crate) sends: Sends,
     /// It is held back, and may be sent once to see whether it does no more harm.
     pub(crate) is_trial: Cell<bool>,
 }
--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -11,6 +11,7 @@
 mod run;
 mod run_search;
 mod running_attempts;
+mod sends;
 mod stream;
 
 pub(crate) use attempt::*;
@@ -18,3 +19,4 @@
 pub(crate) use final_answer::*;
 pub(crate) use request_handler::*;
 pub(crate) use running_attempts::*;
+pub(crate) use sends::*;
--- a/crates/gateway/src/request/request_handler.rs
+++ b/crates/gateway/src/request/request_handler.rs
@@ -4,7 +4,7 @@
 use crate::request::estimate::usual_duration;
 use crate::request::plain::serve_plain;
 use crate::request::stream::serve_stream;
-use crate::request::{Call, EndGuard, abandon_call, held_reason, held_retry_delay, refusal};
+use crate::request::{Call, EndGuard, Sends, abandon_call, held_reason, held_retry_delay, refusal};
 use bytes::Bytes;
 use http::uri::PathAndQuery;
 use http::{Request, Response, StatusCode, Uri};
@@ -84,6 +84,7 @@
         end,
         run_request,
         permit: RefCell::default(),
+        sends: Sends::default(),
         is_trial: Cell::new(false),
     };
     log_admitted(&call, &routes);
--- a/crates/routing/src/process/retry_window.rs
+++ b/crates/routing/src/process/retries/retry_window.rs
@@ -8,18 +8,31 @@
 pub struct RetryBounds {
     /// Length of the window.
     pub window: Duration,
-    /// Resends allowed per request of the window.
+    /// Repeats allowed per request of the window.
     pub ratio: f64,
-    /// Resends allowed in the window beyond those.
+    /// Repeats allowed in the window beyond those.
     pub slack: f64,
 }
 
-/// Fraction of the shared budget that may be spent: resends of other gateways, and those whose request is counted
+/// Fraction of the shared budget that may be spent: repeats of other gateways, and those whose request is counted
 /// a window later, must fit in as well.
 const SPEND_SHARE: f64 = 0.8;
 /// Maximum number of sends remembered; beyond it there is no budget.
 const MAX_REMEMBERED: usize = 16_384;
 
+/// What one gateway has of the retry budget of one service, in its latest window.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct RetryBudget {
+    /// Requests for the service.
+    pub requests: usize,
+    /// Repeats that were charged.
+    pub repeats: usize,
+    /// Repeats that may be charged.
+    pub max_repeats: f64,
+    /// Number of gateways among which the slack is divided.
+    pub gateways: usize,
+}
+
 /// One gateway's share of the retry budget for one service.
 #[derive(Debug)]
 pub struct RetryWindow {
@@ -27,13 +40,13 @@
     /// When this process began: what its predecessor spent within a window isn't known.
     began: Instant,
     requests: VecDeque<Instant>,
-    resends: VecDeque<Instant>,
+    repeats: VecDeque<Instant>,
 }
 
 impl RetryWindow {
     /// Creates the window of a process that began at `began` and has sent nothing yet.
     pub fn new(bounds: RetryBounds, began: Instant) -> RetryWindow {
-        RetryWindow { bounds, began, requests: VecDeque::new(), resends: VecDeque::new() }
+        RetryWindow { bounds, began, requests: VecDeque::new(), repeats: VecDeque::new() }
     }
 
     /// Replaces the bounds from here on.
@@ -49,27 +62,37 @@
         }
     }
 
-    /// Spends one resend if this gateway, one of `gateways`, has one left. Returns whether it did.
+    /// Spends one repeat if this gateway, one of `gateways`, has one left. Returns whether it did.
     pub fn try_spend(&mut self, now: Instant, gateways: usize) -> bool {
         let may_spend = self.may_spend(now, gateways);
         if may_spend {
-            self.resends.push_back(now);
+            self.repeats.push_back(now);
         }
         may_spend
     }
 
-    /// Returns whether this gateway, one of `gateways`, has a resend left.
+    /// Returns whether this gateway, one of `gateways`, has a repeat left.
     pub fn may_spend(&mut self, now: Instant, gateways: usize) -> bool {
+        let budget = self.budget(now, gateways);
+        budget.repeats as f64 + 1.0 <= budget.max_repeats && budget.repeats < MAX_REMEMBERED
+    }
+
+    /// Returns what this gateway, one of `gateways`, has of the budget now.
+    pub fn budget(&mut self, now: Instant, gateways: usize) -> RetryBudget {
         self.drop_expired(now);
         let own = self.bounds.ratio * self.requests.len() as f64;
         let known = now.duration_since(self.began).div_duration_f64(self.bounds.window).min(1.0);
         let shared = known * self.bounds.slack / gateways.max(1) as f64;
-        let max_resends = (own + shared) * SPEND_SHARE;
-        self.resends.len() as f64 + 1.0 <= max_resends && self.resends.len() < MAX_REMEMBERED
+        RetryBudget {
+            requests: self.requests.len(),
+            repeats: self.repeats.len(),
+            max_repeats: (own + shared) * SPEND_SHARE,
+            gateways,
+        }
     }
 
     fn drop_expired(&mut self, now: Instant) {
-        for queue in [&mut self.requests, &mut self.resends] {
+        for queue in [&mut self.requests, &mut self.repeats] {
             while queue.front().is_some_and(|at| now.duration_since(*at) > self.bounds.window) {
                 queue.pop_front();
             }
--- a/crates/routing/tests/attempts.rs
+++ b/crates/routing/tests/attempts.rs
@@ -4,7 +4,8 @@
 
 use common::incarnation;
 use quickcheck::quickcheck;
-use sorrellock_routing::process::{Incarnation, RetryBounds, RetryWindow};
+use sorrellock_routing::process::Incarnation;
+use sorrellock_routing::process::retries::{RetryBounds, RetryWindow};
 use sorrellock_routing::request::{AbandonedOutcome, Attempts, Evidence};
 use sorrellock_routing::version::Semantics;
 use std::time::{Duration, Instant};
