Retry budget: a process has no slack until its predecessor's repeats are out of the window and the store has listed the others

Callers saw more repeats at engines than the fleet may send. Cause: the bound is the fleet's, and each process took its share of it as if nobody had run before it in the window (slack from its first second, and the ratio's whole part) and as if it were alone until it heard of others. Class: a share of a fleet's bound that a process derives from what it knows, where knowing nothing gives most.

Now the slack is shared out by Sharers: nothing for a window and 2 s after the start, nothing unless the store has listed the gateways since they had time to register (a second list follows 3 s after the first), and those that left the list count for 15 s. Of the ratio's part half may be spent: a window may hold repeats paid with the requests of the window before and, by a successor, with those of this one, and only the larger number counts. Fractions are rounded by the gateways' order, as 300 gateways with 1.66 each would lose two fifths.

Ruled out by the same test: growth one by one (within the bound before, too). Weighed: silence of a whole window for the ratio's part, too (as safe, and nothing at all can be sent again after a restart); repeats of predecessors reported by peers (knows nothing where all began at once, nor of the last 250 ms).

Tests of the gateway that need a second send wait until it has its share, 3 s with the stand-ins' window of 1 s: a gateway that just began has none.

--- a/crates/daemon/tests/gateway/crashing_requests.rs
+++ b/crates/daemon/tests/gateway/crashing_requests.rs
@@ -37,7 +37,7 @@
 }
 
 fn gateways(fleet: &Fleet) -> Vec<GatewayProcess> {
-    (0..GATEWAYS).map(|index| fleet.gateway(&format!("gateway-{index}"))).collect()
+    (0..GATEWAYS).map(|index| fleet.settled_gateway(&format!("gateway-{index}"))).collect()
 }
 
 /// Starts crashed endpoints again until `is_over`.
@@ -258,7 +258,7 @@
     let mut fleet = fleet();
     (4..6).for_each(|index| fleet.add_engine(index, "west"));
     fleet.engines.iter().for_each(|engine| engine.crash_on(CRASHING, CRASH_AFTER));
-    let gateway = fleet.gateway("one");
+    let gateway = fleet.settled_gateway("one");
     gateway.wait_for_line(&["\"path in use\"", "west"]);
 
     for _ in 0..20 {
--- a/crates/daemon/tests/gateway/endpoint_backoff.rs
+++ b/crates/daemon/tests/gateway/endpoint_backoff.rs
@@ -36,7 +36,7 @@
 }
 
 fn loaded(fleet: &Fleet) -> GatewayProcess {
-    let gateway = fleet.gateway("one");
+    let gateway = fleet.settled_gateway("one");
     load(from_ref(&gateway), "/match/a", Duration::from_secs(1));
     gateway
 }
@@ -106,7 +106,7 @@
         let fleet = fleet();
         let second = FakeService::start("ledger-2", "ledger", "north", new_ip(), &fleet.store);
         let services = [fleet.service.clone(), second.expect("a service")];
-        let gateway = fleet.gateway("one");
+        let gateway = fleet.settled_gateway("one");
         load(from_ref(&gateway), path, Duration::from_secs(1));
 
         let from = Instant::now();
--- a/crates/daemon/tests/gateway/endpoint_notices.rs
+++ b/crates/daemon/tests/gateway/endpoint_notices.rs
@@ -28,7 +28,7 @@
 #[test]
 fn an_engine_that_says_in_its_answers_that_it_leaves_gets_no_more_requests() {
     let fleet = fleet();
-    let gateway = fleet.gateway("one");
+    let gateway = fleet.settled_gateway("one");
     let engine = first_engine(&fleet, &gateway);
 
     engine.say_leaving(&["1"]);
@@ -44,7 +44,7 @@
 #[test]
 fn an_engine_that_says_so_in_a_refusal_gets_no_more_requests_until_it_starts_again() {
     let fleet = fleet();
-    let gateway = fleet.gateway("one");
+    let gateway = fleet.settled_gateway("one");
     let engine = first_engine(&fleet, &gateway);
 
     engine.say_leaving(&["1"]);
@@ -67,7 +67,7 @@
 #[test]
 fn an_engine_that_says_so_in_its_reports_gets_no_more_requests() {
     let fleet = fleet();
-    let gateway = fleet.gateway("one");
+    let gateway = fleet.settled_gateway("one");
     let engine = first_engine(&fleet, &gateway);
 
     engine.say_leaving_in_reports();
@@ -82,7 +82,7 @@
 #[test]
 fn a_plain_service_that_says_so_gets_no_more_requests() {
     let fleet = fleet();
-    let gateway = fleet.gateway("one");
+    let gateway = fleet.settled_gateway("one");
     fleet.service.say_leaving();
     let first = send_body(gateway.callers(), "/status/a", "first").expect("an answer");
     let second = FakeService::start("ledger-2", "ledger", "north", new_ip(), &fleet.store);
@@ -103,7 +103,7 @@
 #[test]
 fn values_that_can_not_be_read_are_counted_and_change_nothing() {
     let fleet = fleet();
-    let gateway = fleet.gateway("one");
+    let gateway = fleet.settled_gateway("one");
     fleet.engines.iter().for_each(|engine| engine.say_leaving(&["yes"]));
 
     let outcome = load(from_ref(&gateway), "/match/a", Duration::from_secs(1));
@@ -117,7 +117,7 @@
 #[test]
 fn a_field_that_nothing_reads_is_counted_and_logged_once() {
     let fleet = fleet();
-    let gateway = fleet.gateway("one");
+    let gateway = fleet.settled_gateway("one");
     fleet.engines.iter().for_each(|engine| engine.add_field("server-mood"));
 
     let outcome = load(from_ref(&gateway), "/match/a", Duration::from_secs(1));
--- a/crates/daemon/tests/gateway/first_event.rs
+++ b/crates/daemon/tests/gateway/first_event.rs
@@ -55,7 +55,7 @@
 #[test]
 fn a_first_event_that_is_late_at_every_engine_reaches_its_caller() {
     let fleet = fleet();
-    let gateway = fleet.gateway("one");
+    let gateway = fleet.settled_gateway("one");
     set_modes(&fleet, EngineMode::BeginsAfter(LONG_PROMPT));
 
     let answer = send(gateway.callers(), "/match/a", &new_request(), Some(KEY));
@@ -66,7 +66,7 @@
 #[test]
 fn a_late_first_event_is_waited_for_where_no_retry_is_left() {
     let fleet = fleet();
-    let gateway = fleet.gateway("one");
+    let gateway = fleet.settled_gateway("one");
     gateway.disable_retries();
     set_modes(&fleet, EngineMode::BeginsAfter(LONG_PROMPT));
     let request = new_request();
@@ -95,7 +95,7 @@
 fn a_pause_before_the_first_event_costs_no_answer_where_no_retry_is_left() {
     let fleet = fleet();
     let proxies = fleet.add_proxies();
-    let gateway = fleet.gateway("one");
+    let gateway = fleet.settled_gateway("one");
     gateway.disable_retries();
     set_modes(&fleet, EngineMode::BeginsAfter(PAUSE * 2));
 
@@ -111,7 +111,7 @@
     let mut cfg = config(2, &[KEY]);
     cfg["routes"][0]["stream_resume"] = false.into();
     fleet.store.put("config", "main", cfg);
-    let gateway = fleet.gateway("one");
+    let gateway = fleet.settled_gateway("one");
     set_modes(&fleet, EngineMode::BeginsAfter(PAUSE * 2));
 
     let answer = send_while_the_first_engine_pauses(&fleet, &gateway, &proxies);
@@ -128,7 +128,7 @@
     // A path takes one stream.
     cfg["services"][1]["engine"]["slots"] = 2.into();
     fleet.store.put("config", "main", cfg);
-    let gateway = fleet.gateway("one");
+    let gateway = fleet.settled_gateway("one");
     gateway.wait_for_line(&["\"configuration in force\"", "\"version\":2,"]);
     set_modes(&fleet, EngineMode::BeginsAfter(PAUSE));
     let to = gateway.callers();
@@ -150,7 +150,7 @@
 fn an_attempt_in_doubt_that_answers_first_is_the_answer() {
     let fleet = fleet();
     let proxies = fleet.add_proxies();
-    let gateway = fleet.gateway("one");
+    let gateway = fleet.settled_gateway("one");
     set_modes(&fleet, EngineMode::BeginsAfter(PAUSE));
     let (to, request) = (gateway.callers(), new_request());
     let id = request.clone();
@@ -178,7 +178,7 @@
     fleet.add_engine(4, "west");
     fleet.add_engine(5, "west");
     let proxies = fleet.add_proxies();
-    let gateway = fleet.gateway("one");
+    let gateway = fleet.settled_gateway("one");
     gateway.wait_for_line(&["\"path in use\"", "west"]);
     set_modes(&fleet, EngineMode::BeginsAfter(PAUSE));
     let (to, request) = (gateway.callers(), new_request());
--- a/crates/daemon/tests/gateway/fleet.rs
+++ b/crates/daemon/tests/gateway/fleet.rs
@@ -101,6 +101,13 @@
         self.engines.iter().map(add_proxy).collect()
     }
 
+    /// Starts a gateway, and waits until it may send requests again.
+    pub fn settled_gateway(&self, name: &str) -> GatewayProcess {
+        let gateway = self.gateway(name);
+        gateway.await_retry_share();
+        gateway
+    }
+
     /// Starts a gateway, and waits until both data centres hold the model.
     pub fn gateway(&self, instance: &str) -> GatewayProcess {
         let gateway = GatewayProcess::start(instance, "north", self.store.addr());
--- a/crates/daemon/tests/gateway/full_endpoints.rs
+++ b/crates/daemon/tests/gateway/full_endpoints.rs
@@ -20,7 +20,7 @@
 #[test]
 fn engines_that_were_full_for_a_moment_are_used_again() {
     let fleet = fleet();
-    let gateway = fleet.gateway("one");
+    let gateway = fleet.settled_gateway("one");
     fleet.engines.iter().for_each(|engine| engine.set_mode(EngineMode::Refuses));
     let refused = send(gateway.callers(), "/match/a", &new_request(), Some(KEY));
     assert_eq!(refused.status, 503);
@@ -39,7 +39,7 @@
 #[test]
 fn a_full_engine_whose_entry_lapsed_in_an_outage_is_not_taken_for_one_that_leaves() {
     let fleet = fleet();
-    let gateway = fleet.gateway("one");
+    let gateway = fleet.settled_gateway("one");
     fleet.store.set_mode(StoreMode::Busy);
     gateway.wait_for_line(&["\"store lost\""]);
     let engine = &fleet.engines[0];
@@ -58,7 +58,7 @@
 #[test]
 fn an_engine_that_refuses_and_says_that_it_leaves_is_believed_while_the_store_is_down() {
     let fleet = fleet();
-    let gateway = fleet.gateway("one");
+    let gateway = fleet.settled_gateway("one");
     fleet.store.set_mode(StoreMode::Busy);
     gateway.wait_for_line(&["\"store lost\""]);
     for engine in &fleet.engines {
@@ -77,7 +77,7 @@
 #[test]
 fn an_engine_whose_health_waits_for_a_slot_is_not_suspected() {
     let fleet = fleet();
-    let gateway = fleet.gateway("one");
+    let gateway = fleet.settled_gateway("one");
     fleet.engines.iter().for_each(|engine| engine.set_mode(EngineMode::RefusesSlotless));
 
     let refused = send(gateway.callers(), "/match/a", &new_request(), Some(KEY));
--- a/crates/daemon/tests/gateway/gateway_process.rs
+++ b/crates/daemon/tests/gateway/gateway_process.rs
@@ -126,6 +126,12 @@
         self.wait_for_line(&["\"bounds changed\""]);
     }
 
+    /// Waits until it has its share of the retry budget.
+    pub fn await_retry_share(&self) {
+        let has_share = || self.dump()["retry_share"].as_f64().is_some_and(|share| share > 0.0);
+        wait_for("a share of the retry budget", has_share);
+    }
+
     /// Where callers connect.
     pub fn callers(&self) -> SocketAddr {
         SocketAddr::new(self.ip, CALLERS_PORT)
--- a/crates/daemon/tests/gateway/incarnations.rs
+++ b/crates/daemon/tests/gateway/incarnations.rs
@@ -63,7 +63,7 @@
 #[test]
 fn a_stream_whose_first_engine_starts_again_goes_on_elsewhere_at_once() {
     let fleet = fleet();
-    let gateway = fleet.gateway("one");
+    let gateway = fleet.settled_gateway("one");
     let stream = Stream::begin(&gateway);
     let runner = fleet.runner(&stream.request).expect("an engine runs it");
     let request = stream.request.clone();
@@ -101,7 +101,7 @@
 #[test]
 fn an_engine_that_starts_again_gets_its_layers_by_the_count_of_its_new_incarnation() {
     let fleet = fleet();
-    let gateway = fleet.gateway("one");
+    let gateway = fleet.settled_gateway("one");
     let engine = &fleet.engines[0];
 
     engine.restart();
@@ -119,7 +119,7 @@
 #[test]
 fn beside_an_outage_of_the_store_a_report_tells_of_the_new_incarnation() {
     let fleet = fleet();
-    let gateway = fleet.gateway("one");
+    let gateway = fleet.settled_gateway("one");
     let stream = Stream::begin(&gateway);
     let request = stream.request.clone();
     let runner = fleet.runner(&request).expect("an engine runs it");
@@ -155,7 +155,7 @@
 #[test]
 fn an_engine_that_starts_again_at_another_address_is_used_there() {
     let fleet = fleet();
-    let gateway = fleet.gateway("one");
+    let gateway = fleet.settled_gateway("one");
     let engine = &fleet.engines[0];
 
     engine.restart_silently(Some(other_addr()));
@@ -169,7 +169,7 @@
 #[test]
 fn an_entry_that_the_life_before_writes_late_changes_nothing() {
     let fleet = fleet();
-    let gateway = fleet.gateway("one");
+    let gateway = fleet.settled_gateway("one");
     let engine = &fleet.engines[0];
     let (born, addr) = (engine.born(), engine.addr());
     engine.restart_silently(Some(other_addr()));
@@ -194,7 +194,7 @@
     let (born, addr) = (engine.born(), engine.addr());
     engine.restart_silently(Some(other_addr()));
     engine.enter();
-    let gateway = fleet.gateway("one");
+    let gateway = fleet.settled_gateway("one");
 
     engine.enter_late(born, addr);
     gateway.wait_for_line(&[STARTED_AGAIN, engine.id(), &format!("\"started\":{born}")]);
@@ -213,7 +213,7 @@
 #[test]
 fn a_gateway_that_only_another_one_tells_knows_of_the_new_incarnation() {
     let fleet = fleet();
-    let first = fleet.gateway("one");
+    let first = fleet.settled_gateway("one");
     first.wait_for_line(&["\"lead taken\""]);
     let proxy = FakeProxy::start(new_ip(), fleet.store.addr()).expect("a proxy");
     let second = GatewayProcess::start("two", "north", proxy.addr());
@@ -233,9 +233,9 @@
 #[test]
 fn a_gateway_that_asks_no_engine_hears_which_ends_are_sure() {
     let fleet = fleet();
-    let first = fleet.gateway("one");
+    let first = fleet.settled_gateway("one");
     first.wait_for_line(&["\"lead taken\""]);
-    let second = fleet.gateway("two");
+    let second = fleet.settled_gateway("two");
     second.wait_for_line(&["\"gateway discovered\"", "one"]);
     let engine = &fleet.engines[0];
     let (born, addr) = (engine.born(), engine.addr());
@@ -255,7 +255,7 @@
     let engine = &fleet.engines[4];
     engine.hide_start();
 
-    let gateway = fleet.gateway("one");
+    let gateway = fleet.settled_gateway("one");
     gateway.wait_for_line(&["\"report without a start\"", engine.id()]);
 
     let answer = send(gateway.callers(), "/match/a", &new_request(), Some(KEY));
@@ -266,7 +266,7 @@
 #[test]
 fn an_engine_that_started_again_does_not_live_on_without_its_entry_with_its_layers() {
     let fleet = fleet();
-    let gateway = fleet.gateway("one");
+    let gateway = fleet.settled_gateway("one");
     let engine = &fleet.engines[0];
 
     engine.restart_unseen();
--- a/crates/daemon/tests/gateway/pauses.rs
+++ b/crates/daemon/tests/gateway/pauses.rs
@@ -75,7 +75,7 @@
 #[test]
 fn streams_over_an_engine_that_pauses_come_whole_where_no_retry_is_left() {
     let fleet = fleet();
-    let gateway = fleet.gateway("one");
+    let gateway = fleet.settled_gateway("one");
     without_retry_budget(&gateway);
     let streams = start_streams(&gateway, 16);
     let ids: Vec<String> = streams.iter().map(|(id, _)| id.clone()).collect();
@@ -89,7 +89,7 @@
 #[test]
 fn a_suspicion_of_another_gateway_truncates_no_stream() {
     let fleet = fleet();
-    let gateways = ["one", "two", "three"].map(|name| fleet.gateway(name));
+    let gateways = ["one", "two", "three"].map(|name| fleet.settled_gateway(name));
     gateways.iter().for_each(without_retry_budget);
     let streams: Vec<_> = gateways.iter().flat_map(|one| start_streams(one, 8)).collect();
 
@@ -103,7 +103,7 @@
 #[test]
 fn no_more_engines_run_a_stream_than_may_where_all_of_them_pause() {
     let fleet = fleet_of_two_first_engines();
-    let gateway = fleet.gateway("one");
+    let gateway = fleet.settled_gateway("one");
     wait_for("three paths", || gateway.lines(&["\"path in use\""]).len() >= 3);
     let streams = start_streams(&gateway, 16);
     let ids: Vec<String> = streams.iter().map(|(id, _)| id.clone()).collect();
@@ -141,7 +141,7 @@
 #[test]
 fn a_run_in_doubt_goes_on_while_another_one_has_been_sent_and_not_begun() {
     let fleet = fleet();
-    let gateway = fleet.gateway("one");
+    let gateway = fleet.settled_gateway("one");
 
     let (request, answer) = send_while_the_other_engine_is_mute(&fleet, &gateway);
 
@@ -154,7 +154,7 @@
 #[test]
 fn a_path_that_brings_events_again_is_not_doubted_at_each_of_them() {
     let fleet = fleet();
-    let gateway = fleet.gateway("one");
+    let gateway = fleet.settled_gateway("one");
 
     let (request, _) = send_while_the_other_engine_is_mute(&fleet, &gateway);
 
@@ -167,7 +167,7 @@
 #[test]
 fn a_run_that_was_kept_and_breaks_later_goes_on_at_another_engine() {
     let fleet = fleet();
-    let gateway = fleet.gateway("one");
+    let gateway = fleet.settled_gateway("one");
     let settings = gateway.settings();
     gateway.disable_retries();
     let mut streams = start_streams(&gateway, 1);
@@ -188,7 +188,7 @@
 #[test]
 fn a_caller_that_leaves_ends_the_run_in_doubt_and_the_one_that_was_sent() {
     let fleet = fleet();
-    let gateway = fleet.gateway("one");
+    let gateway = fleet.settled_gateway("one");
     let request = new_request();
     let (_, body) = begin(gateway.callers(), "/match/a", &request, Some(KEY));
     let engine = fleet.runner(&request).expect("an engine runs it");
--- a/crates/daemon/tests/gateway/plain_attempts.rs
+++ b/crates/daemon/tests/gateway/plain_attempts.rs
@@ -31,7 +31,7 @@
 /// Sends a call to a slow endpoint beside two others that refuse it, with a route that allows `max_attempts`. How many of these it reached.
 fn others_reached(max_attempts: u32) -> usize {
     let fleet = fleet();
-    let gateway = fleet.gateway("one");
+    let gateway = fleet.settled_gateway("one");
     let mut cfg = config(2, &[KEY]);
     cfg["routes"][2]["max_attempts"] = max_attempts.into();
     fleet.store.put("config", "main", cfg);
@@ -56,7 +56,7 @@
 #[test]
 fn a_slow_call_is_answered_where_no_other_endpoint_is_there() {
     let fleet = fleet();
-    let gateway = fleet.gateway("one");
+    let gateway = fleet.settled_gateway("one");
     fleet.service.set_mode(ServiceMode::ServesAfter(SLOW));
     let request = new_request();
 
@@ -68,7 +68,7 @@
 #[test]
 fn a_slow_call_is_answered_where_no_retry_is_left() {
     let fleet = fleet();
-    let gateway = fleet.gateway("one");
+    let gateway = fleet.settled_gateway("one");
     let second = add_second(&fleet, &gateway);
     gateway.disable_retries();
     fleet.service.set_mode(ServiceMode::ServesAfter(SLOW));
@@ -83,7 +83,7 @@
 #[test]
 fn a_slow_call_is_not_lost_to_a_second_endpoint_that_refuses_it() {
     let fleet = fleet();
-    let gateway = fleet.gateway("one");
+    let gateway = fleet.settled_gateway("one");
     let second = add_second(&fleet, &gateway);
     fleet.service.set_mode(ServiceMode::ServesAfter(SLOW));
     second.set_mode(ServiceMode::Refuses);
@@ -97,7 +97,7 @@
 #[test]
 fn a_slow_call_is_not_lost_to_a_second_endpoint_that_loses_its_answer() {
     let fleet = fleet();
-    let gateway = fleet.gateway("one");
+    let gateway = fleet.settled_gateway("one");
     let second = add_second(&fleet, &gateway);
     fleet.service.set_mode(ServiceMode::ServesAfter(SLOW));
     second.set_mode(ServiceMode::LosesAnswers);
@@ -111,7 +111,7 @@
 #[test]
 fn a_call_whose_endpoint_stays_silent_is_answered_by_a_second_one() {
     let fleet = fleet();
-    let gateway = fleet.gateway("one");
+    let gateway = fleet.settled_gateway("one");
     let second = add_second(&fleet, &gateway);
     fleet.service.set_mode(ServiceMode::ServesAfter(Duration::from_secs(60)));
     let request = new_request();
--- a/crates/daemon/tests/gateway/plain_calls.rs
+++ b/crates/daemon/tests/gateway/plain_calls.rs
@@ -6,7 +6,7 @@
 #[test]
 fn a_call_passes_both_ways_unchanged() {
     let fleet = fleet();
-    let gateway = fleet.gateway("one");
+    let gateway = fleet.settled_gateway("one");
     let request = new_request();
 
     let answer = send(gateway.callers(), "/status/a", &request, Some(KEY));
@@ -19,7 +19,7 @@
 #[test]
 fn a_call_that_may_run_once_isnt_sent_again_after_a_lost_answer() {
     let fleet = fleet();
-    let gateway = fleet.gateway("one");
+    let gateway = fleet.settled_gateway("one");
     let other = FakeService::start("ledger-2", "ledger", "north", new_ip(), &fleet.store);
     let other = other.expect("another endpoint");
     gateway.wait_for_line(&["\"endpoint joined\"", "ledger-2"]);
@@ -37,7 +37,7 @@
 #[test]
 fn a_refused_call_ran_nowhere_and_is_told_when_to_come_back() {
     let fleet = fleet();
-    let gateway = fleet.gateway("one");
+    let gateway = fleet.settled_gateway("one");
     fleet.service.set_mode(ServiceMode::Refuses);
     let request = new_request();
 
@@ -51,7 +51,7 @@
 #[test]
 fn an_idempotent_call_goes_to_another_endpoint_after_a_failure() {
     let fleet = fleet();
-    let gateway = fleet.gateway("one");
+    let gateway = fleet.settled_gateway("one");
     let other = FakeService::start("ledger-2", "ledger", "south", new_ip(), &fleet.store);
     let other = other.expect("another endpoint");
     gateway.wait_for_line(&["\"endpoint joined\"", "ledger-2"]);
@@ -71,7 +71,7 @@
 #[test]
 fn an_endpoints_own_failure_is_passed_on_with_its_signature() {
     let fleet = fleet();
-    let gateway = fleet.gateway("one");
+    let gateway = fleet.settled_gateway("one");
     fleet.service.set_mode(ServiceMode::Fails);
 
     let answer = send(gateway.callers(), "/status/a", &new_request(), Some(KEY));
@@ -83,7 +83,7 @@
 #[test]
 fn a_success_without_a_signature_is_no_answer() {
     let fleet = fleet();
-    let gateway = fleet.gateway("one");
+    let gateway = fleet.settled_gateway("one");
     fleet.service.set_mode(ServiceMode::Unsigned);
 
     let answer = send(gateway.callers(), "/status/a", &new_request(), Some(KEY));
--- a/crates/daemon/tests/gateway/streams.rs
+++ b/crates/daemon/tests/gateway/streams.rs
@@ -21,7 +21,7 @@
 #[test]
 fn a_stream_passes_whole_and_the_engine_learns_the_workspace_but_not_the_key() {
     let fleet = fleet();
-    let gateway = fleet.gateway("one");
+    let gateway = fleet.settled_gateway("one");
     let request = new_request();
 
     let answer = send(gateway.callers(), "/match/a", &request, Some(KEY));
@@ -41,7 +41,7 @@
 #[test]
 fn forty_streams_at_once_are_whole_and_not_crossed() {
     let fleet = fleet();
-    let gateway = fleet.gateway("one");
+    let gateway = fleet.settled_gateway("one");
     let to = gateway.callers();
 
     let threads: Vec<_> = (0..40)
@@ -56,7 +56,7 @@
 #[test]
 fn a_stream_whose_first_engine_dies_goes_on_elsewhere_each_event_once() {
     let fleet = fleet();
-    let gateway = fleet.gateway("one");
+    let gateway = fleet.settled_gateway("one");
     let request = new_request();
     let (head, mut body) = begin(gateway.callers(), "/match/a", &request, Some(KEY));
     assert_eq!(head.status, 200);
@@ -74,7 +74,7 @@
 #[test]
 fn a_stream_that_stalls_goes_on_over_another_path() {
     let fleet = fleet();
-    let gateway = fleet.gateway("one");
+    let gateway = fleet.settled_gateway("one");
     let request = new_request();
     let (_, mut body) = begin(gateway.callers(), "/match/a", &request, Some(KEY));
     let mut first = vec![0; 60];
@@ -92,7 +92,7 @@
 #[test]
 fn a_silent_stream_stays_on_its_run_where_no_second_send_can_be_paid() {
     let fleet = fleet();
-    let gateway = fleet.gateway("one");
+    let gateway = fleet.settled_gateway("one");
     gateway.change_settings(|text| {
         text.replace("budget_slack = 200", "budget_slack = 0")
             .replace("retry_budget_ratio = 0.2", "retry_budget_ratio = 0.0")
@@ -115,7 +115,7 @@
 #[test]
 fn streams_are_moved_off_an_engine_that_leaves() {
     let fleet = fleet();
-    let gateway = fleet.gateway("one");
+    let gateway = fleet.settled_gateway("one");
     let request = new_request();
     let (_, mut body) = begin(gateway.callers(), "/match/a", &request, Some(KEY));
     let runner = fleet.runner(&request).expect("an engine runs it");
@@ -166,7 +166,7 @@
         proxy
     };
     let proxies: Vec<FakeProxy> = fleet.engines.iter().map(proxy_of).collect();
-    let gateways = [fleet.gateway("one"), fleet.gateway("two")];
+    let gateways = [fleet.settled_gateway("one"), fleet.settled_gateway("two")];
     gateways[1].wait_for_line(&["\"gateway discovered\"", "one"]);
     let other = Begun::new(&gateways[0]);
     let runner = fleet.runner(&other.request).expect("an engine runs it");
@@ -232,7 +232,7 @@
 #[test]
 fn an_engine_that_dies_is_replaced_by_moving_layers() {
     let fleet = fleet();
-    let gateway = fleet.gateway("one");
+    let gateway = fleet.settled_gateway("one");
 
     fleet.engines[1].crash();
     gateway.wait_for_line(&["\"engine taken to be dead\"", "engine-1"]);
@@ -245,7 +245,7 @@
 #[test]
 fn engines_that_all_refuse_make_a_refusal_that_is_true_and_says_when_to_come_back() {
     let fleet = fleet();
-    let gateway = fleet.gateway("one");
+    let gateway = fleet.settled_gateway("one");
     fleet.engines.iter().for_each(|engine| engine.set_mode(EngineMode::Refuses));
     let request = new_request();
 
@@ -260,7 +260,7 @@
 #[test]
 fn a_refusal_that_names_an_engine_is_not_asked_for_again_over_that_engine() {
     let fleet = fleet_of_two_first_engines();
-    let gateway = fleet.gateway("one");
+    let gateway = fleet.settled_gateway("one");
     let north = [0, 1, 4].map(|index| &fleet.engines[index]);
     let is_first = |one: &&&FakeEngine| one.layers().0 == 0 && one.layers().1 > 0;
     wait_for("two first engines", || north.iter().filter(is_first).count() == 2);
@@ -276,7 +276,7 @@
 #[test]
 fn an_answer_to_another_request_never_reaches_the_caller() {
     let fleet = fleet();
-    let gateway = fleet.gateway("one");
+    let gateway = fleet.settled_gateway("one");
     fleet.engines.iter().for_each(|engine| engine.set_mode(EngineMode::Crosses));
 
     let answer = send(gateway.callers(), "/match/a", &new_request(), Some(KEY));
@@ -288,7 +288,7 @@
 #[test]
 fn a_caller_that_goes_away_ends_the_work_of_the_engine() {
     let fleet = fleet();
-    let gateway = fleet.gateway("one");
+    let gateway = fleet.settled_gateway("one");
     let request = new_request();
     let mut stream = TcpStream::connect(gateway.callers()).expect("a connection");
     let head = format!(
--- a/crates/gateway/src/process/dump.rs
+++ b/crates/gateway/src/process/dump.rs
@@ -31,8 +31,10 @@
     configuration_heard_ms: Option<u64>,
     endpoints_heard_ms: Option<u64>,
     lead: Option<LeadDump>,
-    /// Number of gateways that share the retry budget, this one included.
+    /// Number of gateways that share the fleet's bounds, this one included, and the fraction of the retry budget's slack that this
+    /// one has.
     budget_gateways: usize,
+    retry_share: f64,
     /// What this gateway has of the retry budget of each service.
     retry_budgets: Vec<RetryBudgetDump>,
     gateways: Vec<GatewayDump>,
@@ -185,6 +187,7 @@
             endpoints_heard_ms: gateway.store_contact.age_ms(Kind::Endpoints, now),
             lead: lead(gateway, now),
             budget_gateways: gateway.fleet_state.borrow().gateways(now),
+            retry_share: gateway.retry_share(now).fraction,
             retry_budgets: bounded(retry_budgets(gateway).into_iter(), &mut left_out),
             gateways: bounded(gateways(gateway, now).into_iter(), &mut left_out),
             endpoints: bounded(endpoints, &mut left_out),
--- a/crates/gateway/src/process/gateway.rs
+++ b/crates/gateway/src/process/gateway.rs
@@ -137,16 +137,18 @@
 impl Gateway {
     /// Returns a gateway without configuration or endpoints.
     pub(crate) fn new(settings: Settings, incarnation: u64) -> Gateway {
+        let began = Instant::now();
         let knowledge = RefCell::new(Knowledge::new(settings.bounds.leave_within));
+        let fleet_state = RefCell::new(FleetState::new(&settings.instance, began));
         Gateway {
             bounds: Cell::new(settings.bounds),
             settings,
             incarnation,
-            began: Instant::now(),
+            began,
             counters: Counters::new(),
             pauses: RefCell::default(),
             knowledge,
-            fleet_state: RefCell::default(),
+            fleet_state,
             incarnations: RefCell::default(),
             logged_faults: RefCell::default(),
             paths: Rc::default(),
--- a/crates/gateway/src/process/peers/fleet_state.rs
+++ b/crates/gateway/src/process/peers/fleet_state.rs
@@ -122,7 +122,6 @@
 }
 
 /// Live state of engines and other gateways, beyond what the store holds.
-#[derive(Default)]
 pub(crate) struct FleetState {
     /// The other gateways, by instance name.
     pub(crate) peers: HashMap<String, Peer>,
@@ -144,6 +143,20 @@
 }
 
 impl FleetState {
+    /// Returns the state of a process of `instance` that began at `began` and knows nothing yet.
+    pub(crate) fn new(instance: &str, began: Instant) -> FleetState {
+        FleetState {
+            peers: HashMap::new(),
+            sharers: Sharers::new(instance, began.into_std()),
+            suspects: HashMap::new(),
+            leaving: HashMap::new(),
+            leaving_notices: LeavingNotices::default(),
+            ended: RecentUpdates::default(),
+            left: RecentUpdates::default(),
+            views: EngineViews::default(),
+        }
+    }
+
     /// Returns the other gateways that sent a message recently.
     pub(crate) fn live_peers(&self, now: Instant) -> impl Iterator<Item = &Peer> {
         self.peers.values().filter(move |peer| now - peer.last_contact < PEER_TIMEOUT)
--- a/crates/gateway/src/process/peers/registration.rs
+++ b/crates/gateway/src/process/peers/registration.rs
@@ -10,10 +10,12 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 /// Interval at which the gateways are listed from the store. New gateways contact the others by themselves.
 const LIST_INTERVAL: Duration = Duration::from_secs(10);
+/// The same after this gateway's first list, which lacks those that began with it.
+const SECOND_LIST_DELAY: Duration = Duration::from_secs(3);
 /// Time after which, in a new era of the store, all gateways that reach it have written their objects again.
 const ALL_REGISTERED_WITHIN: Duration = Duration::from_secs(15);
 /// Delay after a failed write or list of gateways.
@@ -31,10 +33,14 @@
     /// the store, whose older copy of the data may lack it.
     pub(crate) async fn register(self: Rc<Self>, store: Store) {
         let mut written_in = None;
+        let mut next_list = SECOND_LIST_DELAY;
         loop {
             self.gateway.counters.add(Count::StoreCalls);
             match self.register_once(&store, &mut written_in).await {
-                Ok(()) => self.wait_for_next_list(written_in.unwrap_or_default()).await,
+                Ok(()) => {
+                    self.wait_for_next_list(next_list, written_in.unwrap_or_default()).await;
+                    next_list = LIST_INTERVAL;
+                }
                 Err(err) => {
                     self.gateway.on_store_failed(&err);
                     let text = err.to_string();
@@ -45,10 +51,10 @@
         }
     }
 
-    /// Waits until the next list is due: [`LIST_INTERVAL`], or this gateway's turn once an era after `era` has begun.
-    async fn wait_for_next_list(&self, era: StoreEra) {
+    /// Waits until the next list is due: after `interval`, or at this gateway's turn once an era after `era` has begun.
+    async fn wait_for_next_list(&self, interval: Duration, era: StoreEra) {
         tokio::select! {
-            () = sleep(LIST_INTERVAL) => {}
+            () = sleep(interval) => {}
             () = self.gateway.newer_era(era) => sleep(self.gateway.list_turn()).await,
         }
     }
@@ -74,7 +80,7 @@
         }
         *self.registered.borrow_mut() = addrs;
         let listed = self.registered.borrow().len();
-        self.gateway.fleet_state.borrow_mut().sharers.on_list(listed);
+        self.gateway.fleet_state.borrow_mut().sharers.on_list(listed, Instant::now().into_std());
         Ok(())
     }
 
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -225,7 +225,7 @@
     info!("request sent again", kv: {
         request = call.id(), endpoint = target.incarnation.id.as_str(), cause:?,
         window_requests = budget.requests, window_repeats = budget.repeats,
-        max_repeats = budget.max_repeats, gateways = budget.gateways
+        max_repeats = budget.max_repeats, slack_share = budget.share.fraction
     });
 }
 
--- a/crates/routing/src/process/retries/retry_window.rs
+++ b/crates/routing/src/process/retries/retry_window.rs
@@ -1,5 +1,6 @@
 //! Limits how many requests may be sent to a second endpoint within a sliding window.
 
+use super::sharers::Share;
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
@@ -14,9 +15,12 @@
     pub slack: f64,
 }
 
-/// Fraction of the shared budget that may be spent: repeats of other gateways, and those whose request is counted
-/// a window later, must fit in as well.
-const SPEND_SHARE: f64 = 0.8;
+/// Fraction of the ratio's part that may be spent. A window may hold repeats that a process paid with the requests of the window
+/// before, and those that its successor paid with the requests of this one; only the larger number of requests counts.
+const RATIO_SHARE: f64 = 0.5;
+/// Fraction of the slack that may be spent: the gateways may count each other at different moments, and repeats arrive
+/// after they were charged.
+const SLACK_SHARE: f64 = 0.8;
 /// Maximum number of sends remembered; beyond it there is no budget.
 const MAX_REMEMBERED: usize = 16_384;
 
@@ -29,24 +33,22 @@
     pub repeats: usize,
     /// Repeats that may be charged.
     pub max_repeats: f64,
-    /// Number of gateways among which the slack is divided.
-    pub gateways: usize,
+    /// Part of the slack that this gateway has.
+    pub share: Share,
 }
 
 /// One gateway's share of the retry budget for one service.
 #[derive(Debug)]
 pub struct RetryWindow {
     bounds: RetryBounds,
-    /// When this process began: what its predecessor spent within a window isn't known.
-    began: Instant,
     requests: VecDeque<Instant>,
     repeats: VecDeque<Instant>,
 }
 
 impl RetryWindow {
-    /// Creates the window of a process that began at `began` and has sent nothing yet.
-    pub fn new(bounds: RetryBounds, began: Instant) -> RetryWindow {
-        RetryWindow { bounds, began, requests: VecDeque::new(), repeats: VecDeque::new() }
+    /// Creates the window of a process that has sent nothing yet.
+    pub fn new(bounds: RetryBounds) -> RetryWindow {
+        RetryWindow { bounds, requests: VecDeque::new(), repeats: VecDeque::new() }
     }
 
     /// Replaces the bounds from here on.
@@ -62,32 +64,30 @@
         }
     }
 
-    /// Spends one repeat if this gateway, one of `gateways`, has one left. Returns whether it did.
-    pub fn try_spend(&mut self, now: Instant, gateways: usize) -> bool {
-        let may_spend = self.may_spend(now, gateways);
+    /// Spends one repeat if this gateway, with this `share` of the slack, has one left. Returns whether it did.
+    pub fn try_spend(&mut self, now: Instant, share: Share) -> bool {
+        let may_spend = self.may_spend(now, share);
         if may_spend {
             self.repeats.push_back(now);
         }
         may_spend
     }
 
-    /// Returns whether this gateway, one of `gateways`, has a repeat left.
-    pub fn may_spend(&mut self, now: Instant, gateways: usize) -> bool {
-        let budget = self.budget(now, gateways);
+    /// Returns whether this gateway, with this `share` of the slack, has a repeat left.
+    pub fn may_spend(&mut self, now: Instant, share: Share) -> bool {
+        let budget = self.budget(now, share);
         budget.repeats as f64 + 1.0 <= budget.max_repeats && budget.repeats < MAX_REMEMBERED
     }
 
-    /// Returns what this gateway, one of `gateways`, has of the budget now.
-    pub fn budget(&mut self, now: Instant, gateways: usize) -> RetryBudget {
+    /// Returns what this gateway, with this `share` of the slack, has of the budget now.
+    pub fn budget(&mut self, now: Instant, share: Share) -> RetryBudget {
         self.drop_expired(now);
-        let own = self.bounds.ratio * self.requests.len() as f64;
-        let known = now.duration_since(self.began).div_duration_f64(self.bounds.window).min(1.0);
-        let shared = known * self.bounds.slack / gateways.max(1) as f64;
+        let paid = RATIO_SHARE * self.bounds.ratio * self.requests.len() as f64;
         RetryBudget {
             requests: self.requests.len(),
             repeats: self.repeats.len(),
-            max_repeats: (own + shared) * SPEND_SHARE,
-            gateways,
+            max_repeats: paid + SLACK_SHARE * self.bounds.slack * share.fraction + share.rounding,
+            share,
         }
     }
 
--- a/crates/routing/tests/attempts.rs
+++ b/crates/routing/tests/attempts.rs
@@ -5,7 +5,7 @@
 use common::incarnation;
 use quickcheck::quickcheck;
 use sorrellock_routing::process::Incarnation;
-use sorrellock_routing::process::retries::{RetryBounds, RetryWindow};
+use sorrellock_routing::process::retries::{RetryBounds, RetryWindow, Share, Sharers};
 use sorrellock_routing::request::{AbandonedOutcome, Attempts, Evidence};
 use sorrellock_routing::version::Semantics;
 use std::time::{Duration, Instant};
@@ -84,30 +84,62 @@
     assert!(!attempts.may_send_to(&incarnation("a")));
 }
 
+const WHOLE: Share = Share { fraction: 1.0, rounding: 0.0 };
+
 #[test]
-fn a_process_that_just_began_spends_nothing_of_the_slack() {
+fn a_process_spends_nothing_of_the_slack_until_its_predecessors_repeats_are_out_of_the_window() {
     let bounds = RetryBounds { window: Duration::from_secs(10), ratio: 0.2, slack: 200.0 };
     let began = Instant::now();
-    let mut window = RetryWindow::new(bounds, began);
+    let mut sharers = Sharers::new("gateway-0", began);
+    sharers.on_list(1, began);
+    sharers.on_list(1, began + Duration::from_secs(3));
+    let mut paid_at = |age: Duration| {
+        let mut window = RetryWindow::new(bounds);
+        let share = sharers.share(bounds.window, began + age);
+        (0..100).filter(|_| window.try_spend(began + age, share)).count()
+    };
+
+    assert_eq!([Duration::ZERO, bounds.window].map(&mut paid_at), [0, 0]);
+    assert_eq!(paid_at(bounds.window + Duration::from_secs(2)), 100);
+}
+
+#[test]
+fn a_process_that_the_store_told_nothing_since_its_start_has_no_share() {
+    let began = Instant::now();
+    let mut sharers = Sharers::new("gateway-0", began);
+    let (window, later) = (Duration::from_secs(10), began + Duration::from_secs(60));
+
+    sharers.on_list(1, began + Duration::from_millis(50));
+    let before = sharers.share(window, later);
+    sharers.on_list(4, later);
+
+    assert_eq!((before.fraction, sharers.share(window, later).fraction), (0.0, 0.25));
+}
+
+#[test]
+fn gateways_that_left_the_list_share_until_what_they_used_is_out_of_the_window() {
+    let began = Instant::now();
+    let mut sharers = Sharers::new("gateway-0", began);
+    let at = |seconds| began + Duration::from_secs(seconds);
 
-    let paid = (0..100).filter(|_| window.try_spend(began, 1)).count();
+    sharers.on_list(6, at(50));
+    sharers.on_list(2, at(60));
 
-    assert_eq!(paid, 0);
+    assert_eq!([60, 64, 66].map(|seconds| sharers.count(at(seconds))), [6, 6, 2]);
 }
 
 #[test]
 fn checking_the_budget_spends_nothing_and_predicts_the_next_send() {
     let bounds = RetryBounds { window: Duration::from_secs(10), ratio: 0.0, slack: 5.0 };
-    let began = Instant::now();
-    let now = began + bounds.window;
-    let mut window = RetryWindow::new(bounds, began);
+    let now = Instant::now();
+    let mut window = RetryWindow::new(bounds);
 
-    let checks = (0..10).filter(|_| window.may_spend(now, 1)).count();
-    let paid = (0..10).filter(|_| window.try_spend(now, 1)).count();
+    let checks = (0..10).filter(|_| window.may_spend(now, WHOLE)).count();
+    let paid = (0..10).filter(|_| window.try_spend(now, WHOLE)).count();
 
     assert_eq!(checks, 10);
     assert_eq!(paid, 4);
-    assert!(!window.may_spend(now, 1));
+    assert!(!window.may_spend(now, WHOLE));
 }
 
 quickcheck! {
@@ -117,7 +149,7 @@
         let began = Instant::now();
         let gateways = 3;
         let mut windows: Vec<RetryWindow> =
-            (0..gateways).map(|_| RetryWindow::new(bounds, began)).collect();
+            (0..gateways).map(|_| RetryWindow::new(bounds)).collect();
         let mut now = began + bounds.window;
         let (mut requests, mut repeats) = (Vec::new(), Vec::new());
         for (gap, who, is_request) in asks {
@@ -126,7 +158,7 @@
             if is_request {
                 window.on_request(now);
                 requests.push(now);
-            } else if window.try_spend(now, gateways) {
+            } else if window.try_spend(now, Share { fraction: 1.0 / gateways as f64, rounding: 0.0 }) {
                 repeats.push(now);
             }
         }
@@ -134,8 +166,10 @@
             let within = |all: &[Instant], from: Instant| {
                 all.iter().filter(|at| **at >= from && **at < from + bounds.window).count() as f64
             };
-            // Requests of the window or the one before it count for the budget.
-            let paying = within(&requests, *start) + within(&requests, *start - bounds.window);
+            // The requests of the window, the one before it or the one half a window before it count.
+            let earlier = [Duration::ZERO, bounds.window / 2, bounds.window];
+            let paying = earlier.map(|earlier| within(&requests, *start - earlier));
+            let paying = paying.into_iter().fold(0.0, f64::max);
             within(&repeats, *start) <= bounds.ratio * paying + bounds.slack
         })
     }
--- a/crates/routing/tests/retry_fleet/process.rs
+++ b/crates/routing/tests/retry_fleet/process.rs
@@ -1,5 +1,6 @@
 //! One process of a gateway: its share of the budget, and what it knows of the others.
 
+use super::world::BOUNDS;
 use sorrellock_routing::process::retries::{RetryBounds, RetryWindow, Sharers};
 use std::time::Instant;
 
@@ -10,8 +11,9 @@
 }
 
 impl Process {
-    pub fn new(bounds: RetryBounds, now: Instant) -> Process {
-        Process { window: RetryWindow::new(bounds, now), sharers: Sharers::default() }
+    pub fn new(gateway: usize, bounds: RetryBounds, now: Instant) -> Process {
+        let instance = instance(gateway);
+        Process { window: RetryWindow::new(bounds), sharers: Sharers::new(&instance, now) }
     }
 
     pub fn on_request(&mut self, now: Instant) {
@@ -19,15 +21,19 @@
     }
 
     pub fn on_message(&mut self, from: usize, now: Instant) {
-        self.sharers.on_message(&format!("gateway-{from}"), now);
+        self.sharers.on_message(&instance(from), now);
     }
 
-    pub fn on_list(&mut self, listed: usize, _now: Instant) {
-        self.sharers.on_list(listed);
+    pub fn on_list(&mut self, listed: usize, now: Instant) {
+        self.sharers.on_list(listed, now);
     }
 
     pub fn try_repeat(&mut self, now: Instant) -> bool {
-        let gateways = self.sharers.count(now);
-        self.window.try_spend(now, gateways)
+        let share = self.sharers.share(BOUNDS.window, now);
+        self.window.try_spend(now, share)
     }
 }
+
+fn instance(gateway: usize) -> String {
+    format!("gateway-{gateway}")
+}
--- a/crates/routing/tests/retry_fleet/world.rs
+++ b/crates/routing/tests/retry_fleet/world.rs
@@ -9,8 +9,9 @@
 pub const STEP: Duration = Duration::from_millis(20);
 pub const BOUNDS: RetryBounds =
     RetryBounds { window: Duration::from_secs(10), ratio: 0.2, slack: 248.0 };
-/// Interval at which a gateway lists the registered ones.
-const LIST_INTERVAL: Duration = Duration::from_millis(500);
+/// Interval at which a gateway lists the registered ones, and the one after the first list of a process.
+const LIST_INTERVAL: Duration = Duration::from_secs(10);
+const SECOND_LIST_DELAY: Duration = Duration::from_secs(3);
 
 /// Size and load of a fleet.
 #[derive(Clone, Copy, Debug)]
@@ -28,6 +29,7 @@
 struct Place {
     process: Option<Process>,
     starts_at: Instant,
+    next_list: Instant,
     is_registered: bool,
     /// Gateways of different groups don't reach each other.
     group: usize,
@@ -53,6 +55,7 @@
         let place = |_| Place {
             process: None,
             starts_at: now,
+            next_list: now,
             is_registered: false,
             group: 0,
             reaches_store: true,
@@ -117,9 +120,11 @@
     }
 
     fn begin_processes(&mut self) {
-        for place in &mut self.places {
+        for (gateway, place) in self.places.iter_mut().enumerate() {
             if place.process.is_none() && place.starts_at <= self.now {
-                place.process = Some(Process::new(BOUNDS, self.now));
+                place.process = Some(Process::new(gateway, BOUNDS, self.now));
+                place.starts_at = self.now;
+                place.next_list = self.now;
             }
         }
     }
@@ -152,12 +157,14 @@
     fn list_gateways(&mut self) {
         for gateway in 0..self.places.len() {
             let place = &self.places[gateway];
-            if place.process.is_none()
-                || !place.reaches_store
-                || !self.is_due(gateway, LIST_INTERVAL)
-            {
+            if place.process.is_none() || !place.reaches_store || place.next_list > self.now {
                 continue;
             }
+            let interval = match place.next_list == place.starts_at {
+                true => SECOND_LIST_DELAY,
+                false => LIST_INTERVAL,
+            };
+            self.places[gateway].next_list = self.now + interval;
             self.places[gateway].is_registered = true;
             let listed = self.places.iter().filter(|place| place.is_registered).count();
             if let Some(process) = &mut self.places[gateway].process {
