--- a/crates/gateway/src/process/peers/fleet_state.rs
+++ b/crates/gateway/src/process/peers/fleet_state.rs
@@ -17,8 +17,6 @@
 
 /// Time without a message after which a gateway counts as gone: ten lost messages in a row.
 const PEER_TIMEOUT: Duration = Duration::from_millis(1_500);
-/// Time without a message after which a gateway no longer counts as out of reach, but as gone.
-const OUT_OF_REACH_TIMEOUT: Duration = Duration::from_secs(300);
 /// Time without a message after which a leaving gateway's successor is no longer expected.
 const SUCCESSOR_TIMEOUT: Duration = Duration::from_secs(15);
 /// Expected time until an overdue successor is ready.
@@ -167,13 +165,10 @@
         self.sharers.count(now.into_std())
     }
 
-    /// Returns the share of the gateways that this one reaches, itself included. Those that it heard of not long ago may
-    /// go on out of its reach.
+    /// Returns the share of the gateways that this one reaches, itself included.
     pub(crate) fn reachable_share(&self, now: Instant) -> f64 {
-        let recent =
-            self.peers.values().filter(|peer| now - peer.last_contact < OUT_OF_REACH_TIMEOUT);
         let live = self.live_peers(now).count() + 1;
-        live as f64 / (recent.count() + 1) as f64
+        self.sharers.reachable_share(live, now.into_std())
     }
 
     /// Returns the time until each other gateway is expected to be ready: first those of the data centre, then the
--- a/crates/routing/src/process/retries/sharers.rs
+++ b/crates/routing/src/process/retries/sharers.rs
@@ -5,6 +5,8 @@
 
 /// Time without a message or a list after which what it said no longer counts: a window that it shared has passed.
 const SHARER_TIMEOUT: Duration = Duration::from_secs(15);
+/// Time without a message after which a gateway no longer counts as out of reach, but as gone.
+const OUT_OF_REACH_TIMEOUT: Duration = Duration::from_secs(300);
 /// Time within which the gateways that began together are listed, and have heard of each other.
 const SETTLE_TIME: Duration = Duration::from_secs(2);
 
@@ -47,7 +49,7 @@
         match self.heard.get_mut(instance) {
             Some(at) => *at = now,
             None => {
-                self.heard.retain(|_, at| is_recent(*at, now));
+                self.heard.retain(|_, at| now.duration_since(*at) < OUT_OF_REACH_TIMEOUT);
                 self.heard.insert(instance.to_owned(), now);
             }
         }
@@ -75,6 +77,14 @@
         heard.max(listed).max(self.listed())
     }
 
+    /// Returns the fraction of the gateways that the `live` ones are, which this one reaches, itself included. Those that it
+    /// heard of not long ago may go on out of its reach.
+    pub fn reachable_share(&self, live: usize, now: Instant) -> f64 {
+        let not_gone = |at: &&Instant| now.duration_since(**at) < OUT_OF_REACH_TIMEOUT;
+        let known = self.heard.values().filter(not_gone).count() + 1;
+        live as f64 / known.max(live) as f64
+    }
+
     /// Returns the part that this gateway has of a bound over each `window`. It has none until all that its
     /// predecessor used is out of the window, and unless the store has listed the gateways since these had time to
     /// register: a process that knows of no others isn't alone.
--- a/crates/routing/tests/limit_fleet/focused.rs
+++ b/crates/routing/tests/limit_fleet/focused.rs
@@ -105,3 +105,22 @@
         assert!(bound > 100, "{gateways} gateways: {bound} requests that a limit binds");
     }
 }
+
+#[test]
+fn gateways_that_all_begin_apart_from_each_other_grant_no_more_than_the_limit_together() {
+    for (gateways, per_s) in SIZES {
+        let mut world = World::new(calm(gateways, per_s), 1);
+        world.run(Duration::from_secs(2));
+        world.name(0, Some("40"));
+        world.run(Duration::from_secs(5));
+
+        world.restart_all_apart(Duration::from_secs(20));
+        // Each learns of the limit by an answer.
+        world.run(Duration::from_secs(8));
+        let since = world.now;
+        world.run(Duration::from_secs(8));
+
+        let granted = world.requests_since(0, since);
+        assert!(granted <= 480, "{gateways} gateways: {granted}");
+    }
+}
--- a/crates/routing/tests/limit_fleet/gateway.rs
+++ b/crates/routing/tests/limit_fleet/gateway.rs
@@ -4,6 +4,7 @@
 use sorrellock_routing::process::limits::{
     EndpointLimits, LimitReport, Permit, PermitBucket, RateLimit, permit_keeper,
 };
+use sorrellock_routing::process::retries::Sharers;
 use std::collections::{BTreeMap, HashMap};
 use std::time::{Duration, Instant};
 
@@ -20,6 +21,7 @@
 
 /// One gateway.
 pub struct Gateway {
+    sharers: Sharers,
     pub incarnation: u64,
     pub limits: EndpointLimits,
     buckets: HashMap<Incarnation, PermitBucket>,
@@ -37,8 +39,12 @@
 }
 
 impl Gateway {
-    pub fn new(incarnation: u64, now: Instant) -> Gateway {
+    /// A process that began `now`, and that the store tells of `listed` gateways.
+    pub fn new(index: usize, incarnation: u64, listed: usize, now: Instant) -> Gateway {
+        let mut sharers = Sharers::new(&index.to_string(), now);
+        sharers.on_list(listed, now);
         Gateway {
+            sharers,
             incarnation,
             limits: EndpointLimits::default(),
             buckets: HashMap::new(),
@@ -61,6 +67,7 @@
 
     pub fn receive(&mut self, message: &Message, now: Instant) {
         self.peers.insert(message.from, (message.incarnation, now));
+        self.sharers.on_message(&message.from.to_string(), now);
         for report in &message.limits {
             self.limits.on_report(report, now);
         }
@@ -86,7 +93,7 @@
         now: Instant,
     ) -> Permit {
         let limit = self.limits.limit(endpoint).unwrap_or(limit);
-        let share = (self.live(now).count() + 1) as f64 / (self.peers.len() + 1) as f64;
+        let share = self.sharers.reachable_share(self.live(now).count() + 1, now);
         let bucket = self.buckets.entry(endpoint.clone()).or_insert_with(|| PermitBucket::new(now));
         bucket.take(limit, share, asker, now)
     }
--- a/crates/routing/tests/limit_fleet/world.rs
+++ b/crates/routing/tests/limit_fleet/world.rs
@@ -133,7 +133,8 @@
             bound: Vec::new(),
             all: Vec::new(),
         };
-        let gateways = (0..size.gateways).map(|index| Gateway::new(index as u64, now)).collect();
+        let gateway = |index| Gateway::new(index, index as u64, size.gateways, now);
+        let gateways = (0..size.gateways).map(gateway).collect();
         World {
             size,
             rng: StdRng::seed_from_u64(seed),
@@ -336,9 +337,18 @@
         self.gateways[at].parted_until = self.now + lasts;
     }
 
+    /// Starts all gateways again, each without the others in reach for a while.
+    pub fn restart_all_apart(&mut self, lasts: Duration) {
+        for at in 0..self.gateways.len() {
+            self.restart(at);
+            self.part(at, lasts);
+        }
+    }
+
     fn restart(&mut self, at: usize) {
         self.incarnations += 1;
-        self.gateways[at] = Gateway::new(self.incarnations, self.now);
+        let listed = self.gateways.len();
+        self.gateways[at] = Gateway::new(at, self.incarnations, listed, self.now);
     }
 
     fn send_messages(&mut self) {
