Permits: a gateway that just began grants its part of a limit among the gateways that the store lists

A gateway that knew of no others granted a limited endpoint's whole limit, so that gateways that all began apart from each other sent many times what it takes. Class: as with the retry budget, a share derived from what a process knows, where knowing nothing gives most.

--- a/crates/daemon/tests/gateway/plain_calls.rs
+++ b/crates/daemon/tests/gateway/plain_calls.rs
@@ -1,7 +1,7 @@
 //! Calls of plain services: what ran, what may run again, what the caller is told.
 
 use crate::fleet::{KEY, fleet, new_request, send};
-use sorrellock_stand_ins::{FakeService, ServiceMode, new_ip};
+use sorrellock_stand_ins::{EngineMode, FakeService, ServiceMode, new_ip};
 
 #[test]
 fn a_call_passes_both_ways_unchanged() {
@@ -68,6 +68,27 @@
     assert_eq!((answered, at_other), (6, 6));
 }
 
+#[test]
+fn each_send_after_the_first_is_charged_to_the_retry_budget() {
+    let fleet = fleet();
+    let gateway = fleet.settled_gateway("one");
+    let other = FakeService::start("ledger-2", "ledger", "south", new_ip(), &fleet.store);
+    let _other = other.expect("another endpoint");
+    gateway.wait_for_line(&["\"endpoint joined\"", "ledger-2"]);
+    fleet.service.set_mode(ServiceMode::Fails);
+    fleet.engines[0].set_mode(EngineMode::Refuses);
+
+    for _ in 0..6 {
+        send(gateway.callers(), "/ack/a", &new_request(), Some(KEY));
+        send(gateway.callers(), "/match/a", &new_request(), Some(KEY));
+    }
+
+    let causes = ["refused", "failed", "overdue", "resumed"];
+    let sent = causes.map(|cause| gateway.metric(&format!("sorrellock_repeats_{cause}")));
+    assert!(sent[0] > 0.0 && sent[1] > 0.0, "{sent:?}");
+    assert_eq!(sent.iter().sum::<f64>(), gateway.metric("sorrellock_repeats"));
+}
+
 #[test]
 fn an_endpoints_own_failure_is_passed_on_with_its_signature() {
     let fleet = fleet();
--- a/crates/routing/src/process/limits/permit_bucket.rs
+++ b/crates/routing/src/process/limits/permit_bucket.rs
@@ -55,7 +55,7 @@
     /// Decides on a permit for the gateway `asker`. `share` is the fraction of the limit that this gateway may grant,
     /// as others may grant the rest while they don't reach it.
     pub fn take(&mut self, limit: RateLimit, share: f64, asker: u64, now: Instant) -> Permit {
-        let per_s = (limit.per_s() * share).max(MIN_PER_S);
+        let per_s = limit.per_s().max(MIN_PER_S) * share;
         let elapsed = now.duration_since(self.filled_at).as_secs_f64();
         self.tokens = (self.tokens + per_s * elapsed).min(MAX_BURST);
         self.filled_at = now;
--- a/crates/routing/src/process/retries/sharers.rs
+++ b/crates/routing/src/process/retries/sharers.rs
@@ -78,11 +78,16 @@
     }
 
     /// Returns the fraction of the gateways that the `live` ones are, which this one reaches, itself included. Those that it
-    /// heard of not long ago may go on out of its reach.
+    /// heard of not long ago may go on out of its reach, and so may all that are listed while it is new. Without any list it
+    /// has none.
     pub fn reachable_share(&self, live: usize, now: Instant) -> f64 {
-        let not_gone = |at: &&Instant| now.duration_since(**at) < OUT_OF_REACH_TIMEOUT;
-        let known = self.heard.values().filter(not_gone).count() + 1;
-        live as f64 / known.max(live) as f64
+        let not_gone = |at: &Instant| now.duration_since(*at) < OUT_OF_REACH_TIMEOUT;
+        let heard = self.heard.values().filter(|at| not_gone(at)).count() + 1;
+        let listed = if not_gone(&self.began) { self.listed() } else { 0 };
+        match self.lists.is_empty() {
+            true => 0.0,
+            false => live as f64 / heard.max(listed).max(live) as f64,
+        }
     }
 
     /// Returns the part that this gateway has of a bound over each `window`. It has none until all that its
