--- a/crates/gateway/src/process/counters.rs
+++ b/crates/gateway/src/process/counters.rs
@@ -126,6 +126,10 @@
     ConfigurationsRefused => "configurations_refused",
     /// Runs of this gateway on endpoints that ended, which may have crashed them.
     RunsCrashed => "runs_crashed",
+    /// Parts of prompts that can't be read.
+    PromptPartsInvalid => "prompt_parts_invalid",
+    /// Parts of prompts beyond those that are read of a request.
+    PromptPartsOmitted => "prompt_parts_omitted",
     /// Requests that are held back because endpoints ended under them, each counted once.
     RequestsHeld => "requests_held",
     /// Requests that were held back and released.
--- a/crates/gateway/src/process/crashes/crash_watch.rs
+++ b/crates/gateway/src/process/crashes/crash_watch.rs
@@ -7,11 +7,15 @@
     Admission, CrashEvent, CrashRecords, CrashReports, HeldRequest, HeldSource, Turn, UnixMillis,
 };
 use spdlog::{info, warn};
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::time::{Instant, sleep};
 
 /// Maximum number of contents in a log line.
 const MAX_LOGGED_CONTENTS: usize = 8;
+/// The same of parts of prompts.
+const MAX_LOGGED_PARTS: usize = 32;
 
 /// Returns the current Unix time. Records of held requests outlast the process, so they can't use its clock.
 pub(crate) fn unix_now() -> UnixMillis {
@@ -19,6 +23,14 @@
     since_epoch.as_millis() as UnixMillis
 }
 
+/// Formats the parts of the prompts of runs, the most frequent ones first, each with the number of runs.
+fn list_parts(parts: &BTreeMap<String, usize>) -> String {
+    let mut parts: Vec<(&String, &usize)> = parts.iter().collect();
+    parts.sort_by_key(|(_, runs)| Reverse(**runs));
+    let listed = parts.iter().take(MAX_LOGGED_PARTS).map(|(name, runs)| format!("{name}x{runs}"));
+    listed.collect::<Vec<_>>().join(" ")
+}
+
 impl Gateway {
     /// Returns how long a request is held back; `None` if it may be sent.
     pub(crate) fn held_for(&self, call: &Call) -> Option<Duration> {
@@ -160,14 +172,14 @@
 
     fn report_crash_event(&self, event: &CrashEvent) {
         match event {
-            CrashEvent::Crashed { endpoint, contents } => {
+            CrashEvent::Crashed { endpoint, contents, parts } => {
                 self.counters.add_many(Count::RunsCrashed, contents.len());
                 let listed: Vec<String> =
                     contents.iter().take(MAX_LOGGED_CONTENTS).map(ToString::to_string).collect();
                 let listed = listed.join(" ");
                 warn!("endpoint ended under requests", kv: {
                     endpoint = endpoint.id.as_str(), requests = contents.len(),
-                    contents = listed.as_str()
+                    contents = listed.as_str(), parts = list_parts(parts).as_str()
                 });
             }
             CrashEvent::Held { held, source } => {
--- a/crates/gateway/src/request/request_handler.rs
+++ b/crates/gateway/src/request/request_handler.rs
@@ -13,7 +13,7 @@
 use rand::RngExt;
 use sorrellock_http::{AnswerBody, Cut};
 use sorrellock_platform::{CallerHead, read_caller_head};
-use sorrellock_routing::process::crashes::RunRequest;
+use sorrellock_routing::process::crashes::{PromptPart, RunRequest};
 use sorrellock_routing::process::cut;
 use sorrellock_routing::request::{AbandonedOutcome, ContentId};
 use sorrellock_routing::version::{NotAllowed, Route, RouteTable, ServiceName};
@@ -66,7 +66,8 @@
     };
     let service = choose_service(&route);
     gateway.on_request(&service);
-    let run_request = Rc::new(run_request(workspace.as_deref(), &parts.uri, &body));
+    let run_request = Rc::new(run_request(&head, workspace.as_deref(), &parts.uri, &body));
+    note_unread_parts(&gateway, &head);
     let call = Call {
         head,
         method: parts.method,
@@ -107,15 +108,24 @@
 /// Maximum length of a path in records and log lines.
 const MAX_PATH_CHARS: usize = 200;
 
-fn run_request(workspace: Option<&str>, uri: &Uri, body: &[u8]) -> RunRequest {
+fn run_request(head: &CallerHead, workspace: Option<&str>, uri: &Uri, body: &[u8]) -> RunRequest {
     let path = uri.path_and_query().map_or(uri.path(), PathAndQuery::as_str);
+    let model = head.model.as_deref().unwrap_or_default();
+    let parts = head.shared_parts.ids.iter().map(|id| PromptPart::new(model, id));
     RunRequest {
         content: ContentId::new(workspace, path, body),
+        parts: parts.collect(),
         workspace: workspace.map(str::to_owned),
         path: cut(uri.path(), MAX_PATH_CHARS),
     }
 }
 
+/// Counts the parts of a prompt that couldn't be read, or are too many. The request is passed on as it is.
+fn note_unread_parts(gateway: &Gateway, head: &CallerHead) {
+    gateway.counters.add_many(Count::PromptPartsInvalid, head.shared_parts.invalid);
+    gateway.counters.add_many(Count::PromptPartsOmitted, head.shared_parts.omitted);
+}
+
 /// Returns how long a request is held back; `None` if it may be sent, be it as a trial.
 async fn claim_trial_or_hold(gateway: &Gateway, call: &Call) -> Option<Duration> {
     let held_for = gateway.held_for(call)?;
--- a/crates/routing/src/process/crashes/crash_guard.rs
+++ b/crates/routing/src/process/crashes/crash_guard.rs
@@ -8,11 +8,12 @@
 use super::crash_suspects::{CrashSuspects, SuspectRecord, Turn};
 use super::held_request::{HeldRequest, UnixMillis};
 use super::held_requests::{Admission, HeldRequests};
-use super::run_registry::{Finding, RunEnd, RunId, RunRegistry, RunRequest};
+use super::run_registry::{Finding, RunEnd, RunId, RunRegistry};
+use super::run_request::RunRequest;
 use crate::process::Incarnation;
 use crate::request::ContentId;
 use serde::{Deserialize, Serialize};
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::mem;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -72,6 +73,8 @@
         endpoint: Incarnation,
         /// The contents of the requests.
         contents: Vec<ContentId>,
+        /// The parts of their prompts, and how many requests have each.
+        parts: BTreeMap<String, usize>,
     },
     /// A request is held back from now on.
     Held {
@@ -164,7 +167,11 @@
         contents.truncate(MAX_REPORTED);
         let report = CrashReport { endpoint: endpoint.clone(), contents: contents.clone() };
         self.crashes.push_back((report, now));
-        self.events.push(CrashEvent::Crashed { endpoint: endpoint.clone(), contents });
+        let mut parts = BTreeMap::new();
+        for part in requests.iter().flat_map(|request| &request.parts) {
+            *parts.entry(part.name.clone()).or_default() += 1;
+        }
+        self.events.push(CrashEvent::Crashed { endpoint: endpoint.clone(), contents, parts });
         for request in requests {
             self.count(request.content, endpoint, Some(request), now, unix);
         }
--- a/crates/routing/src/process/crashes/crash_suspects.rs
+++ b/crates/routing/src/process/crashes/crash_suspects.rs
@@ -1,7 +1,7 @@
 //! Requests that ran on endpoints when these ended, too few yet to be held back.
 
 use super::crash_guard::MAX_CRASHES;
-use super::run_registry::RunRequest;
+use super::run_request::RunRequest;
 use crate::process::Incarnation;
 use crate::request::ContentId;
 use serde::{Deserialize, Serialize};
--- a/crates/routing/src/process/crashes/mod.rs
+++ b/crates/routing/src/process/crashes/mod.rs
@@ -6,10 +6,12 @@
 mod held_requests;
 mod held_sync;
 mod run_registry;
+mod run_request;
 
 pub use crash_guard::*;
 pub use crash_suspects::{SuspectRecord, Turn};
 pub use held_request::*;
 pub use held_requests::*;
 pub use held_sync::*;
-pub use run_registry::{RunEnd, RunId, RunRequest};
+pub use run_registry::{RunEnd, RunId};
+pub use run_request::*;
--- a/crates/routing/src/process/crashes/run_registry.rs
+++ b/crates/routing/src/process/crashes/run_registry.rs
@@ -1,5 +1,6 @@
 //! The runs of this gateway, by the endpoints that they need.
 
+use super::run_request::RunRequest;
 use crate::process::Incarnation;
 use crate::request::ContentId;
 use std::collections::{HashMap, VecDeque};
@@ -19,17 +20,6 @@
 /// Identifies a run of this gateway.
 pub type RunId = u64;
 
-/// The request of a run.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct RunRequest {
-    /// Identity of its content.
-    pub content: ContentId,
-    /// Name of its caller's workspace.
-    pub workspace: Option<String>,
-    /// Its path, for operators.
-    pub path: String,
-}
-
 /// How a run ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RunEnd {
--- a/crates/routing/src/request/content_id.rs
+++ b/crates/routing/src/request/content_id.rs
@@ -1,4 +1,4 @@
-//! Identifies requests that ask for the same.
+//! Identifies requests that ask for the same, and parts of prompts.
 
 use serde::{Deserialize, Deserializer, Serialize, Serializer};
 use sha2::{Digest, Sha256};
@@ -8,7 +8,10 @@
 /// Length of an id in bytes.
 const ID_BYTES: usize = 16;
 
-/// Identity of a request's content. Requests with the same workspace, path and body share it, whoever sends them and
+/// First bytes of the identity of a prompt's part, by which it differs from that of a content.
+const PART_TAG: [u8; 4] = *b"part";
+
+/// Identity of a request's content, or of a part of its prompt. Requests with the same workspace, path and body share it, whoever sends them and
 /// to which gateway. A second content with the same id can't be constructed, as it is part of a SHA-256 digest.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ContentId([u8; ID_BYTES]);
@@ -16,16 +19,32 @@
 impl ContentId {
     /// Computes the id of a request. `path` includes the query.
     pub fn new(workspace: Option<&str>, path: &str, body: &[u8]) -> ContentId {
-        let mut hasher = Sha256::new();
-        for part in [workspace.unwrap_or_default().as_bytes(), path.as_bytes(), body] {
-            hasher.update((part.len() as u64).to_le_bytes());
-            hasher.update(part);
-        }
-        let digest = hasher.finalize();
-        let mut id = [0; ID_BYTES];
-        id.copy_from_slice(&digest[..ID_BYTES]);
+        ContentId(digest([workspace.unwrap_or_default().as_bytes(), path.as_bytes(), body]))
+    }
+
+    /// Computes the id of a part of a model's prompts, whichever request it is in.
+    pub fn of_part(model: &str, part: &str) -> ContentId {
+        let mut id = digest([model.as_bytes(), part.as_bytes()]);
+        id[..PART_TAG.len()].copy_from_slice(&PART_TAG);
         ContentId(id)
     }
+
+    /// Returns whether this identifies a part of prompts.
+    pub fn is_part(&self) -> bool {
+        self.0.starts_with(&PART_TAG)
+    }
+}
+
+fn digest<const N: usize>(fields: [&[u8]; N]) -> [u8; ID_BYTES] {
+    let mut hasher = Sha256::new();
+    for field in fields {
+        hasher.update((field.len() as u64).to_le_bytes());
+        hasher.update(field);
+    }
+    let digest = hasher.finalize();
+    let mut id = [0; ID_BYTES];
+    id.copy_from_slice(&digest[..ID_BYTES]);
+    id
 }
 
 impl fmt::Display for ContentId {
--- a/crates/routing/tests/crash_fleet/world.rs
+++ b/crates/routing/tests/crash_fleet/world.rs
@@ -109,7 +109,7 @@
 
 fn request(body: &str) -> Rc<RunRequest> {
     let content = ContentId::new(None, "/a", body.as_bytes());
-    Rc::new(RunRequest { content, workspace: None, path: "/a".to_owned() })
+    Rc::new(RunRequest { content, parts: Vec::new(), workspace: None, path: "/a".to_owned() })
 }
 
 impl World {
--- a/crates/routing/tests/crash_guard.rs
+++ b/crates/routing/tests/crash_guard.rs
@@ -19,7 +19,7 @@
 fn request(body: &str) -> Rc<RunRequest> {
     let (workspace, path) = (Some("treasury".to_owned()), "/match/a".to_owned());
     let content = ContentId::new(workspace.as_deref(), &path, body.as_bytes());
-    Rc::new(RunRequest { content, workspace, path })
+    Rc::new(RunRequest { content, parts: Vec::new(), workspace, path })
 }
 
 fn content(body: &str) -> ContentId {
