--- a/crates/daemon/tests/gateway/crashing_requests.rs
+++ b/crates/daemon/tests/gateway/crashing_requests.rs
@@ -12,31 +12,37 @@
 /// Body of the request that crashes endpoints.
 const CRASHING: &str = "crash";
 /// Time from the begin of its run until an engine has crashed.
-const CRASH_AFTER: Duration = Duration::from_millis(50);
+pub const CRASH_AFTER: Duration = Duration::from_millis(50);
 /// Time until a crashed endpoint is back.
 const DOWN: Duration = Duration::from_millis(700);
 /// Number of endpoints that a request may crash before it is held back.
 const MAX_CRASHES: usize = 3;
 /// Within this time of the last of these crashes, all gateways hold it back.
-const STABLE_WINDOW: Duration = Duration::from_secs(3);
+pub const STABLE_WINDOW: Duration = Duration::from_secs(3);
 /// How often it may be sent to endpoints after that time, by all gateways together.
-const MAX_LATER_SENDS: usize = 3;
+pub const MAX_LATER_SENDS: usize = 3;
 /// How long callers repeat it.
-const REPEATED_FOR: Duration = Duration::from_secs(9);
+pub const REPEATED_FOR: Duration = Duration::from_secs(9);
 const REPEAT_INTERVAL: Duration = Duration::from_millis(120);
 /// Time between two innocent requests.
-const INNOCENT_INTERVAL: Duration = Duration::from_millis(40);
-const GATEWAYS: usize = 3;
+pub const INNOCENT_INTERVAL: Duration = Duration::from_millis(40);
+pub const GATEWAYS: usize = 3;
 
-/// Starts the stand-ins with four engines in each data centre, which all crash on [`CRASHING`].
-fn fleet_that_crashes() -> Fleet {
+/// Starts the stand-ins with four engines in each data centre.
+pub fn large_fleet() -> Fleet {
     let mut fleet = fleet();
     (4..8).for_each(|index| fleet.add_engine(index, if index < 6 { "north" } else { "south" }));
+    fleet
+}
+
+/// Starts the same with engines that all crash on [`CRASHING`].
+fn fleet_that_crashes() -> Fleet {
+    let fleet = large_fleet();
     fleet.engines.iter().for_each(|engine| engine.crash_on(CRASHING, CRASH_AFTER));
     fleet
 }
 
-fn gateways(fleet: &Fleet) -> Vec<GatewayProcess> {
+pub fn gateways(fleet: &Fleet) -> Vec<GatewayProcess> {
     (0..GATEWAYS).map(|index| fleet.settled_gateway(&format!("gateway-{index}"))).collect()
 }
 
@@ -53,7 +59,7 @@
 }
 
 /// Runs `act` while crashed endpoints start again.
-fn with_revival<T>(fleet: &Fleet, services: &[FakeService], act: impl FnOnce() -> T) -> T {
+pub fn with_revival<T>(fleet: &Fleet, services: &[FakeService], act: impl FnOnce() -> T) -> T {
     let is_over = AtomicBool::new(false);
     thread::scope(|scope| {
         scope.spawn(|| revive(fleet, services, &is_over));
@@ -83,20 +89,20 @@
     crashes.get(MAX_CRASHES - 1).copied()
 }
 
-fn engine_crashes(fleet: &Fleet) -> Vec<Instant> {
+pub fn engine_crashes(fleet: &Fleet) -> Vec<Instant> {
     fleet.engines.iter().flat_map(|engine| engine.seen().crashes).collect()
 }
 
-fn sends_to_engines(fleet: &Fleet) -> Vec<Instant> {
+pub fn sends_to_engines(fleet: &Fleet) -> Vec<Instant> {
     fleet.engines.iter().flat_map(|engine| engine.seen().crashing_requests).collect()
 }
 
-fn count_since(sends: &[Instant], since: Instant) -> usize {
+pub fn count_since(sends: &[Instant], since: Instant) -> usize {
     sends.iter().filter(|at| **at > since).count()
 }
 
 /// What gateways logged of the ends of endpoints.
-fn crash_lines(gateways: &[GatewayProcess]) -> String {
+pub fn crash_lines(gateways: &[GatewayProcess]) -> String {
     let lines = gateways.iter().flat_map(|gateway| gateway.lines(&["\"endpoint ended under"]));
     lines.collect::<Vec<_>>().join("\n")
 }
--- a/crates/daemon/tests/gateway/fleet.rs
+++ b/crates/daemon/tests/gateway/fleet.rs
@@ -163,7 +163,18 @@
 
 /// Sends a request with a body and reads the whole answer, if one comes.
 pub fn send_body(gateway: SocketAddr, path: &str, body: &str) -> Option<Answer> {
-    let (answer, mut rest) = try_begin(gateway, path, &new_request(), Some(KEY), body).ok()?;
+    send_parts(gateway, path, body, None)
+}
+
+/// Sends a request with a body whose prompt has these parts, and reads the whole answer, if one comes.
+pub fn send_parts(
+    gateway: SocketAddr,
+    path: &str,
+    body: &str,
+    parts: Option<&str>,
+) -> Option<Answer> {
+    let (answer, mut rest) =
+        try_begin(gateway, path, &new_request(), Some(KEY), body, parts).ok()?;
     let mut text = String::new();
     let is_whole = rest.read_to_string(&mut text).is_ok();
     Some(Answer { body: text, is_whole, ..answer })
@@ -223,7 +234,7 @@
     request: &str,
     key: Option<&str>,
 ) -> (Answer, Box<dyn Read + Send>) {
-    try_begin(gateway, path, request, key, "body").expect("a head of an answer")
+    try_begin(gateway, path, request, key, "body", None).expect("a head of an answer")
 }
 
 fn try_begin(
@@ -232,6 +243,7 @@
     request: &str,
     key: Option<&str>,
     body: &str,
+    parts: Option<&str>,
 ) -> Result<(Answer, Box<dyn Read + Send>), ureq::Error> {
     let agent = ureq::Agent::config_builder().http_status_as_error(false).max_idle_connections(0);
     let agent = ureq::Agent::new_with_config(agent.build());
@@ -245,6 +257,9 @@
     if let Some(key) = key {
         req = req.header("authorization", format!("Bearer {key}"));
     }
+    if let Some(parts) = parts {
+        req = req.header("prefix-hash", parts);
+    }
     let answer = req.send(body)?;
     let text = |name: &str| {
         answer.headers().get(name).and_then(|value| value.to_str().ok()).map(str::to_owned)
--- a/crates/daemon/tests/gateway/main.rs
+++ b/crates/daemon/tests/gateway/main.rs
@@ -1,5 +1,6 @@
 //! The gateway as a process, on stand-ins of the users' platform.
 
+mod crashing_parts;
 mod crashing_requests;
 mod dropped_services;
 mod endpoint_backoff;
--- a/crates/gateway/src/process/crashes/crash_watch.rs
+++ b/crates/gateway/src/process/crashes/crash_watch.rs
@@ -34,7 +34,7 @@
 impl Gateway {
     /// Returns how long a request is held back; `None` if it may be sent.
     pub(crate) fn held_for(&self, call: &Call) -> Option<Duration> {
-        match self.crash_guard.borrow().admission(call.run_request.content, unix_now()) {
+        match self.crash_guard.borrow().admission(&call.run_request, unix_now()) {
             Admission::Free => None,
             Admission::Held { .. } | Admission::TrialDue if call.is_trial.get() => None,
             Admission::Held { retry_in } => Some(retry_in),
--- a/crates/gateway/src/process/crashes/held_store.rs
+++ b/crates/gateway/src/process/crashes/held_store.rs
@@ -4,7 +4,7 @@
 use crate::process::{Count, Gateway};
 use sorrellock_platform::{Kind, Store, StoreError};
 use sorrellock_routing::process::Revision;
-use sorrellock_routing::process::crashes::{HeldRequest, HeldSource};
+use sorrellock_routing::process::crashes::{HeldRequest, HeldSource, RunRequest};
 use sorrellock_routing::request::ContentId;
 use spdlog::{info, warn};
 use std::collections::HashMap;
@@ -150,9 +150,20 @@
 }
 
 impl Gateway {
+    /// Claims the trials of all that a request is held back for. Returns whether this gateway may send it once.
+    pub(crate) async fn claim_trials(&self, request: &RunRequest) -> bool {
+        let due = self.crash_guard.borrow().trials_due(request, unix_now());
+        for id in &due {
+            if !self.claim_trial(*id).await {
+                return false;
+            }
+        }
+        !due.is_empty()
+    }
+
     /// Claims the trial of a held request for this gateway. The store grants it to one gateway only, also while some
     /// don't reach each other; without the store there is no trial.
-    pub(crate) async fn claim_trial(&self, content: ContentId) -> bool {
+    async fn claim_trial(&self, content: ContentId) -> bool {
         let store = self.store.borrow().clone();
         let Some(store) = store else { return false };
         match self.try_claim_trial(&store, content).await {
--- a/crates/gateway/src/request/request_handler.rs
+++ b/crates/gateway/src/request/request_handler.rs
@@ -129,7 +129,7 @@
 /// Returns how long a request is held back; `None` if it may be sent, be it as a trial.
 async fn claim_trial_or_hold(gateway: &Gateway, call: &Call) -> Option<Duration> {
     let held_for = gateway.held_for(call)?;
-    if held_for.is_zero() && gateway.claim_trial(call.run_request.content).await {
+    if held_for.is_zero() && gateway.claim_trials(&call.run_request).await {
         call.is_trial.set(true);
     }
     gateway.held_for(call)
--- a/crates/routing/src/process/crashes/crash_guard.rs
+++ b/crates/routing/src/process/crashes/crash_guard.rs
@@ -327,8 +327,16 @@
     }
 
     /// Returns whether a request may be sent.
-    pub fn admission(&self, content: ContentId, unix: UnixMillis) -> Admission {
-        self.held.admission(content, unix)
+    pub fn admission(&self, request: &RunRequest, unix: UnixMillis) -> Admission {
+        self.held.admission(request.content, unix)
+    }
+
+    /// Returns the identities of a request whose trial is due, all of which have to be claimed.
+    pub fn trials_due(&self, request: &RunRequest, unix: UnixMillis) -> Vec<ContentId> {
+        match self.held.admission(request.content, unix) {
+            Admission::TrialDue => vec![request.content],
+            Admission::Free | Admission::Held { .. } => Vec::new(),
+        }
     }
 
     /// Returns whether an endpoint ended under a request that hasn't run without harm since.
--- a/crates/routing/tests/crash_fleet/fuzz.rs
+++ b/crates/routing/tests/crash_fleet/fuzz.rs
@@ -19,6 +19,7 @@
         loss: rng.random_range(0.0..0.3),
         disturbances_per_s: rng.random_range(0.0..2.0),
         other_crashes_per_s: rng.random_range(0.0..0.5),
+        bad_part_per_s: 0.0,
     }
 }
 
--- a/crates/routing/tests/crash_fleet/world.rs
+++ b/crates/routing/tests/crash_fleet/world.rs
@@ -7,7 +7,7 @@
 use rand::{RngExt, SeedableRng};
 use sorrellock_routing::process::Incarnation;
 use sorrellock_routing::process::crashes::{
-    Admission, CrashEvent, HeldSource, RunEnd, RunRequest, Turn, UnixMillis,
+    Admission, CrashEvent, HeldSource, PromptPart, RunEnd, RunRequest, Turn, UnixMillis,
 };
 use sorrellock_routing::request::ContentId;
 use std::collections::{BTreeSet, HashMap, HashSet};
@@ -52,6 +52,8 @@
     pub disturbances_per_s: f64,
     /// Engines a second that end by themselves.
     pub other_crashes_per_s: f64,
+    /// Requests a second, no two alike, with a part of its own that crashes engines.
+    pub bad_part_per_s: f64,
 }
 
 struct Engine {
@@ -64,6 +66,8 @@
 /// What happened to a request that crashes engines.
 #[derive(Default)]
 pub struct Course {
+    /// Number of crashes after which it is held back.
+    pub max_crashes: usize,
     pub crashes: Vec<Instant>,
     /// Sends by gateways that were in touch.
     pub sends: Vec<Instant>,
@@ -72,7 +76,7 @@
 }
 
 impl Course {
-    /// Returns the sends later than the window after the third crash.
+    /// Returns the sends later than the window after the crash that is one too many.
     pub fn later_sends(&self) -> usize {
         self.later(&self.sends)
     }
@@ -83,8 +87,8 @@
     }
 
     fn later(&self, sends: &[Instant]) -> usize {
-        let third = self.crashes.get(2).map(|third| *third + STABLE_WINDOW);
-        third.map_or(0, |from| sends.iter().filter(|at| **at > from).count())
+        let last = self.crashes.get(self.max_crashes - 1).map(|last| *last + STABLE_WINDOW);
+        last.map_or(0, |from| sends.iter().filter(|at| **at > from).count())
     }
 }
 
@@ -104,20 +108,46 @@
     pub innocents_held: HashSet<ContentId>,
     pub innocents: u64,
     pub innocents_refused: u64,
+    /// Innocent requests that were refused as they are held back, each time.
+    pub innocents_held_refused: u64,
+    /// The parts that crash engines now.
+    pub bad_parts: HashSet<ContentId>,
     pub answered: u64,
 }
 
-fn request(body: &str) -> Rc<RunRequest> {
+/// Crashes of a content and of a part after which each is held back.
+const MAX_CONTENT_CRASHES: usize = 3;
+const MAX_PART_CRASHES: usize = 5;
+/// Number of routes, each with a first part that all of its prompts have, and of further parts on each.
+const ROUTES: u64 = 3;
+const PARTS: f64 = 60.0;
+
+/// The part of a route's prompts with this index; 0 is the first one of all of them.
+pub fn part(route: u64, index: u64) -> PromptPart {
+    PromptPart::new("model", &format!("{route:02x}{index:04x}"))
+}
+
+/// A part that only requests have that crash engines.
+pub fn bad_part() -> PromptPart {
+    part(0, 0xbad)
+}
+
+fn request(body: &str, parts: Vec<PromptPart>) -> Rc<RunRequest> {
     let content = ContentId::new(None, "/a", body.as_bytes());
-    Rc::new(RunRequest { content, parts: Vec::new(), workspace: None, path: "/a".to_owned() })
+    Rc::new(RunRequest { content, parts, workspace: None, path: "/a".to_owned() })
 }
 
 impl World {
     pub fn new(size: Size, seed: u64) -> World {
         let now = Instant::now();
         let engine = |_| Engine { incarnation: 0, down_until: now, crashes_at: None };
-        let crashing: Vec<_> =
-            (0..size.crashing).map(|index| request(&format!("crash {index}"))).collect();
+        let crashing: Vec<_> = (0..size.crashing)
+            .map(|index| request(&format!("crash {index}"), Vec::new()))
+            .collect();
+        let course = |max_crashes| Course { max_crashes, ..Course::default() };
+        let contents = crashing.iter().map(|one| (one.content, course(MAX_CONTENT_CRASHES)));
+        let bad_part = bad_part().id;
+        let courses = contents.chain([(bad_part, course(MAX_PART_CRASHES))]).collect();
         World {
             size,
             rng: StdRng::seed_from_u64(seed),
@@ -128,11 +158,13 @@
             store: Store::default(),
             sent: Vec::new(),
             next_body: 0,
-            courses: crashing.iter().map(|one| (one.content, Course::default())).collect(),
+            courses,
+            bad_parts: HashSet::from([bad_part]),
             crashing,
             innocents_held: HashSet::new(),
             innocents: 0,
             innocents_refused: 0,
+            innocents_held_refused: 0,
             answered: 0,
         }
     }
@@ -258,10 +290,19 @@
             due -= 1.0;
             self.next_body += 1;
             self.innocents += 1;
-            let innocent = request(&format!("innocent {}", self.next_body));
+            let route = self.rng.random_range(0..ROUTES);
+            let parts = self.draw_parts(route);
+            let innocent = request(&format!("innocent {}", self.next_body), parts);
             let at = self.rng.random_range(0..self.gateways.len());
             self.arrive(at, innocent);
         }
+        if self.happens(self.size.bad_part_per_s) {
+            self.next_body += 1;
+            let mut parts = self.draw_parts(0);
+            parts.push(bad_part());
+            let at = self.rng.random_range(0..self.gateways.len());
+            self.arrive(at, request(&format!("bad {}", self.next_body), parts));
+        }
         for index in 0..self.crashing.len() {
             if self.happens(self.size.repeats_per_s) {
                 let at = self.rng.random_range(0..self.gateways.len());
@@ -270,20 +311,40 @@
         }
     }
 
+    /// Draws the shared parts of a prompt: the route's first one, and one of its further ones, of which some are in far more
+    /// prompts than others.
+    fn draw_parts(&mut self, route: u64) -> Vec<PromptPart> {
+        let drawn: f64 = self.rng.random();
+        let further = (drawn * drawn * PARTS) as u64 + 1;
+        vec![part(route, 0), part(route, further)]
+    }
+
+    /// Has a part crash engines from now on.
+    pub fn turn_bad(&mut self, part: &PromptPart) {
+        self.bad_parts.insert(part.id);
+        let course = Course { max_crashes: MAX_PART_CRASHES, ..Course::default() };
+        self.courses.insert(part.id, course);
+    }
+
+    /// Returns by what a request crashes engines, if it does.
+    fn culprit(&self, request: &RunRequest) -> Option<ContentId> {
+        let bad_part = request.parts.iter().find(|part| self.bad_parts.contains(&part.id));
+        let content = Some(request.content).filter(|content| self.courses.contains_key(content));
+        content.or(bad_part.map(|part| part.id))
+    }
+
+    fn is_culprit(&self, request: &RunRequest) -> bool {
+        self.culprit(request).is_some()
+    }
+
     fn arrive(&mut self, at: usize, request: Rc<RunRequest>) {
         if self.gateways[at].is_frozen(self.now) {
             return;
         }
-        let content = request.content;
         let unix = self.unix();
-        let is_reachable = !self.gateways[at].is_cut(self.now);
-        let gateway = &mut self.gateways[at];
-        if gateway.guard.admission(content, unix) == Admission::TrialDue
-            && is_reachable
-            && let Some(record) = self.store.claim_trial(content, &gateway.name)
-        {
-            gateway.guard.merge(vec![record], HeldSource::Store, unix);
-            if let Some(course) = self.courses.get_mut(&content) {
+        let is_due = self.gateways[at].guard.admission(&request, unix) == Admission::TrialDue;
+        if is_due && self.claim_trial(at, &request) {
+            if let Some(course) = self.culprit(&request).and_then(|id| self.courses.get_mut(&id)) {
                 course.trials.push(self.now);
             }
             self.send_admitted(at, request, MAX_SENDS);
@@ -292,6 +353,19 @@
         self.send(at, request, 1);
     }
 
+    fn claim_trial(&mut self, at: usize, request: &RunRequest) -> bool {
+        let unix = self.unix();
+        let is_cut = self.gateways[at].is_cut(self.now);
+        let gateway = &mut self.gateways[at];
+        let due = gateway.guard.trials_due(request, unix);
+        let claims = due.iter().filter(|_| !is_cut);
+        let claims = claims.filter_map(|id| self.store.claim_trial(*id, &gateway.name));
+        let claimed: Vec<_> = claims.collect();
+        let is_claimed = claimed.len() == due.len();
+        gateway.guard.merge(claimed, HeldSource::Store, unix);
+        is_claimed
+    }
+
     /// Sends a request to an engine, unless it is held back.
     fn send(&mut self, at: usize, request: Rc<RunRequest>, sends: u32) {
         let (now, unix, content) = (self.now, self.unix(), request.content);
@@ -301,10 +375,11 @@
             self.gateways[at].waiting.push((now + wait, request, sends));
             return;
         }
-        if guard.admission(content, unix) != Admission::Free
-            || guard.is_suspect_running(content, now)
-        {
-            self.innocents_refused += u64::from(!self.courses.contains_key(&content));
+        let is_held = guard.admission(&request, unix) != Admission::Free;
+        if is_held || guard.is_suspect_running(content, now) {
+            let is_innocent = !self.is_culprit(&request);
+            self.innocents_refused += u64::from(is_innocent);
+            self.innocents_held_refused += u64::from(is_innocent && is_held);
             return;
         }
         self.send_admitted(at, request, sends);
@@ -327,20 +402,23 @@
             Turn::Any | Turn::Wait(_) => choices.choose(&mut self.rng).copied(),
         };
         let Some(engine) = engine else {
-            self.innocents_refused += u64::from(!self.courses.contains_key(&content));
+            self.innocents_refused += u64::from(!self.is_culprit(&request));
             return;
         };
         let began = now + self.millis(START_MS);
         let ends = began + self.millis(RUN_MS);
         let incarnation = self.incarnation(engine);
         let crash_after = self.millis(CRASH_MS);
+        let culprit = self.culprit(&request);
         let gateway = &mut self.gateways[at];
         let is_in_touch = now - gateway.calm_since.min(now) >= STABLE_WINDOW;
-        if let Some(course) = self.courses.get_mut(&content) {
+        if let Some(culprit) = culprit
+            && let Some(course) = self.courses.get_mut(&culprit)
+        {
             if is_in_touch {
                 course.sends.push(now);
             }
-            let crashes_at = (began + crash_after, Some(content));
+            let crashes_at = (began + crash_after, Some(culprit));
             let engine = &mut self.engines[engine];
             let earlier = engine.crashes_at.filter(|(at, _)| *at <= crashes_at.0);
             engine.crashes_at = earlier.or(Some(crashes_at));
--- a/crates/routing/tests/crash_guard.rs
+++ b/crates/routing/tests/crash_guard.rs
@@ -46,7 +46,7 @@
 }
 
 fn is_held(guard: &CrashGuard, body: &str) -> bool {
-    guard.admission(content(body), UNIX) != Admission::Free
+    guard.admission(&request(body), UNIX) != Admission::Free
 }
 
 #[test]
@@ -218,7 +218,7 @@
     let content = content("poison");
     let minutes = |minutes: u64| UNIX + minutes * 60_000;
 
-    let at = |guard: &CrashGuard, unix| guard.admission(content, unix);
+    let at = |guard: &CrashGuard, unix| guard.admission(&request("poison"), unix);
 
     assert_eq!(at(&guard, UNIX), Admission::Held { retry_in: Duration::from_secs(60) });
     assert_eq!(at(&guard, minutes(1)), Admission::TrialDue);
@@ -244,8 +244,8 @@
 
     for body in ["poison", "innocent"] {
         let retry_in = Duration::from_secs(5);
-        assert_eq!(guard.admission(content(body), UNIX), Admission::Held { retry_in });
-        assert_eq!(guard.admission(content(body), UNIX + 5_000), Admission::TrialDue);
+        assert_eq!(guard.admission(&request(body), UNIX), Admission::Held { retry_in });
+        assert_eq!(guard.admission(&request(body), UNIX + 5_000), Admission::TrialDue);
     }
 }
 
@@ -349,7 +349,7 @@
     guard.on_endpoint_ended(&engine(3), now, UNIX);
 
     let an_hour_less = HOLD_TERM - Duration::from_secs(600);
-    let admission = guard.admission(content("poison"), UNIX + 600_000);
+    let admission = guard.admission(&request("poison"), UNIX + 600_000);
     assert_eq!(admission, Admission::Held { retry_in: an_hour_less });
 }
 
