--- a/crates/daemon/tests/gateway/crashing_parts.rs
+++ b/crates/daemon/tests/gateway/crashing_parts.rs
@@ -113,8 +113,13 @@
     assert_eq!(answer.map(|answer| answer.status), Some(503));
     assert_eq!(alone.map(|answer| answer.status), Some(200));
     assert!(released.expect("text").contains("\"was_held\":true"));
+    let content = before[0]["content"].as_str().expect("its identity");
+    let names_part = |gateway: &GatewayProcess| {
+        !gateway.lines(&["\"request held back\"", content, BAD_PART]).is_empty()
+    };
+    assert!(gateways.iter().any(names_part), "those that ran it know its name");
     for gateway in &gateways {
-        gateway.wait_for_line(&["\"request held back\"", BAD_PART]);
+        gateway.wait_for_line(&["\"request held back\"", content]);
         wait_for("the release to be known", || held(gateway).is_none());
     }
 }
--- a/crates/gateway/src/process/crashes/crash_watch.rs
+++ b/crates/gateway/src/process/crashes/crash_watch.rs
@@ -146,6 +146,13 @@
         self.report_crash_events();
     }
 
+    /// Holds back what explains crashes that all gateways have reported by now.
+    pub(crate) fn hold_convicted(&self) {
+        let now = Instant::now().into_std();
+        self.crash_guard.borrow_mut().hold_convicted(now, unix_now());
+        self.report_crash_events();
+    }
+
     /// Merges what another gateway has.
     pub(crate) fn merge_crash_records(&self, records: CrashRecords) {
         let now = Instant::now().into_std();
@@ -191,7 +198,8 @@
                 warn!("request held back", kv: {
                     content = content.as_str(), endpoints = endpoints.as_str(),
                     workspace = held.workspace.as_deref().unwrap_or(""),
-                    path = held.path.as_deref().unwrap_or(""), source:?
+                    path = held.path.as_deref().unwrap_or(""),
+                    part = held.part.as_deref().unwrap_or(""), is_doubtful = held.is_doubtful, source:?
                 });
             }
             CrashEvent::Released { content, source } => {
--- a/crates/gateway/src/process/crashes/held_exchange.rs
+++ b/crates/gateway/src/process/crashes/held_exchange.rs
@@ -21,11 +21,15 @@
 /// Path prefix of a request to release a held one, by its content.
 pub(crate) const RELEASE_PATH: &str = "/held/release/";
 
+/// Path prefix of a request to release a part of prompts, by its name.
+pub(crate) const RELEASE_PART_PATH: &str = "/held/release/part/";
+
 /// The result of a release, for the operator.
 #[derive(Serialize)]
 pub(crate) struct ReleaseResult {
-    content: ContentId,
-    /// Whether it was held back until now.
+    /// The contents and parts.
+    contents: Vec<ContentId>,
+    /// Whether one of them was held back until now.
     was_held: bool,
 }
 
@@ -33,6 +37,7 @@
 pub(crate) async fn exchange_held(gateway: Rc<Gateway>) {
     loop {
         sleep(COMPARE_INTERVAL).await;
+        gateway.hold_convicted();
         if let Some((instance, addr)) = source(&gateway) {
             fetch(&gateway, &instance, addr).await;
         }
@@ -77,9 +82,18 @@
     }
 
     /// Releases a held request on behalf of an operator.
-    pub(crate) fn release_held(&self, content: ContentId) -> ReleaseResult {
-        let was_held = self.crash_guard.borrow_mut().release(content, HeldSource::Operator);
+    pub(crate) fn release_held(&self, contents: Vec<ContentId>) -> ReleaseResult {
+        let mut was_held = false;
+        for content in &contents {
+            was_held |= self.crash_guard.borrow_mut().release(*content, HeldSource::Operator);
+        }
         self.report_crash_events();
-        ReleaseResult { content, was_held }
+        ReleaseResult { contents, was_held }
+    }
+
+    /// Releases a part of prompts, of whichever models, on behalf of an operator.
+    pub(crate) fn release_held_part(&self, name: &str) -> ReleaseResult {
+        let parts = self.crash_guard.borrow().held_parts(name);
+        self.release_held(parts)
     }
 }
--- a/crates/gateway/src/process/dump.rs
+++ b/crates/gateway/src/process/dump.rs
@@ -155,6 +155,10 @@
     /// Known where the request has run, and in the store.
     path: Option<String>,
     held_ms: u64,
+    /// Name of the part of prompts, if it is one.
+    part: Option<String>,
+    /// It may well be innocent, and is tried soon.
+    is_doubtful: bool,
     /// The endpoints that ended under it.
     endpoints: Vec<String>,
     trial_by: Option<String>,
@@ -243,6 +247,8 @@
         endpoints: held.endpoints.iter().map(ToString::to_string).collect(),
         workspace: held.workspace,
         path: held.path,
+        part: held.part,
+        is_doubtful: held.is_doubtful,
         trial_by: held.trial_by,
     }
 }
--- a/crates/gateway/src/process/listeners.rs
+++ b/crates/gateway/src/process/listeners.rs
@@ -1,8 +1,8 @@
 //! Internal listeners: readiness, metrics, the state dump, and handovers to other gateways.
 
 use crate::process::{
-    Dump, Gateway, HANDOVER_PATH, HELD_PATH, PERMIT_PATH, RELEASE_PATH, VIEW_PATH,
-    read_permit_request,
+    Dump, Gateway, HANDOVER_PATH, HELD_PATH, PERMIT_PATH, RELEASE_PART_PATH, RELEASE_PATH,
+    VIEW_PATH, read_permit_request,
 };
 use bytes::Bytes;
 use http::{Method, Request, Response, StatusCode};
@@ -65,9 +65,12 @@
         METRICS_PATH => (StatusCode::OK, Bytes::from(metrics(&gateway))),
         DUMP_PATH => json(&Dump::of(&gateway, Instant::now())),
         HELD_PATH => json(&gateway.crash_records()),
+        path if req.method() == Method::POST && path.starts_with(RELEASE_PART_PATH) => {
+            json(&gateway.release_held_part(&path[RELEASE_PART_PATH.len()..]))
+        }
         path if req.method() == Method::POST && path.starts_with(RELEASE_PATH) => {
             match path[RELEASE_PATH.len()..].parse::<ContentId>() {
-                Ok(content) => json(&gateway.release_held(content)),
+                Ok(content) => json(&gateway.release_held(vec![content])),
                 Err(err) => (StatusCode::BAD_REQUEST, Bytes::from(format!("content: {err}"))),
             }
         }
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -251,7 +251,7 @@
         call.is_trial.set(false);
         return Ok(backoff_trial);
     }
-    let failed = FailedAttempt::new(Evidence::NotSent, held_reason(call));
+    let failed = FailedAttempt::new(Evidence::NotSent, held_reason(gateway, call));
     Err(FailedAttempt { is_held: true, ..failed })
 }
 
--- a/crates/gateway/src/request/final_answer.rs
+++ b/crates/gateway/src/request/final_answer.rs
@@ -1,6 +1,6 @@
 //! Builds the final answer to a caller: an endpoint's complete answer, or the gateway's own refusal.
 
-use crate::process::Count;
+use crate::process::{Count, Gateway, unix_now};
 use crate::request::Call;
 use bytes::Bytes;
 use http::response::Parts;
@@ -68,8 +68,13 @@
 }
 
 /// Returns why a request that is held back ends, for log lines.
-pub(crate) fn held_reason(call: &Call) -> String {
-    format!("held back, as endpoints ended under content {}", call.run_request.content)
+pub(crate) fn held_reason(gateway: &Gateway, call: &Call) -> String {
+    let guard = gateway.crash_guard.borrow();
+    let held = guard.held_by(&call.run_request, unix_now());
+    match held.and_then(|held| held.part.as_deref()) {
+        Some(part) => format!("held back, as endpoints ended under part {part} of prompts"),
+        None => format!("held back, as endpoints ended under content {}", call.run_request.content),
+    }
 }
 
 /// Records the end of an abandoned request and returns its final answer.
--- a/crates/gateway/src/request/plain.rs
+++ b/crates/gateway/src/request/plain.rs
@@ -118,7 +118,7 @@
         }
         self.held_for = gateway.held_for(call);
         if self.held_for.is_some() {
-            self.why = held_reason(call);
+            self.why = held_reason(gateway, call);
             return None;
         }
         if gateway.awaits_suspect(call) {
--- a/crates/gateway/src/request/relay/failover.rs
+++ b/crates/gateway/src/request/relay/failover.rs
@@ -268,7 +268,7 @@
             NotStarted::NoPlace(none) => format!("no place: {none:?}"),
             NotStarted::RetriesExhausted => "no further attempt was left".to_owned(),
             NotStarted::DeadlinePassed => "its deadline had passed".to_owned(),
-            NotStarted::Held(_) => held_reason(&self.call),
+            NotStarted::Held(_) => held_reason(&self.gateway, &self.call),
             NotStarted::Ending => "this gateway ends before another run is worthwhile".to_owned(),
             NotStarted::ErrorAnswer(_) => "an engine failed".to_owned(),
         };
--- a/crates/gateway/src/request/request_handler.rs
+++ b/crates/gateway/src/request/request_handler.rs
@@ -97,7 +97,7 @@
         return Ok(abandon_call(&call, AbandonedOutcome::NotRun, wait, why));
     }
     if let Some(held_for) = claim_trial_or_hold(&gateway, &call).await {
-        return Ok(refuse_held(&call, held_for));
+        return Ok(refuse_held(&gateway, &call, held_for));
     }
     match has_model {
         true => serve_stream(gateway, call).await,
@@ -136,9 +136,9 @@
 }
 
 /// Refuses a request that is held back.
-fn refuse_held(call: &Call, held_for: Duration) -> Response<AnswerBody> {
+fn refuse_held(gateway: &Gateway, call: &Call, held_for: Duration) -> Response<AnswerBody> {
     call.end.count(Count::HeldRefusals);
-    let why = held_reason(call);
+    let why = held_reason(gateway, call);
     abandon_call(call, AbandonedOutcome::NotRun, held_retry_delay(held_for), &why)
 }
 
--- a/crates/gateway/src/request/stream.rs
+++ b/crates/gateway/src/request/stream.rs
@@ -72,7 +72,12 @@
 ) -> Response<AnswerBody> {
     if let NotStarted::Held(held_for) = not_started {
         let outcome = attempts.abandoned_outcome(false);
-        return abandon_call(call, outcome, held_retry_delay(*held_for), &held_reason(call));
+        return abandon_call(
+            call,
+            outcome,
+            held_retry_delay(*held_for),
+            &held_reason(gateway, call),
+        );
     }
     let (why, retry_delay) = refusal_reason(gateway, call, not_started);
     let is_over = matches!(not_started, NotStarted::DeadlinePassed);
--- a/crates/routing/src/process/crashes/crash_guard.rs
+++ b/crates/routing/src/process/crashes/crash_guard.rs
@@ -5,7 +5,7 @@
 //! under runs of it, none of which went on without harm. Gateways report to each other what they find, so runs at
 //! different gateways count together.
 
-use super::crash_suspects::{CrashSuspects, SuspectRecord, Turn};
+use super::crash_suspects::{CrashSuspects, SuspectRecord, Turn, Verdict};
 use super::held_request::{HeldRequest, UnixMillis};
 use super::held_requests::{Admission, HeldRequests};
 use super::run_registry::{Finding, RunEnd, RunId, RunRegistry};
@@ -128,7 +128,9 @@
 
     /// Records events that a run has delivered.
     pub fn on_events(&mut self, run: RunId, events: u64, now: Instant) {
-        self.runs.on_events(run, events, now);
+        if let Some(request) = self.runs.on_events(run, events, now) {
+            self.on_harmless(&request, now);
+        }
     }
 
     /// Sets the endpoints that a run needs from now on.
@@ -140,7 +142,7 @@
     pub fn end_run(&mut self, run: RunId, end: RunEnd, now: Instant, unix: UnixMillis) {
         let Some((request, finding)) = self.runs.end(run, end, now) else { return };
         match finding {
-            Finding::Harmless => self.on_harmless(request.content, now),
+            Finding::Harmless => self.on_harmless(&request, now),
             Finding::Crashed(endpoint) => self.on_crashed(&endpoint, vec![request], now, unix),
             Finding::Unknown => {}
         }
@@ -161,8 +163,10 @@
         now: Instant,
         unix: UnixMillis,
     ) {
-        let mut contents: Vec<ContentId> = requests.iter().map(|request| request.content).collect();
-        contents.sort();
+        let identities = requests.iter().flat_map(|request| request.identities());
+        let mut contents: Vec<ContentId> = identities.collect();
+        // Parts sort before nearly all contents, and are the fewer.
+        contents.sort_by_key(|identity| (!identity.is_part(), *identity));
         contents.dedup();
         contents.truncate(MAX_REPORTED);
         let report = CrashReport { endpoint: endpoint.clone(), contents: contents.clone() };
@@ -173,40 +177,54 @@
         }
         self.events.push(CrashEvent::Crashed { endpoint: endpoint.clone(), contents, parts });
         for request in requests {
-            self.count(request.content, endpoint, Some(request), now, unix);
+            for identity in request.identities() {
+                self.count(identity, endpoint, Some(Rc::clone(&request)), now);
+            }
         }
+        self.hold_convicted(now, unix);
     }
 
-    /// Counts the end of an endpoint for a request, and holds the request back if it is one too many.
+    /// Counts the end of an endpoint for a content or part.
     fn count(
         &mut self,
-        content: ContentId,
+        identity: ContentId,
         endpoint: &Incarnation,
         request: Option<Rc<RunRequest>>,
         now: Instant,
-        unix: UnixMillis,
     ) {
-        if self.held.get(content).is_some_and(HeldRequest::is_held) {
-            self.held.add_endpoint(content, endpoint);
-            return;
+        match self.held.get(identity).is_some_and(HeldRequest::is_held) {
+            true => self.held.add_endpoint(identity, endpoint),
+            false => self.suspects.add(identity, endpoint, request, now),
         }
-        let suspect = self.suspects.add(content, endpoint, request, now);
-        if suspect.endpoints.len() >= MAX_CRASHES {
-            self.hold(content, unix);
+    }
+
+    /// Holds back the suspects that explain the crashes best, until all crashes are explained or may have other causes.
+    pub fn hold_convicted(&mut self, now: Instant, unix: UnixMillis) {
+        loop {
+            let held: Vec<&HeldRequest> = self.held.iter().filter(|held| held.is_held()).collect();
+            let verdicts = self.suspects.verdicts(&held, now);
+            if verdicts.is_empty() {
+                return;
+            }
+            verdicts.into_iter().for_each(|verdict| self.hold(verdict, unix));
         }
     }
 
     /// Holds a suspect back.
-    fn hold(&mut self, content: ContentId, unix: UnixMillis) {
+    fn hold(&mut self, verdict: Verdict, unix: UnixMillis) {
+        let content = verdict.identity;
         let Some(suspect) = self.suspects.get(content) else { return };
         let request = suspect.request.clone();
         let held = HeldRequest {
             content,
             generation: 0,
             held_at: unix,
+            crashes: suspect.endpoints.len(),
             endpoints: suspect.endpoints.clone(),
             workspace: request.as_ref().and_then(|request| request.workspace.clone()),
             path: request.as_ref().map(|request| request.path.clone()),
+            part: request.as_ref().and_then(|request| request.part_name(content)),
+            is_doubtful: verdict.is_doubtful,
             trial_by: None,
         };
         self.suspects.excuse_all(content, &[]);
@@ -217,9 +235,12 @@
         }
     }
 
-    fn on_harmless(&mut self, content: ContentId, now: Instant) {
-        if self.release(content, HeldSource::Run) || self.suspects.excuse_all(content, &[]) {
-            self.harmless.push_back((content, now));
+    fn on_harmless(&mut self, request: &RunRequest, now: Instant) {
+        self.suspects.sound.add(request.identities(), now);
+        for identity in request.identities() {
+            if self.release(identity, HeldSource::Run) || self.suspects.excuse_all(identity, &[]) {
+                self.harmless.push_back((identity, now));
+            }
         }
     }
 
@@ -281,9 +302,12 @@
         }
         for report in &reports.crashes {
             for content in &report.contents {
-                self.count(*content, &report.endpoint, None, now, unix);
+                self.count(*content, &report.endpoint, None, now);
             }
         }
+        if !reports.crashes.is_empty() {
+            self.hold_convicted(now, unix);
+        }
     }
 
     /// Returns what this gateway has, for another one.
@@ -301,12 +325,11 @@
     pub fn merge_records(&mut self, records: CrashRecords, now: Instant, unix: UnixMillis) {
         self.merge(records.held, HeldSource::Gateway, unix);
         for record in records.suspects {
-            let content = record.content;
-            let is_held = self.held.get(content).is_some_and(HeldRequest::is_held);
-            if !is_held && self.suspects.merge(record, now) {
-                self.hold(content, unix);
+            if !self.held.get(record.content).is_some_and(HeldRequest::is_held) {
+                self.suspects.merge(record, now);
             }
         }
+        self.hold_convicted(now, unix);
     }
 
     /// Merges records of held requests that another gateway or the store has.
@@ -328,17 +351,29 @@
 
     /// Returns whether a request may be sent.
     pub fn admission(&self, request: &RunRequest, unix: UnixMillis) -> Admission {
-        self.held.admission(request.content, unix)
+        self.held.admission(request.identities(), unix)
     }
 
     /// Returns the identities of a request whose trial is due, all of which have to be claimed.
     pub fn trials_due(&self, request: &RunRequest, unix: UnixMillis) -> Vec<ContentId> {
-        match self.held.admission(request.content, unix) {
-            Admission::TrialDue => vec![request.content],
+        match self.admission(request, unix) {
+            Admission::TrialDue => self.held.active(request.identities(), unix),
             Admission::Free | Admission::Held { .. } => Vec::new(),
         }
     }
 
+    /// Returns the record by which a request is held back.
+    pub fn held_by(&self, request: &RunRequest, unix: UnixMillis) -> Option<&HeldRequest> {
+        let active = self.held.active(request.identities(), unix);
+        active.first().and_then(|identity| self.held.get(*identity))
+    }
+
+    /// Returns the identities of the records of a part with this name.
+    pub fn held_parts(&self, name: &str) -> Vec<ContentId> {
+        let parts = self.held.iter().filter(|held| held.part.as_deref() == Some(name));
+        parts.map(|held| held.content).collect()
+    }
+
     /// Returns whether an endpoint ended under a request that hasn't run without harm since.
     pub fn is_suspect(&self, content: ContentId) -> bool {
         self.suspects.crashes(content) > 0
--- a/crates/routing/src/process/crashes/held_request.rs
+++ b/crates/routing/src/process/crashes/held_request.rs
@@ -30,12 +30,21 @@
     pub held_at: UnixMillis,
     /// Endpoints that ended under it.
     pub endpoints: Vec<Incarnation>,
+    /// Number of them when it was found.
+    #[serde(default)]
+    pub crashes: usize,
     /// Name of its caller's workspace.
     #[serde(default)]
     pub workspace: Option<String>,
     /// Its path, if the gateway that found it has run it.
     #[serde(default)]
     pub path: Option<String>,
+    /// Name of the part of prompts, if it is one.
+    #[serde(default)]
+    pub part: Option<String>,
+    /// It may well be innocent, and is tried soon.
+    #[serde(default)]
+    pub is_doubtful: bool,
     /// The gateway that may send it once, to see whether it does no more harm.
     #[serde(default)]
     pub trial_by: Option<String>,
@@ -58,8 +67,8 @@
     }
 
     /// Returns the time until it may be tried.
-    pub(super) fn trial_in(&self, is_ambiguous: bool, now: UnixMillis) -> Duration {
-        let delay = if is_ambiguous { TRIAL_DELAY_AMBIGUOUS } else { TRIAL_DELAY };
+    pub(super) fn trial_in(&self, is_soon: bool, now: UnixMillis) -> Duration {
+        let delay = if is_soon { TRIAL_DELAY_AMBIGUOUS } else { TRIAL_DELAY };
         Duration::from_millis(self.held_at.saturating_add(millis(delay)).saturating_sub(now))
     }
 
@@ -76,7 +85,9 @@
         if other.generation > self.generation {
             let path = self.path.take();
             let workspace = self.workspace.take();
+            let part = self.part.take();
             *self = HeldRequest {
+                part: other.part.clone().or(part),
                 path: other.path.clone().or(path),
                 workspace: other.workspace.clone().or(workspace),
                 ..other
@@ -84,8 +95,11 @@
         } else if other.generation == self.generation {
             self.held_at = self.held_at.max(other.held_at);
             self.endpoints.extend(other.endpoints);
+            self.crashes = self.crashes.max(other.crashes);
             self.path = self.path.take().max(other.path);
             self.workspace = self.workspace.take().max(other.workspace);
+            self.part = self.part.take().max(other.part);
+            self.is_doubtful &= other.is_doubtful;
             self.trial_by = self.trial_by.take().max(other.trial_by);
         }
         self.normalize(now);
--- a/crates/routing/src/process/crashes/held_requests.rs
+++ b/crates/routing/src/process/crashes/held_requests.rs
@@ -13,18 +13,18 @@
 /// Maximum number of records; beyond it the oldest ones are dropped.
 const MAX_HELD: usize = 1_024;
 
-/// Whether a request may be sent.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+/// Whether a request may be sent. The later ones are the stricter ones.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Admission {
     /// It may.
     Free,
+    /// It is held back, and one gateway may send it once, to see whether it does no more harm.
+    TrialDue,
     /// It is held back; whether it may be sent is decided anew after `retry_in`.
     Held {
         /// Time until then.
         retry_in: Duration,
     },
-    /// It is held back, and one gateway may send it once, to see whether it does no more harm.
-    TrialDue,
 }
 
 /// The requests that are held back, by their content.
@@ -39,16 +39,41 @@
 }
 
 impl HeldRequests {
-    /// Returns whether a request may be sent.
-    pub fn admission(&self, content: ContentId, now: UnixMillis) -> Admission {
-        let held = self.all.get(&content);
-        let Some(held) = held.filter(|held| held.is_held() && !held.is_expired(now)) else {
-            return Admission::Free;
+    /// Returns whether a request with these identities may be sent.
+    pub fn admission(
+        &self,
+        identities: impl Iterator<Item = ContentId>,
+        now: UnixMillis,
+    ) -> Admission {
+        let active = self.active(identities, now);
+        // What is held back together with others is tried alone first, by requests without these.
+        let is_alone = active.len() == 1;
+        let all = active.iter().filter_map(|identity| self.all.get(identity));
+        all.map(|held| self.admission_of(held, is_alone, now)).max().unwrap_or(Admission::Free)
+    }
+
+    /// Returns the identities that are held back now.
+    pub fn active(
+        &self,
+        identities: impl Iterator<Item = ContentId>,
+        now: UnixMillis,
+    ) -> Vec<ContentId> {
+        if self.all.is_empty() {
+            return Vec::new();
+        }
+        let is_active = |identity: &ContentId| {
+            self.all.get(identity).is_some_and(|held| held.is_held() && !held.is_expired(now))
         };
-        if held.trial_by.is_some() || held.endpoints.len() > MAX_CRASHES {
+        identities.filter(is_active).collect()
+    }
+
+    fn admission_of(&self, held: &HeldRequest, is_alone: bool, now: UnixMillis) -> Admission {
+        let has_crashed_again = held.endpoints.len() > held.crashes.max(MAX_CRASHES);
+        if held.trial_by.is_some() || has_crashed_again {
             return Admission::Held { retry_in: held.time_left(now) };
         }
-        match held.trial_in(self.is_ambiguous(held), now) {
+        let is_soon = is_alone && (held.is_doubtful || self.is_ambiguous(held));
+        match held.trial_in(is_soon, now) {
             Duration::ZERO => Admission::TrialDue,
             retry_in => Admission::Held { retry_in },
         }
--- a/crates/routing/src/process/crashes/mod.rs
+++ b/crates/routing/src/process/crashes/mod.rs
@@ -7,6 +7,7 @@
 mod held_sync;
 mod run_registry;
 mod run_request;
+mod sound_runs;
 
 pub use crash_guard::*;
 pub use crash_suspects::{SuspectRecord, Turn};
--- a/crates/routing/src/process/crashes/run_registry.rs
+++ b/crates/routing/src/process/crashes/run_registry.rs
@@ -50,6 +50,8 @@
     /// Number of events that it has delivered, and when the first one came.
     events: u64,
     first_event: Option<Instant>,
+    /// That it does no harm has been found. It may be long ago when the run ends.
+    is_found_harmless: bool,
     /// The end of one of its endpoints has been counted for its request.
     is_counted: bool,
 }
@@ -83,16 +85,33 @@
 impl RunRegistry {
     pub(super) fn begin(&mut self, request: Rc<RunRequest>, endpoints: Vec<Incarnation>) -> RunId {
         self.next += 1;
-        let run = Run { request, endpoints, events: 0, first_event: None, is_counted: false };
+        let run = Run {
+            request,
+            endpoints,
+            events: 0,
+            first_event: None,
+            is_found_harmless: false,
+            is_counted: false,
+        };
         self.open.insert(self.next, run);
         self.next
     }
 
-    pub(super) fn on_events(&mut self, id: RunId, events: u64, now: Instant) {
-        if let Some(run) = self.open.get_mut(&id).filter(|_| events > 0) {
-            run.events += events;
-            run.first_event.get_or_insert(now);
+    /// Records events that a run has delivered. Returns its request once they show that it does no harm.
+    pub(super) fn on_events(
+        &mut self,
+        id: RunId,
+        events: u64,
+        now: Instant,
+    ) -> Option<Rc<RunRequest>> {
+        let run = self.open.get_mut(&id).filter(|_| events > 0)?;
+        run.events += events;
+        run.first_event.get_or_insert(now);
+        if run.is_found_harmless || !run.is_harmless(now) {
+            return None;
         }
+        run.is_found_harmless = true;
+        Some(Rc::clone(&run.request))
     }
 
     /// Sets the endpoints that an open run needs from now on.
@@ -111,6 +130,9 @@
     ) -> Option<(Rc<RunRequest>, Finding)> {
         let run = self.open.remove(&id)?;
         let request = Rc::clone(&run.request);
+        if run.is_found_harmless {
+            return Some((request, Finding::Unknown));
+        }
         if end == RunEnd::Answered || run.is_harmless(now) {
             return Some((request, Finding::Harmless));
         }
--- a/crates/routing/src/process/crashes/run_request.rs
+++ b/crates/routing/src/process/crashes/run_request.rs
@@ -32,6 +32,12 @@
 }
 
 impl RunRequest {
+    /// Returns the name of the part with this identity.
+    pub fn part_name(&self, identity: ContentId) -> Option<String> {
+        let part = self.parts.iter().find(|part| part.id == identity);
+        part.map(|part| part.name.clone())
+    }
+
     /// Returns the identities by which it may be one of several requests that crash endpoints: its content and its parts.
     pub fn identities(&self) -> impl Iterator<Item = ContentId> {
         [self.content].into_iter().chain(self.parts.iter().map(|part| part.id))
--- a/crates/routing/tests/crash_fleet/fuzz.rs
+++ b/crates/routing/tests/crash_fleet/fuzz.rs
@@ -27,6 +27,7 @@
 fn a_request_that_crashes_engines_is_held_back_by_disturbed_fleets() {
     let seeds = if std::env::var("SORRELLOCK_FUZZ_LONG").is_ok() { 2_000 } else { 60 };
     let (mut innocents, mut held, mut refused, mut crashes) = (0, 0, 0, 0);
+    let mut parts = 0;
 
     for seed in 0..seeds {
         let size = draw(&mut StdRng::seed_from_u64(seed));
@@ -34,13 +35,16 @@
         let later = worst_later_sends(&world);
         assert!(later <= MAX_LATER_SENDS, "seed {seed}: {later} later sends, {size:?}");
         innocents += world.innocents;
-        held += world.innocents_held.len();
+        let (of_parts, contents): (Vec<_>, Vec<_>) =
+            world.innocents_held.iter().partition(|one| one.is_part());
+        parts += of_parts.len();
+        held += contents.len();
         refused += world.innocents_refused;
         crashes += world.courses.values().map(|course| course.crashes.len()).sum::<usize>();
     }
 
-    assert!(held * MIN_INNOCENTS_PER_HELD <= innocents as usize, "{held} held of {innocents}");
     println!(
-        "{innocents} innocent requests, {held} held back, {refused} refused; {crashes} crashes"
+        "{innocents} innocent requests, {held} held back, {refused} refused; {crashes} crashes, {parts} parts held"
     );
+    assert!(held * MIN_INNOCENTS_PER_HELD <= innocents as usize, "{held} held of {innocents}");
 }
--- a/crates/routing/tests/crash_fleet/world.rs
+++ b/crates/routing/tests/crash_fleet/world.rs
@@ -487,6 +487,7 @@
                 let digest = gateway.guard.digest();
                 self.sent.push(Message { from: at, reports, digest });
             }
+            self.gateways[at].guard.hold_convicted(now, unix);
             let source = self.gateways[at].fetch_from(now).filter(|from| self.reach(at, *from));
             if let Some(from) = source {
                 let records = self.gateways[from].guard.records(now);
--- a/crates/routing/tests/held_requests.rs
+++ b/crates/routing/tests/held_requests.rs
@@ -23,6 +23,9 @@
         endpoints: vec![Incarnation::new(format!("engine-{index}"), None)],
         workspace: None,
         path: None,
+        crashes: 1,
+        part: None,
+        is_doubtful: false,
         trial_by: None,
     }
 }
@@ -110,7 +113,7 @@
     one.merge(back, now);
 
     assert!(one.is_empty());
-    assert_eq!(other.admission(content(0), now), Admission::Free);
+    assert_eq!(other.admission([content(0)].into_iter(), now), Admission::Free);
 }
 
 #[test]
@@ -119,7 +122,7 @@
     held.merge(record(0, 1, UNIX + 7_200_000), UNIX);
 
     let term = HOLD_TERM.as_millis() as UnixMillis;
-    assert_eq!(held.admission(content(0), UNIX + term + 5_000), Admission::Free);
+    assert_eq!(held.admission([content(0)].into_iter(), UNIX + term + 5_000), Admission::Free);
 }
 
 #[test]
@@ -129,10 +132,10 @@
     assert!(held.release(content(0)));
 
     assert_eq!(held.merge(record(0, 1, UNIX + 1_000), UNIX), None);
-    assert_eq!(held.admission(content(0), UNIX), Admission::Free);
+    assert_eq!(held.admission([content(0)].into_iter(), UNIX), Admission::Free);
     let is_held_again = held.hold(record(0, 0, UNIX), true, UNIX).is_some();
     assert!(is_held_again);
-    assert_ne!(held.admission(content(0), UNIX), Admission::Free);
+    assert_ne!(held.admission([content(0)].into_iter(), UNIX), Admission::Free);
 }
 
 #[test]
