--- a/crates/routing/src/process/crashes/crash_guard.rs
+++ b/crates/routing/src/process/crashes/crash_guard.rs
@@ -178,7 +178,6 @@
         self.events.push(CrashEvent::Crashed { endpoint: endpoint.clone(), contents, parts });
         for request in requests {
             for identity in request.identities() {
-                self.harmless.retain(|(harmless, _)| *harmless != identity);
                 self.count(identity, endpoint, Some(Rc::clone(&request)), now);
             }
         }
@@ -294,6 +293,10 @@
 
     /// Applies what another gateway found. Reports may come several times, late and in any order.
     pub fn on_reports(&mut self, reports: &CrashReports, now: Instant, unix: UnixMillis) {
+        for content in &reports.harmless {
+            self.suspects.excuse_all(*content, &[]);
+            self.running_elsewhere.remove(content);
+        }
         for content in &reports.running {
             self.running_elsewhere.insert(*content, now);
         }
@@ -302,11 +305,6 @@
                 self.count(*content, &report.endpoint, None, now);
             }
         }
-        // A run without harm is reported only until the next crash.
-        for content in &reports.harmless {
-            self.suspects.excuse_all(*content, &[]);
-            self.running_elsewhere.remove(content);
-        }
         if !reports.crashes.is_empty() {
             self.hold_convicted(now, unix);
         }
