Retry limit: an engine that still runs a request counts while its entry is missing

The search for a run forgave each engine without an entry; engines outlive their entries while they or the gateway can't reach the store.

An endpoint is forgiven once its incarnation is confirmed ended, or if it has no entry and broke the connection. The rule is in Attempts now, for runs and for attempts without an answer. Other readings of a missing entry: permits, pools and notices only drop state of endpoints, which costs nothing.

--- a/crates/gateway/src/process/gateway.rs
+++ b/crates/gateway/src/process/gateway.rs
@@ -421,10 +421,10 @@
         fleet_state.engine(incarnation, Instant::now()).is_some_and(|engine| engine.is_dead)
     }
 
-    /// Returns whether an incarnation has ended for good, or its endpoint is no longer known. One that the lead
-    /// considers dead may only have paused, and still run what it was sent.
-    pub(crate) fn is_gone(&self, incarnation: &Incarnation) -> bool {
-        self.incarnations.borrow().is_confirmed_ended(incarnation) || !self.is_listed(incarnation)
+    /// Returns whether an incarnation is over for good. One that the lead considers dead may only have paused, and still
+    /// run what it was sent.
+    pub(crate) fn is_confirmed_ended(&self, incarnation: &Incarnation) -> bool {
+        self.incarnations.borrow().is_confirmed_ended(incarnation)
     }
 
     /// Returns whether an endpoint has ended, is considered dead or is suspected.
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -77,6 +77,8 @@
     pub(crate) is_blocked: bool,
     /// The endpoint that received the request asked for a back-off.
     pub(crate) asks_backoff: bool,
+    /// The endpoint broke the connection after it received the request.
+    pub(crate) has_broken_off: bool,
     /// The evidence for suspecting the endpoint when nothing could be sent.
     pub(crate) failure_evidence: FailureEvidence,
     pub(crate) why: String,
@@ -92,6 +94,7 @@
             is_held: false,
             is_blocked: false,
             asks_backoff: false,
+            has_broken_off: false,
             failure_evidence: FailureEvidence::Refused,
             why,
         }
@@ -205,7 +208,8 @@
                 run.on_broke();
                 drop(run);
                 gateway.check_ended(&target.incarnation, target.addr).await;
-                return Err(FailedAttempt::new(Evidence::MayHaveRun, err.error().to_string()));
+                let failed = FailedAttempt::new(Evidence::MayHaveRun, err.error().to_string());
+                return Err(FailedAttempt { has_broken_off: true, ..failed });
             }
         };
     }
--- a/crates/gateway/src/request/relay/failover.rs
+++ b/crates/gateway/src/request/relay/failover.rs
@@ -69,10 +69,8 @@
             FaultEvidence::Connection => check_first(&self.gateway, live),
             FaultEvidence::Suspicion | FaultEvidence::Silence => check_path(&self.gateway, live),
         }
-        let has_broken_off = matches!(fault, RunFault::ConnectionBroke(_));
-        if has_broken_off && !self.gateway.is_listed(first) {
-            // An engine that has no entry and closed the connection has ended.
-            self.attempts.forget_lost(|incarnation| incarnation == first);
+        if matches!(fault, RunFault::ConnectionBroke(_)) {
+            self.attempts.on_broken_off(first);
         }
         if !self.avoid.iter().any(|other| Rc::ptr_eq(other, live)) {
             self.avoid.push(Rc::clone(live));
--- a/crates/gateway/src/request/run_search.rs
+++ b/crates/gateway/src/request/run_search.rs
@@ -10,6 +10,7 @@
 use http::{Response, StatusCode};
 use http_body_util::{BodyExt, Limited};
 use sorrellock_http::AnswerBody;
+use sorrellock_routing::process::Incarnation;
 use sorrellock_routing::request::{AbandonedOutcome, Attempts, Evidence};
 use spdlog::info;
 use std::future::pending;
@@ -170,7 +171,8 @@
         if let Some(held_for) = gateway.held_for(call) {
             return Err(self.error_answer_or(NotStarted::Held(held_for)));
         }
-        self.attempts.forget_lost(|incarnation| self.gateway.is_gone(incarnation));
+        let has_ended = |endpoint: &Incarnation| gateway.is_confirmed_ended(endpoint);
+        self.attempts.forget_ended(has_ended, |endpoint| gateway.is_listed(endpoint));
         let place =
             wait_for_permitted_place(gateway, call, self.attempts, self.avoid, capacity_until)
                 .await;
@@ -231,6 +233,9 @@
     fn on_failed(&mut self, sent: &SentAttempt, failed: &FailedAttempt) {
         log_failed_attempt(self.gateway, self.call, &sent.live.path.first().incarnation, failed);
         self.record_failed(sent, failed.evidence);
+        if failed.has_broken_off {
+            self.attempts.on_broken_off(&sent.live.path.first().incarnation);
+        }
         if !failed.is_held && !failed.is_blocked {
             react_to_failure(self.gateway, self.call, &sent.live, failed);
         }
--- a/crates/routing/src/request/evidence.rs
+++ b/crates/routing/src/request/evidence.rs
@@ -28,13 +28,21 @@
     TimedOut,
 }
 
+/// An endpoint that was sent a request.
+#[derive(Clone, Debug)]
+struct SentTo {
+    endpoint: Incarnation,
+    /// It broke the connection on which it was sent the request.
+    has_broken_off: bool,
+}
+
 /// The attempts of one request so far.
 #[derive(Clone, Debug)]
 pub struct Attempts {
     semantics: Semantics,
     max_endpoints: usize,
-    /// Incarnations of endpoints that were sent the request and have not ended.
-    sent_to: Vec<Incarnation>,
+    /// Endpoints that were sent the request and have not ended.
+    sent_to: Vec<SentTo>,
     sends: u32,
     may_have_run: bool,
     /// The endpoint of the pending attempt.
@@ -75,14 +83,30 @@
         }
         self.sends += 1;
         self.may_have_run |= evidence == Evidence::MayHaveRun;
-        if !self.sent_to.iter().any(|incarnation| incarnation == endpoint) {
-            self.sent_to.push(endpoint.clone());
+        if !self.was_sent_to(endpoint) {
+            self.sent_to.push(SentTo { endpoint: endpoint.clone(), has_broken_off: false });
+        }
+    }
+
+    /// Records that an endpoint broke the connection on which it was sent the request.
+    pub fn on_broken_off(&mut self, endpoint: &Incarnation) {
+        let sent = self.sent_to.iter_mut().find(|sent| sent.endpoint == *endpoint);
+        if let Some(sent) = sent {
+            sent.has_broken_off = true;
         }
     }
 
-    /// Removes endpoints that have ended or were cut off, which don't count against the limit.
-    pub fn forget_lost(&mut self, is_lost: impl Fn(&Incarnation) -> bool) {
-        self.sent_to.retain(|incarnation| !is_lost(incarnation));
+    /// Removes endpoints that have ended, which don't count against the limit. One without an entry has ended only if it
+    /// broke the connection as well: endpoints outlive their entries while they can't reach the store.
+    pub fn forget_ended(
+        &mut self,
+        has_ended: impl Fn(&Incarnation) -> bool,
+        is_listed: impl Fn(&Incarnation) -> bool,
+    ) {
+        self.sent_to.retain(|sent| {
+            let is_over = sent.has_broken_off && !is_listed(&sent.endpoint);
+            !is_over && !has_ended(&sent.endpoint)
+        });
     }
 
     /// Returns whether the request may be sent to an endpoint that has not received it yet.
@@ -92,8 +116,11 @@
 
     /// Returns whether the request may be sent to this endpoint.
     pub fn may_send_to(&self, endpoint: &Incarnation) -> bool {
-        let was_sent = self.sent_to.iter().any(|incarnation| incarnation == endpoint);
-        (was_sent || self.sent_to.len() < self.max_endpoints) && self.may_repeat()
+        (self.was_sent_to(endpoint) || self.sent_to.len() < self.max_endpoints) && self.may_repeat()
+    }
+
+    fn was_sent_to(&self, endpoint: &Incarnation) -> bool {
+        self.sent_to.iter().any(|sent| sent.endpoint == *endpoint)
     }
 
     fn may_repeat(&self) -> bool {
--- a/crates/routing/tests/attempts.rs
+++ b/crates/routing/tests/attempts.rs
@@ -46,11 +46,28 @@
     assert!(!attempts.may_send());
     assert!(attempts.may_send_to(&incarnation("a")), "it is no further endpoint");
     assert!(!attempts.may_send_to(&incarnation("c")));
-    attempts.forget_lost(|lost| *lost == incarnation("b"));
+    attempts.forget_ended(|ended| *ended == incarnation("b"), |_| true);
 
     assert!(attempts.may_send_to(&incarnation("c")));
 }
 
+#[test]
+fn an_endpoint_that_still_runs_a_request_counts_while_its_entry_is_missing() {
+    let mut attempts = Attempts::new(STREAM, 2);
+    let is_listed = |endpoint: &Incarnation| *endpoint != incarnation("a");
+
+    attempts.on_failed(&incarnation("a"), Evidence::MayHaveRun);
+    attempts.on_failed(&incarnation("b"), Evidence::MayHaveRun);
+    attempts.forget_ended(|_| false, is_listed);
+    let while_it_runs = attempts.may_send_to(&incarnation("c"));
+    attempts.on_broken_off(&incarnation("a"));
+    attempts.on_broken_off(&incarnation("b"));
+    attempts.forget_ended(|_| false, is_listed);
+
+    assert!(!while_it_runs, "a third endpoint, where two are allowed and both may run it");
+    assert!(attempts.may_send_to(&incarnation("c")), "it has no entry and broke the connection");
+}
+
 #[test]
 fn an_endpoint_that_started_again_is_another_one_and_what_ran_before_counts_as_run() {
     let [before, after] = [1, 2].map(|started| Incarnation::new("a", Some(started)));
@@ -65,9 +82,9 @@
         !stream.may_send_to(&after),
         "the previous incarnation counts until it is known to be over"
     );
-    stream.forget_lost(|incarnation| *incarnation == before);
+    stream.forget_ended(|incarnation| *incarnation == before, |_| true);
     assert!(stream.may_send_to(&after));
-    once.forget_lost(|incarnation| *incarnation == before);
+    once.forget_ended(|incarnation| *incarnation == before, |_| true);
     assert!(!once.may_send_to(&after));
     assert_eq!(once.abandoned_outcome(false), AbandonedOutcome::Unknown);
 }
