Crash records: gateways that lack the name of a held part read it from the others

A gateway that finds a part by reports alone has only its identity, and the summary by which gateways notice that their records differ covered identities and generations only: the name never came, unless the store was listed. The summary covers names, and merging keeps a name from an older generation.

The test with processes waits until each gateway shows the name, in place of looking once.

--- a/crates/daemon/tests/gateway/crashing_parts.rs
+++ b/crates/daemon/tests/gateway/crashing_parts.rs
@@ -103,6 +103,8 @@
         all.into_iter().find(|one| one["is_held"] == true && one["part"] == BAD_PART)
     };
 
+    // A gateway that found it by reports alone reads its name from another one.
+    wait_for("the name at each gateway", || gateways.iter().all(|one| held(one).is_some()));
     let before: Vec<_> = gateways.iter().filter_map(held).collect();
     let answer = send_parts(gateways[0].callers(), "/match/a", "again", Some(&bad_parts(0)));
     let alone = send_body(gateways[0].callers(), "/match/a", "a prompt without parts");
--- a/crates/routing/src/process/crashes/held_request.rs
+++ b/crates/routing/src/process/crashes/held_request.rs
@@ -101,6 +101,8 @@
             self.part = self.part.take().max(other.part);
             self.is_doubtful &= other.is_doubtful;
             self.trial_by = self.trial_by.take().max(other.trial_by);
+        } else if self.part.is_none() {
+            self.part = other.part;
         }
         self.normalize(now);
         *self != before
--- a/crates/routing/src/process/crashes/held_requests.rs
+++ b/crates/routing/src/process/crashes/held_requests.rs
@@ -172,13 +172,15 @@
         self.all.is_empty()
     }
 
-    /// Returns a hash over the records, which doesn't depend on their order.
+    /// Returns a hash over the records, which doesn't depend on their order. It covers the names of parts, as a gateway
+    /// that finds a part by reports alone has to read its name.
     pub fn hash(&self) -> u64 {
         if let Some(hash) = self.hash.get() {
             return hash;
         }
         let hash_of = |held: &HeldRequest| {
-            xxh3_64(format!("{}/{}", held.content, held.generation).as_bytes())
+            let part = held.part.as_deref().unwrap_or_default();
+            xxh3_64(format!("{}/{}/{part}", held.content, held.generation).as_bytes())
         };
         let hash = self.all.values().fold(0, |hash, held| hash ^ hash_of(held));
         self.hash.set(Some(hash));
