Admission: waiting requests by rank in a type of their own

The queue of the own interface had two classes built in. RankedQueue keeps the requests of any number of ranks, with the shares of workspaces inside a rank, the bounds in bytes and the expected waits; AdmissionQueue uses it for its two classes. It prepares one queue for the gateways' scarce capacity.

--- a/crates/core/src/process/admission/admission_queue.rs
+++ b/crates/core/src/process/admission/admission_queue.rs
@@ -2,8 +2,10 @@
 
 use crate::clock::Clock;
 use crate::id::{Sequence, WorkspaceId};
-use crate::process::admission::{DrainRate, Mean, QueueBounds, Window};
-use crate::process::{FairQueue, Queued};
+use crate::process::Queued;
+use crate::process::admission::{
+    BoundReached, DrainRate, Mean, QueueBounds, Rank, RankedQueue, Window,
+};
 use crate::request::{NotRun, Refusal};
 use crate::version::Class;
 use std::collections::HashMap;
@@ -11,9 +13,9 @@
 
 /// Longest wait that is reported to a caller: the estimate is unreliable beyond it.
 pub const MAX_RETRY_AFTER: Duration = Duration::from_secs(60);
-/// A waiting request is dropped early only if its expected wait exceeds the time to its deadline
-/// by this factor, so that noise in the estimate doesn't drop it.
-const DROP_MARGIN: f64 = 1.25;
+/// The classes as ranks.
+const URGENT: Rank = 0;
+const ROUTINE: Rank = 1;
 
 /// A request that is offered to the queue.
 #[derive(Clone, Debug, PartialEq)]
@@ -82,23 +84,15 @@
     since: Instant,
 }
 
-/// Queue of one class, and how many of its requests run.
-#[derive(Debug)]
-struct ClassQueue {
-    queue: FairQueue,
-    running: usize,
-}
-
 /// Admission queue of one pipeline or plain service: urgent requests go before routine ones, and
 /// the workspaces within a class share by weight.
 #[derive(Debug)]
 pub struct AdmissionQueue<C> {
     clock: C,
     window: Window,
-    bounds: QueueBounds,
-    urgent: ClassQueue,
-    routine: ClassQueue,
+    waiting: RankedQueue,
     running: HashMap<Sequence, Running>,
+    running_routine: usize,
     dropped: Vec<Dropped>,
     drain: DrainRate,
     mean_extra_work: Mean,
@@ -107,15 +101,13 @@
 impl<C: Clock> AdmissionQueue<C> {
     /// Creates an empty queue; the endpoints take `slots` requests at a time.
     pub fn new(clock: C, slots: usize, bounds: QueueBounds) -> AdmissionQueue<C> {
-        let class_queue = || ClassQueue { queue: FairQueue::new(), running: 0 };
         let drain = DrainRate::new(clock.now());
         AdmissionQueue {
             clock,
             window: Window::new(slots),
-            bounds,
-            urgent: class_queue(),
-            routine: class_queue(),
+            waiting: RankedQueue::new(bounds),
             running: HashMap::new(),
+            running_routine: 0,
             dropped: Vec::new(),
             drain,
             mean_extra_work: Mean::default(),
@@ -139,7 +131,7 @@
 
     /// Returns the number of waiting requests of a class.
     pub fn waiting(&self, class: Class) -> usize {
-        self.class_queue(class).queue.len()
+        self.waiting.rank(rank(class)).len()
     }
 
     /// Returns the work done per second, estimated from ended requests; `None` before the first.
@@ -151,7 +143,7 @@
     pub fn offer(&mut self, demand: Demand) -> Verdict {
         let now = self.clock.now();
         let class = demand.class;
-        let starts_now = self.class_queue(class).queue.is_empty() && self.has_capacity(class);
+        let starts_now = self.waiting.rank(rank(class)).is_empty() && self.has_capacity(class);
         if !starts_now && let Err(refused) = self.check(&demand, now) {
             return Verdict::Refuse(refused);
         }
@@ -164,7 +156,7 @@
             bytes: demand.bytes + QueueBounds::REQUEST_BYTES,
             deadline: demand.deadline,
         };
-        self.class_queue_mut(class).queue.push(&demand.workspace, queued);
+        self.waiting.rank_mut(rank(class)).push(&demand.workspace, queued);
         if starts_now {
             self.start_from(class, now);
             return Verdict::Start;
@@ -191,15 +183,15 @@
     pub fn finish(&mut self, ticket: Sequence, ended: Ended) -> bool {
         let now = self.clock.now();
         let Some(running) = self.running.remove(&ticket) else { return false };
-        let class_queue = self.class_queue_mut(running.class);
-        class_queue.running -= 1;
+        self.running_routine -= usize::from(running.class == Class::Routine);
         let time = now.saturating_duration_since(running.since);
         let work = match ended {
             Ended::Ran { work } => work,
             Ended::RanFor => time.as_secs_f64() * 1e3,
             Ended::NoCapacity | Ended::NotRun => 0.0,
         };
-        class_queue.queue.finish(&running.workspace, running.weight, work - running.charged);
+        let queue = self.waiting.rank_mut(rank(running.class));
+        queue.finish(&running.workspace, running.weight, work - running.charged);
         match ended {
             Ended::NoCapacity => self.window.refused(),
             Ended::NotRun => {}
@@ -208,8 +200,8 @@
                 self.drain.record(now, work, time);
                 let extra_work = (work - running.known).max(0.0);
                 self.mean_extra_work.add(extra_work);
-                self.class_queue_mut(running.class)
-                    .queue
+                self.waiting
+                    .rank_mut(rank(running.class))
                     .record_extra_work(&running.workspace, extra_work);
             }
         }
@@ -218,24 +210,15 @@
 
     /// Removes a waiting request whose caller has gone; returns false if it isn't waiting.
     pub fn cancel(&mut self, ticket: Sequence) -> bool {
-        let urgent = self.urgent.queue.remove(ticket);
-        urgent.or_else(|| self.routine.queue.remove(ticket)).is_some()
+        self.waiting.remove(ticket).is_some()
     }
 
     /// Drops waiting requests that can no longer start before their deadline.
     pub fn expire(&mut self) {
         let now = self.clock.now();
         let Some(rate) = self.drain_rate() else { return };
-        for class in [Class::Urgent, Class::Routine] {
-            let before = self.work_of_higher_classes(class);
-            let queue = &self.class_queue(class).queue;
-            let late = queue.waiting().filter(|(_, queued, own)| {
-                let left = queued.deadline.saturating_duration_since(now);
-                let ahead = before + queue.ahead_of(queued.weight, *own);
-                ahead / rate > left.as_secs_f64() * DROP_MARGIN
-            });
-            let late: Vec<Sequence> = late.map(|(_, queued, _)| queued.ticket).collect();
-            late.into_iter().for_each(|ticket| self.drop_waiting(class, ticket, Refusal::Deadline));
+        for (rank, ticket) in self.waiting.late(rate, now) {
+            self.drop_waiting(class(rank), ticket, Refusal::Deadline);
         }
     }
 
@@ -246,16 +229,14 @@
 
     /// Returns the expected wait of a request that a workspace sends now.
     pub fn expected_wait(&self, workspace: &str, class: Class, weight: f64) -> Duration {
-        let ahead = self.work_of_higher_classes(class)
-            + self.class_queue(class).queue.work_ahead(workspace, weight);
-        self.drain_time(ahead)
+        self.drain_time(self.waiting.work_ahead(rank(class), workspace, weight))
     }
 
     /// Returns the expected work beyond the known work: the mean of the workspace, or else the mean
     /// of all. Returns 0 before the first request ends: a charge that is far too high would push
     /// the virtual time far ahead, and the workspace that is refunded would be left far behind it.
     fn expected_extra_work(&self, demand: &Demand) -> f64 {
-        let own = self.class_queue(demand.class).queue.mean_extra_work(&demand.workspace);
+        let own = self.waiting.rank(rank(demand.class)).mean_extra_work(&demand.workspace);
         own.or(self.mean_extra_work.get()).unwrap_or_default()
     }
 
@@ -271,55 +252,38 @@
             );
             return Err(refused(Refusal::Deadline, detail, wait - left));
         }
-        let queue = &self.class_queue(demand.class).queue;
-        let own = queue.bytes_of(&demand.workspace);
         let bytes = demand.bytes + QueueBounds::REQUEST_BYTES;
-        if own + bytes > self.bounds.workspace_bytes {
-            let detail = "as many requests of this workspace wait as may; send fewer at a time";
-            return Err(refused(
-                Refusal::Limit,
-                detail.into(),
-                self.drain_time_with_one_more(demand),
-            ));
-        }
-        let largest = queue.largest().map_or(0, |(_, bytes)| bytes);
-        if queue.bytes() + bytes > self.bounds.total_bytes && own + bytes >= largest {
-            let detail = "as many requests wait at this entry as may";
-            return Err(refused(
-                Refusal::Capacity,
-                detail.into(),
-                self.drain_time_with_one_more(demand),
-            ));
-        }
-        Ok(())
+        let (refusal, detail) =
+            match self.waiting.check_bounds(rank(demand.class), &demand.workspace, bytes) {
+                Ok(()) => return Ok(()),
+                Err(BoundReached::Workspace) => (
+                    Refusal::Limit,
+                    "as many requests of this workspace wait as may; send fewer at a time",
+                ),
+                Err(BoundReached::Total) => {
+                    (Refusal::Capacity, "as many requests wait at this entry as may")
+                }
+            };
+        Err(refused(refusal, detail.into(), self.drain_time_with_one_more(demand)))
     }
 
     /// Drops the newest request of the workspace that holds the most bytes until the class is
     /// within `total_bytes`.
     fn enforce_total_bytes(&mut self, class: Class) {
-        while self.class_queue(class).queue.bytes() > self.bounds.total_bytes {
-            let queue = &self.class_queue(class).queue;
-            let newest = queue.largest().and_then(|(workspace, _)| queue.newest_of(workspace));
-            let Some(ticket) = newest else { return };
+        while let Some(ticket) = self.waiting.excess(rank(class)) {
             self.drop_waiting(class, ticket, Refusal::Capacity);
         }
     }
 
     /// Drops the requests at the head of a class whose deadline has passed.
     fn drop_expired(&mut self, class: Class, now: Instant) {
-        while let Some(queued) = self.class_queue(class).queue.peek() {
-            if queued.deadline > now {
-                return;
-            }
-            let ticket = queued.ticket;
+        while let Some(ticket) = self.waiting.expired(rank(class), now) {
             self.drop_waiting(class, ticket, Refusal::Deadline);
         }
     }
 
     fn drop_waiting(&mut self, class: Class, ticket: Sequence, refusal: Refusal) {
-        let Some((workspace, queued)) = self.class_queue_mut(class).queue.remove(ticket) else {
-            return;
-        };
+        let Some((_, workspace, queued)) = self.waiting.remove(ticket) else { return };
         let detail = match refusal {
             Refusal::Deadline => "it waited, and can't start before its deadline",
             _ => "this workspace has more waiting than any other, and there is no room",
@@ -330,12 +294,11 @@
     }
 
     fn start_from(&mut self, class: Class, now: Instant) -> Option<Sequence> {
-        let (workspace, queued) = self.class_queue_mut(class).queue.pop()?;
+        let (workspace, queued) = self.waiting.rank_mut(rank(class)).pop()?;
         if self.running.is_empty() {
             self.drain.resume(now);
         }
-        let class_queue = self.class_queue_mut(class);
-        class_queue.running += 1;
+        self.running_routine += usize::from(class == Class::Routine);
         let Queued { ticket, weight, known, cost, .. } = queued;
         let running = Running { workspace, class, weight, known, charged: cost, since: now };
         self.running.insert(ticket, running);
@@ -345,20 +308,12 @@
     fn has_capacity(&self, class: Class) -> bool {
         let (size, running) = (self.window.size(), self.running.len());
         match class {
-            Class::Urgent if self.routine.queue.is_empty() => running < size,
+            Class::Urgent if self.waiting.rank(ROUTINE).is_empty() => running < size,
             Class::Urgent => {
-                let left = self.window.routine_minimum().saturating_sub(self.routine.running);
+                let left = self.window.routine_minimum().saturating_sub(self.running_routine);
                 running + left < size
             }
-            Class::Routine => running < size && self.routine.running + self.window.reserve() < size,
-        }
-    }
-
-    /// Returns the waiting work that goes before every request of this class.
-    fn work_of_higher_classes(&self, class: Class) -> f64 {
-        match class {
-            Class::Urgent => 0.0,
-            Class::Routine => self.urgent.queue.backlog(),
+            Class::Routine => running < size && self.running_routine + self.window.reserve() < size,
         }
     }
 
@@ -375,22 +330,23 @@
     /// Returns the time until one more request of the workspace will have left the queue.
     fn drain_time_with_one_more(&self, demand: &Demand) -> Duration {
         let one = self.drain.mean_work().unwrap_or_default();
-        let ahead = self.class_queue(demand.class).queue.ahead_of(demand.weight, one);
-        self.drain_time(self.work_of_higher_classes(demand.class) + ahead)
+        let rank = rank(demand.class);
+        let ahead = self.waiting.rank(rank).ahead_of(demand.weight, one);
+        self.drain_time(self.waiting.work_of_higher_ranks(rank) + ahead)
     }
+}
 
-    fn class_queue(&self, class: Class) -> &ClassQueue {
-        match class {
-            Class::Urgent => &self.urgent,
-            Class::Routine => &self.routine,
-        }
+fn rank(class: Class) -> Rank {
+    match class {
+        Class::Urgent => URGENT,
+        Class::Routine => ROUTINE,
     }
+}
 
-    fn class_queue_mut(&mut self, class: Class) -> &mut ClassQueue {
-        match class {
-            Class::Urgent => &mut self.urgent,
-            Class::Routine => &mut self.routine,
-        }
+fn class(rank: Rank) -> Class {
+    match rank {
+        URGENT => Class::Urgent,
+        _ => Class::Routine,
     }
 }
 
