--- a/crates/core/src/process/admission/ranked_queue.rs
+++ b/crates/core/src/process/admission/ranked_queue.rs
@@ -60,7 +60,7 @@
 
     /// Returns the queue of a rank for changes.
     pub fn rank_mut(&mut self, rank: Rank) -> &mut FairQueue {
-        self.ranks.entry(rank).or_insert_with(FairQueue::new)
+        self.ranks.entry(rank).or_default()
     }
 
     /// Returns the waiting work that goes before every request of a rank.
