Capacity: one gateway gives out that of a service; terms, grants, parts of those that decide alone

The decisions without sockets: which gateway keeps the queue, whether it knows enough yet, grants that loads don't show, what a gateway may take while no keeper answers, what gateways may use that don't reach all others, ranks of workspace and route, and times to return from the usual duration of streams and the layers that are missing.

--- a/crates/core/src/process/admission/capacity_queue.rs
+++ b/crates/core/src/process/admission/capacity_queue.rs
@@ -18,11 +18,14 @@
 pub const RANKS: Rank = 100;
 /// Shortest Retry-After: a caller that returns sooner finds the same streams still running.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
-/// Share of the drain rate that returning callers are promised: at the whole rate, each chance delay refuses some again.
-const PROMISED_SHARE: f64 = 0.8;
+/// Share of the drain rate that returning callers are promised. The rest serves new requests in time: while the load stays
+/// above the capacity, all would be served late otherwise.
+const PROMISED_SHARE: f64 = 0.5;
+/// Longest time for which a promise is made: the estimate doesn't hold beyond it.
+const MAX_PROMISE: Duration = Duration::from_secs(10);
 /// Factor on the longest wait of callers that return as told: most don't try a third time, so that a late answer is worth
 /// more to them than a second refusal.
-const RETURN_WAIT_FACTOR: u32 = 4;
+pub const RETURN_WAIT_FACTOR: u32 = 4;
 /// Capacity that a request leaves to more urgent ones, as the time in which these ask for it: about the time after which
 /// the capacity of others is freed.
 const RESERVE_TIME: f64 = 0.06;
@@ -89,7 +92,8 @@
 #[derive(Clone, Copy, Debug)]
 struct Entry {
     order: Rank,
-    request: RequestIdentity,
+    /// Identifies it when its caller returns; none for a request whose caller waits for a lost run.
+    request: Option<RequestIdentity>,
     tokens: f64,
     deadline: Instant,
     /// Work that went before it when it was offered.
@@ -150,6 +154,11 @@
         self.promises.len()
     }
 
+    /// Returns the work that starts per second while capacity is full, or is expected to.
+    pub fn rate(&self) -> f64 {
+        self.rate.get(self.clock.now())
+    }
+
     /// Returns the number of waiting requests of each rank.
     pub fn waiting_by_rank(&self) -> BTreeMap<Rank, usize> {
         let mut counts = BTreeMap::new();
@@ -168,15 +177,16 @@
         let returns = self.promises.take(demand.request, now);
         let order = order(rank, returns || demand.is_resumed);
         let bytes = demand.bytes + QueueBounds::REQUEST_BYTES;
+        let request = (!demand.is_resumed).then_some(demand.request);
         if self.waiting.check_bounds(order, &demand.workspace, bytes).is_err() {
-            return Err(self.refuse(Refusal::Limit, order, demand.tokens, demand.request, now));
+            return Err(self.refuse(Refusal::Limit, order, demand.tokens, request, now));
         }
         let ahead = self.waiting.work_ahead(order, &demand.workspace, 1.0);
         let max_wait = if returns { demand.max_wait * RETURN_WAIT_FACTOR } else { demand.max_wait };
         let (ticket, tokens, deadline) = (demand.ticket, demand.tokens, now + max_wait);
         let queued = Queued { ticket, weight: 1.0, known: tokens, cost: tokens, bytes, deadline };
         self.waiting.rank_mut(order).push(&demand.workspace, queued);
-        let entry = Entry { order, request: demand.request, tokens, deadline, ahead };
+        let entry = Entry { order, request, tokens, deadline, ahead };
         self.entries.insert(ticket, entry);
         self.deadlines.insert((deadline, ticket));
         self.offered.push(ticket);
@@ -315,7 +325,7 @@
         refusal: Refusal,
         order: Rank,
         tokens: f64,
-        request: RequestIdentity,
+        request: Option<RequestIdentity>,
         now: Instant,
     ) -> CapacityRefusal {
         let rank = rank_of(order);
@@ -330,7 +340,9 @@
         };
         let retry_after = retry_after.unwrap_or(MAX_RETRY_AFTER);
         let retry_after = retry_after.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER);
-        self.promises.add(request, rank, tokens, retry_after, now);
+        if let Some(request) = request.filter(|_| retry_after <= MAX_PROMISE) {
+            self.promises.add(request, rank, tokens, retry_after, now);
+        }
         CapacityRefusal { refusal, retry_after, ahead, rate }
     }
 }
--- a/crates/routing/src/process/mod.rs
+++ b/crates/routing/src/process/mod.rs
@@ -1,6 +1,7 @@
 //! State that lives as long as the process.
 
 mod best_paths;
+pub mod capacity;
 pub mod crashes;
 mod decimal;
 mod departure;
@@ -24,6 +25,7 @@
 mod probe_turn;
 mod repair_forecast;
 pub mod retries;
+mod return_times;
 mod revision;
 mod start_rule;
 mod stream_pace;
@@ -45,6 +47,7 @@
 pub use pipeline_path::*;
 pub use probe_turn::*;
 pub use repair_forecast::*;
+pub use return_times::*;
 pub use revision::*;
 pub use start_rule::*;
 pub use stream_pace::*;
--- a/crates/routing/src/process/repair_forecast.rs
+++ b/crates/routing/src/process/repair_forecast.rs
@@ -18,6 +18,13 @@
     REACTION_TIME + shape.load_time.mul_f64(share / LOADING_ENGINES)
 }
 
+/// Returns how long it will take until other engines run `missing` layers that have been missing for `elapsed`. A repair
+/// that takes longer than usual is expected to take half as long again.
+pub fn repair_left(shape: &ModelShape, missing: u32, elapsed: Duration) -> Duration {
+    let left = repair_time(shape, missing).saturating_sub(elapsed);
+    left.max(elapsed / 2).max(REACTION_TIME)
+}
+
 /// Returns whether a stream that has been silent for `silent` should wait for the repair of `missing` layers of
 /// its path rather than resume elsewhere at once.
 ///
--- a/crates/routing/src/process/stream_pace.rs
+++ b/crates/routing/src/process/stream_pace.rs
@@ -27,6 +27,12 @@
         means.seconds += NEWEST_WEIGHT * (newest.seconds - means.seconds);
     }
 
+    /// Returns the mean duration of a stream; zero before the first answer.
+    pub fn mean(&self) -> Duration {
+        let seconds = self.means.map_or(0.0, |means| means.seconds);
+        Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX)
+    }
+
     /// Returns how long a stream of which `tokens` are expected usually takes; zero before the first answer.
     pub fn usual(&self, tokens: f64) -> Duration {
         let seconds = self.means.map_or(0.0, |means| tokens * means.seconds / means.tokens);
--- a/crates/routing/src/request/content_id.rs
+++ b/crates/routing/src/request/content_id.rs
@@ -29,6 +29,12 @@
         ContentId(id)
     }
 
+    /// Returns a short form of the id. Two contents may share it, which their callers must not depend on.
+    pub fn short(&self) -> u64 {
+        let (short, _) = self.0.split_at(size_of::<u64>());
+        short.iter().fold(0, |id, byte| id << 8 | u64::from(*byte))
+    }
+
     /// Returns whether this identifies a part of prompts.
     pub fn is_part(&self) -> bool {
         self.0.starts_with(&PART_TAG)
--- /dev/null
+++ b/crates/routing/tests/capacity.rs
@@ -0,0 +1,123 @@
+//! Parts of giving out capacity: terms, parts of those that decide alone, grants, and times to return.
+
+mod common;
+
+use common::incarnation;
+use quickcheck::quickcheck;
+use sorrellock_routing::process::capacity::{AlonePart, CapacityTerm, PendingGrants, usable_share};
+use sorrellock_routing::process::{ReturnForecast, ReturnTimes};
+use std::time::{Duration, Instant};
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+#[test]
+fn a_gateway_that_just_took_over_or_paused_gives_out_nothing_yet() {
+    let (mut term, began) = (CapacityTerm::default(), Instant::now());
+    let check_until = |term: &mut CapacityTerm, from: u64, to: u64| {
+        (from..=to).step_by(50).for_each(|at| term.check(true, began + ms(at)));
+    };
+
+    check_until(&mut term, 0, 250);
+    let too_early = term.is_settled(began + ms(250));
+    check_until(&mut term, 300, 400);
+    let settled = term.is_settled(began + ms(400));
+    let after_pause = term.is_settled(began + ms(1_400));
+    check_until(&mut term, 1_400, 1_500);
+    let right_after = term.is_settled(began + ms(1_500));
+    check_until(&mut term, 1_550, 1_750);
+
+    assert!(!too_early && settled && !after_pause && !right_after);
+    assert!(term.is_settled(began + ms(1_750)));
+    term.check(false, began + ms(1_800));
+    assert!(!term.is_settled(began + ms(1_800)), "another one gives it out");
+}
+
+quickcheck! {
+    fn gateways_that_decide_alone_take_no_more_than_is_free(gateways: u8, draws: Vec<f64>) -> bool {
+        let (now, free) = (Instant::now(), 1_000_000.0);
+        let gateways = usize::from(gateways.max(1));
+        let part = free / gateways as f64;
+        // Requests that are smaller than a part are taken only while the part lasts, up to a draw.
+        let taken = |_| {
+            let mut alone = AlonePart::default();
+            let sizes = draws.iter().map(|draw| 1.0 + draw.abs() % 1_000.0);
+            let sizes = sizes.filter(|size| size.is_finite());
+            sizes.filter(|size| alone.take(*size, free, gateways, 0.999_999, now)).sum::<f64>()
+        };
+        let all: f64 = (0..gateways).map(taken).sum();
+        all <= free.max(part)
+    }
+}
+
+#[test]
+fn parts_that_are_smaller_than_a_request_add_up_to_what_is_free() {
+    let now = Instant::now();
+    let gateways = 1_000;
+    let draw = |index: usize| (index as f64 + 0.5) / gateways as f64;
+
+    let taken = (0..gateways)
+        .filter(|index| AlonePart::default().take(900.0, 90_000.0, gateways, draw(*index), now))
+        .count();
+
+    assert_eq!(taken, 100);
+}
+
+#[test]
+fn a_grant_counts_until_a_message_that_was_sent_after_it() {
+    let (mut grants, now) = (PendingGrants::default(), Instant::now());
+    grants.add(1, &incarnation("a"), 500.0, now);
+    grants.add(2, &incarnation("b"), 600.0, now);
+    let heard = |at: Duration| move |gateway: u64| (gateway == 1).then_some(now + at);
+
+    grants.drop_reported(heard(ms(20)), now + ms(30));
+    let before = grants.iter().count();
+    grants.drop_reported(heard(ms(80)), now + ms(90));
+    let after: Vec<f64> = grants.iter().map(|(_, tokens)| tokens).collect();
+    grants.drop_reported(heard(ms(80)), now + ms(2_100));
+
+    assert_eq!(before, 2, "a message right after a grant may not include it");
+    assert_eq!(after, [600.0]);
+    assert_eq!(grants.iter().count(), 0, "its gateway is gone");
+}
+
+#[test]
+fn gateways_out_of_reach_have_their_part() {
+    assert_eq!(usable_share(8, 8), 1.0);
+    assert_eq!(usable_share(9, 8), 1.0);
+    assert!(usable_share(7, 8) + usable_share(1, 8) <= 1.0);
+    assert_eq!(usable_share(0, 300), 0.0);
+}
+
+#[test]
+fn refused_callers_return_one_after_the_other_as_streams_end() {
+    let (mut times, now) = (ReturnTimes::default(), Instant::now());
+    let forecast =
+        ReturnForecast { opens_in: ms(800), usual: ms(3_000), streams: 150, gateways: 5 };
+
+    let delays: Vec<Duration> =
+        (0..4).map(|_| times.next(&forecast, Duration::from_secs(6), now)).collect();
+
+    assert_eq!(delays, [900, 1_000, 1_100, 1_200].map(ms));
+    let many = (0..200).map(|_| times.next(&forecast, Duration::from_secs(6), now)).max();
+    assert_eq!(many, Some(Duration::from_secs(6)), "no later than the caller waits");
+    let soon = ReturnTimes::default().next(
+        &ReturnForecast { opens_in: Duration::ZERO, ..forecast },
+        Duration::from_secs(6),
+        now,
+    );
+    assert_eq!(soon, ms(100));
+}
+
+#[test]
+fn without_a_usual_duration_callers_are_spread_all_the_same() {
+    let (mut times, now) = (ReturnTimes::default(), Instant::now());
+    let forecast =
+        ReturnForecast { opens_in: Duration::ZERO, usual: Duration::ZERO, streams: 0, gateways: 0 };
+
+    let delays: Vec<Duration> =
+        (0..4).map(|_| times.next(&forecast, Duration::from_secs(6), now)).collect();
+
+    assert_eq!(delays, [100, 100, 150, 200].map(ms));
+}
--- a/crates/routing/tests/repair_forecast.rs
+++ b/crates/routing/tests/repair_forecast.rs
@@ -3,7 +3,9 @@
 mod common;
 
 use common::shape;
-use sorrellock_routing::process::{is_repair_overdue, is_repair_worth_waiting, repair_time};
+use sorrellock_routing::process::{
+    is_repair_overdue, is_repair_worth_waiting, repair_left, repair_time,
+};
 use std::time::Duration;
 
 /// Time to find a dead engine.
@@ -46,3 +48,16 @@
     assert!(!waits);
     assert!(is_repair_overdue(Duration::from_millis(1_200)));
 }
+
+#[test]
+fn what_is_left_of_a_repair_falls_with_time_and_is_never_nothing_while_it_lasts() {
+    let shape = shape(80);
+    let whole = repair_time(&shape, 26);
+
+    let left = |elapsed| repair_left(&shape, 26, elapsed);
+
+    assert_eq!(left(Duration::ZERO), whole);
+    assert_eq!(left(whole / 4), whole - whole / 4);
+    assert_eq!(left(whole * 4), whole * 2, "one that is overdue takes longer still");
+    assert!(left(whole) >= whole / 2);
+}
--- a/crates/routing/tests/route_table.rs
+++ b/crates/routing/tests/route_table.rs
@@ -68,3 +68,45 @@
     assert_eq!(table.find("a.example", "/a/", None).err(), Some(NotAllowed::UnknownKey));
     assert!(table.find("a.example", "/open/x", Some("k3")).is_ok());
 }
+
+/// A table with one route for each priority, and one workspace for each priority that overrides it.
+fn ranked_table(routes: &[u32], workspaces: &[Option<u32>]) -> RouteTable {
+    let with_priority = |(index, priority): (usize, &u32)| Route {
+        semantics: Semantics::Stream { resumable: true },
+        priority: *priority,
+        ..route(&format!("r{index}"), &format!("/{index}/"), false)
+    };
+    let workspace = |(index, priority): (usize, &Option<u32>)| Workspace {
+        name: format!("w{index}"),
+        keys: vec![format!("k{index}")],
+        priority: *priority,
+    };
+    let cfg = Configuration {
+        routes: routes.iter().enumerate().map(with_priority).collect(),
+        workspaces: workspaces.iter().enumerate().map(workspace).collect(),
+        ..(**table().cfg()).clone()
+    };
+    RouteTable::new(cfg)
+}
+
+#[test]
+fn only_services_whose_callers_differ_in_rank_have_ranks() {
+    assert!(!ranked_table(&[1], &[Some(1), Some(1)]).has_ranks("s"));
+    assert!(!ranked_table(&[1], &[]).has_ranks("s"));
+    assert!(ranked_table(&[1], &[Some(0), Some(1)]).has_ranks("s"));
+    assert!(ranked_table(&[0, 2], &[]).has_ranks("s"));
+    assert!(!table().has_ranks("s"), "no streams");
+}
+
+#[test]
+fn the_rank_of_a_workspace_goes_before_that_of_a_route() {
+    let table = ranked_table(&[0, 2, 4_000], &[Some(1), None, Some(77)]);
+    let rank = |route, workspace| table.capacity_rank(route, Some(workspace)).expect("a route");
+
+    assert!(rank("r0", "w0") < rank("r1", "w0"), "the route decides among equal workspaces");
+    assert!(rank("r0", "w1") < rank("r0", "w0"));
+    assert!(rank("r1", "w0") < rank("r1", "w1"));
+    assert!(rank("r2", "w2") <= 99, "ranks out of range count as the last one");
+    assert_eq!(table.capacity_rank("r1", Some("unknown")), Some(22));
+    assert_eq!(table.capacity_rank("unknown", None), None);
+}
