Gateway: scarce capacity of paths is given out by one gateway per service, in order of rank

Callers of all gateways compete for the same chains, but each gateway let whoever woke first take what was free, and saw the others' streams 100 to 250 ms late: chains were filled to 145 % of their tokens, urgent requests were refused as often as others, and refused callers were told 2.5 s whatever the reason.

Above 60 % of a path's capacity a gateway asks the keeper of the service; that holds the queue, grants a first engine or refuses with a time to return. Gateways report the ends of streams to it at once. Without an answer each takes an equal part of what it sees free. Waiting is bounded by a quarter of the route's target. Refusals without a keeper tell when streams end or missing layers are loaded. Switched on where callers of a service differ in rank.

--- a/crates/gateway/src/process/counters.rs
+++ b/crates/gateway/src/process/counters.rs
@@ -70,6 +70,18 @@
     FailoversWithdrawn => "failovers_withdrawn",
     /// Suspected endpoints that showed a sign of life during the suspicion.
     SuspicionsRefuted => "suspicions_refuted",
+    /// Requests for scarce capacity to the gateway that gives it out, which may be this one.
+    CapacityAsks => "capacity_asks",
+    /// Such requests to another gateway that got no answer.
+    CapacityUnanswered => "capacity_unanswered",
+    /// Capacity that this gateway gave out.
+    CapacityGrants => "capacity_grants",
+    /// Requests for capacity that this gateway refused.
+    CapacityRefusals => "capacity_refusals",
+    /// Requests for capacity of callers that returned as this gateway had told them.
+    CapacityReturns => "capacity_returns",
+    /// Requests for capacity that can't be read.
+    CapacityAsksInvalid => "capacity_asks_invalid",
     /// Attempts that an endpoint refused as not run.
     AttemptsNotRun => "attempts_not_run",
     /// Attempts that got no answer.
--- a/crates/gateway/src/process/dump.rs
+++ b/crates/gateway/src/process/dump.rs
@@ -10,6 +10,7 @@
     ChangeCount, FaultKind, LayerRange, MAX_FOUND_CHARS, Revision, StoreEra, cut,
 };
 use sorrellock_routing::request::ContentId;
+use sorrellock_routing::version::rank_name;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use tokio::time::Instant;
@@ -42,6 +43,7 @@
     refused_by_reason: BTreeMap<FaultKind, usize>,
     refused_entries: Vec<RefusedDump>,
     paths: Vec<PathDump>,
+    capacity: Vec<CapacityDump>,
     limits: Vec<LimitDump>,
     /// Endpoints that asked this gateway for no requests.
     backoffs: Vec<BackoffDump>,
@@ -122,6 +124,18 @@
     is_broken: bool,
 }
 
+/// The queue for scarce capacity that this gateway gives out.
+#[derive(Serialize)]
+struct CapacityDump {
+    service: String,
+    /// Number of waiting requests by rank: that of the workspace, then that of the route.
+    waiting: BTreeMap<String, usize>,
+    /// Refused callers that are expected back.
+    expected_returns: usize,
+    /// Tokens that start per second.
+    rate: f64,
+}
+
 /// A limit that an endpoint named.
 #[derive(Serialize)]
 struct LimitDump {
@@ -198,6 +212,7 @@
             refused_by_reason,
             refused_entries: bounded(refused, &mut left_out),
             paths: bounded(paths(gateway, &knowledge).into_iter(), &mut left_out),
+            capacity: bounded(capacity(gateway).into_iter(), &mut left_out),
             limits: bounded(limits(gateway, now).into_iter(), &mut left_out),
             backoffs: bounded(backoffs(gateway, now).into_iter(), &mut left_out),
             leaving: bounded(leaving(gateway, now).into_iter(), &mut left_out),
@@ -211,6 +226,17 @@
     }
 }
 
+fn capacity(gateway: &Gateway) -> Vec<CapacityDump> {
+    let keeper = gateway.capacity.borrow();
+    let queues = keeper.queues().map(|(service, queue)| CapacityDump {
+        service: service.clone(),
+        waiting: queue.waiting_by_rank().into_iter().map(|(r, n)| (rank_name(r), n)).collect(),
+        expected_returns: queue.expected_returns(),
+        rate: queue.rate(),
+    });
+    queues.collect()
+}
+
 fn limits(gateway: &Gateway, now: Instant) -> Vec<LimitDump> {
     let limits = gateway.limits.borrow();
     let limited = limits.limited(now.into_std()).map(|(endpoint, limit, age)| LimitDump {
--- a/crates/gateway/src/process/gateway.rs
+++ b/crates/gateway/src/process/gateway.rs
@@ -1,8 +1,9 @@
 //! State shared by all parts of a gateway.
 
 use crate::process::{
-    Count, Counters, EndChecks, FleetState, LivePath, LoggedFaults, NoticeKind, PathTable, Permits,
-    Pool, ReportedSuspect, SUSPICION_DURATION, StoreContact,
+    CapacityKeeper, CapacityKeepers, Count, Counters, EndChecks, FleetState, LivePath,
+    LoggedFaults, LostLayers, NoticeKind, PathTable, Permits, Pool, ReportedSuspect,
+    SUSPICION_DURATION, StoreContact,
 };
 use http::HeaderName;
 use sorrellock_core::clock::SystemClock;
@@ -15,7 +16,8 @@
 use sorrellock_routing::process::notices::Backoffs;
 use sorrellock_routing::process::retries::RetryWindow;
 use sorrellock_routing::process::{
-    FailureEvidence, Incarnation, Incarnations, Leaving, LoopPauses, Revision, StreamPace,
+    FailureEvidence, Incarnation, Incarnations, Leaving, LoopPauses, ReturnTimes, Revision,
+    StreamPace,
 };
 use sorrellock_routing::version::{Configuration, ServiceName};
 use spdlog::{info, warn};
@@ -103,6 +105,14 @@
     /// The limits that endpoints named.
     pub(crate) limits: RefCell<EndpointLimits>,
     pub(crate) permits: RefCell<Permits>,
+    /// The queues for capacity that this gateway gives out.
+    pub(crate) capacity: RefCell<CapacityKeeper>,
+    /// Layers that are missing for any path.
+    pub(crate) lost_layers: RefCell<LostLayers>,
+    /// When callers may return that this gateway refuses by itself, by service.
+    pub(crate) return_times: RefCell<HashMap<ServiceName, ReturnTimes>>,
+    /// The gateways that give out the others.
+    pub(crate) capacity_keepers: RefCell<CapacityKeepers>,
     /// Decides from whom the lead's view is read.
     pub(crate) view_sync: RefCell<ViewSync>,
     /// Bounds the views served to other gateways.
@@ -169,6 +179,10 @@
             held_changed: Notify::new(),
             limits: RefCell::default(),
             permits: RefCell::default(),
+            capacity: RefCell::default(),
+            capacity_keepers: RefCell::default(),
+            lost_layers: RefCell::default(),
+            return_times: RefCell::default(),
             view_sync: RefCell::default(),
             view_serving: RefCell::default(),
             backoffs: RefCell::default(),
@@ -277,6 +291,7 @@
         info!("configuration in force", kv: {
             version, before, routes, workspaces, source, heard_ms:?, parse_us, install_us
         });
+        self.update_capacity_ranks();
         self.configured.notify_waiters();
         self.engines_changed.notify_waiters();
     }
--- a/crates/gateway/src/process/listeners.rs
+++ b/crates/gateway/src/process/listeners.rs
@@ -1,12 +1,12 @@
 //! Internal listeners: readiness, metrics, the state dump, and handovers to other gateways.
 
 use crate::process::{
-    Dump, Gateway, HANDOVER_PATH, HELD_PATH, PERMIT_PATH, RELEASE_PART_PATH, RELEASE_PATH,
-    VIEW_PATH, read_permit_request,
+    CAPACITY_PATH, CapacityAsk, Count, Dump, Gateway, HANDOVER_PATH, HELD_PATH, MAX_ASK_BYTES,
+    PERMIT_PATH, RELEASE_PART_PATH, RELEASE_PATH, VIEW_PATH, read_permit_request,
 };
 use bytes::Bytes;
 use http::{Method, Request, Response, StatusCode};
-use http_body_util::Full;
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -59,7 +59,10 @@
     gateway: Rc<Gateway>,
     req: Request<Incoming>,
 ) -> Result<Response<Full<Bytes>>, Infallible> {
-    let (status, body) = match req.uri().path() {
+    if req.method() == Method::POST && req.uri().path() == CAPACITY_PATH {
+        return Ok(answer(capacity(&gateway, req).await));
+    }
+    let page = match req.uri().path() {
         READINESS_PATH if gateway.is_ready() => (StatusCode::OK, Bytes::from_static(b"ready")),
         READINESS_PATH => (StatusCode::SERVICE_UNAVAILABLE, Bytes::from_static(b"not ready")),
         METRICS_PATH => (StatusCode::OK, Bytes::from(metrics(&gateway))),
@@ -91,9 +94,30 @@
             None => (StatusCode::NOT_FOUND, Bytes::from_static(b"no such page")),
         },
     };
+    Ok(answer(page))
+}
+
+fn answer((status, body): (StatusCode, Bytes)) -> Response<Full<Bytes>> {
     let mut answer = Response::new(Full::new(body));
     *answer.status_mut() = status;
-    Ok(answer)
+    answer
+}
+
+/// Decides on another gateway's request for capacity.
+async fn capacity(gateway: &Gateway, req: Request<Incoming>) -> (StatusCode, Bytes) {
+    let body = Limited::new(req.into_body(), MAX_ASK_BYTES).collect().await;
+    let body = body.map_err(|err| err.to_string());
+    let ask = body.and_then(|body| {
+        serde_json::from_slice::<CapacityAsk>(&body.to_bytes()).map_err(|err| err.to_string())
+    });
+    match ask {
+        Ok(ask) => json(&gateway.decide_capacity(ask).await.0),
+        Err(err) => {
+            gateway.counters.add(Count::CapacityAsksInvalid);
+            warn!("request for capacity refused", kv: { err = err.as_str() });
+            (StatusCode::BAD_REQUEST, Bytes::from(format!("no request for capacity: {err}")))
+        }
+    }
 }
 
 /// Parses the requester's configuration version and the revision up to which it knows the endpoints.
@@ -140,6 +164,7 @@
         ("held_requests", guard.held().held() as f64),
         ("crash_suspects", guard.suspects() as f64),
         ("crash_evicted", guard.evicted() as f64),
+        ("capacity_waiting", gateway.capacity.borrow().waiting() as f64),
         ("loop_lag_longest_ms", gateway.recent_longest_pause().as_secs_f64() * 1e3),
     ])
 }
--- a/crates/gateway/src/process/mod.rs
+++ b/crates/gateway/src/process/mod.rs
@@ -1,5 +1,6 @@
 //! State and tasks that last as long as the process.
 
+mod capacity;
 mod counters;
 mod crashes;
 mod dump;
@@ -18,6 +19,7 @@
 mod run;
 mod store;
 
+pub(crate) use capacity::*;
 pub(crate) use counters::*;
 pub(crate) use crashes::*;
 pub(crate) use dump::*;
--- a/crates/gateway/src/process/paths/mod.rs
+++ b/crates/gateway/src/process/paths/mod.rs
@@ -8,5 +8,6 @@
 
 pub(crate) use live_path::*;
 pub(crate) use path_check::*;
+pub(crate) use path_refresh::*;
 pub(crate) use path_reservation::*;
 pub(crate) use path_table::*;
--- a/crates/gateway/src/process/paths/path_refresh.rs
+++ b/crates/gateway/src/process/paths/path_refresh.rs
@@ -3,10 +3,11 @@
 use crate::process::{EngineAvailability, Gateway, LivePath};
 use sorrellock_routing::process::knowledge::Knowledge;
 use sorrellock_routing::process::{DataCentre, Holder, Incarnation, LayerRange};
-use sorrellock_routing::version::ModelShape;
+use sorrellock_routing::version::{ModelShape, ServiceName};
 use spdlog::{info, warn};
-use std::collections::BTreeSet;
+use std::collections::{BTreeSet, HashMap};
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::time::Instant;
 
 impl Gateway {
@@ -43,6 +44,8 @@
             let mut paths = self.paths.borrow_mut();
             if paths.rebuild(&service.name, shape, &holders, availability, leaving_serves_for, now)
             {
+                let missing = fewest_missing(&holders, shape.layers);
+                self.lost_layers.borrow_mut().set(&service.name, missing, now);
                 let gaps = gaps(&holders, shape.layers);
                 if !gaps.is_empty() {
                     warn!("layers without an engine", kv: {
@@ -108,6 +111,41 @@
     }
 }
 
+/// Returns the number of layers that the best data centre lacks for a path.
+fn fewest_missing(holders: &[Holder], layers: u32) -> u32 {
+    let data_centres: BTreeSet<&DataCentre> =
+        holders.iter().map(|holder| &holder.data_centre).collect();
+    let missing = data_centres.into_iter().map(|data_centre| {
+        let here = holders.iter().filter(|holder| holder.data_centre == *data_centre);
+        let is_held = |layer: &u32| here.clone().any(|holder| holder.layers.contains(*layer));
+        layers - (0..layers).filter(is_held).count() as u32
+    });
+    missing.min().unwrap_or(layers)
+}
+
+/// Layers that no data centre holds all of, by service.
+#[derive(Default)]
+pub(crate) struct LostLayers {
+    by_service: HashMap<ServiceName, (u32, Instant)>,
+}
+
+impl LostLayers {
+    fn set(&mut self, service: &str, missing: u32, now: Instant) {
+        if missing == 0 {
+            self.by_service.remove(service);
+            return;
+        }
+        let lost = self.by_service.entry(service.to_owned()).or_insert((missing, now));
+        lost.0 = missing;
+    }
+
+    /// Returns the number of missing layers of a service without a path, and for how long they have been missing.
+    pub(crate) fn get(&self, service: &str, now: Instant) -> Option<(u32, Duration)> {
+        let (missing, since) = self.by_service.get(service)?;
+        Some((*missing, now - *since))
+    }
+}
+
 /// Formats the layers of each data centre that no holder can run, for log lines.
 fn gaps(holders: &[Holder], layers: u32) -> String {
     let data_centres: BTreeSet<&DataCentre> =
--- a/crates/gateway/src/process/paths/path_reservation.rs
+++ b/crates/gateway/src/process/paths/path_reservation.rs
@@ -14,6 +14,18 @@
 }
 
 impl PathReservation {
+    /// Reserves `tokens` on a path.
+    pub(crate) fn new(
+        table: &Rc<RefCell<PathTable>>,
+        live: &Rc<LivePath>,
+        tokens: f64,
+        now: Instant,
+    ) -> PathReservation {
+        live.add_stream(tokens, now);
+        let freed = table.borrow().freed();
+        PathReservation { live: Rc::clone(live), tokens, freed }
+    }
+
     /// Moves the reservation to another path with the same first engine.
     pub(crate) fn move_to(&mut self, live: Rc<LivePath>, now: Instant) {
         self.live.remove_stream(self.tokens);
@@ -39,7 +51,5 @@
     now: Instant,
 ) -> Result<PathReservation, NoPlace> {
     let live = table.borrow().choose(service, tokens, own_data_centre, may_take, now)?;
-    live.add_stream(tokens, now);
-    let freed = table.borrow().freed();
-    Ok(PathReservation { live, tokens, freed })
+    Ok(PathReservation::new(table, &live, tokens, now))
 }
--- a/crates/gateway/src/process/paths/path_table.rs
+++ b/crates/gateway/src/process/paths/path_table.rs
@@ -14,7 +14,7 @@
 
 /// Maximum share of a path's capacity that is reserved: estimates of answer lengths are often off, and a full
 /// engine preempts streams.
-const MAX_UTILIZATION: f64 = 0.92;
+pub(crate) const MAX_UTILIZATION: f64 = 0.92;
 /// Bonus for paths in the gateway's own data centre, as a share of capacity.
 const OWN_DATA_CENTRE_BONUS: f64 = 0.03;
 /// Penalty for a path whose layers no other engine holds, as a share of capacity: the death of one of its engines
@@ -33,6 +33,20 @@
     pub(crate) streams: u32,
 }
 
+/// A path that a request may take.
+pub(crate) struct PathChoice {
+    pub(crate) live: Rc<LivePath>,
+    /// Share of its capacity that is taken with the request.
+    pub(crate) share: f64,
+}
+
+impl PathChoice {
+    /// Returns whether the request doesn't fit.
+    pub(crate) fn is_full(&self) -> bool {
+        self.share > MAX_UTILIZATION
+    }
+}
+
 /// Why no path can take a request now.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum NoPlace {
@@ -40,6 +54,11 @@
     NoPath,
     /// All paths are full.
     Full,
+    /// The gateway that gives out the capacity has none in time.
+    Refused {
+        /// Time after which the caller may return.
+        retry_after: Duration,
+    },
     /// The first engines of all paths that could take it get no requests now.
     Blocked(SendBlock),
     /// It may not be sent to further engines, and ran at none.
@@ -66,6 +85,23 @@
         self.peers = peers;
     }
 
+    /// Adds a stream of another gateway to the load of its first engine.
+    pub(crate) fn add_peer_load(&mut self, head: &Incarnation, tokens: f64) {
+        let load = self.peers.entry(head.clone()).or_default();
+        load.tokens += tokens;
+        load.streams += 1;
+    }
+
+    /// Returns the tokens that streams of all gateways reserve on the paths of a service.
+    pub(crate) fn reserved(&self, service: &str) -> f64 {
+        let paths = self.paths(service).iter();
+        let own: f64 = paths.clone().map(|live| live.tokens.get()).sum();
+        let heads: BTreeSet<&Incarnation> =
+            paths.map(|live| &live.path.first().incarnation).collect();
+        let peers = heads.into_iter().filter_map(|head| self.peers.get(head));
+        own + peers.map(|load| load.tokens).sum::<f64>()
+    }
+
     /// Returns the first engines of a service's paths that get new requests, in an order that all gateways share.
     pub(crate) fn first_engines(&self, service: &str, now: Instant) -> Vec<Incarnation> {
         let open = self.paths(service).iter().filter(|live| !live.is_avoided(now));
@@ -231,6 +267,17 @@
         self.kv_capacities.retain(|incarnation, _| incarnations.contains(incarnation));
     }
 
+    /// Returns the path that begins at an engine and takes new requests.
+    pub(crate) fn open_path(
+        &self,
+        service: &str,
+        head: &Incarnation,
+        now: Instant,
+    ) -> Option<Rc<LivePath>> {
+        let mut open = self.paths(service).iter().filter(|live| !live.is_avoided(now));
+        open.find(|live| live.path.first().incarnation == *head).cloned()
+    }
+
     /// Returns a path over which the requests of path `of` can continue. Engines accept such an order only where the
     /// first one runs the same layers as before.
     pub(crate) fn successor(
@@ -290,6 +337,34 @@
         self.choose(service, tokens, "", may_take, now).is_ok()
     }
 
+    /// Returns the number of streams of all gateways on a service's paths.
+    pub(crate) fn running_streams(&self, service: &str) -> u32 {
+        let heads: BTreeSet<&Incarnation> =
+            self.paths(service).iter().map(|live| &live.path.first().incarnation).collect();
+        heads.into_iter().map(|head| self.head_streams(service, head)).sum()
+    }
+
+    /// Returns the number of streams that the first engine of a service's paths accepts.
+    pub(crate) fn slots(&self, service: &str) -> u32 {
+        self.paths(service).iter().map(|live| live.slots).max().unwrap_or_default()
+    }
+
+    /// Returns the tokens that are free below a share of the capacity. Paths of a data centre share engines, so that its
+    /// emptiest one counts for all.
+    pub(crate) fn free(&self, service: &str, limit: f64, now: Instant) -> f64 {
+        let used = self.kv_used(service);
+        let mut free: HashMap<&str, f64> = HashMap::new();
+        for live in self.paths(service).iter().filter(|live| !live.is_avoided(now)) {
+            let begun = self.head_streams(service, &live.path.first().incarnation);
+            let of_slots = f64::from(begun) / f64::from(live.slots);
+            let share = self.utilization(live, &used, 0.0).max(of_slots);
+            let tokens = (limit - share).max(0.0) * live.path.token_capacity;
+            let most = free.entry(&live.path.data_centre).or_default();
+            *most = most.max(tokens);
+        }
+        free.into_values().sum()
+    }
+
     /// Chooses the path with the highest share of free capacity among those that the request may take.
     pub(crate) fn choose(
         &self,
@@ -299,29 +374,42 @@
         may_take: impl Fn(&Rc<LivePath>) -> bool,
         now: Instant,
     ) -> Result<Rc<LivePath>, NoPlace> {
+        match self.best(service, tokens, own_data_centre, may_take, now) {
+            Some(best) if best.is_full() => Err(NoPlace::Full),
+            Some(best) => Ok(best.live),
+            None => Err(NoPlace::NoPath),
+        }
+    }
+
+    /// Returns the best path among those that the request may take, which is full only if all are.
+    pub(crate) fn best(
+        &self,
+        service: &str,
+        tokens: f64,
+        own_data_centre: &str,
+        may_take: impl Fn(&Rc<LivePath>) -> bool,
+        now: Instant,
+    ) -> Option<PathChoice> {
         let is_open =
             |live: &&Rc<LivePath>| !live.is_avoided(now) && !live.is_silent(now) && may_take(live);
-        let mut best: Option<(f64, &Rc<LivePath>)> = None;
-        let mut is_full = false;
         let used = self.kv_used(service);
-        for live in self.paths(service).iter().filter(is_open) {
+        let choice = |live: &Rc<LivePath>| {
             let begun = self.head_streams(service, &live.path.first().incarnation) + 1;
             let of_slots = f64::from(begun) / f64::from(live.slots);
             let share = self.utilization(live, &used, tokens).max(of_slots);
-            if share > MAX_UTILIZATION {
-                is_full = true;
-                continue;
-            }
             let own =
                 if live.path.data_centre == own_data_centre { OWN_DATA_CENTRE_BONUS } else { 0.0 };
             let penalty = (1.0 - live.redundancy.get()) * NO_REDUNDANCY_PENALTY;
             let score = share + penalty - own + rand::rng().random_range(0.0..CHOICE_NOISE);
-            if best.is_none_or(|(lowest, _)| score < lowest) {
-                best = Some((score, live));
-            }
-        }
-        let none = if is_full { NoPlace::Full } else { NoPlace::NoPath };
-        best.map(|(_, live)| Rc::clone(live)).ok_or(none)
+            (score, PathChoice { live: Rc::clone(live), share })
+        };
+        let choices = self.paths(service).iter().filter(is_open).map(choice);
+        let order = |(score, choice): &(f64, PathChoice)| (choice.is_full(), *score);
+        let best = choices.min_by(|a, b| {
+            let (a, b) = (order(a), order(b));
+            a.0.cmp(&b.0).then(a.1.total_cmp(&b.1))
+        });
+        best.map(|(_, choice)| choice)
     }
 
     /// Formats the state, capacity and load of each path for log lines.
--- a/crates/gateway/src/process/peers/peers.rs
+++ b/crates/gateway/src/process/peers/peers.rs
@@ -26,6 +26,8 @@
 const MANY_GATEWAYS: u32 = 12;
 /// Upper bound of the send interval: a silent lead is replaced after a second.
 const MAX_SEND_INTERVAL: Duration = Duration::from_millis(250);
+/// Time for which the ends of streams are collected before they are reported out of turn.
+const REPORT_DELAY: Duration = Duration::from_millis(10);
 /// Maximum number of senders of unreadable messages to remember, so that each is logged once: more than a fleet
 /// has gateways.
 const MAX_LOGGED_UNREADABLE: usize = 1_024;
@@ -70,7 +72,7 @@
     pub(crate) async fn send_messages(self: Rc<Self>) {
         loop {
             self.send_to_all();
-            self.take_loads();
+            self.gateway.update_loads();
             let gateways = self.gateway.fleet_state.borrow().gateways(Instant::now()) as u32;
             let interval = SEND_INTERVAL * gateways / MANY_GATEWAYS;
             let interval = interval.clamp(SEND_INTERVAL, MAX_SEND_INTERVAL);
@@ -79,14 +81,35 @@
         }
     }
 
+    /// Sends a message out of turn to the gateways that give out capacity when a stream has ended, so that others get its
+    /// capacity at once. Never returns.
+    pub(crate) async fn report_freed(self: Rc<Self>) {
+        let freed = self.gateway.paths.borrow().freed();
+        loop {
+            freed.notified().await;
+            // Several streams often end together.
+            sleep(REPORT_DELAY).await;
+            let now = Instant::now();
+            let keepers: Vec<SocketAddr> =
+                self.gateway.capacity_keepers.borrow().interested(now).collect();
+            if !keepers.is_empty() {
+                self.send_to(keepers.into_iter());
+            }
+        }
+    }
+
     fn send_to_all(&self) {
+        self.send_to(self.targets().into_iter());
+    }
+
+    fn send_to(&self, targets: impl Iterator<Item = SocketAddr>) {
         let message = self.message();
         let buf = match message.encode() {
             Ok(buf) if buf.len() <= MAX_DATAGRAM => buf,
             Ok(buf) => return self.on_unsendable(&format!("it has {} bytes", buf.len())),
             Err(err) => return self.on_unsendable(&err.to_string()),
         };
-        for addr in self.targets() {
+        for addr in targets {
             // A lost message is superseded by the next one.
             let _ = self.socket.try_send_to(&buf, addr);
         }
@@ -166,19 +189,6 @@
         SocketAddr::new(self.gateway.settings.ip, self.gateway.settings.peer_port)
     }
 
-    fn take_loads(&self) {
-        let now = Instant::now();
-        let mut loads: HashMap<Incarnation, Load> = HashMap::new();
-        for peer in self.gateway.fleet_state.borrow().live_peers(now) {
-            for reported in &peer.message.loads {
-                let load = loads.entry(reported.head.clone()).or_default();
-                load.tokens += f64::from(reported.tokens);
-                load.streams += reported.streams;
-            }
-        }
-        self.gateway.paths.borrow_mut().set_peer_loads(loads);
-    }
-
     /// Receives messages from the other gateways, indefinitely.
     pub(crate) async fn listen(self: Rc<Self>) {
         let mut buf = vec![0; MAX_DATAGRAM];
@@ -259,6 +269,7 @@
         fleet_state.sharers.on_message(&instance, now.into_std());
         fleet_state.peers.insert(instance.clone(), Peer { addr: from, message, last_contact: now });
         drop(fleet_state);
+        gateway.capacity.borrow().on_loads_changed();
         gateway.receive_crash_reports(&extension.crashes);
         gateway.receive_limits(&extension.limits, &instance);
         for end in &ended {
@@ -280,6 +291,25 @@
     }
 }
 
+impl Gateway {
+    /// Updates the load of the other gateways' streams from their messages, and from capacity given to them since.
+    pub(crate) fn update_loads(&self) {
+        let now = Instant::now();
+        let mut loads: HashMap<Incarnation, Load> = HashMap::new();
+        for peer in self.fleet_state.borrow().live_peers(now) {
+            for reported in &peer.message.loads {
+                let load = loads.entry(reported.head.clone()).or_default();
+                load.tokens += f64::from(reported.tokens);
+                load.streams += reported.streams;
+            }
+        }
+        self.paths.borrow_mut().set_peer_loads(loads);
+        for (head, tokens) in self.pending_grants() {
+            self.paths.borrow_mut().add_peer_load(&head, tokens);
+        }
+    }
+}
+
 /// Applies what a message says of the lead and its view. Returns whether the engines changed.
 fn receive_view(views: &mut EngineViews, message: &PeerMessage, now: Instant) -> bool {
     let now = now.into_std();
--- a/crates/gateway/src/process/run.rs
+++ b/crates/gateway/src/process/run.rs
@@ -3,8 +3,9 @@
 use crate::connection::accept_callers;
 use crate::process::placer::Placer;
 use crate::process::{
-    Count, Gateway, Peers, Phase, exchange_held, expire_entries, follow, follow_eras, measure_lag,
-    read_views, serve_internal_pages, set_up_log, sync_held, unix_now, watch_paths,
+    Count, Gateway, Peers, Phase, dispatch_capacity, exchange_held, expire_entries, follow,
+    follow_eras, measure_lag, read_views, serve_internal_pages, set_up_log, sync_held, unix_now,
+    watch_paths,
 };
 use sorrellock_http::listen;
 use sorrellock_platform::{Kind, Limits, Settings, Store, parse_settings};
@@ -182,9 +183,11 @@
     tasks.spawn_local(Rc::clone(&peers).register(store.clone()));
     tasks.spawn_local(Rc::clone(&peers).listen());
     tasks.spawn_local(Rc::clone(&peers).catch_up());
+    tasks.spawn_local(dispatch_capacity(Rc::clone(gateway)));
     tasks.spawn_local(exchange_held(Rc::clone(gateway)));
     tasks.spawn_local(read_views(Rc::clone(gateway)));
     tasks.spawn_local(sync_held(Rc::clone(gateway), store.clone()));
+    tasks.spawn_local(Rc::clone(&peers).report_freed());
     tasks.spawn_local(peers.send_messages());
     tasks.spawn_local(Placer::new(Rc::clone(gateway), view_log).run(store));
     Ok(())
@@ -204,6 +207,7 @@
         gateway.probes.borrow_mut().retain(|incarnation, _| is_used(incarnation));
         gateway.limits.borrow_mut().retain(is_current);
         gateway.drop_old_permits(is_current);
+        gateway.drop_old_keepers();
         gateway.backoffs.borrow_mut().retain(is_current, Instant::now().into_std());
         gateway.invalid_notices.borrow_mut().retain(|(endpoint, _)| is_current(endpoint));
         gateway
--- a/crates/gateway/src/request/call.rs
+++ b/crates/gateway/src/request/call.rs
@@ -28,6 +28,8 @@
     pub(crate) workspace: Option<WorkspaceName>,
     /// Priority rank, 0 is the highest. The workspace's rank overrides the route's.
     pub(crate) rank: u32,
+    /// Rank in the queue for capacity, where the callers of its service differ in rank.
+    pub(crate) capacity_rank: Option<u8>,
     pub(crate) arrived: Instant,
     /// When the caller must have an answer: its own deadline or the route's, whichever is earlier.
     pub(crate) deadline: Instant,
--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -8,10 +8,12 @@
 mod plain;
 mod relay;
 mod request_handler;
+mod return_delay;
 mod run;
 mod run_search;
 mod running_attempts;
 mod sends;
+mod shared_capacity;
 mod stream;
 
 pub(crate) use attempt::*;
--- a/crates/gateway/src/request/request_handler.rs
+++ b/crates/gateway/src/request/request_handler.rs
@@ -16,7 +16,7 @@
 use sorrellock_routing::process::crashes::{PromptPart, RunRequest};
 use sorrellock_routing::process::cut;
 use sorrellock_routing::request::{AbandonedOutcome, ContentId};
-use sorrellock_routing::version::{NotAllowed, Route, RouteTable, ServiceName};
+use sorrellock_routing::version::{NotAllowed, Route, RouteTable, ServiceName, capacity_rank};
 use spdlog::info;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -26,7 +26,7 @@
 /// Retry-After while no configuration is known: the store is down, typically for seconds.
 const RETRY_AFTER_NO_CONFIGURATION: Duration = Duration::from_millis(2_500);
 /// Maximum share of a request's remaining time that its caller is asked to wait before a retry.
-const MAX_WAIT_SHARE: f64 = 0.3;
+pub(crate) const MAX_WAIT_SHARE: f64 = 0.3;
 /// Maximum random delay added to Retry-After, so that refused callers don't retry all at once.
 const RETRY_SPREAD: Duration = Duration::from_millis(1_000);
 /// How long after the gateway's start requests wait for the first configuration: a store that is up answers within
@@ -56,6 +56,7 @@
     let route = matched.route.clone();
     let rank = matched.workspace.and_then(|workspace| workspace.priority);
     let workspace = matched.workspace.map(|workspace| workspace.name.clone());
+    let capacity_rank = capacity_rank(&route, matched.workspace);
     let caller_deadline = arrived + head.wait_limit.unwrap_or(DEFAULT_CALLER_TIMEOUT);
     let deadline = caller_deadline.min(arrived + route.timeout);
     let (parts, body) = req.into_parts();
@@ -75,6 +76,7 @@
         headers: parts.headers,
         body,
         rank: rank.unwrap_or(route.priority),
+        capacity_rank: routes.has_ranks(&service).then_some(capacity_rank),
         route,
         config_version: routes.version(),
         service,
@@ -207,7 +209,7 @@
 }
 
 /// Returns when a caller refused at shutdown should retry: at once if another gateway accepts it.
-fn retry_delay(gateway: &Gateway, deadline: Instant) -> Duration {
+pub(crate) fn retry_delay(gateway: &Gateway, deadline: Instant) -> Duration {
     let now = Instant::now();
     let wait = gateway.retry_delay(now);
     if wait.is_zero() {
--- a/crates/gateway/src/request/run.rs
+++ b/crates/gateway/src/request/run.rs
@@ -2,6 +2,7 @@
 
 use crate::process::{Gateway, LivePath, NoPlace, PathReservation, reserve_path};
 use crate::request::estimate::expected_tokens;
+use crate::request::shared_capacity::take_shared_place;
 use crate::request::{Call, Exchange, FailedAttempt, Target, attempt};
 use http::Response;
 use sorrellock_http::AnswerBody;
@@ -13,10 +14,6 @@
 use std::time::Duration;
 use tokio::time::{Instant, timeout_at};
 
-/// Retry-After of a refusal because all paths are full: by then half of the streams have ended, and a lost
-/// path is repaired.
-pub(crate) const RETRY_AFTER_FULL: Duration = Duration::from_millis(2_500);
-
 /// A stream whose answer has started on a path, with its reservation there.
 pub(crate) struct Run {
     pub(crate) exchange: Exchange,
@@ -47,6 +44,9 @@
     avoid: &[Rc<LivePath>],
     until: Instant,
 ) -> Result<PathReservation, NoPlace> {
+    if let Some(res) = take_shared_place(gateway, call, attempts, avoid, until).await {
+        return res;
+    }
     loop {
         let res = try_take_place(gateway, call, attempts, avoid);
         let Err(none) = res else { return res };
@@ -99,13 +99,7 @@
     if gateway.awaits_suspect(call) {
         return Err(NoPlace::Full);
     }
-    let may_take = |live: &Rc<LivePath>| {
-        let first = &live.path.first().incarnation;
-        attempts.may_send_to(first)
-            && gateway.send_block(first).is_none()
-            && gateway.may_risk_path(call, first)
-            && !avoid.iter().any(|other| Rc::ptr_eq(other, live))
-    };
+    let may_take = |live: &Rc<LivePath>| may_take_path(gateway, call, attempts, avoid, live);
     let own = &gateway.settings.data_centre;
     let tokens = expected_tokens(call);
     let now = Instant::now();
@@ -127,6 +121,21 @@
     reserve_path(&gateway.paths, &call.service, tokens, own, may_take, now)
 }
 
+/// Returns whether a request may be sent over a path, its load aside.
+pub(super) fn may_take_path(
+    gateway: &Gateway,
+    call: &Call,
+    attempts: &Attempts,
+    avoid: &[Rc<LivePath>],
+    live: &Rc<LivePath>,
+) -> bool {
+    let first = &live.path.first().incarnation;
+    attempts.may_send_to(first)
+        && gateway.send_block(first).is_none()
+        && gateway.may_risk_path(call, first)
+        && !avoid.iter().any(|other| Rc::ptr_eq(other, live))
+}
+
 /// Returns whether a silent stream could continue over another path. Without one its run is kept, as it may still
 /// deliver. Otherwise streams on slow paths are cut in mid-answer when the retry budget is spent, although their runs
 /// are alive (seen once in 40 days with faults).
--- a/crates/gateway/src/request/run_search.rs
+++ b/crates/gateway/src/request/run_search.rs
@@ -1,9 +1,7 @@
 //! Starts a stream's run, trying further paths of engines while attempts are left.
 
 use crate::process::{Gateway, LivePath, PathReservation, check_first, check_path, check_refuser};
-use crate::request::run::{
-    NotStarted, RETRY_AFTER_FULL, Run, send, try_take_place, wait_for_permitted_place,
-};
+use crate::request::run::{NotStarted, Run, send, try_take_place, wait_for_permitted_place};
 use crate::request::{
     Call, FailedAttempt, RunningAttempts, abandon_call, forward_answer, log_failed_attempt,
 };
@@ -173,9 +171,13 @@
         }
         let has_ended = |endpoint: &Incarnation| gateway.is_confirmed_ended(endpoint);
         self.attempts.forget_ended(has_ended, |endpoint| gateway.is_listed(endpoint));
-        let place =
-            wait_for_permitted_place(gateway, call, self.attempts, self.avoid, capacity_until)
-                .await;
+        let place = tokio::select! {
+            biased;
+            place = wait_for_permitted_place(
+                gateway, call, self.attempts, self.avoid, capacity_until,
+            ) => place,
+            () = gateway.ending() => return Err(self.error_answer_or(NotStarted::Ending)),
+        };
         let place = place.map_err(|none| self.error_answer_or(NotStarted::NoPlace(none)))?;
         if self.attempts.is_repeat() && !self.gateway.spend_repeat(&self.call.service) {
             return Err(self.error_answer_or(NotStarted::RetriesExhausted));
@@ -300,7 +302,7 @@
         return abandon_call(
             call,
             AbandonedOutcome::Unknown,
-            RETRY_AFTER_FULL,
+            Duration::ZERO,
             "an engine's error answer was cut off",
         );
     };
--- a/crates/gateway/src/request/stream.rs
+++ b/crates/gateway/src/request/stream.rs
@@ -3,11 +3,13 @@
 use crate::process::{Count, Gateway, LivePath, NoPlace};
 use crate::request::estimate::expected_tokens;
 use crate::request::relay::Relay;
-use crate::request::run::{NotStarted, RETRY_AFTER_FULL, Run};
+use crate::request::return_delay::return_delay;
+use crate::request::run::{NotStarted, Run};
 use crate::request::run_search::start_run;
+use crate::request::shared_capacity::max_capacity_wait;
 use crate::request::{
     Call, RETRY_AFTER_ELSEWHERE, abandon_call, block_reason, block_retry_delay, held_reason,
-    held_retry_delay,
+    held_retry_delay, retry_delay,
 };
 use http::Response;
 use sorrellock_http::{AnswerBody, Cut};
@@ -24,8 +26,6 @@
 /// How long a request waits for free capacity before it is refused: less than a quarter of the usual latency target of
 /// 500 ms, so that another gateway can still serve the caller in time.
 const CAPACITY_WAIT_LIMIT: Duration = Duration::from_millis(100);
-/// Retry-After if no path exists: detecting a lost engine and loading its layers elsewhere takes about this long.
-const RETRY_AFTER_NO_PATH: Duration = Duration::from_millis(2_500);
 /// How long callers wait for the first event.
 const CALLER_FIRST_EVENT_LIMIT: Duration = Duration::from_secs(2);
 
@@ -37,7 +37,8 @@
     let mut attempts = Attempts::new(call.route.semantics, call.route.max_attempts);
     let last_event = call.head.last_event;
     let mut avoid = Vec::new();
-    let until = Instant::now() + CAPACITY_WAIT_LIMIT;
+    let max_wait = max_capacity_wait(&call).unwrap_or(CAPACITY_WAIT_LIMIT);
+    let until = call.arrived + max_wait;
     let mut began = start_run(&gateway, &call, &mut attempts, last_event, &mut avoid, until).await;
     if matches!(began, Err(NotStarted::NoPlace(_)))
         && attempts.abandoned_outcome(false) != AbandonedOutcome::NotRun
@@ -91,24 +92,29 @@
     call: &Call,
     not_started: &NotStarted,
 ) -> (Cow<'static, str>, Duration) {
-    let (why, retry_delay) = match not_started {
+    let why = match not_started {
         NotStarted::NoPlace(NoPlace::Blocked(block)) => {
             return (block_reason(*block, "engines").into(), block_retry_delay(*block));
         }
+        NotStarted::NoPlace(NoPlace::Refused { retry_after }) => {
+            return ("no capacity in time".into(), *retry_after);
+        }
         NotStarted::NoPlace(NoPlace::AttemptsSpent) => {
-            ("all engines that it may be sent to refused it", retry_delay_elsewhere(gateway, call))
+            let why = "all engines that it may be sent to refused it";
+            return (why.into(), retry_delay_elsewhere(gateway, call));
         }
-        NotStarted::NoPlace(NoPlace::LastPath) => {
-            ("it may crash the last engine that serves", RETRY_AFTER_NO_PATH)
+        NotStarted::Ending => {
+            let why = "this gateway ends before the first event";
+            return (why.into(), retry_delay(gateway, call.deadline));
         }
-        NotStarted::NoPlace(NoPlace::Full) => ("all paths are full", RETRY_AFTER_FULL),
-        NotStarted::NoPlace(NoPlace::NoPath) => ("no engines hold all layers", RETRY_AFTER_NO_PATH),
-        NotStarted::RetriesExhausted => ("no attempt or retry budget is left", RETRY_AFTER_FULL),
-        NotStarted::DeadlinePassed => ("the deadline has passed", RETRY_AFTER_FULL),
-        NotStarted::Ending => ("this gateway ends before the first event", RETRY_AFTER_FULL),
-        NotStarted::ErrorAnswer(_) | NotStarted::Held(_) => ("an engine failed", RETRY_AFTER_FULL),
+        NotStarted::NoPlace(NoPlace::LastPath) => "it may crash the last engine that serves",
+        NotStarted::NoPlace(NoPlace::Full) => "all paths are full",
+        NotStarted::NoPlace(NoPlace::NoPath) => "no engines hold all layers",
+        NotStarted::RetriesExhausted => "no attempt or retry budget is left",
+        NotStarted::DeadlinePassed => "the deadline has passed",
+        NotStarted::ErrorAnswer(_) | NotStarted::Held(_) => "an engine failed",
     };
-    (why.into(), retry_delay)
+    (why.into(), return_delay(gateway, call))
 }
 
 /// Returns the Retry-After of a request that may not be sent to further engines: at once if one has room for it.
@@ -120,7 +126,7 @@
         true => RETRY_AFTER_ELSEWHERE,
         false => {
             let block = gateway.service_block(&call.service);
-            block.map_or(RETRY_AFTER_FULL, block_retry_delay)
+            block.map_or_else(|| return_delay(gateway, call), block_retry_delay)
         }
     }
 }
--- a/crates/routing/tests/held_requests.rs
+++ b/crates/routing/tests/held_requests.rs
@@ -99,7 +99,7 @@
 #[test]
 fn records_that_lack_the_name_of_a_part_differ_from_those_that_have_it() {
     let named = HeldRequest { part: Some("bad0".to_owned()), ..record(0, 1, UNIX) };
-    let (mut one, other) = (merged(&[record(0, 1, UNIX)]), merged(&[named.clone()]));
+    let (mut one, other) = (merged(&[record(0, 1, UNIX)]), merged(std::slice::from_ref(&named)));
     let before = one.hash();
 
     one.merge(named, UNIX);
