Retry-After: bounded, by the floor of a rank and by repairs under way

A chain was lost for 4 s, and callers of the lower ranks were told to return after 10 to 30 s: the estimate took the loss for lasting, and counted on a tenth of the rate below more urgent requests. A rank counts on its floor now; the next data centre whose layers are loaded is forecast; nobody is told more than 4 s.

Test: callers_are_told_to_return_once_what_is_lost_is_repaired.

--- a/crates/core/src/process/admission/capacity_queue.rs
+++ b/crates/core/src/process/admission/capacity_queue.rs
@@ -7,8 +7,7 @@
 use crate::id::{Sequence, WorkspaceId};
 use crate::process::Queued;
 use crate::process::admission::{
-    MAX_RETRY_AFTER, Promises, QueueBounds, Rank, RankShares, RankedQueue, RequestIdentity,
-    StartRate,
+    Promises, QueueBounds, Rank, RankShares, RankedQueue, RequestIdentity, StartRate,
 };
 use crate::request::Refusal;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -21,16 +20,14 @@
 /// Share of the drain rate that returning callers are promised. The rest serves new requests in time: while the load stays
 /// above the capacity, all would be served late otherwise.
 const PROMISED_SHARE: f64 = 0.5;
-/// Longest time for which a promise is made: the estimate doesn't hold beyond it.
-const MAX_PROMISE: Duration = Duration::from_secs(10);
+/// Longest Retry-After: what is lost is repaired by then, or the load has changed, so that an estimate doesn't hold beyond it.
+const MAX_RETURN_DELAY: Duration = Duration::from_secs(4);
 /// Factor on the longest wait of callers that return as told: most don't try a third time, so that a late answer is worth
 /// more to them than a second refusal.
 pub const RETURN_WAIT_FACTOR: u32 = 4;
 /// Capacity that a request leaves to more urgent ones, as the time in which these ask for it: about the time after which
 /// the capacity of others is freed.
 const RESERVE_TIME: f64 = 0.06;
-/// Share of the drain rate that a rank may count on, however much work of more urgent ranks is offered.
-const MIN_RATE_SHARE: f64 = 0.1;
 /// Time between two checks of all waiting requests against the drain rate.
 const LATE_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -66,6 +63,15 @@
     Unfit,
 }
 
+/// Capacity that will be added.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Recovery {
+    /// Time until then.
+    pub after: Duration,
+    /// Factor by which the work that starts per second grows.
+    pub factor: f64,
+}
+
 /// The decision on a request.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum CapacityDecision {
@@ -113,6 +119,7 @@
     /// Requests that were offered since the last dispatch.
     offered: Vec<Sequence>,
     rate: StartRate,
+    recovery: Option<Recovery>,
     late_checked: Instant,
 }
 
@@ -129,6 +136,7 @@
             deadlines: BTreeSet::new(),
             offered: Vec::new(),
             rate: StartRate::new(now),
+            recovery: None,
             late_checked: now,
         }
     }
@@ -139,6 +147,11 @@
         self.rate.set_expected(tokens_per_second);
     }
 
+    /// Sets the capacity that is expected to be added, if any.
+    pub fn set_recovery(&mut self, recovery: Option<Recovery>) {
+        self.recovery = recovery;
+    }
+
     /// Returns the number of waiting requests.
     pub fn len(&self) -> usize {
         self.waiting.len()
@@ -330,21 +343,29 @@
     ) -> CapacityRefusal {
         let rank = rank_of(order);
         let rate = self.rate.get(now);
-        let own_rate = (rate - self.shares.offered_above(rank, now)).max(rate * MIN_RATE_SHARE);
-        let own_rate = own_rate * PROMISED_SHARE;
+        let floor = rate * self.shares.floor_share(rank, now);
+        let own_rate = (rate - self.shares.offered_above(rank, now)).max(floor) * PROMISED_SHARE;
         let waiting = self.waiting.work_of_higher_ranks(order.saturating_add(1));
         let ahead = waiting + self.promises.work_up_to(rank);
-        let retry_after = match own_rate > 0.0 {
-            true => Duration::try_from_secs_f64((ahead + tokens) / own_rate),
-            false => Ok(MIN_RETRY_AFTER),
-        };
-        let retry_after = retry_after.unwrap_or(MAX_RETRY_AFTER);
-        let retry_after = retry_after.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER);
-        if let Some(request) = request.filter(|_| retry_after <= MAX_PROMISE) {
+        let retry_after = self.time_for(ahead + tokens, own_rate);
+        if let Some(request) = request {
             self.promises.add(request, rank, tokens, retry_after, now);
         }
         CapacityRefusal { refusal, retry_after, ahead, rate }
     }
+
+    /// Returns the time in which `work` is done at a rate that grows once capacity is added.
+    fn time_for(&self, work: f64, rate: f64) -> Duration {
+        let seconds = match self.recovery {
+            Some(Recovery { after, factor }) if work > rate * after.as_secs_f64() => {
+                let left = work - rate * after.as_secs_f64();
+                after.as_secs_f64() + left / (rate * factor)
+            }
+            _ => work / rate,
+        };
+        let time = Duration::try_from_secs_f64(seconds).unwrap_or(MAX_RETURN_DELAY);
+        time.clamp(MIN_RETRY_AFTER, MAX_RETURN_DELAY)
+    }
 }
 
 /// Returns the place of a rank in the queue: lost runs and returning callers go before new requests of their rank.
--- a/crates/core/src/process/admission/rank_shares.rs
+++ b/crates/core/src/process/admission/rank_shares.rs
@@ -50,6 +50,14 @@
         above.map(|(_, served)| served.offered.per_second(now).tokens).sum()
     }
 
+    /// Returns the share of what starts that a rank gets in any case.
+    pub fn floor_share(&self, rank: Rank, now: Instant) -> f64 {
+        let offered = |served: &Served| served.offered.get(now).tokens;
+        let all: f64 = self.ranks.values().map(offered).sum();
+        let own = self.ranks.get(&rank).map_or(0.0, offered);
+        if all > 0.0 { FLOOR * own / all } else { FLOOR }
+    }
+
     /// Returns whether a rank is served so rarely that it goes first.
     pub fn is_behind(&self, rank: Rank, now: Instant) -> bool {
         let Some(served) = self.ranks.get(&rank) else { return false };
--- a/crates/core/tests/capacity_queue.rs
+++ b/crates/core/tests/capacity_queue.rs
@@ -4,7 +4,7 @@
 use rand::{RngExt, SeedableRng};
 use sorrellock_core::clock::{Clock, ManualClock};
 use sorrellock_core::process::admission::{
-    CapacityDecision, CapacityDemand, CapacityQueue, Placement, QueueBounds, Rank,
+    CapacityDecision, CapacityDemand, CapacityQueue, Placement, QueueBounds, Rank, Recovery,
 };
 use std::collections::{BTreeMap, HashMap};
 use std::time::{Duration, Instant};
@@ -50,6 +50,7 @@
     refused_again: u32,
     returned: u32,
     longest_refused: Duration,
+    longest_return: Duration,
 }
 
 struct World {
@@ -152,6 +153,7 @@
                 CapacityDecision::Start => outcome.started += 1,
                 CapacityDecision::Refuse(refusal) => {
                     outcome.refused_again += u32::from(sent.attempt > 0);
+                    outcome.longest_return = outcome.longest_return.max(refusal.retry_after);
                     outcome.longest_refused = outcome.longest_refused.max(now - sent.at);
                     if sent.attempt < one.returns {
                         self.returning.push((now + refusal.retry_after, sent));
@@ -313,3 +315,22 @@
     assert_eq!(workspaces[&first.expect("one waits")], 1, "b goes first now");
     assert_eq!(world.queue.waiting_by_rank().into_keys().collect::<Vec<_>>(), [1, 2]);
 }
+
+#[test]
+fn callers_are_told_to_return_once_what_is_lost_is_repaired() {
+    let longest_return = |recovery| {
+        let mut world = World::new();
+        world.run(&[callers("a", 1, capacity() * 0.8)], Duration::from_secs(3));
+        world.slots = SLOTS / 10;
+        world.queue.set_recovery(recovery);
+        world.run(&[callers("a", 1, capacity())], Duration::from_secs(3));
+        world.outcomes["a"].longest_return
+    };
+    let recovery = Recovery { after: Duration::from_millis(1_500), factor: 10.0 };
+
+    let unknown = longest_return(None);
+    let known = longest_return(Some(recovery));
+
+    assert!(known < unknown, "{known:?}, without a forecast {unknown:?}");
+    assert!(known > recovery.after, "{known:?}");
+}
--- a/crates/gateway/src/process/capacity/capacity_keeper.rs
+++ b/crates/gateway/src/process/capacity/capacity_keeper.rs
@@ -6,6 +6,7 @@
 use sorrellock_core::id::{Incarnation as GatewayIncarnation, Sequence};
 use sorrellock_core::process::admission::{
     CapacityDecision, CapacityDemand, CapacityQueue, CapacityRefusal, Placement, QueueBounds,
+    Recovery,
 };
 use sorrellock_routing::process::Incarnation;
 use sorrellock_routing::process::capacity::{
@@ -223,10 +224,12 @@
 
     fn dispatch_queue(&self, service: &str) {
         let expected_rate = self.expected_capacity_rate(service);
+        let recovery = self.expected_recovery(service);
         let mut keeper = self.capacity.borrow_mut();
         let CapacityKeeper { queues, waiting, grants, .. } = &mut *keeper;
         let Some(queue) = queues.get_mut(service) else { return };
         queue.set_expected_rate(expected_rate);
+        queue.set_recovery(recovery);
         let mut granted = HashMap::new();
         let decisions = queue.dispatch(|ticket, reserve| {
             let Some(waiting) = waiting.get(&ticket) else { return Placement::Unfit };
@@ -310,6 +313,15 @@
         if usual > 0.0 { tokens / usual } else { 0.0 }
     }
 
+    /// Returns when the next data centre has a path again, if some lack one.
+    fn expected_recovery(&self, service: &str) -> Option<Recovery> {
+        let now = Instant::now();
+        let (after, lost) = self.next_repair(service, now)?;
+        let serving = self.paths.borrow().data_centres(service, now).max(1);
+        // All of a data centre's engines count alike; those that wait for repair come back about together.
+        Some(Recovery { after, factor: 1.0 + lost as f64 / serving as f64 })
+    }
+
     /// Drops the grants that the other gateways' loads include by now, and returns the others.
     pub(crate) fn pending_grants(&self) -> Vec<(Incarnation, f64)> {
         let now = Instant::now();
--- a/crates/gateway/src/process/paths/path_refresh.rs
+++ b/crates/gateway/src/process/paths/path_refresh.rs
@@ -2,7 +2,7 @@
 
 use crate::process::{EngineAvailability, Gateway, LivePath};
 use sorrellock_routing::process::knowledge::Knowledge;
-use sorrellock_routing::process::{DataCentre, Holder, Incarnation, LayerRange};
+use sorrellock_routing::process::{DataCentre, Holder, Incarnation, LayerRange, repair_left};
 use sorrellock_routing::version::{ModelShape, ServiceName};
 use spdlog::{info, warn};
 use std::collections::{BTreeSet, HashMap};
@@ -44,7 +44,7 @@
             let mut paths = self.paths.borrow_mut();
             if paths.rebuild(&service.name, shape, &holders, availability, leaving_serves_for, now)
             {
-                let missing = fewest_missing(&holders, shape.layers);
+                let missing = missing_layers(&holders, shape.layers);
                 self.lost_layers.borrow_mut().set(&service.name, missing, now);
                 let gaps = gaps(&holders, shape.layers);
                 if !gaps.is_empty() {
@@ -111,38 +111,49 @@
     }
 }
 
-/// Returns the number of layers that the best data centre lacks for a path.
-fn fewest_missing(holders: &[Holder], layers: u32) -> u32 {
+/// Returns the number of layers that each data centre lacks for a path, where it lacks some.
+fn missing_layers(holders: &[Holder], layers: u32) -> HashMap<DataCentre, u32> {
     let data_centres: BTreeSet<&DataCentre> =
         holders.iter().map(|holder| &holder.data_centre).collect();
     let missing = data_centres.into_iter().map(|data_centre| {
         let here = holders.iter().filter(|holder| holder.data_centre == *data_centre);
         let is_held = |layer: &u32| here.clone().any(|holder| holder.layers.contains(*layer));
-        layers - (0..layers).filter(is_held).count() as u32
+        (data_centre.clone(), layers - (0..layers).filter(is_held).count() as u32)
     });
-    missing.min().unwrap_or(layers)
+    missing.filter(|(_, missing)| *missing > 0).collect()
 }
 
-/// Layers that no data centre holds all of, by service.
+/// Layers that data centres have lost, so that they have no path.
 #[derive(Default)]
 pub(crate) struct LostLayers {
-    by_service: HashMap<ServiceName, (u32, Instant)>,
+    by_service: HashMap<ServiceName, HashMap<DataCentre, (u32, Instant)>>,
 }
 
 impl LostLayers {
-    fn set(&mut self, service: &str, missing: u32, now: Instant) {
-        if missing == 0 {
-            self.by_service.remove(service);
-            return;
+    fn set(&mut self, service: &str, missing: HashMap<DataCentre, u32>, now: Instant) {
+        let lost = self.by_service.entry(service.to_owned()).or_default();
+        lost.retain(|data_centre, _| missing.contains_key(data_centre));
+        for (data_centre, missing) in missing {
+            lost.entry(data_centre).or_insert((missing, now)).0 = missing;
         }
-        let lost = self.by_service.entry(service.to_owned()).or_insert((missing, now));
-        lost.0 = missing;
     }
 
-    /// Returns the number of missing layers of a service without a path, and for how long they have been missing.
-    pub(crate) fn get(&self, service: &str, now: Instant) -> Option<(u32, Duration)> {
-        let (missing, since) = self.by_service.get(service)?;
-        Some((*missing, now - *since))
+    /// Returns, for each data centre without a path, the number of missing layers and for how long they have been missing.
+    fn get(&self, service: &str, now: Instant) -> Vec<(u32, Duration)> {
+        let lost = self.by_service.get(service).into_iter().flat_map(HashMap::values);
+        lost.map(|(missing, since)| (*missing, now - *since)).collect()
+    }
+}
+
+impl Gateway {
+    /// Returns the time until the first data centre without a path of a service has one again, and how many have none.
+    pub(crate) fn next_repair(&self, service: &str, now: Instant) -> Option<(Duration, usize)> {
+        let lost = self.lost_layers.borrow().get(service, now);
+        let knowledge = self.knowledge.borrow();
+        let mut services = knowledge.services(now.into_std());
+        let shape = services.find(|known| known.name == service)?.model.as_ref()?;
+        let left = lost.iter().map(|(missing, elapsed)| repair_left(shape, *missing, *elapsed));
+        Some((left.min()?, lost.len()))
     }
 }
 
--- a/crates/gateway/src/process/paths/path_table.rs
+++ b/crates/gateway/src/process/paths/path_table.rs
@@ -337,6 +337,12 @@
         self.choose(service, tokens, "", may_take, now).is_ok()
     }
 
+    /// Returns the number of data centres with a path of a service that takes new requests.
+    pub(crate) fn data_centres(&self, service: &str, now: Instant) -> usize {
+        let open = self.paths(service).iter().filter(|live| !live.is_avoided(now));
+        open.map(|live| &live.path.data_centre).collect::<BTreeSet<_>>().len()
+    }
+
     /// Returns the number of streams of all gateways on a service's paths.
     pub(crate) fn running_streams(&self, service: &str) -> u32 {
         let heads: BTreeSet<&Incarnation> =
--- a/crates/gateway/src/request/return_delay.rs
+++ b/crates/gateway/src/request/return_delay.rs
@@ -2,14 +2,16 @@
 
 use crate::process::Gateway;
 use crate::request::{Call, MAX_WAIT_SHARE};
-use sorrellock_routing::process::{ReturnForecast, repair_left};
+use sorrellock_routing::process::ReturnForecast;
 use std::time::Duration;
 use tokio::time::Instant;
 
 /// Returns when a caller may return as all paths are full, or as none exists.
 pub(super) fn return_delay(gateway: &Gateway, call: &Call) -> Duration {
     let now = Instant::now();
-    let opens_in = repair_delay(gateway, &call.service, now);
+    let has_path = !gateway.paths.borrow().first_engines(&call.service, now).is_empty();
+    let repair = gateway.next_repair(&call.service, now).filter(|_| !has_path);
+    let opens_in = repair.map(|(left, _)| left);
     let (streams, slots) = {
         let paths = gateway.paths.borrow();
         (paths.running_streams(&call.service), paths.slots(&call.service))
@@ -25,12 +27,3 @@
     let mut times = gateway.return_times.borrow_mut();
     times.entry(call.service.clone()).or_default().next(&forecast, max, now.into_std())
 }
-
-/// Returns the time until a service without a path has one again; `None` if it has one.
-fn repair_delay(gateway: &Gateway, service: &str, now: Instant) -> Option<Duration> {
-    let (missing, elapsed) = gateway.lost_layers.borrow().get(service, now)?;
-    let knowledge = gateway.knowledge.borrow();
-    let mut services = knowledge.services(now.into_std());
-    let shape = services.find(|known| known.name == service)?.model.as_ref()?;
-    Some(repair_left(shape, missing, elapsed))
-}
