Capacity: a grant counts until its gateway reports the load with it

The keeper counted a grant until a message came 50 ms after it. A refusal logs what it follows from: the best path's share, the reserve, the gateways in reach.

--- a/crates/core/src/process/admission/capacity_queue.rs
+++ b/crates/core/src/process/admission/capacity_queue.rs
@@ -92,6 +92,8 @@
     pub ahead: f64,
     /// Work started per second.
     pub rate: f64,
+    /// Tokens that requests of its rank leave to more urgent ones.
+    pub reserve: f64,
 }
 
 /// What the queue keeps of a waiting request beside its place.
@@ -351,7 +353,8 @@
         if let Some(request) = request {
             self.promises.add(request, rank, tokens, retry_after, now);
         }
-        CapacityRefusal { refusal, retry_after, ahead, rate }
+        let reserve = self.reserve(rank, now);
+        CapacityRefusal { refusal, retry_after, ahead, rate, reserve }
     }
 
     /// Returns the time in which `work` is done at a rate that grows once capacity is added.
--- a/crates/gateway/src/process/capacity/ask_capacity.rs
+++ b/crates/gateway/src/process/capacity/ask_capacity.rs
@@ -1,9 +1,10 @@
 //! Asks the gateway that gives out scarce capacity.
 
 use super::messages::{CAPACITY_PATH, CapacityAnswer, CapacityAsk};
-use crate::process::{Count, Gateway, PathReservation};
+use crate::process::{Count, Gateway, PathReservation, TakenGrant};
 use http::Method;
 use rand::RngExt;
+use sorrellock_core::id::{Incarnation as GatewayIncarnation, Sequence};
 use sorrellock_core::process::admission::RETURN_WAIT_FACTOR;
 use sorrellock_platform::Client;
 use sorrellock_routing::process::capacity::AlonePart;
@@ -32,13 +33,20 @@
     silent: HashMap<SocketAddr, Instant>,
     /// When each was last asked.
     asked: HashMap<SocketAddr, Instant>,
+    /// Number of the last grant that was taken, by the keeper that gave it.
+    taken: HashMap<GatewayIncarnation, Sequence>,
     /// What this gateway takes of each service while no keeper answers.
     alone: HashMap<ServiceName, AlonePart>,
 }
 
 impl CapacityKeepers {
     /// Drops what belongs to gateways that are gone.
-    pub(crate) fn retain(&mut self, is_live: impl Fn(&SocketAddr) -> bool) {
+    pub(crate) fn retain(
+        &mut self,
+        is_live: impl Fn(&SocketAddr) -> bool,
+        is_running: impl Fn(GatewayIncarnation) -> bool,
+    ) {
+        self.taken.retain(|keeper, _| is_running(*keeper));
         self.clients.retain(|addr, _| is_live(addr));
         self.silent.retain(|addr, _| is_live(addr));
         self.asked.retain(|addr, _| is_live(addr));
@@ -50,6 +58,12 @@
         recent.map(|(addr, _)| *addr)
     }
 
+    /// Returns the last grants that this gateway took, for its messages.
+    pub(crate) fn taken(&self) -> Vec<TakenGrant> {
+        let taken = self.taken.iter();
+        taken.map(|(keeper, number)| TakenGrant { keeper: *keeper, number: *number }).collect()
+    }
+
     fn is_silent(&self, addr: SocketAddr, now: Instant) -> bool {
         self.silent.get(&addr).is_some_and(|until| *until > now)
     }
@@ -81,6 +95,12 @@
             Some(addr) => self.call_keeper(addr, &ask).await,
             None => None,
         };
+        if let Some(CapacityAnswer::Granted { number, .. }) = &answer {
+            // The caller reserves it before another message is sent.
+            let mut keepers = self.capacity_keepers.borrow_mut();
+            let taken = keepers.taken.entry(keeper).or_default();
+            *taken = (*number).max(*taken);
+        }
         if answer.is_none() {
             self.counters.add(Count::CapacityUnanswered);
         }
@@ -100,9 +120,12 @@
     /// Drops what belongs to gateways that are gone.
     pub(crate) fn drop_old_keepers(&self) {
         let fleet_state = self.fleet_state.borrow();
-        let live = fleet_state.live_peers(Instant::now()).map(|peer| peer.addr);
-        let live: HashSet<SocketAddr> = live.collect();
-        self.capacity_keepers.borrow_mut().retain(|addr| live.contains(addr));
+        let (addrs, running): (HashSet<SocketAddr>, HashSet<GatewayIncarnation>) = fleet_state
+            .live_peers(Instant::now())
+            .map(|peer| (peer.addr, peer.message.incarnation))
+            .unzip();
+        let mut keepers = self.capacity_keepers.borrow_mut();
+        keepers.retain(|addr| addrs.contains(addr), |keeper| running.contains(&keeper));
     }
 
     async fn call_keeper(&self, addr: SocketAddr, ask: &CapacityAsk) -> Option<CapacityAnswer> {
--- a/crates/gateway/src/process/capacity/capacity_keeper.rs
+++ b/crates/gateway/src/process/capacity/capacity_keeper.rs
@@ -287,20 +287,26 @@
         self.counters.add(Count::CapacityGrants);
         if ask.gateway == self.incarnation {
             let place = PathReservation::new(&self.paths, live, ask.tokens, now);
-            return (CapacityAnswer::Granted { head }, Some(place));
+            return (CapacityAnswer::Granted { head, number: 0 }, Some(place));
         }
-        grants.add(ask.gateway, &head, ask.tokens, now.into_std());
+        let number = grants.add(ask.gateway, &head, ask.tokens, now.into_std());
         self.paths.borrow_mut().add_peer_load(&head, ask.tokens);
-        (CapacityAnswer::Granted { head }, None)
+        (CapacityAnswer::Granted { head, number }, None)
     }
 
     fn refuse_capacity(&self, ask: &CapacityAsk, refusal: CapacityRefusal) -> CapacityAnswer {
         self.counters.add(Count::CapacityRefusals);
         let retry_after_ms = refusal.retry_after.as_millis() as u32;
+        let (reach, gateways) = self.capacity_reach();
+        let is_any = |_: &Rc<LivePath>| true;
+        let now = Instant::now();
+        let best = self.paths.borrow().best(&ask.service, ask.tokens, "", is_any, now);
+        let share = best.map_or(0.0, |best| best.share);
         info!("capacity refused", kv: {
             service = ask.service.as_str(), workspace = ask.workspace.as_deref().unwrap_or(""), rank = ask.rank,
             tokens = ask.tokens as u64, why = refusal.refusal.name(), ahead = refusal.ahead as u64,
-            rate = refusal.rate as u64, retry_after_ms, gateway = ask.gateway
+            rate = refusal.rate as u64, reserve = refusal.reserve as u64, share, reach, gateways,
+            retry_after_ms, gateway = ask.gateway
         });
         CapacityAnswer::Refused { retry_after_ms }
     }
@@ -326,13 +332,13 @@
     pub(crate) fn pending_grants(&self) -> Vec<(Incarnation, f64)> {
         let now = Instant::now();
         let fleet_state = self.fleet_state.borrow();
-        let heard: HashMap<GatewayIncarnation, Instant> = fleet_state
+        let taken: HashMap<GatewayIncarnation, Sequence> = fleet_state
             .live_peers(now)
-            .map(|peer| (peer.message.incarnation, peer.last_contact))
+            .filter_map(|peer| Some((peer.message.incarnation, peer.taken_of(self.incarnation)?)))
             .collect();
-        let last_message = |gateway| heard.get(&gateway).map(|at| at.into_std());
+        let last_taken = |gateway| taken.get(&gateway).copied();
         let mut keeper = self.capacity.borrow_mut();
-        keeper.grants.drop_reported(last_message, now.into_std());
+        keeper.grants.drop_reported(last_taken, now.into_std());
         keeper.grants.iter().map(|(head, tokens)| (head.clone(), tokens)).collect()
     }
 }
--- a/crates/gateway/src/process/capacity/messages.rs
+++ b/crates/gateway/src/process/capacity/messages.rs
@@ -1,7 +1,7 @@
 //! Requests for capacity, and the answers.
 
 use serde::{Deserialize, Serialize};
-use sorrellock_core::id::Incarnation as GatewayIncarnation;
+use sorrellock_core::id::{Incarnation as GatewayIncarnation, Sequence};
 use sorrellock_core::process::admission::{Rank, RequestIdentity};
 use sorrellock_routing::process::{DataCentre, Incarnation};
 use sorrellock_routing::version::{ServiceName, WorkspaceName};
@@ -41,7 +41,12 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(crate) enum CapacityAnswer {
     /// It may be sent over the path that begins at this engine.
-    Granted { head: Incarnation },
+    Granted {
+        /// The engine.
+        head: Incarnation,
+        /// Number of the grant, for the report that includes it.
+        number: Sequence,
+    },
     /// There is none in time.
     Refused { retry_after_ms: u32 },
     /// This gateway can't tell.
--- a/crates/gateway/src/process/peers/fleet_state.rs
+++ b/crates/gateway/src/process/peers/fleet_state.rs
@@ -44,6 +44,12 @@
 }
 
 impl Peer {
+    /// Returns the number of the last grant of `keeper` that its loads include.
+    pub(crate) fn taken_of(&self, keeper: u64) -> Option<u64> {
+        let mut taken = self.message.capacity.taken.iter();
+        taken.find(|taken| taken.keeper == keeper).map(|taken| taken.number)
+    }
+
     /// Returns the time since its own data of a kind was last confirmed complete by the store.
     pub(crate) fn store_contact(&self, kind: Kind, now: Instant) -> Option<Duration> {
         let age_ms = match kind {
--- a/crates/gateway/src/process/peers/peer_message.rs
+++ b/crates/gateway/src/process/peers/peer_message.rs
@@ -66,6 +66,9 @@
     /// Encoded after the extension.
     #[serde(skip)]
     pub(crate) view: ViewPart,
+    /// Encoded after the view.
+    #[serde(skip)]
+    pub(crate) capacity: CapacityPart,
 }
 
 /// Fields that follow those of the format version. Gateways that don't know them skip them, and those that do read
@@ -90,12 +93,29 @@
     pub(crate) update: Option<ViewUpdate>,
 }
 
+/// What the sender took of the capacity that other gateways give out.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub(crate) struct CapacityPart {
+    /// The last grant that the sender's loads include, of each keeper.
+    pub(crate) taken: Vec<TakenGrant>,
+}
+
+/// The last grant of a keeper that a gateway took.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct TakenGrant {
+    /// The gateway that granted it.
+    pub(crate) keeper: u64,
+    /// Its number.
+    pub(crate) number: u64,
+}
+
 impl PeerMessage {
     /// Encodes the message, after a byte for the format version.
     pub(crate) fn encode(&self) -> Result<Vec<u8>, postcard::Error> {
         let buf = postcard::to_extend(self, vec![FORMAT])?;
         let buf = postcard::to_extend(&self.extension, buf)?;
-        postcard::to_extend(&self.view, buf)
+        let buf = postcard::to_extend(&self.view, buf)?;
+        postcard::to_extend(&self.capacity, buf)
     }
 
     /// Decodes a message.
@@ -107,8 +127,9 @@
         let (message, rest) =
             postcard::take_from_bytes(message).map_err(|_| Unreadable::Malformed)?;
         let (extension, rest) = take_part(rest)?;
-        let (view, _) = take_part(rest)?;
-        Ok(PeerMessage { extension, view, ..message })
+        let (view, rest) = take_part(rest)?;
+        let (capacity, _) = take_part(rest)?;
+        Ok(PeerMessage { extension, view, capacity, ..message })
     }
 }
 
--- a/crates/gateway/src/process/peers/peers.rs
+++ b/crates/gateway/src/process/peers/peers.rs
@@ -2,7 +2,8 @@
 //! how recent each gateway's data from the store is.
 
 use crate::process::{
-    Count, Extension, Gateway, HeadLoad, Load, Peer, PeerMessage, Unreadable, ViewPart,
+    CapacityPart, Count, Extension, Gateway, HeadLoad, Load, Peer, PeerMessage, Unreadable,
+    ViewPart,
 };
 use sorrellock_platform::Kind;
 use sorrellock_routing::process::lead_view::{
@@ -169,6 +170,7 @@
             lead: None,
             extension,
             view: self.view_part(now),
+            capacity: CapacityPart { taken: gateway.capacity_keepers.borrow().taken() },
         }
     }
 
--- a/crates/gateway/src/request/shared_capacity.rs
+++ b/crates/gateway/src/request/shared_capacity.rs
@@ -66,7 +66,7 @@
     };
     match gateway.ask_capacity(ask).await {
         (CapacityAnswer::Granted { .. }, Some(place)) => Some(Ok(place)),
-        (CapacityAnswer::Granted { head }, None) => {
+        (CapacityAnswer::Granted { head, .. }, None) => {
             let now = Instant::now();
             let live = gateway.paths.borrow().open_path(&call.service, &head, now)?;
             Some(Ok(PathReservation::new(&gateway.paths, &live, tokens, now)))
--- a/crates/routing/src/process/capacity/pending_grants.rs
+++ b/crates/routing/src/process/capacity/pending_grants.rs
@@ -1,17 +1,16 @@
 //! Capacity that was given out, and that the loads of its gateways don't show yet.
 
 use crate::process::Incarnation;
-use sorrellock_core::id::Incarnation as GatewayIncarnation;
+use sorrellock_core::id::{Incarnation as GatewayIncarnation, Sequence};
 use std::time::{Duration, Instant};
 
-/// Time from a grant until its gateway's messages show it: the answer's way, and the turn of a busy event loop.
-const TRAVEL_TIME: Duration = Duration::from_millis(50);
-/// Longest time that a grant counts without a message of its gateway. By then the gateway is gone.
+/// Longest time that a grant counts whose gateway doesn't report it. By then its answer was lost, or the gateway is gone.
 const GRANT_TIMEOUT: Duration = Duration::from_secs(2);
 
 #[derive(Clone, Debug)]
 struct Grant {
     gateway: GatewayIncarnation,
+    number: Sequence,
     head: Incarnation,
     tokens: f64,
     at: Instant,
@@ -21,29 +20,33 @@
 #[derive(Debug, Default)]
 pub struct PendingGrants {
     grants: Vec<Grant>,
+    last_number: Sequence,
 }
 
 impl PendingGrants {
-    /// Records a grant of `tokens` on the path that begins at `head`.
+    /// Records a grant of `tokens` on the path that begins at `head`. Returns its number, which increases with each grant.
     pub fn add(
         &mut self,
         gateway: GatewayIncarnation,
         head: &Incarnation,
         tokens: f64,
         now: Instant,
-    ) {
-        self.grants.push(Grant { gateway, head: head.clone(), tokens, at: now });
+    ) -> Sequence {
+        self.last_number += 1;
+        let (number, head) = (self.last_number, head.clone());
+        self.grants.push(Grant { gateway, number, head, tokens, at: now });
+        number
     }
 
-    /// Drops the grants that reported loads include. `last_message` returns when a gateway's latest message arrived.
+    /// Drops the grants that reported loads include. `last_taken` returns the highest number of the grants that a gateway's
+    /// latest message includes.
     pub fn drop_reported(
         &mut self,
-        last_message: impl Fn(GatewayIncarnation) -> Option<Instant>,
+        last_taken: impl Fn(GatewayIncarnation) -> Option<Sequence>,
         now: Instant,
     ) {
         self.grants.retain(|grant| {
-            let is_reported =
-                last_message(grant.gateway).is_some_and(|at| at >= grant.at + TRAVEL_TIME);
+            let is_reported = last_taken(grant.gateway).is_some_and(|last| last >= grant.number);
             !is_reported && now.saturating_duration_since(grant.at) < GRANT_TIMEOUT
         });
     }
--- a/crates/routing/tests/capacity.rs
+++ b/crates/routing/tests/capacity.rs
@@ -65,21 +65,22 @@
 }
 
 #[test]
-fn a_grant_counts_until_a_message_that_was_sent_after_it() {
+fn a_grant_counts_until_its_gateway_reports_a_load_with_it() {
     let (mut grants, now) = (PendingGrants::default(), Instant::now());
-    grants.add(1, &incarnation("a"), 500.0, now);
+    let first = grants.add(1, &incarnation("a"), 500.0, now);
+    grants.add(1, &incarnation("a"), 700.0, now);
     grants.add(2, &incarnation("b"), 600.0, now);
-    let heard = |at: Duration| move |gateway: u64| (gateway == 1).then_some(now + at);
+    let taken = |last: u64| move |gateway: u64| (gateway == 1).then_some(last);
 
-    grants.drop_reported(heard(ms(20)), now + ms(30));
+    grants.drop_reported(taken(first - 1), now + ms(30));
     let before = grants.iter().count();
-    grants.drop_reported(heard(ms(80)), now + ms(90));
+    grants.drop_reported(taken(first), now + ms(90));
     let after: Vec<f64> = grants.iter().map(|(_, tokens)| tokens).collect();
-    grants.drop_reported(heard(ms(80)), now + ms(2_100));
+    grants.drop_reported(taken(first), now + ms(2_100));
 
-    assert_eq!(before, 2, "a message right after a grant may not include it");
-    assert_eq!(after, [600.0]);
-    assert_eq!(grants.iter().count(), 0, "its gateway is gone");
+    assert_eq!(before, 3);
+    assert_eq!(after, [700.0, 600.0]);
+    assert_eq!(grants.iter().count(), 0, "their answers were lost");
 }
 
 #[test]
--- a/crates/routing/tests/capacity_fleet/gateway.rs
+++ b/crates/routing/tests/capacity_fleet/gateway.rs
@@ -23,6 +23,8 @@
     pub incarnation: u64,
     pub at: Instant,
     pub loads: Loads,
+    /// Number of the last grant that they include, by the gateway that granted it.
+    pub taken: HashMap<u64, u64>,
 }
 
 pub struct Gateway {
@@ -38,6 +40,8 @@
     pub sharers: Sharers,
     /// When a stream of its ended that the keeper wasn't told of.
     pub freed_at: Option<Instant>,
+    /// Number of the last grant that it took, by the gateway that granted it.
+    pub taken: HashMap<u64, u64>,
 }
 
 impl Gateway {
@@ -58,6 +62,7 @@
             term: CapacityTerm::default(),
             sharers,
             freed_at: None,
+            taken: HashMap::new(),
         }
     }
 
@@ -93,9 +98,10 @@
 
     /// Load of all others at each engine, with what was granted to them since.
     pub fn other_loads(&mut self, engines: usize, now: Instant) -> Vec<(f64, u32)> {
-        let heard: HashMap<u64, Instant> =
-            self.live(now).map(|heard| (heard.incarnation, heard.at)).collect();
-        self.grants.drop_reported(|gateway| heard.get(&gateway).copied(), now);
+        let own = self.incarnation;
+        let taken = |heard: &Heard| (heard.incarnation, heard.taken.get(&own).copied());
+        let taken: HashMap<u64, Option<u64>> = self.live(now).map(taken).collect();
+        self.grants.drop_reported(|gateway| taken.get(&gateway).copied().flatten(), now);
         let mut all = vec![(0.0, 0); engines];
         for heard in self.live(now) {
             for (sum, load) in all.iter_mut().zip(heard.loads.iter()) {
--- a/crates/routing/tests/capacity_fleet/world.rs
+++ b/crates/routing/tests/capacity_fleet/world.rs
@@ -55,15 +55,16 @@
         from: usize,
         incarnation: u64,
         loads: Loads,
+        taken: HashMap<u64, u64>,
     },
     Ask {
         to: u64,
         request: u64,
     },
-    /// The engine that was granted, or a refusal.
+    /// The gateway that granted it, the number of the grant and the engine, or a refusal.
     Answer {
         request: u64,
-        engine: Option<usize>,
+        grant: Option<(u64, u64, usize)>,
     },
 }
 
@@ -200,14 +201,23 @@
         due.sort_by_key(|(at, _)| *at);
         for (_, event) in due {
             match event {
-                Event::Message { to, from, incarnation, loads } if self.gateways[to].runs(now) => {
-                    let heard = Heard { incarnation, at: now, loads };
+                Event::Message { to, from, incarnation, loads, taken }
+                    if self.gateways[to].runs(now) =>
+                {
+                    let heard = Heard { incarnation, at: now, loads, taken };
                     self.gateways[to].heard.insert(from, heard);
                     self.gateways[to].sharers.on_message(&from.to_string(), now);
                 }
                 Event::Message { .. } => {}
                 Event::Ask { to, request } => self.on_ask(to, request, now),
-                Event::Answer { request, engine } => self.on_answer(request, engine, now),
+                Event::Answer { request, grant } => {
+                    if let (Some((keeper, number, _)), Some(sent)) =
+                        (grant, self.requests.get(&request))
+                    {
+                        self.gateways[sent.gateway].taken.insert(keeper, number);
+                    }
+                    self.on_answer(request, grant.map(|(_, _, engine)| engine), now);
+                }
             }
         }
     }
@@ -331,24 +341,24 @@
                     return Placement::Full;
                 }
                 loads[engine] = (loads[engine].0 + request.tokens, loads[engine].1 + 1);
-                if request.from != own {
+                let number = if request.from != own {
                     let head = Incarnation::new(engine.to_string(), None);
-                    grants.add(request.from, &head, request.tokens, now);
-                }
-                granted.insert(id, engine);
+                    grants.add(request.from, &head, request.tokens, now)
+                } else {
+                    0
+                };
+                granted.insert(id, (own, number, engine));
                 Placement::Placed
             });
             for (id, decision) in decisions {
-                let engine = match decision {
+                let grant = match decision {
                     CapacityDecision::Start => granted.get(&id).copied(),
                     CapacityDecision::Refuse(_) => None,
                 };
-                let is_own = self.requests.get(&id).is_some_and(|one| one.from == own);
-                let travel = if is_own { Duration::ZERO } else { TRAVEL };
-                if travel.is_zero() {
-                    self.on_answer(id, engine, now);
+                if self.requests.get(&id).is_some_and(|one| one.from == own) {
+                    self.on_answer(id, grant.map(|(_, _, engine)| engine), now);
                 } else {
-                    self.events.push((now + travel, Event::Answer { request: id, engine }));
+                    self.events.push((now + TRAVEL, Event::Answer { request: id, grant }));
                 }
             }
         }
@@ -374,8 +384,8 @@
                 let is_target = is_turn || self.gateways[to].incarnation == keeper;
                 let is_lost = self.cut_off.contains(&to) || self.rng.random_bool(self.loss);
                 if to != from && is_target && !is_lost {
-                    let loads = Rc::clone(&loads);
-                    let message = Event::Message { to, from, incarnation, loads };
+                    let (loads, taken) = (Rc::clone(&loads), self.gateways[from].taken.clone());
+                    let message = Event::Message { to, from, incarnation, loads, taken };
                     self.events.push((now + TRAVEL, message));
                 }
             }
