Capacity: what is taken without asking is a part as well; requests for capacity are checked; explain by group

With few slots a burst over-filled engines before anybody asked: three gateways took 29 streams where 24 fit within one message interval. Below 60 % of a path a gateway takes no more than its part of what is free there, and asks for the rest. A request for capacity with values out of range is refused, naming the field.

--- a/crates/cli/src/cli/args.rs
+++ b/crates/cli/src/cli/args.rs
@@ -1,5 +1,6 @@
 //! Arguments of `sorrellock`, each also a `SORRELLOCK_…` variable.
 
+use crate::explain::Grouping;
 use clap::{Arg, ArgAction, Command, ValueHint, value_parser};
 use clap_complete::Shell;
 use std::net::SocketAddr;
@@ -140,6 +141,12 @@
         .arg(ms("pause-ms", "300", "Pause between two events that callers accept"))
         .arg(ms("period-ms", "2000", "Length of the periods in the CSV"))
         .arg(named("csv").value_name("FILE").help("Writes requests by period and cause there"))
+        .arg(
+            named("group")
+                .value_name("FIELD")
+                .value_parser(Grouping::NAMES)
+                .help("Also counts those refused, late and failed by this field of their requests"),
+        )
 }
 
 fn completions() -> Command {
--- a/crates/cli/src/explain/account.rs
+++ b/crates/cli/src/explain/account.rs
@@ -1,6 +1,6 @@
 //! Counts requests by cause and by the time at which they came.
 
-use super::{Cause, LogFields, LogLine, StreamEnd, common_reason};
+use super::{Cause, GroupTable, Grouping, LogFields, LogLine, StreamEnd, common_reason};
 use std::collections::{BTreeMap, HashMap};
 
 /// What callers expect of a stream, and how times are grouped.
@@ -15,9 +15,10 @@
 }
 
 /// What is known of a request that has not ended.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct Open {
     taken_at: u64,
+    group: Option<String>,
     sends: u32,
     has_moved: bool,
     has_waited: bool,
@@ -33,6 +34,8 @@
     causes: BTreeMap<u64, BTreeMap<Cause, u64>>,
     /// Requests of each period.
     taken: BTreeMap<u64, u64>,
+    grouping: Option<Grouping>,
+    groups: GroupTable,
 }
 
 impl Account {
@@ -44,16 +47,27 @@
             open: HashMap::new(),
             causes: BTreeMap::new(),
             taken: BTreeMap::new(),
+            grouping: None,
+            groups: GroupTable::new(),
         }
     }
 
+    /// Counts requests by group as well.
+    pub fn with_grouping(self, grouping: Option<Grouping>) -> Account {
+        Account { grouping, ..self }
+    }
+
     /// Counts a line.
     pub fn add(&mut self, line: &LogLine) {
         let Some(request) = line.fields.request.clone() else { return };
         match line.event.as_str() {
             "request taken" => {
                 self.began_at.get_or_insert(line.timestamp);
-                let open = Open { taken_at: line.timestamp, ..Open::default() };
+                let group = self.grouping.map(|grouping| grouping.group(&line.fields));
+                if let Some(group) = &group {
+                    self.groups.entry(group.clone()).or_default().taken += 1;
+                }
+                let open = Open { taken_at: line.timestamp, group, ..Open::default() };
                 self.open.insert(request, open);
                 *self.taken.entry(self.period(line.timestamp)).or_default() += 1;
             }
@@ -75,21 +89,24 @@
     fn on_end(&mut self, request: &str, end: &LogFields) {
         let Some(open) = self.open.remove(request) else { return };
         if let Some(cause) = cause(&self.aims, &open, end) {
-            self.count(open.taken_at, cause);
+            self.count(&open, cause);
         }
     }
 
     /// Counts those that have no end yet. Returns the account as a table.
     pub fn finish(mut self) -> CauseTable {
         for (_, open) in std::mem::take(&mut self.open) {
-            self.count(open.taken_at, Cause::NoEnd);
+            self.count(&open, Cause::NoEnd);
         }
         let period_ms = self.aims.period_ms;
-        CauseTable { period_ms, taken: self.taken, causes: self.causes }
+        CauseTable { period_ms, taken: self.taken, causes: self.causes, groups: self.groups }
     }
 
-    fn count(&mut self, at: u64, cause: Cause) {
-        *self.causes.entry(self.period(at)).or_default().entry(cause).or_default() += 1;
+    fn count(&mut self, open: &Open, cause: Cause) {
+        if let Some(group) = &open.group {
+            self.groups.entry(group.clone()).or_default().count(&cause);
+        }
+        *self.causes.entry(self.period(open.taken_at)).or_default().entry(cause).or_default() += 1;
     }
 
     fn period(&self, at: u64) -> u64 {
@@ -130,9 +147,15 @@
     period_ms: u64,
     taken: BTreeMap<u64, u64>,
     causes: BTreeMap<u64, BTreeMap<Cause, u64>>,
+    groups: GroupTable,
 }
 
 impl CauseTable {
+    /// Returns the counts by group; empty without a grouping.
+    pub fn groups(&self) -> &GroupTable {
+        &self.groups
+    }
+
     /// Returns how many requests were taken.
     pub fn taken(&self) -> u64 {
         self.taken.values().sum()
--- a/crates/cli/src/explain/log_line.rs
+++ b/crates/cli/src/explain/log_line.rs
@@ -27,6 +27,15 @@
     pub why: Option<String>,
     /// How long it took, in ms.
     pub ms: Option<u64>,
+    /// The workspace that sent it.
+    pub workspace: Option<String>,
+    /// Its rank.
+    pub rank: Option<u32>,
+    /// Its route.
+    pub route: Option<String>,
+    /// The data centre of the gateway that took it.
+    #[serde(rename = "at")]
+    pub data_centre: Option<String>,
 }
 
 impl LogLine {
--- a/crates/cli/src/explain/run.rs
+++ b/crates/cli/src/explain/run.rs
@@ -1,6 +1,6 @@
 //! Reads logs and prints the account.
 
-use super::{Account, Aims, Cause, CauseTable, ExplainError, LogLine};
+use super::{Account, Aims, Cause, CauseTable, ExplainError, GroupCounts, Grouping, LogLine};
 use crate::operate::aligned;
 use clap::ArgMatches;
 use csv::Writer;
@@ -18,7 +18,8 @@
         pause_ms: number("pause-ms"),
         period_ms: number("period-ms"),
     };
-    let mut account = Account::new(aims);
+    let grouping = args.get_one::<String>("group").and_then(|name| Grouping::parse(name));
+    let mut account = Account::new(aims).with_grouping(grouping);
     for file in args.get_many::<String>("log").expect("it is required") {
         read(file, &mut account).map_err(|source| error("read", file, source))?;
     }
@@ -28,6 +29,9 @@
     }
     // A reader that has gone has read what it wanted.
     let _ = writeln!(stdout(), "{} requests\n{}", table.taken(), text(&table));
+    if !table.groups().is_empty() {
+        let _ = writeln!(stdout(), "\n{}", group_text(&table));
+    }
     Ok(())
 }
 
@@ -57,6 +61,17 @@
     aligned(&["cause", "requests", "% of all"], table.by_cause().into_iter().map(row))
 }
 
+fn group_text(table: &CauseTable) -> String {
+    let row = |(group, counts): (&String, &GroupCounts)| {
+        let GroupCounts { taken, refused, late, failed } = *counts;
+        let share = |count: u64| format!("{:.2}", 100.0 * count as f64 / taken.max(1) as f64);
+        let shares = [refused, late, failed].map(share);
+        [vec![group.clone(), taken.to_string()], shares.to_vec()].concat()
+    };
+    let head = ["group", "requests", "% refused", "% late", "% failed"];
+    aligned(&head, table.groups().iter().map(row))
+}
+
 /// Returns a row for each period and cause: start in s, requests of the period, cause, requests of the cause.
 fn csv_text(table: &CauseTable) -> Vec<u8> {
     let mut writer = Writer::from_writer(Vec::new());
--- a/crates/cli/tests/explain.rs
+++ b/crates/cli/tests/explain.rs
@@ -1,6 +1,8 @@
 //! Requests by cause, from the logs of gateways.
 
-use sorrellock_cli::explain::{Account, Aims, Cause, LogLine, common_reason};
+use sorrellock_cli::explain::{
+    Account, Aims, Cause, GroupCounts, Grouping, LogLine, common_reason,
+};
 use std::fs;
 use std::process::Command;
 
@@ -150,3 +152,36 @@
     assert_eq!(ran.status.code(), Some(2));
     assert!(String::from_utf8_lossy(&ran.stderr).contains("can't read /nowhere/day.log"));
 }
+
+#[test]
+fn requests_are_counted_by_a_field_of_their_first_line() {
+    let taken = |request: &str, workspace: &str, rank: u32| {
+        let fields = format!(
+            r#""request":"{request}","workspace":"{workspace}","rank":{rank},"route":"r","at":"north""#
+        );
+        line(1_000, "request taken", &fields)
+    };
+    let lines = [
+        taken("a", "treasury", 0),
+        ended("a", "not run", "no capacity in time"),
+        taken("b", "treasury", 1),
+        stream("b", 601, 0, 0),
+        taken("c", "", 1),
+    ];
+    let by = |grouping| {
+        let mut account = Account::new(AIMS).with_grouping(Some(grouping));
+        lines.iter().filter_map(|line| LogLine::parse(line)).for_each(|line| account.add(&line));
+        account.finish().groups().clone()
+    };
+
+    let workspaces = by(Grouping::Workspace);
+    let ranks = by(Grouping::Rank);
+
+    let counts = |taken, refused, late, failed| GroupCounts { taken, refused, late, failed };
+    assert_eq!(workspaces["treasury"], counts(2, 1, 1, 0));
+    assert_eq!(workspaces["-"], counts(1, 0, 0, 1), "no workspace");
+    assert_eq!(ranks["1"], counts(2, 0, 1, 1));
+    assert_eq!(by(Grouping::Route)["r"].taken, 3);
+    assert_eq!(by(Grouping::DataCentre)["north"].taken, 3);
+    assert_eq!(Grouping::parse("data-centre"), Some(Grouping::DataCentre));
+}
--- a/crates/gateway/src/process/capacity/ask_capacity.rs
+++ b/crates/gateway/src/process/capacity/ask_capacity.rs
@@ -1,7 +1,7 @@
 //! Asks the gateway that gives out scarce capacity.
 
 use super::messages::{CAPACITY_PATH, CapacityAnswer, CapacityAsk};
-use crate::process::{Count, Gateway, PathReservation, TakenGrant};
+use crate::process::{Count, Gateway, MAX_UTILIZATION, PathChoice, PathReservation, TakenGrant};
 use http::Method;
 use rand::RngExt;
 use sorrellock_core::id::{Incarnation as GatewayIncarnation, Sequence};
@@ -24,6 +24,10 @@
 /// Time after a request for capacity in which its keeper gets this gateway's load at once: as long as a burst pauses.
 const INTEREST_TIME: Duration = Duration::from_secs(1);
 
+/// Share of a path's capacity from which it counts as scarce. Below it, a gateway takes its part of what is free without
+/// asking.
+const SCARCE_FROM: f64 = 0.6;
+
 /// The gateways that keep capacity, as this one knows them.
 #[derive(Default)]
 pub(crate) struct CapacityKeepers {
@@ -37,6 +41,8 @@
     taken: HashMap<GatewayIncarnation, Sequence>,
     /// What this gateway takes of each service while no keeper answers.
     alone: HashMap<ServiceName, AlonePart>,
+    /// What it takes without asking while there is plenty.
+    plenty: HashMap<ServiceName, AlonePart>,
 }
 
 impl CapacityKeepers {
@@ -107,14 +113,20 @@
         (answer.unwrap_or(CapacityAnswer::Unknown), None)
     }
 
-    /// Returns whether this gateway may take `tokens` of the capacity of a service while no keeper answers.
-    pub(crate) fn take_alone(&self, service: &str, tokens: f64, limit: f64, live: usize) -> bool {
-        let now = Instant::now();
-        let free = self.paths.borrow().free(service, limit, now);
+    /// Returns whether this gateway may take `tokens` of the best path while no keeper answers.
+    pub(crate) fn take_alone(&self, service: &str, tokens: f64, best: &PathChoice) -> bool {
+        let (reach, live) = self.capacity_reach();
+        let limit = MAX_UTILIZATION * reach;
         let mut keepers = self.capacity_keepers.borrow_mut();
-        let part = keepers.alone.entry(service.to_owned()).or_default();
-        let draw = rand::rng().random_range(0.0..1.0);
-        part.take(tokens, free, live, draw, now.into_std())
+        best.share <= limit && take_part(&mut keepers.alone, service, tokens, best, limit, live)
+    }
+
+    /// Returns whether this gateway may take `tokens` of the best path without asking, as there is plenty.
+    pub(crate) fn take_plenty(&self, service: &str, tokens: f64, best: &PathChoice) -> bool {
+        let (reach, live) = self.capacity_reach();
+        let mut keepers = self.capacity_keepers.borrow_mut();
+        best.share <= SCARCE_FROM * reach
+            && take_part(&mut keepers.plenty, service, tokens, best, reach, live)
     }
 
     /// Drops what belongs to gateways that are gone.
@@ -150,3 +162,20 @@
         }
     }
 }
+
+/// Takes a request's share of a path out of this gateway's part of what is free there below `limit`.
+fn take_part(
+    parts: &mut HashMap<ServiceName, AlonePart>,
+    service: &str,
+    tokens: f64,
+    best: &PathChoice,
+    limit: f64,
+    live: usize,
+) -> bool {
+    let (path, slots) = (&best.live.path, f64::from(best.live.slots));
+    let share = (tokens / path.token_capacity.max(1.0)).max(1.0 / slots);
+    let free = limit - (best.share - share);
+    let draw = rand::rng().random_range(0.0..1.0);
+    let part = parts.entry(service.to_owned()).or_default();
+    part.take(share, free, live, draw, Instant::now().into_std())
+}
--- a/crates/gateway/src/process/capacity/messages.rs
+++ b/crates/gateway/src/process/capacity/messages.rs
@@ -37,6 +37,25 @@
     pub(crate) excluded: Vec<Incarnation>,
 }
 
+/// Longest time that a request may wait for capacity: no target is longer.
+pub(crate) const MAX_WAIT_MS: u32 = 60_000;
+/// Most tokens of a request: more than any engine holds.
+const MAX_TOKENS: f64 = 1e9;
+
+impl CapacityAsk {
+    /// Checks the values that a gateway may send. Returns the invalid field, and what it must be.
+    pub(crate) fn check(&self) -> Result<(), String> {
+        if !self.tokens.is_finite() || !(0.0..=MAX_TOKENS).contains(&self.tokens) {
+            return Err(format!("`tokens` is {}, and must be 0 to {MAX_TOKENS}", self.tokens));
+        }
+        if self.max_wait_ms > MAX_WAIT_MS {
+            let ms = self.max_wait_ms;
+            return Err(format!("`max_wait_ms` is {ms}, and must be at most {MAX_WAIT_MS}"));
+        }
+        Ok(())
+    }
+}
+
 /// The answer to a request for capacity.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(crate) enum CapacityAnswer {
--- a/crates/gateway/src/process/listeners.rs
+++ b/crates/gateway/src/process/listeners.rs
@@ -110,6 +110,7 @@
     let ask = body.and_then(|body| {
         serde_json::from_slice::<CapacityAsk>(&body.to_bytes()).map_err(|err| err.to_string())
     });
+    let ask = ask.and_then(|ask| ask.check().map(|()| ask));
     match ask {
         Ok(ask) => json(&gateway.decide_capacity(ask).await.0),
         Err(err) => {
--- a/crates/gateway/src/process/paths/path_table.rs
+++ b/crates/gateway/src/process/paths/path_table.rs
@@ -355,22 +355,6 @@
         self.paths(service).iter().map(|live| live.slots).max().unwrap_or_default()
     }
 
-    /// Returns the tokens that are free below a share of the capacity. Paths of a data centre share engines, so that its
-    /// emptiest one counts for all.
-    pub(crate) fn free(&self, service: &str, limit: f64, now: Instant) -> f64 {
-        let used = self.kv_used(service);
-        let mut free: HashMap<&str, f64> = HashMap::new();
-        for live in self.paths(service).iter().filter(|live| !live.is_avoided(now)) {
-            let begun = self.head_streams(service, &live.path.first().incarnation);
-            let of_slots = f64::from(begun) / f64::from(live.slots);
-            let share = self.utilization(live, &used, 0.0).max(of_slots);
-            let tokens = (limit - share).max(0.0) * live.path.token_capacity;
-            let most = free.entry(&live.path.data_centre).or_default();
-            *most = most.max(tokens);
-        }
-        free.into_values().sum()
-    }
-
     /// Chooses the path with the highest share of free capacity among those that the request may take.
     pub(crate) fn choose(
         &self,
--- a/crates/gateway/src/request/request_handler.rs
+++ b/crates/gateway/src/request/request_handler.rs
@@ -90,7 +90,7 @@
         sends: Sends::default(),
         is_trial: Cell::new(false),
     };
-    log_admitted(&call, &routes);
+    log_admitted(&call, &routes, &gateway.settings.data_centre);
     let has_model = routes.service(&call.service).is_some_and(|service| service.model.is_some());
     if !can_finish(&gateway, &call, has_model) {
         call.end.report_refused_leaving();
@@ -242,14 +242,14 @@
     gateway.knowledge.borrow().routes().cloned()
 }
 
-fn log_admitted(call: &Call, routes: &RouteTable) {
+fn log_admitted(call: &Call, routes: &RouteTable, data_centre: &str) {
     let (version, rank) = (routes.version(), call.rank);
     let left_ms = call.time_left().as_millis() as u64;
     let tokens = call.head.tokens.map_or(0, |tokens| tokens.prompt + tokens.max_output);
     info!("request taken", kv: {
         request = call.id(), route = call.route.name.as_str(), service = call.service.as_str(),
         workspace = call.workspace.as_deref().unwrap_or(""), rank, left_ms, tokens,
-        config = version
+        config = version, at = data_centre
     });
 }
 
--- a/crates/gateway/src/request/shared_capacity.rs
+++ b/crates/gateway/src/request/shared_capacity.rs
@@ -1,7 +1,7 @@
 //! Takes capacity that requests of all gateways compete for.
 
 use crate::process::{
-    CapacityAnswer, CapacityAsk, Gateway, LivePath, MAX_UTILIZATION, NoPlace, PathReservation,
+    CapacityAnswer, CapacityAsk, Gateway, LivePath, MAX_WAIT_MS, NoPlace, PathReservation,
 };
 use crate::request::Call;
 use crate::request::estimate::expected_tokens;
@@ -12,9 +12,6 @@
 use std::time::Duration;
 use tokio::time::{Instant, timeout_at};
 
-/// Share of a path's capacity from which it counts as scarce. Below it, what other gateways add between two messages fits
-/// as well.
-const SCARCE_FROM: f64 = 0.6;
 /// Share of the target that a request may wait for capacity: the rest is left for reading its prompt and the first step.
 const MAX_CAPACITY_WAIT_SHARE: f64 = 0.25;
 
@@ -46,8 +43,7 @@
     let (tokens, now) = (expected_tokens(call), Instant::now());
     let own = &gateway.settings.data_centre;
     let best = gateway.paths.borrow().best(&call.service, tokens, own, may_take, now)?;
-    let (reach, _) = gateway.capacity_reach();
-    if best.share <= SCARCE_FROM * reach {
+    if gateway.take_plenty(&call.service, tokens, &best) {
         return Some(Ok(PathReservation::new(&gateway.paths, &best.live, tokens, now)));
     }
     let ask = CapacityAsk {
@@ -61,7 +57,8 @@
         request: call.run_request.content.short(),
         tokens,
         bytes: call.body.len() as u64,
-        max_wait_ms: until.saturating_duration_since(now).as_millis() as u32,
+        max_wait_ms: until.saturating_duration_since(now).as_millis().min(MAX_WAIT_MS.into())
+            as u32,
         excluded: excluded_heads(gateway, call, may_take),
     };
     match gateway.ask_capacity(ask).await {
@@ -92,12 +89,10 @@
     let freed = gateway.paths.borrow().freed();
     loop {
         let now = Instant::now();
-        let (reach, live) = gateway.capacity_reach();
-        let limit = MAX_UTILIZATION * reach;
         let own = &gateway.settings.data_centre;
         let best = gateway.paths.borrow().best(&call.service, tokens, own, &may_take, now);
         let best = best.ok_or(NoPlace::NoPath)?;
-        if best.share <= limit && gateway.take_alone(&call.service, tokens, limit, live) {
+        if gateway.take_alone(&call.service, tokens, &best) {
             return Ok(PathReservation::new(&gateway.paths, &best.live, tokens, now));
         }
         if now >= until {
--- a/crates/routing/src/process/capacity/alone_part.rs
+++ b/crates/routing/src/process/capacity/alone_part.rs
@@ -1,4 +1,4 @@
-//! What a gateway may take of scarce capacity while nobody gives it out.
+//! What a gateway may take of capacity that nobody gives out to it.
 
 use std::time::{Duration, Instant};
 
@@ -15,23 +15,16 @@
 }
 
 impl AlonePart {
-    /// Returns whether a request of `tokens` may be sent now. `free` are the tokens that are seen free, and `gateways` the
-    /// number of those that may take them. `draw` is random in `0..1`: a part that is smaller than the request takes it with
+    /// Returns whether a request of this `size` may be sent now. `free` is what is seen free, in the same unit, and `gateways`
+    /// the number of those that may take it. `draw` is random in `0..1`: a part that is smaller than the request takes it with
     /// that probability, so that parts of many gateways add up.
-    pub fn take(
-        &mut self,
-        tokens: f64,
-        free: f64,
-        gateways: usize,
-        draw: f64,
-        now: Instant,
-    ) -> bool {
+    pub fn take(&mut self, size: f64, free: f64, gateways: usize, draw: f64, now: Instant) -> bool {
         if self.since.is_none_or(|since| now.saturating_duration_since(since) >= PART_TIME) {
             self.since = Some(now);
             self.left = free.max(0.0) / gateways.max(1) as f64;
         }
-        let is_allowed = tokens <= self.left || draw < self.left / tokens;
-        self.left = (self.left - tokens).max(0.0);
+        let is_allowed = size <= self.left || draw < self.left / size;
+        self.left = (self.left - size).max(0.0);
         is_allowed
     }
 }
--- a/crates/routing/tests/capacity_fleet/gateway.rs
+++ b/crates/routing/tests/capacity_fleet/gateway.rs
@@ -36,6 +36,7 @@
     pub queue: CapacityQueue<ManualClock>,
     pub grants: PendingGrants,
     pub alone: AlonePart,
+    pub plenty: AlonePart,
     pub term: CapacityTerm,
     pub sharers: Sharers,
     /// When a stream of its ended that the keeper wasn't told of.
@@ -59,6 +60,7 @@
             queue: CapacityQueue::new(clock.clone(), QueueBounds::new()),
             grants: PendingGrants::default(),
             alone: AlonePart::default(),
+            plenty: AlonePart::default(),
             term: CapacityTerm::default(),
             sharers,
             freed_at: None,
