Capacity: a caller that returns before the time that it was told gains nothing

A refused caller that repeats at once was taken for one that returns as told: it went before new requests and could wait four times as long. A promise holds from its time on, less 20 ms for times that are rounded on their way. callers_that_repeat_at_once_gain_nothing_over_those_that_wait failed before ('it repeats at once').

--- a/crates/core/src/process/admission/promises.rs
+++ b/crates/core/src/process/admission/promises.rs
@@ -9,6 +9,8 @@
 
 /// How long after the promised time a caller still counts: a round trip, and the timers of busy clients.
 const RETURN_GRACE: Duration = Duration::from_millis(1_000);
+/// How much earlier than told a caller may return: times are rounded on their way.
+const MAX_EARLY: Duration = Duration::from_millis(20);
 /// Most callers to remember; some 50 bytes each.
 const MAX_PROMISES: usize = 8_192;
 
@@ -16,6 +18,7 @@
 struct Promise {
     rank: Rank,
     work: f64,
+    from: Instant,
     until: Instant,
 }
 
@@ -55,16 +58,22 @@
         if self.by_request.len() >= MAX_PROMISES {
             return;
         }
-        let promise = Promise { rank, work, until: now + wait + RETURN_GRACE };
+        let from = (now + wait).checked_sub(MAX_EARLY).unwrap_or(now);
+        let promise = Promise { rank, work, from, until: now + wait + RETURN_GRACE };
         if let Some(before) = self.by_request.insert(request, promise) {
             self.subtract(before);
         }
         *self.work.entry(rank).or_default() += work;
     }
 
-    /// Ends the promise to the caller of a request. Returns whether there was one.
+    /// Ends the promise to the caller of a request. Returns whether there was one and the caller waited as told. One that
+    /// returns early has no promise yet.
     pub fn take(&mut self, request: RequestIdentity, now: Instant) -> bool {
-        let Some(promise) = self.by_request.remove(&request) else { return false };
+        let Some(promise) = self.by_request.get(&request).copied() else { return false };
+        if now < promise.from {
+            return false;
+        }
+        self.by_request.remove(&request);
         self.subtract(promise);
         promise.until > now
     }
--- a/crates/core/tests/capacity_queue.rs
+++ b/crates/core/tests/capacity_queue.rs
@@ -4,7 +4,8 @@
 use rand::{RngExt, SeedableRng};
 use sorrellock_core::clock::{Clock, ManualClock};
 use sorrellock_core::process::admission::{
-    CapacityDecision, CapacityDemand, CapacityQueue, Placement, QueueBounds, Rank, Recovery,
+    CapacityDecision, CapacityDemand, CapacityQueue, Placement, Promises, QueueBounds, Rank,
+    Recovery,
 };
 use std::collections::{BTreeMap, HashMap};
 use std::time::{Duration, Instant};
@@ -266,6 +267,19 @@
     assert!(refused_again * 10 <= returned, "{refused_again} of {returned} refused again");
 }
 
+#[test]
+fn callers_that_repeat_at_once_gain_nothing_over_those_that_wait() {
+    let (mut promises, now) = (Promises::default(), Instant::now());
+    promises.add(1, 0, TOKENS, Duration::from_secs(2), now);
+
+    let early = promises.take(1, now + Duration::from_millis(500));
+    let in_time = promises.take(1, now + Duration::from_secs(2));
+    let again = promises.take(1, now + Duration::from_secs(2));
+
+    assert!(!early, "it repeats at once");
+    assert!(in_time && !again);
+}
+
 #[test]
 fn what_waits_is_refused_with_a_time_to_return_while_nothing_is_free() {
     let mut world = World::new();
