Capacity: the bound on all waiting requests holds; loads are added up at most every 10 ms

A request of a small workspace was queued over the bound of its rank, and nothing was dropped for it: the newest request of the workspace with the most bytes is refused now, as in the own interface's queue. The new test failed before. The keeper added up all loads for each stream that ended: with 300 gateways and 2,800 requests a second 8 million entries a second.

--- a/crates/core/src/process/admission/capacity_queue.rs
+++ b/crates/core/src/process/admission/capacity_queue.rs
@@ -120,6 +120,8 @@
     deadlines: BTreeSet<(Instant, Sequence)>,
     /// Requests that were offered since the last dispatch.
     offered: Vec<Sequence>,
+    /// Requests that were dropped to make space, and are refused by the next dispatch.
+    dropped: Vec<(Sequence, Entry)>,
     rate: StartRate,
     recovery: Option<Recovery>,
     late_checked: Instant,
@@ -137,6 +139,7 @@
             entries: HashMap::new(),
             deadlines: BTreeSet::new(),
             offered: Vec::new(),
+            dropped: Vec::new(),
             rate: StartRate::new(now),
             recovery: None,
             late_checked: now,
@@ -205,6 +208,10 @@
         self.entries.insert(ticket, entry);
         self.deadlines.insert((deadline, ticket));
         self.offered.push(ticket);
+        while let Some(excess) = self.waiting.excess(order) {
+            let entry = self.remove(excess);
+            self.dropped.extend(entry.map(|entry| (excess, entry)));
+        }
         Ok(returns)
     }
 
@@ -244,6 +251,10 @@
     ) -> Vec<(Sequence, CapacityDecision)> {
         let now = self.clock.now();
         let mut decisions = Vec::new();
+        for (ticket, Entry { order, request, tokens, .. }) in std::mem::take(&mut self.dropped) {
+            let refusal = self.refuse(Refusal::Capacity, order, tokens, request, now);
+            decisions.push((ticket, CapacityDecision::Refuse(refusal)));
+        }
         let mut unfit = Vec::new();
         while let Some((order, ticket)) = self.next(now) {
             match place(ticket, self.reserve(rank_of(order), now)) {
--- a/crates/core/tests/capacity_queue.rs
+++ b/crates/core/tests/capacity_queue.rs
@@ -7,6 +7,7 @@
     CapacityDecision, CapacityDemand, CapacityQueue, Placement, Promises, QueueBounds, Rank,
     Recovery,
 };
+use sorrellock_core::request::Refusal;
 use std::collections::{BTreeMap, HashMap};
 use std::time::{Duration, Instant};
 
@@ -348,3 +349,33 @@
     assert!(known < unknown, "{known:?}, without a forecast {unknown:?}");
     assert!(known > recovery.after, "{known:?}");
 }
+
+#[test]
+fn where_all_is_full_the_newest_of_the_largest_workspace_is_refused() {
+    let clock = ManualClock::new();
+    let bounds = QueueBounds::new().with_requests(100, 20);
+    let mut queue = CapacityQueue::new(clock, bounds);
+    let offer = |queue: &mut CapacityQueue<ManualClock>, ticket: u64, workspace: &str| {
+        let demand = CapacityDemand {
+            ticket,
+            workspace: workspace.to_owned(),
+            rank: 1,
+            is_resumed: false,
+            request: ticket,
+            tokens: TOKENS,
+            bytes: 0,
+            max_wait: MAX_WAIT,
+        };
+        queue.offer(&demand).is_ok()
+    };
+    assert!((1..=20).all(|ticket| offer(&mut queue, ticket, "flood")));
+
+    let is_queued = offer(&mut queue, 21, "other");
+    let decisions = queue.dispatch(|_, _| Placement::Full);
+
+    assert!(is_queued);
+    let [(20, CapacityDecision::Refuse(refusal))] = decisions[..] else { panic!("{decisions:?}") };
+    assert_eq!(refusal.refusal, Refusal::Capacity);
+    assert_eq!(queue.len(), 20);
+    assert!(!offer(&mut queue, 22, "flood"), "its own workspace holds the most");
+}
--- a/crates/gateway/src/process/capacity/capacity_keeper.rs
+++ b/crates/gateway/src/process/capacity/capacity_keeper.rs
@@ -18,12 +18,14 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::{Notify, oneshot};
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 /// Time after its start until a gateway knows the loads of all others, which come with two messages of each.
 const LOADS_KNOWN_AFTER: Duration = Duration::from_millis(600);
 /// Interval at which the queues are decided on while requests wait, as loads of other gateways arrive.
 const DISPATCH_INTERVAL: Duration = Duration::from_millis(20);
+/// Least time between two updates of all loads: with 300 gateways they are some 3,000 entries.
+const MIN_UPDATE_INTERVAL: Duration = Duration::from_millis(10);
 /// Interval at which this gateway checks for which services it gives out the capacity.
 const TERM_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -113,6 +115,7 @@
     let offered = Rc::clone(&gateway.capacity.borrow().offered);
     let loads_changed = Rc::clone(&gateway.capacity.borrow().loads_changed);
     let freed = gateway.paths.borrow().freed();
+    let mut updated = Instant::now();
     loop {
         gateway.check_capacity_terms();
         if gateway.capacity.borrow().waiting.is_empty() {
@@ -125,6 +128,8 @@
             () = loads_changed.notified() => {}
             () = sleep(DISPATCH_INTERVAL) => {}
         }
+        sleep_until(updated + MIN_UPDATE_INTERVAL).await;
+        updated = Instant::now();
         gateway.update_loads();
         gateway.dispatch_all_capacity();
     }
