--- a/crates/gateway/src/process/capacity/ask_capacity.rs
+++ b/crates/gateway/src/process/capacity/ask_capacity.rs
@@ -117,16 +117,18 @@
     pub(crate) fn take_alone(&self, service: &str, tokens: f64, best: &PathChoice) -> bool {
         let (reach, live) = self.capacity_reach();
         let limit = MAX_UTILIZATION * reach;
+        let free = self.paths.borrow().free_shares(service, limit, Instant::now());
         let mut keepers = self.capacity_keepers.borrow_mut();
-        best.share <= limit && take_part(&mut keepers.alone, service, tokens, best, limit, live)
+        best.share <= limit && take_part(&mut keepers.alone, service, tokens, best, free, live)
     }
 
     /// Returns whether this gateway may take `tokens` of the best path without asking, as there is plenty.
     pub(crate) fn take_plenty(&self, service: &str, tokens: f64, best: &PathChoice) -> bool {
         let (reach, live) = self.capacity_reach();
+        let free = self.paths.borrow().free_shares(service, reach, Instant::now());
         let mut keepers = self.capacity_keepers.borrow_mut();
         best.share <= SCARCE_FROM * reach
-            && take_part(&mut keepers.plenty, service, tokens, best, reach, live)
+            && take_part(&mut keepers.plenty, service, tokens, best, free, live)
     }
 
     /// Drops what belongs to gateways that are gone.
@@ -163,18 +165,17 @@
     }
 }
 
-/// Takes a request's share of a path out of this gateway's part of what is free there below `limit`.
+/// Takes a request's share of a path out of this gateway's part of what is free.
 fn take_part(
     parts: &mut HashMap<ServiceName, AlonePart>,
     service: &str,
     tokens: f64,
     best: &PathChoice,
-    limit: f64,
+    free: f64,
     live: usize,
 ) -> bool {
     let (path, slots) = (&best.live.path, f64::from(best.live.slots));
     let share = (tokens / path.token_capacity.max(1.0)).max(1.0 / slots);
-    let free = limit - (best.share - share);
     let draw = rand::rng().random_range(0.0..1.0);
     let part = parts.entry(service.to_owned()).or_default();
     part.take(share, free, live, draw, Instant::now().into_std())
