--- a/crates/gateway/src/request/shared_capacity.rs
+++ b/crates/gateway/src/request/shared_capacity.rs
@@ -7,6 +7,7 @@
 use crate::request::estimate::expected_tokens;
 use crate::request::run::may_take_path;
 use sorrellock_routing::process::Incarnation;
+use sorrellock_routing::process::capacity::has_keeper;
 use sorrellock_routing::request::Attempts;
 use std::rc::Rc;
 use std::time::Duration;
@@ -35,6 +36,9 @@
     until: Instant,
 ) -> Option<Result<PathReservation, NoPlace>> {
     let rank = call.capacity_rank?;
+    if !has_keeper(gateway.capacity_reach().1) {
+        return None;
+    }
     // What may crash engines is sent apart from others, in turn.
     if gateway.is_crash_suspect(call) || gateway.awaits_suspect(call) {
         return None;
--- a/crates/routing/tests/capacity.rs
+++ b/crates/routing/tests/capacity.rs
@@ -4,7 +4,9 @@
 
 use common::incarnation;
 use quickcheck::quickcheck;
-use sorrellock_routing::process::capacity::{AlonePart, CapacityTerm, PendingGrants, usable_share};
+use sorrellock_routing::process::capacity::{
+    AlonePart, CapacityTerm, PendingGrants, has_keeper, usable_share,
+};
 use sorrellock_routing::process::{ReturnForecast, ReturnTimes};
 use std::time::{Duration, Instant};
 
@@ -122,3 +124,9 @@
 
     assert_eq!(delays, [100, 100, 150, 200].map(ms));
 }
+
+#[test]
+fn fleets_that_are_too_large_for_one_keeper_have_none() {
+    assert!(has_keeper(1) && has_keeper(68));
+    assert!(!has_keeper(300));
+}
