--- a/crates/routing/tests/capacity.rs
+++ b/crates/routing/tests/capacity.rs
@@ -94,6 +94,11 @@
     assert_eq!(usable_share(0, 300), 0.0);
 }
 
+#[test]
+fn parts_of_gateways_that_are_cut_off_from_each_other_add_up_to_the_capacity() {
+    assert!(usable_share(7, 8) + usable_share(1, 8) <= 1.0);
+}
+
 #[test]
 fn refused_callers_return_one_after_the_other_as_streams_end() {
     let (mut times, now) = (ReturnTimes::default(), Instant::now());
