Store: a few gateways watch the configuration for all; lists of gateways at the same rate in any fleet

Ruled out: a longer wait of the watch (a larger constant), reads that may be stale (a configuration must be in force in time). Change: the rule by which a few gateways watch the endpoints holds for the configuration too. The others hear of a new one by a message sent out of turn, and fetch it within 0.2 s, of their own data centre first. Lists come at a rate that doesn't grow with the fleet. A registration with the same address stays. The line of a watch that is left to others is a field of the dump now.

--- a/crates/daemon/tests/gateway/main.rs
+++ b/crates/daemon/tests/gateway/main.rs
@@ -25,6 +25,7 @@
 mod plain_calls;
 mod planned_work;
 mod scarce_capacity;
+mod shared_watches;
 mod silence;
 mod soak;
 mod streams;
--- a/crates/gateway/src/process/crashes/crash_watch.rs
+++ b/crates/gateway/src/process/crashes/crash_watch.rs
@@ -173,7 +173,7 @@
             return;
         }
         events.iter().for_each(|event| self.report_crash_event(event));
-        self.suspected.notify_one();
+        self.news.notify_one();
         self.held_changed.notify_one();
     }
 
--- a/crates/gateway/src/process/crashes/run_guard.rs
+++ b/crates/gateway/src/process/crashes/run_guard.rs
@@ -22,7 +22,7 @@
         endpoints: Vec<Incarnation>,
     ) -> RunGuard {
         if gateway.crash_guard.borrow().is_last_chance(request.content) {
-            gateway.suspected.notify_one();
+            gateway.news.notify_one();
         }
         let id = gateway.crash_guard.borrow_mut().begin_run(request, endpoints);
         let end = Cell::new(RunEnd::Abandoned);
--- a/crates/gateway/src/process/dump.rs
+++ b/crates/gateway/src/process/dump.rs
@@ -31,6 +31,8 @@
     /// Age of the last data from the store that was confirmed complete.
     configuration_heard_ms: Option<u64>,
     endpoints_heard_ms: Option<u64>,
+    /// Which watches of the store this gateway leaves to others.
+    watches_left: WatchesLeftDump,
     lead: Option<LeadDump>,
     /// Number of gateways that share the fleet's bounds, this one included, and the fraction of the retry budget's slack that this
     /// one has.
@@ -56,6 +58,12 @@
     left_out: usize,
 }
 
+#[derive(Serialize)]
+struct WatchesLeftDump {
+    configuration: bool,
+    endpoints: bool,
+}
+
 #[derive(Serialize)]
 struct LeadDump {
     is_own: bool,
@@ -203,6 +211,10 @@
             endpoints_at: knowledge.endpoints_at().count,
             configuration_heard_ms: gateway.store_contact.age_ms(Kind::Configuration, now),
             endpoints_heard_ms: gateway.store_contact.age_ms(Kind::Endpoints, now),
+            watches_left: WatchesLeftDump {
+                configuration: gateway.store_contact.is_left_to_others(Kind::Configuration),
+                endpoints: gateway.store_contact.is_left_to_others(Kind::Endpoints),
+            },
             lead: lead(gateway, now),
             budget_gateways: gateway.fleet_state.borrow().gateways(now),
             retry_share: gateway.retry_share(now).fraction,
--- a/crates/gateway/src/process/gateway.rs
+++ b/crates/gateway/src/process/gateway.rs
@@ -137,8 +137,8 @@
     pub(crate) answering: Cell<usize>,
     /// Wakes the placer when an engine appears, disappears or is suspected.
     pub(crate) engines_changed: Notify,
-    /// Wakes the sender of messages to other gateways when an endpoint is suspected.
-    pub(crate) suspected: Notify,
+    /// Wakes the sender of messages to other gateways when an endpoint is suspected or a configuration is new.
+    pub(crate) news: Notify,
     /// Clients for queries to endpoints.
     pub(crate) probes: RefCell<HashMap<Incarnation, Client>>,
     /// Wakes requests that wait for the first configuration.
@@ -198,7 +198,7 @@
             unanswered: Cell::new(0),
             answering: Cell::new(0),
             engines_changed: Notify::new(),
-            suspected: Notify::new(),
+            news: Notify::new(),
             probes: RefCell::default(),
             configured: Notify::new(),
             phase: watch::Sender::new(Phase::Running),
@@ -297,6 +297,9 @@
             version, before, routes, workspaces, source, heard_ms:?, parse_us, install_us
         });
         self.update_capacity_ranks();
+        if !self.store_contact.is_left_to_others(Kind::Configuration) {
+            self.news.notify_one();
+        }
         self.configured.notify_waiters();
         self.engines_changed.notify_waiters();
     }
@@ -322,7 +325,7 @@
             warn!("endpoint suspected", kv: { endpoint = incarnation.id.as_str(), evidence:?, why });
             self.refresh_paths();
             self.engines_changed.notify_waiters();
-            self.suspected.notify_one();
+            self.news.notify_one();
         }
     }
 
--- a/crates/gateway/src/process/limits/named_limits.rs
+++ b/crates/gateway/src/process/limits/named_limits.rs
@@ -19,7 +19,7 @@
             self.limits.borrow_mut().on_answer(endpoint, limit, sent_at.into_std(), now.into_std());
         if let Some(change) = change {
             self.report_limit(endpoint, change, "its answer");
-            self.suspected.notify_one();
+            self.news.notify_one();
         }
     }
 
--- a/crates/gateway/src/process/notices/answer_notices.rs
+++ b/crates/gateway/src/process/notices/answer_notices.rs
@@ -107,6 +107,6 @@
         info!("endpoint said in an answer that it leaves", kv: { endpoint = endpoint.id.as_str() });
         self.refresh_paths();
         self.engines_changed.notify_waiters();
-        self.suspected.notify_one();
+        self.news.notify_one();
     }
 }
--- a/crates/gateway/src/process/peers/catch_up.rs
+++ b/crates/gateway/src/process/peers/catch_up.rs
@@ -1,18 +1,24 @@
 //! Fetches configurations and endpoints that another gateway has and this one lacks.
 
-use super::peers::{Peers, SEND_INTERVAL};
+use super::peers::Peers;
 use http::Method;
+use rand::RngExt;
 use sorrellock_platform::{Client, Kind};
 use sorrellock_routing::process::knowledge::Handover;
-use sorrellock_routing::process::{Known, Revision};
+use sorrellock_routing::process::{Known, Revision, UpdateSource};
 use spdlog::{info, warn};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
 
+/// Interval at which this gateway checks whether others are ahead.
+const CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// How long another gateway may be ahead before its data is fetched: a working watch delivers it sooner.
 const BEHIND_TIMEOUT: Duration = Duration::from_millis(300);
+/// Time within which the gateways that watch nothing themselves fetch a change, so that those that have it first are not asked by
+/// all at once.
+const FETCH_SPREAD: Duration = Duration::from_millis(200);
 /// Timeout of a handover request: a large configuration takes some 100 ms on a fifth of a core.
 const HANDOVER_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Path prefix of handover requests. The requester's configuration version and the revision up to which it knows
@@ -22,29 +28,44 @@
 impl Peers {
     /// Fetches what this gateway lacks from gateways that are ahead of it, indefinitely.
     pub(crate) async fn catch_up(self: Rc<Self>) {
-        let mut behind_since: Option<Instant> = None;
+        let mut fetch_at: Option<Instant> = None;
         loop {
-            sleep(SEND_INTERVAL).await;
+            sleep(CHECK_INTERVAL).await;
             let Some((instance, addr)) = self.ahead() else {
-                behind_since = None;
+                fetch_at = None;
                 continue;
             };
-            let since = *behind_since.get_or_insert_with(Instant::now);
-            if since.elapsed() < BEHIND_TIMEOUT {
+            let fetch_at_set = *fetch_at.get_or_insert_with(|| Instant::now() + self.fetch_delay());
+            if Instant::now() < fetch_at_set {
                 continue;
             }
-            behind_since = None;
+            fetch_at = None;
             self.fetch(&instance, addr).await;
         }
     }
 
+    /// Returns how long another gateway may be ahead before this one fetches what it has.
+    fn fetch_delay(&self) -> Duration {
+        let contact = &self.gateway.store_contact;
+        let watches = |kind| !contact.is_left_to_others(kind);
+        if watches(Kind::Configuration) || watches(Kind::Endpoints) {
+            return BEHIND_TIMEOUT;
+        }
+        FETCH_SPREAD.mul_f64(rand::rng().random_range(0.0..1.0))
+    }
+
     /// Returns a live gateway that has a newer configuration or newer endpoints.
     fn ahead(&self) -> Option<(String, SocketAddr)> {
         let now = Instant::now();
         let own = self.gateway.knowledge.borrow().known();
         let fleet_state = self.gateway.fleet_state.borrow();
         let peers = fleet_state.live_peers(now);
-        let peers = peers.map(|peer| (peer.message.instance.as_str(), peer.message.known));
+        let own_data_centre = &self.gateway.settings.data_centre;
+        let peers = peers.map(|peer| UpdateSource {
+            name: peer.message.instance.as_str(),
+            known: peer.message.known,
+            is_near: peer.message.data_centre == *own_data_centre,
+        });
         let instance = self.sources.borrow_mut().choose(own, peers, now.into_std())?;
         Some((instance.to_owned(), fleet_state.peers.get(instance)?.addr))
     }
--- a/crates/gateway/src/process/peers/fleet_state.rs
+++ b/crates/gateway/src/process/peers/fleet_state.rs
@@ -226,11 +226,10 @@
         })
     }
 
-    /// Returns how many live gateways had their endpoints confirmed complete by the store within `age`.
-    pub(crate) fn watchers(&self, age: Duration, now: Instant) -> usize {
-        let is_fresh = |peer: &&Peer| {
-            peer.store_contact(Kind::Endpoints, now).is_some_and(|data_age| data_age < age)
-        };
+    /// Returns how many live gateways had their data of a kind confirmed complete by the store within `age`.
+    pub(crate) fn watchers(&self, kind: Kind, age: Duration, now: Instant) -> usize {
+        let is_fresh =
+            |peer: &&Peer| peer.store_contact(kind, now).is_some_and(|data_age| data_age < age);
         self.live_peers(now).filter(is_fresh).count()
     }
 
--- a/crates/gateway/src/process/peers/peers.rs
+++ b/crates/gateway/src/process/peers/peers.rs
@@ -77,8 +77,8 @@
             let gateways = self.gateway.fleet_state.borrow().gateways(Instant::now()) as u32;
             let interval = SEND_INTERVAL * gateways / MANY_GATEWAYS;
             let interval = interval.clamp(SEND_INTERVAL, MAX_SEND_INTERVAL);
-            // A new suspicion is sent at once, so that the others needn't probe the endpoint themselves.
-            let _ = timeout(interval, self.gateway.suspected.notified()).await;
+            // News is sent at once, so that the others needn't probe a suspected endpoint or read a configuration themselves.
+            let _ = timeout(interval, self.gateway.news.notified()).await;
         }
     }
 
--- a/crates/gateway/src/process/peers/registration.rs
+++ b/crates/gateway/src/process/peers/registration.rs
@@ -3,7 +3,7 @@
 use super::peers::Peers;
 use crate::process::Count;
 use serde::{Deserialize, Serialize};
-use sorrellock_platform::{Kind, Store, StoreError, StoredObject};
+use sorrellock_platform::{Kind, Listing, Store, StoreError, StoredObject};
 use sorrellock_routing::process::StoreEra;
 use spdlog::warn;
 use std::collections::HashSet;
@@ -12,8 +12,11 @@
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
 
-/// Interval at which the gateways are listed from the store. New gateways contact the others by themselves.
+/// Interval at which the gateways of a small fleet list each other from the store. New gateways contact the others by
+/// themselves, so that the lists only drop those that are gone.
 const LIST_INTERVAL: Duration = Duration::from_secs(10);
+/// Number of gateways that list so often. In larger fleets each lists less often, as a list grows with the fleet as well.
+const FREQUENT_LISTERS: u32 = 12;
 /// The same after this gateway's first list, which lacks those that began with it.
 const SECOND_LIST_DELAY: Duration = Duration::from_secs(3);
 /// Time after which, in a new era of the store, all gateways that reach it have written their objects again.
@@ -25,6 +28,7 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 struct Registration {
     addr: SocketAddr,
+    /// The process that wrote it; a later one at the same address leaves it as it is.
     incarnation: u64,
 }
 
@@ -38,7 +42,7 @@
             match self.register_once(&store, &mut written_in).await {
                 Ok(()) => {
                     self.wait_for_next_list(next_list, written_in.unwrap_or_default()).await;
-                    next_list = LIST_INTERVAL;
+                    next_list = self.list_interval();
                 }
                 Err(err) => {
                     self.gateway.on_store_failed(&err);
@@ -58,6 +62,12 @@
         }
     }
 
+    /// Returns the interval between two lists. The lists of all gateways come at the same rate in any fleet.
+    fn list_interval(&self) -> Duration {
+        let gateways = self.gateway.fleet_state.borrow().gateways(Instant::now()) as u32;
+        LIST_INTERVAL * gateways.max(FREQUENT_LISTERS) / FREQUENT_LISTERS
+    }
+
     /// Writes this gateway's object if needed and lists the others. `written_in` is the era of the store in which
     /// the object was last written.
     async fn register_once(
@@ -65,11 +75,21 @@
         store: &Store,
         written_in: &mut Option<StoreEra>,
     ) -> Result<(), StoreError> {
-        if *written_in != Some(self.gateway.eras.known()) {
-            let is_rewrite = written_in.is_some();
-            *written_in = Some(self.write_own(store, is_rewrite).await?);
-        }
+        let must_write = *written_in != Some(self.gateway.eras.known());
+        let is_rewrite = written_in.is_some();
+        // Written before the list: of two gateways that begin together, at least one lists the other.
+        let created = if must_write { self.create_own(store).await? } else { None };
         let listing = store.list(Kind::Gateways).await?;
+        if must_write {
+            let era = match created {
+                Some(era) => era,
+                None => self.update_own(store, &listing).await?,
+            };
+            if is_rewrite {
+                self.gateway.note_rewritten(Kind::Gateways, &self.gateway.settings.instance);
+            }
+            *written_in = Some(era);
+        }
         self.gateway.refuse_nameless(&listing.nameless, "Gateways");
         let addrs = listing.objects.iter().filter_map(|object| self.registered_addr(object));
         let mut addrs: HashSet<SocketAddr> = addrs.collect();
@@ -83,26 +103,34 @@
         Ok(())
     }
 
-    /// Writes this gateway's object unless the store already has the same. Returns the era of the stored object.
-    async fn write_own(&self, store: &Store, is_rewrite: bool) -> Result<StoreEra, StoreError> {
+    /// Creates this gateway's object. Returns its era; `None` if there is one already.
+    async fn create_own(&self, store: &Store) -> Result<Option<StoreEra>, StoreError> {
         let name = &self.gateway.settings.instance;
-        let own = Registration { addr: self.own_addr(), incarnation: self.gateway.incarnation };
-        let written = match store.create(Kind::Gateways, name, &own).await {
-            Err(StoreError::Conflict) => {
-                let object = store.get(Kind::Gateways, name).await?;
-                if object.read::<Registration>().ok().as_ref() == Some(&own) {
-                    return Ok(object.revision.era);
-                }
-                store.replace(Kind::Gateways, name, object.revision, &own).await?
-            }
-            other => other?,
-        };
-        if is_rewrite {
-            self.gateway.note_rewritten(Kind::Gateways, name);
+        match store.create(Kind::Gateways, name, &self.registration()).await {
+            Ok(written) => Ok(Some(written.era)),
+            Err(StoreError::Conflict) => Ok(None),
+            Err(err) => Err(err),
         }
+    }
+
+    /// Replaces this gateway's listed object unless it has the same address, as after a restart. Returns its era.
+    async fn update_own(&self, store: &Store, listing: &Listing) -> Result<StoreEra, StoreError> {
+        let name = &self.gateway.settings.instance;
+        let listed = listing.objects.iter().find(|object| object.name == *name);
+        // It was removed since; the next round creates it.
+        let listed = listed.ok_or(StoreError::Conflict)?;
+        let own = self.registration();
+        if listed.read::<Registration>().is_ok_and(|listed| listed.addr == own.addr) {
+            return Ok(listed.revision.era);
+        }
+        let written = store.replace(Kind::Gateways, name, listed.revision, &own).await?;
         Ok(written.era)
     }
 
+    fn registration(&self) -> Registration {
+        Registration { addr: self.own_addr(), incarnation: self.gateway.incarnation }
+    }
+
     /// Returns a gateway's registered address. A registration that can't be read is skipped.
     fn registered_addr(&self, object: &StoredObject) -> Option<SocketAddr> {
         match object.read::<Registration>() {
--- a/crates/gateway/src/process/store/endpoint_check.rs
+++ b/crates/gateway/src/process/store/endpoint_check.rs
@@ -154,7 +154,7 @@
             return;
         }
         gateway.fleet_state.borrow_mut().note_left(target.incarnation, Instant::now());
-        gateway.suspected.notify_one();
+        gateway.news.notify_one();
         gateway.refresh_paths();
     });
 }
--- a/crates/gateway/src/process/store/incarnations.rs
+++ b/crates/gateway/src/process/store/incarnations.rs
@@ -168,7 +168,7 @@
     fn announce_end(&self, ended: Incarnation, successor: Option<StartMillis>) {
         let end = EndedIncarnation { ended, successor };
         self.fleet_state.borrow_mut().note_end(end, Instant::now());
-        self.suspected.notify_one();
+        self.news.notify_one();
     }
 
     /// Applies the end of an incarnation that another gateway found.
--- a/crates/gateway/src/process/store/store_contact.rs
+++ b/crates/gateway/src/process/store/store_contact.rs
@@ -21,6 +21,8 @@
     at: Cell<Option<(StoreEra, Instant)>>,
     /// Wakes a pending watch, which may have stalled.
     suspected: Notify,
+    /// Whether this gateway learns of changes from others, without a watch of its own.
+    is_left_to_others: Cell<bool>,
 }
 
 impl StoreContact {
@@ -51,6 +53,16 @@
         self.age(kind, now).map(|age| age.as_millis() as u64)
     }
 
+    /// Sets whether this gateway learns of changes of a kind from others. Returns whether it did before.
+    pub(crate) fn set_left_to_others(&self, kind: Kind, is_left: bool) -> bool {
+        self.of(kind).is_some_and(|of_kind| of_kind.is_left_to_others.replace(is_left))
+    }
+
+    /// Returns whether this gateway learns of changes of a kind from others.
+    pub(crate) fn is_left_to_others(&self, kind: Kind) -> bool {
+        self.of(kind).is_some_and(|of_kind| of_kind.is_left_to_others.get())
+    }
+
     /// Signals that the watch of a kind may have stalled.
     pub(crate) fn suspect_watch(&self, kind: Kind) {
         if let Some(of_kind) = self.of(kind) {
--- a/crates/gateway/src/process/store/watch_sharing.rs
+++ b/crates/gateway/src/process/store/watch_sharing.rs
@@ -1,11 +1,11 @@
 //! How the gateways share the watches of the store: which of them watch, which rely on others, and how soon a watch that brought changes
-//! is repeated.
+//! is repeated. The watches of a fleet don't grow with it.
 
 use super::watcher::Watcher;
 use sorrellock_core::process::store_watch::Rank;
 use sorrellock_platform::Kind;
 use sorrellock_routing::process::Revision;
-use spdlog::info;
+use spdlog::debug;
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -19,10 +19,10 @@
 const MAX_WATCH_PAUSE: Duration = Duration::from_millis(900);
 /// Largest share of the time within which a leaving endpoint may still get requests (`leave_within`) that a pause may take.
 const WATCH_PAUSE_SHARE: f64 = 0.45;
-/// Number of gateways from which most of them learn of endpoints from others: otherwise each change
+/// Number of gateways from which most of them learn of endpoints and configurations from others: otherwise each change
 /// would cost a store call from every gateway.
 const MANY_GATEWAYS: usize = 12;
-/// Number of gateways, first in order of name, that watch the store themselves. The lead always does, too.
+/// Number of gateways, first in order of name, that watch the store themselves. The lead always watches the endpoints, too.
 const WATCHERS: Rank = 4;
 /// Gateways that must have had recent contact with the store for others to rely on them.
 const MIN_WATCHERS: usize = 2;
@@ -36,36 +36,50 @@
         let fleet_state = self.gateway.fleet_state.borrow();
         let rank = fleet_state.rank(&self.gateway.settings.instance, now);
         let count = fleet_state.live_peers(now).count() + 1;
-        let is_shared = self.kind == Kind::Endpoints && count >= MANY_GATEWAYS;
-        if is_shared { rank.min(WATCHERS) } else { rank }
+        if count >= MANY_GATEWAYS { rank.min(WATCHERS) } else { rank }
     }
 
-    /// Returns whether other gateways report the endpoints, so that this one needs no watch. A later watch
-    /// continues from the revision that they have reported.
+    /// Returns whether other gateways report changes, so that this one needs no watch.
     pub(super) fn relies_on_others(&mut self) -> bool {
-        let at = self.gateway.knowledge.borrow().endpoints_at();
-        let (relies, watchers) = self.may_rely_on_others(at);
-        if relies != std::mem::replace(&mut self.is_relying, relies) {
-            let Revision { era, count } = at;
-            info!("watch of endpoints", kv: {
-                left_to_others = relies, watchers, era, at = count
+        let (relies, watchers) = self.may_rely_on_others();
+        if relies != self.gateway.store_contact.set_left_to_others(self.kind, relies) {
+            let kind = format!("{:?}", self.kind);
+            debug!("watch of the store", kv: {
+                kind = kind.as_str(), left_to_others = relies, watchers
             });
         }
         if relies {
-            self.at = Some(at);
+            self.at = self.revision_reported();
             self.lost_since = None;
         }
         relies
     }
 
+    /// Returns the revision from which a later watch continues, after the changes that other gateways reported; `None` lists
+    /// again, as a configuration that another gateway handed over names no revision.
+    fn revision_reported(&self) -> Option<Revision> {
+        let is_endpoints = self.kind == Kind::Endpoints;
+        is_endpoints.then(|| self.gateway.knowledge.borrow().endpoints_at())
+    }
+
+    /// Returns whether this gateway knows anything of the kind yet.
+    fn has_data(&self) -> bool {
+        let known = self.gateway.knowledge.borrow().known();
+        match self.kind {
+            Kind::Endpoints => known.endpoints_at > Revision::default(),
+            _ => known.config > 0,
+        }
+    }
+
     /// Returns whether this gateway may rely on others, and how many gateways had recent contact with the store.
-    fn may_rely_on_others(&self, at: Revision) -> (bool, usize) {
+    fn may_rely_on_others(&self) -> (bool, usize) {
         let now = Instant::now();
         let gateway = &self.gateway;
         let fleet_state = gateway.fleet_state.borrow();
-        let watchers = fleet_state.watchers(WATCHER_MAX_AGE, now);
-        let may_rely = at > Revision::default()
-            && gateway.lead_term.get().is_none()
+        let watchers = fleet_state.watchers(self.kind, WATCHER_MAX_AGE, now);
+        let is_leading = gateway.lead_term.get().is_some();
+        let may_rely = self.has_data()
+            && !(self.kind == Kind::Endpoints && is_leading)
             && fleet_state.gateways(now) >= MANY_GATEWAYS
             && fleet_state.rank(&gateway.settings.instance, now) >= WATCHERS
             && watchers >= MIN_WATCHERS
--- a/crates/gateway/src/process/store/watcher.rs
+++ b/crates/gateway/src/process/store/watcher.rs
@@ -26,10 +26,9 @@
         schedule,
         sent_at: Instant::now(),
         lost_since: None,
-        is_relying: false,
     };
     loop {
-        if kind == Kind::Endpoints && watcher.relies_on_others() {
+        if watcher.relies_on_others() {
             sleep(RELY_CHECK_INTERVAL).await;
             continue;
         }
@@ -66,8 +65,6 @@
     sent_at: Instant,
     /// Since when store calls fail.
     pub(super) lost_since: Option<Instant>,
-    /// Whether this gateway relies on others for the endpoints.
-    pub(super) is_relying: bool,
 }
 
 impl Watcher {
--- a/crates/routing/src/process/update_source.rs
+++ b/crates/routing/src/process/update_source.rs
@@ -27,6 +27,17 @@
     }
 }
 
+/// A gateway that can be queried.
+#[derive(Clone, Copy, Debug)]
+pub struct UpdateSource<'a> {
+    /// Its name.
+    pub name: &'a str,
+    /// How much it knows.
+    pub known: Known,
+    /// Whether it is in the same data centre.
+    pub is_near: bool,
+}
+
 /// Selects which gateway to query.
 #[derive(Debug, Default)]
 pub struct UpdateSources {
@@ -35,19 +46,20 @@
 }
 
 impl UpdateSources {
-    /// Returns the gateway that knows most among those that know more than `own`. A gateway that failed recently
-    /// is chosen only if all others did, too; the one that failed first goes first.
+    /// Returns the gateway that knows most among those that know more than `own`, preferably one of the same data centre. A
+    /// gateway that failed recently is chosen only if all others did, too; the one that failed first goes first.
     pub fn choose<'a>(
         &mut self,
         own: Known,
-        candidates: impl Iterator<Item = (&'a str, Known)>,
+        candidates: impl Iterator<Item = UpdateSource<'a>>,
         now: Instant,
     ) -> Option<&'a str> {
         self.failed.retain(|_, at| now - *at < AVOID_FOR);
-        let ahead = candidates.filter(|(_, known)| known.is_ahead_of(&own));
-        let by_preference =
-            |(name, known): &(&str, Known)| (Reverse(self.failed.get(*name)), *known);
-        ahead.max_by_key(by_preference).map(|(name, _)| name)
+        let ahead = candidates.filter(|source| source.known.is_ahead_of(&own));
+        let by_preference = |source: &UpdateSource<'_>| {
+            (Reverse(self.failed.get(source.name)), source.is_near, source.known)
+        };
+        ahead.max_by_key(by_preference).map(|source| source.name)
     }
 
     /// Records that a gateway did not answer.
--- a/crates/routing/tests/update_source.rs
+++ b/crates/routing/tests/update_source.rs
@@ -1,15 +1,20 @@
 //! Which gateway is queried by one that knows less than others.
 
-use sorrellock_routing::process::{Known, Revision, UpdateSources};
+use sorrellock_routing::process::{Known, Revision, UpdateSource, UpdateSources};
 use std::time::{Duration, Instant};
 
 fn known(config: u64, endpoints_at: u64) -> Known {
     Known { config, endpoints_at: Revision::new(0, endpoints_at) }
 }
 
+fn near(name: &str, known: Known) -> UpdateSource<'_> {
+    UpdateSource { name, known, is_near: true }
+}
+
 #[test]
 fn the_gateway_with_the_newest_configuration_is_queried_first() {
-    let candidates = [("a", known(14, 99)), ("b", known(33, 60)), ("c", known(16, 102))];
+    let candidates =
+        [near("a", known(14, 99)), near("b", known(33, 60)), near("c", known(16, 102))];
 
     let chosen =
         UpdateSources::default().choose(known(14, 60), candidates.into_iter(), Instant::now());
@@ -19,7 +24,7 @@
 
 #[test]
 fn no_gateway_is_queried_that_knows_nothing_more() {
-    let candidates = [("a", known(14, 60)), ("b", known(3, 50))];
+    let candidates = [near("a", known(14, 60)), near("b", known(3, 50))];
 
     let chosen =
         UpdateSources::default().choose(known(14, 60), candidates.into_iter(), Instant::now());
@@ -31,7 +36,7 @@
 fn a_gateway_that_failed_is_avoided_for_a_while_if_another_knows_more() {
     let now = Instant::now();
     let mut sources = UpdateSources::default();
-    let candidates = [("a", known(33, 90)), ("b", known(20, 70))];
+    let candidates = [near("a", known(33, 90)), near("b", known(20, 70))];
     sources.on_failure("a", now);
 
     let next = sources.choose(known(14, 60), candidates.into_iter(), now);
@@ -45,7 +50,7 @@
 fn of_gateways_that_failed_the_one_that_failed_first_is_queried() {
     let now = Instant::now();
     let mut sources = UpdateSources::default();
-    let candidates = [("a", known(33, 90)), ("b", known(20, 70))];
+    let candidates = [near("a", known(33, 90)), near("b", known(20, 70))];
     sources.on_failure("b", now);
     sources.on_failure("a", now + Duration::from_secs(1));
 
@@ -54,3 +59,14 @@
 
     assert_eq!(chosen, Some("b"));
 }
+
+#[test]
+fn a_gateway_of_the_same_data_centre_goes_before_others_that_know_as_much() {
+    let far = UpdateSource { is_near: false, ..near("b", known(33, 90)) };
+    let candidates = [far, near("a", known(33, 90)), UpdateSource { name: "c", ..far }];
+
+    let chosen =
+        UpdateSources::default().choose(known(14, 60), candidates.into_iter(), Instant::now());
+
+    assert_eq!(chosen, Some("a"));
+}
