--- a/crates/bench/benches/gateway.rs
+++ b/crates/bench/benches/gateway.rs
@@ -6,6 +6,7 @@
 
 use eyre::{Result, ensure, eyre};
 use sorrellock_bench::{Latencies, figure, figure_f64};
+use sorrellock_gateway::Options;
 use sorrellock_stand_ins::{
     CALLERS_PORT, EngineConfig, FakeEngine, FakeService, FakeStore, HOST, KEY, READINESS_PORT,
     configuration, new_ip, settings,
@@ -32,7 +33,7 @@
 fn main() -> Result<()> {
     let args: Vec<String> = std::env::args().collect();
     if args.get(1).is_some_and(|arg| arg == AS_GATEWAY) {
-        return Ok(sorrellock_gateway::run(Path::new(&args[2]))?);
+        return Ok(sorrellock_gateway::run(Path::new(&args[2]), Options::default())?);
     }
     let fleet = Fleet::start()?;
     let gateway = Gateway::start(fleet.store.addr())?;
--- a/crates/daemon/src/cli/args.rs
+++ b/crates/daemon/src/cli/args.rs
@@ -4,6 +4,7 @@
 use crate::entry::process::EntrySettings;
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 use sorrellock_core::process::ledger::HolderConfig;
+use sorrellock_gateway::Options;
 use sorrellock_wire::connection::LinkKind;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -49,6 +50,12 @@
     Command::new("gateway")
         .about("Takes callers' requests on the users' platform and forwards them to engines that pass on tokens themselves")
         .arg(settings)
+        .arg(
+            named("relays-from", "Number of gateways from which they learn of each other through relays")
+                .value_name("NUMBER")
+                .default_value(Options::RELAYS_FROM.to_string())
+                .value_parser(value_parser!(u32).range(2..)),
+        )
 }
 
 fn entry_command() -> Command {
@@ -268,6 +275,12 @@
     }
 }
 
+/// Returns the options of a gateway.
+pub fn gateway_options(args: &ArgMatches) -> Options {
+    let relays_from: u32 = *args.get_one("relays-from").expect("the argument has a default");
+    Options { relays_from: relays_from as usize }
+}
+
 /// Returns the path of a gateway's settings file.
 pub fn settings_file(args: &ArgMatches) -> PathBuf {
     args.get_one("settings").cloned().expect("the argument has a default")
--- a/crates/daemon/src/cli/mod.rs
+++ b/crates/daemon/src/cli/mod.rs
@@ -13,6 +13,6 @@
 pub use validate::*;
 pub use variables::*;
 
-use args::{parse_beside, parse_entry, settings_file};
+use args::{gateway_options, parse_beside, parse_entry, settings_file};
 use check::describe;
 use signals::wait_for_end;
--- a/crates/daemon/src/cli/run.rs
+++ b/crates/daemon/src/cli/run.rs
@@ -2,8 +2,8 @@
 
 use crate::beside::process::Beside;
 use crate::cli::{
-    check_beside, check_entry, check_variables, command, describe, parse_beside, parse_entry,
-    settings_file, variable_names, wait_for_end,
+    check_beside, check_entry, check_variables, command, describe, gateway_options, parse_beside,
+    parse_entry, settings_file, variable_names, wait_for_end,
 };
 use crate::entry::process::Entry;
 use crate::process::{LogFormat, metrics_page, set_up_log};
@@ -62,7 +62,7 @@
 
 /// Runs a gateway, which reads and validates its settings itself.
 fn run_gateway(args: &ArgMatches) -> ExitCode {
-    match sorrellock_gateway::run(&settings_file(args)) {
+    match sorrellock_gateway::run(&settings_file(args), gateway_options(args)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(err) => refuse("sorrellockd gateway", &err.to_string()),
     }
--- a/crates/daemon/tests/gateway/gateway_process.rs
+++ b/crates/daemon/tests/gateway/gateway_process.rs
@@ -75,10 +75,25 @@
         GatewayProcess::spawn_with(ip, &settings(instance, data_centre, ip, store), read)
     }
 
+    /// Starts a gateway of a fleet that uses relays, however small it is.
+    pub fn start_with_relays(
+        instance: &str,
+        data_centre: &str,
+        store: SocketAddr,
+    ) -> GatewayProcess {
+        let ip = sorrellock_stand_ins::new_ip();
+        let settings = settings(instance, data_centre, ip, store);
+        GatewayProcess::spawn_role(ip, &["gateway", "--relays-from", "2"], &settings, true)
+    }
+
     /// Starts a gateway at an address with these settings.
     pub fn spawn_with(ip: IpAddr, settings: &str, read: bool) -> GatewayProcess {
+        GatewayProcess::spawn_role(ip, &["gateway"], settings, read)
+    }
+
+    fn spawn_role(ip: IpAddr, role: &[&str], settings: &str, read: bool) -> GatewayProcess {
         let path = write_settings(&ip.to_string(), settings);
-        let mut command = command(&["gateway"], &path);
+        let mut command = command(role, &path);
         let child = command.stdout(Stdio::piped()).spawn().expect("the gateway starts");
         let mut gateway = GatewayProcess { child, ip, settings: path, lines: Arc::default() };
         if read {
--- a/crates/daemon/tests/gateway/main.rs
+++ b/crates/daemon/tests/gateway/main.rs
@@ -24,6 +24,7 @@
 mod plain_attempts;
 mod plain_calls;
 mod planned_work;
+mod relays;
 mod scarce_capacity;
 mod shared_watches;
 mod silence;
--- /dev/null
+++ b/crates/daemon/tests/gateway/relays.rs
@@ -0,0 +1,107 @@
+//! Gateways that learn of each other through relays.
+
+use crate::fleet::{Fleet, KEY, config, fleet, new_request, send};
+use crate::gateway_process::{GatewayProcess, wait_for};
+use std::thread::sleep;
+use std::time::Duration;
+
+/// Number of gateways of each of the two data centres.
+const PER_DATA_CENTRE: usize = 5;
+
+/// Starts gateways in both data centres that use relays, and waits until all know each other.
+fn gateways(fleet: &Fleet) -> Vec<GatewayProcess> {
+    let mut gateways = Vec::new();
+    for data_centre in ["north", "south"] {
+        for index in 0..PER_DATA_CENTRE {
+            let name = format!("{data_centre}-{index}");
+            let store = fleet.store.addr();
+            gateways.push(GatewayProcess::start_with_relays(&name, data_centre, store));
+        }
+    }
+    wait_for("all gateways to know each other", || gateways.iter().all(knows_all));
+    gateways
+}
+
+fn knows_all(gateway: &GatewayProcess) -> bool {
+    gateway.is_ready() && live(gateway) == 2 * PER_DATA_CENTRE as u64
+}
+
+/// Number of gateways that a gateway knows to be live.
+fn live(gateway: &GatewayProcess) -> u64 {
+    gateway.dump()["live_gateways"].as_u64().unwrap_or_default()
+}
+
+fn role(gateway: &GatewayProcess) -> String {
+    gateway.dump()["role"].as_str().unwrap_or_default().to_owned()
+}
+
+#[test]
+fn two_gateways_of_each_data_centre_are_relays() {
+    let fleet = fleet();
+
+    let gateways = gateways(&fleet);
+
+    for of_data_centre in gateways.chunks(PER_DATA_CENTRE) {
+        let roles: Vec<String> = of_data_centre.iter().map(role).collect();
+        assert_eq!(roles, ["relay", "relay", "member", "member", "member"]);
+    }
+}
+
+#[test]
+fn a_configuration_is_in_force_at_all_gateways_and_read_by_the_relays_only() {
+    let fleet = fleet();
+    let gateways = gateways(&fleet);
+    sleep(Duration::from_secs(1));
+    let before = fleet.store.calls("config");
+    let changes = 4;
+
+    for version in 1..=changes {
+        fleet.store.put("config", "main", config(10 + version, &[KEY]));
+        for gateway in &gateways {
+            let version = format!("\"version\":{}", 10 + version);
+            gateway.wait_for_line(&["\"configuration in force\"", &version]);
+        }
+    }
+
+    // Each of the four relays makes a call for a change, and may make one more as its watch ends meanwhile.
+    let calls = fleet.store.calls("config") - before;
+    assert!(calls <= 2 * 4 * changes as usize, "{calls} calls for {changes} changes");
+}
+
+#[test]
+fn an_engine_that_crashed_gets_nothing_more_from_gateways_that_hear_of_it_through_relays() {
+    let fleet = fleet();
+    let gateways = gateways(&fleet);
+    for gateway in &gateways {
+        for data_centre in ["north", "south"] {
+            gateway.wait_for_line(&["\"path in use\"", data_centre]);
+        }
+    }
+
+    fleet.engines[0].crash();
+    fleet.engines[1].crash();
+
+    sleep(Duration::from_secs(3));
+    for gateway in &gateways {
+        let answer = send(gateway.callers(), "/match/a", &new_request(), Some(KEY));
+        assert_eq!(answer.status, 200, "{}", gateway.dump()["instance"]);
+    }
+}
+
+#[test]
+fn other_gateways_become_relays_when_those_of_a_data_centre_end() {
+    let fleet = fleet();
+    let mut gateways = gateways(&fleet);
+
+    drop(gateways.drain(..2));
+
+    let rest = gateways.len() as u64;
+    wait_for("the others to know each other", || {
+        gateways.iter().all(|gateway| live(gateway) == rest)
+    });
+    assert_eq!([role(&gateways[0]), role(&gateways[1])], ["relay", "relay"]);
+    fleet.store.put("config", "main", config(21, &[KEY]));
+    for gateway in &gateways {
+        gateway.wait_for_line(&["\"configuration in force\"", "\"version\":21"]);
+    }
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,4 +8,4 @@
 mod process;
 mod request;
 
-pub use process::{LOG_BUFFER_BYTES, StartError, check, run, run_with_log_set_up};
+pub use process::{LOG_BUFFER_BYTES, Options, StartError, check, run, run_with_log_set_up};
--- a/crates/gateway/src/process/capacity/capacity_keeper.rs
+++ b/crates/gateway/src/process/capacity/capacity_keeper.rs
@@ -166,7 +166,7 @@
     pub(crate) fn capacity_reach(&self) -> (f64, usize) {
         let now = Instant::now();
         let fleet_state = self.fleet_state.borrow();
-        let live = fleet_state.live_peers(now).count() + 1;
+        let live = fleet_state.live(now);
         (usable_share(live, fleet_state.gateways(now)), live)
     }
 
--- a/crates/gateway/src/process/crashes/held_store.rs
+++ b/crates/gateway/src/process/crashes/held_store.rs
@@ -53,7 +53,7 @@
     let now = Instant::now();
     let fleet_state = gateway.fleet_state.borrow();
     let is_first = fleet_state.rank(&gateway.settings.instance, now) == 0;
-    let is_parted = fleet_state.live_peers(now).count() + 1 < fleet_state.sharers.listed();
+    let is_parted = fleet_state.live(now) < fleet_state.sharers.listed();
     gateway.held_sync.borrow().is_list_due(is_first, is_parted, now.into_std())
 }
 
--- a/crates/gateway/src/process/dump.rs
+++ b/crates/gateway/src/process/dump.rs
@@ -40,6 +40,11 @@
     retry_share: f64,
     /// What this gateway has of the retry budget of each service.
     retry_budgets: Vec<RetryBudgetDump>,
+    /// How this gateway exchanges messages with the others: all to all, or as a member or relay of its data centre.
+    role: &'static str,
+    /// Number of live gateways, this one included.
+    live_gateways: usize,
+    /// The gateways that send messages to this one.
     gateways: Vec<GatewayDump>,
     endpoints: Vec<EndpointDump>,
     refused_by_reason: BTreeMap<FaultKind, usize>,
@@ -219,6 +224,8 @@
             budget_gateways: gateway.fleet_state.borrow().gateways(now),
             retry_share: gateway.retry_share(now).fraction,
             retry_budgets: bounded(retry_budgets(gateway).into_iter(), &mut left_out),
+            role: gateway.fleet_state.borrow().role_name(),
+            live_gateways: gateway.fleet_state.borrow().live(now),
             gateways: bounded(gateways(gateway, now).into_iter(), &mut left_out),
             endpoints: bounded(endpoints, &mut left_out),
             refused_by_reason,
--- a/crates/gateway/src/process/gateway.rs
+++ b/crates/gateway/src/process/gateway.rs
@@ -2,8 +2,8 @@
 
 use crate::process::{
     CapacityKeeper, CapacityKeepers, Count, Counters, EndChecks, FleetState, LivePath,
-    LoggedFaults, LostLayers, NoticeKind, PathTable, Permits, Pool, ReportedSuspect,
-    SUSPICION_DURATION, StoreContact,
+    LoggedFaults, LostLayers, NoticeKind, Options, PathTable, Permits, Pool, SUSPICION_DURATION,
+    StoreContact,
 };
 use http::HeaderName;
 use sorrellock_core::clock::SystemClock;
@@ -16,10 +16,11 @@
 use sorrellock_routing::process::lead_view::{ViewServing, ViewSync};
 use sorrellock_routing::process::limits::EndpointLimits;
 use sorrellock_routing::process::notices::Backoffs;
+use sorrellock_routing::process::relays::Placing;
 use sorrellock_routing::process::retries::RetryWindow;
 use sorrellock_routing::process::{
-    FailureEvidence, Incarnation, Incarnations, Leaving, LoopPauses, ReturnTimes, Revision,
-    StreamPace,
+    FailureEvidence, Incarnation, Incarnations, Leaving, LoopPauses, ReportedSuspect, ReturnTimes,
+    Revision, StreamPace,
 };
 use sorrellock_routing::version::{Configuration, ServiceName};
 use spdlog::{info, warn};
@@ -150,10 +151,13 @@
 
 impl Gateway {
     /// Returns a gateway without configuration or endpoints.
-    pub(crate) fn new(settings: Settings, incarnation: u64) -> Gateway {
+    pub(crate) fn new(settings: Settings, options: Options, incarnation: u64) -> Gateway {
         let began = Instant::now();
         let knowledge = RefCell::new(Knowledge::new(settings.bounds.leave_within));
-        let fleet_state = RefCell::new(FleetState::new(&settings.instance, began));
+        let placing =
+            Placing { data_centre: settings.data_centre.clone(), processor: settings.processor };
+        let fleet_state = FleetState::new(&settings.instance, placing, options.relays_from, began);
+        let fleet_state = RefCell::new(fleet_state);
         Gateway {
             bounds: Cell::new(settings.bounds),
             settings,
--- a/crates/gateway/src/process/limits/permits.rs
+++ b/crates/gateway/src/process/limits/permits.rs
@@ -51,7 +51,7 @@
         let now = Instant::now();
         let fleet_state = self.fleet_state.borrow();
         let addrs: HashSet<SocketAddr> =
-            fleet_state.live_peers(now).map(|peer| peer.addr).collect();
+            fleet_state.coordinators(now).into_iter().map(|other| other.addr).collect();
         let mut permits = self.permits.borrow_mut();
         permits.buckets.retain(|endpoint, _| is_current(endpoint));
         permits.denied.retain(|_, until| *until > now);
@@ -100,11 +100,12 @@
     fn permit_keeper(&self, endpoint: &Incarnation) -> Keeper {
         let now = Instant::now();
         let fleet_state = self.fleet_state.borrow();
-        let others = fleet_state.live_peers(now).map(|peer| peer.message.incarnation);
-        let keeper = permit_keeper(endpoint, others.chain([self.incarnation]));
-        let mut peers = fleet_state.live_peers(now);
-        let peer = peers.find(|peer| Some(peer.message.incarnation) == keeper);
-        peer.map_or(Keeper::Own, |peer| Keeper::Other(peer.addr))
+        let others = fleet_state.coordinators(now);
+        let own = fleet_state.is_coordinator().then_some(self.incarnation);
+        let candidates = others.iter().map(|other| other.incarnation).chain(own);
+        let keeper = permit_keeper(endpoint, candidates);
+        let other = others.iter().find(|other| Some(other.incarnation) == keeper);
+        other.map_or(Keeper::Own, |other| Keeper::Other(other.addr))
     }
 
     /// Grants or denies a permit to the gateway with the incarnation `asker`, which knows this limit of the endpoint.
--- a/crates/gateway/src/process/paths/path_table.rs
+++ b/crates/gateway/src/process/paths/path_table.rs
@@ -1,9 +1,11 @@
 //! The paths in use, the load of this gateway's streams on them, and path selection.
 
-use crate::process::{EngineAvailability, LivePath, ReportedSuspect};
+use crate::process::{EngineAvailability, LivePath};
 use rand::RngExt;
 use sorrellock_routing::process::notices::SendBlock;
-use sorrellock_routing::process::{BestPaths, Holder, Incarnation, PathPart, RankedPath};
+use sorrellock_routing::process::{
+    BestPaths, Holder, Incarnation, PathPart, RankedPath, ReportedSuspect,
+};
 use sorrellock_routing::version::{ModelShape, ServiceName};
 use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
--- a/crates/gateway/src/process/peers/fleet_state.rs
+++ b/crates/gateway/src/process/peers/fleet_state.rs
@@ -2,14 +2,19 @@
 //! reports and the lead's view.
 
 use super::recent_updates::RecentUpdates;
-use crate::process::{EndedIncarnation, PeerMessage, ReportedSuspect};
+use super::relay_part::{Coordinator, HeardSummary, Report, Scope, SentLoads};
+use crate::process::PeerMessage;
 use sorrellock_core::process::membership::rendezvous_several;
 use sorrellock_platform::Kind;
 use sorrellock_routing::process::lead_view::{EngineView, EngineViews};
 use sorrellock_routing::process::notices::LeavingNotices;
+use sorrellock_routing::process::relays::{GatewayCount, Placing, RelayDirectory, Summary};
 use sorrellock_routing::process::retries::Sharers;
-use sorrellock_routing::process::{FailureEvidence, Incarnation, probers_before};
-use std::collections::HashMap;
+use sorrellock_routing::process::{
+    EndedIncarnation, FailureEvidence, Incarnation, ReportedSuspect, probers_before,
+    probers_before_among,
+};
+use std::collections::{HashMap, HashSet};
 use std::fmt;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -17,6 +22,8 @@
 
 /// Time without a message after which a gateway counts as gone: ten lost messages in a row.
 const PEER_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Time without a message within which a gateway still counts among those that share the fleet's bounds.
+const SHARER_TIMEOUT: Duration = Duration::from_secs(15);
 /// Time without a message after which a leaving gateway's successor is no longer expected.
 const SUCCESSOR_TIMEOUT: Duration = Duration::from_secs(15);
 /// Expected time until an overdue successor is ready.
@@ -60,6 +67,10 @@
         Some(Duration::from_millis(age_ms?.into()) + (now - self.last_contact))
     }
 
+    fn coordinator(&self) -> Coordinator {
+        Coordinator { incarnation: self.message.incarnation, addr: self.addr }
+    }
+
     /// Returns the time until it, or the successor that it announced, is expected to be ready; `None` if it went
     /// silent without announcing one.
     fn ready_in(&self, now: Instant) -> Option<Duration> {
@@ -73,6 +84,22 @@
     }
 }
 
+/// Returns the time until half of the gateways of a data centre, and of each other one, are expected to be ready.
+fn counted_ready_in(
+    data_centre: &str,
+    summary: &Summary,
+    since: Duration,
+) -> (Vec<Duration>, Vec<Duration>) {
+    let (mut near, mut others) = (Vec::new(), Vec::new());
+    for (name, count) in &summary.gateways {
+        let Some(ms) = count.half_ready_in_ms else { continue };
+        let ready_in = Duration::from_millis(ms.into()).saturating_sub(since);
+        // Several, so that the gateway that asks doesn't change the half.
+        if name == data_centre { near.extend([ready_in; 3]) } else { others.push(ready_in) }
+    }
+    (near, others)
+}
+
 /// State of an endpoint that reported that it accepts no more requests.
 struct Leaving {
     until: Instant,
@@ -125,12 +152,35 @@
     }
 }
 
+/// How a gateway takes part in the exchange of messages.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Role {
+    /// Sends its state to all others.
+    AllToAll,
+    /// Sends its state to the relays of its data centre.
+    Member,
+    /// Stands between the gateways of its data centre and all others.
+    Relay,
+}
+
 /// Live state of engines and other gateways, beyond what the store holds.
 pub(crate) struct FleetState {
     /// The other gateways, by instance name.
     pub(crate) peers: HashMap<String, Peer>,
     /// The gateways that share the fleet's bounds with this one.
     pub(crate) sharers: Sharers,
+    /// All known gateways, and which of them are relays.
+    pub(crate) directory: RelayDirectory,
+    /// The latest summary of each relay, by instance name.
+    summaries: HashMap<String, HeardSummary>,
+    /// Loads in the latest messages of this gateway.
+    pub(crate) sent_loads: SentLoads,
+    /// How this gateway takes part in the exchange of messages.
+    role: Role,
+    /// Number of gateways from which a fleet uses relays.
+    relays_from: usize,
+    /// This gateway's data centre.
+    data_centre: String,
     /// Suspected endpoints.
     suspects: HashMap<Incarnation, Suspicion>,
     /// Endpoints that reported that they accept no more requests, and until when that counts without an entry that
@@ -148,10 +198,21 @@
 
 impl FleetState {
     /// Returns the state of a process of `instance` that began at `began` and knows nothing yet.
-    pub(crate) fn new(instance: &str, began: Instant) -> FleetState {
+    pub(crate) fn new(
+        instance: &str,
+        placing: Placing,
+        relays_from: usize,
+        began: Instant,
+    ) -> FleetState {
         FleetState {
             peers: HashMap::new(),
             sharers: Sharers::new(instance, began.into_std()),
+            data_centre: placing.data_centre.clone(),
+            directory: RelayDirectory::new(instance, placing, began.into_std()),
+            summaries: HashMap::new(),
+            sent_loads: SentLoads::default(),
+            role: Role::AllToAll,
+            relays_from,
             suspects: HashMap::new(),
             leaving: HashMap::new(),
             leaving_notices: LeavingNotices::default(),
@@ -171,10 +232,153 @@
         self.sharers.count(now.into_std())
     }
 
+    /// Decides how this gateway takes part in the exchange of messages, and counts the gateways that share the fleet's bounds.
+    pub(crate) fn update_role(&mut self, now: Instant) {
+        let uses_relays = self.gateways(now) >= self.relays_from;
+        self.role = match uses_relays {
+            false => Role::AllToAll,
+            true if self.directory.is_relay(now.into_std()) => Role::Relay,
+            true => Role::Member,
+        };
+        if uses_relays {
+            self.count_sharers(now);
+        }
+    }
+
+    /// Returns whether the fleet is so large that its gateways learn of each other through relays.
+    pub(crate) fn uses_relays(&self) -> bool {
+        self.role != Role::AllToAll
+    }
+
+    /// Returns whether this gateway is one of the relays of its data centre.
+    pub(crate) fn is_relay(&self) -> bool {
+        self.role == Role::Relay
+    }
+
+    /// Returns the name of this gateway's role, for the dump.
+    pub(crate) fn role_name(&self) -> &'static str {
+        match self.role {
+            Role::AllToAll => "all to all",
+            Role::Member => "member",
+            Role::Relay => "relay",
+        }
+    }
+
+    /// Records a summary of a relay. Returns the one before.
+    pub(crate) fn add_summary(&mut self, heard: HeardSummary) -> Option<HeardSummary> {
+        let now = heard.heard;
+        self.summaries.retain(|_, known| known.is_fresh(now));
+        self.summaries.insert(heard.relay.clone(), heard)
+    }
+
+    /// Returns the freshest summary of each other data centre, of its relays.
+    pub(crate) fn foreign_summaries(&self, now: Instant) -> impl Iterator<Item = &HeardSummary> {
+        let mut freshest: HashMap<&str, &HeardSummary> = HashMap::new();
+        for heard in self.summaries.values().filter(|heard| heard.is_fresh(now)) {
+            if heard.scope == Scope::DataCentre && heard.data_centre != self.data_centre {
+                let known = freshest.entry(&heard.data_centre).or_insert(heard);
+                if known.heard < heard.heard {
+                    *known = heard;
+                }
+            }
+        }
+        freshest.into_values()
+    }
+
+    /// Returns the freshest summary of the whole fleet.
+    fn summary_of_fleet(&self, now: Instant) -> Option<&HeardSummary> {
+        let fresh = self.summaries.values().filter(|heard| heard.is_fresh(now));
+        fresh.filter(|heard| heard.scope == Scope::Fleet).max_by_key(|heard| heard.heard)
+    }
+
+    /// Returns what all other gateways reported last, each of them once: by themselves, or together with others.
+    pub(crate) fn reports(&self, now: Instant) -> Vec<Report<'_>> {
+        let summary = |heard| Report::Summary(heard, &self.sent_loads);
+        if !self.is_relay()
+            && let Some(heard) = self.summary_of_fleet(now)
+        {
+            return vec![summary(heard)];
+        }
+        let foreign: Vec<&HeardSummary> = self.foreign_summaries(now).collect();
+        let is_summed = |peer: &&Peer| {
+            foreign.iter().any(|heard| heard.data_centre == peer.message.data_centre)
+        };
+        let peers = self.live_peers(now).filter(|peer| !is_summed(peer)).map(Report::Peer);
+        peers.chain(foreign.iter().copied().map(summary)).collect()
+    }
+
+    /// Returns the number of live gateways, this one included.
+    pub(crate) fn live(&self, now: Instant) -> usize {
+        if !self.is_relay()
+            && let Some(heard) = self.summary_of_fleet(now)
+        {
+            return heard.summary.live();
+        }
+        let of = |report: Report<'_>| match report {
+            Report::Peer(_) => 1,
+            Report::Summary(heard, _) => heard.summary.live(),
+        };
+        self.reports(now).into_iter().map(of).sum::<usize>() + 1
+    }
+
+    /// Updates how many gateways share the fleet's bounds, by the summaries.
+    fn count_sharers(&mut self, now: Instant) {
+        let counted = match self.summary_of_fleet(now) {
+            Some(heard) if !self.is_relay() => heard.summary.sharers(),
+            _ => {
+                let own = self.data_centre_count(&self.data_centre, 0, now).sharers as usize;
+                let foreign = self.foreign_summaries(now).map(|heard| heard.summary.sharers());
+                own + foreign.sum::<usize>()
+            }
+        };
+        self.sharers.on_counted(counted, now.into_std());
+    }
+
+    /// Returns the number of gateways of this data centre, this one included, which is ready after `own_ready_in_ms`.
+    pub(super) fn data_centre_count(
+        &self,
+        data_centre: &str,
+        own_ready_in_ms: u32,
+        now: Instant,
+    ) -> GatewayCount {
+        let near = self.peers.values().filter(|peer| peer.message.data_centre == data_centre);
+        let near: Vec<&Peer> = near.collect();
+        let live = near.iter().filter(|peer| now - peer.last_contact < PEER_TIMEOUT).count();
+        let sharers = near.iter().filter(|peer| now - peer.last_contact < SHARER_TIMEOUT).count();
+        let ready_in = near.iter().filter_map(|peer| peer.ready_in(now));
+        let mut ready_in: Vec<u32> = ready_in.map(|time| time.as_millis() as u32).collect();
+        ready_in.push(own_ready_in_ms);
+        ready_in.sort_unstable();
+        GatewayCount {
+            live: live as u32 + 1,
+            sharers: sharers as u32 + 1,
+            half_ready_in_ms: Some(ready_in[(ready_in.len() - 1) / 2]),
+        }
+    }
+
+    /// Returns the gateways that take duties for the whole fleet, without this one: all in a small fleet, the relays in a large one.
+    pub(crate) fn coordinators(&self, now: Instant) -> Vec<Coordinator> {
+        if !self.uses_relays() {
+            let peers = self.live_peers(now);
+            return peers.map(Peer::coordinator).collect();
+        }
+        if !self.is_relay()
+            && let Some(heard) = self.summary_of_fleet(now)
+        {
+            return heard.coordinators.clone();
+        }
+        let relays = self.live_peers(now).filter(|peer| peer.message.relay.is_relay);
+        relays.filter(|peer| peer.message.ready_in_ms == 0).map(Peer::coordinator).collect()
+    }
+
+    /// Returns whether this gateway is among those that take duties for the whole fleet.
+    pub(crate) fn is_coordinator(&self) -> bool {
+        !self.uses_relays() || self.is_relay()
+    }
+
     /// Returns the share of the gateways that this one reaches, itself included.
     pub(crate) fn reachable_share(&self, now: Instant) -> f64 {
-        let live = self.live_peers(now).count() + 1;
-        self.sharers.reachable_share(live, now.into_std())
+        self.sharers.reachable_share(self.live(now), now.into_std())
     }
 
     /// Returns the time until each other gateway is expected to be ready: first those of the data centre, then the
@@ -184,6 +388,9 @@
         data_centre: &str,
         now: Instant,
     ) -> (Vec<Duration>, Vec<Duration>) {
+        if let Some(heard) = self.summary_of_fleet(now).filter(|_| self.uses_relays()) {
+            return counted_ready_in(data_centre, &heard.summary, now - heard.heard);
+        }
         let (mut near, mut others) = (Vec::new(), Vec::new());
         for peer in self.peers.values() {
             let Some(ready_in) = peer.ready_in(now) else { continue };
@@ -193,8 +400,12 @@
         (near, others)
     }
 
-    /// Returns how many live gateways sort before `instance` by name.
+    /// Returns how many live gateways go before `instance`, which is this one, in duties that one does for all: by name, or relays
+    /// first in a large fleet.
     pub(crate) fn rank(&self, instance: &str, now: Instant) -> u32 {
+        if self.uses_relays() {
+            return self.directory.rank(now.into_std()) as u32;
+        }
         self.live_peers(now).filter(|peer| peer.message.instance.as_str() < instance).count() as u32
     }
 
@@ -208,6 +419,11 @@
         incarnation: u64,
         now: Instant,
     ) -> usize {
+        if self.uses_relays() {
+            // Each gateway has few streams, so that as many others have streams there as there are streams.
+            let others = self.streams_of_others(head, now);
+            return probers_before_among(head.id.as_bytes(), incarnation, others);
+        }
         let has_streams = |peer: &&Peer| {
             peer.message.loads.iter().any(|load| load.streams > 0 && load.head == *head)
         };
@@ -220,17 +436,30 @@
         &self,
         now: Instant,
     ) -> impl Iterator<Item = (&ReportedSuspect, &str)> {
-        self.live_peers(now).flat_map(|peer| {
-            let instance = peer.message.instance.as_str();
-            peer.message.suspects.iter().map(move |report| (report, instance))
+        self.reports(now).into_iter().flat_map(|report| {
+            let source = report.source();
+            report.suspects().iter().map(move |suspect| (suspect, source))
         })
     }
 
+    /// Returns the number of streams of other gateways that begin at an engine.
+    fn streams_of_others(&self, head: &Incarnation, now: Instant) -> u32 {
+        let of = |report: Report<'_>| {
+            let loads = report.loads();
+            loads.iter().filter(|load| load.head == *head).map(|load| load.streams).sum::<u32>()
+        };
+        self.reports(now).into_iter().map(of).sum()
+    }
+
     /// Returns how many live gateways had their data of a kind confirmed complete by the store within `age`.
     pub(crate) fn watchers(&self, kind: Kind, age: Duration, now: Instant) -> usize {
-        let is_fresh =
-            |peer: &&Peer| peer.store_contact(kind, now).is_some_and(|data_age| data_age < age);
-        self.live_peers(now).filter(is_fresh).count()
+        let is_fresh = |report: &Report<'_>| {
+            report.store_contact(kind, now).is_some_and(|data_age| data_age < age)
+        };
+        let near = self.live_peers(now).map(Report::Peer);
+        let all: HashSet<&str> =
+            near.chain(self.reports(now)).filter(is_fresh).map(|report| report.source()).collect();
+        all.len()
     }
 
     /// Suspects an endpoint that failed, so that it gets no new work for a while. Returns whether this gateway
@@ -375,8 +604,8 @@
     /// Returns whether this gateway, given by its `incarnation`, is one of those that probe an endpoint on behalf of
     /// all.
     pub(crate) fn is_designated_prober(&self, id: &str, incarnation: u64, now: Instant) -> bool {
-        let others = self.live_peers(now).map(|peer| peer.message.incarnation);
-        let all = others.chain([incarnation]);
+        let others = self.coordinators(now).into_iter().map(|other| other.incarnation);
+        let all = others.chain(self.is_coordinator().then_some(incarnation));
         rendezvous_several(id.as_bytes(), all, PROBERS_PER_ENDPOINT).contains(&incarnation)
     }
 
--- a/crates/gateway/src/process/peers/mod.rs
+++ b/crates/gateway/src/process/peers/mod.rs
@@ -2,11 +2,13 @@
 
 mod catch_up;
 mod fleet_state;
+mod news;
 mod peer_message;
 #[allow(clippy::module_inception)]
 mod peers;
 mod recent_updates;
 mod registration;
+mod relay_part;
 mod view_exchange;
 
 pub(crate) use catch_up::HANDOVER_PATH;
--- a/crates/gateway/src/process/peers/peer_message.rs
+++ b/crates/gateway/src/process/peers/peer_message.rs
@@ -1,12 +1,13 @@
 //! The datagrams that gateways send each other.
 
+use super::relay_part::{EchoPart, RelayPart};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use sorrellock_routing::process::crashes::{CrashDigest, CrashReports};
 use sorrellock_routing::process::lead_view::{EngineView, ViewMark, ViewUpdate};
 use sorrellock_routing::process::limits::LimitReport;
 use sorrellock_routing::process::{
-    FailureEvidence, Incarnation, Known, Revision, StartMillis, StoreEra,
+    EndedIncarnation, HeadLoad, Incarnation, Known, ReportedSuspect, Revision, StoreEra,
 };
 
 /// Format version of the messages; other versions can't be decoded. Raise it with every change of the fields.
@@ -69,6 +70,12 @@
     /// Encoded after the view.
     #[serde(skip)]
     pub(crate) capacity: CapacityPart,
+    /// Encoded after the capacity.
+    #[serde(skip)]
+    pub(crate) relay: RelayPart,
+    /// Encoded last, as it differs between receivers.
+    #[serde(skip)]
+    pub(crate) echo: EchoPart,
 }
 
 /// Fields that follow those of the format version. Gateways that don't know them skip them, and those that do read
@@ -110,12 +117,18 @@
 }
 
 impl PeerMessage {
-    /// Encodes the message, after a byte for the format version.
+    /// Encodes the message without its last part, after a byte for the format version.
     pub(crate) fn encode(&self) -> Result<Vec<u8>, postcard::Error> {
         let buf = postcard::to_extend(self, vec![FORMAT])?;
         let buf = postcard::to_extend(&self.extension, buf)?;
         let buf = postcard::to_extend(&self.view, buf)?;
-        postcard::to_extend(&self.capacity, buf)
+        let buf = postcard::to_extend(&self.capacity, buf)?;
+        postcard::to_extend(&self.relay, buf)
+    }
+
+    /// Adds the last part to an encoded message.
+    pub(crate) fn with_echo(buf: &[u8], echo: EchoPart) -> Result<Vec<u8>, postcard::Error> {
+        postcard::to_extend(&echo, buf.to_vec())
     }
 
     /// Decodes a message.
@@ -128,8 +141,10 @@
             postcard::take_from_bytes(message).map_err(|_| Unreadable::Malformed)?;
         let (extension, rest) = take_part(rest)?;
         let (view, rest) = take_part(rest)?;
-        let (capacity, _) = take_part(rest)?;
-        Ok(PeerMessage { extension, view, capacity, ..message })
+        let (capacity, rest) = take_part(rest)?;
+        let (relay, rest) = take_part(rest)?;
+        let (echo, _) = take_part(rest)?;
+        Ok(PeerMessage { extension, view, capacity, relay, echo, ..message })
     }
 }
 
@@ -141,34 +156,6 @@
     postcard::take_from_bytes(buf).map_err(|_| Unreadable::Malformed)
 }
 
-/// An engine that the reporting gateway suspects.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub(crate) struct ReportedSuspect {
-    /// The engine.
-    pub(crate) incarnation: Incarnation,
-    pub(crate) evidence: FailureEvidence,
-}
-
-/// An incarnation of an endpoint that has ended, and the one that replaced it.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub(crate) struct EndedIncarnation {
-    /// The incarnation that has ended.
-    pub(crate) ended: Incarnation,
-    /// Start time of the later incarnation.
-    pub(crate) successor: Option<StartMillis>,
-}
-
-/// Load of one gateway's streams on the paths that begin at one engine.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub(crate) struct HeadLoad {
-    /// The first engine.
-    pub(crate) head: Incarnation,
-    /// Number of tokens that the streams reserve.
-    pub(crate) tokens: u32,
-    /// Number of streams.
-    pub(crate) streams: u32,
-}
-
 /// The whole view of a lead of the build before, in place of [`ViewPart`].
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub(crate) struct LeadView {
--- a/crates/gateway/src/process/peers/peers.rs
+++ b/crates/gateway/src/process/peers/peers.rs
@@ -1,15 +1,17 @@
 //! Exchanges messages with the other gateways: loads, suspected endpoints, the lead's view of the engines, and
 //! how recent each gateway's data from the store is.
 
+use super::news::News;
+use super::relay_part::{Coordinator, EchoPart, HeardSummary, RelayPart, Scope};
 use crate::process::{
-    CapacityPart, Count, Extension, Gateway, HeadLoad, Load, Peer, PeerMessage, Unreadable,
-    ViewPart,
+    CapacityPart, Count, Extension, Gateway, Load, Peer, PeerMessage, Unreadable, ViewPart,
 };
 use sorrellock_platform::Kind;
 use sorrellock_routing::process::lead_view::{
     EngineViews, ViewChange, ViewLog, ViewMark, ViewUpdate,
 };
-use sorrellock_routing::process::{Incarnation, UpdateSources};
+use sorrellock_routing::process::relays::Summary;
+use sorrellock_routing::process::{HeadLoad, Incarnation, UpdateSources};
 use spdlog::{error, info, warn};
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
@@ -27,6 +29,8 @@
 const MANY_GATEWAYS: u32 = 12;
 /// Upper bound of the send interval: a silent lead is replaced after a second.
 const MAX_SEND_INTERVAL: Duration = Duration::from_millis(250);
+/// Number of intervals after which a relay sends a summary to each gateway of its data centre: the two of them send in turn.
+const BEATS_PER_SUMMARY: u64 = 2;
 /// Time for which the ends of streams are collected before they are reported out of turn.
 const REPORT_DELAY: Duration = Duration::from_millis(10);
 /// Maximum number of senders of unreadable messages to remember, so that each is logged once: more than a fleet
@@ -44,6 +48,8 @@
     pub(super) registered: RefCell<HashSet<SocketAddr>>,
     /// This gateway's view of the engines while it is the lead.
     pub(super) view_log: Rc<RefCell<Option<ViewLog>>>,
+    /// Addresses of those whose registration doesn't tell where they run: they send to all, and are sent to by all.
+    pub(super) unplaced: RefCell<HashSet<SocketAddr>>,
     /// Chooses the gateway to catch up from.
     pub(super) sources: RefCell<UpdateSources>,
     is_unsendable_logged: Cell<bool>,
@@ -62,6 +68,7 @@
             socket,
             sequence: Cell::new(0),
             registered: RefCell::default(),
+            unplaced: RefCell::default(),
             view_log,
             sources: RefCell::default(),
             is_unsendable_logged: Cell::default(),
@@ -71,14 +78,25 @@
 
     /// Sends messages to the other gateways, indefinitely.
     pub(crate) async fn send_messages(self: Rc<Self>) {
-        loop {
-            self.send_to_all();
+        let mut is_news = true;
+        for beat in 0_u64.. {
+            let now = Instant::now();
+            self.gateway.fleet_state.borrow_mut().update_role(now);
+            if self.gateway.fleet_state.borrow().uses_relays() {
+                self.send_through_relays(is_news || beat % BEATS_PER_SUMMARY == 0);
+            } else {
+                self.send_to_all();
+            }
             self.gateway.update_loads();
-            let gateways = self.gateway.fleet_state.borrow().gateways(Instant::now()) as u32;
+            let gateways = self.gateway.fleet_state.borrow().gateways(now) as u32;
             let interval = SEND_INTERVAL * gateways / MANY_GATEWAYS;
             let interval = interval.clamp(SEND_INTERVAL, MAX_SEND_INTERVAL);
             // News is sent at once, so that the others needn't probe a suspected endpoint or read a configuration themselves.
-            let _ = timeout(interval, self.gateway.news.notified()).await;
+            is_news = timeout(interval, self.gateway.news.notified()).await.is_ok();
+            if is_news && self.gateway.fleet_state.borrow().is_relay() {
+                // Several gateways often find the same at once.
+                sleep(REPORT_DELAY).await;
+            }
         }
     }
 
@@ -105,18 +123,94 @@
 
     fn send_to(&self, targets: impl Iterator<Item = SocketAddr>) {
         let message = self.message();
+        self.send_message(&message, targets.map(|addr| (addr, EchoPart::default())));
+    }
+
+    fn send_message(
+        &self,
+        message: &PeerMessage,
+        targets: impl Iterator<Item = (SocketAddr, EchoPart)>,
+    ) {
+        let loads = message.loads.clone();
+        self.gateway.fleet_state.borrow_mut().sent_loads.add(message.sequence, loads);
         let buf = match message.encode() {
             Ok(buf) if buf.len() <= MAX_DATAGRAM => buf,
             Ok(buf) => return self.on_unsendable(&format!("it has {} bytes", buf.len())),
             Err(err) => return self.on_unsendable(&err.to_string()),
         };
-        for addr in targets {
-            // A lost message is superseded by the next one.
-            let _ = self.socket.try_send_to(&buf, addr);
+        for (addr, echo) in targets {
+            match PeerMessage::with_echo(&buf, echo) {
+                // A lost message is superseded by the next one.
+                Ok(buf) => drop(self.socket.try_send_to(&buf, addr)),
+                Err(err) => return self.on_unsendable(&err.to_string()),
+            }
         }
         self.is_unsendable_logged.set(false);
     }
 
+    /// Sends this gateway's state to the first gateways of its data centre and, as a relay, summaries to the other relays and, if
+    /// `to_members`, to the gateways that send their state here.
+    fn send_through_relays(&self, to_members: bool) {
+        let now = Instant::now();
+        let message = self.message();
+        let is_relay = message.relay.is_relay;
+        self.send_message(&message, unechoed(self.candidates(now)));
+        if !is_relay && message.lead_term.is_none() {
+            return;
+        }
+        let own = self.gateway.fleet_state.borrow().data_centre_summary(&message, now);
+        let foreign = self.gateway.fleet_state.borrow().directory.foreign_relays(now.into_std());
+        let summary = is_relay.then(|| (Scope::DataCentre, own.clone()));
+        let relay = RelayPart { summary, ..message.relay.clone() };
+        let to_relays = PeerMessage { sequence: self.next_sequence(), relay, ..message.clone() };
+        self.send_message(&to_relays, unechoed(foreign.into_iter().collect()));
+        let whole = self.gateway.fleet_state.borrow().fleet_summary(&own, now);
+        if is_relay && (to_members || whole.has_news()) {
+            self.send_to_members(message, whole, now);
+        }
+    }
+
+    fn send_to_members(&self, message: PeerMessage, whole: Summary, now: Instant) {
+        let relay = RelayPart {
+            summary: Some((Scope::Fleet, whole)),
+            coordinators: self.ready_relays(now),
+            ..message.relay
+        };
+        let message = PeerMessage { sequence: self.next_sequence(), relay, ..message };
+        let members: Vec<(SocketAddr, EchoPart)> = {
+            let fleet_state = self.gateway.fleet_state.borrow();
+            let near = fleet_state.live_peers(now).filter(|peer| {
+                peer.message.data_centre == message.data_centre && !peer.message.relay.is_relay
+            });
+            near.map(|peer| (peer.addr, EchoPart { included: peer.message.sequence })).collect()
+        };
+        self.send_message(&message, members.into_iter());
+    }
+
+    /// Returns the relays of all data centres that are ready, this one included.
+    fn ready_relays(&self, now: Instant) -> Vec<Coordinator> {
+        let own = Coordinator { incarnation: self.gateway.incarnation, addr: self.own_addr() };
+        let others = self.gateway.fleet_state.borrow().coordinators(now);
+        others.into_iter().chain(self.gateway.is_ready().then_some(own)).collect()
+    }
+
+    /// Returns the gateways that this one sends its own state to in a large fleet, and those of builds without relays.
+    fn candidates(&self, now: Instant) -> HashSet<SocketAddr> {
+        let fleet_state = self.gateway.fleet_state.borrow();
+        let mut addrs = fleet_state.directory.candidates(now.into_std());
+        let without_relays =
+            fleet_state.live_peers(now).filter(|peer| peer.message.relay.processor == 0);
+        addrs.extend(without_relays.map(|peer| peer.addr));
+        addrs.extend(self.unplaced.borrow().iter());
+        addrs.remove(&self.own_addr());
+        addrs
+    }
+
+    fn next_sequence(&self) -> u64 {
+        self.sequence.set(self.sequence.get() + 1);
+        self.sequence.get()
+    }
+
     /// Logs the first of a series of messages that can't be sent.
     fn on_unsendable(&self, why: &str) {
         self.gateway.counters.add(Count::PeerMessagesUnsent);
@@ -127,7 +221,7 @@
 
     fn message(&self) -> PeerMessage {
         let gateway = &self.gateway;
-        self.sequence.set(self.sequence.get() + 1);
+        let sequence = self.next_sequence();
         let now = Instant::now();
         let suspects = gateway.fleet_state.borrow_mut().own_suspects(now);
         let leaving = {
@@ -155,7 +249,7 @@
             incarnation: gateway.incarnation,
             data_centre: gateway.settings.data_centre.clone(),
             ready_in_ms: gateway.ready_in(now).as_millis() as u32,
-            sequence: self.sequence.get(),
+            sequence,
             store_era: gateway.eras.known(),
             known: gateway.knowledge.borrow().known(),
             configuration_heard_ms: store_age_ms(Kind::Configuration),
@@ -171,6 +265,12 @@
             extension,
             view: self.view_part(now),
             capacity: CapacityPart { taken: gateway.capacity_keepers.borrow().taken() },
+            relay: RelayPart {
+                processor: gateway.settings.processor,
+                is_relay: gateway.fleet_state.borrow().is_relay(),
+                ..RelayPart::default()
+            },
+            echo: EchoPart::default(),
         }
     }
 
@@ -247,49 +347,44 @@
                 instance = message.instance.as_str(), addr = addr.as_str()
             });
         }
+        let is_news = before.is_none_or(|peer| !peer.message.has_same_news(&message));
         let reported = before.map_or(&[][..], |peer| &peer.message.suspects);
         let has_new_suspects = message.suspects.iter().any(|report| !reported.contains(report));
-        let mut is_changed = false;
-        is_changed |= receive_view(&mut fleet_state.views, &message, now);
-        let leaving = message.leaving.iter();
-        let leaving = leaving
-            .filter(|incarnation| !fleet_state.is_leaving(incarnation, now))
-            .cloned()
-            .collect::<Vec<_>>();
-        for incarnation in &leaving {
-            fleet_state.add_reported_leaving(incarnation, now);
-            info!("endpoint reported that it is leaving", kv: {
-                endpoint = incarnation.id.as_str(), source = message.instance.as_str()
-            });
-            is_changed = true;
-        }
+        let is_viewed = receive_view(&mut fleet_state.views, &message, now);
         let instance = message.instance.clone();
-        let (ended, left) = (message.ended.clone(), message.left.clone());
-        let extension = message.extension.clone();
-        let (era, left_before_era) =
-            (message.known.endpoints_at.era, message.left_before_era.clone());
+        let news = News::of(&message);
+        let heard = HeardSummary::of(&message, now);
         fleet_state.sharers.on_message(&instance, now.into_std());
+        if message.relay.processor > 0 {
+            let (placing, is_relay) = (message.placing(), message.relay.is_relay);
+            fleet_state.directory.on_message(&instance, &placing, is_relay, from, now.into_std());
+        }
         fleet_state.peers.insert(instance.clone(), Peer { addr: from, message, last_contact: now });
+        let is_relay = fleet_state.is_relay();
         drop(fleet_state);
         gateway.capacity.borrow().on_loads_changed();
-        gateway.receive_crash_reports(&extension.crashes);
-        gateway.receive_limits(&extension.limits, &instance);
-        for end in &ended {
-            gateway.receive_end(end, &instance);
-        }
-        for incarnation in &left {
-            is_changed |= gateway.remove_missing(incarnation, &instance);
-        }
-        is_changed |= gateway.receive_left(&left_before_era, era, &instance);
-        if is_changed {
+        let mut changes = gateway.receive_news(&news, &instance);
+        changes.engines |= is_viewed;
+        changes.suspects |= has_new_suspects;
+        let is_relayed_news = heard.is_some_and(|heard| {
+            let received = gateway.receive_summary(heard);
+            changes.engines |= received.changes.engines;
+            changes.suspects |= received.changes.suspects;
+            received.is_news
+        });
+        if changes.engines {
             gateway.refresh_paths();
         }
-        if has_new_suspects {
+        if changes.suspects {
             gateway.apply_reported_failures();
         }
-        if has_new_suspects || !leaving.is_empty() {
+        if changes.engines || changes.suspects {
             gateway.engines_changed.notify_waiters();
         }
+        if is_relay && (is_news || is_relayed_news) {
+            // The other gateways learn it through this one.
+            gateway.news.notify_one();
+        }
     }
 }
 
@@ -298,8 +393,8 @@
     pub(crate) fn update_loads(&self) {
         let now = Instant::now();
         let mut loads: HashMap<Incarnation, Load> = HashMap::new();
-        for peer in self.fleet_state.borrow().live_peers(now) {
-            for reported in &peer.message.loads {
+        for report in self.fleet_state.borrow().reports(now) {
+            for reported in report.loads().iter() {
                 let load = loads.entry(reported.head.clone()).or_default();
                 load.tokens += f64::from(reported.tokens);
                 load.streams += reported.streams;
@@ -312,6 +407,11 @@
     }
 }
 
+/// Adds to each address that no message of its gateway is included.
+fn unechoed(addrs: HashSet<SocketAddr>) -> impl Iterator<Item = (SocketAddr, EchoPart)> {
+    addrs.into_iter().map(|addr| (addr, EchoPart::default()))
+}
+
 /// Applies what a message says of the lead and its view. Returns whether the engines changed.
 fn receive_view(views: &mut EngineViews, message: &PeerMessage, now: Instant) -> bool {
     let now = now.into_std();
--- a/crates/gateway/src/process/peers/registration.rs
+++ b/crates/gateway/src/process/peers/registration.rs
@@ -5,6 +5,7 @@
 use serde::{Deserialize, Serialize};
 use sorrellock_platform::{Kind, Listing, Store, StoreError, StoredObject};
 use sorrellock_routing::process::StoreEra;
+use sorrellock_routing::process::relays::Placing;
 use spdlog::warn;
 use std::collections::HashSet;
 use std::net::SocketAddr;
@@ -30,6 +31,9 @@
     addr: SocketAddr,
     /// The process that wrote it; a later one at the same address leaves it as it is.
     incarnation: u64,
+    /// Where the gateway runs; builds without relays don't write it.
+    #[serde(default)]
+    placing: Option<Placing>,
 }
 
 impl Peers {
@@ -91,8 +95,11 @@
             *written_in = Some(era);
         }
         self.gateway.refuse_nameless(&listing.nameless, "Gateways");
-        let addrs = listing.objects.iter().filter_map(|object| self.registered_addr(object));
-        let mut addrs: HashSet<SocketAddr> = addrs.collect();
+        let registered: Vec<(String, Registration)> =
+            listing.objects.iter().filter_map(|object| self.registered(object)).collect();
+        self.note_placings(&registered);
+        let mut addrs: HashSet<SocketAddr> =
+            registered.into_iter().map(|(_, registration)| registration.addr).collect();
         if self.gateway.is_era_new(ALL_REGISTERED_WITHIN) {
             // Others may not have written their objects again yet, but still share the retry budget.
             addrs.extend(self.registered.borrow().iter());
@@ -120,7 +127,9 @@
         // It was removed since; the next round creates it.
         let listed = listed.ok_or(StoreError::Conflict)?;
         let own = self.registration();
-        if listed.read::<Registration>().is_ok_and(|listed| listed.addr == own.addr) {
+        let is_same =
+            |listed: Registration| listed.addr == own.addr && listed.placing == own.placing;
+        if listed.read::<Registration>().is_ok_and(is_same) {
             return Ok(listed.revision.era);
         }
         let written = store.replace(Kind::Gateways, name, listed.revision, &own).await?;
@@ -128,13 +137,30 @@
     }
 
     fn registration(&self) -> Registration {
-        Registration { addr: self.own_addr(), incarnation: self.gateway.incarnation }
+        let settings = &self.gateway.settings;
+        let (data_centre, processor) = (settings.data_centre.clone(), settings.processor);
+        Registration {
+            addr: self.own_addr(),
+            incarnation: self.gateway.incarnation,
+            placing: Some(Placing { data_centre, processor }),
+        }
+    }
+
+    /// Records where the registered gateways run.
+    fn note_placings(&self, registered: &[(String, Registration)]) {
+        let unplaced = registered.iter().filter(|(_, registration)| registration.placing.is_none());
+        *self.unplaced.borrow_mut() = unplaced.map(|(_, registration)| registration.addr).collect();
+        let placed = registered.iter().filter_map(|(name, registration)| {
+            Some((name.clone(), registration.placing.clone()?, registration.addr))
+        });
+        let now = Instant::now().into_std();
+        self.gateway.fleet_state.borrow_mut().directory.on_list(placed, now);
     }
 
-    /// Returns a gateway's registered address. A registration that can't be read is skipped.
-    fn registered_addr(&self, object: &StoredObject) -> Option<SocketAddr> {
+    /// Returns a gateway's registration. One that can't be read is skipped.
+    fn registered(&self, object: &StoredObject) -> Option<(String, Registration)> {
         match object.read::<Registration>() {
-            Ok(registration) => Some(registration.addr),
+            Ok(registration) => Some((object.name.clone(), registration)),
             Err(fault) => {
                 let what = "registration of a gateway refused";
                 let count = Count::RegistrationsRefused;
--- a/crates/gateway/src/process/run.rs
+++ b/crates/gateway/src/process/run.rs
@@ -3,9 +3,9 @@
 use crate::connection::accept_callers;
 use crate::process::placer::Placer;
 use crate::process::{
-    Count, Gateway, Peers, Phase, dispatch_capacity, exchange_held, expire_entries, follow,
-    follow_eras, measure_lag, read_views, serve_internal_pages, set_up_log, sync_held, unix_now,
-    watch_paths,
+    Count, Gateway, Options, Peers, Phase, dispatch_capacity, exchange_held, expire_entries,
+    follow, follow_eras, measure_lag, read_views, serve_internal_pages, set_up_log, sync_held,
+    unix_now, watch_paths,
 };
 use sorrellock_http::listen;
 use sorrellock_platform::{Kind, Limits, Settings, Store, parse_settings};
@@ -88,22 +88,22 @@
 }
 
 /// Runs a gateway with a settings file until SIGTERM.
-pub fn run(path: &Path) -> Result<(), StartError> {
+pub fn run(path: &Path, options: Options) -> Result<(), StartError> {
     let settings = read_settings(path)?;
     let _log = set_up_log();
-    run_with(settings, path)
+    run_with(settings, options, path)
 }
 
 /// The same in a process that has set up its own logger.
 pub fn run_with_log_set_up(path: &Path) -> Result<(), StartError> {
-    run_with(read_settings(path)?, path)
+    run_with(read_settings(path)?, Options::default(), path)
 }
 
-fn run_with(settings: Settings, path: &Path) -> Result<(), StartError> {
+fn run_with(settings: Settings, options: Options, path: &Path) -> Result<(), StartError> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|source| io_error("runtime", source))?;
     let local = LocalSet::new();
-    let res = local.block_on(&runtime, serve(settings, path));
+    let res = local.block_on(&runtime, serve(settings, options, path));
     if let Err(err) = &res {
         let text = err.to_string();
         error!("gateway failed", kv: { err = text.as_str() });
@@ -128,11 +128,11 @@
     }
 }
 
-async fn serve(settings: Settings, path: &Path) -> Result<(), StartError> {
+async fn serve(settings: Settings, options: Options, path: &Path) -> Result<(), StartError> {
     // Before anything else: a signal without a handler ends the process.
     let signals = Signals::new()?;
     let incarnation = rand::random();
-    let gateway = Rc::new(Gateway::new(settings, incarnation));
+    let gateway = Rc::new(Gateway::new(settings, options, incarnation));
     let settings = &gateway.settings;
     let (instance, data_centre) = (settings.instance.as_str(), settings.data_centre.as_str());
     info!("gateway started", kv: {
--- a/crates/gateway/src/process/store/eras.rs
+++ b/crates/gateway/src/process/store/eras.rs
@@ -80,7 +80,7 @@
         let now = Instant::now();
         let fleet_state = self.fleet_state.borrow();
         let rank = fleet_state.rank(&self.settings.instance, now);
-        let count = fleet_state.live_peers(now).count() as u32 + 1;
+        let count = fleet_state.live(now) as u32;
         list_turn(rank, count)
     }
 
--- a/crates/gateway/src/process/store/incarnations.rs
+++ b/crates/gateway/src/process/store/incarnations.rs
@@ -1,9 +1,11 @@
 //! Incarnations of endpoints. The first evidence of a new incarnation ends the previous one everywhere in the process.
 
-use crate::process::{Count, EndedIncarnation, Gateway};
+use crate::process::{Count, Gateway};
 use sorrellock_platform::{Client, read_report};
 use sorrellock_routing::process::Revision;
-use sorrellock_routing::process::{AnswerUpdate, Endpoint, EntryUpdate, Incarnation, StartMillis};
+use sorrellock_routing::process::{
+    AnswerUpdate, EndedIncarnation, Endpoint, EntryUpdate, Incarnation, StartMillis,
+};
 use spdlog::{info, warn};
 use std::net::SocketAddr;
 use std::rc::Rc;
--- a/crates/gateway/src/process/store/store_contact.rs
+++ b/crates/gateway/src/process/store/store_contact.rs
@@ -21,6 +21,8 @@
     at: Cell<Option<(StoreEra, Instant)>>,
     /// Wakes a pending watch, which may have stalled.
     suspected: Notify,
+    /// Until when its data is complete by the reports of other gateways, and in which era.
+    confirmed: Cell<Option<(StoreEra, Instant)>>,
     /// Whether this gateway learns of changes from others, without a watch of its own.
     is_left_to_others: Cell<bool>,
 }
@@ -33,6 +35,20 @@
         }
     }
 
+    /// Records that the data of a kind is complete up to a time, by the reports of other gateways.
+    pub(crate) fn confirm(&self, kind: Kind, era: StoreEra, at: Instant) {
+        if let Some(of_kind) = self.of(kind) {
+            let before = of_kind.confirmed.get();
+            of_kind.confirmed.set(before.max(Some((era, at))));
+        }
+    }
+
+    /// Returns the time up to which the data of a kind is complete by such reports, in an era.
+    fn confirmed(&self, kind: Kind, era: StoreEra) -> Option<Instant> {
+        let (confirmed_era, at) = self.of(kind)?.confirmed.get()?;
+        (confirmed_era == era).then_some(at)
+    }
+
     /// Forgets contacts before an era.
     pub(crate) fn forget_before(&self, era: StoreEra) {
         for of_kind in [&self.configuration, &self.endpoints] {
@@ -116,11 +132,13 @@
     pub(crate) fn knowledge_age(&self, kind: Kind, now: Instant) -> Option<Duration> {
         let fleet_state = self.fleet_state.borrow();
         let (era, known) = (self.eras.known(), self.knowledge.borrow().known());
-        let peers = fleet_state.live_peers(now).filter(|peer| {
-            peer.message.store_era == era && !is_ahead(kind, &peer.message.known, &known)
-        });
-        let ages = peers.filter_map(|peer| peer.store_contact(kind, now));
-        ages.chain(self.store_contact.age(kind, now)).min()
+        let reports = fleet_state
+            .reports(now)
+            .into_iter()
+            .filter(|report| report.store_era() == era && !is_ahead(kind, &report.known(), &known));
+        let ages = reports.filter_map(|report| report.store_contact(kind, now));
+        let confirmed = self.store_contact.confirmed(kind, era).map(|at| now - at);
+        ages.chain(self.store_contact.age(kind, now)).chain(confirmed).min()
     }
 
     /// Handles a failed call of the store.
--- a/crates/gateway/src/process/store/watch_sharing.rs
+++ b/crates/gateway/src/process/store/watch_sharing.rs
@@ -2,6 +2,7 @@
 //! is repeated. The watches of a fleet don't grow with it.
 
 use super::watcher::Watcher;
+use crate::process::FleetState;
 use sorrellock_core::process::store_watch::Rank;
 use sorrellock_platform::Kind;
 use sorrellock_routing::process::Revision;
@@ -22,7 +23,8 @@
 /// Number of gateways from which most of them learn of endpoints and configurations from others: otherwise each change
 /// would cost a store call from every gateway.
 const MANY_GATEWAYS: usize = 12;
-/// Number of gateways, first in order of name, that watch the store themselves. The lead always watches the endpoints, too.
+/// Number of gateways, first in order of name, that watch the store themselves. The lead always watches the endpoints, too. In
+/// a fleet with relays these do.
 const WATCHERS: Rank = 4;
 /// Gateways that must have had recent contact with the store for others to rely on them.
 const MIN_WATCHERS: usize = 2;
@@ -35,7 +37,7 @@
         let now = Instant::now();
         let fleet_state = self.gateway.fleet_state.borrow();
         let rank = fleet_state.rank(&self.gateway.settings.instance, now);
-        let count = fleet_state.live_peers(now).count() + 1;
+        let count = fleet_state.live(now);
         if count >= MANY_GATEWAYS { rank.min(WATCHERS) } else { rank }
     }
 
@@ -81,7 +83,7 @@
         let may_rely = self.has_data()
             && !(self.kind == Kind::Endpoints && is_leading)
             && fleet_state.gateways(now) >= MANY_GATEWAYS
-            && fleet_state.rank(&gateway.settings.instance, now) >= WATCHERS
+            && !is_watcher(&fleet_state, &gateway.settings.instance, now)
             && watchers >= MIN_WATCHERS
             && !self.is_too_old();
         (may_rely, watchers)
@@ -98,3 +100,11 @@
         (WATCH_PAUSE_PER_GATEWAY * gateways as u32).clamp(WATCH_PAUSE, longest)
     }
 }
+
+/// Returns whether this gateway, `instance`, is one of those that watch the store for others.
+fn is_watcher(fleet_state: &FleetState, instance: &str, now: Instant) -> bool {
+    if fleet_state.uses_relays() {
+        return fleet_state.is_relay();
+    }
+    fleet_state.rank(instance, now) < WATCHERS
+}
--- a/crates/gateway/src/request/shared_capacity.rs
+++ b/crates/gateway/src/request/shared_capacity.rs
@@ -36,7 +36,7 @@
     until: Instant,
 ) -> Option<Result<PathReservation, NoPlace>> {
     let rank = call.capacity_rank?;
-    if !has_keeper(gateway.capacity_reach().1) {
+    if gateway.fleet_state.borrow().uses_relays() || !has_keeper(gateway.capacity_reach().1) {
         return None;
     }
     // What may crash engines is sent apart from others, in turn.
--- a/crates/routing/src/process/crashes/crash_guard.rs
+++ b/crates/routing/src/process/crashes/crash_guard.rs
@@ -23,13 +23,14 @@
 /// How long a finding is reported to the other gateways: several messages, of which some are lost. Gateways that were
 /// out of reach read the records of another one.
 const REPORT_FOR: Duration = Duration::from_millis(1_500);
-/// How long a request counts as running at another gateway after the last report: two messages.
-const RUNNING_ELSEWHERE_FOR: Duration = Duration::from_millis(600);
+/// How long a request counts as running at another gateway after the last report: that passes up to three intervals of 250 ms
+/// through relays.
+const RUNNING_ELSEWHERE_FOR: Duration = Duration::from_millis(1_000);
 /// Maximum number of contents in a message, 16 bytes each.
 const MAX_REPORTED: usize = 1_024;
 
 /// An endpoint that ended, and the requests that ran on it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct CrashReport {
     /// The endpoint.
     pub endpoint: Incarnation,
--- a/crates/routing/src/process/lead_view/engine_views.rs
+++ b/crates/routing/src/process/lead_view/engine_views.rs
@@ -54,9 +54,13 @@
 impl EngineViews {
     /// Records a message of the lead with this term, whether it carries a view or not. Returns whether it is the current one.
     pub fn on_lead(&mut self, term: Revision, now: Instant) -> bool {
-        let is_older = self.lead(now).is_some_and(|(known, _)| known > term);
+        let known = self.lead(now);
+        let is_older = known.is_some_and(|(known, _)| known > term);
         if !is_older {
-            self.lead = Some((term, now));
+            // What a relay heard of the lead may be older than what is known.
+            let latest =
+                known.filter(|(known, _)| *known == term).map_or(now, |(_, at)| at.max(now));
+            self.lead = Some((term, latest));
         }
         !is_older
     }
--- a/crates/routing/src/process/probe_turn.rs
+++ b/crates/routing/src/process/probe_turn.rs
@@ -28,6 +28,11 @@
     others.filter(|other| weight(*other) > own).count()
 }
 
+/// Returns the same where only the number of the others is known: each gateway takes one of as many places, by its incarnation.
+pub fn probers_before_among(path: &[u8], own: u64, others: u32) -> usize {
+    (rendezvous_weight(path, own) % (u64::from(others) + 1)) as usize
+}
+
 /// Returns how long a gateway waits before it probes an idle path, with `before` gateways ahead of it.
 pub fn probe_delay(before: usize) -> Duration {
     let wave = WAVES.iter().find(|(count, _)| before < *count);
--- a/crates/routing/src/process/retries/sharers.rs
+++ b/crates/routing/src/process/retries/sharers.rs
@@ -31,6 +31,9 @@
     heard: HashMap<String, Instant>,
     /// Numbers of gateways that the store listed, this one included, with the oldest first. The last one is kept.
     lists: VecDeque<(usize, Instant)>,
+    /// Numbers of gateways that were counted together with others, this one included: those that no later one exceeds, with the
+    /// oldest first.
+    counted: VecDeque<(usize, Instant)>,
 }
 
 impl Sharers {
@@ -41,6 +44,7 @@
             began,
             heard: HashMap::new(),
             lists: VecDeque::new(),
+            counted: VecDeque::new(),
         }
     }
 
@@ -63,6 +67,24 @@
         self.lists.push_back((listed, now));
     }
 
+    /// Records how many gateways share the bound by the reports of others that count them, this one included.
+    pub fn on_counted(&mut self, counted: usize, now: Instant) {
+        while self.counted.back().is_some_and(|(known, _)| *known <= counted) {
+            self.counted.pop_back();
+        }
+        let is_over = |at: Instant| now.duration_since(at) >= OUT_OF_REACH_TIMEOUT;
+        while self.counted.front().is_some_and(|(_, at)| is_over(*at)) {
+            self.counted.pop_front();
+        }
+        self.counted.push_back((counted, now));
+    }
+
+    /// Returns the highest count that is no older than `age`.
+    fn counted_within(&self, age: Duration, now: Instant) -> usize {
+        let within = self.counted.iter().filter(|(_, at)| now.duration_since(*at) < age);
+        within.map(|(counted, _)| *counted).max().unwrap_or_default()
+    }
+
     /// Returns how many gateways the store lists.
     pub fn listed(&self) -> usize {
         self.lists.back().map_or(0, |(listed, _)| *listed)
@@ -74,7 +96,7 @@
         let heard = self.heard.values().filter(|at| is_recent(**at, now)).count() + 1;
         let recent = self.lists.iter().filter(|(_, at)| is_recent(*at, now));
         let listed = recent.map(|(listed, _)| *listed).max().unwrap_or_default();
-        heard.max(listed).max(self.listed())
+        heard.max(listed).max(self.listed()).max(self.counted_within(SHARER_TIMEOUT, now))
     }
 
     /// Returns the fraction of the gateways that the `live` ones are, which this one reaches, itself included. Those that it
@@ -83,8 +105,9 @@
     pub fn reachable_share(&self, live: usize, now: Instant) -> f64 {
         let not_gone = |at: &Instant| now.duration_since(*at) < OUT_OF_REACH_TIMEOUT;
         let heard = self.heard.values().filter(|at| not_gone(at)).count() + 1;
+        let heard = heard.max(self.counted_within(OUT_OF_REACH_TIMEOUT, now));
         let listed = if not_gone(&self.began) { self.listed() } else { 0 };
-        match self.lists.is_empty() {
+        match self.lists.is_empty() && self.counted.is_empty() {
             true => 0.0,
             false => live as f64 / heard.max(listed).max(live) as f64,
         }
@@ -95,8 +118,9 @@
     /// register: a process that knows of no others isn't alone.
     pub fn share(&self, window: Duration, now: Instant) -> Share {
         let is_settled = now.duration_since(self.began) >= window + SETTLE_TIME;
-        let is_listed =
-            self.lists.back().is_some_and(|(_, at)| at.duration_since(self.began) >= SETTLE_TIME);
+        let is_settled_at = |at: &Instant| at.saturating_duration_since(self.began) >= SETTLE_TIME;
+        let is_listed = self.lists.back().is_some_and(|(_, at)| is_settled_at(at))
+            || self.counted.back().is_some_and(|(_, at)| is_settled_at(at));
         if !is_settled || !is_listed {
             return Share::default();
         }
@@ -104,8 +128,11 @@
             is_recent(**at, now) && other.as_str() < self.instance.as_str()
         };
         let rank = self.heard.iter().filter(is_before).count();
-        let count = self.count(now) as f64;
-        Share { fraction: 1.0 / count, rounding: rank as f64 / count }
+        let heard = self.heard.values().filter(|at| is_recent(**at, now)).count() + 1;
+        let count = self.count(now);
+        // The parts of those that hear each other add up to their fraction of the bound.
+        let group = if self.counted_within(SHARER_TIMEOUT, now) > heard { heard } else { count };
+        Share { fraction: 1.0 / count as f64, rounding: rank as f64 / group as f64 }
     }
 }
 
--- a/crates/routing/src/process/update_source.rs
+++ b/crates/routing/src/process/update_source.rs
@@ -12,7 +12,7 @@
 const AVOID_FOR: Duration = Duration::from_secs(5);
 
 /// How much a gateway knows: the configuration is compared first, then the revision of its endpoints.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Known {
     /// Version of its configuration.
     pub config: ConfigVersion,
--- /dev/null
+++ b/crates/routing/tests/relay_fleet/world.rs
@@ -0,0 +1,306 @@
+//! A fleet whose gateways exchange their state by the directory and the summaries that the gateway uses.
+
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use sorrellock_routing::process::relays::{
+    GatewayCount, Placing, RelayDirectory, SILENCE_TIMEOUT, Summary,
+};
+use sorrellock_routing::process::{
+    FailureEvidence, HeadLoad, Incarnation, Known, ReportedSuspect, Revision,
+};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+/// Interval between two messages of a gateway.
+pub const BEAT: Duration = Duration::from_millis(250);
+/// Bytes of a datagram before its content: the headers of IP and UDP.
+const HEADER_BYTES: usize = 28;
+/// Number of beats between two summaries to a member.
+const BEATS_PER_SUMMARY: u64 = 2;
+const DATA_CENTRES: [&str; 5] = ["east", "mid", "north", "south", "west"];
+/// Every so many gateways one has a whole core.
+const LARGE_EVERY: usize = 4;
+const LARGE: u32 = 1_000;
+const SMALL: u32 = 90;
+
+/// What a gateway hears of another one.
+#[derive(Clone)]
+struct Heard {
+    summary: Summary,
+    at: Instant,
+    is_relay: bool,
+}
+
+/// A gateway.
+pub struct Gateway {
+    pub name: String,
+    pub placing: Placing,
+    pub is_up: bool,
+    /// Whether its messages reach its own data centre only.
+    pub is_cut: bool,
+    /// Streams at the one engine that all use.
+    pub streams: u32,
+    pub suspects: Vec<ReportedSuspect>,
+    pub sent: usize,
+    pub received: usize,
+    pub received_bytes: usize,
+    directory: RelayDirectory,
+    near: HashMap<usize, Heard>,
+    foreign: HashMap<String, Heard>,
+    fleet: Option<Heard>,
+    beats: u64,
+}
+
+/// The fleet.
+pub struct World {
+    pub gateways: Vec<Gateway>,
+    pub now: Instant,
+    /// Share of messages that are lost.
+    pub loss: f64,
+    rng: StdRng,
+}
+
+/// The engine that all streams begin at.
+pub fn head() -> Incarnation {
+    Incarnation::new("engine-1", None)
+}
+
+/// A suspicion of an engine.
+pub fn suspect(id: &str) -> ReportedSuspect {
+    ReportedSuspect { incarnation: Incarnation::new(id, None), evidence: FailureEvidence::NoAnswer }
+}
+
+fn addr(index: usize) -> SocketAddr {
+    SocketAddr::from(([10, 0, (index / 250) as u8, (index % 250) as u8], 7_340))
+}
+
+fn index_of(addr: SocketAddr) -> usize {
+    let SocketAddr::V4(addr) = addr else { panic!("only these are used") };
+    let [_, _, high, low] = addr.ip().octets();
+    usize::from(high) * 250 + usize::from(low)
+}
+
+impl World {
+    /// Returns a fleet that has just started, each gateway of which knows the list of all.
+    pub fn new(count: usize, seed: u64) -> World {
+        let now = Instant::now();
+        let gateways = (0..count).map(|index| Gateway::new(index, now)).collect();
+        let mut world = World { gateways, now, loss: 0.0, rng: StdRng::seed_from_u64(seed) };
+        for index in 0..count {
+            world.list(index);
+        }
+        world
+    }
+
+    /// Starts a gateway again, which knows nothing but the list.
+    pub fn restart(&mut self, index: usize) {
+        self.gateways[index] = Gateway::new(index, self.now);
+        self.list(index);
+    }
+
+    fn list(&mut self, index: usize) {
+        let listed = self.gateways.iter().enumerate();
+        let listed: Vec<_> = listed
+            .map(|(other, gateway)| (gateway.name.clone(), gateway.placing.clone(), addr(other)))
+            .collect();
+        let now = self.now;
+        self.gateways[index].directory.on_list(listed, now);
+    }
+
+    /// Lets some time pass.
+    pub fn run(&mut self, time: Duration) {
+        let end = self.now + time;
+        // In a time of its own for each, as the gateways don't start at the same moment.
+        let step = BEAT / self.gateways.len() as u32;
+        while self.now < end {
+            for index in 0..self.gateways.len() {
+                self.now += step;
+                if self.gateways[index].is_up {
+                    self.beat(index);
+                }
+            }
+        }
+    }
+
+    fn beat(&mut self, index: usize) {
+        let now = self.now;
+        let gateway = &mut self.gateways[index];
+        gateway.beats += 1;
+        let is_relay = gateway.directory.is_relay(now);
+        let own = gateway.own_summary();
+        for target in gateway.directory.candidates(now) {
+            self.deliver(index, index_of(target), Message::Own(own.clone(), is_relay));
+        }
+        if !is_relay {
+            return;
+        }
+        let summary = self.gateways[index].data_centre_summary(now);
+        for target in self.gateways[index].directory.foreign_relays(now) {
+            self.deliver(index, index_of(target), Message::DataCentre(summary.clone(), is_relay));
+        }
+        if self.gateways[index].beats.is_multiple_of(BEATS_PER_SUMMARY) {
+            let whole = self.gateways[index].fleet_summary(&summary, now);
+            for member in self.gateways[index].members(now) {
+                self.deliver(index, member, Message::Fleet(whole.clone(), is_relay));
+            }
+        }
+    }
+
+    fn deliver(&mut self, from: usize, to: usize, message: Message) {
+        if from == to {
+            return;
+        }
+        let sender = &mut self.gateways[from];
+        sender.sent += 1;
+        let (name, placing) = (sender.name.clone(), sender.placing.clone());
+        let is_foreign = placing.data_centre != self.gateways[to].placing.data_centre;
+        let is_cut = is_foreign && (self.gateways[from].is_cut || self.gateways[to].is_cut);
+        let is_lost = self.rng.random_range(0.0..1.0) < self.loss;
+        if is_cut || is_lost || !self.gateways[to].is_up {
+            return;
+        }
+        let receiver = &mut self.gateways[to];
+        receiver.received += 1;
+        let bytes = postcard::to_stdvec(message.summary()).map_or(0, |buf| buf.len());
+        receiver.received_bytes += HEADER_BYTES + bytes;
+        receiver.on_message(from, &name, &placing, message, self.now);
+    }
+
+    /// Returns the numbers of gateways that are up and that each of those knows.
+    pub fn known(&self) -> (usize, Vec<usize>) {
+        let up = self.gateways.iter().filter(|gateway| gateway.is_up);
+        let known = up.map(|gateway| gateway.view(self.now).live()).collect::<Vec<_>>();
+        (known.len(), known)
+    }
+
+    /// Returns how long it takes until each gateway that is up knows of all that are, and of no others.
+    pub fn time_until_known(&mut self, limit: Duration) -> Duration {
+        let began = self.now;
+        loop {
+            let (up, known) = self.known();
+            if known.iter().all(|known| *known == up) {
+                return self.now - began;
+            }
+            assert!(self.now - began < limit, "{up} gateways are up, known are {known:?}");
+            self.run(BEAT);
+        }
+    }
+
+    /// Returns the indices of the gateways of a data centre in the order of relays.
+    pub fn ordered(&self, data_centre: &str) -> Vec<usize> {
+        let all = self.gateways.iter().enumerate();
+        let mut near: Vec<(std::cmp::Reverse<u32>, &str, usize)> = all
+            .filter(|(_, gateway)| gateway.placing.data_centre == data_centre)
+            .map(|(index, gateway)| {
+                (std::cmp::Reverse(gateway.placing.processor), gateway.name.as_str(), index)
+            })
+            .collect();
+        near.sort();
+        near.into_iter().map(|(_, _, index)| index).collect()
+    }
+}
+
+/// A message between two gateways.
+enum Message {
+    Own(Summary, bool),
+    DataCentre(Summary, bool),
+    Fleet(Summary, bool),
+}
+
+impl Message {
+    fn summary(&self) -> &Summary {
+        let (Message::Own(summary, _)
+        | Message::DataCentre(summary, _)
+        | Message::Fleet(summary, _)) = self;
+        summary
+    }
+}
+
+impl Gateway {
+    fn new(index: usize, now: Instant) -> Gateway {
+        let data_centre = DATA_CENTRES[index % DATA_CENTRES.len()].to_owned();
+        let is_large = (index / DATA_CENTRES.len()).is_multiple_of(LARGE_EVERY);
+        let placing = Placing { data_centre, processor: if is_large { LARGE } else { SMALL } };
+        let name = format!("gateway-{index:04}");
+        Gateway {
+            directory: RelayDirectory::new(&name, placing.clone(), now),
+            name,
+            placing,
+            is_up: true,
+            is_cut: false,
+            streams: 0,
+            suspects: Vec::new(),
+            sent: 0,
+            received: 0,
+            received_bytes: 0,
+            near: HashMap::new(),
+            foreign: HashMap::new(),
+            fleet: None,
+            beats: 0,
+        }
+    }
+
+    fn own_summary(&self) -> Summary {
+        let load = HeadLoad { head: head(), tokens: 100 * self.streams, streams: self.streams };
+        Summary {
+            gateways: [(self.placing.data_centre.clone(), GatewayCount::one(0))].into(),
+            known: Known { config: 1, endpoints_at: Revision::new(0, 1) },
+            loads: if self.streams > 0 { vec![load] } else { Vec::new() },
+            suspects: self.suspects.clone(),
+            ..Summary::default()
+        }
+    }
+
+    fn data_centre_summary(&self, now: Instant) -> Summary {
+        let near = self.near.values().filter(|heard| now - heard.at < SILENCE_TIMEOUT);
+        let mut whole = self.own_summary();
+        near.for_each(|heard| whole.add(&heard.summary, now - heard.at));
+        whole
+    }
+
+    fn fleet_summary(&self, own: &Summary, now: Instant) -> Summary {
+        let foreign = self.foreign.values().filter(|heard| now - heard.at < SILENCE_TIMEOUT);
+        let foreign = foreign.map(|heard| (&heard.summary, now - heard.at));
+        Summary::merged([(own, Duration::ZERO)].into_iter().chain(foreign))
+    }
+
+    fn members(&self, now: Instant) -> Vec<usize> {
+        let near = self.near.iter();
+        let live = near.filter(|(_, heard)| now - heard.at < SILENCE_TIMEOUT && !heard.is_relay);
+        live.map(|(index, _)| *index).collect()
+    }
+
+    /// Returns what this gateway knows of all, itself included.
+    pub fn view(&self, now: Instant) -> Summary {
+        if self.directory.is_relay(now) {
+            return self.fleet_summary(&self.data_centre_summary(now), now);
+        }
+        let fresh = self.fleet.as_ref().filter(|heard| now - heard.at < SILENCE_TIMEOUT);
+        fresh.map(|heard| heard.summary.clone()).unwrap_or_default()
+    }
+
+    fn on_message(
+        &mut self,
+        from: usize,
+        name: &str,
+        placing: &Placing,
+        message: Message,
+        now: Instant,
+    ) {
+        let (summary, is_relay) = match &message {
+            Message::Own(summary, is_relay)
+            | Message::DataCentre(summary, is_relay)
+            | Message::Fleet(summary, is_relay) => (summary.clone(), *is_relay),
+        };
+        self.directory.on_message(name, placing, is_relay, addr(from), now);
+        let heard = Heard { summary, at: now, is_relay };
+        match message {
+            Message::Own(..) => drop(self.near.insert(from, heard)),
+            Message::DataCentre(..) => {
+                self.foreign.insert(placing.data_centre.clone(), heard);
+            }
+            Message::Fleet(..) => self.fleet = Some(heard),
+        }
+    }
+}
