Relays: incomplete lists, one list at a start, one line for many endpoints

Cause: gateways that start together list only those that registered before; each listed again after 3 s, and made a watch of each kind before it had heard of others that watch. Each start wrote a line for each endpoint (181,003 in a minute). A third relay of a data centre was left alone by the first two. Change: relays send to listed gateways that they don't hear, and to all but the first two live ones; no second list where relays count; the first watch waits up to 1 s for others to rely on.

--- a/crates/daemon/tests/gateway/relays.rs
+++ b/crates/daemon/tests/gateway/relays.rs
@@ -42,8 +42,10 @@
     let gateways = gateways(&fleet);
 
     for of_data_centre in gateways.chunks(PER_DATA_CENTRE) {
-        let roles: Vec<String> = of_data_centre.iter().map(role).collect();
-        assert_eq!(roles, ["relay", "relay", "member", "member", "member"]);
+        wait_for("the first two to be relays and no others", || {
+            let roles: Vec<String> = of_data_centre.iter().map(role).collect();
+            roles == ["relay", "relay", "member", "member", "member"]
+        });
     }
 }
 
@@ -99,7 +101,9 @@
     wait_for("the others to know each other", || {
         gateways.iter().all(|gateway| live(gateway) == rest)
     });
-    assert_eq!([role(&gateways[0]), role(&gateways[1])], ["relay", "relay"]);
+    wait_for("the next two to be relays", || {
+        [role(&gateways[0]), role(&gateways[1])] == ["relay", "relay"]
+    });
     fleet.store.put("config", "main", config(21, &[KEY]));
     for gateway in &gateways {
         gateway.wait_for_line(&["\"configuration in force\"", "\"version\":21"]);
--- a/crates/gateway/src/process/counters.rs
+++ b/crates/gateway/src/process/counters.rs
@@ -117,6 +117,10 @@
     QuestionsHeldUp => "questions_held_up",
     /// Messages from other gateways.
     PeerMessages => "peer_messages",
+    /// Messages sent to other gateways.
+    PeerMessagesSent => "peer_messages_sent",
+    /// Bytes of these messages.
+    PeerBytesSent => "peer_bytes_sent",
     /// Messages from other gateways that can't be decoded.
     PeerMessagesBad => "peer_messages_bad",
     /// Entries of endpoints that can't be read at all.
--- a/crates/gateway/src/process/gateway.rs
+++ b/crates/gateway/src/process/gateway.rs
@@ -1,7 +1,7 @@
 //! State shared by all parts of a gateway.
 
 use crate::process::{
-    CapacityKeeper, CapacityKeepers, Count, Counters, EndChecks, FleetState, LivePath,
+    CapacityKeeper, CapacityKeepers, Count, Counters, EndChecks, FleetState, JoinCount, LivePath,
     LoggedFaults, LostLayers, NoticeKind, Options, PathTable, Permits, Pool, SUSPICION_DURATION,
     StoreContact,
 };
@@ -76,6 +76,8 @@
     pub(crate) fleet_state: RefCell<FleetState>,
     /// The current incarnation of each endpoint.
     pub(crate) incarnations: RefCell<Incarnations>,
+    /// Endpoints that join while a long list is applied.
+    pub(crate) joins: RefCell<JoinCount>,
     /// Faults of objects in the store that have been logged.
     pub(crate) logged_faults: RefCell<LoggedFaults>,
     pub(crate) paths: Rc<RefCell<PathTable>>,
@@ -168,6 +170,7 @@
             knowledge,
             fleet_state,
             incarnations: RefCell::default(),
+            joins: RefCell::default(),
             logged_faults: RefCell::default(),
             paths: Rc::default(),
             pool: RefCell::default(),
--- a/crates/gateway/src/process/listeners.rs
+++ b/crates/gateway/src/process/listeners.rs
@@ -167,6 +167,8 @@
             ("backoffs_evicted", gateway.backoffs.borrow().evicted() as f64),
             ("leaving_notices", fleet_state.leaving_notices.len() as f64),
             ("leaving_notices_evicted", fleet_state.leaving_notices.evicted() as f64),
+            ("gateways_live", fleet_state.live(now) as f64),
+            ("is_relay", f64::from(u8::from(fleet_state.is_relay()))),
             ("held_requests", guard.held().held() as f64),
             ("crash_suspects", guard.suspects() as f64),
             ("crash_evicted", guard.evicted() as f64),
--- a/crates/gateway/src/process/peers/fleet_state.rs
+++ b/crates/gateway/src/process/peers/fleet_state.rs
@@ -234,7 +234,7 @@
 
     /// Decides how this gateway takes part in the exchange of messages, and counts the gateways that share the fleet's bounds.
     pub(crate) fn update_role(&mut self, now: Instant) {
-        let uses_relays = self.gateways(now) >= self.relays_from;
+        let uses_relays = self.uses_relays_at(self.gateways(now));
         self.role = match uses_relays {
             false => Role::AllToAll,
             true if self.directory.is_relay(now.into_std()) => Role::Relay,
@@ -245,6 +245,11 @@
         }
     }
 
+    /// Returns whether a fleet of this size uses relays.
+    pub(crate) fn uses_relays_at(&self, gateways: usize) -> bool {
+        gateways >= self.relays_from
+    }
+
     /// Returns whether the fleet is so large that its gateways learn of each other through relays.
     pub(crate) fn uses_relays(&self) -> bool {
         self.role != Role::AllToAll
--- a/crates/gateway/src/process/peers/peers.rs
+++ b/crates/gateway/src/process/peers/peers.rs
@@ -81,7 +81,7 @@
         let mut is_news = true;
         for beat in 0_u64.. {
             let now = Instant::now();
-            self.gateway.fleet_state.borrow_mut().update_role(now);
+            self.update_role(now);
             if self.gateway.fleet_state.borrow().uses_relays() {
                 self.send_through_relays(is_news || beat % BEATS_PER_SUMMARY == 0);
             } else {
@@ -117,6 +117,17 @@
         }
     }
 
+    /// Decides whether this gateway is a relay now.
+    fn update_role(&self, now: Instant) {
+        let mut fleet_state = self.gateway.fleet_state.borrow_mut();
+        let was_relay = fleet_state.is_relay();
+        fleet_state.update_role(now);
+        if fleet_state.is_relay() != was_relay {
+            let gateways = fleet_state.gateways(now);
+            info!("relay", kv: { is_relay = !was_relay, gateways });
+        }
+    }
+
     fn send_to_all(&self) {
         self.send_to(self.targets().into_iter());
     }
@@ -141,7 +152,11 @@
         for (addr, echo) in targets {
             match PeerMessage::with_echo(&buf, echo) {
                 // A lost message is superseded by the next one.
-                Ok(buf) => drop(self.socket.try_send_to(&buf, addr)),
+                Ok(buf) => {
+                    self.gateway.counters.add(Count::PeerMessagesSent);
+                    self.gateway.counters.add_many(Count::PeerBytesSent, buf.len());
+                    let _ = self.socket.try_send_to(&buf, addr);
+                }
                 Err(err) => return self.on_unsendable(&err.to_string()),
             }
         }
@@ -163,7 +178,7 @@
         let summary = is_relay.then(|| (Scope::DataCentre, own.clone()));
         let relay = RelayPart { summary, ..message.relay.clone() };
         let to_relays = PeerMessage { sequence: self.next_sequence(), relay, ..message.clone() };
-        self.send_message(&to_relays, unechoed(foreign.into_iter().collect()));
+        self.send_message(&to_relays, unechoed(foreign));
         let whole = self.gateway.fleet_state.borrow().fleet_summary(&own, now);
         if is_relay && (to_members || whole.has_news()) {
             self.send_to_members(message, whole, now);
@@ -179,12 +194,15 @@
         let message = PeerMessage { sequence: self.next_sequence(), relay, ..message };
         let members: Vec<(SocketAddr, EchoPart)> = {
             let fleet_state = self.gateway.fleet_state.borrow();
-            let near = fleet_state.live_peers(now).filter(|peer| {
-                peer.message.data_centre == message.data_centre && !peer.message.relay.is_relay
-            });
+            let members = fleet_state.directory.members(now.into_std());
+            let near = fleet_state.live_peers(now).filter(|peer| members.contains(&peer.addr));
             near.map(|peer| (peer.addr, EchoPart { included: peer.message.sequence })).collect()
         };
-        self.send_message(&message, members.into_iter());
+        let unheard: HashSet<SocketAddr> = {
+            let fleet_state = self.gateway.fleet_state.borrow();
+            fleet_state.directory.unheard_members(now.into_std()).collect()
+        };
+        self.send_message(&message, members.into_iter().chain(unechoed(unheard)));
     }
 
     /// Returns the relays of all data centres that are ready, this one included.
--- a/crates/gateway/src/process/peers/registration.rs
+++ b/crates/gateway/src/process/peers/registration.rs
@@ -41,12 +41,14 @@
     /// the store, whose older copy of the data may lack it.
     pub(crate) async fn register(self: Rc<Self>, store: Store) {
         let mut written_in = None;
-        let mut next_list = SECOND_LIST_DELAY;
+        let mut is_first = true;
         loop {
             match self.register_once(&store, &mut written_in).await {
                 Ok(()) => {
+                    let next_list =
+                        if is_first { self.second_list_delay() } else { self.list_interval() };
+                    is_first = false;
                     self.wait_for_next_list(next_list, written_in.unwrap_or_default()).await;
-                    next_list = self.list_interval();
                 }
                 Err(err) => {
                     self.gateway.on_store_failed(&err);
@@ -66,6 +68,16 @@
         }
     }
 
+    /// Returns the time from the first list to the second one, which has those that began with this gateway. Where there are relays,
+    /// they tell of these.
+    fn second_list_delay(&self) -> Duration {
+        let fleet_state = self.gateway.fleet_state.borrow();
+        if fleet_state.uses_relays_at(fleet_state.sharers.listed()) {
+            return self.list_interval();
+        }
+        SECOND_LIST_DELAY
+    }
+
     /// Returns the interval between two lists. The lists of all gateways come at the same rate in any fleet.
     fn list_interval(&self) -> Duration {
         let gateways = self.gateway.fleet_state.borrow().gateways(Instant::now()) as u32;
--- a/crates/gateway/src/process/store/endpoint_updates.rs
+++ b/crates/gateway/src/process/store/endpoint_updates.rs
@@ -56,9 +56,9 @@
             objects.iter().map(|object| object.name.clone()).collect();
         let entries: Vec<ReadEntry> = objects.into_iter().map(ReadEntry::from).collect();
         note_starts(self, entries.iter());
-        for entry in entries {
-            self.apply_entry(entry, "list");
-        }
+        self.apply_together(entries.len(), "list", || {
+            entries.into_iter().for_each(|entry| self.apply_entry(entry, "list"));
+        });
         if after_outage || begins_era {
             let missing =
                 self.knowledge.borrow_mut().mark_unlisted(&listed, Instant::now().into_std());
--- a/crates/gateway/src/process/store/entries.rs
+++ b/crates/gateway/src/process/store/entries.rs
@@ -17,6 +17,28 @@
 use std::rc::Rc;
 use tokio::time::Instant;
 
+/// Number of entries in a list up to which each endpoint that joins has a line of its own.
+const MAX_JOIN_LINES: usize = 32;
+
+/// Counts the endpoints that join while a long list is applied.
+#[derive(Debug, Default)]
+pub(crate) struct JoinCount(Option<usize>);
+
+impl JoinCount {
+    fn begin(&mut self) {
+        self.0 = Some(0);
+    }
+
+    /// Counts an endpoint. Returns whether a list is being applied.
+    fn count(&mut self) -> bool {
+        self.0.as_mut().map(|joined| *joined += 1).is_some()
+    }
+
+    fn end(&mut self) -> usize {
+        self.0.take().unwrap_or_default()
+    }
+}
+
 /// An entry as read from the store.
 pub(crate) struct ReadEntry {
     name: String,
@@ -93,6 +115,9 @@
             EndpointUpdate::Recovered => "entry of an endpoint is back",
             EndpointUpdate::Changed => "endpoint changed",
         };
+        if news == EndpointUpdate::Joined && self.joins.borrow_mut().count() {
+            return;
+        }
         let (from, to) = (layers.from, layers.to);
         info!("{}", message, kv: {
             endpoint = id.as_str(), service = service.as_str(), addr = addr.as_str(),
@@ -102,6 +127,20 @@
         self.engines_changed.notify_waiters();
     }
 
+    /// Applies many entries at once, with a single line for all endpoints that join if there are many entries.
+    pub(crate) fn apply_together(&self, entries: usize, source: &str, apply: impl FnOnce()) {
+        if entries <= MAX_JOIN_LINES {
+            return apply();
+        }
+        self.joins.borrow_mut().begin();
+        apply();
+        let joined = self.joins.borrow_mut().end();
+        if joined > 0 {
+            info!("endpoints joined", kv: { joined, entries, source });
+            self.engines_changed.notify_waiters();
+        }
+    }
+
     fn refuse_startless(&self, endpoint: Endpoint, revision: Revision, source: &str) {
         let id = endpoint.id.clone();
         let refused = RefusedEntry::new(revision, EntryFault::StartUntold).with_endpoint(endpoint);
--- a/crates/gateway/src/process/store/handover.rs
+++ b/crates/gateway/src/process/store/handover.rs
@@ -28,12 +28,13 @@
         let listed = handover.listed.into_iter().collect();
         let endpoints = handover.endpoints.iter().map(|known| &known.endpoint);
         self.knowledge.borrow_mut().note_starts(endpoints);
-        for known in handover.endpoints {
-            if self.knowledge.borrow().is_missing_at(&known.endpoint.id, known.revision) {
-                continue;
+        self.apply_together(handover.endpoints.len(), from, || {
+            for known in handover.endpoints {
+                if !self.knowledge.borrow().is_missing_at(&known.endpoint.id, known.revision) {
+                    self.apply_endpoint(known.endpoint, known.revision, from);
+                }
             }
-            self.apply_endpoint(known.endpoint, known.revision, from);
-        }
+        });
         self.receive_left(&handover.left, handover.endpoints_at.era, from);
         self.receive_refused(handover.refused, from);
         for (id, missing_for) in &handover.missing {
--- a/crates/gateway/src/process/store/watch_sharing.rs
+++ b/crates/gateway/src/process/store/watch_sharing.rs
@@ -41,6 +41,11 @@
         if count >= MANY_GATEWAYS { rank.min(WATCHERS) } else { rank }
     }
 
+    /// Returns whether the store lists so many gateways that most of them rely on others.
+    pub(super) fn has_many_listed(&self) -> bool {
+        self.gateway.fleet_state.borrow().sharers.listed() >= MANY_GATEWAYS
+    }
+
     /// Returns whether other gateways report changes, so that this one needs no watch.
     pub(super) fn relies_on_others(&mut self) -> bool {
         let (relies, watchers) = self.may_rely_on_others();
--- a/crates/gateway/src/process/store/watcher.rs
+++ b/crates/gateway/src/process/store/watcher.rs
@@ -11,6 +11,8 @@
 
 /// How often a gateway that relies on others checks whether it still may.
 const RELY_CHECK_INTERVAL: Duration = Duration::from_millis(400);
+/// How long a gateway that has listed waits for others that watch: several of their messages.
+const RELY_WAIT: Duration = Duration::from_secs(1);
 /// How often the age of what is known is checked during a watch.
 const AGE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -88,7 +90,9 @@
             let listing = store.list(self.kind).await?;
             self.gateway.counters.store_call.record(self.sent_at.elapsed());
             self.schedule.on_answer();
-            return self.on_listing(listing).await;
+            self.on_listing(listing).await?;
+            self.wait_to_rely().await;
+            return Ok(());
         };
         let wait = self.schedule.wait(self.rank());
         let changes = tokio::select! {
@@ -120,6 +124,15 @@
         Ok(())
     }
 
+    /// Waits after a list until others are heard that this gateway may rely on, if there are many: a watch costs a call, and what
+    /// changes meanwhile comes with the next one.
+    async fn wait_to_rely(&mut self) {
+        let began = Instant::now();
+        while self.has_many_listed() && began.elapsed() < RELY_WAIT && !self.relies_on_others() {
+            sleep(AGE_CHECK_INTERVAL).await;
+        }
+    }
+
     /// Waits until the current watch may have stalled: another call got no answer, or no live gateway
     /// has had contact with the store for too long.
     async fn watch_suspected(&self) {
--- a/crates/routing/src/process/crashes/crash_guard.rs
+++ b/crates/routing/src/process/crashes/crash_guard.rs
@@ -23,9 +23,8 @@
 /// How long a finding is reported to the other gateways: several messages, of which some are lost. Gateways that were
 /// out of reach read the records of another one.
 const REPORT_FOR: Duration = Duration::from_millis(1_500);
-/// How long a request counts as running at another gateway after the last report: that passes up to three intervals of 250 ms
-/// through relays.
-const RUNNING_ELSEWHERE_FOR: Duration = Duration::from_millis(1_000);
+/// How long a request counts as running at another gateway after the last report: two messages.
+const RUNNING_ELSEWHERE_FOR: Duration = Duration::from_millis(600);
 /// Maximum number of contents in a message, 16 bytes each.
 const MAX_REPORTED: usize = 1_024;
 
--- a/crates/routing/src/process/relays/directory.rs
+++ b/crates/routing/src/process/relays/directory.rs
@@ -105,11 +105,6 @@
         }
     }
 
-    /// Returns the number of known gateways, this one included.
-    pub fn known(&self) -> usize {
-        self.gateways.len() + 1
-    }
-
     /// Returns whether this gateway is a relay of its data centre: others send to it, and fewer than [`RELAYS`] live gateways go
     /// before it.
     pub fn is_relay(&self, now: Instant) -> bool {
@@ -136,25 +131,38 @@
         first.chain(from_relay.map(|known| known.addr)).collect()
     }
 
-    /// Returns the gateways of the own data centre that are live.
-    pub fn live_members(&self, now: Instant) -> impl Iterator<Item = SocketAddr> {
+    /// Returns the live gateways of the own data centre that a relay sends to: all but the first ones, which are relays. One that
+    /// takes itself for a relay as it doesn't know these hears of them by it.
+    pub fn members(&self, now: Instant) -> HashSet<SocketAddr> {
+        let own = self.own_order();
+        let ordered = self.ordered(&self.placing.data_centre).into_iter();
+        let live = ordered.filter(|(_, known)| known.is_live(now));
+        let live: Vec<(Order<'_>, SocketAddr)> =
+            live.map(|(order, known)| (order, known.addr)).collect();
+        let before = live.iter().filter(|(order, _)| *order < own).count();
+        let others = if before < RELAYS { RELAYS - 1 } else { RELAYS };
+        live.into_iter().skip(others).map(|(_, addr)| addr).collect()
+    }
+
+    /// Returns the listed gateways of the own data centre that aren't heard. They may have begun with a list that lacks this one,
+    /// and send their state here once they hear it.
+    pub fn unheard_members(&self, now: Instant) -> impl Iterator<Item = SocketAddr> {
         let own = &self.placing.data_centre;
         let members = self.gateways.values().filter(move |known| known.placing.data_centre == *own);
-        members.filter(move |known| known.is_live(now)).map(|known| known.addr)
+        members.filter(move |known| !known.is_live(now)).map(|known| known.addr)
     }
 
-    /// Returns the addresses of the relays of all other data centres: those that say so, or the first few candidates while none is
-    /// heard.
-    pub fn foreign_relays(&self, now: Instant) -> Vec<SocketAddr> {
-        let mut found = Vec::new();
+    /// Returns the addresses of the relays of all other data centres: those that say so, and the first few candidates while not all
+    /// of them are heard.
+    pub fn foreign_relays(&self, now: Instant) -> HashSet<SocketAddr> {
+        let mut found = HashSet::new();
         for data_centre in self.foreign_data_centres() {
             let relays = self.live_relays(data_centre, now);
-            if relays.is_empty() {
+            if relays.len() < RELAYS {
                 let count = self.window(data_centre, now);
                 found.extend(self.first_of(data_centre, count).map(|known| known.addr));
-            } else {
-                found.extend(relays);
             }
+            found.extend(relays);
         }
         found
     }
@@ -217,9 +225,4 @@
             .map(|(name, known)| ((Reverse(known.placing.processor), name.as_str()), known))
             .collect()
     }
-
-    /// Returns the addresses of all known gateways.
-    pub fn addrs(&self) -> HashSet<SocketAddr> {
-        self.gateways.values().map(|known| known.addr).collect()
-    }
 }
--- a/crates/routing/tests/relay_fleet/focused.rs
+++ b/crates/routing/tests/relay_fleet/focused.rs
@@ -47,6 +47,19 @@
     }
 }
 
+#[test]
+fn gateways_that_list_only_those_that_registered_before_know_all_soon() {
+    for size in SIZES {
+        for seed in 0..4 {
+            let mut world = World::starting(size, seed);
+
+            let time = world.time_until_known(START_LIMIT);
+
+            println!("{size} gateways, seed {seed}: all known after {} ms", time.as_millis());
+        }
+    }
+}
+
 #[test]
 fn the_messages_of_a_gateway_that_is_no_relay_dont_grow_with_the_fleet() {
     let mut medians = Vec::new();
--- a/crates/routing/tests/relay_fleet/world.rs
+++ b/crates/routing/tests/relay_fleet/world.rs
@@ -1,6 +1,7 @@
 //! A fleet whose gateways exchange their state by the directory and the summaries that the gateway uses.
 
 use rand::rngs::StdRng;
+use rand::seq::SliceRandom;
 use rand::{RngExt, SeedableRng};
 use sorrellock_routing::process::relays::{
     GatewayCount, Placing, RelayDirectory, SILENCE_TIMEOUT, Summary,
@@ -29,7 +30,6 @@
 struct Heard {
     summary: Summary,
     at: Instant,
-    is_relay: bool,
 }
 
 /// A gateway.
@@ -93,6 +93,19 @@
         world
     }
 
+    /// Returns a fleet that starts for the first time, in any order: each gateway lists those that have registered before it.
+    pub fn starting(count: usize, seed: u64) -> World {
+        let mut world = World::new(0, seed);
+        let now = world.now;
+        world.gateways = (0..count).map(|index| Gateway::new(index, now)).collect();
+        let mut order: Vec<usize> = (0..count).collect();
+        order.shuffle(&mut world.rng);
+        for last in 0..count {
+            world.list_of(order[last], &order[..=last]);
+        }
+        world
+    }
+
     /// Starts a gateway again, which knows nothing but the list.
     pub fn restart(&mut self, index: usize) {
         self.gateways[index] = Gateway::new(index, self.now);
@@ -100,9 +113,15 @@
     }
 
     fn list(&mut self, index: usize) {
-        let listed = self.gateways.iter().enumerate();
+        let all: Vec<usize> = (0..self.gateways.len()).collect();
+        self.list_of(index, &all);
+    }
+
+    fn list_of(&mut self, index: usize, listed: &[usize]) {
         let listed: Vec<_> = listed
-            .map(|(other, gateway)| (gateway.name.clone(), gateway.placing.clone(), addr(other)))
+            .iter()
+            .map(|other| (&self.gateways[*other], *other))
+            .map(|(gateway, other)| (gateway.name.clone(), gateway.placing.clone(), addr(other)))
             .collect();
         let now = self.now;
         self.gateways[index].directory.on_list(listed, now);
@@ -141,8 +160,13 @@
         }
         if self.gateways[index].beats.is_multiple_of(BEATS_PER_SUMMARY) {
             let whole = self.gateways[index].fleet_summary(&summary, now);
-            for member in self.gateways[index].members(now) {
-                self.deliver(index, member, Message::Fleet(whole.clone(), is_relay));
+            for member in self.gateways[index].directory.members(now) {
+                self.deliver(index, index_of(member), Message::Fleet(whole.clone(), is_relay));
+            }
+            let unheard: Vec<SocketAddr> =
+                self.gateways[index].directory.unheard_members(now).collect();
+            for member in unheard {
+                self.deliver(index, index_of(member), Message::Fleet(whole.clone(), is_relay));
             }
         }
     }
@@ -265,12 +289,6 @@
         Summary::merged([(own, Duration::ZERO)].into_iter().chain(foreign))
     }
 
-    fn members(&self, now: Instant) -> Vec<usize> {
-        let near = self.near.iter();
-        let live = near.filter(|(_, heard)| now - heard.at < SILENCE_TIMEOUT && !heard.is_relay);
-        live.map(|(index, _)| *index).collect()
-    }
-
     /// Returns what this gateway knows of all, itself included.
     pub fn view(&self, now: Instant) -> Summary {
         if self.directory.is_relay(now) {
@@ -294,7 +312,7 @@
             | Message::Fleet(summary, is_relay) => (summary.clone(), *is_relay),
         };
         self.directory.on_message(name, placing, is_relay, addr(from), now);
-        let heard = Heard { summary, at: now, is_relay };
+        let heard = Heard { summary, at: now };
         match message {
             Message::Own(..) => drop(self.near.insert(from, heard)),
             Message::DataCentre(..) => {
