--- a/crates/gateway/src/process/peers/mod.rs
+++ b/crates/gateway/src/process/peers/mod.rs
@@ -9,6 +9,9 @@
 mod recent_updates;
 mod registration;
 mod relay_part;
+mod roles;
+mod sending;
+mod suspicion;
 mod view_exchange;
 
 pub(crate) use catch_up::HANDOVER_PATH;
--- a/crates/gateway/src/process/peers/news.rs
+++ b/crates/gateway/src/process/peers/news.rs
@@ -157,7 +157,8 @@
     /// Applies what a relay says of the lead. Returns whether the engines changed.
     fn receive_lead(&self, lead: &LeadReport, now: Instant) -> bool {
         let age = Duration::from_millis(lead.heard_ms.into());
-        let heard = now.checked_sub(age).unwrap_or(now).into_std();
+        let Some(heard) = now.checked_sub(age) else { return false };
+        let heard = heard.into_std();
         let mut fleet_state = self.fleet_state.borrow_mut();
         fleet_state.views.on_lead(lead.term, heard);
         let update = lead.view.as_ref();
--- a/crates/routing/src/process/relays/summary.rs
+++ b/crates/routing/src/process/relays/summary.rs
@@ -188,8 +188,8 @@
         if self.half_ready_in_ms.is_none() || is_larger {
             self.half_ready_in_ms = other.half_ready_in_ms.map(left);
         }
-        self.live += other.live;
-        self.sharers += other.sharers;
+        self.live = self.live.saturating_add(other.live);
+        self.sharers = self.sharers.saturating_add(other.sharers);
     }
 }
 
