Start: gateways of a large fleet get their first data from the relays of their data centre

Relays, on which members depend now, were among those that waited. Ruled out: relays that are slow (they have data within a message of their own list). Change: a gateway that the store's list shows to be no relay asks the first gateways of its data centre for what they have, for up to a second; then it lists for itself, in its turn.

--- a/crates/gateway/src/process/gateway.rs
+++ b/crates/gateway/src/process/gateway.rs
@@ -144,6 +144,8 @@
     pub(crate) news: Notify,
     /// Clients for queries to endpoints.
     pub(crate) probes: RefCell<HashMap<Incarnation, Client>>,
+    /// Wakes tasks that wait for the first list of the gateways.
+    pub(crate) gateways_listed: Notify,
     /// Wakes requests that wait for the first configuration.
     pub(crate) configured: Notify,
     pub(crate) phase: watch::Sender<Phase>,
@@ -207,6 +209,7 @@
             engines_changed: Notify::new(),
             news: Notify::new(),
             probes: RefCell::default(),
+            gateways_listed: Notify::new(),
             configured: Notify::new(),
             phase: watch::Sender::new(Phase::Running),
             leaving: Cell::new(None),
--- a/crates/gateway/src/process/peers/catch_up.rs
+++ b/crates/gateway/src/process/peers/catch_up.rs
@@ -1,12 +1,13 @@
 //! Fetches configurations and endpoints that another gateway has and this one lacks.
 
 use super::peers::Peers;
+use crate::process::FirstData;
 use http::Method;
 use rand::RngExt;
 use sorrellock_platform::{Client, Kind};
 use sorrellock_routing::process::knowledge::Handover;
 use sorrellock_routing::process::{Known, Revision, UpdateSource};
-use spdlog::{info, warn};
+use spdlog::{debug, info, warn};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -21,6 +22,10 @@
 const FETCH_SPREAD: Duration = Duration::from_millis(200);
 /// Timeout of a handover request: a large configuration takes some 100 ms on a fifth of a core.
 const HANDOVER_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Timeout of such a request at the start: another gateway may answer sooner.
+const FIRST_FETCH_TIMEOUT: Duration = Duration::from_millis(400);
+/// Interval between such requests.
+const FIRST_FETCH_INTERVAL: Duration = Duration::from_millis(100);
 /// Path prefix of handover requests. The requester's configuration version and the revision up to which it knows
 /// the endpoints follow.
 pub(crate) const HANDOVER_PATH: &str = "/handover/";
@@ -28,6 +33,7 @@
 impl Peers {
     /// Fetches what this gateway lacks from gateways that are ahead of it, indefinitely.
     pub(crate) async fn catch_up(self: Rc<Self>) {
+        self.fetch_first_data().await;
         let mut fetch_at: Option<Instant> = None;
         loop {
             sleep(CHECK_INTERVAL).await;
@@ -70,17 +76,46 @@
         Some((instance.to_owned(), fleet_state.peers.get(instance)?.addr))
     }
 
-    async fn fetch(&self, instance: &str, addr: SocketAddr) {
-        let client = Client::new(addr);
+    /// Fetches what a gateway needs at its start from the relays of its data centre, where the store lists so many gateways that all
+    /// of them at once would keep the store busy for seconds.
+    async fn fetch_first_data(&self) {
+        let first_data = FirstData::new(&self.gateway).await;
+        let mut turn = self.gateway.incarnation as usize;
+        while first_data.is_awaited(None) {
+            let candidates = self.gateway.fleet_state.borrow().directory.first_candidates();
+            let Some(addr) = candidates.get(turn % candidates.len().max(1)) else { return };
+            turn = turn.wrapping_add(1);
+            match self.handover(*addr, FIRST_FETCH_TIMEOUT).await {
+                Ok((handover, parsing)) => {
+                    self.gateway.apply_handover(handover, &addr.to_string(), parsing);
+                }
+                // It may start as well, and the next one is asked.
+                Err(err) => debug!("no first data from a gateway", kv: { err = err.as_str() }),
+            }
+            if first_data.is_awaited(None) {
+                sleep(FIRST_FETCH_INTERVAL).await;
+            }
+        }
+    }
+
+    /// Requests what this gateway lacks from another one. Returns it with the time that parsing took.
+    async fn handover(
+        &self,
+        addr: SocketAddr,
+        limit: Duration,
+    ) -> Result<(Handover, Duration), String> {
         let Known { config, endpoints_at } = self.gateway.knowledge.borrow().known();
         let path = format!("{HANDOVER_PATH}{config}/{endpoints_at}");
-        let answer = client.call(Method::GET, &path, None, HANDOVER_TIMEOUT).await;
+        let answer = Client::new(addr).call(Method::GET, &path, None, limit).await;
+        let answer = answer.map_err(|err| err.to_string())?;
         let answered = Instant::now();
-        let read =
-            |body: &[u8]| serde_json::from_slice::<Handover>(body).map_err(|e| e.to_string());
-        match answer.map_err(|err| err.to_string()).and_then(|answer| read(&answer.body)) {
-            Ok(handover) => {
-                let parsing = answered.elapsed();
+        let handover = serde_json::from_slice(&answer.body).map_err(|err| err.to_string())?;
+        Ok((handover, answered.elapsed()))
+    }
+
+    async fn fetch(&self, instance: &str, addr: SocketAddr) {
+        match self.handover(addr, HANDOVER_TIMEOUT).await {
+            Ok((handover, parsing)) => {
                 if handover.configuration.is_some() {
                     // A working watch would have delivered it sooner.
                     self.gateway.store_contact.suspect_watch(Kind::Configuration);
--- a/crates/gateway/src/process/peers/registration.rs
+++ b/crates/gateway/src/process/peers/registration.rs
@@ -119,6 +119,7 @@
         *self.registered.borrow_mut() = addrs;
         let listed = self.registered.borrow().len();
         self.gateway.fleet_state.borrow_mut().sharers.on_list(listed, Instant::now().into_std());
+        self.gateway.gateways_listed.notify_waiters();
         Ok(())
     }
 
--- a/crates/gateway/src/process/peers/roles.rs
+++ b/crates/gateway/src/process/peers/roles.rs
@@ -41,6 +41,11 @@
         gateways >= self.relays_from
     }
 
+    /// Returns whether the store lists so many gateways that relays have what this one needs at its start.
+    pub(crate) fn starts_from_relays(&self, now: Instant) -> bool {
+        self.uses_relays_at(self.sharers.listed()) && !self.directory.is_relay(now.into_std())
+    }
+
     /// Returns whether the fleet is so large that its gateways learn of each other through relays.
     pub(crate) fn uses_relays(&self) -> bool {
         self.role != Role::AllToAll
--- a/crates/gateway/src/process/store/watch_sharing.rs
+++ b/crates/gateway/src/process/store/watch_sharing.rs
@@ -69,15 +69,6 @@
         is_endpoints.then(|| self.gateway.knowledge.borrow().endpoints_at())
     }
 
-    /// Returns whether this gateway knows anything of the kind yet.
-    fn has_data(&self) -> bool {
-        let known = self.gateway.knowledge.borrow().known();
-        match self.kind {
-            Kind::Endpoints => known.endpoints_at > Revision::default(),
-            _ => known.config > 0,
-        }
-    }
-
     /// Returns whether this gateway may rely on others, and how many gateways had recent contact with the store.
     fn may_rely_on_others(&self) -> (bool, usize) {
         let now = Instant::now();
@@ -85,7 +76,7 @@
         let fleet_state = gateway.fleet_state.borrow();
         let watchers = fleet_state.watchers(self.kind, WATCHER_MAX_AGE, now);
         let is_leading = gateway.lead_term.get().is_some();
-        let may_rely = self.has_data()
+        let may_rely = gateway.has_data(self.kind)
             && !(self.kind == Kind::Endpoints && is_leading)
             && fleet_state.gateways(now) >= MANY_GATEWAYS
             && !is_watcher(&fleet_state, &gateway.settings.instance, now)
--- a/crates/gateway/src/process/store/watcher.rs
+++ b/crates/gateway/src/process/store/watcher.rs
@@ -1,6 +1,6 @@
 //! Watches the configuration and the endpoints in the platform's store.
 
-use crate::process::{Count, Gateway};
+use crate::process::{Count, FirstData, Gateway};
 use sorrellock_core::process::store_watch::{WatchSchedule, WatchTimes};
 use sorrellock_platform::{Change, Kind, Listing, Store, StoreError, StoredObject};
 use sorrellock_routing::process::{Revision, StoreEra};
@@ -29,6 +29,7 @@
         sent_at: Instant::now(),
         lost_since: None,
     };
+    FirstData::new(&watcher.gateway).await.wait(kind).await;
     loop {
         if watcher.relies_on_others() {
             sleep(RELY_CHECK_INTERVAL).await;
--- a/crates/routing/src/process/relays/directory.rs
+++ b/crates/routing/src/process/relays/directory.rs
@@ -131,6 +131,11 @@
         first.chain(from_relay.map(|known| known.addr)).collect()
     }
 
+    /// Returns the gateways of the own data centre that have what a gateway needs at its start, in the order of relays.
+    pub fn first_candidates(&self) -> Vec<SocketAddr> {
+        self.first_of(&self.placing.data_centre, CANDIDATES).map(|known| known.addr).collect()
+    }
+
     /// Returns the live gateways of the own data centre that a relay sends to: all but the first ones, which are relays. One that
     /// takes itself for a relay as it doesn't know these hears of them by it.
     pub fn members(&self, now: Instant) -> HashSet<SocketAddr> {
--- a/crates/routing/tests/relay_summary.rs
+++ b/crates/routing/tests/relay_summary.rs
@@ -12,7 +12,7 @@
 impl Arbitrary for AnySummary {
     fn arbitrary(g: &mut Gen) -> AnySummary {
         let engine =
-            |g: &mut Gen| Incarnation::new(&format!("engine-{}", u8::arbitrary(g) % 4), None);
+            |g: &mut Gen| Incarnation::new(format!("engine-{}", u8::arbitrary(g) % 4), None);
         let loads = (0..u8::arbitrary(g) % 4).map(|_| HeadLoad {
             head: engine(g),
             tokens: u32::arbitrary(g),
@@ -35,9 +35,9 @@
             endpoints_ms: Option::arbitrary(g),
         };
         let heard_ms = u32::arbitrary(g);
-        summary.lead = bool::arbitrary(g).then(|| LeadReport { term: at, heard_ms, view: None });
+        summary.lead = bool::arbitrary(g).then_some(LeadReport { term: at, heard_ms, view: None });
         let leaving = (0..usize::arbitrary(g) % (2 * MAX_NEWS))
-            .map(|index| Incarnation::new(&format!("engine-{index}"), None));
+            .map(|index| Incarnation::new(format!("engine-{index}"), None));
         summary.leaving = leaving.collect();
         AnySummary(summary)
     }
