Plain services: a gateway keeps to a few endpoints among equal ones

Ruled out: a longer idle time of connections (a larger constant; an endpoint may close them). Change: it counts as slow as the usual one; among equal ones each gateway has an order of its own. The decision is code of its own.

--- a/crates/gateway/src/process/gateway.rs
+++ b/crates/gateway/src/process/gateway.rs
@@ -283,7 +283,8 @@
         let uses = self.uses.borrow();
         let of_service = knowledge.endpoints().filter(|endpoint| endpoint.service == service);
         let means = of_service.filter_map(|endpoint| uses.get(&endpoint.incarnation()));
-        let mut means_ms: Vec<f64> = means.map(|used| used.mean_ms).collect();
+        let answered = means.filter(|used| used.mean_ms > 0.0);
+        let mut means_ms: Vec<f64> = answered.map(|used| used.mean_ms).collect();
         means_ms.sort_by(f64::total_cmp);
         let median_ms = means_ms.get(means_ms.len() / 2).copied().unwrap_or_default();
         Duration::from_secs_f64(median_ms / 1e3)
--- a/crates/gateway/src/request/endpoint_choice.rs
+++ b/crates/gateway/src/request/endpoint_choice.rs
@@ -5,14 +5,12 @@
 use sorrellock_core::process::retries::Permit;
 use sorrellock_routing::process::crashes::Turn;
 use sorrellock_routing::process::notices::SendBlock;
-use sorrellock_routing::process::{Endpoint, Incarnation};
+use sorrellock_routing::process::{Endpoint, EndpointUsage, Incarnation, endpoint_preference};
 use std::time::Duration;
 use tokio::time::Instant;
 
 /// Maximum age of a load report in use: after this time the endpoint's queue has turned over.
 const LOAD_MAX_AGE: Duration = Duration::from_millis(1_000);
-/// Penalty for an endpoint of another data centre, in requests.
-const OTHER_DATA_CENTRE_PENALTY: f64 = 0.5;
 
 /// Returns the endpoints of a call's service that get new work, in an order that all gateways share.
 pub(super) fn open_endpoints(gateway: &Gateway, call: &Call) -> Vec<Endpoint> {
@@ -55,13 +53,16 @@
         Turn::Any | Turn::Wait(_) => None,
     };
     let fleet_state = gateway.fleet_state.borrow();
-    let expected_load = |endpoint: &Endpoint| expected_load(gateway, endpoint, now);
+    let usual_ms = gateway.usual_answer(&call.service).as_secs_f64() * 1e3;
+    let expected_load = |endpoint: &Endpoint| usage(gateway, endpoint, now).expected_load(usual_ms);
+    let preference = |endpoint: &Endpoint| endpoint_preference(gateway.incarnation, &endpoint.id);
     open.sort_by(|a, b| {
         let suspect = |endpoint: &Endpoint| fleet_state.is_suspect(&endpoint.incarnation(), now);
         let is_other = |endpoint: &Endpoint| separate != Some(endpoint.incarnation());
         (suspect(a), is_other(a))
             .cmp(&(suspect(b), is_other(b)))
             .then_with(|| expected_load(a).total_cmp(&expected_load(b)))
+            .then_with(|| preference(b).cmp(&preference(a)))
     });
     let mut breakers = gateway.breakers.borrow_mut();
     for endpoint in &open {
@@ -73,13 +74,14 @@
     Some((first.clone(), breakers.force(&first.incarnation())))
 }
 
-/// Returns the load that a new request is expected to meet, in requests.
-fn expected_load(gateway: &Gateway, endpoint: &Endpoint, now: Instant) -> f64 {
+/// Returns what this gateway knows of an endpoint's load.
+fn usage(gateway: &Gateway, endpoint: &Endpoint, now: Instant) -> EndpointUsage {
     let used = gateway.uses.borrow().get(&endpoint.incarnation()).copied().unwrap_or_default();
     let reported = used.reported.filter(|(_, at)| now - *at < LOAD_MAX_AGE);
-    let reported = reported.map_or(0.0, |(load, _)| f64::from(load.running + load.waiting));
-    let is_near = endpoint.data_centre == gateway.settings.data_centre;
-    let distance = if is_near { 0.0 } else { OTHER_DATA_CENTRE_PENALTY };
-    let slowness = used.mean_ms.max(1.0).ln();
-    reported.max(f64::from(used.in_flight)) + f64::from(used.in_flight) * 0.1 + distance + slowness
+    EndpointUsage {
+        reported: reported.map(|(load, _)| load.running + load.waiting),
+        in_flight: used.in_flight,
+        mean_ms: (used.mean_ms > 0.0).then_some(used.mean_ms),
+        is_near: endpoint.data_centre == gateway.settings.data_centre,
+    }
 }
