Start: records of held requests from a relay, before the configuration

Cause: each gateway listed them from the store at its start, one of the three calls that a start still had. Ruled out: no list at all (a held request would be admitted until the records are compared). Change: a gateway of a large fleet reads them from the relay that it asks for its first data, before that; without an answer it lists.

--- a/crates/gateway/src/process/crashes/held_exchange.rs
+++ b/crates/gateway/src/process/crashes/held_exchange.rs
@@ -39,7 +39,7 @@
         sleep(COMPARE_INTERVAL).await;
         gateway.hold_convicted();
         if let Some((instance, addr)) = source(&gateway) {
-            fetch(&gateway, &instance, addr).await;
+            fetch(&gateway, &instance, addr, FETCH_TIMEOUT).await;
         }
     }
 }
@@ -56,16 +56,28 @@
     Some((peer.message.instance.clone(), peer.addr))
 }
 
-async fn fetch(gateway: &Gateway, instance: &str, addr: SocketAddr) {
+/// Reads the first records from another gateway, in place of the store's.
+pub(crate) async fn fetch_first_held(gateway: &Gateway, addr: SocketAddr, limit: Duration) {
+    if fetch(gateway, &addr.to_string(), addr, limit).await {
+        gateway.held_sync.borrow_mut().on_first_read(Instant::now().into_std());
+    }
+}
+
+/// Reads the records of another gateway. Returns whether they came.
+async fn fetch(gateway: &Gateway, instance: &str, addr: SocketAddr, limit: Duration) -> bool {
     let client = Client::new(addr);
-    let answer = client.call(Method::GET, HELD_PATH, None, FETCH_TIMEOUT).await;
+    let answer = client.call(Method::GET, HELD_PATH, None, limit).await;
     let read =
         |body: &[u8]| serde_json::from_slice::<CrashRecords>(body).map_err(|e| e.to_string());
     match answer.map_err(|err| err.to_string()).and_then(|answer| read(&answer.body)) {
-        Ok(records) => gateway.merge_crash_records(records),
+        Ok(records) => {
+            gateway.merge_crash_records(records);
+            true
+        }
         Err(err) => {
             gateway.counters.add(Count::HeldFetchFailures);
             warn!("crash records not read from a gateway", kv: { instance, err = err.as_str() });
+            false
         }
     }
 }
--- a/crates/gateway/src/process/crashes/held_store.rs
+++ b/crates/gateway/src/process/crashes/held_store.rs
@@ -1,7 +1,7 @@
 //! Keeps the records of held requests in the store, so that they outlast all gateways, and claims trials there.
 
 use super::unix_now;
-use crate::process::{Count, Gateway};
+use crate::process::{Count, FirstData, Gateway};
 use sorrellock_platform::{Kind, Store, StoreError};
 use sorrellock_routing::process::Revision;
 use sorrellock_routing::process::crashes::{HeldRequest, HeldSource, RunRequest};
@@ -21,8 +21,9 @@
 /// Maximum number of expired records to remove in one round, as each is a call.
 const MAX_REMOVALS: usize = 16;
 
-/// Lists and writes records, indefinitely. Each gateway lists at its start, and later one for all.
+/// Lists and writes records, indefinitely. Each gateway lists at its start unless it reads those of a relay, and later one for all.
 pub(crate) async fn sync_held(gateway: Rc<Gateway>, store: Store) {
+    FirstData::new(&gateway).await.wait_for_held().await;
     loop {
         if let Err(err) = sync_once(&gateway, &store).await {
             gateway.on_store_failed(&err);
--- a/crates/gateway/src/process/peers/catch_up.rs
+++ b/crates/gateway/src/process/peers/catch_up.rs
@@ -1,7 +1,7 @@
 //! Fetches configurations and endpoints that another gateway has and this one lacks.
 
 use super::peers::Peers;
-use crate::process::FirstData;
+use crate::process::{FirstData, fetch_first_held};
 use http::Method;
 use rand::RngExt;
 use sorrellock_platform::{Client, Kind};
@@ -85,6 +85,10 @@
             let candidates = self.gateway.fleet_state.borrow().directory.first_candidates();
             let Some(addr) = candidates.get(turn % candidates.len().max(1)) else { return };
             turn = turn.wrapping_add(1);
+            // Before the configuration, with which requests are taken.
+            if !self.gateway.held_sync.borrow().has_listed() {
+                fetch_first_held(&self.gateway, *addr, FIRST_FETCH_TIMEOUT).await;
+            }
             match self.handover(*addr, FIRST_FETCH_TIMEOUT).await {
                 Ok((handover, parsing)) => {
                     self.gateway.apply_handover(handover, &addr.to_string(), parsing);
--- a/crates/gateway/src/process/store/first_data.rs
+++ b/crates/gateway/src/process/store/first_data.rs
@@ -44,6 +44,13 @@
             && self.gateway.fleet_state.borrow().starts_from_relays(now)
     }
 
+    /// Waits until the records of held requests are there, or this gateway has to list them.
+    pub(crate) async fn wait_for_held(self) {
+        while !self.gateway.held_sync.borrow().has_listed() && self.is_awaited(None) {
+            sleep(CHECK_INTERVAL).await;
+        }
+    }
+
     /// Waits until a kind of data is there, or this gateway has to list it.
     pub(crate) async fn wait(self, kind: Kind) {
         let starts_from_relays =
--- a/crates/routing/src/process/crashes/held_sync.rs
+++ b/crates/routing/src/process/crashes/held_sync.rs
@@ -50,6 +50,11 @@
         Some(differing.swap_remove(self.fetches % differing.len()))
     }
 
+    /// Returns whether the records that outlast all gateways have been read once.
+    pub fn has_listed(&self) -> bool {
+        self.has_listed
+    }
+
     /// Returns whether to list the store's records now. `is_first` tells whether this gateway sorts before all live
     /// ones, `is_parted` whether a registered gateway is silent.
     pub fn is_list_due(&self, is_first: bool, is_parted: bool, now: Instant) -> bool {
@@ -62,6 +67,12 @@
             && self.last_list.is_none_or(|at| now.duration_since(at) >= interval)
     }
 
+    /// Records that another gateway's records were read at the start, in place of the store's.
+    pub fn on_first_read(&mut self, now: Instant) {
+        self.last_list = Some(now);
+        self.has_listed = true;
+    }
+
     /// Records that the store's records were requested, and whether they came.
     pub fn on_list(&mut self, has_succeeded: bool, now: Instant) {
         self.last_list = Some(now);
--- a/crates/routing/tests/held_requests.rs
+++ b/crates/routing/tests/held_requests.rs
@@ -207,3 +207,15 @@
     assert!(sync.is_list_due(true, false, at(10_500)));
     assert!(sync.is_list_due(true, true, at(2_500)), "a registered gateway is silent");
 }
+
+#[test]
+fn a_gateway_that_read_the_records_of_another_one_at_its_start_lists_none() {
+    let now = Instant::now();
+    let mut sync = HeldSync::default();
+    let at_start = sync.is_list_due(false, false, now);
+
+    sync.on_first_read(now);
+
+    assert!(at_start);
+    assert!(!sync.is_list_due(false, false, now + Duration::from_secs(60)));
+}
