--- a/crates/gateway/src/process/peers/catch_up.rs
+++ b/crates/gateway/src/process/peers/catch_up.rs
@@ -41,8 +41,8 @@
                 fetch_at = None;
                 continue;
             };
-            let fetch_at_set = *fetch_at.get_or_insert_with(|| Instant::now() + self.fetch_delay());
-            if Instant::now() < fetch_at_set {
+            let due = *fetch_at.get_or_insert_with(|| Instant::now() + self.fetch_delay());
+            if Instant::now() < due {
                 continue;
             }
             fetch_at = None;
--- a/crates/gateway/src/process/peers/fleet_state.rs
+++ b/crates/gateway/src/process/peers/fleet_state.rs
@@ -10,7 +10,7 @@
 use sorrellock_platform::Kind;
 use sorrellock_routing::process::lead_view::{EngineView, EngineViews};
 use sorrellock_routing::process::notices::LeavingNotices;
-use sorrellock_routing::process::relays::{Placing, RelayDirectory};
+use sorrellock_routing::process::relays::{Placing, RelayDirectory, SILENCE_TIMEOUT};
 use sorrellock_routing::process::retries::Sharers;
 use sorrellock_routing::process::{
     EndedIncarnation, FailureEvidence, Incarnation, ReportedSuspect, probers_before,
@@ -21,8 +21,8 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// Time without a message after which a gateway counts as gone: ten lost messages in a row.
-pub(super) const PEER_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Time without a message after which a gateway counts as gone, whether it is heard itself or through relays.
+pub(super) const PEER_TIMEOUT: Duration = SILENCE_TIMEOUT;
 /// Time without a message after which a leaving gateway's successor is no longer expected.
 const SUCCESSOR_TIMEOUT: Duration = Duration::from_secs(15);
 /// Expected time until an overdue successor is ready.
--- a/crates/routing/src/process/relays/directory.rs
+++ b/crates/routing/src/process/relays/directory.rs
@@ -71,9 +71,12 @@
             listed.into_iter().map(|(name, placing, addr)| (name, (placing, addr))).collect();
         self.gateways.retain(|name, known| listed.contains_key(name) || known.is_live(now));
         for (name, (placing, addr)) in listed {
-            if name != self.instance {
-                let new = || KnownGateway { placing, addr, heard: None, says_relay: false };
-                self.gateways.entry(name).or_insert_with(new);
+            // What a live one says of itself is newer.
+            let is_live = self.gateways.get(&name).is_some_and(|known| known.is_live(now));
+            if name != self.instance && !is_live {
+                let heard = self.gateways.get(&name).and_then(|known| known.heard);
+                let known = KnownGateway { placing, addr, heard, says_relay: false };
+                self.gateways.insert(name, known);
             }
         }
     }
--- a/crates/routing/tests/relay_fleet/focused.rs
+++ b/crates/routing/tests/relay_fleet/focused.rs
@@ -1,7 +1,9 @@
 //! What gateways know of each other through relays, how soon, and at what cost.
 
 use crate::world::{BEAT, World, head, suspect};
-use std::time::Duration;
+use sorrellock_routing::process::relays::{Placing, RelayDirectory};
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
 
 /// Sizes of fleets, up to twice the users' largest one.
 const SIZES: [usize; 4] = [8, 68, 436, 872];
@@ -183,3 +185,18 @@
         }
     }
 }
+
+#[test]
+fn a_gateway_that_is_listed_at_a_new_address_is_sent_to_there() {
+    let placing = Placing { data_centre: "north".to_owned(), processor: 1_000 };
+    let now = Instant::now();
+    let (before, after) =
+        (SocketAddr::from(([10, 0, 0, 1], 7_340)), SocketAddr::from(([10, 0, 0, 2], 7_340)));
+    let mut directory = RelayDirectory::new("gateway-2", placing.clone(), now);
+    let listed = |addr| [("gateway-1".to_owned(), placing.clone(), addr)];
+    directory.on_list(listed(before), now);
+
+    directory.on_list(listed(after), now);
+
+    assert_eq!(directory.first_candidates(), [after]);
+}
