Relays: a gateway that starts while the store is silent counts all others by a summary

Cause: gateways were counted by summaries only once a gateway used relays, which took the store's list. One that started beside a silent store heard its relays alone, took the fleet for a small one, and had no part of the retry budget. Change: a summary of the whole fleet counts whenever there is one. The test failed before: 'waited in vain for it to be a member'.

--- a/crates/daemon/tests/gateway/gateway_process.rs
+++ b/crates/daemon/tests/gateway/gateway_process.rs
@@ -75,15 +75,22 @@
         GatewayProcess::spawn_with(ip, &settings(instance, data_centre, ip, store), read)
     }
 
-    /// Starts a gateway of a fleet that uses relays, however small it is.
+    /// Starts a gateway of a fleet that uses relays from a number of gateways on.
     pub fn start_with_relays(
         instance: &str,
         data_centre: &str,
         store: SocketAddr,
+        relays_from: usize,
     ) -> GatewayProcess {
         let ip = sorrellock_stand_ins::new_ip();
         let settings = settings(instance, data_centre, ip, store);
-        GatewayProcess::spawn_role(ip, &["gateway", "--relays-from", "2"], &settings, true)
+        GatewayProcess::spawn_with_relays(ip, &settings, relays_from)
+    }
+
+    /// Starts such a gateway at an address, as after a restart.
+    pub fn spawn_with_relays(ip: IpAddr, settings: &str, relays_from: usize) -> GatewayProcess {
+        let relays_from = relays_from.to_string();
+        GatewayProcess::spawn_role(ip, &["gateway", "--relays-from", &relays_from], settings, true)
     }
 
     /// Starts a gateway at an address with these settings.
--- a/crates/daemon/tests/gateway/relays.rs
+++ b/crates/daemon/tests/gateway/relays.rs
@@ -2,11 +2,14 @@
 
 use crate::fleet::{Fleet, KEY, config, fleet, new_request, send};
 use crate::gateway_process::{GatewayProcess, wait_for};
+use sorrellock_stand_ins::StoreMode;
 use std::thread::sleep;
 use std::time::Duration;
 
 /// Number of gateways of each of the two data centres.
 const PER_DATA_CENTRE: usize = 5;
+/// More gateways than one hears that knows of none by the store.
+const RELAYS_FROM: usize = 6;
 
 /// Starts gateways in both data centres that use relays, and waits until all know each other.
 fn gateways(fleet: &Fleet) -> Vec<GatewayProcess> {
@@ -15,7 +18,12 @@
         for index in 0..PER_DATA_CENTRE {
             let name = format!("{data_centre}-{index}");
             let store = fleet.store.addr();
-            gateways.push(GatewayProcess::start_with_relays(&name, data_centre, store));
+            gateways.push(GatewayProcess::start_with_relays(
+                &name,
+                data_centre,
+                store,
+                RELAYS_FROM,
+            ));
         }
     }
     wait_for("all gateways to know each other", || gateways.iter().all(knows_all));
@@ -109,3 +117,18 @@
         gateway.wait_for_line(&["\"configuration in force\"", "\"version\":21"]);
     }
 }
+
+#[test]
+fn a_gateway_that_starts_again_while_the_store_is_silent_counts_all_others() {
+    let fleet = fleet();
+    let mut gateways = gateways(&fleet);
+    let last = gateways.pop().expect("a gateway");
+    let (ip, settings) = (last.ip(), last.settings());
+    drop(last);
+    fleet.store.set_mode(StoreMode::Silent);
+
+    let again = GatewayProcess::spawn_with_relays(ip, &settings, RELAYS_FROM);
+
+    wait_for("it to be a member", || again.is_ready() && role(&again) == "member");
+    wait_for("it to count all", || again.dump()["budget_gateways"] == 2 * PER_DATA_CENTRE);
+}
--- a/crates/gateway/src/process/peers/roles.rs
+++ b/crates/gateway/src/process/peers/roles.rs
@@ -25,15 +25,16 @@
 impl FleetState {
     /// Decides how this gateway takes part in the exchange of messages, and counts the gateways that share the fleet's bounds.
     pub(crate) fn update_role(&mut self, now: Instant) {
+        // A summary also counts for a gateway that the store hasn't told of the others.
+        if self.uses_relays() || self.summary_of_fleet(now).is_some() {
+            self.count_sharers(now);
+        }
         let uses_relays = self.uses_relays_at(self.gateways(now));
         self.role = match uses_relays {
             false => Role::AllToAll,
             true if self.directory.is_relay(now.into_std()) => Role::Relay,
             true => Role::Member,
         };
-        if uses_relays {
-            self.count_sharers(now);
-        }
     }
 
     /// Returns whether a fleet of this size uses relays.
