Capacity: what gateways take without asking adds up with what one of them gives out

Cause: a gateway's part was renewed each 0.5 s, so that the end of one and the beginning of the next fell into one message interval; it was a part of all paths, taken from the best one; and the keeper gave out up to all of a path beside what others took unseen.

Change: parts are of a path, and what was taken counts for 0.5 s whenever it was taken; the keeper leaves of a path what was free below the limit of such takes within the last 0.5 s. The simulated fleet keeps an order, checked by a test. The property test's gateway now sees its own takes, as the real one does; its bound is as it was.

Ruled out: asking for each request (a call more for each, at a small keeper); a history at the keeper alone (a new one would have none).

--- a/crates/gateway/src/process/capacity/ask_capacity.rs
+++ b/crates/gateway/src/process/capacity/ask_capacity.rs
@@ -7,8 +7,8 @@
 use sorrellock_core::id::{Incarnation as GatewayIncarnation, Sequence};
 use sorrellock_core::process::admission::RETURN_WAIT_FACTOR;
 use sorrellock_platform::Client;
+use sorrellock_routing::process::Incarnation;
 use sorrellock_routing::process::capacity::AlonePart;
-use sorrellock_routing::version::ServiceName;
 use spdlog::debug;
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
@@ -26,7 +26,7 @@
 
 /// Share of a path's capacity from which it counts as scarce. Below it, a gateway takes its part of what is free without
 /// asking.
-const SCARCE_FROM: f64 = 0.6;
+pub(super) const SCARCE_FROM: f64 = 0.6;
 
 /// The gateways that keep capacity, as this one knows them.
 #[derive(Default)]
@@ -39,19 +39,22 @@
     asked: HashMap<SocketAddr, Instant>,
     /// Number of the last grant that was taken, by the keeper that gave it.
     taken: HashMap<GatewayIncarnation, Sequence>,
-    /// What this gateway takes of each service while no keeper answers.
-    alone: HashMap<ServiceName, AlonePart>,
+    /// What this gateway takes of each path while no keeper answers, by first engine.
+    alone: HashMap<Incarnation, AlonePart>,
     /// What it takes without asking while there is plenty.
-    plenty: HashMap<ServiceName, AlonePart>,
+    plenty: HashMap<Incarnation, AlonePart>,
 }
 
 impl CapacityKeepers {
-    /// Drops what belongs to gateways that are gone.
+    /// Drops what belongs to gateways and paths that are gone.
     pub(crate) fn retain(
         &mut self,
         is_live: impl Fn(&SocketAddr) -> bool,
         is_running: impl Fn(GatewayIncarnation) -> bool,
+        is_path: impl Fn(&Incarnation) -> bool,
     ) {
+        self.alone.retain(|head, _| is_path(head));
+        self.plenty.retain(|head, _| is_path(head));
         self.taken.retain(|keeper, _| is_running(*keeper));
         self.clients.retain(|addr, _| is_live(addr));
         self.silent.retain(|addr, _| is_live(addr));
@@ -114,24 +117,20 @@
     }
 
     /// Returns whether this gateway may take `tokens` of the best path while no keeper answers.
-    pub(crate) fn take_alone(&self, service: &str, tokens: f64, best: &PathChoice) -> bool {
+    pub(crate) fn take_alone(&self, tokens: f64, best: &PathChoice) -> bool {
         let (reach, live) = self.capacity_reach();
-        let limit = MAX_UTILIZATION * reach;
-        let free = self.paths.borrow().free_shares(service, limit, Instant::now());
         let mut keepers = self.capacity_keepers.borrow_mut();
-        best.share <= limit && take_part(&mut keepers.alone, service, tokens, best, free, live)
+        take_part(&mut keepers.alone, tokens, best, MAX_UTILIZATION * reach, live)
     }
 
     /// Returns whether this gateway may take `tokens` of the best path without asking, as there is plenty.
-    pub(crate) fn take_plenty(&self, service: &str, tokens: f64, best: &PathChoice) -> bool {
+    pub(crate) fn take_plenty(&self, tokens: f64, best: &PathChoice) -> bool {
         let (reach, live) = self.capacity_reach();
-        let free = self.paths.borrow().free_shares(service, reach, Instant::now());
         let mut keepers = self.capacity_keepers.borrow_mut();
-        best.share <= SCARCE_FROM * reach
-            && take_part(&mut keepers.plenty, service, tokens, best, free, live)
+        take_part(&mut keepers.plenty, tokens, best, SCARCE_FROM * reach, live)
     }
 
-    /// Drops what belongs to gateways that are gone.
+    /// Drops what belongs to gateways and paths that are gone.
     pub(crate) fn drop_old_keepers(&self) {
         let fleet_state = self.fleet_state.borrow();
         let (addrs, running): (HashSet<SocketAddr>, HashSet<GatewayIncarnation>) = fleet_state
@@ -139,7 +138,9 @@
             .map(|peer| (peer.addr, peer.message.incarnation))
             .unzip();
         let mut keepers = self.capacity_keepers.borrow_mut();
-        keepers.retain(|addr| addrs.contains(addr), |keeper| running.contains(&keeper));
+        let paths = self.paths.borrow();
+        let is_path = |head: &Incarnation| paths.is_head(head);
+        keepers.retain(|addr| addrs.contains(addr), |keeper| running.contains(&keeper), is_path);
     }
 
     async fn call_keeper(&self, addr: SocketAddr, ask: &CapacityAsk) -> Option<CapacityAnswer> {
@@ -165,18 +166,21 @@
     }
 }
 
-/// Takes a request's share of a path out of this gateway's part of what is free.
+/// Takes a request's share of a path out of this gateway's part of what is free below `limit`.
 fn take_part(
-    parts: &mut HashMap<ServiceName, AlonePart>,
-    service: &str,
+    parts: &mut HashMap<Incarnation, AlonePart>,
     tokens: f64,
     best: &PathChoice,
-    free: f64,
+    limit: f64,
     live: usize,
 ) -> bool {
+    if best.share > limit {
+        return false;
+    }
     let (path, slots) = (&best.live.path, f64::from(best.live.slots));
     let share = (tokens / path.token_capacity.max(1.0)).max(1.0 / slots);
+    let free = limit - best.share + share;
     let draw = rand::rng().random_range(0.0..1.0);
-    let part = parts.entry(service.to_owned()).or_default();
+    let part = parts.entry(path.first().incarnation.clone()).or_default();
     part.take(share, free, live, draw, Instant::now().into_std())
 }
--- a/crates/gateway/src/process/capacity/capacity_keeper.rs
+++ b/crates/gateway/src/process/capacity/capacity_keeper.rs
@@ -1,7 +1,8 @@
 //! Gives out the capacity of a service for all gateways, and keeps the queue for it.
 
+use super::ask_capacity::SCARCE_FROM;
 use super::messages::{CapacityAnswer, CapacityAsk};
-use crate::process::{Count, Gateway, LivePath, NoPlace, PathReservation};
+use crate::process::{Count, Gateway, LivePath, MAX_UTILIZATION, NoPlace, PathReservation};
 use sorrellock_core::clock::SystemClock;
 use sorrellock_core::id::{Incarnation as GatewayIncarnation, Sequence};
 use sorrellock_core::process::admission::{
@@ -10,7 +11,7 @@
 };
 use sorrellock_routing::process::Incarnation;
 use sorrellock_routing::process::capacity::{
-    CapacityTerm, PendingGrants, capacity_keeper, usable_share,
+    CapacityTerm, PendingGrants, UnseenTakes, capacity_keeper, usable_share,
 };
 use sorrellock_routing::version::ServiceName;
 use spdlog::info;
@@ -38,6 +39,14 @@
 /// An answer, with the reservation if the request is this gateway's own.
 type Answer = (CapacityAnswer, Option<PathReservation>);
 
+/// What others may have taken that this gateway doesn't see yet.
+struct GrantView<'a> {
+    /// By the first engine of each path.
+    unseen: &'a HashMap<Incarnation, UnseenTakes>,
+    /// Share of a path's capacity below which they took it.
+    taken_below: f64,
+}
+
 /// The queues that this gateway keeps.
 #[derive(Default)]
 pub(crate) struct CapacityKeeper {
@@ -45,6 +54,8 @@
     waiting: HashMap<Sequence, Waiting>,
     grants: PendingGrants,
     terms: HashMap<ServiceName, CapacityTerm>,
+    /// What gateways may have taken of each path without asking, by its first engine.
+    unseen: HashMap<Incarnation, UnseenTakes>,
     last_ticket: Sequence,
     /// Wakes the dispatcher when a request waits.
     offered: Rc<Notify>,
@@ -156,12 +167,27 @@
         };
         let mut keeper = self.capacity.borrow_mut();
         keeper.terms.retain(|service, _| services.contains(service));
+        let paths = self.paths.borrow();
+        let shares: Vec<(Incarnation, f64)> =
+            services.iter().flat_map(|service| paths.shares(service)).collect();
+        keeper.unseen.retain(|head, _| shares.iter().any(|(known, _)| known == head));
+        for (head, share) in shares {
+            keeper.unseen.entry(head).or_default().on_share(share, now);
+        }
         for service in services {
             let is_keeper = self.capacity_keeper(&service) == self.incarnation;
             keeper.terms.entry(service).or_default().check(is_keeper, now);
         }
     }
 
+    /// Returns the share of a path's capacity up to which it may be given out now.
+    fn grant_limit(&self, head: &Incarnation, view: &GrantView<'_>) -> f64 {
+        let (reach, live) = self.capacity_reach();
+        let new = UnseenTakes::default();
+        let unseen = view.unseen.get(head).unwrap_or(&new);
+        reach - unseen.reserve(view.taken_below * reach, live)
+    }
+
     /// Returns the share of the capacity that the gateways in reach may use, and their number.
     pub(crate) fn capacity_reach(&self) -> (f64, usize) {
         let now = Instant::now();
@@ -231,20 +257,26 @@
         let expected_rate = self.expected_capacity_rate(service);
         let recovery = self.expected_recovery(service);
         let mut keeper = self.capacity.borrow_mut();
-        let CapacityKeeper { queues, waiting, grants, .. } = &mut *keeper;
+        let CapacityKeeper { queues, waiting, grants, unseen, terms, .. } = &mut *keeper;
         let Some(queue) = queues.get_mut(service) else { return };
+        let is_seen =
+            terms.get(service).is_some_and(|term| term.is_seen(Instant::now().into_std()));
+        let taken_below = if is_seen { SCARCE_FROM } else { MAX_UTILIZATION };
+        let view = GrantView { unseen, taken_below };
         queue.set_expected_rate(expected_rate);
         queue.set_recovery(recovery);
         let mut granted = HashMap::new();
         let decisions = queue.dispatch(|ticket, reserve| {
             let Some(waiting) = waiting.get(&ticket) else { return Placement::Unfit };
-            match self.place(&waiting.ask, reserve) {
+            match self.place(&waiting.ask, reserve, &view) {
                 Ok(live) => {
                     let answer = self.grant(&waiting.ask, &live, grants);
                     granted.insert(ticket, answer);
                     Placement::Placed
                 }
-                Err(NoPlace::Full) if self.fits_no_other(&waiting.ask, reserve) => Placement::Full,
+                Err(NoPlace::Full) if self.fits_no_other(&waiting.ask, reserve, &view) => {
+                    Placement::Full
+                }
                 Err(_) => Placement::Unfit,
             }
         });
@@ -265,24 +297,38 @@
     }
 
     /// Returns the path for a request on which `reserve` tokens would stay free.
-    fn place(&self, ask: &CapacityAsk, reserve: f64) -> Result<Rc<LivePath>, NoPlace> {
-        let may_take = |live: &Rc<LivePath>| {
-            let first = &live.path.first().incarnation;
-            !ask.excluded.contains(first) && self.send_block(first).is_none()
-        };
+    fn place(
+        &self,
+        ask: &CapacityAsk,
+        reserve: f64,
+        view: &GrantView<'_>,
+    ) -> Result<Rc<LivePath>, NoPlace> {
         let (tokens, now) = (ask.tokens + reserve, Instant::now());
         let paths = self.paths.borrow();
-        match paths.best(&ask.service, tokens, &ask.data_centre, may_take, now) {
-            Some(best) if best.share > self.capacity_reach().0 => Err(NoPlace::Full),
-            Some(best) => Ok(best.live),
-            None => Err(NoPlace::NoPath),
+        let mut full: Vec<Incarnation> = Vec::new();
+        loop {
+            let may_take = |live: &Rc<LivePath>| {
+                let first = &live.path.first().incarnation;
+                !ask.excluded.contains(first)
+                    && !full.contains(first)
+                    && self.send_block(first).is_none()
+            };
+            let best = paths.best(&ask.service, tokens, &ask.data_centre, may_take, now);
+            let Some(best) = best else {
+                return Err(if full.is_empty() { NoPlace::NoPath } else { NoPlace::Full });
+            };
+            let head = &best.live.path.first().incarnation;
+            if best.share <= self.grant_limit(head, view) {
+                return Ok(best.live);
+            }
+            full.push(head.clone());
         }
     }
 
     /// Returns whether a request for which there is no room would fit nowhere if it excluded no path.
-    fn fits_no_other(&self, ask: &CapacityAsk, reserve: f64) -> bool {
-        ask.excluded.is_empty()
-            || self.place(&CapacityAsk { excluded: Vec::new(), ..ask.clone() }, reserve).is_err()
+    fn fits_no_other(&self, ask: &CapacityAsk, reserve: f64, view: &GrantView<'_>) -> bool {
+        let unrestricted = CapacityAsk { excluded: Vec::new(), ..ask.clone() };
+        ask.excluded.is_empty() || self.place(&unrestricted, reserve, view).is_err()
     }
 
     /// Grants capacity on a path. It counts until the gateway's load includes it.
--- a/crates/gateway/src/process/paths/path_table.rs
+++ b/crates/gateway/src/process/paths/path_table.rs
@@ -357,39 +357,20 @@
         self.paths(service).iter().map(|live| live.slots).max().unwrap_or_default()
     }
 
-    /// Returns what is free below a share of the capacity on all paths together, as a multiple of one path's capacity. Paths
-    /// that the same engine bounds count once.
-    pub(crate) fn free_shares(&self, service: &str, limit: f64, now: Instant) -> f64 {
+    /// Returns whether a path begins at an engine.
+    pub(crate) fn is_head(&self, engine: &Incarnation) -> bool {
+        self.paths.values().flatten().any(|live| live.path.first().incarnation == *engine)
+    }
+
+    /// Returns the share of the capacity that is used of each path of a service, by its first engine.
+    pub(crate) fn shares(&self, service: &str) -> Vec<(Incarnation, f64)> {
         let used = self.kv_used(service);
-        let mut free: HashMap<&Incarnation, f64> = HashMap::new();
-        for live in self.paths(service).iter().filter(|live| !live.is_avoided(now)) {
+        let share = |live: &Rc<LivePath>| {
             let first = &live.path.first().incarnation;
             let of_slots = f64::from(self.head_streams(service, first)) / f64::from(live.slots);
-            let (bound, of_tokens) = self.bounding_part(live, &used);
-            let (bound, share) =
-                if of_slots > of_tokens { (first, of_slots) } else { (bound, of_tokens) };
-            let most = free.entry(bound).or_default();
-            *most = most.max(limit - share);
-        }
-        free.into_values().sum()
-    }
-
-    /// Returns the engine of a path that bounds its tokens, and the share of its KV cache that is taken.
-    fn bounding_part<'a>(
-        &self,
-        live: &'a LivePath,
-        used: &HashMap<&Incarnation, f64>,
-    ) -> (&'a Incarnation, f64) {
-        let share = |part: &'a PathPart| {
-            let taken = used.get(&part.incarnation).copied().unwrap_or_default();
-            let capacity = self.kv_capacities.get(&part.incarnation).copied().unwrap_or_default();
-            // One more token tells idle engines apart.
-            let with_one = (taken + f64::from(part.layers.len())) / capacity.max(1.0);
-            (&part.incarnation, with_one)
+            (first.clone(), self.utilization(live, &used, 0.0).max(of_slots))
         };
-        let parts = live.path.parts.iter().map(share);
-        let bound = parts.max_by(|a, b| a.1.total_cmp(&b.1));
-        bound.unwrap_or((&live.path.first().incarnation, 0.0))
+        self.paths(service).iter().map(share).collect()
     }
 
     /// Chooses the path with the highest share of free capacity among those that the request may take.
--- a/crates/gateway/src/request/shared_capacity.rs
+++ b/crates/gateway/src/request/shared_capacity.rs
@@ -47,7 +47,7 @@
     let (tokens, now) = (expected_tokens(call), Instant::now());
     let own = &gateway.settings.data_centre;
     let best = gateway.paths.borrow().best(&call.service, tokens, own, may_take, now)?;
-    if gateway.take_plenty(&call.service, tokens, &best) {
+    if gateway.take_plenty(tokens, &best) {
         return Some(Ok(PathReservation::new(&gateway.paths, &best.live, tokens, now)));
     }
     let ask = CapacityAsk {
@@ -96,7 +96,7 @@
         let own = &gateway.settings.data_centre;
         let best = gateway.paths.borrow().best(&call.service, tokens, own, &may_take, now);
         let best = best.ok_or(NoPlace::NoPath)?;
-        if gateway.take_alone(&call.service, tokens, &best) {
+        if gateway.take_alone(tokens, &best) {
             return Ok(PathReservation::new(&gateway.paths, &best.live, tokens, now));
         }
         if now >= until {
--- a/crates/routing/src/process/capacity/capacity_term.rs
+++ b/crates/routing/src/process/capacity/capacity_term.rs
@@ -1,5 +1,6 @@
 //! Whether the gateway that gives out capacity knows enough to do so.
 
+use super::alone_part::PART_TIME;
 use std::time::{Duration, Instant};
 
 /// Time until a gateway knows what its predecessor gave out: the loads of all gateways show it by then.
@@ -32,7 +33,15 @@
     pub fn is_settled(&self, now: Instant) -> bool {
         let is_current =
             self.checked.is_some_and(|at| now.saturating_duration_since(at) <= MAX_PAUSE);
-        is_current
-            && self.since.is_some_and(|since| now.saturating_duration_since(since) >= SETTLE_TIME)
+        is_current && self.has_lasted(SETTLE_TIME, now)
+    }
+
+    /// Returns whether all see by now what was taken before it gave out the capacity, when each gateway decided alone.
+    pub fn is_seen(&self, now: Instant) -> bool {
+        self.has_lasted(SETTLE_TIME + PART_TIME, now)
+    }
+
+    fn has_lasted(&self, time: Duration, now: Instant) -> bool {
+        self.since.is_some_and(|since| now.saturating_duration_since(since) >= time)
     }
 }
--- a/crates/routing/tests/capacity.rs
+++ b/crates/routing/tests/capacity.rs
@@ -5,7 +5,7 @@
 use common::incarnation;
 use quickcheck::quickcheck;
 use sorrellock_routing::process::capacity::{
-    AlonePart, CapacityTerm, PendingGrants, has_keeper, usable_share,
+    AlonePart, CapacityTerm, PendingGrants, UnseenTakes, has_keeper, usable_share,
 };
 use sorrellock_routing::process::{ReturnForecast, ReturnTimes};
 use std::time::{Duration, Instant};
@@ -46,7 +46,11 @@
             let mut alone = AlonePart::default();
             let sizes = draws.iter().map(|draw| 1.0 + draw.abs() % 1_000.0);
             let sizes = sizes.filter(|size| size.is_finite());
-            sizes.filter(|size| alone.take(*size, free, gateways, 0.999_999, now)).sum::<f64>()
+            // What a gateway took itself it doesn't see free any more.
+            sizes.fold(0.0, |taken, size| {
+                let is_taken = alone.take(size, free - taken, gateways, 0.999_999, now);
+                if is_taken { taken + size } else { taken }
+            })
         };
         let all: f64 = (0..gateways).map(taken).sum();
         all <= free.max(part)
@@ -66,6 +70,37 @@
     assert_eq!(taken, 100);
 }
 
+#[test]
+fn what_was_taken_counts_until_others_have_seen_it() {
+    let (mut alone, began) = (AlonePart::default(), Instant::now());
+    let mut take = |at: u64, free: f64| alone.take(0.1, free, 2, 0.999, began + ms(at));
+
+    let first = take(0, 0.2);
+    let before_the_others_saw_it = take(490, 0.1);
+    let late = take(500, 0.2);
+    let right_after = take(510, 0.1);
+
+    assert!(first && !before_the_others_saw_it && late && !right_after);
+}
+
+#[test]
+fn what_others_may_have_taken_unseen_is_not_given_out() {
+    let (mut unseen, began) = (UnseenTakes::default(), Instant::now());
+    let reserve_after = |unseen: &mut UnseenTakes, share: f64, at: u64| {
+        unseen.on_share(share, began + ms(at));
+        unseen.reserve(0.6, 3)
+    };
+
+    let empty = reserve_after(&mut unseen, 0.0, 0);
+    let filled = reserve_after(&mut unseen, 0.9, 100);
+    let seen_by_all = reserve_after(&mut unseen, 0.9, 500);
+
+    assert!((empty - 0.4).abs() < 1e-9, "two of three may have taken their parts");
+    assert_eq!(filled, empty, "they may have seen it empty");
+    assert_eq!(seen_by_all, 0.0);
+    assert_eq!(unseen.reserve(0.6, 1), 0.0, "there are no others");
+}
+
 #[test]
 fn a_grant_counts_until_its_gateway_reports_a_load_with_it() {
     let (mut grants, now) = (PendingGrants::default(), Instant::now());
--- a/crates/routing/tests/capacity_fleet/focused.rs
+++ b/crates/routing/tests/capacity_fleet/focused.rs
@@ -138,3 +138,15 @@
         check_bound(&world, gateways);
     }
 }
+
+#[test]
+fn a_seed_always_gives_the_same_course() {
+    let course = || {
+        let mut world = loaded(8, 1.5);
+        world.restart(0);
+        world.run(capacity() * 1.5, Duration::from_secs(2));
+        (world.fullest, world.started, world.refused)
+    };
+
+    assert_eq!(course(), course());
+}
--- a/crates/routing/tests/capacity_fleet/gateway.rs
+++ b/crates/routing/tests/capacity_fleet/gateway.rs
@@ -1,12 +1,13 @@
 //! A gateway of the fleet: what it knows of the others, and the queue if it gives out the capacity.
 
+use super::world::ENGINES;
 use sorrellock_core::clock::{Clock, ManualClock};
 use sorrellock_core::process::admission::{CapacityQueue, QueueBounds};
 use sorrellock_routing::process::capacity::{
-    AlonePart, CapacityTerm, PendingGrants, capacity_keeper, usable_share,
+    AlonePart, CapacityTerm, PendingGrants, UnseenTakes, capacity_keeper, usable_share,
 };
 use sorrellock_routing::process::retries::Sharers;
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -32,11 +33,15 @@
     pub began: Instant,
     pub is_alive: bool,
     pub frozen_until: Option<Instant>,
-    pub heard: HashMap<usize, Heard>,
+    /// In order, so that a seed always gives the same course.
+    pub heard: BTreeMap<usize, Heard>,
     pub queue: CapacityQueue<ManualClock>,
     pub grants: PendingGrants,
-    pub alone: AlonePart,
-    pub plenty: AlonePart,
+    /// What it takes of each engine while nobody gives it out, and while there is plenty.
+    pub alone: Vec<AlonePart>,
+    pub plenty: Vec<AlonePart>,
+    /// What others may have taken of each engine without asking.
+    pub unseen: Vec<UnseenTakes>,
     pub term: CapacityTerm,
     pub sharers: Sharers,
     /// When a stream of its ended that the keeper wasn't told of.
@@ -49,6 +54,9 @@
     /// A process of a fleet of `gateways`, as the store lists them.
     pub fn new(incarnation: u64, clock: &ManualClock, gateways: usize) -> Gateway {
         let now = clock.now();
+        fn parts<T: Default>() -> Vec<T> {
+            (0..ENGINES).map(|_| T::default()).collect()
+        }
         let mut sharers = Sharers::new(&incarnation.to_string(), now);
         sharers.on_list(gateways, now);
         Gateway {
@@ -56,11 +64,12 @@
             began: now,
             is_alive: true,
             frozen_until: None,
-            heard: HashMap::new(),
+            heard: BTreeMap::new(),
             queue: CapacityQueue::new(clock.clone(), QueueBounds::new()),
             grants: PendingGrants::default(),
-            alone: AlonePart::default(),
-            plenty: AlonePart::default(),
+            alone: parts(),
+            plenty: parts(),
+            unseen: parts(),
             term: CapacityTerm::default(),
             sharers,
             freed_at: None,
--- a/crates/routing/tests/capacity_fleet/world.rs
+++ b/crates/routing/tests/capacity_fleet/world.rs
@@ -6,7 +6,8 @@
 use sorrellock_core::clock::{Clock, ManualClock};
 use sorrellock_core::process::admission::{CapacityDecision, CapacityDemand, Placement};
 use sorrellock_routing::process::Incarnation;
-use std::collections::HashMap;
+use sorrellock_routing::process::capacity::UnseenTakes;
+use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -26,6 +27,7 @@
 const ASK_TIMEOUT: Duration = Duration::from_millis(600);
 const KEEPER_RETRY: Duration = Duration::from_millis(300);
 const TRAVEL: Duration = Duration::from_millis(5);
+const TERM_INTERVAL: Duration = Duration::from_millis(50);
 const REPORT_DELAY: Duration = Duration::from_millis(10);
 
 /// Requests per second that the engines' tokens serve.
@@ -71,9 +73,10 @@
 pub struct World {
     pub rng: StdRng,
     clock: ManualClock,
+    began: Instant,
     pub gateways: Vec<Gateway>,
     streams: Vec<Stream>,
-    requests: HashMap<u64, Request>,
+    requests: BTreeMap<u64, Request>,
     events: Vec<(Instant, Event)>,
     silent_keepers: HashMap<(usize, u64), Instant>,
     last_request: u64,
@@ -99,9 +102,10 @@
         World {
             gateways: (0..gateways as u64).map(gateway).collect(),
             rng: StdRng::seed_from_u64(seed),
+            began: clock.now(),
             clock,
             streams: Vec::new(),
-            requests: HashMap::new(),
+            requests: BTreeMap::new(),
             events: Vec::new(),
             silent_keepers: HashMap::new(),
             last_request: 0,
@@ -158,6 +162,7 @@
             self.deliver(now);
             let running = self.gateways.iter_mut().filter(|one| one.runs(now));
             running.for_each(|one| one.check_term(now));
+            self.record_shares(now);
             due += per_second * STEP.as_secs_f64();
             while due >= 1.0 {
                 due -= 1.0;
@@ -188,6 +193,22 @@
         loads
     }
 
+    /// Records the shares that a keeper sees, at the interval of its terms.
+    fn record_shares(&mut self, now: Instant) {
+        if !(now - self.began).as_millis().is_multiple_of(TERM_INTERVAL.as_millis()) {
+            return;
+        }
+        for index in 0..self.gateways.len() {
+            if !self.gateways[index].runs(now) {
+                continue;
+            }
+            let shares: Vec<f64> = self.seen_loads(index, now).iter().map(share_of).collect();
+            for (unseen, share) in self.gateways[index].unseen.iter_mut().zip(shares) {
+                unseen.on_share(share, now);
+            }
+        }
+    }
+
     /// The load of each engine as a gateway sees it.
     fn seen_loads(&mut self, index: usize, now: Instant) -> Vec<(f64, u32)> {
         let own = self.loads(self.gateways[index].incarnation);
@@ -239,9 +260,10 @@
             self.silent_keepers.get(&(gateway, keeper)).is_some_and(|until| *until > now);
         let (engine, share) = best(&loads, tokens);
         let (reach, live) = self.gateways[gateway].reach(now);
-        let (free, draw) = ((reach - share).max(0.0) * TOKENS, self.rng.random());
-        let plenty = &mut self.gateways[gateway].plenty;
-        if share <= SCARCE_FROM * reach && plenty.take(tokens, free, live, draw, now) {
+        let (limit, draw) = (SCARCE_FROM * reach, self.rng.random());
+        let size = share_of(&(tokens, 1));
+        let plenty = &mut self.gateways[gateway].plenty[engine];
+        if share <= limit && plenty.take(size, limit - share + size, live, draw, now) {
             return self.on_answer(id, Some(engine), now);
         }
         if is_silent {
@@ -291,8 +313,9 @@
         let (reach, live) = gateway.reach(now);
         let limit = FULL_FROM * reach;
         let (engine, share) = best(&loads, request.tokens);
-        let free = loads.iter().map(|load| (limit - share_of(load)).max(0.0) * TOKENS).sum();
-        let fits = share <= limit && gateway.alone.take(request.tokens, free, live, draw, now);
+        let size = share_of(&(request.tokens, 1));
+        let alone = &mut gateway.alone[engine];
+        let fits = share <= limit && alone.take(size, limit - share + size, live, draw, now);
         self.on_answer(id, fits.then_some(engine), now);
     }
 
@@ -331,17 +354,19 @@
             let mut loads = self.seen_loads(index, now);
             let reserved: f64 = loads.iter().map(|load| load.0).sum();
             let own = self.gateways[index].incarnation;
-            let (reach, _) = self.gateways[index].reach(now);
-            let Gateway { queue, grants, .. } = &mut self.gateways[index];
+            let (reach, live) = self.gateways[index].reach(now);
+            let Gateway { queue, grants, unseen, term, .. } = &mut self.gateways[index];
+            let taken_below = if term.is_seen(now) { SCARCE_FROM } else { FULL_FROM };
+            let taken = |unseen: &UnseenTakes| unseen.reserve(taken_below * reach, live);
+            let limits: Vec<f64> = unseen.iter().map(|unseen| reach - taken(unseen)).collect();
             queue.set_expected_rate(reserved / MEAN_SECONDS);
             let mut granted = HashMap::new();
             let requests = &self.requests;
             let decisions = queue.dispatch(|id, reserve| {
                 let Some(request) = requests.get(&id) else { return Placement::Placed };
-                let (engine, share) = best(&loads, request.tokens + reserve);
-                if share > reach {
+                let Some(engine) = fitting(&loads, request.tokens + reserve, &limits) else {
                     return Placement::Full;
-                }
+                };
                 loads[engine] = (loads[engine].0 + request.tokens, loads[engine].1 + 1);
                 let number = if request.from != own {
                     let head = Incarnation::new(engine.to_string(), None);
@@ -413,6 +438,14 @@
     (load.0 / TOKENS).max(f64::from(load.1) / f64::from(SLOTS))
 }
 
+/// The emptiest engine whose share stays within its limit with a request.
+fn fitting(loads: &[(f64, u32)], tokens: f64, limits: &[f64]) -> Option<usize> {
+    let share = |load: &(f64, u32)| share_of(&(load.0 + tokens, load.1 + 1));
+    let shares = loads.iter().map(share).enumerate();
+    let fitting = shares.filter(|(engine, share)| *share <= limits[*engine]);
+    fitting.min_by(|a, b| a.1.total_cmp(&b.1)).map(|(engine, _)| engine)
+}
+
 /// The emptiest engine, and its share with a request.
 fn best(loads: &[(f64, u32)], tokens: f64) -> (usize, f64) {
     let share = |load: &(f64, u32)| share_of(&(load.0 + tokens, load.1 + 1));
