Store: four relays watch for all, of different data centres

Change: the first four in the order of relays watch, as in fleets without relays. Whoever relies on them counts each relay that passes on fresh data as one that has it; the age goes along as before.

Ruled out: two watchers (both may be in a data centre that is lost, or cut off from the store).

Test: all agree on the four at 436 and 872 gateways, also after a data centre is gone.

--- a/crates/gateway/src/process/peers/fleet_state.rs
+++ b/crates/gateway/src/process/peers/fleet_state.rs
@@ -227,15 +227,17 @@
         self.reports(now).into_iter().map(of).sum()
     }
 
-    /// Returns how many live gateways had their data of a kind confirmed complete by the store within `age`.
+    /// Returns how many live gateways had their data of a kind confirmed complete by the store within `age`, or heard so of others.
     pub(crate) fn watchers(&self, kind: Kind, age: Duration, now: Instant) -> usize {
         let is_fresh = |report: &Report<'_>| {
             report.store_contact(kind, now).is_some_and(|data_age| data_age < age)
         };
         let near = self.live_peers(now).map(Report::Peer);
-        let all: HashSet<&str> =
-            near.chain(self.reports(now)).filter(is_fresh).map(|report| report.source()).collect();
-        all.len()
+        // Each relay passes on what it heard of the watchers.
+        let summaries = self.summaries.values().filter(|heard| heard.is_fresh(now));
+        let summaries = summaries.map(|heard| Report::Summary(heard, &self.sent_loads));
+        let sources = near.chain(summaries).filter(is_fresh).map(|report| report.source());
+        sources.collect::<HashSet<&str>>().len()
     }
 
     /// Suspects an endpoint that failed, so that it gets no new work for a while. Returns whether this gateway
--- a/crates/gateway/src/process/store/watch_sharing.rs
+++ b/crates/gateway/src/process/store/watch_sharing.rs
@@ -23,8 +23,8 @@
 /// Number of gateways from which most of them learn of endpoints and configurations from others: otherwise each change
 /// would cost a store call from every gateway.
 const MANY_GATEWAYS: usize = 12;
-/// Number of gateways, first in order of name, that watch the store themselves. The lead always watches the endpoints, too. In
-/// a fleet with relays these do.
+/// Number of gateways that watch the store themselves: the first in order of name, or of the relays in a large fleet, where they
+/// are of different data centres. The lead always watches the endpoints, too.
 const WATCHERS: Rank = 4;
 /// Gateways that must have had recent contact with the store for others to rely on them.
 const MIN_WATCHERS: usize = 2;
@@ -64,7 +64,7 @@
 
     /// Returns the revision from which a later watch continues, after the changes that other gateways reported; `None` lists
     /// again, as a configuration that another gateway handed over names no revision.
-    fn revision_reported(&self) -> Option<Revision> {
+    pub(super) fn revision_reported(&self) -> Option<Revision> {
         let is_endpoints = self.kind == Kind::Endpoints;
         is_endpoints.then(|| self.gateway.knowledge.borrow().endpoints_at())
     }
@@ -99,8 +99,5 @@
 
 /// Returns whether this gateway, `instance`, is one of those that watch the store for others.
 fn is_watcher(fleet_state: &FleetState, instance: &str, now: Instant) -> bool {
-    if fleet_state.uses_relays() {
-        return fleet_state.is_relay();
-    }
-    fleet_state.rank(instance, now) < WATCHERS
+    fleet_state.is_coordinator() && fleet_state.rank(instance, now) < WATCHERS
 }
--- a/crates/routing/tests/relay_fleet/focused.rs
+++ b/crates/routing/tests/relay_fleet/focused.rs
@@ -12,6 +12,9 @@
 /// The same after the loss of relays: their silence has to be noticed, and the next ones to be heard.
 const LOSS_LIMIT: Duration = Duration::from_secs(8);
 
+/// Number of relays that watch the store.
+const WATCHERS: usize = 4;
+
 /// Power with which the cost of a gateway may grow with the fleet.
 const MAX_POWER: f64 = 0.2;
 
@@ -170,6 +173,20 @@
     }
 }
 
+#[test]
+fn all_agree_on_the_relays_that_watch_for_all() {
+    for size in [436, 872] {
+        let mut world = settled(size);
+        let before = world.first_relays(WATCHERS);
+        world.ordered("mid").iter().for_each(|index| world.gateways[*index].is_up = false);
+        world.run(Duration::from_secs(10));
+
+        let after = world.first_relays(WATCHERS);
+
+        assert_eq!((before, after), (WATCHERS, WATCHERS), "{size} gateways");
+    }
+}
+
 #[test]
 fn lost_messages_hide_no_gateway_for_long() {
     for size in SIZES {
--- a/crates/routing/tests/relay_fleet/world.rs
+++ b/crates/routing/tests/relay_fleet/world.rs
@@ -211,6 +211,15 @@
         }
     }
 
+    /// Returns how many gateways take themselves for one of the first `count` relays of the fleet.
+    pub fn first_relays(&self, count: usize) -> usize {
+        let up = self.gateways.iter().filter(|gateway| gateway.is_up);
+        let first = up.filter(|gateway| {
+            gateway.directory.is_relay(self.now) && gateway.directory.rank(self.now) < count
+        });
+        first.count()
+    }
+
     /// Returns the indices of the gateways of a data centre in the order of relays.
     pub fn ordered(&self, data_centre: &str) -> Vec<usize> {
         let all = self.gateways.iter().enumerate();
