Store: data that changes all the time isn't taken for old by those that fetch it

Cause: a gateway that relies on others counted its data as complete only while nobody was ahead of it. Where endpoints change faster than it fetches them (a start, a release) somebody always is, so that after 4 s it called the store itself.

Change: what is handed over names the ages of the sender's data, and the receiver's is as complete once it has it. Builds without the ages send none, and all is as before.

Test, seen to fail on (members made up to four watches in 8 s): members make no calls of the store while endpoints change all the time.

--- a/crates/daemon/tests/gateway/entries.rs
+++ b/crates/daemon/tests/gateway/entries.rs
@@ -10,7 +10,7 @@
 use std::thread;
 
 /// An entry as an engine writes it, at an address where nothing listens.
-fn entry() -> Value {
+pub(crate) fn entry() -> Value {
     json!({
         "service": "lexis", "address": "127.0.0.1:9", "zone": "north", "version": "v1",
         "slots": 192, "state": "ready", "cold_remaining_ms": 0, "sequence": 1, "born": 5,
--- a/crates/daemon/tests/gateway/relays.rs
+++ b/crates/daemon/tests/gateway/relays.rs
@@ -1,13 +1,14 @@
 //! Gateways that learn of each other through relays.
 
+use crate::entries::entry;
 use crate::fleet::{Fleet, KEY, config, fleet, new_request, send};
 use crate::gateway_process::{GatewayProcess, wait_for};
-use sorrellock_stand_ins::StoreMode;
+use sorrellock_stand_ins::{FakeProxy, ProxyMode, StoreMode, new_ip};
 use std::thread::sleep;
 use std::time::Duration;
 
 /// Number of gateways of each of the two data centres.
-const PER_DATA_CENTRE: usize = 5;
+const PER_DATA_CENTRE: usize = 6;
 /// More gateways than one hears that knows of none by the store.
 const RELAYS_FROM: usize = 6;
 
@@ -43,6 +44,13 @@
     gateway.dump()["role"].as_str().unwrap_or_default().to_owned()
 }
 
+/// The counts of a gateway's calls of the store for a kind of objects.
+fn store_calls(gateway: &GatewayProcess, kind: &str) -> Vec<String> {
+    let sort = format!("sorrellock_store_calls_by_sort{{kind=\"{kind}\"");
+    let page = gateway.page("metrics");
+    page.lines().filter(|line| line.starts_with(&sort)).map(str::to_owned).collect()
+}
+
 #[test]
 fn two_gateways_of_each_data_centre_are_relays() {
     let fleet = fleet();
@@ -52,7 +60,7 @@
     for of_data_centre in gateways.chunks(PER_DATA_CENTRE) {
         wait_for("the first two to be relays and no others", || {
             let roles: Vec<String> = of_data_centre.iter().map(role).collect();
-            roles == ["relay", "relay", "member", "member", "member"]
+            roles == ["relay", "relay", "member", "member", "member", "member"]
         });
     }
 }
@@ -78,6 +86,47 @@
     assert!(calls <= 2 * 4 * changes as usize, "{calls} calls for {changes} changes");
 }
 
+#[test]
+fn members_make_no_calls_of_the_store_while_endpoints_change_all_the_time() {
+    let fleet = fleet();
+    let gateways = gateways(&fleet);
+    sleep(Duration::from_secs(1));
+    let members: Vec<&GatewayProcess> =
+        gateways.iter().filter(|gateway| role(gateway) == "member").collect();
+    let calls = || -> Vec<Vec<String>> {
+        members.iter().map(|member| store_calls(member, "servers")).collect()
+    };
+    let before = calls();
+
+    // For longer than data may go without being confirmed.
+    for step in 0..80 {
+        let mut entry = entry();
+        entry["slots"] = (5 + step % 7).into();
+        fleet.store.put("servers", "changing", entry);
+        sleep(Duration::from_millis(100));
+    }
+
+    assert_eq!(members.len(), 2 * (PER_DATA_CENTRE - 2));
+    assert_eq!(calls(), before);
+}
+
+#[test]
+fn a_gateway_whose_list_of_the_others_comes_late_starts_from_the_relays() {
+    let fleet = fleet();
+    let mut gateways = gateways(&fleet);
+    drop(gateways.pop());
+    let proxy = FakeProxy::start(new_ip(), fleet.store.addr()).expect("a proxy");
+    proxy.set_mode(ProxyMode::Delays(Duration::from_millis(200)));
+
+    let last = format!("south-{}", PER_DATA_CENTRE - 1);
+    let again = GatewayProcess::start_with_relays(&last, "south", proxy.addr(), RELAYS_FROM);
+
+    wait_for("it to be a member", || again.is_ready() && role(&again) == "member");
+    let none: [String; 0] = [];
+    assert_eq!(store_calls(&again, "servers"), none);
+    assert_eq!(store_calls(&again, "config"), none);
+}
+
 #[test]
 fn an_engine_that_crashed_gets_nothing_more_from_gateways_that_hear_of_it_through_relays() {
     let fleet = fleet();
--- a/crates/gateway/src/process/listeners.rs
+++ b/crates/gateway/src/process/listeners.rs
@@ -131,7 +131,10 @@
 
 /// Returns what this gateway has and the requester lacks.
 fn handover(gateway: &Gateway, version: ConfigVersion, at: Revision) -> (StatusCode, Bytes) {
-    json(&gateway.knowledge.borrow().handover(version, at, Instant::now().into_std()))
+    let now = Instant::now();
+    let mut handover = gateway.knowledge.borrow().handover(version, at, now.into_std());
+    handover.ages = gateway.knowledge_ages(now);
+    json(&handover)
 }
 
 fn json(page: &impl Serialize) -> (StatusCode, Bytes) {
--- a/crates/gateway/src/process/peers/catch_up.rs
+++ b/crates/gateway/src/process/peers/catch_up.rs
@@ -89,9 +89,11 @@
             if !self.gateway.held_sync.borrow().has_listed() {
                 fetch_first_held(&self.gateway, *addr, FIRST_FETCH_TIMEOUT).await;
             }
+            let requested = Instant::now();
             match self.handover(*addr, FIRST_FETCH_TIMEOUT).await {
                 Ok((handover, parsing)) => {
-                    self.gateway.apply_handover(handover, &addr.to_string(), parsing);
+                    let from = addr.to_string();
+                    self.gateway.apply_handover(handover, &from, requested, parsing);
                 }
                 // It may start as well, and the next one is asked.
                 Err(err) => debug!("no first data from a gateway", kv: { err = err.as_str() }),
@@ -118,6 +120,7 @@
     }
 
     async fn fetch(&self, instance: &str, addr: SocketAddr) {
+        let requested = Instant::now();
         match self.handover(addr, HANDOVER_TIMEOUT).await {
             Ok((handover, parsing)) => {
                 if handover.configuration.is_some() {
@@ -127,7 +130,7 @@
                 let version = handover.configuration.as_ref().map_or(0, |cfg| cfg.version);
                 let Revision { era, count } = handover.endpoints_at;
                 info!("caught up from a gateway", kv: { instance, version, era, at = count });
-                self.gateway.apply_handover(handover, instance, parsing);
+                self.gateway.apply_handover(handover, instance, requested, parsing);
             }
             Err(err) => {
                 warn!("failed to catch up from a gateway", kv: { instance, err = err.as_str() });
--- a/crates/gateway/src/process/peers/news.rs
+++ b/crates/gateway/src/process/peers/news.rs
@@ -2,11 +2,10 @@
 
 use super::relay_part::{HeardSummary, Scope};
 use crate::process::{Gateway, PeerMessage};
-use sorrellock_platform::Kind;
 use sorrellock_routing::process::crashes::CrashReports;
 use sorrellock_routing::process::lead_view::ViewChange;
 use sorrellock_routing::process::limits::LimitReport;
-use sorrellock_routing::process::relays::{LeadReport, Summary};
+use sorrellock_routing::process::relays::{LeadReport, StoreAges, Summary};
 use sorrellock_routing::process::{EndedIncarnation, Incarnation, StoreEra};
 use spdlog::info;
 use std::time::Duration;
@@ -168,23 +167,12 @@
 
     /// Records until when this gateway's data is complete, by the age of the data of gateways that know nothing newer.
     fn note_confirmed(&self, heard: &HeardSummary) {
-        if heard.store_era != self.eras.known() {
-            return;
-        }
         let own = self.knowledge.borrow().known();
         let (known, ages) = (heard.summary.known, heard.summary.store_ages);
-        let confirm = |kind, age_ms: Option<u32>| {
-            let age = age_ms.map(|ms| Duration::from_millis(ms.into()));
-            let at = age.and_then(|age| heard.heard.checked_sub(age));
-            if let Some(at) = at {
-                self.store_contact.confirm(kind, heard.store_era, at);
-            }
+        let ages = StoreAges {
+            configuration_ms: ages.configuration_ms.filter(|_| known.config <= own.config),
+            endpoints_ms: ages.endpoints_ms.filter(|_| known.endpoints_at <= own.endpoints_at),
         };
-        if known.config <= own.config {
-            confirm(Kind::Configuration, ages.configuration_ms);
-        }
-        if known.endpoints_at <= own.endpoints_at {
-            confirm(Kind::Endpoints, ages.endpoints_ms);
-        }
+        self.confirm_ages(ages, heard.store_era, heard.heard);
     }
 }
--- a/crates/gateway/src/process/store/handover.rs
+++ b/crates/gateway/src/process/store/handover.rs
@@ -3,19 +3,30 @@
 use crate::process::{Gateway, check_expired};
 use sorrellock_routing::process::Revision;
 use sorrellock_routing::process::knowledge::Handover;
+use sorrellock_routing::process::relays::StoreAges;
 use spdlog::info;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::Instant;
 
 impl Gateway {
-    /// Applies the state that another gateway handed over. `parsing` is the time that parsing took.
+    /// Applies the state that another gateway handed over on a request of `requested`. `parsing` is the time that parsing took.
     pub(crate) fn apply_handover(
         self: &Rc<Self>,
         handover: Handover,
         from: &str,
+        requested: Instant,
         parsing: Duration,
     ) {
+        let (ages, era) = (handover.ages, handover.endpoints_at.era);
+        let version = handover.configuration.as_ref().map_or(0, |cfg| cfg.version);
+        self.apply_handed_over(handover, from, parsing);
+        let is_taken = self.knowledge.borrow().known().config >= version;
+        let configuration_ms = ages.configuration_ms.filter(|_| is_taken);
+        self.confirm_ages(StoreAges { configuration_ms, ..ages }, era, requested);
+    }
+
+    fn apply_handed_over(self: &Rc<Self>, handover: Handover, from: &str, parsing: Duration) {
         if let Some(cfg) = handover.configuration {
             self.apply_configuration(cfg, from, parsing);
         }
--- a/crates/gateway/src/process/store/store_contact.rs
+++ b/crates/gateway/src/process/store/store_contact.rs
@@ -2,6 +2,7 @@
 
 use crate::process::{Count, Gateway};
 use sorrellock_platform::{Kind, StoreError};
+use sorrellock_routing::process::relays::StoreAges;
 use sorrellock_routing::process::{Known, Revision, StoreEra};
 use std::cell::Cell;
 use std::time::Duration;
@@ -141,6 +142,30 @@
         ages.chain(self.store_contact.age(kind, now)).chain(confirmed).min()
     }
 
+    /// Returns the ages of this gateway's knowledge.
+    pub(crate) fn knowledge_ages(&self, now: Instant) -> StoreAges {
+        let age_ms = |kind| self.knowledge_age(kind, now).map(|age| age.as_millis() as u32);
+        StoreAges {
+            configuration_ms: age_ms(Kind::Configuration),
+            endpoints_ms: age_ms(Kind::Endpoints),
+        }
+    }
+
+    /// Records that this gateway's data is as complete as another one's was at `at`, by the ages that this one told.
+    pub(crate) fn confirm_ages(&self, ages: StoreAges, era: StoreEra, at: Instant) {
+        if era != self.eras.known() {
+            return;
+        }
+        let confirm = |kind, age_ms: Option<u32>| {
+            let age = age_ms.map(|ms| Duration::from_millis(ms.into()));
+            if let Some(complete) = age.and_then(|age| at.checked_sub(age)) {
+                self.store_contact.confirm(kind, era, complete);
+            }
+        };
+        confirm(Kind::Configuration, ages.configuration_ms);
+        confirm(Kind::Endpoints, ages.endpoints_ms);
+    }
+
     /// Handles a failed call of the store.
     pub(crate) fn on_store_failed(&self, err: &StoreError) {
         self.counters.add(Count::StoreFailures);
--- a/crates/routing/src/process/knowledge/handover.rs
+++ b/crates/routing/src/process/knowledge/handover.rs
@@ -1,6 +1,7 @@
 //! The configuration and endpoints that one gateway sends another on request.
 
 use super::{EntryState, Knowledge, KnownEndpoint, RefusedEntry};
+use crate::process::relays::StoreAges;
 use crate::process::{ChangeCount, EndpointId, Incarnation, Revision};
 use crate::version::{ConfigVersion, Configuration};
 use serde::{Deserialize, Serialize};
@@ -26,6 +27,9 @@
     pub era_floor: ChangeCount,
     /// The endpoints that left before this era.
     pub left: Vec<Incarnation>,
+    /// Ages of the sender's data; builds without them don't send any.
+    #[serde(default)]
+    pub ages: StoreAges,
 }
 
 /// An entry that can't be used, as one gateway reports it to another.
@@ -101,6 +105,7 @@
             endpoints_at: self.endpoints_at,
             era_floor: self.era_floor,
             left: self.left.incarnations().collect(),
+            ages: StoreAges::default(),
         }
     }
 }
