Start: a gateway waits for a late list of the others, and continues from what it was handed

Cause: at a start of all, the list of gateways (100 KB for each of 436) took longer than the 300 ms that a gateway waited to learn whether there are relays. So all listed the endpoints, and 156 the configuration, all the same: the wait held only while the fleet was small. What relays did hand over was listed once more, as the watch began without a revision.

Change: it waits until the list is there or the store fails a call, for 2 s at most; the watch continues from the revision that was handed over, once others that watch have been heard.

--- a/crates/gateway/src/process/store/first_data.rs
+++ b/crates/gateway/src/process/store/first_data.rs
@@ -7,9 +7,9 @@
 use std::time::Duration;
 use tokio::time::{Instant, sleep, timeout};
 
-/// How long a gateway waits at its start for the list of the gateways, which tells whether there are relays: some round trips to the
-/// store.
-const LIST_WAIT: Duration = Duration::from_millis(300);
+/// How long a gateway waits at its start for the list of the gateways, which tells whether there are relays. The list grows with the
+/// fleet, and comes late where all start at once.
+const LIST_WAIT: Duration = Duration::from_secs(2);
 /// How long it waits for the relays before it lists by itself, in its turn.
 const RELAY_WAIT: Duration = Duration::from_millis(1_000);
 /// Interval at which it checks whether they have answered.
@@ -22,10 +22,13 @@
 }
 
 impl FirstData {
-    /// Waits for the list of the gateways.
+    /// Waits for the list of the gateways, or until the store fails a call.
     pub(crate) async fn new(gateway: &Rc<Gateway>) -> FirstData {
-        if gateway.fleet_state.borrow().sharers.listed() == 0 {
-            let _ = timeout(LIST_WAIT, gateway.gateways_listed.notified()).await;
+        let began = Instant::now();
+        let is_listed = || gateway.fleet_state.borrow().sharers.listed() > 0;
+        while !is_listed() && gateway.store_failed.get().is_none() && began.elapsed() < LIST_WAIT {
+            // Both the list and the time are reasons to go on.
+            let _ = timeout(CHECK_INTERVAL, gateway.gateways_listed.notified()).await;
         }
         FirstData { gateway: Rc::clone(gateway), listed: Instant::now() }
     }
--- a/crates/gateway/src/process/store/watcher.rs
+++ b/crates/gateway/src/process/store/watcher.rs
@@ -30,6 +30,7 @@
         lost_since: None,
     };
     FirstData::new(&watcher.gateway).await.wait(kind).await;
+    watcher.continue_from_others().await;
     loop {
         if watcher.relies_on_others() {
             sleep(RELY_CHECK_INTERVAL).await;
@@ -125,6 +126,14 @@
         Ok(())
     }
 
+    /// Continues from what other gateways handed over at the start, if anything.
+    async fn continue_from_others(&mut self) {
+        if self.gateway.has_data(self.kind) {
+            self.at = self.revision_reported();
+            self.wait_to_rely().await;
+        }
+    }
+
     /// Waits after a list until others are heard that this gateway may rely on, if there are many: a watch costs a call, and what
     /// changes meanwhile comes with the next one.
     async fn wait_to_rely(&mut self) {
