Start: requests wait for the first endpoints as for the first configuration

Cause: a gateway took requests once it had a configuration.

Change: in the first 1.2 s after its start requests wait for both.

Ruled out: asking further relays while one has no endpoints (a gateway that lists by itself may get them in that order, too); readiness only with endpoints (the balancer would leave out all at once).

Test, seen to fail on (503): a request that comes before the first endpoints waits for them.

--- a/crates/daemon/tests/gateway/knowledge.rs
+++ b/crates/daemon/tests/gateway/knowledge.rs
@@ -5,6 +5,7 @@
 use serde_json::json;
 use sorrellock_stand_ins::{FakeEngine, FakeProxy, PEER_PORT, ProxyMode, StoreMode, new_ip};
 use std::net::UdpSocket;
+use std::time::Duration;
 
 /// A second gateway that has heard of the first, with a proxy before its store.
 fn second_behind_proxy(fleet: &Fleet) -> (GatewayProcess, FakeProxy) {
@@ -15,6 +16,22 @@
     (second, proxy)
 }
 
+#[test]
+fn a_request_that_comes_before_the_first_endpoints_waits_for_them() {
+    let fleet = fleet();
+    fleet.store.set_page_size(1);
+    let proxy = FakeProxy::start(new_ip(), fleet.store.addr()).expect("a proxy");
+    proxy.set_mode(ProxyMode::Delays(Duration::from_millis(50)));
+    let gateway = GatewayProcess::start("one", "north", proxy.addr());
+    gateway.wait_for_line(&["\"configuration in force\""]);
+    let joined_before = gateway.lines(&["\"endpoint joined\""]).len();
+
+    let answer = send(gateway.callers(), "/status/a", &new_request(), Some(KEY));
+
+    assert_eq!(joined_before, 0, "the endpoints come later");
+    assert_eq!((answer.status, answer.is_whole), (200, true));
+}
+
 #[test]
 fn without_a_configuration_requests_are_refused_as_not_run_and_not_as_unknown() {
     let fleet = fleet();
--- a/crates/gateway/src/process/gateway.rs
+++ b/crates/gateway/src/process/gateway.rs
@@ -146,8 +146,8 @@
     pub(crate) probes: RefCell<HashMap<Incarnation, Client>>,
     /// Wakes tasks that wait for the first list of the gateways.
     pub(crate) gateways_listed: Notify,
-    /// Wakes requests that wait for the first configuration.
-    pub(crate) configured: Notify,
+    /// Wakes requests that wait for the first configuration and endpoints.
+    pub(crate) first_data: Notify,
     pub(crate) phase: watch::Sender<Phase>,
     /// Set once the process was signalled to end.
     pub(crate) leaving: Cell<Option<Leaving>>,
@@ -210,7 +210,7 @@
             news: Notify::new(),
             probes: RefCell::default(),
             gateways_listed: Notify::new(),
-            configured: Notify::new(),
+            first_data: Notify::new(),
             phase: watch::Sender::new(Phase::Running),
             leaving: Cell::new(None),
         }
@@ -311,7 +311,7 @@
         if !self.store_contact.is_left_to_others(Kind::Configuration) {
             self.news.notify_one();
         }
-        self.configured.notify_waiters();
+        self.first_data.notify_waiters();
         self.engines_changed.notify_waiters();
     }
 
--- a/crates/gateway/src/process/store/handover.rs
+++ b/crates/gateway/src/process/store/handover.rs
@@ -65,5 +65,6 @@
         self.evaluate_starts(from);
         self.knowledge.borrow_mut().advance(handover.endpoints_at);
         self.refresh_paths();
+        self.first_data.notify_waiters();
     }
 }
--- a/crates/gateway/src/process/store/watcher.rs
+++ b/crates/gateway/src/process/store/watcher.rs
@@ -194,6 +194,7 @@
             self.gateway.evaluate_starts(source);
             self.gateway.knowledge.borrow_mut().advance(at);
             self.gateway.refresh_paths();
+            self.gateway.first_data.notify_waiters();
         }
     }
 
--- a/crates/gateway/src/request/request_handler.rs
+++ b/crates/gateway/src/request/request_handler.rs
@@ -12,7 +12,7 @@
 use hyper::body::Incoming;
 use rand::RngExt;
 use sorrellock_http::{AnswerBody, Cut};
-use sorrellock_platform::{CallerHead, read_caller_head};
+use sorrellock_platform::{CallerHead, Kind, read_caller_head};
 use sorrellock_routing::process::crashes::{PromptPart, RunRequest};
 use sorrellock_routing::process::cut;
 use sorrellock_routing::request::{AbandonedOutcome, ContentId};
@@ -29,9 +29,9 @@
 pub(crate) const MAX_WAIT_SHARE: f64 = 0.3;
 /// Maximum random delay added to Retry-After, so that refused callers don't retry all at once.
 const RETRY_SPREAD: Duration = Duration::from_millis(1_000);
-/// How long after the gateway's start requests wait for the first configuration: a store that is up answers within
+/// How long after the gateway's start requests wait for the first configuration and endpoints: a store that is up answers within
 /// this time.
-const CONFIGURATION_WAIT_LIMIT: Duration = Duration::from_millis(1_200);
+const FIRST_DATA_WAIT_LIMIT: Duration = Duration::from_millis(1_200);
 /// Time limit of a caller that sends none.
 const DEFAULT_CALLER_TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -230,15 +230,14 @@
     }
 }
 
-/// Returns the configuration in force, waiting for it shortly after the start.
+/// Returns the configuration in force, waiting for it and for the first endpoints shortly after the start.
 async fn wait_for_routes(gateway: &Gateway) -> Option<Rc<RouteTable>> {
-    let configured = gateway.configured.notified();
-    let known = gateway.knowledge.borrow().routes().cloned();
-    if known.is_some() {
-        return known;
+    let until = gateway.began + FIRST_DATA_WAIT_LIMIT;
+    let has_all = || gateway.has_data(Kind::Configuration) && gateway.has_data(Kind::Endpoints);
+    while !has_all() && Instant::now() < until {
+        // Both news and the time are reasons to go on.
+        let _ = timeout_at(until, gateway.first_data.notified()).await;
     }
-    // A timeout needs no handling: the routes are read again either way.
-    let _ = timeout_at(gateway.began + CONFIGURATION_WAIT_LIMIT, configured).await;
     gateway.knowledge.borrow().routes().cloned()
 }
 
