Logs: members of a large fleet have one line for what they were handed over

Change: members count them in 'caught up from a gateway' and 'first data from a gateway' (joined, changed); relays and fleets without relays have the lines as before. 'endpoints joined', for long lists, is 'endpoints updated' and counts both.

Test: the one of members whose endpoints change all the time looks for the lines; seen to fail before only by reading its gateways' logs.

--- a/crates/daemon/tests/gateway/relays.rs
+++ b/crates/daemon/tests/gateway/relays.rs
@@ -108,6 +108,11 @@
 
     assert_eq!(members.len(), 2 * (PER_DATA_CENTRE - 2));
     assert_eq!(calls(), before);
+    for member in members {
+        let own_lines = member.lines(&["\"endpoint changed\"", "changing"]);
+        assert!(own_lines.is_empty(), "one line for all that it was handed over");
+        member.wait_for_line(&["\"caught up from a gateway\"", "\"changed\":1"]);
+    }
 }
 
 #[test]
--- a/crates/gateway/src/process/gateway.rs
+++ b/crates/gateway/src/process/gateway.rs
@@ -1,9 +1,9 @@
 //! State shared by all parts of a gateway.
 
 use crate::process::{
-    CapacityKeeper, CapacityKeepers, Count, Counters, EndChecks, FleetState, JoinCount, LivePath,
+    CapacityKeeper, CapacityKeepers, Count, Counters, EndChecks, FleetState, LivePath,
     LoggedFaults, LostLayers, NoticeKind, Options, PathTable, Permits, Pool, SUSPICION_DURATION,
-    StoreContact,
+    StoreContact, UpdateCounter,
 };
 use http::HeaderName;
 use sorrellock_core::clock::SystemClock;
@@ -77,7 +77,7 @@
     /// The current incarnation of each endpoint.
     pub(crate) incarnations: RefCell<Incarnations>,
     /// Endpoints that join while a long list is applied.
-    pub(crate) joins: RefCell<JoinCount>,
+    pub(crate) updates: RefCell<UpdateCounter>,
     /// Faults of objects in the store that have been logged.
     pub(crate) logged_faults: RefCell<LoggedFaults>,
     pub(crate) paths: Rc<RefCell<PathTable>>,
@@ -172,7 +172,7 @@
             knowledge,
             fleet_state,
             incarnations: RefCell::default(),
-            joins: RefCell::default(),
+            updates: RefCell::default(),
             logged_faults: RefCell::default(),
             paths: Rc::default(),
             pool: RefCell::default(),
--- a/crates/gateway/src/process/peers/catch_up.rs
+++ b/crates/gateway/src/process/peers/catch_up.rs
@@ -1,7 +1,7 @@
 //! Fetches configurations and endpoints that another gateway has and this one lacks.
 
 use super::peers::Peers;
-use crate::process::{FirstData, fetch_first_held};
+use crate::process::{FirstData, UpdateCount, fetch_first_held};
 use http::Method;
 use rand::RngExt;
 use sorrellock_platform::{Client, Kind};
@@ -93,7 +93,9 @@
             match self.handover(*addr, FIRST_FETCH_TIMEOUT).await {
                 Ok((handover, parsing)) => {
                     let from = addr.to_string();
-                    self.gateway.apply_handover(handover, &from, requested, parsing);
+                    let updated = self.gateway.apply_handover(handover, &from, requested, parsing);
+                    let UpdateCount { joined, changed } = updated;
+                    info!("first data from a gateway", kv: { from = from.as_str(), joined, changed });
                 }
                 // It may start as well, and the next one is asked.
                 Err(err) => debug!("no first data from a gateway", kv: { err = err.as_str() }),
@@ -129,8 +131,11 @@
                 }
                 let version = handover.configuration.as_ref().map_or(0, |cfg| cfg.version);
                 let Revision { era, count } = handover.endpoints_at;
-                info!("caught up from a gateway", kv: { instance, version, era, at = count });
-                self.gateway.apply_handover(handover, instance, requested, parsing);
+                let updated = self.gateway.apply_handover(handover, instance, requested, parsing);
+                let UpdateCount { joined, changed } = updated;
+                info!("caught up from a gateway", kv: {
+                    instance, version, era, at = count, joined, changed
+                });
             }
             Err(err) => {
                 warn!("failed to catch up from a gateway", kv: { instance, err = err.as_str() });
--- a/crates/gateway/src/process/peers/roles.rs
+++ b/crates/gateway/src/process/peers/roles.rs
@@ -57,6 +57,11 @@
         self.role == Role::Relay
     }
 
+    /// Returns whether this gateway learns of the others through relays.
+    pub(crate) fn is_member(&self) -> bool {
+        self.role == Role::Member
+    }
+
     /// Returns the name of this gateway's role, for the dump.
     pub(crate) fn role_name(&self) -> &'static str {
         match self.role {
--- a/crates/gateway/src/process/store/entries.rs
+++ b/crates/gateway/src/process/store/entries.rs
@@ -17,25 +17,34 @@
 use std::rc::Rc;
 use tokio::time::Instant;
 
-/// Number of entries in a list up to which each endpoint that joins has a line of its own.
-const MAX_JOIN_LINES: usize = 32;
+/// Number of entries in a list up to which each endpoint has a line of its own.
+const MAX_ENTRY_LINES: usize = 32;
+
+/// How many endpoints were updated without a line of their own.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct UpdateCount {
+    /// Those that joined.
+    pub(crate) joined: usize,
+    /// Those whose entries changed.
+    pub(crate) changed: usize,
+}
 
-/// Counts the endpoints that join while a long list is applied.
+/// Counts the updates of endpoints that are applied together; `None` while each has a line of its own.
 #[derive(Debug, Default)]
-pub(crate) struct JoinCount(Option<usize>);
-
-impl JoinCount {
-    fn begin(&mut self) {
-        self.0 = Some(0);
-    }
-
-    /// Counts an endpoint. Returns whether a list is being applied.
-    fn count(&mut self) -> bool {
-        self.0.as_mut().map(|joined| *joined += 1).is_some()
-    }
-
-    fn end(&mut self) -> usize {
-        self.0.take().unwrap_or_default()
+pub(crate) struct UpdateCounter(Option<UpdateCount>);
+
+impl UpdateCounter {
+    /// Counts an update. Returns whether its line is left out.
+    fn count(&mut self, update: EndpointUpdate) -> bool {
+        let Some(count) = &mut self.0 else { return false };
+        match update {
+            EndpointUpdate::Joined => count.joined += 1,
+            EndpointUpdate::Changed => count.changed += 1,
+            EndpointUpdate::Unchanged | EndpointUpdate::Leaving | EndpointUpdate::Recovered => {
+                return false;
+            }
+        }
+        true
     }
 }
 
@@ -115,7 +124,7 @@
             EndpointUpdate::Recovered => "entry of an endpoint is back",
             EndpointUpdate::Changed => "endpoint changed",
         };
-        if news == EndpointUpdate::Joined && self.joins.borrow_mut().count() {
+        if self.updates.borrow_mut().count(news) {
             return;
         }
         let (from, to) = (layers.from, layers.to);
@@ -127,18 +136,26 @@
         self.engines_changed.notify_waiters();
     }
 
-    /// Applies many entries at once, with a single line for all endpoints that join if there are many entries.
+    /// Applies entries, with a single line for all that join or change if there are many.
     pub(crate) fn apply_together(&self, entries: usize, source: &str, apply: impl FnOnce()) {
-        if entries <= MAX_JOIN_LINES {
+        if entries <= MAX_ENTRY_LINES {
             return apply();
         }
-        self.joins.borrow_mut().begin();
+        let UpdateCount { joined, changed } = self.apply_counted(apply);
+        if joined + changed > 0 {
+            info!("endpoints updated", kv: { joined, changed, entries, source });
+        }
+    }
+
+    /// Applies entries without a line for each that joins or changes. Returns how many do.
+    pub(crate) fn apply_counted(&self, apply: impl FnOnce()) -> UpdateCount {
+        self.updates.borrow_mut().0 = Some(UpdateCount::default());
         apply();
-        let joined = self.joins.borrow_mut().end();
-        if joined > 0 {
-            info!("endpoints joined", kv: { joined, entries, source });
+        let updated = self.updates.borrow_mut().0.take().unwrap_or_default();
+        if updated != UpdateCount::default() {
             self.engines_changed.notify_waiters();
         }
+        updated
     }
 
     fn refuse_startless(&self, endpoint: Endpoint, revision: Revision, source: &str) {
