--- a/crates/gateway/src/process/peers/relay_part.rs
+++ b/crates/gateway/src/process/peers/relay_part.rs
@@ -194,7 +194,6 @@
         });
         let count = GatewayCount::one(self.ready_in_ms);
         let own = Summary {
-            age_ms: 0,
             gateways: [(self.data_centre.clone(), count)].into(),
             known: self.known,
             store_ages: StoreAges {
--- a/crates/routing/src/process/relays/summary.rs
+++ b/crates/routing/src/process/relays/summary.rs
@@ -46,8 +46,6 @@
 /// What several gateways report together.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Summary {
-    /// Milliseconds since the oldest part was reported.
-    pub age_ms: u32,
     /// The gateways by data centre.
     pub gateways: BTreeMap<String, GatewayCount>,
     /// The newest state that any of them knows.
@@ -87,7 +85,6 @@
     /// Adds a summary that was heard `since` ago.
     pub fn add(&mut self, part: &Summary, since: Duration) {
         let since_ms = u32::try_from(since.as_millis()).unwrap_or(u32::MAX);
-        self.age_ms = self.age_ms.max(part.age_ms.saturating_add(since_ms));
         for (data_centre, count) in &part.gateways {
             self.gateways.entry(data_centre.clone()).or_default().add(count, since_ms);
         }
--- a/crates/routing/tests/relay_summary.rs
+++ b/crates/routing/tests/relay_summary.rs
@@ -19,7 +19,6 @@
             streams: u32::arbitrary(g),
         });
         let mut summary = Summary { loads: loads.collect(), ..Summary::default() };
-        summary.age_ms = u32::arbitrary(g);
         for name in ["north", "south"] {
             let count = GatewayCount {
                 live: u32::arbitrary(g),
@@ -60,8 +59,7 @@
         reversed.reverse();
         let (one, other) = (merged(&parts), merged(&reversed));
         let heads: Vec<Incarnation> = one.loads.iter().map(|load| load.head.clone()).collect();
-        one.age_ms == other.age_ms
-            && one.known == other.known
+        one.known == other.known
             && one.store_ages == other.store_ages
             && one.lead == other.lead
             && one.live() == other.live()
