--- a/crates/routing/tests/capacity_fleet/gateway.rs
+++ b/crates/routing/tests/capacity_fleet/gateway.rs
@@ -1,6 +1,6 @@
 //! A gateway of the fleet: what it knows of the others, and the queue if it gives out the capacity.
 
-use super::world::ENGINES;
+use super::engines::ENGINES;
 use sorrellock_core::clock::{Clock, ManualClock};
 use sorrellock_core::process::admission::{CapacityQueue, QueueBounds};
 use sorrellock_routing::process::capacity::{
--- a/crates/routing/tests/capacity_fleet/world.rs
+++ b/crates/routing/tests/capacity_fleet/world.rs
@@ -1,5 +1,6 @@
 //! The fleet, its engines and callers.
 
+use super::engines::{ENGINES, SLOTS, TOKENS, best, fitting, share_of};
 use super::gateway::{Gateway, Heard, Loads};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -12,10 +13,6 @@
 use std::time::{Duration, Instant};
 
 const STEP: Duration = Duration::from_millis(5);
-pub const ENGINES: usize = 4;
-/// Capacity of an engine.
-const TOKENS: f64 = 150_000.0;
-const SLOTS: u32 = 192;
 /// Mean tokens and duration of a request.
 const MEAN_TOKENS: f64 = 900.0;
 const MEAN_SECONDS: f64 = 2.5;
@@ -433,22 +430,3 @@
         self.steps += 1.0;
     }
 }
-
-fn share_of(load: &(f64, u32)) -> f64 {
-    (load.0 / TOKENS).max(f64::from(load.1) / f64::from(SLOTS))
-}
-
-/// The emptiest engine whose share stays within its limit with a request.
-fn fitting(loads: &[(f64, u32)], tokens: f64, limits: &[f64]) -> Option<usize> {
-    let share = |load: &(f64, u32)| share_of(&(load.0 + tokens, load.1 + 1));
-    let shares = loads.iter().map(share).enumerate();
-    let fitting = shares.filter(|(engine, share)| *share <= limits[*engine]);
-    fitting.min_by(|a, b| a.1.total_cmp(&b.1)).map(|(engine, _)| engine)
-}
-
-/// The emptiest engine, and its share with a request.
-fn best(loads: &[(f64, u32)], tokens: f64) -> (usize, f64) {
-    let share = |load: &(f64, u32)| share_of(&(load.0 + tokens, load.1 + 1));
-    let shares = loads.iter().map(share).enumerate();
-    shares.min_by(|a, b| a.1.total_cmp(&b.1)).expect("an engine")
-}
