Capacity: limits of what is given out, in one pass over the paths, and only where one gateway gives it out

Read in the change before: a decision went over all paths again for each one over its limit, shares were recorded with a search for each path on each wake-up of the dispatcher, and also in fleets where nobody gives out capacity. Now the choice of a path takes the limits itself, recording is linear, and large fleets don't record.

--- a/crates/gateway/src/process/capacity/capacity_keeper.rs
+++ b/crates/gateway/src/process/capacity/capacity_keeper.rs
@@ -1,6 +1,7 @@
 //! Gives out the capacity of a service for all gateways, and keeps the queue for it.
 
 use super::ask_capacity::SCARCE_FROM;
+use super::grant_limits::{GrantLimits, PathShares};
 use super::messages::{CapacityAnswer, CapacityAsk};
 use crate::process::{Count, Gateway, LivePath, MAX_UTILIZATION, NoPlace, PathReservation};
 use sorrellock_core::clock::SystemClock;
@@ -11,7 +12,7 @@
 };
 use sorrellock_routing::process::Incarnation;
 use sorrellock_routing::process::capacity::{
-    CapacityTerm, PendingGrants, UnseenTakes, capacity_keeper, usable_share,
+    CapacityTerm, PendingGrants, capacity_keeper, has_keeper, usable_share,
 };
 use sorrellock_routing::version::ServiceName;
 use spdlog::info;
@@ -39,14 +40,6 @@
 /// An answer, with the reservation if the request is this gateway's own.
 type Answer = (CapacityAnswer, Option<PathReservation>);
 
-/// What others may have taken that this gateway doesn't see yet.
-struct GrantView<'a> {
-    /// By the first engine of each path.
-    unseen: &'a HashMap<Incarnation, UnseenTakes>,
-    /// Share of a path's capacity below which they took it.
-    taken_below: f64,
-}
-
 /// The queues that this gateway keeps.
 #[derive(Default)]
 pub(crate) struct CapacityKeeper {
@@ -54,8 +47,7 @@
     waiting: HashMap<Sequence, Waiting>,
     grants: PendingGrants,
     terms: HashMap<ServiceName, CapacityTerm>,
-    /// What gateways may have taken of each path without asking, by its first engine.
-    unseen: HashMap<Incarnation, UnseenTakes>,
+    shares: PathShares,
     last_ticket: Sequence,
     /// Wakes the dispatcher when a request waits.
     offered: Rc<Notify>,
@@ -157,8 +149,16 @@
         capacity_keeper(service, ready.chain(own)).unwrap_or(self.incarnation)
     }
 
+    /// Returns whether one gateway gives out the capacity of a service for all.
+    pub(crate) fn has_capacity_keeper(&self) -> bool {
+        !self.fleet_state.borrow().uses_relays() && has_keeper(self.capacity_reach().1)
+    }
+
     /// Checks for which services this gateway gives out the capacity now.
     fn check_capacity_terms(&self) {
+        if !self.has_capacity_keeper() {
+            return;
+        }
         let now = Instant::now().into_std();
         let services: Vec<ServiceName> = {
             let knowledge = self.knowledge.borrow();
@@ -167,27 +167,13 @@
         };
         let mut keeper = self.capacity.borrow_mut();
         keeper.terms.retain(|service, _| services.contains(service));
-        let paths = self.paths.borrow();
-        let shares: Vec<(Incarnation, f64)> =
-            services.iter().flat_map(|service| paths.shares(service)).collect();
-        keeper.unseen.retain(|head, _| shares.iter().any(|(known, _)| known == head));
-        for (head, share) in shares {
-            keeper.unseen.entry(head).or_default().on_share(share, now);
-        }
+        keeper.shares.record(&self.paths.borrow(), &services, now);
         for service in services {
             let is_keeper = self.capacity_keeper(&service) == self.incarnation;
             keeper.terms.entry(service).or_default().check(is_keeper, now);
         }
     }
 
-    /// Returns the share of a path's capacity up to which it may be given out now.
-    fn grant_limit(&self, head: &Incarnation, view: &GrantView<'_>) -> f64 {
-        let (reach, live) = self.capacity_reach();
-        let new = UnseenTakes::default();
-        let unseen = view.unseen.get(head).unwrap_or(&new);
-        reach - unseen.reserve(view.taken_below * reach, live)
-    }
-
     /// Returns the share of the capacity that the gateways in reach may use, and their number.
     pub(crate) fn capacity_reach(&self) -> (f64, usize) {
         let now = Instant::now();
@@ -257,24 +243,24 @@
         let expected_rate = self.expected_capacity_rate(service);
         let recovery = self.expected_recovery(service);
         let mut keeper = self.capacity.borrow_mut();
-        let CapacityKeeper { queues, waiting, grants, unseen, terms, .. } = &mut *keeper;
+        let CapacityKeeper { queues, waiting, grants, shares, terms, .. } = &mut *keeper;
         let Some(queue) = queues.get_mut(service) else { return };
         let is_seen =
             terms.get(service).is_some_and(|term| term.is_seen(Instant::now().into_std()));
         let taken_below = if is_seen { SCARCE_FROM } else { MAX_UTILIZATION };
-        let view = GrantView { unseen, taken_below };
+        let limits = shares.limits(taken_below, self.capacity_reach());
         queue.set_expected_rate(expected_rate);
         queue.set_recovery(recovery);
         let mut granted = HashMap::new();
         let decisions = queue.dispatch(|ticket, reserve| {
             let Some(waiting) = waiting.get(&ticket) else { return Placement::Unfit };
-            match self.place(&waiting.ask, reserve, &view) {
+            match self.place(&waiting.ask, reserve, &limits) {
                 Ok(live) => {
                     let answer = self.grant(&waiting.ask, &live, grants);
                     granted.insert(ticket, answer);
                     Placement::Placed
                 }
-                Err(NoPlace::Full) if self.fits_no_other(&waiting.ask, reserve, &view) => {
+                Err(NoPlace::Full) if self.fits_no_other(&waiting.ask, reserve, &limits) => {
                     Placement::Full
                 }
                 Err(_) => Placement::Unfit,
@@ -301,34 +287,27 @@
         &self,
         ask: &CapacityAsk,
         reserve: f64,
-        view: &GrantView<'_>,
+        limits: &GrantLimits<'_>,
     ) -> Result<Rc<LivePath>, NoPlace> {
         let (tokens, now) = (ask.tokens + reserve, Instant::now());
-        let paths = self.paths.borrow();
-        let mut full: Vec<Incarnation> = Vec::new();
-        loop {
-            let may_take = |live: &Rc<LivePath>| {
-                let first = &live.path.first().incarnation;
-                !ask.excluded.contains(first)
-                    && !full.contains(first)
-                    && self.send_block(first).is_none()
-            };
-            let best = paths.best(&ask.service, tokens, &ask.data_centre, may_take, now);
-            let Some(best) = best else {
-                return Err(if full.is_empty() { NoPlace::NoPath } else { NoPlace::Full });
-            };
-            let head = &best.live.path.first().incarnation;
-            if best.share <= self.grant_limit(head, view) {
-                return Ok(best.live);
-            }
-            full.push(head.clone());
+        let may_take = |live: &Rc<LivePath>| {
+            let first = &live.path.first().incarnation;
+            !ask.excluded.contains(first) && self.send_block(first).is_none()
+        };
+        let limit = |live: &LivePath| limits.limit(&live.path.first().incarnation);
+        let (service, own) = (&ask.service, &ask.data_centre);
+        let best = self.paths.borrow().best_within(service, tokens, own, may_take, limit, now);
+        match best {
+            Some(best) if best.share > limit(&best.live) => Err(NoPlace::Full),
+            Some(best) => Ok(best.live),
+            None => Err(NoPlace::NoPath),
         }
     }
 
     /// Returns whether a request for which there is no room would fit nowhere if it excluded no path.
-    fn fits_no_other(&self, ask: &CapacityAsk, reserve: f64, view: &GrantView<'_>) -> bool {
+    fn fits_no_other(&self, ask: &CapacityAsk, reserve: f64, limits: &GrantLimits<'_>) -> bool {
         let unrestricted = CapacityAsk { excluded: Vec::new(), ..ask.clone() };
-        ask.excluded.is_empty() || self.place(&unrestricted, reserve, view).is_err()
+        ask.excluded.is_empty() || self.place(&unrestricted, reserve, limits).is_err()
     }
 
     /// Grants capacity on a path. It counts until the gateway's load includes it.
--- a/crates/gateway/src/process/capacity/mod.rs
+++ b/crates/gateway/src/process/capacity/mod.rs
@@ -2,6 +2,7 @@
 
 mod ask_capacity;
 mod capacity_keeper;
+mod grant_limits;
 mod messages;
 
 pub(crate) use ask_capacity::*;
--- a/crates/gateway/src/process/paths/path_choice.rs
+++ b/crates/gateway/src/process/paths/path_choice.rs
@@ -91,6 +91,20 @@
         own_data_centre: &str,
         may_take: impl Fn(&Rc<LivePath>) -> bool,
         now: Instant,
+    ) -> Option<PathChoice> {
+        let limit = |_: &LivePath| MAX_UTILIZATION;
+        self.best_within(service, tokens, own_data_centre, may_take, limit, now)
+    }
+
+    /// Returns the best path among those that the request may take. It exceeds its `limit`, a share of its capacity, only if all do.
+    pub(crate) fn best_within(
+        &self,
+        service: &str,
+        tokens: f64,
+        own_data_centre: &str,
+        may_take: impl Fn(&Rc<LivePath>) -> bool,
+        limit: impl Fn(&LivePath) -> f64,
+        now: Instant,
     ) -> Option<PathChoice> {
         let is_open =
             |live: &&Rc<LivePath>| !live.is_avoided(now) && !live.is_silent(now) && may_take(live);
@@ -103,15 +117,11 @@
                 if live.path.data_centre == own_data_centre { OWN_DATA_CENTRE_BONUS } else { 0.0 };
             let penalty = (1.0 - live.redundancy.get()) * NO_REDUNDANCY_PENALTY;
             let score = share + penalty - own + rand::rng().random_range(0.0..CHOICE_NOISE);
-            (score, PathChoice { live: Rc::clone(live), share })
+            (share > limit(live), score, PathChoice { live: Rc::clone(live), share })
         };
         let choices = self.paths(service).iter().filter(is_open).map(choice);
-        let order = |(score, choice): &(f64, PathChoice)| (choice.is_full(), *score);
-        let best = choices.min_by(|a, b| {
-            let (a, b) = (order(a), order(b));
-            a.0.cmp(&b.0).then(a.1.total_cmp(&b.1))
-        });
-        best.map(|(_, choice)| choice)
+        let best = choices.min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
+        best.map(|(.., choice)| choice)
     }
 
     /// Formats the state, capacity and load of each path for log lines.
--- a/crates/gateway/src/request/shared_capacity.rs
+++ b/crates/gateway/src/request/shared_capacity.rs
@@ -7,7 +7,6 @@
 use crate::request::estimate::expected_tokens;
 use crate::request::run::may_take_path;
 use sorrellock_routing::process::Incarnation;
-use sorrellock_routing::process::capacity::has_keeper;
 use sorrellock_routing::request::Attempts;
 use std::rc::Rc;
 use std::time::Duration;
@@ -36,7 +35,7 @@
     until: Instant,
 ) -> Option<Result<PathReservation, NoPlace>> {
     let rank = call.capacity_rank?;
-    if gateway.fleet_state.borrow().uses_relays() || !has_keeper(gateway.capacity_reach().1) {
+    if !gateway.has_capacity_keeper() {
         return None;
     }
     // What may crash engines is sent apart from others, in turn.
