--- a/crates/gateway/src/process/mod.rs
+++ b/crates/gateway/src/process/mod.rs
@@ -4,6 +4,7 @@
 mod counters;
 mod crashes;
 mod dump;
+mod endpoint_health;
 mod gateway;
 mod lag;
 mod limits;
