--- a/crates/gateway/src/process/options.rs
+++ b/crates/gateway/src/process/options.rs
@@ -8,7 +8,7 @@
 }
 
 impl Options {
-    /// Default of `relays_from`: one gateway gives out scarce capacity for fleets of up to a hundred, and hears each of them.
+    /// Default of `relays_from`: one gateway gives out scarce capacity for fleets of up to a hundred, and receives messages of each.
     pub const RELAYS_FROM: usize = 101;
 }
 
--- a/crates/gateway/src/process/peers/fleet_state.rs
+++ b/crates/gateway/src/process/peers/fleet_state.rs
@@ -233,7 +233,7 @@
             report.store_contact(kind, now).is_some_and(|data_age| data_age < age)
         };
         let near = self.live_peers(now).map(Report::Peer);
-        // Each relay passes on what it heard of the watchers.
+        // Each relay passes on what the watchers report.
         let summaries = self.summaries.values().filter(|heard| heard.is_fresh(now));
         let summaries = summaries.map(|heard| Report::Summary(heard, &self.sent_loads));
         let sources = near.chain(summaries).filter(is_fresh).map(|report| report.source());
--- a/crates/gateway/src/process/peers/news.rs
+++ b/crates/gateway/src/process/peers/news.rs
@@ -111,7 +111,7 @@
         Changes { engines: is_changed, suspects: false }
     }
 
-    /// Applies that endpoints told another gateway that they leave. Returns whether any of it is new.
+    /// Applies another gateway's reports of endpoints that leave. Returns whether any of it is new.
     fn receive_leaving(&self, leaving: &[Incarnation], source: &str) -> bool {
         let now = Instant::now();
         let mut fleet_state = self.fleet_state.borrow_mut();
@@ -129,7 +129,7 @@
         is_changed
     }
 
-    /// Applies a summary, unless it isn't for this gateway: a relay hears its own data centre itself, and another gateway all others
+    /// Applies a summary, unless it isn't for this gateway: a relay receives messages of its own data centre, and another gateway learns of all others
     /// through its relays.
     pub(super) fn receive_summary(&self, heard: HeardSummary) -> Received {
         let now = heard.heard;
--- a/crates/gateway/src/process/peers/peers.rs
+++ b/crates/gateway/src/process/peers/peers.rs
@@ -38,7 +38,7 @@
     pub(super) registered: RefCell<HashSet<SocketAddr>>,
     /// This gateway's view of the engines while it is the lead.
     pub(super) view_log: Rc<RefCell<Option<ViewLog>>>,
-    /// Addresses of those whose registration doesn't tell where they run: they send to all, and are sent to by all.
+    /// Addresses of those whose registration doesn't say where they run: they send to all, and are sent to by all.
     pub(super) unplaced: RefCell<HashSet<SocketAddr>>,
     /// Chooses the gateway to catch up from.
     pub(super) sources: RefCell<UpdateSources>,
--- a/crates/gateway/src/process/peers/registration.rs
+++ b/crates/gateway/src/process/peers/registration.rs
@@ -69,7 +69,7 @@
     }
 
     /// Returns the time from the first list to the second one, which has those that began with this gateway. Where there are relays,
-    /// they tell of these.
+    /// they report these.
     fn second_list_delay(&self) -> Duration {
         let fleet_state = self.gateway.fleet_state.borrow();
         if fleet_state.uses_relays_at(fleet_state.sharers.listed()) {
--- a/crates/gateway/src/process/peers/relay_part.rs
+++ b/crates/gateway/src/process/peers/relay_part.rs
@@ -1,4 +1,4 @@
-//! The part of a gateway's message that concerns relays, and what a gateway hears from them.
+//! The part of a gateway's message that concerns relays, and what a gateway receives from them.
 
 use super::fleet_state::{FleetState, Peer};
 use crate::process::PeerMessage;
--- a/crates/gateway/src/process/peers/roles.rs
+++ b/crates/gateway/src/process/peers/roles.rs
@@ -25,7 +25,7 @@
 impl FleetState {
     /// Decides how this gateway takes part in the exchange of messages, and counts the gateways that share the fleet's bounds.
     pub(crate) fn update_role(&mut self, now: Instant) {
-        // A summary also counts for a gateway that the store hasn't told of the others.
+        // A summary also counts for a gateway that hasn't listed the others.
         if self.uses_relays() || self.summary_of_fleet(now).is_some() {
             self.count_sharers(now);
         }
--- a/crates/gateway/src/process/store/first_data.rs
+++ b/crates/gateway/src/process/store/first_data.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 use tokio::time::{Instant, sleep, timeout};
 
-/// How long a gateway waits at its start for the list of the gateways, which tells whether there are relays. The list grows with the
+/// How long a gateway waits at its start for the list of the gateways, which shows whether there are relays. The list grows with the
 /// fleet, and comes late where all start at once.
 const LIST_WAIT: Duration = Duration::from_secs(2);
 /// How long it waits for the relays before it lists by itself, in its turn.
--- a/crates/gateway/src/process/store/store_contact.rs
+++ b/crates/gateway/src/process/store/store_contact.rs
@@ -151,7 +151,7 @@
         }
     }
 
-    /// Records that this gateway's data is as complete as another one's was at `at`, by the ages that this one told.
+    /// Records that this gateway's data is as complete as another one's was at `at`, by the ages that this one sent.
     pub(crate) fn confirm_ages(&self, ages: StoreAges, era: StoreEra, at: Instant) {
         if era != self.eras.known() {
             return;
--- a/crates/routing/src/process/lead_view/engine_views.rs
+++ b/crates/routing/src/process/lead_view/engine_views.rs
@@ -57,7 +57,7 @@
         let known = self.lead(now);
         let is_older = known.is_some_and(|(known, _)| known > term);
         if !is_older {
-            // What a relay heard of the lead may be older than what is known.
+            // What a relay reports of the lead may be older than what is known.
             let latest =
                 known.filter(|(known, _)| *known == term).map_or(now, |(_, at)| at.max(now));
             self.lead = Some((term, latest));
--- a/crates/routing/src/process/relays/directory.rs
+++ b/crates/routing/src/process/relays/directory.rs
@@ -140,7 +140,7 @@
     }
 
     /// Returns the live gateways of the own data centre that a relay sends to: all but the first ones, which are relays. One that
-    /// takes itself for a relay as it doesn't know these hears of them by it.
+    /// takes itself for a relay as it doesn't know these learns of them by it.
     pub fn members(&self, now: Instant) -> HashSet<SocketAddr> {
         let own = self.own_order();
         let ordered = self.ordered(&self.placing.data_centre).into_iter();
@@ -153,7 +153,7 @@
     }
 
     /// Returns the listed gateways of the own data centre that aren't heard. They may have begun with a list that lacks this one,
-    /// and send their state here once they hear it.
+    /// and send their state here once they receive its messages.
     pub fn unheard_members(&self, now: Instant) -> impl Iterator<Item = SocketAddr> {
         let own = &self.placing.data_centre;
         let members = self.gateways.values().filter(move |known| known.placing.data_centre == *own);
--- a/crates/routing/src/process/relays/summary.rs
+++ b/crates/routing/src/process/relays/summary.rs
@@ -12,7 +12,7 @@
 /// Maximum number of elements in each list of news in a summary: a message has to fit into a datagram.
 pub const MAX_NEWS: usize = 256;
 
-/// The lead, as gateways of a data centre hear it.
+/// The lead, as gateways of a data centre know it.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct LeadReport {
     /// Its term.
@@ -64,7 +64,7 @@
     pub left: Vec<Incarnation>,
     /// Endpoints that had left before the era of `known`.
     pub left_before_era: Vec<Incarnation>,
-    /// The lead, if one of them is or hears it.
+    /// The lead, if one of them is it or receives its messages.
     pub lead: Option<LeadReport>,
     /// What they found of requests that crash endpoints.
     pub crashes: CrashReports,
--- a/crates/routing/src/process/retries/sharers.rs
+++ b/crates/routing/src/process/retries/sharers.rs
@@ -130,7 +130,7 @@
         let rank = self.heard.iter().filter(is_before).count();
         let heard = self.heard.values().filter(|at| is_recent(**at, now)).count() + 1;
         let count = self.count(now);
-        // The parts of those that hear each other add up to their fraction of the bound.
+        // The parts of those that reach each other add up to their fraction of the bound.
         let group = if self.counted_within(SHARER_TIMEOUT, now) > heard { heard } else { count };
         Share { fraction: 1.0 / count as f64, rounding: rank as f64 / group as f64 }
     }
