Start: a gateway that can't register at once doesn't wait for the list of the others

Cause: since a start waits for a late list of the gateways before it asks for the configuration.

Change: the list is waited for only if this gateway's own object is written within 300 ms.

Test, seen to fail on: a gateway that can't register asks for the configuration all the same; it compares the order of two lines. The test of a late list delays each way by 100 ms now, in place of 200: a store that takes 0.4 s for a small call is a slow one.

--- a/crates/gateway/src/process/gateway.rs
+++ b/crates/gateway/src/process/gateway.rs
@@ -143,6 +143,8 @@
     pub(crate) probes: RefCell<HashMap<Incarnation, Client>>,
     /// Wakes tasks that wait for the first list of the gateways.
     pub(crate) gateways_listed: Notify,
+    /// Whether the store has this gateway's object.
+    pub(crate) is_registered: Cell<bool>,
     /// Wakes requests that wait for the first configuration and endpoints.
     pub(crate) first_data: Notify,
     pub(crate) phase: watch::Sender<Phase>,
@@ -207,6 +209,7 @@
             news: Notify::new(),
             probes: RefCell::default(),
             gateways_listed: Notify::new(),
+            is_registered: Cell::new(false),
             first_data: Notify::new(),
             phase: watch::Sender::new(Phase::Running),
             leaving: Cell::new(None),
--- a/crates/gateway/src/process/peers/registration.rs
+++ b/crates/gateway/src/process/peers/registration.rs
@@ -95,6 +95,7 @@
         let is_rewrite = written_in.is_some();
         // Written before the list: of two gateways that begin together, at least one lists the other.
         let created = if must_write { self.create_own(store).await? } else { None };
+        self.gateway.is_registered.set(true);
         let listing = store.list(Kind::Gateways).await?;
         if must_write {
             let era = match created {
--- a/crates/gateway/src/process/store/first_data.rs
+++ b/crates/gateway/src/process/store/first_data.rs
@@ -10,6 +10,8 @@
 /// How long a gateway waits at its start for the list of the gateways, which shows whether there are relays. The list grows with the
 /// fleet, and comes late where all start at once.
 const LIST_WAIT: Duration = Duration::from_secs(2);
+/// Time within which this gateway's own object is written, unless the store is slow: then the list isn't waited for.
+const REGISTER_WAIT: Duration = Duration::from_millis(300);
 /// How long it waits for the relays before it lists by itself, in its turn.
 const RELAY_WAIT: Duration = Duration::from_millis(1_000);
 /// Interval at which it checks whether they have answered.
@@ -22,11 +24,13 @@
 }
 
 impl FirstData {
-    /// Waits for the list of the gateways, or until the store fails a call.
+    /// Waits for the list of the gateways, or until the store proves slow or fails a call.
     pub(crate) async fn new(gateway: &Rc<Gateway>) -> FirstData {
         let began = Instant::now();
         let is_listed = || gateway.fleet_state.borrow().sharers.listed() > 0;
-        while !is_listed() && gateway.store_failed.get().is_none() && began.elapsed() < LIST_WAIT {
+        let is_slow = || began.elapsed() >= REGISTER_WAIT && !gateway.is_registered.get();
+        let may_come = || gateway.store_failed.get().is_none() && began.elapsed() < LIST_WAIT;
+        while !is_listed() && may_come() && !is_slow() {
             // Both the list and the time are reasons to go on.
             let _ = timeout(CHECK_INTERVAL, gateway.gateways_listed.notified()).await;
         }
