Relays: the simulated fleet takes the same course each time

Ruled out: the seed of the world, which was fixed. Change: ordered sets and an ordered map in the directory and in the simulated fleet. Before: a_seed_always_gives_the_same_course fails (679 and 669 messages in place of 679 and 675); after: passes.

--- a/crates/gateway/src/process/peers/sending.rs
+++ b/crates/gateway/src/process/peers/sending.rs
@@ -5,7 +5,7 @@
 use crate::process::{Count, PeerMessage};
 use sorrellock_routing::process::relays::Summary;
 use spdlog::info;
-use std::collections::HashSet;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -148,7 +148,7 @@
             let near = fleet_state.live_peers(now).filter(|peer| members.contains(&peer.addr));
             near.map(|peer| (peer.addr, EchoPart { included: peer.message.sequence })).collect()
         };
-        let unheard: HashSet<SocketAddr> = {
+        let unheard: BTreeSet<SocketAddr> = {
             let fleet_state = self.gateway.fleet_state.borrow();
             fleet_state.directory.unheard_members(now.into_std()).collect()
         };
@@ -163,7 +163,7 @@
     }
 
     /// Returns the gateways that this one sends its own state to in a large fleet, and those of builds without relays.
-    fn candidates(&self, now: Instant) -> HashSet<SocketAddr> {
+    fn candidates(&self, now: Instant) -> BTreeSet<SocketAddr> {
         let fleet_state = self.gateway.fleet_state.borrow();
         let mut addrs = fleet_state.directory.candidates(now.into_std());
         let without_relays =
@@ -181,6 +181,6 @@
 }
 
 /// Adds to each address that no message of its gateway is included.
-fn unechoed(addrs: HashSet<SocketAddr>) -> impl Iterator<Item = (SocketAddr, EchoPart)> {
+fn unechoed(addrs: BTreeSet<SocketAddr>) -> impl Iterator<Item = (SocketAddr, EchoPart)> {
     addrs.into_iter().map(|addr| (addr, EchoPart::default()))
 }
--- a/crates/routing/src/process/relays/directory.rs
+++ b/crates/routing/src/process/relays/directory.rs
@@ -3,7 +3,7 @@
 use crate::process::DataCentre;
 use serde::{Deserialize, Serialize};
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -49,7 +49,7 @@
     instance: String,
     placing: Placing,
     began: Instant,
-    gateways: HashMap<String, KnownGateway>,
+    gateways: BTreeMap<String, KnownGateway>,
 }
 
 /// Position in the order of relays: those with the most processor first.
@@ -58,7 +58,7 @@
 impl RelayDirectory {
     /// Returns the directory of a gateway that began at `began` and knows no others.
     pub fn new(instance: &str, placing: Placing, began: Instant) -> RelayDirectory {
-        RelayDirectory { instance: instance.to_owned(), placing, began, gateways: HashMap::new() }
+        RelayDirectory { instance: instance.to_owned(), placing, began, gateways: BTreeMap::new() }
     }
 
     /// Replaces the gateways that the store lists. Others stay known while they are heard.
@@ -125,7 +125,7 @@
 
     /// Returns the addresses that this gateway sends its own state to: the first candidates, and those from the first live relay
     /// on, as all before it may be gone.
-    pub fn candidates(&self, now: Instant) -> HashSet<SocketAddr> {
+    pub fn candidates(&self, now: Instant) -> BTreeSet<SocketAddr> {
         let own = &self.placing.data_centre;
         let first = self.first_of(own, self.window(own, now)).map(|known| known.addr);
         let is_live_relay = |known: &KnownGateway| known.says_relay && known.is_live(now);
@@ -141,7 +141,7 @@
 
     /// Returns the live gateways of the own data centre that a relay sends to: all but the first ones, which are relays. One that
     /// takes itself for a relay as it doesn't know these learns of them by it.
-    pub fn members(&self, now: Instant) -> HashSet<SocketAddr> {
+    pub fn members(&self, now: Instant) -> BTreeSet<SocketAddr> {
         let own = self.own_order();
         let ordered = self.ordered(&self.placing.data_centre).into_iter();
         let live = ordered.filter(|(_, known)| known.is_live(now));
@@ -162,8 +162,8 @@
 
     /// Returns the addresses of the relays of all other data centres: those that say so, and the first few candidates while not all
     /// of them are heard.
-    pub fn foreign_relays(&self, now: Instant) -> HashSet<SocketAddr> {
-        let mut found = HashSet::new();
+    pub fn foreign_relays(&self, now: Instant) -> BTreeSet<SocketAddr> {
+        let mut found = BTreeSet::new();
         for data_centre in self.foreign_data_centres() {
             let relays = self.live_relays(data_centre, now);
             if relays.len() < RELAYS {
--- a/crates/routing/tests/relay_fleet/focused.rs
+++ b/crates/routing/tests/relay_fleet/focused.rs
@@ -187,6 +187,20 @@
     }
 }
 
+#[test]
+fn a_seed_always_gives_the_same_course() {
+    let received = || {
+        let mut world = settled(68);
+        world.loss = 0.1;
+        world.run(Duration::from_secs(5));
+        world.gateways.iter().map(|gateway| gateway.received).collect::<Vec<_>>()
+    };
+
+    let (first, second) = (received(), received());
+
+    assert_eq!(first, second);
+}
+
 #[test]
 fn lost_messages_hide_no_gateway_for_long() {
     for size in SIZES {
--- a/crates/routing/tests/relay_fleet/world.rs
+++ b/crates/routing/tests/relay_fleet/world.rs
@@ -9,7 +9,7 @@
 use sorrellock_routing::process::{
     FailureEvidence, HeadLoad, Incarnation, Known, ReportedSuspect, Revision,
 };
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -46,8 +46,8 @@
     pub received: usize,
     pub received_bytes: usize,
     directory: RelayDirectory,
-    near: HashMap<usize, Heard>,
-    foreign: HashMap<String, Heard>,
+    near: BTreeMap<usize, Heard>,
+    foreign: BTreeMap<String, Heard>,
     fleet: Option<Heard>,
     beats: u64,
 }
@@ -267,8 +267,8 @@
             sent: 0,
             received: 0,
             received_bytes: 0,
-            near: HashMap::new(),
-            foreign: HashMap::new(),
+            near: BTreeMap::new(),
+            foreign: BTreeMap::new(),
             fleet: None,
             beats: 0,
         }
