Relays: a member that missed a summary gets it again after one send interval

A member hears the fleet by the summaries of two relays, each 500 ms; it counts itself alone once five or six in a row are lost, three of each relay at most within the 1.5 s. Ruled out: relays that take the member for gone (its own messages are heard more often), the list, a change of role. Change: members name the summary that they received last in their messages to relays (a field that was 0 there until now, so that builds can run side by side), and a relay sends it again at the beat between two summaries to those that name an earlier one. Decision in SentSummary (routing). Counter: summaries_sent_again. No message more while none is lost.

--- a/crates/gateway/src/process/counters.rs
+++ b/crates/gateway/src/process/counters.rs
@@ -121,6 +121,8 @@
     PeerMessagesSent => "peer_messages_sent",
     /// Bytes of these messages.
     PeerBytesSent => "peer_bytes_sent",
+    /// Summaries of the fleet that a relay sent again, as the last one didn't arrive.
+    SummariesSentAgain => "summaries_sent_again",
     /// Messages from other gateways that can't be decoded.
     PeerMessagesBad => "peer_messages_bad",
     /// Entries of endpoints that can't be read at all.
--- a/crates/gateway/src/process/peers/peers.rs
+++ b/crates/gateway/src/process/peers/peers.rs
@@ -10,6 +10,7 @@
 use sorrellock_routing::process::lead_view::{
     EngineViews, ViewChange, ViewLog, ViewMark, ViewUpdate,
 };
+use sorrellock_routing::process::relays::SentSummary;
 use sorrellock_routing::process::{HeadLoad, Incarnation, UpdateSources};
 use spdlog::{error, info, warn};
 use std::cell::{Cell, RefCell};
@@ -34,6 +35,8 @@
     pub(super) gateway: Rc<Gateway>,
     pub(super) socket: UdpSocket,
     pub(super) sequence: Cell<u64>,
+    /// The latest summary that this gateway sent to all its members as a relay.
+    pub(super) sent_summary: Cell<SentSummary>,
     /// Peer addresses of the gateways that are registered in the store.
     pub(super) registered: RefCell<HashSet<SocketAddr>>,
     /// This gateway's view of the engines while it is the lead.
@@ -57,6 +60,7 @@
             gateway,
             socket,
             sequence: Cell::new(0),
+            sent_summary: Cell::default(),
             registered: RefCell::default(),
             unplaced: RefCell::default(),
             view_log,
--- a/crates/gateway/src/process/peers/relay_part.rs
+++ b/crates/gateway/src/process/peers/relay_part.rs
@@ -51,7 +51,8 @@
 /// What differs between the receivers of a message.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct EchoPart {
-    /// Sequence of the receiver's message that the summary includes; 0 if it includes none.
+    /// Sequence of the receiver's message that the summary includes or, in a message to a relay, of its latest summary that the sender
+    /// received; 0 for none.
     pub(crate) included: u64,
 }
 
@@ -60,6 +61,8 @@
 pub(crate) struct HeardSummary {
     /// The relay.
     pub(crate) relay: String,
+    /// Sequence of its message.
+    pub(crate) sequence: u64,
     pub(crate) data_centre: String,
     pub(crate) scope: Scope,
     pub(crate) store_era: StoreEra,
@@ -76,6 +79,7 @@
         let (scope, summary) = message.relay.summary.clone()?;
         Some(HeardSummary {
             relay: message.instance.clone(),
+            sequence: message.sequence,
             data_centre: message.data_centre.clone(),
             scope,
             store_era: message.store_era,
--- a/crates/gateway/src/process/peers/roles.rs
+++ b/crates/gateway/src/process/peers/roles.rs
@@ -5,6 +5,7 @@
 use super::relay_part::{Coordinator, HeardSummary, Report, Scope};
 use sorrellock_routing::process::relays::{GatewayCount, Summary};
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -78,6 +79,14 @@
         self.summaries.insert(heard.relay.clone(), heard)
     }
 
+    /// Returns the sequence of the summary that was received last from the gateway at each address.
+    pub(super) fn received_summaries(&self) -> HashMap<SocketAddr, u64> {
+        let known = self.summaries.values();
+        known
+            .filter_map(|heard| Some((self.peers.get(&heard.relay)?.addr, heard.sequence)))
+            .collect()
+    }
+
     /// Returns the freshest summary of each other data centre, of its relays.
     pub(crate) fn foreign_summaries(&self, now: Instant) -> impl Iterator<Item = &HeardSummary> {
         let mut freshest: HashMap<&str, &HeardSummary> = HashMap::new();
--- a/crates/gateway/src/process/peers/sending.rs
+++ b/crates/gateway/src/process/peers/sending.rs
@@ -1,9 +1,10 @@
 //! Sends this gateway's state to the others, in turn and when there is news.
 
+use super::fleet_state::Peer;
 use super::peers::{MAX_DATAGRAM, Peers, SEND_INTERVAL};
 use super::relay_part::{Coordinator, EchoPart, RelayPart, Scope};
 use crate::process::{Count, PeerMessage};
-use sorrellock_routing::process::relays::Summary;
+use sorrellock_routing::process::relays::{SentSummary, Summary};
 use spdlog::info;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -119,7 +120,12 @@
         let now = Instant::now();
         let message = self.message();
         let is_relay = message.relay.is_relay;
-        self.send_message(&message, unechoed(self.candidates(now)));
+        let received = self.gateway.fleet_state.borrow().received_summaries();
+        let echo = |addr| EchoPart { included: received.get(&addr).copied().unwrap_or_default() };
+        self.send_message(
+            &message,
+            self.candidates(now).into_iter().map(|addr| (addr, echo(addr))),
+        );
         if !is_relay && message.lead_term.is_none() {
             return;
         }
@@ -130,24 +136,21 @@
         let to_relays = PeerMessage { sequence: self.next_sequence(), relay, ..message.clone() };
         self.send_message(&to_relays, unechoed(foreign));
         let whole = self.gateway.fleet_state.borrow().fleet_summary(&own, now);
-        if is_relay && (to_members || whole.has_news()) {
+        if !is_relay {
+            return;
+        }
+        if to_members || whole.has_news() {
             self.send_to_members(message, whole, now);
+        } else {
+            self.send_again(message, whole, now);
         }
     }
 
+    /// Sends a summary of the fleet to all members.
     fn send_to_members(&self, message: PeerMessage, whole: Summary, now: Instant) {
-        let relay = RelayPart {
-            summary: Some((Scope::Fleet, whole)),
-            coordinators: self.ready_relays(now),
-            ..message.relay
-        };
-        let message = PeerMessage { sequence: self.next_sequence(), relay, ..message };
-        let members: Vec<(SocketAddr, EchoPart)> = {
-            let fleet_state = self.gateway.fleet_state.borrow();
-            let members = fleet_state.directory.members(now.into_std());
-            let near = fleet_state.live_peers(now).filter(|peer| members.contains(&peer.addr));
-            near.map(|peer| (peer.addr, EchoPart { included: peer.message.sequence })).collect()
-        };
+        let message = self.fleet_message(message, whole, now);
+        self.sent_summary.set(SentSummary::new(message.sequence));
+        let members = self.members(now, |_| true);
         let unheard: BTreeSet<SocketAddr> = {
             let fleet_state = self.gateway.fleet_state.borrow();
             fleet_state.directory.unheard_members(now.into_std()).collect()
@@ -155,6 +158,41 @@
         self.send_message(&message, members.into_iter().chain(unechoed(unheard)));
     }
 
+    /// Sends a summary of the fleet to the members that didn't receive the last one.
+    fn send_again(&self, message: PeerMessage, whole: Summary, now: Instant) {
+        let last = self.sent_summary.get();
+        let missing = self.members(now, |peer| last.is_missed_after(peer.message.echo.included));
+        if missing.is_empty() {
+            return;
+        }
+        self.gateway.counters.add_many(Count::SummariesSentAgain, missing.len());
+        self.send_message(&self.fleet_message(message, whole, now), missing.into_iter());
+    }
+
+    /// Returns the members that fulfil a condition, each with the latest of its messages.
+    fn members(
+        &self,
+        now: Instant,
+        is_included: impl Fn(&Peer) -> bool,
+    ) -> Vec<(SocketAddr, EchoPart)> {
+        let fleet_state = self.gateway.fleet_state.borrow();
+        let members = fleet_state.directory.members(now.into_std());
+        let near = fleet_state.live_peers(now).filter(|peer| members.contains(&peer.addr));
+        near.filter(|peer| is_included(peer))
+            .map(|peer| (peer.addr, EchoPart { included: peer.message.sequence }))
+            .collect()
+    }
+
+    /// Returns a message with a summary of the fleet.
+    fn fleet_message(&self, message: PeerMessage, whole: Summary, now: Instant) -> PeerMessage {
+        let relay = RelayPart {
+            summary: Some((Scope::Fleet, whole)),
+            coordinators: self.ready_relays(now),
+            ..message.relay
+        };
+        PeerMessage { sequence: self.next_sequence(), relay, ..message }
+    }
+
     /// Returns the relays of all data centres that are ready, this one included.
     fn ready_relays(&self, now: Instant) -> Vec<Coordinator> {
         let own = Coordinator { incarnation: self.gateway.incarnation, addr: self.own_addr() };
--- a/crates/routing/src/process/relays/mod.rs
+++ b/crates/routing/src/process/relays/mod.rs
@@ -6,7 +6,9 @@
 //! Who is a relay follows from the order of gateways, which all derive from the same list; nothing is elected or written.
 
 mod directory;
+mod sent_summary;
 mod summary;
 
 pub use directory::*;
+pub use sent_summary::*;
 pub use summary::*;
--- a/crates/routing/tests/relay_fleet/focused.rs
+++ b/crates/routing/tests/relay_fleet/focused.rs
@@ -217,6 +217,22 @@
     }
 }
 
+#[test]
+fn members_that_lost_messages_of_both_relays_keep_their_view() {
+    for (size, seed, loss) in [(68, 1, 0.2), (436, 1, 0.2), (872, 12, 0.1), (872, 66, 0.1)] {
+        let mut world = World::new(size, seed);
+        world.run(Duration::from_secs(3));
+        world.loss = loss;
+
+        for _ in 0..40 {
+            world.run(BEAT);
+            let (_, known) = world.known();
+            let blind = known.iter().filter(|known| **known == 0).count();
+            assert_eq!(blind, 0, "of {size} gateways, seed {seed}");
+        }
+    }
+}
+
 #[test]
 fn a_gateway_that_is_listed_at_a_new_address_is_sent_to_there() {
     let placing = Placing { data_centre: "north".to_owned(), processor: 1_000 };
--- a/crates/routing/tests/relay_fleet/world.rs
+++ b/crates/routing/tests/relay_fleet/world.rs
@@ -4,7 +4,7 @@
 use rand::seq::SliceRandom;
 use rand::{RngExt, SeedableRng};
 use sorrellock_routing::process::relays::{
-    GatewayCount, Placing, RelayDirectory, SILENCE_TIMEOUT, Summary,
+    GatewayCount, Placing, RelayDirectory, SILENCE_TIMEOUT, SentSummary, Summary,
 };
 use sorrellock_routing::process::{
     FailureEvidence, HeadLoad, Incarnation, Known, ReportedSuspect, Revision,
@@ -29,6 +29,8 @@
 #[derive(Clone)]
 struct Heard {
     summary: Summary,
+    /// The summary of the receiver that its sender received last.
+    received: u64,
     at: Instant,
 }
 
@@ -49,6 +51,9 @@
     near: BTreeMap<usize, Heard>,
     foreign: BTreeMap<String, Heard>,
     fleet: Option<Heard>,
+    /// The summary that it received last from each relay.
+    received_of: BTreeMap<usize, u64>,
+    sent_summary: SentSummary,
     beats: u64,
 }
 
@@ -148,8 +153,10 @@
         gateway.beats += 1;
         let is_relay = gateway.directory.is_relay(now);
         let own = gateway.own_summary();
-        for target in gateway.directory.candidates(now) {
-            self.deliver(index, index_of(target), Message::Own(own.clone(), is_relay));
+        let received_of = gateway.received_of.clone();
+        for target in gateway.directory.candidates(now).into_iter().map(index_of) {
+            let received = received_of.get(&target).copied().unwrap_or_default();
+            self.deliver(index, target, Message::Own(own.clone(), is_relay, received));
         }
         if !is_relay {
             return;
@@ -158,16 +165,10 @@
         for target in self.gateways[index].directory.foreign_relays(now) {
             self.deliver(index, index_of(target), Message::DataCentre(summary.clone(), is_relay));
         }
-        if self.gateways[index].beats.is_multiple_of(BEATS_PER_SUMMARY) {
-            let whole = self.gateways[index].fleet_summary(&summary, now);
-            for member in self.gateways[index].directory.members(now) {
-                self.deliver(index, index_of(member), Message::Fleet(whole.clone(), is_relay));
-            }
-            let unheard: Vec<SocketAddr> =
-                self.gateways[index].directory.unheard_members(now).collect();
-            for member in unheard {
-                self.deliver(index, index_of(member), Message::Fleet(whole.clone(), is_relay));
-            }
+        let whole = self.gateways[index].fleet_summary(&summary, now);
+        let sequence = self.gateways[index].beats;
+        for member in self.gateways[index].summary_targets(now) {
+            self.deliver(index, member, Message::Fleet(whole.clone(), is_relay, sequence));
         }
     }
 
@@ -236,16 +237,18 @@
 
 /// A message between two gateways.
 enum Message {
-    Own(Summary, bool),
+    /// With the receiver's summary that the sender received last.
+    Own(Summary, bool, u64),
     DataCentre(Summary, bool),
-    Fleet(Summary, bool),
+    /// With its sequence.
+    Fleet(Summary, bool, u64),
 }
 
 impl Message {
     fn summary(&self) -> &Summary {
-        let (Message::Own(summary, _)
-        | Message::DataCentre(summary, _)
-        | Message::Fleet(summary, _)) = self;
+        let (Message::Own(summary, ..)
+        | Message::DataCentre(summary, ..)
+        | Message::Fleet(summary, ..)) = self;
         summary
     }
 }
@@ -270,6 +273,8 @@
             near: BTreeMap::new(),
             foreign: BTreeMap::new(),
             fleet: None,
+            received_of: BTreeMap::new(),
+            sent_summary: SentSummary::default(),
             beats: 0,
         }
     }
@@ -298,6 +303,19 @@
         Summary::merged([(own, Duration::ZERO)].into_iter().chain(foreign))
     }
 
+    /// Returns the gateways that this relay sends a summary of the fleet to now.
+    fn summary_targets(&mut self, now: Instant) -> Vec<usize> {
+        let members = self.directory.members(now).into_iter().map(index_of);
+        if !self.beats.is_multiple_of(BEATS_PER_SUMMARY) {
+            let received = |member: &usize| self.near.get(member).map_or(0, |heard| heard.received);
+            return members
+                .filter(|member| self.sent_summary.is_missed_after(received(member)))
+                .collect();
+        }
+        self.sent_summary = SentSummary::new(self.beats);
+        members.chain(self.directory.unheard_members(now).map(index_of)).collect()
+    }
+
     /// Returns what this gateway knows of all, itself included.
     pub fn view(&self, now: Instant) -> Summary {
         if self.directory.is_relay(now) {
@@ -316,18 +334,23 @@
         now: Instant,
     ) {
         let (summary, is_relay) = match &message {
-            Message::Own(summary, is_relay)
+            Message::Own(summary, is_relay, _)
             | Message::DataCentre(summary, is_relay)
-            | Message::Fleet(summary, is_relay) => (summary.clone(), *is_relay),
+            | Message::Fleet(summary, is_relay, _) => (summary.clone(), *is_relay),
         };
         self.directory.on_message(name, placing, is_relay, addr(from), now);
-        let heard = Heard { summary, at: now };
+        let heard = Heard { summary, received: 0, at: now };
         match message {
-            Message::Own(..) => drop(self.near.insert(from, heard)),
+            Message::Own(_, _, received) => {
+                self.near.insert(from, Heard { received, ..heard });
+            }
             Message::DataCentre(..) => {
                 self.foreign.insert(placing.data_centre.clone(), heard);
             }
-            Message::Fleet(..) => self.fleet = Some(heard),
+            Message::Fleet(_, _, sequence) => {
+                self.received_of.insert(from, sequence);
+                self.fleet = Some(heard);
+            }
         }
     }
 }
