Handovers: a gateway that has an earlier configuration gets its changes

The busiest gateway, a relay, sent 156 MB in 83 s, 130 MB of it configurations: they grow with the configuration times the members. Ruled out: reports of engines (34 KB a second), summaries (360 KB of messages sent in all). Change: a gateway keeps the latest 32 changes of its configuration (together fewer items than half of it); one that asks names the digest of its own and gets the changes since, or the whole where they aren't known. Result checked by its digest; a change that can't be applied is counted, logged, and the whole is requested. Builds before ignore the query and get the whole. Ids of all endpoints go only to who is behind with the endpoints: others drop them.

--- a/crates/daemon/tests/gateway/relays.rs
+++ b/crates/daemon/tests/gateway/relays.rs
@@ -51,6 +51,15 @@
     page.lines().filter(|line| line.starts_with(&sort)).map(str::to_owned).collect()
 }
 
+/// Waits until all gateways may use the paths of both data centres.
+fn wait_for_paths(gateways: &[GatewayProcess]) {
+    for gateway in gateways {
+        for data_centre in ["north", "south"] {
+            gateway.wait_for_line(&["\"path in use\"", data_centre]);
+        }
+    }
+}
+
 #[test]
 fn two_gateways_of_each_data_centre_are_relays() {
     let fleet = fleet();
@@ -86,6 +95,29 @@
     assert!(calls <= 2 * 4 * changes as usize, "{calls} calls for {changes} changes");
 }
 
+#[test]
+fn members_are_handed_the_changes_of_a_configuration_and_not_the_whole() {
+    let fleet = fleet();
+    let gateways = gateways(&fleet);
+    wait_for_paths(&gateways);
+    let whole = || -> f64 {
+        let count =
+            |gateway: &GatewayProcess| gateway.metric("sorrellock_handovers_of_configurations");
+        gateways.iter().map(count).sum()
+    };
+    let before = whole();
+
+    fleet.store.put("config", "main", config(11, &[KEY, "key-of-another"]));
+
+    for gateway in &gateways {
+        gateway.wait_for_line(&["\"configuration in force\"", "\"version\":11"]);
+        let answer = send(gateway.callers(), "/match/a", &new_request(), Some("key-of-another"));
+        assert_eq!(answer.status, 200, "{}", gateway.dump()["instance"]);
+        assert_eq!(gateway.metric("sorrellock_configuration_changes_bad"), 0.0);
+    }
+    assert_eq!(whole(), before);
+}
+
 #[test]
 fn members_make_no_calls_of_the_store_while_endpoints_change_all_the_time() {
     let fleet = fleet();
@@ -148,11 +180,7 @@
 fn an_engine_that_crashed_gets_nothing_more_from_gateways_that_hear_of_it_through_relays() {
     let fleet = fleet();
     let gateways = gateways(&fleet);
-    for gateway in &gateways {
-        for data_centre in ["north", "south"] {
-            gateway.wait_for_line(&["\"path in use\"", data_centre]);
-        }
-    }
+    wait_for_paths(&gateways);
 
     fleet.engines[0].crash();
     fleet.engines[1].crash();
--- a/crates/gateway/src/process/counters.rs
+++ b/crates/gateway/src/process/counters.rs
@@ -123,6 +123,14 @@
     PeerBytesSent => "peer_bytes_sent",
     /// Summaries of the fleet that a relay sent again, as the last one didn't arrive.
     SummariesSentAgain => "summaries_sent_again",
+    /// Answers to other gateways that lack configurations or endpoints.
+    Handovers => "handovers",
+    /// Bytes of these answers.
+    HandoverBytes => "handover_bytes",
+    /// Those of them with a whole configuration.
+    HandoversOfConfigurations => "handovers_of_configurations",
+    /// Changes of a configuration from another gateway that don't lead to what they say.
+    ConfigurationChangesBad => "configuration_changes_bad",
     /// Messages from other gateways that can't be decoded.
     PeerMessagesBad => "peer_messages_bad",
     /// Entries of endpoints that can't be read at all.
--- a/crates/gateway/src/process/listeners.rs
+++ b/crates/gateway/src/process/listeners.rs
@@ -1,8 +1,8 @@
 //! Internal listeners: readiness, metrics, the state dump, and handovers to other gateways.
 
 use crate::process::{
-    CAPACITY_PATH, CapacityAsk, Count, Dump, Gateway, HANDOVER_PATH, HELD_PATH, MAX_ASK_BYTES,
-    PERMIT_PATH, RELEASE_PART_PATH, RELEASE_PATH, VIEW_PATH, read_permit_request,
+    CAPACITY_PATH, CapacityAsk, Count, DIGEST_QUERY, Dump, Gateway, HANDOVER_PATH, HELD_PATH,
+    MAX_ASK_BYTES, PERMIT_PATH, RELEASE_PART_PATH, RELEASE_PATH, VIEW_PATH, read_permit_request,
 };
 use bytes::Bytes;
 use http::{Method, Request, Response, StatusCode};
@@ -15,7 +15,7 @@
 use sorrellock_platform::Kind;
 use sorrellock_routing::process::Revision;
 use sorrellock_routing::request::ContentId;
-use sorrellock_routing::version::ConfigVersion;
+use sorrellock_routing::version::{ConfigVersion, ConfigurationMark};
 use spdlog::warn;
 use std::convert::Infallible;
 use std::rc::Rc;
@@ -90,7 +90,7 @@
             }
         }
         path => match path.strip_prefix(HANDOVER_PATH).and_then(read_known) {
-            Some((version, at)) => handover(&gateway, version, at),
+            Some((version, at)) => handover(&gateway, version, at, read_digest(req.uri().query())),
             None => (StatusCode::NOT_FOUND, Bytes::from_static(b"no such page")),
         },
     };
@@ -129,12 +129,36 @@
     Some((version.parse().ok()?, at))
 }
 
+/// Parses the digest of the requester's configuration; builds that understand no changes of configurations don't send any.
+fn read_digest(query: Option<&str>) -> Option<u64> {
+    u64::from_str_radix(query?.strip_prefix(DIGEST_QUERY)?, 16).ok()
+}
+
 /// Returns what this gateway has and the requester lacks.
-fn handover(gateway: &Gateway, version: ConfigVersion, at: Revision) -> (StatusCode, Bytes) {
+fn handover(
+    gateway: &Gateway,
+    version: ConfigVersion,
+    at: Revision,
+    digest: Option<u64>,
+) -> (StatusCode, Bytes) {
     let now = Instant::now();
-    let mut handover = gateway.knowledge.borrow().handover(version, at, now.into_std());
+    let knowledge = gateway.knowledge.borrow();
+    let mut handover = match digest {
+        Some(digest) => {
+            let mark = ConfigurationMark { version, digest };
+            knowledge.handover_with_changes(mark, at, now.into_std())
+        }
+        None => knowledge.handover(version, at, now.into_std()),
+    };
     handover.ages = gateway.knowledge_ages(now);
-    json(&handover)
+    let (status, body) = json(&handover);
+    let counters = &gateway.counters;
+    counters.add(Count::Handovers);
+    counters.add_many(Count::HandoverBytes, body.len());
+    if handover.configuration.is_some() {
+        counters.add(Count::HandoversOfConfigurations);
+    }
+    (status, body)
 }
 
 fn json(page: &impl Serialize) -> (StatusCode, Bytes) {
--- a/crates/gateway/src/process/peers/catch_up.rs
+++ b/crates/gateway/src/process/peers/catch_up.rs
@@ -1,7 +1,7 @@
 //! Fetches configurations and endpoints that another gateway has and this one lacks.
 
 use super::peers::Peers;
-use crate::process::{FirstData, UpdateCount, fetch_first_held};
+use crate::process::{Count, FirstData, UpdateCount, fetch_first_held};
 use http::Method;
 use rand::RngExt;
 use sorrellock_platform::{Client, Kind};
@@ -29,6 +29,9 @@
 /// Path prefix of handover requests. The requester's configuration version and the revision up to which it knows
 /// the endpoints follow.
 pub(crate) const HANDOVER_PATH: &str = "/handover/";
+/// Begin of the query of a handover request, followed by the digest of the requester's configuration in hexadecimal. With it the
+/// answer may hold changes of that configuration in place of a whole one.
+pub(crate) const DIGEST_QUERY: &str = "digest=";
 
 impl Peers {
     /// Fetches what this gateway lacks from gateways that are ahead of it, indefinitely.
@@ -111,9 +114,33 @@
         &self,
         addr: SocketAddr,
         limit: Duration,
+    ) -> Result<(Handover, Duration), String> {
+        let digest = self.gateway.knowledge.borrow().routes().map(|routes| routes.mark().digest);
+        let query = digest.map(|digest| format!("?{DIGEST_QUERY}{digest:x}")).unwrap_or_default();
+        let (handover, parsing) = self.request_handover(addr, &query, limit).await?;
+        let applied = Instant::now();
+        let resolved = self.gateway.knowledge.borrow().resolve(handover);
+        match resolved {
+            Ok(handover) => Ok((handover, parsing + applied.elapsed())),
+            Err(err) => {
+                self.gateway.counters.add(Count::ConfigurationChangesBad);
+                let (from, err) = (addr.to_string(), err.to_string());
+                warn!("changes of a configuration can't be applied, the whole is requested", kv: {
+                    from = from.as_str(), err = err.as_str()
+                });
+                self.request_handover(addr, "", limit).await
+            }
+        }
+    }
+
+    async fn request_handover(
+        &self,
+        addr: SocketAddr,
+        query: &str,
+        limit: Duration,
     ) -> Result<(Handover, Duration), String> {
         let Known { config, endpoints_at } = self.gateway.knowledge.borrow().known();
-        let path = format!("{HANDOVER_PATH}{config}/{endpoints_at}");
+        let path = format!("{HANDOVER_PATH}{config}/{endpoints_at}{query}");
         let answer = Client::new(addr).call(Method::GET, &path, None, limit).await;
         let answer = answer.map_err(|err| err.to_string())?;
         let answered = Instant::now();
--- a/crates/gateway/src/process/peers/mod.rs
+++ b/crates/gateway/src/process/peers/mod.rs
@@ -14,7 +14,7 @@
 mod suspicion;
 mod view_exchange;
 
-pub(crate) use catch_up::HANDOVER_PATH;
+pub(crate) use catch_up::{DIGEST_QUERY, HANDOVER_PATH};
 pub(crate) use fleet_state::*;
 pub(crate) use peer_message::*;
 pub(crate) use peers::Peers;
--- a/crates/routing/src/process/knowledge/handover.rs
+++ b/crates/routing/src/process/knowledge/handover.rs
@@ -3,18 +3,23 @@
 use super::{EntryState, Knowledge, KnownEndpoint, RefusedEntry};
 use crate::process::relays::StoreAges;
 use crate::process::{ChangeCount, EndpointId, Incarnation, Revision};
-use crate::version::{ConfigVersion, Configuration};
+use crate::version::{
+    ChangeError, ConfigVersion, Configuration, ConfigurationChange, ConfigurationMark,
+};
 use serde::{Deserialize, Serialize};
 use std::time::{Duration, Instant};
 
 /// What a gateway sends to another one that can't reach the store.
 #[derive(Debug, Serialize, Deserialize)]
 pub struct Handover {
-    /// The configuration, if it is newer than the receiver's.
+    /// The configuration, if it is newer than the receiver's and not sent as changes.
     pub configuration: Option<Configuration>,
+    /// The changes that lead from the receiver's configuration to a newer one.
+    #[serde(default)]
+    pub changes: Vec<ConfigurationChange>,
     /// The endpoints that changed after the revision that the receiver has read up to.
     pub endpoints: Vec<KnownEndpoint>,
-    /// Ids of all known endpoints.
+    /// Ids of all known endpoints; none if the receiver has read as far as the sender.
     pub listed: Vec<EndpointId>,
     /// The endpoints whose entry is missing, and for how long.
     pub missing: Vec<(EndpointId, Duration)>,
@@ -86,6 +91,15 @@
         of_known.chain(others).filter(|refusal| refusal.entry.revision > known_at).collect()
     }
 
+    /// Returns the ids of all endpoints for a gateway that has read them up to revision `known_at`. One that has read as far applies
+    /// none of them.
+    fn ids_for(&self, known_at: Revision) -> Vec<EndpointId> {
+        if known_at >= self.endpoints_at {
+            return Vec::new();
+        }
+        self.endpoints.keys().cloned().collect()
+    }
+
     /// Returns what to send to a gateway that has configuration `known` and has read the endpoints up to
     /// revision `known_at`.
     pub fn handover(&self, known: ConfigVersion, known_at: Revision, now: Instant) -> Handover {
@@ -98,8 +112,9 @@
         let newer = self.routes.as_ref().filter(|routes| routes.version() > known);
         Handover {
             configuration: newer.map(|routes| Configuration::clone(routes.cfg())),
+            changes: Vec::new(),
             endpoints: changed.map(|known| self.as_listed(known)).collect(),
-            listed: self.endpoints.keys().cloned().collect(),
+            listed: self.ids_for(known_at),
             missing: self.endpoints.values().filter_map(missing_for).collect(),
             refused: self.refused_after(known_at, now),
             endpoints_at: self.endpoints_at,
@@ -108,4 +123,29 @@
             ages: StoreAges::default(),
         }
     }
+
+    /// Returns the same for a gateway that understands changes and has the configuration `mark`: the configuration as changes to it,
+    /// where these are known.
+    pub fn handover_with_changes(
+        &self,
+        mark: ConfigurationMark,
+        known_at: Revision,
+        now: Instant,
+    ) -> Handover {
+        match self.changes.since(mark) {
+            Some(changes) => {
+                Handover { changes, ..self.handover(self.config_version(), known_at, now) }
+            }
+            None => self.handover(mark.version, known_at, now),
+        }
+    }
+
+    /// Replaces the changes of the configuration by what they lead to from the one in force.
+    pub fn resolve(&self, handover: Handover) -> Result<Handover, ChangeError> {
+        let Some(last) = handover.changes.last() else { return Ok(handover) };
+        // The store may have delivered it in the meantime.
+        let newer = self.routes.as_ref().filter(|own| last.after().version > own.version());
+        let cfg = newer.map(|own| own.cfg().with_changes(own.mark(), &handover.changes));
+        Ok(Handover { configuration: cfg.transpose()?, changes: Vec::new(), ..handover })
+    }
 }
--- a/crates/routing/src/process/knowledge/knowledge.rs
+++ b/crates/routing/src/process/knowledge/knowledge.rs
@@ -3,6 +3,7 @@
 
 use super::dropped_services::DroppedServices;
 use super::left_endpoints::LeftEndpoints;
+use super::recent_changes::RecentChanges;
 use super::{EntryState, KnownEndpoint, RefusedEntries, RefusedEntry};
 use crate::process::{
     ChangeCount, Endpoint, EndpointId, Incarnation, Known, LayerRange, Revision, StoreEra,
@@ -62,6 +63,7 @@
 /// The current configuration and the known endpoints.
 pub struct Knowledge {
     pub(super) routes: Option<Rc<RouteTable>>,
+    pub(super) changes: RecentChanges,
     dropped: DroppedServices,
     pub(super) endpoints: BTreeMap<EndpointId, KnownEndpoint>,
     pub(super) removed: HashMap<EndpointId, Removed>,
@@ -83,6 +85,7 @@
     pub fn new(leave_within: Duration) -> Knowledge {
         Knowledge {
             routes: None,
+            changes: RecentChanges::default(),
             dropped: DroppedServices::default(),
             endpoints: BTreeMap::new(),
             removed: HashMap::new(),
@@ -195,10 +198,12 @@
         if cfg.version <= self.config_version() {
             return false;
         }
+        let after = Rc::new(RouteTable::new(cfg));
         if let Some(before) = &self.routes {
-            self.dropped.on_change(before.cfg(), &cfg, now);
+            self.dropped.on_change(before.cfg(), after.cfg(), now);
+            self.changes.on_change(before, &after);
         }
-        self.routes = Some(Rc::new(RouteTable::new(cfg)));
+        self.routes = Some(after);
         true
     }
 
--- a/crates/routing/src/process/knowledge/mod.rs
+++ b/crates/routing/src/process/knowledge/mod.rs
@@ -8,6 +8,7 @@
 mod known_endpoint;
 mod left_endpoints;
 mod missing;
+mod recent_changes;
 mod refused_entries;
 mod starts;
 
--- a/crates/routing/src/version/route_table.rs
+++ b/crates/routing/src/version/route_table.rs
@@ -1,15 +1,17 @@
 //! Finds the route and the workspace of a request.
 
 use crate::version::{
-    ConfigVersion, Configuration, Route, Semantics, Service, ServiceName, Workspace,
+    ConfigVersion, Configuration, ConfigurationMark, Route, Semantics, Service, ServiceName,
+    Workspace,
 };
 use std::collections::{BTreeSet, HashMap, HashSet};
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 
 /// A configuration indexed for request lookups.
 #[derive(Clone, Debug)]
 pub struct RouteTable {
     cfg: Arc<Configuration>,
+    mark: OnceLock<ConfigurationMark>,
     /// Routes by host, the longest prefix first.
     by_host: HashMap<String, Vec<usize>>,
     by_key: HashMap<String, usize>,
@@ -50,7 +52,12 @@
             by_key.extend(workspace.keys.iter().map(|key| (key.clone(), index)));
         }
         let ranked = ranked_services(&cfg);
-        RouteTable { cfg: Arc::new(cfg), by_host, by_key, ranked }
+        RouteTable { cfg: Arc::new(cfg), mark: OnceLock::new(), by_host, by_key, ranked }
+    }
+
+    /// Returns the mark of the configuration.
+    pub fn mark(&self) -> ConfigurationMark {
+        *self.mark.get_or_init(|| self.cfg.mark())
     }
 
     /// Returns whether callers of a service's streams differ in rank, by their workspaces or routes.
