Handovers: a digest in place of the ids of all endpoints

Ruled out: a log of removals (one more state to bound; the digest is needed anyway where a sender never saw what the receiver has). Change: a gateway that sends the digest of its configuration gets a digest of the ids. It compares the ids that it would have before it applies anything, and requests the whole list if they differ, as after a removal. Counter: handovers_again.

--- a/crates/gateway/src/process/counters.rs
+++ b/crates/gateway/src/process/counters.rs
@@ -129,6 +129,8 @@
     HandoverBytes => "handover_bytes",
     /// Those of them with a whole configuration.
     HandoversOfConfigurations => "handovers_of_configurations",
+    /// Whole answers that were requested as the changes didn't fit, as after the removal of an endpoint.
+    HandoversAgain => "handovers_again",
     /// Changes of a configuration from another gateway that don't lead to what they say.
     ConfigurationChangesBad => "configuration_changes_bad",
     /// Messages from other gateways that can't be decoded.
--- a/crates/gateway/src/process/listeners.rs
+++ b/crates/gateway/src/process/listeners.rs
@@ -146,7 +146,7 @@
     let mut handover = match digest {
         Some(digest) => {
             let mark = ConfigurationMark { version, digest };
-            knowledge.handover_with_changes(mark, at, now.into_std())
+            knowledge.handover_of_changes(mark, at, now.into_std())
         }
         None => knowledge.handover(version, at, now.into_std()),
     };
--- a/crates/gateway/src/process/peers/catch_up.rs
+++ b/crates/gateway/src/process/peers/catch_up.rs
@@ -5,7 +5,7 @@
 use http::Method;
 use rand::RngExt;
 use sorrellock_platform::{Client, Kind};
-use sorrellock_routing::process::knowledge::Handover;
+use sorrellock_routing::process::knowledge::{Handover, HandoverError};
 use sorrellock_routing::process::{Known, Revision, UpdateSource};
 use spdlog::{debug, info, warn};
 use std::net::SocketAddr;
@@ -123,16 +123,24 @@
         match resolved {
             Ok(handover) => Ok((handover, parsing + applied.elapsed())),
             Err(err) => {
-                self.gateway.counters.add(Count::ConfigurationChangesBad);
-                let (from, err) = (addr.to_string(), err.to_string());
-                warn!("changes of a configuration can't be applied, the whole is requested", kv: {
-                    from = from.as_str(), err = err.as_str()
-                });
+                self.on_unresolved(addr, err);
                 self.request_handover(addr, "", limit).await
             }
         }
     }
 
+    fn on_unresolved(&self, addr: SocketAddr, err: HandoverError) {
+        let counters = &self.gateway.counters;
+        counters.add(Count::HandoversAgain);
+        if let HandoverError::Configuration(err) = err {
+            counters.add(Count::ConfigurationChangesBad);
+            let (from, err) = (addr.to_string(), err.to_string());
+            warn!("changes of a configuration can't be applied, the whole is requested", kv: {
+                from = from.as_str(), err = err.as_str()
+            });
+        }
+    }
+
     async fn request_handover(
         &self,
         addr: SocketAddr,
--- a/crates/routing/src/process/knowledge/handover.rs
+++ b/crates/routing/src/process/knowledge/handover.rs
@@ -7,7 +7,9 @@
     ChangeError, ConfigVersion, Configuration, ConfigurationChange, ConfigurationMark,
 };
 use serde::{Deserialize, Serialize};
+use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
+use xxhash_rust::xxh3::xxh3_64;
 
 /// What a gateway sends to another one that can't reach the store.
 #[derive(Debug, Serialize, Deserialize)]
@@ -19,8 +21,11 @@
     pub changes: Vec<ConfigurationChange>,
     /// The endpoints that changed after the revision that the receiver has read up to.
     pub endpoints: Vec<KnownEndpoint>,
-    /// Ids of all known endpoints; none if the receiver has read as far as the sender.
+    /// Ids of all known endpoints; none if the receiver has read as far as the sender, or with `ids_digest`.
     pub listed: Vec<EndpointId>,
+    /// Digest of the ids of all known endpoints, in place of these.
+    #[serde(default)]
+    pub ids_digest: Option<u64>,
     /// The endpoints whose entry is missing, and for how long.
     pub missing: Vec<(EndpointId, Duration)>,
     /// The changed entries that can't be used.
@@ -37,6 +42,21 @@
     pub ages: StoreAges,
 }
 
+/// Why a handover of changes can't be applied.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum HandoverError {
+    /// The changes of the configuration.
+    Configuration(ChangeError),
+    /// The sender has other endpoints than the receiver would have, as after a removal.
+    OtherEndpoints,
+}
+
+impl From<ChangeError> for HandoverError {
+    fn from(err: ChangeError) -> HandoverError {
+        HandoverError::Configuration(err)
+    }
+}
+
 /// An entry that can't be used, as one gateway reports it to another.
 #[derive(Debug, Serialize, Deserialize)]
 pub struct RefusalReport {
@@ -115,6 +135,7 @@
             changes: Vec::new(),
             endpoints: changed.map(|known| self.as_listed(known)).collect(),
             listed: self.ids_for(known_at),
+            ids_digest: None,
             missing: self.endpoints.values().filter_map(missing_for).collect(),
             refused: self.refused_after(known_at, now),
             endpoints_at: self.endpoints_at,
@@ -125,27 +146,57 @@
     }
 
     /// Returns the same for a gateway that understands changes and has the configuration `mark`: the configuration as changes to it,
-    /// where these are known.
-    pub fn handover_with_changes(
+    /// where these are known, and a digest in place of the ids of all endpoints.
+    pub fn handover_of_changes(
         &self,
         mark: ConfigurationMark,
         known_at: Revision,
         now: Instant,
     ) -> Handover {
-        match self.changes.since(mark) {
-            Some(changes) => {
-                Handover { changes, ..self.handover(self.config_version(), known_at, now) }
-            }
-            None => self.handover(mark.version, known_at, now),
+        let changes = self.changes.since(mark);
+        let has = if changes.is_some() { self.config_version() } else { mark.version };
+        let whole = self.handover(has, known_at, now);
+        let is_behind = known_at < self.endpoints_at;
+        Handover {
+            changes: changes.unwrap_or_default(),
+            ids_digest: is_behind.then(|| digest(self.endpoints.keys())),
+            listed: Vec::new(),
+            ..whole
         }
     }
 
-    /// Replaces the changes of the configuration by what they lead to from the one in force.
-    pub fn resolve(&self, handover: Handover) -> Result<Handover, ChangeError> {
-        let Some(last) = handover.changes.last() else { return Ok(handover) };
+    /// Replaces changes by the configuration that they lead to from the one in force, and the digest of ids by these. Fails if one of
+    /// them doesn't fit what is known here; then a whole handover is needed.
+    pub fn resolve(&self, handover: Handover) -> Result<Handover, HandoverError> {
+        let configuration = self.resolve_configuration(&handover)?;
+        let listed = self.resolve_ids(&handover)?;
+        let changes = Vec::new();
+        Ok(Handover { configuration, changes, listed, ids_digest: None, ..handover })
+    }
+
+    fn resolve_configuration(
+        &self,
+        handover: &Handover,
+    ) -> Result<Option<Configuration>, ChangeError> {
+        let Some(last) = handover.changes.last() else { return Ok(handover.configuration.clone()) };
         // The store may have delivered it in the meantime.
         let newer = self.routes.as_ref().filter(|own| last.after().version > own.version());
-        let cfg = newer.map(|own| own.cfg().with_changes(own.mark(), &handover.changes));
-        Ok(Handover { configuration: cfg.transpose()?, changes: Vec::new(), ..handover })
+        newer.map(|own| own.cfg().with_changes(own.mark(), &handover.changes)).transpose()
+    }
+
+    fn resolve_ids(&self, handover: &Handover) -> Result<Vec<EndpointId>, HandoverError> {
+        let expected = handover.ids_digest.filter(|_| handover.endpoints_at > self.endpoints_at);
+        let Some(expected) = expected else { return Ok(handover.listed.clone()) };
+        let new = handover.endpoints.iter().map(|known| &known.endpoint.id);
+        let ids: BTreeSet<&EndpointId> = self.endpoints.keys().chain(new).collect();
+        match digest(ids.iter().copied()) == expected {
+            true => Ok(ids.into_iter().cloned().collect()),
+            false => Err(HandoverError::OtherEndpoints),
+        }
     }
 }
+
+/// Returns a digest of a set of ids, whatever their order.
+fn digest<'a>(ids: impl Iterator<Item = &'a EndpointId>) -> u64 {
+    ids.map(|id| xxh3_64(id.as_bytes())).fold(0, u64::wrapping_add)
+}
--- a/crates/routing/tests/configuration_change.rs
+++ b/crates/routing/tests/configuration_change.rs
@@ -84,7 +84,7 @@
 }
 
 fn handover(from: &Knowledge, mark: ConfigurationMark) -> Handover {
-    from.handover_with_changes(mark, Revision::default(), Instant::now())
+    from.handover_of_changes(mark, Revision::default(), Instant::now())
 }
 
 /// A configuration with any items in any order, some of them more than once.
--- a/crates/routing/tests/knowledge_eras/fleet.rs
+++ b/crates/routing/tests/knowledge_eras/fleet.rs
@@ -7,6 +7,7 @@
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 use sorrellock_routing::process::{Endpoint, Revision, StoreEra};
+use sorrellock_routing::version::ConfigurationMark;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
@@ -18,6 +19,8 @@
 const LEAVING_TIME: u64 = 3_000;
 /// Interval at which the store saves a copy.
 const COPY_EVERY: u64 = 500;
+/// What a gateway without a configuration has.
+const NO_CONFIGURATION: ConfigurationMark = ConfigurationMark { version: 0, digest: 0 };
 /// How long a gateway may be behind another one before it requests a handover.
 const HANDOVER_DELAY: u64 = 300;
 
@@ -256,7 +259,10 @@
             return;
         }
         let known_at = self.gateways[index].knowledge.endpoints_at();
-        let handover = self.gateways[other].knowledge.handover(0, known_at, instant);
+        let sender = &self.gateways[other].knowledge;
+        let changes = sender.handover_of_changes(NO_CONFIGURATION, known_at, instant);
+        let resolved = self.gateways[index].knowledge.resolve(changes);
+        let handover = resolved.unwrap_or_else(|_| sender.handover(0, known_at, instant));
         self.gateways[index].take_handover(handover, instant);
         self.gateways[index].behind_since = None;
     }
