--- a/crates/routing/src/process/crashes/held_sync.rs
+++ b/crates/routing/src/process/crashes/held_sync.rs
@@ -1,6 +1,6 @@
 //! Decides when a gateway reads the records of another one, and when those of held requests from the store.
 
-use super::crash_guard::CrashDigest;
+use super::crash_exchange::CrashDigest;
 use std::time::{Duration, Instant};
 
 /// How long the records of two gateways may differ before one reads the other's: by then both have got the reports
--- a/crates/routing/src/process/relays/sent_summary.rs
+++ b/crates/routing/src/process/relays/sent_summary.rs
@@ -13,8 +13,8 @@
         SentSummary(sequence)
     }
 
-    /// Returns whether a member misses it that received the summary `received` last. 0 tells nothing: the member is new, or of a build
-    /// that doesn't name what it received.
+    /// Returns whether a member misses it that received the summary `received` last; 0 for a member that is new, or of a build that
+    /// doesn't name what it received.
     pub fn is_missed_after(self, received: u64) -> bool {
         (1..self.0).contains(&received)
     }
