Store: a gateway that reaches few others lists within a second of its turn

Cause: by reading, while the start from the first gateways was built: the turn of a list is its rank over the gateways in contact. A gateway of a large fleet that hears no relay yet has the rank of its place in its data centre (up to 87) and one gateway in contact, so that its first list came after up to 87 s in place of one. Change: those that go before it count as well.

--- a/crates/core/src/process/store_watch/times.rs
+++ b/crates/core/src/process/store_watch/times.rs
@@ -19,9 +19,9 @@
 const LIST_SPREAD_TIME: Duration = Duration::from_secs(1);
 
 /// Returns the delay after which a process of a rank lists again in a new era of the store, among `count` processes that are in
-/// contact.
+/// contact. Of one that isn't in contact with all that go before it, these count as well.
 pub fn list_turn(rank: Rank, count: u32) -> Duration {
-    LIST_SPREAD_TIME * rank / count.max(1)
+    LIST_SPREAD_TIME * rank / count.max(rank.saturating_add(1))
 }
 
 /// The times of a schedule.
