Relays: the last two gateways of a data centre know the fleet

Cause: found by a test with real gateways, four of six of a data centre ended: the second of the two that were left took itself for a member, as nobody after it sends to it, and the first one took it for a relay, to which no summary of the fleet is sent. It counted 2 of 8 gateways for as long as the store listed the four. Ruled out: the start from the first gateways (the same with the list in the simulated fleet). Change: a relay leaves out only those that say that they are relays. Before: the_last_two_of_a_data_centre_know_all fails (one of 26 knows 0); after: passes, with all of relay_fleet.

--- a/crates/routing/src/process/relays/directory.rs
+++ b/crates/routing/src/process/relays/directory.rs
@@ -139,17 +139,19 @@
         self.first_of(&self.placing.data_centre, CANDIDATES).map(|known| known.addr).collect()
     }
 
-    /// Returns the live gateways of the own data centre that a relay sends to: all but the first ones, which are relays. One that
+    /// Returns the live gateways of the own data centre that a relay sends to: all but the first ones that are relays. One that
     /// takes itself for a relay as it doesn't know these learns of them by it.
     pub fn members(&self, now: Instant) -> BTreeSet<SocketAddr> {
         let own = self.own_order();
         let ordered = self.ordered(&self.placing.data_centre).into_iter();
         let live = ordered.filter(|(_, known)| known.is_live(now));
-        let live: Vec<(Order<'_>, SocketAddr)> =
-            live.map(|(order, known)| (order, known.addr)).collect();
+        let live: Vec<(Order<'_>, &KnownGateway)> = live.collect();
         let before = live.iter().filter(|(order, _)| *order < own).count();
         let others = if before < RELAYS { RELAYS - 1 } else { RELAYS };
-        live.into_iter().skip(others).map(|(_, addr)| addr).collect()
+        let is_member = |index: usize, known: &KnownGateway| index >= others || !known.says_relay;
+        let members = live.into_iter().enumerate();
+        let members = members.filter(|(index, (_, known))| is_member(*index, known));
+        members.map(|(_, (_, known))| known.addr).collect()
     }
 
     /// Returns the listed gateways of the own data centre that aren't heard. They may have begun with a list that lacks this one,
--- a/crates/routing/tests/relay_fleet/focused.rs
+++ b/crates/routing/tests/relay_fleet/focused.rs
@@ -1,7 +1,7 @@
 //! What gateways know of each other through relays, how soon, and at what cost.
 
 use crate::world::{BEAT, World, head, suspect};
-use sorrellock_routing::process::relays::{Placing, RelayDirectory};
+use sorrellock_routing::process::relays::{Placing, RelayDirectory, SILENCE_TIMEOUT};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -173,6 +173,15 @@
     }
 }
 
+#[test]
+fn the_last_two_of_a_data_centre_know_all() {
+    let mut world = settled(30);
+    world.ordered("mid")[..4].iter().for_each(|index| world.gateways[*index].is_up = false);
+    world.run(SILENCE_TIMEOUT);
+
+    world.time_until_known(LOSS_LIMIT);
+}
+
 #[test]
 fn all_agree_on_the_relays_that_watch_for_all() {
     for size in [436, 872] {
