Start: a gateway that starts again reads the first gateways of its data centre and not the list of all

Cause: counted before (docs): a list has 230 B for each gateway and each reads it at its start, 43 MB at 436, 0.35 s of the store's link. At 872 the lists alone take 1.4 s. Weighed: a page of the list and asking whoever is on it (nobody there knows more at a common start); a file of each process (no disk); an object for each data centre, taken. Change: the first relay of each data centre writes its first four gateways and the size of the fleet once they have been the same for 5 s. A gateway whose own object is there already reads it (one call, as the list) if all four go before it. It is no relay and reads the list once it hears no relay for 2 s, fewer than two for 5 s, or is due as a relay. Its rank for duties of one is any beyond the first four. Its own object is checked at its next list. Tests, at 436 and 872 in the simulated fleet: few lists at a common start (20 at most, all before); first ones that are gone; the next ones become relays (fails without the limit of 5 s); real gateways: a restart without a list, four ends after it, an unreadable object.

--- a/crates/daemon/tests/gateway/relays.rs
+++ b/crates/daemon/tests/gateway/relays.rs
@@ -3,6 +3,7 @@
 use crate::entries::entry;
 use crate::fleet::{Fleet, KEY, config, fleet, new_request, send};
 use crate::gateway_process::{GatewayProcess, wait_for};
+use serde_json::json;
 use sorrellock_stand_ins::{FakeProxy, ProxyMode, StoreMode, new_ip};
 use std::thread::sleep;
 use std::time::Duration;
@@ -164,6 +165,51 @@
     assert_eq!(store_calls(&again, "config"), none);
 }
 
+/// Whether a gateway listed all gateways.
+fn has_listed(gateway: &GatewayProcess) -> bool {
+    store_calls(gateway, "sorrellock-gateways").iter().any(|line| line.contains("call=\"list\""))
+}
+
+/// Ends the last gateway and starts it again, once `before` has been done.
+fn restart_last(gateways: &mut Vec<GatewayProcess>, before: impl FnOnce()) -> GatewayProcess {
+    let last = gateways.pop().expect("a gateway");
+    let (ip, settings) = (last.ip(), last.settings());
+    drop(last);
+    before();
+    GatewayProcess::spawn_with_relays(ip, &settings, RELAYS_FROM)
+}
+
+#[test]
+fn a_gateway_that_starts_again_reads_the_first_ones_and_lists_all_once_these_end() {
+    let fleet = fleet();
+    let mut gateways = gateways(&fleet);
+    gateways[PER_DATA_CENTRE].wait_for_line(&["\"first gateways written\""]);
+
+    let again = restart_last(&mut gateways, || {});
+
+    wait_for("it to know all", || knows_all(&again) && role(&again) == "member");
+    assert!(!has_listed(&again));
+    drop(gateways.drain(PER_DATA_CENTRE..PER_DATA_CENTRE + 4));
+    let rest = gateways.len() as u64 + 1;
+    wait_for("it to know the others", || live(&again) == rest);
+    assert!(has_listed(&again));
+}
+
+#[test]
+fn a_gateway_lists_all_where_the_first_ones_can_not_be_read() {
+    let fleet = fleet();
+    let mut gateways = gateways(&fleet);
+    gateways[PER_DATA_CENTRE].wait_for_line(&["\"first gateways written\""]);
+
+    let again = restart_last(&mut gateways, || {
+        fleet.store.put("sorrellock-first-gateways", "south", json!({ "gateways": "many" }));
+    });
+
+    wait_for("it to know all", || knows_all(&again) && role(&again) == "member");
+    again.wait_for_line(&["\"first gateways refused\"", "south"]);
+    assert!(has_listed(&again));
+}
+
 #[test]
 fn a_gateway_that_can_not_register_asks_for_the_configuration_all_the_same() {
     let fleet = fleet();
--- a/crates/gateway/src/process/peers/fleet_state.rs
+++ b/crates/gateway/src/process/peers/fleet_state.rs
@@ -61,7 +61,7 @@
         let age_ms = match kind {
             Kind::Configuration => self.message.configuration_heard_ms,
             Kind::Endpoints => self.message.endpoints_heard_ms,
-            Kind::Gateways | Kind::Leads | Kind::HeldRequests => None,
+            Kind::Gateways | Kind::Leads | Kind::HeldRequests | Kind::FirstGateways => None,
         };
         Some(Duration::from_millis(age_ms?.into()) + (now - self.last_contact))
     }
--- a/crates/gateway/src/process/peers/mod.rs
+++ b/crates/gateway/src/process/peers/mod.rs
@@ -1,6 +1,7 @@
 //! Messages between gateways, and the state of the fleet that is derived from them.
 
 mod catch_up;
+mod first_gateways;
 mod fleet_state;
 mod news;
 mod peer_message;
--- a/crates/gateway/src/process/peers/registration.rs
+++ b/crates/gateway/src/process/peers/registration.rs
@@ -43,12 +43,13 @@
         let mut written_in = None;
         let mut is_first = true;
         loop {
-            match self.register_once(&store, &mut written_in).await {
+            match self.register_once(&store, &mut written_in, is_first).await {
                 Ok(()) => {
                     let next_list =
                         if is_first { self.second_list_delay() } else { self.list_interval() };
                     is_first = false;
-                    self.wait_for_next_list(next_list, written_in.unwrap_or_default()).await;
+                    let era = written_in.unwrap_or_else(|| self.gateway.eras.known());
+                    self.wait_for_next_list(next_list, era).await;
                 }
                 Err(err) => {
                     self.gateway.on_store_failed(&err);
@@ -60,11 +61,13 @@
         }
     }
 
-    /// Waits until the next list is due: after `interval`, or at this gateway's turn once an era after `era` has begun.
+    /// Waits until the next list is due: after `interval`, or at this gateway's turn once an era after `era` has begun or the first
+    /// gateways that it read don't do.
     async fn wait_for_next_list(&self, interval: Duration, era: StoreEra) {
         tokio::select! {
             () = sleep(interval) => {}
             () = self.gateway.newer_era(era) => sleep(self.gateway.list_turn()).await,
+            () = self.needs_list() => sleep(self.gateway.list_turn()).await,
         }
     }
 
@@ -85,17 +88,23 @@
     }
 
     /// Writes this gateway's object if needed and lists the others. `written_in` is the era of the store in which
-    /// the object was last written.
+    /// the object was last written. At the first time, one that has an object already reads the first gateways alone where these do;
+    /// the relays list it by that object, and its next list checks it.
     async fn register_once(
         &self,
         store: &Store,
         written_in: &mut Option<StoreEra>,
+        is_first: bool,
     ) -> Result<(), StoreError> {
         let must_write = *written_in != Some(self.gateway.eras.known());
         let is_rewrite = written_in.is_some();
         // Written before the list: of two gateways that begin together, at least one lists the other.
         let created = if must_write { self.create_own(store).await? } else { None };
         self.gateway.is_registered.set(true);
+        if is_first && created.is_none() && self.read_first_gateways(store).await? {
+            self.gateway.gateways_listed.notify_waiters();
+            return Ok(());
+        }
         let listing = store.list(Kind::Gateways).await?;
         if must_write {
             let era = match created {
--- a/crates/gateway/src/process/peers/relay_part.rs
+++ b/crates/gateway/src/process/peers/relay_part.rs
@@ -177,7 +177,7 @@
         let age_ms = match kind {
             Kind::Configuration => ages.configuration_ms,
             Kind::Endpoints => ages.endpoints_ms,
-            Kind::Gateways | Kind::Leads | Kind::HeldRequests => None,
+            Kind::Gateways | Kind::Leads | Kind::HeldRequests | Kind::FirstGateways => None,
         };
         Some(Duration::from_millis(age_ms?.into()) + (now - heard))
     }
--- a/crates/gateway/src/process/peers/roles.rs
+++ b/crates/gateway/src/process/peers/roles.rs
@@ -3,7 +3,7 @@
 
 use super::fleet_state::{FleetState, PEER_TIMEOUT, Peer};
 use super::relay_part::{Coordinator, HeardSummary, Report, Scope};
-use sorrellock_routing::process::relays::{GatewayCount, Summary};
+use sorrellock_routing::process::relays::{FirstGateways, GatewayCount, Summary};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -187,6 +187,19 @@
         relays.filter(|peer| peer.message.ready_in_ms == 0).map(Peer::coordinator).collect()
     }
 
+    /// Returns the first gateways of this data centre, if this gateway, of the address `own_addr`, is its first relay.
+    pub(super) fn first_gateways(
+        &self,
+        own_addr: SocketAddr,
+        now: Instant,
+    ) -> Option<FirstGateways> {
+        let gateways = self.gateways(now);
+        let first = self
+            .is_relay()
+            .then(|| self.directory.first_gateways(own_addr, gateways, now.into_std()));
+        first.flatten()
+    }
+
     /// Returns whether this gateway is among those that take duties for the whole fleet.
     pub(crate) fn is_coordinator(&self) -> bool {
         !self.uses_relays() || self.is_relay()
--- a/crates/gateway/src/process/run.rs
+++ b/crates/gateway/src/process/run.rs
@@ -183,6 +183,7 @@
     tasks.spawn_local(follow_eras(Rc::clone(gateway)));
     tasks.spawn_local(expire_entries(Rc::clone(gateway)));
     tasks.spawn_local(Rc::clone(&peers).register(store.clone()));
+    tasks.spawn_local(Rc::clone(&peers).write_first_gateways(store.clone()));
     tasks.spawn_local(Rc::clone(&peers).listen());
     tasks.spawn_local(Rc::clone(&peers).catch_up());
     tasks.spawn_local(dispatch_capacity(Rc::clone(gateway)));
--- a/crates/gateway/src/process/store/store_contact.rs
+++ b/crates/gateway/src/process/store/store_contact.rs
@@ -105,7 +105,7 @@
         match kind {
             Kind::Configuration => Some(&self.configuration),
             Kind::Endpoints => Some(&self.endpoints),
-            Kind::Gateways | Kind::Leads | Kind::HeldRequests => None,
+            Kind::Gateways | Kind::Leads | Kind::HeldRequests | Kind::FirstGateways => None,
         }
     }
 }
@@ -181,6 +181,6 @@
     match kind {
         Kind::Configuration => known.config > other.config,
         Kind::Endpoints => known.endpoints_at > other.endpoints_at,
-        Kind::Gateways | Kind::Leads | Kind::HeldRequests => false,
+        Kind::Gateways | Kind::Leads | Kind::HeldRequests | Kind::FirstGateways => false,
     }
 }
--- a/crates/gateway/src/process/store/watcher.rs
+++ b/crates/gateway/src/process/store/watcher.rs
@@ -48,9 +48,11 @@
     let bounds = gateway.bounds.get();
     WatchTimes::new(match kind {
         Kind::Endpoints => bounds.leave_within,
-        Kind::Configuration | Kind::Gateways | Kind::Leads | Kind::HeldRequests => {
-            bounds.in_force_within
-        }
+        Kind::Configuration
+        | Kind::Gateways
+        | Kind::Leads
+        | Kind::HeldRequests
+        | Kind::FirstGateways => bounds.in_force_within,
     })
 }
 
@@ -118,7 +120,7 @@
         match self.kind {
             Kind::Endpoints => self.gateway.apply_endpoint_changes(changes.changes),
             Kind::Configuration => self.on_configurations(changes.changes),
-            Kind::Gateways | Kind::Leads | Kind::HeldRequests => {}
+            Kind::Gateways | Kind::Leads | Kind::HeldRequests | Kind::FirstGateways => {}
         }
         self.note_contact(changes.at.era);
         self.on_endpoints_known(changes.at, "watch");
@@ -177,7 +179,7 @@
             Kind::Configuration => {
                 listing.objects.iter().for_each(|object| self.on_configuration(object, "list"));
             }
-            Kind::Gateways | Kind::Leads | Kind::HeldRequests => {}
+            Kind::Gateways | Kind::Leads | Kind::HeldRequests | Kind::FirstGateways => {}
         }
         self.note_contact(listing.at.era);
         self.on_endpoints_known(listing.at, "list");
--- a/crates/routing/src/process/relays/directory.rs
+++ b/crates/routing/src/process/relays/directory.rs
@@ -1,19 +1,25 @@
 //! The gateways that a gateway knows of, and which of them are relays.
 
+use super::{FirstGateway, FirstGateways};
 use crate::process::DataCentre;
 use serde::{Deserialize, Serialize};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
+use xxhash_rust::xxh3::xxh3_64;
 
 /// Number of relays in a data centre: one may end or pause at any time.
 pub const RELAYS: usize = 2;
 /// Number of gateways of a data centre that each of its gateways sends its state to, so that the next one is informed when a relay
 /// ends.
-const CANDIDATES: usize = 4;
+pub(super) const CANDIDATES: usize = 4;
 /// Time without a message after which a gateway counts as gone. Twice that long without any relay, gateways send to twice as many.
 pub const SILENCE_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Time without any relay after which a gateway that has read the first ones only reads the list.
+const NO_RELAY_LIMIT: Duration = Duration::from_secs(2);
+/// The same with fewer than [`RELAYS`]: by then the next ones of the first would have taken over.
+const FEW_RELAYS_LIMIT: Duration = Duration::from_secs(5);
 /// Limit of the doublings of [`CANDIDATES`]: more than any fleet has gateways.
 const MAX_DOUBLINGS: u32 = 12;
 
@@ -50,6 +56,8 @@
     placing: Placing,
     began: Instant,
     gateways: BTreeMap<String, KnownGateway>,
+    /// Number of gateways of the fleet, while only the first ones of the own data centre have been read.
+    only_first_of: Option<usize>,
 }
 
 /// Position in the order of relays: those with the most processor first.
@@ -58,7 +66,13 @@
 impl RelayDirectory {
     /// Returns the directory of a gateway that began at `began` and knows no others.
     pub fn new(instance: &str, placing: Placing, began: Instant) -> RelayDirectory {
-        RelayDirectory { instance: instance.to_owned(), placing, began, gateways: BTreeMap::new() }
+        RelayDirectory {
+            instance: instance.to_owned(),
+            placing,
+            began,
+            gateways: BTreeMap::new(),
+            only_first_of: None,
+        }
     }
 
     /// Replaces the gateways that the store lists. Others stay known while they are heard.
@@ -67,6 +81,7 @@
         listed: impl IntoIterator<Item = (String, Placing, SocketAddr)>,
         now: Instant,
     ) {
+        self.only_first_of = None;
         let listed: HashMap<String, (Placing, SocketAddr)> =
             listed.into_iter().map(|(name, placing, addr)| (name, (placing, addr))).collect();
         self.gateways.retain(|name, known| listed.contains_key(name) || known.is_live(now));
@@ -81,6 +96,56 @@
         }
     }
 
+    /// Adds the first gateways of the own data centre in place of a list, if they suffice. Returns whether they do.
+    pub fn on_first(&mut self, first: &FirstGateways) -> bool {
+        if !first.suffices(&self.instance, &self.placing) {
+            return false;
+        }
+        self.only_first_of = Some(first.gateways);
+        for FirstGateway { name, processor, addr } in &first.first {
+            let data_centre = self.placing.data_centre.clone();
+            let placing = Placing { data_centre, processor: *processor };
+            let known = KnownGateway { placing, addr: *addr, heard: None, says_relay: false };
+            self.gateways.entry(name.clone()).or_insert(known);
+        }
+        true
+    }
+
+    /// Returns whether the list is needed after all, as only the first gateways have been read: too few of them are heard as relays,
+    /// or this one is to be a relay.
+    pub fn needs_list(&self, now: Instant) -> bool {
+        let own = &self.placing.data_centre;
+        self.only_first_of.is_some()
+            && (self.is_due_as_relay(now)
+                || self.silent_for(own, 1, now) >= NO_RELAY_LIMIT
+                || self.silent_for(own, RELAYS, now) >= FEW_RELAYS_LIMIT)
+    }
+
+    /// Returns the first live gateways of the own data centre, this one included, if it is the first relay; `addr` is its address.
+    pub fn first_gateways(
+        &self,
+        addr: SocketAddr,
+        gateways: usize,
+        now: Instant,
+    ) -> Option<FirstGateways> {
+        let is_first = !self.before_own().iter().any(|(_, known)| known.is_live(now));
+        if !is_first || !self.is_relay(now) || self.only_first_of.is_some() {
+            return None;
+        }
+        let own =
+            FirstGateway { name: self.instance.clone(), processor: self.placing.processor, addr };
+        let live = self.ordered(&self.placing.data_centre).into_iter();
+        let live = live.filter(|(_, known)| known.is_live(now));
+        let others = live.map(|((Reverse(processor), name), known)| FirstGateway {
+            name: name.to_owned(),
+            processor,
+            addr: known.addr,
+        });
+        let first: Vec<FirstGateway> =
+            std::iter::once(own).chain(others).take(CANDIDATES).collect();
+        (first.len() == CANDIDATES).then_some(FirstGateways { gateways, first })
+    }
+
     /// Records a message of a gateway.
     pub fn on_message(
         &mut self,
@@ -111,6 +176,11 @@
     /// Returns whether this gateway is a relay of its data centre: others send to it, and fewer than [`RELAYS`] live gateways go
     /// before it.
     pub fn is_relay(&self, now: Instant) -> bool {
+        // A relay has to know those of the other data centres.
+        self.only_first_of.is_none() && self.is_due_as_relay(now)
+    }
+
+    fn is_due_as_relay(&self, now: Instant) -> bool {
         let before = self.before_own();
         let live = before.iter().filter(|(_, known)| known.is_live(now)).count();
         live < RELAYS && (before.len() < CANDIDATES || self.is_sent_to(now))
@@ -187,21 +257,33 @@
         let turn = live.iter().filter(|name| **name < own).count();
         let before = self.before_own();
         let live_before = before.iter().filter(|(_, known)| known.is_live(now)).count();
-        let position = if self.is_relay(now) { live_before } else { before.len().max(RELAYS) };
+        let position = match self.only_first_of {
+            _ if self.is_relay(now) => live_before,
+            // The place among the others isn't known: any, so that not all do the same at once.
+            Some(gateways) => CANDIDATES + spread(&self.instance, gateways),
+            None => before.len().max(RELAYS),
+        };
         position * (live.len() + 1) + turn
     }
 
     /// Returns how many gateways of a data centre are sent to. It grows while none of its relays is heard.
     fn window(&self, data_centre: &str, now: Instant) -> usize {
-        let is_relay =
-            |known: &&KnownGateway| known.says_relay && known.placing.data_centre == data_centre;
-        let relays = self.gateways.values().filter(is_relay);
-        let heard = relays.filter_map(|known| known.heard).max().unwrap_or(self.began);
-        let silent = now.saturating_duration_since(heard).as_secs_f64();
+        let silent = self.silent_for(data_centre, 1, now).as_secs_f64();
         let doublings = (silent / (2.0 * SILENCE_TIMEOUT.as_secs_f64())) as u32;
         CANDIDATES << doublings.min(MAX_DOUBLINGS)
     }
 
+    /// Returns the time since so many relays of a data centre were heard, or since the start.
+    fn silent_for(&self, data_centre: &str, relays: usize, now: Instant) -> Duration {
+        let is_relay =
+            |known: &&KnownGateway| known.says_relay && known.placing.data_centre == data_centre;
+        let of_it = self.gateways.values().filter(is_relay);
+        let mut heard: Vec<Instant> = of_it.filter_map(|known| known.heard).collect();
+        heard.sort_unstable_by(|a, b| b.cmp(a));
+        let last = heard.get(relays - 1).copied().unwrap_or(self.began);
+        now.saturating_duration_since(last)
+    }
+
     fn live_relays(&self, data_centre: &str, now: Instant) -> Vec<SocketAddr> {
         let ordered = self.ordered(data_centre);
         let live = ordered.into_iter().filter(|(_, known)| known.says_relay && known.is_live(now));
@@ -236,3 +318,8 @@
             .collect()
     }
 }
+
+/// Returns a number below `count` that differs between gateways.
+fn spread(instance: &str, count: usize) -> usize {
+    (xxh3_64(instance.as_bytes()) % count.max(1) as u64) as usize
+}
--- a/crates/routing/src/process/relays/mod.rs
+++ b/crates/routing/src/process/relays/mod.rs
@@ -6,9 +6,11 @@
 //! Who is a relay follows from the order of gateways, which all derive from the same list; nothing is elected or written.
 
 mod directory;
+mod first_gateways;
 mod sent_summary;
 mod summary;
 
 pub use directory::*;
+pub use first_gateways::*;
 pub use sent_summary::*;
 pub use summary::*;
--- a/crates/routing/tests/relay_fleet/focused.rs
+++ b/crates/routing/tests/relay_fleet/focused.rs
@@ -1,7 +1,7 @@
 //! What gateways know of each other through relays, how soon, and at what cost.
 
 use crate::world::{BEAT, World, head, suspect};
-use sorrellock_routing::process::relays::{Placing, RelayDirectory, SILENCE_TIMEOUT};
+use sorrellock_routing::process::relays::{Placing, RELAYS, RelayDirectory, SILENCE_TIMEOUT};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -173,6 +173,62 @@
     }
 }
 
+/// Returns a fleet of which all have started again, and as many as can from the first gateways.
+fn started_from_first(size: usize) -> World {
+    let mut world = settled(size);
+    world.write_first();
+    world.lists = 0;
+    for index in 0..size {
+        world.restart_from_first(index);
+        world.now += Duration::from_secs(1) / size as u32;
+    }
+    world
+}
+
+#[test]
+fn gateways_that_start_again_together_need_few_lists() {
+    for size in [436, 872] {
+        let mut world = started_from_first(size);
+
+        world.time_until_known(START_LIMIT);
+
+        world.run(Duration::from_secs(10));
+        let first_of_all = 4 * 5;
+        assert!(world.lists <= first_of_all, "{} lists of {size} gateways", world.lists);
+    }
+}
+
+#[test]
+fn first_gateways_that_are_gone_keep_nobody_from_the_others() {
+    for (size, lost) in [(436, 2), (436, 3), (436, 4), (872, 4)] {
+        let mut world = settled(size);
+        world.write_first();
+        world.ordered("mid")[..lost].iter().for_each(|index| world.gateways[*index].is_up = false);
+        for index in 0..size {
+            if world.gateways[index].is_up {
+                world.restart_from_first(index);
+            }
+        }
+
+        world.time_until_known(LOSS_LIMIT);
+    }
+}
+
+#[test]
+fn the_next_gateways_become_relays_when_the_first_ones_end_after_a_common_start() {
+    for lost in [2, 3, 4] {
+        let mut world = started_from_first(436);
+        world.time_until_known(START_LIMIT);
+        world.ordered("mid")[..lost].iter().for_each(|index| world.gateways[*index].is_up = false);
+        world.run(SILENCE_TIMEOUT);
+
+        world.time_until_known(LOSS_LIMIT);
+        world.run(Duration::from_secs(10));
+
+        assert_eq!(world.relays_of("mid"), RELAYS, "{lost} lost");
+    }
+}
+
 #[test]
 fn the_last_two_of_a_data_centre_know_all() {
     let mut world = settled(30);
--- a/crates/routing/tests/relay_fleet/world.rs
+++ b/crates/routing/tests/relay_fleet/world.rs
@@ -4,7 +4,7 @@
 use rand::seq::SliceRandom;
 use rand::{RngExt, SeedableRng};
 use sorrellock_routing::process::relays::{
-    GatewayCount, Placing, RelayDirectory, SILENCE_TIMEOUT, SentSummary, Summary,
+    FirstGateways, GatewayCount, Placing, RelayDirectory, SILENCE_TIMEOUT, SentSummary, Summary,
 };
 use sorrellock_routing::process::{
     FailureEvidence, HeadLoad, Incarnation, Known, ReportedSuspect, Revision,
@@ -63,6 +63,10 @@
     pub now: Instant,
     /// Share of messages that are lost.
     pub loss: f64,
+    /// Number of lists that were read.
+    pub lists: usize,
+    /// The first gateways of each data centre, in the store.
+    written: BTreeMap<String, FirstGateways>,
     rng: StdRng,
 }
 
@@ -91,7 +95,14 @@
     pub fn new(count: usize, seed: u64) -> World {
         let now = Instant::now();
         let gateways = (0..count).map(|index| Gateway::new(index, now)).collect();
-        let mut world = World { gateways, now, loss: 0.0, rng: StdRng::seed_from_u64(seed) };
+        let mut world = World {
+            gateways,
+            now,
+            loss: 0.0,
+            lists: 0,
+            written: BTreeMap::new(),
+            rng: StdRng::seed_from_u64(seed),
+        };
         for index in 0..count {
             world.list(index);
         }
@@ -117,6 +128,27 @@
         self.list(index);
     }
 
+    /// Starts a gateway again, which reads the first gateways of its data centre where the first relay has written them.
+    pub fn restart_from_first(&mut self, index: usize) {
+        let data_centre = &self.gateways[index].placing.data_centre;
+        let first = self.written.get(data_centre).cloned();
+        self.gateways[index] = Gateway::new(index, self.now);
+        if !first.is_some_and(|first| self.gateways[index].directory.on_first(&first)) {
+            self.list(index);
+        }
+    }
+
+    /// Writes the first gateways of each data centre, as its first relay knows them.
+    pub fn write_first(&mut self) {
+        let (now, count) = (self.now, self.gateways.len());
+        let up = self.gateways.iter().enumerate().filter(|(_, gateway)| gateway.is_up);
+        let first = up.filter_map(|(index, gateway)| {
+            let first = gateway.directory.first_gateways(addr(index), count, now)?;
+            Some((gateway.placing.data_centre.clone(), first))
+        });
+        self.written.extend(first);
+    }
+
     fn list(&mut self, index: usize) {
         let all: Vec<usize> = (0..self.gateways.len()).collect();
         self.list_of(index, &all);
@@ -129,6 +161,7 @@
             .map(|(gateway, other)| (gateway.name.clone(), gateway.placing.clone(), addr(other)))
             .collect();
         let now = self.now;
+        self.lists += 1;
         self.gateways[index].directory.on_list(listed, now);
     }
 
@@ -149,6 +182,9 @@
 
     fn beat(&mut self, index: usize) {
         let now = self.now;
+        if self.gateways[index].directory.needs_list(now) {
+            self.list(index);
+        }
         let gateway = &mut self.gateways[index];
         gateway.beats += 1;
         let is_relay = gateway.directory.is_relay(now);
@@ -221,6 +257,15 @@
         first.count()
     }
 
+    /// Returns how many gateways of a data centre take themselves for relays.
+    pub fn relays_of(&self, data_centre: &str) -> usize {
+        let near = self
+            .gateways
+            .iter()
+            .filter(|gateway| gateway.is_up && gateway.placing.data_centre == data_centre);
+        near.filter(|gateway| gateway.directory.is_relay(self.now)).count()
+    }
+
     /// Returns the indices of the gateways of a data centre in the order of relays.
     pub fn ordered(&self, data_centre: &str) -> Vec<usize> {
         let all = self.gateways.iter().enumerate();
