Handovers: changes before what the store delivered in the meantime are skipped

Cause: by reading the change: a gateway that gets version 2 from the store while changes from 1 to 3 are on their way took these for wrong, logged a warning and requested the whole. Change: with_changes begins at the change that applies to the configuration in force; resolve no longer clones a whole configuration. Before: changes_before_what_came_in_the_meantime_are_skipped fails (OtherBase of version 1); after: passes.

--- a/crates/gateway/src/process/peers/registration.rs
+++ b/crates/gateway/src/process/peers/registration.rs
@@ -62,7 +62,7 @@
     }
 
     /// Waits until the next list is due: after `interval`, or at this gateway's turn once an era after `era` has begun or the first
-    /// gateways that it read don't do.
+    /// gateways that it read no longer suffice.
     async fn wait_for_next_list(&self, interval: Duration, era: StoreEra) {
         tokio::select! {
             () = sleep(interval) => {}
@@ -88,8 +88,8 @@
     }
 
     /// Writes this gateway's object if needed and lists the others. `written_in` is the era of the store in which
-    /// the object was last written. At the first time, one that has an object already reads the first gateways alone where these do;
-    /// the relays list it by that object, and its next list checks it.
+    /// the object was last written. A process that begins and has an object already reads the first gateways in place of the list, where
+    /// these suffice; its next list checks the object.
     async fn register_once(
         &self,
         store: &Store,
--- a/crates/routing/src/process/knowledge/handover.rs
+++ b/crates/routing/src/process/knowledge/handover.rs
@@ -167,27 +167,28 @@
 
     /// Replaces changes by the configuration that they lead to from the one in force, and the digest of ids by these. Fails if one of
     /// them doesn't fit what is known here; then a whole handover is needed.
-    pub fn resolve(&self, handover: Handover) -> Result<Handover, HandoverError> {
-        let configuration = self.resolve_configuration(&handover)?;
-        let listed = self.resolve_ids(&handover)?;
-        let changes = Vec::new();
-        Ok(Handover { configuration, changes, listed, ids_digest: None, ..handover })
+    pub fn resolve(&self, mut handover: Handover) -> Result<Handover, HandoverError> {
+        if let Some(last) = handover.changes.last() {
+            // The store may have delivered it in the meantime.
+            let newer = self.routes.as_ref().filter(|own| last.after().version > own.version());
+            let cfg = newer.map(|own| own.cfg().with_changes(own.mark(), &handover.changes));
+            handover.configuration = cfg.transpose()?;
+            handover.changes.clear();
+        }
+        let is_behind = handover.endpoints_at > self.endpoints_at;
+        if let Some(expected) = handover.ids_digest.take().filter(|_| is_behind) {
+            handover.listed = self.ids_with(&handover.endpoints, expected)?;
+        }
+        Ok(handover)
     }
 
-    fn resolve_configuration(
+    /// Returns the ids of the known endpoints and of new ones, if they have this digest.
+    fn ids_with(
         &self,
-        handover: &Handover,
-    ) -> Result<Option<Configuration>, ChangeError> {
-        let Some(last) = handover.changes.last() else { return Ok(handover.configuration.clone()) };
-        // The store may have delivered it in the meantime.
-        let newer = self.routes.as_ref().filter(|own| last.after().version > own.version());
-        newer.map(|own| own.cfg().with_changes(own.mark(), &handover.changes)).transpose()
-    }
-
-    fn resolve_ids(&self, handover: &Handover) -> Result<Vec<EndpointId>, HandoverError> {
-        let expected = handover.ids_digest.filter(|_| handover.endpoints_at > self.endpoints_at);
-        let Some(expected) = expected else { return Ok(handover.listed.clone()) };
-        let new = handover.endpoints.iter().map(|known| &known.endpoint.id);
+        new: &[KnownEndpoint],
+        expected: u64,
+    ) -> Result<Vec<EndpointId>, HandoverError> {
+        let new = new.iter().map(|known| &known.endpoint.id);
         let ids: BTreeSet<&EndpointId> = self.endpoints.keys().chain(new).collect();
         match digest(ids.iter().copied()) == expected {
             true => Ok(ids.into_iter().cloned().collect()),
--- a/crates/routing/src/version/configuration_change.rs
+++ b/crates/routing/src/version/configuration_change.rs
@@ -147,14 +147,16 @@
         self.routes.len() + self.services.len() + self.workspaces.len()
     }
 
-    /// Returns the configuration that changes lead to, one after the other, from this one of the mark `own`.
+    /// Returns the configuration that changes lead to, one after the other, from this one of the mark `own`. Those before it are
+    /// skipped.
     pub fn with_changes(
         &self,
         own: ConfigurationMark,
         changes: &[ConfigurationChange],
     ) -> Result<Configuration, ChangeError> {
         let (mut cfg, mut mark) = (self.clone(), own);
-        for change in changes {
+        let first = changes.iter().position(|change| change.before == own).unwrap_or_default();
+        for change in &changes[first..] {
             if change.before != mark {
                 return Err(ChangeError::OtherBase(change.before));
             }
--- a/crates/routing/tests/configuration_change.rs
+++ b/crates/routing/tests/configuration_change.rs
@@ -193,6 +193,20 @@
     assert_eq!(resolved.map(|handed| handed.configuration), Ok(None));
 }
 
+#[test]
+fn changes_before_what_came_in_the_meantime_are_skipped() {
+    let first = configuration(1, 333);
+    let second = with_timeout(&first, 20);
+    let third = with_timeout(&second, 30);
+    let relay = knowledge([first.clone(), second.clone(), third.clone()]);
+    let handed = handover(&relay, first.mark());
+    let member = knowledge([first, second]);
+
+    let resolved = member.resolve(handed);
+
+    assert_eq!(resolved.map(|handed| handed.configuration), Ok(Some(third)));
+}
+
 #[test]
 fn a_change_of_another_configuration_is_an_error() {
     let (first, other) = (configuration(1, 333), configuration(1, 20));
