--- a/crates/core/tests/store_watch/schedule.rs
+++ b/crates/core/tests/store_watch/schedule.rs
@@ -1,6 +1,6 @@
 //! The rules of one schedule.
 
-use sorrellock_core::process::store_watch::{WatchSchedule, WatchTimes};
+use sorrellock_core::process::store_watch::{WatchSchedule, WatchTimes, list_turn};
 use std::time::Duration;
 
 const WITHIN: Duration = Duration::from_secs(2);
@@ -86,3 +86,13 @@
 
     assert_eq!(times.interval, Duration::from_millis(500));
 }
+
+#[test]
+fn a_turn_is_within_a_second_whatever_the_number_in_contact() {
+    for count in [0, 1, 87, 436, 872] {
+        for rank in [0, 1, 87, 871] {
+            let turn = list_turn(rank, count);
+            assert!(turn < Duration::from_secs(1), "rank {rank} of {count}: {turn:?}");
+        }
+    }
+}
