--- a/review/stand_ins/mod.rs
+++ b/review/stand_ins/mod.rs
@@ -767,11 +767,13 @@
             }
             ("GET", "/health") => {
                 self.wait_for_slot();
-                let status = if self.is_leaving.load(Ordering::SeqCst) { 503 } else { 200 };
-                let sent = writer.write_all(&answer_bytes(status, &[instance], ""));
+                let is_leaving = self.is_leaving.load(Ordering::SeqCst);
+                let status = if is_leaving { 503 } else { 200 };
+                let headers = [instance, ("Connection", "close")];
+                let sent = writer.write_all(&answer_bytes(status, &headers[..1 + usize::from(is_leaving)], ""));
                 self.health_asked.lock().unwrap().push((came, Instant::now(), status));
                 sent?;
-                return Ok(true);
+                return Ok(!is_leaving);
             }
             ("POST", "/v1/order") if self.is_model && head.header("expect-instance").is_some_and(|id| id != self.id) => {
                 writer.write_all(&answer_bytes(421, &[instance], ""))?;
@@ -824,15 +826,20 @@
         if !self.is_model {
             thread::sleep(ms(self.work_ms.load(Ordering::SeqCst)));
             self.note(index, 200);
-            let headers = [("Request-Id", id.as_str()), ("Response-Seal", self.id.as_str()), ("Server-Load", "1,0,6")];
-            writer.write_all(&answer_bytes(200, &headers, &format!("answer of {} to {id}", self.id)))?;
-            return Ok(true);
+            let is_leaving = self.is_leaving.load(Ordering::SeqCst);
+            let headers =
+                [("Request-Id", id.as_str()), ("Response-Seal", self.id.as_str()), ("Server-Load", "1,0,6"), ("Connection", "close")];
+            let headers = &headers[..3 + usize::from(is_leaving)];
+            writer.write_all(&answer_bytes(200, headers, &format!("answer of {} to {id}", self.id)))?;
+            return Ok(!is_leaving);
         }
         let first = head.header("last-event-id").and_then(|n| n.parse::<u64>().ok()).map_or(1, |last| last + 1);
         self.note(index, 200);
+        let is_leaving = self.is_leaving.load(Ordering::SeqCst);
         let mut out = format!(
-            "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Seal: {}\r\nWeight-Versions: 1\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
-            self.id
+            "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Seal: {}\r\nWeight-Versions: 1\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n{}\r\n",
+            self.id,
+            if is_leaving { "Connection: close\r\n" } else { "" }
         );
         let gap = ms(self.gap_ms.load(Ordering::SeqCst));
         let draw = random() % 100;
@@ -854,7 +861,7 @@
         }
         out.push_str("0\r\n\r\n");
         writer.write_all(out.as_bytes())?;
-        Ok(true)
+        Ok(!is_leaving)
     }
 }
 
