Gateway: bodies of all callers together have one bound

What callers saw: no answers, once the gateway had run out of memory and was ended. Many bodies of legal size, whole, in pieces or in chunks, most of them stopping short of their end; bodies far over the limit.

Cause: what one caller may send was bounded, and nothing bounded what all hold. Pieces were kept as they came, so that a piece of one byte kept the read buffer behind it alive, and joining them took the memory twice. A body that announces too much was read up to the limit first. memory_mb of the settings was read by nobody.

Change: CallerTable (core, without sockets) decides from the machine's memory how many bytes bodies may take. A body is copied into segments that are charged before they are allocated, and released with the last handle to them. Where room is scarce, callers without progress for a second are closed, the longest stalled first; if that isn't enough, the newcomer gets 503 with Retry-After at once. Bodies of over 64 KiB leave a quarter of the room to smaller ones. An announced length over the limit gets 413 by the head. A configuration with larger bodies than the machine holds is logged.

Why it works: a charge is what is allocated, and nothing is allocated without one.

--- a/crates/core/src/process/mod.rs
+++ b/crates/core/src/process/mod.rs
@@ -1,6 +1,7 @@
 //! State that lives as long as a process.
 
 pub mod admission;
+pub mod callers;
 mod endpoint;
 mod fair_queue;
 pub mod grants;
--- a/crates/gateway/src/connection/caller_connection.rs
+++ b/crates/gateway/src/connection/caller_connection.rs
@@ -6,7 +6,9 @@
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use sorrellock_http::{Activity, AnswerBody, Cut, Doing, WatchedIo};
+use hyper_util::rt::TokioIo;
+use sorrellock_core::process::callers::Stage;
+use sorrellock_http::{Activity, AnswerBody, CallerSlot, Cut, WatchedStream};
 use sorrellock_routing::version::CallerLimits;
 use spdlog::warn;
 use std::cell::{Cell, OnceCell};
@@ -15,38 +17,28 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, timeout};
 
-/// Maximum number of open connections: some file descriptors are left for endpoints and for the process itself.
-const MAX_CONNECTIONS: usize = 2_500;
 /// Smallest buffer size that hyper accepts.
 const MIN_BUF_BYTES: usize = 8 << 10;
-/// Limits used until there is a configuration.
-const DEFAULT_LIMITS: CallerLimits = CallerLimits {
-    max_header_bytes: 16 << 10,
-    max_body_bytes: 4 << 20,
-    header_timeout: Duration::from_secs(3),
-    idle_timeout: Duration::from_secs(15),
-};
 /// Time that a connection may be idle beyond the limit, so that a caller that keeps to the limit never sends a request
 /// on a connection that is being closed.
 const IDLE_SLACK: Duration = Duration::from_secs(1);
 
+/// How long a connection that is closed in favour of another caller may take to send its last answer.
+const LAST_ANSWER_TIMEOUT: Duration = Duration::from_millis(200);
+
 /// Accepts connections for ever.
 pub(crate) async fn accept_callers(gateway: Rc<Gateway>, listener: TcpListener) {
-    let open = Rc::new(());
     loop {
         match listener.accept().await {
-            Ok(_) if Rc::strong_count(&open) > MAX_CONNECTIONS => {
-                gateway.counters.add(Count::ConnectionsRefused);
-            }
-            Ok((stream, _)) => {
-                let (gateway, guard) = (Rc::clone(&gateway), Rc::clone(&open));
-                tokio::task::spawn_local(async move {
-                    serve_caller(gateway, stream).await;
-                    drop(guard);
-                });
-            }
+            Ok((stream, _)) => match gateway.callers.open() {
+                Some(slot) => {
+                    let gateway = Rc::clone(&gateway);
+                    tokio::task::spawn_local(serve_caller(gateway, stream, slot));
+                }
+                None => gateway.counters.add(Count::ConnectionsRefused),
+            },
             Err(err) => {
                 let text = err.to_string();
                 warn!("failed to accept a caller connection", kv: { err = text.as_str() });
@@ -56,12 +48,12 @@
     }
 }
 
-async fn serve_caller(gateway: Rc<Gateway>, stream: TcpStream) {
+async fn serve_caller(gateway: Rc<Gateway>, stream: TcpStream, slot: CallerSlot) {
     // An error here means that the caller has gone, which the first read shows too.
     let _ = stream.set_nodelay(true);
-    let activity = Arc::new(Activity::new());
+    let activity = Arc::new(Activity::new(slot));
     // The limits at the caller's last request: the configuration may change while the connection is idle.
-    let last_limits = Rc::new(Cell::new(current_limits(&gateway)));
+    let last_limits = Rc::new(Cell::new(gateway.caller_limits()));
     let buf_bytes = last_limits.get().max_header_bytes.max(MIN_BUF_BYTES);
     // Set from the first request until the connection is closed. A gateway that shuts down closes each connection after
     // its answer, so that those left have an answer to write.
@@ -71,7 +63,7 @@
         let (answering, last_limits) = (Rc::clone(&answering), Rc::clone(&last_limits));
         service_fn(move |req| {
             answering.get_or_init(|| CountGuard::new(Rc::clone(&gateway), |g| &g.answering));
-            last_limits.set(current_limits(&gateway));
+            last_limits.set(gateway.caller_limits());
             serve_request(Rc::clone(&gateway), Arc::clone(&activity), buf_bytes, req)
         })
     };
@@ -79,7 +71,7 @@
     // Disabled because `serve_caller` has its own timer, which distinguishes a slow head from an idle connection.
     builder.header_read_timeout(None);
     builder.max_buf_size(buf_bytes);
-    let io = WatchedIo::new(stream, Arc::clone(&activity));
+    let io = TokioIo::new(WatchedStream::new(stream, Arc::clone(&activity)));
     let mut connection = pin!(builder.serve_connection(io, service));
     let mut phase = gateway.phase.subscribe();
     loop {
@@ -88,7 +80,7 @@
         if *phase.borrow_and_update() >= Phase::Closing && answering.get().is_some() {
             connection.as_mut().graceful_shutdown();
         }
-        let limits = longest_timeouts(last_limits.get(), current_limits(&gateway));
+        let limits = longest_timeouts(last_limits.get(), gateway.caller_limits());
         let wait = match check_connection(&activity, &limits) {
             ConnectionCheck::Wait(wait) => wait,
             ConnectionCheck::CloseIdle => {
@@ -100,6 +92,12 @@
         tokio::select! {
             _ = connection.as_mut() => return,
             _ = phase.changed() => {}
+            () = activity.slot().closing() => {
+                connection.as_mut().graceful_shutdown();
+                // Time out or done: either way the connection is closed.
+                let _ = timeout(LAST_ANSWER_TIMEOUT, connection).await;
+                return;
+            }
             () = sleep(wait) => {}
         }
     }
@@ -136,9 +134,11 @@
 fn check_connection(activity: &Activity, limits: &CallerLimits) -> ConnectionCheck {
     let (doing, elapsed) = activity.now();
     let (limit, over) = match doing {
-        Doing::Request => return ConnectionCheck::Wait(limits.header_timeout),
-        Doing::Head => (limits.header_timeout.max(limits.idle_timeout), ConnectionCheck::CutHead),
-        Doing::Idle => (limits.idle_timeout + IDLE_SLACK, ConnectionCheck::CloseIdle),
+        Stage::Body | Stage::Serving | Stage::Answering => {
+            return ConnectionCheck::Wait(limits.header_timeout);
+        }
+        Stage::Head => (limits.header_timeout.max(limits.idle_timeout), ConnectionCheck::CutHead),
+        Stage::Idle => (limits.idle_timeout + IDLE_SLACK, ConnectionCheck::CloseIdle),
     };
     if elapsed >= limit {
         return over;
@@ -155,12 +155,6 @@
     }
 }
 
-/// Returns the limits of the configuration in force.
-fn current_limits(gateway: &Gateway) -> CallerLimits {
-    let knowledge = gateway.knowledge.borrow();
-    knowledge.routes().map_or(DEFAULT_LIMITS, |routes| routes.cfg().limits)
-}
-
 /// Serves one request of a connection that accepts heads of up to `buf_bytes`.
 async fn serve_request(
     gateway: Rc<Gateway>,
@@ -171,11 +165,12 @@
     activity.on_request();
     let arrived = Instant::now();
     let unanswered = CountGuard::new(Rc::clone(&gateway), |g| &g.unanswered);
-    let res = handle_request(Rc::clone(&gateway), req, arrived).await;
+    let res = handle_request(Rc::clone(&gateway), req, &activity, arrived).await;
+    activity.on_answer();
     drop(unanswered);
     let mut answer = res?;
     // A new connection accepts heads of the size that the configuration allows by now.
-    let is_outdated = current_limits(&gateway).max_header_bytes > buf_bytes;
+    let is_outdated = gateway.caller_limits().max_header_bytes > buf_bytes;
     if is_outdated || *gateway.phase.borrow() >= Phase::Leaving {
         answer.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
--- a/crates/gateway/src/process/gateway.rs
+++ b/crates/gateway/src/process/gateway.rs
@@ -6,7 +6,9 @@
 };
 use http::HeaderName;
 use sorrellock_core::clock::SystemClock;
+use sorrellock_core::process::callers::{CallerBounds, MachineLimits};
 use sorrellock_core::process::retries::Breakers;
+use sorrellock_http::{Callers, machine_limits};
 use sorrellock_platform::{
     Bounds, Client, EndpointLoad, Kind, Settings, Store, StoreCalls, StoreEras,
 };
@@ -20,8 +22,8 @@
 use sorrellock_routing::process::{
     Incarnation, Incarnations, Leaving, LoopPauses, ReturnTimes, Revision, StreamPace,
 };
-use sorrellock_routing::version::{Configuration, ServiceName};
-use spdlog::info;
+use sorrellock_routing::version::{CallerLimits, Configuration, ServiceName};
+use spdlog::{info, warn};
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
@@ -32,6 +34,23 @@
 /// Expected time until a gateway without a configuration is ready: the store answers within milliseconds.
 const EXPECTED_START_DELAY: Duration = Duration::from_millis(500);
 
+/// Limits on callers used until there is a configuration.
+const DEFAULT_LIMITS: CallerLimits = CallerLimits {
+    max_header_bytes: 16 << 10,
+    max_body_bytes: 4 << 20,
+    header_timeout: Duration::from_secs(3),
+    idle_timeout: Duration::from_secs(15),
+};
+
+/// Returns the limits that the settings name, and the system's for those that they don't.
+fn settings_limits(settings: &Settings) -> MachineLimits {
+    let system = machine_limits();
+    MachineLimits {
+        memory: settings.memory.unwrap_or(system.memory),
+        descriptors: settings.descriptors.unwrap_or(system.descriptors),
+    }
+}
+
 /// Stage of the process's shutdown.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Phase {
@@ -79,6 +98,10 @@
     pub(crate) logged_faults: RefCell<LoggedFaults>,
     pub(crate) paths: Rc<RefCell<PathTable>>,
     pub(crate) pool: RefCell<Pool>,
+    /// What the machine gives to this process.
+    pub(crate) machine: MachineLimits,
+    /// The connections of callers, and what they make this process hold.
+    pub(crate) callers: Callers,
     pub(crate) uses: RefCell<HashMap<Incarnation, EndpointUse>>,
     pub(crate) breakers: RefCell<Breakers<Incarnation, SystemClock>>,
     pub(crate) budgets: RefCell<HashMap<ServiceName, RetryWindow>>,
@@ -161,7 +184,11 @@
             Placing { data_centre: settings.data_centre.clone(), processor: settings.processor };
         let fleet_state = FleetState::new(&settings.instance, placing, options.relays_from, began);
         let fleet_state = RefCell::new(fleet_state);
+        let machine = settings_limits(&settings);
+        let max_head_bytes = DEFAULT_LIMITS.max_header_bytes;
         Gateway {
+            machine,
+            callers: Callers::new(CallerBounds::new(machine, max_head_bytes)),
             bounds: Cell::new(settings.bounds),
             settings,
             incarnation,
@@ -216,6 +243,37 @@
         }
     }
 
+    /// Returns the limits on callers of the configuration in force.
+    pub(crate) fn caller_limits(&self) -> CallerLimits {
+        let knowledge = self.knowledge.borrow();
+        knowledge.routes().map_or(DEFAULT_LIMITS, |routes| routes.cfg().limits)
+    }
+
+    /// Adapts what callers may make this process hold to the configuration in force.
+    fn update_caller_bounds(&self) {
+        let limits = self.caller_limits();
+        let bounds = CallerBounds::new(self.machine, limits.max_header_bytes);
+        if bounds == self.callers.bounds() {
+            return;
+        }
+        self.callers.set_bounds(bounds);
+        info!("bounds on callers", kv: {
+            connections = bounds.connections, endpoint_connections = bounds.endpoint_connections,
+            body_bytes = bounds.body_bytes, answer_bytes = bounds.answer_bytes
+        });
+    }
+
+    /// Logs a configuration that allows larger bodies than this machine can hold.
+    fn check_max_body_bytes(&self) {
+        let allowed = self.caller_limits().max_body_bytes;
+        let max = self.callers.bounds().max_large_body_bytes();
+        if allowed > max {
+            warn!("the configuration allows bodies that this machine has no memory for; they are refused with 503", kv: {
+                max_body_bytes = allowed, largest_body_bytes = max
+            });
+        }
+    }
+
     /// Applies changed bounds.
     pub(crate) fn set_bounds(&self, bounds: Bounds) {
         info!("bounds changed", kv: { before:? = self.bounds.get(), now:? = bounds });
@@ -302,6 +360,8 @@
             return;
         }
         self.refresh_paths();
+        self.update_caller_bounds();
+        self.check_max_body_bytes();
         let (parse_us, install_us) =
             (parsing.as_micros() as u64, began.elapsed().as_micros() as u64);
         info!("configuration in force", kv: {
--- a/crates/gateway/src/process/listeners.rs
+++ b/crates/gateway/src/process/listeners.rs
@@ -12,6 +12,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use serde::Serialize;
+use sorrellock_core::process::callers::Held;
 use sorrellock_platform::Kind;
 use sorrellock_routing::process::Revision;
 use sorrellock_routing::request::ContentId;
@@ -19,6 +20,7 @@
 use spdlog::warn;
 use std::convert::Infallible;
 use std::rc::Rc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::time::{Instant, sleep};
@@ -176,6 +178,8 @@
     let now = Instant::now();
     let guard = gateway.crash_guard.borrow();
     let fleet_state = gateway.fleet_state.borrow();
+    let callers = &gateway.callers;
+    let counted = |counter: &AtomicU64| counter.load(Ordering::Relaxed) as f64;
     // NaN before the first data from the store.
     let age = |kind| gateway.store_contact.age_ms(kind, now).map_or(f64::NAN, |ms| ms as f64);
     gateway.counters.page(
@@ -199,6 +203,14 @@
             ("held_requests", guard.held().held() as f64),
             ("crash_suspects", guard.suspects() as f64),
             ("crash_evicted", guard.evicted() as f64),
+            ("caller_connections", callers.connections() as f64),
+            ("caller_connections_max", callers.bounds().connections as f64),
+            ("caller_connections_closed_stalled", counted(&callers.counters().closed_stalled)),
+            ("body_bytes", callers.held_bytes(Held::Body) as f64),
+            ("body_bytes_max", callers.bounds().body_bytes as f64),
+            ("bodies_refused_no_room", counted(&callers.counters().refused_bodies)),
+            ("answer_bytes", callers.held_bytes(Held::Answer) as f64),
+            ("answer_bytes_max", callers.bounds().answer_bytes as f64),
             ("capacity_waiting", gateway.capacity.borrow().waiting() as f64),
             ("loop_lag_longest_ms", gateway.recent_longest_pause().as_secs_f64() * 1e3),
         ],
--- a/crates/gateway/src/process/pool.rs
+++ b/crates/gateway/src/process/pool.rs
@@ -1,11 +1,9 @@
 //! Pool of idle connections to endpoints.
 
 use crate::process::{Count, Counters};
-use bytes::Bytes;
-use http_body_util::Full;
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper_util::rt::TokioIo;
-use sorrellock_http::connect;
+use sorrellock_http::{ByteSegments, connect};
 use sorrellock_platform::AnswerHead;
 use sorrellock_routing::process::Incarnation;
 use std::collections::HashMap;
@@ -32,7 +30,7 @@
 
 /// A connection to an endpoint. Dropping it closes it at once, which aborts a request that runs over it.
 pub(crate) struct Connection {
-    pub(crate) sender: SendRequest<Full<Bytes>>,
+    pub(crate) sender: SendRequest<ByteSegments>,
     addr: SocketAddr,
     driver: JoinHandle<()>,
     idle_since: Instant,
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -4,10 +4,9 @@
     BackoffTrial, CONNECT_LIMIT, Connection, Count, EndpointUse, Gateway, RunGuard, open,
 };
 use crate::request::{Call, held_reason};
-use bytes::Bytes;
 use http::{Request, Response, StatusCode, Version};
-use http_body_util::Full;
 use hyper::body::Incoming;
+use sorrellock_http::ByteSegments;
 use sorrellock_platform::{
     AnswerHead, AttemptHead, attempt_headers, read_answer_head, unknown_fields,
 };
@@ -337,7 +336,7 @@
     FailedAttempt { is_inconclusive, failure_evidence: FailureEvidence::NoAnswer, ..failed }
 }
 
-fn build_request(call: &Call, target: &Target<'_>) -> Request<Full<Bytes>> {
+fn build_request(call: &Call, target: &Target<'_>) -> Request<ByteSegments> {
     let head = AttemptHead {
         time_left: call.caller_time_left(),
         endpoint: &target.incarnation.id,
@@ -346,7 +345,7 @@
         urgency: u8::try_from(call.rank.min(9)).ok(),
         last_event: target.last_event,
     };
-    let mut req = Request::new(Full::new(call.body.clone()));
+    let mut req = Request::new(call.body.clone());
     *req.method_mut() = call.method.clone();
     *req.uri_mut() = call.uri.clone();
     *req.version_mut() = Version::HTTP_11;
--- a/crates/gateway/src/request/call.rs
+++ b/crates/gateway/src/request/call.rs
@@ -2,8 +2,8 @@
 
 use crate::process::{Count, Gateway, Phase};
 use crate::request::Sends;
-use bytes::Bytes;
 use http::{HeaderMap, Method, Uri};
+use sorrellock_http::ByteSegments;
 use sorrellock_platform::CallerHead;
 use sorrellock_routing::process::Incarnation;
 use sorrellock_routing::process::crashes::RunRequest;
@@ -20,7 +20,7 @@
     pub(crate) method: Method,
     pub(crate) uri: Uri,
     pub(crate) headers: HeaderMap,
-    pub(crate) body: Bytes,
+    pub(crate) body: ByteSegments,
     pub(crate) route: Route,
     /// Version of the configuration under which it was admitted.
     pub(crate) config_version: ConfigVersion,
--- a/crates/gateway/src/request/request_handler.rs
+++ b/crates/gateway/src/request/request_handler.rs
@@ -5,13 +5,12 @@
 use crate::request::plain::serve_plain;
 use crate::request::stream::serve_stream;
 use crate::request::{Call, EndGuard, Sends, abandon_call, held_reason, held_retry_delay, refusal};
-use bytes::Bytes;
 use http::uri::PathAndQuery;
-use http::{Request, Response, StatusCode, Uri};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
+use http::{HeaderValue, Request, Response, StatusCode, Uri, header};
 use hyper::body::Incoming;
 use rand::RngExt;
-use sorrellock_http::{AnswerBody, Cut};
+use sorrellock_core::process::callers::STALL_AFTER;
+use sorrellock_http::{Activity, AnswerBody, ByteSegments, CallerSlot, Cut, ReadError, discard};
 use sorrellock_platform::{CallerHead, Kind, read_caller_head};
 use sorrellock_routing::process::crashes::{PromptPart, RunRequest};
 use sorrellock_routing::process::cut;
@@ -39,6 +38,7 @@
 pub(crate) async fn handle_request(
     gateway: Rc<Gateway>,
     req: Request<Incoming>,
+    activity: &Activity,
     arrived: Instant,
 ) -> Result<Response<AnswerBody>, Cut> {
     gateway.counters.add(Count::Requests);
@@ -59,12 +59,13 @@
     let capacity_rank = capacity_rank(&route, matched.workspace);
     let caller_deadline = arrived + head.wait_limit.unwrap_or(DEFAULT_CALLER_TIMEOUT);
     let deadline = caller_deadline.min(arrived + route.timeout);
-    let (parts, body) = req.into_parts();
+    let (parts, mut unread) = req.into_parts();
     let max_bytes = routes.cfg().limits.max_body_bytes;
-    let body = match read_body(&gateway, body, max_bytes, deadline).await {
+    let body = match read_body(&gateway, activity.slot(), &mut unread, max_bytes, deadline).await {
         Ok(body) => body,
-        Err(body_error) => return refuse_body(&gateway, &end, body_error, deadline),
+        Err(body_error) => return refuse_body(&gateway, &end, unread, body_error, deadline),
     };
+    activity.on_body();
     let service = choose_service(&route);
     gateway.on_request(&service);
     let run_request = Rc::new(run_request(&head, workspace.as_deref(), &parts.uri, &body));
@@ -110,12 +111,17 @@
 /// Maximum length of a path in records and log lines.
 const MAX_PATH_CHARS: usize = 200;
 
-fn run_request(head: &CallerHead, workspace: Option<&str>, uri: &Uri, body: &[u8]) -> RunRequest {
+fn run_request(
+    head: &CallerHead,
+    workspace: Option<&str>,
+    uri: &Uri,
+    body: &ByteSegments,
+) -> RunRequest {
     let path = uri.path_and_query().map_or(uri.path(), PathAndQuery::as_str);
     let model = head.model.as_deref().unwrap_or_default();
     let parts = head.shared_parts.ids.iter().map(|id| PromptPart::new(model, id));
     RunRequest {
-        content: ContentId::new(workspace, path, body),
+        content: ContentId::of_segments(workspace, path, body.len(), body.iter()),
         parts: parts.collect(),
         workspace: workspace.map(str::to_owned),
         path: cut(uri.path(), MAX_PATH_CHARS),
@@ -152,25 +158,33 @@
     DeadlinePassed,
     /// This gateway shuts down before the whole body was received.
     Ending,
+    /// This gateway has no room for the body.
+    NoRoom,
+    /// Other callers need the room that the body takes, and it made no progress.
+    Stalled,
 }
 
 /// Reads a body of at most `max_bytes` bytes until `deadline`.
 async fn read_body(
     gateway: &Gateway,
-    body: Incoming,
+    slot: &CallerSlot,
+    body: &mut Incoming,
     max_bytes: usize,
     deadline: Instant,
-) -> Result<Bytes, BodyError> {
-    let reading = timeout_at(deadline, Limited::new(body, max_bytes).collect());
+) -> Result<ByteSegments, BodyError> {
+    let reading = timeout_at(deadline, sorrellock_http::read_body(slot, body, max_bytes));
     let read = tokio::select! {
         biased;
+        // First, as the connection is closed even if the body completes just now.
+        () = slot.closing() => return Err(BodyError::Stalled),
         read = reading => read,
         () = gateway.ending() => return Err(BodyError::Ending),
     };
     match read {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(err)) if err.is::<LengthLimitError>() => Err(BodyError::TooLarge),
-        Ok(Err(_)) => Err(BodyError::CallerClosed),
+        Ok(Ok(body)) => Ok(body),
+        Ok(Err(ReadError::TooLarge)) => Err(BodyError::TooLarge),
+        Ok(Err(ReadError::Broken)) => Err(BodyError::CallerClosed),
+        Ok(Err(ReadError::NoRoom)) => Err(BodyError::NoRoom),
         Err(_) => Err(BodyError::DeadlinePassed),
     }
 }
@@ -178,13 +192,24 @@
 fn refuse_body(
     gateway: &Gateway,
     end: &EndGuard,
+    unread: Incoming,
     body_error: BodyError,
     deadline: Instant,
 ) -> Result<Response<AnswerBody>, Cut> {
     match body_error {
         BodyError::TooLarge => {
             end.report(Count::BadRequests, "refused", 413, "the body is too large");
-            Ok(refusal(StatusCode::PAYLOAD_TOO_LARGE, None))
+            Ok(refuse_unread(unread, StatusCode::PAYLOAD_TOO_LARGE, None))
+        }
+        BodyError::NoRoom => {
+            end.report(Count::NotRun, "not run", 503, "there is no room for the body");
+            let wait = no_room_delay(deadline);
+            Ok(refuse_unread(unread, StatusCode::SERVICE_UNAVAILABLE, Some(wait)))
+        }
+        BodyError::Stalled => {
+            end.report(Count::NotRun, "not run", 503, "the body made no progress");
+            let wait = no_room_delay(deadline);
+            Ok(refuse_unread(unread, StatusCode::SERVICE_UNAVAILABLE, Some(wait)))
         }
         BodyError::CallerClosed => {
             end.report(Count::CallersGone, "caller gone", 0, "the body ended early");
@@ -208,6 +233,25 @@
     }
 }
 
+/// Refuses a request whose body was not read to its end.
+fn refuse_unread(
+    unread: Incoming,
+    status: StatusCode,
+    retry_delay: Option<Duration>,
+) -> Response<AnswerBody> {
+    tokio::task::spawn_local(discard(unread));
+    let mut answer = refusal(status, retry_delay);
+    answer.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+    answer
+}
+
+/// Returns when a caller should retry for whose body there was no room: stalled callers are closed by then.
+fn no_room_delay(deadline: Instant) -> Duration {
+    let left = deadline.saturating_duration_since(Instant::now());
+    let spread = RETRY_SPREAD.mul_f64(rand::rng().random_range(0.0..1.0));
+    (STALL_AFTER + spread).min(left.mul_f64(MAX_WAIT_SHARE))
+}
+
 /// Returns when a caller refused at shutdown should retry: at once if another gateway accepts it.
 pub(crate) fn retry_delay(gateway: &Gateway, deadline: Instant) -> Duration {
     let now = Instant::now();
--- a/crates/http/src/connection/connection.rs
+++ b/crates/http/src/connection/connection.rs
@@ -1,11 +1,13 @@
 //! One connection: serves its requests and cuts it off where it is too slow.
 
-use crate::connection::{Activity, Doing, WatchedIo};
+use crate::connection::{Activity, CallerSlot, Callers, WatchedStream};
 use crate::process::{Counters, Phase, ServerConfig, count};
 use crate::request::{AnswerBody, Cut, Intake, Request};
 use crossbeam::channel::Sender;
 use hyper::server::conn::http1::Builder;
 use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use sorrellock_core::process::callers::Stage;
 use std::future::poll_fn;
 use std::net::SocketAddr;
 use std::pin::pin;
@@ -24,6 +26,7 @@
     pub(crate) cfg: ServerConfig,
     pub(crate) counters: Arc<Counters>,
     pub(crate) requests: Sender<Request>,
+    pub(crate) callers: Callers,
 }
 
 /// One connection that was taken in.
@@ -38,6 +41,8 @@
 enum Event {
     Closed(hyper::Result<()>),
     PhaseChanged,
+    /// It is closed in favour of another caller.
+    Stalled,
     Tick,
 }
 
@@ -45,14 +50,16 @@
     pub(crate) fn new(
         cx: Arc<ConnectionCx>,
         peer: SocketAddr,
+        slot: CallerSlot,
         phase: watch::Receiver<Phase>,
     ) -> Connection {
-        Connection { cx, peer, phase, activity: Arc::new(Activity::new()) }
+        Connection { cx, peer, phase, activity: Arc::new(Activity::new(slot)) }
     }
 
     /// Serves the connection until it is closed or cut off.
     pub(crate) async fn serve(mut self, stream: TcpStream) {
-        let io = WatchedIo::new(stream, Arc::clone(&self.activity));
+        let io = TokioIo::new(WatchedStream::new(stream, Arc::clone(&self.activity)));
+        let slot = Arc::clone(self.activity.slot());
         let intake = Intake::new(Arc::clone(&self.cx), self.peer, Arc::clone(&self.activity));
         let service = service_fn(move |req| intake.clone().answer(req));
         let mut connection = pin!(self.builder().serve_connection(io, service));
@@ -63,8 +70,9 @@
                 Phase::Running | Phase::NotAccepting => {}
             }
             let Some(wait) = self.time_left() else { return };
-            match next_event(connection.as_mut(), &mut self.phase, wait).await {
+            match next_event(connection.as_mut(), &mut self.phase, &slot, wait).await {
                 Event::Closed(res) => return self.on_closed(res),
+                Event::Stalled => return,
                 Event::PhaseChanged | Event::Tick => {}
             }
         }
@@ -86,9 +94,9 @@
         let shorter = cfg.header_timeout.min(cfg.idle_timeout);
         let (doing, elapsed) = self.activity.now();
         let (limit, counter) = match doing {
-            Doing::Head => (cfg.header_timeout, &self.cx.counters.header_timeouts),
-            Doing::Idle => (cfg.idle_timeout, &self.cx.counters.idle_timeouts),
-            Doing::Request => return Some(shorter),
+            Stage::Head => (cfg.header_timeout, &self.cx.counters.header_timeouts),
+            Stage::Idle => (cfg.idle_timeout, &self.cx.counters.idle_timeouts),
+            Stage::Body | Stage::Serving | Stage::Answering => return Some(shorter),
         };
         if elapsed >= limit {
             count(counter);
@@ -106,19 +114,25 @@
     }
 }
 
-type HyperConnection<S> = hyper::server::conn::http1::Connection<WatchedIo, S>;
+type HyperConnection<S> = hyper::server::conn::http1::Connection<TokioIo<WatchedStream>, S>;
 
 async fn next_event<S>(
     mut connection: std::pin::Pin<&mut HyperConnection<S>>,
     phase: &mut watch::Receiver<Phase>,
+    slot: &CallerSlot,
     wait: Duration,
 ) -> Event
 where
     S: hyper::service::HttpService<hyper::body::Incoming, ResBody = AnswerBody, Error = Cut>,
 {
     let mut changed = pin!(phase.changed());
+    let mut closing = pin!(slot.closing());
     let mut tick = pin!(sleep(wait));
     poll_fn(|cx| {
+        // First, so that a body that completes just now isn't handed over.
+        if closing.as_mut().poll(cx).is_ready() {
+            return Poll::Ready(Event::Stalled);
+        }
         if let Poll::Ready(res) = connection.as_mut().poll(cx) {
             return Poll::Ready(Event::Closed(res));
         }
--- a/crates/http/src/connection/mod.rs
+++ b/crates/http/src/connection/mod.rs
@@ -1,12 +1,14 @@
 //! What lives as long as one connection.
 
 mod activity;
+mod callers;
 mod connect;
 #[allow(clippy::module_inception)]
 mod connection;
-mod watched_io;
+mod watched_stream;
 
 pub use activity::*;
+pub use callers::*;
 pub use connect::connect;
 pub(crate) use connection::*;
-pub use watched_io::*;
+pub use watched_stream::*;
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -14,12 +14,17 @@
 
 pub use bytes::Bytes;
 pub use client::{Answer, CallError, Client, Limits};
-pub use connection::{Activity, Doing, WatchedIo, connect};
+pub use connection::{
+    Activity, CallerCounters, CallerSlot, Callers, Charge, WatchedStream, connect,
+};
 pub use drained_timeout::drain_event_loop;
-pub use process::{Counters, Server, ServerConfig, listen};
+pub use process::{Counters, Server, ServerConfig, listen, machine_limits};
 pub use process::{
     DEFAULT_BODY_TIMEOUT, DEFAULT_CHUNK_QUEUE, DEFAULT_DRAIN_TIMEOUT, DEFAULT_HEADER_TIMEOUT,
     DEFAULT_IDLE_TIMEOUT, DEFAULT_MAX_BODY_BYTES, DEFAULT_MAX_CONNECTIONS,
     DEFAULT_MAX_HEADER_BYTES, DEFAULT_QUEUE, DEFAULT_WORKERS,
 };
-pub use request::{AnswerBody, BodyStream, Cut, Part, PushError, Request, Responder};
+pub use request::{
+    AnswerBody, BodyStream, ByteSegments, Cut, Part, PushError, ReadError, Request, Responder,
+    discard, read_answer, read_body,
+};
--- a/crates/http/src/process/listener.rs
+++ b/crates/http/src/process/listener.rs
@@ -1,6 +1,6 @@
 //! The runtime that accepts connections and serves them.
 
-use crate::connection::{Connection, ConnectionCx};
+use crate::connection::{Callers, Connection, ConnectionCx};
 use crate::process::{Counters, Phase, ServerConfig, count};
 use crate::request::Request;
 use crossbeam::channel::Sender;
@@ -44,7 +44,8 @@
             listen(cfg.addr)?
         };
         let addr = socket.local_addr()?;
-        let cx = Arc::new(ConnectionCx { cfg, counters, requests });
+        let callers = Callers::new(cfg.caller_bounds());
+        let cx = Arc::new(ConnectionCx { cfg, counters, requests, callers });
         Ok(Listener { runtime, socket, addr, cx, phase })
     }
 
@@ -113,15 +114,15 @@
     cx: &Arc<ConnectionCx>,
     phase: &watch::Receiver<Phase>,
 ) {
-    if cx.counters.open.load(Ordering::Relaxed) >= cx.cfg.max_connections as u64 {
+    let Some(slot) = cx.callers.open() else {
         count(&cx.counters.refused);
         return;
-    }
+    };
     count(&cx.counters.accepted);
     // A caller that has gone already shows at the first read.
     let _ = stream.set_nodelay(true);
     let open = OpenGuard::new(&cx.counters);
-    let connection = Connection::new(Arc::clone(cx), peer, phase.clone());
+    let connection = Connection::new(Arc::clone(cx), peer, slot, phase.clone());
     tokio::spawn(async move {
         connection.serve(stream).await;
         drop(open);
--- a/crates/http/src/process/mod.rs
+++ b/crates/http/src/process/mod.rs
@@ -2,6 +2,7 @@
 
 mod counters;
 mod listener;
+mod machine;
 mod server;
 mod server_config;
 mod workers;
@@ -9,6 +10,7 @@
 pub use counters::*;
 pub(crate) use listener::Listener;
 pub use listener::listen;
+pub use machine::machine_limits;
 pub use server::*;
 pub use server_config::*;
 pub(crate) use workers::*;
--- a/crates/http/src/process/server_config.rs
+++ b/crates/http/src/process/server_config.rs
@@ -1,5 +1,7 @@
 //! Settings of a listener.
 
+use crate::process::machine_limits;
+use sorrellock_core::process::callers::{CallerBounds, MachineLimits};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -42,6 +44,8 @@
     pub workers: usize,
     /// Connections open at once; more are closed and counted.
     pub max_connections: usize,
+    /// What the machine gives to the process, from which follows what its callers may make it hold.
+    pub machine: MachineLimits,
     /// Largest request body; a larger one gets 413.
     pub max_body_bytes: usize,
     /// Largest request head; a larger one gets 431. At least 8 KiB.
@@ -71,6 +75,7 @@
             addr,
             workers: DEFAULT_WORKERS,
             max_connections: DEFAULT_MAX_CONNECTIONS,
+            machine: machine_limits(),
             max_body_bytes: DEFAULT_MAX_BODY_BYTES,
             max_header_bytes: DEFAULT_MAX_HEADER_BYTES,
             header_timeout: DEFAULT_HEADER_TIMEOUT,
@@ -102,6 +107,18 @@
         self
     }
 
+    /// Bounds what callers may make the process hold by these limits.
+    pub fn with_machine(mut self, machine: MachineLimits) -> ServerConfig {
+        self.machine = machine;
+        self
+    }
+
+    /// Returns the most that callers may make the process hold.
+    pub(crate) fn caller_bounds(&self) -> CallerBounds {
+        let bounds = CallerBounds::new(self.machine, self.max_header_bytes);
+        CallerBounds { connections: bounds.connections.min(self.max_connections), ..bounds }
+    }
+
     /// Takes request bodies of up to this many bytes.
     pub fn with_max_body_bytes(mut self, bytes: usize) -> ServerConfig {
         self.max_body_bytes = bytes;
--- a/crates/http/src/request/answer_body.rs
+++ b/crates/http/src/request/answer_body.rs
@@ -1,7 +1,7 @@
 //! The body of an answer: whole, or a stream that tells a cut from an end.
 
 use crate::connection::Activity;
-use crate::request::{Cut, GoneGuard};
+use crate::request::{ByteSegments, Cut, GoneGuard};
 use bytes::Bytes;
 use hyper::body::{Body, Frame, SizeHint};
 use std::pin::Pin;
@@ -28,7 +28,7 @@
 
 #[derive(Debug)]
 enum Source {
-    Whole(Bytes),
+    Whole(ByteSegments),
     /// Dropped without [`Part::End`], the answer is cut.
     Parts(mpsc::Receiver<Part>),
     /// Dropped without a last chunk, the answer is cut.
@@ -43,7 +43,8 @@
 
 impl AnswerBody {
     /// A whole body.
-    pub fn whole(bytes: Bytes) -> AnswerBody {
+    pub fn whole(bytes: impl Into<ByteSegments>) -> AnswerBody {
+        let bytes = bytes.into();
         let source = if bytes.is_empty() { Source::Ended } else { Source::Whole(bytes) };
         AnswerBody { source, gone: None, activity: None }
     }
@@ -105,9 +106,11 @@
         let frame = match &mut self.source {
             Source::Ended => None,
             Source::Whole(bytes) => {
-                let bytes = std::mem::take(bytes);
-                self.complete();
-                Some(Ok(Frame::data(bytes)))
+                let segment = bytes.pop();
+                if bytes.is_empty() {
+                    self.complete();
+                }
+                segment.map(|segment| Ok(Frame::data(segment)))
             }
             Source::Parts(parts) => match parts.poll_recv(cx) {
                 Poll::Pending => return Poll::Pending,
--- a/crates/http/src/request/intake.rs
+++ b/crates/http/src/request/intake.rs
@@ -1,27 +1,22 @@
 //! Reads a request whole, hands it over, and awaits the answer.
 
-use crate::connection::{Activity, ConnectionCx};
+use crate::connection::{Activity, CallerSlot, ConnectionCx};
 use crate::process::count;
-use crate::request::{Answer, AnswerBody, Cut, Gone, GoneGuard, Request, Responder, head, plain};
-use bytes::{Bytes, BytesMut};
+use crate::request::{
+    Answer, AnswerBody, Cut, Gone, GoneGuard, ReadError, Request, Responder, discard, head,
+    join_body, plain, read_body,
+};
+use bytes::Bytes;
 use crossbeam::channel::TrySendError;
 use http::{HeaderMap, Method, StatusCode, header};
-use http_body_util::BodyExt;
-use hyper::body::{Body, Incoming};
+use hyper::body::Incoming;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
 use tokio::sync::oneshot;
 use tokio::time::timeout;
 
 /// When to come back after 503 for a full queue, in seconds.
 const RETRY_AFTER_S: &str = "1";
-/// How much of a body that is too large is read and dropped, so that the caller, still sending,
-/// gets to read its 413.
-const DISCARD_BYTES: usize = 64 << 20;
-/// For how long it is.
-const DISCARD_TIME: Duration = Duration::from_secs(5);
-
 /// Takes the requests of one connection in.
 #[derive(Clone)]
 pub(crate) struct Intake {
@@ -46,7 +41,10 @@
             Err(refusal) => Ok(refusal),
         };
         match res {
-            Ok(answer) => Ok(self.guarded(answer, guard, &method)),
+            Ok(answer) => {
+                self.activity.on_answer();
+                Ok(self.guarded(answer, guard, &method))
+            }
             Err(cut) => {
                 guard.complete();
                 Err(cut)
@@ -64,14 +62,16 @@
     async fn read(&self, req: hyper::Request<Incoming>) -> Result<(Head, Bytes), Answer> {
         let (parts, mut body) = req.into_parts();
         let head = Head::new(parts);
-        if body.size_hint().lower() > self.cx.cfg.max_body_bytes as u64 {
-            return Err(self.too_large(body, &head));
-        }
         let max = self.cx.cfg.max_body_bytes;
-        match timeout(self.cx.cfg.body_timeout, collect(&mut body, max)).await {
-            Ok(Ok(bytes)) => Ok((head, bytes)),
-            Ok(Err(BodyError::TooLarge)) => Err(self.too_large(body, &head)),
-            Ok(Err(BodyError::Unreadable)) => {
+        let reading = read_contiguous(self.activity.slot(), &mut body, max);
+        match timeout(self.cx.cfg.body_timeout, reading).await {
+            Ok(Ok(bytes)) => {
+                self.activity.on_body();
+                Ok((head, bytes))
+            }
+            Ok(Err(ReadError::TooLarge)) => Err(self.too_large(body, &head)),
+            Ok(Err(ReadError::NoRoom)) => Err(self.no_room(body)),
+            Ok(Err(ReadError::Broken)) => {
                 Err(self
                     .refuse(StatusCode::BAD_REQUEST, "the body could not be read; send it whole"))
             }
@@ -88,13 +88,20 @@
     fn too_large(&self, body: Incoming, head: &Head) -> Answer {
         count(&self.cx.counters.bodies_too_large);
         if !head.headers.contains_key(header::EXPECT) {
-            tokio::spawn(timeout(DISCARD_TIME, discard(body)));
+            tokio::spawn(discard(body));
         }
         let max = self.cx.cfg.max_body_bytes;
         let text = format!("the body is larger than {max} bytes; send a smaller one");
         self.refuse(StatusCode::PAYLOAD_TOO_LARGE, &text)
     }
 
+    fn no_room(&self, body: Incoming) -> Answer {
+        tokio::spawn(discard(body));
+        let headers = [("retry-after", RETRY_AFTER_S), ("connection", "close")];
+        let text = "there is no memory for more bodies; come back later";
+        self.own(StatusCode::SERVICE_UNAVAILABLE, &headers, text)
+    }
+
     async fn hand_over(&self, head: Head, body: Bytes, gone: Arc<Gone>) -> Result<Answer, Cut> {
         let (tx, rx) = oneshot::channel();
         let responder = Responder::new(tx, gone, self.cx.cfg.chunk_queue);
@@ -157,32 +164,12 @@
     }
 }
 
-/// Why a body could not be had.
-enum BodyError {
-    TooLarge,
-    Unreadable,
-}
-
-async fn collect(body: &mut Incoming, max: usize) -> Result<Bytes, BodyError> {
-    let mut buf = BytesMut::with_capacity(body.size_hint().lower() as usize);
-    while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|_| BodyError::Unreadable)?;
-        let Some(data) = frame.data_ref() else { continue };
-        if buf.len() + data.len() > max {
-            return Err(BodyError::TooLarge);
-        }
-        buf.extend_from_slice(data);
-    }
-    Ok(buf.freeze())
-}
-
-async fn discard(mut body: Incoming) {
-    let mut left = DISCARD_BYTES;
-    while let Some(Ok(frame)) = body.frame().await {
-        let len = frame.data_ref().map_or(0, Bytes::len);
-        if len > left {
-            return;
-        }
-        left -= len;
-    }
+/// Reads a body into one piece of memory that is charged to its caller.
+async fn read_contiguous(
+    slot: &CallerSlot,
+    body: &mut Incoming,
+    max_bytes: usize,
+) -> Result<Bytes, ReadError> {
+    let segments = read_body(slot, body, max_bytes).await?;
+    join_body(slot, segments).await.map_err(|_| ReadError::NoRoom)
 }
--- a/crates/routing/src/request/content_id.rs
+++ b/crates/routing/src/request/content_id.rs
@@ -22,6 +22,21 @@
         ContentId(digest([workspace.unwrap_or_default().as_bytes(), path.as_bytes(), body]))
     }
 
+    /// Computes the same id from a body in segments of `len` bytes together.
+    pub fn of_segments<'a>(
+        workspace: Option<&str>,
+        path: &str,
+        len: usize,
+        segments: impl Iterator<Item = &'a [u8]>,
+    ) -> ContentId {
+        let mut hasher = Sha256::new();
+        add_field(&mut hasher, workspace.unwrap_or_default().as_bytes());
+        add_field(&mut hasher, path.as_bytes());
+        add_len(&mut hasher, len);
+        segments.for_each(|segment| hasher.update(segment));
+        ContentId(id_of(hasher))
+    }
+
     /// Computes the id of a part of a model's prompts, whichever request it is in.
     pub fn of_part(model: &str, part: &str) -> ContentId {
         let mut id = digest([model.as_bytes(), part.as_bytes()]);
@@ -43,10 +58,20 @@
 
 fn digest<const N: usize>(fields: [&[u8]; N]) -> [u8; ID_BYTES] {
     let mut hasher = Sha256::new();
-    for field in fields {
-        hasher.update((field.len() as u64).to_le_bytes());
-        hasher.update(field);
-    }
+    fields.iter().for_each(|field| add_field(&mut hasher, field));
+    id_of(hasher)
+}
+
+fn add_field(hasher: &mut Sha256, field: &[u8]) {
+    add_len(hasher, field.len());
+    hasher.update(field);
+}
+
+fn add_len(hasher: &mut Sha256, len: usize) {
+    hasher.update((len as u64).to_le_bytes());
+}
+
+fn id_of(hasher: Sha256) -> [u8; ID_BYTES] {
     let digest = hasher.finalize();
     let mut id = [0; ID_BYTES];
     id.copy_from_slice(&digest[..ID_BYTES]);
