Gateway: connections of callers and to endpoints fit into the machine's descriptors

What callers saw: no answers, as the process had no descriptors left, and endpoints that were well got no requests, as a connect without a descriptor counted against them.

Cause: 2,500 connections of callers were let in on any machine, and each request opens a connection to an endpoint; idle ones are kept besides. max_fds of the settings was read by nobody. The system's receive buffers had no bound of ours.

Change: callers and endpoints get 7/16 each of the descriptors that files leave; callers' connections are bounded by memory, too, at 56 KiB and twice the largest head each. A new connection to an endpoint closes the longest idle one, or isn't opened. A want of descriptors is no evidence against an endpoint. Callers' sockets have receive buffers of 32 KiB.

Why it works: the two bounds and the files add up to less than max_fds, and a count precedes each open.

--- a/crates/core/src/process/callers/bounds.rs
+++ b/crates/core/src/process/callers/bounds.rs
@@ -9,8 +9,11 @@
 /// Divisor of the remaining descriptors for those that are neither callers' nor endpoints': listeners, the store, other
 /// instances.
 const OWN_SOCKETS_DIVISOR: usize = 8;
-/// Number of connections of callers.
-const MAX_CONNECTIONS: usize = 2_500;
+/// Memory of a connection besides its heads: its task, what its socket has not read, and the connection to an endpoint that
+/// its request needs.
+const CONNECTION_BYTES: usize = 56 << 10;
+/// Number of times that a connection may hold the largest head: as it is received and as it is parsed.
+const HEAD_COPIES: usize = 2;
 
 /// What a machine gives to one process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -54,11 +57,12 @@
     }
 
     /// Divides what a machine has. Callers send heads of up to `max_head_bytes`.
-    pub fn new(machine: MachineLimits, _max_head_bytes: usize) -> CallerBounds {
+    pub fn new(machine: MachineLimits, max_head_bytes: usize) -> CallerBounds {
         let for_callers = machine.memory.saturating_sub(PROCESS_BYTES).max(machine.memory / 2);
+        let connection_bytes = HEAD_COPIES * max_head_bytes + CONNECTION_BYTES;
         let sockets = machine.descriptors.saturating_sub(FILE_DESCRIPTORS);
         let sockets = sockets - sockets / OWN_SOCKETS_DIVISOR;
-        let connections = MAX_CONNECTIONS;
+        let connections = (for_callers / 2 / connection_bytes).min(sockets / 2).max(1);
         CallerBounds {
             connections,
             endpoint_connections: (sockets - sockets / 2).max(1),
--- a/crates/core/tests/caller_table.rs
+++ b/crates/core/tests/caller_table.rs
@@ -1,5 +1,6 @@
 //! What callers may make a process hold: who is let in, who is closed for others, and that the bounds hold throughout.
 
+use quickcheck::{QuickCheck, TestResult};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use sorrellock_core::process::callers::{
@@ -39,6 +40,23 @@
     assert_eq!(table.hold(id, Held::Body, bytes, now), Verdict::Granted);
 }
 
+#[test]
+fn what_callers_may_hold_fits_into_any_machine() {
+    fn holds(memory_mb: u16, descriptors: u16) -> TestResult {
+        if memory_mb == 0 {
+            return TestResult::discard();
+        }
+        let machine = machine(memory_mb.into(), descriptors.into());
+        let bounds = CallerBounds::new(machine, MAX_HEAD_BYTES);
+        // One connection is always let in, on whatever machine.
+        let heads = (bounds.connections - 1) * MAX_HEAD_BYTES;
+        let memory = heads + bounds.body_bytes + bounds.answer_bytes;
+        let sockets = bounds.connections + bounds.endpoint_connections;
+        TestResult::from_bool(memory <= machine.memory && sockets <= machine.descriptors.max(2))
+    }
+    QuickCheck::new().quickcheck(holds as fn(u16, u16) -> TestResult);
+}
+
 #[test]
 fn the_smallest_machine_in_use_holds_the_largest_body_and_answer() {
     let bounds = CallerBounds::new(machine(160, 4_100), MAX_HEAD_BYTES);
--- a/crates/gateway/src/connection/caller_connection.rs
+++ b/crates/gateway/src/connection/caller_connection.rs
@@ -1,6 +1,6 @@
 //! Accepts the connections of callers, serves their requests, and closes idle connections.
 
-use crate::process::{ACCEPT_ERROR_PAUSE, Count, Gateway, Phase};
+use crate::process::{ACCEPT_ERROR_PAUSE, Count, CountGuard, Gateway, Phase};
 use crate::request::handle_request;
 use http::{HeaderValue, Request, Response, header};
 use hyper::body::Incoming;
@@ -103,27 +103,6 @@
     }
 }
 
-/// Adds one to a counter of the gateway until dropped.
-struct CountGuard {
-    gateway: Rc<Gateway>,
-    count: fn(&Gateway) -> &Cell<usize>,
-}
-
-impl CountGuard {
-    fn new(gateway: Rc<Gateway>, count: fn(&Gateway) -> &Cell<usize>) -> CountGuard {
-        let cell = count(&gateway);
-        cell.set(cell.get() + 1);
-        CountGuard { gateway, count }
-    }
-}
-
-impl Drop for CountGuard {
-    fn drop(&mut self) {
-        let cell = (self.count)(&self.gateway);
-        cell.set(cell.get() - 1);
-    }
-}
-
 /// What to do with a connection, by its activity and how long that has lasted.
 enum ConnectionCheck {
     Wait(Duration),
--- a/crates/gateway/src/process/counters.rs
+++ b/crates/gateway/src/process/counters.rs
@@ -201,6 +201,8 @@
     ViewReadFailures => "view_read_failures",
     /// Connections refused because too many were open.
     ConnectionsRefused => "connections_refused",
+    /// Connections to endpoints that were not opened because too many were open.
+    EndpointConnectionsRefused => "endpoint_connections_refused",
 }
 
 /// Longest latency that a histogram records, in microseconds; longer ones count as this.
--- a/crates/gateway/src/process/gateway.rs
+++ b/crates/gateway/src/process/gateway.rs
@@ -98,6 +98,8 @@
     pub(crate) logged_faults: RefCell<LoggedFaults>,
     pub(crate) paths: Rc<RefCell<PathTable>>,
     pub(crate) pool: RefCell<Pool>,
+    /// Number of open connections to endpoints for requests, idle ones included.
+    pub(crate) endpoint_connections: Cell<usize>,
     /// What the machine gives to this process.
     pub(crate) machine: MachineLimits,
     /// The connections of callers, and what they make this process hold.
@@ -202,6 +204,7 @@
             logged_faults: RefCell::default(),
             paths: Rc::default(),
             pool: RefCell::default(),
+            endpoint_connections: Cell::new(0),
             uses: RefCell::default(),
             breakers: RefCell::new(Breakers::new(SystemClock)),
             budgets: RefCell::default(),
--- a/crates/gateway/src/process/listeners.rs
+++ b/crates/gateway/src/process/listeners.rs
@@ -206,6 +206,7 @@
             ("caller_connections", callers.connections() as f64),
             ("caller_connections_max", callers.bounds().connections as f64),
             ("caller_connections_closed_stalled", counted(&callers.counters().closed_stalled)),
+            ("endpoint_connections_open", gateway.endpoint_connections.get() as f64),
             ("body_bytes", callers.held_bytes(Held::Body) as f64),
             ("body_bytes_max", callers.bounds().body_bytes as f64),
             ("bodies_refused_no_room", counted(&callers.counters().refused_bodies)),
--- a/crates/gateway/src/process/mod.rs
+++ b/crates/gateway/src/process/mod.rs
@@ -1,6 +1,7 @@
 //! State and tasks that last as long as the process.
 
 mod capacity;
+mod count_guard;
 mod counters;
 mod crashes;
 mod dump;
@@ -22,6 +23,7 @@
 mod store;
 
 pub(crate) use capacity::*;
+pub(crate) use count_guard::*;
 pub(crate) use counters::*;
 pub(crate) use crashes::*;
 pub(crate) use dump::*;
--- a/crates/gateway/src/process/pool.rs
+++ b/crates/gateway/src/process/pool.rs
@@ -1,6 +1,6 @@
 //! Pool of idle connections to endpoints.
 
-use crate::process::{Count, Counters};
+use crate::process::{Count, CountGuard, Gateway};
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper_util::rt::TokioIo;
 use sorrellock_http::{ByteSegments, connect};
@@ -9,6 +9,7 @@
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, timeout};
@@ -35,6 +36,7 @@
     driver: JoinHandle<()>,
     idle_since: Instant,
     idle_limit: Duration,
+    _open: CountGuard,
 }
 
 impl Drop for Connection {
@@ -97,6 +99,15 @@
         }
     }
 
+    /// Drops the connection that has been idle for longest.
+    fn drop_longest_idle(&mut self) {
+        // Each endpoint's connections are in the order in which they became idle.
+        let of_endpoints = self.idle.values_mut().filter(|idle| !idle.is_empty());
+        if let Some(idle) = of_endpoints.min_by_key(|idle| idle[0].idle_since) {
+            idle.remove(0);
+        }
+    }
+
     /// Drops the connections to an incarnation that has ended.
     pub(crate) fn remove(&mut self, incarnation: &Incarnation) {
         self.idle.remove(incarnation);
@@ -111,9 +122,23 @@
     }
 }
 
+/// Returns the guard of a new connection, or an error if this process has as many as it may have.
+fn claim_connection(gateway: &Rc<Gateway>) -> io::Result<CountGuard> {
+    let max = gateway.callers.bounds().endpoint_connections;
+    if gateway.endpoint_connections.get() >= max {
+        gateway.pool.borrow_mut().drop_longest_idle();
+    }
+    if gateway.endpoint_connections.get() >= max {
+        gateway.counters.add(Count::EndpointConnectionsRefused);
+        return Err(io::ErrorKind::QuotaExceeded.into());
+    }
+    Ok(CountGuard::new(Rc::clone(gateway), |g| &g.endpoint_connections))
+}
+
 /// Opens a connection.
-pub(crate) async fn open(addr: SocketAddr, counters: &Counters) -> io::Result<Connection> {
-    counters.add(Count::EndpointConnections);
+pub(crate) async fn open(addr: SocketAddr, gateway: &Rc<Gateway>) -> io::Result<Connection> {
+    let open = claim_connection(gateway)?;
+    gateway.counters.add(Count::EndpointConnections);
     let stream = timeout(CONNECT_LIMIT, connect(addr)).await;
     let stream = stream.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
     let mut builder = Builder::new();
@@ -125,5 +150,5 @@
         let _ = connection.await;
     });
     let idle_since = Instant::now();
-    Ok(Connection { sender, addr, driver, idle_since, idle_limit: IDLE_LIMIT })
+    Ok(Connection { sender, addr, driver, idle_since, idle_limit: IDLE_LIMIT, _open: open })
 }
--- a/crates/gateway/src/process/run.rs
+++ b/crates/gateway/src/process/run.rs
@@ -7,7 +7,7 @@
     follow, follow_eras, measure_lag, read_views, serve_internal_pages, set_up_log, sync_held,
     unix_now, watch_paths,
 };
-use sorrellock_http::listen;
+use sorrellock_http::{listen, listen_for_callers};
 use sorrellock_platform::{Kind, Limits, Settings, Store, parse_settings};
 use sorrellock_routing::process::{Incarnation, Leaving};
 use spdlog::{error, info, warn};
@@ -149,9 +149,9 @@
 
 fn start_listeners(gateway: &Rc<Gateway>, tasks: &mut JoinSet<()>) -> Result<(), StartError> {
     let settings = &gateway.settings;
-    let bound =
-        |addr: SocketAddr| listen(addr).map_err(|err| io_error(format!("listen at {addr}"), err));
-    let callers = bound(settings.callers)?;
+    let failed = |addr: SocketAddr| move |err| io_error(format!("listen at {addr}"), err);
+    let bound = |addr: SocketAddr| listen(addr).map_err(failed(addr));
+    let callers = listen_for_callers(settings.callers).map_err(failed(settings.callers))?;
     for addr in [
         settings.readiness,
         SocketAddr::new(settings.ip, settings.peer_port),
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -6,6 +6,7 @@
 use crate::request::{Call, held_reason};
 use http::{Request, Response, StatusCode, Version};
 use hyper::body::Incoming;
+use nix::errno::Errno;
 use sorrellock_http::ByteSegments;
 use sorrellock_platform::{
     AnswerHead, AttemptHead, attempt_headers, read_answer_head, unknown_fields,
@@ -318,13 +319,17 @@
         return Ok((connection, true));
     }
     let began = Instant::now();
-    let connection = open(target.addr, &gateway.counters).await;
+    let connection = open(target.addr, gateway).await;
     let connection = connection.map_err(|err| connect_failure(gateway, &err, began))?;
     Ok((connection, false))
 }
 
 /// Returns the failure for a connection attempt that started at `began`.
 fn connect_failure(gateway: &Gateway, err: &io::Error, began: Instant) -> FailedAttempt {
+    if is_own_shortage(err) {
+        let failed = FailedAttempt::new(Evidence::NotSent, format!("connect: {err}"));
+        return FailedAttempt { is_inconclusive: true, ..failed };
+    }
     let mut silence = PeerSilence::new(CONNECT_LIMIT);
     let took = began.elapsed();
     silence.on_no_answer(took, took.saturating_sub(gateway.paused_since(began)));
@@ -336,6 +341,13 @@
     FailedAttempt { is_inconclusive, failure_evidence: FailureEvidence::NoAnswer, ..failed }
 }
 
+/// Returns whether a connection failed because this process has no descriptor for it, which says nothing of the endpoint.
+fn is_own_shortage(err: &io::Error) -> bool {
+    let has_no_descriptor = [Errno::EMFILE, Errno::ENFILE].map(|errno| errno as i32);
+    err.kind() == ErrorKind::QuotaExceeded
+        || err.raw_os_error().is_some_and(|code| has_no_descriptor.contains(&code))
+}
+
 fn build_request(call: &Call, target: &Target<'_>) -> Request<ByteSegments> {
     let head = AttemptHead {
         time_left: call.caller_time_left(),
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -18,7 +18,7 @@
     Activity, CallerCounters, CallerSlot, Callers, Charge, WatchedStream, connect,
 };
 pub use drained_timeout::drain_event_loop;
-pub use process::{Counters, Server, ServerConfig, listen, machine_limits};
+pub use process::{Counters, Server, ServerConfig, listen, listen_for_callers, machine_limits};
 pub use process::{
     DEFAULT_BODY_TIMEOUT, DEFAULT_CHUNK_QUEUE, DEFAULT_DRAIN_TIMEOUT, DEFAULT_HEADER_TIMEOUT,
     DEFAULT_IDLE_TIMEOUT, DEFAULT_MAX_BODY_BYTES, DEFAULT_MAX_CONNECTIONS,
--- a/crates/http/src/process/listener.rs
+++ b/crates/http/src/process/listener.rs
@@ -19,6 +19,8 @@
 
 /// Connections that the system holds ready while the listener is busy.
 const LISTEN_BACKLOG: u32 = 1_024;
+/// Receive buffer of a caller's connection, which its accepted sockets inherit.
+const RECEIVE_BUFFER_BYTES: u32 = 32 << 10;
 /// Pause after a failed accept, as when the process has too many open files.
 const ACCEPT_ERROR_PAUSE: Duration = Duration::from_millis(20);
 
@@ -41,7 +43,7 @@
         let runtime = Builder::new_current_thread().enable_all().build()?;
         let socket = {
             let _guard = runtime.enter();
-            listen(cfg.addr)?
+            listen_for_callers(cfg.addr)?
         };
         let addr = socket.local_addr()?;
         let callers = Callers::new(cfg.caller_bounds());
@@ -67,10 +69,21 @@
 
 /// Binds a listener within a runtime; an address that was just in use is taken at once.
 pub fn listen(addr: SocketAddr) -> io::Result<TcpListener> {
+    new_socket(addr)?.listen(LISTEN_BACKLOG)
+}
+
+/// Binds a listener for callers, whose connections hold a bounded number of bytes that the process has not read.
+pub fn listen_for_callers(addr: SocketAddr) -> io::Result<TcpListener> {
+    let socket = new_socket(addr)?;
+    socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES)?;
+    socket.listen(LISTEN_BACKLOG)
+}
+
+fn new_socket(addr: SocketAddr) -> io::Result<TcpSocket> {
     let socket = if addr.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
     socket.set_reuseaddr(true)?;
     socket.bind(addr)?;
-    socket.listen(LISTEN_BACKLOG)
+    Ok(socket)
 }
 
 async fn accept_all(
--- a/crates/http/src/process/mod.rs
+++ b/crates/http/src/process/mod.rs
@@ -9,7 +9,7 @@
 
 pub use counters::*;
 pub(crate) use listener::Listener;
-pub use listener::listen;
+pub use listener::{listen, listen_for_callers};
 pub use machine::machine_limits;
 pub use server::*;
 pub use server_config::*;
