Gateway: answers that nobody reads have one bound

What callers saw: no answers, once the gateway had run out of memory. Callers asked for large answers and didn't read them.

Cause: a whole answer stayed in memory until its caller had read it. A connection whose caller never reads was never closed: each idle check began a graceful shutdown, which waits until the answer is written.

Change: an answer of over 16 KiB holds room for all of it before it is read from its endpoint, and keeps the room until the last byte is written. Where there is none it waits, and callers that have read nothing for 5 s are closed for it. Smaller ones are part of what a connection takes. A connection that is idle and takes nothing is closed 5 s after the idle limit.

Why it works: no answer waits with a part held, so none waits for another one that waits.

--- a/crates/core/src/process/callers/bounds.rs
+++ b/crates/core/src/process/callers/bounds.rs
@@ -9,8 +9,10 @@
 /// Divisor of the remaining descriptors for those that are neither callers' nor endpoints': listeners, the store, other
 /// instances.
 const OWN_SOCKETS_DIVISOR: usize = 8;
-/// Memory of a connection besides its heads: its task, what its socket has not read, and the connection to an endpoint that
-/// its request needs.
+/// Size up to which an answer is part of what its connection takes, in bytes.
+pub const SMALL_ANSWER_BYTES: usize = 16 << 10;
+/// Memory of a connection besides its heads and a small answer: its task, what its socket has not read, and the connection to
+/// an endpoint that its request needs.
 const CONNECTION_BYTES: usize = 56 << 10;
 /// Number of times that a connection may hold the largest head: as it is received and as it is parsed.
 const HEAD_COPIES: usize = 2;
@@ -59,7 +61,7 @@
     /// Divides what a machine has. Callers send heads of up to `max_head_bytes`.
     pub fn new(machine: MachineLimits, max_head_bytes: usize) -> CallerBounds {
         let for_callers = machine.memory.saturating_sub(PROCESS_BYTES).max(machine.memory / 2);
-        let connection_bytes = HEAD_COPIES * max_head_bytes + CONNECTION_BYTES;
+        let connection_bytes = HEAD_COPIES * max_head_bytes + SMALL_ANSWER_BYTES + CONNECTION_BYTES;
         let sockets = machine.descriptors.saturating_sub(FILE_DESCRIPTORS);
         let sockets = sockets - sockets / OWN_SOCKETS_DIVISOR;
         let connections = (for_callers / 2 / connection_bytes).min(sockets / 2).max(1);
--- a/crates/gateway/src/connection/caller_connection.rs
+++ b/crates/gateway/src/connection/caller_connection.rs
@@ -7,7 +7,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
-use sorrellock_core::process::callers::Stage;
+use sorrellock_core::process::callers::{Stage, UNREAD_AFTER};
 use sorrellock_http::{Activity, AnswerBody, CallerSlot, Cut, WatchedStream};
 use sorrellock_routing::version::CallerLimits;
 use spdlog::warn;
@@ -87,7 +87,7 @@
                 connection.as_mut().graceful_shutdown();
                 limits.header_timeout
             }
-            ConnectionCheck::CutHead => return,
+            ConnectionCheck::Cut => return,
         };
         tokio::select! {
             _ = connection.as_mut() => return,
@@ -107,7 +107,8 @@
 enum ConnectionCheck {
     Wait(Duration),
     CloseIdle,
-    CutHead,
+    /// Its head is late, or its caller doesn't read the last answer.
+    Cut,
 }
 
 fn check_connection(activity: &Activity, limits: &CallerLimits) -> ConnectionCheck {
@@ -116,7 +117,10 @@
         Stage::Body | Stage::Serving | Stage::Answering => {
             return ConnectionCheck::Wait(limits.header_timeout);
         }
-        Stage::Head => (limits.header_timeout.max(limits.idle_timeout), ConnectionCheck::CutHead),
+        Stage::Head => (limits.header_timeout.max(limits.idle_timeout), ConnectionCheck::Cut),
+        Stage::Idle if elapsed >= limits.idle_timeout + IDLE_SLACK + UNREAD_AFTER => {
+            return ConnectionCheck::Cut;
+        }
         Stage::Idle => (limits.idle_timeout + IDLE_SLACK, ConnectionCheck::CloseIdle),
     };
     if elapsed >= limit {
--- a/crates/gateway/src/request/call.rs
+++ b/crates/gateway/src/request/call.rs
@@ -3,7 +3,7 @@
 use crate::process::{Count, Gateway, Phase};
 use crate::request::Sends;
 use http::{HeaderMap, Method, Uri};
-use sorrellock_http::ByteSegments;
+use sorrellock_http::{ByteSegments, CallerSlot};
 use sorrellock_platform::CallerHead;
 use sorrellock_routing::process::Incarnation;
 use sorrellock_routing::process::crashes::RunRequest;
@@ -11,6 +11,7 @@
 use spdlog::{Level, log, warn};
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -21,6 +22,8 @@
     pub(crate) uri: Uri,
     pub(crate) headers: HeaderMap,
     pub(crate) body: ByteSegments,
+    /// The place of its connection among the callers.
+    pub(crate) slot: Arc<CallerSlot>,
     pub(crate) route: Route,
     /// Version of the configuration under which it was admitted.
     pub(crate) config_version: ConfigVersion,
--- a/crates/gateway/src/request/final_answer.rs
+++ b/crates/gateway/src/request/final_answer.rs
@@ -6,14 +6,14 @@
 use http::response::Parts;
 use http::{HeaderValue, Response, StatusCode, header};
 use rand::RngExt;
-use sorrellock_http::AnswerBody;
+use sorrellock_http::{AnswerBody, ByteSegments};
 use sorrellock_platform::{answer_headers, retry_after};
 use sorrellock_routing::process::notices::SendBlock;
 use sorrellock_routing::request::AbandonedOutcome;
 use std::time::Duration;
 
 /// Returns an endpoint's complete answer for the caller.
-pub(crate) fn forward_answer(endpoint: &Parts, body: Bytes) -> Response<AnswerBody> {
+pub(crate) fn forward_answer(endpoint: &Parts, body: ByteSegments) -> Response<AnswerBody> {
     let mut answer = Response::new(AnswerBody::whole(body));
     *answer.status_mut() = endpoint.status;
     *answer.headers_mut() = answer_headers(&endpoint.headers);
--- a/crates/gateway/src/request/plain.rs
+++ b/crates/gateway/src/request/plain.rs
@@ -7,11 +7,9 @@
     RunningAttempts, Target, abandon_call, attempt, block_reason, block_retry_delay,
     forward_answer, held_reason, held_retry_delay, log_failed_attempt,
 };
-use bytes::Bytes;
 use http::Response;
-use http_body_util::{BodyExt, Limited};
 use sorrellock_core::process::retries::{AttemptEnd, Permit};
-use sorrellock_http::{AnswerBody, Cut};
+use sorrellock_http::{AnswerBody, Cut, ReadError, read_answer};
 use sorrellock_platform::read_answer_head;
 use sorrellock_routing::process::notices::SendBlock;
 use sorrellock_routing::process::{Endpoint, Incarnation};
@@ -321,23 +319,27 @@
     let target = Target { incarnation, addr: endpoint.addr, path: &[], last_event: None };
     let exchange = attempt(gateway, call, &target, limit).await?;
     gateway.counters.first_byte.record(call.arrived.elapsed());
-    read_whole(gateway, exchange, endpoint.addr, until).await
+    read_whole(gateway, call, exchange, endpoint.addr, until).await
 }
 
 async fn read_whole(
     gateway: &Rc<Gateway>,
+    call: &Call,
     exchange: Exchange,
     addr: SocketAddr,
     until: Instant,
 ) -> Result<Response<AnswerBody>, FailedAttempt> {
-    let (parts, body) = exchange.answer.into_parts();
+    let (parts, mut body) = exchange.answer.into_parts();
     let no_answer = |why: String| FailedAttempt::new(Evidence::MayHaveRun, why);
     let left = until.saturating_duration_since(Instant::now());
-    let body = timeout(left, Limited::new(body, MAX_ANSWER_BYTES).collect()).await;
+    let body = timeout(left, read_answer(&call.slot, &mut body, MAX_ANSWER_BYTES)).await;
     let body = body.map_err(|_| no_answer("the answer was not complete in time".to_owned()))?;
-    let body: Bytes = match body {
-        Ok(body) => body.to_bytes(),
-        Err(err) => {
+    let body = match body {
+        Ok(body) => body,
+        Err(err @ (ReadError::TooLarge | ReadError::NoRoom)) => {
+            return Err(no_answer(format!("the answer can't be held: {err}")));
+        }
+        Err(err @ ReadError::Broken) => {
             exchange.run.on_broke();
             drop(exchange.run);
             gateway.check_ended(&exchange.incarnation, addr).await;
--- a/crates/gateway/src/request/request_handler.rs
+++ b/crates/gateway/src/request/request_handler.rs
@@ -19,6 +19,7 @@
 use spdlog::info;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::{Instant, timeout_at};
 
@@ -76,6 +77,7 @@
         uri: parts.uri,
         headers: parts.headers,
         body,
+        slot: Arc::clone(activity.slot()),
         rank: rank.unwrap_or(route.priority),
         capacity_rank: routes.has_ranks(&service).then_some(capacity_rank),
         route,
--- a/crates/gateway/src/request/run_search.rs
+++ b/crates/gateway/src/request/run_search.rs
@@ -6,8 +6,7 @@
     Call, FailedAttempt, RunningAttempts, abandon_call, forward_answer, log_failed_attempt,
 };
 use http::{Response, StatusCode};
-use http_body_util::{BodyExt, Limited};
-use sorrellock_http::AnswerBody;
+use sorrellock_http::{AnswerBody, read_answer};
 use sorrellock_routing::process::Incarnation;
 use sorrellock_routing::request::{AbandonedOutcome, Attempts, Evidence};
 use spdlog::info;
@@ -296,8 +295,9 @@
 }
 
 async fn read_error_answer(call: &Call, run: Run) -> Response<AnswerBody> {
-    let (parts, body) = run.exchange.answer.into_parts();
-    let body = timeout(call.time_left(), Limited::new(body, MAX_ERROR_BODY_BYTES).collect()).await;
+    let (parts, mut body) = run.exchange.answer.into_parts();
+    let reading = read_answer(&call.slot, &mut body, MAX_ERROR_BODY_BYTES);
+    let body = timeout(call.time_left(), reading).await;
     let Ok(Ok(body)) = body else {
         return abandon_call(
             call,
@@ -306,5 +306,5 @@
             "an engine's error answer was cut off",
         );
     };
-    forward_answer(&parts, body.to_bytes())
+    forward_answer(&parts, body)
 }
--- a/crates/http/src/request/held_buffer.rs
+++ b/crates/http/src/request/held_buffer.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
-use sorrellock_core::process::callers::Held;
+use sorrellock_core::process::callers::{Held, SMALL_ANSWER_BYTES};
 use std::fmt;
 
 /// Size of the first segment of a body whose length isn't announced.
@@ -43,7 +43,7 @@
 /// Memory that is charged to a caller until its last handle is dropped.
 struct Segment {
     bytes: Vec<u8>,
-    _charge: Charge,
+    _charge: Option<Charge>,
 }
 
 impl Segment {
@@ -60,17 +60,34 @@
 
 /// Where a buffer's charges come from.
 enum Funds<'a> {
-    /// Each segment is charged as it is needed.
-    AsNeeded(&'a CallerSlot, Held),
-    /// All were charged before.
-    Prepaid(Charge),
+    /// Each segment of a request's body is charged as it is needed.
+    AsNeeded(&'a CallerSlot),
+    /// Room for a whole answer is held before it takes more than what each connection has for answers.
+    WholeAnswer {
+        slot: &'a CallerSlot,
+        /// Size of the whole, or the most that it can be.
+        max_bytes: usize,
+        /// What is left of the connection's own.
+        own: usize,
+        held: Option<Charge>,
+    },
 }
 
 impl Funds<'_> {
-    async fn take(&mut self, bytes: usize) -> Result<Charge, NoRoom> {
+    /// Returns the charge of a segment; none if it is the connection's own.
+    async fn take(&mut self, bytes: usize) -> Result<Option<Charge>, NoRoom> {
         match self {
-            Funds::AsNeeded(slot, held) => slot.hold(*held, bytes).await.ok_or(NoRoom),
-            Funds::Prepaid(charge) => Ok(charge.split(bytes)),
+            Funds::AsNeeded(slot) => slot.hold(Held::Body, bytes).await.ok_or(NoRoom).map(Some),
+            Funds::WholeAnswer { own, .. } if bytes <= *own => {
+                *own -= bytes;
+                Ok(None)
+            }
+            Funds::WholeAnswer { slot, max_bytes, held, .. } => {
+                if held.is_none() {
+                    *held = slot.hold_when_free(Held::Answer, *max_bytes).await;
+                }
+                held.as_mut().map(|held| Some(held.split(bytes))).ok_or(NoRoom)
+            }
         }
     }
 }
@@ -141,21 +158,28 @@
     max_bytes: usize,
 ) -> Result<ByteSegments, ReadError> {
     let announced = announced_len(body, max_bytes)?;
-    let buf = HeldBuffer::new(Funds::AsNeeded(slot, Held::Body), announced);
+    let buf = HeldBuffer::new(Funds::AsNeeded(slot), announced);
     read_into(buf, body, max_bytes).await
 }
 
-/// Reads the body of an answer into memory that is charged to its caller. Room for all of it is held first: two answers of
-/// which each holds a part would wait for each other.
+/// Reads the body of an answer into memory that is charged to its caller. Room for all of a large one is held first: two
+/// answers of which each holds a part would wait for each other.
 pub async fn read_answer(
     slot: &CallerSlot,
     body: &mut Incoming,
     max_bytes: usize,
 ) -> Result<ByteSegments, ReadError> {
+    let max_bytes =
+        max_bytes.min(slot.max_held_bytes(Held::Answer).saturating_sub(MAX_SEGMENT_BYTES));
     let announced = announced_len(body, max_bytes)?;
-    let bytes = announced.unwrap_or(max_bytes);
-    let charge = slot.hold_when_free(Held::Answer, bytes).await.ok_or(ReadError::NoRoom)?;
-    read_into(HeldBuffer::new(Funds::Prepaid(charge), announced), body, max_bytes).await
+    let funds = Funds::WholeAnswer {
+        slot,
+        // The last segment may not be full.
+        max_bytes: announced.unwrap_or(max_bytes) + MAX_SEGMENT_BYTES,
+        own: SMALL_ANSWER_BYTES,
+        held: None,
+    };
+    read_into(HeldBuffer::new(funds, announced), body, max_bytes).await
 }
 
 fn announced_len(body: &Incoming, max_bytes: usize) -> Result<Option<usize>, ReadError> {
@@ -191,7 +215,7 @@
         return Ok(segments.pop().unwrap_or_default());
     }
     let charge = slot.hold(Held::Body, segments.len()).await.ok_or(NoRoom)?;
-    let mut whole = Segment { bytes: Vec::with_capacity(segments.len()), _charge: charge };
+    let mut whole = Segment { bytes: Vec::with_capacity(segments.len()), _charge: Some(charge) };
     while let Some(segment) = segments.pop() {
         whole.bytes.extend_from_slice(&segment);
     }
