Entry: bodies of callers fit into the memory that the system leaves to it

What callers saw: the entry ended, as it could get no more memory.

Cause: as at the gateway; the listener's bound on bodies came with it, from the machine's memory. A limit that the system sets for the process alone (ulimit -d) wasn't looked at.

Change: the limit on data counts among those of the machine.

Why it works: what bodies take is charged against a share of the least of all limits.

--- a/crates/daemon/tests/resource_limits/main.rs
+++ b/crates/daemon/tests/resource_limits/main.rs
@@ -8,6 +8,7 @@
 mod bodies;
 mod connections;
 mod crowd;
+mod entry_bodies;
 #[path = "../gateway/fleet.rs"]
 #[allow(dead_code, unused_imports, reason = "shared with the tests of the gateway")]
 mod fleet;
--- a/crates/daemon/tests/resource_limits/small_machine.rs
+++ b/crates/daemon/tests/resource_limits/small_machine.rs
@@ -25,6 +25,12 @@
 
 static ONE_AT_A_TIME: Mutex<()> = Mutex::new(());
 
+/// Waits until no other test of these runs, and keeps others from it.
+pub fn alone() -> MutexGuard<'static, ()> {
+    // A test that failed before has ended all the same.
+    ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 /// The machine, with its gateway and stand-ins. No other test has one meanwhile.
 pub struct SmallMachine {
     pub fleet: Fleet,
@@ -36,8 +42,7 @@
 impl SmallMachine {
     /// Starts a gateway and waits until it is ready.
     pub fn start() -> SmallMachine {
-        // A test that failed before has ended all the same.
-        let alone = ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner);
+        let alone = alone();
         let fleet = fleet();
         let mut cfg = config(2, &[KEY]);
         cfg["limits"]["max_body_bytes"] = MAX_BODY_BYTES.into();
--- a/crates/http/src/process/machine.rs
+++ b/crates/http/src/process/machine.rs
@@ -15,12 +15,17 @@
 
 /// Returns the limits that the system sets for this process.
 pub fn machine_limits() -> MachineLimits {
-    let tight =
+    let soft_limit =
         |resource| getrlimit(resource).ok().and_then(|(soft, _)| usize::try_from(soft).ok());
-    let memory = [physical_memory(), group_limit(), tight(Resource::RLIMIT_AS)];
+    let memory = [
+        physical_memory(),
+        group_limit(),
+        soft_limit(Resource::RLIMIT_AS),
+        soft_limit(Resource::RLIMIT_DATA),
+    ];
     MachineLimits {
         memory: memory.into_iter().flatten().min().unwrap_or(FALLBACK_MEMORY),
-        descriptors: tight(Resource::RLIMIT_NOFILE).unwrap_or(FALLBACK_DESCRIPTORS),
+        descriptors: soft_limit(Resource::RLIMIT_NOFILE).unwrap_or(FALLBACK_DESCRIPTORS),
     }
 }
 
