--- a/crates/daemon/tests/resource_limits/bodies.rs
+++ b/crates/daemon/tests/resource_limits/bodies.rs
@@ -6,6 +6,7 @@
 //! holds what it has received until the route's timeout; nothing bounds what all of them hold together.
 
 use crate::crowd::Crowd;
+use crate::fleet::{KEY, config};
 use crate::request::{Answer, Framing, call, chunk, head};
 use crate::small_machine::{MAX_BODY_BYTES, SmallMachine};
 use std::io::{self, Write};
@@ -169,6 +170,22 @@
     assert_eq!(refused.iter().filter(has_run).count(), 0, "of {} refused", refused.len());
 }
 
+#[test]
+fn a_configuration_with_larger_bodies_than_fit_is_logged_and_these_are_refused_at_once() {
+    const TOO_LARGE: usize = 32 << 20;
+    let machine = SmallMachine::start();
+    let mut cfg = config(3, &[KEY]);
+    cfg["limits"]["max_body_bytes"] = (2 * TOO_LARGE).into();
+    machine.fleet.store.put("config", "main", cfg);
+    machine.gateway.wait_for_line(&["\"configuration in force\"", "\"version\":3,"]);
+
+    let (id, answer) = call(machine.gateway.callers(), &vec![b'x'; TOO_LARGE]).expect("an answer");
+
+    assert_eq!(answer.status, 503);
+    assert_eq!(machine.fleet.service.runs(&id), 0);
+    machine.gateway.wait_for_line(&["bodies that this machine has no memory for"]);
+}
+
 /// Whether a status promises that the request has not run.
 fn promises_not_run(answer: &Answer) -> bool {
     matches!(answer.status, 408 | 421 | 429 | 503)
--- a/crates/http/src/connection/callers.rs
+++ b/crates/http/src/connection/callers.rs
@@ -123,9 +123,9 @@
         let _ = self.closing.clone().wait_for(|closing| *closing).await;
     }
 
-    /// Returns the most that all callers together may make the process hold.
-    pub(crate) fn max_held_bytes(&self, held: Held) -> usize {
-        self.callers.bounds().bytes(held)
+    /// Returns what callers may make the process hold.
+    pub(crate) fn bounds(&self) -> CallerBounds {
+        self.callers.bounds()
     }
 
     /// Holds more bytes for this caller, waiting while room is made. `None` if there is no room.
@@ -144,7 +144,7 @@
     pub async fn hold_when_free(&self, held: Held, bytes: usize) -> Option<Charge> {
         loop {
             let freed = self.callers.shared.freed.notified();
-            let can_fit = bytes <= self.max_held_bytes(held);
+            let can_fit = bytes <= self.bounds().bytes(held);
             match self.decide(held, bytes) {
                 Verdict::Granted => return Some(self.charge(held, bytes)),
                 Verdict::Refused if !can_fit => return None,
--- a/crates/http/src/request/held_buffer.rs
+++ b/crates/http/src/request/held_buffer.rs
@@ -150,14 +150,17 @@
     }
 }
 
-/// Reads the body of a request into memory that is charged to its caller. One that announces more than `max_bytes` is not
-/// read at all.
+/// Reads the body of a request into memory that is charged to its caller. One that announces more than `max_bytes`, or more
+/// than there can be room for, is not read at all.
 pub async fn read_body(
     slot: &CallerSlot,
     body: &mut Incoming,
     max_bytes: usize,
 ) -> Result<ByteSegments, ReadError> {
     let announced = announced_len(body, max_bytes)?;
+    if announced.is_some_and(|bytes| bytes > slot.bounds().max_large_body_bytes()) {
+        return Err(ReadError::NoRoom);
+    }
     let buf = HeldBuffer::new(Funds::AsNeeded(slot), announced);
     read_into(buf, body, max_bytes).await
 }
@@ -169,8 +172,7 @@
     body: &mut Incoming,
     max_bytes: usize,
 ) -> Result<ByteSegments, ReadError> {
-    let max_bytes =
-        max_bytes.min(slot.max_held_bytes(Held::Answer).saturating_sub(MAX_SEGMENT_BYTES));
+    let max_bytes = max_bytes.min(slot.bounds().answer_bytes.saturating_sub(MAX_SEGMENT_BYTES));
     let announced = announced_len(body, max_bytes)?;
     let funds = Funds::WholeAnswer {
         slot,
--- a/crates/routing/tests/content_id.rs
+++ b/crates/routing/tests/content_id.rs
@@ -20,6 +20,16 @@
     }
 }
 
+#[test]
+fn a_body_in_segments_has_the_id_of_the_whole() {
+    let whole = ContentId::new(Some("treasury"), "/match/a", b"a body in parts");
+    let segments: [&[u8]; 3] = [b"a body", b" in ", b"parts"];
+
+    let id = ContentId::of_segments(Some("treasury"), "/match/a", 15, segments.into_iter());
+
+    assert_eq!(id, whole);
+}
+
 #[test]
 fn an_id_is_read_from_its_text() {
     let id = ContentId::new(None, "/a", b"");
