Gateway: a caller that asks before it sends a body isn't made to send a refused one

A refused body is read on and dropped, so that its caller gets to read the refusal. With Expect: 100-continue that would ask for the body. The constructor of CallerBounds comes first.

--- a/crates/core/src/process/callers/bounds.rs
+++ b/crates/core/src/process/callers/bounds.rs
@@ -17,6 +17,11 @@
 /// Number of times that a connection may hold the largest head: as it is received and as it is parsed.
 const HEAD_COPIES: usize = 2;
 
+/// Size up to which a body may use all the room for bodies, in bytes.
+pub const SMALL_BODY_BYTES: usize = 64 << 10;
+/// Divisor of the room for bodies for the part that larger bodies leave.
+const SMALL_BODY_DIVISOR: usize = 4;
+
 /// What a machine gives to one process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct MachineLimits {
@@ -35,29 +40,11 @@
     pub endpoint_connections: usize,
     /// Bytes of request bodies, from their receipt to the end of their requests.
     pub body_bytes: usize,
-    /// Bytes of answers that callers have not read.
+    /// Bytes of answers, from their receipt until their callers have read them.
     pub answer_bytes: usize,
 }
 
-/// Size up to which a body may use all the room for bodies, in bytes.
-pub const SMALL_BODY_BYTES: usize = 64 << 10;
-/// Divisor of the room for bodies for the part that larger bodies leave.
-const SMALL_BODY_DIVISOR: usize = 4;
-
 impl CallerBounds {
-    /// Returns the bytes that bodies may take which are larger than [`SMALL_BODY_BYTES`]; the rest is left to smaller ones.
-    pub fn max_large_body_bytes(&self) -> usize {
-        self.body_bytes - self.body_bytes / SMALL_BODY_DIVISOR
-    }
-
-    /// Returns the bound on bytes of one kind.
-    pub fn bytes(&self, held: Held) -> usize {
-        match held {
-            Held::Body => self.body_bytes,
-            Held::Answer => self.answer_bytes,
-        }
-    }
-
     /// Divides what a machine has. Callers send heads of up to `max_head_bytes`.
     pub fn new(machine: MachineLimits, max_head_bytes: usize) -> CallerBounds {
         let for_callers = machine.memory.saturating_sub(PROCESS_BYTES).max(machine.memory / 2);
@@ -72,4 +59,17 @@
             answer_bytes: for_callers / 4,
         }
     }
+
+    /// Returns the bytes that bodies may take which are larger than [`SMALL_BODY_BYTES`]; the rest is left to smaller ones.
+    pub fn max_large_body_bytes(&self) -> usize {
+        self.body_bytes - self.body_bytes / SMALL_BODY_DIVISOR
+    }
+
+    /// Returns the bound on bytes of one kind.
+    pub fn bytes(&self, held: Held) -> usize {
+        match held {
+            Held::Body => self.body_bytes,
+            Held::Answer => self.answer_bytes,
+        }
+    }
 }
--- a/crates/gateway/src/request/request_handler.rs
+++ b/crates/gateway/src/request/request_handler.rs
@@ -64,7 +64,11 @@
     let max_bytes = routes.cfg().limits.max_body_bytes;
     let body = match read_body(&gateway, activity.slot(), &mut unread, max_bytes, deadline).await {
         Ok(body) => body,
-        Err(body_error) => return refuse_body(&gateway, &end, unread, body_error, deadline),
+        Err(body_error) => {
+            // A caller that asks first doesn't send what is refused.
+            let unread = (!parts.headers.contains_key(header::EXPECT)).then_some(unread);
+            return refuse_body(&gateway, &end, unread, body_error, deadline);
+        }
     };
     activity.on_body();
     let service = choose_service(&route);
@@ -162,7 +166,7 @@
     Ending,
     /// This gateway has no room for the body.
     NoRoom,
-    /// Other callers need the room that the body takes, and it made no progress.
+    /// The caller made no progress, and others need the room that it takes.
     Stalled,
 }
 
@@ -194,7 +198,7 @@
 fn refuse_body(
     gateway: &Gateway,
     end: &EndGuard,
-    unread: Incoming,
+    unread: Option<Incoming>,
     body_error: BodyError,
     deadline: Instant,
 ) -> Result<Response<AnswerBody>, Cut> {
@@ -237,11 +241,13 @@
 
 /// Refuses a request whose body was not read to its end.
 fn refuse_unread(
-    unread: Incoming,
+    unread: Option<Incoming>,
     status: StatusCode,
     retry_delay: Option<Duration>,
 ) -> Response<AnswerBody> {
-    tokio::task::spawn_local(discard(unread));
+    if let Some(unread) = unread {
+        tokio::task::spawn_local(discard(unread));
+    }
     let mut answer = refusal(status, retry_delay);
     answer.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     answer
