--- a/crates/http/src/process/machine.rs
+++ b/crates/http/src/process/machine.rs
@@ -8,9 +8,9 @@
 const MEMINFO: &str = "/proc/meminfo";
 /// Memory limit of the process's control group.
 const GROUP_LIMIT: &str = "/sys/fs/cgroup/memory.max";
-/// Memory assumed where nothing tells it, in bytes.
+/// Memory assumed where the system reports none, in bytes.
 const FALLBACK_MEMORY: usize = 256_000_000;
-/// Descriptors assumed where nothing tells them: the usual limit.
+/// Descriptors assumed where the system reports no limit: the usual default.
 const FALLBACK_DESCRIPTORS: usize = 1_024;
 
 /// Returns the limits that the system sets for this process.
