--- a/crates/http/tests/limits.rs
+++ b/crates/http/tests/limits.rs
@@ -7,6 +7,7 @@
     wait_for,
 };
 use crossbeam::channel::unbounded;
+use sorrellock_core::process::callers::MachineLimits;
 use sorrellock_http::Responder;
 use std::io::Write;
 use std::net::TcpStream;
@@ -254,3 +255,19 @@
     assert!(responder.is_gone());
     assert!(TcpStream::connect(server.addr()).is_err());
 }
+
+#[test]
+fn a_caller_that_asks_before_it_sends_a_body_without_room_is_refused_at_once() {
+    let machine = MachineLimits { memory: 1_000_000, descriptors: 1_024 };
+    let server = start_with(config().with_machine(machine), echo);
+    let mut stream = connect(&server);
+
+    send(
+        &mut stream,
+        "POST / HTTP/1.1\r\nhost: t\r\nexpect: 100-continue\r\ncontent-length: 1000000\r\n\r\n",
+    );
+    let head = read_until(&mut stream, "\r\n\r\n");
+
+    assert!(head.starts_with("HTTP/1.1 503 "), "{head}");
+    assert!(head.contains("retry-after: 1\r\n"), "{head}");
+}
