Show a stream that lacks an event after an answer with a wrong event id

review/6 (ORDER): an engine writes two events in one chunk, and the id of the second one is wrong. The gateway drops the first one, which was whole, and resumes the stream after it: the client gets a complete answer without it.

The stand-ins of the further cases come with it.

--- /dev/null
+++ b/review/stand_ins_2/main.rs
@@ -0,0 +1,34 @@
+//! Stand-ins for the platform, and the scripts of the cases: `stand_ins_2 CASE RECORD`. `TROUBLE=0` leaves out the disruption.
+
+#![allow(dead_code)]
+
+mod engine;
+mod gateway;
+mod header_limit;
+mod http;
+mod json;
+mod record;
+mod refused;
+mod reused_address;
+mod service;
+mod spoiled_event;
+mod store;
+
+fn main() {
+    let args: Vec<String> = std::env::args().collect();
+    let [_, case, path] = args.as_slice() else {
+        eprintln!("usage: stand_ins_2 CASE RECORD");
+        std::process::exit(2);
+    };
+    let record = record::Record::new(path);
+    let has_trouble = std::env::var("TROUBLE").map_or(true, |trouble| trouble != "0");
+    let code = match case.as_str() {
+        "refused" => refused::run(&record, has_trouble),
+        "reused_address" => reused_address::run(&record, has_trouble),
+        "spoiled_event" => spoiled_event::run(&record, has_trouble),
+        "header_limit" => header_limit::run(&record, has_trouble),
+        _ => 2,
+    };
+    record.line(&format!("exit {code}"));
+    std::process::exit(code);
+}
