Show a fleet that refuses nearly all after its machines were replaced

After 24 machines were replaced one by one in a fleet of five, and all processes were killed once, 0 of 160 streams are served of 160 of 160 before.

--- a/review/stand_ins_2/gateway.rs
+++ b/review/stand_ins_2/gateway.rs
@@ -3,7 +3,7 @@
 use crate::http;
 use std::fs;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, UdpSocket};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -101,19 +101,25 @@
         );
         let file = dir.join("boot.toml");
         fs::write(&file, settings).expect("the settings file");
-        let log = fs::File::create(dir.join("log")).expect("a log");
-        let child = Command::new("target/release/sorrellockd")
-            .arg("gateway")
-            .env("SORRELLOCK_NODE_FILE", &file)
-            .stdout(Stdio::from(log.try_clone().expect("the log")))
-            .stderr(Stdio::from(log))
-            .spawn()
-            .expect("target/release/sorrellockd: run the build of deploy/system.toml first");
+        let child = spawn(&dir);
         let callers = SocketAddr::new(ip, front);
         let ready = SocketAddr::new(ip, ready);
         Gateway { name: name.to_owned(), callers, ready, child, dir }
     }
 
+    /// Kills its process, and starts it again some time later with the same settings.
+    pub fn kill_and_restart(&mut self, down: Duration) {
+        self.kill();
+        thread::sleep(down);
+        self.child = spawn(&self.dir);
+    }
+
+    /// Kills its process: the machine is gone.
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
     /// Waits until it says that it is ready.
     pub fn wait_ready(&self) -> bool {
         let until = Instant::now() + Duration::from_secs(15);
@@ -146,6 +152,17 @@
     }
 }
 
+fn spawn(dir: &Path) -> Child {
+    let log = fs::File::options().create(true).append(true).open(dir.join("log")).expect("a log");
+    Command::new("target/release/sorrellockd")
+        .arg("gateway")
+        .env("SORRELLOCK_NODE_FILE", dir.join("boot.toml"))
+        .stdout(Stdio::from(log.try_clone().expect("the log")))
+        .stderr(Stdio::from(log))
+        .spawn()
+        .expect("target/release/sorrellockd: run the build of deploy/system.toml first")
+}
+
 impl Drop for Gateway {
     fn drop(&mut self) {
         let _ = self.child.kill();
--- a/review/stand_ins_2/main.rs
+++ b/review/stand_ins_2/main.rs
@@ -9,6 +9,7 @@
 mod json;
 mod record;
 mod refused;
+mod replaced_machines;
 mod reused_address;
 mod service;
 mod spoiled_event;
@@ -27,6 +28,7 @@
         "reused_address" => reused_address::run(&record, has_trouble),
         "spoiled_event" => spoiled_event::run(&record, has_trouble),
         "header_limit" => header_limit::run(&record, has_trouble),
+        "replaced_machines" => replaced_machines::run(&record, has_trouble),
         _ => 2,
     };
     record.line(&format!("exit {code}"));
