--- a/review/stand_ins_2/engine.rs
+++ b/review/stand_ins_2/engine.rs
@@ -10,15 +10,6 @@
 use std::thread;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-/// An order that asked for more layers than the engine's memory holds.
-#[derive(Clone, Debug)]
-pub struct TooMany {
-    pub engine: String,
-    pub from: u64,
-    pub target: u64,
-    pub fits: u64,
-}
-
 pub struct EngineConfig {
     pub id: &'static str,
     pub service: &'static str,
@@ -37,7 +28,6 @@
     layers: (u64, u64),
     sequence: u64,
     is_crashed: bool,
-    too_many: Vec<TooMany>,
     /// It spoils one in so many streams; 0 for none.
     spoils_one_in: u32,
     streams: u32,
@@ -126,12 +116,6 @@
         engine
     }
 
-    /// Crashes: its listener and connections are gone at once, its entry lapses later.
-    pub fn crash(&self) {
-        self.state.lock().unwrap().is_crashed = true;
-        self.server.shut_off();
-    }
-
     pub fn layers(&self) -> (u64, u64) {
         self.state.lock().unwrap().layers
     }
@@ -144,10 +128,6 @@
     pub fn runs(&self) -> Vec<StreamRun> {
         self.state.lock().unwrap().runs.clone()
     }
-
-    pub fn too_many(&self) -> Vec<TooMany> {
-        self.state.lock().unwrap().too_many.clone()
-    }
 }
 
 fn entry(
@@ -294,7 +274,6 @@
         cfg.id, cfg.service
     ));
     if target.saturating_sub(from) > fits {
-        state.too_many.push(TooMany { engine: cfg.id.to_owned(), from, target, fits });
         state.is_crashed = true;
         record.line(&format!("engine {} crashes", cfg.id));
         return None;
--- a/review/stand_ins_2/main.rs
+++ b/review/stand_ins_2/main.rs
@@ -4,13 +4,11 @@
 
 mod engine;
 mod gateway;
-mod header_limit;
 mod http;
 mod json;
 mod record;
 mod refused;
 mod replaced_machines;
-mod reused_address;
 mod service;
 mod spoiled_event;
 mod store;
@@ -25,9 +23,7 @@
     let has_trouble = std::env::var("TROUBLE").map_or(true, |trouble| trouble != "0");
     let code = match case.as_str() {
         "refused" => refused::run(&record, has_trouble),
-        "reused_address" => reused_address::run(&record, has_trouble),
         "spoiled_event" => spoiled_event::run(&record, has_trouble),
-        "header_limit" => header_limit::run(&record, has_trouble),
         "replaced_machines" => replaced_machines::run(&record, has_trouble),
         _ => 2,
     };
