--- a/review/stand_ins_2/main.rs
+++ b/review/stand_ins_2/main.rs
@@ -1,4 +1,4 @@
-//! Stand-ins for the platform, and the scripts of the cases: `stand_ins_2 CASE RECORD`. `TROUBLE=0` leaves out the disruption.
+//! Stand-ins for the platform, and the scripts of the cases: `stand_ins_2 CASE RECORD TROUBLE`. With 0 as the last word the disruption is left out.
 
 #![allow(dead_code)]
 
@@ -15,12 +15,12 @@
 
 fn main() {
     let args: Vec<String> = std::env::args().collect();
-    let [_, case, path] = args.as_slice() else {
-        eprintln!("usage: stand_ins_2 CASE RECORD");
+    let [_, case, path, trouble] = args.as_slice() else {
+        eprintln!("usage: stand_ins_2 CASE RECORD TROUBLE");
         std::process::exit(2);
     };
     let record = record::Record::new(path);
-    let has_trouble = std::env::var("TROUBLE").map_or(true, |trouble| trouble != "0");
+    let has_trouble = trouble != "0";
     let code = match case.as_str() {
         "refused" => refused::run(&record, has_trouble),
         "spoiled_event" => spoiled_event::run(&record, has_trouble),
