Answers: a status that promises "not run" needs the endpoint's statement

Cause: an answer without Not-Executed was final whatever its status, so that 408, 429 and 503 were passed on as promises that nothing proves.

Change: check_answer (routing, without sockets) decides by the head what may be passed on. These statuses without the statement end the attempt as one that may have run: another endpoint where the request may be repeated, 502 without seal and body otherwise. Counted as unproven_refusals. Streams and idempotent calls go the same way.

--- a/crates/daemon/tests/gateway/plain_calls.rs
+++ b/crates/daemon/tests/gateway/plain_calls.rs
@@ -48,6 +48,57 @@
     assert_eq!(fleet.service.runs(&request), 0);
 }
 
+/// Guards against callers that are told by a 503 that their call didn't run, though an endpoint has run it.
+#[test]
+fn a_status_that_promises_not_run_isnt_passed_on_without_evidence() {
+    let fleet = fleet();
+    let gateway = fleet.settled_gateway("one");
+    for (path, runs) in [("/status/a", 1), ("/ack/a", 1)] {
+        for status in [503, 429, 408] {
+            fleet.service.set_mode(ServiceMode::FailsWith(status));
+            let request = new_request();
+
+            let answer = send(gateway.callers(), path, &request, Some(KEY));
+
+            assert_eq!(answer.status, 502, "{path} answered with {status}: {answer:?}");
+            assert_eq!(answer.retry_after, None, "{path} answered with {status}");
+            assert_eq!(answer.signature, None, "{path} answered with {status}");
+            assert_eq!(fleet.service.runs(&request), runs, "{path} answered with {status}");
+        }
+    }
+}
+
+/// The same for streams, whose callers may resume them.
+#[test]
+fn a_stream_isnt_refused_as_not_run_without_evidence() {
+    let fleet = fleet();
+    let gateway = fleet.settled_gateway("one");
+    for status in [503, 429, 408] {
+        fleet.engines.iter().for_each(|engine| engine.set_mode(EngineMode::FailsWith(status)));
+        let request = new_request();
+
+        let answer = send(gateway.callers(), "/match/a", &request, Some(KEY));
+
+        assert_eq!(answer.status, 502, "answered with {status}: {answer:?}");
+        assert_eq!(answer.retry_after, None, "answered with {status}");
+        assert!(fleet.runs(&request) > 0, "answered with {status}");
+    }
+}
+
+#[test]
+fn an_endpoints_own_error_passes_unchanged() {
+    let fleet = fleet();
+    let gateway = fleet.settled_gateway("one");
+    for status in [500, 504, 404] {
+        fleet.service.set_mode(ServiceMode::FailsWith(status));
+
+        let answer = send(gateway.callers(), "/status/a", &new_request(), Some(KEY));
+
+        assert_eq!((answer.status, answer.body.as_str()), (status, "failed"));
+        assert_eq!(answer.signature.as_deref(), Some("ledger-1"));
+    }
+}
+
 #[test]
 fn an_idempotent_call_goes_to_another_endpoint_after_a_failure() {
     let fleet = fleet();
--- a/crates/gateway/src/process/counters.rs
+++ b/crates/gateway/src/process/counters.rs
@@ -91,6 +91,8 @@
     EndpointConnections => "endpoint_connections",
     /// Answers dropped because they belong to another request.
     CrossedAnswers => "crossed_answers",
+    /// Answers dropped because their status says that the request has not run, without evidence.
+    UnprovenRefusals => "unproven_refusals",
     /// Calls to the store that failed.
     StoreFailures => "store_failures",
     /// Watches of the store that were abandoned because they might no longer deliver updates.
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -4,7 +4,7 @@
     BackoffTrial, CONNECT_LIMIT, Connection, Count, EndpointUse, Gateway, RunGuard, open,
 };
 use crate::request::{Call, held_reason};
-use http::{Request, Response, StatusCode, Version};
+use http::{Request, Response, Version};
 use hyper::body::Incoming;
 use nix::errno::Errno;
 use sorrellock_http::ByteSegments;
@@ -14,7 +14,7 @@
 use sorrellock_routing::process::notices::SendBlock;
 use sorrellock_routing::process::retries::RepeatCause;
 use sorrellock_routing::process::{FailureEvidence, Incarnation, PathPart, PeerSilence};
-use sorrellock_routing::request::Evidence;
+use sorrellock_routing::request::{AnswerClaims, AnswerFault, Evidence, check_answer};
 use spdlog::{info, warn};
 use std::cell::Cell;
 use std::io::{self, ErrorKind};
@@ -79,6 +79,8 @@
     pub(crate) asks_backoff: bool,
     /// The endpoint broke the connection after it received the request.
     pub(crate) has_broken_off: bool,
+    /// The endpoint answered that it failed, so that its path works.
+    pub(crate) is_error_answer: bool,
     /// The evidence for suspecting the endpoint when nothing could be sent.
     pub(crate) failure_evidence: FailureEvidence,
     pub(crate) why: String,
@@ -95,6 +97,7 @@
             is_blocked: false,
             asks_backoff: false,
             has_broken_off: false,
+            is_error_answer: false,
             failure_evidence: FailureEvidence::Refused,
             why,
         }
@@ -144,7 +147,7 @@
         send(gateway, call, target, limit).await?;
     let head = read_answer_head(answer.status(), answer.headers());
     record_load(gateway, &target.incarnation, &head);
-    if is_answer_to(&head, call) {
+    if names_request(&head, call) != Some(false) {
         gateway.on_notices(&target.incarnation, &head.notices, in_flight.began);
         gateway.note_unknown_fields(&target.incarnation, unknown_fields(answer.headers()));
     }
@@ -372,42 +375,44 @@
     used.reported = Some((load, Instant::now()));
 }
 
-/// Returns whether an answer doesn't name another request than this one.
-fn is_answer_to(head: &AnswerHead, call: &Call) -> bool {
-    head.request_id.as_deref().is_none_or(|id| id == call.id())
+/// Returns whether an answer names this request; `None` if it names none.
+fn names_request(head: &AnswerHead, call: &Call) -> Option<bool> {
+    head.request_id.as_deref().map(|id| id == call.id())
 }
 
-/// Rejects answers that belong to another request, are not signed, or state that nothing was run.
+/// Rejects answers that may not be passed on to the caller.
 fn check_answer_head(
     gateway: &Gateway,
     call: &Call,
     answer: &Response<Incoming>,
     head: &AnswerHead,
 ) -> Result<(), FailedAttempt> {
-    let status = answer.status();
-    if !is_answer_to(head, call) {
-        gateway.counters.add(Count::CrossedAnswers);
-        warn!("answer of another request dropped", kv: { request = call.id() });
-        let why = "the answer belongs to another request".to_owned();
-        return Err(FailedAttempt::new(Evidence::MayHaveRun, why));
-    }
-    if head.not_run || status == StatusCode::MISDIRECTED_REQUEST {
-        return Err(FailedAttempt {
-            at_fault: head.at_fault,
-            is_misdirected: status == StatusCode::MISDIRECTED_REQUEST,
-            asks_backoff: matches!(head.notices.backoff, Some(Ok(wait)) if !wait.is_zero()),
-            ..FailedAttempt::new(Evidence::NotRun, format!("refused with {}", status.as_u16()))
-        });
-    }
-    if head.request_id.is_none() {
-        let why = "the answer has no request id".to_owned();
-        return Err(FailedAttempt::new(Evidence::MayHaveRun, why));
+    let claims = AnswerClaims {
+        status: answer.status().as_u16(),
+        names_request: names_request(head, call),
+        says_not_run: head.not_run,
+        is_signed: head.is_signed,
+    };
+    let Err(fault) = check_answer(&claims) else { return Ok(()) };
+    match fault {
+        AnswerFault::OtherRequest => {
+            gateway.counters.add(Count::CrossedAnswers);
+            warn!("answer of another request dropped", kv: { request = call.id() });
+        }
+        AnswerFault::UnprovenRefusal(_) => gateway.counters.add(Count::UnprovenRefusals),
+        AnswerFault::NotRun(_) | AnswerFault::NoRequestId | AnswerFault::Unsigned => {}
     }
-    if status.is_success() && !head.is_signed {
-        let why = "the answer is not signed by its endpoint".to_owned();
-        return Err(FailedAttempt::new(Evidence::MayHaveRun, why));
+    let failed = FailedAttempt::new(fault.evidence(), fault.to_string());
+    if fault.evidence() != Evidence::NotRun {
+        let is_error_answer = matches!(fault, AnswerFault::UnprovenRefusal(_));
+        return Err(FailedAttempt { is_error_answer, ..failed });
     }
-    Ok(())
+    Err(FailedAttempt {
+        at_fault: head.at_fault,
+        is_misdirected: fault.is_misdirected(),
+        asks_backoff: matches!(head.notices.backoff, Some(Ok(wait)) if !wait.is_zero()),
+        ..failed
+    })
 }
 
 /// Counts and logs an attempt that brought no answer.
--- a/crates/gateway/src/request/run_search.rs
+++ b/crates/gateway/src/request/run_search.rs
@@ -287,6 +287,7 @@
             gateway.paths.borrow().avoid_through(&call.service, refuser, now + REFUSED_AVOID_TIME);
             check_refuser(gateway, refuser, failed.is_misdirected);
         }
+        Evidence::MayHaveRun if failed.is_error_answer => {}
         Evidence::MayHaveRun => {
             live.avoid(now + SILENT_AVOID_TIME);
             check_first(gateway, live);
