Endpoints: the limit on a missing entry ends at its time, also for requests under way

A request that waited for a permit or a connection after its choice wasn't looked at again either.

Change: Knowledge tells when the next endpoint may get no new work; paths are computed anew then. Each attempt asks for all endpoints of its path right before its first byte is written, and goes elsewhere otherwise (sends_to_closed).

--- a/crates/daemon/tests/gateway/main.rs
+++ b/crates/daemon/tests/gateway/main.rs
@@ -30,3 +30,4 @@
 mod silence;
 mod soak;
 mod streams;
+mod unsaid_leaves;
--- a/crates/gateway/src/process/counters.rs
+++ b/crates/gateway/src/process/counters.rs
@@ -91,6 +91,8 @@
     EndpointConnections => "endpoint_connections",
     /// Answers dropped because they belong to another request.
     CrossedAnswers => "crossed_answers",
+    /// Sends given up as an endpoint of the request's path had become one that gets no new work.
+    SendsToClosed => "sends_to_closed",
     /// Answers dropped because their status says that the request has not run, without evidence.
     UnprovenRefusals => "unproven_refusals",
     /// Calls to the store that failed.
--- a/crates/gateway/src/process/store/endpoint_updates.rs
+++ b/crates/gateway/src/process/store/endpoint_updates.rs
@@ -8,7 +8,7 @@
 use std::collections::HashSet;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep_until};
 
 /// How long after a failed call of the store a removed entry may only have expired: the first watch that
 /// the store answers returns all changes of the meantime.
@@ -20,10 +20,14 @@
 /// How often missing and unusable entries are checked.
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(200);
 
-/// Removes endpoints whose entries stay missing or unusable for too long. Never returns.
+/// Removes endpoints whose entries stay missing or unusable for too long, and recomputes the paths when an endpoint may get
+/// no new work any more. Never returns.
 pub(crate) async fn expire_entries(gateway: Rc<Gateway>) {
     loop {
-        sleep(EXPIRY_INTERVAL).await;
+        let asleep_at = Instant::now();
+        let work_limit = gateway.knowledge.borrow().next_work_limit(asleep_at.into_std());
+        let wake_at = asleep_at + EXPIRY_INTERVAL;
+        sleep_until(work_limit.map_or(wake_at, |limit| wake_at.min(limit.into()))).await;
         let now = Instant::now().into_std();
         let to_ask = gateway.knowledge.borrow_mut().left_to_probe(now);
         to_ask.iter().for_each(|id| check_left(&gateway, id));
@@ -35,7 +39,7 @@
             };
             gateway.endpoint_gone(id, why);
         }
-        if !gone.is_empty() {
+        if !gone.is_empty() || work_limit.is_some_and(|limit| now >= limit) {
             gateway.refresh_paths();
         }
     }
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -253,6 +253,10 @@
     if gateway.fleet_state.borrow().leaving_notices.contains(&target.incarnation) {
         return Err(not_sent_now("it said that it leaves".to_owned()));
     }
+    if let Some(closed) = closed_endpoint(gateway, target) {
+        gateway.counters.add(Count::SendsToClosed);
+        return Err(not_sent_now(format!("{} gets no new work any more", closed.id)));
+    }
     let backoff_trial = gateway.admit_after_backoff(&target.incarnation).map_err(blocked)?;
     if gateway.admit_send(call, is_trial) {
         call.is_trial.set(false);
@@ -262,6 +266,13 @@
     Err(FailedAttempt { is_held: true, ..failed })
 }
 
+/// Returns an endpoint of the target that may get no new work any more. It may have become so while the request waited for a
+/// permit or a connection.
+fn closed_endpoint(gateway: &Gateway, target: &Target<'_>) -> Option<Incarnation> {
+    let (knowledge, now) = (gateway.knowledge.borrow(), Instant::now().into_std());
+    target.endpoints().into_iter().find(|endpoint| !knowledge.may_get_work(endpoint, now))
+}
+
 /// Returns the failure of an attempt that was not sent, as its endpoint gets no requests now.
 fn blocked(block: SendBlock) -> FailedAttempt {
     let ms = block.wait().as_millis();
--- a/crates/routing/src/process/knowledge/knowledge.rs
+++ b/crates/routing/src/process/knowledge/knowledge.rs
@@ -147,13 +147,31 @@
 
     /// Returns the endpoints that may get new work according to their entries.
     pub fn open_endpoints(&self, now: Instant) -> impl Iterator<Item = &Endpoint> {
-        let may_get_work = move |known: &&KnownEndpoint| match known.entry {
+        let open = self.endpoints.values().filter(move |known| self.is_open(known, now));
+        open.map(|known| &known.endpoint)
+    }
+
+    /// Returns whether an endpoint may get new work in this incarnation, according to its entry.
+    pub fn may_get_work(&self, incarnation: &Incarnation, now: Instant) -> bool {
+        let known = self.endpoints.get(&incarnation.id);
+        known.is_some_and(|known| {
+            known.endpoint.started == incarnation.started && self.is_open(known, now)
+        })
+    }
+
+    /// Returns when the next endpoint may get no new work any more, as its entry is missing.
+    pub fn next_work_limit(&self, now: Instant) -> Option<Instant> {
+        let open = self.endpoints.values().filter(|known| self.is_open(known, now));
+        open.filter_map(|known| Some(known.entry.since()? + self.work_while_missing)).min()
+    }
+
+    fn is_open(&self, known: &KnownEndpoint, now: Instant) -> bool {
+        let may_get_work = match known.entry {
             EntryState::Listed => true,
             EntryState::MissingSince(since) => now - since < self.work_while_missing,
             EntryState::UnusableSince(..) => false,
         };
-        let open = self.endpoints.values().filter(may_get_work).map(|known| &known.endpoint);
-        open.filter(|endpoint| !endpoint.is_leaving)
+        may_get_work && !known.endpoint.is_leaving
     }
 
     /// Returns whether the entry of this incarnation says that it is leaving.
