Answers: a status outside of 200 to 599 is no answer

Reported by other operators (MIXED, status 000). Here 000, 099, 1000 and 20 brought 502, but 101, 600 and 999 were passed on as the endpoint's own answers: the library takes 100 to 999.

Change: check_answer refuses such a status as an attempt that may have run, and a success that states that the request wasn't run. Counted as invalid_answers.

--- a/crates/daemon/tests/gateway/main.rs
+++ b/crates/daemon/tests/gateway/main.rs
@@ -20,6 +20,7 @@
 mod leaving;
 mod life;
 mod limits;
+mod odd_answers;
 mod pauses;
 mod plain_attempts;
 mod plain_calls;
--- a/crates/gateway/src/process/counters.rs
+++ b/crates/gateway/src/process/counters.rs
@@ -93,6 +93,8 @@
     CrossedAnswers => "crossed_answers",
     /// Sends given up as an endpoint of the request's path had become one that gets no new work.
     SendsToClosed => "sends_to_closed",
+    /// Answers dropped because their status is none of an answer, or contradicts their headers.
+    InvalidAnswers => "invalid_answers",
     /// Answers dropped because their status says that the request has not run, without evidence.
     UnprovenRefusals => "unproven_refusals",
     /// Calls to the store that failed.
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -411,6 +411,9 @@
             warn!("answer of another request dropped", kv: { request = call.id() });
         }
         AnswerFault::UnprovenRefusal(_) => gateway.counters.add(Count::UnprovenRefusals),
+        AnswerFault::InvalidStatus(_) | AnswerFault::Contradictory(_) => {
+            gateway.counters.add(Count::InvalidAnswers);
+        }
         AnswerFault::NotRun(_) | AnswerFault::NoRequestId | AnswerFault::Unsigned => {}
     }
     let failed = FailedAttempt::new(fault.evidence(), fault.to_string());
--- a/crates/routing/tests/answer_check.rs
+++ b/crates/routing/tests/answer_check.rs
@@ -50,3 +50,26 @@
     assert_eq!(check_answer(&nameless), Err(AnswerFault::NoRequestId));
     assert_eq!(check_answer(&unsigned), Err(AnswerFault::Unsigned));
 }
+
+/// Guards against answers that are none by the protocol, passed on to callers.
+#[test]
+fn a_status_outside_of_the_protocol_is_no_answer() {
+    for status in [0, 99, 100, 101, 199, 600, 999] {
+        let stated = AnswerClaims { says_not_run: true, ..answer(status) };
+        for claims in [answer(status), stated] {
+            let fault = check_answer(&claims).expect_err("no answer");
+
+            assert_eq!(fault, AnswerFault::InvalidStatus(status));
+            assert_eq!(fault.evidence(), Evidence::MayHaveRun);
+        }
+    }
+}
+
+#[test]
+fn a_success_that_says_it_was_not_run_proves_neither() {
+    let claims = AnswerClaims { says_not_run: true, ..answer(200) };
+
+    let fault = check_answer(&claims).expect_err("contradictory");
+
+    assert_eq!((fault, fault.evidence()), (AnswerFault::Contradictory(200), Evidence::MayHaveRun));
+}
