Requests: the kind of a route decides how its answer is passed on

The reverse as well: whole answers of engines were taken for streams that break off.

Cause: handle_request chose by the service. Without a model the answer was read whole first, and callers leave after two seconds.

Change: route kind and service decide together. serve_plain_stream forwards events from an endpoint of a plain service and continues the stream at another one; serve_engine_call reads an engine's whole answer. plain.rs is split: the attempts of a call, which both use, have a file of their own. A request that may run once and lost its run no longer waits for a place.

--- a/crates/daemon/tests/gateway/main.rs
+++ b/crates/daemon/tests/gateway/main.rs
@@ -26,6 +26,7 @@
 mod plain_calls;
 mod planned_work;
 mod relays;
+mod route_kinds;
 mod scarce_capacity;
 mod shared_watches;
 mod silence;
--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -3,6 +3,7 @@
 mod attempt;
 mod call;
 mod endpoint_choice;
+mod engine_call;
 mod estimate;
 mod final_answer;
 mod plain;
--- /dev/null
+++ b/crates/gateway/src/request/plain/stream_relay.rs
@@ -0,0 +1,325 @@
+//! Relays a stream of events from an endpoint of a plain service, and continues it at another one when its run fails.
+
+use super::call_attempts::{CallAttempts, report_attempt_end};
+use super::serve::{abandon_at_shutdown, attempt_end, read_whole, record_answered};
+use crate::process::{Count, Gateway};
+use crate::request::endpoint_choice::open_endpoints;
+use crate::request::estimate::record_duration;
+use crate::request::{AttemptInfo, Call, Exchange, FailedAttempt, Target, attempt};
+use bytes::Bytes;
+use http::{Response, StatusCode};
+use http_body_util::BodyExt;
+use sorrellock_core::process::retries::AttemptEnd;
+use sorrellock_http::{AnswerBody, Cut, Part};
+use sorrellock_platform::answer_headers;
+use sorrellock_routing::process::Endpoint;
+use sorrellock_routing::request::{EventParser, Evidence, ParsedChunk, RunFault};
+use spdlog::{info, warn};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::mpsc;
+use tokio::time::{Instant, sleep_until, timeout_at};
+
+/// Buffered parts for a slow caller; when the buffer is full, the endpoint's connection isn't read.
+const PARTS_BUFFERED: usize = 32;
+/// How long a stream that may be resumed waits for the head of an answer, or for its next event, before another endpoint is
+/// tried: callers leave after two seconds.
+const SILENCE_LIMIT: Duration = Duration::from_millis(1_200);
+/// Pause after which callers leave.
+const CALLER_PAUSE_LIMIT: Duration = Duration::from_secs(2);
+
+/// Serves a stream of a plain service.
+pub(crate) async fn serve_plain_stream(
+    gateway: Rc<Gateway>,
+    call: Call,
+) -> Result<Response<AnswerBody>, Cut> {
+    let mut attempts = CallAttempts::new(&call);
+    let until = call.deadline;
+    match begin_run(&gateway, &call, &mut attempts, call.head.last_event, until).await {
+        Begun::Run(run) => Ok(start_relay(gateway, call, attempts, *run)),
+        Begun::Answer(answer) => Ok(answer),
+        Begun::Nothing => Ok(attempts.final_answer(&gateway, &call)),
+    }
+}
+
+/// A run of a stream at an endpoint.
+struct PlainRun {
+    exchange: Exchange,
+    info: AttemptInfo,
+    addr: SocketAddr,
+}
+
+/// The outcome of a search for a run.
+enum Begun {
+    Run(Box<PlainRun>),
+    /// An endpoint's answer that is no stream.
+    Answer(Response<AnswerBody>),
+    /// No endpoint took the request.
+    Nothing,
+}
+
+/// Sends the request to one endpoint after the other until one begins the stream after `last_event`.
+async fn begin_run(
+    gateway: &Rc<Gateway>,
+    call: &Call,
+    attempts: &mut CallAttempts,
+    last_event: Option<u64>,
+    until: Instant,
+) -> Begun {
+    loop {
+        gateway.await_turn(call, || open_endpoints(gateway, call).len()).await;
+        let Some((endpoint, permit)) = attempts.next_endpoint(gateway, call) else {
+            return Begun::Nothing;
+        };
+        let info = attempts.start_attempt(gateway, call, &endpoint, permit);
+        let may_follow = info.overdue_at.is_some();
+        let limit = until.saturating_duration_since(Instant::now());
+        let limit = if may_follow { limit.min(SILENCE_LIMIT) } else { limit };
+        let sent = tokio::select! {
+            biased;
+            sent = send(gateway, call, &endpoint, last_event, limit) => sent,
+            () = gateway.ending() => Err(abandon_at_shutdown(call)),
+        };
+        let run = match sent {
+            Ok(exchange) => PlainRun { exchange, info, addr: endpoint.addr },
+            Err(failed) => {
+                attempts.on_failed(gateway, call, &info, &failed);
+                continue;
+            }
+        };
+        if run.exchange.answer.status() == StatusCode::OK {
+            return Begun::Run(Box::new(run));
+        }
+        if let Some(answer) = read_other_answer(gateway, call, attempts, run).await {
+            return Begun::Answer(answer);
+        }
+    }
+}
+
+async fn send(
+    gateway: &Rc<Gateway>,
+    call: &Call,
+    endpoint: &Endpoint,
+    last_event: Option<u64>,
+    limit: Duration,
+) -> Result<Exchange, FailedAttempt> {
+    info!("request sent", kv: {
+        request = call.id(), endpoint = endpoint.id.as_str(), limit_ms = limit.as_millis() as u64,
+        after:? = last_event
+    });
+    let incarnation = endpoint.incarnation();
+    let target = Target { incarnation, addr: endpoint.addr, path: &[], last_event };
+    attempt(gateway, call, &target, limit).await
+}
+
+/// Reads an answer that is no stream. Returns it unless another endpoint may be tried.
+async fn read_other_answer(
+    gateway: &Rc<Gateway>,
+    call: &Call,
+    attempts: &mut CallAttempts,
+    run: PlainRun,
+) -> Option<Response<AnswerBody>> {
+    let PlainRun { exchange, info, addr } = run;
+    match read_whole(gateway, call, exchange, addr, call.deadline).await {
+        Ok(answer) if attempts.should_try_another(call, &info, &answer, false) => {
+            report_attempt_end(gateway, &info, AttemptEnd::Failure);
+            attempts.on_error_answered(&info, answer);
+            None
+        }
+        Ok(answer) => {
+            report_attempt_end(gateway, &info, attempt_end(&answer));
+            Some(record_answered(call, &info.endpoint, answer))
+        }
+        Err(failed) => {
+            attempts.on_failed(gateway, call, &info, &failed);
+            None
+        }
+    }
+}
+
+fn start_relay(
+    gateway: Rc<Gateway>,
+    call: Call,
+    attempts: CallAttempts,
+    run: PlainRun,
+) -> Response<AnswerBody> {
+    gateway.counters.first_byte.record(call.arrived.elapsed());
+    let (tx, rx) = mpsc::channel(PARTS_BUFFERED);
+    let mut answer = Response::new(AnswerBody::parts(rx));
+    *answer.headers_mut() = answer_headers(run.exchange.answer.headers());
+    let events = EventParser::new(call.head.last_event);
+    let now = Instant::now();
+    let relay =
+        PlainRelay { gateway, call, attempts, run, tx, events, last_event: now, check_at: now };
+    tokio::task::spawn_local(relay.run());
+    answer
+}
+
+/// Forwards one stream to its caller.
+struct PlainRelay {
+    gateway: Rc<Gateway>,
+    call: Call,
+    attempts: CallAttempts,
+    run: PlainRun,
+    tx: mpsc::Sender<Part>,
+    events: EventParser,
+    last_event: Instant,
+    /// When a silent run is next compared with other endpoints.
+    check_at: Instant,
+}
+
+/// The next thing for a relay to handle.
+enum PlainInput {
+    Chunk(Bytes),
+    Ended,
+    Broke(String),
+    Silent,
+    CallerGone,
+    DeadlinePassed,
+}
+
+/// Whether a stream continues.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Flow {
+    Continue,
+    Complete,
+    Stopped,
+}
+
+impl PlainRelay {
+    async fn run(mut self) {
+        loop {
+            let flow = match self.next_input().await {
+                PlainInput::Chunk(chunk) => self.forward(chunk).await,
+                PlainInput::Ended if self.events.may_end() => Flow::Complete,
+                PlainInput::Ended => self.replace_failed_run(&RunFault::EndedWithinEvent).await,
+                PlainInput::Broke(why) => {
+                    self.replace_failed_run(&RunFault::ConnectionBroke(why)).await
+                }
+                PlainInput::Silent => self.replace_silent_run().await,
+                PlainInput::CallerGone => Flow::Stopped,
+                PlainInput::DeadlinePassed => self.cut(Count::TimedOut, "its deadline has passed"),
+            };
+            match flow {
+                Flow::Continue => {}
+                Flow::Complete => return self.finish().await,
+                Flow::Stopped => return,
+            }
+        }
+    }
+
+    async fn next_input(&mut self) -> PlainInput {
+        let deadline = self.call.deadline;
+        let silent_at = (self.last_event + SILENCE_LIMIT).max(self.check_at);
+        let may_repeat = self.call.route.semantics.may_repeat();
+        tokio::select! {
+            biased;
+            frame = self.run.exchange.answer.body_mut().frame() => match frame {
+                None => PlainInput::Ended,
+                Some(Err(err)) => PlainInput::Broke(err.to_string()),
+                Some(Ok(frame)) => PlainInput::Chunk(frame.into_data().unwrap_or_default()),
+            },
+            () = self.tx.closed() => PlainInput::CallerGone,
+            () = sleep_until(deadline) => PlainInput::DeadlinePassed,
+            () = sleep_until(silent_at), if may_repeat => PlainInput::Silent,
+        }
+    }
+
+    /// Forwards the complete events of a chunk.
+    async fn forward(&mut self, chunk: Bytes) -> Flow {
+        self.last_event = Instant::now();
+        let events_before = self.events.events();
+        let ParsedChunk { events, error } = self.events.push(chunk);
+        self.run.exchange.run.on_events(self.events.events() - events_before);
+        if !events.is_empty() && self.tx.send(Part::Data(events)).await.is_err() {
+            return Flow::Stopped;
+        }
+        match error {
+            None => Flow::Continue,
+            Some(err) => self.replace_failed_run(&RunFault::InvalidEvent(err)).await,
+        }
+    }
+
+    /// Continues at another endpoint, as the run has ended before its last event.
+    async fn replace_failed_run(&mut self, fault: &RunFault) -> Flow {
+        let (gateway, call) = (&self.gateway, &self.call);
+        gateway.counters.add(Count::RunsBroken);
+        let run = &self.run;
+        warn!("failover started", kv: {
+            request = call.id(), endpoint = run.info.endpoint.id.as_str(),
+            why = fault.to_string().as_str(), after:? = self.events.last()
+        });
+        run.exchange.run.on_broke();
+        gateway.check_ended(&run.info.endpoint, run.addr).await;
+        let failed = FailedAttempt::new(Evidence::MayHaveRun, fault.to_string());
+        self.attempts.on_failed(gateway, call, &run.info, &failed);
+        let until = (self.last_event + CALLER_PAUSE_LIMIT).min(call.deadline);
+        match self.begin_next(until).await {
+            Begun::Run(run) => self.replace_run(*run),
+            Begun::Answer(_) | Begun::Nothing => {
+                if self.gateway.is_ending() {
+                    self.call.end.report_cut_leaving();
+                }
+                self.cut(Count::Cut, &format!("{fault}, and no other run"))
+            }
+        }
+    }
+
+    /// Continues at another endpoint if one begins a run in time. The silent run is kept otherwise, as it may still deliver.
+    async fn replace_silent_run(&mut self) -> Flow {
+        self.check_at = Instant::now() + SILENCE_LIMIT;
+        let until = (self.last_event + CALLER_PAUSE_LIMIT).min(self.call.deadline);
+        if !self.attempts.count_overdue(&mut self.run.info) || Instant::now() >= until {
+            return Flow::Continue;
+        }
+        self.gateway.counters.add(Count::RunsSilent);
+        match self.begin_next(until).await {
+            Begun::Run(run) => {
+                report_attempt_end(&self.gateway, &self.run.info, AttemptEnd::Failure);
+                self.replace_run(*run)
+            }
+            Begun::Answer(_) | Begun::Nothing => Flow::Continue,
+        }
+    }
+
+    async fn begin_next(&mut self, until: Instant) -> Begun {
+        let last_event = self.events.last();
+        let PlainRelay { gateway, call, attempts, .. } = self;
+        let starting = begin_run(gateway, call, attempts, last_event, until);
+        // Whatever was sent by then may have run.
+        timeout_at(until, starting).await.unwrap_or(Begun::Nothing)
+    }
+
+    /// Replaces the run by one that has begun. The old one is dropped only now.
+    fn replace_run(&mut self, run: PlainRun) -> Flow {
+        self.gateway.counters.add(Count::Resumed);
+        info!("failover done", kv: {
+            request = self.call.id(), after:? = self.events.last(),
+            endpoint = run.info.endpoint.id.as_str()
+        });
+        self.events.restart();
+        self.run = run;
+        Flow::Continue
+    }
+
+    async fn finish(self) {
+        let PlainRun { exchange, info, .. } = self.run;
+        exchange.run.on_answered();
+        report_attempt_end(&self.gateway, &info, AttemptEnd::Success);
+        let (connection, head) = (exchange.connection, &exchange.head);
+        self.gateway.pool.borrow_mut().keep(exchange.incarnation, connection, head, Instant::now());
+        if self.tx.send(Part::End).await.is_ok() {
+            record_duration(&self.gateway, &self.call);
+            let why = format!("{} events, last from {}", self.events.events(), info.endpoint.id);
+            self.call.end.report(Count::Answered, "answered", 200, &why);
+        }
+    }
+
+    /// Ends the stream before its last event. The channel is dropped without an end part, so that the caller sees a
+    /// truncated answer.
+    fn cut(&self, count: Count, why: &str) -> Flow {
+        self.call.end.report(count, "cut", 200, why);
+        Flow::Stopped
+    }
+}
--- a/crates/gateway/src/request/request_handler.rs
+++ b/crates/gateway/src/request/request_handler.rs
@@ -1,8 +1,9 @@
 //! Handles one request: reads it, finds its route, and forwards it.
 
 use crate::process::{Count, Gateway};
+use crate::request::engine_call::serve_engine_call;
 use crate::request::estimate::usual_duration;
-use crate::request::plain::serve_plain;
+use crate::request::plain::{serve_plain, serve_plain_stream};
 use crate::request::stream::serve_stream;
 use crate::request::{Call, EndGuard, Sends, abandon_call, held_reason, held_retry_delay, refusal};
 use http::uri::PathAndQuery;
@@ -15,7 +16,9 @@
 use sorrellock_routing::process::crashes::{PromptPart, RunRequest};
 use sorrellock_routing::process::cut;
 use sorrellock_routing::request::{AbandonedOutcome, ContentId};
-use sorrellock_routing::version::{NotAllowed, Route, RouteTable, ServiceName, capacity_rank};
+use sorrellock_routing::version::{
+    NotAllowed, Route, RouteTable, Semantics, ServiceName, capacity_rank,
+};
 use spdlog::info;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -99,7 +102,8 @@
     };
     log_admitted(&call, &routes, &gateway.settings.data_centre);
     let has_model = routes.service(&call.service).is_some_and(|service| service.model.is_some());
-    if !can_finish(&gateway, &call, has_model) {
+    let is_stream = matches!(call.route.semantics, Semantics::Stream { .. });
+    if !can_finish(&gateway, &call, is_stream) {
         call.end.report_refused_leaving();
         let why = "this gateway ends before the answer can be complete";
         let wait = retry_delay(&gateway, call.deadline);
@@ -108,9 +112,11 @@
     if let Some(held_for) = claim_trial_or_hold(&gateway, &call).await {
         return Ok(refuse_held(&gateway, &call, held_for));
     }
-    match has_model {
-        true => serve_stream(gateway, call).await,
-        false => serve_plain(gateway, call).await,
+    match (is_stream, has_model) {
+        (true, true) => serve_stream(gateway, call).await,
+        (true, false) => serve_plain_stream(gateway, call).await,
+        (false, true) => serve_engine_call(gateway, call).await,
+        (false, false) => serve_plain(gateway, call).await,
     }
 }
 
--- a/crates/gateway/src/request/run_search.rs
+++ b/crates/gateway/src/request/run_search.rs
@@ -5,7 +5,7 @@
 use crate::request::{
     Call, FailedAttempt, RunningAttempts, abandon_call, forward_answer, log_failed_attempt,
 };
-use http::{Response, StatusCode};
+use http::Response;
 use sorrellock_http::{AnswerBody, read_answer};
 use sorrellock_routing::process::Incarnation;
 use sorrellock_routing::request::{AbandonedOutcome, Attempts, Evidence};
@@ -57,7 +57,7 @@
             () = gateway.ending() => SearchEvent::ShuttingDown,
         };
         match event {
-            SearchEvent::Ended(_, Ok(run)) if run.exchange.answer.status() == StatusCode::OK => {
+            SearchEvent::Ended(_, Ok(run)) if run.exchange.answer.status().is_success() => {
                 return Ok(*run);
             }
             SearchEvent::Ended(sent, Ok(run)) => search.on_error_answered(&sent, *run).await,
--- a/crates/gateway/src/request/stream.rs
+++ b/crates/gateway/src/request/stream.rs
@@ -35,34 +35,50 @@
     call: Call,
 ) -> Result<Response<AnswerBody>, Cut> {
     let mut attempts = Attempts::new(call.route.semantics, call.route.max_attempts);
-    let last_event = call.head.last_event;
     let mut avoid = Vec::new();
-    let max_wait = max_capacity_wait(&call).unwrap_or(CAPACITY_WAIT_LIMIT);
+    match begin_run(&gateway, &call, &mut attempts, &mut avoid).await {
+        Ok(run) => Ok(start_relay(gateway, call, attempts, run)),
+        Err(not_started) => Ok(answer_not_started(&gateway, &call, &attempts, not_started)),
+    }
+}
+
+/// Starts the first run of a request, waiting for free capacity.
+pub(super) async fn begin_run(
+    gateway: &Rc<Gateway>,
+    call: &Call,
+    attempts: &mut Attempts,
+    avoid: &mut Vec<Rc<LivePath>>,
+) -> Result<Run, NotStarted> {
+    let last_event = call.head.last_event;
+    let max_wait = max_capacity_wait(call).unwrap_or(CAPACITY_WAIT_LIMIT);
     let until = call.arrived + max_wait;
-    let mut began = start_run(&gateway, &call, &mut attempts, last_event, &mut avoid, until).await;
-    if matches!(began, Err(NotStarted::NoPlace(_)))
-        && attempts.abandoned_outcome(false) != AbandonedOutcome::NotRun
+    let began = start_run(gateway, call, attempts, last_event, avoid, until).await;
+    let may_have_run = attempts.abandoned_outcome(false) != AbandonedOutcome::NotRun;
+    if !matches!(began, Err(NotStarted::NoPlace(_)))
+        || !may_have_run
+        || !call.route.semantics.may_repeat()
     {
-        // An attempt may have run, so the request can no longer be refused as not run: waiting for free capacity is
-        // better than no answer.
-        avoid.retain(|live| live.is_broken());
-        let until = (call.arrived + CALLER_FIRST_EVENT_LIMIT).min(call.deadline);
-        began = start_run(&gateway, &call, &mut attempts, last_event, &mut avoid, until).await;
-    }
-    match began {
-        Ok(run) => Ok(start_relay(gateway, call, attempts, run)),
-        Err(NotStarted::ErrorAnswer(answer)) => {
-            let status = answer.status().as_u16();
-            call.end.report(
-                Count::Answered,
-                "answered",
-                status,
-                "the engine answered with an error",
-            );
-            Ok(answer)
-        }
-        Err(not_started) => Ok(refuse(&gateway, &call, &attempts, &not_started)),
+        return began;
     }
+    // It can no longer be refused as not run: waiting for free capacity is better than no answer.
+    avoid.retain(|live| live.is_broken());
+    let until = (call.arrived + CALLER_FIRST_EVENT_LIMIT).min(call.deadline);
+    start_run(gateway, call, attempts, last_event, avoid, until).await
+}
+
+/// Returns the answer to a request that no engine runs.
+pub(super) fn answer_not_started(
+    gateway: &Gateway,
+    call: &Call,
+    attempts: &Attempts,
+    not_started: NotStarted,
+) -> Response<AnswerBody> {
+    let NotStarted::ErrorAnswer(answer) = not_started else {
+        return refuse(gateway, call, attempts, &not_started);
+    };
+    let status = answer.status().as_u16();
+    call.end.report(Count::Answered, "answered", status, "the engine answered with an error");
+    answer
 }
 
 fn refuse(
