Endpoints: what comes before the head of an answer has one bound

Reported by the users as possible: bytes without end in a head or a body. Interim answers (100) were read and dropped until the deadline: 969 MB for two requests in 3 s each on, 695 MB right before this change; callers got 504.

Cause: hyper bounds one head, not the number of interim ones before the final head.

Change: from the first byte of a request to the head of its answer a connection takes 128 KiB, then it fails. Requests and all other calls of a gateway (reports, health, orders, store) use it.

--- a/crates/gateway/src/process/pool.rs
+++ b/crates/gateway/src/process/pool.rs
@@ -3,7 +3,7 @@
 use crate::process::{Count, CountGuard, Gateway};
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper_util::rt::TokioIo;
-use sorrellock_http::{ByteSegments, connect};
+use sorrellock_http::{BudgetedStream, ByteSegments, HeadBudget, connect};
 use sorrellock_platform::AnswerHead;
 use sorrellock_routing::process::Incarnation;
 use std::collections::HashMap;
@@ -32,6 +32,7 @@
 /// A connection to an endpoint. Dropping it closes it at once, which aborts a request that runs over it.
 pub(crate) struct Connection {
     pub(crate) sender: SendRequest<ByteSegments>,
+    pub(crate) head_budget: HeadBudget,
     addr: SocketAddr,
     driver: JoinHandle<()>,
     idle_since: Instant,
@@ -141,14 +142,24 @@
     gateway.counters.add(Count::EndpointConnections);
     let stream = timeout(CONNECT_LIMIT, connect(addr)).await;
     let stream = stream.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
+    let head_budget = HeadBudget::default();
     let mut builder = Builder::new();
     builder.max_buf_size(READ_BUF_BYTES);
-    let connected = builder.handshake(TokioIo::new(stream)).await;
+    let connected =
+        builder.handshake(TokioIo::new(BudgetedStream::new(stream, head_budget.clone()))).await;
     let (sender, connection) = connected.map_err(io::Error::other)?;
     let driver = tokio::task::spawn_local(async move {
         // Errors surface at the request.
         let _ = connection.await;
     });
     let idle_since = Instant::now();
-    Ok(Connection { sender, addr, driver, idle_since, idle_limit: IDLE_LIMIT, _open: open })
+    Ok(Connection {
+        sender,
+        head_budget,
+        addr,
+        driver,
+        idle_since,
+        idle_limit: IDLE_LIMIT,
+        _open: open,
+    })
 }
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -188,13 +188,17 @@
         let open_send = call.sends.begin();
         let run = RunGuard::begin(gateway, Rc::clone(&call.run_request), target.endpoints());
         let silence = SilenceWatch::start(Rc::clone(gateway), target.incarnation.clone());
+        connection.head_budget.begin();
         let Ok(res) = timeout_at(until, connection.sender.try_send_request(req)).await else {
             let why = format!("no answer in {} ms", limit.as_millis());
             return Err(FailedAttempt::new(Evidence::MayHaveRun, why));
         };
         silence.end();
         let mut err = match res {
-            Ok(answer) => return Ok(Answered { answer, connection, run, backoff_trial }),
+            Ok(answer) => {
+                connection.head_budget.end();
+                return Ok(Answered { answer, connection, run, backoff_trial });
+            }
             Err(err) => err,
         };
         req = match err.take_message() {
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -1,6 +1,6 @@
 //! HTTP calls to one peer, over connections that are kept.
 
-use crate::connection::connect;
+use crate::connection::{BudgetedStream, HeadBudget, connect};
 use crate::drained_timeout::{LimitOver, drained_timeout, drained_timeout_at};
 use bytes::Bytes;
 use http::{HeaderMap, Method, Request, Response, StatusCode};
@@ -113,13 +113,17 @@
     }
 }
 
-type Sender = SendRequest<Full<Bytes>>;
+/// A connection to the peer.
+struct Connection {
+    sender: SendRequest<Full<Bytes>>,
+    budget: HeadBudget,
+}
 
 /// Calls one peer. Clones share its connections.
 #[derive(Clone)]
 pub struct Client {
     peer: SocketAddr,
-    idle: Rc<RefCell<Vec<Sender>>>,
+    idle: Rc<RefCell<Vec<Connection>>>,
 }
 
 impl Client {
@@ -164,9 +168,9 @@
         let head = self.head(method, path, body, &mut progress);
         let head = drained_timeout(limits.head, head).await;
         let res = match head {
-            Ok(Ok((sender, answer))) => {
+            Ok(Ok((connection, answer))) => {
                 let until = began + limits.whole;
-                let body = drained_timeout_at(until, self.whole(sender, answer)).await;
+                let body = drained_timeout_at(until, self.whole(connection, answer)).await;
                 body.unwrap_or_else(|LimitOver| {
                     Err(self.silent(format!("no whole answer in {:?}", limits.whole), progress))
                 })
@@ -195,17 +199,21 @@
         path: &str,
         body: Option<Vec<u8>>,
         progress: &mut Progress,
-    ) -> Result<(Sender, Response<Incoming>), CallError> {
+    ) -> Result<(Connection, Response<Incoming>), CallError> {
         let mut req = self.request(method, path, body)?;
         loop {
-            let (mut sender, is_kept) = self.connection().await?;
+            let (mut connection, is_kept) = self.connection().await?;
             *progress = Progress::Queued;
-            let answer = sender.try_send_request(req);
+            connection.budget.begin();
+            let answer = connection.sender.try_send_request(req);
             // The connection's task writes the request in its next turn.
             yield_now().await;
             *progress = Progress::Written(Instant::now());
             let mut err = match answer.await {
-                Ok(answer) => return Ok((sender, answer)),
+                Ok(answer) => {
+                    connection.budget.end();
+                    return Ok((connection, answer));
+                }
                 Err(err) => err,
             };
             let step = err.error().to_string();
@@ -234,39 +242,44 @@
     }
 
     /// Reads the body of an answer, and keeps its connection.
-    async fn whole(&self, sender: Sender, answer: Response<Incoming>) -> Result<Answer, CallError> {
+    async fn whole(
+        &self,
+        connection: Connection,
+        answer: Response<Incoming>,
+    ) -> Result<Answer, CallError> {
         let (head, body) = answer.into_parts();
         let body = Limited::new(body, MAX_ANSWER_BYTES).collect().await;
         let body = body.map_err(|err| self.no_answer(err.to_string()))?.to_bytes();
-        self.keep(sender);
+        self.keep(connection);
         Ok(Answer { status: head.status, headers: head.headers, body })
     }
 
     /// A connection, and whether it was kept from an earlier call.
-    async fn connection(&self) -> Result<(Sender, bool), CallError> {
-        while let Some(mut sender) = self.take_idle() {
-            if sender.ready().await.is_ok() {
-                return Ok((sender, true));
+    async fn connection(&self) -> Result<(Connection, bool), CallError> {
+        while let Some(mut connection) = self.take_idle() {
+            if connection.sender.ready().await.is_ok() {
+                return Ok((connection, true));
             }
         }
         let stream = connect(self.peer).await;
         let stream = stream.map_err(|err| self.not_sent(format!("connect: {err}")))?;
+        let budget = HeadBudget::default();
+        let stream = BudgetedStream::new(stream, budget.clone());
         let hands = handshake(TokioIo::new(stream)).await;
-        let (sender, connection) =
-            hands.map_err(|err| self.not_sent(format!("handshake: {err}")))?;
+        let (sender, driver) = hands.map_err(|err| self.not_sent(format!("handshake: {err}")))?;
         // Its end shows at the sender.
-        tokio::task::spawn_local(connection);
-        Ok((sender, false))
+        tokio::task::spawn_local(driver);
+        Ok((Connection { sender, budget }, false))
     }
 
-    fn take_idle(&self) -> Option<Sender> {
+    fn take_idle(&self) -> Option<Connection> {
         self.idle.borrow_mut().pop()
     }
 
-    fn keep(&self, sender: Sender) {
+    fn keep(&self, connection: Connection) {
         let mut idle = self.idle.borrow_mut();
         if idle.len() < MAX_IDLE {
-            idle.push(sender);
+            idle.push(connection);
         }
     }
 
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -15,7 +15,8 @@
 pub use bytes::Bytes;
 pub use client::{Answer, CallError, Client, Limits};
 pub use connection::{
-    Activity, CallerCounters, CallerSlot, Callers, Charge, WatchedStream, connect,
+    Activity, BudgetedStream, CallerCounters, CallerSlot, Callers, Charge, HeadBudget,
+    WatchedStream, connect,
 };
 pub use drained_timeout::drain_event_loop;
 pub use process::{Counters, Server, ServerConfig, listen, listen_for_callers, machine_limits};
--- a/crates/http/tests/client.rs
+++ b/crates/http/tests/client.rs
@@ -138,3 +138,28 @@
         assert!(answer.is_ok(), "{answer:?}");
     });
 }
+
+/// Guards against interim answers without end, which are read and dropped for as long as a call may take.
+#[test]
+fn interim_answers_without_end_are_cut_off() {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let addr = listener.local_addr().expect("an address");
+    let written = thread::spawn(move || {
+        let (mut peer, _) = listener.accept().expect("a connection");
+        let block = b"HTTP/1.1 100 Continue\r\n\r\n".repeat(1_000);
+        let mut written = 0;
+        while peer.write_all(&block).is_ok() {
+            written += block.len();
+        }
+        written
+    });
+
+    let res = block_on(async {
+        Client::new(addr).call(Method::GET, "/", None, Duration::from_secs(20)).await
+    });
+
+    assert!(res.is_err());
+    // Beyond the bound itself, what the system's buffers take.
+    let written = written.join().expect("the bytes that the peer could write");
+    assert!(written < 16 << 20, "{written} bytes");
+}
