Streams of plain services: an attempt without an answer stays open beside the next one

Found in the second reading: a stream without a head for 1.2 s was given up before another endpoint was found, and 502 was the answer where there was none; an attempt that a time limit ended wasn't counted, so that a silent stream could run at more endpoints than its route allows.

Change: the search for a run keeps its attempts open, as calls of plain services do, and each attempt ends by its own limit and is counted.

--- a/crates/daemon/tests/gateway/route_kinds.rs
+++ b/crates/daemon/tests/gateway/route_kinds.rs
@@ -13,6 +13,8 @@
 use std::time::{Duration, Instant};
 
 const GAP: Duration = Duration::from_millis(20);
+/// Beyond the time after which a stream without an answer is tried elsewhere.
+const LATE_BEGIN: Duration = Duration::from_millis(1_600);
 /// Bytes of the first few events of a stream.
 const FIRST_BYTES: usize = 60;
 
@@ -215,3 +217,64 @@
 
     assert_eq!(read_rest(&mut body), stream_after(12));
 }
+
+#[test]
+fn a_stream_that_begins_late_is_waited_for_where_no_other_endpoint_is_there() {
+    let (fleet, gateway) = fleet_of_all_kinds();
+    fleet.service.set_mode(ServiceMode::Streams(GAP));
+    fleet.service.delay_answers(LATE_BEGIN);
+    let request = new_request();
+
+    let answer = send(gateway.callers(), "/alerts/a", &request, Some(KEY));
+
+    assert_eq!((answer.status, answer.is_whole), (200, true), "{answer:?}");
+    assert_eq!((answer.body, fleet.service.runs(&request)), (whole_stream(), 1));
+}
+
+#[test]
+fn a_stream_that_does_not_begin_is_tried_at_another_endpoint() {
+    let (fleet, gateway) = fleet_of_all_kinds();
+    fleet.service.set_mode(ServiceMode::Streams(GAP));
+    let second = add_second_service(&fleet, &gateway);
+    fleet.service.delay_answers(LATE_BEGIN * 10);
+    let requests: Vec<String> = (0..4).map(|_| new_request()).collect();
+
+    for request in &requests {
+        let answer = send(gateway.callers(), "/alerts/a", request, Some(KEY));
+        assert_eq!((answer.is_whole, answer.body), (true, whole_stream()));
+    }
+
+    assert!(
+        requests.iter().any(|request| fleet.service.runs(request) == 1),
+        "none met the late one"
+    );
+    assert!(requests.iter().all(|request| second.runs(request) == 1));
+}
+
+/// Guards against attempts that are given up uncounted, and let a stream run at further endpoints.
+#[test]
+fn a_silent_stream_runs_at_no_more_endpoints_than_its_route_allows() {
+    let (fleet, gateway) = fleet_of_all_kinds();
+    fleet.service.set_mode(ServiceMode::Streams(GAP));
+    let mut services = vec![fleet.service.clone(), add_second_service(&fleet, &gateway)];
+    for id in ["ledger-3", "ledger-4"] {
+        let service = FakeService::start(id, "ledger", "north", new_ip(), &fleet.store);
+        gateway.wait_for_line(&["\"endpoint joined\"", id]);
+        services.push(service.expect("an endpoint"));
+    }
+    services.iter().for_each(|service| service.set_mode(ServiceMode::Streams(GAP)));
+    let runs = |request: &str| services.iter().map(|service| service.runs(request)).sum::<u32>();
+
+    let silent = new_request();
+    services.iter().for_each(|service| service.set_stalled(true));
+    let (_, stalled_body) = begin(gateway.callers(), "/alerts/a", &silent, Some(KEY));
+    std::thread::sleep(LATE_BEGIN * 3);
+    services.iter().for_each(|service| service.delay_answers(LATE_BEGIN * 10));
+    let unanswered = new_request();
+    let (to, id) = (gateway.callers(), unanswered.clone());
+    let _unread = std::thread::spawn(move || send(to, "/alerts/a", &id, Some(KEY)));
+    std::thread::sleep(LATE_BEGIN * 3);
+
+    assert_eq!((runs(&silent), runs(&unanswered)), (2, 2));
+    drop(stalled_body);
+}
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -57,6 +57,7 @@
     pub(crate) head: AnswerHead,
     pub(crate) connection: Connection,
     pub(crate) incarnation: Incarnation,
+    pub(crate) addr: SocketAddr,
     pub(crate) in_flight: InFlightGuard,
     pub(crate) run: RunGuard,
 }
@@ -154,7 +155,7 @@
     drop(backoff_trial);
     check_answer_head(gateway, call, &answer, &head)?;
     let incarnation = target.incarnation.clone();
-    Ok(Exchange { answer, head, connection, incarnation, in_flight, run })
+    Ok(Exchange { answer, head, connection, incarnation, addr: target.addr, in_flight, run })
 }
 
 /// A request whose answer's head has been received.
--- a/crates/gateway/src/request/engine_call.rs
+++ b/crates/gateway/src/request/engine_call.rs
@@ -27,7 +27,7 @@
         };
         let Run { exchange, place } = run;
         let first = place.live.path.first();
-        let reading = read_whole(&gateway, &call, exchange, first.addr, call.deadline);
+        let reading = read_whole(&gateway, &call, exchange, call.deadline);
         let answered = tokio::select! {
             biased;
             answered = reading => answered,
--- a/crates/gateway/src/request/plain/call_attempts.rs
+++ b/crates/gateway/src/request/plain/call_attempts.rs
@@ -162,13 +162,17 @@
 
     /// Counts an attempt as one that may have run, as another one may start beside it. Returns whether one may.
     pub(super) fn count_overdue(&mut self, info: &mut AttemptInfo) -> bool {
-        if !info.is_overdue {
-            info.is_overdue = true;
-            self.attempts.on_failed(&info.endpoint, Evidence::MayHaveRun);
-        }
+        self.record_failed(info, Evidence::MayHaveRun);
+        info.is_overdue = true;
         self.attempts.may_send()
     }
 
+    /// Records that an open attempt is given up, as another one has answered.
+    pub(super) fn on_abandoned(&mut self, gateway: &Gateway, info: &AttemptInfo) {
+        report_attempt_end(gateway, info, abandoned_attempt_end(info));
+        self.record_failed(info, Evidence::MayHaveRun);
+    }
+
     pub(super) fn on_error_answered(&mut self, info: &AttemptInfo, answer: Response<AnswerBody>) {
         self.record_failed(info, Evidence::MayHaveRun);
         self.why = format!("{} answered {}", info.endpoint.id, answer.status());
@@ -246,3 +250,12 @@
         info!("circuit breaker state changed", kv: { endpoint = endpoint.id.as_str(), state = state.as_str() });
     }
 }
+
+/// Returns the end of an attempt abandoned for another one's answer: a failure if it is overdue, as it was slower than
+/// one that started later.
+fn abandoned_attempt_end(info: &AttemptInfo) -> AttemptEnd {
+    match info.is_overdue {
+        true => AttemptEnd::Failure,
+        false => AttemptEnd::Neutral,
+    }
+}
--- a/crates/gateway/src/request/plain/serve.rs
+++ b/crates/gateway/src/request/plain/serve.rs
@@ -4,8 +4,7 @@
 use crate::process::{Count, Gateway};
 use crate::request::endpoint_choice::open_endpoints;
 use crate::request::{
-    AttemptEvent, AttemptInfo, Call, Exchange, FailedAttempt, RunningAttempts, Target, attempt,
-    forward_answer,
+    AttemptEvent, Call, Exchange, FailedAttempt, RunningAttempts, Target, attempt, forward_answer,
 };
 use http::Response;
 use sorrellock_core::process::retries::AttemptEnd;
@@ -13,7 +12,6 @@
 use sorrellock_routing::process::{Endpoint, Incarnation};
 use sorrellock_routing::request::Evidence;
 use spdlog::info;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::{Instant, timeout};
@@ -52,9 +50,7 @@
             AttemptEvent::Ended(info, Ok(answer)) => {
                 if !call_attempts.should_try_another(&call, &info, &answer, !running.is_empty()) {
                     report_attempt_end(&gateway, &info, attempt_end(&answer));
-                    running.infos().for_each(|info| {
-                        report_attempt_end(&gateway, info, abandoned_attempt_end(info))
-                    });
+                    running.infos().for_each(|info| call_attempts.on_abandoned(&gateway, info));
                     return Ok(record_answered(&call, &info.endpoint, answer));
                 }
                 report_attempt_end(&gateway, &info, AttemptEnd::Failure);
@@ -111,14 +107,13 @@
     let target = Target { incarnation, addr: endpoint.addr, path: &[], last_event: None };
     let exchange = attempt(gateway, call, &target, limit).await?;
     gateway.counters.first_byte.record(call.arrived.elapsed());
-    read_whole(gateway, call, exchange, endpoint.addr, until).await
+    read_whole(gateway, call, exchange, until).await
 }
 
 pub(crate) async fn read_whole(
     gateway: &Rc<Gateway>,
     call: &Call,
     exchange: Exchange,
-    addr: SocketAddr,
     until: Instant,
 ) -> Result<Response<AnswerBody>, FailedAttempt> {
     let (parts, mut body) = exchange.answer.into_parts();
@@ -134,7 +129,7 @@
         Err(err @ ReadError::Broken) => {
             exchange.run.on_broke();
             drop(exchange.run);
-            gateway.check_ended(&exchange.incarnation, addr).await;
+            gateway.check_ended(&exchange.incarnation, exchange.addr).await;
             return Err(no_answer(format!("the answer was cut off: {err}")));
         }
     };
@@ -151,12 +146,3 @@
         false => AttemptEnd::Success,
     }
 }
-
-/// Returns the end of an attempt abandoned for another one's answer: a failure if it is overdue, as it was slower than
-/// one that started later.
-fn abandoned_attempt_end(info: &AttemptInfo) -> AttemptEnd {
-    match info.is_overdue {
-        true => AttemptEnd::Failure,
-        false => AttemptEnd::Neutral,
-    }
-}
--- a/crates/gateway/src/request/plain/stream_relay.rs
+++ b/crates/gateway/src/request/plain/stream_relay.rs
@@ -5,27 +5,30 @@
 use crate::process::{Count, Gateway};
 use crate::request::endpoint_choice::open_endpoints;
 use crate::request::estimate::record_duration;
-use crate::request::{AttemptInfo, Call, Exchange, FailedAttempt, Target, attempt};
+use crate::request::{
+    AttemptEvent, AttemptInfo, Call, Exchange, FailedAttempt, RunningAttempts, Target, attempt,
+};
 use bytes::Bytes;
 use http::{Response, StatusCode};
 use http_body_util::BodyExt;
-use sorrellock_core::process::retries::AttemptEnd;
+use sorrellock_core::process::retries::{AttemptEnd, Permit};
 use sorrellock_http::{AnswerBody, Cut, Part};
 use sorrellock_platform::answer_headers;
 use sorrellock_routing::process::Endpoint;
 use sorrellock_routing::request::{EventParser, Evidence, ParsedChunk, RunFault};
 use spdlog::{info, warn};
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::mpsc;
-use tokio::time::{Instant, sleep_until, timeout_at};
+use tokio::time::{Instant, sleep_until};
 
 /// Buffered parts for a slow caller; when the buffer is full, the endpoint's connection isn't read.
 const PARTS_BUFFERED: usize = 32;
 /// How long a stream that may be resumed waits for the head of an answer, or for its next event, before another endpoint is
 /// tried: callers leave after two seconds.
 const SILENCE_LIMIT: Duration = Duration::from_millis(1_200);
+/// How often a stream without an answer looks for another endpoint after none was available or no retry was left.
+const OVERDUE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Pause after which callers leave.
 const CALLER_PAUSE_LIMIT: Duration = Duration::from_secs(2);
 
@@ -47,7 +50,6 @@
 struct PlainRun {
     exchange: Exchange,
     info: AttemptInfo,
-    addr: SocketAddr,
 }
 
 /// The outcome of a search for a run.
@@ -59,7 +61,8 @@
     Nothing,
 }
 
-/// Sends the request to one endpoint after the other until one begins the stream after `last_event`.
+/// Sends the request to one endpoint after the other until one begins the stream after `last_event`, until `until` at the
+/// latest. An attempt without an answer stays open beside the next one.
 async fn begin_run(
     gateway: &Rc<Gateway>,
     call: &Call,
@@ -67,43 +70,75 @@
     last_event: Option<u64>,
     until: Instant,
 ) -> Begun {
+    let mut running = RunningAttempts::new();
     loop {
-        gateway.await_turn(call, || open_endpoints(gateway, call).len()).await;
-        let Some((endpoint, permit)) = attempts.next_endpoint(gateway, call) else {
-            return Begun::Nothing;
-        };
-        let info = attempts.start_attempt(gateway, call, &endpoint, permit);
-        let may_follow = info.overdue_at.is_some();
-        let limit = until.saturating_duration_since(Instant::now());
-        let limit = if may_follow { limit.min(SILENCE_LIMIT) } else { limit };
-        let sent = tokio::select! {
+        if running.is_empty() {
+            gateway.await_turn(call, || open_endpoints(gateway, call).len()).await;
+            let next = attempts.next_endpoint(gateway, call).filter(|_| Instant::now() < until);
+            let Some((endpoint, permit)) = next else { return Begun::Nothing };
+            let info = start_attempt(gateway, call, attempts, &endpoint, permit);
+            running.push(info, send(gateway, call, endpoint, last_event, until));
+        }
+        let event = tokio::select! {
             biased;
-            sent = send(gateway, call, &endpoint, last_event, limit) => sent,
-            () = gateway.ending() => Err(abandon_at_shutdown(call)),
+            event = running.next() => event,
+            () = gateway.ending() => {
+                let failed = abandon_at_shutdown(call);
+                running.infos().for_each(|info| attempts.on_failed(gateway, call, info, &failed));
+                return Begun::Nothing;
+            }
         };
-        let run = match sent {
-            Ok(exchange) => PlainRun { exchange, info, addr: endpoint.addr },
-            Err(failed) => {
+        match event {
+            AttemptEvent::Ended(info, Ok(exchange)) => {
+                let run = PlainRun { exchange, info };
+                if run.exchange.answer.status() == StatusCode::OK {
+                    running.infos().for_each(|info| attempts.on_abandoned(gateway, info));
+                    return Begun::Run(Box::new(run));
+                }
+                let is_other_running = !running.is_empty();
+                let answer = read_other_answer(gateway, call, attempts, run, is_other_running);
+                if let Some(answer) = answer.await {
+                    running.infos().for_each(|info| attempts.on_abandoned(gateway, info));
+                    return Begun::Answer(answer);
+                }
+            }
+            AttemptEvent::Ended(info, Err(failed)) => {
                 attempts.on_failed(gateway, call, &info, &failed);
-                continue;
             }
-        };
-        if run.exchange.answer.status() == StatusCode::OK {
-            return Begun::Run(Box::new(run));
-        }
-        if let Some(answer) = read_other_answer(gateway, call, attempts, run).await {
-            return Begun::Answer(answer);
+            AttemptEvent::Overdue(under_way) => {
+                match attempts.next_hedge(gateway, call, under_way) {
+                    Some((endpoint, permit)) => {
+                        let info = start_attempt(gateway, call, attempts, &endpoint, permit);
+                        running.push(info, send(gateway, call, endpoint, last_event, until));
+                    }
+                    None => under_way.overdue_at = Some(Instant::now() + OVERDUE_CHECK_INTERVAL),
+                }
+            }
         }
     }
 }
 
+fn start_attempt(
+    gateway: &Gateway,
+    call: &Call,
+    attempts: &mut CallAttempts,
+    endpoint: &Endpoint,
+    permit: Permit,
+) -> AttemptInfo {
+    let info = attempts.start_attempt(gateway, call, endpoint, permit);
+    // The first event of a busy endpoint comes later than a whole answer of a call.
+    let overdue_at = info.overdue_at.map(|_| Instant::now() + SILENCE_LIMIT);
+    AttemptInfo { overdue_at, ..info }
+}
+
 async fn send(
     gateway: &Rc<Gateway>,
     call: &Call,
-    endpoint: &Endpoint,
+    endpoint: Endpoint,
     last_event: Option<u64>,
-    limit: Duration,
+    until: Instant,
 ) -> Result<Exchange, FailedAttempt> {
+    let limit = until.saturating_duration_since(Instant::now());
     info!("request sent", kv: {
         request = call.id(), endpoint = endpoint.id.as_str(), limit_ms = limit.as_millis() as u64,
         after:? = last_event
@@ -119,10 +154,11 @@
     call: &Call,
     attempts: &mut CallAttempts,
     run: PlainRun,
+    is_other_running: bool,
 ) -> Option<Response<AnswerBody>> {
-    let PlainRun { exchange, info, addr } = run;
-    match read_whole(gateway, call, exchange, addr, call.deadline).await {
-        Ok(answer) if attempts.should_try_another(call, &info, &answer, false) => {
+    let PlainRun { exchange, info } = run;
+    match read_whole(gateway, call, exchange, call.deadline).await {
+        Ok(answer) if attempts.should_try_another(call, &info, &answer, is_other_running) => {
             report_attempt_end(gateway, &info, AttemptEnd::Failure);
             attempts.on_error_answered(&info, answer);
             None
@@ -251,7 +287,7 @@
             why = fault.to_string().as_str(), after:? = self.events.last()
         });
         run.exchange.run.on_broke();
-        gateway.check_ended(&run.info.endpoint, run.addr).await;
+        gateway.check_ended(&run.info.endpoint, run.exchange.addr).await;
         let failed = FailedAttempt::new(Evidence::MayHaveRun, fault.to_string());
         self.attempts.on_failed(gateway, call, &run.info, &failed);
         let until = (self.last_event + CALLER_PAUSE_LIMIT).min(call.deadline);
@@ -286,9 +322,7 @@
     async fn begin_next(&mut self, until: Instant) -> Begun {
         let last_event = self.events.last();
         let PlainRelay { gateway, call, attempts, .. } = self;
-        let starting = begin_run(gateway, call, attempts, last_event, until);
-        // Whatever was sent by then may have run.
-        timeout_at(until, starting).await.unwrap_or(Begun::Nothing)
+        begin_run(gateway, call, attempts, last_event, until).await
     }
 
     /// Replaces the run by one that has begun. The old one is dropped only now.
@@ -304,7 +338,7 @@
     }
 
     async fn finish(self) {
-        let PlainRun { exchange, info, .. } = self.run;
+        let PlainRun { exchange, info } = self.run;
         exchange.run.on_answered();
         report_attempt_end(&self.gateway, &info, AttemptEnd::Success);
         let (connection, head) = (exchange.connection, &exchange.head);
