Streams of plain services: errors go to another endpoint, callers that leave end the search

Found in the second reading: an endpoint's error in place of a resumable stream was final although another endpoint could serve it; an error answer to a resume was recorded as the stream's answer; a caller who left was noticed only after the search for the next run. The check before a send no longer copies the ids of a path.

The new tests weren't run on the code before.

--- a/crates/daemon/tests/gateway/route_kinds.rs
+++ b/crates/daemon/tests/gateway/route_kinds.rs
@@ -278,3 +278,29 @@
     assert_eq!((runs(&silent), runs(&unanswered)), (2, 2));
     drop(stalled_body);
 }
+
+#[test]
+fn a_stream_that_an_endpoint_fails_is_tried_at_another_one() {
+    let (fleet, gateway) = fleet_of_all_kinds();
+    let second = add_second_service(&fleet, &gateway);
+    fleet.service.set_mode(ServiceMode::Fails);
+    let requests: Vec<String> = (0..4).map(|_| new_request()).collect();
+
+    for request in &requests {
+        let answer = send(gateway.callers(), "/alerts/a", request, Some(KEY));
+        assert_eq!((answer.is_whole, answer.body), (true, whole_stream()));
+    }
+
+    assert!(requests.iter().all(|request| second.runs(request) == 1));
+}
+
+#[test]
+fn an_endpoints_error_in_place_of_a_stream_passes_unchanged_where_no_other_is_there() {
+    let (fleet, gateway) = fleet_of_all_kinds();
+    fleet.service.set_mode(ServiceMode::Fails);
+
+    let answer = send(gateway.callers(), "/alerts/a", &new_request(), Some(KEY));
+
+    assert_eq!((answer.status, answer.body.as_str()), (500, "failed"));
+    assert_eq!(answer.signature.as_deref(), Some("ledger-1"));
+}
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -18,6 +18,7 @@
 use spdlog::{info, warn};
 use std::cell::Cell;
 use std::io::{self, ErrorKind};
+use std::iter;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -273,9 +274,11 @@
 
 /// Returns an endpoint of the target that may get no new work any more. It may have become so while the request waited for a
 /// permit or a connection.
-fn closed_endpoint(gateway: &Gateway, target: &Target<'_>) -> Option<Incarnation> {
+fn closed_endpoint<'a>(gateway: &Gateway, target: &'a Target<'_>) -> Option<&'a Incarnation> {
     let (knowledge, now) = (gateway.knowledge.borrow(), Instant::now().into_std());
-    target.endpoints().into_iter().find(|endpoint| !knowledge.may_get_work(endpoint, now))
+    let parts = target.path.iter().map(|part| &part.incarnation);
+    let mut endpoints = iter::once(&target.incarnation).chain(parts);
+    endpoints.find(|endpoint| !knowledge.may_get_work(endpoint, now))
 }
 
 /// Returns the failure of an attempt that was not sent, as its endpoint gets no requests now.
--- a/crates/gateway/src/request/plain/call_attempts.rs
+++ b/crates/gateway/src/request/plain/call_attempts.rs
@@ -13,7 +13,6 @@
 use sorrellock_routing::process::notices::SendBlock;
 use sorrellock_routing::process::{Endpoint, Incarnation};
 use sorrellock_routing::request::{Attempts, Evidence, overdue_after};
-use sorrellock_routing::version::Semantics;
 use spdlog::info;
 use std::rc::Rc;
 use std::time::Duration;
@@ -186,7 +185,7 @@
         }
     }
 
-    /// Returns whether an answer is an endpoint's error for an idempotent request which another endpoint may answer.
+    /// Returns whether an answer is an endpoint's error for a request that may be repeated and which another endpoint may answer.
     pub(super) fn should_try_another(
         &self,
         call: &Call,
@@ -194,7 +193,7 @@
         answer: &Response<AnswerBody>,
         is_other_running: bool,
     ) -> bool {
-        call.route.semantics == Semantics::Idempotent
+        call.route.semantics.may_repeat()
             && answer.status().is_server_error()
             && (is_other_running || may_follow(call, &self.attempts, &info.endpoint))
     }
--- a/crates/gateway/src/request/plain/stream_relay.rs
+++ b/crates/gateway/src/request/plain/stream_relay.rs
@@ -14,7 +14,7 @@
 use sorrellock_core::process::retries::{AttemptEnd, Permit};
 use sorrellock_http::{AnswerBody, Cut, Part};
 use sorrellock_platform::answer_headers;
-use sorrellock_routing::process::Endpoint;
+use sorrellock_routing::process::{Endpoint, Incarnation};
 use sorrellock_routing::request::{EventParser, Evidence, ParsedChunk, RunFault};
 use spdlog::{info, warn};
 use std::rc::Rc;
@@ -41,7 +41,7 @@
     let until = call.deadline;
     match begin_run(&gateway, &call, &mut attempts, call.head.last_event, until).await {
         Begun::Run(run) => Ok(start_relay(gateway, call, attempts, *run)),
-        Begun::Answer(answer) => Ok(answer),
+        Begun::Answer(answer, endpoint) => Ok(record_answered(&call, &endpoint, *answer)),
         Begun::Nothing => Ok(attempts.final_answer(&gateway, &call)),
     }
 }
@@ -55,8 +55,8 @@
 /// The outcome of a search for a run.
 enum Begun {
     Run(Box<PlainRun>),
-    /// An endpoint's answer that is no stream.
-    Answer(Response<AnswerBody>),
+    /// The answer of this endpoint, which is no stream.
+    Answer(Box<Response<AnswerBody>>, Incarnation),
     /// No endpoint took the request.
     Nothing,
 }
@@ -96,10 +96,11 @@
                     return Begun::Run(Box::new(run));
                 }
                 let is_other_running = !running.is_empty();
+                let endpoint = run.info.endpoint.clone();
                 let answer = read_other_answer(gateway, call, attempts, run, is_other_running);
                 if let Some(answer) = answer.await {
                     running.infos().for_each(|info| attempts.on_abandoned(gateway, info));
-                    return Begun::Answer(answer);
+                    return Begun::Answer(Box::new(answer), endpoint);
                 }
             }
             AttemptEvent::Ended(info, Err(failed)) => {
@@ -165,7 +166,7 @@
         }
         Ok(answer) => {
             report_attempt_end(gateway, &info, attempt_end(&answer));
-            Some(record_answered(call, &info.endpoint, answer))
+            Some(answer)
         }
         Err(failed) => {
             attempts.on_failed(gateway, call, &info, &failed);
@@ -291,9 +292,10 @@
         let failed = FailedAttempt::new(Evidence::MayHaveRun, fault.to_string());
         self.attempts.on_failed(gateway, call, &run.info, &failed);
         let until = (self.last_event + CALLER_PAUSE_LIMIT).min(call.deadline);
-        match self.begin_next(until).await {
+        let Some(begun) = self.begin_next(until).await else { return Flow::Stopped };
+        match begun {
             Begun::Run(run) => self.replace_run(*run),
-            Begun::Answer(_) | Begun::Nothing => {
+            Begun::Answer(..) | Begun::Nothing => {
                 if self.gateway.is_ending() {
                     self.call.end.report_cut_leaving();
                 }
@@ -310,19 +312,25 @@
             return Flow::Continue;
         }
         self.gateway.counters.add(Count::RunsSilent);
-        match self.begin_next(until).await {
+        let Some(begun) = self.begin_next(until).await else { return Flow::Stopped };
+        match begun {
             Begun::Run(run) => {
                 report_attempt_end(&self.gateway, &self.run.info, AttemptEnd::Failure);
                 self.replace_run(*run)
             }
-            Begun::Answer(_) | Begun::Nothing => Flow::Continue,
+            Begun::Answer(..) | Begun::Nothing => Flow::Continue,
         }
     }
 
-    async fn begin_next(&mut self, until: Instant) -> Begun {
+    /// Looks for the next run; `None` if the caller goes away meanwhile.
+    async fn begin_next(&mut self, until: Instant) -> Option<Begun> {
         let last_event = self.events.last();
-        let PlainRelay { gateway, call, attempts, .. } = self;
-        begin_run(gateway, call, attempts, last_event, until).await
+        let PlainRelay { gateway, call, attempts, tx, .. } = self;
+        tokio::select! {
+            biased;
+            () = tx.closed() => None,
+            begun = begin_run(gateway, call, attempts, last_event, until) => Some(begun),
+        }
     }
 
     /// Replaces the run by one that has begun. The old one is dropped only now.
