Streams of plain services: the search for a run is a file of its own

A move of code: stream_search finds an endpoint that begins a stream, stream_relay forwards it. The limits on silence and pauses are those of the streams of engines, not copies. Event ids are read without building a text of each.

--- a/crates/gateway/src/request/plain/mod.rs
+++ b/crates/gateway/src/request/plain/mod.rs
@@ -3,6 +3,7 @@
 mod call_attempts;
 mod serve;
 mod stream_relay;
+mod stream_search;
 
 pub(crate) use serve::*;
 pub(crate) use stream_relay::serve_plain_stream;
--- a/crates/gateway/src/request/relay/mod.rs
+++ b/crates/gateway/src/request/relay/mod.rs
@@ -6,4 +6,4 @@
 mod repath;
 mod stream_timing;
 
-pub(crate) use relay::Relay;
+pub(crate) use relay::{CALLER_PAUSE_LIMIT, Relay, STREAM_SILENCE_LIMIT};
--- a/crates/gateway/src/request/relay/relay.rs
+++ b/crates/gateway/src/request/relay/relay.rs
@@ -21,7 +21,7 @@
 
 /// How long one stream may be silent on a path that delivers to others before it continues elsewhere: callers leave
 /// after two seconds, and a new run takes up to half a second to start.
-pub(super) const STREAM_SILENCE_LIMIT: Duration = Duration::from_millis(1_200);
+pub(crate) const STREAM_SILENCE_LIMIT: Duration = Duration::from_millis(1_200);
 /// How often a stream that is silent, or that should move off a leaving engine, checks its path.
 const PATH_CHECK_INTERVAL: Duration = Duration::from_millis(60);
 /// Silence after which a stream starts to check its path: a stalled path is known by then.
@@ -29,7 +29,7 @@
 /// How often a stream that waits for a repair looks for a new path, in addition to each change of paths.
 const REPAIR_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// Pause after which callers leave.
-pub(super) const CALLER_PAUSE_LIMIT: Duration = Duration::from_secs(2);
+pub(crate) const CALLER_PAUSE_LIMIT: Duration = Duration::from_secs(2);
 
 /// The reason for a failover of a stream without a run.
 const NO_RUN: &str = "no run is under way";
--- a/crates/gateway/src/request/stream.rs
+++ b/crates/gateway/src/request/stream.rs
@@ -22,7 +22,7 @@
 use tokio::time::Instant;
 
 /// Buffered parts for a slow caller; when the buffer is full, the engine's connection isn't read.
-const PARTS_BUFFERED: usize = 32;
+pub(super) const PARTS_BUFFERED: usize = 32;
 /// How long a request waits for free capacity before it is refused: less than a quarter of the usual latency target of
 /// 500 ms, so that another gateway can still serve the caller in time.
 const CAPACITY_WAIT_LIMIT: Duration = Duration::from_millis(100);
--- a/crates/routing/src/request/event_parser.rs
+++ b/crates/routing/src/request/event_parser.rs
@@ -205,8 +205,7 @@
 }
 
 fn parse_id(text: &[u8]) -> Option<u64> {
-    let text = std::str::from_utf8(text).ok()?;
-    let id: u64 = text.parse().ok()?;
     // Other spellings of a number, such as 007 or +7, are damaged ids.
-    (id.to_string() == text).then_some(id)
+    let is_plain = text.iter().all(u8::is_ascii_digit) && (text == b"0" || !text.starts_with(b"0"));
+    std::str::from_utf8(text).ok().filter(|_| is_plain)?.parse().ok()
 }
