Streams of engines: only 200 begins a stream

another_success_than_a_stream_passes_unchanged failed before and passes, with the tests of streams, first_event, route_kinds and plain calls. Wording of two comments.

--- a/crates/daemon/tests/gateway/route_kinds.rs
+++ b/crates/daemon/tests/gateway/route_kinds.rs
@@ -184,6 +184,20 @@
     }
 }
 
+/// Guards against a success of another kind on a streaming route that is taken for a stream, and cut off.
+#[test]
+fn another_success_than_a_stream_passes_unchanged() {
+    let (fleet, gateway) = fleet_of_all_kinds();
+    fleet.engines.iter().for_each(|engine| engine.set_mode(EngineMode::FailsWith(202)));
+    fleet.service.set_mode(ServiceMode::FailsWith(202));
+    for path in ["/match/a", "/alerts/a", "/lookup/a"] {
+        let answer = send(gateway.callers(), path, &new_request(), Some(KEY));
+
+        assert_eq!((answer.status, answer.body.as_str()), (202, "failed"), "{path}");
+        assert!(answer.is_whole && answer.signature.is_some(), "{path}: {answer:?}");
+    }
+}
+
 #[test]
 fn a_request_whose_engine_dies_runs_again_only_if_it_may() {
     let (fleet, gateway) = fleet_of_all_kinds();
--- a/crates/gateway/src/request/run_search.rs
+++ b/crates/gateway/src/request/run_search.rs
@@ -5,10 +5,11 @@
 use crate::request::{
     Call, FailedAttempt, RunningAttempts, abandon_call, forward_answer, log_failed_attempt,
 };
-use http::Response;
+use http::{Response, StatusCode};
 use sorrellock_http::{AnswerBody, read_answer};
 use sorrellock_routing::process::Incarnation;
 use sorrellock_routing::request::{AbandonedOutcome, Attempts, Evidence};
+use sorrellock_routing::version::Semantics;
 use spdlog::info;
 use std::future::pending;
 use std::rc::Rc;
@@ -57,7 +58,7 @@
             () = gateway.ending() => SearchEvent::ShuttingDown,
         };
         match event {
-            SearchEvent::Ended(_, Ok(run)) if run.exchange.answer.status().is_success() => {
+            SearchEvent::Ended(_, Ok(run)) if begins_run(call, run.exchange.answer.status()) => {
                 return Ok(*run);
             }
             SearchEvent::Ended(sent, Ok(run)) => search.on_error_answered(&sent, *run).await,
@@ -77,6 +78,14 @@
     }
 }
 
+/// Returns whether an answer with this status begins a run: a stream, or the success of a request whose answer is whole.
+fn begins_run(call: &Call, status: StatusCode) -> bool {
+    match call.route.semantics {
+        Semantics::Stream { .. } => status == StatusCode::OK,
+        Semantics::Idempotent | Semantics::NonIdempotent => status.is_success(),
+    }
+}
+
 /// An event in the search for a run.
 enum SearchEvent {
     Ended(SentAttempt, Result<Box<Run>, FailedAttempt>),
--- a/crates/routing/src/request/answer_check.rs
+++ b/crates/routing/src/request/answer_check.rs
@@ -4,7 +4,7 @@
 use std::fmt;
 use std::ops::RangeInclusive;
 
-/// Statuses that tell a caller that its request has not run and never will.
+/// Statuses that promise a caller that its request has not run and never will.
 const NOT_RUN_STATUSES: [u16; 4] = [408, MISDIRECTED, 429, 503];
 /// The endpoint isn't the one that the request was meant for, and has not run it.
 const MISDIRECTED: u16 = 421;
@@ -45,7 +45,7 @@
 }
 
 impl AnswerFault {
-    /// Returns what the answer tells of the attempt.
+    /// Returns the evidence of the attempt that the answer ends.
     pub fn evidence(self) -> Evidence {
         match self {
             AnswerFault::NotRun(_) => Evidence::NotRun,
